Lay the ground: house lint, messages, election core, parts on disk, mapping language

Cause: an empty project. Types, lint and in-source tests stand; the election core decides the leader in what follows, there is no fixed one.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,31 @@
+import tseslint from 'typescript-eslint';
+import words from './lint/words.js';
+
+export default tseslint.config(
+  { ignores: ['dist/', 'node_modules/', 'lint/', 'bin/', 'eslint.config.js', 'vitest.config.ts'] },
+  ...tseslint.configs.recommended,
+  {
+    files: ['src/**/*.ts'],
+    plugins: { house: { rules: { words } } },
+    rules: {
+      'house/words': 'error',
+      'prefer-const': 'error',
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/no-non-null-assertion': 'error',
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
+      '@typescript-eslint/consistent-type-assertions': ['error', { assertionStyle: 'never' }],
+      'no-restricted-syntax': ['error',
+        { selector: 'ArrowFunctionExpression', message: 'function declarations only' },
+        { selector: ':not(MethodDefinition) > FunctionExpression', message: 'function declarations only' },
+        { selector: 'PropertyDefinition[accessibility="private"], MethodDefinition[accessibility="private"], TSParameterProperty', message: 'private fields are written with #' },
+        { selector: 'TSAsExpression[typeAnnotation.typeName.name!="const"]', message: 'no casts' },
+      ],
+      'no-restricted-imports': ['error', { paths: ['child_process', 'worker_threads', 'cluster'].flatMap(both) }],
+    },
+  },
+  { files: ['src/myth/**/*.ts'], rules: { 'no-restricted-imports': 'off' } },
+);
+
+function both(name) {
+  return [name, `node:${name}`];
+}
--- /dev/null
+++ b/src/code/Table.ts
@@ -0,0 +1,117 @@
+import { array, boolean, enums, integer, max, min, nonempty, number, object, pattern, size, string, StructError, type Infer } from 'superstruct';
+
+const METHODS = ['GET', 'POST', 'PUT', 'DELETE'] as const;
+const Name = pattern(string(), /^[a-z][a-z0-9-]{0,62}$/);
+/** A model, a prefix of models ending in *, or @service for plain back ends. */
+const ModelPattern = pattern(string(), /^(@[a-z][a-z0-9-]{0,62}|[A-Za-z0-9][A-Za-z0-9._-]{0,126}\*?|\*)$/);
+const Path = pattern(string(), /^\/[A-Za-z0-9._~/-]*\*?$/);
+
+export const MappingShape = object({ method: enums(METHODS), path: Path, type: Name });
+
+export const RowShape = object({
+  type: Name,
+  model: ModelPattern,
+  weight: max(min(integer(), 1), 1000),
+  /** Requests a second over the whole fleet. */
+  take: max(min(number(), 0), 100_000),
+  /** How late a return may be, in milliseconds. */
+  lateMs: max(min(integer(), 50), 3_600_000),
+  repeatable: boolean(),
+  stream: boolean(),
+});
+
+export const TableShape = object({
+  mappings: size(array(MappingShape), 0, 1000),
+  rows: size(array(RowShape), 0, 5000),
+});
+
+export type Mapping = Infer<typeof MappingShape>;
+export type Row = Infer<typeof RowShape>;
+export type Table = Infer<typeof TableShape>;
+
+export const EMPTY_TABLE: Table = { mappings: [], rows: [] };
+export const COLUMNS = ['type', 'model', 'weight', 'take', 'lateMs', 'repeatable', 'stream'] as const;
+export const RowKey = nonempty(string());
+
+/** One fault of a table, named by where it stands: a row and its cell, or a line and its column. */
+export interface Fault { readonly row: string; readonly cell: string; readonly text: string; readonly line?: number; readonly column?: number }
+
+export function rowKey(row: { readonly type: string; readonly model: string }): string {
+  return `${row.type}/${row.model}`;
+}
+
+function faultPlace(path: readonly unknown[]): { row: string; cell: string } {
+  const [list, index, cell] = path;
+  return { row: index === undefined ? String(list ?? 'table') : `${String(list)}[${String(index)}]`, cell: String(cell ?? '') };
+}
+
+/** Checks a whole table and names every fault at once. */
+export function checkTable(raw: unknown): { readonly table: Table; readonly faults: readonly Fault[] } {
+  const [error, table] = TableShape.validate(raw);
+  if (error instanceof StructError) {
+    const faults: Fault[] = [];
+    for (const item of error.failures()) faults.push({ ...faultPlace(item.path), text: item.message });
+    return { table: EMPTY_TABLE, faults };
+  }
+  const faults: Fault[] = [];
+  const types = new Set<string>();
+  const seen = new Set<string>();
+  for (const row of table.rows) {
+    types.add(row.type);
+    const key = rowKey(row);
+    if (seen.has(key)) faults.push({ row: key, cell: 'model', text: 'another row has the same type and model' });
+    seen.add(key);
+  }
+  const paths = new Set<string>();
+  for (const mapping of table.mappings) {
+    const name = `${mapping.method} ${mapping.path}`;
+    if (paths.has(name)) faults.push({ row: name, cell: 'path', text: 'another mapping has the same method and path' });
+    paths.add(name);
+    if (!types.has(mapping.type)) faults.push({ row: name, cell: 'type', text: `no row has the type ${mapping.type}` });
+  }
+  return { table, faults };
+}
+
+export function matchesModel(pattern: string, model: string): boolean {
+  return pattern.endsWith('*') ? model.startsWith(pattern.slice(0, -1)) : pattern === model;
+}
+
+/** The first row that fits, as the operator ordered them. */
+export function findRow(table: Table, type: string, model: string): Row | undefined {
+  for (const row of table.rows) {
+    if (row.type === type && (row.model.startsWith('@') || matchesModel(row.model, model))) return row;
+  }
+  return undefined;
+}
+
+export function findMapping(table: Table, method: string, path: string): Mapping | undefined {
+  let best: Mapping | undefined;
+  for (const mapping of table.mappings) {
+    if (mapping.method !== method || !matchesModel(mapping.path, path)) continue;
+    // The longest path is the most particular one, whatever the order of lines.
+    if (!best || mapping.path.length > best.path.length) best = mapping;
+  }
+  return best;
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const row = { type: 'check', model: 'm-*', weight: 5, take: 3, lateMs: 900, repeatable: false, stream: true };
+  function checkAllFaults(): void {
+    const { faults } = checkTable({ mappings: [], rows: [{ ...row, weight: 0 }, { ...row, model: 'x y', lateMs: 1 }] });
+    expect(faults.map(placeOf)).toEqual(['rows[0].weight', 'rows[1].model', 'rows[1].lateMs']);
+    const second = checkTable({ mappings: [{ method: 'GET', path: '/a', type: 'none' }], rows: [row, row] });
+    expect(second.faults.map(placeOf)).toEqual(['check/m-*.model', 'GET /a.type']);
+  }
+  function placeOf(fault: Fault): string { return `${fault.row}.${fault.cell}`; }
+  function checkFinding(): void {
+    const table = checkTable({ mappings: [{ method: 'GET', path: '/a/*', type: 'check' }, { method: 'GET', path: '/a/b', type: 'check' }], rows: [row, { ...row, model: '*' }] }).table;
+    expect(findRow(table, 'check', 'm-1')?.model).toBe('m-*');
+    expect(findRow(table, 'check', 'n')?.model).toBe('*');
+    expect(findRow(table, 'other', 'n')).toBeUndefined();
+    expect(findMapping(table, 'GET', '/a/b')?.path).toBe('/a/b');
+    expect(findMapping(table, 'POST', '/a/b')).toBeUndefined();
+  }
+  test('every fault is named by row and cell at once', checkAllFaults);
+  test('rows are found in order, mappings by the longest path', checkFinding);
+}
--- /dev/null
+++ b/src/hold/MemoryStore.ts
@@ -0,0 +1,33 @@
+import type { PartName } from '../kin/Ids.js';
+import { compareVersions, type Version } from '../kin/Version.js';
+import type { Store, StoredPart } from './Store.js';
+
+/** A store for the simulator: what was kept outlasts crash(), what was not is gone; wipe() loses all. */
+export class MemoryStore implements Store {
+  readonly #kept = new Map<PartName, StoredPart>();
+  #age = 0;
+
+  async readAll(): Promise<readonly StoredPart[]> {
+    return this.list();
+  }
+
+  list(): readonly StoredPart[] {
+    return [...this.#kept.values()];
+  }
+
+  async write(part: PartName, version: Version, body: string): Promise<void> {
+    const age = this.#age;
+    await Promise.resolve();
+    if (age === this.#age) this.keep(part, version, body);
+  }
+
+  /** The simulator's own way in: it decides on virtual time when a write has reached the disk. */
+  keep(part: PartName, version: Version, body: string): void {
+    const known = this.#kept.get(part);
+    if (!known || !known.isSound || compareVersions(version, known.version) >= 0) this.#kept.set(part, { part, version, body, isSound: true });
+  }
+
+  crash(): void { this.#age += 1; }
+
+  wipe(): void { this.crash(); this.#kept.clear(); }
+}
--- /dev/null
+++ b/src/hold/Store.ts
@@ -0,0 +1,18 @@
+import type { PartName } from '../kin/Ids.js';
+import type { Version } from '../kin/Version.js';
+
+/** One part as a store holds it. An unsound copy lost its newest version and must be mended from a fellow. */
+export interface StoredPart {
+  readonly part: PartName;
+  readonly version: Version;
+  readonly body: string;
+  readonly isSound: boolean;
+}
+
+/** The disk, as the cores see it: whole versions, written one file each. */
+export interface Store {
+  /** All parts found, the newest version of each. */
+  readAll(): Promise<readonly StoredPart[]>;
+  /** Resolves once the version would outlast a crash. A write that is overtaken by a newer one may resolve with it. */
+  write(part: PartName, version: Version, body: string): Promise<void>;
+}
--- /dev/null
+++ b/src/kin/Messages.ts
@@ -0,0 +1,122 @@
+import { array, boolean, number, string, type, type Infer } from 'superstruct';
+import { Defect } from './Defect.js';
+import { Codec, Wire, type Shape } from './Wire.js';
+
+const Link = type({ fellow: string(), score: number(), alive: boolean() });
+/** One node's scores of its links, versioned by its owner alone. */
+export const Report = type({ owner: string(), version: number(), links: array(Link) });
+const Copy = type({ part: string(), epoch: number(), count: number(), body: string(), sound: boolean() });
+const Member = type({ id: string(), zone: string(), address: string(), epoch: number(), count: number() });
+
+/** Everything the processes say to each other. Fields are only ever added at the end of a shape. */
+export const SHAPES = {
+  hello: type({ id: string(), role: string(), zone: string() }),
+  ping: type({ nonce: number(), epoch: number(), reports: array(Report), leader: string() }),
+  pong: type({ nonce: number(), epoch: number(), reports: array(Report), standing: string() }),
+  propose: type({ epoch: number(), reports: array(Report) }),
+  defer: type({ epoch: number(), reports: array(Report) }),
+  victory: type({ epoch: number(), reports: array(Report), nonce: number(), quorum: array(string()) }),
+  granted: type({ epoch: number(), wait: number(), nonce: number(), reports: array(Report) }),
+  behind: type({ epoch: number(), reports: array(Report) }),
+  renew: type({ epoch: number(), nonce: number(), quorum: array(string()) }),
+  renewed: type({ epoch: number(), nonce: number() }),
+  read: type({ epoch: number(), nonce: number(), parts: array(string()) }),
+  readReturn: type({ epoch: number(), nonce: number(), sound: boolean(), copies: array(Copy), standing: string() }),
+  write: type({ part: string(), epoch: number(), count: number(), body: string() }),
+  writeReturn: type({ part: string(), epoch: number(), count: number(), good: boolean(), members: array(Member) }),
+  digest: type({ nonce: number(), low: number(), high: number(), digest: string() }),
+  digestReturn: type({ nonce: number(), low: number(), high: number(), same: boolean(), sound: boolean() }),
+  sound: type({ nonce: number(), members: array(Member) }),
+  sounded: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
+  news: type({ topic: string(), epoch: number(), count: number(), body: string() }),
+  join: type({ zone: string(), address: string(), epoch: number(), count: number() }),
+  hang: type({ parent: string() }),
+  ask: type({ nonce: number() }),
+  vouch: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
+  ack: type({ epoch: number(), count: number() }),
+  acked: type({ members: array(Member) }),
+  demand: type({ body: string() }),
+  command: type({ id: number(), verb: string(), body: string() }),
+  commandReturn: type({ id: number(), status: number(), body: string() }),
+} as const;
+
+type Shapes = typeof SHAPES;
+export type MessageKind = keyof Shapes;
+export type Body<K extends MessageKind> = Infer<Shapes[K]>;
+export type Message = { [K in MessageKind]: { readonly kind: K } & Readonly<Body<K>> }[MessageKind];
+export type ReportMessage = Infer<typeof Report>;
+export type CopyMessage = Infer<typeof Copy>;
+export type MemberMessage = Infer<typeof Member>;
+
+interface Coder {
+  encode(message: Message): Uint8Array;
+  decode(bytes: Uint8Array): Message;
+}
+
+const wire = new Wire();
+const coders = new Map<string, Coder>();
+
+function isMessage(value: unknown, kind: string): value is Message {
+  return typeof value === 'object' && value !== null && 'kind' in value && value.kind === kind;
+}
+
+function register<T extends object>(kind: string, shape: Shape<T>): void {
+  const codec = new Codec(wire, kind, shape);
+  function isOfShape(value: unknown): value is T {
+    return isMessage(value, kind);
+  }
+  function encode(message: Message): Uint8Array {
+    if (!isOfShape(message)) throw new Defect('bad-frame', `not a ${kind}`);
+    return codec.encode(message);
+  }
+  function decode(bytes: Uint8Array): Message {
+    const value: unknown = { kind, ...codec.decode(bytes) };
+    if (!isMessage(value, kind)) throw new Defect('bad-frame', `not a ${kind}`);
+    return value;
+  }
+  coders.set(kind, { encode, decode });
+}
+
+for (const [kind, shape] of Object.entries<Shape<object>>(SHAPES)) register(kind, shape);
+
+const kinds = Object.keys(SHAPES);
+
+/** A frame is one byte for the kind's place in the table, then the message. */
+export function encodeMessage(message: Message): Buffer {
+  const coder = coders.get(message.kind);
+  if (!coder) throw new Defect('bad-frame', `unknown kind ${message.kind}`);
+  return Buffer.concat([Buffer.from([kinds.indexOf(message.kind)]), coder.encode(message)]);
+}
+
+export function decodeMessage(bytes: Uint8Array): Message {
+  const kind = kinds[bytes[0] ?? 255];
+  const coder = kind === undefined ? undefined : coders.get(kind);
+  if (!coder) throw new Defect('bad-frame', `unknown kind ${bytes[0]}`);
+  return coder.decode(bytes.subarray(1));
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  function checkThereAndBack(): void {
+    const report = { owner: 'a', version: 3, links: [{ fellow: 'b', score: 0.25, alive: true }] };
+    const ping: Message = { kind: 'ping', nonce: 7, epoch: 4, reports: [report], leader: 'a' };
+    expect(decodeMessage(encodeMessage(ping))).toEqual(ping);
+    const write: Message = { kind: 'write', part: 'p', epoch: 2, count: 9007199254740991, body: 'é'.repeat(70000) };
+    expect(decodeMessage(encodeMessage(write))).toEqual(write);
+  }
+  function checkSkew(): void {
+    const older = new Codec(new Wire(), 'news', type({ topic: string() }));
+    const newer = new Codec(new Wire(), 'news', SHAPES.news);
+    expect(newer.decode(older.encode({ topic: 'table' }))).toEqual({ topic: 'table', epoch: 0, count: 0, body: '' });
+    expect(older.decode(newer.encode({ topic: 'x', epoch: 1, count: 2, body: 'b' }))).toEqual({ topic: 'x' });
+  }
+  function checkGarbage(): void {
+    function decodeCut(): void { decodeMessage(Buffer.from([4, 10, 255, 1])); }
+    function decodeUnknown(): void { decodeMessage(Buffer.from([250])); }
+    expect(decodeCut).toThrow(/undecodable/);
+    expect(decodeUnknown).toThrow(/unknown kind/);
+  }
+  test('messages come back as they were sent', checkThereAndBack);
+  test('messages of an older and a newer build read each other', checkSkew);
+  test('garbage is a bad frame', checkGarbage);
+}
--- /dev/null
+++ b/src/kin/Quorum.ts
@@ -0,0 +1,56 @@
+import type { FellowId } from './Ids.js';
+
+/** Who votes. During a swap two sets stand side by side, and a majority is one of both. */
+export class Quorum {
+  readonly #sets: readonly (readonly FellowId[])[];
+  readonly #all: readonly FellowId[];
+
+  constructor(...sets: readonly (readonly FellowId[])[]) {
+    this.#sets = sets;
+    this.#all = [...new Set(sets.flat())].sort();
+  }
+
+  get all(): readonly FellowId[] { return this.#all; }
+
+  holds(id: FellowId): boolean { return this.#all.includes(id); }
+
+  isMajority(ids: ReadonlySet<FellowId>): boolean {
+    function hasMost(set: readonly FellowId[]): boolean {
+      return set.filter(ids.has, ids).length * 2 > set.length;
+    }
+    return this.#sets.length > 0 && this.#sets.every(hasMost);
+  }
+
+  /** Whether these alone, without `me`, meet every majority that could ever have included `me`. */
+  coversWithout(me: FellowId, ids: ReadonlySet<FellowId>): boolean {
+    const others = new Set(ids);
+    others.delete(me);
+    function meets(set: readonly FellowId[]): boolean {
+      const majority = Math.floor(set.length / 2) + 1;
+      const absent = set.length - set.filter(others.has, others).length;
+      // What is unread, `me` apart, must be too few to have made a majority together with `me`.
+      return absent - (set.includes(me) ? 1 : 0) + 1 < majority || absent === 0;
+    }
+    return this.#sets.every(meets);
+  }
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { fellowId } = await import('./Ids.js');
+  const [a, b, c, d] = [fellowId('a'), fellowId('b'), fellowId('c'), fellowId('d')];
+  function checkJoint(): void {
+    const joint = new Quorum([a, b, c], [a, b, d]);
+    expect(joint.isMajority(new Set([a, c]))).toBe(false);
+    expect(joint.isMajority(new Set([a, b]))).toBe(true);
+    expect(joint.isMajority(new Set([a, c, d]))).toBe(true);
+  }
+  function checkRepairReads(): void {
+    const three = new Quorum([a, b, c]);
+    expect(three.coversWithout(a, new Set([b]))).toBe(false);
+    expect(three.coversWithout(a, new Set([a, b]))).toBe(false);
+    expect(three.coversWithout(a, new Set([b, c]))).toBe(true);
+  }
+  test('during a swap a majority is one of the old and of the new set', checkJoint);
+  test('a node that lost its disk must read everyone it may have decided with', checkRepairReads);
+}
--- /dev/null
+++ b/src/kin/Wire.ts
@@ -0,0 +1,79 @@
+import protobuf from 'protobufjs';
+import { Struct } from 'superstruct';
+import { Defect } from './Defect.js';
+
+/** What is needed of a superstruct shape; unlike Struct itself it may stand for a narrower one. */
+export interface Shape<T> {
+  readonly type: string;
+  readonly schema: unknown;
+  is(value: unknown): value is T;
+}
+
+/**
+ * Turns superstruct shapes into protobuf types, so that each message is written down once:
+ * the shape gives the TypeScript type and the check, and its field order gives the wire numbers.
+ * A field is only ever added at the end; an older message then decodes with that field's default.
+ */
+export class Wire {
+  readonly #root = new protobuf.Root();
+  readonly #types = new Map<string, protobuf.Type>();
+
+  define(name: string, shape: Shape<unknown>): protobuf.Type {
+    const known = this.#types.get(name);
+    if (known) return known;
+    const type = new protobuf.Type(name);
+    this.#types.set(name, type);
+    this.#root.add(type);
+    const schema: unknown = shape.schema;
+    if (typeof schema !== 'object' || schema === null) throw new TypeError(`${name} has no fields`);
+    const fields: [string, unknown][] = Object.entries(schema);
+    for (const [index, [key, value]] of fields.entries()) {
+      if (!(value instanceof Struct)) throw new TypeError(`${name}.${key} is no shape`);
+      type.add(this.#field(`${name}_${key}`, key, index + 1, value));
+    }
+    return type;
+  }
+
+  #field(path: string, key: string, number: number, shape: Shape<unknown>): protobuf.Field {
+    if (shape.type === 'array') {
+      const element: unknown = shape.schema;
+      if (!(element instanceof Struct)) throw new TypeError(`${path} has no element shape`);
+      return new protobuf.Field(key, number, this.#scalar(path, element), 'repeated');
+    }
+    return new protobuf.Field(key, number, this.#scalar(path, shape));
+  }
+
+  #scalar(path: string, shape: Shape<unknown>): string {
+    if (shape.type === 'string') return 'string';
+    if (shape.type === 'number') return 'double';
+    if (shape.type === 'boolean') return 'bool';
+    if (shape.type === 'type') return this.define(path, shape).name;
+    throw new TypeError(`${path}: no wire form for ${shape.type}`);
+  }
+}
+
+/** One message kind: its protobuf type and the check of what is decoded. */
+export class Codec<T extends object> {
+  readonly #type: protobuf.Type;
+  readonly #shape: Shape<T>;
+
+  constructor(wire: Wire, name: string, shape: Shape<T>) {
+    this.#type = wire.define(name, shape);
+    this.#shape = shape;
+  }
+
+  encode(value: T): Uint8Array {
+    return this.#type.encode(this.#type.fromObject(value)).finish();
+  }
+
+  decode(bytes: Uint8Array): T {
+    let raw: unknown;
+    try {
+      raw = this.#type.toObject(this.#type.decode(bytes), { defaults: true, arrays: true });
+    } catch (thrown) {
+      throw new Defect('bad-frame', `undecodable ${this.#type.name}`, thrown instanceof Error ? thrown : undefined);
+    }
+    if (!this.#shape.is(raw)) throw new Defect('bad-frame', `${this.#type.name} has fields of the wrong kind`);
+    return raw;
+  }
+}
--- /dev/null
+++ b/src/vote/Elector.ts
@@ -0,0 +1,452 @@
+import { epochOf, fellowId, isElecting, later, moment, nextElecting, nextLeading, type Epoch, type FellowId, type Moment } from '../kin/Ids.js';
+import type { Message, ReportMessage } from '../kin/Messages.js';
+import type { Quorum } from '../kin/Quorum.js';
+import { Scores } from './Scores.js';
+import type { VoteEffect, VoteRecord } from './VoteEffect.js';
+import type { VoteSettings } from './VoteSettings.js';
+
+const NOBODY: VoteRecord = { epoch: 0, grantEpoch: 0, grantLeader: '' };
+
+/** What the elector is doing: waiting for a majority to be in reach, proposing itself, having deferred, or knowing a leader. */
+type Role = 'looking' | 'proposing' | 'deferred' | 'won' | 'leading' | 'following';
+
+/**
+ * One voter of the election: the design's proposals and deferrals, then our grant and lease on top.
+ * Pure: everything it wants done is drained as effects, and it is told the moment with each call.
+ */
+export class Elector {
+  readonly #me: FellowId;
+  readonly #settings: VoteSettings;
+  #quorum: Quorum;
+  readonly #scores: Scores;
+  #frozen: Scores;
+  #epoch: Epoch;
+  #granted: { readonly epoch: number; readonly leader: string };
+  #role: Role = 'looking';
+  #mayVote = true;
+  #leader: FellowId | undefined;
+  #deferredTo: FellowId | undefined;
+  #deferredScores: Scores | undefined;
+  #deferrals = new Set<FellowId>();
+  #insiders = new Set<FellowId>();
+  #limit: Moment = moment(0);
+  #heardLeader: Moment = moment(0);
+
+  #grants = new Set<FellowId>();
+  #orderFrom: Moment = moment(0);
+  #leaseEnd: Moment = moment(-1);
+  #nonce = 0;
+  readonly #renewals = new Map<number, { readonly sent: Moment; readonly by: Set<FellowId> }>();
+  #renewedAt: Moment = moment(0);
+  readonly #promises = new Map<string, Moment>();
+  #bootPromise: Moment;
+
+  readonly #pinged = new Map<FellowId, { sent: Moment; heard: Moment; scored: Moment }>();
+  #pingedAt: Moment;
+
+  #effects: VoteEffect[] = [];
+  #held: { readonly token: number; readonly run: () => void }[] = [];
+  #token = 0;
+  #kept = 0;
+  #keepSince: Moment = moment(0);
+
+  constructor(me: FellowId, quorum: Quorum, settings: VoteSettings, now: Moment, record: VoteRecord = NOBODY) {
+    this.#me = me;
+    this.#quorum = quorum;
+    this.#settings = settings;
+    this.#scores = new Scores(me, settings.halfLifeSeconds);
+    this.#frozen = this.#scores.freeze();
+    this.#epoch = epochOf(record.epoch);
+    this.#granted = { epoch: record.grantEpoch, leader: record.grantLeader };
+    // What we promised before a crash is gone from memory: hold as if promised this moment, to a leader we no longer know.
+    this.#bootPromise = record.grantEpoch > 0 ? later(now, settings.spanMs) : moment(now - settings.leaseMs);
+    this.#pingedAt = moment(now - settings.pingMs);
+  }
+
+  get epoch(): Epoch { return this.#epoch; }
+  get role(): Role { return this.#role; }
+  get leader(): FellowId | undefined { return this.#leader; }
+  get insiders(): ReadonlySet<FellowId> { return this.#insiders; }
+  get scores(): Scores { return this.#scores; }
+  get record(): VoteRecord { return { epoch: this.#epoch, grantEpoch: this.#granted.epoch, grantLeader: this.#granted.leader }; }
+
+  /** Whether a majority has granted us this epoch: we hold the state and may write it, fenced by the epoch. */
+  isLeading(): boolean { return this.#role === 'leading'; }
+
+  /** The end of our lease; orders may be under way only before it. */
+  get leaseEnd(): Moment { return this.#leaseEnd; }
+
+  /** Asked right before each order's write. */
+  mayOrder(now: Moment): boolean {
+    return this.#role === 'leading' && now >= this.#orderFrom && now < this.#leaseEnd;
+  }
+
+  /** A node that lost its disk neither proposes nor grants until it has been repaired. */
+  setMayVote(mayVote: boolean, record: VoteRecord, now: Moment): void {
+    if (mayVote && !this.#mayVote && record.epoch > 0) {
+      this.#epoch = epochOf(Math.max(record.epoch, this.#epoch));
+      this.#bootPromise = later(now, this.#settings.spanMs);
+    }
+    if (!mayVote) this.#lose('looking');
+    if (mayVote !== this.#mayVote) {
+      this.#mayVote = mayVote;
+      this.#keep(now);
+    }
+  }
+
+  setQuorum(quorum: Quorum): void { this.#quorum = quorum; }
+
+  drain(): VoteEffect[] {
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+
+  kept(token: number): void {
+    this.#kept = Math.max(this.#kept, token);
+    const held = this.#held;
+    this.#held = [];
+    for (const item of held) {
+      if (item.token <= this.#kept) item.run();
+      else this.#held.push(item);
+    }
+  }
+
+  beat(now: Moment): void {
+    this.#ping(now);
+    if (!this.#mayVote || !this.#quorum.holds(this.#me)) return;
+    if (this.#role === 'leading' || this.#role === 'won') this.#beatLeader(now);
+    if (this.#role === 'proposing' && now >= this.#limit) {
+      if (this.#quorum.isMajority(this.#deferrals)) this.#win(now);
+      else this.#startIfReachable(now);
+    } else if (this.#role === 'won' && now >= this.#limit) {
+      this.#startIfReachable(now);
+    } else if (this.#role === 'deferred' && now >= this.#limit) {
+      this.#startIfReachable(now);
+    } else if (this.#role === 'following' && now >= later(this.#heardLeader, this.#settings.spanMs)) {
+      this.#lose('looking');
+      this.#startIfReachable(now);
+    } else if (this.#role === 'looking') {
+      this.#startIfReachable(now);
+    }
+  }
+
+  receive(now: Moment, from: FellowId, message: Message): void {
+    switch (message.kind) {
+      case 'ping': this.#scores.merge(message.reports); this.#sendPong(from, message.nonce); break;
+      case 'pong': this.#receivePong(now, from, message.nonce, message.reports); break;
+      case 'propose': this.#receivePropose(now, from, epochOf(message.epoch), message.reports); break;
+      case 'defer': this.#receiveDefer(now, from, epochOf(message.epoch), message.reports); break;
+      case 'victory': this.#receiveVictory(now, from, epochOf(message.epoch), message.reports, message.nonce, message.quorum); break;
+      case 'granted': this.#receiveGranted(now, from, epochOf(message.epoch), message.wait, message.nonce, message.reports); break;
+      case 'behind': this.#receiveBehind(now, epochOf(message.epoch), message.reports); break;
+      case 'renew': this.#receiveRenew(now, from, epochOf(message.epoch), message.nonce, message.quorum); break;
+      case 'renewed': if (message.epoch === this.#epoch) this.#countRenewal(from, message.nonce); break;
+      default: break;
+    }
+  }
+
+  // ---- pings
+
+  #ping(now: Moment): void {
+    if (now < later(this.#pingedAt, this.#settings.pingMs)) return;
+    this.#pingedAt = now;
+    this.#nonce += 1;
+    for (const fellow of this.#quorum.all) {
+      if (fellow === this.#me) continue;
+      const state = this.#pinged.get(fellow) ?? { sent: now, heard: now, scored: now };
+      this.#pinged.set(fellow, state);
+      if (now - state.heard >= this.#settings.deadMs) {
+        this.#scores.reportDead(fellow, (now - state.scored) / 1000);
+        state.scored = now;
+      }
+      state.sent = now;
+      this.#speak(fellow, { kind: 'ping', nonce: now, epoch: 0, reports: this.#scores.reports(), leader: this.#leader ?? '' });
+    }
+  }
+
+  #sendPong(to: FellowId, nonce: number): void {
+    this.#speak(to, { kind: 'pong', nonce, epoch: 0, reports: this.#scores.reports(), standing: '' });
+  }
+
+  #receivePong(now: Moment, from: FellowId, sent: number, reports: readonly ReportMessage[]): void {
+    this.#scores.merge(reports);
+    const state = this.#pinged.get(from);
+    // The nonce is our own moment of sending: a pong held up for longer than a link counts as dead proves nothing.
+    if (!state || now - sent >= this.#settings.deadMs) return;
+    state.heard = now;
+    this.#scores.reportLive(from, (now - state.scored) / 1000);
+    state.scored = now;
+  }
+
+  // ---- election
+
+  /** Bumps the epoch and proposes ourselves. */
+  start(now: Moment): void {
+    this.#lose('proposing');
+    this.#adopt(nextElecting(this.#epoch), now);
+    this.#role = 'proposing';
+    this.#deferrals = new Set([this.#me]);
+    this.#limit = later(now, this.#settings.electionMs);
+    for (const fellow of this.#others()) this.#speak(fellow, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
+    if (this.#quorum.all.length === 1) this.#win(now);
+  }
+
+  #startIfReachable(now: Moment): void {
+    // Our exception: a node that cannot reach a majority, or whose disk stalls, could only run the epoch up for the others.
+    if (this.#reachesMajority() && !this.#isStalled(now)) {
+      this.start(now);
+    } else if (this.#role !== 'looking') {
+      this.#lose('looking');
+    }
+  }
+
+  #receivePropose(now: Moment, from: FellowId, epoch: Epoch, reports: readonly ReportMessage[]): void {
+    this.#scores.merge(reports);
+    if (!this.#mayVote || !this.#quorum.holds(from)) return;
+    const isSettled = this.#leader !== undefined && !isElecting(this.#epoch);
+    if (isSettled && !this.#insiders.has(from)) {
+      // From outside the quorum: only worth an election if another than the present leader would come out of it,
+      // or if we lead ourselves and the newcomer has run ahead, since it could then never accept our renewals.
+      const top = this.#scores.top(this.#quorum.all);
+      if (top !== this.#leader) this.#startIfReachable(now);
+      else if (this.#leader === this.#me && epoch > this.#epoch) { this.#adopt(epoch, now); this.#startIfReachable(now); }
+      return;
+    }
+    if (epoch < this.#epoch) {
+      // An old message. A sender that looks newly booted must learn the epoch to take part; while electing, start anew for it.
+      if (!isSettled && this.#role === 'proposing') this.#speak(from, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
+      else this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() });
+      return;
+    }
+    if (epoch > this.#epoch) {
+      this.#lose('looking');
+      this.#adopt(epoch, now);
+      if (this.#frozen.isBetter(this.#me, from, this.#quorum.all) && this.#reachesMajority() && !this.#isStalled(now)) {
+        this.start(now);
+      } else {
+        this.#deferTo(now, from, reports);
+      }
+      return;
+    }
+    if (!isElecting(epoch)) return;
+    const current = this.#deferredTo ?? (this.#role === 'proposing' ? this.#me : undefined);
+    if (current === from) return;
+    if (current === undefined) { this.#deferTo(now, from, reports); return; }
+    if (!this.#frozen.isBetter(from, current, this.#quorum.all)) return;
+    const view = this.#deferredScores ?? this.#frozen;
+    // Deferral is transitive: where the one we chose before would not defer here, everyone starts over.
+    if (view.isBetter(from, current, this.#quorum.all)) this.#deferTo(now, from, reports);
+    else this.#startIfReachable(now);
+  }
+
+  #deferTo(now: Moment, from: FellowId, reports: readonly ReportMessage[]): void {
+    this.#role = 'deferred';
+    this.#deferredTo = from;
+    const view = new Scores(this.#me, this.#settings.halfLifeSeconds);
+    view.merge(reports);
+    this.#deferredScores = view;
+    this.#limit = later(now, this.#settings.electionMs * 2);
+    this.#speak(from, { kind: 'defer', epoch: this.#epoch, reports: this.#frozen.reports() });
+  }
+
+  #receiveDefer(now: Moment, from: FellowId, epoch: Epoch, reports: readonly ReportMessage[]): void {
+    this.#scores.merge(reports);
+    if (this.#role !== 'proposing' || epoch !== this.#epoch || !this.#quorum.holds(from)) return;
+    this.#deferrals.add(from);
+    // Everyone in reach has deferred: nothing is gained by waiting for the limit.
+    if (this.#quorum.isMajority(this.#deferrals) && this.#others().every(this.#deferredOrDead, this)) this.#win(now);
+  }
+
+  #deferredOrDead(fellow: FellowId): boolean {
+    return this.#deferrals.has(fellow) || !this.#scores.isAlive(fellow);
+  }
+
+  #win(now: Moment): void {
+    const epoch = nextLeading(this.#epoch);
+    const insiders = this.#deferrals;
+    this.#adopt(epoch, now);
+    this.#role = 'won';
+    this.#leader = this.#me;
+    this.#insiders = new Set(insiders);
+    this.#grants = new Set();
+    this.#orderFrom = now;
+    this.#limit = later(now, this.#settings.electionMs * 2);
+    this.#renewedAt = now;
+    this.#renewals.clear();
+    const nonce = this.#openRenewal(now);
+    this.#grant(now, this.#me, nonce);
+    for (const fellow of this.#others()) this.#speak(fellow, { kind: 'victory', epoch, reports: this.#scores.reports(), nonce, quorum: [...insiders] });
+  }
+
+  #receiveVictory(now: Moment, from: FellowId, epoch: Epoch, reports: readonly ReportMessage[], nonce: number, quorum: readonly string[]): void {
+    this.#scores.merge(reports);
+    if (!this.#mayVote || !this.#quorum.holds(from) || isElecting(epoch)) return;
+    if (epoch < this.#epoch) { this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() }); return; }
+    this.#follow(now, from, epoch, nonce, quorum);
+  }
+
+  #follow(now: Moment, from: FellowId, epoch: Epoch, nonce: number, quorum: readonly string[]): void {
+    // One grant per epoch, even if two winners of overlapping deferrals ask.
+    if (this.#granted.epoch >= epoch && !(this.#granted.epoch === epoch && this.#granted.leader === from)) return;
+    if (epoch > this.#epoch || this.#leader !== from) {
+      this.#lose('following');
+      this.#adopt(epoch, now);
+    }
+    this.#role = 'following';
+    this.#leader = from;
+    this.#insiders = new Set([this.#me, from, ...quorum.map(fellowId)]);
+    this.#heardLeader = now;
+    this.#grant(now, from, nonce);
+  }
+
+  #receiveBehind(now: Moment, epoch: Epoch, reports: readonly ReportMessage[]): void {
+    this.#scores.merge(reports);
+    if (epoch <= this.#epoch || !this.#mayVote || this.#role === 'following') return;
+    this.#lose('looking');
+    this.#adopt(epoch, now);
+    this.#startIfReachable(now);
+  }
+
+  // ---- grants and lease
+
+  #grant(now: Moment, leader: FellowId, nonce: number): void {
+    const epoch = this.#epoch;
+    if (this.#granted.epoch !== epoch) {
+      this.#granted = { epoch, leader };
+      this.#keep(now);
+    }
+    const wait = this.#wait(now, leader);
+    this.#promises.set(leader, later(now, this.#settings.spanMs));
+    if (leader === this.#me) this.#afterKept(this.#countGrant.bind(this, now, this.#me, epoch, wait, nonce));
+    else this.#speak(leader, { kind: 'granted', epoch, wait, nonce, reports: this.#scores.reports() });
+  }
+
+  /** How long from now the promises made to others still bind, with the span in which nobody orders. */
+  #wait(now: Moment, leader: FellowId): number {
+    let until = this.#bootPromise;
+    for (const [other, end] of this.#promises) if (other !== leader && end > until) until = end;
+    return Math.max(0, until + this.#settings.leaseMs - now);
+  }
+
+  #receiveGranted(now: Moment, from: FellowId, epoch: Epoch, wait: number, nonce: number, reports: readonly ReportMessage[]): void {
+    this.#scores.merge(reports);
+    this.#countGrant(now, from, epoch, wait, nonce);
+  }
+
+  #countGrant(now: Moment, from: FellowId, epoch: Epoch, wait: number, nonce: number): void {
+    if (epoch !== this.#epoch || (this.#role !== 'won' && this.#role !== 'leading')) return;
+    this.#insiders.add(from);
+    if (this.#role === 'won') {
+      this.#grants.add(from);
+      const end = later(now, wait);
+      if (end > this.#orderFrom) this.#orderFrom = end;
+    }
+    this.#countRenewal(from, nonce);
+    if (this.#role === 'won' && this.#quorum.isMajority(this.#grants)) this.#role = 'leading';
+  }
+
+  #openRenewal(now: Moment): number {
+    this.#nonce += 1;
+    this.#renewals.set(this.#nonce, { sent: now, by: new Set() });
+    return this.#nonce;
+  }
+
+  #countRenewal(from: FellowId, nonce: number): void {
+    const renewal = this.#renewals.get(nonce);
+    if (!renewal || (this.#role !== 'leading' && this.#role !== 'won')) return;
+    renewal.by.add(from);
+    if (!this.#quorum.isMajority(renewal.by)) return;
+    const end = later(renewal.sent, this.#settings.spanMs);
+    if (end > this.#leaseEnd) this.#leaseEnd = end;
+    for (const old of this.#renewals.keys()) if (old <= nonce) this.#renewals.delete(old);
+  }
+
+  #beatLeader(now: Moment): void {
+    if (this.#role === 'leading' && now >= this.#leaseEnd) {
+      // No majority renews us any more: whoever they follow now, it is not us.
+      this.#lose('looking');
+      return;
+    }
+    if (now < later(this.#renewedAt, this.#settings.renewMs)) return;
+    this.#renewedAt = now;
+    const nonce = this.#openRenewal(now);
+    for (const [old, renewal] of this.#renewals) if (now - renewal.sent > this.#settings.spanMs) this.#renewals.delete(old);
+    this.#promises.set(this.#me, later(now, this.#settings.spanMs));
+    // Our own renewal counts only once our own grant of this epoch is on disk.
+    this.#afterKept(this.#countRenewal.bind(this, this.#me, nonce));
+    for (const fellow of this.#others()) this.#speak(fellow, { kind: 'renew', epoch: this.#epoch, nonce, quorum: [...this.#insiders] });
+  }
+
+  #receiveRenew(now: Moment, from: FellowId, epoch: Epoch, nonce: number, quorum: readonly string[]): void {
+    if (!this.#mayVote || !this.#quorum.holds(from) || isElecting(epoch)) return;
+    if (epoch < this.#epoch) { this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: [] }); return; }
+    if (this.#granted.epoch === epoch && this.#granted.leader === from && this.#epoch === epoch && this.#leader === from) {
+      this.#heardLeader = now;
+      this.#insiders = new Set([this.#me, from, ...quorum.map(fellowId)]);
+      this.#promises.set(from, later(now, this.#settings.spanMs));
+      this.#speak(from, { kind: 'renewed', epoch, nonce });
+      return;
+    }
+    // We missed the victory (or restarted): joining late is a grant like any other.
+    this.#follow(now, from, epoch, nonce, quorum);
+  }
+
+  // ---- small parts
+
+  #others(): FellowId[] {
+    const me = this.#me;
+    function isOther(fellow: FellowId): boolean { return fellow !== me; }
+    return this.#quorum.all.filter(isOther);
+  }
+
+  #reachesMajority(): boolean {
+    return this.#quorum.isMajority(new Set(this.#quorum.all.filter(this.#scores.isAlive, this.#scores)));
+  }
+
+  #isStalled(now: Moment): boolean {
+    return this.#kept < this.#token && now - this.#keepSince > this.#settings.stallMs;
+  }
+
+  #lose(role: Role): void {
+    this.#role = role;
+    this.#leader = undefined;
+    this.#insiders = new Set();
+    this.#deferredTo = undefined;
+    this.#deferredScores = undefined;
+    this.#deferrals = new Set();
+    this.#grants = new Set();
+    this.#renewals.clear();
+    this.#leaseEnd = moment(-1);
+  }
+
+  /** Takes on an epoch: scores are frozen anew, and nothing is said in it before it is on disk. */
+  #adopt(epoch: Epoch, now: Moment): void {
+    if (epoch !== this.#epoch) {
+      this.#epoch = epoch;
+      this.#keep(now);
+    }
+    this.#frozen = this.#scores.freeze();
+  }
+
+  #keep(now: Moment): void {
+    if (this.#kept === this.#token) this.#keepSince = now;
+    this.#token += 1;
+    this.#effects.push({ do: 'keep', token: this.#token, record: this.record });
+  }
+
+  #afterKept(run: () => void): void {
+    if (this.#kept >= this.#token) run();
+    else this.#held.push({ token: this.#token, run });
+  }
+
+  #speak(to: FellowId, message: Message): void {
+    const send: VoteEffect = { do: 'send', to, message };
+    // Pings carry no epoch, so they need not wait for the disk.
+    if (message.kind === 'ping' || message.kind === 'pong') this.#effects.push(send);
+    else this.#afterKept(this.#push.bind(this, send));
+  }
+
+  #push(effect: VoteEffect): void { this.#effects.push(effect); }
+}
+
--- /dev/null
+++ b/src/vote/Scores.ts
@@ -0,0 +1,153 @@
+import type { ReportMessage } from '../kin/Messages.js';
+import { fellowId, type FellowId } from '../kin/Ids.js';
+
+interface LinkScore { readonly score: number; readonly isAlive: boolean }
+interface OwnerReport { readonly version: number; readonly links: ReadonlyMap<FellowId, LinkScore> }
+
+const NO_REPORT: OwnerReport = { version: 0, links: new Map() };
+
+/**
+ * Connection scores: one report an owner, versioned by that owner, merged so that none goes backward.
+ * A link's score moves by new = current * (1 - units / (2 * halfLife)) +/- units / (2 * halfLife).
+ */
+export class Scores {
+  readonly #me: FellowId;
+  readonly #halfLife: number;
+  readonly #reports: Map<FellowId, OwnerReport>;
+
+  constructor(me: FellowId, halfLife: number, reports: ReadonlyMap<FellowId, OwnerReport> = new Map()) {
+    this.#me = me;
+    this.#halfLife = halfLife;
+    this.#reports = new Map(reports);
+  }
+
+  /** A copy that later pings and merges do not touch. */
+  freeze(): Scores {
+    return new Scores(this.#me, this.#halfLife, this.#reports);
+  }
+
+  reportLive(fellow: FellowId, units: number): void {
+    // A link first heard of starts at full score: the design gives no start, and a newcomer must be electable.
+    const current = this.#own(fellow)?.score ?? 1;
+    const step = this.#step(units);
+    this.#put(fellow, { score: Math.min(1, current * (1 - step) + step), isAlive: true });
+  }
+
+  reportDead(fellow: FellowId, units: number): void {
+    const current = this.#own(fellow)?.score ?? 1;
+    const step = this.#step(units);
+    this.#put(fellow, { score: Math.max(0, current * (1 - step) - step), isAlive: false });
+  }
+
+  isAlive(fellow: FellowId): boolean {
+    return fellow === this.#me || this.#own(fellow)?.isAlive === true;
+  }
+
+  merge(reports: readonly ReportMessage[]): void {
+    for (const report of reports) {
+      const owner = fellowId(report.owner);
+      const known = this.#reports.get(owner) ?? NO_REPORT;
+      if (report.version <= known.version) continue;
+      const links = new Map<FellowId, LinkScore>();
+      for (const link of report.links) links.set(fellowId(link.fellow), { score: link.score, isAlive: link.alive });
+      if (owner === this.#me) {
+        // Our own report, from before a restart: go on from its version and scores, but trust only our own pings for liveness.
+        for (const [fellow, link] of links) links.set(fellow, { score: link.score, isAlive: known.links.get(fellow)?.isAlive ?? false });
+        this.#reports.set(owner, { version: report.version + 1, links });
+      } else {
+        this.#reports.set(owner, { version: report.version, links });
+      }
+    }
+  }
+
+  reports(): ReportMessage[] {
+    const list: ReportMessage[] = [];
+    for (const [owner, report] of this.#reports) {
+      const links = [];
+      for (const [fellow, link] of report.links) links.push({ fellow, score: link.score, alive: link.isAlive });
+      list.push({ owner, version: report.version, links });
+    }
+    return list;
+  }
+
+  /** The sum of the scores that the others give their links to this node; a down link counts 0. */
+  total(fellow: FellowId, voters: readonly FellowId[]): number {
+    let sum = 0;
+    for (const owner of voters) {
+      const link = owner === fellow ? undefined : this.#reports.get(owner)?.links.get(fellow);
+      if (link?.isAlive) sum += link.score;
+    }
+    return sum;
+  }
+
+  // Totals are compared in thousandths: views that differ by the last ping alone must still agree, then the lower id leads.
+  isBetter(a: FellowId, b: FellowId, voters: readonly FellowId[]): boolean {
+    const difference = Math.round(this.total(a, voters) * 1000) - Math.round(this.total(b, voters) * 1000);
+    return difference > 0 || (difference === 0 && a < b);
+  }
+
+  top(voters: readonly FellowId[]): FellowId | undefined {
+    let best: FellowId | undefined;
+    for (const voter of voters) if (best === undefined || this.isBetter(voter, best, voters)) best = voter;
+    return best;
+  }
+
+  #own(fellow: FellowId): LinkScore | undefined {
+    return this.#reports.get(this.#me)?.links.get(fellow);
+  }
+
+  #step(units: number): number {
+    return Math.min(1, Math.max(0, units) / (2 * this.#halfLife));
+  }
+
+  #put(fellow: FellowId, link: LinkScore): void {
+    const known = this.#reports.get(this.#me) ?? NO_REPORT;
+    const links = new Map(known.links);
+    links.set(fellow, link);
+    this.#reports.set(this.#me, { version: known.version + 1, links });
+  }
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const [a, b, c] = [fellowId('a'), fellowId('b'), fellowId('c')];
+  const voters = [a, b, c];
+  function checkFormula(): void {
+    const scores = new Scores(a, 10);
+    scores.reportLive(b, 1);
+    scores.reportDead(b, 2);
+    const link = scores.reports()[0]?.links[0];
+    expect(link).toEqual({ fellow: b, score: 1 * (1 - 0.1) - 0.1, alive: false });
+    scores.reportDead(b, 1000);
+    expect(scores.reports()[0]?.links[0]?.score).toBe(0);
+    scores.reportLive(b, 1);
+    expect(scores.reports()[0]?.links[0]?.score).toBeCloseTo(0.05);
+  }
+  function checkDownIsZero(): void {
+    const scores = new Scores(a, 10);
+    scores.reportLive(b, 1);
+    expect(scores.total(b, voters)).toBe(1);
+    scores.reportDead(b, 0.1);
+    expect(scores.total(b, voters)).toBe(0);
+  }
+  function checkMerge(): void {
+    const scores = new Scores(a, 10);
+    scores.merge([{ owner: 'b', version: 5, links: [{ fellow: 'c', score: 0.5, alive: true }] }]);
+    scores.merge([{ owner: 'b', version: 4, links: [{ fellow: 'c', score: 0.9, alive: true }] }]);
+    expect(scores.total(c, voters)).toBe(0.5);
+    const frozen = scores.freeze();
+    scores.merge([{ owner: 'b', version: 6, links: [{ fellow: 'c', score: 0.7, alive: true }] }]);
+    expect(frozen.total(c, voters)).toBe(0.5);
+  }
+  function checkRestart(): void {
+    const scores = new Scores(a, 10);
+    scores.reportLive(b, 1);
+    scores.merge([{ owner: 'a', version: 90, links: [{ fellow: 'b', score: 0.4, alive: false }] }]);
+    scores.reportLive(b, 0);
+    expect(scores.reports()[0]).toEqual({ owner: 'a', version: 92, links: [{ fellow: 'b', score: 0.4, alive: true }] });
+  }
+  test('a score moves by the design\'s formula and never below 0', checkFormula);
+  test('a down link counts 0', checkDownIsZero);
+  test('scores never go backward, and a frozen copy stays', checkMerge);
+  test('a restarted owner goes on from its own last version', checkRestart);
+}
--- /dev/null
+++ b/src/vote/VoteEffect.ts
@@ -0,0 +1,10 @@
+import type { FellowId } from '../kin/Ids.js';
+import type { Message } from '../kin/Messages.js';
+
+/** What a voter must still know after a crash. */
+export interface VoteRecord { readonly epoch: number; readonly grantEpoch: number; readonly grantLeader: string }
+
+export type VoteEffect =
+  | { readonly do: 'send'; readonly to: FellowId; readonly message: Message }
+  /** Sync this record, then call kept(token). A later record replaces an earlier one that is still waiting. */
+  | { readonly do: 'keep'; readonly token: number; readonly record: VoteRecord };
