--- a/src/code/Table.ts
+++ b/src/code/Table.ts
@@ -48,9 +48,9 @@
 /** Checks a whole table and names every fault at once. */
 export function checkTable(raw: unknown): { readonly table: Table; readonly faults: readonly Fault[] } {
   const [error, table] = TableShape.validate(raw);
-  if (error instanceof StructError) {
+  if (error instanceof StructError || !table) {
     const faults: Fault[] = [];
-    for (const item of error.failures()) faults.push({ ...faultPlace(item.path), text: item.message });
+    for (const item of error?.failures() ?? []) faults.push({ ...faultPlace(item.path), text: item.message });
     return { table: EMPTY_TABLE, faults };
   }
   const faults: Fault[] = [];
@@ -84,12 +84,16 @@
   return undefined;
 }
 
+function reach(mapping: Mapping): number {
+  return mapping.path.endsWith('*') ? mapping.path.length - 1 : mapping.path.length;
+}
+
 export function findMapping(table: Table, method: string, path: string): Mapping | undefined {
   let best: Mapping | undefined;
   for (const mapping of table.mappings) {
     if (mapping.method !== method || !matchesModel(mapping.path, path)) continue;
     // The longest path is the most particular one, whatever the order of lines.
-    if (!best || mapping.path.length > best.path.length) best = mapping;
+    if (!best || reach(mapping) > reach(best)) best = mapping;
   }
   return best;
 }
