--- a/src/hold/Parts.ts
+++ b/src/hold/Parts.ts
@@ -130,13 +130,15 @@
   /** Whether a write of this part is still without its majority. */
   isWriting(part: PartName): boolean { return this.#owned.get(part)?.writing !== undefined; }
 
-  /** One write of a part is under way at a time; what comes meanwhile is one next write, of the newest body. */
-  write(now: Moment, part: PartName, body: string, token: number): void {
+  /** One write of a part is under way at a time; what comes meanwhile is one next write, of the newest body. Returns its count. */
+  write(now: Moment, part: PartName, body: string, token: number): number {
     const owned = this.#owned.get(part);
     if (!owned?.copy) throw new Error(`${part} is not owned here`);
+    const count = (owned.writing?.version.count ?? owned.copy.version.count) + 1;
     if (owned.writing) owned.next = { body, tokens: [...(owned.next?.tokens ?? []), token] };
-    else this.#send(now, part, owned, { epoch: this.#epoch, count: owned.copy.version.count + 1 }, body, [token]);
+    else this.#send(now, part, owned, { epoch: this.#epoch, count }, body, [token]);
     owned.copy = { version: owned.copy.version, body };
+    return count;
   }
 
   beat(now: Moment): void {
--- /dev/null
+++ b/src/hold/Standing.ts
@@ -0,0 +1,134 @@
+import { later, type FellowId, type Moment } from '../kin/Ids.js';
+import type { CopyMessage, Message } from '../kin/Messages.js';
+import type { Quorum } from '../kin/Quorum.js';
+
+/** blank: an empty folder. lost: the record of our votes is unreadable. sound: we may vote and count. */
+export type StandingName = 'blank' | 'lost' | 'sound';
+
+interface Return { readonly standing: string; readonly epoch: number; readonly copies: readonly CopyMessage[] }
+
+export type StandingOutcome =
+  | { readonly become: 'founded' }
+  | { readonly become: 'repaired'; readonly epoch: number; readonly copies: readonly CopyMessage[] };
+
+const ASK_MS = 500;
+
+/**
+ * Decides when a node with an empty folder may count: by founding together with blank fellows,
+ * or by reading all it may ever have decided with. Until then it neither grants nor counts.
+ */
+export class Standing {
+  readonly #me: FellowId;
+  #name: StandingName;
+  #nonce = 0;
+  #askedAt: Moment;
+  readonly #bootAt: Moment;
+  readonly #foundMs: number;
+  readonly #returns = new Map<FellowId, Return>();
+  #isMemberHolding = false;
+  #isForced = false;
+
+  constructor(me: FellowId, name: StandingName, now: Moment, foundMs: number) {
+    this.#me = me;
+    this.#name = name;
+    this.#bootAt = now;
+    this.#askedAt = now;
+    this.#foundMs = foundMs;
+  }
+
+  get name(): StandingName { return this.#name; }
+  get isMemberHolding(): boolean { return this.#isMemberHolding; }
+
+  /** A member came that holds a configuration: what stood before must not be founded over by itself. */
+  noteMember(epoch: number): void { if (epoch > 0) this.#isMemberHolding = true; }
+
+  /** An operator's word that nothing better than this is left. */
+  force(): void { this.#isForced = true; }
+
+  settle(): void { this.#name = 'sound'; this.#returns.clear(); }
+
+  beat(now: Moment, quorum: Quorum): { readonly to: FellowId; readonly message: Message }[] {
+    if (this.#name === 'sound' || now < later(this.#askedAt, ASK_MS)) return [];
+    this.#askedAt = now;
+    this.#nonce += 1;
+    this.#returns.clear();
+    const sends: { readonly to: FellowId; readonly message: Message }[] = [];
+    for (const fellow of quorum.all) {
+      if (fellow !== this.#me) sends.push({ to: fellow, message: { kind: 'read', epoch: 0, nonce: this.#nonce, parts: [] } });
+    }
+    return sends;
+  }
+
+  /** The return to a node that asks how we stand. */
+  returnTo(nonce: number, epoch: number, copies: CopyMessage[]): Message {
+    return { kind: 'readReturn', epoch, nonce, sound: false, copies: this.#name === 'sound' ? copies : [], standing: this.#name };
+  }
+
+  receive(now: Moment, from: FellowId, message: Extract<Message, { kind: 'readReturn' }>, quorum: Quorum): StandingOutcome | undefined {
+    if (this.#name === 'sound' || message.nonce !== this.#nonce || message.sound) return undefined;
+    this.#returns.set(from, { standing: message.standing, epoch: message.epoch, copies: message.copies });
+    return this.outcome(now, quorum);
+  }
+
+  outcome(now: Moment, quorum: Quorum): StandingOutcome | undefined {
+    if (this.#name === 'sound') return undefined;
+    const holders = new Set<FellowId>();
+    let isAllFresh = true;
+    let epoch = 0;
+    const copies: CopyMessage[] = [];
+    for (const fellow of quorum.all) {
+      if (fellow === this.#me) continue;
+      const known = this.#returns.get(fellow);
+      const isBlank = known?.standing === 'blank' || (known?.standing === 'sound' && known.epoch === 0);
+      if (!isBlank) isAllFresh = false;
+      if (known?.standing !== 'sound') continue;
+      holders.add(fellow);
+      epoch = Math.max(epoch, known.epoch);
+      copies.push(...known.copies);
+    }
+    const mayFound = this.#name === 'blank' && quorum.holds(this.#me) && isAllFresh && now >= later(this.#bootAt, this.#foundMs);
+    if (mayFound && (!this.#isMemberHolding || this.#isForced)) return { become: 'founded' };
+    // Whatever was decided with us is also held by one of those others: all of them but ourselves must have been read.
+    if (epoch > 0 && quorum.coversWithout(this.#me, holders)) return { become: 'repaired', epoch, copies };
+    return undefined;
+  }
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { fellowId, moment } = await import('../kin/Ids.js');
+  const { Quorum: Voters } = await import('../kin/Quorum.js');
+  const [a, b, c] = [fellowId('a'), fellowId('b'), fellowId('c')];
+  const quorum = new Voters([a, b, c]);
+  function returned(standing: string, epoch: number): Extract<Message, { kind: 'readReturn' }> {
+    return { kind: 'readReturn', epoch, nonce: 1, sound: false, copies: [], standing };
+  }
+  function start(): Standing {
+    const standing = new Standing(a, 'blank', moment(0), 1000);
+    standing.beat(moment(1500), quorum);
+    return standing;
+  }
+  function checkFounding(): void {
+    const standing = start();
+    expect(standing.receive(moment(1600), b, returned('blank', 0), quorum)).toBeUndefined();
+    expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({ become: 'founded' });
+  }
+  function checkMemberHolds(): void {
+    const standing = start();
+    standing.noteMember(4);
+    standing.receive(moment(1600), b, returned('blank', 0), quorum);
+    expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toBeUndefined();
+    standing.force();
+    expect(standing.outcome(moment(1700), quorum)).toEqual({ become: 'founded' });
+  }
+  function checkLostDisk(): void {
+    const standing = start();
+    // One fellow alone may not know what we decided with the other.
+    expect(standing.receive(moment(1600), b, returned('sound', 8), quorum)).toBeUndefined();
+    expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toBeUndefined();
+    expect(standing.receive(moment(1600), c, returned('sound', 6), quorum)).toEqual({ become: 'repaired', epoch: 8, copies: [] });
+  }
+  test('blank seeds found together', checkFounding);
+  test('nothing is founded over what a member still holds, but by an operator', checkMemberHolds);
+  test('a lost disk counts again only after all others were read', checkLostDisk);
+}
--- a/src/kin/Messages.ts
+++ b/src/kin/Messages.ts
@@ -6,6 +6,7 @@
 /** One node's scores of its links, versioned by its owner alone. */
 export const Report = type({ owner: string(), version: number(), links: array(Link) });
 const Copy = type({ part: string(), epoch: number(), count: number(), body: string(), sound: boolean() });
+const Have = type({ topic: string(), epoch: number(), count: number() });
 const Member = type({ id: string(), zone: string(), address: string(), epoch: number(), count: number() });
 
 /** Everything the processes say to each other. Fields are only ever added at the end of a shape. */
@@ -29,9 +30,9 @@
   sound: type({ nonce: number(), members: array(Member) }),
   sounded: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
   news: type({ topic: string(), epoch: number(), count: number(), body: string() }),
-  join: type({ zone: string(), address: string(), epoch: number(), count: number() }),
+  join: type({ zone: string(), address: string(), epoch: number(), count: number(), lost: string() }),
   hang: type({ parent: string() }),
-  ask: type({ nonce: number() }),
+  ask: type({ nonce: number(), have: array(Have) }),
   vouch: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
   ack: type({ epoch: number(), count: number() }),
   acked: type({ members: array(Member) }),
@@ -46,6 +47,7 @@
 export type Message = { [K in MessageKind]: { readonly kind: K } & Readonly<Body<K>> }[MessageKind];
 export type ReportMessage = Infer<typeof Report>;
 export type CopyMessage = Infer<typeof Copy>;
+export type HaveMessage = Infer<typeof Have>;
 export type MemberMessage = Infer<typeof Member>;
 
 interface Coder {
--- a/src/kin/Quorum.ts
+++ b/src/kin/Quorum.ts
@@ -12,6 +12,9 @@
 
   get all(): readonly FellowId[] { return this.#all; }
 
+  /** Two while a swap is under way. */
+  get sets(): number { return this.#sets.length; }
+
   holds(id: FellowId): boolean { return this.#all.includes(id); }
 
   isMajority(ids: ReadonlySet<FellowId>): boolean {
--- /dev/null
+++ b/src/mind/Edits.ts
@@ -0,0 +1,114 @@
+import { compile } from '../code/Language.js';
+import { checkTable, COLUMNS, rowKey, type Fault, type Table } from '../code/Table.js';
+import { Defect } from '../kin/Defect.js';
+import { mustParseAs } from '../kin/Json.js';
+import { EditShapes, MAX_EDITS, type ConfigDoc } from './ConfigDoc.js';
+
+/** A turning away that names every fault of the table. */
+export class TableDefect extends Defect {
+  readonly faults: readonly Fault[];
+
+  constructor(faults: readonly Fault[]) {
+    super('bad-table', `${faults.length} fault${faults.length === 1 ? '' : 's'} in the table`);
+    this.faults = faults;
+  }
+}
+
+interface Edited { readonly id: string; readonly doc: ConfigDoc }
+
+function withTable(doc: ConfigDoc, id: string, raw: unknown): Edited {
+  const { table, faults } = checkTable(raw);
+  if (faults.length > 0) throw new TableDefect(faults);
+  return { id, doc: { ...doc, number: doc.number + 1, table } };
+}
+
+function checkBase(doc: ConfigDoc, base: number): void {
+  if (base !== doc.number) throw new Defect('base-lost', `made from table ${base}, but table ${doc.number} is in force`);
+}
+
+function editTable(doc: ConfigDoc, body: string): Edited {
+  const edit = mustParseAs(EditShapes.table, body, 'the edit');
+  checkBase(doc, edit.base);
+  if (edit.text === undefined) return withTable(doc, edit.id, edit.table);
+  const { table, faults } = compile(edit.text);
+  if (faults.length > 0) throw new TableDefect(faults);
+  return { id: edit.id, doc: { ...doc, number: doc.number + 1, table } };
+}
+
+function editCell(doc: ConfigDoc, body: string): Edited {
+  const edit = mustParseAs(EditShapes.cell, body, 'the edit');
+  checkBase(doc, edit.base);
+  const column = COLUMNS.find(isColumn.bind(undefined, edit.column));
+  if (!column) throw new TableDefect([{ row: edit.row, cell: edit.column, text: `no such column; there are ${COLUMNS.join(', ')}` }]);
+  const rows: unknown[] = [];
+  let isFound = false;
+  for (const row of doc.table.rows) {
+    const isIt = rowKey(row) === edit.row;
+    isFound ||= isIt;
+    rows.push(isIt ? { ...row, [column]: edit.value } : row);
+  }
+  if (!isFound) throw new TableDefect([{ row: edit.row, cell: edit.column, text: 'no such row' }]);
+  return withTable(doc, edit.id, { ...doc.table, rows });
+}
+
+function isColumn(name: string, column: string): boolean { return name === column; }
+
+function editRows(doc: ConfigDoc, body: string): Edited {
+  const edit = mustParseAs(EditShapes.rows, body, 'the edit');
+  checkBase(doc, edit.base);
+  const rows = new Map<string, unknown>();
+  for (const row of doc.table.rows) rows.set(rowKey(row), row);
+  for (const key of edit.remove) {
+    if (!rows.delete(key)) throw new TableDefect([{ row: key, cell: '', text: 'no such row to remove' }]);
+  }
+  const { table, faults }: { table: Table; faults: readonly Fault[] } = checkTable({ mappings: [], rows: edit.put });
+  if (faults.length > 0) throw new TableDefect(faults);
+  for (const row of table.rows) rows.set(rowKey(row), row);
+  return withTable(doc, edit.id, { ...doc.table, rows: [...rows.values()] });
+}
+
+function editZone(doc: ConfigDoc, body: string): Edited {
+  const edit = mustParseAs(EditShapes.zone, body, 'the edit');
+  const emptied = new Set(doc.emptied);
+  if (edit.empty) emptied.add(edit.zone);
+  else emptied.delete(edit.zone);
+  return { id: edit.id, doc: { ...doc, emptied: [...emptied].sort() } };
+}
+
+/** Applies an operator's edit to the document, or throws the defect that turns it away. */
+export function applyEdit(doc: ConfigDoc, verb: string, body: string): Edited {
+  switch (verb) {
+    case 'table': return editTable(doc, body);
+    case 'cell': return editCell(doc, body);
+    case 'rows': return editRows(doc, body);
+    case 'zone': return editZone(doc, body);
+    default: throw new Defect('malformed', `no such edit: ${verb}`);
+  }
+}
+
+export function recordEdit(doc: ConfigDoc, id: string, outcome: 'accepted' | 'closed'): ConfigDoc {
+  return { ...doc, edits: [...doc.edits, { id, number: doc.number, outcome }].slice(-MAX_EDITS) };
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { firstDoc } = await import('./ConfigDoc.js');
+  const row = { type: 'check', model: 'm', weight: 5, take: 3, lateMs: 900, repeatable: false, stream: true };
+  const doc: ConfigDoc = { ...firstDoc(['a']), number: 3, table: { mappings: [], rows: [row] } };
+  function apply(verb: string, edit: object): ConfigDoc { return applyEdit(doc, verb, JSON.stringify(edit)).doc; }
+  function checkCells(): void {
+    const next = apply('cell', { id: 'e', base: 3, row: 'check/m', column: 'weight', value: 9 });
+    expect(next.table.rows[0]?.weight).toBe(9);
+    expect(next.number).toBe(4);
+    expect(apply.bind(undefined, 'cell', { id: 'e', base: 2, row: 'check/m', column: 'weight', value: 9 })).toThrow(/table 3 is in force/);
+    expect(apply.bind(undefined, 'cell', { id: 'e', base: 3, row: 'check/m', column: 'weight', value: 'much' })).toThrow(/1 fault/);
+    expect(apply.bind(undefined, 'cell', { id: 'e', base: 3, row: 'check/n', column: 'weight', value: 1 })).toThrow(/1 fault/);
+  }
+  function checkRows(): void {
+    const next = apply('rows', { id: 'e', base: 3, put: [{ ...row, model: 'n' }], remove: ['check/m'] });
+    expect(next.table.rows.map(rowKey)).toEqual(['check/n']);
+    expect(doc.table.rows.map(rowKey)).toEqual(['check/m']);
+  }
+  test('a cell edit changes that cell alone, from its base alone', checkCells);
+  test('rows are put and removed, the rest stays', checkRows);
+}
--- /dev/null
+++ b/src/mind/MindCore.ts
@@ -0,0 +1,824 @@
+import { number, string, type } from 'superstruct';
+import { allParts, CONFIG_PART, servicePart, VOTE_PART } from '../hold/PartNames.js';
+import { Parts } from '../hold/Parts.js';
+import { Standing } from '../hold/Standing.js';
+import type { StoredPart } from '../hold/Store.js';
+import { Defect, DEFECTS, reasonOf, type DefectKind } from '../kin/Defect.js';
+import { fellowId, later, moment, partName, type FellowId, type Moment, type PartName } from '../kin/Ids.js';
+import { mustParseAs, parseAs } from '../kin/Json.js';
+import type { HaveMessage, MemberMessage, Message } from '../kin/Messages.js';
+import { Quorum } from '../kin/Quorum.js';
+import { compareVersions, isNewer, isNone, NO_VERSION, versionText, type Version } from '../kin/Version.js';
+import { Relay } from '../news/Relay.js';
+import { Sessions } from '../news/Sessions.js';
+import { Vouching } from '../news/Vouching.js';
+import { Placer, PLACER_DEFAULTS, type PlacerSettings, type PlanInput, type RunnerView } from '../place/Placer.js';
+import {
+  DemandShape, MachinesShape, ServicePartShape, type Catalog, type Intent, type Machines, type RunnerReport, type ServiceDoc,
+} from '../place/Shapes.js';
+import { Elector } from '../vote/Elector.js';
+import type { VoteRecord } from '../vote/VoteEffect.js';
+import { VOTE_DEFAULTS, type VoteSettings } from '../vote/VoteSettings.js';
+import { ConfigDocShape, EditShapes, firstDoc, type ConfigDoc } from './ConfigDoc.js';
+import { applyEdit, recordEdit, TableDefect } from './Edits.js';
+import type { MindEffect, MindSettings } from './MindEffect.js';
+
+const VoteBodyShape = type({ epoch: number(), grantEpoch: number(), grantLeader: string() });
+
+/** Where a command came from, and so where its return goes: '' is this node's own API. */
+interface Origin { readonly from: string; readonly id: number }
+
+interface WaitingEdit {
+  readonly origin: Origin;
+  readonly id: string;
+  readonly number: number;
+  readonly outcome: 'accepted' | 'closed';
+  /** Set once a synced majority holds it. */
+  committed: { readonly version: Version; readonly at: Moment; readonly members: ReadonlySet<string> } | undefined;
+}
+
+interface Runner { report: RunnerReport | undefined; askedAt: Moment; askSentAt: Moment; seenAt: Moment; isReachable: boolean; isKnown: boolean }
+
+interface SentOrder { readonly sentAt: Moment; readonly state: 'sent' | 'taken' | 'unsure' }
+
+interface Forwarded { readonly origin: Origin; readonly to: string; readonly at: Moment; readonly editId: string }
+
+interface HeardMembers { readonly members: readonly MemberMessage[]; readonly at: Moment }
+
+const EMPTY_CATALOG: Catalog = { limit: 0, models: [], adapters: [] };
+const ORDER_AGAIN_MS = 2000;
+const FORWARD_MS = 9000;
+const PLAN_MS = 250;
+const LOST_RUNNER_MS = 4000;
+const NEVER = moment(-1e12);
+
+/**
+ * The core of a control node: election, shared state, sessions, news, configuration and placement,
+ * as one pure state machine. It is told messages, beats and what the outside returned, and drains effects.
+ */
+export class MindCore {
+  readonly #settings: MindSettings;
+  readonly #me: FellowId;
+  readonly #elector: Elector;
+  readonly #parts: Parts;
+  readonly #standing: Standing;
+  readonly #sessions: Sessions;
+  readonly #relay = new Relay();
+  readonly #vouching = new Vouching();
+  readonly #placer: Placer;
+  #quorum: Quorum;
+  #effects: MindEffect[] = [];
+
+  #voteCount = 0;
+  /** Vote records on their way to the disk, by their count. */
+  readonly #voteTokens = new Map<number, { readonly token: number; readonly grantEpoch: number; readonly epoch: number }>();
+  #keptGrant = 0;
+  #ledEpoch = 0;
+  #wasLeader = '';
+  #settleOnVote: number | undefined;
+  /** Copies read for a repair that are not on disk yet; the record that makes us count is written after them. */
+  #repair: { readonly epoch: number; readonly waiting: Set<PartName> } | undefined;
+
+  readonly #heardMembers = new Map<string, HeardMembers>();
+  readonly #ackedBy = new Map<string, Version>();
+  #round: { readonly nonce: number; readonly returns: Map<FellowId, { readonly version: Version; readonly marks: number }> } | undefined;
+
+  #doc: ConfigDoc;
+  #token = 0;
+  readonly #edits = new Map<number, WaitingEdit>();
+  readonly #reads = new Map<number, Origin>();
+  #readId = 0;
+  #forwardId = 0;
+  readonly #forwards = new Map<number, Forwarded>();
+
+  #machines: Machines = { revision: 0, machines: [] };
+  #catalog: Catalog = EMPTY_CATALOG;
+  readonly #runners = new Map<string, Runner>();
+  readonly #orders = new Map<string, SentOrder>();
+  readonly #keptIntents = new Set<string>();
+  #servingSince: Moment = NEVER;
+  #plannedAt: Moment = NEVER;
+  #machinesAt: Moment = NEVER;
+  #catalogAt: Moment = NEVER;
+  #fellowAt: Moment = NEVER;
+  #placesText = '';
+  #placesCount = 0;
+  #placementWrites = 0;
+  #ordersSent = 0;
+
+  constructor(settings: MindSettings, stored: readonly StoredPart[], now: Moment, vote: VoteSettings = VOTE_DEFAULTS, placer: PlacerSettings = PLACER_DEFAULTS) {
+    this.#settings = settings;
+    this.#me = fellowId(settings.me);
+    const seeds = settings.seeds.map(fellowId);
+    const voteFile = stored.find(isVote);
+    const record = voteFile ? parseAs(VoteBodyShape, voteFile.body) : undefined;
+    // No record of votes at all is an empty folder; one that cannot be trusted is a lost disk.
+    const name = !voteFile ? (stored.length === 0 ? 'blank' : 'lost') : record && voteFile.isSound ? 'sound' : 'lost';
+    this.#voteCount = voteFile?.version.count ?? 0;
+    this.#quorum = new Quorum(seeds);
+    this.#parts = new Parts(this.#me, this.#quorum, allParts(), stored);
+    this.#doc = firstDoc(settings.seeds);
+    const known: VoteRecord | undefined = name === 'sound' ? record : undefined;
+    this.#elector = new Elector(this.#me, this.#quorum, vote, now, known);
+    this.#keptGrant = known?.grantEpoch ?? 0;
+    this.#standing = new Standing(this.#me, name, now, settings.foundMs);
+    if (name !== 'sound') this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
+    this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
+    this.#placer = new Placer(placer, settings.me);
+    this.#followVoters();
+    this.#collect(now);
+  }
+
+  get elector(): Elector { return this.#elector; }
+  get parts(): Parts { return this.#parts; }
+  get relay(): Relay { return this.#relay; }
+  get standing(): Standing { return this.#standing; }
+  get voters(): readonly FellowId[] { return this.#quorum.all; }
+  get ordersSent(): number { return this.#ordersSent; }
+  get placementWrites(): number { return this.#placementWrites; }
+
+  drain(): MindEffect[] {
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+
+  /** Asked by the executor right before an order is written. */
+  mayOrder(now: Moment): boolean { return this.#elector.mayOrder(now) && this.#parts.isServing; }
+
+  leaseEnd(): Moment { return this.#elector.leaseEnd; }
+
+  // ---- inputs
+
+  beat(now: Moment): void {
+    this.#elector.beat(now);
+    for (const send of this.#standing.beat(now, this.#quorum)) this.#effects.push({ do: 'send', ...send });
+    this.#settleStanding(now, this.#standing.outcome(now, this.#quorum));
+    this.#parts.beat(now);
+    this.#sessions.beat(now);
+    for (const [fellow, heard] of this.#heardMembers) if (now - heard.at > this.#settings.blindMs * 2) this.#heardMembers.delete(fellow);
+    this.#beginRound(now);
+    this.#beatFellows(now);
+    this.#beatCommands(now);
+    this.#beatOutside(now);
+    this.#collect(now);
+  }
+
+  receive(now: Moment, from: string, message: Message): void {
+    switch (message.kind) {
+      case 'read':
+        if (message.epoch === 0) this.#send(from, this.#standing.returnTo(message.nonce, this.#elector.epoch, this.#parts.copies()));
+        else this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], this.#standing.name);
+        break;
+      case 'readReturn':
+        if (message.sound) this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], '');
+        else this.#settleStanding(now, this.#standing.receive(now, fellowId(from), message, this.#quorum));
+        break;
+      case 'write': case 'writeReturn': case 'digest': case 'digestReturn':
+        this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), this.#knownMembers(), this.#standing.name);
+        break;
+      case 'sound': this.#receiveSound(now, from, message.nonce, message.members); break;
+      case 'sounded': this.#receiveSounded(now, from, message); break;
+      case 'join': this.#receiveJoin(now, from, message); break;
+      case 'ask': this.#receiveAsk(now, from, message.nonce, message.have); break;
+      case 'ack': this.#sessions.ack(from, message); this.#noteAck(from, message); break;
+      case 'acked': for (const member of message.members) this.#noteAck(member.id, member); break;
+      case 'news': this.#receiveNews(message); break;
+      case 'demand': this.#receiveDemand(now, message.body); break;
+      case 'command': this.#command(now, { from, id: message.id }, message.verb, message.body); break;
+      case 'commandReturn': this.#receiveCommandReturn(from, message); break;
+      default: this.#elector.receive(now, fellowId(from), message); break;
+    }
+    this.#collect(now);
+  }
+
+  /** The line to a node closed. */
+  gone(now: Moment, from: string): void {
+    this.#sessions.gone(from);
+    this.#relay.removeChild(from);
+    for (const [id, forwarded] of this.#forwards) {
+      if (forwarded.to !== from) continue;
+      this.#forwards.delete(id);
+      this.#returnUnsure(forwarded.origin, forwarded.editId);
+    }
+    this.#rehang();
+    this.#collect(now);
+  }
+
+  stored(now: Moment, part: PartName, version: Version): void {
+    if (part === VOTE_PART) {
+      for (const [count, waiting] of this.#voteTokens) {
+        if (count > version.count) continue;
+        this.#voteTokens.delete(count);
+        if (count === version.count) this.#keptGrant = waiting.grantEpoch;
+        this.#elector.kept(waiting.token);
+      }
+      if (this.#settleOnVote !== undefined && version.count >= this.#settleOnVote) {
+        this.#settleOnVote = undefined;
+        this.#standing.settle();
+        this.#note('standing is sound', {});
+      }
+    } else {
+      this.#parts.stored(part, version, this.#grantedEpoch(), now);
+      if (this.#repair?.waiting.delete(part)) this.#endRepair(now);
+    }
+    this.#collect(now);
+  }
+
+  machines(now: Moment, machines: Machines): void {
+    this.#takeMachines(machines);
+    this.#collect(now);
+  }
+
+  catalog(_now: Moment, catalog: Catalog): void { this.#catalog = catalog; }
+
+  /** What a runner returned to an ask sent at that moment; nothing if it did not. */
+  reported(now: Moment, id: string, askedAt: Moment, report: RunnerReport | undefined): void {
+    const runner = this.#runners.get(id);
+    if (!runner || askedAt < runner.askedAt) return;
+    runner.isKnown = true;
+    runner.isReachable = report !== undefined;
+    if (!report) return;
+    runner.report = report;
+    runner.askedAt = askedAt;
+    runner.seenAt = now;
+  }
+
+  /** What became of an order: taken, turned away for good, or unsure. */
+  ordered(now: Moment, intent: string, outcome: 'taken' | 'turnedAway' | 'unsure' | 'unsent'): void {
+    const sent = this.#orders.get(intent);
+    if (outcome === 'taken') {
+      this.#placer.orderTaken(now, intent);
+      this.#orders.set(intent, { sentAt: now, state: 'taken' });
+    } else if (outcome === 'turnedAway') {
+      this.#placer.orderTurnedAway(intent);
+    } else if (sent && sent.state !== 'taken') {
+      this.#orders.set(intent, { sentAt: outcome === 'unsent' ? NEVER : now, state: 'unsure' });
+    }
+  }
+
+  /** A command at this node's own API. */
+  command(now: Moment, id: number, verb: string, body: string): void {
+    this.#command(now, { from: '', id }, verb, body);
+    this.#collect(now);
+  }
+
+  // ---- effects of the inner cores
+
+  #send(to: string, message: Message): void { this.#effects.push({ do: 'send', to, message }); }
+
+  #note(text: string, fields: Readonly<Record<string, string | number>>): void { this.#effects.push({ do: 'note', text, fields }); }
+
+  #collect(now: Moment): void {
+    this.#watchLeader(now);
+    for (let isBusy = true; isBusy;) {
+      isBusy = false;
+      for (const effect of this.#elector.drain()) {
+        isBusy = true;
+        if (effect.do === 'send') { this.#send(effect.to, effect.message); continue; }
+        if (this.#standing.name === 'sound' || this.#settleOnVote !== undefined) this.#keepVote(effect.token, effect.record);
+      }
+      for (const effect of this.#parts.drain()) {
+        isBusy = true;
+        if (effect.do === 'send') this.#send(effect.to, effect.message);
+        else if (effect.do === 'store') this.#effects.push(effect);
+        else if (effect.do === 'serving') this.#serve(now);
+        else this.#committed(now, effect.part, effect.version, effect.tokens, effect.members);
+      }
+      this.#watchLeader(now);
+    }
+    this.#flushNews();
+  }
+
+  #keepVote(token: number, record: VoteRecord): void {
+    this.#voteCount += 1;
+    this.#voteTokens.set(this.#voteCount, { token, grantEpoch: record.grantEpoch, epoch: record.epoch });
+    this.#effects.push({ do: 'store', part: VOTE_PART, version: { epoch: record.epoch, count: this.#voteCount }, body: JSON.stringify(record) });
+  }
+
+  /** The epoch granted here, on disk, and not moved on from. */
+  #grantedEpoch(): number {
+    return this.#standing.name === 'sound' && this.#keptGrant === this.#elector.epoch ? this.#keptGrant : 0;
+  }
+
+  #watchLeader(now: Moment): void {
+    const leader = this.#elector.leader ?? '';
+    if (leader !== this.#wasLeader) {
+      this.#wasLeader = leader;
+      this.#note('leader', { leader: leader === '' ? 'none' : leader, epoch: this.#elector.epoch });
+    }
+    const epoch = this.#elector.isLeading() ? this.#elector.epoch : 0;
+    if (epoch === this.#ledEpoch) return;
+    this.#ledEpoch = epoch;
+    this.#standDown();
+    if (epoch > 0) this.#parts.lead(now, epoch);
+  }
+
+  #standDown(): void {
+    this.#parts.stand();
+    this.#orders.clear();
+    this.#keptIntents.clear();
+    this.#placesText = '';
+    this.#written.clear();
+    for (const edit of this.#edits.values()) this.#returnUnsure(edit.origin, edit.id);
+    this.#edits.clear();
+    for (const origin of this.#reads.values()) this.#returnDefect(origin, new Defect('no-leader', 'the leader changed'));
+    this.#reads.clear();
+  }
+
+  // ---- standing
+
+  #settleStanding(now: Moment, outcome: ReturnType<Standing['outcome']>): void {
+    if (!outcome || this.#settleOnVote !== undefined || this.#repair) return;
+    if (outcome.become === 'founded') {
+      this.#note('founding', {});
+      this.#settleOnVote = this.#voteCount + 1;
+      this.#elector.setMayVote(true, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
+    } else {
+      this.#note('repaired from fellows', { epoch: outcome.epoch });
+      this.#parts.adopt(outcome.copies);
+      this.#followVoters();
+      const waiting = new Set<PartName>();
+      for (const item of outcome.copies) if (!isNone(this.#parts.versionOf(partName(item.part)))) waiting.add(partName(item.part));
+      this.#repair = { epoch: outcome.epoch, waiting };
+      this.#endRepair(now);
+    }
+    this.#collect(now);
+  }
+
+  #endRepair(now: Moment): void {
+    const repair = this.#repair;
+    if (!repair || repair.waiting.size > 0) return;
+    this.#repair = undefined;
+    this.#settleOnVote = this.#voteCount + 1;
+    this.#elector.setMayVote(true, { epoch: repair.epoch, grantEpoch: 0, grantLeader: '' }, now);
+  }
+
+  #followVoters(): void {
+    const body = this.#parts.replicaBody(CONFIG_PART);
+    const doc = body === '' ? undefined : parseAs(ConfigDocShape, body);
+    if (!doc || doc.voters.length === 0) return;
+    function ids(set: readonly string[]): FellowId[] { return set.map(fellowId); }
+    const quorum = new Quorum(...doc.voters.map(ids));
+    if (quorum.all.join() === this.#quorum.all.join() && doc.voters.length === this.#quorum.sets) return;
+    this.#quorum = quorum;
+    this.#elector.setQuorum(quorum);
+    this.#parts.setQuorum(quorum);
+  }
+
+  // ---- members, vouching, news
+
+  #receiveJoin(now: Moment, from: string, message: Extract<Message, { kind: 'join' }>): void {
+    this.#sessions.join(now, from, message.zone, message.address, message);
+    this.#standing.noteMember(message.epoch);
+    if (message.lost !== '') this.#sessions.upset(now, message.lost);
+    this.#noteAck(from, message);
+    this.#send(from, { kind: 'hang', parent: this.#sessions.tree().get(from) ?? '' });
+    this.#rehang();
+  }
+
+  readonly #hung = new Map<string, string>();
+
+  /** Tells those whose parent changed, and keeps feeding those that hang under us. */
+  #rehang(): void {
+    const tree = this.#sessions.tree();
+    for (const [id, parent] of tree) {
+      if (this.#hung.get(id) !== undefined && this.#hung.get(id) !== parent) this.#send(id, { kind: 'hang', parent });
+      this.#hung.set(id, parent);
+    }
+    for (const id of this.#hung.keys()) if (!tree.has(id)) this.#hung.delete(id);
+    const children: string[] = [];
+    for (const [id, parent] of tree) if (parent === '') children.push(id);
+    if (this.#elector.isLeading()) children.push(...this.#quorum.all.filter(isOther.bind(undefined, this.#me)));
+    this.#relay.setChildren(children);
+  }
+
+  /** An ask from below: by a link of the tree, by one that cannot reach its parent, or by a fellow for news alone. */
+  #receiveAsk(now: Moment, from: string, nonce: number, have: readonly HaveMessage[]): void {
+    this.#relay.heard(from, have);
+    if (nonce < 0) return;
+    this.#vouching.add({ child: from, nonce });
+    this.#beginRound(now);
+  }
+
+  #noteAck(id: string, version: Version): void {
+    if (isNewer(version, this.#ackedBy.get(id) ?? NO_VERSION)) this.#ackedBy.set(id, { epoch: version.epoch, count: version.count });
+  }
+
+  /** Members that may still work by an older configuration, as far as this node knows. */
+  #knownMembers(): MemberMessage[] {
+    const list = [...this.#sessions.recent()];
+    for (const heard of this.#heardMembers.values()) list.push(...heard.members);
+    return list;
+  }
+
+  /** Asks a majority for the newest they hold; asks that waited are vouched for by what it returns. */
+  #beginRound(now: Moment): void {
+    const nonce = this.#vouching.begin(now);
+    if (nonce === undefined) return;
+    this.#round = { nonce, returns: new Map() };
+    const members = [...this.#sessions.recent()];
+    for (const fellow of this.#quorum.all) {
+      if (fellow === this.#me) this.#receiveSound(now, this.#me, nonce, []);
+      else this.#send(fellow, { kind: 'sound', nonce, members });
+    }
+  }
+
+  #receiveSound(now: Moment, from: string, nonce: number, members: readonly MemberMessage[]): void {
+    if (from !== this.#me) this.#heardMembers.set(from, { members, at: now });
+    // A node whose disk is lost, or whose copy is bad, may have held something newer than it can tell.
+    if (this.#standing.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART)) return;
+    const version = this.#parts.versionOf(CONFIG_PART);
+    const message = { kind: 'sounded', nonce, ...version, marks: this.#machines.revision } as const;
+    if (from === this.#me) this.#receiveSounded(now, from, message);
+    else this.#send(from, message);
+  }
+
+  #receiveSounded(now: Moment, from: string, message: Extract<Message, { kind: 'sounded' }>): void {
+    const round = this.#round;
+    if (!round || round.nonce !== message.nonce) return;
+    round.returns.set(fellowId(from), { version: { epoch: message.epoch, count: message.count }, marks: message.marks });
+    if (!this.#quorum.isMajority(new Set(round.returns.keys()))) return;
+    this.#round = undefined;
+    let version = NO_VERSION;
+    let marks = 0;
+    for (const known of round.returns.values()) {
+      if (isNewer(known.version, version)) version = known.version;
+      marks = Math.max(marks, known.marks);
+    }
+    for (const ask of this.#vouching.end(round.nonce)) {
+      const read = this.#reads.get(ask.nonce);
+      if (ask.child === '' && read) { this.#reads.delete(ask.nonce); this.#returnRead(read, version); }
+      else if (ask.child !== '') this.#send(ask.child, { kind: 'vouch', nonce: ask.nonce, ...version, marks });
+    }
+    this.#beginRound(now);
+  }
+
+  #receiveNews(message: Extract<Message, { kind: 'news' }>): void {
+    if (message.topic === 'machines') {
+      const machines = parseAs(MachinesShape, message.body);
+      if (machines) this.#takeMachines(machines);
+    } else {
+      this.#relay.offer(message.topic, message, message.body);
+    }
+  }
+
+  #takeMachines(machines: Machines): void {
+    if (machines.revision <= this.#machines.revision) return;
+    this.#machines = machines;
+    const ids = new Set<string>();
+    for (const machine of machines.machines) {
+      ids.add(machine.id);
+      if (!this.#runners.has(machine.id)) this.#runners.set(machine.id, { report: undefined, askedAt: NEVER, askSentAt: NEVER, seenAt: NEVER, isReachable: false, isKnown: machine.service !== '' });
+    }
+    for (const id of this.#runners.keys()) if (!ids.has(id)) this.#runners.delete(id);
+    this.#relay.offer('machines', { epoch: 0, count: machines.revision }, JSON.stringify(machines));
+    // Every node that learns of a mark passes it on at once, leader or not.
+    for (const fellow of this.#quorum.all) {
+      if (fellow !== this.#me) this.#send(fellow, { kind: 'news', topic: 'machines', epoch: 0, count: machines.revision, body: JSON.stringify(machines) });
+    }
+  }
+
+  #flushNews(): void {
+    for (const send of this.#relay.flush()) this.#send(send.to, send.message);
+  }
+
+  #beatFellows(now: Moment): void {
+    if (now < later(this.#fellowAt, 250)) return;
+    this.#fellowAt = now;
+    this.#rehang();
+    const leader = this.#elector.leader;
+    if (leader === undefined || leader === this.#me) return;
+    this.#send(leader, { kind: 'acked', members: [...this.#sessions.up()] });
+    this.#send(leader, { kind: 'ask', nonce: -1, have: this.#relay.have() });
+  }
+
+  #receiveDemand(now: Moment, body: string): void {
+    const leader = this.#elector.leader;
+    if (leader !== undefined && leader !== this.#me) { this.#send(leader, { kind: 'demand', body }); return; }
+    const report = parseAs(DemandShape, body);
+    for (const unit of report?.units ?? []) this.#placer.demand.add(now, `${unit.model}\n${unit.adapter}`, unit.count);
+  }
+
+  // ---- owning the state
+
+  #serve(now: Moment): void {
+    this.#servingSince = now;
+    this.#note('serving', { epoch: this.#ledEpoch });
+    const body = this.#parts.body(CONFIG_PART);
+    this.#doc = body === '' ? firstDoc(this.#settings.seeds) : mustParseAs(ConfigDocShape, body, 'the configuration part');
+    this.#publishConfig(this.#parts.versionOf(CONFIG_PART), this.#doc);
+    const docs: ServiceDoc[] = [];
+    for (const part of allParts()) {
+      const text = part === CONFIG_PART ? '' : this.#parts.body(part);
+      if (text !== '') docs.push(...mustParseAs(ServicePartShape, text, part).services);
+    }
+    this.#placer.restore(docs, `${this.#me}/${this.#ledEpoch}`);
+    for (const doc of docs) for (const intent of doc.intents) this.#keptIntents.add(intent.id);
+    for (const machine of this.#machines.machines) {
+      const runner = this.#runners.get(machine.id);
+      if (runner) { runner.isKnown = machine.service !== ''; runner.seenAt = now; }
+    }
+    this.#placesCount = 0;
+  }
+
+  #publishConfig(version: Version, doc: ConfigDoc): void {
+    const { number: count, table, emptied, voters } = doc;
+    this.#relay.offer('config', version, JSON.stringify({ number: count, table, emptied, voters }));
+  }
+
+  #committed(now: Moment, part: PartName, version: Version, tokens: readonly number[], members: readonly MemberMessage[]): void {
+    if (part !== CONFIG_PART) {
+      const body = parseAs(ServicePartShape, this.#committedBody(part, version));
+      for (const doc of body?.services ?? []) for (const intent of doc.intents) this.#keptIntents.add(intent.id);
+      return;
+    }
+    const doc = parseAs(ConfigDocShape, this.#committedBody(part, version));
+    if (doc) this.#publishConfig(version, doc);
+    this.#followVoters();
+    const ids = new Set<string>();
+    for (const member of [...members, ...this.#knownMembers()]) ids.add(member.id);
+    for (const token of tokens) {
+      const edit = this.#edits.get(token);
+      if (edit) edit.committed = { version, at: now, members: ids };
+    }
+  }
+
+  /** Bodies by version, from when they were written until they are committed. */
+  readonly #written = new Map<string, { readonly count: number; readonly body: string }[]>();
+
+  #committedBody(part: PartName, version: Version): string {
+    // The replica here was written with this version first; a later one may already be under way.
+    const list = this.#written.get(part) ?? [];
+    const found = list.find(hasCount.bind(undefined, version.count));
+    this.#written.set(part, list.filter(isAfter.bind(undefined, version.count)));
+    return found?.body ?? this.#parts.replicaBody(part);
+  }
+
+  // ---- commands
+
+  #command(now: Moment, origin: Origin, verb: string, body: string): void {
+    try {
+      if (verb === 'status') { this.#return(origin, 200, JSON.stringify(this.#status(now))); return; }
+      if (verb === 'found') { this.#found(now, origin); return; }
+      if (!this.#elector.isLeading() || !this.#parts.isServing) { this.#forward(now, origin, verb, body); return; }
+      if (verb === 'read' || verb === 'places') this.#read(origin, verb);
+      else if (verb === 'edit') this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask').id);
+      else this.#edit(now, origin, verb, body);
+    } catch (thrown) {
+      this.#returnDefect(origin, thrown instanceof Defect ? thrown : new Defect('malformed', reasonOf(thrown)));
+    }
+  }
+
+  #forward(now: Moment, origin: Origin, verb: string, body: string): void {
+    const leader = this.#elector.leader;
+    // Passed on once at most: two nodes that take each other for leader must not play ball with it.
+    if (leader === undefined || leader === this.#me || origin.from !== '') throw new Defect('no-leader', 'no leader is known; nothing was done');
+    this.#forwardId += 1;
+    const edit = parseAs(EditShapes.edit, body);
+    const isEdit = verb !== 'read' && verb !== 'places';
+    this.#forwards.set(this.#forwardId, { origin, to: leader, at: now, editId: isEdit ? edit?.id ?? '' : '' });
+    this.#send(leader, { kind: 'command', id: this.#forwardId, verb, body });
+  }
+
+  #receiveCommandReturn(from: string, message: Extract<Message, { kind: 'commandReturn' }>): void {
+    const forwarded = this.#forwards.get(message.id);
+    if (!forwarded || forwarded.to !== from) return;
+    this.#forwards.delete(message.id);
+    this.#return(forwarded.origin, message.status, message.body);
+  }
+
+  #edit(now: Moment, origin: Origin, verb: string, body: string): void {
+    const { id } = mustParseAs(EditShapes.edit, body, 'the edit');
+    const before = this.#doc.edits.find(hasId.bind(undefined, id));
+    if (before) {
+      // The same id again is the same edit: it is told what became of it, and done once.
+      if (before.outcome === 'closed') throw new Defect('base-lost', `edit ${id} was asked about before it came, and closed`);
+      this.#write(now, origin, id, this.#doc, 'accepted');
+      return;
+    }
+    const edited = verb === 'swap' ? { id, doc: this.#swap(body) } : applyEdit(this.#doc, verb, body);
+    this.#write(now, origin, edited.id, recordEdit(edited.doc, edited.id, 'accepted'), 'accepted');
+  }
+
+  #swap(body: string): ConfigDoc {
+    const edit = mustParseAs(EditShapes.swap, body, 'the swap');
+    const [current] = this.#doc.voters;
+    if (!current || this.#doc.voters.length !== 1) throw new Defect('base-lost', 'another swap is under way');
+    if (!current.includes(edit.old) || current.includes(edit.new)) throw new Defect('malformed', `${edit.old} is no voter, or ${edit.new} is one`);
+    function exchange(voter: string): string { return voter === edit.old ? edit.new : voter; }
+    return { ...this.#doc, voters: [current, current.map(exchange)] };
+  }
+
+  #write(now: Moment, origin: Origin, id: string, doc: ConfigDoc, outcome: 'accepted' | 'closed'): void {
+    this.#token += 1;
+    this.#edits.set(this.#token, { origin, id, number: doc.number, outcome, committed: undefined });
+    this.#doc = doc;
+    this.#writePart(now, CONFIG_PART, JSON.stringify(doc), this.#token);
+  }
+
+  #writePart(now: Moment, part: PartName, body: string, token: number): void {
+    const count = this.#parts.write(now, part, body, token);
+    this.#written.set(part, [...(this.#written.get(part) ?? []).filter(isAfter.bind(undefined, count - 2)).filter(isBelow.bind(undefined, count)), { count, body }]);
+  }
+
+  #askEdit(now: Moment, origin: Origin, id: string): void {
+    const known = this.#doc.edits.find(hasId.bind(undefined, id));
+    // Whether known or not, the word given must outlast us: it is written like an edit before it is told.
+    if (known) this.#write(now, origin, id, this.#doc, known.outcome);
+    else this.#write(now, origin, id, recordEdit(this.#doc, id, 'closed'), 'closed');
+  }
+
+  #read(origin: Origin, verb: string): void {
+    this.#readId += 1;
+    this.#reads.set(this.#readId, verb === 'read' ? origin : origin);
+    this.#vouching.add({ child: '', nonce: this.#readId });
+  }
+
+  #returnRead(origin: Origin, newest: Version): void {
+    const item = this.#relay.item('config');
+    if (!this.#parts.isServing || !item || isNewer(newest, item.version)) {
+      this.#returnDefect(origin, new Defect('no-leader', 'a newer configuration is being written; ask again'));
+      return;
+    }
+    this.#return(origin, 200, item.body);
+  }
+
+  #beatCommands(now: Moment): void {
+    for (const [id, forwarded] of this.#forwards) {
+      if (now < later(forwarded.at, FORWARD_MS)) continue;
+      this.#forwards.delete(id);
+      this.#returnUnsure(forwarded.origin, forwarded.editId);
+    }
+    for (const [token, edit] of this.#edits) {
+      const committed = edit.committed;
+      if (!committed) continue;
+      // Whoever has not acked by then has not been vouched for since before the write was held: it is blind.
+      const isSurelyBlind = now >= later(committed.at, this.#settings.blindMs + 200);
+      if (!isSurelyBlind && !this.#hasAllAcked(committed.members, committed.version)) continue;
+      this.#edits.delete(token);
+      if (edit.outcome === 'accepted') this.#return(edit.origin, 200, JSON.stringify({ outcome: 'accepted', id: edit.id, number: edit.number, version: versionText(committed.version) }));
+      else this.#return(edit.origin, 200, JSON.stringify({ outcome: 'turned-away', id: edit.id }));
+    }
+    // A spare that is to vote is taken in once it holds everything; then the old set is let go.
+    if (this.#parts.isServing && this.#doc.voters.length === 2 && !this.#parts.isWriting(CONFIG_PART)) {
+      const [, next] = this.#doc.voters;
+      if (next && this.#quorum.all.every(this.#elector.insiders.has, this.#elector.insiders)) {
+        this.#doc = { ...this.#doc, voters: [next] };
+        this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
+      }
+    }
+  }
+
+  #hasAllAcked(members: ReadonlySet<string>, version: Version): boolean {
+    for (const id of members) if (compareVersions(this.#ackedBy.get(id) ?? NO_VERSION, version) < 0) return false;
+    return true;
+  }
+
+  #found(now: Moment, origin: Origin): void {
+    if (this.#standing.name === 'sound') { this.#return(origin, 200, JSON.stringify({ outcome: 'already', standing: 'sound' })); return; }
+    this.#standing.force();
+    this.#settleStanding(now, this.#standing.outcome(now, this.#quorum));
+    this.#return(origin, 200, JSON.stringify({ outcome: 'forced', standing: this.#standing.name }));
+  }
+
+  #return(origin: Origin, status: number, body: string): void {
+    if (origin.from === '') this.#effects.push({ do: 'return', id: origin.id, status, body });
+    else this.#send(origin.from, { kind: 'commandReturn', id: origin.id, status, body });
+  }
+
+  #returnDefect(origin: Origin, defect: Defect): void {
+    const faults = defect instanceof TableDefect ? { faults: defect.faults } : {};
+    this.#return(origin, defect.row.status, JSON.stringify({ outcome: defect.row.unsure ? 'unsure' : 'turned-away', defect: defect.kind, text: defect.message, ...faults }));
+  }
+
+  #returnUnsure(origin: Origin, id: string): void {
+    const kind: DefectKind = id === '' ? 'no-leader' : 'unsure-edit';
+    this.#return(origin, DEFECTS[kind].status, JSON.stringify({
+      outcome: id === '' ? 'turned-away' : 'unsure', defect: kind, id, text: id === '' ? 'the leader was lost' : `the leader was lost; ask what became of edit ${id}`,
+    }));
+  }
+
+  // ---- the outside: platform, weight store, runners
+
+  #beatOutside(now: Moment): void {
+    if (now >= later(this.#machinesAt, this.#settings.machinesMs)) {
+      this.#machinesAt = now;
+      this.#effects.push({ do: 'askMachines' });
+    }
+    if (!this.#parts.isServing) return;
+    if (now >= later(this.#catalogAt, this.#catalog.models.length === 0 ? 500 : 5000)) {
+      this.#catalogAt = now;
+      this.#effects.push({ do: 'askCatalog' });
+    }
+    for (const machine of this.#machines.machines) {
+      const runner = this.#runners.get(machine.id);
+      if (!runner || machine.service !== '' || now < later(runner.askSentAt, this.#settings.reportMs)) continue;
+      runner.askSentAt = now;
+      this.#effects.push({ do: 'askReport', runner: machine.id, address: machine.address });
+    }
+    if (now < later(this.#plannedAt, PLAN_MS)) return;
+    this.#plannedAt = now;
+    this.#plan(now);
+  }
+
+  #planInput(now: Moment): PlanInput {
+    const runners: RunnerView[] = [];
+    for (const machine of this.#machines.machines) {
+      const runner = this.#runners.get(machine.id);
+      if (!runner) continue;
+      const isLost = !runner.isReachable && now - runner.seenAt > LOST_RUNNER_MS;
+      runners.push({ machine, report: runner.report, askedAt: runner.askedAt, isReachable: runner.isReachable, isLost });
+    }
+    return { table: this.#doc.table, catalog: this.#catalog, runners, emptied: this.#doc.emptied };
+  }
+
+  #plan(now: Moment): void {
+    // A new leader plans only once it has heard from the runners, or it would take all their seats away.
+    const isInformed = [...this.#runners.values()].every(isHeard) || now - this.#servingSince > LOST_RUNNER_MS;
+    if (!isInformed || this.#catalog.models.length === 0) return;
+    const input = this.#planInput(now);
+    const changed = this.#placer.plan(now, input);
+    const parts = new Set<PartName>();
+    for (const model of changed) parts.add(servicePart(model));
+    for (const part of parts) {
+      const services = this.#placer.docs().filter(isInPart.bind(undefined, part));
+      this.#placementWrites += 1;
+      this.#writePart(now, part, JSON.stringify({ services }), 0);
+    }
+    this.#orderIntents(now, input);
+    this.#publishPlaces(input);
+  }
+
+  #orderIntents(now: Moment, input: PlanInput): void {
+    if (!this.mayOrder(now)) return;
+    const open = new Set<string>();
+    for (const doc of this.#placer.docs()) {
+      for (const intent of doc.intents) {
+        open.add(intent.id);
+        const sent = this.#orders.get(intent.id);
+        // Only what is kept is ordered, and what was taken is never ordered twice.
+        if (!this.#keptIntents.has(intent.id) || sent?.state === 'taken') continue;
+        if (sent && now < later(sent.sentAt, ORDER_AGAIN_MS)) continue;
+        const view = input.runners.find(isRunner.bind(undefined, intent.runner));
+        if (!view?.isReachable || view.report?.boot !== intent.boot) continue;
+        this.#orders.set(intent.id, { sentAt: now, state: 'sent' });
+        this.#ordersSent += 1;
+        this.#effects.push({ do: 'order', intent, address: view.machine.address });
+      }
+    }
+    for (const id of this.#orders.keys()) if (!open.has(id)) this.#orders.delete(id);
+    for (const id of this.#keptIntents) if (!open.has(id)) this.#keptIntents.delete(id);
+  }
+
+  #publishPlaces(input: PlanInput): void {
+    const places = this.#placer.places(input);
+    const flows = new Set<string>();
+    for (const member of this.#knownMembers()) flows.add(member.id);
+    const text = JSON.stringify({ ...places, flows: Math.max(1, flows.size) });
+    if (text === this.#placesText) return;
+    this.#placesText = text;
+    this.#placesCount += 1;
+    this.#relay.offer('places', { epoch: this.#ledEpoch, count: this.#placesCount }, text);
+  }
+
+  // ---- what operators see
+
+  #status(now: Moment): object {
+    const totals: Record<string, number> = {};
+    for (const voter of this.#quorum.all) totals[voter] = Math.round(this.#elector.scores.total(voter, this.#quorum.all) * 1000) / 1000;
+    const parts: Record<string, string> = {};
+    for (const part of allParts()) parts[part] = versionText(this.#parts.versionOf(part));
+    const members = [];
+    const seen = new Set<string>();
+    for (const member of this.#knownMembers()) {
+      if (seen.has(member.id)) continue;
+      seen.add(member.id);
+      members.push({ id: member.id, zone: member.zone, acked: versionText(this.#ackedBy.get(member.id) ?? member), parent: this.#hung.get(member.id) ?? '' });
+    }
+    const places = this.#relay.item('places');
+    const config = this.#relay.item('config');
+    return {
+      me: this.#me, zone: this.#settings.zone, standing: this.#standing.name, membersHoldState: this.#standing.isMemberHolding,
+      role: this.#elector.role, epoch: this.#elector.epoch, leader: this.#elector.leader ?? '', serving: this.#parts.isServing,
+      mayOrder: this.mayOrder(now), leaseLeftMs: Math.max(0, Math.round(this.#elector.leaseEnd - now)),
+      voters: this.#quorum.all, scores: totals, parts, unsound: this.#parts.unsoundParts(), mended: this.#parts.mends,
+      config: config ? versionText(config.version) : 'none', placesVersion: places ? versionText(places.version) : 'none',
+      machines: this.#machines.revision, members,
+      places: places ? parseAs(type({}), places.body) : undefined,
+      intents: this.#placer.docs().flatMap(intentsOf),
+    };
+  }
+}
+
+function isVote(item: StoredPart): boolean { return item.part === VOTE_PART; }
+function isOther(me: string, id: string): boolean { return id !== me; }
+function hasId(id: string, edit: { readonly id: string }): boolean { return edit.id === id; }
+function hasCount(count: number, item: { readonly count: number }): boolean { return item.count === count; }
+function isAfter(count: number, item: { readonly count: number }): boolean { return item.count > count; }
+function isBelow(count: number, item: { readonly count: number }): boolean { return item.count < count; }
+function isHeard(runner: Runner): boolean { return runner.isKnown; }
+function isRunner(id: string, view: RunnerView): boolean { return view.machine.id === id; }
+function isInPart(part: PartName, doc: ServiceDoc): boolean { return servicePart(doc.model) === part; }
+function intentsOf(doc: ServiceDoc): readonly Intent[] { return doc.intents; }
+
--- /dev/null
+++ b/src/news/Exchange.ts
@@ -0,0 +1,266 @@
+import { createServer, connect, type Server, type Socket } from 'node:net';
+import { Subject, type Observable } from 'rxjs';
+import { Defect, reasonOf } from '../kin/Defect.js';
+import { decodeMessage, encodeMessage, type Message } from '../kin/Messages.js';
+
+export interface Incoming { readonly from: string; readonly role: string; readonly zone: string; readonly message: Message }
+
+/** How the processes reach each other. Messages may be lost, never altered; those on one line keep their order. */
+export interface Transport {
+  readonly incoming$: Observable<Incoming>;
+  readonly gone$: Observable<string>;
+  send(to: string, message: Message): void;
+}
+
+export interface ExchangeSettings {
+  readonly id: string;
+  readonly role: string;
+  readonly zone: string;
+  /** Where to listen; nothing for a node that only dials. */
+  readonly listen: string;
+  /** Where to dial a node whose own address is not reached directly. */
+  readonly reach: Readonly<Record<string, string>>;
+}
+
+const MAX_FRAME = 64 * 1024 * 1024;
+const MAX_UNSENT = 32 * 1024 * 1024;
+const REDIAL_MS = 100;
+const CONNECT_MS = 1000;
+
+export function splitAddress(address: string): { readonly host: string; readonly port: number } {
+  const at = address.lastIndexOf(':');
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
+
+/** One TCP connection: frames of a length and a message, a hello first each way. */
+class Line {
+  readonly #socket: Socket;
+  #parts: Buffer[] = [];
+  #size = 0;
+  fellowId = '';
+  role = '';
+  zone = '';
+
+  constructor(socket: Socket) {
+    this.#socket = socket;
+    socket.setNoDelay(true);
+  }
+
+  get socket(): Socket { return this.#socket; }
+
+  write(message: Message): void {
+    const body = encodeMessage(message);
+    const head = Buffer.allocUnsafe(4);
+    head.writeUInt32BE(body.length);
+    // A fellow that no longer reads must not make us hold ever more for it: what it misses it asks for again.
+    if (this.#socket.writableLength > MAX_UNSENT) { this.#socket.destroy(); return; }
+    this.#socket.write(Buffer.concat([head, body]));
+  }
+
+  /** Takes what came in and returns the whole messages in it. */
+  take(chunk: Buffer): Message[] {
+    this.#parts.push(chunk);
+    this.#size += chunk.length;
+    const messages: Message[] = [];
+    if (this.#size < 4) return messages;
+    let all = this.#parts.length === 1 ? chunk : Buffer.concat(this.#parts);
+    while (all.length >= 4) {
+      const length = all.readUInt32BE(0);
+      if (length > MAX_FRAME) throw new Defect('bad-frame', `a frame of ${length} bytes`);
+      if (all.length < 4 + length) break;
+      messages.push(decodeMessage(all.subarray(4, 4 + length)));
+      all = all.subarray(4 + length);
+    }
+    this.#parts = all.length > 0 ? [all] : [];
+    this.#size = all.length;
+    return messages;
+  }
+}
+
+/** The TCP transport between haretrack's own processes. */
+export class Exchange implements Transport {
+  readonly #settings: ExchangeSettings;
+  readonly #incoming = new Subject<Incoming>();
+  readonly #gone = new Subject<string>();
+  readonly #lines = new Map<string, Line[]>();
+  readonly #all = new Set<Line>();
+  readonly #dialing = new Set<string>();
+  readonly #tell: (defect: Defect) => void;
+  #server: Server | undefined;
+  #isClosed = false;
+
+  constructor(settings: ExchangeSettings, tell: (defect: Defect) => void) {
+    this.#settings = settings;
+    this.#tell = tell;
+  }
+
+  get incoming$(): Observable<Incoming> { return this.#incoming; }
+  get gone$(): Observable<string> { return this.#gone; }
+
+  /** Listens, if this node does; returns the port. */
+  async open(): Promise<number> {
+    if (this.#settings.listen === '') return 0;
+    const { host, port } = splitAddress(this.#settings.listen);
+    const server = createServer(this.#accept.bind(this));
+    this.#server = server;
+    function start(done: () => void, fail: (thrown: Error) => void): void {
+      server.once('error', fail);
+      server.listen(port, host, done);
+    }
+    await new Promise<void>(start);
+    const bound = server.address();
+    return typeof bound === 'object' && bound !== null ? bound.port : port;
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    this.#server?.close();
+    for (const line of this.#all) line.socket.destroy();
+  }
+
+  isUp(id: string): boolean { return this.#lines.has(id); }
+
+  send(to: string, message: Message): void {
+    const lines = this.#lines.get(to);
+    const line = lines?.[lines.length - 1];
+    if (line) line.write(message);
+    else this.dial(to);
+  }
+
+  /** Opens a line to a node that listens; what is sent before it stands is lost, as on any broken line. */
+  dial(id: string): void {
+    if (this.#isClosed || this.#dialing.has(id) || this.#lines.has(id) || !id.includes(':')) return;
+    this.#dialing.add(id);
+    const { host, port } = splitAddress(this.#settings.reach[id] ?? id);
+    const socket = connect({ host, port });
+    socket.setTimeout(CONNECT_MS, socket.destroy.bind(socket, undefined));
+    const line = new Line(socket);
+    line.fellowId = id;
+    socket.once('connect', this.#dialed.bind(this, line, id));
+    this.#serve(line);
+    socket.once('close', this.#redialable.bind(this, id));
+  }
+
+  #dialed(line: Line, id: string): void {
+    line.socket.setTimeout(0);
+    this.#dialing.delete(id);
+    this.#hello(line);
+    this.#register(line, id);
+  }
+
+  #redialable(id: string): void {
+    if (!this.#dialing.has(id)) return;
+    // A short pause, so that a node that is down is not dialled in a tight loop.
+    setTimeout(this.#dialing.delete.bind(this.#dialing, id), REDIAL_MS).unref();
+  }
+
+  #accept(socket: Socket): void {
+    const line = new Line(socket);
+    this.#serve(line);
+    this.#hello(line);
+  }
+
+  #hello(line: Line): void {
+    line.write({ kind: 'hello', id: this.#settings.id, role: this.#settings.role, zone: this.#settings.zone });
+  }
+
+  #serve(line: Line): void {
+    this.#all.add(line);
+    line.socket.on('data', this.#take.bind(this, line));
+    // The close that follows says all there is to know.
+    line.socket.on('error', ignore);
+    line.socket.on('close', this.#closed.bind(this, line));
+  }
+
+  #register(line: Line, id: string): void {
+    line.fellowId = id;
+    const lines = this.#lines.get(id) ?? [];
+    if (!lines.includes(line)) this.#lines.set(id, [...lines, line]);
+  }
+
+  #take(line: Line, chunk: Buffer): void {
+    let messages: Message[];
+    try {
+      messages = line.take(chunk);
+    } catch (thrown) {
+      this.#tell(thrown instanceof Defect ? thrown : new Defect('bad-frame', reasonOf(thrown)));
+      line.socket.destroy();
+      return;
+    }
+    for (const message of messages) {
+      if (message.kind === 'hello') {
+        line.role = message.role;
+        line.zone = message.zone;
+        this.#register(line, message.id);
+      } else if (line.fellowId !== '') {
+        this.#incoming.next({ from: line.fellowId, role: line.role, zone: line.zone, message });
+      }
+    }
+  }
+
+  #closed(line: Line): void {
+    this.#all.delete(line);
+    const left = (this.#lines.get(line.fellowId) ?? []).filter(isNot.bind(undefined, line));
+    if (!this.#lines.has(line.fellowId)) return;
+    if (left.length > 0) { this.#lines.set(line.fellowId, left); return; }
+    this.#lines.delete(line.fellowId);
+    this.#gone.next(line.fellowId);
+  }
+}
+
+function isNot(line: Line, other: Line): boolean { return line !== other; }
+function ignore(): void { /* told by the close */ }
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { firstValueFrom, take, toArray } = await import('rxjs');
+  const told: Defect[] = [];
+  function tell(defect: Defect): void { told.push(defect); }
+  function make(id: string, listen: string): Exchange {
+    return new Exchange({ id, role: 'test', zone: 'z', listen, reach: {} }, tell);
+  }
+  async function checkContract(): Promise<void> {
+    const server = make('server', '127.0.0.1:0');
+    const port = await server.open();
+    const client = make('client', '');
+    const id = `127.0.0.1:${port}`;
+    client.dial(id);
+    const got = firstValueFrom(server.incoming$.pipe(take(3), toArray()));
+    const heard = firstValueFrom(client.incoming$);
+    // The listener knows a dialler by its hello; the large body must come whole and in its place.
+    const large = 'x'.repeat(3_000_000);
+    function sendAll(): void {
+      client.send(id, { kind: 'news', topic: 'a', epoch: 1, count: 1, body: large });
+      client.send(id, { kind: 'demand', body: 'b' });
+      client.send(id, { kind: 'hang', parent: 'c' });
+    }
+    for (let isUp = false; !isUp;) { isUp = client.isUp(id); if (!isUp) await new Promise(setImmediate); }
+    sendAll();
+    const messages = await got;
+    expect(messages.map(kindOf)).toEqual(['news', 'demand', 'hang']);
+    expect(messages[0]?.message.kind === 'news' && messages[0].message.body.length).toBe(3_000_000);
+    server.send('client', { kind: 'hang', parent: 'p' });
+    expect((await heard).message).toEqual({ kind: 'hang', parent: 'p' });
+    const gone = firstValueFrom(server.gone$);
+    client.close();
+    expect(await gone).toBe('client');
+    server.close();
+  }
+  function kindOf(incoming: Incoming): string { return incoming.message.kind; }
+  async function checkGarbage(): Promise<void> {
+    const server = make('server', '127.0.0.1:0');
+    const port = await server.open();
+    const socket = connect({ host: '127.0.0.1', port });
+    socket.on('error', ignore);
+    socket.resume();
+    function onClose(done: () => void): void { socket.once('close', done); }
+    const closed = new Promise<void>(onClose);
+    socket.write(Buffer.from([0, 0, 0, 2, 255, 255]));
+    await closed;
+    expect(told.some(isBadFrame)).toBe(true);
+    server.close();
+  }
+  function isBadFrame(defect: Defect): boolean { return defect.kind === 'bad-frame'; }
+  test('messages come whole and in order both ways, and a closed line is told', checkContract);
+  test('garbage closes its line alone', checkGarbage);
+}
--- /dev/null
+++ b/src/news/Sessions.ts
@@ -0,0 +1,112 @@
+import { later, type Moment } from '../kin/Ids.js';
+import type { MemberMessage } from '../kin/Messages.js';
+import { compareVersions, type Version } from '../kin/Version.js';
+
+interface Session {
+  readonly id: string;
+  readonly zone: string;
+  readonly address: string;
+  acked: Version;
+  heardAt: Moment;
+  isUp: boolean;
+}
+
+const FAN_OUT = 4;
+
+/** The sessions that stand with this mind, and the relay tree of their links. */
+export class Sessions {
+  readonly #sessions = new Map<string, Session>();
+  readonly #upset = new Map<string, Moment>();
+  readonly #silentMs: number;
+  readonly #rememberMs: number;
+
+  constructor(silentMs: number, rememberMs: number) {
+    this.#silentMs = silentMs;
+    this.#rememberMs = rememberMs;
+  }
+
+  join(now: Moment, id: string, zone: string, address: string, acked: Version): void {
+    this.#sessions.set(id, { id, zone, address, acked, heardAt: now, isUp: true });
+  }
+
+  ack(id: string, version: Version): void {
+    const session = this.#sessions.get(id);
+    if (session && compareVersions(version, session.acked) > 0) session.acked = version;
+  }
+
+  /** A child could not reach this node: nobody is hung under it for a while. */
+  upset(now: Moment, id: string): void { if (this.#sessions.has(id)) this.#upset.set(id, later(now, 3000)); }
+
+  gone(id: string): void {
+    const session = this.#sessions.get(id);
+    if (session) session.isUp = false;
+  }
+
+  beat(now: Moment): void {
+    for (const session of [...this.#sessions.values()]) {
+      if (now - session.heardAt > this.#silentMs) session.isUp = false;
+      // A lost member is remembered until it has surely gone blind, since a vouch may still be on its way to it.
+      if (now - session.heardAt > this.#rememberMs) this.#sessions.delete(session.id);
+    }
+    for (const [id, until] of this.#upset) if (now >= until) this.#upset.delete(id);
+  }
+
+  /** Members whose sessions stand. */
+  up(): readonly MemberMessage[] { return this.#list(true); }
+
+  /** Members that may still be fresh: those up and those lost a short while ago. */
+  recent(): readonly MemberMessage[] { return this.#list(false); }
+
+  #list(onlyUp: boolean): MemberMessage[] {
+    const list: MemberMessage[] = [];
+    for (const { id, zone, address, acked, isUp } of this.#sessions.values()) if (isUp || !onlyUp) list.push({ id, zone, address, ...acked });
+    return list;
+  }
+
+  /** Each member's parent: '' for those that hang under the mind itself. */
+  tree(): ReadonlyMap<string, string> {
+    const parents = new Map<string, string>();
+    const sound: string[] = [];
+    const ids: string[] = [];
+    for (const session of this.#sessions.values()) if (session.isUp) ids.push(session.id);
+    ids.sort();
+    for (const id of ids) if (!this.#upset.has(id)) sound.push(id);
+    for (const [index, id] of sound.entries()) parents.set(id, index < FAN_OUT ? '' : sound[Math.floor(index / FAN_OUT) - 1] ?? '');
+    // Those that somebody could not reach carry nobody; they hang under the mind until they are trusted again.
+    for (const id of ids) if (this.#upset.has(id)) parents.set(id, '');
+    return parents;
+  }
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { moment } = await import('../kin/Ids.js');
+  function fill(count: number): Sessions {
+    const sessions = new Sessions(1000, 5000);
+    for (let index = 0; index < count; index += 1) sessions.join(moment(0), `n${String(index).padStart(3, '0')}`, 'z', '', { epoch: 0, count: 0 });
+    return sessions;
+  }
+  function checkTree(): void {
+    const tree = fill(200).tree();
+    const children = new Map<string, number>();
+    for (const [id, parent] of tree) {
+      children.set(parent, (children.get(parent) ?? 0) + 1);
+      let depth = 0;
+      for (let at = id; at !== ''; at = tree.get(at) ?? '') depth += 1;
+      expect(depth).toBeLessThanOrEqual(4);
+    }
+    for (const count of children.values()) expect(count).toBeLessThanOrEqual(FAN_OUT);
+  }
+  function checkUpset(): void {
+    const sessions = fill(10);
+    sessions.upset(moment(0), 'n000');
+    expect([...sessions.tree().values()]).not.toContain('n000');
+    sessions.gone('n001');
+    expect([...sessions.tree().values()]).not.toContain('n001');
+    sessions.beat(moment(4000));
+    expect(sessions.recent()).toHaveLength(10);
+    expect(sessions.up()).toHaveLength(0);
+  }
+  test('the tree reaches 200 nodes in few steps with bounded fan-out', checkTree);
+  test('nobody hangs under a node that was lost or not reached', checkUpset);
+}
--- /dev/null
+++ b/src/news/Vouching.ts
@@ -0,0 +1,64 @@
+import { later, moment, type Moment } from '../kin/Ids.js';
+
+export interface Ask { readonly child: string; readonly nonce: number }
+interface Round { readonly nonce: number; readonly sentAt: Moment; readonly asks: readonly Ask[] }
+
+const RETRY_MS = 250;
+
+/**
+ * Gathers asks for freshness from below into one ask upward at a time. An ask is only ever returned
+ * by a round begun after it came in, so that its age counts from the asker's own sending.
+ */
+export class Vouching {
+  #waiting: Ask[] = [];
+  #round: Round | undefined;
+  #nonce = 0;
+
+  add(ask: Ask): void { this.#waiting.push(ask); }
+
+  /** Begins a round if some ask waits and none is under way, or the one under way seems lost; returns its nonce. */
+  begin(now: Moment): number | undefined {
+    if (this.#round && now < later(this.#round.sentAt, RETRY_MS)) return undefined;
+    const asks = [...(this.#round?.asks ?? []), ...this.#waiting];
+    if (asks.length === 0) { this.#round = undefined; return undefined; }
+    this.#waiting = [];
+    this.#nonce += 1;
+    this.#round = { nonce: this.#nonce, sentAt: now, asks: newest(asks) };
+    return this.#nonce;
+  }
+
+  /** The asks that this round's vouch returns. */
+  end(nonce: number): readonly Ask[] {
+    const round = this.#round;
+    if (!round || round.nonce !== nonce) return [];
+    this.#round = undefined;
+    return round.asks;
+  }
+
+  /** Nothing of before counts any more, as when we hang under another node. */
+  clear(): void { this.#round = undefined; this.#waiting = []; }
+}
+
+/** A child that asks again needs only its newest ask returned. */
+function newest(asks: readonly Ask[]): Ask[] {
+  const byChild = new Map<string, Ask>();
+  for (const ask of asks) byChild.set(ask.child, ask);
+  return [...byChild.values()];
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  function checkOrder(): void {
+    const vouching = new Vouching();
+    vouching.add({ child: 'a', nonce: 1 });
+    const first = vouching.begin(moment(0));
+    vouching.add({ child: 'b', nonce: 2 });
+    expect(vouching.begin(moment(10))).toBeUndefined();
+    expect(vouching.end(first ?? 0)).toEqual([{ child: 'a', nonce: 1 }]);
+    // An ask that came in while the round was under way is not returned by it.
+    const second = vouching.begin(moment(20));
+    expect(vouching.end(first ?? 0)).toEqual([]);
+    expect(vouching.end(second ?? 0)).toEqual([{ child: 'b', nonce: 2 }]);
+  }
+  test('an ask is returned only by a round begun after it', checkOrder);
+}
--- /dev/null
+++ b/src/place/Shapes.ts
@@ -0,0 +1,51 @@
+import { array, boolean, enums, number, string, type, type Infer } from 'superstruct';
+
+/** The platform's list of machines that run back ends; a revision orders whole lists. */
+export const MachineShape = type({ id: string(), address: string(), zone: string(), service: string(), leaving: boolean() });
+export const MachinesShape = type({ revision: number(), machines: array(MachineShape) });
+export type Machine = Infer<typeof MachineShape>;
+export type Machines = Infer<typeof MachinesShape>;
+
+/** The weight store's catalogue: sizes, and how many fetches it allows at once over the whole fleet. */
+export const CatalogShape = type({
+  limit: number(),
+  models: array(type({ name: string(), size: number() })),
+  adapters: array(type({ name: string(), model: string(), size: number() })),
+});
+export type Catalog = Infer<typeof CatalogShape>;
+
+/** What a runner reports of itself. An adapter's hold names it; a model's own has an empty one. */
+export const HoldShape = type({ model: string(), adapter: string(), size: number(), state: enums(['loading', 'ready', 'unloading']), running: number() });
+export const RunnerReportShape = type({
+  id: string(), boot: string(), room: number(), slots: number(), upMs: number(), holds: array(HoldShape),
+});
+export type Hold = Infer<typeof HoldShape>;
+export type RunnerReport = Infer<typeof RunnerReportShape>;
+
+/** An order decided and written down, until the runner's report clears it. */
+export const IntentShape = type({ id: string(), runner: string(), boot: string(), verb: enums(['load', 'unload']), model: string(), adapter: string(), size: number() });
+export type Intent = Infer<typeof IntentShape>;
+
+export const ServiceDocShape = type({ model: string(), primary: string(), understudy: string(), wait: string(), intents: array(IntentShape) });
+export type ServiceDoc = Infer<typeof ServiceDocShape>;
+
+export const ServicePartShape = type({ services: array(ServiceDocShape) });
+
+/** A runner that serves a model now, with the adapters it holds ready. */
+export const SeatShape = type({ runner: string(), primary: boolean(), adapters: array(string()) });
+export const PlaceShape = type({ model: string(), seats: array(SeatShape), wait: string() });
+export const PlacedRunnerShape = type({ id: string(), address: string(), zone: string(), service: string(), slots: number(), upMs: number() });
+/** What the data plane is told: where each model is served and who waits. */
+export const PlacesShape = type({ places: array(PlaceShape), runners: array(PlacedRunnerShape), flows: number() });
+export type Seat = Infer<typeof SeatShape>;
+export type Place = Infer<typeof PlaceShape>;
+export type PlacedRunner = Infer<typeof PlacedRunnerShape>;
+export type Places = Infer<typeof PlacesShape>;
+
+/** What one flow saw asked for since its last word: requests by model and adapter, and by row. */
+export const DemandShape = type({
+  flow: string(),
+  units: array(type({ model: string(), adapter: string(), count: number() })),
+  rows: array(type({ row: string(), count: number() })),
+});
+export type DemandReport = Infer<typeof DemandShape>;
--- a/src/vote/Elector.ts
+++ b/src/vote/Elector.ts
@@ -84,7 +84,8 @@
   /** A node that lost its disk neither proposes nor grants until it has been repaired. */
   setMayVote(mayVote: boolean, record: VoteRecord, now: Moment): void {
     if (mayVote && !this.#mayVote && record.epoch > 0) {
-      this.#epoch = epochOf(Math.max(record.epoch, this.#epoch));
+      // We may have granted that epoch to somebody and forgotten it: we take part again from the next one on.
+      this.#epoch = nextElecting(epochOf(Math.max(record.epoch, this.#epoch)));
       this.#bootPromise = later(now, this.#settings.spanMs);
     }
     if (!mayVote) this.#lose('looking');
