--- /dev/null
+++ b/src/flow/Budget.ts
@@ -0,0 +1,35 @@
+/** Repeats are paid for by first sendings: a fifth of them, and a few to begin with. */
+export class Budget {
+  readonly #share: number;
+  readonly #few: number;
+  #tokens: number;
+
+  constructor(share: number, few: number) {
+    this.#share = share;
+    this.#few = few;
+    this.#tokens = few;
+  }
+
+  earn(): void { this.#tokens = Math.min(this.#tokens + this.#share, this.#few); }
+
+  spend(): boolean {
+    if (this.#tokens < 1) return false;
+    this.#tokens -= 1;
+    return true;
+  }
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  function checkShare(): void {
+    const budget = new Budget(0.2, 3);
+    let spent = 0;
+    for (let index = 0; index < 1000; index += 1) {
+      budget.earn();
+      if (budget.spend()) spent += 1;
+    }
+    expect(spent).toBeLessThanOrEqual(203);
+    expect(spent).toBeGreaterThan(190);
+  }
+  test('repeats stay within a fifth and a few', checkShare);
+}
--- /dev/null
+++ b/src/flow/FlowCommand.ts
@@ -0,0 +1,34 @@
+import { Flags } from '@oclif/core';
+import { makeLog } from '../kin/Log.js';
+import { PROGRAM_FLAGS, ProgramCommand } from '../kin/ProgramCommand.js';
+import { FlowSettingsShape } from '../kin/Settings.js';
+import { untilStopped } from '../kin/Shutdown.js';
+import { StatusPort } from '../kin/StatusPort.js';
+import { FlowProcess } from './FlowProcess.js';
+
+export class FlowCommand extends ProgramCommand {
+  static override description = 'run the proxy';
+  static override flags = {
+    ...PROGRAM_FLAGS,
+    link: Flags.string({ description: 'loopback address of the agent beside it' }),
+    status: Flags.string({ description: 'address for counters' }),
+    blindMs: Flags.integer({ description: 'not vouched for within this span, it turns new work away' }),
+    drainMs: Flags.integer({ description: 'how long requests in flight may take after SIGTERM' }),
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(FlowCommand);
+    const settings = this.settle(FlowSettingsShape, flags);
+    const flow = new FlowProcess(settings, makeLog('flow', settings.listen));
+    const status = new StatusPort(flow.counters.bind(flow));
+    async function start(): Promise<void> {
+      await flow.start();
+      if (settings.status !== undefined) await status.listen(settings.status);
+    }
+    await this.begin(start);
+    await untilStopped();
+    await flow.stop();
+    status.close();
+    this.exit(0);
+  }
+}
--- /dev/null
+++ b/src/flow/FlowProcess.ts
@@ -0,0 +1,105 @@
+import { interval, Subscription } from 'rxjs';
+import type { Infer } from 'superstruct';
+import type { Logger } from 'pino';
+import { monotonicNow } from '../kin/Clock.js';
+import { Counters } from '../kin/Counters.js';
+import type { Defect } from '../kin/Defect.js';
+import type { HaveMessage } from '../kin/Messages.js';
+import { Owner } from '../kin/Owner.js';
+import type { FlowSettingsShape } from '../kin/Settings.js';
+import { versionText } from '../kin/Version.js';
+import { Exchange, type Incoming } from '../news/Exchange.js';
+import { Decision, DECISION_DEFAULTS } from './Decision.js';
+import { Executor } from './Executor.js';
+
+const BEAT_MS = 25;
+const ASK_EVERY = 6;
+const DEMAND_EVERY = 40;
+
+/** The proxy's process: the executor at its HTTP port, and the line to the agent beside it. */
+export class FlowProcess {
+  readonly #settings: Infer<typeof FlowSettingsShape>;
+  readonly #log: Logger;
+  readonly #counters = new Counters();
+  readonly #owner = new Owner();
+  readonly #exchange: Exchange;
+  readonly #decision: Decision;
+  readonly #executor: Executor;
+  readonly #subscription = new Subscription();
+  #beats = 0;
+  #wasFresh = false;
+
+  constructor(settings: Infer<typeof FlowSettingsShape>, log: Logger) {
+    this.#settings = settings;
+    this.#log = log;
+    const me = `flow@${settings.listen}`;
+    this.#exchange = new Exchange({ id: me, role: 'flow', zone: settings.zone, listen: '', reach: {} }, this.#tell.bind(this));
+    this.#decision = new Decision({ ...DECISION_DEFAULTS, blindMs: settings.blindMs, me });
+    this.#executor = new Executor(this.#decision, { maxBodyBytes: settings.maxBodyBytes, connectMs: 500 }, this.#counters, monotonicNow);
+  }
+
+  async start(): Promise<void> {
+    this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
+    await this.#executor.listen(this.#settings.listen);
+    this.#subscription.add(interval(BEAT_MS).subscribe(this.#owner.submit.bind(this.#owner, this.#beat.bind(this))));
+    this.#log.info({ zone: this.#settings.zone }, 'flow started');
+  }
+
+  async stop(): Promise<void> {
+    this.#log.info({ running: this.#decision.running }, 'flow draining');
+    await this.#executor.drain(this.#settings.drainMs);
+    this.#subscription.unsubscribe();
+    this.#exchange.close();
+  }
+
+  counters(): object {
+    const { running, pending, configVersion, placesVersion, marks } = this.#decision;
+    return { ...this.#counters.all(), running, pending, config: versionText(configVersion), places: versionText(placesVersion), machines: marks, fresh: this.#wasFresh, memory: process.memoryUsage().rss };
+  }
+
+  #tell(defect: Defect): void {
+    this.#counters.add(`defects.${defect.kind}`);
+    this.#log.warn({ defect: defect.kind }, defect.message);
+  }
+
+  #have(): HaveMessage[] {
+    return [
+      { topic: 'config', ...this.#decision.configVersion },
+      { topic: 'places', ...this.#decision.placesVersion },
+      { topic: 'machines', epoch: 0, count: this.#decision.marks },
+    ];
+  }
+
+  #beat(): void {
+    const now = monotonicNow();
+    this.#exchange.dial(this.#settings.link);
+    this.#beats += 1;
+    if (this.#beats % ASK_EVERY === 0) this.#exchange.send(this.#settings.link, { kind: 'ask', nonce: this.#decision.ask(now), have: this.#have() });
+    if (this.#beats % DEMAND_EVERY === 0) {
+      const demand = this.#decision.takeDemand();
+      this.#exchange.send(this.#settings.link, { kind: 'demand', body: JSON.stringify({ flow: `flow@${this.#settings.listen}`, ...demand }) });
+    }
+    this.#decision.beat(now);
+    const isFresh = this.#decision.freshness.isFresh(now);
+    if (isFresh !== this.#wasFresh) this.#log.info({ fresh: isFresh }, 'freshness');
+    this.#wasFresh = isFresh;
+    this.#executor.obey();
+  }
+
+  #receive(incoming: Incoming): void {
+    this.#owner.submit(this.#take.bind(this, incoming));
+  }
+
+  #take(incoming: Incoming): void {
+    const now = monotonicNow();
+    const { message } = incoming;
+    if (message.kind === 'news') {
+      this.#decision.news(now, message.topic, message, message.body);
+      // In force from here on: the next request is asked of the new table.
+      if (message.topic === 'config') this.#exchange.send(incoming.from, { kind: 'ack', ...this.#decision.configVersion });
+    } else if (message.kind === 'vouch') {
+      this.#decision.vouch(message.nonce, message, message.marks);
+    }
+    this.#executor.obey();
+  }
+}
--- a/src/hold/FileStore.ts
+++ b/src/hold/FileStore.ts
@@ -241,11 +241,14 @@
   function kindOf(defect: Defect): string { return defect.kind; }
   class StallingDisk extends NodeDisk {
     #free: () => void = doNothing;
+    #tellHeld: () => void = doNothing;
+    readonly held = new Promise<void>(this.#onHeld.bind(this));
+    #onHeld(done: () => void): void { this.#tellHeld = done; }
     override async writeSynced(path: string, text: string): Promise<void> {
-      if (path.includes('p1')) await new Promise<void>(this.#hold.bind(this));
+      if (path.includes('/p1/')) await new Promise<void>(this.#hold.bind(this));
       await super.writeSynced(path, text);
     }
-    #hold(done: () => void): void { this.#free = done; }
+    #hold(done: () => void): void { this.#free = done; this.#tellHeld(); }
     free(): void { this.#free(); }
   }
   function doNothing(): void { /* nothing is held yet */ }
@@ -255,6 +258,7 @@
     let isKept = false;
     function mark(): void { isKept = true; }
     const stalled = store.write(part, { epoch: 2, count: 1 }, 'stalled').then(mark);
+    await disk.held;
     await store.write(partName('p2'), { epoch: 2, count: 1 }, 'goes on');
     expect(isKept).toBe(false);
     disk.free();
--- /dev/null
+++ b/src/kin/Call.ts
@@ -0,0 +1,38 @@
+import { request, type ClientRequest, type IncomingMessage } from 'node:http';
+import { splitAddress } from './Listen.js';
+
+export interface CallReturn { readonly status: number; readonly headers: IncomingMessage['headers']; readonly body: string }
+
+const MAX_BODY = 64 * 1024 * 1024;
+
+/** Reads a whole body, or fails if it breaks off. */
+export async function readBody(stream: IncomingMessage, most: number = MAX_BODY): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of stream) {
+    const bytes = Buffer.isBuffer(chunk) ? chunk : Buffer.from(String(chunk));
+    size += bytes.length;
+    if (size > most) throw new Error(`a body of more than ${most} bytes`);
+    chunks.push(bytes);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/** One HTTP call with a JSON body and one limit on all of it. */
+export function call(method: string, address: string, path: string, body: string | undefined, limitMs: number): Promise<CallReturn> {
+  const { host, port } = splitAddress(address);
+  function run(done: (returned: CallReturn) => void, fail: (thrown: unknown) => void): void {
+    const headers = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
+    // A connection of its own each time: a kept one may close just as we write.
+    const sent: ClientRequest = request({ host, port, method, path, headers, agent: false, signal: AbortSignal.timeout(limitMs) });
+    async function take(returned: IncomingMessage): Promise<void> {
+      try {
+        done({ status: returned.statusCode ?? 0, headers: returned.headers, body: await readBody(returned) });
+      } catch (thrown) { fail(thrown); }
+    }
+    sent.once('response', take);
+    sent.once('error', fail);
+    sent.end(body);
+  }
+  return new Promise(run);
+}
--- /dev/null
+++ b/src/kin/Settings.ts
@@ -0,0 +1,79 @@
+import { readFileSync } from 'node:fs';
+import { isIP } from 'node:net';
+import { array, defaulted, define, max, min, integer, object, optional, record, size, string, StructError, type Struct } from 'superstruct';
+import { reasonOf } from './Defect.js';
+
+function checkAddress(value: unknown): boolean | string {
+  if (typeof value !== 'string') return 'must be text like 10.0.0.1:7000';
+  const at = value.lastIndexOf(':');
+  const host = value.slice(0, at).replace(/^\[(.*)\]$/, '$1');
+  const port = Number(value.slice(at + 1));
+  if (at < 1 || isIP(host) === 0) return `'${value}' must be an IP number and a port, like 10.0.0.1:7000`;
+  if (!Number.isInteger(port) || port < 1 || port > 65_535) return `'${value}' has no port from 1 to 65535`;
+  return true;
+}
+
+function checkZone(value: unknown): boolean | string {
+  return (typeof value === 'string' && /^[a-z0-9][a-z0-9-]{0,31}$/.test(value)) || 'must be a short name of small letters, digits and dashes';
+}
+
+export const Address = define<string>('address', checkAddress);
+const Zone = define<string>('zone', checkZone);
+const Millis = max(min(integer(), 1), 3_600_000);
+const Seeds = size(array(Address), 3, 3);
+
+export const MindSettingsShape = object({
+  listen: Address, api: Address, zone: Zone, seeds: Seeds, data: string(), platform: Address, store: Address,
+  blindMs: defaulted(Millis, 2500), drainMs: defaulted(Millis, 10_000), reach: defaulted(record(Address, Address), {}),
+});
+
+export const LinkSettingsShape = object({
+  listen: Address, feed: Address, zone: Zone, seeds: Seeds, status: optional(Address),
+  blindMs: defaulted(Millis, 2500), drainMs: defaulted(Millis, 2000), reach: defaulted(record(Address, Address), {}),
+});
+
+export const FlowSettingsShape = object({
+  listen: Address, link: Address, zone: Zone, status: optional(Address),
+  blindMs: defaulted(Millis, 2500), drainMs: defaulted(Millis, 30_000), maxBodyBytes: defaulted(max(min(integer(), 1024), 64 * 1024 * 1024), 1024 * 1024),
+});
+
+export interface SettingsOutcome<T> { readonly settings: T | undefined; readonly faults: readonly string[] }
+
+/** Settings from a file, with flags laid over it; every fault is one line. */
+export function readSettings<T, S>(shape: Struct<T, S>, path: string | undefined, flags: Readonly<Record<string, unknown>>): SettingsOutcome<T> {
+  let base: object = {};
+  if (path !== undefined) {
+    try {
+      const raw: unknown = JSON.parse(readFileSync(path, 'utf8'));
+      if (typeof raw !== 'object' || raw === null || Array.isArray(raw)) return { settings: undefined, faults: [`${path}: must hold one JSON object`] };
+      base = raw;
+    } catch (thrown) {
+      return { settings: undefined, faults: [`${path}: ${reasonOf(thrown)}`] };
+    }
+  }
+  const given: Record<string, unknown> = {};
+  for (const [key, value] of Object.entries(flags)) if (value !== undefined) given[key] = value;
+  const [error, settings] = shape.validate({ ...base, ...given }, { coerce: true });
+  if (error instanceof StructError) {
+    const faults: string[] = [];
+    for (const item of error.failures()) faults.push(`${item.path.join('.') || 'settings'}: ${item.message}`);
+    return { settings: undefined, faults };
+  }
+  return { settings, faults: [] };
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  function checkFaults(): void {
+    const { faults } = readSettings(LinkSettingsShape, undefined, { listen: 'localhost:1', feed: '127.0.0.1:99999', zone: 'A B', seeds: ['10.0.0.1:1'], more: 1 });
+    expect(faults.map(keyOf)).toEqual(['listen', 'feed', 'zone', 'seeds', 'more']);
+  }
+  function keyOf(fault: string): string { return fault.split(':')[0] ?? ''; }
+  function checkSound(): void {
+    const { settings, faults } = readSettings(FlowSettingsShape, undefined, { listen: '127.0.0.1:8080', link: '127.0.0.1:7001', zone: 'a', seeds: undefined });
+    expect(faults).toEqual([]);
+    expect(settings?.blindMs).toBe(2500);
+  }
+  test('every fault of the settings is named', checkFaults);
+  test('what is not given takes its default', checkSound);
+}
--- /dev/null
+++ b/src/link/LinkCommand.ts
@@ -0,0 +1,34 @@
+import { Flags } from '@oclif/core';
+import { makeLog } from '../kin/Log.js';
+import { PROGRAM_FLAGS, ProgramCommand, SEED_FLAGS } from '../kin/ProgramCommand.js';
+import { LinkSettingsShape } from '../kin/Settings.js';
+import { untilStopped } from '../kin/Shutdown.js';
+import { StatusPort } from '../kin/StatusPort.js';
+import { LinkProcess } from './LinkProcess.js';
+
+export class LinkCommand extends ProgramCommand {
+  static override description = 'run the agent beside a proxy';
+  static override flags = {
+    ...PROGRAM_FLAGS,
+    ...SEED_FLAGS,
+    feed: Flags.string({ description: 'loopback address where the proxy is fed' }),
+    status: Flags.string({ description: 'address for counters' }),
+    blindMs: Flags.integer({ description: 'as set for the flows' }),
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(LinkCommand);
+    const settings = this.settle(LinkSettingsShape, flags);
+    const link = new LinkProcess(settings, makeLog('link', settings.listen));
+    const status = new StatusPort(link.counters.bind(link));
+    async function start(): Promise<void> {
+      await link.start();
+      if (settings.status !== undefined) await status.listen(settings.status);
+    }
+    await this.begin(start);
+    await untilStopped();
+    link.stop();
+    status.close();
+    this.exit(0);
+  }
+}
--- /dev/null
+++ b/src/mind/Api.ts
@@ -0,0 +1,69 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { readBody } from '../kin/Call.js';
+import { listenOn } from '../kin/Listen.js';
+
+export interface ApiReturn { readonly status: number; readonly body: string }
+
+/** What the API hands on: a verb of the core and its JSON body. */
+export type Ask = (verb: string, body: string) => Promise<ApiReturn>;
+
+const MAX_EDIT = 32 * 1024 * 1024;
+
+function withField(body: string, fields: object): string {
+  const raw: unknown = body === '' ? {} : JSON.parse(body);
+  return JSON.stringify(typeof raw === 'object' && raw !== null ? { ...raw, ...fields } : fields);
+}
+
+/** The operators' HTTP API of a control node; any node takes any command and passes it to the leader. */
+export class Api {
+  readonly #ask: Ask;
+  readonly #counters: () => object;
+  readonly #server: Server;
+
+  constructor(ask: Ask, counters: () => object) {
+    this.#ask = ask;
+    this.#counters = counters;
+    this.#server = createServer(this.#take.bind(this));
+  }
+
+  async listen(address: string): Promise<number> {
+    return listenOn(this.#server, address);
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  async #take(asked: IncomingMessage, returned: ServerResponse): Promise<void> {
+    let result: ApiReturn;
+    try {
+      result = await this.#serve(asked.method ?? 'GET', (asked.url ?? '/').split('?')[0] ?? '/', await readBody(asked, MAX_EDIT));
+    } catch {
+      result = { status: 400, body: JSON.stringify({ outcome: 'turned-away', defect: 'malformed', text: 'the body is not JSON, or too large' }) };
+    }
+    const headers: Record<string, string | number> = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(result.body) };
+    if (result.status === 503) headers['retry-after'] = 2;
+    returned.writeHead(result.status, headers);
+    returned.end(result.body);
+  }
+
+  async #serve(method: string, path: string, body: string): Promise<ApiReturn> {
+    const zone = /^\/zones\/([^/]+)\/empty$/.exec(path);
+    const edit = /^\/edits\/([^/]+)$/.exec(path);
+    if (zone && method === 'PUT') return this.#ask('zone', withField(body, { zone: decodeURIComponent(zone[1] ?? ''), empty: true }));
+    if (zone && method === 'DELETE') return this.#ask('zone', withField(body, { zone: decodeURIComponent(zone[1] ?? ''), empty: false }));
+    if (edit && method === 'GET') return this.#ask('edit', JSON.stringify({ id: decodeURIComponent(edit[1] ?? '') }));
+    switch (`${method} ${path}`) {
+      case 'GET /status': return this.#ask('status', '{}');
+      case 'GET /table': return this.#ask('read', '{}');
+      case 'PUT /table': return this.#ask('table', withField(body, {}));
+      case 'PATCH /table/cell': return this.#ask('cell', withField(body, {}));
+      case 'PATCH /table/rows': return this.#ask('rows', withField(body, {}));
+      case 'POST /voters/swap': return this.#ask('swap', withField(body, {}));
+      case 'POST /found': return this.#ask('found', '{}');
+      case 'GET /counters': return { status: 200, body: JSON.stringify(this.#counters()) };
+      default: return { status: 404, body: JSON.stringify({ outcome: 'turned-away', defect: 'unmapped', text: `no ${method} ${path} here` }) };
+    }
+  }
+}
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -1,4 +1,5 @@
 import { number, string, type } from 'superstruct';
+import { rowKey } from '../code/Table.js';
 import { allParts, CONFIG_PART, servicePart, VOTE_PART } from '../hold/PartNames.js';
 import { Parts } from '../hold/Parts.js';
 import { Standing } from '../hold/Standing.js';
@@ -16,6 +17,7 @@
 import {
   DemandShape, MachinesShape, ServicePartShape, type Catalog, type Intent, type Machines, type RunnerReport, type ServiceDoc,
 } from '../place/Shapes.js';
+import { Shares } from '../place/Shares.js';
 import { Elector } from '../vote/Elector.js';
 import type { VoteRecord } from '../vote/VoteEffect.js';
 import { VOTE_DEFAULTS, type VoteSettings } from '../vote/VoteSettings.js';
@@ -94,6 +96,7 @@
   #machines: Machines = { revision: 0, machines: [] };
   #catalog: Catalog = EMPTY_CATALOG;
   readonly #runners = new Map<string, Runner>();
+  readonly #shares = new Shares();
   readonly #orders = new Map<string, SentOrder>();
   readonly #keptIntents = new Set<string>();
   #servingSince: Moment = NEVER;
@@ -497,6 +500,7 @@
     const leader = this.#elector.leader;
     if (leader !== undefined && leader !== this.#me) { this.#send(leader, { kind: 'demand', body }); return; }
     const report = parseAs(DemandShape, body);
+    if (report) this.#shares.add(now, report);
     for (const unit of report?.units ?? []) this.#placer.demand.add(now, `${unit.model}\n${unit.adapter}`, unit.count);
   }
 
@@ -747,7 +751,7 @@
       this.#writePart(now, part, JSON.stringify({ services }), 0);
     }
     this.#orderIntents(now, input);
-    this.#publishPlaces(input);
+    this.#publishPlaces(now, input);
   }
 
   #orderIntents(now: Moment, input: PlanInput): void {
@@ -771,11 +775,12 @@
     for (const id of this.#keptIntents) if (!open.has(id)) this.#keptIntents.delete(id);
   }
 
-  #publishPlaces(input: PlanInput): void {
+  #publishPlaces(now: Moment, input: PlanInput): void {
     const places = this.#placer.places(input);
     const flows = new Set<string>();
     for (const member of this.#knownMembers()) flows.add(member.id);
-    const text = JSON.stringify({ ...places, flows: Math.max(1, flows.size) });
+    const shares = this.#shares.list(now, input.table.rows.map(rowKey));
+    const text = JSON.stringify({ ...places, flows: Math.max(1, flows.size), shares });
     if (text === this.#placesText) return;
     this.#placesText = text;
     this.#placesCount += 1;
--- /dev/null
+++ b/src/mind/MindProcess.ts
@@ -0,0 +1,205 @@
+import { join } from 'node:path';
+import { interval, Subscription } from 'rxjs';
+import type { Infer } from 'superstruct';
+import type { Logger } from 'pino';
+import { FileStore } from '../hold/FileStore.js';
+import { call } from '../kin/Call.js';
+import { monotonicNow } from '../kin/Clock.js';
+import { Counters } from '../kin/Counters.js';
+import { reasonOf, type Defect } from '../kin/Defect.js';
+import type { Moment } from '../kin/Ids.js';
+import { parseAs } from '../kin/Json.js';
+import { Owner } from '../kin/Owner.js';
+import type { MindSettingsShape } from '../kin/Settings.js';
+import { Exchange, type Incoming } from '../news/Exchange.js';
+import { CatalogShape, MachinesShape, RunnerReportShape } from '../place/Shapes.js';
+import { Api, type ApiReturn } from './Api.js';
+import { MindCore } from './MindCore.js';
+import { MIND_DEFAULTS, type MindEffect } from './MindEffect.js';
+import { Orderer } from './Orderer.js';
+
+const BEAT_MS = 25;
+const OUTSIDE_MS = 800;
+const DISK_AGAIN_MS = 500;
+
+/** A control node's process: carries out what its core wants, and tells the core what came of it. */
+export class MindProcess {
+  readonly #settings: Infer<typeof MindSettingsShape>;
+  readonly #log: Logger;
+  readonly #counters = new Counters();
+  readonly #owner = new Owner();
+  readonly #exchange: Exchange;
+  readonly #store: FileStore;
+  readonly #api: Api;
+  readonly #subscription = new Subscription();
+  readonly #returns = new Map<number, (returned: ApiReturn) => void>();
+  #core: MindCore | undefined;
+  #orderer: Orderer | undefined;
+  #commandId = 0;
+  #wasPlatformUp = true;
+
+  constructor(settings: Infer<typeof MindSettingsShape>, log: Logger) {
+    this.#settings = settings;
+    this.#log = log;
+    this.#exchange = new Exchange({ id: settings.listen, role: 'mind', zone: settings.zone, listen: settings.listen, reach: settings.reach }, this.#tell.bind(this));
+    this.#store = new FileStore(join(settings.data, 'parts'), this.#tell.bind(this));
+    this.#api = new Api(this.#ask.bind(this), this.#counted.bind(this));
+  }
+
+  async start(): Promise<void> {
+    const stored = await this.#store.readAll();
+    const { listen: me, zone, seeds, blindMs } = this.#settings;
+    const core = new MindCore({ ...MIND_DEFAULTS, me, zone, seeds, blindMs }, stored, monotonicNow());
+    this.#core = core;
+    this.#orderer = new Orderer(core, monotonicNow);
+    this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
+    this.#subscription.add(this.#exchange.gone$.subscribe(this.#gone.bind(this)));
+    await this.#exchange.open();
+    await this.#api.listen(this.#settings.api);
+    this.#subscription.add(interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))));
+    this.#log.info({ standing: core.standing.name }, 'mind started');
+  }
+
+  stop(): void {
+    this.#subscription.unsubscribe();
+    this.#api.close();
+    this.#exchange.close();
+  }
+
+  #tell(defect: Defect): void {
+    this.#counters.add(`defects.${defect.kind}`);
+    this.#log.warn({ defect: defect.kind }, defect.message);
+  }
+
+  #counted(): object {
+    const core = this.#core;
+    if (core) {
+      this.#counters.set('epoch', core.elector.epoch);
+      this.#counters.set('news.sent', core.relay.sent);
+      this.#counters.set('parts.mended', core.parts.mends);
+      this.#counters.set('placement.writes', core.placementWrites);
+    }
+    return this.#counters.all();
+  }
+
+  /** Every input is a command of the core's one owner; its effects are carried out before the next. */
+  #submit(command: (core: MindCore) => void): void {
+    const core = this.#core;
+    if (!core) return;
+    this.#owner.submit(this.#work.bind(this, core, command));
+  }
+
+  #work(core: MindCore, command: (core: MindCore) => void): void {
+    command(core);
+    for (const effect of core.drain()) this.#carryOut(core, effect);
+  }
+
+  #beat(core: MindCore): void {
+    for (const voter of core.voters) if (voter !== this.#settings.listen) this.#exchange.dial(voter);
+    core.beat(monotonicNow());
+  }
+
+  #receive(incoming: Incoming): void {
+    this.#counters.add(`messages.${incoming.message.kind}`);
+    function receive(core: MindCore): void { core.receive(monotonicNow(), incoming.from, incoming.message); }
+    this.#submit(receive);
+  }
+
+  #gone(id: string): void {
+    function gone(core: MindCore): void { core.gone(monotonicNow(), id); }
+    this.#submit(gone);
+  }
+
+  #carryOut(core: MindCore, effect: MindEffect): void {
+    switch (effect.do) {
+      case 'send': this.#exchange.send(effect.to, effect.message); break;
+      case 'store': void this.#keep(effect); break;
+      case 'askMachines': void this.#askMachines(); break;
+      case 'askCatalog': void this.#askCatalog(); break;
+      case 'askReport': void this.#askReport(effect.runner, effect.address); break;
+      case 'order': void this.#order(effect, core.elector.epoch); break;
+      case 'return': this.#returns.get(effect.id)?.({ status: effect.status, body: effect.body }); this.#returns.delete(effect.id); break;
+      case 'note': this.#log.info(effect.fields, effect.text); break;
+    }
+  }
+
+  async #keep(effect: Extract<MindEffect, { do: 'store' }>): Promise<void> {
+    const { part, version, body } = effect;
+    try {
+      await this.#store.write(part, version, body);
+    } catch {
+      // Named by the store. It is tried again for as long as we run: until then nobody hears a yes from us.
+      setTimeout(this.#keep.bind(this, effect), DISK_AGAIN_MS).unref();
+      return;
+    }
+    this.#counters.add('disk.writes');
+    function stored(core: MindCore): void { core.stored(monotonicNow(), part, version); }
+    this.#submit(stored);
+  }
+
+  async #askMachines(): Promise<void> {
+    try {
+      const returned = await call('GET', this.#settings.platform, '/machines', undefined, OUTSIDE_MS);
+      const machines = parseAs(MachinesShape, returned.body);
+      if (!machines) throw new Error('its list of machines is not what it should be');
+      function take(core: MindCore): void { if (machines) core.machines(monotonicNow(), machines); }
+      this.#submit(take);
+      this.#platformUp(true, '');
+    } catch (thrown) {
+      this.#counters.add('platform.unreached');
+      this.#platformUp(false, reasonOf(thrown));
+    }
+  }
+
+  #platformUp(isUp: boolean, reason: string): void {
+    if (isUp === this.#wasPlatformUp) return;
+    this.#wasPlatformUp = isUp;
+    this.#log.info({ up: isUp, reason }, 'platform');
+  }
+
+  async #askCatalog(): Promise<void> {
+    try {
+      const returned = await call('GET', this.#settings.store, '/catalog', undefined, OUTSIDE_MS);
+      const catalog = parseAs(CatalogShape, returned.body);
+      if (!catalog) throw new Error('its catalogue is not what it should be');
+      function take(core: MindCore): void { if (catalog) core.catalog(monotonicNow(), catalog); }
+      this.#submit(take);
+    } catch {
+      this.#counters.add('store.unreached');
+    }
+  }
+
+  async #askReport(runner: string, address: string): Promise<void> {
+    const askedAt: Moment = monotonicNow();
+    let report: ReturnType<typeof parseAs<Infer<typeof RunnerReportShape>>>;
+    try {
+      report = parseAs(RunnerReportShape, (await call('GET', address, '/report', undefined, OUTSIDE_MS)).body);
+    } catch {
+      this.#counters.add('reports.unreached');
+    }
+    // A report under another name is some other runner's, at an address that changed hands.
+    const own = report?.id === runner ? report : undefined;
+    function take(core: MindCore): void { core.reported(monotonicNow(), runner, askedAt, own); }
+    this.#submit(take);
+  }
+
+  async #order(effect: Extract<MindEffect, { do: 'order' }>, epoch: number): Promise<void> {
+    const outcome = await this.#orderer?.send(effect.intent, effect.address, this.#settings.listen, epoch) ?? 'unsent';
+    this.#counters.add(`orders.${outcome}`);
+    this.#log.info({ order: effect.intent.id, verb: effect.intent.verb, model: effect.intent.model, adapter: effect.intent.adapter, runner: effect.intent.runner, outcome }, 'order');
+    function ordered(core: MindCore): void { core.ordered(monotonicNow(), effect.intent.id, outcome); }
+    this.#submit(ordered);
+  }
+
+  #ask(verb: string, body: string): Promise<ApiReturn> {
+    this.#commandId += 1;
+    const id = this.#commandId;
+    this.#counters.add(`commands.${verb}`);
+    const returns = this.#returns;
+    function enlist(done: (returned: ApiReturn) => void): void { returns.set(id, done); }
+    const returned = new Promise<ApiReturn>(enlist);
+    function command(core: MindCore): void { core.command(monotonicNow(), id, verb, body); }
+    this.#submit(command);
+    return returned;
+  }
+}
--- /dev/null
+++ b/src/mind/Orderer.ts
@@ -0,0 +1,116 @@
+import { request, type ClientRequest, type IncomingMessage } from 'node:http';
+import { readBody } from '../kin/Call.js';
+import type { Moment } from '../kin/Ids.js';
+import type { Intent } from '../place/Shapes.js';
+import { splitAddress } from '../kin/Listen.js';
+
+export type OrderOutcome = 'taken' | 'turnedAway' | 'unsure' | 'unsent';
+
+interface Lease {
+  mayOrder(now: Moment): boolean;
+  leaseEnd(): Moment;
+}
+
+const CONTINUE_MS = 1000;
+/** An order is cut off this long before the lease ends. */
+const MARGIN_MS = 100;
+
+/**
+ * Sends one order. The head goes first and asks to be told to go on, so that a runner that is dark or slow
+ * never finds an order waiting in its socket; the lease is checked right before the order itself is written.
+ */
+export class Orderer {
+  readonly #lease: Lease;
+  readonly #now: () => Moment;
+
+  constructor(lease: Lease, now: () => Moment) {
+    this.#lease = lease;
+    this.#now = now;
+  }
+
+  send(intent: Intent, address: string, holder: string, epoch: number): Promise<OrderOutcome> {
+    const { host, port } = splitAddress(address);
+    const body = JSON.stringify({ id: intent.id, verb: intent.verb, model: intent.model, adapter: intent.adapter, boot: intent.boot, size: intent.size, holder, epoch });
+    const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), expect: '100-continue' };
+    const sent = request({ host, port, method: 'POST', path: '/orders', headers, agent: false });
+    return new Promise(this.#run.bind(this, sent, body));
+  }
+
+  #run(sent: ClientRequest, body: string, done: (outcome: OrderOutcome) => void): void {
+    const lease = this.#lease;
+    const now = this.#now;
+    let isWritten = false;
+    let isOver = false;
+    const beats: NodeJS.Timeout[] = [];
+    function end(outcome: OrderOutcome): void {
+      if (isOver) return;
+      isOver = true;
+      for (const beat of beats) clearTimeout(beat);
+      sent.destroy();
+      done(outcome);
+    }
+    function giveUp(): void { end(isWritten ? 'unsure' : 'unsent'); }
+    function giveUpUnwritten(): void { if (!isWritten) end('unsent'); }
+    function write(): void {
+      // Right before the write, and with the margin in which an order under way is cut off.
+      const at = now();
+      if (!lease.mayOrder(at) || lease.leaseEnd() - at <= MARGIN_MS) { end('unsent'); return; }
+      isWritten = true;
+      sent.end(body);
+    }
+    async function take(returned: IncomingMessage): Promise<void> {
+      try {
+        await readBody(returned);
+        const status = returned.statusCode ?? 0;
+        if (status >= 200 && status < 300) end('taken');
+        else if (isWritten && status >= 400 && status < 500) end('turnedAway');
+        else end(isWritten ? 'unsure' : 'unsent');
+      } catch { giveUp(); }
+    }
+    sent.once('continue', write);
+    sent.once('response', take);
+    sent.on('error', giveUp);
+    sent.flushHeaders();
+    beats.push(setTimeout(giveUpUnwritten, CONTINUE_MS), setTimeout(giveUp, Math.max(0, lease.leaseEnd() - now() - MARGIN_MS)));
+  }
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { createServer } = await import('node:http');
+  const { moment } = await import('../kin/Ids.js');
+  const intent: Intent = { id: 'i1', runner: 'r', boot: 'b', verb: 'load', model: 'm', adapter: '', size: 1 };
+  async function withRunner(run: (address: string, bodies: string[]) => Promise<void>): Promise<void> {
+    const bodies: string[] = [];
+    async function take(asked: IncomingMessage, returned: import('node:http').ServerResponse): Promise<void> {
+      try { bodies.push(await readBody(asked)); } catch { return; }
+      returned.writeHead(202).end();
+    }
+    const server = createServer(take);
+    function listen(done: () => void): void { server.listen(0, '127.0.0.1', done); }
+    await new Promise<void>(listen);
+    const bound = server.address();
+    const port = typeof bound === 'object' && bound !== null ? bound.port : 0;
+    try { await run(`127.0.0.1:${port}`, bodies); } finally { server.closeAllConnections(); server.close(); }
+  }
+  class FakeLease {
+    readonly #may: boolean;
+    readonly #end: number;
+    constructor(may: boolean, end: number) { this.#may = may; this.#end = end; }
+    mayOrder(): boolean { return this.#may; }
+    leaseEnd(): Moment { return moment(this.#end); }
+  }
+  function zero(): Moment { return moment(0); }
+  async function checkTaken(address: string, bodies: string[]): Promise<void> {
+    expect(await new Orderer(new FakeLease(true, 5000), zero).send(intent, address, 'me', 2)).toBe('taken');
+    expect(bodies).toHaveLength(1);
+  }
+  async function checkLapsed(address: string, bodies: string[]): Promise<void> {
+    // The lease is lost between the head and the write: the runner sees no order.
+    expect(await new Orderer(new FakeLease(false, 5000), zero).send(intent, address, 'me', 2)).toBe('unsent');
+    expect(await new Orderer(new FakeLease(true, 50), zero).send(intent, address, 'me', 2)).toBe('unsent');
+    expect(bodies).toHaveLength(0);
+  }
+  test('an order within the lease is taken', withRunner.bind(undefined, checkTaken));
+  test('no order is written once the lease is over or about to be', withRunner.bind(undefined, checkLapsed));
+}
--- /dev/null
+++ b/src/myth/Deployment.ts
@@ -0,0 +1,160 @@
+import type { Catalog } from '../place/Shapes.js';
+
+export interface TrafficKind {
+  readonly type: string;
+  readonly method: string;
+  readonly path: string;
+  /** Requests a second over the whole fleet. */
+  readonly perSecond: number;
+  readonly models: readonly string[];
+  readonly stream: boolean;
+  readonly once: boolean;
+  readonly tokens: number;
+  /** How many shared prompt parts a request names. */
+  readonly parts: number;
+}
+
+export interface RunnerSpec { readonly id: string; readonly zone: string; readonly room: number; readonly slots: number }
+export interface PlainSpec { readonly id: string; readonly zone: string; readonly service: string; readonly workMs: number }
+
+/** One of the brief's deployments, in numbers. */
+export interface Deployment {
+  readonly name: string;
+  readonly zones: readonly string[];
+  readonly edges: number;
+  readonly minds: number;
+  readonly runners: readonly RunnerSpec[];
+  readonly plain: readonly PlainSpec[];
+  readonly catalog: Catalog;
+  readonly table: string;
+  readonly traffic: readonly TrafficKind[];
+}
+
+interface Family { readonly name: string; readonly count: number; readonly size: number; readonly adapters: number }
+
+function names(family: Family): string[] {
+  const list: string[] = [];
+  for (let index = 0; index < family.count; index += 1) list.push(`${family.name}-${String(index).padStart(2, '0')}`);
+  return list;
+}
+
+function catalogOf(families: readonly Family[], limit: number): Catalog {
+  const models: Catalog['models'] = [];
+  const adapters: Catalog['adapters'] = [];
+  for (const family of families) {
+    const list = names(family);
+    for (const name of list) models.push({ name, size: family.size });
+    for (let index = 0; index < family.adapters; index += 1) {
+      const model = list[index % list.length] ?? '';
+      adapters.push({ name: `${model}-a${Math.floor(index / list.length)}`, model, size: 1 });
+    }
+  }
+  return { limit, models, adapters };
+}
+
+function runnersOf(count: number, zones: readonly string[], room: number, slots: number): RunnerSpec[] {
+  const list: RunnerSpec[] = [];
+  for (let index = 0; index < count; index += 1) list.push({ id: `runner-${String(index).padStart(2, '0')}`, zone: zones[index % zones.length] ?? '', room, slots });
+  return list;
+}
+
+function plainOf(service: string, zones: readonly string[], workMs: number): PlainSpec[] {
+  const list: PlainSpec[] = [];
+  for (let index = 0; index < 3; index += 1) list.push({ id: `${service}-${index}`, zone: zones[index % zones.length] ?? '', service, workMs });
+  return list;
+}
+
+const ZONES = ['north', 'middle', 'south'] as const;
+
+const RECEIPT: Family = { name: 'receipt', count: 14, size: 14, adapters: 28 };
+const CUSTOMS: Family = { name: 'customs', count: 8, size: 12, adapters: 8 };
+const LEDGER: Family = { name: 'ledger', count: 6, size: 20, adapters: 4 };
+const RARE: Family = { name: 'rare', count: 8, size: 12, adapters: 0 };
+
+export const DAKAR: Deployment = {
+  name: 'dakar', zones: ZONES, edges: 9, minds: 3,
+  runners: runnersOf(8, ZONES, 80, 12),
+  plain: plainOf('kiosk', ZONES, 15),
+  catalog: catalogOf([RECEIPT, CUSTOMS, LEDGER, RARE], 3),
+  table: [
+    '# Dakar: tills, customs, ledgers, kiosks',
+    'map POST /v1/checks to check',
+    'map POST /v1/verdicts to verdict',
+    'map POST /v1/ledgers to ledger',
+    'map GET /v1/refunds/* to lookup',
+    'row check receipt-* weight 80 take 60/s late 20s once stream',
+    'row check rare-* weight 20 take 10/s late 20s once stream',
+    'row verdict customs-* weight 100 take 10/s late 15s once stream',
+    'row ledger ledger-* weight 10 take 4/s late 120s once whole',
+    'row lookup @kiosk weight 60 take 90/s late 2s repeatable whole',
+  ].join('\n'),
+  traffic: [
+    { type: 'check', method: 'POST', path: '/v1/checks', perSecond: 12, models: names(RECEIPT), stream: true, once: true, tokens: 20, parts: 2 },
+    { type: 'verdict', method: 'POST', path: '/v1/verdicts', perSecond: 2, models: names(CUSTOMS), stream: true, once: true, tokens: 12, parts: 2 },
+    { type: 'ledger', method: 'POST', path: '/v1/ledgers', perSecond: 0.3, models: names(LEDGER), stream: false, once: true, tokens: 40, parts: 8 },
+    { type: 'lookup', method: 'GET', path: '/v1/refunds', perSecond: 30, models: [], stream: false, once: false, tokens: 0, parts: 0 },
+  ],
+};
+
+const LIVE: Family = { name: 'live', count: 10, size: 14, adapters: 35 };
+const NOTE: Family = { name: 'note', count: 8, size: 12, adapters: 12 };
+const SUMMARY: Family = { name: 'summary', count: 4, size: 24, adapters: 8 };
+const SELDOM: Family = { name: 'seldom', count: 8, size: 12, adapters: 0 };
+
+export const SOFIA: Deployment = {
+  name: 'sofia', zones: ZONES, edges: 8, minds: 3,
+  runners: runnersOf(13, ZONES, 60, 12),
+  plain: plainOf('ranking', ZONES, 12),
+  catalog: catalogOf([LIVE, NOTE, SUMMARY, SELDOM], 4),
+  table: [
+    '# Sofia: moderators, their slower queue, run logs, the rankings site',
+    'map POST /v1/notes/live to live',
+    'map POST /v1/notes/slow to slow',
+    'map POST /v1/summaries to summary',
+    'map GET /v1/pages/* to page',
+    'row live live-* weight 100 take 60/s late 15s once stream',
+    'row live seldom-* weight 20 take 10/s late 15s once stream',
+    'row slow note-* weight 30 take 10/s late 60s once stream',
+    'row summary summary-* weight 10 take 4/s late 120s once whole',
+    'row page @ranking weight 60 take 140/s late 2s repeatable whole',
+  ].join('\n'),
+  traffic: [
+    { type: 'live', method: 'POST', path: '/v1/notes/live', perSecond: 10, models: names(LIVE), stream: true, once: true, tokens: 20, parts: 2 },
+    { type: 'slow', method: 'POST', path: '/v1/notes/slow', perSecond: 1, models: names(NOTE), stream: true, once: true, tokens: 20, parts: 2 },
+    { type: 'summary', method: 'POST', path: '/v1/summaries', perSecond: 0.3, models: names(SUMMARY), stream: false, once: true, tokens: 40, parts: 8 },
+    { type: 'page', method: 'GET', path: '/v1/pages', perSecond: 45, models: [], stream: false, once: false, tokens: 0, parts: 0 },
+  ],
+};
+
+/** Small enough for a test: everything once or twice. */
+export const HAMLET: Deployment = {
+  name: 'hamlet', zones: ZONES, edges: 2, minds: 3,
+  runners: runnersOf(3, ZONES, 40, 8),
+  plain: plainOf('kiosk', ZONES, 5),
+  catalog: catalogOf([{ name: 'receipt', count: 3, size: 12, adapters: 2 }, { name: 'rare', count: 4, size: 12, adapters: 0 }], 2),
+  table: [
+    'map POST /v1/checks to check',
+    'map GET /v1/refunds/* to lookup',
+    'row check receipt-* weight 80 take 200/s late 10s once stream',
+    'row check rare-* weight 20 take 50/s late 10s once stream',
+    'row lookup @kiosk weight 60 take 200/s late 2s repeatable whole',
+  ].join('\n'),
+  traffic: [
+    { type: 'check', method: 'POST', path: '/v1/checks', perSecond: 10, models: ['receipt-00', 'receipt-01', 'receipt-02'], stream: true, once: true, tokens: 10, parts: 2 },
+    { type: 'lookup', method: 'GET', path: '/v1/refunds', perSecond: 10, models: [], stream: false, once: false, tokens: 0, parts: 0 },
+  ],
+};
+
+export const DEPLOYMENTS: Readonly<Record<string, Deployment>> = { dakar: DAKAR, sofia: SOFIA, hamlet: HAMLET };
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { compile } = await import('../code/Language.js');
+  function checkSizes(): void {
+    const [dakar, sofia] = [DAKAR, SOFIA];
+    expect([dakar.edges, dakar.minds, dakar.runners.length, dakar.catalog.models.length, dakar.catalog.adapters.length, dakar.plain.length]).toEqual([9, 3, 8, 36, 40, 3]);
+    expect([sofia.edges, sofia.minds, sofia.runners.length, sofia.catalog.models.length, sofia.catalog.adapters.length, sofia.plain.length]).toEqual([8, 3, 13, 30, 55, 3]);
+    for (const deployment of [dakar, sofia, HAMLET]) expect(compile(deployment.table).faults).toEqual([]);
+  }
+  test('the deployments have the brief\'s sizes and sound tables', checkSizes);
+}
--- /dev/null
+++ b/src/myth/Judge.ts
@@ -0,0 +1,189 @@
+import type { BackRecord, CallerRecord, EventRecord } from './Records.js';
+
+export interface Violation { readonly rule: string; readonly text: string }
+
+export interface Evidence {
+  readonly callers: readonly CallerRecord[];
+  readonly backs: readonly BackRecord[];
+  readonly events: readonly EventRecord[];
+  /** The zone of each runner and back end. */
+  readonly zones: ReadonlyMap<string, string>;
+}
+
+export const RULES = [
+  'run-twice', 'ran-though-turned-away', 'not-whole', 'stitched', 'leaving-got-work', 'emptied-got-work', 'old-table', 'lost-table',
+  'two-holders', 'over-room', 'over-store', 'cold-flooded', 'too-many-repeats', 'cut-by-plan', 'held-back',
+] as const;
+
+const LEAVING_MS = 3000;
+/** The platform's list is asked for every half second: that long until we learn. */
+const LEARN_MS = 700;
+const EMPTY_MS = 5000;
+const TABLE_MS = 2000;
+const HAND_OVER_MS = 2900;
+const COLD_MS = 1000;
+const COLD_RUNS = 30;
+
+/** Knows nothing of the product but its promises: joins what callers, runners and the rehearsal recorded. */
+export class Judge {
+  readonly #evidence: Evidence;
+  readonly #found: Violation[] = [];
+  readonly #runsById = new Map<string, BackRecord[]>();
+
+  constructor(evidence: Evidence) {
+    this.#evidence = evidence;
+    for (const back of evidence.backs) {
+      if (back.what !== 'run' || back.id === undefined) continue;
+      this.#runsById.set(back.id, [...(this.#runsById.get(back.id) ?? []), back]);
+    }
+  }
+
+  judge(): readonly Violation[] {
+    this.#callers();
+    this.#leaving();
+    this.#emptied();
+    this.#tables();
+    this.#orders();
+    this.#cold();
+    return this.#found;
+  }
+
+  #find(rule: typeof RULES[number], text: string): void { this.#found.push({ rule, text }); }
+
+  #callers(): void {
+    let repeats = 0;
+    let repeatable = 0;
+    for (const caller of this.#evidence.callers) {
+      const runs = this.#runsById.get(caller.id) ?? [];
+      if (caller.once && runs.length > 1) this.#find('run-twice', `${caller.id} (${caller.type}) ran ${runs.length} times`);
+      if (!caller.once) { repeatable += 1; repeats += Math.max(0, runs.length - 1); }
+      if (caller.outcome === 'turned-away' && runs.length > 0) this.#find('ran-though-turned-away', `${caller.id} was turned away with ${caller.status} and ran at ${runs[0]?.runner}`);
+      if (caller.isWhole && caller.fault !== '') this.#find(caller.fault.startsWith('stitched') ? 'stitched' : 'not-whole', `${caller.id}: ${caller.fault}`);
+      if (caller.isWhole && caller.status === 200 && !runs.some(isRun.bind(undefined, caller.run))) this.#find('not-whole', `${caller.id}: its return is of run ${caller.run}, which is not its own`);
+      if (caller.outcome === 'turned-away' && (caller.status === 503 || caller.status === 429)) {
+        if (caller.retryAfter <= 0) this.#find('held-back', `${caller.id} was turned away without a word on when to come back`);
+      }
+    }
+    if (repeats > repeatable / 5 + 30) this.#find('too-many-repeats', `${repeats} repeats of ${repeatable}`);
+  }
+
+  #leaving(): void {
+    const marks = new Map<string, { from: number; until: number }[]>();
+    for (const back of this.#evidence.backs) {
+      if (back.what !== 'mark' || back.id === undefined) continue;
+      const list = marks.get(back.id) ?? [];
+      const last = list[list.length - 1];
+      if (back.leaving === true) list.push({ from: back.at + LEARN_MS + LEAVING_MS, until: Infinity });
+      else if (last) last.until = back.at;
+      marks.set(back.id, list);
+    }
+    for (const runs of this.#runsById.values()) {
+      for (const run of runs) {
+        for (const mark of marks.get(run.runner ?? '') ?? []) {
+          if (run.at > mark.from && run.at < mark.until) this.#find('leaving-got-work', `${run.runner} got ${run.id} ${run.at - mark.from} ms too late`);
+        }
+      }
+    }
+  }
+
+  #emptied(): void {
+    const spans: { zone: string; from: number; until: number }[] = [];
+    for (const event of this.#evidence.events) {
+      if (event.what === 'zone-emptied') spans.push({ zone: event.zone ?? '', from: event.at + EMPTY_MS, until: Infinity });
+      if (event.what === 'zone-filling') for (const span of spans) if (span.zone === event.zone && span.until === Infinity) span.until = event.at;
+    }
+    for (const runs of this.#runsById.values()) {
+      for (const run of runs) {
+        const zone = this.#evidence.zones.get(run.runner ?? '');
+        for (const span of spans) if (span.zone === zone && run.at > span.from && run.at < span.until) this.#find('emptied-got-work', `${run.runner} in ${zone} got ${run.id}`);
+      }
+    }
+  }
+
+  #tables(): void {
+    let newest = 0;
+    for (const event of this.#evidence.events) {
+      if (event.what === 'table-accepted') newest = Math.max(newest, event.number ?? 0);
+      // Newer than the newest accepted is an edit whose outcome nobody was told: it may stand.
+      if (event.what === 'table-read' && (event.number ?? 0) < newest) this.#find('lost-table', `table ${event.number} was read back after ${newest} was accepted`);
+    }
+    for (const event of this.#evidence.events) {
+      if (event.what !== 'table-accepted' || event.number === undefined) continue;
+      for (const caller of this.#evidence.callers) {
+        if (caller.table >= 0 && caller.sentAt > event.at + TABLE_MS && caller.table < event.number) {
+          this.#find('old-table', `${caller.flow} gated ${caller.id} by table ${caller.table}, ${caller.sentAt - event.at} ms after ${event.number} was accepted`);
+        }
+      }
+    }
+  }
+
+  #orders(): void {
+    let last: BackRecord | undefined;
+    for (const back of this.#evidence.backs) {
+      if (back.what === 'fetch' && back.over === true) this.#find('over-store', `fetch of ${back.model} by ${back.runner} was one too many`);
+      if (back.what !== 'order') continue;
+      if (back.overRoom === true) this.#find('over-room', `${back.runner} was told to load ${back.model} ${back.adapter} by ${back.order}`);
+      if (last && last.holder !== back.holder && back.at - last.at < HAND_OVER_MS) {
+        this.#find('two-holders', `${last.holder} ordered ${last.runner} and ${back.holder} ordered ${back.runner} ${back.at - last.at} ms later`);
+      }
+      last = back;
+    }
+  }
+
+  #cold(): void {
+    const boots = new Map<string, number>();
+    const early = new Map<string, number>();
+    for (const back of this.#evidence.backs) {
+      const runner = back.runner ?? '';
+      if (back.what === 'boot') { boots.set(runner, back.at); early.set(runner, 0); }
+      const boot = boots.get(runner);
+      if (back.what !== 'run' || boot === undefined || back.at - boot > COLD_MS) continue;
+      const count = (early.get(runner) ?? 0) + 1;
+      early.set(runner, count);
+      if (count === COLD_RUNS) this.#find('cold-flooded', `${runner} got ${count} requests within ${back.at - boot} ms of its start`);
+    }
+  }
+}
+
+function isRun(run: string, back: BackRecord): boolean { return back.run === run; }
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const caller: CallerRecord = {
+    what: 'call', id: 'q1', type: 'check', model: 'm', once: true, flow: 'f', sentAt: 10_000, endedAt: 10_100, status: 200, outcome: 'done', run: 'r1', isWhole: true, fault: '', retryAfter: 0, table: 5,
+  };
+  const run: BackRecord = { at: 10_050, what: 'run', runner: 'a', id: 'q1', run: 'r1' };
+  const order: BackRecord = { at: 1000, what: 'order', runner: 'a', holder: 'h1', model: 'm', adapter: '', order: 'o' };
+  function rulesOf(callers: readonly CallerRecord[], backs: readonly BackRecord[], events: readonly EventRecord[] = []): string[] {
+    const rules = new Set<string>();
+    for (const violation of new Judge({ callers, backs, events, zones: new Map([['a', 'north']]) }).judge()) rules.add(violation.rule);
+    return [...rules];
+  }
+  function checkClean(): void {
+    expect(rulesOf([caller], [run, order, { ...order, at: 9000, holder: 'h2' }], [{ at: 9500, what: 'table-accepted', number: 5 }])).toEqual([]);
+  }
+  function checkBites(): void {
+    expect(rulesOf([caller], [run, { ...run, run: 'r2' }])).toEqual(['run-twice']);
+    expect(rulesOf([{ ...caller, status: 503, outcome: 'turned-away', isWhole: false, retryAfter: 1 }], [run])).toEqual(['ran-though-turned-away']);
+    expect(rulesOf([{ ...caller, status: 503, outcome: 'turned-away', isWhole: false, retryAfter: 0 }], [])).toEqual(['held-back']);
+    expect(rulesOf([{ ...caller, fault: 'no end' }], [run])).toEqual(['not-whole']);
+    expect(rulesOf([{ ...caller, fault: 'stitched of two runs' }], [run])).toEqual(['stitched']);
+    expect(rulesOf([{ ...caller, run: 'other' }], [run])).toEqual(['not-whole']);
+    expect(rulesOf([caller], [{ at: 6000, what: 'mark', id: 'a', leaving: true }, run])).toEqual(['leaving-got-work']);
+    expect(rulesOf([caller], [run], [{ at: 5000, what: 'zone-emptied', zone: 'north' }])).toEqual(['emptied-got-work']);
+    expect(rulesOf([caller], [run], [{ at: 7000, what: 'table-accepted', number: 6 }])).toEqual(['old-table']);
+    expect(rulesOf([], [], [{ at: 1, what: 'table-accepted', number: 6 }, { at: 2, what: 'table-read', number: 5 }])).toEqual(['lost-table']);
+    expect(rulesOf([], [order, { ...order, at: 2000, holder: 'h2' }])).toEqual(['two-holders']);
+    expect(rulesOf([], [{ ...order, overRoom: true }])).toEqual(['over-room']);
+    expect(rulesOf([], [{ at: 1, what: 'fetch', over: true }])).toEqual(['over-store']);
+    const flood: BackRecord[] = [{ at: 0, what: 'boot', runner: 'a' }];
+    for (let index = 0; index < 40; index += 1) flood.push({ ...run, id: `x${index}`, at: 500 });
+    expect(rulesOf([], flood)).toEqual(['cold-flooded']);
+    const lookup: CallerRecord = { ...caller, once: false };
+    const many: BackRecord[] = [];
+    for (let index = 0; index < 40; index += 1) many.push(run);
+    expect(rulesOf([lookup], many)).toEqual(['too-many-repeats']);
+  }
+  test('a clean record passes', checkClean);
+  test('each rule bites on a record that breaks it', checkBites);
+}
--- /dev/null
+++ b/src/myth/StandServer.ts
@@ -0,0 +1,43 @@
+import { appendFileSync } from 'node:fs';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { readBody } from '../kin/Call.js';
+import { listenOn } from '../kin/Listen.js';
+
+export type Serve = (method: string, path: string, body: string, returned: ServerResponse, asked: IncomingMessage) => Promise<void> | void;
+
+export function returnJson(returned: ServerResponse, status: number, value: unknown, headers: Record<string, string> = {}): void {
+  const body = JSON.stringify(value);
+  returned.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...headers });
+  returned.end(body);
+}
+
+/** What all stand-ins share: an HTTP port, and a record of what was seen that outlasts a kill. */
+export class StandServer {
+  readonly #server: Server;
+  readonly #records: string;
+
+  constructor(serve: Serve, records: string) {
+    this.#records = records;
+    async function take(asked: IncomingMessage, returned: ServerResponse): Promise<void> {
+      try {
+        await serve(asked.method ?? 'GET', asked.url ?? '/', await readBody(asked), returned, asked);
+      } catch {
+        returned.destroy();
+      }
+    }
+    this.#server = createServer(take);
+    this.#server.keepAliveTimeout = 5000;
+  }
+
+  /** Wall-clock milliseconds go with each record: all of a rehearsal runs on one machine. */
+  record(value: Readonly<Record<string, unknown>>): void {
+    if (this.#records !== '') appendFileSync(this.#records, `${JSON.stringify({ at: Date.now(), ...value })}\n`);
+  }
+
+  async listen(address: string): Promise<number> { return listenOn(this.#server, address); }
+
+  close(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+}
--- /dev/null
+++ b/src/myth/StoreStand.ts
@@ -0,0 +1,45 @@
+import type { ServerResponse } from 'node:http';
+import { string, type } from 'superstruct';
+import { parseAs } from '../kin/Json.js';
+import type { Catalog } from '../place/Shapes.js';
+import { pause } from './RunnerStand.js';
+import { returnJson, StandServer } from './StandServer.js';
+
+const FetchShape = type({ runner: string(), model: string(), adapter: string() });
+
+/** A stand-in for the weight store: a catalogue, and fetches that take their time, so many at once and no more. */
+export class StoreStand {
+  readonly #catalog: Catalog;
+  readonly #msPerSize: number;
+  readonly #server: StandServer;
+  #running = 0;
+
+  constructor(catalog: Catalog, msPerSize: number, records: string) {
+    this.#catalog = catalog;
+    this.#msPerSize = msPerSize;
+    this.#server = new StandServer(this.#serve.bind(this), records);
+  }
+
+  async listen(address: string): Promise<number> { return this.#server.listen(address); }
+
+  close(): void { this.#server.close(); }
+
+  async #serve(method: string, path: string, body: string, returned: ServerResponse): Promise<void> {
+    if (method === 'GET' && path === '/catalog') { returnJson(returned, 200, this.#catalog); return; }
+    const asked = parseAs(FetchShape, body);
+    if (method !== 'POST' || path !== '/fetches' || !asked) { returnJson(returned, 404, { text: 'no such thing here' }); return; }
+    const isOver = this.#running >= this.#catalog.limit;
+    this.#server.record({ what: 'fetch', ...asked, running: this.#running + 1, over: isOver });
+    if (isOver) { returnJson(returned, 429, { text: 'too many fetches at once' }); return; }
+    this.#running += 1;
+    await pause(this.#sizeOf(asked.model, asked.adapter) * this.#msPerSize);
+    this.#running -= 1;
+    returnJson(returned, 200, { text: 'fetched' });
+  }
+
+  #sizeOf(model: string, adapter: string): number {
+    for (const item of this.#catalog.adapters) if (adapter !== '' && item.name === adapter) return item.size;
+    for (const item of this.#catalog.models) if (adapter === '' && item.name === model) return item.size;
+    return 1;
+  }
+}
--- a/src/news/Exchange.ts
+++ b/src/news/Exchange.ts
@@ -2,6 +2,7 @@
 import { Subject, type Observable } from 'rxjs';
 import { Defect, reasonOf } from '../kin/Defect.js';
 import { decodeMessage, encodeMessage, type Message } from '../kin/Messages.js';
+import { listenOn, splitAddress } from '../kin/Listen.js';
 
 export interface Incoming { readonly from: string; readonly role: string; readonly zone: string; readonly message: Message }
 
@@ -27,16 +28,12 @@
 const REDIAL_MS = 100;
 const CONNECT_MS = 1000;
 
-export function splitAddress(address: string): { readonly host: string; readonly port: number } {
-  const at = address.lastIndexOf(':');
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
-}
-
 /** One TCP connection: frames of a length and a message, a hello first each way. */
 class Line {
   readonly #socket: Socket;
   #parts: Buffer[] = [];
   #size = 0;
+  #need = 4;
   fellowId = '';
   role = '';
   zone = '';
@@ -62,7 +59,8 @@
     this.#parts.push(chunk);
     this.#size += chunk.length;
     const messages: Message[] = [];
-    if (this.#size < 4) return messages;
+    // A large frame is put together once, when it is all there.
+    if (this.#size < this.#need) return messages;
     let all = this.#parts.length === 1 ? chunk : Buffer.concat(this.#parts);
     while (all.length >= 4) {
       const length = all.readUInt32BE(0);
@@ -73,6 +71,7 @@
     }
     this.#parts = all.length > 0 ? [all] : [];
     this.#size = all.length;
+    this.#need = all.length >= 4 ? 4 + all.readUInt32BE(0) : 4;
     return messages;
   }
 }
@@ -100,16 +99,8 @@
   /** Listens, if this node does; returns the port. */
   async open(): Promise<number> {
     if (this.#settings.listen === '') return 0;
-    const { host, port } = splitAddress(this.#settings.listen);
-    const server = createServer(this.#accept.bind(this));
-    this.#server = server;
-    function start(done: () => void, fail: (thrown: Error) => void): void {
-      server.once('error', fail);
-      server.listen(port, host, done);
-    }
-    await new Promise<void>(start);
-    const bound = server.address();
-    return typeof bound === 'object' && bound !== null ? bound.port : port;
+    this.#server = createServer(this.#accept.bind(this));
+    return listenOn(this.#server, this.#settings.listen);
   }
 
   close(): void {
--- a/src/news/Vouching.ts
+++ b/src/news/Vouching.ts
@@ -35,8 +35,13 @@
     return round.asks;
   }
 
-  /** Nothing of before counts any more, as when we hang under another node. */
-  clear(): void { this.#round = undefined; this.#waiting = []; }
+  /** Gives up the round under way, as when we hang under another node, and returns all asks that wait. */
+  takeAll(): readonly Ask[] {
+    const asks = newest([...(this.#round?.asks ?? []), ...this.#waiting]);
+    this.#round = undefined;
+    this.#waiting = [];
+    return asks;
+  }
 }
 
 /** A child that asks again needs only its newest ask returned. */
--- a/src/place/Placer.ts
+++ b/src/place/Placer.ts
@@ -125,7 +125,7 @@
     const runners: PlacedRunner[] = [];
     for (const view of input.runners) {
       const { id, address, zone, service } = view.machine;
-      runners.push({ id, address, zone, service, slots: view.report?.slots ?? 0, upMs: view.report?.upMs ?? 0 });
+      runners.push({ id, address, zone, service, slots: view.report?.slots ?? 0, upMs: coldness(view.report?.upMs ?? 0) });
     }
     return { places, runners };
   }
@@ -369,6 +369,11 @@
   }
 }
 
+/** Seconds while a runner is young, then one value: an older runner's age is no news. */
+function coldness(upMs: number): number {
+  return Math.min(30_000, Math.floor(upMs / 1000) * 1000);
+}
+
 function byCost(a: { readonly cost: number }, b: { readonly cost: number }): number { return a.cost - b.cost; }
 
 function isThat(intent: Intent, hold: Hold): boolean { return hold.model === intent.model && hold.adapter === intent.adapter; }
--- a/src/place/Shapes.ts
+++ b/src/place/Shapes.ts
@@ -35,8 +35,10 @@
 export const SeatShape = type({ runner: string(), primary: boolean(), adapters: array(string()) });
 export const PlaceShape = type({ model: string(), seats: array(SeatShape), wait: string() });
 export const PlacedRunnerShape = type({ id: string(), address: string(), zone: string(), service: string(), slots: number(), upMs: number() });
-/** What the data plane is told: where each model is served and who waits. */
-export const PlacesShape = type({ places: array(PlaceShape), runners: array(PlacedRunnerShape), flows: number() });
+/** The part of a row's take that one flow may gate, by recent demand. */
+export const ShareShape = type({ flow: string(), row: string(), share: number() });
+export const PlacesShape = type({ places: array(PlaceShape), runners: array(PlacedRunnerShape), flows: number(), shares: array(ShareShape) });
+export type Share = Infer<typeof ShareShape>;
 export type Seat = Infer<typeof SeatShape>;
 export type Place = Infer<typeof PlaceShape>;
 export type PlacedRunner = Infer<typeof PlacedRunnerShape>;
