--- /dev/null
+++ b/src/commands.ts
@@ -0,0 +1,27 @@
+import { FlowCommand } from './flow/FlowCommand.js';
+import { LinkCommand } from './link/LinkCommand.js';
+import { MindCommand } from './mind/MindCommand.js';
+import { FleetCommand } from './myth/FleetCommand.js';
+import { StandCommand } from './myth/StandCommand.js';
+import { AskEditCommand, EmptyCommand, FillCommand, FoundCommand, PutCommand, RowsCommand, SetCommand, SwapCommand } from './word/EditCommands.js';
+import { CountersCommand, StatusCommand, TableCommand } from './word/ShowCommands.js';
+
+/** Every subcommand of the one binary. */
+export const COMMANDS = {
+  flow: FlowCommand,
+  link: LinkCommand,
+  mind: MindCommand,
+  'myth:fleet': FleetCommand,
+  'myth:stand': StandCommand,
+  'word:counters': CountersCommand,
+  'word:edit': AskEditCommand,
+  'word:empty': EmptyCommand,
+  'word:fill': FillCommand,
+  'word:found': FoundCommand,
+  'word:put': PutCommand,
+  'word:rows': RowsCommand,
+  'word:set': SetCommand,
+  'word:status': StatusCommand,
+  'word:swap': SwapCommand,
+  'word:table': TableCommand,
+};
--- a/src/flow/Decision.ts
+++ b/src/flow/Decision.ts
@@ -20,7 +20,7 @@
 
 /** What the executor must do now. */
 export type Verdict =
-  | { readonly do: 'run'; readonly id: number; readonly runner: string; readonly address: string; readonly isPlain: boolean; readonly row: Row; readonly limit: Moment }
+  | { readonly do: 'run'; readonly id: number; readonly runner: string; readonly address: string; readonly isPlain: boolean; readonly row: Row; readonly limit: Moment; readonly table: number }
   | { readonly do: 'turnAway'; readonly id: number; readonly kind: DefectKind; readonly text: string };
 
 export interface DecisionSettings {
@@ -93,6 +93,8 @@
   }
 
   get configVersion(): Version { return this.#config?.version ?? NO_VERSION; }
+  /** The number of the table in force here, as operators count them. */
+  get tableNumber(): number { return this.#config?.news.number ?? -1; }
   get placesVersion(): Version { return this.#places?.version ?? NO_VERSION; }
   get marks(): number { return this.#machines.revision; }
   get running(): number { return this.#running.size; }
@@ -404,7 +406,7 @@
     }
     if (work.tried.size === 1) this.#budget(work.row).earn();
     this.#running.set(work.asked.id, work);
-    this.#verdicts.push({ do: 'run', id: work.asked.id, runner, address: placed.address, isPlain: work.service.startsWith('@'), row: work.row, limit: work.limit });
+    this.#verdicts.push({ do: 'run', id: work.asked.id, runner, address: placed.address, isPlain: work.service.startsWith('@'), row: work.row, limit: work.limit, table: this.tableNumber });
   }
 
   #budget(row: Row): Budget {
--- a/src/flow/Executor.ts
+++ b/src/flow/Executor.ts
@@ -148,7 +148,7 @@
     if (returned.headersSent || returned.destroyed) { returned.destroy(); return; }
     const row = DEFECTS[kind];
     const body = JSON.stringify({ defect: kind, text, outcome: row.unsure ? 'unsure' : 'turned-away' });
-    const headers: OutgoingHttpHeaders = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'x-request-id': requestId };
+    const headers: OutgoingHttpHeaders = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'x-request-id': requestId, 'x-table': String(this.#decision.tableNumber) };
     if (row.retryAfter > 0) headers['retry-after'] = String(row.retryAfter);
     if (this.#isDraining || kind === 'too-large') headers['connection'] = 'close';
     returned.writeHead(row.status, headers);
@@ -249,6 +249,7 @@
     run.hasReturned = true;
     const headers = passedOn(back.headers);
     headers['x-request-id'] = entry.requestId;
+    headers['x-table'] = String(run.verdict.table);
     if (this.#isDraining) headers['connection'] = 'close';
     entry.returned.writeHead(back.statusCode ?? 502, headers);
     // The pipeline holds the runner back to the client's pace, and destroys the client's side if the runner's breaks.
--- /dev/null
+++ b/src/myth/Callers.ts
@@ -0,0 +1,168 @@
+import { Agent, request, type IncomingMessage } from 'node:http';
+import { number, optional, string, type } from 'superstruct';
+import { parseAs } from '../kin/Json.js';
+import { splitAddress } from '../kin/Listen.js';
+import type { TrafficKind } from './Deployment.js';
+import type { CallerRecord } from './Records.js';
+import { Seeded } from './Seeded.js';
+
+const LineShape = type({ id: string(), run: string(), index: optional(number()), end: optional(number()) });
+const OutcomeShape = type({ outcome: string() });
+
+/** Checks a runner's lines one by one: one run, ours, numbered without gap or repeat, and an end that counts them. */
+class LineCheck {
+  readonly #id: string;
+  #rest = '';
+  #count = 0;
+  #hasEnded = false;
+  run = '';
+  fault = '';
+
+  constructor(id: string) { this.#id = id; }
+
+  take(text: string): void {
+    const lines = (this.#rest + text).split('\n');
+    this.#rest = lines.pop() ?? '';
+    for (const line of lines) this.#line(line);
+  }
+
+  end(): void {
+    if (this.#rest !== '') this.#line(this.#rest);
+    if (!this.#hasEnded) this.#fault('no end');
+  }
+
+  #fault(text: string): void { if (this.fault === '') this.fault = text; }
+
+  #line(line: string): void {
+    const parsed = parseAs(LineShape, line);
+    if (!parsed) { this.#fault('a line that is none'); return; }
+    if (this.#hasEnded) this.#fault('goes on after its end');
+    if (this.run === '') this.run = parsed.run;
+    if (parsed.run !== this.run) this.#fault('stitched of two runs');
+    if (parsed.id !== this.#id) this.#fault('somebody else\'s');
+    if (parsed.end !== undefined) {
+      this.#hasEnded = true;
+      if (parsed.index === undefined && parsed.end !== this.#count) this.#fault(`ends at ${parsed.end} after ${this.#count}`);
+      return;
+    }
+    if (parsed.index !== this.#count) this.#fault(`line ${parsed.index} where ${this.#count} is due`);
+    this.#count += 1;
+  }
+}
+
+/** Sends a deployment's mix of traffic to its proxies and records what came back. */
+export class Callers {
+  readonly #flows: readonly string[];
+  readonly #seeded: Seeded;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 2000 });
+  readonly #records: CallerRecord[] = [];
+  readonly #beats: NodeJS.Timeout[] = [];
+  #count = 0;
+  #running = 0;
+  #onIdle: (() => void) | undefined;
+
+  constructor(flows: readonly string[], seed: number) {
+    this.#flows = flows;
+    this.#seeded = new Seeded(seed);
+  }
+
+  get records(): readonly CallerRecord[] { return this.#records; }
+
+  /** Begins a kind of traffic at its rate; the gaps between requests vary as callers' do. */
+  begin(kind: TrafficKind, factor = 1): void {
+    const self = { send: this.send.bind(this), seeded: this.#seeded, beats: this.#beats };
+    function next(): void {
+      const gap = (-Math.log(1 - self.seeded.next()) * 1000) / (kind.perSecond * factor);
+      const beat = setTimeout(fire, gap);
+      self.beats.push(beat);
+    }
+    function fire(): void { void self.send(kind); next(); }
+    next();
+  }
+
+  /** Stops sending and waits for what is under way. */
+  async end(): Promise<void> {
+    for (const beat of this.#beats) clearTimeout(beat);
+    if (this.#running > 0) await new Promise<void>(this.#setIdle.bind(this));
+    this.#agent.destroy();
+  }
+
+  #setIdle(done: () => void): void { this.#onIdle = done; }
+
+  async send(kind: TrafficKind, model?: string, flow?: string): Promise<CallerRecord> {
+    this.#count += 1;
+    this.#running += 1;
+    const id = `${kind.type}-${this.#count}`;
+    const address = flow ?? this.#seeded.pick(this.#flows) ?? '';
+    const named = model ?? this.#seeded.pickSkewed(kind.models) ?? '';
+    const hasAdapter = this.#seeded.isLikely(0.3) && kind.models.length > 0 && !named.startsWith('rare') && !named.startsWith('seldom');
+    const adapter = hasAdapter ? `${named}-a0` : '';
+    const parts: string[] = [];
+    const group = this.#seeded.below(4);
+    for (let index = 0; index < kind.parts; index += 1) parts.push(`${named}-${group}-${index}`);
+    const body = kind.models.length === 0 ? '' : JSON.stringify({ model: named, adapter, parts, tokens: kind.tokens, stream: kind.stream });
+    const path = kind.models.length === 0 ? `${kind.path}/${this.#count}` : kind.path;
+    const record = await this.#call(kind, id, named, address, path, body);
+    this.#records.push(record);
+    this.#running -= 1;
+    if (this.#running === 0) this.#onIdle?.();
+    return record;
+  }
+
+  #call(kind: TrafficKind, id: string, model: string, flow: string, path: string, body: string): Promise<CallerRecord> {
+    const { host, port } = splitAddress(flow);
+    const sentAt = Date.now();
+    const base = { what: 'call', id, type: kind.type, model, once: kind.once, flow, sentAt, retryAfter: 0, run: '', isWhole: false, fault: '', table: -1 };
+    const headers = { 'x-request-id': id, ...(body === '' ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }) };
+    const agent = this.#agent;
+    function run(done: (record: CallerRecord) => void): void {
+      let isOver = false;
+      function end(part: Partial<CallerRecord> & { status: number; outcome: string }): void {
+        if (isOver) return;
+        isOver = true;
+        done({ ...base, endedAt: Date.now(), ...part });
+      }
+      function broken(): void { end({ status: 0, outcome: 'unreached' }); }
+      function take(returned: IncomingMessage): void {
+        const status = returned.statusCode ?? 0;
+        const table = Number(returned.headers['x-table'] ?? -1);
+        const check = new LineCheck(id);
+        let text = '';
+        returned.setEncoding('utf8');
+        function data(chunk: string): void { if (status === 200) check.take(chunk); else text += chunk; }
+        function whole(): void {
+          if (!returned.complete) { cut(); return; }
+          if (status === 200) {
+            check.end();
+            end({ status, outcome: 'done', run: check.run, isWhole: true, fault: check.fault, table });
+          } else {
+            const outcome = parseAs(OutcomeShape, text)?.outcome ?? 'other';
+            end({ status, outcome, isWhole: true, retryAfter: Number(returned.headers['retry-after'] ?? 0), table });
+          }
+        }
+        function cut(): void { end({ status, outcome: 'broken', run: check.run, table }); }
+        returned.on('data', data);
+        returned.once('end', whole);
+        returned.once('error', cut);
+        returned.once('close', cut);
+      }
+      const sent = request({ host, port, method: kind.method, path, headers, agent, timeout: 120_000 });
+      sent.once('response', take);
+      sent.once('error', broken);
+      sent.end(body === '' ? undefined : body);
+    }
+    return new Promise(run);
+  }
+}
+
+export interface Summary { readonly type: string; readonly sent: number; readonly done: number; readonly turnedAway: number; readonly unsure: number; readonly broken: number; readonly unreached: number; readonly other: number }
+
+export function summarise(records: readonly CallerRecord[]): Summary[] {
+  const byType = new Map<string, Summary>();
+  for (const record of records) {
+    const known = byType.get(record.type) ?? { type: record.type, sent: 0, done: 0, turnedAway: 0, unsure: 0, broken: 0, unreached: 0, other: 0 };
+    const key = ({ done: 'done', 'turned-away': 'turnedAway', unsure: 'unsure', broken: 'broken', unreached: 'unreached' } as const)[record.outcome] ?? 'other';
+    byType.set(record.type, { ...known, sent: known.sent + 1, [key]: known[key] + 1 });
+  }
+  return [...byType.values()];
+}
--- /dev/null
+++ b/src/myth/FleetCommand.ts
@@ -0,0 +1,48 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Args, Command, Flags } from '@oclif/core';
+import { reasonOf } from '../kin/Defect.js';
+import { Callers, summarise } from './Callers.js';
+import { DEPLOYMENTS } from './Deployment.js';
+import { Fleet } from './Fleet.js';
+import { Rehearsal } from './Rehearsal.js';
+
+export class FleetCommand extends Command {
+  static override description = 'start a whole deployment on loopback, send its traffic, and judge what was seen';
+  static override args = { deployment: Args.string({ required: true, options: Object.keys(DEPLOYMENTS) }) };
+  static override flags = {
+    seconds: Flags.integer({ default: 30, description: 'how long traffic is sent' }),
+    seed: Flags.integer({ default: 1, description: 'seed of the callers' }),
+    rehearse: Flags.string({ default: 'none', description: 'failures to bring about: none, or all', options: ['none', 'all'] }),
+    keep: Flags.boolean({ default: false, description: 'keep logs and records' }),
+    factor: Flags.integer({ default: 1, description: 'multiplies the traffic' }),
+  };
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(FleetCommand);
+    const deployment = DEPLOYMENTS[args.deployment];
+    if (!deployment) return this.exit(2);
+    const root = mkdtempSync(join(tmpdir(), `haretrack-${deployment.name}-`));
+    const fleet = new Fleet(deployment, root);
+    const say = this.log.bind(this);
+    let isGood = false;
+    try {
+      const rehearsal = new Rehearsal(fleet, say);
+      await rehearsal.begin();
+      const callers = new Callers(fleet.edges.map(flowOf), flags.seed);
+      isGood = await rehearsal.run(callers, { seconds: flags.seconds, factor: flags.factor, isFailing: flags.rehearse === 'all' });
+      for (const row of summarise(callers.records)) this.log(JSON.stringify(row));
+      writeFileSync(join(root, 'callers.json'), JSON.stringify(callers.records));
+    } catch (thrown) {
+      this.log(`rehearsal ended early: ${reasonOf(thrown)}`);
+    } finally {
+      await fleet.stop();
+      if (flags.keep || !isGood) this.log(`records and logs: ${root}`);
+      else rmSync(root, { recursive: true, force: true });
+    }
+    this.exit(isGood ? 0 : 1);
+  }
+}
+
+function flowOf(edge: { readonly flow: string }): string { return edge.flow; }
--- a/src/myth/Records.ts
+++ b/src/myth/Records.ts
@@ -20,7 +20,7 @@
 export type BackRecord = Infer<typeof BackShape>;
 
 /** What the rehearsal itself did or was told. */
-const EventShape = type({
+export const EventShape = type({
   at: number(), what: string(), zone: optional(string()), node: optional(string()), number: optional(number()), runner: optional(string()), id: optional(string()), status: optional(number()),
 });
 export type EventRecord = Infer<typeof EventShape>;
--- /dev/null
+++ b/src/word/Operator.ts
@@ -0,0 +1,46 @@
+import { randomUUID } from 'node:crypto';
+import { call, type CallReturn } from '../kin/Call.js';
+import { reasonOf } from '../kin/Defect.js';
+
+export interface OperatorReturn { readonly status: number; readonly value: Record<string, unknown> }
+
+const LIMIT_MS = 15_000;
+
+/** Talks to the operators' API of whichever control node is reached. */
+export class Operator {
+  readonly #apis: readonly string[];
+
+  constructor(apis: readonly string[]) { this.#apis = apis; }
+
+  async ask(method: string, path: string, body?: object): Promise<OperatorReturn> {
+    let last: unknown = 'no address of an API was given';
+    let best: OperatorReturn | undefined;
+    for (const api of this.#apis) {
+      let returned: CallReturn;
+      try {
+        returned = await call(method, api, path, body === undefined ? undefined : JSON.stringify(body), LIMIT_MS);
+      } catch (thrown) {
+        last = thrown;
+        // An edit carries its id, so that trying it at the next node cannot do it twice.
+        continue;
+      }
+      const raw: unknown = JSON.parse(returned.body);
+      best = { status: returned.status, value: typeof raw === 'object' && raw !== null ? { ...raw } : {} };
+      // That node knows no leader; another may.
+      if (returned.status !== 503) return best;
+    }
+    return best ?? { status: 0, value: { outcome: body === undefined ? 'turned-away' : 'unsure', text: reasonOf(last) } };
+  }
+
+  /** An edit under an id of its own, tried again under the same one while no leader is known. */
+  async edit(method: string, path: string, body: object, id: string = randomUUID()): Promise<OperatorReturn> {
+    const returned = await this.ask(method, path, { ...body, id });
+    return { status: returned.status, value: { id, ...returned.value } };
+  }
+
+  async tableNumber(): Promise<number | undefined> {
+    const { status, value } = await this.ask('GET', '/table');
+    const number = value['number'];
+    return status === 200 && typeof number === 'number' ? number : undefined;
+  }
+}
--- /dev/null
+++ b/src/word/ShowCommands.ts
@@ -0,0 +1,85 @@
+import { array, boolean, number, string, type, type Infer } from 'superstruct';
+import { printTable } from '../code/Language.js';
+import { TableShape } from '../code/Table.js';
+import { IntentShape, PlacesShape } from '../place/Shapes.js';
+import { WORD_FLAGS, WordCommand } from './WordCommand.js';
+
+const TableReturnShape = type({ number: number(), table: TableShape, emptied: array(string()), voters: array(array(string())) });
+
+const StatusShape = type({
+  me: string(), standing: string(), membersHoldState: boolean(), role: string(), epoch: number(), leader: string(), serving: boolean(), mayOrder: boolean(), leaseLeftMs: number(),
+  voters: array(string()), unsound: array(string()), config: string(), placesVersion: string(), machines: number(),
+  members: array(type({ id: string(), zone: string(), acked: string(), parent: string() })),
+  intents: array(IntentShape),
+});
+
+export class TableCommand extends WordCommand {
+  static override description = 'print the table in force, in the mapping language';
+  static override flags = WORD_FLAGS;
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(TableCommand);
+    const returned = await this.operator(flags.api).ask('GET', '/table');
+    const { value } = returned;
+    if (returned.status !== 200 || flags.json || !TableReturnShape.is(value)) { this.tell(returned, flags.json); return; }
+    this.log(`# table ${value.number}${value.emptied.length > 0 ? `, emptied zones: ${value.emptied.join(' ')}` : ''}`);
+    this.log(printTable(value.table).trimEnd());
+  }
+}
+
+export class CountersCommand extends WordCommand {
+  static override description = 'print a control node\'s counters';
+  static override flags = WORD_FLAGS;
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(CountersCommand);
+    for (const api of flags.api) {
+      const { value } = await this.operator([api]).ask('GET', '/counters');
+      if (flags.json) { this.log(JSON.stringify(value)); continue; }
+      this.log(api);
+      for (const [name, count] of Object.entries(value)) this.log(`  ${name} ${String(count)}`);
+    }
+  }
+}
+
+export class StatusCommand extends WordCommand {
+  static override description = 'show leader, epoch, scores, parts, members, pairs, and who waits and why';
+  static override flags = WORD_FLAGS;
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(StatusCommand);
+    const operator = this.operator(flags.api);
+    let returned = await operator.ask('GET', '/status');
+    // The leader's own view has the pairs and waits; any node knows who leads.
+    for (const api of flags.api) {
+      if (returned.value['me'] === returned.value['leader']) break;
+      const other = await this.operator([api]).ask('GET', '/status');
+      if (other.status === 200) returned = other;
+    }
+    const { value } = returned;
+    if (returned.status !== 200 || flags.json || !StatusShape.is(value)) { this.tell(returned, flags.json); return; }
+    this.#print(value, value);
+  }
+
+  #print(status: Infer<typeof StatusShape>, raw: Record<string, unknown>): void {
+    this.log(`node ${status.me}: ${status.standing}, ${status.role}; epoch ${status.epoch}, leader ${status.leader || 'none'}`);
+    if (status.standing !== 'sound') this.log(status.membersHoldState ? 'blank, but members hold a configuration: see word found' : 'not counting yet');
+    this.log(`serving ${status.serving}, may order ${status.mayOrder}, lease left ${status.leaseLeftMs} ms`);
+    this.log(`voters ${status.voters.join(' ')}`);
+    this.log(`scores ${JSON.stringify(raw['scores'])}`);
+    this.log(`config ${status.config}, places ${status.placesVersion}, machines ${status.machines}`);
+    this.log(`parts ${JSON.stringify(raw['parts'])}${status.unsound.length > 0 ? `, unsound: ${status.unsound.join(' ')}` : ''}`);
+    this.log(`members ${status.members.length}`);
+    for (const member of status.members) this.log(`  ${member.id} ${member.zone} config ${member.acked} under ${member.parent || 'a mind'}`);
+    const places: unknown = raw['places'];
+    if (PlacesShape.is(places)) {
+      this.log('models');
+      for (const place of places.places) {
+        const [first, second] = place.seats;
+        const pair = `${first?.runner ?? '-'} / ${second?.runner ?? '-'}`;
+        this.log(`  ${place.model} ${pair}${place.wait === '' ? '' : ` (${place.wait})`}`);
+      }
+    }
+    for (const intent of status.intents) this.log(`under way: ${intent.verb} ${intent.model} ${intent.adapter} at ${intent.runner}`);
+  }
+}
