Share a row's take out by demand plus an even part of what is left

Cause: shares followed demand alone, so in the first seconds a proxy whose first request had not been counted yet was left a hundredth of the take.

--- a/src/flow/Decision.ts
+++ b/src/flow/Decision.ts
@@ -235,7 +235,8 @@
     const key = rowKey(row);
     const flows = this.#places?.news.flows ?? 1;
     const rate = row.take * (this.#shares.get(key) ?? 1 / flows);
-    const most = Math.max(1, rate);
+    // Callers come in bursts: two seconds' worth may come at once, and a few even where the share is small.
+    const most = Math.max(3, rate * 2);
     const bucket = this.#buckets.get(key) ?? { tokens: most, at: now };
     bucket.tokens = Math.min(most, bucket.tokens + (rate * (now - bucket.at)) / 1000);
     bucket.at = now;
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -1,5 +1,5 @@
 import { number, string, type } from 'superstruct';
-import { rowKey } from '../code/Table.js';
+import { rowKey, type Row } from '../code/Table.js';
 import { allParts, CONFIG_PART, servicePart, VOTE_PART } from '../hold/PartNames.js';
 import { Parts } from '../hold/Parts.js';
 import { Standing } from '../hold/Standing.js';
@@ -779,7 +779,7 @@
     const places = this.#placer.places(input);
     const flows = new Set<string>();
     for (const member of this.#knownMembers()) flows.add(member.id);
-    const shares = this.#shares.list(now, input.table.rows.map(rowKey));
+    const shares = this.#shares.list(now, input.table.rows.map(takeOf));
     const text = JSON.stringify({ ...places, flows: Math.max(1, flows.size), shares });
     if (text === this.#placesText) return;
     this.#placesText = text;
@@ -816,6 +816,7 @@
   }
 }
 
+function takeOf(row: Row): { readonly key: string; readonly take: number } { return { key: rowKey(row), take: row.take }; }
 function isVote(item: StoredPart): boolean { return item.part === VOTE_PART; }
 function isOther(me: string, id: string): boolean { return id !== me; }
 function hasId(id: string, edit: { readonly id: string }): boolean { return edit.id === id; }
--- a/src/place/Shares.ts
+++ b/src/place/Shares.ts
@@ -19,19 +19,25 @@
     }
   }
 
-  list(now: Moment, rows: readonly string[]): Share[] {
+  list(now: Moment, rows: readonly { readonly key: string; readonly take: number }[]): Share[] {
     for (const [flow, at] of this.#flows) if (now - at > FORGET_MS) this.#flows.delete(flow);
+    const count = this.#flows.size;
     const shares: Share[] = [];
-    for (const row of rows) {
-      if (!this.#rows.has(row)) continue;
+    for (const { key, take } of rows) {
+      if (!this.#rows.has(key) || take <= 0) continue;
+      const demands = new Map<string, number>();
       let sum = 0;
-      for (const flow of this.#flows.keys()) sum += this.#demand.rate(now, `${flow}\n${row}`);
-      if (sum < 0.01) continue;
       for (const flow of this.#flows.keys()) {
-        // A quarter is shared evenly, so that a flow that was idle has something to gate with until the next word.
-        const share = 0.75 * (this.#demand.rate(now, `${flow}\n${row}`) / sum) + 0.25 / this.#flows.size;
-        // Twentieths, rounded down: small changes are no news, and the sum stays within the whole.
-        shares.push({ flow, row, share: Math.max(0.01, Math.floor(share * 20 + 1e-9) / 20) });
+        const rate = this.#demand.rate(now, `${flow}\n${key}`);
+        demands.set(flow, rate);
+        sum += rate;
+      }
+      for (const [flow, rate] of demands) {
+        // Each gets what it is asked for and an even part of what is left; when nothing is left, mostly by demand.
+        const share = sum < take ? (rate + (take - sum) / count) / take : (0.9 * rate) / sum + 0.1 / count;
+        // Twentieths of an even share, rounded down: small changes are no news, and the sum stays within the whole.
+        const step = 1 / (count * 4);
+        shares.push({ flow, row: key, share: Math.floor(share / step + 1e-9) * step });
       }
     }
     return shares;
@@ -41,14 +47,22 @@
 if (import.meta.vitest) {
   const { test, expect } = import.meta.vitest;
   const { moment } = await import('../kin/Ids.js');
+  function sumOf(list: readonly Share[]): number {
+    let sum = 0;
+    for (const item of list) sum += item.share;
+    return sum;
+  }
   function checkShares(): void {
     const shares = new Shares();
-    shares.add(moment(0), { flow: 'a', units: [], rows: [{ row: 'r', count: 90 }] });
-    shares.add(moment(0), { flow: 'b', units: [], rows: [{ row: 'r', count: 10 }] });
-    const list = shares.list(moment(100), ['r', 'other']);
-    expect(list).toEqual([{ flow: 'a', row: 'r', share: 0.8 }, { flow: 'b', row: 'r', share: 0.2 }]);
+    shares.add(moment(0), { flow: 'a', units: [], rows: [{ row: 'r', count: 50 }] });
+    shares.add(moment(0), { flow: 'b', units: [], rows: [] });
+    // Ten a second at one flow, none at the other, of a take of twenty: the rest is shared evenly.
+    expect(shares.list(moment(0), [{ key: 'r', take: 20 }, { key: 'other', take: 5 }])).toEqual([{ flow: 'a', row: 'r', share: 0.75 }, { flow: 'b', row: 'r', share: 0.25 }]);
+    const crowded = shares.list(moment(0), [{ key: 'r', take: 2 }]);
+    expect(sumOf(crowded)).toBeLessThanOrEqual(1);
+    expect(crowded[0]?.share).toBeGreaterThan(0.8);
     shares.add(moment(60_000), { flow: 'b', units: [], rows: [{ row: 'r', count: 10 }] });
-    expect(shares.list(moment(60_000), ['r'])).toEqual([{ flow: 'b', row: 'r', share: 1 }]);
+    expect(shares.list(moment(60_000), [{ key: 'r', take: 20 }])).toEqual([{ flow: 'b', row: 'r', share: 1 }]);
   }
   test('a take is shared out by demand and never beyond the whole', checkShares);
 }
