Add the simulator: the same cores on virtual time under seeded troubles

Fresh is now judged by grants and copies, not by epoch; a test that failed first stands in Standing. A proxy with no configuration no longer counts as fresh, and a first copy goes before an idle second one.

--- a/src/commands.ts
+++ b/src/commands.ts
@@ -2,6 +2,7 @@
 import { LinkCommand } from './link/LinkCommand.js';
 import { MindCommand } from './mind/MindCommand.js';
 import { FleetCommand } from './myth/FleetCommand.js';
+import { StormCommand } from './myth/StormCommand.js';
 import { StandCommand } from './myth/StandCommand.js';
 import { AskEditCommand, EmptyCommand, FillCommand, FoundCommand, PutCommand, RowsCommand, SetCommand, SwapCommand } from './word/EditCommands.js';
 import { CountersCommand, StatusCommand, TableCommand } from './word/ShowCommands.js';
@@ -13,6 +14,7 @@
   mind: MindCommand,
   'myth:fleet': FleetCommand,
   'myth:stand': StandCommand,
+  'myth:storm': StormCommand,
   'word:counters': CountersCommand,
   'word:edit': AskEditCommand,
   'word:empty': EmptyCommand,
--- a/src/flow/Decision.ts
+++ b/src/flow/Decision.ts
@@ -99,7 +99,9 @@
   get marks(): number { return this.#machines.revision; }
   get running(): number { return this.#running.size; }
   get pending(): number { return this.#pending.length; }
-  get freshness(): Freshness { return this.#freshness; }
+
+  /** Whether we may take new work: vouched for lately, and there is a configuration to work by. */
+  isFresh(now: Moment): boolean { return this.#config !== undefined && this.#freshness.isFresh(now); }
 
   drain(): Verdict[] {
     const verdicts = this.#verdicts;
@@ -193,7 +195,7 @@
   /** Asked once for each request; the verdict is drained, at once or once it has waited. */
   gate(now: Moment, asked: Asked): void {
     if (this.#isDraining) { this.#turnAway(asked.id, 'draining', 'this proxy is being stopped'); return; }
-    if (!this.#freshness.isFresh(now)) { this.#turnAway(asked.id, 'blind', 'this proxy has not heard from the control nodes'); return; }
+    if (!this.isFresh(now)) { this.#turnAway(asked.id, 'blind', 'this proxy has not heard from the control nodes'); return; }
     const table = this.#config?.news.table ?? EMPTY_TABLE;
     const mapping = findMapping(table, asked.method, asked.path);
     if (!mapping) { this.#turnAway(asked.id, 'unmapped', `no mapping for ${asked.method} ${asked.path}`); return; }
@@ -277,7 +279,7 @@
   }
 
   beat(now: Moment): void {
-    if (!this.#freshness.isFresh(now)) {
+    if (!this.isFresh(now)) {
       for (const work of this.#pending.splice(0)) this.#turnAway(work.asked.id, 'blind', 'this proxy has not heard from the control nodes');
     }
     this.#advance(now);
@@ -286,7 +288,7 @@
 
   /** Starts whatever can start, the weightiest first. */
   #advance(now: Moment): void {
-    if (!this.#freshness.isFresh(now)) return;
+    if (!this.isFresh(now)) return;
     for (const work of [...this.#pending]) {
       const drawn = this.#draw(now, work);
       if (drawn === undefined) continue;
--- a/src/flow/FlowProcess.ts
+++ b/src/flow/FlowProcess.ts
@@ -80,7 +80,7 @@
       this.#exchange.send(this.#settings.link, { kind: 'demand', body: JSON.stringify({ flow: `flow@${this.#settings.listen}`, ...demand }) });
     }
     this.#decision.beat(now);
-    const isFresh = this.#decision.freshness.isFresh(now);
+    const isFresh = this.#decision.isFresh(now);
     if (isFresh !== this.#wasFresh) this.#log.info({ fresh: isFresh }, 'freshness');
     this.#wasFresh = isFresh;
     this.#executor.obey();
--- a/src/hold/Standing.ts
+++ b/src/hold/Standing.ts
@@ -60,8 +60,10 @@
   }
 
   /** The return to a node that asks how we stand. */
-  returnTo(nonce: number, epoch: number, copies: CopyMessage[]): Message {
-    return { kind: 'readReturn', epoch, nonce, sound: false, copies: this.#name === 'sound' ? copies : [], standing: this.#name };
+  returnTo(nonce: number, epoch: number, copies: CopyMessage[], hasGranted: boolean): Message {
+    // Founded, but nothing was ever decided with us: others may still found beside us, however far our own tries ran the epoch.
+    const isFresh = this.#name === 'sound' && !hasGranted && copies.every(isEmpty);
+    return { kind: 'readReturn', epoch, nonce, sound: false, copies: this.#name === 'sound' ? copies : [], standing: isFresh ? 'fresh' : this.#name };
   }
 
   receive(now: Moment, from: FellowId, message: Extract<Message, { kind: 'readReturn' }>, quorum: Quorum): StandingOutcome | undefined {
@@ -79,9 +81,9 @@
     for (const fellow of quorum.all) {
       if (fellow === this.#me) continue;
       const known = this.#returns.get(fellow);
-      const isBlank = known?.standing === 'blank' || (known?.standing === 'sound' && known.epoch === 0);
+      const isBlank = known?.standing === 'blank' || known?.standing === 'fresh';
       if (!isBlank) isAllFresh = false;
-      if (known?.standing !== 'sound') continue;
+      if (known?.standing !== 'sound' && known?.standing !== 'fresh') continue;
       holders.add(fellow);
       epoch = Math.max(epoch, known.epoch);
       copies.push(...known.copies);
@@ -94,6 +96,8 @@
   }
 }
 
+function isEmpty(copy: CopyMessage): boolean { return copy.epoch === 0; }
+
 if (import.meta.vitest) {
   const { test, expect } = import.meta.vitest;
   const { fellowId, moment } = await import('../kin/Ids.js');
@@ -113,6 +117,12 @@
     expect(standing.receive(moment(1600), b, returned('blank', 0), quorum)).toBeUndefined();
     expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({ become: 'founded' });
   }
+  function checkSlowFounding(): void {
+    // A fellow that founded first has already run its epoch up alone.
+    const standing = start();
+    standing.receive(moment(1600), b, returned('fresh', 23), quorum);
+    expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({ become: 'founded' });
+  }
   function checkMemberHolds(): void {
     const standing = start();
     standing.noteMember(4);
@@ -129,6 +139,7 @@
     expect(standing.receive(moment(1600), c, returned('sound', 6), quorum)).toEqual({ become: 'repaired', epoch: 8, copies: [] });
   }
   test('blank seeds found together', checkFounding);
+  test('a seed that is slow to found still founds beside one that was not', checkSlowFounding);
   test('nothing is founded over what a member still holds, but by an operator', checkMemberHolds);
   test('a lost disk counts again only after all others were read', checkLostDisk);
 }
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -170,7 +170,7 @@
   receive(now: Moment, from: string, message: Message): void {
     switch (message.kind) {
       case 'read':
-        if (message.epoch === 0) this.#send(from, this.#standing.returnTo(message.nonce, this.#elector.epoch, this.#parts.copies()));
+        if (message.epoch === 0) this.#send(from, this.#standing.returnTo(message.nonce, this.#elector.epoch, this.#parts.copies(), this.#elector.record.grantEpoch > 0));
         else this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], this.#standing.name);
         break;
       case 'readReturn':
--- /dev/null
+++ b/src/myth/Agenda.ts
@@ -0,0 +1,61 @@
+/** What is to happen on virtual time, in order; of two things at one moment, the one put in first. */
+export class Agenda {
+  readonly #heap: { readonly at: number; readonly order: number; readonly run: () => void }[] = [];
+  #order = 0;
+  #now = 0;
+
+  get now(): number { return this.#now; }
+
+  at(moment: number, run: () => void): void {
+    this.#order += 1;
+    const heap = this.#heap;
+    heap.push({ at: Math.max(moment, this.#now), order: this.#order, run });
+    let index = heap.length - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!this.#isBefore(index, parent)) break;
+      this.#exchange(index, parent);
+      index = parent;
+    }
+  }
+
+  after(millis: number, run: () => void): void { this.at(this.#now + millis, run); }
+
+  /** Runs all that is due until that moment. */
+  runUntil(end: number): void {
+    for (let first = this.#heap[0]; first && first.at <= end; first = this.#heap[0]) {
+      this.#pop();
+      this.#now = first.at;
+      first.run();
+    }
+    this.#now = end;
+  }
+
+  #isBefore(a: number, b: number): boolean {
+    const [first, second] = [this.#heap[a], this.#heap[b]];
+    if (!first || !second) return false;
+    return first.at < second.at || (first.at === second.at && first.order < second.order);
+  }
+
+  #exchange(a: number, b: number): void {
+    const [first, second] = [this.#heap[a], this.#heap[b]];
+    if (!first || !second) return;
+    this.#heap[a] = second;
+    this.#heap[b] = first;
+  }
+
+  #pop(): void {
+    const last = this.#heap.pop();
+    if (!last || this.#heap.length === 0) return;
+    this.#heap[0] = last;
+    for (let index = 0; ;) {
+      const [left, right] = [index * 2 + 1, index * 2 + 2];
+      let least = index;
+      if (left < this.#heap.length && this.#isBefore(left, least)) least = left;
+      if (right < this.#heap.length && this.#isBefore(right, least)) least = right;
+      if (least === index) return;
+      this.#exchange(index, least);
+      index = least;
+    }
+  }
+}
--- /dev/null
+++ b/src/myth/Network.ts
@@ -0,0 +1,49 @@
+import { decodeMessage, encodeMessage, type Message } from '../kin/Messages.js';
+import type { Agenda } from './Agenda.js';
+import type { Seeded } from './Seeded.js';
+
+export type Deliver = (to: string, from: string, message: Message) => void;
+
+/** The simulator's network: lines that keep their order, with delays, one-way cuts and losses. */
+export class Network {
+  readonly #agenda: Agenda;
+  readonly #seeded: Seeded;
+  readonly #deliver: Deliver;
+  readonly #cuts = new Set<string>();
+  readonly #last = new Map<string, number>();
+  loss = 0;
+  mostDelay = 5;
+  #sent = 0;
+
+  constructor(agenda: Agenda, seeded: Seeded, deliver: Deliver) {
+    this.#agenda = agenda;
+    this.#seeded = seeded;
+    this.#deliver = deliver;
+  }
+
+  get sent(): number { return this.#sent; }
+
+  /** Cuts one way; what is on its way is lost too. */
+  cut(from: string, to: string): void { this.#cuts.add(`${from}\n${to}`); }
+
+  heal(from: string, to: string): void { this.#cuts.delete(`${from}\n${to}`); }
+
+  healAll(): void { this.#cuts.clear(); this.loss = 0; this.mostDelay = 5; }
+
+  isCut(from: string, to: string): boolean { return this.#cuts.has(`${from}\n${to}`); }
+
+  delay(): number { return this.#seeded.between(0.2, this.mostDelay); }
+
+  send(from: string, to: string, message: Message): void {
+    this.#sent += 1;
+    if (this.isCut(from, to) || this.#seeded.isLikely(this.loss)) return;
+    const key = `${from}\n${to}`;
+    const at = Math.max(this.#agenda.now + this.delay(), this.#last.get(key) ?? 0);
+    this.#last.set(key, at);
+    // Through the wire form and back, so that nothing is shared between nodes and every message is encodable.
+    const bytes = encodeMessage(message);
+    const network = { isCut: this.isCut.bind(this), deliver: this.#deliver };
+    function arrive(): void { if (!network.isCut(from, to)) network.deliver(to, from, decodeMessage(bytes)); }
+    this.#agenda.at(at, arrive);
+  }
+}
--- /dev/null
+++ b/src/myth/SimMind.ts
@@ -0,0 +1,179 @@
+import { MemoryStore } from '../hold/MemoryStore.js';
+import type { Message } from '../kin/Messages.js';
+import { MindCore } from '../mind/MindCore.js';
+import { MIND_DEFAULTS, type MindEffect } from '../mind/MindEffect.js';
+import type { Agenda } from './Agenda.js';
+import type { SimOutside } from './SimOutside.js';
+import { SimNode } from './SimNode.js';
+import type { Network } from './Network.js';
+import type { Seeded } from './Seeded.js';
+
+export type Returned = (status: number, body: string) => void;
+
+/** A simulated core machine: the real core, on a simulated disk, network and outside. */
+export class SimMind extends SimNode {
+  readonly #network: Network;
+  readonly #outside: SimOutside;
+  readonly #seeded: Seeded;
+  readonly #seeds: readonly string[];
+  readonly #store = new MemoryStore();
+  readonly #returns = new Map<number, Returned>();
+  #core: MindCore | undefined;
+  #commandId = 0;
+  /** While set, nothing reaches this disk. */
+  isDiskStalled = false;
+  diskMs = 3;
+  #stalled: (() => void)[] = [];
+
+  constructor(id: string, agenda: Agenda, seeded: Seeded, network: Network, outside: SimOutside, seeds: readonly string[]) {
+    super(id, agenda, seeded.between(0, 1e6), 25);
+    this.#seeded = seeded;
+    this.#network = network;
+    this.#outside = outside;
+    this.#seeds = seeds;
+  }
+
+  get core(): MindCore | undefined { return this.#core; }
+
+  protected boot(): void {
+    this.#store.crash();
+    const settings = { ...MIND_DEFAULTS, me: this.id, zone: this.id, seeds: this.#seeds };
+    this.#core = new MindCore(settings, this.#store.list(), this.now());
+  }
+
+  protected died(): void {
+    this.#core = undefined;
+    this.#stalled = [];
+    // Whoever asked here hears nothing any more: for them the outcome is unsure.
+    for (const returned of this.#returns.values()) returned(0, '');
+    this.#returns.clear();
+  }
+
+  wipe(): void { this.#store.wipe(); }
+
+  unstall(): void {
+    this.isDiskStalled = false;
+    const stalled = this.#stalled;
+    this.#stalled = [];
+    for (const run of stalled) run();
+  }
+
+  protected beat(): void { this.#do(this.#beatCore.bind(this)); }
+
+  #beatCore(core: MindCore): void { core.beat(this.now()); }
+
+  receive(from: string, message: Message): void {
+    const now = this.now.bind(this);
+    function receive(core: MindCore): void { core.receive(now(), from, message); }
+    this.#do(receive);
+  }
+
+  gone(from: string): void {
+    const now = this.now.bind(this);
+    function gone(core: MindCore): void { core.gone(now(), from); }
+    this.#do(gone);
+  }
+
+  /** An operator's command at this node's API. */
+  command(verb: string, body: string, returned: Returned): void {
+    if (!this.isUp) { returned(0, ''); return; }
+    this.#commandId += 1;
+    const id = this.#commandId;
+    this.#returns.set(id, returned);
+    const now = this.now.bind(this);
+    function command(core: MindCore): void { core.command(now(), id, verb, body); }
+    this.perform(this.#do.bind(this, command));
+  }
+
+  #do(input: (core: MindCore) => void): void {
+    const core = this.#core;
+    if (!core) return;
+    input(core);
+    for (const effect of core.drain()) this.#carryOut(core, effect);
+  }
+
+  #carryOut(core: MindCore, effect: MindEffect): void {
+    const now = this.now.bind(this);
+    const perform = this.#do.bind(this);
+    switch (effect.do) {
+      case 'send': this.#network.send(this.id, effect.to, effect.message); break;
+      case 'store': this.#keep(effect); break;
+      case 'return': {
+        const returned = this.#returns.get(effect.id);
+        this.#returns.delete(effect.id);
+        returned?.(effect.status, effect.body);
+        break;
+      }
+      case 'askMachines': {
+        const machines = this.#outside.machines(this.id);
+        function take(inner: MindCore): void { if (machines) inner.machines(now(), machines); }
+        if (machines) this.later(this.#network.delay(), perform.bind(undefined, take));
+        break;
+      }
+      case 'askCatalog': {
+        function take(inner: MindCore): void { inner.catalog(now(), outside.catalog); }
+        const outside = this.#outside;
+        this.later(this.#network.delay(), perform.bind(undefined, take));
+        break;
+      }
+      case 'askReport': this.#askReport(effect.runner); break;
+      case 'order': this.#order(core, effect); break;
+      case 'note': break;
+    }
+  }
+
+  #askReport(runner: string): void {
+    const askedAt = this.now();
+    const outside = this.#outside;
+    const now = this.now.bind(this);
+    const perform = this.#do.bind(this);
+    const delay = this.#network.delay();
+    const later = this.later.bind(this);
+    const isCut = this.#network.isCut.bind(this.#network, this.id, runner);
+    // The runner writes its report when the ask arrives; it then travels back.
+    function arrive(): void {
+      const report = isCut() ? undefined : outside.report(runner);
+      function take(core: MindCore): void { core.reported(now(), runner, askedAt, report); }
+      later(report ? delay : 800, perform.bind(undefined, take));
+    }
+    this.agenda.after(delay, arrive);
+  }
+
+  /** The head of an order goes out, the runner says to go on, the lease is checked, and the order is written. */
+  #order(core: MindCore, effect: Extract<MindEffect, { do: 'order' }>): void {
+    const perform = this.#do.bind(this);
+    const now = this.now.bind(this);
+    const network = this.#network;
+    const outside = this.#outside;
+    const me = this.id;
+    const agenda = this.agenda;
+    const later = this.later.bind(this);
+    const { intent } = effect;
+    function told(outcome: 'taken' | 'turnedAway' | 'unsure' | 'unsent', inner: MindCore): void { inner.ordered(now(), intent.id, outcome); }
+    const epoch = core.elector.epoch;
+    function write(inner: MindCore): void {
+      if (!inner.mayOrder(now()) || inner.leaseEnd() - now() <= 100) { told('unsent', inner); return; }
+      // From here on it is in the socket: a freeze or a lost lease no longer holds it back.
+      if (network.isCut(me, intent.runner)) { later(1000, perform.bind(undefined, told.bind(undefined, 'unsure'))); return; }
+      agenda.after(network.delay(), arrive);
+    }
+    function arrive(): void {
+      const outcome = outside.order(me, epoch, intent);
+      later(network.delay(), perform.bind(undefined, told.bind(undefined, outcome)));
+    }
+    if (network.isCut(me, intent.runner) || !outside.isAnswering(intent.runner)) later(1000, perform.bind(undefined, told.bind(undefined, 'unsent')));
+    else later(network.delay() * 2, perform.bind(undefined, write));
+  }
+
+  #keep(effect: Extract<MindEffect, { do: 'store' }>): void {
+    const { part, version, body } = effect;
+    const store = this.#store;
+    const now = this.now.bind(this);
+    function stored(core: MindCore): void { core.stored(now(), part, version); }
+    const perform = this.perform.bind(this, this.#do.bind(this, stored));
+    function reach(): void { store.keep(part, version, body); perform(); }
+    const write = this.later.bind(this, this.#seeded.between(0.5, this.diskMs), reach);
+    if (this.isDiskStalled) this.#stalled.push(write);
+    else write();
+  }
+}
--- /dev/null
+++ b/src/myth/Simulation.ts
@@ -0,0 +1,381 @@
+import { boolean, number, optional, string, type } from 'superstruct';
+import { CONFIG_PART } from '../hold/PartNames.js';
+import { parseAs } from '../kin/Json.js';
+import type { Message } from '../kin/Messages.js';
+import { compareVersions, NO_VERSION, versionText, type Version } from '../kin/Version.js';
+import { ConfigDocShape, ConfigNewsShape } from '../mind/ConfigDoc.js';
+import { compile } from '../code/Language.js';
+import { Agenda } from './Agenda.js';
+import { Network } from './Network.js';
+import { Seeded } from './Seeded.js';
+import { SimFlow, SimLink } from './SimEdge.js';
+import { SimMind } from './SimMind.js';
+import type { SimNode } from './SimNode.js';
+import { SimOutside } from './SimOutside.js';
+
+export interface SimulationSettings {
+  readonly seed: number;
+  readonly edges: number;
+  /** How long troubles go on, after a quiet beginning; then everything is healed. */
+  readonly stormMs: number;
+  /** Which troubles are brought about. */
+  readonly troubles: readonly TroubleKind[];
+}
+
+export const TROUBLES = [
+  'kill-mind', 'freeze-mind', 'wipe-mind', 'stall-disk', 'slow-disk', 'cut-minds', 'cut-one-way', 'isolate-mind', 'isolate-link', 'cut-link',
+  'kill-link', 'freeze-link', 'kill-flow', 'freeze-flow', 'loss', 'delay', 'restart-runner', 'dark-runner', 'mark-runner', 'platform-down', 'isolate-core',
+] as const;
+export type TroubleKind = typeof TROUBLES[number];
+
+interface Told { readonly id: string; readonly at: number; readonly outcome: 'accepted' | 'turned-away' | 'unsure'; readonly number: number; readonly version: Version }
+
+export interface SimulationResult {
+  readonly seed: number;
+  readonly violations: readonly string[];
+  /** Virtual milliseconds without any mind that may order, in the storm. */
+  readonly leaderlessMs: readonly number[];
+  readonly serveMs: number;
+  readonly edits: { readonly accepted: number; readonly turnedAway: number; readonly unsure: number };
+  readonly orders: number;
+  readonly messages: number;
+}
+
+const ReturnShape = type({ outcome: optional(string()), id: optional(string()), number: optional(number()), version: optional(string()), ok: optional(boolean()) });
+
+const TABLE = 'map POST /v1/checks to check\nrow check m-* weight 10 take 100/s late 10s once stream\n';
+const QUIET_MS = 14_000;
+const HEAL_MS = 25_000;
+const BLIND_SLACK_MS = 3000;
+
+function parseVersion(text: string | undefined): Version {
+  const [epoch = 0, count = 0] = (text ?? '0.0').split('.').map(Number);
+  return { epoch, count };
+}
+
+/** One seeded run of a whole fleet on virtual time: the same cores as the processes run, under seeded troubles. */
+export class Simulation {
+  readonly #settings: SimulationSettings;
+  readonly #agenda = new Agenda();
+  readonly #seeded: Seeded;
+  readonly #network: Network;
+  readonly #outside: SimOutside;
+  readonly #nodes = new Map<string, SimNode>();
+  readonly #minds: SimMind[] = [];
+  readonly #links: SimLink[] = [];
+  readonly #flows: SimFlow[] = [];
+  readonly #violations = new Set<string>();
+  readonly #told: Told[] = [];
+  readonly #seenVersions = new Map<string, Version>();
+  #newest: Version = NO_VERSION;
+  #newestNumber = 0;
+  #editCount = 0;
+  #leaderlessSince: number | undefined;
+  readonly #leaderless: number[] = [];
+  #isStorm = false;
+  #trace: ((line: string) => void) | undefined;
+
+  constructor(settings: SimulationSettings, trace?: (line: string) => void) {
+    this.#settings = settings;
+    this.#trace = trace;
+    this.#seeded = new Seeded(settings.seed);
+    this.#network = new Network(this.#agenda, this.#seeded, this.#deliver.bind(this));
+    const models = [];
+    for (let index = 0; index < 8; index += 1) models.push({ name: `m-${index}`, size: 10 });
+    const runners = [];
+    for (let index = 0; index < 4; index += 1) runners.push({ id: `r${index}`, zone: ['a', 'b', 'c'][index % 3] ?? 'a', room: 35 });
+    this.#outside = new SimOutside(this.#agenda, { limit: 2, models, adapters: [{ name: 'm-0-a', model: 'm-0', size: 1 }] }, runners);
+    const seeds = ['mind-0:1', 'mind-1:1', 'mind-2:1'];
+    for (const id of seeds) this.#addMind(id, seeds);
+    for (let index = 0; index < settings.edges; index += 1) {
+      const link = new SimLink(`link-${index}:1`, this.#agenda, this.#seeded, this.#network, seeds);
+      const flow = new SimFlow(`flow@${index}`, this.#agenda, this.#seeded, link);
+      this.#links.push(link);
+      this.#flows.push(flow);
+      this.#nodes.set(link.id, link);
+    }
+  }
+
+  get minds(): readonly SimMind[] { return this.#minds; }
+  get agenda(): Agenda { return this.#agenda; }
+  get network(): Network { return this.#network; }
+
+  #addMind(id: string, seeds: readonly string[]): SimMind {
+    const mind = new SimMind(id, this.#agenda, this.#seeded, this.#network, this.#outside, seeds);
+    this.#minds.push(mind);
+    this.#nodes.set(id, mind);
+    return mind;
+  }
+
+  #deliver(to: string, from: string, message: Message): void {
+    const node = this.#nodes.get(to);
+    const sender = this.#nodes.get(from);
+    // A dead process's lines are reset; nothing arrives at it.
+    if (node && sender) node.perform(node.receive.bind(node, from, message));
+  }
+
+  #say(text: string): void { this.#trace?.(`${Math.round(this.#agenda.now)} ${text}`); }
+
+  run(): SimulationResult {
+    for (const node of [...this.#minds, ...this.#links, ...this.#flows]) this.#agenda.at(this.#seeded.between(0, 500), node.start.bind(node));
+    this.#agenda.at(500, this.#watch.bind(this));
+    this.#agenda.runUntil(QUIET_MS);
+    const serveMs = this.#servingNow() ? this.#agenda.now : -1;
+    if (serveMs < 0) this.#find('no leader serves after a quiet start');
+    this.#founded();
+    this.#isStorm = true;
+    this.#agenda.after(100, this.#operate.bind(this));
+    this.#agenda.after(1000, this.#fail.bind(this));
+    this.#agenda.runUntil(QUIET_MS + this.#settings.stormMs);
+    this.#isStorm = false;
+    this.#healAll();
+    this.#agenda.runUntil(QUIET_MS + this.#settings.stormMs + HEAL_MS);
+    this.#checkEnd();
+    let [accepted, turnedAway, unsure] = [0, 0, 0];
+    for (const told of this.#told) {
+      if (told.outcome === 'accepted') accepted += 1;
+      else if (told.outcome === 'turned-away') turnedAway += 1;
+      else unsure += 1;
+    }
+    return {
+      seed: this.#settings.seed, violations: [...this.#violations, ...this.#outside.violations], leaderlessMs: this.#leaderless, serveMs,
+      edits: { accepted, turnedAway, unsure }, orders: this.#outside.orders.length, messages: this.#network.sent,
+    };
+  }
+
+  #find(text: string): void {
+    this.#violations.add(text);
+    this.#say(`VIOLATION ${text}`);
+  }
+
+  #servingNow(): SimMind | undefined {
+    for (const mind of this.#minds) if (mind.isUp && !mind.isFrozen && mind.core?.mayOrder(mind.now()) === true) return mind;
+    return undefined;
+  }
+
+  #founded(): void {
+    const leader = this.#servingNow();
+    const { table } = compile(TABLE);
+    leader?.command('table', JSON.stringify({ id: 'first', base: 0, table }), this.#heard.bind(this, 'first'));
+  }
+
+  // ---- the watch: what must hold at every moment
+
+  #watch(): void {
+    const now = this.#agenda.now;
+    for (const flow of this.#flows) this.#watchFlow(flow, now);
+    const isLed = this.#servingNow() !== undefined;
+    if (!isLed && this.#leaderlessSince === undefined) this.#leaderlessSince = now;
+    if (isLed && this.#leaderlessSince !== undefined) {
+      if (this.#isStorm) this.#leaderless.push(now - this.#leaderlessSince);
+      this.#leaderlessSince = undefined;
+    }
+    this.#agenda.after(50, this.#watch.bind(this));
+  }
+
+  #watchFlow(flow: SimFlow, now: number): void {
+    const { decision } = flow;
+    if (!decision || !flow.isUp) { this.#seenVersions.delete(flow.id); return; }
+    const version = decision.configVersion;
+    const seen = this.#seenVersions.get(flow.id) ?? NO_VERSION;
+    if (compareVersions(version, seen) < 0) this.#find(`slip: ${flow.id} went from ${versionText(seen)} back to ${versionText(version)}`);
+    this.#seenVersions.set(flow.id, version);
+    if (flow.isFrozen || !decision.isFresh(flow.now())) return;
+    if (compareVersions(version, this.#newest) < 0) this.#find(`old-table: ${flow.id} works by ${versionText(version)} after ${versionText(this.#newest)} was told as in force`);
+    if (decision.tableNumber < this.#newestNumber) this.#find(`old-table: ${flow.id} works by table ${decision.tableNumber} after ${this.#newestNumber}`);
+    for (const [revision, shownAt] of this.#outside.shown) {
+      if (decision.marks < revision && now > shownAt + BLIND_SLACK_MS) this.#find(`leaving: ${flow.id} has not heard revision ${revision} learned ${Math.round(now - shownAt)} ms ago`);
+    }
+  }
+
+  // ---- operators
+
+  #operate(): void {
+    if (!this.#isStorm) return;
+    const mind = this.#seeded.pick(this.#minds);
+    const count = this.#seeded.isLikely(0.3) ? 2 : 1;
+    const self = { edit: this.#edit.bind(this), minds: this.#minds, seeded: this.#seeded };
+    function read(status: number, body: string): void {
+      const news = status === 200 ? parseAs(ConfigNewsShape, body) : undefined;
+      if (!news) return;
+      // Two operators who read the same table race each other, at different nodes.
+      for (let index = 0; index < count; index += 1) self.edit(self.seeded.pick(self.minds), news.number);
+    }
+    mind?.command('read', '{}', read);
+    this.#agenda.after(this.#seeded.between(200, 1500), this.#operate.bind(this));
+  }
+
+  #edit(mind: SimMind | undefined, base: number): void {
+    this.#editCount += 1;
+    const id = `e${this.#editCount}`;
+    const value = 1 + (this.#editCount % 900);
+    const heard = this.#heard.bind(this, id);
+    if (this.#seeded.isLikely(0.15)) mind?.command('zone', JSON.stringify({ id, zone: this.#seeded.pick(['a', 'b', 'c']), empty: this.#seeded.isLikely(0.5) }), heard);
+    else mind?.command('cell', JSON.stringify({ id, base, row: 'check/m-*', column: 'weight', value }), heard);
+  }
+
+  #heard(id: string, status: number, body: string): void {
+    const parsed = parseAs(ReturnShape, body);
+    const isAccepted = status === 200 && parsed?.outcome === 'accepted';
+    const outcome = isAccepted ? 'accepted' : parsed?.outcome === 'turned-away' ? 'turned-away' : 'unsure';
+    const version = parseVersion(parsed?.version);
+    const count = isAccepted ? parsed?.number ?? 0 : 0;
+    this.#told.push({ id, at: this.#agenda.now, outcome, number: count, version });
+    this.#say(`edit ${id}: ${outcome} ${status} ${count} ${versionText(version)} ${isAccepted ? '' : body}`);
+    if (isAccepted) {
+      if (compareVersions(version, this.#newest) > 0) this.#newest = version;
+      this.#newestNumber = Math.max(this.#newestNumber, count);
+    }
+    // Half of those left unsure ask what became of their edit.
+    if (outcome === 'unsure' && this.#seeded.isLikely(0.5)) {
+      this.#agenda.after(this.#seeded.between(100, 4000), this.#askAgain.bind(this, id));
+    }
+  }
+
+  #askAgain(id: string): void {
+    const mind = this.#seeded.pick(this.#minds);
+    const heard = this.#heard.bind(this, id);
+    function told(status: number, body: string): void { if (status === 200) heard(status, body); }
+    mind?.command('edit', JSON.stringify({ id }), told);
+  }
+
+  // ---- troubles
+
+  #fail(): void {
+    if (!this.#isStorm) return;
+    const kind = this.#seeded.pick(this.#settings.troubles);
+    if (kind) this.#bringAbout(kind);
+    this.#agenda.after(this.#seeded.between(300, 5000), this.#fail.bind(this));
+  }
+
+  #bringAbout(kind: TroubleKind): void {
+    const span = this.#seeded.between(300, 9000);
+    const mind = this.#seeded.pick(this.#minds);
+    const other = this.#seeded.pick(this.#minds);
+    const link = this.#seeded.pick(this.#links);
+    const flow = this.#seeded.pick(this.#flows);
+    const runner = `r${this.#seeded.below(4)}`;
+    this.#say(`trouble ${kind} ${mind?.id} ${other?.id} ${link?.id} ${flow?.id} ${runner} for ${Math.round(span)}`);
+    if (!mind || !other || !link || !flow) return;
+    const { agenda, network, outside } = { agenda: this.#agenda, network: this.#network, outside: this.#outside };
+    switch (kind) {
+      case 'kill-mind': this.#kill(mind); agenda.after(span, mind.start.bind(mind)); break;
+      case 'freeze-mind': mind.freeze(); agenda.after(span, mind.wake.bind(mind)); break;
+      case 'wipe-mind': this.#wipe(mind, span); break;
+      case 'stall-disk': mind.isDiskStalled = true; agenda.after(span, mind.unstall.bind(mind)); break;
+      case 'slow-disk': mind.diskMs = 400; agenda.after(span, quicken.bind(undefined, mind)); break;
+      case 'cut-minds': this.#cut([mind.id], [other.id], true, span); break;
+      case 'cut-one-way': this.#cut([mind.id], [other.id], false, span); break;
+      case 'isolate-mind': this.#cut([mind.id], this.#ids(mind.id), true, span); break;
+      case 'isolate-link': this.#cut([link.id], this.#ids(link.id), true, span); break;
+      case 'cut-link': this.#cut([link.id], [mind.id, other.id], this.#seeded.isLikely(0.5), span); break;
+      case 'isolate-core': this.#cut(this.#minds.map(idOf), this.#links.map(idOf), true, span); break;
+      case 'kill-link': this.#kill(link); agenda.after(span, link.start.bind(link)); break;
+      case 'freeze-link': link.freeze(); agenda.after(span, link.wake.bind(link)); break;
+      case 'kill-flow': this.#killFlow(flow); agenda.after(span, flow.start.bind(flow)); break;
+      case 'freeze-flow': flow.freeze(); agenda.after(span, flow.wake.bind(flow)); break;
+      case 'loss': network.loss = 0.2; agenda.after(span, calm.bind(undefined, network)); break;
+      case 'delay': network.mostDelay = 300; agenda.after(span, calm.bind(undefined, network)); break;
+      case 'restart-runner': outside.restart(runner); break;
+      case 'dark-runner': outside.setDark(runner, true); agenda.after(span, outside.setDark.bind(outside, runner, false)); break;
+      case 'mark-runner': outside.mark(runner, true); agenda.after(span, outside.mark.bind(outside, runner, false)); break;
+      case 'platform-down': outside.isPlatformUp = false; agenda.after(span, platformUp.bind(undefined, outside)); break;
+    }
+  }
+
+  #ids(but: string): string[] {
+    const ids: string[] = [];
+    for (const id of [...this.#nodes.keys(), 'r0', 'r1', 'r2', 'r3']) if (id !== but) ids.push(id);
+    return ids;
+  }
+
+  #cut(from: readonly string[], to: readonly string[], isBoth: boolean, span: number): void {
+    for (const a of from) {
+      for (const b of to) {
+        if (a === b) continue;
+        this.#network.cut(a, b);
+        this.#agenda.after(span, this.#network.heal.bind(this.#network, a, b));
+        if (!isBoth) continue;
+        this.#network.cut(b, a);
+        this.#agenda.after(span, this.#network.heal.bind(this.#network, b, a));
+      }
+    }
+  }
+
+  /** A killed process's lines are reset at once, where they are not cut. */
+  #kill(node: SimMind | SimLink): void {
+    if (!node.isUp) return;
+    node.kill();
+    for (const [id, other] of this.#nodes) {
+      if (id === node.id || this.#network.isCut(node.id, id)) continue;
+      this.#agenda.after(this.#network.delay(), other.perform.bind(other, other.gone.bind(other, node.id)));
+    }
+  }
+
+  #killFlow(flow: SimFlow): void {
+    if (!flow.isUp) return;
+    flow.kill();
+    for (const link of this.#links) if (link.flows.has(flow.id)) this.#agenda.after(1, link.perform.bind(link, link.gone.bind(link, flow.id)));
+  }
+
+  /** One disk is lost at a time: the next only once every node counts again. */
+  #wipe(mind: SimMind, span: number): void {
+    for (const each of this.#minds) if (!each.isUp || each.core?.standing.name !== 'sound') return;
+    this.#kill(mind);
+    mind.wipe();
+    this.#agenda.after(span, mind.start.bind(mind));
+  }
+
+  #healAll(): void {
+    this.#say('healing');
+    this.#network.healAll();
+    this.#outside.isPlatformUp = true;
+    for (const mind of this.#minds) { mind.unstall(); mind.diskMs = 3; }
+    for (const node of [...this.#nodes.values(), ...this.#flows]) { node.wake(); node.start(); }
+    for (const runner of ['r0', 'r1', 'r2', 'r3']) { this.#outside.setDark(runner, false); this.#outside.mark(runner, false); }
+    this.#agenda.after(10_000, this.#fillZones.bind(this));
+  }
+
+  #fillZones(): void {
+    const leader = this.#servingNow();
+    if (!leader) { this.#find('no leader within 10 s of healing'); return; }
+    for (const zone of ['a', 'b', 'c']) {
+      this.#editCount += 1;
+      const id = `e${this.#editCount}`;
+      leader.command('zone', JSON.stringify({ id, zone, empty: false }), this.#heard.bind(this, id));
+    }
+  }
+
+  // ---- the end: service has returned, and what was told holds
+
+  #checkEnd(): void {
+    const leader = this.#servingNow();
+    if (!leader) { this.#find('no leader serves after everything healed'); return; }
+    for (const mind of this.#minds) if (mind.core?.standing.name !== 'sound') this.#find(`${mind.id} does not count again`);
+    for (const flow of this.#flows) if (flow.decision?.isFresh(flow.now()) !== true) this.#find(`${flow.id} is still blind after everything healed`);
+    const doc = parseAs(ConfigDocShape, leader.core?.parts.replicaBody(CONFIG_PART) ?? '');
+    if (!doc) { this.#find('the configuration is gone'); return; }
+    if (doc.number < this.#newestNumber) this.#find(`lost-table: ${doc.number} stands after ${this.#newestNumber} was accepted`);
+    const outcomes = new Map<string, string>();
+    for (const edit of doc.edits) outcomes.set(edit.id, edit.outcome);
+    const numbers = new Map<number, string>();
+    for (const edit of doc.edits) {
+      const zoneEdit = numbers.get(edit.number);
+      numbers.set(edit.number, zoneEdit ?? edit.id);
+    }
+    for (const told of this.#told) {
+      const held = outcomes.get(told.id);
+      if (told.outcome === 'accepted' && held !== 'accepted') this.#find(`lost-edit: ${told.id} was accepted and is ${held ?? 'nowhere'}`);
+      if (told.outcome === 'turned-away' && held === 'accepted') this.#find(`turned-away-in-force: ${told.id}`);
+    }
+    let seated = 0;
+    const places = leader.core?.relay.item('places');
+    for (const match of (places?.body ?? '').matchAll(/"primary":true/g)) if (match) seated += 1;
+    if (seated < 8) this.#find(`only ${seated} of 8 models have a primary after everything healed`);
+  }
+}
+
+function idOf(node: SimNode): string { return node.id; }
+function quicken(mind: SimMind): void { mind.diskMs = 3; }
+function calm(network: Network): void { network.loss = 0; network.mostDelay = 5; }
+function platformUp(outside: SimOutside): void { outside.isPlatformUp = true; }
--- /dev/null
+++ b/src/myth/StormCommand.ts
@@ -0,0 +1,49 @@
+import { Command, Flags } from '@oclif/core';
+import { TROUBLES, Simulation, type TroubleKind } from './Simulation.js';
+
+function isTrouble(text: string): text is TroubleKind {
+  return TROUBLES.some(isSame.bind(undefined, text));
+}
+
+function isSame(text: string, kind: TroubleKind): boolean { return text === kind; }
+
+function byValue(a: number, b: number): number { return a - b; }
+
+export class StormCommand extends Command {
+  static override description = 'run the simulator over many seeds; a failing seed is printed and replays exactly';
+  static override flags = {
+    seeds: Flags.integer({ default: 100, description: 'how many seeds' }),
+    from: Flags.integer({ default: 1, description: 'the first seed' }),
+    edges: Flags.integer({ default: 4, description: 'edge machines' }),
+    seconds: Flags.integer({ default: 40, description: 'virtual seconds of troubles' }),
+    trouble: Flags.string({ multiple: true, description: 'only these troubles', options: [...TROUBLES] }),
+    trace: Flags.boolean({ default: false, description: 'print what happens, for one seed' }),
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(StormCommand);
+    const troubles = (flags.trouble ?? [...TROUBLES]).filter(isTrouble);
+    const gaps: number[] = [];
+    let failed = 0;
+    let [accepted, turnedAway, unsure, orders, messages] = [0, 0, 0, 0, 0];
+    const trace = flags.trace ? this.log.bind(this) : undefined;
+    for (let seed = flags.from; seed < flags.from + flags.seeds; seed += 1) {
+      const result = new Simulation({ seed, edges: flags.edges, stormMs: flags.seconds * 1000, troubles }, trace).run();
+      gaps.push(...result.leaderlessMs);
+      accepted += result.edits.accepted;
+      turnedAway += result.edits.turnedAway;
+      unsure += result.edits.unsure;
+      orders += result.orders;
+      messages += result.messages;
+      if (result.violations.length === 0) continue;
+      failed += 1;
+      this.log(`seed ${seed}: ${result.violations.length} broken`);
+      for (const violation of result.violations.slice(0, 6)) this.log(`  ${violation}`);
+    }
+    gaps.sort(byValue);
+    function quantile(share: number): number { return Math.round(gaps[Math.min(gaps.length - 1, Math.floor(gaps.length * share))] ?? 0); }
+    this.log(`${flags.seeds} seeds, ${failed} failed; edits accepted ${accepted}, turned away ${turnedAway}, unsure ${unsure}; orders ${orders}; messages ${messages}`);
+    this.log(`time without a holder, ms: ${gaps.length} times, median ${quantile(0.5)}, 90% ${quantile(0.9)}, 99% ${quantile(0.99)}, most ${quantile(1)}`);
+    this.exit(failed === 0 ? 0 : 1);
+  }
+}
--- a/src/place/Placer.ts
+++ b/src/place/Placer.ts
@@ -269,10 +269,13 @@
       return;
     }
     this.#setWait(now, wish.model, `${role} waits for room`);
-    // Only somebody's asking makes others go: weights alone would have idle models chase each other out.
-    if (wish.rate >= this.#settings.idleRate / 10 && wish.rate > 0) this.#makeWay(now, wish, candidates, ledger, wishes, role);
+    // A first copy goes before an idle second one. Beyond that only somebody's asking makes others go:
+    // weights alone would have idle models chase each other out.
+    if (role === 'primary' || this.#isAskedFor(wish)) this.#makeWay(now, wish, candidates, ledger, wishes, role);
   }
 
+  #isAskedFor(wish: Wish): boolean { return wish.rate > this.#settings.idleRate / 10; }
+
   #setWait(now: Moment, model: string, wait: string): void {
     const doc = this.#doc(model);
     if (doc.wait !== wait) this.#put({ ...doc, wait });
@@ -323,9 +326,8 @@
     const isIdle = other.rate < this.#settings.idleRate;
     const isWorthIt = other.worth * this.#settings.worthRatio < wish.worth;
     if (isUnderstudy) return isIdle || (isWorthIt && role === 'primary') ? other.worth / 10 : undefined;
-    // The only copy of a model in use never makes way for a second copy of another.
-    if (role === 'understudy') return isIdle && isWorthIt ? other.worth : undefined;
-    return isIdle && isWorthIt ? other.worth : undefined;
+    // A model in use never loses its primary; an idle one does, to one that is asked for and worth much more.
+    return isIdle && isWorthIt && this.#isAskedFor(wish) ? other.worth : undefined;
   }
 
   #unseat(now: Moment, view: RunnerView, hold: Hold, ledger: Ledger): void {
