Plan only once the parts have been read and rewritten in the leader's own epoch

Cause: Parts counted as serving within the beat in which the last part was settled, but the core took over the documents only when that beat's effects were collected; a plan between the two worked on the last reign's documents and counted its places on from there, so that the places published after it were older than those and dropped. Ruled out: the relay (it refused them rightly).

--- a/src/flow/FlowProcess.ts
+++ b/src/flow/FlowProcess.ts
@@ -94,7 +94,7 @@
     const now = monotonicNow();
     const { message } = incoming;
     if (message.kind === 'news') {
-      this.#decision.news(now, message.topic, message, message.body);
+      this.#decision.news(now, message.topic, { epoch: message.epoch, count: message.count }, message.body);
       // In force from here on: the next request is asked of the new table.
       if (message.topic === 'config') this.#exchange.send(incoming.from, { kind: 'ack', ...this.#decision.configVersion });
     } else if (message.kind === 'vouch') {
--- a/src/link/LinkCore.ts
+++ b/src/link/LinkCore.ts
@@ -76,7 +76,7 @@
         if (message.parent !== this.#parent && message.parent !== this.#lostParent) this.#hang(now, message.parent);
         break;
       case 'news':
-        if (this.#relay.offer(message.topic, message, message.body) && message.topic === 'config') this.#followVoters(message.body);
+        if (this.#relay.offer(message.topic, { epoch: message.epoch, count: message.count }, message.body) && message.topic === 'config') this.#followVoters(message.body);
         break;
       case 'ask':
         if (role === 'flow' && this.#flows.get(from)?.goneAt !== undefined) this.#flows.delete(from);
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -99,6 +99,8 @@
   readonly #shares = new Shares();
   readonly #orders = new Map<string, SentOrder>();
   readonly #keptIntents = new Set<string>();
+  /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a beat earlier. */
+  #isServing = false;
   #servingSince: Moment = NEVER;
   #plannedAt: Moment = NEVER;
   #machinesAt: Moment = NEVER;
@@ -136,6 +138,7 @@
   get parts(): Parts { return this.#parts; }
   get relay(): Relay { return this.#relay; }
   get standing(): Standing { return this.#standing; }
+  get isServing(): boolean { return this.#isServing; }
   get voters(): readonly FellowId[] { return this.#quorum.all; }
   get ordersSent(): number { return this.#ordersSent; }
   get placementWrites(): number { return this.#placementWrites; }
@@ -147,7 +150,7 @@
   }
 
   /** Asked by the executor right before an order is written. */
-  mayOrder(now: Moment): boolean { return this.#elector.mayOrder(now) && this.#parts.isServing; }
+  mayOrder(now: Moment): boolean { return this.#elector.mayOrder(now) && this.#isServing; }
 
   leaseEnd(): Moment { return this.#elector.leaseEnd; }
 
@@ -318,6 +321,7 @@
   }
 
   #standDown(): void {
+    this.#isServing = false;
     this.#parts.stand();
     this.#orders.clear();
     this.#keptIntents.clear();
@@ -462,7 +466,7 @@
       const machines = parseAs(MachinesShape, message.body);
       if (machines) this.#takeMachines(machines);
     } else {
-      this.#relay.offer(message.topic, message, message.body);
+      this.#relay.offer(message.topic, { epoch: message.epoch, count: message.count }, message.body);
     }
   }
 
@@ -507,6 +511,7 @@
   // ---- owning the state
 
   #serve(now: Moment): void {
+    this.#isServing = true;
     this.#servingSince = now;
     this.#note('serving', { epoch: this.#ledEpoch });
     const body = this.#parts.body(CONFIG_PART);
@@ -565,7 +570,7 @@
     try {
       if (verb === 'status') { this.#return(origin, 200, JSON.stringify(this.#status(now))); return; }
       if (verb === 'found') { this.#found(now, origin); return; }
-      if (!this.#elector.isLeading() || !this.#parts.isServing) { this.#forward(now, origin, verb, body); return; }
+      if (!this.#elector.isLeading() || !this.#isServing) { this.#forward(now, origin, verb, body); return; }
       if (verb === 'read' || verb === 'places') this.#read(origin, verb);
       else if (verb === 'edit') this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask').id);
       else this.#edit(now, origin, verb, body);
@@ -641,7 +646,7 @@
 
   #returnRead(origin: Origin, newest: Version): void {
     const item = this.#relay.item('config');
-    if (!this.#parts.isServing || !item || isNewer(newest, item.version)) {
+    if (!this.#isServing || !item || isNewer(newest, item.version)) {
       this.#returnDefect(origin, new Defect('no-leader', 'a newer configuration is being written; ask again'));
       return;
     }
@@ -665,7 +670,7 @@
       else this.#return(edit.origin, 200, JSON.stringify({ outcome: 'turned-away', id: edit.id }));
     }
     // A spare that is to vote is taken in once it holds everything; then the old set is let go.
-    if (this.#parts.isServing && this.#doc.voters.length === 2 && !this.#parts.isWriting(CONFIG_PART)) {
+    if (this.#isServing && this.#doc.voters.length === 2 && !this.#parts.isWriting(CONFIG_PART)) {
       const [, next] = this.#doc.voters;
       if (next && this.#quorum.all.every(this.#elector.insiders.has, this.#elector.insiders)) {
         this.#doc = { ...this.#doc, voters: [next] };
@@ -710,7 +715,7 @@
       this.#machinesAt = now;
       this.#effects.push({ do: 'askMachines' });
     }
-    if (!this.#parts.isServing) return;
+    if (!this.#isServing) return;
     if (now >= later(this.#catalogAt, this.#catalog.models.length === 0 ? 500 : 5000)) {
       this.#catalogAt = now;
       this.#effects.push({ do: 'askCatalog' });
@@ -805,7 +810,7 @@
     const config = this.#relay.item('config');
     return {
       me: this.#me, zone: this.#settings.zone, standing: this.#standing.name, membersHoldState: this.#standing.isMemberHolding,
-      role: this.#elector.role, epoch: this.#elector.epoch, leader: this.#elector.leader ?? '', serving: this.#parts.isServing,
+      role: this.#elector.role, epoch: this.#elector.epoch, leader: this.#elector.leader ?? '', serving: this.#isServing,
       mayOrder: this.mayOrder(now), leaseLeftMs: Math.max(0, Math.round(this.#elector.leaseEnd - now)),
       voters: this.#quorum.all, scores: totals, parts, unsound: this.#parts.unsoundParts(), mended: this.#parts.mends,
       config: config ? versionText(config.version) : 'none', placesVersion: places ? versionText(places.version) : 'none',
--- a/src/myth/SimEdge.ts
+++ b/src/myth/SimEdge.ts
@@ -91,7 +91,7 @@
     const decision = this.#decision;
     if (!decision) return;
     if (message.kind === 'news') {
-      decision.news(this.now(), message.topic, message, message.body);
+      decision.news(this.now(), message.topic, { epoch: message.epoch, count: message.count }, message.body);
       if (message.topic === 'config') this.#tell({ kind: 'ack', ...decision.configVersion });
     } else if (message.kind === 'vouch') {
       decision.vouch(message.nonce, message, message.marks);
