Hold back a restarted link's ack until the proxy beside it is surely blind

Cause: a link killed and started anew got the newest configuration at once and, knowing of no proxy yet, acked it, while the proxy beside it still worked by the older one, vouched for through the link's former life. Ruled out: the leader's member lists (the link was on them) and the vouch rounds.

--- a/src/link/LinkCore.ts
+++ b/src/link/LinkCore.ts
@@ -43,6 +43,8 @@
     this.#mindIndex = hashOf(settings.me) % settings.seeds.length;
     this.#mindHeardAt = now;
     this.#joinedAt = moment(now - JOIN_MS);
+    // A proxy may still be fresh by what it was vouched for through our former life: one such counts until it is surely blind.
+    this.#flows.set('', { acked: NO_VERSION, goneAt: now });
   }
 
   get relay(): Relay { return this.#relay; }
@@ -200,3 +202,41 @@
   for (let index = 0; index < text.length; index += 1) hash = (hash * 31 + text.charCodeAt(index)) >>> 0;
   return hash;
 }
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const seeds = ['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1'];
+  function acks(core: LinkCore): Version[] {
+    const list: Version[] = [];
+    for (const effect of core.drain()) if (effect.do === 'send' && (effect.message.kind === 'ack' || effect.message.kind === 'join')) list.push({ epoch: effect.message.epoch, count: effect.message.count });
+    return list;
+  }
+  function checkRestart(): void {
+    // Killed and started anew: the proxy beside it may still be fresh by what it was vouched for through our former life.
+    const core = new LinkCore({ me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500 }, moment(0));
+    core.receive(moment(10), core.mind, 'mind', { kind: 'news', topic: 'config', epoch: 2, count: 7, body: '{"voters":[]}' });
+    core.beat(moment(20));
+    for (const version of acks(core)) expect(version).toEqual(NO_VERSION);
+    core.receive(moment(30), core.mind, 'mind', { kind: 'hang', parent: '' });
+    core.beat(moment(2600));
+    expect(acks(core)).toContainEqual({ epoch: 2, count: 7 });
+  }
+  function checkParentSilent(): void {
+    const core = new LinkCore({ me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500 }, moment(0));
+    core.receive(moment(0), core.mind, 'mind', { kind: 'hang', parent: '10.0.1.9:1' });
+    core.receive(moment(10), 'flow@1', 'flow', { kind: 'ask', nonce: 5, have: [] });
+    expect(core.drain()).toContainEqual({ do: 'send', to: '10.0.1.9:1', message: { kind: 'ask', nonce: 1, have: [] } });
+    core.beat(moment(370));
+    // The parent returned nothing: the ask goes to the mind, and the mind is told who could not be reached.
+    const sends = core.drain();
+    expect(sends).toContainEqual({ do: 'send', to: core.mind, message: { kind: 'ask', nonce: 2, have: [] } });
+    expect(sends.some(tellsLost)).toBe(true);
+    core.receive(moment(380), core.mind, 'mind', { kind: 'vouch', nonce: 2, epoch: 0, count: 0, marks: 0 });
+    expect(core.drain()).toContainEqual({ do: 'send', to: 'flow@1', message: { kind: 'vouch', nonce: 5, epoch: 0, count: 0, marks: 0 } });
+  }
+  function tellsLost(effect: LinkEffect): boolean {
+    return effect.do === 'send' && effect.message.kind === 'join' && effect.message.lost === '10.0.1.9:1';
+  }
+  test('a link started anew vouches for no proxy until it has surely gone blind', checkRestart);
+  test('a silent parent is left within half a second and its asks go to the mind', checkParentSilent);
+}
