Name in every ask who will be fresh by it, and wait for them before a yes

Cause: a link that hung under another was vouched for through it before its own join had reached any mind (the whole core had been cut off, and all sessions were forgotten), so it stood on no member list that the write's voters knew, and the yes did not wait for it. Ruled out: the lists' lifetime (twice blind_ms) and the vouch rounds' majority. Asks now carry the ids below them, and rounds pass those on to the voters. A test in LinkCore failed first.

--- a/src/flow/FlowProcess.ts
+++ b/src/flow/FlowProcess.ts
@@ -74,7 +74,7 @@
     const now = monotonicNow();
     this.#exchange.dial(this.#settings.link);
     this.#beats += 1;
-    if (this.#beats % ASK_EVERY === 0) this.#exchange.send(this.#settings.link, { kind: 'ask', nonce: this.#decision.ask(now), have: this.#have() });
+    if (this.#beats % ASK_EVERY === 0) this.#exchange.send(this.#settings.link, { kind: 'ask', nonce: this.#decision.ask(now), have: this.#have(), members: [] });
     if (this.#beats % DEMAND_EVERY === 0) {
       const demand = this.#decision.takeDemand();
       this.#exchange.send(this.#settings.link, { kind: 'demand', body: JSON.stringify({ flow: `flow@${this.#settings.listen}`, ...demand }) });
--- a/src/kin/Messages.ts
+++ b/src/kin/Messages.ts
@@ -32,7 +32,7 @@
   news: type({ topic: string(), epoch: number(), count: number(), body: string() }),
   join: type({ zone: string(), address: string(), epoch: number(), count: number(), lost: string() }),
   hang: type({ parent: string() }),
-  ask: type({ nonce: number(), have: array(Have) }),
+  ask: type({ nonce: number(), have: array(Have), members: array(string()) }),
   vouch: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
   ack: type({ epoch: number(), count: number() }),
   acked: type({ members: array(Member) }),
--- a/src/link/LinkCore.ts
+++ b/src/link/LinkCore.ts
@@ -85,7 +85,7 @@
         if (role === 'flow' && !this.#flows.has(from)) this.#flows.set(from, { acked: NO_VERSION, goneAt: undefined });
         this.#relay.heard(from, message.have);
         this.#noteFlow(from, message.have);
-        this.#vouching.add({ child: from, nonce: message.nonce });
+        this.#vouching.add({ child: from, nonce: message.nonce, members: message.members });
         this.#ask(now);
         break;
       case 'vouch':
@@ -162,7 +162,8 @@
     const nonce = this.#vouching.begin(now);
     if (nonce === undefined) return;
     this.#askedAt ??= now;
-    this.#send(this.#upstream(), { kind: 'ask', nonce, have: this.#relay.have() });
+    // Whoever is vouched for through us is named, whether its own session stands or not: a yes must wait for it.
+    this.#send(this.#upstream(), { kind: 'ask', nonce, have: this.#relay.have(), members: [this.#settings.me, ...this.#vouching.members()] });
   }
 
   /** The newest configuration by which every proxy here works; one lost a while ago works by none. */
@@ -224,19 +225,25 @@
   function checkParentSilent(): void {
     const core = new LinkCore({ me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500 }, moment(0));
     core.receive(moment(0), core.mind, 'mind', { kind: 'hang', parent: '10.0.1.9:1' });
-    core.receive(moment(10), 'flow@1', 'flow', { kind: 'ask', nonce: 5, have: [] });
-    expect(core.drain()).toContainEqual({ do: 'send', to: '10.0.1.9:1', message: { kind: 'ask', nonce: 1, have: [] } });
+    core.receive(moment(10), 'flow@1', 'flow', { kind: 'ask', nonce: 5, have: [], members: [] });
+    expect(core.drain()).toContainEqual({ do: 'send', to: '10.0.1.9:1', message: { kind: 'ask', nonce: 1, have: [], members: ['10.0.1.1:1'] } });
     core.beat(moment(370));
     // The parent returned nothing: the ask goes to the mind, and the mind is told who could not be reached.
     const sends = core.drain();
-    expect(sends).toContainEqual({ do: 'send', to: core.mind, message: { kind: 'ask', nonce: 2, have: [] } });
+    expect(sends).toContainEqual({ do: 'send', to: core.mind, message: { kind: 'ask', nonce: 2, have: [], members: ['10.0.1.1:1'] } });
     expect(sends.some(tellsLost)).toBe(true);
     core.receive(moment(380), core.mind, 'mind', { kind: 'vouch', nonce: 2, epoch: 0, count: 0, marks: 0 });
     expect(core.drain()).toContainEqual({ do: 'send', to: 'flow@1', message: { kind: 'vouch', nonce: 5, epoch: 0, count: 0, marks: 0 } });
   }
+  function checkNames(): void {
+    const core = new LinkCore({ me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500 }, moment(0));
+    core.receive(moment(10), '10.0.1.2:1', 'link', { kind: 'ask', nonce: 3, have: [], members: ['10.0.1.2:1', '10.0.1.3:1'] });
+    expect(core.drain()).toContainEqual({ do: 'send', to: core.mind, message: { kind: 'ask', nonce: 1, have: [], members: ['10.0.1.1:1', '10.0.1.2:1', '10.0.1.3:1'] } });
+  }
   function tellsLost(effect: LinkEffect): boolean {
     return effect.do === 'send' && effect.message.kind === 'join' && effect.message.lost === '10.0.1.9:1';
   }
   test('a link started anew vouches for no proxy until it has surely gone blind', checkRestart);
+  test('an ask names everybody below who will be fresh by it', checkNames);
   test('a silent parent is left within half a second and its asks go to the mind', checkParentSilent);
 }
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -7,7 +7,7 @@
 import { Defect, DEFECTS, reasonOf, type DefectKind } from '../kin/Defect.js';
 import { fellowId, later, moment, partName, type FellowId, type Moment, type PartName } from '../kin/Ids.js';
 import { mustParseAs, parseAs } from '../kin/Json.js';
-import type { HaveMessage, MemberMessage, Message } from '../kin/Messages.js';
+import type { MemberMessage, Message } from '../kin/Messages.js';
 import { Quorum } from '../kin/Quorum.js';
 import { compareVersions, isNewer, isNone, NO_VERSION, versionText, type Version } from '../kin/Version.js';
 import { Relay } from '../news/Relay.js';
@@ -81,6 +81,8 @@
   /** Copies read for a repair that are not on disk yet; the record that makes us count is written after them. */
   #repair: { readonly epoch: number; readonly waiting: Set<PartName> } | undefined;
 
+  /** Members that asked through us, with a session here or not, and when. */
+  readonly #asked = new Map<string, Moment>();
   readonly #heardMembers = new Map<string, HeardMembers>();
   readonly #ackedBy = new Map<string, Version>();
   #round: { readonly nonce: number; readonly returns: Map<FellowId, { readonly version: Version; readonly marks: number }> } | undefined;
@@ -162,6 +164,7 @@
     this.#settleStanding(now, this.#standing.outcome(now, this.#quorum));
     this.#parts.beat(now);
     this.#sessions.beat(now);
+    for (const [id, at] of this.#asked) if (now - at > this.#settings.blindMs * 2) this.#asked.delete(id);
     for (const [fellow, heard] of this.#heardMembers) if (now - heard.at > this.#settings.blindMs * 2) this.#heardMembers.delete(fellow);
     this.#beginRound(now);
     this.#beatFellows(now);
@@ -186,7 +189,7 @@
       case 'sound': this.#receiveSound(now, from, message.nonce, message.members); break;
       case 'sounded': this.#receiveSounded(now, from, message); break;
       case 'join': this.#receiveJoin(now, from, message); break;
-      case 'ask': this.#receiveAsk(now, from, message.nonce, message.have); break;
+      case 'ask': this.#receiveAsk(now, from, message); break;
       case 'ack': this.#sessions.ack(from, message); this.#noteAck(from, message); break;
       case 'acked': for (const member of message.members) this.#noteAck(member.id, member); break;
       case 'news': this.#receiveNews(message); break;
@@ -401,10 +404,11 @@
   }
 
   /** An ask from below: by a link of the tree, by one that cannot reach its parent, or by a fellow for news alone. */
-  #receiveAsk(now: Moment, from: string, nonce: number, have: readonly HaveMessage[]): void {
-    this.#relay.heard(from, have);
-    if (nonce < 0) return;
-    this.#vouching.add({ child: from, nonce });
+  #receiveAsk(now: Moment, from: string, message: Extract<Message, { kind: 'ask' }>): void {
+    this.#relay.heard(from, message.have);
+    if (message.nonce < 0) return;
+    for (const id of message.members) this.#asked.set(id, now);
+    this.#vouching.add({ child: from, nonce: message.nonce, members: message.members });
     this.#beginRound(now);
   }
 
@@ -414,17 +418,26 @@
 
   /** Members that may still work by an older configuration, as far as this node knows. */
   #knownMembers(): MemberMessage[] {
-    const list = [...this.#sessions.recent()];
+    const list = this.#ownMembers();
     for (const heard of this.#heardMembers.values()) list.push(...heard.members);
     return list;
   }
 
+  /** Those with a session here now or lately, and those vouched for through us lately, wherever their session is. */
+  #ownMembers(): MemberMessage[] {
+    const list = [...this.#sessions.recent()];
+    const ids = new Set<string>();
+    for (const member of list) ids.add(member.id);
+    for (const id of this.#asked.keys()) if (!ids.has(id)) list.push({ id, zone: '', address: id, epoch: 0, count: 0 });
+    return list;
+  }
+
   /** Asks a majority for the newest they hold; asks that waited are vouched for by what it returns. */
   #beginRound(now: Moment): void {
     const nonce = this.#vouching.begin(now);
     if (nonce === undefined) return;
     this.#round = { nonce, returns: new Map() };
-    const members = [...this.#sessions.recent()];
+    const members = this.#ownMembers();
     for (const fellow of this.#quorum.all) {
       if (fellow === this.#me) this.#receiveSound(now, this.#me, nonce, []);
       else this.#send(fellow, { kind: 'sound', nonce, members });
@@ -497,7 +510,7 @@
     const leader = this.#elector.leader;
     if (leader === undefined || leader === this.#me) return;
     this.#send(leader, { kind: 'acked', members: [...this.#sessions.up()] });
-    this.#send(leader, { kind: 'ask', nonce: -1, have: this.#relay.have() });
+    this.#send(leader, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
   }
 
   #receiveDemand(now: Moment, body: string): void {
@@ -641,7 +654,7 @@
   #read(origin: Origin, verb: string): void {
     this.#readId += 1;
     this.#reads.set(this.#readId, verb === 'read' ? origin : origin);
-    this.#vouching.add({ child: '', nonce: this.#readId });
+    this.#vouching.add({ child: '', nonce: this.#readId, members: [] });
   }
 
   #returnRead(origin: Origin, newest: Version): void {
--- a/src/myth/SimEdge.ts
+++ b/src/myth/SimEdge.ts
@@ -77,6 +77,7 @@
       this.#tell({
         kind: 'ask', nonce: decision.ask(this.now()),
         have: [{ topic: 'config', ...decision.configVersion }, { topic: 'places', ...decision.placesVersion }, { topic: 'machines', epoch: 0, count: decision.marks }],
+        members: [],
       });
     }
     if (this.#beats % 40 === 0) this.#tell({ kind: 'demand', body: JSON.stringify({ flow: this.id, ...decision.takeDemand() }) });
--- a/src/news/Vouching.ts
+++ b/src/news/Vouching.ts
@@ -1,6 +1,11 @@
 import { later, moment, type Moment } from '../kin/Ids.js';
 
-export interface Ask { readonly child: string; readonly nonce: number }
+export interface Ask {
+  readonly child: string;
+  readonly nonce: number;
+  /** Every member that will be fresh by what this ask is returned. */
+  readonly members: readonly string[];
+}
 interface Round { readonly nonce: number; readonly sentAt: Moment; readonly asks: readonly Ask[] }
 
 const RETRY_MS = 250;
@@ -27,6 +32,13 @@
     return this.#nonce;
   }
 
+  /** Everybody that the round under way will make fresh. */
+  members(): string[] {
+    const ids = new Set<string>();
+    for (const ask of this.#round?.asks ?? []) for (const id of ask.members) ids.add(id);
+    return [...ids];
+  }
+
   /** The asks that this round's vouch returns. */
   end(nonce: number): readonly Ask[] {
     const round = this.#round;
@@ -55,15 +67,15 @@
   const { test, expect } = import.meta.vitest;
   function checkOrder(): void {
     const vouching = new Vouching();
-    vouching.add({ child: 'a', nonce: 1 });
+    vouching.add({ child: 'a', nonce: 1, members: ['a'] });
     const first = vouching.begin(moment(0));
-    vouching.add({ child: 'b', nonce: 2 });
+    vouching.add({ child: 'b', nonce: 2, members: [] });
     expect(vouching.begin(moment(10))).toBeUndefined();
-    expect(vouching.end(first ?? 0)).toEqual([{ child: 'a', nonce: 1 }]);
+    expect(vouching.end(first ?? 0)).toEqual([{ child: 'a', nonce: 1, members: ['a'] }]);
     // An ask that came in while the round was under way is not returned by it.
     const second = vouching.begin(moment(20));
     expect(vouching.end(first ?? 0)).toEqual([]);
-    expect(vouching.end(second ?? 0)).toEqual([{ child: 'b', nonce: 2 }]);
+    expect(vouching.end(second ?? 0)).toEqual([{ child: 'b', nonce: 2, members: [] }]);
   }
   test('an ask is returned only by a round begun after it', checkOrder);
 }
