--- a/src/flow/Executor.ts
+++ b/src/flow/Executor.ts
@@ -1,4 +1,5 @@
 import { Agent, createServer, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders, type Server, type ServerResponse } from 'node:http';
+import { once } from 'node:events';
 import { pipeline } from 'node:stream';
 import { randomUUID } from 'node:crypto';
 import { array, optional, size, string, type } from 'superstruct';
@@ -291,3 +292,204 @@
     this.wasWrittenBefore = entry.isWritten;
   }
 }
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { createServer: createTcp } = await import('node:net');
+  const { compile } = await import('../code/Language.js');
+  const { Counters: CountersClass } = await import('../kin/Counters.js');
+  const { monotonicNow } = await import('../kin/Clock.js');
+  const { call } = await import('../kin/Call.js');
+  const { Decision: DecisionClass, DECISION_DEFAULTS } = await import('./Decision.js');
+  const TEXT = 'map POST /c to check\nmap GET /l/* to lookup\nrow check m weight 9 late 400ms once stream\nrow check w weight 9 late 400ms once whole\nrow lookup @k weight 5 late 5s repeatable';
+
+  type Behave = (asked: IncomingMessage, returned: ServerResponse, count: number) => void;
+
+  /** A proxy before two back ends that behave as told. */
+  class Bench {
+    readonly seen: string[] = [];
+    readonly counters = new CountersClass();
+    readonly servers: Server[] = [];
+    executor: Executor | undefined;
+    address = '';
+
+    async start(behaves: readonly Behave[], hasDead = false): Promise<void> {
+      const runners = [];
+      for (const [index, behave] of behaves.entries()) {
+        const seen = this.seen;
+        let count = 0;
+        function take(asked: IncomingMessage, returned: ServerResponse): void {
+          seen.push(`r${index}`);
+          count += 1;
+          behave(asked, returned, count);
+        }
+        const server = createServer(take);
+        this.servers.push(server);
+        const port = await listenOn(server, '127.0.0.1:0');
+        runners.push({ id: `r${index}`, address: `127.0.0.1:${port}`, zone: 'z', service: '', slots: 4, upMs: 60_000 }, { id: `k${index}`, address: `127.0.0.1:${port}`, zone: 'z', service: 'k', slots: 0, upMs: 0 });
+      }
+      if (hasDead) {
+        // A port that was just closed: nobody is reached there.
+        const closed = createTcp();
+        const port = await listenOn(closed, '127.0.0.1:0');
+        closed.close();
+        await once(closed, 'close');
+        runners.unshift({ id: 'dead', address: `127.0.0.1:${port}`, zone: 'z', service: '', slots: 4, upMs: 60_000 });
+      }
+      const decision = new DecisionClass({ ...DECISION_DEFAULTS, blindMs: 60_000, me: 'f' });
+      const now = monotonicNow();
+      decision.news(now, 'config', { epoch: 2, count: 1 }, JSON.stringify({ number: 1, table: compile(TEXT).table, emptied: [], voters: [] }));
+      const seats = [];
+      for (const { id, service } of runners) if (service === '') seats.push({ runner: id, primary: seats.length === 0, adapters: [] });
+      const places = [{ model: 'm', seats, wait: '' }, { model: 'w', seats, wait: '' }];
+      decision.news(now, 'places', { epoch: 2, count: 1 }, JSON.stringify({ places, runners, flows: 1, shares: [] }));
+      decision.vouch(decision.ask(now), { epoch: 0, count: 0 }, 0);
+      this.executor = new Executor(decision, { maxBodyBytes: 4096, connectMs: 300 }, this.counters, monotonicNow);
+      this.address = `127.0.0.1:${await this.executor.listen('127.0.0.1:0')}`;
+    }
+
+    post(model: string): ReturnType<typeof call> { return call('POST', this.address, '/c', JSON.stringify({ model }), 5000); }
+
+    async stop(): Promise<void> {
+      await this.executor?.drain(0);
+      for (const server of this.servers) { server.closeAllConnections(); server.close(); }
+    }
+  }
+  function withBench(behaves: readonly Behave[], check: (bench: Bench) => Promise<void>, hasDead = false): () => Promise<void> {
+    async function run(): Promise<void> {
+      const bench = new Bench();
+      await bench.start(behaves, hasDead);
+      try { await check(bench); } finally { await bench.stop(); }
+    }
+    return run;
+  }
+  function sayHello(_asked: IncomingMessage, returned: ServerResponse): void { returned.end('hello'); }
+  function cutAtOnce(asked: IncomingMessage): void { asked.socket.destroy(); }
+  function cutInMidst(asked: IncomingMessage, returned: ServerResponse): void {
+    returned.writeHead(200, { 'content-type': 'text/plain' });
+    returned.write('half a');
+    setImmediate(asked.socket.destroy.bind(asked.socket));
+  }
+  function beFull(_asked: IncomingMessage, returned: ServerResponse): void { returned.writeHead(503, { 'x-run': 'none' }).end('full'); }
+  function saySilent(): void { /* it never returns anything */ }
+
+  async function checkOnceBroken(bench: Bench): Promise<void> {
+    const returned = await bench.post('m');
+    expect(returned.status).toBe(502);
+    expect(returned.body).toContain('"outcome":"unsure"');
+    expect(returned.headers['retry-after']).toBeUndefined();
+    expect(bench.seen).toEqual(['r0']);
+  }
+  async function checkUnreached(bench: Bench): Promise<void> {
+    expect((await bench.post('m')).body).toBe('hello');
+    expect(bench.seen).toEqual(['r0']);
+  }
+  async function checkFull(bench: Bench): Promise<void> {
+    expect((await bench.post('m')).body).toBe('hello');
+    expect(bench.seen).toEqual(['r0', 'r1']);
+  }
+  async function checkAllFull(bench: Bench): Promise<void> {
+    const returned = await bench.post('m');
+    expect(returned.status).toBe(503);
+    expect(Number(returned.headers['retry-after'])).toBeGreaterThan(0);
+    expect(returned.body).toContain('turned-away');
+  }
+  async function checkBrokenStream(bench: Bench): Promise<void> {
+    await expect(bench.post('m')).rejects.toThrow();
+    expect(bench.seen).toEqual(['r0']);
+    expect(bench.counters.get('streams.broken')).toBe(1);
+  }
+  async function checkRepeat(bench: Bench): Promise<void> {
+    expect((await call('GET', bench.address, '/l/1', undefined, 5000)).body).toBe('hello');
+    expect(bench.seen).toHaveLength(2);
+    expect(bench.counters.get('repeats')).toBe(1);
+  }
+  async function checkLate(bench: Bench): Promise<void> {
+    const returned = await bench.post('w');
+    expect(returned.status).toBe(504);
+    expect(returned.body).toContain('unsure');
+  }
+  async function checkBodies(bench: Bench): Promise<void> {
+    expect((await call('POST', bench.address, '/c', '{"model":', 5000)).status).toBe(400);
+    expect((await call('POST', bench.address, '/c', JSON.stringify({ model: 'm', pad: 'x'.repeat(5000) }), 5000)).status).toBe(413);
+    expect((await call('POST', bench.address, '/none', '{}', 5000)).status).toBe(404);
+    expect((await bench.post('other')).status).toBe(404);
+    expect(bench.seen).toEqual([]);
+  }
+  /** The back end closes its kept-alive connection just as the next request is on its way there. */
+  function closeAfterFirst(asked: IncomingMessage, returned: ServerResponse, count: number): void {
+    if (count === 1) returned.end('hello');
+    else if (count === 2) asked.socket.destroy();
+    else returned.end('hello');
+  }
+  async function checkStale(bench: Bench): Promise<void> {
+    expect((await bench.post('m')).body).toBe('hello');
+    // A once-only request is never sent on a kept connection, so a break is always told as unsure, and it is sent once.
+    expect((await bench.post('m')).status).toBe(502);
+    expect(bench.seen).toEqual(['r0', 'r0']);
+  }
+  async function checkClientGone(): Promise<void> {
+    const bench = new Bench();
+    const events: string[] = [];
+    let tellCut: () => void = saySilent;
+    function onCut(done: () => void): void { tellCut = done; }
+    const cut = new Promise<void>(onCut);
+    function watch(asked: IncomingMessage, returned: ServerResponse): void {
+      returned.writeHead(200);
+      returned.write('begin');
+      returned.once('close', note);
+      asked.resume();
+    }
+    function note(): void { events.push('cancelled'); tellCut(); }
+    await bench.start([watch]);
+    const { host, port } = splitAddress(bench.address);
+    const sent = request({ host, port, method: 'POST', path: '/c' });
+    sent.on('error', saySilent);
+    sent.end(JSON.stringify({ model: 'm' }));
+    const [back]: unknown[] = await once(sent, 'response');
+    if (back instanceof Object && 'on' in back && typeof back.on === 'function') back.on('error', saySilent);
+    sent.destroy();
+    await cut;
+    expect(events).toEqual(['cancelled']);
+    await bench.stop();
+  }
+  async function checkSlowClient(): Promise<void> {
+    const bench = new Bench();
+    let produced = 0;
+    const LIMIT = 64 * 1024 * 1024;
+    function pour(_asked: IncomingMessage, returned: ServerResponse): void {
+      const chunk = Buffer.alloc(64 * 1024);
+      function more(): void {
+        while (produced < LIMIT) {
+          produced += chunk.length;
+          if (!returned.write(chunk)) { returned.once('drain', more); return; }
+        }
+      }
+      more();
+    }
+    await bench.start([pour]);
+    const { host, port } = splitAddress(bench.address);
+    const sent = request({ host, port, method: 'POST', path: '/c' });
+    sent.on('error', saySilent);
+    sent.end(JSON.stringify({ model: 'm' }));
+    const [back]: unknown[] = await once(sent, 'response');
+    if (back instanceof Object && 'on' in back && typeof back.on === 'function') back.on('error', saySilent);
+    // The client reads nothing: the runner must be held back long before it has poured everything out.
+    let before = -1;
+    for (let calm = 0; calm < 2000; calm = produced === before ? calm + 1 : 0) { before = produced; await new Promise(setImmediate); }
+    expect(produced).toBeLessThan(LIMIT / 2);
+    sent.destroy();
+    await bench.stop();
+  }
+  test('a once-only request whose runner breaks off is unsure and never sent again', withBench([cutAtOnce, sayHello], checkOnceBroken));
+  test('a runner that is not reached costs nothing: the next one runs it', withBench([sayHello], checkUnreached, true));
+  test('a runner that says it has not begun is left for the next', withBench([beFull, sayHello], checkFull));
+  test('when all say so the client is told when to come back', withBench([beFull, beFull], checkAllFull));
+  test('a stream that breaks is visibly broken and not stitched', withBench([cutInMidst, sayHello], checkBrokenStream));
+  test('a repeatable request runs again elsewhere, within its budget', withBench([cutAtOnce, sayHello], checkRepeat));
+  test('a run that passes its limit is told as unsure', withBench([saySilent], checkLate));
+  test('bad bodies and unknown names never reach a runner', withBench([sayHello], checkBodies));
+  test('a stale kept-alive connection causes no repeat and no false turning away', withBench([closeAfterFirst], checkStale));
+  test('a client that leaves cancels its run', checkClientGone);
+  test('a slow client holds its runner back instead of our memory', checkSlowClient);
+}
--- a/src/myth/Judge.ts
+++ b/src/myth/Judge.ts
@@ -45,6 +45,7 @@
     this.#tables();
     this.#orders();
     this.#cold();
+    this.#planned();
     return this.#found;
   }
 
@@ -67,6 +68,17 @@
     if (repeats > repeatable / 5 + 30) this.#find('too-many-repeats', `${repeats} repeats of ${repeatable}`);
   }
 
+  /** A proxy told to stop lets what it had begun end. */
+  #planned(): void {
+    for (const event of this.#evidence.events) {
+      if (event.what !== 'planned-stop') continue;
+      for (const caller of this.#evidence.callers) {
+        const isBegun = caller.flow === event.node && caller.sentAt < event.at - 100 && caller.endedAt > event.at;
+        if (isBegun && (caller.outcome === 'broken' || caller.outcome === 'unreached')) this.#find('cut-by-plan', `${caller.id} was ${caller.outcome} as ${caller.flow} was stopped`);
+      }
+    }
+  }
+
   #leaving(): void {
     const marks = new Map<string, { from: number; until: number }[]>();
     for (const back of this.#evidence.backs) {
@@ -176,6 +188,8 @@
     expect(rulesOf([], [order, { ...order, at: 2000, holder: 'h2' }])).toEqual(['two-holders']);
     expect(rulesOf([], [{ ...order, overRoom: true }])).toEqual(['over-room']);
     expect(rulesOf([], [{ at: 1, what: 'fetch', over: true }])).toEqual(['over-store']);
+    expect(rulesOf([{ ...caller, outcome: 'broken', isWhole: false }], [run], [{ at: 10_070, what: 'planned-stop', node: 'f' }])).toEqual([]);
+    expect(rulesOf([{ ...caller, outcome: 'broken', isWhole: false, endedAt: 11_000 }], [run], [{ at: 10_500, what: 'planned-stop', node: 'f' }])).toEqual(['cut-by-plan']);
     const flood: BackRecord[] = [{ at: 0, what: 'boot', runner: 'a' }];
     for (let index = 0; index < 40; index += 1) flood.push({ ...run, id: `x${index}`, at: 500 });
     expect(rulesOf([], flood)).toEqual(['cold-flooded']);
--- a/src/myth/Rehearsal.ts
+++ b/src/myth/Rehearsal.ts
@@ -94,8 +94,159 @@
   async run(callers: Callers, plan: RehearsalPlan): Promise<boolean> {
     for (const kind of this.#fleet.deployment.traffic) callers.begin(kind, plan.factor);
     await pause(plan.seconds * 1000);
+    const hasReturned = plan.isFailing ? await this.#troubles(callers) : true;
     await callers.end();
-    return this.judge(callers);
+    return await this.judge(callers) && hasReturned;
+  }
+
+  async #leaderName(): Promise<string> {
+    const { value } = await this.#fleet.operate('GET', '/status');
+    for (const mind of this.#fleet.minds) if (mind.listen === value['leader']) return mind.name;
+    return this.#fleet.minds[0]?.name ?? '';
+  }
+
+  async #step(name: string, run: () => Promise<void>): Promise<void> {
+    const start = Date.now();
+    await run();
+    this.#say(`${name}: ${Date.now() - start} ms`);
+  }
+
+  async #backInService(limitMs: number): Promise<void> {
+    await this.#fleet.until('a leader that serves, and every flow fresh', limitMs, this.#isBack.bind(this));
+  }
+
+  async #isBack(): Promise<boolean> { return await this.#isServing() && await this.#areFlowsFresh(); }
+
+  /** The brief's failures on real processes, one after the other, and one more at the end; then service must return. */
+  async #troubles(callers: Callers): Promise<boolean> {
+    const fleet = this.#fleet;
+    const [edge] = fleet.edges;
+    const row = /^row (\S+) (\S+)/m.exec(fleet.deployment.table)?.slice(1).join('/') ?? '';
+    const say = this.#say;
+    const self = { setCell: this.setCell.bind(this), back: this.#backInService.bind(this), race: this.#race.bind(this), leader: this.#leaderName.bind(this), emptyZone: this.emptyZone.bind(this), note: this.note.bind(this) };
+    const [runner, otherRunner] = fleet.deployment.runners;
+    const zone = fleet.deployment.zones[0] ?? '';
+    async function cell(): Promise<void> { await self.setCell(row, 'weight', 91); }
+    async function race(): Promise<void> { say(`two operators racing: ${await self.race(row)}`); }
+    async function killLeader(): Promise<void> {
+      const name = await self.leader();
+      await fleet.signal(name, 'SIGKILL');
+      await pause(1500);
+      fleet.run(name);
+      await self.back(30_000);
+    }
+    async function freezeLeader(): Promise<void> {
+      const name = await self.leader();
+      await fleet.signal(name, 'SIGSTOP');
+      await pause(7000);
+      await fleet.signal(name, 'SIGCONT');
+      await self.back(30_000);
+    }
+    async function loseDisk(): Promise<void> {
+      // Right after a yes, the node that gave it loses its disk.
+      const name = await self.leader();
+      await self.setCell(row, 'weight', 92);
+      await fleet.signal(name, 'SIGKILL');
+      const mind = fleet.minds.find(isNamed.bind(undefined, name));
+      if (mind) fleet.wipe(mind);
+      fleet.run(name);
+      await self.back(30_000);
+      const read = await fleet.operateUntil('GET', '/table', undefined, 20_000);
+      self.note({ what: 'table-read', number: Number(read.value['number']) });
+    }
+    async function leave(): Promise<void> {
+      if (!runner) return;
+      await fleet.mark(runner.id, true);
+      await pause(7000);
+      await fleet.mark(runner.id, false);
+    }
+    async function empty(): Promise<void> {
+      await self.emptyZone(zone, true);
+      await pause(8000);
+      await self.emptyZone(zone, false);
+    }
+    async function killRunner(): Promise<void> {
+      if (!otherRunner) return;
+      await fleet.signal(otherRunner.id, 'SIGKILL');
+      await pause(3000);
+      fleet.run(otherRunner.id);
+      await pause(3000);
+    }
+    async function darkRunner(): Promise<void> {
+      if (!runner) return;
+      await fleet.signal(runner.id, 'SIGSTOP');
+      await pause(4000);
+      await fleet.signal(runner.id, 'SIGCONT');
+      await pause(2000);
+    }
+    async function freezeFlow(): Promise<void> {
+      await fleet.signal('flow-0', 'SIGSTOP');
+      // A table accepted while it sleeps must be in force there before it works again.
+      await self.setCell(row, 'weight', 93);
+      await pause(1000);
+      await fleet.signal('flow-0', 'SIGCONT');
+      await pause(1500);
+    }
+    async function restartFlows(): Promise<void> {
+      for (const [index, place] of fleet.edges.entries()) {
+        self.note({ what: 'planned-stop', node: place.flow });
+        const code = await fleet.signal(`flow-${index}`, 'SIGTERM');
+        if (code !== 0) throw new Error(`flow-${index} ended with ${code}`);
+        fleet.run(`flow-${index}`);
+      }
+      await self.back(30_000);
+    }
+    async function restartControl(): Promise<void> {
+      for (const index of fleet.edges.keys()) { await fleet.signal(`link-${index}`, 'SIGTERM'); fleet.run(`link-${index}`); await pause(300); }
+      for (const mind of fleet.minds) { await fleet.signal(mind.name, 'SIGTERM'); fleet.run(mind.name); await self.back(30_000); }
+    }
+    async function lastFault(): Promise<void> {
+      await fleet.signal('link-0', 'SIGKILL');
+      await fleet.signal(await self.leader(), 'SIGKILL');
+      fleet.run('link-0');
+      await self.back(30_000);
+      for (const mind of fleet.minds) fleet.run(mind.name);
+      await self.back(30_000);
+      await pause(3000);
+    }
+    async function crowd(): Promise<void> {
+      // Everybody at once, for models that are seldom asked for.
+      const kind = fleet.deployment.traffic[0];
+      const rare = fleet.deployment.catalog.models.filter(isRare);
+      if (!kind || !edge) return;
+      const sends = [];
+      for (let index = 0; index < 200; index += 1) sends.push(callers.send(kind, rare[index % rare.length]?.name));
+      await Promise.all(sends);
+    }
+    const steps: readonly (readonly [string, () => Promise<void>])[] = [
+      ['one cell', cell], ['two operators', race], ['leader killed', killLeader], ['leader frozen and woken', freezeLeader], ['disk lost after a yes', loseDisk],
+      ['runner leaving', leave], ['zone emptied', empty], ['runner killed', killRunner], ['runner dark', darkRunner], ['proxy frozen and woken', freezeFlow],
+      ['crowd on rare models', crowd], ['proxies restarted', restartFlows], ['links and minds restarted', restartControl], ['one more fault', lastFault],
+    ];
+    for (const [name, run] of steps) await this.#step(name, run);
+    const before = callers.records.length;
+    await pause(5000);
+    const late = callers.records.slice(before);
+    const served = late.filter(isDone).length;
+    this.#say(`after the last fault: ${served} of ${late.length} calls served`);
+    return served >= late.length * 0.7;
+  }
+
+  /** Two operators send a cell edit from the same base at the same moment; says how they fared. */
+  async #race(row: string): Promise<string> {
+    const base = this.#table;
+    const edits = [];
+    for (const [index, mind] of this.#fleet.minds.slice(0, 2).entries()) {
+      edits.push(this.#fleet.operate('PATCH', '/table/cell', { id: randomUUID(), base, row, column: 'weight', value: 50 + index }, mind));
+    }
+    const statuses: number[] = [];
+    for (const returned of await Promise.all(edits)) {
+      statuses.push(returned.status);
+      if (returned.status !== 200) continue;
+      this.#table = Number(returned.value['number']);
+      this.note({ what: 'table-accepted', number: this.#table });
+    }
+    return statuses.sort().join(' and ');
   }
 
   async judge(callers: Callers): Promise<boolean> {
@@ -117,3 +268,7 @@
     return violations.length === 0 && isUseful;
   }
 }
+
+function isNamed(name: string, mind: { readonly name: string }): boolean { return mind.name === name; }
+function isDone(record: { readonly outcome: string }): boolean { return record.outcome === 'done'; }
+function isRare(model: { readonly name: string }): boolean { return model.name.startsWith('rare') || model.name.startsWith('seldom'); }
