Leave a leader in peace when a voter boots beside it; forward nothing to a lost line

Cause: (1) a restarted voter proposed at once, and with equal scores the tie-break made the others elect it anew: every leader kill cost two elections. Ruled out: the scores (equal to the thousandth). A booted voter now listens for two renewals, and a propose from outside forces an election only if somebody outscores the leader. (2) a node passed reads on to a leader whose line had just closed and waited 9 s for them.

--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -50,6 +50,8 @@
 const EMPTY_CATALOG: Catalog = { limit: 0, models: [], adapters: [] };
 const ORDER_AGAIN_MS = 2000;
 const FORWARD_MS = 9000;
+/** A read may be asked again at once, so it is not waited for long. */
+const FORWARD_READ_MS = 1500;
 const PLAN_MS = 250;
 const LOST_RUNNER_MS = 4000;
 const NEVER = moment(-1e12);
@@ -93,6 +95,8 @@
   readonly #reads = new Map<number, Origin>();
   #readId = 0;
   #forwardId = 0;
+  /** Nodes whose line closed and from which nothing came since: what is sent there now is lost. */
+  readonly #closed = new Set<string>();
   readonly #forwards = new Map<number, Forwarded>();
 
   #machines: Machines = { revision: 0, machines: [] };
@@ -174,6 +178,7 @@
   }
 
   receive(now: Moment, from: string, message: Message): void {
+    this.#closed.delete(from);
     switch (message.kind) {
       case 'read':
         if (message.epoch === 0) this.#send(from, this.#standing.returnTo(message.nonce, this.#elector.epoch, this.#parts.copies(), this.#elector.record.grantEpoch > 0));
@@ -203,6 +208,7 @@
 
   /** The line to a node closed. */
   gone(now: Moment, from: string): void {
+    this.#closed.add(from);
     this.#sessions.gone(from);
     this.#relay.removeChild(from);
     for (const [id, forwarded] of this.#forwards) {
@@ -595,7 +601,7 @@
   #forward(now: Moment, origin: Origin, verb: string, body: string): void {
     const leader = this.#elector.leader;
     // Passed on once at most: two nodes that take each other for leader must not play ball with it.
-    if (leader === undefined || leader === this.#me || origin.from !== '') throw new Defect('no-leader', 'no leader is known; nothing was done');
+    if (leader === undefined || leader === this.#me || origin.from !== '' || this.#closed.has(leader)) throw new Defect('no-leader', 'no leader is known; nothing was done');
     this.#forwardId += 1;
     const edit = parseAs(EditShapes.edit, body);
     const isEdit = verb !== 'read' && verb !== 'places';
@@ -668,7 +674,7 @@
 
   #beatCommands(now: Moment): void {
     for (const [id, forwarded] of this.#forwards) {
-      if (now < later(forwarded.at, FORWARD_MS)) continue;
+      if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS)) continue;
       this.#forwards.delete(id);
       this.#returnUnsure(forwarded.origin, forwarded.editId);
     }
--- a/src/vote/Elector.ts
+++ b/src/vote/Elector.ts
@@ -43,6 +43,8 @@
 
   readonly #pinged = new Map<FellowId, { sent: Moment; heard: Moment; scored: Moment }>();
   #pingedAt: Moment;
+  /** Newly booted, we first listen whether somebody leads: our Propose would only disturb. */
+  readonly #listenUntil: Moment;
 
   #effects: VoteEffect[] = [];
   #held: { readonly token: number; readonly run: () => void }[] = [];
@@ -61,6 +63,7 @@
     // What we promised before a crash is gone from memory: hold as if promised this moment, to a leader we no longer know.
     this.#bootPromise = record.grantEpoch > 0 ? later(now, settings.spanMs) : moment(now - settings.leaseMs);
     this.#pingedAt = moment(now - settings.pingMs);
+    this.#listenUntil = record.epoch > 0 ? later(now, settings.renewMs * 2 + settings.pingMs) : now;
   }
 
   get epoch(): Epoch { return this.#epoch; }
@@ -127,7 +130,7 @@
     } else if (this.#role === 'following' && now >= later(this.#heardLeader, this.#settings.spanMs)) {
       this.#lose('looking');
       this.#startIfReachable(now);
-    } else if (this.#role === 'looking') {
+    } else if (this.#role === 'looking' && now >= this.#listenUntil) {
       this.#startIfReachable(now);
     }
   }
@@ -209,8 +212,7 @@
     if (isSettled && !this.#insiders.has(from)) {
       // From outside the quorum: only worth an election if another than the present leader would come out of it,
       // or if we lead ourselves and the newcomer has run ahead, since it could then never accept our renewals.
-      const top = this.#scores.top(this.#quorum.all);
-      if (top !== this.#leader) this.#startIfReachable(now);
+      if (this.#isOutscored()) this.#startIfReachable(now);
       else if (this.#leader === this.#me && epoch > this.#epoch) { this.#adopt(epoch, now); this.#startIfReachable(now); }
       return;
     }
@@ -401,6 +403,14 @@
     return this.#quorum.all.filter(isOther);
   }
 
+  /** Whether somebody's total is above our leader's; the tie-break alone is no reason to change a leader. */
+  #isOutscored(): boolean {
+    const leader = this.#leader;
+    const top = this.#scores.top(this.#quorum.all);
+    if (leader === undefined || top === undefined) return true;
+    return Math.round(this.#scores.total(top, this.#quorum.all) * 1000) > Math.round(this.#scores.total(leader, this.#quorum.all) * 1000);
+  }
+
   #reachesMajority(): boolean {
     return this.#quorum.isMajority(new Set(this.#quorum.all.filter(this.#scores.isAlive, this.#scores)));
   }
