Swap seed machines one by one: a swapped-out leader stands down, a new one is repaired

Cause: a voter set of old and new waited for the machine that is gone, a leader no longer in the set kept its role, and a new machine asked for all three old ones. Now the new set alone must be inside, and a set we never voted in is read by any majority.

--- a/src/kin/Quorum.ts
+++ b/src/kin/Quorum.ts
@@ -29,10 +29,12 @@
     const others = new Set(ids);
     others.delete(me);
     function meets(set: readonly FellowId[]): boolean {
+      // A set we never voted in decided nothing with us: what any majority of it holds is all there is.
+      if (!set.includes(me)) return set.filter(others.has, others).length * 2 > set.length;
       const majority = Math.floor(set.length / 2) + 1;
       const absent = set.length - set.filter(others.has, others).length;
       // What is unread, `me` apart, must be too few to have made a majority together with `me`.
-      return absent - (set.includes(me) ? 1 : 0) + 1 < majority || absent === 0;
+      return absent < majority;
     }
     return this.#sets.every(meets);
   }
@@ -53,6 +55,10 @@
     expect(three.coversWithout(a, new Set([b]))).toBe(false);
     expect(three.coversWithout(a, new Set([a, b]))).toBe(false);
     expect(three.coversWithout(a, new Set([b, c]))).toBe(true);
+    // The machine that is swapped out may be gone for good: the other two tell the new one all there is.
+    expect(three.coversWithout(d, new Set([b, c]))).toBe(true);
+    expect(new Quorum([a, b, c], [d, b, c]).coversWithout(d, new Set([b, c]))).toBe(true);
+    expect(new Quorum([a, b, c], [d, b, c]).coversWithout(d, new Set([a, b]))).toBe(false);
   }
   test('during a swap a majority is one of the old and of the new set', checkJoint);
   test('a node that lost its disk must read everyone it may have decided with', checkRepairReads);
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -236,6 +236,7 @@
     } else {
       this.#parts.stored(part, version, this.#grantedEpoch(), now);
       if (this.#repair?.waiting.delete(part)) this.#endRepair(now);
+      if (part === CONFIG_PART) this.#followVoters();
     }
     this.#collect(now);
   }
@@ -691,7 +692,7 @@
     // A spare that is to vote is taken in once it holds everything; then the old set is let go.
     if (this.#isServing && this.#doc.voters.length === 2 && !this.#parts.isWriting(CONFIG_PART)) {
       const [, next] = this.#doc.voters;
-      if (next && this.#quorum.all.every(this.#elector.insiders.has, this.#elector.insiders)) {
+      if (next && next.map(fellowId).every(this.#elector.insiders.has, this.#elector.insiders)) {
         this.#doc = { ...this.#doc, voters: [next] };
         this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
       }
--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -110,6 +110,21 @@
   get agenda(): Agenda { return this.#agenda; }
   get network(): Network { return this.#network; }
 
+  /** A core machine that is new and empty, and was told the seeds of the day. */
+  addMind(id: string, seeds: readonly string[]): SimMind {
+    const mind = this.#addMind(id, seeds);
+    mind.start();
+    return mind;
+  }
+
+  kill(mind: SimMind): void { this.#kill(mind); }
+
+  start(): void { for (const node of [...this.#minds, ...this.#links, ...this.#flows]) node.start(); }
+
+  leader(): SimMind | undefined { return this.#servingNow(); }
+
+  areFlowsFresh(): boolean { return this.#flows.every(isFresh); }
+
   #addMind(id: string, seeds: readonly string[]): SimMind {
     const mind = new SimMind(id, this.#agenda, this.#seeded, this.#network, this.#outside, seeds, this.#settings.vote ?? VOTE_DEFAULTS);
     this.#minds.push(mind);
@@ -420,6 +435,7 @@
   }
 }
 
+function isFresh(flow: SimFlow): boolean { return flow.decision?.isFresh(flow.now()) === true; }
 function idOf(node: SimNode): string { return node.id; }
 function quicken(mind: SimMind): void { mind.diskMs = 3; }
 function calm(network: Network): void { network.loss = 0; network.mostDelay = 5; }
@@ -448,6 +464,30 @@
     function run(): SimulationResult { return new Simulation({ seed: 5, edges: 2, stormMs: 8000, troubles: TROUBLES }).run(); }
     expect(run()).toEqual(run());
   }
+  function checkSwaps(): void {
+    for (let seed = 1; seed <= 6; seed += 1) {
+      const simulation = new Simulation({ seed, edges: 3, stormMs: 0, troubles: [] });
+      const { agenda } = simulation;
+      simulation.start();
+      agenda.runUntil(15_000);
+      const returns: number[] = [];
+      function returned(status: number): void { returns.push(status); }
+      // Each seed machine in turn is gone for good, the leader among them, and another takes its place, empty.
+      for (let index = 0; index < 3; index += 1) {
+        const old = simulation.minds[index];
+        if (old) simulation.kill(old);
+        simulation.addMind(`mind-${index + 3}:1`, [`mind-${index}:1`, `mind-${index + 1}:1`, `mind-${index + 2}:1`]);
+        agenda.runUntil(agenda.now + 12_000);
+        simulation.leader()?.command('swap', JSON.stringify({ id: `s${index}`, old: `mind-${index}:1`, new: `mind-${index + 3}:1` }), returned);
+        agenda.runUntil(agenda.now + 20_000);
+      }
+      expect(returns).toEqual([200, 200, 200]);
+      expect(simulation.leader()?.core?.voters).toEqual(['mind-3:1', 'mind-4:1', 'mind-5:1']);
+      for (const mind of simulation.minds.slice(3)) expect(mind.core?.standing.name).toBe('sound');
+      expect(simulation.areFlowsFresh()).toBe(true);
+    }
+  }
+  test('all seed machines swapped one by one for empty ones end with full strength', checkSwaps, 600_000);
   test('no rule breaks under all troubles at once', checkAll, 600_000);
   test('the judge bites when the lease leaves no gap', checkBites, 600_000);
   test('a seed replays exactly', checkReplay, 600_000);
--- a/src/vote/Elector.ts
+++ b/src/vote/Elector.ts
@@ -118,7 +118,12 @@
 
   beat(now: Moment): void {
     this.#ping(now);
-    if (!this.#mayVote || !this.#quorum.holds(this.#me)) return;
+    if (!this.#mayVote) return;
+    if (!this.#quorum.holds(this.#me)) {
+      // Swapped out: whoever leads now, it is not us.
+      if (this.#role !== 'looking' && this.#role !== 'following') this.#lose('looking');
+      return;
+    }
     if (this.#role === 'leading' || this.#role === 'won') this.#beatLeader(now);
     if (this.#role === 'proposing' && now >= this.#limit) {
       if (this.#quorum.isMajority(this.#deferrals)) this.#win(now);
