Add haretrack doubt: a table checked against the live fleet by the placer itself

Unreached and shadowed rows, unknown models, takes above the fleet, models that fit nowhere or in one zone, and what each zone's loss would leave; says what would be fetched and who would wait.

--- a/src/commands.ts
+++ b/src/commands.ts
@@ -1,3 +1,4 @@
+import { DoubtCommand } from './doubt/DoubtCommand.js';
 import { FlowCommand } from './flow/FlowCommand.js';
 import { LinkCommand } from './link/LinkCommand.js';
 import { MindCommand } from './mind/MindCommand.js';
@@ -9,6 +10,7 @@
 
 /** Every subcommand of the one binary. */
 export const COMMANDS = {
+  doubt: DoubtCommand,
   flow: FlowCommand,
   link: LinkCommand,
   mind: MindCommand,
--- /dev/null
+++ b/src/doubt/Doubt.ts
@@ -0,0 +1,198 @@
+import { array, boolean, number, string, type, union, literal, type Infer } from 'superstruct';
+import { matchesModel, rowKey, TableShape, type Row, type Table } from '../code/Table.js';
+import { moment } from '../kin/Ids.js';
+import { PLACER_DEFAULTS, type PlanInput, type RunnerView } from '../place/Placer.js';
+import { CatalogShape, MachineShape, RunnerReportShape, ServiceDocShape } from '../place/Shapes.js';
+import { Trial, type TrialOutcome } from '../place/Trial.js';
+
+/** The live fleet, as the leader shows it. */
+export const FleetShape = type({
+  number: number(), table: TableShape, emptied: array(string()), catalog: CatalogShape, docs: array(ServiceDocShape),
+  runners: array(type({ machine: MachineShape, report: union([RunnerReportShape, literal(null)]), isReachable: boolean() })),
+  demand: array(type({ unit: string(), rate: number() })),
+});
+export type FleetView = Infer<typeof FleetShape>;
+
+export interface Finding { readonly kind: string; readonly subject: string; readonly text: string }
+
+export interface DoubtReport {
+  readonly findings: readonly Finding[];
+  /** What putting the table in force would set off: no fault, but good to know. */
+  readonly orders: readonly string[];
+  readonly waits: readonly string[];
+}
+
+export interface DoubtSettings {
+  /** How long a run is taken to last, to tell what the standing runners could serve. */
+  readonly runMs: number;
+}
+
+const STEPS = 120;
+
+/** Checks a proposed table against the fleet as it is, by the placer itself. */
+export class Doubt {
+  readonly #table: Table;
+  readonly #fleet: FleetView;
+  readonly #settings: DoubtSettings;
+  readonly #findings: Finding[] = [];
+
+  constructor(table: Table, fleet: FleetView, settings: DoubtSettings) {
+    this.#table = table;
+    this.#fleet = fleet;
+    this.#settings = settings;
+  }
+
+  check(): DoubtReport {
+    this.#rows();
+    this.#fits();
+    const now = this.#trial(this.#fleet.emptied);
+    const before = this.#trialOf(this.#fleet.table, this.#fleet.emptied);
+    const waits: string[] = [];
+    for (const place of now.places) if (place.seats.length === 0 && place.wait !== '') waits.push(`${place.model}: ${place.wait}`);
+    this.#zones(now);
+    const ordersBefore = new Set(before.orders.map(orderText));
+    const orders: string[] = [];
+    for (const intent of now.orders) if (!ordersBefore.has(orderText(intent))) orders.push(orderText(intent));
+    return { findings: this.#findings, orders, waits };
+  }
+
+  #find(kind: string, subject: string, text: string): void { this.#findings.push({ kind, subject, text }); }
+
+  #modelsOf(row: Row): string[] {
+    const models: string[] = [];
+    for (const { name } of this.#fleet.catalog.models) if (matchesModel(row.model, name)) models.push(name);
+    return models;
+  }
+
+  #rows(): void {
+    const mapped = new Set<string>();
+    for (const mapping of this.#table.mappings) mapped.add(mapping.type);
+    const earlier: Row[] = [];
+    for (const row of this.#table.rows) {
+      const key = rowKey(row);
+      if (!mapped.has(row.type)) this.#find('unreached-row', key, `no mapping leads to the type ${row.type}`);
+      const cover = earlier.find(covers.bind(undefined, row));
+      if (cover) this.#find('shadowed-row', key, `${rowKey(cover)} stands before it and takes all it would`);
+      earlier.push(row);
+      if (row.model.startsWith('@')) this.#plainRow(row);
+      else this.#modelRow(row);
+    }
+  }
+
+  #plainRow(row: Row): void {
+    let standing = 0;
+    for (const { machine } of this.#fleet.runners) if (machine.service === row.model.slice(1) && !machine.leaving) standing += 1;
+    if (standing === 0) this.#find('no-back-end', rowKey(row), `no back end of ${row.model} is on the platform's list`);
+  }
+
+  #modelRow(row: Row): void {
+    const models = this.#modelsOf(row);
+    if (models.length === 0) { this.#find('unknown-model', rowKey(row), 'the catalogue has no model that fits it'); return; }
+    const slots: number[] = [];
+    for (const { machine, report } of this.#fleet.runners) if (report && !machine.leaving) slots.push(report.slots);
+    slots.sort(descending);
+    // Each of its models has a pair at best, and all of them together no more than there is.
+    let standing = 0;
+    for (const count of slots.slice(0, models.length * 2)) standing += count;
+    const perSecond = (standing * 1000) / this.#settings.runMs;
+    if (row.take > perSecond) this.#find('take-above-fleet', rowKey(row), `takes ${row.take} a second; what stands could serve ${perSecond} of ${this.#settings.runMs} ms each`);
+  }
+
+  #fits(): void {
+    for (const { name, size } of this.#fleet.catalog.models) {
+      if (!this.#table.rows.some(wants.bind(undefined, name))) continue;
+      const zones = new Set<string>();
+      for (const { machine, report } of this.#fleet.runners) if (report && report.room >= size && machine.service === '' && !machine.leaving) zones.add(machine.zone);
+      if (zones.size === 0) this.#find('fits-nowhere', name, `needs ${size}, and no runner has so much room`);
+      else if (zones.size === 1) this.#find('no-pair', name, `only zone ${[...zones][0]} has runners with room for it: its pair cannot cross zones`);
+    }
+  }
+
+  #zones(now: TrialOutcome): void {
+    const zones = new Set<string>();
+    for (const { machine } of this.#fleet.runners) if (machine.service === '') zones.add(machine.zone);
+    const served = new Set<string>();
+    for (const place of now.places) if (place.seats.length > 0) served.add(place.model);
+    for (const zone of [...zones].sort()) {
+      const left = this.#trial([...this.#fleet.emptied, zone]);
+      const lost: string[] = [];
+      for (const place of left.places) if (place.seats.length === 0 && served.has(place.model)) lost.push(place.model);
+      if (lost.length > 0) this.#find('zone-lost', zone, `without it, ${lost.length} models that would be served are not: ${lost.sort().join(' ')}`);
+    }
+    for (const row of this.#table.rows) {
+      if (!row.model.startsWith('@')) continue;
+      const homes = new Set<string>();
+      for (const { machine } of this.#fleet.runners) if (machine.service === row.model.slice(1) && !machine.leaving) homes.add(machine.zone);
+      if (homes.size === 1) this.#find('zone-lost', [...homes][0] ?? '', `all back ends of ${row.model} stand there`);
+    }
+  }
+
+  #trial(emptied: readonly string[]): TrialOutcome { return this.#trialOf(this.#table, emptied); }
+
+  #trialOf(table: Table, emptied: readonly string[]): TrialOutcome {
+    const runners: RunnerView[] = [];
+    for (const { machine, report, isReachable } of this.#fleet.runners) runners.push({ machine, report: report ?? undefined, askedAt: moment(0), isReachable, isLost: !isReachable });
+    const input: PlanInput = { table, catalog: this.#fleet.catalog, runners, emptied };
+    const demand = new Map<string, number>();
+    for (const { unit, rate } of this.#fleet.demand) demand.set(unit, rate);
+    return new Trial(PLACER_DEFAULTS, input, this.#fleet.docs, demand).run(STEPS);
+  }
+}
+
+function descending(a: number, b: number): number { return b - a; }
+function wants(model: string, row: Row): boolean { return !row.model.startsWith('@') && matchesModel(row.model, model); }
+function orderText(intent: { readonly verb: string; readonly model: string; readonly adapter: string; readonly runner: string }): string {
+  return `${intent.verb} ${intent.model}${intent.adapter === '' ? '' : ` ${intent.adapter}`} at ${intent.runner}`;
+}
+
+/** Whether the earlier row takes everything that the later one could. */
+function covers(later: Row, earlier: Row): boolean {
+  if (earlier.type !== later.type) return false;
+  // Plain back ends take whatever model a request names.
+  if (earlier.model.startsWith('@')) return true;
+  if (!earlier.model.endsWith('*')) return earlier.model === later.model;
+  return later.model.replace(/\*$/, '').startsWith(earlier.model.slice(0, -1));
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { compile } = await import('../code/Language.js');
+  function fleetOf(rooms: readonly (readonly [string, number])[], models: readonly (readonly [string, number])[]): FleetView {
+    const runners = [];
+    for (const [index, [zone, room]] of rooms.entries()) {
+      const id = `r${index}`;
+      runners.push({ machine: { id, address: id, zone, service: '', leaving: false }, report: { id, boot: 'b', room, slots: 4, upMs: 60_000, holds: [] }, isReachable: true });
+    }
+    return { number: 1, table: { mappings: [], rows: [] }, emptied: [], catalog: { limit: 2, models: models.map(sized), adapters: [] }, docs: [], runners, demand: [{ unit: 'm-0\n', rate: 2 }] };
+  }
+  function sized([name, size]: readonly [string, number]): { name: string; size: number } { return { name, size }; }
+  function kinds(text: string, fleet: FleetView): string[] {
+    const { table, faults } = compile(text);
+    expect(faults).toEqual([]);
+    return new Doubt(table, fleet, { runMs: 1000 }).check().findings.map(kindOf);
+  }
+  function kindOf(finding: Finding): string { return `${finding.kind} ${finding.subject}`; }
+  const CLEAN = 'map POST /c to check\nrow check m-* weight 9 take 5/s';
+  function checkClean(): void {
+    const { table } = compile(CLEAN);
+    const report = new Doubt(table, fleetOf([['a', 20], ['b', 20]], [['m-0', 10], ['m-1', 10]]), { runMs: 1000 }).check();
+    expect(report.findings).toEqual([]);
+    expect(report.waits).toEqual([]);
+    expect(report.orders).toContain('load m-0 at r0');
+    expect(report.orders).toHaveLength(4);
+  }
+  function checkRows(): void {
+    const fleet = fleetOf([['a', 20], ['b', 20]], [['m-0', 10]]);
+    expect(kinds('map POST /c to check\nrow check m-*\nrow check m-0\nrow other m-0 take 1/s\nrow check x take 1/s', fleet)).toEqual([
+      'take-above-fleet check/m-*', 'shadowed-row check/m-0', 'take-above-fleet check/m-0', 'unreached-row other/m-0', 'unknown-model check/x',
+    ]);
+    expect(kinds('map GET /l to lookup\nrow lookup @kiosk', fleet)).toEqual(['no-back-end lookup/@kiosk']);
+  }
+  function checkFits(): void {
+    expect(kinds(CLEAN, fleetOf([['a', 20], ['b', 20]], [['m-0', 30]]))).toEqual(['fits-nowhere m-0']);
+    expect(kinds(CLEAN, fleetOf([['a', 40], ['b', 20]], [['m-0', 30]]))).toEqual(['no-pair m-0', 'zone-lost a']);
+  }
+  test('a table that fits is clean, and says what it would set off', checkClean);
+  test('rows that nothing reaches, shadowed ones and takes above the fleet are found', checkRows);
+  test('models that fit nowhere, or in one zone alone, are found', checkFits);
+}
--- a/src/mind/Api.ts
+++ b/src/mind/Api.ts
@@ -56,6 +56,7 @@
     if (edit && method === 'GET') return this.#ask('edit', JSON.stringify({ id: decodeURIComponent(edit[1] ?? '') }));
     switch (`${method} ${path}`) {
       case 'GET /status': return this.#ask('status', '{}');
+      case 'GET /fleet': return this.#ask('fleet', '{}');
       case 'GET /table': return this.#ask('read', '{}');
       case 'PUT /table': return this.#ask('table', withField(body, {}));
       case 'PATCH /table/cell': return this.#ask('cell', withField(body, {}));
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -591,7 +591,8 @@
       if (verb === 'status') { this.#return(origin, 200, JSON.stringify(this.#status(now))); return; }
       if (verb === 'found') { this.#found(now, origin); return; }
       if (!this.#elector.isLeading() || !this.#isServing) { this.#forward(now, origin, verb, body); return; }
-      if (verb === 'read' || verb === 'places') this.#read(origin, verb);
+      if (verb === 'read') this.#read(origin);
+      else if (verb === 'fleet') this.#return(origin, 200, JSON.stringify(this.#fleet(now)));
       else if (verb === 'edit') this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask').id);
       else this.#edit(now, origin, verb, body);
     } catch (thrown) {
@@ -605,7 +606,7 @@
     if (leader === undefined || leader === this.#me || origin.from !== '' || this.#closed.has(leader)) throw new Defect('no-leader', 'no leader is known; nothing was done');
     this.#forwardId += 1;
     const edit = parseAs(EditShapes.edit, body);
-    const isEdit = verb !== 'read' && verb !== 'places';
+    const isEdit = verb !== 'read' && verb !== 'fleet';
     this.#forwards.set(this.#forwardId, { origin, to: leader, at: now, editId: isEdit ? edit?.id ?? '' : '' });
     this.#send(leader, { kind: 'command', id: this.#forwardId, verb, body });
   }
@@ -658,9 +659,9 @@
     else this.#write(now, origin, id, recordEdit(this.#doc, id, 'closed'), 'closed');
   }
 
-  #read(origin: Origin, verb: string): void {
+  #read(origin: Origin): void {
     this.#readId += 1;
-    this.#reads.set(this.#readId, verb === 'read' ? origin : origin);
+    this.#reads.set(this.#readId, origin);
     this.#vouching.add({ child: '', nonce: this.#readId, members: [] });
   }
 
@@ -814,6 +815,16 @@
 
   // ---- what operators see
 
+  /** The fleet as the placer sees it, for checking a table against it. */
+  #fleet(now: Moment): object {
+    const { runners, catalog, emptied, table } = this.#planInput(now);
+    const views = [];
+    for (const { machine, report, isReachable } of runners) views.push({ machine, report: report ?? null, isReachable });
+    const demand = [];
+    for (const unit of this.#placer.demand.units()) demand.push({ unit, rate: this.#placer.demand.rate(now, unit) });
+    return { number: this.#doc.number, table, emptied, catalog, docs: this.#placer.docs(), runners: views, demand };
+  }
+
   #status(now: Moment): object {
     const totals: Record<string, number> = {};
     for (const voter of this.#quorum.all) totals[voter] = Math.round(this.#elector.scores.total(voter, this.#quorum.all) * 1000) / 1000;
