Add measures of news, draws, crowds and the proxy's cost; cap a share at the slots

Cause of the change: a proxy's share of a runner was twice an even one even where it is the only proxy, so a lone proxy sent twice what the runner has slots for.

--- a/src/commands.ts
+++ b/src/commands.ts
@@ -3,6 +3,7 @@
 import { LinkCommand } from './link/LinkCommand.js';
 import { MindCommand } from './mind/MindCommand.js';
 import { FleetCommand } from './myth/FleetCommand.js';
+import { MeasureCommand } from './myth/MeasureCommand.js';
 import { StormCommand } from './myth/StormCommand.js';
 import { StandCommand } from './myth/StandCommand.js';
 import { AskEditCommand, EmptyCommand, FillCommand, FoundCommand, PutCommand, RowsCommand, SetCommand, SwapCommand } from './word/EditCommands.js';
@@ -15,6 +16,7 @@
   link: LinkCommand,
   mind: MindCommand,
   'myth:fleet': FleetCommand,
+  'myth:measure': MeasureCommand,
   'myth:stand': StandCommand,
   'myth:storm': StormCommand,
   'word:counters': CountersCommand,
--- a/src/flow/Decision.ts
+++ b/src/flow/Decision.ts
@@ -352,7 +352,8 @@
     if (!placed || !state) return 0;
     const flows = Math.max(1, this.#places?.news.flows ?? 1);
     const slots = placed.slots === 0 ? 64 : placed.slots;
-    const share = Math.max(1, Math.ceil((slots * 2) / flows));
+    // Twice an even share, since proxies are not asked evenly, but never more than there is.
+    const share = Math.max(1, Math.min(slots, Math.ceil((slots * 2) / flows)));
     const warmth = Math.min(1, Math.max(0.1, (now - state.firstSeen) / this.#settings.rampMs));
     return Math.max(1, Math.floor(share * warmth));
   }
--- /dev/null
+++ b/src/myth/MeasureCommand.ts
@@ -0,0 +1,17 @@
+import { Args, Command, Flags } from '@oclif/core';
+import { measureCrowd, measureDraw, measureNews, measureRelay } from './Measures.js';
+
+export class MeasureCommand extends Command {
+  static override description = 'measure on virtual time, or as ratios within one run';
+  static override args = { topic: Args.string({ required: true, options: ['news', 'draw', 'crowd', 'relay'] }) };
+  static override flags = { seed: Flags.integer({ default: 1 }), rounds: Flags.integer({ default: 1000, description: 'rounds of the relay measure' }) };
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(MeasureCommand);
+    if (args.topic === 'news') for (const edges of [12, 50, 200]) this.log(JSON.stringify(measureNews(edges, flags.seed)));
+    if (args.topic === 'draw') for (const row of measureDraw(flags.seed)) this.log(JSON.stringify(row));
+    if (args.topic === 'crowd') for (const row of measureCrowd(flags.seed)) this.log(JSON.stringify(row));
+    if (args.topic === 'relay') this.log(JSON.stringify(await measureRelay(flags.rounds)));
+    this.exit(0);
+  }
+}
--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -123,6 +123,14 @@
 
   leader(): SimMind | undefined { return this.#servingNow(); }
 
+  mark(runner: string, isLeaving: boolean): void { this.#outside.mark(runner, isLeaving); }
+
+  /** Whether every proxy has the platform's newest list. */
+  haveAllMarks(): boolean {
+    for (const flow of this.#flows) if ((flow.decision?.marks ?? 0) < this.#outside.revision) return false;
+    return true;
+  }
+
   areFlowsFresh(): boolean { return this.#flows.every(isFresh); }
 
   #addMind(id: string, seeds: readonly string[]): SimMind {
