--- a/src/flow/FlowProcess.ts
+++ b/src/flow/FlowProcess.ts
@@ -13,7 +13,7 @@
 import { Executor } from './Executor.js';
 
 const BEAT_MS = 25;
-const ASK_EVERY = 6;
+const ASK_EVERY = 12;
 const DEMAND_EVERY = 40;
 
 /** The proxy's process: the executor at its HTTP port, and the line to the agent beside it. */
--- a/src/myth/SimEdge.ts
+++ b/src/myth/SimEdge.ts
@@ -7,7 +7,7 @@
 import { SimNode } from './SimNode.js';
 
 const BLIND_MS = 2500;
-const ASK_EVERY = 6;
+const ASK_EVERY = 12;
 
 /** A simulated edge machine's link: the real core. */
 export class SimLink extends SimNode {
