Recover the table from members after lost disks, and found nothing over it

Cause: with all three disks lost at once, a blank node that no member had joined founded over the table which the others' members held; members never step back a version, so the new fleet's tables would have been refused for good. Ruled out: the waiting time (members had joined within it). Blank nodes now tell each other what their members hold; word found starts above all their epochs and takes the newest table back from them. The simulated loss of two and of three disks failed first.

--- a/src/link/LinkCore.ts
+++ b/src/link/LinkCore.ts
@@ -84,6 +84,8 @@
         if (role === 'flow' && this.#flows.get(from)?.goneAt !== undefined) this.#flows.delete(from);
         if (role === 'flow' && !this.#flows.has(from)) this.#flows.set(from, { acked: NO_VERSION, goneAt: undefined });
         this.#relay.heard(from, message.have);
+        // A control node that lost what it held asks for news alone.
+        if (message.nonce < 0) { this.#flush(); this.#relay.removeChild(from); break; }
         this.#noteFlow(from, message.have);
         this.#vouching.add({ child: from, nonce: message.nonce, members: message.members });
         this.#ask(now);
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -21,7 +21,7 @@
 import { Elector } from '../vote/Elector.js';
 import type { VoteRecord } from '../vote/VoteEffect.js';
 import { VOTE_DEFAULTS, type VoteSettings } from '../vote/VoteSettings.js';
-import { ConfigDocShape, EditShapes, firstDoc, type ConfigDoc } from './ConfigDoc.js';
+import { ConfigDocShape, ConfigNewsShape, EditShapes, firstDoc, type ConfigDoc } from './ConfigDoc.js';
 import { applyEdit, recordEdit, TableDefect } from './Edits.js';
 import type { MindEffect, MindSettings } from './MindEffect.js';
 
@@ -53,6 +53,8 @@
 /** A read may be asked again at once, so it is not waited for long. */
 const FORWARD_READ_MS = 1500;
 const PLAN_MS = 250;
+/** How long members are waited for when the table is recovered from them. */
+const RECOVER_MS = 2000;
 const LOST_RUNNER_MS = 4000;
 const NEVER = moment(-1e12);
 
@@ -107,6 +109,8 @@
   readonly #keptIntents = new Set<string>();
   /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a beat earlier. */
   #isServing = false;
+  #isRecovering = false;
+  #recoverUntil: Moment | undefined;
   #servingSince: Moment = NEVER;
   #plannedAt: Moment = NEVER;
   #machinesAt: Moment = NEVER;
@@ -332,6 +336,7 @@
 
   #standDown(): void {
     this.#isServing = false;
+    this.#recoverUntil = undefined;
     this.#parts.stand();
     this.#orders.clear();
     this.#keptIntents.clear();
@@ -350,7 +355,7 @@
     if (outcome.become === 'founded') {
       this.#note('founding', {});
       this.#settleOnVote = this.#voteCount + 1;
-      this.#elector.setMayVote(true, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
+      this.#elector.setMayVote(true, { epoch: outcome.epoch, grantEpoch: 0, grantLeader: '' }, now);
     } else {
       this.#note('repaired from fellows', { epoch: outcome.epoch });
       this.#parts.adopt(outcome.copies);
@@ -536,7 +541,11 @@
     this.#note('serving', { epoch: this.#ledEpoch });
     const body = this.#parts.body(CONFIG_PART);
     this.#doc = body === '' ? firstDoc(this.#settings.seeds) : mustParseAs(ConfigDocShape, body, 'the configuration part');
-    this.#publishConfig(this.#parts.versionOf(CONFIG_PART), this.#doc);
+    // Only committed tables are ever told: one told here that no majority holds any more was lost with their disks.
+    const told = parseAs(ConfigNewsShape, this.#relay.item('config')?.body ?? '');
+    if (told && told.number > this.#doc.number) this.#isRecovering = true;
+    if (this.#isRecovering) this.#recover(now);
+    else this.#publishConfig(this.#parts.versionOf(CONFIG_PART), this.#doc);
     const docs: ServiceDoc[] = [];
     for (const part of allParts()) {
       const text = part === CONFIG_PART ? '' : this.#parts.body(part);
@@ -551,6 +560,24 @@
     this.#placesCount = 0;
   }
 
+  /** After an operator's word found, members are asked for the newest table they hold before anything is served. */
+  #recover(now: Moment): void {
+    this.#recoverUntil = later(now, RECOVER_MS);
+    for (const member of this.#knownMembers()) this.#send(member.id, { kind: 'ask', nonce: -1, have: [], members: [] });
+  }
+
+  #endRecovery(now: Moment): void {
+    this.#isRecovering = false;
+    this.#recoverUntil = undefined;
+    const item = this.#relay.item('config');
+    const news = item ? parseAs(ConfigNewsShape, item.body) : undefined;
+    if (news && news.number > this.#doc.number) {
+      this.#note('table recovered from members', { table: news.number });
+      this.#doc = { ...this.#doc, number: news.number, table: news.table, emptied: news.emptied };
+    }
+    this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
+  }
+
   #publishConfig(version: Version, doc: ConfigDoc): void {
     const { number: count, table, emptied, voters } = doc;
     this.#relay.offer('config', version, JSON.stringify({ number: count, table, emptied, voters }));
@@ -590,6 +617,7 @@
     try {
       if (verb === 'status') { this.#return(origin, 200, JSON.stringify(this.#status(now))); return; }
       if (verb === 'found') { this.#found(now, origin); return; }
+      if (this.#recoverUntil !== undefined) throw new Defect('no-leader', 'the table is being recovered from the members');
       if (!this.#elector.isLeading() || !this.#isServing) { this.#forward(now, origin, verb, body); return; }
       if (verb === 'read') this.#read(origin);
       else if (verb === 'fleet') this.#return(origin, 200, JSON.stringify(this.#fleet(now)));
@@ -675,6 +703,7 @@
   }
 
   #beatCommands(now: Moment): void {
+    if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#isServing) this.#endRecovery(now);
     for (const [id, forwarded] of this.#forwards) {
       if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS)) continue;
       this.#forwards.delete(id);
@@ -708,6 +737,7 @@
   #found(now: Moment, origin: Origin): void {
     if (this.#standing.name === 'sound') { this.#return(origin, 200, JSON.stringify({ outcome: 'already', standing: 'sound' })); return; }
     this.#standing.force();
+    this.#isRecovering = true;
     this.#settleStanding(now, this.#standing.outcome(now, this.#quorum));
     this.#return(origin, 200, JSON.stringify({ outcome: 'forced', standing: this.#standing.name }));
   }
@@ -765,6 +795,7 @@
 
   #plan(now: Moment): void {
     // A new leader plans only once it has heard from the runners, or it would take all their seats away.
+    if (this.#recoverUntil !== undefined) return;
     const isInformed = [...this.#runners.values()].every(isHeard) || now - this.#servingSince > LOST_RUNNER_MS;
     if (!isInformed || this.#catalog.models.length === 0) return;
     const input = this.#planInput(now);
--- a/src/myth/Rehearsal.ts
+++ b/src/myth/Rehearsal.ts
@@ -2,7 +2,7 @@
 import { call } from '../kin/Call.js';
 import type { Callers } from './Callers.js';
 import type { Fleet } from './Fleet.js';
-import { Judge, RULES } from './Judge.js';
+import { Judge, RULES, type Violation } from './Judge.js';
 import { readBackRecords, type EventRecord } from './Records.js';
 import { pause } from './RunnerStand.js';
 
@@ -249,15 +249,21 @@
     return statuses.sort().join(' and ');
   }
 
-  async judge(callers: Callers): Promise<boolean> {
+  /** Reads the table back, joins all records, and returns the rules that were broken. */
+  async violations(callers: Callers): Promise<readonly Violation[]> {
     const read = await this.#fleet.operateUntil('GET', '/table', undefined, 20_000);
     this.note({ what: 'table-read', number: Number(read.value['number']) });
     const backs = readBackRecords(this.#fleet.backRecords());
-    const violations = new Judge({ callers: callers.records, backs, events: this.#events, zones: this.#fleet.zones() }).judge();
+    this.#say(`judged ${callers.records.length} calls and ${backs.length} records`);
+    return new Judge({ callers: callers.records, backs, events: this.#events, zones: this.#fleet.zones() }).judge();
+  }
+
+  async judge(callers: Callers): Promise<boolean> {
+    const violations = await this.violations(callers);
     const counts = new Map<string, number>();
     for (const rule of RULES) counts.set(rule, 0);
     for (const violation of violations) counts.set(violation.rule, (counts.get(violation.rule) ?? 0) + 1);
-    this.#say(`judged ${callers.records.length} calls and ${backs.length} records: ${violations.length} broken rules`);
+    this.#say(`${violations.length} broken rules`);
     for (const [rule, count] of counts) if (count > 0) this.#say(`  ${rule}: ${count}`);
     for (const violation of violations.slice(0, 20)) this.#say(`  ${violation.rule}: ${violation.text}`);
     let done = 0;
--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -131,6 +131,12 @@
     return true;
   }
 
+  tableNumbers(): number[] {
+    const numbers: number[] = [];
+    for (const flow of this.#flows) numbers.push(flow.decision?.tableNumber ?? -1);
+    return numbers;
+  }
+
   areFlowsFresh(): boolean { return this.#flows.every(isFresh); }
 
   #addMind(id: string, seeds: readonly string[]): SimMind {
@@ -495,6 +501,41 @@
       expect(simulation.areFlowsFresh()).toBe(true);
     }
   }
+  function makeTable(number: number): string {
+    const { table } = compile(`map POST /v1/checks to check\nrow check m-* weight ${number} take 100/s late 10s once stream`);
+    return JSON.stringify({ id: `t${number}`, base: number - 1, table });
+  }
+  function checkFound(): void {
+    for (const lost of [3, 2]) {
+      const simulation = new Simulation({ seed: lost, edges: 3, stormMs: 0, troubles: [] });
+      const { agenda } = simulation;
+      simulation.start();
+      agenda.runUntil(15_000);
+      const returns: number[] = [];
+      const bodies: string[] = [];
+      function returned(status: number, body: string): void { returns.push(status); bodies.push(body); }
+      for (let number = 1; number <= 3; number += 1) { simulation.leader()?.command('table', makeTable(number), returned); agenda.runUntil(agenda.now + 2000); }
+      // More disks are lost at once than the rest can make good, while the members still hold the newest table.
+      const victims = simulation.minds.slice(0, lost);
+      for (const mind of victims) { simulation.kill(mind); mind.wipe(); }
+      agenda.runUntil(agenda.now + 500);
+      for (const mind of victims) mind.start();
+      agenda.runUntil(agenda.now + 10_000);
+      expect(simulation.leader()).toBeUndefined();
+      for (const mind of victims) { expect(mind.core?.standing.name).toBe('blank'); mind.command('found', '{}', returned); }
+      agenda.runUntil(agenda.now + 15_000);
+      simulation.leader()?.command('read', '{}', returned);
+      agenda.runUntil(agenda.now + 3000);
+      expect(returns.slice(-1)).toEqual([200]);
+      expect(bodies.slice(-1)[0]).toContain('"number":3');
+      expect(simulation.areFlowsFresh()).toBe(true);
+      simulation.leader()?.command('table', makeTable(4), returned);
+      agenda.runUntil(agenda.now + 5000);
+      expect(returns.slice(-1)).toEqual([200]);
+      expect(simulation.tableNumbers()).toEqual([4, 4, 4]);
+    }
+  }
+  test('two or three disks lost at once: nothing is founded by itself, and word found recovers the members\' table', checkFound, 600_000);
   test('all seed machines swapped one by one for empty ones end with full strength', checkSwaps, 600_000);
   test('no rule breaks under all troubles at once', checkAll, 600_000);
   test('the judge bites when the lease leaves no gap', checkBites, 600_000);
