Cut links under real processes; hold nobody back; carry bodies at less cost

Rehearsal: relays between nodes are cut and healed: the leader alone, an edge, the whole core. Found: 19 lookups heard their no after more than half their lateness (all sent to a proxy while it was frozen, which the judge now knows); and where no run has ended yet, pending requests waited out their limit: a third of the lateness is now the most, and the oldest run counts as a length.

--- a/src/flow/Decision.ts
+++ b/src/flow/Decision.ts
@@ -173,6 +173,7 @@
       if (row && rowKey(row) === rowKey(work.row)) this.#pending.push({ ...work, row });
       else this.#turnAway(work.asked.id, 'unmapped', 'the table no longer has a row for it');
     }
+    this.#pending.sort(byWeight);
   }
 
   #rowOf(asked: Asked): Row | undefined {
@@ -315,14 +316,23 @@
       let mean = 0;
       for (const candidate of candidates) {
         capacity += this.#capacity(now, candidate.id);
-        mean = Math.max(mean, this.#runners.get(candidate.id)?.meanMs ?? 0);
+        mean = Math.max(mean, this.#runners.get(candidate.id)?.meanMs ?? 0, this.#longestRun(now, candidate.id));
       }
       const waitMs = ((before + 1) * mean) / Math.max(1, capacity);
       // Half of the lateness is for the run itself, since runs differ from their mean.
-      if (later(now, waitMs + mean) > later(work.arrivedAt, work.row.lateMs / 2) || now >= work.limit) this.#remove(work, 'crowded', `${before} wait before it`);
+      const isTooLate = later(now, waitMs + mean) > later(work.arrivedAt, work.row.lateMs / 2);
+      // Whatever the estimate says, nobody waits for more than a third of the lateness to be told no.
+      if (isTooLate || now >= later(work.arrivedAt, work.row.lateMs / 3)) this.#remove(work, 'crowded', `${before} wait before it`);
     }
   }
 
+  /** How long the oldest run there goes on already: a bound for runs of which none has ended yet. */
+  #longestRun(now: Moment, runner: string): number {
+    let longest = 0;
+    for (const work of this.#running.values()) if (work.runner === runner) longest = Math.max(longest, now - work.startedAt);
+    return longest;
+  }
+
   #remove(work: Work, kind: DefectKind, text: string): void {
     this.#pending.splice(this.#pending.indexOf(work), 1);
     this.#turnAway(work.asked.id, kind, text);
@@ -574,6 +584,15 @@
     expect(said.filter(isRunning).length).toBe(4);
     expect(bench.decision.pending + said.length).toBe(60);
   }
+  function checkNeverHeld(): void {
+    // Nothing has ended yet, so that no length of runs is known: those that wait hear their no well before their limit.
+    const bench = new Bench(1);
+    for (let index = 0; index < 5; index += 1) bench.ask('light');
+    expect(bench.verdicts()).toHaveLength(2);
+    for (bench.now = 0; bench.now < 5000; bench.now += 100) { bench.fresh(); bench.decision.beat(moment(bench.now)); if (bench.decision.pending === 0) break; }
+    expect(bench.verdicts().sort()).toEqual(['3 crowded', '4 crowded', '5 crowded']);
+    expect(bench.now).toBeLessThanOrEqual(3400);
+  }
   function isCrowded(text: string): boolean { return text.endsWith('crowded'); }
   function isRunning(text: string): boolean { return text.includes('runs'); }
   function checkBlind(): void {
@@ -633,6 +652,7 @@
   test('kept prefixes go first, then the primary, then the least pending', checkDraw);
   test('of what is pending the weightiest starts first', checkWeights);
   test('of a crowd, what cannot be served in time is turned away at once', checkCrowd);
+  test('nobody is held back till near the limit to be told no', checkNeverHeld);
   test('a proxy not vouched for in time turns new work away', checkBlind);
   test('emptied zones and leaving runners are not drawn', checkBarred);
   test('only what was not written runs elsewhere, or what is repeatable', checkEnds);
--- a/src/flow/Executor.ts
+++ b/src/flow/Executor.ts
@@ -1,6 +1,5 @@
 import { Agent, createServer, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders, type Server, type ServerResponse } from 'node:http';
 import { once } from 'node:events';
-import { pipeline } from 'node:stream';
 import { randomUUID } from 'node:crypto';
 import { array, optional, size, string, type } from 'superstruct';
 import { readBody } from '../kin/Call.js';
@@ -149,7 +148,9 @@
     if (returned.headersSent || returned.destroyed) { returned.destroy(); return; }
     const row = DEFECTS[kind];
     const body = JSON.stringify({ defect: kind, text, outcome: row.unsure ? 'unsure' : 'turned-away' });
-    const headers: OutgoingHttpHeaders = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'x-request-id': requestId, 'x-table': String(this.#decision.tableNumber) };
+    const headers: OutgoingHttpHeaders = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'x-request-id': requestId };
+    // A proxy that is blind works by no table at all.
+    if (kind !== 'blind') headers['x-table'] = String(this.#decision.tableNumber);
     if (row.retryAfter > 0) headers['retry-after'] = String(row.retryAfter);
     if (this.#isDraining || kind === 'too-large') headers['connection'] = 'close';
     returned.writeHead(row.status, headers);
@@ -253,16 +254,23 @@
     headers['x-table'] = String(run.verdict.table);
     if (this.#isDraining) headers['connection'] = 'close';
     entry.returned.writeHead(back.statusCode ?? 502, headers);
-    // The pipeline holds the runner back to the client's pace, and destroys the client's side if the runner's breaks.
-    pipeline(back, entry.returned, this.#ended.bind(this, run));
+    // Piping holds the runner back to the client's pace; if the runner's side breaks, the client's is destroyed.
+    back.once('error', this.#ended.bind(this, run, false));
+    back.once('close', this.#backClosed.bind(this, run, back));
+    entry.returned.once('finish', this.#ended.bind(this, run, true));
+    back.pipe(entry.returned);
   }
 
-  #ended(run: Run, thrown: Error | null | undefined): void {
+  #backClosed(run: Run, back: IncomingMessage): void {
+    if (!back.complete) this.#ended(run, false);
+  }
+
+  #ended(run: Run, isWhole: boolean): void {
     if (run.isOver) return;
     run.isOver = true;
     if (!this.#entries.has(run.entry.id)) return;
     this.#forget(run.entry);
-    if (thrown) {
+    if (!isWhole) {
       this.#counters.add('streams.broken');
       run.sent.destroy();
       run.entry.returned.destroy();
--- a/src/kin/Call.ts
+++ b/src/kin/Call.ts
@@ -5,17 +5,27 @@
 
 const MAX_BODY = 64 * 1024 * 1024;
 
-/** Reads a whole body, or fails if it breaks off. */
-export async function readBody(stream: IncomingMessage, most: number = MAX_BODY): Promise<string> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of stream) {
-    const bytes = Buffer.isBuffer(chunk) ? chunk : Buffer.from(String(chunk));
-    size += bytes.length;
-    if (size > most) throw new Error(`a body of more than ${most} bytes`);
-    chunks.push(bytes);
+/** Reads a whole body, or fails if it breaks off or is larger than it may be. */
+export function readBody(stream: IncomingMessage, most: number = MAX_BODY): Promise<string> {
+  function run(done: (body: string) => void, fail: (thrown: unknown) => void): void {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    function take(chunk: Buffer): void {
+      size += chunk.length;
+      if (size <= most) { chunks.push(chunk); return; }
+      // What still comes is let go, so that whoever sends it can read our return.
+      stream.off('data', take);
+      stream.resume();
+      fail(new Error(`a body of more than ${most} bytes`));
+    }
+    function end(): void { stream.off('close', cut); done(Buffer.concat(chunks).toString('utf8')); }
+    function cut(): void { fail(new Error('the body broke off')); }
+    stream.on('data', take);
+    stream.once('end', end);
+    stream.once('error', fail);
+    stream.once('close', cut);
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return new Promise(run);
 }
 
 /** One HTTP call with a JSON body and one limit on all of it. */
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -15,7 +15,7 @@
 import { Vouching } from '../news/Vouching.js';
 import { Placer, PLACER_DEFAULTS, type PlacerSettings, type PlanInput, type RunnerView } from '../place/Placer.js';
 import {
-  DemandShape, MachinesShape, ServicePartShape, type Catalog, type Intent, type Machines, type RunnerReport, type ServiceDoc,
+  DemandShape, MachinesShape, ServicePartShape, type Catalog, type Intent, type Machines, type RunnerReport, type ServiceDoc, type Share,
 } from '../place/Shapes.js';
 import { Shares } from '../place/Shares.js';
 import { Elector } from '../vote/Elector.js';
@@ -105,6 +105,8 @@
   #catalog: Catalog = EMPTY_CATALOG;
   readonly #runners = new Map<string, Runner>();
   readonly #shares = new Shares();
+  #shareList: readonly Share[] = [];
+  #sharedAt: Moment = NEVER;
   readonly #orders = new Map<string, SentOrder>();
   readonly #keptIntents = new Set<string>();
   /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a beat earlier. */
@@ -836,7 +838,12 @@
     const places = this.#placer.places(input);
     const flows = new Set<string>();
     for (const member of this.#knownMembers()) flows.add(member.id);
-    const shares = this.#shares.list(now, input.table.rows.map(takeOf));
+    // Shares follow demand, which is told once a second: more often they would only be more news.
+    if (now >= later(this.#sharedAt, 1000)) {
+      this.#sharedAt = now;
+      this.#shareList = this.#shares.list(now, input.table.rows.map(takeOf));
+    }
+    const shares = this.#shareList;
     const text = JSON.stringify({ ...places, flows: Math.max(1, flows.size), shares });
     if (text === this.#placesText) return;
     this.#placesText = text;
--- a/src/mind/MindProcess.ts
+++ b/src/mind/MindProcess.ts
@@ -6,7 +6,7 @@
 import { call } from '../kin/Call.js';
 import { monotonicNow } from '../kin/Clock.js';
 import { Counters } from '../kin/Counters.js';
-import { reasonOf, type Defect } from '../kin/Defect.js';
+import { Defect, reasonOf } from '../kin/Defect.js';
 import type { Moment } from '../kin/Ids.js';
 import { parseAs } from '../kin/Json.js';
 import { Owner } from '../kin/Owner.js';
@@ -101,7 +101,11 @@
 
   #receive(incoming: Incoming): void {
     this.#counters.add(`messages.${incoming.message.kind}`);
-    function receive(core: MindCore): void { core.receive(monotonicNow(), incoming.from, incoming.message); }
+    const tell = this.#tell.bind(this);
+    function receive(core: MindCore): void {
+      // What a node of another build may say must not end this one.
+      try { core.receive(monotonicNow(), incoming.from, incoming.message); } catch (thrown) { tell(new Defect('bad-frame', `${incoming.message.kind} from ${incoming.from}: ${reasonOf(thrown)}`)); }
+    }
     this.#submit(receive);
   }
 
--- a/src/myth/Fleet.ts
+++ b/src/myth/Fleet.ts
@@ -7,6 +7,7 @@
 import { listenOn } from '../kin/Listen.js';
 import { reasonOf } from '../kin/Defect.js';
 import { pause } from './RunnerStand.js';
+import { Cuts } from './Cuts.js';
 import type { Deployment } from './Deployment.js';
 import type { Machine } from '../place/Shapes.js';
 
@@ -39,6 +40,7 @@
   readonly #programs = new Map<string, Program>();
   readonly #minds: MindPlace[] = [];
   readonly #edges: EdgePlace[] = [];
+  readonly #cuts = new Cuts();
   readonly #backs = new Map<string, { address: string; zone: string; records: string; service: string }>();
   #platform = '';
   #store = '';
@@ -54,6 +56,8 @@
   get root(): string { return this.#root; }
   get minds(): readonly MindPlace[] { return this.#minds; }
   get edges(): readonly EdgePlace[] { return this.#edges; }
+  /** The relays between the nodes, where they can be cut. */
+  get cuts(): Cuts { return this.#cuts; }
   get platform(): string { return this.#platform; }
   get names(): readonly string[] { return [...this.#programs.keys()]; }
 
@@ -101,20 +105,28 @@
       this.#minds.push({ name: `mind-${index}`, listen: next(), api: next(), data: join(this.#root, `mind-${index}.data`), zone });
     }
     const seeds = this.#minds.map(listenOf);
-    for (const mind of this.#minds) this.#defineMind(mind, seeds);
+    for (const mind of this.#minds) this.#defineMind(mind, seeds, await this.#reach(mind.listen, seeds));
     for (let index = 0; index < deployment.edges; index += 1) {
       const zone = deployment.zones[index % deployment.zones.length] ?? '';
       const edge: EdgePlace = { name: `edge-${index}`, listen: next(), feed: next(), flow: next(), flowStatus: next(), linkStatus: next(), zone };
       this.#edges.push(edge);
-      this.#define(`link-${index}`, ['link', '--settings', this.#settings(`link-${index}`, { listen: edge.listen, feed: edge.feed, zone, seeds, status: edge.linkStatus })]);
+      const reach = await this.#reach(edge.listen, seeds);
+      this.#define(`link-${index}`, ['link', '--settings', this.#settings(`link-${index}`, { listen: edge.listen, feed: edge.feed, zone, seeds, status: edge.linkStatus, reach })]);
       this.#define(`flow-${index}`, ['flow', '--settings', this.#settings(`flow-${index}`, { listen: edge.flow, link: edge.feed, zone, status: edge.flowStatus })]);
     }
     for (const name of this.#programs.keys()) this.run(name);
   }
 
-  #defineMind(mind: MindPlace, seeds: readonly string[]): void {
+  /** Nodes reach the control nodes through relays of their own; among themselves links dial directly. */
+  async #reach(from: string, seeds: readonly string[]): Promise<Record<string, string>> {
+    const reach: Record<string, string> = {};
+    for (const seed of seeds) if (seed !== from) reach[seed] = await this.#cuts.path(from, seed);
+    return reach;
+  }
+
+  #defineMind(mind: MindPlace, seeds: readonly string[], reach: Readonly<Record<string, string>> = {}): void {
     const { listen, api, zone, data } = mind;
-    this.#define(mind.name, ['mind', '--settings', this.#settings(mind.name, { listen, api, zone, seeds, data, platform: this.#platform, store: this.#store })]);
+    this.#define(mind.name, ['mind', '--settings', this.#settings(mind.name, { listen, api, zone, seeds, data, platform: this.#platform, store: this.#store, reach })]);
   }
 
   /** A core machine that is new: empty, at addresses of its own. */
@@ -173,6 +185,7 @@
       void this.signal(name, 'SIGCONT');
       await this.signal(name, 'SIGKILL');
     }
+    this.#cuts.close();
   }
 
   // ---- talking to it
--- a/src/myth/Judge.ts
+++ b/src/myth/Judge.ts
@@ -8,6 +8,8 @@
   readonly events: readonly EventRecord[];
   /** The zone of each runner and back end. */
   readonly zones: ReadonlyMap<string, string>;
+  /** How late each type's returns may be, in milliseconds. */
+  readonly lateness: ReadonlyMap<string, number>;
 }
 
 export const RULES = [
@@ -21,6 +23,8 @@
 const EMPTY_MS = 5000;
 const TABLE_MS = 2000;
 const HAND_OVER_MS = 2900;
+/** A no may come after waiting, but not near the limit. */
+const HELD_SHARE = 0.5;
 const COLD_MS = 1000;
 const COLD_RUNS = 30;
 
@@ -62,6 +66,9 @@
       if (caller.isWhole && caller.fault !== '') this.#find(caller.fault.startsWith('stitched') ? 'stitched' : 'not-whole', `${caller.id}: ${caller.fault}`);
       if (caller.isWhole && caller.status === 200 && !runs.some(isRun.bind(undefined, caller.run))) this.#find('not-whole', `${caller.id}: its return is of run ${caller.run}, which is not its own`);
       if (caller.outcome === 'turned-away' && (caller.status === 503 || caller.status === 429)) {
+        const late = this.#evidence.lateness.get(caller.type);
+        // A process that is frozen cannot say anything; it must once it is awake.
+        if (!this.#wasFrozen(caller) && late !== undefined && caller.endedAt - caller.sentAt > late * HELD_SHARE) this.#find('held-back', `${caller.id} heard its no after ${caller.endedAt - caller.sentAt} of ${late} ms`);
         if (caller.retryAfter <= 0) this.#find('held-back', `${caller.id} was turned away without a word on when to come back`);
       }
     }
@@ -79,6 +86,13 @@
     }
   }
 
+  #wasFrozen(caller: CallerRecord): boolean {
+    for (const event of this.#evidence.events) {
+      if (event.what === 'frozen' && event.node === caller.flow && caller.sentAt < event.at + (event.number ?? 0) && caller.endedAt > event.at) return true;
+    }
+    return false;
+  }
+
   #leaving(): void {
     const marks = new Map<string, { from: number; until: number }[]>();
     for (const back of this.#evidence.backs) {
@@ -168,7 +182,7 @@
   const order: BackRecord = { at: 1000, what: 'order', runner: 'a', holder: 'h1', model: 'm', adapter: '', order: 'o' };
   function rulesOf(callers: readonly CallerRecord[], backs: readonly BackRecord[], events: readonly EventRecord[] = []): string[] {
     const rules = new Set<string>();
-    for (const violation of new Judge({ callers, backs, events, zones: new Map([['a', 'north']]) }).judge()) rules.add(violation.rule);
+    for (const violation of new Judge({ callers, backs, events, zones: new Map([['a', 'north']]), lateness: new Map([['check', 20_000]]) }).judge()) rules.add(violation.rule);
     return [...rules];
   }
   function checkClean(): void {
@@ -178,6 +192,7 @@
     expect(rulesOf([caller], [run, { ...run, run: 'r2' }])).toEqual(['run-twice']);
     expect(rulesOf([{ ...caller, status: 503, outcome: 'turned-away', isWhole: false, retryAfter: 1 }], [run])).toEqual(['ran-though-turned-away']);
     expect(rulesOf([{ ...caller, status: 503, outcome: 'turned-away', isWhole: false, retryAfter: 0 }], [])).toEqual(['held-back']);
+    expect(rulesOf([{ ...caller, status: 503, outcome: 'turned-away', isWhole: false, retryAfter: 1, endedAt: 29_000 }], [])).toEqual(['held-back']);
     expect(rulesOf([{ ...caller, fault: 'no end' }], [run])).toEqual(['not-whole']);
     expect(rulesOf([{ ...caller, fault: 'stitched of two runs' }], [run])).toEqual(['stitched']);
     expect(rulesOf([{ ...caller, run: 'other' }], [run])).toEqual(['not-whole']);
--- a/src/myth/Rehearsal.ts
+++ b/src/myth/Rehearsal.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { compile } from '../code/Language.js';
 import { call } from '../kin/Call.js';
 import type { Callers } from './Callers.js';
 import type { Fleet } from './Fleet.js';
@@ -23,7 +24,7 @@
   get events(): readonly EventRecord[] { return this.#events; }
   get table(): number { return this.#table; }
 
-  note(event: Omit<EventRecord, 'at'>): void { this.#events.push({ at: Date.now(), ...event }); }
+  note(event: Omit<EventRecord, 'at'>, at = Date.now()): void { this.#events.push({ at, ...event }); }
 
   /** From nothing to a fleet that serves its table. */
   async begin(): Promise<void> {
@@ -123,7 +124,7 @@
     const [edge] = fleet.edges;
     const row = /^row (\S+) (\S+)/m.exec(fleet.deployment.table)?.slice(1).join('/') ?? '';
     const say = this.#say;
-    const self = { setCell: this.setCell.bind(this), back: this.#backInService.bind(this), race: this.#race.bind(this), leader: this.#leaderName.bind(this), emptyZone: this.emptyZone.bind(this), note: this.note.bind(this) };
+    const self = { setCell: this.setCell.bind(this), back: this.#backInService.bind(this), race: this.#race.bind(this), leader: this.#leaderName.bind(this), emptyZone: this.emptyZone.bind(this), note: this.note.bind(this), table: this.#tableNumber.bind(this) };
     const [runner, otherRunner] = fleet.deployment.runners;
     const zone = fleet.deployment.zones[0] ?? '';
     async function cell(): Promise<void> { await self.setCell(row, 'weight', 91); }
@@ -180,11 +181,13 @@
       await pause(2000);
     }
     async function freezeFlow(): Promise<void> {
+      const start = Date.now();
       await fleet.signal('flow-0', 'SIGSTOP');
       // A table accepted while it sleeps must be in force there before it works again.
       await self.setCell(row, 'weight', 93);
       await pause(1000);
       await fleet.signal('flow-0', 'SIGCONT');
+      self.note({ what: 'frozen', node: edge?.flow ?? '', number: Date.now() - start }, start);
       await pause(1500);
     }
     async function restartFlows(): Promise<void> {
@@ -218,8 +221,43 @@
       for (let index = 0; index < 200; index += 1) sends.push(callers.send(kind, rare[index % rare.length]?.name));
       await Promise.all(sends);
     }
+    async function cutLeader(): Promise<void> {
+      const name = await self.leader();
+      const mind = fleet.minds.find(isNamed.bind(undefined, name));
+      if (!mind) return;
+      const rest = new Set([...fleet.minds.map(listenOf), ...fleet.edges.map(listenOf)]);
+      rest.delete(mind.listen);
+      fleet.cuts.set(true, new Set([mind.listen]), rest);
+      await pause(6000);
+      // While it is cut off, the others go on; its operators are told nothing it cannot keep.
+      const held = await fleet.operate('PATCH', '/table/cell', { id: randomUUID(), base: self.table(), row, column: 'weight', value: 77 }, mind);
+      say(`an edit at the leader that is cut off: ${held.status}`);
+      await self.setCell(row, 'weight', 94);
+      fleet.cuts.set(false, new Set([mind.listen]), rest);
+      await self.back(30_000);
+    }
+    async function cutEdge(): Promise<void> {
+      if (!edge) return;
+      const minds = new Set(fleet.minds.map(listenOf));
+      fleet.cuts.set(true, new Set([edge.listen]), minds);
+      await self.setCell(row, 'weight', 95);
+      await pause(3000);
+      fleet.cuts.set(false, new Set([edge.listen]), minds);
+      await self.back(30_000);
+    }
+    async function cutCore(): Promise<void> {
+      const minds = new Set(fleet.minds.map(listenOf));
+      const edges = new Set(fleet.edges.map(listenOf));
+      fleet.cuts.set(true, edges, minds);
+      // An edit cannot reach anybody; its yes waits until all are surely blind.
+      await self.setCell(row, 'weight', 96);
+      await pause(2000);
+      fleet.cuts.set(false, edges, minds);
+      await self.back(30_000);
+    }
     const steps: readonly (readonly [string, () => Promise<void>])[] = [
       ['one cell', cell], ['two operators', race], ['leader killed', killLeader], ['leader frozen and woken', freezeLeader], ['disk lost after a yes', loseDisk],
+      ['leader cut off', cutLeader], ['edge cut off', cutEdge], ['whole core cut off', cutCore],
       ['runner leaving', leave], ['zone emptied', empty], ['runner killed', killRunner], ['runner dark', darkRunner], ['proxy frozen and woken', freezeFlow],
       ['crowd on rare models', crowd], ['proxies restarted', restartFlows], ['links and minds restarted', restartControl], ['one more fault', lastFault],
     ];
@@ -232,6 +270,8 @@
     return served >= late.length * 0.7;
   }
 
+  #tableNumber(): number { return this.#table; }
+
   /** Two operators send a cell edit from the same base at the same moment; says how they fared. */
   async #race(row: string): Promise<string> {
     const base = this.#table;
@@ -254,8 +294,10 @@
     const read = await this.#fleet.operateUntil('GET', '/table', undefined, 20_000);
     this.note({ what: 'table-read', number: Number(read.value['number']) });
     const backs = readBackRecords(this.#fleet.backRecords());
+    const lateness = new Map<string, number>();
+    for (const row of compile(this.#fleet.deployment.table).table.rows) lateness.set(row.type, Math.max(row.lateMs, lateness.get(row.type) ?? 0));
     this.#say(`judged ${callers.records.length} calls and ${backs.length} records`);
-    return new Judge({ callers: callers.records, backs, events: this.#events, zones: this.#fleet.zones() }).judge();
+    return new Judge({ callers: callers.records, backs, events: this.#events, zones: this.#fleet.zones(), lateness }).judge();
   }
 
   async judge(callers: Callers): Promise<boolean> {
@@ -276,5 +318,6 @@
 }
 
 function isNamed(name: string, mind: { readonly name: string }): boolean { return mind.name === name; }
+function listenOf(place: { readonly listen: string }): string { return place.listen; }
 function isDone(record: { readonly outcome: string }): boolean { return record.outcome === 'done'; }
 function isRare(model: { readonly name: string }): boolean { return model.name.startsWith('rare') || model.name.startsWith('seldom'); }
