Let a node with a bad vote file count again once what it lacks is on disk

Cause: a repair waited for every part it read to be stored, but a part that was still whole here is not stored anew, so the wait never ended. Ruled out: the reading itself (all copies had come). Found by a new trouble, rot-file, which spoils the newest file of a part or of the votes while a node is down.

--- a/src/hold/MemoryStore.ts
+++ b/src/hold/MemoryStore.ts
@@ -1,10 +1,11 @@
 import type { PartName } from '../kin/Ids.js';
-import { compareVersions, type Version } from '../kin/Version.js';
+import { compareVersions, NO_VERSION, type Version } from '../kin/Version.js';
 import type { Store, StoredPart } from './Store.js';
 
 /** A store for the simulator: what was kept outlasts crash(), what was not is gone; wipe() loses all. */
 export class MemoryStore implements Store {
   readonly #kept = new Map<PartName, StoredPart>();
+  readonly #before = new Map<PartName, StoredPart>();
   #age = 0;
 
   async readAll(): Promise<readonly StoredPart[]> {
@@ -24,7 +25,16 @@
   /** The simulator's own way in: it decides on virtual time when a write has reached the disk. */
   keep(part: PartName, version: Version, body: string): void {
     const known = this.#kept.get(part);
-    if (!known || !known.isSound || compareVersions(version, known.version) >= 0) this.#kept.set(part, { part, version, body, isSound: true });
+    if (known && known.isSound && compareVersions(version, known.version) < 0) return;
+    if (known?.isSound) this.#before.set(part, known);
+    this.#kept.set(part, { part, version, body, isSound: true });
+  }
+
+  /** The newest file of a part goes bad: what is left is the one before it, and the knowledge that it is not the newest. */
+  rot(part: PartName): void {
+    if (!this.#kept.has(part)) return;
+    const before = this.#before.get(part) ?? { part, version: NO_VERSION, body: '', isSound: false };
+    this.#kept.set(part, { ...before, isSound: false });
   }
 
   crash(): void { this.#age += 1; }
--- a/src/hold/Parts.ts
+++ b/src/hold/Parts.ts
@@ -91,8 +91,9 @@
     return list;
   }
 
-  /** Takes copies read while being repaired; they are stored before the voter counts again. */
-  adopt(copies: readonly CopyMessage[]): void {
+  /** Takes copies read while being repaired, and returns the parts that must reach the disk before the voter counts again. */
+  adopt(copies: readonly CopyMessage[]): ReadonlySet<PartName> {
+    const storing = new Set<PartName>();
     for (const item of copies) {
       const part = partName(item.part);
       const known = this.#copies.get(part);
@@ -100,7 +101,9 @@
       const version = { epoch: item.epoch, count: item.count };
       this.#copies.set(part, { version, body: item.body, isSound: true });
       this.#effects.push({ do: 'store', part, version, body: item.body });
+      storing.add(part);
     }
+    return storing;
   }
 
   // ---- owner
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -5,11 +5,11 @@
 import { Standing } from '../hold/Standing.js';
 import type { StoredPart } from '../hold/Store.js';
 import { Defect, DEFECTS, reasonOf, type DefectKind } from '../kin/Defect.js';
-import { fellowId, later, moment, partName, type FellowId, type Moment, type PartName } from '../kin/Ids.js';
+import { fellowId, later, moment, type FellowId, type Moment, type PartName } from '../kin/Ids.js';
 import { mustParseAs, parseAs } from '../kin/Json.js';
 import type { MemberMessage, Message } from '../kin/Messages.js';
 import { Quorum } from '../kin/Quorum.js';
-import { compareVersions, isNewer, isNone, NO_VERSION, versionText, type Version } from '../kin/Version.js';
+import { compareVersions, isNewer, NO_VERSION, versionText, type Version } from '../kin/Version.js';
 import { Relay } from '../news/Relay.js';
 import { Sessions } from '../news/Sessions.js';
 import { Vouching } from '../news/Vouching.js';
@@ -360,10 +360,9 @@
       this.#elector.setMayVote(true, { epoch: outcome.epoch, grantEpoch: 0, grantLeader: '' }, now);
     } else {
       this.#note('repaired from fellows', { epoch: outcome.epoch });
-      this.#parts.adopt(outcome.copies);
+      // Only what is newer than ours is stored anew, and only that is waited for.
+      const waiting = new Set(this.#parts.adopt(outcome.copies));
       this.#followVoters();
-      const waiting = new Set<PartName>();
-      for (const item of outcome.copies) if (!isNone(this.#parts.versionOf(partName(item.part)))) waiting.add(partName(item.part));
       this.#repair = { epoch: outcome.epoch, waiting };
       this.#endRepair(now);
     }
--- a/src/myth/SimMind.ts
+++ b/src/myth/SimMind.ts
@@ -1,4 +1,5 @@
 import { MemoryStore } from '../hold/MemoryStore.js';
+import type { PartName } from '../kin/Ids.js';
 import type { Message } from '../kin/Messages.js';
 import { MindCore } from '../mind/MindCore.js';
 import { MIND_DEFAULTS, type MindEffect } from '../mind/MindEffect.js';
@@ -55,6 +56,8 @@
 
   wipe(): void { this.#store.wipe(); }
 
+  rot(part: PartName): void { this.#store.rot(part); }
+
   unstall(): void {
     this.isDiskStalled = false;
     const stalled = this.#stalled;
@@ -185,6 +188,6 @@
 if (import.meta.vitest) {
   const { test, expect } = import.meta.vitest;
   const { storm } = await import('./Simulation.js');
-  async function checkDisks(): Promise<void> { expect(await storm(1000, 50, ['kill-mind', 'wipe-mind', 'stall-disk', 'slow-disk', 'freeze-mind'])).toEqual([]); }
+  async function checkDisks(): Promise<void> { expect(await storm(1000, 50, ['kill-mind', 'wipe-mind', 'rot-file', 'stall-disk', 'slow-disk', 'freeze-mind'])).toEqual([]); }
   test('no rule breaks when control nodes die, freeze, lose their disk or wait for it', checkDisks, 600_000);
 }
--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -1,5 +1,5 @@
 import { boolean, number, optional, string, type } from 'superstruct';
-import { CONFIG_PART } from '../hold/PartNames.js';
+import { allParts, CONFIG_PART, VOTE_PART } from '../hold/PartNames.js';
 import { parseAs } from '../kin/Json.js';
 import type { Message } from '../kin/Messages.js';
 import { compareVersions, NO_VERSION, versionText, type Version } from '../kin/Version.js';
@@ -26,7 +26,7 @@
 }
 
 export const TROUBLES = [
-  'kill-mind', 'freeze-mind', 'wipe-mind', 'stall-disk', 'slow-disk', 'cut-minds', 'cut-one-way', 'isolate-mind', 'isolate-link', 'cut-link',
+  'kill-mind', 'freeze-mind', 'wipe-mind', 'rot-file', 'stall-disk', 'slow-disk', 'cut-minds', 'cut-one-way', 'isolate-mind', 'isolate-link', 'cut-link',
   'kill-link', 'freeze-link', 'kill-flow', 'freeze-flow', 'loss', 'delay', 'restart-runner', 'dark-runner', 'mark-runner', 'platform-down', 'isolate-core',
 ] as const;
 export type TroubleKind = typeof TROUBLES[number];
@@ -334,6 +334,7 @@
       case 'kill-mind': this.#kill(mind); agenda.after(span, mind.start.bind(mind)); break;
       case 'freeze-mind': mind.freeze(); agenda.after(span, mind.wake.bind(mind)); break;
       case 'wipe-mind': this.#wipe(mind, span); break;
+      case 'rot-file': this.#rot(mind, span); break;
       case 'stall-disk': mind.isDiskStalled = true; agenda.after(span, mind.unstall.bind(mind)); break;
       case 'slow-disk': mind.diskMs = 400; agenda.after(span, quicken.bind(undefined, mind)); break;
       case 'cut-minds': this.#cut([mind.id], [other.id], true, span); break;
@@ -391,8 +392,20 @@
   }
 
   /** One disk is lost at a time: the next only once every node counts again. */
+  #rot(mind: SimMind, span: number): void {
+    if (!this.#isWhole()) return;
+    this.#kill(mind);
+    mind.rot(this.#seeded.pick([VOTE_PART, ...allParts()]) ?? VOTE_PART);
+    this.#agenda.after(span, mind.start.bind(mind));
+  }
+
+  #isWhole(): boolean {
+    for (const each of this.#minds) if (!each.isUp || each.core?.standing.name !== 'sound' || each.core.parts.unsoundParts().length > 0) return false;
+    return true;
+  }
+
   #wipe(mind: SimMind, span: number): void {
-    for (const each of this.#minds) if (!each.isUp || each.core?.standing.name !== 'sound') return;
+    if (!this.#isWhole()) return;
     this.#kill(mind);
     mind.wipe();
     this.#agenda.after(span, mind.start.bind(mind));
@@ -423,7 +436,11 @@
   #checkEnd(): void {
     const leader = this.#servingNow();
     if (!leader) { this.#find('no leader serves after everything healed'); return; }
-    for (const mind of this.#minds) if (mind.core?.standing.name !== 'sound') this.#find(`${mind.id} does not count again`);
+    for (const mind of this.#minds) {
+      if (mind.core?.standing.name !== 'sound') this.#find(`${mind.id} does not count again`);
+      const unsound = mind.core?.parts.unsoundParts() ?? [];
+      if (unsound.length > 0) this.#find(`${mind.id} still has unsound parts: ${unsound.join(' ')}`);
+    }
     for (const flow of this.#flows) if (flow.decision?.isFresh(flow.now()) !== true) this.#find(`${flow.id} is still blind after everything healed`);
     const doc = parseAs(ConfigDocShape, leader.core?.parts.replicaBody(CONFIG_PART) ?? '');
     if (!doc) { this.#find('the configuration is gone'); return; }
