--- /dev/null
+++ b/src/code/OpenApi.ts
@@ -0,0 +1,79 @@
+import { Validator } from '@seriousme/openapi-schema-validator';
+import { record, string, type, unknown } from 'superstruct';
+import { Defect } from '../kin/Defect.js';
+import type { Mapping } from './Table.js';
+
+const DocumentShape = type({ paths: record(string(), unknown()) });
+const METHODS = ['get', 'post', 'put', 'delete'] as const;
+const UPPER = { get: 'GET', post: 'POST', put: 'PUT', delete: 'DELETE' } as const;
+
+function fieldOf(value: unknown, key: string): unknown {
+  return typeof value === 'object' && value !== null && Object.hasOwn(value, key) ? Object.entries(value).find(hasKey.bind(undefined, key))?.[1] : undefined;
+}
+
+function hasKey(key: string, entry: readonly [string, unknown]): boolean { return entry[0] === key; }
+
+function nameOf(text: string): string {
+  return text.replace(/([a-z0-9])([A-Z])/g, '$1-$2').toLowerCase().replace(/[^a-z0-9]+/g, '-').replace(/^[^a-z]+|-+$/g, '').slice(0, 63);
+}
+
+/** The request type of an operation: what it says itself, else its first tag, else its own id. */
+function typeOf(operation: unknown): string {
+  const own = fieldOf(operation, 'x-haretrack-type');
+  const tags = fieldOf(operation, 'tags');
+  const id = fieldOf(operation, 'operationId');
+  for (const text of [own, Array.isArray(tags) ? tags[0] : undefined, id]) {
+    const name = typeof text === 'string' ? nameOf(text) : '';
+    if (name !== '') return name;
+  }
+  return '';
+}
+
+/** Mappings of an OpenAPI document, as file, JSON or YAML; paths end in * where their first parameter stands. */
+export async function importOpenApi(source: string | Record<string, unknown>): Promise<{ readonly mappings: readonly Mapping[]; readonly skipped: readonly string[] }> {
+  const validator = new Validator();
+  const result = await validator.validate(source);
+  if (!result.valid) throw new Defect('malformed', `no sound OpenAPI document: ${JSON.stringify(result.errors ?? 'unreadable').slice(0, 500)}`);
+  const document: unknown = validator.specification;
+  if (!DocumentShape.is(document)) throw new Defect('malformed', 'the OpenAPI document has no paths');
+  const mappings = new Map<string, Mapping>();
+  const skipped: string[] = [];
+  for (const [path, item] of Object.entries(document.paths)) {
+    const parameter = path.indexOf('{');
+    const plain = parameter < 0 ? path : `${path.slice(0, parameter)}*`;
+    for (const method of METHODS) {
+      const operation = fieldOf(item, method);
+      if (operation === undefined) continue;
+      const name = typeOf(operation);
+      const key = `${UPPER[method]} ${plain}`;
+      // Two paths that differ after their first parameter alone are one mapping here; the first one stands.
+      if (name === '' || mappings.has(key)) { skipped.push(`${UPPER[method]} ${path}`); continue; }
+      mappings.set(key, { method: UPPER[method], path: plain, type: name });
+    }
+  }
+  return { mappings: [...mappings.values()], skipped };
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const responses = { 200: { description: 'fine' } };
+  const document = {
+    openapi: '3.0.3', info: { title: 'till', version: '1' },
+    paths: {
+      '/v1/checks': { post: { operationId: 'fileCheck', responses } },
+      '/v1/refunds/{id}': { get: { tags: ['Lookup'], responses, parameters: [{ name: 'id', in: 'path', required: true, schema: { type: 'string' } }] } },
+      '/v1/notes': { post: { 'x-haretrack-type': 'live', tags: ['notes'], responses }, get: { responses } },
+    },
+  };
+  async function checkImport(): Promise<void> {
+    expect(await importOpenApi(document)).toEqual({
+      mappings: [{ method: 'POST', path: '/v1/checks', type: 'file-check' }, { method: 'GET', path: '/v1/refunds/*', type: 'lookup' }, { method: 'POST', path: '/v1/notes', type: 'live' }],
+      skipped: ['GET /v1/notes'],
+    });
+  }
+  async function checkBad(): Promise<void> {
+    await expect(importOpenApi({ openapi: '3.0.3', paths: {} })).rejects.toThrow(/no sound OpenAPI/);
+  }
+  test('operations become mappings', checkImport);
+  test('a document that is none is turned away', checkBad);
+}
--- a/src/commands.ts
+++ b/src/commands.ts
@@ -7,6 +7,7 @@
 import { StormCommand } from './myth/StormCommand.js';
 import { StandCommand } from './myth/StandCommand.js';
 import { AskEditCommand, EmptyCommand, FillCommand, FoundCommand, PutCommand, RowsCommand, SetCommand, SwapCommand } from './word/EditCommands.js';
+import { ImportCommand } from './word/ImportCommand.js';
 import { CountersCommand, StatusCommand, TableCommand } from './word/ShowCommands.js';
 
 /** Every subcommand of the one binary. */
@@ -24,6 +25,7 @@
   'word:empty': EmptyCommand,
   'word:fill': FillCommand,
   'word:found': FoundCommand,
+  'word:import': ImportCommand,
   'word:put': PutCommand,
   'word:rows': RowsCommand,
   'word:set': SetCommand,
--- a/src/myth/Rehearsal.ts
+++ b/src/myth/Rehearsal.ts
@@ -1,12 +1,16 @@
 import { randomUUID } from 'node:crypto';
 import { compile } from '../code/Language.js';
+import { number, optional, type } from 'superstruct';
 import { call } from '../kin/Call.js';
+import { parseAs } from '../kin/Json.js';
 import type { Callers } from './Callers.js';
 import type { Fleet } from './Fleet.js';
 import { Judge, RULES, type Violation } from './Judge.js';
 import { readBackRecords, type EventRecord } from './Records.js';
 import { pause } from './RunnerStand.js';
 
+const CountersShape = type({ memory: number(), runs: optional(number()), repeats: optional(number()) });
+
 export interface RehearsalPlan { readonly seconds: number; readonly factor: number; readonly isFailing: boolean }
 
 /** One rehearsal of a fleet: founds it, gives it its table, sends traffic, and judges. */
@@ -94,12 +98,28 @@
   /** Sends the traffic, and judges everything that was recorded. Says whether no rule was broken. */
   async run(callers: Callers, plan: RehearsalPlan): Promise<boolean> {
     for (const kind of this.#fleet.deployment.traffic) callers.begin(kind, plan.factor);
-    await pause(plan.seconds * 1000);
+    await pause(plan.seconds * 500);
+    const half = await this.#flowCounters();
+    await pause(plan.seconds * 500);
+    const full = await this.#flowCounters();
+    this.#say(`proxies at half time and at the end: memory ${half.memory} and ${full.memory} MB at most, runs ${half.runs} and ${full.runs}, repeats ${full.repeats}`);
     const hasReturned = plan.isFailing ? await this.#troubles(callers) : true;
     await callers.end();
     return await this.judge(callers) && hasReturned;
   }
 
+  /** Sums over all proxies, and the most memory that one of them holds. */
+  async #flowCounters(): Promise<{ readonly memory: number; readonly runs: number; readonly repeats: number }> {
+    let [memory, runs, repeats] = [0, 0, 0];
+    for (const edge of this.#fleet.edges) {
+      const counters = parseAs(CountersShape, (await call('GET', edge.flowStatus, '/counters', undefined, 2000)).body);
+      memory = Math.max(memory, Math.round((counters?.memory ?? 0) / 1e6));
+      runs += counters?.runs ?? 0;
+      repeats += counters?.repeats ?? 0;
+    }
+    return { memory, runs, repeats };
+  }
+
   async #leaderName(): Promise<string> {
     const { value } = await this.#fleet.operate('GET', '/status');
     for (const mind of this.#fleet.minds) if (mind.listen === value['leader']) return mind.name;
--- /dev/null
+++ b/src/word/ImportCommand.ts
@@ -0,0 +1,25 @@
+import { existsSync } from 'node:fs';
+import { Args, Command } from '@oclif/core';
+import { importOpenApi } from '../code/OpenApi.js';
+import { reasonOf } from '../kin/Defect.js';
+
+export class ImportCommand extends Command {
+  static override description = 'print the mappings of an OpenAPI file in the mapping language; rows are for you to write';
+  static override args = { file: Args.string({ required: true, description: 'OpenAPI file, JSON or YAML' }) };
+
+  async run(): Promise<void> {
+    const { args } = await this.parse(ImportCommand);
+    if (!existsSync(args.file)) {
+      process.stderr.write(`${args.file}: no such file\n`);
+      this.exit(2);
+    }
+    try {
+      const { mappings, skipped } = await importOpenApi(args.file);
+      for (const { method, path, type } of mappings) this.log(`map ${method} ${path} to ${type}`);
+      for (const item of skipped) this.log(`# left out: ${item}`);
+    } catch (thrown) {
+      process.stderr.write(`${reasonOf(thrown)}\n`);
+      this.exit(1);
+    }
+  }
+}
