--- a/src/myth/Rehearsal.ts
+++ b/src/myth/Rehearsal.ts
@@ -3,6 +3,7 @@
 import { number, optional, type } from 'superstruct';
 import { call } from '../kin/Call.js';
 import { parseAs } from '../kin/Json.js';
+import { PlacesShape } from '../place/Shapes.js';
 import type { Callers } from './Callers.js';
 import type { Fleet } from './Fleet.js';
 import { Judge, RULES, type Violation } from './Judge.js';
@@ -144,7 +145,7 @@
     const [edge] = fleet.edges;
     const row = /^row (\S+) (\S+)/m.exec(fleet.deployment.table)?.slice(1).join('/') ?? '';
     const say = this.#say;
-    const self = { setCell: this.setCell.bind(this), back: this.#backInService.bind(this), race: this.#race.bind(this), leader: this.#leaderName.bind(this), emptyZone: this.emptyZone.bind(this), note: this.note.bind(this), table: this.#tableNumber.bind(this) };
+    const self = { setCell: this.setCell.bind(this), back: this.#backInService.bind(this), race: this.#race.bind(this), leader: this.#leaderName.bind(this), emptyZone: this.emptyZone.bind(this), note: this.note.bind(this), table: this.#tableNumber.bind(this), seatsOf: this.#primariesAt.bind(this), isSound: this.#isSound.bind(this), isVoter: this.#isVoter.bind(this) };
     const [runner, otherRunner] = fleet.deployment.runners;
     const zone = fleet.deployment.zones[0] ?? '';
     async function cell(): Promise<void> { await self.setCell(row, 'weight', 91); }
@@ -163,6 +164,18 @@
       await fleet.signal(name, 'SIGCONT');
       await self.back(30_000);
     }
+    async function swapSeed(): Promise<void> {
+      // A machine of the core is gone for good; another comes, empty, at an address of its own.
+      const old = fleet.minds[2];
+      if (!old) return;
+      await fleet.signal(old.name, 'SIGKILL');
+      const fresh = await fleet.addMind(old.zone);
+      await fleet.until('the new control node holds everything', 20_000, self.isSound.bind(undefined, fresh.name));
+      const returned = await fleet.operateUntil('POST', '/voters/swap', { id: randomUUID(), old: old.listen, new: fresh.listen }, 20_000);
+      if (returned.status !== 200) throw new Error(`swap: ${JSON.stringify(returned)}`);
+      await fleet.until('three voters, the new one among them', 20_000, self.isVoter.bind(undefined, fresh.listen, old.listen));
+      await self.back(30_000);
+    }
     async function loseDisk(): Promise<void> {
       // Right after a yes, the node that gave it loses its disk.
       const name = await self.leader();
@@ -188,8 +201,16 @@
     }
     async function killRunner(): Promise<void> {
       if (!otherRunner) return;
+      const seats = await self.seatsOf(otherRunner.id);
+      const start = Date.now();
       await fleet.signal(otherRunner.id, 'SIGKILL');
       await pause(3000);
+      const counts = new Map<string, number>();
+      for (const record of callers.records) {
+        if (record.sentAt < start || !seats.has(record.model)) continue;
+        counts.set(record.outcome, (counts.get(record.outcome) ?? 0) + 1);
+      }
+      say(`calls in the 3 s after, for models whose primary it was: ${JSON.stringify(Object.fromEntries(counts))}`);
       fleet.run(otherRunner.id);
       await pause(3000);
     }
@@ -279,7 +300,7 @@
       ['one cell', cell], ['two operators', race], ['leader killed', killLeader], ['leader frozen and woken', freezeLeader], ['disk lost after a yes', loseDisk],
       ['leader cut off', cutLeader], ['edge cut off', cutEdge], ['whole core cut off', cutCore],
       ['runner leaving', leave], ['zone emptied', empty], ['runner killed', killRunner], ['runner dark', darkRunner], ['proxy frozen and woken', freezeFlow],
-      ['crowd on rare models', crowd], ['proxies restarted', restartFlows], ['links and minds restarted', restartControl], ['one more fault', lastFault],
+      ['crowd on rare models', crowd], ['proxies restarted', restartFlows], ['links and minds restarted', restartControl], ['seed swapped', swapSeed], ['one more fault', lastFault],
     ];
     for (const [name, run] of steps) await this.#step(name, run);
     const before = callers.records.length;
@@ -290,6 +311,25 @@
     return served >= late.length * 0.7;
   }
 
+  async #isSound(name: string): Promise<boolean> {
+    const mind = this.#fleet.minds.find(isNamed.bind(undefined, name));
+    return mind !== undefined && (await this.#fleet.operate('GET', '/status', undefined, mind)).value['standing'] === 'sound';
+  }
+
+  async #isVoter(fresh: string, old: string): Promise<boolean> {
+    const { voters }: Record<string, unknown> = (await this.#fleet.operate('GET', '/status')).value;
+    return Array.isArray(voters) && voters.length === 3 && voters.includes(fresh) && !voters.includes(old);
+  }
+
+  /** The models whose primary a runner is. */
+  async #primariesAt(runner: string): Promise<ReadonlySet<string>> {
+    const status = (await this.#fleet.operate('GET', '/status')).value;
+    const models = new Set<string>();
+    const places: unknown = status['places'];
+    if (PlacesShape.is(places)) for (const place of places.places) if (place.seats[0]?.runner === runner) models.add(place.model);
+    return models;
+  }
+
   #tableNumber(): number { return this.#table; }
 
   /** Two operators send a cell edit from the same base at the same moment; says how they fared. */
