Give each rehearsal a loopback number of its own, and leave no process behind

Cause: ports found free on 127.0.0.1 were taken by outgoing connections of other fleets before their processes had started (five fleets at once: two never had a leader, their minds ended with EADDRINUSE). Ruled out: the load itself.

--- a/src/myth/Fleet.ts
+++ b/src/myth/Fleet.ts
@@ -18,13 +18,19 @@
 
 const PROGRAM = fileURLToPath(new URL('../../bin/run.js', import.meta.url));
 
+/**
+ * A loopback number of this rehearsal's own. On the common one, a port found free may be taken by some
+ * outgoing connection before the process that it is meant for has started.
+ */
+const HOST = `127.${64 + (process.pid % 64)}.${(process.pid >> 6) % 250}.${1 + ((process.pid >> 14) % 250)}`;
+
 async function freeAddresses(count: number): Promise<string[]> {
   const servers = [];
   const addresses: string[] = [];
   for (let index = 0; index < count; index += 1) {
     const server = createServer();
     servers.push(server);
-    addresses.push(`127.0.0.1:${await listenOn(server, '127.0.0.1:0')}`);
+    addresses.push(`${HOST}:${await listenOn(server, `${HOST}:0`)}`);
   }
   for (const server of servers) {
     function close(done: () => void): void { server.close(done); }
--- a/src/myth/FleetCommand.ts
+++ b/src/myth/FleetCommand.ts
@@ -28,6 +28,13 @@
     const fleet = new Fleet(deployment, root);
     const say = this.log.bind(this);
     let isGood = false;
+    // Ended from outside, it leaves no process behind.
+    async function stopAll(): Promise<void> {
+      await fleet.stop();
+      process.exit(1);
+    }
+    process.once('SIGTERM', stopAll);
+    process.once('SIGINT', stopAll);
     try {
       const rehearsal = new Rehearsal(fleet, say);
       await rehearsal.begin();
