Seat pairs that are asked for before any copy of an idle model

Cause: first copies of all models were seated before any understudy, so the room that an idle model had made for a busy one's understudy went back to that idle model: it was unloaded and fetched in turns, and a zone filled again lost what it still held. Ruled out: the lease (orders went out), the room (two pairs would have fitted).

--- a/src/place/Placer.ts
+++ b/src/place/Placer.ts
@@ -102,8 +102,13 @@
     const wishes = this.#wishes(now, input);
     const ledger = new Ledger(input, this.#docs);
     for (const wish of wishes) this.#keepOrPromote(wish, ledger);
-    for (const wish of wishes) this.#seat(now, wish, ledger, wishes, 'primary');
-    for (const wish of wishes) this.#seat(now, wish, ledger, wishes, 'understudy');
+    // Whoever is asked for gets its pair before any idle model gets a copy: room that was made for a pair
+    // would else go to the very model that made way for it.
+    for (const isAsked of [true, false]) {
+      for (const role of ['primary', 'understudy'] as const) {
+        for (const wish of wishes) if (this.#isAskedFor(wish) === isAsked) this.#seat(now, wish, ledger, wishes, role);
+      }
+    }
     for (const wish of wishes) this.#adapters(now, wish, ledger, input.catalog);
     this.#unseatUnwished(wishes);
     this.#noteUnplaced(now, input.runners);
@@ -621,6 +626,28 @@
     expect(next.docs().flatMap(intentsOf)).toHaveLength(2);
   }
   function intentsOf(doc: ServiceDoc): readonly Intent[] { return doc.intents; }
+  function checkNoChurn(): void {
+    // More models than fit: under steady demand the places settle, and nothing is fetched only to go again.
+    const yard = new Yard(models('m-0', 'm-1', 'm-2', 'rare-0', 'rare-1', 'rare-2', 'rare-3'));
+    yard.add('r0', 'a', 30); yard.add('r1', 'b', 30); yard.add('r2', 'c', 30);
+    for (let index = 0; index < 150; index += 1) { yard.ask('m-0', 3); yard.ask('m-1', 2); yard.ask('m-2', 1); yard.step(); }
+    const before = yard.seen.size;
+    for (let index = 0; index < 150; index += 1) { yard.ask('m-0', 3); yard.ask('m-1', 2); yard.ask('m-2', 1); yard.step(); }
+    expect(yard.seen.size).toBe(before);
+    for (const model of ['m-0', 'm-1', 'm-2']) expect(yard.seats(model)).toHaveLength(2);
+  }
+  function checkRefilled(): void {
+    // A zone is emptied and filled again: what is still held there is taken back, not unloaded for idle models.
+    const yard = new Yard(models('m-0', 'rare-0', 'rare-1'));
+    yard.add('r0', 'a', 20); yard.add('r1', 'b', 20);
+    for (let index = 0; index < 30; index += 1) { yard.ask('m-0', 3); yard.step(); }
+    expect(yard.seats('m-0')).toHaveLength(2);
+    yard.emptied = ['a'];
+    for (let index = 0; index < 20; index += 1) { yard.ask('m-0', 3); yard.step(); }
+    yard.emptied = [];
+    for (let index = 0; index < 3; index += 1) { yard.ask('m-0', 3); yard.step(); }
+    expect(yard.seats('m-0')).toHaveLength(2);
+  }
   function checkStorm(): void {
     for (let seed = 1; seed <= 40; seed += 1) {
       const seeded = new Seeded(seed);
@@ -642,5 +669,7 @@
   test('what does not fit waits and says so, and has its turn later', checkWaits);
   test('a leaving runner or emptied zone keeps no seat', checkLeaving);
   test('room and slots stay taken by what is intended, across a change of leader', checkReserved);
+  test('under steady demand the places settle and nothing is fetched in turns', checkNoChurn);
+  test('a zone filled again takes back what it holds', checkRefilled);
   test('room and fetch slots hold over seeds of restarts, leavings and late obeying', checkStorm);
 }
