--- a/src/code/Table.ts
+++ b/src/code/Table.ts
@@ -1,4 +1,4 @@
-import { array, boolean, enums, integer, max, min, nonempty, number, object, pattern, size, string, StructError, type Infer } from 'superstruct';
+import { array, boolean, enums, integer, max, min, number, object, pattern, size, string, StructError, type Infer } from 'superstruct';
 
 const METHODS = ['GET', 'POST', 'PUT', 'DELETE'] as const;
 const Name = pattern(string(), /^[a-z][a-z0-9-]{0,62}$/);
@@ -31,7 +31,6 @@
 
 export const EMPTY_TABLE: Table = { mappings: [], rows: [] };
 export const COLUMNS = ['type', 'model', 'weight', 'take', 'lateMs', 'repeatable', 'stream'] as const;
-export const RowKey = nonempty(string());
 
 /** One fault of a table, named by where it stands: a row and its cell, or a line and its column. */
 export interface Fault { readonly row: string; readonly cell: string; readonly text: string; readonly line?: number; readonly column?: number }
