Take out dead pieces and work done twice, after one more reading

Behaviour as before. A request was advanced twice at the gate; the machines' list was put into JSON once for each fellow; members were gathered for messages whose return names none.

--- a/src/flow/Decision.ts
+++ b/src/flow/Decision.ts
@@ -214,7 +214,6 @@
     const work: Work = { asked, row, service, arrivedAt: now, limit, runner: '', startedAt: now, tried: new Set() };
     if (this.#isPlaceless(work)) { this.#turnAway(asked.id, 'waits-for-place', this.#waits.get(service) || `${asked.model} is not placed yet`); return; }
     this.#pend(now, work);
-    this.#advance(now);
   }
 
   #count(unit: string): void { this.#units.set(unit, (this.#units.get(unit) ?? 0) + 1); }
--- a/src/flow/Executor.ts
+++ b/src/flow/Executor.ts
@@ -436,6 +436,16 @@
     expect((await bench.post('m')).status).toBe(502);
     expect(bench.seen).toEqual(['r0', 'r0']);
   }
+  /** A client that has its return's head and reads no further. */
+  async function beginRequest(address: string): Promise<ClientRequest> {
+    const { host, port } = splitAddress(address);
+    const sent = request({ host, port, method: 'POST', path: '/c' });
+    sent.on('error', saySilent);
+    sent.end(JSON.stringify({ model: 'm' }));
+    const [back]: unknown[] = await once(sent, 'response');
+    if (back instanceof Object && 'on' in back && typeof back.on === 'function') back.on('error', saySilent);
+    return sent;
+  }
   async function checkClientGone(): Promise<void> {
     const bench = new Bench();
     const events: string[] = [];
@@ -450,12 +460,7 @@
     }
     function note(): void { events.push('cancelled'); tellCut(); }
     await bench.start([watch]);
-    const { host, port } = splitAddress(bench.address);
-    const sent = request({ host, port, method: 'POST', path: '/c' });
-    sent.on('error', saySilent);
-    sent.end(JSON.stringify({ model: 'm' }));
-    const [back]: unknown[] = await once(sent, 'response');
-    if (back instanceof Object && 'on' in back && typeof back.on === 'function') back.on('error', saySilent);
+    const sent = await beginRequest(bench.address);
     sent.destroy();
     await cut;
     expect(events).toEqual(['cancelled']);
@@ -476,12 +481,7 @@
       more();
     }
     await bench.start([pour]);
-    const { host, port } = splitAddress(bench.address);
-    const sent = request({ host, port, method: 'POST', path: '/c' });
-    sent.on('error', saySilent);
-    sent.end(JSON.stringify({ model: 'm' }));
-    const [back]: unknown[] = await once(sent, 'response');
-    if (back instanceof Object && 'on' in back && typeof back.on === 'function') back.on('error', saySilent);
+    const sent = await beginRequest(bench.address);
     // The client reads nothing: the runner must be held back long before it has poured everything out.
     let before = -1;
     for (let calm = 0; calm < 2000; calm = produced === before ? calm + 1 : 0) { before = produced; await new Promise(setImmediate); }
--- a/src/kin/Defect.ts
+++ b/src/kin/Defect.ts
@@ -51,10 +51,6 @@
   get row(): DefectRow { return DEFECTS[this.#kind]; }
 }
 
-export function isDefectKind(text: string): text is DefectKind {
-  return Object.hasOwn(DEFECTS, text);
-}
-
 /** What went wrong, as one line, whatever was thrown. */
 export function reasonOf(thrown: unknown): string {
   return thrown instanceof Error ? thrown.message : String(thrown);
--- a/src/kin/Ids.ts
+++ b/src/kin/Ids.ts
@@ -1,8 +1,5 @@
 /** Ids, epochs and moments are types of their own, so that one is never passed for another. */
 export type FellowId = string & { readonly kindOfId: 'fellow' };
-export type RunnerId = string & { readonly kindOfId: 'runner' };
-export type ServiceName = string & { readonly kindOfId: 'service' };
-export type ZoneName = string & { readonly kindOfId: 'zone' };
 export type PartName = string & { readonly kindOfId: 'part' };
 export type EditId = string & { readonly kindOfId: 'edit' };
 export type Epoch = number & { readonly kindOfNumber: 'epoch' };
@@ -10,9 +7,6 @@
 export type Moment = number & { readonly kindOfNumber: 'moment' };
 
 function isFellowId(text: string): text is FellowId { return text !== ''; }
-function isRunnerId(text: string): text is RunnerId { return text !== ''; }
-function isServiceName(text: string): text is ServiceName { return text !== ''; }
-function isZoneName(text: string): text is ZoneName { return text !== ''; }
 function isPartName(text: string): text is PartName { return /^[a-z0-9-]+$/.test(text); }
 function isEditId(text: string): text is EditId { return /^[A-Za-z0-9._:-]{1,100}$/.test(text); }
 function isEpoch(value: number): value is Epoch { return Number.isSafeInteger(value) && value >= 0; }
@@ -23,9 +17,6 @@
 }
 
 export function fellowId(text: string): FellowId { if (!isFellowId(text)) throw wrong('fellow id', text); return text; }
-export function runnerId(text: string): RunnerId { if (!isRunnerId(text)) throw wrong('runner id', text); return text; }
-export function serviceName(text: string): ServiceName { if (!isServiceName(text)) throw wrong('service name', text); return text; }
-export function zoneName(text: string): ZoneName { if (!isZoneName(text)) throw wrong('zone name', text); return text; }
 export function partName(text: string): PartName { if (!isPartName(text)) throw wrong('part name', text); return text; }
 export function editId(text: string): EditId { if (!isEditId(text)) throw wrong('edit id', text); return text; }
 export function epochOf(value: number): Epoch { if (!isEpoch(value)) throw wrong('epoch', value); return value; }
--- a/src/kin/Version.ts
+++ b/src/kin/Version.ts
@@ -12,10 +12,6 @@
   return compareVersions(a, b) > 0;
 }
 
-export function isNone(a: Version): boolean {
-  return a.epoch === 0 && a.count === 0;
-}
-
 export function versionText(a: Version): string {
   return `${a.epoch}.${a.count}`;
 }
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -195,8 +195,10 @@
         if (message.sound) this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], '');
         else this.#settleStanding(now, this.#standing.receive(now, fellowId(from), message, this.#quorum));
         break;
-      case 'write': case 'writeReturn': case 'digest': case 'digestReturn':
-        this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), this.#knownMembers(), this.#standing.name);
+      case 'write': this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), this.#knownMembers(), this.#standing.name); break;
+      case 'writeReturn': case 'digest': case 'digestReturn':
+        // Only a write's return names members.
+        this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], this.#standing.name);
         break;
       case 'sound': this.#receiveSound(now, from, message.nonce, message.members); break;
       case 'sounded': this.#receiveSounded(now, from, message); break;
@@ -518,10 +520,12 @@
       if (!this.#runners.has(machine.id)) this.#runners.set(machine.id, { report: undefined, askedAt: NEVER, askSentAt: NEVER, seenAt: NEVER, isReachable: false, isKnown: machine.service !== '' });
     }
     for (const id of this.#runners.keys()) if (!ids.has(id)) this.#runners.delete(id);
-    this.#relay.offer('machines', { epoch: 0, count: machines.revision }, JSON.stringify(machines));
+    const version = { epoch: 0, count: machines.revision };
+    const body = JSON.stringify(machines);
+    this.#relay.offer('machines', version, body);
     // Every node that learns of a mark passes it on at once, leader or not.
     for (const fellow of this.#quorum.all) {
-      if (fellow !== this.#me) this.#send(fellow, { kind: 'news', topic: 'machines', epoch: 0, count: machines.revision, body: JSON.stringify(machines) });
+      if (fellow !== this.#me) this.#send(fellow, { kind: 'news', topic: 'machines', ...version, body });
     }
   }
 
--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -1,4 +1,4 @@
-import { boolean, number, optional, string, type } from 'superstruct';
+import { number, optional, string, type } from 'superstruct';
 import { allParts, CONFIG_PART, VOTE_PART } from '../hold/PartNames.js';
 import { parseAs } from '../kin/Json.js';
 import type { Message } from '../kin/Messages.js';
@@ -45,7 +45,7 @@
   readonly messages: number;
 }
 
-const ReturnShape = type({ outcome: optional(string()), id: optional(string()), number: optional(number()), version: optional(string()), ok: optional(boolean()) });
+const ReturnShape = type({ outcome: optional(string()), id: optional(string()), number: optional(number()), version: optional(string()) });
 
 const TABLE = 'map POST /v1/checks to check\nrow check m-* weight 10 take 100/s late 10s once stream\n';
 const QUIET_MS = 14_000;
@@ -448,11 +448,6 @@
     if (doc.number < this.#newestNumber) this.#find(`lost-table: ${doc.number} stands after ${this.#newestNumber} was accepted`);
     const outcomes = new Map<string, string>();
     for (const edit of doc.edits) outcomes.set(edit.id, edit.outcome);
-    const numbers = new Map<number, string>();
-    for (const edit of doc.edits) {
-      const zoneEdit = numbers.get(edit.number);
-      numbers.set(edit.number, zoneEdit ?? edit.id);
-    }
     for (const told of this.#told) {
       const held = outcomes.get(told.id);
       if (told.outcome === 'accepted' && held !== 'accepted') this.#find(`lost-edit: ${told.id} was accepted and is ${held ?? 'nowhere'}`);
--- a/src/news/Relay.ts
+++ b/src/news/Relay.ts
@@ -46,8 +46,6 @@
 
   removeChild(child: string): void { this.#children.delete(child); }
 
-  children(): readonly string[] { return [...this.#children.keys()]; }
-
   /** What a child says it has is truer than what we remember sending: the line may have dropped it. */
   heard(child: string, have: readonly HaveMessage[]): void {
     const known = new Map<string, Version>();
