--- a/src/myth/Judge.ts
+++ b/src/myth/Judge.ts
@@ -29,6 +29,9 @@
 const HELD_SHARE = 0.5;
 /** Over the whole fleet, for one service. */
 const FEW_REPEATS = 6;
+const REPEATS_MS = 5000;
+/** Each proxy may have earned one that it has not spent yet. */
+const FEW_AT_ONCE = 12;
 const COLD_MS = 1000;
 const COLD_RUNS = 30;
 
@@ -60,15 +63,15 @@
   #find(rule: typeof RULES[number], text: string): void { this.#found.push({ rule, text }); }
 
   #callers(): void {
-    const services = new Map<string, { repeats: number; sent: number }>();
+    const services = new Map<string, { repeats: number[]; sent: number[] }>();
     for (const caller of this.#evidence.callers) {
       const runs = this.#runsById.get(caller.id) ?? [];
       if (caller.once && runs.length > 1) this.#find('run-twice', `${caller.id} (${caller.type}) ran ${runs.length} times`);
       if (!caller.once) {
-        const service = services.get(caller.model) ?? { repeats: 0, sent: 0 };
+        const service = services.get(caller.model) ?? { repeats: [], sent: [] };
         services.set(caller.model, service);
-        service.sent += 1;
-        service.repeats += Math.max(0, runs.length - 1);
+        service.sent.push(caller.sentAt);
+        for (const run of runs.slice(1)) service.repeats.push(run.at);
       }
       if (caller.outcome === 'turned-away' && runs.length > 0) this.#find('ran-though-turned-away', `${caller.id} was turned away with ${caller.status} and ran at ${runs[0]?.runner}`);
       if (caller.isWhole && caller.fault !== '') this.#find(caller.fault.startsWith('stitched') ? 'stitched' : 'not-whole', `${caller.id}: ${caller.fault}`);
@@ -81,7 +84,14 @@
       }
     }
     for (const [service, { repeats, sent }] of services) {
-      if (repeats > sent / 5 + FEW_REPEATS) this.#find('too-many-repeats', `${repeats} repeats of ${sent} at ${service}`);
+      if (repeats.length > sent.length / 5 + FEW_REPEATS) this.#find('too-many-repeats', `${repeats.length} repeats of ${sent.length} at ${service}`);
+      // A quiet hour must not pay for a minute in which nothing but repeats arrives.
+      for (const at of sent) {
+        const [some, all] = [countIn(repeats, at, at + REPEATS_MS), countIn(sent, at, at + REPEATS_MS)];
+        if (some <= all / 5 + FEW_AT_ONCE) continue;
+        this.#find('too-many-repeats', `${some} repeats of ${all} at ${service} within ${REPEATS_MS} ms`);
+        break;
+      }
     }
   }
 
@@ -228,6 +238,8 @@
   }
 }
 
+function countIn(list: readonly number[], from: number, until: number): number { return list.filter(isBetween.bind(undefined, from, until)).length; }
+function isBetween(from: number, until: number, at: number): boolean { return at >= from && at < until; }
 function isFault(id: string, back: BackRecord): boolean { return back.what === 'fault' && back.id === id; }
 function isRun(run: string, back: BackRecord): boolean { return back.run === run; }
 
--- a/src/myth/SimBack.ts
+++ b/src/myth/SimBack.ts
@@ -126,7 +126,7 @@
     // It was given at the moment of its writing, however long it lay in a socket.
     this.#records.push({ at: request.at, what: 'run', runner: this.id, id: request.id, run: run.run });
     const promptMs = this.#seeded.between(5, this.#settings.isPlain ? 30 : 150) * (mood === 'slow' ? 40 : 1);
-    if (run.mood === 'breaks' && this.#seeded.isLikely(0.3)) this.#later(promptMs, this.#break.bind(this, run));
+    if (run.mood === 'breaks' && this.#seeded.isLikely(this.#settings.isPlain ? 0.9 : 0.3)) this.#later(promptMs, this.#break.bind(this, run));
     // Before its head or after some of its lines, a run may stand still for good.
     else if (run.mood === 'silent' && this.#seeded.isLikely(0.3)) this.#fault(run);
     else this.#later(promptMs, this.#head.bind(this, run));
@@ -145,7 +145,7 @@
     const { id, tokens } = run.request;
     if (index >= tokens) { this.#last(run); return; }
     const line = `${JSON.stringify({ id, run: run.run, index })}\n`;
-    if (run.mood === 'breaks' && this.#seeded.isLikely(0.3)) {
+    if ((run.mood === 'breaks' || run.mood === 'unbounded') && this.#seeded.isLikely(0.2)) {
       run.line.text(line.slice(0, this.#seeded.below(line.length)));
       this.#break(run);
       return;
@@ -179,3 +179,10 @@
     this.#holder.ended(this.id, run.request);
   }
 }
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { bite } = await import('./Simulation.js');
+  async function checkBites(wrong: Parameters<typeof bite>[0]): Promise<void> { expect(await bite(wrong)).toEqual([]); }
+  test.each(['slots-forgotten', 'once-repeated', 'unsure-run-as-no', 'ends-made-up', 'unbounded-as-whole'] as const)('a build with %s is caught', checkBites, 600_000);
+}
--- a/src/myth/SimFlow.ts
+++ b/src/myth/SimFlow.ts
@@ -93,7 +93,7 @@
     const node = { passages: this.#passages, obey: this.#obey.bind(this), now: this.now.bind(this) };
     function start(): void { node.passages?.startDraining(node.now()); node.obey(); }
     this.perform(start);
-    const end = this.agenda.now + (this.#wrong === 'drain-cuts' ? 0 : DRAIN_MS);
+    const end = this.agenda.now + (this.#wrong === 'drain-cuts' ? 50 : DRAIN_MS);
     this.#awaitIdle(end, done);
   }
 
--- a/src/myth/SimTroubles.ts
+++ b/src/myth/SimTroubles.ts
@@ -2,7 +2,7 @@
 import type { Agenda } from './Agenda.js';
 import type { Network } from './Network.js';
 import type { Seeded } from './Seeded.js';
-import { MOODS } from './SimBack.js';
+import { MOODS, type Mood } from './SimBack.js';
 import type { SimFlow } from './SimFlow.js';
 import type { SimLink } from './SimLink.js';
 import type { SimMind } from './SimMind.js';
@@ -12,7 +12,7 @@
 
 export const TROUBLES = [
   'kill-mind', 'kill-core', 'retire-mind', 'freeze-mind', 'wipe-mind', 'rot-file', 'stall-disk', 'slow-disk', 'cut-minds', 'cut-one-way', 'isolate-mind', 'isolate-link', 'cut-link',
-  'kill-link', 'freeze-link', 'kill-flow', 'freeze-flow', 'restart-flow', 'loss', 'delay', 'restart-runner', 'vanish-runner', 'dark-runner', 'moody-back', 'restart-back', 'dark-back',
+  'kill-link', 'freeze-link', 'kill-flow', 'freeze-flow', 'restart-flow', 'loss', 'delay', 'restart-runner', 'vanish-runner', 'dark-runner', 'moody-back', 'breaking-plain', 'restart-back', 'dark-back',
   'cut-back', 'mark-runner', 'mark-dark-runner', 'shrink-room', 'lower-limit', 'platform-down', 'odd-list', 'isolate-core', 'crowd', 'zone-lost',
 ] as const;
 export type TroubleKind = typeof TROUBLES[number];
@@ -91,13 +91,14 @@
       case 'vanish-runner': outside.down(runner, true); agenda.after(span, outside.up.bind(outside, runner)); break;
       case 'dark-runner': this.#darken(runner, span); break;
       case 'dark-back': this.#darken(plain, span); break;
-      case 'moody-back': this.#moody(back, span); break;
+      case 'moody-back': this.#mood(back, seeded.pick(MOODS) ?? 'sound', span); break;
+      case 'breaking-plain': for (const id of PLAIN) this.#mood(id, 'breaks', span); break;
       case 'restart-back': this.#restartBack(plain); break;
       case 'cut-back':
         this.#cut(this.#stage.links.map(idOf), [back], seeded.isLikely(0.5), span);
         this.#stage.note({ what: 'cut', node: back, number: span + 100 });
         break;
-      case 'mark-runner': outside.mark(runner, true); agenda.after(span, outside.mark.bind(outside, runner, false)); break;
+      case 'mark-runner': outside.mark(back, true); agenda.after(span, outside.mark.bind(outside, back, false)); break;
       case 'mark-dark-runner': this.#markDark(runner, span); break;
       case 'shrink-room': outside.setRoom(runner, 15); agenda.after(span, outside.setRoom.bind(outside, runner, ROOM)); break;
       case 'lower-limit': outside.setLimit(1); agenda.after(span + 7000, outside.setLimit.bind(outside, LIMIT)); break;
@@ -190,10 +191,10 @@
     agenda.after(span, outside.setDark.bind(outside, id, false));
   }
 
-  #moody(id: string, span: number): void {
+  #mood(id: string, mood: Mood, span: number): void {
     const back = this.#stage.outside.back(id);
     if (!back) return;
-    back.mood = this.#stage.seeded.pick(MOODS) ?? 'sound';
+    back.mood = mood;
     function mend(): void { if (back) back.mood = 'sound'; }
     this.#stage.agenda.after(span, mend);
   }
@@ -254,7 +255,8 @@
     for (const mind of minds) { mind.unstall(); mind.diskMs = 3; }
     for (const node of [...nodes.values(), ...flows]) { node.wake(); node.start(); }
     for (const back of outside.backs()) { back.mood = 'sound'; outside.up(back.id); outside.setDark(back.id, false); }
-    for (const runner of RUNNERS) { outside.mark(runner, false); outside.setRoom(runner, ROOM); }
+    for (const id of [...RUNNERS, ...PLAIN]) outside.mark(id, false);
+    for (const runner of RUNNERS) outside.setRoom(runner, ROOM);
   }
 }
 
--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -17,7 +17,7 @@
 import type { SimNode } from './SimNode.js';
 import { SimOutside } from './SimOutside.js';
 import { PLAIN, RUNNERS, SimTroubles, TROUBLES, ZONES, type Condition, type TroubleKind } from './SimTroubles.js';
-import type { WrongKind } from './Wrong.js';
+import { WRONGS, type WrongKind } from './Wrong.js';
 
 export interface SimulationSettings {
   readonly seed: number;
@@ -77,6 +77,7 @@
   readonly #flows: SimFlow[] = [];
   readonly #violations = new Set<string>();
   readonly #told: Told[] = [];
+  readonly #seenNumbers = new Map<string, number>();
   readonly #seenVersions = new Map<string, Version>();
   #newest: Version = NO_VERSION;
   #newestNumber = 0;
@@ -258,11 +259,14 @@
 
   #watchFlow(flow: SimFlow, now: number): void {
     const { decision } = flow;
-    if (!decision || !flow.isUp) { this.#seenVersions.delete(flow.id); return; }
+    if (!decision || !flow.isUp) { this.#seenVersions.delete(flow.id); this.#seenNumbers.delete(flow.id); return; }
     const version = decision.configVersion;
     const seen = this.#seenVersions.get(flow.id) ?? NO_VERSION;
     if (compareVersions(version, seen) < 0) this.#find(`slip: ${flow.id} went from ${versionText(seen)} back to ${versionText(version)}`);
     this.#seenVersions.set(flow.id, version);
+    const seenNumber = this.#seenNumbers.get(flow.id) ?? -1;
+    if (decision.tableNumber < seenNumber) this.#find(`slip: ${flow.id} went from table ${seenNumber} back to ${decision.tableNumber}`);
+    this.#seenNumbers.set(flow.id, decision.tableNumber);
     if (flow.isFrozen || !decision.isFresh(flow.now())) return;
     if (compareVersions(version, this.#newest) < 0) this.#find(`old-table: ${flow.id} works by ${versionText(version)} after ${versionText(this.#newest)} was told as in force`);
     if (decision.tableNumber < this.#newestNumber) this.#find(`old-table: ${flow.id} works by table ${decision.tableNumber} after ${this.#newestNumber}`);
@@ -437,6 +441,24 @@
   return broken;
 }
 
+/**
+ * Runs a build with one thing wrong until its rule is seen to break, and the sound build on the same seeds.
+ * Names what did not come out so: a fault that no seed shows, or a sound build that breaks something.
+ */
+export async function bite(wrong: WrongKind, most = 12): Promise<string[]> {
+  const { rule, troubles } = WRONGS[wrong];
+  for (let seed = 1; seed <= most; seed += 1) {
+    const sound = new Simulation({ seed, edges: 3, stormMs: 15_000, troubles }).run();
+    if (sound.violations.length > 0) return [`sound at seed ${seed}: ${sound.violations[0]}`];
+    const { violations } = new Simulation({ seed, edges: 3, stormMs: 15_000, troubles, wrong }).run();
+    if (violations.some(isOfRule.bind(undefined, rule))) return [];
+    await new Promise(setImmediate);
+  }
+  return [`${wrong}: no ${rule} in ${most} seeds`];
+}
+
+function isOfRule(rule: string, violation: string): boolean { return violation.startsWith(`${rule}:`); }
+
 if (import.meta.vitest) {
   const { test, expect } = import.meta.vitest;
   async function checkAll(): Promise<void> { expect(await storm(1, 50, TROUBLES)).toEqual([]); }
--- a/src/myth/Wrong.ts
+++ b/src/myth/Wrong.ts
@@ -27,10 +27,17 @@
   'ends-made-up': { rule: 'not-whole', troubles: ['moody-back', 'restart-runner'] },
   'unbounded-as-whole': { rule: 'not-whole', troubles: ['moody-back', 'restart-runner'] },
   'streams-resumed': { rule: 'stitched', troubles: ['moody-back', 'restart-runner'] },
-  'no-budget': { rule: 'too-many-repeats', troubles: ['moody-back', 'restart-back'] },
+  'no-budget': { rule: 'too-many-repeats', troubles: ['breaking-plain'] },
   'no-ramp': { rule: 'cold-flooded', troubles: ['restart-back'] },
   'drain-cuts': { rule: 'cut-by-plan', troubles: ['restart-flow'] },
   'no-kept-back': { rule: 'held-back', troubles: ['mark-runner'] },
 } as const satisfies Record<string, WrongRow>;
 
 export type WrongKind = keyof typeof WRONGS;
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { bite } = await import('./Simulation.js');
+  async function checkBites(wrong: Parameters<typeof bite>[0]): Promise<void> { expect(await bite(wrong)).toEqual([]); }
+  test.each(['no-gap-between-holders', 'never-blind', 'acks-unasked', 'marks-ignored'] as const)('a build with %s is caught', checkBites, 600_000);
+}
