--- a/src/flow/Decision.ts
+++ b/src/flow/Decision.ts
@@ -30,6 +30,8 @@
 export interface DecisionSettings {
   readonly blindMs: number;
   readonly me: string;
+  /** A number that no other life of this process has, well apart from others'. */
+  readonly life: number;
   /** Most requests pending at once. */
   readonly mostPending: number;
   /** How long a runner that just started is spared. */
@@ -39,7 +41,7 @@
   readonly repeatFew: number;
 }
 
-export const DECISION_DEFAULTS = { mostPending: 512, rampMs: 10_000, repeatShare: 0.2, repeatFew: 4 } as const;
+export const DECISION_DEFAULTS = { life: 0, mostPending: 512, rampMs: 10_000, repeatShare: 0.2, repeatFew: 4 } as const;
 
 interface Work {
   readonly asked: Asked;
@@ -105,7 +107,7 @@
 
   constructor(settings: DecisionSettings) {
     this.#settings = settings;
-    this.#freshness = new Freshness(settings.blindMs);
+    this.#freshness = new Freshness(settings.blindMs, settings.life);
   }
 
   get configVersion(): Version { return this.#config?.version ?? NO_VERSION; }
@@ -426,8 +428,9 @@
 
   #noteRunner(now: Moment, runner: PlacedRunner, isFirst: boolean): void {
     const state = this.#runners.get(runner.id);
-    // Back ends without a report count as warm only if they stood here before us.
-    const upMs = runner.service !== '' ? (isFirst ? this.#settings.rampMs : 0) : runner.upMs;
+    // Back ends without a report count as warm only if they stood here before us; and we begin gently with those,
+    // since one may have been started together with us.
+    const upMs = runner.service !== '' ? (isFirst ? this.#settings.rampMs * 0.8 : 0) : runner.upMs;
     if (!state) {
       const never = moment(-1);
       this.#runners.set(runner.id, { pending: 0, meanMs: 0, fullUntil: never, brokenUntil: never, rampFrom: now, rampStarts: 0, firstSeen: moment(now - upMs), isFallen: false });
@@ -741,6 +744,8 @@
       bench.places([], 2, 9);
       bench.fresh();
       for (let index = 0; index < 40; index += 1) {
+        bench.now += 300;
+        bench.fresh();
         const id = bench.ask('', { method: 'GET', path: '/l' });
         if (bench.decision.broke(moment(bench.now), id, true, true)) { repeats += 1; bench.decision.done(moment(bench.now), id); }
       }
--- a/src/flow/FlowProcess.ts
+++ b/src/flow/FlowProcess.ts
@@ -5,6 +5,7 @@
 import { Counters } from '../kin/Counters.js';
 import type { Defect } from '../kin/Defect.js';
 import type { HaveMessage } from '../kin/Messages.js';
+import { newLife } from '../kin/Life.js';
 import { Owner } from '../kin/Owner.js';
 import type { FlowSettingsShape } from '../kin/Settings.js';
 import { versionText } from '../kin/Version.js';
@@ -34,7 +35,7 @@
     this.#log = log;
     const me = `flow@${settings.listen}`;
     this.#exchange = new Exchange({ id: me, role: 'flow', zone: settings.zone, listen: '', reach: {} }, this.#tell.bind(this));
-    this.#decision = new Decision({ ...DECISION_DEFAULTS, blindMs: settings.blindMs, me });
+    this.#decision = new Decision({ ...DECISION_DEFAULTS, blindMs: settings.blindMs, me, life: newLife() });
     this.#executor = new Executor(this.#decision, { maxBodyBytes: settings.maxBodyBytes, connectMs: 500, silentMs: settings.silentMs }, this.#counters, monotonicNow);
   }
 
--- a/src/flow/Freshness.ts
+++ b/src/flow/Freshness.ts
@@ -5,9 +5,13 @@
   readonly #blindMs: number;
   #freshUntil: Moment = moment(-1);
   readonly #asks = new Map<number, Moment>();
-  #nonce = 0;
+  #nonce: number;
 
-  constructor(blindMs: number) { this.#blindMs = blindMs; }
+  /** Nonces begin at a number of this life's own: a vouch for our former life's ask must return none of ours. */
+  constructor(blindMs: number, life: number) {
+    this.#blindMs = blindMs;
+    this.#nonce = life;
+  }
 
   ask(now: Moment): number {
     this.#nonce += 1;
@@ -29,3 +33,19 @@
 
   isFresh(now: Moment): boolean { return now < this.#freshUntil; }
 }
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  function checkLives(): void {
+    const former = new Freshness(2500, 1000);
+    const latter = new Freshness(2500, 2000);
+    const nonce = former.ask(moment(0));
+    latter.ask(moment(1000));
+    // It was asked before the restart, and says nothing of what holds since.
+    latter.vouch(nonce, true);
+    expect(latter.isFresh(moment(1001))).toBe(false);
+    former.vouch(nonce, true);
+    expect([former.isFresh(moment(2499)), former.isFresh(moment(2500))]).toEqual([true, false]);
+  }
+  test('a vouch for a former life makes nobody fresh', checkLives);
+}
--- a/src/hold/Standing.ts
+++ b/src/hold/Standing.ts
@@ -21,7 +21,7 @@
 export class Standing {
   readonly #me: FellowId;
   #name: StandingName;
-  #nonce = 0;
+  #nonce: number;
   #askedAt: Moment;
   readonly #bootAt: Moment;
   readonly #foundMs: number;
@@ -29,12 +29,13 @@
   #memberEpoch = 0;
   #isForced = false;
 
-  constructor(me: FellowId, name: StandingName, now: Moment, foundMs: number) {
+  constructor(me: FellowId, name: StandingName, now: Moment, foundMs: number, life: number) {
     this.#me = me;
     this.#name = name;
     this.#bootAt = now;
     this.#askedAt = now;
     this.#foundMs = foundMs;
+    this.#nonce = life;
   }
 
   get name(): StandingName { return this.#name; }
@@ -113,7 +114,7 @@
     return { kind: 'readReturn', epoch, nonce: 1, sound: false, copies: [], standing };
   }
   function start(): Standing {
-    const standing = new Standing(a, 'blank', moment(0), 1000);
+    const standing = new Standing(a, 'blank', moment(0), 1000, 0);
     standing.beat(moment(1500), quorum);
     return standing;
   }
--- a/src/link/LinkCore.ts
+++ b/src/link/LinkCore.ts
@@ -6,7 +6,7 @@
 import { Relay } from '../news/Relay.js';
 import { Vouching } from '../news/Vouching.js';
 
-export interface LinkSettings { readonly me: string; readonly zone: string; readonly seeds: readonly string[]; readonly blindMs: number }
+export interface LinkSettings { readonly me: string; readonly zone: string; readonly seeds: readonly string[]; readonly blindMs: number; readonly life: number }
 
 export type LinkEffect =
   | { readonly do: 'send'; readonly to: string; readonly message: Message }
@@ -14,6 +14,8 @@
 
 interface FlowState { acked: Version; goneAt: Moment | undefined }
 
+/** By how much of itself a clock may be fast or slow: a proxy gone from here may work on a slower one. */
+const CLOCK_DRIFT = 0.01;
 const VotersShape = type({ voters: array(array(string())) });
 const JOIN_MS = 400;
 const MIND_SILENT_MS = 900;
@@ -23,7 +25,7 @@
 export class LinkCore {
   readonly #settings: LinkSettings;
   readonly #relay = new Relay();
-  readonly #vouching = new Vouching();
+  readonly #vouching: Vouching;
   readonly #flows = new Map<string, FlowState>();
   #minds: readonly string[];
   #mindIndex: number;
@@ -38,6 +40,7 @@
 
   constructor(settings: LinkSettings, now: Moment) {
     this.#settings = settings;
+    this.#vouching = new Vouching(settings.life);
     this.#minds = settings.seeds;
     // Links begin at different minds, so that no mind feeds them all.
     this.#mindIndex = hashOf(settings.me) % settings.seeds.length;
@@ -64,7 +67,7 @@
     // A parent that does not return our asks is left at once; the mind hangs us elsewhere.
     if (this.#parent !== '' && this.#askedAt !== undefined && now - this.#askedAt > PARENT_SILENT_MS) this.#leaveParent(now);
     if (now >= later(this.#joinedAt, JOIN_MS)) this.#join(now);
-    for (const [id, flow] of this.#flows) if (flow.goneAt !== undefined && now - flow.goneAt > this.#settings.blindMs) this.#flows.delete(id);
+    for (const [id, flow] of this.#flows) if (flow.goneAt !== undefined && now - flow.goneAt > this.#settings.blindMs * (1 + 2 * CLOCK_DRIFT)) this.#flows.delete(id);
     this.#tellAck();
     this.#ask(now);
     this.#flush();
@@ -216,7 +219,7 @@
   }
   function checkRestart(): void {
     // Killed and started anew: the proxy beside it may still be fresh by what it was vouched for through our former life.
-    const core = new LinkCore({ me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500 }, moment(0));
+    const core = new LinkCore({ me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, life: 0 }, moment(0));
     core.receive(moment(10), core.mind, 'mind', { kind: 'news', topic: 'config', epoch: 2, count: 7, body: '{"voters":[]}' });
     core.beat(moment(20));
     for (const version of acks(core)) expect(version).toEqual(NO_VERSION);
@@ -225,7 +228,7 @@
     expect(acks(core)).toContainEqual({ epoch: 2, count: 7 });
   }
   function checkParentSilent(): void {
-    const core = new LinkCore({ me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500 }, moment(0));
+    const core = new LinkCore({ me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, life: 0 }, moment(0));
     core.receive(moment(0), core.mind, 'mind', { kind: 'hang', parent: '10.0.1.9:1' });
     core.receive(moment(10), 'flow@1', 'flow', { kind: 'ask', nonce: 5, have: [], members: [] });
     expect(core.drain()).toContainEqual({ do: 'send', to: '10.0.1.9:1', message: { kind: 'ask', nonce: 1, have: [], members: ['10.0.1.1:1'] } });
@@ -238,7 +241,7 @@
     expect(core.drain()).toContainEqual({ do: 'send', to: 'flow@1', message: { kind: 'vouch', nonce: 5, epoch: 0, count: 0, marks: 0 } });
   }
   function checkNames(): void {
-    const core = new LinkCore({ me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500 }, moment(0));
+    const core = new LinkCore({ me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, life: 0 }, moment(0));
     core.receive(moment(10), '10.0.1.2:1', 'link', { kind: 'ask', nonce: 3, have: [], members: ['10.0.1.2:1', '10.0.1.3:1'] });
     expect(core.drain()).toContainEqual({ do: 'send', to: core.mind, message: { kind: 'ask', nonce: 1, have: [], members: ['10.0.1.1:1', '10.0.1.2:1', '10.0.1.3:1'] } });
   }
--- a/src/link/LinkProcess.ts
+++ b/src/link/LinkProcess.ts
@@ -1,6 +1,7 @@
 import { interval, merge, Subscription } from 'rxjs';
 import type { Infer } from 'superstruct';
 import type { Logger } from 'pino';
+import { newLife } from '../kin/Life.js';
 import { monotonicNow } from '../kin/Clock.js';
 import { Counters } from '../kin/Counters.js';
 import type { Defect } from '../kin/Defect.js';
@@ -28,7 +29,7 @@
     const { listen, feed, zone, seeds, blindMs, reach } = settings;
     this.#nodes = new Exchange({ id: listen, role: 'link', zone, listen, reach }, this.#tell.bind(this));
     this.#feed = new Exchange({ id: feed, role: 'link', zone, listen: feed, reach: {} }, this.#tell.bind(this));
-    this.#core = new LinkCore({ me: listen, zone, seeds, blindMs }, monotonicNow());
+    this.#core = new LinkCore({ me: listen, zone, seeds, blindMs, life: newLife() }, monotonicNow());
   }
 
   async start(): Promise<void> {
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -41,7 +41,7 @@
 
 interface Runner { report: RunnerReport | undefined; askedAt: Moment; askSentAt: Moment; seenAt: Moment; isReachable: boolean; isKnown: boolean }
 
-interface SentOrder { readonly sentAt: Moment; readonly state: 'sent' | 'taken' | 'unsure' }
+interface SentOrder { readonly sentAt: Moment; readonly state: 'sent' | 'taken' | 'unsure'; readonly wasUnsure: boolean }
 
 interface Forwarded { readonly origin: Origin; readonly to: string; readonly at: Moment; readonly editId: string }
 
@@ -73,7 +73,7 @@
   readonly #standing: Standing;
   readonly #sessions: Sessions;
   readonly #relay = new Relay();
-  readonly #vouching = new Vouching();
+  readonly #vouching: Vouching;
   readonly #placer: Placer;
   #quorum: Quorum;
   #effects: MindEffect[] = [];
@@ -99,13 +99,16 @@
   readonly #edits = new Map<number, WaitingEdit>();
   readonly #reads = new Map<number, Origin>();
   #readId = 0;
-  #forwardId = 0;
+  #forwardId: number;
   /** Nodes whose line closed and from which nothing came since: what is sent there now is lost. */
   readonly #closed = new Set<string>();
   readonly #forwards = new Map<number, Forwarded>();
 
   #machines: Machines = { revision: 0, machines: [] };
   #catalog: Catalog = EMPTY_CATALOG;
+  /** The epoch of ours in which it was last told; it may be old news at the beginning of another. */
+  #catalogEpoch = -1;
+  #mayOrderSince: Moment = NEVER;
   readonly #runners = new Map<string, Runner>();
   readonly #shares = new Shares();
   #shareList: readonly Share[] = [];
@@ -146,7 +149,9 @@
     const known: VoteRecord | undefined = name === 'sound' ? record : undefined;
     this.#elector = new Elector(this.#me, this.#quorum, vote, now, known);
     this.#keptGrant = known?.grantEpoch ?? 0;
-    this.#standing = new Standing(this.#me, name, now, settings.foundMs);
+    this.#standing = new Standing(this.#me, name, now, settings.foundMs, settings.life);
+    this.#vouching = new Vouching(settings.life);
+    this.#forwardId = settings.life;
     if (name !== 'sound') this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
     this.#placer = new Placer(placer, settings.me);
@@ -262,7 +267,10 @@
     this.#collect(now);
   }
 
-  catalog(_now: Moment, catalog: Catalog): void { this.#catalog = catalog; }
+  catalog(_now: Moment, catalog: Catalog): void {
+    this.#catalog = catalog;
+    this.#catalogEpoch = this.#ledEpoch;
+  }
 
   /** What a runner returned to an ask sent at that moment; nothing if it did not. */
   reported(now: Moment, id: string, askedAt: Moment, report: RunnerReport | undefined): void {
@@ -281,11 +289,13 @@
     const sent = this.#orders.get(intent);
     if (outcome === 'taken') {
       this.#placer.orderTaken(now, intent);
-      this.#orders.set(intent, { sentAt: now, state: 'taken' });
+      this.#orders.set(intent, { sentAt: now, state: 'taken', wasUnsure: true });
     } else if (outcome === 'turnedAway') {
       this.#placer.orderTurnedAway(intent);
     } else if (sent && sent.state !== 'taken') {
-      this.#orders.set(intent, { sentAt: outcome === 'unsent' ? NEVER : now, state: 'unsure' });
+      // Never written, it is as if it had not been sent; one whose fate was open before stays open.
+      if (outcome === 'unsent' && !sent.wasUnsure) this.#orders.delete(intent);
+      else this.#orders.set(intent, { sentAt: outcome === 'unsent' ? NEVER : now, state: 'unsure', wasUnsure: true });
     }
   }
 
@@ -581,6 +591,8 @@
 
   #serve(now: Moment): void {
     this.#isServing = true;
+    this.#mayOrderSince = NEVER;
+    this.#catalogAt = NEVER;
     this.#servingSince = now;
     this.#note('serving', { epoch: this.#ledEpoch });
     const body = this.#parts.body(CONFIG_PART);
@@ -855,8 +867,14 @@
     this.#publishPlaces(now, input);
   }
 
+  /** Bound once: it is asked for every intent at every plan. */
+  readonly #isSentOrder = this.#hasSent.bind(this);
+
+  #hasSent(intent: string): boolean { return this.#orders.has(intent); }
+
   #orderIntents(now: Moment, input: PlanInput): void {
     if (!this.mayOrder(now)) return;
+    if (this.#mayOrderSince === NEVER) this.#mayOrderSince = now;
     const open = new Set<string>();
     for (const doc of this.#placer.docs()) {
       for (const intent of doc.intents) {
@@ -866,15 +884,17 @@
         if (!this.#keptIntents.has(intent.id) || sent?.state === 'taken') continue;
         if (sent && now < later(sent.sentAt, ORDER_AGAIN_MS)) continue;
         const view = input.runners.find(isRunner.bind(undefined, intent.runner));
-        if (!sent && !this.#placer.mayStillOrder(intent, input)) {
-          // Decided and never sent: what was decided in this epoch can have been sent by nobody else either.
-          if (intent.id.startsWith(`${this.#me}/${this.#ledEpoch}.`)) this.#placer.orderTurnedAway(intent.id);
+        if (!view?.isReachable || view.report?.boot !== intent.boot) continue;
+        if (!this.#placer.mayStillOrder(intent, input, this.#isSentOrder)) {
+          // Not sent by us: decided in this epoch it was sent by nobody; of an older one the runner would have shown it
+          // in a report asked for since we may order, which is long after anybody else could.
+          const isOurs = intent.id.startsWith(`${this.#me}/${this.#ledEpoch}.`);
+          if (!sent && (isOurs || view.askedAt > this.#mayOrderSince)) this.#placer.orderTurnedAway(intent.id);
           continue;
         }
-        // Sent before and perhaps taken, it is not sent again to where no new work may go.
-        if (sent && !this.#placer.mayStillOrder(intent, input)) continue;
-        if (!view?.isReachable || view.report?.boot !== intent.boot) continue;
-        this.#orders.set(intent.id, { sentAt: now, state: 'sent' });
+        // Until the weight store has told us its limit, we do not know how much may be fetched.
+        if (intent.verb === 'load' && this.#catalogEpoch !== this.#ledEpoch) continue;
+        this.#orders.set(intent.id, { sentAt: now, state: 'sent', wasUnsure: sent?.wasUnsure ?? false });
         this.#ordersSent += 1;
         this.#effects.push({ do: 'order', intent, address: view.machine.address });
       }
--- a/src/mind/MindEffect.ts
+++ b/src/mind/MindEffect.ts
@@ -18,6 +18,8 @@
 export interface MindSettings {
   readonly me: string;
   readonly zone: string;
+  /** A number that no other life of this process has, well apart from others'. */
+  readonly life: number;
   readonly seeds: readonly string[];
   /** A member not vouched for within this span turns new work away. */
   readonly blindMs: number;
--- a/src/mind/MindProcess.ts
+++ b/src/mind/MindProcess.ts
@@ -9,6 +9,7 @@
 import { Defect, reasonOf } from '../kin/Defect.js';
 import type { Moment } from '../kin/Ids.js';
 import { parseAs } from '../kin/Json.js';
+import { newLife } from '../kin/Life.js';
 import { Owner } from '../kin/Owner.js';
 import type { MindSettingsShape } from '../kin/Settings.js';
 import { Exchange, type Incoming } from '../news/Exchange.js';
@@ -53,7 +54,7 @@
   async start(): Promise<void> {
     const stored = await this.#store.readAll();
     const { listen: me, zone, seeds, blindMs } = this.#settings;
-    const core = new MindCore({ ...MIND_DEFAULTS, me, zone, seeds, blindMs }, stored, monotonicNow());
+    const core = new MindCore({ ...MIND_DEFAULTS, me, zone, seeds, blindMs, life: newLife() }, stored, monotonicNow());
     this.#core = core;
     this.#orderer = new Orderer(core, monotonicNow);
     this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
--- a/src/mind/Orderer.ts
+++ b/src/mind/Orderer.ts
@@ -12,8 +12,14 @@
 }
 
 const CONTINUE_MS = 1000;
-/** An order is cut off this long before the lease ends. */
-const MARGIN_MS = 100;
+/** So long after its word to go on a runner may take the order, on its own clock. */
+export const TAKE_WITHIN_MS = 300;
+/**
+ * No order is written so shortly before the lease ends, and one under way is cut off then. What is written after a check
+ * that left more than this, and taken within the span above of a word that came before the check, is taken in the lease,
+ * however long we were frozen in between.
+ */
+const MARGIN_MS = 350;
 
 /**
  * Sends one order. The head goes first and asks to be told to go on, so that a runner that is dark or slow
@@ -31,7 +37,7 @@
   send(intent: Intent, address: string, holder: string, epoch: number): Promise<OrderOutcome> {
     const { host, port } = splitAddress(address);
     const body = JSON.stringify({ id: intent.id, verb: intent.verb, model: intent.model, adapter: intent.adapter, boot: intent.boot, size: intent.size, holder, epoch });
-    const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), expect: '100-continue' };
+    const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), expect: '100-continue', 'x-take-within-ms': TAKE_WITHIN_MS };
     const sent = request({ host, port, method: 'POST', path: '/orders', headers, agent: false });
     return new Promise(this.#run.bind(this, sent, body));
   }
--- a/src/myth/RunnerStand.ts
+++ b/src/myth/RunnerStand.ts
@@ -49,7 +49,7 @@
 
   #serve(method: string, path: string, body: string, returned: ServerResponse, asked: IncomingMessage): Promise<void> | void {
     if (method === 'GET' && path === '/report') return returnJson(returned, 200, this.#report());
-    if (method === 'POST' && path === '/orders') return this.#order(body, returned);
+    if (method === 'POST' && path === '/orders') return this.#order(body, returned, asked);
     if (method === 'POST' && path === '/run') return this.#run(body, returned, asked);
     return returnJson(returned, 404, { text: 'no such thing here' });
   }
@@ -66,9 +66,15 @@
     return used;
   }
 
-  #order(body: string, returned: ServerResponse): void {
+  #order(body: string, returned: ServerResponse, asked: IncomingMessage): void {
     const order = parseAs(OrderShape, body);
     if (!order) { returnJson(returned, 400, { text: 'no order' }); return; }
+    const within = Number(asked.headers['x-take-within-ms'] ?? Infinity);
+    if (this.#server.sinceContinue(asked) > within) {
+      this.#server.record({ what: 'late-order', runner: this.#settings.id, order: order.id, holder: order.holder, epoch: order.epoch });
+      returnJson(returned, 409, { text: 'too late after the word to go on' });
+      return;
+    }
     const key = `${order.model}\n${order.adapter}`;
     const unit = this.#holds.get(key);
     const fits = this.#used() + order.size <= this.#settings.room;
--- a/src/myth/SimFlow.ts
+++ b/src/myth/SimFlow.ts
@@ -68,7 +68,7 @@
     const isNever = this.#wrong === 'never-blind';
     const repeats = this.#wrong === 'no-budget' ? { repeatShare: 1, repeatFew: 1000 } : {};
     const ramp = this.#wrong === 'no-ramp' ? { rampMs: 1 } : {};
-    this.#decision = new Decision({ ...DECISION_DEFAULTS, ...repeats, ...ramp, blindMs: isNever ? 1e9 : BLIND_MS, me: this.id });
+    this.#decision = new Decision({ ...DECISION_DEFAULTS, ...repeats, ...ramp, blindMs: isNever ? 1e9 : BLIND_MS, me: this.id, life: this.life });
     this.#passages = new Passages(this.#decision, { connectMs: 500, silentMs: SILENT_MS }, new Counters());
     this.#watches = new Watches(this.#decision);
     this.#isDraining = false;
--- a/src/myth/SimLink.ts
+++ b/src/myth/SimLink.ts
@@ -23,7 +23,7 @@
   get core(): LinkCore | undefined { return this.#core; }
 
   protected boot(): void {
-    this.#core = new LinkCore({ me: this.id, zone: 'z', seeds: this.#seeds, blindMs: BLIND_MS }, this.now());
+    this.#core = new LinkCore({ me: this.id, zone: 'z', seeds: this.#seeds, blindMs: BLIND_MS, life: this.life }, this.now());
   }
 
   protected died(): void { this.#core = undefined; }
--- a/src/myth/SimMind.ts
+++ b/src/myth/SimMind.ts
@@ -45,12 +45,13 @@
 
   protected boot(): void {
     this.#store.crash();
-    const settings = { ...MIND_DEFAULTS, me: this.id, zone: this.id, seeds: this.#seeds };
+    const settings = { ...MIND_DEFAULTS, life: this.life, me: this.id, zone: this.id, seeds: this.#seeds };
     this.#core = new MindCore(settings, this.#store.list(), this.now(), this.#vote, { ...PLACER_DEFAULTS, stayMs: 2000, demandSpanMs: 5000 });
   }
 
   protected died(): void {
     this.#core = undefined;
+    this.freezeAtOrderMs = 0;
     this.#stalled = [];
     // Whoever asked here hears nothing any more: for them the outcome is unsure.
     for (const returned of this.#returns.values()) returned(0, '');
@@ -98,6 +99,16 @@
     this.#do(gone);
   }
 
+  /** While set, it freezes for so long right after the next check of its lease before an order. */
+  freezeAtOrderMs = 0;
+
+  #freezeAtOrder(): void {
+    if (this.freezeAtOrderMs === 0 || this.isFrozen) return;
+    this.freeze();
+    this.agenda.after(this.freezeAtOrderMs, this.wake.bind(this));
+    this.freezeAtOrderMs = 0;
+  }
+
   /** An operator's command at this node's API. */
   command(verb: string, body: string, returned: Returned): void {
     if (!this.isUp) { returned(0, ''); return; }
@@ -109,6 +120,8 @@
     this.perform(this.#do.bind(this, command));
   }
 
+  #atWake(input: (core: MindCore) => void): void { this.perform(this.#do.bind(this, input)); }
+
   #do(input: (core: MindCore) => void): void {
     const core = this.#core;
     if (!core) return;
@@ -168,7 +181,7 @@
 
   /** The head of an order goes out, the runner says to go on, the lease is checked, and the order is written. */
   #order(core: MindCore, effect: Extract<MindEffect, { do: 'order' }>): void {
-    const perform = this.#do.bind(this);
+    const perform = this.#atWake.bind(this);
     const now = this.now.bind(this);
     const network = this.#network;
     const outside = this.#outside;
@@ -178,18 +191,27 @@
     const { intent } = effect;
     function told(outcome: 'taken' | 'turnedAway' | 'unsure' | 'unsent', inner: MindCore): void { inner.ordered(now(), intent.id, outcome); }
     const epoch = core.elector.epoch;
+    const wrong = this.#wrong;
+    let continuedAt = 0;
+    const freezeHere = this.#freezeAtOrder.bind(this);
+    function goOn(): void { continuedAt = agenda.now; agenda.after(network.delay(), perform.bind(undefined, write)); }
     function write(inner: MindCore): void {
-      if (!inner.mayOrder(now()) || inner.leaseEnd() - now() <= 100) { told('unsent', inner); return; }
+      if (!inner.mayOrder(now()) || inner.leaseEnd() - now() <= 350) { told('unsent', inner); return; }
+      // Between the check and the write the process may stand still for as long as it likes.
+      freezeHere();
+      perform(put);
+    }
+    function put(): void {
       // From here on it is in the socket: a freeze or a lost lease no longer holds it back.
       if (network.isCut(me, intent.runner)) { later(1000, perform.bind(undefined, told.bind(undefined, 'unsure'))); return; }
       agenda.after(network.delay(), arrive);
     }
     function arrive(): void {
-      const outcome = outside.order(me, epoch, intent);
+      const outcome = outside.order(me, epoch, intent, wrong === 'orders-untimed' ? agenda.now : continuedAt);
       later(network.delay(), perform.bind(undefined, told.bind(undefined, outcome)));
     }
     if (network.isCut(me, intent.runner) || !outside.isAnswering(intent.runner)) later(1000, perform.bind(undefined, told.bind(undefined, 'unsent')));
-    else later(network.delay() * 2, perform.bind(undefined, write));
+    else agenda.after(network.delay(), goOn);
   }
 
   #keep(effect: Extract<MindEffect, { do: 'store' }>): void {
@@ -216,6 +238,34 @@
   const { Simulation, storm } = await import('./Simulation.js');
   async function checkDisks(): Promise<void> { expect(await storm(1000, 50, ['kill-mind', 'wipe-mind', 'rot-file', 'stall-disk', 'slow-disk', 'freeze-mind'])).toEqual([]); }
   async function checkRetiring(): Promise<void> { expect(await storm(5000, 30, ['retire-mind', 'freeze-mind', 'cut-one-way', 'dark-runner'])).toEqual([]); }
+  function mayOrder(mind: SimMind): boolean { return mind.core?.mayOrder(mind.now()) === true; }
+  function checkClocks(): void {
+    const gaps: number[] = [];
+    for (let seed = 1; seed <= 6; seed += 1) {
+      const simulation = new Simulation({ seed, edges: 0, stormMs: 0, troubles: [] });
+      const { agenda, network } = simulation;
+      simulation.start();
+      agenda.runUntil(12_000);
+      const leader = simulation.leader();
+      if (!leader) throw new Error('no leader');
+      // The worst that the bound allows: the holder's clock is slow, so that its lease lasts, and all others' are fast.
+      for (const mind of simulation.minds) mind.setRate(mind === leader ? 0.99 : 1.01);
+      agenda.runUntil(agenda.now + 3000 + seed * 111);
+      for (const mind of simulation.minds) if (mind !== leader) { network.cut(leader.id, mind.id); network.cut(mind.id, leader.id); }
+      let lastOld = agenda.now;
+      for (let step = 0; step < 4000; step += 1) {
+        agenda.runUntil(agenda.now + 3);
+        if (mayOrder(leader)) lastOld = agenda.now;
+        const next = simulation.minds.find(isNext.bind(undefined, leader));
+        if (next) { gaps.push(agenda.now - lastOld); break; }
+      }
+    }
+    expect(gaps).toHaveLength(6);
+    expect(Math.min(...gaps)).toBeGreaterThanOrEqual(3000);
+    expect(Math.max(...gaps)).toBeLessThan(4000);
+  }
+  function isNext(leader: SimMind, mind: SimMind): boolean { return mind !== leader && mayOrder(mind); }
+  test('with clocks one in a hundred apart, holders are still three seconds apart', checkClocks, 600_000);
   function checkHandOver(): void {
     // The leader is stopped as planned: the next one may order as soon as the span in which nobody does is over.
     const simulation = new Simulation({ seed: 3, edges: 1, stormMs: 0, troubles: [] });
--- a/src/myth/SimNode.ts
+++ b/src/myth/SimNode.ts
@@ -6,8 +6,8 @@
 export abstract class SimNode {
   readonly id: string;
   readonly agenda: Agenda;
-  readonly #clockOffset: number;
-  readonly #clockRate: number;
+  #clockOffset: number;
+  #clockRate: number;
   readonly #beatMs: number;
   #life = 0;
   #isUp = false;
@@ -18,17 +18,26 @@
     this.id = id;
     this.agenda = agenda;
     this.#clockOffset = clockOffset;
-    // Quartz differs by some dozen parts in a million; this is far more.
-    this.#clockRate = 1 + ((clockOffset % 1000) - 500) * 1e-6;
+    // Quartz differs by some dozen parts in a million; this is one in a hundred, either way.
+    this.#clockRate = 1 + ((clockOffset % 1000) - 500) * 2e-5;
     this.#beatMs = beatMs;
   }
 
+  /** Far apart from those of its other lives. */
+  get life(): number { return this.#life * 1e6; }
   get isUp(): boolean { return this.#isUp; }
   get isFrozen(): boolean { return this.#isFrozen; }
 
   /** Its own monotonic clock, which goes on while it is frozen. */
   now(): Moment { return moment(this.agenda.now * this.#clockRate + this.#clockOffset); }
 
+  /** From here on its clock goes faster or slower; it never jumps. */
+  setRate(rate: number): void {
+    const now = this.now();
+    this.#clockRate = rate;
+    this.#clockOffset = now - this.agenda.now * rate;
+  }
+
   start(): void {
     if (this.#isUp) return;
     this.#isUp = true;
--- a/src/myth/SimOutside.ts
+++ b/src/myth/SimOutside.ts
@@ -1,3 +1,4 @@
+import { TAKE_WITHIN_MS } from '../mind/Orderer.js';
 import type { Catalog, Hold, Intent, Machine, Machines, RunnerReport } from '../place/Shapes.js';
 import type { Agenda } from './Agenda.js';
 import type { BackRecord } from './Records.js';
@@ -41,6 +42,7 @@
   #limitBefore: number;
   #limitSince = -1e9;
   mostFetching = 0;
+  lateOrders = 0;
   isPlatformUp = true;
   /** What the platform tells instead of its list, for a while. */
   oddList: 'none' | 'empty' | 'old' = 'none';
@@ -177,22 +179,26 @@
 
   setRoom(id: string, room: number): void {
     const runner = this.#runners.get(id);
-    if (!runner) return;
+    // Shrunk again while it is, nothing new is to be heard.
+    if (!runner || runner.room === room) return;
     runner.roomBefore = runner.room;
     runner.room = room;
     runner.roomSince = this.#agenda.now;
   }
 
   setLimit(limit: number): void {
+    if (limit === this.#catalog.limit) return;
     this.#limitBefore = this.#catalog.limit;
     this.#limitSince = this.#agenda.now;
     this.#catalog = { ...this.#catalog, limit };
   }
 
-  order(holder: string, epoch: number, intent: Intent): 'taken' | 'turnedAway' | 'unsure' {
+  /** Taken only within so long of the runner's word to go on. */
+  order(holder: string, epoch: number, intent: Intent, continuedAt: number): 'taken' | 'turnedAway' | 'unsure' {
     const runner = this.#runners.get(intent.runner);
     if (!runner || !this.isAnswering(intent.runner)) return 'unsure';
     const now = this.#agenda.now;
+    if (now - continuedAt > TAKE_WITHIN_MS) { this.lateOrders += 1; return 'turnedAway'; }
     const last = this.orders[this.orders.length - 1];
     if (last && last.holder !== holder && now - last.at < 3000) {
       this.violations.push(`two-holders: ${last.holder} (${last.epoch}) and ${holder} (${epoch}) ordered ${Math.round(now - last.at)} ms apart`);
--- a/src/myth/SimTroubles.ts
+++ b/src/myth/SimTroubles.ts
@@ -11,7 +11,7 @@
 import type { EventRecord } from './Records.js';
 
 export const TROUBLES = [
-  'kill-mind', 'kill-core', 'retire-mind', 'freeze-mind', 'wipe-mind', 'rot-file', 'stall-disk', 'slow-disk', 'cut-minds', 'cut-one-way', 'isolate-mind', 'isolate-link', 'cut-link',
+  'kill-mind', 'kill-core', 'retire-mind', 'freeze-mind', 'freeze-ordering', 'wipe-mind', 'rot-file', 'stall-disk', 'slow-disk', 'cut-minds', 'cut-one-way', 'isolate-mind', 'isolate-link', 'cut-link',
   'kill-link', 'freeze-link', 'kill-flow', 'freeze-flow', 'restart-flow', 'loss', 'delay', 'restart-runner', 'vanish-runner', 'dark-runner', 'moody-back', 'breaking-plain', 'restart-back', 'dark-back',
   'cut-back', 'mark-runner', 'mark-dark-runner', 'shrink-room', 'lower-limit', 'platform-down', 'odd-list', 'isolate-core', 'crowd', 'zone-lost',
 ] as const;
@@ -67,6 +67,8 @@
       case 'kill-core': for (const each of this.#stage.minds) { this.kill(each); agenda.after(span * seeded.next(), each.start.bind(each)); } break;
       case 'retire-mind': mind.retire(); agenda.after(60, this.kill.bind(this, mind)); agenda.after(60 + span, mind.start.bind(mind)); break;
       case 'freeze-mind': mind.freeze(); agenda.after(span, mind.wake.bind(mind)); break;
+      // Long enough for a successor to order, and sometimes not.
+      case 'freeze-ordering': for (const each of this.#stage.minds) each.freezeAtOrderMs = seeded.between(300, 12_000); break;
       case 'wipe-mind': this.#wipe(mind, span); break;
       case 'rot-file': this.#rot(mind, span); break;
       case 'stall-disk': mind.isDiskStalled = true; agenda.after(span, mind.unstall.bind(mind)); break;
@@ -252,7 +254,7 @@
     network.healAll();
     platformUp(outside);
     outside.setLimit(LIMIT);
-    for (const mind of minds) { mind.unstall(); mind.diskMs = 3; }
+    for (const mind of minds) { mind.freezeAtOrderMs = 0; mind.unstall(); mind.diskMs = 3; }
     for (const node of [...nodes.values(), ...flows]) { node.wake(); node.start(); }
     for (const back of outside.backs()) { back.mood = 'sound'; outside.up(back.id); outside.setDark(back.id, false); }
     for (const id of [...RUNNERS, ...PLAIN]) outside.mark(id, false);
--- a/src/myth/StandServer.ts
+++ b/src/myth/StandServer.ts
@@ -15,6 +15,7 @@
 export class StandServer {
   readonly #server: Server;
   readonly #records: string;
+  readonly #continuedAt = new WeakMap<IncomingMessage, number>();
 
   constructor(serve: Serve, records: string) {
     this.#records = records;
@@ -26,9 +27,19 @@
       }
     }
     this.#server = createServer(take);
+    const continuedAt = this.#continuedAt;
+    function goOn(asked: IncomingMessage, returned: ServerResponse): void {
+      continuedAt.set(asked, performance.now());
+      returned.writeContinue();
+      void take(asked, returned);
+    }
+    this.#server.on('checkContinue', goOn);
     this.#server.keepAliveTimeout = 5000;
   }
 
+  /** How long ago this request was told to go on, on a clock that does not jump. */
+  sinceContinue(asked: IncomingMessage): number { return performance.now() - (this.#continuedAt.get(asked) ?? performance.now()); }
+
   /** Wall-clock milliseconds go with each record: all of a rehearsal runs on one machine. */
   record(value: Readonly<Record<string, unknown>>): void {
     if (this.#records !== '') appendFileSync(this.#records, `${JSON.stringify({ at: Date.now(), ...value })}\n`);
--- a/src/myth/Wrong.ts
+++ b/src/myth/Wrong.ts
@@ -13,6 +13,7 @@
 /** Builds with one thing wrong each: if no seed of the simulator sees it, a green run proves nothing. */
 export const WRONGS = {
   'no-gap-between-holders': { rule: 'two-holders', troubles: ['freeze-mind', 'isolate-mind', 'kill-mind'] },
+  'orders-untimed': { rule: 'two-holders', troubles: ['freeze-ordering', 'restart-runner'] },
   'never-blind': { rule: 'old-table', troubles: ['isolate-link', 'freeze-flow', 'cut-link'] },
   'acks-unasked': { rule: 'old-table', troubles: ['isolate-link', 'freeze-link', 'freeze-flow'] },
   'marks-ignored': { rule: 'leaving-got-work', troubles: ['mark-runner'] },
@@ -39,5 +40,5 @@
   const { test, expect } = import.meta.vitest;
   const { bite } = await import('./Simulation.js');
   async function checkBites(wrong: Parameters<typeof bite>[0]): Promise<void> { expect(await bite(wrong)).toEqual([]); }
-  test.each(['no-gap-between-holders', 'never-blind', 'acks-unasked', 'marks-ignored'] as const)('a build with %s is caught', checkBites, 600_000);
+  test.each(['no-gap-between-holders', 'orders-untimed', 'never-blind', 'acks-unasked', 'marks-ignored'] as const)('a build with %s is caught', checkBites, 600_000);
 }
--- a/src/news/Vouching.ts
+++ b/src/news/Vouching.ts
@@ -17,7 +17,10 @@
 export class Vouching {
   #waiting: Ask[] = [];
   #round: Round | undefined;
-  #nonce = 0;
+  #nonce: number;
+
+  /** Nonces begin at a number of this life's own: what is returned to a former life ends no round of ours. */
+  constructor(life: number) { this.#nonce = life; }
 
   add(ask: Ask): void { this.#waiting.push(ask); }
 
@@ -66,7 +69,7 @@
 if (import.meta.vitest) {
   const { test, expect } = import.meta.vitest;
   function checkOrder(): void {
-    const vouching = new Vouching();
+    const vouching = new Vouching(0);
     vouching.add({ child: 'a', nonce: 1, members: ['a'] });
     const first = vouching.begin(moment(0));
     vouching.add({ child: 'b', nonce: 2, members: [] });
--- a/src/place/Placer.ts
+++ b/src/place/Placer.ts
@@ -94,12 +94,14 @@
 
   /**
    * Whether a kept intent is still to be ordered: time has passed since it was decided, and its runner may be leaving
-   * or its zone emptied, its room may have shrunk, or the store may allow less than all that is intended.
+   * or its zone emptied, its room may have shrunk, or the store may allow less by now. What was sent or shows counts.
    */
-  mayStillOrder(intent: Intent, input: PlanInput): boolean {
+  mayStillOrder(intent: Intent, input: PlanInput, isSent: (intent: string) => boolean): boolean {
     if (intent.verb === 'unload') return true;
-    const ledger = new Ledger(input, this.#docs);
-    return ledger.isUsable(intent.runner) && ledger.free(intent.runner) >= 0 && ledger.fetches <= input.catalog.limit;
+    const sent: ServiceDoc[] = [];
+    for (const doc of this.#docs.values()) sent.push({ ...doc, intents: doc.intents.filter(isOtherSent.bind(undefined, intent.id, isSent)) });
+    const ledger = new Ledger(input, sent);
+    return ledger.isUsable(intent.runner) && ledger.free(intent.runner) >= intent.size && ledger.hasSlot();
   }
 
   /** Plans once and returns the models whose documents changed. */
@@ -110,7 +112,7 @@
     this.#reconcile(now, views);
     this.#noteReady(now, input.runners);
     const wishes = this.#wishes(now, input);
-    const ledger = new Ledger(input, this.#docs);
+    const ledger = new Ledger(input, this.docs());
     for (const wish of wishes) this.#keepOrPromote(wish, ledger);
     // Whoever is asked for gets its pair before any idle model gets a copy: room that was made for a pair
     // would else go to the very model that made way for it.
@@ -127,7 +129,7 @@
 
   /** Where each model is served now, given what runners report ready. */
   places(input: PlanInput): { places: Place[]; runners: PlacedRunner[] } {
-    const ledger = new Ledger(input, this.#docs);
+    const ledger = new Ledger(input, this.docs());
     const places: Place[] = [];
     for (const doc of this.#docs.values()) {
       const seats: Seat[] = [];
@@ -393,6 +395,8 @@
 
 function byCost(a: { readonly cost: number }, b: { readonly cost: number }): number { return a.cost - b.cost; }
 
+function isOtherSent(id: string, isSent: (intent: string) => boolean, intent: Intent): boolean { return intent.id !== id && (intent.verb === 'unload' || isSent(intent.id)); }
+
 function isThat(intent: Intent, hold: Hold): boolean { return hold.model === intent.model && hold.adapter === intent.adapter; }
 
 /** Room and fetch slots, counting what is held, what is under way and what is merely intended. */
@@ -402,11 +406,11 @@
   readonly #intents: Intent[] = [];
   readonly #limit: number;
 
-  constructor(input: PlanInput, docs: ReadonlyMap<string, ServiceDoc>) {
+  constructor(input: PlanInput, docs: readonly ServiceDoc[]) {
     for (const view of input.runners) this.#views.set(view.machine.id, view);
     this.#emptied = new Set(input.emptied);
     this.#limit = input.catalog.limit;
-    for (const doc of docs.values()) this.#intents.push(...doc.intents);
+    for (const doc of docs) this.#intents.push(...doc.intents);
   }
 
   view(runner: string): RunnerView | undefined { return this.#views.get(runner); }
--- a/src/vote/Elector.ts
+++ b/src/vote/Elector.ts
@@ -351,7 +351,9 @@
   #wait(now: Moment, leader: FellowId): number {
     let until = this.#bootPromise;
     for (const [other, end] of this.#promises) if (other !== leader && end > until) until = end;
-    return Math.max(0, until + this.#settings.leaseMs - now);
+    // The holder's clock may be slow, ours and the winner's fast: each span is made longer by what they may differ.
+    const { leaseMs, spanMs, drift } = this.#settings;
+    return Math.max(0, (until + leaseMs - now) * (1 + 3 * drift) + 2 * drift * spanMs);
   }
 
   #receiveGranted(now: Moment, from: FellowId, epoch: Epoch, wait: number, nonce: number, reports: readonly ReportMessage[]): void {
