Show the table live beside its places; find rows without walking the table

Waits carry when they are due, learnt from fetches so far, for Retry-After. Tables up to 20 000 rows and mappings.

--- a/src/code/Table.ts
+++ b/src/code/Table.ts
@@ -1,4 +1,5 @@
 import { array, boolean, enums, integer, max, min, number, object, pattern, size, string, StructError, type Infer } from 'superstruct';
+import { indexOf } from './TableIndex.js';
 
 const METHODS = ['GET', 'POST', 'PUT', 'DELETE'] as const;
 const Name = pattern(string(), /^[a-z][a-z0-9-]{0,62}$/);
@@ -20,9 +21,11 @@
   stream: boolean(),
 });
 
+const MOST_ROWS = 20_000;
+
 export const TableShape = object({
-  mappings: size(array(MappingShape), 0, 1000),
-  rows: size(array(RowShape), 0, 5000),
+  mappings: size(array(MappingShape), 0, MOST_ROWS),
+  rows: size(array(RowShape), 0, MOST_ROWS),
 });
 
 export type Mapping = Infer<typeof MappingShape>;
@@ -77,24 +80,11 @@
 
 /** The first row that fits, as the operator ordered them. */
 export function findRow(table: Table, type: string, model: string): Row | undefined {
-  for (const row of table.rows) {
-    if (row.type === type && (row.model.startsWith('@') || matchesModel(row.model, model))) return row;
-  }
-  return undefined;
-}
-
-function reach(mapping: Mapping): number {
-  return mapping.path.endsWith('*') ? mapping.path.length - 1 : mapping.path.length;
+  return indexOf(table).row(type, model);
 }
 
 export function findMapping(table: Table, method: string, path: string): Mapping | undefined {
-  let best: Mapping | undefined;
-  for (const mapping of table.mappings) {
-    if (mapping.method !== method || !matchesModel(mapping.path, path)) continue;
-    // The longest path is the most particular one, whatever the order of lines.
-    if (!best || reach(mapping) > reach(best)) best = mapping;
-  }
-  return best;
+  return indexOf(table).mapping(method, path);
 }
 
 if (import.meta.vitest) {
--- a/src/commands.ts
+++ b/src/commands.ts
@@ -8,7 +8,8 @@
 import { StandCommand } from './myth/StandCommand.js';
 import { AskEditCommand, EmptyCommand, FillCommand, FoundCommand, PutCommand, RowsCommand, SetCommand, SwapCommand } from './word/EditCommands.js';
 import { ImportCommand } from './word/ImportCommand.js';
-import { CountersCommand, StatusCommand, TableCommand } from './word/ShowCommands.js';
+import { CountersCommand, StatusCommand } from './word/ShowCommands.js';
+import { TableCommand } from './word/TableCommand.js';
 
 /** Every subcommand of the one binary. */
 export const COMMANDS = {
--- a/src/flow/Decision.ts
+++ b/src/flow/Decision.ts
@@ -1,4 +1,5 @@
 import { findMapping, findRow, rowKey, type Row, EMPTY_TABLE } from '../code/Table.js';
+import { indexOf } from '../code/TableIndex.js';
 import type { DefectKind } from '../kin/Defect.js';
 import { later, moment, type Moment } from '../kin/Ids.js';
 import { parseAs } from '../kin/Json.js';
@@ -260,8 +261,7 @@
     const table = this.#config?.news.table ?? EMPTY_TABLE;
     const mapping = findMapping(table, mappedMethod(method), path);
     if (!mapping) return undefined;
-    for (const row of table.rows) if (row.type === mapping.type) return !row.model.startsWith('@');
-    return true;
+    return indexOf(table).firstOf(mapping.type)?.model.startsWith('@') !== true;
   }
 
   /** Asked once for each request; the verdict is drained, at once or once it has waited. */
--- a/src/mind/Api.ts
+++ b/src/mind/Api.ts
@@ -57,6 +57,7 @@
     switch (`${method} ${path}`) {
       case 'GET /status': return this.#ask('status', '{}');
       case 'GET /fleet': return this.#ask('fleet', '{}');
+      case 'GET /live': return this.#ask('live', '{}');
       case 'GET /table': return this.#ask('read', '{}');
       case 'PUT /table': return this.#ask('table', withField(body, {}));
       case 'PATCH /table/cell': return this.#ask('cell', withField(body, {}));
--- a/src/mind/Edits.ts
+++ b/src/mind/Edits.ts
@@ -40,17 +40,21 @@
   checkBase(doc, edit.base);
   const column = COLUMNS.find(isColumn.bind(undefined, edit.column));
   if (!column) throw new TableDefect([{ row: edit.row, cell: edit.column, text: `no such column; there are ${COLUMNS.join(', ')}` }]);
-  const rows: unknown[] = [];
-  let isFound = false;
-  for (const row of doc.table.rows) {
-    const isIt = rowKey(row) === edit.row;
-    isFound ||= isIt;
-    rows.push(isIt ? { ...row, [column]: edit.value } : row);
-  }
-  if (!isFound) throw new TableDefect([{ row: edit.row, cell: edit.column, text: 'no such row' }]);
-  return withTable(doc, edit.id, { ...doc.table, rows });
+  const at = doc.table.rows.findIndex(hasKey.bind(undefined, edit.row));
+  const before = doc.table.rows[at];
+  if (!before) throw new TableDefect([{ row: edit.row, cell: edit.column, text: 'no such row' }]);
+  const raw: unknown = { ...before, [column]: edit.value };
+  // These two name the row: whether others have the same name, or mappings lose it, is seen in the whole table.
+  if (column === 'type' || column === 'model') return withTable(doc, edit.id, { ...doc.table, rows: doc.table.rows.map(exchangeAt.bind(undefined, at, raw)) });
+  const { table, faults } = checkTable({ mappings: [], rows: [raw] });
+  const [row] = table.rows;
+  if (!row || faults.length > 0) throw new TableDefect(faults.map(inRow.bind(undefined, edit.row)));
+  return { id: edit.id, doc: { ...doc, number: doc.number + 1, table: { ...doc.table, rows: doc.table.rows.with(at, row) } } };
 }
 
+function hasKey(key: string, row: { readonly type: string; readonly model: string }): boolean { return rowKey(row) === key; }
+function exchangeAt(at: number, raw: unknown, row: unknown, index: number): unknown { return index === at ? raw : row; }
+function inRow(row: string, fault: Fault): Fault { return { ...fault, row }; }
 function isColumn(name: string, column: string): boolean { return name === column; }
 
 function editRows(doc: ConfigDoc, body: string): Edited {
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -17,6 +17,7 @@
 import {
   DemandShape, MachinesShape, ServicePartShape, type Catalog, type Intent, type Machines, type RunnerReport, type ServiceDoc, type Share,
 } from '../place/Shapes.js';
+import type { Live } from '../place/Live.js';
 import { Shares } from '../place/Shares.js';
 import { Elector } from '../vote/Elector.js';
 import type { VoteRecord } from '../vote/VoteEffect.js';
@@ -676,6 +677,7 @@
       if (this.#recoverUntil !== undefined) throw new Defect('no-leader', 'the table is being recovered from the members');
       if (!this.#elector.isLeading() || !this.#isServing) { this.#forward(now, origin, verb, body); return; }
       if (verb === 'read') this.#read(origin);
+      else if (verb === 'live') this.#return(origin, 200, JSON.stringify(this.#live(now)));
       else if (verb === 'fleet') this.#return(origin, 200, JSON.stringify(this.#fleet(now)));
       else if (verb === 'edit') this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask').id);
       else this.#edit(now, origin, verb, body);
@@ -690,7 +692,7 @@
     if (leader === undefined || leader === this.#me || origin.from !== '' || this.#closed.has(leader)) throw new Defect('no-leader', 'no leader is known; nothing was done');
     this.#forwardId += 1;
     const edit = parseAs(EditShapes.edit, body);
-    const isEdit = verb !== 'read' && verb !== 'fleet';
+    const isEdit = verb !== 'read' && verb !== 'fleet' && verb !== 'live';
     this.#forwards.set(this.#forwardId, { origin, to: leader, at: now, editId: isEdit ? edit?.id ?? '' : '' });
     this.#send(leader, { kind: 'command', id: this.#forwardId, verb, body });
   }
@@ -932,6 +934,15 @@
     return { number: this.#doc.number, table, emptied, catalog, docs: this.#placer.docs(), runners: views, demand };
   }
 
+  /** The table with its places beside it: who serves, who waits for what, and what is asked for. */
+  #live(now: Moment): Live {
+    const input = this.#planInput(now);
+    const rows = [];
+    for (const row of input.table.rows) rows.push({ row: rowKey(row), weight: row.weight, take: row.take, rate: this.#shares.rate(now, rowKey(row)) });
+    const models = this.#placer.live(now, input);
+    return { number: this.#doc.number, emptied: input.emptied.slice(), underWay: this.#placer.docs().flatMap(intentsOf).length, rows, models };
+  }
+
   #status(now: Moment): object {
     const totals: Record<string, number> = {};
     for (const voter of this.#quorum.all) totals[voter] = Math.round(this.#elector.scores.total(voter, this.#quorum.all) * 1000) / 1000;
--- a/src/myth/MeasureCommand.ts
+++ b/src/myth/MeasureCommand.ts
@@ -1,9 +1,10 @@
 import { Args, Command, Flags } from '@oclif/core';
+import { measureTable } from './TableMeasure.js';
 import { measureCrowd, measureDraw, measureNews, measureRelay } from './Measures.js';
 
 export class MeasureCommand extends Command {
   static override description = 'measure on virtual time, or as ratios within one run';
-  static override args = { topic: Args.string({ required: true, options: ['news', 'draw', 'crowd', 'relay'] }) };
+  static override args = { topic: Args.string({ required: true, options: ['news', 'draw', 'crowd', 'relay', 'table'] }) };
   static override flags = { seed: Flags.integer({ default: 1 }), rounds: Flags.integer({ default: 1000, description: 'rounds of the relay measure' }) };
 
   async run(): Promise<void> {
@@ -12,6 +13,7 @@
     if (args.topic === 'draw') for (const row of measureDraw(flags.seed)) this.log(JSON.stringify(row));
     if (args.topic === 'crowd') for (const row of measureCrowd(flags.seed)) this.log(JSON.stringify(row));
     if (args.topic === 'relay') this.log(JSON.stringify(await measureRelay(flags.rounds)));
+    if (args.topic === 'table') for (const rows of [10, 1000, 10_000]) this.log(JSON.stringify(measureTable(rows)));
     this.exit(0);
   }
 }
--- a/src/place/Placer.ts
+++ b/src/place/Placer.ts
@@ -1,6 +1,8 @@
 import { moment, type Moment } from '../kin/Ids.js';
-import { matchesModel, type Table } from '../code/Table.js';
+import { matchesModel, rowKey, type Table } from '../code/Table.js';
+import { indexOf } from '../code/TableIndex.js';
 import { Demand } from './Demand.js';
+import type { LiveModel } from './Live.js';
 import type { Catalog, Hold, Intent, Machine, Place, PlacedRunner, RunnerReport, Seat, ServiceDoc } from './Shapes.js';
 
 /** A runner as last seen: the platform's word on it and its own report, if it returns one. */
@@ -64,6 +66,7 @@
   readonly #makingWay = new Map<string, Moment>();
   #label: string;
   #count = 0;
+  #msPerSize = 0;
   #changed = new Set<string>();
 
   constructor(settings: PlacerSettings, label: string) {
@@ -127,17 +130,46 @@
     return [...this.#changed];
   }
 
+  /** Each model that some row wants, as operators see it beside their table. */
+  live(now: Moment, input: PlanInput): LiveModel[] {
+    const ledger = new Ledger(input, this.docs());
+    const models: LiveModel[] = [];
+    for (const { model, rate } of this.#wishes(now, input)) {
+      const doc = this.#doc(model);
+      const rows: string[] = [];
+      for (const row of input.table.rows) if (!row.model.startsWith('@') && matchesModel(row.model, model)) rows.push(rowKey(row));
+      const since = this.#waitingSince.get(model);
+      models.push({
+        model, rows, rate, wait: doc.wait, waitMs: since === undefined ? 0 : now - since,
+        primary: liveSeat(ledger, doc.primary, model), understudy: liveSeat(ledger, doc.understudy, model),
+      });
+    }
+    return models;
+  }
+
+  /** When a model without a seat that serves is due, as far as fetches so far tell; 0 where they tell nothing. */
+  #readyMs(doc: ServiceDoc, input: PlanInput, ahead: number): number {
+    const size = input.catalog.models.find(isNamed.bind(undefined, doc.model))?.size ?? 0;
+    const own = size * this.#msPerSize;
+    const isUnderWay = doc.intents.some(fetchesModel.bind(undefined, doc.model));
+    // Whole seconds: a small change is no news.
+    return Math.ceil((isUnderWay ? own : own * (1 + (ahead + 1) / Math.max(1, input.catalog.limit))) / 1000) * 1000;
+  }
+
   /** Where each model is served now, given what runners report ready. */
   places(input: PlanInput): { places: Place[]; runners: PlacedRunner[] } {
     const ledger = new Ledger(input, this.docs());
     const places: Place[] = [];
+    let waiting = 0;
     for (const doc of this.#docs.values()) {
       const seats: Seat[] = [];
       for (const [runner, isPrimary] of [[doc.primary, true], [doc.understudy, false]] as const) {
         if (runner === '' || !ledger.isUsable(runner) || ledger.hold(runner, doc.model, '')?.state !== 'ready') continue;
         seats.push({ runner, primary: isPrimary, adapters: ledger.readyAdapters(runner, doc.model) });
       }
-      places.push({ model: doc.model, seats, wait: doc.wait });
+      if (seats.length > 0) { places.push({ model: doc.model, seats, wait: doc.wait }); continue; }
+      places.push({ model: doc.model, seats, wait: doc.wait, readyMs: this.#readyMs(doc, input, waiting) });
+      if (doc.wait !== '') waiting += 1;
     }
     const runners: PlacedRunner[] = [];
     for (const view of input.runners) {
@@ -164,7 +196,11 @@
       for (const intent of doc.intents) {
         const state = this.#intents.get(intent.id) ?? { firstSeen: now, takenAt: undefined };
         this.#intents.set(intent.id, state);
-        if (this.#isOver(intent, state, views.get(intent.runner))) { this.#ends.delete(intent.id); continue; }
+        if (this.#isOver(intent, state, views.get(intent.runner))) {
+          this.#noteFetch(now, intent, state, views.get(intent.runner));
+          this.#ends.delete(intent.id);
+          continue;
+        }
         open.push(intent);
         present.add(intent.id);
       }
@@ -173,6 +209,14 @@
     for (const id of this.#intents.keys()) if (!present.has(id)) this.#intents.delete(id);
   }
 
+  /** How long fetches take, by size, so that whoever waits can be told when to come back. */
+  #noteFetch(now: Moment, intent: Intent, state: IntentState, view: RunnerView | undefined): void {
+    const isHeld = view?.report?.holds.some(isThat.bind(undefined, intent)) === true;
+    if (intent.verb !== 'load' || !isHeld || state.takenAt === undefined || intent.size <= 0) return;
+    const one = (now - state.takenAt) / intent.size;
+    this.#msPerSize = this.#msPerSize === 0 ? one : this.#msPerSize * 0.8 + one * 0.2;
+  }
+
   #isOver(intent: Intent, state: IntentState, view: RunnerView | undefined): boolean {
     // A machine off the platform's list is gone with all it held.
     if (!view) return true;
@@ -204,8 +248,7 @@
   #wishes(now: Moment, input: PlanInput): Wish[] {
     const wishes: Wish[] = [];
     for (const { name, size } of input.catalog.models) {
-      let weight = 0;
-      for (const row of input.table.rows) if (!row.model.startsWith('@') && matchesModel(row.model, name)) weight = Math.max(weight, row.weight);
+      const weight = indexOf(input.table).weight(name);
       if (weight === 0) continue;
       const rate = this.demand.rate(now, unitOf(name, ''));
       const worth = this.#isWaitingLong(now, name) ? weight * (rate + 0.001) * 2 : weight * (rate + 0.001);
@@ -397,6 +440,14 @@
 
 function isOtherSent(id: string, isSent: (intent: string) => boolean, intent: Intent): boolean { return intent.id !== id && (intent.verb === 'unload' || isSent(intent.id)); }
 
+function isNamed(name: string, item: { readonly name: string }): boolean { return item.name === name; }
+function fetchesModel(model: string, intent: Intent): boolean { return intent.verb === 'load' && intent.model === model && intent.adapter === ''; }
+
+function liveSeat(ledger: Ledger, runner: string, model: string): LiveModel['primary'] {
+  const isReady = runner !== '' && ledger.isUsable(runner) && ledger.hold(runner, model, '')?.state === 'ready';
+  return { runner, zone: runner === '' ? '' : ledger.zoneOf(runner), isReady };
+}
+
 function isThat(intent: Intent, hold: Hold): boolean { return hold.model === intent.model && hold.adapter === intent.adapter; }
 
 /** Room and fetch slots, counting what is held, what is under way and what is merely intended. */
--- a/src/place/Shares.ts
+++ b/src/place/Shares.ts
@@ -19,6 +19,13 @@
     }
   }
 
+  /** What is asked for under a row, a second, over the whole fleet. */
+  rate(now: Moment, row: string): number {
+    let sum = 0;
+    for (const flow of this.#flows.keys()) sum += this.#demand.rate(now, `${flow}\n${row}`);
+    return sum;
+  }
+
   list(now: Moment, rows: readonly { readonly key: string; readonly take: number }[]): Share[] {
     for (const [flow, at] of this.#flows) if (now - at > FORGET_MS) this.#flows.delete(flow);
     const count = this.#flows.size;
--- a/src/word/ShowCommands.ts
+++ b/src/word/ShowCommands.ts
@@ -1,11 +1,7 @@
 import { array, boolean, number, string, type, type Infer } from 'superstruct';
-import { printTable } from '../code/Language.js';
-import { TableShape } from '../code/Table.js';
 import { IntentShape, PlacesShape } from '../place/Shapes.js';
 import { WORD_FLAGS, WordCommand } from './WordCommand.js';
 
-const TableReturnShape = type({ number: number(), table: TableShape, emptied: array(string()), voters: array(array(string())) });
-
 const StatusShape = type({
   me: string(), standing: string(), membersHoldState: boolean(), role: string(), epoch: number(), leader: string(), serving: boolean(), mayOrder: boolean(), leaseLeftMs: number(),
   voters: array(string()), unsound: array(string()), config: string(), placesVersion: string(), machines: number(),
@@ -13,20 +9,6 @@
   intents: array(IntentShape),
 });
 
-export class TableCommand extends WordCommand {
-  static override description = 'print the table in force, in the mapping language';
-  static override flags = WORD_FLAGS;
-
-  async run(): Promise<void> {
-    const { flags } = await this.parse(TableCommand);
-    const returned = await this.operator(flags.api).ask('GET', '/table');
-    const { value } = returned;
-    if (returned.status !== 200 || flags.json || !TableReturnShape.is(value)) { this.tell(returned, flags.json); return; }
-    this.log(`# table ${value.number}${value.emptied.length > 0 ? `, emptied zones: ${value.emptied.join(' ')}` : ''}`);
-    this.log(printTable(value.table).trimEnd());
-  }
-}
-
 export class CountersCommand extends WordCommand {
   static override description = 'print a control node\'s counters';
   static override flags = WORD_FLAGS;
