--- a/src/myth/SimOutside.ts
+++ b/src/myth/SimOutside.ts
@@ -24,6 +24,8 @@
 const ROOM_TOLD_MS = 2500;
 const LIMIT_TOLD_MS = 7000;
 
+function isOf(id: string, machine: Machine): boolean { return machine.id === id; }
+function isNotOf(id: string, machine: Machine): boolean { return machine.id !== id; }
 function unitKey(model: string, adapter: string): string { return `${model}\n${adapter}`; }
 
 /** The simulator's outside: the platform's list, the weight store, runners and plain back ends, which watch the rules about orders. */
@@ -39,6 +41,8 @@
   #machines: Machine[] = [];
   #revision = 1;
   #fetching = 0;
+  #replaced = 0;
+  readonly #seeded: Seeded;
   #limitBefore: number;
   #limitSince = -1e9;
   mostFetching = 0;
@@ -52,6 +56,7 @@
 
   constructor(agenda: Agenda, seeded: Seeded, catalog: Catalog, runners: readonly { readonly id: string; readonly zone: string; readonly room: number }[], plain: readonly { readonly id: string; readonly zone: string }[]) {
     this.#agenda = agenda;
+    this.#seeded = seeded;
     this.#catalog = catalog;
     this.#limitBefore = catalog.limit;
     for (const { id, zone, room } of runners) {
@@ -118,6 +123,20 @@
 
   // ---- runners
 
+  /** Taken off the list and ended a little later; another machine, empty and with a name of its own, comes in its place. */
+  replace(id: string, span: number): void {
+    const runner = this.#runners.get(id);
+    const machine = this.#machines.find(isOf.bind(undefined, id));
+    if (!runner || !machine) return;
+    this.#replaced += 1;
+    const fresh = `${id}-${this.#replaced}`;
+    const back = new SimBack({ id: fresh, isPlain: false, slots: SLOTS }, this.#agenda, this.#seeded, this, this.records);
+    this.#runners.set(fresh, { back, room: runner.room, roomBefore: runner.room, roomSince: -1e9, bornAt: this.#agenda.now, holds: new Map(), taken: new Set() });
+    this.#machines = [...this.#machines.filter(isNotOf.bind(undefined, id)), { ...machine, id: fresh, address: fresh, leaving: false }];
+    this.#revision += 1;
+    this.#agenda.after(span, this.down.bind(this, id, true));
+  }
+
   isAnswering(id: string): boolean {
     const back = this.#runners.get(id)?.back;
     return back !== undefined && back.isUp && !back.isDark && !back.isGone;
--- a/src/myth/SimTroubles.ts
+++ b/src/myth/SimTroubles.ts
@@ -13,7 +13,7 @@
 export const TROUBLES = [
   'kill-mind', 'kill-core', 'retire-mind', 'freeze-mind', 'freeze-ordering', 'wipe-mind', 'rot-file', 'stall-disk', 'slow-disk', 'cut-minds', 'cut-one-way', 'isolate-mind', 'isolate-link', 'cut-link',
   'kill-link', 'freeze-link', 'kill-flow', 'freeze-flow', 'restart-flow', 'loss', 'delay', 'restart-runner', 'vanish-runner', 'dark-runner', 'moody-back', 'breaking-plain', 'restart-back', 'dark-back',
-  'cut-back', 'mark-runner', 'mark-dark-runner', 'shrink-room', 'lower-limit', 'platform-down', 'odd-list', 'isolate-core', 'crowd', 'zone-lost',
+  'cut-back', 'mark-runner', 'mark-dark-runner', 'replace-runner', 'shrink-room', 'lower-limit', 'platform-down', 'odd-list', 'isolate-core', 'crowd', 'zone-lost',
 ] as const;
 export type TroubleKind = typeof TROUBLES[number];
 
@@ -102,6 +102,7 @@
         break;
       case 'mark-runner': outside.mark(back, true); agenda.after(span, outside.mark.bind(outside, back, false)); break;
       case 'mark-dark-runner': this.#markDark(runner, span); break;
+      case 'replace-runner': outside.replace(runner, span); break;
       case 'shrink-room': outside.setRoom(runner, 15); agenda.after(span, outside.setRoom.bind(outside, runner, ROOM)); break;
       case 'lower-limit': outside.setLimit(1); agenda.after(span + 7000, outside.setLimit.bind(outside, LIMIT)); break;
       case 'platform-down': outside.isPlatformUp = false; agenda.after(span, platformUp.bind(undefined, outside)); break;
