--- /dev/null
+++ b/src/myth/LossMeasure.ts
@@ -0,0 +1,96 @@
+import { Simulation } from './Simulation.js';
+import type { SimMind } from './SimMind.js';
+
+export interface LossMeasure { readonly loss: string; readonly runs: number; readonly medianMs: number; readonly mostMs: number }
+
+export interface TakeoverMeasure {
+  readonly runs: number;
+  /** Calls of the next five seconds for models whose primary went, by what their callers heard. */
+  readonly outcomes: Readonly<Record<string, number>>;
+  /** The same five seconds for the same models, had nothing happened. */
+  readonly undisturbed: Readonly<Record<string, number>>;
+}
+
+const LOSSES = ['killed', 'frozen', 'cut off', 'stopped as planned'] as const;
+const STEP_MS = 10;
+
+function byValue(a: number, b: number): number { return a - b; }
+
+/** Time in which nobody may order runners after one single loss of the holder, in virtual milliseconds over seeds. */
+export function measureLosses(from: number, seeds: number): LossMeasure[] {
+  const list: LossMeasure[] = [];
+  for (const loss of LOSSES) {
+    const gaps: number[] = [];
+    for (let seed = from; seed < from + seeds; seed += 1) gaps.push(gapAfter(loss, seed));
+    gaps.sort(byValue);
+    list.push({ loss, runs: gaps.length, medianMs: Math.round(gaps[Math.floor(gaps.length / 2)] ?? -1), mostMs: Math.round(gaps[gaps.length - 1] ?? -1) });
+  }
+  return list;
+}
+
+function gapAfter(loss: typeof LOSSES[number], seed: number): number {
+  const simulation = new Simulation({ seed, edges: 2, stormMs: 0, troubles: [] });
+  const { agenda, network } = simulation;
+  simulation.start();
+  agenda.runUntil(14_000 + (seed * 97) % 1000);
+  const leader = simulation.leader();
+  if (!leader) return -1;
+  if (loss === 'killed') simulation.kill(leader);
+  else if (loss === 'frozen') leader.freeze();
+  else if (loss === 'stopped as planned') { leader.retire(); agenda.after(60, simulation.kill.bind(simulation, leader)); }
+  else for (const other of simulation.minds) if (other !== leader) { network.cut(leader.id, other.id); network.cut(other.id, leader.id); }
+  let last = agenda.now;
+  for (let step = 0; step < 3000; step += 1) {
+    agenda.runUntil(agenda.now + STEP_MS);
+    if (loss === 'cut off' && mayOrder(leader)) last = agenda.now;
+    const next = simulation.minds.find(isNext.bind(undefined, leader));
+    if (next) return agenda.now - last;
+  }
+  return 1e9;
+}
+
+function mayOrder(mind: SimMind): boolean { return mind.isUp && !mind.isFrozen && mind.core?.mayOrder(mind.now()) === true; }
+function isNext(leader: SimMind, mind: SimMind): boolean { return mind !== leader && mayOrder(mind); }
+
+/** What callers of a model hear while its primary's machine is gone without a word. */
+export function measureTakeover(from: number, seeds: number): TakeoverMeasure {
+  const outcomes: Record<string, number> = {};
+  const undisturbed: Record<string, number> = {};
+  for (let seed = from; seed < from + seeds; seed += 1) {
+    for (const isLost of [true, false]) {
+      const simulation = new Simulation({ seed, edges: 3, stormMs: 0, troubles: [] });
+      const { agenda } = simulation;
+      simulation.start();
+      agenda.runUntil(13_000);
+      simulation.found();
+      agenda.runUntil(30_000);
+      const runner = `r${seed % 4}`;
+      const models = simulation.modelsAt(runner);
+      if (isLost) simulation.vanish(runner);
+      agenda.runUntil(45_000);
+      const into = isLost ? outcomes : undisturbed;
+      for (const call of simulation.calls) {
+        if (call.sentAt < 30_000 || call.sentAt >= 35_000 || !models.has(call.model)) continue;
+        into[call.outcome] = (into[call.outcome] ?? 0) + 1;
+      }
+    }
+  }
+  return { runs: seeds, outcomes, undisturbed };
+}
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  function checkLosses(): void {
+    for (const { loss, mostMs } of measureLosses(1, 4)) {
+      // No sooner than the span in which nobody may order, and no later than it takes to notice, elect and wait.
+      expect(mostMs, loss).toBeGreaterThanOrEqual(3000);
+      expect(mostMs, loss).toBeLessThan(8000);
+    }
+  }
+  function checkTakeover(): void {
+    const { outcomes, undisturbed } = measureTakeover(1, 4);
+    expect(outcomes['done'] ?? 0).toBeGreaterThan((undisturbed['done'] ?? 0) * 0.6);
+  }
+  test('after one loss somebody may order again within a bounded time', checkLosses, 120_000);
+  test('when a primary is gone its understudy serves most of its calls', checkTakeover, 120_000);
+}
--- a/src/myth/MeasureCommand.ts
+++ b/src/myth/MeasureCommand.ts
@@ -1,10 +1,11 @@
 import { Args, Command, Flags } from '@oclif/core';
+import { measureLosses, measureTakeover } from './LossMeasure.js';
 import { measureTable } from './TableMeasure.js';
 import { measureCrowd, measureDraw, measureNews, measureRelay } from './Measures.js';
 
 export class MeasureCommand extends Command {
   static override description = 'measure on virtual time, or as ratios within one run';
-  static override args = { topic: Args.string({ required: true, options: ['news', 'draw', 'crowd', 'relay', 'table'] }) };
+  static override args = { topic: Args.string({ required: true, options: ['news', 'draw', 'crowd', 'relay', 'table', 'loss', 'takeover'] }) };
   static override flags = { seed: Flags.integer({ default: 1 }), rounds: Flags.integer({ default: 1000, description: 'rounds of the relay measure' }) };
 
   async run(): Promise<void> {
@@ -14,6 +15,8 @@
     if (args.topic === 'crowd') for (const row of measureCrowd(flags.seed)) this.log(JSON.stringify(row));
     if (args.topic === 'relay') this.log(JSON.stringify(await measureRelay(flags.rounds)));
     if (args.topic === 'table') for (const rows of [10, 1000, 10_000]) this.log(JSON.stringify(measureTable(rows)));
+    if (args.topic === 'loss') for (const row of measureLosses(flags.seed, 40)) this.log(JSON.stringify(row));
+    if (args.topic === 'takeover') this.log(JSON.stringify(measureTakeover(flags.seed, 40)));
     this.exit(0);
   }
 }
--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -5,6 +5,7 @@
 import { compareVersions, NO_VERSION, versionText, type Version } from '../kin/Version.js';
 import { ConfigDocShape, ConfigNewsShape } from '../mind/ConfigDoc.js';
 import { compile } from '../code/Language.js';
+import { PlacesShape } from '../place/Shapes.js';
 import { VOTE_DEFAULTS, type VoteSettings } from '../vote/VoteSettings.js';
 import { Agenda } from './Agenda.js';
 import { Network } from './Network.js';
@@ -173,6 +174,22 @@
     return numbers;
   }
 
+  get calls(): readonly CallerRecord[] { return this.#calls; }
+
+  /** Puts the table in force, as the first thing operators do. */
+  found(): void { this.#founded(); }
+
+  /** A machine is taken away without a word. */
+  vanish(runner: string): void { this.#outside.down(runner, true); }
+
+  /** The models whose primary a runner is. */
+  modelsAt(runner: string): ReadonlySet<string> {
+    const models = new Set<string>();
+    const places = parseAs(PlacesShape, this.leader()?.core?.relay.item('places')?.body ?? '');
+    for (const place of places?.places ?? []) if (place.seats.some(isPrimaryAt.bind(undefined, runner))) models.add(place.model);
+    return models;
+  }
+
   areFlowsFresh(): boolean { return this.#flows.every(isFresh); }
 
   #addMind(id: string, seeds: readonly string[]): SimMind {
@@ -422,6 +439,7 @@
 }
 
 function isFresh(flow: SimFlow): boolean { return flow.decision?.isFresh(flow.now()) === true; }
+function isPrimaryAt(runner: string, seat: { readonly runner: string; readonly primary: boolean }): boolean { return seat.primary && seat.runner === runner; }
 function isOpen(flow: SimFlow): boolean { return flow.open > 0; }
 function isDraining(flow: SimFlow): boolean { return flow.isDraining; }
 function isBlind(flow: SimFlow): boolean { return flow.isUp && !isFresh(flow); }
