Sync every folder above a file before it counts as kept; interrupt swaps at each step

Cause: a part's folder whose making went well but whose parent could not be synced was taken as lasting at the next write, and the data folder itself was never synced into the one above. The test failed first (only the part's own folder synced). A lost+found among the parts ended a mind at its start (failed first). 36 swaps with a kill, freeze or cut of newcomer, leader or other while reading or while the votes change: all end with three sound voters; nothing had to be changed.

--- a/src/hold/FileStore.ts
+++ b/src/hold/FileStore.ts
@@ -23,6 +23,8 @@
   return createHash('sha256').update(`${part}\n${version.epoch}\n${version.count}\n${body}`).digest('hex');
 }
 
+function isName(name: string): boolean { return /^[a-z0-9-]+$/.test(name); }
+
 /** The file operations a store needs, so that tests can tear them. */
 export interface Disk {
   writeSynced(path: string, text: string): Promise<void>;
@@ -55,6 +57,8 @@
   readonly #disk: Disk;
   readonly #waiting = new Map<PartName, Waiting>();
   readonly #busy = new Set<PartName>();
+  /** Parts whose folder is known to last, with all folders above it that we may have made. */
+  readonly #lasting = new Set<PartName>();
   readonly #tell: (defect: Defect) => void;
 
   constructor(root: string, tell: (defect: Defect) => void, disk: Disk = new NodeDisk()) {
@@ -67,7 +71,7 @@
     await mkdir(this.#root, { recursive: true });
     const parts: StoredPart[] = [];
     for (const entry of await readdir(this.#root, { withFileTypes: true })) {
-      if (!entry.isDirectory()) continue;
+      if (!entry.isDirectory() || !isName(entry.name)) continue;
       const stored = await this.#readPart(partName(entry.name));
       if (stored) parts.push(stored);
     }
@@ -133,8 +137,12 @@
 
   async #writeFile(part: PartName, version: Version, body: string): Promise<void> {
     const folder = join(this.#root, part);
-    const isNew = (await mkdir(folder, { recursive: true })) !== undefined;
-    if (isNew) await this.#disk.syncFolder(this.#root);
+    await mkdir(folder, { recursive: true });
+    // Not only when we make it: making it may have gone well, and syncing the folder above it not.
+    if (!this.#lasting.has(part)) {
+      for (const above of [this.#root, join(this.#root, '..'), join(this.#root, '..', '..')]) await this.#disk.syncFolder(above);
+      this.#lasting.add(part);
+    }
     const name = `${version.epoch}.${version.count}.json`;
     const text = JSON.stringify({ part, ...version, digest: digestOf(part, version, body), body });
     await this.#disk.writeSynced(join(folder, `${name}.aside`), text);
@@ -264,6 +272,44 @@
     disk.free();
     await stalled;
   }
+  /** Full for a while: nothing can be written aside, or no folder synced. */
+  class FullDisk extends NodeDisk {
+    failing = '';
+    readonly synced: string[] = [];
+    override async writeSynced(path: string, text: string): Promise<void> {
+      if (this.failing === 'write') throw new Error('ENOSPC: no space left on device');
+      await super.writeSynced(path, text);
+    }
+    override async syncFolder(path: string): Promise<void> {
+      if (this.failing === 'folder') throw new Error('EIO: it could not be synced');
+      this.synced.push(path);
+      await super.syncFolder(path);
+    }
+  }
+  async function checkFull(): Promise<void> {
+    const data = join(await folder(), 'new', 'parts');
+    const disk = new FullDisk();
+    const store = new FileStore(data, tell, disk);
+    await store.readAll();
+    disk.failing = 'folder';
+    await expect(store.write(part, { epoch: 2, count: 1 }, 'lost')).rejects.toThrow(/EIO/);
+    disk.failing = 'write';
+    await expect(store.write(part, { epoch: 2, count: 2 }, 'lost')).rejects.toThrow(/ENOSPC/);
+    disk.failing = '';
+    await store.write(part, { epoch: 2, count: 3 }, 'kept');
+    // A file lasts only if every folder above it that we made has been synced, however often that failed before.
+    for (const path of [join(data, part), data, join(data, '..'), join(data, '..', '..')]) expect(disk.synced).toContain(path);
+    const [stored] = await new FileStore(data, tell).readAll();
+    expect(stored?.body).toBe('kept');
+  }
+  async function checkForeign(): Promise<void> {
+    const root = await folder();
+    await mkdir(join(root, 'lost+found'));
+    const store = new FileStore(root, tell);
+    expect(await store.readAll()).toEqual([]);
+  }
+  test('a full disk loses nothing, and what is kept once there is room lasts', checkFull);
+  test('a folder that is none of ours is left alone', checkForeign);
   test('a torn write or an unsynced folder is never told as kept', checkTorn);
   test('a bad newest file is named and its part shown as unsound', checkBadFile);
   test('a part whose disk write stalls does not hold up another part', checkStall);
--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -515,6 +515,51 @@
       expect(simulation.areFlowsFresh()).toBe(true);
     }
   }
+  const BREAKS = ['kill newcomer', 'cut newcomer', 'kill leader', 'freeze leader', 'cut leader', 'kill other'] as const;
+  /** One step of a swap is interrupted, at a moment that differs with the seed; it then ends as if it had not been. */
+  function checkSwapBroken(): void {
+    const wrong: string[] = [];
+    for (let seed = 1; seed <= 36; seed += 1) {
+      const kind = BREAKS[seed % BREAKS.length] ?? 'kill leader';
+      const simulation = new Simulation({ seed, edges: 2, stormMs: 0, troubles: [] });
+      const { agenda, network } = simulation;
+      simulation.start();
+      agenda.runUntil(14_000);
+      const old = simulation.minds[seed % 3];
+      if (!old) throw new Error('no such mind');
+      simulation.kill(old);
+      const fresh = simulation.addMind('core-9:1', ['mind-0:1', 'mind-1:1', 'mind-2:1']);
+      const isEarly = seed % 2 === 0;
+      // Either while the newcomer reads what the others hold, or while its voting is being decided.
+      agenda.runUntil(agenda.now + (isEarly ? 200 + seed * 40 : 12_000));
+      const body = JSON.stringify({ id: 's', old: old.id, new: fresh.id });
+      const returns: number[] = [];
+      function returned(status: number): void { returns.push(status); }
+      function ask(): void { (simulation.leader() ?? simulation.minds.find(isUp))?.command('swap', body, returned); }
+      if (!isEarly) ask();
+      agenda.runUntil(agenda.now + (seed * 7) % 120);
+      const leader = simulation.leader();
+      const victim = kind.endsWith('newcomer') ? fresh : kind === 'kill other' ? simulation.minds.find(isOtherThan.bind(undefined, [old, fresh, leader])) : leader;
+      if (!victim) continue;
+      if (kind.startsWith('kill')) { simulation.kill(victim); agenda.after(3000, victim.start.bind(victim)); }
+      else if (kind.startsWith('freeze')) { victim.freeze(); agenda.after(3000, victim.wake.bind(victim)); }
+      else {
+        for (const mind of simulation.minds) if (mind !== victim) { network.cut(victim.id, mind.id); network.cut(mind.id, victim.id); }
+        agenda.after(3000, network.healAll.bind(network));
+      }
+      // The operator asks again under the same id until somebody says yes.
+      for (let tries = 0; tries < 12 && returns[returns.length - 1] !== 200; tries += 1) { agenda.runUntil(agenda.now + 4000); ask(); agenda.runUntil(agenda.now + 3500); }
+      agenda.runUntil(agenda.now + 20_000);
+      const end = simulation.leader();
+      const voters = end?.core?.voters.join(' ') ?? 'no leader';
+      const isDone = voters.includes(fresh.id) && !voters.includes(old.id) && end?.core?.voters.length === 3 && fresh.core?.standing.name === 'sound' && simulation.areFlowsFresh();
+      if (!isDone || returns[returns.length - 1] !== 200) wrong.push(`seed ${seed}, ${kind}: ${returns.join(' ')}; ${voters}; ${fresh.core?.standing.name}`);
+    }
+    expect(wrong).toEqual([]);
+  }
+  function isUp(mind: SimMind): boolean { return mind.isUp; }
+  function isOtherThan(others: readonly (SimMind | undefined)[], mind: SimMind): boolean { return mind.isUp && !others.includes(mind); }
+  test('a swap interrupted at any step by a kill, a freeze or a cut still ends with three sound voters', checkSwapBroken, 600_000);
   function makeTable(number: number): string {
     const { table } = compile(`map POST /v1/checks to check\nrow check m-* weight ${number} take 100/s late 10s once stream`);
     return JSON.stringify({ id: `t${number}`, base: number - 1, table });
