Never tell an edit as turned away that was accepted and is forgotten

Cause: the last 500 edits are remembered by id; one asked about or sent again after that was told as turned away although it stood in force. Now 1000 are remembered, an ask may name the table its edit was made from, ids made by word carry it, and where even that does not tell, the word is unsure. Ruled out: closing such an id, which would tell later askers the same untruth.

--- a/src/kin/Settings.ts
+++ b/src/kin/Settings.ts
@@ -34,7 +34,7 @@
 
 export const FlowSettingsShape = object({
   listen: Address, link: Address, zone: Zone, status: optional(Address),
-  blindMs: defaulted(Millis, 2500), drainMs: defaulted(Millis, 30_000), silentMs: defaulted(Millis, 20_000), maxBodyBytes: defaulted(max(min(integer(), 1024), 64 * 1024 * 1024), 1024 * 1024),
+  blindMs: defaulted(Millis, 2500), drainMs: defaulted(Millis, 300_000), silentMs: defaulted(Millis, 20_000), maxBodyBytes: defaulted(max(min(integer(), 1024), 64 * 1024 * 1024), 1024 * 1024),
 });
 
 export interface SettingsOutcome<T> { readonly settings: T | undefined; readonly faults: readonly string[] }
--- a/src/mind/Api.ts
+++ b/src/mind/Api.ts
@@ -38,7 +38,7 @@
   async #take(asked: IncomingMessage, returned: ServerResponse): Promise<void> {
     let result: ApiReturn;
     try {
-      result = await this.#serve(asked.method ?? 'GET', (asked.url ?? '/').split('?')[0] ?? '/', await readBody(asked, MAX_EDIT));
+      result = await this.#serve(asked.method ?? 'GET', asked.url ?? '/', await readBody(asked, MAX_EDIT));
     } catch {
       result = { status: 400, body: JSON.stringify({ outcome: 'turned-away', defect: 'malformed', text: 'the body is not JSON, or too large' }) };
     }
@@ -48,12 +48,16 @@
     returned.end(result.body);
   }
 
-  async #serve(method: string, path: string, body: string): Promise<ApiReturn> {
+  async #serve(method: string, url: string, body: string): Promise<ApiReturn> {
+    const [path = '/', query = ''] = url.split('?');
     const zone = /^\/zones\/([^/]+)\/empty$/.exec(path);
     const edit = /^\/edits\/([^/]+)$/.exec(path);
     if (zone && method === 'PUT') return this.#ask('zone', withField(body, { zone: decodeURIComponent(zone[1] ?? ''), empty: true }));
     if (zone && method === 'DELETE') return this.#ask('zone', withField(body, { zone: decodeURIComponent(zone[1] ?? ''), empty: false }));
-    if (edit && method === 'GET') return this.#ask('edit', JSON.stringify({ id: decodeURIComponent(edit[1] ?? '') }));
+    if (edit && method === 'GET') {
+      const base = new URLSearchParams(query).get('base');
+      return this.#ask('edit', JSON.stringify({ id: decodeURIComponent(edit[1] ?? ''), ...(base === null ? {} : { base: Number(base) }) }));
+    }
     switch (`${method} ${path}`) {
       case 'GET /status': return this.#ask('status', '{}');
       case 'GET /fleet': return this.#ask('fleet', '{}');
--- a/src/mind/ConfigDoc.ts
+++ b/src/mind/ConfigDoc.ts
@@ -19,7 +19,17 @@
 export const ConfigNewsShape = type({ number: number(), table: TableShape, emptied: array(string()), voters: array(array(string())) });
 export type ConfigNews = Infer<typeof ConfigNewsShape>;
 
-export const MAX_EDITS = 500;
+/** So many edits are remembered by id. */
+export const MAX_EDITS = 1000;
+
+/**
+ * Whether an edit that is not remembered may have been accepted and forgotten since. One made from table `base` would
+ * have a number above it, and is remembered if anything older still is.
+ */
+export function mayBeForgotten(doc: ConfigDoc, base: number | undefined): boolean {
+  const [oldest] = doc.edits;
+  return oldest !== undefined && doc.edits.length >= MAX_EDITS && !(base !== undefined && oldest.number <= base);
+}
 
 export function firstDoc(voters: readonly string[]): ConfigDoc {
   return { number: 0, table: EMPTY_TABLE, emptied: [], edits: [], voters: [[...voters]] };
@@ -34,5 +44,6 @@
   rows: type({ id: string(), base: number(), put: array(type({})), remove: array(string()) }),
   zone: type({ id: string(), zone: string(), empty: boolean() }),
   swap: type({ id: string(), old: string(), new: string() }),
-  edit: type({ id: string() }),
+  /** `base`, the table it was made from, tells whether it would still be remembered. */
+  edit: type({ id: string(), base: optional(number()) }),
 } as const;
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -22,7 +22,7 @@
 import { Elector } from '../vote/Elector.js';
 import type { VoteRecord } from '../vote/VoteEffect.js';
 import { VOTE_DEFAULTS, type VoteSettings } from '../vote/VoteSettings.js';
-import { ConfigDocShape, ConfigNewsShape, EditShapes, firstDoc, type ConfigDoc } from './ConfigDoc.js';
+import { ConfigDocShape, ConfigNewsShape, EditShapes, firstDoc, MAX_EDITS, mayBeForgotten, type ConfigDoc } from './ConfigDoc.js';
 import { applyEdit, recordEdit, TableDefect } from './Edits.js';
 import type { MindEffect, MindSettings } from './MindEffect.js';
 
@@ -679,7 +679,7 @@
       if (verb === 'read') this.#read(origin);
       else if (verb === 'live') this.#return(origin, 200, JSON.stringify(this.#live(now)));
       else if (verb === 'fleet') this.#return(origin, 200, JSON.stringify(this.#fleet(now)));
-      else if (verb === 'edit') this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask').id);
+      else if (verb === 'edit') this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask'));
       else this.#edit(now, origin, verb, body);
     } catch (thrown) {
       this.#returnDefect(origin, thrown instanceof Defect ? thrown : new Defect('malformed', reasonOf(thrown)));
@@ -713,10 +713,21 @@
       this.#write(now, origin, id, this.#doc, 'accepted');
       return;
     }
-    const edited = verb === 'swap' ? { id, doc: this.#swap(body) } : applyEdit(this.#doc, verb, body);
+    const edited = verb === 'swap' ? { id, doc: this.#swap(body) } : this.#apply(verb, body, id);
     this.#write(now, origin, edited.id, recordEdit(edited.doc, edited.id, 'accepted'), 'accepted');
   }
 
+  /** An edit that loses by its base may be one that was accepted long ago, sent once more. */
+  #apply(verb: string, body: string, id: string): ReturnType<typeof applyEdit> {
+    try {
+      return applyEdit(this.#doc, verb, body);
+    } catch (thrown) {
+      const base = parseAs(EditShapes.edit, body)?.base;
+      if (!(thrown instanceof Defect) || thrown.kind !== 'base-lost' || !mayBeForgotten(this.#doc, base)) throw thrown;
+      throw new Defect('unsure-edit', `edit ${id} was made from table ${base ?? 0}, so long ago that whether it was accepted is no longer known`);
+    }
+  }
+
   #swap(body: string): ConfigDoc {
     const edit = mustParseAs(EditShapes.swap, body, 'the swap');
     const [current] = this.#doc.voters;
@@ -738,8 +749,9 @@
     this.#written.set(part, [...(this.#written.get(part) ?? []).filter(isAfter.bind(undefined, count - 2)).filter(isBelow.bind(undefined, count)), { count, body }]);
   }
 
-  #askEdit(now: Moment, origin: Origin, id: string): void {
+  #askEdit(now: Moment, origin: Origin, { id, base }: { readonly id: string; readonly base?: number | undefined }): void {
     const known = this.#doc.edits.find(hasId.bind(undefined, id));
+    if (!known && mayBeForgotten(this.#doc, base)) throw new Defect('unsure-edit', `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`);
     // Whether known or not, the word given must outlast us: it is written like an edit before it is told.
     if (known) this.#write(now, origin, id, this.#doc, known.outcome);
     else this.#write(now, origin, id, recordEdit(this.#doc, id, 'closed'), 'closed');
--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -560,6 +560,31 @@
   function isUp(mind: SimMind): boolean { return mind.isUp; }
   function isOtherThan(others: readonly (SimMind | undefined)[], mind: SimMind): boolean { return mind.isUp && !others.includes(mind); }
   test('a swap interrupted at any step by a kill, a freeze or a cut still ends with three sound voters', checkSwapBroken, 600_000);
+  function checkForgotten(): void {
+    const simulation = new Simulation({ seed: 4, edges: 1, stormMs: 0, troubles: [] });
+    const { agenda } = simulation;
+    simulation.start();
+    agenda.runUntil(14_000);
+    const bodies: string[] = [];
+    function told(_status: number, body: string): void { bodies.push(body); }
+    for (let number = 1; number <= 1030; number += 1) { simulation.leader()?.command('table', makeTable(number), told); agenda.runUntil(agenda.now + 20); }
+    agenda.runUntil(agenda.now + 3000);
+    expect(bodies).toHaveLength(1030);
+    expect(bodies[0]).toContain('"accepted"');
+    // The first was accepted, in force, and so long ago that nobody remembers it: it must not be told as turned away.
+    simulation.leader()?.command('edit', JSON.stringify({ id: 't1' }), told);
+    simulation.leader()?.command('table', makeTable(1), told);
+    agenda.runUntil(agenda.now + 3000);
+    expect(bodies.slice(1030).join()).not.toContain('"outcome":"turned-away"');
+    // What is remembered is still told as it is, and what never came is closed.
+    simulation.leader()?.command('edit', JSON.stringify({ id: 't1029' }), told);
+    agenda.runUntil(agenda.now + 3000);
+    expect(bodies[bodies.length - 1]).toContain('"accepted"');
+    simulation.leader()?.command('edit', JSON.stringify({ id: 'never-came', base: 1029 }), told);
+    agenda.runUntil(agenda.now + 3000);
+    expect(bodies[bodies.length - 1]).toContain('"turned-away"');
+  }
+  test('an edit accepted so long ago that it is forgotten is never told as turned away', checkForgotten, 600_000);
   function makeTable(number: number): string {
     const { table } = compile(`map POST /v1/checks to check\nrow check m-* weight ${number} take 100/s late 10s once stream`);
     return JSON.stringify({ id: `t${number}`, base: number - 1, table });
--- a/src/place/Demand.ts
+++ b/src/place/Demand.ts
@@ -1,17 +1,26 @@
 import type { Moment } from '../kin/Ids.js';
 
+/** More than any catalogue's models and adapters. */
+const MANY = 2000;
+
 interface Rate { value: number; at: Moment }
 
 /** Recent demand per unit as a decaying rate a second. */
 export class Demand {
   readonly #rates = new Map<string, Rate>();
   readonly #spanMs: number;
+  #sweptAt = -Infinity;
 
   constructor(spanMs: number) { this.#spanMs = spanMs; }
 
   add(now: Moment, unit: string, count: number): void {
     const value = this.rate(now, unit) + (count * 1000) / this.#spanMs;
     this.#rates.set(unit, { value, at: now });
+    // Callers name what they like: what was asked for once must not be kept for good.
+    if (this.#rates.size > MANY && now - this.#sweptAt > this.#spanMs) {
+      this.#sweptAt = now;
+      for (const [other, rate] of this.#rates) if (now - rate.at > this.#spanMs * 10) this.#rates.delete(other);
+    }
   }
 
   rate(now: Moment, unit: string): number {
@@ -21,3 +30,17 @@
 
   units(): readonly string[] { return [...this.#rates.keys()]; }
 }
+
+if (import.meta.vitest) {
+  const { test, expect } = import.meta.vitest;
+  const { moment } = await import('../kin/Ids.js');
+  function checkBounded(): void {
+    const demand = new Demand(1000);
+    for (let index = 0; index < 100_000; index += 1) demand.add(moment(index), `made-up-${index}`, 1);
+    demand.add(moment(100_000), 'real', 5);
+    expect(demand.units().length).toBeLessThan(20_000);
+    expect(demand.rate(moment(100_000), 'real')).toBe(5);
+    expect(demand.rate(moment(101_000), 'real')).toBeCloseTo(5 / Math.E);
+  }
+  test('rates decay, and names asked for once are forgotten', checkBounded);
+}
--- a/src/word/EditCommands.ts
+++ b/src/word/EditCommands.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { Args, Flags } from '@oclif/core';
 import { reasonOf } from '../kin/Defect.js';
+import { baseOfEdit } from './Operator.js';
 import { WORD_FLAGS, WordCommand } from './WordCommand.js';
 
 const BASE_FLAG = { base: Flags.integer({ description: 'the table this edit was made from; the present one if left out' }) } as const;
@@ -111,7 +112,8 @@
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(AskEditCommand);
-    this.tell(await this.operator(flags.api).ask('GET', `/edits/${encodeURIComponent(args.id)}`), flags.json);
+    const base = baseOfEdit(args.id);
+    this.tell(await this.operator(flags.api).ask('GET', `/edits/${encodeURIComponent(args.id)}${base === undefined ? '' : `?base=${base}`}`), flags.json);
   }
 }
 
--- a/src/word/Operator.ts
+++ b/src/word/Operator.ts
@@ -6,6 +6,18 @@
 
 const LIMIT_MS = 15_000;
 
+/** An id tells the table that its edit was made from: whoever asks later what became of it then gets a sure word. */
+export function newEditId(body: object): string {
+  return 'base' in body && typeof body.base === 'number' ? `${body.base}-${randomUUID()}` : randomUUID();
+}
+
+/** The table that an edit was made from, by its id. */
+export function baseOfEdit(id: string): number | undefined {
+  const match = /^(\d{1,12})-/.exec(id);
+  // A bare UUID may begin with digits and a dash as well, but its first group has eight.
+  return match?.[1] === undefined || /^[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}$/.test(id) ? undefined : Number(match[1]);
+}
+
 /** Talks to the operators' API of whichever control node is reached. */
 export class Operator {
   readonly #apis: readonly string[];
@@ -33,7 +45,7 @@
   }
 
   /** An edit under an id of its own, tried again under the same one while no leader is known. */
-  async edit(method: string, path: string, body: object, id: string = randomUUID()): Promise<OperatorReturn> {
+  async edit(method: string, path: string, body: object, id: string = newEditId(body)): Promise<OperatorReturn> {
     const returned = await this.ask(method, path, { ...body, id });
     return { status: returned.status, value: { id, ...returned.value } };
   }
