--- a/src/myth/Fleet.ts
+++ b/src/myth/Fleet.ts
@@ -283,6 +283,11 @@
       expect(await word(root, ['word', 'set', 'check/rare-*', 'model', 'rare-00', ...api])).toMatchObject({ code: 0 });
       async function isUnplaced(): Promise<boolean> { return !/ {2}rare-0[1-3] runner/.test((await word(root, ['word', 'status', ...api])).text); }
       await fleet.until('the other rare models lose their seats', 15_000, isUnplaced);
+      // The spreadsheet's other half: the placement is followed until it has settled, and each row stands beside its places.
+      const watched = await word(root, ['word', 'table', '--watch', ...api]);
+      expect(watched).toMatchObject({ code: 0 });
+      expect(watched.text).toContain('settled');
+      expect((await word(root, ['word', 'table', '--live', ...api])).text).toMatch(/check\/receipt-\* {2}weight 99[^\n]*\n {2}receipt-0\d {2}runner-\d+ \(\w+\) \/ runner-\d+/);
       expect(await word(root, ['word', 'rows', '--remove', 'check/rare-00', ...api])).toMatchObject({ code: 0 });
       expect((await word(root, ['word', 'status', ...api])).text).toMatch(/receipt-00 runner-\d+ \/ runner-\d+/);
       expect(await word(root, ['mind', '--listen', 'nowhere:1', '--zone', 'A'])).toMatchObject({ code: 2 });
--- a/src/myth/SimTroubles.ts
+++ b/src/myth/SimTroubles.ts
@@ -257,7 +257,12 @@
     outside.setLimit(LIMIT);
     for (const mind of minds) { mind.freezeAtOrderMs = 0; mind.unstall(); mind.diskMs = 3; }
     for (const node of [...nodes.values(), ...flows]) { node.wake(); node.start(); }
-    for (const back of outside.backs()) { back.mood = 'sound'; outside.up(back.id); outside.setDark(back.id, false); }
+    for (const back of outside.backs()) {
+      back.mood = 'sound';
+      outside.setDark(back.id, false);
+      // No process is there again at the very moment at which it ended.
+      this.#stage.agenda.after(200, outside.up.bind(outside, back.id));
+    }
     for (const id of [...RUNNERS, ...PLAIN]) outside.mark(id, false);
     for (const runner of RUNNERS) outside.setRoom(runner, ROOM);
   }
--- a/src/place/Shapes.ts
+++ b/src/place/Shapes.ts
@@ -1,8 +1,9 @@
-import { array, boolean, enums, number, optional, string, type, type Infer } from 'superstruct';
+import { array, boolean, enums, min, number, optional, string, type, type Infer } from 'superstruct';
 
 /** The platform's list of machines that run back ends; a revision orders whole lists. */
 export const MachineShape = type({ id: string(), address: string(), zone: string(), service: string(), leaving: boolean() });
-export const MachinesShape = type({ revision: number(), machines: array(MachineShape) });
+/** Revisions begin at 1: 0 is what those hold who have heard of no list. */
+export const MachinesShape = type({ revision: min(number(), 1), machines: array(MachineShape) });
 export type Machine = Infer<typeof MachineShape>;
 export type Machines = Infer<typeof MachinesShape>;
 
