Yield before a wrong build's check returns as well

Cause: checks that succeed at their first seed never gave the loop a turn, and five of them in a row held it for 107 s on a busy machine, past the 60 s in which vitest's worker waits for its own word.

--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -467,10 +467,12 @@
   const { rule, troubles } = WRONGS[wrong];
   for (let seed = 1; seed <= most; seed += 1) {
     const sound = new Simulation({ seed, edges: 3, stormMs: 15_000, troubles }).run();
+    // Before each word of what came out, too: checks that follow one another at once would else hold the loop for minutes.
+    await new Promise(setImmediate);
     if (sound.violations.length > 0) return [`sound at seed ${seed}: ${sound.violations[0]}`];
     const { violations } = new Simulation({ seed, edges: 3, stormMs: 15_000, troubles, wrong }).run();
-    if (violations.some(isOfRule.bind(undefined, rule))) return [];
     await new Promise(setImmediate);
+    if (violations.some(isOfRule.bind(undefined, rule))) return [];
   }
   return [`${wrong}: no ${rule} in ${most} seeds`];
 }
