--- a/src/code/Language.ts
+++ b/src/code/Language.ts
@@ -1,15 +1,27 @@
 import { checkTable, EMPTY_TABLE, rowKey, type Fault, type Table } from './Table.js';
 
-interface Token { readonly text: string; readonly column: number }
-interface Line { readonly number: number; readonly tokens: readonly Token[] }
+interface Token {
+  readonly text: string;
+  readonly column: number;
+}
+interface Line {
+  readonly number: number;
+  readonly tokens: readonly Token[];
+}
 
-interface RowDraft { [cell: string]: string | number | boolean }
+interface RowDraft {
+  [cell: string]: string | number | boolean;
+}
 
-export interface Compiled { readonly table: Table; readonly faults: readonly Fault[] }
+export interface Compiled {
+  readonly table: Table;
+  readonly faults: readonly Fault[];
+}
 
 function tokensOf(text: string): Token[] {
   const tokens: Token[] = [];
-  for (const match of text.replace(/#.*$/, '').matchAll(/\S+/g)) tokens.push({ text: match[0], column: match.index + 1 });
+  for (const match of text.replace(/#.*$/, '').matchAll(/\S+/g))
+    tokens.push({ text: match[0], column: match.index + 1 });
   return tokens;
 }
 
@@ -51,12 +63,21 @@
     const [head] = line.tokens;
     if (head?.text === 'map') this.#map(line);
     else if (head?.text === 'row') this.#row(line);
-    else this.#fault(line, head, 'statement', `'${head?.text ?? ''}' begins no statement; expected 'map' or 'row'`);
+    else
+      this.#fault(
+        line,
+        head,
+        'statement',
+        `'${head?.text ?? ''}' begins no statement; expected 'map' or 'row'`,
+      );
   }
 
   #map(line: Line): void {
     const [, method, path, to, type, extra] = line.tokens;
-    if (!method || !path || !to || !type) { this.#fault(line, undefined, 'mapping', "expected 'map METHOD PATH to TYPE'"); return; }
+    if (!method || !path || !to || !type) {
+      this.#fault(line, undefined, 'mapping', "expected 'map METHOD PATH to TYPE'");
+      return;
+    }
     if (to.text !== 'to') this.#fault(line, to, 'mapping', `expected 'to', found '${to.text}'`);
     if (extra) this.#fault(line, extra, 'mapping', `'${extra.text}' is more than a mapping holds`);
     this.#places.set(`mappings[${this.#mappings.length}]`, line.number);
@@ -66,39 +87,95 @@
 
   #row(line: Line): void {
     const [, type, model, ...rest] = line.tokens;
-    if (!type || !model) { this.#fault(line, undefined, 'row', "expected 'row TYPE MODEL …'"); return; }
-    const row: RowDraft = { type: type.text, model: model.text, weight: 10, take: 1000, lateMs: 30_000, repeatable: false, stream: false };
+    if (!type || !model) {
+      this.#fault(line, undefined, 'row', "expected 'row TYPE MODEL …'");
+      return;
+    }
+    const row: RowDraft = {
+      type: type.text,
+      model: model.text,
+      weight: 10,
+      take: 1000,
+      lateMs: 30_000,
+      repeatable: false,
+      stream: false,
+    };
     const given = new Set<string>();
     for (let index = 0; index < rest.length; index += 1) {
       const word = rest[index];
       if (!word) break;
-      const cell = { once: 'repeatable', repeatable: 'repeatable', whole: 'stream', stream: 'stream' }[word.text] ?? word.text;
+      const cell =
+        { once: 'repeatable', repeatable: 'repeatable', whole: 'stream', stream: 'stream' }[
+          word.text
+        ] ?? word.text;
       if (given.has(cell)) this.#fault(line, word, cell, `${cell} is given twice`);
       given.add(cell);
       switch (word.text) {
-        case 'once': row['repeatable'] = false; break;
-        case 'repeatable': row['repeatable'] = true; break;
-        case 'whole': row['stream'] = false; break;
-        case 'stream': row['stream'] = true; break;
-        case 'weight': index += 1; this.#number(line, word, rest[index], 'weight', /^(\d+)$/, row, 'weight', one); break;
-        case 'take': index += 1; this.#number(line, word, rest[index], 'take', /^(\d+(?:\.\d+)?)\/s$/, row, 'take', one); break;
-        case 'late': index += 1; this.#number(line, word, rest[index], 'late', /^(\d+(?:\.\d+)?)(ms|s|m)$/, row, 'lateMs', millis); break;
-        default: this.#fault(line, word, 'row', `'${word.text}' is no cell of a row`);
+        case 'once':
+          row['repeatable'] = false;
+          break;
+        case 'repeatable':
+          row['repeatable'] = true;
+          break;
+        case 'whole':
+          row['stream'] = false;
+          break;
+        case 'stream':
+          row['stream'] = true;
+          break;
+        case 'weight':
+          index += 1;
+          this.#number(line, word, rest[index], 'weight', /^(\d+)$/, row, 'weight', one);
+          break;
+        case 'take':
+          index += 1;
+          this.#number(line, word, rest[index], 'take', /^(\d+(?:\.\d+)?)\/s$/, row, 'take', one);
+          break;
+        case 'late':
+          index += 1;
+          this.#number(
+            line,
+            word,
+            rest[index],
+            'late',
+            /^(\d+(?:\.\d+)?)(ms|s|m)$/,
+            row,
+            'lateMs',
+            millis,
+          );
+          break;
+        default:
+          this.#fault(line, word, 'row', `'${word.text}' is no cell of a row`);
       }
     }
     this.#places.set(`rows[${this.#rows.length}]`, line.number);
-    if (!this.#places.has(rowKey({ type: type.text, model: model.text }))) this.#places.set(rowKey({ type: type.text, model: model.text }), line.number);
+    if (!this.#places.has(rowKey({ type: type.text, model: model.text })))
+      this.#places.set(rowKey({ type: type.text, model: model.text }), line.number);
     this.#rows.push(row);
   }
 
-  #number(line: Line, word: Token, token: Token | undefined, cell: string, form: RegExp, row: RowDraft, key: string, factor: (unit: string | undefined) => number): void {
+  #number(
+    line: Line,
+    word: Token,
+    token: Token | undefined,
+    cell: string,
+    form: RegExp,
+    row: RowDraft,
+    key: string,
+    factor: (unit: string | undefined) => number,
+  ): void {
     const match = token ? form.exec(token.text) : null;
-    if (!match) { this.#fault(line, token, cell, `'${token?.text ?? ''}' is no value for ${word.text}`); return; }
+    if (!match) {
+      this.#fault(line, token, cell, `'${token?.text ?? ''}' is no value for ${word.text}`);
+      return;
+    }
     row[key] = Number(match[1]) * factor(match[2]);
   }
 }
 
-function one(): number { return 1; }
+function one(): number {
+  return 1;
+}
 
 function millis(unit: string | undefined): number {
   return unit === 'ms' ? 1 : unit === 's' ? 1000 : 60_000;
@@ -111,9 +188,12 @@
 /** The table in the language again; compiling it gives the same table. */
 export function printTable(table: Table): string {
   const lines: string[] = [];
-  for (const mapping of table.mappings) lines.push(`map ${mapping.method} ${mapping.path} to ${mapping.type}`);
+  for (const mapping of table.mappings)
+    lines.push(`map ${mapping.method} ${mapping.path} to ${mapping.type}`);
   for (const row of table.rows) {
-    lines.push(`row ${row.type} ${row.model} weight ${row.weight} take ${row.take}/s late ${row.lateMs}ms ${row.repeatable ? 'repeatable' : 'once'} ${row.stream ? 'stream' : 'whole'}`);
+    lines.push(
+      `row ${row.type} ${row.model} weight ${row.weight} take ${row.take}/s late ${row.lateMs}ms ${row.repeatable ? 'repeatable' : 'once'} ${row.stream ? 'stream' : 'whole'}`,
+    );
   }
   return `${lines.join('\n')}\n`;
 }
--- a/src/code/OpenApi.ts
+++ b/src/code/OpenApi.ts
@@ -8,13 +8,22 @@
 const UPPER = { get: 'GET', post: 'POST', put: 'PUT', delete: 'DELETE' } as const;
 
 function fieldOf(value: unknown, key: string): unknown {
-  return typeof value === 'object' && value !== null && Object.hasOwn(value, key) ? Object.entries(value).find(hasKey.bind(undefined, key))?.[1] : undefined;
+  return typeof value === 'object' && value !== null && Object.hasOwn(value, key)
+    ? Object.entries(value).find(hasKey.bind(undefined, key))?.[1]
+    : undefined;
 }
 
-function hasKey(key: string, entry: readonly [string, unknown]): boolean { return entry[0] === key; }
+function hasKey(key: string, entry: readonly [string, unknown]): boolean {
+  return entry[0] === key;
+}
 
 function nameOf(text: string): string {
-  return text.replace(/([a-z0-9])([A-Z])/g, '$1-$2').toLowerCase().replace(/[^a-z0-9]+/g, '-').replace(/^[^a-z]+|-+$/g, '').slice(0, 63);
+  return text
+    .replace(/([a-z0-9])([A-Z])/g, '$1-$2')
+    .toLowerCase()
+    .replace(/[^a-z0-9]+/g, '-')
+    .replace(/^[^a-z]+|-+$/g, '')
+    .slice(0, 63);
 }
 
 /** The request type of an operation: what it says itself, else its first tag, else its own id. */
@@ -30,12 +39,19 @@
 }
 
 /** Mappings of an OpenAPI document, as file, JSON or YAML; paths end in * where their first parameter stands. */
-export async function importOpenApi(source: string | Record<string, unknown>): Promise<{ readonly mappings: readonly Mapping[]; readonly skipped: readonly string[] }> {
+export async function importOpenApi(
+  source: string | Record<string, unknown>,
+): Promise<{ readonly mappings: readonly Mapping[]; readonly skipped: readonly string[] }> {
   const validator = new Validator();
   const result = await validator.validate(source);
-  if (!result.valid) throw new Defect('malformed', `no sound OpenAPI document: ${JSON.stringify(result.errors ?? 'unreadable').slice(0, 500)}`);
+  if (!result.valid)
+    throw new Defect(
+      'malformed',
+      `no sound OpenAPI document: ${JSON.stringify(result.errors ?? 'unreadable').slice(0, 500)}`,
+    );
   const document: unknown = validator.specification;
-  if (!DocumentShape.is(document)) throw new Defect('malformed', 'the OpenAPI document has no paths');
+  if (!DocumentShape.is(document))
+    throw new Defect('malformed', 'the OpenAPI document has no paths');
   const mappings = new Map<string, Mapping>();
   const skipped: string[] = [];
   for (const [path, item] of Object.entries(document.paths)) {
@@ -47,7 +63,10 @@
       const name = typeOf(operation);
       const key = `${UPPER[method]} ${plain}`;
       // Two paths that differ after their first parameter alone are one mapping here; the first one stands.
-      if (name === '' || mappings.has(key)) { skipped.push(`${UPPER[method]} ${path}`); continue; }
+      if (name === '' || mappings.has(key)) {
+        skipped.push(`${UPPER[method]} ${path}`);
+        continue;
+      }
       mappings.set(key, { method: UPPER[method], path: plain, type: name });
     }
   }
--- a/src/code/Table.test.ts
+++ b/src/code/Table.test.ts
@@ -1,16 +1,41 @@
 import { expect, test } from 'vitest';
 import { type Fault, checkTable, findMapping, findRow } from './Table.js';
 
-const row = { type: 'check', model: 'm-*', weight: 5, take: 3, lateMs: 900, repeatable: false, stream: true };
+const row = {
+  type: 'check',
+  model: 'm-*',
+  weight: 5,
+  take: 3,
+  lateMs: 900,
+  repeatable: false,
+  stream: true,
+};
 function checkAllFaults(): void {
-  const { faults } = checkTable({ mappings: [], rows: [{ ...row, weight: 0 }, { ...row, model: 'x y', lateMs: 1 }] });
+  const { faults } = checkTable({
+    mappings: [],
+    rows: [
+      { ...row, weight: 0 },
+      { ...row, model: 'x y', lateMs: 1 },
+    ],
+  });
   expect(faults.map(placeOf)).toEqual(['rows[0].weight', 'rows[1].model', 'rows[1].lateMs']);
-  const second = checkTable({ mappings: [{ method: 'GET', path: '/a', type: 'none' }], rows: [row, row] });
+  const second = checkTable({
+    mappings: [{ method: 'GET', path: '/a', type: 'none' }],
+    rows: [row, row],
+  });
   expect(second.faults.map(placeOf)).toEqual(['check/m-*.model', 'GET /a.type']);
 }
-function placeOf(fault: Fault): string { return `${fault.row}.${fault.cell}`; }
+function placeOf(fault: Fault): string {
+  return `${fault.row}.${fault.cell}`;
+}
 function checkFinding(): void {
-  const table = checkTable({ mappings: [{ method: 'GET', path: '/a/*', type: 'check' }, { method: 'GET', path: '/a/b', type: 'check' }], rows: [row, { ...row, model: '*' }] }).table;
+  const table = checkTable({
+    mappings: [
+      { method: 'GET', path: '/a/*', type: 'check' },
+      { method: 'GET', path: '/a/b', type: 'check' },
+    ],
+    rows: [row, { ...row, model: '*' }],
+  }).table;
   expect(findRow(table, 'check', 'm-1')?.model).toBe('m-*');
   expect(findRow(table, 'check', 'n')?.model).toBe('*');
   expect(findRow(table, 'other', 'n')).toBeUndefined();
--- a/src/code/Table.ts
+++ b/src/code/Table.ts
@@ -1,10 +1,27 @@
-import { array, boolean, enums, integer, max, min, number, object, pattern, size, string, StructError, type Infer } from 'superstruct';
+import {
+  array,
+  boolean,
+  enums,
+  integer,
+  max,
+  min,
+  number,
+  object,
+  pattern,
+  size,
+  string,
+  StructError,
+  type Infer,
+} from 'superstruct';
 import { indexOf } from './TableIndex.js';
 
 const METHODS = ['GET', 'POST', 'PUT', 'DELETE'] as const;
 const Name = pattern(string(), /^[a-z][a-z0-9-]{0,62}$/);
 /** A model, a prefix of models ending in *, or @service for plain back ends. */
-const ModelPattern = pattern(string(), /^(@[a-z][a-z0-9-]{0,62}|[A-Za-z0-9][A-Za-z0-9._-]{0,126}\*?|\*)$/);
+const ModelPattern = pattern(
+  string(),
+  /^(@[a-z][a-z0-9-]{0,62}|[A-Za-z0-9][A-Za-z0-9._-]{0,126}\*?|\*)$/,
+);
 const Path = pattern(string(), /^\/[A-Za-z0-9._~/-]*\*?$/);
 
 export const MappingShape = object({ method: enums(METHODS), path: Path, type: Name });
@@ -33,10 +50,24 @@
 export type Table = Infer<typeof TableShape>;
 
 export const EMPTY_TABLE: Table = { mappings: [], rows: [] };
-export const COLUMNS = ['type', 'model', 'weight', 'take', 'lateMs', 'repeatable', 'stream'] as const;
+export const COLUMNS = [
+  'type',
+  'model',
+  'weight',
+  'take',
+  'lateMs',
+  'repeatable',
+  'stream',
+] as const;
 
 /** One fault of a table, named by where it stands: a row and its cell, or a line and its column. */
-export interface Fault { readonly row: string; readonly cell: string; readonly text: string; readonly line?: number; readonly column?: number }
+export interface Fault {
+  readonly row: string;
+  readonly cell: string;
+  readonly text: string;
+  readonly line?: number;
+  readonly column?: number;
+}
 
 export function rowKey(row: { readonly type: string; readonly model: string }): string {
   return `${row.type}/${row.model}`;
@@ -44,15 +75,22 @@
 
 function faultPlace(path: readonly unknown[]): { row: string; cell: string } {
   const [list, index, cell] = path;
-  return { row: index === undefined ? String(list ?? 'table') : `${String(list)}[${String(index)}]`, cell: String(cell ?? '') };
+  return {
+    row: index === undefined ? String(list ?? 'table') : `${String(list)}[${String(index)}]`,
+    cell: String(cell ?? ''),
+  };
 }
 
 /** Checks a whole table and names every fault at once. */
-export function checkTable(raw: unknown): { readonly table: Table; readonly faults: readonly Fault[] } {
+export function checkTable(raw: unknown): {
+  readonly table: Table;
+  readonly faults: readonly Fault[];
+} {
   const [error, table] = TableShape.validate(raw);
   if (error instanceof StructError || !table) {
     const faults: Fault[] = [];
-    for (const item of error?.failures() ?? []) faults.push({ ...faultPlace(item.path), text: item.message });
+    for (const item of error?.failures() ?? [])
+      faults.push({ ...faultPlace(item.path), text: item.message });
     return { table: EMPTY_TABLE, faults };
   }
   const faults: Fault[] = [];
@@ -61,15 +99,22 @@
   for (const row of table.rows) {
     types.add(row.type);
     const key = rowKey(row);
-    if (seen.has(key)) faults.push({ row: key, cell: 'model', text: 'another row has the same type and model' });
+    if (seen.has(key))
+      faults.push({ row: key, cell: 'model', text: 'another row has the same type and model' });
     seen.add(key);
   }
   const paths = new Set<string>();
   for (const mapping of table.mappings) {
     const name = `${mapping.method} ${mapping.path}`;
-    if (paths.has(name)) faults.push({ row: name, cell: 'path', text: 'another mapping has the same method and path' });
+    if (paths.has(name))
+      faults.push({
+        row: name,
+        cell: 'path',
+        text: 'another mapping has the same method and path',
+      });
     paths.add(name);
-    if (!types.has(mapping.type)) faults.push({ row: name, cell: 'type', text: `no row has the type ${mapping.type}` });
+    if (!types.has(mapping.type))
+      faults.push({ row: name, cell: 'type', text: `no row has the type ${mapping.type}` });
   }
   return { table, faults };
 }
--- a/src/code/TableIndex.ts
+++ b/src/code/TableIndex.ts
@@ -1,6 +1,9 @@
 import type { Mapping, Row, Table } from './Table.js';
 
-interface Placed<T> { readonly order: number; readonly item: T }
+interface Placed<T> {
+  readonly order: number;
+  readonly item: T;
+}
 
 /** Finds a name among exact names and prefixes ending in *, without walking them all. */
 class Names<T> {
@@ -40,7 +43,8 @@
   readonly #heaviest = new Map<string, Row>();
 
   constructor(table: Table) {
-    for (const mapping of table.mappings) namesOf(this.#mappings, mapping.method).add(mapping.path, mapping);
+    for (const mapping of table.mappings)
+      namesOf(this.#mappings, mapping.method).add(mapping.path, mapping);
     for (const row of table.rows) {
       if (!this.#firsts.has(row.type)) this.#firsts.set(row.type, row);
       if (row.model.startsWith('@')) {
@@ -64,11 +68,14 @@
   /** The first row that fits, as the operator ordered them. */
   row(type: string, model: string): Row | undefined {
     let first: Placed<Row> | undefined;
-    for (const placed of this.#rows.get(type)?.fitting(model) ?? []) if (!first || placed.order < first.order) first = placed;
+    for (const placed of this.#rows.get(type)?.fitting(model) ?? [])
+      if (!first || placed.order < first.order) first = placed;
     return first?.item ?? this.#plain.get(type);
   }
 
-  firstOf(type: string): Row | undefined { return this.#firsts.get(type); }
+  firstOf(type: string): Row | undefined {
+    return this.#firsts.get(type);
+  }
 
   /** The most that any row gives a model; 0 if none wants it. */
   weight(model: string): number {
--- a/src/commands.ts
+++ b/src/commands.ts
@@ -7,7 +7,16 @@
 import { ScaleCommand } from './myth/ScaleCommand.js';
 import { StormCommand } from './myth/StormCommand.js';
 import { StandCommand } from './myth/StandCommand.js';
-import { AskEditCommand, EmptyCommand, FillCommand, FoundCommand, PutCommand, RowsCommand, SetCommand, SwapCommand } from './word/EditCommands.js';
+import {
+  AskEditCommand,
+  EmptyCommand,
+  FillCommand,
+  FoundCommand,
+  PutCommand,
+  RowsCommand,
+  SetCommand,
+  SwapCommand,
+} from './word/EditCommands.js';
 import { ImportCommand } from './word/ImportCommand.js';
 import { CountersCommand, StatusCommand } from './word/ShowCommands.js';
 import { TableCommand } from './word/TableCommand.js';
--- a/src/doubt/Doubt.test.ts
+++ b/src/doubt/Doubt.test.ts
@@ -2,40 +2,111 @@
 import { compile } from '../code/Language.js';
 import { Doubt, type Finding, type FleetView } from './Doubt.js';
 
-function fleetOf(rooms: readonly (readonly [string, number])[], models: readonly (readonly [string, number])[]): FleetView {
+function fleetOf(
+  rooms: readonly (readonly [string, number])[],
+  models: readonly (readonly [string, number])[],
+): FleetView {
   const runners = [];
   for (const [index, [zone, room]] of rooms.entries()) {
     const id = `r${index}`;
-    runners.push({ machine: { id, address: id, zone, service: '', leaving: false }, report: { id, boot: 'b', room, slots: 4, upMs: 60_000, holds: [] }, isReachable: true });
+    runners.push({
+      machine: { id, address: id, zone, service: '', leaving: false },
+      report: { id, boot: 'b', room, slots: 4, upMs: 60_000, holds: [] },
+      isReachable: true,
+    });
   }
-  return { number: 1, table: { mappings: [], rows: [] }, emptied: [], catalog: { limit: 2, models: models.map(sized), adapters: [] }, docs: [], runners, demand: [{ unit: 'm-0\n', rate: 2 }] };
+  return {
+    number: 1,
+    table: { mappings: [], rows: [] },
+    emptied: [],
+    catalog: { limit: 2, models: models.map(sized), adapters: [] },
+    docs: [],
+    runners,
+    demand: [{ unit: 'm-0\n', rate: 2 }],
+  };
+}
+function sized([name, size]: readonly [string, number]): { name: string; size: number } {
+  return { name, size };
 }
-function sized([name, size]: readonly [string, number]): { name: string; size: number } { return { name, size }; }
 function kinds(text: string, fleet: FleetView): string[] {
   const { table, faults } = compile(text);
   expect(faults).toEqual([]);
   return new Doubt(table, fleet, { runMs: 1000 }).check().findings.map(kindOf);
 }
-function kindOf(finding: Finding): string { return `${finding.kind} ${finding.subject}`; }
+function kindOf(finding: Finding): string {
+  return `${finding.kind} ${finding.subject}`;
+}
 const CLEAN = 'map POST /c to check\nrow check m-* weight 9 take 5/s';
 function checkClean(): void {
   const { table } = compile(CLEAN);
-  const report = new Doubt(table, fleetOf([['a', 20], ['b', 20]], [['m-0', 10], ['m-1', 10]]), { runMs: 1000 }).check();
+  const report = new Doubt(
+    table,
+    fleetOf(
+      [
+        ['a', 20],
+        ['b', 20],
+      ],
+      [
+        ['m-0', 10],
+        ['m-1', 10],
+      ],
+    ),
+    { runMs: 1000 },
+  ).check();
   expect(report.findings).toEqual([]);
   expect(report.waits).toEqual([]);
   expect(report.orders).toContain('load m-0 at r0');
   expect(report.orders).toHaveLength(4);
 }
 function checkRows(): void {
-  const fleet = fleetOf([['a', 20], ['b', 20]], [['m-0', 10]]);
-  expect(kinds('map POST /c to check\nrow check m-*\nrow check m-0\nrow other m-0 take 1/s\nrow check x take 1/s', fleet)).toEqual([
-    'take-above-fleet check/m-*', 'shadowed-row check/m-0', 'take-above-fleet check/m-0', 'unreached-row other/m-0', 'unknown-model check/x',
+  const fleet = fleetOf(
+    [
+      ['a', 20],
+      ['b', 20],
+    ],
+    [['m-0', 10]],
+  );
+  expect(
+    kinds(
+      'map POST /c to check\nrow check m-*\nrow check m-0\nrow other m-0 take 1/s\nrow check x take 1/s',
+      fleet,
+    ),
+  ).toEqual([
+    'take-above-fleet check/m-*',
+    'shadowed-row check/m-0',
+    'take-above-fleet check/m-0',
+    'unreached-row other/m-0',
+    'unknown-model check/x',
+  ]);
+  expect(kinds('map GET /l to lookup\nrow lookup @kiosk', fleet)).toEqual([
+    'no-back-end lookup/@kiosk',
   ]);
-  expect(kinds('map GET /l to lookup\nrow lookup @kiosk', fleet)).toEqual(['no-back-end lookup/@kiosk']);
 }
 function checkFits(): void {
-  expect(kinds(CLEAN, fleetOf([['a', 20], ['b', 20]], [['m-0', 30]]))).toEqual(['fits-nowhere m-0']);
-  expect(kinds(CLEAN, fleetOf([['a', 40], ['b', 20]], [['m-0', 30]]))).toEqual(['no-pair m-0', 'zone-lost a']);
+  expect(
+    kinds(
+      CLEAN,
+      fleetOf(
+        [
+          ['a', 20],
+          ['b', 20],
+        ],
+        [['m-0', 30]],
+      ),
+    ),
+  ).toEqual(['fits-nowhere m-0']);
+  expect(
+    kinds(
+      CLEAN,
+      fleetOf(
+        [
+          ['a', 40],
+          ['b', 20],
+        ],
+        [['m-0', 30]],
+      ),
+    ),
+  ).toEqual(['no-pair m-0', 'zone-lost a']);
 }
 test('a table that fits is clean, and says what it would set off', checkClean);
 test('rows that nothing reaches, shadowed ones and takes above the fleet are found', checkRows);
--- a/src/doubt/Doubt.ts
+++ b/src/doubt/Doubt.ts
@@ -7,13 +7,27 @@
 
 /** The live fleet, as the leader shows it. */
 export const FleetShape = type({
-  number: number(), table: TableShape, emptied: array(string()), catalog: CatalogShape, docs: array(ServiceDocShape),
-  runners: array(type({ machine: MachineShape, report: union([RunnerReportShape, literal(null)]), isReachable: boolean() })),
+  number: number(),
+  table: TableShape,
+  emptied: array(string()),
+  catalog: CatalogShape,
+  docs: array(ServiceDocShape),
+  runners: array(
+    type({
+      machine: MachineShape,
+      report: union([RunnerReportShape, literal(null)]),
+      isReachable: boolean(),
+    }),
+  ),
   demand: array(type({ unit: string(), rate: number() })),
 });
 export type FleetView = Infer<typeof FleetShape>;
 
-export interface Finding { readonly kind: string; readonly subject: string; readonly text: string }
+export interface Finding {
+  readonly kind: string;
+  readonly subject: string;
+  readonly text: string;
+}
 
 export interface DoubtReport {
   readonly findings: readonly Finding[];
@@ -48,19 +62,25 @@
     const now = this.#trial(this.#fleet.emptied);
     const before = this.#trialOf(this.#fleet.table, this.#fleet.emptied);
     const waits: string[] = [];
-    for (const place of now.places) if (place.seats.length === 0 && place.wait !== '') waits.push(`${place.model}: ${place.wait}`);
+    for (const place of now.places)
+      if (place.seats.length === 0 && place.wait !== '')
+        waits.push(`${place.model}: ${place.wait}`);
     this.#zones(now);
     const ordersBefore = new Set(before.orders.map(orderText));
     const orders: string[] = [];
-    for (const intent of now.orders) if (!ordersBefore.has(orderText(intent))) orders.push(orderText(intent));
+    for (const intent of now.orders)
+      if (!ordersBefore.has(orderText(intent))) orders.push(orderText(intent));
     return { findings: this.#findings, orders, waits };
   }
 
-  #find(kind: string, subject: string, text: string): void { this.#findings.push({ kind, subject, text }); }
+  #find(kind: string, subject: string, text: string): void {
+    this.#findings.push({ kind, subject, text });
+  }
 
   #modelsOf(row: Row): string[] {
     const models: string[] = [];
-    for (const { name } of this.#fleet.catalog.models) if (matchesModel(row.model, name)) models.push(name);
+    for (const { name } of this.#fleet.catalog.models)
+      if (matchesModel(row.model, name)) models.push(name);
     return models;
   }
 
@@ -70,9 +90,11 @@
     const earlier: Row[] = [];
     for (const row of this.#table.rows) {
       const key = rowKey(row);
-      if (!mapped.has(row.type)) this.#find('unreached-row', key, `no mapping leads to the type ${row.type}`);
+      if (!mapped.has(row.type))
+        this.#find('unreached-row', key, `no mapping leads to the type ${row.type}`);
       const cover = earlier.find(covers.bind(undefined, row));
-      if (cover) this.#find('shadowed-row', key, `${rowKey(cover)} stands before it and takes all it would`);
+      if (cover)
+        this.#find('shadowed-row', key, `${rowKey(cover)} stands before it and takes all it would`);
       earlier.push(row);
       if (row.model.startsWith('@')) this.#plainRow(row);
       else this.#modelRow(row);
@@ -81,57 +103,98 @@
 
   #plainRow(row: Row): void {
     let standing = 0;
-    for (const { machine } of this.#fleet.runners) if (machine.service === row.model.slice(1) && !machine.leaving) standing += 1;
-    if (standing === 0) this.#find('no-back-end', rowKey(row), `no back end of ${row.model} is on the platform's list`);
+    for (const { machine } of this.#fleet.runners)
+      if (machine.service === row.model.slice(1) && !machine.leaving) standing += 1;
+    if (standing === 0)
+      this.#find(
+        'no-back-end',
+        rowKey(row),
+        `no back end of ${row.model} is on the platform's list`,
+      );
   }
 
   #modelRow(row: Row): void {
     const models = this.#modelsOf(row);
-    if (models.length === 0) { this.#find('unknown-model', rowKey(row), 'the catalogue has no model that fits it'); return; }
+    if (models.length === 0) {
+      this.#find('unknown-model', rowKey(row), 'the catalogue has no model that fits it');
+      return;
+    }
     const slots: number[] = [];
-    for (const { machine, report } of this.#fleet.runners) if (report && !machine.leaving) slots.push(report.slots);
+    for (const { machine, report } of this.#fleet.runners)
+      if (report && !machine.leaving) slots.push(report.slots);
     slots.sort(descending);
     // Each of its models has a pair at best, and all of them together no more than there is.
     let standing = 0;
     for (const count of slots.slice(0, models.length * 2)) standing += count;
     const perSecond = (standing * 1000) / this.#settings.runMs;
-    if (row.take > perSecond) this.#find('take-above-fleet', rowKey(row), `takes ${row.take} a second; what stands could serve ${perSecond} of ${this.#settings.runMs} ms each`);
+    if (row.take > perSecond)
+      this.#find(
+        'take-above-fleet',
+        rowKey(row),
+        `takes ${row.take} a second; what stands could serve ${perSecond} of ${this.#settings.runMs} ms each`,
+      );
   }
 
   #fits(): void {
     for (const { name, size } of this.#fleet.catalog.models) {
       if (!this.#table.rows.some(wants.bind(undefined, name))) continue;
       const zones = new Set<string>();
-      for (const { machine, report } of this.#fleet.runners) if (report && report.room >= size && machine.service === '' && !machine.leaving) zones.add(machine.zone);
-      if (zones.size === 0) this.#find('fits-nowhere', name, `needs ${size}, and no runner has so much room`);
-      else if (zones.size === 1) this.#find('no-pair', name, `only zone ${[...zones][0]} has runners with room for it: its pair cannot cross zones`);
+      for (const { machine, report } of this.#fleet.runners)
+        if (report && report.room >= size && machine.service === '' && !machine.leaving)
+          zones.add(machine.zone);
+      if (zones.size === 0)
+        this.#find('fits-nowhere', name, `needs ${size}, and no runner has so much room`);
+      else if (zones.size === 1)
+        this.#find(
+          'no-pair',
+          name,
+          `only zone ${[...zones][0]} has runners with room for it: its pair cannot cross zones`,
+        );
     }
   }
 
   #zones(now: TrialOutcome): void {
     const zones = new Set<string>();
-    for (const { machine } of this.#fleet.runners) if (machine.service === '') zones.add(machine.zone);
+    for (const { machine } of this.#fleet.runners)
+      if (machine.service === '') zones.add(machine.zone);
     const served = new Set<string>();
     for (const place of now.places) if (place.seats.length > 0) served.add(place.model);
     for (const zone of [...zones].sort()) {
       const left = this.#trial([...this.#fleet.emptied, zone]);
       const lost: string[] = [];
-      for (const place of left.places) if (place.seats.length === 0 && served.has(place.model)) lost.push(place.model);
-      if (lost.length > 0) this.#find('zone-lost', zone, `without it, ${lost.length} models that would be served are not: ${lost.sort().join(' ')}`);
+      for (const place of left.places)
+        if (place.seats.length === 0 && served.has(place.model)) lost.push(place.model);
+      if (lost.length > 0)
+        this.#find(
+          'zone-lost',
+          zone,
+          `without it, ${lost.length} models that would be served are not: ${lost.sort().join(' ')}`,
+        );
     }
     for (const row of this.#table.rows) {
       if (!row.model.startsWith('@')) continue;
       const homes = new Set<string>();
-      for (const { machine } of this.#fleet.runners) if (machine.service === row.model.slice(1) && !machine.leaving) homes.add(machine.zone);
-      if (homes.size === 1) this.#find('zone-lost', [...homes][0] ?? '', `all back ends of ${row.model} stand there`);
+      for (const { machine } of this.#fleet.runners)
+        if (machine.service === row.model.slice(1) && !machine.leaving) homes.add(machine.zone);
+      if (homes.size === 1)
+        this.#find('zone-lost', [...homes][0] ?? '', `all back ends of ${row.model} stand there`);
     }
   }
 
-  #trial(emptied: readonly string[]): TrialOutcome { return this.#trialOf(this.#table, emptied); }
+  #trial(emptied: readonly string[]): TrialOutcome {
+    return this.#trialOf(this.#table, emptied);
+  }
 
   #trialOf(table: Table, emptied: readonly string[]): TrialOutcome {
     const runners: RunnerView[] = [];
-    for (const { machine, report, isReachable } of this.#fleet.runners) runners.push({ machine, report: report ?? undefined, askedAt: moment(0), isReachable, isLost: !isReachable });
+    for (const { machine, report, isReachable } of this.#fleet.runners)
+      runners.push({
+        machine,
+        report: report ?? undefined,
+        askedAt: moment(0),
+        isReachable,
+        isLost: !isReachable,
+      });
     const input: PlanInput = { table, catalog: this.#fleet.catalog, runners, emptied };
     const demand = new Map<string, number>();
     for (const { unit, rate } of this.#fleet.demand) demand.set(unit, rate);
@@ -139,9 +202,18 @@
   }
 }
 
-function descending(a: number, b: number): number { return b - a; }
-function wants(model: string, row: Row): boolean { return !row.model.startsWith('@') && matchesModel(row.model, model); }
-function orderText(intent: { readonly verb: string; readonly model: string; readonly adapter: string; readonly runner: string }): string {
+function descending(a: number, b: number): number {
+  return b - a;
+}
+function wants(model: string, row: Row): boolean {
+  return !row.model.startsWith('@') && matchesModel(row.model, model);
+}
+function orderText(intent: {
+  readonly verb: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly runner: string;
+}): string {
   return `${intent.verb} ${intent.model}${intent.adapter === '' ? '' : ` ${intent.adapter}`} at ${intent.runner}`;
 }
 
--- a/src/doubt/DoubtCommand.ts
+++ b/src/doubt/DoubtCommand.ts
@@ -7,8 +7,11 @@
 import { Doubt, FleetShape } from './Doubt.js';
 
 export class DoubtCommand extends Command {
-  static override description = 'check a proposed table against the fleet as it is; exit code 0 clean, 1 findings, 2 could not check';
-  static override args = { file: Args.string({ required: true, description: 'file in the mapping language' }) };
+  static override description =
+    'check a proposed table against the fleet as it is; exit code 0 clean, 1 findings, 2 could not check';
+  static override args = {
+    file: Args.string({ required: true, description: 'file in the mapping language' }),
+  };
   static override flags = {
     ...WORD_FLAGS,
     runMs: Flags.integer({ default: 1000, min: 1, description: 'how long a run is taken to last' }),
@@ -17,16 +20,26 @@
   async run(): Promise<void> {
     const { args, flags } = await this.parse(DoubtCommand);
     let text = '';
-    try { text = readFileSync(args.file, 'utf8'); } catch (thrown) { this.#giveUp(reasonOf(thrown)); }
+    try {
+      text = readFileSync(args.file, 'utf8');
+    } catch (thrown) {
+      this.#giveUp(reasonOf(thrown));
+    }
     const { table, faults } = compile(text);
     if (faults.length > 0) {
       const findings = [];
-      for (const fault of faults) findings.push({ kind: 'bad-table', subject: `line ${fault.line}, column ${fault.column}`, text: `${fault.cell}: ${fault.text}` });
+      for (const fault of faults)
+        findings.push({
+          kind: 'bad-table',
+          subject: `line ${fault.line}, column ${fault.column}`,
+          text: `${fault.cell}: ${fault.text}`,
+        });
       this.#print({ findings, orders: [], waits: [] }, flags.json);
       this.exit(1);
     }
     const { status, value } = await new Operator(flags.api).ask('GET', '/fleet');
-    if (status !== 200 || !FleetShape.is(value)) this.#giveUp(`the fleet could not be asked: ${String(value['text'] ?? status)}`);
+    if (status !== 200 || !FleetShape.is(value))
+      this.#giveUp(`the fleet could not be asked: ${String(value['text'] ?? status)}`);
     else {
       const report = new Doubt(table, value, { runMs: flags.runMs }).check();
       this.#print(report, flags.json);
@@ -40,10 +53,18 @@
   }
 
   #print(report: ReturnType<Doubt['check']>, isJson: boolean): void {
-    if (isJson) { this.log(JSON.stringify(report)); return; }
-    for (const finding of report.findings) this.log(`${finding.kind} ${finding.subject}: ${finding.text}`);
+    if (isJson) {
+      this.log(JSON.stringify(report));
+      return;
+    }
+    for (const finding of report.findings)
+      this.log(`${finding.kind} ${finding.subject}: ${finding.text}`);
     for (const order of report.orders) this.log(`would ${order}`);
     for (const wait of report.waits) this.log(`would wait: ${wait}`);
-    this.log(report.findings.length === 0 ? 'no findings' : `${report.findings.length} finding${report.findings.length === 1 ? '' : 's'}`);
+    this.log(
+      report.findings.length === 0
+        ? 'no findings'
+        : `${report.findings.length} finding${report.findings.length === 1 ? '' : 's'}`,
+    );
   }
 }
--- a/src/flow/Budget.ts
+++ b/src/flow/Budget.ts
@@ -11,7 +11,9 @@
   }
 
   // However small our part of the few is, what was earned must be able to pay for one.
-  earn(): void { this.#tokens = Math.min(this.#tokens + this.#share, Math.max(1 + this.#share, this.#few)); }
+  earn(): void {
+    this.#tokens = Math.min(this.#tokens + this.#share, Math.max(1 + this.#share, this.#few));
+  }
 
   spend(): boolean {
     if (this.#tokens < 1) return false;
--- a/src/flow/Decision.test.ts
+++ b/src/flow/Decision.test.ts
@@ -5,44 +5,88 @@
 import type { Places, Seat } from '../place/Shapes.js';
 import { type Asked, DECISION_DEFAULTS, Decision, type Verdict } from './Decision.js';
 
-const TEXT = 'map POST /c to check\nmap GET /l to lookup\nrow check heavy weight 90 take 1000/s late 10s once stream\nrow check light weight 10 take 1000/s late 10s once stream\nrow check slow weight 10 take 5/s late 10s once\nrow lookup @kiosk weight 5 take 1000/s late 2s repeatable';
+const TEXT =
+  'map POST /c to check\nmap GET /l to lookup\nrow check heavy weight 90 take 1000/s late 10s once stream\nrow check light weight 10 take 1000/s late 10s once stream\nrow check slow weight 10 take 5/s late 10s once\nrow lookup @kiosk weight 5 take 1000/s late 2s repeatable';
 class Bench {
-  readonly decision = new Decision({ ...DECISION_DEFAULTS, blindMs: 2500, me: 'f', mostPending: 20 });
+  readonly decision = new Decision({
+    ...DECISION_DEFAULTS,
+    blindMs: 2500,
+    me: 'f',
+    mostPending: 20,
+  });
   now = 0;
   #id = 0;
   #count = 0;
 
   constructor(slots = 2) {
     this.config([]);
-    this.places([{ runner: 'a', primary: true, adapters: ['x'] }, { runner: 'b', primary: false, adapters: ['x'] }], slots);
+    this.places(
+      [
+        { runner: 'a', primary: true, adapters: ['x'] },
+        { runner: 'b', primary: false, adapters: ['x'] },
+      ],
+      slots,
+    );
     this.fresh();
   }
 
   config(emptied: string[]): void {
     this.#count += 1;
-    this.decision.news(moment(this.now), 'config', { epoch: 2, count: this.#count }, JSON.stringify({ number: this.#count, table: compile(TEXT).table, emptied, voters: [] }));
+    this.decision.news(
+      moment(this.now),
+      'config',
+      { epoch: 2, count: this.#count },
+      JSON.stringify({ number: this.#count, table: compile(TEXT).table, emptied, voters: [] }),
+    );
   }
 
   places(seats: Seat[], slots: number, flows = 2): void {
     this.#count += 1;
-    const runners = [{ id: 'a', address: 'a:1', zone: 'za', service: '', slots, upMs: 60_000 }, { id: 'b', address: 'b:1', zone: 'zb', service: '', slots, upMs: 60_000 }, { id: 'k', address: 'k:1', zone: 'za', service: 'kiosk', slots: 0, upMs: 0 }];
+    const runners = [
+      { id: 'a', address: 'a:1', zone: 'za', service: '', slots, upMs: 60_000 },
+      { id: 'b', address: 'b:1', zone: 'zb', service: '', slots, upMs: 60_000 },
+      { id: 'k', address: 'k:1', zone: 'za', service: 'kiosk', slots: 0, upMs: 0 },
+    ];
     const places = ['heavy', 'light', 'slow'].map(placeOf.bind(undefined, seats));
-    this.decision.news(moment(this.now), 'places', { epoch: 2, count: this.#count }, JSON.stringify({ places, runners, flows, shares: [] }));
+    this.decision.news(
+      moment(this.now),
+      'places',
+      { epoch: 2, count: this.#count },
+      JSON.stringify({ places, runners, flows, shares: [] }),
+    );
   }
 
-  fresh(): void { this.decision.vouch(this.decision.ask(moment(this.now)), NO_VERSION, 0); }
+  fresh(): void {
+    this.decision.vouch(this.decision.ask(moment(this.now)), NO_VERSION, 0);
+  }
 
   ask(model: string, extra: Partial<Asked> = {}): number {
     this.#id += 1;
-    this.decision.gate(moment(this.now), { id: this.#id, method: 'POST', path: '/c', model, adapter: '', parts: [], ...extra });
+    this.decision.gate(moment(this.now), {
+      id: this.#id,
+      method: 'POST',
+      path: '/c',
+      model,
+      adapter: '',
+      parts: [],
+      ...extra,
+    });
     return this.#id;
   }
 
-  verdicts(): string[] { return this.decision.drain().map(verdictText); }
+  verdicts(): string[] {
+    return this.decision.drain().map(verdictText);
+  }
+}
+function placeOf(seats: Seat[], model: string): Place {
+  return { model, seats, wait: '' };
 }
-function placeOf(seats: Seat[], model: string): Place { return { model, seats, wait: '' }; }
 type Place = Places['places'][number];
-function verdictText(verdict: Verdict): string { return verdict.do === 'run' ? `${verdict.id} runs at ${verdict.runner}` : `${verdict.id} ${verdict.kind}`; }
+function verdictText(verdict: Verdict): string {
+  return verdict.do === 'run'
+    ? `${verdict.id} runs at ${verdict.runner}`
+    : `${verdict.id} ${verdict.kind}`;
+}
 function checkDraw(): void {
   const bench = new Bench();
   bench.ask('heavy');
@@ -84,12 +128,20 @@
   const bench = new Bench(1);
   for (let index = 0; index < 5; index += 1) bench.ask('light');
   expect(bench.verdicts()).toHaveLength(2);
-  for (bench.now = 0; bench.now < 5000; bench.now += 100) { bench.fresh(); bench.decision.beat(moment(bench.now)); if (bench.decision.pending === 0) break; }
+  for (bench.now = 0; bench.now < 5000; bench.now += 100) {
+    bench.fresh();
+    bench.decision.beat(moment(bench.now));
+    if (bench.decision.pending === 0) break;
+  }
   expect(bench.verdicts().sort()).toEqual(['3 crowded', '4 crowded', '5 crowded']);
   expect(bench.now).toBeLessThanOrEqual(3400);
 }
-function isCrowded(text: string): boolean { return text.endsWith('crowded'); }
-function isRunning(text: string): boolean { return text.includes('runs'); }
+function isCrowded(text: string): boolean {
+  return text.endsWith('crowded');
+}
+function isRunning(text: string): boolean {
+  return text.includes('runs');
+}
 function checkBlind(): void {
   const bench = new Bench();
   bench.now = 2499;
@@ -104,7 +156,15 @@
   bench.ask('heavy');
   bench.ask('', { method: 'GET', path: '/l' });
   expect(bench.verdicts()).toEqual(['1 runs at b', '2 waits-for-place']);
-  bench.decision.news(moment(0), 'machines', { epoch: 0, count: 5 }, JSON.stringify({ revision: 5, machines: [{ id: 'b', address: 'b:1', zone: 'zb', service: '', leaving: true }] }));
+  bench.decision.news(
+    moment(0),
+    'machines',
+    { epoch: 0, count: 5 },
+    JSON.stringify({
+      revision: 5,
+      machines: [{ id: 'b', address: 'b:1', zone: 'zb', service: '', leaving: true }],
+    }),
+  );
   bench.ask('heavy');
   expect(bench.verdicts()).toEqual(['3 waits-for-place']);
 }
@@ -146,7 +206,10 @@
       bench.now += 300;
       bench.fresh();
       const id = bench.ask('', { method: 'GET', path: '/l' });
-      if (bench.decision.broke(moment(bench.now), id, true, true)) { repeats += 1; bench.decision.done(moment(bench.now), id); }
+      if (bench.decision.broke(moment(bench.now), id, true, true)) {
+        repeats += 1;
+        bench.decision.done(moment(bench.now), id);
+      }
     }
   }
   expect(repeats).toBeGreaterThan(60);
@@ -160,7 +223,9 @@
   // Half of five a second is ours: two seconds' worth may come at once.
   expect(bench.verdicts().filter(isOver)).toHaveLength(7);
 }
-function isOver(text: string): boolean { return text.endsWith('over-take'); }
+function isOver(text: string): boolean {
+  return text.endsWith('over-take');
+}
 function checkGone(): void {
   const bench = new Bench(1);
   bench.ask('heavy');
--- a/src/flow/Decision.ts
+++ b/src/flow/Decision.ts
@@ -5,7 +5,14 @@
 import { parseAs } from '../kin/Json.js';
 import { compareVersions, NO_VERSION, type Version } from '../kin/Version.js';
 import { ConfigNewsShape, type ConfigNews } from '../mind/ConfigDoc.js';
-import { MachinesShape, PlacesShape, type Machines, type PlacedRunner, type Places, type Seat } from '../place/Shapes.js';
+import {
+  MachinesShape,
+  PlacesShape,
+  type Machines,
+  type PlacedRunner,
+  type Places,
+  type Seat,
+} from '../place/Shapes.js';
 import { Budget } from './Budget.js';
 import { Freshness } from './Freshness.js';
 import type { Watched, Watcher } from './Watches.js';
@@ -22,9 +29,24 @@
 
 /** What the executor must do now. */
 export type Verdict =
-  | { readonly do: 'run'; readonly id: number; readonly runner: string; readonly address: string; readonly isPlain: boolean; readonly row: Row; readonly limit: Moment; readonly table: number }
+  | {
+      readonly do: 'run';
+      readonly id: number;
+      readonly runner: string;
+      readonly address: string;
+      readonly isPlain: boolean;
+      readonly row: Row;
+      readonly limit: Moment;
+      readonly table: number;
+    }
   /** `retryMs` tells when coming back is worth while, as far as it is known; 0 where nothing is. */
-  | { readonly do: 'turnAway'; readonly id: number; readonly kind: DefectKind; readonly text: string; readonly retryMs: number };
+  | {
+      readonly do: 'turnAway';
+      readonly id: number;
+      readonly kind: DefectKind;
+      readonly text: string;
+      readonly retryMs: number;
+    };
 
 export type RunVerdict = Extract<Verdict, { do: 'run' }>;
 
@@ -42,7 +64,13 @@
   readonly repeatFew: number;
 }
 
-export const DECISION_DEFAULTS = { life: 0, mostPending: 512, rampMs: 10_000, repeatShare: 0.2, repeatFew: 4 } as const;
+export const DECISION_DEFAULTS = {
+  life: 0,
+  mostPending: 512,
+  rampMs: 10_000,
+  repeatShare: 0.2,
+  repeatFew: 4,
+} as const;
 
 interface Work {
   readonly asked: Asked;
@@ -71,9 +99,16 @@
 }
 
 /** Who waits for a place, and when it is due as far as the leader can tell. */
-interface Wait { readonly text: string; readonly toldMs: number; readonly readyAt: Moment | undefined }
+interface Wait {
+  readonly text: string;
+  readonly toldMs: number;
+  readonly readyAt: Moment | undefined;
+}
 
-interface Bucket { tokens: number; at: Moment }
+interface Bucket {
+  tokens: number;
+  at: Moment;
+}
 
 /** A row that takes nothing is not opened from one moment to the next. */
 const CLOSED_ROW_MS = 60_000;
@@ -111,16 +146,30 @@
     this.#freshness = new Freshness(settings.blindMs, settings.life);
   }
 
-  get configVersion(): Version { return this.#config?.version ?? NO_VERSION; }
+  get configVersion(): Version {
+    return this.#config?.version ?? NO_VERSION;
+  }
   /** The number of the table in force here, as operators count them. */
-  get tableNumber(): number { return this.#config?.news.number ?? -1; }
-  get placesVersion(): Version { return this.#places?.version ?? NO_VERSION; }
-  get marks(): number { return this.#machines.revision; }
-  get running(): number { return this.#running.size; }
-  get pending(): number { return this.#pending.length; }
+  get tableNumber(): number {
+    return this.#config?.news.number ?? -1;
+  }
+  get placesVersion(): Version {
+    return this.#places?.version ?? NO_VERSION;
+  }
+  get marks(): number {
+    return this.#machines.revision;
+  }
+  get running(): number {
+    return this.#running.size;
+  }
+  get pending(): number {
+    return this.#pending.length;
+  }
 
   /** Whether we may take new work: vouched for lately, and there is a configuration to work by. */
-  isFresh(now: Moment): boolean { return this.#config !== undefined && this.#freshness.isFresh(now); }
+  isFresh(now: Moment): boolean {
+    return this.#config !== undefined && this.#freshness.isFresh(now);
+  }
 
   drain(): Verdict[] {
     const verdicts = this.#verdicts;
@@ -139,7 +188,10 @@
       this.#regate();
     } else if (topic === 'places' && compareVersions(version, this.placesVersion) > 0) {
       const news = parseAs(PlacesShape, body);
-      if (news) { this.#takePlaces(now, news, this.#places === undefined); this.#places = { version, news }; }
+      if (news) {
+        this.#takePlaces(now, news, this.#places === undefined);
+        this.#places = { version, news };
+      }
     } else if (topic === 'machines' && version.count > this.#machines.revision) {
       const news = parseAs(MachinesShape, body);
       if (news) this.#machines = news;
@@ -148,16 +200,20 @@
     this.#advance(now);
   }
 
-  ask(now: Moment): number { return this.#freshness.ask(now); }
+  ask(now: Moment): number {
+    return this.#freshness.ask(now);
+  }
 
   vouch(nonce: number, version: Version, marks: number): void {
-    const isHeld = compareVersions(this.configVersion, version) >= 0 && this.#machines.revision >= marks;
+    const isHeld =
+      compareVersions(this.configVersion, version) >= 0 && this.#machines.revision >= marks;
     this.#freshness.vouch(nonce, isHeld);
   }
 
   startDraining(now: Moment): void {
     this.#isDraining = true;
-    for (const work of this.#pending.splice(0)) this.#turnAway(work.asked.id, 'draining', 'this proxy is being stopped');
+    for (const work of this.#pending.splice(0))
+      this.#turnAway(work.asked.id, 'draining', 'this proxy is being stopped');
     this.#advance(now);
   }
 
@@ -168,7 +224,10 @@
   mayWrite(now: Moment, id: number): boolean {
     const work = this.#running.get(id);
     if (!work || !this.isFresh(now) || now >= work.limit) return false;
-    return this.#rowNow(work) !== undefined && this.#candidates(work).some(isOf.bind(undefined, work.runner));
+    return (
+      this.#rowNow(work) !== undefined &&
+      this.#candidates(work).some(isOf.bind(undefined, work.runner))
+    );
   }
 
   /** It was drawn and may no longer be written: it has not run, and is drawn anew or turned away. */
@@ -176,9 +235,12 @@
     const work = this.#end(now, id, false);
     if (!work) return;
     work.tried.delete(work.runner);
-    if (now >= work.limit) this.#turnAway(id, 'limit-passed', 'its limit passed before it was begun');
-    else if (!this.isFresh(now)) this.#turnAway(id, 'blind', 'this proxy has not heard from the control nodes');
-    else if (!this.#rowNow(work)) this.#turnAway(id, 'unmapped', 'the table no longer has a row for it');
+    if (now >= work.limit)
+      this.#turnAway(id, 'limit-passed', 'its limit passed before it was begun');
+    else if (!this.isFresh(now))
+      this.#turnAway(id, 'blind', 'this proxy has not heard from the control nodes');
+    else if (!this.#rowNow(work))
+      this.#turnAway(id, 'unmapped', 'the table no longer has a row for it');
     else this.#retryOrEnd(now, work, 'waits-for-place', 'its place was lost');
     this.#advance(now);
   }
@@ -194,14 +256,24 @@
       const readyMs = place.readyMs ?? 0;
       // Told once when it begins to wait, and counted down here; the same word again is no new beginning.
       const isSame = known !== undefined && known.text === place.wait && known.toldMs === readyMs;
-      waits.set(place.model, isSame ? known : { text: place.wait, toldMs: readyMs, readyAt: readyMs > 0 ? later(now, readyMs) : undefined });
+      waits.set(
+        place.model,
+        isSame
+          ? known
+          : {
+              text: place.wait,
+              toldMs: readyMs,
+              readyAt: readyMs > 0 ? later(now, readyMs) : undefined,
+            },
+      );
     }
     this.#waits = waits;
     for (const runner of news.runners) {
       this.#placed.set(runner.id, runner);
       this.#noteRunner(now, runner, isFirst);
     }
-    for (const share of news.shares) if (share.flow === this.#settings.me) this.#shares.set(share.row, share.share);
+    for (const share of news.shares)
+      if (share.flow === this.#settings.me) this.#shares.set(share.row, share.share);
     for (const id of this.#runners.keys()) if (!this.#placed.has(id)) this.#runners.delete(id);
   }
 
@@ -209,8 +281,10 @@
   #bar(): void {
     const emptied = new Set(this.#config?.news.emptied ?? []);
     this.#barred = new Set();
-    for (const machine of this.#machines.machines) if (machine.leaving || emptied.has(machine.zone)) this.#barred.add(machine.id);
-    for (const runner of this.#placed.values()) if (emptied.has(runner.zone)) this.#barred.add(runner.id);
+    for (const machine of this.#machines.machines)
+      if (machine.leaving || emptied.has(machine.zone)) this.#barred.add(machine.id);
+    for (const runner of this.#placed.values())
+      if (emptied.has(runner.zone)) this.#barred.add(runner.id);
   }
 
   #regate(): void {
@@ -239,7 +313,8 @@
   /** Those to be watched: whether they were started anew is told by nobody. */
   silentBacks(): readonly Watched[] {
     const list: Watched[] = [];
-    for (const { id, address, service } of this.#placed.values()) if (service !== '') list.push({ id, address });
+    for (const { id, address, service } of this.#placed.values())
+      if (service !== '') list.push({ id, address });
     return list;
   }
 
@@ -270,13 +345,29 @@
 
   /** Asked once for each request; the verdict is drained, at once or once it has waited. */
   gate(now: Moment, asked: Asked): void {
-    if (this.#isDraining) { this.#turnAway(asked.id, 'draining', 'this proxy is being stopped'); return; }
-    if (!this.isFresh(now)) { this.#turnAway(asked.id, 'blind', 'this proxy has not heard from the control nodes'); return; }
+    if (this.#isDraining) {
+      this.#turnAway(asked.id, 'draining', 'this proxy is being stopped');
+      return;
+    }
+    if (!this.isFresh(now)) {
+      this.#turnAway(asked.id, 'blind', 'this proxy has not heard from the control nodes');
+      return;
+    }
     const table = this.#config?.news.table ?? EMPTY_TABLE;
     const mapping = findMapping(table, mappedMethod(asked.method), asked.path);
-    if (!mapping) { this.#turnAway(asked.id, 'unmapped', `no mapping for ${asked.method} ${asked.path}`); return; }
+    if (!mapping) {
+      this.#turnAway(asked.id, 'unmapped', `no mapping for ${asked.method} ${asked.path}`);
+      return;
+    }
     const row = findRow(table, mapping.type, asked.model);
-    if (!row) { this.#turnAway(asked.id, 'unknown-model', `no row of type ${mapping.type} for model ${asked.model}`); return; }
+    if (!row) {
+      this.#turnAway(
+        asked.id,
+        'unknown-model',
+        `no row of type ${mapping.type} for model ${asked.model}`,
+      );
+      return;
+    }
     const service = row.model.startsWith('@') ? row.model : asked.model;
     this.#rows.set(rowKey(row), (this.#rows.get(rowKey(row)) ?? 0) + 1);
     // Demand is counted before the gate: what is turned away for want of a place is what a place is made for.
@@ -285,17 +376,48 @@
       if (asked.adapter !== '') this.#count(`${asked.model}\n${asked.adapter}`);
     }
     const takeMs = this.#take(now, row);
-    if (takeMs > 0) { this.#turnAway(asked.id, 'over-take', `row ${rowKey(row)} takes ${row.take} a second`, takeMs); return; }
+    if (takeMs > 0) {
+      this.#turnAway(
+        asked.id,
+        'over-take',
+        `row ${rowKey(row)} takes ${row.take} a second`,
+        takeMs,
+      );
+      return;
+    }
     const limit = later(now, row.lateMs);
-    const work: Work = { asked, row, service, arrivedAt: now, limit, runner: '', startedAt: now, tried: new Set(), isCounted: false };
-    if (this.#isPlaceless(work)) { this.#turnAway(asked.id, 'waits-for-place', this.#waits.get(service)?.text || `${asked.model} is not placed yet`, this.#placeMs(now, service)); return; }
+    const work: Work = {
+      asked,
+      row,
+      service,
+      arrivedAt: now,
+      limit,
+      runner: '',
+      startedAt: now,
+      tried: new Set(),
+      isCounted: false,
+    };
+    if (this.#isPlaceless(work)) {
+      this.#turnAway(
+        asked.id,
+        'waits-for-place',
+        this.#waits.get(service)?.text || `${asked.model} is not placed yet`,
+        this.#placeMs(now, service),
+      );
+      return;
+    }
     this.#pend(now, work);
   }
 
-  #count(unit: string): void { this.#units.set(unit, (this.#units.get(unit) ?? 0) + 1); }
+  #count(unit: string): void {
+    this.#units.set(unit, (this.#units.get(unit) ?? 0) + 1);
+  }
 
   /** What was asked for since last told, for the placer. */
-  takeDemand(): { units: { model: string; adapter: string; count: number }[]; rows: { row: string; count: number }[] } {
+  takeDemand(): {
+    units: { model: string; adapter: string; count: number }[];
+    rows: { row: string; count: number }[];
+  } {
     const units = [];
     for (const [unit, count] of this.#units) {
       const [model = '', adapter = ''] = unit.split('\n');
@@ -327,7 +449,8 @@
     this.#buckets.set(key, bucket);
     if (row.take <= 0) return CLOSED_ROW_MS;
     // A share of nothing lasts until the next word on shares.
-    if (bucket.tokens < 1) return rate > 0 ? Math.max(1, ((1 - bucket.tokens) * 1000) / rate) : 1000;
+    if (bucket.tokens < 1)
+      return rate > 0 ? Math.max(1, ((1 - bucket.tokens) * 1000) / rate) : 1000;
     bucket.tokens -= 1;
     return 0;
   }
@@ -336,7 +459,9 @@
     const list: { id: string; isPrimary: boolean }[] = [];
     if (work.service.startsWith('@')) {
       const name = work.service.slice(1);
-      for (const runner of this.#placed.values()) if (runner.service === name && !this.#barred.has(runner.id)) list.push({ id: runner.id, isPrimary: true });
+      for (const runner of this.#placed.values())
+        if (runner.service === name && !this.#barred.has(runner.id))
+          list.push({ id: runner.id, isPrimary: true });
       return list;
     }
     for (const seat of this.#seats.get(work.service) ?? []) {
@@ -347,7 +472,9 @@
     return list;
   }
 
-  #isPlaceless(work: Work): boolean { return this.#candidates(work).length === 0; }
+  #isPlaceless(work: Work): boolean {
+    return this.#candidates(work).length === 0;
+  }
 
   // ---- pending
 
@@ -356,7 +483,13 @@
     this.#pending.sort(byWeight);
     if (this.#pending.length > this.#settings.mostPending) {
       const last = this.#pending.pop();
-      if (last) this.#turnAway(last.asked.id, 'crowded', 'too many wait, of more weight', this.#turnMs(now, last, this.#pending.length).waitMs);
+      if (last)
+        this.#turnAway(
+          last.asked.id,
+          'crowded',
+          'too many wait, of more weight',
+          this.#turnMs(now, last, this.#pending.length).waitMs,
+        );
     }
     this.#advance(now);
     this.#shed(now);
@@ -364,7 +497,8 @@
 
   beat(now: Moment): void {
     if (!this.isFresh(now)) {
-      for (const work of this.#pending.splice(0)) this.#turnAway(work.asked.id, 'blind', 'this proxy has not heard from the control nodes');
+      for (const work of this.#pending.splice(0))
+        this.#turnAway(work.asked.id, 'blind', 'this proxy has not heard from the control nodes');
     }
     this.#advance(now);
     this.#shed(now);
@@ -390,7 +524,12 @@
     for (const work of [...this.#pending]) {
       const candidates = this.#candidates(work);
       if (candidates.length === 0) {
-        this.#remove(work, 'waits-for-place', this.#waits.get(work.service)?.text || 'its place was lost', this.#placeMs(now, work.service));
+        this.#remove(
+          work,
+          'waits-for-place',
+          this.#waits.get(work.service)?.text || 'its place was lost',
+          this.#placeMs(now, work.service),
+        );
         continue;
       }
       const before = ahead.get(work.service) ?? 0;
@@ -399,17 +538,26 @@
       // Half of the lateness is for the run itself, since runs differ from their mean.
       const isTooLate = later(now, waitMs + mean) > later(work.arrivedAt, work.row.lateMs / 2);
       // Whatever the estimate says, nobody waits for more than a third of the lateness to be told no.
-      if (isTooLate || now >= later(work.arrivedAt, work.row.lateMs / 3)) this.#remove(work, 'crowded', `${before} wait before it`, waitMs);
+      if (isTooLate || now >= later(work.arrivedAt, work.row.lateMs / 3))
+        this.#remove(work, 'crowded', `${before} wait before it`, waitMs);
     }
   }
 
   /** How long until its turn comes behind so many, and how long a run takes, by the runs so far. */
-  #turnMs(now: Moment, work: Work, before: number): { readonly waitMs: number; readonly mean: number } {
+  #turnMs(
+    now: Moment,
+    work: Work,
+    before: number,
+  ): { readonly waitMs: number; readonly mean: number } {
     let capacity = 0;
     let mean = 0;
     for (const candidate of this.#candidates(work)) {
       capacity += this.#capacity(now, candidate.id);
-      mean = Math.max(mean, this.#runners.get(candidate.id)?.meanMs ?? 0, this.#longestRun(now, candidate.id));
+      mean = Math.max(
+        mean,
+        this.#runners.get(candidate.id)?.meanMs ?? 0,
+        this.#longestRun(now, candidate.id),
+      );
     }
     return { waitMs: ((before + 1) * mean) / Math.max(1, capacity), mean };
   }
@@ -417,7 +565,8 @@
   /** How long the oldest run there goes on already: a bound for runs of which none has ended yet. */
   #longestRun(now: Moment, runner: string): number {
     let longest = 0;
-    for (const work of this.#running.values()) if (work.runner === runner) longest = Math.max(longest, now - work.startedAt);
+    for (const work of this.#running.values())
+      if (work.runner === runner) longest = Math.max(longest, now - work.startedAt);
     return longest;
   }
 
@@ -426,7 +575,9 @@
     this.#turnAway(work.asked.id, kind, text, retryMs);
   }
 
-  #turnAway(id: number, kind: DefectKind, text: string, retryMs = 0): void { this.#verdicts.push({ do: 'turnAway', id, kind, text, retryMs }); }
+  #turnAway(id: number, kind: DefectKind, text: string, retryMs = 0): void {
+    this.#verdicts.push({ do: 'turnAway', id, kind, text, retryMs });
+  }
 
   // ---- draw
 
@@ -437,8 +588,21 @@
     const upMs = runner.service !== '' ? (isFirst ? this.#settings.rampMs * 0.8 : 0) : runner.upMs;
     if (!state) {
       const never = moment(-1);
-      this.#runners.set(runner.id, { pending: 0, meanMs: 0, fullUntil: never, brokenUntil: never, rampFrom: now, rampStarts: 0, firstSeen: moment(now - upMs), isFallen: false });
-    } else if (runner.service === '' && runner.upMs < this.#settings.rampMs && now - upMs > state.firstSeen) {
+      this.#runners.set(runner.id, {
+        pending: 0,
+        meanMs: 0,
+        fullUntil: never,
+        brokenUntil: never,
+        rampFrom: now,
+        rampStarts: 0,
+        firstSeen: moment(now - upMs),
+        isFallen: false,
+      });
+    } else if (
+      runner.service === '' &&
+      runner.upMs < this.#settings.rampMs &&
+      now - upMs > state.firstSeen
+    ) {
       // It started anew since we first saw it.
       state.firstSeen = moment(now - upMs);
     }
@@ -464,19 +628,39 @@
     const age = now - state.firstSeen;
     if (age >= this.#settings.rampMs) return true;
     // While cold, starts a second are held down too: short runs would else flood it however few are pending.
-    if (now - state.rampFrom >= 1000) { state.rampFrom = now; state.rampStarts = 0; }
+    if (now - state.rampFrom >= 1000) {
+      state.rampFrom = now;
+      state.rampStarts = 0;
+    }
     return state.rampStarts < 1 + Math.floor((age / this.#settings.rampMs) * 8);
   }
 
   /** Kept prefixes first, then the primary, then the least pending. */
   #draw(now: Moment, work: Work): string | undefined {
-    let best: { readonly id: string; readonly kept: number; readonly isPrimary: boolean; readonly pending: number } | undefined;
+    let best:
+      | {
+          readonly id: string;
+          readonly kept: number;
+          readonly isPrimary: boolean;
+          readonly pending: number;
+        }
+      | undefined;
     for (const candidate of this.#candidates(work)) {
       if (work.tried.has(candidate.id) || !this.#mayStart(now, candidate.id)) continue;
-      const item = { ...candidate, kept: this.#keptParts(candidate.id, work), pending: this.#runners.get(candidate.id)?.pending ?? 0 };
-      if (!best || item.kept > best.kept
-        || (item.kept === best.kept && item.isPrimary && !best.isPrimary)
-        || (item.kept === best.kept && item.isPrimary === best.isPrimary && item.pending < best.pending)) best = item;
+      const item = {
+        ...candidate,
+        kept: this.#keptParts(candidate.id, work),
+        pending: this.#runners.get(candidate.id)?.pending ?? 0,
+      };
+      if (
+        !best ||
+        item.kept > best.kept ||
+        (item.kept === best.kept && item.isPrimary && !best.isPrimary) ||
+        (item.kept === best.kept &&
+          item.isPrimary === best.isPrimary &&
+          item.pending < best.pending)
+      )
+        best = item;
     }
     return best?.id;
   }
@@ -510,13 +694,24 @@
     if (!work.isCounted) this.#budget(work.service).earn();
     work.isCounted = true;
     this.#running.set(work.asked.id, work);
-    this.#verdicts.push({ do: 'run', id: work.asked.id, runner, address: placed.address, isPlain: work.service.startsWith('@'), row: work.row, limit: work.limit, table: this.tableNumber });
+    this.#verdicts.push({
+      do: 'run',
+      id: work.asked.id,
+      runner,
+      address: placed.address,
+      isPlain: work.service.startsWith('@'),
+      row: work.row,
+      limit: work.limit,
+      table: this.tableNumber,
+    });
   }
 
   /** By service, and of the few that all proxies together may have beyond the share, our part. */
   #budget(service: string): Budget {
     const flows = Math.max(1, this.#places?.news.flows ?? 1);
-    const budget = this.#budgets.get(service) ?? new Budget(this.#settings.repeatShare, this.#settings.repeatFew / flows);
+    const budget =
+      this.#budgets.get(service) ??
+      new Budget(this.#settings.repeatShare, this.#settings.repeatFew / flows);
     this.#budgets.set(service, budget);
     return budget;
   }
@@ -557,7 +752,12 @@
       if (work.service.startsWith('@')) state.firstSeen = state.brokenUntil;
     }
     if (state && why === 'full') state.fullUntil = later(now, FULL_MS);
-    this.#retryOrEnd(now, work, why === 'unreached' ? 'no-runner' : 'crowded', why === 'unreached' ? 'no runner could be reached' : 'its runners are full');
+    this.#retryOrEnd(
+      now,
+      work,
+      why === 'unreached' ? 'no-runner' : 'crowded',
+      why === 'unreached' ? 'no runner could be reached' : 'its runners are full',
+    );
   }
 
   /** Bytes were written and nothing whole came back. Says whether it runs again; if not, its outcome is unsure. */
@@ -568,14 +768,24 @@
     // A kept connection that had gone stale says nothing of the runner, which may be drawn again at once.
     if (isStale) work.tried.delete(work.runner);
     else if (state) state.brokenUntil = later(now, BROKEN_MS);
-    if (!mayRepeat || !work.row.repeatable || this.#isDraining || now >= work.limit || !this.#budget(work.service).spend()) { this.#advance(now); return false; }
+    if (
+      !mayRepeat ||
+      !work.row.repeatable ||
+      this.#isDraining ||
+      now >= work.limit ||
+      !this.#budget(work.service).spend()
+    ) {
+      this.#advance(now);
+      return false;
+    }
     this.#retryOrEnd(now, work, 'no-runner', 'no other runner could be reached');
     return true;
   }
 
   #retryOrEnd(now: Moment, work: Work, kind: DefectKind, text: string): void {
     let isOther = false;
-    for (const candidate of this.#candidates(work)) if (!work.tried.has(candidate.id)) isOther = true;
+    for (const candidate of this.#candidates(work))
+      if (!work.tried.has(candidate.id)) isOther = true;
     // A repeat that had bytes written once may have run: it is never told as turned away. See the executor.
     // Whoever is to hear a no hears it early: a third of the lateness is spent on finding a runner, and no more.
     const isSpent = now >= later(work.arrivedAt, work.row.lateMs / 3);
@@ -595,11 +805,19 @@
 }
 
 /** Whatever may be got may have its head asked for. */
-function mappedMethod(method: string): string { return method === 'HEAD' ? 'GET' : method; }
-function isOf(runner: string, candidate: { readonly id: string }): boolean { return candidate.id === runner; }
+function mappedMethod(method: string): string {
+  return method === 'HEAD' ? 'GET' : method;
+}
+function isOf(runner: string, candidate: { readonly id: string }): boolean {
+  return candidate.id === runner;
+}
 
-function hasAskedId(id: number, work: Work): boolean { return work.asked.id === id; }
-function isNotIn(parts: ReadonlySet<string>, part: string): boolean { return !parts.has(part); }
+function hasAskedId(id: number, work: Work): boolean {
+  return work.asked.id === id;
+}
+function isNotIn(parts: ReadonlySet<string>, part: string): boolean {
+  return !parts.has(part);
+}
 
 function byWeight(a: Work, b: Work): number {
   return b.row.weight - a.row.weight || a.limit - b.limit || a.asked.id - b.asked.id;
--- a/src/flow/Dispatcher.test.ts
+++ b/src/flow/Dispatcher.test.ts
@@ -4,67 +4,179 @@
 import type { Engine, Route, Routing } from '../route/Routing.js';
 import { Dispatcher, type DispatchEffect, type RequestHead } from './Dispatcher.js';
 
-const engine: Engine = { slots: 64, cacheTokens: 200_000, models: [{ name: 'm', sizeMb: 70_000, loadMs: 600, adapters: 4, adapterSizeMb: 10 }, { name: 'rare', sizeMb: 70_000, loadMs: 600, adapters: 0, adapterSizeMb: 10 }], roomMb: 220_000, adapterSlots: 8, loadsPerSecond: 6 };
-const route: Route = { name: 'check', host: 'h.example', prefix: '/check/', kind: 'stream', timeoutMs: 5000, targetMs: 500, gapTargetMs: 600, priority: 0, splits: [{ service: 'llm', weight: 1 }], tries: 2, isSticky: true, isResumable: true };
-const once: Route = { ...route, name: 'verdict', prefix: '/verdict/', targetMs: 2000, timeoutMs: 6000, priority: 1, tries: 1, isResumable: false };
-const plain: Route = { ...route, name: 'lookup', prefix: '/lookup/', kind: 'safe', splits: [{ service: 'web', weight: 1 }], tries: 2, isResumable: false };
+const engine: Engine = {
+  slots: 64,
+  cacheTokens: 200_000,
+  models: [
+    { name: 'm', sizeMb: 70_000, loadMs: 600, adapters: 4, adapterSizeMb: 10 },
+    { name: 'rare', sizeMb: 70_000, loadMs: 600, adapters: 0, adapterSizeMb: 10 },
+  ],
+  roomMb: 220_000,
+  adapterSlots: 8,
+  loadsPerSecond: 6,
+};
+const route: Route = {
+  name: 'check',
+  host: 'h.example',
+  prefix: '/check/',
+  kind: 'stream',
+  timeoutMs: 5000,
+  targetMs: 500,
+  gapTargetMs: 600,
+  priority: 0,
+  splits: [{ service: 'llm', weight: 1 }],
+  tries: 2,
+  isSticky: true,
+  isResumable: true,
+};
+const once: Route = {
+  ...route,
+  name: 'verdict',
+  prefix: '/verdict/',
+  targetMs: 2000,
+  timeoutMs: 6000,
+  priority: 1,
+  tries: 1,
+  isResumable: false,
+};
+const plain: Route = {
+  ...route,
+  name: 'lookup',
+  prefix: '/lookup/',
+  kind: 'safe',
+  splits: [{ service: 'web', weight: 1 }],
+  tries: 2,
+  isResumable: false,
+};
 const routing: Routing = {
-  version: 1, routes: [route, once, plain], limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 },
+  version: 1,
+  routes: [route, once, plain],
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 },
   services: [
-    { name: 'llm', healthPath: '/health', maxConnections: 370, warmupMs: 3000, warmupPerSecond: 37, engine },
-    { name: 'web', healthPath: '/health', maxConnections: 110, warmupMs: 0, warmupPerSecond: 0, engine: undefined },
+    {
+      name: 'llm',
+      healthPath: '/health',
+      maxConnections: 370,
+      warmupMs: 3000,
+      warmupPerSecond: 37,
+      engine,
+    },
+    {
+      name: 'web',
+      healthPath: '/health',
+      maxConnections: 110,
+      warmupMs: 0,
+      warmupPerSecond: 0,
+      engine: undefined,
+    },
   ],
 };
 
-function runner(id: string, zone: string, models: readonly string[], more: Partial<FleetRunner> = {}): FleetRunner {
-  return { id, address: `${id}:1`, zone, service: 'llm', slots: 64, isLeaving: false, coldMs: 0, holds: models.map(holdOf), coming: [], ...more };
+function runner(
+  id: string,
+  zone: string,
+  models: readonly string[],
+  more: Partial<FleetRunner> = {},
+): FleetRunner {
+  return {
+    id,
+    address: `${id}:1`,
+    zone,
+    service: 'llm',
+    slots: 64,
+    isLeaving: false,
+    coldMs: 0,
+    holds: models.map(holdOf),
+    coming: [],
+    ...more,
+  };
+}
+function holdOf(model: string): { model: string; adapters: string[] } {
+  return { model, adapters: ['a1'] };
 }
-function holdOf(model: string): { model: string; adapters: string[] } { return { model, adapters: ['a1'] }; }
 
 class Bench {
   now = 0;
   #id = 0;
-  readonly dispatcher = new Dispatcher({ flow: 'f', zone: 'za', retry: { ratio: 0.2, extra: 50, windowMs: 10_000 }, warmupExcess: 1.5, connectMs: 300, random: zero, hasIdle: always });
+  readonly dispatcher = new Dispatcher({
+    flow: 'f',
+    zone: 'za',
+    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    warmupExcess: 1.5,
+    connectMs: 300,
+    random: zero,
+    hasIdle: always,
+  });
 
   constructor(runners: readonly FleetRunner[], waits: Fleet['waits'] = []) {
     this.dispatcher.configure(moment(0), routing, []);
     this.dispatcher.fleet(moment(0), { flows: 1, runners: [...runners], waits });
   }
 
-  fleet(runners: readonly FleetRunner[], flows = 1): void { this.dispatcher.fleet(moment(this.now), { flows, runners: [...runners], waits: [] }); }
+  fleet(runners: readonly FleetRunner[], flows = 1): void {
+    this.dispatcher.fleet(moment(this.now), { flows, runners: [...runners], waits: [] });
+  }
 
   ask(path: string, more: Partial<RequestHead> = {}): number {
     this.#id += 1;
-    this.dispatcher.take(moment(this.now), { id: this.#id, host: 'h.example', path, model: path.startsWith('/lookup') ? '' : 'm', adapter: '', promptTokens: 600, prefix: [], timeLeftMs: 5000, ...more });
+    this.dispatcher.take(moment(this.now), {
+      id: this.#id,
+      host: 'h.example',
+      path,
+      model: path.startsWith('/lookup') ? '' : 'm',
+      adapter: '',
+      promptTokens: 600,
+      prefix: [],
+      timeLeftMs: 5000,
+      ...more,
+    });
     return this.#id;
   }
 
   /** The request is written to the runner it was sent to. */
-  write(id: number, attempt = 1): boolean { return this.dispatcher.mayWrite(moment(this.now), id, attempt); }
+  write(id: number, attempt = 1): boolean {
+    return this.dispatcher.mayWrite(moment(this.now), id, attempt);
+  }
 
   answer(id: number, status: number, isNotRun = false, attempt = 1): void {
     this.dispatcher.head(moment(this.now), id, attempt, { status, isNotRun, isGenuine: true });
   }
 
-  said(): string[] { return this.dispatcher.drain().map(textOf); }
+  said(): string[] {
+    return this.dispatcher.drain().map(textOf);
+  }
 }
 
-function zero(): number { return 0; }
-function always(): boolean { return true; }
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
 function textOf(effect: DispatchEffect): string {
   switch (effect.do) {
-    case 'send': return `${effect.id} to ${effect.runner}`;
-    case 'refuse': return `${effect.id} refused ${effect.reason} ${Math.round(effect.retryAfterMs)}`;
-    case 'fail': return `${effect.id} failed`;
-    default: return `${effect.id} ${effect.do}`;
+    case 'send':
+      return `${effect.id} to ${effect.runner}`;
+    case 'refuse':
+      return `${effect.id} refused ${effect.reason} ${Math.round(effect.retryAfterMs)}`;
+    case 'fail':
+      return `${effect.id} failed`;
+    default:
+      return `${effect.id} ${effect.do}`;
   }
 }
 
 test('its own zone goes first, until another has much less to do', checkZone);
 test('long shared parts go where all proxies send them', checkAffinity);
-test('nothing is sent to a runner that leaves, in an evacuated zone, or without the model', checkBarred);
+test(
+  'nothing is sent to a runner that leaves, in an evacuated zone, or without the model',
+  checkBarred,
+);
 test('a model on its way is waited for while it is still in time', checkWaits);
-test('what would come too late is refused at once with when to come back, and waited for the second time', checkComeBack);
+test(
+  'what would come too late is refused at once with when to come back, and waited for the second time',
+  checkComeBack,
+);
 test('a runner that says it did not run it costs one retry', checkNotRun);
 test('what may run once is never sent again after it was written, nor told as refused', checkOnce);
 test('a resumable stream goes on elsewhere, a failed safe request too', checkResume);
@@ -87,17 +199,41 @@
   const runners = [runner('a', 'za', ['m']), runner('b', 'zb', ['m']), runner('c', 'zc', ['m'])];
   const chosen = new Set<string>();
   for (const zone of ['za', 'zb', 'zc']) {
-    const dispatcher = new Dispatcher({ flow: zone, zone, retry: { ratio: 0.2, extra: 50, windowMs: 10_000 }, warmupExcess: 1.5, connectMs: 300, random: zero, hasIdle: always });
+    const dispatcher = new Dispatcher({
+      flow: zone,
+      zone,
+      retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+      warmupExcess: 1.5,
+      connectMs: 300,
+      random: zero,
+      hasIdle: always,
+    });
     dispatcher.configure(moment(0), routing, []);
     dispatcher.fleet(moment(0), { flows: 3, runners, waits: [] });
-    dispatcher.take(moment(0), { id: 1, host: 'h.example', path: '/check/1', model: 'm', adapter: '', promptTokens: 9000, prefix: [{ id: 'x', tokens: 6000 }, { id: 'own', tokens: 3000 }], timeLeftMs: 5000 });
+    dispatcher.take(moment(0), {
+      id: 1,
+      host: 'h.example',
+      path: '/check/1',
+      model: 'm',
+      adapter: '',
+      promptTokens: 9000,
+      prefix: [
+        { id: 'x', tokens: 6000 },
+        { id: 'own', tokens: 3000 },
+      ],
+      timeLeftMs: 5000,
+    });
     for (const effect of dispatcher.drain()) if (effect.do === 'send') chosen.add(effect.runner);
   }
   expect(chosen.size).toBe(1);
 }
 
 function checkBarred(): void {
-  const bench = new Bench([runner('a', 'za', ['m'], { isLeaving: true }), runner('b', 'zb', ['m']), runner('c', 'zc', ['rare'])]);
+  const bench = new Bench([
+    runner('a', 'za', ['m'], { isLeaving: true }),
+    runner('b', 'zb', ['m']),
+    runner('c', 'zc', ['rare']),
+  ]);
   bench.ask('/check/1');
   expect(bench.said()).toEqual(['1 to b']);
   bench.dispatcher.configure(moment(0), routing, ['zb']);
@@ -115,7 +251,9 @@
   expect(bench.said()).toEqual([]);
   expect(bench.dispatcher.takeUrgent()).toBe(true);
   bench.now = 300;
-  bench.fleet([runner('a', 'za', ['m'], { coming: [{ model: 'rare', adapter: '', readyMs: 600 }] })]);
+  bench.fleet([
+    runner('a', 'za', ['m'], { coming: [{ model: 'rare', adapter: '', readyMs: 600 }] }),
+  ]);
   bench.dispatcher.beat(moment(bench.now));
   expect(bench.said()).toEqual([]);
   bench.now = 900;
@@ -162,7 +300,12 @@
 }
 
 function checkResume(): void {
-  const bench = new Bench([runner('a', 'za', ['m']), runner('b', 'zb', ['m']), runner('w', 'za', [], { service: 'web' }), runner('x', 'za', [], { service: 'web' })]);
+  const bench = new Bench([
+    runner('a', 'za', ['m']),
+    runner('b', 'zb', ['m']),
+    runner('w', 'za', [], { service: 'web' }),
+    runner('x', 'za', [], { service: 'web' }),
+  ]);
   const id = bench.ask('/check/1');
   bench.write(id);
   bench.answer(id, 200);
@@ -200,13 +343,34 @@
 function mostCold(flows: number): number {
   const sent: number[] = [];
   for (let index = 0; index < flows; index += 1) {
-    const dispatcher = new Dispatcher({ flow: `flow-${index}`, zone: 'za', retry: { ratio: 0.2, extra: 50, windowMs: 10_000 }, warmupExcess: 1.5, connectMs: 300, random: zero, hasIdle: always });
+    const dispatcher = new Dispatcher({
+      flow: `flow-${index}`,
+      zone: 'za',
+      retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+      warmupExcess: 1.5,
+      connectMs: 300,
+      random: zero,
+      hasIdle: always,
+    });
     dispatcher.configure(moment(0), routing, []);
-    dispatcher.fleet(moment(0), { flows, runners: [runner('a', 'za', ['m'], { coldMs: 3000 })], waits: [] });
+    dispatcher.fleet(moment(0), {
+      flows,
+      runners: [runner('a', 'za', ['m'], { coldMs: 3000 })],
+      waits: [],
+    });
     let id = 0;
     for (let now = 0; now < 2900; now += 10) {
       id += 1;
-      dispatcher.take(moment(now), { id, host: 'h.example', path: '/check/1', model: 'm', adapter: '', promptTokens: 600, prefix: [], timeLeftMs: 5000 });
+      dispatcher.take(moment(now), {
+        id,
+        host: 'h.example',
+        path: '/check/1',
+        model: 'm',
+        adapter: '',
+        promptTokens: 600,
+        prefix: [],
+        timeLeftMs: 5000,
+      });
       for (const effect of dispatcher.drain()) {
         if (effect.do !== 'send') continue;
         sent.push(now);
@@ -216,10 +380,13 @@
     }
   }
   let most = 0;
-  for (const end of sent) most = Math.max(most, sent.filter(isInSecond.bind(undefined, end)).length);
+  for (const end of sent)
+    most = Math.max(most, sent.filter(isInSecond.bind(undefined, end)).length);
   return most;
 }
-function isInSecond(end: number, at: number): boolean { return at > end - 1000 && at <= end; }
+function isInSecond(end: number, at: number): boolean {
+  return at > end - 1000 && at <= end;
+}
 
 function checkCold(): void {
   // 37 a second, half as many again and five: none of these may be passed, and some must get through.
@@ -249,9 +416,30 @@
 }
 
 function checkEarly(): void {
-  const dispatcher = new Dispatcher({ flow: 'f', zone: 'za', retry: { ratio: 0.2, extra: 50, windowMs: 10_000 }, warmupExcess: 1.5, connectMs: 300, random: zero, hasIdle: always });
-  function ask(now: number, id: number): void { dispatcher.take(moment(now), { id, host: 'h.example', path: '/check/1', model: 'm', adapter: '', promptTokens: 600, prefix: [], timeLeftMs: 5000 }); }
-  function said(): string[] { return dispatcher.drain().map(textOf); }
+  const dispatcher = new Dispatcher({
+    flow: 'f',
+    zone: 'za',
+    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    warmupExcess: 1.5,
+    connectMs: 300,
+    random: zero,
+    hasIdle: always,
+  });
+  function ask(now: number, id: number): void {
+    dispatcher.take(moment(now), {
+      id,
+      host: 'h.example',
+      path: '/check/1',
+      model: 'm',
+      adapter: '',
+      promptTokens: 600,
+      prefix: [],
+      timeLeftMs: 5000,
+    });
+  }
+  function said(): string[] {
+    return dispatcher.drain().map(textOf);
+  }
   ask(0, 1);
   expect(said()).toEqual(['1 refused no-config 800']);
   ask(500, 2);
@@ -264,7 +452,9 @@
 }
 
 function checkForetold(): void {
-  const coming = runner('a', 'za', ['m'], { coming: [{ model: 'rare', adapter: '', readyMs: 200 }] });
+  const coming = runner('a', 'za', ['m'], {
+    coming: [{ model: 'rare', adapter: '', readyMs: 200 }],
+  });
   const bench = new Bench([coming]);
   // Foretold to all before anybody here asked: it is waited for, though it usually takes longer than its aim.
   bench.ask('/check/1', { model: 'rare' });
@@ -284,7 +474,12 @@
 function checkStorm(): void {
   for (let seed = 1; seed <= 200; seed += 1) {
     const random = seeded(seed);
-    const bench = new Bench([runner('a', 'za', ['m']), runner('b', 'zb', ['m', 'rare']), runner('w', 'za', [], { service: 'web' }), runner('x', 'zb', [], { service: 'web' })]);
+    const bench = new Bench([
+      runner('a', 'za', ['m']),
+      runner('b', 'zb', ['m', 'rare']),
+      runner('w', 'za', [], { service: 'web' }),
+      runner('x', 'zb', [], { service: 'web' }),
+    ]);
     const open = new Map<number, number>();
     const ended = new Map<number, number>();
     const written = new Map<number, number>();
@@ -306,25 +501,54 @@
       bench.now += Math.floor(random() * 40);
       const now = moment(bench.now);
       const chance = random();
-      if (chance < 0.3) { const path = paths[Math.floor(random() * 3)] ?? ''; const id = bench.ask(path, { model: path.startsWith('/lookup') ? '' : random() < 0.5 ? 'm' : 'rare', timeLeftMs: 500 + random() * 5000 }); pathOf.set(id, path); }
-      else if (chance < 0.4) bench.dispatcher.beat(now);
+      if (chance < 0.3) {
+        const path = paths[Math.floor(random() * 3)] ?? '';
+        const id = bench.ask(path, {
+          model: path.startsWith('/lookup') ? '' : random() < 0.5 ? 'm' : 'rare',
+          timeLeftMs: 500 + random() * 5000,
+        });
+        pathOf.set(id, path);
+      } else if (chance < 0.4) bench.dispatcher.beat(now);
       else {
         const ids = [...open.keys()];
         const id = ids[Math.floor(random() * ids.length)];
         const attempt = id === undefined ? undefined : open.get(id);
         if (id !== undefined && attempt !== undefined) {
           const what = random();
-          if (what < 0.4) { if (bench.dispatcher.mayWrite(now, id, attempt)) { written.set(id, (written.get(id) ?? 0) + 1); lastWritten.set(id, attempt); } }
-          else if (what < 0.6) bench.dispatcher.head(now, id, attempt, { status: 200, isNotRun: false, isGenuine: true });
+          if (what < 0.4) {
+            if (bench.dispatcher.mayWrite(now, id, attempt)) {
+              written.set(id, (written.get(id) ?? 0) + 1);
+              lastWritten.set(id, attempt);
+            }
+          } else if (what < 0.6)
+            bench.dispatcher.head(now, id, attempt, {
+              status: 200,
+              isNotRun: false,
+              isGenuine: true,
+            });
           else if (what < 0.7) {
             // Only the attempt it came from is taken back, and only if it had been written.
             const count = written.get(id) ?? 0;
             if (count > 0 && lastWritten.get(id) === attempt) written.set(id, count - 1);
-            bench.dispatcher.head(now, id, attempt, { status: 503, isNotRun: true, isGenuine: true });
+            bench.dispatcher.head(now, id, attempt, {
+              status: 503,
+              isNotRun: true,
+              isGenuine: true,
+            });
+          } else if (what < 0.8) bench.dispatcher.broke(now, id, attempt, false);
+          else if (what < 0.9) {
+            const before = bench.dispatcher.inFlight;
+            bench.dispatcher.moved(now, id, attempt);
+            bench.dispatcher.ended(now, id, attempt);
+            if (bench.dispatcher.inFlight < before) {
+              open.delete(id);
+              ended.set(id, (ended.get(id) ?? 0) + 1);
+            }
+          } else {
+            bench.dispatcher.gone(now, id);
+            open.delete(id);
+            ended.set(id, (ended.get(id) ?? 0) + 1);
           }
-          else if (what < 0.8) bench.dispatcher.broke(now, id, attempt, false);
-          else if (what < 0.9) { const before = bench.dispatcher.inFlight; bench.dispatcher.moved(now, id, attempt); bench.dispatcher.ended(now, id, attempt); if (bench.dispatcher.inFlight < before) { open.delete(id); ended.set(id, (ended.get(id) ?? 0) + 1); } }
-          else { bench.dispatcher.gone(now, id); open.delete(id); ended.set(id, (ended.get(id) ?? 0) + 1); }
         }
       }
       follow();
--- a/src/flow/Dispatcher.ts
+++ b/src/flow/Dispatcher.ts
@@ -4,7 +4,10 @@
 import { RetryBudget, type RetryBudgetSettings } from './RetryBudget.js';
 
 /** A part of a prompt that requests share, and how many tokens it has. */
-export interface PrefixPart { readonly id: string; readonly tokens: number }
+export interface PrefixPart {
+  readonly id: string;
+  readonly tokens: number;
+}
 
 /** What a request says of itself in its head. */
 export interface RequestHead {
@@ -21,9 +24,24 @@
 
 /** What the forwarder must do now. */
 export type DispatchEffect =
-  | { readonly do: 'send'; readonly id: number; readonly attempt: number; readonly runner: string; readonly address: string; readonly timeLeftMs: number; readonly urgency: number; readonly isBuffered: boolean; readonly isResumable: boolean }
+  | {
+      readonly do: 'send';
+      readonly id: number;
+      readonly attempt: number;
+      readonly runner: string;
+      readonly address: string;
+      readonly timeLeftMs: number;
+      readonly urgency: number;
+      readonly isBuffered: boolean;
+      readonly isResumable: boolean;
+    }
   /** It has not run and never will: said at once, with when to come back. */
-  | { readonly do: 'refuse'; readonly id: number; readonly reason: RefuseReason; readonly retryAfterMs: number }
+  | {
+      readonly do: 'refuse';
+      readonly id: number;
+      readonly reason: RefuseReason;
+      readonly retryAfterMs: number;
+    }
   /** It may have run: no promise is made. */
   | { readonly do: 'fail'; readonly id: number; readonly isTimeout: boolean }
   /** The answer of the runner, a failure of its own, is passed on as it is. */
@@ -100,7 +118,17 @@
   readonly kept: Map<string, Moment>;
 }
 
-interface UnitState { service: string; model: string; adapter: string; count: number; running: number; readonly waiting: Set<number>; wantedUntil: Moment; wantedCount: number; wantedPriority: number }
+interface UnitState {
+  service: string;
+  model: string;
+  adapter: string;
+  count: number;
+  running: number;
+  readonly waiting: Set<number>;
+  wantedUntil: Moment;
+  wantedCount: number;
+  wantedPriority: number;
+}
 
 const NEVER = moment(-1e12);
 /** Costs of a choice are counted in prompt tokens, the unit in which engines are kept busy. */
@@ -152,14 +180,32 @@
   #effects: DispatchEffect[] = [];
   #isDraining = false;
   #hasNewWaits = false;
-  readonly counts = { requests: 0, retries: 0, refused: 0, failed: 0, resumed: 0, misses: 0, waits: 0 };
+  readonly counts = {
+    requests: 0,
+    retries: 0,
+    refused: 0,
+    failed: 0,
+    resumed: 0,
+    misses: 0,
+    waits: 0,
+  };
 
-  constructor(settings: DispatcherSettings) { this.#settings = settings; }
+  constructor(settings: DispatcherSettings) {
+    this.#settings = settings;
+  }
 
-  get routing(): Routing | undefined { return this.#routing; }
-  get isReady(): boolean { return this.#routing !== undefined && this.#hasFleet && !this.#isDraining; }
-  get inFlight(): number { return this.#works.size; }
-  get isDraining(): boolean { return this.#isDraining; }
+  get routing(): Routing | undefined {
+    return this.#routing;
+  }
+  get isReady(): boolean {
+    return this.#routing !== undefined && this.#hasFleet && !this.#isDraining;
+  }
+  get inFlight(): number {
+    return this.#works.size;
+  }
+  get isDraining(): boolean {
+    return this.#isDraining;
+  }
 
   drain(): DispatchEffect[] {
     const effects = this.#effects;
@@ -167,7 +213,9 @@
     return effects;
   }
 
-  startDraining(): void { this.#isDraining = true; }
+  startDraining(): void {
+    this.#isDraining = true;
+  }
 
   // ---- news
 
@@ -194,8 +242,19 @@
       const text = JSON.stringify(facts);
       if (!known) {
         this.#runners.set(facts.id, {
-          facts, source: facts, text, works: new Set(), pendingTokens: 0, avoidUntil: NEVER, failures: 0, fullUntil: NEVER, heardAt: now,
-          coldUntil: later(now, facts.coldMs), coldSent: [], missing: new Map(), kept: new Map(),
+          facts,
+          source: facts,
+          text,
+          works: new Set(),
+          pendingTokens: 0,
+          avoidUntil: NEVER,
+          failures: 0,
+          fullUntil: NEVER,
+          heardAt: now,
+          coldUntil: later(now, facts.coldMs),
+          coldSent: [],
+          missing: new Map(),
+          kept: new Map(),
         });
       } else if (known.text !== text) {
         if (facts.coldMs !== known.facts.coldMs) known.coldUntil = later(now, facts.coldMs);
@@ -206,8 +265,13 @@
       }
     }
     // What runs at a runner that is off the list goes on until its connection tells.
-    for (const [id, state] of this.#runners) if (!ids.has(id) && state.works.size === 0) this.#runners.delete(id);
-      else if (!ids.has(id)) { state.facts = { ...state.facts, isLeaving: true }; state.source = undefined; state.text = ''; }
+    for (const [id, state] of this.#runners)
+      if (!ids.has(id) && state.works.size === 0) this.#runners.delete(id);
+      else if (!ids.has(id)) {
+        state.facts = { ...state.facts, isLeaving: true };
+        state.source = undefined;
+        state.text = '';
+      }
     this.#byService.clear();
     for (const state of this.#runners.values()) {
       const list = this.#byService.get(state.facts.service) ?? [];
@@ -221,7 +285,9 @@
 
   #followComing(now: Moment, fleet: Fleet): void {
     this.#foretold.clear();
-    for (const { model, adapter, readyMs } of fleet.waits) if (readyMs > 0) this.#foretold.set(`${model}\n${adapter}`, { at: later(now, readyMs), isComing: false });
+    for (const { model, adapter, readyMs } of fleet.waits)
+      if (readyMs > 0)
+        this.#foretold.set(`${model}\n${adapter}`, { at: later(now, readyMs), isComing: false });
     for (const runner of fleet.runners) {
       for (const { model, adapter, readyMs } of runner.coming) {
         const key = `${model}\n${adapter}`;
@@ -235,14 +301,20 @@
   /** When what a request needs is due, as far as the leader told. */
   #dueAt(work: Work): Moment | undefined {
     const { model, adapter } = work.head;
-    return (adapter === '' ? undefined : this.#foretold.get(`${model}\n${adapter}`))?.at ?? this.#foretold.get(`${model}\n`)?.at;
+    return (
+      (adapter === '' ? undefined : this.#foretold.get(`${model}\n${adapter}`))?.at ??
+      this.#foretold.get(`${model}\n`)?.at
+    );
   }
 
   // ---- requests
 
   take(now: Moment, head: RequestHead): void {
     this.counts.requests += 1;
-    if (!this.#index || !this.#hasFleet) { this.#takeEarly(now, head); return; }
+    if (!this.#index || !this.#hasFleet) {
+      this.#takeEarly(now, head);
+      return;
+    }
     this.#takeRouted(now, head, this.#index);
   }
 
@@ -253,8 +325,14 @@
   #takeEarly(now: Moment, head: RequestHead): void {
     this.#startedAt ??= now;
     const dueMs = START_MS - (now - this.#startedAt);
-    if (dueMs > HOLD_EARLY_MS || this.#early.size >= MOST_EARLY || dueMs < -START_MS) { this.#refuse(head.id, 'no-config', Math.max(400, dueMs)); return; }
-    this.#early.set(head.id, { head, until: later(now, Math.min(START_MS, (head.timeLeftMs ?? START_MS) / 2)) });
+    if (dueMs > HOLD_EARLY_MS || this.#early.size >= MOST_EARLY || dueMs < -START_MS) {
+      this.#refuse(head.id, 'no-config', Math.max(400, dueMs));
+      return;
+    }
+    this.#early.set(head.id, {
+      head,
+      until: later(now, Math.min(START_MS, (head.timeLeftMs ?? START_MS) / 2)),
+    });
   }
 
   #releaseEarly(now: Moment): void {
@@ -267,18 +345,37 @@
   #takeRouted(now: Moment, head: RequestHead, index: RouteIndex): void {
     const route = index.match(head.host, head.path);
     const service = route ? index.service(this.#split(route)) : undefined;
-    if (!route || !service) { this.#refuse(head.id, 'no-route', 0); return; }
+    if (!route || !service) {
+      this.#refuse(head.id, 'no-route', 0);
+      return;
+    }
     const given = head.timeLeftMs ?? route.timeoutMs;
     const longest = Math.max((this.#longest.get(route.name) ?? 0) * 0.999, given);
     this.#longest.set(route.name, longest);
     const shared = head.prefix.slice(0, -1);
     let sharedTokens = 0;
     for (const part of shared) sharedTokens += part.tokens;
-    const unit = service.engine && head.model !== '' ? `${service.name}\n${head.model}\n${head.adapter}` : '';
+    const unit =
+      service.engine && head.model !== '' ? `${service.name}\n${head.model}\n${head.adapter}` : '';
     const work: Work = {
-      head, route, service, unit, arrivedAt: now, deadline: later(now, Math.min(given, route.timeoutMs)), isFirstTry: given >= longest * 0.98,
-      sharedTokens, sharedKey: `${head.model}/${head.adapter}/${shared.map(idOf).join()}`,
-      phase: 'waiting', attempt: 0, runner: '', sentAt: now, tried: new Set(), sends: 0, mayHaveRun: false, isBegun: false, waitUntil: now,
+      head,
+      route,
+      service,
+      unit,
+      arrivedAt: now,
+      deadline: later(now, Math.min(given, route.timeoutMs)),
+      isFirstTry: given >= longest * 0.98,
+      sharedTokens,
+      sharedKey: `${head.model}/${head.adapter}/${shared.map(idOf).join()}`,
+      phase: 'waiting',
+      attempt: 0,
+      runner: '',
+      sentAt: now,
+      tried: new Set(),
+      sends: 0,
+      mayHaveRun: false,
+      isBegun: false,
+      waitUntil: now,
     };
     this.#works.set(head.id, work);
     this.#budget(service.name).request(now);
@@ -289,7 +386,17 @@
   #unit(work: Work): UnitState {
     const known = this.#units.get(work.unit);
     if (known) return known;
-    const unit: UnitState = { service: work.service.name, model: work.head.model, adapter: work.head.adapter, count: 0, running: 0, waiting: new Set(), wantedUntil: NEVER, wantedCount: 0, wantedPriority: 9 };
+    const unit: UnitState = {
+      service: work.service.name,
+      model: work.head.model,
+      adapter: work.head.adapter,
+      count: 0,
+      running: 0,
+      waiting: new Set(),
+      wantedUntil: NEVER,
+      wantedCount: 0,
+      wantedPriority: 9,
+    };
     this.#units.set(work.unit, unit);
     return unit;
   }
@@ -321,18 +428,31 @@
   /** Sends it to the best runner, or lets it wait for one, or refuses it. */
   #place(now: Moment, work: Work): void {
     const runner = this.#choose(now, work);
-    if (runner) { this.#send(now, work, runner); return; }
-    if (work.unit !== '' && !this.#isHeldAnywhere(now, work)) { this.#awaitLoad(now, work); return; }
+    if (runner) {
+      this.#send(now, work, runner);
+      return;
+    }
+    if (work.unit !== '' && !this.#isHeldAnywhere(now, work)) {
+      this.#awaitLoad(now, work);
+      return;
+    }
     // Runners that hold it are full, avoided or tried: soon another moment may do, if nothing was sent yet.
     const left = work.deadline - now;
     if (work.isBegun || work.mayHaveRun) {
       // It may go on elsewhere: a place may come free before its client notices the pause.
-      const isWorthWaiting = this.#isRepeatable(work) && work.sends < work.route.tries && left > LEAST_MS * 2 && now - work.sentAt < Math.max(300, work.route.gapTargetMs / 2);
+      const isWorthWaiting =
+        this.#isRepeatable(work) &&
+        work.sends < work.route.tries &&
+        left > LEAST_MS * 2 &&
+        now - work.sentAt < Math.max(300, work.route.gapTargetMs / 2);
       if (isWorthWaiting) this.#wait(now, work, 20);
       else this.#giveUp(work);
       return;
     }
-    if (work.sends === 0 && left > LEAST_MS * 2 && now - work.arrivedAt < work.route.targetMs / 4) { this.#wait(now, work, 20); return; }
+    if (work.sends === 0 && left > LEAST_MS * 2 && now - work.arrivedAt < work.route.targetMs / 4) {
+      this.#wait(now, work, 20);
+      return;
+    }
     this.#refuse(work.head.id, 'full', 250);
   }
 
@@ -350,7 +470,10 @@
     this.counts.misses += 1;
     const unit = this.#unit(work);
     const model = work.service.engine?.models.find(isNamed.bind(undefined, work.head.model));
-    if (!model) { this.#refuse(work.head.id, 'no-runner', 1000); return; }
+    if (!model) {
+      this.#refuse(work.head.id, 'no-runner', 1000);
+      return;
+    }
     if (unit.wantedUntil < now && unit.waiting.size === 0) this.#hasNewWaits = true;
     const typical = this.#isModelHeld(now, work) ? 80 : model.loadMs * 1.5 + 200;
     const dueAt = this.#dueAt(work);
@@ -360,9 +483,21 @@
     const left = work.deadline - now;
     const isInTime = elapsed + dueMs + firstMs <= work.route.targetMs;
     // Refused early and served in time from its next try it earns more than served late now.
-    const mayComeBack = work.isFirstTry && !work.mayHaveRun && elapsed <= work.route.targetMs / 4 && dueMs + 60 < left / 3 && dueMs + firstMs < left - dueMs;
-    if (!isInTime && mayComeBack) { this.#want(now, work, unit, dueMs); this.#refuse(work.head.id, 'not-loaded', dueMs + 60); return; }
-    if (dueMs + firstMs < left || (!work.isFirstTry && left > LEAST_MS * 2)) { this.#wait(now, work, Math.max(30, Math.min(150, dueMs))); return; }
+    const mayComeBack =
+      work.isFirstTry &&
+      !work.mayHaveRun &&
+      elapsed <= work.route.targetMs / 4 &&
+      dueMs + 60 < left / 3 &&
+      dueMs + firstMs < left - dueMs;
+    if (!isInTime && mayComeBack) {
+      this.#want(now, work, unit, dueMs);
+      this.#refuse(work.head.id, 'not-loaded', dueMs + 60);
+      return;
+    }
+    if (dueMs + firstMs < left || (!work.isFirstTry && left > LEAST_MS * 2)) {
+      this.#wait(now, work, Math.max(30, Math.min(150, dueMs)));
+      return;
+    }
     this.#want(now, work, unit, dueMs);
     this.#refuse(work.head.id, 'not-loaded', Math.min(dueMs, left / 3.2));
   }
@@ -389,20 +524,31 @@
     this.#place(now, work);
   }
 
-  #leaveWaiting(work: Work): void { if (work.unit !== '') this.#units.get(work.unit)?.waiting.delete(work.head.id); }
+  #leaveWaiting(work: Work): void {
+    if (work.unit !== '') this.#units.get(work.unit)?.waiting.delete(work.head.id);
+  }
 
   beat(now: Moment): void {
-    for (const [id, { until }] of this.#early) if (now >= until) { this.#early.delete(id); this.#refuse(id, 'no-config', 400); }
+    for (const [id, { until }] of this.#early)
+      if (now >= until) {
+        this.#early.delete(id);
+        this.#refuse(id, 'no-config', 400);
+      }
     for (const work of [...this.#works.values()]) {
       if (work.phase === 'waiting') {
-        if (now >= work.deadline - LEAST_MS) { this.#leaveWaiting(work); this.#expire(work); }
-        else if (now >= work.waitUntil) this.#tryAgain(now, work);
+        if (now >= work.deadline - LEAST_MS) {
+          this.#leaveWaiting(work);
+          this.#expire(work);
+        } else if (now >= work.waitUntil) this.#tryAgain(now, work);
       } else if (now >= later(work.deadline, 30)) {
         // Its client no longer waits.
         work.mayHaveRun ||= work.phase !== 'connecting';
         this.#cancel(work);
         this.#expire(work);
-      } else if (work.phase === 'connecting' && now >= later(work.sentAt, this.#settings.connectMs)) {
+      } else if (
+        work.phase === 'connecting' &&
+        now >= later(work.sentAt, this.#settings.connectMs)
+      ) {
         this.#cancel(work);
         this.#unreached(now, work);
       } else if (work.phase === 'sent') this.#checkSilence(now, work);
@@ -417,7 +563,12 @@
     const patience = Math.max(300, Math.min(usual * 4, work.route.targetMs));
     if (now - work.sentAt < patience || now - state.heardAt < patience) return;
     this.#avoid(now, state);
-    if (work.tried.size >= work.route.tries || !this.#hasOther(now, work) || !this.#budget(work.service.name).spend(now, this.#flows)) return;
+    if (
+      work.tried.size >= work.route.tries ||
+      !this.#hasOther(now, work) ||
+      !this.#budget(work.service.name).spend(now, this.#flows)
+    )
+      return;
     work.mayHaveRun = true;
     this.#cancel(work);
     this.counts.retries += 1;
@@ -425,7 +576,11 @@
   }
 
   #expire(work: Work): void {
-    if (work.mayHaveRun || work.isBegun) { this.#end(work); this.counts.failed += 1; this.#effects.push({ do: 'fail', id: work.head.id, isTimeout: true }); } else this.#refuse(work.head.id, 'late', 100);
+    if (work.mayHaveRun || work.isBegun) {
+      this.#end(work);
+      this.counts.failed += 1;
+      this.#effects.push({ do: 'fail', id: work.head.id, isTimeout: true });
+    } else this.#refuse(work.head.id, 'late', 100);
   }
 
   // ---- choice of a runner
@@ -435,18 +590,23 @@
     let best: RunnerState | undefined;
     let least = Infinity;
     const list = this.#byService.get(work.service.name) ?? [];
-    const preferred = work.sharedTokens >= AFFINITY_TOKENS ? this.#preferred(work, list) : undefined;
+    const preferred =
+      work.sharedTokens >= AFFINITY_TOKENS ? this.#preferred(work, list) : undefined;
     for (const state of list) {
       if (!this.#isUsable(now, work, state)) continue;
       const cost = this.#cost(now, work, state, preferred);
-      if (cost < least) { least = cost; best = state; }
+      if (cost < least) {
+        least = cost;
+        best = state;
+      }
     }
     return best;
   }
 
   #isUsable(now: Moment, work: Work, state: RunnerState): boolean {
     const { facts } = state;
-    if (facts.isLeaving || this.#evacuated.has(facts.zone) || work.tried.has(facts.id)) return false;
+    if (facts.isLeaving || this.#evacuated.has(facts.zone) || work.tried.has(facts.id))
+      return false;
     if (now < state.avoidUntil || now < state.fullUntil) return false;
     if (work.unit !== '' && !this.#holds(now, work, state, true)) return false;
     if (state.works.size >= this.#mostAtOnce(work.service, facts)) return false;
@@ -468,7 +628,8 @@
     const most = service.warmupPerSecond * Math.max(1, warmupExcess) * COLD_SHARE;
     const part = Math.floor(most / this.#flows);
     if (part < 1 && hashOf(`${flow}\n${state.facts.id}`) % this.#flows >= most) return false;
-    while (state.coldSent.length > 0 && now - (state.coldSent[0] ?? now) >= COLD_SPAN_MS) state.coldSent.shift();
+    while (state.coldSent.length > 0 && now - (state.coldSent[0] ?? now) >= COLD_SPAN_MS)
+      state.coldSent.shift();
     return state.coldSent.length < Math.max(1, part);
   }
 
@@ -477,24 +638,31 @@
     if (!hold) return false;
     const { adapter } = work.head;
     if (withAdapter && adapter !== '' && !hold.adapters.includes(adapter)) return false;
-    const until = state.missing.get(withAdapter ? work.unit : `${work.service.name}\n${work.head.model}\n`);
+    const until = state.missing.get(
+      withAdapter ? work.unit : `${work.service.name}\n${work.head.model}\n`,
+    );
     return until === undefined || now >= until;
   }
 
   #isHeldAnywhere(now: Moment, work: Work): boolean {
-    for (const state of this.#byService.get(work.service.name) ?? []) if (this.#isOpen(state) && this.#holds(now, work, state, true)) return true;
+    for (const state of this.#byService.get(work.service.name) ?? [])
+      if (this.#isOpen(state) && this.#holds(now, work, state, true)) return true;
     return false;
   }
 
   #isModelHeld(now: Moment, work: Work): boolean {
-    for (const state of this.#byService.get(work.service.name) ?? []) if (this.#isOpen(state) && this.#holds(now, work, state, false)) return true;
+    for (const state of this.#byService.get(work.service.name) ?? [])
+      if (this.#isOpen(state) && this.#holds(now, work, state, false)) return true;
     return false;
   }
 
-  #isOpen(state: RunnerState): boolean { return !state.facts.isLeaving && !this.#evacuated.has(state.facts.zone); }
+  #isOpen(state: RunnerState): boolean {
+    return !state.facts.isLeaving && !this.#evacuated.has(state.facts.zone);
+  }
 
   #hasOther(now: Moment, work: Work): boolean {
-    for (const state of this.#byService.get(work.service.name) ?? []) if (state.facts.id !== work.runner && this.#isUsable(now, work, state)) return true;
+    for (const state of this.#byService.get(work.service.name) ?? [])
+      if (state.facts.id !== work.runner && this.#isUsable(now, work, state)) return true;
     return false;
   }
 
@@ -503,9 +671,17 @@
     let best = '';
     let most = -1;
     for (const { facts } of list) {
-      if (facts.isLeaving || this.#evacuated.has(facts.zone) || !facts.holds.some(isOfModel.bind(undefined, work.head.model))) continue;
+      if (
+        facts.isLeaving ||
+        this.#evacuated.has(facts.zone) ||
+        !facts.holds.some(isOfModel.bind(undefined, work.head.model))
+      )
+        continue;
       const rank = hashOf(`${work.sharedKey}\n${facts.id}`);
-      if (rank > most) { most = rank; best = facts.id; }
+      if (rank > most) {
+        most = rank;
+        best = facts.id;
+      }
     }
     return best;
   }
@@ -516,7 +692,8 @@
     if (facts.zone !== this.#settings.zone) cost += ZONE_TOKENS;
     if (now < state.coldUntil) cost += COLD_TOKENS;
     if (!this.#settings.hasIdle(facts.address)) cost += CONNECT_TOKENS;
-    if (preferred !== undefined ? facts.id !== preferred : !state.kept.has(work.sharedKey)) cost += work.sharedTokens;
+    if (preferred !== undefined ? facts.id !== preferred : !state.kept.has(work.sharedKey))
+      cost += work.sharedTokens;
     // Plain services have few places each: whoever has the least of ours is likely to have the least of all.
     if (work.unit === '') cost += state.works.size * 2000;
     return cost + this.#settings.random();
@@ -538,12 +715,22 @@
     if (work.sharedTokens > 0) {
       state.kept.delete(work.sharedKey);
       state.kept.set(work.sharedKey, now);
-      if (state.kept.size > KEPT_MANY) for (const key of state.kept.keys()) { state.kept.delete(key); break; }
+      if (state.kept.size > KEPT_MANY)
+        for (const key of state.kept.keys()) {
+          state.kept.delete(key);
+          break;
+        }
     }
     this.#effects.push({
-      do: 'send', id: work.head.id, attempt: work.attempt, runner: state.facts.id, address: state.facts.address,
-      timeLeftMs: Math.max(1, Math.floor(work.deadline - now)), urgency: Math.min(9, work.route.priority),
-      isBuffered: work.route.kind === 'safe', isResumable: work.route.kind === 'stream' && work.route.isResumable,
+      do: 'send',
+      id: work.head.id,
+      attempt: work.attempt,
+      runner: state.facts.id,
+      address: state.facts.address,
+      timeLeftMs: Math.max(1, Math.floor(work.deadline - now)),
+      urgency: Math.min(9, work.route.priority),
+      isBuffered: work.route.kind === 'safe',
+      isResumable: work.route.kind === 'stream' && work.route.isResumable,
     });
   }
 
@@ -569,10 +756,21 @@
     if (!work || work.phase !== 'sent') return;
     const state = this.#runners.get(work.runner);
     if (state) state.heardAt = now;
-    if (head.isNotRun || head.status === 421) { this.#notRun(now, work, state, head.status); return; }
-    if (!head.isGenuine) { this.#cancel(work); this.#failed(now, work, state); return; }
+    if (head.isNotRun || head.status === 421) {
+      this.#notRun(now, work, state, head.status);
+      return;
+    }
+    if (!head.isGenuine) {
+      this.#cancel(work);
+      this.#failed(now, work, state);
+      return;
+    }
     // A stream of which something was passed on can only go on: a failure is none to its client any more.
-    if (work.isBegun && (head.status < 200 || head.status >= 300)) { this.#cancel(work); this.#failed(now, work, state); return; }
+    if (work.isBegun && (head.status < 200 || head.status >= 300)) {
+      this.#cancel(work);
+      this.#failed(now, work, state);
+      return;
+    }
     const isFailure = head.status >= 500;
     // A failure of the runner's own: another may do better, where it may run again.
     if (isFailure && this.#isRepeatable(work) && this.#mayRetry(now, work)) {
@@ -597,7 +795,10 @@
       work.isBegun = true;
       if (state) state.pendingTokens -= Math.min(state.pendingTokens, work.head.promptTokens);
       const took = now - work.sentAt;
-      this.#firstMs.set(work.route.name, (this.#firstMs.get(work.route.name) ?? took) * 0.9 + took * 0.1);
+      this.#firstMs.set(
+        work.route.name,
+        (this.#firstMs.get(work.route.name) ?? took) * 0.9 + took * 0.1,
+      );
     }
   }
 
@@ -611,7 +812,11 @@
 
   /** A place has come free. */
   #retryFull(now: Moment): void {
-    for (const work of this.#works.values()) if (work.phase === 'waiting' && this.#choose(now, work)) { this.#tryAgain(now, work); break; }
+    for (const work of this.#works.values())
+      if (work.phase === 'waiting' && this.#choose(now, work)) {
+        this.#tryAgain(now, work);
+        break;
+      }
   }
 
   /** The runner's word that it has not run it and will not. */
@@ -621,8 +826,15 @@
       state.missing.set(work.unit, later(now, MISSING_MS));
       if (work.unit === '') this.#avoid(now, state);
     } else if (state) state.fullUntil = later(now, FULL_MS);
-    if (work.sends < work.route.tries && this.#budget(work.service.name).spend(now, this.#flows)) { this.counts.retries += 1; this.#place(now, work); return; }
-    if (work.isBegun || work.mayHaveRun) { this.#giveUp(work); return; }
+    if (work.sends < work.route.tries && this.#budget(work.service.name).spend(now, this.#flows)) {
+      this.counts.retries += 1;
+      this.#place(now, work);
+      return;
+    }
+    if (work.isBegun || work.mayHaveRun) {
+      this.#giveUp(work);
+      return;
+    }
     this.#refuse(work.head.id, 'full', status === 421 ? 150 : 250);
   }
 
@@ -644,7 +856,10 @@
   broke(now: Moment, id: number, attempt: number, isStale: boolean): void {
     const work = this.#current(id, attempt);
     if (!work) return;
-    if (work.phase === 'connecting') { this.unreached(now, id, attempt); return; }
+    if (work.phase === 'connecting') {
+      this.unreached(now, id, attempt);
+      return;
+    }
     const state = this.#runners.get(work.runner);
     this.#leaveRunner(work);
     this.#failed(now, work, isStale ? undefined : state);
@@ -663,11 +878,18 @@
   }
 
   #mayRetry(now: Moment, work: Work): boolean {
-    return work.sends < work.route.tries && now < work.deadline - LEAST_MS && this.#hasOther(now, work) && this.#budget(work.service.name).spend(now, this.#flows);
+    return (
+      work.sends < work.route.tries &&
+      now < work.deadline - LEAST_MS &&
+      this.#hasOther(now, work) &&
+      this.#budget(work.service.name).spend(now, this.#flows)
+    );
   }
 
   #isRepeatable(work: Work): boolean {
-    return work.route.kind === 'safe' ? !work.isBegun : work.route.kind === 'stream' && work.route.isResumable;
+    return work.route.kind === 'safe'
+      ? !work.isBegun
+      : work.route.kind === 'stream' && work.route.isResumable;
   }
 
   #giveUp(work: Work): void {
@@ -705,7 +927,8 @@
   #leaveRunner(work: Work): void {
     const state = this.#runners.get(work.runner);
     if (state?.works.delete(work.head.id)) {
-      if (!work.isBegun) state.pendingTokens -= Math.min(state.pendingTokens, work.head.promptTokens);
+      if (!work.isBegun)
+        state.pendingTokens -= Math.min(state.pendingTokens, work.head.promptTokens);
       if (state.works.size === 0) state.pendingTokens = 0;
       const unit = this.#units.get(work.unit);
       if (unit) unit.running = Math.max(0, unit.running - 1);
@@ -723,7 +946,11 @@
     if (work) {
       this.#end(work);
       // Once it may have run, or something of an answer was passed on, nothing claims that it was refused.
-      if (work.mayHaveRun || work.isBegun) { this.counts.failed += 1; this.#effects.push({ do: 'fail', id, isTimeout: false }); return; }
+      if (work.mayHaveRun || work.isBegun) {
+        this.counts.failed += 1;
+        this.#effects.push({ do: 'fail', id, isTimeout: false });
+        return;
+      }
     }
     this.counts.refused += 1;
     this.#effects.push({ do: 'refuse', id, reason, retryAfterMs });
@@ -743,26 +970,49 @@
     for (const [key, unit] of this.#units) {
       const wanted = now < unit.wantedUntil ? unit.wantedCount : 0;
       const waiting = unit.waiting.size + wanted;
-      if (unit.count === 0 && waiting === 0 && unit.running === 0) { if (now > unit.wantedUntil) this.#units.delete(key); continue; }
+      if (unit.count === 0 && waiting === 0 && unit.running === 0) {
+        if (now > unit.wantedUntil) this.#units.delete(key);
+        continue;
+      }
       let priority = wanted > 0 ? unit.wantedPriority : 9;
-      for (const id of unit.waiting) priority = Math.min(priority, this.#works.get(id)?.route.priority ?? 9);
-      units.push({ service: unit.service, model: unit.model, adapter: unit.adapter, count: unit.count, waiting, running: unit.running, priority });
+      for (const id of unit.waiting)
+        priority = Math.min(priority, this.#works.get(id)?.route.priority ?? 9);
+      units.push({
+        service: unit.service,
+        model: unit.model,
+        adapter: unit.adapter,
+        count: unit.count,
+        waiting,
+        running: unit.running,
+        priority,
+      });
       unit.count = 0;
     }
     return { flow: this.#settings.flow, units };
   }
 }
 
-function idOf(part: PrefixPart): string { return part.id; }
-function nothing(): number { return 0; }
-function isNamed(name: string, model: { readonly name: string }): boolean { return model.name === name; }
-function isOfModel(model: string, hold: { readonly model: string }): boolean { return hold.model === model; }
-function byUrgency(a: Work, b: Work): number { return a.route.priority - b.route.priority || a.arrivedAt - b.arrivedAt; }
+function idOf(part: PrefixPart): string {
+  return part.id;
+}
+function nothing(): number {
+  return 0;
+}
+function isNamed(name: string, model: { readonly name: string }): boolean {
+  return model.name === name;
+}
+function isOfModel(model: string, hold: { readonly model: string }): boolean {
+  return hold.model === model;
+}
+function byUrgency(a: Work, b: Work): number {
+  return a.route.priority - b.route.priority || a.arrivedAt - b.arrivedAt;
+}
 
 /** FNV-1a; only its evenness matters. */
 function hashOf(text: string): number {
   let hash = 0x811c9dc5;
-  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193) >>> 0;
+  for (let index = 0; index < text.length; index += 1)
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193) >>> 0;
   hash ^= hash >>> 15;
   return Math.imul(hash, 0x85ebca6b) >>> 0;
 }
--- a/src/flow/EventStream.test.ts
+++ b/src/flow/EventStream.test.ts
@@ -1,7 +1,9 @@
 import { expect, test } from 'vitest';
 import { EventStream, type StreamEvent } from './EventStream.js';
 
-function textOf(event: StreamEvent): string { return `${event.id}|${event.bytes.toString()}`; }
+function textOf(event: StreamEvent): string {
+  return `${event.id}|${event.bytes.toString()}`;
+}
 
 test('events come whole, however their bytes are cut, and with their ids', checkCuts);
 test('a part of an event is kept back', checkRest);
@@ -9,11 +11,16 @@
 function checkCuts(): void {
   const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: id: 9\r\n\r\nevent: x\ndata: b\n\n';
   const whole = new EventStream().take(Buffer.from(text)).map(textOf);
-  expect(whole).toEqual(['1|id: 1\ndata: a\n\n', '2|id: 2\r\ndata: id: 9\r\n\r\n', 'undefined|event: x\ndata: b\n\n']);
+  expect(whole).toEqual([
+    '1|id: 1\ndata: a\n\n',
+    '2|id: 2\r\ndata: id: 9\r\n\r\n',
+    'undefined|event: x\ndata: b\n\n',
+  ]);
   for (let size = 1; size < 8; size += 1) {
     const stream = new EventStream();
     const events: string[] = [];
-    for (let at = 0; at < text.length; at += size) events.push(...stream.take(Buffer.from(text.slice(at, at + size))).map(textOf));
+    for (let at = 0; at < text.length; at += size)
+      events.push(...stream.take(Buffer.from(text.slice(at, at + size))).map(textOf));
     expect(events).toEqual(whole);
     expect(stream.rest).toBeUndefined();
   }
@@ -21,6 +28,8 @@
 
 function checkRest(): void {
   const stream = new EventStream();
-  expect(stream.take(Buffer.from('id: 1\ndata: a\n\nid: 2\nda')).map(textOf)).toEqual(['1|id: 1\ndata: a\n\n']);
+  expect(stream.take(Buffer.from('id: 1\ndata: a\n\nid: 2\nda')).map(textOf)).toEqual([
+    '1|id: 1\ndata: a\n\n',
+  ]);
   expect(stream.rest?.toString()).toBe('id: 2\nda');
 }
--- a/src/flow/EventStream.ts
+++ b/src/flow/EventStream.ts
@@ -1,5 +1,8 @@
 /** Whole events of a `text/event-stream`, cut out of the bytes as they come; a part of an event is never given out. */
-export interface StreamEvent { readonly bytes: Buffer; readonly id: number | undefined }
+export interface StreamEvent {
+  readonly bytes: Buffer;
+  readonly id: number | undefined;
+}
 
 const LF = 10;
 const CR = 13;
@@ -32,7 +35,9 @@
   }
 
   /** What came after the last whole event. */
-  get rest(): Buffer | undefined { return this.#rest; }
+  get rest(): Buffer | undefined {
+    return this.#rest;
+  }
 }
 
 function idOf(bytes: Buffer): number | undefined {
--- a/src/flow/Executor.test.ts
+++ b/src/flow/Executor.test.ts
@@ -5,15 +5,29 @@
 import { Counters as CountersClass } from '../kin/Counters.js';
 import type { Moment } from '../kin/Ids.js';
 import { listenOn, splitAddress } from '../kin/Listen.js';
-import { type Asked, DECISION_DEFAULTS, type Decision, Decision as DecisionClass } from './Decision.js';
+import {
+  type Asked,
+  DECISION_DEFAULTS,
+  type Decision,
+  Decision as DecisionClass,
+} from './Decision.js';
 import { Executor } from './Executor.js';
 import { once } from 'node:events';
-import { type ClientRequest, type IncomingMessage, IncomingMessage as IncomingMessageClass, type Server, type ServerResponse, createServer, request } from 'node:http';
+import {
+  type ClientRequest,
+  type IncomingMessage,
+  IncomingMessage as IncomingMessageClass,
+  type Server,
+  type ServerResponse,
+  createServer,
+  request,
+} from 'node:http';
 import { createServer as createTcp } from 'node:net';
 import { interval } from 'rxjs';
 
 type Subscription = import('rxjs').Subscription;
-const TEXT = 'map POST /c to check\nmap GET /l/* to lookup\nmap POST /l/* to lookup\nrow check m weight 9 late 400ms once stream\nrow check w weight 9 late 400ms once whole\nrow lookup @k weight 5 late 5s repeatable';
+const TEXT =
+  'map POST /c to check\nmap GET /l/* to lookup\nmap POST /l/* to lookup\nrow check m weight 9 late 400ms once stream\nrow check w weight 9 late 400ms once whole\nrow lookup @k weight 5 late 5s repeatable';
 type Behave = (asked: IncomingMessage, returned: ServerResponse, count: number) => void;
 /** News comes in just after a request was drawn, before its connection stands. */
 class MarkingDecision extends DecisionClass {
@@ -38,7 +52,9 @@
   beats: Subscription | undefined;
   onGate: ((decision: Decision) => void) | undefined;
 
-  #beat(): void { this.executor?.beat(monotonicNow()); }
+  #beat(): void {
+    this.executor?.beat(monotonicNow());
+  }
 
   async start(behaves: readonly Behave[], hasDead = false): Promise<void> {
     const runners = [];
@@ -53,7 +69,24 @@
       const server = createServer(take);
       this.servers.push(server);
       const port = await listenOn(server, '127.0.0.1:0');
-      runners.push({ id: `r${index}`, address: `127.0.0.1:${port}`, zone: 'z', service: '', slots: 4, upMs: 60_000 }, { id: `k${index}`, address: `127.0.0.1:${port}`, zone: 'z', service: 'k', slots: 0, upMs: 0 });
+      runners.push(
+        {
+          id: `r${index}`,
+          address: `127.0.0.1:${port}`,
+          zone: 'z',
+          service: '',
+          slots: 4,
+          upMs: 60_000,
+        },
+        {
+          id: `k${index}`,
+          address: `127.0.0.1:${port}`,
+          zone: 'z',
+          service: 'k',
+          slots: 0,
+          upMs: 0,
+        },
+      );
     }
     if (hasDead) {
       // A port that was just closed: nobody is reached there.
@@ -61,47 +94,96 @@
       const port = await listenOn(closed, '127.0.0.1:0');
       closed.close();
       await once(closed, 'close');
-      runners.unshift({ id: 'dead', address: `127.0.0.1:${port}`, zone: 'z', service: '', slots: 4, upMs: 60_000 });
+      runners.unshift({
+        id: 'dead',
+        address: `127.0.0.1:${port}`,
+        zone: 'z',
+        service: '',
+        slots: 4,
+        upMs: 60_000,
+      });
     }
-    const decision = this.onGate ? new MarkingDecision(this.onGate) : new DecisionClass({ ...DECISION_DEFAULTS, blindMs: 60_000, me: 'f' });
+    const decision = this.onGate
+      ? new MarkingDecision(this.onGate)
+      : new DecisionClass({ ...DECISION_DEFAULTS, blindMs: 60_000, me: 'f' });
     const now = monotonicNow();
-    decision.news(now, 'config', { epoch: 2, count: 1 }, JSON.stringify({ number: 1, table: compile(TEXT).table, emptied: [], voters: [] }));
+    decision.news(
+      now,
+      'config',
+      { epoch: 2, count: 1 },
+      JSON.stringify({ number: 1, table: compile(TEXT).table, emptied: [], voters: [] }),
+    );
     const seats = [];
-    for (const { id, service } of runners) if (service === '') seats.push({ runner: id, primary: seats.length === 0, adapters: [] });
-    const places = [{ model: 'm', seats, wait: '' }, { model: 'w', seats, wait: '' }];
-    decision.news(now, 'places', { epoch: 2, count: 1 }, JSON.stringify({ places, runners, flows: 1, shares: [] }));
+    for (const { id, service } of runners)
+      if (service === '') seats.push({ runner: id, primary: seats.length === 0, adapters: [] });
+    const places = [
+      { model: 'm', seats, wait: '' },
+      { model: 'w', seats, wait: '' },
+    ];
+    decision.news(
+      now,
+      'places',
+      { epoch: 2, count: 1 },
+      JSON.stringify({ places, runners, flows: 1, shares: [] }),
+    );
     decision.vouch(decision.ask(now), { epoch: 0, count: 0 }, 0);
     this.decision = decision;
-    this.executor = new Executor(decision, { maxBodyBytes: 4096, connectMs: 300, silentMs: 200 }, this.counters, monotonicNow);
+    this.executor = new Executor(
+      decision,
+      { maxBodyBytes: 4096, connectMs: 300, silentMs: 200 },
+      this.counters,
+      monotonicNow,
+    );
     this.beats = interval(20).subscribe(this.#beat.bind(this));
     this.address = `127.0.0.1:${await this.executor.listen('127.0.0.1:0')}`;
   }
 
-  post(model: string): ReturnType<typeof call> { return call('POST', this.address, '/c', JSON.stringify({ model }), 5000); }
+  post(model: string): ReturnType<typeof call> {
+    return call('POST', this.address, '/c', JSON.stringify({ model }), 5000);
+  }
 
   async stop(): Promise<void> {
     this.beats?.unsubscribe();
     await this.executor?.drain(0);
-    for (const server of this.servers) { server.closeAllConnections(); server.close(); }
+    for (const server of this.servers) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 }
-function withBench(behaves: readonly Behave[], check: (bench: Bench) => Promise<void>, hasDead = false): () => Promise<void> {
+function withBench(
+  behaves: readonly Behave[],
+  check: (bench: Bench) => Promise<void>,
+  hasDead = false,
+): () => Promise<void> {
   async function run(): Promise<void> {
     const bench = new Bench();
     await bench.start(behaves, hasDead);
-    try { await check(bench); } finally { await bench.stop(); }
+    try {
+      await check(bench);
+    } finally {
+      await bench.stop();
+    }
   }
   return run;
 }
-function sayHello(_asked: IncomingMessage, returned: ServerResponse): void { returned.end('hello'); }
-function cutAtOnce(asked: IncomingMessage): void { asked.socket.destroy(); }
+function sayHello(_asked: IncomingMessage, returned: ServerResponse): void {
+  returned.end('hello');
+}
+function cutAtOnce(asked: IncomingMessage): void {
+  asked.socket.destroy();
+}
 function cutInMidst(asked: IncomingMessage, returned: ServerResponse): void {
   returned.writeHead(200, { 'content-type': 'text/plain' });
   returned.write('half a');
   setImmediate(asked.socket.destroy.bind(asked.socket));
 }
-function beFull(_asked: IncomingMessage, returned: ServerResponse): void { returned.writeHead(503, { 'x-run': 'none' }).end('full'); }
-function saySilent(): void { /* it never returns anything */ }
+function beFull(_asked: IncomingMessage, returned: ServerResponse): void {
+  returned.writeHead(503, { 'x-run': 'none' }).end('full');
+}
+function saySilent(): void {
+  /* it never returns anything */
+}
 async function checkOnceBroken(bench: Bench): Promise<void> {
   const returned = await bench.post('m');
   expect(returned.status).toBe(502);
@@ -140,7 +222,17 @@
 }
 async function checkBodies(bench: Bench): Promise<void> {
   expect((await call('POST', bench.address, '/c', '{"model":', 5000)).status).toBe(400);
-  expect((await call('POST', bench.address, '/c', JSON.stringify({ model: 'm', pad: 'x'.repeat(5000) }), 5000)).status).toBe(413);
+  expect(
+    (
+      await call(
+        'POST',
+        bench.address,
+        '/c',
+        JSON.stringify({ model: 'm', pad: 'x'.repeat(5000) }),
+        5000,
+      )
+    ).status,
+  ).toBe(413);
   expect((await call('POST', bench.address, '/none', '{}', 5000)).status).toBe(404);
   expect((await bench.post('other')).status).toBe(404);
   expect(bench.seen).toEqual([]);
@@ -164,14 +256,17 @@
   sent.on('error', saySilent);
   sent.end(JSON.stringify({ model: 'm' }));
   const [back]: unknown[] = await once(sent, 'response');
-  if (back instanceof Object && 'on' in back && typeof back.on === 'function') back.on('error', saySilent);
+  if (back instanceof Object && 'on' in back && typeof back.on === 'function')
+    back.on('error', saySilent);
   return sent;
 }
 async function checkClientGone(): Promise<void> {
   const bench = new Bench();
   const events: string[] = [];
   let tellCut: () => void = saySilent;
-  function onCut(done: () => void): void { tellCut = done; }
+  function onCut(done: () => void): void {
+    tellCut = done;
+  }
   const cut = new Promise<void>(onCut);
   function watch(asked: IncomingMessage, returned: ServerResponse): void {
     returned.writeHead(200);
@@ -179,7 +274,10 @@
     returned.once('close', note);
     asked.resume();
   }
-  function note(): void { events.push('cancelled'); tellCut(); }
+  function note(): void {
+    events.push('cancelled');
+    tellCut();
+  }
   await bench.start([watch]);
   const sent = await beginRequest(bench.address);
   sent.destroy();
@@ -196,7 +294,10 @@
     function more(): void {
       while (produced < LIMIT) {
         produced += chunk.length;
-        if (!returned.write(chunk)) { returned.once('drain', more); return; }
+        if (!returned.write(chunk)) {
+          returned.once('drain', more);
+          return;
+        }
       }
     }
     more();
@@ -205,13 +306,24 @@
   const sent = await beginRequest(bench.address);
   // The client reads nothing: the runner must be held back long before it has poured everything out.
   let before = -1;
-  for (let calm = 0; calm < 2000; calm = produced === before ? calm + 1 : 0) { before = produced; await new Promise(setImmediate); }
+  for (let calm = 0; calm < 2000; calm = produced === before ? calm + 1 : 0) {
+    before = produced;
+    await new Promise(setImmediate);
+  }
   expect(produced).toBeLessThan(LIMIT / 2);
   sent.destroy();
   await bench.stop();
 }
 function markFirst(decision: Decision): void {
-  decision.news(monotonicNow(), 'machines', { epoch: 0, count: 5 }, JSON.stringify({ revision: 5, machines: [{ id: 'r0', address: 'r0:1', zone: 'z', service: '', leaving: true }] }));
+  decision.news(
+    monotonicNow(),
+    'machines',
+    { epoch: 0, count: 5 },
+    JSON.stringify({
+      revision: 5,
+      machines: [{ id: 'r0', address: 'r0:1', zone: 'z', service: '', leaving: true }],
+    }),
+  );
 }
 async function checkMarkedMeanwhile(): Promise<void> {
   const bench = new Bench();
@@ -221,21 +333,37 @@
   expect(bench.seen).toEqual(['r1']);
   await bench.stop();
 }
-function goSilent(_asked: IncomingMessage, returned: ServerResponse): void { returned.writeHead(200); returned.write('half a'); }
+function goSilent(_asked: IncomingMessage, returned: ServerResponse): void {
+  returned.writeHead(200);
+  returned.write('half a');
+}
 async function checkSilent(bench: Bench): Promise<void> {
   await expect(bench.post('m')).rejects.toThrow();
   expect(bench.decision?.running).toBe(0);
   expect(bench.counters.get('returns.silent')).toBe(1);
 }
 /** Its return has neither length nor chunks: whether it is whole can be told from nothing. */
-function sayUnbounded(asked: IncomingMessage): void { asked.socket.end('HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nhalf a'); }
+function sayUnbounded(asked: IncomingMessage): void {
+  asked.socket.end('HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nhalf a');
+}
 async function checkUnbounded(bench: Bench): Promise<void> {
   await expect(bench.post('m')).rejects.toThrow();
   expect(bench.seen).toEqual(['r0']);
 }
-function sayTwoEnds(asked: IncomingMessage): void { asked.socket.end('HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n'); }
-async function checkTwoEnds(bench: Bench): Promise<void> { expect((await bench.post('m')).body).toContain('unsure'); }
-async function sendRaw(bench: Bench, method: string, path: string, body?: Buffer): Promise<{ readonly back: IncomingMessage; readonly body: Buffer }> {
+function sayTwoEnds(asked: IncomingMessage): void {
+  asked.socket.end(
+    'HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n',
+  );
+}
+async function checkTwoEnds(bench: Bench): Promise<void> {
+  expect((await bench.post('m')).body).toContain('unsure');
+}
+async function sendRaw(
+  bench: Bench,
+  method: string,
+  path: string,
+  body?: Buffer,
+): Promise<{ readonly back: IncomingMessage; readonly body: Buffer }> {
   const { host, port } = splitAddress(bench.address);
   const sent = request({ host, port, method, path, agent: false });
   sent.end(body);
@@ -246,7 +374,10 @@
 function echo(asked: IncomingMessage, returned: ServerResponse): void {
   returned.writeHead(200, { 'set-cookie': ['a=1', 'b=2'], trailer: 'x-sum' });
   asked.on('data', returned.write.bind(returned));
-  function end(): void { returned.addTrailers({ 'x-sum': '7' }); returned.end(); }
+  function end(): void {
+    returned.addTrailers({ 'x-sum': '7' });
+    returned.end();
+  }
   asked.on('end', end);
 }
 async function checkBytes(bench: Bench): Promise<void> {
@@ -267,7 +398,9 @@
   expect((await sendRaw(bench, 'GET', '/l/304')).back.statusCode).toBe(304);
 }
 /** It returns before it has read the body. */
-function sayEarly(_asked: IncomingMessage, returned: ServerResponse): void { returned.writeHead(413, { connection: 'close' }).end('too much'); }
+function sayEarly(_asked: IncomingMessage, returned: ServerResponse): void {
+  returned.writeHead(413, { connection: 'close' }).end('too much');
+}
 async function checkEarly(bench: Bench): Promise<void> {
   const { back, body } = await sendRaw(bench, 'POST', '/l/1', Buffer.alloc(4000, 7));
   expect([back.statusCode, body.toString()]).toEqual([413, 'too much']);
@@ -279,21 +412,60 @@
   expect(bench.counters.get('runs.stale')).toBe(1);
 }
 test('a runner marked between the draw and the first byte gets nothing', checkMarkedMeanwhile);
-test('a return that stands still is broken off and its slot is free', withBench([goSilent], checkSilent));
-test('a return without length or chunks never looks finished', withBench([sayUnbounded, sayHello], checkUnbounded));
+test(
+  'a return that stands still is broken off and its slot is free',
+  withBench([goSilent], checkSilent),
+);
+test(
+  'a return without length or chunks never looks finished',
+  withBench([sayUnbounded, sayHello], checkUnbounded),
+);
 test('a return with both length and chunks is none', withBench([sayTwoEnds], checkTwoEnds));
-test('bodies, repeated headers and trailers are passed on byte for byte', withBench([echo], checkBytes));
-test('heads asked for, 204 and 304 are passed on as they are', withBench([sayByMethod], checkBodiless));
-test('a return that begins before the body is read is passed on', withBench([sayEarly], checkEarly));
-test('a stale kept connection does not bar its back end', withBench([closeAfterFirst], checkStaleKept));
-test('a once-only request whose runner breaks off is unsure and never sent again', withBench([cutAtOnce, sayHello], checkOnceBroken));
-test('a runner that is not reached costs nothing: the next one runs it', withBench([sayHello], checkUnreached, true));
-test('a runner that says it has not begun is left for the next', withBench([beFull, sayHello], checkFull));
-test('when all say so the client is told when to come back', withBench([beFull, beFull], checkAllFull));
-test('a stream that breaks is visibly broken and not stitched', withBench([cutInMidst, sayHello], checkBrokenStream));
-test('a repeatable request runs again elsewhere, within its budget', withBench([cutAtOnce, sayHello], checkRepeat));
+test(
+  'bodies, repeated headers and trailers are passed on byte for byte',
+  withBench([echo], checkBytes),
+);
+test(
+  'heads asked for, 204 and 304 are passed on as they are',
+  withBench([sayByMethod], checkBodiless),
+);
+test(
+  'a return that begins before the body is read is passed on',
+  withBench([sayEarly], checkEarly),
+);
+test(
+  'a stale kept connection does not bar its back end',
+  withBench([closeAfterFirst], checkStaleKept),
+);
+test(
+  'a once-only request whose runner breaks off is unsure and never sent again',
+  withBench([cutAtOnce, sayHello], checkOnceBroken),
+);
+test(
+  'a runner that is not reached costs nothing: the next one runs it',
+  withBench([sayHello], checkUnreached, true),
+);
+test(
+  'a runner that says it has not begun is left for the next',
+  withBench([beFull, sayHello], checkFull),
+);
+test(
+  'when all say so the client is told when to come back',
+  withBench([beFull, beFull], checkAllFull),
+);
+test(
+  'a stream that breaks is visibly broken and not stitched',
+  withBench([cutInMidst, sayHello], checkBrokenStream),
+);
+test(
+  'a repeatable request runs again elsewhere, within its budget',
+  withBench([cutAtOnce, sayHello], checkRepeat),
+);
 test('a run that passes its limit is told as unsure', withBench([saySilent], checkLate));
 test('bad bodies and unknown names never reach a runner', withBench([sayHello], checkBodies));
-test('a stale kept-alive connection causes no repeat and no false turning away', withBench([closeAfterFirst], checkStale));
+test(
+  'a stale kept-alive connection causes no repeat and no false turning away',
+  withBench([closeAfterFirst], checkStale),
+);
 test('a client that leaves cancels its run', checkClientGone);
 test('a slow client holds its runner back instead of our memory', checkSlowClient);
--- a/src/flow/Executor.ts
+++ b/src/flow/Executor.ts
@@ -1,5 +1,14 @@
 import { connect } from 'node:net';
-import { Agent, createServer, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders, type Server, type ServerResponse } from 'node:http';
+import {
+  Agent,
+  createServer,
+  request,
+  type ClientRequest,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import { randomUUID } from 'node:crypto';
 import { array, optional, size, string, type } from 'superstruct';
 import type { Socket } from 'node:net';
@@ -14,7 +23,11 @@
 import { Watches, type WatchStep } from './Watches.js';
 import { Passages, retryAfterOf, type PassageSettings, type Step } from './Passages.js';
 
-const NamesShape = type({ model: size(string(), 1, 200), adapter: optional(size(string(), 0, 200)), parts: optional(size(array(string()), 0, 64)) });
+const NamesShape = type({
+  model: size(string(), 1, 200),
+  adapter: optional(size(string(), 0, 200)),
+  parts: optional(size(array(string()), 0, 64)),
+});
 
 interface Entry {
   readonly id: number;
@@ -26,21 +39,39 @@
 }
 
 /** One try of a request at one runner. */
-interface Attempt { readonly number: number; readonly sent: ClientRequest; back: IncomingMessage | undefined }
+interface Attempt {
+  readonly number: number;
+  readonly sent: ClientRequest;
+  back: IncomingMessage | undefined;
+}
 
-export interface ExecutorSettings extends PassageSettings { readonly maxBodyBytes: number }
+export interface ExecutorSettings extends PassageSettings {
+  readonly maxBodyBytes: number;
+}
 
 /** Headers that belong to one hop and are never passed on. */
-const HOP_HEADERS = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'transfer-encoding', 'upgrade', 'host', 'expect']);
+const HOP_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'expect',
+]);
 
 /** Repeated headers stay repeated. */
 function passedOn(message: IncomingMessage): OutgoingHttpHeaders {
   const named = new Set<string>();
-  for (const name of (message.headers.connection ?? '').split(',')) named.add(name.trim().toLowerCase());
+  for (const name of (message.headers.connection ?? '').split(','))
+    named.add(name.trim().toLowerCase());
   const passed: OutgoingHttpHeaders = {};
   for (const [name, values] of Object.entries(message.headersDistinct)) {
     const [first] = values ?? [];
-    if (values && first !== undefined && !HOP_HEADERS.has(name) && !named.has(name)) passed[name] = values.length === 1 ? first : values;
+    if (values && first !== undefined && !HOP_HEADERS.has(name) && !named.has(name))
+      passed[name] = values.length === 1 ? first : values;
   }
   return passed;
 }
@@ -49,7 +80,10 @@
 function isBounded(method: string, back: IncomingMessage): boolean {
   const status = back.statusCode ?? 0;
   if (method === 'HEAD' || status === 204 || status === 304) return true;
-  return back.headers['content-length'] !== undefined || (back.headers['transfer-encoding'] ?? '').toLowerCase().includes('chunked');
+  return (
+    back.headers['content-length'] !== undefined ||
+    (back.headers['transfer-encoding'] ?? '').toLowerCase().includes('chunked')
+  );
 }
 
 /** Obeys the passages: reads requests, runs them where they say, and returns what came back, whole or visibly broken. */
@@ -69,7 +103,12 @@
   #isObeying = false;
   #onIdle: (() => void) | undefined;
 
-  constructor(decision: Decision, settings: ExecutorSettings, counters: Counters, now: () => Moment) {
+  constructor(
+    decision: Decision,
+    settings: ExecutorSettings,
+    counters: Counters,
+    now: () => Moment,
+  ) {
     this.#decision = decision;
     this.#settings = settings;
     this.#counters = counters;
@@ -118,8 +157,12 @@
 
   #clientError(thrown: Error & { code?: string }, socket: Duplex): void {
     this.#counters.add('requests.malformed');
-    const status = thrown.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
-    if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+    const status =
+      thrown.code === 'HPE_HEADER_OVERFLOW'
+        ? '431 Request Header Fields Too Large'
+        : '400 Bad Request';
+    if (socket.writable)
+      socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
     else socket.destroy();
   }
 
@@ -128,14 +171,30 @@
     const id = this.#count;
     this.#counters.add('requests');
     const header = asked.headers['x-request-id'];
-    const requestId = typeof header === 'string' && /^[\x21-\x7e]{1,200}$/.test(header) ? header : randomUUID();
+    const requestId =
+      typeof header === 'string' && /^[\x21-\x7e]{1,200}$/.test(header) ? header : randomUUID();
     let body: Buffer;
     try {
-      if (Number(asked.headers['content-length'] ?? 0) > this.#settings.maxBodyBytes) { this.#tell(returned, requestId, 'too-large', `more than ${this.#settings.maxBodyBytes} bytes`); asked.resume(); return; }
+      if (Number(asked.headers['content-length'] ?? 0) > this.#settings.maxBodyBytes) {
+        this.#tell(
+          returned,
+          requestId,
+          'too-large',
+          `more than ${this.#settings.maxBodyBytes} bytes`,
+        );
+        asked.resume();
+        return;
+      }
       body = await readBytes(asked, this.#settings.maxBodyBytes);
     } catch {
       // Either it is too large, or the client left in the midst of it; the latter reads no return.
-      if (!returned.destroyed) this.#tell(returned, requestId, 'too-large', `more than ${this.#settings.maxBodyBytes} bytes`);
+      if (!returned.destroyed)
+        this.#tell(
+          returned,
+          requestId,
+          'too-large',
+          `more than ${this.#settings.maxBodyBytes} bytes`,
+        );
       return;
     }
     const method = asked.method ?? 'GET';
@@ -145,7 +204,10 @@
     let parts: readonly string[] = [];
     if (this.#decision.needsModel(method, path) === true) {
       const names = parseAs(NamesShape, body.toString('utf8'));
-      if (!names) { this.#tell(returned, requestId, 'malformed', 'the body must be JSON that names its model'); return; }
+      if (!names) {
+        this.#tell(returned, requestId, 'malformed', 'the body must be JSON that names its model');
+        return;
+      }
       model = names.model;
       adapter = names.adapter ?? '';
       parts = names.parts ?? [];
@@ -178,9 +240,21 @@
     const { id, count } = step;
     const socket = connect({ ...splitAddress(step.address) });
     this.#watchLines.set(id, socket);
-    const watch = { watches: this.#watches, now: this.#now, obey: this.#obey.bind(this), passages: this.#passages };
-    function opened(): void { watch.watches.opened(watch.now(), id, count); watch.passages.settle(watch.now()); watch.obey(); }
-    function closed(): void { watch.watches.closed(watch.now(), id, count); watch.obey(); }
+    const watch = {
+      watches: this.#watches,
+      now: this.#now,
+      obey: this.#obey.bind(this),
+      passages: this.#passages,
+    };
+    function opened(): void {
+      watch.watches.opened(watch.now(), id, count);
+      watch.passages.settle(watch.now());
+      watch.obey();
+    }
+    function closed(): void {
+      watch.watches.closed(watch.now(), id, count);
+      watch.obey();
+    }
     socket.once('connect', opened);
     socket.once('close', closed);
     socket.on('error', ignore);
@@ -192,28 +266,56 @@
   #carryOut(entry: Entry, step: Step): void {
     const { current } = entry;
     switch (step.do) {
-      case 'connect': this.#connect(entry, step.attempt, step.verdict); break;
+      case 'connect':
+        this.#connect(entry, step.attempt, step.verdict);
+        break;
       case 'write':
-        if (current?.number === step.attempt) current.sent.end(entry.body.length === 0 ? undefined : entry.body);
+        if (current?.number === step.attempt)
+          current.sent.end(entry.body.length === 0 ? undefined : entry.body);
+        break;
+      case 'pass':
+        if (current?.number === step.attempt) this.#pass(entry, current, step.table);
         break;
-      case 'pass': if (current?.number === step.attempt) this.#pass(entry, current, step.table); break;
       case 'finish':
         if (current?.back) entry.returned.addTrailers(trailersOf(current.back));
         entry.returned.end();
         break;
-      case 'breakOff': breakOff(entry); break;
-      case 'cancel': if (current?.number === step.attempt) current.sent.destroy(); break;
-      case 'tell': this.#tell(entry.returned, entry.requestId, step.kind, step.text, step.retryMs); break;
+      case 'breakOff':
+        breakOff(entry);
+        break;
+      case 'cancel':
+        if (current?.number === step.attempt) current.sent.destroy();
+        break;
+      case 'tell':
+        this.#tell(entry.returned, entry.requestId, step.kind, step.text, step.retryMs);
+        break;
     }
   }
 
   /** The final return of a request that got none from a runner, at once. */
-  #tell(returned: ServerResponse, requestId: string, kind: DefectKind, text: string, retryMs = 0): void {
+  #tell(
+    returned: ServerResponse,
+    requestId: string,
+    kind: DefectKind,
+    text: string,
+    retryMs = 0,
+  ): void {
     this.#counters.add(`defects.${kind}`);
-    if (returned.headersSent || returned.destroyed) { returned.destroy(); return; }
+    if (returned.headersSent || returned.destroyed) {
+      returned.destroy();
+      return;
+    }
     const row = DEFECTS[kind];
-    const body = JSON.stringify({ defect: kind, text, outcome: row.unsure ? 'unsure' : 'turned-away' });
-    const headers: OutgoingHttpHeaders = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'x-request-id': requestId };
+    const body = JSON.stringify({
+      defect: kind,
+      text,
+      outcome: row.unsure ? 'unsure' : 'turned-away',
+    });
+    const headers: OutgoingHttpHeaders = {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+      'x-request-id': requestId,
+    };
     // A proxy that is blind works by no table at all.
     if (kind !== 'blind') headers['x-table'] = String(this.#decision.tableNumber);
     const retryAfter = retryAfterOf(kind, retryMs);
@@ -241,7 +343,7 @@
     delete headers['trailer'];
     if (entry.body.length > 0) headers['content-length'] = entry.body.length;
     const method = entry.asked.method ?? 'GET';
-    const path = verdict.isPlain ? entry.asked.url ?? '/' : '/run';
+    const path = verdict.isPlain ? (entry.asked.url ?? '/') : '/run';
     // What may not be repeated gets a connection of its own: one kept alive may close just as it is written to,
     // and nobody could tell whether it ran.
     const agent = verdict.row.repeatable ? this.#keptAgent : false;
@@ -265,7 +367,12 @@
   }
 
   #broke(entry: Entry, attempt: Attempt): void {
-    this.#passages.broke(this.#now(), entry.id, attempt.number, attempt.sent.reusedSocket && !attempt.back);
+    this.#passages.broke(
+      this.#now(),
+      entry.id,
+      attempt.number,
+      attempt.sent.reusedSocket && !attempt.back,
+    );
     this.#obey();
   }
 
@@ -274,7 +381,10 @@
     back.on('error', this.#broke.bind(this, entry, attempt));
     const isBegun = back.headers['x-run'] !== 'none';
     if (!isBegun) back.resume();
-    this.#passages.head(this.#now(), entry.id, attempt.number, { isBegun, isBounded: isBounded(entry.asked.method ?? 'GET', back) });
+    this.#passages.head(this.#now(), entry.id, attempt.number, {
+      isBegun,
+      isBounded: isBounded(entry.asked.method ?? 'GET', back),
+    });
     this.#obey();
   }
 
@@ -298,7 +408,9 @@
     back.pipe(returned, { end: false });
   }
 
-  #moved(entry: Entry, attempt: Attempt): void { this.#passages.bytes(this.#now(), entry.id, attempt.number); }
+  #moved(entry: Entry, attempt: Attempt): void {
+    this.#passages.bytes(this.#now(), entry.id, attempt.number);
+  }
 
   #ended(entry: Entry, attempt: Attempt, back: IncomingMessage): void {
     if (back.complete) this.#passages.ended(this.#now(), entry.id, attempt.number);
@@ -307,11 +419,14 @@
   }
 }
 
-function ignore(): void { /* its close follows */ }
+function ignore(): void {
+  /* its close follows */
+}
 
 function trailersOf(back: IncomingMessage): [string, string][] {
   const list: [string, string][] = [];
-  for (const [name, values] of Object.entries(back.trailersDistinct)) for (const value of values ?? []) list.push([name, value]);
+  for (const [name, values] of Object.entries(back.trailersDistinct))
+    for (const value of values ?? []) list.push([name, value]);
   return list;
 }
 
--- a/src/flow/FlowCommand.ts
+++ b/src/flow/FlowCommand.ts
@@ -12,7 +12,9 @@
     ...PROGRAM_FLAGS,
     link: Flags.string({ description: 'loopback address of the agent beside it' }),
     status: Flags.string({ description: 'address for counters' }),
-    blindMs: Flags.integer({ description: 'not vouched for within this span, it turns new work away' }),
+    blindMs: Flags.integer({
+      description: 'not vouched for within this span, it turns new work away',
+    }),
     drainMs: Flags.integer({ description: 'how long requests in flight may take after SIGTERM' }),
   };
 
--- a/src/flow/FlowProcess.ts
+++ b/src/flow/FlowProcess.ts
@@ -34,15 +34,30 @@
     this.#settings = settings;
     this.#log = log;
     const me = `flow@${settings.listen}`;
-    this.#exchange = new Exchange({ id: me, role: 'flow', zone: settings.zone, listen: '', reach: {} }, this.#tell.bind(this));
-    this.#decision = new Decision({ ...DECISION_DEFAULTS, blindMs: settings.blindMs, me, life: newLife() });
-    this.#executor = new Executor(this.#decision, { maxBodyBytes: settings.maxBodyBytes, connectMs: 500, silentMs: settings.silentMs }, this.#counters, monotonicNow);
+    this.#exchange = new Exchange(
+      { id: me, role: 'flow', zone: settings.zone, listen: '', reach: {} },
+      this.#tell.bind(this),
+    );
+    this.#decision = new Decision({
+      ...DECISION_DEFAULTS,
+      blindMs: settings.blindMs,
+      me,
+      life: newLife(),
+    });
+    this.#executor = new Executor(
+      this.#decision,
+      { maxBodyBytes: settings.maxBodyBytes, connectMs: 500, silentMs: settings.silentMs },
+      this.#counters,
+      monotonicNow,
+    );
   }
 
   async start(): Promise<void> {
     this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
     await this.#executor.listen(this.#settings.listen);
-    this.#subscription.add(interval(BEAT_MS).subscribe(this.#owner.submit.bind(this.#owner, this.#beat.bind(this))));
+    this.#subscription.add(
+      interval(BEAT_MS).subscribe(this.#owner.submit.bind(this.#owner, this.#beat.bind(this))),
+    );
     this.#log.info({ zone: this.#settings.zone }, 'flow started');
   }
 
@@ -55,7 +70,16 @@
 
   counters(): object {
     const { running, pending, configVersion, placesVersion, marks } = this.#decision;
-    return { ...this.#counters.all(), running, pending, config: versionText(configVersion), places: versionText(placesVersion), machines: marks, fresh: this.#wasFresh, memory: process.memoryUsage().rss };
+    return {
+      ...this.#counters.all(),
+      running,
+      pending,
+      config: versionText(configVersion),
+      places: versionText(placesVersion),
+      machines: marks,
+      fresh: this.#wasFresh,
+      memory: process.memoryUsage().rss,
+    };
   }
 
   #tell(defect: Defect): void {
@@ -75,10 +99,19 @@
     const now = monotonicNow();
     this.#exchange.dial(this.#settings.link);
     this.#beats += 1;
-    if (this.#beats % ASK_EVERY === 0) this.#exchange.send(this.#settings.link, { kind: 'ask', nonce: this.#decision.ask(now), have: this.#have(), members: [] });
+    if (this.#beats % ASK_EVERY === 0)
+      this.#exchange.send(this.#settings.link, {
+        kind: 'ask',
+        nonce: this.#decision.ask(now),
+        have: this.#have(),
+        members: [],
+      });
     if (this.#beats % DEMAND_EVERY === 0) {
       const demand = this.#decision.takeDemand();
-      this.#exchange.send(this.#settings.link, { kind: 'demand', body: JSON.stringify({ flow: `flow@${this.#settings.listen}`, ...demand }) });
+      this.#exchange.send(this.#settings.link, {
+        kind: 'demand',
+        body: JSON.stringify({ flow: `flow@${this.#settings.listen}`, ...demand }),
+      });
     }
     this.#executor.beat(now);
     const isFresh = this.#decision.isFresh(now);
@@ -94,9 +127,15 @@
     const now = monotonicNow();
     const { message } = incoming;
     if (message.kind === 'news') {
-      this.#decision.news(now, message.topic, { epoch: message.epoch, count: message.count }, message.body);
+      this.#decision.news(
+        now,
+        message.topic,
+        { epoch: message.epoch, count: message.count },
+        message.body,
+      );
       // In force from here on: the next request is asked of the new table.
-      if (message.topic === 'config') this.#exchange.send(incoming.from, { kind: 'ack', ...this.#decision.configVersion });
+      if (message.topic === 'config')
+        this.#exchange.send(incoming.from, { kind: 'ack', ...this.#decision.configVersion });
     } else if (message.kind === 'vouch') {
       this.#decision.vouch(message.nonce, message, message.marks);
     }
--- a/src/flow/Forwarder.test.ts
+++ b/src/flow/Forwarder.test.ts
@@ -1,5 +1,20 @@
-import { Agent, createServer, request, type IncomingHttpHeaders, type IncomingMessage, type OutgoingHttpHeaders, type RequestListener, type Server, type ServerResponse } from 'node:http';
-import { connect, createServer as createTcp, type Server as TcpServer, type Socket } from 'node:net';
+import {
+  Agent,
+  createServer,
+  request,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import {
+  connect,
+  createServer as createTcp,
+  type Server as TcpServer,
+  type Socket,
+} from 'node:net';
 import { expect, test } from 'vitest';
 import { Counters } from '../kin/Counters.js';
 import { monotonicNow } from '../kin/Clock.js';
@@ -14,7 +29,15 @@
   readRequest(headers: IncomingHttpHeaders): SaidByRequest {
     const id = headers['x-id'];
     const last = headers['last-event-id'];
-    return { attemptId: typeof id === 'string' ? id : '', model: '', adapter: '', promptTokens: 0, prefix: [], timeLeftMs: 4000, lastEventId: typeof last === 'string' ? Number(last) : undefined };
+    return {
+      attemptId: typeof id === 'string' ? id : '',
+      model: '',
+      adapter: '',
+      promptTokens: 0,
+      prefix: [],
+      timeLeftMs: 4000,
+      lastEventId: typeof last === 'string' ? Number(last) : undefined,
+    };
   }
 
   tellRunner(headers: OutgoingHttpHeaders, said: SaidToRunner): void {
@@ -23,38 +46,99 @@
   }
 
   readAnswer(status: number, headers: IncomingHttpHeaders, attemptId: string): AnswerHead {
-    return { status, isNotRun: headers['x-not-run'] !== undefined, isGenuine: headers['x-id'] === attemptId };
+    return {
+      status,
+      isNotRun: headers['x-not-run'] !== undefined,
+      isGenuine: headers['x-id'] === attemptId,
+    };
   }
 
-  refusal(_reason: RefuseReason, retryAfterMs: number): { status: number; headers: OutgoingHttpHeaders } {
+  refusal(
+    _reason: RefuseReason,
+    retryAfterMs: number,
+  ): { status: number; headers: OutgoingHttpHeaders } {
     return { status: 503, headers: { 'retry-after': String(retryAfterMs / 1000) } };
   }
 }
 
-const base: Route = { name: 'r', host: 'h', prefix: '/stream/', kind: 'stream', timeoutMs: 4000, targetMs: 1000, gapTargetMs: 600, priority: 0, splits: [{ service: 's', weight: 1 }], tries: 2, isSticky: false, isResumable: true };
+const base: Route = {
+  name: 'r',
+  host: 'h',
+  prefix: '/stream/',
+  kind: 'stream',
+  timeoutMs: 4000,
+  targetMs: 1000,
+  gapTargetMs: 600,
+  priority: 0,
+  splits: [{ service: 's', weight: 1 }],
+  tries: 2,
+  isSticky: false,
+  isResumable: true,
+};
 const routing: Routing = {
   version: 1,
-  routes: [base, { ...base, name: 'once', prefix: '/once/', isResumable: false, tries: 1 }, { ...base, name: 'safe', prefix: '/safe/', kind: 'safe', isResumable: false }, { ...base, name: 'unsafe', prefix: '/unsafe/', kind: 'unsafe', isResumable: false }],
-  services: [{ name: 's', healthPath: '/', maxConnections: 100, warmupMs: 0, warmupPerSecond: 0, engine: undefined }],
+  routes: [
+    base,
+    { ...base, name: 'once', prefix: '/once/', isResumable: false, tries: 1 },
+    { ...base, name: 'safe', prefix: '/safe/', kind: 'safe', isResumable: false },
+    { ...base, name: 'unsafe', prefix: '/unsafe/', kind: 'unsafe', isResumable: false },
+  ],
+  services: [
+    {
+      name: 's',
+      healthPath: '/',
+      maxConnections: 100,
+      warmupMs: 0,
+      warmupPerSecond: 0,
+      engine: undefined,
+    },
+  ],
   limits: { maxHeaderBytes: 16_000, maxBodyBytes: 1000, headerWaitMs: 3000, idleMs: 5000 },
 };
 
-function zero(): number { return 0; }
-function always(): boolean { return true; }
-function nothing(): void { /* no agent beside us */ }
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
+function nothing(): void {
+  /* no agent beside us */
+}
 
 async function listen(server: Server | TcpServer): Promise<string> {
-  function wait(done: () => void): void { server.listen(0, '127.0.0.1', done); }
+  function wait(done: () => void): void {
+    server.listen(0, '127.0.0.1', done);
+  }
   await new Promise<void>(wait);
   const bound = server.address();
   return `127.0.0.1:${typeof bound === 'object' && bound !== null ? bound.port : 0}`;
 }
 
-interface Answer { readonly status: number; readonly headers: IncomingHttpHeaders; readonly body: string; readonly isWhole: boolean }
+interface Answer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  readonly isWhole: boolean;
+}
 class Bench {
   readonly counters = new Counters();
-  readonly dispatcher = new Dispatcher({ flow: 'f', zone: 'z', retry: { ratio: 0.2, extra: 50, windowMs: 10_000 }, warmupExcess: 1.5, connectMs: 300, random: zero, hasIdle: always });
-  readonly forwarder = new Forwarder(this.dispatcher, new TestDialect(), this.counters, monotonicNow, nothing);
+  readonly dispatcher = new Dispatcher({
+    flow: 'f',
+    zone: 'z',
+    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    warmupExcess: 1.5,
+    connectMs: 300,
+    random: zero,
+    hasIdle: always,
+  });
+  readonly forwarder = new Forwarder(
+    this.dispatcher,
+    new TestDialect(),
+    this.counters,
+    monotonicNow,
+    nothing,
+  );
   readonly agent = new Agent({ keepAlive: true, maxSockets: 1 });
   readonly servers: (Server | TcpServer)[] = [];
   readonly seen: string[] = [];
@@ -62,13 +146,26 @@
   #count = 0;
   #beats: NodeJS.Timeout | undefined;
 
-  async start(runners: readonly (RequestListener | ((socket: Socket) => void))[], isRaw = false): Promise<void> {
+  async start(
+    runners: readonly (RequestListener | ((socket: Socket) => void))[],
+    isRaw = false,
+  ): Promise<void> {
     const list: FleetRunner[] = [];
     for (const [index, take] of runners.entries()) {
       const server = isRaw ? createTcp() : createServer();
       server.on(isRaw ? 'connection' : 'request', take);
       this.servers.push(server);
-      list.push({ id: `r${index}`, address: await listen(server), zone: 'z', service: 's', slots: 10, isLeaving: false, coldMs: 0, holds: [], coming: [] });
+      list.push({
+        id: `r${index}`,
+        address: await listen(server),
+        zone: 'z',
+        service: 's',
+        slots: 10,
+        isLeaving: false,
+        coldMs: 0,
+        holds: [],
+        coming: [],
+      });
     }
     this.dispatcher.configure(monotonicNow(), routing, []);
     this.dispatcher.fleet(monotonicNow(), { flows: 1, runners: list, waits: [] });
@@ -80,20 +177,41 @@
     clearInterval(this.#beats);
     this.agent.destroy();
     await this.forwarder.close(100);
-    for (const server of this.servers) { if ('closeAllConnections' in server) server.closeAllConnections(); server.close(); }
+    for (const server of this.servers) {
+      if ('closeAllConnections' in server) server.closeAllConnections();
+      server.close();
+    }
   }
 
-  get address(): string { return this.#address; }
+  get address(): string {
+    return this.#address;
+  }
 
   ask(path: string, headers: OutgoingHttpHeaders = {}, body = 'hello'): Promise<Answer> {
     this.#count += 1;
     const [host, port] = this.#address.split(':');
-    const sent = request({ host, port: Number(port), method: 'POST', path, agent: this.agent, headers: { host: 'h', 'x-id': `q${this.#count}`, 'content-length': body.length, ...headers } });
+    const sent = request({
+      host,
+      port: Number(port),
+      method: 'POST',
+      path,
+      agent: this.agent,
+      headers: { host: 'h', 'x-id': `q${this.#count}`, 'content-length': body.length, ...headers },
+    });
     function run(done: (answer: Answer) => void, fail: (thrown: unknown) => void): void {
       function take(back: IncomingMessage): void {
         const chunks: Buffer[] = [];
-        function keep(chunk: Buffer): void { chunks.push(chunk); }
-        function end(): void { done({ status: back.statusCode ?? 0, headers: back.headers, body: Buffer.concat(chunks).toString(), isWhole: back.complete }); }
+        function keep(chunk: Buffer): void {
+          chunks.push(chunk);
+        }
+        function end(): void {
+          done({
+            status: back.statusCode ?? 0,
+            headers: back.headers,
+            body: Buffer.concat(chunks).toString(),
+            isWhole: back.complete,
+          });
+        }
         back.on('data', keep);
         back.on('error', nothing);
         back.once('close', end);
@@ -107,21 +225,45 @@
   }
 }
 
-function idOf(asked: IncomingMessage): string { const id = asked.headers['x-id']; return typeof id === 'string' ? id : ''; }
-function event(id: number): string { return `id: ${id}\ndata: piece ${id}\n\n`; }
-function sse(answer: ServerResponse, asked: IncomingMessage): void { answer.writeHead(200, { 'content-type': 'text/event-stream', 'x-id': idOf(asked), 'x-seal': 'first' }); }
-function events(from: number, to: number): string { let text = ''; for (let id = from; id <= to; id += 1) text += event(id); return text; }
+function idOf(asked: IncomingMessage): string {
+  const id = asked.headers['x-id'];
+  return typeof id === 'string' ? id : '';
+}
+function event(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+function sse(answer: ServerResponse, asked: IncomingMessage): void {
+  answer.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'x-id': idOf(asked),
+    'x-seal': 'first',
+  });
+}
+function events(from: number, to: number): string {
+  let text = '';
+  for (let id = from; id <= to; id += 1) text += event(id);
+  return text;
+}
 
-async function withBench(runners: readonly RequestListener[], run: (bench: Bench) => Promise<void>): Promise<void> {
+async function withBench(
+  runners: readonly RequestListener[],
+  run: (bench: Bench) => Promise<void>,
+): Promise<void> {
   const bench = new Bench();
   await bench.start(runners);
-  try { await run(bench); } finally { await bench.stop(); }
+  try {
+    await run(bench);
+  } finally {
+    await bench.stop();
+  }
 }
 
 /** Passes three events and part of the fourth, then breaks off. */
 function breakInMidst(asked: IncomingMessage, answer: ServerResponse): void {
   sse(answer, asked);
-  function cut(): void { answer.destroy(); }
+  function cut(): void {
+    answer.destroy();
+  }
   answer.write(events(1, 3) + 'id: 4\nda', cut);
 }
 function goOn(asked: IncomingMessage, answer: ServerResponse): void {
@@ -129,15 +271,25 @@
   sse(answer, asked);
   answer.end(events(from, 6));
 }
-function cutAtOnce(asked: IncomingMessage): void { asked.socket.destroy(); }
-function sayWhole(asked: IncomingMessage, answer: ServerResponse): void { answer.writeHead(200, { 'x-id': idOf(asked), 'x-seal': 's', 'content-length': 5 }).end('whole'); }
+function cutAtOnce(asked: IncomingMessage): void {
+  asked.socket.destroy();
+}
+function sayWhole(asked: IncomingMessage, answer: ServerResponse): void {
+  answer.writeHead(200, { 'x-id': idOf(asked), 'x-seal': 's', 'content-length': 5 }).end('whole');
+}
 function sayHalf(asked: IncomingMessage, answer: ServerResponse): void {
   answer.writeHead(200, { 'x-id': idOf(asked), 'content-length': 10 });
-  function cut(): void { answer.destroy(); }
+  function cut(): void {
+    answer.destroy();
+  }
   answer.write('whol', cut);
 }
-function sayOther(_asked: IncomingMessage, answer: ServerResponse): void { answer.writeHead(200, { 'x-id': 'somebody-else', 'content-length': 5 }).end('other'); }
-function beFull(asked: IncomingMessage, answer: ServerResponse): void { answer.writeHead(503, { 'x-id': idOf(asked), 'x-not-run': '1', 'content-length': 0 }).end(); }
+function sayOther(_asked: IncomingMessage, answer: ServerResponse): void {
+  answer.writeHead(200, { 'x-id': 'somebody-else', 'content-length': 5 }).end('other');
+}
+function beFull(asked: IncomingMessage, answer: ServerResponse): void {
+  answer.writeHead(503, { 'x-id': idOf(asked), 'x-not-run': '1', 'content-length': 0 }).end();
+}
 function sayUnbounded(asked: IncomingMessage, answer: ServerResponse): void {
   asked.resume();
   answer.socket?.end(`HTTP/1.1 200 OK\r\nx-id: ${idOf(asked)}\r\nconnection: close\r\n\r\nhello`);
@@ -145,14 +297,21 @@
 
 async function checkStream(bench: Bench): Promise<void> {
   const answer = await bench.ask('/stream/1');
-  expect([answer.status, answer.body, answer.isWhole, answer.headers['x-seal']]).toEqual([200, events(1, 6), true, 'first']);
+  expect([answer.status, answer.body, answer.isWhole, answer.headers['x-seal']]).toEqual([
+    200,
+    events(1, 6),
+    true,
+    'first',
+  ]);
 }
 async function checkResume(bench: Bench): Promise<void> {
   const answer = await bench.ask('/stream/1');
   expect([answer.body, answer.isWhole]).toEqual([events(1, 6), true]);
   expect(bench.dispatcher.counts.resumed).toBe(1);
 }
-function failHard(asked: IncomingMessage, answer: ServerResponse): void { answer.writeHead(500, { 'x-id': idOf(asked), 'content-length': 4 }).end('oops'); }
+function failHard(asked: IncomingMessage, answer: ServerResponse): void {
+  answer.writeHead(500, { 'x-id': idOf(asked), 'content-length': 4 }).end('oops');
+}
 async function checkVain(bench: Bench): Promise<void> {
   const answer = await bench.ask('/stream/1');
   expect([answer.body, answer.isWhole]).toEqual([events(1, 3), false]);
@@ -194,28 +353,74 @@
   expect((await bench.ask('/safe/1', {}, 'x'.repeat(1001))).status).toBe(413);
 }
 async function checkHeaders(bench: Bench): Promise<void> {
-  const answer = await bench.ask('/safe/1?x=1', { 'x-more': 'kept', connection: 'keep-alive, x-hop', 'x-hop': 'dropped' });
+  const answer = await bench.ask('/safe/1?x=1', {
+    'x-more': 'kept',
+    connection: 'keep-alive, x-hop',
+    'x-hop': 'dropped',
+  });
   const { url, headers } = JSON.parse(answer.body);
-  expect([url, headers['x-more'], headers['x-hop'], headers['host'], headers['x-target']]).toEqual(['/safe/1?x=1', 'kept', undefined, 'h', 'r0']);
+  expect([url, headers['x-more'], headers['x-hop'], headers['host'], headers['x-target']]).toEqual([
+    '/safe/1?x=1',
+    'kept',
+    undefined,
+    'h',
+    'r0',
+  ]);
 }
 function echoHead(asked: IncomingMessage, answer: ServerResponse): void {
   const body = JSON.stringify({ url: asked.url, headers: asked.headers });
   answer.writeHead(200, { 'x-id': idOf(asked), 'content-length': body.length }).end(body);
 }
 
-test('a stream comes through whole, with the head of its runner', withBench.bind(undefined, [goOn], checkStream));
-test('a stream that breaks goes on at another runner inside the same answer', withBench.bind(undefined, [breakInMidst, goOn], checkResume));
-test('a stream that breaks and finds only failures is seen to be broken', withBench.bind(undefined, [breakInMidst, failHard], checkVain));
-test('heads larger than operators allow are turned down', withBench.bind(undefined, [sayWhole], checkHeadSize));
-test('a client goes on after the last event it has', withBench.bind(undefined, [goOn], checkClientResumes));
-test('a stream that may run once is seen to be broken, at a whole event', withBench.bind(undefined, [breakInMidst, goOn], checkOnceBroken));
-test('what may run once and broke is told as unsure, not as refused', withBench.bind(undefined, [cutAtOnce, cutAtOnce], checkOnceCut));
-test('a safe answer that breaks off is asked for again', withBench.bind(undefined, [sayHalf, sayWhole], checkSafe));
-test('an answer to somebody else is never passed on', withBench.bind(undefined, [sayOther, sayWhole], checkOther));
-test('a full service is refused with when to come back', withBench.bind(undefined, [beFull, beFull], checkFull));
-test('an answer that does not tell its end is not passed on as whole', withBench.bind(undefined, [sayUnbounded], checkUnbounded));
+test(
+  'a stream comes through whole, with the head of its runner',
+  withBench.bind(undefined, [goOn], checkStream),
+);
+test(
+  'a stream that breaks goes on at another runner inside the same answer',
+  withBench.bind(undefined, [breakInMidst, goOn], checkResume),
+);
+test(
+  'a stream that breaks and finds only failures is seen to be broken',
+  withBench.bind(undefined, [breakInMidst, failHard], checkVain),
+);
+test(
+  'heads larger than operators allow are turned down',
+  withBench.bind(undefined, [sayWhole], checkHeadSize),
+);
+test(
+  'a client goes on after the last event it has',
+  withBench.bind(undefined, [goOn], checkClientResumes),
+);
+test(
+  'a stream that may run once is seen to be broken, at a whole event',
+  withBench.bind(undefined, [breakInMidst, goOn], checkOnceBroken),
+);
+test(
+  'what may run once and broke is told as unsure, not as refused',
+  withBench.bind(undefined, [cutAtOnce, cutAtOnce], checkOnceCut),
+);
+test(
+  'a safe answer that breaks off is asked for again',
+  withBench.bind(undefined, [sayHalf, sayWhole], checkSafe),
+);
+test(
+  'an answer to somebody else is never passed on',
+  withBench.bind(undefined, [sayOther, sayWhole], checkOther),
+);
+test(
+  'a full service is refused with when to come back',
+  withBench.bind(undefined, [beFull, beFull], checkFull),
+);
+test(
+  'an answer that does not tell its end is not passed on as whole',
+  withBench.bind(undefined, [sayUnbounded], checkUnbounded),
+);
 test('too large a body is turned down', withBench.bind(undefined, [sayWhole], checkSizes));
-test('heads are passed on but for what concerns one connection', withBench.bind(undefined, [echoHead], checkHeaders));
+test(
+  'heads are passed on but for what concerns one connection',
+  withBench.bind(undefined, [echoHead], checkHeaders),
+);
 test('a second answer on a kept connection reaches nobody', checkSurplus);
 test('a client that leaves cancels its run', checkLeaves);
 test('a planned stop lets what runs end and asks clients to go elsewhere', checkStop);
@@ -240,13 +445,17 @@
       const answer = await bench.ask('/safe/1');
       if (answer.status === 200) expect(answer.body).toBe(`q${index}`);
     }
-  } finally { await bench.stop(); }
+  } finally {
+    await bench.stop();
+  }
 }
 
 async function checkLeaves(): Promise<void> {
   const bench = new Bench();
   let left: () => void = nothing;
-  function enlist(done: () => void): void { left = done; }
+  function enlist(done: () => void): void {
+    left = done;
+  }
   const isLeft = new Promise<void>(enlist);
   function hang(asked: IncomingMessage, answer: ServerResponse): void {
     sse(answer, asked);
@@ -257,7 +466,9 @@
   const [host, port] = bench.address.split(':');
   const socket = connect(Number(port), host);
   socket.write('POST /stream/1 HTTP/1.1\r\nhost: h\r\nx-id: q\r\ncontent-length: 0\r\n\r\n');
-  function leave(): void { socket.destroy(); }
+  function leave(): void {
+    socket.destroy();
+  }
   socket.once('data', leave);
   await isLeft;
   await bench.stop();
@@ -270,12 +481,16 @@
   function slow(asked: IncomingMessage, answer: ServerResponse): void {
     sse(answer, asked);
     answer.write(event(1));
-    function end(): void { answer.end(event(2)); }
+    function end(): void {
+      answer.end(event(2));
+    }
     finish = end;
     if (stopAt) stopAt();
   }
   let stopAt: (() => void) | undefined;
-  function enlist(done: () => void): void { stopAt = done; }
+  function enlist(done: () => void): void {
+    stopAt = done;
+  }
   const isRunning = new Promise<void>(enlist);
   await bench.start([slow]);
   const asked = bench.ask('/stream/1');
--- a/src/flow/Forwarder.ts
+++ b/src/flow/Forwarder.ts
@@ -1,4 +1,12 @@
-import { createServer, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders, type Server, type ServerResponse } from 'node:http';
+import {
+  createServer,
+  request,
+  type ClientRequest,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { readBytes } from '../kin/Call.js';
@@ -11,11 +19,28 @@
 import { RunnerAgent } from './RunnerAgent.js';
 
 /** Headers that concern one connection only. */
-const HOP_HEADERS = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'transfer-encoding', 'upgrade', 'expect', 'proxy-connection', 'content-length', 'trailer']);
+const HOP_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+  'proxy-connection',
+  'content-length',
+  'trailer',
+]);
 /** An answer larger than this is passed on as it comes, even where it could be kept for a retry. */
 const MOST_BUFFERED = 1024 * 1024;
 /** Until operators have set their limits. */
-const FIRST_LIMITS = { maxHeaderBytes: 64 * 1024, maxBodyBytes: 4 * 1024 * 1024, headerWaitMs: 5000, idleMs: 15_000 } as const;
+const FIRST_LIMITS = {
+  maxHeaderBytes: 64 * 1024,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerWaitMs: 5000,
+  idleMs: 15_000,
+} as const;
 
 interface Exchange {
   readonly id: number;
@@ -42,9 +67,11 @@
   const passed: OutgoingHttpHeaders = {};
   for (const [name, values] of Object.entries(message.headersDistinct)) {
     const [first] = values ?? [];
-    if (values && first !== undefined && !HOP_HEADERS.has(name)) passed[name] = values.length === 1 ? first : values;
+    if (values && first !== undefined && !HOP_HEADERS.has(name))
+      passed[name] = values.length === 1 ? first : values;
   }
-  if (named !== undefined && named !== 'close' && named !== 'keep-alive') for (const name of named.split(',')) Reflect.deleteProperty(passed, name.trim().toLowerCase());
+  if (named !== undefined && named !== 'close' && named !== 'keep-alive')
+    for (const name of named.split(',')) Reflect.deleteProperty(passed, name.trim().toLowerCase());
   return passed;
 }
 
@@ -52,7 +79,10 @@
 function isBounded(method: string, back: IncomingMessage): boolean {
   const status = back.statusCode ?? 0;
   if (method === 'HEAD' || status === 204 || status === 304) return true;
-  return back.headers['content-length'] !== undefined || (back.headers['transfer-encoding'] ?? '').toLowerCase().includes('chunked');
+  return (
+    back.headers['content-length'] !== undefined ||
+    (back.headers['transfer-encoding'] ?? '').toLowerCase().includes('chunked')
+  );
 }
 
 /** Obeys the dispatcher over HTTP: reads requests, sends them where it says, passes answers on whole or visibly broken. */
@@ -71,20 +101,41 @@
   #isDraining = false;
   #onIdle: (() => void) | undefined;
 
-  constructor(dispatcher: Dispatcher, dialect: RequestDialect, counters: Counters, now: () => Moment, afterWork: () => void, agent: RunnerAgent = new RunnerAgent()) {
+  constructor(
+    dispatcher: Dispatcher,
+    dialect: RequestDialect,
+    counters: Counters,
+    now: () => Moment,
+    afterWork: () => void,
+    agent: RunnerAgent = new RunnerAgent(),
+  ) {
     this.#agent = agent;
     this.#dispatcher = dispatcher;
     this.#dialect = dialect;
     this.#counters = counters;
     this.#now = now;
     this.#afterWork = afterWork;
-    this.#server = createServer({ maxHeaderSize: FIRST_LIMITS.maxHeaderBytes, requestTimeout: 0, headersTimeout: FIRST_LIMITS.headerWaitMs, keepAliveTimeout: FIRST_LIMITS.idleMs, connectionsCheckingInterval: 1000, noDelay: true }, this.#accept.bind(this));
+    this.#server = createServer(
+      {
+        maxHeaderSize: FIRST_LIMITS.maxHeaderBytes,
+        requestTimeout: 0,
+        headersTimeout: FIRST_LIMITS.headerWaitMs,
+        keepAliveTimeout: FIRST_LIMITS.idleMs,
+        connectionsCheckingInterval: 1000,
+        noDelay: true,
+      },
+      this.#accept.bind(this),
+    );
     this.#server.on('clientError', this.#clientError.bind(this));
   }
 
-  get size(): number { return this.#exchanges.size; }
+  get size(): number {
+    return this.#exchanges.size;
+  }
 
-  listen(address: string): Promise<number> { return listenOn(this.#server, address); }
+  listen(address: string): Promise<number> {
+    return listenOn(this.#server, address);
+  }
 
   /** Operators' limits on what a client may send, and how slowly. */
   limit(): void {
@@ -102,7 +153,9 @@
   }
 
   /** From here on every answer asks its client to go elsewhere. */
-  startDraining(): void { this.#isDraining = true; }
+  startDraining(): void {
+    this.#isDraining = true;
+  }
 
   /** Takes no new connection, lets what runs end, and resolves then or at the limit. */
   async close(limitMs: number): Promise<void> {
@@ -121,8 +174,16 @@
 
   #clientError(thrown: Error & { code?: string }, socket: Duplex): void {
     this.#counters.add('requests.malformed');
-    if (!socket.writable || thrown.code === 'ECONNRESET') { socket.destroy(); return; }
-    const status = thrown.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : thrown.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
+    if (!socket.writable || thrown.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const status =
+      thrown.code === 'HPE_HEADER_OVERFLOW'
+        ? '431 Request Header Fields Too Large'
+        : thrown.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+          ? '408 Request Timeout'
+          : '400 Bad Request';
     socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
   }
 
@@ -131,7 +192,10 @@
     const limits = this.#dispatcher.routing?.limits ?? FIRST_LIMITS;
     let body: Buffer;
     try {
-      if (Number(asked.headers['content-length'] ?? 0) > limits.maxBodyBytes) { this.#tooLarge(asked, answer); return; }
+      if (Number(asked.headers['content-length'] ?? 0) > limits.maxBodyBytes) {
+        this.#tooLarge(asked, answer);
+        return;
+      }
       body = await readBytes(asked, limits.maxBodyBytes);
     } catch {
       if (!answer.destroyed) this.#tooLarge(asked, answer);
@@ -140,12 +204,30 @@
     this.#count += 1;
     const id = this.#count;
     const said = this.#dialect.readRequest(asked.headers);
-    const exchange: Exchange = { id, asked, answer, body, said, attempt: undefined, lastEventId: said.lastEventId, isHeadPassed: false };
+    const exchange: Exchange = {
+      id,
+      asked,
+      answer,
+      body,
+      said,
+      attempt: undefined,
+      lastEventId: said.lastEventId,
+      isHeadPassed: false,
+    };
     this.#exchanges.set(id, exchange);
     answer.once('close', this.#closed.bind(this, exchange));
     const path = (asked.url ?? '/').split('?', 1)[0] ?? '/';
     const { model, adapter, promptTokens, prefix, timeLeftMs } = said;
-    this.#dispatcher.take(this.#now(), { id, host: asked.headers.host ?? '', path, model, adapter, promptTokens, prefix, timeLeftMs });
+    this.#dispatcher.take(this.#now(), {
+      id,
+      host: asked.headers.host ?? '',
+      path,
+      model,
+      adapter,
+      promptTokens,
+      prefix,
+      timeLeftMs,
+    });
     this.obey();
   }
 
@@ -158,7 +240,11 @@
   obey(): void {
     if (this.#isObeying) return;
     this.#isObeying = true;
-    for (let effects = this.#dispatcher.drain(); effects.length > 0; effects = this.#dispatcher.drain()) {
+    for (
+      let effects = this.#dispatcher.drain();
+      effects.length > 0;
+      effects = this.#dispatcher.drain()
+    ) {
       for (const effect of effects) {
         const exchange = this.#exchanges.get(effect.id);
         if (exchange) this.#tryCarryOut(exchange, effect);
@@ -181,18 +267,34 @@
   #carryOut(exchange: Exchange, effect: DispatchEffect): void {
     const { attempt } = exchange;
     switch (effect.do) {
-      case 'send': this.#send(exchange, effect); break;
-      case 'pass': if (attempt?.number === effect.attempt) this.#pass(exchange, attempt); break;
-      case 'cancel': if (attempt?.number === effect.attempt) { attempt.isOver = true; attempt.sent.destroy(); } break;
-      case 'refuse': this.#refuse(exchange, effect); break;
-      case 'fail': this.#fail(exchange, effect.isTimeout ? 504 : 502); break;
+      case 'send':
+        this.#send(exchange, effect);
+        break;
+      case 'pass':
+        if (attempt?.number === effect.attempt) this.#pass(exchange, attempt);
+        break;
+      case 'cancel':
+        if (attempt?.number === effect.attempt) {
+          attempt.isOver = true;
+          attempt.sent.destroy();
+        }
+        break;
+      case 'refuse':
+        this.#refuse(exchange, effect);
+        break;
+      case 'fail':
+        this.#fail(exchange, effect.isTimeout ? 504 : 502);
+        break;
     }
   }
 
   #refuse(exchange: Exchange, effect: Extract<DispatchEffect, { do: 'refuse' }>): void {
     this.#counters.add(`refused.${effect.reason}`);
     const { answer } = exchange;
-    if (answer.headersSent || answer.destroyed) { answer.destroy(); return; }
+    if (answer.headersSent || answer.destroyed) {
+      answer.destroy();
+      return;
+    }
     const { status, headers } = this.#dialect.refusal(effect.reason, effect.retryAfterMs);
     if (this.#isDraining) headers['connection'] = 'close';
     answer.writeHead(status, { ...headers, 'content-length': 0 }).end();
@@ -202,8 +304,17 @@
     this.#counters.add(`failed.${status}`);
     const { answer } = exchange;
     // An answer that has begun must be seen to be broken.
-    if (exchange.isHeadPassed || answer.headersSent) { answer.destroy(); return; }
-    if (!answer.destroyed) answer.writeHead(status, this.#isDraining ? { 'content-length': 0, connection: 'close' } : { 'content-length': 0 }).end();
+    if (exchange.isHeadPassed || answer.headersSent) {
+      answer.destroy();
+      return;
+    }
+    if (!answer.destroyed)
+      answer
+        .writeHead(
+          status,
+          this.#isDraining ? { 'content-length': 0, connection: 'close' } : { 'content-length': 0 },
+        )
+        .end();
   }
 
   /** The client's connection closed, or all was answered. */
@@ -211,7 +322,10 @@
     this.#exchanges.delete(exchange.id);
     if (!exchange.answer.writableFinished) {
       this.#counters.add('clients.gone');
-      if (exchange.attempt && !exchange.attempt.isOver) { exchange.attempt.isOver = true; exchange.attempt.sent.destroy(); }
+      if (exchange.attempt && !exchange.attempt.isOver) {
+        exchange.attempt.isOver = true;
+        exchange.attempt.sent.destroy();
+      }
     }
     this.#dispatcher.gone(this.#now(), exchange.id);
     this.obey();
@@ -223,10 +337,24 @@
   #send(exchange: Exchange, send: Extract<DispatchEffect, { do: 'send' }>): void {
     const { host, port } = splitAddress(send.address);
     const headers = passedOn(exchange.asked);
-    this.#dialect.tellRunner(headers, { runner: send.runner, timeLeftMs: send.timeLeftMs, urgency: send.urgency, lastEventId: exchange.lastEventId });
+    this.#dialect.tellRunner(headers, {
+      runner: send.runner,
+      timeLeftMs: send.timeLeftMs,
+      urgency: send.urgency,
+      lastEventId: exchange.lastEventId,
+    });
     const method = exchange.asked.method ?? 'GET';
-    if (exchange.body.length > 0 || method === 'POST' || method === 'PUT' || method === 'PATCH') headers['content-length'] = exchange.body.length;
-    const sent = request({ host, port, method, path: exchange.asked.url ?? '/', headers, agent: this.#agent, setHost: false });
+    if (exchange.body.length > 0 || method === 'POST' || method === 'PUT' || method === 'PATCH')
+      headers['content-length'] = exchange.body.length;
+    const sent = request({
+      host,
+      port,
+      method,
+      path: exchange.asked.url ?? '/',
+      headers,
+      agent: this.#agent,
+      setHost: false,
+    });
     const attempt: Attempt = { number: send.attempt, send, sent, back: undefined, isOver: false };
     exchange.attempt = attempt;
     sent.once('socket', this.#socket.bind(this, exchange, attempt));
@@ -235,7 +363,10 @@
   }
 
   #socket(exchange: Exchange, attempt: Attempt, socket: Socket): void {
-    if (!socket.connecting) { this.#write(exchange, attempt); return; }
+    if (!socket.connecting) {
+      this.#write(exchange, attempt);
+      return;
+    }
     this.#counters.add('connections');
     socket.setNoDelay(true);
     socket.once('connect', this.#write.bind(this, exchange, attempt));
@@ -257,16 +388,28 @@
     if (attempt.isOver) return;
     attempt.isOver = true;
     this.#counters.add('runs.broke');
-    this.#dispatcher.broke(this.#now(), exchange.id, attempt.number, attempt.sent.reusedSocket && attempt.back === undefined);
+    this.#dispatcher.broke(
+      this.#now(),
+      exchange.id,
+      attempt.number,
+      attempt.sent.reusedSocket && attempt.back === undefined,
+    );
     this.obey();
   }
 
   #receive(exchange: Exchange, attempt: Attempt, back: IncomingMessage): void {
-    if (attempt.isOver) { back.resume(); return; }
+    if (attempt.isOver) {
+      back.resume();
+      return;
+    }
     attempt.back = back;
     this.#agent.note(back);
     back.on('error', ignore);
-    const head = this.#dialect.readAnswer(back.statusCode ?? 0, back.headers, exchange.said.attemptId);
+    const head = this.#dialect.readAnswer(
+      back.statusCode ?? 0,
+      back.headers,
+      exchange.said.attemptId,
+    );
     if (head.isNotRun || head.status === 421) {
       attempt.isOver = true;
       this.#counters.add(`runs.not-run.${head.status}`);
@@ -281,12 +424,24 @@
   #pass(exchange: Exchange, attempt: Attempt): void {
     const { back } = attempt;
     if (!back) return;
-    if (!isBounded(exchange.asked.method ?? 'GET', back)) { attempt.sent.destroy(); this.#broke(exchange, attempt); return; }
+    if (!isBounded(exchange.asked.method ?? 'GET', back)) {
+      attempt.sent.destroy();
+      this.#broke(exchange, attempt);
+      return;
+    }
     const isStream = (back.headers['content-type'] ?? '').startsWith('text/event-stream');
     // What was begun as a stream can only go on as one: any other answer of a further runner is none to this client.
-    if (exchange.isHeadPassed && !isStream) { attempt.sent.destroy(); this.#broke(exchange, attempt); return; }
+    if (exchange.isHeadPassed && !isStream) {
+      attempt.sent.destroy();
+      this.#broke(exchange, attempt);
+      return;
+    }
     if (isStream) this.#passStream(exchange, attempt, back);
-    else if (attempt.send.isBuffered && Number(back.headers['content-length'] ?? 0) <= MOST_BUFFERED) this.#passWhole(exchange, attempt, back);
+    else if (
+      attempt.send.isBuffered &&
+      Number(back.headers['content-length'] ?? 0) <= MOST_BUFFERED
+    )
+      this.#passWhole(exchange, attempt, back);
     else this.#passBytes(exchange, attempt, back);
   }
 
@@ -301,14 +456,25 @@
   /** A small answer that may be asked for again is passed on once it is whole. */
   #passWhole(exchange: Exchange, attempt: Attempt, back: IncomingMessage): void {
     const chunks: Buffer[] = [];
-    const forwarder = { dispatcher: this.#dispatcher, now: this.#now, obey: this.obey.bind(this), writeHead: this.#writeHead.bind(this) };
-    function take(chunk: Buffer): void { chunks.push(chunk); }
+    const forwarder = {
+      dispatcher: this.#dispatcher,
+      now: this.#now,
+      obey: this.obey.bind(this),
+      writeHead: this.#writeHead.bind(this),
+    };
+    function take(chunk: Buffer): void {
+      chunks.push(chunk);
+    }
     function end(): void {
       if (attempt.isOver) return;
       attempt.isOver = true;
       forwarder.dispatcher.moved(forwarder.now(), exchange.id, attempt.number);
       const body = Buffer.concat(chunks);
-      forwarder.writeHead(exchange, back, exchange.asked.method === 'HEAD' ? back.headers['content-length'] : body.length);
+      forwarder.writeHead(
+        exchange,
+        back,
+        exchange.asked.method === 'HEAD' ? back.headers['content-length'] : body.length,
+      );
       exchange.answer.end(body);
       forwarder.dispatcher.ended(forwarder.now(), exchange.id, attempt.number);
       forwarder.obey();
@@ -325,7 +491,10 @@
     function take(chunk: Buffer): void {
       if (attempt.isOver) return;
       forwarder.dispatcher.moved(forwarder.now(), exchange.id, attempt.number);
-      if (!answer.write(chunk)) { back.pause(); answer.once('drain', back.resume.bind(back)); }
+      if (!answer.write(chunk)) {
+        back.pause();
+        answer.once('drain', back.resume.bind(back));
+      }
     }
     function end(): void {
       if (attempt.isOver) return;
@@ -344,11 +513,17 @@
     const { answer } = exchange;
     const stream = new EventStream();
     const forwarder = {
-      dispatcher: this.#dispatcher, now: this.#now, obey: this.obey.bind(this), counters: this.#counters,
-      writeHead: this.#writeHead.bind(this, exchange, back, undefined), broke: this.#broke.bind(this, exchange, attempt),
+      dispatcher: this.#dispatcher,
+      now: this.#now,
+      obey: this.obey.bind(this),
+      counters: this.#counters,
+      writeHead: this.#writeHead.bind(this, exchange, back, undefined),
+      broke: this.#broke.bind(this, exchange, attempt),
     };
     const isResumption = exchange.isHeadPassed;
-    function begin(): void { if (!exchange.isHeadPassed) forwarder.writeHead(); }
+    function begin(): void {
+      if (!exchange.isHeadPassed) forwarder.writeHead();
+    }
     function take(chunk: Buffer): void {
       if (attempt.isOver) return;
       const passed: Buffer[] = [];
@@ -357,7 +532,12 @@
           const { lastEventId } = exchange;
           // What was passed on before is not passed on twice, and a gap is never hidden.
           if (lastEventId !== undefined && id <= lastEventId) continue;
-          if (isResumption && lastEventId !== undefined && id > lastEventId + 1) { forwarder.counters.add('streams.gap'); attempt.sent.destroy(); forwarder.broke(); return; }
+          if (isResumption && lastEventId !== undefined && id > lastEventId + 1) {
+            forwarder.counters.add('streams.gap');
+            attempt.sent.destroy();
+            forwarder.broke();
+            return;
+          }
           exchange.lastEventId = id;
         }
         passed.push(bytes);
@@ -366,7 +546,10 @@
       if (passed.length === 0) return;
       begin();
       const isTaken = answer.write(passed.length === 1 ? passed[0] : Buffer.concat(passed));
-      if (!isTaken) { back.pause(); answer.once('drain', back.resume.bind(back)); }
+      if (!isTaken) {
+        back.pause();
+        answer.once('drain', back.resume.bind(back));
+      }
     }
     function end(): void {
       if (attempt.isOver) return;
@@ -382,4 +565,6 @@
   }
 }
 
-function ignore(): void { /* the close that follows tells */ }
+function ignore(): void {
+  /* the close that follows tells */
+}
--- a/src/flow/Freshness.ts
+++ b/src/flow/Freshness.ts
@@ -31,5 +31,7 @@
     if (until > this.#freshUntil) this.#freshUntil = until;
   }
 
-  isFresh(now: Moment): boolean { return now < this.#freshUntil; }
+  isFresh(now: Moment): boolean {
+    return now < this.#freshUntil;
+  }
 }
