--- a/src/flow/Passages.ts
+++ b/src/flow/Passages.ts
@@ -6,7 +6,12 @@
 /** What whoever has the connections must do now. */
 export type Step =
   /** Connect to that runner, and write nothing yet. */
-  | { readonly do: 'connect'; readonly id: number; readonly attempt: number; readonly verdict: RunVerdict }
+  | {
+      readonly do: 'connect';
+      readonly id: number;
+      readonly attempt: number;
+      readonly verdict: RunVerdict;
+    }
   | { readonly do: 'write'; readonly id: number; readonly attempt: number }
   /** Pass on to the client the head that came, and what follows. */
   | { readonly do: 'pass'; readonly id: number; readonly attempt: number; readonly table: number }
@@ -17,7 +22,13 @@
   /** Drop the connection to the runner. */
   | { readonly do: 'cancel'; readonly id: number; readonly attempt: number }
   /** The final word on a request that got none from a runner. */
-  | { readonly do: 'tell'; readonly id: number; readonly kind: DefectKind; readonly text: string; readonly retryMs: number };
+  | {
+      readonly do: 'tell';
+      readonly id: number;
+      readonly kind: DefectKind;
+      readonly text: string;
+      readonly retryMs: number;
+    };
 
 export interface PassageSettings {
   /** The most; of a short lateness no more than an eighth. */
@@ -27,7 +38,10 @@
 }
 
 /** How a head that came back ends, if it does, and whether the runner has begun the request at all. */
-export interface Head { readonly isBegun: boolean; readonly isBounded: boolean }
+export interface Head {
+  readonly isBegun: boolean;
+  readonly isBounded: boolean;
+}
 
 interface Passage {
   readonly asked: Asked;
@@ -65,7 +79,9 @@
     this.#counters = counters;
   }
 
-  get size(): number { return this.#passages.size; }
+  get size(): number {
+    return this.#passages.size;
+  }
 
   drain(): Step[] {
     const steps = this.#steps;
@@ -75,7 +91,16 @@
 
   /** A request has come whole. */
   take(now: Moment, asked: Asked): void {
-    this.#passages.set(asked.id, { asked, stage: 'pending', attempt: 0, verdict: undefined, isWritten: false, wasWrittenBefore: false, isBounded: false, movedAt: now });
+    this.#passages.set(asked.id, {
+      asked,
+      stage: 'pending',
+      attempt: 0,
+      verdict: undefined,
+      isWritten: false,
+      wasWrittenBefore: false,
+      isBounded: false,
+      movedAt: now,
+    });
     this.#decision.gate(now, asked);
     this.settle(now);
   }
@@ -103,7 +128,10 @@
     // A stream that has begun in time goes on; anything else ends with its limit.
     const isLate = now >= verdict.limit && !(stage === 'returning' && verdict.row.stream);
     if (isLate) this.#late(now, passage);
-    else if (stage === 'connecting' && now >= later(passage.movedAt, Math.min(this.#settings.connectMs, verdict.row.lateMs / 8))) {
+    else if (
+      stage === 'connecting' &&
+      now >= later(passage.movedAt, Math.min(this.#settings.connectMs, verdict.row.lateMs / 8))
+    ) {
       this.#cancel(passage);
       this.#unreached(now, passage);
     } else if (stage === 'returning' && now >= later(passage.movedAt, this.#settings.silentMs)) {
@@ -117,12 +145,21 @@
     this.#counters.add('runs.late');
     this.#cancel(passage);
     const { id } = passage.asked;
-    if (passage.stage === 'returning') { this.#breakOff(now, passage); return; }
+    if (passage.stage === 'returning') {
+      this.#breakOff(now, passage);
+      return;
+    }
     // How long it has gone on already says how long runs are, at the least.
     if (passage.stage === 'written') this.#decision.done(now, id);
     else this.#decision.gone(now, id);
     this.#end(passage);
-    this.#steps.push({ do: 'tell', id, kind: passage.isWritten ? 'unsure-late' : 'limit-passed', text: 'its limit passed', retryMs: 0 });
+    this.#steps.push({
+      do: 'tell',
+      id,
+      kind: passage.isWritten ? 'unsure-late' : 'limit-passed',
+      text: 'its limit passed',
+      retryMs: 0,
+    });
   }
 
   // ---- what is heard of the connections
@@ -172,7 +209,10 @@
     const passage = this.#current(id, attempt, 'returning');
     if (!passage) return;
     // One that has neither length nor chunks ends alike whether it is whole or its runner crashed.
-    if (!passage.isBounded) { this.broke(now, id, attempt, false); return; }
+    if (!passage.isBounded) {
+      this.broke(now, id, attempt, false);
+      return;
+    }
     this.#counters.add('returns');
     this.#end(passage);
     this.#steps.push({ do: 'finish', id, attempt });
@@ -185,14 +225,22 @@
     const passage = this.#passages.get(id);
     if (!passage || passage.attempt !== attempt || passage.stage === 'pending') return;
     if (passage.stage === 'connecting') this.#unreached(now, passage);
-    else if (passage.stage === 'returning') { this.#cancel(passage); this.#breakOff(now, passage); }
-    else {
+    else if (passage.stage === 'returning') {
+      this.#cancel(passage);
+      this.#breakOff(now, passage);
+    } else {
       this.#counters.add(isStale ? 'runs.stale' : 'runs.broke');
       passage.stage = 'pending';
       if (this.#decision.broke(now, id, true, isStale)) this.#counters.add('repeats');
       else {
         this.#end(passage);
-        this.#steps.push({ do: 'tell', id, kind: 'unsure-run', text: 'the runner broke off; it may have run', retryMs: 0 });
+        this.#steps.push({
+          do: 'tell',
+          id,
+          kind: 'unsure-run',
+          text: 'the runner broke off; it may have run',
+          retryMs: 0,
+        });
       }
     }
     this.settle(now);
@@ -216,9 +264,13 @@
     return passage && passage.attempt === attempt && passage.stage === stage ? passage : undefined;
   }
 
-  #cancel(passage: Passage): void { this.#steps.push({ do: 'cancel', id: passage.asked.id, attempt: passage.attempt }); }
+  #cancel(passage: Passage): void {
+    this.#steps.push({ do: 'cancel', id: passage.asked.id, attempt: passage.attempt });
+  }
 
-  #end(passage: Passage): void { this.#passages.delete(passage.asked.id); }
+  #end(passage: Passage): void {
+    this.#passages.delete(passage.asked.id);
+  }
 
   #unreached(now: Moment, passage: Passage): void {
     this.#counters.add('runs.unreached');
@@ -235,7 +287,11 @@
 
   /** Takes up the verdicts that have come about. */
   settle(now: Moment): void {
-    for (let verdicts = this.#decision.drain(); verdicts.length > 0; verdicts = this.#decision.drain()) {
+    for (
+      let verdicts = this.#decision.drain();
+      verdicts.length > 0;
+      verdicts = this.#decision.drain()
+    ) {
       for (const verdict of verdicts) {
         const passage = this.#passages.get(verdict.id);
         if (!passage) continue;
@@ -243,8 +299,22 @@
         else {
           this.#end(passage);
           // Once bytes were written, no return ever claims that it was turned away.
-          if (passage.isWritten) this.#steps.push({ do: 'tell', id: verdict.id, kind: 'unsure-run', text: 'a runner was reached and broke off; it may have run', retryMs: 0 });
-          else this.#steps.push({ do: 'tell', id: verdict.id, kind: verdict.kind, text: verdict.text, retryMs: verdict.retryMs });
+          if (passage.isWritten)
+            this.#steps.push({
+              do: 'tell',
+              id: verdict.id,
+              kind: 'unsure-run',
+              text: 'a runner was reached and broke off; it may have run',
+              retryMs: 0,
+            });
+          else
+            this.#steps.push({
+              do: 'tell',
+              id: verdict.id,
+              kind: verdict.kind,
+              text: verdict.text,
+              retryMs: verdict.retryMs,
+            });
         }
       }
     }
@@ -264,5 +334,7 @@
 /** Seconds after which coming back is worth while: from what is known, else the kind's own. */
 export function retryAfterOf(kind: DefectKind, retryMs: number): number {
   const { retryAfter } = DEFECTS[kind];
-  return retryAfter === 0 || retryMs === 0 ? retryAfter : Math.min(120, Math.max(1, Math.ceil(retryMs / 1000)));
+  return retryAfter === 0 || retryMs === 0
+    ? retryAfter
+    : Math.min(120, Math.max(1, Math.ceil(retryMs / 1000)));
 }
--- a/src/flow/ProxyProcess.ts
+++ b/src/flow/ProxyProcess.ts
@@ -57,16 +57,40 @@
   #wasReady = false;
   #urgent: NodeJS.Timeout | undefined;
 
-  constructor(settings: ProxySettings, configDialect: ConfigDialect, requestDialect: RequestDialect, log: Logger) {
+  constructor(
+    settings: ProxySettings,
+    configDialect: ConfigDialect,
+    requestDialect: RequestDialect,
+    log: Logger,
+  ) {
     this.#settings = settings;
     this.#configDialect = configDialect;
     this.#log = log;
     this.#me = `flow@${settings.listen}`;
-    this.#exchange = new Exchange({ id: this.#me, role: 'flow', zone: settings.zone, listen: '', reach: {} }, this.#tell.bind(this));
+    this.#exchange = new Exchange(
+      { id: this.#me, role: 'flow', zone: settings.zone, listen: '', reach: {} },
+      this.#tell.bind(this),
+    );
     const agent = new RunnerAgent();
-    function hasIdle(address: string): boolean { const { host, port } = splitAddress(address); return agent.hasIdle(host, port); }
-    this.#dispatcher = new Dispatcher({ ...settings.dispatcher, flow: this.#me, zone: settings.zone, random: Math.random, hasIdle });
-    this.#forwarder = new Forwarder(this.#dispatcher, requestDialect, this.#counters, monotonicNow, this.#afterWork.bind(this), agent);
+    function hasIdle(address: string): boolean {
+      const { host, port } = splitAddress(address);
+      return agent.hasIdle(host, port);
+    }
+    this.#dispatcher = new Dispatcher({
+      ...settings.dispatcher,
+      flow: this.#me,
+      zone: settings.zone,
+      random: Math.random,
+      hasIdle,
+    });
+    this.#forwarder = new Forwarder(
+      this.#dispatcher,
+      requestDialect,
+      this.#counters,
+      monotonicNow,
+      this.#afterWork.bind(this),
+      agent,
+    );
     this.#readiness = createServer({ keepAliveTimeout: 30_000 }, this.#sayReady.bind(this));
   }
 
@@ -86,7 +110,9 @@
     this.#dispatcher.startDraining();
     this.#forwarder.startDraining();
     const leave = Math.min(leaveMs, graceMs / 2);
-    function wait(done: () => void): void { setTimeout(done, leave); }
+    function wait(done: () => void): void {
+      setTimeout(done, leave);
+    }
     await new Promise<void>(wait);
     await this.#forwarder.close(Math.max(100, graceMs - leave - GRACE_MARGIN_MS));
     this.#subscription.unsubscribe();
@@ -95,9 +121,18 @@
     this.#exchange.close();
   }
 
-  counters(): object { return { ...this.#counters.all(), ...this.#dispatcher.counts, config: versionText(this.#version('config')), fleet: versionText(this.#version('fleet')) }; }
+  counters(): object {
+    return {
+      ...this.#counters.all(),
+      ...this.#dispatcher.counts,
+      config: versionText(this.#version('config')),
+      fleet: versionText(this.#version('fleet')),
+    };
+  }
 
-  #version(topic: string): Version { return this.#versions.get(topic) ?? NO_VERSION; }
+  #version(topic: string): Version {
+    return this.#versions.get(topic) ?? NO_VERSION;
+  }
 
   #tell(defect: Defect): void {
     this.#counters.add(`defects.${defect.kind}`);
@@ -106,7 +141,9 @@
 
   #sayReady(asked: IncomingMessage, answer: ServerResponse): void {
     const isKnown = asked.method === 'GET' && asked.url === this.#settings.readyPath;
-    answer.writeHead(!isKnown ? 404 : this.#dispatcher.isReady ? 200 : 503, { 'content-length': 0 }).end();
+    answer
+      .writeHead(!isKnown ? 404 : this.#dispatcher.isReady ? 200 : 503, { 'content-length': 0 })
+      .end();
   }
 
   #beat(): void {
@@ -114,11 +151,12 @@
     if (this.#forwarder.size > 0) this.#forwarder.beat();
     // Until the agent has told what there is, it is asked at each beat: the first ask may have found no line yet.
     const isTold = this.#versions.has('config') && this.#versions.has('fleet');
-    if (this.#beats % (2 * TELL_EVERY) === 0 || !isTold && this.#beats % 2 === 0) this.#ask();
+    if (this.#beats % (2 * TELL_EVERY) === 0 || (!isTold && this.#beats % 2 === 0)) this.#ask();
     this.#beats += 1;
     if (this.#beats % TELL_EVERY === TELL_EVERY / 2) this.#tellDemand();
     const isReady = this.#dispatcher.isReady;
-    if (isReady !== this.#wasReady) this.#log.info({ ready: isReady, ...this.counters() }, 'readiness');
+    if (isReady !== this.#wasReady)
+      this.#log.info({ ready: isReady, ...this.counters() }, 'readiness');
     this.#wasReady = isReady;
   }
 
@@ -126,7 +164,12 @@
     const have: HaveMessage[] = [];
     for (const [topic, version] of this.#versions) have.push({ topic, ...version });
     this.#nonce += 1;
-    this.#exchange.send(this.#settings.link, { kind: 'ask', nonce: this.#nonce, have, members: [] });
+    this.#exchange.send(this.#settings.link, {
+      kind: 'ask',
+      nonce: this.#nonce,
+      have,
+      members: [],
+    });
   }
 
   /** What newly waits for a load is told at once; several at once are told together. */
@@ -139,7 +182,8 @@
     if (this.#urgent) clearTimeout(this.#urgent);
     this.#urgent = undefined;
     const demand = this.#dispatcher.demand(monotonicNow());
-    if (demand.units.length > 0) this.#exchange.send(this.#settings.link, { kind: 'demand', body: JSON.stringify(demand) });
+    if (demand.units.length > 0)
+      this.#exchange.send(this.#settings.link, { kind: 'demand', body: JSON.stringify(demand) });
   }
 
   #receive(incoming: Incoming): void {
@@ -153,7 +197,10 @@
     if (message.topic === 'config') this.#takeConfig(now, message.body);
     else if (message.topic === 'fleet') {
       const fleet = parseAs(FleetShape, message.body);
-      if (fleet) { this.#fleet = fleet; this.#dispatcher.fleet(now, fleet); }
+      if (fleet) {
+        this.#fleet = fleet;
+        this.#dispatcher.fleet(now, fleet);
+      }
     }
     this.#versions.set(message.topic, version);
     if (message.topic === 'config') this.#exchange.send(incoming.from, { kind: 'ack', ...version });
@@ -166,7 +213,10 @@
     const delta = parseAs(FleetDeltaShape, body);
     if (topic !== 'fleet' || !delta || !this.#fleet) return;
     // One that does not follow on what is held here is asked for anew.
-    if (held.epoch !== epoch || held.count !== from) { if (compareVersions({ epoch, count }, held) > 0) this.#ask(); return; }
+    if (held.epoch !== epoch || held.count !== from) {
+      if (compareVersions({ epoch, count }, held) > 0) this.#ask();
+      return;
+    }
     this.#fleet = applyFleetDelta(this.#fleet, delta);
     this.#versions.set(topic, { epoch, count });
     this.#dispatcher.fleet(monotonicNow(), this.#fleet);
@@ -178,9 +228,15 @@
     const text = news?.routing?.text ?? '';
     if (!news || text === '') return;
     const known = this.#dispatcher.routing;
-    if (text === this.#routingText && known) { this.#dispatcher.configure(now, known, news.emptied); return; }
+    if (text === this.#routingText && known) {
+      this.#dispatcher.configure(now, known, news.emptied);
+      return;
+    }
     const { routing, faults } = this.#configDialect.read(text);
-    if (!routing) { this.#log.warn({ faults: faults.length }, 'a configuration that cannot be read'); return; }
+    if (!routing) {
+      this.#log.warn({ faults: faults.length }, 'a configuration that cannot be read');
+      return;
+    }
     this.#routingText = text;
     this.#dispatcher.configure(now, routing, news.emptied);
     this.#forwarder.limit();
--- a/src/flow/RequestDialect.ts
+++ b/src/flow/RequestDialect.ts
@@ -13,12 +13,20 @@
 }
 
 /** What the proxy adds for the runner. */
-export interface SaidToRunner { readonly runner: string; readonly timeLeftMs: number; readonly urgency: number; readonly lastEventId: number | undefined }
+export interface SaidToRunner {
+  readonly runner: string;
+  readonly timeLeftMs: number;
+  readonly urgency: number;
+  readonly lastEventId: number | undefined;
+}
 
 /** How a deployment's clients and runners write what the proxy must know; it translates and decides nothing. */
 export interface RequestDialect {
   readRequest(headers: IncomingHttpHeaders): SaidByRequest;
   tellRunner(headers: OutgoingHttpHeaders, said: SaidToRunner): void;
   readAnswer(status: number, headers: IncomingHttpHeaders, attemptId: string): AnswerHead;
-  refusal(reason: RefuseReason, retryAfterMs: number): { readonly status: number; readonly headers: OutgoingHttpHeaders };
+  refusal(
+    reason: RefuseReason,
+    retryAfterMs: number,
+  ): { readonly status: number; readonly headers: OutgoingHttpHeaders };
 }
--- a/src/flow/RetryBudget.test.ts
+++ b/src/flow/RetryBudget.test.ts
@@ -2,7 +2,10 @@
 import { moment } from '../kin/Ids.js';
 import { RetryBudget } from './RetryBudget.js';
 
-test('over any window retries of all proxies stay within the share and the few besides', checkWindow);
+test(
+  'over any window retries of all proxies stay within the share and the few besides',
+  checkWindow,
+);
 
 function checkWindow(): void {
   const settings = { ratio: 0.2, extra: 58, windowMs: 10_000 };
@@ -23,9 +26,15 @@
   }
   for (let end = 10_000; end <= 60_000; end += 500) {
     const spent = retries.filter(inWindow.bind(undefined, end)).length;
-    const made = Math.max(requests.filter(inWindow.bind(undefined, end)).length, requests.filter(inWindow.bind(undefined, end - 5000)).length, requests.filter(inWindow.bind(undefined, end - 10_000)).length);
+    const made = Math.max(
+      requests.filter(inWindow.bind(undefined, end)).length,
+      requests.filter(inWindow.bind(undefined, end - 5000)).length,
+      requests.filter(inWindow.bind(undefined, end - 10_000)).length,
+    );
     expect(spent).toBeLessThanOrEqual(0.2 * made + 58);
   }
   expect(retries.length).toBeGreaterThan(200);
 }
-function inWindow(end: number, at: number): boolean { return at > end - 10_000 && at <= end; }
+function inWindow(end: number, at: number): boolean {
+  return at > end - 10_000 && at <= end;
+}
--- a/src/flow/RetryBudget.ts
+++ b/src/flow/RetryBudget.ts
@@ -26,15 +26,22 @@
     this.#slotMs = settings.windowMs / 10;
   }
 
-  request(now: Moment): void { this.#slot(now).requests += 1; }
+  request(now: Moment): void {
+    this.#slot(now).requests += 1;
+  }
 
   /** Takes one retry out of the budget, if there is one left. */
   spend(now: Moment, flows: number): boolean {
     const slot = this.#slot(now);
     let requests = 0;
     let retries = 0;
-    for (const item of this.#slots) { requests += item.requests; retries += item.retries; }
-    const allowed = requests * this.#settings.ratio * RATIO_MARGIN + (this.#settings.extra * EXTRA_MARGIN) / Math.max(1, flows);
+    for (const item of this.#slots) {
+      requests += item.requests;
+      retries += item.retries;
+    }
+    const allowed =
+      requests * this.#settings.ratio * RATIO_MARGIN +
+      (this.#settings.extra * EXTRA_MARGIN) / Math.max(1, flows);
     if (retries + 1 > allowed) return false;
     slot.retries += 1;
     return true;
@@ -52,4 +59,6 @@
   }
 }
 
-function isWithin(oldest: number, slot: { readonly at: number }): boolean { return slot.at > oldest; }
+function isWithin(oldest: number, slot: { readonly at: number }): boolean {
+  return slot.at > oldest;
+}
--- a/src/flow/RunnerAgent.test.ts
+++ b/src/flow/RunnerAgent.test.ts
@@ -1,4 +1,10 @@
-import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import {
+  createServer,
+  request,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import { expect, test } from 'vitest';
 import { RunnerAgent } from './RunnerAgent.js';
 
@@ -12,29 +18,43 @@
   connections = 0;
 
   constructor(headers: Readonly<Record<string, string>>) {
-    function take(_asked: IncomingMessage, answer: ServerResponse): void { answer.writeHead(200, { ...headers, 'content-length': 2 }).end('ok'); }
+    function take(_asked: IncomingMessage, answer: ServerResponse): void {
+      answer.writeHead(200, { ...headers, 'content-length': 2 }).end('ok');
+    }
     this.#server = createServer({ keepAliveTimeout: 60_000 }, take);
     this.#server.on('connection', this.#count.bind(this));
   }
 
-  #count(): void { this.connections += 1; }
+  #count(): void {
+    this.connections += 1;
+  }
 
   async start(): Promise<void> {
     const server = this.#server;
-    function listen(done: () => void): void { server.listen(0, '127.0.0.1', done); }
+    function listen(done: () => void): void {
+      server.listen(0, '127.0.0.1', done);
+    }
     await new Promise<void>(listen);
     const bound = server.address();
     this.port = typeof bound === 'object' && bound !== null ? bound.port : 0;
   }
 
-  stop(): void { this.agent.destroy(); this.#server.closeAllConnections(); this.#server.close(); }
+  stop(): void {
+    this.agent.destroy();
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
 
   /** Resolves once the answer is read and its connection is free, or gone. */
   async ask(): Promise<void> {
     const { agent, port } = this;
     function run(done: () => void, fail: (thrown: unknown) => void): void {
       const sent = request({ host: '127.0.0.1', port, agent });
-      function take(back: IncomingMessage): void { agent.note(back); back.resume(); back.once('close', done); }
+      function take(back: IncomingMessage): void {
+        agent.note(back);
+        back.resume();
+        back.once('close', done);
+      }
       sent.once('response', take);
       sent.once('error', fail);
       sent.end();
--- a/src/flow/RunnerAgent.ts
+++ b/src/flow/RunnerAgent.ts
@@ -12,7 +12,9 @@
 export class RunnerAgent extends Agent {
   readonly #idleMs = new WeakMap<Duplex, number>();
 
-  constructor() { super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64 }); }
+  constructor() {
+    super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64 });
+  }
 
   /** The runner's word on how long it keeps this connection, if it gives one. */
   note(back: IncomingMessage): void {
@@ -22,14 +24,19 @@
   }
 
   /** Whether a connection to that address stands idle. */
-  hasIdle(host: string, port: number): boolean { return (this.freeSockets[`${host}:${port}:`]?.length ?? 0) > 0; }
+  hasIdle(host: string, port: number): boolean {
+    return (this.freeSockets[`${host}:${port}:`]?.length ?? 0) > 0;
+  }
 
   override keepSocketAlive(socket: Duplex): boolean {
     const idleMs = this.#idleMs.get(socket);
     if (!(socket instanceof Socket)) return false;
     socket.setKeepAlive(true, 1000);
     socket.unref();
-    if (idleMs === undefined) { socket.setTimeout(0); return true; }
+    if (idleMs === undefined) {
+      socket.setTimeout(0);
+      return true;
+    }
     if (idleMs <= MARGIN_MS) return false;
     socket.setTimeout(idleMs - MARGIN_MS);
     return true;
--- a/src/flow/Watches.test.ts
+++ b/src/flow/Watches.test.ts
@@ -4,8 +4,12 @@
 
 class Notes implements Watcher {
   readonly list: string[] = [];
-  fallen(now: Moment, id: string): void { this.list.push(`${now} ${id} fell`); }
-  risen(now: Moment, id: string): void { this.list.push(`${now} ${id} rose`); }
+  fallen(now: Moment, id: string): void {
+    this.list.push(`${now} ${id} fell`);
+  }
+  risen(now: Moment, id: string): void {
+    this.list.push(`${now} ${id} rose`);
+  }
 }
 function countOf(steps: readonly WatchStep[]): number {
   const [step] = steps;
--- a/src/flow/Watches.ts
+++ b/src/flow/Watches.ts
@@ -1,8 +1,13 @@
 import { later, type Moment } from '../kin/Ids.js';
 
-export interface Watched { readonly id: string; readonly address: string }
+export interface Watched {
+  readonly id: string;
+  readonly address: string;
+}
 
-export type WatchStep = { readonly do: 'open'; readonly id: string; readonly address: string; readonly count: number } | { readonly do: 'close'; readonly id: string };
+export type WatchStep =
+  | { readonly do: 'open'; readonly id: string; readonly address: string; readonly count: number }
+  | { readonly do: 'close'; readonly id: string };
 
 /** Whom a watch tells that a back end fell, or rose anew. */
 export interface Watcher {
@@ -10,7 +15,13 @@
   risen(now: Moment, id: string): void;
 }
 
-interface Line { readonly address: string; count: number; state: 'opening' | 'open' | 'closed'; since: Moment; hasFallen: boolean }
+interface Line {
+  readonly address: string;
+  count: number;
+  state: 'opening' | 'open' | 'closed';
+  since: Moment;
+  hasFallen: boolean;
+}
 
 const AGAIN_MS = 250;
 /** A line that stands says nothing of a machine that is gone: it is opened anew so often. */
@@ -27,7 +38,9 @@
   readonly #lines = new Map<string, Line>();
   #steps: WatchStep[] = [];
 
-  constructor(watcher: Watcher) { this.#watcher = watcher; }
+  constructor(watcher: Watcher) {
+    this.#watcher = watcher;
+  }
 
   drain(): WatchStep[] {
     const steps = this.#steps;
@@ -42,11 +55,21 @@
       const line = this.#lines.get(id);
       if (line?.address === address) continue;
       if (line) this.#steps.push({ do: 'close', id });
-      const next: Line = { address, count: line?.count ?? 0, state: 'closed', since: now, hasFallen: false };
+      const next: Line = {
+        address,
+        count: line?.count ?? 0,
+        state: 'closed',
+        since: now,
+        hasFallen: false,
+      };
       this.#lines.set(id, next);
       this.#open(now, id, next);
     }
-    for (const id of this.#lines.keys()) if (!ids.has(id)) { this.#lines.delete(id); this.#steps.push({ do: 'close', id }); }
+    for (const id of this.#lines.keys())
+      if (!ids.has(id)) {
+        this.#lines.delete(id);
+        this.#steps.push({ do: 'close', id });
+      }
   }
 
   beat(now: Moment): void {
@@ -54,7 +77,10 @@
       if (line.state === 'closed' && now >= later(line.since, AGAIN_MS)) this.#open(now, id, line);
       if (line.state === 'open' && now >= later(line.since, RENEW_MS)) this.#open(now, id, line);
       // Neither opened nor turned down: its machine is out of reach.
-      if (line.state === 'opening' && now >= later(line.since, OPENING_MS)) { this.#fall(now, id, line); this.#open(now, id, line); }
+      if (line.state === 'opening' && now >= later(line.since, OPENING_MS)) {
+        this.#fall(now, id, line);
+        this.#open(now, id, line);
+      }
     }
   }
 
@@ -80,7 +106,10 @@
     const wasOpen = line.state === 'open';
     line.state = 'closed';
     line.since = now;
-    if (wasOpen) { this.#open(now, id, line); return; }
+    if (wasOpen) {
+      this.#open(now, id, line);
+      return;
+    }
     this.#fall(now, id, line);
   }
 
--- a/src/hold/FileStore.test.ts
+++ b/src/hold/FileStore.test.ts
@@ -10,8 +10,12 @@
 
 const part = partName('p1');
 const told: Defect[] = [];
-function tell(defect: Defect): void { told.push(defect); }
-async function folder(): Promise<string> { return mkdtemp(join(tmpdir(), 'hold-')); }
+function tell(defect: Defect): void {
+  told.push(defect);
+}
+async function folder(): Promise<string> {
+  return mkdtemp(join(tmpdir(), 'hold-'));
+}
 /** The contract that every store must pass: what was told as kept is read back by the next boot. */
 function contract(name: string, make: () => Promise<{ store: Store; reopen: () => Store }>): void {
   async function checkNewest(): Promise<void> {
@@ -19,14 +23,20 @@
     await store.write(part, { epoch: 2, count: 9 }, 'old');
     await store.write(part, { epoch: 4, count: 1 }, 'new');
     await store.write(partName('p2'), { epoch: 2, count: 1 }, 'other');
-    const all = [...await reopen().readAll()];
-    expect(all).toContainEqual({ part, version: { epoch: 4, count: 1 }, body: 'new', isSound: true });
+    const all = [...(await reopen().readAll())];
+    expect(all).toContainEqual({
+      part,
+      version: { epoch: 4, count: 1 },
+      body: 'new',
+      isSound: true,
+    });
     expect(all).toHaveLength(2);
   }
   async function checkBurst(): Promise<void> {
     const { store, reopen } = await make();
     const writes = [];
-    for (let count = 1; count <= 30; count += 1) writes.push(store.write(part, { epoch: 2, count }, `body ${count}`));
+    for (let count = 1; count <= 30; count += 1)
+      writes.push(store.write(part, { epoch: 2, count }, `body ${count}`));
     await Promise.all(writes);
     expect((await reopen().readAll())[0]?.body).toBe('body 30');
   }
@@ -38,12 +48,17 @@
 }
 async function makeFiles(): Promise<{ store: Store; reopen: () => Store }> {
   const root = await folder();
-  function reopen(): Store { return new FileStore(root, tell); }
+  function reopen(): Store {
+    return new FileStore(root, tell);
+  }
   return { store: reopen(), reopen };
 }
 async function makeMemory(): Promise<{ store: Store; reopen: () => Store }> {
   const store = new MemoryStore();
-  function reopen(): Store { store.crash(); return store; }
+  function reopen(): Store {
+    store.crash();
+    return store;
+  }
   return { store, reopen };
 }
 contract('files', makeFiles);
@@ -51,7 +66,10 @@
 class TearingDisk extends NodeDisk {
   tear = '';
   override async writeSynced(path: string, text: string): Promise<void> {
-    if (this.tear === 'write') { await writeFile(path, text.slice(0, 20)); throw new Error('cut while writing'); }
+    if (this.tear === 'write') {
+      await writeFile(path, text.slice(0, 20));
+      throw new Error('cut while writing');
+    }
     await super.writeSynced(path, text);
   }
   override async syncFolder(path: string): Promise<void> {
@@ -66,7 +84,9 @@
   await store.write(part, { epoch: 2, count: 1 }, 'kept');
   for (const tear of ['write', 'folder']) {
     disk.tear = tear;
-    await expect(store.write(part, { epoch: 2, count: tear === 'write' ? 2 : 3 }, 'torn')).rejects.toThrow(/cut/);
+    await expect(
+      store.write(part, { epoch: 2, count: tear === 'write' ? 2 : 3 }, 'torn'),
+    ).rejects.toThrow(/cut/);
   }
   const [stored] = await new FileStore(root, tell).readAll();
   // Neither was told as kept. A torn write aside is invisible; a rename whose folder sync failed may be seen, whole.
@@ -81,28 +101,43 @@
   const path = join(root, part, '2.2.json');
   await writeFile(path, (await readFile(path, 'utf8')).replace('second', 'secomd'));
   told.length = 0;
-  expect(await new FileStore(root, tell).readAll()).toEqual([{ part, version: { epoch: 2, count: 1 }, body: 'first', isSound: false }]);
+  expect(await new FileStore(root, tell).readAll()).toEqual([
+    { part, version: { epoch: 2, count: 1 }, body: 'first', isSound: false },
+  ]);
   expect(told.map(kindOf)).toEqual(['bad-file']);
 }
-function kindOf(defect: Defect): string { return defect.kind; }
+function kindOf(defect: Defect): string {
+  return defect.kind;
+}
 class StallingDisk extends NodeDisk {
   #free: () => void = doNothing;
   #tellHeld: () => void = doNothing;
   readonly held = new Promise<void>(this.#onHeld.bind(this));
-  #onHeld(done: () => void): void { this.#tellHeld = done; }
+  #onHeld(done: () => void): void {
+    this.#tellHeld = done;
+  }
   override async writeSynced(path: string, text: string): Promise<void> {
     if (path.includes('/p1/')) await new Promise<void>(this.#hold.bind(this));
     await super.writeSynced(path, text);
   }
-  #hold(done: () => void): void { this.#free = done; this.#tellHeld(); }
-  free(): void { this.#free(); }
+  #hold(done: () => void): void {
+    this.#free = done;
+    this.#tellHeld();
+  }
+  free(): void {
+    this.#free();
+  }
+}
+function doNothing(): void {
+  /* nothing is held yet */
 }
-function doNothing(): void { /* nothing is held yet */ }
 async function checkStall(): Promise<void> {
   const disk = new StallingDisk();
   const store = new FileStore(await folder(), tell, disk);
   let isKept = false;
-  function mark(): void { isKept = true; }
+  function mark(): void {
+    isKept = true;
+  }
   const stalled = store.write(part, { epoch: 2, count: 1 }, 'stalled').then(mark);
   await disk.held;
   await store.write(partName('p2'), { epoch: 2, count: 1 }, 'goes on');
@@ -136,7 +171,8 @@
   disk.failing = '';
   await store.write(part, { epoch: 2, count: 3 }, 'kept');
   // A file lasts only if every folder above it that we made has been synced, however often that failed before.
-  for (const path of [join(data, part), data, join(data, '..'), join(data, '..', '..')]) expect(disk.synced).toContain(path);
+  for (const path of [join(data, part), data, join(data, '..'), join(data, '..', '..')])
+    expect(disk.synced).toContain(path);
   const [stored] = await new FileStore(data, tell).readAll();
   expect(stored?.body).toBe('kept');
 }
--- a/src/hold/FileStore.ts
+++ b/src/hold/FileStore.ts
@@ -7,7 +7,13 @@
 import { compareVersions, NO_VERSION, type Version } from '../kin/Version.js';
 import type { Store, StoredPart } from './Store.js';
 
-const FileShape = type({ part: string(), epoch: number(), count: number(), digest: string(), body: string() });
+const FileShape = type({
+  part: string(),
+  epoch: number(),
+  count: number(),
+  digest: string(),
+  body: string(),
+});
 
 interface Waiting {
   readonly version: Version;
@@ -20,10 +26,14 @@
 const KEPT_FILES = 2;
 
 export function digestOf(part: string, version: Version, body: string): string {
-  return createHash('sha256').update(`${part}\n${version.epoch}\n${version.count}\n${body}`).digest('hex');
+  return createHash('sha256')
+    .update(`${part}\n${version.epoch}\n${version.count}\n${body}`)
+    .digest('hex');
 }
 
-function isName(name: string): boolean { return /^[a-z0-9-]+$/.test(name); }
+function isName(name: string): boolean {
+  return /^[a-z0-9-]+$/.test(name);
+}
 
 /** The file operations a store needs, so that tests can tear them. */
 export interface Disk {
@@ -43,11 +53,17 @@
     }
   }
 
-  async rename(from: string, to: string): Promise<void> { await rename(from, to); }
+  async rename(from: string, to: string): Promise<void> {
+    await rename(from, to);
+  }
 
   async syncFolder(path: string): Promise<void> {
     const folder = await open(path, 'r');
-    try { await folder.sync(); } finally { await folder.close(); }
+    try {
+      await folder.sync();
+    } finally {
+      await folder.close();
+    }
   }
 }
 
@@ -93,7 +109,12 @@
       const name = `${version.epoch}.${version.count}.json`;
       try {
         const raw: unknown = JSON.parse(await readFile(join(folder, name), 'utf8'));
-        if (!is(raw, FileShape) || raw.part !== part || raw.digest !== digestOf(part, version, raw.body)) throw new Error('its digest does not match');
+        if (
+          !is(raw, FileShape) ||
+          raw.part !== part ||
+          raw.digest !== digestOf(part, version, raw.body)
+        )
+          throw new Error('its digest does not match');
         return { part, version, body: raw.body, isSound };
       } catch (thrown) {
         // The newest version was told as kept: an older one may be shown, but must not stand in for it.
@@ -108,14 +129,25 @@
     return new Promise(this.#enlist.bind(this, part, version, body));
   }
 
-  #enlist(part: PartName, version: Version, body: string, done: () => void, fail: (thrown: unknown) => void): void {
+  #enlist(
+    part: PartName,
+    version: Version,
+    body: string,
+    done: () => void,
+    fail: (thrown: unknown) => void,
+  ): void {
     const before = this.#waiting.get(part);
     // A slow disk owes only the newest version of a part; those that wait with an older one are served by it.
     if (before && compareVersions(before.version, version) > 0) {
       before.done.push(done);
       before.fail.push(fail);
     } else {
-      this.#waiting.set(part, { version, body, done: [...(before?.done ?? []), done], fail: [...(before?.fail ?? []), fail] });
+      this.#waiting.set(part, {
+        version,
+        body,
+        done: [...(before?.done ?? []), done],
+        fail: [...(before?.fail ?? []), fail],
+      });
     }
     if (!this.#busy.has(part)) void this.#work(part);
   }
@@ -140,7 +172,8 @@
     await mkdir(folder, { recursive: true });
     // Not only when we make it: making it may have gone well, and syncing the folder above it not.
     if (!this.#lasting.has(part)) {
-      for (const above of [this.#root, join(this.#root, '..'), join(this.#root, '..', '..')]) await this.#disk.syncFolder(above);
+      for (const above of [this.#root, join(this.#root, '..'), join(this.#root, '..', '..')])
+        await this.#disk.syncFolder(above);
       this.#lasting.add(part);
     }
     const name = `${version.epoch}.${version.count}.json`;
@@ -158,6 +191,7 @@
       if (match) versions.push({ epoch: Number(match[1]), count: Number(match[2]) });
     }
     versions.sort(compareVersions).reverse();
-    for (const old of versions.slice(KEPT_FILES)) await rm(join(folder, `${old.epoch}.${old.count}.json`), { force: true });
+    for (const old of versions.slice(KEPT_FILES))
+      await rm(join(folder, `${old.epoch}.${old.count}.json`), { force: true });
   }
 }
--- a/src/hold/MemoryStore.ts
+++ b/src/hold/MemoryStore.ts
@@ -33,11 +33,21 @@
   /** The newest file of a part goes bad: what is left is the one before it, and the knowledge that it is not the newest. */
   rot(part: PartName): void {
     if (!this.#kept.has(part)) return;
-    const before = this.#before.get(part) ?? { part, version: NO_VERSION, body: '', isSound: false };
+    const before = this.#before.get(part) ?? {
+      part,
+      version: NO_VERSION,
+      body: '',
+      isSound: false,
+    };
     this.#kept.set(part, { ...before, isSound: false });
   }
 
-  crash(): void { this.#age += 1; }
+  crash(): void {
+    this.#age += 1;
+  }
 
-  wipe(): void { this.crash(); this.#kept.clear(); }
+  wipe(): void {
+    this.crash();
+    this.#kept.clear();
+  }
 }
--- a/src/hold/Parts.test.ts
+++ b/src/hold/Parts.test.ts
@@ -19,24 +19,36 @@
   now = 0;
 
   constructor(stored: ReadonlyMap<FellowId, readonly StoredPart[]> = new Map()) {
-    for (const id of [a, b, c]) this.parts.set(id, new Parts(id, new Voters([a, b, c]), names, stored.get(id) ?? []));
+    for (const id of [a, b, c])
+      this.parts.set(id, new Parts(id, new Voters([a, b, c]), names, stored.get(id) ?? []));
   }
 
   settle(): void {
     for (let isBusy = true; isBusy;) {
       isBusy = false;
       for (const [id, parts] of this.parts) {
-        for (const effect of parts.drain()) { isBusy = true; this.#carryOut(id, parts, effect); }
+        for (const effect of parts.drain()) {
+          isBusy = true;
+          this.#carryOut(id, parts, effect);
+        }
       }
     }
   }
 
   #carryOut(id: FellowId, parts: Parts, effect: PartsEffect): void {
-    if (effect.do === 'store') { if (!this.deaf.has(id)) parts.stored(effect.part, effect.version, this.granted, moment(this.now)); }
-    else if (effect.do === 'committed') this.committed.push(`${effect.part} ${effect.version.epoch}.${effect.version.count} ${effect.body}`);
+    if (effect.do === 'store') {
+      if (!this.deaf.has(id))
+        parts.stored(effect.part, effect.version, this.granted, moment(this.now));
+    } else if (effect.do === 'committed')
+      this.committed.push(
+        `${effect.part} ${effect.version.epoch}.${effect.version.count} ${effect.body}`,
+      );
     else if (effect.do === 'send') {
       this.sent.push(`${id}>${effect.to} ${effect.message.kind}`);
-      if (!this.deaf.has(effect.to) && !this.deaf.has(id)) this.parts.get(effect.to)?.receive(moment(this.now), id, effect.message, this.granted, [], 'sound');
+      if (!this.deaf.has(effect.to) && !this.deaf.has(id))
+        this.parts
+          .get(effect.to)
+          ?.receive(moment(this.now), id, effect.message, this.granted, [], 'sound');
     }
   }
 
@@ -60,7 +72,8 @@
   const owner = trio.lead(a);
   expect(owner.isServing).toBe(true);
   trio.committed.length = 0;
-  trio.deaf.add(b); trio.deaf.add(c);
+  trio.deaf.add(b);
+  trio.deaf.add(c);
   owner.write(moment(trio.now), p0, 'alone', 1);
   trio.settle();
   trio.beat(5000);
@@ -87,7 +100,16 @@
   expect(next.body(p0)).toBe('under way');
   expect(next.versionOf(p0).epoch).toBe(4);
   // What the old owner still sends is turned away.
-  trio.parts.get(c)?.receive(moment(trio.now), a, { kind: 'write', part: 'p0', epoch: 2, count: 99, body: 'late' }, 4, [], 'sound');
+  trio.parts
+    .get(c)
+    ?.receive(
+      moment(trio.now),
+      a,
+      { kind: 'write', part: 'p0', epoch: 2, count: 99, body: 'late' },
+      4,
+      [],
+      'sound',
+    );
   trio.settle();
   expect(trio.parts.get(c)?.replicaBody(p0)).toBe('under way');
 }
@@ -95,7 +117,18 @@
   // A copy whose newest file was bad counts for nothing until the owner has mended it, found by digests over ranges.
   const version = { epoch: 2, count: 5 };
   const whole = names.map(storedAs.bind(undefined, version, true));
-  const stored = new Map([[a, whole], [b, whole], [c, [...whole.slice(0, 1), storedAs({ epoch: 2, count: 4 }, false, names[1] ?? p0), ...whole.slice(2)]]]);
+  const stored = new Map([
+    [a, whole],
+    [b, whole],
+    [
+      c,
+      [
+        ...whole.slice(0, 1),
+        storedAs({ epoch: 2, count: 4 }, false, names[1] ?? p0),
+        ...whole.slice(2),
+      ],
+    ],
+  ]);
   const trio = new Trio(stored);
   expect(trio.parts.get(c)?.unsoundParts()).toEqual(['p1']);
   const copies = trio.parts.get(c)?.copies() ?? [];
@@ -110,10 +143,18 @@
   expect(trio.parts.get(c)?.unsoundParts()).toEqual([]);
   expect(trio.sent.filter(isDigestToC).length).toBeGreaterThan(1);
 }
-function storedAs(version: Version, isSound: boolean, part: PartName): StoredPart { return { part, version, body: 'x', isSound }; }
-function isUnsound(copy: CopyMessage): boolean { return !copy.sound; }
-function partOf(copy: CopyMessage): string { return copy.part; }
-function isDigestToC(line: string): boolean { return line === 'a>c digest'; }
+function storedAs(version: Version, isSound: boolean, part: PartName): StoredPart {
+  return { part, version, body: 'x', isSound };
+}
+function isUnsound(copy: CopyMessage): boolean {
+  return !copy.sound;
+}
+function partOf(copy: CopyMessage): string {
+  return copy.part;
+}
+function isDigestToC(line: string): boolean {
+  return line === 'a>c digest';
+}
 test('a write holds only once a majority has it on disk', checkMajority);
 test('a new owner finds what was kept, and the old one is turned away', checkNewOwner);
 test('a bad copy is found by digests over ranges and mended', checkMended);
--- a/src/hold/Parts.ts
+++ b/src/hold/Parts.ts
@@ -7,13 +7,29 @@
 
 export type PartsEffect =
   | { readonly do: 'send'; readonly to: FellowId; readonly message: Message }
-  | { readonly do: 'store'; readonly part: PartName; readonly version: Version; readonly body: string }
+  | {
+      readonly do: 'store';
+      readonly part: PartName;
+      readonly version: Version;
+      readonly body: string;
+    }
   /** The write is held by a synced majority of voters, and by all of them if they were prompt. */
-  | { readonly do: 'committed'; readonly part: PartName; readonly version: Version; readonly body: string; readonly tokens: readonly number[]; readonly members: readonly MemberMessage[] }
+  | {
+      readonly do: 'committed';
+      readonly part: PartName;
+      readonly version: Version;
+      readonly body: string;
+      readonly tokens: readonly number[];
+      readonly members: readonly MemberMessage[];
+    }
   /** Every part has been read from a majority and rewritten in our epoch. */
   | { readonly do: 'serving' };
 
-interface Copy { version: Version; body: string; isSound: boolean }
+interface Copy {
+  version: Version;
+  body: string;
+  isSound: boolean;
+}
 
 interface Write {
   readonly version: Version;
@@ -56,18 +72,36 @@
   #mends = 0;
   #effects: PartsEffect[] = [];
 
-  constructor(me: FellowId, quorum: Quorum, names: readonly PartName[], stored: readonly StoredPart[]) {
+  constructor(
+    me: FellowId,
+    quorum: Quorum,
+    names: readonly PartName[],
+    stored: readonly StoredPart[],
+  ) {
     this.#me = me;
     this.#quorum = quorum;
     this.#names = names;
-    for (const part of names) this.#copies.set(part, { version: NO_VERSION, body: '', isSound: true });
-    for (const item of stored) if (this.#copies.has(item.part)) this.#copies.set(item.part, { version: item.version, body: item.body, isSound: item.isSound });
+    for (const part of names)
+      this.#copies.set(part, { version: NO_VERSION, body: '', isSound: true });
+    for (const item of stored)
+      if (this.#copies.has(item.part))
+        this.#copies.set(item.part, {
+          version: item.version,
+          body: item.body,
+          isSound: item.isSound,
+        });
   }
 
-  get isServing(): boolean { return this.#isServing; }
-  get mends(): number { return this.#mends; }
+  get isServing(): boolean {
+    return this.#isServing;
+  }
+  get mends(): number {
+    return this.#mends;
+  }
 
-  setQuorum(quorum: Quorum): void { this.#quorum = quorum; }
+  setQuorum(quorum: Quorum): void {
+    this.#quorum = quorum;
+  }
 
   drain(): PartsEffect[] {
     const effects = this.#effects;
@@ -75,9 +109,13 @@
     return effects;
   }
 
-  versionOf(part: PartName): Version { return this.#copies.get(part)?.version ?? NO_VERSION; }
+  versionOf(part: PartName): Version {
+    return this.#copies.get(part)?.version ?? NO_VERSION;
+  }
 
-  replicaBody(part: PartName): string { return this.#copies.get(part)?.body ?? ''; }
+  replicaBody(part: PartName): string {
+    return this.#copies.get(part)?.body ?? '';
+  }
 
   unsoundParts(): readonly PartName[] {
     const unsound: PartName[] = [];
@@ -87,7 +125,8 @@
 
   copies(): CopyMessage[] {
     const list: CopyMessage[] = [];
-    for (const [part, copy] of this.#copies) list.push({ part, ...copy.version, body: copy.body, sound: copy.isSound });
+    for (const [part, copy] of this.#copies)
+      list.push({ part, ...copy.version, body: copy.body, sound: copy.isSound });
     return list;
   }
 
@@ -114,7 +153,13 @@
     this.#isServing = false;
     this.#owned.clear();
     for (const part of this.#names) {
-      this.#owned.set(part, { copy: undefined, read: new Set(), newest: { version: NO_VERSION, body: '' }, writing: undefined, next: undefined });
+      this.#owned.set(part, {
+        copy: undefined,
+        read: new Set(),
+        newest: { version: NO_VERSION, body: '' },
+        writing: undefined,
+        next: undefined,
+      });
     }
     this.#nonce += 1;
     this.#askAll(now);
@@ -128,10 +173,14 @@
   }
 
   /** The body as last written here, committed or not. */
-  body(part: PartName): string { return this.#owned.get(part)?.copy?.body ?? ''; }
+  body(part: PartName): string {
+    return this.#owned.get(part)?.copy?.body ?? '';
+  }
 
   /** Whether a write of this part is still without its majority. */
-  isWriting(part: PartName): boolean { return this.#owned.get(part)?.writing !== undefined; }
+  isWriting(part: PartName): boolean {
+    return this.#owned.get(part)?.writing !== undefined;
+  }
 
   /** One write of a part is under way at a time; what comes meanwhile is one next write, of the newest body. Returns its count. */
   write(now: Moment, part: PartName, body: string, token: number): number {
@@ -154,13 +203,16 @@
       this.#settle(now, part, owned);
       if (owned.writing === writing && now >= later(writing.sentAt, RESEND_MS)) {
         writing.sentAt = now;
-        for (const fellow of this.#quorum.all) if (!writing.acked.has(fellow) && fellow !== this.#me) this.#sendWrite(fellow, part, writing);
+        for (const fellow of this.#quorum.all)
+          if (!writing.acked.has(fellow) && fellow !== this.#me)
+            this.#sendWrite(fellow, part, writing);
       }
     }
     if (isReading && now >= later(this.#readSentAt, RESEND_MS)) this.#askAll(now);
     if (this.#isServing && now >= later(this.#mendedAt, MEND_MS)) {
       this.#mendedAt = now;
-      for (const fellow of this.#quorum.all) if (fellow !== this.#me) this.#compare(fellow, 0, this.#names.length);
+      for (const fellow of this.#quorum.all)
+        if (fellow !== this.#me) this.#compare(fellow, 0, this.#names.length);
     }
   }
 
@@ -168,7 +220,12 @@
     this.#readSentAt = now;
     for (const fellow of this.#quorum.all) {
       if (fellow === this.#me) this.#takeRead(now, this.#me, this.copies());
-      else this.#effects.push({ do: 'send', to: fellow, message: { kind: 'read', epoch: this.#epoch, nonce: this.#nonce, parts: [] } });
+      else
+        this.#effects.push({
+          do: 'send',
+          to: fellow,
+          message: { kind: 'read', epoch: this.#epoch, nonce: this.#nonce, parts: [] },
+        });
     }
   }
 
@@ -178,15 +235,31 @@
       const owned = this.#owned.get(part);
       if (!owned || owned.copy || owned.writing || !item.sound) continue;
       owned.read.add(from);
-      if (isNewer(item, owned.newest.version)) owned.newest = { version: { epoch: item.epoch, count: item.count }, body: item.body };
+      if (isNewer(item, owned.newest.version))
+        owned.newest = { version: { epoch: item.epoch, count: item.count }, body: item.body };
       if (!this.#quorum.isMajority(owned.read)) continue;
       const version = { epoch: this.#epoch, count: owned.newest.version.count + 1 };
       this.#send(now, part, owned, version, owned.newest.body, []);
     }
   }
 
-  #send(now: Moment, part: PartName, owned: Owned, version: Version, body: string, tokens: readonly number[]): void {
-    const writing: Write = { version, body, tokens, acked: new Set(), members: [], sentAt: now, majorityAt: undefined };
+  #send(
+    now: Moment,
+    part: PartName,
+    owned: Owned,
+    version: Version,
+    body: string,
+    tokens: readonly number[],
+  ): void {
+    const writing: Write = {
+      version,
+      body,
+      tokens,
+      acked: new Set(),
+      members: [],
+      sentAt: now,
+      majorityAt: undefined,
+    };
     owned.writing = writing;
     for (const fellow of this.#quorum.all) {
       if (fellow === this.#me) this.#storeOwn(part, version, body);
@@ -201,11 +274,25 @@
     this.#effects.push({ do: 'store', part, version, body });
   }
 
-  #sendWrite(to: FellowId, part: PartName, write: { readonly version: Version; readonly body: string }): void {
-    this.#effects.push({ do: 'send', to, message: { kind: 'write', part, ...write.version, body: write.body } });
+  #sendWrite(
+    to: FellowId,
+    part: PartName,
+    write: { readonly version: Version; readonly body: string },
+  ): void {
+    this.#effects.push({
+      do: 'send',
+      to,
+      message: { kind: 'write', part, ...write.version, body: write.body },
+    });
   }
 
-  #ack(now: Moment, from: FellowId, part: PartName, version: Version, members: readonly MemberMessage[]): void {
+  #ack(
+    now: Moment,
+    from: FellowId,
+    part: PartName,
+    version: Version,
+    members: readonly MemberMessage[],
+  ): void {
     const owned = this.#owned.get(part);
     const writing = owned?.writing;
     if (!owned || !writing || compareVersions(writing.version, version) !== 0) return;
@@ -225,8 +312,23 @@
     const next = owned.next;
     owned.next = undefined;
     owned.copy = { version: writing.version, body: next?.body ?? writing.body };
-    this.#effects.push({ do: 'committed', part, version: writing.version, body: writing.body, tokens: writing.tokens, members: writing.members });
-    if (next) this.#send(now, part, owned, { epoch: this.#epoch, count: writing.version.count + 1 }, next.body, next.tokens);
+    this.#effects.push({
+      do: 'committed',
+      part,
+      version: writing.version,
+      body: writing.body,
+      tokens: writing.tokens,
+      members: writing.members,
+    });
+    if (next)
+      this.#send(
+        now,
+        part,
+        owned,
+        { epoch: this.#epoch, count: writing.version.count + 1 },
+        next.body,
+        next.tokens,
+      );
     if (!this.#isServing && [...this.#owned.values()].every(isOwned)) {
       this.#isServing = true;
       this.#effects.push({ do: 'serving' });
@@ -236,47 +338,96 @@
   // ---- replica
 
   /** `granted` is the epoch this voter has granted, synced, and not moved on from; 0 if none. */
-  receive(now: Moment, from: FellowId, message: Message, granted: number, members: readonly MemberMessage[], standing: string): void {
+  receive(
+    now: Moment,
+    from: FellowId,
+    message: Message,
+    granted: number,
+    members: readonly MemberMessage[],
+    standing: string,
+  ): void {
     switch (message.kind) {
-      case 'write': this.#receiveWrite(from, message, granted, members); break;
+      case 'write':
+        this.#receiveWrite(from, message, granted, members);
+        break;
       case 'writeReturn':
-        if (message.good && message.epoch === this.#epoch) this.#ack(now, from, partName(message.part), message, message.members);
+        if (message.good && message.epoch === this.#epoch)
+          this.#ack(now, from, partName(message.part), message, message.members);
         break;
       case 'read':
         if (message.epoch === granted && granted > 0) {
-          this.#effects.push({ do: 'send', to: from, message: { kind: 'readReturn', epoch: granted, nonce: message.nonce, sound: true, copies: this.copies(), standing } });
+          this.#effects.push({
+            do: 'send',
+            to: from,
+            message: {
+              kind: 'readReturn',
+              epoch: granted,
+              nonce: message.nonce,
+              sound: true,
+              copies: this.copies(),
+              standing,
+            },
+          });
         }
         break;
       case 'readReturn':
-        if (message.epoch === this.#epoch && this.#epoch > 0 && message.nonce === this.#nonce) this.#takeRead(now, from, message.copies);
+        if (message.epoch === this.#epoch && this.#epoch > 0 && message.nonce === this.#nonce)
+          this.#takeRead(now, from, message.copies);
         break;
       case 'digest': {
         const isSame = this.#digest(message.low, message.high) === message.digest;
-        this.#effects.push({ do: 'send', to: from, message: { kind: 'digestReturn', nonce: message.nonce, low: message.low, high: message.high, same: isSame, sound: true } });
+        this.#effects.push({
+          do: 'send',
+          to: from,
+          message: {
+            kind: 'digestReturn',
+            nonce: message.nonce,
+            low: message.low,
+            high: message.high,
+            same: isSame,
+            sound: true,
+          },
+        });
         break;
       }
-      case 'digestReturn': if (!message.same && this.#isServing) this.#mend(from, message.low, message.high); break;
-      default: break;
+      case 'digestReturn':
+        if (!message.same && this.#isServing) this.#mend(from, message.low, message.high);
+        break;
+      default:
+        break;
     }
   }
 
-  #receiveWrite(from: FellowId, message: Extract<Message, { kind: 'write' }>, granted: number, members: readonly MemberMessage[]): void {
+  #receiveWrite(
+    from: FellowId,
+    message: Extract<Message, { kind: 'write' }>,
+    granted: number,
+    members: readonly MemberMessage[],
+  ): void {
     const part = partName(message.part);
     const copy = this.#copies.get(part);
     const version = { epoch: message.epoch, count: message.count };
     // An older epoch's write is turned away; one of an epoch not granted here yet comes again after our grant.
     if (!copy || message.epoch !== granted || compareVersions(version, copy.version) < 0) {
-      this.#effects.push({ do: 'send', to: from, message: { kind: 'writeReturn', part, ...version, good: false, members: [] } });
+      this.#effects.push({
+        do: 'send',
+        to: from,
+        message: { kind: 'writeReturn', part, ...version, good: false, members: [] },
+      });
       return;
     }
     const isKnown = compareVersions(version, copy.version) === 0 && copy.isSound;
     this.#copies.set(part, { version, body: message.body, isSound: true });
     this.#returns.set(part, { to: from, version, members });
-    if (isKnown && this.#stored.get(part) === `${version.epoch}.${version.count}`) this.stored(part, version, granted);
+    if (isKnown && this.#stored.get(part) === `${version.epoch}.${version.count}`)
+      this.stored(part, version, granted);
     else this.#effects.push({ do: 'store', part, version, body: message.body });
   }
 
-  readonly #returns = new Map<PartName, { readonly to: FellowId; readonly version: Version; readonly members: readonly MemberMessage[] }>();
+  readonly #returns = new Map<
+    PartName,
+    { readonly to: FellowId; readonly version: Version; readonly members: readonly MemberMessage[] }
+  >();
   readonly #stored = new Map<PartName, string>();
 
   /** Told when a version has reached the disk. */
@@ -290,7 +441,11 @@
     }
     const due = this.#returns.get(part);
     if (due && compareVersions(due.version, version) === 0) {
-      this.#effects.push({ do: 'send', to: due.to, message: { kind: 'writeReturn', part, ...version, good: true, members: [...due.members] } });
+      this.#effects.push({
+        do: 'send',
+        to: due.to,
+        message: { kind: 'writeReturn', part, ...version, good: true, members: [...due.members] },
+      });
     }
   }
 
@@ -306,7 +461,11 @@
   }
 
   #compare(fellow: FellowId, low: number, high: number): void {
-    this.#effects.push({ do: 'send', to: fellow, message: { kind: 'digest', nonce: 0, low, high, digest: this.#digest(low, high) } });
+    this.#effects.push({
+      do: 'send',
+      to: fellow,
+      message: { kind: 'digest', nonce: 0, low, high, digest: this.#digest(low, high) },
+    });
   }
 
   #mend(fellow: FellowId, low: number, high: number): void {
@@ -325,4 +484,6 @@
   }
 }
 
-function isOwned(owned: Owned): boolean { return owned.copy !== undefined; }
+function isOwned(owned: Owned): boolean {
+  return owned.copy !== undefined;
+}
--- a/src/hold/Standing.test.ts
+++ b/src/hold/Standing.test.ts
@@ -17,13 +17,19 @@
 function checkFounding(): void {
   const standing = start();
   expect(standing.receive(moment(1600), b, returned('blank', 0), quorum)).toBeUndefined();
-  expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({ become: 'founded', epoch: 0 });
+  expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({
+    become: 'founded',
+    epoch: 0,
+  });
 }
 function checkSlowFounding(): void {
   // A fellow that founded first has already run its epoch up alone.
   const standing = start();
   standing.receive(moment(1600), b, returned('fresh', 23), quorum);
-  expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({ become: 'founded', epoch: 0 });
+  expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({
+    become: 'founded',
+    epoch: 0,
+  });
 }
 function checkMemberHolds(): void {
   const standing = start();
@@ -38,7 +44,11 @@
   // One fellow alone may not know what we decided with the other.
   expect(standing.receive(moment(1600), b, returned('sound', 8), quorum)).toBeUndefined();
   expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toBeUndefined();
-  expect(standing.receive(moment(1600), c, returned('sound', 6), quorum)).toEqual({ become: 'repaired', epoch: 8, copies: [] });
+  expect(standing.receive(moment(1600), c, returned('sound', 6), quorum)).toEqual({
+    become: 'repaired',
+    epoch: 8,
+    copies: [],
+  });
 }
 test('blank seeds found together', checkFounding);
 test('a seed that is slow to found still founds beside one that was not', checkSlowFounding);
--- a/src/kin/Call.ts
+++ b/src/kin/Call.ts
@@ -1,7 +1,11 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import { splitAddress } from './Listen.js';
 
-export interface CallReturn { readonly status: number; readonly headers: IncomingMessage['headers']; readonly body: string }
+export interface CallReturn {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
 
 const MAX_BODY = 64 * 1024 * 1024;
 
@@ -17,14 +21,22 @@
     let size = 0;
     function take(chunk: Buffer): void {
       size += chunk.length;
-      if (size <= most) { chunks.push(chunk); return; }
+      if (size <= most) {
+        chunks.push(chunk);
+        return;
+      }
       // What still comes is let go, so that whoever sends it can read our return.
       stream.off('data', take);
       stream.resume();
       fail(new Error(`a body of more than ${most} bytes`));
     }
-    function end(): void { stream.off('close', cut); done(Buffer.concat(chunks)); }
-    function cut(): void { fail(new Error('the body broke off')); }
+    function end(): void {
+      stream.off('close', cut);
+      done(Buffer.concat(chunks));
+    }
+    function cut(): void {
+      fail(new Error('the body broke off'));
+    }
     stream.on('data', take);
     stream.once('end', end);
     stream.once('error', fail);
@@ -34,16 +46,39 @@
 }
 
 /** One HTTP call with a JSON body and one limit on all of it. */
-export function call(method: string, address: string, path: string, body: string | undefined, limitMs: number): Promise<CallReturn> {
+export function call(
+  method: string,
+  address: string,
+  path: string,
+  body: string | undefined,
+  limitMs: number,
+): Promise<CallReturn> {
   const { host, port } = splitAddress(address);
   function run(done: (returned: CallReturn) => void, fail: (thrown: unknown) => void): void {
-    const headers = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
+    const headers =
+      body === undefined
+        ? {}
+        : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
     // A connection of its own each time: a kept one may close just as we write.
-    const sent: ClientRequest = request({ host, port, method, path, headers, agent: false, signal: AbortSignal.timeout(limitMs) });
+    const sent: ClientRequest = request({
+      host,
+      port,
+      method,
+      path,
+      headers,
+      agent: false,
+      signal: AbortSignal.timeout(limitMs),
+    });
     async function take(returned: IncomingMessage): Promise<void> {
       try {
-        done({ status: returned.statusCode ?? 0, headers: returned.headers, body: await readBody(returned) });
-      } catch (thrown) { fail(thrown); }
+        done({
+          status: returned.statusCode ?? 0,
+          headers: returned.headers,
+          body: await readBody(returned),
+        });
+      } catch (thrown) {
+        fail(thrown);
+      }
     }
     sent.once('response', take);
     sent.once('error', fail);
--- a/src/kin/Counters.ts
+++ b/src/kin/Counters.ts
@@ -2,11 +2,19 @@
 export class Counters {
   readonly #counts = new Map<string, number>();
 
-  add(name: string, count = 1): void { this.#counts.set(name, (this.#counts.get(name) ?? 0) + count); }
+  add(name: string, count = 1): void {
+    this.#counts.set(name, (this.#counts.get(name) ?? 0) + count);
+  }
 
-  set(name: string, value: number): void { this.#counts.set(name, value); }
+  set(name: string, value: number): void {
+    this.#counts.set(name, value);
+  }
 
-  get(name: string): number { return this.#counts.get(name) ?? 0; }
+  get(name: string): number {
+    return this.#counts.get(name) ?? 0;
+  }
 
-  all(): Record<string, number> { return Object.fromEntries([...this.#counts].sort()); }
+  all(): Record<string, number> {
+    return Object.fromEntries([...this.#counts].sort());
+  }
 }
--- a/src/kin/Defect.ts
+++ b/src/kin/Defect.ts
@@ -48,8 +48,12 @@
     this.#kind = kind;
   }
 
-  get kind(): DefectKind { return this.#kind; }
-  get row(): DefectRow { return DEFECTS[this.#kind]; }
+  get kind(): DefectKind {
+    return this.#kind;
+  }
+  get row(): DefectRow {
+    return DEFECTS[this.#kind];
+  }
 }
 
 /** What went wrong, as one line, whatever was thrown. */
--- a/src/kin/Ids.ts
+++ b/src/kin/Ids.ts
@@ -6,24 +6,57 @@
 /** Milliseconds on this process's monotonic clock; never compared between machines. */
 export type Moment = number & { readonly kindOfNumber: 'moment' };
 
-function isFellowId(text: string): text is FellowId { return text !== ''; }
-function isPartName(text: string): text is PartName { return /^[a-z0-9-]+$/.test(text); }
-function isEditId(text: string): text is EditId { return /^[A-Za-z0-9._:-]{1,100}$/.test(text); }
-function isEpoch(value: number): value is Epoch { return Number.isSafeInteger(value) && value >= 0; }
-function isMoment(value: number): value is Moment { return Number.isFinite(value); }
+function isFellowId(text: string): text is FellowId {
+  return text !== '';
+}
+function isPartName(text: string): text is PartName {
+  return /^[a-z0-9-]+$/.test(text);
+}
+function isEditId(text: string): text is EditId {
+  return /^[A-Za-z0-9._:-]{1,100}$/.test(text);
+}
+function isEpoch(value: number): value is Epoch {
+  return Number.isSafeInteger(value) && value >= 0;
+}
+function isMoment(value: number): value is Moment {
+  return Number.isFinite(value);
+}
 
 function wrong(kind: string, value: string | number): TypeError {
   return new TypeError(`not a ${kind}: ${JSON.stringify(value)}`);
 }
 
-export function fellowId(text: string): FellowId { if (!isFellowId(text)) throw wrong('fellow id', text); return text; }
-export function partName(text: string): PartName { if (!isPartName(text)) throw wrong('part name', text); return text; }
-export function editId(text: string): EditId { if (!isEditId(text)) throw wrong('edit id', text); return text; }
-export function epochOf(value: number): Epoch { if (!isEpoch(value)) throw wrong('epoch', value); return value; }
-export function moment(value: number): Moment { if (!isMoment(value)) throw wrong('moment', value); return value; }
+export function fellowId(text: string): FellowId {
+  if (!isFellowId(text)) throw wrong('fellow id', text);
+  return text;
+}
+export function partName(text: string): PartName {
+  if (!isPartName(text)) throw wrong('part name', text);
+  return text;
+}
+export function editId(text: string): EditId {
+  if (!isEditId(text)) throw wrong('edit id', text);
+  return text;
+}
+export function epochOf(value: number): Epoch {
+  if (!isEpoch(value)) throw wrong('epoch', value);
+  return value;
+}
+export function moment(value: number): Moment {
+  if (!isMoment(value)) throw wrong('moment', value);
+  return value;
+}
 
 /** Odd epochs elect; even ones carry a leader. */
-export function isElecting(epoch: Epoch): boolean { return epoch % 2 === 1; }
-export function nextElecting(epoch: Epoch): Epoch { return epochOf(epoch % 2 === 1 ? epoch + 2 : epoch + 1); }
-export function nextLeading(epoch: Epoch): Epoch { return epochOf(epoch % 2 === 0 ? epoch : epoch + 1); }
-export function later(at: Moment, millis: number): Moment { return moment(at + millis); }
+export function isElecting(epoch: Epoch): boolean {
+  return epoch % 2 === 1;
+}
+export function nextElecting(epoch: Epoch): Epoch {
+  return epochOf(epoch % 2 === 1 ? epoch + 2 : epoch + 1);
+}
+export function nextLeading(epoch: Epoch): Epoch {
+  return epochOf(epoch % 2 === 0 ? epoch : epoch + 1);
+}
+export function later(at: Moment, millis: number): Moment {
+  return moment(at + millis);
+}
--- a/src/kin/Json.ts
+++ b/src/kin/Json.ts
@@ -4,7 +4,11 @@
 /** JSON text of a given shape, or nothing. */
 export function parseAs<T>(shape: Shape<T>, text: string): T | undefined {
   let raw: unknown;
-  try { raw = JSON.parse(text); } catch { return undefined; }
+  try {
+    raw = JSON.parse(text);
+  } catch {
+    return undefined;
+  }
   return shape.is(raw) ? raw : undefined;
 }
 
--- a/src/kin/Listen.ts
+++ b/src/kin/Listen.ts
@@ -3,7 +3,10 @@
 /** "10.0.0.1:7000" as host and port. */
 export function splitAddress(address: string): { readonly host: string; readonly port: number } {
   const at = address.lastIndexOf(':');
-  return { host: address.slice(0, at).replace(/^\[(.*)\]$/, '$1'), port: Number(address.slice(at + 1)) };
+  return {
+    host: address.slice(0, at).replace(/^\[(.*)\]$/, '$1'),
+    port: Number(address.slice(at + 1)),
+  };
 }
 
 /** Opens a port and returns its number, or fails as the system says. */
--- a/src/kin/Messages.test.ts
+++ b/src/kin/Messages.test.ts
@@ -7,18 +7,35 @@
   const report = { owner: 'a', version: 3, links: [{ fellow: 'b', score: 0.25, alive: true }] };
   const ping: Message = { kind: 'ping', nonce: 7, epoch: 4, reports: [report], leader: 'a' };
   expect(decodeMessage(encodeMessage(ping))).toEqual(ping);
-  const write: Message = { kind: 'write', part: 'p', epoch: 2, count: 9007199254740991, body: 'é'.repeat(70000) };
+  const write: Message = {
+    kind: 'write',
+    part: 'p',
+    epoch: 2,
+    count: 9007199254740991,
+    body: 'é'.repeat(70000),
+  };
   expect(decodeMessage(encodeMessage(write))).toEqual(write);
 }
 function checkSkew(): void {
   const older = new Codec(new Wire(), 'news', type({ topic: string() }));
   const newer = new Codec(new Wire(), 'news', SHAPES.news);
-  expect(newer.decode(older.encode({ topic: 'table' }))).toEqual({ topic: 'table', epoch: 0, count: 0, body: '' });
-  expect(older.decode(newer.encode({ topic: 'x', epoch: 1, count: 2, body: 'b' }))).toEqual({ topic: 'x' });
+  expect(newer.decode(older.encode({ topic: 'table' }))).toEqual({
+    topic: 'table',
+    epoch: 0,
+    count: 0,
+    body: '',
+  });
+  expect(older.decode(newer.encode({ topic: 'x', epoch: 1, count: 2, body: 'b' }))).toEqual({
+    topic: 'x',
+  });
 }
 function checkGarbage(): void {
-  function decodeCut(): void { decodeMessage(Buffer.from([4, 10, 255, 1])); }
-  function decodeUnknown(): void { decodeMessage(Buffer.from([250])); }
+  function decodeCut(): void {
+    decodeMessage(Buffer.from([4, 10, 255, 1]));
+  }
+  function decodeUnknown(): void {
+    decodeMessage(Buffer.from([250]));
+  }
   expect(decodeCut).toThrow(/undecodable/);
   expect(decodeUnknown).toThrow(/unknown kind/);
 }
--- a/src/kin/Messages.ts
+++ b/src/kin/Messages.ts
@@ -5,10 +5,22 @@
 const Link = type({ fellow: string(), score: number(), alive: boolean() });
 /** One node's scores of its links, versioned by its owner alone. */
 export const Report = type({ owner: string(), version: number(), links: array(Link) });
-const Copy = type({ part: string(), epoch: number(), count: number(), body: string(), sound: boolean() });
+const Copy = type({
+  part: string(),
+  epoch: number(),
+  count: number(),
+  body: string(),
+  sound: boolean(),
+});
 const Have = type({ topic: string(), epoch: number(), count: number() });
 const Mind = type({ id: string(), zone: string() });
-const Member = type({ id: string(), zone: string(), address: string(), epoch: number(), count: number() });
+const Member = type({
+  id: string(),
+  zone: string(),
+  address: string(),
+  epoch: number(),
+  count: number(),
+});
 
 /** Everything the processes say to each other. Fields are only ever added at the end of a shape. */
 export const SHAPES = {
@@ -17,21 +29,50 @@
   pong: type({ nonce: number(), epoch: number(), reports: array(Report), standing: string() }),
   propose: type({ epoch: number(), reports: array(Report) }),
   defer: type({ epoch: number(), reports: array(Report) }),
-  victory: type({ epoch: number(), reports: array(Report), nonce: number(), quorum: array(string()) }),
+  victory: type({
+    epoch: number(),
+    reports: array(Report),
+    nonce: number(),
+    quorum: array(string()),
+  }),
   granted: type({ epoch: number(), wait: number(), nonce: number(), reports: array(Report) }),
   behind: type({ epoch: number(), reports: array(Report) }),
   renew: type({ epoch: number(), nonce: number(), quorum: array(string()) }),
   renewed: type({ epoch: number(), nonce: number() }),
   read: type({ epoch: number(), nonce: number(), parts: array(string()) }),
-  readReturn: type({ epoch: number(), nonce: number(), sound: boolean(), copies: array(Copy), standing: string() }),
+  readReturn: type({
+    epoch: number(),
+    nonce: number(),
+    sound: boolean(),
+    copies: array(Copy),
+    standing: string(),
+  }),
   write: type({ part: string(), epoch: number(), count: number(), body: string() }),
-  writeReturn: type({ part: string(), epoch: number(), count: number(), good: boolean(), members: array(Member) }),
+  writeReturn: type({
+    part: string(),
+    epoch: number(),
+    count: number(),
+    good: boolean(),
+    members: array(Member),
+  }),
   digest: type({ nonce: number(), low: number(), high: number(), digest: string() }),
-  digestReturn: type({ nonce: number(), low: number(), high: number(), same: boolean(), sound: boolean() }),
+  digestReturn: type({
+    nonce: number(),
+    low: number(),
+    high: number(),
+    same: boolean(),
+    sound: boolean(),
+  }),
   sound: type({ nonce: number(), members: array(Member) }),
   sounded: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
   news: type({ topic: string(), epoch: number(), count: number(), body: string() }),
-  join: type({ zone: string(), address: string(), epoch: number(), count: number(), lost: string() }),
+  join: type({
+    zone: string(),
+    address: string(),
+    epoch: number(),
+    count: number(),
+    lost: string(),
+  }),
   hang: type({ parent: string() }),
   ask: type({ nonce: number(), have: array(Have), members: array(string()) }),
   vouch: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
@@ -42,11 +83,24 @@
   commandReturn: type({ id: number(), status: number(), body: string() }),
   released: type({ epoch: number() }),
   /** A control node that is no voter, or hears of no leader, with the configuration it knows. */
-  enlist: type({ id: string(), zone: string(), epoch: number(), count: number(), isFirst: boolean(), isSound: boolean() }),
+  enlist: type({
+    id: string(),
+    zone: string(),
+    epoch: number(),
+    count: number(),
+    isFirst: boolean(),
+    isSound: boolean(),
+  }),
   /** The voters with their zones, whom they follow, and the newest configuration there. */
   minds: type({ minds: array(Mind), leader: string(), epoch: number(), count: number() }),
   /** What changed of a topic since the count `from` of the same epoch. */
-  delta: type({ topic: string(), epoch: number(), from: number(), count: number(), body: string() }),
+  delta: type({
+    topic: string(),
+    epoch: number(),
+    from: number(),
+    count: number(),
+    body: string(),
+  }),
 } as const;
 
 type Shapes = typeof SHAPES;
--- a/src/kin/ProgramCommand.ts
+++ b/src/kin/ProgramCommand.ts
@@ -18,7 +18,10 @@
   /** Checks the settings before any port opens: every fault is one line, and the exit code is 2. */
   protected settle<T, S>(shape: Struct<T, S>, flags: Readonly<Record<string, unknown>>): T {
     const { settings: path, seed, ...given } = flags;
-    const { settings, faults } = readSettings(shape, typeof path === 'string' ? path : undefined, { ...given, ...(seed === undefined ? {} : { seeds: seed }) });
+    const { settings, faults } = readSettings(shape, typeof path === 'string' ? path : undefined, {
+      ...given,
+      ...(seed === undefined ? {} : { seeds: seed }),
+    });
     if (settings !== undefined && faults.length === 0) return settings;
     for (const fault of faults) process.stderr.write(`${fault}\n`);
     return this.exit(2);
--- a/src/kin/Quorum.ts
+++ b/src/kin/Quorum.ts
@@ -10,14 +10,22 @@
     this.#all = [...new Set(sets.flat())].sort();
   }
 
-  get all(): readonly FellowId[] { return this.#all; }
+  get all(): readonly FellowId[] {
+    return this.#all;
+  }
 
   /** Two while a swap is under way. */
-  get sets(): number { return this.#sets.length; }
+  get sets(): number {
+    return this.#sets.length;
+  }
 
-  get text(): string { return this.#sets.join(' | '); }
+  get text(): string {
+    return this.#sets.join(' | ');
+  }
 
-  holds(id: FellowId): boolean { return this.#all.includes(id); }
+  holds(id: FellowId): boolean {
+    return this.#all.includes(id);
+  }
 
   isMajority(ids: ReadonlySet<FellowId>): boolean {
     function hasMost(set: readonly FellowId[]): boolean {
--- a/src/kin/Settings.test.ts
+++ b/src/kin/Settings.test.ts
@@ -2,12 +2,25 @@
 import { FlowSettingsShape, LinkSettingsShape, readSettings } from './Settings.js';
 
 function checkFaults(): void {
-  const { faults } = readSettings(LinkSettingsShape, undefined, { listen: 'localhost:1', feed: '127.0.0.1:99999', zone: 'A B', seeds: ['10.0.0.1:1'], more: 1 });
+  const { faults } = readSettings(LinkSettingsShape, undefined, {
+    listen: 'localhost:1',
+    feed: '127.0.0.1:99999',
+    zone: 'A B',
+    seeds: ['10.0.0.1:1'],
+    more: 1,
+  });
   expect(faults.map(keyOf)).toEqual(['listen', 'feed', 'zone', 'seeds', 'more']);
 }
-function keyOf(fault: string): string { return fault.split(':')[0] ?? ''; }
+function keyOf(fault: string): string {
+  return fault.split(':')[0] ?? '';
+}
 function checkSound(): void {
-  const { settings, faults } = readSettings(FlowSettingsShape, undefined, { listen: '127.0.0.1:8080', link: '127.0.0.1:7001', zone: 'a', seeds: undefined });
+  const { settings, faults } = readSettings(FlowSettingsShape, undefined, {
+    listen: '127.0.0.1:8080',
+    link: '127.0.0.1:7001',
+    zone: 'a',
+    seeds: undefined,
+  });
   expect(faults).toEqual([]);
   expect(settings?.blindMs).toBe(2500);
 }
--- a/src/kin/Settings.ts
+++ b/src/kin/Settings.ts
@@ -1,6 +1,20 @@
 import { readFileSync } from 'node:fs';
 import { isIP } from 'node:net';
-import { array, defaulted, define, max, min, integer, object, optional, record, size, string, StructError, type Struct } from 'superstruct';
+import {
+  array,
+  defaulted,
+  define,
+  max,
+  min,
+  integer,
+  object,
+  optional,
+  record,
+  size,
+  string,
+  StructError,
+  type Struct,
+} from 'superstruct';
 import { reasonOf } from './Defect.js';
 
 function checkAddress(value: unknown): boolean | string {
@@ -8,13 +22,18 @@
   const at = value.lastIndexOf(':');
   const host = value.slice(0, at).replace(/^\[(.*)\]$/, '$1');
   const port = Number(value.slice(at + 1));
-  if (at < 1 || isIP(host) === 0) return `'${value}' must be an IP number and a port, like 10.0.0.1:7000`;
-  if (!Number.isInteger(port) || port < 1 || port > 65_535) return `'${value}' has no port from 1 to 65535`;
+  if (at < 1 || isIP(host) === 0)
+    return `'${value}' must be an IP number and a port, like 10.0.0.1:7000`;
+  if (!Number.isInteger(port) || port < 1 || port > 65_535)
+    return `'${value}' has no port from 1 to 65535`;
   return true;
 }
 
 function checkZone(value: unknown): boolean | string {
-  return (typeof value === 'string' && /^[a-z0-9][a-z0-9-]{0,31}$/.test(value)) || 'must be a short name of small letters, digits and dashes';
+  return (
+    (typeof value === 'string' && /^[a-z0-9][a-z0-9-]{0,31}$/.test(value)) ||
+    'must be a short name of small letters, digits and dashes'
+  );
 }
 
 export const Address = define<string>('address', checkAddress);
@@ -23,29 +42,57 @@
 const Seeds = size(array(Address), 3, 3);
 
 export const MindSettingsShape = object({
-  listen: Address, api: Address, zone: Zone, seeds: Seeds, data: string(), platform: Address, store: Address,
-  blindMs: defaulted(Millis, 2500), drainMs: defaulted(Millis, 10_000), reach: defaulted(record(Address, Address), {}),
+  listen: Address,
+  api: Address,
+  zone: Zone,
+  seeds: Seeds,
+  data: string(),
+  platform: Address,
+  store: Address,
+  blindMs: defaulted(Millis, 2500),
+  drainMs: defaulted(Millis, 10_000),
+  reach: defaulted(record(Address, Address), {}),
 });
 
 export const LinkSettingsShape = object({
-  listen: Address, feed: Address, zone: Zone, seeds: Seeds, status: optional(Address),
-  blindMs: defaulted(Millis, 2500), drainMs: defaulted(Millis, 2000), reach: defaulted(record(Address, Address), {}),
+  listen: Address,
+  feed: Address,
+  zone: Zone,
+  seeds: Seeds,
+  status: optional(Address),
+  blindMs: defaulted(Millis, 2500),
+  drainMs: defaulted(Millis, 2000),
+  reach: defaulted(record(Address, Address), {}),
 });
 
 export const FlowSettingsShape = object({
-  listen: Address, link: Address, zone: Zone, status: optional(Address),
-  blindMs: defaulted(Millis, 2500), drainMs: defaulted(Millis, 300_000), silentMs: defaulted(Millis, 20_000), maxBodyBytes: defaulted(max(min(integer(), 1024), 64 * 1024 * 1024), 1024 * 1024),
+  listen: Address,
+  link: Address,
+  zone: Zone,
+  status: optional(Address),
+  blindMs: defaulted(Millis, 2500),
+  drainMs: defaulted(Millis, 300_000),
+  silentMs: defaulted(Millis, 20_000),
+  maxBodyBytes: defaulted(max(min(integer(), 1024), 64 * 1024 * 1024), 1024 * 1024),
 });
 
-export interface SettingsOutcome<T> { readonly settings: T | undefined; readonly faults: readonly string[] }
+export interface SettingsOutcome<T> {
+  readonly settings: T | undefined;
+  readonly faults: readonly string[];
+}
 
 /** Settings from a file, with flags laid over it; every fault is one line. */
-export function readSettings<T, S>(shape: Struct<T, S>, path: string | undefined, flags: Readonly<Record<string, unknown>>): SettingsOutcome<T> {
+export function readSettings<T, S>(
+  shape: Struct<T, S>,
+  path: string | undefined,
+  flags: Readonly<Record<string, unknown>>,
+): SettingsOutcome<T> {
   let base: object = {};
   if (path !== undefined) {
     try {
       const raw: unknown = JSON.parse(readFileSync(path, 'utf8'));
-      if (typeof raw !== 'object' || raw === null || Array.isArray(raw)) return { settings: undefined, faults: [`${path}: must hold one JSON object`] };
+      if (typeof raw !== 'object' || raw === null || Array.isArray(raw))
+        return { settings: undefined, faults: [`${path}: must hold one JSON object`] };
       base = raw;
     } catch (thrown) {
       return { settings: undefined, faults: [`${path}: ${reasonOf(thrown)}`] };
@@ -56,7 +103,8 @@
   const [error, settings] = shape.validate({ ...base, ...given }, { coerce: true });
   if (error instanceof StructError) {
     const faults: string[] = [];
-    for (const item of error.failures()) faults.push(`${item.path.join('.') || 'settings'}: ${item.message}`);
+    for (const item of error.failures())
+      faults.push(`${item.path.join('.') || 'settings'}: ${item.message}`);
     return { settings: undefined, faults };
   }
   return { settings, faults: [] };
--- a/src/kin/StatusPort.ts
+++ b/src/kin/StatusPort.ts
@@ -15,12 +15,20 @@
     await listenOn(this.#server, address);
   }
 
-  close(): void { this.#server.close(); this.#server.closeAllConnections(); }
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
 
   #take(asked: IncomingMessage, returned: ServerResponse): void {
     const isKnown = asked.method === 'GET' && asked.url === '/counters';
-    const body = JSON.stringify(isKnown ? this.#counters() : { defect: 'unmapped', text: 'there is only GET /counters here' });
-    returned.writeHead(isKnown ? 200 : 404, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) });
+    const body = JSON.stringify(
+      isKnown ? this.#counters() : { defect: 'unmapped', text: 'there is only GET /counters here' },
+    );
+    returned.writeHead(isKnown ? 200 : 404, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+    });
     returned.end(body);
   }
 }
--- a/src/kin/Version.ts
+++ b/src/kin/Version.ts
@@ -1,5 +1,8 @@
 /** A version is the epoch of the leader that wrote it and its count within the part. */
-export interface Version { readonly epoch: number; readonly count: number }
+export interface Version {
+  readonly epoch: number;
+  readonly count: number;
+}
 
 export const NO_VERSION: Version = { epoch: 0, count: 0 };
 
--- a/src/kin/Wire.ts
+++ b/src/kin/Wire.ts
@@ -71,9 +71,14 @@
     try {
       raw = this.#type.toObject(this.#type.decode(bytes), { defaults: true, arrays: true });
     } catch (thrown) {
-      throw new Defect('bad-frame', `undecodable ${this.#type.name}`, thrown instanceof Error ? thrown : undefined);
+      throw new Defect(
+        'bad-frame',
+        `undecodable ${this.#type.name}`,
+        thrown instanceof Error ? thrown : undefined,
+      );
     }
-    if (!this.#shape.is(raw)) throw new Defect('bad-frame', `${this.#type.name} has fields of the wrong kind`);
+    if (!this.#shape.is(raw))
+      throw new Defect('bad-frame', `${this.#type.name} has fields of the wrong kind`);
     return raw;
   }
 }
--- a/src/link/AgentProcess.ts
+++ b/src/link/AgentProcess.ts
@@ -30,17 +30,32 @@
   constructor(settings: AgentSettings, log: Logger) {
     this.#log = log;
     const { me, feed, zone, seeds } = settings;
-    this.#nodes = new Exchange({ id: me, role: 'link', zone, listen: me, reach: {} }, this.#tell.bind(this));
-    this.#feed = new Exchange({ id: feed, role: 'link', zone, listen: feed, reach: {} }, this.#tell.bind(this));
-    this.#core = new LinkCore({ me, zone, seeds, blindMs: BLIND_MS, life: newLife(), isDeployed: true }, monotonicNow());
+    this.#nodes = new Exchange(
+      { id: me, role: 'link', zone, listen: me, reach: {} },
+      this.#tell.bind(this),
+    );
+    this.#feed = new Exchange(
+      { id: feed, role: 'link', zone, listen: feed, reach: {} },
+      this.#tell.bind(this),
+    );
+    this.#core = new LinkCore(
+      { me, zone, seeds, blindMs: BLIND_MS, life: newLife(), isDeployed: true },
+      monotonicNow(),
+    );
   }
 
   async start(): Promise<void> {
-    this.#subscription.add(merge(this.#nodes.incoming$, this.#feed.incoming$).subscribe(this.#receive.bind(this)));
-    this.#subscription.add(merge(this.#nodes.gone$, this.#feed.gone$).subscribe(this.#gone.bind(this)));
+    this.#subscription.add(
+      merge(this.#nodes.incoming$, this.#feed.incoming$).subscribe(this.#receive.bind(this)),
+    );
+    this.#subscription.add(
+      merge(this.#nodes.gone$, this.#feed.gone$).subscribe(this.#gone.bind(this)),
+    );
     await this.#nodes.open();
     await this.#feed.open();
-    this.#subscription.add(interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))));
+    this.#subscription.add(
+      interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))),
+    );
     this.#submit(this.#beat.bind(this));
   }
 
@@ -50,11 +65,17 @@
     this.#feed.close();
   }
 
-  setSeeds(seeds: readonly string[]): void { this.#submit(this.#core.setSeeds.bind(this.#core, seeds)); }
+  setSeeds(seeds: readonly string[]): void {
+    this.#submit(this.#core.setSeeds.bind(this.#core, seeds));
+  }
 
-  #tell(defect: Defect): void { this.#log.warn({ defect: defect.kind }, defect.message); }
+  #tell(defect: Defect): void {
+    this.#log.warn({ defect: defect.kind }, defect.message);
+  }
 
-  #submit(command: () => void): void { this.#owner.submit(this.#work.bind(this, command)); }
+  #submit(command: () => void): void {
+    this.#owner.submit(this.#work.bind(this, command));
+  }
 
   #work(command: () => void): void {
     command();
@@ -71,8 +92,18 @@
   }
 
   #receive(incoming: Incoming): void {
-    this.#submit(this.#core.receive.bind(this.#core, monotonicNow(), incoming.from, incoming.role, incoming.message));
+    this.#submit(
+      this.#core.receive.bind(
+        this.#core,
+        monotonicNow(),
+        incoming.from,
+        incoming.role,
+        incoming.message,
+      ),
+    );
   }
 
-  #gone(id: string): void { this.#submit(this.#core.gone.bind(this.#core, monotonicNow(), id)); }
+  #gone(id: string): void {
+    this.#submit(this.#core.gone.bind(this.#core, monotonicNow(), id));
+  }
 }
--- a/src/link/LinkProcess.ts
+++ b/src/link/LinkProcess.ts
@@ -27,17 +27,32 @@
     this.#settings = settings;
     this.#log = log;
     const { listen, feed, zone, seeds, blindMs, reach } = settings;
-    this.#nodes = new Exchange({ id: listen, role: 'link', zone, listen, reach }, this.#tell.bind(this));
-    this.#feed = new Exchange({ id: feed, role: 'link', zone, listen: feed, reach: {} }, this.#tell.bind(this));
-    this.#core = new LinkCore({ me: listen, zone, seeds, blindMs, life: newLife() }, monotonicNow());
+    this.#nodes = new Exchange(
+      { id: listen, role: 'link', zone, listen, reach },
+      this.#tell.bind(this),
+    );
+    this.#feed = new Exchange(
+      { id: feed, role: 'link', zone, listen: feed, reach: {} },
+      this.#tell.bind(this),
+    );
+    this.#core = new LinkCore(
+      { me: listen, zone, seeds, blindMs, life: newLife() },
+      monotonicNow(),
+    );
   }
 
   async start(): Promise<void> {
-    this.#subscription.add(merge(this.#nodes.incoming$, this.#feed.incoming$).subscribe(this.#receive.bind(this)));
-    this.#subscription.add(merge(this.#nodes.gone$, this.#feed.gone$).subscribe(this.#gone.bind(this)));
+    this.#subscription.add(
+      merge(this.#nodes.incoming$, this.#feed.incoming$).subscribe(this.#receive.bind(this)),
+    );
+    this.#subscription.add(
+      merge(this.#nodes.gone$, this.#feed.gone$).subscribe(this.#gone.bind(this)),
+    );
     await this.#nodes.open();
     await this.#feed.open();
-    this.#subscription.add(interval(BEAT_MS).subscribe(this.#work.bind(this, this.#beat.bind(this))));
+    this.#subscription.add(
+      interval(BEAT_MS).subscribe(this.#work.bind(this, this.#beat.bind(this))),
+    );
     this.#log.info({ zone: this.#settings.zone }, 'link started');
   }
 
@@ -78,7 +93,15 @@
 
   #receive(incoming: Incoming): void {
     this.#counters.add(`messages.${incoming.message.kind}`);
-    this.#work(this.#core.receive.bind(this.#core, monotonicNow(), incoming.from, incoming.role, incoming.message));
+    this.#work(
+      this.#core.receive.bind(
+        this.#core,
+        monotonicNow(),
+        incoming.from,
+        incoming.role,
+        incoming.message,
+      ),
+    );
   }
 
   #gone(id: string): void {
--- a/src/mind/Api.ts
+++ b/src/mind/Api.ts
@@ -2,7 +2,10 @@
 import { readBody } from '../kin/Call.js';
 import { listenOn } from '../kin/Listen.js';
 
-export interface ApiReturn { readonly status: number; readonly body: string }
+export interface ApiReturn {
+  readonly status: number;
+  readonly body: string;
+}
 
 /** What the API hands on: a verb of the core and its JSON body. */
 export type Ask = (verb: string, body: string) => Promise<ApiReturn>;
@@ -38,11 +41,25 @@
   async #take(asked: IncomingMessage, returned: ServerResponse): Promise<void> {
     let result: ApiReturn;
     try {
-      result = await this.#serve(asked.method ?? 'GET', asked.url ?? '/', await readBody(asked, MAX_EDIT));
+      result = await this.#serve(
+        asked.method ?? 'GET',
+        asked.url ?? '/',
+        await readBody(asked, MAX_EDIT),
+      );
     } catch {
-      result = { status: 400, body: JSON.stringify({ outcome: 'turned-away', defect: 'malformed', text: 'the body is not JSON, or too large' }) };
+      result = {
+        status: 400,
+        body: JSON.stringify({
+          outcome: 'turned-away',
+          defect: 'malformed',
+          text: 'the body is not JSON, or too large',
+        }),
+      };
     }
-    const headers: Record<string, string | number> = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(result.body) };
+    const headers: Record<string, string | number> = {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(result.body),
+    };
     if (result.status === 503) headers['retry-after'] = 2;
     returned.writeHead(result.status, headers);
     returned.end(result.body);
@@ -52,24 +69,56 @@
     const [path = '/', query = ''] = url.split('?');
     const zone = /^\/zones\/([^/]+)\/empty$/.exec(path);
     const edit = /^\/edits\/([^/]+)$/.exec(path);
-    if (zone && method === 'PUT') return this.#ask('zone', withField(body, { zone: decodeURIComponent(zone[1] ?? ''), empty: true }));
-    if (zone && method === 'DELETE') return this.#ask('zone', withField(body, { zone: decodeURIComponent(zone[1] ?? ''), empty: false }));
+    if (zone && method === 'PUT')
+      return this.#ask(
+        'zone',
+        withField(body, { zone: decodeURIComponent(zone[1] ?? ''), empty: true }),
+      );
+    if (zone && method === 'DELETE')
+      return this.#ask(
+        'zone',
+        withField(body, { zone: decodeURIComponent(zone[1] ?? ''), empty: false }),
+      );
     if (edit && method === 'GET') {
       const base = new URLSearchParams(query).get('base');
-      return this.#ask('edit', JSON.stringify({ id: decodeURIComponent(edit[1] ?? ''), ...(base === null ? {} : { base: Number(base) }) }));
+      return this.#ask(
+        'edit',
+        JSON.stringify({
+          id: decodeURIComponent(edit[1] ?? ''),
+          ...(base === null ? {} : { base: Number(base) }),
+        }),
+      );
     }
     switch (`${method} ${path}`) {
-      case 'GET /status': return this.#ask('status', '{}');
-      case 'GET /fleet': return this.#ask('fleet', '{}');
-      case 'GET /live': return this.#ask('live', '{}');
-      case 'GET /table': return this.#ask('read', '{}');
-      case 'PUT /table': return this.#ask('table', withField(body, {}));
-      case 'PATCH /table/cell': return this.#ask('cell', withField(body, {}));
-      case 'PATCH /table/rows': return this.#ask('rows', withField(body, {}));
-      case 'POST /voters/swap': return this.#ask('swap', withField(body, {}));
-      case 'POST /found': return this.#ask('found', '{}');
-      case 'GET /counters': return { status: 200, body: JSON.stringify(this.#counters()) };
-      default: return { status: 404, body: JSON.stringify({ outcome: 'turned-away', defect: 'unmapped', text: `no ${method} ${path} here` }) };
+      case 'GET /status':
+        return this.#ask('status', '{}');
+      case 'GET /fleet':
+        return this.#ask('fleet', '{}');
+      case 'GET /live':
+        return this.#ask('live', '{}');
+      case 'GET /table':
+        return this.#ask('read', '{}');
+      case 'PUT /table':
+        return this.#ask('table', withField(body, {}));
+      case 'PATCH /table/cell':
+        return this.#ask('cell', withField(body, {}));
+      case 'PATCH /table/rows':
+        return this.#ask('rows', withField(body, {}));
+      case 'POST /voters/swap':
+        return this.#ask('swap', withField(body, {}));
+      case 'POST /found':
+        return this.#ask('found', '{}');
+      case 'GET /counters':
+        return { status: 200, body: JSON.stringify(this.#counters()) };
+      default:
+        return {
+          status: 404,
+          body: JSON.stringify({
+            outcome: 'turned-away',
+            defect: 'unmapped',
+            text: `no ${method} ${path} here`,
+          }),
+        };
     }
   }
 }
--- a/src/mind/ConfigDoc.ts
+++ b/src/mind/ConfigDoc.ts
@@ -1,4 +1,14 @@
-import { array, boolean, enums, number, optional, string, type, union, type Infer } from 'superstruct';
+import {
+  array,
+  boolean,
+  enums,
+  number,
+  optional,
+  string,
+  type,
+  union,
+  type Infer,
+} from 'superstruct';
 import { EMPTY_TABLE, TableShape } from '../code/Table.js';
 
 /** The operators' routing: their own number of it, and its text as they sent it or as their changes made it. */
@@ -20,7 +30,13 @@
 export type ConfigDoc = Infer<typeof ConfigDocShape>;
 
 /** What of it the data plane is told. */
-export const ConfigNewsShape = type({ number: number(), table: TableShape, emptied: array(string()), voters: array(array(string())), routing: optional(RoutingDocShape) });
+export const ConfigNewsShape = type({
+  number: number(),
+  table: TableShape,
+  emptied: array(string()),
+  voters: array(array(string())),
+  routing: optional(RoutingDocShape),
+});
 export type ConfigNews = Infer<typeof ConfigNewsShape>;
 
 /** So many edits are remembered by id. */
@@ -32,7 +48,11 @@
  */
 export function mayBeForgotten(doc: ConfigDoc, base: number | undefined): boolean {
   const [oldest] = doc.edits;
-  return oldest !== undefined && doc.edits.length >= MAX_EDITS && !(base !== undefined && oldest.number <= base);
+  return (
+    oldest !== undefined &&
+    doc.edits.length >= MAX_EDITS &&
+    !(base !== undefined && oldest.number <= base)
+  );
 }
 
 export function firstDoc(voters: readonly string[]): ConfigDoc {
@@ -43,7 +63,12 @@
 
 /** The operators' edits, as the API takes them. */
 export const EditShapes = {
-  table: type({ id: string(), base: number(), text: optional(string()), table: optional(type({})) }),
+  table: type({
+    id: string(),
+    base: number(),
+    text: optional(string()),
+    table: optional(type({})),
+  }),
   cell: type({ id: string(), base: number(), row: string(), column: string(), value: Value }),
   rows: type({ id: string(), base: number(), put: array(type({})), remove: array(string()) }),
   zone: type({ id: string(), zone: string(), empty: boolean() }),
--- a/src/mind/ControlProcess.ts
+++ b/src/mind/ControlProcess.ts
@@ -24,7 +24,9 @@
 /** How long a planned stop waits for orders whose outcome is open. */
 const RETIRE_MS = 1000;
 
-function afterBeat(done: () => void): void { setTimeout(done, BEAT_MS); }
+function afterBeat(done: () => void): void {
+  setTimeout(done, BEAT_MS);
+}
 
 export interface ControlSettings {
   readonly me: string;
@@ -38,7 +40,10 @@
   readonly planner: Partial<PlannerSettings>;
 }
 
-export interface ControlAnswer { readonly status: number; readonly body: string }
+export interface ControlAnswer {
+  readonly status: number;
+  readonly body: string;
+}
 
 /** Hands a verb of the core and its JSON body on to it. */
 export type ControlAsk = (verb: string, body: string) => Promise<ControlAnswer>;
@@ -49,7 +54,14 @@
   /** The list of runners; nothing where there is none to be had. */
   readonly list: (() => Promise<readonly ListedRunner[]>) | undefined;
   status(address: string): Promise<RunnerStatus | undefined>;
-  order(intent: Intent, address: string, holder: string, fence: number, lease: Lease, now: () => Moment): Promise<OrderResult>;
+  order(
+    intent: Intent,
+    address: string,
+    holder: string,
+    fence: number,
+    lease: Lease,
+    now: () => Moment,
+  ): Promise<OrderResult>;
   operators(ask: ControlAsk): { listen(address: string): Promise<number>; close(): void };
 }
 
@@ -75,7 +87,10 @@
     this.#log = log;
     this.#seeds = settings.seeds;
     const { me, zone } = settings;
-    this.#exchange = new Exchange({ id: me, role: 'mind', zone, listen: me, reach: {} }, this.#tell.bind(this));
+    this.#exchange = new Exchange(
+      { id: me, role: 'mind', zone, listen: me, reach: {} },
+      this.#tell.bind(this),
+    );
     this.#store = new FileStore(join(settings.data, 'parts'), this.#tell.bind(this));
     this.#operators = ports.operators(this.#ask.bind(this));
   }
@@ -83,8 +98,22 @@
   async start(): Promise<void> {
     const stored = await this.#store.readAll();
     const { me, zone, isFirstStart, leaseMs, control } = this.#settings;
-    const deployed = { dialect: this.#ports.dialect, isFirstStart, listMs: LIST_MS, planner: new Planner(this.#settings.planner) };
-    const settings = { ...MIND_DEFAULTS, me, zone, seeds: this.#seeds, life: newLife(), silentMs: 3000, foundMs: 0, deployed };
+    const deployed = {
+      dialect: this.#ports.dialect,
+      isFirstStart,
+      listMs: LIST_MS,
+      planner: new Planner(this.#settings.planner),
+    };
+    const settings = {
+      ...MIND_DEFAULTS,
+      me,
+      zone,
+      seeds: this.#seeds,
+      life: newLife(),
+      silentMs: 3000,
+      foundMs: 0,
+      deployed,
+    };
     // The span in which nobody orders is the deployment's. The others are short, since everything waits for a lost leader.
     const vote = { ...VOTE_DEFAULTS, ...VOTE, leaseMs };
     const core = new MindCore(settings, stored, monotonicNow(), vote);
@@ -93,7 +122,9 @@
     this.#subscription.add(this.#exchange.gone$.subscribe(this.#gone.bind(this)));
     await this.#exchange.open();
     if (control !== undefined) await this.#operators.listen(control);
-    this.#subscription.add(interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))));
+    this.#subscription.add(
+      interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))),
+    );
     this.#submit(this.#beat.bind(this));
     this.#log.info({ standing: core.standing.name }, 'mind started');
   }
@@ -102,7 +133,9 @@
   async stop(): Promise<void> {
     const end = monotonicNow() + RETIRE_MS;
     for (let isRetired = false; !isRetired && monotonicNow() < end;) {
-      function retire(core: MindCore): void { isRetired = core.retire(monotonicNow()); }
+      function retire(core: MindCore): void {
+        isRetired = core.retire(monotonicNow());
+      }
       this.#submit(retire);
       if (!isRetired) await new Promise<void>(afterBeat);
     }
@@ -115,11 +148,15 @@
 
   setSeeds(seeds: readonly string[]): void {
     this.#seeds = seeds;
-    function set(core: MindCore): void { core.setSeeds(seeds); }
+    function set(core: MindCore): void {
+      core.setSeeds(seeds);
+    }
     this.#submit(set);
   }
 
-  #tell(defect: Defect): void { this.#log.warn({ defect: defect.kind }, defect.message); }
+  #tell(defect: Defect): void {
+    this.#log.warn({ defect: defect.kind }, defect.message);
+  }
 
   /** Every input is a command of the core's one owner; its effects are carried out before the next. */
   #submit(command: (core: MindCore) => void): void {
@@ -129,7 +166,14 @@
 
   #work(core: MindCore, command: (core: MindCore) => void): void {
     // What somebody else said must not end this process.
-    try { command(core); } catch (thrown) { this.#log.error({ defect: 'core' }, thrown instanceof Error ? thrown.stack ?? thrown.message : reasonOf(thrown)); }
+    try {
+      command(core);
+    } catch (thrown) {
+      this.#log.error(
+        { defect: 'core' },
+        thrown instanceof Error ? (thrown.stack ?? thrown.message) : reasonOf(thrown),
+      );
+    }
     for (const effect of core.drain()) this.#carryOut(core, effect);
   }
 
@@ -139,25 +183,50 @@
   }
 
   #receive(incoming: Incoming): void {
-    function receive(core: MindCore): void { core.receive(monotonicNow(), incoming.from, incoming.message, incoming.role === 'mind' ? incoming.zone : ''); }
+    function receive(core: MindCore): void {
+      core.receive(
+        monotonicNow(),
+        incoming.from,
+        incoming.message,
+        incoming.role === 'mind' ? incoming.zone : '',
+      );
+    }
     this.#submit(receive);
   }
 
   #gone(id: string): void {
-    function gone(core: MindCore): void { core.gone(monotonicNow(), id); }
+    function gone(core: MindCore): void {
+      core.gone(monotonicNow(), id);
+    }
     this.#submit(gone);
   }
 
   #carryOut(core: MindCore, effect: MindEffect): void {
     switch (effect.do) {
-      case 'send': this.#exchange.send(effect.to, effect.message); break;
-      case 'store': void this.#keep(effect); break;
-      case 'askList': void this.#list(); break;
-      case 'askStatus': void this.#status(effect.runner, effect.address); break;
-      case 'order': void this.#order(effect, core); break;
-      case 'return': this.#answers.get(effect.id)?.({ status: effect.status, body: effect.body }); this.#answers.delete(effect.id); break;
-      case 'note': this.#log.info(effect.fields, effect.text); break;
-      default: break;
+      case 'send':
+        this.#exchange.send(effect.to, effect.message);
+        break;
+      case 'store':
+        void this.#keep(effect);
+        break;
+      case 'askList':
+        void this.#list();
+        break;
+      case 'askStatus':
+        void this.#status(effect.runner, effect.address);
+        break;
+      case 'order':
+        void this.#order(effect, core);
+        break;
+      case 'return':
+        this.#answers.get(effect.id)?.({ status: effect.status, body: effect.body });
+        this.#answers.delete(effect.id);
+        break;
+      case 'note':
+        this.#log.info(effect.fields, effect.text);
+        break;
+      default:
+        break;
     }
   }
 
@@ -170,7 +239,9 @@
       setTimeout(this.#keep.bind(this, effect), DISK_AGAIN_MS).unref();
       return;
     }
-    function stored(core: MindCore): void { core.stored(monotonicNow(), part, version); }
+    function stored(core: MindCore): void {
+      core.stored(monotonicNow(), part, version);
+    }
     this.#submit(stored);
   }
 
@@ -180,7 +251,9 @@
     this.#isListing = true;
     try {
       const runners = await list();
-      function take(core: MindCore): void { core.list(monotonicNow(), runners); }
+      function take(core: MindCore): void {
+        core.list(monotonicNow(), runners);
+      }
       this.#submit(take);
     } catch (thrown) {
       this.#log.info({ reason: reasonOf(thrown) }, 'no list of runners');
@@ -192,15 +265,35 @@
   async #status(runner: string, address: string): Promise<void> {
     const askedAt = monotonicNow();
     const status = await this.#ports.status(address);
-    function take(core: MindCore): void { core.status(monotonicNow(), runner, askedAt, status); }
+    function take(core: MindCore): void {
+      core.status(monotonicNow(), runner, askedAt, status);
+    }
     this.#submit(take);
   }
 
   async #order(effect: Extract<MindEffect, { do: 'order' }>, core: MindCore): Promise<void> {
     const { intent, address } = effect;
-    const outcome = await this.#ports.order(intent, address, this.#settings.me, core.elector.epoch, core, monotonicNow);
-    this.#log.info({ verb: intent.verb, model: intent.model, adapter: intent.adapter, runner: intent.runner, outcome }, 'order');
-    function ordered(owner: MindCore): void { owner.ordered(monotonicNow(), intent.id, outcome); }
+    const outcome = await this.#ports.order(
+      intent,
+      address,
+      this.#settings.me,
+      core.elector.epoch,
+      core,
+      monotonicNow,
+    );
+    this.#log.info(
+      {
+        verb: intent.verb,
+        model: intent.model,
+        adapter: intent.adapter,
+        runner: intent.runner,
+        outcome,
+      },
+      'order',
+    );
+    function ordered(owner: MindCore): void {
+      owner.ordered(monotonicNow(), intent.id, outcome);
+    }
     this.#submit(ordered);
   }
 
@@ -208,9 +301,13 @@
     this.#commandId += 1;
     const id = this.#commandId;
     const answers = this.#answers;
-    function enlist(done: (answer: ControlAnswer) => void): void { answers.set(id, done); }
+    function enlist(done: (answer: ControlAnswer) => void): void {
+      answers.set(id, done);
+    }
     const answer = new Promise<ControlAnswer>(enlist);
-    function command(core: MindCore): void { core.command(monotonicNow(), id, verb, body); }
+    function command(core: MindCore): void {
+      core.command(monotonicNow(), id, verb, body);
+    }
     this.#submit(command);
     return answer;
   }
--- a/src/mind/Edits.test.ts
+++ b/src/mind/Edits.test.ts
@@ -3,19 +3,46 @@
 import { type ConfigDoc, firstDoc } from './ConfigDoc.js';
 import { applyEdit } from './Edits.js';
 
-const row = { type: 'check', model: 'm', weight: 5, take: 3, lateMs: 900, repeatable: false, stream: true };
+const row = {
+  type: 'check',
+  model: 'm',
+  weight: 5,
+  take: 3,
+  lateMs: 900,
+  repeatable: false,
+  stream: true,
+};
 const doc: ConfigDoc = { ...firstDoc(['a']), number: 3, table: { mappings: [], rows: [row] } };
-function apply(verb: string, edit: object): ConfigDoc { return applyEdit(doc, verb, JSON.stringify(edit)).doc; }
+function apply(verb: string, edit: object): ConfigDoc {
+  return applyEdit(doc, verb, JSON.stringify(edit)).doc;
+}
 function checkCells(): void {
   const next = apply('cell', { id: 'e', base: 3, row: 'check/m', column: 'weight', value: 9 });
   expect(next.table.rows[0]?.weight).toBe(9);
   expect(next.number).toBe(4);
-  expect(apply.bind(undefined, 'cell', { id: 'e', base: 2, row: 'check/m', column: 'weight', value: 9 })).toThrow(/table 3 is in force/);
-  expect(apply.bind(undefined, 'cell', { id: 'e', base: 3, row: 'check/m', column: 'weight', value: 'much' })).toThrow(/1 fault/);
-  expect(apply.bind(undefined, 'cell', { id: 'e', base: 3, row: 'check/n', column: 'weight', value: 1 })).toThrow(/1 fault/);
+  expect(
+    apply.bind(undefined, 'cell', { id: 'e', base: 2, row: 'check/m', column: 'weight', value: 9 }),
+  ).toThrow(/table 3 is in force/);
+  expect(
+    apply.bind(undefined, 'cell', {
+      id: 'e',
+      base: 3,
+      row: 'check/m',
+      column: 'weight',
+      value: 'much',
+    }),
+  ).toThrow(/1 fault/);
+  expect(
+    apply.bind(undefined, 'cell', { id: 'e', base: 3, row: 'check/n', column: 'weight', value: 1 }),
+  ).toThrow(/1 fault/);
 }
 function checkRows(): void {
-  const next = apply('rows', { id: 'e', base: 3, put: [{ ...row, model: 'n' }], remove: ['check/m'] });
+  const next = apply('rows', {
+    id: 'e',
+    base: 3,
+    put: [{ ...row, model: 'n' }],
+    remove: ['check/m'],
+  });
   expect(next.table.rows.map(rowKey)).toEqual(['check/n']);
   expect(doc.table.rows.map(rowKey)).toEqual(['check/m']);
 }
--- a/src/mind/Edits.ts
+++ b/src/mind/Edits.ts
@@ -20,12 +20,18 @@
   readonly faults: readonly RoutingFault[];
 
   constructor(faults: readonly RoutingFault[]) {
-    super('bad-config', `${faults.length} fault${faults.length === 1 ? '' : 's'} in the configuration`);
+    super(
+      'bad-config',
+      `${faults.length} fault${faults.length === 1 ? '' : 's'} in the configuration`,
+    );
     this.faults = faults;
   }
 }
 
-interface Edited { readonly id: string; readonly doc: ConfigDoc }
+interface Edited {
+  readonly id: string;
+  readonly doc: ConfigDoc;
+}
 
 function withTable(doc: ConfigDoc, id: string, raw: unknown): Edited {
   const { table, faults } = checkTable(raw);
@@ -34,7 +40,8 @@
 }
 
 function checkBase(doc: ConfigDoc, base: number): void {
-  if (base !== doc.number) throw new Defect('base-lost', `made from table ${base}, but table ${doc.number} is in force`);
+  if (base !== doc.number)
+    throw new Defect('base-lost', `made from table ${base}, but table ${doc.number} is in force`);
 }
 
 function editTable(doc: ConfigDoc, body: string): Edited {
@@ -50,23 +57,45 @@
   const edit = mustParseAs(EditShapes.cell, body, 'the edit');
   checkBase(doc, edit.base);
   const column = COLUMNS.find(isColumn.bind(undefined, edit.column));
-  if (!column) throw new TableDefect([{ row: edit.row, cell: edit.column, text: `no such column; there are ${COLUMNS.join(', ')}` }]);
+  if (!column)
+    throw new TableDefect([
+      { row: edit.row, cell: edit.column, text: `no such column; there are ${COLUMNS.join(', ')}` },
+    ]);
   const at = doc.table.rows.findIndex(hasKey.bind(undefined, edit.row));
   const before = doc.table.rows[at];
   if (!before) throw new TableDefect([{ row: edit.row, cell: edit.column, text: 'no such row' }]);
   const raw: unknown = { ...before, [column]: edit.value };
   // These two name the row: whether others have the same name, or mappings lose it, is seen in the whole table.
-  if (column === 'type' || column === 'model') return withTable(doc, edit.id, { ...doc.table, rows: doc.table.rows.map(exchangeAt.bind(undefined, at, raw)) });
+  if (column === 'type' || column === 'model')
+    return withTable(doc, edit.id, {
+      ...doc.table,
+      rows: doc.table.rows.map(exchangeAt.bind(undefined, at, raw)),
+    });
   const { table, faults } = checkTable({ mappings: [], rows: [raw] });
   const [row] = table.rows;
   if (!row || faults.length > 0) throw new TableDefect(faults.map(inRow.bind(undefined, edit.row)));
-  return { id: edit.id, doc: { ...doc, number: doc.number + 1, table: { ...doc.table, rows: doc.table.rows.with(at, row) } } };
+  return {
+    id: edit.id,
+    doc: {
+      ...doc,
+      number: doc.number + 1,
+      table: { ...doc.table, rows: doc.table.rows.with(at, row) },
+    },
+  };
 }
 
-function hasKey(key: string, row: { readonly type: string; readonly model: string }): boolean { return rowKey(row) === key; }
-function exchangeAt(at: number, raw: unknown, row: unknown, index: number): unknown { return index === at ? raw : row; }
-function inRow(row: string, fault: Fault): Fault { return { ...fault, row }; }
-function isColumn(name: string, column: string): boolean { return name === column; }
+function hasKey(key: string, row: { readonly type: string; readonly model: string }): boolean {
+  return rowKey(row) === key;
+}
+function exchangeAt(at: number, raw: unknown, row: unknown, index: number): unknown {
+  return index === at ? raw : row;
+}
+function inRow(row: string, fault: Fault): Fault {
+  return { ...fault, row };
+}
+function isColumn(name: string, column: string): boolean {
+  return name === column;
+}
 
 function editRows(doc: ConfigDoc, body: string): Edited {
   const edit = mustParseAs(EditShapes.rows, body, 'the edit');
@@ -74,26 +103,45 @@
   const rows = new Map<string, unknown>();
   for (const row of doc.table.rows) rows.set(rowKey(row), row);
   for (const key of edit.remove) {
-    if (!rows.delete(key)) throw new TableDefect([{ row: key, cell: '', text: 'no such row to remove' }]);
+    if (!rows.delete(key))
+      throw new TableDefect([{ row: key, cell: '', text: 'no such row to remove' }]);
   }
-  const { table, faults }: { table: Table; faults: readonly Fault[] } = checkTable({ mappings: [], rows: edit.put });
+  const { table, faults }: { table: Table; faults: readonly Fault[] } = checkTable({
+    mappings: [],
+    rows: edit.put,
+  });
   if (faults.length > 0) throw new TableDefect(faults);
   for (const row of table.rows) rows.set(rowKey(row), row);
   return withTable(doc, edit.id, { ...doc.table, rows: [...rows.values()] });
 }
 
-function editRouting(doc: ConfigDoc, verb: 'configure' | 'amend', body: string, dialect: ConfigDialect): Edited {
+function editRouting(
+  doc: ConfigDoc,
+  verb: 'configure' | 'amend',
+  body: string,
+  dialect: ConfigDialect,
+): Edited {
   const edit = mustParseAs(EditShapes.configure, body, 'the edit');
   const current = doc.routing?.version ?? 0;
   // The base goes first: whoever lost a race is told so, and not that its number is too low by now.
-  if (edit.base !== current) throw new Defect('base-lost', `made from version ${edit.base}, but version ${current} is in force`);
+  if (edit.base !== current)
+    throw new Defect(
+      'base-lost',
+      `made from version ${edit.base}, but version ${current} is in force`,
+    );
   const text = verb === 'configure' ? edit.text : dialect.amend(doc.routing?.text ?? '', edit.text);
-  if (text === undefined) throw new ConfigDefect([{ item: 'configuration', field: '', text: 'the change cannot be read' }]);
+  if (text === undefined)
+    throw new ConfigDefect([
+      { item: 'configuration', field: '', text: 'the change cannot be read' },
+    ]);
   const { routing, faults } = dialect.read(text);
   if (!routing || faults.length > 0) throw new ConfigDefect(faults);
   const wrong = checkRouting(routing, current);
   if (wrong.length > 0) throw new ConfigDefect(wrong);
-  return { id: edit.id, doc: { ...doc, number: doc.number + 1, routing: { version: routing.version, text } } };
+  return {
+    id: edit.id,
+    doc: { ...doc, number: doc.number + 1, routing: { version: routing.version, text } },
+  };
 }
 
 function editZone(doc: ConfigDoc, body: string): Edited {
@@ -105,14 +153,27 @@
 }
 
 /** Applies an operator's edit to the document, or throws the defect that turns it away. */
-export function applyEdit(doc: ConfigDoc, verb: string, body: string, dialect?: ConfigDialect): Edited {
+export function applyEdit(
+  doc: ConfigDoc,
+  verb: string,
+  body: string,
+  dialect?: ConfigDialect,
+): Edited {
   switch (verb) {
-    case 'table': return editTable(doc, body);
-    case 'cell': return editCell(doc, body);
-    case 'rows': return editRows(doc, body);
-    case 'zone': return editZone(doc, body);
-    case 'configure': case 'amend': if (dialect) return editRouting(doc, verb, body, dialect); break;
-    default: break;
+    case 'table':
+      return editTable(doc, body);
+    case 'cell':
+      return editCell(doc, body);
+    case 'rows':
+      return editRows(doc, body);
+    case 'zone':
+      return editZone(doc, body);
+    case 'configure':
+    case 'amend':
+      if (dialect) return editRouting(doc, verb, body, dialect);
+      break;
+    default:
+      break;
   }
   throw new Defect('malformed', `no such edit: ${verb}`);
 }
--- a/src/mind/FleetDesk.test.ts
+++ b/src/mind/FleetDesk.test.ts
@@ -9,34 +9,89 @@
 /** Says what it is given to say. */
 class TellingPlanner implements FleetPlanner {
   told: Fleet = { flows: 1, runners: [], waits: [] };
-  restore(): void { /* nothing kept */ }
-  docs(): readonly [] { return []; }
-  demand(): void { /* not told */ }
-  list(): void { /* not told */ }
-  status(): void { /* not told */ }
-  asks(): readonly string[] { return []; }
-  plan(): readonly string[] { return []; }
-  orders(): readonly Intent[] { return []; }
-  kept(): void { /* nothing kept */ }
-  ordered(): void { /* nothing ordered */ }
-  fleet(): Fleet { return this.told; }
-  nextAt(): Moment | undefined { return undefined; }
+  restore(): void {
+    /* nothing kept */
+  }
+  docs(): readonly [] {
+    return [];
+  }
+  demand(): void {
+    /* not told */
+  }
+  list(): void {
+    /* not told */
+  }
+  status(): void {
+    /* not told */
+  }
+  asks(): readonly string[] {
+    return [];
+  }
+  plan(): readonly string[] {
+    return [];
+  }
+  orders(): readonly Intent[] {
+    return [];
+  }
+  kept(): void {
+    /* nothing kept */
+  }
+  ordered(): void {
+    /* nothing ordered */
+  }
+  fleet(): Fleet {
+    return this.told;
+  }
+  nextAt(): Moment | undefined {
+    return undefined;
+  }
 }
 
 function fleetOf(coldMs: number): Fleet {
-  return { flows: 1, runners: [{ id: 'r', address: 'r:1', zone: 'z', service: 's', slots: 1, isLeaving: false, coldMs, holds: [], coming: [] }], waits: [] };
+  return {
+    flows: 1,
+    runners: [
+      {
+        id: 'r',
+        address: 'r:1',
+        zone: 'z',
+        service: 's',
+        slots: 1,
+        isLeaving: false,
+        coldMs,
+        holds: [],
+        coming: [],
+      },
+    ],
+    waits: [],
+  };
+}
+function ignore(): void {
+  /* not looked at */
+}
+function yes(): boolean {
+  return true;
+}
+function one(): number {
+  return 1;
+}
+function noRouting(): { readonly routing: undefined; readonly faults: readonly [] } {
+  return { routing: undefined, faults: [] };
+}
+function noChange(): undefined {
+  return undefined;
 }
-function ignore(): void { /* not looked at */ }
-function yes(): boolean { return true; }
-function one(): number { return 1; }
-function noRouting(): { readonly routing: undefined; readonly faults: readonly [] } { return { routing: undefined, faults: [] }; }
-function noChange(): undefined { return undefined; }
 
 function checkTold(): void {
   const planner = new TellingPlanner();
   const bodies: string[] = [];
-  function publish(_count: number, body: string): void { bodies.push(body); }
-  const desk = new FleetDesk({ dialect: { read: noRouting, amend: noChange }, planner, isFirstStart: true, listMs: 1000 }, { effects: ignore, write: ignore, publish, mayOrder: yes, flows: one });
+  function publish(_count: number, body: string): void {
+    bodies.push(body);
+  }
+  const desk = new FleetDesk(
+    { dialect: { read: noRouting, amend: noChange }, planner, isFirstStart: true, listMs: 1000 },
+    { effects: ignore, write: ignore, publish, mayOrder: yes, flows: one },
+  );
   const doc = firstDoc(['a:1']);
   desk.begin(moment(0), [], 'a/2');
   planner.told = fleetOf(3000);
--- a/src/mind/FleetDesk.ts
+++ b/src/mind/FleetDesk.ts
@@ -1,7 +1,14 @@
 import { CONFIG_PART, servicePart } from '../hold/PartNames.js';
 import { later, moment, type Moment, type PartName } from '../kin/Ids.js';
 import { parseAs } from '../kin/Json.js';
-import { FleetDemandShape, type Fleet, type FleetDelta, type FleetRunner, type ListedRunner, type RunnerStatus } from '../place/Fleet.js';
+import {
+  FleetDemandShape,
+  type Fleet,
+  type FleetDelta,
+  type FleetRunner,
+  type ListedRunner,
+  type RunnerStatus,
+} from '../place/Fleet.js';
 import type { Intent, ServiceDoc } from '../place/Shapes.js';
 import type { Routing } from '../route/Routing.js';
 import type { ConfigDoc } from './ConfigDoc.js';
@@ -44,10 +51,16 @@
     this.#node = node;
   }
 
-  get hasOpenOrders(): boolean { return this.#open.size > 0; }
-  get ordersSent(): number { return this.#ordersSent; }
+  get hasOpenOrders(): boolean {
+    return this.#open.size > 0;
+  }
+  get ordersSent(): number {
+    return this.#ordersSent;
+  }
 
-  docs(): readonly ServiceDoc[] { return this.#deployed.planner.docs(); }
+  docs(): readonly ServiceDoc[] {
+    return this.#deployed.planner.docs();
+  }
 
   /** Begins anew from what the parts hold; nothing is planned before the first list of this reign. */
   begin(now: Moment, docs: readonly ServiceDoc[], label: string): void {
@@ -108,7 +121,8 @@
       if (address !== undefined) this.#node.effects({ do: 'askStatus', runner, address });
     }
     const next = this.#deployed.planner.nextAt(now);
-    if (now >= later(this.#plannedAt, PLAN_MS) || (next !== undefined && now >= next)) this.#plan(now, doc);
+    if (now >= later(this.#plannedAt, PLAN_MS) || (next !== undefined && now >= next))
+      this.#plan(now, doc);
   }
 
   #routingOf(doc: ConfigDoc): Routing | undefined {
@@ -125,7 +139,11 @@
     if (!this.#hasList) return;
     this.#plannedAt = now;
     const { planner } = this.#deployed;
-    const changed = planner.plan(now, { routing: this.#routingOf(doc), emptied: doc.emptied, flows: this.#node.flows() });
+    const changed = planner.plan(now, {
+      routing: this.#routingOf(doc),
+      emptied: doc.emptied,
+      flows: this.#node.flows(),
+    });
     const parts = new Set<PartName>();
     for (const model of changed) parts.add(servicePart(model));
     for (const part of parts) {
@@ -143,7 +161,10 @@
 
   #send(now: Moment, intent: Intent): void {
     const address = this.#addresses.get(intent.runner);
-    if (address === undefined) { this.#deployed.planner.ordered(now, intent.id, 'unsent'); return; }
+    if (address === undefined) {
+      this.#deployed.planner.ordered(now, intent.id, 'unsent');
+      return;
+    }
     this.#open.add(intent.id);
     this.#ordersSent += 1;
     this.#node.effects({ do: 'order', intent, address });
@@ -169,14 +190,24 @@
     const isRestNews = this.#isNews(now, REST, { flows, waits });
     if (put.length === 0 && drop.length === 0 && !isRestNews) return;
     this.#count += 1;
-    this.#node.publish(this.#count, JSON.stringify(fleet satisfies Fleet), JSON.stringify({ flows, waits, put, drop } satisfies FleetDelta));
+    this.#node.publish(
+      this.#count,
+      JSON.stringify(fleet satisfies Fleet),
+      JSON.stringify({ flows, waits, put, drop } satisfies FleetDelta),
+    );
   }
 
   #isNews(now: Moment, key: string, value: object): boolean {
     const times: number[] = [];
     const text = JSON.stringify(value, stillOf.bind(undefined, now, times));
     const told = this.#told.get(key);
-    if (told && text === told.text && times.length === told.times.length && times.every(isNear.bind(undefined, told.times))) return false;
+    if (
+      told &&
+      text === told.text &&
+      times.length === told.times.length &&
+      times.every(isNear.bind(undefined, told.times))
+    )
+      return false;
     this.#told.set(key, { text, times });
     return true;
   }
@@ -192,6 +223,12 @@
   return 1;
 }
 
-function isNear(before: readonly number[], time: number, index: number): boolean { return Math.abs((before[index] ?? -1e12) - time) <= MOVED_MS; }
-function isWaiting(unit: { readonly waiting: number }): boolean { return unit.waiting > 0; }
-function isInPart(part: PartName, doc: ServiceDoc): boolean { return part !== CONFIG_PART && servicePart(doc.model) === part; }
+function isNear(before: readonly number[], time: number, index: number): boolean {
+  return Math.abs((before[index] ?? -1e12) - time) <= MOVED_MS;
+}
+function isWaiting(unit: { readonly waiting: number }): boolean {
+  return unit.waiting > 0;
+}
+function isInPart(part: PartName, doc: ServiceDoc): boolean {
+  return part !== CONFIG_PART && servicePart(doc.model) === part;
+}
--- a/src/mind/LeasedSend.ts
+++ b/src/mind/LeasedSend.ts
@@ -9,7 +9,10 @@
 }
 
 /** The status that came back, if one did, and whether anything was written. */
-export interface LeasedResult { readonly status: number | undefined; readonly isWritten: boolean }
+export interface LeasedResult {
+  readonly status: number | undefined;
+  readonly isWritten: boolean;
+}
 
 const CONNECT_MS = 500;
 const ANSWER_MS = 1000;
@@ -20,12 +23,25 @@
  * Sends a call that only the holder of the lease may make. The connection is made first, so that the lease is checked
  * right before the first byte is written.
  */
-export function sendWithinLease(sent: ClientRequest, body: string, lease: Lease, now: () => Moment): Promise<LeasedResult> {
-  function run(done: (result: LeasedResult) => void): void { follow(sent, body, lease, now, done); }
+export function sendWithinLease(
+  sent: ClientRequest,
+  body: string,
+  lease: Lease,
+  now: () => Moment,
+): Promise<LeasedResult> {
+  function run(done: (result: LeasedResult) => void): void {
+    follow(sent, body, lease, now, done);
+  }
   return new Promise(run);
 }
 
-function follow(sent: ClientRequest, body: string, lease: Lease, now: () => Moment, done: (result: LeasedResult) => void): void {
+function follow(
+  sent: ClientRequest,
+  body: string,
+  lease: Lease,
+  now: () => Moment,
+  done: (result: LeasedResult) => void,
+): void {
   let isWritten = false;
   let isOver = false;
   const timers: NodeJS.Timeout[] = [];
@@ -36,11 +52,18 @@
     sent.destroy();
     done({ status, isWritten });
   }
-  function giveUp(): void { end(undefined); }
-  function giveUpUnwritten(): void { if (!isWritten) end(undefined); }
+  function giveUp(): void {
+    end(undefined);
+  }
+  function giveUpUnwritten(): void {
+    if (!isWritten) end(undefined);
+  }
   function write(): void {
     const at = now();
-    if (isOver || !lease.mayOrder(at) || lease.leaseEnd() - at <= MARGIN_MS) { end(undefined); return; }
+    if (isOver || !lease.mayOrder(at) || lease.leaseEnd() - at <= MARGIN_MS) {
+      end(undefined);
+      return;
+    }
     isWritten = true;
     sent.end(body);
   }
@@ -52,11 +75,18 @@
   async function take(returned: IncomingMessage): Promise<void> {
     const status = returned.statusCode ?? 0;
     // The status says it all; what follows it changes nothing.
-    try { await readBody(returned, 65_536); } catch { /* told by the status */ }
+    try {
+      await readBody(returned, 65_536);
+    } catch {
+      /* told by the status */
+    }
     end(status);
   }
   sent.once('socket', opened);
   sent.once('response', take);
   sent.on('error', giveUp);
-  timers.push(setTimeout(giveUpUnwritten, CONNECT_MS), setTimeout(giveUp, Math.max(0, Math.min(ANSWER_MS, lease.leaseEnd() - now() - MARGIN_MS))));
+  timers.push(
+    setTimeout(giveUpUnwritten, CONNECT_MS),
+    setTimeout(giveUp, Math.max(0, Math.min(ANSWER_MS, lease.leaseEnd() - now() - MARGIN_MS))),
+  );
 }
--- a/src/mind/MindCommand.ts
+++ b/src/mind/MindCommand.ts
@@ -10,11 +10,13 @@
   static override flags = {
     ...PROGRAM_FLAGS,
     ...SEED_FLAGS,
-    api: Flags.string({ description: 'address of the operators\' API' }),
+    api: Flags.string({ description: "address of the operators' API" }),
     data: Flags.string({ description: 'folder for the state on disk' }),
-    platform: Flags.string({ description: 'address of the platform\'s list of machines' }),
+    platform: Flags.string({ description: "address of the platform's list of machines" }),
     store: Flags.string({ description: 'address of the weight store' }),
-    blindMs: Flags.integer({ description: 'a flow not vouched for within this span turns new work away' }),
+    blindMs: Flags.integer({
+      description: 'a flow not vouched for within this span turns new work away',
+    }),
   };
 
   async run(): Promise<void> {
--- a/src/mind/MindCore.ts
+++ b/src/mind/MindCore.ts
@@ -13,26 +13,56 @@
 import { Relay } from '../news/Relay.js';
 import { Sessions } from '../news/Sessions.js';
 import { Vouching } from '../news/Vouching.js';
-import { Placer, PLACER_DEFAULTS, type PlacerSettings, type PlanInput, type RunnerView } from '../place/Placer.js';
 import {
-  DemandShape, MachinesShape, ServicePartShape, type Catalog, type Intent, type Machines, type RunnerReport, type ServiceDoc, type Share,
+  Placer,
+  PLACER_DEFAULTS,
+  type PlacerSettings,
+  type PlanInput,
+  type RunnerView,
+} from '../place/Placer.js';
+import {
+  DemandShape,
+  MachinesShape,
+  ServicePartShape,
+  type Catalog,
+  type Intent,
+  type Machines,
+  type RunnerReport,
+  type ServiceDoc,
+  type Share,
 } from '../place/Shapes.js';
 import type { Live } from '../place/Live.js';
 import { Shares } from '../place/Shares.js';
 import { Elector } from '../vote/Elector.js';
 import type { VoteRecord } from '../vote/VoteEffect.js';
 import { VOTE_DEFAULTS, type VoteSettings } from '../vote/VoteSettings.js';
-import { ConfigDocShape, ConfigNewsShape, EditShapes, firstDoc, MAX_EDITS, mayBeForgotten, type ConfigDoc } from './ConfigDoc.js';
+import {
+  ConfigDocShape,
+  ConfigNewsShape,
+  EditShapes,
+  firstDoc,
+  MAX_EDITS,
+  mayBeForgotten,
+  type ConfigDoc,
+} from './ConfigDoc.js';
 import type { ListedRunner, RunnerStatus } from '../place/Fleet.js';
 import { applyEdit, ConfigDefect, recordEdit, TableDefect } from './Edits.js';
 import { FleetDesk } from './FleetDesk.js';
 import type { MindEffect, MindSettings, OrderResult } from './MindEffect.js';
 import { isVotersWriting, VoterPlan, type Enlisted } from './VoterPlan.js';
 
-const VoteBodyShape = type({ epoch: number(), grantEpoch: number(), grantLeader: string(), isFree: optional(boolean()) });
+const VoteBodyShape = type({
+  epoch: number(),
+  grantEpoch: number(),
+  grantLeader: string(),
+  isFree: optional(boolean()),
+});
 
 /** Where a command came from, and so where its return goes: '' is this node's own API. */
-interface Origin { readonly from: string; readonly id: number }
+interface Origin {
+  readonly from: string;
+  readonly id: number;
+}
 
 interface WaitingEdit {
   readonly origin: Origin;
@@ -40,16 +70,37 @@
   readonly number: number;
   readonly outcome: 'accepted' | 'closed';
   /** Set once a synced majority holds it. */
-  committed: { readonly version: Version; readonly at: Moment; readonly members: ReadonlySet<string> } | undefined;
+  committed:
+    | { readonly version: Version; readonly at: Moment; readonly members: ReadonlySet<string> }
+    | undefined;
 }
 
-interface Runner { report: RunnerReport | undefined; askedAt: Moment; askSentAt: Moment; seenAt: Moment; isReachable: boolean; isKnown: boolean }
+interface Runner {
+  report: RunnerReport | undefined;
+  askedAt: Moment;
+  askSentAt: Moment;
+  seenAt: Moment;
+  isReachable: boolean;
+  isKnown: boolean;
+}
 
-interface SentOrder { readonly sentAt: Moment; readonly state: 'sent' | 'taken' | 'unsure'; readonly wasUnsure: boolean }
+interface SentOrder {
+  readonly sentAt: Moment;
+  readonly state: 'sent' | 'taken' | 'unsure';
+  readonly wasUnsure: boolean;
+}
 
-interface Forwarded { readonly origin: Origin; readonly to: string; readonly at: Moment; readonly editId: string }
+interface Forwarded {
+  readonly origin: Origin;
+  readonly to: string;
+  readonly at: Moment;
+  readonly editId: string;
+}
 
-interface HeardMembers { readonly members: readonly MemberMessage[]; readonly at: Moment }
+interface HeardMembers {
+  readonly members: readonly MemberMessage[];
+  readonly at: Moment;
+}
 
 const EMPTY_CATALOG: Catalog = { limit: 0, models: [], adapters: [] };
 const ORDER_AGAIN_MS = 2000;
@@ -89,7 +140,10 @@
 
   #voteCount = 0;
   /** Vote records on their way to the disk, by their count. */
-  readonly #voteTokens = new Map<number, { readonly token: number; readonly grantEpoch: number; readonly epoch: number }>();
+  readonly #voteTokens = new Map<
+    number,
+    { readonly token: number; readonly grantEpoch: number; readonly epoch: number }
+  >();
   #keptGrant = 0;
   #ledEpoch = 0;
   #wasLeader = '';
@@ -101,7 +155,12 @@
   readonly #asked = new Map<string, Moment>();
   readonly #heardMembers = new Map<string, HeardMembers>();
   readonly #ackedBy = new Map<string, Version>();
-  #round: { readonly nonce: number; readonly returns: Map<FellowId, { readonly version: Version; readonly marks: number }> } | undefined;
+  #round:
+    | {
+        readonly nonce: number;
+        readonly returns: Map<FellowId, { readonly version: Version; readonly marks: number }>;
+      }
+    | undefined;
 
   #doc: ConfigDoc;
   #token = 0;
@@ -151,7 +210,13 @@
   #leaderAt: Moment;
   readonly #voterPlan = new VoterPlan();
 
-  constructor(settings: MindSettings, stored: readonly StoredPart[], now: Moment, vote: VoteSettings = VOTE_DEFAULTS, placer: PlacerSettings = PLACER_DEFAULTS) {
+  constructor(
+    settings: MindSettings,
+    stored: readonly StoredPart[],
+    now: Moment,
+    vote: VoteSettings = VOTE_DEFAULTS,
+    placer: PlacerSettings = PLACER_DEFAULTS,
+  ) {
     this.#settings = settings;
     this.#me = fellowId(settings.me);
     this.#unknownUntil = later(now, settings.blindMs + BLIND_SLACK_MS);
@@ -159,7 +224,13 @@
     const voteFile = stored.find(isVote);
     const record = voteFile ? parseAs(VoteBodyShape, voteFile.body) : undefined;
     // No record of votes at all is an empty folder; one that cannot be trusted is a lost disk.
-    const name = !voteFile ? (stored.length === 0 ? 'blank' : 'lost') : record && voteFile.isSound ? 'sound' : 'lost';
+    const name = !voteFile
+      ? stored.length === 0
+        ? 'blank'
+        : 'lost'
+      : record && voteFile.isSound
+        ? 'sound'
+        : 'lost';
     this.#voteCount = voteFile?.version.count ?? 0;
     this.#quorum = new Quorum(seeds);
     this.#parts = new Parts(this.#me, this.#quorum, allParts(), stored);
@@ -167,29 +238,59 @@
     const known: VoteRecord | undefined = name === 'sound' ? record : undefined;
     this.#elector = new Elector(this.#me, this.#quorum, vote, now, known);
     this.#keptGrant = known?.grantEpoch ?? 0;
-    this.#standing = new Standing(this.#me, name, now, settings.foundMs, settings.life, settings.deployed?.isFirstStart ?? true);
+    this.#standing = new Standing(
+      this.#me,
+      name,
+      now,
+      settings.foundMs,
+      settings.life,
+      settings.deployed?.isFirstStart ?? true,
+    );
     this.#seeds = settings.seeds;
     this.#leaderAt = now;
-    this.#desk = settings.deployed && new FleetDesk(settings.deployed, {
-      effects: this.#effect.bind(this), write: this.#writePlaced.bind(this), publish: this.#publishFleet.bind(this), mayOrder: this.mayOrder.bind(this), flows: this.#flowCount.bind(this),
-    });
+    this.#desk =
+      settings.deployed &&
+      new FleetDesk(settings.deployed, {
+        effects: this.#effect.bind(this),
+        write: this.#writePlaced.bind(this),
+        publish: this.#publishFleet.bind(this),
+        mayOrder: this.mayOrder.bind(this),
+        flows: this.#flowCount.bind(this),
+      });
     this.#vouching = new Vouching(settings.life);
     this.#forwardId = settings.life;
-    if (name !== 'sound') this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
+    if (name !== 'sound')
+      this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
     this.#placer = new Placer(placer, settings.me);
     this.#followVoters();
     this.#collect(now);
   }
 
-  get elector(): Elector { return this.#elector; }
-  get parts(): Parts { return this.#parts; }
-  get relay(): Relay { return this.#relay; }
-  get standing(): Standing { return this.#standing; }
-  get isServing(): boolean { return this.#isServing; }
-  get voters(): readonly FellowId[] { return this.#quorum.all; }
-  get ordersSent(): number { return this.#ordersSent + (this.#desk?.ordersSent ?? 0); }
-  get placementWrites(): number { return this.#placementWrites; }
+  get elector(): Elector {
+    return this.#elector;
+  }
+  get parts(): Parts {
+    return this.#parts;
+  }
+  get relay(): Relay {
+    return this.#relay;
+  }
+  get standing(): Standing {
+    return this.#standing;
+  }
+  get isServing(): boolean {
+    return this.#isServing;
+  }
+  get voters(): readonly FellowId[] {
+    return this.#quorum.all;
+  }
+  get ordersSent(): number {
+    return this.#ordersSent + (this.#desk?.ordersSent ?? 0);
+  }
+  get placementWrites(): number {
+    return this.#placementWrites;
+  }
 
   drain(): MindEffect[] {
     const effects = this.#effects;
@@ -198,12 +299,18 @@
   }
 
   /** Asked by the executor right before an order is written. */
-  mayOrder(now: Moment): boolean { return !this.#isRetiring && this.#elector.mayOrder(now) && this.#isServing; }
+  mayOrder(now: Moment): boolean {
+    return !this.#isRetiring && this.#elector.mayOrder(now) && this.#isServing;
+  }
 
-  leaseEnd(): Moment { return this.#elector.leaseEnd; }
+  leaseEnd(): Moment {
+    return this.#elector.leaseEnd;
+  }
 
   /** Whom the settings name now; they are asked for voters where none is heard of. */
-  setSeeds(seeds: readonly string[]): void { this.#seeds = seeds; }
+  setSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+  }
 
   /** Everybody that this node wants a line to. */
   get peers(): readonly string[] {
@@ -217,12 +324,15 @@
 
   beat(now: Moment): void {
     this.#elector.beat(now);
-    for (const send of this.#standing.beat(now, this.#quorum)) this.#effects.push({ do: 'send', ...send });
+    for (const send of this.#standing.beat(now, this.#quorum))
+      this.#effects.push({ do: 'send', ...send });
     this.#settleStanding(now, this.#standing.outcome(now, this.#quorum));
     this.#parts.beat(now);
     this.#sessions.beat(now);
-    for (const [id, at] of this.#asked) if (now - at > this.#settings.blindMs * 2) this.#asked.delete(id);
-    for (const [fellow, heard] of this.#heardMembers) if (now - heard.at > this.#settings.blindMs * 2) this.#heardMembers.delete(fellow);
+    for (const [id, at] of this.#asked)
+      if (now - at > this.#settings.blindMs * 2) this.#asked.delete(id);
+    for (const [fellow, heard] of this.#heardMembers)
+      if (now - heard.at > this.#settings.blindMs * 2) this.#heardMembers.delete(fellow);
     this.#beginRound(now);
     this.#beatFellows(now);
     this.#beatCommands(now);
@@ -236,31 +346,98 @@
     if (zone !== '' && this.#quorum.holds(fellowId(from))) this.#zones.set(from, zone);
     switch (message.kind) {
       case 'read':
-        if (message.epoch === 0) this.#send(from, this.#standing.returnTo(message.nonce, this.#elector.epoch, this.#parts.copies(), this.#elector.record.grantEpoch > 0));
-        else this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], this.#standing.name);
+        if (message.epoch === 0)
+          this.#send(
+            from,
+            this.#standing.returnTo(
+              message.nonce,
+              this.#elector.epoch,
+              this.#parts.copies(),
+              this.#elector.record.grantEpoch > 0,
+            ),
+          );
+        else
+          this.#parts.receive(
+            now,
+            fellowId(from),
+            message,
+            this.#grantedEpoch(),
+            [],
+            this.#standing.name,
+          );
         break;
       case 'readReturn':
-        if (message.sound) this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], '');
-        else this.#settleStanding(now, this.#standing.receive(now, fellowId(from), message, this.#quorum));
+        if (message.sound)
+          this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], '');
+        else
+          this.#settleStanding(
+            now,
+            this.#standing.receive(now, fellowId(from), message, this.#quorum),
+          );
         break;
-      case 'write': this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), this.#possibleMembers(now), this.#standing.name); break;
-      case 'writeReturn': case 'digest': case 'digestReturn':
+      case 'write':
+        this.#parts.receive(
+          now,
+          fellowId(from),
+          message,
+          this.#grantedEpoch(),
+          this.#possibleMembers(now),
+          this.#standing.name,
+        );
+        break;
+      case 'writeReturn':
+      case 'digest':
+      case 'digestReturn':
         // Only a write's return names members.
-        this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], this.#standing.name);
+        this.#parts.receive(
+          now,
+          fellowId(from),
+          message,
+          this.#grantedEpoch(),
+          [],
+          this.#standing.name,
+        );
+        break;
+      case 'sound':
+        this.#receiveSound(now, from, message.nonce, message.members);
+        break;
+      case 'sounded':
+        this.#receiveSounded(now, from, message);
+        break;
+      case 'join':
+        this.#receiveJoin(now, from, message);
+        break;
+      case 'ask':
+        this.#receiveAsk(now, from, message);
+        break;
+      case 'ack':
+        this.#sessions.ack(from, message);
+        this.#noteAck(from, message);
+        break;
+      case 'acked':
+        this.#receiveAcked(now, from, message.members);
+        break;
+      case 'enlist':
+        this.#receiveEnlist(now, from, message);
+        break;
+      case 'news':
+        this.#receiveNews(message);
+        break;
+      case 'delta':
+        this.#receiveDelta(from, message);
+        break;
+      case 'demand':
+        this.#receiveDemand(now, message.body);
+        break;
+      case 'command':
+        this.#command(now, { from, id: message.id }, message.verb, message.body);
+        break;
+      case 'commandReturn':
+        this.#receiveCommandReturn(from, message);
+        break;
+      default:
+        this.#elector.receive(now, fellowId(from), message);
         break;
-      case 'sound': this.#receiveSound(now, from, message.nonce, message.members); break;
-      case 'sounded': this.#receiveSounded(now, from, message); break;
-      case 'join': this.#receiveJoin(now, from, message); break;
-      case 'ask': this.#receiveAsk(now, from, message); break;
-      case 'ack': this.#sessions.ack(from, message); this.#noteAck(from, message); break;
-      case 'acked': this.#receiveAcked(now, from, message.members); break;
-      case 'enlist': this.#receiveEnlist(now, from, message); break;
-      case 'news': this.#receiveNews(message); break;
-      case 'delta': this.#receiveDelta(from, message); break;
-      case 'demand': this.#receiveDemand(now, message.body); break;
-      case 'command': this.#command(now, { from, id: message.id }, message.verb, message.body); break;
-      case 'commandReturn': this.#receiveCommandReturn(from, message); break;
-      default: this.#elector.receive(now, fellowId(from), message); break;
     }
     this.#collect(now);
   }
@@ -337,7 +514,8 @@
   /** What became of an order: taken, turned away for good, or unsure. */
   ordered(now: Moment, intent: string, outcome: OrderResult | 'turnedAway'): void {
     if (this.#desk) {
-      if (this.#isServing) this.#desk.ordered(now, intent, outcome === 'turnedAway' ? 'refused' : outcome, this.#doc);
+      if (this.#isServing)
+        this.#desk.ordered(now, intent, outcome === 'turnedAway' ? 'refused' : outcome, this.#doc);
       this.#collect(now);
       return;
     }
@@ -350,7 +528,12 @@
     } else if (sent && sent.state !== 'taken') {
       // Never written, it is as if it had not been sent; one whose fate was open before stays open.
       if (outcome === 'unsent' && !sent.wasUnsure) this.#orders.delete(intent);
-      else this.#orders.set(intent, { sentAt: outcome === 'unsent' ? NEVER : now, state: 'unsure', wasUnsure: true });
+      else
+        this.#orders.set(intent, {
+          sentAt: outcome === 'unsent' ? NEVER : now,
+          state: 'unsure',
+          wasUnsure: true,
+        });
     }
   }
 
@@ -375,11 +558,17 @@
 
   // ---- effects of the inner cores
 
-  #send(to: string, message: Message): void { this.#effects.push({ do: 'send', to, message }); }
+  #send(to: string, message: Message): void {
+    this.#effects.push({ do: 'send', to, message });
+  }
 
-  #effect(effect: MindEffect): void { this.#effects.push(effect); }
+  #effect(effect: MindEffect): void {
+    this.#effects.push(effect);
+  }
 
-  #note(text: string, fields: Readonly<Record<string, string | number>>): void { this.#effects.push({ do: 'note', text, fields }); }
+  #note(text: string, fields: Readonly<Record<string, string | number>>): void {
+    this.#effects.push({ do: 'note', text, fields });
+  }
 
   #collect(now: Moment): void {
     this.#watchLeader(now);
@@ -387,8 +576,12 @@
       isBusy = false;
       for (const effect of this.#elector.drain()) {
         isBusy = true;
-        if (effect.do === 'send') { this.#send(effect.to, effect.message); continue; }
-        if (this.#standing.name === 'sound' || this.#settleOnVote !== undefined) this.#keepVote(effect.token, effect.record);
+        if (effect.do === 'send') {
+          this.#send(effect.to, effect.message);
+          continue;
+        }
+        if (this.#standing.name === 'sound' || this.#settleOnVote !== undefined)
+          this.#keepVote(effect.token, effect.record);
       }
       for (const effect of this.#parts.drain()) {
         isBusy = true;
@@ -404,13 +597,24 @@
 
   #keepVote(token: number, record: VoteRecord): void {
     this.#voteCount += 1;
-    this.#voteTokens.set(this.#voteCount, { token, grantEpoch: record.grantEpoch, epoch: record.epoch });
-    this.#effects.push({ do: 'store', part: VOTE_PART, version: { epoch: record.epoch, count: this.#voteCount }, body: JSON.stringify(record) });
+    this.#voteTokens.set(this.#voteCount, {
+      token,
+      grantEpoch: record.grantEpoch,
+      epoch: record.epoch,
+    });
+    this.#effects.push({
+      do: 'store',
+      part: VOTE_PART,
+      version: { epoch: record.epoch, count: this.#voteCount },
+      body: JSON.stringify(record),
+    });
   }
 
   /** The epoch granted here, on disk, and not moved on from. */
   #grantedEpoch(): number {
-    return this.#standing.name === 'sound' && this.#keptGrant === this.#elector.epoch ? this.#keptGrant : 0;
+    return this.#standing.name === 'sound' && this.#keptGrant === this.#elector.epoch
+      ? this.#keptGrant
+      : 0;
   }
 
   #watchLeader(now: Moment): void {
@@ -436,7 +640,8 @@
     this.#written.clear();
     for (const edit of this.#edits.values()) this.#returnUnsure(edit.origin, edit.id);
     this.#edits.clear();
-    for (const origin of this.#reads.values()) this.#returnDefect(origin, new Defect('no-leader', 'the leader changed'));
+    for (const origin of this.#reads.values())
+      this.#returnDefect(origin, new Defect('no-leader', 'the leader changed'));
     this.#reads.clear();
   }
 
@@ -472,7 +677,9 @@
   #followVoters(): void {
     const voters = this.#knownVoters();
     if (!voters || voters.length === 0) return;
-    function ids(set: readonly string[]): FellowId[] { return set.map(fellowId); }
+    function ids(set: readonly string[]): FellowId[] {
+      return set.map(fellowId);
+    }
     const quorum = new Quorum(...voters.map(ids));
     if (quorum.text === this.#quorum.text) return;
     this.#quorum = quorum;
@@ -483,7 +690,8 @@
   /** By the newest configuration known here: our own copy, or one that was told as committed. */
   #knownVoters(): readonly (readonly string[])[] | undefined {
     const news = this.#desk ? this.#relay.item('config') : undefined;
-    if (news && isNewer(news.version, this.#parts.versionOf(CONFIG_PART))) return parseAs(ConfigNewsShape, news.body)?.voters;
+    if (news && isNewer(news.version, this.#parts.versionOf(CONFIG_PART)))
+      return parseAs(ConfigNewsShape, news.body)?.voters;
     const body = this.#parts.replicaBody(CONFIG_PART);
     return body === '' ? undefined : parseAs(ConfigDocShape, body)?.voters;
   }
@@ -493,45 +701,69 @@
   /** Of one that is silent nothing is told: nobody is to turn to it for being near. */
   #zoneOf(now: Moment, id: FellowId): string {
     const at = this.#elector.heardAt(id);
-    return at !== undefined && now - at < NEAR_MS ? this.#zones.get(id) ?? '' : '';
+    return at !== undefined && now - at < NEAR_MS ? (this.#zones.get(id) ?? '') : '';
   }
 
   /** No voter as far as we know, or without a leader. */
-  #isLost(): boolean { return !this.#quorum.holds(this.#me) || this.#elector.leader === undefined; }
+  #isLost(): boolean {
+    return !this.#quorum.holds(this.#me) || this.#elector.leader === undefined;
+  }
 
   #beatVoters(now: Moment): void {
     if (!this.#isLost()) this.#leaderAt = now;
     const isVoter = this.#quorum.holds(this.#me);
-    if (now >= later(this.#enlistedAt, ENLIST_MS) && (!isVoter || now >= later(this.#leaderAt, LEADERLESS_MS))) {
+    if (
+      now >= later(this.#enlistedAt, ENLIST_MS) &&
+      (!isVoter || now >= later(this.#leaderAt, LEADERLESS_MS))
+    ) {
       this.#enlistedAt = now;
       const known = this.#relay.version('config');
       const message = {
-        kind: 'enlist', id: this.#me, zone: this.#settings.zone, epoch: known.epoch, count: known.count,
-        isFirst: this.#settings.deployed?.isFirstStart ?? false, isSound: this.#standing.name === 'sound',
+        kind: 'enlist',
+        id: this.#me,
+        zone: this.#settings.zone,
+        epoch: known.epoch,
+        count: known.count,
+        isFirst: this.#settings.deployed?.isFirstStart ?? false,
+        isSound: this.#standing.name === 'sound',
       } as const;
       for (const peer of this.peers) this.#send(peer, message);
     }
-    for (const [id, enlisted] of this.#enlisted) if (now - enlisted.at > ENLISTED_MS) this.#enlisted.delete(id);
+    for (const [id, enlisted] of this.#enlisted)
+      if (now - enlisted.at > ENLISTED_MS) this.#enlisted.delete(id);
     if (!this.#isServing || this.#parts.isWriting(CONFIG_PART)) return;
-    const change = this.#voterPlan.next(now, this.#doc.voters, this.#enlisted.values(), this.#me, this.#voterHeardAt.bind(this));
+    const change = this.#voterPlan.next(
+      now,
+      this.#doc.voters,
+      this.#enlisted.values(),
+      this.#me,
+      this.#voterHeardAt.bind(this),
+    );
     if (change.do === 'rewrite') {
       // What the old voters hold must be on a majority of the new ones too before those stand alone.
-      for (const part of allParts()) if (part !== CONFIG_PART) this.#writePart(now, part, this.#parts.body(part), 0);
-    } else if (change.do === 'voters' && !isVotersWriting(this.#doc.voters, allParts(), this.#parts)) {
+      for (const part of allParts())
+        if (part !== CONFIG_PART) this.#writePart(now, part, this.#parts.body(part), 0);
+    } else if (
+      change.do === 'voters' &&
+      !isVotersWriting(this.#doc.voters, allParts(), this.#parts)
+    ) {
       this.#note('voters', { from: this.#doc.voters.join(' | '), to: change.voters.join(' | ') });
       this.#doc = { ...this.#doc, voters: change.voters.map(copyOf) };
       this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
     }
   }
 
-  #voterHeardAt(voter: string): Moment | undefined { return this.#elector.heardAt(fellowId(voter)); }
+  #voterHeardAt(voter: string): Moment | undefined {
+    return this.#elector.heardAt(fellowId(voter));
+  }
 
   #receiveEnlist(now: Moment, from: string, message: Extract<Message, { kind: 'enlist' }>): void {
     const { id, zone, isFirst, isSound } = message;
     if (id === this.#me) return;
     this.#enlisted.set(id, { id, zone, isFirst, isSound, at: now });
     const news = this.#relay.item('config');
-    if (news && from === id && isNewer(news.version, message)) this.#send(id, { kind: 'news', topic: 'config', ...news.version, body: news.body });
+    if (news && from === id && isNewer(news.version, message))
+      this.#send(id, { kind: 'news', topic: 'config', ...news.version, body: news.body });
     // Passed on once: whoever came to us by another is not passed on again.
     const leader = this.#elector.leader;
     if (leader !== undefined && leader !== this.#me && from === id) this.#send(leader, message);
@@ -549,8 +781,14 @@
     this.#send(from, { kind: 'hang', parent: this.#hung.get(from) ?? '' });
     if (this.#desk) {
       const minds = [];
-      for (const id of this.#quorum.all) minds.push({ id, zone: id === this.#me ? this.#settings.zone : this.#zoneOf(now, id) });
-      this.#send(from, { kind: 'minds', minds, leader: this.#elector.leader ?? '', ...this.#relay.version('config') });
+      for (const id of this.#quorum.all)
+        minds.push({ id, zone: id === this.#me ? this.#settings.zone : this.#zoneOf(now, id) });
+      this.#send(from, {
+        kind: 'minds',
+        minds,
+        leader: this.#elector.leader ?? '',
+        ...this.#relay.version('config'),
+      });
     }
   }
 
@@ -561,13 +799,15 @@
   #rehang(): void {
     const tree = this.#sessions.tree();
     for (const [id, parent] of tree) {
-      if (this.#hung.get(id) !== undefined && this.#hung.get(id) !== parent) this.#send(id, { kind: 'hang', parent });
+      if (this.#hung.get(id) !== undefined && this.#hung.get(id) !== parent)
+        this.#send(id, { kind: 'hang', parent });
       this.#hung.set(id, parent);
     }
     for (const id of this.#hung.keys()) if (!tree.has(id)) this.#hung.delete(id);
     const children: string[] = [];
     for (const [id, parent] of tree) if (parent === '') children.push(id);
-    if (this.#elector.isLeading()) children.push(...this.#quorum.all.filter(isOther.bind(undefined, this.#me)));
+    if (this.#elector.isLeading())
+      children.push(...this.#quorum.all.filter(isOther.bind(undefined, this.#me)));
     this.#fed = new Set(children);
     this.#relay.setChildren(children);
   }
@@ -583,7 +823,12 @@
     }
     if (this.#desk) {
       // Nobody here works by being vouched for: the ask was for news, and its return says that we are there.
-      this.#send(from, { kind: 'vouch', nonce: message.nonce, ...this.#relay.version('config'), marks: 0 });
+      this.#send(from, {
+        kind: 'vouch',
+        nonce: message.nonce,
+        ...this.#relay.version('config'),
+        marks: 0,
+      });
       return;
     }
     for (const id of message.members) this.#asked.set(id, now);
@@ -592,7 +837,8 @@
   }
 
   #noteAck(id: string, version: Version): void {
-    if (isNewer(version, this.#ackedBy.get(id) ?? NO_VERSION)) this.#ackedBy.set(id, { epoch: version.epoch, count: version.count });
+    if (isNewer(version, this.#ackedBy.get(id) ?? NO_VERSION))
+      this.#ackedBy.set(id, { epoch: version.epoch, count: version.count });
   }
 
   /** Members that may still work by an older configuration, as far as this node knows. */
@@ -614,7 +860,8 @@
     const list = [...this.#sessions.recent()];
     const ids = new Set<string>();
     for (const member of list) ids.add(member.id);
-    for (const id of this.#asked.keys()) if (!ids.has(id)) list.push({ id, zone: '', address: id, epoch: 0, count: 0 });
+    for (const id of this.#asked.keys())
+      if (!ids.has(id)) list.push({ id, zone: '', address: id, epoch: 0, count: 0 });
     return list;
   }
 
@@ -635,7 +882,10 @@
     // A node whose disk is lost, or whose copy is bad, may have held something newer than it can tell.
     if (this.#standing.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART)) return;
     // Without any list we cannot tell which machines are leaving, though somebody may have known before we started.
-    if (!this.#desk && this.#machines.revision === 0) { this.#askList(now); return; }
+    if (!this.#desk && this.#machines.revision === 0) {
+      this.#askList(now);
+      return;
+    }
     const version = this.#parts.versionOf(CONFIG_PART);
     const message = { kind: 'sounded', nonce, ...version, marks: this.#machines.revision } as const;
     if (from === this.#me) this.#receiveSounded(now, from, message);
@@ -646,14 +896,20 @@
   #askList(now: Moment): void {
     if (now < later(this.#listAskedAt, 500)) return;
     this.#listAskedAt = now;
-    for (const member of this.#knownMembers()) this.#send(member.id, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
-    for (const fellow of this.#quorum.all) if (fellow !== this.#me) this.#send(fellow, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+    for (const member of this.#knownMembers())
+      this.#send(member.id, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+    for (const fellow of this.#quorum.all)
+      if (fellow !== this.#me)
+        this.#send(fellow, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
   }
 
   #receiveSounded(now: Moment, from: string, message: Extract<Message, { kind: 'sounded' }>): void {
     const round = this.#round;
     if (!round || round.nonce !== message.nonce) return;
-    round.returns.set(fellowId(from), { version: { epoch: message.epoch, count: message.count }, marks: message.marks });
+    round.returns.set(fellowId(from), {
+      version: { epoch: message.epoch, count: message.count },
+      marks: message.marks,
+    });
     if (!this.#quorum.isMajority(new Set(round.returns.keys()))) return;
     this.#round = undefined;
     let version = NO_VERSION;
@@ -664,8 +920,11 @@
     }
     for (const ask of this.#vouching.end(round.nonce)) {
       const read = this.#reads.get(ask.nonce);
-      if (ask.child === '' && read) { this.#reads.delete(ask.nonce); this.#returnRead(read, version); }
-      else if (ask.child !== '') this.#send(ask.child, { kind: 'vouch', nonce: ask.nonce, ...version, marks });
+      if (ask.child === '' && read) {
+        this.#reads.delete(ask.nonce);
+        this.#returnRead(read, version);
+      } else if (ask.child !== '')
+        this.#send(ask.child, { kind: 'vouch', nonce: ask.nonce, ...version, marks });
     }
     this.#beginRound(now);
   }
@@ -675,7 +934,11 @@
       const machines = parseAs(MachinesShape, message.body);
       if (machines) this.#takeMachines(machines);
     } else {
-      const isNew = this.#relay.offer(message.topic, { epoch: message.epoch, count: message.count }, message.body);
+      const isNew = this.#relay.offer(
+        message.topic,
+        { epoch: message.epoch, count: message.count },
+        message.body,
+      );
       if (isNew && this.#desk && message.topic === 'config') this.#followVoters();
     }
   }
@@ -684,7 +947,8 @@
   #receiveDelta(from: string, message: Extract<Message, { kind: 'delta' }>): void {
     const version = { epoch: message.epoch, count: message.count };
     if (this.#relay.offerDelta(message.topic, version, message.from, message.body)) return;
-    if (isNewer(version, this.#relay.version(message.topic))) this.#send(from, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+    if (isNewer(version, this.#relay.version(message.topic)))
+      this.#send(from, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
   }
 
   #receiveAcked(now: Moment, from: string, members: readonly MemberMessage[]): void {
@@ -706,7 +970,15 @@
     const ids = new Set<string>();
     for (const machine of machines.machines) {
       ids.add(machine.id);
-      if (!this.#runners.has(machine.id)) this.#runners.set(machine.id, { report: undefined, askedAt: NEVER, askSentAt: NEVER, seenAt: NEVER, isReachable: false, isKnown: machine.service !== '' });
+      if (!this.#runners.has(machine.id))
+        this.#runners.set(machine.id, {
+          report: undefined,
+          askedAt: NEVER,
+          askSentAt: NEVER,
+          seenAt: NEVER,
+          isReachable: false,
+          isKnown: machine.service !== '',
+        });
     }
     for (const id of this.#runners.keys()) if (!ids.has(id)) this.#runners.delete(id);
     const version = { epoch: 0, count: machines.revision };
@@ -714,7 +986,8 @@
     this.#relay.offer('machines', version, body);
     // Every node that learns of a mark passes it on at once, leader or not.
     for (const fellow of this.#quorum.all) {
-      if (fellow !== this.#me) this.#send(fellow, { kind: 'news', topic: 'machines', ...version, body });
+      if (fellow !== this.#me)
+        this.#send(fellow, { kind: 'news', topic: 'machines', ...version, body });
     }
   }
 
@@ -734,14 +1007,18 @@
 
   #receiveDemand(now: Moment, body: string): void {
     const leader = this.#elector.leader;
-    if (leader !== undefined && leader !== this.#me) { this.#send(leader, { kind: 'demand', body }); return; }
+    if (leader !== undefined && leader !== this.#me) {
+      this.#send(leader, { kind: 'demand', body });
+      return;
+    }
     if (this.#desk) {
       if (this.#isServing) this.#desk.demand(now, body, this.#doc);
       return;
     }
     const report = parseAs(DemandShape, body);
     if (report) this.#shares.add(now, report);
-    for (const unit of report?.units ?? []) this.#placer.demand.add(now, `${unit.model}\n${unit.adapter}`, unit.count);
+    for (const unit of report?.units ?? [])
+      this.#placer.demand.add(now, `${unit.model}\n${unit.adapter}`, unit.count);
   }
 
   // ---- owning the state
@@ -753,7 +1030,10 @@
     this.#servingSince = now;
     this.#note('serving', { epoch: this.#ledEpoch });
     const body = this.#parts.body(CONFIG_PART);
-    this.#doc = body === '' ? firstDoc(this.#settings.seeds) : mustParseAs(ConfigDocShape, body, 'the configuration part');
+    this.#doc =
+      body === ''
+        ? firstDoc(this.#settings.seeds)
+        : mustParseAs(ConfigDocShape, body, 'the configuration part');
     // Only committed tables are ever told: one told here that no majority holds any more was lost with their disks.
     const told = parseAs(ConfigNewsShape, this.#relay.item('config')?.body ?? '');
     if (told && told.number > this.#doc.number) this.#isRecovering = true;
@@ -776,7 +1056,10 @@
     for (const doc of docs) for (const intent of doc.intents) this.#keptIntents.add(intent.id);
     for (const machine of this.#machines.machines) {
       const runner = this.#runners.get(machine.id);
-      if (runner) { runner.isKnown = machine.service !== ''; runner.seenAt = now; }
+      if (runner) {
+        runner.isKnown = machine.service !== '';
+        runner.seenAt = now;
+      }
     }
     this.#placesCount = 0;
   }
@@ -784,7 +1067,8 @@
   /** After an operator's word found, members are asked for the newest table they hold before anything is served. */
   #recover(now: Moment): void {
     this.#recoverUntil = later(now, RECOVER_MS);
-    for (const member of this.#knownMembers()) this.#send(member.id, { kind: 'ask', nonce: -1, have: [], members: [] });
+    for (const member of this.#knownMembers())
+      this.#send(member.id, { kind: 'ask', nonce: -1, have: [], members: [] });
   }
 
   #endRecovery(now: Moment): void {
@@ -794,21 +1078,41 @@
     const news = item ? parseAs(ConfigNewsShape, item.body) : undefined;
     if (news && news.number > this.#doc.number) {
       this.#note('table recovered from members', { table: news.number });
-      this.#doc = { ...this.#doc, number: news.number, table: news.table, emptied: news.emptied, ...(news.routing ? { routing: news.routing } : {}) };
+      this.#doc = {
+        ...this.#doc,
+        number: news.number,
+        table: news.table,
+        emptied: news.emptied,
+        ...(news.routing ? { routing: news.routing } : {}),
+      };
     }
     this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
   }
 
   #publishConfig(version: Version, doc: ConfigDoc): void {
     const { number: count, table, emptied, voters, routing } = doc;
-    this.#relay.offer('config', version, JSON.stringify({ number: count, table, emptied, voters, routing }));
-  }
-
-  #committed(now: Moment, part: PartName, version: Version, tokens: readonly number[], members: readonly MemberMessage[]): void {
+    this.#relay.offer(
+      'config',
+      version,
+      JSON.stringify({ number: count, table, emptied, voters, routing }),
+    );
+  }
+
+  #committed(
+    now: Moment,
+    part: PartName,
+    version: Version,
+    tokens: readonly number[],
+    members: readonly MemberMessage[],
+  ): void {
     if (part !== CONFIG_PART) {
       const body = parseAs(ServicePartShape, this.#committedBody(part, version));
-      if (this.#desk) { if (this.#isServing) this.#desk.kept(now, body?.services ?? []); return; }
-      for (const doc of body?.services ?? []) for (const intent of doc.intents) this.#keptIntents.add(intent.id);
+      if (this.#desk) {
+        if (this.#isServing) this.#desk.kept(now, body?.services ?? []);
+        return;
+      }
+      for (const doc of body?.services ?? [])
+        for (const intent of doc.intents) this.#keptIntents.add(intent.id);
       return;
     }
     const doc = parseAs(ConfigDocShape, this.#committedBody(part, version));
@@ -839,28 +1143,53 @@
 
   #command(now: Moment, origin: Origin, verb: string, body: string): void {
     try {
-      if (verb === 'status') { this.#return(origin, 200, JSON.stringify(this.#status(now))); return; }
-      if (verb === 'found') { this.#found(now, origin); return; }
-      if (this.#recoverUntil !== undefined) throw new Defect('no-leader', 'the table is being recovered from the members');
-      if (!this.#elector.isLeading() || !this.#isServing) { this.#forward(now, origin, verb, body); return; }
+      if (verb === 'status') {
+        this.#return(origin, 200, JSON.stringify(this.#status(now)));
+        return;
+      }
+      if (verb === 'found') {
+        this.#found(now, origin);
+        return;
+      }
+      if (this.#recoverUntil !== undefined)
+        throw new Defect('no-leader', 'the table is being recovered from the members');
+      if (!this.#elector.isLeading() || !this.#isServing) {
+        this.#forward(now, origin, verb, body);
+        return;
+      }
       if (verb === 'read') this.#read(origin);
       else if (verb === 'live') this.#return(origin, 200, JSON.stringify(this.#live(now)));
       else if (verb === 'fleet') this.#return(origin, 200, JSON.stringify(this.#fleet(now)));
-      else if (verb === 'edit') this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask'));
+      else if (verb === 'edit')
+        this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask'));
       else this.#edit(now, origin, verb, body);
     } catch (thrown) {
-      this.#returnDefect(origin, thrown instanceof Defect ? thrown : new Defect('malformed', reasonOf(thrown)));
+      this.#returnDefect(
+        origin,
+        thrown instanceof Defect ? thrown : new Defect('malformed', reasonOf(thrown)),
+      );
     }
   }
 
   #forward(now: Moment, origin: Origin, verb: string, body: string): void {
     const leader = this.#elector.leader;
     // Passed on once at most: two nodes that take each other for leader must not play ball with it.
-    if (leader === undefined || leader === this.#me || origin.from !== '' || this.#closed.has(leader)) throw new Defect('no-leader', 'no leader is known; nothing was done');
+    if (
+      leader === undefined ||
+      leader === this.#me ||
+      origin.from !== '' ||
+      this.#closed.has(leader)
+    )
+      throw new Defect('no-leader', 'no leader is known; nothing was done');
     this.#forwardId += 1;
     const edit = parseAs(EditShapes.edit, body);
     const isEdit = verb !== 'read' && verb !== 'fleet' && verb !== 'live';
-    this.#forwards.set(this.#forwardId, { origin, to: leader, at: now, editId: isEdit ? edit?.id ?? '' : '' });
+    this.#forwards.set(this.#forwardId, {
+      origin,
+      to: leader,
+      at: now,
+      editId: isEdit ? (edit?.id ?? '') : '',
+    });
     this.#send(leader, { kind: 'command', id: this.#forwardId, verb, body });
   }
 
@@ -876,7 +1205,8 @@
     const before = this.#doc.edits.find(hasId.bind(undefined, id));
     if (before) {
       // The same id again is the same edit: it is told what became of it, and done once.
-      if (before.outcome === 'closed') throw new Defect('base-lost', `edit ${id} was asked about before it came, and closed`);
+      if (before.outcome === 'closed')
+        throw new Defect('base-lost', `edit ${id} was asked about before it came, and closed`);
       this.#write(now, origin, id, this.#doc, 'accepted');
       return;
     }
@@ -890,21 +1220,39 @@
       return applyEdit(this.#doc, verb, body, this.#settings.deployed?.dialect);
     } catch (thrown) {
       const base = parseAs(EditShapes.edit, body)?.base;
-      if (!(thrown instanceof Defect) || thrown.kind !== 'base-lost' || !mayBeForgotten(this.#doc, base)) throw thrown;
-      throw new Defect('unsure-edit', `edit ${id} was made from table ${base ?? 0}, so long ago that whether it was accepted is no longer known`);
+      if (
+        !(thrown instanceof Defect) ||
+        thrown.kind !== 'base-lost' ||
+        !mayBeForgotten(this.#doc, base)
+      )
+        throw thrown;
+      throw new Defect(
+        'unsure-edit',
+        `edit ${id} was made from table ${base ?? 0}, so long ago that whether it was accepted is no longer known`,
+      );
     }
   }
 
   #swap(body: string): ConfigDoc {
     const edit = mustParseAs(EditShapes.swap, body, 'the swap');
     const [current] = this.#doc.voters;
-    if (!current || this.#doc.voters.length !== 1) throw new Defect('base-lost', 'another swap is under way');
-    if (!current.includes(edit.old) || current.includes(edit.new)) throw new Defect('malformed', `${edit.old} is no voter, or ${edit.new} is one`);
-    function exchange(voter: string): string { return voter === edit.old ? edit.new : voter; }
+    if (!current || this.#doc.voters.length !== 1)
+      throw new Defect('base-lost', 'another swap is under way');
+    if (!current.includes(edit.old) || current.includes(edit.new))
+      throw new Defect('malformed', `${edit.old} is no voter, or ${edit.new} is one`);
+    function exchange(voter: string): string {
+      return voter === edit.old ? edit.new : voter;
+    }
     return { ...this.#doc, voters: [current, current.map(exchange)] };
   }
 
-  #write(now: Moment, origin: Origin, id: string, doc: ConfigDoc, outcome: 'accepted' | 'closed'): void {
+  #write(
+    now: Moment,
+    origin: Origin,
+    id: string,
+    doc: ConfigDoc,
+    outcome: 'accepted' | 'closed',
+  ): void {
     this.#token += 1;
     this.#edits.set(this.#token, { origin, id, number: doc.number, outcome, committed: undefined });
     this.#doc = doc;
@@ -913,12 +1261,25 @@
 
   #writePart(now: Moment, part: PartName, body: string, token: number): void {
     const count = this.#parts.write(now, part, body, token);
-    this.#written.set(part, [...(this.#written.get(part) ?? []).filter(isAfter.bind(undefined, count - 2)).filter(isBelow.bind(undefined, count)), { count, body }]);
-  }
-
-  #askEdit(now: Moment, origin: Origin, { id, base }: { readonly id: string; readonly base?: number | undefined }): void {
+    this.#written.set(part, [
+      ...(this.#written.get(part) ?? [])
+        .filter(isAfter.bind(undefined, count - 2))
+        .filter(isBelow.bind(undefined, count)),
+      { count, body },
+    ]);
+  }
+
+  #askEdit(
+    now: Moment,
+    origin: Origin,
+    { id, base }: { readonly id: string; readonly base?: number | undefined },
+  ): void {
     const known = this.#doc.edits.find(hasId.bind(undefined, id));
-    if (!known && mayBeForgotten(this.#doc, base)) throw new Defect('unsure-edit', `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`);
+    if (!known && mayBeForgotten(this.#doc, base))
+      throw new Defect(
+        'unsure-edit',
+        `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`,
+      );
     // Whether known or not, the word given must outlast us: it is written like an edit before it is told.
     if (known) this.#write(now, origin, id, this.#doc, known.outcome);
     else this.#write(now, origin, id, recordEdit(this.#doc, id, 'closed'), 'closed');
@@ -933,22 +1294,32 @@
   #returnRead(origin: Origin, newest: Version): void {
     const item = this.#relay.item('config');
     if (!this.#isServing || !item || isNewer(newest, item.version)) {
-      this.#returnDefect(origin, new Defect('no-leader', 'a newer configuration is being written; ask again'));
+      this.#returnDefect(
+        origin,
+        new Defect('no-leader', 'a newer configuration is being written; ask again'),
+      );
       return;
     }
     this.#return(origin, 200, item.body);
   }
 
   #beatCommands(now: Moment): void {
-    if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#isServing) this.#endRecovery(now);
+    if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#isServing)
+      this.#endRecovery(now);
     for (const [id, forwarded] of this.#forwards) {
-      if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS)) continue;
+      if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS))
+        continue;
       this.#forwards.delete(id);
       this.#returnUnsure(forwarded.origin, forwarded.editId);
     }
     this.#answerEdits(now);
     // A spare that is to vote is taken in once it holds everything; then the old set is let go.
-    if (!this.#desk && this.#isServing && this.#doc.voters.length === 2 && !this.#parts.isWriting(CONFIG_PART)) {
+    if (
+      !this.#desk &&
+      this.#isServing &&
+      this.#doc.voters.length === 2 &&
+      !this.#parts.isWriting(CONFIG_PART)
+    ) {
       const [, next] = this.#doc.voters;
       if (next && next.map(fellowId).every(this.#elector.insiders.has, this.#elector.insiders)) {
         this.#doc = { ...this.#doc, voters: [next] };
@@ -962,21 +1333,37 @@
       const committed = edit.committed;
       if (!committed) continue;
       // Whoever has not acked by then has not been vouched for since before the write was held: it is blind.
-      const isSurelyBlind = this.#desk !== undefined || now >= later(committed.at, this.#settings.blindMs + BLIND_SLACK_MS);
+      const isSurelyBlind =
+        this.#desk !== undefined ||
+        now >= later(committed.at, this.#settings.blindMs + BLIND_SLACK_MS);
       if (!isSurelyBlind && !this.#hasAllAcked(committed.members, committed.version)) continue;
       this.#edits.delete(token);
-      if (edit.outcome === 'accepted') this.#return(edit.origin, 200, JSON.stringify({ outcome: 'accepted', id: edit.id, number: edit.number, version: versionText(committed.version) }));
+      if (edit.outcome === 'accepted')
+        this.#return(
+          edit.origin,
+          200,
+          JSON.stringify({
+            outcome: 'accepted',
+            id: edit.id,
+            number: edit.number,
+            version: versionText(committed.version),
+          }),
+        );
       else this.#return(edit.origin, 200, JSON.stringify({ outcome: 'turned-away', id: edit.id }));
     }
   }
 
   #hasAllAcked(members: ReadonlySet<string>, version: Version): boolean {
-    for (const id of members) if (compareVersions(this.#ackedBy.get(id) ?? NO_VERSION, version) < 0) return false;
+    for (const id of members)
+      if (compareVersions(this.#ackedBy.get(id) ?? NO_VERSION, version) < 0) return false;
     return true;
   }
 
   #found(now: Moment, origin: Origin): void {
-    if (this.#standing.name === 'sound') { this.#return(origin, 200, JSON.stringify({ outcome: 'already', standing: 'sound' })); return; }
+    if (this.#standing.name === 'sound') {
+      this.#return(origin, 200, JSON.stringify({ outcome: 'already', standing: 'sound' }));
+      return;
+    }
     this.#standing.force();
     this.#isRecovering = true;
     this.#settleStanding(now, this.#standing.outcome(now, this.#quorum));
@@ -989,15 +1376,35 @@
   }
 
   #returnDefect(origin: Origin, defect: Defect): void {
-    const faults = defect instanceof TableDefect || defect instanceof ConfigDefect ? { faults: defect.faults } : {};
-    this.#return(origin, defect.row.status, JSON.stringify({ outcome: defect.row.unsure ? 'unsure' : 'turned-away', defect: defect.kind, text: defect.message, ...faults }));
+    const faults =
+      defect instanceof TableDefect || defect instanceof ConfigDefect
+        ? { faults: defect.faults }
+        : {};
+    this.#return(
+      origin,
+      defect.row.status,
+      JSON.stringify({
+        outcome: defect.row.unsure ? 'unsure' : 'turned-away',
+        defect: defect.kind,
+        text: defect.message,
+        ...faults,
+      }),
+    );
   }
 
   #returnUnsure(origin: Origin, id: string): void {
     const kind: DefectKind = id === '' ? 'no-leader' : 'unsure-edit';
-    this.#return(origin, DEFECTS[kind].status, JSON.stringify({
-      outcome: id === '' ? 'turned-away' : 'unsure', defect: kind, id, text: id === '' ? 'the leader was lost' : `the leader was lost; ask what became of edit ${id}`,
-    }));
+    this.#return(
+      origin,
+      DEFECTS[kind].status,
+      JSON.stringify({
+        outcome: id === '' ? 'turned-away' : 'unsure',
+        defect: kind,
+        id,
+        text:
+          id === '' ? 'the leader was lost' : `the leader was lost; ask what became of edit ${id}`,
+      }),
+    );
   }
 
   // ---- the outside: platform, weight store, runners
@@ -1009,7 +1416,8 @@
 
   #publishFleet(count: number, body: string, delta: string): void {
     const version = { epoch: this.#ledEpoch, count };
-    if (!this.#relay.offerDelta('fleet', version, count - 1, delta)) this.#relay.offer('fleet', version, body);
+    if (!this.#relay.offerDelta('fleet', version, count - 1, delta))
+      this.#relay.offer('fleet', version, body);
   }
 
   #beatOutside(now: Moment): void {
@@ -1028,7 +1436,12 @@
     }
     for (const machine of this.#machines.machines) {
       const runner = this.#runners.get(machine.id);
-      if (!runner || machine.service !== '' || now < later(runner.askSentAt, this.#settings.reportMs)) continue;
+      if (
+        !runner ||
+        machine.service !== '' ||
+        now < later(runner.askSentAt, this.#settings.reportMs)
+      )
+        continue;
       runner.askSentAt = now;
       this.#effects.push({ do: 'askReport', runner: machine.id, address: machine.address });
     }
@@ -1043,7 +1456,13 @@
       const runner = this.#runners.get(machine.id);
       if (!runner) continue;
       const isLost = !runner.isReachable && now - runner.seenAt > LOST_RUNNER_MS;
-      runners.push({ machine, report: runner.report, askedAt: runner.askedAt, isReachable: runner.isReachable, isLost });
+      runners.push({
+        machine,
+        report: runner.report,
+        askedAt: runner.askedAt,
+        isReachable: runner.isReachable,
+        isLost,
+      });
     }
     return { table: this.#doc.table, catalog: this.#catalog, runners, emptied: this.#doc.emptied };
   }
@@ -1051,7 +1470,8 @@
   #plan(now: Moment): void {
     // A new leader plans only once it has heard from the runners, or it would take all their seats away.
     if (this.#recoverUntil !== undefined) return;
-    const isInformed = [...this.#runners.values()].every(isHeard) || now - this.#servingSince > LOST_RUNNER_MS;
+    const isInformed =
+      [...this.#runners.values()].every(isHeard) || now - this.#servingSince > LOST_RUNNER_MS;
     if (!isInformed || this.#catalog.models.length === 0) return;
     const input = this.#planInput(now);
     const changed = this.#placer.plan(now, input);
@@ -1069,7 +1489,9 @@
   /** Bound once: it is asked for every intent at every plan. */
   readonly #isSentOrder = this.#hasSent.bind(this);
 
-  #hasSent(intent: string): boolean { return this.#orders.has(intent); }
+  #hasSent(intent: string): boolean {
+    return this.#orders.has(intent);
+  }
 
   #orderIntents(now: Moment, input: PlanInput): void {
     if (!this.mayOrder(now)) return;
@@ -1088,12 +1510,17 @@
           // Not sent by us: decided in this epoch it was sent by nobody; of an older one the runner would have shown it
           // in a report asked for since we may order, which is long after anybody else could.
           const isOurs = intent.id.startsWith(`${this.#me}/${this.#ledEpoch}.`);
-          if (!sent && (isOurs || view.askedAt > this.#mayOrderSince)) this.#placer.orderTurnedAway(intent.id);
+          if (!sent && (isOurs || view.askedAt > this.#mayOrderSince))
+            this.#placer.orderTurnedAway(intent.id);
           continue;
         }
         // Until the weight store has told us its limit, we do not know how much may be fetched.
         if (intent.verb === 'load' && this.#catalogEpoch !== this.#ledEpoch) continue;
-        this.#orders.set(intent.id, { sentAt: now, state: 'sent', wasUnsure: sent?.wasUnsure ?? false });
+        this.#orders.set(intent.id, {
+          sentAt: now,
+          state: 'sent',
+          wasUnsure: sent?.wasUnsure ?? false,
+        });
         this.#ordersSent += 1;
         this.#effects.push({ do: 'order', intent, address: view.machine.address });
       }
@@ -1125,24 +1552,47 @@
   #fleet(now: Moment): object {
     const { runners, catalog, emptied, table } = this.#planInput(now);
     const views = [];
-    for (const { machine, report, isReachable } of runners) views.push({ machine, report: report ?? null, isReachable });
+    for (const { machine, report, isReachable } of runners)
+      views.push({ machine, report: report ?? null, isReachable });
     const demand = [];
-    for (const unit of this.#placer.demand.units()) demand.push({ unit, rate: this.#placer.demand.rate(now, unit) });
-    return { number: this.#doc.number, table, emptied, catalog, docs: this.#placer.docs(), runners: views, demand };
+    for (const unit of this.#placer.demand.units())
+      demand.push({ unit, rate: this.#placer.demand.rate(now, unit) });
+    return {
+      number: this.#doc.number,
+      table,
+      emptied,
+      catalog,
+      docs: this.#placer.docs(),
+      runners: views,
+      demand,
+    };
   }
 
   /** The table with its places beside it: who serves, who waits for what, and what is asked for. */
   #live(now: Moment): Live {
     const input = this.#planInput(now);
     const rows = [];
-    for (const row of input.table.rows) rows.push({ row: rowKey(row), weight: row.weight, take: row.take, rate: this.#shares.rate(now, rowKey(row)) });
+    for (const row of input.table.rows)
+      rows.push({
+        row: rowKey(row),
+        weight: row.weight,
+        take: row.take,
+        rate: this.#shares.rate(now, rowKey(row)),
+      });
     const models = this.#placer.live(now, input);
-    return { number: this.#doc.number, emptied: input.emptied.slice(), underWay: this.#placer.docs().flatMap(intentsOf).length, rows, models };
+    return {
+      number: this.#doc.number,
+      emptied: input.emptied.slice(),
+      underWay: this.#placer.docs().flatMap(intentsOf).length,
+      rows,
+      models,
+    };
   }
 
   #status(now: Moment): object {
     const totals: Record<string, number> = {};
-    for (const voter of this.#quorum.all) totals[voter] = Math.round(this.#elector.scores.total(voter, this.#quorum.all) * 1000) / 1000;
+    for (const voter of this.#quorum.all)
+      totals[voter] = Math.round(this.#elector.scores.total(voter, this.#quorum.all) * 1000) / 1000;
     const parts: Record<string, string> = {};
     for (const part of allParts()) parts[part] = versionText(this.#parts.versionOf(part));
     const members = [];
@@ -1150,33 +1600,74 @@
     for (const member of this.#knownMembers()) {
       if (seen.has(member.id)) continue;
       seen.add(member.id);
-      members.push({ id: member.id, zone: member.zone, acked: versionText(this.#ackedBy.get(member.id) ?? member), parent: this.#hung.get(member.id) ?? '' });
+      members.push({
+        id: member.id,
+        zone: member.zone,
+        acked: versionText(this.#ackedBy.get(member.id) ?? member),
+        parent: this.#hung.get(member.id) ?? '',
+      });
     }
     const places = this.#relay.item('places');
     const config = this.#relay.item('config');
     return {
-      me: this.#me, zone: this.#settings.zone, standing: this.#standing.name, membersHoldState: this.#standing.isMemberHolding,
-      role: this.#elector.role, epoch: this.#elector.epoch, leader: this.#elector.leader ?? '', serving: this.#isServing,
-      mayOrder: this.mayOrder(now), leaseLeftMs: Math.max(0, Math.round(this.#elector.leaseEnd - now)),
-      voters: this.#quorum.all, scores: totals, parts, unsound: this.#parts.unsoundParts(), mended: this.#parts.mends,
-      config: config ? versionText(config.version) : 'none', placesVersion: places ? versionText(places.version) : 'none',
-      machines: this.#machines.revision, members,
+      me: this.#me,
+      zone: this.#settings.zone,
+      standing: this.#standing.name,
+      membersHoldState: this.#standing.isMemberHolding,
+      role: this.#elector.role,
+      epoch: this.#elector.epoch,
+      leader: this.#elector.leader ?? '',
+      serving: this.#isServing,
+      mayOrder: this.mayOrder(now),
+      leaseLeftMs: Math.max(0, Math.round(this.#elector.leaseEnd - now)),
+      voters: this.#quorum.all,
+      scores: totals,
+      parts,
+      unsound: this.#parts.unsoundParts(),
+      mended: this.#parts.mends,
+      config: config ? versionText(config.version) : 'none',
+      placesVersion: places ? versionText(places.version) : 'none',
+      machines: this.#machines.revision,
+      members,
       places: places ? parseAs(type({}), places.body) : undefined,
       intents: (this.#desk ?? this.#placer).docs().flatMap(intentsOf),
     };
   }
 }
 
-function takeOf(row: Row): { readonly key: string; readonly take: number } { return { key: rowKey(row), take: row.take }; }
-function copyOf(set: readonly string[]): string[] { return [...set]; }
-function isVote(item: StoredPart): boolean { return item.part === VOTE_PART; }
-function isOther(me: string, id: string): boolean { return id !== me; }
-function hasId(id: string, edit: { readonly id: string }): boolean { return edit.id === id; }
-function hasCount(count: number, item: { readonly count: number }): boolean { return item.count === count; }
-function isAfter(count: number, item: { readonly count: number }): boolean { return item.count > count; }
-function isBelow(count: number, item: { readonly count: number }): boolean { return item.count < count; }
-function isHeard(runner: Runner): boolean { return runner.isKnown; }
-function isRunner(id: string, view: RunnerView): boolean { return view.machine.id === id; }
-function isInPart(part: PartName, doc: ServiceDoc): boolean { return servicePart(doc.model) === part; }
-function intentsOf(doc: ServiceDoc): readonly Intent[] { return doc.intents; }
-
+function takeOf(row: Row): { readonly key: string; readonly take: number } {
+  return { key: rowKey(row), take: row.take };
+}
+function copyOf(set: readonly string[]): string[] {
+  return [...set];
+}
+function isVote(item: StoredPart): boolean {
+  return item.part === VOTE_PART;
+}
+function isOther(me: string, id: string): boolean {
+  return id !== me;
+}
+function hasId(id: string, edit: { readonly id: string }): boolean {
+  return edit.id === id;
+}
+function hasCount(count: number, item: { readonly count: number }): boolean {
+  return item.count === count;
+}
+function isAfter(count: number, item: { readonly count: number }): boolean {
+  return item.count > count;
+}
+function isBelow(count: number, item: { readonly count: number }): boolean {
+  return item.count < count;
+}
+function isHeard(runner: Runner): boolean {
+  return runner.isKnown;
+}
+function isRunner(id: string, view: RunnerView): boolean {
+  return view.machine.id === id;
+}
+function isInPart(part: PartName, doc: ServiceDoc): boolean {
+  return servicePart(doc.model) === part;
+}
+function intentsOf(doc: ServiceDoc): readonly Intent[] {
+  return doc.intents;
+}
--- a/src/mind/MindEffect.ts
+++ b/src/mind/MindEffect.ts
@@ -9,7 +9,12 @@
 /** What a control node's core wants done; the process and the simulator carry it out alike. */
 export type MindEffect =
   | { readonly do: 'send'; readonly to: string; readonly message: Message }
-  | { readonly do: 'store'; readonly part: PartName; readonly version: Version; readonly body: string }
+  | {
+      readonly do: 'store';
+      readonly part: PartName;
+      readonly version: Version;
+      readonly body: string;
+    }
   | { readonly do: 'askMachines' }
   | { readonly do: 'askCatalog' }
   /** For the platform's list of runners; its return is told as list(). */
@@ -20,7 +25,11 @@
   /** To be written only if mayOrder() still says so right before the write, and to be cut off before the lease ends. */
   | { readonly do: 'order'; readonly intent: Intent; readonly address: string }
   | { readonly do: 'return'; readonly id: number; readonly status: number; readonly body: string }
-  | { readonly do: 'note'; readonly text: string; readonly fields: Readonly<Record<string, string | number>> };
+  | {
+      readonly do: 'note';
+      readonly text: string;
+      readonly fields: Readonly<Record<string, string | number>>;
+    };
 
 export type OrderResult = 'taken' | 'held' | 'busy' | 'refused' | 'unsure' | 'unsent';
 
@@ -32,7 +41,14 @@
   list(now: Moment, runners: readonly ListedRunner[]): void;
   status(now: Moment, runner: string, askedAt: Moment, status: RunnerStatus | undefined): void;
   asks(now: Moment): readonly string[];
-  plan(now: Moment, input: { readonly routing: Routing | undefined; readonly emptied: readonly string[]; readonly flows: number }): readonly string[];
+  plan(
+    now: Moment,
+    input: {
+      readonly routing: Routing | undefined;
+      readonly emptied: readonly string[];
+      readonly flows: number;
+    },
+  ): readonly string[];
   orders(now: Moment): readonly Intent[];
   kept(intentIds: Iterable<string>): void;
   ordered(now: Moment, intentId: string, outcome: OrderResult): void;
@@ -66,4 +82,10 @@
   readonly deployed?: Deployed | undefined;
 }
 
-export const MIND_DEFAULTS = { blindMs: 2500, silentMs: 1500, foundMs: 1500, reportMs: 400, machinesMs: 500 } as const;
+export const MIND_DEFAULTS = {
+  blindMs: 2500,
+  silentMs: 1500,
+  foundMs: 1500,
+  reportMs: 400,
+  machinesMs: 500,
+} as const;
--- a/src/mind/MindNews.test.ts
+++ b/src/mind/MindNews.test.ts
@@ -5,12 +5,26 @@
 import { MIND_DEFAULTS, type MindEffect } from './MindEffect.js';
 
 function makeCore(): MindCore {
-  return new MindCore({ ...MIND_DEFAULTS, me: 'a:1', zone: 'z', seeds: ['a:1', 'b:1', 'c:1'], life: 1 }, [], moment(0));
+  return new MindCore(
+    { ...MIND_DEFAULTS, me: 'a:1', zone: 'z', seeds: ['a:1', 'b:1', 'c:1'], life: 1 },
+    [],
+    moment(0),
+  );
+}
+function isNewsTo(id: string, effect: MindEffect): boolean {
+  return effect.do === 'send' && effect.to === id && effect.message.kind === 'news';
+}
+function isHangTo(id: string, effect: MindEffect): boolean {
+  return effect.do === 'send' && effect.to === id && effect.message.kind === 'hang';
 }
-function isNewsTo(id: string, effect: MindEffect): boolean { return effect.do === 'send' && effect.to === id && effect.message.kind === 'news'; }
-function isHangTo(id: string, effect: MindEffect): boolean { return effect.do === 'send' && effect.to === id && effect.message.kind === 'hang'; }
 function tell(core: MindCore, count: number): void {
-  core.receive(moment(10 + count), 'b:1', { kind: 'news', topic: 'config', epoch: 2, count, body: '{}' });
+  core.receive(moment(10 + count), 'b:1', {
+    kind: 'news',
+    topic: 'config',
+    epoch: 2,
+    count,
+    body: '{}',
+  });
 }
 
 /** Who asks across is answered and forgotten; its news come down the tree it hangs in. */
@@ -27,7 +41,14 @@
 /** Those that hang here go on being fed when they ask across as well. */
 function checkChild(): void {
   const core = makeCore();
-  core.receive(moment(5), 'l:1', { kind: 'join', zone: 'z', address: 'l:1', epoch: 0, count: 0, lost: '' });
+  core.receive(moment(5), 'l:1', {
+    kind: 'join',
+    zone: 'z',
+    address: 'l:1',
+    epoch: 0,
+    count: 0,
+    lost: '',
+  });
   core.receive(moment(20), 'l:1', { kind: 'ask', nonce: -1, have: [], members: [] });
   core.drain();
   tell(core, 1);
@@ -39,16 +60,33 @@
   const core = makeCore();
   const drawn = vi.spyOn(Sessions.prototype, 'tree');
   function joinAll(at: number): void {
-    for (let index = 0; index < 50; index += 1) core.receive(moment(at + index), `l:${100 + index}`, { kind: 'join', zone: 'z', address: `l:${100 + index}`, epoch: 0, count: 0, lost: '' });
+    for (let index = 0; index < 50; index += 1)
+      core.receive(moment(at + index), `l:${100 + index}`, {
+        kind: 'join',
+        zone: 'z',
+        address: `l:${100 + index}`,
+        epoch: 0,
+        count: 0,
+        lost: '',
+      });
   }
   joinAll(0);
   core.drain();
   drawn.mockClear();
   joinAll(100);
   expect(drawn).not.toHaveBeenCalled();
-  expect(core.drain().filter(isHangTo.bind(undefined, 'l:149'))).toEqual([{ do: 'send', to: 'l:149', message: { kind: 'hang', parent: 'l:111' } }]);
+  expect(core.drain().filter(isHangTo.bind(undefined, 'l:149'))).toEqual([
+    { do: 'send', to: 'l:149', message: { kind: 'hang', parent: 'l:111' } },
+  ]);
   // One that a child could not reach hangs under the control node itself at once.
-  core.receive(moment(200), 'l:149', { kind: 'join', zone: 'z', address: 'l:149', epoch: 0, count: 0, lost: 'l:111' });
+  core.receive(moment(200), 'l:149', {
+    kind: 'join',
+    zone: 'z',
+    address: 'l:149',
+    epoch: 0,
+    count: 0,
+    lost: 'l:111',
+  });
   expect(drawn).toHaveBeenCalled();
   drawn.mockRestore();
 }
