--- a/src/mind/MindProcess.ts
+++ b/src/mind/MindProcess.ts
@@ -25,7 +25,9 @@
 /** How long a planned stop waits for orders whose outcome is open. */
 const RETIRE_MS = 1000;
 
-function afterBeat(done: () => void): void { setTimeout(done, BEAT_MS); }
+function afterBeat(done: () => void): void {
+  setTimeout(done, BEAT_MS);
+}
 
 /** A control node's process: carries out what its core wants, and tells the core what came of it. */
 export class MindProcess {
@@ -46,7 +48,16 @@
   constructor(settings: Infer<typeof MindSettingsShape>, log: Logger) {
     this.#settings = settings;
     this.#log = log;
-    this.#exchange = new Exchange({ id: settings.listen, role: 'mind', zone: settings.zone, listen: settings.listen, reach: settings.reach }, this.#tell.bind(this));
+    this.#exchange = new Exchange(
+      {
+        id: settings.listen,
+        role: 'mind',
+        zone: settings.zone,
+        listen: settings.listen,
+        reach: settings.reach,
+      },
+      this.#tell.bind(this),
+    );
     this.#store = new FileStore(join(settings.data, 'parts'), this.#tell.bind(this));
     this.#api = new Api(this.#ask.bind(this), this.#counted.bind(this));
   }
@@ -54,14 +65,20 @@
   async start(): Promise<void> {
     const stored = await this.#store.readAll();
     const { listen: me, zone, seeds, blindMs } = this.#settings;
-    const core = new MindCore({ ...MIND_DEFAULTS, me, zone, seeds, blindMs, life: newLife() }, stored, monotonicNow());
+    const core = new MindCore(
+      { ...MIND_DEFAULTS, me, zone, seeds, blindMs, life: newLife() },
+      stored,
+      monotonicNow(),
+    );
     this.#core = core;
     this.#orderer = new Orderer(core, monotonicNow);
     this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
     this.#subscription.add(this.#exchange.gone$.subscribe(this.#gone.bind(this)));
     await this.#exchange.open();
     await this.#api.listen(this.#settings.api);
-    this.#subscription.add(interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))));
+    this.#subscription.add(
+      interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))),
+    );
     this.#log.info({ standing: core.standing.name }, 'mind started');
   }
 
@@ -69,7 +86,9 @@
   async stop(): Promise<void> {
     const end = monotonicNow() + RETIRE_MS;
     for (let isRetired = false; !isRetired && monotonicNow() < end;) {
-      function retire(core: MindCore): void { isRetired = core.retire(monotonicNow()); }
+      function retire(core: MindCore): void {
+        isRetired = core.retire(monotonicNow());
+      }
       this.#submit(retire);
       if (!isRetired) await new Promise<void>(afterBeat);
     }
@@ -109,7 +128,8 @@
   }
 
   #beat(core: MindCore): void {
-    for (const voter of core.voters) if (voter !== this.#settings.listen) this.#exchange.dial(voter);
+    for (const voter of core.voters)
+      if (voter !== this.#settings.listen) this.#exchange.dial(voter);
     core.beat(monotonicNow());
   }
 
@@ -118,26 +138,54 @@
     const tell = this.#tell.bind(this);
     function receive(core: MindCore): void {
       // What a node of another build may say must not end this one.
-      try { core.receive(monotonicNow(), incoming.from, incoming.message); } catch (thrown) { tell(new Defect('bad-frame', `${incoming.message.kind} from ${incoming.from}: ${reasonOf(thrown)}`)); }
+      try {
+        core.receive(monotonicNow(), incoming.from, incoming.message);
+      } catch (thrown) {
+        tell(
+          new Defect(
+            'bad-frame',
+            `${incoming.message.kind} from ${incoming.from}: ${reasonOf(thrown)}`,
+          ),
+        );
+      }
     }
     this.#submit(receive);
   }
 
   #gone(id: string): void {
-    function gone(core: MindCore): void { core.gone(monotonicNow(), id); }
+    function gone(core: MindCore): void {
+      core.gone(monotonicNow(), id);
+    }
     this.#submit(gone);
   }
 
   #carryOut(core: MindCore, effect: MindEffect): void {
     switch (effect.do) {
-      case 'send': this.#exchange.send(effect.to, effect.message); break;
-      case 'store': void this.#keep(effect); break;
-      case 'askMachines': void this.#askMachines(); break;
-      case 'askCatalog': void this.#askCatalog(); break;
-      case 'askReport': void this.#askReport(effect.runner, effect.address); break;
-      case 'order': void this.#order(effect, core.elector.epoch); break;
-      case 'return': this.#returns.get(effect.id)?.({ status: effect.status, body: effect.body }); this.#returns.delete(effect.id); break;
-      case 'note': this.#log.info(effect.fields, effect.text); break;
+      case 'send':
+        this.#exchange.send(effect.to, effect.message);
+        break;
+      case 'store':
+        void this.#keep(effect);
+        break;
+      case 'askMachines':
+        void this.#askMachines();
+        break;
+      case 'askCatalog':
+        void this.#askCatalog();
+        break;
+      case 'askReport':
+        void this.#askReport(effect.runner, effect.address);
+        break;
+      case 'order':
+        void this.#order(effect, core.elector.epoch);
+        break;
+      case 'return':
+        this.#returns.get(effect.id)?.({ status: effect.status, body: effect.body });
+        this.#returns.delete(effect.id);
+        break;
+      case 'note':
+        this.#log.info(effect.fields, effect.text);
+        break;
     }
   }
 
@@ -151,16 +199,26 @@
       return;
     }
     this.#counters.add('disk.writes');
-    function stored(core: MindCore): void { core.stored(monotonicNow(), part, version); }
+    function stored(core: MindCore): void {
+      core.stored(monotonicNow(), part, version);
+    }
     this.#submit(stored);
   }
 
   async #askMachines(): Promise<void> {
     try {
-      const returned = await call('GET', this.#settings.platform, '/machines', undefined, OUTSIDE_MS);
+      const returned = await call(
+        'GET',
+        this.#settings.platform,
+        '/machines',
+        undefined,
+        OUTSIDE_MS,
+      );
       const machines = parseAs(MachinesShape, returned.body);
       if (!machines) throw new Error('its list of machines is not what it should be');
-      function take(core: MindCore): void { if (machines) core.machines(monotonicNow(), machines); }
+      function take(core: MindCore): void {
+        if (machines) core.machines(monotonicNow(), machines);
+      }
       this.#submit(take);
       this.#platformUp(true, '');
     } catch (thrown) {
@@ -180,7 +238,9 @@
       const returned = await call('GET', this.#settings.store, '/catalog', undefined, OUTSIDE_MS);
       const catalog = parseAs(CatalogShape, returned.body);
       if (!catalog) throw new Error('its catalogue is not what it should be');
-      function take(core: MindCore): void { if (catalog) core.catalog(monotonicNow(), catalog); }
+      function take(core: MindCore): void {
+        if (catalog) core.catalog(monotonicNow(), catalog);
+      }
       this.#submit(take);
     } catch {
       this.#counters.add('store.unreached');
@@ -191,21 +251,40 @@
     const askedAt: Moment = monotonicNow();
     let report: ReturnType<typeof parseAs<Infer<typeof RunnerReportShape>>>;
     try {
-      report = parseAs(RunnerReportShape, (await call('GET', address, '/report', undefined, OUTSIDE_MS)).body);
+      report = parseAs(
+        RunnerReportShape,
+        (await call('GET', address, '/report', undefined, OUTSIDE_MS)).body,
+      );
     } catch {
       this.#counters.add('reports.unreached');
     }
     // A report under another name is some other runner's, at an address that changed hands.
     const own = report?.id === runner ? report : undefined;
-    function take(core: MindCore): void { core.reported(monotonicNow(), runner, askedAt, own); }
+    function take(core: MindCore): void {
+      core.reported(monotonicNow(), runner, askedAt, own);
+    }
     this.#submit(take);
   }
 
   async #order(effect: Extract<MindEffect, { do: 'order' }>, epoch: number): Promise<void> {
-    const outcome = await this.#orderer?.send(effect.intent, effect.address, this.#settings.listen, epoch) ?? 'unsent';
+    const outcome =
+      (await this.#orderer?.send(effect.intent, effect.address, this.#settings.listen, epoch)) ??
+      'unsent';
     this.#counters.add(`orders.${outcome}`);
-    this.#log.info({ order: effect.intent.id, verb: effect.intent.verb, model: effect.intent.model, adapter: effect.intent.adapter, runner: effect.intent.runner, outcome }, 'order');
-    function ordered(core: MindCore): void { core.ordered(monotonicNow(), effect.intent.id, outcome); }
+    this.#log.info(
+      {
+        order: effect.intent.id,
+        verb: effect.intent.verb,
+        model: effect.intent.model,
+        adapter: effect.intent.adapter,
+        runner: effect.intent.runner,
+        outcome,
+      },
+      'order',
+    );
+    function ordered(core: MindCore): void {
+      core.ordered(monotonicNow(), effect.intent.id, outcome);
+    }
     this.#submit(ordered);
   }
 
@@ -214,9 +293,13 @@
     const id = this.#commandId;
     this.#counters.add(`commands.${verb}`);
     const returns = this.#returns;
-    function enlist(done: (returned: ApiReturn) => void): void { returns.set(id, done); }
+    function enlist(done: (returned: ApiReturn) => void): void {
+      returns.set(id, done);
+    }
     const returned = new Promise<ApiReturn>(enlist);
-    function command(core: MindCore): void { core.command(monotonicNow(), id, verb, body); }
+    function command(core: MindCore): void {
+      core.command(monotonicNow(), id, verb, body);
+    }
     this.#submit(command);
     return returned;
   }
--- a/src/mind/Orderer.ts
+++ b/src/mind/Orderer.ts
@@ -36,8 +36,22 @@
 
   send(intent: Intent, address: string, holder: string, epoch: number): Promise<OrderOutcome> {
     const { host, port } = splitAddress(address);
-    const body = JSON.stringify({ id: intent.id, verb: intent.verb, model: intent.model, adapter: intent.adapter, boot: intent.boot, size: intent.size, holder, epoch });
-    const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), expect: '100-continue', 'x-take-within-ms': TAKE_WITHIN_MS };
+    const body = JSON.stringify({
+      id: intent.id,
+      verb: intent.verb,
+      model: intent.model,
+      adapter: intent.adapter,
+      boot: intent.boot,
+      size: intent.size,
+      holder,
+      epoch,
+    });
+    const headers = {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+      expect: '100-continue',
+      'x-take-within-ms': TAKE_WITHIN_MS,
+    };
     const sent = request({ host, port, method: 'POST', path: '/orders', headers, agent: false });
     return new Promise(this.#run.bind(this, sent, body));
   }
@@ -55,12 +69,19 @@
       sent.destroy();
       done(outcome);
     }
-    function giveUp(): void { end(isWritten ? 'unsure' : 'unsent'); }
-    function giveUpUnwritten(): void { if (!isWritten) end('unsent'); }
+    function giveUp(): void {
+      end(isWritten ? 'unsure' : 'unsent');
+    }
+    function giveUpUnwritten(): void {
+      if (!isWritten) end('unsent');
+    }
     function write(): void {
       // Right before the write, and with the margin in which an order under way is cut off.
       const at = now();
-      if (!lease.mayOrder(at) || lease.leaseEnd() - at <= MARGIN_MS) { end('unsent'); return; }
+      if (!lease.mayOrder(at) || lease.leaseEnd() - at <= MARGIN_MS) {
+        end('unsent');
+        return;
+      }
       isWritten = true;
       sent.end(body);
     }
@@ -71,12 +92,17 @@
         if (status >= 200 && status < 300) end('taken');
         else if (isWritten && status >= 400 && status < 500) end('turnedAway');
         else end(isWritten ? 'unsure' : 'unsent');
-      } catch { giveUp(); }
+      } catch {
+        giveUp();
+      }
     }
     sent.once('continue', write);
     sent.once('response', take);
     sent.on('error', giveUp);
     sent.flushHeaders();
-    beats.push(setTimeout(giveUpUnwritten, CONTINUE_MS), setTimeout(giveUp, Math.max(0, lease.leaseEnd() - now() - MARGIN_MS)));
+    beats.push(
+      setTimeout(giveUpUnwritten, CONTINUE_MS),
+      setTimeout(giveUp, Math.max(0, lease.leaseEnd() - now() - MARGIN_MS)),
+    );
   }
 }
--- a/src/mind/VoterPlan.ts
+++ b/src/mind/VoterPlan.ts
@@ -1,7 +1,13 @@
 import type { Moment, PartName } from '../kin/Ids.js';
 
 /** A control node that announced itself lately and is heard of as no voter, or as one without a leader. */
-export interface Enlisted { readonly id: string; readonly zone: string; readonly isFirst: boolean; readonly isSound: boolean; readonly at: Moment }
+export interface Enlisted {
+  readonly id: string;
+  readonly zone: string;
+  readonly isFirst: boolean;
+  readonly isSound: boolean;
+  readonly at: Moment;
+}
 
 export type VoterChange =
   | { readonly do: 'nothing' }
@@ -12,7 +18,11 @@
 const SILENT_MS = 2000;
 const NOTHING: VoterChange = { do: 'nothing' };
 
-export function isVotersWriting(voters: readonly unknown[], parts: readonly PartName[], held: { isWriting(part: PartName): boolean }): boolean {
+export function isVotersWriting(
+  voters: readonly unknown[],
+  parts: readonly PartName[],
+  held: { isWriting(part: PartName): boolean },
+): boolean {
   return voters.length === 2 && parts.some(held.isWriting, held);
 }
 
@@ -21,9 +31,17 @@
   #rewritten = '';
 
   /** A new leader knows nothing of how far the former one came with a change, and does it again. */
-  begin(): void { this.#rewritten = ''; }
+  begin(): void {
+    this.#rewritten = '';
+  }
 
-  next(now: Moment, voters: readonly (readonly string[])[], enlisted: Iterable<Enlisted>, me: string, heardAt: (voter: string) => Moment | undefined): VoterChange {
+  next(
+    now: Moment,
+    voters: readonly (readonly string[])[],
+    enlisted: Iterable<Enlisted>,
+    me: string,
+    heardAt: (voter: string) => Moment | undefined,
+  ): VoterChange {
     const [current, following] = voters;
     if (!current) return NOTHING;
     if (following) {
@@ -36,9 +54,14 @@
       // One that must still be repaired can hold nothing for us.
       if (!node.isSound || current.includes(node.id)) continue;
       const silent = current.find(isSilent);
-      if (silent !== undefined) return { do: 'voters', voters: [[...current], current.map(exchange.bind(undefined, silent, node.id))] };
+      if (silent !== undefined)
+        return {
+          do: 'voters',
+          voters: [[...current], current.map(exchange.bind(undefined, silent, node.id))],
+        };
       // An even number bears no more losses than the odd one below it, so that it is filled up whoever comes.
-      if (node.isFirst || current.length % 2 === 0) return { do: 'voters', voters: [[...current], [...current, node.id]] };
+      if (node.isFirst || current.length % 2 === 0)
+        return { do: 'voters', voters: [[...current], [...current, node.id]] };
     }
     return NOTHING;
 
@@ -49,4 +72,6 @@
   }
 }
 
-function exchange(old: string, id: string, voter: string): string { return voter === old ? id : voter; }
+function exchange(old: string, id: string, voter: string): string {
+  return voter === old ? id : voter;
+}
--- a/src/mind/Voters.test.ts
+++ b/src/mind/Voters.test.ts
@@ -10,29 +10,78 @@
 
 /** Plans nothing: what is tried here is the configuration and who votes on it. */
 class IdlePlanner implements FleetPlanner {
-  restore(): void { /* nothing kept */ }
-  docs(): readonly [] { return []; }
-  demand(): void { /* not told */ }
-  list(): void { /* not told */ }
-  status(): void { /* not told */ }
-  asks(): readonly string[] { return []; }
-  plan(): readonly string[] { return []; }
-  orders(): readonly Intent[] { return []; }
-  kept(): void { /* nothing kept */ }
-  ordered(): void { /* nothing ordered */ }
-  fleet(): Fleet { return { flows: 1, runners: [], waits: [] }; }
-  nextAt(): Moment | undefined { return undefined; }
+  restore(): void {
+    /* nothing kept */
+  }
+  docs(): readonly [] {
+    return [];
+  }
+  demand(): void {
+    /* not told */
+  }
+  list(): void {
+    /* not told */
+  }
+  status(): void {
+    /* not told */
+  }
+  asks(): readonly string[] {
+    return [];
+  }
+  plan(): readonly string[] {
+    return [];
+  }
+  orders(): readonly Intent[] {
+    return [];
+  }
+  kept(): void {
+    /* nothing kept */
+  }
+  ordered(): void {
+    /* nothing ordered */
+  }
+  fleet(): Fleet {
+    return { flows: 1, runners: [], waits: [] };
+  }
+  nextAt(): Moment | undefined {
+    return undefined;
+  }
 }
 
-interface Document { readonly version: number; readonly faulty?: boolean; readonly items: readonly string[] }
+interface Document {
+  readonly version: number;
+  readonly faulty?: boolean;
+  readonly items: readonly string[];
+}
 
-function parse(text: string): Document { return JSON.parse(text); }
+function parse(text: string): Document {
+  return JSON.parse(text);
+}
 
 class PlainDialect {
-  read(text: string): { readonly routing: Routing | undefined; readonly faults: readonly { readonly item: string; readonly field: string; readonly text: string }[] } {
+  read(text: string): {
+    readonly routing: Routing | undefined;
+    readonly faults: readonly {
+      readonly item: string;
+      readonly field: string;
+      readonly text: string;
+    }[];
+  } {
     const { version, faulty } = parse(text);
-    if (faulty) return { routing: undefined, faults: [{ item: 'configuration', field: 'faulty', text: 'is faulty' }] };
-    return { routing: { version, routes: [], services: [], limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 } }, faults: [] };
+    if (faulty)
+      return {
+        routing: undefined,
+        faults: [{ item: 'configuration', field: 'faulty', text: 'is faulty' }],
+      };
+    return {
+      routing: {
+        version,
+        routes: [],
+        services: [],
+        limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 },
+      },
+      faults: [],
+    };
   }
 
   amend(text: string, change: string): string | undefined {
@@ -42,8 +91,17 @@
   }
 }
 
-interface Answer { readonly status: number; readonly body: string }
-interface Node { core: MindCore; readonly store: MemoryStore; isUp: boolean; disk: 'sound' | 'stalled'; readonly answers: Map<number, Answer> }
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+interface Node {
+  core: MindCore;
+  readonly store: MemoryStore;
+  isUp: boolean;
+  disk: 'sound' | 'stalled';
+  readonly answers: Map<number, Answer>;
+}
 
 const SEEDS = ['a:1', 'b:1', 'c:1'];
 const STEP_MS = 10;
@@ -57,14 +115,35 @@
 
   start(id: string, isFirstStart: boolean, seeds: readonly string[] = SEEDS): void {
     const store = this.nodes.get(id)?.store ?? new MemoryStore();
-    const deployed = { dialect: new PlainDialect(), planner: new IdlePlanner(), isFirstStart, listMs: 1000 };
-    const core = new MindCore({ ...MIND_DEFAULTS, me: id, zone: `zone-${id}`, seeds, life: this.#now * 1000, foundMs: 0, deployed }, store.list(), moment(this.#now));
+    const deployed = {
+      dialect: new PlainDialect(),
+      planner: new IdlePlanner(),
+      isFirstStart,
+      listMs: 1000,
+    };
+    const core = new MindCore(
+      {
+        ...MIND_DEFAULTS,
+        me: id,
+        zone: `zone-${id}`,
+        seeds,
+        life: this.#now * 1000,
+        foundMs: 0,
+        deployed,
+      },
+      store.list(),
+      moment(this.#now),
+    );
     this.nodes.set(id, { core, store, isUp: true, disk: 'sound', answers: new Map() });
   }
 
-  stop(id: string): void { this.node(id).isUp = false; }
+  stop(id: string): void {
+    this.node(id).isUp = false;
+  }
 
-  wipe(id: string): void { this.node(id).store.wipe(); }
+  wipe(id: string): void {
+    this.node(id).store.wipe();
+  }
 
   node(id: string): Node {
     const node = this.nodes.get(id);
@@ -94,8 +173,10 @@
   #drain(id: string, node: Node): void {
     for (let effects = node.core.drain(); effects.length > 0; effects = node.core.drain()) {
       for (const effect of effects) {
-        if (effect.do === 'send') this.#mail.push({ from: id, to: effect.to, message: effect.message });
-        else if (effect.do === 'return') node.answers.set(effect.id, { status: effect.status, body: effect.body });
+        if (effect.do === 'send')
+          this.#mail.push({ from: id, to: effect.to, message: effect.message });
+        else if (effect.do === 'return')
+          node.answers.set(effect.id, { status: effect.status, body: effect.body });
         else if (effect.do === 'store' && node.disk === 'sound') {
           node.store.keep(effect.part, effect.version, effect.body);
           node.core.stored(moment(this.#now), effect.part, effect.version);
@@ -123,7 +204,9 @@
     return this.node(id).answers.get(number) ?? { status: 0, body: '' };
   }
 
-  voters(): string { return [...this.node(this.leader()).core.voters].join(' '); }
+  voters(): string {
+    return [...this.node(this.leader()).core.voters].join(' ');
+  }
 }
 
 function founded(): Cluster {
@@ -134,10 +217,18 @@
   return cluster;
 }
 
-function document(version: number, ...items: readonly string[]): string { return JSON.stringify({ version, items }); }
-function edit(id: string, base: number, text: string): object { return { id, base, text }; }
-function other(cluster: Cluster): string { return SEEDS.find(isNot.bind(undefined, cluster.leader())) ?? ''; }
-function isNot(id: string, seed: string): boolean { return seed !== id; }
+function document(version: number, ...items: readonly string[]): string {
+  return JSON.stringify({ version, items });
+}
+function edit(id: string, base: number, text: string): object {
+  return { id, base, text };
+}
+function other(cluster: Cluster): string {
+  return SEEDS.find(isNot.bind(undefined, cluster.leader())) ?? '';
+}
+function isNot(id: string, seed: string): boolean {
+  return seed !== id;
+}
 
 function checkConfigure(): void {
   const cluster = founded();
@@ -145,11 +236,23 @@
   expect(cluster.asked(follower, 'read', {}).body).not.toContain('routing');
   expect(cluster.asked(follower, 'configure', edit('e1', 0, document(7, 'x'))).status).toBe(200);
   // The same again, anywhere, is acknowledged again; another on the same version has lost.
-  expect(cluster.asked(cluster.leader(), 'configure', edit('e1', 0, document(7, 'x'))).status).toBe(200);
-  expect(cluster.asked(follower, 'configure', edit('e2', 0, document(8, 'y')))).toMatchObject({ status: 409 });
+  expect(cluster.asked(cluster.leader(), 'configure', edit('e1', 0, document(7, 'x'))).status).toBe(
+    200,
+  );
+  expect(cluster.asked(follower, 'configure', edit('e2', 0, document(8, 'y')))).toMatchObject({
+    status: 409,
+  });
   expect(cluster.asked(follower, 'amend', edit('e3', 7, document(12, 'y'))).status).toBe(200);
-  expect(cluster.asked(follower, 'configure', edit('e4', 12, document(12, 'z')))).toMatchObject({ status: 400 });
-  expect(cluster.asked(follower, 'configure', edit('e5', 12, JSON.stringify({ version: 20, faulty: true, items: [] }))).body).toContain('is faulty');
+  expect(cluster.asked(follower, 'configure', edit('e4', 12, document(12, 'z')))).toMatchObject({
+    status: 400,
+  });
+  expect(
+    cluster.asked(
+      follower,
+      'configure',
+      edit('e5', 12, JSON.stringify({ version: 20, faulty: true, items: [] })),
+    ).body,
+  ).toContain('is faulty');
   const read = JSON.parse(cluster.asked(follower, 'read', {}).body);
   expect(read.routing).toEqual({ version: 12, text: document(12, 'x', 'y') });
 }
@@ -178,7 +281,12 @@
 
 function checkZone(): void {
   const cluster = founded();
-  for (const [id, empty] of [['z1', true], ['z2', false], ['z3', true]] as const) expect(cluster.asked(other(cluster), 'zone', { id, zone: 'north', empty }).status).toBe(200);
+  for (const [id, empty] of [
+    ['z1', true],
+    ['z2', false],
+    ['z3', true],
+  ] as const)
+    expect(cluster.asked(other(cluster), 'zone', { id, zone: 'north', empty }).status).toBe(200);
   expect(JSON.parse(cluster.asked(other(cluster), 'read', {}).body).emptied).toEqual(['north']);
 }
 
@@ -187,7 +295,9 @@
   for (const id of [...SEEDS, 'd:1', 'e:1']) cluster.start(id, true);
   cluster.run(12_000);
   expect(cluster.voters()).toBe('a:1 b:1 c:1 d:1 e:1');
-  expect(cluster.asked(other(cluster), 'configure', edit('e1', 0, document(7, 'x'))).status).toBe(200);
+  expect(cluster.asked(other(cluster), 'configure', edit('e1', 0, document(7, 'x'))).status).toBe(
+    200,
+  );
   cluster.stop(cluster.leader());
   cluster.stop(other(cluster));
   cluster.run(8000);
@@ -196,7 +306,9 @@
 
 function checkSwap(goes: 'leader' | 'follower'): void {
   const cluster = founded();
-  expect(cluster.asked(other(cluster), 'configure', edit('e1', 0, document(7, 'x'))).status).toBe(200);
+  expect(cluster.asked(other(cluster), 'configure', edit('e1', 0, document(7, 'x'))).status).toBe(
+    200,
+  );
   const gone = goes === 'leader' ? cluster.leader() : other(cluster);
   cluster.stop(gone);
   cluster.run(1000);
@@ -221,7 +333,8 @@
   cluster.stop(gone);
   cluster.start('d:1', false);
   const before = cluster.leader();
-  for (let waits = 0; waits < 1000 && cluster.node(before).core.voters.length < 4; waits += 1) cluster.run(STEP_MS);
+  for (let waits = 0; waits < 1000 && cluster.node(before).core.voters.length < 4; waits += 1)
+    cluster.run(STEP_MS);
   // Half-way: four stand in two sets. The leader is restarted, and whoever leads next goes on.
   expect(cluster.node(before).core.voters).toHaveLength(4);
   cluster.start(before, false);
@@ -232,7 +345,9 @@
 
 function checkLostDisk(): void {
   const cluster = founded();
-  expect(cluster.asked(other(cluster), 'configure', edit('e1', 0, document(7, 'x'))).status).toBe(200);
+  expect(cluster.asked(other(cluster), 'configure', edit('e1', 0, document(7, 'x'))).status).toBe(
+    200,
+  );
   const leader = cluster.leader();
   cluster.stop(leader);
   cluster.wipe(leader);
@@ -249,12 +364,21 @@
   expect(cluster.leader()).toBe('');
 }
 
-test('a configuration is taken once from its base, told again, changed and read back', checkConfigure);
+test(
+  'a configuration is taken once from its base, told again, changed and read back',
+  checkConfigure,
+);
 test('of two on the same version one wins', checkRace);
 test('the yes comes with a synced majority, and not before', checkMajority);
 test('a zone is emptied, given back and emptied again', checkZone);
-test('all control nodes of the first start become voters, and two of five may be lost', checkGrowth);
-test('an empty node takes the place of a follower that is gone', checkSwap.bind(undefined, 'follower'));
+test(
+  'all control nodes of the first start become voters, and two of five may be lost',
+  checkGrowth,
+);
+test(
+  'an empty node takes the place of a follower that is gone',
+  checkSwap.bind(undefined, 'follower'),
+);
 test('an empty node takes the place of a leader that is gone', checkSwap.bind(undefined, 'leader'));
 test('a swap that was left half done is finished by the next leader', checkHalfSwap);
 test('a node whose disk was lost is repaired from the others', checkLostDisk);
--- a/src/myth/Agenda.ts
+++ b/src/myth/Agenda.ts
@@ -4,7 +4,9 @@
   #order = 0;
   #now = 0;
 
-  get now(): number { return this.#now; }
+  get now(): number {
+    return this.#now;
+  }
 
   at(moment: number, run: () => void): void {
     this.#order += 1;
@@ -19,7 +21,9 @@
     }
   }
 
-  after(millis: number, run: () => void): void { this.at(this.#now + millis, run); }
+  after(millis: number, run: () => void): void {
+    this.at(this.#now + millis, run);
+  }
 
   /** Runs all that is due until that moment. */
   runUntil(end: number): void {
--- a/src/myth/Callers.ts
+++ b/src/myth/Callers.ts
@@ -25,7 +25,9 @@
     this.#seeded = new Seeded(seed);
   }
 
-  get records(): readonly CallerRecord[] { return this.#records; }
+  get records(): readonly CallerRecord[] {
+    return this.#records;
+  }
 
   /** Begins a kind of traffic at its rate; the gaps between requests vary as callers' do. */
   begin(kind: TrafficKind, factor = 1): void {
@@ -35,7 +37,10 @@
       const beat = setTimeout(fire, gap);
       self.beats.push(beat);
     }
-    function fire(): void { void self.send(kind); next(); }
+    function fire(): void {
+      void self.send(kind);
+      next();
+    }
     next();
   }
 
@@ -46,7 +51,9 @@
     this.#agent.destroy();
   }
 
-  #setIdle(done: () => void): void { this.#onIdle = done; }
+  #setIdle(done: () => void): void {
+    this.#onIdle = done;
+  }
 
   async send(kind: TrafficKind, model?: string, flow?: string): Promise<CallerRecord> {
     this.#count += 1;
@@ -54,12 +61,25 @@
     const id = `${kind.type}-${this.#count}`;
     const address = flow ?? this.#seeded.pick(this.#flows) ?? '';
     const named = model ?? this.#seeded.pickSkewed(kind.models) ?? '';
-    const hasAdapter = this.#seeded.isLikely(0.3) && kind.models.length > 0 && !named.startsWith('rare') && !named.startsWith('seldom');
+    const hasAdapter =
+      this.#seeded.isLikely(0.3) &&
+      kind.models.length > 0 &&
+      !named.startsWith('rare') &&
+      !named.startsWith('seldom');
     const adapter = hasAdapter ? `${named}-a0` : '';
     const parts: string[] = [];
     const group = this.#seeded.below(4);
     for (let index = 0; index < kind.parts; index += 1) parts.push(`${named}-${group}-${index}`);
-    const body = kind.models.length === 0 ? '' : JSON.stringify({ model: named, adapter, parts, tokens: kind.tokens, stream: kind.stream });
+    const body =
+      kind.models.length === 0
+        ? ''
+        : JSON.stringify({
+            model: named,
+            adapter,
+            parts,
+            tokens: kind.tokens,
+            stream: kind.stream,
+          });
     const path = kind.models.length === 0 ? `${kind.path}/${this.#count}` : kind.path;
     const record = await this.#call(kind, id, named, address, path, body);
     this.#records.push(record);
@@ -68,11 +88,36 @@
     return record;
   }
 
-  #call(kind: TrafficKind, id: string, model: string, flow: string, path: string, body: string): Promise<CallerRecord> {
+  #call(
+    kind: TrafficKind,
+    id: string,
+    model: string,
+    flow: string,
+    path: string,
+    body: string,
+  ): Promise<CallerRecord> {
     const { host, port } = splitAddress(flow);
     const sentAt = Date.now();
-    const base = { what: 'call', id, type: kind.type, model, once: kind.once, flow, sentAt, retryAfter: 0, run: '', isWhole: false, fault: '', table: -1 };
-    const headers = { 'x-request-id': id, ...(body === '' ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }) };
+    const base = {
+      what: 'call',
+      id,
+      type: kind.type,
+      model,
+      once: kind.once,
+      flow,
+      sentAt,
+      retryAfter: 0,
+      run: '',
+      isWhole: false,
+      fault: '',
+      table: -1,
+    };
+    const headers = {
+      'x-request-id': id,
+      ...(body === ''
+        ? {}
+        : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }),
+    };
     const agent = this.#agent;
     function run(done: (record: CallerRecord) => void): void {
       let isOver = false;
@@ -81,31 +126,62 @@
         isOver = true;
         done({ ...base, endedAt: Date.now(), ...part });
       }
-      function broken(): void { end({ status: 0, outcome: 'unreached' }); }
+      function broken(): void {
+        end({ status: 0, outcome: 'unreached' });
+      }
       function take(returned: IncomingMessage): void {
         const status = returned.statusCode ?? 0;
         const table = Number(returned.headers['x-table'] ?? -1);
         const check = new LineCheck(id);
         let text = '';
         returned.setEncoding('utf8');
-        function data(chunk: string): void { if (status === 200) check.take(chunk); else text += chunk; }
+        function data(chunk: string): void {
+          if (status === 200) check.take(chunk);
+          else text += chunk;
+        }
         function whole(): void {
-          if (!returned.complete) { cut(); return; }
+          if (!returned.complete) {
+            cut();
+            return;
+          }
           if (status === 200) {
             check.end();
-            end({ status, outcome: 'done', run: check.run, isWhole: true, fault: check.fault, table });
+            end({
+              status,
+              outcome: 'done',
+              run: check.run,
+              isWhole: true,
+              fault: check.fault,
+              table,
+            });
           } else {
             const outcome = parseAs(OutcomeShape, text)?.outcome ?? 'other';
-            end({ status, outcome, isWhole: true, retryAfter: Number(returned.headers['retry-after'] ?? 0), table });
+            end({
+              status,
+              outcome,
+              isWhole: true,
+              retryAfter: Number(returned.headers['retry-after'] ?? 0),
+              table,
+            });
           }
         }
-        function cut(): void { end({ status, outcome: 'broken', run: check.run, table }); }
+        function cut(): void {
+          end({ status, outcome: 'broken', run: check.run, table });
+        }
         returned.on('data', data);
         returned.once('end', whole);
         returned.once('error', cut);
         returned.once('close', cut);
       }
-      const sent = request({ host, port, method: kind.method, path, headers, agent, timeout: 120_000 });
+      const sent = request({
+        host,
+        port,
+        method: kind.method,
+        path,
+        headers,
+        agent,
+        timeout: 120_000,
+      });
       sent.once('response', take);
       sent.once('error', broken);
       sent.end(body === '' ? undefined : body);
@@ -114,13 +190,40 @@
   }
 }
 
-export interface Summary { readonly type: string; readonly sent: number; readonly done: number; readonly turnedAway: number; readonly unsure: number; readonly broken: number; readonly unreached: number; readonly other: number }
+export interface Summary {
+  readonly type: string;
+  readonly sent: number;
+  readonly done: number;
+  readonly turnedAway: number;
+  readonly unsure: number;
+  readonly broken: number;
+  readonly unreached: number;
+  readonly other: number;
+}
 
 export function summarise(records: readonly CallerRecord[]): Summary[] {
   const byType = new Map<string, Summary>();
   for (const record of records) {
-    const known = byType.get(record.type) ?? { type: record.type, sent: 0, done: 0, turnedAway: 0, unsure: 0, broken: 0, unreached: 0, other: 0 };
-    const key = ({ done: 'done', 'turned-away': 'turnedAway', unsure: 'unsure', broken: 'broken', unreached: 'unreached' } as const)[record.outcome] ?? 'other';
+    const known = byType.get(record.type) ?? {
+      type: record.type,
+      sent: 0,
+      done: 0,
+      turnedAway: 0,
+      unsure: 0,
+      broken: 0,
+      unreached: 0,
+      other: 0,
+    };
+    const key =
+      (
+        {
+          done: 'done',
+          'turned-away': 'turnedAway',
+          unsure: 'unsure',
+          broken: 'broken',
+          unreached: 'unreached',
+        } as const
+      )[record.outcome] ?? 'other';
     byType.set(record.type, { ...known, sent: known.sent + 1, [key]: known[key] + 1 });
   }
   return [...byType.values()];
--- a/src/myth/Cuts.ts
+++ b/src/myth/Cuts.ts
@@ -1,9 +1,19 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { listenOn, splitAddress } from '../kin/Listen.js';
 
-interface Pair { readonly near: Socket; readonly far: Socket }
+interface Pair {
+  readonly near: Socket;
+  readonly far: Socket;
+}
 
-interface Path { readonly from: string; readonly to: string; readonly server: Server; readonly address: string; readonly pairs: Set<Pair>; isCut: boolean }
+interface Path {
+  readonly from: string;
+  readonly to: string;
+  readonly server: Server;
+  readonly address: string;
+  readonly pairs: Set<Pair>;
+  isCut: boolean;
+}
 
 /**
  * Relays between nodes, one for each way that one dials another, so that links can be cut under real processes.
@@ -20,13 +30,28 @@
       const far = connect({ host, port });
       const pair: Pair = { near, far };
       pairs.add(pair);
-      function end(): void { pairs.delete(pair); near.destroy(); far.destroy(); }
-      function toFar(chunk: Buffer): void { far.write(chunk); }
-      function toNear(chunk: Buffer): void { near.write(chunk); }
-      for (const socket of [near, far]) { socket.setNoDelay(true); socket.on('error', end); socket.on('close', end); }
+      function end(): void {
+        pairs.delete(pair);
+        near.destroy();
+        far.destroy();
+      }
+      function toFar(chunk: Buffer): void {
+        far.write(chunk);
+      }
+      function toNear(chunk: Buffer): void {
+        near.write(chunk);
+      }
+      for (const socket of [near, far]) {
+        socket.setNoDelay(true);
+        socket.on('error', end);
+        socket.on('close', end);
+      }
       near.on('data', toFar);
       far.on('data', toNear);
-      if (made.isCut) { near.pause(); far.pause(); }
+      if (made.isCut) {
+        near.pause();
+        far.pause();
+      }
     }
     const server = createServer(accept);
     const address = `127.0.0.1:${await listenOn(server, '127.0.0.1:0')}`;
@@ -38,18 +63,26 @@
   /** Cuts or heals every path between the two groups, both ways. */
   set(isCut: boolean, some: ReadonlySet<string>, others: ReadonlySet<string>): void {
     for (const path of this.#paths) {
-      const isBetween = (some.has(path.from) && others.has(path.to)) || (others.has(path.from) && some.has(path.to));
+      const isBetween =
+        (some.has(path.from) && others.has(path.to)) ||
+        (others.has(path.from) && some.has(path.to));
       if (!isBetween) continue;
       path.isCut = isCut;
       for (const { near, far } of path.pairs) {
-        for (const socket of [near, far]) { if (isCut) socket.pause(); else socket.resume(); }
+        for (const socket of [near, far]) {
+          if (isCut) socket.pause();
+          else socket.resume();
+        }
       }
     }
   }
 
   close(): void {
     for (const path of this.#paths) {
-      for (const { near, far } of path.pairs) { near.destroy(); far.destroy(); }
+      for (const { near, far } of path.pairs) {
+        near.destroy();
+        far.destroy();
+      }
       path.server.close();
     }
   }
--- a/src/myth/Deployment.test.ts
+++ b/src/myth/Deployment.test.ts
@@ -4,8 +4,23 @@
 
 function checkSizes(): void {
   const [dakar, sofia] = [DAKAR, SOFIA];
-  expect([dakar.edges, dakar.minds, dakar.runners.length, dakar.catalog.models.length, dakar.catalog.adapters.length, dakar.plain.length]).toEqual([9, 3, 8, 36, 40, 3]);
-  expect([sofia.edges, sofia.minds, sofia.runners.length, sofia.catalog.models.length, sofia.catalog.adapters.length, sofia.plain.length]).toEqual([8, 3, 13, 30, 55, 3]);
-  for (const deployment of [dakar, sofia, HAMLET]) expect(compile(deployment.table).faults).toEqual([]);
+  expect([
+    dakar.edges,
+    dakar.minds,
+    dakar.runners.length,
+    dakar.catalog.models.length,
+    dakar.catalog.adapters.length,
+    dakar.plain.length,
+  ]).toEqual([9, 3, 8, 36, 40, 3]);
+  expect([
+    sofia.edges,
+    sofia.minds,
+    sofia.runners.length,
+    sofia.catalog.models.length,
+    sofia.catalog.adapters.length,
+    sofia.plain.length,
+  ]).toEqual([8, 3, 13, 30, 55, 3]);
+  for (const deployment of [dakar, sofia, HAMLET])
+    expect(compile(deployment.table).faults).toEqual([]);
 }
-test('the deployments have the brief\'s sizes and sound tables', checkSizes);
+test("the deployments have the brief's sizes and sound tables", checkSizes);
--- a/src/myth/Deployment.ts
+++ b/src/myth/Deployment.ts
@@ -14,8 +14,18 @@
   readonly parts: number;
 }
 
-export interface RunnerSpec { readonly id: string; readonly zone: string; readonly room: number; readonly slots: number }
-export interface PlainSpec { readonly id: string; readonly zone: string; readonly service: string; readonly workMs: number }
+export interface RunnerSpec {
+  readonly id: string;
+  readonly zone: string;
+  readonly room: number;
+  readonly slots: number;
+}
+export interface PlainSpec {
+  readonly id: string;
+  readonly zone: string;
+  readonly service: string;
+  readonly workMs: number;
+}
 
 /** One of the brief's deployments, in numbers. */
 export interface Deployment {
@@ -30,11 +40,17 @@
   readonly traffic: readonly TrafficKind[];
 }
 
-interface Family { readonly name: string; readonly count: number; readonly size: number; readonly adapters: number }
+interface Family {
+  readonly name: string;
+  readonly count: number;
+  readonly size: number;
+  readonly adapters: number;
+}
 
 function names(family: Family): string[] {
   const list: string[] = [];
-  for (let index = 0; index < family.count; index += 1) list.push(`${family.name}-${String(index).padStart(2, '0')}`);
+  for (let index = 0; index < family.count; index += 1)
+    list.push(`${family.name}-${String(index).padStart(2, '0')}`);
   return list;
 }
 
@@ -52,15 +68,32 @@
   return { limit, models, adapters };
 }
 
-function runnersOf(count: number, zones: readonly string[], room: number, slots: number): RunnerSpec[] {
+function runnersOf(
+  count: number,
+  zones: readonly string[],
+  room: number,
+  slots: number,
+): RunnerSpec[] {
   const list: RunnerSpec[] = [];
-  for (let index = 0; index < count; index += 1) list.push({ id: `runner-${String(index).padStart(2, '0')}`, zone: zones[index % zones.length] ?? '', room, slots });
+  for (let index = 0; index < count; index += 1)
+    list.push({
+      id: `runner-${String(index).padStart(2, '0')}`,
+      zone: zones[index % zones.length] ?? '',
+      room,
+      slots,
+    });
   return list;
 }
 
 function plainOf(service: string, zones: readonly string[], workMs: number): PlainSpec[] {
   const list: PlainSpec[] = [];
-  for (let index = 0; index < 3; index += 1) list.push({ id: `${service}-${index}`, zone: zones[index % zones.length] ?? '', service, workMs });
+  for (let index = 0; index < 3; index += 1)
+    list.push({
+      id: `${service}-${index}`,
+      zone: zones[index % zones.length] ?? '',
+      service,
+      workMs,
+    });
   return list;
 }
 
@@ -72,7 +105,10 @@
 const RARE: Family = { name: 'rare', count: 8, size: 12, adapters: 0 };
 
 export const DAKAR: Deployment = {
-  name: 'dakar', zones: ZONES, edges: 9, minds: 3,
+  name: 'dakar',
+  zones: ZONES,
+  edges: 9,
+  minds: 3,
   runners: runnersOf(8, ZONES, 80, 12),
   plain: plainOf('kiosk', ZONES, 15),
   catalog: catalogOf([RECEIPT, CUSTOMS, LEDGER, RARE], 3),
@@ -89,10 +125,50 @@
     'row lookup @kiosk weight 60 take 90/s late 2s repeatable whole',
   ].join('\n'),
   traffic: [
-    { type: 'check', method: 'POST', path: '/v1/checks', perSecond: 12, models: names(RECEIPT), stream: true, once: true, tokens: 20, parts: 2 },
-    { type: 'verdict', method: 'POST', path: '/v1/verdicts', perSecond: 2, models: names(CUSTOMS), stream: true, once: true, tokens: 12, parts: 2 },
-    { type: 'ledger', method: 'POST', path: '/v1/ledgers', perSecond: 0.3, models: names(LEDGER), stream: false, once: true, tokens: 40, parts: 8 },
-    { type: 'lookup', method: 'GET', path: '/v1/refunds', perSecond: 30, models: [], stream: false, once: false, tokens: 0, parts: 0 },
+    {
+      type: 'check',
+      method: 'POST',
+      path: '/v1/checks',
+      perSecond: 12,
+      models: names(RECEIPT),
+      stream: true,
+      once: true,
+      tokens: 20,
+      parts: 2,
+    },
+    {
+      type: 'verdict',
+      method: 'POST',
+      path: '/v1/verdicts',
+      perSecond: 2,
+      models: names(CUSTOMS),
+      stream: true,
+      once: true,
+      tokens: 12,
+      parts: 2,
+    },
+    {
+      type: 'ledger',
+      method: 'POST',
+      path: '/v1/ledgers',
+      perSecond: 0.3,
+      models: names(LEDGER),
+      stream: false,
+      once: true,
+      tokens: 40,
+      parts: 8,
+    },
+    {
+      type: 'lookup',
+      method: 'GET',
+      path: '/v1/refunds',
+      perSecond: 30,
+      models: [],
+      stream: false,
+      once: false,
+      tokens: 0,
+      parts: 0,
+    },
   ],
 };
 
@@ -102,7 +178,10 @@
 const SELDOM: Family = { name: 'seldom', count: 8, size: 12, adapters: 0 };
 
 export const SOFIA: Deployment = {
-  name: 'sofia', zones: ZONES, edges: 8, minds: 3,
+  name: 'sofia',
+  zones: ZONES,
+  edges: 8,
+  minds: 3,
   runners: runnersOf(13, ZONES, 60, 12),
   plain: plainOf('ranking', ZONES, 12),
   catalog: catalogOf([LIVE, NOTE, SUMMARY, SELDOM], 4),
@@ -119,19 +198,68 @@
     'row page @ranking weight 60 take 140/s late 2s repeatable whole',
   ].join('\n'),
   traffic: [
-    { type: 'live', method: 'POST', path: '/v1/notes/live', perSecond: 10, models: names(LIVE), stream: true, once: true, tokens: 20, parts: 2 },
-    { type: 'slow', method: 'POST', path: '/v1/notes/slow', perSecond: 1, models: names(NOTE), stream: true, once: true, tokens: 20, parts: 2 },
-    { type: 'summary', method: 'POST', path: '/v1/summaries', perSecond: 0.3, models: names(SUMMARY), stream: false, once: true, tokens: 40, parts: 8 },
-    { type: 'page', method: 'GET', path: '/v1/pages', perSecond: 45, models: [], stream: false, once: false, tokens: 0, parts: 0 },
+    {
+      type: 'live',
+      method: 'POST',
+      path: '/v1/notes/live',
+      perSecond: 10,
+      models: names(LIVE),
+      stream: true,
+      once: true,
+      tokens: 20,
+      parts: 2,
+    },
+    {
+      type: 'slow',
+      method: 'POST',
+      path: '/v1/notes/slow',
+      perSecond: 1,
+      models: names(NOTE),
+      stream: true,
+      once: true,
+      tokens: 20,
+      parts: 2,
+    },
+    {
+      type: 'summary',
+      method: 'POST',
+      path: '/v1/summaries',
+      perSecond: 0.3,
+      models: names(SUMMARY),
+      stream: false,
+      once: true,
+      tokens: 40,
+      parts: 8,
+    },
+    {
+      type: 'page',
+      method: 'GET',
+      path: '/v1/pages',
+      perSecond: 45,
+      models: [],
+      stream: false,
+      once: false,
+      tokens: 0,
+      parts: 0,
+    },
   ],
 };
 
 /** Small enough for a test: everything once or twice. */
 export const HAMLET: Deployment = {
-  name: 'hamlet', zones: ZONES, edges: 2, minds: 3,
+  name: 'hamlet',
+  zones: ZONES,
+  edges: 2,
+  minds: 3,
   runners: runnersOf(3, ZONES, 40, 8),
   plain: plainOf('kiosk', ZONES, 5),
-  catalog: catalogOf([{ name: 'receipt', count: 3, size: 12, adapters: 2 }, { name: 'rare', count: 4, size: 12, adapters: 0 }], 2),
+  catalog: catalogOf(
+    [
+      { name: 'receipt', count: 3, size: 12, adapters: 2 },
+      { name: 'rare', count: 4, size: 12, adapters: 0 },
+    ],
+    2,
+  ),
   table: [
     'map POST /v1/checks to check',
     'map GET /v1/refunds/* to lookup',
@@ -140,9 +268,33 @@
     'row lookup @kiosk weight 60 take 200/s late 2s repeatable whole',
   ].join('\n'),
   traffic: [
-    { type: 'check', method: 'POST', path: '/v1/checks', perSecond: 10, models: ['receipt-00', 'receipt-01', 'receipt-02'], stream: true, once: true, tokens: 10, parts: 2 },
-    { type: 'lookup', method: 'GET', path: '/v1/refunds', perSecond: 10, models: [], stream: false, once: false, tokens: 0, parts: 0 },
+    {
+      type: 'check',
+      method: 'POST',
+      path: '/v1/checks',
+      perSecond: 10,
+      models: ['receipt-00', 'receipt-01', 'receipt-02'],
+      stream: true,
+      once: true,
+      tokens: 10,
+      parts: 2,
+    },
+    {
+      type: 'lookup',
+      method: 'GET',
+      path: '/v1/refunds',
+      perSecond: 10,
+      models: [],
+      stream: false,
+      once: false,
+      tokens: 0,
+      parts: 0,
+    },
   ],
 };
 
-export const DEPLOYMENTS: Readonly<Record<string, Deployment>> = { dakar: DAKAR, sofia: SOFIA, hamlet: HAMLET };
+export const DEPLOYMENTS: Readonly<Record<string, Deployment>> = {
+  dakar: DAKAR,
+  sofia: SOFIA,
+  hamlet: HAMLET,
+};
--- a/src/myth/Fleet.test.ts
+++ b/src/myth/Fleet.test.ts
@@ -8,14 +8,21 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
-function say(): void { /* the test says it all */ }
-interface Ran { readonly code: number; readonly text: string }
+function say(): void {
+  /* the test says it all */
+}
+interface Ran {
+  readonly code: number;
+  readonly text: string;
+}
 async function word(root: string, args: readonly string[]): Promise<Ran> {
   const path = join(root, 'word.out');
   const out = openSync(path, 'w');
   const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', out, out] });
   function ended(done: (code: number) => void): void {
-    function exited(code: number | null): void { done(code ?? -1); }
+    function exited(code: number | null): void {
+      done(code ?? -1);
+    }
     child.once('exit', exited);
   }
   const code = await new Promise(ended);
@@ -31,26 +38,51 @@
     const [check] = HAMLET.traffic;
     if (!check) throw new Error('no traffic');
     // A streamed request is served whole; tries until a place is ready, as a client told to come back would.
-    async function isServed(): Promise<boolean> { return check !== undefined && (await callers.send({ ...check, models: ['receipt-00'] })).outcome === 'done'; }
+    async function isServed(): Promise<boolean> {
+      return (
+        check !== undefined &&
+        (await callers.send({ ...check, models: ['receipt-00'] })).outcome === 'done'
+      );
+    }
     await fleet.until('a streamed request served', 30_000, isServed);
     const api = fleet.minds.flatMap(apiFlag);
-    expect(await word(root, ['word', 'set', 'check/receipt-*', 'weight', '99', ...api])).toMatchObject({ code: 0 });
-    expect((await word(root, ['word', 'table', ...api])).text).toContain('row check receipt-* weight 99');
-    expect(await word(root, ['word', 'set', 'check/receipt-*', 'weight', '0', ...api])).toMatchObject({ code: 1 });
+    expect(
+      await word(root, ['word', 'set', 'check/receipt-*', 'weight', '99', ...api]),
+    ).toMatchObject({ code: 0 });
+    expect((await word(root, ['word', 'table', ...api])).text).toContain(
+      'row check receipt-* weight 99',
+    );
+    expect(
+      await word(root, ['word', 'set', 'check/receipt-*', 'weight', '0', ...api]),
+    ).toMatchObject({ code: 1 });
     // One cell decides which rare models are wanted: the others lose their seats within seconds.
-    async function arePlaced(): Promise<boolean> { return / {2}rare-0[1-3] runner/.test((await word(root, ['word', 'status', ...api])).text); }
+    async function arePlaced(): Promise<boolean> {
+      return / {2}rare-0[1-3] runner/.test((await word(root, ['word', 'status', ...api])).text);
+    }
     await fleet.until('rare models placed', 60_000, arePlaced);
-    expect(await word(root, ['word', 'set', 'check/rare-*', 'model', 'rare-00', ...api])).toMatchObject({ code: 0 });
-    async function isUnplaced(): Promise<boolean> { return !/ {2}rare-0[1-3] runner/.test((await word(root, ['word', 'status', ...api])).text); }
+    expect(
+      await word(root, ['word', 'set', 'check/rare-*', 'model', 'rare-00', ...api]),
+    ).toMatchObject({ code: 0 });
+    async function isUnplaced(): Promise<boolean> {
+      return !/ {2}rare-0[1-3] runner/.test((await word(root, ['word', 'status', ...api])).text);
+    }
     await fleet.until('the other rare models lose their seats', 15_000, isUnplaced);
     // The spreadsheet's other half: the placement is followed until it has settled, and each row stands beside its places.
     const watched = await word(root, ['word', 'table', '--watch', ...api]);
     expect(watched).toMatchObject({ code: 0 });
     expect(watched.text).toContain('settled');
-    expect((await word(root, ['word', 'table', '--live', ...api])).text).toMatch(/check\/receipt-\* {2}weight 99[^\n]*\n {2}receipt-0\d {2}runner-\d+ \(\w+\) \/ runner-\d+/);
-    expect(await word(root, ['word', 'rows', '--remove', 'check/rare-00', ...api])).toMatchObject({ code: 0 });
-    expect((await word(root, ['word', 'status', ...api])).text).toMatch(/receipt-00 runner-\d+ \/ runner-\d+/);
-    expect(await word(root, ['mind', '--listen', 'nowhere:1', '--zone', 'A'])).toMatchObject({ code: 2 });
+    expect((await word(root, ['word', 'table', '--live', ...api])).text).toMatch(
+      /check\/receipt-\* {2}weight 99[^\n]*\n {2}receipt-0\d {2}runner-\d+ \(\w+\) \/ runner-\d+/,
+    );
+    expect(await word(root, ['word', 'rows', '--remove', 'check/rare-00', ...api])).toMatchObject({
+      code: 0,
+    });
+    expect((await word(root, ['word', 'status', ...api])).text).toMatch(
+      /receipt-00 runner-\d+ \/ runner-\d+/,
+    );
+    expect(await word(root, ['mind', '--listen', 'nowhere:1', '--zone', 'A'])).toMatchObject({
+      code: 2,
+    });
     await callers.end();
     expect(await rehearsal.violations(callers)).toEqual([]);
     expect(await fleet.signal('flow-0', 'SIGTERM')).toBe(0);
@@ -61,6 +93,14 @@
     rmSync(root, { recursive: true, force: true });
   }
 }
-function flowOf(edge: EdgePlace): string { return edge.flow; }
-function apiFlag(mind: MindPlace): string[] { return ['--api', mind.api]; }
-test('separate processes find one another, take a table, serve a stream, and a cell moves places', checkWholePath, 600_000);
+function flowOf(edge: EdgePlace): string {
+  return edge.flow;
+}
+function apiFlag(mind: MindPlace): string[] {
+  return ['--api', mind.api];
+}
+test(
+  'separate processes find one another, take a table, serve a stream, and a cell moves places',
+  checkWholePath,
+  600_000,
+);
--- a/src/myth/Fleet.ts
+++ b/src/myth/Fleet.ts
@@ -11,10 +11,29 @@
 import type { Deployment } from './Deployment.js';
 import type { Machine } from '../place/Shapes.js';
 
-interface Program { readonly name: string; readonly args: readonly string[]; process: ChildProcess | undefined; hasExited: Promise<number> | undefined }
+interface Program {
+  readonly name: string;
+  readonly args: readonly string[];
+  process: ChildProcess | undefined;
+  hasExited: Promise<number> | undefined;
+}
 
-export interface MindPlace { readonly name: string; readonly listen: string; readonly api: string; readonly data: string; readonly zone: string }
-export interface EdgePlace { readonly name: string; readonly listen: string; readonly feed: string; readonly flow: string; readonly flowStatus: string; readonly linkStatus: string; readonly zone: string }
+export interface MindPlace {
+  readonly name: string;
+  readonly listen: string;
+  readonly api: string;
+  readonly data: string;
+  readonly zone: string;
+}
+export interface EdgePlace {
+  readonly name: string;
+  readonly listen: string;
+  readonly feed: string;
+  readonly flow: string;
+  readonly flowStatus: string;
+  readonly linkStatus: string;
+  readonly zone: string;
+}
 
 export const PROGRAM = fileURLToPath(new URL('../../bin/run.js', import.meta.url));
 
@@ -33,7 +52,9 @@
     addresses.push(`${HOST}:${await listenOn(server, `${HOST}:0`)}`);
   }
   for (const server of servers) {
-    function close(done: () => void): void { server.close(done); }
+    function close(done: () => void): void {
+      server.close(done);
+    }
     await new Promise<void>(close);
   }
   return addresses;
@@ -47,7 +68,10 @@
   readonly #minds: MindPlace[] = [];
   readonly #edges: EdgePlace[] = [];
   readonly #cuts = new Cuts();
-  readonly #backs = new Map<string, { address: string; zone: string; records: string; service: string }>();
+  readonly #backs = new Map<
+    string,
+    { address: string; zone: string; records: string; service: string }
+  >();
   #platform = '';
   #store = '';
   #platformRecords = '';
@@ -58,14 +82,28 @@
     this.#root = root;
   }
 
-  get deployment(): Deployment { return this.#deployment; }
-  get root(): string { return this.#root; }
-  get minds(): readonly MindPlace[] { return this.#minds; }
-  get edges(): readonly EdgePlace[] { return this.#edges; }
+  get deployment(): Deployment {
+    return this.#deployment;
+  }
+  get root(): string {
+    return this.#root;
+  }
+  get minds(): readonly MindPlace[] {
+    return this.#minds;
+  }
+  get edges(): readonly EdgePlace[] {
+    return this.#edges;
+  }
   /** The relays between the nodes, where they can be cut. */
-  get cuts(): Cuts { return this.#cuts; }
-  get platform(): string { return this.#platform; }
-  get names(): readonly string[] { return [...this.#programs.keys()]; }
+  get cuts(): Cuts {
+    return this.#cuts;
+  }
+  get platform(): string {
+    return this.#platform;
+  }
+  get names(): readonly string[] {
+    return [...this.#programs.keys()];
+  }
 
   backRecords(): string[] {
     const paths = [this.#platformRecords, this.#storeRecords];
@@ -83,42 +121,130 @@
   async start(): Promise<void> {
     const { deployment } = { deployment: this.#deployment };
     mkdirSync(this.#root, { recursive: true });
-    const addresses = await freeAddresses(2 + deployment.minds * 2 + deployment.edges * 5 + deployment.runners.length + deployment.plain.length);
-    function next(): string { return addresses.pop() ?? ''; }
+    const addresses = await freeAddresses(
+      2 +
+        deployment.minds * 2 +
+        deployment.edges * 5 +
+        deployment.runners.length +
+        deployment.plain.length,
+    );
+    function next(): string {
+      return addresses.pop() ?? '';
+    }
     this.#platform = next();
     this.#store = next();
     this.#platformRecords = join(this.#root, 'platform.records');
     this.#storeRecords = join(this.#root, 'store.records');
     const machines: Machine[] = [];
-    this.#define('store', ['myth', 'stand', 'store', '--listen', this.#store, '--settings', this.#settings('store', { catalog: deployment.catalog, msPerSize: 20, records: this.#storeRecords })]);
+    this.#define('store', [
+      'myth',
+      'stand',
+      'store',
+      '--listen',
+      this.#store,
+      '--settings',
+      this.#settings('store', {
+        catalog: deployment.catalog,
+        msPerSize: 20,
+        records: this.#storeRecords,
+      }),
+    ]);
     for (const { id, zone, room, slots } of deployment.runners) {
       const address = next();
       const records = join(this.#root, `${id}.records`);
       this.#backs.set(id, { address, zone, records, service: '' });
       machines.push({ id, address, zone, service: '', leaving: false });
-      this.#define(id, ['myth', 'stand', 'runner', '--listen', address, '--settings', this.#settings(id, { id, room, slots, store: this.#store, records, tokenMs: 8, partMs: 15, coldMs: 3000 })]);
+      this.#define(id, [
+        'myth',
+        'stand',
+        'runner',
+        '--listen',
+        address,
+        '--settings',
+        this.#settings(id, {
+          id,
+          room,
+          slots,
+          store: this.#store,
+          records,
+          tokenMs: 8,
+          partMs: 15,
+          coldMs: 3000,
+        }),
+      ]);
     }
     for (const { id, zone, service, workMs } of deployment.plain) {
       const address = next();
       const records = join(this.#root, `${id}.records`);
       this.#backs.set(id, { address, zone, records, service });
       machines.push({ id, address, zone, service, leaving: false });
-      this.#define(id, ['myth', 'stand', 'plain', '--listen', address, '--settings', this.#settings(id, { id, workMs, records })]);
+      this.#define(id, [
+        'myth',
+        'stand',
+        'plain',
+        '--listen',
+        address,
+        '--settings',
+        this.#settings(id, { id, workMs, records }),
+      ]);
     }
-    this.#define('platform', ['myth', 'stand', 'platform', '--listen', this.#platform, '--settings', this.#settings('platform', { machines, records: this.#platformRecords })]);
+    this.#define('platform', [
+      'myth',
+      'stand',
+      'platform',
+      '--listen',
+      this.#platform,
+      '--settings',
+      this.#settings('platform', { machines, records: this.#platformRecords }),
+    ]);
     for (let index = 0; index < deployment.minds; index += 1) {
       const zone = deployment.zones[index % deployment.zones.length] ?? '';
-      this.#minds.push({ name: `mind-${index}`, listen: next(), api: next(), data: join(this.#root, `mind-${index}.data`), zone });
+      this.#minds.push({
+        name: `mind-${index}`,
+        listen: next(),
+        api: next(),
+        data: join(this.#root, `mind-${index}.data`),
+        zone,
+      });
     }
     const seeds = this.#minds.map(listenOf);
-    for (const mind of this.#minds) this.#defineMind(mind, seeds, await this.#reach(mind.listen, seeds));
+    for (const mind of this.#minds)
+      this.#defineMind(mind, seeds, await this.#reach(mind.listen, seeds));
     for (let index = 0; index < deployment.edges; index += 1) {
       const zone = deployment.zones[index % deployment.zones.length] ?? '';
-      const edge: EdgePlace = { name: `edge-${index}`, listen: next(), feed: next(), flow: next(), flowStatus: next(), linkStatus: next(), zone };
+      const edge: EdgePlace = {
+        name: `edge-${index}`,
+        listen: next(),
+        feed: next(),
+        flow: next(),
+        flowStatus: next(),
+        linkStatus: next(),
+        zone,
+      };
       this.#edges.push(edge);
       const reach = await this.#reach(edge.listen, seeds);
-      this.#define(`link-${index}`, ['link', '--settings', this.#settings(`link-${index}`, { listen: edge.listen, feed: edge.feed, zone, seeds, status: edge.linkStatus, reach })]);
-      this.#define(`flow-${index}`, ['flow', '--settings', this.#settings(`flow-${index}`, { listen: edge.flow, link: edge.feed, zone, status: edge.flowStatus })]);
+      this.#define(`link-${index}`, [
+        'link',
+        '--settings',
+        this.#settings(`link-${index}`, {
+          listen: edge.listen,
+          feed: edge.feed,
+          zone,
+          seeds,
+          status: edge.linkStatus,
+          reach,
+        }),
+      ]);
+      this.#define(`flow-${index}`, [
+        'flow',
+        '--settings',
+        this.#settings(`flow-${index}`, {
+          listen: edge.flow,
+          link: edge.feed,
+          zone,
+          status: edge.flowStatus,
+        }),
+      ]);
     }
     for (const name of this.#programs.keys()) this.run(name);
   }
@@ -130,9 +256,26 @@
     return reach;
   }
 
-  #defineMind(mind: MindPlace, seeds: readonly string[], reach: Readonly<Record<string, string>> = {}): void {
+  #defineMind(
+    mind: MindPlace,
+    seeds: readonly string[],
+    reach: Readonly<Record<string, string>> = {},
+  ): void {
     const { listen, api, zone, data } = mind;
-    this.#define(mind.name, ['mind', '--settings', this.#settings(mind.name, { listen, api, zone, seeds, data, platform: this.#platform, store: this.#store, reach })]);
+    this.#define(mind.name, [
+      'mind',
+      '--settings',
+      this.#settings(mind.name, {
+        listen,
+        api,
+        zone,
+        seeds,
+        data,
+        platform: this.#platform,
+        store: this.#store,
+        reach,
+      }),
+    ]);
   }
 
   /** A core machine that is new: empty, at addresses of its own. */
@@ -160,7 +303,9 @@
     const program = this.#programs.get(name);
     if (!program || program.process) return;
     const log = openSync(join(this.#root, `${name}.log`), 'a');
-    const child = spawn(process.execPath, [PROGRAM, ...program.args], { stdio: ['ignore', log, log] });
+    const child = spawn(process.execPath, [PROGRAM, ...program.args], {
+      stdio: ['ignore', log, log],
+    });
     program.process = child;
     function wait(done: (code: number) => void): void {
       function exited(code: number | null): void {
@@ -179,12 +324,16 @@
     const { hasExited } = program;
     program.process.kill(signal);
     if (signal === 'SIGSTOP' || signal === 'SIGCONT') return 0;
-    return await hasExited ?? -1;
+    return (await hasExited) ?? -1;
   }
 
-  isRunning(name: string): boolean { return this.#programs.get(name)?.process !== undefined; }
+  isRunning(name: string): boolean {
+    return this.#programs.get(name)?.process !== undefined;
+  }
 
-  wipe(mind: MindPlace): void { rmSync(mind.data, { recursive: true, force: true }); }
+  wipe(mind: MindPlace): void {
+    rmSync(mind.data, { recursive: true, force: true });
+  }
 
   async stop(): Promise<void> {
     for (const name of this.#programs.keys()) {
@@ -197,27 +346,54 @@
   // ---- talking to it
 
   /** A call to the operators' API of the first mind that returns anything; each may pass it on. */
-  async operate(method: string, path: string, body?: object, only?: MindPlace): Promise<{ readonly status: number; readonly value: Record<string, unknown> }> {
+  async operate(
+    method: string,
+    path: string,
+    body?: object,
+    only?: MindPlace,
+  ): Promise<{ readonly status: number; readonly value: Record<string, unknown> }> {
     let last: unknown = 'no mind';
     for (const mind of only ? [only] : this.#minds) {
       let returned: CallReturn;
       try {
-        returned = await call(method, mind.api, path, body === undefined ? undefined : JSON.stringify(body), 12_000);
-      } catch (thrown) { last = thrown; continue; }
+        returned = await call(
+          method,
+          mind.api,
+          path,
+          body === undefined ? undefined : JSON.stringify(body),
+          12_000,
+        );
+      } catch (thrown) {
+        last = thrown;
+        continue;
+      }
       const raw: unknown = JSON.parse(returned.body);
-      const value: Record<string, unknown> = typeof raw === 'object' && raw !== null ? { ...raw } : {};
-      if (returned.status === 503 && only === undefined) { last = value['text']; continue; }
+      const value: Record<string, unknown> =
+        typeof raw === 'object' && raw !== null ? { ...raw } : {};
+      if (returned.status === 503 && only === undefined) {
+        last = value['text'];
+        continue;
+      }
       return { status: returned.status, value };
     }
     return { status: 0, value: { text: reasonOf(last) } };
   }
 
   /** The same, again until it is taken; every try has the same edit id, so that it is done once. */
-  async operateUntil(method: string, path: string, body: object | undefined, limitMs: number): Promise<{ readonly status: number; readonly value: Record<string, unknown> }> {
+  async operateUntil(
+    method: string,
+    path: string,
+    body: object | undefined,
+    limitMs: number,
+  ): Promise<{ readonly status: number; readonly value: Record<string, unknown> }> {
     const end = Date.now() + limitMs;
     for (;;) {
       const returned = await this.operate(method, path, body);
-      if ((returned.status !== 0 && returned.status !== 503 && returned.status !== 504) || Date.now() > end) return returned;
+      if (
+        (returned.status !== 0 && returned.status !== 503 && returned.status !== 504) ||
+        Date.now() > end
+      )
+        return returned;
       await pause(200);
     }
   }
@@ -227,7 +403,11 @@
     const start = Date.now();
     for (;;) {
       let isSo = false;
-      try { isSo = await holds(); } catch { /* not reached yet is not so yet */ }
+      try {
+        isSo = await holds();
+      } catch {
+        /* not reached yet is not so yet */
+      }
       if (isSo) return Date.now() - start;
       if (Date.now() - start > limitMs) throw new Error(`not within ${limitMs} ms: ${what}`);
       await pause(50);
@@ -239,4 +419,6 @@
   }
 }
 
-function listenOf(mind: MindPlace): string { return mind.listen; }
+function listenOf(mind: MindPlace): string {
+  return mind.listen;
+}
--- a/src/myth/FleetCommand.ts
+++ b/src/myth/FleetCommand.ts
@@ -9,13 +9,23 @@
 import { Rehearsal } from './Rehearsal.js';
 
 export class FleetCommand extends Command {
-  static override description = 'start a whole deployment on loopback, send its traffic, and judge what was seen';
-  static override args = { deployment: Args.string({ required: true, options: Object.keys(DEPLOYMENTS) }) };
+  static override description =
+    'start a whole deployment on loopback, send its traffic, and judge what was seen';
+  static override args = {
+    deployment: Args.string({ required: true, options: Object.keys(DEPLOYMENTS) }),
+  };
   static override flags = {
     seconds: Flags.integer({ default: 30, description: 'how long traffic is sent' }),
     seed: Flags.integer({ default: 1, description: 'seed of the callers' }),
-    rehearse: Flags.string({ default: 'none', description: 'failures to bring about: none, or all', options: ['none', 'all'] }),
-    step: Flags.string({ default: '', description: 'of the rehearsal, only the step of this name' }),
+    rehearse: Flags.string({
+      default: 'none',
+      description: 'failures to bring about: none, or all',
+      options: ['none', 'all'],
+    }),
+    step: Flags.string({
+      default: '',
+      description: 'of the rehearsal, only the step of this name',
+    }),
     keep: Flags.boolean({ default: false, description: 'keep logs and records' }),
     factor: Flags.integer({ default: 1, description: 'multiplies the traffic' }),
   };
@@ -39,7 +49,12 @@
       const rehearsal = new Rehearsal(fleet, say);
       await rehearsal.begin();
       const callers = new Callers(fleet.edges.map(flowOf), flags.seed);
-      isGood = await rehearsal.run(callers, { seconds: flags.seconds, factor: flags.factor, isFailing: flags.rehearse === 'all', only: flags.step });
+      isGood = await rehearsal.run(callers, {
+        seconds: flags.seconds,
+        factor: flags.factor,
+        isFailing: flags.rehearse === 'all',
+        only: flags.step,
+      });
       for (const row of summarise(callers.records)) this.log(JSON.stringify(row));
       writeFileSync(join(root, 'callers.json'), JSON.stringify(callers.records));
     } catch (thrown) {
@@ -53,4 +68,6 @@
   }
 }
 
-function flowOf(edge: { readonly flow: string }): string { return edge.flow; }
+function flowOf(edge: { readonly flow: string }): string {
+  return edge.flow;
+}
--- a/src/myth/Garbage.test.ts
+++ b/src/myth/Garbage.test.ts
@@ -7,11 +7,25 @@
 import { Seeded as SeededClass } from './Seeded.js';
 import { Simulation } from './Simulation.js';
 
-const { table } = compile('map POST /c to check\nrow check m-* weight 9 take 5/s late 10s once stream');
+const { table } = compile(
+  'map POST /c to check\nrow check m-* weight 9 take 5/s late 10s once stream',
+);
 const BODIES = [
-  JSON.stringify({ number: 1, table, emptied: ['a'], voters: [['mind-0:1']] }), JSON.stringify({ id: 'e', base: 0, table }), JSON.stringify({ id: 'e', base: 0, row: 'check/m-*', column: 'weight', value: 3 }),
-  JSON.stringify({ places: [{ model: 'm-0', seats: [{ runner: 'r', primary: true, adapters: [] }], wait: '' }], runners: [{ id: 'r', address: 'r:1', zone: 'a', service: '', slots: 2, upMs: 5 }], flows: 2, shares: [] }),
-  JSON.stringify({ revision: 4, machines: [{ id: 'r', address: 'r:1', zone: 'a', service: '', leaving: false }] }), JSON.stringify({ id: 'e', zone: 'a', empty: true }), JSON.stringify({ id: 's', old: 'mind-0:1', new: 'x' }),
+  JSON.stringify({ number: 1, table, emptied: ['a'], voters: [['mind-0:1']] }),
+  JSON.stringify({ id: 'e', base: 0, table }),
+  JSON.stringify({ id: 'e', base: 0, row: 'check/m-*', column: 'weight', value: 3 }),
+  JSON.stringify({
+    places: [{ model: 'm-0', seats: [{ runner: 'r', primary: true, adapters: [] }], wait: '' }],
+    runners: [{ id: 'r', address: 'r:1', zone: 'a', service: '', slots: 2, upMs: 5 }],
+    flows: 2,
+    shares: [],
+  }),
+  JSON.stringify({
+    revision: 4,
+    machines: [{ id: 'r', address: 'r:1', zone: 'a', service: '', leaving: false }],
+  }),
+  JSON.stringify({ id: 'e', zone: 'a', empty: true }),
+  JSON.stringify({ id: 's', old: 'mind-0:1', new: 'x' }),
 ];
 async function checkProxy(): Promise<void> {
   for (let seed = 1; seed <= 100; seed += 1) {
@@ -19,14 +33,35 @@
     const seeded = new SeededClass(seed);
     const garbage = new Garbage(seeded, BODIES);
     const decision = new Decision({ ...DECISION_DEFAULTS, blindMs: 2500, me: 'f' });
-    const link = new LinkCore({ me: 'link-0:1', zone: 'z', seeds: ['mind-0:1', 'mind-1:1', 'mind-2:1'], blindMs: 2500, life: 0 }, moment(0));
+    const link = new LinkCore(
+      {
+        me: 'link-0:1',
+        zone: 'z',
+        seeds: ['mind-0:1', 'mind-1:1', 'mind-2:1'],
+        blindMs: 2500,
+        life: 0,
+      },
+      moment(0),
+    );
     for (let now = 0; now < 3000; now += 10) {
       const topic = seeded.pick(['config', 'places', 'machines']) ?? '';
       decision.news(moment(now), topic, { epoch: 2, count: now }, garbage.text());
       decision.vouch(decision.ask(moment(now)), { epoch: 0, count: 0 }, 0);
-      decision.gate(moment(now), { id: now, method: 'POST', path: '/c', model: seeded.pick(WORDS) ?? '', adapter: '', parts: [] });
+      decision.gate(moment(now), {
+        id: now,
+        method: 'POST',
+        path: '/c',
+        model: seeded.pick(WORDS) ?? '',
+        adapter: '',
+        parts: [],
+      });
       decision.beat(moment(now));
-      link.receive(moment(now), seeded.pick(['mind-0:1', 'flow@0', 'link-9:1']) ?? '', seeded.pick(['flow', 'mind', 'link']) ?? '', garbage.message());
+      link.receive(
+        moment(now),
+        seeded.pick(['mind-0:1', 'flow@0', 'link-9:1']) ?? '',
+        seeded.pick(['flow', 'mind', 'link']) ?? '',
+        garbage.message(),
+      );
       link.beat(moment(now));
       link.drain();
     }
@@ -43,12 +78,29 @@
     simulation.start();
     agenda.runUntil(12_000);
     const statuses = new Set<number>();
-    function told(status: number): void { statuses.add(status); }
+    function told(status: number): void {
+      statuses.add(status);
+    }
     for (let count = 0; count < 300; count += 1) {
       const leader = simulation.leader() ?? simulation.minds[0];
-      const verb = seeded.pick(['table', 'cell', 'rows', 'zone', 'swap', 'edit', 'read', 'live', 'nonsense']) ?? '';
+      const verb =
+        seeded.pick([
+          'table',
+          'cell',
+          'rows',
+          'zone',
+          'swap',
+          'edit',
+          'read',
+          'live',
+          'nonsense',
+        ]) ?? '';
       // A sound swap would be obeyed; everything else is turned away or done, and nobody falls over it.
-      leader?.command(verb, verb === 'swap' ? '{"id":"s","old":"nobody","new":"x"}' : garbage.text(), told);
+      leader?.command(
+        verb,
+        verb === 'swap' ? '{"id":"s","old":"nobody","new":"x"}' : garbage.text(),
+        told,
+      );
       agenda.runUntil(agenda.now + 20);
     }
     agenda.runUntil(agenda.now + 5000);
--- a/src/myth/Garbage.ts
+++ b/src/myth/Garbage.ts
@@ -1,7 +1,26 @@
 import { SHAPES, type Message } from '../kin/Messages.js';
 import type { Seeded } from './Seeded.js';
 
-export const WORDS = ['', 'config', 'places', 'machines', 'p-0', 'mind-0:1', 'mind-1:1', 'mind-2:1', 'link-0:1', 'flow@0', 'unknown', '\u0000', '{}', '[]', 'null', '{"number":-1}', '{"places":[{}]}', '{"revision":1e308,"machines":[]}'] as const;
+export const WORDS = [
+  '',
+  'config',
+  'places',
+  'machines',
+  'p-0',
+  'mind-0:1',
+  'mind-1:1',
+  'mind-2:1',
+  'link-0:1',
+  'flow@0',
+  'unknown',
+  '\u0000',
+  '{}',
+  '[]',
+  'null',
+  '{"number":-1}',
+  '{"places":[{}]}',
+  '{"revision":1e308,"machines":[]}',
+] as const;
 const NUMBERS = [0, -1, 1, 2, 3, 4, 7, 0.5, 1e6, 1e15, -1e15] as const;
 
 /** What a node of another build, or none of ours, might say: of the right kinds, and otherwise anything. */
@@ -40,7 +59,8 @@
     if (shape.type === 'string') return key === 'body' ? this.text() : this.#seeded.pick(WORDS);
     if (shape.type === 'array') {
       const list = [];
-      for (let count = this.#seeded.below(3); count > 0; count -= 1) list.push(this.#value(inner, key));
+      for (let count = this.#seeded.below(3); count > 0; count -= 1)
+        list.push(this.#value(inner, key));
       return list;
     }
     return typeof inner === 'object' && inner !== null ? this.#fields(inner) : undefined;
@@ -52,13 +72,24 @@
     const from = this.#seeded.below(body.length + 1);
     const until = from + this.#seeded.below(20);
     switch (this.#seeded.below(5)) {
-      case 0: return body.slice(0, from) + body.slice(until);
-      case 1: return body.slice(0, from) + (this.#seeded.pick(['"', '}', ',', '9', 'null', '-', '[']) ?? '') + body.slice(from);
-      case 2: return body.replace(/-?\d+/g, String(this.#seeded.pick(NUMBERS)));
-      case 3: return body.replace(/"[a-z-]+":/, '"other":');
-      default: return this.#seeded.pick(WORDS) ?? '';
+      case 0:
+        return body.slice(0, from) + body.slice(until);
+      case 1:
+        return (
+          body.slice(0, from) +
+          (this.#seeded.pick(['"', '}', ',', '9', 'null', '-', '[']) ?? '') +
+          body.slice(from)
+        );
+      case 2:
+        return body.replace(/-?\d+/g, String(this.#seeded.pick(NUMBERS)));
+      case 3:
+        return body.replace(/"[a-z-]+":/, '"other":');
+      default:
+        return this.#seeded.pick(WORDS) ?? '';
     }
   }
 }
 
-function isMessage(shape: { is(value: unknown): boolean }, value: unknown): value is Message { return shape.is(value); }
+function isMessage(shape: { is(value: unknown): boolean }, value: unknown): value is Message {
+  return shape.is(value);
+}
--- a/src/myth/HollowEdges.ts
+++ b/src/myth/HollowEdges.ts
@@ -28,7 +28,8 @@
   async start(): Promise<void> {
     for (const link of this.#links) await link.start();
     // Spread over a second, as processes that start by themselves are.
-    for (const [index, flow] of this.#flows.entries()) setTimeout(flow.start.bind(flow), (index * 1000) / this.#flows.length);
+    for (const [index, flow] of this.#flows.entries())
+      setTimeout(flow.start.bind(flow), (index * 1000) / this.#flows.length);
   }
 
   async stop(): Promise<void> {
@@ -38,10 +39,24 @@
 
   async ask(verb: string, body: string): Promise<string> {
     if (verb === 'figures') return JSON.stringify(this.#figures());
-    if (verb === 'reached') return JSON.stringify(this.#reached(mustParseAs(ReachedShape, body, 'the ask')));
-    if (verb === 'demand') { this.#demand(mustParseAs(DemandAskShape, body, 'the ask')); return ''; }
+    if (verb === 'reached')
+      return JSON.stringify(this.#reached(mustParseAs(ReachedShape, body, 'the ask')));
+    if (verb === 'demand') {
+      this.#demand(mustParseAs(DemandAskShape, body, 'the ask'));
+      return '';
+    }
     const want = mustParseAs(WantShape, body, 'the ask');
-    this.#flows[0]?.tell([{ service: want.service, model: want.model, adapter: '', count: want.waiting, waiting: want.waiting, running: 0, priority: 0 }]);
+    this.#flows[0]?.tell([
+      {
+        service: want.service,
+        model: want.model,
+        adapter: '',
+        count: want.waiting,
+        waiting: want.waiting,
+        running: 0,
+        priority: 0,
+      },
+    ]);
     return '';
   }
 
@@ -62,7 +77,14 @@
       const list = [];
       for (let unit = 0; unit < units; unit += 1) {
         const model = (index * units + unit * 7) % models;
-        list.push({ service: `service-${model % services}`, model: modelName(model), adapter: '', count: 1, waiting: 0, running: 1 });
+        list.push({
+          service: `service-${model % services}`,
+          model: modelName(model),
+          adapter: '',
+          count: 1,
+          waiting: 0,
+          running: 1,
+        });
       }
       flow.demand = list;
     }
@@ -87,7 +109,10 @@
   }
 }
 
-function add(sums: Record<string, { messages: number; bytes: number }>, counts: Readonly<Record<string, { readonly messages: number; readonly bytes: number }>>): void {
+function add(
+  sums: Record<string, { messages: number; bytes: number }>,
+  counts: Readonly<Record<string, { readonly messages: number; readonly bytes: number }>>,
+): void {
   for (const [kind, { messages, bytes }] of Object.entries(counts)) {
     const sum = sums[kind] ?? { messages: 0, bytes: 0 };
     sums[kind] = { messages: sum.messages + messages, bytes: sum.bytes + bytes };
--- a/src/myth/HollowFlow.ts
+++ b/src/myth/HollowFlow.ts
@@ -9,7 +9,10 @@
 const UNTOLD_MS = 100;
 const REMEMBERED = 50;
 
-interface Taken { readonly version: Version; readonly at: number }
+interface Taken {
+  readonly version: Version;
+  readonly at: number;
+}
 
 /** Says what a proxy says to the agent beside it, and notes when which news came; it serves nobody and keeps no bodies. */
 export class HollowFlow {
@@ -23,11 +26,16 @@
 
   constructor(place: EdgePlace) {
     this.#place = place;
-    this.#exchange = new Exchange({ id: `flow@${place.link}`, role: 'flow', zone: place.zone, listen: '', reach: {} }, ignore);
+    this.#exchange = new Exchange(
+      { id: `flow@${place.link}`, role: 'flow', zone: place.zone, listen: '', reach: {} },
+      ignore,
+    );
     this.#exchange.incoming$.subscribe(this.#receive.bind(this));
   }
 
-  start(): void { this.#beat(); }
+  start(): void {
+    this.#beat();
+  }
 
   stop(): void {
     clearTimeout(this.#timer);
@@ -35,22 +43,31 @@
   }
 
   tell(units: FleetDemand['units']): void {
-    this.#exchange.send(this.#place.feed, { kind: 'demand', body: JSON.stringify({ flow: `flow@${this.#place.link}`, units }) });
+    this.#exchange.send(this.#place.feed, {
+      kind: 'demand',
+      body: JSON.stringify({ flow: `flow@${this.#place.link}`, units }),
+    });
   }
 
   /** When it first had that version or a newer one. */
   reachedAt(topic: string, version: Version): number | undefined {
-    for (const taken of this.#taken.get(topic) ?? []) if (compareVersions(taken.version, version) >= 0) return taken.at;
+    for (const taken of this.#taken.get(topic) ?? [])
+      if (compareVersions(taken.version, version) >= 0) return taken.at;
     return undefined;
   }
 
-  #version(topic: string): Version { return this.#taken.get(topic)?.at(-1)?.version ?? NO_VERSION; }
+  #version(topic: string): Version {
+    return this.#taken.get(topic)?.at(-1)?.version ?? NO_VERSION;
+  }
 
   #beat(): void {
     this.#exchange.dial(this.#place.feed);
     this.#ask();
     if (this.demand.length > 0) this.tell(this.demand);
-    this.#timer = setTimeout(this.#beat.bind(this), this.#taken.has('config') && this.#taken.has('fleet') ? TELL_MS : UNTOLD_MS);
+    this.#timer = setTimeout(
+      this.#beat.bind(this),
+      this.#taken.has('config') && this.#taken.has('fleet') ? TELL_MS : UNTOLD_MS,
+    );
   }
 
   #ask(): void {
@@ -67,10 +84,18 @@
     const held = this.#version(message.topic);
     if (compareVersions(version, held) <= 0) return;
     // A change that does not follow on what is held is asked for anew, as a proxy does.
-    if (message.kind === 'delta' && (held.epoch !== message.epoch || held.count !== message.from)) { this.#ask(); return; }
-    this.#taken.set(message.topic, [...(this.#taken.get(message.topic) ?? []).slice(1 - REMEMBERED), { version, at: sharedNow() }]);
+    if (message.kind === 'delta' && (held.epoch !== message.epoch || held.count !== message.from)) {
+      this.#ask();
+      return;
+    }
+    this.#taken.set(message.topic, [
+      ...(this.#taken.get(message.topic) ?? []).slice(1 - REMEMBERED),
+      { version, at: sharedNow() },
+    ]);
     if (message.topic === 'config') this.#exchange.send(incoming.from, { kind: 'ack', ...version });
   }
 }
 
-function ignore(): void { /* the run judges by what arrives */ }
+function ignore(): void {
+  /* the run judges by what arrives */
+}
--- a/src/myth/HollowRunners.ts
+++ b/src/myth/HollowRunners.ts
@@ -7,12 +7,24 @@
 import { returnJson, StandServer } from './StandServer.js';
 
 export const HollowRunnersShape = type({ shape: ScaleShapeShape, address: string() });
-const OrderShape = type({ runner: string(), verb: string(), model: string(), adapter: string(), count: optional(number()) });
+const OrderShape = type({
+  runner: string(),
+  verb: string(),
+  model: string(),
+  adapter: string(),
+  count: optional(number()),
+});
 const LeaveShape = type({ index: number(), isLeaving: boolean() });
 
 const PAGE = 500;
 
-interface Hollow { readonly listed: ListedRunner; readonly holds: Map<string, Set<string>>; isBusy: boolean; isLeaving: boolean; orders: number }
+interface Hollow {
+  readonly listed: ListedRunner;
+  readonly holds: Map<string, Set<string>>;
+  isBusy: boolean;
+  isLeaving: boolean;
+  orders: number;
+}
 
 /** All runners of a run and the platform's list of them, at one address: they take orders and serve nobody. */
 export class HollowRunners implements ScalePart {
@@ -35,9 +47,13 @@
     }
   }
 
-  async start(): Promise<void> { await this.#server.listen(this.#address); }
+  async start(): Promise<void> {
+    await this.#server.listen(this.#address);
+  }
 
-  async stop(): Promise<void> { this.#server.close(); }
+  async stop(): Promise<void> {
+    this.#server.close();
+  }
 
   async ask(verb: string, body: string): Promise<string> {
     if (verb === 'leave') {
@@ -45,17 +61,32 @@
       const runner = this.#runners[index];
       if (runner) runner.isLeaving = isLeaving;
     }
-    return JSON.stringify({ ...ownCost(), countingMs: 0, calls: this.#calls, listedBytes: this.#listedBytes });
+    return JSON.stringify({
+      ...ownCost(),
+      countingMs: 0,
+      calls: this.#calls,
+      listedBytes: this.#listedBytes,
+    });
   }
 
   #serve(method: string, url: string, body: string, returned: ServerResponse): void {
     const [path = '', query = ''] = url.split('?');
     const asked = new URLSearchParams(query);
     this.#calls += 1;
-    if (path === '/runners') { this.#list(Number(asked.get('page') ?? 0), returned); return; }
+    if (path === '/runners') {
+      this.#list(Number(asked.get('page') ?? 0), returned);
+      return;
+    }
     if (path === '/report') {
       const runner = this.#byId.get(asked.get('runner') ?? '');
-      if (runner) returnJson(returned, 200, { holds: holdsOf(runner), isBusy: runner.isBusy, orderCount: runner.orders, waiting: 0, active: 0 });
+      if (runner)
+        returnJson(returned, 200, {
+          holds: holdsOf(runner),
+          isBusy: runner.isBusy,
+          orderCount: runner.orders,
+          waiting: 0,
+          active: 0,
+        });
       else returnJson(returned, 404, {});
       return;
     }
@@ -64,7 +95,8 @@
 
   #list(page: number, returned: ServerResponse): void {
     const runners = [];
-    for (const runner of this.#runners.slice(page * PAGE, (page + 1) * PAGE)) runners.push({ ...runner.listed, isLeaving: runner.isLeaving, holds: holdsOf(runner) });
+    for (const runner of this.#runners.slice(page * PAGE, (page + 1) * PAGE))
+      runners.push({ ...runner.listed, isLeaving: runner.isLeaving, holds: holdsOf(runner) });
     const next = (page + 1) * PAGE < this.#runners.length ? page + 1 : null;
     this.#listedBytes += JSON.stringify(runners).length;
     returnJson(returned, 200, { runners, next });
@@ -77,21 +109,31 @@
     const held = runner.holds.get(order.model);
     const isHeld = held !== undefined && (order.adapter === '' || held.has(order.adapter));
     if (isHeld === (order.verb === 'load')) return 200;
-    if (runner.isBusy || order.count !== undefined && order.count !== runner.orders) return 409;
+    if (runner.isBusy || (order.count !== undefined && order.count !== runner.orders)) return 409;
     runner.isBusy = true;
     runner.orders += 1;
     function finish(hollow: Hollow): void {
       hollow.isBusy = false;
-      if (order.verb === 'unload') { if (order.adapter === '') hollow.holds.delete(order.model); else hollow.holds.get(order.model)?.delete(order.adapter); return; }
+      if (order.verb === 'unload') {
+        if (order.adapter === '') hollow.holds.delete(order.model);
+        else hollow.holds.get(order.model)?.delete(order.adapter);
+        return;
+      }
       if (order.adapter === '') hollow.holds.set(order.model, new Set());
       else hollow.holds.get(order.model)?.add(order.adapter);
     }
-    setTimeout(finish, order.verb === 'unload' ? 1 : order.adapter === '' ? LOAD_MS : ADAPTER_MS, runner);
+    setTimeout(
+      finish,
+      order.verb === 'unload' ? 1 : order.adapter === '' ? LOAD_MS : ADAPTER_MS,
+      runner,
+    );
     return 202;
   }
 }
 
-function holdsOf(runner: Hollow): { readonly model: string; readonly adapters: readonly string[] }[] {
+function holdsOf(
+  runner: Hollow,
+): { readonly model: string; readonly adapters: readonly string[] }[] {
   const holds = [];
   for (const [model, adapters] of runner.holds) holds.push({ model, adapters: [...adapters] });
   return holds;
--- a/src/myth/Judge.ts
+++ b/src/myth/Judge.ts
@@ -1,8 +1,15 @@
 import type { BackRecord, CallerRecord, EventRecord } from './Records.js';
 
-export interface Violation { readonly rule: string; readonly text: string }
+export interface Violation {
+  readonly rule: string;
+  readonly text: string;
+}
 
-interface Work { readonly at: number; readonly runner: string; readonly text: string }
+interface Work {
+  readonly at: number;
+  readonly runner: string;
+  readonly text: string;
+}
 
 export interface Evidence {
   readonly callers: readonly CallerRecord[];
@@ -15,8 +22,21 @@
 }
 
 export const RULES = [
-  'run-twice', 'ran-though-turned-away', 'not-whole', 'stitched', 'leaving-got-work', 'emptied-got-work', 'old-table', 'lost-table',
-  'two-holders', 'over-room', 'over-store', 'cold-flooded', 'too-many-repeats', 'cut-by-plan', 'held-back',
+  'run-twice',
+  'ran-though-turned-away',
+  'not-whole',
+  'stitched',
+  'leaving-got-work',
+  'emptied-got-work',
+  'old-table',
+  'lost-table',
+  'two-holders',
+  'over-room',
+  'over-store',
+  'cold-flooded',
+  'too-many-repeats',
+  'cut-by-plan',
+  'held-back',
 ] as const;
 
 const LEAVING_MS = 3000;
@@ -60,38 +80,73 @@
     return this.#found;
   }
 
-  #find(rule: typeof RULES[number], text: string): void { this.#found.push({ rule, text }); }
+  #find(rule: (typeof RULES)[number], text: string): void {
+    this.#found.push({ rule, text });
+  }
 
   #callers(): void {
     const services = new Map<string, { repeats: number[]; sent: number[] }>();
     for (const caller of this.#evidence.callers) {
       const runs = this.#runsById.get(caller.id) ?? [];
-      if (caller.once && runs.length > 1) this.#find('run-twice', `${caller.id} (${caller.type}) ran ${runs.length} times`);
+      if (caller.once && runs.length > 1)
+        this.#find('run-twice', `${caller.id} (${caller.type}) ran ${runs.length} times`);
       if (!caller.once) {
         const service = services.get(caller.model) ?? { repeats: [], sent: [] };
         services.set(caller.model, service);
         service.sent.push(caller.sentAt);
         for (const run of runs.slice(1)) service.repeats.push(run.at);
       }
-      if (caller.outcome === 'turned-away' && runs.length > 0) this.#find('ran-though-turned-away', `${caller.id} was turned away with ${caller.status} and ran at ${runs[0]?.runner}`);
-      if (caller.isWhole && caller.fault !== '') this.#find(caller.fault.startsWith('stitched') ? 'stitched' : 'not-whole', `${caller.id}: ${caller.fault}`);
-      if (caller.isWhole && caller.status === 200 && !runs.some(isRun.bind(undefined, caller.run))) this.#find('not-whole', `${caller.id}: its return is of run ${caller.run}, which is not its own`);
+      if (caller.outcome === 'turned-away' && runs.length > 0)
+        this.#find(
+          'ran-though-turned-away',
+          `${caller.id} was turned away with ${caller.status} and ran at ${runs[0]?.runner}`,
+        );
+      if (caller.isWhole && caller.fault !== '')
+        this.#find(
+          caller.fault.startsWith('stitched') ? 'stitched' : 'not-whole',
+          `${caller.id}: ${caller.fault}`,
+        );
+      if (caller.isWhole && caller.status === 200 && !runs.some(isRun.bind(undefined, caller.run)))
+        this.#find(
+          'not-whole',
+          `${caller.id}: its return is of run ${caller.run}, which is not its own`,
+        );
       if (caller.outcome === 'turned-away' && (caller.status === 503 || caller.status === 429)) {
         const late = this.#evidence.lateness.get(caller.type);
         // A process that is frozen cannot say anything; it must once it is awake.
         const isLate = late !== undefined && caller.endedAt - caller.sentAt > late * HELD_SHARE;
         // The records are searched for the few that were late alone.
-        if (isLate && !this.#wasFrozen(caller) && !this.#isNoneLate(caller) && !this.#wasHampered(caller)) this.#find('held-back', `${caller.id} heard its no after ${caller.endedAt - caller.sentAt} of ${late} ms`);
-        if (caller.retryAfter <= 0) this.#find('held-back', `${caller.id} was turned away without a word on when to come back`);
+        if (
+          isLate &&
+          !this.#wasFrozen(caller) &&
+          !this.#isNoneLate(caller) &&
+          !this.#wasHampered(caller)
+        )
+          this.#find(
+            'held-back',
+            `${caller.id} heard its no after ${caller.endedAt - caller.sentAt} of ${late} ms`,
+          );
+        if (caller.retryAfter <= 0)
+          this.#find(
+            'held-back',
+            `${caller.id} was turned away without a word on when to come back`,
+          );
       }
     }
     for (const [service, { repeats, sent }] of services) {
-      if (repeats.length > sent.length / 5 + FEW_REPEATS) this.#find('too-many-repeats', `${repeats.length} repeats of ${sent.length} at ${service}`);
+      if (repeats.length > sent.length / 5 + FEW_REPEATS)
+        this.#find('too-many-repeats', `${repeats.length} repeats of ${sent.length} at ${service}`);
       // A quiet hour must not pay for a minute in which nothing but repeats arrives.
       for (const at of sent) {
-        const [some, all] = [countIn(repeats, at, at + REPEATS_MS), countIn(sent, at, at + REPEATS_MS)];
+        const [some, all] = [
+          countIn(repeats, at, at + REPEATS_MS),
+          countIn(sent, at, at + REPEATS_MS),
+        ];
         if (some <= all / 5 + FEW_AT_ONCE) continue;
-        this.#find('too-many-repeats', `${some} repeats of ${all} at ${service} within ${REPEATS_MS} ms`);
+        this.#find(
+          'too-many-repeats',
+          `${some} repeats of ${all} at ${service} within ${REPEATS_MS} ms`,
+        );
         break;
       }
     }
@@ -99,7 +154,9 @@
 
   /** A runner may take its time to say that it has not begun; its word is passed on at once. */
   #isNoneLate(caller: CallerRecord): boolean {
-    for (const back of this.#evidence.backs) if (back.what === 'none' && back.id === caller.id && caller.endedAt - back.at < 1000) return true;
+    for (const back of this.#evidence.backs)
+      if (back.what === 'none' && back.id === caller.id && caller.endedAt - back.at < 1000)
+        return true;
     return false;
   }
 
@@ -108,8 +165,11 @@
     for (const back of this.#evidence.backs) {
       if ((back.what !== 'none' && back.what !== 'run') || back.id !== caller.id) continue;
       for (const event of this.#evidence.events) {
-        const isTheirs = (event.what === 'cut' && (event.node === back.runner || event.node === caller.flow)) || (event.what === 'frozen' && event.node === back.runner);
-        if (isTheirs && event.at < caller.endedAt && event.at + (event.number ?? 0) > caller.sentAt) return true;
+        const isTheirs =
+          (event.what === 'cut' && (event.node === back.runner || event.node === caller.flow)) ||
+          (event.what === 'frozen' && event.node === back.runner);
+        if (isTheirs && event.at < caller.endedAt && event.at + (event.number ?? 0) > caller.sentAt)
+          return true;
       }
     }
     return false;
@@ -120,15 +180,31 @@
     for (const event of this.#evidence.events) {
       if (event.what !== 'planned-stop') continue;
       for (const caller of this.#evidence.callers) {
-        const isBegun = caller.flow === event.node && caller.sentAt < event.at - 100 && caller.endedAt > event.at;
-        if (isBegun && (caller.outcome === 'broken' || caller.outcome === 'unreached') && !this.#evidence.backs.some(isFault.bind(undefined, caller.id)) && !this.#wasHampered(caller)) this.#find('cut-by-plan', `${caller.id} was ${caller.outcome} as ${caller.flow} was stopped`);
+        const isBegun =
+          caller.flow === event.node && caller.sentAt < event.at - 100 && caller.endedAt > event.at;
+        if (
+          isBegun &&
+          (caller.outcome === 'broken' || caller.outcome === 'unreached') &&
+          !this.#evidence.backs.some(isFault.bind(undefined, caller.id)) &&
+          !this.#wasHampered(caller)
+        )
+          this.#find(
+            'cut-by-plan',
+            `${caller.id} was ${caller.outcome} as ${caller.flow} was stopped`,
+          );
       }
     }
   }
 
   #wasFrozen(caller: CallerRecord): boolean {
     for (const event of this.#evidence.events) {
-      if (event.what === 'frozen' && event.node === caller.flow && caller.sentAt < event.at + (event.number ?? 0) && caller.endedAt > event.at) return true;
+      if (
+        event.what === 'frozen' &&
+        event.node === caller.flow &&
+        caller.sentAt < event.at + (event.number ?? 0) &&
+        caller.endedAt > event.at
+      )
+        return true;
     }
     return false;
   }
@@ -139,7 +215,8 @@
     for (const back of this.#evidence.backs) {
       const runner = back.runner ?? '';
       if (back.what === 'run') list.push({ at: back.at, runner, text: `run ${back.id}` });
-      if (back.what === 'order' && back.verb === 'load') list.push({ at: back.at, runner, text: `the order to load ${back.model} ${back.adapter}` });
+      if (back.what === 'order' && back.verb === 'load')
+        list.push({ at: back.at, runner, text: `the order to load ${back.model} ${back.adapter}` });
     }
     return list;
   }
@@ -150,7 +227,12 @@
     for (const back of this.#evidence.backs) {
       if (back.what !== 'shown') continue;
       isShownRecorded = true;
-      if (back.revision !== undefined && mark.revision !== undefined && back.revision >= mark.revision) return back.at;
+      if (
+        back.revision !== undefined &&
+        mark.revision !== undefined &&
+        back.revision >= mark.revision
+      )
+        return back.at;
     }
     return isShownRecorded ? undefined : mark.at + LEARN_MS;
   }
@@ -164,19 +246,30 @@
       const learned = back.leaving === true ? this.#learnedAt(back) : undefined;
       if (learned !== undefined) list.push({ from: learned + LEAVING_MS, until: Infinity });
       // Marked twice, it is unmarked once.
-      else if (back.leaving !== true) for (const span of list) span.until = Math.min(span.until, back.at);
+      else if (back.leaving !== true)
+        for (const span of list) span.until = Math.min(span.until, back.at);
     }
     for (const work of this.#work()) {
       for (const mark of marks.get(work.runner) ?? []) {
         // What lay in a frozen runner's socket was given to it before.
-        if (work.at > mark.from && work.at < mark.until && !this.#wasAsleep(work)) this.#find('leaving-got-work', `${work.runner} got ${work.text} ${Math.round(work.at - mark.from)} ms too late`);
+        if (work.at > mark.from && work.at < mark.until && !this.#wasAsleep(work))
+          this.#find(
+            'leaving-got-work',
+            `${work.runner} got ${work.text} ${Math.round(work.at - mark.from)} ms too late`,
+          );
       }
     }
   }
 
   #wasAsleep(work: Work): boolean {
     for (const event of this.#evidence.events) {
-      if (event.what === 'frozen' && event.node === work.runner && work.at >= event.at && work.at < event.at + (event.number ?? 0) + 500) return true;
+      if (
+        event.what === 'frozen' &&
+        event.node === work.runner &&
+        work.at >= event.at &&
+        work.at < event.at + (event.number ?? 0) + 500
+      )
+        return true;
     }
     return false;
   }
@@ -184,13 +277,22 @@
   #emptied(): void {
     const spans: { zone: string; from: number; until: number }[] = [];
     for (const event of this.#evidence.events) {
-      if (event.what === 'zone-emptied') spans.push({ zone: event.zone ?? '', from: event.at + EMPTY_MS, until: Infinity });
-      if (event.what === 'zone-filling') for (const span of spans) if (span.zone === event.zone && span.until === Infinity) span.until = event.at;
+      if (event.what === 'zone-emptied')
+        spans.push({ zone: event.zone ?? '', from: event.at + EMPTY_MS, until: Infinity });
+      if (event.what === 'zone-filling')
+        for (const span of spans)
+          if (span.zone === event.zone && span.until === Infinity) span.until = event.at;
     }
     for (const work of this.#work()) {
       const zone = this.#evidence.zones.get(work.runner);
       for (const span of spans) {
-        if (span.zone === zone && work.at > span.from && work.at < span.until && !this.#wasAsleep(work)) this.#find('emptied-got-work', `${work.runner} in ${zone} got ${work.text}`);
+        if (
+          span.zone === zone &&
+          work.at > span.from &&
+          work.at < span.until &&
+          !this.#wasAsleep(work)
+        )
+          this.#find('emptied-got-work', `${work.runner} in ${zone} got ${work.text}`);
       }
     }
   }
@@ -200,13 +302,24 @@
     for (const event of this.#evidence.events) {
       if (event.what === 'table-accepted') newest = Math.max(newest, event.number ?? 0);
       // Newer than the newest accepted is an edit whose outcome nobody was told: it may stand.
-      if (event.what === 'table-read' && (event.number ?? 0) < newest) this.#find('lost-table', `table ${event.number} was read back after ${newest} was accepted`);
+      if (event.what === 'table-read' && (event.number ?? 0) < newest)
+        this.#find(
+          'lost-table',
+          `table ${event.number} was read back after ${newest} was accepted`,
+        );
     }
     for (const event of this.#evidence.events) {
       if (event.what !== 'table-accepted' || event.number === undefined) continue;
       for (const caller of this.#evidence.callers) {
-        if (caller.table >= 0 && caller.sentAt > event.at + TABLE_MS && caller.table < event.number) {
-          this.#find('old-table', `${caller.flow} gated ${caller.id} by table ${caller.table}, ${caller.sentAt - event.at} ms after ${event.number} was accepted`);
+        if (
+          caller.table >= 0 &&
+          caller.sentAt > event.at + TABLE_MS &&
+          caller.table < event.number
+        ) {
+          this.#find(
+            'old-table',
+            `${caller.flow} gated ${caller.id} by table ${caller.table}, ${caller.sentAt - event.at} ms after ${event.number} was accepted`,
+          );
         }
       }
     }
@@ -215,11 +328,19 @@
   #orders(): void {
     let last: BackRecord | undefined;
     for (const back of this.#evidence.backs) {
-      if (back.what === 'fetch' && back.over === true) this.#find('over-store', `fetch of ${back.model} by ${back.runner} was one too many`);
+      if (back.what === 'fetch' && back.over === true)
+        this.#find('over-store', `fetch of ${back.model} by ${back.runner} was one too many`);
       if (back.what !== 'order') continue;
-      if (back.overRoom === true) this.#find('over-room', `${back.runner} was told to load ${back.model} ${back.adapter} by ${back.order}`);
+      if (back.overRoom === true)
+        this.#find(
+          'over-room',
+          `${back.runner} was told to load ${back.model} ${back.adapter} by ${back.order}`,
+        );
       if (last && last.holder !== back.holder && back.at - last.at < HAND_OVER_MS) {
-        this.#find('two-holders', `${last.holder} ordered ${last.runner} and ${back.holder} ordered ${back.runner} ${back.at - last.at} ms later`);
+        this.#find(
+          'two-holders',
+          `${last.holder} ordered ${last.runner} and ${back.holder} ordered ${back.runner} ${back.at - last.at} ms later`,
+        );
       }
       last = back;
     }
@@ -230,17 +351,32 @@
     const early = new Map<string, number>();
     for (const back of this.#evidence.backs) {
       const runner = back.runner ?? '';
-      if (back.what === 'boot') { boots.set(runner, back.at); early.set(runner, 0); }
+      if (back.what === 'boot') {
+        boots.set(runner, back.at);
+        early.set(runner, 0);
+      }
       const boot = boots.get(runner);
       if (back.what !== 'run' || boot === undefined || back.at - boot > COLD_MS) continue;
       const count = (early.get(runner) ?? 0) + 1;
       early.set(runner, count);
-      if (count === COLD_RUNS) this.#find('cold-flooded', `${runner} got ${count} requests within ${back.at - boot} ms of its start`);
+      if (count === COLD_RUNS)
+        this.#find(
+          'cold-flooded',
+          `${runner} got ${count} requests within ${back.at - boot} ms of its start`,
+        );
     }
   }
 }
 
-function countIn(list: readonly number[], from: number, until: number): number { return list.filter(isBetween.bind(undefined, from, until)).length; }
-function isBetween(from: number, until: number, at: number): boolean { return at >= from && at < until; }
-function isFault(id: string, back: BackRecord): boolean { return back.what === 'fault' && back.id === id; }
-function isRun(run: string, back: BackRecord): boolean { return back.run === run; }
+function countIn(list: readonly number[], from: number, until: number): number {
+  return list.filter(isBetween.bind(undefined, from, until)).length;
+}
+function isBetween(from: number, until: number, at: number): boolean {
+  return at >= from && at < until;
+}
+function isFault(id: string, back: BackRecord): boolean {
+  return back.what === 'fault' && back.id === id;
+}
+function isRun(run: string, back: BackRecord): boolean {
+  return back.run === run;
+}
--- a/src/myth/LineCheck.test.ts
+++ b/src/myth/LineCheck.test.ts
@@ -9,9 +9,15 @@
   check.end();
   return check.fault;
 }
-function jsonLine(value: object): string { return `${JSON.stringify(value)}\n`; }
+function jsonLine(value: object): string {
+  return `${JSON.stringify(value)}\n`;
+}
 function checkFaults(): void {
-  const [first, second, end] = [{ id: 'q', run: 'r', index: 0 }, { id: 'q', run: 'r', index: 1 }, { id: 'q', run: 'r', end: 2 }];
+  const [first, second, end] = [
+    { id: 'q', run: 'r', index: 0 },
+    { id: 'q', run: 'r', index: 1 },
+    { id: 'q', run: 'r', end: 2 },
+  ];
   expect(faultOf([first, second, end])).toBe('');
   expect(faultOf([first, second])).toBe('no end');
   expect(faultOf([first, first, end])).toContain('where 1 is due');
@@ -21,4 +27,4 @@
   expect(faultOf([first, end])).toContain('ends at 2 after 1');
   expect(faultOf([first, second, end, second])).toContain('goes on');
 }
-test('every way in which a return may not be the runner\'s whole one is named', checkFaults);
+test("every way in which a return may not be the runner's whole one is named", checkFaults);
--- a/src/myth/LossMeasure.ts
+++ b/src/myth/LossMeasure.ts
@@ -1,7 +1,12 @@
 import { Simulation } from './Simulation.js';
 import type { SimMind } from './SimMind.js';
 
-export interface LossMeasure { readonly loss: string; readonly runs: number; readonly medianMs: number; readonly mostMs: number }
+export interface LossMeasure {
+  readonly loss: string;
+  readonly runs: number;
+  readonly medianMs: number;
+  readonly mostMs: number;
+}
 
 export interface TakeoverMeasure {
   readonly runs: number;
@@ -14,7 +19,9 @@
 const LOSSES = ['killed', 'frozen', 'cut off', 'stopped as planned'] as const;
 const STEP_MS = 10;
 
-function byValue(a: number, b: number): number { return a - b; }
+function byValue(a: number, b: number): number {
+  return a - b;
+}
 
 /** Time in which nobody may order runners after one single loss of the holder, in virtual milliseconds over seeds. */
 export async function measureLosses(from: number, seeds: number): Promise<LossMeasure[]> {
@@ -27,22 +34,34 @@
       await new Promise(setImmediate);
     }
     gaps.sort(byValue);
-    list.push({ loss, runs: gaps.length, medianMs: Math.round(gaps[Math.floor(gaps.length / 2)] ?? -1), mostMs: Math.round(gaps[gaps.length - 1] ?? -1) });
+    list.push({
+      loss,
+      runs: gaps.length,
+      medianMs: Math.round(gaps[Math.floor(gaps.length / 2)] ?? -1),
+      mostMs: Math.round(gaps[gaps.length - 1] ?? -1),
+    });
   }
   return list;
 }
 
-function gapAfter(loss: typeof LOSSES[number], seed: number): number {
+function gapAfter(loss: (typeof LOSSES)[number], seed: number): number {
   const simulation = new Simulation({ seed, edges: 2, stormMs: 0, troubles: [] });
   const { agenda, network } = simulation;
   simulation.start();
-  agenda.runUntil(14_000 + (seed * 97) % 1000);
+  agenda.runUntil(14_000 + ((seed * 97) % 1000));
   const leader = simulation.leader();
   if (!leader) return -1;
   if (loss === 'killed') simulation.kill(leader);
   else if (loss === 'frozen') leader.freeze();
-  else if (loss === 'stopped as planned') { leader.retire(); agenda.after(60, simulation.kill.bind(simulation, leader)); }
-  else for (const other of simulation.minds) if (other !== leader) { network.cut(leader.id, other.id); network.cut(other.id, leader.id); }
+  else if (loss === 'stopped as planned') {
+    leader.retire();
+    agenda.after(60, simulation.kill.bind(simulation, leader));
+  } else
+    for (const other of simulation.minds)
+      if (other !== leader) {
+        network.cut(leader.id, other.id);
+        network.cut(other.id, leader.id);
+      }
   let last = agenda.now;
   for (let step = 0; step < 3000; step += 1) {
     agenda.runUntil(agenda.now + STEP_MS);
@@ -53,8 +72,12 @@
   return 1e9;
 }
 
-function mayOrder(mind: SimMind): boolean { return mind.isUp && !mind.isFrozen && mind.core?.mayOrder(mind.now()) === true; }
-function isNext(leader: SimMind, mind: SimMind): boolean { return mind !== leader && mayOrder(mind); }
+function mayOrder(mind: SimMind): boolean {
+  return mind.isUp && !mind.isFrozen && mind.core?.mayOrder(mind.now()) === true;
+}
+function isNext(leader: SimMind, mind: SimMind): boolean {
+  return mind !== leader && mayOrder(mind);
+}
 
 /** What callers of a model hear while its primary's machine is gone without a word. */
 export async function measureTakeover(from: number, seeds: number): Promise<TakeoverMeasure> {
--- a/src/myth/MeasureCommand.ts
+++ b/src/myth/MeasureCommand.ts
@@ -5,17 +5,30 @@
 
 export class MeasureCommand extends Command {
   static override description = 'measure on virtual time, or as ratios within one run';
-  static override args = { topic: Args.string({ required: true, options: ['news', 'draw', 'crowd', 'relay', 'table', 'loss', 'takeover'] }) };
-  static override flags = { seed: Flags.integer({ default: 1 }), rounds: Flags.integer({ default: 1000, description: 'rounds of the relay measure' }) };
+  static override args = {
+    topic: Args.string({
+      required: true,
+      options: ['news', 'draw', 'crowd', 'relay', 'table', 'loss', 'takeover'],
+    }),
+  };
+  static override flags = {
+    seed: Flags.integer({ default: 1 }),
+    rounds: Flags.integer({ default: 1000, description: 'rounds of the relay measure' }),
+  };
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(MeasureCommand);
-    if (args.topic === 'news') for (const edges of [12, 50, 200]) this.log(JSON.stringify(measureNews(edges, flags.seed)));
-    if (args.topic === 'draw') for (const row of measureDraw(flags.seed)) this.log(JSON.stringify(row));
-    if (args.topic === 'crowd') for (const row of measureCrowd(flags.seed)) this.log(JSON.stringify(row));
+    if (args.topic === 'news')
+      for (const edges of [12, 50, 200]) this.log(JSON.stringify(measureNews(edges, flags.seed)));
+    if (args.topic === 'draw')
+      for (const row of measureDraw(flags.seed)) this.log(JSON.stringify(row));
+    if (args.topic === 'crowd')
+      for (const row of measureCrowd(flags.seed)) this.log(JSON.stringify(row));
     if (args.topic === 'relay') this.log(JSON.stringify(await measureRelay(flags.rounds)));
-    if (args.topic === 'table') for (const rows of [10, 1000, 10_000]) this.log(JSON.stringify(measureTable(rows)));
-    if (args.topic === 'loss') for (const row of await measureLosses(flags.seed, 40)) this.log(JSON.stringify(row));
+    if (args.topic === 'table')
+      for (const rows of [10, 1000, 10_000]) this.log(JSON.stringify(measureTable(rows)));
+    if (args.topic === 'loss')
+      for (const row of await measureLosses(flags.seed, 40)) this.log(JSON.stringify(row));
     if (args.topic === 'takeover') this.log(JSON.stringify(await measureTakeover(flags.seed, 40)));
     this.exit(0);
   }
--- a/src/myth/Measures.test.ts
+++ b/src/myth/Measures.test.ts
@@ -3,7 +3,7 @@
 
 function checkDraw(): void {
   const [ours, random] = measureDraw(1);
-  expect((ours?.keptShare ?? 0)).toBeGreaterThan((random?.keptShare ?? 1) * 1.2);
+  expect(ours?.keptShare ?? 0).toBeGreaterThan((random?.keptShare ?? 1) * 1.2);
 }
 function checkCrowd(): void {
   const [weighted, plain] = measureCrowd(1);
--- a/src/myth/Measures.ts
+++ b/src/myth/Measures.ts
@@ -10,7 +10,13 @@
 import { Seeded } from './Seeded.js';
 import { Simulation } from './Simulation.js';
 
-export interface NewsMeasure { readonly edges: number; readonly configMs: number; readonly markMs: number; readonly configMessages: number; readonly quietMessagesPerSecond: number }
+export interface NewsMeasure {
+  readonly edges: number;
+  readonly configMs: number;
+  readonly markMs: number;
+  readonly configMessages: number;
+  readonly quietMessagesPerSecond: number;
+}
 
 /** How long a configuration and a leaving mark take to the last proxy, and what they cost in messages, on virtual time. */
 export function measureNews(edges: number, seed: number): NewsMeasure {
@@ -21,9 +27,13 @@
   const before = network.sent;
   agenda.runUntil(16_000);
   const quiet = network.sent - before;
-  const { table } = compile('map POST /v1/checks to check\nrow check m-* weight 10 take 100/s late 10s once stream');
+  const { table } = compile(
+    'map POST /v1/checks to check\nrow check m-* weight 10 take 100/s late 10s once stream',
+  );
   let toldAt = -1;
-  function told(status: number): void { if (status === 200) toldAt = agenda.now; }
+  function told(status: number): void {
+    if (status === 200) toldAt = agenda.now;
+  }
   const start = agenda.now;
   const sentBefore = network.sent;
   simulation.leader()?.command('table', JSON.stringify({ id: 'm', base: 0, table }), told);
@@ -32,25 +42,54 @@
   const configMessages = network.sent - sentBefore - Math.round((quiet * configMs) / 1000);
   const markStart = agenda.now;
   simulation.mark('r0', true);
-  while (!simulation.haveAllMarks() && agenda.now < markStart + 10_000) agenda.runUntil(agenda.now + 1);
-  return { edges, configMs, markMs: agenda.now - markStart, configMessages, quietMessagesPerSecond: quiet };
+  while (!simulation.haveAllMarks() && agenda.now < markStart + 10_000)
+    agenda.runUntil(agenda.now + 1);
+  return {
+    edges,
+    configMs,
+    markMs: agenda.now - markStart,
+    configMessages,
+    quietMessagesPerSecond: quiet,
+  };
 }
 
-export interface DrawMeasure { readonly drawn: string; readonly requests: number; readonly keptShare: number }
+export interface DrawMeasure {
+  readonly drawn: string;
+  readonly requests: number;
+  readonly keptShare: number;
+}
 
-interface Bench { readonly decision: Decision; readonly rowText: string }
+interface Bench {
+  readonly decision: Decision;
+  readonly rowText: string;
+}
 
 function makeDecision(rowText: string, runners: readonly string[], slots: number): Bench {
   const decision = new Decision({ ...DECISION_DEFAULTS, blindMs: 1e9, me: 'f' });
   const now = moment(0);
-  decision.news(now, 'config', { epoch: 2, count: 1 }, JSON.stringify({ number: 1, table: compile(rowText).table, emptied: [], voters: [] }));
+  decision.news(
+    now,
+    'config',
+    { epoch: 2, count: 1 },
+    JSON.stringify({ number: 1, table: compile(rowText).table, emptied: [], voters: [] }),
+  );
   const seats = [];
   const placed = [];
   for (const id of runners) {
     seats.push({ runner: id, primary: seats.length === 0, adapters: [] });
     placed.push({ id, address: `${id}:1`, zone: id, service: '', slots, upMs: 60_000 });
   }
-  decision.news(now, 'places', { epoch: 2, count: 1 }, JSON.stringify({ places: [{ model: 'm', seats, wait: '' }], runners: placed, flows: 1, shares: [] }));
+  decision.news(
+    now,
+    'places',
+    { epoch: 2, count: 1 },
+    JSON.stringify({
+      places: [{ model: 'm', seats, wait: '' }],
+      runners: placed,
+      flows: 1,
+      shares: [],
+    }),
+  );
   decision.vouch(decision.ask(now), { epoch: 0, count: 0 }, 0);
   return { decision, rowText };
 }
@@ -61,15 +100,29 @@
   for (const drawn of ['ours', 'random']) {
     const seeded = new Seeded(seed);
     const agenda = new Agenda();
-    const { decision } = makeDecision('map POST /c to check\nrow check m late 60s take 10000/s', ['a', 'b'], 4);
-    const kept = new Map<string, string[]>([['a', []], ['b', []]]);
-    const running = new Map<string, number>([['a', 0], ['b', 0]]);
+    const { decision } = makeDecision(
+      'map POST /c to check\nrow check m late 60s take 10000/s',
+      ['a', 'b'],
+      4,
+    );
+    const kept = new Map<string, string[]>([
+      ['a', []],
+      ['b', []],
+    ]);
+    const running = new Map<string, number>([
+      ['a', 0],
+      ['b', 0],
+    ]);
     let [parts, hits] = [0, 0];
     const count = 4000;
     function run(runner: string, wanted: readonly string[]): number {
       const held = kept.get(runner) ?? [];
       let missed = 0;
-      for (const part of wanted) { parts += 1; if (held.includes(part)) hits += 1; else missed += 1; }
+      for (const part of wanted) {
+        parts += 1;
+        if (held.includes(part)) hits += 1;
+        else missed += 1;
+      }
       // A runner keeps the last 24 parts it was given.
       kept.set(runner, [...wanted, ...held.filter(isNotIn.bind(undefined, wanted))].slice(0, 24));
       // A part that is not kept costs 100 ms more.
@@ -79,10 +132,16 @@
     function obey(): void {
       for (const verdict of decision.drain()) {
         if (verdict.do !== 'run') continue;
-        agenda.after(run(verdict.runner, wants.get(verdict.id) ?? []), end.bind(undefined, verdict.id));
+        agenda.after(
+          run(verdict.runner, wants.get(verdict.id) ?? []),
+          end.bind(undefined, verdict.id),
+        );
       }
     }
-    function end(id: number): void { decision.done(moment(agenda.now), id); obey(); }
+    function end(id: number): void {
+      decision.done(moment(agenda.now), id);
+      obey();
+    }
     const waiting: number[] = [];
     function drawRandom(): void {
       for (;;) {
@@ -94,26 +153,55 @@
         agenda.after(run(runner, wants.get(id) ?? []), endRandom.bind(undefined, runner));
       }
     }
-    function hasSlot(runner: string): boolean { return (running.get(runner) ?? 0) < 4; }
-    function endRandom(runner: string): void { running.set(runner, (running.get(runner) ?? 1) - 1); drawRandom(); }
+    function hasSlot(runner: string): boolean {
+      return (running.get(runner) ?? 0) < 4;
+    }
+    function endRandom(runner: string): void {
+      running.set(runner, (running.get(runner) ?? 1) - 1);
+      drawRandom();
+    }
     function arrive(id: number): void {
       const group = seeded.below(12);
       const wanted = [`${group}-0`, `${group}-1`, `${group}-2`];
       wants.set(id, wanted);
-      if (drawn === 'random') { waiting.push(id); drawRandom(); return; }
-      decision.gate(moment(agenda.now), { id, method: 'POST', path: '/c', model: 'm', adapter: '', parts: wanted });
+      if (drawn === 'random') {
+        waiting.push(id);
+        drawRandom();
+        return;
+      }
+      decision.gate(moment(agenda.now), {
+        id,
+        method: 'POST',
+        path: '/c',
+        model: 'm',
+        adapter: '',
+        parts: wanted,
+      });
       obey();
     }
     for (let id = 1; id <= count; id += 1) agenda.at(id * 60, arrive.bind(undefined, id));
     agenda.runUntil(count * 60 + 20_000);
-    results.push({ drawn, requests: parts / 3, keptShare: Math.round((hits / parts) * 1000) / 1000 });
+    results.push({
+      drawn,
+      requests: parts / 3,
+      keptShare: Math.round((hits / parts) * 1000) / 1000,
+    });
   }
   return results;
 }
 
-function isNotIn(parts: readonly string[], part: string): boolean { return !parts.includes(part); }
+function isNotIn(parts: readonly string[], part: string): boolean {
+  return !parts.includes(part);
+}
 
-export interface CrowdMeasure { readonly order: string; readonly heavyServed: number; readonly lightServed: number; readonly heavyAsked: number; readonly lightAsked: number; readonly mostWaitOfTurnedAwayMs: number }
+export interface CrowdMeasure {
+  readonly order: string;
+  readonly heavyServed: number;
+  readonly lightServed: number;
+  readonly heavyAsked: number;
+  readonly lightAsked: number;
+  readonly mostWaitOfTurnedAwayMs: number;
+}
 
 /** A crowd of twice what can be served: how much of each weight is served in time, against first come first served. */
 export function measureCrowd(seed: number): CrowdMeasure[] {
@@ -122,14 +210,21 @@
     const weight = order === 'by weight' ? 100 : 10;
     const seeded = new Seeded(seed);
     const agenda = new Agenda();
-    const { decision } = makeDecision(`map POST /h to heavy\nmap POST /l to light\nrow heavy m weight ${weight} take 100000/s late 5s\nrow light m weight 10 take 100000/s late 5s`, ['a', 'b'], 2);
+    const { decision } = makeDecision(
+      `map POST /h to heavy\nmap POST /l to light\nrow heavy m weight ${weight} take 100000/s late 5s\nrow light m weight 10 take 100000/s late 5s`,
+      ['a', 'b'],
+      2,
+    );
     const asked = new Map<number, { readonly isHeavy: boolean; readonly at: number }>();
     let [heavyServed, lightServed, heavyAsked, lightAsked, mostWait] = [0, 0, 0, 0, 0];
     function obey(): void {
       for (const verdict of decision.drain()) {
         const item = asked.get(verdict.id);
         if (!item) continue;
-        if (verdict.do === 'turnAway') { mostWait = Math.max(mostWait, agenda.now - item.at); continue; }
+        if (verdict.do === 'turnAway') {
+          mostWait = Math.max(mostWait, agenda.now - item.at);
+          continue;
+        }
         // Each run takes about 400 ms.
         const span = seeded.between(300, 500);
         const isInTime = agenda.now + span <= item.at + 5000;
@@ -138,35 +233,68 @@
         agenda.after(span, end.bind(undefined, verdict.id));
       }
     }
-    function end(id: number): void { decision.done(moment(agenda.now), id); obey(); }
+    function end(id: number): void {
+      decision.done(moment(agenda.now), id);
+      obey();
+    }
     function arrive(id: number): void {
       const isHeavy = seeded.isLikely(0.4);
       if (isHeavy) heavyAsked += 1;
       else lightAsked += 1;
       asked.set(id, { isHeavy, at: agenda.now });
-      decision.gate(moment(agenda.now), { id, method: 'POST', path: isHeavy ? '/h' : '/l', model: 'm', adapter: '', parts: [] });
+      decision.gate(moment(agenda.now), {
+        id,
+        method: 'POST',
+        path: isHeavy ? '/h' : '/l',
+        model: 'm',
+        adapter: '',
+        parts: [],
+      });
       obey();
     }
-    function beat(): void { decision.beat(moment(agenda.now)); obey(); if (agenda.now < 30_000) agenda.after(25, beat); }
+    function beat(): void {
+      decision.beat(moment(agenda.now));
+      obey();
+      if (agenda.now < 30_000) agenda.after(25, beat);
+    }
     beat();
     // Eight slots at 400 ms serve 20 a second; 40 a second ask.
-    for (let id = 1; id <= 800; id += 1) agenda.at(seeded.between(0, 20_000), arrive.bind(undefined, id));
+    for (let id = 1; id <= 800; id += 1)
+      agenda.at(seeded.between(0, 20_000), arrive.bind(undefined, id));
     agenda.runUntil(40_000);
-    results.push({ order, heavyServed, lightServed, heavyAsked, lightAsked, mostWaitOfTurnedAwayMs: Math.round(mostWait) });
+    results.push({
+      order,
+      heavyServed,
+      lightServed,
+      heavyAsked,
+      lightAsked,
+      mostWaitOfTurnedAwayMs: Math.round(mostWait),
+    });
   }
   return results;
 }
 
-export interface RelayMeasure { readonly rounds: number; readonly proxyMs: number; readonly relayMs: number; readonly ratio: number }
+export interface RelayMeasure {
+  readonly rounds: number;
+  readonly proxyMs: number;
+  readonly relayMs: number;
+  readonly ratio: number;
+}
 
 /** The time a request takes through the proxy, as a ratio to a bare relay of Node's http in the same run. */
 export async function measureRelay(rounds: number): Promise<RelayMeasure> {
-  function back(asked: IncomingMessage, returned: ServerResponse): void { asked.resume(); returned.end('{"ok":true}'); }
+  function back(asked: IncomingMessage, returned: ServerResponse): void {
+    asked.resume();
+    returned.end('{"ok":true}');
+  }
   const backServer = createServer(back);
   const backAddress = `127.0.0.1:${await listenOn(backServer, '127.0.0.1:0')}`;
   const { host, port } = splitAddress(backAddress);
   function bare(asked: IncomingMessage, returned: ServerResponse): void {
-    function take(inner: IncomingMessage): void { returned.writeHead(inner.statusCode ?? 502, { 'content-type': 'application/json' }); inner.pipe(returned); }
+    function take(inner: IncomingMessage): void {
+      returned.writeHead(inner.statusCode ?? 502, { 'content-type': 'application/json' });
+      inner.pipe(returned);
+    }
     const sent = request({ host, port, method: asked.method, path: '/run', agent: false });
     sent.once('response', take);
     asked.pipe(sent);
@@ -175,11 +303,39 @@
   const bareAddress = `127.0.0.1:${await listenOn(bareServer, '127.0.0.1:0')}`;
   const decision = new Decision({ ...DECISION_DEFAULTS, blindMs: 1e9, me: 'f' });
   const now = monotonicNow();
-  decision.news(now, 'config', { epoch: 2, count: 1 }, JSON.stringify({ number: 1, table: compile('map POST /c to check\nrow check m weight 9 take 100000/s late 10s once').table, emptied: [], voters: [] }));
-  const runners = [{ id: 'r', address: backAddress, zone: 'z', service: '', slots: 64, upMs: 60_000 }];
-  decision.news(now, 'places', { epoch: 2, count: 1 }, JSON.stringify({ places: [{ model: 'm', seats: [{ runner: 'r', primary: true, adapters: [] }], wait: '' }], runners, flows: 1, shares: [] }));
+  decision.news(
+    now,
+    'config',
+    { epoch: 2, count: 1 },
+    JSON.stringify({
+      number: 1,
+      table: compile('map POST /c to check\nrow check m weight 9 take 100000/s late 10s once')
+        .table,
+      emptied: [],
+      voters: [],
+    }),
+  );
+  const runners = [
+    { id: 'r', address: backAddress, zone: 'z', service: '', slots: 64, upMs: 60_000 },
+  ];
+  decision.news(
+    now,
+    'places',
+    { epoch: 2, count: 1 },
+    JSON.stringify({
+      places: [{ model: 'm', seats: [{ runner: 'r', primary: true, adapters: [] }], wait: '' }],
+      runners,
+      flows: 1,
+      shares: [],
+    }),
+  );
   decision.vouch(decision.ask(now), { epoch: 0, count: 0 }, 0);
-  const executor = new Executor(decision, { maxBodyBytes: 65_536, connectMs: 500, silentMs: 20_000 }, new Counters(), monotonicNow);
+  const executor = new Executor(
+    decision,
+    { maxBodyBytes: 65_536, connectMs: 500, silentMs: 20_000 },
+    new Counters(),
+    monotonicNow,
+  );
   const proxyAddress = `127.0.0.1:${await executor.listen('127.0.0.1:0')}`;
   const body = JSON.stringify({ model: 'm', prompt: 'x'.repeat(500) });
   let [proxyMs, relayMs] = [0, 0];
@@ -192,7 +348,10 @@
     relayMs += relay;
   }
   await executor.drain(0);
-  for (const server of [backServer, bareServer]) { server.closeAllConnections(); server.close(); }
+  for (const server of [backServer, bareServer]) {
+    server.closeAllConnections();
+    server.close();
+  }
   return { rounds, proxyMs: proxyMs / rounds, relayMs: relayMs / rounds, ratio: proxyMs / relayMs };
 }
 
@@ -200,9 +359,21 @@
   const { host, port } = splitAddress(address);
   const start: Moment = monotonicNow();
   function run(done: (millis: number) => void, fail: (thrown: unknown) => void): void {
-    function ended(): void { done(monotonicNow() - start); }
-    function take(returned: IncomingMessage): void { returned.resume(); returned.once('end', ended); }
-    const sent = request({ host, port, method: 'POST', path: '/c', agent: false, headers: { 'content-length': Buffer.byteLength(body) } });
+    function ended(): void {
+      done(monotonicNow() - start);
+    }
+    function take(returned: IncomingMessage): void {
+      returned.resume();
+      returned.once('end', ended);
+    }
+    const sent = request({
+      host,
+      port,
+      method: 'POST',
+      path: '/c',
+      agent: false,
+      headers: { 'content-length': Buffer.byteLength(body) },
+    });
     sent.once('response', take);
     sent.once('error', fail);
     sent.end(body);
--- a/src/myth/Network.test.ts
+++ b/src/myth/Network.test.ts
@@ -1,10 +1,30 @@
 import { expect, test } from 'vitest';
 import { Simulation, storm } from './Simulation.js';
 
-async function checkCuts(): Promise<void> { expect(await storm(2000, 30, ['cut-minds', 'cut-one-way', 'isolate-mind', 'isolate-core', 'loss', 'delay'])).toEqual([]); }
+async function checkCuts(): Promise<void> {
+  expect(
+    await storm(2000, 30, [
+      'cut-minds',
+      'cut-one-way',
+      'isolate-mind',
+      'isolate-core',
+      'loss',
+      'delay',
+    ]),
+  ).toEqual([]);
+}
 const [a, b, c] = ['mind-0:1', 'mind-1:1', 'mind-2:1'];
-const WAYS: readonly (readonly [string, string])[] = [[a, b], [b, a], [a, c], [c, a], [b, c], [c, b]];
-function isWhole(cut: number, first: number): boolean { return (cut & (3 << first)) === 0; }
+const WAYS: readonly (readonly [string, string])[] = [
+  [a, b],
+  [b, a],
+  [a, c],
+  [c, a],
+  [b, c],
+  [c, b],
+];
+function isWhole(cut: number, first: number): boolean {
+  return (cut & (3 << first)) === 0;
+}
 async function checkLasting(): Promise<void> {
   const without: string[] = [];
   for (let cut = 1; cut < 64; cut += 1) {
@@ -14,7 +34,8 @@
     const { agenda } = simulation;
     simulation.start();
     agenda.runUntil(12_000);
-    for (const [index, [from, to]] of WAYS.entries()) if (cut & (1 << index)) simulation.network.cut(from, to);
+    for (const [index, [from, to]] of WAYS.entries())
+      if (cut & (1 << index)) simulation.network.cut(from, to);
     agenda.runUntil(agenda.now + 20_000);
     const holders = new Set<string>();
     let gaps = 0;
@@ -25,10 +46,17 @@
       else gaps += 1;
     }
     // One holder, and the same throughout.
-    if (gaps > 0 || holders.size !== 1) without.push(`${cut.toString(2).padStart(6, '0')}: ${gaps} gaps, holders ${[...holders].join(' ')}`);
+    if (gaps > 0 || holders.size !== 1)
+      without.push(
+        `${cut.toString(2).padStart(6, '0')}: ${gaps} gaps, holders ${[...holders].join(' ')}`,
+      );
     await new Promise(setImmediate);
   }
   expect(without).toEqual([]);
 }
-test('every lasting split that leaves two nodes in touch ends with one lasting holder', checkLasting, 600_000);
+test(
+  'every lasting split that leaves two nodes in touch ends with one lasting holder',
+  checkLasting,
+  600_000,
+);
 test('no rule breaks when the core is cut, one way or both, in part or whole', checkCuts, 600_000);
--- a/src/myth/Network.ts
+++ b/src/myth/Network.ts
@@ -22,21 +22,37 @@
     this.#deliver = deliver;
   }
 
-  get sent(): number { return this.#sent; }
+  get sent(): number {
+    return this.#sent;
+  }
 
   /** Every link that ever sent anything. */
-  get linkIds(): ReadonlySet<string> { return this.#links; }
+  get linkIds(): ReadonlySet<string> {
+    return this.#links;
+  }
 
   /** Cuts one way; what is on its way is lost too. */
-  cut(from: string, to: string): void { this.#cuts.add(`${from}\n${to}`); }
+  cut(from: string, to: string): void {
+    this.#cuts.add(`${from}\n${to}`);
+  }
 
-  heal(from: string, to: string): void { this.#cuts.delete(`${from}\n${to}`); }
+  heal(from: string, to: string): void {
+    this.#cuts.delete(`${from}\n${to}`);
+  }
 
-  healAll(): void { this.#cuts.clear(); this.loss = 0; this.mostDelay = 5; }
+  healAll(): void {
+    this.#cuts.clear();
+    this.loss = 0;
+    this.mostDelay = 5;
+  }
 
-  isCut(from: string, to: string): boolean { return this.#cuts.has(`${from}\n${to}`); }
+  isCut(from: string, to: string): boolean {
+    return this.#cuts.has(`${from}\n${to}`);
+  }
 
-  delay(): number { return this.#seeded.between(0.2, this.mostDelay); }
+  delay(): number {
+    return this.#seeded.between(0.2, this.mostDelay);
+  }
 
   send(from: string, to: string, message: Message): void {
     this.#sent += 1;
@@ -48,7 +64,9 @@
     // Through the wire form and back, so that nothing is shared between nodes and every message is encodable.
     const bytes = encodeMessage(message);
     const network = { isCut: this.isCut.bind(this), deliver: this.#deliver };
-    function arrive(): void { if (!network.isCut(from, to)) network.deliver(to, from, decodeMessage(bytes)); }
+    function arrive(): void {
+      if (!network.isCut(from, to)) network.deliver(to, from, decodeMessage(bytes));
+    }
     this.#agenda.at(at, arrive);
   }
 }
--- a/src/myth/PlainStand.ts
+++ b/src/myth/PlainStand.ts
@@ -15,14 +15,35 @@
     this.#server = new StandServer(this.#serve.bind(this), records);
   }
 
-  async listen(address: string): Promise<number> { return this.#server.listen(address); }
+  async listen(address: string): Promise<number> {
+    return this.#server.listen(address);
+  }
 
-  close(): void { this.#server.close(); }
+  close(): void {
+    this.#server.close();
+  }
 
-  async #serve(_method: string, path: string, _body: string, returned: ServerResponse, asked: IncomingMessage): Promise<void> {
+  async #serve(
+    _method: string,
+    path: string,
+    _body: string,
+    returned: ServerResponse,
+    asked: IncomingMessage,
+  ): Promise<void> {
     const id = String(asked.headers['x-request-id'] ?? '');
     const run = randomUUID();
-    this.#server.record({ what: 'run', runner: this.#id, id, run, model: '', adapter: '', parts: 0, kept: 0, upMs: 0, concurrent: 0 });
+    this.#server.record({
+      what: 'run',
+      runner: this.#id,
+      id,
+      run,
+      model: '',
+      adapter: '',
+      parts: 0,
+      kept: 0,
+      upMs: 0,
+      concurrent: 0,
+    });
     await pause(this.#workMs);
     returnJson(returned, 200, { id, run, path, runner: this.#id, end: 0 });
     this.#server.record({ what: 'ran', runner: this.#id, id, run, whole: true });
--- a/src/myth/PlatformStand.ts
+++ b/src/myth/PlatformStand.ts
@@ -20,19 +20,27 @@
     this.#server = new StandServer(this.#serve.bind(this), records);
   }
 
-  async listen(address: string): Promise<number> { return this.#server.listen(address); }
+  async listen(address: string): Promise<number> {
+    return this.#server.listen(address);
+  }
 
-  close(): void { this.#server.close(); }
+  close(): void {
+    this.#server.close();
+  }
 
   #serve(method: string, path: string, body: string, returned: ServerResponse): void {
     if (method === 'PUT' && path === '/machines') {
       const put = parseAs(PutShape, body);
-      if (put) { this.#machines = put.machines; this.#revision += 1; }
+      if (put) {
+        this.#machines = put.machines;
+        this.#revision += 1;
+      }
     } else if (method === 'POST' && path === '/mark') {
       const mark = parseAs(MarkShape, body);
       if (mark) {
         const marked: Machine[] = [];
-        for (const machine of this.#machines) marked.push(machine.id === mark.id ? { ...machine, leaving: mark.leaving } : machine);
+        for (const machine of this.#machines)
+          marked.push(machine.id === mark.id ? { ...machine, leaving: mark.leaving } : machine);
         this.#machines = marked;
         this.#revision += 1;
         this.#server.record({ what: 'mark', ...mark, revision: this.#revision });
--- a/src/myth/Rehearsal.test.ts
+++ b/src/myth/Rehearsal.test.ts
@@ -9,10 +9,25 @@
 import { join } from 'node:path';
 
 /** What no slow machine can upset; the rules with a span in them are judged on virtual time. */
-const TIMELESS = new Set<string>(['run-twice', 'ran-though-turned-away', 'not-whole', 'stitched', 'over-room', 'over-store', 'lost-table', 'cut-by-plan']);
-function isTimeless(violation: Violation): boolean { return TIMELESS.has(violation.rule); }
-function quiet(): void { /* the test says it all */ }
-function flowOf(edge: { readonly flow: string }): string { return edge.flow; }
+const TIMELESS = new Set<string>([
+  'run-twice',
+  'ran-though-turned-away',
+  'not-whole',
+  'stitched',
+  'over-room',
+  'over-store',
+  'lost-table',
+  'cut-by-plan',
+]);
+function isTimeless(violation: Violation): boolean {
+  return TIMELESS.has(violation.rule);
+}
+function quiet(): void {
+  /* the test says it all */
+}
+function flowOf(edge: { readonly flow: string }): string {
+  return edge.flow;
+}
 async function checkTroubles(): Promise<void> {
   const root = mkdtempSync(join(tmpdir(), 'hamlet-'));
   const fleet = new FleetClass(HAMLET, root);
@@ -22,7 +37,9 @@
     const callers = new CallersClass(fleet.edges.map(flowOf), 3);
     for (const kind of HAMLET.traffic) callers.begin(kind, 2);
     const seen = { done: 0 };
-    async function hasServed(): Promise<boolean> { return callers.records.filter(isDone).length >= seen.done + 20; }
+    async function hasServed(): Promise<boolean> {
+      return callers.records.filter(isDone).length >= seen.done + 20;
+    }
     async function served(what: string): Promise<void> {
       seen.done = callers.records.filter(isDone).length;
       await fleet.until(`twenty calls served ${what}`, 60_000, hasServed);
@@ -35,13 +52,20 @@
     await fleet.signal(killed, 'SIGKILL');
     await rehearsal.backInService(60_000);
     fleet.run(killed);
-    await fleet.until('the killed leader counts again', 60_000, rehearsal.isSound.bind(rehearsal, killed));
+    await fleet.until(
+      'the killed leader counts again',
+      60_000,
+      rehearsal.isSound.bind(rehearsal, killed),
+    );
     // A table accepted while a proxy is frozen: the yes waits until that one is surely blind.
     const frozenAt = Date.now();
     await fleet.signal('flow-1', 'SIGSTOP');
     expect(await rehearsal.setCell('check/receipt-*', 'weight', 71)).toBe(200);
     await fleet.signal('flow-1', 'SIGCONT');
-    rehearsal.note({ what: 'frozen', node: fleet.edges[1]?.flow ?? '', number: Date.now() - frozenAt }, frozenAt);
+    rehearsal.note(
+      { what: 'frozen', node: fleet.edges[1]?.flow ?? '', number: Date.now() - frozenAt },
+      frozenAt,
+    );
     await rehearsal.backInService(60_000);
     // The disk of the node that gave a yes is lost right after it.
     const lost = await rehearsal.leaderName();
@@ -50,7 +74,11 @@
     const mind = fleet.minds.find(isNamed.bind(undefined, lost));
     if (mind) fleet.wipe(mind);
     fleet.run(lost);
-    await fleet.until('the node that lost its disk counts again', 60_000, rehearsal.isSound.bind(rehearsal, lost));
+    await fleet.until(
+      'the node that lost its disk counts again',
+      60_000,
+      rehearsal.isSound.bind(rehearsal, lost),
+    );
     await rehearsal.backInService(60_000);
     await served('after all that');
     // Every program is stopped as planned and started anew, one by one, with streams open.
@@ -77,4 +105,8 @@
     rmSync(root, { recursive: true, force: true });
   }
 }
-test('separate processes killed, frozen, wiped and restarted under streams break no rule', checkTroubles, 600_000);
+test(
+  'separate processes killed, frozen, wiped and restarted under streams break no rule',
+  checkTroubles,
+  600_000,
+);
--- a/src/myth/Rehearsal.ts
+++ b/src/myth/Rehearsal.ts
@@ -10,9 +10,18 @@
 import { readBackRecords, type EventRecord } from './Records.js';
 import { pause } from './RunnerStand.js';
 
-const CountersShape = type({ memory: number(), runs: optional(number()), repeats: optional(number()) });
+const CountersShape = type({
+  memory: number(),
+  runs: optional(number()),
+  repeats: optional(number()),
+});
 
-export interface RehearsalPlan { readonly seconds: number; readonly factor: number; readonly isFailing: boolean; readonly only: string }
+export interface RehearsalPlan {
+  readonly seconds: number;
+  readonly factor: number;
+  readonly isFailing: boolean;
+  readonly only: string;
+}
 
 /** One rehearsal of a fleet: founds it, gives it its table, sends traffic, and judges. */
 export class Rehearsal {
@@ -26,10 +35,16 @@
     this.#say = say;
   }
 
-  get events(): readonly EventRecord[] { return this.#events; }
-  get table(): number { return this.#table; }
+  get events(): readonly EventRecord[] {
+    return this.#events;
+  }
+  get table(): number {
+    return this.#table;
+  }
 
-  note(event: Omit<EventRecord, 'at'>, at = Date.now()): void { this.#events.push({ at, ...event }); }
+  note(event: Omit<EventRecord, 'at'>, at = Date.now()): void {
+    this.#events.push({ at, ...event });
+  }
 
   /** From nothing to a fleet that serves its table. */
   async begin(): Promise<void> {
@@ -47,13 +62,25 @@
 
   async #isServing(): Promise<boolean> {
     const { value } = await this.#fleet.operate('GET', '/status');
-    return value['leader'] !== '' && value['leader'] !== undefined && (await this.#fleet.operate('GET', '/table')).status === 200;
+    return (
+      value['leader'] !== '' &&
+      value['leader'] !== undefined &&
+      (await this.#fleet.operate('GET', '/table')).status === 200
+    );
   }
 
   async #areFlowsFresh(): Promise<boolean> {
     for (const edge of this.#fleet.edges) {
-      const counters: unknown = JSON.parse((await call('GET', edge.flowStatus, '/counters', undefined, 2000)).body);
-      if (typeof counters !== 'object' || counters === null || !('fresh' in counters) || counters.fresh !== true) return false;
+      const counters: unknown = JSON.parse(
+        (await call('GET', edge.flowStatus, '/counters', undefined, 2000)).body,
+      );
+      if (
+        typeof counters !== 'object' ||
+        counters === null ||
+        !('fresh' in counters) ||
+        counters.fresh !== true
+      )
+        return false;
     }
     return true;
   }
@@ -62,26 +89,47 @@
   async #arePlaced(): Promise<boolean> {
     const { value } = await this.#fleet.operate('GET', '/status');
     const places = value['places'];
-    if (typeof places !== 'object' || places === null || !('places' in places) || !Array.isArray(places.places)) return false;
+    if (
+      typeof places !== 'object' ||
+      places === null ||
+      !('places' in places) ||
+      !Array.isArray(places.places)
+    )
+      return false;
     let seated = 0;
     for (const place of places.places) {
       const item: unknown = place;
-      if (typeof item === 'object' && item !== null && 'seats' in item && Array.isArray(item.seats) && item.seats.length > 0) seated += 1;
+      if (
+        typeof item === 'object' &&
+        item !== null &&
+        'seats' in item &&
+        Array.isArray(item.seats) &&
+        item.seats.length > 0
+      )
+        seated += 1;
     }
     return seated >= Math.min(8, this.#fleet.deployment.catalog.models.length / 2);
   }
 
   async putTable(text: string): Promise<void> {
     const id = randomUUID();
-    const base = Number((await this.#fleet.operateUntil('GET', '/table', undefined, 20_000)).value['number']);
+    const base = Number(
+      (await this.#fleet.operateUntil('GET', '/table', undefined, 20_000)).value['number'],
+    );
     const returned = await this.#fleet.operateUntil('PUT', '/table', { id, base, text }, 20_000);
-    if (returned.status !== 200) throw new Error(`the table was not accepted: ${JSON.stringify(returned)}`);
+    if (returned.status !== 200)
+      throw new Error(`the table was not accepted: ${JSON.stringify(returned)}`);
     this.#table = Number(returned.value['number']);
     this.note({ what: 'table-accepted', number: this.#table });
   }
 
   async setCell(row: string, column: string, value: string | number | boolean): Promise<number> {
-    const returned = await this.#fleet.operateUntil('PATCH', '/table/cell', { id: randomUUID(), base: this.#table, row, column, value }, 20_000);
+    const returned = await this.#fleet.operateUntil(
+      'PATCH',
+      '/table/cell',
+      { id: randomUUID(), base: this.#table, row, column, value },
+      20_000,
+    );
     if (returned.status === 200) {
       this.#table = Number(returned.value['number']);
       this.note({ what: 'table-accepted', number: this.#table });
@@ -91,7 +139,12 @@
 
   async emptyZone(zone: string, isEmpty: boolean): Promise<void> {
     if (!isEmpty) this.note({ what: 'zone-filling', zone });
-    const returned = await this.#fleet.operateUntil(isEmpty ? 'PUT' : 'DELETE', `/zones/${zone}/empty`, { id: randomUUID() }, 20_000);
+    const returned = await this.#fleet.operateUntil(
+      isEmpty ? 'PUT' : 'DELETE',
+      `/zones/${zone}/empty`,
+      { id: randomUUID() },
+      20_000,
+    );
     if (returned.status !== 200) throw new Error(`zone ${zone}: ${JSON.stringify(returned)}`);
     if (isEmpty) this.note({ what: 'zone-emptied', zone });
   }
@@ -103,17 +156,26 @@
     const half = await this.#flowCounters();
     await pause(plan.seconds * 500);
     const full = await this.#flowCounters();
-    this.#say(`proxies at half time and at the end: memory ${half.memory} and ${full.memory} MB at most, runs ${half.runs} and ${full.runs}, repeats ${full.repeats}`);
+    this.#say(
+      `proxies at half time and at the end: memory ${half.memory} and ${full.memory} MB at most, runs ${half.runs} and ${full.runs}, repeats ${full.repeats}`,
+    );
     const hasReturned = plan.isFailing ? await this.#troubles(callers, plan.only) : true;
     await callers.end();
-    return await this.judge(callers) && hasReturned;
+    return (await this.judge(callers)) && hasReturned;
   }
 
   /** Sums over all proxies, and the most memory that one of them holds. */
-  async #flowCounters(): Promise<{ readonly memory: number; readonly runs: number; readonly repeats: number }> {
+  async #flowCounters(): Promise<{
+    readonly memory: number;
+    readonly runs: number;
+    readonly repeats: number;
+  }> {
     let [memory, runs, repeats] = [0, 0, 0];
     for (const edge of this.#fleet.edges) {
-      const counters = parseAs(CountersShape, (await call('GET', edge.flowStatus, '/counters', undefined, 2000)).body);
+      const counters = parseAs(
+        CountersShape,
+        (await call('GET', edge.flowStatus, '/counters', undefined, 2000)).body,
+      );
       memory = Math.max(memory, Math.round((counters?.memory ?? 0) / 1e6));
       runs += counters?.runs ?? 0;
       repeats += counters?.repeats ?? 0;
@@ -133,7 +195,9 @@
       await run();
     } catch (thrown) {
       for (const mind of this.#fleet.minds) {
-        const { me, role, epoch, leader, standing, voters, scores, config } = (await this.#fleet.operate('GET', '/status', undefined, mind)).value;
+        const { me, role, epoch, leader, standing, voters, scores, config } = (
+          await this.#fleet.operate('GET', '/status', undefined, mind)
+        ).value;
         this.#say(JSON.stringify({ me, role, epoch, leader, standing, voters, scores, config }));
       }
       throw thrown;
@@ -142,10 +206,16 @@
   }
 
   async backInService(limitMs: number): Promise<void> {
-    await this.#fleet.until('a leader that serves, and every flow fresh', limitMs, this.#isBack.bind(this));
+    await this.#fleet.until(
+      'a leader that serves, and every flow fresh',
+      limitMs,
+      this.#isBack.bind(this),
+    );
   }
 
-  async #isBack(): Promise<boolean> { return await this.#isServing() && await this.#areFlowsFresh(); }
+  async #isBack(): Promise<boolean> {
+    return (await this.#isServing()) && (await this.#areFlowsFresh());
+  }
 
   /** The brief's failures on real processes, one after the other, and one more at the end; then service must return. */
   async #troubles(callers: Callers, only: string): Promise<boolean> {
@@ -153,11 +223,26 @@
     const [edge] = fleet.edges;
     const row = /^row (\S+) (\S+)/m.exec(fleet.deployment.table)?.slice(1).join('/') ?? '';
     const say = this.#say;
-    const self = { setCell: this.setCell.bind(this), back: this.backInService.bind(this), race: this.#race.bind(this), leader: this.leaderName.bind(this), emptyZone: this.emptyZone.bind(this), note: this.note.bind(this), table: this.#tableNumber.bind(this), seatsOf: this.#primariesAt.bind(this), isSound: this.isSound.bind(this), isVoter: this.#isVoter.bind(this) };
+    const self = {
+      setCell: this.setCell.bind(this),
+      back: this.backInService.bind(this),
+      race: this.#race.bind(this),
+      leader: this.leaderName.bind(this),
+      emptyZone: this.emptyZone.bind(this),
+      note: this.note.bind(this),
+      table: this.#tableNumber.bind(this),
+      seatsOf: this.#primariesAt.bind(this),
+      isSound: this.isSound.bind(this),
+      isVoter: this.#isVoter.bind(this),
+    };
     const [runner, otherRunner] = fleet.deployment.runners;
     const zone = fleet.deployment.zones[0] ?? '';
-    async function cell(): Promise<void> { await self.setCell(row, 'weight', 91); }
-    async function race(): Promise<void> { say(`two operators racing: ${await self.race(row)}`); }
+    async function cell(): Promise<void> {
+      await self.setCell(row, 'weight', 91);
+    }
+    async function race(): Promise<void> {
+      say(`two operators racing: ${await self.race(row)}`);
+    }
     async function killLeader(): Promise<void> {
       const name = await self.leader();
       await fleet.signal(name, 'SIGKILL');
@@ -178,10 +263,23 @@
       if (!old) return;
       await fleet.signal(old.name, 'SIGKILL');
       const fresh = await fleet.addMind(old.zone);
-      await fleet.until('the new control node holds everything', 20_000, self.isSound.bind(undefined, fresh.name));
-      const returned = await fleet.operateUntil('POST', '/voters/swap', { id: randomUUID(), old: old.listen, new: fresh.listen }, 20_000);
+      await fleet.until(
+        'the new control node holds everything',
+        20_000,
+        self.isSound.bind(undefined, fresh.name),
+      );
+      const returned = await fleet.operateUntil(
+        'POST',
+        '/voters/swap',
+        { id: randomUUID(), old: old.listen, new: fresh.listen },
+        20_000,
+      );
       if (returned.status !== 200) throw new Error(`swap: ${JSON.stringify(returned)}`);
-      await fleet.until('three voters, the new one among them', 20_000, self.isVoter.bind(undefined, fresh.listen, old.listen));
+      await fleet.until(
+        'three voters, the new one among them',
+        20_000,
+        self.isVoter.bind(undefined, fresh.listen, old.listen),
+      );
       await self.back(30_000);
     }
     async function loseDisk(): Promise<void> {
@@ -194,7 +292,11 @@
       fleet.run(name);
       await self.back(30_000);
       // One disk at a time: with the next fault before this node counts again, nobody could be asked for what it lost.
-      await fleet.until('the node that lost its disk counts again', 30_000, self.isSound.bind(undefined, name));
+      await fleet.until(
+        'the node that lost its disk counts again',
+        30_000,
+        self.isSound.bind(undefined, name),
+      );
       const read = await fleet.operateUntil('GET', '/table', undefined, 20_000);
       self.note({ what: 'table-read', number: Number(read.value['number']) });
     }
@@ -220,7 +322,9 @@
         if (record.sentAt < start || !seats.has(record.model)) continue;
         counts.set(record.outcome, (counts.get(record.outcome) ?? 0) + 1);
       }
-      say(`calls in the 3 s after, for models whose primary it was: ${JSON.stringify(Object.fromEntries(counts))}`);
+      say(
+        `calls in the 3 s after, for models whose primary it was: ${JSON.stringify(Object.fromEntries(counts))}`,
+      );
       fleet.run(otherRunner.id);
       await pause(3000);
     }
@@ -251,8 +355,16 @@
       await self.back(30_000);
     }
     async function restartControl(): Promise<void> {
-      for (const index of fleet.edges.keys()) { await fleet.signal(`link-${index}`, 'SIGTERM'); fleet.run(`link-${index}`); await pause(300); }
-      for (const mind of fleet.minds) { await fleet.signal(mind.name, 'SIGTERM'); fleet.run(mind.name); await self.back(30_000); }
+      for (const index of fleet.edges.keys()) {
+        await fleet.signal(`link-${index}`, 'SIGTERM');
+        fleet.run(`link-${index}`);
+        await pause(300);
+      }
+      for (const mind of fleet.minds) {
+        await fleet.signal(mind.name, 'SIGTERM');
+        fleet.run(mind.name);
+        await self.back(30_000);
+      }
     }
     async function lastFault(): Promise<void> {
       await fleet.signal('link-0', 'SIGKILL');
@@ -269,7 +381,8 @@
       const rare = fleet.deployment.catalog.models.filter(isRare);
       if (!kind || !edge) return;
       const sends = [];
-      for (let index = 0; index < 200; index += 1) sends.push(callers.send(kind, rare[index % rare.length]?.name));
+      for (let index = 0; index < 200; index += 1)
+        sends.push(callers.send(kind, rare[index % rare.length]?.name));
       await Promise.all(sends);
     }
     async function cutLeader(): Promise<void> {
@@ -281,7 +394,12 @@
       fleet.cuts.set(true, new Set([mind.listen]), rest);
       await pause(6000);
       // While it is cut off, the others go on; its operators are told nothing it cannot keep.
-      const held = await fleet.operate('PATCH', '/table/cell', { id: randomUUID(), base: self.table(), row, column: 'weight', value: 77 }, mind);
+      const held = await fleet.operate(
+        'PATCH',
+        '/table/cell',
+        { id: randomUUID(), base: self.table(), row, column: 'weight', value: 77 },
+        mind,
+      );
       say(`an edit at the leader that is cut off: ${held.status}`);
       await self.setCell(row, 'weight', 94);
       fleet.cuts.set(false, new Set([mind.listen]), rest);
@@ -307,10 +425,24 @@
       await self.back(30_000);
     }
     const steps: readonly (readonly [string, () => Promise<void>])[] = [
-      ['one cell', cell], ['two operators', race], ['leader killed', killLeader], ['leader frozen and woken', freezeLeader], ['disk lost after a yes', loseDisk],
-      ['leader cut off', cutLeader], ['edge cut off', cutEdge], ['whole core cut off', cutCore],
-      ['runner leaving', leave], ['zone emptied', empty], ['runner killed', killRunner], ['runner dark', darkRunner], ['proxy frozen and woken', freezeFlow],
-      ['crowd on rare models', crowd], ['proxies restarted', restartFlows], ['links and minds restarted', restartControl], ['seed swapped', swapSeed], ['one more fault', lastFault],
+      ['one cell', cell],
+      ['two operators', race],
+      ['leader killed', killLeader],
+      ['leader frozen and woken', freezeLeader],
+      ['disk lost after a yes', loseDisk],
+      ['leader cut off', cutLeader],
+      ['edge cut off', cutEdge],
+      ['whole core cut off', cutCore],
+      ['runner leaving', leave],
+      ['zone emptied', empty],
+      ['runner killed', killRunner],
+      ['runner dark', darkRunner],
+      ['proxy frozen and woken', freezeFlow],
+      ['crowd on rare models', crowd],
+      ['proxies restarted', restartFlows],
+      ['links and minds restarted', restartControl],
+      ['seed swapped', swapSeed],
+      ['one more fault', lastFault],
     ];
     for (const [name, run] of steps) if (only === '' || name === only) await this.#step(name, run);
     const before = callers.records.length;
@@ -323,12 +455,20 @@
 
   async isSound(name: string): Promise<boolean> {
     const mind = this.#fleet.minds.find(isNamed.bind(undefined, name));
-    return mind !== undefined && (await this.#fleet.operate('GET', '/status', undefined, mind)).value['standing'] === 'sound';
+    return (
+      mind !== undefined &&
+      (await this.#fleet.operate('GET', '/status', undefined, mind)).value['standing'] === 'sound'
+    );
   }
 
   async #isVoter(fresh: string, old: string): Promise<boolean> {
     const { voters }: Record<string, unknown> = (await this.#fleet.operate('GET', '/status')).value;
-    return Array.isArray(voters) && voters.length === 3 && voters.includes(fresh) && !voters.includes(old);
+    return (
+      Array.isArray(voters) &&
+      voters.length === 3 &&
+      voters.includes(fresh) &&
+      !voters.includes(old)
+    );
   }
 
   /** The models whose primary a runner is. */
@@ -336,18 +476,29 @@
     const status = (await this.#fleet.operate('GET', '/status')).value;
     const models = new Set<string>();
     const places: unknown = status['places'];
-    if (PlacesShape.is(places)) for (const place of places.places) if (place.seats[0]?.runner === runner) models.add(place.model);
+    if (PlacesShape.is(places))
+      for (const place of places.places)
+        if (place.seats[0]?.runner === runner) models.add(place.model);
     return models;
   }
 
-  #tableNumber(): number { return this.#table; }
+  #tableNumber(): number {
+    return this.#table;
+  }
 
   /** Two operators send a cell edit from the same base at the same moment; says how they fared. */
   async #race(row: string): Promise<string> {
     const base = this.#table;
     const edits = [];
     for (const [index, mind] of this.#fleet.minds.slice(0, 2).entries()) {
-      edits.push(this.#fleet.operate('PATCH', '/table/cell', { id: randomUUID(), base, row, column: 'weight', value: 50 + index }, mind));
+      edits.push(
+        this.#fleet.operate(
+          'PATCH',
+          '/table/cell',
+          { id: randomUUID(), base, row, column: 'weight', value: 50 + index },
+          mind,
+        ),
+      );
     }
     const statuses: number[] = [];
     for (const returned of await Promise.all(edits)) {
@@ -365,19 +516,28 @@
     this.note({ what: 'table-read', number: Number(read.value['number']) });
     const backs = readBackRecords(this.#fleet.backRecords());
     const lateness = new Map<string, number>();
-    for (const row of compile(this.#fleet.deployment.table).table.rows) lateness.set(row.type, Math.max(row.lateMs, lateness.get(row.type) ?? 0));
+    for (const row of compile(this.#fleet.deployment.table).table.rows)
+      lateness.set(row.type, Math.max(row.lateMs, lateness.get(row.type) ?? 0));
     this.#say(`judged ${callers.records.length} calls and ${backs.length} records`);
-    return new Judge({ callers: callers.records, backs, events: this.#events, zones: this.#fleet.zones(), lateness }).judge();
+    return new Judge({
+      callers: callers.records,
+      backs,
+      events: this.#events,
+      zones: this.#fleet.zones(),
+      lateness,
+    }).judge();
   }
 
   async judge(callers: Callers): Promise<boolean> {
     const violations = await this.violations(callers);
     const counts = new Map<string, number>();
     for (const rule of RULES) counts.set(rule, 0);
-    for (const violation of violations) counts.set(violation.rule, (counts.get(violation.rule) ?? 0) + 1);
+    for (const violation of violations)
+      counts.set(violation.rule, (counts.get(violation.rule) ?? 0) + 1);
     this.#say(`${violations.length} broken rules`);
     for (const [rule, count] of counts) if (count > 0) this.#say(`  ${rule}: ${count}`);
-    for (const violation of violations.slice(0, 20)) this.#say(`  ${violation.rule}: ${violation.text}`);
+    for (const violation of violations.slice(0, 20))
+      this.#say(`  ${violation.rule}: ${violation.text}`);
     let done = 0;
     for (const record of callers.records) if (record.outcome === 'done') done += 1;
     // A fleet that turns everything away breaks no rule, and is of no use.
@@ -387,7 +547,15 @@
   }
 }
 
-export function isNamed(name: string, mind: { readonly name: string }): boolean { return mind.name === name; }
-function listenOf(place: { readonly listen: string }): string { return place.listen; }
-export function isDone(record: { readonly outcome: string }): boolean { return record.outcome === 'done'; }
-function isRare(model: { readonly name: string }): boolean { return model.name.startsWith('rare') || model.name.startsWith('seldom'); }
+export function isNamed(name: string, mind: { readonly name: string }): boolean {
+  return mind.name === name;
+}
+function listenOf(place: { readonly listen: string }): string {
+  return place.listen;
+}
+export function isDone(record: { readonly outcome: string }): boolean {
+  return record.outcome === 'done';
+}
+function isRare(model: { readonly name: string }): boolean {
+  return model.name.startsWith('rare') || model.name.startsWith('seldom');
+}
--- a/src/myth/RunnerStand.ts
+++ b/src/myth/RunnerStand.ts
@@ -6,8 +6,23 @@
 import type { Hold } from '../place/Shapes.js';
 import { returnJson, StandServer } from './StandServer.js';
 
-const OrderShape = type({ id: string(), verb: string(), model: string(), adapter: string(), boot: string(), size: number(), holder: string(), epoch: number() });
-const RunShape = type({ model: string(), adapter: optional(string()), parts: optional(array(string())), tokens: optional(number()), stream: optional(boolean()) });
+const OrderShape = type({
+  id: string(),
+  verb: string(),
+  model: string(),
+  adapter: string(),
+  boot: string(),
+  size: number(),
+  holder: string(),
+  epoch: number(),
+});
+const RunShape = type({
+  model: string(),
+  adapter: optional(string()),
+  parts: optional(array(string())),
+  tokens: optional(number()),
+  stream: optional(boolean()),
+});
 
 export interface RunnerStandSettings {
   readonly id: string;
@@ -22,7 +37,13 @@
   readonly coldMs: number;
 }
 
-interface HeldUnit { readonly model: string; readonly adapter: string; readonly size: number; state: Hold['state']; running: number }
+interface HeldUnit {
+  readonly model: string;
+  readonly adapter: string;
+  readonly size: number;
+  state: Hold['state'];
+  running: number;
+}
 
 /** A stand-in for a model runner: holds models and adapters in its room, obeys orders, runs requests, records all. */
 export class RunnerStand {
@@ -45,9 +66,17 @@
     return this.#server.listen(address);
   }
 
-  close(): void { this.#server.close(); }
+  close(): void {
+    this.#server.close();
+  }
 
-  #serve(method: string, path: string, body: string, returned: ServerResponse, asked: IncomingMessage): Promise<void> | void {
+  #serve(
+    method: string,
+    path: string,
+    body: string,
+    returned: ServerResponse,
+    asked: IncomingMessage,
+  ): Promise<void> | void {
     if (method === 'GET' && path === '/report') return returnJson(returned, 200, this.#report());
     if (method === 'POST' && path === '/orders') return this.#order(body, returned, asked);
     if (method === 'POST' && path === '/run') return this.#run(body, returned, asked);
@@ -57,7 +86,14 @@
   #report(): object {
     const holds: Hold[] = [];
     for (const unit of this.#holds.values()) holds.push({ ...unit });
-    return { id: this.#settings.id, boot: this.#boot, room: this.#settings.room, slots: this.#settings.slots, upMs: Date.now() - this.#bornAt, holds };
+    return {
+      id: this.#settings.id,
+      boot: this.#boot,
+      room: this.#settings.room,
+      slots: this.#settings.slots,
+      upMs: Date.now() - this.#bornAt,
+      holds,
+    };
   }
 
   #used(): number {
@@ -68,10 +104,19 @@
 
   #order(body: string, returned: ServerResponse, asked: IncomingMessage): void {
     const order = parseAs(OrderShape, body);
-    if (!order) { returnJson(returned, 400, { text: 'no order' }); return; }
+    if (!order) {
+      returnJson(returned, 400, { text: 'no order' });
+      return;
+    }
     const within = Number(asked.headers['x-take-within-ms'] ?? Infinity);
     if (this.#server.sinceContinue(asked) > within) {
-      this.#server.record({ what: 'late-order', runner: this.#settings.id, order: order.id, holder: order.holder, epoch: order.epoch });
+      this.#server.record({
+        what: 'late-order',
+        runner: this.#settings.id,
+        order: order.id,
+        holder: order.holder,
+        epoch: order.epoch,
+      });
       returnJson(returned, 409, { text: 'too late after the word to go on' });
       return;
     }
@@ -79,16 +124,43 @@
     const unit = this.#holds.get(key);
     const fits = this.#used() + order.size <= this.#settings.room;
     this.#server.record({
-      what: 'order', runner: this.#settings.id, order: order.id, verb: order.verb, model: order.model, adapter: order.adapter, holder: order.holder, epoch: order.epoch,
-      isRepeat: this.#orders.has(order.id), overRoom: order.verb === 'load' && !unit && !fits && !this.#orders.has(order.id), staleBoot: order.boot !== this.#boot,
+      what: 'order',
+      runner: this.#settings.id,
+      order: order.id,
+      verb: order.verb,
+      model: order.model,
+      adapter: order.adapter,
+      holder: order.holder,
+      epoch: order.epoch,
+      isRepeat: this.#orders.has(order.id),
+      overRoom: order.verb === 'load' && !unit && !fits && !this.#orders.has(order.id),
+      staleBoot: order.boot !== this.#boot,
     });
-    if (order.boot !== this.#boot) { returnJson(returned, 409, { text: 'meant for who was here before' }); return; }
-    if (this.#orders.has(order.id)) { returnJson(returned, 202, { text: 'already taken' }); return; }
+    if (order.boot !== this.#boot) {
+      returnJson(returned, 409, { text: 'meant for who was here before' });
+      return;
+    }
+    if (this.#orders.has(order.id)) {
+      returnJson(returned, 202, { text: 'already taken' });
+      return;
+    }
     this.#orders.add(order.id);
     if (order.verb === 'load') {
-      if (unit) { returnJson(returned, 202, { text: 'held' }); return; }
-      if (!fits) { returnJson(returned, 409, { text: 'does not fit' }); return; }
-      const next: HeldUnit = { model: order.model, adapter: order.adapter, size: order.size, state: 'loading', running: 0 };
+      if (unit) {
+        returnJson(returned, 202, { text: 'held' });
+        return;
+      }
+      if (!fits) {
+        returnJson(returned, 409, { text: 'does not fit' });
+        return;
+      }
+      const next: HeldUnit = {
+        model: order.model,
+        adapter: order.adapter,
+        size: order.size,
+        state: 'loading',
+        running: 0,
+      };
       this.#holds.set(key, next);
       void this.#fetch(key, next);
     } else if (unit && unit.state === 'ready') {
@@ -100,7 +172,13 @@
 
   async #fetch(key: string, unit: HeldUnit): Promise<void> {
     try {
-      const returned = await call('POST', this.#settings.store, '/fetches', JSON.stringify({ runner: this.#settings.id, model: unit.model, adapter: unit.adapter }), 60_000);
+      const returned = await call(
+        'POST',
+        this.#settings.store,
+        '/fetches',
+        JSON.stringify({ runner: this.#settings.id, model: unit.model, adapter: unit.adapter }),
+        60_000,
+      );
       if (returned.status !== 200) throw new Error('the store turned it away');
       unit.state = 'ready';
     } catch {
@@ -115,23 +193,60 @@
   async #run(body: string, returned: ServerResponse, asked: IncomingMessage): Promise<void> {
     const id = String(asked.headers['x-request-id'] ?? '');
     const run = parseAs(RunShape, body);
-    if (!run) { returnJson(returned, 400, { text: 'no request' }, { 'x-run': 'none' }); return; }
+    if (!run) {
+      returnJson(returned, 400, { text: 'no request' }, { 'x-run': 'none' });
+      return;
+    }
     const unit = this.#holds.get(`${run.model}\n`);
-    const adapter = run.adapter === undefined || run.adapter === '' ? undefined : this.#holds.get(`${run.model}\n${run.adapter}`);
-    const isHeld = unit?.state === 'ready' && (run.adapter === undefined || run.adapter === '' || adapter?.state === 'ready');
-    if (!unit || !isHeld || this.#running >= this.#settings.slots) this.#server.record({ what: 'none', runner: this.#settings.id, id });
-    if (!unit || !isHeld) { returnJson(returned, 409, { text: 'not held here' }, { 'x-run': 'none' }); return; }
-    if (this.#running >= this.#settings.slots) { returnJson(returned, 503, { text: 'full' }, { 'x-run': 'none' }); return; }
+    const adapter =
+      run.adapter === undefined || run.adapter === ''
+        ? undefined
+        : this.#holds.get(`${run.model}\n${run.adapter}`);
+    const isHeld =
+      unit?.state === 'ready' &&
+      (run.adapter === undefined || run.adapter === '' || adapter?.state === 'ready');
+    if (!unit || !isHeld || this.#running >= this.#settings.slots)
+      this.#server.record({ what: 'none', runner: this.#settings.id, id });
+    if (!unit || !isHeld) {
+      returnJson(returned, 409, { text: 'not held here' }, { 'x-run': 'none' });
+      return;
+    }
+    if (this.#running >= this.#settings.slots) {
+      returnJson(returned, 503, { text: 'full' }, { 'x-run': 'none' });
+      return;
+    }
     this.#running += 1;
     unit.running += 1;
     const runId = randomUUID();
     const upMs = Date.now() - this.#bornAt;
     const parts = run.parts ?? [];
     const kept = parts.filter(this.#keptParts.includes, this.#keptParts).length;
-    this.#keptParts = [...parts, ...this.#keptParts.filter(isNotAmong.bind(undefined, parts))].slice(0, 24);
-    this.#server.record({ what: 'run', runner: this.#settings.id, id, run: runId, model: run.model, adapter: run.adapter ?? '', parts: parts.length, kept, upMs, concurrent: this.#running });
+    this.#keptParts = [
+      ...parts,
+      ...this.#keptParts.filter(isNotAmong.bind(undefined, parts)),
+    ].slice(0, 24);
+    this.#server.record({
+      what: 'run',
+      runner: this.#settings.id,
+      id,
+      run: runId,
+      model: run.model,
+      adapter: run.adapter ?? '',
+      parts: parts.length,
+      kept,
+      upMs,
+      concurrent: this.#running,
+    });
     const slowness = upMs < this.#settings.coldMs ? 3 : 1;
-    const isDone = await this.#produce(run.tokens ?? 8, (parts.length - kept) * this.#settings.partMs * slowness, this.#settings.tokenMs * slowness, run.stream === true, runId, id, returned);
+    const isDone = await this.#produce(
+      run.tokens ?? 8,
+      (parts.length - kept) * this.#settings.partMs * slowness,
+      this.#settings.tokenMs * slowness,
+      run.stream === true,
+      runId,
+      id,
+      returned,
+    );
     this.#running -= 1;
     unit.running -= 1;
     this.#dropIfIdle(`${run.model}\n`, unit);
@@ -139,7 +254,15 @@
   }
 
   /** Streams one line a token, each numbered, and a last one that says it is the end. */
-  async #produce(tokens: number, promptMs: number, tokenMs: number, isStream: boolean, run: string, id: string, returned: ServerResponse): Promise<boolean> {
+  async #produce(
+    tokens: number,
+    promptMs: number,
+    tokenMs: number,
+    isStream: boolean,
+    run: string,
+    id: string,
+    returned: ServerResponse,
+  ): Promise<boolean> {
     await pause(promptMs);
     const lines: string[] = [];
     if (isStream) returned.writeHead(200, { 'content-type': 'application/x-ndjson' });
@@ -152,22 +275,36 @@
     }
     lines.push(`${JSON.stringify({ id, run, end: tokens })}\n`);
     if (returned.destroyed) return false;
-    if (!isStream) returned.writeHead(200, { 'content-type': 'application/x-ndjson', 'content-length': Buffer.byteLength(lines.join('')) });
-    function finish(done: () => void): void { returned.once('close', done); returned.end(lines.join(''), done); }
+    if (!isStream)
+      returned.writeHead(200, {
+        'content-type': 'application/x-ndjson',
+        'content-length': Buffer.byteLength(lines.join('')),
+      });
+    function finish(done: () => void): void {
+      returned.once('close', done);
+      returned.end(lines.join(''), done);
+    }
     await new Promise<void>(finish);
     return returned.writableFinished;
   }
 }
 
-function isNotAmong(parts: readonly string[], part: string): boolean { return !parts.includes(part); }
+function isNotAmong(parts: readonly string[], part: string): boolean {
+  return !parts.includes(part);
+}
 
 /** A stand-in takes time for its work as a real back end would. */
 export function pause(millis: number): Promise<void> {
-  function wait(done: () => void): void { setTimeout(done, millis); }
+  function wait(done: () => void): void {
+    setTimeout(done, millis);
+  }
   return millis > 0 ? new Promise(wait) : Promise.resolve();
 }
 
 function untilDrained(returned: ServerResponse): Promise<void> {
-  function wait(done: () => void): void { returned.once('drain', done); returned.once('close', done); }
+  function wait(done: () => void): void {
+    returned.once('drain', done);
+    returned.once('close', done);
+  }
   return new Promise(wait);
 }
--- a/src/myth/ScaleCommand.ts
+++ b/src/myth/ScaleCommand.ts
@@ -7,29 +7,68 @@
 import type { ScaleShape } from './ScaleShape.js';
 
 /** The points of each series; what a series does not name stands as in BASE. */
-const BASE: ScaleShape = { nodes: 100, runners: 1000, models: 190, adapters: 1600, routes: 200, zones: 11, minds: 3 };
+const BASE: ScaleShape = {
+  nodes: 100,
+  runners: 1000,
+  models: 190,
+  adapters: 1600,
+  routes: 200,
+  zones: 11,
+  minds: 3,
+};
 const SERIES: Readonly<Record<string, readonly Partial<ScaleShape>[]>> = {
   nodes: [{ nodes: 30 }, { nodes: 100 }, { nodes: 300 }, { nodes: 600 }, { nodes: 1000 }],
   runners: [{ runners: 1000 }, { runners: 2000 }, { runners: 5000 }, { runners: 11_000 }],
-  models: [{ models: 190, adapters: 1600 }, { models: 500, adapters: 4200 }, { models: 1000, adapters: 8400 }, { models: 1900, adapters: 16_000 }],
+  models: [
+    { models: 190, adapters: 1600 },
+    { models: 500, adapters: 4200 },
+    { models: 1000, adapters: 8400 },
+    { models: 1900, adapters: 16_000 },
+  ],
   routes: [{ routes: 200 }, { routes: 500 }, { routes: 1000 }, { routes: 2000 }],
   one: [{}],
   target: [{ nodes: 1000, runners: 11_000, models: 1900, adapters: 16_000 }],
 };
 
 export class ScaleCommand extends Command {
-  static override description = 'hollow edges and runners beside real control nodes: what control costs by role, and how it grows';
+  static override description =
+    'hollow edges and runners beside real control nodes: what control costs by role, and how it grows';
   static override flags = {
-    series: Flags.string({ default: 'nodes', options: Object.keys(SERIES), description: 'what grows from point to point' }),
-    nodes: Flags.integer({ default: BASE.nodes, description: 'nodes, where the series says nothing of them' }),
-    runners: Flags.integer({ default: BASE.runners, description: 'runners, where the series says nothing of them' }),
-    models: Flags.integer({ default: BASE.models, description: 'models, where the series says nothing of them' }),
-    processes: Flags.integer({ default: 3, description: 'over how many processes the hollow edges are spread' }),
+    series: Flags.string({
+      default: 'nodes',
+      options: Object.keys(SERIES),
+      description: 'what grows from point to point',
+    }),
+    nodes: Flags.integer({
+      default: BASE.nodes,
+      description: 'nodes, where the series says nothing of them',
+    }),
+    runners: Flags.integer({
+      default: BASE.runners,
+      description: 'runners, where the series says nothing of them',
+    }),
+    models: Flags.integer({
+      default: BASE.models,
+      description: 'models, where the series says nothing of them',
+    }),
+    processes: Flags.integer({
+      default: 3,
+      description: 'over how many processes the hollow edges are spread',
+    }),
     seconds: Flags.integer({ default: 8, description: 'how long each phase without changes is' }),
-    changes: Flags.integer({ default: 5, description: 'changes of configuration, and of the fleet, at each point' }),
-    units: Flags.integer({ default: 40, description: 'models that each proxy tells demand of, a second, in the phase with demand' }),
+    changes: Flags.integer({
+      default: 5,
+      description: 'changes of configuration, and of the fleet, at each point',
+    }),
+    units: Flags.integer({
+      default: 40,
+      description: 'models that each proxy tells demand of, a second, in the phase with demand',
+    }),
     loads: Flags.integer({ default: 4, description: 'loads at each point' }),
-    out: Flags.string({ default: '', description: 'folder for the figures (JSON) and the plots (SVG)' }),
+    out: Flags.string({
+      default: '',
+      description: 'folder for the figures (JSON) and the plots (SVG)',
+    }),
     plot: Flags.boolean({ default: false, description: 'only draw what the folder holds' }),
     part: Flags.string({ hidden: true, options: [...PART_KINDS] }),
     parent: Flags.integer({ hidden: true, default: process.ppid }),
@@ -38,13 +77,27 @@
 
   async run(): Promise<void> {
     const { flags } = await this.parse(ScaleCommand);
-    if (flags.part !== undefined) return servePart(await startPart(flags.part, flags.settings), flags.parent);
+    if (flags.part !== undefined)
+      return servePart(await startPart(flags.part, flags.settings), flags.parent);
     if (!flags.plot) {
       const points: ScalePoint[] = [];
       for (const change of SERIES[flags.series] ?? []) {
-        const shape = { ...BASE, nodes: flags.nodes, runners: flags.runners, models: flags.models, ...change };
+        const shape = {
+          ...BASE,
+          nodes: flags.nodes,
+          runners: flags.runners,
+          models: flags.models,
+          ...change,
+        };
         const run = new ScaleRun({
-          shape, isForked: true, program: process.argv[1] ?? '', processes: flags.processes, restMs: flags.seconds * 1000, changes: flags.changes, units: flags.units, loads: flags.loads,
+          shape,
+          isForked: true,
+          program: process.argv[1] ?? '',
+          processes: flags.processes,
+          restMs: flags.seconds * 1000,
+          changes: flags.changes,
+          units: flags.units,
+          loads: flags.loads,
           say: this.log.bind(this),
         });
         points.push(await run.run());
@@ -63,6 +116,9 @@
   #write(folder: string, series: string, points: readonly ScalePoint[]): void {
     if (folder === '') return;
     mkdirSync(folder, { recursive: true });
-    writeFileSync(join(folder, `${series}.json`), `${JSON.stringify({ series, points }, undefined, 1)}\n`);
+    writeFileSync(
+      join(folder, `${series}.json`),
+      `${JSON.stringify({ series, points }, undefined, 1)}\n`,
+    );
   }
 }
--- a/src/myth/ScaleFigures.ts
+++ b/src/myth/ScaleFigures.ts
@@ -4,11 +4,27 @@
 const CountShape = type({ messages: number(), bytes: number() });
 export const CostShape = type({ cpuMs: number(), rssMb: number(), countingMs: number() });
 export const MindFiguresShape = type({
-  cpuMs: number(), rssMb: number(), countingMs: number(), tally: TallyShape, isLeading: boolean(), configEpoch: number(), configCount: number(),
-  fleetEpoch: number(), fleetCount: number(), orders: number(), lists: number(), listMs: number(), writes: number(), writtenBytes: number(),
+  cpuMs: number(),
+  rssMb: number(),
+  countingMs: number(),
+  tally: TallyShape,
+  isLeading: boolean(),
+  configEpoch: number(),
+  configCount: number(),
+  fleetEpoch: number(),
+  fleetCount: number(),
+  orders: number(),
+  lists: number(),
+  listMs: number(),
+  writes: number(),
+  writtenBytes: number(),
 });
 export const EdgesFiguresShape = type({
-  cpuMs: number(), rssMb: number(), countingMs: number(), tally: TallyShape, repeats: CountShape,
+  cpuMs: number(),
+  rssMb: number(),
+  countingMs: number(),
+  tally: TallyShape,
+  repeats: CountShape,
   links: array(type({ id: string(), parent: string(), sent: CountShape, received: CountShape })),
 });
 export type MindFigures = Infer<typeof MindFiguresShape>;
@@ -16,8 +32,18 @@
 export type Cost = Infer<typeof CostShape>;
 
 /** What one process of a role did in a second of a phase, or for one change beyond what it does at rest. */
-export interface RoleFigures { readonly sent: Count; readonly received: Count; readonly cpuMs: number; readonly rssMb: number }
-export interface DepthFigures { readonly depth: number; readonly links: number; readonly sent: Count; readonly received: Count }
+export interface RoleFigures {
+  readonly sent: Count;
+  readonly received: Count;
+  readonly cpuMs: number;
+  readonly rssMb: number;
+}
+export interface DepthFigures {
+  readonly depth: number;
+  readonly links: number;
+  readonly sent: Count;
+  readonly received: Count;
+}
 export interface PhaseFigures {
   readonly phase: string;
   readonly seconds: number;
@@ -49,7 +75,12 @@
   readonly watchedFlow: Cost | undefined;
 }
 
-interface Side { readonly cpuMs: number; readonly countingMs: number; readonly rssMb: number; readonly tally: TallyFigures }
+interface Side {
+  readonly cpuMs: number;
+  readonly countingMs: number;
+  readonly rssMb: number;
+  readonly tally: TallyFigures;
+}
 
 const NOTHING: Count = { messages: 0, bytes: 0 };
 const NO_TALLY: TallyFigures = { sent: {}, received: {} };
@@ -65,19 +96,35 @@
   }
 
   value(raw: number, perSecondAtRest: number): number {
-    const share = this.#changes === 0 ? raw / this.#seconds : (raw - perSecondAtRest * this.#seconds) / this.#changes;
+    const share =
+      this.#changes === 0
+        ? raw / this.#seconds
+        : (raw - perSecondAtRest * this.#seconds) / this.#changes;
     return Math.round(share * 1000) / 1000;
   }
 
-  count(raw: Count, rest: Count | undefined): Count { return { messages: this.value(raw.messages, rest?.messages ?? 0), bytes: this.value(raw.bytes, rest?.bytes ?? 0) }; }
+  count(raw: Count, rest: Count | undefined): Count {
+    return {
+      messages: this.value(raw.messages, rest?.messages ?? 0),
+      bytes: this.value(raw.bytes, rest?.bytes ?? 0),
+    };
+  }
 
-  counts(raw: Readonly<Record<string, Count>>, rest: Readonly<Record<string, Count>> | undefined): Record<string, Count> {
+  counts(
+    raw: Readonly<Record<string, Count>>,
+    rest: Readonly<Record<string, Count>> | undefined,
+  ): Record<string, Count> {
     const scaled: Record<string, Count> = {};
     for (const [kind, count] of Object.entries(raw)) scaled[kind] = this.count(count, rest?.[kind]);
     return scaled;
   }
 
-  tally(raw: TallyFigures, rest: TallyFigures | undefined): TallyFigures { return { sent: this.counts(raw.sent, rest?.sent), received: this.counts(raw.received, rest?.received) }; }
+  tally(raw: TallyFigures, rest: TallyFigures | undefined): TallyFigures {
+    return {
+      sent: this.counts(raw.sent, rest?.sent),
+      received: this.counts(raw.received, rest?.received),
+    };
+  }
 }
 
 /** Several processes of a role as one in the mean. */
@@ -91,16 +138,27 @@
     rssMb += side.rssMb;
     tallies.push(difference(side.tally, was?.tally ?? NO_TALLY));
   }
-  return { cpuMs: cpuMs / members, countingMs: countingMs / members, rssMb: rssMb / members, tally: meanOf(tallies, members) };
+  return {
+    cpuMs: cpuMs / members,
+    countingMs: countingMs / members,
+    rssMb: rssMb / members,
+    tally: meanOf(tallies, members),
+  };
 }
 
 function meanOf(tallies: readonly TallyFigures[], members: number): TallyFigures {
-  const mean: { sent: Record<string, Count>; received: Record<string, Count> } = { sent: {}, received: {} };
+  const mean: { sent: Record<string, Count>; received: Record<string, Count> } = {
+    sent: {},
+    received: {},
+  };
   for (const tally of tallies) {
     for (const way of ['sent', 'received'] as const) {
       for (const [kind, { messages, bytes }] of Object.entries(tally[way])) {
         const known = mean[way][kind] ?? NOTHING;
-        mean[way][kind] = { messages: known.messages + messages / members, bytes: known.bytes + bytes / members };
+        mean[way][kind] = {
+          messages: known.messages + messages / members,
+          bytes: known.bytes + bytes / members,
+        };
       }
     }
   }
@@ -109,25 +167,34 @@
 
 function roleOf(side: Side, rest: RoleFigures | undefined, scale: Scale): RoleFigures {
   return {
-    sent: scale.count(total(side.tally.sent), rest?.sent), received: scale.count(total(side.tally.received), rest?.received),
+    sent: scale.count(total(side.tally.sent), rest?.sent),
+    received: scale.count(total(side.tally.received), rest?.received),
     // What the counting itself took is none of the role's.
-    cpuMs: scale.value(side.cpuMs - side.countingMs, rest?.cpuMs ?? 0), rssMb: Math.round(side.rssMb * 10) / 10,
+    cpuMs: scale.value(side.cpuMs - side.countingMs, rest?.cpuMs ?? 0),
+    rssMb: Math.round(side.rssMb * 10) / 10,
   };
 }
 
 export function depthOf(id: string, parents: ReadonlyMap<string, string>): number {
   let depth = 1;
   // Parents are told one by one, so that for a moment two may name each other.
-  for (let at = parents.get(id) ?? ''; at !== '' && depth < 20; at = parents.get(at) ?? '') depth += 1;
+  for (let at = parents.get(id) ?? ''; at !== '' && depth < 20; at = parents.get(at) ?? '')
+    depth += 1;
   return depth;
 }
 
-function depthsOf(before: Snapshot, after: Snapshot, rest: PhaseFigures | undefined, scale: Scale): DepthFigures[] {
+function depthsOf(
+  before: Snapshot,
+  after: Snapshot,
+  rest: PhaseFigures | undefined,
+  scale: Scale,
+): DepthFigures[] {
   const parents = new Map<string, string>();
   const was = new Map<string, { readonly sent: Count; readonly received: Count }>();
   const links = [];
   for (const part of before.edges) for (const link of part.links) was.set(link.id, link);
-  for (const part of [...after.edges, ...(after.watchedLink ? [after.watchedLink] : [])]) for (const link of part.links) parents.set(link.id, link.parent);
+  for (const part of [...after.edges, ...(after.watchedLink ? [after.watchedLink] : [])])
+    for (const link of part.links) parents.set(link.id, link.parent);
   for (const part of after.edges) links.push(...part.links);
   const sums = new Map<number, { links: number; sent: Count; received: Count }>();
   for (const link of links) {
@@ -144,23 +211,47 @@
   const depths: DepthFigures[] = [];
   for (const [depth, sum] of [...sums].sort(byDepth)) {
     const known = rest?.depths.find(hasDepth.bind(undefined, depth));
-    depths.push({ depth, links: sum.links, sent: scale.count(shareOf(sum.sent, sum.links), known?.sent), received: scale.count(shareOf(sum.received, sum.links), known?.received) });
+    depths.push({
+      depth,
+      links: sum.links,
+      sent: scale.count(shareOf(sum.sent, sum.links), known?.sent),
+      received: scale.count(shareOf(sum.received, sum.links), known?.received),
+    });
   }
   return depths;
 }
 
-function shareOf(count: Count, members: number): Count { return { messages: count.messages / members, bytes: count.bytes / members }; }
-function byDepth(a: readonly [number, unknown], b: readonly [number, unknown]): number { return a[0] - b[0]; }
-function hasDepth(depth: number, figures: DepthFigures): boolean { return figures.depth === depth; }
-function isLeading(mind: MindFigures): boolean { return mind.isLeading; }
+function shareOf(count: Count, members: number): Count {
+  return { messages: count.messages / members, bytes: count.bytes / members };
+}
+function byDepth(a: readonly [number, unknown], b: readonly [number, unknown]): number {
+  return a[0] - b[0];
+}
+function hasDepth(depth: number, figures: DepthFigures): boolean {
+  return figures.depth === depth;
+}
+function isLeading(mind: MindFigures): boolean {
+  return mind.isLeading;
+}
 
 /** What happened between two snapshots, by role. */
-export function figuresOf(phase: string, before: Snapshot, after: Snapshot, rest: PhaseFigures | undefined, changes: number, inForceMs: readonly number[]): PhaseFigures {
+export function figuresOf(
+  phase: string,
+  before: Snapshot,
+  after: Snapshot,
+  rest: PhaseFigures | undefined,
+  changes: number,
+  inForceMs: readonly number[],
+): PhaseFigures {
   const seconds = (after.at - before.at) / 1000;
   const scale = new Scale(seconds, changes);
   const at = Math.max(0, after.minds.findIndex(isLeading));
-  function isLeader(_mind: MindFigures, index: number): boolean { return index === at; }
-  function isFollower(_mind: MindFigures, index: number): boolean { return index !== at; }
+  function isLeader(_mind: MindFigures, index: number): boolean {
+    return index === at;
+  }
+  function isFollower(_mind: MindFigures, index: number): boolean {
+    return index !== at;
+  }
   let links = 0;
   const [repeats, all] = [{ ...NOTHING }, { ...NOTHING }];
   for (const [index, part] of after.edges.entries()) {
@@ -170,28 +261,58 @@
   }
   const sides: Record<string, Side> = {
     leader: sideOf(before.minds.filter(isLeader), after.minds.filter(isLeader), 1),
-    follower: sideOf(before.minds.filter(isFollower), after.minds.filter(isFollower), Math.max(1, after.minds.length - 1)),
+    follower: sideOf(
+      before.minds.filter(isFollower),
+      after.minds.filter(isFollower),
+      Math.max(1, after.minds.length - 1),
+    ),
     link: sideOf(before.edges, after.edges, Math.max(1, links)),
   };
-  if (before.watchedLink && after.watchedLink) sides['watched link'] = sideOf([before.watchedLink], [after.watchedLink], 1);
-  if (before.watchedFlow && after.watchedFlow) sides['watched flow'] = sideOf([{ ...before.watchedFlow, tally: NO_TALLY }], [{ ...after.watchedFlow, tally: NO_TALLY }], 1);
+  if (before.watchedLink && after.watchedLink)
+    sides['watched link'] = sideOf([before.watchedLink], [after.watchedLink], 1);
+  if (before.watchedFlow && after.watchedFlow)
+    sides['watched flow'] = sideOf(
+      [{ ...before.watchedFlow, tally: NO_TALLY }],
+      [{ ...after.watchedFlow, tally: NO_TALLY }],
+      1,
+    );
   const roles: Record<string, RoleFigures> = {};
   const kinds: Record<string, TallyFigures> = {};
   for (const [role, side] of Object.entries(sides)) {
     roles[role] = roleOf(side, rest?.roles[role], scale);
     if (role !== 'watched flow') kinds[role] = scale.tally(side.tally, rest?.kinds[role]);
   }
-  const members: [string, number][] = [['leader', 1], ['follower', after.minds.length - 1], ['link', links]];
+  const members: [string, number][] = [
+    ['leader', 1],
+    ['follower', after.minds.length - 1],
+    ['link', links],
+  ];
   for (const [role, count] of members) {
     const sent = total(sides[role]?.tally.sent ?? {});
     all.messages += sent.messages * count;
     all.bytes += sent.bytes * count;
   }
   const [was, is] = [before.minds[at], after.minds[at]];
-  function grown(key: 'fleetCount' | 'orders' | 'writes' | 'writtenBytes' | 'lists' | 'listMs'): number { return (is?.[key] ?? 0) - (was?.[key] ?? 0); }
+  function grown(
+    key: 'fleetCount' | 'orders' | 'writes' | 'writtenBytes' | 'lists' | 'listMs',
+  ): number {
+    return (is?.[key] ?? 0) - (was?.[key] ?? 0);
+  }
   return {
-    phase, seconds: Math.round(seconds * 1000) / 1000, changes, roles, depths: depthsOf(before, after, rest, scale), all: scale.count(all, rest?.all), repeats: scale.count(repeats, rest?.repeats),
-    kinds, inForceMs: inForceMs.map(Math.round), fleetNews: grown('fleetCount'), orders: grown('orders'), writes: grown('writes'), writtenBytes: grown('writtenBytes'),
-    lists: grown('lists'), listMs: Math.round(grown('listMs')),
+    phase,
+    seconds: Math.round(seconds * 1000) / 1000,
+    changes,
+    roles,
+    depths: depthsOf(before, after, rest, scale),
+    all: scale.count(all, rest?.all),
+    repeats: scale.count(repeats, rest?.repeats),
+    kinds,
+    inForceMs: inForceMs.map(Math.round),
+    fleetNews: grown('fleetCount'),
+    orders: grown('orders'),
+    writes: grown('writes'),
+    writtenBytes: grown('writtenBytes'),
+    lists: grown('lists'),
+    listMs: Math.round(grown('listMs')),
   };
 }
--- a/src/myth/ScaleFit.ts
+++ b/src/myth/ScaleFit.ts
@@ -15,7 +15,9 @@
 export function fitOf(points: readonly (readonly [number, number])[]): Fit {
   const pairs = points.map(pairOf);
   const { m, b } = linearRegression(pairs);
-  function line(x: number): number { return m * x + b; }
+  function line(x: number): number {
+    return m * x + b;
+  }
   let most = 0;
   let largest = 0;
   for (const [x, y] of points) {
@@ -25,9 +27,15 @@
   const [first, last] = [points[0], points.at(-1)];
   const grows = first && last && first[1] > 0 && last[1] > 0 && last[0] !== first[0];
   return {
-    points: points.length, slope: m, start: b, residual: largest === 0 ? 0 : most / largest, rSquared: rSquared(pairs, line),
+    points: points.length,
+    slope: m,
+    start: b,
+    residual: largest === 0 ? 0 : most / largest,
+    rSquared: rSquared(pairs, line),
     exponent: grows ? Math.log(last[1] / first[1]) / Math.log(last[0] / first[0]) : 0,
   };
 }
 
-function pairOf(point: readonly [number, number]): [number, number] { return [point[0], point[1]]; }
+function pairOf(point: readonly [number, number]): [number, number] {
+  return [point[0], point[1]];
+}
--- a/src/myth/ScaleLink.ts
+++ b/src/myth/ScaleLink.ts
@@ -46,20 +46,39 @@
     this.#place = place;
     this.#bodies = bodies;
     const { link: me, feed, zone } = place;
-    this.#nodes = new CountedExchange(new Exchange({ id: me, role: 'link', zone, listen: me, reach: {} }, ignore), this.nodeTally);
-    this.#feed = new CountedExchange(new Exchange({ id: feed, role: 'link', zone, listen: feed, reach: {} }, ignore), this.feedTally);
-    this.#core = new LinkCore({ me, zone, seeds, blindMs: BLIND_MS, life: newLife(), isDeployed: true }, monotonicNow());
+    this.#nodes = new CountedExchange(
+      new Exchange({ id: me, role: 'link', zone, listen: me, reach: {} }, ignore),
+      this.nodeTally,
+    );
+    this.#feed = new CountedExchange(
+      new Exchange({ id: feed, role: 'link', zone, listen: feed, reach: {} }, ignore),
+      this.feedTally,
+    );
+    this.#core = new LinkCore(
+      { me, zone, seeds, blindMs: BLIND_MS, life: newLife(), isDeployed: true },
+      monotonicNow(),
+    );
   }
 
-  get id(): string { return this.#place.link; }
-  get parent(): string { return this.#core.parent; }
+  get id(): string {
+    return this.#place.link;
+  }
+  get parent(): string {
+    return this.#core.parent;
+  }
 
   async start(): Promise<void> {
-    this.#subscription.add(merge(this.#nodes.incoming$, this.#feed.incoming$).subscribe(this.#receive.bind(this)));
-    this.#subscription.add(merge(this.#nodes.gone$, this.#feed.gone$).subscribe(this.#gone.bind(this)));
+    this.#subscription.add(
+      merge(this.#nodes.incoming$, this.#feed.incoming$).subscribe(this.#receive.bind(this)),
+    );
+    this.#subscription.add(
+      merge(this.#nodes.gone$, this.#feed.gone$).subscribe(this.#gone.bind(this)),
+    );
     await this.#nodes.open();
     await this.#feed.open();
-    this.#subscription.add(interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))));
+    this.#subscription.add(
+      interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))),
+    );
     this.#submit(this.#beat.bind(this));
   }
 
@@ -69,7 +88,9 @@
     this.#feed.close();
   }
 
-  #submit(command: () => void): void { this.#owner.submit(this.#work.bind(this, command)); }
+  #submit(command: () => void): void {
+    this.#owner.submit(this.#work.bind(this, command));
+  }
 
   #work(command: () => void): void {
     command();
@@ -89,14 +110,23 @@
     const message = this.#bodies.share(incoming.message);
     if (incoming.role === 'flow') this.#feed.took(message);
     else this.#nodes.took(message);
-    if ((message.kind === 'news' || message.kind === 'delta') && compareVersions(message, this.#core.relay.version(message.topic)) <= 0) {
+    if (
+      (message.kind === 'news' || message.kind === 'delta') &&
+      compareVersions(message, this.#core.relay.version(message.topic)) <= 0
+    ) {
       this.repeats.messages += 1;
       this.repeats.bytes += frameBytes(message);
     }
-    this.#submit(this.#core.receive.bind(this.#core, monotonicNow(), incoming.from, incoming.role, message));
+    this.#submit(
+      this.#core.receive.bind(this.#core, monotonicNow(), incoming.from, incoming.role, message),
+    );
   }
 
-  #gone(id: string): void { this.#submit(this.#core.gone.bind(this.#core, monotonicNow(), id)); }
+  #gone(id: string): void {
+    this.#submit(this.#core.gone.bind(this.#core, monotonicNow(), id));
+  }
 }
 
-function ignore(): void { /* the run judges by what arrives */ }
+function ignore(): void {
+  /* the run judges by what arrives */
+}
