--- a/src/myth/ScaleMind.ts
+++ b/src/myth/ScaleMind.ts
@@ -19,15 +19,35 @@
 import { ownCost, type ScalePart } from './ScalePart.js';
 import { CountedExchange, Tally } from './Tally.js';
 
-export const ScaleMindShape = type({ me: string(), zone: string(), seeds: array(string()), data: string(), runners: string() });
+export const ScaleMindShape = type({
+  me: string(),
+  zone: string(),
+  seeds: array(string()),
+  data: string(),
+  runners: string(),
+});
 const CommandShape = type({ verb: string(), body: string() });
 
 const HoldsShape = array(type({ model: string(), adapters: array(string()) }));
 const ListedShape = type({
-  id: string(), address: string(), zone: string(), service: string(), slots: number(), isLeaving: boolean(), remainingMs: optional(number()), coldMs: number(), holds: HoldsShape,
+  id: string(),
+  address: string(),
+  zone: string(),
+  service: string(),
+  slots: number(),
+  isLeaving: boolean(),
+  remainingMs: optional(number()),
+  coldMs: number(),
+  holds: HoldsShape,
 });
 const PageShape = type({ runners: array(ListedShape), next: nullable(number()) });
-const StatusShape = type({ holds: HoldsShape, isBusy: boolean(), orderCount: number(), waiting: number(), active: number() });
+const StatusShape = type({
+  holds: HoldsShape,
+  isBusy: boolean(),
+  orderCount: number(),
+  waiting: number(),
+  active: number(),
+});
 
 // As a control node of a deployment is put together: the same beats and spans.
 const BEAT_MS = 50;
@@ -36,7 +56,9 @@
 const LIST_LAG_MS = 800;
 const VOTE = { pingMs: 250, renewMs: 300, electionMs: 500, spanMs: 1500, deadMs: 1200 } as const;
 
-function listedOf(runner: Infer<typeof ListedShape>): ListedRunner { return { ...runner, remainingMs: runner.remainingMs }; }
+function listedOf(runner: Infer<typeof ListedShape>): ListedRunner {
+  return { ...runner, remainingMs: runner.remainingMs };
+}
 
 /** A real control node with a planner, whose platform and runners are the run's own. */
 export class ScaleMind implements ScalePart {
@@ -59,19 +81,34 @@
   constructor(settings: Infer<typeof ScaleMindShape>) {
     this.#settings = settings;
     const { me, zone, data } = settings;
-    this.#exchange = new CountedExchange(new Exchange({ id: me, role: 'mind', zone, listen: me, reach: {} }, this.#tell.bind(this)), this.#tally);
+    this.#exchange = new CountedExchange(
+      new Exchange({ id: me, role: 'mind', zone, listen: me, reach: {} }, this.#tell.bind(this)),
+      this.#tally,
+    );
     this.#store = new FileStore(join(data, 'parts'), this.#tell.bind(this));
   }
 
   async start(): Promise<void> {
     const stored = await this.#store.readAll();
     const { me, zone, seeds } = this.#settings;
-    const deployed = { dialect: new PlainRouting(), isFirstStart: true, listMs: LIST_MS, planner: new Planner({ lagMs: LIST_LAG_MS }) };
-    this.#core = new MindCore({ ...MIND_DEFAULTS, me, zone, seeds, life: newLife(), silentMs: 3000, foundMs: 0, deployed }, stored, monotonicNow(), { ...VOTE_DEFAULTS, ...VOTE });
+    const deployed = {
+      dialect: new PlainRouting(),
+      isFirstStart: true,
+      listMs: LIST_MS,
+      planner: new Planner({ lagMs: LIST_LAG_MS }),
+    };
+    this.#core = new MindCore(
+      { ...MIND_DEFAULTS, me, zone, seeds, life: newLife(), silentMs: 3000, foundMs: 0, deployed },
+      stored,
+      monotonicNow(),
+      { ...VOTE_DEFAULTS, ...VOTE },
+    );
     this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
     this.#subscription.add(this.#exchange.gone$.subscribe(this.#gone.bind(this)));
     await this.#exchange.open();
-    this.#subscription.add(interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))));
+    this.#subscription.add(
+      interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))),
+    );
   }
 
   async stop(): Promise<void> {
@@ -82,7 +119,11 @@
   async ask(verb: string, body: string): Promise<string> {
     if (verb === 'figures') return JSON.stringify(this.#figures());
     // Put together only where asked for: what travels by its changes is not held whole.
-    if (verb === 'bodies') return JSON.stringify({ config: this.#core?.relay.item('config')?.body.length ?? 0, fleet: this.#core?.relay.item('fleet')?.body.length ?? 0 });
+    if (verb === 'bodies')
+      return JSON.stringify({
+        config: this.#core?.relay.item('config')?.body.length ?? 0,
+        fleet: this.#core?.relay.item('fleet')?.body.length ?? 0,
+      });
     const { verb: commanded, body: said } = mustParseAs(CommandShape, body, 'the command');
     return this.#command(commanded, said);
   }
@@ -92,9 +133,19 @@
     const config = core?.relay.version('config');
     const fleet = core?.relay.version('fleet');
     return {
-      ...ownCost(), countingMs: this.#tally.countingMs, tally: this.#tally.figures(), isLeading: core?.isServing ?? false,
-      configEpoch: config?.epoch ?? 0, configCount: config?.count ?? 0, fleetEpoch: fleet?.epoch ?? 0, fleetCount: fleet?.count ?? 0,
-      orders: core?.ordersSent ?? 0, lists: this.#lists, listMs: this.#listMs, writes: this.#writes, writtenBytes: this.#writtenBytes,
+      ...ownCost(),
+      countingMs: this.#tally.countingMs,
+      tally: this.#tally.figures(),
+      isLeading: core?.isServing ?? false,
+      configEpoch: config?.epoch ?? 0,
+      configCount: config?.count ?? 0,
+      fleetEpoch: fleet?.epoch ?? 0,
+      fleetCount: fleet?.count ?? 0,
+      orders: core?.ordersSent ?? 0,
+      lists: this.#lists,
+      listMs: this.#listMs,
+      writes: this.#writes,
+      writtenBytes: this.#writtenBytes,
     };
   }
 
@@ -102,14 +153,20 @@
     this.#commandId += 1;
     const id = this.#commandId;
     const returns = this.#returns;
-    function enlist(done: (body: string) => void): void { returns.set(id, done); }
+    function enlist(done: (body: string) => void): void {
+      returns.set(id, done);
+    }
     const returned = new Promise<string>(enlist);
-    function command(core: MindCore): void { core.command(monotonicNow(), id, verb, body); }
+    function command(core: MindCore): void {
+      core.command(monotonicNow(), id, verb, body);
+    }
     this.#submit(command);
     return returned;
   }
 
-  #tell(defect: Defect): void { this.#log.warn({ defect: defect.kind }, defect.message); }
+  #tell(defect: Defect): void {
+    this.#log.warn({ defect: defect.kind }, defect.message);
+  }
 
   #submit(command: (core: MindCore) => void): void {
     const core = this.#core;
@@ -128,24 +185,49 @@
 
   #receive(incoming: Incoming): void {
     this.#exchange.took(incoming.message);
-    function receive(core: MindCore): void { core.receive(monotonicNow(), incoming.from, incoming.message, incoming.role === 'mind' ? incoming.zone : ''); }
+    function receive(core: MindCore): void {
+      core.receive(
+        monotonicNow(),
+        incoming.from,
+        incoming.message,
+        incoming.role === 'mind' ? incoming.zone : '',
+      );
+    }
     this.#submit(receive);
   }
 
   #gone(id: string): void {
-    function gone(core: MindCore): void { core.gone(monotonicNow(), id); }
+    function gone(core: MindCore): void {
+      core.gone(monotonicNow(), id);
+    }
     this.#submit(gone);
   }
 
   #carryOut(core: MindCore, effect: MindEffect): void {
     switch (effect.do) {
-      case 'send': this.#exchange.send(effect.to, effect.message); break;
-      case 'store': void this.#keep(effect); break;
-      case 'askList': void this.#list(); break;
-      case 'askStatus': void this.#status(effect.runner, effect.address); break;
-      case 'order': void this.#order(effect, core); break;
-      case 'return': this.#returns.get(effect.id)?.(JSON.stringify({ status: effect.status, body: effect.body })); this.#returns.delete(effect.id); break;
-      default: break;
+      case 'send':
+        this.#exchange.send(effect.to, effect.message);
+        break;
+      case 'store':
+        void this.#keep(effect);
+        break;
+      case 'askList':
+        void this.#list();
+        break;
+      case 'askStatus':
+        void this.#status(effect.runner, effect.address);
+        break;
+      case 'order':
+        void this.#order(effect, core);
+        break;
+      case 'return':
+        this.#returns.get(effect.id)?.(
+          JSON.stringify({ status: effect.status, body: effect.body }),
+        );
+        this.#returns.delete(effect.id);
+        break;
+      default:
+        break;
     }
   }
 
@@ -154,7 +236,9 @@
     this.#writes += 1;
     this.#writtenBytes += body.length;
     await this.#store.write(part, version, body);
-    function stored(core: MindCore): void { core.stored(monotonicNow(), part, version); }
+    function stored(core: MindCore): void {
+      core.stored(monotonicNow(), part, version);
+    }
     this.#submit(stored);
   }
 
@@ -165,12 +249,20 @@
     try {
       const runners: ListedRunner[] = [];
       for (let page: number | null = 0; page !== null;) {
-        const returned = await call('GET', this.#settings.runners, `/runners?page=${page}`, undefined, CALL_MS);
+        const returned = await call(
+          'GET',
+          this.#settings.runners,
+          `/runners?page=${page}`,
+          undefined,
+          CALL_MS,
+        );
         const read = mustParseAs(PageShape, returned.body, 'the list of runners');
         for (const runner of read.runners) runners.push(listedOf(runner));
         page = read.next;
       }
-      function take(core: MindCore): void { core.list(monotonicNow(), runners); }
+      function take(core: MindCore): void {
+        core.list(monotonicNow(), runners);
+      }
       this.#submit(take);
       this.#lists += 1;
       this.#listMs += performance.now() - start;
@@ -184,8 +276,17 @@
   async #status(runner: string, address: string): Promise<void> {
     const askedAt = monotonicNow();
     let status: RunnerStatus | undefined;
-    try { status = parseAs(StatusShape, (await call('GET', address, `/report?runner=${runner}`, undefined, CALL_MS)).body); } catch { status = undefined; }
-    function take(core: MindCore): void { core.status(monotonicNow(), runner, askedAt, status); }
+    try {
+      status = parseAs(
+        StatusShape,
+        (await call('GET', address, `/report?runner=${runner}`, undefined, CALL_MS)).body,
+      );
+    } catch {
+      status = undefined;
+    }
+    function take(core: MindCore): void {
+      core.status(monotonicNow(), runner, askedAt, status);
+    }
     this.#submit(take);
   }
 
@@ -193,10 +294,21 @@
     const { intent, address } = effect;
     let outcome: OrderResult = 'unsure';
     try {
-      const { status } = await call('POST', address, '/order', JSON.stringify({ ...intent, fence: core.elector.epoch }), CALL_MS);
-      outcome = status === 202 ? 'taken' : status === 200 ? 'held' : status === 409 ? 'busy' : 'refused';
-    } catch { /* it may have come through */ }
-    function ordered(owner: MindCore): void { owner.ordered(monotonicNow(), intent.id, outcome); }
+      const { status } = await call(
+        'POST',
+        address,
+        '/order',
+        JSON.stringify({ ...intent, fence: core.elector.epoch }),
+        CALL_MS,
+      );
+      outcome =
+        status === 202 ? 'taken' : status === 200 ? 'held' : status === 409 ? 'busy' : 'refused';
+    } catch {
+      /* it may have come through */
+    }
+    function ordered(owner: MindCore): void {
+      owner.ordered(monotonicNow(), intent.id, outcome);
+    }
     this.#submit(ordered);
   }
 }
--- a/src/myth/ScalePart.ts
+++ b/src/myth/ScalePart.ts
@@ -17,11 +17,21 @@
 /** A part in a process of its own, asked over the line that Node keeps between the two. */
 export class ForkedPart implements ScalePart {
   readonly #child: ChildProcess;
-  readonly #waiting = new Map<number, { readonly done: (body: string) => void; readonly fail: (thrown: Error) => void }>();
+  readonly #waiting = new Map<
+    number,
+    { readonly done: (body: string) => void; readonly fail: (thrown: Error) => void }
+  >();
   #id = 0;
 
   constructor(program: string, kind: string, settings: string) {
-    this.#child = fork(program, ['myth', 'scale', '--part', kind, '--parent', String(process.pid), '--settings', settings], { execArgv: [`--max-old-space-size=${HEAP_MB}`], stdio: ['ignore', 'inherit', 'inherit', 'ipc'] });
+    this.#child = fork(
+      program,
+      ['myth', 'scale', '--part', kind, '--parent', String(process.pid), '--settings', settings],
+      {
+        execArgv: [`--max-old-space-size=${HEAP_MB}`],
+        stdio: ['ignore', 'inherit', 'inherit', 'ipc'],
+      },
+    );
     this.#child.on('message', this.#take.bind(this));
     this.#child.on('exit', this.#ended.bind(this));
   }
@@ -30,7 +40,9 @@
     this.#id += 1;
     const id = this.#id;
     const waiting = this.#waiting;
-    function enlist(done: (body: string) => void, fail: (thrown: Error) => void): void { waiting.set(id, { done, fail }); }
+    function enlist(done: (body: string) => void, fail: (thrown: Error) => void): void {
+      waiting.set(id, { done, fail });
+    }
     const returned = new Promise<string>(enlist);
     this.#child.send({ id, verb, body });
     return returned;
@@ -39,7 +51,9 @@
   async stop(): Promise<void> {
     const child = this.#child;
     if (child.exitCode !== null || child.signalCode !== null) return;
-    function ended(done: () => void): void { child.once('exit', done); }
+    function ended(done: () => void): void {
+      child.once('exit', done);
+    }
     const end = new Promise<void>(ended);
     child.kill('SIGKILL');
     await end;
@@ -64,17 +78,25 @@
   async function take(message: unknown): Promise<void> {
     if (!AskShape.is(message)) return;
     let reply = { id: message.id, body: '', fault: '' };
-    try { reply = { ...reply, body: await part.ask(message.verb, message.body) }; } catch (thrown) { reply = { ...reply, fault: reasonOf(thrown) || 'failed' }; }
+    try {
+      reply = { ...reply, body: await part.ask(message.verb, message.body) };
+    } catch (thrown) {
+      reply = { ...reply, fault: reasonOf(thrown) || 'failed' };
+    }
     process.send?.(reply);
   }
   process.on('message', take);
   // The line that Node keeps does not tell when the other end was killed; whose child we are does.
-  function check(): void { if (process.ppid !== parent) process.exit(0); }
+  function check(): void {
+    if (process.ppid !== parent) process.exit(0);
+  }
   setInterval(check, ALONE_MS);
   return new Promise<never>(waitForever);
 }
 
-function waitForever(): void { /* the process ends before this does */ }
+function waitForever(): void {
+  /* the process ends before this does */
+}
 
 /** Processor time and memory of this process so far. */
 export function ownCost(): { cpuMs: number; rssMb: number } {
@@ -83,4 +105,6 @@
 }
 
 /** A clock that all processes of one machine share. */
-export function sharedNow(): number { return Number(process.hrtime.bigint() / 1000n) / 1000; }
+export function sharedNow(): number {
+  return Number(process.hrtime.bigint() / 1000n) / 1000;
+}
--- a/src/myth/ScalePlot.ts
+++ b/src/myth/ScalePlot.ts
@@ -7,20 +7,50 @@
 import { fitOf, type Fit } from './ScaleFit.js';
 
 const CountShape = type({ messages: number(), bytes: number() });
-const RoleShape = type({ sent: CountShape, received: CountShape, cpuMs: number(), rssMb: number() });
-const PhaseShape = type({ phase: string(), roles: record(string(), RoleShape), all: CountShape, inForceMs: array(number()), fleetNews: number() });
-const PointShape = type({ shape: record(string(), number()), configBytes: number(), fleetBytes: number(), phases: array(PhaseShape) });
+const RoleShape = type({
+  sent: CountShape,
+  received: CountShape,
+  cpuMs: number(),
+  rssMb: number(),
+});
+const PhaseShape = type({
+  phase: string(),
+  roles: record(string(), RoleShape),
+  all: CountShape,
+  inForceMs: array(number()),
+  fleetNews: number(),
+});
+const PointShape = type({
+  shape: record(string(), number()),
+  configBytes: number(),
+  fleetBytes: number(),
+  phases: array(PhaseShape),
+});
 const SeriesShape = type({ series: string(), points: array(PointShape) });
 type Point = Infer<typeof PointShape>;
 type Phase = Infer<typeof PhaseShape>;
 
 export const GROWING = ['nodes', 'runners', 'models', 'routes'] as const;
 
-interface Row { readonly panel: string; readonly role: string; readonly x: number; readonly y: number }
-export interface NamedFit extends Fit { readonly series: string; readonly panel: string; readonly role: string; readonly values: readonly (readonly [number, number])[] }
+interface Row {
+  readonly panel: string;
+  readonly role: string;
+  readonly x: number;
+  readonly y: number;
+}
+export interface NamedFit extends Fit {
+  readonly series: string;
+  readonly panel: string;
+  readonly role: string;
+  readonly values: readonly (readonly [number, number])[];
+}
 
-function medianOf(times: readonly number[]): number { return [...times].sort(byNumber)[Math.floor(times.length / 2)] ?? 0; }
-function byNumber(a: number, b: number): number { return a - b; }
+function medianOf(times: readonly number[]): number {
+  return [...times].sort(byNumber)[Math.floor(times.length / 2)] ?? 0;
+}
+function byNumber(a: number, b: number): number {
+  return a - b;
+}
 
 /** Everything of a phase that is followed as the fleet grows. */
 function rowsOfPhase(x: number, { phase, roles, all, inForceMs }: Phase): Row[] {
@@ -29,14 +59,30 @@
   const rows: Row[] = [];
   for (const [role, { sent, received, cpuMs, rssMb }] of Object.entries(roles)) {
     if (role !== 'watched flow' && role !== 'watched link') {
-      rows.push({ panel: `${phase}: bytes sent ${unit}`, role, x, y: sent.bytes }, { panel: `${phase}: bytes received ${unit}`, role, x, y: received.bytes });
+      rows.push(
+        { panel: `${phase}: bytes sent ${unit}`, role, x, y: sent.bytes },
+        { panel: `${phase}: bytes received ${unit}`, role, x, y: received.bytes },
+      );
       rows.push({ panel: `${phase}: messages sent ${unit}`, role, x, y: sent.messages });
     }
     // Hollow ones share a process: only those that stand alone tell of processor time and memory.
-    if (role !== 'link') rows.push({ panel: `${phase}: processor ms ${unit}`, role, x, y: cpuMs }, { panel: `${phase}: memory, MB`, role, x, y: rssMb });
+    if (role !== 'link')
+      rows.push(
+        { panel: `${phase}: processor ms ${unit}`, role, x, y: cpuMs },
+        { panel: `${phase}: memory, MB`, role, x, y: rssMb },
+      );
   }
-  rows.push({ panel: `${phase}: messages of all nodes ${unit}`, role: 'all', x, y: all.messages }, { panel: `${phase}: bytes of all nodes ${unit}`, role: 'all', x, y: all.bytes });
-  if (inForceMs.length > 0) rows.push({ panel: `${phase}: in force at the last proxy, ms`, role: 'all', x, y: medianOf(inForceMs) });
+  rows.push(
+    { panel: `${phase}: messages of all nodes ${unit}`, role: 'all', x, y: all.messages },
+    { panel: `${phase}: bytes of all nodes ${unit}`, role: 'all', x, y: all.bytes },
+  );
+  if (inForceMs.length > 0)
+    rows.push({
+      panel: `${phase}: in force at the last proxy, ms`,
+      role: 'all',
+      x,
+      y: medianOf(inForceMs),
+    });
   return rows;
 }
 
@@ -44,14 +90,20 @@
   const rows: Row[] = [];
   for (const point of points) {
     const x = point.shape[series] ?? 0;
-    rows.push({ panel: 'body, bytes', role: 'configuration', x, y: point.configBytes }, { panel: 'body, bytes', role: 'fleet', x, y: point.fleetBytes });
+    rows.push(
+      { panel: 'body, bytes', role: 'configuration', x, y: point.configBytes },
+      { panel: 'body, bytes', role: 'fleet', x, y: point.fleetBytes },
+    );
     for (const phase of point.phases) rows.push(...rowsOfPhase(x, phase));
   }
   return rows;
 }
 
 function fitsOf(series: string, rows: readonly Row[]): NamedFit[] {
-  const groups = new Map<string, { readonly panel: string; readonly role: string; readonly values: [number, number][] }>();
+  const groups = new Map<
+    string,
+    { readonly panel: string; readonly role: string; readonly values: [number, number][] }
+  >();
   for (const { panel, role, x, y } of rows) {
     const key = `${panel}\n${role}`;
     const group = groups.get(key) ?? { panel, role, values: [] };
@@ -59,7 +111,8 @@
     groups.set(key, group);
   }
   const fits: NamedFit[] = [];
-  for (const group of groups.values()) if (group.values.length > 1) fits.push({ series, ...group, ...fitOf(group.values) });
+  for (const group of groups.values())
+    if (group.values.length > 1) fits.push({ series, ...group, ...fitOf(group.values) });
   return fits;
 }
 
@@ -67,17 +120,33 @@
   const values = [];
   for (const row of rows) values.push({ ...row, line: null });
   for (const { panel, role, slope, start, values: known } of fits) {
-    for (const x of [known[0]?.[0] ?? 0, known.at(-1)?.[0] ?? 0]) values.push({ panel, role, x, y: null, line: start + slope * x });
+    for (const x of [known[0]?.[0] ?? 0, known.at(-1)?.[0] ?? 0])
+      values.push({ panel, role, x, y: null, line: start + slope * x });
   }
   return {
     data: { values },
     facet: { field: 'panel', type: 'nominal', title: null, sort: null },
     columns: 4,
     spec: {
-      width: 230, height: 150,
+      width: 230,
+      height: 150,
       layer: [
-        { mark: { type: 'point', filled: true }, encoding: { x: { field: 'x', type: 'quantitative', title: series }, y: { field: 'y', type: 'quantitative', title: null }, color: { field: 'role', type: 'nominal' } } },
-        { mark: { type: 'line', strokeDash: [3, 2] }, encoding: { x: { field: 'x', type: 'quantitative' }, y: { field: 'line', type: 'quantitative' }, color: { field: 'role', type: 'nominal' } } },
+        {
+          mark: { type: 'point', filled: true },
+          encoding: {
+            x: { field: 'x', type: 'quantitative', title: series },
+            y: { field: 'y', type: 'quantitative', title: null },
+            color: { field: 'role', type: 'nominal' },
+          },
+        },
+        {
+          mark: { type: 'line', strokeDash: [3, 2] },
+          encoding: {
+            x: { field: 'x', type: 'quantitative' },
+            y: { field: 'line', type: 'quantitative' },
+            color: { field: 'role', type: 'nominal' },
+          },
+        },
       ],
     },
     resolve: { scale: { y: 'independent' } },
@@ -104,5 +173,9 @@
   return files;
 }
 
-function lineOf(fit: NamedFit): string { return JSON.stringify(fit, rounded); }
-function rounded(_key: string, value: unknown): unknown { return typeof value === 'number' ? Number(value.toPrecision(5)) : value; }
+function lineOf(fit: NamedFit): string {
+  return JSON.stringify(fit, rounded);
+}
+function rounded(_key: string, value: unknown): unknown {
+  return typeof value === 'number' ? Number(value.toPrecision(5)) : value;
+}
--- a/src/myth/ScaleProxy.ts
+++ b/src/myth/ScaleProxy.ts
@@ -4,21 +4,45 @@
 import { NoRequests, PlainRouting } from './ScaleDialect.js';
 import { ownCost, type ScalePart } from './ScalePart.js';
 
-export const ScaleProxyShape = type({ listen: string(), readiness: string(), link: string(), zone: string() });
+export const ScaleProxyShape = type({
+  listen: string(),
+  readiness: string(),
+  link: string(),
+  zone: string(),
+});
 
 /** A real proxy that nobody asks: what it costs to be told. */
 export class ScaleProxy implements ScalePart {
   readonly #proxy: ProxyProcess;
 
   constructor(settings: Infer<typeof ScaleProxyShape>) {
-    this.#proxy = new ProxyProcess({
-      ...settings, readyPath: '/ready', dispatcher: { retry: { ratio: 0.2, extra: 58, windowMs: 10_000 }, warmupExcess: 1.5, connectMs: 300 }, graceMs: 2000, leaveMs: 100,
-    }, new PlainRouting(), new NoRequests(), pino({ level: 'warn' }));
+    this.#proxy = new ProxyProcess(
+      {
+        ...settings,
+        readyPath: '/ready',
+        dispatcher: {
+          retry: { ratio: 0.2, extra: 58, windowMs: 10_000 },
+          warmupExcess: 1.5,
+          connectMs: 300,
+        },
+        graceMs: 2000,
+        leaveMs: 100,
+      },
+      new PlainRouting(),
+      new NoRequests(),
+      pino({ level: 'warn' }),
+    );
   }
 
-  async start(): Promise<void> { await this.#proxy.start(); }
+  async start(): Promise<void> {
+    await this.#proxy.start();
+  }
 
-  async stop(): Promise<void> { await this.#proxy.stop(); }
+  async stop(): Promise<void> {
+    await this.#proxy.stop();
+  }
 
-  async ask(): Promise<string> { return JSON.stringify({ ...ownCost(), countingMs: 0, ...this.#proxy.counters() }); }
+  async ask(): Promise<string> {
+    return JSON.stringify({ ...ownCost(), countingMs: 0, ...this.#proxy.counters() });
+  }
 }
--- a/src/myth/ScaleRun.test.ts
+++ b/src/myth/ScaleRun.test.ts
@@ -5,21 +5,35 @@
 /** Small, and all in this process: what is counted is the same, only times and memory tell nothing. */
 const SIZES = [12, 48];
 const points: ScalePoint[] = [];
-function ignore(): void { /* figures are looked at alone */ }
+function ignore(): void {
+  /* figures are looked at alone */
+}
 
 function runOne(nodes: number): Promise<ScalePoint> {
   return new ScaleRun({
-    shape: { nodes, runners: 24, models: 12, adapters: 24, routes: 10, zones: 3, minds: 3 }, isForked: false, program: '', processes: 1, restMs: 2000, changes: 2, units: 0, loads: 0, say: ignore,
+    shape: { nodes, runners: 24, models: 12, adapters: 24, routes: 10, zones: 3, minds: 3 },
+    isForked: false,
+    program: '',
+    processes: 1,
+    restMs: 2000,
+    changes: 2,
+    units: 0,
+    loads: 0,
+    say: ignore,
   }).run();
 }
-async function runAll(): Promise<void> { points.push(...await Promise.all(SIZES.map(runOne))); }
+async function runAll(): Promise<void> {
+  points.push(...(await Promise.all(SIZES.map(runOne))));
+}
 
 function phaseOf(point: ScalePoint | undefined, name: string): PhaseFigures {
   const phase = point?.phases.find(isCalled.bind(undefined, name));
   if (!phase) throw new Error(`no ${name}`);
   return phase;
 }
-function isCalled(name: string, phase: PhaseFigures): boolean { return phase.phase === name; }
+function isCalled(name: string, phase: PhaseFigures): boolean {
+  return phase.phase === name;
+}
 
 beforeAll(runAll);
 
@@ -32,13 +46,20 @@
   }
 }
 
-interface Sum { messages: number; bytes: number }
+interface Sum {
+  messages: number;
+  bytes: number;
+}
 
 /** What a change itself brings about: news, acks, and writes among the voters; all that is said anyway is left out. */
 function costOf(point: ScalePoint, name: string): Sum {
   const { kinds, repeats } = phaseOf(point, name);
   const sum = { messages: -repeats.messages, bytes: -repeats.bytes };
-  const members: [string, number][] = [['leader', 1], ['follower', point.shape.minds - 1], ['link', point.shape.nodes]];
+  const members: [string, number][] = [
+    ['leader', 1],
+    ['follower', point.shape.minds - 1],
+    ['link', point.shape.nodes],
+  ];
   for (const [role, count] of members) {
     for (const [kind, sent] of Object.entries(kinds[role]?.sent ?? {})) {
       if (!/^(news|delta|ack$|write)/.test(kind)) continue;
@@ -62,9 +83,12 @@
     // Slow machines may tell one change in two words.
     const words = fleet.fleetNews / fleet.changes;
     expect(words).toBeLessThanOrEqual(2);
-    expect(costOf(point, 'fleet change').messages).toBeLessThan((1.1 * point.shape.nodes + 5) * words + 40);
+    expect(costOf(point, 'fleet change').messages).toBeLessThan(
+      (1.1 * point.shape.nodes + 5) * words + 40,
+    );
     // Asks that cross the news bring them once more: the slower the machine, the more, but no more than one for each node.
-    for (const { repeats } of [config, fleet]) expect(repeats.messages).toBeLessThan(1.2 * point.shape.nodes);
+    for (const { repeats } of [config, fleet])
+      expect(repeats.messages).toBeLessThan(1.2 * point.shape.nodes);
   }
 }
 
@@ -72,7 +96,10 @@
   const [small, large] = points;
   if (!small || !large) throw new Error('no points');
   const factor = large.shape.nodes / small.shape.nodes;
-  const pairs = [[phaseOf(small, 'rest').all, phaseOf(large, 'rest').all], [costOf(small, 'configuration change'), costOf(large, 'configuration change')]];
+  const pairs = [
+    [phaseOf(small, 'rest').all, phaseOf(large, 'rest').all],
+    [costOf(small, 'configuration change'), costOf(large, 'configuration change')],
+  ];
   for (const [first, last] of pairs) {
     // In step with the nodes or slower.
     expect((last?.messages ?? Infinity) / (first?.messages ?? 0)).toBeLessThan(factor * 1.2);
--- a/src/myth/ScaleRun.ts
+++ b/src/myth/ScaleRun.ts
@@ -5,10 +5,29 @@
 import { mustParseAs } from '../kin/Json.js';
 import type { Version } from '../kin/Version.js';
 import { pause } from './RunnerStand.js';
-import { CostShape, EdgesFiguresShape, figuresOf, MindFiguresShape, type Cost, type EdgesFigures, type MindFigures, type PhaseFigures, type Snapshot } from './ScaleFigures.js';
+import {
+  CostShape,
+  EdgesFiguresShape,
+  figuresOf,
+  MindFiguresShape,
+  type Cost,
+  type EdgesFigures,
+  type MindFigures,
+  type PhaseFigures,
+  type Snapshot,
+} from './ScaleFigures.js';
 import { ForkedPart, sharedNow, type ScalePart } from './ScalePart.js';
 import { startPart } from './ScaleParts.js';
-import { heldModels, modelName, routingText, serviceCount, serviceName, zoneName, type EdgePlace, type ScaleShape } from './ScaleShape.js';
+import {
+  heldModels,
+  modelName,
+  routingText,
+  serviceCount,
+  serviceName,
+  zoneName,
+  type EdgePlace,
+  type ScaleShape,
+} from './ScaleShape.js';
 
 const BodiesShape = type({ config: number(), fleet: number() });
 const ReachedShape = type({ reached: number(), lastAt: number() });
@@ -78,8 +97,14 @@
       const told = await this.#untilSettled();
       await this.#untilReached('fleet', { epoch: told.fleetEpoch, count: told.fleetCount });
       const toldMs = sharedNow() - start;
-      const bodies = mustParseAs(BodiesShape, await this.#minds[0]?.ask('bodies', '') ?? '', 'the bodies');
-      say(`${shape.nodes} nodes told after ${Math.round(toldMs)} ms; configuration ${bodies.config} bytes, fleet ${bodies.fleet} bytes`);
+      const bodies = mustParseAs(
+        BodiesShape,
+        (await this.#minds[0]?.ask('bodies', '')) ?? '',
+        'the bodies',
+      );
+      say(
+        `${shape.nodes} nodes told after ${Math.round(toldMs)} ms; configuration ${bodies.config} bytes, fleet ${bodies.fleet} bytes`,
+      );
       const phases: PhaseFigures[] = [];
       const rest = await this.#phase('rest', undefined, 0, this.#rest.bind(this));
       phases.push(rest);
@@ -90,11 +115,37 @@
         await this.#demand(0);
         await this.#untilSettled();
       }
-      phases.push(await this.#phase('configuration change', rest, this.#options.changes, this.#configChanges.bind(this)));
-      phases.push(await this.#phase('fleet change', rest, this.#options.changes, this.#fleetChanges.bind(this)));
-      if (this.#options.loads > 0) phases.push(await this.#phase('load', rest, this.#options.loads, this.#loads.bind(this)));
-      for (const { phase, inForceMs, all, repeats } of phases) say(`${phase}: in force ${inForceMs.map(Math.round).join(' ')} ms, ${Math.round(all.messages)} messages, ${Math.round(all.bytes)} bytes, repeats ${Math.round(repeats.messages)}`);
-      return { shape, isForked, processes, configBytes: bodies.config, fleetBytes: bodies.fleet, toldMs, phases };
+      phases.push(
+        await this.#phase(
+          'configuration change',
+          rest,
+          this.#options.changes,
+          this.#configChanges.bind(this),
+        ),
+      );
+      phases.push(
+        await this.#phase(
+          'fleet change',
+          rest,
+          this.#options.changes,
+          this.#fleetChanges.bind(this),
+        ),
+      );
+      if (this.#options.loads > 0)
+        phases.push(await this.#phase('load', rest, this.#options.loads, this.#loads.bind(this)));
+      for (const { phase, inForceMs, all, repeats } of phases)
+        say(
+          `${phase}: in force ${inForceMs.map(Math.round).join(' ')} ms, ${Math.round(all.messages)} messages, ${Math.round(all.bytes)} bytes, repeats ${Math.round(repeats.messages)}`,
+        );
+      return {
+        shape,
+        isForked,
+        processes,
+        configBytes: bodies.config,
+        fleetBytes: bodies.fleet,
+        toldMs,
+        phases,
+      };
     } finally {
       await this.#stopAll();
     }
@@ -107,19 +158,38 @@
     const runners = `127.${this.#net}.253.1:${RUNNERS_PORT}`;
     this.#runners = await this.#start('runners', { shape, address: runners });
     const seeds: string[] = [];
-    for (let index = 0; index < shape.minds; index += 1) seeds.push(`127.${this.#net}.254.${index + 1}:${MIND_PORT}`);
+    for (let index = 0; index < shape.minds; index += 1)
+      seeds.push(`127.${this.#net}.254.${index + 1}:${MIND_PORT}`);
     for (const [index, me] of seeds.entries()) {
-      this.#minds.push(await this.#start('mind', { me, zone: zoneName(index % shape.zones), seeds, data: join(this.#data, `mind-${index}`), runners }));
+      this.#minds.push(
+        await this.#start('mind', {
+          me,
+          zone: zoneName(index % shape.zones),
+          seeds,
+          data: join(this.#data, `mind-${index}`),
+          runners,
+        }),
+      );
     }
     const groups: EdgePlace[][] = [];
     for (let index = 0; index < shape.nodes; index += 1) {
       const host = `127.${this.#net}.${Math.floor(index / 250)}.${(index % 250) + 1}`;
       // One edge of a forked run has its agent and a real proxy each in a process of its own.
       const isWatched = isForked && index === 0;
-      const place = { link: `${host}:${LINK_PORT}`, feed: `${host}:${FEED_PORT}`, zone: zoneName(index % shape.zones), isWatched };
+      const place = {
+        link: `${host}:${LINK_PORT}`,
+        feed: `${host}:${FEED_PORT}`,
+        zone: zoneName(index % shape.zones),
+        isWatched,
+      };
       if (isWatched) {
         this.#watchedLink = await this.#start('edges', { edges: [place], seeds });
-        this.#watchedFlow = await this.#start('proxy', { listen: `${host}:${PROXY_PORT}`, readiness: `${host}:${READY_PORT}`, link: place.feed, zone: place.zone });
+        this.#watchedFlow = await this.#start('proxy', {
+          listen: `${host}:${PROXY_PORT}`,
+          readiness: `${host}:${READY_PORT}`,
+          link: place.feed,
+          zone: place.zone,
+        });
         continue;
       }
       this.#flows += 1;
@@ -127,7 +197,8 @@
       group.push(place);
       groups[index % processes] = group;
     }
-    for (const edges of groups) if (edges) this.#edges.push(await this.#start('edges', { edges, seeds }));
+    for (const edges of groups)
+      if (edges) this.#edges.push(await this.#start('edges', { edges, seeds }));
   }
 
   async #start(kind: string, settings: object): Promise<ScalePart> {
@@ -137,14 +208,25 @@
   }
 
   async #stopAll(): Promise<void> {
-    const parts = [...this.#edges, this.#watchedFlow, this.#watchedLink, ...this.#minds, this.#runners];
+    const parts = [
+      ...this.#edges,
+      this.#watchedFlow,
+      this.#watchedLink,
+      ...this.#minds,
+      this.#runners,
+    ];
     for (const part of parts) await part?.stop();
     rmSync(this.#data, { recursive: true, force: true });
   }
 
   // ---- phases
 
-  async #phase(phase: string, rest: PhaseFigures | undefined, changes: number, work: () => Promise<number[]>): Promise<PhaseFigures> {
+  async #phase(
+    phase: string,
+    rest: PhaseFigures | undefined,
+    changes: number,
+    work: () => Promise<number[]>,
+  ): Promise<PhaseFigures> {
     const before = await this.#snapshot();
     const inForceMs = await work();
     const after = await this.#snapshot();
@@ -162,7 +244,10 @@
       const start = sharedNow();
       await this.#configure();
       const leader = await this.#leader();
-      const lastAt = await this.#untilReached('config', { epoch: leader.configEpoch, count: leader.configCount });
+      const lastAt = await this.#untilReached('config', {
+        epoch: leader.configEpoch,
+        count: leader.configCount,
+      });
       times.push(lastAt - start);
       await pause(500);
     }
@@ -176,8 +261,15 @@
       const before = await this.#leader();
       const start = sharedNow();
       await this.#runners?.ask('leave', JSON.stringify({ index: 1, isLeaving: index % 2 === 0 }));
-      const leader = await this.#until(this.#leader.bind(this), hasFleetAfter.bind(undefined, before.fleetCount), 'a change of the fleet told');
-      const lastAt = await this.#untilReached('fleet', { epoch: leader.fleetEpoch, count: leader.fleetCount });
+      const leader = await this.#until(
+        this.#leader.bind(this),
+        hasFleetAfter.bind(undefined, before.fleetCount),
+        'a change of the fleet told',
+      );
+      const lastAt = await this.#untilReached('fleet', {
+        epoch: leader.fleetEpoch,
+        count: leader.fleetCount,
+      });
       times.push(lastAt - start);
       await pause(500);
     }
@@ -190,7 +282,14 @@
     for (let index = 0; index < loads; index += 1) {
       const model = heldModels(shape) + index;
       if (model >= shape.models) break;
-      await this.#edges[0]?.ask('want', JSON.stringify({ service: serviceName(model % serviceCount(shape)), model: modelName(model), waiting: 1 }));
+      await this.#edges[0]?.ask(
+        'want',
+        JSON.stringify({
+          service: serviceName(model % serviceCount(shape)),
+          model: modelName(model),
+          waiting: 1,
+        }),
+      );
       await pause(LOAD_WAIT_MS);
     }
     return [];
@@ -198,15 +297,27 @@
 
   async #demand(units: number): Promise<void> {
     const { shape } = this.#options;
-    for (const part of this.#edges) await part.ask('demand', JSON.stringify({ units, models: heldModels(shape), services: serviceCount(shape) }));
+    for (const part of this.#edges)
+      await part.ask(
+        'demand',
+        JSON.stringify({ units, models: heldModels(shape), services: serviceCount(shape) }),
+      );
   }
 
   // ---- waiting
 
   async #configure(): Promise<void> {
     const { shape } = this.#options;
-    const body = JSON.stringify({ id: `edit-${this.#version + 1}`, base: this.#version, text: routingText(shape, this.#version + 1) });
-    await this.#until(this.#command.bind(this, JSON.stringify({ verb: 'configure', body })), isTaken, 'a configuration taken');
+    const body = JSON.stringify({
+      id: `edit-${this.#version + 1}`,
+      base: this.#version,
+      text: routingText(shape, this.#version + 1),
+    });
+    await this.#until(
+      this.#command.bind(this, JSON.stringify({ verb: 'configure', body })),
+      isTaken,
+      'a configuration taken',
+    );
     this.#version += 1;
   }
 
@@ -226,8 +337,14 @@
   }
 
   async #untilReached(topic: string, version: Version): Promise<number> {
-    function hasAll(flows: number, { reached }: { readonly reached: number }): boolean { return reached >= flows; }
-    const { lastAt } = await this.#until(this.#reached.bind(this, JSON.stringify({ topic, ...version })), hasAll.bind(undefined, this.#flows), `${topic} in force everywhere`);
+    function hasAll(flows: number, { reached }: { readonly reached: number }): boolean {
+      return reached >= flows;
+    }
+    const { lastAt } = await this.#until(
+      this.#reached.bind(this, JSON.stringify({ topic, ...version })),
+      hasAll.bind(undefined, this.#flows),
+      `${topic} in force everywhere`,
+    );
     return lastAt;
   }
 
@@ -249,9 +366,16 @@
     let since = sharedNow();
     for (;;) {
       const leader = await this.#leader();
-      if (leader.fleetCount !== known || leader.fleetCount === 0) { known = leader.fleetCount; since = sharedNow(); }
+      if (leader.fleetCount !== known || leader.fleetCount === 0) {
+        known = leader.fleetCount;
+        since = sharedNow();
+      }
       // A fleet that never rests is a figure too: it is measured as it is.
-      if (sharedNow() - since > SETTLED_MS || sharedNow() > end - WAIT_MS * 0.8 && leader.fleetCount > 0) return leader;
+      if (
+        sharedNow() - since > SETTLED_MS ||
+        (sharedNow() > end - WAIT_MS * 0.8 && leader.fleetCount > 0)
+      )
+        return leader;
       if (sharedNow() > end) throw new Error('waited too long for a fleet');
       await pause(100);
     }
@@ -271,15 +395,27 @@
 
   async #snapshot(): Promise<Snapshot> {
     const [minds, edges, links, flows] = await Promise.all([
-      Promise.all(this.#minds.map(readMind)), Promise.all(this.#edges.map(readEdges)), Promise.all(this.#watchedLink ? [readEdges(this.#watchedLink)] : []),
+      Promise.all(this.#minds.map(readMind)),
+      Promise.all(this.#edges.map(readEdges)),
+      Promise.all(this.#watchedLink ? [readEdges(this.#watchedLink)] : []),
       Promise.all(this.#watchedFlow ? [readCost(this.#watchedFlow)] : []),
     ]);
     return { at: sharedNow(), minds, edges, watchedLink: links[0], watchedFlow: flows[0] };
   }
 }
 
-async function readMind(part: ScalePart): Promise<MindFigures> { return mustParseAs(MindFiguresShape, await part.ask('figures', ''), 'the figures'); }
-async function readEdges(part: ScalePart): Promise<EdgesFigures> { return mustParseAs(EdgesFiguresShape, await part.ask('figures', ''), 'the figures'); }
-async function readCost(part: ScalePart): Promise<Cost> { return mustParseAs(CostShape, await part.ask('figures', ''), 'the figures'); }
-function hasFleetAfter(count: number, leader: MindFigures): boolean { return leader.fleetCount > count; }
-function isTaken(status: number): boolean { return status === 200; }
+async function readMind(part: ScalePart): Promise<MindFigures> {
+  return mustParseAs(MindFiguresShape, await part.ask('figures', ''), 'the figures');
+}
+async function readEdges(part: ScalePart): Promise<EdgesFigures> {
+  return mustParseAs(EdgesFiguresShape, await part.ask('figures', ''), 'the figures');
+}
+async function readCost(part: ScalePart): Promise<Cost> {
+  return mustParseAs(CostShape, await part.ask('figures', ''), 'the figures');
+}
+function hasFleetAfter(count: number, leader: MindFigures): boolean {
+  return leader.fleetCount > count;
+}
+function isTaken(status: number): boolean {
+  return status === 200;
+}
--- a/src/myth/Seeded.ts
+++ b/src/myth/Seeded.ts
@@ -2,7 +2,9 @@
 export class Seeded {
   #state: number;
 
-  constructor(seed: number) { this.#state = (seed * 2654435761) >>> 0; }
+  constructor(seed: number) {
+    this.#state = (seed * 2654435761) >>> 0;
+  }
 
   /** From 0 up to, not including, 1. */
   next(): number {
@@ -13,13 +15,21 @@
     return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
   }
 
-  below(most: number): number { return Math.floor(this.next() * most); }
+  below(most: number): number {
+    return Math.floor(this.next() * most);
+  }
 
-  between(low: number, high: number): number { return low + this.next() * (high - low); }
+  between(low: number, high: number): number {
+    return low + this.next() * (high - low);
+  }
 
-  isLikely(chance: number): boolean { return this.next() < chance; }
+  isLikely(chance: number): boolean {
+    return this.next() < chance;
+  }
 
-  pick<T>(items: readonly T[]): T | undefined { return items[this.below(items.length)]; }
+  pick<T>(items: readonly T[]): T | undefined {
+    return items[this.below(items.length)];
+  }
 
   /** Of a few, the first most often: an item's share falls with its place. */
   pickSkewed<T>(items: readonly T[]): T | undefined {
--- a/src/myth/SimBack.ts
+++ b/src/myth/SimBack.ts
@@ -5,7 +5,7 @@
 
 /** How a back end misbehaves for a while. */
 export const MOODS = ['breaks', 'silent', 'slow', 'unbounded', 'full', 'closes'] as const;
-export type Mood = 'sound' | typeof MOODS[number];
+export type Mood = 'sound' | (typeof MOODS)[number];
 
 export interface SimBackSettings {
   readonly id: string;
@@ -13,7 +13,14 @@
   readonly slots: number;
 }
 
-interface SimRun { readonly line: SimLine; readonly request: SimRequest; readonly run: string; readonly mood: Mood; isOver: boolean; isUnboundedBegun: boolean }
+interface SimRun {
+  readonly line: SimLine;
+  readonly request: SimRequest;
+  readonly run: string;
+  readonly mood: Mood;
+  isOver: boolean;
+  isUnboundedBegun: boolean;
+}
 
 /** What a back end must ask of its machine: whether it holds what is named, and whom to tell that a run began or ended there. */
 export interface Holder {
@@ -42,7 +49,13 @@
   isGone = false;
   mood: Mood = 'sound';
 
-  constructor(settings: SimBackSettings, agenda: Agenda, seeded: Seeded, holder: Holder, records: BackRecord[]) {
+  constructor(
+    settings: SimBackSettings,
+    agenda: Agenda,
+    seeded: Seeded,
+    holder: Holder,
+    records: BackRecord[],
+  ) {
     this.id = settings.id;
     this.#settings = settings;
     this.#agenda = agenda;
@@ -51,7 +64,9 @@
     this.#records = records;
   }
 
-  get running(): number { return this.#runs.size; }
+  get running(): number {
+    return this.#runs.size;
+  }
 
   setDark(isDark: boolean): void {
     this.isDark = isDark;
@@ -71,7 +86,10 @@
       run.isOver = true;
       this.#fault(run);
       // Without length or chunks, what the machine's close says is the same for a crash and for an end.
-      if (!isMachineGone && run.isUnboundedBegun) { run.line.tell('ended'); this.lines.delete(run.line); }
+      if (!isMachineGone && run.isUnboundedBegun) {
+        run.line.tell('ended');
+        this.lines.delete(run.line);
+      }
     }
     this.#runs.clear();
     if (!isMachineGone) for (const line of this.lines) line.tell('broke');
@@ -100,33 +118,58 @@
   #perform(run: () => void): void {
     const { boot } = this;
     const back = { isSame: this.#isBoot.bind(this, boot) };
-    function due(): void { if (back.isSame()) run(); }
+    function due(): void {
+      if (back.isSame()) run();
+    }
     if (this.isDark) this.#held.push(due);
     else due();
   }
 
-  #isBoot(boot: number): boolean { return this.boot === boot && this.isUp; }
+  #isBoot(boot: number): boolean {
+    return this.boot === boot && this.isUp;
+  }
 
-  #later(millis: number, run: () => void): void { this.#agenda.after(millis, this.#perform.bind(this, run)); }
+  #later(millis: number, run: () => void): void {
+    this.#agenda.after(millis, this.#perform.bind(this, run));
+  }
 
   #begin(line: SimLine, request: SimRequest): void {
     const mood = this.mood;
     // It closes its connection just as it is written to, and has run nothing.
-    if (mood === 'closes' && this.#seeded.isLikely(0.7)) { line.tell('broke'); return; }
-    const isFull = this.#runs.size >= this.#settings.slots || (mood === 'full' && this.#seeded.isLikely(0.7));
+    if (mood === 'closes' && this.#seeded.isLikely(0.7)) {
+      line.tell('broke');
+      return;
+    }
+    const isFull =
+      this.#runs.size >= this.#settings.slots || (mood === 'full' && this.#seeded.isLikely(0.7));
     if (isFull || !this.#holder.holds(this.id, request)) {
       this.#records.push({ at: this.#agenda.now, what: 'none', runner: this.id, id: request.id });
       line.head(false, true);
       return;
     }
     this.#runCount += 1;
-    const run: SimRun = { line, request, run: `${this.id}/${this.boot}/${this.#runCount}`, mood: this.#seeded.isLikely(0.6) ? mood : 'sound', isOver: false, isUnboundedBegun: false };
+    const run: SimRun = {
+      line,
+      request,
+      run: `${this.id}/${this.boot}/${this.#runCount}`,
+      mood: this.#seeded.isLikely(0.6) ? mood : 'sound',
+      isOver: false,
+      isUnboundedBegun: false,
+    };
     this.#runs.add(run);
     this.#holder.began(this.id, request);
     // It was given at the moment of its writing, however long it lay in a socket.
-    this.#records.push({ at: request.at, what: 'run', runner: this.id, id: request.id, run: run.run });
-    const promptMs = this.#seeded.between(5, this.#settings.isPlain ? 30 : 150) * (mood === 'slow' ? 40 : 1);
-    if (run.mood === 'breaks' && this.#seeded.isLikely(this.#settings.isPlain ? 0.9 : 0.3)) this.#later(promptMs, this.#break.bind(this, run));
+    this.#records.push({
+      at: request.at,
+      what: 'run',
+      runner: this.id,
+      id: request.id,
+      run: run.run,
+    });
+    const promptMs =
+      this.#seeded.between(5, this.#settings.isPlain ? 30 : 150) * (mood === 'slow' ? 40 : 1);
+    if (run.mood === 'breaks' && this.#seeded.isLikely(this.#settings.isPlain ? 0.9 : 0.3))
+      this.#later(promptMs, this.#break.bind(this, run));
     // Before its head or after some of its lines, a run may stand still for good.
     else if (run.mood === 'silent' && this.#seeded.isLikely(0.3)) this.#fault(run);
     else this.#later(promptMs, this.#head.bind(this, run));
@@ -143,7 +186,10 @@
   #line(run: SimRun, index: number): void {
     if (run.isOver) return;
     const { id, tokens } = run.request;
-    if (index >= tokens) { this.#last(run); return; }
+    if (index >= tokens) {
+      this.#last(run);
+      return;
+    }
     const line = `${JSON.stringify({ id, run: run.run, index })}\n`;
     if ((run.mood === 'breaks' || run.mood === 'unbounded') && this.#seeded.isLikely(0.2)) {
       run.line.text(line.slice(0, this.#seeded.below(line.length)));
@@ -151,19 +197,35 @@
       return;
     }
     run.line.text(line);
-    if (run.mood === 'silent' && this.#seeded.isLikely(0.3)) { this.#fault(run); return; }
-    this.#later(this.#seeded.between(10, 80) * (run.mood === 'slow' ? 10 : 1), this.#line.bind(this, run, index + 1));
+    if (run.mood === 'silent' && this.#seeded.isLikely(0.3)) {
+      this.#fault(run);
+      return;
+    }
+    this.#later(
+      this.#seeded.between(10, 80) * (run.mood === 'slow' ? 10 : 1),
+      this.#line.bind(this, run, index + 1),
+    );
   }
 
   #last(run: SimRun): void {
     const { id, tokens } = run.request;
-    run.line.text(`${JSON.stringify({ id, run: run.run, end: this.#settings.isPlain ? 0 : tokens })}\n`);
+    run.line.text(
+      `${JSON.stringify({ id, run: run.run, end: this.#settings.isPlain ? 0 : tokens })}\n`,
+    );
     run.line.tell('ended');
     this.#end(run);
   }
 
   /** Its own fault that this run does not come to its end. */
-  #fault(run: SimRun): void { this.#records.push({ at: this.#agenda.now, what: 'fault', runner: this.id, id: run.request.id, run: run.run }); }
+  #fault(run: SimRun): void {
+    this.#records.push({
+      at: this.#agenda.now,
+      what: 'fault',
+      runner: this.id,
+      id: run.request.id,
+      run: run.run,
+    });
+  }
 
   #break(run: SimRun): void {
     if (run.isOver) return;
--- a/src/myth/SimClients.ts
+++ b/src/myth/SimClients.ts
@@ -4,7 +4,15 @@
 import { LineCheck } from './LineCheck.js';
 import type { CallerRecord } from './Records.js';
 
-export interface Traffic { readonly type: string; readonly method: string; readonly path: string; readonly model: string; readonly adapter: string; readonly once: boolean; readonly tokens: number }
+export interface Traffic {
+  readonly type: string;
+  readonly method: string;
+  readonly path: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly once: boolean;
+  readonly tokens: number;
+}
 
 /** One caller with its request at a proxy: notes what it sees, as a caller outside would. */
 export interface SimClient {
@@ -32,12 +40,22 @@
     this.#records = records;
   }
 
-  get size(): number { return this.#open.size; }
+  get size(): number {
+    return this.#open.size;
+  }
 
   begin(traffic: Traffic): SimClient {
     this.#count += 1;
     const requestId = `${this.#flow}/${this.#count}`;
-    const client: SimClient = { id: this.#count, requestId, traffic, sentAt: this.#agenda.now, check: new LineCheck(requestId), table: -1, isReading: true };
+    const client: SimClient = {
+      id: this.#count,
+      requestId,
+      traffic,
+      sentAt: this.#agenda.now,
+      check: new LineCheck(requestId),
+      table: -1,
+      isReading: true,
+    };
     this.#open.set(client.id, client);
     return client;
   }
@@ -51,43 +69,82 @@
     return next;
   }
 
-  get(id: number): SimClient | undefined { return this.#open.get(id); }
+  get(id: number): SimClient | undefined {
+    return this.#open.get(id);
+  }
 
   /** The longest that anybody is waiting by now. */
   longestMs(): number {
     let longest = 0;
-    for (const client of this.#open.values()) longest = Math.max(longest, this.#agenda.now - client.sentAt);
+    for (const client of this.#open.values())
+      longest = Math.max(longest, this.#agenda.now - client.sentAt);
     return longest;
   }
 
   finished(client: SimClient): void {
     client.check.end();
-    this.#end(client, { status: 200, outcome: 'done', isWhole: true, run: client.check.run, fault: client.check.fault });
+    this.#end(client, {
+      status: 200,
+      outcome: 'done',
+      isWhole: true,
+      run: client.check.run,
+      fault: client.check.fault,
+    });
   }
 
   broken(client: SimClient): void {
     // Who reads no further is broken off for that.
-    if (!client.isReading) { this.#end(client, { status: 0, outcome: 'stalled' }); return; }
-    this.#end(client, { status: client.table >= 0 ? 200 : 0, outcome: client.table >= 0 ? 'broken' : 'unreached', run: client.check.run });
+    if (!client.isReading) {
+      this.#end(client, { status: 0, outcome: 'stalled' });
+      return;
+    }
+    this.#end(client, {
+      status: client.table >= 0 ? 200 : 0,
+      outcome: client.table >= 0 ? 'broken' : 'unreached',
+      run: client.check.run,
+    });
   }
 
-  left(client: SimClient): void { this.#end(client, { status: 0, outcome: 'left' }); }
+  left(client: SimClient): void {
+    this.#end(client, { status: 0, outcome: 'left' });
+  }
 
   told(client: SimClient, kind: DefectKind, retryMs: number, table: number): void {
     const row = DEFECTS[kind];
     client.table = kind === 'blind' ? -1 : table;
-    this.#end(client, { status: row.status, outcome: row.unsure ? 'unsure' : 'turned-away', retryAfter: retryAfterOf(kind, retryMs) });
+    this.#end(client, {
+      status: row.status,
+      outcome: row.unsure ? 'unsure' : 'turned-away',
+      retryAfter: retryAfterOf(kind, retryMs),
+    });
   }
 
-  #end(client: SimClient, part: Partial<CallerRecord> & { readonly status: number; readonly outcome: string }): void {
+  #end(
+    client: SimClient,
+    part: Partial<CallerRecord> & { readonly status: number; readonly outcome: string },
+  ): void {
     if (!this.#open.delete(client.id)) return;
     const { type, model, once } = client.traffic;
     this.#records.push({
-      what: 'call', id: client.requestId, type, model: model === '' ? type : model, once, flow: this.#flow, sentAt: client.sentAt, endedAt: this.#agenda.now,
-      run: '', isWhole: false, fault: '', retryAfter: 0, table: client.table, ...part,
+      what: 'call',
+      id: client.requestId,
+      type,
+      model: model === '' ? type : model,
+      once,
+      flow: this.#flow,
+      sentAt: client.sentAt,
+      endedAt: this.#agenda.now,
+      run: '',
+      isWhole: false,
+      fault: '',
+      retryAfter: 0,
+      table: client.table,
+      ...part,
     });
   }
 
   /** The proxy's process ended: all its connections close. */
-  lost(): void { for (const client of [...this.#open.values()]) this.broken(client); }
+  lost(): void {
+    for (const client of [...this.#open.values()]) this.broken(client);
+  }
 }
--- a/src/myth/SimFlow.ts
+++ b/src/myth/SimFlow.ts
@@ -21,7 +21,14 @@
 const SILENT_MS = 5000;
 const DRAIN_MS = 20_000;
 
-interface Way { readonly line: SimLine; readonly attempt: number; readonly isReused: boolean; hasHead: boolean; readonly back: string; readonly isKept: boolean }
+interface Way {
+  readonly line: SimLine;
+  readonly attempt: number;
+  readonly isReused: boolean;
+  hasHead: boolean;
+  readonly back: string;
+  readonly isKept: boolean;
+}
 
 /** A simulated proxy: the real decision and passages; connections, back ends and callers are simulated around them. */
 export class SimFlow extends SimNode {
@@ -44,8 +51,15 @@
   #oldConfig: string | undefined;
 
   constructor(
-    id: string, agenda: Agenda, seeded: Seeded, network: Network, outside: SimOutside, link: SimLink,
-    records: CallerRecord[], onWrite: (runner: string) => void, wrong: WrongKind | '',
+    id: string,
+    agenda: Agenda,
+    seeded: Seeded,
+    network: Network,
+    outside: SimOutside,
+    link: SimLink,
+    records: CallerRecord[],
+    onWrite: (runner: string) => void,
+    wrong: WrongKind | '',
   ) {
     super(id, agenda, seeded.between(0, 1e6), 25);
     this.#seeded = seeded;
@@ -59,17 +73,36 @@
     agenda.after(seeded.between(0, 200), this.#call.bind(this));
   }
 
-  get decision(): Decision | undefined { return this.#decision; }
-  get open(): number { return this.#clients.size; }
-  get longestMs(): number { return this.#clients.longestMs(); }
-  get isDraining(): boolean { return this.#isDraining; }
+  get decision(): Decision | undefined {
+    return this.#decision;
+  }
+  get open(): number {
+    return this.#clients.size;
+  }
+  get longestMs(): number {
+    return this.#clients.longestMs();
+  }
+  get isDraining(): boolean {
+    return this.#isDraining;
+  }
 
   protected boot(): void {
     const isNever = this.#wrong === 'never-blind';
     const repeats = this.#wrong === 'no-budget' ? { repeatShare: 1, repeatFew: 1000 } : {};
     const ramp = this.#wrong === 'no-ramp' ? { rampMs: 1 } : {};
-    this.#decision = new Decision({ ...DECISION_DEFAULTS, ...repeats, ...ramp, blindMs: isNever ? 1e9 : BLIND_MS, me: this.id, life: this.life });
-    this.#passages = new Passages(this.#decision, { connectMs: 500, silentMs: SILENT_MS }, new Counters());
+    this.#decision = new Decision({
+      ...DECISION_DEFAULTS,
+      ...repeats,
+      ...ramp,
+      blindMs: isNever ? 1e9 : BLIND_MS,
+      me: this.id,
+      life: this.life,
+    });
+    this.#passages = new Passages(
+      this.#decision,
+      { connectMs: 500, silentMs: SILENT_MS },
+      new Counters(),
+    );
     this.#watches = new Watches(this.#decision);
     this.#isDraining = false;
   }
@@ -90,8 +123,15 @@
   retire(done: () => void): void {
     if (!this.isUp || this.#isDraining) return;
     this.#isDraining = true;
-    const node = { passages: this.#passages, obey: this.#obey.bind(this), now: this.now.bind(this) };
-    function start(): void { node.passages?.startDraining(node.now()); node.obey(); }
+    const node = {
+      passages: this.#passages,
+      obey: this.#obey.bind(this),
+      now: this.now.bind(this),
+    };
+    function start(): void {
+      node.passages?.startDraining(node.now());
+      node.obey();
+    }
     this.perform(start);
     const end = this.agenda.now + (this.#wrong === 'drain-cuts' ? 50 : DRAIN_MS);
     this.#awaitIdle(end, done);
@@ -112,12 +152,21 @@
     this.#watches?.beat(this.now());
     if (this.#beats % ASK_EVERY === 0) {
       this.#tell({
-        kind: 'ask', nonce: decision.ask(this.now()),
-        have: [{ topic: 'config', ...decision.configVersion }, { topic: 'places', ...decision.placesVersion }, { topic: 'machines', epoch: 0, count: decision.marks }],
+        kind: 'ask',
+        nonce: decision.ask(this.now()),
+        have: [
+          { topic: 'config', ...decision.configVersion },
+          { topic: 'places', ...decision.placesVersion },
+          { topic: 'machines', epoch: 0, count: decision.marks },
+        ],
         members: [],
       });
     }
-    if (this.#beats % 40 === 0) this.#tell({ kind: 'demand', body: JSON.stringify({ flow: this.id, ...decision.takeDemand() }) });
+    if (this.#beats % 40 === 0)
+      this.#tell({
+        kind: 'demand',
+        body: JSON.stringify({ flow: this.id, ...decision.takeDemand() }),
+      });
     this.#obey();
   }
 
@@ -134,11 +183,22 @@
     const client = this.#clients.begin(traffic);
     this.perform(this.#take.bind(this, client));
     // Some leave, and some read no further.
-    if (this.#seeded.isLikely(0.04)) this.later(this.#seeded.between(0, 1500), this.#leave.bind(this, client));
+    if (this.#seeded.isLikely(0.04))
+      this.later(this.#seeded.between(0, 1500), this.#leave.bind(this, client));
     if (this.#seeded.isLikely(0.01)) client.isReading = false;
   }
 
-  lookup(): Traffic { return { type: 'lookup', method: 'GET', path: '/v1/lookups/1', model: '', adapter: '', once: false, tokens: 0 }; }
+  lookup(): Traffic {
+    return {
+      type: 'lookup',
+      method: 'GET',
+      path: '/v1/lookups/1',
+      model: '',
+      adapter: '',
+      once: false,
+      tokens: 0,
+    };
+  }
 
   /** What is asked for shifts with time, so that places have to follow. */
   #draw(): Traffic {
@@ -147,7 +207,15 @@
     const model = `m-${(shift + Math.floor(3 * this.#seeded.next() ** 2)) % 8}`;
     const adapter = model === 'm-0' && this.#seeded.isLikely(0.5) ? 'm-0-a' : '';
     const isStream = this.#seeded.isLikely(0.75);
-    return { type: isStream ? 'check' : 'sum', method: 'POST', path: isStream ? '/v1/checks' : '/v1/sums', model, adapter, once: true, tokens: 1 + this.#seeded.below(12) };
+    return {
+      type: isStream ? 'check' : 'sum',
+      method: 'POST',
+      path: isStream ? '/v1/checks' : '/v1/sums',
+      model,
+      adapter,
+      once: true,
+      tokens: 1 + this.#seeded.below(12),
+    };
   }
 
   #take(client: SimClient): void {
@@ -168,7 +236,11 @@
   #obey(): void {
     if (this.#isObeying) return;
     this.#isObeying = true;
-    for (let steps = this.#passages?.drain() ?? []; steps.length > 0; steps = this.#passages?.drain() ?? []) {
+    for (
+      let steps = this.#passages?.drain() ?? [];
+      steps.length > 0;
+      steps = this.#passages?.drain() ?? []
+    ) {
       for (const step of steps) this.#carryOut(step);
     }
     for (const step of this.#watches?.drain() ?? []) this.#watch(step);
@@ -180,12 +252,28 @@
     this.#watchLines.delete(step.id);
     if (step.do === 'close') return;
     const { id, count } = step;
-    const flow = { watches: this.#watches, passages: this.#passages, now: this.now.bind(this), obey: this.#obey.bind(this), perform: this.perform.bind(this) };
-    function opened(): void { flow.watches?.opened(flow.now(), id, count); flow.passages?.settle(flow.now()); flow.obey(); }
-    function closed(): void { flow.watches?.closed(flow.now(), id, count); flow.obey(); }
+    const flow = {
+      watches: this.#watches,
+      passages: this.#passages,
+      now: this.now.bind(this),
+      obey: this.#obey.bind(this),
+      perform: this.perform.bind(this),
+    };
+    function opened(): void {
+      flow.watches?.opened(flow.now(), id, count);
+      flow.passages?.settle(flow.now());
+      flow.obey();
+    }
+    function closed(): void {
+      flow.watches?.closed(flow.now(), id, count);
+      flow.obey();
+    }
     const connected = flow.perform.bind(undefined, opened);
     const broke = flow.perform.bind(undefined, closed);
-    this.#watchLines.set(id, this.#open(id, { connected, head: ignore, text: ignore, ended: broke, broke }));
+    this.#watchLines.set(
+      id,
+      this.#open(id, { connected, head: ignore, text: ignore, ended: broke, broke }),
+    );
   }
 
   #open(back: string, hear: Hear): SimLine {
@@ -197,13 +285,23 @@
     const client = this.#clients.get(step.id);
     const way = this.#ways.get(step.id);
     switch (step.do) {
-      case 'connect': if (client) this.#connect(client, step); break;
+      case 'connect':
+        if (client) this.#connect(client, step);
+        break;
       case 'write':
         if (!client || !way || way.attempt !== step.attempt) break;
         this.#onWrite(way.back);
-        way.line.write({ id: client.requestId, model: client.traffic.model, adapter: client.traffic.adapter, tokens: client.traffic.tokens, at: this.agenda.now });
+        way.line.write({
+          id: client.requestId,
+          model: client.traffic.model,
+          adapter: client.traffic.adapter,
+          tokens: client.traffic.tokens,
+          at: this.agenda.now,
+        });
+        break;
+      case 'pass':
+        if (client) client.table = step.table;
         break;
-      case 'pass': if (client) client.table = step.table; break;
       case 'finish':
         if (client) this.#clients.finished(client);
         this.#let(step.id, true);
@@ -212,7 +310,9 @@
         if (client) this.#break(client);
         this.#let(step.id, false);
         break;
-      case 'cancel': if (way?.attempt === step.attempt) this.#let(step.id, false); break;
+      case 'cancel':
+        if (way?.attempt === step.attempt) this.#let(step.id, false);
+        break;
       case 'tell':
         if (client) this.#say(client, step);
         this.#let(step.id, false);
@@ -223,13 +323,22 @@
   #say(client: SimClient, step: Extract<Step, { do: 'tell' }>): void {
     const table = this.#decision?.tableNumber ?? -1;
     const isWrongNo = this.#wrong === 'unsure-run-as-no' && step.kind === 'unsure-run';
-    const tell = this.#clients.told.bind(this.#clients, client, isWrongNo ? 'crowded' : step.kind, step.retryMs, table);
+    const tell = this.#clients.told.bind(
+      this.#clients,
+      client,
+      isWrongNo ? 'crowded' : step.kind,
+      step.retryMs,
+      table,
+    );
     if (this.#wrong === 'no-kept-back') this.later(LATE_MS.check * 0.9, tell);
     else tell();
   }
 
   #break(client: SimClient): void {
-    if (this.#wrong !== 'streams-resumed') { this.#clients.broken(client); return; }
+    if (this.#wrong !== 'streams-resumed') {
+      this.#clients.broken(client);
+      return;
+    }
     // As if another run could go on where the broken one ended.
     const next = this.#clients.alias(client);
     this.later(1, this.#take.bind(this, next));
@@ -239,7 +348,10 @@
     const way = this.#ways.get(id);
     if (!way) return;
     this.#ways.delete(id);
-    if (!isWhole || !way.isKept || way.line.isClosed) { way.line.close(); return; }
+    if (!isWhole || !way.isKept || way.line.isClosed) {
+      way.line.close();
+      return;
+    }
     const lines = this.#kept.get(way.back) ?? [];
     this.#kept.set(way.back, lines);
     lines.push(way.line);
@@ -261,13 +373,28 @@
     const hear = this.#hear(client.id, step.attempt);
     const line = kept ?? this.#open(runner, hear);
     line.hear = hear;
-    this.#ways.set(client.id, { line, attempt: step.attempt, isReused: kept !== undefined, hasHead: false, back: runner, isKept: row.repeatable });
+    this.#ways.set(client.id, {
+      line,
+      attempt: step.attempt,
+      isReused: kept !== undefined,
+      hasHead: false,
+      back: runner,
+      isKept: row.repeatable,
+    });
     if (kept) this.later(0.05, hear.connected);
   }
 
   /** What comes in on a connection waits in its socket while the process is frozen. */
   #hear(id: number, attempt: number): Hear {
-    const flow = { ways: this.#ways, passages: this.#passages, now: this.now.bind(this), obey: this.#obey.bind(this), perform: this.perform.bind(this), clients: this.#clients, wrong: this.#wrong };
+    const flow = {
+      ways: this.#ways,
+      passages: this.#passages,
+      now: this.now.bind(this),
+      obey: this.#obey.bind(this),
+      perform: this.perform.bind(this),
+      clients: this.#clients,
+      wrong: this.#wrong,
+    };
     function wayOf(): Way | undefined {
       const way = flow.ways.get(id);
       return way?.attempt === attempt ? way : undefined;
@@ -282,13 +409,18 @@
       flow.perform(due);
     }
     function connected(): void {
-      function run(passages: Passages): void { passages.connected(flow.now(), id, attempt); }
+      function run(passages: Passages): void {
+        passages.connected(flow.now(), id, attempt);
+      }
       hears(run);
     }
     function head(isBegun: boolean, isBounded: boolean): void {
       function run(passages: Passages, way: Way): void {
         way.hasHead = isBegun;
-        passages.head(flow.now(), id, attempt, { isBegun, isBounded: isBounded || flow.wrong === 'unbounded-as-whole' });
+        passages.head(flow.now(), id, attempt, {
+          isBegun,
+          isBounded: isBounded || flow.wrong === 'unbounded-as-whole',
+        });
       }
       hears(run);
     }
@@ -329,7 +461,12 @@
     const decision = this.#decision;
     if (!decision) return;
     if (message.kind === 'news') {
-      this.#news(decision, message.topic, { epoch: message.epoch, count: message.count }, message.body);
+      this.#news(
+        decision,
+        message.topic,
+        { epoch: message.epoch, count: message.count },
+        message.body,
+      );
       if (message.topic === 'config') this.#tell({ kind: 'ack', ...decision.configVersion });
     } else if (message.kind === 'vouch') {
       decision.vouch(message.nonce, message, this.#wrong === 'marks-ignored' ? 0 : message.marks);
@@ -340,22 +477,34 @@
 
   #news(decision: Decision, topic: string, version: Version, body: string): void {
     if (this.#wrong === 'marks-ignored' && topic === 'machines') return;
-    if (topic !== 'config') { decision.news(this.now(), topic, version, body); return; }
+    if (topic !== 'config') {
+      decision.news(this.now(), topic, version, body);
+      return;
+    }
     if (this.#wrong === 'versions-unchecked') {
       // It takes whatever comes, and now and then something old comes.
       this.#oldConfig ??= body;
-      const isOld = compareVersions(decision.configVersion, NO_VERSION) > 0 && this.#seeded.isLikely(0.3);
+      const isOld =
+        compareVersions(decision.configVersion, NO_VERSION) > 0 && this.#seeded.isLikely(0.3);
       decision.news(this.now(), topic, version, isOld ? this.#oldConfig : body);
       return;
     }
     let wrong = body;
-    if (this.#wrong === 'emptied-ignored') wrong = body.replace(/"emptied":\[[^\]]*\]/, '"emptied":[]');
-    if (this.#wrong === 'once-repeated') wrong = body.replaceAll('"repeatable":false', '"repeatable":true');
+    if (this.#wrong === 'emptied-ignored')
+      wrong = body.replace(/"emptied":\[[^\]]*\]/, '"emptied":[]');
+    if (this.#wrong === 'once-repeated')
+      wrong = body.replaceAll('"repeatable":false', '"repeatable":true');
     decision.news(this.now(), topic, version, wrong);
   }
 
-  gone(): void { /* its link's line closing changes nothing here: it asks again */ }
+  gone(): void {
+    /* its link's line closing changes nothing here: it asks again */
+  }
 }
 
-function ignore(): void { /* nothing is asked on an idle connection */ }
-function isOther(line: SimLine, other: SimLine): boolean { return line !== other; }
+function ignore(): void {
+  /* nothing is asked on an idle connection */
+}
+function isOther(line: SimLine, other: SimLine): boolean {
+  return line !== other;
+}
--- a/src/myth/SimLine.test.ts
+++ b/src/myth/SimLine.test.ts
@@ -1,5 +1,13 @@
 import { expect, test } from 'vitest';
 import { bite } from './Simulation.js';
 
-async function checkBites(wrong: Parameters<typeof bite>[0]): Promise<void> { expect(await bite(wrong)).toEqual([]); }
-test.each(['emptied-ignored', 'versions-unchecked', 'yes-unsynced', 'unsure-as-no', 'room-forgotten'] as const)('a build with %s is caught', checkBites, 600_000);
+async function checkBites(wrong: Parameters<typeof bite>[0]): Promise<void> {
+  expect(await bite(wrong)).toEqual([]);
+}
+test.each([
+  'emptied-ignored',
+  'versions-unchecked',
+  'yes-unsynced',
+  'unsure-as-no',
+  'room-forgotten',
+] as const)('a build with %s is caught', checkBites, 600_000);
--- a/src/myth/SimLine.ts
+++ b/src/myth/SimLine.ts
@@ -11,7 +11,13 @@
 }
 
 /** What is written to a back end. */
-export interface SimRequest { readonly id: string; readonly model: string; readonly adapter: string; readonly tokens: number; readonly at: number }
+export interface SimRequest {
+  readonly id: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly tokens: number;
+  readonly at: number;
+}
 
 /** A cut is looked at again after so long: what was sent meanwhile is sent anew by the machines' TCP. */
 const AGAIN_MS = 50;
@@ -28,7 +34,13 @@
   #out: (() => void)[] = [];
   #isClosed = false;
 
-  constructor(agenda: Agenda, back: SimBack, isCut: () => boolean, delay: () => number, hear: Hear) {
+  constructor(
+    agenda: Agenda,
+    back: SimBack,
+    isCut: () => boolean,
+    delay: () => number,
+    hear: Hear,
+  ) {
     this.#agenda = agenda;
     this.#back = back;
     this.#isCut = isCut;
@@ -39,25 +51,41 @@
   }
 
   /** Closed at the proxy's side: it hears nothing more here. */
-  get isClosed(): boolean { return this.#isClosed; }
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
 
   #connect(): void {
     if (this.#isClosed) return;
-    if (this.#isCut() || this.#back.isGone) { this.#agenda.after(AGAIN_MS, this.#connect.bind(this)); return; }
-    if (!this.#back.isUp || this.#back.boot !== this.boot) { this.tell('broke'); return; }
+    if (this.#isCut() || this.#back.isGone) {
+      this.#agenda.after(AGAIN_MS, this.#connect.bind(this));
+      return;
+    }
+    if (!this.#back.isUp || this.#back.boot !== this.boot) {
+      this.tell('broke');
+      return;
+    }
     this.#back.lines.add(this);
     // The machine's kernel takes it, even where the process stands still.
     this.tell('connected');
   }
 
   /** Once written it is on its way, whatever becomes of the proxy. */
-  write(request: SimRequest): void { this.#agenda.after(this.#delay(), this.#arrive.bind(this, request)); }
+  write(request: SimRequest): void {
+    this.#agenda.after(this.#delay(), this.#arrive.bind(this, request));
+  }
 
   #arrive(request: SimRequest): void {
     // A connection that is reset drops what has not arrived.
     if (this.#back.isGone || (this.#isCut() && this.#isClosed)) return;
-    if (this.#isCut()) { this.#agenda.after(AGAIN_MS, this.#arrive.bind(this, request)); return; }
-    if (!this.#back.isUp || this.#back.boot !== this.boot) { this.tell('broke'); return; }
+    if (this.#isCut()) {
+      this.#agenda.after(AGAIN_MS, this.#arrive.bind(this, request));
+      return;
+    }
+    if (!this.#back.isUp || this.#back.boot !== this.boot) {
+      this.tell('broke');
+      return;
+    }
     this.#back.take(this, request);
   }
 
@@ -78,17 +106,23 @@
   // ---- towards the proxy
 
   tell(what: 'connected' | 'ended' | 'broke'): void {
-    function run(line: SimLine): void { line.hear[what](); }
+    function run(line: SimLine): void {
+      line.hear[what]();
+    }
     this.#say(run.bind(undefined, this));
   }
 
   head(isBegun: boolean, isBounded: boolean): void {
-    function run(line: SimLine): void { line.hear.head(isBegun, isBounded); }
+    function run(line: SimLine): void {
+      line.hear.head(isBegun, isBounded);
+    }
     this.#say(run.bind(undefined, this));
   }
 
   text(text: string): void {
-    function run(line: SimLine): void { line.hear.text(text); }
+    function run(line: SimLine): void {
+      line.hear.text(text);
+    }
     this.#say(run.bind(undefined, this));
   }
 
@@ -100,7 +134,10 @@
 
   #pump(): void {
     if (this.#isClosed || this.#out.length === 0) return;
-    if (this.#isCut()) { this.#agenda.after(AGAIN_MS, this.#pump.bind(this)); return; }
+    if (this.#isCut()) {
+      this.#agenda.after(AGAIN_MS, this.#pump.bind(this));
+      return;
+    }
     this.#out.shift()?.();
   }
 }
--- a/src/myth/SimLink.ts
+++ b/src/myth/SimLink.ts
@@ -14,34 +14,57 @@
   /** The proxies beside it, by id: fed over loopback, which is never cut. */
   readonly flows = new Map<string, SimFlow>();
 
-  constructor(id: string, agenda: Agenda, seeded: Seeded, network: Network, seeds: readonly string[]) {
+  constructor(
+    id: string,
+    agenda: Agenda,
+    seeded: Seeded,
+    network: Network,
+    seeds: readonly string[],
+  ) {
     super(id, agenda, seeded.between(0, 1e6), 25);
     this.#network = network;
     this.#seeds = seeds;
   }
 
-  get core(): LinkCore | undefined { return this.#core; }
+  get core(): LinkCore | undefined {
+    return this.#core;
+  }
 
   protected boot(): void {
-    this.#core = new LinkCore({ me: this.id, zone: 'z', seeds: this.#seeds, blindMs: BLIND_MS, life: this.life }, this.now());
+    this.#core = new LinkCore(
+      { me: this.id, zone: 'z', seeds: this.#seeds, blindMs: BLIND_MS, life: this.life },
+      this.now(),
+    );
   }
 
-  protected died(): void { this.#core = undefined; }
+  protected died(): void {
+    this.#core = undefined;
+  }
 
-  protected beat(): void { this.#core?.beat(this.now()); this.#obey(); }
+  protected beat(): void {
+    this.#core?.beat(this.now());
+    this.#obey();
+  }
 
   receive(from: string, message: Message): void {
     this.#core?.receive(this.now(), from, from.startsWith('flow@') ? 'flow' : 'node', message);
     this.#obey();
   }
 
-  gone(from: string): void { this.#core?.gone(this.now(), from); this.#obey(); }
+  gone(from: string): void {
+    this.#core?.gone(this.now(), from);
+    this.#obey();
+  }
 
   #obey(): void {
     for (const effect of this.#core?.drain() ?? []) {
       if (effect.do !== 'send') continue;
       const flow = this.flows.get(effect.to);
-      if (flow) this.agenda.after(0.1, flow.perform.bind(flow, flow.receive.bind(flow, this.id, effect.message)));
+      if (flow)
+        this.agenda.after(
+          0.1,
+          flow.perform.bind(flow, flow.receive.bind(flow, this.id, effect.message)),
+        );
       else this.#network.send(this.id, effect.to, effect.message);
     }
   }
--- a/src/myth/SimMind.test.ts
+++ b/src/myth/SimMind.test.ts
@@ -2,9 +2,26 @@
 import { SimMind } from './SimMind.js';
 import { Simulation, storm } from './Simulation.js';
 
-async function checkDisks(): Promise<void> { expect(await storm(1000, 30, ['kill-mind', 'wipe-mind', 'rot-file', 'stall-disk', 'slow-disk', 'freeze-mind'])).toEqual([]); }
-async function checkRetiring(): Promise<void> { expect(await storm(5000, 20, ['retire-mind', 'freeze-mind', 'cut-one-way', 'dark-runner'])).toEqual([]); }
-function mayOrder(mind: SimMind): boolean { return mind.core?.mayOrder(mind.now()) === true; }
+async function checkDisks(): Promise<void> {
+  expect(
+    await storm(1000, 30, [
+      'kill-mind',
+      'wipe-mind',
+      'rot-file',
+      'stall-disk',
+      'slow-disk',
+      'freeze-mind',
+    ]),
+  ).toEqual([]);
+}
+async function checkRetiring(): Promise<void> {
+  expect(
+    await storm(5000, 20, ['retire-mind', 'freeze-mind', 'cut-one-way', 'dark-runner']),
+  ).toEqual([]);
+}
+function mayOrder(mind: SimMind): boolean {
+  return mind.core?.mayOrder(mind.now()) === true;
+}
 async function checkClocks(): Promise<void> {
   const gaps: number[] = [];
   for (let seed = 1; seed <= 6; seed += 1) {
@@ -18,21 +35,34 @@
     // The worst that the bound allows: the holder's clock is slow, so that its lease lasts, and all others' are fast.
     for (const mind of simulation.minds) mind.setRate(mind === leader ? 0.99 : 1.01);
     agenda.runUntil(agenda.now + 3000 + seed * 111);
-    for (const mind of simulation.minds) if (mind !== leader) { network.cut(leader.id, mind.id); network.cut(mind.id, leader.id); }
+    for (const mind of simulation.minds)
+      if (mind !== leader) {
+        network.cut(leader.id, mind.id);
+        network.cut(mind.id, leader.id);
+      }
     let lastOld = agenda.now;
     for (let step = 0; step < 4000; step += 1) {
       agenda.runUntil(agenda.now + 3);
       if (mayOrder(leader)) lastOld = agenda.now;
       const next = simulation.minds.find(isNext.bind(undefined, leader));
-      if (next) { gaps.push(agenda.now - lastOld); break; }
+      if (next) {
+        gaps.push(agenda.now - lastOld);
+        break;
+      }
     }
   }
   expect(gaps).toHaveLength(6);
   expect(Math.min(...gaps)).toBeGreaterThanOrEqual(3000);
   expect(Math.max(...gaps)).toBeLessThan(4000);
 }
-function isNext(leader: SimMind, mind: SimMind): boolean { return mind !== leader && mayOrder(mind); }
-test('with clocks one in a hundred apart, holders are still three seconds apart', checkClocks, 600_000);
+function isNext(leader: SimMind, mind: SimMind): boolean {
+  return mind !== leader && mayOrder(mind);
+}
+test(
+  'with clocks one in a hundred apart, holders are still three seconds apart',
+  checkClocks,
+  600_000,
+);
 function checkHandOver(): void {
   // The leader is stopped as planned: the next one may order as soon as the span in which nobody does is over.
   const simulation = new Simulation({ seed: 3, edges: 1, stormMs: 0, troubles: [] });
@@ -50,6 +80,14 @@
   expect(simulation.leader()?.id).not.toBe(leader?.id);
   expect(simulation.leader()).toBeDefined();
 }
-test('a planned stop hands over in the span in which nobody orders, and no sooner', checkHandOver, 600_000);
+test(
+  'a planned stop hands over in the span in which nobody orders, and no sooner',
+  checkHandOver,
+  600_000,
+);
 test('no rule breaks when leaders are stopped as planned among troubles', checkRetiring, 600_000);
-test('no rule breaks when control nodes die, freeze, lose their disk or wait for it', checkDisks, 600_000);
+test(
+  'no rule breaks when control nodes die, freeze, lose their disk or wait for it',
+  checkDisks,
+  600_000,
+);
--- a/src/myth/SimMind.ts
+++ b/src/myth/SimMind.ts
@@ -31,7 +31,16 @@
   diskMs = 3;
   #stalled: (() => void)[] = [];
 
-  constructor(id: string, agenda: Agenda, seeded: Seeded, network: Network, outside: SimOutside, seeds: readonly string[], vote: VoteSettings, wrong: WrongKind | '') {
+  constructor(
+    id: string,
+    agenda: Agenda,
+    seeded: Seeded,
+    network: Network,
+    outside: SimOutside,
+    seeds: readonly string[],
+    vote: VoteSettings,
+    wrong: WrongKind | '',
+  ) {
     super(id, agenda, seeded.between(0, 1e6), 25);
     this.#vote = vote;
     this.#wrong = wrong;
@@ -41,12 +50,24 @@
     this.#seeds = seeds;
   }
 
-  get core(): MindCore | undefined { return this.#core; }
+  get core(): MindCore | undefined {
+    return this.#core;
+  }
 
   protected boot(): void {
     this.#store.crash();
-    const settings = { ...MIND_DEFAULTS, life: this.life, me: this.id, zone: this.id, seeds: this.#seeds };
-    this.#core = new MindCore(settings, this.#store.list(), this.now(), this.#vote, { ...PLACER_DEFAULTS, stayMs: 2000, demandSpanMs: 5000 });
+    const settings = {
+      ...MIND_DEFAULTS,
+      life: this.life,
+      me: this.id,
+      zone: this.id,
+      seeds: this.#seeds,
+    };
+    this.#core = new MindCore(settings, this.#store.list(), this.now(), this.#vote, {
+      ...PLACER_DEFAULTS,
+      stayMs: 2000,
+      demandSpanMs: 5000,
+    });
   }
 
   protected died(): void {
@@ -58,16 +79,22 @@
     this.#returns.clear();
   }
 
-  wipe(): void { this.#store.wipe(); }
+  wipe(): void {
+    this.#store.wipe();
+  }
 
   /** A planned stop: says whether it handed over. */
   retire(): void {
     const now = this.now.bind(this);
-    function retire(core: MindCore): void { core.retire(now()); }
+    function retire(core: MindCore): void {
+      core.retire(now());
+    }
     this.perform(this.#do.bind(this, retire));
   }
 
-  rot(part: PartName): void { this.#store.rot(part); }
+  rot(part: PartName): void {
+    this.#store.rot(part);
+  }
 
   unstall(): void {
     this.isDiskStalled = false;
@@ -76,12 +103,15 @@
     for (const run of stalled) run();
   }
 
-  protected beat(): void { this.#do(this.#beatCore.bind(this)); }
+  protected beat(): void {
+    this.#do(this.#beatCore.bind(this));
+  }
 
   #beatCore(core: MindCore): void {
     if (this.#wrong === 'acks-unasked') {
       const members = [];
-      for (const id of this.#network.linkIds) members.push({ id, zone: '', address: id, epoch: 1e9, count: 0 });
+      for (const id of this.#network.linkIds)
+        members.push({ id, zone: '', address: id, epoch: 1e9, count: 0 });
       core.receive(this.now(), this.id, { kind: 'acked', members });
     }
     core.beat(this.now());
@@ -89,13 +119,17 @@
 
   receive(from: string, message: Message): void {
     const now = this.now.bind(this);
-    function receive(core: MindCore): void { core.receive(now(), from, message); }
+    function receive(core: MindCore): void {
+      core.receive(now(), from, message);
+    }
     this.#do(receive);
   }
 
   gone(from: string): void {
     const now = this.now.bind(this);
-    function gone(core: MindCore): void { core.gone(now(), from); }
+    function gone(core: MindCore): void {
+      core.gone(now(), from);
+    }
     this.#do(gone);
   }
 
@@ -111,16 +145,23 @@
 
   /** An operator's command at this node's API. */
   command(verb: string, body: string, returned: Returned): void {
-    if (!this.isUp) { returned(0, ''); return; }
+    if (!this.isUp) {
+      returned(0, '');
+      return;
+    }
     this.#commandId += 1;
     const id = this.#commandId;
     this.#returns.set(id, returned);
     const now = this.now.bind(this);
-    function command(core: MindCore): void { core.command(now(), id, verb, body); }
+    function command(core: MindCore): void {
+      core.command(now(), id, verb, body);
+    }
     this.perform(this.#do.bind(this, command));
   }
 
-  #atWake(input: (core: MindCore) => void): void { this.perform(this.#do.bind(this, input)); }
+  #atWake(input: (core: MindCore) => void): void {
+    this.perform(this.#do.bind(this, input));
+  }
 
   #do(input: (core: MindCore) => void): void {
     const core = this.#core;
@@ -133,8 +174,12 @@
     const now = this.now.bind(this);
     const perform = this.#do.bind(this);
     switch (effect.do) {
-      case 'send': this.#network.send(this.id, effect.to, effect.message); break;
-      case 'store': this.#keep(effect); break;
+      case 'send':
+        this.#network.send(this.id, effect.to, effect.message);
+        break;
+      case 'store':
+        this.#keep(effect);
+        break;
       case 'return': {
         const returned = this.#returns.get(effect.id);
         this.#returns.delete(effect.id);
@@ -143,20 +188,29 @@
       }
       case 'askMachines': {
         const machines = this.#outside.machines(this.id);
-        function take(inner: MindCore): void { if (machines) inner.machines(now(), machines); }
+        function take(inner: MindCore): void {
+          if (machines) inner.machines(now(), machines);
+        }
         if (machines) this.later(this.#network.delay(), perform.bind(undefined, take));
         break;
       }
       case 'askCatalog': {
         const outside = this.#outside;
         const more = this.#wrong === 'slots-forgotten' ? 3 : 0;
-        function take(inner: MindCore): void { inner.catalog(now(), { ...outside.catalog, limit: outside.catalog.limit + more }); }
+        function take(inner: MindCore): void {
+          inner.catalog(now(), { ...outside.catalog, limit: outside.catalog.limit + more });
+        }
         this.later(this.#network.delay(), perform.bind(undefined, take));
         break;
       }
-      case 'askReport': this.#askReport(effect.runner); break;
-      case 'order': this.#order(core, effect); break;
-      case 'note': break;
+      case 'askReport':
+        this.#askReport(effect.runner);
+        break;
+      case 'order':
+        this.#order(core, effect);
+        break;
+      case 'note':
+        break;
     }
   }
 
@@ -173,7 +227,9 @@
     function arrive(): void {
       const told = isCut() ? undefined : outside.report(runner);
       const report = told && more > 0 ? { ...told, room: told.room + more } : told;
-      function take(core: MindCore): void { core.reported(now(), runner, askedAt, report); }
+      function take(core: MindCore): void {
+        core.reported(now(), runner, askedAt, report);
+      }
       later(report ? delay : 800, perform.bind(undefined, take));
     }
     this.agenda.after(delay, arrive);
@@ -189,28 +245,45 @@
     const agenda = this.agenda;
     const later = this.later.bind(this);
     const { intent } = effect;
-    function told(outcome: 'taken' | 'turnedAway' | 'unsure' | 'unsent', inner: MindCore): void { inner.ordered(now(), intent.id, outcome); }
+    function told(outcome: 'taken' | 'turnedAway' | 'unsure' | 'unsent', inner: MindCore): void {
+      inner.ordered(now(), intent.id, outcome);
+    }
     const epoch = core.elector.epoch;
     const wrong = this.#wrong;
     let continuedAt = 0;
     const freezeHere = this.#freezeAtOrder.bind(this);
-    function goOn(): void { continuedAt = agenda.now; agenda.after(network.delay(), perform.bind(undefined, write)); }
+    function goOn(): void {
+      continuedAt = agenda.now;
+      agenda.after(network.delay(), perform.bind(undefined, write));
+    }
     function write(inner: MindCore): void {
-      if (!inner.mayOrder(now()) || inner.leaseEnd() - now() <= 350) { told('unsent', inner); return; }
+      if (!inner.mayOrder(now()) || inner.leaseEnd() - now() <= 350) {
+        told('unsent', inner);
+        return;
+      }
       // Between the check and the write the process may stand still for as long as it likes.
       freezeHere();
       perform(put);
     }
     function put(): void {
       // From here on it is in the socket: a freeze or a lost lease no longer holds it back.
-      if (network.isCut(me, intent.runner)) { later(1000, perform.bind(undefined, told.bind(undefined, 'unsure'))); return; }
+      if (network.isCut(me, intent.runner)) {
+        later(1000, perform.bind(undefined, told.bind(undefined, 'unsure')));
+        return;
+      }
       agenda.after(network.delay(), arrive);
     }
     function arrive(): void {
-      const outcome = outside.order(me, epoch, intent, wrong === 'orders-untimed' ? agenda.now : continuedAt);
+      const outcome = outside.order(
+        me,
+        epoch,
+        intent,
+        wrong === 'orders-untimed' ? agenda.now : continuedAt,
+      );
       later(network.delay(), perform.bind(undefined, told.bind(undefined, outcome)));
     }
-    if (network.isCut(me, intent.runner) || !outside.isAnswering(intent.runner)) later(1000, perform.bind(undefined, told.bind(undefined, 'unsent')));
+    if (network.isCut(me, intent.runner) || !outside.isAnswering(intent.runner))
+      later(1000, perform.bind(undefined, told.bind(undefined, 'unsent')));
     else agenda.after(network.delay(), goOn);
   }
 
@@ -218,10 +291,14 @@
     const { part, version, body } = effect;
     const store = this.#store;
     const now = this.now.bind(this);
-    function stored(core: MindCore): void { core.stored(now(), part, version); }
+    function stored(core: MindCore): void {
+      core.stored(now(), part, version);
+    }
     const perform = this.perform.bind(this, this.#do.bind(this, stored));
     const late = this.#wrong === 'yes-unsynced' ? this.later.bind(this, 3000) : undefined;
-    function keep(): void { store.keep(part, version, body); }
+    function keep(): void {
+      store.keep(part, version, body);
+    }
     function reach(): void {
       if (late) late(keep);
       else keep();
--- a/src/myth/SimNode.ts
+++ b/src/myth/SimNode.ts
@@ -24,12 +24,20 @@
   }
 
   /** Far apart from those of its other lives. */
-  get life(): number { return this.#life * 1e6; }
-  get isUp(): boolean { return this.#isUp; }
-  get isFrozen(): boolean { return this.#isFrozen; }
+  get life(): number {
+    return this.#life * 1e6;
+  }
+  get isUp(): boolean {
+    return this.#isUp;
+  }
+  get isFrozen(): boolean {
+    return this.#isFrozen;
+  }
 
   /** Its own monotonic clock, which goes on while it is frozen. */
-  now(): Moment { return moment(this.agenda.now * this.#clockRate + this.#clockOffset); }
+  now(): Moment {
+    return moment(this.agenda.now * this.#clockRate + this.#clockOffset);
+  }
 
   /** From here on its clock goes faster or slower; it never jumps. */
   setRate(rate: number): void {
@@ -55,7 +63,9 @@
     this.died();
   }
 
-  freeze(): void { this.#isFrozen = true; }
+  freeze(): void {
+    this.#isFrozen = true;
+  }
 
   /** What came in meanwhile lay in its sockets, and is taken now, in order. */
   wake(): void {
@@ -77,15 +87,24 @@
   later(millis: number, run: () => void): void {
     const life = this.#life;
     const node = { isSame: this.#isLife.bind(this, life), perform: this.perform.bind(this) };
-    function due(): void { if (node.isSame()) node.perform(run); }
+    function due(): void {
+      if (node.isSame()) node.perform(run);
+    }
     this.agenda.after(millis, due);
   }
 
-  #isLife(life: number): boolean { return this.#life === life; }
+  #isLife(life: number): boolean {
+    return this.#life === life;
+  }
 
   #scheduleBeat(): void {
     const life = this.#life;
-    const node = { isSame: this.#isLife.bind(this, life), tick: this.#tick.bind(this), agenda: this.agenda, beatMs: this.#beatMs };
+    const node = {
+      isSame: this.#isLife.bind(this, life),
+      tick: this.#tick.bind(this),
+      agenda: this.agenda,
+      beatMs: this.#beatMs,
+    };
     function due(): void {
       if (!node.isSame()) return;
       node.tick();
@@ -94,7 +113,9 @@
     this.agenda.after(this.#beatMs, due);
   }
 
-  #tick(): void { if (!this.#isFrozen) this.beat(); }
+  #tick(): void {
+    if (!this.#isFrozen) this.beat();
+  }
 
   protected abstract boot(): void;
   protected abstract died(): void;
--- a/src/myth/SimOutside.test.ts
+++ b/src/myth/SimOutside.test.ts
@@ -2,6 +2,24 @@
 import { storm } from './Simulation.js';
 
 async function checkRunners(): Promise<void> {
-  expect(await storm(4000, 30, ['restart-runner', 'vanish-runner', 'dark-runner', 'mark-runner', 'mark-dark-runner', 'platform-down', 'odd-list', 'shrink-room', 'lower-limit', 'kill-mind', 'freeze-mind'])).toEqual([]);
+  expect(
+    await storm(4000, 30, [
+      'restart-runner',
+      'vanish-runner',
+      'dark-runner',
+      'mark-runner',
+      'mark-dark-runner',
+      'platform-down',
+      'odd-list',
+      'shrink-room',
+      'lower-limit',
+      'kill-mind',
+      'freeze-mind',
+    ]),
+  ).toEqual([]);
 }
-test('no rule breaks when runners restart, go dark, shrink or leave while the holder changes', checkRunners, 600_000);
+test(
+  'no rule breaks when runners restart, go dark, shrink or leave while the holder changes',
+  checkRunners,
+  600_000,
+);
--- a/src/myth/SimOutside.ts
+++ b/src/myth/SimOutside.ts
@@ -17,16 +17,28 @@
   taken: Set<string>;
 }
 
-export interface SeenOrder { readonly at: number; readonly holder: string; readonly epoch: number; readonly runner: string; readonly intent: Intent }
+export interface SeenOrder {
+  readonly at: number;
+  readonly holder: string;
+  readonly epoch: number;
+  readonly runner: string;
+  readonly intent: Intent;
+}
 
 const SLOTS = 8;
 /** Room that shrank, and a limit that was lowered, are known to nobody before they were asked about. */
 const ROOM_TOLD_MS = 2500;
 const LIMIT_TOLD_MS = 7000;
 
-function isOf(id: string, machine: Machine): boolean { return machine.id === id; }
-function isNotOf(id: string, machine: Machine): boolean { return machine.id !== id; }
-function unitKey(model: string, adapter: string): string { return `${model}\n${adapter}`; }
+function isOf(id: string, machine: Machine): boolean {
+  return machine.id === id;
+}
+function isNotOf(id: string, machine: Machine): boolean {
+  return machine.id !== id;
+}
+function unitKey(model: string, adapter: string): string {
+  return `${model}\n${adapter}`;
+}
 
 /** The simulator's outside: the platform's list, the weight store, runners and plain back ends, which watch the rules about orders. */
 export class SimOutside implements Holder {
@@ -52,28 +64,61 @@
   /** When a revision was first shown to any mind. */
   readonly shown = new Map<number, number>();
 
-  constructor(agenda: Agenda, seeded: Seeded, catalog: Catalog, runners: readonly { readonly id: string; readonly zone: string; readonly room: number }[], plain: readonly { readonly id: string; readonly zone: string }[]) {
+  constructor(
+    agenda: Agenda,
+    seeded: Seeded,
+    catalog: Catalog,
+    runners: readonly { readonly id: string; readonly zone: string; readonly room: number }[],
+    plain: readonly { readonly id: string; readonly zone: string }[],
+  ) {
     this.#agenda = agenda;
     this.#seeded = seeded;
     this.#catalog = catalog;
     this.#limitBefore = catalog.limit;
     for (const { id, zone, room } of runners) {
-      const back = new SimBack({ id, isPlain: false, slots: SLOTS }, agenda, seeded, this, this.records);
-      this.#runners.set(id, { back, room, roomBefore: room, roomSince: -1e9, bornAt: 0, holds: new Map(), taken: new Set() });
+      const back = new SimBack(
+        { id, isPlain: false, slots: SLOTS },
+        agenda,
+        seeded,
+        this,
+        this.records,
+      );
+      this.#runners.set(id, {
+        back,
+        room,
+        roomBefore: room,
+        roomSince: -1e9,
+        bornAt: 0,
+        holds: new Map(),
+        taken: new Set(),
+      });
       this.#machines.push({ id, address: id, zone, service: '', leaving: false });
     }
     for (const { id, zone } of plain) {
-      this.#plain.set(id, new SimBack({ id, isPlain: true, slots: 64 }, agenda, seeded, this, this.records));
+      this.#plain.set(
+        id,
+        new SimBack({ id, isPlain: true, slots: 64 }, agenda, seeded, this, this.records),
+      );
       this.#machines.push({ id, address: id, zone, service: 'kiosk', leaving: false });
     }
   }
 
-  get revision(): number { return this.#revision; }
-  get list(): readonly Machine[] { return this.#machines; }
-  get catalog(): Catalog { return this.#catalog; }
-  get fetching(): number { return this.#fetching; }
+  get revision(): number {
+    return this.#revision;
+  }
+  get list(): readonly Machine[] {
+    return this.#machines;
+  }
+  get catalog(): Catalog {
+    return this.#catalog;
+  }
+  get fetching(): number {
+    return this.#fetching;
+  }
 
-  back(id: string): SimBack | undefined { return this.#runners.get(id)?.back ?? this.#plain.get(id); }
+  back(id: string): SimBack | undefined {
+    return this.#runners.get(id)?.back ?? this.#plain.get(id);
+  }
 
   backs(): SimBack[] {
     const list = [...this.#plain.values()];
@@ -111,10 +156,17 @@
 
   mark(id: string, isLeaving: boolean): void {
     const marked: Machine[] = [];
-    for (const machine of this.#machines) marked.push(machine.id === id ? { ...machine, leaving: isLeaving } : machine);
+    for (const machine of this.#machines)
+      marked.push(machine.id === id ? { ...machine, leaving: isLeaving } : machine);
     this.#machines = marked;
     this.#revision += 1;
-    this.records.push({ at: this.#agenda.now, what: 'mark', id, leaving: isLeaving, revision: this.#revision });
+    this.records.push({
+      at: this.#agenda.now,
+      what: 'mark',
+      id,
+      leaving: isLeaving,
+      revision: this.#revision,
+    });
     if (!isLeaving) this.#marks.delete(id);
     else if (!this.#marks.has(id)) this.#marks.set(id, this.#revision);
   }
@@ -128,9 +180,26 @@
     if (!runner || !machine) return;
     this.#replaced += 1;
     const fresh = `${id}-${this.#replaced}`;
-    const back = new SimBack({ id: fresh, isPlain: false, slots: SLOTS }, this.#agenda, this.#seeded, this, this.records);
-    this.#runners.set(fresh, { back, room: runner.room, roomBefore: runner.room, roomSince: -1e9, bornAt: this.#agenda.now, holds: new Map(), taken: new Set() });
-    this.#machines = [...this.#machines.filter(isNotOf.bind(undefined, id)), { ...machine, id: fresh, address: fresh, leaving: false }];
+    const back = new SimBack(
+      { id: fresh, isPlain: false, slots: SLOTS },
+      this.#agenda,
+      this.#seeded,
+      this,
+      this.records,
+    );
+    this.#runners.set(fresh, {
+      back,
+      room: runner.room,
+      roomBefore: runner.room,
+      roomSince: -1e9,
+      bornAt: this.#agenda.now,
+      holds: new Map(),
+      taken: new Set(),
+    });
+    this.#machines = [
+      ...this.#machines.filter(isNotOf.bind(undefined, id)),
+      { ...machine, id: fresh, address: fresh, leaving: false },
+    ];
     this.#revision += 1;
     this.#agenda.after(span, this.down.bind(this, id, true));
   }
@@ -144,35 +213,60 @@
     const runner = this.#runners.get(id);
     if (!runner || !this.isAnswering(id)) return undefined;
     const holds: Hold[] = [];
-    for (const [key, hold] of runner.holds) holds.push({ ...hold, running: this.#running.get(`${id}\n${key}`) ?? 0 });
-    return { id, boot: `b${runner.back.boot}`, room: runner.room, slots: SLOTS, upMs: this.#agenda.now - runner.bornAt, holds };
+    for (const [key, hold] of runner.holds)
+      holds.push({ ...hold, running: this.#running.get(`${id}\n${key}`) ?? 0 });
+    return {
+      id,
+      boot: `b${runner.back.boot}`,
+      room: runner.room,
+      slots: SLOTS,
+      upMs: this.#agenda.now - runner.bornAt,
+      holds,
+    };
   }
 
   holds(id: string, request: SimRequest): boolean {
     const runner = this.#runners.get(id);
     if (!runner) return true;
     const isReady = runner.holds.get(unitKey(request.model, ''))?.state === 'ready';
-    return isReady && (request.adapter === '' || runner.holds.get(unitKey(request.model, request.adapter))?.state === 'ready');
+    return (
+      isReady &&
+      (request.adapter === '' ||
+        runner.holds.get(unitKey(request.model, request.adapter))?.state === 'ready')
+    );
   }
 
-  began(id: string, request: SimRequest): void { this.#count(id, request, 1); }
+  began(id: string, request: SimRequest): void {
+    this.#count(id, request, 1);
+  }
 
   ended(id: string, request: SimRequest): void {
     this.#count(id, request, -1);
     const runner = this.#runners.get(id);
-    for (const [key, hold] of runner?.holds ?? []) if (hold.state === 'unloading' && (this.#running.get(`${id}\n${key}`) ?? 0) === 0) runner?.holds.delete(key);
+    for (const [key, hold] of runner?.holds ?? [])
+      if (hold.state === 'unloading' && (this.#running.get(`${id}\n${key}`) ?? 0) === 0)
+        runner?.holds.delete(key);
   }
 
   #count(id: string, request: SimRequest, change: number): void {
-    const keys = request.adapter === '' ? [unitKey(request.model, '')] : [unitKey(request.model, ''), unitKey(request.model, request.adapter)];
-    for (const key of keys) this.#running.set(`${id}\n${key}`, Math.max(0, (this.#running.get(`${id}\n${key}`) ?? 0) + change));
+    const keys =
+      request.adapter === ''
+        ? [unitKey(request.model, '')]
+        : [unitKey(request.model, ''), unitKey(request.model, request.adapter)];
+    for (const key of keys)
+      this.#running.set(
+        `${id}\n${key}`,
+        Math.max(0, (this.#running.get(`${id}\n${key}`) ?? 0) + change),
+      );
   }
 
   /** Ends with all it holds; its fetches under way end with it. */
   down(id: string, isMachineGone: boolean): void {
     const runner = this.#runners.get(id);
-    for (const hold of runner?.holds.values() ?? []) if (hold.state === 'loading') this.#fetching -= 1;
-    for (const key of this.#running.keys()) if (key.startsWith(`${id}\n`)) this.#running.delete(key);
+    for (const hold of runner?.holds.values() ?? [])
+      if (hold.state === 'loading') this.#fetching -= 1;
+    for (const key of this.#running.keys())
+      if (key.startsWith(`${id}\n`)) this.#running.delete(key);
     const back = this.back(id);
     if (!back) return;
     back.die(isMachineGone);
@@ -190,9 +284,14 @@
     if (runner) runner.bornAt = this.#agenda.now;
   }
 
-  restart(id: string): void { this.down(id, false); this.up(id); }
+  restart(id: string): void {
+    this.down(id, false);
+    this.up(id);
+  }
 
-  setDark(id: string, isDark: boolean): void { this.back(id)?.setDark(isDark); }
+  setDark(id: string, isDark: boolean): void {
+    this.back(id)?.setDark(isDark);
+  }
 
   setRoom(id: string, room: number): void {
     const runner = this.#runners.get(id);
@@ -211,40 +310,85 @@
   }
 
   /** Taken only within so long of the runner's word to go on. */
-  order(holder: string, epoch: number, intent: Intent, continuedAt: number): 'taken' | 'turnedAway' | 'unsure' {
+  order(
+    holder: string,
+    epoch: number,
+    intent: Intent,
+    continuedAt: number,
+  ): 'taken' | 'turnedAway' | 'unsure' {
     const runner = this.#runners.get(intent.runner);
     if (!runner || !this.isAnswering(intent.runner)) return 'unsure';
     const now = this.#agenda.now;
     if (now - continuedAt > TAKE_WITHIN_MS) return 'turnedAway';
     const last = this.orders[this.orders.length - 1];
     if (last && last.holder !== holder && now - last.at < 3000) {
-      this.violations.push(`two-holders: ${last.holder} (${last.epoch}) and ${holder} (${epoch}) ordered ${Math.round(now - last.at)} ms apart`);
+      this.violations.push(
+        `two-holders: ${last.holder} (${last.epoch}) and ${holder} (${epoch}) ordered ${Math.round(now - last.at)} ms apart`,
+      );
     }
     this.orders.push({ at: now, holder, epoch, runner: intent.runner, intent });
     const key = unitKey(intent.model, intent.adapter);
     let used = intent.size;
     for (const hold of runner.holds.values()) used += hold.size;
-    const isOld = intent.boot !== `b${runner.back.boot}` || runner.taken.has(intent.id) || runner.holds.has(key);
-    const room = now - runner.roomSince < ROOM_TOLD_MS ? Math.max(runner.room, runner.roomBefore) : runner.room;
+    const isOld =
+      intent.boot !== `b${runner.back.boot}` ||
+      runner.taken.has(intent.id) ||
+      runner.holds.has(key);
+    const room =
+      now - runner.roomSince < ROOM_TOLD_MS
+        ? Math.max(runner.room, runner.roomBefore)
+        : runner.room;
     const isOver = intent.verb === 'load' && !isOld && used > room;
-    this.records.push({ at: now, what: 'order', runner: intent.runner, order: intent.id, verb: intent.verb, model: intent.model, adapter: intent.adapter, holder, epoch, overRoom: isOver });
+    this.records.push({
+      at: now,
+      what: 'order',
+      runner: intent.runner,
+      order: intent.id,
+      verb: intent.verb,
+      model: intent.model,
+      adapter: intent.adapter,
+      holder,
+      epoch,
+      overRoom: isOver,
+    });
     if (intent.boot !== `b${runner.back.boot}`) return 'turnedAway';
     if (runner.taken.has(intent.id)) return 'taken';
     runner.taken.add(intent.id);
     if (intent.verb === 'unload') {
       const hold = runner.holds.get(key);
-      if (hold && (this.#running.get(`${intent.runner}\n${key}`) ?? 0) > 0) runner.holds.set(key, { ...hold, state: 'unloading' });
+      if (hold && (this.#running.get(`${intent.runner}\n${key}`) ?? 0) > 0)
+        runner.holds.set(key, { ...hold, state: 'unloading' });
       else runner.holds.delete(key);
       return 'taken';
     }
     if (runner.holds.has(key)) return 'taken';
     if (used > runner.room) return 'turnedAway';
     this.#fetching += 1;
-    const limit = now - this.#limitSince < LIMIT_TOLD_MS ? Math.max(this.#catalog.limit, this.#limitBefore) : this.#catalog.limit;
-    this.records.push({ at: now, what: 'fetch', runner: intent.runner, model: intent.model, adapter: intent.adapter, running: this.#fetching, over: this.#fetching > limit });
-    const hold: Hold = { model: intent.model, adapter: intent.adapter, size: intent.size, state: 'loading', running: 0 };
+    const limit =
+      now - this.#limitSince < LIMIT_TOLD_MS
+        ? Math.max(this.#catalog.limit, this.#limitBefore)
+        : this.#catalog.limit;
+    this.records.push({
+      at: now,
+      what: 'fetch',
+      runner: intent.runner,
+      model: intent.model,
+      adapter: intent.adapter,
+      running: this.#fetching,
+      over: this.#fetching > limit,
+    });
+    const hold: Hold = {
+      model: intent.model,
+      adapter: intent.adapter,
+      size: intent.size,
+      state: 'loading',
+      running: 0,
+    };
     runner.holds.set(key, hold);
-    this.#agenda.after(300 + intent.size * 20, this.#fetched.bind(this, runner, runner.back.boot, key, hold));
+    this.#agenda.after(
+      300 + intent.size * 20,
+      this.#fetched.bind(this, runner, runner.back.boot, key, hold),
+    );
     return 'taken';
   }
 
--- a/src/myth/SimTroubles.ts
+++ b/src/myth/SimTroubles.ts
@@ -11,15 +11,62 @@
 import type { EventRecord } from './Records.js';
 
 export const TROUBLES = [
-  'kill-mind', 'kill-core', 'retire-mind', 'freeze-mind', 'freeze-ordering', 'wipe-mind', 'rot-file', 'stall-disk', 'slow-disk', 'cut-minds', 'cut-one-way', 'isolate-mind', 'isolate-link', 'cut-link',
-  'kill-link', 'freeze-link', 'kill-flow', 'freeze-flow', 'restart-flow', 'loss', 'delay', 'restart-runner', 'vanish-runner', 'dark-runner', 'moody-back', 'breaking-plain', 'restart-back', 'dark-back',
-  'cut-back', 'mark-runner', 'mark-dark-runner', 'replace-runner', 'shrink-room', 'lower-limit', 'platform-down', 'odd-list', 'isolate-core', 'crowd', 'zone-lost',
+  'kill-mind',
+  'kill-core',
+  'retire-mind',
+  'freeze-mind',
+  'freeze-ordering',
+  'wipe-mind',
+  'rot-file',
+  'stall-disk',
+  'slow-disk',
+  'cut-minds',
+  'cut-one-way',
+  'isolate-mind',
+  'isolate-link',
+  'cut-link',
+  'kill-link',
+  'freeze-link',
+  'kill-flow',
+  'freeze-flow',
+  'restart-flow',
+  'loss',
+  'delay',
+  'restart-runner',
+  'vanish-runner',
+  'dark-runner',
+  'moody-back',
+  'breaking-plain',
+  'restart-back',
+  'dark-back',
+  'cut-back',
+  'mark-runner',
+  'mark-dark-runner',
+  'replace-runner',
+  'shrink-room',
+  'lower-limit',
+  'platform-down',
+  'odd-list',
+  'isolate-core',
+  'crowd',
+  'zone-lost',
 ] as const;
-export type TroubleKind = typeof TROUBLES[number];
+export type TroubleKind = (typeof TROUBLES)[number];
 
 /** What was going on when a trouble came: only then has it tried the rules on that. */
-export const CONDITIONS = ['requests open', 'runs under way', 'edit in flight', 'fetch under way', 'runner marked', 'zone emptied', 'back end cold', 'proxy draining', 'no holder', 'link blind'] as const;
-export type Condition = typeof CONDITIONS[number];
+export const CONDITIONS = [
+  'requests open',
+  'runs under way',
+  'edit in flight',
+  'fetch under way',
+  'runner marked',
+  'zone emptied',
+  'back end cold',
+  'proxy draining',
+  'no holder',
+  'link blind',
+] as const;
+export type Condition = (typeof CONDITIONS)[number];
 
 export const RUNNERS = ['r0', 'r1', 'r2', 'r3'] as const;
 export const PLAIN = ['k0', 'k1', 'k2'] as const;
@@ -47,7 +94,9 @@
   /** How often a trouble came while something was going on. */
   readonly met = new Map<string, number>();
 
-  constructor(stage: Stage) { this.#stage = stage; }
+  constructor(stage: Stage) {
+    this.#stage = stage;
+  }
 
   bringAbout(kind: TroubleKind): void {
     const { agenda, network, outside, seeded } = this.#stage;
@@ -59,56 +108,153 @@
     const runner = seeded.pick(RUNNERS) ?? 'r0';
     const plain = seeded.pick(PLAIN) ?? 'k0';
     const back = seeded.isLikely(0.6) ? runner : plain;
-    this.#stage.say(`trouble ${kind} ${mind?.id} ${other?.id} ${link?.id} ${flow?.id} ${runner} ${plain} for ${Math.round(span)}`);
+    this.#stage.say(
+      `trouble ${kind} ${mind?.id} ${other?.id} ${link?.id} ${flow?.id} ${runner} ${plain} for ${Math.round(span)}`,
+    );
     if (!mind || !other || !link || !flow) return;
     this.#count(kind);
     switch (kind) {
-      case 'kill-mind': this.kill(mind); agenda.after(span, mind.start.bind(mind)); break;
-      case 'kill-core': for (const each of this.#stage.minds) { this.kill(each); agenda.after(span * seeded.next(), each.start.bind(each)); } break;
-      case 'retire-mind': mind.retire(); agenda.after(60, this.kill.bind(this, mind)); agenda.after(60 + span, mind.start.bind(mind)); break;
-      case 'freeze-mind': mind.freeze(); agenda.after(span, mind.wake.bind(mind)); break;
+      case 'kill-mind':
+        this.kill(mind);
+        agenda.after(span, mind.start.bind(mind));
+        break;
+      case 'kill-core':
+        for (const each of this.#stage.minds) {
+          this.kill(each);
+          agenda.after(span * seeded.next(), each.start.bind(each));
+        }
+        break;
+      case 'retire-mind':
+        mind.retire();
+        agenda.after(60, this.kill.bind(this, mind));
+        agenda.after(60 + span, mind.start.bind(mind));
+        break;
+      case 'freeze-mind':
+        mind.freeze();
+        agenda.after(span, mind.wake.bind(mind));
+        break;
       // Long enough for a successor to order, and sometimes not.
-      case 'freeze-ordering': for (const each of this.#stage.minds) each.freezeAtOrderMs = seeded.between(300, 12_000); break;
-      case 'wipe-mind': this.#wipe(mind, span); break;
-      case 'rot-file': this.#rot(mind, span); break;
-      case 'stall-disk': mind.isDiskStalled = true; agenda.after(span, mind.unstall.bind(mind)); break;
-      case 'slow-disk': mind.diskMs = 400; agenda.after(span, quicken.bind(undefined, mind)); break;
-      case 'cut-minds': this.#cut([mind.id], [other.id], true, span); break;
-      case 'cut-one-way': this.#cut([mind.id], [other.id], false, span); break;
-      case 'isolate-mind': this.#cut([mind.id], this.#ids(mind.id), true, span); break;
+      case 'freeze-ordering':
+        for (const each of this.#stage.minds) each.freezeAtOrderMs = seeded.between(300, 12_000);
+        break;
+      case 'wipe-mind':
+        this.#wipe(mind, span);
+        break;
+      case 'rot-file':
+        this.#rot(mind, span);
+        break;
+      case 'stall-disk':
+        mind.isDiskStalled = true;
+        agenda.after(span, mind.unstall.bind(mind));
+        break;
+      case 'slow-disk':
+        mind.diskMs = 400;
+        agenda.after(span, quicken.bind(undefined, mind));
+        break;
+      case 'cut-minds':
+        this.#cut([mind.id], [other.id], true, span);
+        break;
+      case 'cut-one-way':
+        this.#cut([mind.id], [other.id], false, span);
+        break;
+      case 'isolate-mind':
+        this.#cut([mind.id], this.#ids(mind.id), true, span);
+        break;
       case 'isolate-link':
         this.#cut([link.id], this.#ids(link.id), true, span);
-        for (const id of link.flows.keys()) this.#stage.note({ what: 'cut', node: id, number: span + 100 });
-        break;
-      case 'cut-link': this.#cut([link.id], [mind.id, other.id], seeded.isLikely(0.5), span); break;
-      case 'isolate-core': this.#cut(this.#stage.minds.map(idOf), this.#stage.links.map(idOf), true, span); break;
-      case 'kill-link': this.kill(link); agenda.after(span, link.start.bind(link)); break;
-      case 'freeze-link': link.freeze(); agenda.after(span, link.wake.bind(link)); break;
-      case 'kill-flow': this.#killFlow(flow); agenda.after(span, flow.start.bind(flow)); break;
-      case 'freeze-flow': this.#freezeFlow(flow, span); break;
-      case 'restart-flow': this.#restartFlow(flow); break;
-      case 'loss': network.loss = 0.2; agenda.after(span, calm.bind(undefined, network)); break;
-      case 'delay': network.mostDelay = 300; agenda.after(span, calm.bind(undefined, network)); break;
-      case 'restart-runner': outside.restart(runner); break;
-      case 'vanish-runner': outside.down(runner, true); agenda.after(span, outside.up.bind(outside, runner)); break;
-      case 'dark-runner': this.#darken(runner, span); break;
-      case 'dark-back': this.#darken(plain, span); break;
-      case 'moody-back': this.#mood(back, seeded.pick(MOODS) ?? 'sound', span); break;
-      case 'breaking-plain': for (const id of PLAIN) this.#mood(id, 'breaks', span); break;
-      case 'restart-back': this.#restartBack(plain); break;
+        for (const id of link.flows.keys())
+          this.#stage.note({ what: 'cut', node: id, number: span + 100 });
+        break;
+      case 'cut-link':
+        this.#cut([link.id], [mind.id, other.id], seeded.isLikely(0.5), span);
+        break;
+      case 'isolate-core':
+        this.#cut(this.#stage.minds.map(idOf), this.#stage.links.map(idOf), true, span);
+        break;
+      case 'kill-link':
+        this.kill(link);
+        agenda.after(span, link.start.bind(link));
+        break;
+      case 'freeze-link':
+        link.freeze();
+        agenda.after(span, link.wake.bind(link));
+        break;
+      case 'kill-flow':
+        this.#killFlow(flow);
+        agenda.after(span, flow.start.bind(flow));
+        break;
+      case 'freeze-flow':
+        this.#freezeFlow(flow, span);
+        break;
+      case 'restart-flow':
+        this.#restartFlow(flow);
+        break;
+      case 'loss':
+        network.loss = 0.2;
+        agenda.after(span, calm.bind(undefined, network));
+        break;
+      case 'delay':
+        network.mostDelay = 300;
+        agenda.after(span, calm.bind(undefined, network));
+        break;
+      case 'restart-runner':
+        outside.restart(runner);
+        break;
+      case 'vanish-runner':
+        outside.down(runner, true);
+        agenda.after(span, outside.up.bind(outside, runner));
+        break;
+      case 'dark-runner':
+        this.#darken(runner, span);
+        break;
+      case 'dark-back':
+        this.#darken(plain, span);
+        break;
+      case 'moody-back':
+        this.#mood(back, seeded.pick(MOODS) ?? 'sound', span);
+        break;
+      case 'breaking-plain':
+        for (const id of PLAIN) this.#mood(id, 'breaks', span);
+        break;
+      case 'restart-back':
+        this.#restartBack(plain);
+        break;
       case 'cut-back':
         this.#cut(this.#stage.links.map(idOf), [back], seeded.isLikely(0.5), span);
         this.#stage.note({ what: 'cut', node: back, number: span + 100 });
         break;
-      case 'mark-runner': outside.mark(back, true); agenda.after(span, outside.mark.bind(outside, back, false)); break;
-      case 'mark-dark-runner': this.#markDark(runner, span); break;
-      case 'replace-runner': outside.replace(runner, span); break;
-      case 'shrink-room': outside.setRoom(runner, 15); agenda.after(span, outside.setRoom.bind(outside, runner, ROOM)); break;
-      case 'lower-limit': outside.setLimit(1); agenda.after(span + 7000, outside.setLimit.bind(outside, LIMIT)); break;
-      case 'platform-down': outside.isPlatformUp = false; agenda.after(span, platformUp.bind(undefined, outside)); break;
-      case 'odd-list': outside.oddList = seeded.isLikely(0.5) ? 'empty' : 'old'; agenda.after(span, platformUp.bind(undefined, outside)); break;
-      case 'crowd': this.#crowd(30); break;
-      case 'zone-lost': this.#loseZone(seeded.below(3), span); break;
+      case 'mark-runner':
+        outside.mark(back, true);
+        agenda.after(span, outside.mark.bind(outside, back, false));
+        break;
+      case 'mark-dark-runner':
+        this.#markDark(runner, span);
+        break;
+      case 'replace-runner':
+        outside.replace(runner, span);
+        break;
+      case 'shrink-room':
+        outside.setRoom(runner, 15);
+        agenda.after(span, outside.setRoom.bind(outside, runner, ROOM));
+        break;
+      case 'lower-limit':
+        outside.setLimit(1);
+        agenda.after(span + 7000, outside.setLimit.bind(outside, LIMIT));
+        break;
+      case 'platform-down':
+        outside.isPlatformUp = false;
+        agenda.after(span, platformUp.bind(undefined, outside));
+        break;
+      case 'odd-list':
+        outside.oddList = seeded.isLikely(0.5) ? 'empty' : 'old';
+        agenda.after(span, platformUp.bind(undefined, outside));
+        break;
+      case 'crowd':
+        this.#crowd(30);
+        break;
+      case 'zone-lost':
+        this.#loseZone(seeded.below(3), span);
+        break;
     }
   }
 
@@ -123,7 +269,8 @@
 
   #ids(but: string): string[] {
     const ids: string[] = [];
-    for (const id of [...this.#stage.nodes.keys(), ...RUNNERS, ...PLAIN]) if (id !== but) ids.push(id);
+    for (const id of [...this.#stage.nodes.keys(), ...RUNNERS, ...PLAIN])
+      if (id !== but) ids.push(id);
     return ids;
   }
 
@@ -155,7 +302,9 @@
   #killFlow(flow: SimFlow): void {
     if (!flow.isUp) return;
     flow.kill();
-    for (const link of this.#stage.links) if (link.flows.has(flow.id)) this.#stage.agenda.after(1, link.perform.bind(link, link.gone.bind(link, flow.id)));
+    for (const link of this.#stage.links)
+      if (link.flows.has(flow.id))
+        this.#stage.agenda.after(1, link.perform.bind(link, link.gone.bind(link, flow.id)));
   }
 
   #freezeFlow(flow: SimFlow, span: number): void {
@@ -198,7 +347,9 @@
     const back = this.#stage.outside.back(id);
     if (!back) return;
     back.mood = mood;
-    function mend(): void { if (back) back.mood = 'sound'; }
+    function mend(): void {
+      if (back) back.mood = 'sound';
+    }
     this.#stage.agenda.after(span, mend);
   }
 
@@ -212,16 +363,26 @@
 
   /** Everybody asks at once. */
   #crowd(size: number): void {
-    for (const flow of this.#stage.flows) for (let index = 0; index < size; index += 1) flow.send(flow.lookup());
+    for (const flow of this.#stage.flows)
+      for (let index = 0; index < size; index += 1) flow.send(flow.lookup());
   }
 
   /** A zone lost whole: its core machine, an edge, and all back ends there; then back. */
   #loseZone(index: number, span: number): void {
     const { agenda, outside, minds, links, flows } = this.#stage;
     const [mind, link, flow] = [minds[index], links[index], flows[index]];
-    if (mind) { this.kill(mind); agenda.after(span, mind.start.bind(mind)); }
-    if (link) { this.kill(link); agenda.after(span, link.start.bind(link)); }
-    if (flow) { this.#killFlow(flow); agenda.after(span, flow.start.bind(flow)); }
+    if (mind) {
+      this.kill(mind);
+      agenda.after(span, mind.start.bind(mind));
+    }
+    if (link) {
+      this.kill(link);
+      agenda.after(span, link.start.bind(link));
+    }
+    if (flow) {
+      this.#killFlow(flow);
+      agenda.after(span, flow.start.bind(flow));
+    }
     for (const machine of outside.list) {
       if (machine.zone !== ZONES[index]) continue;
       outside.down(machine.id, true);
@@ -238,7 +399,13 @@
   }
 
   #isWhole(): boolean {
-    for (const each of this.#stage.minds) if (!each.isUp || each.core?.standing.name !== 'sound' || each.core.parts.unsoundParts().length > 0) return false;
+    for (const each of this.#stage.minds)
+      if (
+        !each.isUp ||
+        each.core?.standing.name !== 'sound' ||
+        each.core.parts.unsoundParts().length > 0
+      )
+        return false;
     return true;
   }
 
@@ -255,8 +422,15 @@
     network.healAll();
     platformUp(outside);
     outside.setLimit(LIMIT);
-    for (const mind of minds) { mind.freezeAtOrderMs = 0; mind.unstall(); mind.diskMs = 3; }
-    for (const node of [...nodes.values(), ...flows]) { node.wake(); node.start(); }
+    for (const mind of minds) {
+      mind.freezeAtOrderMs = 0;
+      mind.unstall();
+      mind.diskMs = 3;
+    }
+    for (const node of [...nodes.values(), ...flows]) {
+      node.wake();
+      node.start();
+    }
     for (const back of outside.backs()) {
       back.mood = 'sound';
       outside.setDark(back.id, false);
@@ -268,7 +442,17 @@
   }
 }
 
-function idOf(node: SimNode): string { return node.id; }
-function quicken(mind: SimMind): void { mind.diskMs = 3; }
-function calm(network: Network): void { network.loss = 0; network.mostDelay = 5; }
-function platformUp(outside: SimOutside): void { outside.isPlatformUp = true; outside.oddList = 'none'; }
+function idOf(node: SimNode): string {
+  return node.id;
+}
+function quicken(mind: SimMind): void {
+  mind.diskMs = 3;
+}
+function calm(network: Network): void {
+  network.loss = 0;
+  network.mostDelay = 5;
+}
+function platformUp(outside: SimOutside): void {
+  outside.isPlatformUp = true;
+  outside.oddList = 'none';
+}
--- a/src/myth/Simulation.ts
+++ b/src/myth/Simulation.ts
@@ -17,7 +17,14 @@
 import { SimMind } from './SimMind.js';
 import type { SimNode } from './SimNode.js';
 import { SimOutside } from './SimOutside.js';
-import { PLAIN, RUNNERS, SimTroubles, ZONES, type Condition, type TroubleKind } from './SimTroubles.js';
+import {
+  PLAIN,
+  RUNNERS,
+  SimTroubles,
+  ZONES,
+  type Condition,
+  type TroubleKind,
+} from './SimTroubles.js';
 import { WRONGS, type WrongKind } from './Wrong.js';
 
 export interface SimulationSettings {
@@ -31,7 +38,13 @@
   readonly wrong?: WrongKind;
 }
 
-interface Told { readonly id: string; readonly at: number; readonly outcome: 'accepted' | 'turned-away' | 'unsure'; readonly number: number; readonly version: Version }
+interface Told {
+  readonly id: string;
+  readonly at: number;
+  readonly outcome: 'accepted' | 'turned-away' | 'unsure';
+  readonly number: number;
+  readonly version: Version;
+}
 
 export interface SimulationResult {
   readonly seed: number;
@@ -39,7 +52,11 @@
   /** Virtual milliseconds without any mind that may order, in the storm. */
   readonly leaderlessMs: readonly number[];
   readonly serveMs: number;
-  readonly edits: { readonly accepted: number; readonly turnedAway: number; readonly unsure: number };
+  readonly edits: {
+    readonly accepted: number;
+    readonly turnedAway: number;
+    readonly unsure: number;
+  };
   readonly orders: number;
   readonly runs: number;
   readonly messages: number;
@@ -48,11 +65,19 @@
   readonly met: ReadonlyMap<string, number>;
 }
 
-const ReturnShape = type({ outcome: optional(string()), id: optional(string()), number: optional(number()), version: optional(string()) });
+const ReturnShape = type({
+  outcome: optional(string()),
+  id: optional(string()),
+  number: optional(number()),
+  version: optional(string()),
+});
 
 const TABLE = [
-  'map POST /v1/checks to check', 'map POST /v1/sums to sum', 'map GET /v1/lookups/* to lookup',
-  `row check m-* weight 10 take 100/s late ${LATE_MS.check}ms once stream`, `row sum m-* weight 5 take 100/s late ${LATE_MS.sum}ms once whole`,
+  'map POST /v1/checks to check',
+  'map POST /v1/sums to sum',
+  'map GET /v1/lookups/* to lookup',
+  `row check m-* weight 10 take 100/s late ${LATE_MS.check}ms once stream`,
+  `row sum m-* weight 5 take 100/s late ${LATE_MS.sum}ms once whole`,
   `row lookup @kiosk weight 5 take 200/s late ${LATE_MS.lookup}ms repeatable`,
 ].join('\n');
 const QUIET_MS = 14_000;
@@ -105,46 +130,90 @@
     const models = [];
     for (let index = 0; index < 8; index += 1) models.push({ name: `m-${index}`, size: 10 });
     const runners = [];
-    for (const [index, id] of RUNNERS.entries()) runners.push({ id, zone: ZONES[index % 3] ?? 'a', room: 35 });
+    for (const [index, id] of RUNNERS.entries())
+      runners.push({ id, zone: ZONES[index % 3] ?? 'a', room: 35 });
     const plain = [];
     for (const [index, id] of PLAIN.entries()) plain.push({ id, zone: ZONES[index % 3] ?? 'a' });
-    this.#outside = new SimOutside(this.#agenda, this.#seeded, { limit: 2, models, adapters: [{ name: 'm-0-a', model: 'm-0', size: 1 }] }, runners, plain);
+    this.#outside = new SimOutside(
+      this.#agenda,
+      this.#seeded,
+      { limit: 2, models, adapters: [{ name: 'm-0-a', model: 'm-0', size: 1 }] },
+      runners,
+      plain,
+    );
     const seeds = ['mind-0:1', 'mind-1:1', 'mind-2:1'];
     for (const id of seeds) this.#addMind(id, seeds);
     for (let index = 0; index < settings.edges; index += 1) {
       const link = new SimLink(`link-${index}:1`, this.#agenda, this.#seeded, this.#network, seeds);
-      const flow = new SimFlow(`flow@${index}`, this.#agenda, this.#seeded, this.#network, this.#outside, link, this.#calls, this.#ran.bind(this, `flow@${index}`), settings.wrong ?? '');
+      const flow = new SimFlow(
+        `flow@${index}`,
+        this.#agenda,
+        this.#seeded,
+        this.#network,
+        this.#outside,
+        link,
+        this.#calls,
+        this.#ran.bind(this, `flow@${index}`),
+        settings.wrong ?? '',
+      );
       this.#links.push(link);
       this.#flows.push(flow);
       this.#nodes.set(link.id, link);
     }
     this.#troubles = new SimTroubles({
-      agenda: this.#agenda, seeded: this.#seeded, network: this.#network, outside: this.#outside, nodes: this.#nodes, minds: this.#minds, links: this.#links, flows: this.#flows,
-      say: this.#say.bind(this), note: this.#note.bind(this), holds: this.#holds.bind(this),
+      agenda: this.#agenda,
+      seeded: this.#seeded,
+      network: this.#network,
+      outside: this.#outside,
+      nodes: this.#nodes,
+      minds: this.#minds,
+      links: this.#links,
+      flows: this.#flows,
+      say: this.#say.bind(this),
+      note: this.#note.bind(this),
+      holds: this.#holds.bind(this),
     });
   }
 
-  #note(event: Omit<EventRecord, 'at'>): void { this.#events.push({ at: this.#agenda.now, ...event }); }
+  #note(event: Omit<EventRecord, 'at'>): void {
+    this.#events.push({ at: this.#agenda.now, ...event });
+  }
 
   #holds(condition: Condition): boolean {
     const now = this.#agenda.now;
     switch (condition) {
-      case 'requests open': return this.#flows.some(isOpen);
-      case 'runs under way': return this.#outside.backs().some(isRunning);
-      case 'edit in flight': return this.#editsOpen > 0;
-      case 'fetch under way': return this.#outside.fetching > 0;
-      case 'runner marked': return this.#outside.list.some(isMarked);
-      case 'zone emptied': return this.#emptied.size > 0;
-      case 'back end cold': return this.#outside.records.some(isBootAfter.bind(undefined, now - 10_000));
-      case 'proxy draining': return this.#flows.some(isDraining);
-      case 'no holder': return this.#leaderlessSince !== undefined;
-      case 'link blind': return this.#flows.some(isBlind);
+      case 'requests open':
+        return this.#flows.some(isOpen);
+      case 'runs under way':
+        return this.#outside.backs().some(isRunning);
+      case 'edit in flight':
+        return this.#editsOpen > 0;
+      case 'fetch under way':
+        return this.#outside.fetching > 0;
+      case 'runner marked':
+        return this.#outside.list.some(isMarked);
+      case 'zone emptied':
+        return this.#emptied.size > 0;
+      case 'back end cold':
+        return this.#outside.records.some(isBootAfter.bind(undefined, now - 10_000));
+      case 'proxy draining':
+        return this.#flows.some(isDraining);
+      case 'no holder':
+        return this.#leaderlessSince !== undefined;
+      case 'link blind':
+        return this.#flows.some(isBlind);
     }
   }
 
-  get minds(): readonly SimMind[] { return this.#minds; }
-  get agenda(): Agenda { return this.#agenda; }
-  get network(): Network { return this.#network; }
+  get minds(): readonly SimMind[] {
+    return this.#minds;
+  }
+  get agenda(): Agenda {
+    return this.#agenda;
+  }
+  get network(): Network {
+    return this.#network;
+  }
 
   /** A core machine that is new and empty, and was told the seeds of the day. */
   addMind(id: string, seeds: readonly string[]): SimMind {
@@ -153,17 +222,26 @@
     return mind;
   }
 
-  kill(mind: SimMind): void { this.#troubles.kill(mind); }
+  kill(mind: SimMind): void {
+    this.#troubles.kill(mind);
+  }
 
-  start(): void { for (const node of [...this.#minds, ...this.#links, ...this.#flows]) node.start(); }
+  start(): void {
+    for (const node of [...this.#minds, ...this.#links, ...this.#flows]) node.start();
+  }
 
-  leader(): SimMind | undefined { return this.#servingNow(); }
+  leader(): SimMind | undefined {
+    return this.#servingNow();
+  }
 
-  mark(runner: string, isLeaving: boolean): void { this.#outside.mark(runner, isLeaving); }
+  mark(runner: string, isLeaving: boolean): void {
+    this.#outside.mark(runner, isLeaving);
+  }
 
   /** Whether every proxy has the platform's newest list. */
   haveAllMarks(): boolean {
-    for (const flow of this.#flows) if ((flow.decision?.marks ?? 0) < this.#outside.revision) return false;
+    for (const flow of this.#flows)
+      if ((flow.decision?.marks ?? 0) < this.#outside.revision) return false;
     return true;
   }
 
@@ -173,23 +251,41 @@
     return numbers;
   }
 
-  get calls(): readonly CallerRecord[] { return this.#calls; }
+  get calls(): readonly CallerRecord[] {
+    return this.#calls;
+  }
 
   /** A machine is taken away without a word. */
-  vanish(runner: string): void { this.#outside.down(runner, true); }
+  vanish(runner: string): void {
+    this.#outside.down(runner, true);
+  }
 
   /** The models whose primary a runner is. */
   modelsAt(runner: string): ReadonlySet<string> {
     const models = new Set<string>();
     const places = parseAs(PlacesShape, this.leader()?.core?.relay.item('places')?.body ?? '');
-    for (const place of places?.places ?? []) if (place.seats.some(isPrimaryAt.bind(undefined, runner))) models.add(place.model);
+    for (const place of places?.places ?? [])
+      if (place.seats.some(isPrimaryAt.bind(undefined, runner))) models.add(place.model);
     return models;
   }
 
-  areFlowsFresh(): boolean { return this.#flows.every(isFresh); }
+  areFlowsFresh(): boolean {
+    return this.#flows.every(isFresh);
+  }
 
   #addMind(id: string, seeds: readonly string[]): SimMind {
-    const mind = new SimMind(id, this.#agenda, this.#seeded, this.#network, this.#outside, seeds, this.#settings.wrong === 'no-gap-between-holders' ? { ...VOTE_DEFAULTS, leaseMs: 0 } : VOTE_DEFAULTS, this.#settings.wrong ?? '');
+    const mind = new SimMind(
+      id,
+      this.#agenda,
+      this.#seeded,
+      this.#network,
+      this.#outside,
+      seeds,
+      this.#settings.wrong === 'no-gap-between-holders'
+        ? { ...VOTE_DEFAULTS, leaseMs: 0 }
+        : VOTE_DEFAULTS,
+      this.#settings.wrong ?? '',
+    );
     this.#minds.push(mind);
     this.#nodes.set(id, mind);
     return mind;
@@ -202,10 +298,13 @@
     if (node && sender) node.perform(node.receive.bind(node, from, message));
   }
 
-  #say(text: string): void { this.#trace?.(`${Math.round(this.#agenda.now)} ${text}`); }
+  #say(text: string): void {
+    this.#trace?.(`${Math.round(this.#agenda.now)} ${text}`);
+  }
 
   run(): SimulationResult {
-    for (const node of [...this.#minds, ...this.#links, ...this.#flows]) this.#agenda.at(this.#seeded.between(0, 500), node.start.bind(node));
+    for (const node of [...this.#minds, ...this.#links, ...this.#flows])
+      this.#agenda.at(this.#seeded.between(0, 500), node.start.bind(node));
     this.#agenda.at(500, this.#watch.bind(this));
     this.#agenda.runUntil(QUIET_MS);
     const serveMs = this.#servingNow() ? this.#agenda.now : -1;
@@ -219,7 +318,8 @@
     this.#healAll();
     this.#agenda.runUntil(QUIET_MS + this.#settings.stormMs + HEAL_MS);
     this.#checkEnd();
-    for (const violation of new Judge(this.#evidence()).judge()) this.#find(`${violation.rule}: ${violation.text}`);
+    for (const violation of new Judge(this.#evidence()).judge())
+      this.#find(`${violation.rule}: ${violation.text}`);
     const calls: Record<string, number> = {};
     for (const { outcome } of this.#calls) calls[outcome] = (calls[outcome] ?? 0) + 1;
     let [accepted, turnedAway, unsure] = [0, 0, 0];
@@ -229,15 +329,29 @@
       else unsure += 1;
     }
     return {
-      seed: this.#settings.seed, violations: [...this.#violations, ...this.#outside.violations], leaderlessMs: this.#leaderless, serveMs,
-      edits: { accepted, turnedAway, unsure }, orders: this.#outside.orders.length, runs: this.#runs, messages: this.#network.sent, calls, met: this.#troubles.met,
+      seed: this.#settings.seed,
+      violations: [...this.#violations, ...this.#outside.violations],
+      leaderlessMs: this.#leaderless,
+      serveMs,
+      edits: { accepted, turnedAway, unsure },
+      orders: this.#outside.orders.length,
+      runs: this.#runs,
+      messages: this.#network.sent,
+      calls,
+      met: this.#troubles.met,
     };
   }
 
   #evidence(): Evidence {
     const zones = new Map<string, string>();
     for (const machine of this.#outside.list) zones.set(machine.id, machine.zone);
-    return { callers: this.#calls, backs: this.#outside.records, events: this.#events, zones, lateness: new Map(Object.entries(LATE_MS)) };
+    return {
+      callers: this.#calls,
+      backs: this.#outside.records,
+      events: this.#events,
+      zones,
+      lateness: new Map(Object.entries(LATE_MS)),
+    };
   }
 
   #find(text: string): void {
@@ -246,7 +360,8 @@
   }
 
   #servingNow(): SimMind | undefined {
-    for (const mind of this.#minds) if (mind.isUp && !mind.isFrozen && mind.core?.mayOrder(mind.now()) === true) return mind;
+    for (const mind of this.#minds)
+      if (mind.isUp && !mind.isFrozen && mind.core?.mayOrder(mind.now()) === true) return mind;
     return undefined;
   }
 
@@ -254,7 +369,11 @@
   found(): void {
     const leader = this.#servingNow();
     const { table } = compile(TABLE);
-    leader?.command('table', JSON.stringify({ id: 'first', base: 0, table }), this.#heard.bind(this, 'first'));
+    leader?.command(
+      'table',
+      JSON.stringify({ id: 'first', base: 0, table }),
+      this.#heard.bind(this, 'first'),
+    );
   }
 
   // ---- the watch: what must hold at every moment
@@ -273,19 +392,34 @@
 
   #watchFlow(flow: SimFlow, now: number): void {
     const { decision } = flow;
-    if (!decision || !flow.isUp) { this.#seenVersions.delete(flow.id); this.#seenNumbers.delete(flow.id); return; }
+    if (!decision || !flow.isUp) {
+      this.#seenVersions.delete(flow.id);
+      this.#seenNumbers.delete(flow.id);
+      return;
+    }
     const version = decision.configVersion;
     const seen = this.#seenVersions.get(flow.id) ?? NO_VERSION;
-    if (compareVersions(version, seen) < 0) this.#find(`slip: ${flow.id} went from ${versionText(seen)} back to ${versionText(version)}`);
+    if (compareVersions(version, seen) < 0)
+      this.#find(`slip: ${flow.id} went from ${versionText(seen)} back to ${versionText(version)}`);
     this.#seenVersions.set(flow.id, version);
     const seenNumber = this.#seenNumbers.get(flow.id) ?? -1;
-    if (decision.tableNumber < seenNumber) this.#find(`slip: ${flow.id} went from table ${seenNumber} back to ${decision.tableNumber}`);
+    if (decision.tableNumber < seenNumber)
+      this.#find(`slip: ${flow.id} went from table ${seenNumber} back to ${decision.tableNumber}`);
     this.#seenNumbers.set(flow.id, decision.tableNumber);
     if (flow.isFrozen || !decision.isFresh(flow.now())) return;
-    if (compareVersions(version, this.#newest) < 0) this.#find(`old-table: ${flow.id} works by ${versionText(version)} after ${versionText(this.#newest)} was told as in force`);
-    if (decision.tableNumber < this.#newestNumber) this.#find(`old-table: ${flow.id} works by table ${decision.tableNumber} after ${this.#newestNumber}`);
+    if (compareVersions(version, this.#newest) < 0)
+      this.#find(
+        `old-table: ${flow.id} works by ${versionText(version)} after ${versionText(this.#newest)} was told as in force`,
+      );
+    if (decision.tableNumber < this.#newestNumber)
+      this.#find(
+        `old-table: ${flow.id} works by table ${decision.tableNumber} after ${this.#newestNumber}`,
+      );
     for (const [revision, shownAt] of this.#outside.shown) {
-      if (decision.marks < revision && now > shownAt + BLIND_SLACK_MS) this.#find(`leaving: ${flow.id} has not heard revision ${revision} learned ${Math.round(now - shownAt)} ms ago`);
+      if (decision.marks < revision && now > shownAt + BLIND_SLACK_MS)
+        this.#find(
+          `leaving: ${flow.id} has not heard revision ${revision} learned ${Math.round(now - shownAt)} ms ago`,
+        );
     }
   }
 
@@ -297,9 +431,15 @@
     for (const machine of this.#outside.list) {
       if (machine.id !== runner) continue;
       const learned = this.#outside.learned(runner);
-      if (machine.leaving && learned !== undefined && now > learned + 3000) this.#find(`leaving-got-work: ${flow} drew ${runner} ${Math.round(now - learned)} ms after its mark was learned`);
+      if (machine.leaving && learned !== undefined && now > learned + 3000)
+        this.#find(
+          `leaving-got-work: ${flow} drew ${runner} ${Math.round(now - learned)} ms after its mark was learned`,
+        );
       const emptiedAt = this.#emptied.get(machine.zone);
-      if (emptiedAt !== undefined && now > emptiedAt + 50) this.#find(`emptied-got-work: ${flow} drew ${runner} in ${machine.zone} ${Math.round(now - emptiedAt)} ms after the yes`);
+      if (emptiedAt !== undefined && now > emptiedAt + 50)
+        this.#find(
+          `emptied-got-work: ${flow} drew ${runner} in ${machine.zone} ${Math.round(now - emptiedAt)} ms after the yes`,
+        );
     }
   }
 
@@ -314,7 +454,8 @@
       const news = status === 200 ? parseAs(ConfigNewsShape, body) : undefined;
       if (!news) return;
       // Two operators who read the same table race each other, at different nodes.
-      for (let index = 0; index < count; index += 1) self.edit(self.seeded.pick(self.minds), news.number);
+      for (let index = 0; index < count; index += 1)
+        self.edit(self.seeded.pick(self.minds), news.number);
     }
     mind?.command('read', '{}', read);
     this.#agenda.after(this.#seeded.between(200, 1500), this.#operate.bind(this));
@@ -326,41 +467,76 @@
     const value = 1 + (this.#editCount % 900);
     this.#editsOpen += 1;
     const self = { hear: this.#heard.bind(this, id), closed: this.#closed.bind(this) };
-    function heard(status: number, body: string): void { self.closed(); self.hear(status, body); }
-    if (this.#seeded.isLikely(0.15)) this.#editZone(mind, id, this.#seeded.pick(ZONES) ?? 'a', this.#seeded.isLikely(0.4), heard);
-    else mind?.command('cell', JSON.stringify({ id, base, row: 'check/m-*', column: 'weight', value }), heard);
+    function heard(status: number, body: string): void {
+      self.closed();
+      self.hear(status, body);
+    }
+    if (this.#seeded.isLikely(0.15))
+      this.#editZone(mind, id, this.#seeded.pick(ZONES) ?? 'a', this.#seeded.isLikely(0.4), heard);
+    else
+      mind?.command(
+        'cell',
+        JSON.stringify({ id, base, row: 'check/m-*', column: 'weight', value }),
+        heard,
+      );
   }
 
-  #closed(): void { this.#editsOpen -= 1; }
+  #closed(): void {
+    this.#editsOpen -= 1;
+  }
 
-  #editZone(mind: SimMind | undefined, id: string, zone: string, isEmpty: boolean, heard: (status: number, body: string) => void): void {
+  #editZone(
+    mind: SimMind | undefined,
+    id: string,
+    zone: string,
+    isEmpty: boolean,
+    heard: (status: number, body: string) => void,
+  ): void {
     // From the moment somebody asks to fill it again, work there proves nothing.
     const fillings = this.#filling.get(zone) ?? new Set<string>();
     this.#filling.set(zone, fillings);
-    if (!isEmpty) { this.#emptied.delete(zone); this.#note({ what: 'zone-filling', zone }); fillings.add(id); this.#fillCount += 1; }
+    if (!isEmpty) {
+      this.#emptied.delete(zone);
+      this.#note({ what: 'zone-filling', zone });
+      fillings.add(id);
+      this.#fillCount += 1;
+    }
     const asked = fillings.size;
     const fillCount = this.#fillCount;
-    const self = { emptied: this.#emptied, agenda: this.#agenda, note: this.#note.bind(this), isSame: this.#isFillCount.bind(this, fillCount) };
+    const self = {
+      emptied: this.#emptied,
+      agenda: this.#agenda,
+      note: this.#note.bind(this),
+      isSame: this.#isFillCount.bind(this, fillCount),
+    };
     function told(status: number, body: string): void {
       // Whoever asked to fill it and has no word yet may still be served after the emptying.
       if (!isEmpty && (status === 200 || status === 409 || status === 503)) fillings.delete(id);
-      if (isEmpty && status === 200 && asked === 0 && self.isSame()) { self.emptied.set(zone, self.agenda.now); self.note({ what: 'zone-emptied', zone }); }
+      if (isEmpty && status === 200 && asked === 0 && self.isSame()) {
+        self.emptied.set(zone, self.agenda.now);
+        self.note({ what: 'zone-emptied', zone });
+      }
       heard(status, body);
     }
     mind?.command('zone', JSON.stringify({ id, zone, empty: isEmpty }), told);
   }
 
-  #isFillCount(count: number): boolean { return this.#fillCount === count; }
+  #isFillCount(count: number): boolean {
+    return this.#fillCount === count;
+  }
 
   #heard(id: string, status: number, body: string): void {
     const parsed = parseAs(ReturnShape, body);
     const isAccepted = status === 200 && parsed?.outcome === 'accepted';
-    const isNo = parsed?.outcome === 'turned-away' || (this.#settings.wrong === 'unsure-as-no' && !isAccepted);
+    const isNo =
+      parsed?.outcome === 'turned-away' || (this.#settings.wrong === 'unsure-as-no' && !isAccepted);
     const outcome = isAccepted ? 'accepted' : isNo ? 'turned-away' : 'unsure';
     const version = parseVersion(parsed?.version);
-    const count = isAccepted ? parsed?.number ?? 0 : 0;
+    const count = isAccepted ? (parsed?.number ?? 0) : 0;
     this.#told.push({ id, at: this.#agenda.now, outcome, number: count, version });
-    this.#say(`edit ${id}: ${outcome} ${status} ${count} ${versionText(version)} ${isAccepted ? '' : body}`);
+    this.#say(
+      `edit ${id}: ${outcome} ${status} ${count} ${versionText(version)} ${isAccepted ? '' : body}`,
+    );
     if (isAccepted) {
       if (compareVersions(version, this.#newest) > 0) this.#newest = version;
       this.#newestNumber = Math.max(this.#newestNumber, count);
@@ -375,7 +551,9 @@
   #askAgain(id: string): void {
     const mind = this.#seeded.pick(this.#minds);
     const heard = this.#heard.bind(this, id);
-    function told(status: number, body: string): void { if (status === 200) heard(status, body); }
+    function told(status: number, body: string): void {
+      if (status === 200) heard(status, body);
+    }
     mind?.command('edit', JSON.stringify({ id }), told);
   }
 
@@ -395,7 +573,10 @@
 
   #fillZones(): void {
     const leader = this.#servingNow();
-    if (!leader) { this.#find('no leader within 10 s of healing'); return; }
+    if (!leader) {
+      this.#find('no leader within 10 s of healing');
+      return;
+    }
     for (const zone of ZONES) {
       this.#editCount += 1;
       const id = `e${this.#editCount}`;
@@ -407,45 +588,85 @@
 
   #checkEnd(): void {
     const leader = this.#servingNow();
-    if (!leader) { this.#find('no leader serves after everything healed'); return; }
+    if (!leader) {
+      this.#find('no leader serves after everything healed');
+      return;
+    }
     for (const mind of this.#minds) {
       if (mind.core?.standing.name !== 'sound') this.#find(`${mind.id} does not count again`);
       const unsound = mind.core?.parts.unsoundParts() ?? [];
-      if (unsound.length > 0) this.#find(`${mind.id} still has unsound parts: ${unsound.join(' ')}`);
+      if (unsound.length > 0)
+        this.#find(`${mind.id} still has unsound parts: ${unsound.join(' ')}`);
     }
-    for (const flow of this.#flows) if (flow.decision?.isFresh(flow.now()) !== true) this.#find(`${flow.id} is still blind after everything healed`);
+    for (const flow of this.#flows)
+      if (flow.decision?.isFresh(flow.now()) !== true)
+        this.#find(`${flow.id} is still blind after everything healed`);
     const doc = parseAs(ConfigDocShape, leader.core?.parts.replicaBody(CONFIG_PART) ?? '');
-    if (!doc) { this.#find('the configuration is gone'); return; }
-    if (doc.number < this.#newestNumber) this.#find(`lost-table: ${doc.number} stands after ${this.#newestNumber} was accepted`);
+    if (!doc) {
+      this.#find('the configuration is gone');
+      return;
+    }
+    if (doc.number < this.#newestNumber)
+      this.#find(`lost-table: ${doc.number} stands after ${this.#newestNumber} was accepted`);
     const outcomes = new Map<string, string>();
     for (const edit of doc.edits) outcomes.set(edit.id, edit.outcome);
     for (const told of this.#told) {
       const held = outcomes.get(told.id);
-      if (told.outcome === 'accepted' && held !== 'accepted') this.#find(`lost-edit: ${told.id} was accepted and is ${held ?? 'nowhere'}`);
-      if (told.outcome === 'turned-away' && held === 'accepted') this.#find(`turned-away-in-force: ${told.id}`);
+      if (told.outcome === 'accepted' && held !== 'accepted')
+        this.#find(`lost-edit: ${told.id} was accepted and is ${held ?? 'nowhere'}`);
+      if (told.outcome === 'turned-away' && held === 'accepted')
+        this.#find(`turned-away-in-force: ${told.id}`);
     }
-    for (const flow of this.#flows) if (flow.longestMs > 30_000) this.#find(`stuck: somebody at ${flow.id} has waited for ${Math.round(flow.longestMs)} ms`);
+    for (const flow of this.#flows)
+      if (flow.longestMs > 30_000)
+        this.#find(`stuck: somebody at ${flow.id} has waited for ${Math.round(flow.longestMs)} ms`);
     this.#note({ what: 'table-read', number: doc.number });
     let seated = 0;
     const places = leader.core?.relay.item('places');
     for (const match of (places?.body ?? '').matchAll(/"primary":true/g)) if (match) seated += 1;
     // Busy models hold pairs, so that of eight not all need fit; what is asked for now must be served.
     if (seated < 5) this.#find(`only ${seated} of 8 models have a primary after everything healed`);
-    if (this.#lastRun < this.#agenda.now - 1000) this.#find(`nothing has been served for ${Math.round(this.#agenda.now - this.#lastRun)} ms after everything healed`);
+    if (this.#lastRun < this.#agenda.now - 1000)
+      this.#find(
+        `nothing has been served for ${Math.round(this.#agenda.now - this.#lastRun)} ms after everything healed`,
+      );
   }
 }
 
-function isFresh(flow: SimFlow): boolean { return flow.decision?.isFresh(flow.now()) === true; }
-function isPrimaryAt(runner: string, seat: { readonly runner: string; readonly primary: boolean }): boolean { return seat.primary && seat.runner === runner; }
-function isOpen(flow: SimFlow): boolean { return flow.open > 0; }
-function isDraining(flow: SimFlow): boolean { return flow.isDraining; }
-function isBlind(flow: SimFlow): boolean { return flow.isUp && !isFresh(flow); }
-function isRunning(back: { readonly running: number }): boolean { return back.running > 0; }
-function isMarked(machine: { readonly leaving: boolean }): boolean { return machine.leaving; }
-function isBootAfter(at: number, record: { readonly at: number; readonly what: string }): boolean { return record.what === 'boot' && record.at > at; }
+function isFresh(flow: SimFlow): boolean {
+  return flow.decision?.isFresh(flow.now()) === true;
+}
+function isPrimaryAt(
+  runner: string,
+  seat: { readonly runner: string; readonly primary: boolean },
+): boolean {
+  return seat.primary && seat.runner === runner;
+}
+function isOpen(flow: SimFlow): boolean {
+  return flow.open > 0;
+}
+function isDraining(flow: SimFlow): boolean {
+  return flow.isDraining;
+}
+function isBlind(flow: SimFlow): boolean {
+  return flow.isUp && !isFresh(flow);
+}
+function isRunning(back: { readonly running: number }): boolean {
+  return back.running > 0;
+}
+function isMarked(machine: { readonly leaving: boolean }): boolean {
+  return machine.leaving;
+}
+function isBootAfter(at: number, record: { readonly at: number; readonly what: string }): boolean {
+  return record.what === 'boot' && record.at > at;
+}
 
 /** Runs seeds one after the other and names each that broke something. */
-export async function storm(from: number, count: number, troubles: readonly TroubleKind[]): Promise<string[]> {
+export async function storm(
+  from: number,
+  count: number,
+  troubles: readonly TroubleKind[],
+): Promise<string[]> {
   const broken: string[] = [];
   for (let seed = from; seed < from + count; seed += 1) {
     const result = new Simulation({ seed, edges: 3, stormMs: 25_000, troubles }).run();
@@ -467,11 +688,19 @@
     // Before each word of what came out, too: checks that follow one another at once would else hold the loop for minutes.
     await new Promise(setImmediate);
     if (sound.violations.length > 0) return [`sound at seed ${seed}: ${sound.violations[0]}`];
-    const { violations } = new Simulation({ seed, edges: 3, stormMs: 15_000, troubles, wrong }).run();
+    const { violations } = new Simulation({
+      seed,
+      edges: 3,
+      stormMs: 15_000,
+      troubles,
+      wrong,
+    }).run();
     await new Promise(setImmediate);
     if (violations.some(isOfRule.bind(undefined, rule))) return [];
   }
   return [`${wrong}: no ${rule} in ${most} seeds`];
 }
 
-function isOfRule(rule: string, violation: string): boolean { return violation.startsWith(`${rule}:`); }
+function isOfRule(rule: string, violation: string): boolean {
+  return violation.startsWith(`${rule}:`);
+}
--- a/src/myth/StandCommand.ts
+++ b/src/myth/StandCommand.ts
@@ -9,25 +9,49 @@
 import { RunnerStand } from './RunnerStand.js';
 import { StoreStand } from './StoreStand.js';
 
-const RunnerShape = type({ id: string(), room: number(), slots: number(), store: string(), records: string(), tokenMs: number(), partMs: number(), coldMs: number() });
+const RunnerShape = type({
+  id: string(),
+  room: number(),
+  slots: number(),
+  store: string(),
+  records: string(),
+  tokenMs: number(),
+  partMs: number(),
+  coldMs: number(),
+});
 const PlainShape = type({ id: string(), workMs: number(), records: string() });
 const PlatformShape = type({ machines: array(MachineShape), records: string() });
 const StoreShape = type({ catalog: CatalogShape, msPerSize: number(), records: string() });
 
-interface Stand { listen(address: string): Promise<number>; close(): void }
+interface Stand {
+  listen(address: string): Promise<number>;
+  close(): void;
+}
 
 function makeStand(kind: string, text: string): Stand {
   switch (kind) {
-    case 'runner': return new RunnerStand(mustParseAs(RunnerShape, text, 'the settings'));
-    case 'plain': { const plain = mustParseAs(PlainShape, text, 'the settings'); return new PlainStand(plain.id, plain.workMs, plain.records); }
-    case 'platform': { const platform = mustParseAs(PlatformShape, text, 'the settings'); return new PlatformStand(platform.machines, platform.records); }
-    default: { const store = mustParseAs(StoreShape, text, 'the settings'); return new StoreStand(store.catalog, store.msPerSize, store.records); }
+    case 'runner':
+      return new RunnerStand(mustParseAs(RunnerShape, text, 'the settings'));
+    case 'plain': {
+      const plain = mustParseAs(PlainShape, text, 'the settings');
+      return new PlainStand(plain.id, plain.workMs, plain.records);
+    }
+    case 'platform': {
+      const platform = mustParseAs(PlatformShape, text, 'the settings');
+      return new PlatformStand(platform.machines, platform.records);
+    }
+    default: {
+      const store = mustParseAs(StoreShape, text, 'the settings');
+      return new StoreStand(store.catalog, store.msPerSize, store.records);
+    }
   }
 }
 
 export class StandCommand extends Command {
   static override description = 'run a stand-in for an outside system';
-  static override args = { kind: Args.string({ required: true, options: ['runner', 'plain', 'platform', 'store'] }) };
+  static override args = {
+    kind: Args.string({ required: true, options: ['runner', 'plain', 'platform', 'store'] }),
+  };
   static override flags = {
     listen: Flags.string({ required: true, description: 'own address' }),
     settings: Flags.string({ required: true, description: 'settings file (JSON)' }),
--- a/src/myth/StandServer.ts
+++ b/src/myth/StandServer.ts
@@ -3,11 +3,26 @@
 import { readBody } from '../kin/Call.js';
 import { listenOn } from '../kin/Listen.js';
 
-export type Serve = (method: string, path: string, body: string, returned: ServerResponse, asked: IncomingMessage) => Promise<void> | void;
+export type Serve = (
+  method: string,
+  path: string,
+  body: string,
+  returned: ServerResponse,
+  asked: IncomingMessage,
+) => Promise<void> | void;
 
-export function returnJson(returned: ServerResponse, status: number, value: unknown, headers: Record<string, string> = {}): void {
+export function returnJson(
+  returned: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Record<string, string> = {},
+): void {
   const body = JSON.stringify(value);
-  returned.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...headers });
+  returned.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    ...headers,
+  });
   returned.end(body);
 }
 
@@ -21,7 +36,13 @@
     this.#records = records;
     async function take(asked: IncomingMessage, returned: ServerResponse): Promise<void> {
       try {
-        await serve(asked.method ?? 'GET', asked.url ?? '/', await readBody(asked), returned, asked);
+        await serve(
+          asked.method ?? 'GET',
+          asked.url ?? '/',
+          await readBody(asked),
+          returned,
+          asked,
+        );
       } catch {
         returned.destroy();
       }
@@ -38,14 +59,19 @@
   }
 
   /** How long ago this request was told to go on, on a clock that does not jump. */
-  sinceContinue(asked: IncomingMessage): number { return performance.now() - (this.#continuedAt.get(asked) ?? performance.now()); }
+  sinceContinue(asked: IncomingMessage): number {
+    return performance.now() - (this.#continuedAt.get(asked) ?? performance.now());
+  }
 
   /** Wall-clock milliseconds go with each record: all of a rehearsal runs on one machine. */
   record(value: Readonly<Record<string, unknown>>): void {
-    if (this.#records !== '') appendFileSync(this.#records, `${JSON.stringify({ at: Date.now(), ...value })}\n`);
+    if (this.#records !== '')
+      appendFileSync(this.#records, `${JSON.stringify({ at: Date.now(), ...value })}\n`);
   }
 
-  async listen(address: string): Promise<number> { return listenOn(this.#server, address); }
+  async listen(address: string): Promise<number> {
+    return listenOn(this.#server, address);
+  }
 
   close(): void {
     this.#server.closeAllConnections();
--- a/src/myth/StoreStand.ts
+++ b/src/myth/StoreStand.ts
@@ -20,17 +20,35 @@
     this.#server = new StandServer(this.#serve.bind(this), records);
   }
 
-  async listen(address: string): Promise<number> { return this.#server.listen(address); }
+  async listen(address: string): Promise<number> {
+    return this.#server.listen(address);
+  }
 
-  close(): void { this.#server.close(); }
+  close(): void {
+    this.#server.close();
+  }
 
-  async #serve(method: string, path: string, body: string, returned: ServerResponse): Promise<void> {
-    if (method === 'GET' && path === '/catalog') { returnJson(returned, 200, this.#catalog); return; }
+  async #serve(
+    method: string,
+    path: string,
+    body: string,
+    returned: ServerResponse,
+  ): Promise<void> {
+    if (method === 'GET' && path === '/catalog') {
+      returnJson(returned, 200, this.#catalog);
+      return;
+    }
     const asked = parseAs(FetchShape, body);
-    if (method !== 'POST' || path !== '/fetches' || !asked) { returnJson(returned, 404, { text: 'no such thing here' }); return; }
+    if (method !== 'POST' || path !== '/fetches' || !asked) {
+      returnJson(returned, 404, { text: 'no such thing here' });
+      return;
+    }
     const isOver = this.#running >= this.#catalog.limit;
     this.#server.record({ what: 'fetch', ...asked, running: this.#running + 1, over: isOver });
-    if (isOver) { returnJson(returned, 429, { text: 'too many fetches at once' }); return; }
+    if (isOver) {
+      returnJson(returned, 429, { text: 'too many fetches at once' });
+      return;
+    }
     this.#running += 1;
     await pause(this.#sizeOf(asked.model, asked.adapter) * this.#msPerSize);
     this.#running -= 1;
@@ -38,8 +56,10 @@
   }
 
   #sizeOf(model: string, adapter: string): number {
-    for (const item of this.#catalog.adapters) if (adapter !== '' && item.name === adapter) return item.size;
-    for (const item of this.#catalog.models) if (adapter === '' && item.name === model) return item.size;
+    for (const item of this.#catalog.adapters)
+      if (adapter !== '' && item.name === adapter) return item.size;
+    for (const item of this.#catalog.models)
+      if (adapter === '' && item.name === model) return item.size;
     return 1;
   }
 }
--- a/src/myth/StormCommand.ts
+++ b/src/myth/StormCommand.ts
@@ -6,21 +6,37 @@
   return TROUBLES.some(isSame.bind(undefined, text));
 }
 
-function isSame(text: string, kind: TroubleKind): boolean { return text === kind; }
+function isSame(text: string, kind: TroubleKind): boolean {
+  return text === kind;
+}
 
-function pairText(pair: readonly [string, number]): string { return `${pair[0]} ${pair[1]}`; }
-function dashes(): string { return '---'; }
-function byValue(a: number, b: number): number { return a - b; }
+function pairText(pair: readonly [string, number]): string {
+  return `${pair[0]} ${pair[1]}`;
+}
+function dashes(): string {
+  return '---';
+}
+function byValue(a: number, b: number): number {
+  return a - b;
+}
 
 export class StormCommand extends Command {
-  static override description = 'run the simulator over many seeds; a failing seed is printed and replays exactly';
+  static override description =
+    'run the simulator over many seeds; a failing seed is printed and replays exactly';
   static override flags = {
     seeds: Flags.integer({ default: 100, description: 'how many seeds' }),
     from: Flags.integer({ default: 1, description: 'the first seed' }),
     edges: Flags.integer({ default: 4, description: 'edge machines' }),
     seconds: Flags.integer({ default: 40, description: 'virtual seconds of troubles' }),
-    trouble: Flags.string({ multiple: true, description: 'only these troubles', options: [...TROUBLES] }),
-    met: Flags.boolean({ default: false, description: 'print how often each trouble came, and what it met each time' }),
+    trouble: Flags.string({
+      multiple: true,
+      description: 'only these troubles',
+      options: [...TROUBLES],
+    }),
+    met: Flags.boolean({
+      default: false,
+      description: 'print how often each trouble came, and what it met each time',
+    }),
     trace: Flags.boolean({ default: false, description: 'print what happens, for one seed' }),
   };
 
@@ -44,7 +60,10 @@
     let [accepted, turnedAway, unsure, orders, messages, runs] = [0, 0, 0, 0, 0, 0];
     const trace = flags.trace ? this.log.bind(this) : undefined;
     for (let seed = flags.from; seed < flags.from + flags.seeds; seed += 1) {
-      const result = new Simulation({ seed, edges: flags.edges, stormMs: flags.seconds * 1000, troubles }, trace).run();
+      const result = new Simulation(
+        { seed, edges: flags.edges, stormMs: flags.seconds * 1000, troubles },
+        trace,
+      ).run();
       gaps.push(...result.leaderlessMs);
       accepted += result.edits.accepted;
       turnedAway += result.edits.turnedAway;
@@ -53,16 +72,23 @@
       messages += result.messages;
       runs += result.runs;
       for (const [key, count] of result.met) met.set(key, (met.get(key) ?? 0) + count);
-      for (const [key, count] of Object.entries(result.calls)) calls.set(key, (calls.get(key) ?? 0) + count);
+      for (const [key, count] of Object.entries(result.calls))
+        calls.set(key, (calls.get(key) ?? 0) + count);
       if (result.violations.length === 0) continue;
       failed += 1;
       this.log(`seed ${seed}: ${result.violations.length} broken`);
       for (const violation of result.violations.slice(0, 6)) this.log(`  ${violation}`);
     }
     gaps.sort(byValue);
-    function quantile(share: number): number { return Math.round(gaps[Math.min(gaps.length - 1, Math.floor(gaps.length * share))] ?? 0); }
-    this.log(`${flags.seeds} seeds, ${failed} failed; edits accepted ${accepted}, turned away ${turnedAway}, unsure ${unsure}; orders ${orders}; runs ${runs}; messages ${messages}`);
-    this.log(`time without a holder, ms: ${gaps.length} times, median ${quantile(0.5)}, 90% ${quantile(0.9)}, 99% ${quantile(0.99)}, most ${quantile(1)}`);
+    function quantile(share: number): number {
+      return Math.round(gaps[Math.min(gaps.length - 1, Math.floor(gaps.length * share))] ?? 0);
+    }
+    this.log(
+      `${flags.seeds} seeds, ${failed} failed; edits accepted ${accepted}, turned away ${turnedAway}, unsure ${unsure}; orders ${orders}; runs ${runs}; messages ${messages}`,
+    );
+    this.log(
+      `time without a holder, ms: ${gaps.length} times, median ${quantile(0.5)}, 90% ${quantile(0.9)}, 99% ${quantile(0.99)}, most ${quantile(1)}`,
+    );
     this.log(`calls: ${[...calls].map(pairText).join(', ')}`);
     if (flags.met) this.#print(met);
     this.exit(failed === 0 ? 0 : 1);
--- a/src/myth/TableMeasure.test.ts
+++ b/src/myth/TableMeasure.test.ts
@@ -11,4 +11,8 @@
   expect(large.inForceMs).toBeLessThan(2000);
   expect(small.inForceMs).toBeLessThan(2000);
 }
-test('ten thousand rows and mappings are in force in time and cost a request no walk', checkLarge, 600_000);
+test(
+  'ten thousand rows and mappings are in force in time and cost a request no walk',
+  checkLarge,
+  600_000,
+);
--- a/src/myth/TableMeasure.ts
+++ b/src/myth/TableMeasure.ts
@@ -1,5 +1,13 @@
 import { compile, printTable } from '../code/Language.js';
-import { checkTable, findMapping, findRow, matchesModel, type Mapping, type Row, type Table } from '../code/Table.js';
+import {
+  checkTable,
+  findMapping,
+  findRow,
+  matchesModel,
+  type Mapping,
+  type Row,
+  type Table,
+} from '../code/Table.js';
 import { Decision, DECISION_DEFAULTS } from '../flow/Decision.js';
 import { monotonicNow } from '../kin/Clock.js';
 import { moment } from '../kin/Ids.js';
@@ -23,16 +31,35 @@
   const rows: Row[] = [];
   const mappings: Mapping[] = [];
   for (let index = 0; index < count; index += 1) {
-    rows.push({ type: `t-${index}`, model: `m-${index}${index % 3 === 0 ? '*' : ''}`, weight: 1 + (index % 100), take: 10, lateMs: 10_000, repeatable: false, stream: true });
-    mappings.push({ method: 'POST', path: `/v1/t-${index}${index % 2 === 0 ? '/*' : ''}`, type: `t-${index}` });
+    rows.push({
+      type: `t-${index}`,
+      model: `m-${index}${index % 3 === 0 ? '*' : ''}`,
+      weight: 1 + (index % 100),
+      take: 10,
+      lateMs: 10_000,
+      repeatable: false,
+      stream: true,
+    });
+    mappings.push({
+      method: 'POST',
+      path: `/v1/t-${index}${index % 2 === 0 ? '/*' : ''}`,
+      type: `t-${index}`,
+    });
   }
   return { rows, mappings };
 }
 
 function walk(table: Table, path: string, model: string): boolean {
   let best: Mapping | undefined;
-  for (const mapping of table.mappings) if (mapping.method === 'POST' && matchesModel(mapping.path, path) && (!best || mapping.path.length > best.path.length)) best = mapping;
-  for (const row of table.rows) if (row.type === best?.type && matchesModel(row.model, model)) return true;
+  for (const mapping of table.mappings)
+    if (
+      mapping.method === 'POST' &&
+      matchesModel(mapping.path, path) &&
+      (!best || mapping.path.length > best.path.length)
+    )
+      best = mapping;
+  for (const row of table.rows)
+    if (row.type === best?.type && matchesModel(row.model, model)) return true;
   return false;
 }
 
@@ -41,7 +68,11 @@
   return mapping !== undefined && findRow(table, mapping.type, model) !== undefined;
 }
 
-function microsOf(table: Table, look: (table: Table, path: string, model: string) => boolean, times: number): number {
+function microsOf(
+  table: Table,
+  look: (table: Table, path: string, model: string) => boolean,
+  times: number,
+): number {
   const start = monotonicNow();
   let found = 0;
   for (let index = 0; index < times; index += 1) {
@@ -62,14 +93,26 @@
   const table = tableOf(count);
   const text = printTable(table);
   const body = JSON.stringify({ number: 1, table, emptied: [], voters: [] });
-  function compileIt(): void { if (compile(text).faults.length > 0) throw new Error('the table has faults'); }
-  function checkIt(): void { checkTable(table); }
+  function compileIt(): void {
+    if (compile(text).faults.length > 0) throw new Error('the table has faults');
+  }
+  function checkIt(): void {
+    checkTable(table);
+  }
   const decision = new Decision({ ...DECISION_DEFAULTS, blindMs: 1e9, me: 'f' });
-  function takeIt(): void { decision.news(moment(0), 'config', { epoch: 2, count: 1 }, body); }
+  function takeIt(): void {
+    decision.news(moment(0), 'config', { epoch: 2, count: 1 }, body);
+  }
   find(table, '/v1/t-0/x', 'm-0');
   return {
-    rows: count, bytes: body.length, drawUs: microsOf(table, find, 20_000), walkUs: microsOf(table, walk, 200),
-    compileMs: millisOf(compileIt), checkMs: millisOf(checkIt), takenByProxyMs: millisOf(takeIt), inForceMs: inForce(table),
+    rows: count,
+    bytes: body.length,
+    drawUs: microsOf(table, find, 20_000),
+    walkUs: microsOf(table, walk, 200),
+    compileMs: millisOf(compileIt),
+    checkMs: millisOf(checkIt),
+    takenByProxyMs: millisOf(takeIt),
+    inForceMs: inForce(table),
   };
 }
 
@@ -80,7 +123,9 @@
   agenda.runUntil(15_000);
   const start = agenda.now;
   let yes = -1;
-  function told(status: number): void { if (status === 200) yes = agenda.now - start; }
+  function told(status: number): void {
+    if (status === 200) yes = agenda.now - start;
+  }
   simulation.leader()?.command('table', JSON.stringify({ id: 'large', base: 0, table }), told);
   for (let step = 0; step < 300 && yes < 0; step += 1) agenda.runUntil(agenda.now + 10);
   return Math.round(yes);
--- a/src/myth/Wrong.ts
+++ b/src/myth/Wrong.ts
@@ -1,7 +1,7 @@
 import type { RULES } from './Judge.js';
 import type { TroubleKind } from './SimTroubles.js';
 
-type Rule = typeof RULES[number] | 'slip' | 'turned-away-in-force' | 'lost-edit';
+type Rule = (typeof RULES)[number] | 'slip' | 'turned-away-in-force' | 'lost-edit';
 
 interface WrongRow {
   /** The rule that this fault must be seen to break. */
@@ -12,7 +12,10 @@
 
 /** Builds with one thing wrong each: if no seed of the simulator sees it, a green run proves nothing. */
 export const WRONGS = {
-  'no-gap-between-holders': { rule: 'two-holders', troubles: ['freeze-mind', 'isolate-mind', 'kill-mind'] },
+  'no-gap-between-holders': {
+    rule: 'two-holders',
+    troubles: ['freeze-mind', 'isolate-mind', 'kill-mind'],
+  },
   'orders-untimed': { rule: 'two-holders', troubles: ['freeze-ordering', 'restart-runner'] },
   'never-blind': { rule: 'old-table', troubles: ['isolate-link', 'freeze-flow', 'cut-link'] },
   'acks-unasked': { rule: 'old-table', troubles: ['isolate-link', 'freeze-link', 'freeze-flow'] },
@@ -24,7 +27,10 @@
   'room-forgotten': { rule: 'over-room', troubles: ['restart-runner'] },
   'slots-forgotten': { rule: 'over-store', troubles: ['restart-runner'] },
   'once-repeated': { rule: 'run-twice', troubles: ['moody-back', 'restart-runner'] },
-  'unsure-run-as-no': { rule: 'ran-though-turned-away', troubles: ['moody-back', 'restart-runner'] },
+  'unsure-run-as-no': {
+    rule: 'ran-though-turned-away',
+    troubles: ['moody-back', 'restart-runner'],
+  },
   'ends-made-up': { rule: 'not-whole', troubles: ['moody-back', 'restart-runner'] },
   'unbounded-as-whole': { rule: 'not-whole', troubles: ['moody-back', 'restart-runner'] },
   'streams-resumed': { rule: 'stitched', troubles: ['moody-back', 'restart-runner'] },
--- a/src/news/Exchange.test.ts
+++ b/src/news/Exchange.test.ts
@@ -7,10 +7,14 @@
 import { encodeMessage } from '../kin/Messages.js';
 import { Exchange, type Incoming } from './Exchange.js';
 
-function ignore(): void { /* nothing to say */ }
+function ignore(): void {
+  /* nothing to say */
+}
 
 const told: Defect[] = [];
-function tell(defect: Defect): void { told.push(defect); }
+function tell(defect: Defect): void {
+  told.push(defect);
+}
 function make(id: string, listen: string): Exchange {
   return new Exchange({ id, role: 'test', zone: 'z', listen, reach: {} }, tell);
 }
@@ -29,7 +33,10 @@
     client.send(id, { kind: 'demand', body: 'b' });
     client.send(id, { kind: 'hang', parent: 'c' });
   }
-  for (let isUp = false; !isUp;) { isUp = client.isUp(id); if (!isUp) await new Promise(setImmediate); }
+  for (let isUp = false; !isUp;) {
+    isUp = client.isUp(id);
+    if (!isUp) await new Promise(setImmediate);
+  }
   sendAll();
   const messages = await got;
   expect(messages.map(kindOf)).toEqual(['news', 'demand', 'hang']);
@@ -41,26 +48,34 @@
   expect(await gone).toBe('client');
   server.close();
 }
-function kindOf(incoming: Incoming): string { return incoming.message.kind; }
+function kindOf(incoming: Incoming): string {
+  return incoming.message.kind;
+}
 async function checkGarbage(): Promise<void> {
   const server = make('server', '127.0.0.1:0');
   const port = await server.open();
   const socket = connect({ host: '127.0.0.1', port });
   socket.on('error', ignore);
   socket.resume();
-  function onClose(done: () => void): void { socket.once('close', done); }
+  function onClose(done: () => void): void {
+    socket.once('close', done);
+  }
   const closed = new Promise<void>(onClose);
   socket.write(Buffer.from([0, 0, 0, 2, 255, 255]));
   await closed;
   expect(told.some(isBadFrame)).toBe(true);
   server.close();
 }
-function isBadFrame(defect: Defect): boolean { return defect.kind === 'bad-frame'; }
+function isBadFrame(defect: Defect): boolean {
+  return defect.kind === 'bad-frame';
+}
 test('messages come whole and in order both ways, and a closed line is told', checkContract);
 test('garbage closes its line alone', checkGarbage);
 
 function wait(millis: number): Promise<void> {
-  function begin(done: () => void): void { setTimeout(done, millis); }
+  function begin(done: () => void): void {
+    setTimeout(done, millis);
+  }
   return new Promise(begin);
 }
 
@@ -71,7 +86,12 @@
     sockets.push(socket);
     socket.on('error', ignore);
     socket.resume();
-    const hello = encodeMessage({ kind: 'hello', id: `127.0.0.1:${socket.localPort}`, role: 'test', zone: 'z' });
+    const hello = encodeMessage({
+      kind: 'hello',
+      id: `127.0.0.1:${socket.localPort}`,
+      role: 'test',
+      zone: 'z',
+    });
     const head = Buffer.alloc(4);
     head.writeUInt32BE(hello.length);
     socket.write(Buffer.concat([head, hello]));
--- a/src/news/Exchange.ts
+++ b/src/news/Exchange.ts
@@ -6,7 +6,12 @@
 import type { Moment } from '../kin/Ids.js';
 import { listenOn, splitAddress } from '../kin/Listen.js';
 
-export interface Incoming { readonly from: string; readonly role: string; readonly zone: string; readonly message: Message }
+export interface Incoming {
+  readonly from: string;
+  readonly role: string;
+  readonly zone: string;
+  readonly message: Message;
+}
 
 /** How the processes reach each other. Messages may be lost, never altered; those on one line keep their order. */
 export interface Transport {
@@ -53,21 +58,31 @@
     socket.setNoDelay(true);
   }
 
-  get socket(): Socket { return this.#socket; }
+  get socket(): Socket {
+    return this.#socket;
+  }
 
   write(message: Message): void {
     const body = encodeMessage(message);
     const head = Buffer.allocUnsafe(4);
     head.writeUInt32BE(body.length);
     // A fellow that no longer reads must not make us hold ever more for it: what it misses it asks for again.
-    if (this.#socket.writableLength > MAX_UNSENT) { this.#socket.destroy(); return; }
+    if (this.#socket.writableLength > MAX_UNSENT) {
+      this.#socket.destroy();
+      return;
+    }
     this.wroteAt = monotonicNow();
     this.#socket.write(Buffer.concat([head, body]));
   }
 
   keepAlive(now: Moment): void {
     // What is still unsent says as much.
-    if (now - this.wroteAt < KEEPALIVE_MS || this.#socket.connecting || this.#socket.writableLength > 0) return;
+    if (
+      now - this.wroteAt < KEEPALIVE_MS ||
+      this.#socket.connecting ||
+      this.#socket.writableLength > 0
+    )
+      return;
     this.wroteAt = now;
     this.#socket.write(EMPTY_FRAME);
   }
@@ -117,8 +132,12 @@
     this.#checks = setInterval(this.#check.bind(this), CHECK_MS).unref();
   }
 
-  get incoming$(): Observable<Incoming> { return this.#incoming; }
-  get gone$(): Observable<string> { return this.#gone; }
+  get incoming$(): Observable<Incoming> {
+    return this.#incoming;
+  }
+  get gone$(): Observable<string> {
+    return this.#gone;
+  }
 
   /** Listens, if this node does; returns the port. */
   async open(): Promise<number> {
@@ -147,12 +166,17 @@
     }
   }
 
-  isUp(id: string): boolean { return this.#lines.has(id); }
+  isUp(id: string): boolean {
+    return this.#lines.has(id);
+  }
 
   send(to: string, message: Message): void {
     const lines = this.#lines.get(to);
     const line = lines?.[lines.length - 1];
-    if (line) { line.write(message); return; }
+    if (line) {
+      line.write(message);
+      return;
+    }
     this.dial(to);
     if (!this.#dialing.has(to)) return;
     // The first words of a session would else wait for its next beat.
@@ -199,7 +223,12 @@
   }
 
   #hello(line: Line): void {
-    line.write({ kind: 'hello', id: this.#settings.id, role: this.#settings.role, zone: this.#settings.zone });
+    line.write({
+      kind: 'hello',
+      id: this.#settings.id,
+      role: this.#settings.role,
+      zone: this.#settings.zone,
+    });
   }
 
   #serve(line: Line): void {
@@ -240,11 +269,18 @@
     this.#all.delete(line);
     const left = (this.#lines.get(line.fellowId) ?? []).filter(isNot.bind(undefined, line));
     if (!this.#lines.has(line.fellowId)) return;
-    if (left.length > 0) { this.#lines.set(line.fellowId, left); return; }
+    if (left.length > 0) {
+      this.#lines.set(line.fellowId, left);
+      return;
+    }
     this.#lines.delete(line.fellowId);
     this.#gone.next(line.fellowId);
   }
 }
 
-function isNot(line: Line, other: Line): boolean { return line !== other; }
-function ignore(): void { /* told by the close */ }
+function isNot(line: Line, other: Line): boolean {
+  return line !== other;
+}
+function ignore(): void {
+  /* told by the close */
+}
--- a/src/news/Relay.test.ts
+++ b/src/news/Relay.test.ts
@@ -10,8 +10,11 @@
 function checkBurst(): void {
   const relay = new Relay();
   relay.addChild('x');
-  for (let count = 1; count <= 50; count += 1) relay.offer('config', { epoch: 2, count }, `body ${count}`);
-  expect(relay.flush()).toEqual([{ to: 'x', message: { kind: 'news', topic: 'config', epoch: 2, count: 50, body: 'body 50' } }]);
+  for (let count = 1; count <= 50; count += 1)
+    relay.offer('config', { epoch: 2, count }, `body ${count}`);
+  expect(relay.flush()).toEqual([
+    { to: 'x', message: { kind: 'news', topic: 'config', epoch: 2, count: 50, body: 'body 50' } },
+  ]);
   expect(relay.flush()).toEqual([]);
   relay.heard('x', [{ topic: 'config', epoch: 2, count: 3 }]);
   expect(relay.flush()).toHaveLength(1);
@@ -25,9 +28,23 @@
   const whole = JSON.stringify({ flows: 1, runners: [], waits: [] });
   relay.offer('fleet', { epoch: 2, count: 1 }, whole);
   const read = vi.spyOn(JSON, 'parse');
-  for (let count = 2; count <= 60; count += 1) expect(relay.offerDelta('fleet', { epoch: 2, count }, count - 1, JSON.stringify({ flows: count, waits: [], put: [], drop: [] }))).toBe(true);
-  expect(JSON.parse(relay.item('fleet')?.body ?? '')).toEqual({ flows: 60, runners: [], waits: [] });
-  function isWhole([text]: readonly unknown[]): boolean { return typeof text === 'string' && text.includes('"runners"'); }
+  for (let count = 2; count <= 60; count += 1)
+    expect(
+      relay.offerDelta(
+        'fleet',
+        { epoch: 2, count },
+        count - 1,
+        JSON.stringify({ flows: count, waits: [], put: [], drop: [] }),
+      ),
+    ).toBe(true);
+  expect(JSON.parse(relay.item('fleet')?.body ?? '')).toEqual({
+    flows: 60,
+    runners: [],
+    waits: [],
+  });
+  function isWhole([text]: readonly unknown[]): boolean {
+    return typeof text === 'string' && text.includes('"runners"');
+  }
   expect(read.mock.calls.filter(isWhole).length).toBeLessThanOrEqual(3);
   read.mockRestore();
 }
--- a/src/news/Relay.ts
+++ b/src/news/Relay.ts
@@ -2,10 +2,18 @@
 import { mergeFleetText } from '../place/Fleet.js';
 import { compareVersions, isNewer, NO_VERSION, type Version } from '../kin/Version.js';
 
-export interface NewsItem { readonly topic: string; readonly version: Version; readonly body: string }
+export interface NewsItem {
+  readonly topic: string;
+  readonly version: Version;
+  readonly body: string;
+}
 
 /** A change of a topic within one epoch, from the count before it. */
-interface Delta { readonly from: number; readonly version: Version; readonly body: string }
+interface Delta {
+  readonly from: number;
+  readonly version: Version;
+  readonly body: string;
+}
 
 interface Held {
   version: Version;
@@ -17,11 +25,16 @@
 }
 
 /** Topics that travel by changes, with how a change is laid over the whole. */
-const MERGERS: Readonly<Record<string, (whole: string, deltas: readonly string[]) => string | undefined>> = { fleet: mergeFleetText };
+const MERGERS: Readonly<
+  Record<string, (whole: string, deltas: readonly string[]) => string | undefined>
+> = { fleet: mergeFleetText };
 /** Changes that are kept for those who lack a few; who lacks more gets the whole. */
 const MOST_DELTAS = 40;
 
-export interface NewsSend { readonly to: string; readonly message: Message }
+export interface NewsSend {
+  readonly to: string;
+  readonly message: Message;
+}
 
 /** Topics in the order in which they are passed on: what stops work goes before what begins it. */
 export const TOPICS = ['machines', 'config', 'fleet', 'places'] as const;
@@ -36,14 +49,18 @@
   readonly #children = new Map<string, Map<string, Version>>();
   #sent = 0;
 
-  get sent(): number { return this.#sent; }
+  get sent(): number {
+    return this.#sent;
+  }
 
   item(topic: string): NewsItem | undefined {
     const held = this.#items.get(topic);
     return held && { topic, version: held.version, body: wholeOf(topic, held) };
   }
 
-  version(topic: string): Version { return this.#items.get(topic)?.version ?? NO_VERSION; }
+  version(topic: string): Version {
+    return this.#items.get(topic)?.version ?? NO_VERSION;
+  }
 
   have(): HaveMessage[] {
     const list: HaveMessage[] = [];
@@ -64,7 +81,14 @@
    */
   offerDelta(topic: string, version: Version, from: number, body: string): boolean {
     const held = this.#items.get(topic);
-    if (!held || MERGERS[topic] === undefined || held.version.epoch !== version.epoch || held.version.count !== from || version.count <= from) return false;
+    if (
+      !held ||
+      MERGERS[topic] === undefined ||
+      held.version.epoch !== version.epoch ||
+      held.version.count !== from ||
+      version.count <= from
+    )
+      return false;
     held.deltas.push({ from, version, body });
     held.version = version;
     if (held.deltas.length > MOST_DELTAS) {
@@ -76,13 +100,19 @@
   }
 
   setChildren(children: readonly string[]): void {
-    for (const child of this.#children.keys()) if (!children.includes(child)) this.#children.delete(child);
-    for (const child of children) if (!this.#children.has(child)) this.#children.set(child, new Map());
+    for (const child of this.#children.keys())
+      if (!children.includes(child)) this.#children.delete(child);
+    for (const child of children)
+      if (!this.#children.has(child)) this.#children.set(child, new Map());
   }
 
-  addChild(child: string): void { if (!this.#children.has(child)) this.#children.set(child, new Map()); }
+  addChild(child: string): void {
+    if (!this.#children.has(child)) this.#children.set(child, new Map());
+  }
 
-  removeChild(child: string): void { this.#children.delete(child); }
+  removeChild(child: string): void {
+    this.#children.delete(child);
+  }
 
   /** What a child says it has is truer than what we remember sending: the line may have dropped it. */
   heard(child: string, have: readonly HaveMessage[]): void {
@@ -101,10 +131,16 @@
         if (compareVersions(item.version, known.get(topic) ?? NO_VERSION) <= 0) continue;
         const had = known.get(topic) ?? NO_VERSION;
         known.set(topic, item.version);
-        const at = had.epoch === item.version.epoch ? item.deltas.findIndex(isFrom.bind(undefined, had.count)) : -1;
+        const at =
+          had.epoch === item.version.epoch
+            ? item.deltas.findIndex(isFrom.bind(undefined, had.count))
+            : -1;
         if (at < 0) {
           this.#sent += 1;
-          sends.push({ to: child, message: { kind: 'news', topic, ...item.version, body: wholeOf(topic, item) } });
+          sends.push({
+            to: child,
+            message: { kind: 'news', topic, ...item.version, body: wholeOf(topic, item) },
+          });
           continue;
         }
         for (const { from, version, body } of item.deltas.slice(at)) {
@@ -117,8 +153,12 @@
   }
 }
 
-function bodyOf(delta: Delta): string { return delta.body; }
-function isFrom(count: number, delta: Delta): boolean { return delta.from === count; }
+function bodyOf(delta: Delta): string {
+  return delta.body;
+}
+function isFrom(count: number, delta: Delta): boolean {
+  return delta.from === count;
+}
 
 /** Changes are laid over the whole only when somebody needs it whole. */
 function wholeOf(topic: string, held: Held): string {
--- a/src/news/Sessions.test.ts
+++ b/src/news/Sessions.test.ts
@@ -4,7 +4,8 @@
 
 function fill(count: number): Sessions {
   const sessions = new Sessions(1000, 5000);
-  for (let index = 0; index < count; index += 1) sessions.join(moment(0), `n${String(index).padStart(3, '0')}`, 'z', '', { epoch: 0, count: 0 });
+  for (let index = 0; index < count; index += 1)
+    sessions.join(moment(0), `n${String(index).padStart(3, '0')}`, 'z', '', { epoch: 0, count: 0 });
   return sessions;
 }
 function checkTree(): void {
--- a/src/news/Sessions.ts
+++ b/src/news/Sessions.ts
@@ -35,7 +35,9 @@
   }
 
   /** A child could not reach this node: nobody is hung under it for a while. */
-  upset(now: Moment, id: string): void { if (this.#sessions.has(id)) this.#upset.set(id, later(now, 3000)); }
+  upset(now: Moment, id: string): void {
+    if (this.#sessions.has(id)) this.#upset.set(id, later(now, 3000));
+  }
 
   gone(id: string): void {
     const session = this.#sessions.get(id);
@@ -52,14 +54,19 @@
   }
 
   /** Members whose sessions stand. */
-  up(): readonly MemberMessage[] { return this.#list(true); }
+  up(): readonly MemberMessage[] {
+    return this.#list(true);
+  }
 
   /** Members that may still be fresh: those up and those lost a short while ago. */
-  recent(): readonly MemberMessage[] { return this.#list(false); }
+  recent(): readonly MemberMessage[] {
+    return this.#list(false);
+  }
 
   #list(onlyUp: boolean): MemberMessage[] {
     const list: MemberMessage[] = [];
-    for (const { id, zone, address, acked, isUp } of this.#sessions.values()) if (isUp || !onlyUp) list.push({ id, zone, address, ...acked });
+    for (const { id, zone, address, acked, isUp } of this.#sessions.values())
+      if (isUp || !onlyUp) list.push({ id, zone, address, ...acked });
     return list;
   }
 
@@ -77,7 +84,8 @@
       byZone.set(zone, [...(byZone.get(zone) ?? []), id]);
     }
     for (const sound of byZone.values()) {
-      for (const [index, id] of sound.entries()) parents.set(id, index < FAN_OUT ? '' : sound[Math.floor(index / FAN_OUT) - 1] ?? '');
+      for (const [index, id] of sound.entries())
+        parents.set(id, index < FAN_OUT ? '' : (sound[Math.floor(index / FAN_OUT) - 1] ?? ''));
     }
     // Those that somebody could not reach carry nobody; they hang under the mind until they are trusted again.
     for (const id of ids) if (this.#upset.has(id)) parents.set(id, '');
--- a/src/news/Vouching.ts
+++ b/src/news/Vouching.ts
@@ -6,7 +6,11 @@
   /** Every member that will be fresh by what this ask is returned. */
   readonly members: readonly string[];
 }
-interface Round { readonly nonce: number; readonly sentAt: Moment; readonly asks: readonly Ask[] }
+interface Round {
+  readonly nonce: number;
+  readonly sentAt: Moment;
+  readonly asks: readonly Ask[];
+}
 
 const RETRY_MS = 250;
 
@@ -20,15 +24,22 @@
   #nonce: number;
 
   /** Nonces begin at a number of this life's own: what is returned to a former life ends no round of ours. */
-  constructor(life: number) { this.#nonce = life; }
+  constructor(life: number) {
+    this.#nonce = life;
+  }
 
-  add(ask: Ask): void { this.#waiting.push(ask); }
+  add(ask: Ask): void {
+    this.#waiting.push(ask);
+  }
 
   /** Begins a round if some ask waits and none is under way, or the one under way seems lost; returns its nonce. */
   begin(now: Moment): number | undefined {
     if (this.#round && now < later(this.#round.sentAt, RETRY_MS)) return undefined;
     const asks = [...(this.#round?.asks ?? []), ...this.#waiting];
-    if (asks.length === 0) { this.#round = undefined; return undefined; }
+    if (asks.length === 0) {
+      this.#round = undefined;
+      return undefined;
+    }
     this.#waiting = [];
     this.#nonce += 1;
     this.#round = { nonce: this.#nonce, sentAt: now, asks: newest(asks) };
--- a/src/place/Demand.ts
+++ b/src/place/Demand.ts
@@ -3,7 +3,10 @@
 /** More than any catalogue's models and adapters. */
 const MANY = 2000;
 
-interface Rate { value: number; at: Moment }
+interface Rate {
+  value: number;
+  at: Moment;
+}
 
 /** Recent demand per unit as a decaying rate a second. */
 export class Demand {
@@ -11,7 +14,9 @@
   readonly #spanMs: number;
   #sweptAt = -Infinity;
 
-  constructor(spanMs: number) { this.#spanMs = spanMs; }
+  constructor(spanMs: number) {
+    this.#spanMs = spanMs;
+  }
 
   add(now: Moment, unit: string, count: number): void {
     const value = this.rate(now, unit) + (count * 1000) / this.#spanMs;
@@ -19,7 +24,8 @@
     // Callers name what they like: what was asked for once must not be kept for good.
     if (this.#rates.size > MANY && now - this.#sweptAt > this.#spanMs) {
       this.#sweptAt = now;
-      for (const [other, rate] of this.#rates) if (now - rate.at > this.#spanMs * 10) this.#rates.delete(other);
+      for (const [other, rate] of this.#rates)
+        if (now - rate.at > this.#spanMs * 10) this.#rates.delete(other);
     }
   }
 
@@ -28,5 +34,7 @@
     return rate ? rate.value * Math.exp(-(now - rate.at) / this.#spanMs) : 0;
   }
 
-  units(): readonly string[] { return [...this.#rates.keys()]; }
+  units(): readonly string[] {
+    return [...this.#rates.keys()];
+  }
 }
--- a/src/place/Fleet.test.ts
+++ b/src/place/Fleet.test.ts
@@ -1,32 +1,71 @@
 import { expect, test } from 'vitest';
 import { parseAs } from '../kin/Json.js';
 import { Relay } from '../news/Relay.js';
-import { applyFleetDelta, FleetShape, mergeFleetText, type Fleet, type FleetDelta, type FleetRunner } from './Fleet.js';
+import {
+  applyFleetDelta,
+  FleetShape,
+  mergeFleetText,
+  type Fleet,
+  type FleetDelta,
+  type FleetRunner,
+} from './Fleet.js';
 
 test('a change replaces, adds and drops runners, and leaves the others the very same', checkApply);
 test('changes reach whoever has the version before, and the whole everybody else', checkRelay);
-test('however changes are lost on the way, nobody ends with anything but the newest fleet', checkLosses);
+test(
+  'however changes are lost on the way, nobody ends with anything but the newest fleet',
+  checkLosses,
+);
 
 function runner(id: string, model: string): FleetRunner {
-  return { id, address: `${id}:1`, zone: 'z', service: 's', slots: 1, isLeaving: false, coldMs: 0, holds: [{ model, adapters: [] }], coming: [] };
+  return {
+    id,
+    address: `${id}:1`,
+    zone: 'z',
+    service: 's',
+    slots: 1,
+    isLeaving: false,
+    coldMs: 0,
+    holds: [{ model, adapters: [] }],
+    coming: [],
+  };
 }
 
 function checkApply(): void {
-  const fleet: Fleet = { flows: 1, waits: [], runners: [runner('a', 'm'), runner('b', 'm'), runner('c', 'm')] };
-  const next = applyFleetDelta(fleet, { flows: 2, waits: [], put: [runner('b', 'n'), runner('d', 'm')], drop: ['c'] });
+  const fleet: Fleet = {
+    flows: 1,
+    waits: [],
+    runners: [runner('a', 'm'), runner('b', 'm'), runner('c', 'm')],
+  };
+  const next = applyFleetDelta(fleet, {
+    flows: 2,
+    waits: [],
+    put: [runner('b', 'n'), runner('d', 'm')],
+    drop: ['c'],
+  });
   expect(next.runners.map(textOf)).toEqual(['a m', 'b n', 'd m']);
   expect(next.runners[0]).toBe(fleet.runners[0]);
   expect(next.flows).toBe(2);
 }
-function textOf({ id, holds }: FleetRunner): string { return `${id} ${holds[0]?.model}`; }
+function textOf({ id, holds }: FleetRunner): string {
+  return `${id} ${holds[0]?.model}`;
+}
 
-function deltaOf(flows: number, put: readonly FleetRunner[]): string { return JSON.stringify({ flows, waits: [], put: [...put], drop: [] } satisfies FleetDelta); }
+function deltaOf(flows: number, put: readonly FleetRunner[]): string {
+  return JSON.stringify({ flows, waits: [], put: [...put], drop: [] } satisfies FleetDelta);
+}
 
 function checkRelay(): void {
   const relay = new Relay();
-  relay.offer('fleet', { epoch: 2, count: 1 }, JSON.stringify({ flows: 1, waits: [], runners: [runner('a', 'm')] } satisfies Fleet));
+  relay.offer(
+    'fleet',
+    { epoch: 2, count: 1 },
+    JSON.stringify({ flows: 1, waits: [], runners: [runner('a', 'm')] } satisfies Fleet),
+  );
   relay.heard('old', [{ topic: 'fleet', epoch: 2, count: 1 }]);
-  expect(relay.offerDelta('fleet', { epoch: 2, count: 2 }, 1, deltaOf(1, [runner('a', 'n')]))).toBe(true);
+  expect(relay.offerDelta('fleet', { epoch: 2, count: 2 }, 1, deltaOf(1, [runner('a', 'n')]))).toBe(
+    true,
+  );
   // A change of another epoch, or one with a gap before it, is not taken.
   expect(relay.offerDelta('fleet', { epoch: 4, count: 3 }, 2, deltaOf(1, []))).toBe(false);
   expect(relay.offerDelta('fleet', { epoch: 2, count: 4 }, 3, deltaOf(1, []))).toBe(false);
@@ -37,7 +76,12 @@
   expect(whole?.kind === 'news' && whole.body).toContain('"n"');
   expect(relay.flush()).toEqual([]);
 }
-function kindOf(send: { readonly to: string; readonly message: { readonly kind: string } }): string { return `${send.to} ${send.message.kind}`; }
+function kindOf(send: {
+  readonly to: string;
+  readonly message: { readonly kind: string };
+}): string {
+  return `${send.to} ${send.message.kind}`;
+}
 
 /** A small generator of our own, so that a failing seed can be played again. */
 function seeded(seed: number): () => number {
@@ -59,22 +103,46 @@
     function pass(from: Relay, to: Relay, loss: number): void {
       for (const { message } of from.flush()) {
         if (random() < loss) continue;
-        if (message.kind === 'news') to.offer(message.topic, { epoch: message.epoch, count: message.count }, message.body);
-        else if (message.kind === 'delta') to.offerDelta(message.topic, { epoch: message.epoch, count: message.count }, message.from, message.body);
+        if (message.kind === 'news')
+          to.offer(message.topic, { epoch: message.epoch, count: message.count }, message.body);
+        else if (message.kind === 'delta')
+          to.offerDelta(
+            message.topic,
+            { epoch: message.epoch, count: message.count },
+            message.from,
+            message.body,
+          );
       }
     }
     for (let step = 0; step < 300; step += 1) {
-      if (random() < 0.02) { epoch += 2; count = 0; }
+      if (random() < 0.02) {
+        epoch += 2;
+        count = 0;
+      }
       const put = [runner(`r${Math.floor(random() * 8)}`, `m${Math.floor(random() * 9)}`)];
-      const delta: FleetDelta = { flows: 1, waits: [], put, drop: random() < 0.1 ? [`r${Math.floor(random() * 8)}`].filter(isOther) : [] };
-      function isOther(id: string): boolean { return id !== put[0]?.id; }
+      const delta: FleetDelta = {
+        flows: 1,
+        waits: [],
+        put,
+        drop: random() < 0.1 ? [`r${Math.floor(random() * 8)}`].filter(isOther) : [],
+      };
+      function isOther(id: string): boolean {
+        return id !== put[0]?.id;
+      }
       fleet = applyFleetDelta(fleet, delta);
       count += 1;
-      if (!top.offerDelta('fleet', { epoch, count }, count - 1, JSON.stringify(delta))) top.offer('fleet', { epoch, count }, JSON.stringify(fleet));
-      if (step === 0) { top.addChild('middle'); middle.addChild('low'); }
+      if (!top.offerDelta('fleet', { epoch, count }, count - 1, JSON.stringify(delta)))
+        top.offer('fleet', { epoch, count }, JSON.stringify(fleet));
+      if (step === 0) {
+        top.addChild('middle');
+        middle.addChild('low');
+      }
       pass(top, middle, 0.2);
       pass(middle, low, 0.2);
-      if (random() < 0.2) { top.heard('middle', middle.have()); middle.heard('low', low.have()); }
+      if (random() < 0.2) {
+        top.heard('middle', middle.have());
+        middle.heard('low', low.have());
+      }
     }
     for (let round = 0; round < 3; round += 1) {
       top.heard('middle', middle.have());
@@ -86,4 +154,6 @@
   }
   expect(mergeFleetText('not json', ['{}'])).toBeUndefined();
 }
-function sorted(body: string): string[] { return (parseAs(FleetShape, body)?.runners ?? []).map(textOf).sort(); }
+function sorted(body: string): string[] {
+  return (parseAs(FleetShape, body)?.runners ?? []).map(textOf).sort();
+}
