--- a/src/place/Fleet.ts
+++ b/src/place/Fleet.ts
@@ -8,8 +8,15 @@
 
 /** A runner as the data plane has to know it. */
 export const FleetRunnerShape = type({
-  id: string(), address: string(), zone: string(), service: string(), slots: number(),
-  isLeaving: boolean(), coldMs: number(), holds: array(FleetHoldShape), coming: array(FleetComingShape),
+  id: string(),
+  address: string(),
+  zone: string(),
+  service: string(),
+  slots: number(),
+  isLeaving: boolean(),
+  coldMs: number(),
+  holds: array(FleetHoldShape),
+  coming: array(FleetComingShape),
 });
 
 /** What waits for a load that is not under way yet, and when it is due as far as can be told; 0 where it cannot be told. */
@@ -23,7 +30,12 @@
   waits: array(FleetWaitShape),
 });
 /** What changed since the last word: runners that are new or differ, those that are gone, and the rest whole. */
-export const FleetDeltaShape = type({ flows: number(), waits: array(FleetWaitShape), put: array(FleetRunnerShape), drop: array(string()) });
+export const FleetDeltaShape = type({
+  flows: number(),
+  waits: array(FleetWaitShape),
+  put: array(FleetRunnerShape),
+  drop: array(string()),
+});
 export type FleetDelta = Infer<typeof FleetDeltaShape>;
 
 /** The fleet after a change; runners that did not change stay the very same objects. */
@@ -59,17 +71,21 @@
 /** What one proxy saw asked for since its last word, by model and adapter ('' for the model itself). */
 export const FleetDemandShape = type({
   flow: string(),
-  units: array(type({
-    service: string(), model: string(), adapter: string(),
-    /** Requests that came since the last word. */
-    count: number(),
-    /** Requests that wait at this proxy now since no runner holds what they need. */
-    waiting: number(),
-    /** Requests of it that run now through this proxy. */
-    running: number(),
-    /** The most urgent rank among what waits; 0 is highest. */
-    priority: optional(number()),
-  })),
+  units: array(
+    type({
+      service: string(),
+      model: string(),
+      adapter: string(),
+      /** Requests that came since the last word. */
+      count: number(),
+      /** Requests that wait at this proxy now since no runner holds what they need. */
+      waiting: number(),
+      /** Requests of it that run now through this proxy. */
+      running: number(),
+      /** The most urgent rank among what waits; 0 is highest. */
+      priority: optional(number()),
+    }),
+  ),
 });
 export type FleetDemand = Infer<typeof FleetDemandShape>;
 
--- a/src/place/Live.ts
+++ b/src/place/Live.ts
@@ -5,12 +5,20 @@
 
 /** One model of the table with its places, and who waits for what and for how long. */
 export const LiveModelShape = type({
-  model: string(), rows: array(string()), rate: number(), primary: LiveSeatShape, understudy: LiveSeatShape, wait: string(), waitMs: number(),
+  model: string(),
+  rows: array(string()),
+  rate: number(),
+  primary: LiveSeatShape,
+  understudy: LiveSeatShape,
+  wait: string(),
+  waitMs: number(),
 });
 export type LiveModel = Infer<typeof LiveModelShape>;
 
 export const LiveShape = type({
-  number: number(), emptied: array(string()), underWay: number(),
+  number: number(),
+  emptied: array(string()),
+  underWay: number(),
   rows: array(type({ row: string(), weight: number(), take: number(), rate: number() })),
   models: array(LiveModelShape),
 });
--- a/src/place/Placer.test.ts
+++ b/src/place/Placer.test.ts
@@ -10,7 +10,10 @@
 /** Runners that obey at once, watching room and fetch slots themselves. */
 class Yard {
   readonly placer = new Placer({ ...PLACER_DEFAULTS, stayMs: 1000, settleMs: 1000 }, 'p');
-  readonly runners = new Map<string, { zone: string; room: number; boot: string; holds: Hold[]; leaving: boolean; isUp: boolean }>();
+  readonly runners = new Map<
+    string,
+    { zone: string; room: number; boot: string; holds: Hold[]; leaving: boolean; isUp: boolean }
+  >();
   readonly catalog: Catalog;
   readonly seen = new Set<string>();
   readonly broken: string[] = [];
@@ -18,15 +21,32 @@
   now = 1000;
   obeys = true;
 
-  constructor(catalog: Catalog) { this.catalog = catalog; }
+  constructor(catalog: Catalog) {
+    this.catalog = catalog;
+  }
 
-  add(id: string, zone: string, room: number): void { this.runners.set(id, { zone, room, boot: 'b1', holds: [], leaving: false, isUp: true }); }
+  add(id: string, zone: string, room: number): void {
+    this.runners.set(id, { zone, room, boot: 'b1', holds: [], leaving: false, isUp: true });
+  }
 
   input(): PlanInput {
     const runners: RunnerView[] = [];
     for (const [id, runner] of this.runners) {
-      const report: Report = { id, boot: runner.boot, room: runner.room, slots: 4, upMs: 60_000, holds: runner.holds.map(copyOf) };
-      runners.push({ machine: { id, address: id, zone: runner.zone, service: '', leaving: runner.leaving }, report, askedAt: moment(this.now), isReachable: runner.isUp, isLost: !runner.isUp });
+      const report: Report = {
+        id,
+        boot: runner.boot,
+        room: runner.room,
+        slots: 4,
+        upMs: 60_000,
+        holds: runner.holds.map(copyOf),
+      };
+      runners.push({
+        machine: { id, address: id, zone: runner.zone, service: '', leaving: runner.leaving },
+        report,
+        askedAt: moment(this.now),
+        isReachable: runner.isUp,
+        isLost: !runner.isUp,
+      });
     }
     return { table, catalog: this.catalog, runners, emptied: this.emptied };
   }
@@ -34,7 +54,8 @@
   step(millis = 500): void {
     this.now += millis;
     this.placer.plan(moment(this.now), this.input());
-    for (const runner of this.runners.values()) for (const hold of runner.holds) if (hold.state === 'loading') hold.state = 'ready';
+    for (const runner of this.runners.values())
+      for (const hold of runner.holds) if (hold.state === 'loading') hold.state = 'ready';
     if (!this.obeys) return;
     for (const doc of this.placer.docs()) for (const intent of doc.intents) this.#obey(intent);
   }
@@ -44,35 +65,66 @@
     if (this.seen.has(intent.id) || !runner?.isUp) return;
     this.seen.add(intent.id);
     this.placer.orderTaken(moment(this.now), intent.id);
-    if (intent.verb === 'unload') { runner.holds = runner.holds.filter(isOther.bind(undefined, intent)); return; }
-    runner.holds.push({ model: intent.model, adapter: intent.adapter, size: intent.size, state: 'loading', running: 0 });
+    if (intent.verb === 'unload') {
+      runner.holds = runner.holds.filter(isOther.bind(undefined, intent));
+      return;
+    }
+    runner.holds.push({
+      model: intent.model,
+      adapter: intent.adapter,
+      size: intent.size,
+      state: 'loading',
+      running: 0,
+    });
     let used = 0;
     for (const hold of runner.holds) used += hold.size;
     if (used > runner.room) this.broken.push(`${intent.runner} holds ${used} of ${runner.room}`);
     let fetching = 0;
-    for (const each of this.runners.values()) for (const hold of each.holds) if (hold.state === 'loading') fetching += 1;
+    for (const each of this.runners.values())
+      for (const hold of each.holds) if (hold.state === 'loading') fetching += 1;
     if (fetching > this.catalog.limit) this.broken.push(`${fetching} fetches at once`);
   }
 
-  ask(model: string, count: number): void { this.placer.demand.add(moment(this.now), `${model}\n`, count); }
+  ask(model: string, count: number): void {
+    this.placer.demand.add(moment(this.now), `${model}\n`, count);
+  }
 
   seats(model: string): string[] {
     const place = this.placer.places(this.input()).places.find(isModel.bind(undefined, model));
     return (place?.seats ?? []).map(runnerOf);
   }
 
-  waitOf(model: string): string { return this.placer.places(this.input()).places.find(isModel.bind(undefined, model))?.wait ?? ''; }
-}
-function copyOf(hold: Hold): Hold { return { ...hold }; }
-function isOther(intent: Intent, hold: Hold): boolean { return !isThat(intent, hold); }
-function isModel(model: string, place: Place): boolean { return place.model === model; }
-function runnerOf(seat: Seat): string { return seat.runner; }
-function models(...names: string[]): Catalog { return { limit: 2, models: names.map(sized), adapters: [] }; }
-function sized(name: string): { name: string; size: number } { return { name, size: 10 }; }
+  waitOf(model: string): string {
+    return this.placer.places(this.input()).places.find(isModel.bind(undefined, model))?.wait ?? '';
+  }
+}
+function copyOf(hold: Hold): Hold {
+  return { ...hold };
+}
+function isOther(intent: Intent, hold: Hold): boolean {
+  return !isThat(intent, hold);
+}
+function isModel(model: string, place: Place): boolean {
+  return place.model === model;
+}
+function runnerOf(seat: Seat): string {
+  return seat.runner;
+}
+function models(...names: string[]): Catalog {
+  return { limit: 2, models: names.map(sized), adapters: [] };
+}
+function sized(name: string): { name: string; size: number } {
+  return { name, size: 10 };
+}
 function checkPairs(): void {
   const yard = new Yard(models('m-0', 'm-1'));
-  yard.add('r0', 'a', 20); yard.add('r1', 'a', 20); yard.add('r2', 'b', 20);
-  for (let index = 0; index < 12; index += 1) { yard.ask('m-0', 5); yard.step(); }
+  yard.add('r0', 'a', 20);
+  yard.add('r1', 'a', 20);
+  yard.add('r2', 'b', 20);
+  for (let index = 0; index < 12; index += 1) {
+    yard.ask('m-0', 5);
+    yard.step();
+  }
   const seats = yard.seats('m-0');
   expect(seats).toHaveLength(2);
   expect(new Set(seats.map(zoneOf.bind(undefined, yard))).size).toBe(2);
@@ -83,24 +135,37 @@
   yard.step();
   expect(yard.seats('m-0')[0]).toBe(seats[1]);
 }
-function zoneOf(yard: Yard, id: string): string { return yard.runners.get(id)?.zone ?? ''; }
+function zoneOf(yard: Yard, id: string): string {
+  return yard.runners.get(id)?.zone ?? '';
+}
 function checkWaits(): void {
   const yard = new Yard(models('m-0', 'm-1', 'rare-0'));
   yard.add('r0', 'a', 20);
-  for (let index = 0; index < 8; index += 1) { yard.ask('m-0', 5); yard.ask('m-1', 5); yard.step(); }
+  for (let index = 0; index < 8; index += 1) {
+    yard.ask('m-0', 5);
+    yard.ask('m-1', 5);
+    yard.step();
+  }
   expect(yard.seats('rare-0')).toEqual([]);
   expect(yard.waitOf('rare-0')).toMatch(/waits for room/);
   expect(yard.waitOf('m-0')).toMatch(/second zone/);
   // The busy ones go idle and the rare one is asked for: it gets its turn.
   yard.now += 300_000;
-  for (let index = 0; index < 20; index += 1) { yard.ask('rare-0', 10); yard.step(); }
+  for (let index = 0; index < 20; index += 1) {
+    yard.ask('rare-0', 10);
+    yard.step();
+  }
   expect(yard.seats('rare-0')).toEqual(['r0']);
   expect(yard.broken).toEqual([]);
 }
 function checkLeaving(): void {
   const yard = new Yard(models('m-0'));
-  yard.add('r0', 'a', 20); yard.add('r1', 'b', 20);
-  for (let index = 0; index < 8; index += 1) { yard.ask('m-0', 5); yard.step(); }
+  yard.add('r0', 'a', 20);
+  yard.add('r1', 'b', 20);
+  for (let index = 0; index < 8; index += 1) {
+    yard.ask('m-0', 5);
+    yard.step();
+  }
   const [primary = ''] = yard.seats('m-0');
   const runner = yard.runners.get(primary);
   if (runner) runner.leaving = true;
@@ -115,7 +180,8 @@
   // Nobody obeys: what is intended must hold its room and its slot all the same, also for the next leader.
   const yard = new Yard(models('m-0', 'm-1', 'm-2', 'm-3'));
   yard.obeys = false;
-  yard.add('r0', 'a', 10); yard.add('r1', 'b', 100);
+  yard.add('r0', 'a', 10);
+  yard.add('r1', 'b', 100);
   for (let index = 0; index < 10; index += 1) yard.step();
   const docs = yard.placer.docs();
   expect(docs.flatMap(intentsOf)).toHaveLength(2);
@@ -124,38 +190,66 @@
   next.plan(moment(yard.now + 1000), yard.input());
   expect(next.docs().flatMap(intentsOf)).toHaveLength(2);
 }
-function intentsOf(doc: ServiceDoc): readonly Intent[] { return doc.intents; }
+function intentsOf(doc: ServiceDoc): readonly Intent[] {
+  return doc.intents;
+}
 function checkNoChurn(): void {
   // More models than fit: under steady demand the places settle, and nothing is fetched only to go again.
   const yard = new Yard(models('m-0', 'm-1', 'm-2', 'rare-0', 'rare-1', 'rare-2', 'rare-3'));
-  yard.add('r0', 'a', 30); yard.add('r1', 'b', 30); yard.add('r2', 'c', 30);
-  for (let index = 0; index < 150; index += 1) { yard.ask('m-0', 3); yard.ask('m-1', 2); yard.ask('m-2', 1); yard.step(); }
+  yard.add('r0', 'a', 30);
+  yard.add('r1', 'b', 30);
+  yard.add('r2', 'c', 30);
+  for (let index = 0; index < 150; index += 1) {
+    yard.ask('m-0', 3);
+    yard.ask('m-1', 2);
+    yard.ask('m-2', 1);
+    yard.step();
+  }
   const before = yard.seen.size;
-  for (let index = 0; index < 150; index += 1) { yard.ask('m-0', 3); yard.ask('m-1', 2); yard.ask('m-2', 1); yard.step(); }
+  for (let index = 0; index < 150; index += 1) {
+    yard.ask('m-0', 3);
+    yard.ask('m-1', 2);
+    yard.ask('m-2', 1);
+    yard.step();
+  }
   expect(yard.seen.size).toBe(before);
   for (const model of ['m-0', 'm-1', 'm-2']) expect(yard.seats(model)).toHaveLength(2);
 }
 function checkRefilled(): void {
   // A zone is emptied and filled again: what is still held there is taken back, not unloaded for idle models.
   const yard = new Yard(models('m-0', 'rare-0', 'rare-1'));
-  yard.add('r0', 'a', 20); yard.add('r1', 'b', 20);
-  for (let index = 0; index < 30; index += 1) { yard.ask('m-0', 3); yard.step(); }
+  yard.add('r0', 'a', 20);
+  yard.add('r1', 'b', 20);
+  for (let index = 0; index < 30; index += 1) {
+    yard.ask('m-0', 3);
+    yard.step();
+  }
   expect(yard.seats('m-0')).toHaveLength(2);
   yard.emptied = ['a'];
-  for (let index = 0; index < 20; index += 1) { yard.ask('m-0', 3); yard.step(); }
+  for (let index = 0; index < 20; index += 1) {
+    yard.ask('m-0', 3);
+    yard.step();
+  }
   yard.emptied = [];
-  for (let index = 0; index < 3; index += 1) { yard.ask('m-0', 3); yard.step(); }
+  for (let index = 0; index < 3; index += 1) {
+    yard.ask('m-0', 3);
+    yard.step();
+  }
   expect(yard.seats('m-0')).toHaveLength(2);
 }
 function checkStorm(): void {
   for (let seed = 1; seed <= 40; seed += 1) {
     const seeded = new Seeded(seed);
     const yard = new Yard(models('m-0', 'm-1', 'm-2', 'm-3', 'm-4', 'm-5', 'rare-0', 'rare-1'));
-    for (let index = 0; index < 4; index += 1) yard.add(`r${index}`, ['a', 'b', 'c'][index % 3] ?? 'a', 25 + 10 * (index % 2));
+    for (let index = 0; index < 4; index += 1)
+      yard.add(`r${index}`, ['a', 'b', 'c'][index % 3] ?? 'a', 25 + 10 * (index % 2));
     for (let index = 0; index < 200; index += 1) {
       yard.ask(seeded.pick(yard.catalog.models)?.name ?? '', seeded.below(8));
       const runner = yard.runners.get(`r${seeded.below(4)}`);
-      if (runner && seeded.isLikely(0.03)) { runner.boot += 'x'; runner.holds = []; }
+      if (runner && seeded.isLikely(0.03)) {
+        runner.boot += 'x';
+        runner.holds = [];
+      }
       if (runner && seeded.isLikely(0.05)) runner.isUp = !runner.isUp;
       if (runner && seeded.isLikely(0.03)) runner.leaving = !runner.leaving;
       yard.obeys = seeded.isLikely(0.8);
--- a/src/place/Planner.test.ts
+++ b/src/place/Planner.test.ts
@@ -8,7 +8,13 @@
 
 // ---- a fleet of runners that behave as runners do
 
-interface FakeOrder { verb: 'load' | 'unload'; model: string; adapter: string; endsAt: number; isStore: boolean }
+interface FakeOrder {
+  verb: 'load' | 'unload';
+  model: string;
+  adapter: string;
+  endsAt: number;
+  isStore: boolean;
+}
 
 class FakeRunner {
   readonly id: string;
@@ -24,12 +30,21 @@
   /** Streams in work, by model: an unload waits for them. */
   busyUntil = new Map<string, number>();
   past: { at: number; status: RunnerStatus }[] = [];
-  constructor(id: string, zone: string, engine: Engine) { this.id = id; this.zone = zone; this.engine = engine; }
+  constructor(id: string, zone: string, engine: Engine) {
+    this.id = id;
+    this.zone = zone;
+    this.engine = engine;
+  }
 
   usedMb(): number {
     let mb = 0;
-    for (const [model, adapters] of this.holds) mb += sizeOf(this.engine, model) + adapters.size * adapterSizeOf(this.engine, model);
-    if (this.order?.verb === 'load') mb += this.order.adapter === '' ? sizeOf(this.engine, this.order.model) : adapterSizeOf(this.engine, this.order.model);
+    for (const [model, adapters] of this.holds)
+      mb += sizeOf(this.engine, model) + adapters.size * adapterSizeOf(this.engine, model);
+    if (this.order?.verb === 'load')
+      mb +=
+        this.order.adapter === ''
+          ? sizeOf(this.engine, this.order.model)
+          : adapterSizeOf(this.engine, this.order.model);
     return mb;
   }
 
@@ -41,7 +56,8 @@
 
   serves(model: string, adapter: string): boolean {
     const adapters = this.holds.get(model);
-    if (!adapters || this.isDark || this.order?.verb === 'unload' && this.order.model === model) return false;
+    if (!adapters || this.isDark || (this.order?.verb === 'unload' && this.order.model === model))
+      return false;
     return adapter === '' || adapters.has(adapter);
   }
 
@@ -50,8 +66,10 @@
     if (order && order.endsAt <= now) {
       this.order = undefined;
       if (order.verb === 'load') {
-        if (order.adapter === '') { this.holds.set(order.model, new Set()); this.disk.add(order.model); }
-        else this.holds.get(order.model)?.add(order.adapter);
+        if (order.adapter === '') {
+          this.holds.set(order.model, new Set());
+          this.disk.add(order.model);
+        } else this.holds.get(order.model)?.add(order.adapter);
       } else if (order.adapter === '') this.holds.delete(order.model);
       else this.holds.get(order.model)?.delete(order.adapter);
     }
@@ -62,7 +80,13 @@
   status(): RunnerStatus {
     const holds: { model: string; adapters: string[] }[] = [];
     for (const [model, adapters] of this.holds) holds.push({ model, adapters: [...adapters] });
-    return { holds, isBusy: this.order !== undefined, orderCount: this.orderCount, waiting: 0, active: 0 };
+    return {
+      holds,
+      isBusy: this.order !== undefined,
+      orderCount: this.orderCount,
+      waiting: 0,
+      active: 0,
+    };
   }
 
   statusBefore(now: number, ms: number): RunnerStatus {
@@ -76,22 +100,39 @@
   for (const model of engine.models) if (model.name === name) return model;
   return undefined;
 }
-function sizeOf(engine: Engine, name: string): number { return modelOf(engine, name)?.sizeMb ?? 0; }
-function adapterSizeOf(engine: Engine, name: string): number { return modelOf(engine, name)?.adapterSizeMb ?? 0; }
+function sizeOf(engine: Engine, name: string): number {
+  return modelOf(engine, name)?.sizeMb ?? 0;
+}
+function adapterSizeOf(engine: Engine, name: string): number {
+  return modelOf(engine, name)?.adapterSizeMb ?? 0;
+}
 
 class Dice {
   #state: number;
-  constructor(seed: number) { this.#state = seed * 2654435761 >>> 0 || 1; }
+  constructor(seed: number) {
+    this.#state = (seed * 2654435761) >>> 0 || 1;
+  }
   next(): number {
-    this.#state ^= this.#state << 13; this.#state >>>= 0;
+    this.#state ^= this.#state << 13;
+    this.#state >>>= 0;
     this.#state ^= this.#state >>> 17;
-    this.#state ^= this.#state << 5; this.#state >>>= 0;
+    this.#state ^= this.#state << 5;
+    this.#state >>>= 0;
     return this.#state / 4294967296;
   }
-  below(count: number): number { return Math.floor(this.next() * count); }
+  below(count: number): number {
+    return Math.floor(this.next() * count);
+  }
 }
 
-interface Call { model: string; adapter: string; since: number; priority: number; until: number; runner: FakeRunner | undefined }
+interface Call {
+  model: string;
+  adapter: string;
+  since: number;
+  priority: number;
+  until: number;
+  runner: FakeRunner | undefined;
+}
 
 interface WorldOptions {
   readonly engine: Engine;
@@ -138,7 +179,13 @@
   #tellAt = 0;
   #pending: { at: number; intent: Intent; planner: Planner; fence: number; isLate: boolean }[] = [];
   #answers: { at: number; id: string; outcome: OrderOutcome; planner: Planner }[] = [];
-  #reports: { at: number; id: string; askedAt: number; status: RunnerStatus | undefined; planner: Planner }[] = [];
+  #reports: {
+    at: number;
+    id: string;
+    askedAt: number;
+    status: RunnerStatus | undefined;
+    planner: Planner;
+  }[] = [];
   #keeping: { at: number; ids: string[]; planner: Planner }[] = [];
   asked = 0;
   /** Orders that arrived long after they were given up. */
@@ -157,7 +204,8 @@
     this.options = options;
     this.dice = new Dice(options.seed ?? 1);
     this.routing = routingOf(options.engine);
-    for (const zone of options.zones) for (let index = 0; index < options.runnersPerZone; index += 1) this.addRunner(zone);
+    for (const zone of options.zones)
+      for (let index = 0; index < options.runnersPerZone; index += 1) this.addRunner(zone);
     this.planner.restore(moment(this.now), [], 'l0');
   }
 
@@ -169,15 +217,27 @@
   }
 
   hold(id: string, ...models: string[]): void {
-    for (const model of models) { this.runners.get(id)?.holds.set(model, new Set()); this.runners.get(id)?.disk.add(model); }
+    for (const model of models) {
+      this.runners.get(id)?.holds.set(model, new Set());
+      this.runners.get(id)?.disk.add(model);
+    }
   }
 
-  at(): Moment { return moment(this.now); }
+  at(): Moment {
+    return moment(this.now);
+  }
 
   ask(model: string, adapter = '', priority = 0, patienceMs = 5000): void {
     const key = adapter === '' ? model : `${model}/${adapter}`;
     this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
-    this.calls.push({ model, adapter, since: this.now, priority, until: this.now + patienceMs, runner: undefined });
+    this.calls.push({
+      model,
+      adapter,
+      since: this.now,
+      priority,
+      until: this.now + patienceMs,
+      runner: undefined,
+    });
   }
 
   /** The leader is lost at once; another begins from what was kept. */
@@ -202,10 +262,16 @@
     this.#serve();
     this.#list();
     this.#tell();
-    for (const answer of this.#take(this.#answers)) if (answer.planner === this.planner) this.planner.ordered(this.at(), answer.id, answer.outcome);
-    for (const report of this.#take(this.#reports)) if (report.planner === this.planner) this.planner.status(this.at(), report.id, moment(report.askedAt), report.status);
-    for (const { ids, planner } of this.#take(this.#keeping)) if (planner === this.planner) this.planner.kept(ids);
-    for (const { intent, planner, fence, isLate } of this.#take(this.#pending)) this.#arrive(intent, planner, fence, isLate);
+    for (const answer of this.#take(this.#answers))
+      if (answer.planner === this.planner)
+        this.planner.ordered(this.at(), answer.id, answer.outcome);
+    for (const report of this.#take(this.#reports))
+      if (report.planner === this.planner)
+        this.planner.status(this.at(), report.id, moment(report.askedAt), report.status);
+    for (const { ids, planner } of this.#take(this.#keeping))
+      if (planner === this.planner) this.planner.kept(ids);
+    for (const { intent, planner, fence, isLate } of this.#take(this.#pending))
+      this.#arrive(intent, planner, fence, isLate);
     this.#plan();
   }
 
@@ -215,7 +281,11 @@
     this.#isNews = false;
     this.plans += 1;
     const began = performance.now();
-    const changed = this.planner.plan(this.at(), { routing: this.routing, emptied: this.emptied, flows: 2 });
+    const changed = this.planner.plan(this.at(), {
+      routing: this.routing,
+      emptied: this.emptied,
+      flows: 2,
+    });
     this.planMs += performance.now() - began;
     if (changed.length > 0) {
       const names = new Set(changed);
@@ -227,11 +297,24 @@
       }
       this.#keeping.push({ at: this.now + STEP, ids, planner: this.planner });
     }
-    for (const intent of this.planner.orders(this.at())) this.#pending.push({ at: this.now + STEP, intent, planner: this.planner, fence: this.#leader, isLate: false });
+    for (const intent of this.planner.orders(this.at()))
+      this.#pending.push({
+        at: this.now + STEP,
+        intent,
+        planner: this.planner,
+        fence: this.#leader,
+        isLate: false,
+      });
     for (const id of this.planner.asks(this.at())) {
       this.asked += 1;
       const runner = this.runners.get(id);
-      this.#reports.push({ at: this.now + 2 * STEP, id, askedAt: this.now, status: runner && !runner.isDark ? runner.statusBefore(this.now, 200) : undefined, planner: this.planner });
+      this.#reports.push({
+        at: this.now + 2 * STEP,
+        id,
+        askedAt: this.now,
+        status: runner && !runner.isDark ? runner.statusBefore(this.now, 200) : undefined,
+        planner: this.planner,
+      });
     }
   }
 
@@ -239,7 +322,11 @@
     const due: T[] = [];
     for (let index = 0; index < list.length;) {
       const one = list[index];
-      if (one && one.at <= this.now) { this.#isNews = true; due.push(one); list.splice(index, 1); } else index += 1;
+      if (one && one.at <= this.now) {
+        this.#isNews = true;
+        due.push(one);
+        list.splice(index, 1);
+      } else index += 1;
     }
     return due;
   }
@@ -247,14 +334,31 @@
   /** Some orders get no clear answer: never sent, taken without an answer, or held up on the way and taken much later. */
   #arrive(intent: Intent, planner: Planner, fence: number, isLate: boolean): void {
     const runner = this.runners.get(intent.runner);
-    const fate = !isLate && this.dice.below(1000) < (this.options.unsure ?? 0) ? this.dice.below(3) : 3;
+    const fate =
+      !isLate && this.dice.below(1000) < (this.options.unsure ?? 0) ? this.dice.below(3) : 3;
     let outcome: OrderOutcome = 'unsent';
-    if (runner?.isDark || runner && fate === 0) outcome = 'unsure';
-    else if (runner && fate === 1) { outcome = 'unsure'; this.#pending.push({ at: this.now + 100 + this.dice.below(4000), intent, planner, fence, isLate: true }); }
-    else if (runner) outcome = this.#obey(runner, intent, fence);
-    if (isLate) { this.late.push({ at: this.now, intent, outcome }); return; }
+    if (runner?.isDark || (runner && fate === 0)) outcome = 'unsure';
+    else if (runner && fate === 1) {
+      outcome = 'unsure';
+      this.#pending.push({
+        at: this.now + 100 + this.dice.below(4000),
+        intent,
+        planner,
+        fence,
+        isLate: true,
+      });
+    } else if (runner) outcome = this.#obey(runner, intent, fence);
+    if (isLate) {
+      this.late.push({ at: this.now, intent, outcome });
+      return;
+    }
     this.orders.push({ at: this.now, intent, outcome });
-    this.#answers.push({ at: this.now + STEP, id: intent.id, outcome: fate === 2 && runner ? 'unsure' : outcome, planner });
+    this.#answers.push({
+      at: this.now + STEP,
+      id: intent.id,
+      outcome: fate === 2 && runner ? 'unsure' : outcome,
+      planner,
+    });
   }
 
   #obey(runner: FakeRunner, intent: Intent, fence: number): OrderOutcome {
@@ -265,28 +369,49 @@
     runner.fence = fence;
     if (intent.count !== undefined && intent.count !== runner.orderCount) return 'busy';
     // Runners differ in what they say to the very order that is under way.
-    const isSame = runner.order?.verb === verb && runner.order.model === model && runner.order.adapter === adapter;
+    const isSame =
+      runner.order?.verb === verb &&
+      runner.order.model === model &&
+      runner.order.adapter === adapter;
     if (runner.order) return isSame && !this.options.isStrict ? 'taken' : 'busy';
     const isHeld = adapter === '' ? adapters !== undefined : adapters?.has(adapter) === true;
     if (adapter !== '' && !adapters) return verb === 'unload' ? 'held' : 'refused';
-    if (isHeld === (verb === 'load')) { if (this.options.countsHeld) runner.orderCount += 1; return 'held'; }
+    if (isHeld === (verb === 'load')) {
+      if (this.options.countsHeld) runner.orderCount += 1;
+      return 'held';
+    }
     runner.orderCount += 1;
     const isStore = verb === 'load' && adapter === '' && !runner.disk.has(model);
     let tookMs = verb === 'unload' ? 2 : 8;
-    if (verb === 'load' && adapter === '') tookMs = (modelOf(engine, model)?.loadMs ?? 0) * (isStore ? 1.05 : 0.65) * (this.options.loadFactor ?? 1);
-    if (verb === 'unload' && adapter === '') tookMs = Math.max(2, (runner.busyUntil.get(model) ?? 0) - this.now);
+    if (verb === 'load' && adapter === '')
+      tookMs =
+        (modelOf(engine, model)?.loadMs ?? 0) *
+        (isStore ? 1.05 : 0.65) *
+        (this.options.loadFactor ?? 1);
+    if (verb === 'unload' && adapter === '')
+      tookMs = Math.max(2, (runner.busyUntil.get(model) ?? 0) - this.now);
     if (isStore) {
       let loading = 1;
       for (const other of this.runners.values()) if (other.order?.isStore) loading += 1;
-      tookMs *= Math.max(1, loading / Math.max(1, Math.round(engine.loadsPerSecond * (modelOf(engine, model)?.loadMs ?? 0) / 1000)));
+      tookMs *= Math.max(
+        1,
+        loading /
+          Math.max(
+            1,
+            Math.round((engine.loadsPerSecond * (modelOf(engine, model)?.loadMs ?? 0)) / 1000),
+          ),
+      );
       this.begun.push(this.now);
       let inWindow = 0;
       for (const at of this.begun) if (at > this.now - 5000) inWindow += 1;
-      if (inWindow > engine.loadsPerSecond * 5 * 1.1 + 3) this.breaks.push(`${this.now}: ${inWindow} loads in a window`);
+      if (inWindow > engine.loadsPerSecond * 5 * 1.1 + 3)
+        this.breaks.push(`${this.now}: ${inWindow} loads in a window`);
     }
     runner.order = { verb, model, adapter, endsAt: this.now + tookMs, isStore };
-    if (runner.usedMb() > engine.roomMb) this.breaks.push(`${this.now}: ${runner.id} beyond its room by ${verb} ${model}`);
-    if (runner.adapterCount() > engine.adapterSlots) this.breaks.push(`${this.now}: ${runner.id} beyond its adapters`);
+    if (runner.usedMb() > engine.roomMb)
+      this.breaks.push(`${this.now}: ${runner.id} beyond its room by ${verb} ${model}`);
+    if (runner.adapterCount() > engine.adapterSlots)
+      this.breaks.push(`${this.now}: ${runner.id} beyond its adapters`);
     return 'taken';
   }
 
@@ -295,7 +420,17 @@
     this.#listAt = this.now + 100;
     const list: ListedRunner[] = [];
     for (const runner of this.runners.values()) {
-      list.push({ id: runner.id, address: `10.0.0.${runner.id.slice(1)}:1`, zone: runner.zone, service: 'llm', slots: this.options.slots ?? 32, isLeaving: runner.isLeaving, remainingMs: undefined, coldMs: 0, holds: runner.status().holds });
+      list.push({
+        id: runner.id,
+        address: `10.0.0.${runner.id.slice(1)}:1`,
+        zone: runner.zone,
+        service: 'llm',
+        slots: this.options.slots ?? 32,
+        isLeaving: runner.isLeaving,
+        remainingMs: undefined,
+        coldMs: 0,
+        holds: runner.status().holds,
+      });
     }
     this.#lists.push({ at: this.now, list });
     if (this.#lists.length > 30) this.#lists.shift();
@@ -310,12 +445,29 @@
   #tell(): void {
     if (this.now < this.#tellAt) return;
     this.#tellAt = this.now + 50;
-    const units = new Map<string, { service: string; model: string; adapter: string; count: number; waiting: number; running: number; priority: number }>();
+    const units = new Map<
+      string,
+      {
+        service: string;
+        model: string;
+        adapter: string;
+        count: number;
+        waiting: number;
+        running: number;
+        priority: number;
+      }
+    >();
     for (const [key, count] of this.#counts) unitIn(units, key).count += count;
     for (const call of this.calls) {
-      const unit = unitIn(units, call.adapter === '' ? call.model : `${call.model}/${call.adapter}`);
+      const unit = unitIn(
+        units,
+        call.adapter === '' ? call.model : `${call.model}/${call.adapter}`,
+      );
       if (call.runner) unit.running += 1;
-      else { unit.waiting += 1; unit.priority = Math.min(unit.priority, call.priority); }
+      else {
+        unit.waiting += 1;
+        unit.priority = Math.min(unit.priority, call.priority);
+      }
     }
     this.#counts.clear();
     const report: FleetDemand = { flow: 'f1', units: [...units.values()] };
@@ -326,10 +478,14 @@
   #serve(): void {
     const rest: Call[] = [];
     for (const call of this.calls) {
-      if (call.runner) { if (call.until > this.now) rest.push(call); continue; }
+      if (call.runner) {
+        if (call.until > this.now) rest.push(call);
+        continue;
+      }
       const key = call.adapter === '' ? call.model : `${call.model}/${call.adapter}`;
       const able: FakeRunner[] = [];
-      for (const runner of this.runners.values()) if (runner.serves(call.model, call.adapter)) able.push(runner);
+      for (const runner of this.runners.values())
+        if (runner.serves(call.model, call.adapter)) able.push(runner);
       const runner = able[this.dice.below(Math.max(1, able.length))];
       if (runner) {
         call.runner = runner;
@@ -353,9 +509,33 @@
   }
 }
 
-function nothing(): void { /* nobody asks */ }
+function nothing(): void {
+  /* nobody asks */
+}
 
-function unitIn(units: Map<string, { service: string; model: string; adapter: string; count: number; waiting: number; running: number; priority: number }>, key: string): { service: string; model: string; adapter: string; count: number; waiting: number; running: number; priority: number } {
+function unitIn(
+  units: Map<
+    string,
+    {
+      service: string;
+      model: string;
+      adapter: string;
+      count: number;
+      waiting: number;
+      running: number;
+      priority: number;
+    }
+  >,
+  key: string,
+): {
+  service: string;
+  model: string;
+  adapter: string;
+  count: number;
+  waiting: number;
+  running: number;
+  priority: number;
+} {
   const known = units.get(key);
   if (known) return known;
   const [model = '', adapter = ''] = key.split('/');
@@ -366,8 +546,23 @@
 
 function engineOf(models: number, change: Partial<Engine> = {}): Engine {
   const list: Engine['models'][number][] = [];
-  for (let index = 0; index < models; index += 1) list.push({ name: `m${index}`, sizeMb: index % 2 === 0 ? 72_700 : 65_100, loadMs: 600, adapters: index === 0 ? 40 : 0, adapterSizeMb: 66 });
-  return { slots: 32, cacheTokens: 200_000, models: list, roomMb: 220_000, adapterSlots: 8, loadsPerSecond: 6.8, ...change };
+  for (let index = 0; index < models; index += 1)
+    list.push({
+      name: `m${index}`,
+      sizeMb: index % 2 === 0 ? 72_700 : 65_100,
+      loadMs: 600,
+      adapters: index === 0 ? 40 : 0,
+      adapterSizeMb: 66,
+    });
+  return {
+    slots: 32,
+    cacheTokens: 200_000,
+    models: list,
+    roomMb: 220_000,
+    adapterSlots: 8,
+    loadsPerSecond: 6.8,
+    ...change,
+  };
 }
 
 /** Asks for models by weights, so many a second. */
@@ -375,7 +570,11 @@
   readonly #weights: [string, number][];
   readonly #perSecond: number;
   readonly #priority: number;
-  constructor(weights: Record<string, number>, perSecond: number, priority = 0) { this.#weights = Object.entries(weights); this.#perSecond = perSecond; this.#priority = priority; }
+  constructor(weights: Record<string, number>, perSecond: number, priority = 0) {
+    this.#weights = Object.entries(weights);
+    this.#perSecond = perSecond;
+    this.#priority = priority;
+  }
   each(world: World): void {
     if (world.dice.next() > (this.#perSecond * STEP) / 1000) return;
     let total = 0;
@@ -391,7 +590,10 @@
   }
 }
 
-function both(one: Traffic, other: Traffic, world: World): void { one.each(world); other.each(world); }
+function both(one: Traffic, other: Traffic, world: World): void {
+  one.each(world);
+  other.each(world);
+}
 
 function rareWeights(from: number, to: number): Record<string, number> {
   const weights: Record<string, number> = {};
@@ -408,7 +610,10 @@
   test('the more urgent is loaded first, then who waits longer', ordersByRank);
   test('a busy model gets a pair in two zones and seats by its share', growsPairs);
   test('copies follow when demand moves to other models', followsShift);
-  test('nothing is ordered that is not kept, nothing twice, and loads are asked for at their end', nothingUnkept);
+  test(
+    'nothing is ordered that is not kept, nothing twice, and loads are asked for at their end',
+    nothingUnkept,
+  );
   test('after a lost unload nothing is ordered there before a fresh report', lostUnload);
   test('the last copies of what is asked for most stay', keepsLastCopies);
   test('no runner has much more to do than its share', spreadsWork);
@@ -420,14 +625,21 @@
   test('an emptied zone counts as lost', emptiedZone);
   test('a new runner is filled with what lacks copies', fillsNewRunner);
   test('a runner in the dark is doubted as soon as proxies wait', darkRunner);
-  test('adapters go to runners that hold their model, the least asked for makes way', adaptersRotate);
+  test(
+    'adapters go to runners that hold their model, the least asked for makes way',
+    adaptersRotate,
+  );
   test('a busy adapter gets a second copy beside the pair', busyAdapters);
   test('loads from the store keep under the ceiling in a rush', keepsCeiling);
   test('the less urgent is not starved by the urgent', starvesNobody);
   test('what was just loaded stays for a while', stays);
   test('an understudy goes to another zone, also where its own has room', pairsAcrossZones);
   test('a new leader takes over without ordering anew', takesOver);
-  test('nothing breaks under storms of lost orders, crashes, leaving and changes of leader', storms, 2000 * STORMS);
+  test(
+    'nothing breaks under storms of lost orders, crashes, leaving and changes of leader',
+    storms,
+    2000 * STORMS,
+  );
   test('time alone is no news for the data plane', fleetIsStable);
   test('called only when it says so, it still places everything', nextAtSuffices);
   test('what a new configuration names no longer makes way, and is not loaded', followsRouting);
@@ -477,7 +689,11 @@
 
 function ordersByRank(): void {
   // The store allows one load at a time.
-  const world = new World({ engine: engineOf(9, { loadsPerSecond: 1.6 }), zones: ['a', 'b'], runnersPerZone: 3 });
+  const world = new World({
+    engine: engineOf(9, { loadsPerSecond: 1.6 }),
+    zones: ['a', 'b'],
+    runnersPerZone: 3,
+  });
   world.run(1000);
   world.ask('m1', '', 2);
   world.run(30);
@@ -494,7 +710,10 @@
 function growsPairs(): void {
   const world = new World({ engine: engineOf(20), zones: ['a', 'b', 'c'], runnersPerZone: 3 });
   let number = 1;
-  for (const runner of world.runners.keys()) { world.hold(runner, `m${number}`, `m${number + 9}`); number += 1; }
+  for (const runner of world.runners.keys()) {
+    world.hold(runner, `m${number}`, `m${number + 9}`);
+    number += 1;
+  }
   world.hold('r1', 'm0');
   world.run(1000);
   const traffic = new Traffic({ m0: 73, m1: 27 }, 90);
@@ -503,7 +722,9 @@
   expect(world.copies('m1').length).toBeGreaterThanOrEqual(2);
   expect(world.breaks).toEqual([]);
   const doc = world.stored.get('llm/m0');
-  expect(world.runners.get(doc?.primary ?? '')?.zone).not.toBe(world.runners.get(doc?.understudy ?? '')?.zone);
+  expect(world.runners.get(doc?.primary ?? '')?.zone).not.toBe(
+    world.runners.get(doc?.understudy ?? '')?.zone,
+  );
   expect(doc?.seats?.length).toBe(world.copies('m0').length - 2);
   const before = world.orders.length;
   world.run(10_000, traffic.each.bind(traffic));
@@ -512,7 +733,15 @@
 
 /** A small site: busy models on several runners, rare ones that do not all fit. */
 function smallSite(seed: number, change: Partial<WorldOptions> = {}): World {
-  const world = new World({ engine: engineOf(39), zones: ['a', 'b', 'c'], runnersPerZone: 3, seed, slots: 64, serveMs: 400, ...change });
+  const world = new World({
+    engine: engineOf(39),
+    zones: ['a', 'b', 'c'],
+    runnersPerZone: 3,
+    seed,
+    slots: 64,
+    serveMs: 400,
+    ...change,
+  });
   let rare = 5;
   let index = 0;
   for (const runner of world.runners.keys()) {
@@ -622,9 +851,15 @@
   expect(world.breaks).toEqual([]);
 }
 
-function zoneOf(world: World, order: { intent: Intent }): string { return `${order.intent.verb} ${world.runners.get(order.intent.runner)?.zone ?? ''}`; }
-function isTo(id: string, order: { intent: Intent }): boolean { return order.intent.runner === id; }
-function isId(id: string, runner: { id: string }): boolean { return runner.id === id; }
+function zoneOf(world: World, order: { intent: Intent }): string {
+  return `${order.intent.verb} ${world.runners.get(order.intent.runner)?.zone ?? ''}`;
+}
+function isTo(id: string, order: { intent: Intent }): boolean {
+  return order.intent.runner === id;
+}
+function isId(id: string, runner: { id: string }): boolean {
+  return runner.id === id;
+}
 
 function emptiedZone(): void {
   const world = smallSite(6);
@@ -676,7 +911,10 @@
   world.hold('r1', 'm0', 'm1');
   world.hold('r2', 'm2', 'm3');
   world.run(1000);
-  for (let index = 1; index <= 8; index += 1) { world.ask('m0', `a${index}`); world.run(500); }
+  for (let index = 1; index <= 8; index += 1) {
+    world.ask('m0', `a${index}`);
+    world.run(500);
+  }
   expect(world.runners.get('r1')?.holds.get('m0')?.size).toBe(8);
   world.run(1000);
   world.ask('m0', 'a1');
@@ -688,7 +926,8 @@
   expect(held?.has('a2')).toBe(false);
   expect(held?.has('a1')).toBe(true);
   expect(world.copies('m0').length).toBe(1);
-  for (const waited of world.waitedMs.values()) for (const ms of waited) expect(ms).toBeLessThan(200);
+  for (const waited of world.waitedMs.values())
+    for (const ms of waited) expect(ms).toBeLessThan(200);
   expect(world.breaks).toEqual([]);
   // One of a model that nobody holds brings the model first.
   const other = new World({ engine: engineOf(2), zones: ['a'], runnersPerZone: 1 });
@@ -717,7 +956,12 @@
   for (const loadsPerSecond of [0.6, 1, 4]) {
     for (const seed of [1, 2, 3]) {
       // One at a time would be more than the slower stores allow in any span.
-      const world = new World({ engine: engineOf(60, { loadsPerSecond }), zones: ['a', 'b', 'c'], runnersPerZone: 6, seed });
+      const world = new World({
+        engine: engineOf(60, { loadsPerSecond }),
+        zones: ['a', 'b', 'c'],
+        runnersPerZone: 6,
+        seed,
+      });
       world.run(1000);
       const traffic = new Traffic(rareWeights(0, 60), 40);
       world.run(2200, traffic.each.bind(traffic));
@@ -743,13 +987,19 @@
 }
 
 function stays(): void {
-  const world = new World({ engine: engineOf(4, { roomMb: 80_000 }), zones: ['a'], runnersPerZone: 1, seed: 3 });
+  const world = new World({
+    engine: engineOf(4, { roomMb: 80_000 }),
+    zones: ['a'],
+    runnersPerZone: 1,
+    seed: 3,
+  });
   world.run(500);
   const traffic = new Traffic({ m0: 1, m1: 1, m2: 1 }, 10);
   world.run(20_000, traffic.each.bind(traffic));
   expect(world.begun.length).toBe(3);
   const loads = new Set<string>();
-  for (const { intent, outcome } of world.orders) if (intent.verb === 'load' && outcome === 'taken') loads.add(intent.id);
+  for (const { intent, outcome } of world.orders)
+    if (intent.verb === 'load' && outcome === 'taken') loads.add(intent.id);
   expect(loads.size).toBeLessThanOrEqual(9);
   for (const model of ['m0', 'm1', 'm2']) expect(world.served.get(model) ?? 0).toBeGreaterThan(15);
 }
@@ -762,7 +1012,10 @@
   world.run(1000);
   const traffic = new Traffic({ m0: 1 }, 8);
   world.run(5000, traffic.each.bind(traffic));
-  expect(world.orders.map(zoneOf.bind(undefined, world)).slice(0, 2)).toEqual(['unload b', 'load b']);
+  expect(world.orders.map(zoneOf.bind(undefined, world)).slice(0, 2)).toEqual([
+    'unload b',
+    'load b',
+  ]);
 }
 
 function nothingUnkept(): void {
@@ -770,13 +1023,20 @@
   planner.restore(moment(0), [], 'l1');
   const routing = routingOf(engineOf(4));
   planner.plan(moment(0), { routing, emptied: [], flows: 1 });
-  planner.list(moment(0), [listedOf('r1', 'a', [{ model: 'm0', adapters: [] }, { model: 'm2', adapters: [] }])]);
+  planner.list(moment(0), [
+    listedOf('r1', 'a', [
+      { model: 'm0', adapters: [] },
+      { model: 'm2', adapters: [] },
+    ]),
+  ]);
   planner.plan(moment(0), { routing, emptied: [], flows: 1 });
   planner.demand(moment(100), { flow: 'f1', units: [waitingUnit('m1', 1), waitingUnit('m3', 1)] });
   const changed = planner.plan(moment(100), { routing, emptied: [], flows: 1 });
   expect(changed).toContain('llm/m1');
   expect(planner.orders(moment(100))).toEqual([]);
-  expect(planner.fleet(moment(100)).runners[0]?.coming).toEqual([{ model: 'm1', adapter: '', readyMs: 600 }]);
+  expect(planner.fleet(moment(100)).runners[0]?.coming).toEqual([
+    { model: 'm1', adapter: '', readyMs: 600 },
+  ]);
   expect(planner.fleet(moment(100)).waits.map(modelOfWait)).toEqual(['m3']);
   planner.kept(intentIdsOf(planner));
   const [order, ...others] = planner.orders(moment(101));
@@ -793,7 +1053,14 @@
   planner.ordered(moment(840), planner.orders(moment(839))[0]?.id ?? '', 'held');
   expect(planner.fleet(moment(840)).runners[0]?.holds.map(modelOfWait)).toEqual(['m0', 'm2', 'm1']);
   expect(planner.plan(moment(841), { routing, emptied: [], flows: 1 })).toContain('llm/m1');
-  expect(planner.docs().find(isDoc.bind(undefined, 'llm/m1'))).toEqual({ model: 'llm/m1', primary: 'r1', understudy: '', wait: '', seats: [], intents: [] });
+  expect(planner.docs().find(isDoc.bind(undefined, 'llm/m1'))).toEqual({
+    model: 'llm/m1',
+    primary: 'r1',
+    understudy: '',
+    wait: '',
+    seats: [],
+    intents: [],
+  });
 }
 
 function lostUnload(): void {
@@ -802,7 +1069,13 @@
   const routing = routingOf(engineOf(4));
   const input = { routing, emptied: [], flows: 1 };
   planner.plan(moment(0), input);
-  planner.list(moment(0), [listedOf('r1', 'a', [{ model: 'm0', adapters: [] }, { model: 'm1', adapters: [] }, { model: 'm2', adapters: [] }])]);
+  planner.list(moment(0), [
+    listedOf('r1', 'a', [
+      { model: 'm0', adapters: [] },
+      { model: 'm1', adapters: [] },
+      { model: 'm2', adapters: [] },
+    ]),
+  ]);
   planner.plan(moment(0), input);
   planner.demand(moment(5000), { flow: 'f1', units: [waitingUnit('m3', 1)] });
   planner.plan(moment(5000), input);
@@ -813,16 +1086,33 @@
   planner.plan(moment(5003), input);
   // Nothing more is ordered there, and what may be gone is not told, before a report that was surely made later.
   expect(planner.orders(moment(5003))).toEqual([]);
-  expect(planner.fleet(moment(5003)).runners[0]?.holds.map(modelOfWait)).not.toContain(unload?.model);
+  expect(planner.fleet(moment(5003)).runners[0]?.holds.map(modelOfWait)).not.toContain(
+    unload?.model,
+  );
   expect(planner.asks(moment(5100))).toEqual([]);
   const at = planner.nextAt(moment(5003)) ?? moment(0);
   expect(planner.asks(at)).toEqual(['r1']);
   expect(planner.asks(at)).toEqual([]);
   // One made too early tells nothing.
-  planner.status(moment(at + 10), 'r1', moment(5100), { holds: [], isBusy: false, orderCount: 0, waiting: 0, active: 0 });
+  planner.status(moment(at + 10), 'r1', moment(5100), {
+    holds: [],
+    isBusy: false,
+    orderCount: 0,
+    waiting: 0,
+    active: 0,
+  });
   expect(planner.fleet(moment(at + 10)).runners[0]?.holds.length).toBe(2);
   expect(planner.asks(moment(at + 300))).toEqual(['r1']);
-  planner.status(moment(at + 320), 'r1', moment(at + 300), { holds: [{ model: 'm1', adapters: [] }, { model: 'm2', adapters: [] }], isBusy: false, orderCount: 1, waiting: 0, active: 0 });
+  planner.status(moment(at + 320), 'r1', moment(at + 300), {
+    holds: [
+      { model: 'm1', adapters: [] },
+      { model: 'm2', adapters: [] },
+    ],
+    isBusy: false,
+    orderCount: 1,
+    waiting: 0,
+    active: 0,
+  });
   planner.plan(moment(at + 320), input);
   planner.kept(intentIdsOf(planner));
   const [load] = planner.orders(moment(at + 321));
@@ -838,7 +1128,11 @@
   const busy = new Traffic({ m0: 1 }, 60);
   const rare = new Traffic(rareWeights(1, 8), 6, 1);
   let without = 0;
-  function each(one: World): void { busy.each(one); rare.each(one); if (one.copies('m0').length === 0) without += 1; }
+  function each(one: World): void {
+    busy.each(one);
+    rare.each(one);
+    if (one.copies('m0').length === 0) without += 1;
+  }
   world.run(20_000, each);
   expect(without).toBe(0);
   expect(world.missed.size).toBe(0);
@@ -854,12 +1148,16 @@
   const sums = new Map<string, number>();
   function count(one: World): void {
     each(one);
-    for (const call of one.calls) if (call.runner) sums.set(call.runner.id, (sums.get(call.runner.id) ?? 0) + 1);
+    for (const call of one.calls)
+      if (call.runner) sums.set(call.runner.id, (sums.get(call.runner.id) ?? 0) + 1);
   }
   world.run(5000, count);
   let all = 0;
   let most = 0;
-  for (const sum of sums.values()) { all += sum; most = Math.max(most, sum); }
+  for (const sum of sums.values()) {
+    all += sum;
+    most = Math.max(most, sum);
+  }
   expect(most).toBeLessThan((all / world.runners.size) * 2.5);
   expect(world.breaks).toEqual([]);
 }
@@ -883,7 +1181,9 @@
   expect(world.copies('m0').length).toBe(0);
 }
 
-function isNotFirst(model: { name: string }): boolean { return model.name !== 'm0'; }
+function isNotFirst(model: { name: string }): boolean {
+  return model.name !== 'm0';
+}
 
 function crowdIsNoDoubt(): void {
   const planner = new Planner({ lagMs: LAG });
@@ -892,9 +1192,19 @@
   planner.restore(moment(0), [], 'l1');
   planner.plan(moment(0), input);
   const hold = [{ model: 'm0', adapters: [] }];
-  planner.list(moment(0), [listedOf('r1', 'a', hold), listedOf('r2', 'b', hold), listedOf('r3', 'c', hold), listedOf('r4', 'c', [])]);
+  planner.list(moment(0), [
+    listedOf('r1', 'a', hold),
+    listedOf('r2', 'b', hold),
+    listedOf('r3', 'c', hold),
+    listedOf('r4', 'c', []),
+  ]);
   for (let now = 100; now < 5000; now += 100) {
-    planner.demand(moment(now), { flow: 'f1', units: [{ service: 'llm', model: 'm0', adapter: '', count: 1, waiting: 3, running: 5, priority: 0 }] });
+    planner.demand(moment(now), {
+      flow: 'f1',
+      units: [
+        { service: 'llm', model: 'm0', adapter: '', count: 1, waiting: 3, running: 5, priority: 0 },
+      ],
+    });
     planner.plan(moment(now), input);
   }
   expect(intentIdsOf(planner)).toEqual([]);
@@ -924,16 +1234,43 @@
 
 function routingOf(engine: Engine): Routing {
   return {
-    version: 1, routes: [], limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 },
-    services: [{ name: 'llm', healthPath: '/', maxConnections: 100, warmupMs: 0, warmupPerSecond: 0, engine }],
+    version: 1,
+    routes: [],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 },
+    services: [
+      {
+        name: 'llm',
+        healthPath: '/',
+        maxConnections: 100,
+        warmupMs: 0,
+        warmupPerSecond: 0,
+        engine,
+      },
+    ],
   };
 }
 function listedOf(id: string, zone: string, holds: ListedRunner['holds']): ListedRunner {
-  return { id, address: '10.0.0.1:1', zone, service: 'llm', slots: 32, isLeaving: false, remainingMs: undefined, coldMs: 0, holds };
+  return {
+    id,
+    address: '10.0.0.1:1',
+    zone,
+    service: 'llm',
+    slots: 32,
+    isLeaving: false,
+    remainingMs: undefined,
+    coldMs: 0,
+    holds,
+  };
+}
+function waitingUnit(model: string, waiting: number): FleetDemand['units'][number] {
+  return { service: 'llm', model, adapter: '', count: waiting, waiting, running: 0, priority: 1 };
+}
+function modelOfWait(wait: { model: string }): string {
+  return wait.model;
+}
+function isDoc(model: string, doc: ServiceDoc): boolean {
+  return doc.model === model;
 }
-function waitingUnit(model: string, waiting: number): FleetDemand['units'][number] { return { service: 'llm', model, adapter: '', count: waiting, waiting, running: 0, priority: 1 }; }
-function modelOfWait(wait: { model: string }): string { return wait.model; }
-function isDoc(model: string, doc: ServiceDoc): boolean { return doc.model === model; }
 function intentIdsOf(planner: Planner): string[] {
   const ids: string[] = [];
   for (const doc of planner.docs()) for (const intent of doc.intents) ids.push(intent.id);
@@ -962,19 +1299,43 @@
   world.run(3000, each);
   expect(world.served.get('m30')).toBe(1);
   expect(world.served.get('m31')).toBe(1);
-  for (const doc of world.stored.values()) for (const intent of doc.intents) expect(intent.id.startsWith('l2')).toBe(true);
+  for (const doc of world.stored.values())
+    for (const intent of doc.intents) expect(intent.id.startsWith('l2')).toBe(true);
   expect(world.breaks).toEqual([]);
 }
 
 function storms(): void {
   for (let seed = 1; seed <= STORMS; seed += 1) {
     const roomMb = [140_000, 220_000, 300_000][seed % 3] ?? 0;
-    const engine = engineOf(24, { roomMb, adapterSlots: 1 + seed % 8, loadsPerSecond: [2, 6.8, 40][seed % 3] ?? 1 });
-    const world = new World({ engine, zones: ['a', 'b', 'c'], runnersPerZone: 2, seed, unsure: 60, countsHeld: seed % 5 === 0, isStrict: seed % 2 === 0 });
+    const engine = engineOf(24, {
+      roomMb,
+      adapterSlots: 1 + (seed % 8),
+      loadsPerSecond: [2, 6.8, 40][seed % 3] ?? 1,
+    });
+    const world = new World({
+      engine,
+      zones: ['a', 'b', 'c'],
+      runnersPerZone: 2,
+      seed,
+      unsure: 60,
+      countsHeld: seed % 5 === 0,
+      isStrict: seed % 2 === 0,
+    });
     world.run(1000);
     let shift = 0;
     for (let round = 0; round < 8; round += 1) {
-      const busy = new Traffic({ [`m${shift}`]: 5, [`m${shift + 1}`]: 2, 'm0/a1': 1, 'm0/a2': 1, 'm0/a3': 1, 'm0/a4': 1, 'm0/a5': 1 }, 60);
+      const busy = new Traffic(
+        {
+          [`m${shift}`]: 5,
+          [`m${shift + 1}`]: 2,
+          'm0/a1': 1,
+          'm0/a2': 1,
+          'm0/a3': 1,
+          'm0/a4': 1,
+          'm0/a5': 1,
+        },
+        60,
+      );
       const rare = new Traffic(rareWeights(5, 24), 10, 1);
       const each = both.bind(undefined, busy, rare);
       world.run(1500 + world.dice.below(1000), each);
@@ -999,9 +1360,13 @@
   const one = all[world.dice.below(all.length)];
   const kind = world.dice.below(6);
   if (kind <= 1) world.changeLeader();
-  else if (kind === 2 && one) { world.runners.delete(one.id); world.addRunner(one.zone); }
-  else if (kind === 3 && one) { one.isLeaving = true; world.addRunner(one.zone); }
-  else if (kind === 4 && one) one.isDark = !one.isDark;
+  else if (kind === 2 && one) {
+    world.runners.delete(one.id);
+    world.addRunner(one.zone);
+  } else if (kind === 3 && one) {
+    one.isLeaving = true;
+    world.addRunner(one.zone);
+  } else if (kind === 4 && one) one.isDark = !one.isDark;
   else world.emptied = world.emptied.length > 0 ? [] : ['b'];
 }
 
@@ -1018,12 +1383,19 @@
   expect(JSON.stringify(world.planner.fleet(world.at()))).toBe(first);
   // What makes way is told no more from the moment it is decided.
   let holders = 0;
-  for (const runner of world.planner.fleet(world.at()).runners) for (const hold of runner.holds) if (hold.model === 'm0') holders += 1;
+  for (const runner of world.planner.fleet(world.at()).runners)
+    for (const hold of runner.holds) if (hold.model === 'm0') holders += 1;
   expect(holders).toBe(1);
 }
 
 function learnsCounting(): void {
-  const world = new World({ engine: engineOf(30), zones: ['a', 'b', 'c'], runnersPerZone: 2, seed: 4, countsHeld: true });
+  const world = new World({
+    engine: engineOf(30),
+    zones: ['a', 'b', 'c'],
+    runnersPerZone: 2,
+    seed: 4,
+    countsHeld: true,
+  });
   world.run(1000);
   const traffic = new Traffic(rareWeights(0, 30), 20);
   world.run(8000, traffic.each.bind(traffic));
@@ -1035,18 +1407,36 @@
 }
 
 function nextAtSuffices(): void {
-  const world = new World({ engine: engineOf(20), zones: ['a', 'b'], runnersPerZone: 2, seed: 9, isLazy: true });
+  const world = new World({
+    engine: engineOf(20),
+    zones: ['a', 'b'],
+    runnersPerZone: 2,
+    seed: 9,
+    isLazy: true,
+  });
   world.run(1000);
   const traffic = new Traffic(rareWeights(0, 12), 20);
   world.run(10_000, traffic.each.bind(traffic));
-  for (let index = 0; index < 12; index += 1) expect(world.served.get(`m${index}`) ?? 0).toBeGreaterThan(3);
+  for (let index = 0; index < 12; index += 1)
+    expect(world.served.get(`m${index}`) ?? 0).toBeGreaterThan(3);
   const calm = world.plans;
   world.run(4000);
   expect(world.plans - calm).toBeLessThan(200);
 }
 
 function oldDocuments(): void {
-  const [error, doc] = validate({ model: 'llm/m0', primary: '', understudy: '', wait: '', intents: [{ id: 'x.1', runner: 'r1', boot: '', verb: 'load', model: 'm0', adapter: '', size: 1 }] }, ServiceDocShape);
+  const [error, doc] = validate(
+    {
+      model: 'llm/m0',
+      primary: '',
+      understudy: '',
+      wait: '',
+      intents: [
+        { id: 'x.1', runner: 'r1', boot: '', verb: 'load', model: 'm0', adapter: '', size: 1 },
+      ],
+    },
+    ServiceDocShape,
+  );
   expect(error).toBeUndefined();
   const planner = new Planner();
   if (doc) planner.restore(moment(0), [doc], 'l1');
@@ -1055,10 +1445,27 @@
 
 function quick(): void {
   const models: Engine['models'][number][] = [];
-  for (let index = 0; index < 166; index += 1) models.push({ name: `m${index}`, sizeMb: 65_000, loadMs: 600, adapters: 3, adapterSizeMb: 12 });
-  const world = new World({ engine: { slots: 12, cacheTokens: 1, models, roomMb: 140_000, adapterSlots: 8, loadsPerSecond: 40 }, zones: ['a', 'b', 'c'], runnersPerZone: 21, slots: 12, serveMs: 400 });
+  for (let index = 0; index < 166; index += 1)
+    models.push({ name: `m${index}`, sizeMb: 65_000, loadMs: 600, adapters: 3, adapterSizeMb: 12 });
+  const world = new World({
+    engine: {
+      slots: 12,
+      cacheTokens: 1,
+      models,
+      roomMb: 140_000,
+      adapterSlots: 8,
+      loadsPerSecond: 40,
+    },
+    zones: ['a', 'b', 'c'],
+    runnersPerZone: 21,
+    slots: 12,
+    serveMs: 400,
+  });
   const weights: Record<string, number> = {};
-  for (let index = 0; index < 166; index += 1) { weights[`m${index}`] = 1 / (1 + index); weights[`m${index}/a${index % 3}`] = 0.1 / (1 + index); }
+  for (let index = 0; index < 166; index += 1) {
+    weights[`m${index}`] = 1 / (1 + index);
+    weights[`m${index}/a${index % 3}`] = 0.1 / (1 + index);
+  }
   const traffic = new Traffic(weights, 190);
   world.run(3000, traffic.each.bind(traffic));
   world.planMs = 0;
--- a/src/place/Planner.ts
+++ b/src/place/Planner.ts
@@ -1,6 +1,13 @@
 import { later, moment, type Moment } from '../kin/Ids.js';
 import type { Engine, EngineModel, Routing } from '../route/Routing.js';
-import type { Fleet, FleetDemand, FleetRunner, FleetWait, ListedRunner, RunnerStatus } from './Fleet.js';
+import type {
+  Fleet,
+  FleetDemand,
+  FleetRunner,
+  FleetWait,
+  ListedRunner,
+  RunnerStatus,
+} from './Fleet.js';
 import type { Intent, ServiceDoc } from './Shapes.js';
 import { DecayingRate, StoreWindow } from './StoreWindow.js';
 
@@ -49,18 +56,46 @@
 }
 
 export const PLANNER_DEFAULTS: PlannerSettings = {
-  lagMs: 800, lagSlackMs: 1000, capWindowMs: 5000, capExcess: 1.1, reportLagMs: 400, stayMs: 2000, adapterStayMs: 500,
-  fastMs: 1000, slowMs: 12_000, growMs: 200, shrinkMs: 3000, spreadShare: 0.8, slotShare: 0.35, worthRatio: 2, rankMs: 3000, adapterMs: 15,
-  tellWaitMs: 1000, unloadMs: 3000, demandTtlMs: 3000, despiteMs: 700, pressMs: 1200, neededLoss: 4, adapterSpanMs: 3000,
+  lagMs: 800,
+  lagSlackMs: 1000,
+  capWindowMs: 5000,
+  capExcess: 1.1,
+  reportLagMs: 400,
+  stayMs: 2000,
+  adapterStayMs: 500,
+  fastMs: 1000,
+  slowMs: 12_000,
+  growMs: 200,
+  shrinkMs: 3000,
+  spreadShare: 0.8,
+  slotShare: 0.35,
+  worthRatio: 2,
+  rankMs: 3000,
+  adapterMs: 15,
+  tellWaitMs: 1000,
+  unloadMs: 3000,
+  demandTtlMs: 3000,
+  despiteMs: 700,
+  pressMs: 1200,
+  neededLoss: 4,
+  adapterSpanMs: 3000,
 };
 
-export interface PlannerInput { readonly routing: Routing | undefined; readonly emptied: readonly string[]; readonly flows: number }
+export interface PlannerInput {
+  readonly routing: Routing | undefined;
+  readonly emptied: readonly string[];
+  readonly flows: number;
+}
 
 export type OrderOutcome = 'taken' | 'held' | 'busy' | 'refused' | 'unsure' | 'unsent';
 
 type HoldPhase = 'coming' | 'ready' | 'unloading';
 
-interface AdapterHold { phase: HoldPhase; since: number; doubtUntil: number }
+interface AdapterHold {
+  phase: HoldPhase;
+  since: number;
+  doubtUntil: number;
+}
 
 interface HeldModel {
   readonly model: ModelState;
@@ -133,7 +168,9 @@
   badUntil = -Infinity;
   priority = 9;
   readonly name: string;
-  constructor(name: string) { this.name = name; }
+  constructor(name: string) {
+    this.name = name;
+  }
 }
 
 class ModelState {
@@ -214,34 +251,81 @@
   }
 }
 
-interface FlowUnit { readonly model: ModelState; readonly adapter: string; waiting: number; running: number }
-interface FlowWord { at: number; units: FlowUnit[] }
+interface FlowUnit {
+  readonly model: ModelState;
+  readonly adapter: string;
+  waiting: number;
+  running: number;
+}
+interface FlowWord {
+  at: number;
+  units: FlowUnit[];
+}
 
 type WantKind = 'waiting' | 'grow' | 'lost' | 'spare';
-interface Want { readonly model: ModelState; readonly kind: WantKind; readonly level: number; readonly since: number; readonly gain: number }
+interface Want {
+  readonly model: ModelState;
+  readonly kind: WantKind;
+  readonly level: number;
+  readonly since: number;
+  readonly gain: number;
+}
 
-interface Victim { readonly held: HeldModel; readonly adapter: string }
-interface Way { readonly victims: readonly Victim[]; readonly loss: number }
-interface Choice { readonly runner: RunnerState; readonly way: Way; readonly isDisk: boolean }
+interface Victim {
+  readonly held: HeldModel;
+  readonly adapter: string;
+}
+interface Way {
+  readonly victims: readonly Victim[];
+  readonly loss: number;
+}
+interface Choice {
+  readonly runner: RunnerState;
+  readonly way: Way;
+  readonly isDisk: boolean;
+}
 
-function isMissingAt(runner: RunnerState, model: ModelState): boolean { return !runner.holds.has(model.name); }
-function isPressing(want: Want): boolean { return want.kind === 'grow' && want.level < 1; }
-function isOtherWant(want: Want, other: Want): boolean { return other !== want; }
-function keyOf(service: string, model: string): string { return `${service}/${model}`; }
+function isMissingAt(runner: RunnerState, model: ModelState): boolean {
+  return !runner.holds.has(model.name);
+}
+function isPressing(want: Want): boolean {
+  return want.kind === 'grow' && want.level < 1;
+}
+function isOtherWant(want: Want, other: Want): boolean {
+  return other !== want;
+}
+function keyOf(service: string, model: string): string {
+  return `${service}/${model}`;
+}
 
 function byLevel(a: Want, b: Want): number {
-  return a.level - b.level || a.since - b.since || b.gain - a.gain || (a.model.key < b.model.key ? -1 : 1);
+  return (
+    a.level - b.level ||
+    a.since - b.since ||
+    b.gain - a.gain ||
+    (a.model.key < b.model.key ? -1 : 1)
+  );
 }
 
-function byText(a: string, b: string): number { return a < b ? -1 : a > b ? 1 : 0; }
+function byText(a: string, b: string): number {
+  return a < b ? -1 : a > b ? 1 : 0;
+}
 
-function isOtherIntent(id: string, intent: Intent): boolean { return intent.id !== id; }
+function isOtherIntent(id: string, intent: Intent): boolean {
+  return intent.id !== id;
+}
 
-function nameOf(model: EngineModel): string { return model.name; }
+function nameOf(model: EngineModel): string {
+  return model.name;
+}
 
-function isOtherModel(model: ModelState, unit: FlowUnit): boolean { return unit.model !== model; }
+function isOtherModel(model: ModelState, unit: FlowUnit): boolean {
+  return unit.model !== model;
+}
 
-function noDoc(key: string): ServiceDoc { return { model: key, primary: '', understudy: '', wait: '', intents: [] }; }
+function noDoc(key: string): ServiceDoc {
+  return { model: key, primary: '', understudy: '', wait: '', intents: [] };
+}
 
 /**
  * Decides for the elected leader which runner of a service of many models holds which model and adapter.
@@ -288,7 +372,9 @@
   #isSeatingAll = true;
   #planNumber = 0;
 
-  constructor(settings: Partial<PlannerSettings> = {}) { this.#settings = { ...PLANNER_DEFAULTS, ...settings }; }
+  constructor(settings: Partial<PlannerSettings> = {}) {
+    this.#settings = { ...PLANNER_DEFAULTS, ...settings };
+  }
 
   /** A new leader begins from the parts: what an earlier one intended may be under way. */
   restore(now: Moment, docs: readonly ServiceDoc[], label: string): void {
@@ -320,7 +406,9 @@
     }
   }
 
-  docs(): readonly ServiceDoc[] { return [...this.#docs.values()]; }
+  docs(): readonly ServiceDoc[] {
+    return [...this.#docs.values()];
+  }
 
   /** What one proxy saw since its last word; what waits and runs there is told whole each time. */
   demand(now: Moment, report: FleetDemand): void {
@@ -347,20 +435,39 @@
       }
       model.running += unit.running;
       if (adapter) adapter.running += unit.running;
-      if (unit.waiting > 0) this.#noteWaiting(now, model, adapter, unit.waiting, unit.priority ?? 0);
-      if (unit.waiting > 0 || unit.running > 0) word.units.push({ model, adapter: unit.adapter, waiting: unit.waiting, running: unit.running });
+      if (unit.waiting > 0)
+        this.#noteWaiting(now, model, adapter, unit.waiting, unit.priority ?? 0);
+      if (unit.waiting > 0 || unit.running > 0)
+        word.units.push({
+          model,
+          adapter: unit.adapter,
+          waiting: unit.waiting,
+          running: unit.running,
+        });
     }
     for (const service of this.#services.values()) this.#dropServed(service);
   }
 
-  #noteWaiting(now: Moment, model: ModelState, adapter: AdapterState | undefined, waiting: number, priority: number): void {
-    if (!model.service.waiting.has(model)) { model.waitingSince = now; model.priority = 9; }
+  #noteWaiting(
+    now: Moment,
+    model: ModelState,
+    adapter: AdapterState | undefined,
+    waiting: number,
+    priority: number,
+  ): void {
+    if (!model.service.waiting.has(model)) {
+      model.waitingSince = now;
+      model.priority = 9;
+    }
     model.service.waiting.add(model);
     model.waiting += waiting;
     model.waitingToldAt = now;
     model.priority = Math.min(model.priority, priority);
     if (!adapter) return;
-    if (adapter.waitingSince === 0) { adapter.waitingSince = now; adapter.priority = 9; }
+    if (adapter.waitingSince === 0) {
+      adapter.waitingSince = now;
+      adapter.priority = 9;
+    }
     adapter.waiting += waiting;
     adapter.waitingToldAt = now;
     adapter.priority = Math.min(adapter.priority, priority);
@@ -381,7 +488,8 @@
   /** Between two words of a proxy its numbers are none for a moment: only here it is seen who no longer waits. */
   #dropServed(service: ServiceState): void {
     for (const model of service.waiting) {
-      for (const adapter of model.adapters.values()) if (adapter.waiting <= 0) adapter.waitingSince = 0;
+      for (const adapter of model.adapters.values())
+        if (adapter.waiting <= 0) adapter.waitingSince = 0;
       if (model.waiting <= 0) service.waiting.delete(model);
     }
   }
@@ -392,7 +500,9 @@
     // Callers name what they like: no more are kept than there can be, but for a few.
     if (model.mostAdapters === 0) return undefined;
     if (model.adapters.size >= model.mostAdapters * 2) {
-      for (const [other, state] of model.adapters) if (now - state.lastAsked > 60_000 && state.waiting <= 0 && state.running <= 0) model.adapters.delete(other);
+      for (const [other, state] of model.adapters)
+        if (now - state.lastAsked > 60_000 && state.waiting <= 0 && state.running <= 0)
+          model.adapters.delete(other);
       if (model.adapters.size >= model.mostAdapters * 2) return undefined;
     }
     const adapter = new AdapterState(name);
@@ -415,9 +525,15 @@
       } else {
         const old = runner.listed;
         runner.listed = listed;
-        if (old.address !== listed.address || old.zone !== listed.zone || old.slots !== listed.slots) this.#isFleetOld = true;
+        if (
+          old.address !== listed.address ||
+          old.zone !== listed.zone ||
+          old.slots !== listed.slots
+        )
+          this.#isFleetOld = true;
         // The list tells no count, so what is in doubt stays so for orders until the runner itself reports.
-        if (runner.queue.length === 0 && runner.idleSince < madeAt) this.#adopt(now, runner, listed.holds);
+        if (runner.queue.length === 0 && runner.idleSince < madeAt)
+          this.#adopt(now, runner, listed.holds);
       }
       if (runner.isLeaving !== listed.isLeaving) {
         runner.isLeaving = listed.isLeaving;
@@ -425,7 +541,10 @@
         this.#touchAll(runner);
       }
       const coldUntil = listed.coldMs > 0 ? now + listed.coldMs : 0;
-      if (Math.abs(coldUntil - runner.coldUntil) > 300) { runner.coldUntil = coldUntil; this.#isFleetOld = true; }
+      if (Math.abs(coldUntil - runner.coldUntil) > 300) {
+        runner.coldUntil = coldUntil;
+        this.#isFleetOld = true;
+      }
     }
     for (const runner of this.#runners.values()) if (!seen.has(runner.id)) this.#gone(now, runner);
     // A runner of an earlier leader's intents that is off the list is gone with all it held.
@@ -436,13 +555,37 @@
   #newRunner(now: Moment, listed: ListedRunner): RunnerState {
     const engine = this.#services.get(listed.service);
     const runner: RunnerState = {
-      id: listed.id, service: listed.service, engine, listed, isLeaving: listed.isLeaving, coldUntil: 0, holds: new Map(),
-      disk: new Set(), queue: [], given: undefined, isKnown: false, askAt: now, isAsked: false, idleSince: this.#restoredAt, unloadedAt: -Infinity, isUnloadingRuns: false,
-      count: undefined, helds: 0, counted: undefined, hasLostOrder: false, suspectUntil: -Infinity, failures: 0, usedMb: undefined, restored: this.#restored.get(listed.id) ?? [],
+      id: listed.id,
+      service: listed.service,
+      engine,
+      listed,
+      isLeaving: listed.isLeaving,
+      coldUntil: 0,
+      holds: new Map(),
+      disk: new Set(),
+      queue: [],
+      given: undefined,
+      isKnown: false,
+      askAt: now,
+      isAsked: false,
+      idleSince: this.#restoredAt,
+      unloadedAt: -Infinity,
+      isUnloadingRuns: false,
+      count: undefined,
+      helds: 0,
+      counted: undefined,
+      hasLostOrder: false,
+      suspectUntil: -Infinity,
+      failures: 0,
+      usedMb: undefined,
+      restored: this.#restored.get(listed.id) ?? [],
     };
     this.#runners.set(runner.id, runner);
     // Who comes after the first list was never ordered by anybody; nor was anyone where nothing was ever written down.
-    if ((this.#hasListed || !this.#hasPast) && runner.restored.length === 0) { runner.isKnown = true; runner.count = 0; }
+    if ((this.#hasListed || !this.#hasPast) && runner.restored.length === 0) {
+      runner.isKnown = true;
+      runner.count = 0;
+    }
     if (!engine) return runner;
     engine.runners.add(runner);
     if (!runner.isKnown) this.#doubted.add(runner);
@@ -460,7 +603,13 @@
       const model = engine.models.get(hold.model) ?? this.#strange(engine, hold.model);
       let held = runner.holds.get(hold.model);
       if (!held) {
-        held = { model, phase: 'ready', since: now - this.#settings.stayMs, adapters: new Map(), doubtUntil: -Infinity };
+        held = {
+          model,
+          phase: 'ready',
+          since: now - this.#settings.stayMs,
+          adapters: new Map(),
+          doubtUntil: -Infinity,
+        };
         runner.holds.set(hold.model, held);
         model.holders.set(runner, held);
         this.#touch(runner, model);
@@ -473,12 +622,21 @@
       const names = new Set(hold.adapters);
       for (const name of hold.adapters) {
         if (held.adapters.get(name)?.phase === 'ready') continue;
-        held.adapters.set(name, { phase: 'ready', since: now - this.#settings.adapterStayMs, doubtUntil: -Infinity });
+        held.adapters.set(name, {
+          phase: 'ready',
+          since: now - this.#settings.adapterStayMs,
+          doubtUntil: -Infinity,
+        });
         this.#touch(runner, model);
       }
-      for (const name of [...held.adapters.keys()]) if (!names.has(name)) { held.adapters.delete(name); this.#touch(runner, model); }
+      for (const name of [...held.adapters.keys()])
+        if (!names.has(name)) {
+          held.adapters.delete(name);
+          this.#touch(runner, model);
+        }
     }
-    for (const held of [...runner.holds.values()]) if (!told.has(held.model.name)) this.#unhold(runner, held);
+    for (const held of [...runner.holds.values()])
+      if (!told.has(held.model.name)) this.#unhold(runner, held);
   }
 
   /** A model that no configuration tells of may be as large as any. */
@@ -508,7 +666,8 @@
   }
 
   #gone(now: Moment, runner: RunnerState): void {
-    for (const held of runner.holds.values()) if (held.phase === 'ready' && held.model.holders.size === 1) held.model.lostAt = now;
+    for (const held of runner.holds.values())
+      if (held.phase === 'ready' && held.model.holders.size === 1) held.model.lostAt = now;
     for (const op of [...runner.queue]) this.#removeOp(runner, op);
     for (const held of [...runner.holds.values()]) this.#unhold(runner, held);
     this.#busy.delete(runner);
@@ -521,7 +680,8 @@
 
   /** Copies on a runner that is to go are lost at once. */
   #noteLost(now: number, runner: RunnerState): void {
-    for (const held of runner.holds.values()) if (this.#copies(now, held.model).all === 0) held.model.lostAt = now;
+    for (const held of runner.holds.values())
+      if (this.#copies(now, held.model).all === 0) held.model.lostAt = now;
   }
 
   #dropRestored(id: string): void {
@@ -560,7 +720,10 @@
     if (!runner?.isAsked) return;
     runner.isAsked = false;
     // Under way there is what an earlier leader ordered, or an order of ours whose answer was lost.
-    if (!status || status.isBusy) { runner.askAt = now + (status ? 250 : 500); return; }
+    if (!status || status.isBusy) {
+      runner.askAt = now + (status ? 250 : 500);
+      return;
+    }
     runner.askAt = now + 250;
     // The first report after a change of leader tells a count, and the order it is used for is turned away if any
     // other came between; else a report counts that was made after the last order had ended.
@@ -578,17 +741,22 @@
   /** Whether orders that need not be done are counted; only a runner all of whose orders were answered can tell. */
   #learnCounting(runner: RunnerState, orderCount: number): void {
     if (runner.counted === undefined || runner.helds === 0 || runner.hasLostOrder) return;
-    const isOther = orderCount === runner.counted + (this.#countsHeld ? -runner.helds : runner.helds);
+    const isOther =
+      orderCount === runner.counted + (this.#countsHeld ? -runner.helds : runner.helds);
     this.#otherCounting = isOther ? this.#otherCounting + 1 : 0;
     // One runner may have been ordered by somebody else; several were not.
-    if (this.#otherCounting >= 3) { this.#countsHeld = !this.#countsHeld; this.#otherCounting = 0; }
+    if (this.#otherCounting >= 3) {
+      this.#countsHeld = !this.#countsHeld;
+      this.#otherCounting = 0;
+    }
   }
 
   /** Each report costs: it is asked for where what a runner holds is in doubt, and nowhere else. */
   asks(now: Moment): readonly string[] {
     const ids: string[] = [];
     for (const runner of this.#doubted) {
-      if (runner.isAsked || runner.askAt > now || runner.queue.length > 0 || !this.#isOpen(runner)) continue;
+      if (runner.isAsked || runner.askAt > now || runner.queue.length > 0 || !this.#isOpen(runner))
+        continue;
       runner.isAsked = true;
       ids.push(runner.id);
     }
@@ -638,7 +806,10 @@
 
   #mayStart(now: Moment, runner: RunnerState, op: Op): boolean {
     if (!op.isKept || !this.#isOpen(runner)) return false;
-    if (op.intent.verb === 'load' && !this.#fits(runner, op)) { this.#abandon(now, runner); return false; }
+    if (op.intent.verb === 'load' && !this.#fits(runner, op)) {
+      this.#abandon(now, runner);
+      return false;
+    }
     if (!op.isStore) return true;
     const freeAt = op.model.service.window.freeAt(now, this.#budget(op.model.service));
     if (freeAt > now) op.due = freeAt;
@@ -663,12 +834,16 @@
   }
 
   #isBegun(runner: RunnerState, model: ModelState, adapter: string): boolean {
-    for (const op of runner.queue) if (op.model === model && op.intent.adapter === adapter && op.intent.verb === 'load') return op.isTaken;
+    for (const op of runner.queue)
+      if (op.model === model && op.intent.adapter === adapter && op.intent.verb === 'load')
+        return op.isTaken;
     return false;
   }
 
   /** With the count an order is done at most once and in its turn, however late it arrives. */
-  #orderOf(runner: RunnerState, op: Op): Intent { return runner.count === undefined ? op.intent : { ...op.intent, count: runner.count }; }
+  #orderOf(runner: RunnerState, op: Op): Intent {
+    return runner.count === undefined ? op.intent : { ...op.intent, count: runner.count };
+  }
 
   ordered(now: Moment, intentId: string, outcome: OrderOutcome): void {
     const runner = this.#ops.get(intentId);
@@ -677,12 +852,21 @@
     runner.given = undefined;
     op.isGiven = false;
     runner.idleSince = now;
-    if (outcome === 'unsure' || outcome === 'unsent') { this.#failed(now, runner, op, outcome === 'unsure'); return; }
+    if (outcome === 'unsure' || outcome === 'unsent') {
+      this.#failed(now, runner, op, outcome === 'unsure');
+      return;
+    }
     runner.failures = 0;
     runner.suspectUntil = -Infinity;
     op.failures = 0;
-    if (outcome === 'refused') { this.#refused(now, runner, op); return; }
-    if (outcome === 'busy') { this.#stillBusy(now, runner, op); return; }
+    if (outcome === 'refused') {
+      this.#refused(now, runner, op);
+      return;
+    }
+    if (outcome === 'busy') {
+      this.#stillBusy(now, runner, op);
+      return;
+    }
     // Whatever stood before it in line has ended, for one order is done at a time.
     while (runner.queue[0] && runner.queue[0] !== op) this.#done(now, runner, runner.queue[0]);
     if (outcome === 'held') {
@@ -693,7 +877,10 @@
       return;
     }
     // The same order again while it is being done is no new one: it is neither begun anew nor counted.
-    if (op.isTaken) { this.#stillBusy(now, runner, op); return; }
+    if (op.isTaken) {
+      this.#stillBusy(now, runner, op);
+      return;
+    }
     if (runner.count !== undefined) runner.count += 1;
     if (runner.isUnloadingRuns) {
       runner.isUnloadingRuns = false;
@@ -710,7 +897,10 @@
     op.takenAt = now;
     op.busies = 0;
     // Nothing else is taken before an unload has ended, so it need not be confirmed.
-    if (op.intent.verb === 'unload') { this.#unloading(now, runner, op); return; }
+    if (op.intent.verb === 'unload') {
+      this.#unloading(now, runner, op);
+      return;
+    }
     op.expectedMs = this.#expectedMs(op);
     op.due = now + op.expectedMs;
     this.#isFleetOld = true;
@@ -719,7 +909,10 @@
   /** Its room is another's from now on, but no order is taken before the model's runs have ended. */
   #unloading(now: Moment, runner: RunnerState, op: Op): void {
     const { model } = op;
-    const running = op.intent.adapter === '' ? model.running : model.adapters.get(op.intent.adapter)?.running ?? 0;
+    const running =
+      op.intent.adapter === ''
+        ? model.running
+        : (model.adapters.get(op.intent.adapter)?.running ?? 0);
     runner.unloadedAt = now;
     runner.isUnloadingRuns = running > 0;
     this.#done(now, runner, op);
@@ -746,7 +939,10 @@
   #budget(service: ServiceState): number {
     const { capWindowMs, capExcess } = this.#settings;
     // Half of the excess stays unused: a load may begin a little before or after we think.
-    return Math.max(1, Math.floor((service.engine.loadsPerSecond * capWindowMs * (1 + (capExcess - 1) / 2)) / 1000));
+    return Math.max(
+      1,
+      Math.floor((service.engine.loadsPerSecond * capWindowMs * (1 + (capExcess - 1) / 2)) / 1000),
+    );
   }
 
   /** Something is under way there, or the count differs: expected after an order of ours, else its report has to tell. */
@@ -755,7 +951,9 @@
     head.busies += 1;
     if (head.isTaken) {
       const isAdapter = head.intent.adapter !== '';
-      head.due = now + (isAdapter ? Math.min(100, 10 + head.busies * 5) : Math.min(250, 50 + head.busies * 10));
+      head.due =
+        now +
+        (isAdapter ? Math.min(100, 10 + head.busies * 5) : Math.min(250, 50 + head.busies * 10));
       this.#isFleetOld = true;
       if (now - head.takenAt > head.expectedMs * 4 + 2000) this.#abandon(now, runner);
       return;
@@ -780,7 +978,8 @@
       if (op.isStore && !op.isTaken) op.model.service.window.add(now);
       this.#abandon(now, runner);
       // Nor is it told as held what may be on its way out.
-      if (op.intent.verb === 'unload') this.#mark(now, runner, 'unload', op.model, op.intent.adapter);
+      if (op.intent.verb === 'unload')
+        this.#mark(now, runner, 'unload', op.model, op.intent.adapter);
       return;
     }
     // A question that was lost is asked again, but not for ever.
@@ -820,10 +1019,16 @@
     if (name !== '') {
       const adapter = held.adapters.get(name);
       if (verb === 'load' && adapter?.phase === 'coming') held.adapters.delete(name);
-      else if (adapter && verb === 'unload') { adapter.phase = 'ready'; adapter.since = now; }
+      else if (adapter && verb === 'unload') {
+        adapter.phase = 'ready';
+        adapter.since = now;
+      }
     } else if (verb === 'load') {
       if (held.phase === 'coming') this.#unhold(runner, held);
-    } else { held.phase = 'ready'; held.since = now; }
+    } else {
+      held.phase = 'ready';
+      held.since = now;
+    }
     this.#touch(runner, op.model);
   }
 
@@ -863,19 +1068,45 @@
     const took = now - op.takenAt;
     // Held at the first question may mean that it was held long before: the guess goes down a little.
     const ratio = op.busies === 0 ? 0.98 : Math.min(3, took / op.expectedMs);
-    if (op.intent.adapter !== '') service.adapterMs = Math.min(500, Math.max(5, service.adapterMs * (0.8 + 0.2 * ratio)));
-    else if (op.isStore) service.storeFactor = Math.min(4, Math.max(0.2, service.storeFactor * (0.7 + 0.3 * ratio)));
+    if (op.intent.adapter !== '')
+      service.adapterMs = Math.min(500, Math.max(5, service.adapterMs * (0.8 + 0.2 * ratio)));
+    else if (op.isStore)
+      service.storeFactor = Math.min(4, Math.max(0.2, service.storeFactor * (0.7 + 0.3 * ratio)));
     else service.diskFactor = Math.min(4, Math.max(0.1, service.diskFactor * (0.7 + 0.3 * ratio)));
   }
 
-  #intend(now: Moment, runner: RunnerState, verb: Intent['verb'], model: ModelState, adapter: string): void {
+  #intend(
+    now: Moment,
+    runner: RunnerState,
+    verb: Intent['verb'],
+    model: ModelState,
+    adapter: string,
+  ): void {
     this.#number += 1;
     const size = adapter === '' ? model.sizeMb : model.adapterMb;
-    const intent: Intent = { id: `${this.#label}.${this.#number}`, runner: runner.id, boot: '', verb, model: model.name, adapter, size };
+    const intent: Intent = {
+      id: `${this.#label}.${this.#number}`,
+      runner: runner.id,
+      boot: '',
+      verb,
+      model: model.name,
+      adapter,
+      size,
+    };
     const isStore = verb === 'load' && adapter === '' && !runner.disk.has(model.name);
     const op: Op = {
-      intent, key: model.key, model, isStore, isKept: false, isGiven: false, isTaken: false,
-      due: now, takenAt: 0, expectedMs: 0, busies: 0, failures: 0,
+      intent,
+      key: model.key,
+      model,
+      isStore,
+      isKept: false,
+      isGiven: false,
+      isTaken: false,
+      due: now,
+      takenAt: 0,
+      expectedMs: 0,
+      busies: 0,
+      failures: 0,
     };
     if (isStore) model.service.storeOps += 1;
     op.expectedMs = verb === 'load' ? this.#expectedMs(op) : 0;
@@ -887,14 +1118,25 @@
     this.#mark(now, runner, verb, model, adapter);
   }
 
-  #mark(now: Moment, runner: RunnerState, verb: Intent['verb'], model: ModelState, adapter: string): void {
+  #mark(
+    now: Moment,
+    runner: RunnerState,
+    verb: Intent['verb'],
+    model: ModelState,
+    adapter: string,
+  ): void {
     let held = runner.holds.get(model.name);
     if (verb === 'load' && adapter === '') {
       held = { model, phase: 'coming', since: now, adapters: new Map(), doubtUntil: -Infinity };
       runner.holds.set(model.name, held);
       model.holders.set(runner, held);
     } else if (held && adapter === '') held.phase = 'unloading';
-    else held?.adapters.set(adapter, { phase: verb === 'load' ? 'coming' : 'unloading', since: now, doubtUntil: -Infinity });
+    else
+      held?.adapters.set(adapter, {
+        phase: verb === 'load' ? 'coming' : 'unloading',
+        since: now,
+        doubtUntil: -Infinity,
+      });
     this.#touch(runner, model);
   }
 
@@ -904,7 +1146,10 @@
   plan(now: Moment, input: PlannerInput): readonly string[] {
     if (input.routing !== this.#routing) this.#takeRouting(now, input.routing);
     this.#takeEmptied(now, input.emptied);
-    if (input.flows !== this.#flowCount) { this.#flowCount = input.flows; this.#isFleetOld = true; }
+    if (input.flows !== this.#flowCount) {
+      this.#flowCount = input.flows;
+      this.#isFleetOld = true;
+    }
     for (const [flow, word] of this.#flows) {
       if (now - word.at <= this.#settings.demandTtlMs) continue;
       this.#forget(word);
@@ -928,7 +1173,9 @@
   #seatAll(): void {
     if (!this.#hasListed || !this.#routing) return;
     this.#isSeatingAll = false;
-    for (const service of this.#services.values()) for (const model of service.models.values()) if (this.#docs.has(model.key)) this.#touched.add(model);
+    for (const service of this.#services.values())
+      for (const model of service.models.values())
+        if (this.#docs.has(model.key)) this.#touched.add(model);
   }
 
   #takeRouting(now: Moment, routing: Routing | undefined): void {
@@ -939,17 +1186,27 @@
       names.add(name);
       let service = this.#services.get(name);
       if (!service) {
-        service = new ServiceState(name, engine, this.#settings.capWindowMs, this.#settings.adapterMs);
+        service = new ServiceState(
+          name,
+          engine,
+          this.#settings.capWindowMs,
+          this.#settings.adapterMs,
+        );
         this.#services.set(name, service);
         // An earlier leader may have used the ceiling just now.
-        if (this.#hasPast) for (let used = Math.ceil(this.#budget(service) / 2); used > 0; used -= 1) service.window.add(now);
+        if (this.#hasPast)
+          for (let used = Math.ceil(this.#budget(service) / 2); used > 0; used -= 1)
+            service.window.add(now);
       }
       service.engine = engine;
       for (const model of engine.models) this.#takeModel(service, model);
       const listed = new Set(engine.models.map(nameOf));
-      for (const model of service.models.values()) if (!listed.has(model.name) && (model.isListed || model.holders.size === 0)) this.#retire(service, model);
+      for (const model of service.models.values())
+        if (!listed.has(model.name) && (model.isListed || model.holders.size === 0))
+          this.#retire(service, model);
     }
-    for (const name of [...this.#services.keys()]) if (!names.has(name)) this.#services.delete(name);
+    for (const name of [...this.#services.keys()])
+      if (!names.has(name)) this.#services.delete(name);
     // Runners that were listed before their service was known are looked at again.
     for (const runner of [...this.#runners.values()]) {
       if (runner.engine === this.#services.get(runner.service)) continue;
@@ -970,7 +1227,8 @@
   #retire(service: ServiceState, model: ModelState): void {
     model.isListed = false;
     service.waiting.delete(model);
-    for (const word of this.#flows.values()) word.units = word.units.filter(isOtherModel.bind(undefined, model));
+    for (const word of this.#flows.values())
+      word.units = word.units.filter(isOtherModel.bind(undefined, model));
     if (model.holders.size === 0) service.models.delete(model.name);
   }
 
@@ -990,21 +1248,30 @@
     if (text === this.#emptiedText) return;
     this.#emptiedText = text;
     this.#emptied = new Set(emptied);
-    for (const runner of this.#runners.values()) { this.#noteLost(now, runner); this.#touchAll(runner); }
+    for (const runner of this.#runners.values()) {
+      this.#noteLost(now, runner);
+      this.#touchAll(runner);
+    }
   }
 
   /** Serves on: neither leaving nor in a zone that is to be emptied. */
-  #isOpen(runner: RunnerState): boolean { return !runner.isLeaving && !this.#emptied.has(runner.listed.zone); }
+  #isOpen(runner: RunnerState): boolean {
+    return !runner.isLeaving && !this.#emptied.has(runner.listed.zone);
+  }
 
   /** May be ordered to take something. */
   #isUsable(now: number, runner: RunnerState): boolean {
     if (!runner.isKnown || !this.#isOpen(runner)) return false;
-    if (runner.suspectUntil > now) this.#blockedUntil = Math.min(this.#blockedUntil, runner.suspectUntil);
+    if (runner.suspectUntil > now)
+      this.#blockedUntil = Math.min(this.#blockedUntil, runner.suspectUntil);
     return runner.suspectUntil <= now;
   }
 
   /** Copies that count: ready ones, and all that serve or soon will. */
-  #copies(now: number, model: ModelState): { ready: number; all: number; zones: Map<string, number> } {
+  #copies(
+    now: number,
+    model: ModelState,
+  ): { ready: number; all: number; zones: Map<string, number> } {
     let ready = 0;
     let all = 0;
     const zones = new Map<string, number>();
@@ -1040,7 +1307,11 @@
     for (const want of wants) {
       const isPlaced = this.#place(now, service, want, held);
       if (!isPressing(want)) continue;
-      if (isPlaced) { service.pressing = service.pressing.filter(isOtherWant.bind(undefined, want)); want.model.pressedAt = -Infinity; continue; }
+      if (isPlaced) {
+        service.pressing = service.pressing.filter(isOtherWant.bind(undefined, want));
+        want.model.pressedAt = -Infinity;
+        continue;
+      }
       // What finds no place for long is not worth what would have to go for it.
       if (now - want.model.pressedAt > this.#settings.pressMs * 3) want.model.pressedAt = now;
       if (now - want.model.pressedAt <= this.#settings.pressMs) held.push(want.model);
@@ -1055,9 +1326,11 @@
     let copies = this.#copies(now, model);
     if (copies.all > 0) {
       // Where many copies are ready, what waits waits for a place at one of them.
-      if (copies.ready < copies.all || copies.all > 2 || !this.#waitsForModel(model)) return undefined;
+      if (copies.ready < copies.all || copies.all > 2 || !this.#waitsForModel(model))
+        return undefined;
       if (now - model.waitingSince < despiteMs) return undefined;
-      for (const held of model.holders.values()) if (model.waitingToldAt - held.since < despiteMs) return undefined;
+      for (const held of model.holders.values())
+        if (model.waitingToldAt - held.since < despiteMs) return undefined;
       for (const held of model.holders.values()) held.doubtUntil = now + despiteMs * 5;
       copies = this.#copies(now, model);
     }
@@ -1065,8 +1338,21 @@
     model.deprivedSince ??= now;
     const deprived = now - model.deprivedSince;
     // A crowd goes before one who waits, whatever its rank; and who is passed over for long gains rank.
-    const level = model.priority - Math.floor(Math.log2(Math.max(1, model.waiting)) / 2) - Math.floor(deprived / rankMs);
-    return { model, kind: 'waiting', level, since: model.deprivedSince, gain: 1 + Math.min(30, model.waiting) * 0.5 + (2 * deprived) / rankMs + this.#slowRate(now, model) };
+    const level =
+      model.priority -
+      Math.floor(Math.log2(Math.max(1, model.waiting)) / 2) -
+      Math.floor(deprived / rankMs);
+    return {
+      model,
+      kind: 'waiting',
+      level,
+      since: model.deprivedSince,
+      gain:
+        1 +
+        Math.min(30, model.waiting) * 0.5 +
+        (2 * deprived) / rankMs +
+        this.#slowRate(now, model),
+    };
   }
 
   /** Some request waits for the model itself, not for an adapter of it. */
@@ -1079,7 +1365,8 @@
   #restoredComing(now: Moment, model: ModelState): boolean {
     if (this.#restored.size === 0 || now - this.#restoredAt > 1500) return false;
     for (const open of this.#restored.values()) {
-      for (const { key, intent } of open) if (key === model.key && intent.verb === 'load' && intent.adapter === '') return true;
+      for (const { key, intent } of open)
+        if (key === model.key && intent.verb === 'load' && intent.adapter === '') return true;
     }
     return false;
   }
@@ -1098,11 +1385,15 @@
     const all = model.service.all.weight(now, fastMs);
     // A few requests tell no share.
     const share = all >= 10 ? model.fast.weight(now, fastMs) / all : 0;
-    model.runningMean += (Math.max(0, model.running) - model.runningMean) * Math.min(1, growMs / 1000);
+    model.runningMean +=
+      (Math.max(0, model.running) - model.runningMean) * Math.min(1, growMs / 1000);
     const byRunning = slots > 0 ? model.runningMean / (slots * slotShare) : 0;
     const byShare = share * open * spreadShare;
     // Where answers are slow much runs at once, and more copies than two beyond its share make nothing faster.
-    return Math.min(open, Math.max(byShare, Math.min(byRunning, byShare + 2), this.#byAdapters(now, model, open)));
+    return Math.min(
+      open,
+      Math.max(byShare, Math.min(byRunning, byShare + 2), this.#byAdapters(now, model, open)),
+    );
   }
 
   /** Copies that a model's adapters need: those asked for within a few seconds should find slots at once. */
@@ -1111,7 +1402,12 @@
     const slots = model.service.engine.adapterSlots;
     if (!model.isBusy || model.adapters.size === 0 || slots <= 0) return 0;
     let asked = 0;
-    for (const adapter of model.adapters.values()) asked += Math.min(1, (adapter.slow.perSecond(now, slowMs, model.service.firstDemandAt ?? now) * adapterSpanMs) / 1000);
+    for (const adapter of model.adapters.values())
+      asked += Math.min(
+        1,
+        (adapter.slow.perSecond(now, slowMs, model.service.firstDemandAt ?? now) * adapterSpanMs) /
+          1000,
+      );
     return Math.min(open / 2, asked / (slots * 0.8));
   }
 
@@ -1128,30 +1424,51 @@
       slots += runner.listed.slots;
       zones.add(runner.listed.zone);
       load += this.#load(runner);
-      if (runner.queue.length === 0) mostFree = Math.max(mostFree, service.engine.roomMb - this.#used(runner));
+      if (runner.queue.length === 0)
+        mostFree = Math.max(mostFree, service.engine.roomMb - this.#used(runner));
     }
     if (open === 0) return;
     service.meanLoad = load / open;
     for (const model of service.models.values()) {
-      if (!model.isListed || now - model.lastAsked > 30_000 && model.running <= 0) { model.need = 1; model.isBusy = false; continue; }
+      if (!model.isListed || (now - model.lastAsked > 30_000 && model.running <= 0)) {
+        model.need = 1;
+        model.isBusy = false;
+        continue;
+      }
       const work = this.#work(now, model, open, slots / open);
       const rate = this.#fastRate(now, model);
       const slow = this.#slowRate(now, model);
       // It grows at once and shrinks slowly, or copies would come and go.
       const decayed = model.need * Math.exp(-(now - model.neededAt) / this.#settings.shrinkMs);
       const worked = Math.max(work, decayed);
-      model.isBusy = model.slow.weight(now, slowMs) >= 6 && (work >= 0.5 || rate >= 4) || model.isBusy && (worked >= 0.3 || slow >= 2);
+      model.isBusy =
+        (model.slow.weight(now, slowMs) >= 6 && (work >= 0.5 || rate >= 4)) ||
+        (model.isBusy && (worked >= 0.3 || slow >= 2));
       const most = Math.min(open, Math.max(model.isBusy ? 2 : 1, work));
       model.need = Math.min(open, Math.max(model.isBusy ? 2 : 1, worked));
       model.neededAt = now;
-      if (model.waiting <= 0 && model.deprivedSince !== undefined && now - model.lastAsked > 10_000) { model.deprivedSince = undefined; this.#touched.add(model); }
+      if (
+        model.waiting <= 0 &&
+        model.deprivedSince !== undefined &&
+        now - model.lastAsked > 10_000
+      ) {
+        model.deprivedSince = undefined;
+        this.#touched.add(model);
+      }
       const copies = this.#copies(now, model);
       if (copies.all === 0) {
         if (model.waiting > 0 || this.#restoredComing(now, model)) continue;
         // Lost, not thrown out: whoever asks next need not wait.
         const gain = this.#lossOfLast(now, model);
         const isLost = model.isBusy || now - model.lostAt < 10_000;
-        if (slow >= 0.05 && (isLost || mostFree >= model.sizeMb)) wants.push({ model, kind: isLost ? 'lost' : 'spare', level: model.isBusy ? 0 : isLost ? 4 : 5, since: 0, gain });
+        if (slow >= 0.05 && (isLost || mostFree >= model.sizeMb))
+          wants.push({
+            model,
+            kind: isLost ? 'lost' : 'spare',
+            level: model.isBusy ? 0 : isLost ? 4 : 5,
+            since: 0,
+            gain,
+          });
         continue;
       }
       const missing = Math.max(0, most - copies.all);
@@ -1160,7 +1477,14 @@
       if (missing < 0.5 && isPaired) continue;
       const gain = (rate / (copies.all + 1)) * 0.3 * (isPaired ? Math.min(1, missing) : 1);
       const count = isPaired ? Math.min(3, Math.max(1, Math.round(missing))) : 1;
-      for (let index = 0; index < count; index += 1) wants.push({ model, kind: 'grow', level: gain >= 3 ? 0.5 : 3, since: 0, gain: gain / (index + 1) });
+      for (let index = 0; index < count; index += 1)
+        wants.push({
+          model,
+          kind: 'grow',
+          level: gain >= 3 ? 0.5 : 3,
+          since: 0,
+          gain: gain / (index + 1),
+        });
     }
   }
 
@@ -1187,7 +1511,9 @@
     const missing = Math.min(1, Math.max(0, model.need - (copies.ready - 1)));
     // A copy that is needed has runs that must end before it goes, and has to be fetched again.
     const needed = model.isBusy ? missing * this.#settings.neededLoss : 0;
-    return (this.#fastRate(now, model) / copies.ready) * 0.3 * missing + needed + 0.01 + recency * 0.1;
+    return (
+      (this.#fastRate(now, model) / copies.ready) * 0.3 * missing + needed + 0.01 + recency * 0.1
+    );
   }
 
   #used(runner: RunnerState): number {
@@ -1196,7 +1522,8 @@
     for (const held of runner.holds.values()) {
       if (held.phase === 'unloading') continue;
       mb += held.model.sizeMb;
-      for (const adapter of held.adapters.values()) if (adapter.phase !== 'unloading') mb += held.model.adapterMb;
+      for (const adapter of held.adapters.values())
+        if (adapter.phase !== 'unloading') mb += held.model.adapterMb;
     }
     runner.usedMb = mb;
     return mb;
@@ -1211,13 +1538,22 @@
     return count;
   }
 
-  #storeFree(now: Moment, service: ServiceState, model: ModelState, kind: WantKind, isPressed: boolean): boolean {
+  #storeFree(
+    now: Moment,
+    service: ServiceState,
+    model: ModelState,
+    kind: WantKind,
+    isPressed: boolean,
+  ): boolean {
     const budget = this.#budget(service);
     const used = service.window.used(now) + service.storeOps;
     const limit = this.#storeLimit(service, model);
     // What nobody waits for leaves room for what somebody will.
     if (kind === 'spare') return used < budget * 0.6 && service.storeOps < Math.max(1, limit - 1);
-    if (used >= budget) { this.#blockedUntil = Math.min(this.#blockedUntil, service.window.freeAt(now, budget)); return false; }
+    if (used >= budget) {
+      this.#blockedUntil = Math.min(this.#blockedUntil, service.window.freeAt(now, budget));
+      return false;
+    }
     // The store does two more at a somewhat slower pace.
     return service.storeOps < limit + (isPressed ? 1 : 0);
   }
@@ -1229,32 +1565,50 @@
       if (want.kind === 'waiting') this.#wait(now, service, want.model, '');
       return false;
     }
-    for (const victim of choice.way.victims) this.#intend(now, choice.runner, 'unload', victim.held.model, victim.adapter);
+    for (const victim of choice.way.victims)
+      this.#intend(now, choice.runner, 'unload', victim.held.model, victim.adapter);
     this.#intend(now, choice.runner, 'load', want.model, '');
     return true;
   }
 
-  #choose(now: Moment, service: ServiceState, want: Want, held: readonly ModelState[]): Choice | undefined {
+  #choose(
+    now: Moment,
+    service: ServiceState,
+    want: Want,
+    held: readonly ModelState[],
+  ): Choice | undefined {
     const { model } = want;
     const isPressed = isPressing(want);
     const isStoreFree = this.#storeFree(now, service, model, want.kind, isPressed);
     const zones = this.#copies(now, model).zones;
-    const most = want.kind === 'waiting' || isPressed || want.kind === 'lost' && model.isBusy ? want.gain : want.gain / this.#settings.worthRatio;
+    const most =
+      want.kind === 'waiting' || isPressed || (want.kind === 'lost' && model.isBusy)
+        ? want.gain
+        : want.gain / this.#settings.worthRatio;
     let best: Choice | undefined;
     let bestScore = Infinity;
     for (const runner of service.runners) {
-      if (runner.queue.length > 0 || runner.holds.has(model.name) || !this.#isUsable(now, runner)) continue;
+      if (runner.queue.length > 0 || runner.holds.has(model.name) || !this.#isUsable(now, runner))
+        continue;
       if (held.some(isMissingAt.bind(undefined, runner))) continue;
       const isDisk = runner.disk.has(model.name);
       if (!isDisk && !isStoreFree) continue;
       const free = service.engine.roomMb - this.#used(runner);
       const way = this.#makeRoom(now, runner, model.sizeMb - free, most, isPressed);
-      if (!way || want.kind === 'spare' && way.victims.length > 0) continue;
+      if (!way || (want.kind === 'spare' && way.victims.length > 0)) continue;
       // A further copy takes its share of a busy model's work: it goes where there is least.
       const crowd = this.#load(runner) / Math.max(0.01, service.meanLoad);
-      const score = way.loss + Math.min(3, crowd) * (want.kind === 'waiting' ? 0.1 : 1) + (zones.get(runner.listed.zone) ?? 0) * (want.kind === 'waiting' ? 0 : 2)
-        + (runner.coldUntil > now ? 1 : 0) - (isDisk ? 0.3 : 0) + way.victims.length * 0.05;
-      if (score < bestScore) { best = { runner, way, isDisk }; bestScore = score; }
+      const score =
+        way.loss +
+        Math.min(3, crowd) * (want.kind === 'waiting' ? 0.1 : 1) +
+        (zones.get(runner.listed.zone) ?? 0) * (want.kind === 'waiting' ? 0 : 2) +
+        (runner.coldUntil > now ? 1 : 0) -
+        (isDisk ? 0.3 : 0) +
+        way.victims.length * 0.05;
+      if (score < bestScore) {
+        best = { runner, way, isDisk };
+        bestScore = score;
+      }
     }
     return best;
   }
@@ -1262,18 +1616,29 @@
   /** The part of a runner's slots that runs now, as far as proxies tell by model. */
   #load(runner: RunnerState): number {
     let running = 0;
-    for (const held of runner.holds.values()) if (held.phase === 'ready') running += Math.max(0, held.model.running) / Math.max(1, held.model.holders.size);
+    for (const held of runner.holds.values())
+      if (held.phase === 'ready')
+        running += Math.max(0, held.model.running) / Math.max(1, held.model.holders.size);
     return running / Math.max(1, runner.listed.slots);
   }
 
   /** The models that make way at least cost, if any may. */
-  #makeRoom(now: Moment, runner: RunnerState, needMb: number, most: number, isPressed: boolean): Way | undefined {
+  #makeRoom(
+    now: Moment,
+    runner: RunnerState,
+    needMb: number,
+    most: number,
+    isPressed: boolean,
+  ): Way | undefined {
     if (needMb <= 0) return { victims: [], loss: 0 };
     const all: { held: HeldModel; mb: number; loss: number }[] = [];
     for (const held of runner.holds.values()) {
       if (!this.#mayGo(now, held, isPressed)) continue;
-      const loss = this.#loss(now, held.model) + 0.3 * Math.min(1, Math.max(0, held.model.running) / held.model.holders.size);
-      if (loss < most) all.push({ held, mb: held.model.sizeMb + held.adapters.size * held.model.adapterMb, loss });
+      const loss =
+        this.#loss(now, held.model) +
+        0.3 * Math.min(1, Math.max(0, held.model.running) / held.model.holders.size);
+      if (loss < most)
+        all.push({ held, mb: held.model.sizeMb + held.adapters.size * held.model.adapterMb, loss });
     }
     let best: { held: HeldModel; mb: number; loss: number } | undefined;
     for (const one of all) if (one.mb >= needMb && (!best || one.loss < best.loss)) best = one;
@@ -1295,8 +1660,13 @@
   #mayGo(now: Moment, held: HeldModel, isPressed: boolean): boolean {
     if (held.phase !== 'ready') return false;
     // For a crowd even what has just come makes way, once those who waited for it were served.
-    const stays = held.since + (isPressed && held.model.waiting <= 0 ? this.#settings.stayMs / 4 : this.#settings.stayMs);
-    if (stays > now) { this.#blockedUntil = Math.min(this.#blockedUntil, stays); return false; }
+    const stays =
+      held.since +
+      (isPressed && held.model.waiting <= 0 ? this.#settings.stayMs / 4 : this.#settings.stayMs);
+    if (stays > now) {
+      this.#blockedUntil = Math.min(this.#blockedUntil, stays);
+      return false;
+    }
     for (const adapter of held.adapters.values()) if (adapter.phase === 'coming') return false;
     return true;
   }
@@ -1307,8 +1677,13 @@
     for (const model of service.waiting) {
       for (const adapter of model.adapters.values()) {
         if (adapter.waiting <= 0 || adapter.badUntil > now) continue;
-        if (this.#adapterCopies(now, model, adapter.name) > 0 && !this.#doubtAdapter(now, model, adapter)) continue;
-        if (!this.#placeAdapter(now, service, model, adapter, true)) this.#wait(now, service, model, adapter.name);
+        if (
+          this.#adapterCopies(now, model, adapter.name) > 0 &&
+          !this.#doubtAdapter(now, model, adapter)
+        )
+          continue;
+        if (!this.#placeAdapter(now, service, model, adapter, true))
+          this.#wait(now, service, model, adapter.name);
       }
     }
     if (service.grownAt !== now) return;
@@ -1316,11 +1691,21 @@
     for (const model of service.models.values()) {
       if (model.adapters.size === 0 || model.holders.size < 2) continue;
       for (const adapter of model.adapters.values()) {
-        const rate = adapter.slow.perSecond(now, this.#settings.slowMs, service.firstDemandAt ?? now);
+        const rate = adapter.slow.perSecond(
+          now,
+          this.#settings.slowMs,
+          service.firstDemandAt ?? now,
+        );
         if (rate < 1 || adapter.badUntil > now) continue;
-        const need = Math.max(2, all > 0 ? Math.round((rate / all) * service.runners.size * this.#settings.spreadShare) : 2);
+        const need = Math.max(
+          2,
+          all > 0
+            ? Math.round((rate / all) * service.runners.size * this.#settings.spreadShare)
+            : 2,
+        );
         const have = this.#adapterCopies(now, model, adapter.name);
-        if (have > 0 && have < Math.min(need, this.#copies(now, model).ready)) this.#placeAdapter(now, service, model, adapter, false);
+        if (have > 0 && have < Math.min(need, this.#copies(now, model).ready))
+          this.#placeAdapter(now, service, model, adapter, false);
       }
     }
   }
@@ -1328,12 +1713,14 @@
   /** An adapter that is ready somewhere, and yet waited for, does not serve there; nor does the model if that is all there is. */
   #doubtAdapter(now: Moment, model: ModelState, adapter: AdapterState): boolean {
     const { despiteMs } = this.#settings;
-    if (now - adapter.waitingSince < despiteMs || this.#adapterCopies(now, model, adapter.name) > 2) return false;
+    if (now - adapter.waitingSince < despiteMs || this.#adapterCopies(now, model, adapter.name) > 2)
+      return false;
     let isElsewhere = false;
     for (const held of model.holders.values()) {
       const hold = held.adapters.get(adapter.name);
       if (!hold) isElsewhere = true;
-      else if (hold.phase === 'coming' || adapter.waitingToldAt - hold.since < despiteMs) return false;
+      else if (hold.phase === 'coming' || adapter.waitingToldAt - hold.since < despiteMs)
+        return false;
     }
     for (const held of model.holders.values()) {
       const hold = held.adapters.get(adapter.name);
@@ -1348,32 +1735,66 @@
     for (const [runner, held] of model.holders) {
       if (held.phase === 'unloading' || held.doubtUntil > now || !this.#isOpen(runner)) continue;
       const adapter = held.adapters.get(name);
-      if (!adapter || adapter.phase === 'unloading' || adapter.doubtUntil > now || adapter.phase === 'coming' && runner.suspectUntil > now) continue;
+      if (
+        !adapter ||
+        adapter.phase === 'unloading' ||
+        adapter.doubtUntil > now ||
+        (adapter.phase === 'coming' && runner.suspectUntil > now)
+      )
+        continue;
       count += 1;
     }
     return count;
   }
 
-  #placeAdapter(now: Moment, service: ServiceState, model: ModelState, adapter: AdapterState, isWaiting: boolean): boolean {
+  #placeAdapter(
+    now: Moment,
+    service: ServiceState,
+    model: ModelState,
+    adapter: AdapterState,
+    isWaiting: boolean,
+  ): boolean {
     let best: { runner: RunnerState; victims: Victim[] } | undefined;
     let bestScore = Infinity;
     for (const [runner, held] of model.holders) {
-      if (held.phase === 'unloading' || !this.#isUsable(now, runner) || held.adapters.has(adapter.name) || runner.queue.length >= 8) continue;
+      if (
+        held.phase === 'unloading' ||
+        !this.#isUsable(now, runner) ||
+        held.adapters.has(adapter.name) ||
+        runner.queue.length >= 8
+      )
+        continue;
       if (!isWaiting && runner.queue.length > 0) continue;
       const way = this.#makeAdapterRoom(now, service, runner, model, isWaiting);
       if (!way) continue;
       const head = runner.queue[0];
       const delay = head ? Math.max(0, head.isTaken ? head.due - now : head.expectedMs) : 0;
-      const score = way.loss + delay / 200 + runner.queue.length * 0.1 + this.#load(runner) * 0.5 + (held.doubtUntil > now ? 5 : 0) + (runner.coldUntil > now ? 1 : 0);
-      if (score < bestScore) { best = { runner, victims: [...way.victims] }; bestScore = score; }
+      const score =
+        way.loss +
+        delay / 200 +
+        runner.queue.length * 0.1 +
+        this.#load(runner) * 0.5 +
+        (held.doubtUntil > now ? 5 : 0) +
+        (runner.coldUntil > now ? 1 : 0);
+      if (score < bestScore) {
+        best = { runner, victims: [...way.victims] };
+        bestScore = score;
+      }
     }
     if (!best) return false;
-    for (const victim of best.victims) this.#intend(now, best.runner, 'unload', victim.held.model, victim.adapter);
+    for (const victim of best.victims)
+      this.#intend(now, best.runner, 'unload', victim.held.model, victim.adapter);
     this.#intend(now, best.runner, 'load', model, adapter.name);
     return true;
   }
 
-  #makeAdapterRoom(now: Moment, service: ServiceState, runner: RunnerState, model: ModelState, mayThrowOut: boolean): Way | undefined {
+  #makeAdapterRoom(
+    now: Moment,
+    service: ServiceState,
+    runner: RunnerState,
+    model: ModelState,
+    mayThrowOut: boolean,
+  ): Way | undefined {
     let free = service.engine.roomMb - this.#used(runner);
     let slots = service.engine.adapterSlots - this.#adapterCount(runner);
     if (free >= model.adapterMb && slots > 0) return { victims: [], loss: 0 };
@@ -1384,13 +1805,22 @@
       for (const [name, { phase, since }] of held.adapters) {
         if (phase !== 'ready') continue;
         const stays = since + this.#settings.adapterStayMs;
-        if (stays > now) { this.#blockedUntil = Math.min(this.#blockedUntil, stays); continue; }
+        if (stays > now) {
+          this.#blockedUntil = Math.min(this.#blockedUntil, stays);
+          continue;
+        }
         const state = held.model.adapters.get(name);
         if (state && state.waiting > 0) continue;
-        const rate = state?.slow.perSecond(now, this.#settings.slowMs, service.firstDemandAt ?? now) ?? 0;
+        const rate =
+          state?.slow.perSecond(now, this.#settings.slowMs, service.firstDemandAt ?? now) ?? 0;
         const others = this.#adapterCopies(now, held.model, name) - 1;
         const recency = Math.exp(-(now - (state?.lastAsked ?? -Infinity)) / 20_000);
-        all.push({ held, adapter: name, mb: held.model.adapterMb, loss: (others > 0 ? rate * 0.2 : rate) + recency + 0.01 });
+        all.push({
+          held,
+          adapter: name,
+          mb: held.model.adapterMb,
+          loss: (others > 0 ? rate * 0.2 : rate) + recency + 0.01,
+        });
       }
     }
     all.sort(byLoss);
@@ -1410,7 +1840,12 @@
     for (const held of runner.holds.values()) {
       if (held.model === model || !this.#mayGo(now, held, false)) continue;
       const one = this.#loss(now, held.model);
-      if (one < 2 && (!best || one < best.loss) && service.engine.roomMb - this.#used(runner) + held.model.sizeMb >= model.adapterMb) best = { held, loss: one };
+      if (
+        one < 2 &&
+        (!best || one < best.loss) &&
+        service.engine.roomMb - this.#used(runner) + held.model.sizeMb >= model.adapterMb
+      )
+        best = { held, loss: one };
     }
     return best ? { victims: [{ held: best.held, adapter: '' }], loss: best.loss } : undefined;
   }
@@ -1431,17 +1866,34 @@
     const all = [...ready, ...coming];
     // A ready understudy takes over at once from a primary that is gone.
     const isReady = ready.includes(doc.primary);
-    const primary = isReady ? doc.primary : ready.includes(doc.understudy) ? doc.understudy : ready[0] ?? (all.includes(doc.primary) ? doc.primary : all[0] ?? '');
+    const primary = isReady
+      ? doc.primary
+      : ready.includes(doc.understudy)
+        ? doc.understudy
+        : (ready[0] ?? (all.includes(doc.primary) ? doc.primary : (all[0] ?? '')));
     const zone = this.#runners.get(primary)?.listed.zone;
     let understudy = '';
-    if (all.includes(doc.understudy) && doc.understudy !== primary && this.#runners.get(doc.understudy)?.listed.zone !== zone) understudy = doc.understudy;
-    for (const id of all) if (understudy === '' && id !== primary && this.#runners.get(id)?.listed.zone !== zone) understudy = id;
+    if (
+      all.includes(doc.understudy) &&
+      doc.understudy !== primary &&
+      this.#runners.get(doc.understudy)?.listed.zone !== zone
+    )
+      understudy = doc.understudy;
+    for (const id of all)
+      if (understudy === '' && id !== primary && this.#runners.get(id)?.listed.zone !== zone)
+        understudy = id;
     for (const id of all) if (understudy === '' && id !== primary) understudy = id;
     const seats: string[] = [];
     for (const id of all.sort(byText)) if (id !== primary && id !== understudy) seats.push(id);
     const old = doc.seats ?? [];
     const wait = all.length > 0 || model.deprivedSince === undefined ? '' : doc.wait;
-    if (doc.primary === primary && doc.understudy === understudy && doc.wait === wait && old.join('\n') === seats.join('\n')) return;
+    if (
+      doc.primary === primary &&
+      doc.understudy === understudy &&
+      doc.wait === wait &&
+      old.join('\n') === seats.join('\n')
+    )
+      return;
     this.#put({ ...doc, primary, understudy, seats, wait });
   }
 
@@ -1450,10 +1902,20 @@
   #wait(now: Moment, service: ServiceState, model: ModelState, adapter: string): void {
     const ahead = this.#waiting.length;
     const perSecond = service.engine.loadsPerSecond;
-    const ms = adapter !== '' && model.holders.size > 0 ? service.adapterMs * 4 : perSecond > 0 ? model.loadMs + ((ahead + 1) * 1000) / perSecond : 0;
+    const ms =
+      adapter !== '' && model.holders.size > 0
+        ? service.adapterMs * 4
+        : perSecond > 0
+          ? model.loadMs + ((ahead + 1) * 1000) / perSecond
+          : 0;
     this.#waiting.push({ model, adapter, dueAt: ms > 0 ? now + ms : 0 });
     // Operators are told of who waits long; what is loaded within a moment is no news.
-    if (adapter !== '' || model.deprivedSince === undefined || now - model.deprivedSince < this.#settings.tellWaitMs) return;
+    if (
+      adapter !== '' ||
+      model.deprivedSince === undefined ||
+      now - model.deprivedSince < this.#settings.tellWaitMs
+    )
+      return;
     const doc = this.#docs.get(model.key) ?? noDoc(model.key);
     if (doc.wait === '') this.#put({ ...doc, wait: 'waits for a load' });
   }
@@ -1475,7 +1937,8 @@
     const runners: FleetRunner[] = [];
     for (const runner of this.#runners.values()) runners.push(this.#fleetRunner(now, runner));
     const waits: FleetWait[] = [];
-    for (const { model, adapter, dueAt } of this.#waiting) waits.push({ model: model.name, adapter, readyMs: dueAt === 0 ? 0 : leftMs(now, dueAt) });
+    for (const { model, adapter, dueAt } of this.#waiting)
+      waits.push({ model: model.name, adapter, readyMs: dueAt === 0 ? 0 : leftMs(now, dueAt) });
     this.#fleet = { flows: this.#flowCount, runners, waits };
     return this.#fleet;
   }
@@ -1487,7 +1950,8 @@
     for (const held of runner.holds.values()) {
       if (held.phase !== 'ready') continue;
       const adapters: string[] = [];
-      for (const [name, adapter] of held.adapters) if (adapter.phase === 'ready') adapters.push(name);
+      for (const [name, adapter] of held.adapters)
+        if (adapter.phase === 'ready') adapters.push(name);
       holds.push({ model: held.model.name, adapters });
     }
     // An order out of reach tells nothing of when it is done.
@@ -1495,12 +1959,27 @@
     for (const op of runner.suspectUntil > now ? [] : runner.queue) {
       if (op.intent.verb === 'unload') continue;
       ahead = op.isTaken ? Math.max(0, op.due - now) : ahead + op.expectedMs;
-      coming.push({ model: op.intent.model, adapter: op.intent.adapter, readyMs: Math.max(50, Math.round(ahead / 50) * 50) });
+      coming.push({
+        model: op.intent.model,
+        adapter: op.intent.adapter,
+        readyMs: Math.max(50, Math.round(ahead / 50) * 50),
+      });
     }
     for (const { intent } of runner.restored) {
-      if (intent.verb === 'load' && intent.adapter === '' && !runner.holds.has(intent.model)) coming.push({ model: intent.model, adapter: '', readyMs: 500 });
+      if (intent.verb === 'load' && intent.adapter === '' && !runner.holds.has(intent.model))
+        coming.push({ model: intent.model, adapter: '', readyMs: 500 });
     }
-    return { id, address, zone, service, slots, isLeaving: runner.isLeaving, coldMs: runner.coldUntil > now ? leftMs(now, runner.coldUntil) : 0, holds, coming };
+    return {
+      id,
+      address,
+      zone,
+      service,
+      slots,
+      isLeaving: runner.isLeaving,
+      coldMs: runner.coldUntil > now ? leftMs(now, runner.coldUntil) : 0,
+      holds,
+      coming,
+    };
   }
 
   /** When it is worth planning or ordering again without any news. */
@@ -1513,13 +1992,18 @@
       if (head.isKept) next = Math.min(next, head.due);
     }
     for (const runner of this.#doubted) {
-      if (!runner.isAsked && runner.queue.length === 0 && this.#isOpen(runner)) next = Math.min(next, runner.askAt);
+      if (!runner.isAsked && runner.queue.length === 0 && this.#isOpen(runner))
+        next = Math.min(next, runner.askAt);
     }
     if (next === Infinity) return undefined;
     return next <= now ? later(now, 1) : moment(next);
   }
 }
 
-function byLoss(a: { loss: number }, b: { loss: number }): number { return a.loss - b.loss; }
+function byLoss(a: { loss: number }, b: { loss: number }): number {
+  return a.loss - b.loss;
+}
 
-function leftMs(now: number, at: number): number { return Math.max(50, Math.round((at - now) / 50) * 50); }
+function leftMs(now: number, at: number): number {
+  return Math.max(50, Math.round((at - now) / 50) * 50);
+}
--- a/src/place/Shares.test.ts
+++ b/src/place/Shares.test.ts
@@ -13,11 +13,21 @@
   shares.add(moment(0), { flow: 'a', units: [], rows: [{ row: 'r', count: 50 }] });
   shares.add(moment(0), { flow: 'b', units: [], rows: [] });
   // Ten a second at one flow, none at the other, of a take of twenty: the rest is shared evenly.
-  expect(shares.list(moment(0), [{ key: 'r', take: 20 }, { key: 'other', take: 5 }])).toEqual([{ flow: 'a', row: 'r', share: 0.75 }, { flow: 'b', row: 'r', share: 0.25 }]);
+  expect(
+    shares.list(moment(0), [
+      { key: 'r', take: 20 },
+      { key: 'other', take: 5 },
+    ]),
+  ).toEqual([
+    { flow: 'a', row: 'r', share: 0.75 },
+    { flow: 'b', row: 'r', share: 0.25 },
+  ]);
   const crowded = shares.list(moment(0), [{ key: 'r', take: 2 }]);
   expect(sumOf(crowded)).toBeLessThanOrEqual(1);
   expect(crowded[0]?.share).toBeGreaterThan(0.8);
   shares.add(moment(60_000), { flow: 'b', units: [], rows: [{ row: 'r', count: 10 }] });
-  expect(shares.list(moment(60_000), [{ key: 'r', take: 20 }])).toEqual([{ flow: 'b', row: 'r', share: 1 }]);
+  expect(shares.list(moment(60_000), [{ key: 'r', take: 20 }])).toEqual([
+    { flow: 'b', row: 'r', share: 1 },
+  ]);
 }
 test('a take is shared out by demand and never beyond the whole', checkShares);
--- a/src/place/Shares.ts
+++ b/src/place/Shares.ts
@@ -41,7 +41,8 @@
       }
       for (const [flow, rate] of demands) {
         // Each gets what it is asked for and an even part of what is left; when nothing is left, mostly by demand.
-        const share = sum < take ? (rate + (take - sum) / count) / take : (0.9 * rate) / sum + 0.1 / count;
+        const share =
+          sum < take ? (rate + (take - sum) / count) / take : (0.9 * rate) / sum + 0.1 / count;
         // Twentieths of an even share, rounded down: small changes are no news, and the sum stays within the whole.
         const step = 1 / (count * 4);
         shares.push({ flow, row: key, share: Math.floor(share / step + 1e-9) * step });
--- a/src/place/StoreWindow.ts
+++ b/src/place/StoreWindow.ts
@@ -4,7 +4,9 @@
   /** Oldest first. */
   #begun: number[] = [];
 
-  constructor(spanMs: number) { this.#spanMs = spanMs; }
+  constructor(spanMs: number) {
+    this.#spanMs = spanMs;
+  }
 
   /** A start is told by its latest possible moment, so that it is never forgotten too soon. */
   add(at: number): void {
@@ -46,5 +48,7 @@
   }
 
   /** How much of what was counted still counts. */
-  weight(now: number, spanMs: number): number { return this.#value * Math.exp(-Math.max(0, now - this.#at) / spanMs); }
+  weight(now: number, spanMs: number): number {
+    return this.#value * Math.exp(-Math.max(0, now - this.#at) / spanMs);
+  }
 }
--- a/src/place/Trial.ts
+++ b/src/place/Trial.ts
@@ -19,22 +19,31 @@
   readonly #demand: ReadonlyMap<string, number>;
   #now = 1000;
 
-  constructor(settings: PlacerSettings, input: PlanInput, docs: readonly ServiceDoc[], demand: ReadonlyMap<string, number>) {
+  constructor(
+    settings: PlacerSettings,
+    input: PlanInput,
+    docs: readonly ServiceDoc[],
+    demand: ReadonlyMap<string, number>,
+  ) {
     this.#placer = new Placer(settings, 'trial');
     this.#placer.restore(docs, 'trial');
     this.#input = input;
     this.#demand = demand;
     // Unreachable runners keep what they were last seen with, but obey nothing.
-    for (const view of input.runners) this.#holds.set(view.machine.id, (view.report?.holds ?? []).map(copyOf));
-    for (const [unit, rate] of demand) this.#placer.demand.add(moment(this.#now), unit, (rate * settings.demandSpanMs) / 1000);
+    for (const view of input.runners)
+      this.#holds.set(view.machine.id, (view.report?.holds ?? []).map(copyOf));
+    for (const [unit, rate] of demand)
+      this.#placer.demand.add(moment(this.#now), unit, (rate * settings.demandSpanMs) / 1000);
   }
 
   run(steps: number): TrialOutcome {
     for (let step = 0; step < steps; step += 1) {
       this.#now += STEP_MS;
-      for (const [unit, rate] of this.#demand) this.#placer.demand.add(moment(this.#now), unit, (rate * STEP_MS) / 1000);
+      for (const [unit, rate] of this.#demand)
+        this.#placer.demand.add(moment(this.#now), unit, (rate * STEP_MS) / 1000);
       this.#placer.plan(moment(this.#now), this.#view());
-      for (const holds of this.#holds.values()) for (const hold of holds) if (hold.state === 'loading') hold.state = 'ready';
+      for (const holds of this.#holds.values())
+        for (const hold of holds) if (hold.state === 'loading') hold.state = 'ready';
       for (const doc of this.#placer.docs()) for (const intent of doc.intents) this.#obey(intent);
     }
     this.#placer.plan(moment(this.#now + STEP_MS), this.#view());
@@ -45,7 +54,11 @@
     const runners: RunnerView[] = [];
     for (const view of this.#input.runners) {
       const holds = (this.#holds.get(view.machine.id) ?? []).map(copyOf);
-      runners.push({ ...view, askedAt: moment(this.#now), report: view.report ? { ...view.report, holds } : undefined });
+      runners.push({
+        ...view,
+        askedAt: moment(this.#now),
+        report: view.report ? { ...view.report, holds } : undefined,
+      });
     }
     return { ...this.#input, runners };
   }
@@ -57,11 +70,22 @@
     this.#placer.orderTaken(moment(this.#now), intent.id);
     const holds = this.#holds.get(intent.runner) ?? [];
     const rest = holds.filter(isOther.bind(undefined, intent));
-    if (intent.verb === 'load') rest.push({ model: intent.model, adapter: intent.adapter, size: intent.size, state: 'loading', running: 0 });
+    if (intent.verb === 'load')
+      rest.push({
+        model: intent.model,
+        adapter: intent.adapter,
+        size: intent.size,
+        state: 'loading',
+        running: 0,
+      });
     this.#holds.set(intent.runner, rest);
   }
 }
 
-function copyOf(hold: Hold): Hold { return { ...hold }; }
+function copyOf(hold: Hold): Hold {
+  return { ...hold };
+}
 
-function isOther(intent: Intent, hold: Hold): boolean { return hold.model !== intent.model || hold.adapter !== intent.adapter; }
+function isOther(intent: Intent, hold: Hold): boolean {
+  return hold.model !== intent.model || hold.adapter !== intent.adapter;
+}
--- a/src/vote/Elector.test.ts
+++ b/src/vote/Elector.test.ts
@@ -12,18 +12,34 @@
 test('after all have restarted nobody listens for a leader', checkAllRestarted);
 test('a voter whose disk was lost and repaired leaves the lead where it is', checkRepaired);
 test('after all have restarted the same holder goes on without a pause', checkSameHolder);
-test('after all have restarted another holder waits, and so does one that had just taken over', checkOtherHolder);
+test(
+  'after all have restarted another holder waits, and so does one that had just taken over',
+  checkOtherHolder,
+);
 
 /** A voter that has voted before and was started at moment 0, with its pings to others answered. */
 function started(): Elector {
-  const elector = new Elector(a, new Quorum([a, b, c]), VOTE_DEFAULTS, moment(0), { epoch: 6, grantEpoch: 6, grantLeader: 'b' });
+  const elector = new Elector(a, new Quorum([a, b, c]), VOTE_DEFAULTS, moment(0), {
+    epoch: 6,
+    grantEpoch: 6,
+    grantLeader: 'b',
+  });
   elector.beat(moment(0));
-  for (const fellow of [b, c]) elector.receive(moment(2), fellow, { kind: 'pong', nonce: 0, epoch: 0, reports: [], standing: '' });
+  for (const fellow of [b, c])
+    elector.receive(moment(2), fellow, {
+      kind: 'pong',
+      nonce: 0,
+      epoch: 0,
+      reports: [],
+      standing: '',
+    });
   elector.drain();
   return elector;
 }
 
-function isProposing(elector: Elector): boolean { return elector.role === 'proposing'; }
+function isProposing(elector: Elector): boolean {
+  return elector.role === 'proposing';
+}
 
 function checkListens(): void {
   const elector = started();
@@ -53,9 +69,14 @@
   readonly #records = new Map<FellowId, VoteRecord>();
   #mail: { readonly from: FellowId; readonly to: FellowId; readonly message: Message }[] = [];
 
-  constructor() { for (const id of [a, b, c]) this.electors.set(id, new Elector(id, new Quorum([a, b, c]), VOTE_DEFAULTS, moment(0))); }
+  constructor() {
+    for (const id of [a, b, c])
+      this.electors.set(id, new Elector(id, new Quorum([a, b, c]), VOTE_DEFAULTS, moment(0)));
+  }
 
-  get now(): Moment { return moment(this.#now); }
+  get now(): Moment {
+    return moment(this.#now);
+  }
 
   node(id: FellowId): Elector {
     const elector = this.electors.get(id);
@@ -65,13 +86,21 @@
 
   restart(): void {
     this.#mail = [];
-    for (const id of [a, b, c]) this.electors.set(id, new Elector(id, new Quorum([a, b, c]), VOTE_DEFAULTS, this.now, this.#records.get(id)));
+    for (const id of [a, b, c])
+      this.electors.set(
+        id,
+        new Elector(id, new Quorum([a, b, c]), VOTE_DEFAULTS, this.now, this.#records.get(id)),
+      );
   }
 
   /** How long nobody may order, from now on. */
   runUntilOrders(isUp: (id: FellowId) => boolean = always): number {
     const began = this.#now;
-    while (this.#now - began < 10_000 && ![...this.electors.values()].some(ordersAt.bind(undefined, this.now))) this.run(10, isUp);
+    while (
+      this.#now - began < 10_000 &&
+      ![...this.electors.values()].some(ordersAt.bind(undefined, this.now))
+    )
+      this.run(10, isUp);
     return this.#now - began;
   }
 
@@ -80,14 +109,17 @@
       this.#now += 10;
       const mail = this.#mail;
       this.#mail = [];
-      for (const { from, to, message } of mail) if (isUp(to) && isUp(from)) this.node(to).receive(this.now, from, message);
+      for (const { from, to, message } of mail)
+        if (isUp(to) && isUp(from)) this.node(to).receive(this.now, from, message);
       for (const [id, elector] of this.electors) {
         if (!isUp(id)) continue;
         if (this.#now % 50 === 0) elector.beat(this.now);
         for (let effects = elector.drain(); effects.length > 0; effects = elector.drain()) {
           for (const effect of effects) {
-            if (effect.do === 'keep') { this.#records.set(id, effect.record); elector.kept(effect.token); }
-            else this.#mail.push({ from: id, to: effect.to, message: effect.message });
+            if (effect.do === 'keep') {
+              this.#records.set(id, effect.record);
+              elector.kept(effect.token);
+            } else this.#mail.push({ from: id, to: effect.to, message: effect.message });
           }
         }
       }
@@ -120,9 +152,15 @@
   expect(changed.runUntilOrders(isNotA)).toBeGreaterThanOrEqual(spanMs + leaseMs);
 }
 
-function always(): boolean { return true; }
-function isNotA(id: FellowId): boolean { return id !== a; }
-function isB(id: FellowId): boolean { return id === b; }
+function always(): boolean {
+  return true;
+}
+function isNotA(id: FellowId): boolean {
+  return id !== a;
+}
+function isB(id: FellowId): boolean {
+  return id === b;
+}
 
 function checkRepaired(): void {
   const election = new Election();
@@ -136,19 +174,30 @@
   repaired.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, election.now);
   election.electors.set(a, repaired);
   election.run(500);
-  repaired.setMayVote(true, { epoch: election.node(b).epoch, grantEpoch: 0, grantLeader: '' }, election.now);
+  repaired.setMayVote(
+    true,
+    { epoch: election.node(b).epoch, grantEpoch: 0, grantLeader: '' },
+    election.now,
+  );
   let withoutMs = 0;
   for (let step = 0; step < 500; step += 1) {
     election.run(10);
-    if (![...election.electors.values()].some(ordersAt.bind(undefined, election.now))) withoutMs += 10;
+    if (![...election.electors.values()].some(ordersAt.bind(undefined, election.now)))
+      withoutMs += 10;
   }
   expect(election.node(a).leader).toBe(b);
-  expect([...election.electors.keys()].filter(leads.bind(undefined, election)).every(isB)).toBe(true);
+  expect([...election.electors.keys()].filter(leads.bind(undefined, election)).every(isB)).toBe(
+    true,
+  );
   expect(withoutMs).toBeLessThan(1000);
 }
 
-function ordersAt(now: Moment, elector: Elector): boolean { return elector.mayOrder(now); }
-function leads(election: Election, id: FellowId): boolean { return election.node(id).isLeading(); }
+function ordersAt(now: Moment, elector: Elector): boolean {
+  return elector.mayOrder(now);
+}
+function leads(election: Election, id: FellowId): boolean {
+  return election.node(id).isLeading();
+}
 
 /** Three voters on virtual time: messages take 2 ms, the disk takes 2 ms, beats come every 50 ms. */
 class Trio {
@@ -160,11 +209,21 @@
   constructor(startAt: Readonly<Record<string, number>>, settings: VoteSettings, before = 'a') {
     for (const [id, at] of Object.entries(startAt)) {
       this.#startAt.set(id, at);
-      this.electors.set(id, new Elector(fellowId(id), new Quorum([a, b, c]), settings, moment(at), { epoch: 6, grantEpoch: 6, grantLeader: before }));
+      this.electors.set(
+        id,
+        new Elector(fellowId(id), new Quorum([a, b, c]), settings, moment(at), {
+          epoch: 6,
+          grantEpoch: 6,
+          grantLeader: before,
+        }),
+      );
     }
   }
 
-  get leader(): string { for (const [id, elector] of this.electors) if (elector.isLeading()) return id; return ''; }
+  get leader(): string {
+    for (const [id, elector] of this.electors) if (elector.isLeading()) return id;
+    return '';
+  }
 
   /** Plays until somebody leads, or the time is over; returns when. */
   run(untilMs: number): number {
@@ -184,7 +243,11 @@
 
   #carryOut(id: string, elector: Elector): void {
     for (const effect of elector.drain()) {
-      if (effect.do === 'send') this.#queue.push({ at: this.now + 2, run: this.#deliver.bind(this, id, effect.to, effect.message) });
+      if (effect.do === 'send')
+        this.#queue.push({
+          at: this.now + 2,
+          run: this.#deliver.bind(this, id, effect.to, effect.message),
+        });
       else this.#queue.push({ at: this.now + 2, run: elector.kept.bind(elector, effect.token) });
     }
   }
@@ -195,19 +258,39 @@
     this.electors.get(to)?.receive(moment(this.now), fellowId(from), message);
   }
 }
-function isDue(now: number, item: { readonly at: number }): boolean { return item.at <= now; }
-function isLater(now: number, item: { readonly at: number }): boolean { return item.at > now; }
+function isDue(now: number, item: { readonly at: number }): boolean {
+  return item.at <= now;
+}
+function isLater(now: number, item: { readonly at: number }): boolean {
+  return item.at > now;
+}
 
 function checkTogether(): void {
-  for (const [one, two] of [[0, 0], [1, 2], [30, 10], [180, 40], [10, 240]] as const) {
-    const trio = new Trio({ a: 0, b: one, c: two }, { ...VOTE_DEFAULTS, pingMs: 250, renewMs: 300, electionMs: 500, spanMs: 1500, deadMs: 1200 });
+  for (const [one, two] of [
+    [0, 0],
+    [1, 2],
+    [30, 10],
+    [180, 40],
+    [10, 240],
+  ] as const) {
+    const trio = new Trio(
+      { a: 0, b: one, c: two },
+      { ...VOTE_DEFAULTS, pingMs: 250, renewMs: 300, electionMs: 500, spanMs: 1500, deadMs: 1200 },
+    );
     expect(trio.run(3000) - Math.max(one, two)).toBeLessThan(400);
   }
   // Whoever led before leads again, wherever it stands among the voters.
   for (const before of ['a', 'b', 'c']) {
-    const trio = new Trio({ a: 0, b: 3, c: 1 }, { ...VOTE_DEFAULTS, pingMs: 250, renewMs: 300, electionMs: 500, spanMs: 1500, deadMs: 1200 }, before);
+    const trio = new Trio(
+      { a: 0, b: 3, c: 1 },
+      { ...VOTE_DEFAULTS, pingMs: 250, renewMs: 300, electionMs: 500, spanMs: 1500, deadMs: 1200 },
+      before,
+    );
     expect(trio.run(3000)).toBeLessThan(400);
     expect(trio.leader).toBe(before);
   }
 }
-test('three voters that start again at about the same time have a leader within 400 ms', checkTogether);
+test(
+  'three voters that start again at about the same time have a leader within 400 ms',
+  checkTogether,
+);
--- a/src/vote/Elector.ts
+++ b/src/vote/Elector.ts
@@ -1,4 +1,15 @@
-import { epochOf, fellowId, isElecting, later, moment, nextElecting, nextLeading, type Epoch, type FellowId, type Moment } from '../kin/Ids.js';
+import {
+  epochOf,
+  fellowId,
+  isElecting,
+  later,
+  moment,
+  nextElecting,
+  nextLeading,
+  type Epoch,
+  type FellowId,
+  type Moment,
+} from '../kin/Ids.js';
 import type { Message, ReportMessage } from '../kin/Messages.js';
 import type { Quorum } from '../kin/Quorum.js';
 import { Scores } from './Scores.js';
@@ -23,7 +34,12 @@
   readonly #scores: Scores;
   #frozen: Scores;
   #epoch: Epoch;
-  #granted: { readonly epoch: number; readonly leader: string; readonly freeAt: Moment; readonly isFree: boolean };
+  #granted: {
+    readonly epoch: number;
+    readonly leader: string;
+    readonly freeAt: Moment;
+    readonly isFree: boolean;
+  };
   #role: Role = 'looking';
   #mayVote = true;
   #isRetired = false;
@@ -61,7 +77,13 @@
   #kept = 0;
   #keepSince: Moment = moment(0);
 
-  constructor(me: FellowId, quorum: Quorum, settings: VoteSettings, now: Moment, record: VoteRecord = NOBODY) {
+  constructor(
+    me: FellowId,
+    quorum: Quorum,
+    settings: VoteSettings,
+    now: Moment,
+    record: VoteRecord = NOBODY,
+  ) {
     this.#me = me;
     this.#quorum = quorum;
     this.#settings = settings;
@@ -69,27 +91,54 @@
     this.#frozen = this.#scores.freeze();
     this.#epoch = epochOf(record.epoch);
     const isFree = record.isFree === true;
-    this.#granted = { epoch: record.grantEpoch, leader: record.grantLeader, freeAt: later(now, (settings.spanMs + settings.leaseMs) * (1 + 5 * settings.drift)), isFree };
+    this.#granted = {
+      epoch: record.grantEpoch,
+      leader: record.grantLeader,
+      freeAt: later(now, (settings.spanMs + settings.leaseMs) * (1 + 5 * settings.drift)),
+      isFree,
+    };
     // What we promised before a crash is gone from memory: hold as if promised this moment. Where the record says to whom
     // alone, that one is not held up by it: the same holder may go on at once.
     this.#bootLeader = isFree ? record.grantLeader : '';
-    this.#bootPromise = record.grantEpoch > 0 ? later(now, settings.spanMs) : moment(now - settings.leaseMs);
+    this.#bootPromise =
+      record.grantEpoch > 0 ? later(now, settings.spanMs) : moment(now - settings.leaseMs);
     this.#pingedAt = moment(now - settings.pingMs);
     this.#listenUntil = record.epoch > 0 ? this.#listenEnd(now) : now;
   }
 
-  get epoch(): Epoch { return this.#epoch; }
-  get role(): Role { return this.#role; }
-  get leader(): FellowId | undefined { return this.#leader; }
-  get insiders(): ReadonlySet<FellowId> { return this.#insiders; }
-  get scores(): Scores { return this.#scores; }
-  get record(): VoteRecord { return { epoch: this.#epoch, grantEpoch: this.#granted.epoch, grantLeader: this.#granted.leader, isFree: this.#granted.isFree }; }
+  get epoch(): Epoch {
+    return this.#epoch;
+  }
+  get role(): Role {
+    return this.#role;
+  }
+  get leader(): FellowId | undefined {
+    return this.#leader;
+  }
+  get insiders(): ReadonlySet<FellowId> {
+    return this.#insiders;
+  }
+  get scores(): Scores {
+    return this.#scores;
+  }
+  get record(): VoteRecord {
+    return {
+      epoch: this.#epoch,
+      grantEpoch: this.#granted.epoch,
+      grantLeader: this.#granted.leader,
+      isFree: this.#granted.isFree,
+    };
+  }
 
   /** Whether a majority has granted us this epoch: we hold the state and may write it, fenced by the epoch. */
-  isLeading(): boolean { return this.#role === 'leading'; }
+  isLeading(): boolean {
+    return this.#role === 'leading';
+  }
 
   /** The end of our lease; orders may be under way only before it. */
-  get leaseEnd(): Moment { return this.#leaseEnd; }
+  get leaseEnd(): Moment {
+    return this.#leaseEnd;
+  }
 
   /** Asked right before each order's write. */
   mayOrder(now: Moment): boolean {
@@ -105,7 +154,9 @@
     this.#isRetired = true;
     // We order nobody from here on: what we promised ourselves binds no successor any longer than this.
     if ((this.#promises.get(this.#me) ?? now) > now) this.#promises.set(this.#me, now);
-    if (wasLeading) for (const fellow of this.#others()) this.#speak(fellow, { kind: 'released', epoch: this.#epoch });
+    if (wasLeading)
+      for (const fellow of this.#others())
+        this.#speak(fellow, { kind: 'released', epoch: this.#epoch });
     this.#lose('looking');
   }
 
@@ -127,10 +178,14 @@
     }
   }
 
-  setQuorum(quorum: Quorum): void { this.#quorum = quorum; }
+  setQuorum(quorum: Quorum): void {
+    this.#quorum = quorum;
+  }
 
   /** When a voter last returned a ping; nothing for one never pinged. */
-  heardAt(fellow: FellowId): Moment | undefined { return this.#pinged.get(fellow)?.heard; }
+  heardAt(fellow: FellowId): Moment | undefined {
+    return this.#pinged.get(fellow)?.heard;
+  }
 
   drain(): VoteEffect[] {
     const effects = this.#effects;
@@ -165,7 +220,10 @@
       this.#startIfReachable(now);
     } else if (this.#role === 'deferred' && now >= this.#limit) {
       this.#startIfReachable(now);
-    } else if (this.#role === 'following' && now >= later(this.#heardLeader, this.#settings.spanMs)) {
+    } else if (
+      this.#role === 'following' &&
+      now >= later(this.#heardLeader, this.#settings.spanMs)
+    ) {
       this.#lose('looking');
       this.#startIfReachable(now);
     } else if (this.#role === 'looking' && (now >= this.#listenUntil || this.#isOurTurn(now))) {
@@ -173,14 +231,19 @@
     }
   }
 
-  #listenEnd(now: Moment): Moment { return later(now, this.#settings.renewMs * 2 + this.#settings.pingMs); }
+  #listenEnd(now: Moment): Moment {
+    return later(now, this.#settings.renewMs * 2 + this.#settings.pingMs);
+  }
 
   /**
    * When all have restarted together nobody knows the others' scores yet, and proposals at one moment would be deferred to
    * in a ring: each waits its turn by its place among the voters, so that the first is deferred to by all.
    */
   #isOurTurn(now: Moment): boolean {
-    if (!this.#isLeaderless()) { this.#leaderlessAt = undefined; return false; }
+    if (!this.#isLeaderless()) {
+      this.#leaderlessAt = undefined;
+      return false;
+    }
     this.#leaderlessAt ??= now;
     // Whoever led before goes first: it alone need not wait for its own lease before it orders.
     const turn = this.#granted.leader === this.#me ? 0 : 1 + this.#quorum.all.indexOf(this.#me);
@@ -197,19 +260,53 @@
     switch (message.kind) {
       case 'ping':
         this.#scores.merge(message.reports);
-        if (message.leader === '') this.#leaderless.add(from); else this.#leaderless.delete(from);
+        if (message.leader === '') this.#leaderless.add(from);
+        else this.#leaderless.delete(from);
         this.#sendPong(from, message.nonce);
         break;
-      case 'pong': this.#receivePong(now, from, message.nonce, message.reports); break;
-      case 'propose': this.#receivePropose(now, from, epochOf(message.epoch), message.reports); break;
-      case 'defer': this.#receiveDefer(now, from, epochOf(message.epoch), message.reports); break;
-      case 'victory': this.#receiveVictory(now, from, epochOf(message.epoch), message.reports, message.nonce, message.quorum); break;
-      case 'granted': this.#receiveGranted(now, from, epochOf(message.epoch), message.wait, message.nonce, message.reports); break;
-      case 'behind': this.#receiveBehind(now, epochOf(message.epoch), message.reports); break;
-      case 'renew': this.#receiveRenew(now, from, epochOf(message.epoch), message.nonce, message.quorum); break;
-      case 'released': this.#receiveReleased(now, from, epochOf(message.epoch)); break;
-      case 'renewed': if (message.epoch === this.#epoch) this.#countRenewal(from, message.nonce); break;
-      default: break;
+      case 'pong':
+        this.#receivePong(now, from, message.nonce, message.reports);
+        break;
+      case 'propose':
+        this.#receivePropose(now, from, epochOf(message.epoch), message.reports);
+        break;
+      case 'defer':
+        this.#receiveDefer(now, from, epochOf(message.epoch), message.reports);
+        break;
+      case 'victory':
+        this.#receiveVictory(
+          now,
+          from,
+          epochOf(message.epoch),
+          message.reports,
+          message.nonce,
+          message.quorum,
+        );
+        break;
+      case 'granted':
+        this.#receiveGranted(
+          now,
+          from,
+          epochOf(message.epoch),
+          message.wait,
+          message.nonce,
+          message.reports,
+        );
+        break;
+      case 'behind':
+        this.#receiveBehind(now, epochOf(message.epoch), message.reports);
+        break;
+      case 'renew':
+        this.#receiveRenew(now, from, epochOf(message.epoch), message.nonce, message.quorum);
+        break;
+      case 'released':
+        this.#receiveReleased(now, from, epochOf(message.epoch));
+        break;
+      case 'renewed':
+        if (message.epoch === this.#epoch) this.#countRenewal(from, message.nonce);
+        break;
+      default:
+        break;
     }
   }
 
@@ -228,12 +325,24 @@
         state.scored = now;
       }
       state.sent = now;
-      this.#speak(fellow, { kind: 'ping', nonce: now, epoch: 0, reports: this.#scores.reports(), leader: this.#leader ?? '' });
+      this.#speak(fellow, {
+        kind: 'ping',
+        nonce: now,
+        epoch: 0,
+        reports: this.#scores.reports(),
+        leader: this.#leader ?? '',
+      });
     }
   }
 
   #sendPong(to: FellowId, nonce: number): void {
-    this.#speak(to, { kind: 'pong', nonce, epoch: 0, reports: this.#scores.reports(), standing: '' });
+    this.#speak(to, {
+      kind: 'pong',
+      nonce,
+      epoch: 0,
+      reports: this.#scores.reports(),
+      standing: '',
+    });
   }
 
   #receivePong(now: Moment, from: FellowId, sent: number, reports: readonly ReportMessage[]): void {
@@ -255,7 +364,8 @@
     this.#role = 'proposing';
     this.#deferrals = new Set([this.#me]);
     this.#limit = later(now, this.#settings.electionMs);
-    for (const fellow of this.#others()) this.#speak(fellow, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
+    for (const fellow of this.#others())
+      this.#speak(fellow, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
     if (this.#quorum.all.length === 1) this.#win(now);
   }
 
@@ -270,7 +380,12 @@
     }
   }
 
-  #receivePropose(now: Moment, from: FellowId, epoch: Epoch, reports: readonly ReportMessage[]): void {
+  #receivePropose(
+    now: Moment,
+    from: FellowId,
+    epoch: Epoch,
+    reports: readonly ReportMessage[],
+  ): void {
     this.#scores.merge(reports);
     if (!this.#mayVote || !this.#quorum.holds(from)) return;
     const isSettled = this.#leader !== undefined && !isElecting(this.#epoch);
@@ -278,13 +393,18 @@
       // From outside the quorum: only worth an election if another than the present leader would come out of it,
       // or if we lead ourselves and the newcomer has run ahead, since it could then never accept our renewals.
       if (this.#isOutscored()) this.#startIfReachable(now);
-      else if (this.#leader === this.#me && epoch > this.#epoch) { this.#adopt(epoch, now); this.#startIfReachable(now); }
+      else if (this.#leader === this.#me && epoch > this.#epoch) {
+        this.#adopt(epoch, now);
+        this.#startIfReachable(now);
+      }
       return;
     }
     if (epoch < this.#epoch) {
       // An old message. A sender that looks newly booted must learn the epoch to take part; while electing, start anew for it.
-      if (!isSettled && this.#role === 'proposing') this.#speak(from, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
-      else this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() });
+      if (!isSettled && this.#role === 'proposing')
+        this.#speak(from, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
+      else
+        this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() });
       return;
     }
     if (epoch > this.#epoch) {
@@ -294,8 +414,19 @@
       this.#lose('looking');
       this.#adopt(epoch, now);
       // In the first moments after a start not all scores are known: whoever led before is not outbid by what is.
-      const isBetter = now < this.#listenUntil && this.#granted.leader === from ? false : isKept ? this.#isAbove(from) : this.#frozen.isBetter(this.#me, from, this.#quorum.all);
-      if (isBetter && !this.#isRetired && this.#quorum.holds(this.#me) && this.#reachesMajority() && !this.#isStalled(now)) {
+      const isBetter =
+        now < this.#listenUntil && this.#granted.leader === from
+          ? false
+          : isKept
+            ? this.#isAbove(from)
+            : this.#frozen.isBetter(this.#me, from, this.#quorum.all);
+      if (
+        isBetter &&
+        !this.#isRetired &&
+        this.#quorum.holds(this.#me) &&
+        this.#reachesMajority() &&
+        !this.#isStalled(now)
+      ) {
         this.start(now);
       } else {
         this.#deferTo(now, from, reports);
@@ -305,7 +436,10 @@
     if (!isElecting(epoch)) return;
     const current = this.#deferredTo ?? (this.#role === 'proposing' ? this.#me : undefined);
     if (current === from) return;
-    if (current === undefined) { this.#deferTo(now, from, reports); return; }
+    if (current === undefined) {
+      this.#deferTo(now, from, reports);
+      return;
+    }
     if (!this.#frozen.isBetter(from, current, this.#quorum.all)) return;
     const view = this.#deferredScores ?? this.#frozen;
     // Deferral is transitive: where the one we chose before would not defer here, everyone starts over.
@@ -323,12 +457,21 @@
     this.#speak(from, { kind: 'defer', epoch: this.#epoch, reports: this.#frozen.reports() });
   }
 
-  #receiveDefer(now: Moment, from: FellowId, epoch: Epoch, reports: readonly ReportMessage[]): void {
+  #receiveDefer(
+    now: Moment,
+    from: FellowId,
+    epoch: Epoch,
+    reports: readonly ReportMessage[],
+  ): void {
     this.#scores.merge(reports);
     if (this.#role !== 'proposing' || epoch !== this.#epoch || !this.#quorum.holds(from)) return;
     this.#deferrals.add(from);
     // Everyone in reach has deferred: nothing is gained by waiting for the limit.
-    if (this.#quorum.isMajority(this.#deferrals) && this.#others().every(this.#deferredOrDead, this)) this.#win(now);
+    if (
+      this.#quorum.isMajority(this.#deferrals) &&
+      this.#others().every(this.#deferredOrDead, this)
+    )
+      this.#win(now);
   }
 
   #deferredOrDead(fellow: FellowId): boolean {
@@ -349,19 +492,46 @@
     this.#renewals.clear();
     const nonce = this.#openRenewal(now);
     this.#grant(now, this.#me, nonce);
-    for (const fellow of this.#others()) this.#speak(fellow, { kind: 'victory', epoch, reports: this.#scores.reports(), nonce, quorum: [...insiders] });
-  }
-
-  #receiveVictory(now: Moment, from: FellowId, epoch: Epoch, reports: readonly ReportMessage[], nonce: number, quorum: readonly string[]): void {
+    for (const fellow of this.#others())
+      this.#speak(fellow, {
+        kind: 'victory',
+        epoch,
+        reports: this.#scores.reports(),
+        nonce,
+        quorum: [...insiders],
+      });
+  }
+
+  #receiveVictory(
+    now: Moment,
+    from: FellowId,
+    epoch: Epoch,
+    reports: readonly ReportMessage[],
+    nonce: number,
+    quorum: readonly string[],
+  ): void {
     this.#scores.merge(reports);
     if (!this.#mayVote || !this.#quorum.holds(from) || isElecting(epoch)) return;
-    if (epoch < this.#epoch) { this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() }); return; }
+    if (epoch < this.#epoch) {
+      this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() });
+      return;
+    }
     this.#follow(now, from, epoch, nonce, quorum);
   }
 
-  #follow(now: Moment, from: FellowId, epoch: Epoch, nonce: number, quorum: readonly string[]): void {
+  #follow(
+    now: Moment,
+    from: FellowId,
+    epoch: Epoch,
+    nonce: number,
+    quorum: readonly string[],
+  ): void {
     // One grant per epoch, even if two winners of overlapping deferrals ask.
-    if (this.#granted.epoch >= epoch && !(this.#granted.epoch === epoch && this.#granted.leader === from)) return;
+    if (
+      this.#granted.epoch >= epoch &&
+      !(this.#granted.epoch === epoch && this.#granted.leader === from)
+    )
+      return;
     if (epoch > this.#epoch || this.#leader !== from) {
       this.#lose('following');
       this.#adopt(epoch, now);
@@ -391,8 +561,10 @@
       this.#keep(now);
     }
     this.#promises.set(leader, later(now, this.#settings.spanMs));
-    if (leader === this.#me) this.#afterKept(this.#countGrant.bind(this, now, this.#me, epoch, wait, nonce));
-    else this.#speak(leader, { kind: 'granted', epoch, wait, nonce, reports: this.#scores.reports() });
+    if (leader === this.#me)
+      this.#afterKept(this.#countGrant.bind(this, now, this.#me, epoch, wait, nonce));
+    else
+      this.#speak(leader, { kind: 'granted', epoch, wait, nonce, reports: this.#scores.reports() });
   }
 
   /** Once what was promised to others has run out, the record says so; nothing said meanwhile waits for that. */
@@ -404,14 +576,22 @@
 
   /** How long from now the promises made to others still bind, with the span in which nobody orders. */
   #wait(now: Moment, leader: FellowId): number {
-    let until = leader === this.#bootLeader ? moment(now - this.#settings.leaseMs * 2) : this.#bootPromise;
+    let until =
+      leader === this.#bootLeader ? moment(now - this.#settings.leaseMs * 2) : this.#bootPromise;
     for (const [other, end] of this.#promises) if (other !== leader && end > until) until = end;
     // The holder's clock may be slow, ours and the winner's fast: each span is made longer by what they may differ.
     const { leaseMs, spanMs, drift } = this.#settings;
     return Math.max(0, (until + leaseMs - now) * (1 + 3 * drift) + 2 * drift * spanMs);
   }
 
-  #receiveGranted(now: Moment, from: FellowId, epoch: Epoch, wait: number, nonce: number, reports: readonly ReportMessage[]): void {
+  #receiveGranted(
+    now: Moment,
+    from: FellowId,
+    epoch: Epoch,
+    wait: number,
+    nonce: number,
+    reports: readonly ReportMessage[],
+  ): void {
     this.#scores.merge(reports);
     this.#countGrant(now, from, epoch, wait, nonce);
   }
@@ -424,7 +604,8 @@
     if (known === undefined || later(now, wait) < known) this.#grants.set(from, later(now, wait));
     this.#settleOrderFrom();
     this.#countRenewal(from, nonce);
-    if (this.#role === 'won' && this.#quorum.isMajority(new Set(this.#grants.keys()))) this.#role = 'leading';
+    if (this.#role === 'won' && this.#quorum.isMajority(new Set(this.#grants.keys())))
+      this.#role = 'leading';
   }
 
   /** Any majority of grants shares a voter with the one that renewed the holder before us: the one free first is enough. */
@@ -464,11 +645,18 @@
     if (now < later(this.#renewedAt, this.#settings.renewMs)) return;
     this.#renewedAt = now;
     const nonce = this.#openRenewal(now);
-    for (const [old, renewal] of this.#renewals) if (now - renewal.sent > this.#settings.spanMs) this.#renewals.delete(old);
+    for (const [old, renewal] of this.#renewals)
+      if (now - renewal.sent > this.#settings.spanMs) this.#renewals.delete(old);
     this.#promises.set(this.#me, later(now, this.#settings.spanMs));
     // Our own renewal counts only once our own grant of this epoch is on disk.
     this.#afterKept(this.#countRenewal.bind(this, this.#me, nonce));
-    for (const fellow of this.#others()) this.#speak(fellow, { kind: 'renew', epoch: this.#epoch, nonce, quorum: [...this.#insiders] });
+    for (const fellow of this.#others())
+      this.#speak(fellow, {
+        kind: 'renew',
+        epoch: this.#epoch,
+        nonce,
+        quorum: [...this.#insiders],
+      });
   }
 
   #receiveReleased(now: Moment, from: FellowId, epoch: Epoch): void {
@@ -479,10 +667,24 @@
     this.#startIfReachable(now);
   }
 
-  #receiveRenew(now: Moment, from: FellowId, epoch: Epoch, nonce: number, quorum: readonly string[]): void {
+  #receiveRenew(
+    now: Moment,
+    from: FellowId,
+    epoch: Epoch,
+    nonce: number,
+    quorum: readonly string[],
+  ): void {
     if (!this.#mayVote || !this.#quorum.holds(from) || isElecting(epoch)) return;
-    if (epoch < this.#epoch) { this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: [] }); return; }
-    if (this.#granted.epoch === epoch && this.#granted.leader === from && this.#epoch === epoch && this.#leader === from) {
+    if (epoch < this.#epoch) {
+      this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: [] });
+      return;
+    }
+    if (
+      this.#granted.epoch === epoch &&
+      this.#granted.leader === from &&
+      this.#epoch === epoch &&
+      this.#leader === from
+    ) {
       this.#heardLeader = now;
       this.#insiders = new Set([this.#me, from, ...quorum.map(fellowId)]);
       this.#promises.set(from, later(now, this.#settings.spanMs));
@@ -497,7 +699,9 @@
 
   #others(): FellowId[] {
     const me = this.#me;
-    function isOther(fellow: FellowId): boolean { return fellow !== me; }
+    function isOther(fellow: FellowId): boolean {
+      return fellow !== me;
+    }
     return this.#quorum.all.filter(isOther);
   }
 
@@ -506,16 +710,24 @@
     const leader = this.#leader;
     const top = this.#scores.top(this.#quorum.all);
     if (leader === undefined || top === undefined) return true;
-    return Math.round(this.#scores.total(top, this.#quorum.all) * 1000) > Math.round(this.#scores.total(leader, this.#quorum.all) * 1000);
+    return (
+      Math.round(this.#scores.total(top, this.#quorum.all) * 1000) >
+      Math.round(this.#scores.total(leader, this.#quorum.all) * 1000)
+    );
   }
 
   /** Whether our total is above the other's, leaving the tie-break aside. */
   #isAbove(fellow: FellowId): boolean {
-    return Math.round(this.#frozen.total(this.#me, this.#quorum.all) * 1000) > Math.round(this.#frozen.total(fellow, this.#quorum.all) * 1000);
+    return (
+      Math.round(this.#frozen.total(this.#me, this.#quorum.all) * 1000) >
+      Math.round(this.#frozen.total(fellow, this.#quorum.all) * 1000)
+    );
   }
 
   #reachesMajority(): boolean {
-    return this.#quorum.isMajority(new Set(this.#quorum.all.filter(this.#scores.isAlive, this.#scores)));
+    return this.#quorum.isMajority(
+      new Set(this.#quorum.all.filter(this.#scores.isAlive, this.#scores)),
+    );
   }
 
   #isStalled(now: Moment): boolean {
@@ -561,8 +773,11 @@
     else this.#afterKept(this.#push.bind(this, send));
   }
 
-  #push(effect: VoteEffect): void { this.#effects.push(effect); }
+  #push(effect: VoteEffect): void {
+    this.#effects.push(effect);
+  }
 }
 
-
-function byEnd(a: readonly [FellowId, Moment], b: readonly [FellowId, Moment]): number { return a[1] - b[1]; }
+function byEnd(a: readonly [FellowId, Moment], b: readonly [FellowId, Moment]): number {
+  return a[1] - b[1];
+}
--- a/src/vote/Scores.test.ts
+++ b/src/vote/Scores.test.ts
@@ -36,9 +36,13 @@
   scores.reportLive(b, 1);
   scores.merge([{ owner: 'a', version: 90, links: [{ fellow: 'b', score: 0.4, alive: false }] }]);
   scores.reportLive(b, 0);
-  expect(scores.reports()[0]).toEqual({ owner: 'a', version: 92, links: [{ fellow: 'b', score: 0.4, alive: true }] });
+  expect(scores.reports()[0]).toEqual({
+    owner: 'a',
+    version: 92,
+    links: [{ fellow: 'b', score: 0.4, alive: true }],
+  });
 }
-test('a score moves by the design\'s formula and never below 0', checkFormula);
+test("a score moves by the design's formula and never below 0", checkFormula);
 test('a down link counts 0', checkDownIsZero);
 test('scores never go backward, and a frozen copy stays', checkMerge);
 test('a restarted owner goes on from its own last version', checkRestart);
--- a/src/vote/Scores.ts
+++ b/src/vote/Scores.ts
@@ -1,8 +1,14 @@
 import type { ReportMessage } from '../kin/Messages.js';
 import { fellowId, type FellowId } from '../kin/Ids.js';
 
-interface LinkScore { readonly score: number; readonly isAlive: boolean }
-interface OwnerReport { readonly version: number; readonly links: ReadonlyMap<FellowId, LinkScore> }
+interface LinkScore {
+  readonly score: number;
+  readonly isAlive: boolean;
+}
+interface OwnerReport {
+  readonly version: number;
+  readonly links: ReadonlyMap<FellowId, LinkScore>;
+}
 
 const NO_REPORT: OwnerReport = { version: 0, links: new Map() };
 
@@ -15,7 +21,11 @@
   readonly #halfLife: number;
   readonly #reports: Map<FellowId, OwnerReport>;
 
-  constructor(me: FellowId, halfLife: number, reports: ReadonlyMap<FellowId, OwnerReport> = new Map()) {
+  constructor(
+    me: FellowId,
+    halfLife: number,
+    reports: ReadonlyMap<FellowId, OwnerReport> = new Map(),
+  ) {
     this.#me = me;
     this.#halfLife = halfLife;
     this.#reports = new Map(reports);
@@ -49,10 +59,15 @@
       const known = this.#reports.get(owner) ?? NO_REPORT;
       if (report.version <= known.version) continue;
       const links = new Map<FellowId, LinkScore>();
-      for (const link of report.links) links.set(fellowId(link.fellow), { score: link.score, isAlive: link.alive });
+      for (const link of report.links)
+        links.set(fellowId(link.fellow), { score: link.score, isAlive: link.alive });
       if (owner === this.#me) {
         // Our own report, from before a restart: go on from its version and scores, but trust only our own pings for liveness.
-        for (const [fellow, link] of links) links.set(fellow, { score: link.score, isAlive: known.links.get(fellow)?.isAlive ?? false });
+        for (const [fellow, link] of links)
+          links.set(fellow, {
+            score: link.score,
+            isAlive: known.links.get(fellow)?.isAlive ?? false,
+          });
         this.#reports.set(owner, { version: report.version + 1, links });
       } else {
         this.#reports.set(owner, { version: report.version, links });
@@ -64,7 +79,8 @@
     const list: ReportMessage[] = [];
     for (const [owner, report] of this.#reports) {
       const links = [];
-      for (const [fellow, link] of report.links) links.push({ fellow, score: link.score, alive: link.isAlive });
+      for (const [fellow, link] of report.links)
+        links.push({ fellow, score: link.score, alive: link.isAlive });
       list.push({ owner, version: report.version, links });
     }
     return list;
@@ -82,13 +98,15 @@
 
   // Totals are compared in thousandths: views that differ by the last ping alone must still agree, then the lower id leads.
   isBetter(a: FellowId, b: FellowId, voters: readonly FellowId[]): boolean {
-    const difference = Math.round(this.total(a, voters) * 1000) - Math.round(this.total(b, voters) * 1000);
+    const difference =
+      Math.round(this.total(a, voters) * 1000) - Math.round(this.total(b, voters) * 1000);
     return difference > 0 || (difference === 0 && a < b);
   }
 
   top(voters: readonly FellowId[]): FellowId | undefined {
     let best: FellowId | undefined;
-    for (const voter of voters) if (best === undefined || this.isBetter(voter, best, voters)) best = voter;
+    for (const voter of voters)
+      if (best === undefined || this.isBetter(voter, best, voters)) best = voter;
     return best;
   }
 
--- a/src/vote/VoteSettings.ts
+++ b/src/vote/VoteSettings.ts
@@ -16,5 +16,13 @@
 }
 
 export const VOTE_DEFAULTS: VoteSettings = {
-  pingMs: 300, deadMs: 1500, halfLifeSeconds: 12 * 3600, electionMs: 700, renewMs: 400, spanMs: 2000, leaseMs: 3000, drift: 0.01, stallMs: 500,
+  pingMs: 300,
+  deadMs: 1500,
+  halfLifeSeconds: 12 * 3600,
+  electionMs: 700,
+  renewMs: 400,
+  spanMs: 2000,
+  leaseMs: 3000,
+  drift: 0.01,
+  stallMs: 500,
 };
--- a/src/word/EditCommands.ts
+++ b/src/word/EditCommands.ts
@@ -4,7 +4,11 @@
 import { baseOfEdit } from './Operator.js';
 import { WORD_FLAGS, WordCommand } from './WordCommand.js';
 
-const BASE_FLAG = { base: Flags.integer({ description: 'the table this edit was made from; the present one if left out' }) } as const;
+const BASE_FLAG = {
+  base: Flags.integer({
+    description: 'the table this edit was made from; the present one if left out',
+  }),
+} as const;
 
 function valueOf(text: string): string | number | boolean {
   if (text === 'true' || text === 'repeatable' || text === 'stream') return true;
@@ -14,7 +18,7 @@
 
 abstract class EditCommand extends WordCommand {
   protected async base(apis: readonly string[], given: number | undefined): Promise<number> {
-    const base = given ?? await this.operator(apis).tableNumber();
+    const base = given ?? (await this.operator(apis).tableNumber());
     if (base === undefined) {
       process.stderr.write('turned-away: the present table could not be read\n');
       return this.exit(1);
@@ -25,7 +29,9 @@
 
 export class PutCommand extends EditCommand {
   static override description = 'put a whole table, written in the mapping language, in force';
-  static override args = { file: Args.string({ required: true, description: 'file in the mapping language' }) };
+  static override args = {
+    file: Args.string({ required: true, description: 'file in the mapping language' }),
+  };
   static override flags = { ...WORD_FLAGS, ...BASE_FLAG };
 
   async run(): Promise<void> {
@@ -47,7 +53,10 @@
   static override examples = ['haretrack word set check/receipt-* weight 120'];
   static override args = {
     row: Args.string({ required: true, description: 'the row, as TYPE/MODEL' }),
-    column: Args.string({ required: true, description: 'weight, take, lateMs, repeatable, stream, type or model' }),
+    column: Args.string({
+      required: true,
+      description: 'weight, take, lateMs, repeatable, stream, type or model',
+    }),
     value: Args.string({ required: true }),
   };
   static override flags = { ...WORD_FLAGS, ...BASE_FLAG };
@@ -57,16 +66,24 @@
     const base = await this.base(flags.api, flags.base);
     const { row, column } = args;
     const value = column === 'type' || column === 'model' ? args.value : valueOf(args.value);
-    this.tell(await this.operator(flags.api).edit('PATCH', '/table/cell', { base, row, column, value }), flags.json);
+    this.tell(
+      await this.operator(flags.api).edit('PATCH', '/table/cell', { base, row, column, value }),
+      flags.json,
+    );
   }
 }
 
 export class RowsCommand extends EditCommand {
   static override description = 'put and remove rows, leaving the rest of the table as it is';
   static override flags = {
-    ...WORD_FLAGS, ...BASE_FLAG,
+    ...WORD_FLAGS,
+    ...BASE_FLAG,
     file: Flags.string({ description: 'JSON file with a list of rows to put' }),
-    remove: Flags.string({ description: 'a row to remove, as TYPE/MODEL', multiple: true, default: [] }),
+    remove: Flags.string({
+      description: 'a row to remove, as TYPE/MODEL',
+      multiple: true,
+      default: [],
+    }),
   };
 
   async run(): Promise<void> {
@@ -79,7 +96,14 @@
       this.exit(2);
     }
     const base = await this.base(flags.api, flags.base);
-    this.tell(await this.operator(flags.api).edit('PATCH', '/table/rows', { base, put, remove: flags.remove }), flags.json);
+    this.tell(
+      await this.operator(flags.api).edit('PATCH', '/table/rows', {
+        base,
+        put,
+        remove: flags.remove,
+      }),
+      flags.json,
+    );
   }
 }
 
@@ -90,7 +114,14 @@
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(EmptyCommand);
-    this.tell(await this.operator(flags.api).edit('PUT', `/zones/${encodeURIComponent(args.zone)}/empty`, {}), flags.json);
+    this.tell(
+      await this.operator(flags.api).edit(
+        'PUT',
+        `/zones/${encodeURIComponent(args.zone)}/empty`,
+        {},
+      ),
+      flags.json,
+    );
   }
 }
 
@@ -101,40 +132,62 @@
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(FillCommand);
-    this.tell(await this.operator(flags.api).edit('DELETE', `/zones/${encodeURIComponent(args.zone)}/empty`, {}), flags.json);
+    this.tell(
+      await this.operator(flags.api).edit(
+        'DELETE',
+        `/zones/${encodeURIComponent(args.zone)}/empty`,
+        {},
+      ),
+      flags.json,
+    );
   }
 }
 
 export class AskEditCommand extends WordCommand {
-  static override description = 'ask what became of an edit whose outcome was unsure; one not accepted by now never will be';
+  static override description =
+    'ask what became of an edit whose outcome was unsure; one not accepted by now never will be';
   static override args = { id: Args.string({ required: true }) };
   static override flags = WORD_FLAGS;
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(AskEditCommand);
     const base = baseOfEdit(args.id);
-    this.tell(await this.operator(flags.api).ask('GET', `/edits/${encodeURIComponent(args.id)}${base === undefined ? '' : `?base=${base}`}`), flags.json);
+    this.tell(
+      await this.operator(flags.api).ask(
+        'GET',
+        `/edits/${encodeURIComponent(args.id)}${base === undefined ? '' : `?base=${base}`}`,
+      ),
+      flags.json,
+    );
   }
 }
 
 export class SwapCommand extends WordCommand {
   static override description = 'let a new control node vote in place of another';
-  static override args = { old: Args.string({ required: true, description: 'address of the voter to go' }), new: Args.string({ required: true, description: 'address of the one to come' }) };
+  static override args = {
+    old: Args.string({ required: true, description: 'address of the voter to go' }),
+    new: Args.string({ required: true, description: 'address of the one to come' }),
+  };
   static override flags = WORD_FLAGS;
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(SwapCommand);
-    this.tell(await this.operator(flags.api).edit('POST', '/voters/swap', { old: args.old, new: args.new }), flags.json);
+    this.tell(
+      await this.operator(flags.api).edit('POST', '/voters/swap', { old: args.old, new: args.new }),
+      flags.json,
+    );
   }
 }
 
 export class FoundCommand extends WordCommand {
-  static override description = 'found anew at nodes that lost everything, although members still hold a configuration';
+  static override description =
+    'found anew at nodes that lost everything, although members still hold a configuration';
   static override flags = WORD_FLAGS;
 
   async run(): Promise<void> {
     const { flags } = await this.parse(FoundCommand);
     // Each blank node must be told; one that is sound says so and does nothing.
-    for (const api of flags.api) this.tell(await this.operator([api]).ask('POST', '/found', {}), flags.json);
+    for (const api of flags.api)
+      this.tell(await this.operator([api]).ask('POST', '/found', {}), flags.json);
   }
 }
--- a/src/word/ImportCommand.ts
+++ b/src/word/ImportCommand.ts
@@ -4,8 +4,11 @@
 import { reasonOf } from '../kin/Defect.js';
 
 export class ImportCommand extends Command {
-  static override description = 'print the mappings of an OpenAPI file in the mapping language; rows are for you to write';
-  static override args = { file: Args.string({ required: true, description: 'OpenAPI file, JSON or YAML' }) };
+  static override description =
+    'print the mappings of an OpenAPI file in the mapping language; rows are for you to write';
+  static override args = {
+    file: Args.string({ required: true, description: 'OpenAPI file, JSON or YAML' }),
+  };
 
   async run(): Promise<void> {
     const { args } = await this.parse(ImportCommand);
--- a/src/word/ShowCommands.ts
+++ b/src/word/ShowCommands.ts
@@ -3,21 +3,36 @@
 import { WORD_FLAGS, WordCommand } from './WordCommand.js';
 
 const StatusShape = type({
-  me: string(), standing: string(), membersHoldState: boolean(), role: string(), epoch: number(), leader: string(), serving: boolean(), mayOrder: boolean(), leaseLeftMs: number(),
-  voters: array(string()), unsound: array(string()), config: string(), placesVersion: string(), machines: number(),
+  me: string(),
+  standing: string(),
+  membersHoldState: boolean(),
+  role: string(),
+  epoch: number(),
+  leader: string(),
+  serving: boolean(),
+  mayOrder: boolean(),
+  leaseLeftMs: number(),
+  voters: array(string()),
+  unsound: array(string()),
+  config: string(),
+  placesVersion: string(),
+  machines: number(),
   members: array(type({ id: string(), zone: string(), acked: string(), parent: string() })),
   intents: array(IntentShape),
 });
 
 export class CountersCommand extends WordCommand {
-  static override description = 'print a control node\'s counters';
+  static override description = "print a control node's counters";
   static override flags = WORD_FLAGS;
 
   async run(): Promise<void> {
     const { flags } = await this.parse(CountersCommand);
     for (const api of flags.api) {
       const { value } = await this.operator([api]).ask('GET', '/counters');
-      if (flags.json) { this.log(JSON.stringify(value)); continue; }
+      if (flags.json) {
+        this.log(JSON.stringify(value));
+        continue;
+      }
       this.log(api);
       for (const [name, count] of Object.entries(value)) this.log(`  ${name} ${String(count)}`);
     }
@@ -25,7 +40,8 @@
 }
 
 export class StatusCommand extends WordCommand {
-  static override description = 'show leader, epoch, scores, parts, members, pairs, and who waits and why';
+  static override description =
+    'show leader, epoch, scores, parts, members, pairs, and who waits and why';
   static override flags = WORD_FLAGS;
 
   async run(): Promise<void> {
@@ -39,20 +55,39 @@
       if (other.status === 200) returned = other;
     }
     const { value } = returned;
-    if (returned.status !== 200 || flags.json || !StatusShape.is(value)) { this.tell(returned, flags.json); return; }
+    if (returned.status !== 200 || flags.json || !StatusShape.is(value)) {
+      this.tell(returned, flags.json);
+      return;
+    }
     this.#print(value, value);
   }
 
   #print(status: Infer<typeof StatusShape>, raw: Record<string, unknown>): void {
-    this.log(`node ${status.me}: ${status.standing}, ${status.role}; epoch ${status.epoch}, leader ${status.leader || 'none'}`);
-    if (status.standing !== 'sound') this.log(status.membersHoldState ? 'blank, but members hold a configuration: see word found' : 'not counting yet');
-    this.log(`serving ${status.serving}, may order ${status.mayOrder}, lease left ${status.leaseLeftMs} ms`);
+    this.log(
+      `node ${status.me}: ${status.standing}, ${status.role}; epoch ${status.epoch}, leader ${status.leader || 'none'}`,
+    );
+    if (status.standing !== 'sound')
+      this.log(
+        status.membersHoldState
+          ? 'blank, but members hold a configuration: see word found'
+          : 'not counting yet',
+      );
+    this.log(
+      `serving ${status.serving}, may order ${status.mayOrder}, lease left ${status.leaseLeftMs} ms`,
+    );
     this.log(`voters ${status.voters.join(' ')}`);
     this.log(`scores ${JSON.stringify(raw['scores'])}`);
-    this.log(`config ${status.config}, places ${status.placesVersion}, machines ${status.machines}`);
-    this.log(`parts ${JSON.stringify(raw['parts'])}${status.unsound.length > 0 ? `, unsound: ${status.unsound.join(' ')}` : ''}`);
+    this.log(
+      `config ${status.config}, places ${status.placesVersion}, machines ${status.machines}`,
+    );
+    this.log(
+      `parts ${JSON.stringify(raw['parts'])}${status.unsound.length > 0 ? `, unsound: ${status.unsound.join(' ')}` : ''}`,
+    );
     this.log(`members ${status.members.length}`);
-    for (const member of status.members) this.log(`  ${member.id} ${member.zone} config ${member.acked} under ${member.parent || 'a mind'}`);
+    for (const member of status.members)
+      this.log(
+        `  ${member.id} ${member.zone} config ${member.acked} under ${member.parent || 'a mind'}`,
+      );
     const places: unknown = raw['places'];
     if (PlacesShape.is(places)) {
       this.log('models');
@@ -62,6 +97,7 @@
         this.log(`  ${place.model} ${pair}${place.wait === '' ? '' : ` (${place.wait})`}`);
       }
     }
-    for (const intent of status.intents) this.log(`under way: ${intent.verb} ${intent.model} ${intent.adapter} at ${intent.runner}`);
+    for (const intent of status.intents)
+      this.log(`under way: ${intent.verb} ${intent.model} ${intent.adapter} at ${intent.runner}`);
   }
 }
--- a/src/word/TableCommand.ts
+++ b/src/word/TableCommand.ts
@@ -5,24 +5,42 @@
 import { LiveShape, type Live, type LiveModel } from '../place/Live.js';
 import { WORD_FLAGS, WordCommand } from './WordCommand.js';
 
-const TableReturnShape = type({ number: number(), table: TableShape, emptied: array(string()), voters: array(array(string())) });
+const TableReturnShape = type({
+  number: number(),
+  table: TableShape,
+  emptied: array(string()),
+  voters: array(array(string())),
+});
 const WATCH_MS = 500;
 /** Nothing under way and nothing changed for so many looks: the placement has settled. */
 const CALM_LOOKS = 6;
 
 /** The table as text, or with who serves and who waits beside each row. */
 export class TableCommand extends WordCommand {
-  static override description = 'print the table in force; with --live, each row with its places, its demand and who waits for what';
+  static override description =
+    'print the table in force; with --live, each row with its places, its demand and who waits for what';
   static override flags = {
     ...WORD_FLAGS,
-    live: Flags.boolean({ default: false, description: 'print each row beside primary, understudy, zones, demand and waits' }),
-    watch: Flags.boolean({ default: false, description: 'like --live, printed anew at each change until the placement has settled' }),
-    seconds: Flags.integer({ default: 120, description: 'with --watch: the longest; exit code 1 if it has not settled by then' }),
+    live: Flags.boolean({
+      default: false,
+      description: 'print each row beside primary, understudy, zones, demand and waits',
+    }),
+    watch: Flags.boolean({
+      default: false,
+      description: 'like --live, printed anew at each change until the placement has settled',
+    }),
+    seconds: Flags.integer({
+      default: 120,
+      description: 'with --watch: the longest; exit code 1 if it has not settled by then',
+    }),
   };
 
   async run(): Promise<void> {
     const { flags } = await this.parse(TableCommand);
-    if (flags.watch) { await this.#watch(flags.api, flags.seconds, flags.json); return; }
+    if (flags.watch) {
+      await this.#watch(flags.api, flags.seconds, flags.json);
+      return;
+    }
     if (flags.live) {
       const live = await this.#ask(flags.api, flags.json);
       if (live) this.log(flags.json ? JSON.stringify(live) : liveText(live));
@@ -30,8 +48,13 @@
     }
     const returned = await this.operator(flags.api).ask('GET', '/table');
     const { value } = returned;
-    if (returned.status !== 200 || flags.json || !TableReturnShape.is(value)) { this.tell(returned, flags.json); return; }
-    this.log(`# table ${value.number}${value.emptied.length > 0 ? `, emptied zones: ${value.emptied.join(' ')}` : ''}`);
+    if (returned.status !== 200 || flags.json || !TableReturnShape.is(value)) {
+      this.tell(returned, flags.json);
+      return;
+    }
+    this.log(
+      `# table ${value.number}${value.emptied.length > 0 ? `, emptied zones: ${value.emptied.join(' ')}` : ''}`,
+    );
     this.log(printTable(value.table).trimEnd());
   }
 
@@ -56,16 +79,23 @@
       before = places;
       await new Promise<void>(afterLook);
     }
-    if (calm >= CALM_LOOKS) { if (!isJson) this.log('settled'); return; }
+    if (calm >= CALM_LOOKS) {
+      if (!isJson) this.log('settled');
+      return;
+    }
     if (!isJson) process.stderr.write(`not settled within ${seconds} s\n`);
     this.exit(1);
   }
 }
 
-function afterLook(done: () => void): void { setTimeout(done, WATCH_MS); }
+function afterLook(done: () => void): void {
+  setTimeout(done, WATCH_MS);
+}
 
 function seatText(seat: LiveModel['primary']): string {
-  return seat.runner === '' ? '-' : `${seat.runner} (${seat.zone})${seat.isReady ? '' : ' fetching'}`;
+  return seat.runner === ''
+    ? '-'
+    : `${seat.runner} (${seat.zone})${seat.isReady ? '' : ' fetching'}`;
 }
 
 function modelText(model: LiveModel): string {
@@ -75,25 +105,42 @@
 
 /** Each row with the models that it serves; a model that several rows want stands under the first of them. */
 export function liveText(live: Live): string {
-  const lines = [`table ${live.number}, emptied zones: ${live.emptied.join(' ') || 'none'}, orders under way: ${live.underWay}`];
+  const lines = [
+    `table ${live.number}, emptied zones: ${live.emptied.join(' ') || 'none'}, orders under way: ${live.underWay}`,
+  ];
   const seen = new Set<string>();
   for (const row of live.rows) {
     lines.push(`${row.row}  weight ${row.weight}  ${row.rate.toFixed(1)}/s of ${row.take}/s`);
-    if (row.row.includes('/@')) { lines.push('  plain back ends, not placed'); continue; }
+    if (row.row.includes('/@')) {
+      lines.push('  plain back ends, not placed');
+      continue;
+    }
     const own: LiveModel[] = [];
-    for (const model of live.models) if (model.rows.includes(row.row) && !seen.has(model.model)) own.push(model);
-    for (const model of own) { seen.add(model.model); lines.push(modelText(model)); }
-    if (own.length === 0) lines.push('  no model of the weight store, or all stand under rows above');
+    for (const model of live.models)
+      if (model.rows.includes(row.row) && !seen.has(model.model)) own.push(model);
+    for (const model of own) {
+      seen.add(model.model);
+      lines.push(modelText(model));
+    }
+    if (own.length === 0)
+      lines.push('  no model of the weight store, or all stand under rows above');
   }
   const waits = live.models.filter(hasWait).map(nameOf);
   lines.push(waits.length === 0 ? 'nobody waits' : `waiting: ${waits.join(' ')}`);
   return lines.join('\n');
 }
 
-function hasWait(model: LiveModel): boolean { return model.wait !== ''; }
-function nameOf(model: LiveModel): string { return model.model; }
+function hasWait(model: LiveModel): boolean {
+  return model.wait !== '';
+}
+function nameOf(model: LiveModel): string {
+  return model.model;
+}
 function placesText(live: Live): string {
   const parts: string[] = [String(live.number), live.emptied.join(' ')];
-  for (const model of live.models) parts.push(`${model.model} ${seatText(model.primary)} ${seatText(model.understudy)} ${model.wait}`);
+  for (const model of live.models)
+    parts.push(
+      `${model.model} ${seatText(model.primary)} ${seatText(model.understudy)} ${model.wait}`,
+    );
   return parts.sort().join('\n');
 }
