--- a/src/agent/AgentCommand.ts
+++ b/src/agent/AgentCommand.ts
@@ -1,25 +1,25 @@
 import { Flags } from '@oclif/core';
 import { makeLog } from '../common/Log.js';
 import { PROGRAM_FLAGS, ProgramCommand, SEED_FLAGS } from '../common/ProgramCommand.js';
-import { LinkSettingsShape } from '../common/Settings.js';
+import { TableAgentSettingsShape } from '../common/Settings.js';
 import { untilStopped } from '../common/Shutdown.js';
 import { StatusPort } from '../common/StatusPort.js';
-import { LinkProcess } from './TableAgentProcess.js';
+import { TableAgentProcess } from './TableAgentProcess.js';
 
-export class LinkCommand extends ProgramCommand {
+export class AgentCommand extends ProgramCommand {
   static override description = 'run the agent beside a proxy';
   static override flags = {
     ...PROGRAM_FLAGS,
     ...SEED_FLAGS,
     feed: Flags.string({ description: 'loopback address where the proxy is fed' }),
     status: Flags.string({ description: 'address for counters' }),
-    blindMs: Flags.integer({ description: 'as set for the flows' }),
+    blindMs: Flags.integer({ description: 'as set for the proxies' }),
   };
 
   async run(): Promise<void> {
-    const { flags } = await this.parse(LinkCommand);
-    const settings = this.settle(LinkSettingsShape, flags);
-    const link = new LinkProcess(settings, makeLog('link', settings.listen));
+    const { flags } = await this.parse(AgentCommand);
+    const settings = this.settle(TableAgentSettingsShape, flags);
+    const link = new TableAgentProcess(settings, makeLog('link', settings.listen));
     const status = new StatusPort(link.counters.bind(link));
     async function start(): Promise<void> {
       await link.start();
--- a/src/agent/AgentCore.test.ts
+++ b/src/agent/AgentCore.test.ts
@@ -1,10 +1,10 @@
 import { expect, test } from 'vitest';
 import { moment } from '../common/Ids.js';
 import { NO_VERSION, type Version } from '../common/Version.js';
-import { LinkCore, type LinkEffect } from './AgentCore.js';
+import { AgentCore, type AgentEffect } from './AgentCore.js';
 
 const seeds = ['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1'];
-function acks(core: LinkCore): Version[] {
+function acks(core: AgentCore): Version[] {
   const list: Version[] = [];
   for (const effect of core.drain())
     if (effect.do === 'send' && (effect.message.kind === 'ack' || effect.message.kind === 'join'))
@@ -12,47 +12,52 @@
   return list;
 }
 function checkRestart(): void {
-  // Killed and started anew: the proxy beside it may still be fresh by what it was vouched for through our former life.
-  const core = new LinkCore(
-    { me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, life: 0 },
+  // Killed and started anew: the proxy beside it may still be fresh by what it was confirmed fresh through our former incarnation.
+  const core = new AgentCore(
+    { me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, incarnation: 0 },
     moment(0),
   );
-  core.receive(moment(10), core.mind, 'mind', {
-    kind: 'news',
+  core.receive(moment(10), core.controlNode, 'mind', {
+    kind: 'update',
     topic: 'config',
     epoch: 2,
     count: 7,
     body: '{"voters":[]}',
   });
-  core.beat(moment(20));
+  core.tick(moment(20));
   for (const version of acks(core)) expect(version).toEqual(NO_VERSION);
-  core.receive(moment(30), core.mind, 'mind', { kind: 'hang', parent: '' });
-  core.beat(moment(2600));
+  core.receive(moment(30), core.controlNode, 'mind', { kind: 'assignParent', parent: '' });
+  core.tick(moment(2600));
   expect(acks(core)).toContainEqual({ epoch: 2, count: 7 });
 }
 function checkParentSilent(): void {
-  const core = new LinkCore(
-    { me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, life: 0 },
+  const core = new AgentCore(
+    { me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, incarnation: 0 },
     moment(0),
   );
-  core.receive(moment(0), core.mind, 'mind', { kind: 'hang', parent: '10.0.1.9:1' });
-  core.receive(moment(10), 'flow@1', 'flow', { kind: 'ask', nonce: 5, have: [], members: [] });
+  core.receive(moment(0), core.controlNode, 'mind', { kind: 'assignParent', parent: '10.0.1.9:1' });
+  core.receive(moment(10), 'flow@1', 'flow', {
+    kind: 'freshnessRequest',
+    nonce: 5,
+    have: [],
+    members: [],
+  });
   expect(core.drain()).toContainEqual({
     do: 'send',
     to: '10.0.1.9:1',
-    message: { kind: 'ask', nonce: 1, have: [], members: ['10.0.1.1:1'] },
+    message: { kind: 'freshnessRequest', nonce: 1, have: [], members: ['10.0.1.1:1'] },
   });
-  core.beat(moment(370));
-  // The parent returned nothing: the ask goes to the mind, and the mind is told who could not be reached.
+  core.tick(moment(370));
+  // The parent returned nothing: the ask goes to the control node, and the control node is told who could not be reached.
   const sends = core.drain();
   expect(sends).toContainEqual({
     do: 'send',
-    to: core.mind,
-    message: { kind: 'ask', nonce: 2, have: [], members: ['10.0.1.1:1'] },
+    to: core.controlNode,
+    message: { kind: 'freshnessRequest', nonce: 2, have: [], members: ['10.0.1.1:1'] },
   });
   expect(sends.some(tellsLost)).toBe(true);
-  core.receive(moment(380), core.mind, 'mind', {
-    kind: 'vouch',
+  core.receive(moment(380), core.controlNode, 'mind', {
+    kind: 'freshnessReply',
     nonce: 2,
     epoch: 0,
     count: 0,
@@ -61,80 +66,92 @@
   expect(core.drain()).toContainEqual({
     do: 'send',
     to: 'flow@1',
-    message: { kind: 'vouch', nonce: 5, epoch: 0, count: 0, marks: 0 },
+    message: { kind: 'freshnessReply', nonce: 5, epoch: 0, count: 0, marks: 0 },
   });
 }
 function checkNames(): void {
-  const core = new LinkCore(
-    { me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, life: 0 },
+  const core = new AgentCore(
+    { me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, incarnation: 0 },
     moment(0),
   );
   core.receive(moment(10), '10.0.1.2:1', 'link', {
-    kind: 'ask',
+    kind: 'freshnessRequest',
     nonce: 3,
     have: [],
     members: ['10.0.1.2:1', '10.0.1.3:1'],
   });
   expect(core.drain()).toContainEqual({
     do: 'send',
-    to: core.mind,
+    to: core.controlNode,
     message: {
-      kind: 'ask',
+      kind: 'freshnessRequest',
       nonce: 1,
       have: [],
       members: ['10.0.1.1:1', '10.0.1.2:1', '10.0.1.3:1'],
     },
   });
 }
-function tellsLost(effect: LinkEffect): boolean {
+function tellsLost(effect: AgentEffect): boolean {
   return (
     effect.do === 'send' && effect.message.kind === 'join' && effect.message.lost === '10.0.1.9:1'
   );
 }
-test('a link started anew vouches for no proxy until it has surely gone blind', checkRestart);
+test('a link started anew confirms no proxy until it has surely gone blind', checkRestart);
 test('an ask names everybody below who will be fresh by it', checkNames);
-test('a silent parent is left within half a second and its asks go to the mind', checkParentSilent);
+test(
+  'a silent parent is left within half a second and its asks go to the control node',
+  checkParentSilent,
+);
 
-test('beside its own mind an agent asks the others for news, each in turn', checkAcross);
+test('beside its own control node an agent asks the others for news, each in turn', checkAcross);
 
-/** Its mind may be cut off from a majority that has accepted something since. */
+/** Its control node may be cut off from a majority that has accepted something since. */
 function checkAcross(): void {
-  const core = new LinkCore(
-    { me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, life: 0, isDeployed: true },
+  const core = new AgentCore(
+    { me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, incarnation: 0, isDeployed: true },
     moment(0),
   );
   const asked = new Set<string>();
   for (let now = 0; now <= 1600; now += 100) {
-    core.receive(moment(now), core.mind, 'mind', {
-      kind: 'minds',
-      minds: [],
-      leader: core.mind,
+    core.receive(moment(now), core.controlNode, 'mind', {
+      kind: 'controlNodes',
+      controlNodes: [],
+      leader: core.controlNode,
       epoch: 0,
       count: 0,
     });
-    core.beat(moment(now));
+    core.tick(moment(now));
     for (const effect of core.drain())
-      if (effect.do === 'send' && effect.message.kind === 'ask' && effect.message.nonce < 0)
+      if (
+        effect.do === 'send' &&
+        effect.message.kind === 'freshnessRequest' &&
+        effect.message.nonce < 0
+      )
         asked.add(effect.to);
   }
   expect([...asked].sort()).toEqual(seeds.filter(isOther));
   function isOther(seed: string): boolean {
-    return seed !== core.mind;
+    return seed !== core.controlNode;
   }
 }
 
 /** A child that was hung elsewhere says nothing of it here: fed on, it would get everything from each parent it ever had. */
 function checkMoved(): void {
-  const core = new LinkCore(
-    { me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, life: 0, isDeployed: true },
+  const core = new AgentCore(
+    { me: '10.0.1.1:1', zone: 'z', seeds, blindMs: 2500, incarnation: 0, isDeployed: true },
     moment(0),
   );
   function ask(at: number, child: string): void {
-    core.receive(moment(at), child, 'link', { kind: 'ask', nonce: 0, have: [], members: [] });
+    core.receive(moment(at), child, 'link', {
+      kind: 'freshnessRequest',
+      nonce: 0,
+      have: [],
+      members: [],
+    });
   }
   function fed(at: number, count: number): string[] {
-    core.receive(moment(at), core.mind, 'mind', {
-      kind: 'news',
+    core.receive(moment(at), core.controlNode, 'mind', {
+      kind: 'update',
       topic: 'config',
       epoch: 2,
       count,
@@ -142,7 +159,7 @@
     });
     const to: string[] = [];
     for (const effect of core.drain())
-      if (effect.do === 'send' && effect.message.kind === 'news') to.push(effect.to);
+      if (effect.do === 'send' && effect.message.kind === 'update') to.push(effect.to);
     return to;
   }
   ask(0, '10.0.1.2:1');
@@ -150,7 +167,7 @@
   expect(fed(10, 1)).toEqual(['10.0.1.2:1', '10.0.1.3:1']);
   for (let at = 1000; at <= 5000; at += 1000) {
     ask(at, '10.0.1.3:1');
-    core.beat(moment(at));
+    core.tick(moment(at));
   }
   core.drain();
   expect(fed(5010, 2)).toEqual(['10.0.1.3:1']);
@@ -159,7 +176,7 @@
   expect(core.drain()).toContainEqual({
     do: 'send',
     to: '10.0.1.2:1',
-    message: { kind: 'news', topic: 'config', epoch: 2, count: 2, body: '{"voters":[]}' },
+    message: { kind: 'update', topic: 'config', epoch: 2, count: 2, body: '{"voters":[]}' },
   });
 }
 test('a child that hangs elsewhere by now is fed there alone', checkMoved);
--- a/src/agent/AgentCore.ts
+++ b/src/agent/AgentCore.ts
@@ -4,19 +4,19 @@
 import type { HaveMessage, Message } from '../common/Messages.js';
 import { compareVersions, NO_VERSION, type Version } from '../common/Version.js';
 import { Relay } from '../dissemination/Relay.js';
-import { Vouching } from '../dissemination/FreshnessConfirmation.js';
+import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
 
-export interface LinkSettings {
+export interface AgentSettings {
   readonly me: string;
   readonly zone: string;
   readonly seeds: readonly string[];
   readonly blindMs: number;
-  readonly life: number;
-  /** In a deployment of its own the proxy does not work by being vouched for: asks are for news alone, and minds of our zone come first. */
+  readonly incarnation: number;
+  /** In a deployment of its own the proxy does not work by being confirmed fresh: asks are for news alone, and control nodes of our zone come first. */
   readonly isDeployed?: boolean;
 }
 
-export type LinkEffect =
+export type AgentEffect =
   | { readonly do: 'send'; readonly to: string; readonly message: Message }
   | {
       readonly do: 'note';
@@ -24,7 +24,7 @@
       readonly fields: Readonly<Record<string, string | number>>;
     };
 
-interface FlowState {
+interface ProxyState {
   acked: Version;
   goneAt: Moment | undefined;
 }
@@ -33,96 +33,96 @@
 const CLOCK_DRIFT = 0.01;
 const VotersShape = type({ voters: array(array(string())) });
 const JOIN_MS = 400;
-const MIND_SILENT_MS = 900;
+const CONTROL_SILENT_MS = 900;
 const PARENT_SILENT_MS = 350;
 /** The same in a deployment, where every wake-up has its price and a closed line tells of most losses. */
 const DEPLOYED = {
   joinMs: 1000,
-  mindSilentMs: 2500,
+  controlSilentMs: 2500,
   parentSilentMs: 1000,
   askMs: 1000,
   crossMs: 700,
 } as const;
 /** Who hangs under us asks at least once a second; one that has not for so long hangs elsewhere by now, and is fed there. */
 const CHILD_SILENT_MS = 3500;
-/** A mind that failed us is not chosen again so soon, where there is another. */
+/** A control node that failed us is not chosen again so soon, where there is another. */
 const SHUN_MS = 3000;
 
-/** The agent beside a proxy: a session to one mind, a place in the relay tree, and news for the proxy. */
-export class LinkCore {
-  readonly #settings: LinkSettings;
+/** The agent beside a proxy: a session to one control node, a place in the relay tree, and news for the proxy. */
+export class AgentCore {
+  readonly #settings: AgentSettings;
   readonly #relay = new Relay();
-  readonly #vouching: Vouching;
-  readonly #flows = new Map<string, FlowState>();
+  readonly #confirmation: FreshnessConfirmation;
+  readonly #flows = new Map<string, ProxyState>();
   /** When each of those that we feed asked last. */
   readonly #children = new Map<string, Moment>();
-  #minds: readonly string[];
-  #mindIndex: number;
-  #mindHeardAt: Moment;
+  #controlNodes: readonly string[];
+  #controlIndex: number;
+  #controlHeardAt: Moment;
   #joinedAt: Moment;
   #parent = '';
   #lostParent = '';
   #askedAt: Moment | undefined;
   #toldAck: Version = NO_VERSION;
-  #effects: LinkEffect[] = [];
+  #effects: AgentEffect[] = [];
   #turns = 0;
   #seeds: readonly string[];
   readonly #zones = new Map<string, string>();
   readonly #shunned = new Map<string, Moment>();
-  /** How often in a row our mind said that it follows nobody. */
+  /** How often in a row our control node said that it follows nobody. */
   #leaderless = 0;
   #newsAskedAt: Moment;
   #crossAskedAt: Moment;
   #crossIndex = 0;
 
-  constructor(settings: LinkSettings, now: Moment) {
+  constructor(settings: AgentSettings, now: Moment) {
     this.#settings = settings;
-    this.#vouching = new Vouching(settings.life);
-    this.#minds = settings.seeds;
+    this.#confirmation = new FreshnessConfirmation(settings.incarnation);
+    this.#controlNodes = settings.seeds;
     this.#seeds = settings.seeds;
     this.#newsAskedAt = now;
     this.#crossAskedAt = now;
-    // Links begin at different minds, so that no mind feeds them all.
-    this.#mindIndex = hashOf(settings.me) % settings.seeds.length;
-    this.#mindHeardAt = now;
+    // Links begin at different control nodes, so that no control node feeds them all.
+    this.#controlIndex = hashOf(settings.me) % settings.seeds.length;
+    this.#controlHeardAt = now;
     this.#joinedAt = moment(now - JOIN_MS);
-    // A proxy may still be fresh by what it was vouched for through our former life: one such counts until it is surely blind.
+    // A proxy may still be fresh by what it was confirmed fresh through our former incarnation: one such counts until it is surely blind.
     this.#flows.set('', { acked: NO_VERSION, goneAt: now });
   }
 
   /** Whom the settings name now: they are turned to where no voter that we know answers. */
   setSeeds(seeds: readonly string[]): void {
     this.#seeds = seeds;
-    const current = this.mind;
-    this.#minds = [...new Set([...this.#minds, ...seeds])];
-    this.#mindIndex = Math.max(0, this.#minds.indexOf(current));
+    const current = this.controlNode;
+    this.#controlNodes = [...new Set([...this.#controlNodes, ...seeds])];
+    this.#controlIndex = Math.max(0, this.#controlNodes.indexOf(current));
   }
 
   get relay(): Relay {
     return this.#relay;
   }
-  get mind(): string {
-    return this.#minds[this.#mindIndex % this.#minds.length] ?? '';
+  get controlNode(): string {
+    return this.#controlNodes[this.#controlIndex % this.#controlNodes.length] ?? '';
   }
   get parent(): string {
     return this.#parent;
   }
-  /** How often the session moved to another mind. */
+  /** How often the session moved to another control node. */
   get turns(): number {
     return this.#turns;
   }
 
-  drain(): LinkEffect[] {
+  drain(): AgentEffect[] {
     const effects = this.#effects;
     this.#effects = [];
     return effects;
   }
 
-  beat(now: Moment): void {
+  tick(now: Moment): void {
     const { isDeployed } = this.#settings;
-    if (now - this.#mindHeardAt > (isDeployed ? DEPLOYED.mindSilentMs : MIND_SILENT_MS))
+    if (now - this.#controlHeardAt > (isDeployed ? DEPLOYED.controlSilentMs : CONTROL_SILENT_MS))
       this.#turn(now);
-    // A parent that does not return our asks is left at once; the mind hangs us elsewhere.
+    // A parent that does not return our asks is left at once; the control node hangs us elsewhere.
     if (
       this.#parent !== '' &&
       this.#askedAt !== undefined &&
@@ -147,13 +147,13 @@
 
   receive(now: Moment, from: string, role: string, message: Message): void {
     switch (message.kind) {
-      case 'hang':
-        if (from !== this.mind) break;
-        this.#mindHeardAt = now;
+      case 'assignParent':
+        if (from !== this.controlNode) break;
+        this.#controlHeardAt = now;
         if (message.parent !== this.#parent && message.parent !== this.#lostParent)
-          this.#hang(now, message.parent);
+          this.#assignParent(now, message.parent);
         break;
-      case 'news':
+      case 'update':
         if (
           this.#relay.offer(
             message.topic,
@@ -169,10 +169,15 @@
         if (this.#relay.offerDelta(message.topic, version, message.from, message.body)) break;
         // It does not follow on what we hold: what came between was lost on the way.
         if (compareVersions(version, this.#relay.version(message.topic)) > 0)
-          this.#send(from, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+          this.#send(from, {
+            kind: 'freshnessRequest',
+            nonce: -1,
+            have: this.#relay.have(),
+            members: [],
+          });
         break;
       }
-      case 'ask':
+      case 'freshnessRequest':
         if (role === 'flow' && this.#flows.get(from)?.goneAt !== undefined)
           this.#flows.delete(from);
         if (role === 'flow' && !this.#flows.has(from))
@@ -185,24 +190,24 @@
           break;
         }
         this.#children.set(from, now);
-        this.#noteFlow(from, message.have);
+        this.#noteProxy(from, message.have);
         if (this.#settings.isDeployed) {
           this.#send(from, {
-            kind: 'vouch',
+            kind: 'freshnessReply',
             nonce: message.nonce,
             ...this.#relay.version('config'),
             marks: 0,
           });
           break;
         }
-        this.#vouching.add({ child: from, nonce: message.nonce, members: message.members });
+        this.#confirmation.add({ child: from, nonce: message.nonce, members: message.members });
         this.#ask(now);
         break;
-      case 'vouch':
+      case 'freshnessReply':
         if (from !== this.#upstream()) break;
         this.#askedAt = undefined;
         if (this.#settings.isDeployed) break;
-        for (const ask of this.#vouching.end(message.nonce))
+        for (const ask of this.#confirmation.end(message.nonce))
           this.#send(ask.child, { ...message, nonce: ask.nonce });
         this.#ask(now);
         break;
@@ -212,11 +217,11 @@
         this.#tellAck();
         break;
       }
-      case 'minds':
-        if (from === this.mind) this.#receiveMinds(now, message);
+      case 'controlNodes':
+        if (from === this.controlNode) this.#receiveControlNodes(now, message);
         break;
       case 'demand':
-        this.#send(this.mind, message);
+        this.#send(this.controlNode, message);
         break;
       default:
         break;
@@ -225,7 +230,7 @@
   }
 
   /** What a proxy holds is in force there: it applies news as it takes it. */
-  #noteFlow(from: string, have: readonly HaveMessage[]): void {
+  #noteProxy(from: string, have: readonly HaveMessage[]): void {
     const flow = this.#flows.get(from);
     const config = have.find(isConfig);
     if (flow && config) flow.acked = { epoch: config.epoch, count: config.count };
@@ -234,10 +239,10 @@
   gone(now: Moment, from: string): void {
     this.#forget(from);
     const flow = this.#flows.get(from);
-    // It may still be fresh by what it was vouched for: it counts until it has surely gone blind.
+    // It may still be fresh by what it was confirmed fresh: it counts until it has surely gone blind.
     if (flow) flow.goneAt = now;
     if (from === this.#parent) this.#leaveParent(now);
-    if (from === this.mind) this.#turn(now);
+    if (from === this.controlNode) this.#turn(now);
     else if (this.#zones.get(from) === this.#settings.zone)
       this.#shunned.set(from, later(now, SHUN_MS));
     this.#flush();
@@ -253,33 +258,33 @@
   }
 
   #upstream(): string {
-    return this.#parent === '' ? this.mind : this.#parent;
+    return this.#parent === '' ? this.controlNode : this.#parent;
   }
 
   #turn(now: Moment): void {
-    this.#shunned.set(this.mind, later(now, SHUN_MS));
-    this.#move(now, this.#nextMind(now));
+    this.#shunned.set(this.controlNode, later(now, SHUN_MS));
+    this.#move(now, this.#nextControl(now));
   }
 
   #move(now: Moment, index: number): void {
-    this.#mindIndex = index;
+    this.#controlIndex = index;
     this.#leaderless = 0;
     this.#turns += 1;
-    this.#mindHeardAt = now;
-    this.#hang(now, '');
-    this.#effects.push({ do: 'note', text: 'session', fields: { mind: this.mind } });
+    this.#controlHeardAt = now;
+    this.#assignParent(now, '');
+    this.#effects.push({ do: 'note', text: 'session', fields: { controlNode: this.controlNode } });
     this.#join(now);
   }
 
   /** In turn, in a deployment those of our zone first and those that lately failed us last. */
-  #nextMind(now: Moment): number {
-    const count = this.#minds.length;
-    let best = (this.#mindIndex + 1) % count;
+  #nextControl(now: Moment): number {
+    const count = this.#controlNodes.length;
+    let best = (this.#controlIndex + 1) % count;
     if (!this.#settings.isDeployed) return best;
     let least = Infinity;
     for (let step = 1; step <= count; step += 1) {
-      const index = (this.#mindIndex + step) % count;
-      const id = this.#minds[index] ?? '';
+      const index = (this.#controlIndex + step) % count;
+      const id = this.#controlNodes[index] ?? '';
       const rank =
         (this.#isShunned(now, id) ? 2 : 0) + (this.#zones.get(id) === this.#settings.zone ? 0 : 1);
       if (rank < least) {
@@ -294,10 +299,10 @@
     return now < (this.#shunned.get(id) ?? now);
   }
 
-  #receiveMinds(now: Moment, message: Extract<Message, { kind: 'minds' }>): void {
-    this.#mindHeardAt = now;
+  #receiveControlNodes(now: Moment, message: Extract<Message, { kind: 'controlNodes' }>): void {
+    this.#controlHeardAt = now;
     this.#zones.clear();
-    for (const { id, zone } of message.minds) this.#zones.set(id, zone);
+    for (const { id, zone } of message.controlNodes) this.#zones.set(id, zone);
     // One that follows nobody may be cut off from the others, and then hears nothing new.
     this.#leaderless = message.leader === '' ? this.#leaderless + 1 : 0;
     if (this.#leaderless > 1) {
@@ -305,65 +310,80 @@
       return;
     }
     const mine = this.#settings.zone;
-    const closer = this.#minds.findIndex(
+    const closer = this.#controlNodes.findIndex(
       isCloser.bind(undefined, this.#zones, mine, this.#isShunned.bind(this, now)),
     );
     // Bytes that stay in the zone cost nothing.
-    if (this.#zones.get(this.mind) !== mine && closer >= 0) {
+    if (this.#zones.get(this.controlNode) !== mine && closer >= 0) {
       this.#move(now, closer);
       return;
     }
     // Our parent may have lost what comes from above without knowing it.
     const version = { epoch: message.epoch, count: message.count };
     if (compareVersions(version, this.#relay.version('config')) > 0)
-      this.#send(this.mind, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+      this.#send(this.controlNode, {
+        kind: 'freshnessRequest',
+        nonce: -1,
+        have: this.#relay.have(),
+        members: [],
+      });
   }
 
   #askNews(now: Moment): void {
     if (now < later(this.#newsAskedAt, DEPLOYED.askMs)) return;
     this.#newsAskedAt = now;
     this.#askedAt ??= now;
-    this.#send(this.#upstream(), { kind: 'ask', nonce: 0, have: this.#relay.have(), members: [] });
+    this.#send(this.#upstream(), {
+      kind: 'freshnessRequest',
+      nonce: 0,
+      have: this.#relay.have(),
+      members: [],
+    });
   }
 
   /**
-   * Our mind, and all above us, may be cut off from the others without knowing it yet. What a majority accepted since is
+   * Our control node, and all above us, may be cut off from the others without knowing it yet. What a majority accepted since is
    * in force here all the same once one of the others tells it.
    */
   #askAcross(now: Moment): void {
     if (now < later(this.#crossAskedAt, DEPLOYED.crossMs)) return;
     this.#crossAskedAt = now;
-    const others = this.#minds.filter(isOther.bind(undefined, this.mind));
+    const others = this.#controlNodes.filter(isOther.bind(undefined, this.controlNode));
     this.#crossIndex += 1;
     const other = others[this.#crossIndex % Math.max(1, others.length)];
     if (other !== undefined)
-      this.#send(other, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+      this.#send(other, {
+        kind: 'freshnessRequest',
+        nonce: -1,
+        have: this.#relay.have(),
+        members: [],
+      });
   }
 
   #leaveParent(now: Moment): void {
     this.#lostParent = this.#parent;
-    this.#hang(now, '');
+    this.#assignParent(now, '');
     this.#join(now);
   }
 
-  #hang(now: Moment, parent: string): void {
+  #assignParent(now: Moment, parent: string): void {
     this.#parent = parent;
     this.#askedAt = undefined;
-    const asks = this.#vouching.takeAll();
+    const asks = this.#confirmation.takeAll();
     if (this.#settings.isDeployed) {
       this.#newsAskedAt = moment(now - DEPLOYED.askMs);
       this.#askNews(now);
       return;
     }
     // Those who wait below are asked for anew at the new place.
-    for (const ask of asks) this.#vouching.add(ask);
+    for (const ask of asks) this.#confirmation.add(ask);
     this.#ask(now);
   }
 
   #join(now: Moment): void {
     this.#joinedAt = now;
     const version = this.#acked();
-    this.#send(this.mind, {
+    this.#send(this.controlNode, {
       kind: 'join',
       zone: this.#settings.zone,
       address: this.#settings.me,
@@ -376,15 +396,15 @@
 
   #ask(now: Moment): void {
     if (this.#settings.isDeployed) return;
-    const nonce = this.#vouching.begin(now);
+    const nonce = this.#confirmation.begin(now);
     if (nonce === undefined) return;
     this.#askedAt ??= now;
-    // Whoever is vouched for through us is named, whether its own session stands or not: a yes must wait for it.
+    // Whoever is confirmed fresh through us is named, whether its own session stands or not: a yes must wait for it.
     this.#send(this.#upstream(), {
-      kind: 'ask',
+      kind: 'freshnessRequest',
       nonce,
       have: this.#relay.have(),
-      members: [this.#settings.me, ...this.#vouching.members()],
+      members: [this.#settings.me, ...this.#confirmation.members()],
     });
   }
 
@@ -400,7 +420,7 @@
     const version = this.#acked();
     if (compareVersions(version, this.#toldAck) === 0) return;
     this.#toldAck = version;
-    this.#send(this.mind, { kind: 'ack', ...version });
+    this.#send(this.controlNode, { kind: 'ack', ...version });
   }
 
   #flush(): void {
@@ -412,13 +432,13 @@
     const voters = new Set<string>();
     for (const set of news?.voters ?? []) for (const id of set) voters.add(id);
     if (voters.size === 0) return;
-    const current = this.mind;
+    const current = this.controlNode;
     // The voters come first; seeds that are none are kept for when no voter answers.
-    this.#minds = this.#settings.isDeployed
+    this.#controlNodes = this.#settings.isDeployed
       ? [...new Set([...voters, ...this.#seeds])]
       : [...voters];
-    const index = this.#minds.indexOf(current);
-    this.#mindIndex = index < 0 ? hashOf(this.#settings.me) % this.#minds.length : index;
+    const index = this.#controlNodes.indexOf(current);
+    this.#controlIndex = index < 0 ? hashOf(this.#settings.me) % this.#controlNodes.length : index;
   }
 }
 
--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -1,13 +1,13 @@
 import { interval, merge, Subscription } from 'rxjs';
 import type { Logger } from 'pino';
 import { monotonicNow } from '../common/Clock.js';
-import type { Defect } from '../common/CodedError.js';
-import { newLife } from '../common/Incarnation.js';
-import { Owner } from '../common/SerialQueue.js';
+import type { CodedError } from '../common/CodedError.js';
+import { newIncarnation } from '../common/Incarnation.js';
+import { SerialQueue } from '../common/SerialQueue.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
-import { LinkCore } from './AgentCore.js';
+import { AgentCore } from './AgentCore.js';
 
-const BEAT_MS = 100;
+const TICK_MS = 100;
 const BLIND_MS = 2500;
 
 export interface AgentSettings {
@@ -18,13 +18,13 @@
   readonly seeds: readonly string[];
 }
 
-/** The agent's process in a deployment whose proxies do not work by being vouched for. */
+/** The agent's process in a deployment whose proxies do not work by being confirmed fresh. */
 export class AgentProcess {
   readonly #log: Logger;
-  readonly #owner = new Owner();
+  readonly #owner = new SerialQueue();
   readonly #nodes: Exchange;
   readonly #feed: Exchange;
-  readonly #core: LinkCore;
+  readonly #core: AgentCore;
   readonly #subscription = new Subscription();
 
   constructor(settings: AgentSettings, log: Logger) {
@@ -38,8 +38,8 @@
       { id: feed, role: 'link', zone, listen: feed, reach: {} },
       this.#tell.bind(this),
     );
-    this.#core = new LinkCore(
-      { me, zone, seeds, blindMs: BLIND_MS, life: newLife(), isDeployed: true },
+    this.#core = new AgentCore(
+      { me, zone, seeds, blindMs: BLIND_MS, incarnation: newIncarnation(), isDeployed: true },
       monotonicNow(),
     );
   }
@@ -54,9 +54,9 @@
     await this.#nodes.open();
     await this.#feed.open();
     this.#subscription.add(
-      interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))),
+      interval(TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
     );
-    this.#submit(this.#beat.bind(this));
+    this.#submit(this.#tick.bind(this));
   }
 
   stop(): void {
@@ -69,7 +69,7 @@
     this.#submit(this.#core.setSeeds.bind(this.#core, seeds));
   }
 
-  #tell(defect: Defect): void {
+  #tell(defect: CodedError): void {
     this.#log.warn({ defect: defect.kind }, defect.message);
   }
 
@@ -86,9 +86,9 @@
     }
   }
 
-  #beat(): void {
-    this.#nodes.dial(this.#core.mind);
-    this.#core.beat(monotonicNow());
+  #tick(): void {
+    this.#nodes.dial(this.#core.controlNode);
+    this.#core.tick(monotonicNow());
   }
 
   #receive(incoming: Incoming): void {
--- a/src/agent/TableAgentProcess.ts
+++ b/src/agent/TableAgentProcess.ts
@@ -1,29 +1,29 @@
 import { interval, merge, Subscription } from 'rxjs';
 import type { Infer } from 'superstruct';
 import type { Logger } from 'pino';
-import { newLife } from '../common/Incarnation.js';
+import { newIncarnation } from '../common/Incarnation.js';
 import { monotonicNow } from '../common/Clock.js';
 import { Counters } from '../common/Counters.js';
-import type { Defect } from '../common/CodedError.js';
-import { Owner } from '../common/SerialQueue.js';
-import type { LinkSettingsShape } from '../common/Settings.js';
+import type { CodedError } from '../common/CodedError.js';
+import { SerialQueue } from '../common/SerialQueue.js';
+import type { TableAgentSettingsShape } from '../common/Settings.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
-import { LinkCore } from './AgentCore.js';
+import { AgentCore } from './AgentCore.js';
 
-const BEAT_MS = 25;
+const TICK_MS = 25;
 
 /** The agent's process: one exchange to the nodes, one to the proxy beside it over loopback. */
-export class LinkProcess {
-  readonly #settings: Infer<typeof LinkSettingsShape>;
+export class TableAgentProcess {
+  readonly #settings: Infer<typeof TableAgentSettingsShape>;
   readonly #log: Logger;
   readonly #counters = new Counters();
-  readonly #owner = new Owner();
+  readonly #owner = new SerialQueue();
   readonly #nodes: Exchange;
   readonly #feed: Exchange;
-  readonly #core: LinkCore;
+  readonly #core: AgentCore;
   readonly #subscription = new Subscription();
 
-  constructor(settings: Infer<typeof LinkSettingsShape>, log: Logger) {
+  constructor(settings: Infer<typeof TableAgentSettingsShape>, log: Logger) {
     this.#settings = settings;
     this.#log = log;
     const { listen, feed, zone, seeds, blindMs, reach } = settings;
@@ -35,8 +35,8 @@
       { id: feed, role: 'link', zone, listen: feed, reach: {} },
       this.#tell.bind(this),
     );
-    this.#core = new LinkCore(
-      { me: listen, zone, seeds, blindMs, life: newLife() },
+    this.#core = new AgentCore(
+      { me: listen, zone, seeds, blindMs, incarnation: newIncarnation() },
       monotonicNow(),
     );
   }
@@ -51,7 +51,7 @@
     await this.#nodes.open();
     await this.#feed.open();
     this.#subscription.add(
-      interval(BEAT_MS).subscribe(this.#work.bind(this, this.#beat.bind(this))),
+      interval(TICK_MS).subscribe(this.#work.bind(this, this.#tick.bind(this))),
     );
     this.#log.info({ zone: this.#settings.zone }, 'link started');
   }
@@ -65,10 +65,14 @@
   counters(): object {
     this.#counters.set('session.turns', this.#core.turns);
     this.#counters.set('news.sent', this.#core.relay.sent);
-    return { ...this.#counters.all(), mind: this.#core.mind, parent: this.#core.parent };
+    return {
+      ...this.#counters.all(),
+      controlNode: this.#core.controlNode,
+      parent: this.#core.parent,
+    };
   }
 
-  #tell(defect: Defect): void {
+  #tell(defect: CodedError): void {
     this.#counters.add(`defects.${defect.kind}`);
     this.#log.warn({ defect: defect.kind }, defect.message);
   }
@@ -86,9 +90,9 @@
     }
   }
 
-  #beat(): void {
-    this.#nodes.dial(this.#core.mind);
-    this.#core.beat(monotonicNow());
+  #tick(): void {
+    this.#nodes.dial(this.#core.controlNode);
+    this.#core.tick(monotonicNow());
   }
 
   #receive(incoming: Incoming): void {
--- a/src/check/CheckCommand.ts
+++ b/src/check/CheckCommand.ts
@@ -3,22 +3,22 @@
 import { compile } from '../policy/Language.js';
 import { reasonOf } from '../common/CodedError.js';
 import { Operator } from '../operator/Operator.js';
-import { WORD_FLAGS } from '../operator/OperatorCommand.js';
-import { Doubt, FleetShape } from './TableCheck.js';
+import { OPERATOR_FLAGS } from '../operator/OperatorCommand.js';
+import { TableCheck, FleetShape } from './TableCheck.js';
 
-export class DoubtCommand extends Command {
+export class CheckCommand extends Command {
   static override description =
     'check a proposed table against the fleet as it is; exit code 0 clean, 1 findings, 2 could not check';
   static override args = {
     file: Args.string({ required: true, description: 'file in the mapping language' }),
   };
   static override flags = {
-    ...WORD_FLAGS,
+    ...OPERATOR_FLAGS,
     runMs: Flags.integer({ default: 1000, min: 1, description: 'how long a run is taken to last' }),
   };
 
   async run(): Promise<void> {
-    const { args, flags } = await this.parse(DoubtCommand);
+    const { args, flags } = await this.parse(CheckCommand);
     let text = '';
     try {
       text = readFileSync(args.file, 'utf8');
@@ -41,7 +41,7 @@
     if (status !== 200 || !FleetShape.is(value))
       this.#giveUp(`the fleet could not be asked: ${String(value['text'] ?? status)}`);
     else {
-      const report = new Doubt(table, value, { runMs: flags.runMs }).check();
+      const report = new TableCheck(table, value, { runMs: flags.runMs }).check();
       this.#print(report, flags.json);
       this.exit(report.findings.length === 0 ? 0 : 1);
     }
@@ -52,7 +52,7 @@
     return this.exit(2);
   }
 
-  #print(report: ReturnType<Doubt['check']>, isJson: boolean): void {
+  #print(report: ReturnType<TableCheck['check']>, isJson: boolean): void {
     if (isJson) {
       this.log(JSON.stringify(report));
       return;
--- a/src/check/TableCheck.test.ts
+++ b/src/check/TableCheck.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest';
 import { compile } from '../policy/Language.js';
-import { Doubt, type Finding, type FleetView } from './TableCheck.js';
+import { TableCheck, type Finding, type FleetView } from './TableCheck.js';
 
 function fleetOf(
   rooms: readonly (readonly [string, number])[],
@@ -31,7 +31,7 @@
 function kinds(text: string, fleet: FleetView): string[] {
   const { table, faults } = compile(text);
   expect(faults).toEqual([]);
-  return new Doubt(table, fleet, { runMs: 1000 }).check().findings.map(kindOf);
+  return new TableCheck(table, fleet, { runMs: 1000 }).check().findings.map(kindOf);
 }
 function kindOf(finding: Finding): string {
   return `${finding.kind} ${finding.subject}`;
@@ -39,7 +39,7 @@
 const CLEAN = 'map POST /c to check\nrow check m-* weight 9 take 5/s';
 function checkClean(): void {
   const { table } = compile(CLEAN);
-  const report = new Doubt(
+  const report = new TableCheck(
     table,
     fleetOf(
       [
--- a/src/check/TableCheck.ts
+++ b/src/check/TableCheck.ts
@@ -34,14 +34,14 @@
   readonly text: string;
 }
 
-export interface DoubtReport {
+export interface TableCheckReport {
   readonly findings: readonly Finding[];
   /** What putting the table in force would set off: no fault, but good to know. */
   readonly orders: readonly string[];
   readonly waits: readonly string[];
 }
 
-export interface DoubtSettings {
+export interface TableCheckSettings {
   /** How long a run is taken to last, to tell what the standing runners could serve. */
   readonly runMs: number;
 }
@@ -49,19 +49,19 @@
 const STEPS = 120;
 
 /** Checks a proposed table against the fleet as it is, by the placer itself. */
-export class Doubt {
+export class TableCheck {
   readonly #table: Table;
   readonly #fleet: FleetView;
-  readonly #settings: DoubtSettings;
+  readonly #settings: TableCheckSettings;
   readonly #findings: Finding[] = [];
 
-  constructor(table: Table, fleet: FleetView, settings: DoubtSettings) {
+  constructor(table: Table, fleet: FleetView, settings: TableCheckSettings) {
     this.#table = table;
     this.#fleet = fleet;
     this.#settings = settings;
   }
 
-  check(): DoubtReport {
+  check(): TableCheckReport {
     this.#rows();
     this.#fits();
     const now = this.#trial(this.#fleet.emptied);
--- a/src/commands.ts
+++ b/src/commands.ts
@@ -1,12 +1,12 @@
-import { DoubtCommand } from './check/CheckCommand.js';
-import { FlowCommand } from './proxy/ProxyCommand.js';
-import { LinkCommand } from './agent/AgentCommand.js';
-import { MindCommand } from './control/ControlCommand.js';
+import { CheckCommand } from './check/CheckCommand.js';
+import { ProxyCommand } from './proxy/ProxyCommand.js';
+import { AgentCommand } from './agent/AgentCommand.js';
+import { ControlCommand } from './control/ControlCommand.js';
 import { FleetCommand } from './rehearsal/FleetCommand.js';
 import { MeasureCommand } from './rehearsal/MeasureCommand.js';
 import { ScaleCommand } from './rehearsal/ScaleCommand.js';
 import { StormCommand } from './rehearsal/StormCommand.js';
-import { StandCommand } from './rehearsal/StubCommand.js';
+import { StubCommand } from './rehearsal/StubCommand.js';
 import {
   AskEditCommand,
   EmptyCommand,
@@ -23,14 +23,14 @@
 
 /** Every subcommand of the one binary. */
 export const COMMANDS = {
-  doubt: DoubtCommand,
-  flow: FlowCommand,
-  link: LinkCommand,
-  mind: MindCommand,
+  doubt: CheckCommand,
+  flow: ProxyCommand,
+  link: AgentCommand,
+  controlNode: ControlCommand,
   'myth:fleet': FleetCommand,
   'myth:measure': MeasureCommand,
   'myth:scale': ScaleCommand,
-  'myth:stand': StandCommand,
+  'myth:stand': StubCommand,
   'myth:storm': StormCommand,
   'word:counters': CountersCommand,
   'word:edit': AskEditCommand,
--- a/src/common/Call.ts
+++ b/src/common/Call.ts
@@ -1,7 +1,7 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import { splitAddress } from './Listen.js';
 
-export interface CallReturn {
+export interface CallReply {
   readonly status: number;
   readonly headers: IncomingMessage['headers'];
   readonly body: string;
@@ -52,9 +52,9 @@
   path: string,
   body: string | undefined,
   limitMs: number,
-): Promise<CallReturn> {
+): Promise<CallReply> {
   const { host, port } = splitAddress(address);
-  function run(done: (returned: CallReturn) => void, fail: (thrown: unknown) => void): void {
+  function run(done: (returned: CallReply) => void, fail: (thrown: unknown) => void): void {
     const headers =
       body === undefined
         ? {}
--- a/src/common/CodedError.test.ts
+++ b/src/common/CodedError.test.ts
@@ -1,8 +1,8 @@
 import { expect, test } from 'vitest';
-import { DEFECTS } from './CodedError.js';
+import { ERROR_CODES } from './CodedError.js';
 
 function checks(): void {
-  for (const row of Object.values(DEFECTS)) {
+  for (const row of Object.values(ERROR_CODES)) {
     if (row.unsure) expect([429, 503]).not.toContain(row.status);
     if (row.status === 503 || row.status === 429) expect(row.retryAfter).toBeGreaterThan(0);
   }
--- a/src/common/CodedError.ts
+++ b/src/common/CodedError.ts
@@ -1,6 +1,6 @@
 import VError from 'verror';
 
-interface DefectRow {
+interface ErrorCodeRow {
   /** HTTP status of the return. */
   readonly status: number;
   /** Seconds after which the client may come back; 0 leaves the header out. */
@@ -10,7 +10,7 @@
 }
 
 /** The one closed list of error kinds, with the return each leads to. */
-export const DEFECTS = {
+export const ERROR_CODES = {
   malformed: { status: 400, retryAfter: 0, unsure: false },
   unmapped: { status: 404, retryAfter: 0, unsure: false },
   'unknown-model': { status: 404, retryAfter: 0, unsure: false },
@@ -35,24 +35,24 @@
   'disk-write': { status: 500, retryAfter: 0, unsure: true },
   'bad-frame': { status: 400, retryAfter: 0, unsure: false },
   'bad-settings': { status: 500, retryAfter: 0, unsure: false },
-} as const satisfies Record<string, DefectRow>;
+} as const satisfies Record<string, ErrorCodeRow>;
 
-export type DefectKind = keyof typeof DEFECTS;
+export type ErrorCode = keyof typeof ERROR_CODES;
 
 /** An error of a listed kind. */
-export class Defect extends VError {
-  readonly #kind: DefectKind;
+export class CodedError extends VError {
+  readonly #kind: ErrorCode;
 
-  constructor(kind: DefectKind, message: string, cause?: Error) {
+  constructor(kind: ErrorCode, message: string, cause?: Error) {
     super({ name: 'Defect', ...(cause ? { cause } : {}), info: { kind } }, '%s', message);
     this.#kind = kind;
   }
 
-  get kind(): DefectKind {
+  get kind(): ErrorCode {
     return this.#kind;
   }
-  get row(): DefectRow {
-    return DEFECTS[this.#kind];
+  get row(): ErrorCodeRow {
+    return ERROR_CODES[this.#kind];
   }
 }
 
--- a/src/common/Ids.ts
+++ b/src/common/Ids.ts
@@ -1,12 +1,12 @@
 /** Ids, epochs and moments are types of their own, so that one is never passed for another. */
-export type FellowId = string & { readonly kindOfId: 'fellow' };
+export type NodeId = string & { readonly kindOfId: 'node' };
 export type PartName = string & { readonly kindOfId: 'part' };
 export type EditId = string & { readonly kindOfId: 'edit' };
 export type Epoch = number & { readonly kindOfNumber: 'epoch' };
 /** Milliseconds on this process's monotonic clock; never compared between machines. */
 export type Moment = number & { readonly kindOfNumber: 'moment' };
 
-function isFellowId(text: string): text is FellowId {
+function isNodeId(text: string): text is NodeId {
   return text !== '';
 }
 function isPartName(text: string): text is PartName {
@@ -26,8 +26,8 @@
   return new TypeError(`not a ${kind}: ${JSON.stringify(value)}`);
 }
 
-export function fellowId(text: string): FellowId {
-  if (!isFellowId(text)) throw wrong('fellow id', text);
+export function nodeId(text: string): NodeId {
+  if (!isNodeId(text)) throw wrong('peer id', text);
   return text;
 }
 export function partName(text: string): PartName {
--- a/src/common/Incarnation.ts
+++ b/src/common/Incarnation.ts
@@ -1,10 +1,10 @@
 import { randomInt, randomUUID } from 'node:crypto';
 
 /**
- * Where a process begins to count what it asks and passes on: apart from all its former lives, whose returns
+ * Where a process begins to count what it asks and passes on: apart from all its former incarnations, whose returns
  * may still be on their way to the same address.
  */
-export function newLife(): number {
+export function newIncarnation(): number {
   return randomInt(2 ** 47);
 }
 
--- a/src/common/Messages.test.ts
+++ b/src/common/Messages.test.ts
@@ -4,7 +4,7 @@
 import { string, type } from 'superstruct';
 
 function checkThereAndBack(): void {
-  const report = { owner: 'a', version: 3, links: [{ fellow: 'b', score: 0.25, alive: true }] };
+  const report = { owner: 'a', version: 3, links: [{ peer: 'b', score: 0.25, alive: true }] };
   const ping: Message = { kind: 'ping', nonce: 7, epoch: 4, reports: [report], leader: 'a' };
   expect(decodeMessage(encodeMessage(ping))).toEqual(ping);
   const write: Message = {
@@ -18,7 +18,7 @@
 }
 function checkSkew(): void {
   const older = new Codec(new Wire(), 'news', type({ topic: string() }));
-  const newer = new Codec(new Wire(), 'news', SHAPES.news);
+  const newer = new Codec(new Wire(), 'news', SHAPES.update);
   expect(newer.decode(older.encode({ topic: 'table' }))).toEqual({
     topic: 'table',
     epoch: 0,
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -1,8 +1,8 @@
 import { array, boolean, number, string, type, type Infer } from 'superstruct';
-import { Defect } from './CodedError.js';
+import { CodedError } from './CodedError.js';
 import { Codec, Wire, type Shape } from './Wire.js';
 
-const Link = type({ fellow: string(), score: number(), alive: boolean() });
+const Link = type({ peer: string(), score: number(), alive: boolean() });
 /** One node's scores of its links, versioned by its owner alone. */
 export const Report = type({ owner: string(), version: number(), links: array(Link) });
 const Copy = type({
@@ -13,7 +13,7 @@
   sound: boolean(),
 });
 const Have = type({ topic: string(), epoch: number(), count: number() });
-const Mind = type({ id: string(), zone: string() });
+const ControlNode = type({ id: string(), zone: string() });
 const Member = type({
   id: string(),
   zone: string(),
@@ -40,7 +40,7 @@
   renew: type({ epoch: number(), nonce: number(), quorum: array(string()) }),
   renewed: type({ epoch: number(), nonce: number() }),
   read: type({ epoch: number(), nonce: number(), parts: array(string()) }),
-  readReturn: type({
+  readReply: type({
     epoch: number(),
     nonce: number(),
     sound: boolean(),
@@ -48,7 +48,7 @@
     standing: string(),
   }),
   write: type({ part: string(), epoch: number(), count: number(), body: string() }),
-  writeReturn: type({
+  writeReply: type({
     part: string(),
     epoch: number(),
     count: number(),
@@ -56,16 +56,16 @@
     members: array(Member),
   }),
   digest: type({ nonce: number(), low: number(), high: number(), digest: string() }),
-  digestReturn: type({
+  digestReply: type({
     nonce: number(),
     low: number(),
     high: number(),
     same: boolean(),
     sound: boolean(),
   }),
-  sound: type({ nonce: number(), members: array(Member) }),
-  sounded: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
-  news: type({ topic: string(), epoch: number(), count: number(), body: string() }),
+  quorumRead: type({ nonce: number(), members: array(Member) }),
+  quorumReadReply: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
+  update: type({ topic: string(), epoch: number(), count: number(), body: string() }),
   join: type({
     zone: string(),
     address: string(),
@@ -73,17 +73,17 @@
     count: number(),
     lost: string(),
   }),
-  hang: type({ parent: string() }),
-  ask: type({ nonce: number(), have: array(Have), members: array(string()) }),
-  vouch: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
+  assignParent: type({ parent: string() }),
+  freshnessRequest: type({ nonce: number(), have: array(Have), members: array(string()) }),
+  freshnessReply: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
   ack: type({ epoch: number(), count: number() }),
   acked: type({ members: array(Member) }),
   demand: type({ body: string() }),
   command: type({ id: number(), verb: string(), body: string() }),
-  commandReturn: type({ id: number(), status: number(), body: string() }),
+  commandReply: type({ id: number(), status: number(), body: string() }),
   released: type({ epoch: number() }),
   /** A control node that is no voter, or hears of no leader, with the configuration it knows. */
-  enlist: type({
+  announce: type({
     id: string(),
     zone: string(),
     epoch: number(),
@@ -92,7 +92,12 @@
     isSound: boolean(),
   }),
   /** The voters with their zones, whom they follow, and the newest configuration there. */
-  minds: type({ minds: array(Mind), leader: string(), epoch: number(), count: number() }),
+  controlNodes: type({
+    controlNodes: array(ControlNode),
+    leader: string(),
+    epoch: number(),
+    count: number(),
+  }),
   /** What changed of a topic since the count `from` of the same epoch. */
   delta: type({
     topic: string(),
@@ -110,7 +115,7 @@
 export type ReportMessage = Infer<typeof Report>;
 export type CopyMessage = Infer<typeof Copy>;
 export type HaveMessage = Infer<typeof Have>;
-export type MindMessage = Infer<typeof Mind>;
+export type ControlNodeMessage = Infer<typeof ControlNode>;
 export type MemberMessage = Infer<typeof Member>;
 
 interface Coder {
@@ -131,12 +136,12 @@
     return isMessage(value, kind);
   }
   function encode(message: Message): Uint8Array {
-    if (!isOfShape(message)) throw new Defect('bad-frame', `not a ${kind}`);
+    if (!isOfShape(message)) throw new CodedError('bad-frame', `not a ${kind}`);
     return codec.encode(message);
   }
   function decode(bytes: Uint8Array): Message {
     const value: unknown = { kind, ...codec.decode(bytes) };
-    if (!isMessage(value, kind)) throw new Defect('bad-frame', `not a ${kind}`);
+    if (!isMessage(value, kind)) throw new CodedError('bad-frame', `not a ${kind}`);
     return value;
   }
   coders.set(kind, { encode, decode });
@@ -149,13 +154,13 @@
 /** A frame is one byte for the kind's place in the table, then the message. */
 export function encodeMessage(message: Message): Buffer {
   const coder = coders.get(message.kind);
-  if (!coder) throw new Defect('bad-frame', `unknown kind ${message.kind}`);
+  if (!coder) throw new CodedError('bad-frame', `unknown kind ${message.kind}`);
   return Buffer.concat([Buffer.from([kinds.indexOf(message.kind)]), coder.encode(message)]);
 }
 
 export function decodeMessage(bytes: Uint8Array): Message {
   const kind = kinds[bytes[0] ?? 255];
   const coder = kind === undefined ? undefined : coders.get(kind);
-  if (!coder) throw new Defect('bad-frame', `unknown kind ${bytes[0]}`);
+  if (!coder) throw new CodedError('bad-frame', `unknown kind ${bytes[0]}`);
   return coder.decode(bytes.subarray(1));
 }
--- a/src/common/Quorum.test.ts
+++ b/src/common/Quorum.test.ts
@@ -1,8 +1,8 @@
 import { expect, test } from 'vitest';
-import { fellowId } from './Ids.js';
+import { nodeId } from './Ids.js';
 import { Quorum } from './Quorum.js';
 
-const [a, b, c, d] = [fellowId('a'), fellowId('b'), fellowId('c'), fellowId('d')];
+const [a, b, c, d] = [nodeId('a'), nodeId('b'), nodeId('c'), nodeId('d')];
 function checkJoint(): void {
   const joint = new Quorum([a, b, c], [a, b, d]);
   expect(joint.isMajority(new Set([a, c]))).toBe(false);
--- a/src/common/Quorum.ts
+++ b/src/common/Quorum.ts
@@ -1,16 +1,16 @@
-import type { FellowId } from './Ids.js';
+import type { NodeId } from './Ids.js';
 
 /** Who votes. During a swap two sets stand side by side, and a majority is one of both. */
 export class Quorum {
-  readonly #sets: readonly (readonly FellowId[])[];
-  readonly #all: readonly FellowId[];
+  readonly #sets: readonly (readonly NodeId[])[];
+  readonly #all: readonly NodeId[];
 
-  constructor(...sets: readonly (readonly FellowId[])[]) {
+  constructor(...sets: readonly (readonly NodeId[])[]) {
     this.#sets = sets;
     this.#all = [...new Set(sets.flat())].sort();
   }
 
-  get all(): readonly FellowId[] {
+  get all(): readonly NodeId[] {
     return this.#all;
   }
 
@@ -23,22 +23,22 @@
     return this.#sets.join(' | ');
   }
 
-  holds(id: FellowId): boolean {
+  holds(id: NodeId): boolean {
     return this.#all.includes(id);
   }
 
-  isMajority(ids: ReadonlySet<FellowId>): boolean {
-    function hasMost(set: readonly FellowId[]): boolean {
+  isMajority(ids: ReadonlySet<NodeId>): boolean {
+    function hasMost(set: readonly NodeId[]): boolean {
       return set.filter(ids.has, ids).length * 2 > set.length;
     }
     return this.#sets.length > 0 && this.#sets.every(hasMost);
   }
 
   /** Whether these alone, without `me`, meet every majority that could ever have included `me`. */
-  coversWithout(me: FellowId, ids: ReadonlySet<FellowId>): boolean {
+  coversWithout(me: NodeId, ids: ReadonlySet<NodeId>): boolean {
     const others = new Set(ids);
     others.delete(me);
-    function meets(set: readonly FellowId[]): boolean {
+    function meets(set: readonly NodeId[]): boolean {
       // A set we never voted in decided nothing with us: what any majority of it holds is all there is.
       if (!set.includes(me)) return set.filter(others.has, others).length * 2 > set.length;
       const majority = Math.floor(set.length / 2) + 1;
--- a/src/common/SerialQueue.ts
+++ b/src/common/SerialQueue.ts
@@ -1,7 +1,7 @@
 import Denque from 'denque';
 
 /** The one owner of a table: commands wait in order and are worked through one after the other, never nested. */
-export class Owner {
+export class SerialQueue {
   readonly #pending = new Denque<() => void>();
   #isWorking = false;
 
--- a/src/common/Settings.test.ts
+++ b/src/common/Settings.test.ts
@@ -1,8 +1,8 @@
 import { expect, test } from 'vitest';
-import { FlowSettingsShape, LinkSettingsShape, readSettings } from './Settings.js';
+import { TableProxySettingsShape, TableAgentSettingsShape, readSettings } from './Settings.js';
 
 function checkFaults(): void {
-  const { faults } = readSettings(LinkSettingsShape, undefined, {
+  const { faults } = readSettings(TableAgentSettingsShape, undefined, {
     listen: 'localhost:1',
     feed: '127.0.0.1:99999',
     zone: 'A B',
@@ -15,7 +15,7 @@
   return fault.split(':')[0] ?? '';
 }
 function checkSound(): void {
-  const { settings, faults } = readSettings(FlowSettingsShape, undefined, {
+  const { settings, faults } = readSettings(TableProxySettingsShape, undefined, {
     listen: '127.0.0.1:8080',
     link: '127.0.0.1:7001',
     zone: 'a',
--- a/src/common/Settings.ts
+++ b/src/common/Settings.ts
@@ -41,7 +41,7 @@
 const Millis = max(min(integer(), 1), 3_600_000);
 const Seeds = size(array(Address), 3, 3);
 
-export const MindSettingsShape = object({
+export const TableControlSettingsShape = object({
   listen: Address,
   api: Address,
   zone: Zone,
@@ -54,7 +54,7 @@
   reach: defaulted(record(Address, Address), {}),
 });
 
-export const LinkSettingsShape = object({
+export const TableAgentSettingsShape = object({
   listen: Address,
   feed: Address,
   zone: Zone,
@@ -65,7 +65,7 @@
   reach: defaulted(record(Address, Address), {}),
 });
 
-export const FlowSettingsShape = object({
+export const TableProxySettingsShape = object({
   listen: Address,
   link: Address,
   zone: Zone,
--- a/src/common/Wire.ts
+++ b/src/common/Wire.ts
@@ -1,6 +1,6 @@
 import protobuf from 'protobufjs';
 import { Struct } from 'superstruct';
-import { Defect } from './CodedError.js';
+import { CodedError } from './CodedError.js';
 
 /** What is needed of a superstruct shape; unlike Struct itself it may stand for a narrower one. */
 export interface Shape<T> {
@@ -71,14 +71,14 @@
     try {
       raw = this.#type.toObject(this.#type.decode(bytes), { defaults: true, arrays: true });
     } catch (thrown) {
-      throw new Defect(
+      throw new CodedError(
         'bad-frame',
         `undecodable ${this.#type.name}`,
         thrown instanceof Error ? thrown : undefined,
       );
     }
     if (!this.#shape.is(raw))
-      throw new Defect('bad-frame', `${this.#type.name} has fields of the wrong kind`);
+      throw new CodedError('bad-frame', `${this.#type.name} has fields of the wrong kind`);
     return raw;
   }
 }
--- a/src/control/Api.ts
+++ b/src/control/Api.ts
@@ -2,13 +2,13 @@
 import { readBody } from '../common/Call.js';
 import { listenOn } from '../common/Listen.js';
 
-export interface ApiReturn {
+export interface ApiReply {
   readonly status: number;
   readonly body: string;
 }
 
 /** What the API hands on: a verb of the core and its JSON body. */
-export type Ask = (verb: string, body: string) => Promise<ApiReturn>;
+export type Ask = (verb: string, body: string) => Promise<ApiReply>;
 
 const MAX_EDIT = 32 * 1024 * 1024;
 
@@ -39,7 +39,7 @@
   }
 
   async #take(asked: IncomingMessage, returned: ServerResponse): Promise<void> {
-    let result: ApiReturn;
+    let result: ApiReply;
     try {
       result = await this.#serve(
         asked.method ?? 'GET',
@@ -65,7 +65,7 @@
     returned.end(result.body);
   }
 
-  async #serve(method: string, url: string, body: string): Promise<ApiReturn> {
+  async #serve(method: string, url: string, body: string): Promise<ApiReply> {
     const [path = '/', query = ''] = url.split('?');
     const zone = /^\/zones\/([^/]+)\/empty$/.exec(path);
     const edit = /^\/edits\/([^/]+)$/.exec(path);
--- a/src/control/ControlCommand.ts
+++ b/src/control/ControlCommand.ts
@@ -1,11 +1,11 @@
 import { Flags } from '@oclif/core';
 import { makeLog } from '../common/Log.js';
 import { PROGRAM_FLAGS, ProgramCommand, SEED_FLAGS } from '../common/ProgramCommand.js';
-import { MindSettingsShape } from '../common/Settings.js';
+import { TableControlSettingsShape } from '../common/Settings.js';
 import { untilStopped } from '../common/Shutdown.js';
-import { MindProcess } from './TableControlProcess.js';
+import { TableControlProcess } from './TableControlProcess.js';
 
-export class MindCommand extends ProgramCommand {
+export class ControlCommand extends ProgramCommand {
   static override description = 'run a control node';
   static override flags = {
     ...PROGRAM_FLAGS,
@@ -15,17 +15,17 @@
     platform: Flags.string({ description: "address of the platform's list of machines" }),
     store: Flags.string({ description: 'address of the weight store' }),
     blindMs: Flags.integer({
-      description: 'a flow not vouched for within this span turns new work away',
+      description: 'a proxy not confirmed fresh within this span turns new work away',
     }),
   };
 
   async run(): Promise<void> {
-    const { flags } = await this.parse(MindCommand);
-    const settings = this.settle(MindSettingsShape, flags);
-    const mind = new MindProcess(settings, makeLog('mind', settings.listen));
-    await this.begin(mind.start.bind(mind));
+    const { flags } = await this.parse(ControlCommand);
+    const settings = this.settle(TableControlSettingsShape, flags);
+    const controlNode = new TableControlProcess(settings, makeLog('mind', settings.listen));
+    await this.begin(controlNode.start.bind(controlNode));
     await untilStopped();
-    await mind.stop();
+    await controlNode.stop();
     this.exit(0);
   }
 }
--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -1,18 +1,11 @@
 import { boolean, number, optional, string, type } from 'superstruct';
 import { rowKey, type Row } from '../policy/Table.js';
 import { allParts, CONFIG_PART, servicePart, VOTE_PART } from '../state/PartNames.js';
-import { Parts } from '../state/ReplicatedState.js';
-import { Standing } from '../state/ReplicaStatus.js';
+import { ReplicatedState } from '../state/ReplicatedState.js';
+import { ReplicaStatus } from '../state/ReplicaStatus.js';
 import type { StoredPart } from '../state/Store.js';
-import { Defect, DEFECTS, reasonOf, type DefectKind } from '../common/CodedError.js';
-import {
-  fellowId,
-  later,
-  moment,
-  type FellowId,
-  type Moment,
-  type PartName,
-} from '../common/Ids.js';
+import { CodedError, ERROR_CODES, reasonOf, type ErrorCode } from '../common/CodedError.js';
+import { nodeId, later, moment, type NodeId, type Moment, type PartName } from '../common/Ids.js';
 import { mustParseAs, parseAs } from '../common/Json.js';
 import type { MemberMessage, Message } from '../common/Messages.js';
 import { Quorum } from '../common/Quorum.js';
@@ -25,7 +18,7 @@
 } from '../common/Version.js';
 import { Relay } from '../dissemination/Relay.js';
 import { Sessions } from '../dissemination/Sessions.js';
-import { Vouching } from '../dissemination/FreshnessConfirmation.js';
+import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
 import {
   Placer,
   PLACER_DEFAULTS,
@@ -59,10 +52,10 @@
   type ConfigDoc,
 } from './ConfigDoc.js';
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
-import { applyEdit, ConfigDefect, recordEdit, TableDefect } from './Edits.js';
-import { FleetDesk } from './FleetManager.js';
-import type { MindEffect, MindSettings, OrderResult } from './ControlEffect.js';
-import { isVotersWriting, VoterPlan, type Enlisted } from './VoterPlan.js';
+import { applyEdit, ConfigError, recordEdit, TableError } from './Edits.js';
+import { FleetManager } from './FleetManager.js';
+import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
+import { isVotersWriting, VoterPlan, type Announced } from './VoterPlan.js';
 
 const VoteBodyShape = type({
   epoch: number(),
@@ -125,31 +118,31 @@
 const RECOVER_MS = 2000;
 const LOST_RUNNER_MS = 4000;
 /** How often a node that stands outside announces itself, and how long that is remembered. */
-const ENLIST_MS = 500;
-const ENLISTED_MS = 1500;
+const ANNOUNCE_MS = 500;
+const ANNOUNCEED_MS = 1500;
 const LEADERLESS_MS = 1000;
 const NEAR_MS = 1000;
 const NEVER = moment(-1e12);
-/** Clocks differ in rate, and a vouch takes its way: whoever is not fresh by so long after is surely blind. */
+/** Clocks differ in rate, and a confirmation takes its way: whoever is not fresh by so long after is surely blind. */
 const BLIND_SLACK_MS = 200;
 const UNKNOWN: MemberMessage = { id: 'unknown', zone: '', address: '', epoch: 0, count: 0 };
 
 /**
  * The core of a control node: election, shared state, sessions, news, configuration and placement,
- * as one pure state machine. It is told messages, beats and what the outside returned, and drains effects.
+ * as one pure state machine. It is told messages, ticks and what the outside returned, and drains effects.
  */
-export class MindCore {
-  readonly #settings: MindSettings;
-  readonly #me: FellowId;
+export class ControlCore {
+  readonly #settings: ControlSettings;
+  readonly #me: NodeId;
   readonly #elector: Elector;
-  readonly #parts: Parts;
-  readonly #standing: Standing;
+  readonly #parts: ReplicatedState;
+  readonly #replicaStatus: ReplicaStatus;
   readonly #sessions: Sessions;
   readonly #relay = new Relay();
-  readonly #vouching: Vouching;
+  readonly #confirmation: FreshnessConfirmation;
   readonly #placer: Placer;
   #quorum: Quorum;
-  #effects: MindEffect[] = [];
+  #effects: ControlEffect[] = [];
 
   #voteCount = 0;
   /** Vote records on their way to the disk, by their count. */
@@ -171,7 +164,7 @@
   #round:
     | {
         readonly nonce: number;
-        readonly returns: Map<FellowId, { readonly version: Version; readonly marks: number }>;
+        readonly replies: Map<NodeId, { readonly version: Version; readonly marks: number }>;
       }
     | undefined;
 
@@ -194,12 +187,12 @@
   readonly #shares = new Shares();
   #shareList: readonly Share[] = [];
   #sharedAt: Moment = NEVER;
-  /** Until then members may stand on no list of ours that were vouched for through us before we started. */
+  /** Until then members may stand on no list of ours that were confirmed fresh through us before we started. */
   readonly #unknownUntil: Moment;
   #listAskedAt: Moment = NEVER;
   readonly #orders = new Map<string, SentOrder>();
   readonly #keptIntents = new Set<string>();
-  /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a beat earlier. */
+  /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a tick earlier. */
   #isServing = false;
   #isRetiring = false;
   #isRecovering = false;
@@ -208,32 +201,32 @@
   #plannedAt: Moment = NEVER;
   #machinesAt: Moment = NEVER;
   #catalogAt: Moment = NEVER;
-  #fellowAt: Moment = NEVER;
+  #peersPingedAt: Moment = NEVER;
   #placesText = '';
   #placesCount = 0;
   #placementWrites = 0;
   #ordersSent = 0;
 
   /** Set where a deployment brings its own planner. */
-  readonly #desk: FleetDesk | undefined;
+  readonly #fleetManager: FleetManager | undefined;
   #seeds: readonly string[];
   readonly #zones = new Map<string, string>();
-  readonly #enlisted = new Map<string, Enlisted>();
-  #enlistedAt: Moment = NEVER;
+  readonly #announced = new Map<string, Announced>();
+  #announcedAt: Moment = NEVER;
   #leaderAt: Moment;
   readonly #voterPlan = new VoterPlan();
 
   constructor(
-    settings: MindSettings,
+    settings: ControlSettings,
     stored: readonly StoredPart[],
     now: Moment,
     vote: VoteSettings = VOTE_DEFAULTS,
     placer: PlacerSettings = PLACER_DEFAULTS,
   ) {
     this.#settings = settings;
-    this.#me = fellowId(settings.me);
+    this.#me = nodeId(settings.me);
     this.#unknownUntil = later(now, settings.blindMs + BLIND_SLACK_MS);
-    const seeds = settings.seeds.map(fellowId);
+    const seeds = settings.seeds.map(nodeId);
     const voteFile = stored.find(isVote);
     const record = voteFile ? parseAs(VoteBodyShape, voteFile.body) : undefined;
     // No record of votes at all is an empty folder; one that cannot be trusted is a lost disk.
@@ -246,32 +239,32 @@
         : 'lost';
     this.#voteCount = voteFile?.version.count ?? 0;
     this.#quorum = new Quorum(seeds);
-    this.#parts = new Parts(this.#me, this.#quorum, allParts(), stored);
+    this.#parts = new ReplicatedState(this.#me, this.#quorum, allParts(), stored);
     this.#doc = firstDoc(settings.seeds);
     const known: VoteRecord | undefined = name === 'sound' ? record : undefined;
     this.#elector = new Elector(this.#me, this.#quorum, vote, now, known);
     this.#keptGrant = known?.grantEpoch ?? 0;
-    this.#standing = new Standing(
+    this.#replicaStatus = new ReplicaStatus(
       this.#me,
       name,
       now,
       settings.foundMs,
-      settings.life,
+      settings.incarnation,
       settings.deployed?.isFirstStart ?? true,
     );
     this.#seeds = settings.seeds;
     this.#leaderAt = now;
-    this.#desk =
+    this.#fleetManager =
       settings.deployed &&
-      new FleetDesk(settings.deployed, {
+      new FleetManager(settings.deployed, {
         effects: this.#effect.bind(this),
         write: this.#writePlaced.bind(this),
         publish: this.#publishFleet.bind(this),
         mayOrder: this.mayOrder.bind(this),
         flows: this.#flowCount.bind(this),
       });
-    this.#vouching = new Vouching(settings.life);
-    this.#forwardId = settings.life;
+    this.#confirmation = new FreshnessConfirmation(settings.incarnation);
+    this.#forwardId = settings.incarnation;
     if (name !== 'sound')
       this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
@@ -283,29 +276,29 @@
   get elector(): Elector {
     return this.#elector;
   }
-  get parts(): Parts {
+  get parts(): ReplicatedState {
     return this.#parts;
   }
   get relay(): Relay {
     return this.#relay;
   }
-  get standing(): Standing {
-    return this.#standing;
+  get standing(): ReplicaStatus {
+    return this.#replicaStatus;
   }
   get isServing(): boolean {
     return this.#isServing;
   }
-  get voters(): readonly FellowId[] {
+  get voters(): readonly NodeId[] {
     return this.#quorum.all;
   }
   get ordersSent(): number {
-    return this.#ordersSent + (this.#desk?.ordersSent ?? 0);
+    return this.#ordersSent + (this.#fleetManager?.ordersSent ?? 0);
   }
   get placementWrites(): number {
     return this.#placementWrites;
   }
 
-  drain(): MindEffect[] {
+  drain(): ControlEffect[] {
     const effects = this.#effects;
     this.#effects = [];
     return effects;
@@ -335,34 +328,34 @@
 
   // ---- inputs
 
-  beat(now: Moment): void {
-    this.#elector.beat(now);
-    for (const send of this.#standing.beat(now, this.#quorum))
+  tick(now: Moment): void {
+    this.#elector.tick(now);
+    for (const send of this.#replicaStatus.tick(now, this.#quorum))
       this.#effects.push({ do: 'send', ...send });
-    this.#settleStanding(now, this.#standing.outcome(now, this.#quorum));
-    this.#parts.beat(now);
-    this.#sessions.beat(now);
+    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
+    this.#parts.tick(now);
+    this.#sessions.tick(now);
     for (const [id, at] of this.#asked)
       if (now - at > this.#settings.blindMs * 2) this.#asked.delete(id);
-    for (const [fellow, heard] of this.#heardMembers)
-      if (now - heard.at > this.#settings.blindMs * 2) this.#heardMembers.delete(fellow);
+    for (const [peer, heard] of this.#heardMembers)
+      if (now - heard.at > this.#settings.blindMs * 2) this.#heardMembers.delete(peer);
     this.#beginRound(now);
-    this.#beatFellows(now);
-    this.#beatCommands(now);
-    if (this.#desk) this.#beatVoters(now);
-    this.#beatOutside(now);
+    this.#tickPeers(now);
+    this.#tickCommands(now);
+    if (this.#fleetManager) this.#tickVoters(now);
+    this.#tickOutside(now);
     this.#collect(now);
   }
 
   receive(now: Moment, from: string, message: Message, zone: string = ''): void {
     this.#closed.delete(from);
-    if (zone !== '' && this.#quorum.holds(fellowId(from))) this.#zones.set(from, zone);
+    if (zone !== '' && this.#quorum.holds(nodeId(from))) this.#zones.set(from, zone);
     switch (message.kind) {
       case 'read':
         if (message.epoch === 0)
           this.#send(
             from,
-            this.#standing.returnTo(
+            this.#replicaStatus.replyTo(
               message.nonce,
               this.#elector.epoch,
               this.#parts.copies(),
@@ -372,56 +365,56 @@
         else
           this.#parts.receive(
             now,
-            fellowId(from),
+            nodeId(from),
             message,
             this.#grantedEpoch(),
             [],
-            this.#standing.name,
+            this.#replicaStatus.name,
           );
         break;
-      case 'readReturn':
+      case 'readReply':
         if (message.sound)
-          this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], '');
+          this.#parts.receive(now, nodeId(from), message, this.#grantedEpoch(), [], '');
         else
-          this.#settleStanding(
+          this.#settleReplicaStatus(
             now,
-            this.#standing.receive(now, fellowId(from), message, this.#quorum),
+            this.#replicaStatus.receive(now, nodeId(from), message, this.#quorum),
           );
         break;
       case 'write':
         this.#parts.receive(
           now,
-          fellowId(from),
+          nodeId(from),
           message,
           this.#grantedEpoch(),
           this.#possibleMembers(now),
-          this.#standing.name,
+          this.#replicaStatus.name,
         );
         break;
-      case 'writeReturn':
+      case 'writeReply':
       case 'digest':
-      case 'digestReturn':
+      case 'digestReply':
         // Only a write's return names members.
         this.#parts.receive(
           now,
-          fellowId(from),
+          nodeId(from),
           message,
           this.#grantedEpoch(),
           [],
-          this.#standing.name,
+          this.#replicaStatus.name,
         );
         break;
-      case 'sound':
-        this.#receiveSound(now, from, message.nonce, message.members);
+      case 'quorumRead':
+        this.#receiveQuorumRead(now, from, message.nonce, message.members);
         break;
-      case 'sounded':
-        this.#receiveSounded(now, from, message);
+      case 'quorumReadReply':
+        this.#receiveQuorumReadReply(now, from, message);
         break;
       case 'join':
         this.#receiveJoin(now, from, message);
         break;
-      case 'ask':
-        this.#receiveAsk(now, from, message);
+      case 'freshnessRequest':
+        this.#receiveFreshnessRequest(now, from, message);
         break;
       case 'ack':
         this.#sessions.ack(from, message);
@@ -430,11 +423,11 @@
       case 'acked':
         this.#receiveAcked(now, from, message.members);
         break;
-      case 'enlist':
-        this.#receiveEnlist(now, from, message);
+      case 'announce':
+        this.#receiveAnnounce(now, from, message);
         break;
-      case 'news':
-        this.#receiveNews(message);
+      case 'update':
+        this.#receiveUpdate(message);
         break;
       case 'delta':
         this.#receiveDelta(from, message);
@@ -445,11 +438,11 @@
       case 'command':
         this.#command(now, { from, id: message.id }, message.verb, message.body);
         break;
-      case 'commandReturn':
-        this.#receiveCommandReturn(from, message);
+      case 'commandReply':
+        this.#receiveCommandReply(from, message);
         break;
       default:
-        this.#elector.receive(now, fellowId(from), message);
+        this.#elector.receive(now, nodeId(from), message);
         break;
     }
     this.#collect(now);
@@ -463,9 +456,9 @@
     for (const [id, forwarded] of this.#forwards) {
       if (forwarded.to !== from) continue;
       this.#forwards.delete(id);
-      this.#returnUnsure(forwarded.origin, forwarded.editId);
+      this.#replyUnsure(forwarded.origin, forwarded.editId);
     }
-    this.#rehang();
+    this.#reassignParents();
     this.#collect(now);
   }
 
@@ -479,7 +472,7 @@
       }
       if (this.#settleOnVote !== undefined && version.count >= this.#settleOnVote) {
         this.#settleOnVote = undefined;
-        this.#standing.settle();
+        this.#replicaStatus.settle();
         this.#note('standing is sound', {});
       }
     } else {
@@ -497,13 +490,13 @@
 
   /** The platform's list of runners. */
   list(now: Moment, runners: readonly ListedRunner[]): void {
-    if (this.#isServing) this.#desk?.list(now, runners, this.#doc);
+    if (this.#isServing) this.#fleetManager?.list(now, runners, this.#doc);
     this.#collect(now);
   }
 
   /** A runner's own report, asked for at that moment; nothing if it gave none. */
   status(now: Moment, runner: string, askedAt: Moment, status: RunnerStatus | undefined): void {
-    if (this.#isServing) this.#desk?.status(now, runner, askedAt, status);
+    if (this.#isServing) this.#fleetManager?.status(now, runner, askedAt, status);
     this.#collect(now);
   }
 
@@ -526,9 +519,14 @@
 
   /** What became of an order: taken, turned away for good, or unsure. */
   ordered(now: Moment, intent: string, outcome: OrderResult | 'turnedAway'): void {
-    if (this.#desk) {
+    if (this.#fleetManager) {
       if (this.#isServing)
-        this.#desk.ordered(now, intent, outcome === 'turnedAway' ? 'refused' : outcome, this.#doc);
+        this.#fleetManager.ordered(
+          now,
+          intent,
+          outcome === 'turnedAway' ? 'refused' : outcome,
+          this.#doc,
+        );
       this.#collect(now);
       return;
     }
@@ -563,7 +561,7 @@
   retire(now: Moment): boolean {
     this.#isRetiring = true;
     for (const order of this.#orders.values()) if (order.state !== 'taken') return false;
-    if (this.#isServing && this.#desk?.hasOpenOrders) return false;
+    if (this.#isServing && this.#fleetManager?.hasOpenOrders) return false;
     this.#elector.retire(now);
     this.#collect(now);
     return true;
@@ -575,7 +573,7 @@
     this.#effects.push({ do: 'send', to, message });
   }
 
-  #effect(effect: MindEffect): void {
+  #effect(effect: ControlEffect): void {
     this.#effects.push(effect);
   }
 
@@ -593,7 +591,7 @@
           this.#send(effect.to, effect.message);
           continue;
         }
-        if (this.#standing.name === 'sound' || this.#settleOnVote !== undefined)
+        if (this.#replicaStatus.name === 'sound' || this.#settleOnVote !== undefined)
           this.#keepVote(effect.token, effect.record);
       }
       for (const effect of this.#parts.drain()) {
@@ -625,7 +623,7 @@
 
   /** The epoch granted here, on disk, and not moved on from. */
   #grantedEpoch(): number {
-    return this.#standing.name === 'sound' && this.#keptGrant === this.#elector.epoch
+    return this.#replicaStatus.name === 'sound' && this.#keptGrant === this.#elector.epoch
       ? this.#keptGrant
       : 0;
   }
@@ -646,28 +644,28 @@
   #standDown(): void {
     this.#isServing = false;
     this.#recoverUntil = undefined;
-    this.#parts.stand();
+    this.#parts.stub();
     this.#orders.clear();
     this.#keptIntents.clear();
     this.#placesText = '';
     this.#written.clear();
-    for (const edit of this.#edits.values()) this.#returnUnsure(edit.origin, edit.id);
+    for (const edit of this.#edits.values()) this.#replyUnsure(edit.origin, edit.id);
     this.#edits.clear();
     for (const origin of this.#reads.values())
-      this.#returnDefect(origin, new Defect('no-leader', 'the leader changed'));
+      this.#replyError(origin, new CodedError('no-leader', 'the leader changed'));
     this.#reads.clear();
   }
 
   // ---- standing
 
-  #settleStanding(now: Moment, outcome: ReturnType<Standing['outcome']>): void {
+  #settleReplicaStatus(now: Moment, outcome: ReturnType<ReplicaStatus['outcome']>): void {
     if (!outcome || this.#settleOnVote !== undefined || this.#repair) return;
     if (outcome.become === 'founded') {
       this.#note('founding', {});
       this.#settleOnVote = this.#voteCount + 1;
       this.#elector.setMayVote(true, { epoch: outcome.epoch, grantEpoch: 0, grantLeader: '' }, now);
     } else {
-      this.#note('repaired from fellows', { epoch: outcome.epoch });
+      this.#note('repaired from peers', { epoch: outcome.epoch });
       // Only what is newer than ours is stored anew, and only that is waited for.
       const waiting = new Set(this.#parts.adopt(outcome.copies));
       this.#followVoters();
@@ -682,7 +680,7 @@
     if (!repair || repair.waiting.size > 0) return;
     this.#repair = undefined;
     // One that is no voter has granted nothing that binds here: it joins the epoch that stands, and no election is due for it.
-    const epoch = this.#desk && !this.#quorum.holds(this.#me) ? 0 : repair.epoch;
+    const epoch = this.#fleetManager && !this.#quorum.holds(this.#me) ? 0 : repair.epoch;
     this.#settleOnVote = this.#voteCount + 1;
     this.#elector.setMayVote(true, { epoch, grantEpoch: 0, grantLeader: '' }, now);
   }
@@ -690,8 +688,8 @@
   #followVoters(): void {
     const voters = this.#knownVoters();
     if (!voters || voters.length === 0) return;
-    function ids(set: readonly string[]): FellowId[] {
-      return set.map(fellowId);
+    function ids(set: readonly string[]): NodeId[] {
+      return set.map(nodeId);
     }
     const quorum = new Quorum(...voters.map(ids));
     if (quorum.text === this.#quorum.text) return;
@@ -702,7 +700,7 @@
 
   /** By the newest configuration known here: our own copy, or one that was told as committed. */
   #knownVoters(): readonly (readonly string[])[] | undefined {
-    const news = this.#desk ? this.#relay.item('config') : undefined;
+    const news = this.#fleetManager ? this.#relay.item('config') : undefined;
     if (news && isNewer(news.version, this.#parts.versionOf(CONFIG_PART)))
       return parseAs(ConfigNewsShape, news.body)?.voters;
     const body = this.#parts.replicaBody(CONFIG_PART);
@@ -712,7 +710,7 @@
   // ---- voters of a deployment: they announce themselves, and the leader lets them in
 
   /** Of one that is silent nothing is told: nobody is to turn to it for being near. */
-  #zoneOf(now: Moment, id: FellowId): string {
+  #zoneOf(now: Moment, id: NodeId): string {
     const at = this.#elector.heardAt(id);
     return at !== undefined && now - at < NEAR_MS ? (this.#zones.get(id) ?? '') : '';
   }
@@ -722,33 +720,33 @@
     return !this.#quorum.holds(this.#me) || this.#elector.leader === undefined;
   }
 
-  #beatVoters(now: Moment): void {
+  #tickVoters(now: Moment): void {
     if (!this.#isLost()) this.#leaderAt = now;
     const isVoter = this.#quorum.holds(this.#me);
     if (
-      now >= later(this.#enlistedAt, ENLIST_MS) &&
+      now >= later(this.#announcedAt, ANNOUNCE_MS) &&
       (!isVoter || now >= later(this.#leaderAt, LEADERLESS_MS))
     ) {
-      this.#enlistedAt = now;
+      this.#announcedAt = now;
       const known = this.#relay.version('config');
       const message = {
-        kind: 'enlist',
+        kind: 'announce',
         id: this.#me,
         zone: this.#settings.zone,
         epoch: known.epoch,
         count: known.count,
         isFirst: this.#settings.deployed?.isFirstStart ?? false,
-        isSound: this.#standing.name === 'sound',
+        isSound: this.#replicaStatus.name === 'sound',
       } as const;
       for (const peer of this.peers) this.#send(peer, message);
     }
-    for (const [id, enlisted] of this.#enlisted)
-      if (now - enlisted.at > ENLISTED_MS) this.#enlisted.delete(id);
+    for (const [id, announced] of this.#announced)
+      if (now - announced.at > ANNOUNCEED_MS) this.#announced.delete(id);
     if (!this.#isServing || this.#parts.isWriting(CONFIG_PART)) return;
     const change = this.#voterPlan.next(
       now,
       this.#doc.voters,
-      this.#enlisted.values(),
+      this.#announced.values(),
       this.#me,
       this.#voterHeardAt.bind(this),
     );
@@ -767,16 +765,20 @@
   }
 
   #voterHeardAt(voter: string): Moment | undefined {
-    return this.#elector.heardAt(fellowId(voter));
+    return this.#elector.heardAt(nodeId(voter));
   }
 
-  #receiveEnlist(now: Moment, from: string, message: Extract<Message, { kind: 'enlist' }>): void {
+  #receiveAnnounce(
+    now: Moment,
+    from: string,
+    message: Extract<Message, { kind: 'announce' }>,
+  ): void {
     const { id, zone, isFirst, isSound } = message;
     if (id === this.#me) return;
-    this.#enlisted.set(id, { id, zone, isFirst, isSound, at: now });
+    this.#announced.set(id, { id, zone, isFirst, isSound, at: now });
     const news = this.#relay.item('config');
     if (news && from === id && isNewer(news.version, message))
-      this.#send(id, { kind: 'news', topic: 'config', ...news.version, body: news.body });
+      this.#send(id, { kind: 'update', topic: 'config', ...news.version, body: news.body });
     // Passed on once: whoever came to us by another is not passed on again.
     const leader = this.#elector.leader;
     if (leader !== undefined && leader !== this.#me && from === id) this.#send(leader, message);
@@ -786,19 +788,22 @@
 
   #receiveJoin(now: Moment, from: string, message: Extract<Message, { kind: 'join' }>): void {
     this.#sessions.join(now, from, message.zone, message.address, message);
-    this.#standing.noteMember(message.epoch);
+    this.#replicaStatus.noteMember(message.epoch);
     if (message.lost !== '') this.#sessions.upset(now, message.lost);
     this.#noteAck(from, message);
-    // The tree takes its time with many sessions: it is drawn anew where a word may change it, and else at the beat.
-    if (!this.#hung.has(from) || message.lost !== '') this.#rehang();
-    this.#send(from, { kind: 'hang', parent: this.#hung.get(from) ?? '' });
-    if (this.#desk) {
-      const minds = [];
+    // The tree takes its time with many sessions: it is drawn anew where a word may change it, and else at the tick.
+    if (!this.#parentOf.has(from) || message.lost !== '') this.#reassignParents();
+    this.#send(from, { kind: 'assignParent', parent: this.#parentOf.get(from) ?? '' });
+    if (this.#fleetManager) {
+      const controlNodes = [];
       for (const id of this.#quorum.all)
-        minds.push({ id, zone: id === this.#me ? this.#settings.zone : this.#zoneOf(now, id) });
+        controlNodes.push({
+          id,
+          zone: id === this.#me ? this.#settings.zone : this.#zoneOf(now, id),
+        });
       this.#send(from, {
-        kind: 'minds',
-        minds,
+        kind: 'controlNodes',
+        controlNodes,
         leader: this.#elector.leader ?? '',
         ...this.#relay.version('config'),
       });
@@ -806,17 +811,17 @@
   }
 
   #fed: ReadonlySet<string> = new Set();
-  readonly #hung = new Map<string, string>();
+  readonly #parentOf = new Map<string, string>();
 
   /** Tells those whose parent changed, and keeps feeding those that hang under us. */
-  #rehang(): void {
+  #reassignParents(): void {
     const tree = this.#sessions.tree();
     for (const [id, parent] of tree) {
-      if (this.#hung.get(id) !== undefined && this.#hung.get(id) !== parent)
-        this.#send(id, { kind: 'hang', parent });
-      this.#hung.set(id, parent);
+      if (this.#parentOf.get(id) !== undefined && this.#parentOf.get(id) !== parent)
+        this.#send(id, { kind: 'assignParent', parent });
+      this.#parentOf.set(id, parent);
     }
-    for (const id of this.#hung.keys()) if (!tree.has(id)) this.#hung.delete(id);
+    for (const id of this.#parentOf.keys()) if (!tree.has(id)) this.#parentOf.delete(id);
     const children: string[] = [];
     for (const [id, parent] of tree) if (parent === '') children.push(id);
     if (this.#elector.isLeading())
@@ -825,8 +830,12 @@
     this.#relay.setChildren(children);
   }
 
-  /** An ask from below: by a link of the tree, by one that cannot reach its parent, or by a fellow for news alone. */
-  #receiveAsk(now: Moment, from: string, message: Extract<Message, { kind: 'ask' }>): void {
+  /** An ask from below: by a link of the tree, by one that cannot reach its parent, or by a peer for news alone. */
+  #receiveFreshnessRequest(
+    now: Moment,
+    from: string,
+    message: Extract<Message, { kind: 'freshnessRequest' }>,
+  ): void {
     this.#relay.heard(from, message.have);
     if (message.nonce < 0) {
       // Answered once: who hangs elsewhere is fed there, and would get everything twice.
@@ -834,10 +843,10 @@
       if (!this.#fed.has(from)) this.#relay.removeChild(from);
       return;
     }
-    if (this.#desk) {
-      // Nobody here works by being vouched for: the ask was for news, and its return says that we are there.
+    if (this.#fleetManager) {
+      // Nobody here works by being confirmed fresh: the ask was for news, and its return says that we are there.
       this.#send(from, {
-        kind: 'vouch',
+        kind: 'freshnessReply',
         nonce: message.nonce,
         ...this.#relay.version('config'),
         marks: 0,
@@ -845,7 +854,7 @@
       return;
     }
     for (const id of message.members) this.#asked.set(id, now);
-    this.#vouching.add({ child: from, nonce: message.nonce, members: message.members });
+    this.#confirmation.add({ child: from, nonce: message.nonce, members: message.members });
     this.#beginRound(now);
   }
 
@@ -868,7 +877,7 @@
     return list;
   }
 
-  /** Those with a session here now or lately, and those vouched for through us lately, wherever their session is. */
+  /** Those with a session here now or lately, and those confirmed fresh through us lately, wherever their session is. */
   #ownMembers(): MemberMessage[] {
     const list = [...this.#sessions.recent()];
     const ids = new Set<string>();
@@ -878,30 +887,41 @@
     return list;
   }
 
-  /** Asks a majority for the newest they hold; asks that waited are vouched for by what it returns. */
+  /** Asks a majority for the newest they hold; asks that waited are confirmed fresh by what it returns. */
   #beginRound(now: Moment): void {
-    const nonce = this.#vouching.begin(now);
+    const nonce = this.#confirmation.begin(now);
     if (nonce === undefined) return;
-    this.#round = { nonce, returns: new Map() };
+    this.#round = { nonce, replies: new Map() };
     const members = this.#ownMembers();
-    for (const fellow of this.#quorum.all) {
-      if (fellow === this.#me) this.#receiveSound(now, this.#me, nonce, []);
-      else this.#send(fellow, { kind: 'sound', nonce, members });
+    for (const peer of this.#quorum.all) {
+      if (peer === this.#me) this.#receiveQuorumRead(now, this.#me, nonce, []);
+      else this.#send(peer, { kind: 'quorumRead', nonce, members });
     }
   }
 
-  #receiveSound(now: Moment, from: string, nonce: number, members: readonly MemberMessage[]): void {
+  #receiveQuorumRead(
+    now: Moment,
+    from: string,
+    nonce: number,
+    members: readonly MemberMessage[],
+  ): void {
     if (from !== this.#me) this.#heardMembers.set(from, { members, at: now });
     // A node whose disk is lost, or whose copy is bad, may have held something newer than it can tell.
-    if (this.#standing.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART)) return;
+    if (this.#replicaStatus.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART))
+      return;
     // Without any list we cannot tell which machines are leaving, though somebody may have known before we started.
-    if (!this.#desk && this.#machines.revision === 0) {
+    if (!this.#fleetManager && this.#machines.revision === 0) {
       this.#askList(now);
       return;
     }
     const version = this.#parts.versionOf(CONFIG_PART);
-    const message = { kind: 'sounded', nonce, ...version, marks: this.#machines.revision } as const;
-    if (from === this.#me) this.#receiveSounded(now, from, message);
+    const message = {
+      kind: 'quorumReadReply',
+      nonce,
+      ...version,
+      marks: this.#machines.revision,
+    } as const;
+    if (from === this.#me) this.#receiveQuorumReadReply(now, from, message);
     else this.#send(from, message);
   }
 
@@ -910,39 +930,53 @@
     if (now < later(this.#listAskedAt, 500)) return;
     this.#listAskedAt = now;
     for (const member of this.#knownMembers())
-      this.#send(member.id, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
-    for (const fellow of this.#quorum.all)
-      if (fellow !== this.#me)
-        this.#send(fellow, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+      this.#send(member.id, {
+        kind: 'freshnessRequest',
+        nonce: -1,
+        have: this.#relay.have(),
+        members: [],
+      });
+    for (const peer of this.#quorum.all)
+      if (peer !== this.#me)
+        this.#send(peer, {
+          kind: 'freshnessRequest',
+          nonce: -1,
+          have: this.#relay.have(),
+          members: [],
+        });
   }
 
-  #receiveSounded(now: Moment, from: string, message: Extract<Message, { kind: 'sounded' }>): void {
+  #receiveQuorumReadReply(
+    now: Moment,
+    from: string,
+    message: Extract<Message, { kind: 'quorumReadReply' }>,
+  ): void {
     const round = this.#round;
     if (!round || round.nonce !== message.nonce) return;
-    round.returns.set(fellowId(from), {
+    round.replies.set(nodeId(from), {
       version: { epoch: message.epoch, count: message.count },
       marks: message.marks,
     });
-    if (!this.#quorum.isMajority(new Set(round.returns.keys()))) return;
+    if (!this.#quorum.isMajority(new Set(round.replies.keys()))) return;
     this.#round = undefined;
     let version = NO_VERSION;
     let marks = 0;
-    for (const known of round.returns.values()) {
+    for (const known of round.replies.values()) {
       if (isNewer(known.version, version)) version = known.version;
       marks = Math.max(marks, known.marks);
     }
-    for (const ask of this.#vouching.end(round.nonce)) {
+    for (const ask of this.#confirmation.end(round.nonce)) {
       const read = this.#reads.get(ask.nonce);
       if (ask.child === '' && read) {
         this.#reads.delete(ask.nonce);
-        this.#returnRead(read, version);
+        this.#replyRead(read, version);
       } else if (ask.child !== '')
-        this.#send(ask.child, { kind: 'vouch', nonce: ask.nonce, ...version, marks });
+        this.#send(ask.child, { kind: 'freshnessReply', nonce: ask.nonce, ...version, marks });
     }
     this.#beginRound(now);
   }
 
-  #receiveNews(message: Extract<Message, { kind: 'news' }>): void {
+  #receiveUpdate(message: Extract<Message, { kind: 'update' }>): void {
     if (message.topic === 'machines') {
       const machines = parseAs(MachinesShape, message.body);
       if (machines) this.#takeMachines(machines);
@@ -952,7 +986,7 @@
         { epoch: message.epoch, count: message.count },
         message.body,
       );
-      if (isNew && this.#desk && message.topic === 'config') this.#followVoters();
+      if (isNew && this.#fleetManager && message.topic === 'config') this.#followVoters();
     }
   }
 
@@ -961,12 +995,17 @@
     const version = { epoch: message.epoch, count: message.count };
     if (this.#relay.offerDelta(message.topic, version, message.from, message.body)) return;
     if (isNewer(version, this.#relay.version(message.topic)))
-      this.#send(from, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+      this.#send(from, {
+        kind: 'freshnessRequest',
+        nonce: -1,
+        have: this.#relay.have(),
+        members: [],
+      });
   }
 
   #receiveAcked(now: Moment, from: string, members: readonly MemberMessage[]): void {
     for (const member of members) this.#noteAck(member.id, member);
-    if (this.#desk) this.#heardMembers.set(from, { members, at: now });
+    if (this.#fleetManager) this.#heardMembers.set(from, { members, at: now });
   }
 
   #flowCount(): number {
@@ -998,9 +1037,9 @@
     const body = JSON.stringify(machines);
     this.#relay.offer('machines', version, body);
     // Every node that learns of a mark passes it on at once, leader or not.
-    for (const fellow of this.#quorum.all) {
-      if (fellow !== this.#me)
-        this.#send(fellow, { kind: 'news', topic: 'machines', ...version, body });
+    for (const peer of this.#quorum.all) {
+      if (peer !== this.#me)
+        this.#send(peer, { kind: 'update', topic: 'machines', ...version, body });
     }
   }
 
@@ -1008,14 +1047,19 @@
     for (const send of this.#relay.flush()) this.#send(send.to, send.message);
   }
 
-  #beatFellows(now: Moment): void {
-    if (now < later(this.#fellowAt, this.#desk ? 500 : 250)) return;
-    this.#fellowAt = now;
-    this.#rehang();
+  #tickPeers(now: Moment): void {
+    if (now < later(this.#peersPingedAt, this.#fleetManager ? 500 : 250)) return;
+    this.#peersPingedAt = now;
+    this.#reassignParents();
     const leader = this.#elector.leader;
     if (leader === undefined || leader === this.#me) return;
     this.#send(leader, { kind: 'acked', members: [...this.#sessions.up()] });
-    this.#send(leader, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+    this.#send(leader, {
+      kind: 'freshnessRequest',
+      nonce: -1,
+      have: this.#relay.have(),
+      members: [],
+    });
   }
 
   #receiveDemand(now: Moment, body: string): void {
@@ -1024,8 +1068,8 @@
       this.#send(leader, { kind: 'demand', body });
       return;
     }
-    if (this.#desk) {
-      if (this.#isServing) this.#desk.demand(now, body, this.#doc);
+    if (this.#fleetManager) {
+      if (this.#isServing) this.#fleetManager.demand(now, body, this.#doc);
       return;
     }
     const report = parseAs(DemandShape, body);
@@ -1057,12 +1101,12 @@
       const text = part === CONFIG_PART ? '' : this.#parts.body(part);
       if (text !== '') docs.push(...mustParseAs(ServicePartShape, text, part).services);
     }
-    if (this.#desk) {
+    if (this.#fleetManager) {
       // Whoever comes later must find the voters written down, whatever seeds it is told.
       if (body === '') this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
       this.#voterPlan.begin();
-      this.#desk.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
-      this.#desk.beat(now, this.#doc);
+      this.#fleetManager.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
+      this.#fleetManager.tick(now, this.#doc);
       return;
     }
     this.#placer.restore(docs, `${this.#me}/${this.#ledEpoch}`);
@@ -1081,7 +1125,7 @@
   #recover(now: Moment): void {
     this.#recoverUntil = later(now, RECOVER_MS);
     for (const member of this.#knownMembers())
-      this.#send(member.id, { kind: 'ask', nonce: -1, have: [], members: [] });
+      this.#send(member.id, { kind: 'freshnessRequest', nonce: -1, have: [], members: [] });
   }
 
   #endRecovery(now: Moment): void {
@@ -1120,8 +1164,8 @@
   ): void {
     if (part !== CONFIG_PART) {
       const body = parseAs(ServicePartShape, this.#committedBody(part, version));
-      if (this.#desk) {
-        if (this.#isServing) this.#desk.kept(now, body?.services ?? []);
+      if (this.#fleetManager) {
+        if (this.#isServing) this.#fleetManager.kept(now, body?.services ?? []);
         return;
       }
       for (const doc of body?.services ?? [])
@@ -1138,7 +1182,7 @@
       if (edit) edit.committed = { version, at: now, members: ids };
     }
     // Here the yes says that it is held for good; the machines have their own span to follow.
-    if (this.#desk) this.#answerEdits(now);
+    if (this.#fleetManager) this.#answerEdits(now);
   }
 
   /** Bodies by version, from when they were written until they are committed. */
@@ -1157,7 +1201,7 @@
   #command(now: Moment, origin: Origin, verb: string, body: string): void {
     try {
       if (verb === 'status') {
-        this.#return(origin, 200, JSON.stringify(this.#status(now)));
+        this.#reply(origin, 200, JSON.stringify(this.#status(now)));
         return;
       }
       if (verb === 'found') {
@@ -1165,21 +1209,21 @@
         return;
       }
       if (this.#recoverUntil !== undefined)
-        throw new Defect('no-leader', 'the table is being recovered from the members');
+        throw new CodedError('no-leader', 'the table is being recovered from the members');
       if (!this.#elector.isLeading() || !this.#isServing) {
         this.#forward(now, origin, verb, body);
         return;
       }
       if (verb === 'read') this.#read(origin);
-      else if (verb === 'live') this.#return(origin, 200, JSON.stringify(this.#live(now)));
-      else if (verb === 'fleet') this.#return(origin, 200, JSON.stringify(this.#fleet(now)));
+      else if (verb === 'live') this.#reply(origin, 200, JSON.stringify(this.#live(now)));
+      else if (verb === 'fleet') this.#reply(origin, 200, JSON.stringify(this.#fleet(now)));
       else if (verb === 'edit')
         this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask'));
       else this.#edit(now, origin, verb, body);
     } catch (thrown) {
-      this.#returnDefect(
+      this.#replyError(
         origin,
-        thrown instanceof Defect ? thrown : new Defect('malformed', reasonOf(thrown)),
+        thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
       );
     }
   }
@@ -1193,7 +1237,7 @@
       origin.from !== '' ||
       this.#closed.has(leader)
     )
-      throw new Defect('no-leader', 'no leader is known; nothing was done');
+      throw new CodedError('no-leader', 'no leader is known; nothing was done');
     this.#forwardId += 1;
     const edit = parseAs(EditShapes.edit, body);
     const isEdit = verb !== 'read' && verb !== 'fleet' && verb !== 'live';
@@ -1206,11 +1250,11 @@
     this.#send(leader, { kind: 'command', id: this.#forwardId, verb, body });
   }
 
-  #receiveCommandReturn(from: string, message: Extract<Message, { kind: 'commandReturn' }>): void {
+  #receiveCommandReply(from: string, message: Extract<Message, { kind: 'commandReply' }>): void {
     const forwarded = this.#forwards.get(message.id);
     if (!forwarded || forwarded.to !== from) return;
     this.#forwards.delete(message.id);
-    this.#return(forwarded.origin, message.status, message.body);
+    this.#reply(forwarded.origin, message.status, message.body);
   }
 
   #edit(now: Moment, origin: Origin, verb: string, body: string): void {
@@ -1219,7 +1263,7 @@
     if (before) {
       // The same id again is the same edit: it is told what became of it, and done once.
       if (before.outcome === 'closed')
-        throw new Defect('base-lost', `edit ${id} was asked about before it came, and closed`);
+        throw new CodedError('base-lost', `edit ${id} was asked about before it came, and closed`);
       this.#write(now, origin, id, this.#doc, 'accepted');
       return;
     }
@@ -1234,12 +1278,12 @@
     } catch (thrown) {
       const base = parseAs(EditShapes.edit, body)?.base;
       if (
-        !(thrown instanceof Defect) ||
+        !(thrown instanceof CodedError) ||
         thrown.kind !== 'base-lost' ||
         !mayBeForgotten(this.#doc, base)
       )
         throw thrown;
-      throw new Defect(
+      throw new CodedError(
         'unsure-edit',
         `edit ${id} was made from table ${base ?? 0}, so long ago that whether it was accepted is no longer known`,
       );
@@ -1250,9 +1294,9 @@
     const edit = mustParseAs(EditShapes.swap, body, 'the swap');
     const [current] = this.#doc.voters;
     if (!current || this.#doc.voters.length !== 1)
-      throw new Defect('base-lost', 'another swap is under way');
+      throw new CodedError('base-lost', 'another swap is under way');
     if (!current.includes(edit.old) || current.includes(edit.new))
-      throw new Defect('malformed', `${edit.old} is no voter, or ${edit.new} is one`);
+      throw new CodedError('malformed', `${edit.old} is no voter, or ${edit.new} is one`);
     function exchange(voter: string): string {
       return voter === edit.old ? edit.new : voter;
     }
@@ -1289,7 +1333,7 @@
   ): void {
     const known = this.#doc.edits.find(hasId.bind(undefined, id));
     if (!known && mayBeForgotten(this.#doc, base))
-      throw new Defect(
+      throw new CodedError(
         'unsure-edit',
         `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`,
       );
@@ -1301,40 +1345,43 @@
   #read(origin: Origin): void {
     this.#readId += 1;
     this.#reads.set(this.#readId, origin);
-    this.#vouching.add({ child: '', nonce: this.#readId, members: [] });
+    this.#confirmation.add({ child: '', nonce: this.#readId, members: [] });
   }
 
-  #returnRead(origin: Origin, newest: Version): void {
+  #replyRead(origin: Origin, newest: Version): void {
     const item = this.#relay.item('config');
     if (!this.#isServing || !item || isNewer(newest, item.version)) {
-      this.#returnDefect(
+      this.#replyError(
         origin,
-        new Defect('no-leader', 'a newer configuration is being written; ask again'),
+        new CodedError('no-leader', 'a newer configuration is being written; ask again'),
       );
       return;
     }
-    this.#return(origin, 200, item.body);
+    this.#reply(origin, 200, item.body);
   }
 
-  #beatCommands(now: Moment): void {
+  #tickCommands(now: Moment): void {
     if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#isServing)
       this.#endRecovery(now);
     for (const [id, forwarded] of this.#forwards) {
       if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS))
         continue;
       this.#forwards.delete(id);
-      this.#returnUnsure(forwarded.origin, forwarded.editId);
+      this.#replyUnsure(forwarded.origin, forwarded.editId);
     }
     this.#answerEdits(now);
     // A spare that is to vote is taken in once it holds everything; then the old set is let go.
     if (
-      !this.#desk &&
+      !this.#fleetManager &&
       this.#isServing &&
       this.#doc.voters.length === 2 &&
       !this.#parts.isWriting(CONFIG_PART)
     ) {
       const [, next] = this.#doc.voters;
-      if (next && next.map(fellowId).every(this.#elector.insiders.has, this.#elector.insiders)) {
+      if (
+        next &&
+        next.map(nodeId).every(this.#elector.quorumMembers.has, this.#elector.quorumMembers)
+      ) {
         this.#doc = { ...this.#doc, voters: [next] };
         this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
       }
@@ -1345,14 +1392,14 @@
     for (const [token, edit] of this.#edits) {
       const committed = edit.committed;
       if (!committed) continue;
-      // Whoever has not acked by then has not been vouched for since before the write was held: it is blind.
+      // Whoever has not acked by then has not been confirmed fresh since before the write was held: it is blind.
       const isSurelyBlind =
-        this.#desk !== undefined ||
+        this.#fleetManager !== undefined ||
         now >= later(committed.at, this.#settings.blindMs + BLIND_SLACK_MS);
       if (!isSurelyBlind && !this.#hasAllAcked(committed.members, committed.version)) continue;
       this.#edits.delete(token);
       if (edit.outcome === 'accepted')
-        this.#return(
+        this.#reply(
           edit.origin,
           200,
           JSON.stringify({
@@ -1362,7 +1409,7 @@
             version: versionText(committed.version),
           }),
         );
-      else this.#return(edit.origin, 200, JSON.stringify({ outcome: 'turned-away', id: edit.id }));
+      else this.#reply(edit.origin, 200, JSON.stringify({ outcome: 'turned-away', id: edit.id }));
     }
   }
 
@@ -1373,27 +1420,31 @@
   }
 
   #found(now: Moment, origin: Origin): void {
-    if (this.#standing.name === 'sound') {
-      this.#return(origin, 200, JSON.stringify({ outcome: 'already', standing: 'sound' }));
+    if (this.#replicaStatus.name === 'sound') {
+      this.#reply(origin, 200, JSON.stringify({ outcome: 'already', standing: 'sound' }));
       return;
     }
-    this.#standing.force();
+    this.#replicaStatus.force();
     this.#isRecovering = true;
-    this.#settleStanding(now, this.#standing.outcome(now, this.#quorum));
-    this.#return(origin, 200, JSON.stringify({ outcome: 'forced', standing: this.#standing.name }));
+    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
+    this.#reply(
+      origin,
+      200,
+      JSON.stringify({ outcome: 'forced', standing: this.#replicaStatus.name }),
+    );
   }
 
-  #return(origin: Origin, status: number, body: string): void {
-    if (origin.from === '') this.#effects.push({ do: 'return', id: origin.id, status, body });
-    else this.#send(origin.from, { kind: 'commandReturn', id: origin.id, status, body });
+  #reply(origin: Origin, status: number, body: string): void {
+    if (origin.from === '') this.#effects.push({ do: 'reply', id: origin.id, status, body });
+    else this.#send(origin.from, { kind: 'commandReply', id: origin.id, status, body });
   }
 
-  #returnDefect(origin: Origin, defect: Defect): void {
+  #replyError(origin: Origin, defect: CodedError): void {
     const faults =
-      defect instanceof TableDefect || defect instanceof ConfigDefect
+      defect instanceof TableError || defect instanceof ConfigError
         ? { faults: defect.faults }
         : {};
-    this.#return(
+    this.#reply(
       origin,
       defect.row.status,
       JSON.stringify({
@@ -1405,11 +1456,11 @@
     );
   }
 
-  #returnUnsure(origin: Origin, id: string): void {
-    const kind: DefectKind = id === '' ? 'no-leader' : 'unsure-edit';
-    this.#return(
+  #replyUnsure(origin: Origin, id: string): void {
+    const kind: ErrorCode = id === '' ? 'no-leader' : 'unsure-edit';
+    this.#reply(
       origin,
-      DEFECTS[kind].status,
+      ERROR_CODES[kind].status,
       JSON.stringify({
         outcome: id === '' ? 'turned-away' : 'unsure',
         defect: kind,
@@ -1433,9 +1484,10 @@
       this.#relay.offer('fleet', version, body);
   }
 
-  #beatOutside(now: Moment): void {
-    if (this.#desk) {
-      if (this.#isServing && this.#recoverUntil === undefined) this.#desk.beat(now, this.#doc);
+  #tickOutside(now: Moment): void {
+    if (this.#fleetManager) {
+      if (this.#isServing && this.#recoverUntil === undefined)
+        this.#fleetManager.tick(now, this.#doc);
       return;
     }
     if (now >= later(this.#machinesAt, this.#settings.machinesMs)) {
@@ -1617,7 +1669,7 @@
         id: member.id,
         zone: member.zone,
         acked: versionText(this.#ackedBy.get(member.id) ?? member),
-        parent: this.#hung.get(member.id) ?? '',
+        parent: this.#parentOf.get(member.id) ?? '',
       });
     }
     const places = this.#relay.item('places');
@@ -1625,8 +1677,8 @@
     return {
       me: this.#me,
       zone: this.#settings.zone,
-      standing: this.#standing.name,
-      membersHoldState: this.#standing.isMemberHolding,
+      standing: this.#replicaStatus.name,
+      membersHoldState: this.#replicaStatus.isMemberHolding,
       role: this.#elector.role,
       epoch: this.#elector.epoch,
       leader: this.#elector.leader ?? '',
@@ -1643,7 +1695,7 @@
       machines: this.#machines.revision,
       members,
       places: places ? parseAs(type({}), places.body) : undefined,
-      intents: (this.#desk ?? this.#placer).docs().flatMap(intentsOf),
+      intents: (this.#fleetManager ?? this.#placer).docs().flatMap(intentsOf),
     };
   }
 }
--- a/src/control/ControlEffect.ts
+++ b/src/control/ControlEffect.ts
@@ -7,7 +7,7 @@
 import type { Moment } from '../common/Ids.js';
 
 /** What a control node's core wants done; the process and the simulator carry it out alike. */
-export type MindEffect =
+export type ControlEffect =
   | { readonly do: 'send'; readonly to: string; readonly message: Message }
   | {
       readonly do: 'store';
@@ -24,7 +24,7 @@
   | { readonly do: 'askReport'; readonly runner: string; readonly address: string }
   /** To be written only if mayOrder() still says so right before the write, and to be cut off before the lease ends. */
   | { readonly do: 'order'; readonly intent: Intent; readonly address: string }
-  | { readonly do: 'return'; readonly id: number; readonly status: number; readonly body: string }
+  | { readonly do: 'reply'; readonly id: number; readonly status: number; readonly body: string }
   | {
       readonly do: 'note';
       readonly text: string;
@@ -65,13 +65,13 @@
   readonly listMs: number;
 }
 
-export interface MindSettings {
+export interface ControlSettings {
   readonly me: string;
   readonly zone: string;
   /** A number that no other life of this process has, well apart from others'. */
-  readonly life: number;
+  readonly incarnation: number;
   readonly seeds: readonly string[];
-  /** A member not vouched for within this span turns new work away. */
+  /** A member not confirmed fresh within this span turns new work away. */
   readonly blindMs: number;
   /** How long a session may be silent before it counts as lost. */
   readonly silentMs: number;
@@ -82,7 +82,7 @@
   readonly deployed?: Deployed | undefined;
 }
 
-export const MIND_DEFAULTS = {
+export const CONTROL_DEFAULTS = {
   blindMs: 2500,
   silentMs: 1500,
   foundMs: 1500,
--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -3,10 +3,10 @@
 import type { Logger } from 'pino';
 import { FileStore } from '../state/FileStore.js';
 import { monotonicNow } from '../common/Clock.js';
-import { Defect, reasonOf } from '../common/CodedError.js';
+import { CodedError, reasonOf } from '../common/CodedError.js';
 import type { Moment } from '../common/Ids.js';
-import { newLife } from '../common/Incarnation.js';
-import { Owner } from '../common/SerialQueue.js';
+import { newIncarnation } from '../common/Incarnation.js';
+import { SerialQueue } from '../common/SerialQueue.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
 import { Planner, type PlannerSettings } from '../placement/Planner.js';
@@ -14,21 +14,21 @@
 import type { ConfigDialect } from '../route/Routing.js';
 import { VOTE_DEFAULTS } from '../election/VoteSettings.js';
 import type { Lease } from './LeasedSend.js';
-import { MindCore } from './ControlCore.js';
-import { MIND_DEFAULTS, type MindEffect, type OrderResult } from './ControlEffect.js';
+import { ControlCore } from './ControlCore.js';
+import { CONTROL_DEFAULTS, type ControlEffect, type OrderResult } from './ControlEffect.js';
 
-const BEAT_MS = 50;
+const TICK_MS = 50;
 const LIST_MS = 1000;
 const DISK_AGAIN_MS = 500;
 const VOTE = { pingMs: 250, renewMs: 300, electionMs: 500, spanMs: 1500, deadMs: 1200 } as const;
 /** How long a planned stop waits for orders whose outcome is open. */
 const RETIRE_MS = 1000;
 
-function afterBeat(done: () => void): void {
-  setTimeout(done, BEAT_MS);
+function afterTick(done: () => void): void {
+  setTimeout(done, TICK_MS);
 }
 
-export interface ControlSettings {
+export interface ControlProcessSettings {
   readonly me: string;
   readonly zone: string;
   readonly seeds: readonly string[];
@@ -67,21 +67,21 @@
 
 /** A control node's process in a deployment with ports of its own. */
 export class ControlProcess {
-  readonly #settings: ControlSettings;
+  readonly #settings: ControlProcessSettings;
   readonly #ports: ControlPorts;
   readonly #log: Logger;
-  readonly #owner = new Owner();
+  readonly #owner = new SerialQueue();
   readonly #exchange: Exchange;
   readonly #store: FileStore;
   readonly #operators: ReturnType<ControlPorts['operators']>;
   readonly #subscription = new Subscription();
   readonly #answers = new Map<number, (answer: ControlAnswer) => void>();
-  #core: MindCore | undefined;
+  #core: ControlCore | undefined;
   #commandId = 0;
   #isListing = false;
   #seeds: readonly string[];
 
-  constructor(settings: ControlSettings, ports: ControlPorts, log: Logger) {
+  constructor(settings: ControlProcessSettings, ports: ControlPorts, log: Logger) {
     this.#settings = settings;
     this.#ports = ports;
     this.#log = log;
@@ -105,42 +105,42 @@
       planner: new Planner(this.#settings.planner),
     };
     const settings = {
-      ...MIND_DEFAULTS,
+      ...CONTROL_DEFAULTS,
       me,
       zone,
       seeds: this.#seeds,
-      life: newLife(),
+      incarnation: newIncarnation(),
       silentMs: 3000,
       foundMs: 0,
       deployed,
     };
     // The span in which nobody orders is the deployment's. The others are short, since everything waits for a lost leader.
     const vote = { ...VOTE_DEFAULTS, ...VOTE, leaseMs };
-    const core = new MindCore(settings, stored, monotonicNow(), vote);
+    const core = new ControlCore(settings, stored, monotonicNow(), vote);
     this.#core = core;
     this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
     this.#subscription.add(this.#exchange.gone$.subscribe(this.#gone.bind(this)));
     await this.#exchange.open();
     if (control !== undefined) await this.#operators.listen(control);
     this.#subscription.add(
-      interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))),
+      interval(TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
     );
-    this.#submit(this.#beat.bind(this));
-    this.#log.info({ standing: core.standing.name }, 'mind started');
+    this.#submit(this.#tick.bind(this));
+    this.#log.info({ standing: core.standing.name }, 'control node started');
   }
 
   /** Hands over what it leads, if no order is open, and stops. */
   async stop(): Promise<void> {
     const end = monotonicNow() + RETIRE_MS;
     for (let isRetired = false; !isRetired && monotonicNow() < end;) {
-      function retire(core: MindCore): void {
+      function retire(core: ControlCore): void {
         isRetired = core.retire(monotonicNow());
       }
       this.#submit(retire);
-      if (!isRetired) await new Promise<void>(afterBeat);
+      if (!isRetired) await new Promise<void>(afterTick);
     }
     // What was said last must leave the process before its lines close.
-    await new Promise<void>(afterBeat);
+    await new Promise<void>(afterTick);
     this.#subscription.unsubscribe();
     this.#operators.close();
     this.#exchange.close();
@@ -148,23 +148,23 @@
 
   setSeeds(seeds: readonly string[]): void {
     this.#seeds = seeds;
-    function set(core: MindCore): void {
+    function set(core: ControlCore): void {
       core.setSeeds(seeds);
     }
     this.#submit(set);
   }
 
-  #tell(defect: Defect): void {
+  #tell(defect: CodedError): void {
     this.#log.warn({ defect: defect.kind }, defect.message);
   }
 
   /** Every input is a command of the core's one owner; its effects are carried out before the next. */
-  #submit(command: (core: MindCore) => void): void {
+  #submit(command: (core: ControlCore) => void): void {
     const core = this.#core;
     if (core) this.#owner.submit(this.#work.bind(this, core, command));
   }
 
-  #work(core: MindCore, command: (core: MindCore) => void): void {
+  #work(core: ControlCore, command: (core: ControlCore) => void): void {
     // What somebody else said must not end this process.
     try {
       command(core);
@@ -177,13 +177,13 @@
     for (const effect of core.drain()) this.#carryOut(core, effect);
   }
 
-  #beat(core: MindCore): void {
+  #tick(core: ControlCore): void {
     for (const peer of core.peers) this.#exchange.dial(peer);
-    core.beat(monotonicNow());
+    core.tick(monotonicNow());
   }
 
   #receive(incoming: Incoming): void {
-    function receive(core: MindCore): void {
+    function receive(core: ControlCore): void {
       core.receive(
         monotonicNow(),
         incoming.from,
@@ -195,13 +195,13 @@
   }
 
   #gone(id: string): void {
-    function gone(core: MindCore): void {
+    function gone(core: ControlCore): void {
       core.gone(monotonicNow(), id);
     }
     this.#submit(gone);
   }
 
-  #carryOut(core: MindCore, effect: MindEffect): void {
+  #carryOut(core: ControlCore, effect: ControlEffect): void {
     switch (effect.do) {
       case 'send':
         this.#exchange.send(effect.to, effect.message);
@@ -218,7 +218,7 @@
       case 'order':
         void this.#order(effect, core);
         break;
-      case 'return':
+      case 'reply':
         this.#answers.get(effect.id)?.({ status: effect.status, body: effect.body });
         this.#answers.delete(effect.id);
         break;
@@ -230,7 +230,7 @@
     }
   }
 
-  async #keep(effect: Extract<MindEffect, { do: 'store' }>): Promise<void> {
+  async #keep(effect: Extract<ControlEffect, { do: 'store' }>): Promise<void> {
     const { part, version, body } = effect;
     try {
       await this.#store.write(part, version, body);
@@ -239,7 +239,7 @@
       setTimeout(this.#keep.bind(this, effect), DISK_AGAIN_MS).unref();
       return;
     }
-    function stored(core: MindCore): void {
+    function stored(core: ControlCore): void {
       core.stored(monotonicNow(), part, version);
     }
     this.#submit(stored);
@@ -251,7 +251,7 @@
     this.#isListing = true;
     try {
       const runners = await list();
-      function take(core: MindCore): void {
+      function take(core: ControlCore): void {
         core.list(monotonicNow(), runners);
       }
       this.#submit(take);
@@ -265,13 +265,13 @@
   async #status(runner: string, address: string): Promise<void> {
     const askedAt = monotonicNow();
     const status = await this.#ports.status(address);
-    function take(core: MindCore): void {
+    function take(core: ControlCore): void {
       core.status(monotonicNow(), runner, askedAt, status);
     }
     this.#submit(take);
   }
 
-  async #order(effect: Extract<MindEffect, { do: 'order' }>, core: MindCore): Promise<void> {
+  async #order(effect: Extract<ControlEffect, { do: 'order' }>, core: ControlCore): Promise<void> {
     const { intent, address } = effect;
     const outcome = await this.#ports.order(
       intent,
@@ -291,7 +291,7 @@
       },
       'order',
     );
-    function ordered(owner: MindCore): void {
+    function ordered(owner: ControlCore): void {
       owner.ordered(monotonicNow(), intent.id, outcome);
     }
     this.#submit(ordered);
@@ -301,11 +301,11 @@
     this.#commandId += 1;
     const id = this.#commandId;
     const answers = this.#answers;
-    function enlist(done: (answer: ControlAnswer) => void): void {
+    function announce(done: (answer: ControlAnswer) => void): void {
       answers.set(id, done);
     }
-    const answer = new Promise<ControlAnswer>(enlist);
-    function command(core: MindCore): void {
+    const answer = new Promise<ControlAnswer>(announce);
+    function command(core: ControlCore): void {
       core.command(monotonicNow(), id, verb, body);
     }
     this.#submit(command);
--- a/src/control/ControlUpdates.test.ts
+++ b/src/control/ControlUpdates.test.ts
@@ -1,25 +1,25 @@
 import { expect, test, vi } from 'vitest';
 import { moment } from '../common/Ids.js';
 import { Sessions } from '../dissemination/Sessions.js';
-import { MindCore } from './ControlCore.js';
-import { MIND_DEFAULTS, type MindEffect } from './ControlEffect.js';
+import { ControlCore } from './ControlCore.js';
+import { CONTROL_DEFAULTS, type ControlEffect } from './ControlEffect.js';
 
-function makeCore(): MindCore {
-  return new MindCore(
-    { ...MIND_DEFAULTS, me: 'a:1', zone: 'z', seeds: ['a:1', 'b:1', 'c:1'], life: 1 },
+function makeCore(): ControlCore {
+  return new ControlCore(
+    { ...CONTROL_DEFAULTS, me: 'a:1', zone: 'z', seeds: ['a:1', 'b:1', 'c:1'], incarnation: 1 },
     [],
     moment(0),
   );
 }
-function isNewsTo(id: string, effect: MindEffect): boolean {
-  return effect.do === 'send' && effect.to === id && effect.message.kind === 'news';
+function isNewsTo(id: string, effect: ControlEffect): boolean {
+  return effect.do === 'send' && effect.to === id && effect.message.kind === 'update';
 }
-function isHangTo(id: string, effect: MindEffect): boolean {
-  return effect.do === 'send' && effect.to === id && effect.message.kind === 'hang';
+function isAssignmentTo(id: string, effect: ControlEffect): boolean {
+  return effect.do === 'send' && effect.to === id && effect.message.kind === 'assignParent';
 }
-function tell(core: MindCore, count: number): void {
+function tell(core: ControlCore, count: number): void {
   core.receive(moment(10 + count), 'b:1', {
-    kind: 'news',
+    kind: 'update',
     topic: 'config',
     epoch: 2,
     count,
@@ -32,7 +32,7 @@
   const core = makeCore();
   tell(core, 1);
   core.drain();
-  core.receive(moment(20), 'l:9', { kind: 'ask', nonce: -1, have: [], members: [] });
+  core.receive(moment(20), 'l:9', { kind: 'freshnessRequest', nonce: -1, have: [], members: [] });
   expect(core.drain().filter(isNewsTo.bind(undefined, 'l:9'))).toHaveLength(1);
   tell(core, 2);
   expect(core.drain().filter(isNewsTo.bind(undefined, 'l:9'))).toHaveLength(0);
@@ -49,7 +49,7 @@
     count: 0,
     lost: '',
   });
-  core.receive(moment(20), 'l:1', { kind: 'ask', nonce: -1, have: [], members: [] });
+  core.receive(moment(20), 'l:1', { kind: 'freshnessRequest', nonce: -1, have: [], members: [] });
   core.drain();
   tell(core, 1);
   expect(core.drain().filter(isNewsTo.bind(undefined, 'l:1'))).toHaveLength(1);
@@ -58,7 +58,7 @@
 /** Drawing the tree takes time with its size: words that change nothing must not draw it, or cost grows with the square of the links. */
 function checkJoins(): void {
   const core = makeCore();
-  const drawn = vi.spyOn(Sessions.prototype, 'tree');
+  const chosen = vi.spyOn(Sessions.prototype, 'tree');
   function joinAll(at: number): void {
     for (let index = 0; index < 50; index += 1)
       core.receive(moment(at + index), `l:${100 + index}`, {
@@ -72,11 +72,11 @@
   }
   joinAll(0);
   core.drain();
-  drawn.mockClear();
+  chosen.mockClear();
   joinAll(100);
-  expect(drawn).not.toHaveBeenCalled();
-  expect(core.drain().filter(isHangTo.bind(undefined, 'l:149'))).toEqual([
-    { do: 'send', to: 'l:149', message: { kind: 'hang', parent: 'l:111' } },
+  expect(chosen).not.toHaveBeenCalled();
+  expect(core.drain().filter(isAssignmentTo.bind(undefined, 'l:149'))).toEqual([
+    { do: 'send', to: 'l:149', message: { kind: 'assignParent', parent: 'l:111' } },
   ]);
   // One that a child could not reach hangs under the control node itself at once.
   core.receive(moment(200), 'l:149', {
@@ -87,8 +87,8 @@
     count: 0,
     lost: 'l:111',
   });
-  expect(drawn).toHaveBeenCalled();
-  drawn.mockRestore();
+  expect(chosen).toHaveBeenCalled();
+  chosen.mockRestore();
 }
 test('who asks across gets what it lacks, and nothing after that', checkAsker);
 test('a child that asks across is fed on', checkChild);
--- a/src/control/Edits.ts
+++ b/src/control/Edits.ts
@@ -1,12 +1,12 @@
 import { compile } from '../policy/Language.js';
 import { checkTable, COLUMNS, rowKey, type Fault, type Table } from '../policy/Table.js';
-import { Defect } from '../common/CodedError.js';
+import { CodedError } from '../common/CodedError.js';
 import { mustParseAs } from '../common/Json.js';
 import { checkRouting, type ConfigDialect, type RoutingFault } from '../route/Routing.js';
 import { EditShapes, MAX_EDITS, type ConfigDoc } from './ConfigDoc.js';
 
 /** A turning away that names every fault of the table. */
-export class TableDefect extends Defect {
+export class TableError extends CodedError {
   readonly faults: readonly Fault[];
 
   constructor(faults: readonly Fault[]) {
@@ -16,7 +16,7 @@
 }
 
 /** A turning away that names every fault of a configuration. */
-export class ConfigDefect extends Defect {
+export class ConfigError extends CodedError {
   readonly faults: readonly RoutingFault[];
 
   constructor(faults: readonly RoutingFault[]) {
@@ -35,13 +35,16 @@
 
 function withTable(doc: ConfigDoc, id: string, raw: unknown): Edited {
   const { table, faults } = checkTable(raw);
-  if (faults.length > 0) throw new TableDefect(faults);
+  if (faults.length > 0) throw new TableError(faults);
   return { id, doc: { ...doc, number: doc.number + 1, table } };
 }
 
 function checkBase(doc: ConfigDoc, base: number): void {
   if (base !== doc.number)
-    throw new Defect('base-lost', `made from table ${base}, but table ${doc.number} is in force`);
+    throw new CodedError(
+      'base-lost',
+      `made from table ${base}, but table ${doc.number} is in force`,
+    );
 }
 
 function editTable(doc: ConfigDoc, body: string): Edited {
@@ -49,7 +52,7 @@
   checkBase(doc, edit.base);
   if (edit.text === undefined) return withTable(doc, edit.id, edit.table);
   const { table, faults } = compile(edit.text);
-  if (faults.length > 0) throw new TableDefect(faults);
+  if (faults.length > 0) throw new TableError(faults);
   return { id: edit.id, doc: { ...doc, number: doc.number + 1, table } };
 }
 
@@ -58,12 +61,12 @@
   checkBase(doc, edit.base);
   const column = COLUMNS.find(isColumn.bind(undefined, edit.column));
   if (!column)
-    throw new TableDefect([
+    throw new TableError([
       { row: edit.row, cell: edit.column, text: `no such column; there are ${COLUMNS.join(', ')}` },
     ]);
   const at = doc.table.rows.findIndex(hasKey.bind(undefined, edit.row));
   const before = doc.table.rows[at];
-  if (!before) throw new TableDefect([{ row: edit.row, cell: edit.column, text: 'no such row' }]);
+  if (!before) throw new TableError([{ row: edit.row, cell: edit.column, text: 'no such row' }]);
   const raw: unknown = { ...before, [column]: edit.value };
   // These two name the row: whether others have the same name, or mappings lose it, is seen in the whole table.
   if (column === 'type' || column === 'model')
@@ -73,7 +76,7 @@
     });
   const { table, faults } = checkTable({ mappings: [], rows: [raw] });
   const [row] = table.rows;
-  if (!row || faults.length > 0) throw new TableDefect(faults.map(inRow.bind(undefined, edit.row)));
+  if (!row || faults.length > 0) throw new TableError(faults.map(inRow.bind(undefined, edit.row)));
   return {
     id: edit.id,
     doc: {
@@ -104,13 +107,13 @@
   for (const row of doc.table.rows) rows.set(rowKey(row), row);
   for (const key of edit.remove) {
     if (!rows.delete(key))
-      throw new TableDefect([{ row: key, cell: '', text: 'no such row to remove' }]);
+      throw new TableError([{ row: key, cell: '', text: 'no such row to remove' }]);
   }
   const { table, faults }: { table: Table; faults: readonly Fault[] } = checkTable({
     mappings: [],
     rows: edit.put,
   });
-  if (faults.length > 0) throw new TableDefect(faults);
+  if (faults.length > 0) throw new TableError(faults);
   for (const row of table.rows) rows.set(rowKey(row), row);
   return withTable(doc, edit.id, { ...doc.table, rows: [...rows.values()] });
 }
@@ -125,19 +128,19 @@
   const current = doc.routing?.version ?? 0;
   // The base goes first: whoever lost a race is told so, and not that its number is too low by now.
   if (edit.base !== current)
-    throw new Defect(
+    throw new CodedError(
       'base-lost',
       `made from version ${edit.base}, but version ${current} is in force`,
     );
   const text = verb === 'configure' ? edit.text : dialect.amend(doc.routing?.text ?? '', edit.text);
   if (text === undefined)
-    throw new ConfigDefect([
+    throw new ConfigError([
       { item: 'configuration', field: '', text: 'the change cannot be read' },
     ]);
   const { routing, faults } = dialect.read(text);
-  if (!routing || faults.length > 0) throw new ConfigDefect(faults);
+  if (!routing || faults.length > 0) throw new ConfigError(faults);
   const wrong = checkRouting(routing, current);
-  if (wrong.length > 0) throw new ConfigDefect(wrong);
+  if (wrong.length > 0) throw new ConfigError(wrong);
   return {
     id: edit.id,
     doc: { ...doc, number: doc.number + 1, routing: { version: routing.version, text } },
@@ -175,7 +178,7 @@
     default:
       break;
   }
-  throw new Defect('malformed', `no such edit: ${verb}`);
+  throw new CodedError('malformed', `no such edit: ${verb}`);
 }
 
 export function recordEdit(doc: ConfigDoc, id: string, outcome: 'accepted' | 'closed'): ConfigDoc {
--- a/src/control/FleetManager.test.ts
+++ b/src/control/FleetManager.test.ts
@@ -3,7 +3,7 @@
 import type { Fleet } from '../placement/Fleet.js';
 import type { Intent } from '../placement/Shapes.js';
 import { firstDoc } from './ConfigDoc.js';
-import { FleetDesk } from './FleetManager.js';
+import { FleetManager } from './FleetManager.js';
 import type { FleetPlanner } from './ControlEffect.js';
 
 /** Says what it is given to say. */
@@ -88,23 +88,23 @@
   function publish(_count: number, body: string): void {
     bodies.push(body);
   }
-  const desk = new FleetDesk(
+  const fleetManager = new FleetManager(
     { dialect: { read: noRouting, amend: noChange }, planner, isFirstStart: true, listMs: 1000 },
     { effects: ignore, write: ignore, publish, mayOrder: yes, flows: one },
   );
   const doc = firstDoc(['a:1']);
-  desk.begin(moment(0), [], 'a/2');
+  fleetManager.begin(moment(0), [], 'a/2');
   planner.told = fleetOf(3000);
-  desk.list(moment(0), [], doc);
+  fleetManager.list(moment(0), [], doc);
   // The planner has nothing new to say; that a span it told has run down meanwhile is none.
-  for (let at = 100; at < 5000; at += 100) desk.beat(moment(at), doc);
+  for (let at = 100; at < 5000; at += 100) fleetManager.tick(moment(at), doc);
   expect(bodies).toHaveLength(1);
   // Said anew with what is left of the span, it is still the same; a later end is news.
   planner.told = fleetOf(500);
-  desk.beat(moment(2500 + 2500), doc);
+  fleetManager.tick(moment(2500 + 2500), doc);
   expect(bodies).toHaveLength(2);
   planner.told = fleetOf(400);
-  desk.beat(moment(5100), doc);
+  fleetManager.tick(moment(5100), doc);
   expect(bodies).toHaveLength(2);
 }
 test('a fleet that stands still is told once, also while runners warm up', checkTold);
--- a/src/control/FleetManager.ts
+++ b/src/control/FleetManager.ts
@@ -12,11 +12,11 @@
 import type { Intent, ServiceDoc } from '../placement/Shapes.js';
 import type { Routing } from '../route/Routing.js';
 import type { ConfigDoc } from './ConfigDoc.js';
-import type { Deployed, MindEffect, OrderResult } from './ControlEffect.js';
+import type { Deployed, ControlEffect, OrderResult } from './ControlEffect.js';
 
-/** What the desk needs of the node that leads. */
-export interface DeskNode {
-  readonly effects: (effect: MindEffect) => void;
+/** What the fleet manager needs of the node that leads. */
+export interface ManagedNode {
+  readonly effects: (effect: ControlEffect) => void;
   readonly write: (now: Moment, part: PartName, body: string) => void;
   /** The fleet whole, and what changed of it since the count before. */
   readonly publish: (count: number, body: string, delta: string) => void;
@@ -30,9 +30,9 @@
 const MOVED_MS = 300;
 
 /** The leader's placement by a planner: what comes in, what is written down, ordered and told. */
-export class FleetDesk {
+export class FleetManager {
   readonly #deployed: Deployed;
-  readonly #node: DeskNode;
+  readonly #node: ManagedNode;
   readonly #addresses = new Map<string, string>();
   readonly #open = new Set<string>();
   #routingText = '';
@@ -46,7 +46,7 @@
   #count = 0;
   #ordersSent = 0;
 
-  constructor(deployed: Deployed, node: DeskNode) {
+  constructor(deployed: Deployed, node: ManagedNode) {
     this.#deployed = deployed;
     this.#node = node;
   }
@@ -80,7 +80,7 @@
     const report = parseAs(FleetDemandShape, body);
     if (!report) return;
     this.#deployed.planner.demand(now, report);
-    // Somebody waits at a proxy: it is not left waiting for the next beat as well.
+    // Somebody waits at a proxy: it is not left waiting for the next tick as well.
     if (report.units.some(isWaiting)) this.#plan(now, doc);
   }
 
@@ -110,7 +110,7 @@
     this.#order(now);
   }
 
-  beat(now: Moment, doc: ConfigDoc): void {
+  tick(now: Moment, doc: ConfigDoc): void {
     if (now >= later(this.#listAskedAt, this.#deployed.listMs)) {
       this.#listAskedAt = now;
       this.#node.effects({ do: 'askList' });
@@ -174,7 +174,7 @@
   #publish(now: Moment): void {
     const fleet = this.#deployed.planner.fleet(now);
     // The same word again is no news, though its spans now seem to end later: who heard it counts them down. It need not
-    // be written out to be compared either, which for a large fleet takes longer than the beat.
+    // be written out to be compared either, which for a large fleet takes longer than the tick.
     if (fleet === this.#toldFleet) return;
     this.#toldFleet = fleet;
     const put: FleetRunner[] = [];
--- a/src/control/Orderer.ts
+++ b/src/control/Orderer.ts
@@ -61,11 +61,11 @@
     const now = this.#now;
     let isWritten = false;
     let isOver = false;
-    const beats: NodeJS.Timeout[] = [];
+    const ticks: NodeJS.Timeout[] = [];
     function end(outcome: OrderOutcome): void {
       if (isOver) return;
       isOver = true;
-      for (const beat of beats) clearTimeout(beat);
+      for (const tick of ticks) clearTimeout(tick);
       sent.destroy();
       done(outcome);
     }
@@ -100,7 +100,7 @@
     sent.once('response', take);
     sent.on('error', giveUp);
     sent.flushHeaders();
-    beats.push(
+    ticks.push(
       setTimeout(giveUpUnwritten, CONTINUE_MS),
       setTimeout(giveUp, Math.max(0, lease.leaseEnd() - now() - MARGIN_MS)),
     );
--- a/src/control/TableControlProcess.ts
+++ b/src/control/TableControlProcess.ts
@@ -6,46 +6,46 @@
 import { call } from '../common/Call.js';
 import { monotonicNow } from '../common/Clock.js';
 import { Counters } from '../common/Counters.js';
-import { Defect, reasonOf } from '../common/CodedError.js';
+import { CodedError, reasonOf } from '../common/CodedError.js';
 import type { Moment } from '../common/Ids.js';
 import { parseAs } from '../common/Json.js';
-import { newLife } from '../common/Incarnation.js';
-import { Owner } from '../common/SerialQueue.js';
-import type { MindSettingsShape } from '../common/Settings.js';
+import { newIncarnation } from '../common/Incarnation.js';
+import { SerialQueue } from '../common/SerialQueue.js';
+import type { TableControlSettingsShape } from '../common/Settings.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import { CatalogShape, MachinesShape, RunnerReportShape } from '../placement/Shapes.js';
-import { Api, type ApiReturn } from './Api.js';
-import { MindCore } from './ControlCore.js';
-import { MIND_DEFAULTS, type MindEffect } from './ControlEffect.js';
+import { Api, type ApiReply } from './Api.js';
+import { ControlCore } from './ControlCore.js';
+import { CONTROL_DEFAULTS, type ControlEffect } from './ControlEffect.js';
 import { Orderer } from './Orderer.js';
 
-const BEAT_MS = 25;
+const TICK_MS = 25;
 const OUTSIDE_MS = 800;
 const DISK_AGAIN_MS = 500;
 /** How long a planned stop waits for orders whose outcome is open. */
 const RETIRE_MS = 1000;
 
-function afterBeat(done: () => void): void {
-  setTimeout(done, BEAT_MS);
+function afterTick(done: () => void): void {
+  setTimeout(done, TICK_MS);
 }
 
 /** A control node's process: carries out what its core wants, and tells the core what came of it. */
-export class MindProcess {
-  readonly #settings: Infer<typeof MindSettingsShape>;
+export class TableControlProcess {
+  readonly #settings: Infer<typeof TableControlSettingsShape>;
   readonly #log: Logger;
   readonly #counters = new Counters();
-  readonly #owner = new Owner();
+  readonly #owner = new SerialQueue();
   readonly #exchange: Exchange;
   readonly #store: FileStore;
   readonly #api: Api;
   readonly #subscription = new Subscription();
-  readonly #returns = new Map<number, (returned: ApiReturn) => void>();
-  #core: MindCore | undefined;
+  readonly #replies = new Map<number, (returned: ApiReply) => void>();
+  #core: ControlCore | undefined;
   #orderer: Orderer | undefined;
   #commandId = 0;
   #wasPlatformUp = true;
 
-  constructor(settings: Infer<typeof MindSettingsShape>, log: Logger) {
+  constructor(settings: Infer<typeof TableControlSettingsShape>, log: Logger) {
     this.#settings = settings;
     this.#log = log;
     this.#exchange = new Exchange(
@@ -65,8 +65,8 @@
   async start(): Promise<void> {
     const stored = await this.#store.readAll();
     const { listen: me, zone, seeds, blindMs } = this.#settings;
-    const core = new MindCore(
-      { ...MIND_DEFAULTS, me, zone, seeds, blindMs, life: newLife() },
+    const core = new ControlCore(
+      { ...CONTROL_DEFAULTS, me, zone, seeds, blindMs, incarnation: newIncarnation() },
       stored,
       monotonicNow(),
     );
@@ -77,29 +77,29 @@
     await this.#exchange.open();
     await this.#api.listen(this.#settings.api);
     this.#subscription.add(
-      interval(BEAT_MS).subscribe(this.#submit.bind(this, this.#beat.bind(this))),
+      interval(TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
     );
-    this.#log.info({ standing: core.standing.name }, 'mind started');
+    this.#log.info({ standing: core.standing.name }, 'control node started');
   }
 
   /** Hands over what it leads, if no order is open, and stops. */
   async stop(): Promise<void> {
     const end = monotonicNow() + RETIRE_MS;
     for (let isRetired = false; !isRetired && monotonicNow() < end;) {
-      function retire(core: MindCore): void {
+      function retire(core: ControlCore): void {
         isRetired = core.retire(monotonicNow());
       }
       this.#submit(retire);
-      if (!isRetired) await new Promise<void>(afterBeat);
+      if (!isRetired) await new Promise<void>(afterTick);
     }
     // What was said last must leave the process before its lines close.
-    await new Promise<void>(afterBeat);
+    await new Promise<void>(afterTick);
     this.#subscription.unsubscribe();
     this.#api.close();
     this.#exchange.close();
   }
 
-  #tell(defect: Defect): void {
+  #tell(defect: CodedError): void {
     this.#counters.add(`defects.${defect.kind}`);
     this.#log.warn({ defect: defect.kind }, defect.message);
   }
@@ -116,33 +116,33 @@
   }
 
   /** Every input is a command of the core's one owner; its effects are carried out before the next. */
-  #submit(command: (core: MindCore) => void): void {
+  #submit(command: (core: ControlCore) => void): void {
     const core = this.#core;
     if (!core) return;
     this.#owner.submit(this.#work.bind(this, core, command));
   }
 
-  #work(core: MindCore, command: (core: MindCore) => void): void {
+  #work(core: ControlCore, command: (core: ControlCore) => void): void {
     command(core);
     for (const effect of core.drain()) this.#carryOut(core, effect);
   }
 
-  #beat(core: MindCore): void {
+  #tick(core: ControlCore): void {
     for (const voter of core.voters)
       if (voter !== this.#settings.listen) this.#exchange.dial(voter);
-    core.beat(monotonicNow());
+    core.tick(monotonicNow());
   }
 
   #receive(incoming: Incoming): void {
     this.#counters.add(`messages.${incoming.message.kind}`);
     const tell = this.#tell.bind(this);
-    function receive(core: MindCore): void {
+    function receive(core: ControlCore): void {
       // What a node of another build may say must not end this one.
       try {
         core.receive(monotonicNow(), incoming.from, incoming.message);
       } catch (thrown) {
         tell(
-          new Defect(
+          new CodedError(
             'bad-frame',
             `${incoming.message.kind} from ${incoming.from}: ${reasonOf(thrown)}`,
           ),
@@ -153,13 +153,13 @@
   }
 
   #gone(id: string): void {
-    function gone(core: MindCore): void {
+    function gone(core: ControlCore): void {
       core.gone(monotonicNow(), id);
     }
     this.#submit(gone);
   }
 
-  #carryOut(core: MindCore, effect: MindEffect): void {
+  #carryOut(core: ControlCore, effect: ControlEffect): void {
     switch (effect.do) {
       case 'send':
         this.#exchange.send(effect.to, effect.message);
@@ -179,9 +179,9 @@
       case 'order':
         void this.#order(effect, core.elector.epoch);
         break;
-      case 'return':
-        this.#returns.get(effect.id)?.({ status: effect.status, body: effect.body });
-        this.#returns.delete(effect.id);
+      case 'reply':
+        this.#replies.get(effect.id)?.({ status: effect.status, body: effect.body });
+        this.#replies.delete(effect.id);
         break;
       case 'note':
         this.#log.info(effect.fields, effect.text);
@@ -189,7 +189,7 @@
     }
   }
 
-  async #keep(effect: Extract<MindEffect, { do: 'store' }>): Promise<void> {
+  async #keep(effect: Extract<ControlEffect, { do: 'store' }>): Promise<void> {
     const { part, version, body } = effect;
     try {
       await this.#store.write(part, version, body);
@@ -199,7 +199,7 @@
       return;
     }
     this.#counters.add('disk.writes');
-    function stored(core: MindCore): void {
+    function stored(core: ControlCore): void {
       core.stored(monotonicNow(), part, version);
     }
     this.#submit(stored);
@@ -216,7 +216,7 @@
       );
       const machines = parseAs(MachinesShape, returned.body);
       if (!machines) throw new Error('its list of machines is not what it should be');
-      function take(core: MindCore): void {
+      function take(core: ControlCore): void {
         if (machines) core.machines(monotonicNow(), machines);
       }
       this.#submit(take);
@@ -238,7 +238,7 @@
       const returned = await call('GET', this.#settings.store, '/catalog', undefined, OUTSIDE_MS);
       const catalog = parseAs(CatalogShape, returned.body);
       if (!catalog) throw new Error('its catalogue is not what it should be');
-      function take(core: MindCore): void {
+      function take(core: ControlCore): void {
         if (catalog) core.catalog(monotonicNow(), catalog);
       }
       this.#submit(take);
@@ -260,13 +260,13 @@
     }
     // A report under another name is some other runner's, at an address that changed hands.
     const own = report?.id === runner ? report : undefined;
-    function take(core: MindCore): void {
+    function take(core: ControlCore): void {
       core.reported(monotonicNow(), runner, askedAt, own);
     }
     this.#submit(take);
   }
 
-  async #order(effect: Extract<MindEffect, { do: 'order' }>, epoch: number): Promise<void> {
+  async #order(effect: Extract<ControlEffect, { do: 'order' }>, epoch: number): Promise<void> {
     const outcome =
       (await this.#orderer?.send(effect.intent, effect.address, this.#settings.listen, epoch)) ??
       'unsent';
@@ -282,22 +282,22 @@
       },
       'order',
     );
-    function ordered(core: MindCore): void {
+    function ordered(core: ControlCore): void {
       core.ordered(monotonicNow(), effect.intent.id, outcome);
     }
     this.#submit(ordered);
   }
 
-  #ask(verb: string, body: string): Promise<ApiReturn> {
+  #ask(verb: string, body: string): Promise<ApiReply> {
     this.#commandId += 1;
     const id = this.#commandId;
     this.#counters.add(`commands.${verb}`);
-    const returns = this.#returns;
-    function enlist(done: (returned: ApiReturn) => void): void {
-      returns.set(id, done);
+    const replies = this.#replies;
+    function announce(done: (returned: ApiReply) => void): void {
+      replies.set(id, done);
     }
-    const returned = new Promise<ApiReturn>(enlist);
-    function command(core: MindCore): void {
+    const returned = new Promise<ApiReply>(announce);
+    function command(core: ControlCore): void {
       core.command(monotonicNow(), id, verb, body);
     }
     this.#submit(command);
--- a/src/control/VoterPlan.ts
+++ b/src/control/VoterPlan.ts
@@ -1,7 +1,7 @@
 import type { Moment, PartName } from '../common/Ids.js';
 
 /** A control node that announced itself lately and is heard of as no voter, or as one without a leader. */
-export interface Enlisted {
+export interface Announced {
   readonly id: string;
   readonly zone: string;
   readonly isFirst: boolean;
@@ -38,7 +38,7 @@
   next(
     now: Moment,
     voters: readonly (readonly string[])[],
-    enlisted: Iterable<Enlisted>,
+    announced: Iterable<Announced>,
     me: string,
     heardAt: (voter: string) => Moment | undefined,
   ): VoterChange {
@@ -50,7 +50,7 @@
       this.#rewritten = change;
       return { do: 'rewrite' };
     }
-    for (const node of enlisted) {
+    for (const node of announced) {
       // One that must still be repaired can hold nothing for us.
       if (!node.isSound || current.includes(node.id)) continue;
       const silent = current.find(isSilent);
--- a/src/control/Voters.test.ts
+++ b/src/control/Voters.test.ts
@@ -5,8 +5,8 @@
 import type { Fleet } from '../placement/Fleet.js';
 import type { Intent } from '../placement/Shapes.js';
 import type { Routing } from '../route/Routing.js';
-import { MindCore } from './ControlCore.js';
-import { MIND_DEFAULTS, type FleetPlanner } from './ControlEffect.js';
+import { ControlCore } from './ControlCore.js';
+import { CONTROL_DEFAULTS, type FleetPlanner } from './ControlEffect.js';
 
 /** Plans nothing: what is tried here is the configuration and who votes on it. */
 class IdlePlanner implements FleetPlanner {
@@ -96,7 +96,7 @@
   readonly body: string;
 }
 interface Node {
-  core: MindCore;
+  core: ControlCore;
   readonly store: MemoryStore;
   isUp: boolean;
   disk: 'sound' | 'stalled';
@@ -121,13 +121,13 @@
       isFirstStart,
       listMs: 1000,
     };
-    const core = new MindCore(
+    const core = new ControlCore(
       {
-        ...MIND_DEFAULTS,
+        ...CONTROL_DEFAULTS,
         me: id,
         zone: `zone-${id}`,
         seeds,
-        life: this.#now * 1000,
+        incarnation: this.#now * 1000,
         foundMs: 0,
         deployed,
       },
@@ -164,7 +164,7 @@
       }
       for (const [id, node] of this.nodes) {
         if (!node.isUp) continue;
-        if (this.#now % 50 === 0) node.core.beat(moment(this.#now));
+        if (this.#now % 50 === 0) node.core.tick(moment(this.#now));
         this.#drain(id, node);
       }
     }
@@ -175,7 +175,7 @@
       for (const effect of effects) {
         if (effect.do === 'send')
           this.#mail.push({ from: id, to: effect.to, message: effect.message });
-        else if (effect.do === 'return')
+        else if (effect.do === 'reply')
           node.answers.set(effect.id, { status: effect.status, body: effect.body });
         else if (effect.do === 'store' && node.disk === 'sound') {
           node.store.keep(effect.part, effect.version, effect.body);
--- a/src/dissemination/Exchange.test.ts
+++ b/src/dissemination/Exchange.test.ts
@@ -2,7 +2,7 @@
 import { firstValueFrom, take, toArray } from 'rxjs';
 import { expect, test } from 'vitest';
 import { monotonicNow } from '../common/Clock.js';
-import { Defect } from '../common/CodedError.js';
+import { CodedError } from '../common/CodedError.js';
 import { listenOn } from '../common/Listen.js';
 import { encodeMessage } from '../common/Messages.js';
 import { Exchange, type Incoming } from './Exchange.js';
@@ -11,8 +11,8 @@
   /* nothing to say */
 }
 
-const told: Defect[] = [];
-function tell(defect: Defect): void {
+const told: CodedError[] = [];
+function tell(defect: CodedError): void {
   told.push(defect);
 }
 function make(id: string, listen: string): Exchange {
@@ -29,9 +29,9 @@
   // The listener knows a dialler by its hello; the large body must come whole and in its place.
   const large = 'x'.repeat(3_000_000);
   function sendAll(): void {
-    client.send(id, { kind: 'news', topic: 'a', epoch: 1, count: 1, body: large });
+    client.send(id, { kind: 'update', topic: 'a', epoch: 1, count: 1, body: large });
     client.send(id, { kind: 'demand', body: 'b' });
-    client.send(id, { kind: 'hang', parent: 'c' });
+    client.send(id, { kind: 'assignParent', parent: 'c' });
   }
   for (let isUp = false; !isUp;) {
     isUp = client.isUp(id);
@@ -40,9 +40,9 @@
   sendAll();
   const messages = await got;
   expect(messages.map(kindOf)).toEqual(['news', 'demand', 'hang']);
-  expect(messages[0]?.message.kind === 'news' && messages[0].message.body.length).toBe(3_000_000);
-  server.send('client', { kind: 'hang', parent: 'p' });
-  expect((await heard).message).toEqual({ kind: 'hang', parent: 'p' });
+  expect(messages[0]?.message.kind === 'update' && messages[0].message.body.length).toBe(3_000_000);
+  server.send('client', { kind: 'assignParent', parent: 'p' });
+  expect((await heard).message).toEqual({ kind: 'assignParent', parent: 'p' });
   const gone = firstValueFrom(server.gone$);
   client.close();
   expect(await gone).toBe('client');
@@ -66,7 +66,7 @@
   expect(told.some(isBadFrame)).toBe(true);
   server.close();
 }
-function isBadFrame(defect: Defect): boolean {
+function isBadFrame(defect: CodedError): boolean {
   return defect.kind === 'bad-frame';
 }
 test('messages come whole and in order both ways, and a closed line is told', checkContract);
@@ -136,7 +136,7 @@
   const port = await server.open();
   const client = make('client', '');
   const heard = firstValueFrom(server.incoming$);
-  // No line stands yet: the first word of a session comes with the line, not with the next beat.
+  // No line stands yet: the first word of a session comes with the line, not with the next tick.
   client.send(`127.0.0.1:${port}`, { kind: 'demand', body: 'first' });
   expect((await heard).message).toEqual({ kind: 'demand', body: 'first' });
   client.close();
--- a/src/dissemination/Exchange.ts
+++ b/src/dissemination/Exchange.ts
@@ -1,6 +1,6 @@
 import { createServer, connect, type Server, type Socket } from 'node:net';
 import { Subject, type Observable } from 'rxjs';
-import { Defect, reasonOf } from '../common/CodedError.js';
+import { CodedError, reasonOf } from '../common/CodedError.js';
 import { decodeMessage, encodeMessage, type Message } from '../common/Messages.js';
 import { monotonicNow } from '../common/Clock.js';
 import type { Moment } from '../common/Ids.js';
@@ -47,7 +47,7 @@
   #parts: Buffer[] = [];
   #size = 0;
   #need = 4;
-  fellowId = '';
+  nodeId = '';
   role = '';
   zone = '';
   wroteAt: Moment = monotonicNow();
@@ -66,7 +66,7 @@
     const body = encodeMessage(message);
     const head = Buffer.allocUnsafe(4);
     head.writeUInt32BE(body.length);
-    // A fellow that no longer reads must not make us hold ever more for it: what it misses it asks for again.
+    // A peer that no longer reads must not make us hold ever more for it: what it misses it asks for again.
     if (this.#socket.writableLength > MAX_UNSENT) {
       this.#socket.destroy();
       return;
@@ -98,7 +98,7 @@
     let all = this.#parts.length === 1 ? chunk : Buffer.concat(this.#parts);
     while (all.length >= 4) {
       const length = all.readUInt32BE(0);
-      if (length > MAX_FRAME) throw new Defect('bad-frame', `a frame of ${length} bytes`);
+      if (length > MAX_FRAME) throw new CodedError('bad-frame', `a frame of ${length} bytes`);
       if (all.length < 4 + length) break;
       if (length > 0) messages.push(decodeMessage(all.subarray(4, 4 + length)));
       all = all.subarray(4 + length);
@@ -120,13 +120,13 @@
   readonly #dialing = new Set<string>();
   /** The newest messages for a node that is being dialled; they are lost with a dial that fails. */
   readonly #queued = new Map<string, Message[]>();
-  readonly #tell: (defect: Defect) => void;
+  readonly #tell: (defect: CodedError) => void;
   #server: Server | undefined;
   #isClosed = false;
   #checkedAt: Moment = monotonicNow();
   readonly #checks: NodeJS.Timeout;
 
-  constructor(settings: ExchangeSettings, tell: (defect: Defect) => void) {
+  constructor(settings: ExchangeSettings, tell: (defect: CodedError) => void) {
     this.#settings = settings;
     this.#tell = tell;
     this.#checks = setInterval(this.#check.bind(this), CHECK_MS).unref();
@@ -179,7 +179,7 @@
     }
     this.dial(to);
     if (!this.#dialing.has(to)) return;
-    // The first words of a session would else wait for its next beat.
+    // The first words of a session would else wait for its next tick.
     const queued = this.#queued.get(to) ?? [];
     queued.push(message);
     if (queued.length > MOST_QUEUED) queued.shift();
@@ -194,7 +194,7 @@
     const socket = connect({ host, port });
     socket.setTimeout(CONNECT_MS, socket.destroy.bind(socket, undefined));
     const line = new Line(socket);
-    line.fellowId = id;
+    line.nodeId = id;
     socket.once('connect', this.#dialed.bind(this, line, id));
     this.#serve(line);
     socket.once('close', this.#redialable.bind(this, id));
@@ -240,7 +240,7 @@
   }
 
   #register(line: Line, id: string): void {
-    line.fellowId = id;
+    line.nodeId = id;
     const lines = this.#lines.get(id) ?? [];
     if (!lines.includes(line)) this.#lines.set(id, [...lines, line]);
   }
@@ -250,7 +250,9 @@
     try {
       messages = line.take(chunk);
     } catch (thrown) {
-      this.#tell(thrown instanceof Defect ? thrown : new Defect('bad-frame', reasonOf(thrown)));
+      this.#tell(
+        thrown instanceof CodedError ? thrown : new CodedError('bad-frame', reasonOf(thrown)),
+      );
       line.socket.destroy();
       return;
     }
@@ -259,22 +261,22 @@
         line.role = message.role;
         line.zone = message.zone;
         this.#register(line, message.id);
-      } else if (line.fellowId !== '') {
-        this.#incoming.next({ from: line.fellowId, role: line.role, zone: line.zone, message });
+      } else if (line.nodeId !== '') {
+        this.#incoming.next({ from: line.nodeId, role: line.role, zone: line.zone, message });
       }
     }
   }
 
   #closed(line: Line): void {
     this.#all.delete(line);
-    const left = (this.#lines.get(line.fellowId) ?? []).filter(isNot.bind(undefined, line));
-    if (!this.#lines.has(line.fellowId)) return;
+    const left = (this.#lines.get(line.nodeId) ?? []).filter(isNot.bind(undefined, line));
+    if (!this.#lines.has(line.nodeId)) return;
     if (left.length > 0) {
-      this.#lines.set(line.fellowId, left);
+      this.#lines.set(line.nodeId, left);
       return;
     }
-    this.#lines.delete(line.fellowId);
-    this.#gone.next(line.fellowId);
+    this.#lines.delete(line.nodeId);
+    this.#gone.next(line.nodeId);
   }
 }
 
--- a/src/dissemination/FreshnessConfirmation.ts
+++ b/src/dissemination/FreshnessConfirmation.ts
@@ -18,14 +18,14 @@
  * Gathers asks for freshness from below into one ask upward at a time. An ask is only ever returned
  * by a round begun after it came in, so that its age counts from the asker's own sending.
  */
-export class Vouching {
+export class FreshnessConfirmation {
   #waiting: Ask[] = [];
   #round: Round | undefined;
   #nonce: number;
 
-  /** Nonces begin at a number of this life's own: what is returned to a former life ends no round of ours. */
-  constructor(life: number) {
-    this.#nonce = life;
+  /** Nonces begin at a number of this life's own: what is returned to a former incarnation ends no round of ours. */
+  constructor(incarnation: number) {
+    this.#nonce = incarnation;
   }
 
   add(ask: Ask): void {
@@ -53,7 +53,7 @@
     return [...ids];
   }
 
-  /** The asks that this round's vouch returns. */
+  /** The asks that this round's confirmation returns. */
   end(nonce: number): readonly Ask[] {
     const round = this.#round;
     if (!round || round.nonce !== nonce) return [];
--- a/src/dissemination/Relay.test.ts
+++ b/src/dissemination/Relay.test.ts
@@ -13,7 +13,7 @@
   for (let count = 1; count <= 50; count += 1)
     relay.offer('config', { epoch: 2, count }, `body ${count}`);
   expect(relay.flush()).toEqual([
-    { to: 'x', message: { kind: 'news', topic: 'config', epoch: 2, count: 50, body: 'body 50' } },
+    { to: 'x', message: { kind: 'update', topic: 'config', epoch: 2, count: 50, body: 'body 50' } },
   ]);
   expect(relay.flush()).toEqual([]);
   relay.heard('x', [{ topic: 'config', epoch: 2, count: 3 }]);
--- a/src/dissemination/Relay.ts
+++ b/src/dissemination/Relay.ts
@@ -139,7 +139,7 @@
           this.#sent += 1;
           sends.push({
             to: child,
-            message: { kind: 'news', topic, ...item.version, body: wholeOf(topic, item) },
+            message: { kind: 'update', topic, ...item.version, body: wholeOf(topic, item) },
           });
           continue;
         }
--- a/src/dissemination/Sessions.test.ts
+++ b/src/dissemination/Sessions.test.ts
@@ -25,7 +25,7 @@
   expect([...sessions.tree().values()]).not.toContain('n000');
   sessions.gone('n001');
   expect([...sessions.tree().values()]).not.toContain('n001');
-  sessions.beat(moment(4000));
+  sessions.tick(moment(4000));
   expect(sessions.recent()).toHaveLength(10);
   expect(sessions.up()).toHaveLength(0);
 }
--- a/src/dissemination/Sessions.ts
+++ b/src/dissemination/Sessions.ts
@@ -13,7 +13,7 @@
 
 export const FAN_OUT = 4;
 
-/** The sessions that stand with this mind, and the relay tree of their links. */
+/** The sessions that stand with this control node, and the relay tree of their links. */
 export class Sessions {
   readonly #sessions = new Map<string, Session>();
   readonly #upset = new Map<string, Moment>();
@@ -44,10 +44,10 @@
     if (session) session.isUp = false;
   }
 
-  beat(now: Moment): void {
+  tick(now: Moment): void {
     for (const session of [...this.#sessions.values()]) {
       if (now - session.heardAt > this.#silentMs) session.isUp = false;
-      // A lost member is remembered until it has surely gone blind, since a vouch may still be on its way to it.
+      // A lost member is remembered until it has surely gone blind, since a confirmation may still be on its way to it.
       if (now - session.heardAt > this.#rememberMs) this.#sessions.delete(session.id);
     }
     for (const [id, until] of this.#upset) if (now >= until) this.#upset.delete(id);
@@ -70,7 +70,7 @@
     return list;
   }
 
-  /** Each member's parent: '' for those that hang under the mind itself. */
+  /** Each member's parent: '' for those that hang under the control node itself. */
   tree(): ReadonlyMap<string, string> {
     const parents = new Map<string, string>();
     const byZone = new Map<string, string[]>();
@@ -87,7 +87,7 @@
       for (const [index, id] of sound.entries())
         parents.set(id, index < FAN_OUT ? '' : (sound[Math.floor(index / FAN_OUT) - 1] ?? ''));
     }
-    // Those that somebody could not reach carry nobody; they hang under the mind until they are trusted again.
+    // Those that somebody could not reach carry nobody; they hang under the control node until they are trusted again.
     for (const id of ids) if (this.#upset.has(id)) parents.set(id, '');
     return parents;
   }
--- a/src/election/Elector.test.ts
+++ b/src/election/Elector.test.ts
@@ -1,12 +1,12 @@
 import { expect, test } from 'vitest';
-import { fellowId, moment, type FellowId, type Moment } from '../common/Ids.js';
+import { nodeId, moment, type NodeId, type Moment } from '../common/Ids.js';
 import type { Message } from '../common/Messages.js';
 import { Quorum } from '../common/Quorum.js';
 import { Elector } from './Elector.js';
 import type { VoteRecord } from './VoteEffect.js';
 import { VOTE_DEFAULTS, type VoteSettings } from './VoteSettings.js';
 
-const [a, b, c] = [fellowId('a'), fellowId('b'), fellowId('c')];
+const [a, b, c] = [nodeId('a'), nodeId('b'), nodeId('c')];
 
 test('a restarted voter listens whether somebody leads', checkListens);
 test('after all have restarted nobody listens for a leader', checkAllRestarted);
@@ -24,9 +24,9 @@
     grantEpoch: 6,
     grantLeader: 'b',
   });
-  elector.beat(moment(0));
-  for (const fellow of [b, c])
-    elector.receive(moment(2), fellow, {
+  elector.tick(moment(0));
+  for (const peer of [b, c])
+    elector.receive(moment(2), peer, {
       kind: 'pong',
       nonce: 0,
       epoch: 0,
@@ -45,9 +45,9 @@
   const elector = started();
   elector.receive(moment(5), b, { kind: 'ping', nonce: 1, epoch: 0, reports: [], leader: 'b' });
   elector.receive(moment(5), c, { kind: 'ping', nonce: 1, epoch: 0, reports: [], leader: 'b' });
-  elector.beat(moment(50));
+  elector.tick(moment(50));
   expect(isProposing(elector)).toBe(false);
-  elector.beat(moment(1150));
+  elector.tick(moment(1150));
   expect(isProposing(elector)).toBe(true);
 }
 
@@ -55,9 +55,9 @@
   const elector = started();
   elector.receive(moment(5), b, { kind: 'ping', nonce: 1, epoch: 0, reports: [], leader: '' });
   // Another led before and goes first; then it is our turn, long before the listening would have ended.
-  elector.beat(moment(50));
+  elector.tick(moment(50));
   expect(isProposing(elector)).toBe(false);
-  elector.beat(moment(150));
+  elector.tick(moment(150));
   expect(isProposing(elector)).toBe(true);
   expect(elector.epoch).toBe(7);
 }
@@ -65,9 +65,9 @@
 /** Electors in memory: what one says arrives a step later, and what is to be kept is kept at once. */
 class Election {
   #now = 0;
-  readonly electors = new Map<FellowId, Elector>();
-  readonly #records = new Map<FellowId, VoteRecord>();
-  #mail: { readonly from: FellowId; readonly to: FellowId; readonly message: Message }[] = [];
+  readonly electors = new Map<NodeId, Elector>();
+  readonly #records = new Map<NodeId, VoteRecord>();
+  #mail: { readonly from: NodeId; readonly to: NodeId; readonly message: Message }[] = [];
 
   constructor() {
     for (const id of [a, b, c])
@@ -78,7 +78,7 @@
     return moment(this.#now);
   }
 
-  node(id: FellowId): Elector {
+  node(id: NodeId): Elector {
     const elector = this.electors.get(id);
     if (!elector) throw new Error(`no ${id}`);
     return elector;
@@ -94,7 +94,7 @@
   }
 
   /** How long nobody may order, from now on. */
-  runUntilOrders(isUp: (id: FellowId) => boolean = always): number {
+  runUntilOrders(isUp: (id: NodeId) => boolean = always): number {
     const began = this.#now;
     while (
       this.#now - began < 10_000 &&
@@ -104,7 +104,7 @@
     return this.#now - began;
   }
 
-  run(millis: number, isUp: (id: FellowId) => boolean = always): void {
+  run(millis: number, isUp: (id: NodeId) => boolean = always): void {
     for (const end = this.#now + millis; this.#now < end;) {
       this.#now += 10;
       const mail = this.#mail;
@@ -113,7 +113,7 @@
         if (isUp(to) && isUp(from)) this.node(to).receive(this.now, from, message);
       for (const [id, elector] of this.electors) {
         if (!isUp(id)) continue;
-        if (this.#now % 50 === 0) elector.beat(this.now);
+        if (this.#now % 50 === 0) elector.tick(this.now);
         for (let effects = elector.drain(); effects.length > 0; effects = elector.drain()) {
           for (const effect of effects) {
             if (effect.do === 'keep') {
@@ -155,10 +155,10 @@
 function always(): boolean {
   return true;
 }
-function isNotA(id: FellowId): boolean {
+function isNotA(id: NodeId): boolean {
   return id !== a;
 }
-function isB(id: FellowId): boolean {
+function isB(id: NodeId): boolean {
   return id === b;
 }
 
@@ -195,11 +195,11 @@
 function ordersAt(now: Moment, elector: Elector): boolean {
   return elector.mayOrder(now);
 }
-function leads(election: Election, id: FellowId): boolean {
+function leads(election: Election, id: NodeId): boolean {
   return election.node(id).isLeading();
 }
 
-/** Three voters on virtual time: messages take 2 ms, the disk takes 2 ms, beats come every 50 ms. */
+/** Three voters on virtual time: messages take 2 ms, the disk takes 2 ms, ticks come every 50 ms. */
 class Trio {
   now = 0;
   readonly electors = new Map<string, Elector>();
@@ -211,7 +211,7 @@
       this.#startAt.set(id, at);
       this.electors.set(
         id,
-        new Elector(fellowId(id), new Quorum([a, b, c]), settings, moment(at), {
+        new Elector(nodeId(id), new Quorum([a, b, c]), settings, moment(at), {
           epoch: 6,
           grantEpoch: 6,
           grantLeader: before,
@@ -233,7 +233,7 @@
       for (const [id, elector] of this.electors) {
         const start = this.#startAt.get(id) ?? 0;
         if (this.now < start) continue;
-        if ((this.now - start) % 50 === 0) elector.beat(moment(this.now));
+        if ((this.now - start) % 50 === 0) elector.tick(moment(this.now));
         this.#carryOut(id, elector);
         if (elector.isLeading()) return this.now;
       }
@@ -255,7 +255,7 @@
   #deliver(from: string, to: string, message: Message): void {
     // Who has not started yet hears nothing.
     if (this.now < (this.#startAt.get(to) ?? 0)) return;
-    this.electors.get(to)?.receive(moment(this.now), fellowId(from), message);
+    this.electors.get(to)?.receive(moment(this.now), nodeId(from), message);
   }
 }
 function isDue(now: number, item: { readonly at: number }): boolean {
--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -1,13 +1,13 @@
 import {
   epochOf,
-  fellowId,
+  nodeId,
   isElecting,
   later,
   moment,
   nextElecting,
   nextLeading,
   type Epoch,
-  type FellowId,
+  type NodeId,
   type Moment,
 } from '../common/Ids.js';
 import type { Message, ReportMessage } from '../common/Messages.js';
@@ -28,7 +28,7 @@
  * Pure: everything it wants done is drained as effects, and it is told the moment with each call.
  */
 export class Elector {
-  readonly #me: FellowId;
+  readonly #me: NodeId;
   readonly #settings: VoteSettings;
   #quorum: Quorum;
   readonly #scores: Scores;
@@ -43,32 +43,32 @@
   #role: Role = 'looking';
   #mayVote = true;
   #isRetired = false;
-  #leader: FellowId | undefined;
-  #deferredTo: FellowId | undefined;
+  #leader: NodeId | undefined;
+  #deferredTo: NodeId | undefined;
   #deferredScores: Scores | undefined;
-  #deferrals = new Set<FellowId>();
-  #insiders = new Set<FellowId>();
+  #deferrals = new Set<NodeId>();
+  #quorumMembers = new Set<NodeId>();
   #limit: Moment = moment(0);
   #heardLeader: Moment = moment(0);
 
   /** Who granted us this epoch, and until when what each promised to others binds us. */
-  readonly #grants = new Map<FellowId, Moment>();
+  readonly #grants = new Map<NodeId, Moment>();
   #orderFrom: Moment = moment(0);
   #leaseEnd: Moment = moment(-1);
   #nonce = 0;
-  readonly #renewals = new Map<number, { readonly sent: Moment; readonly by: Set<FellowId> }>();
+  readonly #renewals = new Map<number, { readonly sent: Moment; readonly by: Set<NodeId> }>();
   #renewedAt: Moment = moment(0);
   readonly #promises = new Map<string, Moment>();
   #bootPromise: Moment;
   /** The one to whom alone we may have promised something before we started; nothing where we cannot tell. */
   #bootLeader: string;
 
-  readonly #pinged = new Map<FellowId, { sent: Moment; heard: Moment; scored: Moment }>();
+  readonly #pinged = new Map<NodeId, { sent: Moment; heard: Moment; scored: Moment }>();
   #pingedAt: Moment;
   /** Newly booted or repaired, we first listen whether somebody leads: our Propose would only disturb. */
   #listenUntil: Moment;
   /** Voters whose last ping said that they follow nobody. */
-  readonly #leaderless = new Set<FellowId>();
+  readonly #leaderless = new Set<NodeId>();
   #leaderlessAt: Moment | undefined;
 
   #effects: VoteEffect[] = [];
@@ -78,7 +78,7 @@
   #keepSince: Moment = moment(0);
 
   constructor(
-    me: FellowId,
+    me: NodeId,
     quorum: Quorum,
     settings: VoteSettings,
     now: Moment,
@@ -112,11 +112,11 @@
   get role(): Role {
     return this.#role;
   }
-  get leader(): FellowId | undefined {
+  get leader(): NodeId | undefined {
     return this.#leader;
   }
-  get insiders(): ReadonlySet<FellowId> {
-    return this.#insiders;
+  get quorumMembers(): ReadonlySet<NodeId> {
+    return this.#quorumMembers;
   }
   get scores(): Scores {
     return this.#scores;
@@ -155,8 +155,8 @@
     // We order nobody from here on: what we promised ourselves binds no successor any longer than this.
     if ((this.#promises.get(this.#me) ?? now) > now) this.#promises.set(this.#me, now);
     if (wasLeading)
-      for (const fellow of this.#others())
-        this.#speak(fellow, { kind: 'released', epoch: this.#epoch });
+      for (const peer of this.#others())
+        this.#speak(peer, { kind: 'released', epoch: this.#epoch });
     this.#lose('looking');
   }
 
@@ -183,8 +183,8 @@
   }
 
   /** When a voter last returned a ping; nothing for one never pinged. */
-  heardAt(fellow: FellowId): Moment | undefined {
-    return this.#pinged.get(fellow)?.heard;
+  heardAt(peer: NodeId): Moment | undefined {
+    return this.#pinged.get(peer)?.heard;
   }
 
   drain(): VoteEffect[] {
@@ -203,7 +203,7 @@
     }
   }
 
-  beat(now: Moment): void {
+  tick(now: Moment): void {
     this.#ping(now);
     if (!this.#mayVote || this.#isRetired) return;
     this.#noteFree(now);
@@ -212,7 +212,7 @@
       if (this.#role !== 'looking' && this.#role !== 'following') this.#lose('looking');
       return;
     }
-    if (this.#role === 'leading' || this.#role === 'won') this.#beatLeader(now);
+    if (this.#role === 'leading' || this.#role === 'won') this.#tickLeader(now);
     if (this.#role === 'proposing' && now >= this.#limit) {
       if (this.#quorum.isMajority(this.#deferrals)) this.#win(now);
       else this.#startIfReachable(now);
@@ -256,7 +256,7 @@
     return this.#quorum.isMajority(new Set([this.#me, ...this.#leaderless]));
   }
 
-  receive(now: Moment, from: FellowId, message: Message): void {
+  receive(now: Moment, from: NodeId, message: Message): void {
     switch (message.kind) {
       case 'ping':
         this.#scores.merge(message.reports);
@@ -316,16 +316,16 @@
     if (now < later(this.#pingedAt, this.#settings.pingMs)) return;
     this.#pingedAt = now;
     this.#nonce += 1;
-    for (const fellow of this.#quorum.all) {
-      if (fellow === this.#me) continue;
-      const state = this.#pinged.get(fellow) ?? { sent: now, heard: now, scored: now };
-      this.#pinged.set(fellow, state);
+    for (const peer of this.#quorum.all) {
+      if (peer === this.#me) continue;
+      const state = this.#pinged.get(peer) ?? { sent: now, heard: now, scored: now };
+      this.#pinged.set(peer, state);
       if (now - state.heard >= this.#settings.deadMs) {
-        this.#scores.reportDead(fellow, (now - state.scored) / 1000);
+        this.#scores.reportDead(peer, (now - state.scored) / 1000);
         state.scored = now;
       }
       state.sent = now;
-      this.#speak(fellow, {
+      this.#speak(peer, {
         kind: 'ping',
         nonce: now,
         epoch: 0,
@@ -335,7 +335,7 @@
     }
   }
 
-  #sendPong(to: FellowId, nonce: number): void {
+  #sendPong(to: NodeId, nonce: number): void {
     this.#speak(to, {
       kind: 'pong',
       nonce,
@@ -345,7 +345,7 @@
     });
   }
 
-  #receivePong(now: Moment, from: FellowId, sent: number, reports: readonly ReportMessage[]): void {
+  #receivePong(now: Moment, from: NodeId, sent: number, reports: readonly ReportMessage[]): void {
     this.#scores.merge(reports);
     const state = this.#pinged.get(from);
     // The nonce is our own moment of sending: a pong held up for longer than a link counts as dead proves nothing.
@@ -364,8 +364,8 @@
     this.#role = 'proposing';
     this.#deferrals = new Set([this.#me]);
     this.#limit = later(now, this.#settings.electionMs);
-    for (const fellow of this.#others())
-      this.#speak(fellow, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
+    for (const peer of this.#others())
+      this.#speak(peer, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
     if (this.#quorum.all.length === 1) this.#win(now);
   }
 
@@ -382,14 +382,14 @@
 
   #receivePropose(
     now: Moment,
-    from: FellowId,
+    from: NodeId,
     epoch: Epoch,
     reports: readonly ReportMessage[],
   ): void {
     this.#scores.merge(reports);
     if (!this.#mayVote || !this.#quorum.holds(from)) return;
     const isSettled = this.#leader !== undefined && !isElecting(this.#epoch);
-    if (isSettled && !this.#insiders.has(from)) {
+    if (isSettled && !this.#quorumMembers.has(from)) {
       // From outside the quorum: only worth an election if another than the present leader would come out of it,
       // or if we lead ourselves and the newcomer has run ahead, since it could then never accept our renewals.
       if (this.#isOutscored()) this.#startIfReachable(now);
@@ -447,7 +447,7 @@
     else this.#startIfReachable(now);
   }
 
-  #deferTo(now: Moment, from: FellowId, reports: readonly ReportMessage[]): void {
+  #deferTo(now: Moment, from: NodeId, reports: readonly ReportMessage[]): void {
     this.#role = 'deferred';
     this.#deferredTo = from;
     const view = new Scores(this.#me, this.#settings.halfLifeSeconds);
@@ -457,12 +457,7 @@
     this.#speak(from, { kind: 'defer', epoch: this.#epoch, reports: this.#frozen.reports() });
   }
 
-  #receiveDefer(
-    now: Moment,
-    from: FellowId,
-    epoch: Epoch,
-    reports: readonly ReportMessage[],
-  ): void {
+  #receiveDefer(now: Moment, from: NodeId, epoch: Epoch, reports: readonly ReportMessage[]): void {
     this.#scores.merge(reports);
     if (this.#role !== 'proposing' || epoch !== this.#epoch || !this.#quorum.holds(from)) return;
     this.#deferrals.add(from);
@@ -474,17 +469,17 @@
       this.#win(now);
   }
 
-  #deferredOrDead(fellow: FellowId): boolean {
-    return this.#deferrals.has(fellow) || !this.#scores.isAlive(fellow);
+  #deferredOrDead(peer: NodeId): boolean {
+    return this.#deferrals.has(peer) || !this.#scores.isAlive(peer);
   }
 
   #win(now: Moment): void {
     const epoch = nextLeading(this.#epoch);
-    const insiders = this.#deferrals;
+    const quorumMembers = this.#deferrals;
     this.#adopt(epoch, now);
     this.#role = 'won';
     this.#leader = this.#me;
-    this.#insiders = new Set(insiders);
+    this.#quorumMembers = new Set(quorumMembers);
     this.#grants.clear();
     this.#orderFrom = now;
     this.#limit = later(now, this.#settings.electionMs * 2);
@@ -492,19 +487,19 @@
     this.#renewals.clear();
     const nonce = this.#openRenewal(now);
     this.#grant(now, this.#me, nonce);
-    for (const fellow of this.#others())
-      this.#speak(fellow, {
+    for (const peer of this.#others())
+      this.#speak(peer, {
         kind: 'victory',
         epoch,
         reports: this.#scores.reports(),
         nonce,
-        quorum: [...insiders],
+        quorum: [...quorumMembers],
       });
   }
 
   #receiveVictory(
     now: Moment,
-    from: FellowId,
+    from: NodeId,
     epoch: Epoch,
     reports: readonly ReportMessage[],
     nonce: number,
@@ -519,13 +514,7 @@
     this.#follow(now, from, epoch, nonce, quorum);
   }
 
-  #follow(
-    now: Moment,
-    from: FellowId,
-    epoch: Epoch,
-    nonce: number,
-    quorum: readonly string[],
-  ): void {
+  #follow(now: Moment, from: NodeId, epoch: Epoch, nonce: number, quorum: readonly string[]): void {
     // One grant per epoch, even if two winners of overlapping deferrals ask.
     if (
       this.#granted.epoch >= epoch &&
@@ -538,7 +527,7 @@
     }
     this.#role = 'following';
     this.#leader = from;
-    this.#insiders = new Set([this.#me, from, ...quorum.map(fellowId)]);
+    this.#quorumMembers = new Set([this.#me, from, ...quorum.map(nodeId)]);
     this.#heardLeader = now;
     this.#grant(now, from, nonce);
   }
@@ -553,7 +542,7 @@
 
   // ---- grants and lease
 
-  #grant(now: Moment, leader: FellowId, nonce: number): void {
+  #grant(now: Moment, leader: NodeId, nonce: number): void {
     const epoch = this.#epoch;
     const wait = this.#wait(now, leader);
     if (this.#granted.epoch !== epoch) {
@@ -575,7 +564,7 @@
   }
 
   /** How long from now the promises made to others still bind, with the span in which nobody orders. */
-  #wait(now: Moment, leader: FellowId): number {
+  #wait(now: Moment, leader: NodeId): number {
     let until =
       leader === this.#bootLeader ? moment(now - this.#settings.leaseMs * 2) : this.#bootPromise;
     for (const [other, end] of this.#promises) if (other !== leader && end > until) until = end;
@@ -586,7 +575,7 @@
 
   #receiveGranted(
     now: Moment,
-    from: FellowId,
+    from: NodeId,
     epoch: Epoch,
     wait: number,
     nonce: number,
@@ -596,9 +585,9 @@
     this.#countGrant(now, from, epoch, wait, nonce);
   }
 
-  #countGrant(now: Moment, from: FellowId, epoch: Epoch, wait: number, nonce: number): void {
+  #countGrant(now: Moment, from: NodeId, epoch: Epoch, wait: number, nonce: number): void {
     if (epoch !== this.#epoch || (this.#role !== 'won' && this.#role !== 'leading')) return;
-    this.#insiders.add(from);
+    this.#quorumMembers.add(from);
     const known = this.#grants.get(from);
     // Told again by a later renewal, a promise still ends when it was first said to.
     if (known === undefined || later(now, wait) < known) this.#grants.set(from, later(now, wait));
@@ -611,9 +600,9 @@
   /** Any majority of grants shares a voter with the one that renewed the holder before us: the one free first is enough. */
   #settleOrderFrom(): void {
     const ends = [...this.#grants].sort(byEnd);
-    const free = new Set<FellowId>();
-    for (const [fellow, end] of ends) {
-      free.add(fellow);
+    const free = new Set<NodeId>();
+    for (const [peer, end] of ends) {
+      free.add(peer);
       if (!this.#quorum.isMajority(free)) continue;
       this.#orderFrom = end;
       return;
@@ -626,7 +615,7 @@
     return this.#nonce;
   }
 
-  #countRenewal(from: FellowId, nonce: number): void {
+  #countRenewal(from: NodeId, nonce: number): void {
     const renewal = this.#renewals.get(nonce);
     if (!renewal || (this.#role !== 'leading' && this.#role !== 'won')) return;
     renewal.by.add(from);
@@ -636,7 +625,7 @@
     for (const old of this.#renewals.keys()) if (old <= nonce) this.#renewals.delete(old);
   }
 
-  #beatLeader(now: Moment): void {
+  #tickLeader(now: Moment): void {
     if (this.#role === 'leading' && now >= this.#leaseEnd) {
       // No majority renews us any more: whoever they follow now, it is not us.
       this.#lose('looking');
@@ -650,16 +639,16 @@
     this.#promises.set(this.#me, later(now, this.#settings.spanMs));
     // Our own renewal counts only once our own grant of this epoch is on disk.
     this.#afterKept(this.#countRenewal.bind(this, this.#me, nonce));
-    for (const fellow of this.#others())
-      this.#speak(fellow, {
+    for (const peer of this.#others())
+      this.#speak(peer, {
         kind: 'renew',
         epoch: this.#epoch,
         nonce,
-        quorum: [...this.#insiders],
+        quorum: [...this.#quorumMembers],
       });
   }
 
-  #receiveReleased(now: Moment, from: FellowId, epoch: Epoch): void {
+  #receiveReleased(now: Moment, from: NodeId, epoch: Epoch): void {
     if (epoch !== this.#epoch || this.#leader !== from) return;
     const promise = this.#promises.get(from);
     if (promise !== undefined && promise > now) this.#promises.set(from, now);
@@ -669,7 +658,7 @@
 
   #receiveRenew(
     now: Moment,
-    from: FellowId,
+    from: NodeId,
     epoch: Epoch,
     nonce: number,
     quorum: readonly string[],
@@ -686,7 +675,7 @@
       this.#leader === from
     ) {
       this.#heardLeader = now;
-      this.#insiders = new Set([this.#me, from, ...quorum.map(fellowId)]);
+      this.#quorumMembers = new Set([this.#me, from, ...quorum.map(nodeId)]);
       this.#promises.set(from, later(now, this.#settings.spanMs));
       this.#speak(from, { kind: 'renewed', epoch, nonce });
       return;
@@ -697,10 +686,10 @@
 
   // ---- small parts
 
-  #others(): FellowId[] {
+  #others(): NodeId[] {
     const me = this.#me;
-    function isOther(fellow: FellowId): boolean {
-      return fellow !== me;
+    function isOther(peer: NodeId): boolean {
+      return peer !== me;
     }
     return this.#quorum.all.filter(isOther);
   }
@@ -717,10 +706,10 @@
   }
 
   /** Whether our total is above the other's, leaving the tie-break aside. */
-  #isAbove(fellow: FellowId): boolean {
+  #isAbove(peer: NodeId): boolean {
     return (
       Math.round(this.#frozen.total(this.#me, this.#quorum.all) * 1000) >
-      Math.round(this.#frozen.total(fellow, this.#quorum.all) * 1000)
+      Math.round(this.#frozen.total(peer, this.#quorum.all) * 1000)
     );
   }
 
@@ -737,7 +726,7 @@
   #lose(role: Role): void {
     this.#role = role;
     this.#leader = undefined;
-    this.#insiders = new Set();
+    this.#quorumMembers = new Set();
     this.#deferredTo = undefined;
     this.#deferredScores = undefined;
     this.#deferrals = new Set();
@@ -766,7 +755,7 @@
     else this.#held.push({ token: this.#token, run });
   }
 
-  #speak(to: FellowId, message: Message): void {
+  #speak(to: NodeId, message: Message): void {
     const send: VoteEffect = { do: 'send', to, message };
     // Pings carry no epoch, so they need not wait for the disk.
     if (message.kind === 'ping' || message.kind === 'pong') this.#effects.push(send);
@@ -778,6 +767,6 @@
   }
 }
 
-function byEnd(a: readonly [FellowId, Moment], b: readonly [FellowId, Moment]): number {
+function byEnd(a: readonly [NodeId, Moment], b: readonly [NodeId, Moment]): number {
   return a[1] - b[1];
 }
--- a/src/election/Scores.test.ts
+++ b/src/election/Scores.test.ts
@@ -1,15 +1,15 @@
 import { expect, test } from 'vitest';
-import { fellowId } from '../common/Ids.js';
+import { nodeId } from '../common/Ids.js';
 import { Scores } from './Scores.js';
 
-const [a, b, c] = [fellowId('a'), fellowId('b'), fellowId('c')];
+const [a, b, c] = [nodeId('a'), nodeId('b'), nodeId('c')];
 const voters = [a, b, c];
 function checkFormula(): void {
   const scores = new Scores(a, 10);
   scores.reportLive(b, 1);
   scores.reportDead(b, 2);
   const link = scores.reports()[0]?.links[0];
-  expect(link).toEqual({ fellow: b, score: 1 * (1 - 0.1) - 0.1, alive: false });
+  expect(link).toEqual({ peer: b, score: 1 * (1 - 0.1) - 0.1, alive: false });
   scores.reportDead(b, 1000);
   expect(scores.reports()[0]?.links[0]?.score).toBe(0);
   scores.reportLive(b, 1);
@@ -24,22 +24,22 @@
 }
 function checkMerge(): void {
   const scores = new Scores(a, 10);
-  scores.merge([{ owner: 'b', version: 5, links: [{ fellow: 'c', score: 0.5, alive: true }] }]);
-  scores.merge([{ owner: 'b', version: 4, links: [{ fellow: 'c', score: 0.9, alive: true }] }]);
+  scores.merge([{ owner: 'b', version: 5, links: [{ peer: 'c', score: 0.5, alive: true }] }]);
+  scores.merge([{ owner: 'b', version: 4, links: [{ peer: 'c', score: 0.9, alive: true }] }]);
   expect(scores.total(c, voters)).toBe(0.5);
   const frozen = scores.freeze();
-  scores.merge([{ owner: 'b', version: 6, links: [{ fellow: 'c', score: 0.7, alive: true }] }]);
+  scores.merge([{ owner: 'b', version: 6, links: [{ peer: 'c', score: 0.7, alive: true }] }]);
   expect(frozen.total(c, voters)).toBe(0.5);
 }
 function checkRestart(): void {
   const scores = new Scores(a, 10);
   scores.reportLive(b, 1);
-  scores.merge([{ owner: 'a', version: 90, links: [{ fellow: 'b', score: 0.4, alive: false }] }]);
+  scores.merge([{ owner: 'a', version: 90, links: [{ peer: 'b', score: 0.4, alive: false }] }]);
   scores.reportLive(b, 0);
   expect(scores.reports()[0]).toEqual({
     owner: 'a',
     version: 92,
-    links: [{ fellow: 'b', score: 0.4, alive: true }],
+    links: [{ peer: 'b', score: 0.4, alive: true }],
   });
 }
 test("a score moves by the design's formula and never below 0", checkFormula);
--- a/src/election/Scores.ts
+++ b/src/election/Scores.ts
@@ -1,5 +1,5 @@
 import type { ReportMessage } from '../common/Messages.js';
-import { fellowId, type FellowId } from '../common/Ids.js';
+import { nodeId, type NodeId } from '../common/Ids.js';
 
 interface LinkScore {
   readonly score: number;
@@ -7,7 +7,7 @@
 }
 interface OwnerReport {
   readonly version: number;
-  readonly links: ReadonlyMap<FellowId, LinkScore>;
+  readonly links: ReadonlyMap<NodeId, LinkScore>;
 }
 
 const NO_REPORT: OwnerReport = { version: 0, links: new Map() };
@@ -17,15 +17,11 @@
  * A link's score moves by new = current * (1 - units / (2 * halfLife)) +/- units / (2 * halfLife).
  */
 export class Scores {
-  readonly #me: FellowId;
+  readonly #me: NodeId;
   readonly #halfLife: number;
-  readonly #reports: Map<FellowId, OwnerReport>;
+  readonly #reports: Map<NodeId, OwnerReport>;
 
-  constructor(
-    me: FellowId,
-    halfLife: number,
-    reports: ReadonlyMap<FellowId, OwnerReport> = new Map(),
-  ) {
+  constructor(me: NodeId, halfLife: number, reports: ReadonlyMap<NodeId, OwnerReport> = new Map()) {
     this.#me = me;
     this.#halfLife = halfLife;
     this.#reports = new Map(reports);
@@ -36,37 +32,37 @@
     return new Scores(this.#me, this.#halfLife, this.#reports);
   }
 
-  reportLive(fellow: FellowId, units: number): void {
+  reportLive(peer: NodeId, units: number): void {
     // A link first heard of starts at full score: the design gives no start, and a newcomer must be electable.
-    const current = this.#own(fellow)?.score ?? 1;
+    const current = this.#own(peer)?.score ?? 1;
     const step = this.#step(units);
-    this.#put(fellow, { score: Math.min(1, current * (1 - step) + step), isAlive: true });
+    this.#put(peer, { score: Math.min(1, current * (1 - step) + step), isAlive: true });
   }
 
-  reportDead(fellow: FellowId, units: number): void {
-    const current = this.#own(fellow)?.score ?? 1;
+  reportDead(peer: NodeId, units: number): void {
+    const current = this.#own(peer)?.score ?? 1;
     const step = this.#step(units);
-    this.#put(fellow, { score: Math.max(0, current * (1 - step) - step), isAlive: false });
+    this.#put(peer, { score: Math.max(0, current * (1 - step) - step), isAlive: false });
   }
 
-  isAlive(fellow: FellowId): boolean {
-    return fellow === this.#me || this.#own(fellow)?.isAlive === true;
+  isAlive(peer: NodeId): boolean {
+    return peer === this.#me || this.#own(peer)?.isAlive === true;
   }
 
   merge(reports: readonly ReportMessage[]): void {
     for (const report of reports) {
-      const owner = fellowId(report.owner);
+      const owner = nodeId(report.owner);
       const known = this.#reports.get(owner) ?? NO_REPORT;
       if (report.version <= known.version) continue;
-      const links = new Map<FellowId, LinkScore>();
+      const links = new Map<NodeId, LinkScore>();
       for (const link of report.links)
-        links.set(fellowId(link.fellow), { score: link.score, isAlive: link.alive });
+        links.set(nodeId(link.peer), { score: link.score, isAlive: link.alive });
       if (owner === this.#me) {
         // Our own report, from before a restart: go on from its version and scores, but trust only our own pings for liveness.
-        for (const [fellow, link] of links)
-          links.set(fellow, {
+        for (const [peer, link] of links)
+          links.set(peer, {
             score: link.score,
-            isAlive: known.links.get(fellow)?.isAlive ?? false,
+            isAlive: known.links.get(peer)?.isAlive ?? false,
           });
         this.#reports.set(owner, { version: report.version + 1, links });
       } else {
@@ -79,49 +75,49 @@
     const list: ReportMessage[] = [];
     for (const [owner, report] of this.#reports) {
       const links = [];
-      for (const [fellow, link] of report.links)
-        links.push({ fellow, score: link.score, alive: link.isAlive });
+      for (const [peer, link] of report.links)
+        links.push({ peer, score: link.score, alive: link.isAlive });
       list.push({ owner, version: report.version, links });
     }
     return list;
   }
 
   /** The sum of the scores that the others give their links to this node; a down link counts 0. */
-  total(fellow: FellowId, voters: readonly FellowId[]): number {
+  total(peer: NodeId, voters: readonly NodeId[]): number {
     let sum = 0;
     for (const owner of voters) {
-      const link = owner === fellow ? undefined : this.#reports.get(owner)?.links.get(fellow);
+      const link = owner === peer ? undefined : this.#reports.get(owner)?.links.get(peer);
       if (link?.isAlive) sum += link.score;
     }
     return sum;
   }
 
   // Totals are compared in thousandths: views that differ by the last ping alone must still agree, then the lower id leads.
-  isBetter(a: FellowId, b: FellowId, voters: readonly FellowId[]): boolean {
+  isBetter(a: NodeId, b: NodeId, voters: readonly NodeId[]): boolean {
     const difference =
       Math.round(this.total(a, voters) * 1000) - Math.round(this.total(b, voters) * 1000);
     return difference > 0 || (difference === 0 && a < b);
   }
 
-  top(voters: readonly FellowId[]): FellowId | undefined {
-    let best: FellowId | undefined;
+  top(voters: readonly NodeId[]): NodeId | undefined {
+    let best: NodeId | undefined;
     for (const voter of voters)
       if (best === undefined || this.isBetter(voter, best, voters)) best = voter;
     return best;
   }
 
-  #own(fellow: FellowId): LinkScore | undefined {
-    return this.#reports.get(this.#me)?.links.get(fellow);
+  #own(peer: NodeId): LinkScore | undefined {
+    return this.#reports.get(this.#me)?.links.get(peer);
   }
 
   #step(units: number): number {
     return Math.min(1, Math.max(0, units) / (2 * this.#halfLife));
   }
 
-  #put(fellow: FellowId, link: LinkScore): void {
+  #put(peer: NodeId, link: LinkScore): void {
     const known = this.#reports.get(this.#me) ?? NO_REPORT;
     const links = new Map(known.links);
-    links.set(fellow, link);
+    links.set(peer, link);
     this.#reports.set(this.#me, { version: known.version + 1, links });
   }
 }
--- a/src/election/VoteEffect.ts
+++ b/src/election/VoteEffect.ts
@@ -1,4 +1,4 @@
-import type { FellowId } from '../common/Ids.js';
+import type { NodeId } from '../common/Ids.js';
 import type { Message } from '../common/Messages.js';
 
 /** What a voter must still know after a crash. */
@@ -11,6 +11,6 @@
 }
 
 export type VoteEffect =
-  | { readonly do: 'send'; readonly to: FellowId; readonly message: Message }
+  | { readonly do: 'send'; readonly to: NodeId; readonly message: Message }
   /** Sync this record, then call kept(token). A later record replaces an earlier one that is still waiting. */
   | { readonly do: 'keep'; readonly token: number; readonly record: VoteRecord };
--- a/src/operator/EditCommands.ts
+++ b/src/operator/EditCommands.ts
@@ -2,7 +2,7 @@
 import { Args, Flags } from '@oclif/core';
 import { reasonOf } from '../common/CodedError.js';
 import { baseOfEdit } from './Operator.js';
-import { WORD_FLAGS, WordCommand } from './OperatorCommand.js';
+import { OPERATOR_FLAGS, OperatorCommand } from './OperatorCommand.js';
 
 const BASE_FLAG = {
   base: Flags.integer({
@@ -16,7 +16,7 @@
   return text !== '' && Number.isFinite(Number(text)) ? Number(text) : text;
 }
 
-abstract class EditCommand extends WordCommand {
+abstract class EditCommand extends OperatorCommand {
   protected async base(apis: readonly string[], given: number | undefined): Promise<number> {
     const base = given ?? (await this.operator(apis).tableNumber());
     if (base === undefined) {
@@ -32,7 +32,7 @@
   static override args = {
     file: Args.string({ required: true, description: 'file in the mapping language' }),
   };
-  static override flags = { ...WORD_FLAGS, ...BASE_FLAG };
+  static override flags = { ...OPERATOR_FLAGS, ...BASE_FLAG };
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(PutCommand);
@@ -59,7 +59,7 @@
     }),
     value: Args.string({ required: true }),
   };
-  static override flags = { ...WORD_FLAGS, ...BASE_FLAG };
+  static override flags = { ...OPERATOR_FLAGS, ...BASE_FLAG };
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(SetCommand);
@@ -76,7 +76,7 @@
 export class RowsCommand extends EditCommand {
   static override description = 'put and remove rows, leaving the rest of the table as it is';
   static override flags = {
-    ...WORD_FLAGS,
+    ...OPERATOR_FLAGS,
     ...BASE_FLAG,
     file: Flags.string({ description: 'JSON file with a list of rows to put' }),
     remove: Flags.string({
@@ -107,10 +107,10 @@
   }
 }
 
-export class EmptyCommand extends WordCommand {
+export class EmptyCommand extends OperatorCommand {
   static override description = 'empty a zone: no new work goes there once this returns';
   static override args = { zone: Args.string({ required: true }) };
-  static override flags = WORD_FLAGS;
+  static override flags = OPERATOR_FLAGS;
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(EmptyCommand);
@@ -125,10 +125,10 @@
   }
 }
 
-export class FillCommand extends WordCommand {
+export class FillCommand extends OperatorCommand {
   static override description = 'let an emptied zone have work again';
   static override args = { zone: Args.string({ required: true }) };
-  static override flags = WORD_FLAGS;
+  static override flags = OPERATOR_FLAGS;
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(FillCommand);
@@ -143,11 +143,11 @@
   }
 }
 
-export class AskEditCommand extends WordCommand {
+export class AskEditCommand extends OperatorCommand {
   static override description =
     'ask what became of an edit whose outcome was unsure; one not accepted by now never will be';
   static override args = { id: Args.string({ required: true }) };
-  static override flags = WORD_FLAGS;
+  static override flags = OPERATOR_FLAGS;
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(AskEditCommand);
@@ -162,13 +162,13 @@
   }
 }
 
-export class SwapCommand extends WordCommand {
+export class SwapCommand extends OperatorCommand {
   static override description = 'let a new control node vote in place of another';
   static override args = {
     old: Args.string({ required: true, description: 'address of the voter to go' }),
     new: Args.string({ required: true, description: 'address of the one to come' }),
   };
-  static override flags = WORD_FLAGS;
+  static override flags = OPERATOR_FLAGS;
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(SwapCommand);
@@ -179,10 +179,10 @@
   }
 }
 
-export class FoundCommand extends WordCommand {
+export class FoundCommand extends OperatorCommand {
   static override description =
     'found anew at nodes that lost everything, although members still hold a configuration';
-  static override flags = WORD_FLAGS;
+  static override flags = OPERATOR_FLAGS;
 
   async run(): Promise<void> {
     const { flags } = await this.parse(FoundCommand);
