--- a/src/rehearsal/SimTroubles.ts
+++ b/src/rehearsal/SimTroubles.ts
@@ -1,11 +1,11 @@
 import { allParts, VOTE_PART } from '../state/PartNames.js';
-import type { Agenda } from './Scheduler.js';
+import type { Scheduler } from './Scheduler.js';
 import type { Network } from './Network.js';
 import type { Seeded } from './Seeded.js';
 import { MOODS, type Mood } from './SimBackend.js';
-import type { SimFlow } from './SimProxy.js';
-import type { SimLink } from './SimAgent.js';
-import type { SimMind } from './SimControl.js';
+import type { SimProxy } from './SimProxy.js';
+import type { SimAgent } from './SimAgent.js';
+import type { SimControl } from './SimControl.js';
 import type { SimNode } from './SimNode.js';
 import type { SimOutside } from './SimOutside.js';
 import type { EventRecord } from './Records.js';
@@ -75,14 +75,14 @@
 const LIMIT = 2;
 
 export interface Stage {
-  readonly agenda: Agenda;
+  readonly scheduler: Scheduler;
   readonly seeded: Seeded;
   readonly network: Network;
   readonly outside: SimOutside;
   readonly nodes: ReadonlyMap<string, SimNode>;
-  readonly minds: readonly SimMind[];
-  readonly links: readonly SimLink[];
-  readonly flows: readonly SimFlow[];
+  readonly controlNodes: readonly SimControl[];
+  readonly links: readonly SimAgent[];
+  readonly flows: readonly SimProxy[];
   readonly say: (text: string) => void;
   readonly note: (event: Omit<EventRecord, 'at'>) => void;
   readonly holds: (condition: Condition) => boolean;
@@ -99,66 +99,67 @@
   }
 
   bringAbout(kind: TroubleKind): void {
-    const { agenda, network, outside, seeded } = this.#stage;
+    const { scheduler, network, outside, seeded } = this.#stage;
     const span = seeded.between(300, 9000);
-    const mind = seeded.pick(this.#stage.minds);
-    const other = seeded.pick(this.#stage.minds);
+    const controlNode = seeded.pick(this.#stage.controlNodes);
+    const other = seeded.pick(this.#stage.controlNodes);
     const link = seeded.pick(this.#stage.links);
     const flow = seeded.pick(this.#stage.flows);
     const runner = seeded.pick(RUNNERS) ?? 'r0';
     const plain = seeded.pick(PLAIN) ?? 'k0';
     const back = seeded.isLikely(0.6) ? runner : plain;
     this.#stage.say(
-      `trouble ${kind} ${mind?.id} ${other?.id} ${link?.id} ${flow?.id} ${runner} ${plain} for ${Math.round(span)}`,
+      `trouble ${kind} ${controlNode?.id} ${other?.id} ${link?.id} ${flow?.id} ${runner} ${plain} for ${Math.round(span)}`,
     );
-    if (!mind || !other || !link || !flow) return;
+    if (!controlNode || !other || !link || !flow) return;
     this.#count(kind);
     switch (kind) {
       case 'kill-mind':
-        this.kill(mind);
-        agenda.after(span, mind.start.bind(mind));
+        this.kill(controlNode);
+        scheduler.after(span, controlNode.start.bind(controlNode));
         break;
       case 'kill-core':
-        for (const each of this.#stage.minds) {
+        for (const each of this.#stage.controlNodes) {
           this.kill(each);
-          agenda.after(span * seeded.next(), each.start.bind(each));
+          scheduler.after(span * seeded.next(), each.start.bind(each));
         }
         break;
       case 'retire-mind':
-        mind.retire();
-        agenda.after(60, this.kill.bind(this, mind));
-        agenda.after(60 + span, mind.start.bind(mind));
+        controlNode.retire();
+        scheduler.after(60, this.kill.bind(this, controlNode));
+        scheduler.after(60 + span, controlNode.start.bind(controlNode));
         break;
       case 'freeze-mind':
-        mind.freeze();
-        agenda.after(span, mind.wake.bind(mind));
+        controlNode.freeze();
+        scheduler.after(span, controlNode.wake.bind(controlNode));
         break;
       // Long enough for a successor to order, and sometimes not.
       case 'freeze-ordering':
-        for (const each of this.#stage.minds) each.freezeAtOrderMs = seeded.between(300, 12_000);
+        for (const each of this.#stage.controlNodes)
+          each.freezeAtOrderMs = seeded.between(300, 12_000);
         break;
       case 'wipe-mind':
-        this.#wipe(mind, span);
+        this.#wipe(controlNode, span);
         break;
       case 'rot-file':
-        this.#rot(mind, span);
+        this.#rot(controlNode, span);
         break;
       case 'stall-disk':
-        mind.isDiskStalled = true;
-        agenda.after(span, mind.unstall.bind(mind));
+        controlNode.isDiskStalled = true;
+        scheduler.after(span, controlNode.unstall.bind(controlNode));
         break;
       case 'slow-disk':
-        mind.diskMs = 400;
-        agenda.after(span, quicken.bind(undefined, mind));
+        controlNode.diskMs = 400;
+        scheduler.after(span, quicken.bind(undefined, controlNode));
         break;
       case 'cut-minds':
-        this.#cut([mind.id], [other.id], true, span);
+        this.#cut([controlNode.id], [other.id], true, span);
         break;
       case 'cut-one-way':
-        this.#cut([mind.id], [other.id], false, span);
+        this.#cut([controlNode.id], [other.id], false, span);
         break;
       case 'isolate-mind':
-        this.#cut([mind.id], this.#ids(mind.id), true, span);
+        this.#cut([controlNode.id], this.#ids(controlNode.id), true, span);
         break;
       case 'isolate-link':
         this.#cut([link.id], this.#ids(link.id), true, span);
@@ -166,43 +167,43 @@
           this.#stage.note({ what: 'cut', node: id, number: span + 100 });
         break;
       case 'cut-link':
-        this.#cut([link.id], [mind.id, other.id], seeded.isLikely(0.5), span);
+        this.#cut([link.id], [controlNode.id, other.id], seeded.isLikely(0.5), span);
         break;
       case 'isolate-core':
-        this.#cut(this.#stage.minds.map(idOf), this.#stage.links.map(idOf), true, span);
+        this.#cut(this.#stage.controlNodes.map(idOf), this.#stage.links.map(idOf), true, span);
         break;
       case 'kill-link':
         this.kill(link);
-        agenda.after(span, link.start.bind(link));
+        scheduler.after(span, link.start.bind(link));
         break;
       case 'freeze-link':
         link.freeze();
-        agenda.after(span, link.wake.bind(link));
+        scheduler.after(span, link.wake.bind(link));
         break;
       case 'kill-flow':
-        this.#killFlow(flow);
-        agenda.after(span, flow.start.bind(flow));
+        this.#killProxy(flow);
+        scheduler.after(span, flow.start.bind(flow));
         break;
       case 'freeze-flow':
-        this.#freezeFlow(flow, span);
+        this.#freezeProxy(flow, span);
         break;
       case 'restart-flow':
-        this.#restartFlow(flow);
+        this.#restartProxy(flow);
         break;
       case 'loss':
         network.loss = 0.2;
-        agenda.after(span, calm.bind(undefined, network));
+        scheduler.after(span, calm.bind(undefined, network));
         break;
       case 'delay':
         network.mostDelay = 300;
-        agenda.after(span, calm.bind(undefined, network));
+        scheduler.after(span, calm.bind(undefined, network));
         break;
       case 'restart-runner':
         outside.restart(runner);
         break;
       case 'vanish-runner':
         outside.down(runner, true);
-        agenda.after(span, outside.up.bind(outside, runner));
+        scheduler.after(span, outside.up.bind(outside, runner));
         break;
       case 'dark-runner':
         this.#darken(runner, span);
@@ -225,7 +226,7 @@
         break;
       case 'mark-runner':
         outside.mark(back, true);
-        agenda.after(span, outside.mark.bind(outside, back, false));
+        scheduler.after(span, outside.mark.bind(outside, back, false));
         break;
       case 'mark-dark-runner':
         this.#markDark(runner, span);
@@ -235,19 +236,19 @@
         break;
       case 'shrink-room':
         outside.setRoom(runner, 15);
-        agenda.after(span, outside.setRoom.bind(outside, runner, ROOM));
+        scheduler.after(span, outside.setRoom.bind(outside, runner, ROOM));
         break;
       case 'lower-limit':
         outside.setLimit(1);
-        agenda.after(span + 7000, outside.setLimit.bind(outside, LIMIT));
+        scheduler.after(span + 7000, outside.setLimit.bind(outside, LIMIT));
         break;
       case 'platform-down':
         outside.isPlatformUp = false;
-        agenda.after(span, platformUp.bind(undefined, outside));
+        scheduler.after(span, platformUp.bind(undefined, outside));
         break;
       case 'odd-list':
         outside.oddList = seeded.isLikely(0.5) ? 'empty' : 'old';
-        agenda.after(span, platformUp.bind(undefined, outside));
+        scheduler.after(span, platformUp.bind(undefined, outside));
         break;
       case 'crowd':
         this.#crowd(30);
@@ -275,72 +276,72 @@
   }
 
   #cut(from: readonly string[], to: readonly string[], isBoth: boolean, span: number): void {
-    const { agenda, network } = this.#stage;
+    const { scheduler, network } = this.#stage;
     for (const a of from) {
       for (const b of to) {
         if (a === b) continue;
         network.cut(a, b);
-        agenda.after(span, network.heal.bind(network, a, b));
+        scheduler.after(span, network.heal.bind(network, a, b));
         if (!isBoth) continue;
         network.cut(b, a);
-        agenda.after(span, network.heal.bind(network, b, a));
+        scheduler.after(span, network.heal.bind(network, b, a));
       }
     }
   }
 
   /** A killed process's lines are reset at once, where they are not cut. */
-  kill(node: SimMind | SimLink): void {
-    const { agenda, network, nodes } = this.#stage;
+  kill(node: SimControl | SimAgent): void {
+    const { scheduler, network, nodes } = this.#stage;
     if (!node.isUp) return;
     node.kill();
     for (const [id, other] of nodes) {
       if (id === node.id || network.isCut(node.id, id)) continue;
-      agenda.after(network.delay(), other.perform.bind(other, other.gone.bind(other, node.id)));
+      scheduler.after(network.delay(), other.perform.bind(other, other.gone.bind(other, node.id)));
     }
   }
 
-  #killFlow(flow: SimFlow): void {
+  #killProxy(flow: SimProxy): void {
     if (!flow.isUp) return;
     flow.kill();
     for (const link of this.#stage.links)
       if (link.flows.has(flow.id))
-        this.#stage.agenda.after(1, link.perform.bind(link, link.gone.bind(link, flow.id)));
+        this.#stage.scheduler.after(1, link.perform.bind(link, link.gone.bind(link, flow.id)));
   }
 
-  #freezeFlow(flow: SimFlow, span: number): void {
+  #freezeProxy(flow: SimProxy, span: number): void {
     if (!flow.isUp || flow.isFrozen) return;
     flow.freeze();
     this.#stage.note({ what: 'frozen', node: flow.id, number: span });
-    this.#stage.agenda.after(span, flow.wake.bind(flow));
+    this.#stage.scheduler.after(span, flow.wake.bind(flow));
   }
 
   /** A planned stop: what runs there may end first. */
-  #restartFlow(flow: SimFlow): void {
+  #restartProxy(flow: SimProxy): void {
     if (!flow.isUp || flow.isDraining || flow.isFrozen) return;
     this.#stage.note({ what: 'planned-stop', node: flow.id });
     const stage = this.#stage;
-    const kill = this.#killFlow.bind(this);
+    const kill = this.#killProxy.bind(this);
     function stopped(): void {
       kill(flow);
-      stage.agenda.after(200, flow.start.bind(flow));
+      stage.scheduler.after(200, flow.start.bind(flow));
     }
     flow.retire(stopped);
   }
 
   /** It takes as long as a process does to start; then everybody asks. */
   #restartBack(plain: string): void {
-    const { agenda, outside, seeded } = this.#stage;
+    const { scheduler, outside, seeded } = this.#stage;
     const span = seeded.between(100, 1500);
     outside.down(plain, false);
-    agenda.after(span, outside.up.bind(outside, plain));
-    agenda.after(span + seeded.between(0, 600), this.#crowd.bind(this, 40));
+    scheduler.after(span, outside.up.bind(outside, plain));
+    scheduler.after(span + seeded.between(0, 600), this.#crowd.bind(this, 40));
   }
 
   #darken(id: string, span: number): void {
-    const { agenda, outside } = this.#stage;
+    const { scheduler, outside } = this.#stage;
     outside.setDark(id, true);
     this.#stage.note({ what: 'frozen', node: id, number: span });
-    agenda.after(span, outside.setDark.bind(outside, id, false));
+    scheduler.after(span, outside.setDark.bind(outside, id, false));
   }
 
   #mood(id: string, mood: Mood, span: number): void {
@@ -350,15 +351,15 @@
     function mend(): void {
       if (back) back.mood = 'sound';
     }
-    this.#stage.agenda.after(span, mend);
+    this.#stage.scheduler.after(span, mend);
   }
 
   #markDark(runner: string, span: number): void {
-    const { agenda, outside } = this.#stage;
+    const { scheduler, outside } = this.#stage;
     // It goes dark with orders on their way to it, is marked meanwhile, and comes back while still leaving.
     this.#darken(runner, 5000);
-    agenda.after(600, outside.mark.bind(outside, runner, true));
-    agenda.after(6000 + span, outside.mark.bind(outside, runner, false));
+    scheduler.after(600, outside.mark.bind(outside, runner, true));
+    scheduler.after(6000 + span, outside.mark.bind(outside, runner, false));
   }
 
   /** Everybody asks at once. */
@@ -369,37 +370,37 @@
 
   /** A zone lost whole: its core machine, an edge, and all back ends there; then back. */
   #loseZone(index: number, span: number): void {
-    const { agenda, outside, minds, links, flows } = this.#stage;
-    const [mind, link, flow] = [minds[index], links[index], flows[index]];
-    if (mind) {
-      this.kill(mind);
-      agenda.after(span, mind.start.bind(mind));
+    const { scheduler, outside, controlNodes, links, flows } = this.#stage;
+    const [controlNode, link, flow] = [controlNodes[index], links[index], flows[index]];
+    if (controlNode) {
+      this.kill(controlNode);
+      scheduler.after(span, controlNode.start.bind(controlNode));
     }
     if (link) {
       this.kill(link);
-      agenda.after(span, link.start.bind(link));
+      scheduler.after(span, link.start.bind(link));
     }
     if (flow) {
-      this.#killFlow(flow);
-      agenda.after(span, flow.start.bind(flow));
+      this.#killProxy(flow);
+      scheduler.after(span, flow.start.bind(flow));
     }
     for (const machine of outside.list) {
       if (machine.zone !== ZONES[index]) continue;
       outside.down(machine.id, true);
-      agenda.after(span, outside.up.bind(outside, machine.id));
+      scheduler.after(span, outside.up.bind(outside, machine.id));
     }
   }
 
   /** One disk is lost at a time: the next only once every node counts again. */
-  #rot(mind: SimMind, span: number): void {
+  #rot(controlNode: SimControl, span: number): void {
     if (!this.#isWhole()) return;
-    this.kill(mind);
-    mind.rot(this.#stage.seeded.pick([VOTE_PART, ...allParts()]) ?? VOTE_PART);
-    this.#stage.agenda.after(span, mind.start.bind(mind));
+    this.kill(controlNode);
+    controlNode.rot(this.#stage.seeded.pick([VOTE_PART, ...allParts()]) ?? VOTE_PART);
+    this.#stage.scheduler.after(span, controlNode.start.bind(controlNode));
   }
 
   #isWhole(): boolean {
-    for (const each of this.#stage.minds)
+    for (const each of this.#stage.controlNodes)
       if (
         !each.isUp ||
         each.core?.standing.name !== 'sound' ||
@@ -409,23 +410,23 @@
     return true;
   }
 
-  #wipe(mind: SimMind, span: number): void {
+  #wipe(controlNode: SimControl, span: number): void {
     if (!this.#isWhole()) return;
-    this.kill(mind);
-    mind.wipe();
-    this.#stage.agenda.after(span, mind.start.bind(mind));
+    this.kill(controlNode);
+    controlNode.wipe();
+    this.#stage.scheduler.after(span, controlNode.start.bind(controlNode));
   }
 
   healAll(): void {
-    const { network, outside, minds, flows, nodes } = this.#stage;
+    const { network, outside, controlNodes, flows, nodes } = this.#stage;
     this.#stage.say('healing');
     network.healAll();
     platformUp(outside);
     outside.setLimit(LIMIT);
-    for (const mind of minds) {
-      mind.freezeAtOrderMs = 0;
-      mind.unstall();
-      mind.diskMs = 3;
+    for (const controlNode of controlNodes) {
+      controlNode.freezeAtOrderMs = 0;
+      controlNode.unstall();
+      controlNode.diskMs = 3;
     }
     for (const node of [...nodes.values(), ...flows]) {
       node.wake();
@@ -435,7 +436,7 @@
       back.mood = 'sound';
       outside.setDark(back.id, false);
       // No process is there again at the very moment at which it ended.
-      this.#stage.agenda.after(200, outside.up.bind(outside, back.id));
+      this.#stage.scheduler.after(200, outside.up.bind(outside, back.id));
     }
     for (const id of [...RUNNERS, ...PLAIN]) outside.mark(id, false);
     for (const runner of RUNNERS) outside.setRoom(runner, ROOM);
@@ -445,8 +446,8 @@
 function idOf(node: SimNode): string {
   return node.id;
 }
-function quicken(mind: SimMind): void {
-  mind.diskMs = 3;
+function quicken(controlNode: SimControl): void {
+  controlNode.diskMs = 3;
 }
 function calm(network: Network): void {
   network.loss = 0;
--- a/src/rehearsal/Simulation.ts
+++ b/src/rehearsal/Simulation.ts
@@ -7,14 +7,14 @@
 import { compile } from '../policy/Language.js';
 import { PlacesShape } from '../placement/Shapes.js';
 import { VOTE_DEFAULTS } from '../election/VoteSettings.js';
-import { Agenda } from './Scheduler.js';
+import { Scheduler } from './Scheduler.js';
 import { Network } from './Network.js';
 import { Seeded } from './Seeded.js';
 import { Judge, type Evidence } from './Judge.js';
 import type { CallerRecord, EventRecord } from './Records.js';
-import { LATE_MS, SimFlow } from './SimProxy.js';
-import { SimLink } from './SimAgent.js';
-import { SimMind } from './SimControl.js';
+import { LATE_MS, SimProxy } from './SimProxy.js';
+import { SimAgent } from './SimAgent.js';
+import { SimControl } from './SimControl.js';
 import type { SimNode } from './SimNode.js';
 import { SimOutside } from './SimOutside.js';
 import {
@@ -25,7 +25,7 @@
   type Condition,
   type TroubleKind,
 } from './SimTroubles.js';
-import { WRONGS, type WrongKind } from './Mutation.js';
+import { WRONGS, type MutationKind } from './Mutation.js';
 
 export interface SimulationSettings {
   readonly seed: number;
@@ -35,7 +35,7 @@
   /** Which troubles are brought about. */
   readonly troubles: readonly TroubleKind[];
   /** One thing wrong with the build, to show that the checks bite. */
-  readonly wrong?: WrongKind;
+  readonly wrong?: MutationKind;
 }
 
 interface Told {
@@ -49,7 +49,7 @@
 export interface SimulationResult {
   readonly seed: number;
   readonly violations: readonly string[];
-  /** Virtual milliseconds without any mind that may order, in the storm. */
+  /** Virtual milliseconds without any control node that may order, in the storm. */
   readonly leaderlessMs: readonly number[];
   readonly serveMs: number;
   readonly edits: {
@@ -65,7 +65,7 @@
   readonly met: ReadonlyMap<string, number>;
 }
 
-const ReturnShape = type({
+const ReplyShape = type({
   outcome: optional(string()),
   id: optional(string()),
   number: optional(number()),
@@ -92,14 +92,14 @@
 /** One seeded run of a whole fleet on virtual time: the same cores as the processes run, under seeded troubles. */
 export class Simulation {
   readonly #settings: SimulationSettings;
-  readonly #agenda = new Agenda();
+  readonly #scheduler = new Scheduler();
   readonly #seeded: Seeded;
   readonly #network: Network;
   readonly #outside: SimOutside;
   readonly #nodes = new Map<string, SimNode>();
-  readonly #minds: SimMind[] = [];
-  readonly #links: SimLink[] = [];
-  readonly #flows: SimFlow[] = [];
+  readonly #controlNodes: SimControl[] = [];
+  readonly #links: SimAgent[] = [];
+  readonly #flows: SimProxy[] = [];
   readonly #violations = new Set<string>();
   readonly #told: Told[] = [];
   readonly #seenNumbers = new Map<string, number>();
@@ -126,7 +126,7 @@
     this.#settings = settings;
     this.#trace = trace;
     this.#seeded = new Seeded(settings.seed);
-    this.#network = new Network(this.#agenda, this.#seeded, this.#deliver.bind(this));
+    this.#network = new Network(this.#scheduler, this.#seeded, this.#deliver.bind(this));
     const models = [];
     for (let index = 0; index < 8; index += 1) models.push({ name: `m-${index}`, size: 10 });
     const runners = [];
@@ -135,19 +135,25 @@
     const plain = [];
     for (const [index, id] of PLAIN.entries()) plain.push({ id, zone: ZONES[index % 3] ?? 'a' });
     this.#outside = new SimOutside(
-      this.#agenda,
+      this.#scheduler,
       this.#seeded,
       { limit: 2, models, adapters: [{ name: 'm-0-a', model: 'm-0', size: 1 }] },
       runners,
       plain,
     );
     const seeds = ['mind-0:1', 'mind-1:1', 'mind-2:1'];
-    for (const id of seeds) this.#addMind(id, seeds);
+    for (const id of seeds) this.#addControlNode(id, seeds);
     for (let index = 0; index < settings.edges; index += 1) {
-      const link = new SimLink(`link-${index}:1`, this.#agenda, this.#seeded, this.#network, seeds);
-      const flow = new SimFlow(
+      const link = new SimAgent(
+        `link-${index}:1`,
+        this.#scheduler,
+        this.#seeded,
+        this.#network,
+        seeds,
+      );
+      const flow = new SimProxy(
         `flow@${index}`,
-        this.#agenda,
+        this.#scheduler,
         this.#seeded,
         this.#network,
         this.#outside,
@@ -161,12 +167,12 @@
       this.#nodes.set(link.id, link);
     }
     this.#troubles = new SimTroubles({
-      agenda: this.#agenda,
+      scheduler: this.#scheduler,
       seeded: this.#seeded,
       network: this.#network,
       outside: this.#outside,
       nodes: this.#nodes,
-      minds: this.#minds,
+      controlNodes: this.#controlNodes,
       links: this.#links,
       flows: this.#flows,
       say: this.#say.bind(this),
@@ -176,11 +182,11 @@
   }
 
   #note(event: Omit<EventRecord, 'at'>): void {
-    this.#events.push({ at: this.#agenda.now, ...event });
+    this.#events.push({ at: this.#scheduler.now, ...event });
   }
 
   #holds(condition: Condition): boolean {
-    const now = this.#agenda.now;
+    const now = this.#scheduler.now;
     switch (condition) {
       case 'requests open':
         return this.#flows.some(isOpen);
@@ -205,32 +211,32 @@
     }
   }
 
-  get minds(): readonly SimMind[] {
-    return this.#minds;
+  get controlNodes(): readonly SimControl[] {
+    return this.#controlNodes;
   }
-  get agenda(): Agenda {
-    return this.#agenda;
+  get scheduler(): Scheduler {
+    return this.#scheduler;
   }
   get network(): Network {
     return this.#network;
   }
 
   /** A core machine that is new and empty, and was told the seeds of the day. */
-  addMind(id: string, seeds: readonly string[]): SimMind {
-    const mind = this.#addMind(id, seeds);
-    mind.start();
-    return mind;
+  addControlNode(id: string, seeds: readonly string[]): SimControl {
+    const controlNode = this.#addControlNode(id, seeds);
+    controlNode.start();
+    return controlNode;
   }
 
-  kill(mind: SimMind): void {
-    this.#troubles.kill(mind);
+  kill(controlNode: SimControl): void {
+    this.#troubles.kill(controlNode);
   }
 
   start(): void {
-    for (const node of [...this.#minds, ...this.#links, ...this.#flows]) node.start();
+    for (const node of [...this.#controlNodes, ...this.#links, ...this.#flows]) node.start();
   }
 
-  leader(): SimMind | undefined {
+  leader(): SimControl | undefined {
     return this.#servingNow();
   }
 
@@ -269,14 +275,14 @@
     return models;
   }
 
-  areFlowsFresh(): boolean {
+  areProxiesFresh(): boolean {
     return this.#flows.every(isFresh);
   }
 
-  #addMind(id: string, seeds: readonly string[]): SimMind {
-    const mind = new SimMind(
+  #addControlNode(id: string, seeds: readonly string[]): SimControl {
+    const controlNode = new SimControl(
       id,
-      this.#agenda,
+      this.#scheduler,
       this.#seeded,
       this.#network,
       this.#outside,
@@ -286,9 +292,9 @@
         : VOTE_DEFAULTS,
       this.#settings.wrong ?? '',
     );
-    this.#minds.push(mind);
-    this.#nodes.set(id, mind);
-    return mind;
+    this.#controlNodes.push(controlNode);
+    this.#nodes.set(id, controlNode);
+    return controlNode;
   }
 
   #deliver(to: string, from: string, message: Message): void {
@@ -299,24 +305,24 @@
   }
 
   #say(text: string): void {
-    this.#trace?.(`${Math.round(this.#agenda.now)} ${text}`);
+    this.#trace?.(`${Math.round(this.#scheduler.now)} ${text}`);
   }
 
   run(): SimulationResult {
-    for (const node of [...this.#minds, ...this.#links, ...this.#flows])
-      this.#agenda.at(this.#seeded.between(0, 500), node.start.bind(node));
-    this.#agenda.at(500, this.#watch.bind(this));
-    this.#agenda.runUntil(QUIET_MS);
-    const serveMs = this.#servingNow() ? this.#agenda.now : -1;
+    for (const node of [...this.#controlNodes, ...this.#links, ...this.#flows])
+      this.#scheduler.at(this.#seeded.between(0, 500), node.start.bind(node));
+    this.#scheduler.at(500, this.#watch.bind(this));
+    this.#scheduler.runUntil(QUIET_MS);
+    const serveMs = this.#servingNow() ? this.#scheduler.now : -1;
     if (serveMs < 0) this.#find('no leader serves after a quiet start');
     this.found();
     this.#isStorm = true;
-    this.#agenda.after(100, this.#operate.bind(this));
-    this.#agenda.after(1000, this.#fail.bind(this));
-    this.#agenda.runUntil(QUIET_MS + this.#settings.stormMs);
+    this.#scheduler.after(100, this.#operate.bind(this));
+    this.#scheduler.after(1000, this.#fail.bind(this));
+    this.#scheduler.runUntil(QUIET_MS + this.#settings.stormMs);
     this.#isStorm = false;
     this.#healAll();
-    this.#agenda.runUntil(QUIET_MS + this.#settings.stormMs + HEAL_MS);
+    this.#scheduler.runUntil(QUIET_MS + this.#settings.stormMs + HEAL_MS);
     this.#checkEnd();
     for (const violation of new Judge(this.#evidence()).judge())
       this.#find(`${violation.rule}: ${violation.text}`);
@@ -359,9 +365,14 @@
     this.#say(`VIOLATION ${text}`);
   }
 
-  #servingNow(): SimMind | undefined {
-    for (const mind of this.#minds)
-      if (mind.isUp && !mind.isFrozen && mind.core?.mayOrder(mind.now()) === true) return mind;
+  #servingNow(): SimControl | undefined {
+    for (const controlNode of this.#controlNodes)
+      if (
+        controlNode.isUp &&
+        !controlNode.isFrozen &&
+        controlNode.core?.mayOrder(controlNode.now()) === true
+      )
+        return controlNode;
     return undefined;
   }
 
@@ -379,18 +390,18 @@
   // ---- the watch: what must hold at every moment
 
   #watch(): void {
-    const now = this.#agenda.now;
-    for (const flow of this.#flows) this.#watchFlow(flow, now);
+    const now = this.#scheduler.now;
+    for (const flow of this.#flows) this.#watchProxy(flow, now);
     const isLed = this.#servingNow() !== undefined;
     if (!isLed && this.#leaderlessSince === undefined) this.#leaderlessSince = now;
     if (isLed && this.#leaderlessSince !== undefined) {
       if (this.#isStorm) this.#leaderless.push(now - this.#leaderlessSince);
       this.#leaderlessSince = undefined;
     }
-    this.#agenda.after(50, this.#watch.bind(this));
+    this.#scheduler.after(50, this.#watch.bind(this));
   }
 
-  #watchFlow(flow: SimFlow, now: number): void {
+  #watchProxy(flow: SimProxy, now: number): void {
     const { decision } = flow;
     if (!decision || !flow.isUp) {
       this.#seenVersions.delete(flow.id);
@@ -425,7 +436,7 @@
 
   /** A proxy gave a runner new work: neither marked as leaving for 3 s, nor in a zone told as emptied 5 s ago. */
   #ran(flow: string, runner: string): void {
-    const now = this.#agenda.now;
+    const now = this.#scheduler.now;
     this.#runs += 1;
     this.#lastRun = now;
     for (const machine of this.#outside.list) {
@@ -447,21 +458,25 @@
 
   #operate(): void {
     if (!this.#isStorm) return;
-    const mind = this.#seeded.pick(this.#minds);
+    const controlNode = this.#seeded.pick(this.#controlNodes);
     const count = this.#seeded.isLikely(0.3) ? 2 : 1;
-    const self = { edit: this.#edit.bind(this), minds: this.#minds, seeded: this.#seeded };
+    const self = {
+      edit: this.#edit.bind(this),
+      controlNodes: this.#controlNodes,
+      seeded: this.#seeded,
+    };
     function read(status: number, body: string): void {
       const news = status === 200 ? parseAs(ConfigNewsShape, body) : undefined;
       if (!news) return;
       // Two operators who read the same table race each other, at different nodes.
       for (let index = 0; index < count; index += 1)
-        self.edit(self.seeded.pick(self.minds), news.number);
+        self.edit(self.seeded.pick(self.controlNodes), news.number);
     }
-    mind?.command('read', '{}', read);
-    this.#agenda.after(this.#seeded.between(200, 1500), this.#operate.bind(this));
+    controlNode?.command('read', '{}', read);
+    this.#scheduler.after(this.#seeded.between(200, 1500), this.#operate.bind(this));
   }
 
-  #edit(mind: SimMind | undefined, base: number): void {
+  #edit(controlNode: SimControl | undefined, base: number): void {
     this.#editCount += 1;
     const id = `e${this.#editCount}`;
     const value = 1 + (this.#editCount % 900);
@@ -472,9 +487,15 @@
       self.hear(status, body);
     }
     if (this.#seeded.isLikely(0.15))
-      this.#editZone(mind, id, this.#seeded.pick(ZONES) ?? 'a', this.#seeded.isLikely(0.4), heard);
+      this.#editZone(
+        controlNode,
+        id,
+        this.#seeded.pick(ZONES) ?? 'a',
+        this.#seeded.isLikely(0.4),
+        heard,
+      );
     else
-      mind?.command(
+      controlNode?.command(
         'cell',
         JSON.stringify({ id, base, row: 'check/m-*', column: 'weight', value }),
         heard,
@@ -486,7 +507,7 @@
   }
 
   #editZone(
-    mind: SimMind | undefined,
+    controlNode: SimControl | undefined,
     id: string,
     zone: string,
     isEmpty: boolean,
@@ -505,7 +526,7 @@
     const fillCount = this.#fillCount;
     const self = {
       emptied: this.#emptied,
-      agenda: this.#agenda,
+      scheduler: this.#scheduler,
       note: this.#note.bind(this),
       isSame: this.#isFillCount.bind(this, fillCount),
     };
@@ -513,12 +534,12 @@
       // Whoever asked to fill it and has no word yet may still be served after the emptying.
       if (!isEmpty && (status === 200 || status === 409 || status === 503)) fillings.delete(id);
       if (isEmpty && status === 200 && asked === 0 && self.isSame()) {
-        self.emptied.set(zone, self.agenda.now);
+        self.emptied.set(zone, self.scheduler.now);
         self.note({ what: 'zone-emptied', zone });
       }
       heard(status, body);
     }
-    mind?.command('zone', JSON.stringify({ id, zone, empty: isEmpty }), told);
+    controlNode?.command('zone', JSON.stringify({ id, zone, empty: isEmpty }), told);
   }
 
   #isFillCount(count: number): boolean {
@@ -526,14 +547,14 @@
   }
 
   #heard(id: string, status: number, body: string): void {
-    const parsed = parseAs(ReturnShape, body);
+    const parsed = parseAs(ReplyShape, body);
     const isAccepted = status === 200 && parsed?.outcome === 'accepted';
     const isNo =
       parsed?.outcome === 'turned-away' || (this.#settings.wrong === 'unsure-as-no' && !isAccepted);
     const outcome = isAccepted ? 'accepted' : isNo ? 'turned-away' : 'unsure';
     const version = parseVersion(parsed?.version);
     const count = isAccepted ? (parsed?.number ?? 0) : 0;
-    this.#told.push({ id, at: this.#agenda.now, outcome, number: count, version });
+    this.#told.push({ id, at: this.#scheduler.now, outcome, number: count, version });
     this.#say(
       `edit ${id}: ${outcome} ${status} ${count} ${versionText(version)} ${isAccepted ? '' : body}`,
     );
@@ -544,17 +565,17 @@
     }
     // Half of those left unsure ask what became of their edit.
     if (outcome === 'unsure' && this.#seeded.isLikely(0.5)) {
-      this.#agenda.after(this.#seeded.between(100, 4000), this.#askAgain.bind(this, id));
+      this.#scheduler.after(this.#seeded.between(100, 4000), this.#askAgain.bind(this, id));
     }
   }
 
   #askAgain(id: string): void {
-    const mind = this.#seeded.pick(this.#minds);
+    const controlNode = this.#seeded.pick(this.#controlNodes);
     const heard = this.#heard.bind(this, id);
     function told(status: number, body: string): void {
       if (status === 200) heard(status, body);
     }
-    mind?.command('edit', JSON.stringify({ id }), told);
+    controlNode?.command('edit', JSON.stringify({ id }), told);
   }
 
   // ---- troubles
@@ -563,12 +584,12 @@
     if (!this.#isStorm) return;
     const kind = this.#seeded.pick(this.#settings.troubles);
     if (kind) this.#troubles.bringAbout(kind);
-    this.#agenda.after(this.#seeded.between(300, 5000), this.#fail.bind(this));
+    this.#scheduler.after(this.#seeded.between(300, 5000), this.#fail.bind(this));
   }
 
   #healAll(): void {
     this.#troubles.healAll();
-    this.#agenda.after(10_000, this.#fillZones.bind(this));
+    this.#scheduler.after(10_000, this.#fillZones.bind(this));
   }
 
   #fillZones(): void {
@@ -592,11 +613,12 @@
       this.#find('no leader serves after everything healed');
       return;
     }
-    for (const mind of this.#minds) {
-      if (mind.core?.standing.name !== 'sound') this.#find(`${mind.id} does not count again`);
-      const unsound = mind.core?.parts.unsoundParts() ?? [];
+    for (const controlNode of this.#controlNodes) {
+      if (controlNode.core?.standing.name !== 'sound')
+        this.#find(`${controlNode.id} does not count again`);
+      const unsound = controlNode.core?.parts.unsoundParts() ?? [];
       if (unsound.length > 0)
-        this.#find(`${mind.id} still has unsound parts: ${unsound.join(' ')}`);
+        this.#find(`${controlNode.id} still has unsound parts: ${unsound.join(' ')}`);
     }
     for (const flow of this.#flows)
       if (flow.decision?.isFresh(flow.now()) !== true)
@@ -626,14 +648,14 @@
     for (const match of (places?.body ?? '').matchAll(/"primary":true/g)) if (match) seated += 1;
     // Busy models hold pairs, so that of eight not all need fit; what is asked for now must be served.
     if (seated < 5) this.#find(`only ${seated} of 8 models have a primary after everything healed`);
-    if (this.#lastRun < this.#agenda.now - 1000)
+    if (this.#lastRun < this.#scheduler.now - 1000)
       this.#find(
-        `nothing has been served for ${Math.round(this.#agenda.now - this.#lastRun)} ms after everything healed`,
+        `nothing has been served for ${Math.round(this.#scheduler.now - this.#lastRun)} ms after everything healed`,
       );
   }
 }
 
-function isFresh(flow: SimFlow): boolean {
+function isFresh(flow: SimProxy): boolean {
   return flow.decision?.isFresh(flow.now()) === true;
 }
 function isPrimaryAt(
@@ -642,13 +664,13 @@
 ): boolean {
   return seat.primary && seat.runner === runner;
 }
-function isOpen(flow: SimFlow): boolean {
+function isOpen(flow: SimProxy): boolean {
   return flow.open > 0;
 }
-function isDraining(flow: SimFlow): boolean {
+function isDraining(flow: SimProxy): boolean {
   return flow.isDraining;
 }
-function isBlind(flow: SimFlow): boolean {
+function isBlind(flow: SimProxy): boolean {
   return flow.isUp && !isFresh(flow);
 }
 function isRunning(back: { readonly running: number }): boolean {
@@ -681,7 +703,7 @@
  * Runs a build with one thing wrong until its rule is seen to break, and the sound build on the same seeds.
  * Names what did not come out so: a fault that no seed shows, or a sound build that breaks something.
  */
-export async function bite(wrong: WrongKind, most = 12): Promise<string[]> {
+export async function bite(wrong: MutationKind, most = 12): Promise<string[]> {
   const { rule, troubles } = WRONGS[wrong];
   for (let seed = 1; seed <= most; seed += 1) {
     const sound = new Simulation({ seed, edges: 3, stormMs: 15_000, troubles }).run();
--- a/src/rehearsal/StubBackend.ts
+++ b/src/rehearsal/StubBackend.ts
@@ -1,18 +1,18 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { pause } from './StubRunner.js';
-import { returnJson, StandServer } from './StubServer.js';
+import { replyJson, StubServer } from './StubServer.js';
 
-/** A stand-in for a plain back end: kiosk lookups, ranking pages. */
-export class PlainStand {
+/** A stub for a plain back end: kiosk lookups, ranking pages. */
+export class StubBackend {
   readonly #id: string;
   readonly #workMs: number;
-  readonly #server: StandServer;
+  readonly #server: StubServer;
 
   constructor(id: string, workMs: number, records: string) {
     this.#id = id;
     this.#workMs = workMs;
-    this.#server = new StandServer(this.#serve.bind(this), records);
+    this.#server = new StubServer(this.#serve.bind(this), records);
   }
 
   async listen(address: string): Promise<number> {
@@ -45,7 +45,7 @@
       concurrent: 0,
     });
     await pause(this.#workMs);
-    returnJson(returned, 200, { id, run, path, runner: this.#id, end: 0 });
+    replyJson(returned, 200, { id, run, path, runner: this.#id, end: 0 });
     this.#server.record({ what: 'ran', runner: this.#id, id, run, whole: true });
   }
 }
--- a/src/rehearsal/StubCommand.ts
+++ b/src/rehearsal/StubCommand.ts
@@ -4,10 +4,10 @@
 import { mustParseAs } from '../common/Json.js';
 import { untilStopped } from '../common/Shutdown.js';
 import { CatalogShape, MachineShape } from '../placement/Shapes.js';
-import { PlainStand } from './StubBackend.js';
-import { PlatformStand } from './StubPlatform.js';
-import { RunnerStand } from './StubRunner.js';
-import { StoreStand } from './StubStore.js';
+import { StubBackend } from './StubBackend.js';
+import { StubPlatform } from './StubPlatform.js';
+import { StubRunner } from './StubRunner.js';
+import { StubStore } from './StubStore.js';
 
 const RunnerShape = type({
   id: string(),
@@ -23,32 +23,32 @@
 const PlatformShape = type({ machines: array(MachineShape), records: string() });
 const StoreShape = type({ catalog: CatalogShape, msPerSize: number(), records: string() });
 
-interface Stand {
+interface Stub {
   listen(address: string): Promise<number>;
   close(): void;
 }
 
-function makeStand(kind: string, text: string): Stand {
+function makeStub(kind: string, text: string): Stub {
   switch (kind) {
     case 'runner':
-      return new RunnerStand(mustParseAs(RunnerShape, text, 'the settings'));
+      return new StubRunner(mustParseAs(RunnerShape, text, 'the settings'));
     case 'plain': {
       const plain = mustParseAs(PlainShape, text, 'the settings');
-      return new PlainStand(plain.id, plain.workMs, plain.records);
+      return new StubBackend(plain.id, plain.workMs, plain.records);
     }
     case 'platform': {
       const platform = mustParseAs(PlatformShape, text, 'the settings');
-      return new PlatformStand(platform.machines, platform.records);
+      return new StubPlatform(platform.machines, platform.records);
     }
     default: {
       const store = mustParseAs(StoreShape, text, 'the settings');
-      return new StoreStand(store.catalog, store.msPerSize, store.records);
+      return new StubStore(store.catalog, store.msPerSize, store.records);
     }
   }
 }
 
-export class StandCommand extends Command {
-  static override description = 'run a stand-in for an outside system';
+export class StubCommand extends Command {
+  static override description = 'run a stub for an outside system';
   static override args = {
     kind: Args.string({ required: true, options: ['runner', 'plain', 'platform', 'store'] }),
   };
@@ -58,11 +58,11 @@
   };
 
   async run(): Promise<void> {
-    const { args, flags } = await this.parse(StandCommand);
-    const stand = makeStand(args.kind, readFileSync(flags.settings, 'utf8'));
-    await stand.listen(flags.listen);
+    const { args, flags } = await this.parse(StubCommand);
+    const stub = makeStub(args.kind, readFileSync(flags.settings, 'utf8'));
+    await stub.listen(flags.listen);
     await untilStopped();
-    stand.close();
+    stub.close();
     this.exit(0);
   }
 }
--- a/src/rehearsal/StubPlatform.ts
+++ b/src/rehearsal/StubPlatform.ts
@@ -2,14 +2,14 @@
 import { array, boolean, string, type } from 'superstruct';
 import { parseAs } from '../common/Json.js';
 import { MachineShape, type Machine } from '../placement/Shapes.js';
-import { returnJson, StandServer } from './StubServer.js';
+import { replyJson, StubServer } from './StubServer.js';
 
 const PutShape = type({ machines: array(MachineShape) });
 const MarkShape = type({ id: string(), leaving: boolean() });
 
-/** A stand-in for the platform's list of machines; the rehearsal changes it through PUT and POST. */
-export class PlatformStand {
-  readonly #server: StandServer;
+/** A stub for the platform's list of machines; the rehearsal changes it through PUT and POST. */
+export class StubPlatform {
+  readonly #server: StubServer;
   #machines: readonly Machine[];
   // Revisions go on from the wall clock, so that a restarted platform's list is newer than the one before.
   #revision = Date.now();
@@ -17,7 +17,7 @@
 
   constructor(machines: readonly Machine[], records: string) {
     this.#machines = machines;
-    this.#server = new StandServer(this.#serve.bind(this), records);
+    this.#server = new StubServer(this.#serve.bind(this), records);
   }
 
   async listen(address: string): Promise<number> {
@@ -51,6 +51,6 @@
       this.#shown = this.#revision;
       this.#server.record({ what: 'shown', revision: this.#revision });
     }
-    returnJson(returned, 200, { revision: this.#revision, machines: this.#machines });
+    replyJson(returned, 200, { revision: this.#revision, machines: this.#machines });
   }
 }
--- a/src/rehearsal/StubRunner.ts
+++ b/src/rehearsal/StubRunner.ts
@@ -4,7 +4,7 @@
 import { call } from '../common/Call.js';
 import { parseAs } from '../common/Json.js';
 import type { Hold } from '../placement/Shapes.js';
-import { returnJson, StandServer } from './StubServer.js';
+import { replyJson, StubServer } from './StubServer.js';
 
 const OrderShape = type({
   id: string(),
@@ -24,7 +24,7 @@
   stream: optional(boolean()),
 });
 
-export interface RunnerStandSettings {
+export interface StubRunnerSettings {
   readonly id: string;
   readonly room: number;
   readonly slots: number;
@@ -45,10 +45,10 @@
   running: number;
 }
 
-/** A stand-in for a model runner: holds models and adapters in its room, obeys orders, runs requests, records all. */
-export class RunnerStand {
-  readonly #settings: RunnerStandSettings;
-  readonly #server: StandServer;
+/** A stub for a model runner: holds models and adapters in its room, obeys orders, runs requests, records all. */
+export class StubRunner {
+  readonly #settings: StubRunnerSettings;
+  readonly #server: StubServer;
   readonly #boot = randomUUID();
   readonly #bornAt = Date.now();
   readonly #holds = new Map<string, HeldUnit>();
@@ -56,9 +56,9 @@
   #keptParts: string[] = [];
   #running = 0;
 
-  constructor(settings: RunnerStandSettings) {
+  constructor(settings: StubRunnerSettings) {
     this.#settings = settings;
-    this.#server = new StandServer(this.#serve.bind(this), settings.records);
+    this.#server = new StubServer(this.#serve.bind(this), settings.records);
   }
 
   async listen(address: string): Promise<number> {
@@ -77,10 +77,10 @@
     returned: ServerResponse,
     asked: IncomingMessage,
   ): Promise<void> | void {
-    if (method === 'GET' && path === '/report') return returnJson(returned, 200, this.#report());
+    if (method === 'GET' && path === '/report') return replyJson(returned, 200, this.#report());
     if (method === 'POST' && path === '/orders') return this.#order(body, returned, asked);
     if (method === 'POST' && path === '/run') return this.#run(body, returned, asked);
-    return returnJson(returned, 404, { text: 'no such thing here' });
+    return replyJson(returned, 404, { text: 'no such thing here' });
   }
 
   #report(): object {
@@ -105,7 +105,7 @@
   #order(body: string, returned: ServerResponse, asked: IncomingMessage): void {
     const order = parseAs(OrderShape, body);
     if (!order) {
-      returnJson(returned, 400, { text: 'no order' });
+      replyJson(returned, 400, { text: 'no order' });
       return;
     }
     const within = Number(asked.headers['x-take-within-ms'] ?? Infinity);
@@ -117,7 +117,7 @@
         holder: order.holder,
         epoch: order.epoch,
       });
-      returnJson(returned, 409, { text: 'too late after the word to go on' });
+      replyJson(returned, 409, { text: 'too late after the word to go on' });
       return;
     }
     const key = `${order.model}\n${order.adapter}`;
@@ -137,21 +137,21 @@
       staleBoot: order.boot !== this.#boot,
     });
     if (order.boot !== this.#boot) {
-      returnJson(returned, 409, { text: 'meant for who was here before' });
+      replyJson(returned, 409, { text: 'meant for who was here before' });
       return;
     }
     if (this.#orders.has(order.id)) {
-      returnJson(returned, 202, { text: 'already taken' });
+      replyJson(returned, 202, { text: 'already taken' });
       return;
     }
     this.#orders.add(order.id);
     if (order.verb === 'load') {
       if (unit) {
-        returnJson(returned, 202, { text: 'held' });
+        replyJson(returned, 202, { text: 'held' });
         return;
       }
       if (!fits) {
-        returnJson(returned, 409, { text: 'does not fit' });
+        replyJson(returned, 409, { text: 'does not fit' });
         return;
       }
       const next: HeldUnit = {
@@ -167,7 +167,7 @@
       unit.state = 'unloading';
       this.#dropIfIdle(key, unit);
     }
-    returnJson(returned, 202, { text: 'taken' });
+    replyJson(returned, 202, { text: 'taken' });
   }
 
   async #fetch(key: string, unit: HeldUnit): Promise<void> {
@@ -194,7 +194,7 @@
     const id = String(asked.headers['x-request-id'] ?? '');
     const run = parseAs(RunShape, body);
     if (!run) {
-      returnJson(returned, 400, { text: 'no request' }, { 'x-run': 'none' });
+      replyJson(returned, 400, { text: 'no request' }, { 'x-run': 'none' });
       return;
     }
     const unit = this.#holds.get(`${run.model}\n`);
@@ -208,11 +208,11 @@
     if (!unit || !isHeld || this.#running >= this.#settings.slots)
       this.#server.record({ what: 'none', runner: this.#settings.id, id });
     if (!unit || !isHeld) {
-      returnJson(returned, 409, { text: 'not held here' }, { 'x-run': 'none' });
+      replyJson(returned, 409, { text: 'not held here' }, { 'x-run': 'none' });
       return;
     }
     if (this.#running >= this.#settings.slots) {
-      returnJson(returned, 503, { text: 'full' }, { 'x-run': 'none' });
+      replyJson(returned, 503, { text: 'full' }, { 'x-run': 'none' });
       return;
     }
     this.#running += 1;
@@ -293,7 +293,7 @@
   return !parts.includes(part);
 }
 
-/** A stand-in takes time for its work as a real back end would. */
+/** A stub takes time for its work as a real back end would. */
 export function pause(millis: number): Promise<void> {
   function wait(done: () => void): void {
     setTimeout(done, millis);
--- a/src/rehearsal/StubServer.ts
+++ b/src/rehearsal/StubServer.ts
@@ -11,7 +11,7 @@
   asked: IncomingMessage,
 ) => Promise<void> | void;
 
-export function returnJson(
+export function replyJson(
   returned: ServerResponse,
   status: number,
   value: unknown,
@@ -26,8 +26,8 @@
   returned.end(body);
 }
 
-/** What all stand-ins share: an HTTP port, and a record of what was seen that outlasts a kill. */
-export class StandServer {
+/** What all stubs share: an HTTP port, and a record of what was seen that outlasts a kill. */
+export class StubServer {
   readonly #server: Server;
   readonly #records: string;
   readonly #continuedAt = new WeakMap<IncomingMessage, number>();
--- a/src/rehearsal/StubStore.ts
+++ b/src/rehearsal/StubStore.ts
@@ -3,21 +3,21 @@
 import { parseAs } from '../common/Json.js';
 import type { Catalog } from '../placement/Shapes.js';
 import { pause } from './StubRunner.js';
-import { returnJson, StandServer } from './StubServer.js';
+import { replyJson, StubServer } from './StubServer.js';
 
 const FetchShape = type({ runner: string(), model: string(), adapter: string() });
 
-/** A stand-in for the weight store: a catalogue, and fetches that take their time, so many at once and no more. */
-export class StoreStand {
+/** A stub for the weight store: a catalogue, and fetches that take their time, so many at once and no more. */
+export class StubStore {
   readonly #catalog: Catalog;
   readonly #msPerSize: number;
-  readonly #server: StandServer;
+  readonly #server: StubServer;
   #running = 0;
 
   constructor(catalog: Catalog, msPerSize: number, records: string) {
     this.#catalog = catalog;
     this.#msPerSize = msPerSize;
-    this.#server = new StandServer(this.#serve.bind(this), records);
+    this.#server = new StubServer(this.#serve.bind(this), records);
   }
 
   async listen(address: string): Promise<number> {
@@ -35,24 +35,24 @@
     returned: ServerResponse,
   ): Promise<void> {
     if (method === 'GET' && path === '/catalog') {
-      returnJson(returned, 200, this.#catalog);
+      replyJson(returned, 200, this.#catalog);
       return;
     }
     const asked = parseAs(FetchShape, body);
     if (method !== 'POST' || path !== '/fetches' || !asked) {
-      returnJson(returned, 404, { text: 'no such thing here' });
+      replyJson(returned, 404, { text: 'no such thing here' });
       return;
     }
     const isOver = this.#running >= this.#catalog.limit;
     this.#server.record({ what: 'fetch', ...asked, running: this.#running + 1, over: isOver });
     if (isOver) {
-      returnJson(returned, 429, { text: 'too many fetches at once' });
+      replyJson(returned, 429, { text: 'too many fetches at once' });
       return;
     }
     this.#running += 1;
     await pause(this.#sizeOf(asked.model, asked.adapter) * this.#msPerSize);
     this.#running -= 1;
-    returnJson(returned, 200, { text: 'fetched' });
+    replyJson(returned, 200, { text: 'fetched' });
   }
 
   #sizeOf(model: string, adapter: string): number {
--- a/src/rehearsal/SyntheticEdges.ts
+++ b/src/rehearsal/SyntheticEdges.ts
@@ -1,27 +1,27 @@
 import { array, number, string, type, type Infer } from 'superstruct';
 import { mustParseAs } from '../common/Json.js';
-import { HollowFlow } from './SyntheticProxy.js';
+import { SyntheticProxy } from './SyntheticProxy.js';
 import { ownCost, type ScalePart } from './ScalePart.js';
-import { Bodies, ScaleLink } from './ScaleAgent.js';
+import { Bodies, ScaleAgent } from './ScaleAgent.js';
 import { EdgePlaceShape, modelName } from './ScaleShape.js';
 import { total } from './Tally.js';
 
-export const HollowEdgesShape = type({ edges: array(EdgePlaceShape), seeds: array(string()) });
+export const SyntheticEdgesShape = type({ edges: array(EdgePlaceShape), seeds: array(string()) });
 const ReachedShape = type({ topic: string(), epoch: number(), count: number() });
 const DemandAskShape = type({ units: number(), models: number(), services: number() });
 const WantShape = type({ service: string(), model: string(), waiting: number() });
 
 /** Many agents and proxies in one process, each with lines of its own. */
-export class HollowEdges implements ScalePart {
-  readonly #links: ScaleLink[] = [];
-  readonly #flows: HollowFlow[] = [];
+export class SyntheticEdges implements ScalePart {
+  readonly #links: ScaleAgent[] = [];
+  readonly #flows: SyntheticProxy[] = [];
 
-  constructor(settings: Infer<typeof HollowEdgesShape>) {
+  constructor(settings: Infer<typeof SyntheticEdgesShape>) {
     const bodies = new Bodies();
     for (const place of settings.edges) {
-      this.#links.push(new ScaleLink(place, settings.seeds, bodies));
+      this.#links.push(new ScaleAgent(place, settings.seeds, bodies));
       // Beside a watched one stands a real proxy.
-      if (!place.isWatched) this.#flows.push(new HollowFlow(place));
+      if (!place.isWatched) this.#flows.push(new SyntheticProxy(place));
     }
   }
 
--- a/src/rehearsal/SyntheticProxy.ts
+++ b/src/rehearsal/SyntheticProxy.ts
@@ -1,7 +1,7 @@
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import type { FleetDemand } from '../placement/Fleet.js';
 import { compareVersions, NO_VERSION, type Version } from '../common/Version.js';
-import { newLife } from '../common/Incarnation.js';
+import { newIncarnation } from '../common/Incarnation.js';
 import type { EdgePlace } from './ScaleShape.js';
 import { sharedNow } from './ScalePart.js';
 
@@ -15,11 +15,11 @@
 }
 
 /** Says what a proxy says to the agent beside it, and notes when which news came; it serves nobody and keeps no bodies. */
-export class HollowFlow {
+export class SyntheticProxy {
   readonly #place: EdgePlace;
   readonly #exchange: Exchange;
   readonly #taken = new Map<string, Taken[]>();
-  #nonce = newLife();
+  #nonce = newIncarnation();
   #timer: NodeJS.Timeout | undefined;
   /** What it tells of requests that came, a second. */
   demand: FleetDemand['units'] = [];
@@ -34,7 +34,7 @@
   }
 
   start(): void {
-    this.#beat();
+    this.#tick();
   }
 
   stop(): void {
@@ -60,12 +60,12 @@
     return this.#taken.get(topic)?.at(-1)?.version ?? NO_VERSION;
   }
 
-  #beat(): void {
+  #tick(): void {
     this.#exchange.dial(this.#place.feed);
     this.#ask();
     if (this.demand.length > 0) this.tell(this.demand);
     this.#timer = setTimeout(
-      this.#beat.bind(this),
+      this.#tick.bind(this),
       this.#taken.has('config') && this.#taken.has('fleet') ? TELL_MS : UNTOLD_MS,
     );
   }
@@ -74,12 +74,17 @@
     const have = [];
     for (const topic of this.#taken.keys()) have.push({ topic, ...this.#version(topic) });
     this.#nonce += 1;
-    this.#exchange.send(this.#place.feed, { kind: 'ask', nonce: this.#nonce, have, members: [] });
+    this.#exchange.send(this.#place.feed, {
+      kind: 'freshnessRequest',
+      nonce: this.#nonce,
+      have,
+      members: [],
+    });
   }
 
   #receive(incoming: Incoming): void {
     const { message } = incoming;
-    if (message.kind !== 'news' && message.kind !== 'delta') return;
+    if (message.kind !== 'update' && message.kind !== 'delta') return;
     const version = { epoch: message.epoch, count: message.count };
     const held = this.#version(message.topic);
     if (compareVersions(version, held) <= 0) return;
--- a/src/rehearsal/SyntheticRunners.ts
+++ b/src/rehearsal/SyntheticRunners.ts
@@ -4,9 +4,9 @@
 import type { ListedRunner } from '../placement/Fleet.js';
 import { ownCost, type ScalePart } from './ScalePart.js';
 import { ADAPTER_MS, listedRunners, LOAD_MS, ScaleShapeShape } from './ScaleShape.js';
-import { returnJson, StandServer } from './StubServer.js';
+import { replyJson, StubServer } from './StubServer.js';
 
-export const HollowRunnersShape = type({ shape: ScaleShapeShape, address: string() });
+export const SyntheticRunnersShape = type({ shape: ScaleShapeShape, address: string() });
 const OrderShape = type({
   runner: string(),
   verb: string(),
@@ -18,7 +18,7 @@
 
 const PAGE = 500;
 
-interface Hollow {
+interface Synthetic {
   readonly listed: ListedRunner;
   readonly holds: Map<string, Set<string>>;
   isBusy: boolean;
@@ -27,17 +27,17 @@
 }
 
 /** All runners of a run and the platform's list of them, at one address: they take orders and serve nobody. */
-export class HollowRunners implements ScalePart {
+export class SyntheticRunners implements ScalePart {
   readonly #address: string;
-  readonly #server: StandServer;
-  readonly #runners: Hollow[] = [];
-  readonly #byId = new Map<string, Hollow>();
+  readonly #server: StubServer;
+  readonly #runners: Synthetic[] = [];
+  readonly #byId = new Map<string, Synthetic>();
   #calls = 0;
   #listedBytes = 0;
 
-  constructor(settings: Infer<typeof HollowRunnersShape>) {
+  constructor(settings: Infer<typeof SyntheticRunnersShape>) {
     this.#address = settings.address;
-    this.#server = new StandServer(this.#serve.bind(this), '');
+    this.#server = new StubServer(this.#serve.bind(this), '');
     for (const listed of listedRunners(settings.shape, settings.address)) {
       const holds = new Map<string, Set<string>>();
       for (const { model, adapters } of listed.holds) holds.set(model, new Set(adapters));
@@ -80,17 +80,17 @@
     if (path === '/report') {
       const runner = this.#byId.get(asked.get('runner') ?? '');
       if (runner)
-        returnJson(returned, 200, {
+        replyJson(returned, 200, {
           holds: holdsOf(runner),
           isBusy: runner.isBusy,
           orderCount: runner.orders,
           waiting: 0,
           active: 0,
         });
-      else returnJson(returned, 404, {});
+      else replyJson(returned, 404, {});
       return;
     }
-    returnJson(returned, method === 'POST' && path === '/order' ? this.#order(body) : 404, {});
+    replyJson(returned, method === 'POST' && path === '/order' ? this.#order(body) : 404, {});
   }
 
   #list(page: number, returned: ServerResponse): void {
@@ -99,7 +99,7 @@
       runners.push({ ...runner.listed, isLeaving: runner.isLeaving, holds: holdsOf(runner) });
     const next = (page + 1) * PAGE < this.#runners.length ? page + 1 : null;
     this.#listedBytes += JSON.stringify(runners).length;
-    returnJson(returned, 200, { runners, next });
+    replyJson(returned, 200, { runners, next });
   }
 
   #order(body: string): number {
@@ -112,15 +112,15 @@
     if (runner.isBusy || (order.count !== undefined && order.count !== runner.orders)) return 409;
     runner.isBusy = true;
     runner.orders += 1;
-    function finish(hollow: Hollow): void {
-      hollow.isBusy = false;
+    function finish(synthetic: Synthetic): void {
+      synthetic.isBusy = false;
       if (order.verb === 'unload') {
-        if (order.adapter === '') hollow.holds.delete(order.model);
-        else hollow.holds.get(order.model)?.delete(order.adapter);
+        if (order.adapter === '') synthetic.holds.delete(order.model);
+        else synthetic.holds.get(order.model)?.delete(order.adapter);
         return;
       }
-      if (order.adapter === '') hollow.holds.set(order.model, new Set());
-      else hollow.holds.get(order.model)?.add(order.adapter);
+      if (order.adapter === '') synthetic.holds.set(order.model, new Set());
+      else synthetic.holds.get(order.model)?.add(order.adapter);
     }
     setTimeout(
       finish,
@@ -132,7 +132,7 @@
 }
 
 function holdsOf(
-  runner: Hollow,
+  runner: Synthetic,
 ): { readonly model: string; readonly adapters: readonly string[] }[] {
   const holds = [];
   for (const [model, adapters] of runner.holds) holds.push({ model, adapters: [...adapters] });
--- a/src/rehearsal/TableMeasure.ts
+++ b/src/rehearsal/TableMeasure.ts
@@ -118,15 +118,15 @@
 
 function inForce(table: Table): number {
   const simulation = new Simulation({ seed: 1, edges: 12, stormMs: 0, troubles: [] });
-  const { agenda } = simulation;
+  const { scheduler } = simulation;
   simulation.start();
-  agenda.runUntil(15_000);
-  const start = agenda.now;
+  scheduler.runUntil(15_000);
+  const start = scheduler.now;
   let yes = -1;
   function told(status: number): void {
-    if (status === 200) yes = agenda.now - start;
+    if (status === 200) yes = scheduler.now - start;
   }
   simulation.leader()?.command('table', JSON.stringify({ id: 'large', base: 0, table }), told);
-  for (let step = 0; step < 300 && yes < 0; step += 1) agenda.runUntil(agenda.now + 10);
+  for (let step = 0; step < 300 && yes < 0; step += 1) scheduler.runUntil(scheduler.now + 10);
   return Math.round(yes);
 }
--- a/src/rehearsal/Tally.ts
+++ b/src/rehearsal/Tally.ts
@@ -20,7 +20,7 @@
 /** What a message takes on a line, its length field with it; hellos and empty frames are not counted. */
 export function frameBytes(message: Message): number {
   // News are large and come to many: their size is worked out from one with an empty body. Bodies are plain ASCII here.
-  if (message.kind !== 'news' || message.body.length < 256)
+  if (message.kind !== 'update' || message.body.length < 256)
     return LENGTH_BYTES + encodeMessage(message).length;
   let head = NEWS_HEAD.get(message.topic);
   if (head === undefined) {
@@ -47,7 +47,7 @@
   #add(counts: Map<string, Count>, message: Message): void {
     const start = performance.now();
     const key =
-      message.kind === 'news' || message.kind === 'delta'
+      message.kind === 'update' || message.kind === 'delta'
         ? `${message.kind} ${message.topic}`
         : message.kind;
     const count = counts.get(key) ?? { messages: 0, bytes: 0 };
--- a/src/state/FileStore.test.ts
+++ b/src/state/FileStore.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from 'vitest';
-import { Defect } from '../common/CodedError.js';
+import { CodedError } from '../common/CodedError.js';
 import { partName } from '../common/Ids.js';
 import { FileStore, NodeDisk } from './FileStore.js';
 import { MemoryStore } from './MemoryStore.js';
@@ -9,8 +9,8 @@
 import { join } from 'node:path';
 
 const part = partName('p1');
-const told: Defect[] = [];
-function tell(defect: Defect): void {
+const told: CodedError[] = [];
+function tell(defect: CodedError): void {
   told.push(defect);
 }
 async function folder(): Promise<string> {
@@ -106,7 +106,7 @@
   ]);
   expect(told.map(kindOf)).toEqual(['bad-file']);
 }
-function kindOf(defect: Defect): string {
+function kindOf(defect: CodedError): string {
   return defect.kind;
 }
 class StallingDisk extends NodeDisk {
--- a/src/state/FileStore.ts
+++ b/src/state/FileStore.ts
@@ -2,7 +2,7 @@
 import { mkdir, open, readdir, readFile, rename, rm } from 'node:fs/promises';
 import { join } from 'node:path';
 import { is, number, string, type } from 'superstruct';
-import { Defect, reasonOf } from '../common/CodedError.js';
+import { CodedError, reasonOf } from '../common/CodedError.js';
 import { partName, type PartName } from '../common/Ids.js';
 import { compareVersions, NO_VERSION, type Version } from '../common/Version.js';
 import type { Store, StoredPart } from './Store.js';
@@ -75,9 +75,9 @@
   readonly #busy = new Set<PartName>();
   /** Parts whose folder is known to last, with all folders above it that we may have made. */
   readonly #lasting = new Set<PartName>();
-  readonly #tell: (defect: Defect) => void;
+  readonly #tell: (defect: CodedError) => void;
 
-  constructor(root: string, tell: (defect: Defect) => void, disk: Disk = new NodeDisk()) {
+  constructor(root: string, tell: (defect: CodedError) => void, disk: Disk = new NodeDisk()) {
     this.#root = root;
     this.#tell = tell;
     this.#disk = disk;
@@ -119,17 +119,17 @@
       } catch (thrown) {
         // The newest version was told as kept: an older one may be shown, but must not stand in for it.
         isSound = false;
-        this.#tell(new Defect('bad-file', `${part}/${name}: ${reasonOf(thrown)}`));
+        this.#tell(new CodedError('bad-file', `${part}/${name}: ${reasonOf(thrown)}`));
       }
     }
     return isSound ? undefined : { part, version: NO_VERSION, body: '', isSound };
   }
 
   write(part: PartName, version: Version, body: string): Promise<void> {
-    return new Promise(this.#enlist.bind(this, part, version, body));
+    return new Promise(this.#announce.bind(this, part, version, body));
   }
 
-  #enlist(
+  #announce(
     part: PartName,
     version: Version,
     body: string,
@@ -160,7 +160,7 @@
         await this.#writeFile(part, next.version, next.body);
         for (const done of next.done) done();
       } catch (thrown) {
-        this.#tell(new Defect('disk-write', `${part}: ${reasonOf(thrown)}`));
+        this.#tell(new CodedError('disk-write', `${part}: ${reasonOf(thrown)}`));
         for (const fail of next.fail) fail(thrown);
       }
     }
--- a/src/state/ReplicaStatus.test.ts
+++ b/src/state/ReplicaStatus.test.ts
@@ -1,17 +1,17 @@
 import { expect, test } from 'vitest';
-import { fellowId, moment } from '../common/Ids.js';
+import { nodeId, moment } from '../common/Ids.js';
 import type { Message } from '../common/Messages.js';
 import { Quorum as Voters } from '../common/Quorum.js';
-import { Standing } from './ReplicaStatus.js';
+import { ReplicaStatus } from './ReplicaStatus.js';
 
-const [a, b, c] = [fellowId('a'), fellowId('b'), fellowId('c')];
+const [a, b, c] = [nodeId('a'), nodeId('b'), nodeId('c')];
 const quorum = new Voters([a, b, c]);
-function returned(standing: string, epoch: number): Extract<Message, { kind: 'readReturn' }> {
-  return { kind: 'readReturn', epoch, nonce: 1, sound: false, copies: [], standing };
+function returned(standing: string, epoch: number): Extract<Message, { kind: 'readReply' }> {
+  return { kind: 'readReply', epoch, nonce: 1, sound: false, copies: [], standing };
 }
-function start(): Standing {
-  const standing = new Standing(a, 'blank', moment(0), 1000, 0);
-  standing.beat(moment(1500), quorum);
+function start(): ReplicaStatus {
+  const standing = new ReplicaStatus(a, 'blank', moment(0), 1000, 0);
+  standing.tick(moment(1500), quorum);
   return standing;
 }
 function checkFounding(): void {
@@ -23,7 +23,7 @@
   });
 }
 function checkSlowFounding(): void {
-  // A fellow that founded first has already run its epoch up alone.
+  // A peer that founded first has already run its epoch up alone.
   const standing = start();
   standing.receive(moment(1600), b, returned('fresh', 23), quorum);
   expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({
@@ -41,7 +41,7 @@
 }
 function checkLostDisk(): void {
   const standing = start();
-  // One fellow alone may not know what we decided with the other.
+  // One peer alone may not know what we decided with the other.
   expect(standing.receive(moment(1600), b, returned('sound', 8), quorum)).toBeUndefined();
   expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toBeUndefined();
   expect(standing.receive(moment(1600), c, returned('sound', 6), quorum)).toEqual({
--- a/src/state/ReplicaStatus.ts
+++ b/src/state/ReplicaStatus.ts
@@ -1,9 +1,9 @@
-import { later, type FellowId, type Moment } from '../common/Ids.js';
+import { later, type NodeId, type Moment } from '../common/Ids.js';
 import type { CopyMessage, Message } from '../common/Messages.js';
 import type { Quorum } from '../common/Quorum.js';
 
 /** blank: an empty folder. lost: the record of our votes is unreadable. sound: we may vote and count. */
-export type StandingName = 'blank' | 'lost' | 'sound';
+export type ReplicaStatusName = 'blank' | 'lost' | 'sound';
 
 interface Return {
   readonly standing: string;
@@ -11,7 +11,7 @@
   readonly copies: readonly CopyMessage[];
 }
 
-export type StandingOutcome =
+export type ReplicaStatusOutcome =
   /** With the newest epoch that members hold news of: they never step back behind it. */
   | { readonly become: 'founded'; readonly epoch: number }
   | {
@@ -23,27 +23,27 @@
 const ASK_MS = 500;
 
 /**
- * Decides when a node with an empty folder may count: by founding together with blank fellows,
+ * Decides when a node with an empty folder may count: by founding together with blank peers,
  * or by reading all it may ever have decided with. Until then it neither grants nor counts.
  */
-export class Standing {
-  readonly #me: FellowId;
-  #name: StandingName;
+export class ReplicaStatus {
+  readonly #me: NodeId;
+  #name: ReplicaStatusName;
   #nonce: number;
   #askedAt: Moment;
   readonly #bootAt: Moment;
   readonly #foundMs: number;
-  readonly #returns = new Map<FellowId, Return>();
+  readonly #replies = new Map<NodeId, Return>();
   #memberEpoch = 0;
   #isForced = false;
   readonly #mayFound: boolean;
 
   constructor(
-    me: FellowId,
-    name: StandingName,
+    me: NodeId,
+    name: ReplicaStatusName,
     now: Moment,
     foundMs: number,
-    life: number,
+    incarnation: number,
     mayFound: boolean = true,
   ) {
     this.#me = me;
@@ -51,11 +51,11 @@
     this.#bootAt = now;
     this.#askedAt = now;
     this.#foundMs = foundMs;
-    this.#nonce = life;
+    this.#nonce = incarnation;
     this.#mayFound = mayFound;
   }
 
-  get name(): StandingName {
+  get name(): ReplicaStatusName {
     return this.#name;
   }
   get isMemberHolding(): boolean {
@@ -74,19 +74,19 @@
 
   settle(): void {
     this.#name = 'sound';
-    this.#returns.clear();
+    this.#replies.clear();
   }
 
-  beat(now: Moment, quorum: Quorum): { readonly to: FellowId; readonly message: Message }[] {
+  tick(now: Moment, quorum: Quorum): { readonly to: NodeId; readonly message: Message }[] {
     if (this.#name === 'sound' || now < later(this.#askedAt, ASK_MS)) return [];
     this.#askedAt = now;
     this.#nonce += 1;
-    this.#returns.clear();
-    const sends: { readonly to: FellowId; readonly message: Message }[] = [];
-    for (const fellow of quorum.all) {
-      if (fellow !== this.#me)
+    this.#replies.clear();
+    const sends: { readonly to: NodeId; readonly message: Message }[] = [];
+    for (const peer of quorum.all) {
+      if (peer !== this.#me)
         sends.push({
-          to: fellow,
+          to: peer,
           message: { kind: 'read', epoch: 0, nonce: this.#nonce, parts: [] },
         });
     }
@@ -94,12 +94,12 @@
   }
 
   /** The return to a node that asks how we stand. */
-  returnTo(nonce: number, epoch: number, copies: CopyMessage[], hasGranted: boolean): Message {
+  replyTo(nonce: number, epoch: number, copies: CopyMessage[], hasGranted: boolean): Message {
     // Founded, but nothing was ever decided with us: others may still found beside us, however far our own tries ran the epoch.
     const isFresh = this.#name === 'sound' && !hasGranted && copies.every(isEmpty);
     // A blank node tells what its members hold: one that has no members of its own must not found over it.
     return {
-      kind: 'readReturn',
+      kind: 'readReply',
       epoch: this.#name === 'blank' ? this.#memberEpoch : epoch,
       nonce,
       sound: false,
@@ -110,13 +110,13 @@
 
   receive(
     now: Moment,
-    from: FellowId,
-    message: Extract<Message, { kind: 'readReturn' }>,
+    from: NodeId,
+    message: Extract<Message, { kind: 'readReply' }>,
     quorum: Quorum,
-  ): StandingOutcome | undefined {
+  ): ReplicaStatusOutcome | undefined {
     if (this.#name === 'sound' || message.nonce !== this.#nonce || message.sound) return undefined;
     if (message.standing === 'blank') this.noteMember(message.epoch);
-    this.#returns.set(from, {
+    this.#replies.set(from, {
       standing: message.standing,
       epoch: message.epoch,
       copies: message.copies,
@@ -124,19 +124,19 @@
     return this.outcome(now, quorum);
   }
 
-  outcome(now: Moment, quorum: Quorum): StandingOutcome | undefined {
+  outcome(now: Moment, quorum: Quorum): ReplicaStatusOutcome | undefined {
     if (this.#name === 'sound') return undefined;
-    const holders = new Set<FellowId>();
+    const holders = new Set<NodeId>();
     let isAllFresh = true;
     let epoch = 0;
     const copies: CopyMessage[] = [];
-    for (const fellow of quorum.all) {
-      if (fellow === this.#me) continue;
-      const known = this.#returns.get(fellow);
+    for (const peer of quorum.all) {
+      if (peer === this.#me) continue;
+      const known = this.#replies.get(peer);
       const isBlank = known?.standing === 'blank' || known?.standing === 'fresh';
       if (!isBlank) isAllFresh = false;
       if (known?.standing !== 'sound' && known?.standing !== 'fresh') continue;
-      holders.add(fellow);
+      holders.add(peer);
       epoch = Math.max(epoch, known.epoch);
       copies.push(...known.copies);
     }
--- a/src/state/ReplicatedState.test.ts
+++ b/src/state/ReplicatedState.test.ts
@@ -1,26 +1,29 @@
 import { expect, test } from 'vitest';
-import { type FellowId, type PartName, fellowId, moment, partName } from '../common/Ids.js';
+import { type NodeId, type PartName, nodeId, moment, partName } from '../common/Ids.js';
 import type { CopyMessage } from '../common/Messages.js';
 import { Quorum as Voters } from '../common/Quorum.js';
 import type { Version } from '../common/Version.js';
-import { Parts, type PartsEffect } from './ReplicatedState.js';
+import { ReplicatedState, type ReplicatedStateEffect } from './ReplicatedState.js';
 import type { StoredPart } from './Store.js';
 
-const [a, b, c] = [fellowId('a'), fellowId('b'), fellowId('c')];
+const [a, b, c] = [nodeId('a'), nodeId('b'), nodeId('c')];
 const names = [partName('p0'), partName('p1'), partName('p2')];
 const [p0 = partName('p0')] = names;
 /** Three voters whose disks keep at once, unless told otherwise. */
 class Trio {
-  readonly parts = new Map<FellowId, Parts>();
+  readonly parts = new Map<NodeId, ReplicatedState>();
   readonly committed: string[] = [];
-  readonly deaf = new Set<FellowId>();
+  readonly deaf = new Set<NodeId>();
   readonly sent: string[] = [];
   granted = 2;
   now = 0;
 
-  constructor(stored: ReadonlyMap<FellowId, readonly StoredPart[]> = new Map()) {
+  constructor(stored: ReadonlyMap<NodeId, readonly StoredPart[]> = new Map()) {
     for (const id of [a, b, c])
-      this.parts.set(id, new Parts(id, new Voters([a, b, c]), names, stored.get(id) ?? []));
+      this.parts.set(
+        id,
+        new ReplicatedState(id, new Voters([a, b, c]), names, stored.get(id) ?? []),
+      );
   }
 
   settle(): void {
@@ -35,7 +38,7 @@
     }
   }
 
-  #carryOut(id: FellowId, parts: Parts, effect: PartsEffect): void {
+  #carryOut(id: NodeId, parts: ReplicatedState, effect: ReplicatedStateEffect): void {
     if (effect.do === 'store') {
       if (!this.deaf.has(id))
         parts.stored(effect.part, effect.version, this.granted, moment(this.now));
@@ -52,18 +55,18 @@
     }
   }
 
-  beat(millis: number): void {
+  tick(millis: number): void {
     this.now += millis;
-    for (const parts of this.parts.values()) parts.beat(moment(this.now));
+    for (const parts of this.parts.values()) parts.tick(moment(this.now));
     this.settle();
   }
 
-  lead(id: FellowId): Parts {
+  lead(id: NodeId): ReplicatedState {
     const parts = this.parts.get(id);
     if (!parts) throw new Error('nobody');
     parts.lead(moment(this.now), this.granted);
     this.settle();
-    this.beat(100);
+    this.tick(100);
     return parts;
   }
 }
@@ -76,11 +79,11 @@
   trio.deaf.add(c);
   owner.write(moment(trio.now), p0, 'alone', 1);
   trio.settle();
-  trio.beat(5000);
+  trio.tick(5000);
   expect(trio.committed).toEqual([]);
   trio.deaf.delete(b);
-  trio.beat(400);
-  trio.beat(100);
+  trio.tick(400);
+  trio.tick(100);
   expect(trio.committed).toEqual(['p0 2.2 alone']);
 }
 function checkNewOwner(): void {
@@ -138,8 +141,8 @@
   trio.lead(a);
   trio.deaf.delete(c);
   trio.sent.length = 0;
-  trio.beat(2100);
-  trio.beat(100);
+  trio.tick(2100);
+  trio.tick(100);
   expect(trio.parts.get(c)?.unsoundParts()).toEqual([]);
   expect(trio.sent.filter(isDigestToC).length).toBeGreaterThan(1);
 }
--- a/src/state/ReplicatedState.ts
+++ b/src/state/ReplicatedState.ts
@@ -1,19 +1,12 @@
 import { createHash } from 'node:crypto';
-import {
-  later,
-  moment,
-  partName,
-  type FellowId,
-  type Moment,
-  type PartName,
-} from '../common/Ids.js';
+import { later, moment, partName, type NodeId, type Moment, type PartName } from '../common/Ids.js';
 import type { CopyMessage, MemberMessage, Message } from '../common/Messages.js';
 import type { Quorum } from '../common/Quorum.js';
 import { compareVersions, isNewer, NO_VERSION, type Version } from '../common/Version.js';
 import type { StoredPart } from './Store.js';
 
-export type PartsEffect =
-  | { readonly do: 'send'; readonly to: FellowId; readonly message: Message }
+export type ReplicatedStateEffect =
+  | { readonly do: 'send'; readonly to: NodeId; readonly message: Message }
   | {
       readonly do: 'store';
       readonly part: PartName;
@@ -42,7 +35,7 @@
   readonly version: Version;
   readonly body: string;
   readonly tokens: readonly number[];
-  readonly acked: Set<FellowId>;
+  readonly acked: Set<NodeId>;
   readonly members: MemberMessage[];
   sentAt: Moment;
   /** When a majority had it; the last voter is then given a moment more. */
@@ -51,7 +44,7 @@
 
 interface Owned {
   copy: { version: Version; body: string } | undefined;
-  readonly read: Set<FellowId>;
+  readonly read: Set<NodeId>;
   newest: { version: Version; body: string };
   writing: Write | undefined;
   next: { body: string; tokens: number[] } | undefined;
@@ -65,8 +58,8 @@
  * The parts of the shared state at one voter: replica of all, and owner of all while it leads.
  * Each part has its own versions, writes and files; nothing orders one part against another.
  */
-export class Parts {
-  readonly #me: FellowId;
+export class ReplicatedState {
+  readonly #me: NodeId;
   #quorum: Quorum;
   readonly #names: readonly PartName[];
   readonly #copies = new Map<PartName, Copy>();
@@ -77,10 +70,10 @@
   #readSentAt: Moment = moment(0);
   #mendedAt: Moment = moment(0);
   #mends = 0;
-  #effects: PartsEffect[] = [];
+  #effects: ReplicatedStateEffect[] = [];
 
   constructor(
-    me: FellowId,
+    me: NodeId,
     quorum: Quorum,
     names: readonly PartName[],
     stored: readonly StoredPart[],
@@ -110,7 +103,7 @@
     this.#quorum = quorum;
   }
 
-  drain(): PartsEffect[] {
+  drain(): ReplicatedStateEffect[] {
     const effects = this.#effects;
     this.#effects = [];
     return effects;
@@ -173,7 +166,7 @@
   }
 
   /** Writes under way get no yes from us any more; whether they hold is for the next owner to find. */
-  stand(): void {
+  stub(): void {
     this.#epoch = 0;
     this.#isServing = false;
     this.#owned.clear();
@@ -200,7 +193,7 @@
     return count;
   }
 
-  beat(now: Moment): void {
+  tick(now: Moment): void {
     if (this.#epoch === 0) return;
     let isReading = false;
     for (const [part, owned] of this.#owned) {
@@ -210,33 +203,32 @@
       this.#settle(now, part, owned);
       if (owned.writing === writing && now >= later(writing.sentAt, RESEND_MS)) {
         writing.sentAt = now;
-        for (const fellow of this.#quorum.all)
-          if (!writing.acked.has(fellow) && fellow !== this.#me)
-            this.#sendWrite(fellow, part, writing);
+        for (const peer of this.#quorum.all)
+          if (!writing.acked.has(peer) && peer !== this.#me) this.#sendWrite(peer, part, writing);
       }
     }
     if (isReading && now >= later(this.#readSentAt, RESEND_MS)) this.#askAll(now);
     if (this.#isServing && now >= later(this.#mendedAt, MEND_MS)) {
       this.#mendedAt = now;
-      for (const fellow of this.#quorum.all)
-        if (fellow !== this.#me) this.#compare(fellow, 0, this.#names.length);
+      for (const peer of this.#quorum.all)
+        if (peer !== this.#me) this.#compare(peer, 0, this.#names.length);
     }
   }
 
   #askAll(now: Moment): void {
     this.#readSentAt = now;
-    for (const fellow of this.#quorum.all) {
-      if (fellow === this.#me) this.#takeRead(now, this.#me, this.copies());
+    for (const peer of this.#quorum.all) {
+      if (peer === this.#me) this.#takeRead(now, this.#me, this.copies());
       else
         this.#effects.push({
           do: 'send',
-          to: fellow,
+          to: peer,
           message: { kind: 'read', epoch: this.#epoch, nonce: this.#nonce, parts: [] },
         });
     }
   }
 
-  #takeRead(now: Moment, from: FellowId, copies: readonly CopyMessage[]): void {
+  #takeRead(now: Moment, from: NodeId, copies: readonly CopyMessage[]): void {
     for (const item of copies) {
       const part = partName(item.part);
       const owned = this.#owned.get(part);
@@ -268,9 +260,9 @@
       majorityAt: undefined,
     };
     owned.writing = writing;
-    for (const fellow of this.#quorum.all) {
-      if (fellow === this.#me) this.#storeOwn(part, version, body);
-      else this.#sendWrite(fellow, part, writing);
+    for (const peer of this.#quorum.all) {
+      if (peer === this.#me) this.#storeOwn(part, version, body);
+      else this.#sendWrite(peer, part, writing);
     }
   }
 
@@ -282,7 +274,7 @@
   }
 
   #sendWrite(
-    to: FellowId,
+    to: NodeId,
     part: PartName,
     write: { readonly version: Version; readonly body: string },
   ): void {
@@ -295,7 +287,7 @@
 
   #ack(
     now: Moment,
-    from: FellowId,
+    from: NodeId,
     part: PartName,
     version: Version,
     members: readonly MemberMessage[],
@@ -347,7 +339,7 @@
   /** `granted` is the epoch this voter has granted, synced, and not moved on from; 0 if none. */
   receive(
     now: Moment,
-    from: FellowId,
+    from: NodeId,
     message: Message,
     granted: number,
     members: readonly MemberMessage[],
@@ -357,7 +349,7 @@
       case 'write':
         this.#receiveWrite(from, message, granted, members);
         break;
-      case 'writeReturn':
+      case 'writeReply':
         if (message.good && message.epoch === this.#epoch)
           this.#ack(now, from, partName(message.part), message, message.members);
         break;
@@ -367,7 +359,7 @@
             do: 'send',
             to: from,
             message: {
-              kind: 'readReturn',
+              kind: 'readReply',
               epoch: granted,
               nonce: message.nonce,
               sound: true,
@@ -377,7 +369,7 @@
           });
         }
         break;
-      case 'readReturn':
+      case 'readReply':
         if (message.epoch === this.#epoch && this.#epoch > 0 && message.nonce === this.#nonce)
           this.#takeRead(now, from, message.copies);
         break;
@@ -387,7 +379,7 @@
           do: 'send',
           to: from,
           message: {
-            kind: 'digestReturn',
+            kind: 'digestReply',
             nonce: message.nonce,
             low: message.low,
             high: message.high,
@@ -397,7 +389,7 @@
         });
         break;
       }
-      case 'digestReturn':
+      case 'digestReply':
         if (!message.same && this.#isServing) this.#mend(from, message.low, message.high);
         break;
       default:
@@ -406,7 +398,7 @@
   }
 
   #receiveWrite(
-    from: FellowId,
+    from: NodeId,
     message: Extract<Message, { kind: 'write' }>,
     granted: number,
     members: readonly MemberMessage[],
@@ -419,21 +411,21 @@
       this.#effects.push({
         do: 'send',
         to: from,
-        message: { kind: 'writeReturn', part, ...version, good: false, members: [] },
+        message: { kind: 'writeReply', part, ...version, good: false, members: [] },
       });
       return;
     }
     const isKnown = compareVersions(version, copy.version) === 0 && copy.isSound;
     this.#copies.set(part, { version, body: message.body, isSound: true });
-    this.#returns.set(part, { to: from, version, members });
+    this.#replies.set(part, { to: from, version, members });
     if (isKnown && this.#stored.get(part) === `${version.epoch}.${version.count}`)
       this.stored(part, version, granted);
     else this.#effects.push({ do: 'store', part, version, body: message.body });
   }
 
-  readonly #returns = new Map<
+  readonly #replies = new Map<
     PartName,
-    { readonly to: FellowId; readonly version: Version; readonly members: readonly MemberMessage[] }
+    { readonly to: NodeId; readonly version: Version; readonly members: readonly MemberMessage[] }
   >();
   readonly #stored = new Map<PartName, string>();
 
@@ -446,12 +438,12 @@
       this.#ack(now, this.#me, part, version, []);
       return;
     }
-    const due = this.#returns.get(part);
+    const due = this.#replies.get(part);
     if (due && compareVersions(due.version, version) === 0) {
       this.#effects.push({
         do: 'send',
         to: due.to,
-        message: { kind: 'writeReturn', part, ...version, good: true, members: [...due.members] },
+        message: { kind: 'writeReply', part, ...version, good: true, members: [...due.members] },
       });
     }
   }
@@ -467,19 +459,19 @@
     return hash.digest('hex');
   }
 
-  #compare(fellow: FellowId, low: number, high: number): void {
+  #compare(peer: NodeId, low: number, high: number): void {
     this.#effects.push({
       do: 'send',
-      to: fellow,
+      to: peer,
       message: { kind: 'digest', nonce: 0, low, high, digest: this.#digest(low, high) },
     });
   }
 
-  #mend(fellow: FellowId, low: number, high: number): void {
+  #mend(peer: NodeId, low: number, high: number): void {
     if (high - low > 1) {
       const middle = Math.floor((low + high) / 2);
-      this.#compare(fellow, low, middle);
-      this.#compare(fellow, middle, high);
+      this.#compare(peer, low, middle);
+      this.#compare(peer, middle, high);
       return;
     }
     const part = this.#names[low];
@@ -487,7 +479,7 @@
     // A write under way brings the newest by itself.
     if (part === undefined || !owned?.copy || owned.writing) return;
     this.#mends += 1;
-    this.#sendWrite(fellow, part, { version: owned.copy.version, body: owned.copy.body });
+    this.#sendWrite(peer, part, { version: owned.copy.version, body: owned.copy.body });
   }
 }
 
--- a/src/state/Store.ts
+++ b/src/state/Store.ts
@@ -1,7 +1,7 @@
 import type { PartName } from '../common/Ids.js';
 import type { Version } from '../common/Version.js';
 
-/** One part as a store holds it. An unsound copy lost its newest version and must be mended from a fellow. */
+/** One part as a store holds it. An unsound copy lost its newest version and must be mended from a peer. */
 export interface StoredPart {
   readonly part: PartName;
   readonly version: Version;
