Give the command line and the deployed roles the standard names

Former names go on: as aliases that say they are deprecated, and as words that platform/main.ts takes.

--- a/src/agent/AgentCommand.ts
+++ b/src/agent/AgentCommand.ts
@@ -7,6 +7,8 @@
 import { TableAgentProcess } from './TableAgentProcess.js';
 
 export class AgentCommand extends ProgramCommand {
+  static override aliases = ['link'];
+  static override deprecateAliases = true;
   static override description = 'run the agent beside a proxy';
   static override flags = {
     ...PROGRAM_FLAGS,
--- a/src/check/CheckCommand.ts
+++ b/src/check/CheckCommand.ts
@@ -7,6 +7,8 @@
 import { TableCheck, FleetShape } from './TableCheck.js';
 
 export class CheckCommand extends Command {
+  static override aliases = ['doubt'];
+  static override deprecateAliases = true;
   static override description =
     'check a proposed table against the fleet as it is; exit code 0 clean, 1 findings, 2 could not check';
   static override args = {
--- a/src/control/ControlCommand.ts
+++ b/src/control/ControlCommand.ts
@@ -6,6 +6,8 @@
 import { TableControlProcess } from './TableControlProcess.js';
 
 export class ControlCommand extends ProgramCommand {
+  static override aliases = ['mind'];
+  static override deprecateAliases = true;
   static override description = 'run a control node';
   static override flags = {
     ...PROGRAM_FLAGS,
--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -1121,7 +1121,7 @@
     this.#placesCount = 0;
   }
 
-  /** After an operator's word found, members are asked for the newest table they hold before anything is served. */
+  /** After an operator's force-new-cluster, members are asked for the newest table they hold before anything is served. */
   #recover(now: Moment): void {
     this.#recoverUntil = later(now, RECOVER_MS);
     for (const member of this.#knownMembers())
--- a/src/operator/EditCommands.ts
+++ b/src/operator/EditCommands.ts
@@ -28,6 +28,8 @@
 }
 
 export class PutCommand extends EditCommand {
+  static override aliases = ['word:put'];
+  static override deprecateAliases = true;
   static override description = 'put a whole table, written in the mapping language, in force';
   static override args = {
     file: Args.string({ required: true, description: 'file in the mapping language' }),
@@ -49,8 +51,10 @@
 }
 
 export class SetCommand extends EditCommand {
+  static override aliases = ['word:set'];
+  static override deprecateAliases = true;
   static override description = 'set one cell of the table';
-  static override examples = ['haretrack word set check/receipt-* weight 120'];
+  static override examples = ['haretrack operator set check/receipt-* weight 120'];
   static override args = {
     row: Args.string({ required: true, description: 'the row, as TYPE/MODEL' }),
     column: Args.string({
@@ -74,6 +78,8 @@
 }
 
 export class RowsCommand extends EditCommand {
+  static override aliases = ['word:rows'];
+  static override deprecateAliases = true;
   static override description = 'put and remove rows, leaving the rest of the table as it is';
   static override flags = {
     ...OPERATOR_FLAGS,
@@ -107,13 +113,15 @@
   }
 }
 
-export class EmptyCommand extends OperatorCommand {
+export class EvacuateCommand extends OperatorCommand {
+  static override aliases = ['word:empty'];
+  static override deprecateAliases = true;
   static override description = 'empty a zone: no new work goes there once this returns';
   static override args = { zone: Args.string({ required: true }) };
   static override flags = OPERATOR_FLAGS;
 
   async run(): Promise<void> {
-    const { args, flags } = await this.parse(EmptyCommand);
+    const { args, flags } = await this.parse(EvacuateCommand);
     this.tell(
       await this.operator(flags.api).edit(
         'PUT',
@@ -125,13 +133,15 @@
   }
 }
 
-export class FillCommand extends OperatorCommand {
+export class RestoreCommand extends OperatorCommand {
+  static override aliases = ['word:fill'];
+  static override deprecateAliases = true;
   static override description = 'let an emptied zone have work again';
   static override args = { zone: Args.string({ required: true }) };
   static override flags = OPERATOR_FLAGS;
 
   async run(): Promise<void> {
-    const { args, flags } = await this.parse(FillCommand);
+    const { args, flags } = await this.parse(RestoreCommand);
     this.tell(
       await this.operator(flags.api).edit(
         'DELETE',
@@ -144,6 +154,8 @@
 }
 
 export class AskEditCommand extends OperatorCommand {
+  static override aliases = ['word:edit'];
+  static override deprecateAliases = true;
   static override description =
     'ask what became of an edit whose outcome was unsure; one not accepted by now never will be';
   static override args = { id: Args.string({ required: true }) };
@@ -162,7 +174,9 @@
   }
 }
 
-export class SwapCommand extends OperatorCommand {
+export class ReplaceVoterCommand extends OperatorCommand {
+  static override aliases = ['word:swap'];
+  static override deprecateAliases = true;
   static override description = 'let a new control node vote in place of another';
   static override args = {
     old: Args.string({ required: true, description: 'address of the voter to go' }),
@@ -171,7 +185,7 @@
   static override flags = OPERATOR_FLAGS;
 
   async run(): Promise<void> {
-    const { args, flags } = await this.parse(SwapCommand);
+    const { args, flags } = await this.parse(ReplaceVoterCommand);
     this.tell(
       await this.operator(flags.api).edit('POST', '/voters/swap', { old: args.old, new: args.new }),
       flags.json,
@@ -179,13 +193,15 @@
   }
 }
 
-export class FoundCommand extends OperatorCommand {
+export class ForceNewClusterCommand extends OperatorCommand {
+  static override aliases = ['word:found'];
+  static override deprecateAliases = true;
   static override description =
     'found anew at nodes that lost everything, although members still hold a configuration';
   static override flags = OPERATOR_FLAGS;
 
   async run(): Promise<void> {
-    const { flags } = await this.parse(FoundCommand);
+    const { flags } = await this.parse(ForceNewClusterCommand);
     // Each blank node must be told; one that is sound says so and does nothing.
     for (const api of flags.api)
       this.tell(await this.operator([api]).ask('POST', '/found', {}), flags.json);
--- a/src/operator/ImportCommand.ts
+++ b/src/operator/ImportCommand.ts
@@ -4,6 +4,8 @@
 import { reasonOf } from '../common/CodedError.js';
 
 export class ImportCommand extends Command {
+  static override aliases = ['word:import'];
+  static override deprecateAliases = true;
   static override description =
     'print the mappings of an OpenAPI file in the mapping language; rows are for you to write';
   static override args = {
--- a/src/operator/OperatorCommand.ts
+++ b/src/operator/OperatorCommand.ts
@@ -41,7 +41,7 @@
     }
     if (value['outcome'] === 'unsure') {
       if (!isJson)
-        process.stderr.write(`ask again with: haretrack word edit ${String(value['id'])}\n`);
+        process.stderr.write(`ask again with: haretrack operator edit ${String(value['id'])}\n`);
       this.exit(3);
     }
     this.exit(1);
--- a/src/operator/ShowCommands.ts
+++ b/src/operator/ShowCommands.ts
@@ -22,6 +22,8 @@
 });
 
 export class CountersCommand extends OperatorCommand {
+  static override aliases = ['word:counters'];
+  static override deprecateAliases = true;
   static override description = "print a control node's counters";
   static override flags = OPERATOR_FLAGS;
 
@@ -40,6 +42,8 @@
 }
 
 export class StatusCommand extends OperatorCommand {
+  static override aliases = ['word:status'];
+  static override deprecateAliases = true;
   static override description =
     'show leader, epoch, scores, parts, members, pairs, and who waits and why';
   static override flags = OPERATOR_FLAGS;
@@ -69,7 +73,7 @@
     if (status.standing !== 'sound')
       this.log(
         status.membersHoldState
-          ? 'blank, but members hold a configuration: see word found'
+          ? 'blank, but members hold a configuration: see operator force-new-cluster'
           : 'not counting yet',
       );
     this.log(
--- a/src/operator/TableCommand.ts
+++ b/src/operator/TableCommand.ts
@@ -17,6 +17,8 @@
 
 /** The table as text, or with who serves and who waits beside each row. */
 export class TableCommand extends OperatorCommand {
+  static override aliases = ['word:table'];
+  static override deprecateAliases = true;
   static override description =
     'print the table in force; with --live, each row with its places, its demand and who waits for what';
   static override flags = {
--- a/src/proxy/ProxyCommand.ts
+++ b/src/proxy/ProxyCommand.ts
@@ -7,6 +7,8 @@
 import { TableProxyProcess } from './TableProxyProcess.js';
 
 export class ProxyCommand extends ProgramCommand {
+  static override aliases = ['flow'];
+  static override deprecateAliases = true;
   static override description = 'run the proxy';
   static override flags = {
     ...PROGRAM_FLAGS,
--- a/src/rehearsal/Fleet.test.ts
+++ b/src/rehearsal/Fleet.test.ts
@@ -47,40 +47,44 @@
     await fleet.until('a streamed request served', 30_000, isServed);
     const api = fleet.controlNodes.flatMap(apiFlag);
     expect(
-      await word(root, ['word', 'set', 'check/receipt-*', 'weight', '99', ...api]),
+      await word(root, ['operator', 'set', 'check/receipt-*', 'weight', '99', ...api]),
     ).toMatchObject({ code: 0 });
-    expect((await word(root, ['word', 'table', ...api])).text).toContain(
+    expect((await word(root, ['operator', 'table', ...api])).text).toContain(
       'row check receipt-* weight 99',
     );
     expect(
-      await word(root, ['word', 'set', 'check/receipt-*', 'weight', '0', ...api]),
+      await word(root, ['operator', 'set', 'check/receipt-*', 'weight', '0', ...api]),
     ).toMatchObject({ code: 1 });
     // One cell decides which rare models are wanted: the others lose their seats within seconds.
     async function arePlaced(): Promise<boolean> {
-      return / {2}rare-0[1-3] runner/.test((await word(root, ['word', 'status', ...api])).text);
+      return / {2}rare-0[1-3] runner/.test((await word(root, ['operator', 'status', ...api])).text);
     }
     await fleet.until('rare models placed', 60_000, arePlaced);
     expect(
-      await word(root, ['word', 'set', 'check/rare-*', 'model', 'rare-00', ...api]),
+      await word(root, ['operator', 'set', 'check/rare-*', 'model', 'rare-00', ...api]),
     ).toMatchObject({ code: 0 });
     async function isUnplaced(): Promise<boolean> {
-      return !/ {2}rare-0[1-3] runner/.test((await word(root, ['word', 'status', ...api])).text);
+      return !/ {2}rare-0[1-3] runner/.test(
+        (await word(root, ['operator', 'status', ...api])).text,
+      );
     }
     await fleet.until('the other rare models lose their seats', 15_000, isUnplaced);
     // The spreadsheet's other half: the placement is followed until it has settled, and each row stands beside its places.
-    const watched = await word(root, ['word', 'table', '--watch', ...api]);
+    const watched = await word(root, ['operator', 'table', '--watch', ...api]);
     expect(watched).toMatchObject({ code: 0 });
     expect(watched.text).toContain('settled');
-    expect((await word(root, ['word', 'table', '--live', ...api])).text).toMatch(
+    expect((await word(root, ['operator', 'table', '--live', ...api])).text).toMatch(
       /check\/receipt-\* {2}weight 99[^\n]*\n {2}receipt-0\d {2}runner-\d+ \(\w+\) \/ runner-\d+/,
     );
-    expect(await word(root, ['word', 'rows', '--remove', 'check/rare-00', ...api])).toMatchObject({
+    expect(
+      await word(root, ['operator', 'rows', '--remove', 'check/rare-00', ...api]),
+    ).toMatchObject({
       code: 0,
     });
-    expect((await word(root, ['word', 'status', ...api])).text).toMatch(
+    expect((await word(root, ['operator', 'status', ...api])).text).toMatch(
       /receipt-00 runner-\d+ \/ runner-\d+/,
     );
-    expect(await word(root, ['mind', '--listen', 'nowhere:1', '--zone', 'A'])).toMatchObject({
+    expect(await word(root, ['control', '--listen', 'nowhere:1', '--zone', 'A'])).toMatchObject({
       code: 2,
     });
     await callers.end();
--- a/src/rehearsal/Fleet.ts
+++ b/src/rehearsal/Fleet.ts
@@ -137,8 +137,8 @@
     this.#storeRecords = join(this.#root, 'store.records');
     const machines: Machine[] = [];
     this.#define('store', [
-      'myth',
-      'stand',
+      'rehearsal',
+      'stub',
       'store',
       '--listen',
       this.#store,
@@ -155,8 +155,8 @@
       this.#backs.set(id, { address, zone, records, service: '' });
       machines.push({ id, address, zone, service: '', leaving: false });
       this.#define(id, [
-        'myth',
-        'stand',
+        'rehearsal',
+        'stub',
         'runner',
         '--listen',
         address,
@@ -179,8 +179,8 @@
       this.#backs.set(id, { address, zone, records, service });
       machines.push({ id, address, zone, service, leaving: false });
       this.#define(id, [
-        'myth',
-        'stand',
+        'rehearsal',
+        'stub',
         'plain',
         '--listen',
         address,
@@ -189,8 +189,8 @@
       ]);
     }
     this.#define('platform', [
-      'myth',
-      'stand',
+      'rehearsal',
+      'stub',
       'platform',
       '--listen',
       this.#platform,
@@ -200,10 +200,10 @@
     for (let index = 0; index < deployment.controlNodes; index += 1) {
       const zone = deployment.zones[index % deployment.zones.length] ?? '';
       this.#controlNodes.push({
-        name: `control node-${index}`,
+        name: `mind-${index}`,
         listen: next(),
         api: next(),
-        data: join(this.#root, `control node-${index}.data`),
+        data: join(this.#root, `mind-${index}.data`),
         zone,
       });
     }
@@ -224,7 +224,7 @@
       this.#edges.push(edge);
       const reach = await this.#reach(edge.listen, seeds);
       this.#define(`link-${index}`, [
-        'link',
+        'agent',
         '--settings',
         this.#settings(`link-${index}`, {
           listen: edge.listen,
@@ -236,7 +236,7 @@
         }),
       ]);
       this.#define(`flow-${index}`, [
-        'flow',
+        'proxy',
         '--settings',
         this.#settings(`flow-${index}`, {
           listen: edge.flow,
@@ -263,7 +263,7 @@
   ): void {
     const { listen, api, zone, data } = controlNode;
     this.#define(controlNode.name, [
-      'mind',
+      'control',
       '--settings',
       this.#settings(controlNode.name, {
         listen,
@@ -281,7 +281,7 @@
   /** A core machine that is new: empty, at addresses of its own. */
   async addControlNode(zone: string): Promise<ControlPlace> {
     const [listen = '', api = ''] = await freeAddresses(2);
-    const name = `control node-${this.#controlNodes.length}`;
+    const name = `mind-${this.#controlNodes.length}`;
     const controlNode: ControlPlace = {
       name,
       listen,
--- a/src/rehearsal/FleetCommand.ts
+++ b/src/rehearsal/FleetCommand.ts
@@ -9,6 +9,8 @@
 import { Rehearsal } from './Rehearsal.js';
 
 export class FleetCommand extends Command {
+  static override aliases = ['myth:fleet'];
+  static override deprecateAliases = true;
   static override description =
     'start a whole deployment on loopback, send its traffic, and judge what was seen';
   static override args = {
--- a/src/rehearsal/MeasureCommand.ts
+++ b/src/rehearsal/MeasureCommand.ts
@@ -4,6 +4,8 @@
 import { measureCrowd, measureDraw, measureNews, measureRelay } from './Measures.js';
 
 export class MeasureCommand extends Command {
+  static override aliases = ['myth:measure'];
+  static override deprecateAliases = true;
   static override description = 'measure on virtual time, or as ratios within one run';
   static override args = {
     topic: Args.string({
--- a/src/rehearsal/ScaleCommand.ts
+++ b/src/rehearsal/ScaleCommand.ts
@@ -31,6 +31,8 @@
 };
 
 export class ScaleCommand extends Command {
+  static override aliases = ['myth:scale'];
+  static override deprecateAliases = true;
   static override description =
     'synthetic edges and runners beside real control nodes: what control costs by role, and how it grows';
   static override flags = {
--- a/src/rehearsal/ScalePart.ts
+++ b/src/rehearsal/ScalePart.ts
@@ -26,7 +26,16 @@
   constructor(program: string, kind: string, settings: string) {
     this.#child = fork(
       program,
-      ['myth', 'scale', '--part', kind, '--parent', String(process.pid), '--settings', settings],
+      [
+        'rehearsal',
+        'scale',
+        '--part',
+        kind,
+        '--parent',
+        String(process.pid),
+        '--settings',
+        settings,
+      ],
       {
         execArgv: [`--max-old-space-size=${HEAP_MB}`],
         stdio: ['ignore', 'inherit', 'inherit', 'ipc'],
--- a/src/rehearsal/ScaleRun.ts
+++ b/src/rehearsal/ScaleRun.ts
@@ -166,7 +166,7 @@
           me,
           zone: zoneName(index % shape.zones),
           seeds,
-          data: join(this.#data, `control node-${index}`),
+          data: join(this.#data, `mind-${index}`),
           runners,
         }),
       );
--- a/src/rehearsal/Simulation.test.ts
+++ b/src/rehearsal/Simulation.test.ts
@@ -35,7 +35,7 @@
       const fresh = names[index] ?? '';
       simulation.addControlNode(fresh, now);
       scheduler.runUntil(scheduler.now + 12_000);
-      const body = JSON.stringify({ id: `s${index}`, old: `control node-${index}:1`, new: fresh });
+      const body = JSON.stringify({ id: `s${index}`, old: `mind-${index}:1`, new: fresh });
       simulation.leader()?.command('swap', body, returned);
       scheduler.runUntil(scheduler.now + 20_000);
       // The newcomer's joining may cost the leader its epoch: unsure, it is asked for again under its id.
@@ -230,7 +230,7 @@
   }
 }
 test(
-  "two or three disks lost at once: nothing is founded by itself, and word found recovers the members' table",
+  "two or three disks lost at once: nothing is founded by itself, and force-new-cluster recovers the members' table",
   checkFound,
   600_000,
 );
--- a/src/rehearsal/StormCommand.ts
+++ b/src/rehearsal/StormCommand.ts
@@ -21,6 +21,8 @@
 }
 
 export class StormCommand extends Command {
+  static override aliases = ['myth:storm'];
+  static override deprecateAliases = true;
   static override description =
     'run the simulator over many seeds; a failing seed is printed and replays exactly';
   static override flags = {
--- a/src/rehearsal/StubCommand.ts
+++ b/src/rehearsal/StubCommand.ts
@@ -48,6 +48,8 @@
 }
 
 export class StubCommand extends Command {
+  static override aliases = ['myth:stand'];
+  static override deprecateAliases = true;
   static override description = 'run a stub for an outside system';
   static override args = {
     kind: Args.string({ required: true, options: ['runner', 'plain', 'platform', 'store'] }),
