--- a/src/dissemination/Exchange.test.ts
+++ b/src/dissemination/Exchange.test.ts
@@ -39,7 +39,7 @@
   }
   sendAll();
   const messages = await got;
-  expect(messages.map(kindOf)).toEqual(['news', 'demand', 'hang']);
+  expect(messages.map(kindOf)).toEqual(['update', 'demand', 'assignParent']);
   expect(messages[0]?.message.kind === 'update' && messages[0].message.body.length).toBe(3_000_000);
   server.send('client', { kind: 'assignParent', parent: 'p' });
   expect((await heard).message).toEqual({ kind: 'assignParent', parent: 'p' });
--- a/src/placement/Fleet.test.ts
+++ b/src/placement/Fleet.test.ts
@@ -71,7 +71,7 @@
   expect(relay.offerDelta('fleet', { epoch: 2, count: 4 }, 3, deltaOf(1, []))).toBe(false);
   relay.addChild('new');
   const sends = relay.flush();
-  expect(sends.map(kindOf)).toEqual(['old delta', 'new news']);
+  expect(sends.map(kindOf)).toEqual(['old delta', 'new update']);
   const whole = sends[1]?.message;
   expect(whole?.kind === 'update' && whole.body).toContain('"n"');
   expect(relay.flush()).toEqual([]);
