--- a/src/agent/AgentCommand.ts
+++ b/src/agent/AgentCommand.ts
@@ -21,7 +21,7 @@
   async run(): Promise<void> {
     const { flags } = await this.parse(AgentCommand);
     const settings = this.settle(TableAgentSettingsShape, flags);
-    const link = new TableAgentProcess(settings, makeLog('link', settings.listen));
+    const link = new TableAgentProcess(settings, makeLog('agent', settings.listen));
     const status = new StatusPort(link.counters.bind(link));
     async function start(): Promise<void> {
       await link.start();
--- a/src/control/ControlCommand.ts
+++ b/src/control/ControlCommand.ts
@@ -24,7 +24,7 @@
   async run(): Promise<void> {
     const { flags } = await this.parse(ControlCommand);
     const settings = this.settle(TableControlSettingsShape, flags);
-    const controlNode = new TableControlProcess(settings, makeLog('mind', settings.listen));
+    const controlNode = new TableControlProcess(settings, makeLog('control', settings.listen));
     await this.begin(controlNode.start.bind(controlNode));
     await untilStopped();
     await controlNode.stop();
--- a/src/proxy/ProxyCommand.ts
+++ b/src/proxy/ProxyCommand.ts
@@ -23,7 +23,7 @@
   async run(): Promise<void> {
     const { flags } = await this.parse(ProxyCommand);
     const settings = this.settle(TableProxySettingsShape, flags);
-    const flow = new TableProxyProcess(settings, makeLog('flow', settings.listen));
+    const flow = new TableProxyProcess(settings, makeLog('proxy', settings.listen));
     const status = new StatusPort(flow.counters.bind(flow));
     async function start(): Promise<void> {
       await flow.start();
