--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -29,15 +29,17 @@
   pong: type({ nonce: number(), epoch: number(), reports: array(Report), standing: string() }),
   propose: type({ epoch: number(), reports: array(Report) }),
   defer: type({ epoch: number(), reports: array(Report) }),
+  /** `sentAt` is the leader's own monotonic clock, in milliseconds; it means nothing to anybody else. */
   victory: type({
     epoch: number(),
     reports: array(Report),
     nonce: number(),
     quorum: array(string()),
+    sentAt: number(),
   }),
   granted: type({ epoch: number(), wait: number(), nonce: number(), reports: array(Report) }),
   behind: type({ epoch: number(), reports: array(Report) }),
-  renew: type({ epoch: number(), nonce: number(), quorum: array(string()) }),
+  renew: type({ epoch: number(), nonce: number(), quorum: array(string()), sentAt: number() }),
   renewed: type({ epoch: number(), nonce: number() }),
   read: type({ epoch: number(), nonce: number(), parts: array(string()) }),
   readReply: type({
@@ -79,7 +81,14 @@
   ack: type({ epoch: number(), count: number() }),
   acked: type({ members: array(Member) }),
   demand: type({ body: string() }),
-  command: type({ id: number(), verb: string(), body: string() }),
+  /** With the epoch that the sender follows and the last `sentAt` that it heard of that leader: a bound on the order's age. */
+  command: type({
+    id: number(),
+    verb: string(),
+    body: string(),
+    epoch: number(),
+    leaderTime: number(),
+  }),
   commandReply: type({ id: number(), status: number(), body: string() }),
   released: type({ epoch: number() }),
   /** A control node that is no voter, or hears of no leader, with the configuration it knows. */
--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -4,7 +4,7 @@
 import { ReplicatedState } from '../state/ReplicatedState.js';
 import { ReplicaStatus } from '../state/ReplicaStatus.js';
 import type { StoredPart } from '../state/Store.js';
-import { CodedError, ERROR_CODES, reasonOf, type ErrorCode } from '../common/CodedError.js';
+import { CodedError, reasonOf } from '../common/CodedError.js';
 import { nodeId, later, moment, type NodeId, type Moment, type PartName } from '../common/Ids.js';
 import { mustParseAs, parseAs } from '../common/Json.js';
 import type { MemberMessage, Message } from '../common/Messages.js';
@@ -42,19 +42,13 @@
 import { Elector } from '../election/Elector.js';
 import type { VoteRecord } from '../election/VoteEffect.js';
 import { VOTE_DEFAULTS, type VoteSettings } from '../election/VoteSettings.js';
-import {
-  ConfigDocShape,
-  ConfigNewsShape,
-  EditShapes,
-  firstDoc,
-  MAX_EDITS,
-  mayBeForgotten,
-  type ConfigDoc,
-} from './ConfigDoc.js';
+import { ConfigDocShape, ConfigNewsShape, firstDoc, type ConfigDoc } from './ConfigDoc.js';
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
-import { applyEdit, ConfigError, recordEdit, TableError } from './Edits.js';
 import { FleetManager } from './FleetManager.js';
 import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
+import { errorAnswer, type CommandAnswer } from './OrderAnswers.js';
+import { OperatorOrders, type Commit, type Origin } from './OperatorOrders.js';
+import { leaderTimeOf, OrderForwarding } from './OrderForwarding.js';
 import { isVotersWriting, VoterPlan, type Announced } from './VoterPlan.js';
 
 const VoteBodyShape = type({
@@ -64,22 +58,8 @@
   isFree: optional(boolean()),
 });
 
-/** Where a command came from, and so where its return goes: '' is this node's own API. */
-interface Origin {
-  readonly from: string;
-  readonly id: number;
-}
-
-interface WaitingEdit {
-  readonly origin: Origin;
-  readonly id: string;
-  readonly number: number;
-  readonly outcome: 'accepted' | 'closed';
-  /** Set once a synced majority holds it. */
-  committed:
-    | { readonly version: Version; readonly at: Moment; readonly members: ReadonlySet<string> }
-    | undefined;
-}
+/** What a quorum read that this node asked for itself is to prove. */
+type Confirmation = { readonly do: 'read'; readonly origin: Origin } | { readonly do: 'refusal' };
 
 interface Runner {
   report: RunnerReport | undefined;
@@ -96,13 +76,6 @@
   readonly wasUnsure: boolean;
 }
 
-interface Forwarded {
-  readonly origin: Origin;
-  readonly to: string;
-  readonly at: Moment;
-  readonly editId: string;
-}
-
 interface HeardMembers {
   readonly members: readonly MemberMessage[];
   readonly at: Moment;
@@ -110,9 +83,6 @@
 
 const EMPTY_CATALOG: Catalog = { limit: 0, models: [], adapters: [] };
 const ORDER_AGAIN_MS = 2000;
-const FORWARD_MS = 9000;
-/** A read may be asked again at once, so it is not waited for long. */
-const FORWARD_READ_MS = 1500;
 const PLAN_MS = 250;
 /** How long members are waited for when the table is recovered from them. */
 const RECOVER_MS = 2000;
@@ -168,15 +138,14 @@
       }
     | undefined;
 
+  /** The configuration as last written here, committed or not. */
   #doc: ConfigDoc;
-  #token = 0;
-  readonly #edits = new Map<number, WaitingEdit>();
-  readonly #reads = new Map<number, Origin>();
-  #readId = 0;
-  #forwardId: number;
-  /** Nodes whose line closed and from which nothing came since: what is sent there now is lost. */
-  readonly #closed = new Set<string>();
-  readonly #forwards = new Map<number, Forwarded>();
+  /** The newest configuration that is known to be on a majority; the same object as #doc where nothing else is written. */
+  #committedDoc: ConfigDoc;
+  readonly #orders: OperatorOrders;
+  readonly #forwarding: OrderForwarding;
+  readonly #confirmations = new Map<number, Confirmation>();
+  #confirmationId = 0;
 
   #machines: Machines = { revision: 0, machines: [] };
   #catalog: Catalog = EMPTY_CATALOG;
@@ -190,7 +159,7 @@
   /** Until then members may stand on no list of ours that were confirmed fresh through us before we started. */
   readonly #unknownUntil: Moment;
   #listAskedAt: Moment = NEVER;
-  readonly #orders = new Map<string, SentOrder>();
+  readonly #sentOrders = new Map<string, SentOrder>();
   readonly #keptIntents = new Set<string>();
   /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a tick earlier. */
   #isServing = false;
@@ -264,7 +233,27 @@
         flows: this.#flowCount.bind(this),
       });
     this.#confirmation = new FreshnessConfirmation(settings.incarnation);
-    this.#forwardId = settings.incarnation;
+    this.#committedDoc = this.#doc;
+    this.#orders = new OperatorOrders(
+      {
+        newest: this.#newestDoc.bind(this),
+        committed: this.#newestCommitted.bind(this),
+        write: this.#writeDoc.bind(this),
+        confirm: this.#confirmRefusal.bind(this),
+        answer: this.#answer.bind(this),
+        isInForce: this.#isInForce.bind(this),
+      },
+      settings.deployed?.dialect,
+    );
+    this.#forwarding = new OrderForwarding(
+      {
+        leader: this.#otherLeader.bind(this),
+        send: this.#send.bind(this),
+        answer: this.#answer.bind(this),
+      },
+      settings.incarnation,
+      now,
+    );
     if (name !== 'sound')
       this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
@@ -348,7 +337,7 @@
   }
 
   receive(now: Moment, from: string, message: Message, zone: string = ''): void {
-    this.#closed.delete(from);
+    this.#forwarding.heard(from);
     if (zone !== '' && this.#quorum.holds(nodeId(from))) this.#zones.set(from, zone);
     switch (message.kind) {
       case 'read':
@@ -436,13 +425,15 @@
         this.#receiveDemand(now, message.body);
         break;
       case 'command':
-        this.#command(now, { from, id: message.id }, message.verb, message.body);
+        this.#receiveCommand(now, from, message);
         break;
       case 'commandReply':
-        this.#receiveCommandReply(from, message);
+        this.#forwarding.answered(from, message);
         break;
       default:
         this.#elector.receive(now, nodeId(from), message);
+        if (message.kind === 'victory' || message.kind === 'renew')
+          this.#noteLeaderTime(from, message);
         break;
     }
     this.#collect(now);
@@ -450,14 +441,9 @@
 
   /** The line to a node closed. */
   gone(now: Moment, from: string): void {
-    this.#closed.add(from);
     this.#sessions.gone(from);
     this.#relay.removeChild(from);
-    for (const [id, forwarded] of this.#forwards) {
-      if (forwarded.to !== from) continue;
-      this.#forwards.delete(id);
-      this.#replyUnsure(forwarded.origin, forwarded.editId);
-    }
+    this.#forwarding.gone(from);
     this.#reassignParents();
     this.#collect(now);
   }
@@ -530,17 +516,17 @@
       this.#collect(now);
       return;
     }
-    const sent = this.#orders.get(intent);
+    const sent = this.#sentOrders.get(intent);
     if (outcome === 'taken') {
       this.#placer.orderTaken(now, intent);
-      this.#orders.set(intent, { sentAt: now, state: 'taken', wasUnsure: true });
+      this.#sentOrders.set(intent, { sentAt: now, state: 'taken', wasUnsure: true });
     } else if (outcome === 'turnedAway') {
       this.#placer.orderTurnedAway(intent);
     } else if (sent && sent.state !== 'taken') {
       // Never written, it is as if it had not been sent; one whose fate was open before stays open.
-      if (outcome === 'unsent' && !sent.wasUnsure) this.#orders.delete(intent);
+      if (outcome === 'unsent' && !sent.wasUnsure) this.#sentOrders.delete(intent);
       else
-        this.#orders.set(intent, {
+        this.#sentOrders.set(intent, {
           sentAt: outcome === 'unsent' ? NEVER : now,
           state: 'unsure',
           wasUnsure: true,
@@ -560,7 +546,7 @@
    */
   retire(now: Moment): boolean {
     this.#isRetiring = true;
-    for (const order of this.#orders.values()) if (order.state !== 'taken') return false;
+    for (const order of this.#sentOrders.values()) if (order.state !== 'taken') return false;
     if (this.#isServing && this.#fleetManager?.hasOpenOrders) return false;
     this.#elector.retire(now);
     this.#collect(now);
@@ -645,15 +631,19 @@
     this.#isServing = false;
     this.#recoverUntil = undefined;
     this.#parts.stub();
-    this.#orders.clear();
+    this.#sentOrders.clear();
     this.#keptIntents.clear();
     this.#placesText = '';
     this.#written.clear();
-    for (const edit of this.#edits.values()) this.#replyUnsure(edit.origin, edit.id);
-    this.#edits.clear();
-    for (const origin of this.#reads.values())
-      this.#replyError(origin, new CodedError('no-leader', 'the leader changed'));
-    this.#reads.clear();
+    this.#orders.abandon();
+    for (const confirmation of this.#confirmations.values()) {
+      if (confirmation.do === 'read')
+        this.#answer(
+          confirmation.origin,
+          errorAnswer(new CodedError('no-leader', 'the leader changed')),
+        );
+    }
+    this.#confirmations.clear();
   }
 
   // ---- standing
@@ -966,12 +956,8 @@
       marks = Math.max(marks, known.marks);
     }
     for (const ask of this.#confirmation.end(round.nonce)) {
-      const read = this.#reads.get(ask.nonce);
-      if (ask.child === '' && read) {
-        this.#reads.delete(ask.nonce);
-        this.#replyRead(read, version);
-      } else if (ask.child !== '')
-        this.#send(ask.child, { kind: 'freshnessReply', nonce: ask.nonce, ...version, marks });
+      if (ask.child === '') this.#endConfirmation(now, ask.nonce, version);
+      else this.#send(ask.child, { kind: 'freshnessReply', nonce: ask.nonce, ...version, marks });
     }
     this.#beginRound(now);
   }
@@ -1091,6 +1077,8 @@
       body === ''
         ? firstDoc(this.#settings.seeds)
         : mustParseAs(ConfigDocShape, body, 'the configuration part');
+    // It was rewritten by a majority in our epoch before we serve.
+    this.#committedDoc = this.#doc;
     // Only committed tables are ever told: one told here that no majority holds any more was lost with their disks.
     const told = parseAs(ConfigNewsShape, this.#relay.item('config')?.body ?? '');
     if (told && told.number > this.#doc.number) this.#isRecovering = true;
@@ -1173,16 +1161,12 @@
       return;
     }
     const doc = parseAs(ConfigDocShape, this.#committedBody(part, version));
-    if (doc) this.#publishConfig(version, doc);
-    this.#followVoters();
-    const ids = new Set<string>();
-    for (const member of [...members, ...this.#possibleMembers(now)]) ids.add(member.id);
-    for (const token of tokens) {
-      const edit = this.#edits.get(token);
-      if (edit) edit.committed = { version, at: now, members: ids };
+    if (doc) {
+      this.#publishConfig(version, doc);
+      this.#committedDoc = this.#parts.isWriting(part) ? doc : this.#doc;
     }
-    // Here the yes says that it is held for good; the machines have their own span to follow.
-    if (this.#fleetManager) this.#answerEdits(now);
+    this.#followVoters();
+    this.#orders.committed(now, version, tokens, [...members, ...this.#possibleMembers(now)]);
   }
 
   /** Bodies by version, from when they were written until they are committed. */
@@ -1201,175 +1185,134 @@
   #command(now: Moment, origin: Origin, verb: string, body: string): void {
     try {
       if (verb === 'status') {
-        this.#reply(origin, 200, JSON.stringify(this.#status(now)));
+        this.#answer(origin, { status: 200, body: JSON.stringify(this.#status(now)) });
         return;
       }
       if (verb === 'found') {
         this.#found(now, origin);
         return;
       }
+      this.#forwarding.checkAge(now, verb);
       if (this.#recoverUntil !== undefined)
         throw new CodedError('no-leader', 'the table is being recovered from the members');
       if (!this.#elector.isLeading() || !this.#isServing) {
-        this.#forward(now, origin, verb, body);
+        this.#forwarding.forward(now, origin, verb, body);
         return;
       }
-      if (verb === 'read') this.#read(origin);
-      else if (verb === 'live') this.#reply(origin, 200, JSON.stringify(this.#live(now)));
-      else if (verb === 'fleet') this.#reply(origin, 200, JSON.stringify(this.#fleet(now)));
-      else if (verb === 'edit')
-        this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask'));
-      else this.#edit(now, origin, verb, body);
+      if (verb === 'read') this.#confirm({ do: 'read', origin });
+      else if (verb === 'live')
+        this.#answer(origin, { status: 200, body: JSON.stringify(this.#live(now)) });
+      else if (verb === 'fleet')
+        this.#answer(origin, { status: 200, body: JSON.stringify(this.#fleet(now)) });
+      else this.#orders.submit(now, origin, verb, body);
     } catch (thrown) {
-      this.#replyError(
+      this.#answer(
         origin,
-        thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
+        errorAnswer(
+          thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
+        ),
       );
     }
   }
 
-  #forward(now: Moment, origin: Origin, verb: string, body: string): void {
-    const leader = this.#elector.leader;
-    // Passed on once at most: two nodes that take each other for leader must not play ball with it.
-    if (
-      leader === undefined ||
-      leader === this.#me ||
-      origin.from !== '' ||
-      this.#closed.has(leader)
-    )
-      throw new CodedError('no-leader', 'no leader is known; nothing was done');
-    this.#forwardId += 1;
-    const edit = parseAs(EditShapes.edit, body);
-    const isEdit = verb !== 'read' && verb !== 'fleet' && verb !== 'live';
-    this.#forwards.set(this.#forwardId, {
-      origin,
-      to: leader,
-      at: now,
-      editId: isEdit ? (edit?.id ?? '') : '',
-    });
-    this.#send(leader, { kind: 'command', id: this.#forwardId, verb, body });
+  #receiveCommand(now: Moment, from: string, message: Extract<Message, { kind: 'command' }>): void {
+    const origin = { from, id: message.id };
+    try {
+      this.#forwarding.checkForwarded(now, this.#ledEpoch, message);
+    } catch (thrown) {
+      this.#answer(
+        origin,
+        errorAnswer(
+          thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
+        ),
+      );
+      return;
+    }
+    this.#command(now, origin, message.verb, message.body);
   }
 
-  #receiveCommandReply(from: string, message: Extract<Message, { kind: 'commandReply' }>): void {
-    const forwarded = this.#forwards.get(message.id);
-    if (!forwarded || forwarded.to !== from) return;
-    this.#forwards.delete(message.id);
-    this.#reply(forwarded.origin, message.status, message.body);
+  #otherLeader(): string | undefined {
+    const { leader } = this.#elector;
+    return leader === this.#me ? undefined : leader;
   }
 
-  #edit(now: Moment, origin: Origin, verb: string, body: string): void {
-    const { id } = mustParseAs(EditShapes.edit, body, 'the edit');
-    const before = this.#doc.edits.find(hasId.bind(undefined, id));
-    if (before) {
-      // The same id again is the same edit: it is told what became of it, and done once.
-      if (before.outcome === 'closed')
-        throw new CodedError('base-lost', `edit ${id} was asked about before it came, and closed`);
-      this.#write(now, origin, id, this.#doc, 'accepted');
-      return;
-    }
-    const edited = verb === 'swap' ? { id, doc: this.#swap(body) } : this.#apply(verb, body, id);
-    this.#write(now, origin, edited.id, recordEdit(edited.doc, edited.id, 'accepted'), 'accepted');
+  /** A renewal tells the leader's clock; what is known of it bounds the age of the orders passed on. */
+  #noteLeaderTime(
+    from: string,
+    message: { readonly epoch: number; readonly sentAt: number },
+  ): void {
+    if (this.#elector.leader === from && this.#elector.epoch === message.epoch)
+      this.#forwarding.noteLeaderTime(leaderTimeOf(message));
   }
 
-  /** An edit that loses by its base may be one that was accepted long ago, sent once more. */
-  #apply(verb: string, body: string, id: string): ReturnType<typeof applyEdit> {
-    try {
-      return applyEdit(this.#doc, verb, body, this.#settings.deployed?.dialect);
-    } catch (thrown) {
-      const base = parseAs(EditShapes.edit, body)?.base;
-      if (
-        !(thrown instanceof CodedError) ||
-        thrown.kind !== 'base-lost' ||
-        !mayBeForgotten(this.#doc, base)
-      )
-        throw thrown;
-      throw new CodedError(
-        'unsure-edit',
-        `edit ${id} was made from table ${base ?? 0}, so long ago that whether it was accepted is no longer known`,
-      );
-    }
+  // ---- orders and reads by proof of a majority
+
+  #newestDoc(): ConfigDoc {
+    return this.#doc;
   }
 
-  #swap(body: string): ConfigDoc {
-    const edit = mustParseAs(EditShapes.swap, body, 'the swap');
-    const [current] = this.#doc.voters;
-    if (!current || this.#doc.voters.length !== 1)
-      throw new CodedError('base-lost', 'another swap is under way');
-    if (!current.includes(edit.old) || current.includes(edit.new))
-      throw new CodedError('malformed', `${edit.old} is no voter, or ${edit.new} is one`);
-    function exchange(voter: string): string {
-      return voter === edit.old ? edit.new : voter;
-    }
-    return { ...this.#doc, voters: [current, current.map(exchange)] };
+  #newestCommitted(): ConfigDoc {
+    return this.#committedDoc;
   }
 
-  #write(
-    now: Moment,
-    origin: Origin,
-    id: string,
-    doc: ConfigDoc,
-    outcome: 'accepted' | 'closed',
-  ): void {
-    this.#token += 1;
-    this.#edits.set(this.#token, { origin, id, number: doc.number, outcome, committed: undefined });
+  #writeDoc(now: Moment, doc: ConfigDoc, token: number): void {
     this.#doc = doc;
-    this.#writePart(now, CONFIG_PART, JSON.stringify(doc), this.#token);
+    this.#writePart(now, CONFIG_PART, JSON.stringify(doc), token);
   }
 
-  #writePart(now: Moment, part: PartName, body: string, token: number): void {
-    const count = this.#parts.write(now, part, body, token);
-    this.#written.set(part, [
-      ...(this.#written.get(part) ?? [])
-        .filter(isAfter.bind(undefined, count - 2))
-        .filter(isBelow.bind(undefined, count)),
-      { count, body },
-    ]);
+  #confirmRefusal(): number {
+    return this.#confirm({ do: 'refusal' });
   }
 
-  #askEdit(
-    now: Moment,
-    origin: Origin,
-    { id, base }: { readonly id: string; readonly base?: number | undefined },
-  ): void {
-    const known = this.#doc.edits.find(hasId.bind(undefined, id));
-    if (!known && mayBeForgotten(this.#doc, base))
-      throw new CodedError(
-        'unsure-edit',
-        `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`,
-      );
-    // Whether known or not, the word given must outlast us: it is written like an edit before it is told.
-    if (known) this.#write(now, origin, id, this.#doc, known.outcome);
-    else this.#write(now, origin, id, recordEdit(this.#doc, id, 'closed'), 'closed');
+  /** A quorum read that begins after this moment. */
+  #confirm(confirmation: Confirmation): number {
+    this.#confirmationId += 1;
+    this.#confirmations.set(this.#confirmationId, confirmation);
+    this.#confirmation.add({ child: '', nonce: this.#confirmationId, members: [] });
+    return this.#confirmationId;
   }
 
-  #read(origin: Origin): void {
-    this.#readId += 1;
-    this.#reads.set(this.#readId, origin);
-    this.#confirmation.add({ child: '', nonce: this.#readId, members: [] });
+  /** `newest` is the newest version that a majority holds, committed or not. */
+  #endConfirmation(now: Moment, id: number, newest: Version): void {
+    const confirmation = this.#confirmations.get(id);
+    if (!confirmation) return;
+    this.#confirmations.delete(id);
+    // Of our own epoch nobody but us commits anything: with nothing later around, what we know to be committed is the newest.
+    const isNewest = this.#isServing && newest.epoch <= this.#ledEpoch;
+    if (confirmation.do === 'refusal') this.#orders.confirmed(now, id, isNewest);
+    else this.#answerRead(confirmation.origin, newest, isNewest);
   }
 
-  #replyRead(origin: Origin, newest: Version): void {
+  #answerRead(origin: Origin, newest: Version, isNewest: boolean): void {
     const item = this.#relay.item('config');
-    if (!this.#isServing || !item || isNewer(newest, item.version)) {
-      this.#replyError(
+    const isOurs = isNewest && item?.version.epoch === this.#ledEpoch;
+    if (!this.#isServing || !item || (!isOurs && isNewer(newest, item.version))) {
+      this.#answer(
         origin,
-        new CodedError('no-leader', 'a newer configuration is being written; ask again'),
+        errorAnswer(
+          new CodedError('no-leader', 'a newer configuration is being written; ask again'),
+        ),
       );
       return;
     }
-    this.#reply(origin, 200, item.body);
+    this.#answer(origin, { status: 200, body: item.body });
+  }
+
+  #writePart(now: Moment, part: PartName, body: string, token: number): void {
+    const count = this.#parts.write(now, part, body, token);
+    this.#written.set(part, [
+      ...(this.#written.get(part) ?? [])
+        .filter(isAfter.bind(undefined, count - 2))
+        .filter(isBelow.bind(undefined, count)),
+      { count, body },
+    ]);
   }
 
   #tickCommands(now: Moment): void {
     if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#isServing)
       this.#endRecovery(now);
-    for (const [id, forwarded] of this.#forwards) {
-      if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS))
-        continue;
-      this.#forwards.delete(id);
-      this.#replyUnsure(forwarded.origin, forwarded.editId);
-    }
-    this.#answerEdits(now);
+    this.#forwarding.tick(now);
+    this.#orders.tick(now);
     // A spare that is to vote is taken in once it holds everything; then the old set is let go.
     if (
       !this.#fleetManager &&
@@ -1388,29 +1331,14 @@
     }
   }
 
-  #answerEdits(now: Moment): void {
-    for (const [token, edit] of this.#edits) {
-      const committed = edit.committed;
-      if (!committed) continue;
-      // Whoever has not acked by then has not been confirmed fresh since before the write was held: it is blind.
-      const isSurelyBlind =
-        this.#fleetManager !== undefined ||
-        now >= later(committed.at, this.#settings.blindMs + BLIND_SLACK_MS);
-      if (!isSurelyBlind && !this.#hasAllAcked(committed.members, committed.version)) continue;
-      this.#edits.delete(token);
-      if (edit.outcome === 'accepted')
-        this.#reply(
-          edit.origin,
-          200,
-          JSON.stringify({
-            outcome: 'accepted',
-            id: edit.id,
-            number: edit.number,
-            version: versionText(committed.version),
-          }),
-        );
-      else this.#reply(edit.origin, 200, JSON.stringify({ outcome: 'turned-away', id: edit.id }));
-    }
+  #isInForce(now: Moment, commit: Commit): boolean {
+    // In a deployment the yes says that it is held for good; the machines have their own span to follow.
+    if (this.#fleetManager !== undefined) return true;
+    // Whoever has not acked by then has not been confirmed fresh since before the write was held: it is blind.
+    return (
+      now >= later(commit.at, this.#settings.blindMs + BLIND_SLACK_MS) ||
+      this.#hasAllAcked(commit.members, commit.version)
+    );
   }
 
   #hasAllAcked(members: ReadonlySet<string>, version: Version): boolean {
@@ -1421,54 +1349,24 @@
 
   #found(now: Moment, origin: Origin): void {
     if (this.#replicaStatus.name === 'sound') {
-      this.#reply(origin, 200, JSON.stringify({ outcome: 'already', standing: 'sound' }));
+      this.#answer(origin, {
+        status: 200,
+        body: JSON.stringify({ outcome: 'already', standing: 'sound' }),
+      });
       return;
     }
     this.#replicaStatus.force();
     this.#isRecovering = true;
     this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
-    this.#reply(
-      origin,
-      200,
-      JSON.stringify({ outcome: 'forced', standing: this.#replicaStatus.name }),
-    );
-  }
-
-  #reply(origin: Origin, status: number, body: string): void {
-    if (origin.from === '') this.#effects.push({ do: 'reply', id: origin.id, status, body });
-    else this.#send(origin.from, { kind: 'commandReply', id: origin.id, status, body });
-  }
-
-  #replyError(origin: Origin, defect: CodedError): void {
-    const faults =
-      defect instanceof TableError || defect instanceof ConfigError
-        ? { faults: defect.faults }
-        : {};
-    this.#reply(
-      origin,
-      defect.row.status,
-      JSON.stringify({
-        outcome: defect.row.unsure ? 'unsure' : 'turned-away',
-        defect: defect.kind,
-        text: defect.message,
-        ...faults,
-      }),
-    );
+    this.#answer(origin, {
+      status: 200,
+      body: JSON.stringify({ outcome: 'forced', standing: this.#replicaStatus.name }),
+    });
   }
 
-  #replyUnsure(origin: Origin, id: string): void {
-    const kind: ErrorCode = id === '' ? 'no-leader' : 'unsure-edit';
-    this.#reply(
-      origin,
-      ERROR_CODES[kind].status,
-      JSON.stringify({
-        outcome: id === '' ? 'turned-away' : 'unsure',
-        defect: kind,
-        id,
-        text:
-          id === '' ? 'the leader was lost' : `the leader was lost; ask what became of edit ${id}`,
-      }),
-    );
+  #answer(origin: Origin, answer: CommandAnswer): void {
+    if (origin.from === '') this.#effects.push({ do: 'reply', id: origin.id, ...answer });
+    else this.#send(origin.from, { kind: 'commandReply', id: origin.id, ...answer });
   }
 
   // ---- the outside: platform, weight store, runners
@@ -1555,7 +1453,7 @@
   readonly #isSentOrder = this.#hasSent.bind(this);
 
   #hasSent(intent: string): boolean {
-    return this.#orders.has(intent);
+    return this.#sentOrders.has(intent);
   }
 
   #orderIntents(now: Moment, input: PlanInput): void {
@@ -1565,7 +1463,7 @@
     for (const doc of this.#placer.docs()) {
       for (const intent of doc.intents) {
         open.add(intent.id);
-        const sent = this.#orders.get(intent.id);
+        const sent = this.#sentOrders.get(intent.id);
         // Only what is kept is ordered, and what was taken is never ordered twice.
         if (!this.#keptIntents.has(intent.id) || sent?.state === 'taken') continue;
         if (sent && now < later(sent.sentAt, ORDER_AGAIN_MS)) continue;
@@ -1581,7 +1479,7 @@
         }
         // Until the weight store has told us its limit, we do not know how much may be fetched.
         if (intent.verb === 'load' && this.#catalogEpoch !== this.#ledEpoch) continue;
-        this.#orders.set(intent.id, {
+        this.#sentOrders.set(intent.id, {
           sentAt: now,
           state: 'sent',
           wasUnsure: sent?.wasUnsure ?? false,
@@ -1590,7 +1488,7 @@
         this.#effects.push({ do: 'order', intent, address: view.machine.address });
       }
     }
-    for (const id of this.#orders.keys()) if (!open.has(id)) this.#orders.delete(id);
+    for (const id of this.#sentOrders.keys()) if (!open.has(id)) this.#sentOrders.delete(id);
     for (const id of this.#keptIntents) if (!open.has(id)) this.#keptIntents.delete(id);
   }
 
@@ -1712,9 +1610,6 @@
 function isOther(me: string, id: string): boolean {
   return id !== me;
 }
-function hasId(id: string, edit: { readonly id: string }): boolean {
-  return edit.id === id;
-}
 function hasCount(count: number, item: { readonly count: number }): boolean {
   return item.count === count;
 }
--- /dev/null
+++ b/src/control/OperatorOrders.test.ts
@@ -0,0 +1,206 @@
+import { expect, test } from 'vitest';
+import {
+  ControlCluster,
+  documentOf,
+  editOf,
+  foundedCluster,
+  SEEDS,
+} from './testing/ControlCluster.js';
+
+/** The outcome that a body names; empty where there is no answer. */
+function defectOf(body: string): string {
+  return body === '' ? '' : String(JSON.parse(body).defect ?? '');
+}
+
+function routingOf(cluster: ControlCluster): number {
+  return JSON.parse(cluster.asked(cluster.leader(), 'read', {}).body).routing?.version ?? 0;
+}
+
+function evacuatedOf(cluster: ControlCluster): readonly string[] {
+  return JSON.parse(cluster.asked(cluster.leader(), 'read', {}).body).emptied;
+}
+
+function zoneOrder(id: string, empty: boolean): object {
+  return { id, zone: 'north', empty };
+}
+
+function checkThawedLeader(): void {
+  const cluster = foundedCluster();
+  const former = cluster.leader();
+  cluster.freeze(former);
+  cluster.run(6000);
+  const leader = cluster.leader();
+  expect(leader).not.toBe('');
+  expect(cluster.asked(leader, 'configure', editOf('e1', 0, documentOf(7, 'x'))).status).toBe(200);
+  expect(cluster.asked(leader, 'configure', editOf('e2', 7, documentOf(8, 'y'))).status).toBe(200);
+  // Its answer was lost, and the same order goes to the former leader, which has not ticked since it was thawed.
+  cluster.thaw(former);
+  const again = cluster.ask(former, 'configure', editOf('e2', 7, documentOf(8, 'y')));
+  cluster.run(1000);
+  expect([200, 503, 504]).toContain(cluster.answer(former, again).status);
+  // Once it follows, it passes the order on, and the order is acknowledged again.
+  cluster.run(3000);
+  expect(cluster.asked(former, 'configure', editOf('e2', 7, documentOf(8, 'y'))).status).toBe(200);
+}
+
+function checkCutLeader(): void {
+  const cluster = foundedCluster();
+  const former = cluster.leader();
+  cluster.cut(former);
+  const first = cluster.ask(former, 'configure', editOf('e1', 0, documentOf(7, 'x')));
+  const second = cluster.ask(former, 'configure', editOf('e2', 0, documentOf(8, 'y')));
+  cluster.run(6000);
+  cluster.heal(former, 'lost');
+  cluster.run(4000);
+  expect(routingOf(cluster)).toBe(0);
+  expect(defectOf(cluster.answer(former, first).body)).toBe('unsure-edit');
+  expect(cluster.answer(former, second).status).toBe(503);
+}
+
+function checkFormerLeaderKnowsNoBetter(): void {
+  const cluster = foundedCluster();
+  const former = cluster.leader();
+  expect(cluster.asked(former, 'configure', editOf('e1', 0, documentOf(7, 'x'))).status).toBe(200);
+  cluster.cut(former);
+  // An order that is wrong by all that a cut-off leader knows is not refused by it: others may know better.
+  const asked = cluster.ask(former, 'amend', editOf('e2', 3, documentOf(9, 'y')));
+  cluster.run(6000);
+  expect(cluster.answer(former, asked).status).toBe(503);
+}
+
+function checkRefusalRestsOnCommitted(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  for (const id of SEEDS) if (id !== leader) cluster.node(id).disk = 'stalled';
+  const first = cluster.ask(leader, 'configure', editOf('e1', 0, documentOf(7, 'x')));
+  const second = cluster.ask(leader, 'configure', editOf('e2', 0, documentOf(8, 'y')));
+  cluster.run(400);
+  // The winner is on one disk alone, so that nobody has lost to it yet.
+  expect(cluster.answer(leader, second).status).toBe(0);
+  cluster.node(cluster.follower()).disk = 'sound';
+  cluster.run(600);
+  expect([cluster.answer(leader, first).status, cluster.answer(leader, second).status]).toEqual([
+    200, 409,
+  ]);
+}
+
+function checkLateZoneCopyAtLeader(): void {
+  const cluster = foundedCluster();
+  const former = cluster.leader();
+  cluster.freeze(former);
+  const late = cluster.ask(former, 'zone', zoneOrder('z1', true));
+  cluster.run(6000);
+  const leader = cluster.leader();
+  expect(cluster.asked(leader, 'zone', zoneOrder('z2', true)).status).toBe(200);
+  expect(cluster.asked(leader, 'zone', zoneOrder('z3', false)).status).toBe(200);
+  cluster.thaw(former);
+  cluster.run(4000);
+  expect(cluster.answer(former, late).status).toBe(503);
+  expect(evacuatedOf(cluster)).toEqual([]);
+}
+
+function checkLateZoneCopyAtFollower(): void {
+  const cluster = foundedCluster();
+  const follower = cluster.follower();
+  cluster.freeze(follower);
+  const late = cluster.ask(follower, 'zone', zoneOrder('z1', true));
+  cluster.run(1500);
+  expect(cluster.asked(cluster.leader(), 'zone', zoneOrder('z2', true)).status).toBe(200);
+  expect(cluster.asked(cluster.leader(), 'zone', zoneOrder('z3', false)).status).toBe(200);
+  // All that the leader said meanwhile is heard first; the order is as old as the freeze all the same.
+  cluster.thaw(follower);
+  cluster.run(2000);
+  expect(cluster.answer(follower, late).status).toBe(503);
+  expect(evacuatedOf(cluster)).toEqual([]);
+}
+
+function checkLateForwardedZone(): void {
+  const cluster = foundedCluster();
+  const follower = cluster.follower();
+  cluster.cut(follower);
+  cluster.ask(follower, 'zone', zoneOrder('z1', true));
+  cluster.run(1400);
+  expect(cluster.asked(cluster.leader(), 'zone', zoneOrder('z2', true)).status).toBe(200);
+  expect(cluster.asked(cluster.leader(), 'zone', zoneOrder('z3', false)).status).toBe(200);
+  // The line between them held the forwarded copy and delivers it now.
+  cluster.heal(follower);
+  cluster.run(2000);
+  expect(evacuatedOf(cluster)).toEqual([]);
+}
+
+function checkForwardToFormerLeader(): void {
+  const cluster = foundedCluster();
+  const former = cluster.leader();
+  const follower = cluster.follower();
+  cluster.freeze(former);
+  const asked = cluster.ask(follower, 'zone', zoneOrder('z1', true));
+  cluster.run(6000);
+  cluster.thaw(former);
+  cluster.run(4000);
+  expect([503, 504]).toContain(cluster.answer(follower, asked).status);
+  expect(evacuatedOf(cluster)).toEqual([]);
+}
+
+function checkReadWhileWriting(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  expect(cluster.asked(leader, 'configure', editOf('e1', 0, documentOf(7, 'x'))).status).toBe(200);
+  for (const id of SEEDS) if (id !== leader) cluster.node(id).disk = 'stalled';
+  cluster.ask(leader, 'configure', editOf('e2', 7, documentOf(8, 'y')));
+  // What is not committed is not read; what is committed is, since only this leader could have committed more.
+  const read = cluster.asked(leader, 'read', {});
+  expect(read.status).toBe(200);
+  expect(JSON.parse(read.body).routing.version).toBe(7);
+}
+
+function checkManyResends(): void {
+  const cluster = foundedCluster();
+  let base = 0;
+  const orders: { readonly order: object; readonly id: string }[] = [];
+  for (let version = 1; version <= 8; version += 1) {
+    const id = `e${version}`;
+    const order = editOf(id, base, documentOf(version, id));
+    orders.push({ order, id });
+    expect(cluster.asked(cluster.follower(), 'configure', order, 200).status).toBe(200);
+    base = version;
+  }
+  // Every order that was taken is acknowledged again, at whatever node, however many came since.
+  const asked = orders.reverse().map(askAnywhere);
+  cluster.run(1000);
+  for (const { node, number } of asked) expect(cluster.answer(node, number).status).toBe(200);
+  expect(routingOf(cluster)).toBe(8);
+
+  function askAnywhere(
+    { order }: { readonly order: object },
+    index: number,
+  ): { readonly node: string; readonly number: number } {
+    const node = SEEDS[index % SEEDS.length] ?? '';
+    return { node, number: cluster.ask(node, 'configure', order) };
+  }
+}
+
+test('a thawed leader never refuses what its successor took', checkThawedLeader);
+test('on a leader cut off nobody loses to a winner that never was', checkCutLeader);
+test(
+  'a leader cut off refuses nothing, however wrong it looks to it',
+  checkFormerLeaderKnowsNoBetter,
+);
+test(
+  'a loser is refused once the winner is on a majority, and not before',
+  checkRefusalRestsOnCommitted,
+);
+test('a late copy of an evacuation at a thawed leader empties nothing', checkLateZoneCopyAtLeader);
+test(
+  'a late copy of an evacuation at a thawed follower empties nothing',
+  checkLateZoneCopyAtFollower,
+);
+test(
+  'a late copy of an evacuation on the line between nodes empties nothing',
+  checkLateForwardedZone,
+);
+test(
+  'an evacuation forwarded to a leader that is deposed meanwhile is not carried out',
+  checkForwardToFormerLeader,
+);
+test('a read during a write gives what is committed', checkReadWhileWriting);
+test('orders sent again out of order are acknowledged again', checkManyResends);
--- /dev/null
+++ b/src/control/OperatorOrders.ts
@@ -0,0 +1,301 @@
+import { CodedError, reasonOf } from '../common/CodedError.js';
+import { later, type Moment } from '../common/Ids.js';
+import { mustParseAs, parseAs } from '../common/Json.js';
+import type { MemberMessage } from '../common/Messages.js';
+import type { Version } from '../common/Version.js';
+import type { ConfigDialect } from '../route/Routing.js';
+import { EditShapes, MAX_EDITS, mayBeForgotten, type ConfigDoc } from './ConfigDoc.js';
+import { applyEdit, recordEdit } from './Edits.js';
+import {
+  acceptedAnswer,
+  closedAnswer,
+  errorAnswer,
+  leaderLostAnswer,
+  type CommandAnswer,
+} from './OrderAnswers.js';
+
+/** Where a command came from, and so where its answer goes: `from` is empty for this node's own API. */
+export interface Origin {
+  readonly from: string;
+  readonly id: number;
+}
+
+/** What the orders of operators need of the control node that leads. */
+export interface OrderHost {
+  /** The configuration as last written here, committed or not. */
+  newest(): ConfigDoc;
+  /** The newest configuration that this leader knows to be on a majority of the voters. */
+  committed(): ConfigDoc;
+  /** Writes a configuration; `token` comes back with its commit. */
+  write(now: Moment, doc: ConfigDoc, token: number): void;
+  /** Asks for a quorum read that begins after this call; its end is told by `confirmed` with the same id. */
+  confirm(): number;
+  answer(origin: Origin, answer: CommandAnswer): void;
+  /** Whether every member that may still work by an older configuration has acknowledged this one, or has surely gone blind. */
+  isInForce(now: Moment, commit: Commit): boolean;
+}
+
+/** A write that is on a majority, and the members that had to hear of it. */
+export interface Commit {
+  readonly version: Version;
+  readonly at: Moment;
+  readonly members: ReadonlySet<string>;
+}
+
+interface WrittenOrder {
+  readonly origin: Origin;
+  readonly id: string;
+  readonly number: number;
+  readonly outcome: 'accepted' | 'closed';
+  commit: Commit | undefined;
+}
+
+/** An order that looks wrong by what this node holds; nothing is said of it before that is proved to be the newest. */
+interface UnprovedRefusal {
+  readonly origin: Origin;
+  readonly verb: string;
+  readonly body: string;
+  readonly arrivedAt: Moment;
+}
+
+/** How long proof is waited for; callers have moved on to another node by then. */
+const PROOF_MS = 3000;
+
+/**
+ * The orders of operators at the leader: each is written and acknowledged once it is on a majority, or refused.
+ *
+ * A refusal needs as much proof as an acknowledgement. What this node holds may be stale (cut off, or just thawed, while
+ * a successor took the very order) or not committed (a loser would be refused for a winner that never was). A refusal
+ * therefore rests on a committed configuration, confirmed by a quorum read that began after the order had come.
+ */
+export class OperatorOrders {
+  readonly #host: OrderHost;
+  readonly #dialect: ConfigDialect | undefined;
+  readonly #written = new Map<number, WrittenOrder>();
+  /** By the id of the quorum read that is to prove them. */
+  readonly #unproved = new Map<number, UnprovedRefusal>();
+  /** Refused by what is written here but not committed: judged again after the commit. */
+  #awaitingCommit: UnprovedRefusal[] = [];
+  #token = 0;
+
+  constructor(host: OrderHost, dialect: ConfigDialect | undefined) {
+    this.#host = host;
+    this.#dialect = dialect;
+  }
+
+  submit(now: Moment, origin: Origin, verb: string, body: string): void {
+    try {
+      if (verb === 'edit')
+        this.#askOutcome(now, origin, mustParseAs(EditShapes.edit, body, 'the ask'));
+      else this.#take(now, origin, verb, body);
+    } catch (thrown) {
+      const error = errorOf(thrown);
+      // What is already unsure, or does not depend on what we hold, needs no proof.
+      if (error.row.unsure || error.kind === 'malformed')
+        this.#host.answer(origin, errorAnswer(error));
+      else this.#prove({ origin, verb, body, arrivedAt: now });
+    }
+  }
+
+  /** The quorum read with this id ended; `isNewest` says that no later leader has written anything. */
+  confirmed(now: Moment, id: number, isNewest: boolean): void {
+    const refusal = this.#unproved.get(id);
+    if (!refusal) return;
+    this.#unproved.delete(id);
+    if (isNewest) this.#judge(now, refusal);
+    else
+      this.#host.answer(
+        refusal.origin,
+        errorAnswer(
+          new CodedError('no-leader', 'another leader has written since; nothing was done'),
+        ),
+      );
+  }
+
+  committed(
+    now: Moment,
+    version: Version,
+    tokens: readonly number[],
+    members: readonly MemberMessage[],
+  ): void {
+    const ids = new Set<string>();
+    for (const member of members) ids.add(member.id);
+    for (const token of tokens) {
+      const order = this.#written.get(token);
+      if (order) order.commit = { version, at: now, members: ids };
+    }
+    this.#acknowledge(now);
+    const refusals = this.#awaitingCommit;
+    this.#awaitingCommit = [];
+    for (const { origin, verb, body, arrivedAt } of refusals)
+      this.#retry(now, { origin, verb, body, arrivedAt });
+  }
+
+  tick(now: Moment): void {
+    this.#acknowledge(now);
+    for (const [id, refusal] of this.#unproved) {
+      if (now < later(refusal.arrivedAt, PROOF_MS)) continue;
+      this.#unproved.delete(id);
+      this.#leaveUnclear(refusal);
+    }
+  }
+
+  /** This node leads no longer: whether its writes hold is for the next leader to find. */
+  abandon(): void {
+    for (const order of this.#written.values())
+      this.#host.answer(order.origin, leaderLostAnswer(order.id));
+    this.#written.clear();
+    for (const refusal of [...this.#unproved.values(), ...this.#awaitingCommit])
+      this.#leaveUnclear(refusal);
+    this.#unproved.clear();
+    this.#awaitingCommit = [];
+  }
+
+  #leaveUnclear(refusal: UnprovedRefusal): void {
+    this.#host.answer(
+      refusal.origin,
+      errorAnswer(new CodedError('no-leader', 'no majority was reached; nothing was done')),
+    );
+  }
+
+  #prove(refusal: UnprovedRefusal): void {
+    this.#unproved.set(this.#host.confirm(), refusal);
+  }
+
+  #retry(now: Moment, refusal: UnprovedRefusal): void {
+    if (now >= later(refusal.arrivedAt, PROOF_MS)) this.#leaveUnclear(refusal);
+    else this.#prove(refusal);
+  }
+
+  /** The committed configuration is proved to be the newest: the order is judged anew by it. */
+  #judge(now: Moment, refusal: UnprovedRefusal): void {
+    const { origin, verb, body } = refusal;
+    try {
+      this.#take(now, origin, verb, body);
+    } catch (thrown) {
+      const error = errorOf(thrown);
+      // By what is written but not committed it may only lose once that holds.
+      if (error.row.unsure || !this.#isAcceptable(verb, body))
+        this.#host.answer(origin, errorAnswer(error));
+      else this.#awaitingCommit.push(refusal);
+    }
+  }
+
+  /** Whether the order could still be taken, by what is committed. */
+  #isAcceptable(verb: string, body: string): boolean {
+    const { newest, committed } = {
+      newest: this.#host.newest(),
+      committed: this.#host.committed(),
+    };
+    if (newest === committed) return false;
+    try {
+      this.#apply(committed, verb, body);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  #take(now: Moment, origin: Origin, verb: string, body: string): void {
+    const doc = this.#host.newest();
+    const { id } = mustParseAs(EditShapes.edit, body, 'the edit');
+    const before = doc.edits.find(hasId.bind(undefined, id));
+    if (before) {
+      // The same id again is the same edit: it is told what became of it, and done once.
+      if (before.outcome === 'closed')
+        throw new CodedError('base-lost', `edit ${id} was asked about before it came, and closed`);
+      this.#write(now, origin, id, doc, 'accepted');
+      return;
+    }
+    const edited = this.#apply(doc, verb, body);
+    this.#write(now, origin, edited.id, recordEdit(edited.doc, edited.id, 'accepted'), 'accepted');
+  }
+
+  /** An edit that loses by its base may be one that was accepted long ago, sent once more. */
+  #apply(
+    doc: ConfigDoc,
+    verb: string,
+    body: string,
+  ): { readonly id: string; readonly doc: ConfigDoc } {
+    try {
+      return verb === 'swap' ? swapVoter(doc, body) : applyEdit(doc, verb, body, this.#dialect);
+    } catch (thrown) {
+      const edit = parseAs(EditShapes.edit, body);
+      if (
+        !(thrown instanceof CodedError) ||
+        thrown.kind !== 'base-lost' ||
+        !mayBeForgotten(doc, edit?.base)
+      )
+        throw thrown;
+      throw new CodedError(
+        'unsure-edit',
+        `edit ${edit?.id ?? ''} was made from table ${edit?.base ?? 0}, so long ago that whether it was accepted is no longer known`,
+      );
+    }
+  }
+
+  #askOutcome(
+    now: Moment,
+    origin: Origin,
+    { id, base }: { readonly id: string; readonly base?: number | undefined },
+  ): void {
+    const doc = this.#host.newest();
+    const known = doc.edits.find(hasId.bind(undefined, id));
+    if (!known && mayBeForgotten(doc, base))
+      throw new CodedError(
+        'unsure-edit',
+        `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`,
+      );
+    // Whether known or not, the word given must outlast us: it is written like an edit before it is told.
+    if (known) this.#write(now, origin, id, doc, known.outcome);
+    else this.#write(now, origin, id, recordEdit(doc, id, 'closed'), 'closed');
+  }
+
+  #write(
+    now: Moment,
+    origin: Origin,
+    id: string,
+    doc: ConfigDoc,
+    outcome: 'accepted' | 'closed',
+  ): void {
+    this.#token += 1;
+    this.#written.set(this.#token, { origin, id, number: doc.number, outcome, commit: undefined });
+    this.#host.write(now, doc, this.#token);
+  }
+
+  #acknowledge(now: Moment): void {
+    for (const [token, order] of this.#written) {
+      const { commit } = order;
+      if (!commit || !this.#host.isInForce(now, commit)) continue;
+      this.#written.delete(token);
+      this.#host.answer(
+        order.origin,
+        order.outcome === 'accepted'
+          ? acceptedAnswer(order.id, order.number, commit.version)
+          : closedAnswer(order.id),
+      );
+    }
+  }
+}
+
+function errorOf(thrown: unknown): CodedError {
+  return thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown));
+}
+
+function hasId(id: string, edit: { readonly id: string }): boolean {
+  return edit.id === id;
+}
+
+/** The exchange of one voter, as two sets that decide together until the new one holds everything. */
+function swapVoter(doc: ConfigDoc, body: string): { readonly id: string; readonly doc: ConfigDoc } {
+  const edit = mustParseAs(EditShapes.swap, body, 'the swap');
+  const [current] = doc.voters;
+  if (!current || doc.voters.length !== 1)
+    throw new CodedError('base-lost', 'another swap is under way');
+  if (!current.includes(edit.old) || current.includes(edit.new))
+    throw new CodedError('malformed', `${edit.old} is no voter, or ${edit.new} is one`);
+  function exchange(voter: string): string {
+    return voter === edit.old ? edit.new : voter;
+  }
+  return { id: edit.id, doc: { ...doc, voters: [current, current.map(exchange)] } };
+}
--- /dev/null
+++ b/src/control/OrderAnswers.ts
@@ -0,0 +1,45 @@
+import { CodedError, ERROR_CODES, type ErrorCode } from '../common/CodedError.js';
+import { versionText, type Version } from '../common/Version.js';
+import { ConfigError, TableError } from './Edits.js';
+
+/** An answer to an operator's command: an HTTP status and a JSON body. */
+export interface CommandAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** The order is on a majority of the voters, as configuration `number`. */
+export function acceptedAnswer(id: string, number: number, version: Version): CommandAnswer {
+  return {
+    status: 200,
+    body: JSON.stringify({ outcome: 'accepted', id, number, version: versionText(version) }),
+  };
+}
+
+/** The order was never taken, and never will be. */
+export function closedAnswer(id: string): CommandAnswer {
+  return { status: 200, body: JSON.stringify({ outcome: 'turned-away', id }) };
+}
+
+/** A refusal, or an outcome that cannot be told, by the kind of the error. */
+export function errorAnswer(error: CodedError): CommandAnswer {
+  const faults =
+    error instanceof TableError || error instanceof ConfigError ? { faults: error.faults } : {};
+  const outcome = error.row.unsure ? 'unsure' : 'turned-away';
+  return {
+    status: error.row.status,
+    body: JSON.stringify({ outcome, defect: error.kind, text: error.message, ...faults }),
+  };
+}
+
+/** The leader was lost: of an order with an id nobody here can tell what became of it, anything else was not done. */
+export function leaderLostAnswer(id: string): CommandAnswer {
+  const kind: ErrorCode = id === '' ? 'no-leader' : 'unsure-edit';
+  const outcome = id === '' ? 'turned-away' : 'unsure';
+  const text =
+    id === '' ? 'the leader was lost' : `the leader was lost; ask what became of edit ${id}`;
+  return {
+    status: ERROR_CODES[kind].status,
+    body: JSON.stringify({ outcome, defect: kind, id, text }),
+  };
+}
--- a/src/control/Voters.test.ts
+++ b/src/control/Voters.test.ts
@@ -1,229 +1,15 @@
 import { expect, test } from 'vitest';
-import { MemoryStore } from '../state/MemoryStore.js';
-import { moment, type Moment } from '../common/Ids.js';
-import type { Message } from '../common/Messages.js';
-import type { Fleet } from '../placement/Fleet.js';
-import type { Intent } from '../placement/Shapes.js';
-import type { Routing } from '../route/Routing.js';
-import { ControlCore } from './ControlCore.js';
-import { CONTROL_DEFAULTS, type FleetPlanner } from './ControlEffect.js';
+import {
+  ControlCluster,
+  documentOf as document,
+  editOf as edit,
+  foundedCluster as founded,
+  SEEDS,
+} from './testing/ControlCluster.js';
 
-/** Plans nothing: what is tried here is the configuration and who votes on it. */
-class IdlePlanner implements FleetPlanner {
-  restore(): void {
-    /* nothing kept */
-  }
-  docs(): readonly [] {
-    return [];
-  }
-  demand(): void {
-    /* not told */
-  }
-  list(): void {
-    /* not told */
-  }
-  status(): void {
-    /* not told */
-  }
-  asks(): readonly string[] {
-    return [];
-  }
-  plan(): readonly string[] {
-    return [];
-  }
-  orders(): readonly Intent[] {
-    return [];
-  }
-  kept(): void {
-    /* nothing kept */
-  }
-  ordered(): void {
-    /* nothing ordered */
-  }
-  fleet(): Fleet {
-    return { flows: 1, runners: [], waits: [] };
-  }
-  nextAt(): Moment | undefined {
-    return undefined;
-  }
-}
-
-interface Document {
-  readonly version: number;
-  readonly faulty?: boolean;
-  readonly items: readonly string[];
-}
-
-function parse(text: string): Document {
-  return JSON.parse(text);
-}
-
-class PlainDialect {
-  read(text: string): {
-    readonly routing: Routing | undefined;
-    readonly faults: readonly {
-      readonly item: string;
-      readonly field: string;
-      readonly text: string;
-    }[];
-  } {
-    const { version, faulty } = parse(text);
-    if (faulty)
-      return {
-        routing: undefined,
-        faults: [{ item: 'configuration', field: 'faulty', text: 'is faulty' }],
-      };
-    return {
-      routing: {
-        version,
-        routes: [],
-        services: [],
-        limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 },
-      },
-      faults: [],
-    };
-  }
-
-  amend(text: string, change: string): string | undefined {
-    const before = parse(text);
-    const after = parse(change);
-    return JSON.stringify({ version: after.version, items: [...before.items, ...after.items] });
-  }
-}
-
-interface Answer {
-  readonly status: number;
-  readonly body: string;
-}
-interface Node {
-  core: ControlCore;
-  readonly store: MemoryStore;
-  isUp: boolean;
-  disk: 'sound' | 'stalled';
-  readonly answers: Map<number, Answer>;
-}
-
-const SEEDS = ['a:1', 'b:1', 'c:1'];
 const STEP_MS = 10;
 
-/** Cores in memory, with messages that take one step each. */
-class Cluster {
-  #now = 0;
-  #asked = 0;
-  readonly nodes = new Map<string, Node>();
-  #mail: { readonly from: string; readonly to: string; readonly message: Message }[] = [];
-
-  start(id: string, isFirstStart: boolean, seeds: readonly string[] = SEEDS): void {
-    const store = this.nodes.get(id)?.store ?? new MemoryStore();
-    const deployed = {
-      dialect: new PlainDialect(),
-      planner: new IdlePlanner(),
-      isFirstStart,
-      listMs: 1000,
-    };
-    const core = new ControlCore(
-      {
-        ...CONTROL_DEFAULTS,
-        me: id,
-        zone: `zone-${id}`,
-        seeds,
-        incarnation: this.#now * 1000,
-        foundMs: 0,
-        deployed,
-      },
-      store.list(),
-      moment(this.#now),
-    );
-    this.nodes.set(id, { core, store, isUp: true, disk: 'sound', answers: new Map() });
-  }
-
-  stop(id: string): void {
-    this.node(id).isUp = false;
-  }
-
-  wipe(id: string): void {
-    this.node(id).store.wipe();
-  }
-
-  node(id: string): Node {
-    const node = this.nodes.get(id);
-    if (!node) throw new Error(`no node ${id}`);
-    return node;
-  }
-
-  run(millis: number): void {
-    for (const end = this.#now + millis; this.#now < end;) {
-      this.#now += STEP_MS;
-      const mail = this.#mail;
-      this.#mail = [];
-      for (const { from, to, message } of mail) {
-        const node = this.nodes.get(to);
-        if (!node?.isUp || !this.node(from).isUp) continue;
-        node.core.receive(moment(this.#now), from, message, `zone-${from}`);
-        this.#drain(to, node);
-      }
-      for (const [id, node] of this.nodes) {
-        if (!node.isUp) continue;
-        if (this.#now % 50 === 0) node.core.tick(moment(this.#now));
-        this.#drain(id, node);
-      }
-    }
-  }
-
-  #drain(id: string, node: Node): void {
-    for (let effects = node.core.drain(); effects.length > 0; effects = node.core.drain()) {
-      for (const effect of effects) {
-        if (effect.do === 'send')
-          this.#mail.push({ from: id, to: effect.to, message: effect.message });
-        else if (effect.do === 'reply')
-          node.answers.set(effect.id, { status: effect.status, body: effect.body });
-        else if (effect.do === 'store' && node.disk === 'sound') {
-          node.store.keep(effect.part, effect.version, effect.body);
-          node.core.stored(moment(this.#now), effect.part, effect.version);
-        }
-      }
-    }
-  }
-
-  leader(): string {
-    for (const [id, node] of this.nodes) if (node.isUp && node.core.isServing) return id;
-    return '';
-  }
-
-  ask(id: string, verb: string, body: object): number {
-    this.#asked += 1;
-    const node = this.node(id);
-    node.core.command(moment(this.#now), this.#asked, verb, JSON.stringify(body));
-    this.#drain(id, node);
-    return this.#asked;
-  }
-
-  asked(id: string, verb: string, body: object, millis: number = 500): Answer {
-    const number = this.ask(id, verb, body);
-    this.run(millis);
-    return this.node(id).answers.get(number) ?? { status: 0, body: '' };
-  }
-
-  voters(): string {
-    return [...this.node(this.leader()).core.voters].join(' ');
-  }
-}
-
-function founded(): Cluster {
-  const cluster = new Cluster();
-  for (const id of SEEDS) cluster.start(id, true);
-  cluster.run(6000);
-  expect(cluster.leader()).not.toBe('');
-  return cluster;
-}
-
-function document(version: number, ...items: readonly string[]): string {
-  return JSON.stringify({ version, items });
-}
-function edit(id: string, base: number, text: string): object {
-  return { id, base, text };
-}
-function other(cluster: Cluster): string {
+function other(cluster: ControlCluster): string {
   return SEEDS.find(isNot.bind(undefined, cluster.leader())) ?? '';
 }
 function isNot(id: string, seed: string): boolean {
@@ -291,7 +77,7 @@
 }
 
 function checkGrowth(): void {
-  const cluster = new Cluster();
+  const cluster = new ControlCluster();
   for (const id of [...SEEDS, 'd:1', 'e:1']) cluster.start(id, true);
   cluster.run(12_000);
   expect(cluster.voters()).toBe('a:1 b:1 c:1 d:1 e:1');
@@ -358,7 +144,7 @@
 }
 
 function checkBlankAlone(): void {
-  const cluster = new Cluster();
+  const cluster = new ControlCluster();
   for (const id of SEEDS) cluster.start(id, false);
   cluster.run(6000);
   expect(cluster.leader()).toBe('');
--- /dev/null
+++ b/src/control/testing/ControlCluster.ts
@@ -0,0 +1,307 @@
+import { MemoryStore } from '../../state/MemoryStore.js';
+import { moment, type Moment } from '../../common/Ids.js';
+import type { Message } from '../../common/Messages.js';
+import type { Fleet } from '../../placement/Fleet.js';
+import type { Intent } from '../../placement/Shapes.js';
+import type { Routing } from '../../route/Routing.js';
+import { ControlCore } from '../ControlCore.js';
+import { CONTROL_DEFAULTS, type FleetPlanner } from '../ControlEffect.js';
+
+/** Plans nothing: what is tried here is the configuration and who votes on it. */
+class IdlePlanner implements FleetPlanner {
+  restore(): void {
+    /* nothing kept */
+  }
+  docs(): readonly [] {
+    return [];
+  }
+  demand(): void {
+    /* not told */
+  }
+  list(): void {
+    /* not told */
+  }
+  status(): void {
+    /* not told */
+  }
+  asks(): readonly string[] {
+    return [];
+  }
+  plan(): readonly string[] {
+    return [];
+  }
+  orders(): readonly Intent[] {
+    return [];
+  }
+  kept(): void {
+    /* nothing kept */
+  }
+  ordered(): void {
+    /* nothing ordered */
+  }
+  fleet(): Fleet {
+    return { flows: 1, runners: [], waits: [] };
+  }
+  nextAt(): Moment | undefined {
+    return undefined;
+  }
+}
+
+interface Document {
+  readonly version: number;
+  readonly faulty?: boolean;
+  readonly items: readonly string[];
+}
+
+function parse(text: string): Document {
+  return JSON.parse(text);
+}
+
+class PlainDialect {
+  read(text: string): {
+    readonly routing: Routing | undefined;
+    readonly faults: readonly {
+      readonly item: string;
+      readonly field: string;
+      readonly text: string;
+    }[];
+  } {
+    const { version, faulty } = parse(text);
+    if (faulty)
+      return {
+        routing: undefined,
+        faults: [{ item: 'configuration', field: 'faulty', text: 'is faulty' }],
+      };
+    return {
+      routing: {
+        version,
+        routes: [],
+        services: [],
+        limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 },
+      },
+      faults: [],
+    };
+  }
+
+  amend(text: string, change: string): string | undefined {
+    const before = parse(text);
+    const after = parse(change);
+    return JSON.stringify({ version: after.version, items: [...before.items, ...after.items] });
+  }
+}
+
+export interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+
+interface Mail {
+  readonly from: string;
+  readonly to: string;
+  readonly message: Message;
+}
+
+interface Node {
+  core: ControlCore;
+  readonly store: MemoryStore;
+  isUp: boolean;
+  /** Inputs of a frozen node wait and reach it before its first tick after the thaw. */
+  isFrozen: boolean;
+  readonly inbox: (() => void)[];
+  disk: 'sound' | 'stalled';
+  readonly answers: Map<number, Answer>;
+}
+
+export const SEEDS = ['a:1', 'b:1', 'c:1'];
+const STEP_MS = 10;
+const TICK_MS = 50;
+
+/** Control cores in memory on virtual time, with messages that take one step each. */
+export class ControlCluster {
+  #now = 0;
+  #asked = 0;
+  readonly nodes = new Map<string, Node>();
+  #mail: Mail[] = [];
+  readonly #cut = new Set<string>();
+  /** Messages that a cut holds up; they are delivered late, in order, once it heals. */
+  #held: Mail[] = [];
+
+  start(id: string, isFirstStart: boolean, seeds: readonly string[] = SEEDS): void {
+    const store = this.nodes.get(id)?.store ?? new MemoryStore();
+    const deployed = {
+      dialect: new PlainDialect(),
+      planner: new IdlePlanner(),
+      isFirstStart,
+      listMs: 1000,
+    };
+    const settings = {
+      ...CONTROL_DEFAULTS,
+      me: id,
+      zone: `zone-${id}`,
+      seeds,
+      incarnation: this.#now * 1000,
+      foundMs: 0,
+      deployed,
+    };
+    const core = new ControlCore(settings, store.list(), moment(this.#now));
+    this.nodes.set(id, {
+      core,
+      store,
+      isUp: true,
+      isFrozen: false,
+      inbox: [],
+      disk: 'sound',
+      answers: new Map(),
+    });
+  }
+
+  get now(): Moment {
+    return moment(this.#now);
+  }
+
+  stop(id: string): void {
+    this.node(id).isUp = false;
+  }
+
+  wipe(id: string): void {
+    this.node(id).store.wipe();
+  }
+
+  freeze(id: string): void {
+    this.node(id).isFrozen = true;
+  }
+
+  /** What waits at the node is handled at once; its first tick comes with the next run. */
+  thaw(id: string): void {
+    const node = this.node(id);
+    node.isFrozen = false;
+    for (const input of node.inbox.splice(0)) input();
+  }
+
+  /** Cuts a node off from all others, both ways. */
+  cut(id: string): void {
+    this.#cut.add(id);
+  }
+
+  /** Joins a node again; what the cut held up arrives now, unless it was lost. */
+  heal(id: string, held: 'delivered' | 'lost' = 'delivered'): void {
+    this.#cut.delete(id);
+    const released = this.#held;
+    this.#held = [];
+    if (held === 'delivered') this.#mail.push(...released);
+  }
+
+  node(id: string): Node {
+    const node = this.nodes.get(id);
+    if (!node) throw new Error(`no node ${id}`);
+    return node;
+  }
+
+  run(millis: number): void {
+    for (const end = this.#now + millis; this.#now < end;) {
+      this.#now += STEP_MS;
+      const mail = this.#mail;
+      this.#mail = [];
+      for (const item of mail) this.#deliver(item);
+      for (const [id, node] of this.nodes) {
+        if (!node.isUp || node.isFrozen) continue;
+        if (this.#now % TICK_MS === 0) node.core.tick(moment(this.#now));
+        this.#drain(id, node);
+      }
+    }
+  }
+
+  #deliver(item: Mail): void {
+    const { from, to, message } = item;
+    const node = this.nodes.get(to);
+    if (!node?.isUp || !this.node(from).isUp) return;
+    if (this.#cut.has(from) || this.#cut.has(to)) {
+      this.#held.push(item);
+      return;
+    }
+    this.#input(to, this.#receive.bind(this, to, from, message));
+  }
+
+  #receive(to: string, from: string, message: Message): void {
+    const node = this.node(to);
+    node.core.receive(moment(this.#now), from, message, `zone-${from}`);
+    this.#drain(to, node);
+  }
+
+  #input(id: string, input: () => void): void {
+    const node = this.node(id);
+    if (node.isFrozen) node.inbox.push(input);
+    else input();
+  }
+
+  #drain(id: string, node: Node): void {
+    for (let effects = node.core.drain(); effects.length > 0; effects = node.core.drain()) {
+      for (const effect of effects) {
+        if (effect.do === 'send')
+          this.#mail.push({ from: id, to: effect.to, message: effect.message });
+        else if (effect.do === 'reply')
+          node.answers.set(effect.id, { status: effect.status, body: effect.body });
+        else if (effect.do === 'store' && node.disk === 'sound') {
+          node.store.keep(effect.part, effect.version, effect.body);
+          node.core.stored(moment(this.#now), effect.part, effect.version);
+        }
+      }
+    }
+  }
+
+  leader(): string {
+    for (const [id, node] of this.nodes)
+      if (node.isUp && !node.isFrozen && node.core.isServing) return id;
+    return '';
+  }
+
+  ask(id: string, verb: string, body: object): number {
+    this.#asked += 1;
+    this.#input(id, this.#command.bind(this, id, this.#asked, verb, JSON.stringify(body)));
+    return this.#asked;
+  }
+
+  #command(id: string, number: number, verb: string, body: string): void {
+    const node = this.node(id);
+    node.core.command(moment(this.#now), number, verb, body);
+    this.#drain(id, node);
+  }
+
+  answer(id: string, number: number): Answer {
+    return this.node(id).answers.get(number) ?? { status: 0, body: '' };
+  }
+
+  asked(id: string, verb: string, body: object, millis: number = 500): Answer {
+    const number = this.ask(id, verb, body);
+    this.run(millis);
+    return this.answer(id, number);
+  }
+
+  voters(): string {
+    return [...this.node(this.leader()).core.voters].join(' ');
+  }
+
+  /** Some node that does not lead. */
+  follower(): string {
+    const leader = this.leader();
+    for (const [id, node] of this.nodes)
+      if (node.isUp && !node.isFrozen && id !== leader) return id;
+    throw new Error('no follower is up');
+  }
+}
+
+/** A cluster of three at its first start, with a leader that serves. */
+export function foundedCluster(): ControlCluster {
+  const cluster = new ControlCluster();
+  for (const id of SEEDS) cluster.start(id, true);
+  cluster.run(6000);
+  if (cluster.leader() === '') throw new Error('nobody leads');
+  return cluster;
+}
+
+export function documentOf(version: number, ...items: readonly string[]): string {
+  return JSON.stringify({ version, items });
+}
+export function editOf(id: string, base: number, text: string): object {
+  return { id, base, text };
+}
--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -494,6 +494,7 @@
         reports: this.#scores.reports(),
         nonce,
         quorum: [...quorumMembers],
+        sentAt: now,
       });
   }
 
@@ -645,6 +646,7 @@
         epoch: this.#epoch,
         nonce,
         quorum: [...this.#quorumMembers],
+        sentAt: now,
       });
   }
 
