Answer every read and refusal that waits for one quorum read

Cause: what a node asks for itself goes to the gathering of freshness requests without a child's name, and that keeps only the newest of each child: of two reads that waited for one round the older was never answered, and stayed in memory for as long as the node led.

--- a/src/control/OperatorOrders.test.ts
+++ b/src/control/OperatorOrders.test.ts
@@ -153,6 +153,24 @@
   expect(JSON.parse(read.body).routing.version).toBe(7);
 }
 
+function checkReadsAtOnce(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  // The first begins a quorum read; the others wait together for the next.
+  const reads = [1, 2, 3].map(read);
+  const orders = ['e1', 'e2', 'e3'].map(refusedOrder);
+  cluster.run(500);
+  for (const number of reads) expect(cluster.answer(leader, number).status).toBe(200);
+  for (const number of orders) expect(cluster.answer(leader, number).status).toBe(409);
+
+  function read(): number {
+    return cluster.ask(leader, 'read', {});
+  }
+  function refusedOrder(id: string): number {
+    return cluster.ask(leader, 'configure', editOf(id, 3, documentOf(9, id)));
+  }
+}
+
 function checkManyResends(): void {
   const cluster = foundedCluster();
   let base = 0;
@@ -203,4 +221,5 @@
   checkForwardToFormerLeader,
 );
 test('a read during a write gives what is committed', checkReadWhileWriting);
+test('reads and refusals that wait for one quorum read are all answered', checkReadsAtOnce);
 test('orders sent again out of order are acknowledged again', checkManyResends);
--- a/src/dissemination/FreshnessConfirmation.ts
+++ b/src/dissemination/FreshnessConfirmation.ts
@@ -70,9 +70,9 @@
   }
 }
 
-/** A child that asks again needs only its newest ask returned. */
+/** A child that asks again needs only its newest ask returned; what this node asks for itself is returned each. */
 function newest(asks: readonly Ask[]): Ask[] {
-  const byChild = new Map<string, Ask>();
-  for (const ask of asks) byChild.set(ask.child, ask);
-  return [...byChild.values()];
+  const byAsker = new Map<string, Ask>();
+  for (const ask of asks) byAsker.set(ask.child === '' ? `own ${ask.nonce}` : ask.child, ask);
+  return [...byAsker.values()];
 }
