Put placement by the table into a module of its own

The control node's core held the runners, orders, shares and places of the older table beside all else. TableManager holds them now, as FleetManager does for a deployment; no behaviour changes.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -1,6 +1,5 @@
 import { boolean, number, optional, string, type } from 'superstruct';
-import { rowKey, type Row } from '../policy/Table.js';
-import { allParts, CONFIG_PART, servicePart, VOTE_PART } from '../state/PartNames.js';
+import { allParts, CONFIG_PART, VOTE_PART } from '../state/PartNames.js';
 import { ReplicatedState } from '../state/ReplicatedState.js';
 import { ReplicaStatus } from '../state/ReplicaStatus.js';
 import type { StoredPart } from '../state/Store.js';
@@ -19,15 +18,8 @@
 import { Relay } from '../dissemination/Relay.js';
 import { Sessions } from '../dissemination/Sessions.js';
 import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
+import { PLACER_DEFAULTS, type PlacerSettings } from '../placement/Placer.js';
 import {
-  Placer,
-  PLACER_DEFAULTS,
-  type PlacerSettings,
-  type PlanInput,
-  type RunnerView,
-} from '../placement/Placer.js';
-import {
-  DemandShape,
   MachinesShape,
   ServicePartShape,
   type Catalog,
@@ -35,15 +27,13 @@
   type Machines,
   type RunnerReport,
   type ServiceDoc,
-  type Share,
 } from '../placement/Shapes.js';
-import type { Live } from '../placement/Live.js';
-import { Shares } from '../placement/Shares.js';
 import { Elector } from '../election/Elector.js';
 import type { VoteRecord } from '../election/VoteEffect.js';
 import { VOTE_DEFAULTS, type VoteSettings } from '../election/VoteSettings.js';
 import { ConfigDocShape, ConfigNewsShape, firstDoc, type ConfigDoc } from './ConfigDoc.js';
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
+import { TableManager } from './TableManager.js';
 import { FleetManager } from './FleetManager.js';
 import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
 import { errorAnswer, type CommandAnswer } from './OrderAnswers.js';
@@ -61,32 +51,13 @@
 /** What a quorum read that this node asked for itself is to prove. */
 type Confirmation = { readonly do: 'read'; readonly origin: Origin } | { readonly do: 'refusal' };
 
-interface Runner {
-  report: RunnerReport | undefined;
-  askedAt: Moment;
-  askSentAt: Moment;
-  seenAt: Moment;
-  isReachable: boolean;
-  isKnown: boolean;
-}
-
-interface SentOrder {
-  readonly sentAt: Moment;
-  readonly state: 'sent' | 'taken' | 'unsure';
-  readonly wasUnsure: boolean;
-}
-
 interface HeardMembers {
   readonly members: readonly MemberMessage[];
   readonly at: Moment;
 }
 
-const EMPTY_CATALOG: Catalog = { limit: 0, models: [], adapters: [] };
-const ORDER_AGAIN_MS = 2000;
-const PLAN_MS = 250;
 /** How long members are waited for when the table is recovered from them. */
 const RECOVER_MS = 2000;
-const LOST_RUNNER_MS = 4000;
 /** How often a node that stands outside announces itself, and how long that is remembered. */
 const ANNOUNCE_MS = 500;
 const ANNOUNCEED_MS = 1500;
@@ -110,7 +81,7 @@
   readonly #sessions: Sessions;
   readonly #relay = new Relay();
   readonly #confirmation: FreshnessConfirmation;
-  readonly #placer: Placer;
+  readonly #table: TableManager;
   #quorum: Quorum;
   #effects: ControlEffect[] = [];
 
@@ -147,34 +118,17 @@
   readonly #confirmations = new Map<number, Confirmation>();
   #confirmationId = 0;
 
-  #machines: Machines = { revision: 0, machines: [] };
-  #catalog: Catalog = EMPTY_CATALOG;
-  /** The epoch of ours in which it was last told; it may be old news at the beginning of another. */
-  #catalogEpoch = -1;
-  #mayOrderSince: Moment = NEVER;
-  readonly #runners = new Map<string, Runner>();
-  readonly #shares = new Shares();
-  #shareList: readonly Share[] = [];
-  #sharedAt: Moment = NEVER;
   /** Until then members may stand on no list of ours that were confirmed fresh through us before we started. */
   readonly #unknownUntil: Moment;
   #listAskedAt: Moment = NEVER;
-  readonly #sentOrders = new Map<string, SentOrder>();
-  readonly #keptIntents = new Set<string>();
   /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a tick earlier. */
   #isServing = false;
   #isRetiring = false;
   #isRecovering = false;
   #recoverUntil: Moment | undefined;
-  #servingSince: Moment = NEVER;
-  #plannedAt: Moment = NEVER;
   #machinesAt: Moment = NEVER;
-  #catalogAt: Moment = NEVER;
   #peersPingedAt: Moment = NEVER;
-  #placesText = '';
-  #placesCount = 0;
   #placementWrites = 0;
-  #ordersSent = 0;
 
   /** Set where a deployment brings its own planner. */
   readonly #fleetManager: FleetManager | undefined;
@@ -257,7 +211,18 @@
     if (name !== 'sound')
       this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
-    this.#placer = new Placer(placer, settings.me);
+    this.#table = new TableManager(
+      {
+        effect: this.#effect.bind(this),
+        write: this.#writePlaced.bind(this),
+        publish: this.#publishPlaces.bind(this),
+        mayOrder: this.mayOrder.bind(this),
+        proxies: this.#flowCount.bind(this),
+      },
+      placer,
+      settings.me,
+      settings.reportMs,
+    );
     this.#followVoters();
     this.#collect(now);
   }
@@ -281,7 +246,7 @@
     return this.#quorum.all;
   }
   get ordersSent(): number {
-    return this.#ordersSent + (this.#fleetManager?.ordersSent ?? 0);
+    return this.#table.ordersSent + (this.#fleetManager?.ordersSent ?? 0);
   }
   get placementWrites(): number {
     return this.#placementWrites;
@@ -487,20 +452,12 @@
   }
 
   catalog(_now: Moment, catalog: Catalog): void {
-    this.#catalog = catalog;
-    this.#catalogEpoch = this.#ledEpoch;
+    this.#table.catalog(catalog);
   }
 
   /** What a runner returned to an ask sent at that moment; nothing if it did not. */
   reported(now: Moment, id: string, askedAt: Moment, report: RunnerReport | undefined): void {
-    const runner = this.#runners.get(id);
-    if (!runner || askedAt < runner.askedAt) return;
-    runner.isKnown = true;
-    runner.isReachable = report !== undefined;
-    if (!report) return;
-    runner.report = report;
-    runner.askedAt = askedAt;
-    runner.seenAt = now;
+    this.#table.reported(now, id, askedAt, report);
   }
 
   /** What became of an order: taken, turned away for good, or unsure. */
@@ -516,22 +473,7 @@
       this.#collect(now);
       return;
     }
-    const sent = this.#sentOrders.get(intent);
-    if (outcome === 'taken') {
-      this.#placer.orderTaken(now, intent);
-      this.#sentOrders.set(intent, { sentAt: now, state: 'taken', wasUnsure: true });
-    } else if (outcome === 'turnedAway') {
-      this.#placer.orderTurnedAway(intent);
-    } else if (sent && sent.state !== 'taken') {
-      // Never written, it is as if it had not been sent; one whose fate was open before stays open.
-      if (outcome === 'unsent' && !sent.wasUnsure) this.#sentOrders.delete(intent);
-      else
-        this.#sentOrders.set(intent, {
-          sentAt: outcome === 'unsent' ? NEVER : now,
-          state: 'unsure',
-          wasUnsure: true,
-        });
-    }
+    this.#table.ordered(now, intent, outcome);
   }
 
   /** A command at this node's own API. */
@@ -546,7 +488,7 @@
    */
   retire(now: Moment): boolean {
     this.#isRetiring = true;
-    for (const order of this.#sentOrders.values()) if (order.state !== 'taken') return false;
+    if (this.#table.hasOpenOrders) return false;
     if (this.#isServing && this.#fleetManager?.hasOpenOrders) return false;
     this.#elector.retire(now);
     this.#collect(now);
@@ -631,9 +573,7 @@
     this.#isServing = false;
     this.#recoverUntil = undefined;
     this.#parts.stub();
-    this.#sentOrders.clear();
-    this.#keptIntents.clear();
-    this.#placesText = '';
+    this.#table.end();
     this.#written.clear();
     this.#orders.abandon();
     for (const confirmation of this.#confirmations.values()) {
@@ -900,7 +840,7 @@
     if (this.#replicaStatus.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART))
       return;
     // Without any list we cannot tell which machines are leaving, though somebody may have known before we started.
-    if (!this.#fleetManager && this.#machines.revision === 0) {
+    if (!this.#fleetManager && this.#table.machines.revision === 0) {
       this.#askList(now);
       return;
     }
@@ -909,7 +849,7 @@
       kind: 'quorumReadReply',
       nonce,
       ...version,
-      marks: this.#machines.revision,
+      marks: this.#table.machines.revision,
     } as const;
     if (from === this.#me) this.#receiveQuorumReadReply(now, from, message);
     else this.#send(from, message);
@@ -1001,24 +941,7 @@
   }
 
   #takeMachines(machines: Machines): void {
-    if (machines.revision <= this.#machines.revision) return;
-    // A platform that has lost its machines says nothing of ours: only a list that names some replaces one that did.
-    if (machines.machines.length === 0 && this.#machines.machines.length > 0) return;
-    this.#machines = machines;
-    const ids = new Set<string>();
-    for (const machine of machines.machines) {
-      ids.add(machine.id);
-      if (!this.#runners.has(machine.id))
-        this.#runners.set(machine.id, {
-          report: undefined,
-          askedAt: NEVER,
-          askSentAt: NEVER,
-          seenAt: NEVER,
-          isReachable: false,
-          isKnown: machine.service !== '',
-        });
-    }
-    for (const id of this.#runners.keys()) if (!ids.has(id)) this.#runners.delete(id);
+    if (!this.#table.takeMachines(machines)) return;
     const version = { epoch: 0, count: machines.revision };
     const body = JSON.stringify(machines);
     this.#relay.offer('machines', version, body);
@@ -1058,19 +981,13 @@
       if (this.#isServing) this.#fleetManager.demand(now, body, this.#doc);
       return;
     }
-    const report = parseAs(DemandShape, body);
-    if (report) this.#shares.add(now, report);
-    for (const unit of report?.units ?? [])
-      this.#placer.demand.add(now, `${unit.model}\n${unit.adapter}`, unit.count);
+    this.#table.demand(now, body);
   }
 
   // ---- owning the state
 
   #serve(now: Moment): void {
     this.#isServing = true;
-    this.#mayOrderSince = NEVER;
-    this.#catalogAt = NEVER;
-    this.#servingSince = now;
     this.#note('serving', { epoch: this.#ledEpoch });
     const body = this.#parts.body(CONFIG_PART);
     this.#doc =
@@ -1097,16 +1014,7 @@
       this.#fleetManager.tick(now, this.#doc);
       return;
     }
-    this.#placer.restore(docs, `${this.#me}/${this.#ledEpoch}`);
-    for (const doc of docs) for (const intent of doc.intents) this.#keptIntents.add(intent.id);
-    for (const machine of this.#machines.machines) {
-      const runner = this.#runners.get(machine.id);
-      if (runner) {
-        runner.isKnown = machine.service !== '';
-        runner.seenAt = now;
-      }
-    }
-    this.#placesCount = 0;
+    this.#table.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
   }
 
   /** After an operator's force-new-cluster, members are asked for the newest table they hold before anything is served. */
@@ -1156,8 +1064,7 @@
         if (this.#isServing) this.#fleetManager.kept(now, body?.services ?? []);
         return;
       }
-      for (const doc of body?.services ?? [])
-        for (const intent of doc.intents) this.#keptIntents.add(intent.id);
+      this.#table.kept(body?.services ?? []);
       return;
     }
     const doc = parseAs(ConfigDocShape, this.#committedBody(part, version));
@@ -1201,9 +1108,15 @@
       }
       if (verb === 'read') this.#confirm({ do: 'read', origin });
       else if (verb === 'live')
-        this.#answer(origin, { status: 200, body: JSON.stringify(this.#live(now)) });
+        this.#answer(origin, {
+          status: 200,
+          body: JSON.stringify(this.#table.live(now, this.#doc)),
+        });
       else if (verb === 'fleet')
-        this.#answer(origin, { status: 200, body: JSON.stringify(this.#fleet(now)) });
+        this.#answer(origin, {
+          status: 200,
+          body: JSON.stringify(this.#table.fleet(now, this.#doc)),
+        });
       else this.#orders.submit(now, origin, verb, body);
     } catch (thrown) {
       this.#answer(
@@ -1392,165 +1305,14 @@
       this.#machinesAt = now;
       this.#effects.push({ do: 'askMachines' });
     }
-    if (!this.#isServing) return;
-    if (now >= later(this.#catalogAt, this.#catalog.models.length === 0 ? 500 : 5000)) {
-      this.#catalogAt = now;
-      this.#effects.push({ do: 'askCatalog' });
-    }
-    for (const machine of this.#machines.machines) {
-      const runner = this.#runners.get(machine.id);
-      if (
-        !runner ||
-        machine.service !== '' ||
-        now < later(runner.askSentAt, this.#settings.reportMs)
-      )
-        continue;
-      runner.askSentAt = now;
-      this.#effects.push({ do: 'askReport', runner: machine.id, address: machine.address });
-    }
-    if (now < later(this.#plannedAt, PLAN_MS)) return;
-    this.#plannedAt = now;
-    this.#plan(now);
-  }
-
-  #planInput(now: Moment): PlanInput {
-    const runners: RunnerView[] = [];
-    for (const machine of this.#machines.machines) {
-      const runner = this.#runners.get(machine.id);
-      if (!runner) continue;
-      const isLost = !runner.isReachable && now - runner.seenAt > LOST_RUNNER_MS;
-      runners.push({
-        machine,
-        report: runner.report,
-        askedAt: runner.askedAt,
-        isReachable: runner.isReachable,
-        isLost,
-      });
-    }
-    return { table: this.#doc.table, catalog: this.#catalog, runners, emptied: this.#doc.emptied };
-  }
-
-  #plan(now: Moment): void {
-    // A new leader plans only once it has heard from the runners, or it would take all their seats away.
-    if (this.#recoverUntil !== undefined) return;
-    const isInformed =
-      [...this.#runners.values()].every(isHeard) || now - this.#servingSince > LOST_RUNNER_MS;
-    if (!isInformed || this.#catalog.models.length === 0) return;
-    const input = this.#planInput(now);
-    const changed = this.#placer.plan(now, input);
-    const parts = new Set<PartName>();
-    for (const model of changed) parts.add(servicePart(model));
-    for (const part of parts) {
-      const services = this.#placer.docs().filter(isInPart.bind(undefined, part));
-      this.#placementWrites += 1;
-      this.#writePart(now, part, JSON.stringify({ services }), 0);
-    }
-    this.#orderIntents(now, input);
-    this.#publishPlaces(now, input);
-  }
-
-  /** Bound once: it is asked for every intent at every plan. */
-  readonly #isSentOrder = this.#hasSent.bind(this);
-
-  #hasSent(intent: string): boolean {
-    return this.#sentOrders.has(intent);
-  }
-
-  #orderIntents(now: Moment, input: PlanInput): void {
-    if (!this.mayOrder(now)) return;
-    if (this.#mayOrderSince === NEVER) this.#mayOrderSince = now;
-    const open = new Set<string>();
-    for (const doc of this.#placer.docs()) {
-      for (const intent of doc.intents) {
-        open.add(intent.id);
-        const sent = this.#sentOrders.get(intent.id);
-        // Only what is kept is ordered, and what was taken is never ordered twice.
-        if (!this.#keptIntents.has(intent.id) || sent?.state === 'taken') continue;
-        if (sent && now < later(sent.sentAt, ORDER_AGAIN_MS)) continue;
-        const view = input.runners.find(isRunner.bind(undefined, intent.runner));
-        if (!view?.isReachable || view.report?.boot !== intent.boot) continue;
-        if (!this.#placer.mayStillOrder(intent, input, this.#isSentOrder)) {
-          // Not sent by us: decided in this epoch it was sent by nobody; of an older one the runner would have shown it
-          // in a report asked for since we may order, which is long after anybody else could.
-          const isOurs = intent.id.startsWith(`${this.#me}/${this.#ledEpoch}.`);
-          if (!sent && (isOurs || view.askedAt > this.#mayOrderSince))
-            this.#placer.orderTurnedAway(intent.id);
-          continue;
-        }
-        // Until the weight store has told us its limit, we do not know how much may be fetched.
-        if (intent.verb === 'load' && this.#catalogEpoch !== this.#ledEpoch) continue;
-        this.#sentOrders.set(intent.id, {
-          sentAt: now,
-          state: 'sent',
-          wasUnsure: sent?.wasUnsure ?? false,
-        });
-        this.#ordersSent += 1;
-        this.#effects.push({ do: 'order', intent, address: view.machine.address });
-      }
-    }
-    for (const id of this.#sentOrders.keys()) if (!open.has(id)) this.#sentOrders.delete(id);
-    for (const id of this.#keptIntents) if (!open.has(id)) this.#keptIntents.delete(id);
-  }
-
-  #publishPlaces(now: Moment, input: PlanInput): void {
-    const places = this.#placer.places(input);
-    const flows = new Set<string>();
-    for (const member of this.#knownMembers()) flows.add(member.id);
-    // Shares follow demand, which is told once a second: more often they would only be more news.
-    if (now >= later(this.#sharedAt, 1000)) {
-      this.#sharedAt = now;
-      this.#shareList = this.#shares.list(now, input.table.rows.map(takeOf));
-    }
-    const shares = this.#shareList;
-    const text = JSON.stringify({ ...places, flows: Math.max(1, flows.size), shares });
-    if (text === this.#placesText) return;
-    this.#placesText = text;
-    this.#placesCount += 1;
-    this.#relay.offer('places', { epoch: this.#ledEpoch, count: this.#placesCount }, text);
+    if (this.#isServing) this.#table.tick(now, this.#doc, this.#recoverUntil === undefined);
   }
 
-  // ---- what operators see
-
-  /** The fleet as the placer sees it, for checking a table against it. */
-  #fleet(now: Moment): object {
-    const { runners, catalog, emptied, table } = this.#planInput(now);
-    const views = [];
-    for (const { machine, report, isReachable } of runners)
-      views.push({ machine, report: report ?? null, isReachable });
-    const demand = [];
-    for (const unit of this.#placer.demand.units())
-      demand.push({ unit, rate: this.#placer.demand.rate(now, unit) });
-    return {
-      number: this.#doc.number,
-      table,
-      emptied,
-      catalog,
-      docs: this.#placer.docs(),
-      runners: views,
-      demand,
-    };
+  #publishPlaces(count: number, text: string): void {
+    this.#relay.offer('places', { epoch: this.#ledEpoch, count }, text);
   }
 
-  /** The table with its places beside it: who serves, who waits for what, and what is asked for. */
-  #live(now: Moment): Live {
-    const input = this.#planInput(now);
-    const rows = [];
-    for (const row of input.table.rows)
-      rows.push({
-        row: rowKey(row),
-        weight: row.weight,
-        take: row.take,
-        rate: this.#shares.rate(now, rowKey(row)),
-      });
-    const models = this.#placer.live(now, input);
-    return {
-      number: this.#doc.number,
-      emptied: input.emptied.slice(),
-      underWay: this.#placer.docs().flatMap(intentsOf).length,
-      rows,
-      models,
-    };
-  }
+  // ---- what operators see
 
   #status(now: Moment): object {
     const totals: Record<string, number> = {};
@@ -1590,17 +1352,14 @@
       mended: this.#parts.mends,
       config: config ? versionText(config.version) : 'none',
       placesVersion: places ? versionText(places.version) : 'none',
-      machines: this.#machines.revision,
+      machines: this.#table.machines.revision,
       members,
       places: places ? parseAs(type({}), places.body) : undefined,
-      intents: (this.#fleetManager ?? this.#placer).docs().flatMap(intentsOf),
+      intents: (this.#fleetManager ?? this.#table).docs().flatMap(intentsOf),
     };
   }
 }
 
-function takeOf(row: Row): { readonly key: string; readonly take: number } {
-  return { key: rowKey(row), take: row.take };
-}
 function copyOf(set: readonly string[]): string[] {
   return [...set];
 }
@@ -1619,15 +1378,6 @@
 function isBelow(count: number, item: { readonly count: number }): boolean {
   return item.count < count;
 }
-function isHeard(runner: Runner): boolean {
-  return runner.isKnown;
-}
-function isRunner(id: string, view: RunnerView): boolean {
-  return view.machine.id === id;
-}
-function isInPart(part: PartName, doc: ServiceDoc): boolean {
-  return servicePart(doc.model) === part;
-}
 function intentsOf(doc: ServiceDoc): readonly Intent[] {
   return doc.intents;
 }
