Count what a control node decides, as plain numbers

Operators could not tell a cut-off control node from one that refuses orders: the deployed control process kept no counters at all (docs/gaps.md). ControlCounters counts orders by outcome and reason and the events around them; ControlMetrics is the shape of one look at a node. Nothing calls them yet. Ruled out: counting in the HTTP server, which sees only this node's answers and no reason.

--- /dev/null
+++ b/src/control/ControlMetrics.test.ts
@@ -0,0 +1,66 @@
+import { expect, test } from 'vitest';
+import { ControlCounters, sessionNumbers, versionsBetween } from './ControlMetrics.js';
+
+function checkCounts(): void {
+  const counters = new ControlCounters();
+  counters.countAccepted();
+  counters.countAcknowledgedAgain();
+  counters.countRefused('too-old');
+  counters.countRefused('base-changed');
+  counters.countRefused('base-changed');
+  counters.countUnclear('no-majority');
+  counters.countUnserved();
+  counters.countForwarded();
+  expect(counters.orders).toEqual({
+    accepted: 2,
+    acknowledgedAgain: 1,
+    refused: { 'base-changed': 2, invalid: 0, 'too-old': 1, other: 0 },
+    unclear: { 'no-majority': 1, 'leader-lost': 0, timeout: 0, forgotten: 0 },
+    unserved: 1,
+    forwarded: 1,
+  });
+}
+
+function checkEvents(): void {
+  const counters = new ControlCounters();
+  counters.countLeaderChange();
+  counters.countVoterChange();
+  counters.countRepair();
+  const own = { electionsStarted: 3, votesGranted: 2, copiesMended: 1 };
+  expect(counters.eventsWith(own)).toEqual({
+    ...own,
+    leaderChanges: 1,
+    voterChanges: 1,
+    repairs: 1,
+  });
+}
+
+function checkSnapshotStands(): void {
+  const counters = new ControlCounters();
+  const before = counters.orders;
+  counters.countRefused('invalid');
+  expect(before.refused.invalid).toBe(0);
+}
+
+function checkVersions(): void {
+  const newer = { epoch: 4, count: 12 };
+  expect(versionsBetween({ epoch: 4, count: 9 }, newer)).toBe(3);
+  expect(versionsBetween({ epoch: 2, count: 9 }, newer)).toBe(3);
+  // A new leader writes the same configuration anew: it is one version further all the same.
+  expect(versionsBetween({ epoch: 2, count: 12 }, newer)).toBe(1);
+  expect(versionsBetween(newer, newer)).toBe(0);
+  expect(versionsBetween({ epoch: 6, count: 1 }, newer)).toBe(0);
+}
+
+function checkSessions(): void {
+  const committed = { epoch: 4, count: 12 };
+  const acked = [committed, { epoch: 4, count: 10 }, { epoch: 0, count: 0 }];
+  expect(sessionNumbers(acked, committed)).toEqual({ open: 3, behind: 2, versionsBehind: 12 });
+  expect(sessionNumbers([], committed)).toEqual({ open: 0, behind: 0, versionsBehind: 0 });
+}
+
+test('orders are counted by outcome and reason', checkCounts);
+test('events are counted beside those of the election and the replica', checkEvents);
+test('a snapshot does not change with what is counted after it', checkSnapshotStands);
+test('versions behind go on over a change of leader', checkVersions);
+test('sessions behind are counted with the farthest of them', checkSessions);
