Name the metrics of control nodes and agents, and render them on request

Families are plain data; src/metrics/Exposition.ts fills a prom-client registry from them and forgets it after each ask. The library is imported there only, at the first ask, so that a process that nobody asks neither loads nor keeps it. Writes to the disk are summed in a class of their own: a histogram of the library would have to stand from the start, and the age of the oldest write under way shows a hanging disk, which no histogram of ended writes does. A node or agent that never was in contact tells +Inf, not a small age. Nothing calls them yet.

--- /dev/null
+++ b/src/control/ControlFamilies.test.ts
@@ -0,0 +1,86 @@
+import { expect, test } from 'vitest';
+import type { MetricFamily } from '../metrics/Exposition.js';
+import { WriteLatency } from '../metrics/WriteLatency.js';
+import { controlFamilies } from './ControlFamilies.js';
+import { ControlCounters, type ControlMetrics } from './ControlMetrics.js';
+
+function metricsOf(changes: Partial<ControlMetrics>): ControlMetrics {
+  const counters = new ControlCounters();
+  counters.countRefused('too-old');
+  return {
+    epoch: 8,
+    isLeaderKnown: true,
+    isLeading: false,
+    isServing: false,
+    mayOrder: false,
+    leaseLeftMs: 0,
+    majorityContactAgeMs: 250,
+    voters: { members: 3, reachable: 3, isVoter: true, isJoint: false },
+    replica: 'repairing',
+    unsoundParts: 0,
+    configHeld: { epoch: 8, count: 41 },
+    configCommitted: { epoch: 8, count: 40 },
+    orders: counters.orders,
+    events: counters.eventsWith({ electionsStarted: 2, votesGranted: 1, copiesMended: 0 }),
+    sessions: { open: 4, behind: 1, versionsBehind: 3 },
+    ...changes,
+  };
+}
+
+function familiesOf(changes: Partial<ControlMetrics>): MetricFamily[] {
+  return controlFamilies(metricsOf(changes), new WriteLatency().numbers(0));
+}
+
+/** The value of the sample of that name, with the value of its label if it has one. */
+function valueOf(families: readonly MetricFamily[], name: string, label = ''): number | undefined {
+  for (const family of families) {
+    if (family.name !== `haretrack_control_${name}`) continue;
+    for (const sample of family.samples) {
+      if ((sample.labels[0]?.value ?? '') === label) return sample.value;
+    }
+  }
+  return undefined;
+}
+
+function checkValues(): void {
+  const families = familiesOf({});
+  expect(valueOf(families, 'epoch')).toBe(8);
+  expect(valueOf(families, 'leader_known')).toBe(1);
+  expect(valueOf(families, 'majority_contact_age_seconds')).toBe(0.25);
+  expect(valueOf(families, 'config_held_count')).toBe(41);
+  expect(valueOf(families, 'config_committed_count')).toBe(40);
+  expect(valueOf(families, 'orders_refused_total', 'too-old')).toBe(1);
+  expect(valueOf(families, 'orders_refused_total', 'base-changed')).toBe(0);
+  expect(valueOf(families, 'elections_total')).toBe(2);
+  expect(valueOf(families, 'versions_behind')).toBe(3);
+}
+
+function checkOneState(): void {
+  const families = familiesOf({ replica: 'blank' });
+  const states = ['sound', 'blank', 'lost', 'repairing'];
+  function stateOf(state: string): number | undefined {
+    return valueOf(families, 'replica_state', state);
+  }
+  expect(states.map(stateOf)).toEqual([0, 1, 0, 0]);
+}
+
+function checkNeverInContact(): void {
+  const families = familiesOf({ majorityContactAgeMs: undefined });
+  expect(valueOf(families, 'majority_contact_age_seconds')).toBe(Infinity);
+}
+
+function checkNames(): void {
+  const names = new Set<string>();
+  for (const { name, kind } of familiesOf({})) {
+    expect(name).toMatch(/^haretrack_control_[a-z_]+$/);
+    // Counters end in _total and gauges do not, as is usual for such names.
+    expect(name.endsWith('_total')).toBe(kind === 'counter');
+    expect(names.has(name)).toBe(false);
+    names.add(name);
+  }
+}
+
+test('a look at a node is told under its names', checkValues);
+test('a replica is in one state', checkOneState);
+test('a node never in contact does not look as if it were', checkNeverInContact);
+test('names are unique and of the usual form', checkNames);
--- /dev/null
+++ b/src/control/ControlFamilies.ts
@@ -0,0 +1,171 @@
+/** The metrics of a control node under the names that operators see. */
+
+import {
+  counterFamily,
+  gaugeFamily,
+  labelledFamily,
+  type MetricFamily,
+} from '../metrics/Exposition.js';
+import { secondsOf, type WriteNumbers } from '../metrics/WriteLatency.js';
+import {
+  REFUSAL_REASONS,
+  REPLICA_STATES,
+  UNCLEAR_REASONS,
+  type ControlMetrics,
+  type EventCounts,
+  type OrderCounts,
+  type RefusalReason,
+  type ReplicaState,
+  type UnclearReason,
+} from './ControlMetrics.js';
+
+const PREFIX = 'haretrack_control_';
+
+function gauge(name: string, help: string, value: number | boolean): MetricFamily {
+  return gaugeFamily(`${PREFIX}${name}`, help, value);
+}
+
+function counter(name: string, help: string, value: number): MetricFamily {
+  return counterFamily(`${PREFIX}${name}`, help, value);
+}
+
+/** Who leads, and whether a majority is in contact. */
+function leadershipFamilies(node: ControlMetrics): MetricFamily[] {
+  // A node that never was in contact must not look as if it had been just now.
+  const contactAge = secondsOf(node.majorityContactAgeMs ?? Infinity);
+  return [
+    gauge('epoch', 'Term of the election; odd while one is under way.', node.epoch),
+    gauge('leader_known', 'Whether this node follows a leader or leads.', node.isLeaderKnown),
+    gauge('leading', 'Whether a majority has granted this node its term.', node.isLeading),
+    gauge('serving', 'Whether this node leads and decides on orders.', node.isServing),
+    gauge('may_order', 'Whether this node may give orders to runners now.', node.mayOrder),
+    gauge('lease_left_seconds', 'What is left of the lease.', secondsOf(node.leaseLeftMs)),
+    gauge(
+      'majority_contact_age_seconds',
+      'Time since a majority of the voters was last proven in contact; +Inf if it never was.',
+      contactAge,
+    ),
+  ];
+}
+
+function voterFamilies({ voters }: ControlMetrics): MetricFamily[] {
+  return [
+    gauge('voters', 'Voters, of both sets while a joint change is under way.', voters.members),
+    gauge('voters_reachable', 'Voters, this node included, that answer it.', voters.reachable),
+    gauge('voter', 'Whether this node votes.', voters.isVoter),
+    gauge('joint_change', 'Whether a change of the voters is under way.', voters.isJoint),
+  ];
+}
+
+/** The replica of the state, and how far its configuration is. */
+function replicaFamilies(node: ControlMetrics): MetricFamily[] {
+  function isState(state: ReplicaState): number {
+    return Number(state === node.replica);
+  }
+  const { configHeld, configCommitted } = node;
+  return [
+    labelledFamily(
+      'gauge',
+      `${PREFIX}replica_state`,
+      '1 for the state that the replica is in; it counts only while it is sound.',
+      'state',
+      REPLICA_STATES,
+      isState,
+    ),
+    gauge('unsound_parts', 'Parts whose copy here cannot be trusted.', node.unsoundParts),
+    gauge('config_held_epoch', 'Term of the configuration in this replica.', configHeld.epoch),
+    gauge('config_held_count', 'Count of the configuration in this replica.', configHeld.count),
+    gauge(
+      'config_committed_epoch',
+      'Term of the newest configuration known to be committed.',
+      configCommitted.epoch,
+    ),
+    gauge(
+      'config_committed_count',
+      'Count of the newest configuration known to be committed.',
+      configCommitted.count,
+    ),
+  ];
+}
+
+function orderFamilies(orders: OrderCounts): MetricFamily[] {
+  function refused(reason: RefusalReason): number {
+    return orders.refused[reason];
+  }
+  function unclear(reason: UnclearReason): number {
+    return orders.unclear[reason];
+  }
+  return [
+    counter('orders_accepted_total', 'Orders committed here.', orders.accepted),
+    counter(
+      'orders_acknowledged_again_total',
+      'Accepted orders that had been taken before and came again.',
+      orders.acknowledgedAgain,
+    ),
+    labelledFamily(
+      'counter',
+      `${PREFIX}orders_refused_total`,
+      'Orders refused for good; too-old is an evacuation past its age.',
+      'reason',
+      REFUSAL_REASONS,
+      refused,
+    ),
+    labelledFamily(
+      'counter',
+      `${PREFIX}orders_unclear_total`,
+      'Orders left without a clear answer.',
+      'reason',
+      UNCLEAR_REASONS,
+      unclear,
+    ),
+    counter(
+      'orders_unserved_total',
+      'Calls turned away without effect since no leader was known.',
+      orders.unserved,
+    ),
+    counter('orders_forwarded_total', 'Orders passed on to the leader.', orders.forwarded),
+  ];
+}
+
+function eventFamilies(events: EventCounts): MetricFamily[] {
+  return [
+    counter('elections_total', 'Elections that this node started.', events.electionsStarted),
+    counter('votes_granted_total', 'Terms that this node granted.', events.votesGranted),
+    counter('leader_changes_total', 'Changes of the leader seen here.', events.leaderChanges),
+    counter('voter_changes_total', 'Voter changes begun here as leader.', events.voterChanges),
+    counter('repairs_total', 'Completed repairs of this replica.', events.repairs),
+    counter('copies_mended_total', 'Copies of others sent anew.', events.copiesMended),
+  ];
+}
+
+function sessionFamilies({ sessions }: ControlMetrics): MetricFamily[] {
+  return [
+    gauge('sessions', 'Agents with a session here.', sessions.open),
+    gauge('sessions_behind', 'Of those, the ones behind in configuration.', sessions.behind),
+    gauge('versions_behind', 'How far the last of them is behind.', sessions.versionsBehind),
+  ];
+}
+
+function diskFamilies(disk: WriteNumbers): MetricFamily[] {
+  return [
+    counter('disk_writes_total', 'Writes synced to the disk.', disk.done),
+    counter('disk_writes_failed_total', 'Writes that failed and are tried again.', disk.failed),
+    counter('disk_writes_slow_total', 'Ended writes that took over 0.5 s.', disk.slow),
+    counter('disk_write_seconds_total', 'Time in ended writes.', secondsOf(disk.totalMs)),
+    gauge('disk_writes_under_way', 'Writes that have not ended.', disk.underWay),
+    gauge('disk_write_oldest_seconds', 'Age of the oldest of them.', secondsOf(disk.oldestMs)),
+  ];
+}
+
+/** All metrics of a control node's process. */
+export function controlFamilies(node: ControlMetrics, disk: WriteNumbers): MetricFamily[] {
+  return [
+    ...leadershipFamilies(node),
+    ...voterFamilies(node),
+    ...replicaFamilies(node),
+    ...orderFamilies(node.orders),
+    ...eventFamilies(node.events),
+    ...sessionFamilies(node),
+    ...diskFamilies(disk),
+  ];
+}
--- /dev/null
+++ b/src/metrics/Exposition.test.ts
@@ -0,0 +1,45 @@
+import { expect, test } from 'vitest';
+import { counterFamily, gaugeFamily, labelledFamily, renderMetrics } from './Exposition.js';
+
+function lengthOf(value: string): number {
+  return value.length;
+}
+
+async function checkText(): Promise<void> {
+  const families = [
+    counterFamily('example_writes_total', 'Writes.', 3),
+    gaugeFamily('example_ready', 'Whether it is ready.', true),
+    gaugeFamily('example_age_seconds', 'Age.', Infinity),
+    labelledFamily('counter', 'example_ends_total', 'Ends.', 'reason', ['one', 'three'], lengthOf),
+  ];
+  const { body, contentType } = await renderMetrics(families);
+  expect(contentType).toContain('text/plain');
+  expect(body.split('\n').filter(isSample)).toEqual([
+    'example_writes_total 3',
+    'example_ready 1',
+    'example_age_seconds +Inf',
+    'example_ends_total{reason="one"} 3',
+    'example_ends_total{reason="three"} 5',
+  ]);
+  expect(body).toContain('# TYPE example_writes_total counter');
+  expect(body).toContain('# HELP example_ready Whether it is ready.');
+}
+
+function isSample(line: string): boolean {
+  return line !== '' && !line.startsWith('#');
+}
+
+async function checkNothingKept(): Promise<void> {
+  const families = [counterFamily('example_writes_total', 'Writes.', 3)];
+  const first = await renderMetrics(families);
+  // Registered twice in one registry it would fail, and added up it would tell 6.
+  expect(await renderMetrics(families)).toEqual(first);
+}
+
+async function checkNoneOfItsOwn(): Promise<void> {
+  expect((await renderMetrics([])).body.trim()).toBe('');
+}
+
+test('families are told in the text form, in their order', checkText);
+test('nothing is kept from one ask to the next', checkNothingKept);
+test('no metrics are collected beside those given', checkNoneOfItsOwn);
--- /dev/null
+++ b/src/metrics/Exposition.ts
@@ -0,0 +1,83 @@
+/**
+ * Metrics as data, and their text form for a Prometheus server. What a process counts lives in plain classes; the metrics
+ * library is loaded and filled only when somebody asks, and forgotten after it.
+ */
+
+/** One label of a sample. */
+export interface MetricLabel {
+  readonly name: string;
+  readonly value: string;
+}
+
+/** One value of a metric; a metric without labels has one sample. */
+export interface MetricSample {
+  readonly labels: readonly MetricLabel[];
+  readonly value: number;
+}
+
+/** A metric with all of its samples. Counters only grow in one life of a process, gauges go either way. */
+export interface MetricFamily {
+  readonly kind: 'counter' | 'gauge';
+  readonly name: string;
+  readonly help: string;
+  readonly samples: readonly MetricSample[];
+}
+
+/** The text form, with the content type to send it under. */
+export interface Exposition {
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** A counter without labels. */
+export function counterFamily(name: string, help: string, value: number): MetricFamily {
+  return { kind: 'counter', name, help, samples: [{ labels: [], value }] };
+}
+
+/** A gauge without labels; a flag is told as 0 or 1. */
+export function gaugeFamily(name: string, help: string, value: number | boolean): MetricFamily {
+  return { kind: 'gauge', name, help, samples: [{ labels: [], value: Number(value) }] };
+}
+
+/** A metric with one label, and one sample for each value of it. */
+export function labelledFamily<Value extends string>(
+  kind: MetricFamily['kind'],
+  name: string,
+  help: string,
+  label: string,
+  values: readonly Value[],
+  valueOf: (value: Value) => number,
+): MetricFamily {
+  function sample(value: Value): MetricSample {
+    return { labels: [{ name: label, value }], value: valueOf(value) };
+  }
+  return { kind, name, help, samples: values.map(sample) };
+}
+
+function namesOf(family: MetricFamily): string[] {
+  const names = new Set<string>();
+  for (const sample of family.samples) for (const label of sample.labels) names.add(label.name);
+  return [...names];
+}
+
+/** Renders all families; each is registered anew, so that nothing is kept between two asks. */
+export async function renderMetrics(families: readonly MetricFamily[]): Promise<Exposition> {
+  // Not at the start: a process that nobody asks neither loads the library nor keeps it in memory.
+  const { Counter, Gauge, Registry } = await import('prom-client');
+  const registry = new Registry();
+  for (const family of families) {
+    const { name, help } = family;
+    const settings = { name, help, labelNames: namesOf(family), registers: [registry] };
+    const metric = family.kind === 'counter' ? new Counter(settings) : new Gauge(settings);
+    for (const { labels, value } of family.samples) {
+      // The library sets a labelled sample by an object of its labels.
+      const byName = Object.fromEntries(labels.map(entryOf));
+      metric.inc(byName, value);
+    }
+  }
+  return { contentType: registry.contentType, body: await registry.metrics() };
+}
+
+function entryOf(label: MetricLabel): readonly [string, string] {
+  return [label.name, label.value];
+}
--- /dev/null
+++ b/src/metrics/WriteLatency.test.ts
@@ -0,0 +1,37 @@
+import { expect, test } from 'vitest';
+import { secondsOf, WriteLatency } from './WriteLatency.js';
+
+function checkSums(): void {
+  const writes = new WriteLatency();
+  const quick = writes.begin(1000);
+  const hung = writes.begin(1010);
+  const failing = writes.begin(1020);
+  writes.end(quick, 1040, 'done');
+  writes.end(failing, 1620, 'failed');
+  expect(writes.numbers(3010)).toEqual({
+    done: 1,
+    failed: 1,
+    slow: 1,
+    totalMs: 640,
+    underWay: 1,
+    oldestMs: 2000,
+  });
+  writes.end(hung, 3010, 'done');
+  expect(writes.numbers(3010)).toMatchObject({ done: 2, slow: 2, underWay: 0, oldestMs: 0 });
+}
+
+function checkEndedOnce(): void {
+  const writes = new WriteLatency();
+  const id = writes.begin(0);
+  writes.end(id, 5, 'done');
+  writes.end(id, 9, 'failed');
+  expect(writes.numbers(10)).toMatchObject({ done: 1, failed: 0, totalMs: 5 });
+}
+
+function checkSeconds(): void {
+  expect(secondsOf(1500)).toBe(1.5);
+}
+
+test('writes are summed, and the oldest under way shows', checkSums);
+test('a write ends once', checkEndedOnce);
+test('durations are told in seconds', checkSeconds);
