--- a/src/metrics/Exposition.ts
+++ b/src/metrics/Exposition.ts
@@ -15,7 +15,7 @@
   readonly value: number;
 }
 
-/** A metric with all of its samples. Counters only grow in one life of a process, gauges go either way. */
+/** A metric with all of its samples. Counters only grow while a process runs, gauges go either way. */
 export interface MetricFamily {
   readonly kind: 'counter' | 'gauge';
   readonly name: string;
