--- /dev/null
+++ b/src/agent/AgentCommand.ts
@@ -0,0 +1,36 @@
+import { Flags } from '@oclif/core';
+import { makeLog } from '../common/Log.js';
+import { PROGRAM_FLAGS, ProgramCommand, SEED_FLAGS } from '../common/ProgramCommand.js';
+import { TableAgentSettingsShape } from '../common/Settings.js';
+import { untilStopped } from '../common/Shutdown.js';
+import { StatusPort } from '../common/StatusPort.js';
+import { TableAgentProcess } from './TableAgentProcess.js';
+
+export class AgentCommand extends ProgramCommand {
+  static override aliases = ['link'];
+  static override deprecateAliases = true;
+  static override description = 'run the agent beside a proxy';
+  static override flags = {
+    ...PROGRAM_FLAGS,
+    ...SEED_FLAGS,
+    feed: Flags.string({ description: 'loopback address where the proxy is fed' }),
+    status: Flags.string({ description: 'address for counters' }),
+    blindMs: Flags.integer({ description: 'as set for the proxies' }),
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(AgentCommand);
+    const settings = this.settle(TableAgentSettingsShape, flags);
+    const link = new TableAgentProcess(settings, makeLog('agent', settings.listen));
+    const status = new StatusPort(link.counters.bind(link));
+    async function start(): Promise<void> {
+      await link.start();
+      if (settings.status !== undefined) await status.listen(settings.status);
+    }
+    await this.begin(start);
+    await untilStopped();
+    link.stop();
+    status.close();
+    this.exit(0);
+  }
+}
--- a/src/kin/Messages.ts
+++ b/src/common/Messages.ts
@@ -1,14 +1,26 @@
 import { array, boolean, number, string, type, type Infer } from 'superstruct';
-import { Defect } from './Defect.js';
+import { CodedError } from './CodedError.js';
 import { Codec, Wire, type Shape } from './Wire.js';
 
-const Link = type({ fellow: string(), score: number(), alive: boolean() });
+const Link = type({ peer: string(), score: number(), alive: boolean() });
 /** One node's scores of its links, versioned by its owner alone. */
 export const Report = type({ owner: string(), version: number(), links: array(Link) });
-const Copy = type({ part: string(), epoch: number(), count: number(), body: string(), sound: boolean() });
+const Copy = type({
+  part: string(),
+  epoch: number(),
+  count: number(),
+  body: string(),
+  sound: boolean(),
+});
 const Have = type({ topic: string(), epoch: number(), count: number() });
-const Mind = type({ id: string(), zone: string() });
-const Member = type({ id: string(), zone: string(), address: string(), epoch: number(), count: number() });
+const ControlNode = type({ id: string(), zone: string() });
+const Member = type({
+  id: string(),
+  zone: string(),
+  address: string(),
+  epoch: number(),
+  count: number(),
+});
 
 /** Everything the processes say to each other. Fields are only ever added at the end of a shape. */
 export const SHAPES = {
@@ -17,36 +29,83 @@
   pong: type({ nonce: number(), epoch: number(), reports: array(Report), standing: string() }),
   propose: type({ epoch: number(), reports: array(Report) }),
   defer: type({ epoch: number(), reports: array(Report) }),
-  victory: type({ epoch: number(), reports: array(Report), nonce: number(), quorum: array(string()) }),
+  victory: type({
+    epoch: number(),
+    reports: array(Report),
+    nonce: number(),
+    quorum: array(string()),
+  }),
   granted: type({ epoch: number(), wait: number(), nonce: number(), reports: array(Report) }),
   behind: type({ epoch: number(), reports: array(Report) }),
   renew: type({ epoch: number(), nonce: number(), quorum: array(string()) }),
   renewed: type({ epoch: number(), nonce: number() }),
   read: type({ epoch: number(), nonce: number(), parts: array(string()) }),
-  readReturn: type({ epoch: number(), nonce: number(), sound: boolean(), copies: array(Copy), standing: string() }),
+  readReply: type({
+    epoch: number(),
+    nonce: number(),
+    sound: boolean(),
+    copies: array(Copy),
+    standing: string(),
+  }),
   write: type({ part: string(), epoch: number(), count: number(), body: string() }),
-  writeReturn: type({ part: string(), epoch: number(), count: number(), good: boolean(), members: array(Member) }),
+  writeReply: type({
+    part: string(),
+    epoch: number(),
+    count: number(),
+    good: boolean(),
+    members: array(Member),
+  }),
   digest: type({ nonce: number(), low: number(), high: number(), digest: string() }),
-  digestReturn: type({ nonce: number(), low: number(), high: number(), same: boolean(), sound: boolean() }),
-  sound: type({ nonce: number(), members: array(Member) }),
-  sounded: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
-  news: type({ topic: string(), epoch: number(), count: number(), body: string() }),
-  join: type({ zone: string(), address: string(), epoch: number(), count: number(), lost: string() }),
-  hang: type({ parent: string() }),
-  ask: type({ nonce: number(), have: array(Have), members: array(string()) }),
-  vouch: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
+  digestReply: type({
+    nonce: number(),
+    low: number(),
+    high: number(),
+    same: boolean(),
+    sound: boolean(),
+  }),
+  quorumRead: type({ nonce: number(), members: array(Member) }),
+  quorumReadReply: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
+  update: type({ topic: string(), epoch: number(), count: number(), body: string() }),
+  join: type({
+    zone: string(),
+    address: string(),
+    epoch: number(),
+    count: number(),
+    lost: string(),
+  }),
+  assignParent: type({ parent: string() }),
+  freshnessRequest: type({ nonce: number(), have: array(Have), members: array(string()) }),
+  freshnessReply: type({ nonce: number(), epoch: number(), count: number(), marks: number() }),
   ack: type({ epoch: number(), count: number() }),
   acked: type({ members: array(Member) }),
   demand: type({ body: string() }),
   command: type({ id: number(), verb: string(), body: string() }),
-  commandReturn: type({ id: number(), status: number(), body: string() }),
+  commandReply: type({ id: number(), status: number(), body: string() }),
   released: type({ epoch: number() }),
   /** A control node that is no voter, or hears of no leader, with the configuration it knows. */
-  enlist: type({ id: string(), zone: string(), epoch: number(), count: number(), isFirst: boolean(), isSound: boolean() }),
+  announce: type({
+    id: string(),
+    zone: string(),
+    epoch: number(),
+    count: number(),
+    isFirst: boolean(),
+    isSound: boolean(),
+  }),
   /** The voters with their zones, whom they follow, and the newest configuration there. */
-  minds: type({ minds: array(Mind), leader: string(), epoch: number(), count: number() }),
+  controlNodes: type({
+    controlNodes: array(ControlNode),
+    leader: string(),
+    epoch: number(),
+    count: number(),
+  }),
   /** What changed of a topic since the count `from` of the same epoch. */
-  delta: type({ topic: string(), epoch: number(), from: number(), count: number(), body: string() }),
+  delta: type({
+    topic: string(),
+    epoch: number(),
+    from: number(),
+    count: number(),
+    body: string(),
+  }),
 } as const;
 
 type Shapes = typeof SHAPES;
@@ -56,7 +115,7 @@
 export type ReportMessage = Infer<typeof Report>;
 export type CopyMessage = Infer<typeof Copy>;
 export type HaveMessage = Infer<typeof Have>;
-export type MindMessage = Infer<typeof Mind>;
+export type ControlNodeMessage = Infer<typeof ControlNode>;
 export type MemberMessage = Infer<typeof Member>;
 
 interface Coder {
@@ -77,12 +136,12 @@
     return isMessage(value, kind);
   }
   function encode(message: Message): Uint8Array {
-    if (!isOfShape(message)) throw new Defect('bad-frame', `not a ${kind}`);
+    if (!isOfShape(message)) throw new CodedError('bad-frame', `not a ${kind}`);
     return codec.encode(message);
   }
   function decode(bytes: Uint8Array): Message {
     const value: unknown = { kind, ...codec.decode(bytes) };
-    if (!isMessage(value, kind)) throw new Defect('bad-frame', `not a ${kind}`);
+    if (!isMessage(value, kind)) throw new CodedError('bad-frame', `not a ${kind}`);
     return value;
   }
   coders.set(kind, { encode, decode });
@@ -95,13 +154,13 @@
 /** A frame is one byte for the kind's place in the table, then the message. */
 export function encodeMessage(message: Message): Buffer {
   const coder = coders.get(message.kind);
-  if (!coder) throw new Defect('bad-frame', `unknown kind ${message.kind}`);
+  if (!coder) throw new CodedError('bad-frame', `unknown kind ${message.kind}`);
   return Buffer.concat([Buffer.from([kinds.indexOf(message.kind)]), coder.encode(message)]);
 }
 
 export function decodeMessage(bytes: Uint8Array): Message {
   const kind = kinds[bytes[0] ?? 255];
   const coder = kind === undefined ? undefined : coders.get(kind);
-  if (!coder) throw new Defect('bad-frame', `unknown kind ${bytes[0]}`);
+  if (!coder) throw new CodedError('bad-frame', `unknown kind ${bytes[0]}`);
   return coder.decode(bytes.subarray(1));
 }
--- a/src/mind/FleetDesk.ts
+++ b/src/control/FleetManager.ts
@@ -1,15 +1,22 @@
-import { CONFIG_PART, servicePart } from '../hold/PartNames.js';
-import { later, moment, type Moment, type PartName } from '../kin/Ids.js';
-import { parseAs } from '../kin/Json.js';
-import { FleetDemandShape, type Fleet, type FleetDelta, type FleetRunner, type ListedRunner, type RunnerStatus } from '../place/Fleet.js';
-import type { Intent, ServiceDoc } from '../place/Shapes.js';
+import { CONFIG_PART, servicePart } from '../state/PartNames.js';
+import { later, moment, type Moment, type PartName } from '../common/Ids.js';
+import { parseAs } from '../common/Json.js';
+import {
+  FleetDemandShape,
+  type Fleet,
+  type FleetDelta,
+  type FleetRunner,
+  type ListedRunner,
+  type RunnerStatus,
+} from '../placement/Fleet.js';
+import type { Intent, ServiceDoc } from '../placement/Shapes.js';
 import type { Routing } from '../route/Routing.js';
 import type { ConfigDoc } from './ConfigDoc.js';
-import type { Deployed, MindEffect, OrderResult } from './MindEffect.js';
+import type { Deployed, ControlEffect, OrderResult } from './ControlEffect.js';
 
-/** What the desk needs of the node that leads. */
-export interface DeskNode {
-  readonly effects: (effect: MindEffect) => void;
+/** What the fleet manager needs of the node that leads. */
+export interface ManagedNode {
+  readonly effects: (effect: ControlEffect) => void;
   readonly write: (now: Moment, part: PartName, body: string) => void;
   /** The fleet whole, and what changed of it since the count before. */
   readonly publish: (count: number, body: string, delta: string) => void;
@@ -23,9 +30,9 @@
 const MOVED_MS = 300;
 
 /** The leader's placement by a planner: what comes in, what is written down, ordered and told. */
-export class FleetDesk {
+export class FleetManager {
   readonly #deployed: Deployed;
-  readonly #node: DeskNode;
+  readonly #node: ManagedNode;
   readonly #addresses = new Map<string, string>();
   readonly #open = new Set<string>();
   #routingText = '';
@@ -39,15 +46,21 @@
   #count = 0;
   #ordersSent = 0;
 
-  constructor(deployed: Deployed, node: DeskNode) {
+  constructor(deployed: Deployed, node: ManagedNode) {
     this.#deployed = deployed;
     this.#node = node;
   }
 
-  get hasOpenOrders(): boolean { return this.#open.size > 0; }
-  get ordersSent(): number { return this.#ordersSent; }
+  get hasOpenOrders(): boolean {
+    return this.#open.size > 0;
+  }
+  get ordersSent(): number {
+    return this.#ordersSent;
+  }
 
-  docs(): readonly ServiceDoc[] { return this.#deployed.planner.docs(); }
+  docs(): readonly ServiceDoc[] {
+    return this.#deployed.planner.docs();
+  }
 
   /** Begins anew from what the parts hold; nothing is planned before the first list of this reign. */
   begin(now: Moment, docs: readonly ServiceDoc[], label: string): void {
@@ -67,7 +80,7 @@
     const report = parseAs(FleetDemandShape, body);
     if (!report) return;
     this.#deployed.planner.demand(now, report);
-    // Somebody waits at a proxy: it is not left waiting for the next beat as well.
+    // Somebody waits at a proxy: it is not left waiting for the next tick as well.
     if (report.units.some(isWaiting)) this.#plan(now, doc);
   }
 
@@ -97,7 +110,7 @@
     this.#order(now);
   }
 
-  beat(now: Moment, doc: ConfigDoc): void {
+  tick(now: Moment, doc: ConfigDoc): void {
     if (now >= later(this.#listAskedAt, this.#deployed.listMs)) {
       this.#listAskedAt = now;
       this.#node.effects({ do: 'askList' });
@@ -108,7 +121,8 @@
       if (address !== undefined) this.#node.effects({ do: 'askStatus', runner, address });
     }
     const next = this.#deployed.planner.nextAt(now);
-    if (now >= later(this.#plannedAt, PLAN_MS) || (next !== undefined && now >= next)) this.#plan(now, doc);
+    if (now >= later(this.#plannedAt, PLAN_MS) || (next !== undefined && now >= next))
+      this.#plan(now, doc);
   }
 
   #routingOf(doc: ConfigDoc): Routing | undefined {
@@ -125,7 +139,11 @@
     if (!this.#hasList) return;
     this.#plannedAt = now;
     const { planner } = this.#deployed;
-    const changed = planner.plan(now, { routing: this.#routingOf(doc), emptied: doc.emptied, flows: this.#node.flows() });
+    const changed = planner.plan(now, {
+      routing: this.#routingOf(doc),
+      emptied: doc.emptied,
+      flows: this.#node.flows(),
+    });
     const parts = new Set<PartName>();
     for (const model of changed) parts.add(servicePart(model));
     for (const part of parts) {
@@ -143,7 +161,10 @@
 
   #send(now: Moment, intent: Intent): void {
     const address = this.#addresses.get(intent.runner);
-    if (address === undefined) { this.#deployed.planner.ordered(now, intent.id, 'unsent'); return; }
+    if (address === undefined) {
+      this.#deployed.planner.ordered(now, intent.id, 'unsent');
+      return;
+    }
     this.#open.add(intent.id);
     this.#ordersSent += 1;
     this.#node.effects({ do: 'order', intent, address });
@@ -153,7 +174,7 @@
   #publish(now: Moment): void {
     const fleet = this.#deployed.planner.fleet(now);
     // The same word again is no news, though its spans now seem to end later: who heard it counts them down. It need not
-    // be written out to be compared either, which for a large fleet takes longer than the beat.
+    // be written out to be compared either, which for a large fleet takes longer than the tick.
     if (fleet === this.#toldFleet) return;
     this.#toldFleet = fleet;
     const put: FleetRunner[] = [];
@@ -169,14 +190,24 @@
     const isRestNews = this.#isNews(now, REST, { flows, waits });
     if (put.length === 0 && drop.length === 0 && !isRestNews) return;
     this.#count += 1;
-    this.#node.publish(this.#count, JSON.stringify(fleet satisfies Fleet), JSON.stringify({ flows, waits, put, drop } satisfies FleetDelta));
+    this.#node.publish(
+      this.#count,
+      JSON.stringify(fleet satisfies Fleet),
+      JSON.stringify({ flows, waits, put, drop } satisfies FleetDelta),
+    );
   }
 
   #isNews(now: Moment, key: string, value: object): boolean {
     const times: number[] = [];
     const text = JSON.stringify(value, stillOf.bind(undefined, now, times));
     const told = this.#told.get(key);
-    if (told && text === told.text && times.length === told.times.length && times.every(isNear.bind(undefined, told.times))) return false;
+    if (
+      told &&
+      text === told.text &&
+      times.length === told.times.length &&
+      times.every(isNear.bind(undefined, told.times))
+    )
+      return false;
     this.#told.set(key, { text, times });
     return true;
   }
@@ -192,6 +223,12 @@
   return 1;
 }
 
-function isNear(before: readonly number[], time: number, index: number): boolean { return Math.abs((before[index] ?? -1e12) - time) <= MOVED_MS; }
-function isWaiting(unit: { readonly waiting: number }): boolean { return unit.waiting > 0; }
-function isInPart(part: PartName, doc: ServiceDoc): boolean { return part !== CONFIG_PART && servicePart(doc.model) === part; }
+function isNear(before: readonly number[], time: number, index: number): boolean {
+  return Math.abs((before[index] ?? -1e12) - time) <= MOVED_MS;
+}
+function isWaiting(unit: { readonly waiting: number }): boolean {
+  return unit.waiting > 0;
+}
+function isInPart(part: PartName, doc: ServiceDoc): boolean {
+  return part !== CONFIG_PART && servicePart(doc.model) === part;
+}
--- a/src/news/Vouching.ts
+++ b/src/dissemination/FreshnessConfirmation.ts
@@ -1,4 +1,4 @@
-import { later, type Moment } from '../kin/Ids.js';
+import { later, type Moment } from '../common/Ids.js';
 
 export interface Ask {
   readonly child: string;
@@ -6,7 +6,11 @@
   /** Every member that will be fresh by what this ask is returned. */
   readonly members: readonly string[];
 }
-interface Round { readonly nonce: number; readonly sentAt: Moment; readonly asks: readonly Ask[] }
+interface Round {
+  readonly nonce: number;
+  readonly sentAt: Moment;
+  readonly asks: readonly Ask[];
+}
 
 const RETRY_MS = 250;
 
@@ -14,21 +18,28 @@
  * Gathers asks for freshness from below into one ask upward at a time. An ask is only ever returned
  * by a round begun after it came in, so that its age counts from the asker's own sending.
  */
-export class Vouching {
+export class FreshnessConfirmation {
   #waiting: Ask[] = [];
   #round: Round | undefined;
   #nonce: number;
 
-  /** Nonces begin at a number of this life's own: what is returned to a former life ends no round of ours. */
-  constructor(life: number) { this.#nonce = life; }
+  /** Nonces begin at a number of this life's own: what is returned to a former incarnation ends no round of ours. */
+  constructor(incarnation: number) {
+    this.#nonce = incarnation;
+  }
 
-  add(ask: Ask): void { this.#waiting.push(ask); }
+  add(ask: Ask): void {
+    this.#waiting.push(ask);
+  }
 
   /** Begins a round if some ask waits and none is under way, or the one under way seems lost; returns its nonce. */
   begin(now: Moment): number | undefined {
     if (this.#round && now < later(this.#round.sentAt, RETRY_MS)) return undefined;
     const asks = [...(this.#round?.asks ?? []), ...this.#waiting];
-    if (asks.length === 0) { this.#round = undefined; return undefined; }
+    if (asks.length === 0) {
+      this.#round = undefined;
+      return undefined;
+    }
     this.#waiting = [];
     this.#nonce += 1;
     this.#round = { nonce: this.#nonce, sentAt: now, asks: newest(asks) };
@@ -42,7 +53,7 @@
     return [...ids];
   }
 
-  /** The asks that this round's vouch returns. */
+  /** The asks that this round's confirmation returns. */
   end(nonce: number): readonly Ask[] {
     const round = this.#round;
     if (!round || round.nonce !== nonce) return [];
--- a/src/place/Shares.ts
+++ b/src/placement/Shares.ts
@@ -1,11 +1,11 @@
-import type { Moment } from '../kin/Ids.js';
+import type { Moment } from '../common/Ids.js';
 import { Demand } from './Demand.js';
 import type { DemandReport, Share } from './Shapes.js';
 
 const SPAN_MS = 5000;
 const FORGET_MS = 15_000;
 
-/** Shares a row's fleet-wide take out to the flows by their demand; together they never exceed the whole. */
+/** Shares a row's fleet-wide take out to the proxies by their demand; together they never exceed the whole. */
 export class Shares {
   readonly #demand = new Demand(SPAN_MS);
   readonly #flows = new Map<string, Moment>();
@@ -41,7 +41,8 @@
       }
       for (const [flow, rate] of demands) {
         // Each gets what it is asked for and an even part of what is left; when nothing is left, mostly by demand.
-        const share = sum < take ? (rate + (take - sum) / count) / take : (0.9 * rate) / sum + 0.1 / count;
+        const share =
+          sum < take ? (rate + (take - sum) / count) / take : (0.9 * rate) / sum + 0.1 / count;
         // Twentieths of an even share, rounded down: small changes are no news, and the sum stays within the whole.
         const step = 1 / (count * 4);
         shares.push({ flow, row: key, share: Math.floor(share / step + 1e-9) * step });
--- /dev/null
+++ b/src/rehearsal/SimAgent.ts
@@ -0,0 +1,77 @@
+import { AgentCore } from '../agent/AgentCore.js';
+import type { Message } from '../common/Messages.js';
+import type { Scheduler } from './Scheduler.js';
+import type { Network } from './Network.js';
+import type { Seeded } from './Seeded.js';
+import { BLIND_MS, type SimProxy } from './SimProxy.js';
+import { SimNode } from './SimNode.js';
+
+/** A simulated edge machine's link: the real core. */
+export class SimAgent extends SimNode {
+  readonly #network: Network;
+  readonly #seeds: readonly string[];
+  #core: AgentCore | undefined;
+  /** The proxies beside it, by id: fed over loopback, which is never cut. */
+  readonly flows = new Map<string, SimProxy>();
+
+  constructor(
+    id: string,
+    scheduler: Scheduler,
+    seeded: Seeded,
+    network: Network,
+    seeds: readonly string[],
+  ) {
+    super(id, scheduler, seeded.between(0, 1e6), 25);
+    this.#network = network;
+    this.#seeds = seeds;
+  }
+
+  get core(): AgentCore | undefined {
+    return this.#core;
+  }
+
+  protected boot(): void {
+    this.#core = new AgentCore(
+      {
+        me: this.id,
+        zone: 'z',
+        seeds: this.#seeds,
+        blindMs: BLIND_MS,
+        incarnation: this.incarnation,
+      },
+      this.now(),
+    );
+  }
+
+  protected died(): void {
+    this.#core = undefined;
+  }
+
+  protected tick(): void {
+    this.#core?.tick(this.now());
+    this.#obey();
+  }
+
+  receive(from: string, message: Message): void {
+    this.#core?.receive(this.now(), from, from.startsWith('flow@') ? 'flow' : 'node', message);
+    this.#obey();
+  }
+
+  gone(from: string): void {
+    this.#core?.gone(this.now(), from);
+    this.#obey();
+  }
+
+  #obey(): void {
+    for (const effect of this.#core?.drain() ?? []) {
+      if (effect.do !== 'send') continue;
+      const flow = this.flows.get(effect.to);
+      if (flow)
+        this.scheduler.after(
+          0.1,
+          flow.perform.bind(flow, flow.receive.bind(flow, this.id, effect.message)),
+        );
+      else this.#network.send(this.id, effect.to, effect.message);
+    }
+  }
+}
--- /dev/null
+++ b/src/rehearsal/SimProxy.ts
@@ -0,0 +1,523 @@
+import { Decision, DECISION_DEFAULTS } from '../proxy/Decision.js';
+import { InFlightRequests, type Step } from '../proxy/InFlightRequests.js';
+import { ConnectionProbes, type ConnectionProbeStep } from '../proxy/ConnectionProbes.js';
+import { Counters } from '../common/Counters.js';
+import type { Message } from '../common/Messages.js';
+import { compareVersions, NO_VERSION, type Version } from '../common/Version.js';
+import type { Scheduler } from './Scheduler.js';
+import type { Network } from './Network.js';
+import type { CallerRecord } from './Records.js';
+import type { Seeded } from './Seeded.js';
+import { SimClients, type SimClient, type Traffic } from './SimClients.js';
+import type { SimAgent } from './SimAgent.js';
+import type { Hear, SimConnection } from './SimConnection.js';
+import { SimNode } from './SimNode.js';
+import type { SimOutside } from './SimOutside.js';
+import type { MutationKind } from './Mutation.js';
+
+export const BLIND_MS = 2500;
+export const LATE_MS = { check: 10_000, sum: 4000, lookup: 2000 } as const;
+const ASK_EVERY = 12;
+const SILENT_MS = 5000;
+const DRAIN_MS = 20_000;
+
+interface Way {
+  readonly line: SimConnection;
+  readonly attempt: number;
+  readonly isReused: boolean;
+  hasHead: boolean;
+  readonly back: string;
+  readonly isKept: boolean;
+}
+
+/** A simulated proxy: the real decision and passages; connections, back ends and callers are simulated around them. */
+export class SimProxy extends SimNode {
+  readonly #link: SimAgent;
+  readonly #seeded: Seeded;
+  readonly #network: Network;
+  readonly #outside: SimOutside;
+  readonly #onWrite: (runner: string) => void;
+  readonly #clients: SimClients;
+  readonly #wrong: MutationKind | '';
+  readonly #ways = new Map<number, Way>();
+  readonly #kept = new Map<string, SimConnection[]>();
+  #decision: Decision | undefined;
+  #inFlightRequests: InFlightRequests | undefined;
+  #probes: ConnectionProbes | undefined;
+  readonly #watchLines = new Map<string, SimConnection>();
+  #ticks = 0;
+  #isDraining = false;
+  #isObeying = false;
+  #oldConfig: string | undefined;
+
+  constructor(
+    id: string,
+    scheduler: Scheduler,
+    seeded: Seeded,
+    network: Network,
+    outside: SimOutside,
+    link: SimAgent,
+    records: CallerRecord[],
+    onWrite: (runner: string) => void,
+    wrong: MutationKind | '',
+  ) {
+    super(id, scheduler, seeded.between(0, 1e6), 25);
+    this.#seeded = seeded;
+    this.#network = network;
+    this.#outside = outside;
+    this.#onWrite = onWrite;
+    this.#link = link;
+    this.#wrong = wrong;
+    this.#clients = new SimClients(id, scheduler, records);
+    link.flows.set(id, this);
+    scheduler.after(seeded.between(0, 200), this.#call.bind(this));
+  }
+
+  get decision(): Decision | undefined {
+    return this.#decision;
+  }
+  get open(): number {
+    return this.#clients.size;
+  }
+  get longestMs(): number {
+    return this.#clients.longestMs();
+  }
+  get isDraining(): boolean {
+    return this.#isDraining;
+  }
+
+  protected boot(): void {
+    const isNever = this.#wrong === 'never-blind';
+    const repeats = this.#wrong === 'no-budget' ? { repeatShare: 1, repeatFew: 1000 } : {};
+    const ramp = this.#wrong === 'no-ramp' ? { rampMs: 1 } : {};
+    this.#decision = new Decision({
+      ...DECISION_DEFAULTS,
+      ...repeats,
+      ...ramp,
+      blindMs: isNever ? 1e9 : BLIND_MS,
+      me: this.id,
+      incarnation: this.incarnation,
+    });
+    this.#inFlightRequests = new InFlightRequests(
+      this.#decision,
+      { connectMs: 500, silentMs: SILENT_MS },
+      new Counters(),
+    );
+    this.#probes = new ConnectionProbes(this.#decision);
+    this.#isDraining = false;
+  }
+
+  protected died(): void {
+    this.#decision = undefined;
+    this.#inFlightRequests = undefined;
+    for (const way of this.#ways.values()) way.line.close();
+    this.#ways.clear();
+    for (const lines of this.#kept.values()) for (const line of lines) line.close();
+    this.#kept.clear();
+    for (const line of this.#watchLines.values()) line.close();
+    this.#watchLines.clear();
+    this.#clients.lost();
+  }
+
+  /** A planned stop: what runs may end; says so once it has. */
+  retire(done: () => void): void {
+    if (!this.isUp || this.#isDraining) return;
+    this.#isDraining = true;
+    const node = {
+      inFlightRequests: this.#inFlightRequests,
+      obey: this.#obey.bind(this),
+      now: this.now.bind(this),
+    };
+    function start(): void {
+      node.inFlightRequests?.startDraining(node.now());
+      node.obey();
+    }
+    this.perform(start);
+    const end = this.scheduler.now + (this.#wrong === 'drain-cuts' ? 50 : DRAIN_MS);
+    this.#awaitIdle(end, done);
+  }
+
+  #awaitIdle(end: number, done: () => void): void {
+    if (!this.#isDraining || !this.isUp) return;
+    if ((this.#inFlightRequests?.size ?? 0) === 0 || this.scheduler.now >= end) done();
+    else this.scheduler.after(25, this.#awaitIdle.bind(this, end, done));
+  }
+
+  protected tick(): void {
+    const decision = this.#decision;
+    if (!decision) return;
+    this.#ticks += 1;
+    this.#inFlightRequests?.tick(this.now());
+    this.#probes?.follow(this.now(), decision.silentBacks());
+    this.#probes?.tick(this.now());
+    if (this.#ticks % ASK_EVERY === 0) {
+      this.#tell({
+        kind: 'freshnessRequest',
+        nonce: decision.ask(this.now()),
+        have: [
+          { topic: 'config', ...decision.configVersion },
+          { topic: 'places', ...decision.placesVersion },
+          { topic: 'machines', epoch: 0, count: decision.marks },
+        ],
+        members: [],
+      });
+    }
+    if (this.#ticks % 40 === 0)
+      this.#tell({
+        kind: 'demand',
+        body: JSON.stringify({ flow: this.id, ...decision.takeDemand() }),
+      });
+    this.#obey();
+  }
+
+  // ---- callers
+
+  #call(): void {
+    this.scheduler.after(this.#seeded.between(50, 200), this.#call.bind(this));
+    this.send(this.#draw());
+  }
+
+  /** A caller's request reaches the machine; the process takes it once it is awake. */
+  send(traffic: Traffic): void {
+    if (!this.isUp || this.#isDraining) return;
+    const client = this.#clients.begin(traffic);
+    this.perform(this.#take.bind(this, client));
+    // Some leave, and some read no further.
+    if (this.#seeded.isLikely(0.04))
+      this.later(this.#seeded.between(0, 1500), this.#leave.bind(this, client));
+    if (this.#seeded.isLikely(0.01)) client.isReading = false;
+  }
+
+  lookup(): Traffic {
+    return {
+      type: 'lookup',
+      method: 'GET',
+      path: '/v1/lookups/1',
+      model: '',
+      adapter: '',
+      once: false,
+      tokens: 0,
+    };
+  }
+
+  /** What is asked for shifts with time, so that places have to follow. */
+  #draw(): Traffic {
+    if (this.#seeded.isLikely(0.3)) return this.lookup();
+    const shift = Math.floor(this.scheduler.now / 8000);
+    const model = `m-${(shift + Math.floor(3 * this.#seeded.next() ** 2)) % 8}`;
+    const adapter = model === 'm-0' && this.#seeded.isLikely(0.5) ? 'm-0-a' : '';
+    const isStream = this.#seeded.isLikely(0.75);
+    return {
+      type: isStream ? 'check' : 'sum',
+      method: 'POST',
+      path: isStream ? '/v1/checks' : '/v1/sums',
+      model,
+      adapter,
+      once: true,
+      tokens: 1 + this.#seeded.below(12),
+    };
+  }
+
+  #take(client: SimClient): void {
+    const { method, path, model, adapter } = client.traffic;
+    this.#inFlightRequests?.take(this.now(), {
+      id: client.id,
+      method,
+      path,
+      model,
+      adapter,
+      parts: [],
+    });
+    this.#obey();
+  }
+
+  #leave(client: SimClient): void {
+    if (!this.#clients.get(client.id)) return;
+    this.#clients.left(client);
+    this.#inFlightRequests?.gone(this.now(), client.id);
+    this.#obey();
+  }
+
+  // ---- steps
+
+  #obey(): void {
+    if (this.#isObeying) return;
+    this.#isObeying = true;
+    for (
+      let steps = this.#inFlightRequests?.drain() ?? [];
+      steps.length > 0;
+      steps = this.#inFlightRequests?.drain() ?? []
+    ) {
+      for (const step of steps) this.#carryOut(step);
+    }
+    for (const step of this.#probes?.drain() ?? []) this.#watch(step);
+    this.#isObeying = false;
+  }
+
+  #watch(step: ConnectionProbeStep): void {
+    this.#watchLines.get(step.id)?.close();
+    this.#watchLines.delete(step.id);
+    if (step.do === 'close') return;
+    const { id, count } = step;
+    const flow = {
+      probes: this.#probes,
+      inFlightRequests: this.#inFlightRequests,
+      now: this.now.bind(this),
+      obey: this.#obey.bind(this),
+      perform: this.perform.bind(this),
+    };
+    function opened(): void {
+      flow.probes?.opened(flow.now(), id, count);
+      flow.inFlightRequests?.settle(flow.now());
+      flow.obey();
+    }
+    function closed(): void {
+      flow.probes?.closed(flow.now(), id, count);
+      flow.obey();
+    }
+    const connected = flow.perform.bind(undefined, opened);
+    const broke = flow.perform.bind(undefined, closed);
+    this.#watchLines.set(
+      id,
+      this.#open(id, { connected, head: ignore, text: ignore, ended: broke, broke }),
+    );
+  }
+
+  #open(back: string, hear: Hear): SimConnection {
+    const isCut = this.#network.isCut.bind(this.#network, this.#link.id, back);
+    return this.#outside.open(back, isCut, this.#network.delay.bind(this.#network), hear);
+  }
+
+  #carryOut(step: Step): void {
+    const client = this.#clients.get(step.id);
+    const way = this.#ways.get(step.id);
+    switch (step.do) {
+      case 'connect':
+        if (client) this.#connect(client, step);
+        break;
+      case 'write':
+        if (!client || !way || way.attempt !== step.attempt) break;
+        this.#onWrite(way.back);
+        way.line.write({
+          id: client.requestId,
+          model: client.traffic.model,
+          adapter: client.traffic.adapter,
+          tokens: client.traffic.tokens,
+          at: this.scheduler.now,
+        });
+        break;
+      case 'pass':
+        if (client) client.table = step.table;
+        break;
+      case 'finish':
+        if (client) this.#clients.finished(client);
+        this.#let(step.id, true);
+        break;
+      case 'breakOff':
+        if (client) this.#break(client);
+        this.#let(step.id, false);
+        break;
+      case 'cancel':
+        if (way?.attempt === step.attempt) this.#let(step.id, false);
+        break;
+      case 'tell':
+        if (client) this.#say(client, step);
+        this.#let(step.id, false);
+        break;
+    }
+  }
+
+  #say(client: SimClient, step: Extract<Step, { do: 'tell' }>): void {
+    const table = this.#decision?.tableNumber ?? -1;
+    const isWrongNo = this.#wrong === 'unsure-run-as-no' && step.kind === 'unsure-run';
+    const tell = this.#clients.told.bind(
+      this.#clients,
+      client,
+      isWrongNo ? 'crowded' : step.kind,
+      step.retryMs,
+      table,
+    );
+    if (this.#wrong === 'no-kept-back') this.later(LATE_MS.check * 0.9, tell);
+    else tell();
+  }
+
+  #break(client: SimClient): void {
+    if (this.#wrong !== 'streams-resumed') {
+      this.#clients.broken(client);
+      return;
+    }
+    // As if another run could go on where the broken one ended.
+    const next = this.#clients.alias(client);
+    this.later(1, this.#take.bind(this, next));
+  }
+
+  #let(id: number, isWhole: boolean): void {
+    const way = this.#ways.get(id);
+    if (!way) return;
+    this.#ways.delete(id);
+    if (!isWhole || !way.isKept || way.line.isClosed) {
+      way.line.close();
+      return;
+    }
+    const lines = this.#kept.get(way.back) ?? [];
+    this.#kept.set(way.back, lines);
+    lines.push(way.line);
+    // Idle, it is heard of only when the back end closes it.
+    const idle = this.#idle.bind(this, way.back, way.line);
+    way.line.hear = { connected: ignore, head: ignore, text: ignore, ended: idle, broke: idle };
+  }
+
+  #idle(back: string, line: SimConnection): void {
+    const lines = this.#kept.get(back) ?? [];
+    this.#kept.set(back, lines.filter(isOther.bind(undefined, line)));
+    line.close();
+  }
+
+  #connect(client: SimClient, step: Extract<Step, { do: 'connect' }>): void {
+    const { runner, row } = step.verdict;
+    this.#let(client.id, false);
+    const kept = row.repeatable ? this.#kept.get(runner)?.pop() : undefined;
+    const hear = this.#hear(client.id, step.attempt);
+    const line = kept ?? this.#open(runner, hear);
+    line.hear = hear;
+    this.#ways.set(client.id, {
+      line,
+      attempt: step.attempt,
+      isReused: kept !== undefined,
+      hasHead: false,
+      back: runner,
+      isKept: row.repeatable,
+    });
+    if (kept) this.later(0.05, hear.connected);
+  }
+
+  /** What comes in on a connection waits in its socket while the process is frozen. */
+  #hear(id: number, attempt: number): Hear {
+    const flow = {
+      ways: this.#ways,
+      inFlightRequests: this.#inFlightRequests,
+      now: this.now.bind(this),
+      obey: this.#obey.bind(this),
+      perform: this.perform.bind(this),
+      clients: this.#clients,
+      wrong: this.#wrong,
+    };
+    function wayOf(): Way | undefined {
+      const way = flow.ways.get(id);
+      return way?.attempt === attempt ? way : undefined;
+    }
+    function hears(run: (inFlightRequests: InFlightRequests, way: Way) => void): void {
+      function due(): void {
+        const way = wayOf();
+        if (!way || !flow.inFlightRequests) return;
+        run(flow.inFlightRequests, way);
+        flow.obey();
+      }
+      flow.perform(due);
+    }
+    function connected(): void {
+      function run(inFlightRequests: InFlightRequests): void {
+        inFlightRequests.connected(flow.now(), id, attempt);
+      }
+      hears(run);
+    }
+    function head(isBegun: boolean, isBounded: boolean): void {
+      function run(inFlightRequests: InFlightRequests, way: Way): void {
+        way.hasHead = isBegun;
+        inFlightRequests.head(flow.now(), id, attempt, {
+          isBegun,
+          isBounded: isBounded || flow.wrong === 'unbounded-as-whole',
+        });
+      }
+      hears(run);
+    }
+    function text(piece: string): void {
+      function run(inFlightRequests: InFlightRequests): void {
+        const client = flow.clients.get(id);
+        if (!client?.isReading) return;
+        client.check.take(piece);
+        inFlightRequests.bytes(flow.now(), id, attempt);
+      }
+      hears(run);
+    }
+    function ended(): void {
+      function run(inFlightRequests: InFlightRequests): void {
+        // What its client has not read holds up the end as well.
+        if (flow.clients.get(id)?.isReading === true)
+          inFlightRequests.ended(flow.now(), id, attempt);
+      }
+      hears(run);
+    }
+    function broke(): void {
+      function run(inFlightRequests: InFlightRequests, way: Way): void {
+        if (flow.wrong === 'ends-made-up' && way.hasHead)
+          inFlightRequests.ended(flow.now(), id, attempt);
+        else inFlightRequests.broke(flow.now(), id, attempt, way.isReused && !way.hasHead);
+      }
+      hears(run);
+    }
+    return { connected, head, text, ended, broke };
+  }
+
+  // ---- news
+
+  #tell(message: Message): void {
+    const link = this.#link;
+    this.scheduler.after(0.1, link.perform.bind(link, link.receive.bind(link, this.id, message)));
+  }
+
+  receive(_from: string, message: Message): void {
+    const decision = this.#decision;
+    if (!decision) return;
+    if (message.kind === 'update') {
+      this.#news(
+        decision,
+        message.topic,
+        { epoch: message.epoch, count: message.count },
+        message.body,
+      );
+      if (message.topic === 'config') this.#tell({ kind: 'ack', ...decision.configVersion });
+    } else if (message.kind === 'freshnessReply') {
+      decision.confirmFreshness(
+        message.nonce,
+        message,
+        this.#wrong === 'marks-ignored' ? 0 : message.marks,
+      );
+    }
+    this.#inFlightRequests?.settle(this.now());
+    this.#obey();
+  }
+
+  #news(decision: Decision, topic: string, version: Version, body: string): void {
+    if (this.#wrong === 'marks-ignored' && topic === 'machines') return;
+    if (topic !== 'config') {
+      decision.news(this.now(), topic, version, body);
+      return;
+    }
+    if (this.#wrong === 'versions-unchecked') {
+      // It takes whatever comes, and now and then something old comes.
+      this.#oldConfig ??= body;
+      const isOld =
+        compareVersions(decision.configVersion, NO_VERSION) > 0 && this.#seeded.isLikely(0.3);
+      decision.news(this.now(), topic, version, isOld ? this.#oldConfig : body);
+      return;
+    }
+    let wrong = body;
+    if (this.#wrong === 'emptied-ignored')
+      wrong = body.replace(/"emptied":\[[^\]]*\]/, '"emptied":[]');
+    if (this.#wrong === 'once-repeated')
+      wrong = body.replaceAll('"repeatable":false', '"repeatable":true');
+    decision.news(this.now(), topic, version, wrong);
+  }
+
+  gone(): void {
+    /* its link's line closing changes nothing here: it asks again */
+  }
+}
+
+function ignore(): void {
+  /* nothing is asked on an idle connection */
+}
+function isOther(line: SimConnection, other: SimConnection): boolean {
+  return line !== other;
+}
--- a/src/myth/StandServer.ts
+++ b/src/rehearsal/StubServer.ts
@@ -1,18 +1,33 @@
 import { appendFileSync } from 'node:fs';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { readBody } from '../kin/Call.js';
-import { listenOn } from '../kin/Listen.js';
+import { readBody } from '../common/Call.js';
+import { listenOn } from '../common/Listen.js';
 
-export type Serve = (method: string, path: string, body: string, returned: ServerResponse, asked: IncomingMessage) => Promise<void> | void;
+export type Serve = (
+  method: string,
+  path: string,
+  body: string,
+  returned: ServerResponse,
+  asked: IncomingMessage,
+) => Promise<void> | void;
 
-export function returnJson(returned: ServerResponse, status: number, value: unknown, headers: Record<string, string> = {}): void {
+export function replyJson(
+  returned: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Record<string, string> = {},
+): void {
   const body = JSON.stringify(value);
-  returned.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...headers });
+  returned.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    ...headers,
+  });
   returned.end(body);
 }
 
-/** What all stand-ins share: an HTTP port, and a record of what was seen that outlasts a kill. */
-export class StandServer {
+/** What all stubs share: an HTTP port, and a record of what was seen that outlasts a kill. */
+export class StubServer {
   readonly #server: Server;
   readonly #records: string;
   readonly #continuedAt = new WeakMap<IncomingMessage, number>();
@@ -21,7 +36,13 @@
     this.#records = records;
     async function take(asked: IncomingMessage, returned: ServerResponse): Promise<void> {
       try {
-        await serve(asked.method ?? 'GET', asked.url ?? '/', await readBody(asked), returned, asked);
+        await serve(
+          asked.method ?? 'GET',
+          asked.url ?? '/',
+          await readBody(asked),
+          returned,
+          asked,
+        );
       } catch {
         returned.destroy();
       }
@@ -38,14 +59,19 @@
   }
 
   /** How long ago this request was told to go on, on a clock that does not jump. */
-  sinceContinue(asked: IncomingMessage): number { return performance.now() - (this.#continuedAt.get(asked) ?? performance.now()); }
+  sinceContinue(asked: IncomingMessage): number {
+    return performance.now() - (this.#continuedAt.get(asked) ?? performance.now());
+  }
 
   /** Wall-clock milliseconds go with each record: all of a rehearsal runs on one machine. */
   record(value: Readonly<Record<string, unknown>>): void {
-    if (this.#records !== '') appendFileSync(this.#records, `${JSON.stringify({ at: Date.now(), ...value })}\n`);
+    if (this.#records !== '')
+      appendFileSync(this.#records, `${JSON.stringify({ at: Date.now(), ...value })}\n`);
   }
 
-  async listen(address: string): Promise<number> { return listenOn(this.#server, address); }
+  async listen(address: string): Promise<number> {
+    return listenOn(this.#server, address);
+  }
 
   close(): void {
     this.#server.closeAllConnections();
--- a/src/myth/HollowEdges.ts
+++ b/src/rehearsal/SyntheticEdges.ts
@@ -1,34 +1,35 @@
 import { array, number, string, type, type Infer } from 'superstruct';
-import { mustParseAs } from '../kin/Json.js';
-import { HollowFlow } from './HollowFlow.js';
+import { mustParseAs } from '../common/Json.js';
+import { SyntheticProxy } from './SyntheticProxy.js';
 import { ownCost, type ScalePart } from './ScalePart.js';
-import { Bodies, ScaleLink } from './ScaleLink.js';
+import { Bodies, ScaleAgent } from './ScaleAgent.js';
 import { EdgePlaceShape, modelName } from './ScaleShape.js';
 import { total } from './Tally.js';
 
-export const HollowEdgesShape = type({ edges: array(EdgePlaceShape), seeds: array(string()) });
+export const SyntheticEdgesShape = type({ edges: array(EdgePlaceShape), seeds: array(string()) });
 const ReachedShape = type({ topic: string(), epoch: number(), count: number() });
 const DemandAskShape = type({ units: number(), models: number(), services: number() });
 const WantShape = type({ service: string(), model: string(), waiting: number() });
 
 /** Many agents and proxies in one process, each with lines of its own. */
-export class HollowEdges implements ScalePart {
-  readonly #links: ScaleLink[] = [];
-  readonly #flows: HollowFlow[] = [];
+export class SyntheticEdges implements ScalePart {
+  readonly #links: ScaleAgent[] = [];
+  readonly #flows: SyntheticProxy[] = [];
 
-  constructor(settings: Infer<typeof HollowEdgesShape>) {
+  constructor(settings: Infer<typeof SyntheticEdgesShape>) {
     const bodies = new Bodies();
     for (const place of settings.edges) {
-      this.#links.push(new ScaleLink(place, settings.seeds, bodies));
+      this.#links.push(new ScaleAgent(place, settings.seeds, bodies));
       // Beside a watched one stands a real proxy.
-      if (!place.isWatched) this.#flows.push(new HollowFlow(place));
+      if (!place.isWatched) this.#flows.push(new SyntheticProxy(place));
     }
   }
 
   async start(): Promise<void> {
     for (const link of this.#links) await link.start();
     // Spread over a second, as processes that start by themselves are.
-    for (const [index, flow] of this.#flows.entries()) setTimeout(flow.start.bind(flow), (index * 1000) / this.#flows.length);
+    for (const [index, flow] of this.#flows.entries())
+      setTimeout(flow.start.bind(flow), (index * 1000) / this.#flows.length);
   }
 
   async stop(): Promise<void> {
@@ -38,10 +39,24 @@
 
   async ask(verb: string, body: string): Promise<string> {
     if (verb === 'figures') return JSON.stringify(this.#figures());
-    if (verb === 'reached') return JSON.stringify(this.#reached(mustParseAs(ReachedShape, body, 'the ask')));
-    if (verb === 'demand') { this.#demand(mustParseAs(DemandAskShape, body, 'the ask')); return ''; }
+    if (verb === 'reached')
+      return JSON.stringify(this.#reached(mustParseAs(ReachedShape, body, 'the ask')));
+    if (verb === 'demand') {
+      this.#demand(mustParseAs(DemandAskShape, body, 'the ask'));
+      return '';
+    }
     const want = mustParseAs(WantShape, body, 'the ask');
-    this.#flows[0]?.tell([{ service: want.service, model: want.model, adapter: '', count: want.waiting, waiting: want.waiting, running: 0, priority: 0 }]);
+    this.#flows[0]?.tell([
+      {
+        service: want.service,
+        model: want.model,
+        adapter: '',
+        count: want.waiting,
+        waiting: want.waiting,
+        running: 0,
+        priority: 0,
+      },
+    ]);
     return '';
   }
 
@@ -62,7 +77,14 @@
       const list = [];
       for (let unit = 0; unit < units; unit += 1) {
         const model = (index * units + unit * 7) % models;
-        list.push({ service: `service-${model % services}`, model: modelName(model), adapter: '', count: 1, waiting: 0, running: 1 });
+        list.push({
+          service: `service-${model % services}`,
+          model: modelName(model),
+          adapter: '',
+          count: 1,
+          waiting: 0,
+          running: 1,
+        });
       }
       flow.demand = list;
     }
@@ -87,7 +109,10 @@
   }
 }
 
-function add(sums: Record<string, { messages: number; bytes: number }>, counts: Readonly<Record<string, { readonly messages: number; readonly bytes: number }>>): void {
+function add(
+  sums: Record<string, { messages: number; bytes: number }>,
+  counts: Readonly<Record<string, { readonly messages: number; readonly bytes: number }>>,
+): void {
   for (const [kind, { messages, bytes }] of Object.entries(counts)) {
     const sum = sums[kind] ?? { messages: 0, bytes: 0 };
     sums[kind] = { messages: sum.messages + messages, bytes: sum.bytes + bytes };
