Let the control core tell its metrics as one read-only look

ControlCore.metrics() gathers what the election, the replica, the sessions and its counters know: term, leader, time since a majority was in contact, voters and joint changes, replica state, versions held and committed, agents behind. The core stays pure: it takes the moment and returns numbers. Contact with a majority is the newest moment at which a majority of voters was in contact both ways, from pings that came back: the moment of hearing alone would count a link that is up one way only. A ping returned to a former incarnation names a moment of another clock and is left out. Ruled out: taking `heard` of the election, which begins at the first ping whether or not anybody answered, so that a node that never reached anybody would look as if it had.

--- a/src/common/Version.ts
+++ b/src/common/Version.ts
@@ -18,3 +18,11 @@
 export function versionText(a: Version): string {
   return `${a.epoch}.${a.count}`;
 }
+
+/**
+ * How many versions `older` is behind `newer`; 0 if it is not. Counts go on over a change of leader, so that their
+ * difference is the number of versions between them, and one where only the term differs.
+ */
+export function versionsBetween(older: Version, newer: Version): number {
+  return isNewer(newer, older) ? Math.max(1, newer.count - older.count) : 0;
+}
--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -53,6 +53,7 @@
 } from './ConfigDoc.js';
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
 import { applyEdit, ConfigError, recordEdit, TableError } from './Edits.js';
+import { ControlCounters, sessionNumbers, type ControlMetrics } from './ControlMetrics.js';
 import { FleetManager } from './FleetManager.js';
 import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
 import { isVotersWriting, VoterPlan, type Announced } from './VoterPlan.js';
@@ -215,6 +216,7 @@
   #announcedAt: Moment = NEVER;
   #leaderAt: Moment;
   readonly #voterPlan = new VoterPlan();
+  readonly #counters = new ControlCounters();
 
   constructor(
     settings: ControlSettings,
@@ -298,6 +300,39 @@
     return this.#placementWrites;
   }
 
+  /** One look at this node, for its metrics; nothing changes by it. */
+  metrics(now: Moment): ControlMetrics {
+    const contact = this.#elector.majorityContact(now);
+    const committed = this.#relay.version('config');
+    const isRepairing = this.#repair !== undefined || this.#settleOnVote !== undefined;
+    return {
+      epoch: this.#elector.epoch,
+      isLeaderKnown: this.#elector.leader !== undefined,
+      isLeading: this.#elector.isLeading(),
+      isServing: this.#isServing,
+      mayOrder: this.mayOrder(now),
+      leaseLeftMs: Math.max(0, this.#elector.leaseEnd - now),
+      majorityContactAgeMs: contact === undefined ? undefined : now - contact,
+      voters: {
+        members: this.#quorum.all.length,
+        reachable: this.#elector.reachableVoters(now),
+        isVoter: this.#quorum.holds(this.#me),
+        isJoint: this.#quorum.sets > 1,
+      },
+      replica: isRepairing ? 'repairing' : this.#replicaStatus.name,
+      unsoundParts: this.#parts.unsoundParts().length,
+      configHeld: this.#parts.versionOf(CONFIG_PART),
+      configCommitted: committed,
+      orders: this.#counters.orders,
+      events: this.#counters.eventsWith({
+        electionsStarted: this.#elector.electionsStarted,
+        votesGranted: this.#elector.votesGranted,
+        copiesMended: this.#parts.mends,
+      }),
+      sessions: sessionNumbers(this.#sessions.up(), committed),
+    };
+  }
+
   drain(): ControlEffect[] {
     const effects = this.#effects;
     this.#effects = [];
@@ -632,6 +667,7 @@
     const leader = this.#elector.leader ?? '';
     if (leader !== this.#wasLeader) {
       this.#wasLeader = leader;
+      this.#counters.countLeaderChange();
       this.#note('leader', { leader: leader === '' ? 'none' : leader, epoch: this.#elector.epoch });
     }
     const epoch = this.#elector.isLeading() ? this.#elector.epoch : 0;
@@ -679,6 +715,7 @@
     const repair = this.#repair;
     if (!repair || repair.waiting.size > 0) return;
     this.#repair = undefined;
+    this.#counters.countRepair();
     // One that is no voter has granted nothing that binds here: it joins the epoch that stands, and no election is due for it.
     const epoch = this.#fleetManager && !this.#quorum.holds(this.#me) ? 0 : repair.epoch;
     this.#settleOnVote = this.#voteCount + 1;
@@ -694,6 +731,7 @@
     const quorum = new Quorum(...voters.map(ids));
     if (quorum.text === this.#quorum.text) return;
     this.#quorum = quorum;
+    this.#counters.countVoterChange();
     this.#elector.setQuorum(quorum);
     this.#parts.setQuorum(quorum);
   }
--- a/src/control/ControlFamilies.ts
+++ b/src/control/ControlFamilies.ts
@@ -132,7 +132,11 @@
     counter('elections_total', 'Elections that this node started.', events.electionsStarted),
     counter('votes_granted_total', 'Terms that this node granted.', events.votesGranted),
     counter('leader_changes_total', 'Changes of the leader seen here.', events.leaderChanges),
-    counter('voter_changes_total', 'Voter changes begun here as leader.', events.voterChanges),
+    counter(
+      'voter_changes_total',
+      'Voter sets taken up, joint ones included.',
+      events.voterChanges,
+    ),
     counter('repairs_total', 'Completed repairs of this replica.', events.repairs),
     counter('copies_mended_total', 'Copies of others sent anew.', events.copiesMended),
   ];
--- a/src/control/ControlMetrics.test.ts
+++ b/src/control/ControlMetrics.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
-import { ControlCounters, sessionNumbers, versionsBetween } from './ControlMetrics.js';
+import { versionsBetween } from '../common/Version.js';
+import { ControlCounters, sessionNumbers } from './ControlMetrics.js';
 
 function checkCounts(): void {
   const counters = new ControlCounters();
--- a/src/control/ControlMetrics.ts
+++ b/src/control/ControlMetrics.ts
@@ -3,6 +3,8 @@
  * state. Nothing here knows a metrics library, a clock or the network, so the core that owns it stays pure.
  */
 
+import { versionsBetween, type Version } from '../common/Version.js';
+
 /** Why an order of an operator was refused: it was not carried out and never will be. */
 export const REFUSAL_REASONS = ['base-changed', 'invalid', 'too-old', 'other'] as const;
 export type RefusalReason = (typeof REFUSAL_REASONS)[number];
@@ -33,7 +35,7 @@
   readonly electionsStarted: number;
   readonly votesGranted: number;
   readonly leaderChanges: number;
-  /** Changes of the voter set that this node began as leader. */
+  /** Changes of the voter set that this node took up; a swap of one voter is two, by way of a joint set. */
   readonly voterChanges: number;
   /** Repairs of this node's own replica that were completed. */
   readonly repairs: number;
@@ -41,12 +43,6 @@
   readonly copiesMended: number;
 }
 
-/** The version of a configuration: the term of the leader that wrote it, and its count. */
-export interface VersionNumbers {
-  readonly epoch: number;
-  readonly count: number;
-}
-
 /** Who votes, as far as this node knows. */
 export interface VoterNumbers {
   /** All voters; of both sets while a joint change is under way. */
@@ -84,9 +80,9 @@
   /** Parts of the state whose copy here cannot be trusted. */
   readonly unsoundParts: number;
   /** The configuration in this node's own replica, committed or not. */
-  readonly configHeld: VersionNumbers;
+  readonly configHeld: Version;
   /** The newest configuration that this node knows to be committed. */
-  readonly configCommitted: VersionNumbers;
+  readonly configCommitted: Version;
   readonly orders: OrderCounts;
   readonly events: EventCounts;
   readonly sessions: SessionNumbers;
@@ -152,12 +148,12 @@
     this.#leaderChanges += 1;
   }
 
-  /** This node, as leader, began to change the voter set. */
+  /** Another voter set is in force here. */
   countVoterChange(): void {
     this.#voterChanges += 1;
   }
 
-  /** This node's replica was repaired from the others and counts again. */
+  /** Everything that the others hold is in this node's replica, on disk. */
   countRepair(): void {
     this.#repairs += 1;
   }
@@ -189,10 +185,7 @@
 }
 
 /** How far the agents with a session are behind the configuration that is known to be committed. */
-export function sessionNumbers(
-  acked: readonly VersionNumbers[],
-  committed: VersionNumbers,
-): SessionNumbers {
+export function sessionNumbers(acked: readonly Version[], committed: Version): SessionNumbers {
   let behind = 0;
   let versionsBehind = 0;
   for (const version of acked) {
@@ -203,13 +196,3 @@
   }
   return { open: acked.length, behind, versionsBehind };
 }
-
-/**
- * How many versions `older` is behind `newer`; 0 if it is not. Counts go on over a change of leader, so that their
- * difference is the number of versions between them, and one where only the term differs.
- */
-export function versionsBetween(older: VersionNumbers, newer: VersionNumbers): number {
-  const isOlder =
-    older.epoch < newer.epoch || (older.epoch === newer.epoch && older.count < newer.count);
-  return isOlder ? Math.max(1, newer.count - older.count) : 0;
-}
--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -63,6 +63,11 @@
   /** The one to whom alone we may have promised something before we started; nothing where we cannot tell. */
   #bootLeader: string;
 
+  /** When we sent the newest of our pings that each voter returned. */
+  readonly #provenAt = new Map<NodeId, Moment>();
+  #electionsStarted = 0;
+  #votesGranted = 0;
+
   readonly #pinged = new Map<NodeId, { sent: Moment; heard: Moment; scored: Moment }>();
   #pingedAt: Moment;
   /** Newly booted or repaired, we first listen whether somebody leads: our Propose would only disturb. */
@@ -187,6 +192,41 @@
     return this.#pinged.get(peer)?.heard;
   }
 
+  /** Elections that this node started since its process began. */
+  get electionsStarted(): number {
+    return this.#electionsStarted;
+  }
+
+  /** Terms that this node granted to a leader, itself included. */
+  get votesGranted(): number {
+    return this.#votesGranted;
+  }
+
+  /** Voters that have lately returned a ping, this node included if it votes. */
+  reachableVoters(now: Moment): number {
+    const { deadMs } = this.#settings;
+    let count = 0;
+    for (const voter of this.#quorum.all) {
+      const at = voter === this.#me ? now : this.#provenAt.get(voter);
+      if (at !== undefined && now - at < deadMs) count += 1;
+    }
+    return count;
+  }
+
+  /**
+   * The newest moment at which a majority of the voters was in contact both ways: each of it has returned a ping that we
+   * sent no earlier. Nothing if there was none since the process began.
+   */
+  majorityContact(now: Moment): Moment | undefined {
+    const majority = new Set<NodeId>([this.#me]);
+    if (this.#quorum.isMajority(majority)) return now;
+    for (const [voter, at] of [...this.#provenAt].sort(byEnd).reverse()) {
+      majority.add(voter);
+      if (this.#quorum.isMajority(majority)) return at;
+    }
+    return undefined;
+  }
+
   drain(): VoteEffect[] {
     const effects = this.#effects;
     this.#effects = [];
@@ -351,6 +391,8 @@
     // The nonce is our own moment of sending: a pong held up for longer than a link counts as dead proves nothing.
     if (!state || now - sent >= this.#settings.deadMs) return;
     state.heard = now;
+    // One that came back to a former incarnation of ours names a moment that we have not had yet.
+    if (sent <= now) this.#provenAt.set(from, moment(sent));
     this.#scores.reportLive(from, (now - state.scored) / 1000);
     state.scored = now;
   }
@@ -359,6 +401,7 @@
 
   /** Bumps the epoch and proposes ourselves. */
   start(now: Moment): void {
+    this.#electionsStarted += 1;
     this.#lose('proposing');
     this.#adopt(nextElecting(this.#epoch), now);
     this.#role = 'proposing';
@@ -546,6 +589,7 @@
     const epoch = this.#epoch;
     const wait = this.#wait(now, leader);
     if (this.#granted.epoch !== epoch) {
+      this.#votesGranted += 1;
       this.#granted = { epoch, leader, freeAt: later(now, wait), isFree: wait <= 0 };
       this.#keep(now);
     }
