Serve a control node's metrics on the port of its operators

GET /-/metrics on the control port of the deployed node (GET /metrics on the API of the one that runs by the table) tells the node's own state, asked of no other node, so that it answers without a leader. ControlReport measures writes to the disk and renders; the library is a chunk of its own in the bundle, loaded at the first ask.

A trial of the bundle told 400 at first: imported on demand, a library of the older module kind has no named exports there, though it has under Node itself.

--- a/src/common/StatusPort.ts
+++ b/src/common/StatusPort.ts
@@ -1,13 +1,18 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Exposition } from '../metrics/Exposition.js';
 import { listenOn } from './Listen.js';
 
-/** A small HTTP port that shows a process's counters. */
+const JSON_TYPE = 'application/json';
+
+/** A small HTTP port that shows a process's counters, and its metrics where it has some. */
 export class StatusPort {
   readonly #server: Server;
   readonly #counters: () => object;
+  readonly #metrics: (() => Promise<Exposition>) | undefined;
 
-  constructor(counters: () => object) {
+  constructor(counters: () => object, metrics?: () => Promise<Exposition>) {
     this.#counters = counters;
+    this.#metrics = metrics;
     this.#server = createServer(this.#take.bind(this));
   }
 
@@ -20,15 +25,24 @@
     this.#server.closeAllConnections();
   }
 
-  #take(asked: IncomingMessage, returned: ServerResponse): void {
-    const isKnown = asked.method === 'GET' && asked.url === '/counters';
-    const body = JSON.stringify(
-      isKnown ? this.#counters() : { defect: 'unmapped', text: 'there is only GET /counters here' },
-    );
-    returned.writeHead(isKnown ? 200 : 404, {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-    });
-    returned.end(body);
+  async #take(asked: IncomingMessage, returned: ServerResponse): Promise<void> {
+    const call = `${asked.method} ${asked.url}`;
+    if (call === 'GET /counters') {
+      send(returned, 200, { contentType: JSON_TYPE, body: JSON.stringify(this.#counters()) });
+    } else if (call === 'GET /metrics' && this.#metrics) {
+      send(returned, 200, await this.#metrics());
+    } else {
+      const known = this.#metrics ? 'GET /counters and GET /metrics' : 'GET /counters';
+      const body = JSON.stringify({ defect: 'unmapped', text: `there is only ${known} here` });
+      send(returned, 404, { contentType: JSON_TYPE, body });
+    }
   }
 }
+
+function send(returned: ServerResponse, status: number, { contentType, body }: Exposition): void {
+  returned.writeHead(status, {
+    'content-type': contentType,
+    'content-length': Buffer.byteLength(body),
+  });
+  returned.end(body);
+}
--- a/src/control/Api.ts
+++ b/src/control/Api.ts
@@ -1,15 +1,19 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { readBody } from '../common/Call.js';
 import { listenOn } from '../common/Listen.js';
+import type { Exposition } from '../metrics/Exposition.js';
 
 export interface ApiReply {
   readonly status: number;
   readonly body: string;
+  /** JSON where it says nothing else. */
+  readonly contentType?: string;
 }
 
 /** What the API hands on: a verb of the core and its JSON body. */
 export type Ask = (verb: string, body: string) => Promise<ApiReply>;
 
+const JSON_TYPE = 'application/json';
 const MAX_EDIT = 32 * 1024 * 1024;
 
 function withField(body: string, fields: object): string {
@@ -21,11 +25,13 @@
 export class Api {
   readonly #ask: Ask;
   readonly #counters: () => object;
+  readonly #metrics: () => Promise<Exposition | undefined>;
   readonly #server: Server;
 
-  constructor(ask: Ask, counters: () => object) {
+  constructor(ask: Ask, counters: () => object, metrics: () => Promise<Exposition | undefined>) {
     this.#ask = ask;
     this.#counters = counters;
+    this.#metrics = metrics;
     this.#server = createServer(this.#take.bind(this));
   }
 
@@ -57,7 +63,7 @@
       };
     }
     const headers: Record<string, string | number> = {
-      'content-type': 'application/json',
+      'content-type': result.contentType ?? JSON_TYPE,
       'content-length': Buffer.byteLength(result.body),
     };
     if (result.status === 503) headers['retry-after'] = 2;
@@ -110,6 +116,8 @@
         return this.#ask('found', '{}');
       case 'GET /counters':
         return { status: 200, body: JSON.stringify(this.#counters()) };
+      case 'GET /metrics':
+        return this.#exposition();
       default:
         return {
           status: 404,
@@ -121,4 +129,14 @@
         };
     }
   }
+
+  async #exposition(): Promise<ApiReply> {
+    const exposition = await this.#metrics();
+    if (exposition) return { status: 200, ...exposition };
+    const text = 'this node has not started yet';
+    return {
+      status: 503,
+      body: JSON.stringify({ outcome: 'turned-away', defect: 'no-leader', text }),
+    };
+  }
 }
--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -11,11 +11,13 @@
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
 import { Planner, type PlannerSettings } from '../placement/Planner.js';
 import type { Intent } from '../placement/Shapes.js';
+import type { Exposition } from '../metrics/Exposition.js';
 import type { ConfigDialect } from '../route/Routing.js';
 import { VOTE_DEFAULTS } from '../election/VoteSettings.js';
 import type { Lease } from './LeasedSend.js';
 import { ControlCore } from './ControlCore.js';
 import { CONTROL_DEFAULTS, type ControlEffect, type OrderResult } from './ControlEffect.js';
+import { ControlReport } from './ControlReport.js';
 
 const TICK_MS = 50;
 const LIST_MS = 1000;
@@ -48,6 +50,9 @@
 /** Hands a verb of the core and its JSON body on to it. */
 export type ControlAsk = (verb: string, body: string) => Promise<ControlAnswer>;
 
+/** Renders the metrics of this process; nothing while it has not started. */
+export type ControlMetricsSource = () => Promise<Exposition | undefined>;
+
 /** What a deployment speaks to the outside; it translates and decides nothing. */
 export interface ControlPorts {
   readonly dialect: ConfigDialect;
@@ -62,7 +67,10 @@
     lease: Lease,
     now: () => Moment,
   ): Promise<OrderResult>;
-  operators(ask: ControlAsk): { listen(address: string): Promise<number>; close(): void };
+  operators(
+    ask: ControlAsk,
+    metrics: ControlMetricsSource,
+  ): { listen(address: string): Promise<number>; close(): void };
 }
 
 /** A control node's process in a deployment with ports of its own. */
@@ -76,6 +84,7 @@
   readonly #operators: ReturnType<ControlPorts['operators']>;
   readonly #subscription = new Subscription();
   readonly #answers = new Map<number, (answer: ControlAnswer) => void>();
+  readonly #report = new ControlReport();
   #core: ControlCore | undefined;
   #commandId = 0;
   #isListing = false;
@@ -92,7 +101,7 @@
       this.#tell.bind(this),
     );
     this.#store = new FileStore(join(settings.data, 'parts'), this.#tell.bind(this));
-    this.#operators = ports.operators(this.#ask.bind(this));
+    this.#operators = ports.operators(this.#ask.bind(this), this.#metrics.bind(this));
   }
 
   async start(): Promise<void> {
@@ -233,7 +242,7 @@
   async #keep(effect: Extract<ControlEffect, { do: 'store' }>): Promise<void> {
     const { part, version, body } = effect;
     try {
-      await this.#store.write(part, version, body);
+      await this.#report.measure(this.#store.write(part, version, body));
     } catch {
       // Named by the store. It is tried again for as long as we run: until then nobody hears a yes from us.
       setTimeout(this.#keep.bind(this, effect), DISK_AGAIN_MS).unref();
@@ -297,6 +306,10 @@
     this.#submit(ordered);
   }
 
+  #metrics(): Promise<Exposition | undefined> {
+    return this.#report.render(this.#core);
+  }
+
   #ask(verb: string, body: string): Promise<ControlAnswer> {
     this.#commandId += 1;
     const id = this.#commandId;
--- /dev/null
+++ b/src/control/ControlReport.test.ts
@@ -0,0 +1,26 @@
+import { expect, test } from 'vitest';
+import { ControlCore } from './ControlCore.js';
+import { CONTROL_DEFAULTS } from './ControlEffect.js';
+import { ControlReport } from './ControlReport.js';
+import { monotonicNow } from '../common/Clock.js';
+
+const SEEDS = ['a:1', 'b:1', 'c:1'];
+
+async function checkWrites(): Promise<void> {
+  const report = new ControlReport();
+  await report.measure(Promise.resolve());
+  await expect(report.measure(Promise.reject(new Error('full')))).rejects.toThrow('full');
+  const settings = { ...CONTROL_DEFAULTS, me: 'a:1', zone: 'z', seeds: SEEDS, incarnation: 0 };
+  const told = await report.render(new ControlCore(settings, [], monotonicNow()));
+  expect(told?.body).toContain('haretrack_control_disk_writes_total 1\n');
+  expect(told?.body).toContain('haretrack_control_disk_writes_failed_total 1\n');
+  expect(told?.body).toContain('haretrack_control_replica_state{state="blank"} 1\n');
+  expect(told?.body).toContain('haretrack_control_voters 3\n');
+}
+
+async function checkNotStarted(): Promise<void> {
+  expect(await new ControlReport().render(undefined)).toBeUndefined();
+}
+
+test('writes are measured, failed ones apart, beside the look at the core', checkWrites);
+test('a process that has not started tells no metrics', checkNotStarted);
--- a/src/control/TableControlProcess.ts
+++ b/src/control/TableControlProcess.ts
@@ -13,10 +13,12 @@
 import { SerialQueue } from '../common/SerialQueue.js';
 import type { TableControlSettingsShape } from '../common/Settings.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
+import type { Exposition } from '../metrics/Exposition.js';
 import { CatalogShape, MachinesShape, RunnerReportShape } from '../placement/Shapes.js';
 import { Api, type ApiReply } from './Api.js';
 import { ControlCore } from './ControlCore.js';
 import { CONTROL_DEFAULTS, type ControlEffect } from './ControlEffect.js';
+import { ControlReport } from './ControlReport.js';
 import { Orderer } from './Orderer.js';
 
 const TICK_MS = 25;
@@ -40,6 +42,7 @@
   readonly #api: Api;
   readonly #subscription = new Subscription();
   readonly #replies = new Map<number, (returned: ApiReply) => void>();
+  readonly #report = new ControlReport();
   #core: ControlCore | undefined;
   #orderer: Orderer | undefined;
   #commandId = 0;
@@ -59,7 +62,7 @@
       this.#tell.bind(this),
     );
     this.#store = new FileStore(join(settings.data, 'parts'), this.#tell.bind(this));
-    this.#api = new Api(this.#ask.bind(this), this.#counted.bind(this));
+    this.#api = new Api(this.#ask.bind(this), this.#counted.bind(this), this.#metrics.bind(this));
   }
 
   async start(): Promise<void> {
@@ -104,6 +107,10 @@
     this.#log.warn({ defect: defect.kind }, defect.message);
   }
 
+  #metrics(): Promise<Exposition | undefined> {
+    return this.#report.render(this.#core);
+  }
+
   #counted(): object {
     const core = this.#core;
     if (core) {
@@ -192,7 +199,7 @@
   async #keep(effect: Extract<ControlEffect, { do: 'store' }>): Promise<void> {
     const { part, version, body } = effect;
     try {
-      await this.#store.write(part, version, body);
+      await this.#report.measure(this.#store.write(part, version, body));
     } catch {
       // Named by the store. It is tried again for as long as we run: until then nobody hears a yes from us.
       setTimeout(this.#keep.bind(this, effect), DISK_AGAIN_MS).unref();
--- a/src/metrics/Exposition.ts
+++ b/src/metrics/Exposition.ts
@@ -54,30 +54,10 @@
   return { kind, name, help, samples: values.map(sample) };
 }
 
-function namesOf(family: MetricFamily): string[] {
-  const names = new Set<string>();
-  for (const sample of family.samples) for (const label of sample.labels) names.add(label.name);
-  return [...names];
-}
-
-/** Renders all families; each is registered anew, so that nothing is kept between two asks. */
+/** Renders all families in the text form. */
 export async function renderMetrics(families: readonly MetricFamily[]): Promise<Exposition> {
-  // Not at the start: a process that nobody asks neither loads the library nor keeps it in memory.
-  const { Counter, Gauge, Registry } = await import('prom-client');
-  const registry = new Registry();
-  for (const family of families) {
-    const { name, help } = family;
-    const settings = { name, help, labelNames: namesOf(family), registers: [registry] };
-    const metric = family.kind === 'counter' ? new Counter(settings) : new Gauge(settings);
-    for (const { labels, value } of family.samples) {
-      // The library sets a labelled sample by an object of its labels.
-      const byName = Object.fromEntries(labels.map(entryOf));
-      metric.inc(byName, value);
-    }
-  }
-  return { contentType: registry.contentType, body: await registry.metrics() };
-}
-
-function entryOf(label: MetricLabel): readonly [string, string] {
-  return [label.name, label.value];
+  // Not at the start: a process that nobody asks neither loads the library nor keeps it in memory. The module is one of
+  // ours, since a bundle gives a library of the older module kind no named exports when it is imported on demand.
+  const { prometheusText } = await import('./PrometheusText.js');
+  return prometheusText(families);
 }
