Let agents tell their session and how far behind they are

An agent says in one log line when its state changes: in touch, behind, at a control node without a leader, or away, with its metrics beside it. An agent that runs by the table also serves them under GET /metrics at `status`. On the platform it opens no port for them: a server would cost every edge machine a module and a socket for what nobody can reach from outside.

Unit tests of agent and metrics pass.

--- a/src/agent/AgentCommand.ts
+++ b/src/agent/AgentCommand.ts
@@ -14,7 +14,7 @@
     ...PROGRAM_FLAGS,
     ...SEED_FLAGS,
     feed: Flags.string({ description: 'loopback address where the proxy is fed' }),
-    status: Flags.string({ description: 'address for counters' }),
+    status: Flags.string({ description: 'address for counters and metrics' }),
     blindMs: Flags.integer({ description: 'as set for the proxies' }),
   };
 
@@ -22,7 +22,7 @@
     const { flags } = await this.parse(AgentCommand);
     const settings = this.settle(TableAgentSettingsShape, flags);
     const link = new TableAgentProcess(settings, makeLog('agent', settings.listen));
-    const status = new StatusPort(link.counters.bind(link));
+    const status = new StatusPort(link.counters.bind(link), link.metrics.bind(link));
     async function start(): Promise<void> {
       await link.start();
       if (settings.status !== undefined) await status.listen(settings.status);
--- a/src/agent/AgentCore.ts
+++ b/src/agent/AgentCore.ts
@@ -2,9 +2,10 @@
 import { later, moment, type Moment } from '../common/Ids.js';
 import { parseAs } from '../common/Json.js';
 import type { HaveMessage, Message } from '../common/Messages.js';
-import { compareVersions, NO_VERSION, type Version } from '../common/Version.js';
+import { compareVersions, NO_VERSION, versionsBetween, type Version } from '../common/Version.js';
 import { Relay } from '../dissemination/Relay.js';
 import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
+import type { AgentMetrics } from './AgentMetrics.js';
 
 export interface AgentSettings {
   readonly me: string;
@@ -71,6 +72,13 @@
   readonly #shunned = new Map<string, Moment>();
   /** How often in a row our control node said that it follows nobody. */
   #leaderless = 0;
+  /** When our control node answered last; nothing while the session is being asked for. */
+  #answeredAt: Moment | undefined;
+  /** The same, whichever control node it was. */
+  #lastAnsweredAt: Moment | undefined;
+  /** The newest configuration that a control node said it holds. */
+  #toldConfig: Version = NO_VERSION;
+  #behindSince: Moment | undefined;
   #newsAskedAt: Moment;
   #crossAskedAt: Moment;
   #crossIndex = 0;
@@ -112,6 +120,28 @@
     return this.#turns;
   }
 
+  /** One look at this agent, for its metrics; nothing changes by it. */
+  metrics(now: Moment): AgentMetrics {
+    const config = this.#relay.version('config');
+    const versionsBehind = versionsBetween(config, this.#toldConfig);
+    const behindSince = versionsBehind > 0 ? this.#behindSince : undefined;
+    return {
+      controlNode: this.controlNode,
+      hasSession:
+        this.#answeredAt !== undefined && now - this.#answeredAt <= this.#controlSilentMs(),
+      sessionHeardAgeMs:
+        this.#lastAnsweredAt === undefined ? undefined : now - this.#lastAnsweredAt,
+      sessionMoves: this.#turns,
+      leaderlessAnswers: this.#leaderless,
+      isUnderAgent: this.#parent !== '',
+      proxies: [...this.#flows.values()].filter(isPresent).length,
+      configEpoch: config.epoch,
+      configCount: config.count,
+      versionsBehind,
+      behindMs: behindSince === undefined ? 0 : now - behindSince,
+    };
+  }
+
   drain(): AgentEffect[] {
     const effects = this.#effects;
     this.#effects = [];
@@ -120,8 +150,7 @@
 
   tick(now: Moment): void {
     const { isDeployed } = this.#settings;
-    if (now - this.#controlHeardAt > (isDeployed ? DEPLOYED.controlSilentMs : CONTROL_SILENT_MS))
-      this.#turn(now);
+    if (now - this.#controlHeardAt > this.#controlSilentMs()) this.#turn(now);
     // A parent that does not return our asks is left at once; the control node hangs us elsewhere.
     if (
       this.#parent !== '' &&
@@ -149,7 +178,7 @@
     switch (message.kind) {
       case 'assignParent':
         if (from !== this.controlNode) break;
-        this.#controlHeardAt = now;
+        this.#noteAnswer(now);
         if (message.parent !== this.#parent && message.parent !== this.#lostParent)
           this.#assignParent(now, message.parent);
         break;
@@ -248,6 +277,25 @@
     this.#flush();
   }
 
+  #controlSilentMs(): number {
+    return this.#settings.isDeployed ? DEPLOYED.controlSilentMs : CONTROL_SILENT_MS;
+  }
+
+  #noteAnswer(now: Moment): void {
+    this.#controlHeardAt = now;
+    this.#answeredAt = now;
+    this.#lastAnsweredAt = now;
+  }
+
+  /** Our control node told which configuration it holds; whether we lack it is judged by the newest told so far. */
+  #noteTold(now: Moment, { epoch, count }: Version): void {
+    const held = this.#relay.version('config');
+    const wasBehind = versionsBetween(held, this.#toldConfig) > 0;
+    if (compareVersions({ epoch, count }, this.#toldConfig) > 0)
+      this.#toldConfig = { epoch, count };
+    if (!wasBehind) this.#behindSince = now;
+  }
+
   #forget(child: string): void {
     this.#children.delete(child);
     this.#relay.removeChild(child);
@@ -271,6 +319,7 @@
     this.#leaderless = 0;
     this.#turns += 1;
     this.#controlHeardAt = now;
+    this.#answeredAt = undefined;
     this.#assignParent(now, '');
     this.#effects.push({ do: 'note', text: 'session', fields: { controlNode: this.controlNode } });
     this.#join(now);
@@ -300,7 +349,8 @@
   }
 
   #receiveControlNodes(now: Moment, message: Extract<Message, { kind: 'controlNodes' }>): void {
-    this.#controlHeardAt = now;
+    this.#noteAnswer(now);
+    this.#noteTold(now, message);
     this.#zones.clear();
     for (const { id, zone } of message.controlNodes) this.#zones.set(id, zone);
     // One that follows nobody may be cut off from the others, and then hears nothing new.
@@ -454,6 +504,9 @@
 function isOther(id: string, other: string): boolean {
   return other !== id;
 }
+function isPresent(proxy: ProxyState): boolean {
+  return proxy.goneAt === undefined;
+}
 function isConfig(item: HaveMessage): boolean {
   return item.topic === 'config';
 }
--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -2,10 +2,12 @@
 import type { Logger } from 'pino';
 import { monotonicNow } from '../common/Clock.js';
 import type { CodedError } from '../common/CodedError.js';
+import type { Moment } from '../common/Ids.js';
 import { newIncarnation } from '../common/Incarnation.js';
 import { SerialQueue } from '../common/SerialQueue.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import { AgentCore } from './AgentCore.js';
+import { agentState, type AgentState } from './AgentMetrics.js';
 
 const TICK_MS = 100;
 const BLIND_MS = 2500;
@@ -26,6 +28,7 @@
   readonly #feed: Exchange;
   readonly #core: AgentCore;
   readonly #subscription = new Subscription();
+  #state: AgentState = 'away';
 
   constructor(settings: AgentSettings, log: Logger) {
     this.#log = log;
@@ -88,7 +91,18 @@
 
   #tick(): void {
     this.#nodes.dial(this.#core.controlNode);
-    this.#core.tick(monotonicNow());
+    const now = monotonicNow();
+    this.#core.tick(now);
+    this.#tellState(now);
+  }
+
+  /** Nobody scrapes an agent, since it listens for its own kind alone: it tells its metrics when its state changes. */
+  #tellState(now: Moment): void {
+    const metrics = this.#core.metrics(now);
+    const state = agentState(metrics);
+    if (state === this.#state) return;
+    this.#state = state;
+    this.#log.info({ state, ...metrics }, 'agent state');
   }
 
   #receive(incoming: Incoming): void {
--- a/src/agent/TableAgentProcess.ts
+++ b/src/agent/TableAgentProcess.ts
@@ -8,7 +8,9 @@
 import { SerialQueue } from '../common/SerialQueue.js';
 import type { TableAgentSettingsShape } from '../common/Settings.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
+import { renderMetrics, type Exposition } from '../metrics/Exposition.js';
 import { AgentCore } from './AgentCore.js';
+import { agentFamilies } from './AgentMetrics.js';
 
 const TICK_MS = 25;
 
@@ -72,6 +74,10 @@
     };
   }
 
+  async metrics(): Promise<Exposition> {
+    return renderMetrics(agentFamilies(this.#core.metrics(monotonicNow())));
+  }
+
   #tell(defect: CodedError): void {
     this.#counters.add(`defects.${defect.kind}`);
     this.#log.warn({ defect: defect.kind }, defect.message);
