--- a/src/control/OperatorOrders.ts
+++ b/src/control/OperatorOrders.ts
@@ -4,6 +4,7 @@
 import type { MemberMessage } from '../common/Messages.js';
 import type { Version } from '../common/Version.js';
 import type { ConfigDialect } from '../route/Routing.js';
+import type { ControlCounters, RefusalReason, UnclearReason } from './ControlMetrics.js';
 import { EditShapes, MAX_EDITS, mayBeForgotten, type ConfigDoc } from './ConfigDoc.js';
 import { applyEdit, recordEdit } from './Edits.js';
 import {
@@ -47,6 +48,8 @@
   readonly id: string;
   readonly number: number;
   readonly outcome: 'accepted' | 'closed';
+  /** Set where it had been taken before and came again. */
+  readonly isAgain: boolean;
   commit: Commit | undefined;
 }
 
@@ -71,6 +74,7 @@
 export class OperatorOrders {
   readonly #host: OrderHost;
   readonly #dialect: ConfigDialect | undefined;
+  readonly #counters: ControlCounters;
   readonly #written = new Map<number, WrittenOrder>();
   /** By the id of the quorum read that is to prove them. */
   readonly #unproved = new Map<number, UnprovedRefusal>();
@@ -78,9 +82,10 @@
   #awaitingCommit: UnprovedRefusal[] = [];
   #token = 0;
 
-  constructor(host: OrderHost, dialect: ConfigDialect | undefined) {
+  constructor(host: OrderHost, dialect: ConfigDialect | undefined, counters: ControlCounters) {
     this.#host = host;
     this.#dialect = dialect;
+    this.#counters = counters;
   }
 
   submit(now: Moment, origin: Origin, verb: string, body: string): void {
@@ -91,8 +96,7 @@
     } catch (thrown) {
       const error = errorOf(thrown);
       // What is already unsure, or does not depend on what we hold, needs no proof.
-      if (error.row.unsure || error.kind === 'malformed')
-        this.#host.answer(origin, errorAnswer(error));
+      if (error.row.unsure || error.kind === 'malformed') this.#refuse(origin, error);
       else this.#prove({ origin, verb, body, arrivedAt: now });
     }
   }
@@ -103,13 +107,7 @@
     if (!refusal) return;
     this.#unproved.delete(id);
     if (isNewest) this.#judge(now, refusal);
-    else
-      this.#host.answer(
-        refusal.origin,
-        errorAnswer(
-          new CodedError('no-leader', 'another leader has written since; nothing was done'),
-        ),
-      );
+    else this.#leaveUnclear(refusal, 'leader-lost');
   }
 
   committed(
@@ -136,26 +134,34 @@
     for (const [id, refusal] of this.#unproved) {
       if (now < later(refusal.arrivedAt, PROOF_MS)) continue;
       this.#unproved.delete(id);
-      this.#leaveUnclear(refusal);
+      this.#leaveUnclear(refusal, 'no-majority');
     }
   }
 
   /** This node leads no longer: whether its writes hold is for the next leader to find. */
   abandon(): void {
-    for (const order of this.#written.values())
+    for (const order of this.#written.values()) {
+      this.#counters.countUnclear('leader-lost');
       this.#host.answer(order.origin, leaderLostAnswer(order.id));
+    }
     this.#written.clear();
     for (const refusal of [...this.#unproved.values(), ...this.#awaitingCommit])
-      this.#leaveUnclear(refusal);
+      this.#leaveUnclear(refusal, 'leader-lost');
     this.#unproved.clear();
     this.#awaitingCommit = [];
   }
 
-  #leaveUnclear(refusal: UnprovedRefusal): void {
-    this.#host.answer(
-      refusal.origin,
-      errorAnswer(new CodedError('no-leader', 'no majority was reached; nothing was done')),
-    );
+  #leaveUnclear(refusal: UnprovedRefusal, reason: UnclearReason): void {
+    this.#counters.countUnclear(reason);
+    const text = 'no majority could prove what is in force; nothing was done';
+    this.#host.answer(refusal.origin, errorAnswer(new CodedError('no-leader', text)));
+  }
+
+  /** A definite refusal, or the word that the outcome is no longer known. */
+  #refuse(origin: Origin, error: CodedError): void {
+    if (error.row.unsure) this.#counters.countUnclear('forgotten');
+    else this.#counters.countRefused(refusalReasonOf(error));
+    this.#host.answer(origin, errorAnswer(error));
   }
 
   #prove(refusal: UnprovedRefusal): void {
@@ -163,7 +169,7 @@
   }
 
   #retry(now: Moment, refusal: UnprovedRefusal): void {
-    if (now >= later(refusal.arrivedAt, PROOF_MS)) this.#leaveUnclear(refusal);
+    if (now >= later(refusal.arrivedAt, PROOF_MS)) this.#leaveUnclear(refusal, 'no-majority');
     else this.#prove(refusal);
   }
 
@@ -175,19 +181,15 @@
     } catch (thrown) {
       const error = errorOf(thrown);
       // By what is written but not committed it may only lose once that holds.
-      if (error.row.unsure || !this.#isAcceptable(verb, body))
-        this.#host.answer(origin, errorAnswer(error));
+      if (error.row.unsure || !this.#isAcceptable(verb, body)) this.#refuse(origin, error);
       else this.#awaitingCommit.push(refusal);
     }
   }
 
   /** Whether the order could still be taken, by what is committed. */
   #isAcceptable(verb: string, body: string): boolean {
-    const { newest, committed } = {
-      newest: this.#host.newest(),
-      committed: this.#host.committed(),
-    };
-    if (newest === committed) return false;
+    const committed = this.#host.committed();
+    if (this.#host.newest() === committed) return false;
     try {
       this.#apply(committed, verb, body);
       return true;
@@ -204,11 +206,12 @@
       // The same id again is the same edit: it is told what became of it, and done once.
       if (before.outcome === 'closed')
         throw new CodedError('base-lost', `edit ${id} was asked about before it came, and closed`);
-      this.#write(now, origin, id, doc, 'accepted');
+      this.#write(now, { origin, id, outcome: 'accepted', isAgain: true }, doc);
       return;
     }
     const edited = this.#apply(doc, verb, body);
-    this.#write(now, origin, edited.id, recordEdit(edited.doc, edited.id, 'accepted'), 'accepted');
+    const order = { origin, id: edited.id, outcome: 'accepted', isAgain: false } as const;
+    this.#write(now, order, recordEdit(edited.doc, edited.id, 'accepted'));
   }
 
   /** An edit that loses by its base may be one that was accepted long ago, sent once more. */
@@ -247,19 +250,20 @@
         `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`,
       );
     // Whether known or not, the word given must outlast us: it is written like an edit before it is told.
-    if (known) this.#write(now, origin, id, doc, known.outcome);
-    else this.#write(now, origin, id, recordEdit(doc, id, 'closed'), 'closed');
+    if (known) this.#write(now, { origin, id, outcome: known.outcome, isAgain: true }, doc);
+    else {
+      const order = { origin, id, outcome: 'closed', isAgain: false } as const;
+      this.#write(now, order, recordEdit(doc, id, 'closed'));
+    }
   }
 
   #write(
     now: Moment,
-    origin: Origin,
-    id: string,
+    order: Pick<WrittenOrder, 'origin' | 'id' | 'outcome' | 'isAgain'>,
     doc: ConfigDoc,
-    outcome: 'accepted' | 'closed',
   ): void {
     this.#token += 1;
-    this.#written.set(this.#token, { origin, id, number: doc.number, outcome, commit: undefined });
+    this.#written.set(this.#token, { ...order, number: doc.number, commit: undefined });
     this.#host.write(now, doc, this.#token);
   }
 
@@ -268,14 +272,32 @@
       const { commit } = order;
       if (!commit || !this.#host.isInForce(now, commit)) continue;
       this.#written.delete(token);
-      this.#host.answer(
-        order.origin,
-        order.outcome === 'accepted'
-          ? acceptedAnswer(order.id, order.number, commit.version)
-          : closedAnswer(order.id),
-      );
+      this.#tellOutcome(order, commit);
     }
   }
+
+  #tellOutcome({ origin, id, number, outcome, isAgain }: WrittenOrder, commit: Commit): void {
+    if (outcome === 'closed') {
+      this.#host.answer(origin, closedAnswer(id));
+      return;
+    }
+    if (isAgain) this.#counters.countAcknowledgedAgain();
+    else this.#counters.countAccepted();
+    this.#host.answer(origin, acceptedAnswer(id, number, commit.version));
+  }
+}
+
+function refusalReasonOf(error: CodedError): RefusalReason {
+  switch (error.kind) {
+    case 'base-lost':
+      return 'base-changed';
+    case 'bad-config':
+    case 'bad-table':
+    case 'malformed':
+      return 'invalid';
+    default:
+      return 'other';
+  }
 }
 
 function errorOf(thrown: unknown): CodedError {
