--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -106,6 +106,9 @@
     count: number(),
     body: string(),
   }),
+  /** A voter that is told to stop, and the leader's answer: whether it may, since its seat is taken over or nobody is there to take it. */
+  leave: type({ id: string() }),
+  leaveReply: type({ mayStop: boolean() }),
 } as const;
 
 type Shapes = typeof SHAPES;
--- a/src/control/ConfigDoc.ts
+++ b/src/control/ConfigDoc.ts
@@ -26,6 +26,8 @@
   /** One set of voters, or two while a swap is under way. */
   voters: array(array(string())),
   routing: optional(RoutingDocShape),
+  /** How many voters are wanted, where some that are gone were left out; others are taken in up to that number. */
+  seats: optional(number()),
 });
 export type ConfigDoc = Infer<typeof ConfigDocShape>;
 
--- /dev/null
+++ b/src/control/ConfigVoters.ts
@@ -0,0 +1,18 @@
+import { array, string, type } from 'superstruct';
+import { nodeId, type NodeId } from '../common/Ids.js';
+import { parseAs } from '../common/Json.js';
+import { Quorum } from '../common/Quorum.js';
+
+const VotersShape = type({ voters: array(array(string())) });
+
+/** The voters that a configuration names, in the form in which it is stored or told; nothing where it names none. */
+export function quorumOf(configBody: string): Quorum | undefined {
+  if (configBody === '') return undefined;
+  const voters = parseAs(VotersShape, configBody)?.voters;
+  if (!voters || voters.length === 0) return undefined;
+  return new Quorum(...voters.map(idsOf));
+}
+
+function idsOf(set: readonly string[]): NodeId[] {
+  return set.map(nodeId);
+}
--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -55,7 +55,9 @@
 import { applyEdit, ConfigError, recordEdit, TableError } from './Edits.js';
 import { FleetManager } from './FleetManager.js';
 import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
-import { isVotersWriting, VoterPlan, type Announced } from './VoterPlan.js';
+import { quorumOf } from './ConfigVoters.js';
+import { VoterMembership, type MembershipHost } from './VoterMembership.js';
+import type { VotersChange } from './VoterPlan.js';
 
 const VoteBodyShape = type({
   epoch: number(),
@@ -117,10 +119,6 @@
 /** How long members are waited for when the table is recovered from them. */
 const RECOVER_MS = 2000;
 const LOST_RUNNER_MS = 4000;
-/** How often a node that stands outside announces itself, and how long that is remembered. */
-const ANNOUNCE_MS = 500;
-const ANNOUNCEED_MS = 1500;
-const LEADERLESS_MS = 1000;
 const NEAR_MS = 1000;
 const NEVER = moment(-1e12);
 /** Clocks differ in rate, and a confirmation takes its way: whoever is not fresh by so long after is surely blind. */
@@ -211,10 +209,12 @@
   readonly #fleetManager: FleetManager | undefined;
   #seeds: readonly string[];
   readonly #zones = new Map<string, string>();
-  readonly #announced = new Map<string, Announced>();
-  #announcedAt: Moment = NEVER;
-  #leaderAt: Moment;
-  readonly #voterPlan = new VoterPlan();
+  /** Set in a deployment, where voters change by themselves. */
+  readonly #membership: VoterMembership | undefined;
+  /** The configuration whose voters are followed. */
+  #followedConfig = '';
+  /** The newest configuration read while beginning to lead in this epoch, where it names other voters. */
+  #readConfig: { readonly version: Version; readonly body: string } | undefined;
 
   constructor(
     settings: ControlSettings,
@@ -239,7 +239,7 @@
         : 'lost';
     this.#voteCount = voteFile?.version.count ?? 0;
     this.#quorum = new Quorum(seeds);
-    this.#parts = new ReplicatedState(this.#me, this.#quorum, allParts(), stored);
+    this.#parts = new ReplicatedState(this.#me, this.#quorum, allParts(), stored, quorumOf);
     this.#doc = firstDoc(settings.seeds);
     const known: VoteRecord | undefined = name === 'sound' ? record : undefined;
     this.#elector = new Elector(this.#me, this.#quorum, vote, now, known);
@@ -251,9 +251,9 @@
       settings.foundMs,
       settings.incarnation,
       settings.deployed?.isFirstStart ?? true,
+      quorumOf,
     );
     this.#seeds = settings.seeds;
-    this.#leaderAt = now;
     this.#fleetManager =
       settings.deployed &&
       new FleetManager(settings.deployed, {
@@ -263,6 +263,7 @@
         mayOrder: this.mayOrder.bind(this),
         flows: this.#flowCount.bind(this),
       });
+    this.#membership = settings.deployed && new VoterMembership(this.#membershipHost(), now);
     this.#confirmation = new FreshnessConfirmation(settings.incarnation);
     this.#forwardId = settings.incarnation;
     if (name !== 'sound')
@@ -342,7 +343,7 @@
     this.#beginRound(now);
     this.#tickPeers(now);
     this.#tickCommands(now);
-    if (this.#fleetManager) this.#tickVoters(now);
+    this.#membership?.tick(now);
     this.#tickOutside(now);
     this.#collect(now);
   }
@@ -424,7 +425,13 @@
         this.#receiveAcked(now, from, message.members);
         break;
       case 'announce':
-        this.#receiveAnnounce(now, from, message);
+        this.#membership?.receiveAnnounce(now, from, message);
+        break;
+      case 'leave':
+        this.#membership?.receiveLeave(now, from, message);
+        break;
+      case 'leaveReply':
+        this.#membership?.receiveLeaveReply(message);
         break;
       case 'update':
         this.#receiveUpdate(message);
@@ -442,6 +449,7 @@
         this.#receiveCommandReply(from, message);
         break;
       default:
+        this.#noteCandidate(from, message);
         this.#elector.receive(now, nodeId(from), message);
         break;
     }
@@ -478,7 +486,6 @@
     } else {
       this.#parts.stored(part, version, this.#grantedEpoch(), now);
       if (this.#repair?.waiting.delete(part)) this.#endRepair(now);
-      if (part === CONFIG_PART) this.#followVoters();
     }
     this.#collect(now);
   }
@@ -560,6 +567,9 @@
    */
   retire(now: Moment): boolean {
     this.#isRetiring = true;
+    const mustStay = this.#membership?.mustKeepSeat(now) ?? false;
+    this.#collect(now);
+    if (mustStay) return false;
     for (const order of this.#orders.values()) if (order.state !== 'taken') return false;
     if (this.#isServing && this.#fleetManager?.hasOpenOrders) return false;
     this.#elector.retire(now);
@@ -567,6 +577,11 @@
     return true;
   }
 
+  /** Whether a planned stop waits for this node's seat to be taken over. */
+  get isHandingOver(): boolean {
+    return this.#membership?.isHandingOver ?? false;
+  }
+
   // ---- effects of the inner cores
 
   #send(to: string, message: Message): void {
@@ -599,8 +614,10 @@
         if (effect.do === 'send') this.#send(effect.to, effect.message);
         else if (effect.do === 'store') this.#effects.push(effect);
         else if (effect.do === 'serving') this.#serve(now);
+        else if (effect.do === 'voters') this.#readConfig = effect;
         else this.#committed(now, effect.part, effect.version, effect.tokens, effect.members);
       }
+      this.#followVoters();
       this.#watchLeader(now);
     }
     this.#flushNews();
@@ -645,6 +662,7 @@
     this.#isServing = false;
     this.#recoverUntil = undefined;
     this.#parts.stub();
+    this.#readConfig = undefined;
     this.#orders.clear();
     this.#keptIntents.clear();
     this.#placesText = '';
@@ -686,25 +704,31 @@
   }
 
   #followVoters(): void {
-    const voters = this.#knownVoters();
-    if (!voters || voters.length === 0) return;
-    function ids(set: readonly string[]): NodeId[] {
-      return set.map(nodeId);
-    }
-    const quorum = new Quorum(...voters.map(ids));
+    const body = this.#newestConfig();
+    if (body === this.#followedConfig) return;
+    this.#followedConfig = body;
+    const quorum = quorumOf(body);
+    if (quorum) this.#setQuorum(quorum);
+  }
+
+  #setQuorum(quorum: Quorum): void {
     if (quorum.text === this.#quorum.text) return;
     this.#quorum = quorum;
     this.#elector.setQuorum(quorum);
     this.#parts.setQuorum(quorum);
   }
 
-  /** By the newest configuration known here: our own copy, or one that was told as committed. */
-  #knownVoters(): readonly (readonly string[])[] | undefined {
-    const news = this.#fleetManager ? this.#relay.item('config') : undefined;
-    if (news && isNewer(news.version, this.#parts.versionOf(CONFIG_PART)))
-      return parseAs(ConfigNewsShape, news.body)?.voters;
-    const body = this.#parts.replicaBody(CONFIG_PART);
-    return body === '' ? undefined : parseAs(ConfigDocShape, body)?.voters;
+  /** The newest configuration known here: our own copy, one told as committed, or one read while beginning to lead. */
+  #newestConfig(): string {
+    let version = this.#parts.versionOf(CONFIG_PART);
+    let body = this.#parts.replicaBody(CONFIG_PART);
+    const told = this.#fleetManager ? this.#relay.item('config') : undefined;
+    for (const other of [told, this.#readConfig]) {
+      if (!other || !isNewer(other.version, version)) continue;
+      version = other.version;
+      body = other.body;
+    }
+    return body;
   }
 
   // ---- voters of a deployment: they announce themselves, and the leader lets them in
@@ -720,68 +744,76 @@
     return !this.#quorum.holds(this.#me) || this.#elector.leader === undefined;
   }
 
-  #tickVoters(now: Moment): void {
-    if (!this.#isLost()) this.#leaderAt = now;
-    const isVoter = this.#quorum.holds(this.#me);
-    if (
-      now >= later(this.#announcedAt, ANNOUNCE_MS) &&
-      (!isVoter || now >= later(this.#leaderAt, LEADERLESS_MS))
-    ) {
-      this.#announcedAt = now;
-      const known = this.#relay.version('config');
-      const message = {
-        kind: 'announce',
-        id: this.#me,
-        zone: this.#settings.zone,
-        epoch: known.epoch,
-        count: known.count,
-        isFirst: this.#settings.deployed?.isFirstStart ?? false,
-        isSound: this.#replicaStatus.name === 'sound',
-      } as const;
-      for (const peer of this.peers) this.#send(peer, message);
-    }
-    for (const [id, announced] of this.#announced)
-      if (now - announced.at > ANNOUNCEED_MS) this.#announced.delete(id);
-    if (!this.#isServing || this.#parts.isWriting(CONFIG_PART)) return;
-    const change = this.#voterPlan.next(
-      now,
-      this.#doc.voters,
-      this.#announced.values(),
-      this.#me,
-      this.#voterHeardAt.bind(this),
-    );
-    if (change.do === 'rewrite') {
-      // What the old voters hold must be on a majority of the new ones too before those stand alone.
-      for (const part of allParts())
-        if (part !== CONFIG_PART) this.#writePart(now, part, this.#parts.body(part), 0);
-    } else if (
-      change.do === 'voters' &&
-      !isVotersWriting(this.#doc.voters, allParts(), this.#parts)
-    ) {
-      this.#note('voters', { from: this.#doc.voters.join(' | '), to: change.voters.join(' | ') });
-      this.#doc = { ...this.#doc, voters: change.voters.map(copyOf) };
-      this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
-    }
+  #changeVoters(now: Moment, change: VotersChange): void {
+    this.#note('voters', {
+      from: this.#doc.voters.join(' | '),
+      to: change.voters.join(' | '),
+    });
+    const seats = change.seats === undefined ? {} : { seats: change.seats };
+    this.#doc = { ...this.#doc, voters: change.voters.map(copyOf), ...seats };
+    const body = JSON.stringify(this.#doc);
+    // Two sets decide together from here on, also on this very change. One alone is told to those let go as well.
+    const joint = change.voters.length === 2 ? quorumOf(body) : undefined;
+    if (joint) this.#setQuorum(joint);
+    this.#writePart(now, CONFIG_PART, body, 0);
   }
 
-  #voterHeardAt(voter: string): Moment | undefined {
-    return this.#elector.heardAt(nodeId(voter));
+  #rewriteParts(now: Moment): void {
+    for (const part of allParts())
+      if (part !== CONFIG_PART) this.#writePart(now, part, this.#parts.body(part), 0);
   }
 
-  #receiveAnnounce(
-    now: Moment,
-    from: string,
-    message: Extract<Message, { kind: 'announce' }>,
-  ): void {
-    const { id, zone, isFirst, isSound } = message;
-    if (id === this.#me) return;
-    this.#announced.set(id, { id, zone, isFirst, isSound, at: now });
-    const news = this.#relay.item('config');
-    if (news && from === id && isNewer(news.version, message))
-      this.#send(id, { kind: 'update', topic: 'config', ...news.version, body: news.body });
-    // Passed on once: whoever came to us by another is not passed on again.
-    const leader = this.#elector.leader;
-    if (leader !== undefined && leader !== this.#me && from === id) this.#send(leader, message);
+  #membershipHost(): MembershipHost {
+    return {
+      me: this.#me,
+      zone: this.#settings.zone,
+      isFirstStart: this.#settings.deployed?.isFirstStart ?? false,
+      elector: this.#elector,
+      parts: this.#parts,
+      relay: this.#relay,
+      status: this.#replicaStatus,
+      quorum: this.#currentQuorum.bind(this),
+      peers: this.#currentPeers.bind(this),
+      isServing: this.#isServingNow.bind(this),
+      document: this.#document.bind(this),
+      zoneOf: this.#toldZoneOf.bind(this),
+      send: this.#send.bind(this),
+      rewriteParts: this.#rewriteParts.bind(this),
+      changeVoters: this.#changeVoters.bind(this),
+    };
+  }
+
+  #currentQuorum(): Quorum {
+    return this.#quorum;
+  }
+
+  #currentPeers(): readonly string[] {
+    return this.peers;
+  }
+
+  #isServingNow(): boolean {
+    return this.#isServing;
+  }
+
+  #document(): ConfigDoc {
+    return this.#doc;
+  }
+
+  #toldZoneOf(id: string): string {
+    return this.#zones.get(id) ?? '';
+  }
+
+  /** One that is not among the voters known here stands for election: there may be a newer configuration. */
+  #noteCandidate(from: string, message: Message): void {
+    const isOfCandidate =
+      message.kind === 'propose' || message.kind === 'victory' || message.kind === 'renew';
+    if (!this.#membership || !isOfCandidate || this.#quorum.holds(nodeId(from))) return;
+    this.#send(from, {
+      kind: 'freshnessRequest',
+      nonce: -1,
+      have: this.#relay.have(),
+      members: [],
+    });
   }
 
   // ---- members, vouching, news
@@ -1104,7 +1136,7 @@
     if (this.#fleetManager) {
       // Whoever comes later must find the voters written down, whatever seeds it is told.
       if (body === '') this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
-      this.#voterPlan.begin();
+      this.#membership?.begin();
       this.#fleetManager.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
       this.#fleetManager.tick(now, this.#doc);
       return;
@@ -1175,6 +1207,8 @@
     const doc = parseAs(ConfigDocShape, this.#committedBody(part, version));
     if (doc) this.#publishConfig(version, doc);
     this.#followVoters();
+    // Let go by the voters: the seat that is handed over as planned is given back with the lease, any other is lost.
+    if (!this.#isRetiring && !this.#quorum.holds(this.#me)) this.#elector.stepDown();
     const ids = new Set<string>();
     for (const member of [...members, ...this.#possibleMembers(now)]) ids.add(member.id);
     for (const token of tokens) {
--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -129,12 +129,14 @@
     this.#log.info({ standing: core.standing.name }, 'control node started');
   }
 
-  /** Hands over what it leads, if no order is open, and stops. */
+  /** Hands its seat over where a spare is there, then what it leads, if no order is open, and stops. */
   async stop(): Promise<void> {
-    const end = monotonicNow() + RETIRE_MS;
+    let end = monotonicNow() + RETIRE_MS;
     for (let isRetired = false; !isRetired && monotonicNow() < end;) {
       function retire(core: ControlCore): void {
         isRetired = core.retire(monotonicNow());
+        // The seat's taking over bounds itself; the time for open orders begins after it.
+        if (core.isHandingOver) end = monotonicNow() + RETIRE_MS;
       }
       this.#submit(retire);
       if (!isRetired) await new Promise<void>(afterTick);
--- /dev/null
+++ b/src/control/VoterMembership.ts
@@ -0,0 +1,228 @@
+import { later, moment, nodeId, type Moment } from '../common/Ids.js';
+import type { Message } from '../common/Messages.js';
+import type { Quorum } from '../common/Quorum.js';
+import { isNewer } from '../common/Version.js';
+import type { Relay } from '../dissemination/Relay.js';
+import type { Elector } from '../election/Elector.js';
+import { allParts, CONFIG_PART } from '../state/PartNames.js';
+import type { ReplicatedState } from '../state/ReplicatedState.js';
+import type { ReplicaStatus } from '../state/ReplicaStatus.js';
+import type { ConfigDoc } from './ConfigDoc.js';
+import { LeavingVoters } from './LeavingVoters.js';
+import { SeatHandover } from './SeatHandover.js';
+import { SilenceWatch } from './SilenceWatch.js';
+import { VoterPlan, type Announced, type VotersChange, type VoterView } from './VoterPlan.js';
+
+/** What membership needs of the control node that it belongs to. */
+export interface MembershipHost {
+  readonly me: string;
+  readonly zone: string;
+  readonly isFirstStart: boolean;
+  readonly elector: Elector;
+  readonly parts: ReplicatedState;
+  readonly relay: Relay;
+  readonly status: ReplicaStatus;
+  /** Who votes, by the newest configuration known here. */
+  quorum(): Quorum;
+  /** Everybody to whom this node keeps a connection. */
+  peers(): readonly string[];
+  /** Whether this node leads and has taken over the state. */
+  isServing(): boolean;
+  /** The configuration as last written by this leader, committed or not. */
+  document(): ConfigDoc;
+  zoneOf(id: string): string;
+  send(to: string, message: Message): void;
+  /** Writes all parts but the configuration anew, so that a majority of each set holds them. */
+  rewriteParts(now: Moment): void;
+  changeVoters(now: Moment, change: VotersChange): void;
+}
+
+type AnnounceMessage = Extract<Message, { kind: 'announce' }>;
+type LeaveMessage = Extract<Message, { kind: 'leave' }>;
+type LeaveReply = Extract<Message, { kind: 'leaveReply' }>;
+
+/** How often a node that is no voter announces itself, and for how long that is remembered. */
+const ANNOUNCE_MS = 500;
+const ANNOUNCED_MS = 1500;
+/** A voter without a leader for so long announces itself as well: it may be one no longer. */
+const LEADERLESS_MS = 1000;
+const NEVER = moment(-1e12);
+
+/**
+ * Who votes in a deployment: nodes that are no voters announce themselves, voters that are told to stop say so, and the
+ * leader changes the set of voters accordingly.
+ */
+export class VoterMembership implements VoterView {
+  readonly #host: MembershipHost;
+  readonly #plan = new VoterPlan();
+  readonly #announced = new Map<string, Announced>();
+  readonly #leaving = new LeavingVoters();
+  readonly #silence: SilenceWatch;
+  #handover: SeatHandover | undefined;
+  #announcedAt: Moment = NEVER;
+  #leaderSeenAt: Moment;
+  #hasVoted = false;
+  #now: Moment;
+
+  constructor(host: MembershipHost, now: Moment) {
+    this.#host = host;
+    this.#silence = new SilenceWatch(now);
+    this.#leaderSeenAt = now;
+    this.#now = now;
+  }
+
+  // ---- what the plan is told
+
+  get me(): string {
+    return this.#host.me;
+  }
+  get voters(): readonly (readonly string[])[] {
+    return this.#host.document().voters;
+  }
+  get seats(): number | undefined {
+    return this.#host.document().seats;
+  }
+  get announced(): readonly Announced[] {
+    return [...this.#announced.values()];
+  }
+
+  silentMs(voter: string): number {
+    return this.#silence.silentMs(this.#now, this.#host.elector.heardAt(nodeId(voter)));
+  }
+
+  isLeaving(id: string): boolean {
+    return this.#leaving.has(id) || (id === this.me && this.#handover !== undefined);
+  }
+
+  zoneOf(voter: string): string {
+    return voter === this.me ? this.#host.zone : this.#host.zoneOf(voter);
+  }
+
+  // ---- inputs
+
+  /** A new leader knows nothing of how far the former one came with a change. */
+  begin(): void {
+    this.#plan.begin();
+  }
+
+  tick(now: Moment): void {
+    this.#now = now;
+    this.#silence.tick(now);
+    this.#leaving.tick(now);
+    if (!this.#isLost()) this.#leaderSeenAt = now;
+    this.#announce(now);
+    for (const [id, announced] of this.#announced)
+      if (now - announced.at > ANNOUNCED_MS) this.#announced.delete(id);
+    this.#change(now);
+  }
+
+  receiveAnnounce(now: Moment, from: string, message: AnnounceMessage): void {
+    const { id, zone, isFirst, isSound } = message;
+    const host = this.#host;
+    if (id === host.me) return;
+    this.#announced.set(id, { id, zone, isFirst, isSound, at: now });
+    const config = host.relay.item('config');
+    if (config && from === id && isNewer(config.version, message))
+      host.send(id, { kind: 'update', topic: 'config', ...config.version, body: config.body });
+    // Passed on once: whoever came to us by another is not passed on again.
+    const leader = host.elector.leader;
+    if (leader !== undefined && leader !== host.me && from === id) host.send(leader, message);
+  }
+
+  receiveLeave(now: Moment, from: string, message: LeaveMessage): void {
+    if (!this.#host.isServing()) return;
+    this.#leaving.add(now, message.id);
+    this.#now = now;
+    this.#change(now);
+    this.#host.send(from, { kind: 'leaveReply', mayStop: this.#mayStop(message.id) });
+  }
+
+  receiveLeaveReply(message: LeaveReply): void {
+    this.#handover?.answered(message.mayStop);
+  }
+
+  get isHandingOver(): boolean {
+    return this.#handover !== undefined && !this.#handover.isOver;
+  }
+
+  /** For a planned stop: whether this node has to stay, since its seat is being taken over. */
+  mustKeepSeat(now: Moment): boolean {
+    const host = this.#host;
+    if (!this.#handover) {
+      if (!this.#isSound() || !host.quorum().holds(nodeId(host.me))) return false;
+      this.#handover = new SeatHandover(now);
+    }
+    const handover = this.#handover;
+    if (host.isServing()) {
+      this.#now = now;
+      this.#change(now);
+      handover.answered(this.#mayStop(host.me));
+    } else {
+      const leader = host.elector.leader;
+      if (leader !== undefined && leader !== host.me && handover.isTellDue(now))
+        host.send(leader, { kind: 'leave', id: host.me });
+    }
+    handover.tick(now, this.#hasSpare(host.quorum().all));
+    return !handover.isOver;
+  }
+
+  // ---- parts
+
+  /** No voter as far as we know, or without a leader. */
+  #isLost(): boolean {
+    const { me } = this.#host;
+    return !this.#host.quorum().holds(nodeId(me)) || this.#host.elector.leader === undefined;
+  }
+
+  #isSound(): boolean {
+    return this.#host.status.name === 'sound';
+  }
+
+  #announce(now: Moment): void {
+    const host = this.#host;
+    const isVoter = host.quorum().holds(nodeId(host.me));
+    if (isVoter) this.#hasVoted = true;
+    // One that is told to stop must not be taken in again.
+    if (this.#handover || now < later(this.#announcedAt, ANNOUNCE_MS)) return;
+    if (isVoter && now < later(this.#leaderSeenAt, LEADERLESS_MS)) return;
+    this.#announcedAt = now;
+    const { epoch, count } = host.relay.version('config');
+    const message = {
+      kind: 'announce',
+      id: host.me,
+      zone: host.zone,
+      epoch,
+      count,
+      // One that voted before has had its seat: while it was away somebody else may have taken that.
+      isFirst: host.isFirstStart && !this.#hasVoted,
+      isSound: this.#isSound(),
+    } as const;
+    for (const peer of host.peers()) host.send(peer, message);
+  }
+
+  #change(now: Moment): void {
+    const host = this.#host;
+    if (!host.isServing() || host.parts.isWriting(CONFIG_PART)) return;
+    // What the old voters hold must be on a majority of the new ones too before those stand alone.
+    const isRewriting =
+      this.voters.length === 2 && allParts().some(host.parts.isWriting, host.parts);
+    const change = this.#plan.next(this);
+    if (change.do === 'rewrite') host.rewriteParts(now);
+    else if (change.do === 'voters' && !isRewriting) host.changeVoters(now, change);
+  }
+
+  /** Whether the seat of a voter that leaves is taken over, or nobody is there to take it. */
+  #mayStop(id: string): boolean {
+    const [current, following] = this.voters;
+    if (!current || following || this.#host.parts.isWriting(CONFIG_PART)) return false;
+    return !current.includes(id) || !this.#hasSpare(current);
+  }
+
+  /** Whether somebody announced itself that could take a seat, if not yet, then once it is repaired. */
+  #hasSpare(voters: readonly string[]): boolean {
+    for (const id of this.#announced.keys()) {
+      if (!voters.includes(id) && !this.isLeaving(id)) return true;
+    }
+    return false;
+  }
+}
--- a/src/control/VoterPlan.ts
+++ b/src/control/VoterPlan.ts
@@ -1,4 +1,4 @@
-import type { Moment, PartName } from '../common/Ids.js';
+import type { Moment } from '../common/Ids.js';
 
 /** A control node that announced itself lately and is heard of as no voter, or as one without a leader. */
 export interface Announced {
@@ -9,24 +9,52 @@
   readonly at: Moment;
 }
 
+/** What the leader knows of the voters and of those that could become some. */
+export interface VoterView {
+  readonly me: string;
+  /** One set, or two while a change is under way. */
+  readonly voters: readonly (readonly string[])[];
+  /** How many voters are wanted, where some had to be left out. */
+  readonly seats: number | undefined;
+  readonly announced: readonly Announced[];
+  /** For how long a voter has been silent. */
+  silentMs(voter: string): number;
+  /** Whether a node is told to stop. */
+  isLeaving(id: string): boolean;
+  zoneOf(voter: string): string;
+}
+
+export interface VotersChange {
+  readonly do: 'voters';
+  readonly voters: readonly (readonly string[])[];
+  readonly seats: number | undefined;
+}
+
 export type VoterChange =
   | { readonly do: 'nothing' }
   /** All parts are to be written anew, by a majority of both sets. */
   | { readonly do: 'rewrite' }
-  | { readonly do: 'voters'; readonly voters: readonly (readonly string[])[] };
+  | VotersChange;
 
+/** A voter silent for so long is replaced where a spare is there: a seat held by nobody alive is worth less. */
 const SILENT_MS = 2000;
+/**
+ * A voter silent for so long counts as gone for good, and the others may go on without it. Restarts, freezes and repairs
+ * end sooner, and a return costs a change of voters. Waiting longer would leave the ones that are left without a majority
+ * at the next loss for longer: losses that may come one after the other do so no faster than this.
+ */
+const GONE_MS = 10_000;
 const NOTHING: VoterChange = { do: 'nothing' };
 
-export function isVotersWriting(
-  voters: readonly unknown[],
-  parts: readonly PartName[],
-  held: { isWriting(part: PartName): boolean },
-): boolean {
-  return voters.length === 2 && parts.some(held.isWriting, held);
+/** How many more of so many alive may be lost until they are no majority of so many voters. */
+function lossesBorne(voters: number, alive: number): number {
+  return alive - (Math.floor(voters / 2) + 1);
 }
 
-/** Which voters there should be: all nodes of the first start, and whoever comes in the place of one that fell silent. */
+/**
+ * Which voters there should be: all nodes of the first start; a spare in the place of whoever leaves or fell silent; and
+ * without spares those alone that are alive, where they bear more losses by themselves, until others are back.
+ */
 export class VoterPlan {
   #rewritten = '';
 
@@ -35,43 +63,98 @@
     this.#rewritten = '';
   }
 
-  next(
-    now: Moment,
-    voters: readonly (readonly string[])[],
-    announced: Iterable<Announced>,
-    me: string,
-    heardAt: (voter: string) => Moment | undefined,
-  ): VoterChange {
-    const [current, following] = voters;
+  next(view: VoterView): VoterChange {
+    const [current, following] = view.voters;
     if (!current) return NOTHING;
-    if (following) {
-      const change = voters.join(' | ');
-      if (this.#rewritten === change) return { do: 'voters', voters: [following] };
-      this.#rewritten = change;
-      return { do: 'rewrite' };
-    }
-    for (const node of announced) {
-      // One that must still be repaired can hold nothing for us.
-      if (!node.isSound || current.includes(node.id)) continue;
-      const silent = current.find(isSilent);
-      if (silent !== undefined)
-        return {
-          do: 'voters',
-          voters: [[...current], current.map(exchange.bind(undefined, silent, node.id))],
-        };
-      // An even number bears no more losses than the odd one below it, so that it is filled up whoever comes.
-      if (node.isFirst || current.length % 2 === 0)
-        return { do: 'voters', voters: [[...current], [...current, node.id]] };
-    }
-    return NOTHING;
+    if (following) return this.#goOn(view, following);
+    const next = exchanged(view, current) ?? extended(view, current) ?? reduced(view, current);
+    if (!next) return NOTHING;
+    return { do: 'voters', voters: [[...current], next.voters], seats: next.seats };
+  }
 
-    function isSilent(voter: string): boolean {
-      const at = heardAt(voter);
-      return voter !== me && at !== undefined && now - at > SILENT_MS;
+  /** A change that is under way: all parts reach a majority of both sets before the old one is let go. */
+  #goOn(view: VoterView, following: readonly string[]): VoterChange {
+    const change = view.voters.join(' | ');
+    if (this.#rewritten === change) {
+      return { do: 'voters', voters: [following], seats: view.seats };
     }
+    this.#rewritten = change;
+    return { do: 'rewrite' };
+  }
+}
+
+interface NextVoters {
+  readonly voters: readonly string[];
+  readonly seats: number | undefined;
+}
+
+/** Those that could vote: one that must still be repaired can hold nothing for us, and one that leaves is no gain. */
+function sparesFor(view: VoterView, current: readonly string[]): readonly Announced[] {
+  function isSpare(node: Announced): boolean {
+    return node.isSound && !current.includes(node.id) && !view.isLeaving(node.id);
+  }
+  return view.announced.filter(isSpare);
+}
+
+/** A spare takes the seat of a voter that leaves, or of one that fell silent; one of its zone, if there is any. */
+function exchanged(view: VoterView, current: readonly string[]): NextVoters | undefined {
+  const spares = sparesFor(view, current);
+  const old = current.find(view.isLeaving, view) ?? current.find(isSilent);
+  if (old === undefined) return undefined;
+  const spare = spares.find(isOfItsZone) ?? spares[0];
+  if (!spare) return undefined;
+  return { voters: current.map(exchange.bind(undefined, old, spare.id)), seats: view.seats };
+
+  function isSilent(voter: string): boolean {
+    return voter !== view.me && view.silentMs(voter) > SILENT_MS;
+  }
+  function isOfItsZone(node: Announced): boolean {
+    return node.zone === view.zoneOf(old ?? '');
+  }
+}
+
+/** Seats that stand empty are filled; one more is opened for a node of the first start, or to make the number odd. */
+function extended(view: VoterView, current: readonly string[]): NextVoters | undefined {
+  // An even number bears no more losses than the odd one below it, so that it is filled up whoever comes.
+  const isWanted = current.length % 2 === 0 || current.length < (view.seats ?? 0);
+  function isWelcome(node: Announced): boolean {
+    return isWanted || node.isFirst;
+  }
+  function votersBeside(node: Announced): number {
+    return current.filter(isIn.bind(undefined, view, node.zone)).length;
+  }
+  let spare: Announced | undefined;
+  for (const node of sparesFor(view, current).filter(isWelcome)) {
+    // The zone with the fewest voters goes first, so that the loss of a zone takes as few as possible.
+    if (!spare || votersBeside(node) < votersBeside(spare)) spare = node;
+  }
+  return spare && { voters: [...current, spare.id], seats: view.seats };
+}
+
+/** Those alive alone, if they then bear more losses than as a part of all; the number wanted stays what it was. */
+function reduced(view: VoterView, current: readonly string[]): NextVoters | undefined {
+  const staying = current.filter(isStaying);
+  const gain =
+    lossesBorne(staying.length, staying.length) - lossesBorne(current.length, staying.length);
+  // One that is silent, though not for long, may be lost as well: then the count would be wrong.
+  if (staying.length === current.length || gain <= 0 || !staying.every(isHeard)) return undefined;
+  return { voters: staying, seats: Math.max(view.seats ?? 0, current.length) };
+
+  function silentMs(voter: string): number {
+    return voter === view.me ? 0 : view.silentMs(voter);
+  }
+  function isStaying(voter: string): boolean {
+    return silentMs(voter) <= GONE_MS;
+  }
+  function isHeard(voter: string): boolean {
+    return silentMs(voter) <= SILENT_MS;
   }
 }
 
 function exchange(old: string, id: string, voter: string): string {
   return voter === old ? id : voter;
 }
+
+function isIn(view: VoterView, zone: string, voter: string): boolean {
+  return view.zoneOf(voter) === zone;
+}
--- /dev/null
+++ b/src/control/testing/FaultCluster.ts
@@ -0,0 +1,535 @@
+import { allParts } from '../../state/PartNames.js';
+import { MemoryStore } from '../../state/MemoryStore.js';
+import type { StoredPart } from '../../state/Store.js';
+import { moment, type Moment } from '../../common/Ids.js';
+import type { Message } from '../../common/Messages.js';
+import type { Fleet } from '../../placement/Fleet.js';
+import type { Intent } from '../../placement/Shapes.js';
+import type { Routing } from '../../route/Routing.js';
+import { VOTE_DEFAULTS } from '../../election/VoteSettings.js';
+import { ControlCore } from '../ControlCore.js';
+import { CONTROL_DEFAULTS, type FleetPlanner, type ControlEffect } from '../ControlEffect.js';
+import { SeededNumbers } from './SeededNumbers.js';
+
+/** Plans nothing: what is tried here is who votes, and what the voters hold. */
+class IdlePlanner implements FleetPlanner {
+  restore(): void {
+    /* nothing kept */
+  }
+  docs(): readonly [] {
+    return [];
+  }
+  demand(): void {
+    /* not told */
+  }
+  list(): void {
+    /* not told */
+  }
+  status(): void {
+    /* not told */
+  }
+  asks(): readonly string[] {
+    return [];
+  }
+  plan(): readonly string[] {
+    return [];
+  }
+  orders(): readonly Intent[] {
+    return [];
+  }
+  kept(): void {
+    /* nothing kept */
+  }
+  ordered(): void {
+    /* nothing ordered */
+  }
+  fleet(): Fleet {
+    return { flows: 1, runners: [], waits: [] };
+  }
+  nextAt(): Moment | undefined {
+    return undefined;
+  }
+}
+
+interface Document {
+  readonly version: number;
+}
+
+function parse(text: string): Document {
+  return JSON.parse(text);
+}
+
+class VersionDialect {
+  read(text: string): {
+    readonly routing: Routing;
+    readonly faults: readonly [];
+  } {
+    const { version } = parse(text);
+    const limits = {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerWaitMs: 1,
+      idleMs: 1,
+    };
+    return {
+      routing: { version, routes: [], services: [], limits },
+      faults: [],
+    };
+  }
+
+  amend(_text: string, change: string): string {
+    return change;
+  }
+}
+
+export interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+
+interface Timed {
+  readonly at: number;
+  readonly run: () => void;
+}
+
+interface Node {
+  core: ControlCore;
+  store: MemoryStore;
+  /** Grows with each start, so that what was under way for a former incarnation is dropped. */
+  incarnation: number;
+  state: 'up' | 'frozen' | 'down';
+  /** What reached a frozen node; it is read after the thaw. */
+  readonly inbox: (() => void)[];
+  isDiskStalled: boolean;
+  readonly stalled: (() => void)[];
+  readonly answers: Map<number, Answer>;
+  /** Since when a planned stop is under way. */
+  retiringSince: number | undefined;
+  stoppedAt: number | undefined;
+}
+
+export interface FaultClusterOptions {
+  readonly seed?: number;
+  /** Each message takes between these two, in order on each link. */
+  readonly leastDelayMs?: number;
+  readonly mostDelayMs?: number;
+  readonly leastDiskMs?: number;
+  readonly mostDiskMs?: number;
+}
+
+const STEP_MS = 5;
+const TICK_MS = 50;
+/** An order in calm times is acknowledged within so long. */
+const ACK_MS = 4000;
+/** A read without an answer is asked again for so long. */
+const READ_MS = 3000;
+/** A planned stop that was not over by then would be killed. */
+const GRACE_MS = 8000;
+/** As a control process of a deployment sets them. */
+const VOTE = {
+  ...VOTE_DEFAULTS,
+  pingMs: 250,
+  renewMs: 300,
+  electionMs: 500,
+  spanMs: 1500,
+  deadMs: 1200,
+  leaseMs: 3000,
+} as const;
+
+/**
+ * Control cores in memory on virtual time, with links that delay, cut one way or both, processes that are
+ * frozen, killed and stopped as planned, and disks that are slow, stalled, lost or brought back old.
+ */
+export class FaultCluster {
+  #now = 0;
+  #asked = 0;
+  readonly nodes = new Map<string, Node>();
+  readonly #numbers: SeededNumbers;
+  readonly #options: Required<FaultClusterOptions>;
+  #events: Timed[] = [];
+  /** When the last message on a link arrives, or the last write of a part on a disk ends. */
+  readonly #links = new Map<string, number>();
+  readonly #cut = new Set<string>();
+  readonly #lost = new Set<string>();
+
+  constructor(options: FaultClusterOptions = {}) {
+    const defaults = {
+      seed: 1,
+      leastDelayMs: 1,
+      mostDelayMs: 10,
+      leastDiskMs: 1,
+      mostDiskMs: 10,
+    };
+    this.#options = { ...defaults, ...options };
+    this.#numbers = new SeededNumbers(this.#options.seed);
+  }
+
+  get now(): number {
+    return this.#now;
+  }
+
+  node(id: string): Node {
+    const node = this.nodes.get(id);
+    if (!node) throw new Error(`no node ${id}`);
+    return node;
+  }
+
+  /** Starts a node, with the disk that stands at its address. */
+  start(id: string, seeds: readonly string[], isFirstStart: boolean = false): void {
+    const before = this.nodes.get(id);
+    const store = before?.store ?? new MemoryStore();
+    const incarnation = (before?.incarnation ?? 0) + 1;
+    const deployed = {
+      dialect: new VersionDialect(),
+      planner: new IdlePlanner(),
+      isFirstStart,
+      listMs: 1000,
+    };
+    const settings = {
+      ...CONTROL_DEFAULTS,
+      me: id,
+      zone: `zone-${id}`,
+      seeds,
+      incarnation: incarnation * 1_000_000 + Math.floor(this.#numbers.next() * 1000),
+      silentMs: 3000,
+      foundMs: 0,
+      deployed,
+    };
+    const core = new ControlCore(settings, store.list(), moment(this.#now), VOTE);
+    this.nodes.set(id, {
+      core,
+      store,
+      incarnation,
+      state: 'up',
+      inbox: [],
+      isDiskStalled: false,
+      stalled: [],
+      answers: new Map(),
+      retiringSince: undefined,
+      stoppedAt: undefined,
+    });
+  }
+
+  kill(id: string): void {
+    const node = this.node(id);
+    node.state = 'down';
+    node.stoppedAt = this.#now;
+    for (const other of this.nodes.keys())
+      if (other !== id) this.#at(STEP_MS, this.#gone.bind(this, other, id));
+  }
+
+  /** A planned stop: the core is asked until it may stop, as its process does. */
+  retire(id: string): void {
+    this.node(id).retiringSince = this.#now;
+  }
+
+  wipe(id: string): void {
+    this.node(id).store = new MemoryStore();
+  }
+
+  disk(id: string): readonly StoredPart[] {
+    return this.node(id).store.list();
+  }
+
+  /** Brings back what was on a disk earlier; only for a node that is down. */
+  restoreDisk(id: string, stored: readonly StoredPart[]): void {
+    const store = new MemoryStore();
+    for (const item of stored) store.keep(item.part, item.version, item.body);
+    this.node(id).store = store;
+  }
+
+  stallDisk(id: string): void {
+    this.node(id).isDiskStalled = true;
+  }
+
+  resumeDisk(id: string): void {
+    const node = this.node(id);
+    node.isDiskStalled = false;
+    for (const finish of node.stalled.splice(0)) finish();
+  }
+
+  freeze(id: string): void {
+    this.node(id).state = 'frozen';
+  }
+
+  thaw(id: string, first: 'input' | 'tick' = 'input'): void {
+    const node = this.node(id);
+    node.state = 'up';
+    if (first === 'tick') this.#tick(id, node);
+    for (const input of node.inbox.splice(0)) input();
+    if (first === 'input') this.#tick(id, node);
+  }
+
+  cutOneWay(from: string, to: string): void {
+    this.#cut.add(`${from}>${to}`);
+  }
+
+  cutOff(id: string): void {
+    for (const other of this.nodes.keys()) {
+      this.cutOneWay(id, other);
+      this.cutOneWay(other, id);
+    }
+  }
+
+  heal(): void {
+    this.#cut.clear();
+  }
+
+  /** Nothing of that kind reaches a node from now on, as where it comes late each time. */
+  lose(to: string, kind: Message['kind']): void {
+    this.#lost.add(`${to} ${kind}`);
+  }
+
+  run(millis: number): void {
+    for (const end = this.#now + millis; this.#now < end;) this.#step();
+  }
+
+  /** Runs until it holds and says how long that took; fails after the limit. */
+  runUntil(holds: () => boolean, limitMs: number, what: string): number {
+    const begin = this.#now;
+    while (!holds()) {
+      if (this.#now - begin >= limitMs) throw new Error(`not within ${limitMs} ms: ${what}`);
+      this.#step();
+    }
+    return this.#now - begin;
+  }
+
+  /** The serving node of the highest epoch. */
+  leader(): string {
+    let leader = '';
+    let epoch = -1;
+    for (const [id, node] of this.nodes) {
+      if (node.state !== 'up' || !node.core.isServing || node.core.elector.epoch <= epoch) continue;
+      leader = id;
+      epoch = node.core.elector.epoch;
+    }
+    return leader;
+  }
+
+  hasLeader(): boolean {
+    return this.leader() !== '';
+  }
+
+  /** Who votes as the leader sees it, joint sets together. */
+  voters(): string {
+    const leader = this.leader();
+    return leader === '' ? '' : [...this.node(leader).core.voters].join(' ');
+  }
+
+  follower(): string {
+    const leader = this.leader();
+    for (const id of this.node(leader).core.voters) {
+      if (id !== leader && this.node(id).state === 'up') return id;
+    }
+    throw new Error('no follower');
+  }
+
+  /** Sends an order or a read, and waits for its answer; status 0 where none came. */
+  asked(id: string, verb: string, body: object, millis: number = 500): Answer {
+    const number = this.ask(id, verb, body);
+    for (const end = this.#now + millis; this.#now < end;) {
+      const answer = this.node(id).answers.get(number);
+      if (answer) return answer;
+      this.#step();
+    }
+    return { status: 0, body: '' };
+  }
+
+  ask(id: string, verb: string, body: object): number {
+    this.#asked += 1;
+    const node = this.node(id);
+    node.core.command(moment(this.#now), this.#asked, verb, JSON.stringify(body));
+    this.#drain(id, node);
+    return this.#asked;
+  }
+
+  /**
+   * Puts a configuration in force by way of the leader; one without a clear answer is sent again as it was.
+   * Fails where it is not acknowledged in time.
+   */
+  configure(base: number, version: number): void {
+    const body = { id: `edit-${version}`, base, text: JSON.stringify({ version }) };
+    let answer: Answer = { status: 0, body: 'nobody leads' };
+    for (const end = this.#now + ACK_MS; this.#now < end; this.run(TICK_MS)) {
+      if (!this.hasLeader()) continue;
+      answer = this.asked(this.leader(), 'configure', body, 1000);
+      if (answer.status === 200) return;
+      if (answer.status !== 0 && answer.status < 500) break;
+    }
+    throw new Error(`${version} on ${base}: ${answer.status} ${answer.body}`);
+  }
+
+  /** Whether a node counts as a voter again: it has granted the leader's epoch and holds all that the leader holds. */
+  isCounting(id: string): boolean {
+    const leader = this.leader();
+    if (leader === '') return false;
+    const { core } = this.node(id);
+    const { core: leading } = this.node(leader);
+    if (core.standing.name !== 'sound' || core.elector.epoch !== leading.elector.epoch)
+      return false;
+    if (id !== leader && core.elector.leader !== leader) return false;
+    for (const part of allParts()) {
+      const own = core.parts.versionOf(part);
+      const newest = leading.parts.versionOf(part);
+      if (own.epoch !== newest.epoch || own.count !== newest.count) return false;
+    }
+    return true;
+  }
+
+  /** The version in force, as a node reads it; asked again while it has no answer. Nothing where none came. */
+  versionAt(id: string): number | undefined {
+    for (const end = this.#now + READ_MS; this.#now < end; this.run(TICK_MS)) {
+      const answer = this.asked(id, 'read', {}, 1500);
+      if (answer.status !== 200) continue;
+      const read: { readonly routing?: Document } = JSON.parse(answer.body);
+      return read.routing?.version ?? 0;
+    }
+    return undefined;
+  }
+
+  #step(): void {
+    this.#now += STEP_MS;
+    const due = this.#events.filter(isDue.bind(undefined, this.#now));
+    this.#events = this.#events.filter(isNotDue.bind(undefined, this.#now));
+    due.sort(byTime);
+    for (const event of due) event.run();
+    for (const [id, node] of this.nodes) {
+      if (node.state !== 'up') continue;
+      if (this.#now % TICK_MS === 0) this.#tick(id, node);
+    }
+  }
+
+  #tick(id: string, node: Node): void {
+    node.core.tick(moment(this.#now));
+    this.#drain(id, node);
+    if (node.retiringSince === undefined) return;
+    const mayStop = node.core.retire(moment(this.#now));
+    this.#drain(id, node);
+    if (mayStop || this.#now - node.retiringSince >= GRACE_MS) this.kill(id);
+  }
+
+  #at(millis: number, run: () => void): void {
+    this.#events.push({ at: this.#now + millis, run });
+  }
+
+  #gone(at: string, id: string): void {
+    const node = this.nodes.get(at);
+    if (!node || node.state === 'down') return;
+    this.#input(at, this.#hearGone.bind(this, at, id));
+  }
+
+  #hearGone(at: string, id: string): void {
+    const node = this.node(at);
+    node.core.gone(moment(this.#now), id);
+    this.#drain(at, node);
+  }
+
+  #send(from: string, to: string, message: Message): void {
+    const link = `${from}>${to}`;
+    const delay = this.#numbers.between(this.#options.leastDelayMs, this.#options.mostDelayMs);
+    const at = Math.max(this.#links.get(link) ?? 0, this.#now + delay);
+    this.#links.set(link, at);
+    this.#events.push({
+      at,
+      run: this.#deliver.bind(
+        this,
+        from,
+        to,
+        this.node(from).incarnation,
+        this.nodes.get(to)?.incarnation,
+        message,
+      ),
+    });
+  }
+
+  #deliver(
+    from: string,
+    to: string,
+    fromLife: number,
+    toLife: number | undefined,
+    message: Message,
+  ): void {
+    const node = this.nodes.get(to);
+    if (!node || node.state === 'down' || node.incarnation !== toLife) return;
+    if (this.node(from).incarnation !== fromLife || this.#cut.has(`${from}>${to}`)) return;
+    if (this.#lost.has(`${to} ${message.kind}`)) return;
+    this.#input(to, this.#receive.bind(this, to, from, message));
+  }
+
+  #receive(to: string, from: string, message: Message): void {
+    const node = this.node(to);
+    node.core.receive(moment(this.#now), from, message, `zone-${from}`);
+    this.#drain(to, node);
+  }
+
+  #input(id: string, input: () => void): void {
+    const node = this.node(id);
+    if (node.state === 'frozen') node.inbox.push(input);
+    else input();
+  }
+
+  #drain(id: string, node: Node): void {
+    for (let effects = node.core.drain(); effects.length > 0; effects = node.core.drain()) {
+      for (const effect of effects) this.#carryOut(id, node, effect);
+    }
+  }
+
+  #carryOut(id: string, node: Node, effect: ControlEffect): void {
+    if (effect.do === 'send') this.#send(id, effect.to, effect.message);
+    else if (effect.do === 'reply')
+      node.answers.set(effect.id, { status: effect.status, body: effect.body });
+    else if (effect.do === 'store') {
+      // Versions of one part reach the disk in order.
+      const queue = `${id} ${effect.part}`;
+      const millis = this.#numbers.between(this.#options.leastDiskMs, this.#options.mostDiskMs);
+      const at = Math.max(this.#links.get(queue) ?? 0, this.#now + millis);
+      this.#links.set(queue, at);
+      this.#events.push({
+        at,
+        run: this.#synced.bind(this, id, node.incarnation, effect),
+      });
+    }
+  }
+
+  #synced(id: string, incarnation: number, effect: Extract<ControlEffect, { do: 'store' }>): void {
+    const node = this.node(id);
+    if (node.incarnation !== incarnation || node.state === 'down') return;
+    if (node.isDiskStalled) {
+      node.stalled.push(this.#synced.bind(this, id, incarnation, effect));
+      return;
+    }
+    node.store.keep(effect.part, effect.version, effect.body);
+    this.#input(id, this.#hearStored.bind(this, id, effect));
+  }
+
+  #hearStored(id: string, effect: Extract<ControlEffect, { do: 'store' }>): void {
+    const node = this.node(id);
+    node.core.stored(moment(this.#now), effect.part, effect.version);
+    this.#drain(id, node);
+  }
+}
+
+/** A cluster of these nodes at its first start, all voters, with a leader that serves; the first three are its seeds. */
+export function foundedFaultCluster(
+  ids: readonly string[],
+  options: FaultClusterOptions = {},
+): FaultCluster {
+  const cluster = new FaultCluster(options);
+  for (const id of ids) cluster.start(id, ids.slice(0, 3), true);
+  function isWhole(): boolean {
+    return cluster.voters() === [...ids].sort().join(' ');
+  }
+  cluster.runUntil(isWhole, 20_000, `all of ${ids.join(' ')} vote`);
+  cluster.run(2000);
+  return cluster;
+}
+
+function isDue(now: number, event: Timed): boolean {
+  return event.at <= now;
+}
+function isNotDue(now: number, event: Timed): boolean {
+  return event.at > now;
+}
+function byTime(a: Timed, b: Timed): number {
+  return a.at - b.at;
+}
--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -142,7 +142,9 @@
 
   /** Asked right before each order's write. */
   mayOrder(now: Moment): boolean {
-    return this.#role === 'leading' && now >= this.#orderFrom && now < this.#leaseEnd;
+    // The voters may be others by now than those that granted: a former holder may be bound to some of these alone.
+    const isGranted = this.#quorum.isMajority(new Set(this.#grants.keys()));
+    return this.#role === 'leading' && isGranted && now >= this.#orderFrom && now < this.#leaseEnd;
   }
 
   /**
@@ -160,6 +162,11 @@
     this.#lose('looking');
   }
 
+  /** Stops leading, as one that is no voter any more; what was promised to it binds until it runs out. */
+  stepDown(): void {
+    if (this.#role === 'leading') this.#lose('looking');
+  }
+
   /** A node that lost its disk neither proposes nor grants until it has been repaired. */
   setMayVote(mayVote: boolean, record: VoteRecord, now: Moment): void {
     if (mayVote && !this.#mayVote && record.epoch > 0) {
@@ -180,6 +187,7 @@
 
   setQuorum(quorum: Quorum): void {
     this.#quorum = quorum;
+    if (this.#role === 'leading' || this.#role === 'won') this.#settleOrderFrom();
   }
 
   /** When a voter last returned a ping; nothing for one never pinged. */
@@ -208,8 +216,9 @@
     if (!this.#mayVote || this.#isRetired) return;
     this.#noteFree(now);
     if (!this.#quorum.holds(this.#me)) {
-      // Swapped out: whoever leads now, it is not us.
-      if (this.#role !== 'looking' && this.#role !== 'following') this.#lose('looking');
+      // One that leaves its seat leads until the others hold that: they renew it meanwhile, or its lease runs out.
+      if (this.#role === 'leading') this.#tickLeader(now);
+      else if (this.#role !== 'looking' && this.#role !== 'following') this.#lose('looking');
       return;
     }
     if (this.#role === 'leading' || this.#role === 'won') this.#tickLeader(now);
--- a/src/state/ReplicaStatus.ts
+++ b/src/state/ReplicaStatus.ts
@@ -1,6 +1,8 @@
 import { later, type NodeId, type Moment } from '../common/Ids.js';
 import type { CopyMessage, Message } from '../common/Messages.js';
 import type { Quorum } from '../common/Quorum.js';
+import { isNewer, NO_VERSION, type Version } from '../common/Version.js';
+import { CONFIG_PART } from './PartNames.js';
 
 /** blank: an empty folder. lost: the record of our votes is unreadable. sound: we may vote and count. */
 export type ReplicaStatusName = 'blank' | 'lost' | 'sound';
@@ -20,7 +22,18 @@
       readonly copies: readonly CopyMessage[];
     };
 
-const ASK_MS = 500;
+type ReadReply = Extract<Message, { kind: 'readReply' }>;
+
+interface Send {
+  readonly to: NodeId;
+  readonly message: Message;
+}
+
+/** A peer that does not answer is asked again after so long, then after twice as long, up to the most. */
+const LEAST_ASK_MS = 100;
+const MOST_ASK_MS = 800;
+/** One that holds nothing yet is asked again after so long. */
+const BLANK_ASK_MS = 200;
 
 /**
  * Decides when a node with an empty folder may count: by founding together with blank peers,
@@ -29,11 +42,14 @@
 export class ReplicaStatus {
   readonly #me: NodeId;
   #name: ReplicaStatusName;
+  /** Each reply to one of ours counts: all numbers above the first were given out in this incarnation. */
+  readonly #firstNonce: number;
   #nonce: number;
-  #askedAt: Moment;
   readonly #bootAt: Moment;
   readonly #foundMs: number;
   readonly #replies = new Map<NodeId, Return>();
+  readonly #requests = new Map<NodeId, { readonly askAgainAt: Moment; readonly waitMs: number }>();
+  readonly #quorumOf: (configBody: string) => Quorum | undefined;
   #memberEpoch = 0;
   #isForced = false;
   readonly #mayFound: boolean;
@@ -45,14 +61,16 @@
     foundMs: number,
     incarnation: number,
     mayFound: boolean = true,
+    quorumOf: (configBody: string) => Quorum | undefined = namesNobody,
   ) {
     this.#me = me;
     this.#name = name;
     this.#bootAt = now;
-    this.#askedAt = now;
     this.#foundMs = foundMs;
+    this.#firstNonce = incarnation;
     this.#nonce = incarnation;
     this.#mayFound = mayFound;
+    this.#quorumOf = quorumOf;
   }
 
   get name(): ReplicaStatusName {
@@ -77,22 +95,36 @@
     this.#replies.clear();
   }
 
-  tick(now: Moment, quorum: Quorum): { readonly to: NodeId; readonly message: Message }[] {
-    if (this.#name === 'sound' || now < later(this.#askedAt, ASK_MS)) return [];
-    this.#askedAt = now;
+  /** What is to be asked of whom now: of the voters known here, and of those that a copy read so far names. */
+  tick(now: Moment, quorum: Quorum): Send[] {
+    if (this.#name === 'sound') return [];
+    const peers = new Set([...quorum.all, ...(this.#votersRead()?.all ?? [])]);
+    peers.delete(this.#me);
+    const due = [...peers].filter(this.#isRequestDue.bind(this, now));
+    if (due.length === 0) return [];
     this.#nonce += 1;
-    this.#replies.clear();
-    const sends: { readonly to: NodeId; readonly message: Message }[] = [];
-    for (const peer of quorum.all) {
-      if (peer !== this.#me)
-        sends.push({
-          to: peer,
-          message: { kind: 'read', epoch: 0, nonce: this.#nonce, parts: [] },
-        });
+    const sends: Send[] = [];
+    for (const peer of due) {
+      sends.push({
+        to: peer,
+        message: { kind: 'read', epoch: 0, nonce: this.#nonce, parts: [] },
+      });
+      const waitMs = Math.min(
+        MOST_ASK_MS,
+        (this.#requests.get(peer)?.waitMs ?? LEAST_ASK_MS / 2) * 2,
+      );
+      this.#requests.set(peer, { askAgainAt: later(now, waitMs), waitMs });
     }
     return sends;
   }
 
+  #isRequestDue(now: Moment, peer: NodeId): boolean {
+    // What a sound peer held after we started is all that it could know of us: we decide nothing with it meanwhile.
+    if (this.#replies.get(peer)?.standing === 'sound') return false;
+    const request = this.#requests.get(peer);
+    return request === undefined || now >= request.askAgainAt;
+  }
+
   /** The return to a node that asks how we stand. */
   replyTo(nonce: number, epoch: number, copies: CopyMessage[], hasGranted: boolean): Message {
     // Founded, but nothing was ever decided with us: others may still found beside us, however far our own tries ran the epoch.
@@ -111,31 +143,58 @@
   receive(
     now: Moment,
     from: NodeId,
-    message: Extract<Message, { kind: 'readReply' }>,
+    message: ReadReply,
     quorum: Quorum,
   ): ReplicaStatusOutcome | undefined {
-    if (this.#name === 'sound' || message.nonce !== this.#nonce || message.sound) return undefined;
+    if (this.#name === 'sound' || !this.#isReplyToUs(message)) return undefined;
     if (message.standing === 'blank') this.noteMember(message.epoch);
-    this.#replies.set(from, {
-      standing: message.standing,
-      epoch: message.epoch,
-      copies: message.copies,
-    });
+    // Later answers of one that was sound before we had read enough add nothing.
+    if (this.#replies.get(from)?.standing !== 'sound') {
+      const { standing, epoch, copies } = message;
+      this.#replies.set(from, { standing, epoch, copies });
+      this.#requests.set(from, { askAgainAt: later(now, BLANK_ASK_MS), waitMs: BLANK_ASK_MS });
+    }
     return this.outcome(now, quorum);
   }
 
+  /** Links may be slower than we ask: not only the last request's reply counts, but none of another incarnation. */
+  #isReplyToUs(message: ReadReply): boolean {
+    return !message.sound && message.nonce > this.#firstNonce && message.nonce <= this.#nonce;
+  }
+
+  /** The voters that the newest configuration read so far names: the settings may name fewer, or older ones. */
+  #votersRead(): Quorum | undefined {
+    let version: Version = NO_VERSION;
+    let body = '';
+    for (const { standing, copies } of this.#replies.values()) {
+      const copy = standing === 'sound' ? copies.find(isConfig) : undefined;
+      if (!copy?.sound || !isNewer(copy, version)) continue;
+      version = { epoch: copy.epoch, count: copy.count };
+      body = copy.body;
+    }
+    return this.#quorumOf(body);
+  }
+
+  #isAllFresh(quorum: Quorum): boolean {
+    for (const peer of quorum.all) {
+      if (peer === this.#me) continue;
+      const standing = this.#replies.get(peer)?.standing;
+      if (standing !== 'blank' && standing !== 'fresh') return false;
+    }
+    return true;
+  }
+
   outcome(now: Moment, quorum: Quorum): ReplicaStatusOutcome | undefined {
     if (this.#name === 'sound') return undefined;
     const holders = new Set<NodeId>();
-    let isAllFresh = true;
     let epoch = 0;
     const copies: CopyMessage[] = [];
-    for (const peer of quorum.all) {
-      if (peer === this.#me) continue;
+    // Whoever decided anything with us did so among the voters that the newest copy names, or that copy would not be it.
+    const voters = this.#votersRead() ?? quorum;
+    for (const peer of voters.all) {
       const known = this.#replies.get(peer);
-      const isBlank = known?.standing === 'blank' || known?.standing === 'fresh';
-      if (!isBlank) isAllFresh = false;
-      if (known?.standing !== 'sound' && known?.standing !== 'fresh') continue;
+      if (peer === this.#me || !known) continue;
+      if (known.standing !== 'sound' && known.standing !== 'fresh') continue;
       holders.add(peer);
       epoch = Math.max(epoch, known.epoch);
       copies.push(...known.copies);
@@ -144,12 +203,12 @@
       this.#mayFound &&
       this.#name === 'blank' &&
       quorum.holds(this.#me) &&
-      isAllFresh &&
+      this.#isAllFresh(quorum) &&
       now >= later(this.#bootAt, this.#foundMs);
     if (mayFound && (!this.isMemberHolding || this.#isForced))
       return { become: 'founded', epoch: this.#memberEpoch };
     // Whatever was decided with us is also held by one of those others: all of them but ourselves must have been read.
-    if (epoch > 0 && quorum.coversWithout(this.#me, holders))
+    if (epoch > 0 && voters.coversWithout(this.#me, holders))
       return { become: 'repaired', epoch, copies };
     // An operator's word: whoever is left tells all that can be known, and members may still know a newer table.
     if (this.#isForced && epoch > 0)
@@ -161,3 +220,9 @@
 function isEmpty(copy: CopyMessage): boolean {
   return copy.epoch === 0;
 }
+function isConfig(copy: CopyMessage): boolean {
+  return copy.part === CONFIG_PART;
+}
+function namesNobody(): undefined {
+  return undefined;
+}
--- a/src/state/ReplicatedState.ts
+++ b/src/state/ReplicatedState.ts
@@ -3,6 +3,7 @@
 import type { CopyMessage, MemberMessage, Message } from '../common/Messages.js';
 import type { Quorum } from '../common/Quorum.js';
 import { compareVersions, isNewer, NO_VERSION, type Version } from '../common/Version.js';
+import { CONFIG_PART } from './PartNames.js';
 import type { StoredPart } from './Store.js';
 
 export type ReplicatedStateEffect =
@@ -22,6 +23,8 @@
       readonly tokens: readonly number[];
       readonly members: readonly MemberMessage[];
     }
+  /** The newest configuration that was read while beginning to own the state names other voters than were known here. */
+  | { readonly do: 'voters'; readonly version: Version; readonly body: string }
   /** Every part has been read from a majority and rewritten in our epoch. */
   | { readonly do: 'serving' };
 
@@ -71,14 +74,17 @@
   #mendedAt: Moment = moment(0);
   #mends = 0;
   #effects: ReplicatedStateEffect[] = [];
+  readonly #quorumOf: (configBody: string) => Quorum | undefined;
 
   constructor(
     me: NodeId,
     quorum: Quorum,
     names: readonly PartName[],
     stored: readonly StoredPart[],
+    quorumOf: (configBody: string) => Quorum | undefined = namesNobody,
   ) {
     this.#me = me;
+    this.#quorumOf = quorumOf;
     this.#quorum = quorum;
     this.#names = names;
     for (const part of names)
@@ -230,18 +236,40 @@
 
   #takeRead(now: Moment, from: NodeId, copies: readonly CopyMessage[]): void {
     for (const item of copies) {
-      const part = partName(item.part);
-      const owned = this.#owned.get(part);
+      const owned = this.#owned.get(partName(item.part));
       if (!owned || owned.copy || owned.writing || !item.sound) continue;
       owned.read.add(from);
       if (isNewer(item, owned.newest.version))
         owned.newest = { version: { epoch: item.epoch, count: item.count }, body: item.body };
-      if (!this.#quorum.isMajority(owned.read)) continue;
+    }
+    this.#endReading(now);
+  }
+
+  /**
+   * Rewrites all parts once each was read from a majority of the voters that the newest configuration read names. A
+   * majority of the voters known here before may have taken part in nothing for long: what newer ones decided would be
+   * written over.
+   */
+  #endReading(now: Moment): void {
+    const owners = [...this.#owned.values()];
+    if (owners.some(isRead) || !owners.every(this.#isReadByMost, this)) return;
+    const config = this.#owned.get(CONFIG_PART)?.newest;
+    const named = config && this.#quorumOf(config.body);
+    if (config && named && named.text !== this.#quorum.text) {
+      this.#quorum = named;
+      this.#effects.push({ do: 'voters', version: config.version, body: config.body });
+      if (!owners.every(this.#isReadByMost, this)) return;
+    }
+    for (const [part, owned] of this.#owned) {
       const version = { epoch: this.#epoch, count: owned.newest.version.count + 1 };
       this.#send(now, part, owned, version, owned.newest.body, []);
     }
   }
 
+  #isReadByMost(owned: Owned): boolean {
+    return this.#quorum.isMajority(owned.read);
+  }
+
   #send(
     now: Moment,
     part: PartName,
@@ -486,3 +514,9 @@
 function isOwned(owned: Owned): boolean {
   return owned.copy !== undefined;
 }
+function isRead(owned: Owned): boolean {
+  return owned.copy !== undefined || owned.writing !== undefined;
+}
+function namesNobody(): undefined {
+  return undefined;
+}
