--- a/src/control/testing/FaultCluster.ts
+++ b/src/control/testing/FaultCluster.ts
@@ -264,11 +264,13 @@
     this.#cut.add(`${from}>${to}`);
   }
 
+  cutBothWays(one: string, other: string): void {
+    this.cutOneWay(one, other);
+    this.cutOneWay(other, one);
+  }
+
   cutOff(id: string): void {
-    for (const other of this.nodes.keys()) {
-      this.cutOneWay(id, other);
-      this.cutOneWay(other, id);
-    }
+    for (const other of this.nodes.keys()) this.cutBothWays(id, other);
   }
 
   heal(): void {
