--- a/src/proxy/Forwarder.ts
+++ b/src/proxy/Forwarder.ts
@@ -461,6 +461,7 @@
       this.#receiveNotRun(exchange, attempt, back, head);
       return;
     }
+    if (!head.isGenuine) this.#counters.add('answers.foreign');
     this.#dispatcher.head(this.#now(), exchange.id, attempt.number, head);
     this.obey();
   }
