--- /dev/null
+++ b/src/placement/AdapterChoice.ts
@@ -0,0 +1,198 @@
+import type { PlacementState } from './PlacementState.js';
+import type { OrderQueue } from './OrderQueue.js';
+import type { Eviction } from './Eviction.js';
+import type { FleetReport } from './FleetReport.js';
+import type { Moment } from '../common/Ids.js';
+import {
+  type HeldModel,
+  type RunnerState,
+  type Victim,
+  type Way,
+  type AdapterState,
+  type ModelState,
+  type ServiceState,
+  byLoss,
+} from './PlannerRecords.js';
+
+/** Chooses which copies of a model get which of its adapters, and which adapters make way. */
+export class AdapterChoice {
+  readonly #state: PlacementState;
+  readonly #eviction: Eviction;
+  readonly #report: FleetReport;
+  readonly #orders: OrderQueue;
+
+  constructor(state: PlacementState, eviction: Eviction, report: FleetReport, orders: OrderQueue) {
+    this.#state = state;
+    this.#eviction = eviction;
+    this.#report = report;
+    this.#orders = orders;
+  }
+
+  placeAdapters(now: Moment, service: ServiceState): void {
+    for (const model of service.waiting) {
+      for (const adapter of model.adapters.values()) {
+        if (adapter.waiting <= 0 || adapter.badUntil > now) continue;
+        if (
+          this.#state.adapterCopies(now, model, adapter.name) > 0 &&
+          !this.#suspectAdapter(now, model, adapter)
+        )
+          continue;
+        if (!this.#placeAdapter(now, service, model, adapter, true))
+          this.#report.wait(now, service, model, adapter.name);
+      }
+    }
+    if (service.grownAt !== now) return;
+    const all = service.all.perSecond(
+      now,
+      this.#state.settings.fastMs,
+      service.firstDemandAt ?? now,
+    );
+    for (const model of service.models.values()) {
+      if (model.adapters.size === 0 || model.holders.size < 2) continue;
+      for (const adapter of model.adapters.values()) {
+        const rate = adapter.slow.perSecond(
+          now,
+          this.#state.settings.slowMs,
+          service.firstDemandAt ?? now,
+        );
+        if (rate < 1 || adapter.badUntil > now) continue;
+        const need = Math.max(
+          2,
+          all > 0
+            ? Math.round((rate / all) * service.runners.size * this.#state.settings.spreadShare)
+            : 2,
+        );
+        const have = this.#state.adapterCopies(now, model, adapter.name);
+        if (have > 0 && have < Math.min(need, this.#state.copies(now, model).ready))
+          this.#placeAdapter(now, service, model, adapter, false);
+      }
+    }
+  }
+
+  /** An adapter that is ready somewhere, and yet waited for, does not serve there; nor does the model if that is all there is. */
+  #suspectAdapter(now: Moment, model: ModelState, adapter: AdapterState): boolean {
+    const { despiteMs } = this.#state.settings;
+    if (
+      now - adapter.waitingSince < despiteMs ||
+      this.#state.adapterCopies(now, model, adapter.name) > 2
+    )
+      return false;
+    let isElsewhere = false;
+    for (const held of model.holders.values()) {
+      const hold = held.adapters.get(adapter.name);
+      if (!hold) isElsewhere = true;
+      else if (hold.phase === 'coming' || adapter.waitingToldAt - hold.since < despiteMs)
+        return false;
+    }
+    for (const held of model.holders.values()) {
+      const hold = held.adapters.get(adapter.name);
+      if (hold) hold.suspectedUntil = now + despiteMs * 5;
+      if (hold && !isElsewhere) held.suspectedUntil = now + despiteMs * 5;
+    }
+    return isElsewhere;
+  }
+
+  #placeAdapter(
+    now: Moment,
+    service: ServiceState,
+    model: ModelState,
+    adapter: AdapterState,
+    isWaiting: boolean,
+  ): boolean {
+    let best: { runner: RunnerState; victims: Victim[] } | undefined;
+    let bestScore = Infinity;
+    for (const [runner, held] of model.holders) {
+      if (
+        held.phase === 'unloading' ||
+        !this.#state.isUsable(now, runner) ||
+        held.adapters.has(adapter.name) ||
+        runner.queue.length >= 8
+      )
+        continue;
+      if (!isWaiting && runner.queue.length > 0) continue;
+      const way = this.#makeAdapterRoom(now, service, runner, model, isWaiting);
+      if (!way) continue;
+      const head = runner.queue[0];
+      const delay = head ? Math.max(0, head.isTaken ? head.due - now : head.expectedMs) : 0;
+      const score =
+        way.loss +
+        delay / 200 +
+        runner.queue.length * 0.1 +
+        this.#state.load(runner) * 0.5 +
+        (held.suspectedUntil > now ? 5 : 0) +
+        (runner.coldUntil > now ? 1 : 0);
+      if (score < bestScore) {
+        best = { runner, victims: [...way.victims] };
+        bestScore = score;
+      }
+    }
+    if (!best) return false;
+    for (const victim of best.victims)
+      this.#orders.intend(now, best.runner, 'unload', victim.held.model, victim.adapter);
+    this.#orders.intend(now, best.runner, 'load', model, adapter.name);
+    return true;
+  }
+
+  #makeAdapterRoom(
+    now: Moment,
+    service: ServiceState,
+    runner: RunnerState,
+    model: ModelState,
+    mayThrowOut: boolean,
+  ): Way | undefined {
+    let free = service.engine.roomMb - this.#state.used(runner);
+    let slots = service.engine.adapterSlots - this.#state.adapterCount(runner);
+    if (free >= model.adapterMb && slots > 0) return { victims: [], loss: 0 };
+    if (!mayThrowOut || service.engine.adapterSlots <= 0) return undefined;
+    const all: { held: HeldModel; adapter: string; mb: number; loss: number }[] = [];
+    for (const held of runner.holds.values()) {
+      if (held.phase !== 'ready') continue;
+      for (const [name, { phase, since }] of held.adapters) {
+        if (phase !== 'ready') continue;
+        const stays = since + this.#state.settings.adapterStayMs;
+        if (stays > now) {
+          this.#state.blockedUntil = Math.min(this.#state.blockedUntil, stays);
+          continue;
+        }
+        const state = held.model.adapters.get(name);
+        if (state && state.waiting > 0) continue;
+        const rate =
+          state?.slow.perSecond(now, this.#state.settings.slowMs, service.firstDemandAt ?? now) ??
+          0;
+        const others = this.#state.adapterCopies(now, held.model, name) - 1;
+        const recency = Math.exp(-(now - (state?.lastAsked ?? -Infinity)) / 20_000);
+        all.push({
+          held,
+          adapter: name,
+          mb: held.model.adapterMb,
+          loss: (others > 0 ? rate * 0.2 : rate) + recency + 0.01,
+        });
+      }
+    }
+    all.sort(byLoss);
+    const victims: Victim[] = [];
+    let loss = 0;
+    for (const one of all) {
+      if (free >= model.adapterMb && slots > 0) break;
+      victims.push({ held: one.held, adapter: one.adapter });
+      free += one.mb;
+      slots += 1;
+      loss += one.loss;
+    }
+    if (free >= model.adapterMb && slots > 0) return { victims, loss };
+    // Where weights fill a runner to the brim, a model has to go.
+    if (slots <= 0 || runner.queue.length > 0) return undefined;
+    let best: { held: HeldModel; loss: number } | undefined;
+    for (const held of runner.holds.values()) {
+      if (held.model === model || !this.#eviction.mayGo(now, held, false)) continue;
+      const one = this.#eviction.loss(now, held.model);
+      if (
+        one < 2 &&
+        (!best || one < best.loss) &&
+        service.engine.roomMb - this.#state.used(runner) + held.model.sizeMb >= model.adapterMb
+      )
+        best = { held, loss: one };
+    }
+    return best ? { victims: [{ held: best.held, adapter: '' }], loss: best.loss } : undefined;
+  }
+}
--- /dev/null
+++ b/src/placement/CopyDemand.ts
@@ -0,0 +1,197 @@
+import type { PlacementState } from './PlacementState.js';
+import type { Eviction } from './Eviction.js';
+import type { Moment } from '../common/Ids.js';
+import { isPressing, type ModelState, type ServiceState, type Want } from './PlannerRecords.js';
+
+/**
+ * Compares the copies of each model with the work there is for it, and says which further copies would be
+ * of use.
+ */
+export class CopyDemand {
+  readonly #state: PlacementState;
+  readonly #eviction: Eviction;
+
+  constructor(state: PlacementState, eviction: Eviction) {
+    this.#state = state;
+    this.#eviction = eviction;
+  }
+
+  /** All further copies that would be of use now, the most urgent first. */
+  wantsOf(now: Moment, service: ServiceState): Want[] {
+    const wants: Want[] = [];
+    for (const model of service.waiting) {
+      const want = this.#waitingWant(now, model);
+      if (want) wants.push(want);
+    }
+    if (now - service.grownAt >= this.#state.settings.growMs) {
+      service.grownAt = now;
+      const grown: Want[] = [];
+      this.#growWants(now, service, grown);
+      service.pressing = grown.filter(isPressing);
+      wants.push(...grown);
+    } else wants.push(...service.pressing);
+    return wants.sort(byLevel);
+  }
+
+  /** A model that is waited for and that no runner has, or that none serves though one should. */
+  #waitingWant(now: Moment, model: ModelState): Want | undefined {
+    const { despiteMs, rankMs } = this.#state.settings;
+    if (model.badUntil > now || this.#state.restoredComing(now, model)) return undefined;
+    let copies = this.#state.copies(now, model);
+    if (copies.all > 0) {
+      // Where many copies are ready, what waits waits for a place at one of them.
+      if (copies.ready < copies.all || copies.all > 2 || !this.#waitsForModel(model))
+        return undefined;
+      if (now - model.waitingSince < despiteMs) return undefined;
+      for (const held of model.holders.values())
+        if (model.waitingToldAt - held.since < despiteMs) return undefined;
+      for (const held of model.holders.values()) held.suspectedUntil = now + despiteMs * 5;
+      copies = this.#state.copies(now, model);
+    }
+    if (copies.all > 0) return undefined;
+    model.deprivedSince ??= now;
+    const deprived = now - model.deprivedSince;
+    // A crowd goes before one who waits, whatever its rank; and who is passed over for long gains rank.
+    const level =
+      model.priority -
+      Math.floor(Math.log2(Math.max(1, model.waiting)) / 2) -
+      Math.floor(deprived / rankMs);
+    return {
+      model,
+      kind: 'waiting',
+      level,
+      since: model.deprivedSince,
+      gain:
+        1 +
+        Math.min(30, model.waiting) * 0.5 +
+        (2 * deprived) / rankMs +
+        this.#state.slowRate(now, model),
+    };
+  }
+
+  /** Some request waits for the model itself, not for an adapter of it. */
+  #waitsForModel(model: ModelState): boolean {
+    let adapters = 0;
+    for (const adapter of model.adapters.values()) adapters += Math.max(0, adapter.waiting);
+    return model.waiting > adapters;
+  }
+
+  /** How many copies a model's work needs now, as a broken number. */
+  #work(now: Moment, model: ModelState, open: number, slots: number): number {
+    const { fastMs, spreadShare, slotShare, growMs } = this.#state.settings;
+    const all = model.service.all.weight(now, fastMs);
+    // A few requests tell no share.
+    const share = all >= 10 ? model.fast.weight(now, fastMs) / all : 0;
+    model.runningMean +=
+      (Math.max(0, model.running) - model.runningMean) * Math.min(1, growMs / 1000);
+    const byRunning = slots > 0 ? model.runningMean / (slots * slotShare) : 0;
+    const byShare = share * open * spreadShare;
+    // Where answers are slow much runs at once, and more copies than two beyond its share make nothing faster.
+    return Math.min(
+      open,
+      Math.max(byShare, Math.min(byRunning, byShare + 2), this.#byAdapters(now, model, open)),
+    );
+  }
+
+  /** Copies that a model's adapters need: those asked for within a few seconds should find slots at once. */
+  #byAdapters(now: Moment, model: ModelState, open: number): number {
+    const { slowMs, adapterSpanMs } = this.#state.settings;
+    const slots = model.service.engine.adapterSlots;
+    if (!model.isBusy || model.adapters.size === 0 || slots <= 0) return 0;
+    let asked = 0;
+    for (const adapter of model.adapters.values())
+      asked += Math.min(
+        1,
+        (adapter.slow.perSecond(now, slowMs, model.service.firstDemandAt ?? now) * adapterSpanMs) /
+          1000,
+      );
+    return Math.min(open / 2, asked / (slots * 0.8));
+  }
+
+  #growWants(now: Moment, service: ServiceState, wants: Want[]): void {
+    const { slowMs } = this.#state.settings;
+    let open = 0;
+    let slots = 0;
+    let mostFree = 0;
+    let load = 0;
+    const zones = new Set<string>();
+    for (const runner of service.runners) {
+      if (!this.#state.isOpen(runner)) continue;
+      open += 1;
+      slots += runner.listed.slots;
+      zones.add(runner.listed.zone);
+      load += this.#state.load(runner);
+      if (runner.queue.length === 0)
+        mostFree = Math.max(mostFree, service.engine.roomMb - this.#state.used(runner));
+    }
+    if (open === 0) return;
+    service.meanLoad = load / open;
+    for (const model of service.models.values()) {
+      if (!model.isListed || (now - model.lastAsked > 30_000 && model.running <= 0)) {
+        model.need = 1;
+        model.isBusy = false;
+        continue;
+      }
+      const work = this.#work(now, model, open, slots / open);
+      const rate = this.#state.fastRate(now, model);
+      const slow = this.#state.slowRate(now, model);
+      // It grows at once and shrinks slowly, or copies would come and go.
+      const decayed =
+        model.need * Math.exp(-(now - model.neededAt) / this.#state.settings.shrinkMs);
+      const worked = Math.max(work, decayed);
+      model.isBusy =
+        (model.slow.weight(now, slowMs) >= 6 && (work >= 0.5 || rate >= 4)) ||
+        (model.isBusy && (worked >= 0.3 || slow >= 2));
+      const most = Math.min(open, Math.max(model.isBusy ? 2 : 1, work));
+      model.need = Math.min(open, Math.max(model.isBusy ? 2 : 1, worked));
+      model.neededAt = now;
+      if (
+        model.waiting <= 0 &&
+        model.deprivedSince !== undefined &&
+        now - model.lastAsked > 10_000
+      ) {
+        model.deprivedSince = undefined;
+        this.#state.touched.add(model);
+      }
+      const copies = this.#state.copies(now, model);
+      if (copies.all === 0) {
+        if (model.waiting > 0 || this.#state.restoredComing(now, model)) continue;
+        // Lost, not thrown out: whoever asks next need not wait.
+        const gain = this.#eviction.lossOfLast(now, model);
+        const isLost = model.isBusy || now - model.lostAt < 10_000;
+        if (slow >= 0.05 && (isLost || mostFree >= model.sizeMb))
+          wants.push({
+            model,
+            kind: isLost ? 'lost' : 'spare',
+            level: model.isBusy ? 0 : isLost ? 4 : 5,
+            since: 0,
+            gain,
+          });
+        continue;
+      }
+      const missing = Math.max(0, most - copies.all);
+      const isPaired = !model.isBusy || zones.size < 2 || copies.zones.size > 1;
+      // Growth waits until half a copy is missing.
+      if (missing < 0.5 && isPaired) continue;
+      const gain = (rate / (copies.all + 1)) * 0.3 * (isPaired ? Math.min(1, missing) : 1);
+      const count = isPaired ? Math.min(3, Math.max(1, Math.round(missing))) : 1;
+      for (let index = 0; index < count; index += 1)
+        wants.push({
+          model,
+          kind: 'grow',
+          level: gain >= 3 ? 0.5 : 3,
+          since: 0,
+          gain: gain / (index + 1),
+        });
+    }
+  }
+}
+
+function byLevel(a: Want, b: Want): number {
+  return (
+    a.level - b.level ||
+    a.since - b.since ||
+    b.gain - a.gain ||
+    (a.model.key < b.model.key ? -1 : 1)
+  );
+}
--- /dev/null
+++ b/src/placement/DemandLedger.ts
@@ -0,0 +1,153 @@
+import type { PlacementState } from './PlacementState.js';
+import type { Moment } from '../common/Ids.js';
+import type { FleetDemand } from './Fleet.js';
+import { AdapterState, type ModelState, type ServiceState } from './PlannerRecords.js';
+
+interface ProxyUnit {
+  readonly model: ModelState;
+  readonly adapter: string;
+  waiting: number;
+  running: number;
+}
+
+interface ProxyWord {
+  at: number;
+  units: ProxyUnit[];
+}
+
+/**
+ * What proxies ask for, run and keep waiting, by model and adapter. A proxy's word is taken back whole
+ * once the next one comes or none came for long.
+ */
+export class DemandLedger {
+  readonly #state: PlacementState;
+  readonly #flows = new Map<string, ProxyWord>();
+
+  constructor(state: PlacementState) {
+    this.#state = state;
+  }
+
+  /** Forgets every proxy's word. */
+  clear(): void {
+    this.#flows.clear();
+  }
+
+  /** Takes back the words of proxies that have said nothing for long. */
+  expire(now: Moment): void {
+    for (const [flow, word] of this.#flows) {
+      if (now - word.at <= this.#state.settings.demandTtlMs) continue;
+      this.#forget(word);
+      this.#flows.delete(flow);
+    }
+  }
+
+  /** A model is gone from the configuration: what proxies said of it is not taken back any more. */
+  forgetModel(model: ModelState): void {
+    for (const word of this.#flows.values())
+      word.units = word.units.filter(isOtherModel.bind(undefined, model));
+  }
+
+  /** What one proxy saw since its last word; what waits and runs there is told whole each time. */
+  demand(now: Moment, report: FleetDemand): void {
+    const word = this.#flows.get(report.flow) ?? { at: now, units: [] };
+    this.#forget(word);
+    word.at = now;
+    word.units = [];
+    this.#flows.set(report.flow, word);
+    for (const unit of report.units) {
+      const service = this.#state.services.get(unit.service);
+      const model = service?.models.get(unit.model);
+      if (!service || !model?.isListed) continue;
+      const adapter = unit.adapter === '' ? undefined : this.#adapterOf(now, model, unit.adapter);
+      if (unit.count > 0 || unit.waiting > 0) {
+        service.firstDemandAt ??= now;
+        model.lastAsked = now;
+        if (adapter) adapter.lastAsked = now;
+      }
+      if (unit.count > 0) {
+        model.fast.add(now, unit.count, this.#state.settings.fastMs);
+        model.slow.add(now, unit.count, this.#state.settings.slowMs);
+        service.all.add(now, unit.count, this.#state.settings.fastMs);
+        adapter?.slow.add(now, unit.count, this.#state.settings.slowMs);
+      }
+      model.running += unit.running;
+      if (adapter) adapter.running += unit.running;
+      if (unit.waiting > 0)
+        this.#noteWaiting(now, model, adapter, unit.waiting, unit.priority ?? 0);
+      if (unit.waiting > 0 || unit.running > 0)
+        word.units.push({
+          model,
+          adapter: unit.adapter,
+          waiting: unit.waiting,
+          running: unit.running,
+        });
+    }
+    for (const service of this.#state.services.values()) this.dropServed(service);
+  }
+
+  #noteWaiting(
+    now: Moment,
+    model: ModelState,
+    adapter: AdapterState | undefined,
+    waiting: number,
+    priority: number,
+  ): void {
+    if (!model.service.waiting.has(model)) {
+      model.waitingSince = now;
+      model.priority = 9;
+    }
+    model.service.waiting.add(model);
+    model.waiting += waiting;
+    model.waitingToldAt = now;
+    model.priority = Math.min(model.priority, priority);
+    if (!adapter) return;
+    if (adapter.waitingSince === 0) {
+      adapter.waitingSince = now;
+      adapter.priority = 9;
+    }
+    adapter.waiting += waiting;
+    adapter.waitingToldAt = now;
+    adapter.priority = Math.min(adapter.priority, priority);
+  }
+
+  /** Takes back what a proxy told last. */
+  #forget(word: ProxyWord): void {
+    for (const unit of word.units) {
+      const adapter = unit.adapter === '' ? undefined : unit.model.adapters.get(unit.adapter);
+      unit.model.waiting -= unit.waiting;
+      unit.model.running -= unit.running;
+      if (!adapter) continue;
+      adapter.waiting -= unit.waiting;
+      adapter.running -= unit.running;
+    }
+  }
+
+  /** Between two words of a proxy its numbers are none for a moment: only here it is seen who no longer waits. */
+  dropServed(service: ServiceState): void {
+    for (const model of service.waiting) {
+      for (const adapter of model.adapters.values())
+        if (adapter.waiting <= 0) adapter.waitingSince = 0;
+      if (model.waiting <= 0) service.waiting.delete(model);
+    }
+  }
+
+  #adapterOf(now: Moment, model: ModelState, name: string): AdapterState | undefined {
+    const known = model.adapters.get(name);
+    if (known) return known;
+    // Callers name what they like: no more are kept than there can be, but for a few.
+    if (model.mostAdapters === 0) return undefined;
+    if (model.adapters.size >= model.mostAdapters * 2) {
+      for (const [other, state] of model.adapters)
+        if (now - state.lastAsked > 60_000 && state.waiting <= 0 && state.running <= 0)
+          model.adapters.delete(other);
+      if (model.adapters.size >= model.mostAdapters * 2) return undefined;
+    }
+    const adapter = new AdapterState(name);
+    model.adapters.set(name, adapter);
+    return adapter;
+  }
+}
+
+function isOtherModel(model: ModelState, unit: ProxyUnit): boolean {
+  return unit.model !== model;
+}
