--- a/src/placement/AdapterChoice.ts
+++ b/src/placement/AdapterChoice.ts
@@ -28,6 +28,7 @@
     this.#orders = orders;
   }
 
+  /** Loads adapters that requests wait for, and further copies of adapters that are asked for much. */
   placeAdapters(now: Moment, service: ServiceState): void {
     for (const model of service.waiting) {
       for (const adapter of model.adapters.values()) {
--- a/src/placement/DecayingRate.ts
+++ b/src/placement/DecayingRate.ts
@@ -3,6 +3,7 @@
   #value = 0;
   #at = 0;
 
+  /** Counts `count` events at `now`, ms; `spanMs` is how slowly they are forgotten, and the same in every call. */
   add(now: number, count: number, spanMs: number): void {
     this.#value = this.#value * Math.exp(-Math.max(0, now - this.#at) / spanMs) + count;
     this.#at = Math.max(this.#at, now);
--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -18,6 +18,7 @@
     this.#spanMs = spanMs;
   }
 
+  /** Counts `count` requests for a unit. */
   add(now: Moment, unit: string, count: number): void {
     const value = this.rate(now, unit) + (count * 1000) / this.#spanMs;
     this.#rates.set(unit, { value, at: now });
@@ -29,11 +30,13 @@
     }
   }
 
+  /** Requests a second for a unit, as of `now`. */
   rate(now: Moment, unit: string): number {
     const rate = this.#rates.get(unit);
     return rate ? rate.value * Math.exp(-(now - rate.at) / this.#spanMs) : 0;
   }
 
+  /** Every unit that is remembered. */
   units(): readonly string[] {
     return [...this.#rates.keys()];
   }
--- a/src/placement/Eviction.ts
+++ b/src/placement/Eviction.ts
@@ -83,6 +83,7 @@
     return undefined;
   }
 
+  /** Whether a model may be taken away now; if it has only just come, the plan is made again once it may. */
   mayGo(now: Moment, held: HeldModel, isPressed: boolean): boolean {
     if (held.phase !== 'ready') return false;
     // For a crowd even what has just come makes way, once those who waited for it were served.
--- a/src/placement/Fleet.ts
+++ b/src/placement/Fleet.ts
@@ -36,6 +36,7 @@
   put: array(FleetRunnerShape),
   drop: array(string()),
 });
+/** A change of the fleet. */
 export type FleetDelta = Infer<typeof FleetDeltaShape>;
 
 /** The fleet after a change; runners that did not change stay the very same objects. */
@@ -64,8 +65,11 @@
   return JSON.stringify(fleet);
 }
 
+/** One runner, as told to the data plane. */
 export type FleetRunner = Infer<typeof FleetRunnerShape>;
+/** Something that requests wait for, as told to the data plane. */
 export type FleetWait = Infer<typeof FleetWaitShape>;
+/** The fleet, as told to the data plane. */
 export type Fleet = Infer<typeof FleetShape>;
 
 /** What one proxy saw asked for since its last word, by model and adapter ('' for the model itself). */
@@ -87,6 +91,7 @@
     }),
   ),
 });
+/** One proxy's demand. */
 export type FleetDemand = Infer<typeof FleetDemandShape>;
 
 /** A runner as the platform lists it; what it holds is as old as the list. */
--- a/src/placement/FleetReport.ts
+++ b/src/placement/FleetReport.ts
@@ -28,6 +28,7 @@
     this.#waiting = [];
   }
 
+  /** Requests wait for a model, or for an adapter of it where one is named, that is not on its way yet. */
   wait(now: Moment, service: ServiceState, model: ModelState, adapter: string): void {
     const ahead = this.#waiting.length;
     const perSecond = service.engine.loadsPerSecond;
--- a/src/placement/Live.ts
+++ b/src/placement/Live.ts
@@ -13,8 +13,10 @@
   wait: string(),
   waitMs: number(),
 });
+/** A model with its places, demand and waits, for operators. */
 export type LiveModel = Infer<typeof LiveModelShape>;
 
+/** The table with its places beside it, for operators. */
 export const LiveShape = type({
   number: number(),
   emptied: array(string()),
@@ -22,4 +24,5 @@
   rows: array(type({ row: string(), weight: number(), take: number(), rate: number() })),
   models: array(LiveModelShape),
 });
+/** The table with its places beside it. */
 export type Live = Infer<typeof LiveShape>;
--- a/src/placement/OrderQueue.ts
+++ b/src/placement/OrderQueue.ts
@@ -26,9 +26,10 @@
     this.#number = 0;
   }
 
+  /** These intents are stored by a majority: they may be given. */
   kept(intentIds: Iterable<string>): void {
     for (const id of intentIds) {
-      for (const op of this.#state.ops.get(id)?.queue ?? [])
+      for (const op of this.#state.runnerOfOrder.get(id)?.queue ?? [])
         if (op.intent.id === id) op.isKept = true;
     }
   }
@@ -96,8 +97,9 @@
     return runner.count === undefined ? op.intent : { ...op.intent, count: runner.count };
   }
 
+  /** What became of an order that was given; anything else is ignored. */
   ordered(now: Moment, intentId: string, outcome: OrderOutcome): void {
-    const runner = this.#state.ops.get(intentId);
+    const runner = this.#state.runnerOfOrder.get(intentId);
     const op = runner?.given;
     if (!runner || !op || op.intent.id !== intentId) return;
     runner.given = undefined;
@@ -290,6 +292,7 @@
     else service.diskFactor = Math.min(4, Math.max(0.1, service.diskFactor * (0.7 + 0.3 * ratio)));
   }
 
+  /** Decides on an order: writes its intent into the document, and counts on what it will bring. */
   intend(
     now: Moment,
     runner: RunnerState,
@@ -327,7 +330,7 @@
     op.expectedMs = verb === 'load' ? this.#store.expectedMs(op) : 0;
     runner.queue.push(op);
     this.#state.busy.add(runner);
-    this.#state.ops.set(intent.id, runner);
+    this.#state.runnerOfOrder.set(intent.id, runner);
     const doc = this.#state.docs.get(model.key) ?? noDoc(model.key);
     this.#state.put({ ...doc, intents: [...doc.intents, intent] });
     this.#mark(now, runner, verb, model, adapter);
--- a/src/placement/PlacementState.ts
+++ b/src/placement/PlacementState.ts
@@ -17,32 +17,45 @@
  */
 export class PlacementState {
   readonly settings: PlannerSettings;
+  /** By the model's key. */
   readonly docs = new Map<string, ServiceDoc>();
+  /** By name. */
   readonly services = new Map<string, ServiceState>();
+  /** By id. */
   readonly runners = new Map<string, RunnerState>();
   /** Runners whose own report is wanted. */
   readonly suspected = new Set<RunnerState>();
   /** Runners with orders on their way. */
   readonly busy = new Set<RunnerState>();
-  readonly ops = new Map<string, RunnerState>();
+  /** The runner that each open order goes to, by intent id. */
+  readonly runnerOfOrder = new Map<string, RunnerState>();
   /** Intents of an earlier leader, by runner, until that runner is known. */
   readonly restored = new Map<string, OpenIntent[]>();
+  /** Keys of documents to be stored. */
   readonly changed = new Set<string>();
   /** Models whose copies changed: their documents are looked at again. */
   readonly touched = new Set<ModelState>();
+  /** When this leader began, ms. */
   restoredAt = -Infinity;
   /** Somebody ordered before us: what runners hold is not as the list says for sure. */
   hasPast = false;
+  /** The operators' configuration as last taken in. */
   routing: Routing | undefined;
+  /** Zones that operators evacuated. */
   emptied: ReadonlySet<string> = new Set();
+  /** Proxies that share what holds over the whole fleet. */
   flowCount = 0;
+  /** The platform's list has come at least once. */
   hasListed = false;
+  /** What the data plane was told last no longer holds. */
   isFleetOld = true;
+  /** When what held a plan back is over, ms. */
   blockedUntil = Infinity;
   /** Runners count orders that they need not do as well. */
   countsHeld = false;
   /** Documents of an earlier leader are still to be compared with what is there. */
   isSeatingAll = true;
+  /** Counts plans; what is counted once a plan is remembered by it. */
   planNumber = 0;
 
   constructor(settings: PlannerSettings) {
@@ -56,7 +69,7 @@
     this.runners.clear();
     this.busy.clear();
     this.suspected.clear();
-    this.ops.clear();
+    this.runnerOfOrder.clear();
     this.restored.clear();
     this.changed.clear();
     this.touched.clear();
@@ -76,12 +89,14 @@
     }
   }
 
+  /** A runner no longer holds a model. */
   unhold(runner: RunnerState, held: HeldModel): void {
     runner.holds.delete(held.model.name);
     held.model.holders.delete(runner);
     this.touch(runner, held.model);
   }
 
+  /** What a runner holds of a model has changed. */
   touch(runner: RunnerState, model: ModelState): void {
     runner.usedMb = undefined;
     model.lossIn = -1;
@@ -89,6 +104,7 @@
     this.isFleetOld = true;
   }
 
+  /** Whether a runner serves has changed, and so where all its models are served. */
   touchAll(runner: RunnerState): void {
     this.isFleetOld = true;
     for (const held of runner.holds.values()) this.touched.add(held.model);
@@ -100,6 +116,7 @@
       if (this.copies(now, held.model).all === 0) held.model.lostAt = now;
   }
 
+  /** An earlier leader's intents for a runner are settled. */
   dropRestored(id: string): void {
     const open = this.restored.get(id) ?? [];
     this.restored.delete(id);
@@ -114,6 +131,7 @@
     if (doc) this.put({ ...doc, intents: doc.intents.filter(isOtherIntent.bind(undefined, id)) });
   }
 
+  /** Changes a document; it is to be stored. */
   put(doc: ServiceDoc): void {
     this.docs.set(doc.model, doc);
     this.changed.add(doc.model);
@@ -130,12 +148,13 @@
     runner.askAt = now + this.settings.reportLagMs;
   }
 
+  /** An order is over, whatever became of it: its intent goes from the document. */
   removeOp(runner: RunnerState, op: Order): void {
     const index = runner.queue.indexOf(op);
     if (index >= 0) runner.queue.splice(index, 1);
     if (runner.given === op) runner.given = undefined;
     if (op.isStore) op.model.service.storeOps -= 1;
-    this.ops.delete(op.intent.id);
+    this.runnerOfOrder.delete(op.intent.id);
     if (runner.queue.length === 0) this.busy.delete(runner);
     this.#dropIntent(op.key, op.intent.id);
     this.isFleetOld = true;
@@ -173,6 +192,7 @@
     return { ready, all, zones };
   }
 
+  /** Whether an earlier leader may just have ordered a copy of the model. */
   restoredComing(now: Moment, model: ModelState): boolean {
     if (this.restored.size === 0 || now - this.restoredAt > 1500) return false;
     for (const open of this.restored.values()) {
@@ -182,14 +202,17 @@
     return false;
   }
 
+  /** Requests a second for a model, remembered for long. */
   slowRate(now: number, model: ModelState): number {
     return model.slow.perSecond(now, this.settings.slowMs, model.service.firstDemandAt ?? now);
   }
 
+  /** Requests a second for a model in the last moments. */
   fastRate(now: number, model: ModelState): number {
     return model.fast.perSecond(now, this.settings.fastMs, model.service.firstDemandAt ?? now);
   }
 
+  /** Room taken at a runner, MB, with what is on its way and without what is going. */
   used(runner: RunnerState): number {
     if (runner.usedMb !== undefined) return runner.usedMb;
     let mb = 0;
@@ -203,6 +226,7 @@
     return mb;
   }
 
+  /** Adapter slots taken at a runner. */
   adapterCount(runner: RunnerState): number {
     let count = 0;
     for (const held of runner.holds.values()) {
@@ -221,6 +245,7 @@
     return running / Math.max(1, runner.listed.slots);
   }
 
+  /** Copies of an adapter that serve or soon will. */
   adapterCopies(now: number, model: ModelState, name: string): number {
     let count = 0;
     for (const [runner, held] of model.holders) {
--- a/src/placement/Placer.ts
+++ b/src/placement/Placer.ts
@@ -26,6 +26,7 @@
   readonly isLost: boolean;
 }
 
+/** What a plan is made from. */
 export interface PlanInput {
   readonly table: Table;
   readonly catalog: Catalog;
@@ -33,6 +34,7 @@
   readonly emptied: readonly string[];
 }
 
+/** What paces the placer; spans are in ms. */
 export interface PlacerSettings {
   readonly demandSpanMs: number;
   /** Requests a second below which a model counts as idle. */
@@ -45,6 +47,7 @@
   readonly stayMs: number;
 }
 
+/** The values that hold unless a deployment names others. */
 export const PLACER_DEFAULTS: PlacerSettings = {
   demandSpanMs: 20_000,
   idleRate: 0.05,
--- a/src/placement/RunnerInventory.ts
+++ b/src/placement/RunnerInventory.ts
@@ -58,6 +58,7 @@
     this.#state.hasListed = true;
   }
 
+  /** Begins to keep a runner that the list names, with what is known of it. */
   newRunner(now: Moment, listed: ListedRunner): RunnerState {
     const engine = this.#state.services.get(listed.service);
     const runner: RunnerState = {
--- a/src/placement/Shapes.ts
+++ b/src/placement/Shapes.ts
@@ -20,7 +20,9 @@
 });
 /** Revisions begin at 1: 0 is what those hold who have heard of no list. */
 export const MachinesShape = type({ revision: min(number(), 1), machines: array(MachineShape) });
+/** One machine of the list. */
 export type Machine = Infer<typeof MachineShape>;
+/** One revision of the list. */
 export type Machines = Infer<typeof MachinesShape>;
 
 /** The weight store's catalogue: sizes, and how many fetches it allows at once over the whole fleet. */
@@ -29,6 +31,7 @@
   models: array(type({ name: string(), size: number() })),
   adapters: array(type({ name: string(), model: string(), size: number() })),
 });
+/** The weight store's catalogue. */
 export type Catalog = Infer<typeof CatalogShape>;
 
 /** What a runner reports of itself. An adapter's hold names it; a model's own has an empty one. */
@@ -39,6 +42,7 @@
   state: enums(['loading', 'ready', 'unloading']),
   running: number(),
 });
+/** A runner's report: since when it is up, its room, and what it holds. */
 export const RunnerReportShape = type({
   id: string(),
   boot: string(),
@@ -47,7 +51,9 @@
   upMs: number(),
   holds: array(HoldShape),
 });
+/** A model or adapter at a runner. */
 export type Hold = Infer<typeof HoldShape>;
+/** A runner's report. */
 export type RunnerReport = Infer<typeof RunnerReportShape>;
 
 /** An order decided and written down, until the runner's report clears it. */
@@ -62,8 +68,10 @@
   /** How many orders the runner must have taken before this one, where that is known; older documents have none. */
   count: optional(number()),
 });
+/** An order decided and written down. */
 export type Intent = Infer<typeof IntentShape>;
 
+/** Who serves a model, who waits for it, and the orders under way for it. Stored. */
 export const ServiceDocShape = type({
   model: string(),
   primary: string(),
@@ -73,8 +81,10 @@
   /** Runners beyond the pair that hold the model as well. */
   seats: optional(array(string())),
 });
+/** A model's document. */
 export type ServiceDoc = Infer<typeof ServiceDocShape>;
 
+/** What a part of the replicated state holds: the documents of its models. Stored. */
 export const ServicePartShape = type({ services: array(ServiceDocShape) });
 
 /** A runner that serves a model now, with the adapters it holds ready. */
@@ -86,6 +96,7 @@
   wait: string(),
   readyMs: optional(number()),
 });
+/** A runner as proxies are told of it; `upMs` is how long it is up. */
 export const PlacedRunnerShape = type({
   id: string(),
   address: string(),
@@ -96,16 +107,22 @@
 });
 /** The part of a row's take that one proxy may gate, by recent demand. */
 export const ShareShape = type({ flow: string(), row: string(), share: number() });
+/** All places, as told to proxies (topic `places`). */
 export const PlacesShape = type({
   places: array(PlaceShape),
   runners: array(PlacedRunnerShape),
   flows: number(),
   shares: array(ShareShape),
 });
+/** A proxy's share of a row's take. */
 export type Share = Infer<typeof ShareShape>;
+/** A runner that serves a model. */
 export type Seat = Infer<typeof SeatShape>;
+/** Where a model is served. */
 export type Place = Infer<typeof PlaceShape>;
+/** A runner as proxies are told of it. */
 export type PlacedRunner = Infer<typeof PlacedRunnerShape>;
+/** All places. */
 export type Places = Infer<typeof PlacesShape>;
 
 /** What one proxy saw asked for since its last word: requests by model and adapter, and by row. */
@@ -114,4 +131,5 @@
   units: array(type({ model: string(), adapter: string(), count: number() })),
   rows: array(type({ row: string(), count: number() })),
 });
+/** One proxy's demand. */
 export type DemandReport = Infer<typeof DemandShape>;
--- a/src/placement/Shares.ts
+++ b/src/placement/Shares.ts
@@ -11,6 +11,7 @@
   readonly #flows = new Map<string, Moment>();
   readonly #rows = new Set<string>();
 
+  /** What one proxy saw asked for. */
   add(now: Moment, report: DemandReport): void {
     this.#flows.set(report.flow, now);
     for (const { row, count } of report.rows) {
@@ -26,6 +27,7 @@
     return sum;
   }
 
+  /** Each proxy's share of each row's take, 0 to 1. */
   list(now: Moment, rows: readonly { readonly key: string; readonly take: number }[]): Share[] {
     for (const [flow, at] of this.#flows) if (now - at > FORGET_MS) this.#flows.delete(flow);
     const count = this.#flows.size;
--- a/src/placement/StoreBudget.ts
+++ b/src/placement/StoreBudget.ts
@@ -10,6 +10,7 @@
     this.#state = state;
   }
 
+  /** How long a load is expected to take, ms. */
   expectedMs(op: Order): number {
     const service = op.model.service;
     if (op.intent.adapter !== '') return service.adapterMs;
@@ -26,6 +27,7 @@
     return Math.max(1, Math.round((service.engine.loadsPerSecond * model.loadMs) / 1000));
   }
 
+  /** Loads that may begin within the span over which the ceiling counts. */
   budget(service: ServiceState): number {
     const { capWindowMs, capExcess } = this.#state.settings;
     // Half of the excess stays unused: a load may begin a little before or after we think.
@@ -35,6 +37,7 @@
     );
   }
 
+  /** Whether a load of this kind may be decided on now. */
   storeFree(
     now: Moment,
     service: ServiceState,
--- a/src/placement/StoreWindow.ts
+++ b/src/placement/StoreWindow.ts
@@ -15,6 +15,7 @@
     this.#begun.splice(index, 0, at);
   }
 
+  /** How many began within the span that ends `now`. */
   used(now: number): number {
     let gone = 0;
     while (gone < this.#begun.length && (this.#begun[gone] ?? 0) <= now - this.#spanMs) gone += 1;
--- a/src/placement/Trial.ts
+++ b/src/placement/Trial.ts
@@ -2,6 +2,7 @@
 import { Placer, type PlacerSettings, type PlanInput, type RunnerView } from './Placer.js';
 import type { Hold, Intent, Place, ServiceDoc } from './Shapes.js';
 
+/** What a trial of the placer came to. */
 export interface TrialOutcome {
   readonly places: readonly Place[];
   readonly orders: readonly Intent[];
@@ -36,6 +37,7 @@
       this.#placer.demand.add(moment(this.#now), unit, (rate * settings.demandSpanMs) / 1000);
   }
 
+  /** Plays so many steps and says what went wrong. */
   run(steps: number): TrialOutcome {
     for (let step = 0; step < steps; step += 1) {
       this.#now += STEP_MS;
