--- a/src/policy/Table.ts
+++ b/src/policy/Table.ts
@@ -1,64 +1,8 @@
-import {
-  array,
-  boolean,
-  enums,
-  integer,
-  max,
-  min,
-  number,
-  object,
-  pattern,
-  size,
-  string,
-  StructError,
-  type Infer,
-} from 'superstruct';
+import { StructError } from 'superstruct';
 import { indexOf } from './TableIndex.js';
+import { EMPTY_TABLE, TableShape, type Mapping, type Row, type Table } from './TableShape.js';
 
-const METHODS = ['GET', 'POST', 'PUT', 'DELETE'] as const;
-const Name = pattern(string(), /^[a-z][a-z0-9-]{0,62}$/);
-/** A model, a prefix of models ending in *, or @service for plain back ends. */
-const ModelPattern = pattern(
-  string(),
-  /^(@[a-z][a-z0-9-]{0,62}|[A-Za-z0-9][A-Za-z0-9._-]{0,126}\*?|\*)$/,
-);
-const Path = pattern(string(), /^\/[A-Za-z0-9._~/-]*\*?$/);
-
-export const MappingShape = object({ method: enums(METHODS), path: Path, type: Name });
-
-export const RowShape = object({
-  type: Name,
-  model: ModelPattern,
-  weight: max(min(integer(), 1), 1000),
-  /** Requests a second over the whole fleet. */
-  take: max(min(number(), 0), 100_000),
-  /** How late a return may be, in milliseconds. */
-  lateMs: max(min(integer(), 50), 3_600_000),
-  repeatable: boolean(),
-  stream: boolean(),
-});
-
-const MOST_ROWS = 20_000;
-
-export const TableShape = object({
-  mappings: size(array(MappingShape), 0, MOST_ROWS),
-  rows: size(array(RowShape), 0, MOST_ROWS),
-});
-
-export type Mapping = Infer<typeof MappingShape>;
-export type Row = Infer<typeof RowShape>;
-export type Table = Infer<typeof TableShape>;
-
-export const EMPTY_TABLE: Table = { mappings: [], rows: [] };
-export const COLUMNS = [
-  'type',
-  'model',
-  'weight',
-  'take',
-  'lateMs',
-  'repeatable',
-  'stream',
-] as const;
+export * from './TableShape.js';
 
 /** One fault of a table, named by where it stands: a row and its cell, or a line and its column. */
 export interface Fault {
--- a/src/policy/TableIndex.ts
+++ b/src/policy/TableIndex.ts
@@ -1,4 +1,4 @@
-import type { Mapping, Row, Table } from './Table.js';
+import type { Mapping, Row, Table } from './TableShape.js';
 
 interface Placed<T> {
   readonly order: number;
--- a/src/rehearsal/Mutation.ts
+++ b/src/rehearsal/Mutation.ts
@@ -1,5 +1,5 @@
 import type { RULES } from './Judge.js';
-import type { TroubleKind } from './SimTroubles.js';
+import type { TroubleKind } from './TroubleKinds.js';
 
 type Rule = (typeof RULES)[number] | 'slip' | 'turned-away-in-force' | 'lost-edit';
 
--- a/src/rehearsal/SimAgent.ts
+++ b/src/rehearsal/SimAgent.ts
@@ -3,16 +3,24 @@
 import type { Scheduler } from './Scheduler.js';
 import type { Network } from './Network.js';
 import type { Seeded } from './Seeded.js';
-import { BLIND_MS, type SimProxy } from './SimProxy.js';
 import { SimNode } from './SimNode.js';
 
+/** How long a proxy may take new work after its configuration was last confirmed, ms. */
+export const BLIND_MS = 2500;
+
+/** A proxy that an agent feeds, as far as the agent sees it. */
+export interface FedProxy {
+  perform(run: () => void): void;
+  receive(from: string, message: Message): void;
+}
+
 /** A simulated edge machine's link: the real core. */
 export class SimAgent extends SimNode {
   readonly #network: Network;
   readonly #seeds: readonly string[];
   #core: AgentCore | undefined;
   /** The proxies beside it, by id: fed over loopback, which is never cut. */
-  readonly flows = new Map<string, SimProxy>();
+  readonly flows = new Map<string, FedProxy>();
 
   constructor(
     id: string,
--- a/src/rehearsal/SimConnection.ts
+++ b/src/rehearsal/SimConnection.ts
@@ -1,5 +1,4 @@
 import type { Scheduler } from './Scheduler.js';
-import type { SimBackend } from './SimBackend.js';
 
 /** What a proxy hears on one of its connections to a back end. */
 export interface Hear {
@@ -19,13 +18,26 @@
   readonly at: number;
 }
 
+/** The machine that a connection leads to, as far as the connection sees it. */
+export interface ConnectionTarget {
+  /** Counts its processes: a connection ends with the one it was made to. */
+  readonly boot: number;
+  readonly isUp: boolean;
+  /** The machine is taken away: nothing comes back from it. */
+  readonly isGone: boolean;
+  /** The connections that stand. */
+  readonly lines: Set<SimConnection>;
+  take(line: SimConnection, request: SimRequest): void;
+  left(line: SimConnection): void;
+}
+
 /** A cut is looked at again after so long: what was sent meanwhile is sent anew by the machines' TCP. */
 const AGAIN_MS = 50;
 
 /** One simulated connection of a proxy to a back end: keeps its order, and holds back what is sent while cut. */
 export class SimConnection {
   readonly #scheduler: Scheduler;
-  readonly #back: SimBackend;
+  readonly #back: ConnectionTarget;
   readonly #isCut: () => boolean;
   readonly #delay: () => number;
   /** The life of the back end that it leads to. */
@@ -36,7 +48,7 @@
 
   constructor(
     scheduler: Scheduler,
-    back: SimBackend,
+    back: ConnectionTarget,
     isCut: () => boolean,
     delay: () => number,
     hear: Hear,
--- a/src/rehearsal/SimProxy.ts
+++ b/src/rehearsal/SimProxy.ts
@@ -9,13 +9,12 @@
 import type { CallerRecord } from './Records.js';
 import type { Seeded } from './Seeded.js';
 import { SimClients, type SimClient, type Traffic } from './SimClients.js';
-import type { SimAgent } from './SimAgent.js';
+import { BLIND_MS, type SimAgent } from './SimAgent.js';
 import type { Hear, SimConnection } from './SimConnection.js';
 import { SimNode } from './SimNode.js';
 import type { SimOutside } from './SimOutside.js';
 import type { MutationKind } from './Mutation.js';
 
-export const BLIND_MS = 2500;
 export const LATE_MS = { check: 10_000, sum: 4000, lookup: 2000 } as const;
 const ASK_EVERY = 12;
 const SILENT_MS = 5000;
--- a/src/rehearsal/SimTroubles.ts
+++ b/src/rehearsal/SimTroubles.ts
@@ -9,64 +9,7 @@
 import type { SimNode } from './SimNode.js';
 import type { SimOutside } from './SimOutside.js';
 import type { EventRecord } from './Records.js';
-
-export const TROUBLES = [
-  'kill-mind',
-  'kill-core',
-  'retire-mind',
-  'freeze-mind',
-  'freeze-ordering',
-  'wipe-mind',
-  'rot-file',
-  'stall-disk',
-  'slow-disk',
-  'cut-minds',
-  'cut-one-way',
-  'isolate-mind',
-  'isolate-link',
-  'cut-link',
-  'kill-link',
-  'freeze-link',
-  'kill-flow',
-  'freeze-flow',
-  'restart-flow',
-  'loss',
-  'delay',
-  'restart-runner',
-  'vanish-runner',
-  'dark-runner',
-  'moody-back',
-  'breaking-plain',
-  'restart-back',
-  'dark-back',
-  'cut-back',
-  'mark-runner',
-  'mark-dark-runner',
-  'replace-runner',
-  'shrink-room',
-  'lower-limit',
-  'platform-down',
-  'odd-list',
-  'isolate-core',
-  'crowd',
-  'zone-lost',
-] as const;
-export type TroubleKind = (typeof TROUBLES)[number];
-
-/** What was going on when a trouble came: only then has it tried the rules on that. */
-export const CONDITIONS = [
-  'requests open',
-  'runs under way',
-  'edit in flight',
-  'fetch under way',
-  'runner marked',
-  'zone emptied',
-  'back end cold',
-  'proxy draining',
-  'no holder',
-  'link blind',
-] as const;
-export type Condition = (typeof CONDITIONS)[number];
+import { CONDITIONS, type Condition, type TroubleKind } from './TroubleKinds.js';
 
 export const RUNNERS = ['r0', 'r1', 'r2', 'r3'] as const;
 export const PLAIN = ['k0', 'k1', 'k2'] as const;
--- a/src/rehearsal/Simulation.test.ts
+++ b/src/rehearsal/Simulation.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest';
 import { compile } from '../policy/Language.js';
 import { SimControl } from './SimControl.js';
-import { TROUBLES } from './SimTroubles.js';
+import { TROUBLES } from './TroubleKinds.js';
 import { Simulation, type SimulationResult, storm } from './Simulation.js';
 
 async function checkAll(): Promise<void> {
--- a/src/rehearsal/Simulation.ts
+++ b/src/rehearsal/Simulation.ts
@@ -17,14 +17,8 @@
 import { SimControl } from './SimControl.js';
 import type { SimNode } from './SimNode.js';
 import { SimOutside } from './SimOutside.js';
-import {
-  PLAIN,
-  RUNNERS,
-  SimTroubles,
-  ZONES,
-  type Condition,
-  type TroubleKind,
-} from './SimTroubles.js';
+import { PLAIN, RUNNERS, SimTroubles, ZONES } from './SimTroubles.js';
+import type { Condition, TroubleKind } from './TroubleKinds.js';
 import { WRONGS, type MutationKind } from './Mutation.js';
 
 export interface SimulationSettings {
--- a/src/rehearsal/StormCommand.ts
+++ b/src/rehearsal/StormCommand.ts
@@ -1,6 +1,6 @@
 import { Command, Flags } from '@oclif/core';
 import { Simulation } from './Simulation.js';
-import { CONDITIONS, TROUBLES, type TroubleKind } from './SimTroubles.js';
+import { CONDITIONS, TROUBLES, type TroubleKind } from './TroubleKinds.js';
 
 function isTrouble(text: string): text is TroubleKind {
   return TROUBLES.some(isSame.bind(undefined, text));
--- /dev/null
+++ b/src/rehearsal/TroubleKinds.ts
@@ -0,0 +1,60 @@
+/** Every kind of trouble that the simulator can bring about; seeds draw by position, so new ones go last. */
+export const TROUBLES = [
+  'kill-mind',
+  'kill-core',
+  'retire-mind',
+  'freeze-mind',
+  'freeze-ordering',
+  'wipe-mind',
+  'rot-file',
+  'stall-disk',
+  'slow-disk',
+  'cut-minds',
+  'cut-one-way',
+  'isolate-mind',
+  'isolate-link',
+  'cut-link',
+  'kill-link',
+  'freeze-link',
+  'kill-flow',
+  'freeze-flow',
+  'restart-flow',
+  'loss',
+  'delay',
+  'restart-runner',
+  'vanish-runner',
+  'dark-runner',
+  'moody-back',
+  'breaking-plain',
+  'restart-back',
+  'dark-back',
+  'cut-back',
+  'mark-runner',
+  'mark-dark-runner',
+  'replace-runner',
+  'shrink-room',
+  'lower-limit',
+  'platform-down',
+  'odd-list',
+  'isolate-core',
+  'crowd',
+  'zone-lost',
+] as const;
+/** A kind of trouble. */
+export type TroubleKind = (typeof TROUBLES)[number];
+
+/** What was going on when a trouble came: only then has it tried the rules on that. */
+export const CONDITIONS = [
+  'requests open',
+  'runs under way',
+  'edit in flight',
+  'fetch under way',
+  'runner marked',
+  'zone emptied',
+  'back end cold',
+  'proxy draining',
+  'no holder',
+  'link blind',
+] as const;
+/** Something that may be going on when a trouble comes. */
+export type Condition = (typeof CONDITIONS)[number];
