Tell an order that was taken and forgotten as unclear, by the operators' own versions

Cause: whether an order that loses by its base may have been taken and forgotten since was judged by the number of tables, but the base of a configuration counts the operators' own versions, which go up in uneven steps. Sent again after more than 1,000 others, an accepted order was refused. The record of an order now tells the version right after it; records that do not tell it count as old.

Before: the new test got 'base-lost' (with the new field but judged as before).

--- a/src/control/ConfigDoc.ts
+++ b/src/control/ConfigDoc.ts
@@ -14,7 +14,14 @@
 /** The operators' routing: their own number of it, and its text as they sent it or as their changes made it. */
 const RoutingDocShape = type({ version: number(), text: string() });
 
-const EditRecord = type({ id: string(), number: number(), outcome: enums(['accepted', 'closed']) });
+const EditRecord = type({
+  id: string(),
+  /** The number of the table right after it. */
+  number: number(),
+  outcome: enums(['accepted', 'closed']),
+  /** The operators' version of the routing right after it; older files do not tell it. */
+  version: optional(number()),
+});
 
 /** What the configuration part holds. */
 export const ConfigDocShape = type({
@@ -44,17 +51,22 @@
 /** So many edits are remembered by id. */
 export const MAX_EDITS = 1000;
 
+/** What an edit's base counts: accepted tables, or the operators' own versions of the routing. */
+export type BaseKind = 'table' | 'routing';
+
 /**
- * Whether an edit that is not remembered may have been accepted and forgotten since. One made from table `base` would
- * have a number above it, and is remembered if anything older still is.
+ * Whether an edit that is not remembered may have been accepted and forgotten since. One made from `base` would have
+ * raised that number, and is remembered if anything from no later than its base still is.
  */
-export function mayBeForgotten(doc: ConfigDoc, base: number | undefined): boolean {
+export function mayBeForgotten(
+  doc: ConfigDoc,
+  base: number | undefined,
+  kind: BaseKind = 'table',
+): boolean {
   const [oldest] = doc.edits;
-  return (
-    oldest !== undefined &&
-    doc.edits.length >= MAX_EDITS &&
-    !(base !== undefined && oldest.number <= base)
-  );
+  if (oldest === undefined || doc.edits.length < MAX_EDITS) return false;
+  const oldestBase = kind === 'routing' ? oldest.version : oldest.number;
+  return base === undefined || oldestBase === undefined || oldestBase > base;
 }
 
 export function firstDoc(voters: readonly string[]): ConfigDoc {
--- a/src/control/Edits.ts
+++ b/src/control/Edits.ts
@@ -182,5 +182,6 @@
 }
 
 export function recordEdit(doc: ConfigDoc, id: string, outcome: 'accepted' | 'closed'): ConfigDoc {
-  return { ...doc, edits: [...doc.edits, { id, number: doc.number, outcome }].slice(-MAX_EDITS) };
+  const record = { id, number: doc.number, outcome, version: doc.routing?.version ?? 0 };
+  return { ...doc, edits: [...doc.edits, record].slice(-MAX_EDITS) };
 }
--- a/src/control/OperatorOrders.test.ts
+++ b/src/control/OperatorOrders.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from 'vitest';
+import { MAX_EDITS } from './ConfigDoc.js';
 import {
   ControlCluster,
   documentOf,
@@ -171,6 +172,22 @@
   }
 }
 
+function checkForgotten(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  const old = editOf('e2', 50, documentOf(60, 'y'));
+  expect(cluster.asked(leader, 'configure', editOf('e1', 0, documentOf(50, 'x'))).status).toBe(200);
+  expect(cluster.asked(leader, 'configure', old).status).toBe(200);
+  for (let count = 0; count < MAX_EDITS; count += 1) {
+    cluster.ask(leader, 'zone', zoneOrder(`z${count}`, count % 2 === 0));
+  }
+  cluster.run(500);
+  // It was taken, and so many came since that nobody remembers it: no word, but no refusal either.
+  expect(defectOf(cluster.asked(leader, 'configure', old).body)).toBe('unsure-edit');
+  // One on a base that only came since cannot have been taken and forgotten.
+  expect(cluster.asked(leader, 'amend', editOf('e3', 77, documentOf(90, 'z'))).status).toBe(409);
+}
+
 function checkManyResends(): void {
   const cluster = foundedCluster();
   let base = 0;
@@ -222,4 +239,5 @@
 );
 test('a read during a write gives what is committed', checkReadWhileWriting);
 test('reads and refusals that wait for one quorum read are all answered', checkReadsAtOnce);
+test('an order taken so long ago that it is forgotten is never refused', checkForgotten);
 test('orders sent again out of order are acknowledged again', checkManyResends);
--- a/src/control/OperatorOrders.ts
+++ b/src/control/OperatorOrders.ts
@@ -223,13 +223,10 @@
     try {
       return verb === 'swap' ? swapVoter(doc, body) : applyEdit(doc, verb, body, this.#dialect);
     } catch (thrown) {
+      if (!(thrown instanceof CodedError) || thrown.kind !== 'base-lost') throw thrown;
       const edit = parseAs(EditShapes.edit, body);
-      if (
-        !(thrown instanceof CodedError) ||
-        thrown.kind !== 'base-lost' ||
-        !mayBeForgotten(doc, edit?.base)
-      )
-        throw thrown;
+      const kind = verb === 'configure' || verb === 'amend' ? 'routing' : 'table';
+      if (!mayBeForgotten(doc, edit?.base, kind)) throw thrown;
       throw new CodedError(
         'unsure-edit',
         `edit ${edit?.id ?? ''} was made from table ${edit?.base ?? 0}, so long ago that whether it was accepted is no longer known`,
