--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -503,6 +503,7 @@
         reports: this.#scores.reports(),
         nonce,
         quorum: [...quorumMembers],
+        sentAt: now,
       });
   }
 
@@ -654,6 +655,7 @@
         epoch: this.#epoch,
         nonce,
         quorum: [...this.#quorumMembers],
+        sentAt: now,
       });
   }
 
