--- a/src/control/VoterChanges.test.ts
+++ b/src/control/VoterChanges.test.ts
@@ -109,6 +109,19 @@
   expect(cluster.versionAt(one)).toBe(8);
 }
 
+/** One of the first start that was replaced while it stood still is a spare: it opens no seat of its own. */
+function checkReturnOpensNoSeat(): void {
+  const cluster = foundedFaultCluster(THREE);
+  const away = cluster.follower();
+  cluster.freeze(away);
+  cluster.start('n:1', THREE);
+  cluster.run(6000);
+  expect(cluster.voters()).toContain('n:1');
+  cluster.thaw(away, 'tick');
+  cluster.run(6000);
+  expect(cluster.voters().split(' ')).toHaveLength(3);
+}
+
 function checkThreeStay(): void {
   const cluster = foundedFaultCluster(THREE);
   cluster.kill(cluster.follower());
@@ -146,3 +159,4 @@
   checkGrowsBack,
 );
 test('three voters with one gone stay three, since two would bear no more', checkThreeStay);
+test('a voter that returns after it was replaced opens no seat of its own', checkReturnOpensNoSeat);
