--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -537,6 +537,7 @@
         reports: this.#scores.reports(),
         nonce,
         quorum: [...quorumMembers],
+        sentAt: now,
       });
   }
 
@@ -689,6 +690,7 @@
         epoch: this.#epoch,
         nonce,
         quorum: [...this.#quorumMembers],
+        sentAt: now,
       });
   }
 
