Count orders by outcome where they are decided

Operators and forwarding count what they answer: accepted, acknowledged again, refused by reason, left unclear by reason, turned away without a leader, passed on, and evacuations past their age. An order is counted once, at the node that decides on it; a question what became of one is none.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -200,6 +200,7 @@
         isInForce: this.#isInForce.bind(this),
       },
       settings.deployed?.dialect,
+      this.#counters,
     );
     this.#forwarding = new OrderForwarding(
       {
@@ -207,6 +208,7 @@
         send: this.#send.bind(this),
         answer: this.#answer.bind(this),
       },
+      this.#counters,
       settings.incarnation,
       now,
     );
--- a/src/control/ControlCoreMetrics.test.ts
+++ b/src/control/ControlCoreMetrics.test.ts
@@ -114,8 +114,58 @@
   expect(after.configCommitted).toEqual(before.configCommitted);
 }
 
+function checkOrders(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  const follower = cluster.follower();
+  const first = editOf('e1', 0, documentOf(7, 'x'));
+  expect(cluster.asked(leader, 'configure', first).status).toBe(200);
+  // The same once more, passed on by a follower.
+  expect(cluster.asked(follower, 'configure', first).status).toBe(200);
+  expect(cluster.asked(leader, 'configure', editOf('e2', 0, documentOf(8, 'y'))).status).toBe(409);
+  expect(cluster.asked(leader, 'configure', editOf('e3', 7, documentOf(7, 'z'))).status).toBe(400);
+  expect(cluster.asked(follower, 'read', {}).status).toBe(200);
+  expect(metricsOf(cluster, leader).orders).toEqual({
+    accepted: 2,
+    acknowledgedAgain: 1,
+    refused: { 'base-changed': 1, invalid: 1, 'too-old': 0, other: 0 },
+    unclear: { 'no-majority': 0, 'leader-lost': 0, timeout: 0, forgotten: 0 },
+    unserved: 0,
+    forwarded: 0,
+  });
+  // Passed on there, and decided and counted by the leader.
+  expect(metricsOf(cluster, follower).orders).toMatchObject({ accepted: 0, forwarded: 1 });
+}
+
+function checkUnclear(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  cluster.cut(leader);
+  cluster.ask(leader, 'configure', editOf('e1', 0, documentOf(7, 'x')));
+  cluster.run(5000);
+  expect(metricsOf(cluster, leader).orders.unclear['leader-lost']).toBe(1);
+  // Now it knows no leader, and says that nothing was done.
+  expect(cluster.asked(leader, 'configure', editOf('e2', 0, documentOf(8))).status).toBe(503);
+  expect(metricsOf(cluster, leader).orders).toMatchObject({ accepted: 0, unserved: 1 });
+}
+
+function checkTooOld(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  cluster.freeze(leader);
+  cluster.ask(leader, 'zone', { id: 'z1', zone: 'north', empty: true });
+  cluster.run(6000);
+  cluster.thaw(leader);
+  cluster.run(500);
+  // It waited at a frozen node for six seconds: nobody can tell what was ordered since.
+  expect(metricsOf(cluster, leader).orders.refused['too-old']).toBe(1);
+}
+
 test('a calm cluster shows one leader, contact and equal versions', checkCalm);
 test('a node that is cut off shows how long, and comes back', checkCutOff);
 test('a node with a lost disk shows its repair', checkRepair);
 test('a joint change of voters shows while it lasts', checkSwap);
 test('a configuration on no majority shows as held and not committed', checkUncommitted);
+test('orders show by outcome at the node that decides on them', checkOrders);
+test('orders at a node that is cut off show as unclear', checkUnclear);
+test('an evacuation past its age shows', checkTooOld);
--- a/src/control/ControlMetrics.ts
+++ b/src/control/ControlMetrics.ts
@@ -3,12 +3,25 @@
  * state. Nothing here knows a metrics library, a clock or the network, so the core that owns it stays pure.
  */
 
+import type { ErrorCode } from '../common/CodedError.js';
 import { versionsBetween, type Version } from '../common/Version.js';
 
 /** Why an order of an operator was refused: it was not carried out and never will be. */
 export const REFUSAL_REASONS = ['base-changed', 'invalid', 'too-old', 'other'] as const;
 export type RefusalReason = (typeof REFUSAL_REASONS)[number];
 
+const REASON_OF: ReadonlyMap<ErrorCode, RefusalReason> = new Map([
+  ['base-lost', 'base-changed'],
+  ['bad-config', 'invalid'],
+  ['bad-table', 'invalid'],
+  ['malformed', 'invalid'],
+]);
+
+/** The reason to count a refusal under, by the code of its error. */
+export function refusalReason(code: ErrorCode): RefusalReason {
+  return REASON_OF.get(code) ?? 'other';
+}
+
 /** Why an order got no clear answer: it may be carried out, or may have been. */
 export const UNCLEAR_REASONS = ['no-majority', 'leader-lost', 'timeout', 'forgotten'] as const;
 export type UnclearReason = (typeof UNCLEAR_REASONS)[number];
--- a/src/control/OperatorOrders.ts
+++ b/src/control/OperatorOrders.ts
@@ -5,6 +5,7 @@
 import type { Version } from '../common/Version.js';
 import type { ConfigDialect } from '../route/Routing.js';
 import { EditShapes, MAX_EDITS, mayBeForgotten, type ConfigDoc } from './ConfigDoc.js';
+import { refusalReason, type ControlCounters, type UnclearReason } from './ControlMetrics.js';
 import { applyEdit, recordEdit } from './Edits.js';
 import {
   acceptedAnswer,
@@ -47,6 +48,8 @@
   readonly id: string;
   readonly number: number;
   readonly outcome: 'accepted' | 'closed';
+  /** Whether it is the order, the order once more, or a question what became of it. */
+  readonly occasion: 'first' | 'again' | 'question';
   commit: Commit | undefined;
 }
 
@@ -60,6 +63,7 @@
 
 /** How long proof is waited for; callers have moved on to another node by then. */
 const PROOF_MS = 3000;
+const NO_MAJORITY = 'no majority was reached; nothing was done';
 
 /**
  * The orders of operators at the leader: each is written and acknowledged once it is on a majority, or refused.
@@ -71,6 +75,7 @@
 export class OperatorOrders {
   readonly #host: OrderHost;
   readonly #dialect: ConfigDialect | undefined;
+  readonly #counters: ControlCounters;
   readonly #written = new Map<number, WrittenOrder>();
   /** By the id of the quorum read that is to prove them. */
   readonly #unproved = new Map<number, UnprovedRefusal>();
@@ -78,9 +83,10 @@
   #awaitingCommit: UnprovedRefusal[] = [];
   #token = 0;
 
-  constructor(host: OrderHost, dialect: ConfigDialect | undefined) {
+  constructor(host: OrderHost, dialect: ConfigDialect | undefined, counters: ControlCounters) {
     this.#host = host;
     this.#dialect = dialect;
+    this.#counters = counters;
   }
 
   submit(now: Moment, origin: Origin, verb: string, body: string): void {
@@ -91,8 +97,7 @@
     } catch (thrown) {
       const error = errorOf(thrown);
       // What is already unsure, or does not depend on what we hold, needs no proof.
-      if (error.row.unsure || error.kind === 'malformed')
-        this.#host.answer(origin, errorAnswer(error));
+      if (error.row.unsure || error.kind === 'malformed') this.#refuse(origin, error);
       else this.#prove({ origin, verb, body, arrivedAt: now });
     }
   }
@@ -104,11 +109,10 @@
     this.#unproved.delete(id);
     if (isNewest) this.#judge(now, refusal);
     else
-      this.#host.answer(
-        refusal.origin,
-        errorAnswer(
-          new CodedError('no-leader', 'another leader has written since; nothing was done'),
-        ),
+      this.#leaveUnclear(
+        refusal,
+        'leader-lost',
+        'another leader has written since; nothing was done',
       );
   }
 
@@ -136,26 +140,33 @@
     for (const [id, refusal] of this.#unproved) {
       if (now < later(refusal.arrivedAt, PROOF_MS)) continue;
       this.#unproved.delete(id);
-      this.#leaveUnclear(refusal);
+      this.#leaveUnclear(refusal, 'no-majority', NO_MAJORITY);
     }
   }
 
   /** This node leads no longer: whether its writes hold is for the next leader to find. */
   abandon(): void {
-    for (const order of this.#written.values())
+    for (const order of this.#written.values()) {
+      this.#counters.countUnclear('leader-lost');
       this.#host.answer(order.origin, leaderLostAnswer(order.id));
+    }
     this.#written.clear();
     for (const refusal of [...this.#unproved.values(), ...this.#awaitingCommit])
-      this.#leaveUnclear(refusal);
+      this.#leaveUnclear(refusal, 'leader-lost', NO_MAJORITY);
     this.#unproved.clear();
     this.#awaitingCommit = [];
   }
 
-  #leaveUnclear(refusal: UnprovedRefusal): void {
-    this.#host.answer(
-      refusal.origin,
-      errorAnswer(new CodedError('no-leader', 'no majority was reached; nothing was done')),
-    );
+  #leaveUnclear(refusal: UnprovedRefusal, reason: UnclearReason, text: string): void {
+    this.#counters.countUnclear(reason);
+    this.#host.answer(refusal.origin, errorAnswer(new CodedError('no-leader', text)));
+  }
+
+  /** Answers with an error that stands: a refusal, or that the outcome is no longer known. */
+  #refuse(origin: Origin, error: CodedError): void {
+    if (error.row.unsure) this.#counters.countUnclear('forgotten');
+    else this.#counters.countRefused(refusalReason(error.kind));
+    this.#host.answer(origin, errorAnswer(error));
   }
 
   #prove(refusal: UnprovedRefusal): void {
@@ -163,7 +174,8 @@
   }
 
   #retry(now: Moment, refusal: UnprovedRefusal): void {
-    if (now >= later(refusal.arrivedAt, PROOF_MS)) this.#leaveUnclear(refusal);
+    if (now >= later(refusal.arrivedAt, PROOF_MS))
+      this.#leaveUnclear(refusal, 'no-majority', NO_MAJORITY);
     else this.#prove(refusal);
   }
 
@@ -175,8 +187,7 @@
     } catch (thrown) {
       const error = errorOf(thrown);
       // By what is written but not committed it may only lose once that holds.
-      if (error.row.unsure || !this.#isAcceptable(verb, body))
-        this.#host.answer(origin, errorAnswer(error));
+      if (error.row.unsure || !this.#isAcceptable(verb, body)) this.#refuse(origin, error);
       else this.#awaitingCommit.push(refusal);
     }
   }
@@ -204,11 +215,15 @@
       // The same id again is the same edit: it is told what became of it, and done once.
       if (before.outcome === 'closed')
         throw new CodedError('base-lost', `edit ${id} was asked about before it came, and closed`);
-      this.#write(now, origin, id, doc, 'accepted');
+      this.#write(now, { origin, id, outcome: 'accepted', occasion: 'again' }, doc);
       return;
     }
     const edited = this.#apply(doc, verb, body);
-    this.#write(now, origin, edited.id, recordEdit(edited.doc, edited.id, 'accepted'), 'accepted');
+    this.#write(
+      now,
+      { origin, id: edited.id, outcome: 'accepted', occasion: 'first' },
+      recordEdit(edited.doc, edited.id, 'accepted'),
+    );
   }
 
   /** An edit that loses by its base may be one that was accepted long ago, sent once more. */
@@ -247,19 +262,15 @@
         `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`,
       );
     // Whether known or not, the word given must outlast us: it is written like an edit before it is told.
-    if (known) this.#write(now, origin, id, doc, known.outcome);
-    else this.#write(now, origin, id, recordEdit(doc, id, 'closed'), 'closed');
+    const occasion = 'question';
+    if (known) this.#write(now, { origin, id, outcome: known.outcome, occasion }, doc);
+    else
+      this.#write(now, { origin, id, outcome: 'closed', occasion }, recordEdit(doc, id, 'closed'));
   }
 
-  #write(
-    now: Moment,
-    origin: Origin,
-    id: string,
-    doc: ConfigDoc,
-    outcome: 'accepted' | 'closed',
-  ): void {
+  #write(now: Moment, order: Omit<WrittenOrder, 'number' | 'commit'>, doc: ConfigDoc): void {
     this.#token += 1;
-    this.#written.set(this.#token, { origin, id, number: doc.number, outcome, commit: undefined });
+    this.#written.set(this.#token, { ...order, number: doc.number, commit: undefined });
     this.#host.write(now, doc, this.#token);
   }
 
@@ -268,6 +279,8 @@
       const { commit } = order;
       if (!commit || !this.#host.isInForce(now, commit)) continue;
       this.#written.delete(token);
+      if (order.occasion === 'first') this.#counters.countAccepted();
+      else if (order.occasion === 'again') this.#counters.countAcknowledgedAgain();
       this.#host.answer(
         order.origin,
         order.outcome === 'accepted'
--- a/src/control/OrderForwarding.ts
+++ b/src/control/OrderForwarding.ts
@@ -3,6 +3,7 @@
 import { parseAs } from '../common/Json.js';
 import type { Message } from '../common/Messages.js';
 import { EditShapes } from './ConfigDoc.js';
+import type { ControlCounters, UnclearReason } from './ControlMetrics.js';
 import { leaderLostAnswer, type CommandAnswer } from './OrderAnswers.js';
 import type { Origin } from './OperatorOrders.js';
 
@@ -53,6 +54,7 @@
  */
 export class OrderForwarding {
   readonly #host: ForwardingHost;
+  readonly #counters: ControlCounters;
   readonly #forwards = new Map<number, Forwarded>();
   /** Nodes whose line closed and from which nothing came since: what is sent there now is lost. */
   readonly #closed = new Set<string>();
@@ -62,8 +64,9 @@
   #backlogUntil: Moment;
 
   /** Ids begin at a number of this life's own, so that no answer to a former incarnation is taken for one of ours. */
-  constructor(host: ForwardingHost, incarnation: number, now: Moment) {
+  constructor(host: ForwardingHost, counters: ControlCounters, incarnation: number, now: Moment) {
     this.#host = host;
+    this.#counters = counters;
     this.#forwardId = incarnation;
     this.#tickedAt = now;
     this.#backlogUntil = now;
@@ -85,7 +88,7 @@
       if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS))
         continue;
       this.#forwards.delete(id);
-      this.#host.answer(forwarded.origin, leaderLostAnswer(forwarded.editId));
+      this.#giveUp(forwarded, 'timeout');
     }
   }
 
@@ -93,6 +96,7 @@
   checkAge(now: Moment, verb: string): void {
     if (!UNVERSIONED.has(verb)) return;
     if (now < this.#backlogUntil || now - this.#tickedAt > STANDSTILL_MS) {
+      this.#counters.countRefused('too-old');
       throw new CodedError(
         'no-leader',
         'this node stood still and cannot tell how old the order is; nothing was done',
@@ -104,6 +108,7 @@
   checkForwarded(now: Moment, epoch: number, message: CommandMessage): void {
     if (READS.has(message.verb) || !UNVERSIONED.has(message.verb)) return;
     if (message.epoch !== epoch || now - message.leaderTime > MOST_AGE_MS) {
+      this.#counters.countRefused('too-old');
       throw new CodedError(
         'no-leader',
         'the order took too long on its way, or came for another leader; nothing was done',
@@ -114,8 +119,11 @@
   forward(now: Moment, origin: Origin, verb: string, body: string): void {
     const leader = this.#host.leader();
     // Passed on once at most: two nodes that take each other for leader must not play ball with it.
-    if (leader === undefined || origin.from !== '' || this.#closed.has(leader))
+    if (leader === undefined || origin.from !== '' || this.#closed.has(leader)) {
+      if (!READS.has(verb)) this.#counters.countUnserved();
       throw new CodedError('no-leader', 'no leader is known; nothing was done');
+    }
+    if (!READS.has(verb)) this.#counters.countForwarded();
     this.#forwardId += 1;
     const edit = READS.has(verb) ? undefined : parseAs(EditShapes.edit, body);
     this.#forwards.set(this.#forwardId, { origin, to: leader, at: now, editId: edit?.id ?? '' });
@@ -143,9 +151,15 @@
     for (const [id, forwarded] of this.#forwards) {
       if (forwarded.to !== from) continue;
       this.#forwards.delete(id);
-      this.#host.answer(forwarded.origin, leaderLostAnswer(forwarded.editId));
+      this.#giveUp(forwarded, 'leader-lost');
     }
   }
+
+  /** Nobody here can tell what became of a command that was passed on. */
+  #giveUp(forwarded: Forwarded, reason: UnclearReason): void {
+    if (forwarded.editId !== '') this.#counters.countUnclear(reason);
+    this.#host.answer(forwarded.origin, leaderLostAnswer(forwarded.editId));
+  }
 }
 
 /** The leader's clock as a message of its own told it. */
