--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -85,6 +85,7 @@
   readonly #table: TableManager;
   #quorum: Quorum;
   #effects: ControlEffect[] = [];
+  readonly #counters = new ControlCounters();
 
   #voteCount = 0;
   /** Vote records on their way to the disk, by their count. */
@@ -139,7 +140,6 @@
   #announcedAt: Moment = NEVER;
   #leaderAt: Moment;
   readonly #voterPlan = new VoterPlan();
-  readonly #counters = new ControlCounters();
 
   constructor(
     settings: ControlSettings,
