Tell an agent's state once while it looks for a leader

A session now counts as lost once nobody has answered for the silent span, whoever was asked, and an agent is leaderless until a control node names a leader. The agents' tests pass.

--- a/src/agent/AgentCore.ts
+++ b/src/agent/AgentCore.ts
@@ -72,10 +72,10 @@
   readonly #shunned = new Map<string, Moment>();
   /** How often in a row our control node said that it follows nobody. */
   #leaderless = 0;
-  /** When our control node answered last; nothing while the session is being asked for. */
+  /** When a control node that we had our session with answered last. */
   #answeredAt: Moment | undefined;
-  /** The same, whichever control node it was. */
-  #lastAnsweredAt: Moment | undefined;
+  /** Whether the control node that told last whom it follows named nobody. */
+  #isLeaderless = false;
   /** The newest configuration that a control node said it holds. */
   #toldConfig: Version = NO_VERSION;
   #behindSince: Moment | undefined;
@@ -127,12 +127,12 @@
     const behindSince = versionsBehind > 0 ? this.#behindSince : undefined;
     return {
       controlNode: this.controlNode,
+      // A session that moves is not lost: it is once nobody answers.
       hasSession:
         this.#answeredAt !== undefined && now - this.#answeredAt <= this.#controlSilentMs(),
-      sessionHeardAgeMs:
-        this.#lastAnsweredAt === undefined ? undefined : now - this.#lastAnsweredAt,
+      sessionHeardAgeMs: this.#answeredAt === undefined ? undefined : now - this.#answeredAt,
       sessionMoves: this.#turns,
-      leaderlessAnswers: this.#leaderless,
+      isLeaderless: this.#isLeaderless,
       isUnderAgent: this.#parent !== '',
       proxies: [...this.#flows.values()].filter(isPresent).length,
       configEpoch: config.epoch,
@@ -284,7 +284,6 @@
   #noteAnswer(now: Moment): void {
     this.#controlHeardAt = now;
     this.#answeredAt = now;
-    this.#lastAnsweredAt = now;
   }
 
   /** Our control node told which configuration it holds; whether we lack it is judged by the newest told so far. */
@@ -319,7 +318,6 @@
     this.#leaderless = 0;
     this.#turns += 1;
     this.#controlHeardAt = now;
-    this.#answeredAt = undefined;
     this.#assignParent(now, '');
     this.#effects.push({ do: 'note', text: 'session', fields: { controlNode: this.controlNode } });
     this.#join(now);
@@ -354,7 +352,8 @@
     this.#zones.clear();
     for (const { id, zone } of message.controlNodes) this.#zones.set(id, zone);
     // One that follows nobody may be cut off from the others, and then hears nothing new.
-    this.#leaderless = message.leader === '' ? this.#leaderless + 1 : 0;
+    this.#isLeaderless = message.leader === '';
+    this.#leaderless = this.#isLeaderless ? this.#leaderless + 1 : 0;
     if (this.#leaderless > 1) {
       this.#turn(now);
       return;
--- a/src/agent/AgentCoreMetrics.test.ts
+++ b/src/agent/AgentCoreMetrics.test.ts
@@ -43,19 +43,28 @@
   const agent = new Agent();
   expect(agent.state(0)).toBe('away');
   expect(agent.core.metrics(moment(0)).sessionHeardAgeMs).toBeUndefined();
-  agent.answered(100, SEEDS[0] ?? '', 0);
+  agent.updated(90, 1);
+  agent.answered(100, SEEDS[0] ?? '', 1);
   expect(agent.state(200)).toBe('in-touch');
   expect(agent.core.metrics(moment(300)).sessionHeardAgeMs).toBe(200);
   // Silence ends the session and moves it; the next control node has not answered yet.
   agent.core.tick(moment(2700));
   expect(agent.core.metrics(moment(2700))).toMatchObject({ hasSession: false, sessionMoves: 1 });
   expect(agent.state(2700)).toBe('away');
+  agent.answered(2800, SEEDS[0] ?? '', 1);
+  expect(agent.state(2800)).toBe('in-touch');
+  // A closed connection moves it at once, and it is in touch for as long as that may take.
+  agent.core.gone(moment(2900), agent.core.controlNode);
+  expect(agent.core.metrics(moment(2900))).toMatchObject({ hasSession: true, sessionMoves: 2 });
 }
 
 function checkLeaderless(): void {
   const agent = new Agent();
   agent.answered(100, '', 0);
   expect(agent.state(100)).toBe('leaderless');
+  // Told twice, it turns to another, of which it knows nothing better yet.
+  agent.answered(600, '', 0);
+  expect(agent.core.metrics(moment(600))).toMatchObject({ isLeaderless: true, sessionMoves: 1 });
   agent.answered(1100, SEEDS[0] ?? '', 0);
   expect(agent.state(1100)).toBe('in-touch');
 }
--- a/src/agent/AgentMetrics.test.ts
+++ b/src/agent/AgentMetrics.test.ts
@@ -7,7 +7,7 @@
   hasSession: true,
   sessionHeardAgeMs: 400,
   sessionMoves: 2,
-  leaderlessAnswers: 0,
+  isLeaderless: false,
   isUnderAgent: true,
   proxies: 1,
   configEpoch: 8,
@@ -18,8 +18,8 @@
 
 function checkStates(): void {
   expect(agentState(CALM)).toBe('in-touch');
-  expect(agentState({ ...CALM, hasSession: false, leaderlessAnswers: 3 })).toBe('away');
-  expect(agentState({ ...CALM, leaderlessAnswers: 1, behindMs: 9000 })).toBe('leaderless');
+  expect(agentState({ ...CALM, hasSession: false, isLeaderless: true })).toBe('away');
+  expect(agentState({ ...CALM, isLeaderless: true, behindMs: 9000 })).toBe('leaderless');
   // News that is just on its way is no lag.
   expect(agentState({ ...CALM, versionsBehind: 1, behindMs: BEHIND_GRACE_MS })).toBe('in-touch');
   expect(agentState({ ...CALM, versionsBehind: 1, behindMs: 1 + BEHIND_GRACE_MS })).toBe('behind');
--- a/src/agent/AgentMetrics.ts
+++ b/src/agent/AgentMetrics.ts
@@ -10,14 +10,14 @@
 export interface AgentMetrics {
   /** The control node of its session, or the one that it is asking for one. */
   readonly controlNode: string;
-  /** Whether that node has lately answered. */
+  /** Whether a control node has lately answered. */
   readonly hasSession: boolean;
   /** Time since a control node answered last; nothing if none has. */
   readonly sessionHeardAgeMs: number | undefined;
   /** How often the session moved to another control node. */
   readonly sessionMoves: number;
-  /** How often in a row the control node said that it follows no leader. */
-  readonly leaderlessAnswers: number;
+  /** Whether the control node that answered last follows no leader. */
+  readonly isLeaderless: boolean;
   /** Whether news comes by another agent of the zone. */
   readonly isUnderAgent: boolean;
   /** Proxies that are fed from here. */
@@ -37,7 +37,7 @@
 /** The state that an operator looks for first. */
 export function agentState(metrics: AgentMetrics): AgentState {
   if (!metrics.hasSession) return 'away';
-  if (metrics.leaderlessAnswers > 0) return 'leaderless';
+  if (metrics.isLeaderless) return 'leaderless';
   return metrics.behindMs > BEHIND_GRACE_MS ? 'behind' : 'in-touch';
 }
 
@@ -52,14 +52,14 @@
   // One that never had a session must not look as if it had heard just now.
   const heardAge = secondsOf(agent.sessionHeardAgeMs ?? Infinity);
   return [
-    gauge('session', 'Whether its control node has lately answered.', agent.hasSession),
+    gauge('session', 'Whether a control node has lately answered.', agent.hasSession),
     gauge(
       'session_heard_age_seconds',
       'Time since a control node answered; +Inf if none.',
       heardAge,
     ),
     counterFamily(`${PREFIX}session_moves_total`, 'Moves of the session.', agent.sessionMoves),
-    gauge('leaderless_answers', 'Answers in a row that name no leader.', agent.leaderlessAnswers),
+    gauge('leaderless', 'Whether its control node follows nobody.', agent.isLeaderless),
     gauge('under_agent', 'Whether news comes by another agent.', agent.isUnderAgent),
     gauge('proxies', 'Proxies fed from here.', agent.proxies),
     gauge('config_epoch', 'Term of the configuration held here.', agent.configEpoch),
