--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -84,6 +84,7 @@
   readonly #table: TableManager;
   #quorum: Quorum;
   #effects: ControlEffect[] = [];
+  readonly #counters = new ControlCounters();
 
   #voteCount = 0;
   /** Vote records on their way to the disk, by their count. */
--- /dev/null
+++ b/src/control/ControlCoreMetrics.test.ts
@@ -0,0 +1,171 @@
+import { expect, test } from 'vitest';
+import type { ControlMetrics } from './ControlMetrics.js';
+import {
+  ControlCluster,
+  documentOf,
+  editOf,
+  foundedCluster,
+  SEEDS,
+} from './testing/ControlCluster.js';
+
+/** Pings go every 300 ms, and their answers take two steps of the cluster. */
+const CALM_CONTACT_MS = 400;
+
+function metricsOf(cluster: ControlCluster, id: string): ControlMetrics {
+  return cluster.node(id).core.metrics(cluster.now);
+}
+
+function checkCalm(): void {
+  const cluster = foundedCluster();
+  const answer = cluster.asked(
+    cluster.leader(),
+    'configure',
+    editOf('e1', 0, documentOf(7, 'x')),
+    2000,
+  );
+  expect(answer.status).toBe(200);
+  const leader = metricsOf(cluster, cluster.leader());
+  expect(leader).toMatchObject({
+    isLeaderKnown: true,
+    isLeading: true,
+    isServing: true,
+    replica: 'sound',
+    unsoundParts: 0,
+    voters: { members: 3, reachable: 3, isVoter: true, isJoint: false },
+  });
+  expect(leader.leaseLeftMs).toBeGreaterThan(0);
+  expect(leader.majorityContactAgeMs).toBeLessThanOrEqual(CALM_CONTACT_MS);
+  expect(leader.configHeld).toEqual(leader.configCommitted);
+  const follower = metricsOf(cluster, cluster.follower());
+  expect(follower).toMatchObject({ epoch: leader.epoch, isLeaderKnown: true, isLeading: false });
+  expect(follower.leaseLeftMs).toBe(0);
+  expect(follower.configCommitted).toEqual(leader.configCommitted);
+  expect(follower.events.votesGranted).toBeGreaterThan(0);
+}
+
+function checkCutOff(): void {
+  const cluster = foundedCluster();
+  const former = cluster.leader();
+  const before = metricsOf(cluster, former);
+  cluster.cut(former);
+  cluster.run(4000);
+  const during = metricsOf(cluster, former);
+  expect(during).toMatchObject({ isLeaderKnown: false, isLeading: false, mayOrder: false });
+  expect(during.majorityContactAgeMs).toBeGreaterThan(3500);
+  expect(during.voters).toMatchObject({ members: 3, reachable: 1 });
+  // It reaches no majority, and so does not run the term up for the others.
+  expect(during.events.electionsStarted).toBe(before.events.electionsStarted);
+  const successor = metricsOf(cluster, cluster.leader());
+  expect(successor.epoch).toBeGreaterThan(during.epoch);
+  expect(successor.majorityContactAgeMs).toBeLessThanOrEqual(CALM_CONTACT_MS);
+  cluster.heal(former);
+  cluster.run(2000);
+  const after = metricsOf(cluster, former);
+  expect(after).toMatchObject({ isLeaderKnown: true, voters: { reachable: 3 } });
+  expect(after.majorityContactAgeMs).toBeLessThanOrEqual(CALM_CONTACT_MS);
+  expect(after.events.leaderChanges).toBeGreaterThan(before.events.leaderChanges);
+}
+
+function checkRepair(): void {
+  const cluster = foundedCluster();
+  const id = cluster.follower();
+  cluster.stop(id);
+  cluster.wipe(id);
+  cluster.start(id, false);
+  const blank = metricsOf(cluster, id);
+  expect(blank.replica).toBe('blank');
+  expect(blank.majorityContactAgeMs).toBeUndefined();
+  cluster.run(4000);
+  expect(metricsOf(cluster, id)).toMatchObject({ replica: 'sound', events: { repairs: 1 } });
+}
+
+function checkSwap(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  const before = metricsOf(cluster, leader).events.voterChanges;
+  cluster.stop(cluster.follower());
+  cluster.start('d:1', false);
+  expect(metricsOf(cluster, 'd:1').voters.isVoter).toBe(false);
+  let joint = 0;
+  for (let waits = 0; waits < 1000; waits += 1) {
+    cluster.run(10);
+    const { voters } = metricsOf(cluster, leader);
+    if (!voters.isJoint) continue;
+    expect(voters.members).toBe(4);
+    joint += 1;
+  }
+  expect(joint).toBeGreaterThan(0);
+  expect(metricsOf(cluster, leader)).toMatchObject({
+    voters: { members: 3, reachable: 3, isJoint: false },
+    events: { voterChanges: before + 2 },
+  });
+  expect(metricsOf(cluster, 'd:1').voters.isVoter).toBe(true);
+}
+
+function checkUncommitted(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  for (const id of SEEDS) if (id !== leader) cluster.node(id).disk = 'stalled';
+  const before = metricsOf(cluster, leader);
+  cluster.asked(leader, 'configure', editOf('e1', 0, documentOf(7, 'x')), 300);
+  const after = metricsOf(cluster, leader);
+  // Held here, and not known to be on a majority.
+  expect(after.configHeld.count).toBe(before.configHeld.count + 1);
+  expect(after.configCommitted).toEqual(before.configCommitted);
+}
+
+function checkOrders(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  const follower = cluster.follower();
+  const first = editOf('e1', 0, documentOf(7, 'x'));
+  expect(cluster.asked(leader, 'configure', first).status).toBe(200);
+  // The same once more, passed on by a follower.
+  expect(cluster.asked(follower, 'configure', first).status).toBe(200);
+  expect(cluster.asked(leader, 'configure', editOf('e2', 0, documentOf(8, 'y'))).status).toBe(409);
+  expect(cluster.asked(leader, 'configure', editOf('e3', 7, documentOf(7, 'z'))).status).toBe(400);
+  expect(cluster.asked(follower, 'read', {}).status).toBe(200);
+  expect(metricsOf(cluster, leader).orders).toEqual({
+    accepted: 2,
+    acknowledgedAgain: 1,
+    refused: { 'base-changed': 1, invalid: 1, 'too-old': 0, other: 0 },
+    unclear: { 'no-majority': 0, 'leader-lost': 0, timeout: 0, forgotten: 0 },
+    unserved: 0,
+    forwarded: 0,
+  });
+  // Passed on there, and decided and counted by the leader.
+  expect(metricsOf(cluster, follower).orders).toMatchObject({ accepted: 0, forwarded: 1 });
+}
+
+function checkUnclear(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  cluster.cut(leader);
+  cluster.ask(leader, 'configure', editOf('e1', 0, documentOf(7, 'x')));
+  cluster.run(5000);
+  expect(metricsOf(cluster, leader).orders.unclear['leader-lost']).toBe(1);
+  // Now it knows no leader, and says that nothing was done.
+  expect(cluster.asked(leader, 'configure', editOf('e2', 0, documentOf(8))).status).toBe(503);
+  expect(metricsOf(cluster, leader).orders).toMatchObject({ accepted: 0, unserved: 1 });
+}
+
+function checkTooOld(): void {
+  const cluster = foundedCluster();
+  const leader = cluster.leader();
+  cluster.freeze(leader);
+  cluster.ask(leader, 'zone', { id: 'z1', zone: 'north', empty: true });
+  cluster.run(6000);
+  cluster.thaw(leader);
+  cluster.run(500);
+  // It waited at a frozen node for six seconds: nobody can tell what was ordered since.
+  expect(metricsOf(cluster, leader).orders.refused['too-old']).toBe(1);
+}
+
+test('a calm cluster shows one leader, contact and equal versions', checkCalm);
+test('a node that is cut off shows how long, and comes back', checkCutOff);
+test('a node with a lost disk shows its repair', checkRepair);
+test('a joint change of voters shows while it lasts', checkSwap);
+test('a configuration on no majority shows as held and not committed', checkUncommitted);
+test('orders show by outcome at the node that decides on them', checkOrders);
+test('orders at a node that is cut off show as unclear', checkUnclear);
+test('an evacuation past its age shows', checkTooOld);
--- a/src/control/OperatorOrders.ts
+++ b/src/control/OperatorOrders.ts
@@ -4,8 +4,8 @@
 import type { MemberMessage } from '../common/Messages.js';
 import type { Version } from '../common/Version.js';
 import type { ConfigDialect } from '../route/Routing.js';
-import type { ControlCounters, RefusalReason, UnclearReason } from './ControlMetrics.js';
 import { EditShapes, MAX_EDITS, mayBeForgotten, type ConfigDoc } from './ConfigDoc.js';
+import { refusalReason, type ControlCounters, type UnclearReason } from './ControlMetrics.js';
 import { applyEdit, recordEdit } from './Edits.js';
 import {
   acceptedAnswer,
@@ -48,8 +48,8 @@
   readonly id: string;
   readonly number: number;
   readonly outcome: 'accepted' | 'closed';
-  /** Set where it had been taken before and came again. */
-  readonly isAgain: boolean;
+  /** Whether it is the order, the order once more, or a question what became of it. */
+  readonly occasion: 'first' | 'again' | 'question';
   commit: Commit | undefined;
 }
 
@@ -63,6 +63,7 @@
 
 /** How long proof is waited for; callers have moved on to another node by then. */
 const PROOF_MS = 3000;
+const NO_MAJORITY = 'no majority was reached; nothing was done';
 
 /**
  * The orders of operators at the leader: each is written and acknowledged once it is on a majority, or refused.
@@ -107,7 +108,12 @@
     if (!refusal) return;
     this.#unproved.delete(id);
     if (isNewest) this.#judge(now, refusal);
-    else this.#leaveUnclear(refusal, 'leader-lost');
+    else
+      this.#leaveUnclear(
+        refusal,
+        'leader-lost',
+        'another leader has written since; nothing was done',
+      );
   }
 
   committed(
@@ -134,7 +140,7 @@
     for (const [id, refusal] of this.#unproved) {
       if (now < later(refusal.arrivedAt, PROOF_MS)) continue;
       this.#unproved.delete(id);
-      this.#leaveUnclear(refusal, 'no-majority');
+      this.#leaveUnclear(refusal, 'no-majority', NO_MAJORITY);
     }
   }
 
@@ -146,21 +152,20 @@
     }
     this.#written.clear();
     for (const refusal of [...this.#unproved.values(), ...this.#awaitingCommit])
-      this.#leaveUnclear(refusal, 'leader-lost');
+      this.#leaveUnclear(refusal, 'leader-lost', NO_MAJORITY);
     this.#unproved.clear();
     this.#awaitingCommit = [];
   }
 
-  #leaveUnclear(refusal: UnprovedRefusal, reason: UnclearReason): void {
+  #leaveUnclear(refusal: UnprovedRefusal, reason: UnclearReason, text: string): void {
     this.#counters.countUnclear(reason);
-    const text = 'no majority could prove what is in force; nothing was done';
     this.#host.answer(refusal.origin, errorAnswer(new CodedError('no-leader', text)));
   }
 
-  /** A definite refusal, or the word that the outcome is no longer known. */
+  /** Answers with an error that stands: a refusal, or that the outcome is no longer known. */
   #refuse(origin: Origin, error: CodedError): void {
     if (error.row.unsure) this.#counters.countUnclear('forgotten');
-    else this.#counters.countRefused(refusalReasonOf(error));
+    else this.#counters.countRefused(refusalReason(error.kind));
     this.#host.answer(origin, errorAnswer(error));
   }
 
@@ -169,7 +174,8 @@
   }
 
   #retry(now: Moment, refusal: UnprovedRefusal): void {
-    if (now >= later(refusal.arrivedAt, PROOF_MS)) this.#leaveUnclear(refusal, 'no-majority');
+    if (now >= later(refusal.arrivedAt, PROOF_MS))
+      this.#leaveUnclear(refusal, 'no-majority', NO_MAJORITY);
     else this.#prove(refusal);
   }
 
@@ -188,8 +194,11 @@
 
   /** Whether the order could still be taken, by what is committed. */
   #isAcceptable(verb: string, body: string): boolean {
-    const committed = this.#host.committed();
-    if (this.#host.newest() === committed) return false;
+    const { newest, committed } = {
+      newest: this.#host.newest(),
+      committed: this.#host.committed(),
+    };
+    if (newest === committed) return false;
     try {
       this.#apply(committed, verb, body);
       return true;
@@ -206,12 +215,15 @@
       // The same id again is the same edit: it is told what became of it, and done once.
       if (before.outcome === 'closed')
         throw new CodedError('base-lost', `edit ${id} was asked about before it came, and closed`);
-      this.#write(now, { origin, id, outcome: 'accepted', isAgain: true }, doc);
+      this.#write(now, { origin, id, outcome: 'accepted', occasion: 'again' }, doc);
       return;
     }
     const edited = this.#apply(doc, verb, body);
-    const order = { origin, id: edited.id, outcome: 'accepted', isAgain: false } as const;
-    this.#write(now, order, recordEdit(edited.doc, edited.id, 'accepted'));
+    this.#write(
+      now,
+      { origin, id: edited.id, outcome: 'accepted', occasion: 'first' },
+      recordEdit(edited.doc, edited.id, 'accepted'),
+    );
   }
 
   /** An edit that loses by its base may be one that was accepted long ago, sent once more. */
@@ -247,18 +259,13 @@
         `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`,
       );
     // Whether known or not, the word given must outlast us: it is written like an edit before it is told.
-    if (known) this.#write(now, { origin, id, outcome: known.outcome, isAgain: true }, doc);
-    else {
-      const order = { origin, id, outcome: 'closed', isAgain: false } as const;
-      this.#write(now, order, recordEdit(doc, id, 'closed'));
-    }
+    const occasion = 'question';
+    if (known) this.#write(now, { origin, id, outcome: known.outcome, occasion }, doc);
+    else
+      this.#write(now, { origin, id, outcome: 'closed', occasion }, recordEdit(doc, id, 'closed'));
   }
 
-  #write(
-    now: Moment,
-    order: Pick<WrittenOrder, 'origin' | 'id' | 'outcome' | 'isAgain'>,
-    doc: ConfigDoc,
-  ): void {
+  #write(now: Moment, order: Omit<WrittenOrder, 'number' | 'commit'>, doc: ConfigDoc): void {
     this.#token += 1;
     this.#written.set(this.#token, { ...order, number: doc.number, commit: undefined });
     this.#host.write(now, doc, this.#token);
@@ -269,31 +276,15 @@
       const { commit } = order;
       if (!commit || !this.#host.isInForce(now, commit)) continue;
       this.#written.delete(token);
-      this.#tellOutcome(order, commit);
-    }
-  }
-
-  #tellOutcome({ origin, id, number, outcome, isAgain }: WrittenOrder, commit: Commit): void {
-    if (outcome === 'closed') {
-      this.#host.answer(origin, closedAnswer(id));
-      return;
+      if (order.occasion === 'first') this.#counters.countAccepted();
+      else if (order.occasion === 'again') this.#counters.countAcknowledgedAgain();
+      this.#host.answer(
+        order.origin,
+        order.outcome === 'accepted'
+          ? acceptedAnswer(order.id, order.number, commit.version)
+          : closedAnswer(order.id),
+      );
     }
-    if (isAgain) this.#counters.countAcknowledgedAgain();
-    else this.#counters.countAccepted();
-    this.#host.answer(origin, acceptedAnswer(id, number, commit.version));
-  }
-}
-
-function refusalReasonOf(error: CodedError): RefusalReason {
-  switch (error.kind) {
-    case 'base-lost':
-      return 'base-changed';
-    case 'bad-config':
-    case 'bad-table':
-    case 'malformed':
-      return 'invalid';
-    default:
-      return 'other';
   }
 }
 
--- a/src/control/OrderForwarding.ts
+++ b/src/control/OrderForwarding.ts
@@ -25,7 +25,6 @@
   readonly to: string;
   readonly at: Moment;
   readonly editId: string;
-  readonly isOrder: boolean;
 }
 
 type CommandMessage = Extract<Message, { kind: 'command' }>;
@@ -88,7 +87,8 @@
     for (const [id, forwarded] of this.#forwards) {
       if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS))
         continue;
-      this.#giveUp(id, forwarded, 'timeout');
+      this.#forwards.delete(id);
+      this.#giveUp(forwarded, 'timeout');
     }
   }
 
@@ -119,15 +119,14 @@
   forward(now: Moment, origin: Origin, verb: string, body: string): void {
     const leader = this.#host.leader();
     // Passed on once at most: two nodes that take each other for leader must not play ball with it.
-    const isOrder = !READS.has(verb);
     if (leader === undefined || origin.from !== '' || this.#closed.has(leader)) {
-      if (isOrder) this.#counters.countUnserved();
+      if (!READS.has(verb)) this.#counters.countUnserved();
       throw new CodedError('no-leader', 'no leader is known; nothing was done');
     }
-    if (isOrder) this.#counters.countForwarded();
+    if (!READS.has(verb)) this.#counters.countForwarded();
     this.#forwardId += 1;
-    const editId = isOrder ? (parseAs(EditShapes.edit, body)?.id ?? '') : '';
-    this.#forwards.set(this.#forwardId, { origin, to: leader, at: now, editId, isOrder });
+    const edit = READS.has(verb) ? undefined : parseAs(EditShapes.edit, body);
+    this.#forwards.set(this.#forwardId, { origin, to: leader, at: now, editId: edit?.id ?? '' });
     const { epoch, at } = this.#leaderTime;
     this.#host.send(leader, {
       kind: 'command',
@@ -151,13 +150,14 @@
     this.#closed.add(from);
     for (const [id, forwarded] of this.#forwards) {
       if (forwarded.to !== from) continue;
-      this.#giveUp(id, forwarded, 'leader-lost');
+      this.#forwards.delete(id);
+      this.#giveUp(forwarded, 'leader-lost');
     }
   }
 
-  #giveUp(id: number, forwarded: Forwarded, reason: UnclearReason): void {
-    this.#forwards.delete(id);
-    if (forwarded.isOrder) this.#counters.countUnclear(reason);
+  /** Nobody here can tell what became of a command that was passed on. */
+  #giveUp(forwarded: Forwarded, reason: UnclearReason): void {
+    if (forwarded.editId !== '') this.#counters.countUnclear(reason);
     this.#host.answer(forwarded.origin, leaderLostAnswer(forwarded.editId));
   }
 }
