--- a/src/placement/AdapterChoice.ts
+++ b/src/placement/AdapterChoice.ts
@@ -4,6 +4,7 @@
 import type { FleetReport } from './FleetReport.js';
 import type { Moment } from '../common/Ids.js';
 import {
+  type AdapterHold,
   type HeldModel,
   type RunnerState,
   type Victim,
@@ -14,6 +15,18 @@
   byLoss,
 } from './PlannerRecords.js';
 
+/** How slowly it is forgotten that an adapter was asked for. */
+const RECENT_MS = 20_000;
+/** What a model may cost at most that makes way for an adapter. */
+const MOST_LOSS = 2;
+
+/** An adapter at a runner, and what it costs to take it away. */
+interface AdapterLoss {
+  readonly held: HeldModel;
+  readonly adapter: string;
+  readonly loss: number;
+}
+
 /** Chooses which copies of a model get which of its adapters, and which adapters make way. */
 export class AdapterChoice {
   readonly #state: PlacementState;
@@ -134,6 +147,7 @@
     return true;
   }
 
+  /** What has to make way at a runner for an adapter of a model; nothing where none may. */
   #makeAdapterRoom(
     now: Moment,
     service: ServiceState,
@@ -145,54 +159,64 @@
     let slots = service.engine.adapterSlots - this.#state.adapterCount(runner);
     if (free >= model.adapterMb && slots > 0) return { victims: [], loss: 0 };
     if (!mayThrowOut || service.engine.adapterSlots <= 0) return undefined;
-    const all: { held: HeldModel; adapter: string; mb: number; loss: number }[] = [];
-    for (const held of runner.holds.values()) {
-      if (held.phase !== 'ready') continue;
-      for (const [name, { phase, since }] of held.adapters) {
-        if (phase !== 'ready') continue;
-        const stays = since + this.#state.settings.adapterStayMs;
-        if (stays > now) {
-          this.#state.blockedUntil = Math.min(this.#state.blockedUntil, stays);
-          continue;
-        }
-        const state = held.model.adapters.get(name);
-        if (state && state.waiting > 0) continue;
-        const rate =
-          state?.slow.perSecond(now, this.#state.settings.slowMs, service.firstDemandAt ?? now) ??
-          0;
-        const others = this.#state.adapterCopies(now, held.model, name) - 1;
-        const recency = Math.exp(-(now - (state?.lastAsked ?? -Infinity)) / 20_000);
-        all.push({
-          held,
-          adapter: name,
-          mb: held.model.adapterMb,
-          loss: (others > 0 ? rate * 0.2 : rate) + recency + 0.01,
-        });
-      }
-    }
-    all.sort(byLoss);
     const victims: Victim[] = [];
     let loss = 0;
-    for (const one of all) {
+    for (const one of this.#adaptersByLoss(now, service, runner)) {
       if (free >= model.adapterMb && slots > 0) break;
       victims.push({ held: one.held, adapter: one.adapter });
-      free += one.mb;
+      free += one.held.model.adapterMb;
       slots += 1;
       loss += one.loss;
     }
     if (free >= model.adapterMb && slots > 0) return { victims, loss };
     // Where weights fill a runner to the brim, a model has to go.
     if (slots <= 0 || runner.queue.length > 0) return undefined;
+    return this.#throwOutModel(now, service, runner, model);
+  }
+
+  /** The adapters of a runner that may go now, those that cost least first. */
+  #adaptersByLoss(now: Moment, service: ServiceState, runner: RunnerState): AdapterLoss[] {
+    const all: AdapterLoss[] = [];
+    for (const held of runner.holds.values()) {
+      if (held.phase !== 'ready') continue;
+      for (const [adapter, hold] of held.adapters) {
+        const state = held.model.adapters.get(adapter);
+        if (!this.#mayGo(now, hold) || (state && state.waiting > 0)) continue;
+        all.push({ held, adapter, loss: this.#lossOf(now, service, held.model, adapter) });
+      }
+    }
+    return all.sort(byLoss);
+  }
+
+  #mayGo(now: Moment, hold: AdapterHold): boolean {
+    if (hold.phase !== 'ready') return false;
+    const stays = hold.since + this.#state.settings.adapterStayMs;
+    if (stays > now) this.#state.blockedUntil = Math.min(this.#state.blockedUntil, stays);
+    return stays <= now;
+  }
+
+  #lossOf(now: Moment, service: ServiceState, model: ModelState, adapter: string): number {
+    const { slowMs } = this.#state.settings;
+    const state = model.adapters.get(adapter);
+    const rate = state?.slow.perSecond(now, slowMs, service.firstDemandAt ?? now) ?? 0;
+    const others = this.#state.adapterCopies(now, model, adapter) - 1;
+    const recency = Math.exp(-(now - (state?.lastAsked ?? -Infinity)) / RECENT_MS);
+    return (others > 0 ? rate * 0.2 : rate) + recency + 0.01;
+  }
+
+  #throwOutModel(
+    now: Moment,
+    service: ServiceState,
+    runner: RunnerState,
+    model: ModelState,
+  ): Way | undefined {
+    const free = service.engine.roomMb - this.#state.used(runner);
     let best: { held: HeldModel; loss: number } | undefined;
     for (const held of runner.holds.values()) {
       if (held.model === model || !this.#eviction.mayGo(now, held, false)) continue;
-      const one = this.#eviction.loss(now, held.model);
-      if (
-        one < 2 &&
-        (!best || one < best.loss) &&
-        service.engine.roomMb - this.#state.used(runner) + held.model.sizeMb >= model.adapterMb
-      )
-        best = { held, loss: one };
+      const loss = this.#eviction.loss(now, held.model);
+      if (loss >= MOST_LOSS || (best && loss >= best.loss)) continue;
+      if (free + held.model.sizeMb >= model.adapterMb) best = { held, loss };
     }
     return best ? { victims: [{ held: best.held, adapter: '' }], loss: best.loss } : undefined;
   }
--- a/src/placement/CopyChoice.ts
+++ b/src/placement/CopyChoice.ts
@@ -81,44 +81,61 @@
     held: readonly ModelState[],
   ): Choice | undefined {
     const { model } = want;
-    const isPressed = isPressing(want);
-    const isStoreFree = this.#store.storeFree(now, service, model, want.kind, isPressed);
-    const zones = this.#state.copies(now, model).zones;
-    const most =
-      want.kind === 'waiting' || isPressed || (want.kind === 'lost' && model.isBusy)
-        ? want.gain
-        : want.gain / this.#state.settings.worthRatio;
+    const isStoreFree = this.#store.storeFree(now, service, model, want.kind, isPressing(want));
+    const { zones } = this.#state.copies(now, model);
+    const most = this.#mostLossFor(want);
     let best: Choice | undefined;
     let bestScore = Infinity;
     for (const runner of service.runners) {
-      if (
-        runner.queue.length > 0 ||
-        runner.holds.has(model.name) ||
-        !this.#state.isUsable(now, runner)
-      )
-        continue;
+      if (!this.#mayTake(now, runner, model)) continue;
       if (held.some(isMissingAt.bind(undefined, runner))) continue;
       const isDisk = runner.disk.has(model.name);
       if (!isDisk && !isStoreFree) continue;
       const free = service.engine.roomMb - this.#state.used(runner);
-      const way = this.#eviction.makeRoom(now, runner, model.sizeMb - free, most, isPressed);
+      const need = model.sizeMb - free;
+      const way = this.#eviction.makeRoom(now, runner, need, most, isPressing(want));
       if (!way || (want.kind === 'spare' && way.victims.length > 0)) continue;
-      // A further copy takes its share of a busy model's work: it goes where there is least.
-      const crowd = this.#state.load(runner) / Math.max(0.01, service.meanLoad);
-      const score =
-        way.loss +
-        Math.min(3, crowd) * (want.kind === 'waiting' ? 0.1 : 1) +
-        (zones.get(runner.listed.zone) ?? 0) * (want.kind === 'waiting' ? 0 : 2) +
-        (runner.coldUntil > now ? 1 : 0) -
-        (isDisk ? 0.3 : 0) +
-        way.victims.length * 0.05;
-      if (score < bestScore) {
-        best = { runner, way, isDisk };
-        bestScore = score;
-      }
+      const choice = { runner, way, isDisk };
+      const score = this.#score(now, service, want, zones, choice);
+      if (score >= bestScore) continue;
+      best = choice;
+      bestScore = score;
     }
     return best;
   }
+
+  #mayTake(now: Moment, runner: RunnerState, model: ModelState): boolean {
+    const isFree = runner.queue.length === 0 && !runner.holds.has(model.name);
+    return isFree && this.#state.isUsable(now, runner);
+  }
+
+  /** What may be lost at most for a copy: all that it is worth where somebody waits for it, else less. */
+  #mostLossFor(want: Want): number {
+    const isNeeded =
+      want.kind === 'waiting' || isPressing(want) || (want.kind === 'lost' && want.model.isBusy);
+    return isNeeded ? want.gain : want.gain / this.#state.settings.worthRatio;
+  }
+
+  /** The less, the better. */
+  #score(
+    now: Moment,
+    service: ServiceState,
+    want: Want,
+    zones: ReadonlyMap<string, number>,
+    { runner, way, isDisk }: Choice,
+  ): number {
+    const isWaiting = want.kind === 'waiting';
+    // A further copy takes its share of a busy model's work: it goes where there is least.
+    const crowd = this.#state.load(runner) / Math.max(0.01, service.meanLoad);
+    return (
+      way.loss +
+      Math.min(3, crowd) * (isWaiting ? 0.1 : 1) +
+      (zones.get(runner.listed.zone) ?? 0) * (isWaiting ? 0 : 2) +
+      (runner.coldUntil > now ? 1 : 0) -
+      (isDisk ? 0.3 : 0) +
+      way.victims.length * 0.05
+    );
+  }
 }
 
 function isMissingAt(runner: RunnerState, model: ModelState): boolean {
--- a/src/placement/CopyDemand.ts
+++ b/src/placement/CopyDemand.ts
@@ -1,7 +1,27 @@
 import type { PlacementState } from './PlacementState.js';
 import type { Eviction } from './Eviction.js';
 import type { Moment } from '../common/Ids.js';
-import { isPressing, type ModelState, type ServiceState, type Want } from './PlannerRecords.js';
+import {
+  isPressing,
+  type Copies,
+  type ModelState,
+  type ServiceState,
+  type Want,
+} from './PlannerRecords.js';
+
+/** Not asked for within so long, a model needs no more than one copy. */
+const FORGOTTEN_MS = 30_000;
+/** What was lost, or asked for, within so long is likely to be asked for again. */
+const LATELY_MS = 10_000;
+
+/** What the runners of a service that serve on have, all together. */
+interface Capacity {
+  open: number;
+  slots: number;
+  mostFreeMb: number;
+  load: number;
+  readonly zones: Set<string>;
+}
 
 /**
  * Compares the copies of each model with the work there is for it, and says which further copies would be
@@ -109,81 +129,95 @@
   }
 
   #growWants(now: Moment, service: ServiceState, wants: Want[]): void {
-    const { slowMs } = this.#state.settings;
-    let open = 0;
-    let slots = 0;
-    let mostFree = 0;
-    let load = 0;
-    const zones = new Set<string>();
-    for (const runner of service.runners) {
-      if (!this.#state.isOpen(runner)) continue;
-      open += 1;
-      slots += runner.listed.slots;
-      zones.add(runner.listed.zone);
-      load += this.#state.load(runner);
-      if (runner.queue.length === 0)
-        mostFree = Math.max(mostFree, service.engine.roomMb - this.#state.used(runner));
-    }
-    if (open === 0) return;
-    service.meanLoad = load / open;
+    const capacity = this.#capacityOf(service);
+    if (capacity.open === 0) return;
+    service.meanLoad = capacity.load / capacity.open;
     for (const model of service.models.values()) {
-      if (!model.isListed || (now - model.lastAsked > 30_000 && model.running <= 0)) {
+      if (!model.isListed || (now - model.lastAsked > FORGOTTEN_MS && model.running <= 0)) {
         model.need = 1;
         model.isBusy = false;
         continue;
       }
-      const work = this.#work(now, model, open, slots / open);
-      const rate = this.#state.fastRate(now, model);
-      const slow = this.#state.slowRate(now, model);
-      // It grows at once and shrinks slowly, or copies would come and go.
-      const decayed =
-        model.need * Math.exp(-(now - model.neededAt) / this.#state.settings.shrinkMs);
-      const worked = Math.max(work, decayed);
-      model.isBusy =
-        (model.slow.weight(now, slowMs) >= 6 && (work >= 0.5 || rate >= 4)) ||
-        (model.isBusy && (worked >= 0.3 || slow >= 2));
-      const most = Math.min(open, Math.max(model.isBusy ? 2 : 1, work));
-      model.need = Math.min(open, Math.max(model.isBusy ? 2 : 1, worked));
-      model.neededAt = now;
-      if (
-        model.waiting <= 0 &&
-        model.deprivedSince !== undefined &&
-        now - model.lastAsked > 10_000
-      ) {
-        model.deprivedSince = undefined;
-        this.#state.touched.add(model);
-      }
+      const most = this.#compare(now, model, capacity);
       const copies = this.#state.copies(now, model);
-      if (copies.all === 0) {
-        if (model.waiting > 0 || this.#state.restoredComing(now, model)) continue;
-        // Lost, not thrown out: whoever asks next need not wait.
-        const gain = this.#eviction.lossOfLast(now, model);
-        const isLost = model.isBusy || now - model.lostAt < 10_000;
-        if (slow >= 0.05 && (isLost || mostFree >= model.sizeMb))
-          wants.push({
-            model,
-            kind: isLost ? 'lost' : 'spare',
-            level: model.isBusy ? 0 : isLost ? 4 : 5,
-            since: 0,
-            gain,
-          });
-        continue;
-      }
-      const missing = Math.max(0, most - copies.all);
-      const isPaired = !model.isBusy || zones.size < 2 || copies.zones.size > 1;
-      // Growth waits until half a copy is missing.
-      if (missing < 0.5 && isPaired) continue;
-      const gain = (rate / (copies.all + 1)) * 0.3 * (isPaired ? Math.min(1, missing) : 1);
-      const count = isPaired ? Math.min(3, Math.max(1, Math.round(missing))) : 1;
-      for (let index = 0; index < count; index += 1)
-        wants.push({
-          model,
-          kind: 'grow',
-          level: gain >= 3 ? 0.5 : 3,
-          since: 0,
-          gain: gain / (index + 1),
-        });
+      if (copies.all === 0) this.#wantLast(now, model, capacity, wants);
+      else this.#wantMore(now, model, copies, most, capacity, wants);
+    }
+  }
+
+  #capacityOf(service: ServiceState): Capacity {
+    const capacity: Capacity = { open: 0, slots: 0, mostFreeMb: 0, load: 0, zones: new Set() };
+    for (const runner of service.runners) {
+      if (!this.#state.isOpen(runner)) continue;
+      capacity.open += 1;
+      capacity.slots += runner.listed.slots;
+      capacity.zones.add(runner.listed.zone);
+      capacity.load += this.#state.load(runner);
+      if (runner.queue.length > 0) continue;
+      const free = service.engine.roomMb - this.#state.used(runner);
+      capacity.mostFreeMb = Math.max(capacity.mostFreeMb, free);
     }
+    return capacity;
+  }
+
+  /** Compares a model with its work, and returns how many copies that is worth now. */
+  #compare(now: Moment, model: ModelState, { open, slots }: Capacity): number {
+    const { slowMs, shrinkMs } = this.#state.settings;
+    const work = this.#work(now, model, open, slots / open);
+    // It grows at once and shrinks slowly, or copies would come and go.
+    const decayed = model.need * Math.exp(-(now - model.neededAt) / shrinkMs);
+    const worked = Math.max(work, decayed);
+    const becomesBusy =
+      model.slow.weight(now, slowMs) >= 6 && (work >= 0.5 || this.#state.fastRate(now, model) >= 4);
+    const staysBusy = model.isBusy && (worked >= 0.3 || this.#state.slowRate(now, model) >= 2);
+    model.isBusy = becomesBusy || staysBusy;
+    const least = model.isBusy ? 2 : 1;
+    model.need = Math.min(open, Math.max(least, worked));
+    model.neededAt = now;
+    this.#endDeprivation(now, model);
+    return Math.min(open, Math.max(least, work));
+  }
+
+  /** Nobody waits for it any more, and nobody has come back for it. */
+  #endDeprivation(now: Moment, model: ModelState): void {
+    if (model.waiting > 0 || model.deprivedSince === undefined) return;
+    if (now - model.lastAsked <= LATELY_MS) return;
+    model.deprivedSince = undefined;
+    this.#state.touched.add(model);
+  }
+
+  /** A model without any copy, for which nobody waits yet. */
+  #wantLast(now: Moment, model: ModelState, capacity: Capacity, wants: Want[]): void {
+    if (model.waiting > 0 || this.#state.restoredComing(now, model)) return;
+    if (this.#state.slowRate(now, model) < 0.05) return;
+    const gain = this.#eviction.lossOfLast(now, model);
+    // Lost, not thrown out: whoever asks next need not wait.
+    if (model.isBusy) wants.push({ model, kind: 'lost', level: 0, since: 0, gain });
+    else if (now - model.lostAt < LATELY_MS)
+      wants.push({ model, kind: 'lost', level: 4, since: 0, gain });
+    else if (capacity.mostFreeMb >= model.sizeMb)
+      wants.push({ model, kind: 'spare', level: 5, since: 0, gain });
+  }
+
+  /** A model that has copies, but fewer than its work is worth, or all in one zone. */
+  #wantMore(
+    now: Moment,
+    model: ModelState,
+    copies: Copies,
+    most: number,
+    capacity: Capacity,
+    wants: Want[],
+  ): void {
+    const missing = Math.max(0, most - copies.all);
+    const isPaired = !model.isBusy || capacity.zones.size < 2 || copies.zones.size > 1;
+    // Growth waits until half a copy is missing.
+    if (missing < 0.5 && isPaired) return;
+    const rate = this.#state.fastRate(now, model);
+    const gain = (rate / (copies.all + 1)) * 0.3 * (isPaired ? Math.min(1, missing) : 1);
+    const count = isPaired ? Math.min(3, Math.max(1, Math.round(missing))) : 1;
+    const level = gain >= 3 ? 0.5 : 3;
+    for (let index = 0; index < count; index += 1)
+      wants.push({ model, kind: 'grow', level, since: 0, gain: gain / (index + 1) });
   }
 }
 
--- a/src/placement/DemandLedger.ts
+++ b/src/placement/DemandLedger.ts
@@ -54,37 +54,45 @@
     word.at = now;
     word.units = [];
     this.#flows.set(report.flow, word);
-    for (const unit of report.units) {
-      const service = this.#state.services.get(unit.service);
-      const model = service?.models.get(unit.model);
-      if (!service || !model?.isListed) continue;
-      const adapter = unit.adapter === '' ? undefined : this.#adapterOf(now, model, unit.adapter);
-      if (unit.count > 0 || unit.waiting > 0) {
-        service.firstDemandAt ??= now;
-        model.lastAsked = now;
-        if (adapter) adapter.lastAsked = now;
-      }
-      if (unit.count > 0) {
-        model.fast.add(now, unit.count, this.#state.settings.fastMs);
-        model.slow.add(now, unit.count, this.#state.settings.slowMs);
-        service.all.add(now, unit.count, this.#state.settings.fastMs);
-        adapter?.slow.add(now, unit.count, this.#state.settings.slowMs);
-      }
-      model.running += unit.running;
-      if (adapter) adapter.running += unit.running;
-      if (unit.waiting > 0)
-        this.#noteWaiting(now, model, adapter, unit.waiting, unit.priority ?? 0);
-      if (unit.waiting > 0 || unit.running > 0)
-        word.units.push({
-          model,
-          adapter: unit.adapter,
-          waiting: unit.waiting,
-          running: unit.running,
-        });
-    }
+    for (const unit of report.units) this.#noteUnit(now, word, unit);
     for (const service of this.#state.services.values()) this.dropServed(service);
   }
 
+  #noteUnit(now: Moment, word: ProxyWord, unit: FleetDemand['units'][number]): void {
+    const model = this.#state.services.get(unit.service)?.models.get(unit.model);
+    if (!model?.isListed) return;
+    const adapter = unit.adapter === '' ? undefined : this.#adapterOf(now, model, unit.adapter);
+    if (unit.count > 0 || unit.waiting > 0) {
+      model.service.firstDemandAt ??= now;
+      model.lastAsked = now;
+      if (adapter) adapter.lastAsked = now;
+    }
+    if (unit.count > 0) this.#noteArrivals(now, model, adapter, unit.count);
+    model.running += unit.running;
+    if (adapter) adapter.running += unit.running;
+    if (unit.waiting > 0) this.#noteWaiting(now, model, adapter, unit.waiting, unit.priority ?? 0);
+    if (unit.waiting > 0 || unit.running > 0)
+      word.units.push({
+        model,
+        adapter: unit.adapter,
+        waiting: unit.waiting,
+        running: unit.running,
+      });
+  }
+
+  #noteArrivals(
+    now: Moment,
+    model: ModelState,
+    adapter: AdapterState | undefined,
+    count: number,
+  ): void {
+    const { fastMs, slowMs } = this.#state.settings;
+    model.fast.add(now, count, fastMs);
+    model.slow.add(now, count, slowMs);
+    model.service.all.add(now, count, fastMs);
+    adapter?.slow.add(now, count, slowMs);
+  }
+
   #noteWaiting(
     now: Moment,
     model: ModelState,
--- a/src/placement/PlacementState.ts
+++ b/src/placement/PlacementState.ts
@@ -3,6 +3,7 @@
 import type { Intent, ServiceDoc } from './Shapes.js';
 import type { PlannerSettings } from './PlannerSettings.js';
 import {
+  type Copies,
   type HeldModel,
   type Order,
   type RunnerState,
@@ -174,22 +175,18 @@
   }
 
   /** Copies that count: ready ones, and all that serve or soon will. */
-  copies(
-    now: number,
-    model: ModelState,
-  ): { ready: number; all: number; zones: Map<string, number> } {
-    let ready = 0;
-    let all = 0;
-    const zones = new Map<string, number>();
+  copies(now: number, model: ModelState): Copies {
+    const copies: Copies = { ready: 0, all: 0, zones: new Map() };
     for (const [runner, held] of model.holders) {
       if (held.phase === 'unloading' || held.suspectedUntil > now || !this.isOpen(runner)) continue;
       // What comes to a runner out of reach comes late, or not at all.
       if (held.phase === 'coming' && runner.suspectUntil > now) continue;
-      all += 1;
-      if (held.phase === 'ready') ready += 1;
-      zones.set(runner.listed.zone, (zones.get(runner.listed.zone) ?? 0) + 1);
+      copies.all += 1;
+      if (held.phase === 'ready') copies.ready += 1;
+      const { zone } = runner.listed;
+      copies.zones.set(zone, (copies.zones.get(zone) ?? 0) + 1);
     }
-    return { ready, all, zones };
+    return copies;
   }
 
   /** Whether an earlier leader may just have ordered a copy of the model. */
--- a/src/placement/PlannerConfiguration.ts
+++ b/src/placement/PlannerConfiguration.ts
@@ -4,8 +4,8 @@
 import type { DemandLedger } from './DemandLedger.js';
 import type { RunnerInventory } from './RunnerInventory.js';
 import type { Moment } from '../common/Ids.js';
-import type { EngineModel, Routing } from '../route/Routing.js';
-import { ModelState, ServiceState, byText } from './PlannerRecords.js';
+import type { Engine, EngineModel, Routing } from '../route/Routing.js';
+import { ModelState, ServiceState, byText, type RunnerState } from './PlannerRecords.js';
 
 /** Takes in the operators' configuration: services, their models, and evacuated zones. */
 export class PlannerConfiguration {
@@ -42,45 +42,50 @@
     for (const { name, engine } of routing?.services ?? []) {
       if (!engine) continue;
       names.add(name);
-      let service = this.#state.services.get(name);
-      if (!service) {
-        service = new ServiceState(
-          name,
-          engine,
-          this.#state.settings.capWindowMs,
-          this.#state.settings.adapterMs,
-        );
-        this.#state.services.set(name, service);
-        // An earlier leader may have used the ceiling just now.
-        if (this.#state.hasPast)
-          for (let used = Math.ceil(this.#store.budget(service) / 2); used > 0; used -= 1)
-            service.window.add(now);
-      }
-      service.engine = engine;
-      for (const model of engine.models) this.#takeModel(service, model);
-      const listed = new Set(engine.models.map(nameOf));
-      for (const model of service.models.values())
-        if (!listed.has(model.name) && (model.isListed || model.holders.size === 0))
-          this.#retire(service, model);
+      this.#takeEngine(this.#serviceOf(now, name, engine), engine);
     }
     for (const name of [...this.#state.services.keys()])
       if (!names.has(name)) this.#state.services.delete(name);
     // Runners that were listed before their service was known are looked at again.
-    for (const runner of [...this.#state.runners.values()]) {
-      if (runner.engine === this.#state.services.get(runner.service)) continue;
-      for (const op of [...runner.queue]) this.#state.removeOp(runner, op);
-      for (const held of [...runner.holds.values()]) this.#state.unhold(runner, held);
-      runner.engine?.runners.delete(runner);
-      const anew = this.#inventory.newRunner(now, runner.listed);
-      this.#state.suspected.delete(runner);
-      anew.isKnown = runner.isKnown && runner.engine === undefined;
-      if (anew.engine && !anew.isKnown) this.#state.suspected.add(anew);
-      else this.#state.suspected.delete(anew);
-      anew.coldUntil = runner.coldUntil;
-    }
+    for (const runner of [...this.#state.runners.values()])
+      if (runner.engine !== this.#state.services.get(runner.service)) this.#renew(now, runner);
     this.#state.isFleetOld = true;
   }
 
+  #serviceOf(now: Moment, name: string, engine: Engine): ServiceState {
+    const known = this.#state.services.get(name);
+    if (known) return known;
+    const { capWindowMs, adapterMs } = this.#state.settings;
+    const service = new ServiceState(name, engine, capWindowMs, adapterMs);
+    this.#state.services.set(name, service);
+    // An earlier leader may have used the ceiling just now.
+    const used = this.#state.hasPast ? Math.ceil(this.#store.budget(service) / 2) : 0;
+    for (let load = 0; load < used; load += 1) service.window.add(now);
+    return service;
+  }
+
+  #takeEngine(service: ServiceState, engine: Engine): void {
+    service.engine = engine;
+    for (const model of engine.models) this.#takeModel(service, model);
+    const listed = new Set(engine.models.map(nameOf));
+    for (const model of service.models.values())
+      if (!listed.has(model.name) && (model.isListed || model.holders.size === 0))
+        this.#retire(service, model);
+  }
+
+  /** Its service is new, or gone: what was known of the runner is not of use any more. */
+  #renew(now: Moment, runner: RunnerState): void {
+    for (const op of [...runner.queue]) this.#state.removeOp(runner, op);
+    for (const held of [...runner.holds.values()]) this.#state.unhold(runner, held);
+    runner.engine?.runners.delete(runner);
+    const anew = this.#inventory.newRunner(now, runner.listed);
+    this.#state.suspected.delete(runner);
+    anew.isKnown = runner.isKnown && runner.engine === undefined;
+    if (anew.engine && !anew.isKnown) this.#state.suspected.add(anew);
+    else this.#state.suspected.delete(anew);
+    anew.coldUntil = runner.coldUntil;
+  }
+
   /** What the configuration no longer names is asked for no more, and goes first where somebody still holds it. */
   #retire(service: ServiceState, model: ModelState): void {
     model.isListed = false;
--- a/src/placement/PlannerRecords.ts
+++ b/src/placement/PlannerRecords.ts
@@ -230,3 +230,10 @@
 export function byLoss(a: { loss: number }, b: { loss: number }): number {
   return a.loss - b.loss;
 }
+
+/** Copies of a model that count: ready ones, all that serve or soon will, and those by zone. */
+export interface Copies {
+  ready: number;
+  all: number;
+  readonly zones: Map<string, number>;
+}
--- a/src/placement/Seats.ts
+++ b/src/placement/Seats.ts
@@ -1,5 +1,6 @@
 import type { PlacementState } from './PlacementState.js';
-import { type ModelState, byText, noDoc } from './PlannerRecords.js';
+import { byText, noDoc, type ModelState } from './PlannerRecords.js';
+import type { ServiceDoc } from './Shapes.js';
 
 /** Writes down who serves a model: the primary, the understudy in another zone, and the further holders. */
 export class Seats {
@@ -21,6 +22,18 @@
   /** The pair is kept as long as it serves; the rest of the holders are further seats. */
   seat(model: ModelState): void {
     const doc = this.#state.docs.get(model.key) ?? noDoc(model.key);
+    const { ready, all } = this.#holdersOf(model);
+    const primary = primaryOf(doc, ready, all);
+    const understudy = this.#understudyOf(doc, primary, all);
+    const seats: string[] = [];
+    for (const id of all.sort(byText)) if (id !== primary && id !== understudy) seats.push(id);
+    const wait = all.length > 0 || model.deprivedSince === undefined ? '' : doc.wait;
+    const next: ServiceDoc = { ...doc, primary, understudy, seats, wait };
+    if (!isSameSeating(doc, next)) this.#state.put(next);
+  }
+
+  /** Runners that hold it ready, and all that hold it or will, the ready ones first. */
+  #holdersOf(model: ModelState): { readonly ready: string[]; readonly all: string[] } {
     const ready: string[] = [];
     const coming: string[] = [];
     for (const [runner, held] of model.holders) {
@@ -29,37 +42,41 @@
     }
     ready.sort(byText);
     coming.sort(byText);
-    const all = [...ready, ...coming];
-    // A ready understudy takes over at once from a primary that is gone.
-    const isReady = ready.includes(doc.primary);
-    const primary = isReady
-      ? doc.primary
-      : ready.includes(doc.understudy)
-        ? doc.understudy
-        : (ready[0] ?? (all.includes(doc.primary) ? doc.primary : (all[0] ?? '')));
-    const zone = this.#state.runners.get(primary)?.listed.zone;
-    let understudy = '';
-    if (
-      all.includes(doc.understudy) &&
-      doc.understudy !== primary &&
-      this.#state.runners.get(doc.understudy)?.listed.zone !== zone
-    )
-      understudy = doc.understudy;
-    for (const id of all)
-      if (understudy === '' && id !== primary && this.#state.runners.get(id)?.listed.zone !== zone)
-        understudy = id;
-    for (const id of all) if (understudy === '' && id !== primary) understudy = id;
-    const seats: string[] = [];
-    for (const id of all.sort(byText)) if (id !== primary && id !== understudy) seats.push(id);
-    const old = doc.seats ?? [];
-    const wait = all.length > 0 || model.deprivedSince === undefined ? '' : doc.wait;
-    if (
-      doc.primary === primary &&
-      doc.understudy === understudy &&
-      doc.wait === wait &&
-      old.join('\n') === seats.join('\n')
-    )
-      return;
-    this.#state.put({ ...doc, primary, understudy, seats, wait });
+    return { ready, all: [...ready, ...coming] };
+  }
+
+  /** The present one while it is in another zone than the primary; else another there, else any other. */
+  #understudyOf(doc: ServiceDoc, primary: string, all: readonly string[]): string {
+    const zone = this.#zoneOf(primary);
+    const others = all.filter(isOther.bind(undefined, primary));
+    const elsewhere: string[] = [];
+    for (const id of others) if (this.#zoneOf(id) !== zone) elsewhere.push(id);
+    if (elsewhere.includes(doc.understudy)) return doc.understudy;
+    return elsewhere[0] ?? others[0] ?? '';
+  }
+
+  #zoneOf(id: string): string | undefined {
+    return this.#state.runners.get(id)?.listed.zone;
   }
 }
+
+/** A ready understudy takes over at once from a primary that is gone. */
+function primaryOf(doc: ServiceDoc, ready: readonly string[], all: readonly string[]): string {
+  if (ready.includes(doc.primary)) return doc.primary;
+  if (ready.includes(doc.understudy)) return doc.understudy;
+  if (ready[0] !== undefined) return ready[0];
+  return all.includes(doc.primary) ? doc.primary : (all[0] ?? '');
+}
+
+function isOther(id: string, other: string): boolean {
+  return other !== id;
+}
+
+function isSameSeating(old: ServiceDoc, next: ServiceDoc): boolean {
+  return (
+    old.primary === next.primary &&
+    old.understudy === next.understudy &&
+    old.wait === next.wait &&
+    (old.seats ?? []).join('\n') === (next.seats ?? []).join('\n')
+  );
+}
