--- a/src/control/VoterChanges.test.ts
+++ b/src/control/VoterChanges.test.ts
@@ -53,6 +53,27 @@
   expect(cluster.versionAt('n:1')).toBe(7);
 }
 
+/** A part that is not rewritten for long is carried over to the new voters as well. */
+function checkAllPartsCarriedOver(): void {
+  const cluster = foundedFaultCluster(THREE);
+  cluster.configure(0, 7);
+  const leader = cluster.leader();
+  const [leaving = '', behind = ''] = THREE.filter(isNot.bind(undefined, leader));
+  cluster.start('n:1', THREE);
+  cluster.run(1000);
+  // Only the leader and the one that leaves have it.
+  cluster.cutOff(behind);
+  cluster.place('m1');
+  cluster.run(200);
+  cluster.retire(leaving);
+  cluster.runUntil(isDown.bind(undefined, cluster, leaving), 8000, 'it stops');
+  cluster.kill(leader);
+  cluster.run(100);
+  cluster.heal();
+  cluster.runUntil(cluster.hasLeader.bind(cluster), 2 * ELECTED_MS, 'a majority leads');
+  expect(cluster.placed()).toEqual(['m1']);
+}
+
 function checkStopWithoutSpare(): void {
   const cluster = foundedFaultCluster(THREE);
   const leaving = cluster.follower();
@@ -160,3 +181,7 @@
 );
 test('three voters with one gone stay three, since two would bear no more', checkThreeStay);
 test('a voter that returns after it was replaced opens no seat of its own', checkReturnOpensNoSeat);
+test(
+  'a part that only the leader and a leaving voter hold is carried over',
+  checkAllPartsCarriedOver,
+);
--- a/src/control/testing/FaultCluster.ts
+++ b/src/control/testing/FaultCluster.ts
@@ -4,20 +4,29 @@
 import { moment, type Moment } from '../../common/Ids.js';
 import type { Message } from '../../common/Messages.js';
 import type { Fleet } from '../../placement/Fleet.js';
-import type { Intent } from '../../placement/Shapes.js';
+import type { Intent, ServiceDoc } from '../../placement/Shapes.js';
 import type { Routing } from '../../route/Routing.js';
 import { VOTE_DEFAULTS } from '../../election/VoteSettings.js';
 import { ControlCore } from '../ControlCore.js';
 import { CONTROL_DEFAULTS, type FleetPlanner, type ControlEffect } from '../ControlEffect.js';
 import { SeededNumbers } from './SeededNumbers.js';
 
-/** Plans nothing: what is tried here is who votes, and what the voters hold. */
-class IdlePlanner implements FleetPlanner {
-  restore(): void {
-    /* nothing kept */
+/** Plans nothing by itself: it keeps what a test places, as a planner keeps its intents. */
+class KeepingPlanner implements FleetPlanner {
+  #docs: readonly ServiceDoc[] = [];
+  #changed: string[] = [];
+
+  place(model: string): void {
+    const doc = { model, primary: 'runner', understudy: '', wait: '', intents: [] };
+    this.#docs = [...this.#docs, doc];
+    this.#changed.push(model);
   }
-  docs(): readonly [] {
-    return [];
+
+  restore(_now: Moment, docs: readonly ServiceDoc[]): void {
+    this.#docs = docs;
+  }
+  docs(): readonly ServiceDoc[] {
+    return this.#docs;
   }
   demand(): void {
     /* not told */
@@ -32,13 +41,13 @@
     return [];
   }
   plan(): readonly string[] {
-    return [];
+    return this.#changed.splice(0);
   }
   orders(): readonly Intent[] {
     return [];
   }
   kept(): void {
-    /* nothing kept */
+    /* nothing ordered */
   }
   ordered(): void {
     /* nothing ordered */
@@ -94,6 +103,7 @@
 
 interface Node {
   core: ControlCore;
+  readonly planner: KeepingPlanner;
   store: MemoryStore;
   /** Grows with each start, so that what was under way for a former incarnation is dropped. */
   incarnation: number;
@@ -179,9 +189,10 @@
     const before = this.nodes.get(id);
     const store = before?.store ?? new MemoryStore();
     const incarnation = (before?.incarnation ?? 0) + 1;
+    const planner = new KeepingPlanner();
     const deployed = {
       dialect: new VersionDialect(),
-      planner: new IdlePlanner(),
+      planner,
       isFirstStart,
       listMs: 1000,
     };
@@ -198,6 +209,7 @@
     const core = new ControlCore(settings, store.list(), moment(this.#now), VOTE);
     this.nodes.set(id, {
       core,
+      planner,
       store,
       incarnation,
       state: 'up',
@@ -378,6 +390,21 @@
     return true;
   }
 
+  /** Has the leader keep that a model is placed. */
+  place(model: string): void {
+    const node = this.node(this.leader());
+    node.planner.place(model);
+    node.core.list(moment(this.#now), []);
+    this.#drain(this.leader(), node);
+  }
+
+  /** What the leader holds as placed. */
+  placed(): readonly string[] {
+    const models: string[] = [];
+    for (const doc of this.node(this.leader()).planner.docs()) models.push(doc.model);
+    return models;
+  }
+
   /** The version in force, as a node reads it; asked again while it has no answer. Nothing where none came. */
   versionAt(id: string): number | undefined {
     for (const end = this.#now + READ_MS; this.#now < end; this.run(TICK_MS)) {
