--- a/src/proxy/ClientConnections.ts
+++ b/src/proxy/ClientConnections.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
 
 interface OpenRequests<Exchange> {
   /** Requests whose head came and whose body is being read. */
@@ -14,7 +14,7 @@
  * and Node tells only the one whose turn it is that the connection closed.
  */
 export class ClientConnections<Exchange> {
-  readonly #requests = new WeakMap<Duplex, OpenRequests<Exchange>>();
+  readonly #requests = new Map<Socket, OpenRequests<Exchange>>();
   readonly #abandon: (exchange: Exchange) => void;
 
   /** `abandon` is called for each unanswered request once its connection has closed. */
@@ -43,12 +43,12 @@
   }
 
   /** The request was answered, or its client left. */
-  end(socket: Duplex, exchange: Exchange): void {
+  end(socket: Socket, exchange: Exchange): void {
     this.#requests.get(socket)?.unanswered.delete(exchange);
   }
 
   /** Whether a request that was read whole has no answer yet: what is written now would take its place. */
-  isAnswerDue(socket: Duplex): boolean {
+  isAnswerDue(socket: Socket): boolean {
     const requests = this.#requests.get(socket);
     if (!requests) return false;
     if (requests.unanswered.size > 0) return true;
@@ -60,7 +60,7 @@
    * Marks the connection as closing after the answer to this request, if that is the last one due; what comes on it later
    * is not run. Otherwise the answers behind it would be lost, and with them runs that were begun.
    */
-  closeAfter(socket: Duplex, exchange: Exchange): boolean {
+  closeAfter(socket: Socket, exchange: Exchange): boolean {
     const requests = this.#of(socket);
     let last: Exchange | undefined;
     for (const unanswered of requests.unanswered) last = unanswered;
@@ -69,7 +69,14 @@
     return true;
   }
 
-  #of(socket: Duplex): OpenRequests<Exchange> {
+  /** Lets connections that rest now rest for so long from now on; Node gives each the time that held when its rest began. */
+  rest(idleMs: number): void {
+    for (const [socket, { reading, unanswered }] of this.#requests) {
+      if (reading.size === 0 && unanswered.size === 0) socket.setTimeout(idleMs);
+    }
+  }
+
+  #of(socket: Socket): OpenRequests<Exchange> {
     const known = this.#requests.get(socket);
     if (known) return known;
     const requests: OpenRequests<Exchange> = {
@@ -78,11 +85,12 @@
       isClosing: false,
     };
     this.#requests.set(socket, requests);
-    socket.once('close', this.#closed.bind(this, requests));
+    socket.once('close', this.#closed.bind(this, socket, requests));
     return requests;
   }
 
-  #closed(requests: OpenRequests<Exchange>): void {
+  #closed(socket: Socket, requests: OpenRequests<Exchange>): void {
+    this.#requests.delete(socket);
     requests.isClosing = true;
     for (const exchange of [...requests.unanswered]) this.#abandon(exchange);
   }
--- a/src/proxy/Forwarder.ts
+++ b/src/proxy/Forwarder.ts
@@ -7,7 +7,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type { Socket } from 'node:net';
+import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { readBytes } from '../common/Call.js';
 import type { Counters } from '../common/Counters.js';
@@ -149,6 +149,7 @@
     const limits = this.#dispatcher.routing?.limits;
     if (!limits) return;
     this.#server.headersTimeout = limits.headerWaitMs;
+    if (limits.idleMs !== this.#server.keepAliveTimeout) this.#connections.rest(limits.idleMs);
     this.#server.keepAliveTimeout = limits.idleMs;
     // Node takes it for each new connection from here, though its types do not say so.
     Reflect.set(this.#server, 'maxHeaderSize', limits.maxHeaderBytes);
@@ -184,7 +185,7 @@
   #clientError(thrown: Error & { code?: string }, socket: Duplex): void {
     this.#counters.add('requests.malformed');
     // A word on what came last would stand where the answer to an earlier request is due.
-    const isAnswerDue = this.#connections.isAnswerDue(socket);
+    const isAnswerDue = socket instanceof Socket && this.#connections.isAnswerDue(socket);
     if (!socket.writable || thrown.code === 'ECONNRESET' || isAnswerDue) {
       socket.destroy();
       return;
