Drop what was decided in a term when its leader stands down

Cause: a leader that stood still between its grant and its first service gave up the lead at its next tick, and in the same tick its parts still settled and told that they serve. The node then took itself for serving in epoch 0: it planned voters on a document of its own and threw at each write, until it led again. Orders to runners and definite answers were not touched, which ask the elector and a majority.

The method's name, a slip of the renaming, says now what it does.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -628,7 +628,7 @@
   #standDown(): void {
     this.#isServing = false;
     this.#recoverUntil = undefined;
-    this.#parts.stub();
+    this.#parts.release();
     this.#readConfig = undefined;
     this.#table.end();
     this.#written.clear();
--- a/src/state/ReplicatedState.ts
+++ b/src/state/ReplicatedState.ts
@@ -171,11 +171,15 @@
     this.#askAll(now);
   }
 
-  /** Writes under way get no yes from us any more; whether they hold is for the next owner to find. */
-  stub(): void {
+  /**
+   * Gives up owning: writes under way get no yes from us any more; whether they hold is for the next owner to find. What
+   * was decided and not yet taken up is dropped with them, since it would be taken up without the lead.
+   */
+  release(): void {
     this.#epoch = 0;
     this.#isServing = false;
     this.#owned.clear();
+    this.#effects = this.#effects.filter(isOfReplica);
   }
 
   /** The body as last written here, committed or not. */
@@ -520,3 +524,8 @@
 function namesNobody(): undefined {
   return undefined;
 }
+
+/** Whether an effect concerns the copy held here, whoever owns the parts. */
+function isOfReplica(effect: ReplicatedStateEffect): boolean {
+  return effect.do === 'send' || effect.do === 'store';
+}
