Check operators' histories against the sequential model

Unit tests of the control side judge single answers; nothing judged a whole run. checkHistory does: a register by compare-and-set, evacuated zones and reads, linearizable over the run, each finding under a rule's name. Orders are judged by identity (kind, base, text), spans follow from attempts and acceptances.

A general search in the manner of Wing and Gong was ruled out as unneeded: versions only rise and name their base, so the possible chains are walked once with the moments at which each document may have begun. That is exact; a plain search that tries every ordering serves as the reference.

--- /dev/null
+++ b/src/simulation/history/HistoryReference.property.test.ts
@@ -0,0 +1,169 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import type { Attempt, History, Order, OrderRecord, ReadRecord } from '../History.js';
+import { registerRun } from './Diagnosis.js';
+import { checkHistory } from './HistoryCheck.js';
+import { settingsOf, viewOf } from './Orders.js';
+import { isRegisterLegalByTrying, isZoneLegalByTrying } from './ReferenceSearch.js';
+import { judgeRegister } from './RegisterRules.js';
+import { searchRegister } from './RegisterSearch.js';
+import { isZoneLegal, zoneCandidateOf } from './ZoneSearch.js';
+
+/** The searches against a plain one that tries every ordering, on small random histories, legal or not. */
+
+const RUNS = 4000;
+const OPTIONS = { lateMs: 3, silenceMs: 2, amend: amendOnce };
+
+/** A change cannot be applied to a document that ends as it does. */
+function amendOnce(document: string, change: string): string | undefined {
+  return document.endsWith(change) ? undefined : `${document}+${change}`;
+}
+
+const span = fc.tuple(fc.integer({ min: 0, max: 14 }), fc.integer({ min: 0, max: 6 }));
+
+function attemptOf([[sentAt, lasts], outcome]: [
+  [number, number],
+  Attempt['outcome'] | 'unanswered',
+]): Attempt {
+  if (outcome === 'unanswered')
+    return { node: 'a', sentAt, endedAt: undefined, outcome: 'unclear' };
+  return { node: 'a', sentAt, endedAt: sentAt + lasts, outcome };
+}
+
+const attempts = fc.array(
+  fc
+    .tuple(span, fc.constantFrom('accepted', 'accepted', 'refused', 'unclear', 'unanswered'))
+    .map(attemptOf),
+  { minLength: 1, maxLength: 2 },
+);
+
+const change: fc.Arbitrary<Order> = fc.record({
+  kind: fc.constantFrom('put', 'put', 'patch'),
+  base: fc.integer({ min: 0, max: 3 }),
+  version: fc.integer({ min: 1, max: 4 }),
+  text: fc.constantFrom('p', 'q'),
+  isInvalid: fc.integer({ min: 0, max: 9 }).map(isZero),
+});
+
+/** Of a chain that may hold together, so that many of the histories are legal. */
+const link: fc.Arbitrary<Order> = fc
+  .tuple(
+    fc.constantFrom('put', 'put', 'patch'),
+    fc.integer({ min: 0, max: 2 }),
+    fc.constantFrom('p', 'q'),
+  )
+  .map(linkOf);
+
+function linkOf([kind, base, text]: ['put' | 'patch', number, string]): Order {
+  return { kind, base, version: base + 1, text, isInvalid: false };
+}
+
+const zoneOrder: fc.Arbitrary<Order> = fc.record({
+  kind: fc.constantFrom('evacuate', 'restore'),
+  zone: fc.constant('z'),
+});
+
+function recordOf([order, tries]: [Order, Attempt[]], id: number): OrderRecord {
+  return { id, operator: 'o', order, attempts: tries };
+}
+
+const TEXTS = ['p', 'q', '+p', 'p+q', 'q+p', 'p+q+p'] as const;
+
+interface ReadPlan {
+  readonly times: readonly [number, number];
+  readonly version: number;
+  readonly text: string;
+  readonly isEvacuated: boolean;
+}
+
+function readOf({ times, version, text, isEvacuated }: ReadPlan, id: number): ReadRecord {
+  const [sentAt, lasts] = times;
+  const document = version === 0 ? undefined : { version, text };
+  const evacuated = isEvacuated ? ['z'] : [];
+  return { id, operator: 'o', node: 'a', sentAt, endedAt: sentAt + lasts, document, evacuated };
+}
+
+const readPlan: fc.Arbitrary<ReadPlan> = fc.record({
+  times: span,
+  version: fc.integer({ min: 0, max: 3 }),
+  text: fc.constantFrom(...TEXTS),
+  isEvacuated: fc.boolean(),
+});
+
+function isZero(value: number): boolean {
+  return value === 0;
+}
+
+type Parts = [[Order, Attempt[]][], ReadPlan[]];
+
+function historyOf([orders, reads]: Parts): History {
+  return { orders: orders.map(recordOf), reads: reads.map(readOf) };
+}
+
+const registerHistory = fc
+  .tuple(
+    fc.array(fc.tuple(fc.oneof(link, link, change), attempts), { maxLength: 5 }),
+    fc.array(readPlan, { maxLength: 3 }),
+  )
+  .map(historyOf);
+
+const zoneHistory = fc
+  .tuple(
+    fc.array(fc.tuple(zoneOrder, attempts), { maxLength: 7 }),
+    fc.array(readPlan, { maxLength: 4 }),
+  )
+  .map(historyOf);
+
+class Verdicts {
+  legal = 0;
+  illegal = 0;
+
+  note(isLegal: boolean): void {
+    if (isLegal) this.legal += 1;
+    else this.illegal += 1;
+  }
+}
+
+function compareRegister(verdicts: Verdicts, history: History): void {
+  const settings = settingsOf(OPTIONS);
+  const { changes } = viewOf(history, settings);
+  const isLegal = isRegisterLegalByTrying(changes, history.reads, amendOnce);
+  verdicts.note(isLegal);
+  const found = searchRegister(registerRun(changes, history.reads, settings.amend));
+  expect(found.isLegal).toBe(isLegal);
+  // What a few records show must be true of the whole.
+  if (isLegal) expect(judgeRegister(changes, history.reads, settings.amend)).toEqual([]);
+  else
+    expect(
+      checkHistory({ ...history, reads: history.reads.map(withoutZones) }, OPTIONS),
+    ).not.toEqual([]);
+}
+function withoutZones(read: ReadRecord): ReadRecord {
+  return { ...read, evacuated: undefined };
+}
+function testRegister(): void {
+  const verdicts = new Verdicts();
+  fc.assert(fc.property(registerHistory, compareRegister.bind(undefined, verdicts)), {
+    numRuns: RUNS,
+  });
+  expect(verdicts.legal).toBeGreaterThan(RUNS / 20);
+  expect(verdicts.illegal).toBeGreaterThan(RUNS / 20);
+}
+test('the search of the register says what trying every ordering says', testRegister);
+
+function compareZones(verdicts: Verdicts, history: History): void {
+  const [zone] = viewOf(history, settingsOf(OPTIONS)).zones;
+  if (!zone) return;
+  const isLegal = isZoneLegalByTrying(zone);
+  verdicts.note(isLegal);
+  expect(isZoneLegal({ orders: zone.orders.map(zoneCandidateOf), reads: zone.reads })).toBe(
+    isLegal,
+  );
+}
+function testZones(): void {
+  const verdicts = new Verdicts();
+  fc.assert(fc.property(zoneHistory, compareZones.bind(undefined, verdicts)), { numRuns: RUNS });
+  expect(verdicts.legal).toBeGreaterThan(RUNS / 20);
+  expect(verdicts.illegal).toBeGreaterThan(RUNS / 20);
+}
+test('the search of a zone says what trying every ordering says', testZones);
--- /dev/null
+++ b/src/simulation/history/RegisterSearch.ts
@@ -0,0 +1,234 @@
+import type { ReadRecord } from '../History.js';
+import { clip, unionOf, type Interval, type Intervals } from './Intervals.js';
+import { mayTakeEffect, type Amend, type KnownChange, type Refusal } from './Orders.js';
+
+/**
+ * Decides whether a run of the register of configurations is linearizable, exactly.
+ *
+ * A general search (Wing and Gong, Lowe) tries orderings of overlapping operations and remembers the states that led
+ * nowhere. Here compare-and-set leaves little to try: versions only rise and each order names the version that it
+ * replaces, so the orders in force form a chain, and reads and refusals speak of when a link of it stood. The search
+ * goes up the versions and remembers for each document the moments at which it may have come into force. What follows
+ * depends on nothing else, so that each document is looked at once. The moments form a union of closed intervals:
+ *
+ * - a read of a version bounds its beginning from above and its end from below;
+ * - an order takes effect between its first sending and the end of its span;
+ * - a refusal from `a` to `b` of an order that builds on version `v` needs a moment in between at which `v` was not in
+ *   force: `v` began at `a` or later, or it was replaced by `b`. For the order that itself replaced `v` only the first
+ *   will do.
+ */
+
+/** A change as the search takes it; relaxed ones tell which rule a run breaks. */
+export interface Candidate extends KnownChange {
+  readonly isRequired: boolean;
+  readonly isPossible: boolean;
+}
+
+export interface RegisterRun {
+  readonly candidates: readonly Candidate[];
+  readonly reads: readonly ReadRecord[];
+  readonly amend: Amend | undefined;
+}
+
+export interface SearchOutcome {
+  readonly isLegal: boolean;
+  /** The highest version that could come into force with all before it explained. */
+  readonly reached: number;
+}
+
+/** A document that may have been in force, and since when. */
+interface Node {
+  readonly version: number;
+  /** Nothing before the first configuration, and where a change's effect on the text is not known. */
+  readonly text: string | undefined;
+  readonly moments: Interval[];
+}
+
+/** What the reads of one version say about when it was in force. */
+interface VersionReads {
+  readonly text: string | undefined;
+  readonly doAgree: boolean;
+  readonly inForceBy: number;
+  readonly inForceUntil: number;
+}
+
+const NO_READS: VersionReads = {
+  text: undefined,
+  doAgree: true,
+  inForceBy: Infinity,
+  inForceUntil: -Infinity,
+};
+const FIRST_VERSION = 0;
+
+export function candidateOf(change: KnownChange): Candidate {
+  const isRequired = change.acceptedAt !== undefined;
+  return { ...change, isRequired, isPossible: !change.isInvalid && mayTakeEffect(change) };
+}
+
+export function readVersion(read: ReadRecord): number {
+  return read.document?.version ?? FIRST_VERSION;
+}
+
+function ascending(left: number, right: number): number {
+  return left - right;
+}
+
+/** How many numbers of a sorted list lie below a bound. */
+function countBelow(sorted: readonly number[], bound: number): number {
+  let low = 0;
+  let high = sorted.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if ((sorted[middle] ?? Infinity) < bound) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+class RegisterSearch {
+  readonly #amend: Amend | undefined;
+  readonly #byBase = new Map<number, Candidate[]>();
+  readonly #requiredBases: readonly number[];
+  readonly #reads = new Map<number, VersionReads>();
+  readonly #readVersions: readonly number[];
+  readonly #nodes = new Map<number, Map<string | undefined, Node>>();
+  #reached = FIRST_VERSION;
+
+  constructor(run: RegisterRun) {
+    this.#amend = run.amend;
+    const requiredBases: number[] = [];
+    for (const candidate of run.candidates) {
+      const sameBase = this.#byBase.get(candidate.base);
+      if (sameBase) sameBase.push(candidate);
+      else this.#byBase.set(candidate.base, [candidate]);
+      if (candidate.isRequired) requiredBases.push(candidate.base);
+    }
+    this.#requiredBases = requiredBases.sort(ascending);
+    for (const read of run.reads) this.#noteRead(read);
+    this.#readVersions = [...this.#reads.keys()].sort(ascending);
+  }
+
+  search(): SearchOutcome {
+    const versions = new Set<number>([FIRST_VERSION]);
+    for (const candidates of this.#byBase.values()) {
+      for (const { version } of candidates) versions.add(version);
+    }
+    const first = this.#reads.get(FIRST_VERSION) ?? NO_READS;
+    if (first.text === undefined && first.doAgree) {
+      this.#enter(FIRST_VERSION, undefined, [{ from: -Infinity, to: -Infinity }]);
+    }
+    for (const version of [...versions].sort(ascending)) {
+      for (const node of this.#nodes.get(version)?.values() ?? []) {
+        this.#reached = version;
+        if (this.#mayBeLast(node)) return { isLegal: true, reached: version };
+        this.#leave(node);
+      }
+    }
+    return { isLegal: false, reached: this.#reached };
+  }
+
+  #noteRead(read: ReadRecord): void {
+    const version = readVersion(read);
+    const text = read.document?.text;
+    const before = this.#reads.get(version);
+    this.#reads.set(version, {
+      text,
+      doAgree: before === undefined || (before.doAgree && before.text === text),
+      inForceBy: Math.min(before?.inForceBy ?? Infinity, read.endedAt),
+      inForceUntil: Math.max(before?.inForceUntil ?? -Infinity, read.sentAt),
+    });
+  }
+
+  #enter(version: number, text: string | undefined, moments: Intervals): void {
+    const nodes = this.#nodes.get(version) ?? new Map<string | undefined, Node>();
+    this.#nodes.set(version, nodes);
+    const node = nodes.get(text);
+    if (node) node.moments.push(...moments);
+    else nodes.set(text, { version, text, moments: [...moments] });
+  }
+
+  /** Whether all that was seen is explained with this document as the last one. */
+  #mayBeLast(node: Node): boolean {
+    if (countBelow(this.#requiredBases, node.version) < this.#requiredBases.length) return false;
+    if ((this.#readVersions.at(-1) ?? FIRST_VERSION) > node.version) return false;
+    let notBefore = -Infinity;
+    for (const refusal of this.#refusalsOn(node, undefined))
+      notBefore = Math.max(notBefore, refusal.sentAt);
+    return clip(node.moments, notBefore, Infinity).length > 0;
+  }
+
+  #leave(node: Node): void {
+    for (const winner of this.#byBase.get(node.version) ?? []) {
+      if (!winner.isPossible || this.#isAnySkipped(node.version, winner)) continue;
+      const text = this.#textOf(node, winner);
+      const reads = this.#reads.get(winner.version) ?? NO_READS;
+      if (text === 'not applicable' || !reads.doAgree) continue;
+      if (reads.text !== undefined && text.known !== undefined && reads.text !== text.known)
+        continue;
+      const moments = this.#effectMoments(node, winner, reads);
+      if (moments.length > 0) this.#enter(winner.version, text.known, moments);
+    }
+  }
+
+  /** Whether an accepted order, or a version that was read, would be passed over. */
+  #isAnySkipped(from: number, winner: Candidate): boolean {
+    const required =
+      countBelow(this.#requiredBases, winner.version) - countBelow(this.#requiredBases, from);
+    if (required > (winner.isRequired ? 1 : 0)) return true;
+    const read =
+      countBelow(this.#readVersions, winner.version) - countBelow(this.#readVersions, from + 1);
+    return read > 0;
+  }
+
+  #textOf(
+    node: Node,
+    change: Candidate,
+  ): { readonly known: string | undefined } | 'not applicable' {
+    if (change.kind === 'put') return { known: change.text };
+    if (!this.#amend || (node.text === undefined && node.version !== FIRST_VERSION))
+      return { known: undefined };
+    const known = this.#amend(node.text ?? '', change.text);
+    return known === undefined ? 'not applicable' : { known };
+  }
+
+  /** The refusals of orders on this document that need an explanation; those of `winner` are left out. */
+  #refusalsOn(node: Node, winner: Candidate | undefined): Refusal[] {
+    const refusals: Refusal[] = [];
+    for (const change of this.#byBase.get(node.version) ?? []) {
+      if (change === winner || change.isInvalid || change.refusals.length === 0) continue;
+      if (this.#textOf(node, change) !== 'not applicable') refusals.push(...change.refusals);
+    }
+    return refusals;
+  }
+
+  /** When `winner` may have replaced the document. */
+  #effectMoments(node: Node, winner: Candidate, reads: VersionReads): Intervals {
+    const earliest = Math.max(
+      winner.firstSentAt,
+      this.#reads.get(node.version)?.inForceUntil ?? -Infinity,
+    );
+    const latest = Math.min(winner.effectBy, reads.inForceBy);
+    let notBefore = -Infinity;
+    for (const refusal of winner.refusals) notBefore = Math.max(notBefore, refusal.sentAt);
+    const refusals = this.#refusalsOn(node, winner);
+    const moments: Interval[] = [];
+    for (const { from, to } of clip(node.moments, notBefore, Infinity)) {
+      // Later beginnings of the document explain more refusals; between two of their sendings nothing changes.
+      const beginnings = [from];
+      for (const { sentAt } of refusals) if (sentAt > from && sentAt <= to) beginnings.push(sentAt);
+      for (const beginning of beginnings) {
+        let replacedBy = latest;
+        for (const { sentAt, endedAt } of refusals) {
+          if (sentAt > beginning) replacedBy = Math.min(replacedBy, endedAt);
+        }
+        moments.push({ from: Math.max(beginning, earliest), to: replacedBy });
+      }
+    }
+    return unionOf(moments);
+  }
+}
+
+/** Whether some sequence of the orders explains every acceptance, refusal and read. */
+export function searchRegister(run: RegisterRun): SearchOutcome {
+  return new RegisterSearch(run).search();
+}
