Let each copy of an evacuation take effect within its order's span

The checker demanded exactly one effect of an accepted evacuation. Now each copy may take effect between its sending and the moment when the acceptance first reached the operator, and one at least does; later ones are late evacuations as before.

--- a/src/simulation/history/HistoryCheck.test.ts
+++ b/src/simulation/history/HistoryCheck.test.ts
@@ -330,6 +330,24 @@
 }
 test('a late copy of an end of an evacuation does not fill the zone again', testLateRestore);
 
+function testCopies(): void {
+  // The first copy took effect before the evacuation and the second after it; no copy is older than the acceptance.
+  const twice = begun()
+    .order(restore(), unclear(0), accepted(1000))
+    .order(evacuate(), accepted(400))
+    .read(100, 0, '', [])
+    .read(500, 0, '', ['z'])
+    .read(1100, 0, '', []);
+  expect(twice.rules()).toEqual([]);
+  const once = begun()
+    .order(restore(), accepted(0, 300))
+    .order(evacuate(), accepted(400))
+    .read(500, 0, '', ['z'])
+    .read(1100, 0, '', []);
+  expect(once.rules()).toEqual(['late-restore']);
+}
+test('each copy of an evacuation or its end may take effect, until the operator knows', testCopies);
+
 function testZoneReads(): void {
   const stale = begun().order(evacuate(), accepted(0)).read(10, 0, '', []).read(20, 0, '', ['z']);
   expect(stale.rules()).toEqual(['stale-read']);
--- a/src/simulation/history/HistoryCheck.ts
+++ b/src/simulation/history/HistoryCheck.ts
@@ -22,6 +22,9 @@
  * reached the operator. One that never got a clear answer takes effect until a bounded time after its last attempt, or
  * never. A refusal needs a moment inside its attempt at which the order's base was not in force and the order itself
  * had not been accepted.
+ *
+ * Evacuations and their ends name no version, so that a copy of one cannot be told from the order meant anew. Each
+ * copy may therefore take effect, all within the span of the order, and at least one does.
  */
 export function checkHistory(history: History, options: HistoryOptions = {}): readonly Violation[] {
   const settings = settingsOf(options);
--- a/src/simulation/history/ModelRuns.ts
+++ b/src/simulation/history/ModelRuns.ts
@@ -70,18 +70,22 @@
   text: string | undefined;
   readonly zones = new Set<string>();
   readonly #carriedOut = new Set<string>();
+  readonly #settled = new Set<MutableRecord>();
 
   take(record: MutableRecord): AttemptOutcome {
     const { order } = record;
     if (order.kind === 'put' || order.kind === 'patch') return this.#change(order);
-    const identity = `${record.id}`;
-    if (this.#carriedOut.has(identity)) return 'accepted';
-    this.#carriedOut.add(identity);
+    // Each copy does its work, as nothing tells copies apart; none is under way after the operator knows.
+    if (this.#settled.has(record)) return 'accepted';
     if (order.kind === 'evacuate') this.zones.add(order.zone);
     else this.zones.delete(order.zone);
     return 'accepted';
   }
 
+  settle(record: MutableRecord): void {
+    this.#settled.add(record);
+  }
+
   #change(order: PutOrder | PatchOrder): AttemptOutcome {
     const identity = `${order.kind} ${order.base} ${order.text}`;
     if (this.#carriedOut.has(identity)) return 'accepted';
@@ -230,6 +234,7 @@
     const outcome = this.#outcomes.get(`${record.id} ${carriedOutAt}`) ?? 'unclear';
     record.attempts.push({ node: 'model', sentAt, endedAt: this.#now, outcome });
     const { order } = record;
+    if (outcome === 'accepted') this.#model.settle(record);
     if (outcome === 'accepted' && (order.kind === 'put' || order.kind === 'patch')) {
       operator.knownVersion = order.version;
     }
--- a/src/simulation/history/Orders.ts
+++ b/src/simulation/history/Orders.ts
@@ -72,7 +72,7 @@
   readonly isInvalid: boolean;
 }
 
-/** An evacuation or the end of one. Each record is an order of its own, as nothing else tells copies apart. */
+/** An evacuation or the end of one. Each record is an order of its own: the same words may be meant anew. */
 export interface KnownZoneOrder extends KnownOrder {
   readonly kind: 'evacuate' | 'restore';
 }
