--- a/src/commands.ts
+++ b/src/commands.ts
@@ -1,38 +1,47 @@
-import { DoubtCommand } from './doubt/DoubtCommand.js';
-import { FlowCommand } from './flow/FlowCommand.js';
-import { LinkCommand } from './link/LinkCommand.js';
-import { MindCommand } from './mind/MindCommand.js';
-import { FleetCommand } from './myth/FleetCommand.js';
-import { MeasureCommand } from './myth/MeasureCommand.js';
-import { ScaleCommand } from './myth/ScaleCommand.js';
-import { StormCommand } from './myth/StormCommand.js';
-import { StandCommand } from './myth/StandCommand.js';
-import { AskEditCommand, EmptyCommand, FillCommand, FoundCommand, PutCommand, RowsCommand, SetCommand, SwapCommand } from './word/EditCommands.js';
-import { ImportCommand } from './word/ImportCommand.js';
-import { CountersCommand, StatusCommand } from './word/ShowCommands.js';
-import { TableCommand } from './word/TableCommand.js';
+import { CheckCommand } from './check/CheckCommand.js';
+import { ProxyCommand } from './proxy/ProxyCommand.js';
+import { AgentCommand } from './agent/AgentCommand.js';
+import { ControlCommand } from './control/ControlCommand.js';
+import { FleetCommand } from './rehearsal/FleetCommand.js';
+import { MeasureCommand } from './rehearsal/MeasureCommand.js';
+import { ScaleCommand } from './rehearsal/ScaleCommand.js';
+import { StormCommand } from './rehearsal/StormCommand.js';
+import { StubCommand } from './rehearsal/StubCommand.js';
+import {
+  AskEditCommand,
+  EvacuateCommand,
+  RestoreCommand,
+  ForceNewClusterCommand,
+  PutCommand,
+  RowsCommand,
+  SetCommand,
+  ReplaceVoterCommand,
+} from './operator/EditCommands.js';
+import { ImportCommand } from './operator/ImportCommand.js';
+import { CountersCommand, StatusCommand } from './operator/ShowCommands.js';
+import { TableCommand } from './operator/TableCommand.js';
 
 /** Every subcommand of the one binary. */
 export const COMMANDS = {
-  doubt: DoubtCommand,
-  flow: FlowCommand,
-  link: LinkCommand,
-  mind: MindCommand,
-  'myth:fleet': FleetCommand,
-  'myth:measure': MeasureCommand,
-  'myth:scale': ScaleCommand,
-  'myth:stand': StandCommand,
-  'myth:storm': StormCommand,
-  'word:counters': CountersCommand,
-  'word:edit': AskEditCommand,
-  'word:empty': EmptyCommand,
-  'word:fill': FillCommand,
-  'word:found': FoundCommand,
-  'word:import': ImportCommand,
-  'word:put': PutCommand,
-  'word:rows': RowsCommand,
-  'word:set': SetCommand,
-  'word:status': StatusCommand,
-  'word:swap': SwapCommand,
-  'word:table': TableCommand,
+  check: CheckCommand,
+  proxy: ProxyCommand,
+  agent: AgentCommand,
+  control: ControlCommand,
+  'rehearsal:fleet': FleetCommand,
+  'rehearsal:measure': MeasureCommand,
+  'rehearsal:scale': ScaleCommand,
+  'rehearsal:stub': StubCommand,
+  'rehearsal:storm': StormCommand,
+  'operator:counters': CountersCommand,
+  'operator:edit': AskEditCommand,
+  'operator:evacuate': EvacuateCommand,
+  'operator:restore': RestoreCommand,
+  'operator:force-new-cluster': ForceNewClusterCommand,
+  'operator:import': ImportCommand,
+  'operator:put': PutCommand,
+  'operator:rows': RowsCommand,
+  'operator:set': SetCommand,
+  'operator:status': StatusCommand,
+  'operator:replace-voter': ReplaceVoterCommand,
+  'operator:table': TableCommand,
 };
--- a/src/mind/MindEffect.ts
+++ b/src/control/ControlEffect.ts
@@ -1,15 +1,20 @@
-import type { PartName } from '../kin/Ids.js';
-import type { Message } from '../kin/Messages.js';
-import type { Version } from '../kin/Version.js';
-import type { Fleet, FleetDemand, ListedRunner, RunnerStatus } from '../place/Fleet.js';
-import type { Intent, ServiceDoc } from '../place/Shapes.js';
+import type { PartName } from '../common/Ids.js';
+import type { Message } from '../common/Messages.js';
+import type { Version } from '../common/Version.js';
+import type { Fleet, FleetDemand, ListedRunner, RunnerStatus } from '../placement/Fleet.js';
+import type { Intent, ServiceDoc } from '../placement/Shapes.js';
 import type { ConfigDialect, Routing } from '../route/Routing.js';
-import type { Moment } from '../kin/Ids.js';
+import type { Moment } from '../common/Ids.js';
 
 /** What a control node's core wants done; the process and the simulator carry it out alike. */
-export type MindEffect =
+export type ControlEffect =
   | { readonly do: 'send'; readonly to: string; readonly message: Message }
-  | { readonly do: 'store'; readonly part: PartName; readonly version: Version; readonly body: string }
+  | {
+      readonly do: 'store';
+      readonly part: PartName;
+      readonly version: Version;
+      readonly body: string;
+    }
   | { readonly do: 'askMachines' }
   | { readonly do: 'askCatalog' }
   /** For the platform's list of runners; its return is told as list(). */
@@ -19,8 +24,12 @@
   | { readonly do: 'askReport'; readonly runner: string; readonly address: string }
   /** To be written only if mayOrder() still says so right before the write, and to be cut off before the lease ends. */
   | { readonly do: 'order'; readonly intent: Intent; readonly address: string }
-  | { readonly do: 'return'; readonly id: number; readonly status: number; readonly body: string }
-  | { readonly do: 'note'; readonly text: string; readonly fields: Readonly<Record<string, string | number>> };
+  | { readonly do: 'reply'; readonly id: number; readonly status: number; readonly body: string }
+  | {
+      readonly do: 'note';
+      readonly text: string;
+      readonly fields: Readonly<Record<string, string | number>>;
+    };
 
 export type OrderResult = 'taken' | 'held' | 'busy' | 'refused' | 'unsure' | 'unsent';
 
@@ -32,7 +41,14 @@
   list(now: Moment, runners: readonly ListedRunner[]): void;
   status(now: Moment, runner: string, askedAt: Moment, status: RunnerStatus | undefined): void;
   asks(now: Moment): readonly string[];
-  plan(now: Moment, input: { readonly routing: Routing | undefined; readonly emptied: readonly string[]; readonly flows: number }): readonly string[];
+  plan(
+    now: Moment,
+    input: {
+      readonly routing: Routing | undefined;
+      readonly emptied: readonly string[];
+      readonly flows: number;
+    },
+  ): readonly string[];
   orders(now: Moment): readonly Intent[];
   kept(intentIds: Iterable<string>): void;
   ordered(now: Moment, intentId: string, outcome: OrderResult): void;
@@ -49,13 +65,13 @@
   readonly listMs: number;
 }
 
-export interface MindSettings {
+export interface ControlSettings {
   readonly me: string;
   readonly zone: string;
   /** A number that no other life of this process has, well apart from others'. */
-  readonly life: number;
+  readonly incarnation: number;
   readonly seeds: readonly string[];
-  /** A member not vouched for within this span turns new work away. */
+  /** A member not confirmed fresh within this span turns new work away. */
   readonly blindMs: number;
   /** How long a session may be silent before it counts as lost. */
   readonly silentMs: number;
@@ -66,4 +82,10 @@
   readonly deployed?: Deployed | undefined;
 }
 
-export const MIND_DEFAULTS = { blindMs: 2500, silentMs: 1500, foundMs: 1500, reportMs: 400, machinesMs: 500 } as const;
+export const CONTROL_DEFAULTS = {
+  blindMs: 2500,
+  silentMs: 1500,
+  foundMs: 1500,
+  reportMs: 400,
+  machinesMs: 500,
+} as const;
--- a/src/news/Exchange.test.ts
+++ b/src/dissemination/Exchange.test.ts
@@ -1,16 +1,20 @@
 import { type Server, type Socket, connect, createServer } from 'node:net';
 import { firstValueFrom, take, toArray } from 'rxjs';
 import { expect, test } from 'vitest';
-import { monotonicNow } from '../kin/Clock.js';
-import { Defect } from '../kin/Defect.js';
-import { listenOn } from '../kin/Listen.js';
-import { encodeMessage } from '../kin/Messages.js';
+import { monotonicNow } from '../common/Clock.js';
+import { CodedError } from '../common/CodedError.js';
+import { listenOn } from '../common/Listen.js';
+import { encodeMessage } from '../common/Messages.js';
 import { Exchange, type Incoming } from './Exchange.js';
 
-function ignore(): void { /* nothing to say */ }
+function ignore(): void {
+  /* nothing to say */
+}
 
-const told: Defect[] = [];
-function tell(defect: Defect): void { told.push(defect); }
+const told: CodedError[] = [];
+function tell(defect: CodedError): void {
+  told.push(defect);
+}
 function make(id: string, listen: string): Exchange {
   return new Exchange({ id, role: 'test', zone: 'z', listen, reach: {} }, tell);
 }
@@ -25,42 +29,53 @@
   // The listener knows a dialler by its hello; the large body must come whole and in its place.
   const large = 'x'.repeat(3_000_000);
   function sendAll(): void {
-    client.send(id, { kind: 'news', topic: 'a', epoch: 1, count: 1, body: large });
+    client.send(id, { kind: 'update', topic: 'a', epoch: 1, count: 1, body: large });
     client.send(id, { kind: 'demand', body: 'b' });
-    client.send(id, { kind: 'hang', parent: 'c' });
+    client.send(id, { kind: 'assignParent', parent: 'c' });
+  }
+  for (let isUp = false; !isUp;) {
+    isUp = client.isUp(id);
+    if (!isUp) await new Promise(setImmediate);
   }
-  for (let isUp = false; !isUp;) { isUp = client.isUp(id); if (!isUp) await new Promise(setImmediate); }
   sendAll();
   const messages = await got;
-  expect(messages.map(kindOf)).toEqual(['news', 'demand', 'hang']);
-  expect(messages[0]?.message.kind === 'news' && messages[0].message.body.length).toBe(3_000_000);
-  server.send('client', { kind: 'hang', parent: 'p' });
-  expect((await heard).message).toEqual({ kind: 'hang', parent: 'p' });
+  expect(messages.map(kindOf)).toEqual(['update', 'demand', 'assignParent']);
+  expect(messages[0]?.message.kind === 'update' && messages[0].message.body.length).toBe(3_000_000);
+  server.send('client', { kind: 'assignParent', parent: 'p' });
+  expect((await heard).message).toEqual({ kind: 'assignParent', parent: 'p' });
   const gone = firstValueFrom(server.gone$);
   client.close();
   expect(await gone).toBe('client');
   server.close();
 }
-function kindOf(incoming: Incoming): string { return incoming.message.kind; }
+function kindOf(incoming: Incoming): string {
+  return incoming.message.kind;
+}
 async function checkGarbage(): Promise<void> {
   const server = make('server', '127.0.0.1:0');
   const port = await server.open();
   const socket = connect({ host: '127.0.0.1', port });
   socket.on('error', ignore);
   socket.resume();
-  function onClose(done: () => void): void { socket.once('close', done); }
+  function onClose(done: () => void): void {
+    socket.once('close', done);
+  }
   const closed = new Promise<void>(onClose);
   socket.write(Buffer.from([0, 0, 0, 2, 255, 255]));
   await closed;
   expect(told.some(isBadFrame)).toBe(true);
   server.close();
 }
-function isBadFrame(defect: Defect): boolean { return defect.kind === 'bad-frame'; }
+function isBadFrame(defect: CodedError): boolean {
+  return defect.kind === 'bad-frame';
+}
 test('messages come whole and in order both ways, and a closed line is told', checkContract);
 test('garbage closes its line alone', checkGarbage);
 
 function wait(millis: number): Promise<void> {
-  function begin(done: () => void): void { setTimeout(done, millis); }
+  function begin(done: () => void): void {
+    setTimeout(done, millis);
+  }
   return new Promise(begin);
 }
 
@@ -71,7 +86,12 @@
     sockets.push(socket);
     socket.on('error', ignore);
     socket.resume();
-    const hello = encodeMessage({ kind: 'hello', id: `127.0.0.1:${socket.localPort}`, role: 'test', zone: 'z' });
+    const hello = encodeMessage({
+      kind: 'hello',
+      id: `127.0.0.1:${socket.localPort}`,
+      role: 'test',
+      zone: 'z',
+    });
     const head = Buffer.alloc(4);
     head.writeUInt32BE(hello.length);
     socket.write(Buffer.concat([head, hello]));
@@ -116,7 +136,7 @@
   const port = await server.open();
   const client = make('client', '');
   const heard = firstValueFrom(server.incoming$);
-  // No line stands yet: the first word of a session comes with the line, not with the next beat.
+  // No line stands yet: the first word of a session comes with the line, not with the next tick.
   client.send(`127.0.0.1:${port}`, { kind: 'demand', body: 'first' });
   expect((await heard).message).toEqual({ kind: 'demand', body: 'first' });
   client.close();
--- a/src/news/Sessions.test.ts
+++ b/src/dissemination/Sessions.test.ts
@@ -1,10 +1,11 @@
 import { expect, test } from 'vitest';
-import { moment } from '../kin/Ids.js';
+import { moment } from '../common/Ids.js';
 import { FAN_OUT, Sessions } from './Sessions.js';
 
 function fill(count: number): Sessions {
   const sessions = new Sessions(1000, 5000);
-  for (let index = 0; index < count; index += 1) sessions.join(moment(0), `n${String(index).padStart(3, '0')}`, 'z', '', { epoch: 0, count: 0 });
+  for (let index = 0; index < count; index += 1)
+    sessions.join(moment(0), `n${String(index).padStart(3, '0')}`, 'z', '', { epoch: 0, count: 0 });
   return sessions;
 }
 function checkTree(): void {
@@ -24,7 +25,7 @@
   expect([...sessions.tree().values()]).not.toContain('n000');
   sessions.gone('n001');
   expect([...sessions.tree().values()]).not.toContain('n001');
-  sessions.beat(moment(4000));
+  sessions.tick(moment(4000));
   expect(sessions.recent()).toHaveLength(10);
   expect(sessions.up()).toHaveLength(0);
 }
--- a/src/flow/ProxyProcess.ts
+++ b/src/proxy/ProxyProcess.ts
@@ -1,17 +1,17 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { interval, Subscription } from 'rxjs';
 import type { Logger } from 'pino';
-import { monotonicNow } from '../kin/Clock.js';
-import { Counters } from '../kin/Counters.js';
-import type { Defect } from '../kin/Defect.js';
-import { parseAs } from '../kin/Json.js';
-import { newLife } from '../kin/Life.js';
-import { listenOn, splitAddress } from '../kin/Listen.js';
-import type { HaveMessage, Message } from '../kin/Messages.js';
-import { compareVersions, NO_VERSION, versionText, type Version } from '../kin/Version.js';
-import { ConfigNewsShape } from '../mind/ConfigDoc.js';
-import { Exchange, type Incoming } from '../news/Exchange.js';
-import { applyFleetDelta, FleetDeltaShape, FleetShape, type Fleet } from '../place/Fleet.js';
+import { monotonicNow } from '../common/Clock.js';
+import { Counters } from '../common/Counters.js';
+import type { CodedError } from '../common/CodedError.js';
+import { parseAs } from '../common/Json.js';
+import { newIncarnation } from '../common/Incarnation.js';
+import { listenOn, splitAddress } from '../common/Listen.js';
+import type { HaveMessage, Message } from '../common/Messages.js';
+import { compareVersions, NO_VERSION, versionText, type Version } from '../common/Version.js';
+import { ConfigNewsShape } from '../control/ConfigDoc.js';
+import { Exchange, type Incoming } from '../dissemination/Exchange.js';
+import { applyFleetDelta, FleetDeltaShape, FleetShape, type Fleet } from '../placement/Fleet.js';
 import type { ConfigDialect } from '../route/Routing.js';
 import { Dispatcher, type DispatcherSettings } from './Dispatcher.js';
 import { Forwarder } from './Forwarder.js';
@@ -31,7 +31,7 @@
   readonly leaveMs: number;
 }
 
-const BEAT_MS = 50;
+const TICK_MS = 50;
 const TELL_EVERY = 10;
 const URGENT_MS = 10;
 /** What a planned stop leaves unused of its span. */
@@ -52,21 +52,45 @@
   readonly #versions = new Map<string, Version>();
   #routingText = '';
   #fleet: Fleet | undefined;
-  #beats = 0;
-  #nonce = newLife();
+  #ticks = 0;
+  #nonce = newIncarnation();
   #wasReady = false;
   #urgent: NodeJS.Timeout | undefined;
 
-  constructor(settings: ProxySettings, configDialect: ConfigDialect, requestDialect: RequestDialect, log: Logger) {
+  constructor(
+    settings: ProxySettings,
+    configDialect: ConfigDialect,
+    requestDialect: RequestDialect,
+    log: Logger,
+  ) {
     this.#settings = settings;
     this.#configDialect = configDialect;
     this.#log = log;
     this.#me = `flow@${settings.listen}`;
-    this.#exchange = new Exchange({ id: this.#me, role: 'flow', zone: settings.zone, listen: '', reach: {} }, this.#tell.bind(this));
+    this.#exchange = new Exchange(
+      { id: this.#me, role: 'flow', zone: settings.zone, listen: '', reach: {} },
+      this.#tell.bind(this),
+    );
     const agent = new RunnerAgent();
-    function hasIdle(address: string): boolean { const { host, port } = splitAddress(address); return agent.hasIdle(host, port); }
-    this.#dispatcher = new Dispatcher({ ...settings.dispatcher, flow: this.#me, zone: settings.zone, random: Math.random, hasIdle });
-    this.#forwarder = new Forwarder(this.#dispatcher, requestDialect, this.#counters, monotonicNow, this.#afterWork.bind(this), agent);
+    function hasIdle(address: string): boolean {
+      const { host, port } = splitAddress(address);
+      return agent.hasIdle(host, port);
+    }
+    this.#dispatcher = new Dispatcher({
+      ...settings.dispatcher,
+      flow: this.#me,
+      zone: settings.zone,
+      random: Math.random,
+      hasIdle,
+    });
+    this.#forwarder = new Forwarder(
+      this.#dispatcher,
+      requestDialect,
+      this.#counters,
+      monotonicNow,
+      this.#afterWork.bind(this),
+      agent,
+    );
     this.#readiness = createServer({ keepAliveTimeout: 30_000 }, this.#sayReady.bind(this));
   }
 
@@ -74,8 +98,8 @@
     this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
     await this.#forwarder.listen(this.#settings.listen);
     await listenOn(this.#readiness, this.#settings.readiness);
-    this.#subscription.add(interval(BEAT_MS).subscribe(this.#beat.bind(this)));
-    this.#beat();
+    this.#subscription.add(interval(TICK_MS).subscribe(this.#tick.bind(this)));
+    this.#tick();
     this.#log.info({ zone: this.#settings.zone }, 'proxy started');
   }
 
@@ -86,7 +110,9 @@
     this.#dispatcher.startDraining();
     this.#forwarder.startDraining();
     const leave = Math.min(leaveMs, graceMs / 2);
-    function wait(done: () => void): void { setTimeout(done, leave); }
+    function wait(done: () => void): void {
+      setTimeout(done, leave);
+    }
     await new Promise<void>(wait);
     await this.#forwarder.close(Math.max(100, graceMs - leave - GRACE_MARGIN_MS));
     this.#subscription.unsubscribe();
@@ -95,30 +121,42 @@
     this.#exchange.close();
   }
 
-  counters(): object { return { ...this.#counters.all(), ...this.#dispatcher.counts, config: versionText(this.#version('config')), fleet: versionText(this.#version('fleet')) }; }
+  counters(): object {
+    return {
+      ...this.#counters.all(),
+      ...this.#dispatcher.counts,
+      config: versionText(this.#version('config')),
+      fleet: versionText(this.#version('fleet')),
+    };
+  }
 
-  #version(topic: string): Version { return this.#versions.get(topic) ?? NO_VERSION; }
+  #version(topic: string): Version {
+    return this.#versions.get(topic) ?? NO_VERSION;
+  }
 
-  #tell(defect: Defect): void {
+  #tell(defect: CodedError): void {
     this.#counters.add(`defects.${defect.kind}`);
     this.#log.warn({ defect: defect.kind }, defect.message);
   }
 
   #sayReady(asked: IncomingMessage, answer: ServerResponse): void {
     const isKnown = asked.method === 'GET' && asked.url === this.#settings.readyPath;
-    answer.writeHead(!isKnown ? 404 : this.#dispatcher.isReady ? 200 : 503, { 'content-length': 0 }).end();
+    answer
+      .writeHead(!isKnown ? 404 : this.#dispatcher.isReady ? 200 : 503, { 'content-length': 0 })
+      .end();
   }
 
-  #beat(): void {
+  #tick(): void {
     this.#exchange.dial(this.#settings.link);
-    if (this.#forwarder.size > 0) this.#forwarder.beat();
-    // Until the agent has told what there is, it is asked at each beat: the first ask may have found no line yet.
+    if (this.#forwarder.size > 0) this.#forwarder.tick();
+    // Until the agent has told what there is, it is asked at each tick: the first ask may have found no line yet.
     const isTold = this.#versions.has('config') && this.#versions.has('fleet');
-    if (this.#beats % (2 * TELL_EVERY) === 0 || !isTold && this.#beats % 2 === 0) this.#ask();
-    this.#beats += 1;
-    if (this.#beats % TELL_EVERY === TELL_EVERY / 2) this.#tellDemand();
+    if (this.#ticks % (2 * TELL_EVERY) === 0 || (!isTold && this.#ticks % 2 === 0)) this.#ask();
+    this.#ticks += 1;
+    if (this.#ticks % TELL_EVERY === TELL_EVERY / 2) this.#tellDemand();
     const isReady = this.#dispatcher.isReady;
-    if (isReady !== this.#wasReady) this.#log.info({ ready: isReady, ...this.counters() }, 'readiness');
+    if (isReady !== this.#wasReady)
+      this.#log.info({ ready: isReady, ...this.counters() }, 'readiness');
     this.#wasReady = isReady;
   }
 
@@ -126,7 +164,12 @@
     const have: HaveMessage[] = [];
     for (const [topic, version] of this.#versions) have.push({ topic, ...version });
     this.#nonce += 1;
-    this.#exchange.send(this.#settings.link, { kind: 'ask', nonce: this.#nonce, have, members: [] });
+    this.#exchange.send(this.#settings.link, {
+      kind: 'freshnessRequest',
+      nonce: this.#nonce,
+      have,
+      members: [],
+    });
   }
 
   /** What newly waits for a load is told at once; several at once are told together. */
@@ -139,13 +182,14 @@
     if (this.#urgent) clearTimeout(this.#urgent);
     this.#urgent = undefined;
     const demand = this.#dispatcher.demand(monotonicNow());
-    if (demand.units.length > 0) this.#exchange.send(this.#settings.link, { kind: 'demand', body: JSON.stringify(demand) });
+    if (demand.units.length > 0)
+      this.#exchange.send(this.#settings.link, { kind: 'demand', body: JSON.stringify(demand) });
   }
 
   #receive(incoming: Incoming): void {
     const { message } = incoming;
     if (message.kind === 'delta') this.#takeDelta(message);
-    if (message.kind !== 'news') return;
+    if (message.kind !== 'update') return;
     const version = { epoch: message.epoch, count: message.count };
     // Nothing steps back a version.
     if (compareVersions(version, this.#version(message.topic)) <= 0) return;
@@ -153,7 +197,10 @@
     if (message.topic === 'config') this.#takeConfig(now, message.body);
     else if (message.topic === 'fleet') {
       const fleet = parseAs(FleetShape, message.body);
-      if (fleet) { this.#fleet = fleet; this.#dispatcher.fleet(now, fleet); }
+      if (fleet) {
+        this.#fleet = fleet;
+        this.#dispatcher.fleet(now, fleet);
+      }
     }
     this.#versions.set(message.topic, version);
     if (message.topic === 'config') this.#exchange.send(incoming.from, { kind: 'ack', ...version });
@@ -166,7 +213,10 @@
     const delta = parseAs(FleetDeltaShape, body);
     if (topic !== 'fleet' || !delta || !this.#fleet) return;
     // One that does not follow on what is held here is asked for anew.
-    if (held.epoch !== epoch || held.count !== from) { if (compareVersions({ epoch, count }, held) > 0) this.#ask(); return; }
+    if (held.epoch !== epoch || held.count !== from) {
+      if (compareVersions({ epoch, count }, held) > 0) this.#ask();
+      return;
+    }
     this.#fleet = applyFleetDelta(this.#fleet, delta);
     this.#versions.set(topic, { epoch, count });
     this.#dispatcher.fleet(monotonicNow(), this.#fleet);
@@ -178,9 +228,15 @@
     const text = news?.routing?.text ?? '';
     if (!news || text === '') return;
     const known = this.#dispatcher.routing;
-    if (text === this.#routingText && known) { this.#dispatcher.configure(now, known, news.emptied); return; }
+    if (text === this.#routingText && known) {
+      this.#dispatcher.configure(now, known, news.emptied);
+      return;
+    }
     const { routing, faults } = this.#configDialect.read(text);
-    if (!routing) { this.#log.warn({ faults: faults.length }, 'a configuration that cannot be read'); return; }
+    if (!routing) {
+      this.#log.warn({ faults: faults.length }, 'a configuration that cannot be read');
+      return;
+    }
     this.#routingText = text;
     this.#dispatcher.configure(now, routing, news.emptied);
     this.#forwarder.limit();
--- a/src/hold/Parts.ts
+++ b/src/state/ReplicatedState.ts
@@ -1,25 +1,41 @@
 import { createHash } from 'node:crypto';
-import { later, moment, partName, type FellowId, type Moment, type PartName } from '../kin/Ids.js';
-import type { CopyMessage, MemberMessage, Message } from '../kin/Messages.js';
-import type { Quorum } from '../kin/Quorum.js';
-import { compareVersions, isNewer, NO_VERSION, type Version } from '../kin/Version.js';
+import { later, moment, partName, type NodeId, type Moment, type PartName } from '../common/Ids.js';
+import type { CopyMessage, MemberMessage, Message } from '../common/Messages.js';
+import type { Quorum } from '../common/Quorum.js';
+import { compareVersions, isNewer, NO_VERSION, type Version } from '../common/Version.js';
 import type { StoredPart } from './Store.js';
 
-export type PartsEffect =
-  | { readonly do: 'send'; readonly to: FellowId; readonly message: Message }
-  | { readonly do: 'store'; readonly part: PartName; readonly version: Version; readonly body: string }
+export type ReplicatedStateEffect =
+  | { readonly do: 'send'; readonly to: NodeId; readonly message: Message }
+  | {
+      readonly do: 'store';
+      readonly part: PartName;
+      readonly version: Version;
+      readonly body: string;
+    }
   /** The write is held by a synced majority of voters, and by all of them if they were prompt. */
-  | { readonly do: 'committed'; readonly part: PartName; readonly version: Version; readonly body: string; readonly tokens: readonly number[]; readonly members: readonly MemberMessage[] }
+  | {
+      readonly do: 'committed';
+      readonly part: PartName;
+      readonly version: Version;
+      readonly body: string;
+      readonly tokens: readonly number[];
+      readonly members: readonly MemberMessage[];
+    }
   /** Every part has been read from a majority and rewritten in our epoch. */
   | { readonly do: 'serving' };
 
-interface Copy { version: Version; body: string; isSound: boolean }
+interface Copy {
+  version: Version;
+  body: string;
+  isSound: boolean;
+}
 
 interface Write {
   readonly version: Version;
   readonly body: string;
   readonly tokens: readonly number[];
-  readonly acked: Set<FellowId>;
+  readonly acked: Set<NodeId>;
   readonly members: MemberMessage[];
   sentAt: Moment;
   /** When a majority had it; the last voter is then given a moment more. */
@@ -28,7 +44,7 @@
 
 interface Owned {
   copy: { version: Version; body: string } | undefined;
-  readonly read: Set<FellowId>;
+  readonly read: Set<NodeId>;
   newest: { version: Version; body: string };
   writing: Write | undefined;
   next: { body: string; tokens: number[] } | undefined;
@@ -42,8 +58,8 @@
  * The parts of the shared state at one voter: replica of all, and owner of all while it leads.
  * Each part has its own versions, writes and files; nothing orders one part against another.
  */
-export class Parts {
-  readonly #me: FellowId;
+export class ReplicatedState {
+  readonly #me: NodeId;
   #quorum: Quorum;
   readonly #names: readonly PartName[];
   readonly #copies = new Map<PartName, Copy>();
@@ -54,30 +70,52 @@
   #readSentAt: Moment = moment(0);
   #mendedAt: Moment = moment(0);
   #mends = 0;
-  #effects: PartsEffect[] = [];
-
-  constructor(me: FellowId, quorum: Quorum, names: readonly PartName[], stored: readonly StoredPart[]) {
+  #effects: ReplicatedStateEffect[] = [];
+
+  constructor(
+    me: NodeId,
+    quorum: Quorum,
+    names: readonly PartName[],
+    stored: readonly StoredPart[],
+  ) {
     this.#me = me;
     this.#quorum = quorum;
     this.#names = names;
-    for (const part of names) this.#copies.set(part, { version: NO_VERSION, body: '', isSound: true });
-    for (const item of stored) if (this.#copies.has(item.part)) this.#copies.set(item.part, { version: item.version, body: item.body, isSound: item.isSound });
+    for (const part of names)
+      this.#copies.set(part, { version: NO_VERSION, body: '', isSound: true });
+    for (const item of stored)
+      if (this.#copies.has(item.part))
+        this.#copies.set(item.part, {
+          version: item.version,
+          body: item.body,
+          isSound: item.isSound,
+        });
   }
 
-  get isServing(): boolean { return this.#isServing; }
-  get mends(): number { return this.#mends; }
+  get isServing(): boolean {
+    return this.#isServing;
+  }
+  get mends(): number {
+    return this.#mends;
+  }
 
-  setQuorum(quorum: Quorum): void { this.#quorum = quorum; }
+  setQuorum(quorum: Quorum): void {
+    this.#quorum = quorum;
+  }
 
-  drain(): PartsEffect[] {
+  drain(): ReplicatedStateEffect[] {
     const effects = this.#effects;
     this.#effects = [];
     return effects;
   }
 
-  versionOf(part: PartName): Version { return this.#copies.get(part)?.version ?? NO_VERSION; }
+  versionOf(part: PartName): Version {
+    return this.#copies.get(part)?.version ?? NO_VERSION;
+  }
 
-  replicaBody(part: PartName): string { return this.#copies.get(part)?.body ?? ''; }
+  replicaBody(part: PartName): string {
+    return this.#copies.get(part)?.body ?? '';
+  }
 
   unsoundParts(): readonly PartName[] {
     const unsound: PartName[] = [];
@@ -87,7 +125,8 @@
 
   copies(): CopyMessage[] {
     const list: CopyMessage[] = [];
-    for (const [part, copy] of this.#copies) list.push({ part, ...copy.version, body: copy.body, sound: copy.isSound });
+    for (const [part, copy] of this.#copies)
+      list.push({ part, ...copy.version, body: copy.body, sound: copy.isSound });
     return list;
   }
 
@@ -114,24 +153,34 @@
     this.#isServing = false;
     this.#owned.clear();
     for (const part of this.#names) {
-      this.#owned.set(part, { copy: undefined, read: new Set(), newest: { version: NO_VERSION, body: '' }, writing: undefined, next: undefined });
+      this.#owned.set(part, {
+        copy: undefined,
+        read: new Set(),
+        newest: { version: NO_VERSION, body: '' },
+        writing: undefined,
+        next: undefined,
+      });
     }
     this.#nonce += 1;
     this.#askAll(now);
   }
 
   /** Writes under way get no yes from us any more; whether they hold is for the next owner to find. */
-  stand(): void {
+  stub(): void {
     this.#epoch = 0;
     this.#isServing = false;
     this.#owned.clear();
   }
 
   /** The body as last written here, committed or not. */
-  body(part: PartName): string { return this.#owned.get(part)?.copy?.body ?? ''; }
+  body(part: PartName): string {
+    return this.#owned.get(part)?.copy?.body ?? '';
+  }
 
   /** Whether a write of this part is still without its majority. */
-  isWriting(part: PartName): boolean { return this.#owned.get(part)?.writing !== undefined; }
+  isWriting(part: PartName): boolean {
+    return this.#owned.get(part)?.writing !== undefined;
+  }
 
   /** One write of a part is under way at a time; what comes meanwhile is one next write, of the newest body. Returns its count. */
   write(now: Moment, part: PartName, body: string, token: number): number {
@@ -144,7 +193,7 @@
     return count;
   }
 
-  beat(now: Moment): void {
+  tick(now: Moment): void {
     if (this.#epoch === 0) return;
     let isReading = false;
     for (const [part, owned] of this.#owned) {
@@ -154,43 +203,66 @@
       this.#settle(now, part, owned);
       if (owned.writing === writing && now >= later(writing.sentAt, RESEND_MS)) {
         writing.sentAt = now;
-        for (const fellow of this.#quorum.all) if (!writing.acked.has(fellow) && fellow !== this.#me) this.#sendWrite(fellow, part, writing);
+        for (const peer of this.#quorum.all)
+          if (!writing.acked.has(peer) && peer !== this.#me) this.#sendWrite(peer, part, writing);
       }
     }
     if (isReading && now >= later(this.#readSentAt, RESEND_MS)) this.#askAll(now);
     if (this.#isServing && now >= later(this.#mendedAt, MEND_MS)) {
       this.#mendedAt = now;
-      for (const fellow of this.#quorum.all) if (fellow !== this.#me) this.#compare(fellow, 0, this.#names.length);
+      for (const peer of this.#quorum.all)
+        if (peer !== this.#me) this.#compare(peer, 0, this.#names.length);
     }
   }
 
   #askAll(now: Moment): void {
     this.#readSentAt = now;
-    for (const fellow of this.#quorum.all) {
-      if (fellow === this.#me) this.#takeRead(now, this.#me, this.copies());
-      else this.#effects.push({ do: 'send', to: fellow, message: { kind: 'read', epoch: this.#epoch, nonce: this.#nonce, parts: [] } });
+    for (const peer of this.#quorum.all) {
+      if (peer === this.#me) this.#takeRead(now, this.#me, this.copies());
+      else
+        this.#effects.push({
+          do: 'send',
+          to: peer,
+          message: { kind: 'read', epoch: this.#epoch, nonce: this.#nonce, parts: [] },
+        });
     }
   }
 
-  #takeRead(now: Moment, from: FellowId, copies: readonly CopyMessage[]): void {
+  #takeRead(now: Moment, from: NodeId, copies: readonly CopyMessage[]): void {
     for (const item of copies) {
       const part = partName(item.part);
       const owned = this.#owned.get(part);
       if (!owned || owned.copy || owned.writing || !item.sound) continue;
       owned.read.add(from);
-      if (isNewer(item, owned.newest.version)) owned.newest = { version: { epoch: item.epoch, count: item.count }, body: item.body };
+      if (isNewer(item, owned.newest.version))
+        owned.newest = { version: { epoch: item.epoch, count: item.count }, body: item.body };
       if (!this.#quorum.isMajority(owned.read)) continue;
       const version = { epoch: this.#epoch, count: owned.newest.version.count + 1 };
       this.#send(now, part, owned, version, owned.newest.body, []);
     }
   }
 
-  #send(now: Moment, part: PartName, owned: Owned, version: Version, body: string, tokens: readonly number[]): void {
-    const writing: Write = { version, body, tokens, acked: new Set(), members: [], sentAt: now, majorityAt: undefined };
+  #send(
+    now: Moment,
+    part: PartName,
+    owned: Owned,
+    version: Version,
+    body: string,
+    tokens: readonly number[],
+  ): void {
+    const writing: Write = {
+      version,
+      body,
+      tokens,
+      acked: new Set(),
+      members: [],
+      sentAt: now,
+      majorityAt: undefined,
+    };
     owned.writing = writing;
-    for (const fellow of this.#quorum.all) {
-      if (fellow === this.#me) this.#storeOwn(part, version, body);
-      else this.#sendWrite(fellow, part, writing);
+    for (const peer of this.#quorum.all) {
+      if (peer === this.#me) this.#storeOwn(part, version, body);
+      else this.#sendWrite(peer, part, writing);
     }
   }
 
@@ -201,11 +273,25 @@
     this.#effects.push({ do: 'store', part, version, body });
   }
 
-  #sendWrite(to: FellowId, part: PartName, write: { readonly version: Version; readonly body: string }): void {
-    this.#effects.push({ do: 'send', to, message: { kind: 'write', part, ...write.version, body: write.body } });
+  #sendWrite(
+    to: NodeId,
+    part: PartName,
+    write: { readonly version: Version; readonly body: string },
+  ): void {
+    this.#effects.push({
+      do: 'send',
+      to,
+      message: { kind: 'write', part, ...write.version, body: write.body },
+    });
   }
 
-  #ack(now: Moment, from: FellowId, part: PartName, version: Version, members: readonly MemberMessage[]): void {
+  #ack(
+    now: Moment,
+    from: NodeId,
+    part: PartName,
+    version: Version,
+    members: readonly MemberMessage[],
+  ): void {
     const owned = this.#owned.get(part);
     const writing = owned?.writing;
     if (!owned || !writing || compareVersions(writing.version, version) !== 0) return;
@@ -225,8 +311,23 @@
     const next = owned.next;
     owned.next = undefined;
     owned.copy = { version: writing.version, body: next?.body ?? writing.body };
-    this.#effects.push({ do: 'committed', part, version: writing.version, body: writing.body, tokens: writing.tokens, members: writing.members });
-    if (next) this.#send(now, part, owned, { epoch: this.#epoch, count: writing.version.count + 1 }, next.body, next.tokens);
+    this.#effects.push({
+      do: 'committed',
+      part,
+      version: writing.version,
+      body: writing.body,
+      tokens: writing.tokens,
+      members: writing.members,
+    });
+    if (next)
+      this.#send(
+        now,
+        part,
+        owned,
+        { epoch: this.#epoch, count: writing.version.count + 1 },
+        next.body,
+        next.tokens,
+      );
     if (!this.#isServing && [...this.#owned.values()].every(isOwned)) {
       this.#isServing = true;
       this.#effects.push({ do: 'serving' });
@@ -236,47 +337,96 @@
   // ---- replica
 
   /** `granted` is the epoch this voter has granted, synced, and not moved on from; 0 if none. */
-  receive(now: Moment, from: FellowId, message: Message, granted: number, members: readonly MemberMessage[], standing: string): void {
+  receive(
+    now: Moment,
+    from: NodeId,
+    message: Message,
+    granted: number,
+    members: readonly MemberMessage[],
+    standing: string,
+  ): void {
     switch (message.kind) {
-      case 'write': this.#receiveWrite(from, message, granted, members); break;
-      case 'writeReturn':
-        if (message.good && message.epoch === this.#epoch) this.#ack(now, from, partName(message.part), message, message.members);
+      case 'write':
+        this.#receiveWrite(from, message, granted, members);
+        break;
+      case 'writeReply':
+        if (message.good && message.epoch === this.#epoch)
+          this.#ack(now, from, partName(message.part), message, message.members);
         break;
       case 'read':
         if (message.epoch === granted && granted > 0) {
-          this.#effects.push({ do: 'send', to: from, message: { kind: 'readReturn', epoch: granted, nonce: message.nonce, sound: true, copies: this.copies(), standing } });
+          this.#effects.push({
+            do: 'send',
+            to: from,
+            message: {
+              kind: 'readReply',
+              epoch: granted,
+              nonce: message.nonce,
+              sound: true,
+              copies: this.copies(),
+              standing,
+            },
+          });
         }
         break;
-      case 'readReturn':
-        if (message.epoch === this.#epoch && this.#epoch > 0 && message.nonce === this.#nonce) this.#takeRead(now, from, message.copies);
+      case 'readReply':
+        if (message.epoch === this.#epoch && this.#epoch > 0 && message.nonce === this.#nonce)
+          this.#takeRead(now, from, message.copies);
         break;
       case 'digest': {
         const isSame = this.#digest(message.low, message.high) === message.digest;
-        this.#effects.push({ do: 'send', to: from, message: { kind: 'digestReturn', nonce: message.nonce, low: message.low, high: message.high, same: isSame, sound: true } });
+        this.#effects.push({
+          do: 'send',
+          to: from,
+          message: {
+            kind: 'digestReply',
+            nonce: message.nonce,
+            low: message.low,
+            high: message.high,
+            same: isSame,
+            sound: true,
+          },
+        });
         break;
       }
-      case 'digestReturn': if (!message.same && this.#isServing) this.#mend(from, message.low, message.high); break;
-      default: break;
+      case 'digestReply':
+        if (!message.same && this.#isServing) this.#mend(from, message.low, message.high);
+        break;
+      default:
+        break;
     }
   }
 
-  #receiveWrite(from: FellowId, message: Extract<Message, { kind: 'write' }>, granted: number, members: readonly MemberMessage[]): void {
+  #receiveWrite(
+    from: NodeId,
+    message: Extract<Message, { kind: 'write' }>,
+    granted: number,
+    members: readonly MemberMessage[],
+  ): void {
     const part = partName(message.part);
     const copy = this.#copies.get(part);
     const version = { epoch: message.epoch, count: message.count };
     // An older epoch's write is turned away; one of an epoch not granted here yet comes again after our grant.
     if (!copy || message.epoch !== granted || compareVersions(version, copy.version) < 0) {
-      this.#effects.push({ do: 'send', to: from, message: { kind: 'writeReturn', part, ...version, good: false, members: [] } });
+      this.#effects.push({
+        do: 'send',
+        to: from,
+        message: { kind: 'writeReply', part, ...version, good: false, members: [] },
+      });
       return;
     }
     const isKnown = compareVersions(version, copy.version) === 0 && copy.isSound;
     this.#copies.set(part, { version, body: message.body, isSound: true });
-    this.#returns.set(part, { to: from, version, members });
-    if (isKnown && this.#stored.get(part) === `${version.epoch}.${version.count}`) this.stored(part, version, granted);
+    this.#replies.set(part, { to: from, version, members });
+    if (isKnown && this.#stored.get(part) === `${version.epoch}.${version.count}`)
+      this.stored(part, version, granted);
     else this.#effects.push({ do: 'store', part, version, body: message.body });
   }
 
-  readonly #returns = new Map<PartName, { readonly to: FellowId; readonly version: Version; readonly members: readonly MemberMessage[] }>();
+  readonly #replies = new Map<
+    PartName,
+    { readonly to: NodeId; readonly version: Version; readonly members: readonly MemberMessage[] }
+  >();
   readonly #stored = new Map<PartName, string>();
 
   /** Told when a version has reached the disk. */
@@ -288,9 +438,13 @@
       this.#ack(now, this.#me, part, version, []);
       return;
     }
-    const due = this.#returns.get(part);
+    const due = this.#replies.get(part);
     if (due && compareVersions(due.version, version) === 0) {
-      this.#effects.push({ do: 'send', to: due.to, message: { kind: 'writeReturn', part, ...version, good: true, members: [...due.members] } });
+      this.#effects.push({
+        do: 'send',
+        to: due.to,
+        message: { kind: 'writeReply', part, ...version, good: true, members: [...due.members] },
+      });
     }
   }
 
@@ -305,15 +459,19 @@
     return hash.digest('hex');
   }
 
-  #compare(fellow: FellowId, low: number, high: number): void {
-    this.#effects.push({ do: 'send', to: fellow, message: { kind: 'digest', nonce: 0, low, high, digest: this.#digest(low, high) } });
+  #compare(peer: NodeId, low: number, high: number): void {
+    this.#effects.push({
+      do: 'send',
+      to: peer,
+      message: { kind: 'digest', nonce: 0, low, high, digest: this.#digest(low, high) },
+    });
   }
 
-  #mend(fellow: FellowId, low: number, high: number): void {
+  #mend(peer: NodeId, low: number, high: number): void {
     if (high - low > 1) {
       const middle = Math.floor((low + high) / 2);
-      this.#compare(fellow, low, middle);
-      this.#compare(fellow, middle, high);
+      this.#compare(peer, low, middle);
+      this.#compare(peer, middle, high);
       return;
     }
     const part = this.#names[low];
@@ -321,8 +479,10 @@
     // A write under way brings the newest by itself.
     if (part === undefined || !owned?.copy || owned.writing) return;
     this.#mends += 1;
-    this.#sendWrite(fellow, part, { version: owned.copy.version, body: owned.copy.body });
+    this.#sendWrite(peer, part, { version: owned.copy.version, body: owned.copy.body });
   }
 }
 
-function isOwned(owned: Owned): boolean { return owned.copy !== undefined; }
+function isOwned(owned: Owned): boolean {
+  return owned.copy !== undefined;
+}
