--- a/src/simulation/history/HistoryReference.property.test.ts
+++ b/src/simulation/history/HistoryReference.property.test.ts
@@ -94,9 +94,9 @@
   return value === 0;
 }
 
-type ReplicatedState = [[Order, Attempt[]][], ReadPlan[]];
+type Sketch = [[Order, Attempt[]][], ReadPlan[]];
 
-function historyOf([orders, reads]: ReplicatedState): History {
+function historyOf([orders, reads]: Sketch): History {
   return { orders: orders.map(recordOf), reads: reads.map(readOf) };
 }
 
