--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -1,10 +1,9 @@
 import { boolean, number, optional, string, type } from 'superstruct';
-import { rowKey, type Row } from '../policy/Table.js';
-import { allParts, CONFIG_PART, servicePart, VOTE_PART } from '../state/PartNames.js';
+import { allParts, CONFIG_PART, VOTE_PART } from '../state/PartNames.js';
 import { ReplicatedState } from '../state/ReplicatedState.js';
 import { ReplicaStatus } from '../state/ReplicaStatus.js';
 import type { StoredPart } from '../state/Store.js';
-import { CodedError, ERROR_CODES, reasonOf, type ErrorCode } from '../common/CodedError.js';
+import { CodedError, reasonOf } from '../common/CodedError.js';
 import { nodeId, later, moment, type NodeId, type Moment, type PartName } from '../common/Ids.js';
 import { mustParseAs, parseAs } from '../common/Json.js';
 import type { MemberMessage, Message } from '../common/Messages.js';
@@ -19,15 +18,8 @@
 import { Relay } from '../dissemination/Relay.js';
 import { Sessions } from '../dissemination/Sessions.js';
 import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
+import { PLACER_DEFAULTS, type PlacerSettings } from '../placement/Placer.js';
 import {
-  Placer,
-  PLACER_DEFAULTS,
-  type PlacerSettings,
-  type PlanInput,
-  type RunnerView,
-} from '../placement/Placer.js';
-import {
-  DemandShape,
   MachinesShape,
   ServicePartShape,
   type Catalog,
@@ -35,26 +27,18 @@
   type Machines,
   type RunnerReport,
   type ServiceDoc,
-  type Share,
 } from '../placement/Shapes.js';
-import type { Live } from '../placement/Live.js';
-import { Shares } from '../placement/Shares.js';
 import { Elector } from '../election/Elector.js';
 import type { VoteRecord } from '../election/VoteEffect.js';
 import { VOTE_DEFAULTS, type VoteSettings } from '../election/VoteSettings.js';
-import {
-  ConfigDocShape,
-  ConfigNewsShape,
-  EditShapes,
-  firstDoc,
-  MAX_EDITS,
-  mayBeForgotten,
-  type ConfigDoc,
-} from './ConfigDoc.js';
+import { ConfigDocShape, ConfigNewsShape, firstDoc, type ConfigDoc } from './ConfigDoc.js';
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
-import { applyEdit, ConfigError, recordEdit, TableError } from './Edits.js';
+import { TableManager } from './TableManager.js';
 import { FleetManager } from './FleetManager.js';
 import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
+import { errorAnswer, type CommandAnswer } from './OrderAnswers.js';
+import { OperatorOrders, type Commit, type Origin } from './OperatorOrders.js';
+import { leaderTimeOf, OrderForwarding } from './OrderForwarding.js';
 import { isVotersWriting, VoterPlan, type Announced } from './VoterPlan.js';
 
 const VoteBodyShape = type({
@@ -64,59 +48,16 @@
   isFree: optional(boolean()),
 });
 
-/** Where a command came from, and so where its return goes: '' is this node's own API. */
-interface Origin {
-  readonly from: string;
-  readonly id: number;
-}
-
-interface WaitingEdit {
-  readonly origin: Origin;
-  readonly id: string;
-  readonly number: number;
-  readonly outcome: 'accepted' | 'closed';
-  /** Set once a synced majority holds it. */
-  committed:
-    | { readonly version: Version; readonly at: Moment; readonly members: ReadonlySet<string> }
-    | undefined;
-}
-
-interface Runner {
-  report: RunnerReport | undefined;
-  askedAt: Moment;
-  askSentAt: Moment;
-  seenAt: Moment;
-  isReachable: boolean;
-  isKnown: boolean;
-}
-
-interface SentOrder {
-  readonly sentAt: Moment;
-  readonly state: 'sent' | 'taken' | 'unsure';
-  readonly wasUnsure: boolean;
-}
-
-interface Forwarded {
-  readonly origin: Origin;
-  readonly to: string;
-  readonly at: Moment;
-  readonly editId: string;
-}
+/** What a quorum read that this node asked for itself is to prove. */
+type Confirmation = { readonly do: 'read'; readonly origin: Origin } | { readonly do: 'refusal' };
 
 interface HeardMembers {
   readonly members: readonly MemberMessage[];
   readonly at: Moment;
 }
 
-const EMPTY_CATALOG: Catalog = { limit: 0, models: [], adapters: [] };
-const ORDER_AGAIN_MS = 2000;
-const FORWARD_MS = 9000;
-/** A read may be asked again at once, so it is not waited for long. */
-const FORWARD_READ_MS = 1500;
-const PLAN_MS = 250;
 /** How long members are waited for when the table is recovered from them. */
 const RECOVER_MS = 2000;
-const LOST_RUNNER_MS = 4000;
 /** How often a node that stands outside announces itself, and how long that is remembered. */
 const ANNOUNCE_MS = 500;
 const ANNOUNCEED_MS = 1500;
@@ -140,7 +81,7 @@
   readonly #sessions: Sessions;
   readonly #relay = new Relay();
   readonly #confirmation: FreshnessConfirmation;
-  readonly #placer: Placer;
+  readonly #table: TableManager;
   #quorum: Quorum;
   #effects: ControlEffect[] = [];
 
@@ -168,44 +109,26 @@
       }
     | undefined;
 
+  /** The configuration as last written here, committed or not. */
   #doc: ConfigDoc;
-  #token = 0;
-  readonly #edits = new Map<number, WaitingEdit>();
-  readonly #reads = new Map<number, Origin>();
-  #readId = 0;
-  #forwardId: number;
-  /** Nodes whose line closed and from which nothing came since: what is sent there now is lost. */
-  readonly #closed = new Set<string>();
-  readonly #forwards = new Map<number, Forwarded>();
-
-  #machines: Machines = { revision: 0, machines: [] };
-  #catalog: Catalog = EMPTY_CATALOG;
-  /** The epoch of ours in which it was last told; it may be old news at the beginning of another. */
-  #catalogEpoch = -1;
-  #mayOrderSince: Moment = NEVER;
-  readonly #runners = new Map<string, Runner>();
-  readonly #shares = new Shares();
-  #shareList: readonly Share[] = [];
-  #sharedAt: Moment = NEVER;
+  /** The newest configuration that is known to be on a majority; the same object as #doc where nothing else is written. */
+  #committedDoc: ConfigDoc;
+  readonly #orders: OperatorOrders;
+  readonly #forwarding: OrderForwarding;
+  readonly #confirmations = new Map<number, Confirmation>();
+  #confirmationId = 0;
+
   /** Until then members may stand on no list of ours that were confirmed fresh through us before we started. */
   readonly #unknownUntil: Moment;
   #listAskedAt: Moment = NEVER;
-  readonly #orders = new Map<string, SentOrder>();
-  readonly #keptIntents = new Set<string>();
   /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a tick earlier. */
   #isServing = false;
   #isRetiring = false;
   #isRecovering = false;
   #recoverUntil: Moment | undefined;
-  #servingSince: Moment = NEVER;
-  #plannedAt: Moment = NEVER;
   #machinesAt: Moment = NEVER;
-  #catalogAt: Moment = NEVER;
   #peersPingedAt: Moment = NEVER;
-  #placesText = '';
-  #placesCount = 0;
   #placementWrites = 0;
-  #ordersSent = 0;
 
   /** Set where a deployment brings its own planner. */
   readonly #fleetManager: FleetManager | undefined;
@@ -264,11 +187,42 @@
         flows: this.#flowCount.bind(this),
       });
     this.#confirmation = new FreshnessConfirmation(settings.incarnation);
-    this.#forwardId = settings.incarnation;
+    this.#committedDoc = this.#doc;
+    this.#orders = new OperatorOrders(
+      {
+        newest: this.#newestDoc.bind(this),
+        committed: this.#newestCommitted.bind(this),
+        write: this.#writeDoc.bind(this),
+        confirm: this.#confirmRefusal.bind(this),
+        answer: this.#answer.bind(this),
+        isInForce: this.#isInForce.bind(this),
+      },
+      settings.deployed?.dialect,
+    );
+    this.#forwarding = new OrderForwarding(
+      {
+        leader: this.#otherLeader.bind(this),
+        send: this.#send.bind(this),
+        answer: this.#answer.bind(this),
+      },
+      settings.incarnation,
+      now,
+    );
     if (name !== 'sound')
       this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
-    this.#placer = new Placer(placer, settings.me);
+    this.#table = new TableManager(
+      {
+        effect: this.#effect.bind(this),
+        write: this.#writePlaced.bind(this),
+        publish: this.#publishPlaces.bind(this),
+        mayOrder: this.mayOrder.bind(this),
+        proxies: this.#flowCount.bind(this),
+      },
+      placer,
+      settings.me,
+      settings.reportMs,
+    );
     this.#followVoters();
     this.#collect(now);
   }
@@ -292,7 +246,7 @@
     return this.#quorum.all;
   }
   get ordersSent(): number {
-    return this.#ordersSent + (this.#fleetManager?.ordersSent ?? 0);
+    return this.#table.ordersSent + (this.#fleetManager?.ordersSent ?? 0);
   }
   get placementWrites(): number {
     return this.#placementWrites;
@@ -348,7 +302,7 @@
   }
 
   receive(now: Moment, from: string, message: Message, zone: string = ''): void {
-    this.#closed.delete(from);
+    this.#forwarding.heard(from);
     if (zone !== '' && this.#quorum.holds(nodeId(from))) this.#zones.set(from, zone);
     switch (message.kind) {
       case 'read':
@@ -436,13 +390,15 @@
         this.#receiveDemand(now, message.body);
         break;
       case 'command':
-        this.#command(now, { from, id: message.id }, message.verb, message.body);
+        this.#receiveCommand(now, from, message);
         break;
       case 'commandReply':
-        this.#receiveCommandReply(from, message);
+        this.#forwarding.answered(from, message);
         break;
       default:
         this.#elector.receive(now, nodeId(from), message);
+        if (message.kind === 'victory' || message.kind === 'renew')
+          this.#noteLeaderTime(from, message);
         break;
     }
     this.#collect(now);
@@ -450,14 +406,9 @@
 
   /** The line to a node closed. */
   gone(now: Moment, from: string): void {
-    this.#closed.add(from);
     this.#sessions.gone(from);
     this.#relay.removeChild(from);
-    for (const [id, forwarded] of this.#forwards) {
-      if (forwarded.to !== from) continue;
-      this.#forwards.delete(id);
-      this.#replyUnsure(forwarded.origin, forwarded.editId);
-    }
+    this.#forwarding.gone(from);
     this.#reassignParents();
     this.#collect(now);
   }
@@ -501,20 +452,12 @@
   }
 
   catalog(_now: Moment, catalog: Catalog): void {
-    this.#catalog = catalog;
-    this.#catalogEpoch = this.#ledEpoch;
+    this.#table.catalog(catalog);
   }
 
   /** What a runner returned to an ask sent at that moment; nothing if it did not. */
   reported(now: Moment, id: string, askedAt: Moment, report: RunnerReport | undefined): void {
-    const runner = this.#runners.get(id);
-    if (!runner || askedAt < runner.askedAt) return;
-    runner.isKnown = true;
-    runner.isReachable = report !== undefined;
-    if (!report) return;
-    runner.report = report;
-    runner.askedAt = askedAt;
-    runner.seenAt = now;
+    this.#table.reported(now, id, askedAt, report);
   }
 
   /** What became of an order: taken, turned away for good, or unsure. */
@@ -530,22 +473,7 @@
       this.#collect(now);
       return;
     }
-    const sent = this.#orders.get(intent);
-    if (outcome === 'taken') {
-      this.#placer.orderTaken(now, intent);
-      this.#orders.set(intent, { sentAt: now, state: 'taken', wasUnsure: true });
-    } else if (outcome === 'turnedAway') {
-      this.#placer.orderTurnedAway(intent);
-    } else if (sent && sent.state !== 'taken') {
-      // Never written, it is as if it had not been sent; one whose fate was open before stays open.
-      if (outcome === 'unsent' && !sent.wasUnsure) this.#orders.delete(intent);
-      else
-        this.#orders.set(intent, {
-          sentAt: outcome === 'unsent' ? NEVER : now,
-          state: 'unsure',
-          wasUnsure: true,
-        });
-    }
+    this.#table.ordered(now, intent, outcome);
   }
 
   /** A command at this node's own API. */
@@ -560,7 +488,7 @@
    */
   retire(now: Moment): boolean {
     this.#isRetiring = true;
-    for (const order of this.#orders.values()) if (order.state !== 'taken') return false;
+    if (this.#table.hasOpenOrders) return false;
     if (this.#isServing && this.#fleetManager?.hasOpenOrders) return false;
     this.#elector.retire(now);
     this.#collect(now);
@@ -645,15 +573,17 @@
     this.#isServing = false;
     this.#recoverUntil = undefined;
     this.#parts.stub();
-    this.#orders.clear();
-    this.#keptIntents.clear();
-    this.#placesText = '';
+    this.#table.end();
     this.#written.clear();
-    for (const edit of this.#edits.values()) this.#replyUnsure(edit.origin, edit.id);
-    this.#edits.clear();
-    for (const origin of this.#reads.values())
-      this.#replyError(origin, new CodedError('no-leader', 'the leader changed'));
-    this.#reads.clear();
+    this.#orders.abandon();
+    for (const confirmation of this.#confirmations.values()) {
+      if (confirmation.do === 'read')
+        this.#answer(
+          confirmation.origin,
+          errorAnswer(new CodedError('no-leader', 'the leader changed')),
+        );
+    }
+    this.#confirmations.clear();
   }
 
   // ---- standing
@@ -910,7 +840,7 @@
     if (this.#replicaStatus.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART))
       return;
     // Without any list we cannot tell which machines are leaving, though somebody may have known before we started.
-    if (!this.#fleetManager && this.#machines.revision === 0) {
+    if (!this.#fleetManager && this.#table.machines.revision === 0) {
       this.#askList(now);
       return;
     }
@@ -919,7 +849,7 @@
       kind: 'quorumReadReply',
       nonce,
       ...version,
-      marks: this.#machines.revision,
+      marks: this.#table.machines.revision,
     } as const;
     if (from === this.#me) this.#receiveQuorumReadReply(now, from, message);
     else this.#send(from, message);
@@ -966,12 +896,8 @@
       marks = Math.max(marks, known.marks);
     }
     for (const ask of this.#confirmation.end(round.nonce)) {
-      const read = this.#reads.get(ask.nonce);
-      if (ask.child === '' && read) {
-        this.#reads.delete(ask.nonce);
-        this.#replyRead(read, version);
-      } else if (ask.child !== '')
-        this.#send(ask.child, { kind: 'freshnessReply', nonce: ask.nonce, ...version, marks });
+      if (ask.child === '') this.#endConfirmation(now, ask.nonce, version);
+      else this.#send(ask.child, { kind: 'freshnessReply', nonce: ask.nonce, ...version, marks });
     }
     this.#beginRound(now);
   }
@@ -1015,24 +941,7 @@
   }
 
   #takeMachines(machines: Machines): void {
-    if (machines.revision <= this.#machines.revision) return;
-    // A platform that has lost its machines says nothing of ours: only a list that names some replaces one that did.
-    if (machines.machines.length === 0 && this.#machines.machines.length > 0) return;
-    this.#machines = machines;
-    const ids = new Set<string>();
-    for (const machine of machines.machines) {
-      ids.add(machine.id);
-      if (!this.#runners.has(machine.id))
-        this.#runners.set(machine.id, {
-          report: undefined,
-          askedAt: NEVER,
-          askSentAt: NEVER,
-          seenAt: NEVER,
-          isReachable: false,
-          isKnown: machine.service !== '',
-        });
-    }
-    for (const id of this.#runners.keys()) if (!ids.has(id)) this.#runners.delete(id);
+    if (!this.#table.takeMachines(machines)) return;
     const version = { epoch: 0, count: machines.revision };
     const body = JSON.stringify(machines);
     this.#relay.offer('machines', version, body);
@@ -1072,25 +981,21 @@
       if (this.#isServing) this.#fleetManager.demand(now, body, this.#doc);
       return;
     }
-    const report = parseAs(DemandShape, body);
-    if (report) this.#shares.add(now, report);
-    for (const unit of report?.units ?? [])
-      this.#placer.demand.add(now, `${unit.model}\n${unit.adapter}`, unit.count);
+    this.#table.demand(now, body);
   }
 
   // ---- owning the state
 
   #serve(now: Moment): void {
     this.#isServing = true;
-    this.#mayOrderSince = NEVER;
-    this.#catalogAt = NEVER;
-    this.#servingSince = now;
     this.#note('serving', { epoch: this.#ledEpoch });
     const body = this.#parts.body(CONFIG_PART);
     this.#doc =
       body === ''
         ? firstDoc(this.#settings.seeds)
         : mustParseAs(ConfigDocShape, body, 'the configuration part');
+    // It was rewritten by a majority in our epoch before we serve.
+    this.#committedDoc = this.#doc;
     // Only committed tables are ever told: one told here that no majority holds any more was lost with their disks.
     const told = parseAs(ConfigNewsShape, this.#relay.item('config')?.body ?? '');
     if (told && told.number > this.#doc.number) this.#isRecovering = true;
@@ -1109,16 +1014,7 @@
       this.#fleetManager.tick(now, this.#doc);
       return;
     }
-    this.#placer.restore(docs, `${this.#me}/${this.#ledEpoch}`);
-    for (const doc of docs) for (const intent of doc.intents) this.#keptIntents.add(intent.id);
-    for (const machine of this.#machines.machines) {
-      const runner = this.#runners.get(machine.id);
-      if (runner) {
-        runner.isKnown = machine.service !== '';
-        runner.seenAt = now;
-      }
-    }
-    this.#placesCount = 0;
+    this.#table.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
   }
 
   /** After an operator's force-new-cluster, members are asked for the newest table they hold before anything is served. */
@@ -1168,21 +1064,16 @@
         if (this.#isServing) this.#fleetManager.kept(now, body?.services ?? []);
         return;
       }
-      for (const doc of body?.services ?? [])
-        for (const intent of doc.intents) this.#keptIntents.add(intent.id);
+      this.#table.kept(body?.services ?? []);
       return;
     }
     const doc = parseAs(ConfigDocShape, this.#committedBody(part, version));
-    if (doc) this.#publishConfig(version, doc);
-    this.#followVoters();
-    const ids = new Set<string>();
-    for (const member of [...members, ...this.#possibleMembers(now)]) ids.add(member.id);
-    for (const token of tokens) {
-      const edit = this.#edits.get(token);
-      if (edit) edit.committed = { version, at: now, members: ids };
+    if (doc) {
+      this.#publishConfig(version, doc);
+      this.#committedDoc = this.#parts.isWriting(part) ? doc : this.#doc;
     }
-    // Here the yes says that it is held for good; the machines have their own span to follow.
-    if (this.#fleetManager) this.#answerEdits(now);
+    this.#followVoters();
+    this.#orders.committed(now, version, tokens, [...members, ...this.#possibleMembers(now)]);
   }
 
   /** Bodies by version, from when they were written until they are committed. */
@@ -1201,175 +1092,140 @@
   #command(now: Moment, origin: Origin, verb: string, body: string): void {
     try {
       if (verb === 'status') {
-        this.#reply(origin, 200, JSON.stringify(this.#status(now)));
+        this.#answer(origin, { status: 200, body: JSON.stringify(this.#status(now)) });
         return;
       }
       if (verb === 'found') {
         this.#found(now, origin);
         return;
       }
+      this.#forwarding.checkAge(now, verb);
       if (this.#recoverUntil !== undefined)
         throw new CodedError('no-leader', 'the table is being recovered from the members');
       if (!this.#elector.isLeading() || !this.#isServing) {
-        this.#forward(now, origin, verb, body);
+        this.#forwarding.forward(now, origin, verb, body);
         return;
       }
-      if (verb === 'read') this.#read(origin);
-      else if (verb === 'live') this.#reply(origin, 200, JSON.stringify(this.#live(now)));
-      else if (verb === 'fleet') this.#reply(origin, 200, JSON.stringify(this.#fleet(now)));
-      else if (verb === 'edit')
-        this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask'));
-      else this.#edit(now, origin, verb, body);
+      if (verb === 'read') this.#confirm({ do: 'read', origin });
+      else if (verb === 'live')
+        this.#answer(origin, {
+          status: 200,
+          body: JSON.stringify(this.#table.live(now, this.#doc)),
+        });
+      else if (verb === 'fleet')
+        this.#answer(origin, {
+          status: 200,
+          body: JSON.stringify(this.#table.fleet(now, this.#doc)),
+        });
+      else this.#orders.submit(now, origin, verb, body);
     } catch (thrown) {
-      this.#replyError(
+      this.#answer(
         origin,
-        thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
+        errorAnswer(
+          thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
+        ),
       );
     }
   }
 
-  #forward(now: Moment, origin: Origin, verb: string, body: string): void {
-    const leader = this.#elector.leader;
-    // Passed on once at most: two nodes that take each other for leader must not play ball with it.
-    if (
-      leader === undefined ||
-      leader === this.#me ||
-      origin.from !== '' ||
-      this.#closed.has(leader)
-    )
-      throw new CodedError('no-leader', 'no leader is known; nothing was done');
-    this.#forwardId += 1;
-    const edit = parseAs(EditShapes.edit, body);
-    const isEdit = verb !== 'read' && verb !== 'fleet' && verb !== 'live';
-    this.#forwards.set(this.#forwardId, {
-      origin,
-      to: leader,
-      at: now,
-      editId: isEdit ? (edit?.id ?? '') : '',
-    });
-    this.#send(leader, { kind: 'command', id: this.#forwardId, verb, body });
+  #receiveCommand(now: Moment, from: string, message: Extract<Message, { kind: 'command' }>): void {
+    const origin = { from, id: message.id };
+    try {
+      this.#forwarding.checkForwarded(now, this.#ledEpoch, message);
+    } catch (thrown) {
+      this.#answer(
+        origin,
+        errorAnswer(
+          thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
+        ),
+      );
+      return;
+    }
+    this.#command(now, origin, message.verb, message.body);
   }
 
-  #receiveCommandReply(from: string, message: Extract<Message, { kind: 'commandReply' }>): void {
-    const forwarded = this.#forwards.get(message.id);
-    if (!forwarded || forwarded.to !== from) return;
-    this.#forwards.delete(message.id);
-    this.#reply(forwarded.origin, message.status, message.body);
+  #otherLeader(): string | undefined {
+    const { leader } = this.#elector;
+    return leader === this.#me ? undefined : leader;
   }
 
-  #edit(now: Moment, origin: Origin, verb: string, body: string): void {
-    const { id } = mustParseAs(EditShapes.edit, body, 'the edit');
-    const before = this.#doc.edits.find(hasId.bind(undefined, id));
-    if (before) {
-      // The same id again is the same edit: it is told what became of it, and done once.
-      if (before.outcome === 'closed')
-        throw new CodedError('base-lost', `edit ${id} was asked about before it came, and closed`);
-      this.#write(now, origin, id, this.#doc, 'accepted');
-      return;
-    }
-    const edited = verb === 'swap' ? { id, doc: this.#swap(body) } : this.#apply(verb, body, id);
-    this.#write(now, origin, edited.id, recordEdit(edited.doc, edited.id, 'accepted'), 'accepted');
+  /** A renewal tells the leader's clock; what is known of it bounds the age of the orders passed on. */
+  #noteLeaderTime(
+    from: string,
+    message: { readonly epoch: number; readonly sentAt: number },
+  ): void {
+    if (this.#elector.leader === from && this.#elector.epoch === message.epoch)
+      this.#forwarding.noteLeaderTime(leaderTimeOf(message));
   }
 
-  /** An edit that loses by its base may be one that was accepted long ago, sent once more. */
-  #apply(verb: string, body: string, id: string): ReturnType<typeof applyEdit> {
-    try {
-      return applyEdit(this.#doc, verb, body, this.#settings.deployed?.dialect);
-    } catch (thrown) {
-      const base = parseAs(EditShapes.edit, body)?.base;
-      if (
-        !(thrown instanceof CodedError) ||
-        thrown.kind !== 'base-lost' ||
-        !mayBeForgotten(this.#doc, base)
-      )
-        throw thrown;
-      throw new CodedError(
-        'unsure-edit',
-        `edit ${id} was made from table ${base ?? 0}, so long ago that whether it was accepted is no longer known`,
-      );
-    }
+  // ---- orders and reads by proof of a majority
+
+  #newestDoc(): ConfigDoc {
+    return this.#doc;
   }
 
-  #swap(body: string): ConfigDoc {
-    const edit = mustParseAs(EditShapes.swap, body, 'the swap');
-    const [current] = this.#doc.voters;
-    if (!current || this.#doc.voters.length !== 1)
-      throw new CodedError('base-lost', 'another swap is under way');
-    if (!current.includes(edit.old) || current.includes(edit.new))
-      throw new CodedError('malformed', `${edit.old} is no voter, or ${edit.new} is one`);
-    function exchange(voter: string): string {
-      return voter === edit.old ? edit.new : voter;
-    }
-    return { ...this.#doc, voters: [current, current.map(exchange)] };
+  #newestCommitted(): ConfigDoc {
+    return this.#committedDoc;
   }
 
-  #write(
-    now: Moment,
-    origin: Origin,
-    id: string,
-    doc: ConfigDoc,
-    outcome: 'accepted' | 'closed',
-  ): void {
-    this.#token += 1;
-    this.#edits.set(this.#token, { origin, id, number: doc.number, outcome, committed: undefined });
+  #writeDoc(now: Moment, doc: ConfigDoc, token: number): void {
     this.#doc = doc;
-    this.#writePart(now, CONFIG_PART, JSON.stringify(doc), this.#token);
+    this.#writePart(now, CONFIG_PART, JSON.stringify(doc), token);
   }
 
-  #writePart(now: Moment, part: PartName, body: string, token: number): void {
-    const count = this.#parts.write(now, part, body, token);
-    this.#written.set(part, [
-      ...(this.#written.get(part) ?? [])
-        .filter(isAfter.bind(undefined, count - 2))
-        .filter(isBelow.bind(undefined, count)),
-      { count, body },
-    ]);
+  #confirmRefusal(): number {
+    return this.#confirm({ do: 'refusal' });
   }
 
-  #askEdit(
-    now: Moment,
-    origin: Origin,
-    { id, base }: { readonly id: string; readonly base?: number | undefined },
-  ): void {
-    const known = this.#doc.edits.find(hasId.bind(undefined, id));
-    if (!known && mayBeForgotten(this.#doc, base))
-      throw new CodedError(
-        'unsure-edit',
-        `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`,
-      );
-    // Whether known or not, the word given must outlast us: it is written like an edit before it is told.
-    if (known) this.#write(now, origin, id, this.#doc, known.outcome);
-    else this.#write(now, origin, id, recordEdit(this.#doc, id, 'closed'), 'closed');
+  /** A quorum read that begins after this moment. */
+  #confirm(confirmation: Confirmation): number {
+    this.#confirmationId += 1;
+    this.#confirmations.set(this.#confirmationId, confirmation);
+    this.#confirmation.add({ child: '', nonce: this.#confirmationId, members: [] });
+    return this.#confirmationId;
   }
 
-  #read(origin: Origin): void {
-    this.#readId += 1;
-    this.#reads.set(this.#readId, origin);
-    this.#confirmation.add({ child: '', nonce: this.#readId, members: [] });
+  /** `newest` is the newest version that a majority holds, committed or not. */
+  #endConfirmation(now: Moment, id: number, newest: Version): void {
+    const confirmation = this.#confirmations.get(id);
+    if (!confirmation) return;
+    this.#confirmations.delete(id);
+    // Of our own epoch nobody but us commits anything: with nothing later around, what we know to be committed is the newest.
+    const isNewest = this.#isServing && newest.epoch <= this.#ledEpoch;
+    if (confirmation.do === 'refusal') this.#orders.confirmed(now, id, isNewest);
+    else this.#answerRead(confirmation.origin, newest, isNewest);
   }
 
-  #replyRead(origin: Origin, newest: Version): void {
+  #answerRead(origin: Origin, newest: Version, isNewest: boolean): void {
     const item = this.#relay.item('config');
-    if (!this.#isServing || !item || isNewer(newest, item.version)) {
-      this.#replyError(
+    const isOurs = isNewest && item?.version.epoch === this.#ledEpoch;
+    if (!this.#isServing || !item || (!isOurs && isNewer(newest, item.version))) {
+      this.#answer(
         origin,
-        new CodedError('no-leader', 'a newer configuration is being written; ask again'),
+        errorAnswer(
+          new CodedError('no-leader', 'a newer configuration is being written; ask again'),
+        ),
       );
       return;
     }
-    this.#reply(origin, 200, item.body);
+    this.#answer(origin, { status: 200, body: item.body });
+  }
+
+  #writePart(now: Moment, part: PartName, body: string, token: number): void {
+    const count = this.#parts.write(now, part, body, token);
+    this.#written.set(part, [
+      ...(this.#written.get(part) ?? [])
+        .filter(isAfter.bind(undefined, count - 2))
+        .filter(isBelow.bind(undefined, count)),
+      { count, body },
+    ]);
   }
 
   #tickCommands(now: Moment): void {
     if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#isServing)
       this.#endRecovery(now);
-    for (const [id, forwarded] of this.#forwards) {
-      if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS))
-        continue;
-      this.#forwards.delete(id);
-      this.#replyUnsure(forwarded.origin, forwarded.editId);
-    }
-    this.#answerEdits(now);
+    this.#forwarding.tick(now);
+    this.#orders.tick(now);
     // A spare that is to vote is taken in once it holds everything; then the old set is let go.
     if (
       !this.#fleetManager &&
@@ -1388,29 +1244,14 @@
     }
   }
 
-  #answerEdits(now: Moment): void {
-    for (const [token, edit] of this.#edits) {
-      const committed = edit.committed;
-      if (!committed) continue;
-      // Whoever has not acked by then has not been confirmed fresh since before the write was held: it is blind.
-      const isSurelyBlind =
-        this.#fleetManager !== undefined ||
-        now >= later(committed.at, this.#settings.blindMs + BLIND_SLACK_MS);
-      if (!isSurelyBlind && !this.#hasAllAcked(committed.members, committed.version)) continue;
-      this.#edits.delete(token);
-      if (edit.outcome === 'accepted')
-        this.#reply(
-          edit.origin,
-          200,
-          JSON.stringify({
-            outcome: 'accepted',
-            id: edit.id,
-            number: edit.number,
-            version: versionText(committed.version),
-          }),
-        );
-      else this.#reply(edit.origin, 200, JSON.stringify({ outcome: 'turned-away', id: edit.id }));
-    }
+  #isInForce(now: Moment, commit: Commit): boolean {
+    // In a deployment the yes says that it is held for good; the machines have their own span to follow.
+    if (this.#fleetManager !== undefined) return true;
+    // Whoever has not acked by then has not been confirmed fresh since before the write was held: it is blind.
+    return (
+      now >= later(commit.at, this.#settings.blindMs + BLIND_SLACK_MS) ||
+      this.#hasAllAcked(commit.members, commit.version)
+    );
   }
 
   #hasAllAcked(members: ReadonlySet<string>, version: Version): boolean {
@@ -1421,54 +1262,24 @@
 
   #found(now: Moment, origin: Origin): void {
     if (this.#replicaStatus.name === 'sound') {
-      this.#reply(origin, 200, JSON.stringify({ outcome: 'already', standing: 'sound' }));
+      this.#answer(origin, {
+        status: 200,
+        body: JSON.stringify({ outcome: 'already', standing: 'sound' }),
+      });
       return;
     }
     this.#replicaStatus.force();
     this.#isRecovering = true;
     this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
-    this.#reply(
-      origin,
-      200,
-      JSON.stringify({ outcome: 'forced', standing: this.#replicaStatus.name }),
-    );
-  }
-
-  #reply(origin: Origin, status: number, body: string): void {
-    if (origin.from === '') this.#effects.push({ do: 'reply', id: origin.id, status, body });
-    else this.#send(origin.from, { kind: 'commandReply', id: origin.id, status, body });
-  }
-
-  #replyError(origin: Origin, defect: CodedError): void {
-    const faults =
-      defect instanceof TableError || defect instanceof ConfigError
-        ? { faults: defect.faults }
-        : {};
-    this.#reply(
-      origin,
-      defect.row.status,
-      JSON.stringify({
-        outcome: defect.row.unsure ? 'unsure' : 'turned-away',
-        defect: defect.kind,
-        text: defect.message,
-        ...faults,
-      }),
-    );
+    this.#answer(origin, {
+      status: 200,
+      body: JSON.stringify({ outcome: 'forced', standing: this.#replicaStatus.name }),
+    });
   }
 
-  #replyUnsure(origin: Origin, id: string): void {
-    const kind: ErrorCode = id === '' ? 'no-leader' : 'unsure-edit';
-    this.#reply(
-      origin,
-      ERROR_CODES[kind].status,
-      JSON.stringify({
-        outcome: id === '' ? 'turned-away' : 'unsure',
-        defect: kind,
-        id,
-        text:
-          id === '' ? 'the leader was lost' : `the leader was lost; ask what became of edit ${id}`,
-      }),
-    );
+  #answer(origin: Origin, answer: CommandAnswer): void {
+    if (origin.from === '') this.#effects.push({ do: 'reply', id: origin.id, ...answer });
+    else this.#send(origin.from, { kind: 'commandReply', id: origin.id, ...answer });
   }
 
   // ---- the outside: platform, weight store, runners
@@ -1494,165 +1305,14 @@
       this.#machinesAt = now;
       this.#effects.push({ do: 'askMachines' });
     }
-    if (!this.#isServing) return;
-    if (now >= later(this.#catalogAt, this.#catalog.models.length === 0 ? 500 : 5000)) {
-      this.#catalogAt = now;
-      this.#effects.push({ do: 'askCatalog' });
-    }
-    for (const machine of this.#machines.machines) {
-      const runner = this.#runners.get(machine.id);
-      if (
-        !runner ||
-        machine.service !== '' ||
-        now < later(runner.askSentAt, this.#settings.reportMs)
-      )
-        continue;
-      runner.askSentAt = now;
-      this.#effects.push({ do: 'askReport', runner: machine.id, address: machine.address });
-    }
-    if (now < later(this.#plannedAt, PLAN_MS)) return;
-    this.#plannedAt = now;
-    this.#plan(now);
-  }
-
-  #planInput(now: Moment): PlanInput {
-    const runners: RunnerView[] = [];
-    for (const machine of this.#machines.machines) {
-      const runner = this.#runners.get(machine.id);
-      if (!runner) continue;
-      const isLost = !runner.isReachable && now - runner.seenAt > LOST_RUNNER_MS;
-      runners.push({
-        machine,
-        report: runner.report,
-        askedAt: runner.askedAt,
-        isReachable: runner.isReachable,
-        isLost,
-      });
-    }
-    return { table: this.#doc.table, catalog: this.#catalog, runners, emptied: this.#doc.emptied };
-  }
-
-  #plan(now: Moment): void {
-    // A new leader plans only once it has heard from the runners, or it would take all their seats away.
-    if (this.#recoverUntil !== undefined) return;
-    const isInformed =
-      [...this.#runners.values()].every(isHeard) || now - this.#servingSince > LOST_RUNNER_MS;
-    if (!isInformed || this.#catalog.models.length === 0) return;
-    const input = this.#planInput(now);
-    const changed = this.#placer.plan(now, input);
-    const parts = new Set<PartName>();
-    for (const model of changed) parts.add(servicePart(model));
-    for (const part of parts) {
-      const services = this.#placer.docs().filter(isInPart.bind(undefined, part));
-      this.#placementWrites += 1;
-      this.#writePart(now, part, JSON.stringify({ services }), 0);
-    }
-    this.#orderIntents(now, input);
-    this.#publishPlaces(now, input);
-  }
-
-  /** Bound once: it is asked for every intent at every plan. */
-  readonly #isSentOrder = this.#hasSent.bind(this);
-
-  #hasSent(intent: string): boolean {
-    return this.#orders.has(intent);
-  }
-
-  #orderIntents(now: Moment, input: PlanInput): void {
-    if (!this.mayOrder(now)) return;
-    if (this.#mayOrderSince === NEVER) this.#mayOrderSince = now;
-    const open = new Set<string>();
-    for (const doc of this.#placer.docs()) {
-      for (const intent of doc.intents) {
-        open.add(intent.id);
-        const sent = this.#orders.get(intent.id);
-        // Only what is kept is ordered, and what was taken is never ordered twice.
-        if (!this.#keptIntents.has(intent.id) || sent?.state === 'taken') continue;
-        if (sent && now < later(sent.sentAt, ORDER_AGAIN_MS)) continue;
-        const view = input.runners.find(isRunner.bind(undefined, intent.runner));
-        if (!view?.isReachable || view.report?.boot !== intent.boot) continue;
-        if (!this.#placer.mayStillOrder(intent, input, this.#isSentOrder)) {
-          // Not sent by us: decided in this epoch it was sent by nobody; of an older one the runner would have shown it
-          // in a report asked for since we may order, which is long after anybody else could.
-          const isOurs = intent.id.startsWith(`${this.#me}/${this.#ledEpoch}.`);
-          if (!sent && (isOurs || view.askedAt > this.#mayOrderSince))
-            this.#placer.orderTurnedAway(intent.id);
-          continue;
-        }
-        // Until the weight store has told us its limit, we do not know how much may be fetched.
-        if (intent.verb === 'load' && this.#catalogEpoch !== this.#ledEpoch) continue;
-        this.#orders.set(intent.id, {
-          sentAt: now,
-          state: 'sent',
-          wasUnsure: sent?.wasUnsure ?? false,
-        });
-        this.#ordersSent += 1;
-        this.#effects.push({ do: 'order', intent, address: view.machine.address });
-      }
-    }
-    for (const id of this.#orders.keys()) if (!open.has(id)) this.#orders.delete(id);
-    for (const id of this.#keptIntents) if (!open.has(id)) this.#keptIntents.delete(id);
-  }
-
-  #publishPlaces(now: Moment, input: PlanInput): void {
-    const places = this.#placer.places(input);
-    const flows = new Set<string>();
-    for (const member of this.#knownMembers()) flows.add(member.id);
-    // Shares follow demand, which is told once a second: more often they would only be more news.
-    if (now >= later(this.#sharedAt, 1000)) {
-      this.#sharedAt = now;
-      this.#shareList = this.#shares.list(now, input.table.rows.map(takeOf));
-    }
-    const shares = this.#shareList;
-    const text = JSON.stringify({ ...places, flows: Math.max(1, flows.size), shares });
-    if (text === this.#placesText) return;
-    this.#placesText = text;
-    this.#placesCount += 1;
-    this.#relay.offer('places', { epoch: this.#ledEpoch, count: this.#placesCount }, text);
+    if (this.#isServing) this.#table.tick(now, this.#doc, this.#recoverUntil === undefined);
   }
 
-  // ---- what operators see
-
-  /** The fleet as the placer sees it, for checking a table against it. */
-  #fleet(now: Moment): object {
-    const { runners, catalog, emptied, table } = this.#planInput(now);
-    const views = [];
-    for (const { machine, report, isReachable } of runners)
-      views.push({ machine, report: report ?? null, isReachable });
-    const demand = [];
-    for (const unit of this.#placer.demand.units())
-      demand.push({ unit, rate: this.#placer.demand.rate(now, unit) });
-    return {
-      number: this.#doc.number,
-      table,
-      emptied,
-      catalog,
-      docs: this.#placer.docs(),
-      runners: views,
-      demand,
-    };
+  #publishPlaces(count: number, text: string): void {
+    this.#relay.offer('places', { epoch: this.#ledEpoch, count }, text);
   }
 
-  /** The table with its places beside it: who serves, who waits for what, and what is asked for. */
-  #live(now: Moment): Live {
-    const input = this.#planInput(now);
-    const rows = [];
-    for (const row of input.table.rows)
-      rows.push({
-        row: rowKey(row),
-        weight: row.weight,
-        take: row.take,
-        rate: this.#shares.rate(now, rowKey(row)),
-      });
-    const models = this.#placer.live(now, input);
-    return {
-      number: this.#doc.number,
-      emptied: input.emptied.slice(),
-      underWay: this.#placer.docs().flatMap(intentsOf).length,
-      rows,
-      models,
-    };
-  }
+  // ---- what operators see
 
   #status(now: Moment): object {
     const totals: Record<string, number> = {};
@@ -1692,17 +1352,14 @@
       mended: this.#parts.mends,
       config: config ? versionText(config.version) : 'none',
       placesVersion: places ? versionText(places.version) : 'none',
-      machines: this.#machines.revision,
+      machines: this.#table.machines.revision,
       members,
       places: places ? parseAs(type({}), places.body) : undefined,
-      intents: (this.#fleetManager ?? this.#placer).docs().flatMap(intentsOf),
+      intents: (this.#fleetManager ?? this.#table).docs().flatMap(intentsOf),
     };
   }
 }
 
-function takeOf(row: Row): { readonly key: string; readonly take: number } {
-  return { key: rowKey(row), take: row.take };
-}
 function copyOf(set: readonly string[]): string[] {
   return [...set];
 }
@@ -1712,9 +1369,6 @@
 function isOther(me: string, id: string): boolean {
   return id !== me;
 }
-function hasId(id: string, edit: { readonly id: string }): boolean {
-  return edit.id === id;
-}
 function hasCount(count: number, item: { readonly count: number }): boolean {
   return item.count === count;
 }
@@ -1724,15 +1378,6 @@
 function isBelow(count: number, item: { readonly count: number }): boolean {
   return item.count < count;
 }
-function isHeard(runner: Runner): boolean {
-  return runner.isKnown;
-}
-function isRunner(id: string, view: RunnerView): boolean {
-  return view.machine.id === id;
-}
-function isInPart(part: PartName, doc: ServiceDoc): boolean {
-  return servicePart(doc.model) === part;
-}
 function intentsOf(doc: ServiceDoc): readonly Intent[] {
   return doc.intents;
 }
