--- /dev/null
+++ b/src/simulation/AgentNode.ts
@@ -0,0 +1,115 @@
+import type { Message } from '../kin/Messages.js';
+import { LinkCore } from '../link/LinkCore.js';
+import type { Agenda } from '../myth/Agenda.js';
+import type { Seeded } from '../myth/Seeded.js';
+import { AGENT_BEAT_MS, AGENT_BLIND_MS } from './DeployedSettings.js';
+import type { Endpoint } from './Endpoint.js';
+import { SimExchange } from './SimExchange.js';
+import type { Host, SimNetwork } from './SimNetwork.js';
+import { SimProcess } from './SimProcess.js';
+
+export interface AgentSurroundings {
+  readonly agenda: Agenda;
+  readonly random: Seeded;
+  readonly network: SimNetwork;
+  readonly drift: number;
+  /** After every input of an agent's core. */
+  readonly stepped: (node: AgentNode) => void;
+}
+
+const LIFE_RANGE = 2 ** 47;
+
+/** An edge machine as far as it holds configuration: the real agent core. */
+export class AgentNode implements Host {
+  readonly id: string;
+  readonly zone: string;
+  readonly process: SimProcess;
+  readonly #around: AgentSurroundings;
+  readonly #exchange: SimExchange;
+  #core: LinkCore | undefined;
+  #starts = 0;
+
+  constructor(id: string, zone: string, around: AgentSurroundings) {
+    this.id = id;
+    this.zone = zone;
+    this.#around = around;
+    this.process = new SimProcess(around.agenda, around.random, around.drift);
+    this.#exchange = new SimExchange(this, around.network, { role: 'link', zone }, {
+      receive: this.#receive.bind(this),
+      gone: this.#gone.bind(this),
+    });
+  }
+
+  get core(): LinkCore | undefined {
+    return this.#core;
+  }
+
+  get isPowered(): boolean {
+    return true;
+  }
+
+  get isListening(): boolean {
+    return this.#core !== undefined;
+  }
+
+  get life(): number {
+    return this.#starts;
+  }
+
+  start(seeds: readonly string[]): void {
+    if (this.process.isUp) return;
+    this.#starts += 1;
+    this.process.begin();
+    const life = this.#around.random.below(LIFE_RANGE);
+    const settings = { me: this.id, zone: this.zone, seeds, blindMs: AGENT_BLIND_MS, life };
+    this.#core = new LinkCore({ ...settings, isDeployed: true }, this.process.now());
+    this.#exchange.open();
+    this.process.every(AGENT_BEAT_MS, this.#beat.bind(this));
+    this.#beat();
+  }
+
+  kill(): void {
+    this.#around.network.processEnded(this.id);
+    this.process.end();
+    this.#core = undefined;
+    this.#around.stepped(this);
+  }
+
+  setSeeds(seeds: readonly string[]): void {
+    this.process.submit('settings', this.#takeSeeds.bind(this, seeds));
+  }
+
+  accept(endpoint: Endpoint): void {
+    this.#exchange.accept(endpoint);
+  }
+
+  #takeSeeds(seeds: readonly string[]): void {
+    this.#core?.setSeeds(seeds);
+    this.#obey();
+  }
+
+  #beat(): void {
+    const core = this.#core;
+    if (!core) return;
+    this.#exchange.dial(core.mind);
+    core.beat(this.process.now());
+    this.#obey();
+  }
+
+  #receive(from: string, role: string, _zone: string, message: Message): void {
+    this.#core?.receive(this.process.now(), from, role, message);
+    this.#obey();
+  }
+
+  #gone(id: string): void {
+    this.#core?.gone(this.process.now(), id);
+    this.#obey();
+  }
+
+  #obey(): void {
+    for (const effect of this.#core?.drain() ?? []) {
+      if (effect.do === 'send') this.#exchange.send(effect.to, effect.message);
+    }
+    this.#around.stepped(this);
+  }
+}
--- /dev/null
+++ b/src/simulation/CallAttempt.ts
@@ -0,0 +1,65 @@
+import type { Endpoint, Payload } from './Endpoint.js';
+import { decodeAnswer, encodeCall, type OperatorAnswer, type OperatorCall } from './OperatorCall.js';
+import type { Host, SimNetwork } from './SimNetwork.js';
+
+/** A node that says nothing for so long is left for another one. */
+const SILENCE_MS = 1000;
+
+export interface CallAttemptSettings {
+  readonly network: SimNetwork;
+  readonly caller: Host;
+  readonly node: string;
+  readonly call: OperatorCall;
+  /** Whether an answer that arrived just now is to be lost on its way. */
+  readonly isAnswerLost: () => boolean;
+  /** Nothing where there was no answer: refused, reset or silent. */
+  readonly ended: (answer: OperatorAnswer | undefined) => void;
+}
+
+/** One call of an operator to one node: connects, sends, and waits for a second of silence at most. */
+export class CallAttempt {
+  readonly #settings: CallAttemptSettings;
+  #endpoint: Endpoint | undefined;
+  #isOver = false;
+
+  constructor(settings: CallAttemptSettings) {
+    this.#settings = settings;
+  }
+
+  send(): void {
+    const { network, caller, node } = this.#settings;
+    const silent = this.#end.bind(this, undefined);
+    caller.process.after(SILENCE_MS, silent);
+    network.connect(caller, node, 'calls', {
+      connected: this.#connected.bind(this),
+      refused: silent,
+    });
+  }
+
+  #connected(endpoint: Endpoint): void {
+    if (this.#isOver) {
+      endpoint.close();
+      return;
+    }
+    this.#endpoint = endpoint;
+    endpoint.handler = {
+      data: this.#take.bind(this),
+      closed: this.#end.bind(this, undefined),
+    };
+    endpoint.send(encodeCall(this.#settings.call));
+  }
+
+  #take(payload: Payload): void {
+    const answer = decodeAnswer(payload);
+    if (this.#isOver || !answer || this.#settings.isAnswerLost()) return;
+    this.#end(answer);
+  }
+
+  #end(answer: OperatorAnswer | undefined): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    // The bytes already written may still arrive: the node then works through a call that nobody waits for.
+    this.#endpoint?.close();
+    this.#settings.ended(answer);
+  }
+}
--- /dev/null
+++ b/src/simulation/ControlNode.ts
@@ -0,0 +1,380 @@
+import type { Moment } from '../kin/Ids.js';
+import type { Message } from '../kin/Messages.js';
+import { MindCore } from '../mind/MindCore.js';
+import { MIND_DEFAULTS, type MindEffect, type OrderResult } from '../mind/MindEffect.js';
+import type { Agenda } from '../myth/Agenda.js';
+import type { Seeded } from '../myth/Seeded.js';
+import type { ListedRunner } from '../place/Fleet.js';
+import { VOTE_DEFAULTS } from '../vote/VoteSettings.js';
+import {
+  CONTROL_BEAT_MS,
+  CONTROL_SILENT_MS,
+  DEPLOYED_VOTE,
+  DISK_AGAIN_MS,
+  GRACE_MS,
+  LEASE_MS,
+  LIST_MS,
+  RETIRE_MS,
+} from './DeployedSettings.js';
+import type { Endpoint, Payload } from './Endpoint.js';
+import { LeasedOrder } from './LeasedOrder.js';
+import { answerOf, commandOf, decodeCall, encodeAnswer, type OperatorAnswer } from './OperatorCall.js';
+import type { OperatorCall } from './OperatorCall.js';
+import { OrderStub } from './OrderStub.js';
+import { PlainDialect } from './PlainDialect.js';
+import { SimDisk, type UnsyncedFate } from './SimDisk.js';
+import { SimExchange } from './SimExchange.js';
+import type { Host, Port, SimNetwork } from './SimNetwork.js';
+import { SimProcess } from './SimProcess.js';
+
+/** What a run is told of a control node as it works. */
+export interface ControlObserver {
+  /** After every input of the core, with all its effects begun. */
+  stepped(node: ControlNode): void;
+  /** An answer is written to an operator. */
+  answered(node: ControlNode, call: OperatorCall, answer: OperatorAnswer): void;
+  /** The core threw, which its process logs and outlives. */
+  threw(node: ControlNode, error: unknown): void;
+  noted(node: ControlNode, text: string): void;
+}
+
+export interface ControlSurroundings {
+  readonly agenda: Agenda;
+  readonly random: Seeded;
+  readonly network: SimNetwork;
+  readonly observer: ControlObserver;
+  readonly runners: readonly ListedRunner[];
+  readonly drift: number;
+}
+
+type StoreEffect = Extract<MindEffect, { do: 'store' }>;
+type OrderEffect = Extract<MindEffect, { do: 'order' }>;
+
+/** A process is loaded and reads its files for so long before it listens. */
+const LEAST_START_MS = 60;
+const MOST_START_MS = 200;
+const LIST_DELAY_MS = 20;
+const LIFE_RANGE = 2 ** 47;
+const ID_RANGE = 2 ** 31;
+
+/** A core machine: the real control core with a deployment's settings on a simulated process, disk and network. */
+export class ControlNode implements Host {
+  readonly id: string;
+  readonly zone: string;
+  readonly process: SimProcess;
+  readonly disk: SimDisk;
+  readonly #around: ControlSurroundings;
+  readonly #exchange: SimExchange;
+  #core: MindCore | undefined;
+  #isPowered = true;
+  #seeds: readonly string[] = [];
+  #answers = new Map<number, (answer: OperatorAnswer) => void>();
+  #commandId = 0;
+  #starts = 0;
+  /** Set while the next order's write is to be held up by a freeze right after the lease was checked. */
+  freezeAtOrder: (() => void) | undefined;
+
+  constructor(id: string, zone: string, around: ControlSurroundings) {
+    this.id = id;
+    this.zone = zone;
+    this.#around = around;
+    this.process = new SimProcess(around.agenda, around.random, around.drift);
+    this.disk = new SimDisk(around.agenda, around.random);
+    this.#exchange = new SimExchange(this, around.network, { role: 'mind', zone }, {
+      receive: this.#receive.bind(this),
+      gone: this.#gone.bind(this),
+    });
+  }
+
+  get core(): MindCore | undefined {
+    return this.#core;
+  }
+
+  get isPowered(): boolean {
+    return this.#isPowered;
+  }
+
+  get isListening(): boolean {
+    return this.#core !== undefined;
+  }
+
+  /** Counts the lives of its process. */
+  get life(): number {
+    return this.#starts;
+  }
+
+  /** Begins the process with the settings of this moment. */
+  start(isFirstStart: boolean, seeds: readonly string[]): void {
+    if (this.process.isUp) return;
+    this.#isPowered = true;
+    this.#around.network.powerReturned(this.id);
+    this.#starts += 1;
+    this.#seeds = seeds;
+    this.process.begin();
+    const delay = this.#around.random.between(LEAST_START_MS, MOST_START_MS);
+    this.process.after(delay, this.#load.bind(this, isFirstStart));
+  }
+
+  /** SIGKILL: the machine stays up, and its kernel closes the connections. */
+  kill(): void {
+    this.#endProcess();
+    this.disk.crash('drawn');
+  }
+
+  /** The whole machine goes dark. */
+  losePower(fate: UnsyncedFate): void {
+    this.#isPowered = false;
+    this.#around.network.powerLost(this.id);
+    this.#endProcess();
+    this.disk.crash(fate);
+  }
+
+  /** SIGTERM: hands over what it leads, and is killed if it has not ended after the grace. */
+  stop(ended: () => void): void {
+    const end = this.#finish.bind(this, ended);
+    // The machine kills what has not ended, frozen or not.
+    this.#around.agenda.after(GRACE_MS, this.process.inThisLife(end));
+    const retire = this.#retire.bind(this, this.process.now() + RETIRE_MS, end);
+    this.process.submit('signal', retire);
+  }
+
+  setSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+    function set(core: MindCore): void {
+      core.setSeeds(seeds);
+    }
+    this.process.submit('settings', this.#work.bind(this, set));
+  }
+
+  accept(endpoint: Endpoint, port: Port): void {
+    if (port === 'nodes') this.#exchange.accept(endpoint);
+    else this.#serve(endpoint);
+  }
+
+  now(): Moment {
+    return this.process.now();
+  }
+
+  // ---- the process
+
+  #load(isFirstStart: boolean): void {
+    const open = this.process.inThisLife(this.#open.bind(this, isFirstStart));
+    this.disk.whenAnswering(this.process.submit.bind(this.process, 'disk', open));
+  }
+
+  #open(isFirstStart: boolean): void {
+    const { random } = this.#around;
+    const planner = new OrderStub();
+    const dialect = new PlainDialect();
+    const deployed = { dialect, planner, isFirstStart, listMs: LIST_MS };
+    const settings = {
+      ...MIND_DEFAULTS,
+      me: this.id,
+      zone: this.zone,
+      seeds: this.#seeds,
+      life: random.below(LIFE_RANGE),
+      silentMs: CONTROL_SILENT_MS,
+      foundMs: 0,
+      deployed,
+    };
+    const vote = { ...VOTE_DEFAULTS, ...DEPLOYED_VOTE, leaseMs: LEASE_MS };
+    this.#answers = new Map();
+    this.#core = new MindCore(settings, this.disk.list(), this.process.now(), vote);
+    this.#exchange.open();
+    this.process.every(CONTROL_BEAT_MS, this.#beat.bind(this));
+    this.#beat();
+  }
+
+  #endProcess(): void {
+    this.#around.network.processEnded(this.id);
+    this.process.end();
+    this.#core = undefined;
+    this.freezeAtOrder = undefined;
+    this.#around.observer.stepped(this);
+  }
+
+  #retire(until: number, end: () => void): void {
+    let isRetired = false;
+    const now = this.now.bind(this);
+    function retire(core: MindCore): void {
+      isRetired = core.retire(now());
+    }
+    this.#work(retire);
+    // What was said last must leave the process before its lines close.
+    if (isRetired || this.process.now() >= until) this.process.after(CONTROL_BEAT_MS, end);
+    else this.process.after(CONTROL_BEAT_MS, this.#retire.bind(this, until, end));
+  }
+
+  #finish(ended: () => void): void {
+    this.#exchange.close();
+    this.kill();
+    ended();
+  }
+
+  #beat(): void {
+    const core = this.#core;
+    if (!core) return;
+    for (const peer of core.peers) this.#exchange.dial(peer);
+    this.#work(core.beat.bind(core, this.process.now()));
+  }
+
+  /** One input of the core, with all its effects, before the next. */
+  #work(input: (core: MindCore) => void): void {
+    const core = this.#core;
+    if (!core) return;
+    try {
+      input(core);
+    } catch (thrown) {
+      this.#around.observer.threw(this, thrown);
+    }
+    for (const effect of core.drain()) this.#carryOut(core, effect);
+    this.#around.observer.stepped(this);
+  }
+
+  #receive(from: string, role: string, zone: string, message: Message): void {
+    const now = this.process.now();
+    const knownZone = role === 'mind' ? zone : '';
+    function receive(core: MindCore): void {
+      core.receive(now, from, message, knownZone);
+    }
+    this.#work(receive);
+  }
+
+  #gone(id: string): void {
+    const now = this.process.now();
+    function gone(core: MindCore): void {
+      core.gone(now, id);
+    }
+    this.#work(gone);
+  }
+
+  #carryOut(core: MindCore, effect: MindEffect): void {
+    switch (effect.do) {
+      case 'send':
+        this.#exchange.send(effect.to, effect.message);
+        break;
+      case 'store':
+        this.#keep(core, effect);
+        break;
+      case 'askList':
+        this.process.after(LIST_DELAY_MS, this.#list.bind(this, core));
+        break;
+      case 'order':
+        this.#order(core, effect);
+        break;
+      case 'return':
+        this.#return(effect.id, { status: effect.status, body: effect.body });
+        break;
+      case 'note':
+        this.#around.observer.noted(this, `${effect.text} ${JSON.stringify(effect.fields)}`);
+        break;
+      default:
+        break;
+    }
+  }
+
+  /** An input of one life's core alone, taken by its event loop. */
+  #input(core: MindCore, stream: string, input: (core: MindCore) => void): void {
+    const isCurrent = this.#isCurrent.bind(this);
+    const work = this.#work.bind(this, input);
+    function run(): void {
+      if (isCurrent(core)) work();
+    }
+    this.process.submit(stream, run);
+  }
+
+  #isCurrent(core: MindCore): boolean {
+    return this.#core === core;
+  }
+
+  #keep(core: MindCore, effect: StoreEffect): void {
+    const { part, version, body } = effect;
+    const now = this.now.bind(this);
+    function stored(inner: MindCore): void {
+      inner.stored(now(), part, version);
+    }
+    const stream = `disk ${part}`;
+    const again = this.process.inThisLife(this.#keep.bind(this, core, effect));
+    const wait = this.process.after.bind(this.process, DISK_AGAIN_MS, again);
+    const done = this.#input.bind(this, core, stream, stored);
+    const fail = this.process.submit.bind(this.process, stream, wait);
+    this.disk.write(part, version, body, done, fail);
+  }
+
+  #list(core: MindCore): void {
+    const { runners } = this.#around;
+    this.#input(core, 'list', listAt.bind(undefined, this.process.now(), runners));
+  }
+
+  #order(core: MindCore, effect: OrderEffect): void {
+    const { intent, address } = effect;
+    const now = this.now.bind(this);
+    function ordered(result: OrderResult, inner: MindCore): void {
+      inner.ordered(now(), intent.id, result);
+    }
+    const input = this.#input.bind(this, core, `order ${address}`);
+    function done(result: OrderResult): void {
+      input(ordered.bind(undefined, result));
+    }
+    const order = { holder: this.id, fence: core.elector.epoch };
+    const { network } = this.#around;
+    const writing = this.#writeOrder.bind(this);
+    const lease = core;
+    new LeasedOrder({ network, host: this, runner: address, order, lease, writing, done }).send();
+  }
+
+  /** The process may be frozen between the check of its lease and the write. */
+  #writeOrder(write: () => void): void {
+    const freeze = this.freezeAtOrder;
+    this.freezeAtOrder = undefined;
+    freeze?.();
+    this.process.submit('write', write);
+  }
+
+  // ---- operators
+
+  #serve(endpoint: Endpoint): void {
+    const answer = this.#answer.bind(this, endpoint);
+    function data(payload: Payload): void {
+      answer(payload);
+    }
+    function closed(): void {
+      /* Nobody waits for the answer any more; the call is worked through all the same. */
+    }
+    endpoint.handler = { data, closed };
+  }
+
+  #answer(endpoint: Endpoint, text: string): void {
+    const call = decodeCall(text);
+    if (!call) return;
+    const { random, observer } = this.#around;
+    function newId(): string {
+      return `zone-${random.below(ID_RANGE)}-${random.below(ID_RANGE)}`;
+    }
+    const { verb, body } = commandOf(call, newId);
+    const tell = observer.answered.bind(observer, this, call);
+    function answered(told: OperatorAnswer): void {
+      const answer = answerOf(call ?? { method: 'GET' }, told);
+      tell(answer);
+      endpoint.send(encodeAnswer(answer));
+    }
+    this.#commandId += 1;
+    const id = this.#commandId;
+    this.#answers.set(id, answered);
+    const now = this.process.now();
+    function command(core: MindCore): void {
+      core.command(now, id, verb, body);
+    }
+    this.#work(command);
+  }
+
+  #return(id: number, answer: OperatorAnswer): void {
+    const answered = this.#answers.get(id);
+    this.#answers.delete(id);
+    answered?.(answer);
+  }
+}
+
+function listAt(now: Moment, runners: readonly ListedRunner[], core: MindCore): void {
+  core.list(now, runners);
+}
--- /dev/null
+++ b/src/simulation/ControlSimulation.ts
@@ -0,0 +1,344 @@
+import { Agenda } from '../myth/Agenda.js';
+import { VOTE_PART } from '../hold/PartNames.js';
+import type { AgentNode } from './AgentNode.js';
+import type { ControlNode, ControlObserver } from './ControlNode.js';
+import { ACK_MS, RECOVER_MS } from './DeployedSettings.js';
+import type { ArrivedOrder } from './FakeRunner.js';
+import { FaultDriver } from './FaultDriver.js';
+import type { Schedule } from './Faults.js';
+import { FaultTargets } from './FaultTargets.js';
+import { Fleet } from './Fleet.js';
+import type { History } from './History.js';
+import { HistoryRecorder, type OpenOrder } from './HistoryRecorder.js';
+import { HolderRules } from './HolderRules.js';
+import { judgeHistory } from './JudgedHistory.js';
+import { LossBudget } from './LossBudget.js';
+import { NodeWatch } from './NodeWatch.js';
+import type { OperatorAnswer, OperatorCall } from './OperatorCall.js';
+import { OperatorClient } from './OperatorClient.js';
+import { OperatorPlan } from './OperatorPlan.js';
+import type { SimulationOptions } from './Options.js';
+import { countOutcomes, type RunFigures } from './RunFigures.js';
+import { RandomStreams } from './RandomStreams.js';
+import { RunEvents } from './RunEvents.js';
+import { Settled } from './Settled.js';
+import { StateRules } from './StateRules.js';
+import { ViolationLog, type RunViolation } from './Violation.js';
+
+export interface Outcome {
+  readonly violations: readonly RunViolation[];
+  readonly figures: RunFigures;
+  readonly history: History;
+}
+
+export type RunLog = (line: string) => void;
+
+/** The fleet starts, and faults begin, at these moments. */
+const FIRST_ORDER_MS = 1500;
+export const TROUBLE_FROM_MS = 6000;
+/** After all trouble: time to recover, calm orders, and reading back. */
+const CALM_MS = 8000;
+const READ_BACK_MS = 5000;
+const CHECK_MS = 50;
+/** How often an order's acknowledgement may be later than the bound, for its own travel. */
+const ACK_SLACK_MS = 50;
+
+/** One run of the deployed control side on virtual time, a pure function of its options and schedule. */
+class ControlSimulation {
+  readonly #options: SimulationOptions;
+  readonly #agenda = new Agenda();
+  readonly #streams: RandomStreams;
+  readonly #violations: ViolationLog;
+  readonly #log: RunLog;
+  readonly #fleet: Fleet;
+  readonly #events = new RunEvents();
+  readonly #settled: Settled;
+  readonly #budget: LossBudget;
+  readonly #targets: FaultTargets;
+  readonly #recorder = new HistoryRecorder();
+  readonly #holderRules: HolderRules;
+  readonly #stateRules: StateRules;
+  readonly #watch: NodeWatch;
+  readonly #clients: OperatorClient[] = [];
+  readonly #plans: OperatorPlan[] = [];
+  readonly #driver: FaultDriver;
+  readonly #calmFrom: number;
+  #lostAnswers = 0;
+  #hasBegun = false;
+
+  constructor(options: SimulationOptions, log: RunLog) {
+    this.#options = options;
+    this.#streams = new RandomStreams(options.seed);
+    this.#log = this.#logAt.bind(this, log);
+    const now = this.#now.bind(this);
+    this.#violations = new ViolationLog(now, this.#log);
+    this.#settled = new Settled(now);
+    this.#calmFrom = TROUBLE_FROM_MS + options.troubleMs;
+    this.#fleet = new Fleet({
+      agenda: this.#agenda,
+      streams: this.#streams,
+      options,
+      observer: this.#observer(),
+      agentStepped: this.#agentStepped.bind(this),
+      orderArrived: this.#orderArrived.bind(this),
+    });
+    this.#targets = new FaultTargets(this.#fleet, this.#events);
+    this.#watch = new NodeWatch({ events: this.#events, now, log: this.#log });
+    this.#holderRules = this.#makeHolderRules();
+    this.#stateRules = new StateRules({
+      report: this.#violations.add.bind(this.#violations),
+      nodes: this.#fleet.controls,
+      isGone: this.#fleet.isGone.bind(this.#fleet),
+      isUnderRepair: this.#isUnderRepair.bind(this),
+    });
+    this.#budget = new LossBudget({
+      now,
+      limit: options.lossLimit,
+      nodes: options.nodes,
+      present: this.#countPresent.bind(this),
+      isDiskHealed: this.#isDiskHealed.bind(this),
+    });
+    this.#addOperator('operator-1');
+    this.#addOperator('operator-2');
+    this.#driver = this.#makeDriver();
+  }
+
+  run(schedule: Schedule): Outcome {
+    const { options } = { options: this.#options };
+    const readBackAt = this.#calmFrom + RECOVER_MS + CALM_MS;
+    this.#fleet.start();
+    this.#agenda.at(FIRST_ORDER_MS, this.#found.bind(this));
+    this.#agenda.at(CHECK_MS, this.#check.bind(this));
+    this.#agenda.at(this.#calmFrom + RECOVER_MS, this.#checkRecovered.bind(this));
+    this.#agenda.at(readBackAt, this.#readBack.bind(this));
+    this.#driver.begin(schedule);
+    this.#agenda.runUntil(readBackAt + READ_BACK_MS);
+    const history = this.#recorder.history();
+    for (const { rule, text } of judgeHistory(history)) this.#violations.add(rule, text);
+    const figures = this.#figures(readBackAt + READ_BACK_MS, options.nodes);
+    return { violations: this.#violations.all, figures, history };
+  }
+
+  // ---- what happens
+
+  #now(): number {
+    return this.#agenda.now;
+  }
+
+  #logAt(log: RunLog, line: string): void {
+    log(`${this.#agenda.now.toFixed(1).padStart(8)} ${line}`);
+  }
+
+  #found(): void {
+    const [first] = this.#plans;
+    first?.found();
+  }
+
+  #beginPlans(): void {
+    if (this.#hasBegun) return;
+    this.#hasBegun = true;
+    for (const plan of this.#plans) plan.begin();
+  }
+
+  #readBack(): void {
+    for (const plan of this.#plans) {
+      plan.stop();
+      plan.readBack();
+    }
+  }
+
+  #check(): void {
+    this.#stateRules.check();
+    this.#agenda.after(CHECK_MS, this.#check.bind(this));
+  }
+
+  #checkRecovered(): void {
+    if (this.#watch.lastServingAt >= this.#calmFrom || this.#fleet.leader) return;
+    const text = `none serves ${RECOVER_MS} ms after the last fault`;
+    this.#violations.add('no-leader-after-trouble', text);
+  }
+
+  #observer(): ControlObserver {
+    return {
+      stepped: this.#stepped.bind(this),
+      answered: this.#answered.bind(this),
+      threw: this.#threw.bind(this),
+      noted: this.#noted.bind(this),
+    };
+  }
+
+  #stepped(node: ControlNode): void {
+    this.#watch.stepped(node);
+    const { core } = node;
+    if (!core) return;
+    if (core.elector.isLeading()) this.#holderRules.leads(node.id, core.elector.epoch);
+    this.#stateRules.watch(node.id, node.life, core.relay);
+  }
+
+  #agentStepped(agent: AgentNode): void {
+    if (agent.core) this.#stateRules.watch(agent.id, agent.life, agent.core.relay);
+  }
+
+  #orderArrived(order: ArrivedOrder): void {
+    this.#holderRules.arrived(order);
+  }
+
+  #answered(node: ControlNode, call: OperatorCall, answer: OperatorAnswer): void {
+    this.#log(`${node.id} answers ${call.method} ${answer.status} ${answer.body.slice(0, 110)}`);
+    if (call.method === 'GET' || answer.status !== 200) return;
+    this.#beginPlans();
+    this.#targets.noteAnswered(node.id);
+    this.#stateRules.answered(answer);
+    this.#events.tell('ack', node.id);
+  }
+
+  #threw(node: ControlNode, error: unknown): void {
+    const text = error instanceof Error ? error.message : String(error);
+    this.#violations.add('core-threw', `${node.id}: ${text}`);
+  }
+
+  #noted(node: ControlNode, text: string): void {
+    this.#log(`${node.id} ${text}`);
+  }
+
+  // ---- operators
+
+  #addOperator(id: string): void {
+    const random = this.#streams.of(id);
+    const client = new OperatorClient(id, {
+      agenda: this.#agenda,
+      random,
+      network: this.#fleet.network,
+      recorder: this.#recorder,
+      nodes: this.#fleet.listed.bind(this.#fleet),
+      isAnswerLost: this.#isAnswerLost.bind(this),
+      sending: this.#sending.bind(this),
+    });
+    this.#fleet.network.join(client);
+    const { zones } = this.#fleet;
+    const { paceMs } = this.#options;
+    const plan = new OperatorPlan({ agenda: this.#agenda, random, client, zones, paceMs });
+    for (const other of this.#plans) {
+      other.peer = plan;
+      plan.peer = other;
+    }
+    this.#clients.push(client);
+    this.#plans.push(plan);
+  }
+
+  #isAnswerLost(): boolean {
+    return this.#streams.of('answers').isLikely(this.#lostAnswers);
+  }
+
+  #loseAnswers(share: number): void {
+    this.#lostAnswers = share;
+  }
+
+  #sending(record: OpenOrder): void {
+    const attempt = record.attempts.at(-1);
+    const node = attempt?.node ?? '';
+    const what = JSON.stringify(record.order);
+    this.#log(`${record.operator} sends ${record.id} to ${node}: ${what.slice(0, 110)}`);
+    this.#targets.noteCalled(node);
+    this.#events.tell('orderSent', node);
+    if (record.attempts.length > 1 || record.order.kind === undefined) return;
+    const due = this.#judgeAcknowledged.bind(this, record, this.#agenda.now);
+    this.#agenda.after(ACK_MS + ACK_SLACK_MS, due);
+  }
+
+  /** A proper order has its answer in time if the core was settled all along. */
+  #judgeAcknowledged(record: OpenOrder, sentAt: number): void {
+    if (record.isDefinite || !this.#settled.isSince(sentAt)) return;
+    // Where any number may be lost, orders are owed again once there was time to recover.
+    const owedFrom = this.#calmFrom + RECOVER_MS;
+    if (this.#options.lossLimit === 'any' && sentAt < owedFrom) return;
+    if ('isInvalid' in record.order && record.order.isInvalid) return;
+    const text = `order ${record.id} sent at ${Math.round(sentAt)} has no answer after ${ACK_MS} ms`;
+    this.#violations.add('late-acknowledgement', text);
+  }
+
+  // ---- the parts
+
+  #makeHolderRules(): HolderRules {
+    const { controls, network } = this.#fleet;
+    const settled = this.#settled;
+    const now = this.#now.bind(this);
+    function thawedAt(holder: string): number {
+      return controls.get(holder)?.process.thawedAt ?? -Infinity;
+    }
+    function isSettled(span: number): boolean {
+      return settled.isSince(now() - span);
+    }
+    return new HolderRules({
+      report: this.#violations.add.bind(this.#violations),
+      isFenced: this.#options.isFenced,
+      thawedAt,
+      healedAt: network.healedAt.bind(network),
+      isSettled,
+    });
+  }
+
+  #makeDriver(): FaultDriver {
+    return new FaultDriver({
+      fleet: this.#fleet,
+      budget: this.#budget,
+      settled: this.#settled,
+      events: this.#events,
+      after: this.#agenda.after.bind(this.#agenda),
+      now: this.#now.bind(this),
+      options: this.#options,
+      targets: this.#targets,
+      operators: this.#clients.map(idOf),
+      loseAnswers: this.#loseAnswers.bind(this),
+      endsAt: this.#calmFrom,
+      log: this.#log,
+    });
+  }
+
+  #countPresent(): number {
+    return this.#fleet.present.length;
+  }
+
+  /** An empty disk bears no record of votes until its node counts again. */
+  #isUnderRepair(node: string): boolean {
+    return this.#fleet.controls.get(node)?.disk.part(VOTE_PART) === undefined;
+  }
+
+  #isDiskHealed(node: string): boolean {
+    if (this.#fleet.isGone(node)) return !this.#stateRules.voters.flat().includes(node);
+    return this.#fleet.controls.get(node)?.core?.standing.name === 'sound';
+  }
+
+  #figures(virtualMs: number, nodes: number): RunFigures {
+    return {
+      nodes,
+      virtualMs,
+      faults: this.#driver.struck,
+      packets: this.#fleet.network.packets,
+      runnerOrders: this.#holderRules.orders,
+      reigns: this.#events.count('newLeader'),
+      voterChanges: this.#events.count('newVoters'),
+      repairMs: this.#watch.repairMs,
+      leaderlessMs: this.#watch.leaderlessMs,
+      reads: this.#recorder.reads.length,
+      ...countOutcomes(this.#recorder.orders),
+    };
+  }
+}
+
+function idOf(item: { readonly id: string }): string {
+  return item.id;
+}
+
+function silence(): void {
+  /* Nobody reads the log. */
+}
+
+/** Runs the deployed control side under a schedule of faults and judges what was seen. */
+export function simulate(
+  options: SimulationOptions,
+  schedule: Schedule,
+  log: RunLog = silence,
+): Outcome {
+  return new ControlSimulation(options, log).run(schedule);
+}
--- /dev/null
+++ b/src/simulation/Endpoint.ts
@@ -0,0 +1,183 @@
+import type { Host, SimNetwork } from './SimNetwork.js';
+
+/** What one write carries: a message of a node, a call or an answer. */
+export type Payload = string;
+
+/** What the owner of an endpoint hears. */
+export interface EndpointHandler {
+  data(payload: Payload): void;
+  /** The other side closed or reset the connection; not told of one's own close. */
+  closed(): void;
+}
+
+interface Packet {
+  readonly arriveAt: number;
+  /** Nothing for the end of the stream. */
+  readonly payload: Payload | undefined;
+}
+
+/**
+ * One end of a simulated connection. Payloads to the other end keep their order; while the link is
+ * cut, or the other machine is without power, they wait here as in a kernel's send buffer.
+ */
+export class Endpoint {
+  readonly #network: SimNetwork;
+  readonly #host: Host;
+  readonly #stream: string;
+  #other: Endpoint | undefined;
+  #queue: Packet[] = [];
+  #isPumping = false;
+  #isOpen = true;
+  #isEnding = false;
+  #handler: EndpointHandler | undefined;
+
+  constructor(network: SimNetwork, host: Host, stream: string) {
+    this.#network = network;
+    this.#host = host;
+    this.#stream = stream;
+  }
+
+  get host(): Host {
+    return this.#host;
+  }
+
+  get isOpen(): boolean {
+    return this.#isOpen;
+  }
+
+  /** Whether something written here has not left yet. */
+  get isHeldUp(): boolean {
+    return this.#queue.length > 0 && !this.#isPumping;
+  }
+
+  set handler(handler: EndpointHandler) {
+    this.#handler = handler;
+  }
+
+  join(other: Endpoint): void {
+    this.#other = other;
+    other.#other = this;
+  }
+
+  isFromTo(from: string, to: string): boolean {
+    return this.#host.id === from && this.#other?.host.id === to;
+  }
+
+  isBetween(one: string, two: string): boolean {
+    return this.isFromTo(one, two) || this.isFromTo(two, one);
+  }
+
+  send(payload: Payload): void {
+    if (!this.#isOpen) return;
+    this.#network.countPacket();
+    this.#enqueue(payload);
+  }
+
+  /**
+   * Closes this end. What was written still goes out, unless something unread was waiting here: then the
+   * kernel resets the connection, and what had not left is lost.
+   */
+  close(): void {
+    if (!this.#isOpen) return;
+    if (this.#host.process.hasUnread) {
+      this.#fallSilent();
+      this.#tellReset();
+      return;
+    }
+    this.#isOpen = false;
+    this.#isEnding = true;
+    this.#enqueue(undefined);
+  }
+
+  /** Resets the connection from outside: both owners hear that it closed. */
+  abort(): void {
+    this.#endByReset();
+    const other = this.#other;
+    if (other) other.#endByReset();
+  }
+
+  /** The machine lost power: nothing is said. */
+  vanish(): void {
+    this.#fallSilent();
+  }
+
+  /** Goes on sending what a cut held up. */
+  pump(): void {
+    const [first] = this.#queue;
+    if (!first || this.#isPumping) return;
+    this.#isPumping = true;
+    this.#network.agenda.at(first.arriveAt, this.#deliverFirst.bind(this));
+  }
+
+  #enqueue(payload: Payload | undefined): void {
+    const { agenda } = this.#network;
+    const target = this.#other?.host.id ?? '';
+    const last = this.#queue.at(-1)?.arriveAt ?? 0;
+    const arriveAt = Math.max(last, agenda.now + this.#network.delay(this.#host.id, target));
+    this.#queue.push({ arriveAt, payload });
+    this.pump();
+  }
+
+  #deliverFirst(): void {
+    this.#isPumping = false;
+    const other = this.#other;
+    const [first] = this.#queue;
+    if (!other || !first) return;
+    if (!this.#network.isOpen(this.#host.id, other.host.id)) return;
+    this.#queue.shift();
+    other.#take(first.payload);
+    if (first.payload === undefined) this.#network.forget(this);
+    else this.pump();
+  }
+
+  #take(payload: Payload | undefined): void {
+    if (this.#isOpen) {
+      this.#host.process.submit(this.#stream, this.#hand.bind(this, payload));
+      return;
+    }
+    // A closed port answers data with a reset.
+    if (payload !== undefined) this.#tellReset();
+  }
+
+  #hand(payload: Payload | undefined): void {
+    // Closed by its owner since: nobody reads any more.
+    if (!this.#isOpen) return;
+    if (payload !== undefined) {
+      this.#handler?.data(payload);
+      return;
+    }
+    this.close();
+    this.#handler?.closed();
+  }
+
+  #tellReset(): void {
+    const other = this.#other;
+    if (!other || !this.#network.isOpen(this.#host.id, other.host.id)) return;
+    const delay = this.#network.delay(this.#host.id, other.host.id);
+    this.#network.agenda.after(delay, other.#endByReset.bind(other));
+  }
+
+  #endByReset(): void {
+    if (!this.#isOpen && !this.#isEnding) return;
+    const wasOpen = this.#isOpen;
+    this.#queue = [];
+    this.#isEnding = false;
+    this.#network.forget(this);
+    if (!wasOpen) return;
+    // Read first is what had arrived before the reset.
+    this.#host.process.submit(this.#stream, this.#hearReset.bind(this));
+  }
+
+  #hearReset(): void {
+    if (!this.#isOpen) return;
+    this.#isOpen = false;
+    this.#handler?.closed();
+  }
+
+  #fallSilent(): void {
+    this.#isOpen = false;
+    this.#isEnding = false;
+    this.#queue = [];
+    this.#network.forget(this);
+  }
+}
--- /dev/null
+++ b/src/simulation/FaultDriver.ts
@@ -0,0 +1,247 @@
+import type { ControlNode } from './ControlNode.js';
+import { toleratedOf } from './Options.js';
+import type { SimulationOptions } from './Options.js';
+import type { Fault, Schedule, Target } from './Faults.js';
+import type { FaultTargets } from './FaultTargets.js';
+import { LinkFaults } from './LinkFaults.js';
+import { MachineFaults, type FaultSurroundings, type Undo } from './MachineFaults.js';
+
+export interface FaultDriverSettings extends FaultSurroundings {
+  readonly options: SimulationOptions;
+  readonly targets: FaultTargets;
+  readonly operators: readonly string[];
+  /** What share of answers to operators is lost from now on. */
+  readonly loseAnswers: (share: number) => void;
+  /** True time at which all trouble ends. */
+  readonly endsAt: number;
+  readonly log: (line: string) => void;
+}
+
+/** A fault that would lose too much waits its turn, at most so long. */
+const RETRY_MS = 250;
+const MOST_WAIT_MS = 6000;
+
+/**
+ * Carries out a schedule: each fault when it is due, or after the event it waits for, on the machine
+ * that its target names then; within the losses that the run allows. All are taken back at the end.
+ */
+export class FaultDriver {
+  readonly #settings: FaultDriverSettings;
+  readonly #machines: MachineFaults;
+  readonly #links: LinkFaults;
+  readonly #open = new Set<Undo>();
+  #hasEnded = false;
+  #struck = 0;
+
+  constructor(settings: FaultDriverSettings) {
+    this.#settings = settings;
+    this.#machines = new MachineFaults(settings);
+    this.#links = new LinkFaults(settings);
+  }
+
+  /** How many faults have struck. */
+  get struck(): number {
+    return this.#struck;
+  }
+
+  begin(schedule: Schedule): void {
+    for (const fault of schedule) this.#plan(fault);
+    const { after, endsAt, now } = this.#settings;
+    after(endsAt - now(), this.#end.bind(this));
+  }
+
+  #plan(fault: Fault): void {
+    const { after, now, events } = this.#settings;
+    const { when } = fault;
+    const due = this.#due.bind(this, fault);
+    if (when.kind === 'at') {
+      after(when.at - now(), due);
+      return;
+    }
+    const wait = after.bind(undefined, when.delay, due);
+    after(when.from - now(), events.once.bind(events, when.event, wait));
+  }
+
+  #due(fault: Fault): void {
+    this.#strike(fault, this.#settings.now() + MOST_WAIT_MS);
+  }
+
+  #strike(fault: Fault, until: number): void {
+    const { now, after, log } = this.#settings;
+    if (this.#hasEnded) return;
+    const undo = this.#begin(fault);
+    if (undo === undefined) {
+      if (now() < until) after(RETRY_MS, this.#strike.bind(this, fault, until));
+      return;
+    }
+    this.#struck += 1;
+    log(`fault ${JSON.stringify(fault)}`);
+    this.#open.add(undo);
+    const span = 'forMs' in fault ? fault.forMs : 0;
+    after(span, this.#takeBack.bind(this, undo, fault));
+  }
+
+  #takeBack(undo: Undo, fault: Fault): void {
+    if (!this.#open.delete(undo)) return;
+    this.#settings.log(`end of ${fault.kind}`);
+    undo();
+  }
+
+  #end(): void {
+    this.#hasEnded = true;
+    this.#settings.log('all trouble ends');
+    const open = [...this.#open];
+    this.#open.clear();
+    for (const undo of open) undo();
+    this.#settings.settled.disturb();
+  }
+
+  /** Begins a fault; nothing where it would lose too much at this moment. */
+  #begin(fault: Fault): Undo | undefined {
+    switch (fault.kind) {
+      case 'killAll':
+        return this.#machines.killAll();
+      case 'powerLossAll':
+        return this.#machines.losePowerAll(fault.unsynced);
+      case 'seedTurnover':
+        return this.#turnSeeds();
+      case 'answersLost':
+        return this.#loseAnswers(fault.share);
+      case 'agentKill':
+      case 'agentFreeze':
+      case 'agentCut':
+        return this.#beginAgent(fault.kind, fault.agent);
+      default:
+        return this.#beginAimed(fault, fault.target);
+    }
+  }
+
+  #beginAimed(fault: Fault, target: Target): Undo | undefined {
+    const node = this.#settings.targets.find(target);
+    if (!node) return undefined;
+    return this.#beginCall(fault, node) ?? this.#beginLoss(fault, node);
+  }
+
+  /** Faults that lose no machine. */
+  #beginCall(fault: Fault, node: ControlNode): Undo | undefined {
+    const { operators } = this.#settings;
+    switch (fault.kind) {
+      case 'resets':
+        this.#links.reset(node, fault.share);
+        return nothing;
+      case 'clockRate':
+        node.process.setRate(fault.rate);
+        return nothing;
+      case 'runnerCut':
+        return this.#links.cutRunners(node);
+      case 'operatorCut':
+        return this.#links.cutOperators(node, operators, fault.direction);
+      case 'slowCalls':
+        return this.#links.slowOperators(node, operators, fault.delayMs);
+      default:
+        return undefined;
+    }
+  }
+
+  #beginLoss(fault: Fault, node: ControlNode): Undo | undefined {
+    const { budget, targets } = this.#settings;
+    const besides = fault.kind === 'cut' ? targets.beside(node, fault.besides) : [];
+    const lost = [node, ...besides].map(idOf);
+    const isDiskLost = ['wipe', 'replace', 'oldDisk', 'leave'].includes(fault.kind);
+    if (isDiskLost ? !budget.mayLoseDisks(lost) : !budget.mayLose(lost)) return undefined;
+    switch (fault.kind) {
+      case 'kill':
+        return this.#machines.kill(node);
+      case 'powerLoss':
+        return this.#machines.losePower(node, fault.unsynced);
+      case 'freeze':
+        return this.#machines.freeze(node);
+      case 'freezeAtOrder':
+        return this.#machines.freezeAtOrder(node);
+      case 'restart':
+        return this.#machines.restart(node);
+      case 'leave':
+        return this.#leave(node, fault.planned);
+      case 'replace':
+        return this.#machines.replace(node, fault);
+      case 'wipe':
+        return this.#machines.wipe(node, fault);
+      case 'oldDisk':
+        return this.#machines.oldDisk(node, fault.ageMs);
+      case 'disk':
+        return this.#troubleDisk(node, fault.trouble);
+      case 'cut':
+        return this.#links.cut(node, besides, fault);
+      case 'slowLinks':
+        return this.#links.slow(node, fault.delayMs);
+      default:
+        return undefined;
+    }
+  }
+
+  #leave(node: ControlNode, isPlanned: boolean): Undo | undefined {
+    const { budget, fleet, options } = this.#settings;
+    const isEnough = toleratedOf(options.nodes) + 1 < fleet.present.length;
+    if (!budget.mayLeave() || !isEnough) return undefined;
+    this.#machines.leave(node, isPlanned);
+    return nothing;
+  }
+
+  #troubleDisk(node: ControlNode, trouble: 'slow' | 'stalled' | 'full'): Undo {
+    const { budget, settled } = this.#settings;
+    budget.begin(node.id);
+    settled.beginUnsteady();
+    node.disk.setTrouble(trouble);
+    function undo(): void {
+      node.disk.setTrouble('none');
+      budget.end(node.id);
+      settled.endUnsteady();
+    }
+    return undo;
+  }
+
+  /** Settings name one that is not a voter's first choice: the newest machines, or one in trouble, first. */
+  #turnSeeds(): Undo {
+    const { fleet, budget } = this.#settings;
+    const ids = fleet.present.map(idOf);
+    const inTrouble = ids.filter(budget.isLost, budget);
+    const seeds = [...new Set([...inTrouble, ...ids.toReversed()])];
+    fleet.setSeeds(seeds.slice(0, fleet.seeds.length));
+    return nothing;
+  }
+
+  #loseAnswers(share: number): Undo {
+    const { settled, loseAnswers } = this.#settings;
+    settled.beginUnsteady();
+    loseAnswers(share);
+    function undo(): void {
+      loseAnswers(0);
+      settled.endUnsteady();
+    }
+    return undo;
+  }
+
+  #beginAgent(kind: 'agentKill' | 'agentFreeze' | 'agentCut', place: number): Undo {
+    const { fleet } = this.#settings;
+    const agent = fleet.agents[place % Math.max(1, fleet.agents.length)];
+    if (!agent) return nothing;
+    if (kind === 'agentCut') return this.#links.cutAgent(agent.id);
+    if (kind === 'agentFreeze') {
+      agent.process.freeze();
+      return agent.process.thaw.bind(agent.process);
+    }
+    agent.kill();
+    function start(): void {
+      agent?.start(fleet.seeds);
+    }
+    return start;
+  }
+}
+
+function nothing(): void {
+  /* Nothing to take back. */
+}
+
+function idOf(node: ControlNode): string {
+  return node.id;
+}
--- /dev/null
+++ b/src/simulation/Fleet.ts
@@ -0,0 +1,198 @@
+import type { Agenda } from '../myth/Agenda.js';
+import type { ListedRunner } from '../place/Fleet.js';
+import { AgentNode } from './AgentNode.js';
+import { ControlNode, type ControlObserver } from './ControlNode.js';
+import { SEED_DELAY_MS } from './DeployedSettings.js';
+import { FakeRunner, type OrderListener } from './FakeRunner.js';
+import type { SimulationOptions } from './Options.js';
+import type { RandomStreams } from './RandomStreams.js';
+import { SimNetwork } from './SimNetwork.js';
+import { SimProcess } from './SimProcess.js';
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
+const RUNNERS = 2;
+/** Machines start within this of each other. */
+const START_SPREAD_MS = 300;
+const MOST_DRIFT = 0.01;
+const MOST_SEEDS = 3;
+
+export interface FleetSettings {
+  readonly agenda: Agenda;
+  readonly streams: RandomStreams;
+  readonly options: SimulationOptions;
+  readonly observer: ControlObserver;
+  readonly agentStepped: (node: AgentNode) => void;
+  readonly orderArrived: OrderListener;
+}
+
+/** Which control machines the operators' list held from a moment on. */
+interface Listing {
+  readonly at: number;
+  readonly nodes: readonly string[];
+}
+
+/** The machines of a run: control nodes with spares, agents and runners, and the operators' list of them. */
+export class Fleet {
+  readonly network: SimNetwork;
+  readonly #settings: FleetSettings;
+  readonly #controls = new Map<string, ControlNode>();
+  readonly #gone = new Set<string>();
+  readonly #agents: AgentNode[] = [];
+  readonly #runners: ListedRunner[] = [];
+  readonly #listings: Listing[] = [];
+  #seeds: readonly string[] = [];
+
+  constructor(settings: FleetSettings) {
+    this.#settings = settings;
+    const { agenda, streams, options } = settings;
+    this.network = new SimNetwork(agenda, streams);
+    for (let index = 1; index <= RUNNERS; index += 1) this.#addRunner(index);
+    for (let index = 0; index < options.nodes; index += 1) this.#addControl();
+    for (let index = 0; index < options.agents; index += 1) this.#addAgent(index);
+    this.#seeds = this.present.map(idOf).slice(0, MOST_SEEDS);
+  }
+
+  get zones(): readonly string[] {
+    return ZONES;
+  }
+
+  /** Every control node that ever was. */
+  get controls(): ReadonlyMap<string, ControlNode> {
+    return this.#controls;
+  }
+
+  get agents(): readonly AgentNode[] {
+    return this.#agents;
+  }
+
+  get runnerIds(): readonly string[] {
+    return this.#runners.map(idOf);
+  }
+
+  /** The seeds that settings name now. */
+  get seeds(): readonly string[] {
+    return this.#seeds;
+  }
+
+  /** The control machines that have not left. */
+  get present(): readonly ControlNode[] {
+    return [...this.#controls.values()].filter(this.#isPresent, this);
+  }
+
+  isGone(id: string): boolean {
+    return this.#gone.has(id);
+  }
+
+  /** The node that leads and serves, by the newest epoch where two believe so. */
+  get leader(): ControlNode | undefined {
+    let leader: ControlNode | undefined;
+    for (const node of this.#controls.values()) {
+      if (node.core?.isServing !== true) continue;
+      if (epochOf(node) > epochOf(leader)) leader = node;
+    }
+    return leader;
+  }
+
+  /** Starts all machines within a short span, with empty disks. */
+  start(): void {
+    const random = this.#settings.streams.of('starts');
+    const { agenda } = this.#settings;
+    for (const node of this.#controls.values()) {
+      agenda.after(random.between(0, START_SPREAD_MS), node.start.bind(node, true, this.#seeds));
+    }
+    for (const agent of this.#agents) {
+      agenda.after(random.between(0, START_SPREAD_MS), agent.start.bind(agent, this.#seeds));
+    }
+    this.#list();
+  }
+
+  /** An empty machine at an address of its own joins and starts. */
+  addSpare(): ControlNode {
+    const node = this.#addControl();
+    this.#list();
+    node.start(false, this.#seeds);
+    return node;
+  }
+
+  /** A machine has left for good. */
+  remove(id: string): void {
+    this.#gone.add(id);
+    this.#list();
+  }
+
+  /** One that had left is back at its old address, with the disk that it left with. */
+  bringBack(id: string): void {
+    this.#gone.delete(id);
+    this.#list();
+  }
+
+  /** Settings name these from now on; running processes are told. */
+  setSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+    for (const node of this.#controls.values()) node.setSeeds(seeds);
+    for (const agent of this.#agents) agent.setSeeds(seeds);
+  }
+
+  /** The nodes that operators choose from: those of a while ago. */
+  listed(): readonly string[] {
+    const until = this.#settings.agenda.now - SEED_DELAY_MS;
+    let nodes = this.#listings[0]?.nodes ?? [];
+    for (const listing of this.#listings) if (listing.at <= until) nodes = listing.nodes;
+    return nodes;
+  }
+
+  #list(): void {
+    const nodes = this.present.map(idOf);
+    this.#listings.push({ at: this.#settings.agenda.now, nodes });
+  }
+
+  #isPresent(node: ControlNode): boolean {
+    return !this.#gone.has(node.id);
+  }
+
+  #addControl(): ControlNode {
+    const place = this.#controls.size + 1;
+    const id = `control-${place}:7660`;
+    const { agenda, streams, observer } = this.#settings;
+    const random = streams.of(id);
+    const zone = ZONES[(place - 1) % ZONES.length] ?? ZONES[0];
+    const runners = this.#runners;
+    const around = { agenda, random, network: this.network, observer, runners, drift: MOST_DRIFT };
+    const node = new ControlNode(id, zone, around);
+    this.#controls.set(id, node);
+    this.network.join(node);
+    return node;
+  }
+
+  #addAgent(index: number): void {
+    const id = `agent-${index + 1}:7661`;
+    const { agenda, streams, agentStepped: stepped } = this.#settings;
+    const random = streams.of(id);
+    const zone = ZONES[index % ZONES.length] ?? ZONES[0];
+    const around = { agenda, random, network: this.network, drift: MOST_DRIFT, stepped };
+    const agent = new AgentNode(id, zone, around);
+    this.#agents.push(agent);
+    this.network.join(agent);
+  }
+
+  #addRunner(index: number): void {
+    const id = `runner-${index}:80`;
+    const { agenda, streams, options, orderArrived } = this.#settings;
+    const process = new SimProcess(agenda, streams.of(id), 0);
+    function now(): number {
+      return agenda.now;
+    }
+    this.network.join(new FakeRunner(id, process, options.isFenced, now, orderArrived));
+    const listed = { id, address: id, zone: ZONES[0], service: 'service', slots: 1 };
+    const state = { isLeaving: false, remainingMs: undefined, coldMs: 0, holds: [] };
+    this.#runners.push({ ...listed, ...state });
+  }
+}
+
+function idOf(item: { readonly id: string }): string {
+  return item.id;
+}
+
+function epochOf(node: ControlNode | undefined): number {
+  return node?.core?.elector.epoch ?? -1;
+}
--- /dev/null
+++ b/src/simulation/HistoryRecorder.ts
@@ -0,0 +1,102 @@
+import type { Attempt, AttemptOutcome, History, Order, OrderRecord, ReadRecord } from './History.js';
+
+/** An attempt that may still be under way; it counts as unclear until an answer says otherwise. */
+export class OpenAttempt implements Attempt {
+  readonly node: string;
+  readonly sentAt: number;
+  #endedAt: number | undefined;
+  #outcome: AttemptOutcome = 'unclear';
+
+  constructor(node: string, sentAt: number) {
+    this.node = node;
+    this.sentAt = sentAt;
+  }
+
+  get endedAt(): number | undefined {
+    return this.#endedAt;
+  }
+
+  get outcome(): AttemptOutcome {
+    return this.#outcome;
+  }
+
+  end(at: number, outcome: AttemptOutcome): void {
+    this.#endedAt = at;
+    this.#outcome = outcome;
+  }
+}
+
+/** An order of an operator, with the attempts made for it so far. */
+export class OpenOrder implements OrderRecord {
+  readonly id: number;
+  readonly operator: string;
+  readonly order: Order;
+  readonly attempts: OpenAttempt[] = [];
+
+  constructor(id: number, operator: string, order: Order) {
+    this.id = id;
+    this.operator = operator;
+    this.order = order;
+  }
+
+  begin(node: string, at: number): OpenAttempt {
+    const attempt = new OpenAttempt(node, at);
+    this.attempts.push(attempt);
+    return attempt;
+  }
+
+  get isAccepted(): boolean {
+    return this.attempts.some(isAccepted);
+  }
+
+  get isDefinite(): boolean {
+    return this.attempts.some(isDefinite);
+  }
+}
+
+function isAccepted(attempt: Attempt): boolean {
+  return attempt.outcome === 'accepted';
+}
+
+function isDefinite(attempt: Attempt): boolean {
+  return attempt.outcome !== 'unclear';
+}
+
+function plainAttempt({ node, sentAt, endedAt, outcome }: Attempt): Attempt {
+  return { node, sentAt, endedAt, outcome };
+}
+
+/** Everything the operators of one run saw, in the form that the history checker judges. */
+export class HistoryRecorder {
+  readonly #orders: OpenOrder[] = [];
+  readonly #reads: ReadRecord[] = [];
+  #ids = 0;
+
+  get orders(): readonly OpenOrder[] {
+    return this.#orders;
+  }
+
+  get reads(): readonly ReadRecord[] {
+    return this.#reads;
+  }
+
+  open(operator: string, order: Order): OpenOrder {
+    this.#ids += 1;
+    const record = new OpenOrder(this.#ids, operator, order);
+    this.#orders.push(record);
+    return record;
+  }
+
+  read(record: Omit<ReadRecord, 'id'>): void {
+    this.#ids += 1;
+    this.#reads.push({ id: this.#ids, ...record });
+  }
+
+  history(): History {
+    const orders: OrderRecord[] = [];
+    for (const { id, operator, order, attempts } of this.#orders) {
+      orders.push({ id, operator, order, attempts: attempts.map(plainAttempt) });
+    }
+    return { orders, reads: [...this.#reads] };
+  }
+}
--- /dev/null
+++ b/src/simulation/HolderRules.ts
@@ -0,0 +1,81 @@
+import { LEASE_MS, THAW_MS } from './DeployedSettings.js';
+import type { ArrivedOrder } from './FakeRunner.js';
+import type { Report } from './Violation.js';
+
+export interface HolderRulesSettings {
+  readonly report: Report;
+  readonly isFenced: boolean;
+  /** When the process of a holder was thawed last. */
+  readonly thawedAt: (holder: string) => number;
+  /** When the link from a holder to a runner was healed last. */
+  readonly healedAt: (holder: string, runner: string) => number;
+  /** Whether the core was settled all through the span before now. */
+  readonly isSettled: (span: number) => boolean;
+}
+
+/** What one runner has seen of holders so far. */
+interface Seen {
+  readonly lastAt: Map<string, number>;
+  readonly byFence: Map<number, string>;
+  highest: number;
+}
+
+/** Who may order runners: one leader an epoch, one holder a fence, and a lease between two holders. */
+export class HolderRules {
+  readonly #settings: HolderRulesSettings;
+  readonly #leaders = new Map<number, string>();
+  readonly #runners = new Map<string, Seen>();
+  #orders = 0;
+
+  constructor(settings: HolderRulesSettings) {
+    this.#settings = settings;
+  }
+
+  get orders(): number {
+    return this.#orders;
+  }
+
+  leads(node: string, epoch: number): void {
+    const other = this.#leaders.get(epoch);
+    if (other === undefined) this.#leaders.set(epoch, node);
+    else if (other !== node) {
+      this.#settings.report('two-leaders-in-one-epoch', `${other} and ${node} lead epoch ${epoch}`);
+    }
+  }
+
+  arrived(order: ArrivedOrder): void {
+    const { holder, runner, at, fence } = order;
+    this.#orders += 1;
+    if (!order.isTaken || this.#isExcused(order)) return;
+    const seen = this.#runners.get(runner) ?? { lastAt: new Map(), byFence: new Map(), highest: 0 };
+    this.#runners.set(runner, seen);
+    const other = seen.byFence.get(fence) ?? holder;
+    if (other !== holder) {
+      const text = `${other} and ${holder} order ${runner} with fence ${fence}`;
+      this.#settings.report('two-holders-with-one-fence', text);
+    }
+    if (fence < seen.highest) {
+      const text = `${holder} orders ${runner} with fence ${fence} after ${seen.highest}`;
+      this.#settings.report('lower-fence', text);
+    }
+    this.#judgeTurns(order, seen);
+    seen.byFence.set(fence, holder);
+    seen.highest = Math.max(seen.highest, fence);
+    seen.lastAt.set(holder, at);
+  }
+
+  #judgeTurns({ holder, runner, at }: ArrivedOrder, seen: Seen): void {
+    // Where runners check fences, only holders in touch are judged by their turns.
+    if (this.#settings.isFenced && !this.#settings.isSettled(LEASE_MS)) return;
+    for (const [other, lastAt] of seen.lastAt) {
+      if (other === holder || at - lastAt >= LEASE_MS) continue;
+      const text = `${holder} orders ${runner} ${Math.round(at - lastAt)} ms after ${other}`;
+      this.#settings.report('two-holders', text);
+    }
+  }
+
+  #isExcused({ holder, runner, at }: ArrivedOrder): boolean {
+    const { thawedAt, healedAt } = this.#settings;
+    return at - thawedAt(holder) <= THAW_MS || at - healedAt(holder, runner) <= THAW_MS;
+  }
+}
--- /dev/null
+++ b/src/simulation/LeasedOrder.ts
@@ -0,0 +1,99 @@
+import type { OrderResult } from '../mind/MindEffect.js';
+import type { Lease } from '../mind/LeasedSend.js';
+import type { Endpoint, Payload } from './Endpoint.js';
+import { ORDER_FENCED, ORDER_TAKEN, type RunnerOrder } from './FakeRunner.js';
+import type { Host, SimNetwork } from './SimNetwork.js';
+
+/** The spans of the real call under a lease (`sendWithinLease`). */
+const CONNECT_MS = 500;
+const ANSWER_MS = 1000;
+const MARGIN_MS = 350;
+
+export interface LeasedOrderSettings {
+  readonly network: SimNetwork;
+  readonly host: Host;
+  readonly runner: string;
+  readonly order: RunnerOrder;
+  readonly lease: Lease;
+  /** Told right before the bytes are written, after the lease was checked. */
+  readonly writing: (write: () => void) => void;
+  readonly done: (result: OrderResult) => void;
+}
+
+function resultOf(status: string): OrderResult {
+  if (status === String(ORDER_TAKEN)) return 'taken';
+  if (status === String(ORDER_FENCED)) return 'refused';
+  return 'unsure';
+}
+
+/**
+ * One order to a runner under a lease, as the real process sends it: the connection first, the lease
+ * checked right before the write, and the call cut off before the lease ends.
+ */
+export class LeasedOrder {
+  readonly #settings: LeasedOrderSettings;
+  #endpoint: Endpoint | undefined;
+  #isWritten = false;
+  #isOver = false;
+
+  constructor(settings: LeasedOrderSettings) {
+    this.#settings = settings;
+  }
+
+  send(): void {
+    const { network, host, runner, lease } = this.#settings;
+    const { process } = host;
+    const now = process.now();
+    const left = Math.max(0, Math.min(ANSWER_MS, lease.leaseEnd() - now - MARGIN_MS));
+    process.after(CONNECT_MS, this.#giveUpUnwritten.bind(this));
+    process.after(left, this.#giveUp.bind(this));
+    const submit = process.submit.bind(process, `order ${runner}`);
+    const open = this.#open.bind(this);
+    const inThisLife = process.inThisLife.bind(process);
+    function connected(endpoint: Endpoint): void {
+      inThisLife(submit.bind(undefined, open.bind(undefined, endpoint)))();
+    }
+    const refused = inThisLife(submit.bind(undefined, this.#giveUp.bind(this)));
+    network.connect(host, runner, 'calls', { connected, refused });
+  }
+
+  #open(endpoint: Endpoint): void {
+    if (this.#isOver) {
+      endpoint.close();
+      return;
+    }
+    this.#endpoint = endpoint;
+    endpoint.handler = { data: this.#take.bind(this), closed: this.#giveUp.bind(this) };
+    const { lease, host, writing } = this.#settings;
+    const now = host.process.now();
+    if (!lease.mayOrder(now) || lease.leaseEnd() - now <= MARGIN_MS) {
+      this.#giveUp();
+      return;
+    }
+    writing(this.#write.bind(this));
+  }
+
+  #write(): void {
+    this.#isWritten = true;
+    this.#endpoint?.send(JSON.stringify(this.#settings.order));
+  }
+
+  #take(payload: Payload): void {
+    this.#end(resultOf(payload));
+  }
+
+  #giveUpUnwritten(): void {
+    if (!this.#isWritten) this.#giveUp();
+  }
+
+  #giveUp(): void {
+    this.#end(this.#isWritten ? 'unsure' : 'unsent');
+  }
+
+  #end(result: OrderResult): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#endpoint?.close();
+    this.#settings.done(result);
+  }
+}
--- /dev/null
+++ b/src/simulation/LossBudget.ts
@@ -0,0 +1,108 @@
+import { CATCH_UP_MS } from './DeployedSettings.js';
+import { toleratedOf, type LossLimit } from './Options.js';
+
+/** One that left for good with no successor counts for so long; then the fleet is that much smaller. */
+const LEFT_MS = 10_000;
+
+export interface LossBudgetSettings {
+  readonly now: () => number;
+  readonly limit: LossLimit;
+  /** The size of the fleet that the contract is about. */
+  readonly nodes: number;
+  /** How many control machines are there now, lost or not. */
+  readonly present: () => number;
+  /** Whether the loss of a machine's disk has been made good. */
+  readonly isDiskHealed: (node: string) => boolean;
+}
+
+/**
+ * How many control machines are lost at a moment, as the contract counts: while a fault is on them and
+ * for a while after, and how many more may be.
+ */
+export class LossBudget {
+  readonly #settings: LossBudgetSettings;
+  /** How many faults are on a machine now. */
+  readonly #under = new Map<string, number>();
+  readonly #backAt = new Map<string, number>();
+  readonly #lostDisks = new Set<string>();
+  #permanent = 0;
+  #leftLately = 0;
+
+  constructor(settings: LossBudgetSettings) {
+    this.#settings = settings;
+  }
+
+  begin(node: string): void {
+    this.#under.set(node, (this.#under.get(node) ?? 0) + 1);
+  }
+
+  end(node: string): void {
+    this.#under.set(node, Math.max(0, (this.#under.get(node) ?? 0) - 1));
+    this.#backAt.set(node, this.#settings.now());
+  }
+
+  loseDisk(node: string): void {
+    this.#lostDisks.add(node);
+  }
+
+  /** A machine left for good, and nobody comes for it. */
+  leave(): void {
+    this.#permanent += 1;
+    this.#leftLately += 1;
+  }
+
+  /** One that left for good counts no longer, and the fleet is that much smaller. */
+  forgetLeft(node: string): void {
+    this.#leftLately -= 1;
+    this.release(node);
+  }
+
+  /** A machine that is gone stops counting at once. */
+  release(node: string): void {
+    this.#under.delete(node);
+    this.#backAt.delete(node);
+  }
+
+  /** How long a machine that left for good counts as lost. */
+  get leftMs(): number {
+    return LEFT_MS;
+  }
+
+  isLost(node: string): boolean {
+    if ((this.#under.get(node) ?? 0) > 0) return true;
+    return this.#settings.now() < (this.#backAt.get(node) ?? -Infinity) + CATCH_UP_MS;
+  }
+
+  /** Whether these machines may be lost beside those that are. */
+  mayLose(nodes: readonly string[]): boolean {
+    if (this.#settings.limit === 'any') return true;
+    return this.#countWith(nodes) <= this.#allowed();
+  }
+
+  /** Disks are never lost in any number: nothing could then be kept. */
+  mayLoseDisks(nodes: readonly string[]): boolean {
+    if (this.#settings.limit === 'tolerated') return this.mayLose(nodes);
+    const lost = new Set(nodes);
+    for (const node of this.#lostDisks) {
+      if (this.#settings.isDiskHealed(node)) this.#lostDisks.delete(node);
+      else lost.add(node);
+    }
+    return lost.size <= toleratedOf(this.#settings.nodes);
+  }
+
+  mayLeave(): boolean {
+    return this.#permanent < toleratedOf(this.#settings.nodes);
+  }
+
+  #countWith(nodes: readonly string[]): number {
+    const lost = new Set(nodes);
+    for (const node of this.#under.keys()) if (this.isLost(node)) lost.add(node);
+    return lost.size;
+  }
+
+  /** A fleet that has become smaller for good bears less. */
+  #allowed(): number {
+    const { nodes, present } = this.#settings;
+    return Math.min(toleratedOf(nodes), toleratedOf(present() + this.#leftLately));
+  }
+}
--- /dev/null
+++ b/src/simulation/MachineFaults.ts
@@ -0,0 +1,237 @@
+import type { ControlNode } from './ControlNode.js';
+import { CATCH_UP_MS } from './DeployedSettings.js';
+import type { Fault } from './Faults.js';
+import type { Fleet } from './Fleet.js';
+import type { LossBudget } from './LossBudget.js';
+import type { RunEvents } from './RunEvents.js';
+import type { Settled } from './Settled.js';
+import type { UnsyncedFate } from './SimDisk.js';
+
+/** Takes a fault back; called once, at its end or when all trouble ends. */
+export type Undo = () => void;
+
+export interface FaultSurroundings {
+  readonly fleet: Fleet;
+  readonly budget: LossBudget;
+  readonly settled: Settled;
+  readonly events: RunEvents;
+  readonly after: (millis: number, run: () => void) => void;
+  readonly now: () => number;
+}
+
+type Replace = Extract<Fault, { kind: 'replace' }>;
+type Wipe = Extract<Fault, { kind: 'wipe' }>;
+
+/** After most of the core was lost it takes twice as long to be in touch. */
+const MOST_LOST = 2;
+/** So long after it was replaced the old machine comes back. */
+const OLD_RETURNS_MS = 5000;
+
+/** Faults of whole machines and their processes: ends, freezes, losses for good and replacements. */
+export class MachineFaults {
+  readonly #around: FaultSurroundings;
+  /** How many faults hold a machine down, or its process frozen. */
+  readonly #down = new Map<string, number>();
+  readonly #frozen = new Map<string, number>();
+
+  constructor(around: FaultSurroundings) {
+    this.#around = around;
+  }
+
+  kill(node: ControlNode): Undo {
+    this.#lose(node);
+    node.kill();
+    return this.#restart.bind(this, node);
+  }
+
+  losePower(node: ControlNode, unsynced: UnsyncedFate): Undo {
+    this.#lose(node);
+    node.losePower(unsynced);
+    return this.#restart.bind(this, node);
+  }
+
+  freeze(node: ControlNode): Undo {
+    const { budget, settled, events } = this.#around;
+    budget.begin(node.id);
+    this.#frozen.set(node.id, (this.#frozen.get(node.id) ?? 0) + 1);
+    node.process.freeze();
+    settled.disturb();
+    events.tell('freeze', node.id);
+    return this.#thaw.bind(this, node);
+  }
+
+  /** Frozen at its next order, if it gives one in that time. */
+  freezeAtOrder(node: ControlNode): Undo {
+    const { budget } = this.#around;
+    let undo: Undo | undefined;
+    const freeze = this.freeze.bind(this, node);
+    function strike(): void {
+      undo = freeze();
+    }
+    // It counts from now on: when the order comes is not known.
+    budget.begin(node.id);
+    node.freezeAtOrder = strike;
+    function takeBack(): void {
+      if (node.freezeAtOrder === strike) node.freezeAtOrder = undefined;
+      undo?.();
+      budget.end(node.id);
+    }
+    return takeBack;
+  }
+
+  /** A planned stop; it is started again once the fault ends, or once it has ended if that is later. */
+  restart(node: ControlNode): Undo {
+    const { budget, settled } = this.#around;
+    budget.begin(node.id);
+    settled.disturb();
+    this.#hold(node);
+    let hasEnded = !node.process.isUp;
+    let isDue = false;
+    const start = this.#restart.bind(this, node);
+    function ended(): void {
+      hasEnded = true;
+      if (isDue) start();
+    }
+    function due(): void {
+      isDue = true;
+      if (hasEnded) start();
+    }
+    if (!hasEnded) node.stop(ended);
+    return due;
+  }
+
+  /** Leaves for good, with no successor. */
+  leave(node: ControlNode, isPlanned: boolean): void {
+    const { budget, after, settled } = this.#around;
+    budget.begin(node.id);
+    budget.leave();
+    settled.disturb();
+    if (isPlanned && node.process.isUp) node.stop(this.#remove.bind(this, node));
+    else this.#remove(node);
+    after(budget.leftMs, budget.forgetLeft.bind(budget, node.id));
+  }
+
+  /** An empty machine at another address takes its place. */
+  replace(node: ControlNode, fault: Replace): Undo {
+    const { budget, settled } = this.#around;
+    budget.begin(node.id);
+    settled.disturb();
+    if (!fault.planned) this.#remove(node);
+    else this.#arrive(node);
+    const goOn = fault.planned ? this.#retire.bind(this, node) : this.#arrive.bind(this, node);
+    const old = fault.oldReturns ? this.#returnLater.bind(this, node) : undefined;
+    function next(): void {
+      goOn();
+      old?.();
+    }
+    return next;
+  }
+
+  wipe(node: ControlNode, fault: Wipe): Undo {
+    const { budget, fleet } = this.#around;
+    const undos = [this.losePower(node, 'drawn')];
+    node.disk.wipe();
+    budget.loseDisk(node.id);
+    if (fault.othersLosePower) {
+      for (const other of fleet.present) {
+        if (other !== node) undos.push(this.losePower(other, 'drawn'));
+      }
+      this.#around.settled.disturb(MOST_LOST);
+    }
+    return undoAll.bind(undefined, undos);
+  }
+
+  oldDisk(node: ControlNode, ageMs: number): Undo {
+    const undo = this.losePower(node, 'drawn');
+    node.disk.restore(this.#around.now() - ageMs);
+    this.#around.budget.loseDisk(node.id);
+    return undo;
+  }
+
+  killAll(): Undo {
+    const undos: Undo[] = [];
+    for (const node of this.#around.fleet.present) undos.push(this.kill(node));
+    return this.#undoMost.bind(this, undos);
+  }
+
+  losePowerAll(unsynced: UnsyncedFate): Undo {
+    const undos: Undo[] = [];
+    for (const node of this.#around.fleet.present) undos.push(this.losePower(node, unsynced));
+    return this.#undoMost.bind(this, undos);
+  }
+
+  #undoMost(undos: readonly Undo[]): void {
+    undoAll(undos);
+    this.#around.settled.disturb(MOST_LOST);
+  }
+
+  #hold(node: ControlNode): void {
+    this.#down.set(node.id, (this.#down.get(node.id) ?? 0) + 1);
+  }
+
+  #lose(node: ControlNode): void {
+    this.#around.budget.begin(node.id);
+    this.#around.settled.disturb();
+    this.#hold(node);
+  }
+
+  #restart(node: ControlNode): void {
+    const { budget, fleet, settled, events } = this.#around;
+    budget.end(node.id);
+    const holds = (this.#down.get(node.id) ?? 1) - 1;
+    this.#down.set(node.id, holds);
+    // Another fault still keeps it down, or it left meanwhile.
+    if (holds > 0 || fleet.isGone(node.id)) return;
+    settled.disturb();
+    node.start(false, fleet.seeds);
+    events.tell('restart', node.id);
+  }
+
+  #thaw(node: ControlNode): void {
+    const { budget, settled } = this.#around;
+    budget.end(node.id);
+    const holds = (this.#frozen.get(node.id) ?? 1) - 1;
+    this.#frozen.set(node.id, holds);
+    if (holds > 0) return;
+    node.process.thaw();
+    settled.disturb();
+  }
+
+  #remove(node: ControlNode): void {
+    this.#around.fleet.remove(node.id);
+    node.losePower('drawn');
+    this.#around.settled.disturb();
+  }
+
+  /** The empty machine starts; the one that it replaces counts until it has had time to catch up. */
+  #arrive(node: ControlNode): void {
+    const { fleet, budget, after, settled, events } = this.#around;
+    const spare = fleet.addSpare();
+    settled.disturb();
+    budget.loseDisk(node.id);
+    after(CATCH_UP_MS, budget.release.bind(budget, node.id));
+    events.tell('restart', spare.id);
+  }
+
+  #retire(node: ControlNode): void {
+    this.#around.settled.disturb();
+    if (node.process.isUp) node.stop(this.#remove.bind(this, node));
+    else this.#remove(node);
+  }
+
+  #returnLater(node: ControlNode): void {
+    this.#around.after(OLD_RETURNS_MS, this.#return.bind(this, node));
+  }
+
+  #return(node: ControlNode): void {
+    const { fleet, settled } = this.#around;
+    if (!fleet.isGone(node.id)) return;
+    fleet.bringBack(node.id);
+    settled.disturb();
+    node.start(false, fleet.seeds);
+  }
+}
+
+function undoAll(undos: readonly Undo[]): void {
+  for (const undo of undos) undo();
+}
--- /dev/null
+++ b/src/simulation/OperatorClient.ts
@@ -0,0 +1,204 @@
+import type { Agenda } from '../myth/Agenda.js';
+import type { Seeded } from '../myth/Seeded.js';
+import { CallAttempt } from './CallAttempt.js';
+import { ACK_MS } from './DeployedSettings.js';
+import type { AttemptOutcome, Order } from './History.js';
+import type { HistoryRecorder, OpenOrder } from './HistoryRecorder.js';
+import { decodeRead, type OperatorAnswer, type OperatorCall } from './OperatorCall.js';
+import type { Host, SimNetwork } from './SimNetwork.js';
+import { SimProcess } from './SimProcess.js';
+
+export interface OperatorSurroundings {
+  readonly agenda: Agenda;
+  readonly random: Seeded;
+  readonly network: SimNetwork;
+  readonly recorder: HistoryRecorder;
+  /** The nodes that serve operators, as the lagging list has them. */
+  readonly nodes: () => readonly string[];
+  readonly isAnswerLost: () => boolean;
+  /** Told right before each attempt of an order. */
+  readonly sending: (record: OpenOrder) => void;
+}
+
+export type OrderOutcome = 'accepted' | 'refused' | 'gaveUp';
+export type OrderDone = (outcome: OrderOutcome) => void;
+
+/** The configuration's version that a read brought; 0 where there was none yet. */
+export type ReadDone = (version: number) => void;
+
+interface Calling {
+  readonly call: OperatorCall;
+  /** True time after which it is not sent again. */
+  readonly until: number;
+  last: string;
+  failures: number;
+}
+
+const FIRST_PAUSE_MS = 50;
+const MOST_PAUSE_MS = 1000;
+/** The third other 4xx ends a call; these end it at once. */
+const MOST_OTHER_FAULTS = 3;
+const ENDING: ReadonlySet<number> = new Set([400, 409, 412, 413, 422]);
+const UNCLEAR: ReadonlySet<number> = new Set([408, 429]);
+const NOT_FOUND = 404;
+
+/** The call that carries an order. */
+export function callOf(order: Order): OperatorCall {
+  switch (order.kind) {
+    case 'put':
+      return { method: 'PUT', base: order.base, text: order.text };
+    case 'patch':
+      return { method: 'PATCH', base: order.base, text: order.text };
+    case 'evacuate':
+      return { method: 'POST', zone: order.zone };
+    case 'restore':
+      return { method: 'DELETE', zone: order.zone };
+  }
+}
+
+function outcomeOf(status: number): AttemptOutcome {
+  if (status >= 200 && status < 300) return 'accepted';
+  const isFault = status >= 400 && status < 500 && !UNCLEAR.has(status);
+  return isFault ? 'refused' : 'unclear';
+}
+
+/**
+ * An operator: calls any node of a lagging list, leaves one that fails or is silent for another with a
+ * growing pause, and sends the same bytes again until the answer is clear. Evacuations are sent again
+ * for a limited time alone. The platform adapter answers no redirects, so none are followed.
+ */
+export class OperatorClient implements Host {
+  readonly id: string;
+  readonly process: SimProcess;
+  readonly isPowered = true;
+  readonly isListening = false;
+  readonly #around: OperatorSurroundings;
+  #open = 0;
+
+  constructor(id: string, around: OperatorSurroundings) {
+    this.id = id;
+    this.#around = around;
+    this.process = new SimProcess(around.agenda, around.random, 0);
+    this.process.begin();
+  }
+
+  /** How many calls are under way. */
+  get open(): number {
+    return this.#open;
+  }
+
+  accept(): void {
+    /* Nobody calls an operator. */
+  }
+
+  /** Sends a new order until it is settled. */
+  order(order: Order, done: OrderDone): OpenOrder {
+    const record = this.#around.recorder.open(this.id, order);
+    this.again(record, done);
+    return record;
+  }
+
+  /** Sends an order once more, byte for byte. */
+  again(record: OpenOrder, done: OrderDone): void {
+    const { order } = record;
+    const isConfiguration = order.kind === 'put' || order.kind === 'patch';
+    const until = isConfiguration ? Infinity : this.#around.agenda.now + ACK_MS;
+    const calling = { call: callOf(order), until, last: '', failures: 0 };
+    this.#open += 1;
+    this.#tryOrder(record, calling, done);
+  }
+
+  read(done: ReadDone): void {
+    const call: OperatorCall = { method: 'GET' };
+    this.#open += 1;
+    this.#tryRead({ call, until: Infinity, last: '', failures: 0 }, done);
+  }
+
+  #tryOrder(record: OpenOrder, calling: Calling, done: OrderDone): void {
+    const { agenda } = this.#around;
+    const node = this.#nextNode(calling);
+    const attempt = record.begin(node, agenda.now);
+    this.#around.sending(record);
+    const settle = this.#settle.bind(this, done);
+    const again = this.#again.bind(this, calling, this.#tryOrder.bind(this, record, calling, done));
+    function ended(answer: OperatorAnswer | undefined): void {
+      const outcome = answer ? outcomeOf(answer.status) : 'unclear';
+      if (answer) attempt.end(agenda.now, outcome);
+      if (outcome === 'accepted') settle('accepted');
+      else if (outcome === 'refused' && isEnding(calling, answer?.status ?? 0)) settle('refused');
+      else if (!again()) settle('gaveUp');
+    }
+    this.#call(node, calling, ended);
+  }
+
+  #tryRead(calling: Calling, done: ReadDone): void {
+    const { agenda, recorder } = this.#around;
+    const node = this.#nextNode(calling);
+    const sentAt = agenda.now;
+    const operator = this.id;
+    const settle = this.#settleRead.bind(this, done);
+    const again = this.#again.bind(this, calling, this.#tryRead.bind(this, calling, done));
+    function ended(answer: OperatorAnswer | undefined): void {
+      const read = answer && isRead(answer) ? decodeRead(answer.body) : undefined;
+      if (!read) {
+        again();
+        return;
+      }
+      const { document, evacuated } = read;
+      recorder.read({ operator, node, sentAt, endedAt: agenda.now, document, evacuated });
+      settle(document?.version ?? 0);
+    }
+    this.#call(node, calling, ended);
+  }
+
+  #call(
+    node: string,
+    calling: Calling,
+    ended: (answer: OperatorAnswer | undefined) => void,
+  ): void {
+    const { network, isAnswerLost } = this.#around;
+    const { call } = calling;
+    new CallAttempt({ network, caller: this, node, call, isAnswerLost, ended }).send();
+  }
+
+  /** Goes on to another node after a pause; says whether it may. */
+  #again(calling: Calling, next: () => void): boolean {
+    const { agenda, random } = this.#around;
+    const pause = Math.min(MOST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** calling.failures);
+    calling.failures += 1;
+    const delay = pause * random.between(0.8, 1.2);
+    if (agenda.now + delay > calling.until) return false;
+    agenda.after(delay, next);
+    return true;
+  }
+
+  #nextNode(calling: Calling): string {
+    const nodes = this.#around.nodes();
+    const others = nodes.filter(isOther.bind(undefined, calling.last));
+    const node = this.#around.random.pick(others.length > 0 ? others : nodes) ?? '';
+    calling.last = node;
+    return node;
+  }
+
+  #settle(done: OrderDone, outcome: OrderOutcome): void {
+    this.#open -= 1;
+    done(outcome);
+  }
+
+  #settleRead(done: ReadDone, version: number): void {
+    this.#open -= 1;
+    done(version);
+  }
+}
+
+function isEnding(calling: Calling, status: number): boolean {
+  return ENDING.has(status) || calling.failures + 1 >= MOST_OTHER_FAULTS;
+}
+
+function isRead(answer: OperatorAnswer): boolean {
+  return answer.status === 200 || answer.status === NOT_FOUND;
+}
+
+function isOther(node: string, other: string): boolean {
+  return node !== other;
+}
--- /dev/null
+++ b/src/simulation/OperatorPlan.ts
@@ -0,0 +1,248 @@
+import type { Agenda } from '../myth/Agenda.js';
+import type { Seeded } from '../myth/Seeded.js';
+import type { Order } from './History.js';
+import type { OpenOrder } from './HistoryRecorder.js';
+import type { OperatorClient, OrderOutcome } from './OperatorClient.js';
+
+/** Kinds of what an operator does next, with how often each is drawn. */
+const ACTIONS = [
+  ['put', 24],
+  ['patch', 20],
+  ['burst', 4],
+  ['evacuate', 12],
+  ['restore', 12],
+  ['read', 14],
+  ['race', 6],
+  ['twin', 3],
+  ['repeat', 6],
+  ['invalid', 8],
+  ['stale', 3],
+] as const;
+type Action = (typeof ACTIONS)[number][0];
+
+/** Ways in which an order is invalid whatever is in force. */
+const INVALID = ['unreadable', 'faulty', 'oldVersion', 'sameVersion'] as const;
+
+const MOST_OPEN = 8;
+const MOST_BURST = 5;
+/** Versions go up in uneven steps. */
+const MOST_STEP = 4;
+const FIRST_VERSION = 1;
+
+export interface OperatorPlanSettings {
+  readonly agenda: Agenda;
+  readonly random: Seeded;
+  readonly client: OperatorClient;
+  readonly zones: readonly string[];
+  /** The mean pause between two actions. */
+  readonly paceMs: number;
+}
+
+/**
+ * What one operator wants: changes on the newest version it knows, evacuations and their ends, reads,
+ * invalid orders, and old ones once more; now and then the same thing at the same time as another
+ * operator.
+ */
+export class OperatorPlan {
+  readonly #settings: OperatorPlanSettings;
+  #peer: OperatorPlan | undefined;
+  #known = 0;
+  #count = 0;
+  #isActive = false;
+  readonly #accepted: OpenOrder[] = [];
+
+  constructor(settings: OperatorPlanSettings) {
+    this.#settings = settings;
+  }
+
+  set peer(peer: OperatorPlan) {
+    this.#peer = peer;
+  }
+
+  /** The first configuration, sent until it is taken; then everything else begins. */
+  found(): void {
+    const order = this.#put(0, FIRST_VERSION, this.#items(1));
+    this.#send(order);
+  }
+
+  begin(): void {
+    if (this.#isActive) return;
+    this.#isActive = true;
+    this.#schedule();
+  }
+
+  /** Orders under way are still settled. */
+  stop(): void {
+    this.#isActive = false;
+  }
+
+  readBack(): void {
+    this.#settings.client.read(this.#learn.bind(this));
+  }
+
+  /** Sends an order that another operator sends at this moment as well, or one on the same base. */
+  send(order: Order): void {
+    if (this.#settings.client.open < MOST_OPEN) this.#send(order);
+  }
+
+  #schedule(): void {
+    const { agenda, random, paceMs } = this.#settings;
+    agenda.after(random.between(0.1, 1.9) * paceMs, this.#step.bind(this));
+  }
+
+  #step(): void {
+    if (!this.#isActive) return;
+    if (this.#settings.client.open < MOST_OPEN) this.#act(this.#draw());
+    this.#schedule();
+  }
+
+  #draw(): Action {
+    let total = 0;
+    for (const [, weight] of ACTIONS) total += weight;
+    let left = this.#settings.random.between(0, total);
+    for (const [action, weight] of ACTIONS) {
+      left -= weight;
+      if (left < 0) return action;
+    }
+    return 'read';
+  }
+
+  #act(action: Action): void {
+    switch (action) {
+      case 'put':
+        this.#send(this.#put(this.#known, this.#nextVersion(), this.#items(2)));
+        break;
+      case 'patch':
+        this.#send(this.#patch());
+        break;
+      case 'burst':
+        this.#burst();
+        break;
+      case 'evacuate':
+      case 'restore':
+        this.#send({ kind: action, zone: this.#settings.random.pick(this.#settings.zones) ?? '' });
+        break;
+      case 'read':
+        this.readBack();
+        break;
+      case 'race':
+        this.#race();
+        break;
+      case 'twin':
+        this.#twin();
+        break;
+      case 'repeat':
+        this.#repeat();
+        break;
+      case 'invalid':
+        this.#send(this.#invalid());
+        break;
+      case 'stale':
+        this.#send(this.#put(Math.max(0, this.#known - 1), this.#nextVersion(), this.#items(1)));
+        break;
+    }
+  }
+
+  #send(order: Order): void {
+    const settled = this.#settled.bind(this);
+    const record = this.#settings.client.order(order, settle);
+    function settle(outcome: OrderOutcome): void {
+      settled(record, outcome);
+    }
+  }
+
+  #settled(record: OpenOrder, outcome: OrderOutcome): void {
+    const { order } = record;
+    if (order.kind !== 'put' && order.kind !== 'patch') return;
+    if (outcome === 'accepted') {
+      this.#learn(order.version);
+      this.#accepted.push(record);
+    } else if (!order.isInvalid && this.#settings.client.open < MOST_OPEN) {
+      this.readBack();
+    }
+  }
+
+  #learn(version: number): void {
+    this.#known = Math.max(this.#known, version);
+  }
+
+  #nextVersion(): number {
+    return this.#known + 1 + this.#settings.random.below(MOST_STEP);
+  }
+
+  #items(most: number): string[] {
+    const items: string[] = [];
+    for (let index = 0; index < most; index += 1) {
+      this.#count += 1;
+      items.push(`${this.#settings.client.id}-${this.#count}`);
+    }
+    return items;
+  }
+
+  #put(base: number, version: number, items: readonly string[]): Order {
+    const text = JSON.stringify({ version, items });
+    return { kind: 'put', base, version, text, isInvalid: version <= base };
+  }
+
+  #patch(): Order {
+    const base = this.#known;
+    const version = this.#nextVersion();
+    const text = JSON.stringify({ version, items: this.#items(1) });
+    return { kind: 'patch', base, version, text, isInvalid: base === 0 };
+  }
+
+  #burst(): void {
+    const { random, client } = this.#settings;
+    for (let index = 1 + random.below(MOST_BURST); index >= 0; index -= 1) {
+      if (client.open >= MOST_OPEN) return;
+      this.#act(random.isLikely(0.6) ? 'patch' : 'evacuate');
+    }
+  }
+
+  /** Two operators pick one base, and often one number. */
+  #race(): void {
+    const base = this.#known;
+    const version = this.#nextVersion();
+    this.#send(this.#put(base, version, this.#items(1)));
+    const other = this.#settings.random.isLikely(0.7) ? version : version + 1;
+    this.#peer?.send(this.#put(base, other, this.#items(1)));
+  }
+
+  /** Two operators send the very same bytes. */
+  #twin(): void {
+    const order = this.#put(this.#known, this.#nextVersion(), this.#items(1));
+    this.#send(order);
+    this.#peer?.send(order);
+  }
+
+  /** An order that was acknowledged, most often the newest, is sent once more. */
+  #repeat(): void {
+    const { random, client } = this.#settings;
+    const newest = this.#accepted.at(-1);
+    const record = random.isLikely(0.6) ? newest : random.pick(this.#accepted);
+    if (record) client.again(record, ignore);
+  }
+
+  #invalid(): Order {
+    const base = this.#known;
+    const version = this.#nextVersion();
+    const [item = ''] = this.#items(1);
+    const whole = JSON.stringify({ version, items: [item] });
+    switch (this.#settings.random.pick(INVALID)) {
+      case 'faulty': {
+        const text = JSON.stringify({ version, items: [item], faulty: true });
+        return { kind: 'put', base, version, text, isInvalid: true };
+      }
+      case 'oldVersion':
+        return this.#put(base, Math.max(0, base - 1), [item]);
+      case 'sameVersion':
+        return this.#put(base, base, [item]);
+      default:
+        return { kind: 'put', base, version, text: whole.slice(0, -2), isInvalid: true };
+    }
+  }
+}
+
+function ignore(): void {
+  /* Nothing follows from it. */
+}
--- /dev/null
+++ b/src/simulation/OrderStub.ts
@@ -0,0 +1,106 @@
+import { later, moment, type Moment } from '../kin/Ids.js';
+import type { Fleet, ListedRunner } from '../place/Fleet.js';
+import type { Intent, ServiceDoc } from '../place/Shapes.js';
+import type { FleetPlanner, OrderResult } from '../mind/MindEffect.js';
+
+const NEVER = moment(-1e12);
+/** A runner is given its next order so long after the last. */
+const ORDER_AGAIN_MS = 120;
+/** How often the placement that is written to the shared state changes. */
+const REWRITE_MS = 900;
+const QUIET_FLEET: Fleet = { flows: 1, runners: [], waits: [] };
+
+interface OrderedRunner {
+  readonly id: string;
+  /** The order whose outcome is open; '' for none. */
+  openIntent: string;
+  orderedAt: Moment;
+}
+
+/**
+ * A planner that gives every runner an order as often as the lease lets it, so that two holders at
+ * one time cannot stay hidden, and that rewrites one part of the placement again and again.
+ */
+export class OrderStub implements FleetPlanner {
+  #runners: OrderedRunner[] = [];
+  #label = '';
+  #count = 0;
+  #rewritten = 0;
+  #rewrittenAt: Moment = NEVER;
+
+  restore(now: Moment, docs: readonly ServiceDoc[], label: string): void {
+    this.#label = label;
+    this.#rewrittenAt = now;
+    const [doc] = docs;
+    this.#rewritten = Number(doc?.wait ?? 0);
+    for (const runner of this.#runners) runner.openIntent = '';
+  }
+
+  docs(): readonly ServiceDoc[] {
+    const wait = String(this.#rewritten);
+    return [{ model: 'm-0', primary: '', understudy: '', wait, intents: [] }];
+  }
+
+  demand(): void {
+    /* Demand has no part in who may order. */
+  }
+
+  list(_now: Moment, runners: readonly ListedRunner[]): void {
+    const known = this.#runners;
+    function keep({ id }: ListedRunner): OrderedRunner {
+      return known.find(hasId.bind(undefined, id)) ?? { id, openIntent: '', orderedAt: NEVER };
+    }
+    this.#runners = runners.map(keep);
+  }
+
+  status(): void {
+    /* Never asked for. */
+  }
+
+  asks(): readonly string[] {
+    return [];
+  }
+
+  plan(now: Moment): readonly string[] {
+    if (now < later(this.#rewrittenAt, REWRITE_MS)) return [];
+    this.#rewrittenAt = now;
+    this.#rewritten += 1;
+    return ['m-0'];
+  }
+
+  orders(now: Moment): readonly Intent[] {
+    const intents: Intent[] = [];
+    for (const runner of this.#runners) {
+      if (runner.openIntent !== '' || now < later(runner.orderedAt, ORDER_AGAIN_MS)) continue;
+      this.#count += 1;
+      const id = `${this.#label}.${this.#count}`;
+      runner.openIntent = id;
+      runner.orderedAt = now;
+      const what = { boot: '', verb: 'load', model: 'm-0', adapter: '', size: 1 } as const;
+      intents.push({ id, runner: runner.id, ...what });
+    }
+    return intents;
+  }
+
+  kept(): void {
+    /* Orders here do not wait for being written down. */
+  }
+
+  ordered(_now: Moment, intentId: string, _outcome: OrderResult): void {
+    for (const runner of this.#runners) {
+      if (runner.openIntent === intentId) runner.openIntent = '';
+    }
+  }
+
+  fleet(): Fleet {
+    return QUIET_FLEET;
+  }
+
+  nextAt(): Moment | undefined {
+    return undefined;
+  }
+}
+
+function hasId(id: string, runner: OrderedRunner): boolean {
+  return runner.id === id;
+}
--- /dev/null
+++ b/src/simulation/SimDisk.ts
@@ -0,0 +1,174 @@
+import { compareVersions, type Version } from '../kin/Version.js';
+import type { PartName } from '../kin/Ids.js';
+import type { StoredPart } from '../hold/Store.js';
+import type { Agenda } from '../myth/Agenda.js';
+import type { Seeded } from '../myth/Seeded.js';
+
+export type DiskTrouble = 'none' | 'slow' | 'stalled' | 'full';
+
+/** What became of the names and bytes of writes under way when the power went. */
+export type UnsyncedFate = 'kept' | 'lost' | 'drawn';
+
+interface Write {
+  readonly part: PartName;
+  readonly version: Version;
+  readonly body: string;
+  readonly done: (() => void)[];
+  readonly fail: (() => void)[];
+}
+
+interface Kept {
+  readonly at: number;
+  readonly stored: StoredPart;
+}
+
+/** One write with its syncs on a disk without trouble. */
+const LEAST_WRITE_MS = 0.5;
+const MOST_WRITE_MS = 5;
+const SLOW_FACTOR = 30;
+const FULL_MS = 1;
+
+/**
+ * The disk of a control node, with the store's own rules: whole versions of parts, one write of a
+ * part at a time, a waiting write replaced by a newer one that answers for both. A write counts as
+ * done once it is synced; one that was under way at a crash may be found or not.
+ */
+export class SimDisk {
+  readonly #agenda: Agenda;
+  readonly #random: Seeded;
+  readonly #kept = new Map<PartName, StoredPart>();
+  /** Everything that was ever kept since the last wipe, so that an old state can be put back. */
+  #log: Kept[] = [];
+  readonly #waiting = new Map<PartName, Write>();
+  readonly #active = new Map<PartName, Write>();
+  #stalled: (() => void)[] = [];
+  #age = 0;
+  #trouble: DiskTrouble = 'none';
+  #writes = 0;
+
+  constructor(agenda: Agenda, random: Seeded) {
+    this.#agenda = agenda;
+    this.#random = random;
+  }
+
+  get trouble(): DiskTrouble {
+    return this.#trouble;
+  }
+
+  get writes(): number {
+    return this.#writes;
+  }
+
+  list(): readonly StoredPart[] {
+    return [...this.#kept.values()];
+  }
+
+  part(part: PartName): StoredPart | undefined {
+    return this.#kept.get(part);
+  }
+
+  setTrouble(trouble: DiskTrouble): void {
+    this.#trouble = trouble;
+    if (trouble === 'stalled') return;
+    const stalled = this.#stalled;
+    this.#stalled = [];
+    for (const run of stalled) run();
+  }
+
+  /** Runs once the disk answers. */
+  whenAnswering(run: () => void): void {
+    if (this.#trouble === 'stalled') this.#stalled.push(run);
+    else run();
+  }
+
+  write(
+    part: PartName,
+    version: Version,
+    body: string,
+    done: () => void,
+    fail: () => void,
+  ): void {
+    const before = this.#waiting.get(part);
+    if (before && compareVersions(before.version, version) > 0) {
+      before.done.push(done);
+      before.fail.push(fail);
+    } else {
+      const dones = [...(before?.done ?? []), done];
+      const fails = [...(before?.fail ?? []), fail];
+      this.#waiting.set(part, { part, version, body, done: dones, fail: fails });
+    }
+    if (!this.#active.has(part)) this.#work(part);
+  }
+
+  /** The process ended; what it had under way may have reached the disk. */
+  crash(fate: UnsyncedFate): void {
+    this.#age += 1;
+    for (const write of this.#active.values()) {
+      const isKept = fate === 'kept' || (fate === 'drawn' && this.#random.isLikely(0.5));
+      if (isKept) this.#keep(write);
+    }
+    this.#active.clear();
+    this.#waiting.clear();
+    this.#stalled = [];
+  }
+
+  wipe(): void {
+    this.#kept.clear();
+    this.#log = [];
+  }
+
+  /** Puts the disk back to what it held at that moment. */
+  restore(moment: number): void {
+    const log = this.#log.filter(isBefore.bind(undefined, moment));
+    this.wipe();
+    for (const { stored } of log) this.#put(stored);
+    this.#log = log;
+  }
+
+  #work(part: PartName): void {
+    const write = this.#waiting.get(part);
+    if (!write) return;
+    this.#waiting.delete(part);
+    this.#active.set(part, write);
+    const factor = this.#trouble === 'slow' ? SLOW_FACTOR : 1;
+    const millis = this.#random.between(LEAST_WRITE_MS, MOST_WRITE_MS) * factor;
+    const age = this.#age;
+    const finish = this.#finish.bind(this, write, age);
+    const reach = this.whenAnswering.bind(this, finish);
+    if (this.#trouble === 'full') this.#agenda.after(FULL_MS, this.#refuse.bind(this, write, age));
+    else this.#agenda.after(millis, reach);
+  }
+
+  #finish(write: Write, age: number): void {
+    if (age !== this.#age) return;
+    this.#active.delete(write.part);
+    this.#writes += 1;
+    this.#keep(write);
+    for (const done of write.done) done();
+    if (!this.#active.has(write.part)) this.#work(write.part);
+  }
+
+  #refuse(write: Write, age: number): void {
+    if (age !== this.#age) return;
+    this.#active.delete(write.part);
+    for (const fail of write.fail) fail();
+    if (!this.#active.has(write.part)) this.#work(write.part);
+  }
+
+  #keep(write: Write): void {
+    const stored = { part: write.part, version: write.version, body: write.body, isSound: true };
+    this.#log.push({ at: this.#agenda.now, stored });
+    this.#put(stored);
+  }
+
+  /** Of the files of a part the one with the newest name counts, whichever was written last. */
+  #put(stored: StoredPart): void {
+    const known = this.#kept.get(stored.part);
+    if (known && compareVersions(stored.version, known.version) < 0) return;
+    this.#kept.set(stored.part, stored);
+  }
+}
+
+function isBefore(moment: number, kept: Kept): boolean {
+  return kept.at <= moment;
+}
--- /dev/null
+++ b/src/simulation/SimExchange.ts
@@ -0,0 +1,254 @@
+import type { Message } from '../kin/Messages.js';
+import type { Moment } from '../kin/Ids.js';
+import type { Endpoint, Payload } from './Endpoint.js';
+import { packMessage, unpackMessage } from './MessageCopy.js';
+import type { Host, SimNetwork } from './SimNetwork.js';
+
+/** What its owner hears of other nodes. */
+export interface ExchangeOwner {
+  receive(from: string, role: string, zone: string, message: Message): void;
+  gone(id: string): void;
+}
+
+export interface SimExchangeSettings {
+  readonly role: string;
+  readonly zone: string;
+}
+
+/** The spans of the real transport between nodes (`Exchange`). */
+const REDIAL_MS = 100;
+const CONNECT_MS = 500;
+const KEEPALIVE_MS = 500;
+const SILENT_MS = 1500;
+const CHECK_MS = 250;
+const MOST_QUEUED = 32;
+/** An empty frame that only shows that the sender is there. */
+const KEEPALIVE = '';
+
+/** One connection to another node, as this end sees it. */
+class Line {
+  readonly endpoint: Endpoint;
+  peerId: string;
+  role = '';
+  zone = '';
+  wroteAt: Moment;
+  heardAt: Moment;
+
+  constructor(endpoint: Endpoint, peerId: string, now: Moment) {
+    this.endpoint = endpoint;
+    this.peerId = peerId;
+    this.wroteAt = now;
+    this.heardAt = now;
+  }
+}
+
+/**
+ * The transport between nodes on the simulated network, rule for rule as the real one: lines found
+ * dead by silence, a short queue while a node is dialled, several lines to one node side by side.
+ */
+export class SimExchange {
+  readonly #host: Host;
+  readonly #network: SimNetwork;
+  readonly #settings: SimExchangeSettings;
+  readonly #owner: ExchangeOwner;
+  #lines = new Map<string, Line[]>();
+  #all = new Set<Line>();
+  #dialing = new Map<string, number>();
+  #queued = new Map<string, Message[]>();
+  #dials = 0;
+  #checkedAt: Moment;
+
+  constructor(host: Host, network: SimNetwork, settings: SimExchangeSettings, owner: ExchangeOwner) {
+    this.#host = host;
+    this.#network = network;
+    this.#settings = settings;
+    this.#owner = owner;
+    this.#checkedAt = host.process.now();
+  }
+
+  /** Called at each begin of the process; whatever a former life knew is gone. */
+  open(): void {
+    this.#lines = new Map();
+    this.#all = new Set();
+    this.#dialing = new Map();
+    this.#queued = new Map();
+    this.#checkedAt = this.#host.process.now();
+    this.#host.process.every(CHECK_MS, this.#check.bind(this));
+  }
+
+  /** Closes all lines, as a process that stops in order does. */
+  close(): void {
+    for (const line of this.#all) line.endpoint.close();
+    this.#all.clear();
+    this.#lines.clear();
+  }
+
+  send(to: string, message: Message): void {
+    const line = this.#lines.get(to)?.at(-1);
+    if (line) {
+      this.#write(line, message);
+      return;
+    }
+    this.dial(to);
+    if (!this.#dialing.has(to)) return;
+    const queued = this.#queued.get(to) ?? [];
+    queued.push(message);
+    if (queued.length > MOST_QUEUED) queued.shift();
+    this.#queued.set(to, queued);
+  }
+
+  dial(id: string): void {
+    if (this.#dialing.has(id) || this.#lines.has(id) || !id.includes(':')) return;
+    this.#dials += 1;
+    const dial = this.#dials;
+    this.#dialing.set(id, dial);
+    const { process } = this.#host;
+    const submit = process.submit.bind(process, `dial ${id}`);
+    const dialed = this.#dialed.bind(this, id, dial);
+    const failed = this.#failed.bind(this, id, dial);
+    const network = this.#network;
+    function connected(endpoint: Endpoint): void {
+      submit(dialed.bind(undefined, endpoint));
+    }
+    const refused = process.inThisLife(submit.bind(undefined, failed));
+    this.#network.connect(this.#host, id, 'nodes', {
+      connected: guardConnected(network, process.inThisLife.bind(process), connected),
+      refused,
+    });
+    process.after(CONNECT_MS, failed);
+  }
+
+  accept(endpoint: Endpoint): void {
+    const line = this.#serve(endpoint, '');
+    this.#hello(line);
+  }
+
+  #dialed(id: string, dial: number, endpoint: Endpoint): void {
+    // Given up meanwhile.
+    if (this.#dialing.get(id) !== dial) {
+      endpoint.close();
+      return;
+    }
+    this.#dialing.delete(id);
+    const line = this.#serve(endpoint, id);
+    this.#hello(line);
+    this.#register(line, id);
+    for (const message of this.#queued.get(id) ?? []) this.#write(line, message);
+    this.#queued.delete(id);
+  }
+
+  #failed(id: string, dial: number): void {
+    if (this.#dialing.get(id) !== dial) return;
+    this.#queued.delete(id);
+    // A short pause, in which the node still counts as being dialled, by nobody.
+    this.#dialing.set(id, -dial);
+    this.#host.process.after(REDIAL_MS, this.#allowDial.bind(this, id, -dial));
+  }
+
+  #allowDial(id: string, dial: number): void {
+    if (this.#dialing.get(id) === dial) this.#dialing.delete(id);
+  }
+
+  #hello(line: Line): void {
+    const { role, zone } = this.#settings;
+    this.#write(line, { kind: 'hello', id: this.#host.id, role, zone });
+  }
+
+  #serve(endpoint: Endpoint, peerId: string): Line {
+    const line = new Line(endpoint, peerId, this.#host.process.now());
+    this.#all.add(line);
+    endpoint.handler = {
+      data: this.#take.bind(this, line),
+      closed: this.#closed.bind(this, line),
+    };
+    return line;
+  }
+
+  #write(line: Line, message: Message): void {
+    line.wroteAt = this.#host.process.now();
+    line.endpoint.send(packMessage(message));
+  }
+
+  #register(line: Line, id: string): void {
+    line.peerId = id;
+    const lines = this.#lines.get(id) ?? [];
+    if (!lines.includes(line)) this.#lines.set(id, [...lines, line]);
+  }
+
+  #take(line: Line, payload: Payload): void {
+    line.heardAt = this.#host.process.now();
+    if (payload === KEEPALIVE) return;
+    const message = unpackMessage(payload);
+    if (message.kind === 'hello') {
+      line.role = message.role;
+      line.zone = message.zone;
+      this.#register(line, message.id);
+      return;
+    }
+    if (line.peerId === '') return;
+    this.#owner.receive(line.peerId, line.role, line.zone, message);
+  }
+
+  #closed(line: Line): void {
+    if (!this.#all.delete(line)) return;
+    const lines = this.#lines.get(line.peerId);
+    if (!lines) return;
+    const left = lines.filter(isNot.bind(undefined, line));
+    if (left.length > 0) {
+      this.#lines.set(line.peerId, left);
+      return;
+    }
+    this.#lines.delete(line.peerId);
+    this.#owner.gone(line.peerId);
+  }
+
+  #check(): void {
+    const now = this.#host.process.now();
+    // Frozen ourselves, we have heard nobody: what waits in the sockets is read first.
+    const late = now - this.#checkedAt - CHECK_MS;
+    this.#checkedAt = now;
+    for (const line of [...this.#all]) {
+      if (late > CHECK_MS) line.heardAt = now;
+      if (now - line.heardAt > SILENT_MS) {
+        line.endpoint.close();
+        this.#closed(line);
+      } else {
+        this.#keepAlive(line, now);
+      }
+    }
+  }
+
+  #keepAlive(line: Line, now: Moment): void {
+    if (now - line.wroteAt < KEEPALIVE_MS || line.endpoint.isHeldUp) return;
+    line.wroteAt = now;
+    line.endpoint.send(KEEPALIVE);
+  }
+}
+
+/** A connection that stands only after its dialler's life has ended is closed by the kernel. */
+function guardConnected(
+  network: SimNetwork,
+  inThisLife: (run: () => void) => () => void,
+  connected: (endpoint: Endpoint) => void,
+): (endpoint: Endpoint) => void {
+  let arrived: Endpoint | undefined;
+  let isTaken = false;
+  function take(): void {
+    if (!arrived) return;
+    isTaken = true;
+    connected(arrived);
+  }
+  const guarded = inThisLife(take);
+  function settle(endpoint: Endpoint): void {
+    arrived = endpoint;
+    guarded();
+    if (isTaken) return;
+    endpoint.abort();
+    network.forget(endpoint);
+  }
+  return settle;
+}
+
+function isNot(line: Line, other: Line): boolean {
+  return line !== other;
+}
--- /dev/null
+++ b/src/simulation/SimNetwork.ts
@@ -0,0 +1,189 @@
+import type { Agenda } from '../myth/Agenda.js';
+import type { RandomStreams } from './RandomStreams.js';
+import { Endpoint } from './Endpoint.js';
+import type { SimProcess } from './SimProcess.js';
+
+/** Where a host listens: for other nodes, or for operators' and runners' calls. */
+export type Port = 'nodes' | 'calls';
+
+/** How a cut shows: packets vanish, connections across it are reset, or new ones are refused at once. */
+export type CutStyle = 'silent' | 'reset' | 'refuse';
+
+/** A machine on the network with the one process that is reached there. */
+export interface Host {
+  readonly id: string;
+  readonly isPowered: boolean;
+  readonly isListening: boolean;
+  readonly process: SimProcess;
+  accept(endpoint: Endpoint, port: Port): void;
+}
+
+/** What becomes of an attempt to connect; an attempt that hangs hears nothing. */
+export interface Dialer {
+  connected(endpoint: Endpoint): void;
+  refused(): void;
+}
+
+/** Usual delay of one packet. */
+const LEAST_DELAY_MS = 0.2;
+const MOST_DELAY_MS = 4;
+/** Held packets arrive so long after a cut has healed, at most. */
+const AFTER_HEAL_MS = 100;
+
+function linkKey(from: string, to: string): string {
+  return `${from} > ${to}`;
+}
+
+/**
+ * The network of a run: hosts, links with a delay and cuts of their own for each direction, and
+ * connections over them. Bytes that a cut holds up arrive after it, unless their sender reset the
+ * connection or lost power.
+ */
+export class SimNetwork {
+  readonly #agenda: Agenda;
+  readonly #streams: RandomStreams;
+  readonly #hosts = new Map<string, Host>();
+  readonly #endpoints = new Set<Endpoint>();
+  /** How many faults cut a link at present, and how the last of them shows. */
+  readonly #cuts = new Map<string, { readonly count: number; readonly style: CutStyle }>();
+  readonly #extraDelays = new Map<string, number>();
+  readonly #healedAt = new Map<string, number>();
+  #connections = 0;
+  #packets = 0;
+
+  constructor(agenda: Agenda, streams: RandomStreams) {
+    this.#agenda = agenda;
+    this.#streams = streams;
+  }
+
+  get agenda(): Agenda {
+    return this.#agenda;
+  }
+
+  get packets(): number {
+    return this.#packets;
+  }
+
+  join(host: Host): void {
+    this.#hosts.set(host.id, host);
+  }
+
+  isCut(from: string, to: string): boolean {
+    return this.#cuts.has(linkKey(from, to));
+  }
+
+  /** True time at which the link in this direction was healed last. */
+  healedAt(from: string, to: string): number {
+    return this.#healedAt.get(linkKey(from, to)) ?? -Infinity;
+  }
+
+  /** Whether a packet sent from one host would reach a live machine now. */
+  isOpen(from: string, to: string): boolean {
+    return !this.isCut(from, to) && this.#hosts.get(to)?.isPowered === true;
+  }
+
+  /** Cuts one direction of a link; cuts of several faults add up. */
+  cut(from: string, to: string, style: CutStyle): void {
+    const key = linkKey(from, to);
+    this.#cuts.set(key, { count: (this.#cuts.get(key)?.count ?? 0) + 1, style });
+    if (style === 'silent') return;
+    for (const endpoint of [...this.#endpoints]) {
+      if (endpoint.isBetween(from, to)) endpoint.abort();
+    }
+  }
+
+  heal(from: string, to: string): void {
+    const key = linkKey(from, to);
+    const cut = this.#cuts.get(key);
+    if (!cut) return;
+    if (cut.count > 1) {
+      this.#cuts.set(key, { count: cut.count - 1, style: cut.style });
+      return;
+    }
+    this.#cuts.delete(key);
+    this.#healedAt.set(key, this.#agenda.now);
+    this.#release(from, to);
+  }
+
+  /** Slows one direction of a link by so much more; 0 takes that back. */
+  slow(from: string, to: string, millis: number): void {
+    if (millis > 0) this.#extraDelays.set(linkKey(from, to), millis);
+    else this.#extraDelays.delete(linkKey(from, to));
+  }
+
+  delay(from: string, to: string): number {
+    const extra = this.#extraDelays.get(linkKey(from, to)) ?? 0;
+    const random = this.#streams.of(`link ${linkKey(from, to)}`);
+    // A slow link is unsteady as well.
+    return random.between(LEAST_DELAY_MS, MOST_DELAY_MS) + extra * random.between(0.5, 1);
+  }
+
+  connect(from: Host, to: string, port: Port, dialer: Dialer): void {
+    const arrive = this.#arrive.bind(this, from, to, port, dialer);
+    this.#agenda.after(this.delay(from.id, to), arrive);
+  }
+
+  countPacket(): void {
+    this.#packets += 1;
+  }
+
+  forget(endpoint: Endpoint): void {
+    this.#endpoints.delete(endpoint);
+  }
+
+  /** The process of a host ended: its kernel closes what it had open. */
+  processEnded(host: string): void {
+    for (const endpoint of [...this.#endpoints]) {
+      if (endpoint.host.id === host) endpoint.close();
+    }
+  }
+
+  /** A host lost power: it says nothing any more, and what it had not sent is lost. */
+  powerLost(host: string): void {
+    for (const endpoint of [...this.#endpoints]) {
+      if (endpoint.host.id === host) endpoint.vanish();
+    }
+  }
+
+  powerReturned(host: string): void {
+    for (const other of this.#hosts.keys()) this.#release(other, host);
+  }
+
+  /** Resets a share of the connections of a host; both ends hear of it. */
+  resetConnections(host: string, share: number): void {
+    const random = this.#streams.of('resets');
+    for (const endpoint of [...this.#endpoints]) {
+      if (endpoint.host.id === host && random.isLikely(share)) endpoint.abort();
+    }
+  }
+
+  #release(from: string, to: string): void {
+    const random = this.#streams.of('releases');
+    for (const endpoint of this.#endpoints) {
+      if (!endpoint.isFromTo(from, to) || !endpoint.isHeldUp) continue;
+      this.#agenda.after(random.between(0, AFTER_HEAL_MS), endpoint.pump.bind(endpoint));
+    }
+  }
+
+  #arrive(from: Host, to: string, port: Port, dialer: Dialer): void {
+    const target = this.#hosts.get(to);
+    const wayBack = this.delay(to, from.id);
+    const cut = this.#cuts.get(linkKey(from.id, to));
+    const isRefused = cut?.style === 'refuse' || (!cut && target?.isPowered && !target.isListening);
+    if (isRefused) {
+      if (!this.isCut(to, from.id)) this.#agenda.after(wayBack, dialer.refused.bind(dialer));
+      return;
+    }
+    if (cut || !target?.isPowered || this.isCut(to, from.id)) return;
+    this.#connections += 1;
+    const stream = `connection ${this.#connections}`;
+    const near = new Endpoint(this, from, stream);
+    const far = new Endpoint(this, target, stream);
+    near.join(far);
+    this.#endpoints.add(near);
+    this.#endpoints.add(far);
+    // A frozen process has a kernel that accepts for it; it hears of the connection at the thaw.
+    target.process.submit(stream, target.accept.bind(target, far, port));
+    this.#agenda.after(wayBack, dialer.connected.bind(dialer, near));
+  }
+}
--- /dev/null
+++ b/src/simulation/SimProcess.ts
@@ -0,0 +1,179 @@
+import { moment, type Moment } from '../kin/Ids.js';
+import type { Agenda } from '../myth/Agenda.js';
+import type { Seeded } from '../myth/Seeded.js';
+
+type ProcessState = 'down' | 'running' | 'frozen';
+
+/** What became ready while the process was frozen; the order within one stream is kept. */
+interface HeldInput {
+  readonly stream: string;
+  readonly run: () => void;
+}
+
+const TIMERS = 'timers';
+/** Timers fire slightly late. */
+const TIMER_LATE_MS = 2;
+/** Chances of the orders in which a thawed event loop takes timers and input. */
+const TIMERS_FIRST = 0.4;
+const TIMERS_LAST = 0.3;
+
+/**
+ * One simulated operating-system process with an event loop: it begins, ends, is frozen and thawed.
+ * Its monotonic clock runs at a rate of its own and goes on while it is frozen. Timers and input that
+ * become ready meanwhile are taken at the thaw, in a drawn order that keeps each stream in sequence.
+ */
+export class SimProcess {
+  readonly #agenda: Agenda;
+  readonly #random: Seeded;
+  #rate: number;
+  #offset: number;
+  #state: ProcessState = 'down';
+  #life = 0;
+  #held: HeldInput[] = [];
+  #thawedAt = -Infinity;
+
+  constructor(agenda: Agenda, random: Seeded, drift: number) {
+    this.#agenda = agenda;
+    this.#random = random;
+    this.#rate = 1 + random.between(-drift, drift);
+    this.#offset = random.between(0, 1e6);
+  }
+
+  get isUp(): boolean {
+    return this.#state !== 'down';
+  }
+
+  get isFrozen(): boolean {
+    return this.#state === 'frozen';
+  }
+
+  get isRunning(): boolean {
+    return this.#state === 'running';
+  }
+
+  /** True time of the last thaw. */
+  get thawedAt(): number {
+    return this.#thawedAt;
+  }
+
+  /** Whether input waits unread, so that the kernel answers a close with a reset. */
+  get hasUnread(): boolean {
+    return this.#held.length > 0;
+  }
+
+  /** Its own monotonic clock, never compared with another's. */
+  now(): Moment {
+    return moment(this.#agenda.now * this.#rate + this.#offset);
+  }
+
+  /** From here on its clock runs at another rate; it never jumps. */
+  setRate(rate: number): void {
+    const now = this.now();
+    this.#rate = rate;
+    this.#offset = now - this.#agenda.now * rate;
+  }
+
+  begin(): void {
+    this.#life += 1;
+    this.#state = 'running';
+    this.#held = [];
+  }
+
+  end(): void {
+    this.#life += 1;
+    this.#state = 'down';
+    this.#held = [];
+  }
+
+  freeze(): void {
+    if (this.#state === 'running') this.#state = 'frozen';
+  }
+
+  thaw(): void {
+    if (this.#state !== 'frozen') return;
+    this.#state = 'running';
+    this.#thawedAt = this.#agenda.now;
+    const held = this.#held;
+    this.#held = [];
+    const life = this.#life;
+    for (const input of this.#reordered(held)) {
+      // What was held belongs to this life alone; an input may freeze or end the process again.
+      if (this.#life !== life) return;
+      this.submit(input.stream, input.run);
+    }
+  }
+
+  /** Takes an input now, or at the thaw; a process that is down takes none. */
+  submit(stream: string, run: () => void): void {
+    if (this.#state === 'down') return;
+    if (this.#state === 'frozen') this.#held.push({ stream, run });
+    else run();
+  }
+
+  /** A function that does its work only while this life lasts. */
+  inThisLife(run: () => void): () => void {
+    const life = this.#life;
+    const isSame = this.#isLife.bind(this);
+    function guarded(): void {
+      if (isSame(life)) run();
+    }
+    return guarded;
+  }
+
+  /** Runs once after so long on the process's own clock, unless it ended before. */
+  after(millis: number, run: () => void): void {
+    const late = this.#random.between(0, TIMER_LATE_MS);
+    const due = this.submit.bind(this, TIMERS, run);
+    this.#agenda.after(millis / this.#rate + late, this.inThisLife(due));
+  }
+
+  /** Runs again and again; while the process is frozen one call becomes due, not many. */
+  every(millis: number, run: () => void): void {
+    const after = this.after.bind(this, millis);
+    function tick(): void {
+      after(tick);
+      run();
+    }
+    after(tick);
+  }
+
+  #isLife(life: number): boolean {
+    return this.#life === life;
+  }
+
+  #reordered(held: readonly HeldInput[]): HeldInput[] {
+    const timers = held.filter(isTimer);
+    const streams = new Map<string, HeldInput[]>();
+    for (const input of held) {
+      if (isTimer(input)) continue;
+      const stream = streams.get(input.stream) ?? [];
+      stream.push(input);
+      streams.set(input.stream, stream);
+    }
+    const draw = this.#random.next();
+    if (draw < TIMERS_FIRST) return [...timers, ...this.#merged([...streams.values()])];
+    if (draw < TIMERS_FIRST + TIMERS_LAST) {
+      return [...this.#merged([...streams.values()]), ...timers];
+    }
+    return this.#merged([timers, ...streams.values()]);
+  }
+
+  #merged(streams: HeldInput[][]): HeldInput[] {
+    const merged: HeldInput[] = [];
+    let left = streams.filter(isFilled);
+    while (left.length > 0) {
+      const input = this.#random.pick(left)?.shift();
+      if (input) merged.push(input);
+      left = left.filter(isFilled);
+    }
+    return merged;
+  }
+}
+
+function isTimer(input: HeldInput): boolean {
+  return input.stream === TIMERS;
+}
+
+function isFilled(stream: readonly HeldInput[]): boolean {
+  return stream.length > 0;
+}
--- /dev/null
+++ b/src/simulation/StateRules.ts
@@ -0,0 +1,159 @@
+import { array, number, optional, string, type } from 'superstruct';
+import { CONFIG_PART } from '../hold/PartNames.js';
+import { parseAs } from '../kin/Json.js';
+import { compareVersions, isNewer, NO_VERSION, versionText, type Version } from '../kin/Version.js';
+import type { NewsItem, Relay } from '../news/Relay.js';
+import type { ControlNode } from './ControlNode.js';
+import type { OperatorAnswer } from './OperatorCall.js';
+import type { Report } from './Violation.js';
+
+const NewsShape = type({
+  voters: array(array(string())),
+  routing: optional(type({ version: number() })),
+});
+const AcceptedShape = type({ id: string(), version: string() });
+
+interface KnownConfig {
+  readonly body: string;
+  readonly voters: readonly (readonly string[])[];
+  readonly routingVersion: number;
+}
+
+interface Acknowledged {
+  readonly editId: string;
+  readonly version: Version;
+}
+
+export interface StateRulesSettings {
+  readonly report: Report;
+  /** Every control node that ever was, by its id. */
+  readonly nodes: ReadonlyMap<string, ControlNode>;
+  /** Machines that have left for good, with their disks. */
+  readonly isGone: (node: string) => boolean;
+  /** Whether a node has lost its disk and may not vote yet. */
+  readonly isUnderRepair: (node: string) => boolean;
+}
+
+function versionOf(text: string): Version {
+  const [epoch = 0, count = 0] = text.split('.').map(Number);
+  return { epoch, count };
+}
+
+function majorityOf(set: readonly string[]): number {
+  return Math.floor(set.length / 2) + 1;
+}
+
+/**
+ * What must hold of the shared state at every step: what was acknowledged stays where every majority
+ * finds it, voters change by a majority of the voters before, one version has one body, and no node
+ * that lives goes back to an older configuration.
+ */
+export class StateRules {
+  readonly #settings: StateRulesSettings;
+  readonly #configs = new Map<string, KnownConfig>();
+  #newest: { readonly version: Version; readonly config: KnownConfig } | undefined;
+  #acknowledged: Acknowledged | undefined;
+  /** What each life of a node or agent shows as the newest configuration. */
+  readonly #shown = new Map<string, { readonly version: Version; readonly routing: number }>();
+
+  constructor(settings: StateRulesSettings) {
+    this.#settings = settings;
+  }
+
+  /** The newest committed voters that any node was ever told of. */
+  get voters(): readonly (readonly string[])[] {
+    return this.#newest?.config.voters ?? [];
+  }
+
+  answered(answer: OperatorAnswer): void {
+    const accepted = parseAs(AcceptedShape, answer.body);
+    if (!accepted) return;
+    const version = versionOf(accepted.version);
+    const before = this.#acknowledged?.version ?? NO_VERSION;
+    if (isNewer(version, before)) this.#acknowledged = { editId: accepted.id, version };
+    this.check();
+  }
+
+  /** Looks at what a node or agent holds as committed; `life` tells its lives apart. */
+  watch(id: string, life: number, relay: Relay): void {
+    const key = `${id} ${life}`;
+    const version = relay.version('config');
+    const shown = this.#shown.get(key);
+    if (shown && compareVersions(version, shown.version) === 0) return;
+    const item = relay.item('config');
+    if (!item) return;
+    const config = this.#know(item);
+    if (!config) return;
+    if (shown && isNewer(shown.version, version)) {
+      const text = `${id} from ${versionText(shown.version)} to ${versionText(version)}`;
+      this.#settings.report('version-stepped-back', text);
+    } else if (shown && config.routingVersion < shown.routing) {
+      const text = `${id} from configuration ${shown.routing} to ${config.routingVersion}`;
+      this.#settings.report('version-stepped-back', text);
+    }
+    this.#shown.set(key, { version, routing: config.routingVersion });
+  }
+
+  /** What was acknowledged last is where every majority that may vote meets it. */
+  check(): void {
+    const acknowledged = this.#acknowledged;
+    const [voters] = this.voters;
+    if (!acknowledged || !voters) return;
+    let holders = 0;
+    let lacking = 0;
+    for (const voter of voters) {
+      if (this.#holds(voter, acknowledged.editId)) holders += 1;
+      else if (!this.#settings.isGone(voter) && !this.#settings.isUnderRepair(voter)) lacking += 1;
+    }
+    if (holders > 0 && lacking < majorityOf(voters)) return;
+    const { editId, version } = acknowledged;
+    const text = `${editId} of ${versionText(version)}: ${holders} of ${voters.join(' ')} hold it`;
+    this.#settings.report('acknowledged-lost', text);
+  }
+
+  #holds(voter: string, editId: string): boolean {
+    if (this.#settings.isGone(voter)) return false;
+    const stored = this.#settings.nodes.get(voter)?.disk.part(CONFIG_PART);
+    return stored?.body.includes(editId) === true;
+  }
+
+  #know(item: NewsItem): KnownConfig | undefined {
+    const key = versionText(item.version);
+    const known = this.#configs.get(key);
+    if (known) {
+      if (known.body !== item.body) this.#settings.report('one-version-two-bodies', key);
+      return known;
+    }
+    const news = parseAs(NewsShape, item.body);
+    if (!news) return undefined;
+    const routingVersion = news.routing?.version ?? 0;
+    const config = { body: item.body, voters: news.voters, routingVersion };
+    this.#configs.set(key, config);
+    this.#follow(item.version, config);
+    return config;
+  }
+
+  #follow(version: Version, config: KnownConfig): void {
+    const before = this.#newest;
+    if (before && !isNewer(version, before.version)) return;
+    this.#newest = { version, config };
+    if (!before || before.config.voters.join(' | ') === config.voters.join(' | ')) return;
+    const { isGone, isUnderRepair } = this.#settings;
+    for (const set of [...before.config.voters, ...config.voters]) {
+      let lacking = 0;
+      for (const voter of set) {
+        const mayVote = !isGone(voter) && !isUnderRepair(voter);
+        if (mayVote && !this.#hasVersion(version, voter)) lacking += 1;
+      }
+      if (lacking < majorityOf(set)) continue;
+      const voters = config.voters.join(' | ');
+      const text = `${versionText(version)}: ${lacking} of ${set.join(' ')} lack ${voters}`;
+      this.#settings.report('voters-without-majority', text);
+    }
+  }
+
+  #hasVersion(version: Version, voter: string): boolean {
+    const stored = this.#settings.nodes.get(voter)?.disk.part(CONFIG_PART);
+    return stored !== undefined && compareVersions(stored.version, version) >= 0;
+  }
+}
