--- /dev/null
+++ b/src/myth/SeedPool.ts
@@ -0,0 +1,77 @@
+import { fork, type ChildProcess } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+import { is } from 'superstruct';
+import { SeedResultShape, type SeedResult } from '../simulation/SeedRun.js';
+
+export interface SeedPoolSettings {
+  readonly from: number;
+  readonly seeds: number;
+  readonly nodes: 3 | 5;
+  readonly jobs: number;
+  /** Told of each seed as it is done, in no order. */
+  readonly done: (result: SeedResult) => void;
+}
+
+/** Runs seeds in child processes, one seed at a time in each. */
+export class SeedPool {
+  readonly #settings: SeedPoolSettings;
+  #next: number;
+  #left: number;
+  #finish: (() => void) | undefined;
+  #fail: ((error: Error) => void) | undefined;
+  readonly #workers = new Set<ChildProcess>();
+
+  constructor(settings: SeedPoolSettings) {
+    this.#settings = settings;
+    this.#next = settings.from;
+    this.#left = settings.seeds;
+  }
+
+  /** Resolves once every seed is done; a worker that ends by itself fails the whole. */
+  run(): Promise<void> {
+    return new Promise(this.#begin.bind(this));
+  }
+
+  #begin(finish: () => void, fail: (error: Error) => void): void {
+    this.#finish = finish;
+    this.#fail = fail;
+    const { jobs, seeds } = this.#settings;
+    for (let index = 0; index < Math.min(jobs, seeds); index += 1) this.#hire();
+  }
+
+  #hire(): void {
+    const worker = fork(fileURLToPath(new URL('./SeedWorker.js', import.meta.url)));
+    this.#workers.add(worker);
+    worker.on('message', this.#take.bind(this, worker));
+    worker.on('exit', this.#ended.bind(this, worker));
+    this.#ask(worker);
+  }
+
+  #ask(worker: ChildProcess): void {
+    const { from, seeds, nodes } = this.#settings;
+    if (this.#next >= from + seeds) {
+      this.#dismiss(worker);
+      return;
+    }
+    worker.send({ seed: this.#next, nodes });
+    this.#next += 1;
+  }
+
+  #take(worker: ChildProcess, message: unknown): void {
+    if (!is(message, SeedResultShape)) return;
+    this.#settings.done(message);
+    this.#left -= 1;
+    this.#ask(worker);
+    if (this.#left === 0) this.#finish?.();
+  }
+
+  #dismiss(worker: ChildProcess): void {
+    this.#workers.delete(worker);
+    worker.disconnect();
+  }
+
+  #ended(worker: ChildProcess): void {
+    if (!this.#workers.delete(worker)) return;
+    this.#fail?.(new Error(`a worker ended with ${worker.exitCode ?? worker.signalCode}`));
+  }
+}
--- a/src/simulation/ControlNode.ts
+++ b/src/simulation/ControlNode.ts
@@ -47,6 +47,12 @@
   readonly drift: number;
 }
 
+interface PendingCall {
+  readonly isRead: boolean;
+  readonly since: Moment;
+  readonly answered: (answer: OperatorAnswer) => void;
+}
+
 type StoreEffect = Extract<MindEffect, { do: 'store' }>;
 type OrderEffect = Extract<MindEffect, { do: 'order' }>;
 
@@ -68,7 +74,7 @@
   #core: MindCore | undefined;
   #isPowered = true;
   #seeds: readonly string[] = [];
-  #answers = new Map<number, (answer: OperatorAnswer) => void>();
+  #answers = new Map<number, PendingCall>();
   #commandId = 0;
   #starts = 0;
   /** Set while the next order's write is to be held up by a freeze right after the lease was checked. */
@@ -155,6 +161,17 @@
     return this.process.now();
   }
 
+  /** How many reads have waited for an answer here for longer than so long. */
+  readsWaiting(millis: number): number {
+    let count = 0;
+    const now = this.process.now();
+    if (!this.process.isRunning || this.#core === undefined) return 0;
+    for (const { isRead, since } of this.#answers.values()) {
+      if (isRead && now - since > millis) count += 1;
+    }
+    return count;
+  }
+
   // ---- the process
 
   #load(isFirstStart: boolean): void {
@@ -360,8 +377,8 @@
     }
     this.#commandId += 1;
     const id = this.#commandId;
-    this.#answers.set(id, answered);
     const now = this.process.now();
+    this.#answers.set(id, { isRead: verb === 'read', since: now, answered });
     function command(core: MindCore): void {
       core.command(now, id, verb, body);
     }
@@ -369,9 +386,9 @@
   }
 
   #return(id: number, answer: OperatorAnswer): void {
-    const answered = this.#answers.get(id);
+    const pending = this.#answers.get(id);
     this.#answers.delete(id);
-    answered?.(answer);
+    pending?.answered(answer);
   }
 }
 
--- a/src/simulation/ControlSimulation.ts
+++ b/src/simulation/ControlSimulation.ts
@@ -40,7 +40,9 @@
 const CALM_MS = 8000;
 const READ_BACK_MS = 5000;
 const CHECK_MS = 50;
-/** How often an order's acknowledgement may be later than the bound, for its own travel. */
+/** A node has answered a read after this, with whatever it is. */
+const MOST_READ_MS = 10_000;
+/** An acknowledgement may be later than the bound by its own travel. */
 const ACK_SLACK_MS = 50;
 
 /** One run of the deployed control side on virtual time, a pure function of its options and schedule. */
@@ -149,6 +151,11 @@
 
   #check(): void {
     this.#stateRules.check();
+    for (const node of this.#fleet.present) {
+      if (node.readsWaiting(MOST_READ_MS) > 0) {
+        this.#violations.add('read-never-answered', `${node.id} in its life ${node.life}`);
+      }
+    }
     this.#agenda.after(CHECK_MS, this.#check.bind(this));
   }
 
--- a/src/simulation/MachineFaults.ts
+++ b/src/simulation/MachineFaults.ts
@@ -104,6 +104,7 @@
   leave(node: ControlNode, isPlanned: boolean): void {
     const { budget, after, settled } = this.#around;
     budget.begin(node.id);
+    budget.loseDisk(node.id);
     budget.leave();
     settled.disturb();
     if (isPlanned && node.process.isUp) node.stop(this.#remove.bind(this, node));
@@ -115,6 +116,7 @@
   replace(node: ControlNode, fault: Replace): Undo {
     const { budget, settled } = this.#around;
     budget.begin(node.id);
+    budget.loseDisk(node.id);
     settled.disturb();
     if (!fault.planned) this.#remove(node);
     else this.#arrive(node);
@@ -208,7 +210,6 @@
     const { fleet, budget, after, settled, events } = this.#around;
     const spare = fleet.addSpare();
     settled.disturb();
-    budget.loseDisk(node.id);
     after(CATCH_UP_MS, budget.release.bind(budget, node.id));
     events.tell('restart', spare.id);
   }
--- /dev/null
+++ b/src/simulation/PastedTest.ts
@@ -0,0 +1,26 @@
+import type { Schedule } from './Faults.js';
+import type { SimulationOptions } from './Options.js';
+
+/** A test to paste beside the simulation: the run must break no rule. */
+export function pastedTest(options: SimulationOptions, schedule: Schedule, rule: string): string {
+  const faults: string[] = [];
+  for (const fault of schedule) faults.push(`    ${JSON.stringify(fault)},`);
+  const title = `seed ${options.seed} of ${options.nodes} nodes keeps ${rule}`;
+  return [
+    "import { expect, test } from 'vitest';",
+    "import { simulate } from './ControlSimulation.js';",
+    "import type { Schedule } from './Faults.js';",
+    "import type { SimulationOptions } from './Options.js';",
+    '',
+    'function checkRun(): void {',
+    `  const options: SimulationOptions = ${JSON.stringify(options)};`,
+    '  const schedule: Schedule = [',
+    ...faults,
+    '  ];',
+    '  expect(simulate(options, schedule).violations).toEqual([]);',
+    '}',
+    '',
+    `test(${JSON.stringify(title)}, checkRun);`,
+    '',
+  ].join('\n');
+}
--- a/src/simulation/Violation.ts
+++ b/src/simulation/Violation.ts
@@ -10,6 +10,7 @@
   | 'version-stepped-back'
   | 'no-leader-after-trouble'
   | 'late-acknowledgement'
+  | 'read-never-answered'
   | 'core-threw';
 
 /** A broken rule, with the moment of the run at which it was found. */
