--- /dev/null
+++ b/src/simulation/LossBudget.test.ts
@@ -0,0 +1,75 @@
+import { expect, test } from 'vitest';
+import { CATCH_UP_MS } from './DeployedSettings.js';
+import { LossBudget } from './LossBudget.js';
+import type { LossLimit } from './Options.js';
+
+class Counted {
+  now = 0;
+  present: number;
+  isHealed = false;
+  readonly budget: LossBudget;
+
+  constructor(nodes: number, limit: LossLimit) {
+    this.present = nodes;
+    this.budget = new LossBudget({
+      nodes,
+      limit,
+      now: this.#now.bind(this),
+      present: this.#present.bind(this),
+      isDiskHealed: this.#isHealed.bind(this),
+    });
+  }
+
+  #now(): number {
+    return this.now;
+  }
+
+  #present(): number {
+    return this.present;
+  }
+
+  #isHealed(): boolean {
+    return this.isHealed;
+  }
+}
+
+function checkCatchUp(): void {
+  const fleet = new Counted(3, 'tolerated');
+  const { budget } = fleet;
+  expect(budget.mayLose(['a'])).toBe(true);
+  expect(budget.mayLose(['a', 'b'])).toBe(false);
+  budget.begin('a');
+  expect([budget.mayLose(['b']), budget.mayLose(['a'])]).toEqual([false, true]);
+  budget.end('a');
+  fleet.now = CATCH_UP_MS - 1;
+  expect(budget.mayLose(['b'])).toBe(false);
+  fleet.now = CATCH_UP_MS;
+  expect(budget.mayLose(['b'])).toBe(true);
+}
+
+function checkLeft(): void {
+  const fleet = new Counted(5, 'tolerated');
+  const { budget } = fleet;
+  budget.begin('a');
+  budget.leave();
+  fleet.present = 4;
+  expect([budget.mayLose(['b']), budget.mayLose(['b', 'c'])]).toEqual([true, false]);
+  budget.forgetLeft('a');
+  // Of four that are left one may be lost.
+  expect([budget.mayLose(['b']), budget.mayLose(['b', 'c'])]).toEqual([true, false]);
+}
+
+function checkAny(): void {
+  const fleet = new Counted(3, 'any');
+  const { budget } = fleet;
+  expect(budget.mayLose(['a', 'b', 'c'])).toBe(true);
+  expect(budget.mayLoseDisks(['a'])).toBe(true);
+  budget.loseDisk('a');
+  expect(budget.mayLoseDisks(['b'])).toBe(false);
+  fleet.isHealed = true;
+  expect(budget.mayLoseDisks(['b'])).toBe(true);
+}
+
+test('a machine counts as lost for a while after it is back', checkCatchUp);
+test('a fleet that became smaller for good bears less', checkLeft);
+test('where any number may be lost, disks are lost one after the other', checkAny);
--- /dev/null
+++ b/src/simulation/Shrinker.test.ts
@@ -0,0 +1,54 @@
+import { expect, test } from 'vitest';
+import type { Fault, Schedule } from './Faults.js';
+import { pastedTest } from './PastedTest.js';
+import { drawOptions } from './ScheduleDraw.js';
+import { Shrinker } from './Shrinker.js';
+
+function faultOf(place: number): Fault {
+  const target = { kind: 'place', place } as const;
+  return { kind: 'freeze', when: { kind: 'at', at: place * 100 }, forMs: 8000, target };
+}
+
+function placeOf(fault: Fault): number {
+  return 'target' in fault && fault.target.kind === 'place' ? fault.target.place : -1;
+}
+
+const SCHEDULE: Schedule = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10].map(faultOf);
+
+/** Fails by two faults alone, and only while the second lasts for a second or longer. */
+function needsTwo(schedule: Schedule): boolean {
+  const second = schedule.find(isSecond);
+  const span = second && 'forMs' in second ? second.forMs : 0;
+  return schedule.some(isFirst) && span >= 1000;
+}
+
+function isFirst(fault: Fault): boolean {
+  return placeOf(fault) === 2;
+}
+
+function isSecond(fault: Fault): boolean {
+  return placeOf(fault) === 9;
+}
+
+function checkShortest(): void {
+  const { schedule, runs } = new Shrinker(needsTwo, 500).shrink(SCHEDULE);
+  expect(schedule.map(placeOf)).toEqual([2, 9]);
+  expect(schedule).toMatchObject([{ forMs: 50 }, { forMs: 1000 }]);
+  expect(runs).toBeLessThan(80);
+}
+
+function checkBounded(): void {
+  const { schedule, runs } = new Shrinker(needsTwo, 4).shrink(SCHEDULE);
+  expect(runs).toBe(4);
+  expect(needsTwo(schedule)).toBe(true);
+}
+
+function checkPasted(): void {
+  const text = pastedTest(drawOptions(7, 5), [faultOf(1)], 'two-holders');
+  expect(text).toContain('"kind":"freeze"');
+  expect(text).toContain('seed 7 of 5 nodes keeps two-holders');
+}
+
+test('a failing schedule is cut down to the faults that it needs', checkShortest);
+test('shrinking ends after so many runs with a schedule that fails', checkBounded);
+test('a schedule is printed as a test', checkPasted);
--- /dev/null
+++ b/src/simulation/SimDisk.test.ts
@@ -0,0 +1,81 @@
+import { expect, test } from 'vitest';
+import { CONFIG_PART } from '../hold/PartNames.js';
+import { Agenda } from '../myth/Agenda.js';
+import { Seeded } from '../myth/Seeded.js';
+import { SimDisk } from './SimDisk.js';
+
+class DiskUser {
+  readonly agenda = new Agenda();
+  readonly disk = new SimDisk(this.agenda, new Seeded(5));
+  readonly told: string[] = [];
+
+  write(count: number): void {
+    const done = this.told.push.bind(this.told, `kept ${count}`);
+    const fail = this.told.push.bind(this.told, `failed ${count}`);
+    this.disk.write(CONFIG_PART, { epoch: 2, count }, `body ${count}`, done, fail);
+  }
+
+  run(millis: number): void {
+    this.agenda.runUntil(this.agenda.now + millis);
+  }
+
+  get body(): string {
+    return this.disk.part(CONFIG_PART)?.body ?? '';
+  }
+}
+
+function checkReplaced(): void {
+  const user = new DiskUser();
+  for (const count of [1, 2, 3]) user.write(count);
+  user.run(100);
+  // The second was still waiting when the third came, and is answered with it.
+  expect(user.told).toEqual(['kept 1', 'kept 2', 'kept 3']);
+  expect([user.body, user.disk.writes]).toEqual(['body 3', 2]);
+}
+
+function checkStalled(): void {
+  const user = new DiskUser();
+  user.disk.setTrouble('stalled');
+  user.write(1);
+  user.run(10_000);
+  expect(user.told).toEqual([]);
+  user.disk.setTrouble('none');
+  expect(user.told).toEqual(['kept 1']);
+}
+
+function checkFull(): void {
+  const user = new DiskUser();
+  user.disk.setTrouble('full');
+  user.write(1);
+  user.run(100);
+  expect([user.told, user.body]).toEqual([['failed 1'], '']);
+}
+
+function checkCrash(fate: 'kept' | 'lost', body: string): void {
+  const user = new DiskUser();
+  user.write(1);
+  user.run(100);
+  user.write(2);
+  user.disk.crash(fate);
+  user.run(100);
+  expect([user.told, user.body]).toEqual([['kept 1'], body]);
+}
+
+function checkOldState(): void {
+  const user = new DiskUser();
+  user.write(1);
+  user.run(100);
+  user.write(2);
+  user.run(100);
+  user.disk.restore(100);
+  expect(user.body).toBe('body 1');
+  user.disk.wipe();
+  expect(user.disk.list()).toEqual([]);
+}
+
+test('a waiting write is replaced by a newer one, which answers for both', checkReplaced);
+test('a stalled disk answers nothing until it goes on', checkStalled);
+test('a full disk refuses writes', checkFull);
+test('a write under way may outlast a crash', checkCrash.bind(undefined, 'kept', 'body 2'));
+test('a write under way may be lost', checkCrash.bind(undefined, 'lost', 'body 1'));
+test('an old state is put back, and a wiped disk is empty', checkOldState);
--- /dev/null
+++ b/src/simulation/SimNetwork.test.ts
@@ -0,0 +1,161 @@
+import { expect, test } from 'vitest';
+import { Agenda } from '../myth/Agenda.js';
+import { Seeded } from '../myth/Seeded.js';
+import type { Endpoint } from './Endpoint.js';
+import { RandomStreams } from './RandomStreams.js';
+import { SimNetwork, type Host } from './SimNetwork.js';
+import { SimProcess } from './SimProcess.js';
+
+/** A host that remembers what it hears. */
+class ListeningHost implements Host {
+  readonly id: string;
+  readonly process: SimProcess;
+  readonly heard: string[] = [];
+  endpoint: Endpoint | undefined;
+  isPowered = true;
+  isListening = true;
+
+  constructor(id: string, agenda: Agenda) {
+    this.id = id;
+    this.process = new SimProcess(agenda, new Seeded(3), 0);
+    this.process.begin();
+  }
+
+  accept(endpoint: Endpoint): void {
+    this.connected(endpoint);
+  }
+
+  connected(endpoint: Endpoint): void {
+    this.endpoint = endpoint;
+    const { heard } = this;
+    endpoint.handler = {
+      data: heard.push.bind(heard),
+      closed: heard.push.bind(heard, 'closed'),
+    };
+  }
+
+  refused(): void {
+    this.heard.push('refused');
+  }
+}
+
+class Pair {
+  readonly agenda = new Agenda();
+  readonly network = new SimNetwork(this.agenda, new RandomStreams(1));
+  readonly near = new ListeningHost('near', this.agenda);
+  readonly far = new ListeningHost('far', this.agenda);
+
+  constructor() {
+    this.network.join(this.near);
+    this.network.join(this.far);
+  }
+
+  connect(): this {
+    this.network.connect(this.near, 'far', 'nodes', this.near);
+    this.run(20);
+    return this;
+  }
+
+  run(millis: number): void {
+    this.agenda.runUntil(this.agenda.now + millis);
+  }
+
+  send(...texts: readonly string[]): void {
+    for (const text of texts) this.near.endpoint?.send(text);
+  }
+}
+
+function checkOrder(): void {
+  const pair = new Pair().connect();
+  pair.send('1', '2', '3', '4');
+  pair.run(50);
+  expect(pair.far.heard).toEqual(['1', '2', '3', '4']);
+}
+
+function checkHeldUp(): void {
+  const pair = new Pair().connect();
+  pair.network.cut('near', 'far', 'silent');
+  pair.send('1', '2');
+  pair.near.endpoint?.close();
+  pair.run(5000);
+  expect(pair.far.heard).toEqual([]);
+  pair.network.heal('near', 'far');
+  pair.run(200);
+  // Closed meanwhile, and still what was written arrives late.
+  expect(pair.far.heard).toEqual(['1', '2', 'closed']);
+}
+
+function checkOneWay(): void {
+  const pair = new Pair().connect();
+  pair.network.cut('near', 'far', 'silent');
+  pair.far.endpoint?.send('back');
+  pair.send('there');
+  pair.run(1000);
+  expect([pair.near.heard, pair.far.heard]).toEqual([['back'], []]);
+}
+
+function checkOverlap(): void {
+  const pair = new Pair().connect();
+  pair.network.cut('near', 'far', 'silent');
+  pair.network.cut('near', 'far', 'silent');
+  pair.network.heal('near', 'far');
+  expect(pair.network.isCut('near', 'far')).toBe(true);
+  pair.network.heal('near', 'far');
+  expect(pair.network.isCut('near', 'far')).toBe(false);
+}
+
+function checkReset(): void {
+  const pair = new Pair().connect();
+  pair.network.cut('near', 'far', 'silent');
+  pair.send('1');
+  pair.network.resetConnections('near', 1);
+  pair.network.heal('near', 'far');
+  pair.run(500);
+  expect([pair.near.heard, pair.far.heard]).toEqual([['closed'], ['closed']]);
+}
+
+function checkPower(): void {
+  const pair = new Pair().connect();
+  pair.network.cut('near', 'far', 'silent');
+  pair.send('lost');
+  pair.network.powerLost('near');
+  pair.network.heal('near', 'far');
+  pair.run(500);
+  // Nothing tells the other side.
+  expect(pair.far.heard).toEqual([]);
+  pair.far.endpoint?.send('anybody?');
+  pair.run(500);
+  expect(pair.far.heard).toEqual(['closed']);
+}
+
+function checkFrozen(): void {
+  const pair = new Pair();
+  pair.far.process.freeze();
+  pair.connect();
+  pair.send('1', '2');
+  pair.near.endpoint?.close();
+  pair.run(3000);
+  expect(pair.far.endpoint).toBeUndefined();
+  pair.far.process.thaw();
+  // Its kernel accepted for it: the call is read though nobody waits any more.
+  expect(pair.far.heard).toEqual(['1', '2', 'closed']);
+}
+
+function checkRefused(): void {
+  const pair = new Pair();
+  pair.far.isListening = false;
+  pair.connect();
+  expect(pair.near.heard).toEqual(['refused']);
+  pair.far.isPowered = false;
+  pair.connect();
+  expect(pair.near.heard).toEqual(['refused']);
+}
+
+test('what is written on a connection arrives in order', checkOrder);
+test('bytes held up by a cut arrive after it, also when their sender closed', checkHeldUp);
+test('a cut may be one-way', checkOneWay);
+test('cuts of several faults end with the last of them', checkOverlap);
+test('a reset loses what was held up, and both sides hear of it', checkReset);
+test('a machine without power says nothing, and what it had not sent is lost', checkPower);
+test('a frozen process finds what came meanwhile', checkFrozen);
+test('a dead port refuses, a dark machine says nothing', checkRefused);
--- /dev/null
+++ b/src/simulation/SimProcess.test.ts
@@ -0,0 +1,97 @@
+import { expect, test } from 'vitest';
+import { Agenda } from '../myth/Agenda.js';
+import { Seeded } from '../myth/Seeded.js';
+import { SimProcess } from './SimProcess.js';
+
+interface Loop {
+  readonly agenda: Agenda;
+  readonly process: SimProcess;
+  readonly seen: string[];
+  readonly note: (text: string) => () => void;
+}
+
+function loopOf(seed: number): Loop {
+  const agenda = new Agenda();
+  const process = new SimProcess(agenda, new Seeded(seed), 0.01);
+  const seen: string[] = [];
+  function note(text: string): () => void {
+    return seen.push.bind(seen, text);
+  }
+  process.begin();
+  return { agenda, process, seen, note };
+}
+
+/** What a thaw takes, in its order: two streams of input and a timer. */
+function thawed(seed: number): readonly string[] {
+  const { agenda, process, seen, note } = loopOf(seed);
+  process.after(10, note('timer'));
+  agenda.runUntil(5);
+  process.freeze();
+  for (const text of ['a1', 'a2', 'a3']) process.submit('a', note(text));
+  for (const text of ['b1', 'b2']) process.submit('b', note(text));
+  agenda.runUntil(100);
+  expect(seen).toEqual([]);
+  process.thaw();
+  return seen;
+}
+
+function isOfA(text: string): boolean {
+  return text.startsWith('a');
+}
+
+function isOfB(text: string): boolean {
+  return text.startsWith('b');
+}
+
+function checkThaw(): void {
+  const places = new Set<number>();
+  for (let seed = 1; seed <= 60; seed += 1) {
+    const seen = thawed(seed);
+    expect(seen.filter(isOfA)).toEqual(['a1', 'a2', 'a3']);
+    expect(seen.filter(isOfB)).toEqual(['b1', 'b2']);
+    expect(seen).toHaveLength(6);
+    places.add(seen.indexOf('timer'));
+  }
+  // Before all input, after all of it, and in between.
+  expect(places.has(0)).toBe(true);
+  expect(places.has(5)).toBe(true);
+  expect(places.size).toBeGreaterThan(2);
+}
+
+function checkTimers(): void {
+  const { agenda, process, seen, note } = loopOf(1);
+  process.every(50, note('beat'));
+  agenda.runUntil(220);
+  expect(seen).toHaveLength(4);
+  process.freeze();
+  agenda.runUntil(2000);
+  process.thaw();
+  // Many spans went by, and one call became due.
+  expect(seen).toHaveLength(5);
+}
+
+function checkLives(): void {
+  const { agenda, process, seen, note } = loopOf(1);
+  process.after(10, note('of the first life'));
+  process.end();
+  process.submit('a', note('while down'));
+  process.begin();
+  agenda.runUntil(100);
+  expect(seen).toEqual([]);
+}
+
+function checkClock(): void {
+  const { agenda, process } = loopOf(7);
+  const before = process.now();
+  agenda.runUntil(10_000);
+  const elapsed = process.now() - before;
+  expect(Math.abs(elapsed - 10_000)).toBeLessThanOrEqual(100);
+  process.freeze();
+  agenda.runUntil(20_000);
+  expect(process.now() - before).toBeGreaterThan(elapsed);
+}
+
+test('a thaw takes input and timers in any order that keeps each stream', checkThaw);
+test('of a repeated timer one call is due after a freeze', checkTimers);
+test('nothing of a former life runs in the next', checkLives);
+test('its clock runs within its drift, also while it is frozen', checkClock);
