--- a/src/simulation/ScheduleDraw.ts
+++ b/src/simulation/ScheduleDraw.ts
@@ -214,8 +214,10 @@
   }
 }
 
-function pick<T>(random: Seeded, items: readonly [T, ...T[]]): T {
-  return random.pick(items) ?? items[0];
+function pick<T>(random: Seeded, items: readonly T[]): T {
+  const item = random.pick(items);
+  if (item === undefined) throw new RangeError('nothing to draw from');
+  return item;
 }
 
 function momentOf({ when }: Fault): number {
