--- /dev/null
+++ b/src/simulation/ControlSimulation.test.ts
@@ -0,0 +1,86 @@
+import { expect, test } from 'vitest';
+import { simulate, type Outcome } from './ControlSimulation.js';
+import type { Schedule } from './Faults.js';
+import { OPTION_DEFAULTS, type SimulationOptions } from './Options.js';
+import { drawOptions, drawSchedule } from './ScheduleDraw.js';
+import { runSeed } from './SeedRun.js';
+
+/** The share of seeds that is always run; the command runs as many as one likes. */
+const SEEDS_OF_THREE = 10;
+const SEEDS_OF_FIVE = 5;
+
+function calmOptions(nodes: 3 | 5): SimulationOptions {
+  return { ...OPTION_DEFAULTS, seed: 1, nodes, troubleMs: 5000 };
+}
+
+function checkCalm(nodes: 3 | 5): void {
+  const { violations, figures } = simulate(calmOptions(nodes), []);
+  expect(violations).toEqual([]);
+  // One leader from the first start to the end, all nodes counting, every order with an answer.
+  expect(figures).toMatchObject({ reigns: 1, faults: 0, unclear: 0, nodes });
+  expect(figures.repairMs).toHaveLength(nodes);
+  expect(figures.accepted).toBeGreaterThan(30);
+  expect(figures.refused).toBeGreaterThan(10);
+  expect(figures.runnerOrders).toBeGreaterThan(200);
+}
+
+function runDrawn(seed: number): Outcome {
+  const options = drawOptions(seed, 3);
+  return simulate(options, drawSchedule(options));
+}
+
+function checkPure(): void {
+  const [first, second] = [runDrawn(11), runDrawn(11)];
+  expect(second).toEqual(first);
+  expect(runDrawn(12).figures).not.toEqual(first.figures);
+}
+
+function checkStruck(): void {
+  const target = { kind: 'role', role: 'leader' } as const;
+  const schedule: Schedule = [
+    { kind: 'freeze', when: { kind: 'at', at: 7000 }, forMs: 4000, target },
+    { kind: 'wipe', when: { kind: 'at', at: 16_000 }, forMs: 500, target, othersLosePower: false },
+  ];
+  const options = { ...calmOptions(3), troubleMs: 15_000 };
+  const { violations, figures } = simulate(options, schedule);
+  expect(violations).toEqual([]);
+  expect(figures).toMatchObject({ faults: 2, reigns: 3 });
+  expect(figures.repairMs).toHaveLength(4);
+}
+
+/** With more lost than can be borne the rules must bite. */
+function checkBites(kind: 'wipe' | 'oldDisk', rule: string): void {
+  const options: SimulationOptions = { ...calmOptions(3), lossLimit: 'unlimited' };
+  const schedule = [0, 1].map(diskLostAt.bind(undefined, kind));
+  expect(simulate(options, schedule).violations.map(ruleOf)).toContain(rule);
+}
+
+function diskLostAt(kind: 'wipe' | 'oldDisk', place: number): Schedule[number] {
+  const target = { kind: 'place', place } as const;
+  const aimed = { when: { kind: 'at', at: 8000 }, forMs: 500, target } as const;
+  if (kind === 'wipe') return { kind, ...aimed, othersLosePower: true };
+  return { kind, ...aimed, ageMs: 4000 };
+}
+
+function ruleOf(violation: { readonly rule: string }): string {
+  return violation.rule;
+}
+
+function checkSeeds(nodes: 3 | 5, seeds: number): void {
+  const failed: string[] = [];
+  for (let seed = 1; seed <= seeds; seed += 1) {
+    for (const { rule, text } of runSeed(seed, nodes).violations) {
+      failed.push(`seed ${seed}: ${rule}: ${text}`);
+    }
+  }
+  expect(failed).toEqual([]);
+}
+
+test('three nodes run calmly', checkCalm.bind(undefined, 3));
+test('five nodes run calmly', checkCalm.bind(undefined, 5));
+test('a run is a pure function of its options and schedule', checkPure);
+test('a frozen leader and a lost disk are borne', checkStruck);
+test('two disks of three lost at once are noticed', checkBites.bind(undefined, 'wipe', 'no-leader-after-trouble'));
+test('two old disks of three are noticed', checkBites.bind(undefined, 'oldDisk', 'acknowledged-lost'));
+test('a share of seeds of three nodes breaks no rule', checkSeeds.bind(undefined, 3, SEEDS_OF_THREE));
+test('a share of seeds of five nodes breaks no rule', checkSeeds.bind(undefined, 5, SEEDS_OF_FIVE));
--- a/src/simulation/MachineFaults.ts
+++ b/src/simulation/MachineFaults.ts
@@ -104,7 +104,7 @@
   leave(node: ControlNode, isPlanned: boolean): void {
     const { budget, after, settled } = this.#around;
     budget.begin(node.id);
-    budget.loseDisk(node.id);
+    budget.loseDisk(node.id, true);
     budget.leave();
     settled.disturb();
     if (isPlanned && node.process.isUp) node.stop(this.#remove.bind(this, node));
@@ -116,11 +116,11 @@
   replace(node: ControlNode, fault: Replace): Undo {
     const { budget, settled } = this.#around;
     budget.begin(node.id);
-    budget.loseDisk(node.id);
+    budget.loseDisk(node.id, true);
     settled.disturb();
     if (!fault.planned) this.#remove(node);
-    else this.#arrive(node);
-    const goOn = fault.planned ? this.#retire.bind(this, node) : this.#arrive.bind(this, node);
+    else this.#arrive();
+    const goOn = fault.planned ? this.#retire.bind(this, node) : this.#succeed.bind(this, node);
     const old = fault.oldReturns ? this.#returnLater.bind(this, node) : undefined;
     function next(): void {
       goOn();
@@ -133,7 +133,7 @@
     const { budget, fleet } = this.#around;
     const undos = [this.losePower(node, 'drawn')];
     node.disk.wipe();
-    budget.loseDisk(node.id);
+    budget.loseDisk(node.id, false);
     if (fault.othersLosePower) {
       for (const other of fleet.present) {
         if (other !== node) undos.push(this.losePower(other, 'drawn'));
@@ -146,7 +146,7 @@
   oldDisk(node: ControlNode, ageMs: number): Undo {
     const undo = this.losePower(node, 'drawn');
     node.disk.restore(this.#around.now() - ageMs);
-    this.#around.budget.loseDisk(node.id);
+    this.#around.budget.loseDisk(node.id, false);
     return undo;
   }
 
@@ -205,19 +205,27 @@
     this.#around.settled.disturb();
   }
 
-  /** The empty machine starts; the one that it replaces counts until it has had time to catch up. */
-  #arrive(node: ControlNode): void {
-    const { fleet, budget, after, settled, events } = this.#around;
+  #arrive(): void {
+    const { fleet, settled, events } = this.#around;
     const spare = fleet.addSpare();
     settled.disturb();
-    after(CATCH_UP_MS, budget.release.bind(budget, node.id));
     events.tell('restart', spare.id);
   }
 
+  /** Comes after a loss; the lost one counts until its successor has had time to catch up. */
+  #succeed(node: ControlNode): void {
+    const { budget, after } = this.#around;
+    this.#arrive();
+    after(CATCH_UP_MS, budget.release.bind(budget, node.id));
+  }
+
+  /** Its successor is there; it is told to stop, and counts for as long as one that has just come. */
   #retire(node: ControlNode): void {
-    this.#around.settled.disturb();
+    const { budget, after, settled } = this.#around;
+    settled.disturb();
     if (node.process.isUp) node.stop(this.#remove.bind(this, node));
     else this.#remove(node);
+    after(CATCH_UP_MS, budget.release.bind(budget, node.id));
   }
 
   #returnLater(node: ControlNode): void {
--- a/src/simulation/Options.ts
+++ b/src/simulation/Options.ts
@@ -3,7 +3,9 @@
   /** Never more than the contract tolerates: the run also demands that orders are answered in time. */
   | 'tolerated'
   /** Any number, disks apart: the run demands safety alone until all trouble has ended. */
-  | 'any';
+  | 'any'
+  /** Disks as well: more than can be borne, to show that the rules bite. */
+  | 'unlimited';
 
 /** What a run is made of, beside its schedule of faults; the run is a pure function of both. */
 export interface SimulationOptions {
