--- a/src/news/Sessions.ts
+++ b/src/dissemination/Sessions.ts
@@ -1,6 +1,6 @@
-import { later, type Moment } from '../kin/Ids.js';
-import type { MemberMessage } from '../kin/Messages.js';
-import { compareVersions, type Version } from '../kin/Version.js';
+import { later, type Moment } from '../common/Ids.js';
+import type { MemberMessage } from '../common/Messages.js';
+import { compareVersions, type Version } from '../common/Version.js';
 
 interface Session {
   readonly id: string;
@@ -13,7 +13,7 @@
 
 export const FAN_OUT = 4;
 
-/** The sessions that stand with this mind, and the relay tree of their links. */
+/** The sessions that stand with this control node, and the relay tree of their links. */
 export class Sessions {
   readonly #sessions = new Map<string, Session>();
   readonly #upset = new Map<string, Moment>();
@@ -35,35 +35,42 @@
   }
 
   /** A child could not reach this node: nobody is hung under it for a while. */
-  upset(now: Moment, id: string): void { if (this.#sessions.has(id)) this.#upset.set(id, later(now, 3000)); }
+  upset(now: Moment, id: string): void {
+    if (this.#sessions.has(id)) this.#upset.set(id, later(now, 3000));
+  }
 
   gone(id: string): void {
     const session = this.#sessions.get(id);
     if (session) session.isUp = false;
   }
 
-  beat(now: Moment): void {
+  tick(now: Moment): void {
     for (const session of [...this.#sessions.values()]) {
       if (now - session.heardAt > this.#silentMs) session.isUp = false;
-      // A lost member is remembered until it has surely gone blind, since a vouch may still be on its way to it.
+      // A lost member is remembered until it has surely gone blind, since a confirmation may still be on its way to it.
       if (now - session.heardAt > this.#rememberMs) this.#sessions.delete(session.id);
     }
     for (const [id, until] of this.#upset) if (now >= until) this.#upset.delete(id);
   }
 
   /** Members whose sessions stand. */
-  up(): readonly MemberMessage[] { return this.#list(true); }
+  up(): readonly MemberMessage[] {
+    return this.#list(true);
+  }
 
   /** Members that may still be fresh: those up and those lost a short while ago. */
-  recent(): readonly MemberMessage[] { return this.#list(false); }
+  recent(): readonly MemberMessage[] {
+    return this.#list(false);
+  }
 
   #list(onlyUp: boolean): MemberMessage[] {
     const list: MemberMessage[] = [];
-    for (const { id, zone, address, acked, isUp } of this.#sessions.values()) if (isUp || !onlyUp) list.push({ id, zone, address, ...acked });
+    for (const { id, zone, address, acked, isUp } of this.#sessions.values())
+      if (isUp || !onlyUp) list.push({ id, zone, address, ...acked });
     return list;
   }
 
-  /** Each member's parent: '' for those that hang under the mind itself. */
+  /** Each member's parent: '' for those that hang under the control node itself. */
   tree(): ReadonlyMap<string, string> {
     const parents = new Map<string, string>();
     const byZone = new Map<string, string[]>();
@@ -77,9 +84,10 @@
       byZone.set(zone, [...(byZone.get(zone) ?? []), id]);
     }
     for (const sound of byZone.values()) {
-      for (const [index, id] of sound.entries()) parents.set(id, index < FAN_OUT ? '' : sound[Math.floor(index / FAN_OUT) - 1] ?? '');
+      for (const [index, id] of sound.entries())
+        parents.set(id, index < FAN_OUT ? '' : (sound[Math.floor(index / FAN_OUT) - 1] ?? ''));
     }
-    // Those that somebody could not reach carry nobody; they hang under the mind until they are trusted again.
+    // Those that somebody could not reach carry nobody; they hang under the control node until they are trusted again.
     for (const id of ids) if (this.#upset.has(id)) parents.set(id, '');
     return parents;
   }
--- a/src/vote/Elector.ts
+++ b/src/election/Elector.ts
@@ -1,6 +1,17 @@
-import { epochOf, fellowId, isElecting, later, moment, nextElecting, nextLeading, type Epoch, type FellowId, type Moment } from '../kin/Ids.js';
-import type { Message, ReportMessage } from '../kin/Messages.js';
-import type { Quorum } from '../kin/Quorum.js';
+import {
+  epochOf,
+  nodeId,
+  isElecting,
+  later,
+  moment,
+  nextElecting,
+  nextLeading,
+  type Epoch,
+  type NodeId,
+  type Moment,
+} from '../common/Ids.js';
+import type { Message, ReportMessage } from '../common/Messages.js';
+import type { Quorum } from '../common/Quorum.js';
 import { Scores } from './Scores.js';
 import type { VoteEffect, VoteRecord } from './VoteEffect.js';
 import type { VoteSettings } from './VoteSettings.js';
@@ -17,42 +28,47 @@
  * Pure: everything it wants done is drained as effects, and it is told the moment with each call.
  */
 export class Elector {
-  readonly #me: FellowId;
+  readonly #me: NodeId;
   readonly #settings: VoteSettings;
   #quorum: Quorum;
   readonly #scores: Scores;
   #frozen: Scores;
   #epoch: Epoch;
-  #granted: { readonly epoch: number; readonly leader: string; readonly freeAt: Moment; readonly isFree: boolean };
+  #granted: {
+    readonly epoch: number;
+    readonly leader: string;
+    readonly freeAt: Moment;
+    readonly isFree: boolean;
+  };
   #role: Role = 'looking';
   #mayVote = true;
   #isRetired = false;
-  #leader: FellowId | undefined;
-  #deferredTo: FellowId | undefined;
+  #leader: NodeId | undefined;
+  #deferredTo: NodeId | undefined;
   #deferredScores: Scores | undefined;
-  #deferrals = new Set<FellowId>();
-  #insiders = new Set<FellowId>();
+  #deferrals = new Set<NodeId>();
+  #quorumMembers = new Set<NodeId>();
   #limit: Moment = moment(0);
   #heardLeader: Moment = moment(0);
 
   /** Who granted us this epoch, and until when what each promised to others binds us. */
-  readonly #grants = new Map<FellowId, Moment>();
+  readonly #grants = new Map<NodeId, Moment>();
   #orderFrom: Moment = moment(0);
   #leaseEnd: Moment = moment(-1);
   #nonce = 0;
-  readonly #renewals = new Map<number, { readonly sent: Moment; readonly by: Set<FellowId> }>();
+  readonly #renewals = new Map<number, { readonly sent: Moment; readonly by: Set<NodeId> }>();
   #renewedAt: Moment = moment(0);
   readonly #promises = new Map<string, Moment>();
   #bootPromise: Moment;
   /** The one to whom alone we may have promised something before we started; nothing where we cannot tell. */
   #bootLeader: string;
 
-  readonly #pinged = new Map<FellowId, { sent: Moment; heard: Moment; scored: Moment }>();
+  readonly #pinged = new Map<NodeId, { sent: Moment; heard: Moment; scored: Moment }>();
   #pingedAt: Moment;
   /** Newly booted or repaired, we first listen whether somebody leads: our Propose would only disturb. */
   #listenUntil: Moment;
   /** Voters whose last ping said that they follow nobody. */
-  readonly #leaderless = new Set<FellowId>();
+  readonly #leaderless = new Set<NodeId>();
   #leaderlessAt: Moment | undefined;
 
   #effects: VoteEffect[] = [];
@@ -61,7 +77,13 @@
   #kept = 0;
   #keepSince: Moment = moment(0);
 
-  constructor(me: FellowId, quorum: Quorum, settings: VoteSettings, now: Moment, record: VoteRecord = NOBODY) {
+  constructor(
+    me: NodeId,
+    quorum: Quorum,
+    settings: VoteSettings,
+    now: Moment,
+    record: VoteRecord = NOBODY,
+  ) {
     this.#me = me;
     this.#quorum = quorum;
     this.#settings = settings;
@@ -69,27 +91,54 @@
     this.#frozen = this.#scores.freeze();
     this.#epoch = epochOf(record.epoch);
     const isFree = record.isFree === true;
-    this.#granted = { epoch: record.grantEpoch, leader: record.grantLeader, freeAt: later(now, (settings.spanMs + settings.leaseMs) * (1 + 5 * settings.drift)), isFree };
+    this.#granted = {
+      epoch: record.grantEpoch,
+      leader: record.grantLeader,
+      freeAt: later(now, (settings.spanMs + settings.leaseMs) * (1 + 5 * settings.drift)),
+      isFree,
+    };
     // What we promised before a crash is gone from memory: hold as if promised this moment. Where the record says to whom
     // alone, that one is not held up by it: the same holder may go on at once.
     this.#bootLeader = isFree ? record.grantLeader : '';
-    this.#bootPromise = record.grantEpoch > 0 ? later(now, settings.spanMs) : moment(now - settings.leaseMs);
+    this.#bootPromise =
+      record.grantEpoch > 0 ? later(now, settings.spanMs) : moment(now - settings.leaseMs);
     this.#pingedAt = moment(now - settings.pingMs);
     this.#listenUntil = record.epoch > 0 ? this.#listenEnd(now) : now;
   }
 
-  get epoch(): Epoch { return this.#epoch; }
-  get role(): Role { return this.#role; }
-  get leader(): FellowId | undefined { return this.#leader; }
-  get insiders(): ReadonlySet<FellowId> { return this.#insiders; }
-  get scores(): Scores { return this.#scores; }
-  get record(): VoteRecord { return { epoch: this.#epoch, grantEpoch: this.#granted.epoch, grantLeader: this.#granted.leader, isFree: this.#granted.isFree }; }
+  get epoch(): Epoch {
+    return this.#epoch;
+  }
+  get role(): Role {
+    return this.#role;
+  }
+  get leader(): NodeId | undefined {
+    return this.#leader;
+  }
+  get quorumMembers(): ReadonlySet<NodeId> {
+    return this.#quorumMembers;
+  }
+  get scores(): Scores {
+    return this.#scores;
+  }
+  get record(): VoteRecord {
+    return {
+      epoch: this.#epoch,
+      grantEpoch: this.#granted.epoch,
+      grantLeader: this.#granted.leader,
+      isFree: this.#granted.isFree,
+    };
+  }
 
   /** Whether a majority has granted us this epoch: we hold the state and may write it, fenced by the epoch. */
-  isLeading(): boolean { return this.#role === 'leading'; }
+  isLeading(): boolean {
+    return this.#role === 'leading';
+  }
 
   /** The end of our lease; orders may be under way only before it. */
-  get leaseEnd(): Moment { return this.#leaseEnd; }
+  get leaseEnd(): Moment {
+    return this.#leaseEnd;
+  }
 
   /** Asked right before each order's write. */
   mayOrder(now: Moment): boolean {
@@ -105,7 +154,9 @@
     this.#isRetired = true;
     // We order nobody from here on: what we promised ourselves binds no successor any longer than this.
     if ((this.#promises.get(this.#me) ?? now) > now) this.#promises.set(this.#me, now);
-    if (wasLeading) for (const fellow of this.#others()) this.#speak(fellow, { kind: 'released', epoch: this.#epoch });
+    if (wasLeading)
+      for (const peer of this.#others())
+        this.#speak(peer, { kind: 'released', epoch: this.#epoch });
     this.#lose('looking');
   }
 
@@ -127,10 +178,14 @@
     }
   }
 
-  setQuorum(quorum: Quorum): void { this.#quorum = quorum; }
+  setQuorum(quorum: Quorum): void {
+    this.#quorum = quorum;
+  }
 
   /** When a voter last returned a ping; nothing for one never pinged. */
-  heardAt(fellow: FellowId): Moment | undefined { return this.#pinged.get(fellow)?.heard; }
+  heardAt(peer: NodeId): Moment | undefined {
+    return this.#pinged.get(peer)?.heard;
+  }
 
   drain(): VoteEffect[] {
     const effects = this.#effects;
@@ -148,7 +203,7 @@
     }
   }
 
-  beat(now: Moment): void {
+  tick(now: Moment): void {
     this.#ping(now);
     if (!this.#mayVote || this.#isRetired) return;
     this.#noteFree(now);
@@ -157,7 +212,7 @@
       if (this.#role !== 'looking' && this.#role !== 'following') this.#lose('looking');
       return;
     }
-    if (this.#role === 'leading' || this.#role === 'won') this.#beatLeader(now);
+    if (this.#role === 'leading' || this.#role === 'won') this.#tickLeader(now);
     if (this.#role === 'proposing' && now >= this.#limit) {
       if (this.#quorum.isMajority(this.#deferrals)) this.#win(now);
       else this.#startIfReachable(now);
@@ -165,7 +220,10 @@
       this.#startIfReachable(now);
     } else if (this.#role === 'deferred' && now >= this.#limit) {
       this.#startIfReachable(now);
-    } else if (this.#role === 'following' && now >= later(this.#heardLeader, this.#settings.spanMs)) {
+    } else if (
+      this.#role === 'following' &&
+      now >= later(this.#heardLeader, this.#settings.spanMs)
+    ) {
       this.#lose('looking');
       this.#startIfReachable(now);
     } else if (this.#role === 'looking' && (now >= this.#listenUntil || this.#isOurTurn(now))) {
@@ -173,14 +231,19 @@
     }
   }
 
-  #listenEnd(now: Moment): Moment { return later(now, this.#settings.renewMs * 2 + this.#settings.pingMs); }
+  #listenEnd(now: Moment): Moment {
+    return later(now, this.#settings.renewMs * 2 + this.#settings.pingMs);
+  }
 
   /**
    * When all have restarted together nobody knows the others' scores yet, and proposals at one moment would be deferred to
    * in a ring: each waits its turn by its place among the voters, so that the first is deferred to by all.
    */
   #isOurTurn(now: Moment): boolean {
-    if (!this.#isLeaderless()) { this.#leaderlessAt = undefined; return false; }
+    if (!this.#isLeaderless()) {
+      this.#leaderlessAt = undefined;
+      return false;
+    }
     this.#leaderlessAt ??= now;
     // Whoever led before goes first: it alone need not wait for its own lease before it orders.
     const turn = this.#granted.leader === this.#me ? 0 : 1 + this.#quorum.all.indexOf(this.#me);
@@ -193,23 +256,57 @@
     return this.#quorum.isMajority(new Set([this.#me, ...this.#leaderless]));
   }
 
-  receive(now: Moment, from: FellowId, message: Message): void {
+  receive(now: Moment, from: NodeId, message: Message): void {
     switch (message.kind) {
       case 'ping':
         this.#scores.merge(message.reports);
-        if (message.leader === '') this.#leaderless.add(from); else this.#leaderless.delete(from);
+        if (message.leader === '') this.#leaderless.add(from);
+        else this.#leaderless.delete(from);
         this.#sendPong(from, message.nonce);
         break;
-      case 'pong': this.#receivePong(now, from, message.nonce, message.reports); break;
-      case 'propose': this.#receivePropose(now, from, epochOf(message.epoch), message.reports); break;
-      case 'defer': this.#receiveDefer(now, from, epochOf(message.epoch), message.reports); break;
-      case 'victory': this.#receiveVictory(now, from, epochOf(message.epoch), message.reports, message.nonce, message.quorum); break;
-      case 'granted': this.#receiveGranted(now, from, epochOf(message.epoch), message.wait, message.nonce, message.reports); break;
-      case 'behind': this.#receiveBehind(now, epochOf(message.epoch), message.reports); break;
-      case 'renew': this.#receiveRenew(now, from, epochOf(message.epoch), message.nonce, message.quorum); break;
-      case 'released': this.#receiveReleased(now, from, epochOf(message.epoch)); break;
-      case 'renewed': if (message.epoch === this.#epoch) this.#countRenewal(from, message.nonce); break;
-      default: break;
+      case 'pong':
+        this.#receivePong(now, from, message.nonce, message.reports);
+        break;
+      case 'propose':
+        this.#receivePropose(now, from, epochOf(message.epoch), message.reports);
+        break;
+      case 'defer':
+        this.#receiveDefer(now, from, epochOf(message.epoch), message.reports);
+        break;
+      case 'victory':
+        this.#receiveVictory(
+          now,
+          from,
+          epochOf(message.epoch),
+          message.reports,
+          message.nonce,
+          message.quorum,
+        );
+        break;
+      case 'granted':
+        this.#receiveGranted(
+          now,
+          from,
+          epochOf(message.epoch),
+          message.wait,
+          message.nonce,
+          message.reports,
+        );
+        break;
+      case 'behind':
+        this.#receiveBehind(now, epochOf(message.epoch), message.reports);
+        break;
+      case 'renew':
+        this.#receiveRenew(now, from, epochOf(message.epoch), message.nonce, message.quorum);
+        break;
+      case 'released':
+        this.#receiveReleased(now, from, epochOf(message.epoch));
+        break;
+      case 'renewed':
+        if (message.epoch === this.#epoch) this.#countRenewal(from, message.nonce);
+        break;
+      default:
+        break;
     }
   }
 
@@ -219,24 +316,36 @@
     if (now < later(this.#pingedAt, this.#settings.pingMs)) return;
     this.#pingedAt = now;
     this.#nonce += 1;
-    for (const fellow of this.#quorum.all) {
-      if (fellow === this.#me) continue;
-      const state = this.#pinged.get(fellow) ?? { sent: now, heard: now, scored: now };
-      this.#pinged.set(fellow, state);
+    for (const peer of this.#quorum.all) {
+      if (peer === this.#me) continue;
+      const state = this.#pinged.get(peer) ?? { sent: now, heard: now, scored: now };
+      this.#pinged.set(peer, state);
       if (now - state.heard >= this.#settings.deadMs) {
-        this.#scores.reportDead(fellow, (now - state.scored) / 1000);
+        this.#scores.reportDead(peer, (now - state.scored) / 1000);
         state.scored = now;
       }
       state.sent = now;
-      this.#speak(fellow, { kind: 'ping', nonce: now, epoch: 0, reports: this.#scores.reports(), leader: this.#leader ?? '' });
+      this.#speak(peer, {
+        kind: 'ping',
+        nonce: now,
+        epoch: 0,
+        reports: this.#scores.reports(),
+        leader: this.#leader ?? '',
+      });
     }
   }
 
-  #sendPong(to: FellowId, nonce: number): void {
-    this.#speak(to, { kind: 'pong', nonce, epoch: 0, reports: this.#scores.reports(), standing: '' });
+  #sendPong(to: NodeId, nonce: number): void {
+    this.#speak(to, {
+      kind: 'pong',
+      nonce,
+      epoch: 0,
+      reports: this.#scores.reports(),
+      standing: '',
+    });
   }
 
-  #receivePong(now: Moment, from: FellowId, sent: number, reports: readonly ReportMessage[]): void {
+  #receivePong(now: Moment, from: NodeId, sent: number, reports: readonly ReportMessage[]): void {
     this.#scores.merge(reports);
     const state = this.#pinged.get(from);
     // The nonce is our own moment of sending: a pong held up for longer than a link counts as dead proves nothing.
@@ -255,7 +364,8 @@
     this.#role = 'proposing';
     this.#deferrals = new Set([this.#me]);
     this.#limit = later(now, this.#settings.electionMs);
-    for (const fellow of this.#others()) this.#speak(fellow, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
+    for (const peer of this.#others())
+      this.#speak(peer, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
     if (this.#quorum.all.length === 1) this.#win(now);
   }
 
@@ -270,21 +380,31 @@
     }
   }
 
-  #receivePropose(now: Moment, from: FellowId, epoch: Epoch, reports: readonly ReportMessage[]): void {
+  #receivePropose(
+    now: Moment,
+    from: NodeId,
+    epoch: Epoch,
+    reports: readonly ReportMessage[],
+  ): void {
     this.#scores.merge(reports);
     if (!this.#mayVote || !this.#quorum.holds(from)) return;
     const isSettled = this.#leader !== undefined && !isElecting(this.#epoch);
-    if (isSettled && !this.#insiders.has(from)) {
+    if (isSettled && !this.#quorumMembers.has(from)) {
       // From outside the quorum: only worth an election if another than the present leader would come out of it,
       // or if we lead ourselves and the newcomer has run ahead, since it could then never accept our renewals.
       if (this.#isOutscored()) this.#startIfReachable(now);
-      else if (this.#leader === this.#me && epoch > this.#epoch) { this.#adopt(epoch, now); this.#startIfReachable(now); }
+      else if (this.#leader === this.#me && epoch > this.#epoch) {
+        this.#adopt(epoch, now);
+        this.#startIfReachable(now);
+      }
       return;
     }
     if (epoch < this.#epoch) {
       // An old message. A sender that looks newly booted must learn the epoch to take part; while electing, start anew for it.
-      if (!isSettled && this.#role === 'proposing') this.#speak(from, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
-      else this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() });
+      if (!isSettled && this.#role === 'proposing')
+        this.#speak(from, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
+      else
+        this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() });
       return;
     }
     if (epoch > this.#epoch) {
@@ -294,8 +414,19 @@
       this.#lose('looking');
       this.#adopt(epoch, now);
       // In the first moments after a start not all scores are known: whoever led before is not outbid by what is.
-      const isBetter = now < this.#listenUntil && this.#granted.leader === from ? false : isKept ? this.#isAbove(from) : this.#frozen.isBetter(this.#me, from, this.#quorum.all);
-      if (isBetter && !this.#isRetired && this.#quorum.holds(this.#me) && this.#reachesMajority() && !this.#isStalled(now)) {
+      const isBetter =
+        now < this.#listenUntil && this.#granted.leader === from
+          ? false
+          : isKept
+            ? this.#isAbove(from)
+            : this.#frozen.isBetter(this.#me, from, this.#quorum.all);
+      if (
+        isBetter &&
+        !this.#isRetired &&
+        this.#quorum.holds(this.#me) &&
+        this.#reachesMajority() &&
+        !this.#isStalled(now)
+      ) {
         this.start(now);
       } else {
         this.#deferTo(now, from, reports);
@@ -305,7 +436,10 @@
     if (!isElecting(epoch)) return;
     const current = this.#deferredTo ?? (this.#role === 'proposing' ? this.#me : undefined);
     if (current === from) return;
-    if (current === undefined) { this.#deferTo(now, from, reports); return; }
+    if (current === undefined) {
+      this.#deferTo(now, from, reports);
+      return;
+    }
     if (!this.#frozen.isBetter(from, current, this.#quorum.all)) return;
     const view = this.#deferredScores ?? this.#frozen;
     // Deferral is transitive: where the one we chose before would not defer here, everyone starts over.
@@ -313,7 +447,7 @@
     else this.#startIfReachable(now);
   }
 
-  #deferTo(now: Moment, from: FellowId, reports: readonly ReportMessage[]): void {
+  #deferTo(now: Moment, from: NodeId, reports: readonly ReportMessage[]): void {
     this.#role = 'deferred';
     this.#deferredTo = from;
     const view = new Scores(this.#me, this.#settings.halfLifeSeconds);
@@ -323,25 +457,29 @@
     this.#speak(from, { kind: 'defer', epoch: this.#epoch, reports: this.#frozen.reports() });
   }
 
-  #receiveDefer(now: Moment, from: FellowId, epoch: Epoch, reports: readonly ReportMessage[]): void {
+  #receiveDefer(now: Moment, from: NodeId, epoch: Epoch, reports: readonly ReportMessage[]): void {
     this.#scores.merge(reports);
     if (this.#role !== 'proposing' || epoch !== this.#epoch || !this.#quorum.holds(from)) return;
     this.#deferrals.add(from);
     // Everyone in reach has deferred: nothing is gained by waiting for the limit.
-    if (this.#quorum.isMajority(this.#deferrals) && this.#others().every(this.#deferredOrDead, this)) this.#win(now);
+    if (
+      this.#quorum.isMajority(this.#deferrals) &&
+      this.#others().every(this.#deferredOrDead, this)
+    )
+      this.#win(now);
   }
 
-  #deferredOrDead(fellow: FellowId): boolean {
-    return this.#deferrals.has(fellow) || !this.#scores.isAlive(fellow);
+  #deferredOrDead(peer: NodeId): boolean {
+    return this.#deferrals.has(peer) || !this.#scores.isAlive(peer);
   }
 
   #win(now: Moment): void {
     const epoch = nextLeading(this.#epoch);
-    const insiders = this.#deferrals;
+    const quorumMembers = this.#deferrals;
     this.#adopt(epoch, now);
     this.#role = 'won';
     this.#leader = this.#me;
-    this.#insiders = new Set(insiders);
+    this.#quorumMembers = new Set(quorumMembers);
     this.#grants.clear();
     this.#orderFrom = now;
     this.#limit = later(now, this.#settings.electionMs * 2);
@@ -349,26 +487,47 @@
     this.#renewals.clear();
     const nonce = this.#openRenewal(now);
     this.#grant(now, this.#me, nonce);
-    for (const fellow of this.#others()) this.#speak(fellow, { kind: 'victory', epoch, reports: this.#scores.reports(), nonce, quorum: [...insiders] });
-  }
-
-  #receiveVictory(now: Moment, from: FellowId, epoch: Epoch, reports: readonly ReportMessage[], nonce: number, quorum: readonly string[]): void {
+    for (const peer of this.#others())
+      this.#speak(peer, {
+        kind: 'victory',
+        epoch,
+        reports: this.#scores.reports(),
+        nonce,
+        quorum: [...quorumMembers],
+      });
+  }
+
+  #receiveVictory(
+    now: Moment,
+    from: NodeId,
+    epoch: Epoch,
+    reports: readonly ReportMessage[],
+    nonce: number,
+    quorum: readonly string[],
+  ): void {
     this.#scores.merge(reports);
     if (!this.#mayVote || !this.#quorum.holds(from) || isElecting(epoch)) return;
-    if (epoch < this.#epoch) { this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() }); return; }
+    if (epoch < this.#epoch) {
+      this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() });
+      return;
+    }
     this.#follow(now, from, epoch, nonce, quorum);
   }
 
-  #follow(now: Moment, from: FellowId, epoch: Epoch, nonce: number, quorum: readonly string[]): void {
+  #follow(now: Moment, from: NodeId, epoch: Epoch, nonce: number, quorum: readonly string[]): void {
     // One grant per epoch, even if two winners of overlapping deferrals ask.
-    if (this.#granted.epoch >= epoch && !(this.#granted.epoch === epoch && this.#granted.leader === from)) return;
+    if (
+      this.#granted.epoch >= epoch &&
+      !(this.#granted.epoch === epoch && this.#granted.leader === from)
+    )
+      return;
     if (epoch > this.#epoch || this.#leader !== from) {
       this.#lose('following');
       this.#adopt(epoch, now);
     }
     this.#role = 'following';
     this.#leader = from;
-    this.#insiders = new Set([this.#me, from, ...quorum.map(fellowId)]);
+    this.#quorumMembers = new Set([this.#me, from, ...quorum.map(nodeId)]);
     this.#heardLeader = now;
     this.#grant(now, from, nonce);
   }
@@ -383,7 +542,7 @@
 
   // ---- grants and lease
 
-  #grant(now: Moment, leader: FellowId, nonce: number): void {
+  #grant(now: Moment, leader: NodeId, nonce: number): void {
     const epoch = this.#epoch;
     const wait = this.#wait(now, leader);
     if (this.#granted.epoch !== epoch) {
@@ -391,8 +550,10 @@
       this.#keep(now);
     }
     this.#promises.set(leader, later(now, this.#settings.spanMs));
-    if (leader === this.#me) this.#afterKept(this.#countGrant.bind(this, now, this.#me, epoch, wait, nonce));
-    else this.#speak(leader, { kind: 'granted', epoch, wait, nonce, reports: this.#scores.reports() });
+    if (leader === this.#me)
+      this.#afterKept(this.#countGrant.bind(this, now, this.#me, epoch, wait, nonce));
+    else
+      this.#speak(leader, { kind: 'granted', epoch, wait, nonce, reports: this.#scores.reports() });
   }
 
   /** Once what was promised to others has run out, the record says so; nothing said meanwhile waits for that. */
@@ -403,36 +564,45 @@
   }
 
   /** How long from now the promises made to others still bind, with the span in which nobody orders. */
-  #wait(now: Moment, leader: FellowId): number {
-    let until = leader === this.#bootLeader ? moment(now - this.#settings.leaseMs * 2) : this.#bootPromise;
+  #wait(now: Moment, leader: NodeId): number {
+    let until =
+      leader === this.#bootLeader ? moment(now - this.#settings.leaseMs * 2) : this.#bootPromise;
     for (const [other, end] of this.#promises) if (other !== leader && end > until) until = end;
     // The holder's clock may be slow, ours and the winner's fast: each span is made longer by what they may differ.
     const { leaseMs, spanMs, drift } = this.#settings;
     return Math.max(0, (until + leaseMs - now) * (1 + 3 * drift) + 2 * drift * spanMs);
   }
 
-  #receiveGranted(now: Moment, from: FellowId, epoch: Epoch, wait: number, nonce: number, reports: readonly ReportMessage[]): void {
+  #receiveGranted(
+    now: Moment,
+    from: NodeId,
+    epoch: Epoch,
+    wait: number,
+    nonce: number,
+    reports: readonly ReportMessage[],
+  ): void {
     this.#scores.merge(reports);
     this.#countGrant(now, from, epoch, wait, nonce);
   }
 
-  #countGrant(now: Moment, from: FellowId, epoch: Epoch, wait: number, nonce: number): void {
+  #countGrant(now: Moment, from: NodeId, epoch: Epoch, wait: number, nonce: number): void {
     if (epoch !== this.#epoch || (this.#role !== 'won' && this.#role !== 'leading')) return;
-    this.#insiders.add(from);
+    this.#quorumMembers.add(from);
     const known = this.#grants.get(from);
     // Told again by a later renewal, a promise still ends when it was first said to.
     if (known === undefined || later(now, wait) < known) this.#grants.set(from, later(now, wait));
     this.#settleOrderFrom();
     this.#countRenewal(from, nonce);
-    if (this.#role === 'won' && this.#quorum.isMajority(new Set(this.#grants.keys()))) this.#role = 'leading';
+    if (this.#role === 'won' && this.#quorum.isMajority(new Set(this.#grants.keys())))
+      this.#role = 'leading';
   }
 
   /** Any majority of grants shares a voter with the one that renewed the holder before us: the one free first is enough. */
   #settleOrderFrom(): void {
     const ends = [...this.#grants].sort(byEnd);
-    const free = new Set<FellowId>();
-    for (const [fellow, end] of ends) {
-      free.add(fellow);
+    const free = new Set<NodeId>();
+    for (const [peer, end] of ends) {
+      free.add(peer);
       if (!this.#quorum.isMajority(free)) continue;
       this.#orderFrom = end;
       return;
@@ -445,7 +615,7 @@
     return this.#nonce;
   }
 
-  #countRenewal(from: FellowId, nonce: number): void {
+  #countRenewal(from: NodeId, nonce: number): void {
     const renewal = this.#renewals.get(nonce);
     if (!renewal || (this.#role !== 'leading' && this.#role !== 'won')) return;
     renewal.by.add(from);
@@ -455,7 +625,7 @@
     for (const old of this.#renewals.keys()) if (old <= nonce) this.#renewals.delete(old);
   }
 
-  #beatLeader(now: Moment): void {
+  #tickLeader(now: Moment): void {
     if (this.#role === 'leading' && now >= this.#leaseEnd) {
       // No majority renews us any more: whoever they follow now, it is not us.
       this.#lose('looking');
@@ -464,14 +634,21 @@
     if (now < later(this.#renewedAt, this.#settings.renewMs)) return;
     this.#renewedAt = now;
     const nonce = this.#openRenewal(now);
-    for (const [old, renewal] of this.#renewals) if (now - renewal.sent > this.#settings.spanMs) this.#renewals.delete(old);
+    for (const [old, renewal] of this.#renewals)
+      if (now - renewal.sent > this.#settings.spanMs) this.#renewals.delete(old);
     this.#promises.set(this.#me, later(now, this.#settings.spanMs));
     // Our own renewal counts only once our own grant of this epoch is on disk.
     this.#afterKept(this.#countRenewal.bind(this, this.#me, nonce));
-    for (const fellow of this.#others()) this.#speak(fellow, { kind: 'renew', epoch: this.#epoch, nonce, quorum: [...this.#insiders] });
+    for (const peer of this.#others())
+      this.#speak(peer, {
+        kind: 'renew',
+        epoch: this.#epoch,
+        nonce,
+        quorum: [...this.#quorumMembers],
+      });
   }
 
-  #receiveReleased(now: Moment, from: FellowId, epoch: Epoch): void {
+  #receiveReleased(now: Moment, from: NodeId, epoch: Epoch): void {
     if (epoch !== this.#epoch || this.#leader !== from) return;
     const promise = this.#promises.get(from);
     if (promise !== undefined && promise > now) this.#promises.set(from, now);
@@ -479,12 +656,26 @@
     this.#startIfReachable(now);
   }
 
-  #receiveRenew(now: Moment, from: FellowId, epoch: Epoch, nonce: number, quorum: readonly string[]): void {
+  #receiveRenew(
+    now: Moment,
+    from: NodeId,
+    epoch: Epoch,
+    nonce: number,
+    quorum: readonly string[],
+  ): void {
     if (!this.#mayVote || !this.#quorum.holds(from) || isElecting(epoch)) return;
-    if (epoch < this.#epoch) { this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: [] }); return; }
-    if (this.#granted.epoch === epoch && this.#granted.leader === from && this.#epoch === epoch && this.#leader === from) {
+    if (epoch < this.#epoch) {
+      this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: [] });
+      return;
+    }
+    if (
+      this.#granted.epoch === epoch &&
+      this.#granted.leader === from &&
+      this.#epoch === epoch &&
+      this.#leader === from
+    ) {
       this.#heardLeader = now;
-      this.#insiders = new Set([this.#me, from, ...quorum.map(fellowId)]);
+      this.#quorumMembers = new Set([this.#me, from, ...quorum.map(nodeId)]);
       this.#promises.set(from, later(now, this.#settings.spanMs));
       this.#speak(from, { kind: 'renewed', epoch, nonce });
       return;
@@ -495,9 +686,11 @@
 
   // ---- small parts
 
-  #others(): FellowId[] {
+  #others(): NodeId[] {
     const me = this.#me;
-    function isOther(fellow: FellowId): boolean { return fellow !== me; }
+    function isOther(peer: NodeId): boolean {
+      return peer !== me;
+    }
     return this.#quorum.all.filter(isOther);
   }
 
@@ -506,16 +699,24 @@
     const leader = this.#leader;
     const top = this.#scores.top(this.#quorum.all);
     if (leader === undefined || top === undefined) return true;
-    return Math.round(this.#scores.total(top, this.#quorum.all) * 1000) > Math.round(this.#scores.total(leader, this.#quorum.all) * 1000);
+    return (
+      Math.round(this.#scores.total(top, this.#quorum.all) * 1000) >
+      Math.round(this.#scores.total(leader, this.#quorum.all) * 1000)
+    );
   }
 
   /** Whether our total is above the other's, leaving the tie-break aside. */
-  #isAbove(fellow: FellowId): boolean {
-    return Math.round(this.#frozen.total(this.#me, this.#quorum.all) * 1000) > Math.round(this.#frozen.total(fellow, this.#quorum.all) * 1000);
+  #isAbove(peer: NodeId): boolean {
+    return (
+      Math.round(this.#frozen.total(this.#me, this.#quorum.all) * 1000) >
+      Math.round(this.#frozen.total(peer, this.#quorum.all) * 1000)
+    );
   }
 
   #reachesMajority(): boolean {
-    return this.#quorum.isMajority(new Set(this.#quorum.all.filter(this.#scores.isAlive, this.#scores)));
+    return this.#quorum.isMajority(
+      new Set(this.#quorum.all.filter(this.#scores.isAlive, this.#scores)),
+    );
   }
 
   #isStalled(now: Moment): boolean {
@@ -525,7 +726,7 @@
   #lose(role: Role): void {
     this.#role = role;
     this.#leader = undefined;
-    this.#insiders = new Set();
+    this.#quorumMembers = new Set();
     this.#deferredTo = undefined;
     this.#deferredScores = undefined;
     this.#deferrals = new Set();
@@ -554,15 +755,18 @@
     else this.#held.push({ token: this.#token, run });
   }
 
-  #speak(to: FellowId, message: Message): void {
+  #speak(to: NodeId, message: Message): void {
     const send: VoteEffect = { do: 'send', to, message };
     // Pings carry no epoch, so they need not wait for the disk.
     if (message.kind === 'ping' || message.kind === 'pong') this.#effects.push(send);
     else this.#afterKept(this.#push.bind(this, send));
   }
 
-  #push(effect: VoteEffect): void { this.#effects.push(effect); }
+  #push(effect: VoteEffect): void {
+    this.#effects.push(effect);
+  }
 }
 
-
-function byEnd(a: readonly [FellowId, Moment], b: readonly [FellowId, Moment]): number { return a[1] - b[1]; }
+function byEnd(a: readonly [NodeId, Moment], b: readonly [NodeId, Moment]): number {
+  return a[1] - b[1];
+}
--- a/src/word/ImportCommand.ts
+++ b/src/operator/ImportCommand.ts
@@ -1,11 +1,16 @@
 import { existsSync } from 'node:fs';
 import { Args, Command } from '@oclif/core';
-import { importOpenApi } from '../code/OpenApi.js';
-import { reasonOf } from '../kin/Defect.js';
+import { importOpenApi } from '../policy/OpenApi.js';
+import { reasonOf } from '../common/CodedError.js';
 
 export class ImportCommand extends Command {
-  static override description = 'print the mappings of an OpenAPI file in the mapping language; rows are for you to write';
-  static override args = { file: Args.string({ required: true, description: 'OpenAPI file, JSON or YAML' }) };
+  static override aliases = ['word:import'];
+  static override deprecateAliases = true;
+  static override description =
+    'print the mappings of an OpenAPI file in the mapping language; rows are for you to write';
+  static override args = {
+    file: Args.string({ required: true, description: 'OpenAPI file, JSON or YAML' }),
+  };
 
   async run(): Promise<void> {
     const { args } = await this.parse(ImportCommand);
--- a/src/flow/Passages.ts
+++ b/src/proxy/InFlightRequests.ts
@@ -1,12 +1,17 @@
-import type { Counters } from '../kin/Counters.js';
-import { DEFECTS, type DefectKind } from '../kin/Defect.js';
-import { later, type Moment } from '../kin/Ids.js';
+import type { Counters } from '../common/Counters.js';
+import { ERROR_CODES, type ErrorCode } from '../common/CodedError.js';
+import { later, type Moment } from '../common/Ids.js';
 import type { Asked, Decision, RunVerdict } from './Decision.js';
 
 /** What whoever has the connections must do now. */
 export type Step =
   /** Connect to that runner, and write nothing yet. */
-  | { readonly do: 'connect'; readonly id: number; readonly attempt: number; readonly verdict: RunVerdict }
+  | {
+      readonly do: 'connect';
+      readonly id: number;
+      readonly attempt: number;
+      readonly verdict: RunVerdict;
+    }
   | { readonly do: 'write'; readonly id: number; readonly attempt: number }
   /** Pass on to the client the head that came, and what follows. */
   | { readonly do: 'pass'; readonly id: number; readonly attempt: number; readonly table: number }
@@ -17,9 +22,15 @@
   /** Drop the connection to the runner. */
   | { readonly do: 'cancel'; readonly id: number; readonly attempt: number }
   /** The final word on a request that got none from a runner. */
-  | { readonly do: 'tell'; readonly id: number; readonly kind: DefectKind; readonly text: string; readonly retryMs: number };
+  | {
+      readonly do: 'tell';
+      readonly id: number;
+      readonly kind: ErrorCode;
+      readonly text: string;
+      readonly retryMs: number;
+    };
 
-export interface PassageSettings {
+export interface InFlightSettings {
   /** The most; of a short lateness no more than an eighth. */
   readonly connectMs: number;
   /** How long a return that has begun may stand still, for the runner's sake or the client's. */
@@ -27,9 +38,12 @@
 }
 
 /** How a head that came back ends, if it does, and whether the runner has begun the request at all. */
-export interface Head { readonly isBegun: boolean; readonly isBounded: boolean }
+export interface Head {
+  readonly isBegun: boolean;
+  readonly isBounded: boolean;
+}
 
-interface Passage {
+interface InFlightRequest {
   readonly asked: Asked;
   stage: 'pending' | 'connecting' | 'written' | 'returning';
   /** Counts the runners it was drawn to; what is heard of an earlier one is void. */
@@ -42,30 +56,32 @@
   movedAt: Moment;
 }
 
-/** A beat that comes so late shows that this process stood still, not the runners. */
+/** A tick that comes so late shows that this process stood still, not the runners. */
 const STALL_MS = 1000;
-/** A return that stood still for long may not be cut at the very beat after our own stall. */
+/** A return that stood still for long may not be cut at the very tick after our own stall. */
 const AFTER_STALL_MS = 1000;
 
 /**
  * What is known of each request on its way, pure: it hears what happens on the connections and says what to do.
  * The HTTP executor and the simulator both drive it, so that the rules on data are tried on virtual time.
  */
-export class Passages {
+export class InFlightRequests {
   readonly #decision: Decision;
-  readonly #settings: PassageSettings;
+  readonly #settings: InFlightSettings;
   readonly #counters: Counters;
-  readonly #passages = new Map<number, Passage>();
+  readonly #inFlightRequests = new Map<number, InFlightRequest>();
   #steps: Step[] = [];
-  #beatAt: Moment | undefined;
+  #tickAt: Moment | undefined;
 
-  constructor(decision: Decision, settings: PassageSettings, counters: Counters) {
+  constructor(decision: Decision, settings: InFlightSettings, counters: Counters) {
     this.#decision = decision;
     this.#settings = settings;
     this.#counters = counters;
   }
 
-  get size(): number { return this.#passages.size; }
+  get size(): number {
+    return this.#inFlightRequests.size;
+  }
 
   drain(): Step[] {
     const steps = this.#steps;
@@ -75,7 +91,16 @@
 
   /** A request has come whole. */
   take(now: Moment, asked: Asked): void {
-    this.#passages.set(asked.id, { asked, stage: 'pending', attempt: 0, verdict: undefined, isWritten: false, wasWrittenBefore: false, isBounded: false, movedAt: now });
+    this.#inFlightRequests.set(asked.id, {
+      asked,
+      stage: 'pending',
+      attempt: 0,
+      verdict: undefined,
+      isWritten: false,
+      wasWrittenBefore: false,
+      isBounded: false,
+      movedAt: now,
+    });
     this.#decision.gate(now, asked);
     this.settle(now);
   }
@@ -85,25 +110,28 @@
     this.settle(now);
   }
 
-  beat(now: Moment): void {
-    this.#decision.beat(now);
-    const gap = this.#beatAt === undefined ? 0 : now - this.#beatAt;
-    this.#beatAt = now;
-    for (const passage of [...this.#passages.values()]) {
-      // What came in while we stood still is read only after this beat.
+  tick(now: Moment): void {
+    this.#decision.tick(now);
+    const gap = this.#tickAt === undefined ? 0 : now - this.#tickAt;
+    this.#tickAt = now;
+    for (const passage of [...this.#inFlightRequests.values()]) {
+      // What came in while we stood still is read only after this tick.
       if (gap > STALL_MS) passage.movedAt = later(passage.movedAt, gap + AFTER_STALL_MS);
       this.#check(now, passage);
     }
     this.settle(now);
   }
 
-  #check(now: Moment, passage: Passage): void {
+  #check(now: Moment, passage: InFlightRequest): void {
     const { verdict, stage } = passage;
     if (!verdict || stage === 'pending') return;
     // A stream that has begun in time goes on; anything else ends with its limit.
     const isLate = now >= verdict.limit && !(stage === 'returning' && verdict.row.stream);
     if (isLate) this.#late(now, passage);
-    else if (stage === 'connecting' && now >= later(passage.movedAt, Math.min(this.#settings.connectMs, verdict.row.lateMs / 8))) {
+    else if (
+      stage === 'connecting' &&
+      now >= later(passage.movedAt, Math.min(this.#settings.connectMs, verdict.row.lateMs / 8))
+    ) {
       this.#cancel(passage);
       this.#unreached(now, passage);
     } else if (stage === 'returning' && now >= later(passage.movedAt, this.#settings.silentMs)) {
@@ -113,16 +141,25 @@
     }
   }
 
-  #late(now: Moment, passage: Passage): void {
+  #late(now: Moment, passage: InFlightRequest): void {
     this.#counters.add('runs.late');
     this.#cancel(passage);
     const { id } = passage.asked;
-    if (passage.stage === 'returning') { this.#breakOff(now, passage); return; }
+    if (passage.stage === 'returning') {
+      this.#breakOff(now, passage);
+      return;
+    }
     // How long it has gone on already says how long runs are, at the least.
     if (passage.stage === 'written') this.#decision.done(now, id);
     else this.#decision.gone(now, id);
     this.#end(passage);
-    this.#steps.push({ do: 'tell', id, kind: passage.isWritten ? 'unsure-late' : 'limit-passed', text: 'its limit passed', retryMs: 0 });
+    this.#steps.push({
+      do: 'tell',
+      id,
+      kind: passage.isWritten ? 'unsure-late' : 'limit-passed',
+      text: 'its limit passed',
+      retryMs: 0,
+    });
   }
 
   // ---- what is heard of the connections
@@ -172,7 +209,10 @@
     const passage = this.#current(id, attempt, 'returning');
     if (!passage) return;
     // One that has neither length nor chunks ends alike whether it is whole or its runner crashed.
-    if (!passage.isBounded) { this.broke(now, id, attempt, false); return; }
+    if (!passage.isBounded) {
+      this.broke(now, id, attempt, false);
+      return;
+    }
     this.#counters.add('returns');
     this.#end(passage);
     this.#steps.push({ do: 'finish', id, attempt });
@@ -182,17 +222,25 @@
 
   /** The connection to the runner failed or closed before its return's end. */
   broke(now: Moment, id: number, attempt: number, isStale: boolean): void {
-    const passage = this.#passages.get(id);
+    const passage = this.#inFlightRequests.get(id);
     if (!passage || passage.attempt !== attempt || passage.stage === 'pending') return;
     if (passage.stage === 'connecting') this.#unreached(now, passage);
-    else if (passage.stage === 'returning') { this.#cancel(passage); this.#breakOff(now, passage); }
-    else {
+    else if (passage.stage === 'returning') {
+      this.#cancel(passage);
+      this.#breakOff(now, passage);
+    } else {
       this.#counters.add(isStale ? 'runs.stale' : 'runs.broke');
       passage.stage = 'pending';
       if (this.#decision.broke(now, id, true, isStale)) this.#counters.add('repeats');
       else {
         this.#end(passage);
-        this.#steps.push({ do: 'tell', id, kind: 'unsure-run', text: 'the runner broke off; it may have run', retryMs: 0 });
+        this.#steps.push({
+          do: 'tell',
+          id,
+          kind: 'unsure-run',
+          text: 'the runner broke off; it may have run',
+          retryMs: 0,
+        });
       }
     }
     this.settle(now);
@@ -200,7 +248,7 @@
 
   /** The client went away: its run is cancelled. */
   gone(now: Moment, id: number): void {
-    const passage = this.#passages.get(id);
+    const passage = this.#inFlightRequests.get(id);
     if (!passage) return;
     this.#counters.add('clients.gone');
     if (passage.stage !== 'pending') this.#cancel(passage);
@@ -211,22 +259,30 @@
 
   // ---- what follows
 
-  #current(id: number, attempt: number, stage: Passage['stage']): Passage | undefined {
-    const passage = this.#passages.get(id);
+  #current(
+    id: number,
+    attempt: number,
+    stage: InFlightRequest['stage'],
+  ): InFlightRequest | undefined {
+    const passage = this.#inFlightRequests.get(id);
     return passage && passage.attempt === attempt && passage.stage === stage ? passage : undefined;
   }
 
-  #cancel(passage: Passage): void { this.#steps.push({ do: 'cancel', id: passage.asked.id, attempt: passage.attempt }); }
+  #cancel(passage: InFlightRequest): void {
+    this.#steps.push({ do: 'cancel', id: passage.asked.id, attempt: passage.attempt });
+  }
 
-  #end(passage: Passage): void { this.#passages.delete(passage.asked.id); }
+  #end(passage: InFlightRequest): void {
+    this.#inFlightRequests.delete(passage.asked.id);
+  }
 
-  #unreached(now: Moment, passage: Passage): void {
+  #unreached(now: Moment, passage: InFlightRequest): void {
     this.#counters.add('runs.unreached');
     passage.stage = 'pending';
     this.#decision.notRun(now, passage.asked.id, 'unreached');
   }
 
-  #breakOff(now: Moment, passage: Passage): void {
+  #breakOff(now: Moment, passage: InFlightRequest): void {
     this.#counters.add('streams.broken');
     this.#end(passage);
     this.#steps.push({ do: 'breakOff', id: passage.asked.id });
@@ -235,22 +291,40 @@
 
   /** Takes up the verdicts that have come about. */
   settle(now: Moment): void {
-    for (let verdicts = this.#decision.drain(); verdicts.length > 0; verdicts = this.#decision.drain()) {
+    for (
+      let verdicts = this.#decision.drain();
+      verdicts.length > 0;
+      verdicts = this.#decision.drain()
+    ) {
       for (const verdict of verdicts) {
-        const passage = this.#passages.get(verdict.id);
+        const passage = this.#inFlightRequests.get(verdict.id);
         if (!passage) continue;
         if (verdict.do === 'run') this.#connect(now, passage, verdict);
         else {
           this.#end(passage);
           // Once bytes were written, no return ever claims that it was turned away.
-          if (passage.isWritten) this.#steps.push({ do: 'tell', id: verdict.id, kind: 'unsure-run', text: 'a runner was reached and broke off; it may have run', retryMs: 0 });
-          else this.#steps.push({ do: 'tell', id: verdict.id, kind: verdict.kind, text: verdict.text, retryMs: verdict.retryMs });
+          if (passage.isWritten)
+            this.#steps.push({
+              do: 'tell',
+              id: verdict.id,
+              kind: 'unsure-run',
+              text: 'a runner was reached and broke off; it may have run',
+              retryMs: 0,
+            });
+          else
+            this.#steps.push({
+              do: 'tell',
+              id: verdict.id,
+              kind: verdict.kind,
+              text: verdict.text,
+              retryMs: verdict.retryMs,
+            });
         }
       }
     }
   }
 
-  #connect(now: Moment, passage: Passage, verdict: RunVerdict): void {
+  #connect(now: Moment, passage: InFlightRequest, verdict: RunVerdict): void {
     passage.attempt += 1;
     passage.stage = 'connecting';
     passage.verdict = verdict;
@@ -262,7 +336,9 @@
 }
 
 /** Seconds after which coming back is worth while: from what is known, else the kind's own. */
-export function retryAfterOf(kind: DefectKind, retryMs: number): number {
-  const { retryAfter } = DEFECTS[kind];
-  return retryAfter === 0 || retryMs === 0 ? retryAfter : Math.min(120, Math.max(1, Math.ceil(retryMs / 1000)));
+export function retryAfterOf(kind: ErrorCode, retryMs: number): number {
+  const { retryAfter } = ERROR_CODES[kind];
+  return retryAfter === 0 || retryMs === 0
+    ? retryAfter
+    : Math.min(120, Math.max(1, Math.ceil(retryMs / 1000)));
 }
--- a/src/myth/ControlCommand.ts
+++ b/src/rehearsal/SimulateControlCommand.ts
@@ -21,7 +21,7 @@
 }
 
 /** Runs the deployed control side on virtual time over many seeds. */
-export class ControlCommand extends Command {
+export class SimulateControlCommand extends Command {
   static override description =
     'run the deployed control side on virtual time under seeded faults; a failing seed replays exactly';
 
@@ -39,7 +39,7 @@
   };
 
   async run(): Promise<void> {
-    const { flags } = await this.parse(ControlCommand);
+    const { flags } = await this.parse(SimulateControlCommand);
     const nodes = nodesOf(flags.nodes);
     if (flags.seed !== undefined) {
       this.#replay(flags.seed, nodes, flags.shrink);
--- a/src/simulation/AgentNode.ts
+++ b/src/simulation/AgentNode.ts
@@ -1,7 +1,7 @@
-import type { Message } from '../kin/Messages.js';
-import { LinkCore } from '../link/LinkCore.js';
-import type { Agenda } from '../myth/Agenda.js';
-import type { Seeded } from '../myth/Seeded.js';
+import type { Message } from '../common/Messages.js';
+import { AgentCore } from '../agent/AgentCore.js';
+import type { Scheduler } from '../rehearsal/Scheduler.js';
+import type { Seeded } from '../rehearsal/Seeded.js';
 import { AGENT_BEAT_MS, AGENT_BLIND_MS } from './DeployedSettings.js';
 import type { Endpoint } from './Endpoint.js';
 import { SimExchange } from './SimExchange.js';
@@ -9,7 +9,7 @@
 import { SimProcess } from './SimProcess.js';
 
 export interface AgentSurroundings {
-  readonly agenda: Agenda;
+  readonly scheduler: Scheduler;
   readonly random: Seeded;
   readonly network: SimNetwork;
   readonly drift: number;
@@ -26,21 +26,26 @@
   readonly process: SimProcess;
   readonly #around: AgentSurroundings;
   readonly #exchange: SimExchange;
-  #core: LinkCore | undefined;
+  #core: AgentCore | undefined;
   #starts = 0;
 
   constructor(id: string, zone: string, around: AgentSurroundings) {
     this.id = id;
     this.zone = zone;
     this.#around = around;
-    this.process = new SimProcess(around.agenda, around.random, around.drift);
-    this.#exchange = new SimExchange(this, around.network, { role: 'link', zone }, {
-      receive: this.#receive.bind(this),
-      gone: this.#gone.bind(this),
-    });
+    this.process = new SimProcess(around.scheduler, around.random, around.drift);
+    this.#exchange = new SimExchange(
+      this,
+      around.network,
+      { role: 'link', zone },
+      {
+        receive: this.#receive.bind(this),
+        gone: this.#gone.bind(this),
+      },
+    );
   }
 
-  get core(): LinkCore | undefined {
+  get core(): AgentCore | undefined {
     return this.#core;
   }
 
@@ -52,7 +57,7 @@
     return this.#core !== undefined;
   }
 
-  get life(): number {
+  get incarnation(): number {
     return this.#starts;
   }
 
@@ -60,12 +65,12 @@
     if (this.process.isUp) return;
     this.#starts += 1;
     this.process.begin();
-    const life = this.#around.random.below(LIFE_RANGE);
-    const settings = { me: this.id, zone: this.zone, seeds, blindMs: AGENT_BLIND_MS, life };
-    this.#core = new LinkCore({ ...settings, isDeployed: true }, this.process.now());
+    const incarnation = this.#around.random.below(LIFE_RANGE);
+    const settings = { me: this.id, zone: this.zone, seeds, blindMs: AGENT_BLIND_MS, incarnation };
+    this.#core = new AgentCore({ ...settings, isDeployed: true }, this.process.now());
     this.#exchange.open();
-    this.process.every(AGENT_BEAT_MS, this.#beat.bind(this));
-    this.#beat();
+    this.process.every(AGENT_BEAT_MS, this.#tick.bind(this));
+    this.#tick();
   }
 
   kill(): void {
@@ -88,11 +93,11 @@
     this.#obey();
   }
 
-  #beat(): void {
+  #tick(): void {
     const core = this.#core;
     if (!core) return;
-    this.#exchange.dial(core.mind);
-    core.beat(this.process.now());
+    this.#exchange.dial(core.controlNode);
+    core.tick(this.process.now());
     this.#obey();
   }
 
--- a/src/simulation/CallAttempt.ts
+++ b/src/simulation/CallAttempt.ts
@@ -1,5 +1,10 @@
 import type { Endpoint, Payload } from './Endpoint.js';
-import { decodeAnswer, encodeCall, type OperatorAnswer, type OperatorCall } from './OperatorCall.js';
+import {
+  decodeAnswer,
+  encodeCall,
+  type OperatorAnswer,
+  type OperatorCall,
+} from './OperatorCall.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
 
 /** A node that says nothing for so long is left for another one. */
--- a/src/simulation/ControlNode.ts
+++ b/src/simulation/ControlNode.ts
@@ -1,11 +1,15 @@
-import type { Moment } from '../kin/Ids.js';
-import type { Message } from '../kin/Messages.js';
-import { MindCore } from '../mind/MindCore.js';
-import { MIND_DEFAULTS, type MindEffect, type OrderResult } from '../mind/MindEffect.js';
-import type { Agenda } from '../myth/Agenda.js';
-import type { Seeded } from '../myth/Seeded.js';
-import type { ListedRunner } from '../place/Fleet.js';
-import { VOTE_DEFAULTS } from '../vote/VoteSettings.js';
+import type { Moment } from '../common/Ids.js';
+import type { Message } from '../common/Messages.js';
+import { ControlCore } from '../control/ControlCore.js';
+import {
+  CONTROL_DEFAULTS,
+  type ControlEffect,
+  type OrderResult,
+} from '../control/ControlEffect.js';
+import type { Scheduler } from '../rehearsal/Scheduler.js';
+import type { Seeded } from '../rehearsal/Seeded.js';
+import type { ListedRunner } from '../placement/Fleet.js';
+import { VOTE_DEFAULTS } from '../election/VoteSettings.js';
 import {
   CONTROL_BEAT_MS,
   CONTROL_SILENT_MS,
@@ -16,10 +20,10 @@
   LIST_MS,
   RETIRE_MS,
 } from './DeployedSettings.js';
-import type { Endpoint, Payload } from './Endpoint.js';
+import type { Endpoint } from './Endpoint.js';
 import { LeasedOrder } from './LeasedOrder.js';
-import { answerOf, commandOf, decodeCall, encodeAnswer, type OperatorAnswer } from './OperatorCall.js';
-import type { OperatorCall } from './OperatorCall.js';
+import type { CoreCommand, OperatorAnswer, OperatorCall } from './OperatorCall.js';
+import { OperatorPort } from './OperatorPort.js';
 import { OrderStub } from './OrderStub.js';
 import { PlainDialect } from './PlainDialect.js';
 import { SimDisk, type UnsyncedFate } from './SimDisk.js';
@@ -39,7 +43,7 @@
 }
 
 export interface ControlSurroundings {
-  readonly agenda: Agenda;
+  readonly scheduler: Scheduler;
   readonly random: Seeded;
   readonly network: SimNetwork;
   readonly observer: ControlObserver;
@@ -47,21 +51,14 @@
   readonly drift: number;
 }
 
-interface PendingCall {
-  readonly isRead: boolean;
-  readonly since: Moment;
-  readonly answered: (answer: OperatorAnswer) => void;
-}
-
-type StoreEffect = Extract<MindEffect, { do: 'store' }>;
-type OrderEffect = Extract<MindEffect, { do: 'order' }>;
+type StoreEffect = Extract<ControlEffect, { do: 'store' }>;
+type OrderEffect = Extract<ControlEffect, { do: 'order' }>;
 
 /** A process is loaded and reads its files for so long before it listens. */
 const LEAST_START_MS = 60;
 const MOST_START_MS = 200;
 const LIST_DELAY_MS = 20;
 const LIFE_RANGE = 2 ** 47;
-const ID_RANGE = 2 ** 31;
 
 /** A core machine: the real control core with a deployment's settings on a simulated process, disk and network. */
 export class ControlNode implements Host {
@@ -71,11 +68,10 @@
   readonly disk: SimDisk;
   readonly #around: ControlSurroundings;
   readonly #exchange: SimExchange;
-  #core: MindCore | undefined;
+  #core: ControlCore | undefined;
   #isPowered = true;
   #seeds: readonly string[] = [];
-  #answers = new Map<number, PendingCall>();
-  #commandId = 0;
+  readonly #operators: OperatorPort;
   #starts = 0;
   /** Set while the next order's write is to be held up by a freeze right after the lease was checked. */
   freezeAtOrder: (() => void) | undefined;
@@ -84,15 +80,26 @@
     this.id = id;
     this.zone = zone;
     this.#around = around;
-    this.process = new SimProcess(around.agenda, around.random, around.drift);
-    this.disk = new SimDisk(around.agenda, around.random);
-    this.#exchange = new SimExchange(this, around.network, { role: 'mind', zone }, {
-      receive: this.#receive.bind(this),
-      gone: this.#gone.bind(this),
+    this.process = new SimProcess(around.scheduler, around.random, around.drift);
+    this.disk = new SimDisk(around.scheduler, around.random);
+    this.#operators = new OperatorPort({
+      random: around.random,
+      now: this.now.bind(this),
+      command: this.#command.bind(this),
+      answering: this.#answering.bind(this),
     });
-  }
-
-  get core(): MindCore | undefined {
+    this.#exchange = new SimExchange(
+      this,
+      around.network,
+      { role: 'mind', zone },
+      {
+        receive: this.#receive.bind(this),
+        gone: this.#gone.bind(this),
+      },
+    );
+  }
+
+  get core(): ControlCore | undefined {
     return this.#core;
   }
 
@@ -105,7 +112,7 @@
   }
 
   /** Counts the lives of its process. */
-  get life(): number {
+  get incarnation(): number {
     return this.#starts;
   }
 
@@ -139,14 +146,14 @@
   stop(ended: () => void): void {
     const end = this.#finish.bind(this, ended);
     // The machine kills what has not ended, frozen or not.
-    this.#around.agenda.after(GRACE_MS, this.process.inThisLife(end));
+    this.#around.scheduler.after(GRACE_MS, this.process.inThisLife(end));
     const retire = this.#retire.bind(this, this.process.now() + RETIRE_MS, end);
     this.process.submit('signal', retire);
   }
 
   setSeeds(seeds: readonly string[]): void {
     this.#seeds = seeds;
-    function set(core: MindCore): void {
+    function set(core: ControlCore): void {
       core.setSeeds(seeds);
     }
     this.process.submit('settings', this.#work.bind(this, set));
@@ -154,7 +161,7 @@
 
   accept(endpoint: Endpoint, port: Port): void {
     if (port === 'nodes') this.#exchange.accept(endpoint);
-    else this.#serve(endpoint);
+    else this.#operators.accept(endpoint);
   }
 
   now(): Moment {
@@ -163,13 +170,8 @@
 
   /** How many reads have waited for an answer here for longer than so long. */
   readsWaiting(millis: number): number {
-    let count = 0;
-    const now = this.process.now();
     if (!this.process.isRunning || this.#core === undefined) return 0;
-    for (const { isRead, since } of this.#answers.values()) {
-      if (isRead && now - since > millis) count += 1;
-    }
-    return count;
+    return this.#operators.readsWaiting(millis);
   }
 
   // ---- the process
@@ -185,21 +187,21 @@
     const dialect = new PlainDialect();
     const deployed = { dialect, planner, isFirstStart, listMs: LIST_MS };
     const settings = {
-      ...MIND_DEFAULTS,
+      ...CONTROL_DEFAULTS,
       me: this.id,
       zone: this.zone,
       seeds: this.#seeds,
-      life: random.below(LIFE_RANGE),
+      incarnation: random.below(LIFE_RANGE),
       silentMs: CONTROL_SILENT_MS,
       foundMs: 0,
       deployed,
     };
     const vote = { ...VOTE_DEFAULTS, ...DEPLOYED_VOTE, leaseMs: LEASE_MS };
-    this.#answers = new Map();
-    this.#core = new MindCore(settings, this.disk.list(), this.process.now(), vote);
+    this.#operators.open();
+    this.#core = new ControlCore(settings, this.disk.list(), this.process.now(), vote);
     this.#exchange.open();
-    this.process.every(CONTROL_BEAT_MS, this.#beat.bind(this));
-    this.#beat();
+    this.process.every(CONTROL_BEAT_MS, this.#tick.bind(this));
+    this.#tick();
   }
 
   #endProcess(): void {
@@ -213,7 +215,7 @@
   #retire(until: number, end: () => void): void {
     let isRetired = false;
     const now = this.now.bind(this);
-    function retire(core: MindCore): void {
+    function retire(core: ControlCore): void {
       isRetired = core.retire(now());
     }
     this.#work(retire);
@@ -228,15 +230,15 @@
     ended();
   }
 
-  #beat(): void {
+  #tick(): void {
     const core = this.#core;
     if (!core) return;
     for (const peer of core.peers) this.#exchange.dial(peer);
-    this.#work(core.beat.bind(core, this.process.now()));
+    this.#work(core.tick.bind(core, this.process.now()));
   }
 
   /** One input of the core, with all its effects, before the next. */
-  #work(input: (core: MindCore) => void): void {
+  #work(input: (core: ControlCore) => void): void {
     const core = this.#core;
     if (!core) return;
     try {
@@ -251,7 +253,7 @@
   #receive(from: string, role: string, zone: string, message: Message): void {
     const now = this.process.now();
     const knownZone = role === 'mind' ? zone : '';
-    function receive(core: MindCore): void {
+    function receive(core: ControlCore): void {
       core.receive(now, from, message, knownZone);
     }
     this.#work(receive);
@@ -259,13 +261,13 @@
 
   #gone(id: string): void {
     const now = this.process.now();
-    function gone(core: MindCore): void {
+    function gone(core: ControlCore): void {
       core.gone(now, id);
     }
     this.#work(gone);
   }
 
-  #carryOut(core: MindCore, effect: MindEffect): void {
+  #carryOut(core: ControlCore, effect: ControlEffect): void {
     switch (effect.do) {
       case 'send':
         this.#exchange.send(effect.to, effect.message);
@@ -279,8 +281,8 @@
       case 'order':
         this.#order(core, effect);
         break;
-      case 'return':
-        this.#return(effect.id, { status: effect.status, body: effect.body });
+      case 'reply':
+        this.#operators.reply(effect.id, { status: effect.status, body: effect.body });
         break;
       case 'note':
         this.#around.observer.noted(this, `${effect.text} ${JSON.stringify(effect.fields)}`);
@@ -291,7 +293,7 @@
   }
 
   /** An input of one life's core alone, taken by its event loop. */
-  #input(core: MindCore, stream: string, input: (core: MindCore) => void): void {
+  #input(core: ControlCore, stream: string, input: (core: ControlCore) => void): void {
     const isCurrent = this.#isCurrent.bind(this);
     const work = this.#work.bind(this, input);
     function run(): void {
@@ -300,14 +302,14 @@
     this.process.submit(stream, run);
   }
 
-  #isCurrent(core: MindCore): boolean {
+  #isCurrent(core: ControlCore): boolean {
     return this.#core === core;
   }
 
-  #keep(core: MindCore, effect: StoreEffect): void {
+  #keep(core: ControlCore, effect: StoreEffect): void {
     const { part, version, body } = effect;
     const now = this.now.bind(this);
-    function stored(inner: MindCore): void {
+    function stored(inner: ControlCore): void {
       inner.stored(now(), part, version);
     }
     const stream = `disk ${part}`;
@@ -318,15 +320,15 @@
     this.disk.write(part, version, body, done, fail);
   }
 
-  #list(core: MindCore): void {
+  #list(core: ControlCore): void {
     const { runners } = this.#around;
     this.#input(core, 'list', listAt.bind(undefined, this.process.now(), runners));
   }
 
-  #order(core: MindCore, effect: OrderEffect): void {
+  #order(core: ControlCore, effect: OrderEffect): void {
     const { intent, address } = effect;
     const now = this.now.bind(this);
-    function ordered(result: OrderResult, inner: MindCore): void {
+    function ordered(result: OrderResult, inner: ControlCore): void {
       inner.ordered(now(), intent.id, result);
     }
     const input = this.#input.bind(this, core, `order ${address}`);
@@ -350,48 +352,19 @@
 
   // ---- operators
 
-  #serve(endpoint: Endpoint): void {
-    const answer = this.#answer.bind(this, endpoint);
-    function data(payload: Payload): void {
-      answer(payload);
-    }
-    function closed(): void {
-      /* Nobody waits for the answer any more; the call is worked through all the same. */
-    }
-    endpoint.handler = { data, closed };
-  }
-
-  #answer(endpoint: Endpoint, text: string): void {
-    const call = decodeCall(text);
-    if (!call) return;
-    const { random, observer } = this.#around;
-    function newId(): string {
-      return `zone-${random.below(ID_RANGE)}-${random.below(ID_RANGE)}`;
-    }
-    const { verb, body } = commandOf(call, newId);
-    const tell = observer.answered.bind(observer, this, call);
-    function answered(told: OperatorAnswer): void {
-      const answer = answerOf(call ?? { method: 'GET' }, told);
-      tell(answer);
-      endpoint.send(encodeAnswer(answer));
-    }
-    this.#commandId += 1;
-    const id = this.#commandId;
+  #command(id: number, { verb, body }: CoreCommand): void {
     const now = this.process.now();
-    this.#answers.set(id, { isRead: verb === 'read', since: now, answered });
-    function command(core: MindCore): void {
+    function command(core: ControlCore): void {
       core.command(now, id, verb, body);
     }
     this.#work(command);
   }
 
-  #return(id: number, answer: OperatorAnswer): void {
-    const pending = this.#answers.get(id);
-    this.#answers.delete(id);
-    pending?.answered(answer);
+  #answering(call: OperatorCall, answer: OperatorAnswer): void {
+    this.#around.observer.answered(this, call, answer);
   }
 }
 
-function listAt(now: Moment, runners: readonly ListedRunner[], core: MindCore): void {
+function listAt(now: Moment, runners: readonly ListedRunner[], core: ControlCore): void {
   core.list(now, runners);
 }
--- a/src/simulation/ControlSimulation.test.ts
+++ b/src/simulation/ControlSimulation.test.ts
@@ -80,7 +80,16 @@
 test('five nodes run calmly', checkCalm.bind(undefined, 5));
 test('a run is a pure function of its options and schedule', checkPure);
 test('a frozen leader and a lost disk are borne', checkStruck);
-test('two disks of three lost at once are noticed', checkBites.bind(undefined, 'wipe', 'no-leader-after-trouble'));
-test('two old disks of three are noticed', checkBites.bind(undefined, 'oldDisk', 'acknowledged-lost'));
-test('a share of seeds of three nodes breaks no rule', checkSeeds.bind(undefined, 3, SEEDS_OF_THREE));
+test(
+  'two disks of three lost at once are noticed',
+  checkBites.bind(undefined, 'wipe', 'no-leader-after-trouble'),
+);
+test(
+  'two old disks of three are noticed',
+  checkBites.bind(undefined, 'oldDisk', 'acknowledged-lost'),
+);
+test(
+  'a share of seeds of three nodes breaks no rule',
+  checkSeeds.bind(undefined, 3, SEEDS_OF_THREE),
+);
 test('a share of seeds of five nodes breaks no rule', checkSeeds.bind(undefined, 5, SEEDS_OF_FIVE));
--- a/src/simulation/ControlSimulation.ts
+++ b/src/simulation/ControlSimulation.ts
@@ -1,5 +1,5 @@
-import { Agenda } from '../myth/Agenda.js';
-import { VOTE_PART } from '../hold/PartNames.js';
+import { Scheduler } from '../rehearsal/Scheduler.js';
+import { VOTE_PART } from '../state/PartNames.js';
 import type { AgentNode } from './AgentNode.js';
 import type { ControlNode, ControlObserver } from './ControlNode.js';
 import { ACK_MS, RECOVER_MS } from './DeployedSettings.js';
@@ -48,7 +48,7 @@
 /** One run of the deployed control side on virtual time, a pure function of its options and schedule. */
 class ControlSimulation {
   readonly #options: SimulationOptions;
-  readonly #agenda = new Agenda();
+  readonly #scheduler = new Scheduler();
   readonly #streams: RandomStreams;
   readonly #violations: ViolationLog;
   readonly #log: RunLog;
@@ -77,7 +77,7 @@
     this.#settled = new Settled(now);
     this.#calmFrom = TROUBLE_FROM_MS + options.troubleMs;
     this.#fleet = new Fleet({
-      agenda: this.#agenda,
+      scheduler: this.#scheduler,
       streams: this.#streams,
       options,
       observer: this.#observer(),
@@ -110,12 +110,12 @@
     const { options } = { options: this.#options };
     const readBackAt = this.#calmFrom + RECOVER_MS + CALM_MS;
     this.#fleet.start();
-    this.#agenda.at(FIRST_ORDER_MS, this.#found.bind(this));
-    this.#agenda.at(CHECK_MS, this.#check.bind(this));
-    this.#agenda.at(this.#calmFrom + RECOVER_MS, this.#checkRecovered.bind(this));
-    this.#agenda.at(readBackAt, this.#readBack.bind(this));
+    this.#scheduler.at(FIRST_ORDER_MS, this.#found.bind(this));
+    this.#scheduler.at(CHECK_MS, this.#check.bind(this));
+    this.#scheduler.at(this.#calmFrom + RECOVER_MS, this.#checkRecovered.bind(this));
+    this.#scheduler.at(readBackAt, this.#readBack.bind(this));
     this.#driver.begin(schedule);
-    this.#agenda.runUntil(readBackAt + READ_BACK_MS);
+    this.#scheduler.runUntil(readBackAt + READ_BACK_MS);
     const history = this.#recorder.history();
     for (const { rule, text } of judgeHistory(history)) this.#violations.add(rule, text);
     const figures = this.#figures(readBackAt + READ_BACK_MS, options.nodes);
@@ -125,11 +125,11 @@
   // ---- what happens
 
   #now(): number {
-    return this.#agenda.now;
+    return this.#scheduler.now;
   }
 
   #logAt(log: RunLog, line: string): void {
-    log(`${this.#agenda.now.toFixed(1).padStart(8)} ${line}`);
+    log(`${this.#scheduler.now.toFixed(1).padStart(8)} ${line}`);
   }
 
   #found(): void {
@@ -154,10 +154,10 @@
     this.#stateRules.check();
     for (const node of this.#fleet.present) {
       if (node.readsWaiting(MOST_READ_MS) > 0) {
-        this.#violations.add('read-never-answered', `${node.id} in its life ${node.life}`);
+        this.#violations.add('read-never-answered', `${node.id} in its life ${node.incarnation}`);
       }
     }
-    this.#agenda.after(CHECK_MS, this.#check.bind(this));
+    this.#scheduler.after(CHECK_MS, this.#check.bind(this));
   }
 
   #checkRecovered(): void {
@@ -180,11 +180,11 @@
     const { core } = node;
     if (!core) return;
     if (core.elector.isLeading()) this.#holderRules.leads(node.id, core.elector.epoch);
-    this.#stateRules.watch(node.id, node.life, core.relay);
+    this.#stateRules.watch(node.id, node.incarnation, core.relay);
   }
 
   #agentStepped(agent: AgentNode): void {
-    if (agent.core) this.#stateRules.watch(agent.id, agent.life, agent.core.relay);
+    if (agent.core) this.#stateRules.watch(agent.id, agent.incarnation, agent.core.relay);
   }
 
   #orderArrived(order: ArrivedOrder): void {
@@ -214,7 +214,7 @@
   #addOperator(id: string, zones: readonly string[]): void {
     const random = this.#streams.of(id);
     const client = new OperatorClient(id, {
-      agenda: this.#agenda,
+      scheduler: this.#scheduler,
       random,
       network: this.#fleet.network,
       recorder: this.#recorder,
@@ -224,7 +224,7 @@
     });
     this.#fleet.network.join(client);
     const { paceMs } = this.#options;
-    const plan = new OperatorPlan({ agenda: this.#agenda, random, client, zones, paceMs });
+    const plan = new OperatorPlan({ scheduler: this.#scheduler, random, client, zones, paceMs });
     for (const other of this.#plans) {
       other.peer = plan;
       plan.peer = other;
@@ -249,8 +249,8 @@
     this.#targets.noteCalled(node);
     this.#events.tell('orderSent', node);
     if (record.attempts.length > 1 || record.order.kind === undefined) return;
-    const due = this.#judgeAcknowledged.bind(this, record, this.#agenda.now);
-    this.#agenda.after(ACK_MS + ACK_SLACK_MS, due);
+    const due = this.#judgeAcknowledged.bind(this, record, this.#scheduler.now);
+    this.#scheduler.after(ACK_MS + ACK_SLACK_MS, due);
   }
 
   /** A proper order has its answer in time if the core was settled all along. */
@@ -291,7 +291,7 @@
       budget: this.#budget,
       settled: this.#settled,
       events: this.#events,
-      after: this.#agenda.after.bind(this.#agenda),
+      after: this.#scheduler.after.bind(this.#scheduler),
       now: this.#now.bind(this),
       options: this.#options,
       targets: this.#targets,
--- a/src/simulation/Endpoint.ts
+++ b/src/simulation/Endpoint.ts
@@ -106,14 +106,14 @@
     const [first] = this.#queue;
     if (!first || this.#isPumping) return;
     this.#isPumping = true;
-    this.#network.agenda.at(first.arriveAt, this.#deliverFirst.bind(this));
+    this.#network.scheduler.at(first.arriveAt, this.#deliverFirst.bind(this));
   }
 
   #enqueue(payload: Payload | undefined): void {
-    const { agenda } = this.#network;
+    const { scheduler } = this.#network;
     const target = this.#other?.host.id ?? '';
     const last = this.#queue.at(-1)?.arriveAt ?? 0;
-    const arriveAt = Math.max(last, agenda.now + this.#network.delay(this.#host.id, target));
+    const arriveAt = Math.max(last, scheduler.now + this.#network.delay(this.#host.id, target));
     this.#queue.push({ arriveAt, payload });
     this.pump();
   }
@@ -154,7 +154,7 @@
     const other = this.#other;
     if (!other || !this.#network.isOpen(this.#host.id, other.host.id)) return;
     const delay = this.#network.delay(this.#host.id, other.host.id);
-    this.#network.agenda.after(delay, other.#endByReset.bind(other));
+    this.#network.scheduler.after(delay, other.#endByReset.bind(other));
   }
 
   #endByReset(): void {
--- a/src/simulation/FakeRunner.ts
+++ b/src/simulation/FakeRunner.ts
@@ -1,5 +1,5 @@
 import { number, string, type, type Infer } from 'superstruct';
-import { parseAs } from '../kin/Json.js';
+import { parseAs } from '../common/Json.js';
 import type { Endpoint, Payload } from './Endpoint.js';
 import type { Host } from './SimNetwork.js';
 import type { SimProcess } from './SimProcess.js';
--- a/src/simulation/FaultTargets.ts
+++ b/src/simulation/FaultTargets.ts
@@ -54,7 +54,7 @@
 
   #present(id: string): ControlNode | undefined {
     const node = this.#fleet.controls.get(id);
-    return node && !this.#fleet.isGone(id) ? node : this.#fleet.leader ?? this.#fleet.present[0];
+    return node && !this.#fleet.isGone(id) ? node : (this.#fleet.leader ?? this.#fleet.present[0]);
   }
 }
 
--- a/src/simulation/Fleet.ts
+++ b/src/simulation/Fleet.ts
@@ -1,5 +1,5 @@
-import type { Agenda } from '../myth/Agenda.js';
-import type { ListedRunner } from '../place/Fleet.js';
+import type { Scheduler } from '../rehearsal/Scheduler.js';
+import type { ListedRunner } from '../placement/Fleet.js';
 import { AgentNode } from './AgentNode.js';
 import { ControlNode, type ControlObserver } from './ControlNode.js';
 import { SEED_DELAY_MS } from './DeployedSettings.js';
@@ -17,7 +17,7 @@
 const MOST_SEEDS = 3;
 
 export interface FleetSettings {
-  readonly agenda: Agenda;
+  readonly scheduler: Scheduler;
   readonly streams: RandomStreams;
   readonly options: SimulationOptions;
   readonly observer: ControlObserver;
@@ -44,8 +44,8 @@
 
   constructor(settings: FleetSettings) {
     this.#settings = settings;
-    const { agenda, streams, options } = settings;
-    this.network = new SimNetwork(agenda, streams);
+    const { scheduler, streams, options } = settings;
+    this.network = new SimNetwork(scheduler, streams);
     for (let index = 1; index <= RUNNERS; index += 1) this.#addRunner(index);
     for (let index = 0; index < options.nodes; index += 1) this.#addControl();
     for (let index = 0; index < options.agents; index += 1) this.#addAgent(index);
@@ -96,12 +96,12 @@
   /** Starts all machines within a short span, with empty disks. */
   start(): void {
     const random = this.#settings.streams.of('starts');
-    const { agenda } = this.#settings;
+    const { scheduler } = this.#settings;
     for (const node of this.#controls.values()) {
-      agenda.after(random.between(0, START_SPREAD_MS), node.start.bind(node, true, this.#seeds));
+      scheduler.after(random.between(0, START_SPREAD_MS), node.start.bind(node, true, this.#seeds));
     }
     for (const agent of this.#agents) {
-      agenda.after(random.between(0, START_SPREAD_MS), agent.start.bind(agent, this.#seeds));
+      scheduler.after(random.between(0, START_SPREAD_MS), agent.start.bind(agent, this.#seeds));
     }
     this.#list();
   }
@@ -135,7 +135,7 @@
 
   /** The nodes that operators choose from: those of a while ago. */
   listed(): readonly string[] {
-    const until = this.#settings.agenda.now - SEED_DELAY_MS;
+    const until = this.#settings.scheduler.now - SEED_DELAY_MS;
     let nodes = this.#listings[0]?.nodes ?? [];
     for (const listing of this.#listings) if (listing.at <= until) nodes = listing.nodes;
     return nodes;
@@ -143,7 +143,7 @@
 
   #list(): void {
     const nodes = this.present.map(idOf);
-    this.#listings.push({ at: this.#settings.agenda.now, nodes });
+    this.#listings.push({ at: this.#settings.scheduler.now, nodes });
   }
 
   #isPresent(node: ControlNode): boolean {
@@ -153,11 +153,18 @@
   #addControl(): ControlNode {
     const place = this.#controls.size + 1;
     const id = `control-${place}:7660`;
-    const { agenda, streams, observer } = this.#settings;
+    const { scheduler, streams, observer } = this.#settings;
     const random = streams.of(id);
     const zone = ZONES[(place - 1) % ZONES.length] ?? ZONES[0];
     const runners = this.#runners;
-    const around = { agenda, random, network: this.network, observer, runners, drift: MOST_DRIFT };
+    const around = {
+      scheduler,
+      random,
+      network: this.network,
+      observer,
+      runners,
+      drift: MOST_DRIFT,
+    };
     const node = new ControlNode(id, zone, around);
     this.#controls.set(id, node);
     this.network.join(node);
@@ -166,10 +173,10 @@
 
   #addAgent(index: number): void {
     const id = `agent-${index + 1}:7661`;
-    const { agenda, streams, agentStepped: stepped } = this.#settings;
+    const { scheduler, streams, agentStepped: stepped } = this.#settings;
     const random = streams.of(id);
     const zone = ZONES[index % ZONES.length] ?? ZONES[0];
-    const around = { agenda, random, network: this.network, drift: MOST_DRIFT, stepped };
+    const around = { scheduler, random, network: this.network, drift: MOST_DRIFT, stepped };
     const agent = new AgentNode(id, zone, around);
     this.#agents.push(agent);
     this.network.join(agent);
@@ -177,10 +184,10 @@
 
   #addRunner(index: number): void {
     const id = `runner-${index}:80`;
-    const { agenda, streams, options, orderArrived } = this.#settings;
-    const process = new SimProcess(agenda, streams.of(id), 0);
+    const { scheduler, streams, options, orderArrived } = this.#settings;
+    const process = new SimProcess(scheduler, streams.of(id), 0);
     function now(): number {
-      return agenda.now;
+      return scheduler.now;
     }
     this.network.join(new FakeRunner(id, process, options.isFenced, now, orderArrived));
     const listed = { id, address: id, zone: ZONES[0], service: 'service', slots: 1 };
--- a/src/simulation/HistoryRecorder.ts
+++ b/src/simulation/HistoryRecorder.ts
@@ -1,4 +1,11 @@
-import type { Attempt, AttemptOutcome, History, Order, OrderRecord, ReadRecord } from './History.js';
+import type {
+  Attempt,
+  AttemptOutcome,
+  History,
+  Order,
+  OrderRecord,
+  ReadRecord,
+} from './History.js';
 
 /** An attempt that may still be under way; it counts as unclear until an answer says otherwise. */
 export class OpenAttempt implements Attempt {
--- a/src/simulation/HolderRules.test.ts
+++ b/src/simulation/HolderRules.test.ts
@@ -35,22 +35,67 @@
 }
 
 function checkTurns(): void {
-  expect(judged({}, [['a', 2, 0], ['b', 4, 2999]])).toEqual(['two-holders']);
-  expect(judged({}, [['a', 2, 0], ['b', 4, 3000]])).toEqual([]);
-  expect(judged({}, [['a', 2, 0], ['a', 4, 10]])).toEqual([]);
+  expect(
+    judged({}, [
+      ['a', 2, 0],
+      ['b', 4, 2999],
+    ]),
+  ).toEqual(['two-holders']);
+  expect(
+    judged({}, [
+      ['a', 2, 0],
+      ['b', 4, 3000],
+    ]),
+  ).toEqual([]);
+  expect(
+    judged({}, [
+      ['a', 2, 0],
+      ['a', 4, 10],
+    ]),
+  ).toEqual([]);
 }
 
 function checkFences(): void {
-  expect(judged({}, [['a', 2, 0], ['b', 2, 9000]])).toEqual(['two-holders-with-one-fence']);
-  expect(judged({}, [['a', 4, 0], ['b', 2, 9000]])).toEqual(['lower-fence']);
+  expect(
+    judged({}, [
+      ['a', 2, 0],
+      ['b', 2, 9000],
+    ]),
+  ).toEqual(['two-holders-with-one-fence']);
+  expect(
+    judged({}, [
+      ['a', 4, 0],
+      ['b', 2, 9000],
+    ]),
+  ).toEqual(['lower-fence']);
 }
 
 function checkExcuses(): void {
-  expect(judged({ thawedAt: 1900 }, [['a', 2, 0], ['b', 4, 2000]])).toEqual([]);
-  expect(judged({ healedAt: -500 }, [['a', 2, 0], ['b', 4, 2000]])).toEqual(['two-holders']);
+  expect(
+    judged({ thawedAt: 1900 }, [
+      ['a', 2, 0],
+      ['b', 4, 2000],
+    ]),
+  ).toEqual([]);
+  expect(
+    judged({ healedAt: -500 }, [
+      ['a', 2, 0],
+      ['b', 4, 2000],
+    ]),
+  ).toEqual(['two-holders']);
   const unsettled = { isFenced: true, isSettled: false };
-  expect(judged(unsettled, [['a', 2, 0], ['b', 4, 2000]])).toEqual([]);
-  expect(judged({ isFenced: true }, [['a', 2, 0], ['b', 4, 2000]])).toEqual(['two-holders']);
+  expect(
+    judged(unsettled, [
+      ['a', 2, 0],
+      ['b', 4, 2000],
+    ]),
+  ).toEqual([]);
+  expect(
+    judged({ isFenced: true }, [
+      ['a', 2, 0],
+      ['b', 4, 2000],
+    ]),
+  ).toEqual(['two-holders']);
 }
 
 function checkEpochs(): void {
@@ -76,5 +121,8 @@
 
 test('two holders keep the lease between them', checkTurns);
 test('a fence belongs to one holder and never falls', checkFences);
-test('orders right after a thaw or a heal, and turns out of touch where fenced, are excused', checkExcuses);
+test(
+  'orders right after a thaw or a heal, and turns out of touch where fenced, are excused',
+  checkExcuses,
+);
 test('an epoch has one leader', checkEpochs);
--- a/src/simulation/LeasedOrder.ts
+++ b/src/simulation/LeasedOrder.ts
@@ -1,5 +1,5 @@
-import type { OrderResult } from '../mind/MindEffect.js';
-import type { Lease } from '../mind/LeasedSend.js';
+import type { OrderResult } from '../control/ControlEffect.js';
+import type { Lease } from '../control/LeasedSend.js';
 import type { Endpoint, Payload } from './Endpoint.js';
 import { ORDER_FENCED, ORDER_TAKEN, type RunnerOrder } from './FakeRunner.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
--- a/src/simulation/MachineFaults.ts
+++ b/src/simulation/MachineFaults.ts
@@ -229,10 +229,10 @@
   }
 
   #returnLater(node: ControlNode): void {
-    this.#around.after(OLD_RETURNS_MS, this.#return.bind(this, node));
+    this.#around.after(OLD_RETURNS_MS, this.#reply.bind(this, node));
   }
 
-  #return(node: ControlNode): void {
+  #reply(node: ControlNode): void {
     const { fleet, settled } = this.#around;
     if (!fleet.isGone(node.id)) return;
     fleet.bringBack(node.id);
--- a/src/simulation/NodeWatch.ts
+++ b/src/simulation/NodeWatch.ts
@@ -8,7 +8,7 @@
 }
 
 interface Known {
-  life: number;
+  incarnation: number;
   isServing: boolean;
   isSound: boolean;
   startedAt: number;
@@ -55,12 +55,12 @@
 
   #knownOf(node: ControlNode): Known {
     const known = this.#known.get(node.id);
-    if (known && known.life === node.life) return known;
+    if (known && known.incarnation === node.incarnation) return known;
     // What a life that has only begun is to itself is not known before its core stands.
     const isSound = known?.isSound ?? false;
     const startedAt = this.#settings.now();
     const isServing = known?.isServing ?? false;
-    const fresh = { life: node.life, isServing, isSound, startedAt, voters: '' };
+    const fresh = { incarnation: node.incarnation, isServing, isSound, startedAt, voters: '' };
     this.#known.set(node.id, fresh);
     return fresh;
   }
--- a/src/simulation/OperatorCall.ts
+++ b/src/simulation/OperatorCall.ts
@@ -1,6 +1,16 @@
 import { createHash } from 'node:crypto';
-import { array, enums, number, object, optional, string, type, union, type Infer } from 'superstruct';
-import { parseAs } from '../kin/Json.js';
+import {
+  array,
+  enums,
+  number,
+  object,
+  optional,
+  string,
+  type,
+  union,
+  type Infer,
+} from 'superstruct';
+import { parseAs } from '../common/Json.js';
 
 /** An operator's call as it goes over the simulated network. */
 const EditCallShape = object({
--- a/src/simulation/OperatorClient.ts
+++ b/src/simulation/OperatorClient.ts
@@ -1,5 +1,5 @@
-import type { Agenda } from '../myth/Agenda.js';
-import type { Seeded } from '../myth/Seeded.js';
+import type { Scheduler } from '../rehearsal/Scheduler.js';
+import type { Seeded } from '../rehearsal/Seeded.js';
 import { CallAttempt } from './CallAttempt.js';
 import { ACK_MS } from './DeployedSettings.js';
 import type { AttemptOutcome, Order } from './History.js';
@@ -9,7 +9,7 @@
 import { SimProcess } from './SimProcess.js';
 
 export interface OperatorSurroundings {
-  readonly agenda: Agenda;
+  readonly scheduler: Scheduler;
   readonly random: Seeded;
   readonly network: SimNetwork;
   readonly recorder: HistoryRecorder;
@@ -78,7 +78,7 @@
   constructor(id: string, around: OperatorSurroundings) {
     this.id = id;
     this.#around = around;
-    this.process = new SimProcess(around.agenda, around.random, 0);
+    this.process = new SimProcess(around.scheduler, around.random, 0);
     this.process.begin();
   }
 
@@ -102,7 +102,7 @@
   again(record: OpenOrder, done: OrderDone): void {
     const { order } = record;
     const isConfiguration = order.kind === 'put' || order.kind === 'patch';
-    const until = isConfiguration ? Infinity : this.#around.agenda.now + ACK_MS;
+    const until = isConfiguration ? Infinity : this.#around.scheduler.now + ACK_MS;
     const calling = { call: callOf(order), until, last: '', failures: 0 };
     this.#open += 1;
     this.#tryOrder(record, calling, done);
@@ -115,15 +115,15 @@
   }
 
   #tryOrder(record: OpenOrder, calling: Calling, done: OrderDone): void {
-    const { agenda } = this.#around;
+    const { scheduler } = this.#around;
     const node = this.#nextNode(calling);
-    const attempt = record.begin(node, agenda.now);
+    const attempt = record.begin(node, scheduler.now);
     this.#around.sending(record);
     const settle = this.#settle.bind(this, done);
     const again = this.#again.bind(this, calling, this.#tryOrder.bind(this, record, calling, done));
     function ended(answer: OperatorAnswer | undefined): void {
       const outcome = answer ? outcomeOf(answer.status) : 'unclear';
-      if (answer) attempt.end(agenda.now, outcome);
+      if (answer) attempt.end(scheduler.now, outcome);
       if (outcome === 'accepted') settle('accepted');
       else if (outcome === 'refused' && isEnding(calling, answer?.status ?? 0)) settle('refused');
       else if (!again()) settle('gaveUp');
@@ -132,9 +132,9 @@
   }
 
   #tryRead(calling: Calling, done: ReadDone): void {
-    const { agenda, recorder } = this.#around;
+    const { scheduler, recorder } = this.#around;
     const node = this.#nextNode(calling);
-    const sentAt = agenda.now;
+    const sentAt = scheduler.now;
     const operator = this.id;
     const settle = this.#settleRead.bind(this, done);
     const again = this.#again.bind(this, calling, this.#tryRead.bind(this, calling, done));
@@ -145,17 +145,13 @@
         return;
       }
       const { document, evacuated } = read;
-      recorder.read({ operator, node, sentAt, endedAt: agenda.now, document, evacuated });
+      recorder.read({ operator, node, sentAt, endedAt: scheduler.now, document, evacuated });
       settle(document?.version ?? 0);
     }
     this.#call(node, calling, ended);
   }
 
-  #call(
-    node: string,
-    calling: Calling,
-    ended: (answer: OperatorAnswer | undefined) => void,
-  ): void {
+  #call(node: string, calling: Calling, ended: (answer: OperatorAnswer | undefined) => void): void {
     const { network, isAnswerLost } = this.#around;
     const { call } = calling;
     new CallAttempt({ network, caller: this, node, call, isAnswerLost, ended }).send();
@@ -163,12 +159,12 @@
 
   /** Goes on to another node after a pause; says whether it may. */
   #again(calling: Calling, next: () => void): boolean {
-    const { agenda, random } = this.#around;
+    const { scheduler, random } = this.#around;
     const pause = Math.min(MOST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** calling.failures);
     calling.failures += 1;
     const delay = pause * random.between(0.8, 1.2);
-    if (agenda.now + delay > calling.until) return false;
-    agenda.after(delay, next);
+    if (scheduler.now + delay > calling.until) return false;
+    scheduler.after(delay, next);
     return true;
   }
 
--- a/src/simulation/OperatorPlan.ts
+++ b/src/simulation/OperatorPlan.ts
@@ -1,5 +1,5 @@
-import type { Agenda } from '../myth/Agenda.js';
-import type { Seeded } from '../myth/Seeded.js';
+import type { Scheduler } from '../rehearsal/Scheduler.js';
+import type { Seeded } from '../rehearsal/Seeded.js';
 import type { Order } from './History.js';
 import type { OpenOrder } from './HistoryRecorder.js';
 import type { OperatorClient, OrderOutcome } from './OperatorClient.js';
@@ -30,7 +30,7 @@
 const FIRST_VERSION = 1;
 
 export interface OperatorPlanSettings {
-  readonly agenda: Agenda;
+  readonly scheduler: Scheduler;
   readonly random: Seeded;
   readonly client: OperatorClient;
   /** The zones that this operator alone empties and gives back. */
@@ -89,8 +89,8 @@
   }
 
   #schedule(): void {
-    const { agenda, random, paceMs } = this.#settings;
-    agenda.after(random.between(0.1, 1.9) * paceMs, this.#step.bind(this));
+    const { scheduler, random, paceMs } = this.#settings;
+    scheduler.after(random.between(0.1, 1.9) * paceMs, this.#step.bind(this));
   }
 
   #step(): void {
--- a/src/simulation/PlainDialect.ts
+++ b/src/simulation/PlainDialect.ts
@@ -1,5 +1,5 @@
 import { array, boolean, integer, optional, string, type, type Infer } from 'superstruct';
-import { parseAs } from '../kin/Json.js';
+import { parseAs } from '../common/Json.js';
 import type { ConfigDialect, Routing, RoutingFault } from '../route/Routing.js';
 
 /** A document of the simulated operators: its version and named items. */
--- a/src/simulation/RandomStreams.ts
+++ b/src/simulation/RandomStreams.ts
@@ -1,4 +1,4 @@
-import { Seeded } from '../myth/Seeded.js';
+import { Seeded } from '../rehearsal/Seeded.js';
 
 const FNV_OFFSET = 2166136261;
 const FNV_PRIME = 16777619;
--- a/src/simulation/ScheduleDraw.ts
+++ b/src/simulation/ScheduleDraw.ts
@@ -1,4 +1,4 @@
-import type { Seeded } from '../myth/Seeded.js';
+import type { Seeded } from '../rehearsal/Seeded.js';
 import { TROUBLE_FROM_MS } from './ControlSimulation.js';
 import {
   EVENTS,
--- a/src/simulation/Shrinker.ts
+++ b/src/simulation/Shrinker.ts
@@ -40,7 +40,7 @@
 
   #leaveOut(schedule: Schedule): Schedule {
     let left = schedule;
-    for (let pieces = 2; left.length > 0; ) {
+    for (let pieces = 2; left.length > 0;) {
       const smaller = this.#withoutOnePiece(left, pieces);
       if (smaller) {
         left = smaller;
--- a/src/simulation/SimDisk.test.ts
+++ b/src/simulation/SimDisk.test.ts
@@ -1,12 +1,12 @@
 import { expect, test } from 'vitest';
-import { CONFIG_PART } from '../hold/PartNames.js';
-import { Agenda } from '../myth/Agenda.js';
-import { Seeded } from '../myth/Seeded.js';
+import { CONFIG_PART } from '../state/PartNames.js';
+import { Scheduler } from '../rehearsal/Scheduler.js';
+import { Seeded } from '../rehearsal/Seeded.js';
 import { SimDisk } from './SimDisk.js';
 
 class DiskUser {
-  readonly agenda = new Agenda();
-  readonly disk = new SimDisk(this.agenda, new Seeded(5));
+  readonly scheduler = new Scheduler();
+  readonly disk = new SimDisk(this.scheduler, new Seeded(5));
   readonly told: string[] = [];
 
   write(count: number): void {
@@ -16,7 +16,7 @@
   }
 
   run(millis: number): void {
-    this.agenda.runUntil(this.agenda.now + millis);
+    this.scheduler.runUntil(this.scheduler.now + millis);
   }
 
   get body(): string {
--- a/src/simulation/SimDisk.ts
+++ b/src/simulation/SimDisk.ts
@@ -1,8 +1,8 @@
-import { compareVersions, type Version } from '../kin/Version.js';
-import type { PartName } from '../kin/Ids.js';
-import type { StoredPart } from '../hold/Store.js';
-import type { Agenda } from '../myth/Agenda.js';
-import type { Seeded } from '../myth/Seeded.js';
+import { compareVersions, type Version } from '../common/Version.js';
+import type { PartName } from '../common/Ids.js';
+import type { StoredPart } from '../state/Store.js';
+import type { Scheduler } from '../rehearsal/Scheduler.js';
+import type { Seeded } from '../rehearsal/Seeded.js';
 
 export type DiskTrouble = 'none' | 'slow' | 'stalled' | 'full';
 
@@ -34,7 +34,7 @@
  * done once it is synced; one that was under way at a crash may be found or not.
  */
 export class SimDisk {
-  readonly #agenda: Agenda;
+  readonly #scheduler: Scheduler;
   readonly #random: Seeded;
   readonly #kept = new Map<PartName, StoredPart>();
   /** Everything that was ever kept since the last wipe, so that an old state can be put back. */
@@ -46,8 +46,8 @@
   #trouble: DiskTrouble = 'none';
   #writes = 0;
 
-  constructor(agenda: Agenda, random: Seeded) {
-    this.#agenda = agenda;
+  constructor(scheduler: Scheduler, random: Seeded) {
+    this.#scheduler = scheduler;
     this.#random = random;
   }
 
@@ -81,13 +81,7 @@
     else run();
   }
 
-  write(
-    part: PartName,
-    version: Version,
-    body: string,
-    done: () => void,
-    fail: () => void,
-  ): void {
+  write(part: PartName, version: Version, body: string, done: () => void, fail: () => void): void {
     const before = this.#waiting.get(part);
     if (before && compareVersions(before.version, version) > 0) {
       before.done.push(done);
@@ -135,8 +129,9 @@
     const age = this.#age;
     const finish = this.#finish.bind(this, write, age);
     const reach = this.whenAnswering.bind(this, finish);
-    if (this.#trouble === 'full') this.#agenda.after(FULL_MS, this.#refuse.bind(this, write, age));
-    else this.#agenda.after(millis, reach);
+    if (this.#trouble === 'full')
+      this.#scheduler.after(FULL_MS, this.#refuse.bind(this, write, age));
+    else this.#scheduler.after(millis, reach);
   }
 
   #finish(write: Write, age: number): void {
@@ -157,7 +152,7 @@
 
   #keep(write: Write): void {
     const stored = { part: write.part, version: write.version, body: write.body, isSound: true };
-    this.#log.push({ at: this.#agenda.now, stored });
+    this.#log.push({ at: this.#scheduler.now, stored });
     this.#put(stored);
   }
 
--- a/src/simulation/SimExchange.ts
+++ b/src/simulation/SimExchange.ts
@@ -1,5 +1,5 @@
-import type { Message } from '../kin/Messages.js';
-import type { Moment } from '../kin/Ids.js';
+import type { Message } from '../common/Messages.js';
+import type { Moment } from '../common/Ids.js';
 import type { Endpoint, Payload } from './Endpoint.js';
 import { packMessage, unpackMessage } from './MessageCopy.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
@@ -58,7 +58,12 @@
   #dials = 0;
   #checkedAt: Moment;
 
-  constructor(host: Host, network: SimNetwork, settings: SimExchangeSettings, owner: ExchangeOwner) {
+  constructor(
+    host: Host,
+    network: SimNetwork,
+    settings: SimExchangeSettings,
+    owner: ExchangeOwner,
+  ) {
     this.#host = host;
     this.#network = network;
     this.#settings = settings;
@@ -66,7 +71,7 @@
     this.#checkedAt = host.process.now();
   }
 
-  /** Called at each begin of the process; whatever a former life knew is gone. */
+  /** Called at each begin of the process; whatever a former incarnation knew is gone. */
   open(): void {
     this.#lines = new Map();
     this.#all = new Set();
--- a/src/simulation/SimNetwork.test.ts
+++ b/src/simulation/SimNetwork.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest';
-import { Agenda } from '../myth/Agenda.js';
-import { Seeded } from '../myth/Seeded.js';
+import { Scheduler } from '../rehearsal/Scheduler.js';
+import { Seeded } from '../rehearsal/Seeded.js';
 import type { Endpoint } from './Endpoint.js';
 import { RandomStreams } from './RandomStreams.js';
 import { SimNetwork, type Host } from './SimNetwork.js';
@@ -15,9 +15,9 @@
   isPowered = true;
   isListening = true;
 
-  constructor(id: string, agenda: Agenda) {
+  constructor(id: string, scheduler: Scheduler) {
     this.id = id;
-    this.process = new SimProcess(agenda, new Seeded(3), 0);
+    this.process = new SimProcess(scheduler, new Seeded(3), 0);
     this.process.begin();
   }
 
@@ -40,10 +40,10 @@
 }
 
 class Pair {
-  readonly agenda = new Agenda();
-  readonly network = new SimNetwork(this.agenda, new RandomStreams(1));
-  readonly near = new ListeningHost('near', this.agenda);
-  readonly far = new ListeningHost('far', this.agenda);
+  readonly scheduler = new Scheduler();
+  readonly network = new SimNetwork(this.scheduler, new RandomStreams(1));
+  readonly near = new ListeningHost('near', this.scheduler);
+  readonly far = new ListeningHost('far', this.scheduler);
 
   constructor() {
     this.network.join(this.near);
@@ -57,7 +57,7 @@
   }
 
   run(millis: number): void {
-    this.agenda.runUntil(this.agenda.now + millis);
+    this.scheduler.runUntil(this.scheduler.now + millis);
   }
 
   send(...texts: readonly string[]): void {
--- a/src/simulation/SimNetwork.ts
+++ b/src/simulation/SimNetwork.ts
@@ -1,4 +1,4 @@
-import type { Agenda } from '../myth/Agenda.js';
+import type { Scheduler } from '../rehearsal/Scheduler.js';
 import type { RandomStreams } from './RandomStreams.js';
 import { Endpoint } from './Endpoint.js';
 import type { SimProcess } from './SimProcess.js';
@@ -40,7 +40,7 @@
  * connection or lost power.
  */
 export class SimNetwork {
-  readonly #agenda: Agenda;
+  readonly #scheduler: Scheduler;
   readonly #streams: RandomStreams;
   readonly #hosts = new Map<string, Host>();
   readonly #endpoints = new Set<Endpoint>();
@@ -51,13 +51,13 @@
   #connections = 0;
   #packets = 0;
 
-  constructor(agenda: Agenda, streams: RandomStreams) {
-    this.#agenda = agenda;
+  constructor(scheduler: Scheduler, streams: RandomStreams) {
+    this.#scheduler = scheduler;
     this.#streams = streams;
   }
 
-  get agenda(): Agenda {
-    return this.#agenda;
+  get scheduler(): Scheduler {
+    return this.#scheduler;
   }
 
   get packets(): number {
@@ -101,7 +101,7 @@
       return;
     }
     this.#cuts.delete(key);
-    this.#healedAt.set(key, this.#agenda.now);
+    this.#healedAt.set(key, this.#scheduler.now);
     this.#release(from, to);
   }
 
@@ -120,7 +120,7 @@
 
   connect(from: Host, to: string, port: Port, dialer: Dialer): void {
     const arrive = this.#arrive.bind(this, from, to, port, dialer);
-    this.#agenda.after(this.delay(from.id, to), arrive);
+    this.#scheduler.after(this.delay(from.id, to), arrive);
   }
 
   countPacket(): void {
@@ -161,7 +161,7 @@
     const random = this.#streams.of('releases');
     for (const endpoint of this.#endpoints) {
       if (!endpoint.isFromTo(from, to) || !endpoint.isHeldUp) continue;
-      this.#agenda.after(random.between(0, AFTER_HEAL_MS), endpoint.pump.bind(endpoint));
+      this.#scheduler.after(random.between(0, AFTER_HEAL_MS), endpoint.pump.bind(endpoint));
     }
   }
 
@@ -171,7 +171,7 @@
     const cut = this.#cuts.get(linkKey(from.id, to));
     const isRefused = cut?.style === 'refuse' || (!cut && target?.isPowered && !target.isListening);
     if (isRefused) {
-      if (!this.isCut(to, from.id)) this.#agenda.after(wayBack, dialer.refused.bind(dialer));
+      if (!this.isCut(to, from.id)) this.#scheduler.after(wayBack, dialer.refused.bind(dialer));
       return;
     }
     if (cut || !target?.isPowered || this.isCut(to, from.id)) return;
@@ -184,6 +184,6 @@
     this.#endpoints.add(far);
     // A frozen process has a kernel that accepts for it; it hears of the connection at the thaw.
     target.process.submit(stream, target.accept.bind(target, far, port));
-    this.#agenda.after(wayBack, dialer.connected.bind(dialer, near));
+    this.#scheduler.after(wayBack, dialer.connected.bind(dialer, near));
   }
 }
--- a/src/simulation/SimProcess.test.ts
+++ b/src/simulation/SimProcess.test.ts
@@ -1,35 +1,35 @@
 import { expect, test } from 'vitest';
-import { Agenda } from '../myth/Agenda.js';
-import { Seeded } from '../myth/Seeded.js';
+import { Scheduler } from '../rehearsal/Scheduler.js';
+import { Seeded } from '../rehearsal/Seeded.js';
 import { SimProcess } from './SimProcess.js';
 
 interface Loop {
-  readonly agenda: Agenda;
+  readonly scheduler: Scheduler;
   readonly process: SimProcess;
   readonly seen: string[];
   readonly note: (text: string) => () => void;
 }
 
 function loopOf(seed: number): Loop {
-  const agenda = new Agenda();
-  const process = new SimProcess(agenda, new Seeded(seed), 0.01);
+  const scheduler = new Scheduler();
+  const process = new SimProcess(scheduler, new Seeded(seed), 0.01);
   const seen: string[] = [];
   function note(text: string): () => void {
     return seen.push.bind(seen, text);
   }
   process.begin();
-  return { agenda, process, seen, note };
+  return { scheduler, process, seen, note };
 }
 
 /** What a thaw takes, in its order: two streams of input and a timer. */
 function thawed(seed: number): readonly string[] {
-  const { agenda, process, seen, note } = loopOf(seed);
+  const { scheduler, process, seen, note } = loopOf(seed);
   process.after(10, note('timer'));
-  agenda.runUntil(5);
+  scheduler.runUntil(5);
   process.freeze();
   for (const text of ['a1', 'a2', 'a3']) process.submit('a', note(text));
   for (const text of ['b1', 'b2']) process.submit('b', note(text));
-  agenda.runUntil(100);
+  scheduler.runUntil(100);
   expect(seen).toEqual([]);
   process.thaw();
   return seen;
@@ -59,39 +59,39 @@
 }
 
 function checkTimers(): void {
-  const { agenda, process, seen, note } = loopOf(1);
+  const { scheduler, process, seen, note } = loopOf(1);
   process.every(50, note('beat'));
-  agenda.runUntil(220);
+  scheduler.runUntil(220);
   expect(seen).toHaveLength(4);
   process.freeze();
-  agenda.runUntil(2000);
+  scheduler.runUntil(2000);
   process.thaw();
   // Many spans went by, and one call became due.
   expect(seen).toHaveLength(5);
 }
 
 function checkLives(): void {
-  const { agenda, process, seen, note } = loopOf(1);
+  const { scheduler, process, seen, note } = loopOf(1);
   process.after(10, note('of the first life'));
   process.end();
   process.submit('a', note('while down'));
   process.begin();
-  agenda.runUntil(100);
+  scheduler.runUntil(100);
   expect(seen).toEqual([]);
 }
 
 function checkClock(): void {
-  const { agenda, process } = loopOf(7);
+  const { scheduler, process } = loopOf(7);
   const before = process.now();
-  agenda.runUntil(10_000);
+  scheduler.runUntil(10_000);
   const elapsed = process.now() - before;
   expect(Math.abs(elapsed - 10_000)).toBeLessThanOrEqual(100);
   process.freeze();
-  agenda.runUntil(20_000);
+  scheduler.runUntil(20_000);
   expect(process.now() - before).toBeGreaterThan(elapsed);
 }
 
 test('a thaw takes input and timers in any order that keeps each stream', checkThaw);
 test('of a repeated timer one call is due after a freeze', checkTimers);
-test('nothing of a former life runs in the next', checkLives);
+test('nothing of a former incarnation runs in the next', checkLives);
 test('its clock runs within its drift, also while it is frozen', checkClock);
--- a/src/simulation/SimProcess.ts
+++ b/src/simulation/SimProcess.ts
@@ -1,6 +1,6 @@
-import { moment, type Moment } from '../kin/Ids.js';
-import type { Agenda } from '../myth/Agenda.js';
-import type { Seeded } from '../myth/Seeded.js';
+import { moment, type Moment } from '../common/Ids.js';
+import type { Scheduler } from '../rehearsal/Scheduler.js';
+import type { Seeded } from '../rehearsal/Seeded.js';
 
 type ProcessState = 'down' | 'running' | 'frozen';
 
@@ -23,17 +23,17 @@
  * become ready meanwhile are taken at the thaw, in a drawn order that keeps each stream in sequence.
  */
 export class SimProcess {
-  readonly #agenda: Agenda;
+  readonly #scheduler: Scheduler;
   readonly #random: Seeded;
   #rate: number;
   #offset: number;
   #state: ProcessState = 'down';
-  #life = 0;
+  #incarnation = 0;
   #held: HeldInput[] = [];
   #thawedAt = -Infinity;
 
-  constructor(agenda: Agenda, random: Seeded, drift: number) {
-    this.#agenda = agenda;
+  constructor(scheduler: Scheduler, random: Seeded, drift: number) {
+    this.#scheduler = scheduler;
     this.#random = random;
     this.#rate = 1 + random.between(-drift, drift);
     this.#offset = random.between(0, 1e6);
@@ -63,24 +63,24 @@
 
   /** Its own monotonic clock, never compared with another's. */
   now(): Moment {
-    return moment(this.#agenda.now * this.#rate + this.#offset);
+    return moment(this.#scheduler.now * this.#rate + this.#offset);
   }
 
   /** From here on its clock runs at another rate; it never jumps. */
   setRate(rate: number): void {
     const now = this.now();
     this.#rate = rate;
-    this.#offset = now - this.#agenda.now * rate;
+    this.#offset = now - this.#scheduler.now * rate;
   }
 
   begin(): void {
-    this.#life += 1;
+    this.#incarnation += 1;
     this.#state = 'running';
     this.#held = [];
   }
 
   end(): void {
-    this.#life += 1;
+    this.#incarnation += 1;
     this.#state = 'down';
     this.#held = [];
   }
@@ -92,13 +92,13 @@
   thaw(): void {
     if (this.#state !== 'frozen') return;
     this.#state = 'running';
-    this.#thawedAt = this.#agenda.now;
+    this.#thawedAt = this.#scheduler.now;
     const held = this.#held;
     this.#held = [];
-    const life = this.#life;
+    const incarnation = this.#incarnation;
     for (const input of this.#reordered(held)) {
       // What was held belongs to this life alone; an input may freeze or end the process again.
-      if (this.#life !== life) return;
+      if (this.#incarnation !== incarnation) return;
       this.submit(input.stream, input.run);
     }
   }
@@ -112,10 +112,10 @@
 
   /** A function that does its work only while this life lasts. */
   inThisLife(run: () => void): () => void {
-    const life = this.#life;
+    const incarnation = this.#incarnation;
     const isSame = this.#isLife.bind(this);
     function guarded(): void {
-      if (isSame(life)) run();
+      if (isSame(incarnation)) run();
     }
     return guarded;
   }
@@ -124,7 +124,7 @@
   after(millis: number, run: () => void): void {
     const late = this.#random.between(0, TIMER_LATE_MS);
     const due = this.submit.bind(this, TIMERS, run);
-    this.#agenda.after(millis / this.#rate + late, this.inThisLife(due));
+    this.#scheduler.after(millis / this.#rate + late, this.inThisLife(due));
   }
 
   /** Runs again and again; while the process is frozen one call becomes due, not many. */
@@ -137,8 +137,8 @@
     after(tick);
   }
 
-  #isLife(life: number): boolean {
-    return this.#life === life;
+  #isLife(incarnation: number): boolean {
+    return this.#incarnation === incarnation;
   }
 
   #reordered(held: readonly HeldInput[]): HeldInput[] {
--- a/src/simulation/StateRules.ts
+++ b/src/simulation/StateRules.ts
@@ -1,8 +1,14 @@
 import { array, number, optional, string, type } from 'superstruct';
-import { CONFIG_PART } from '../hold/PartNames.js';
-import { parseAs } from '../kin/Json.js';
-import { compareVersions, isNewer, NO_VERSION, versionText, type Version } from '../kin/Version.js';
-import type { NewsItem, Relay } from '../news/Relay.js';
+import { CONFIG_PART } from '../state/PartNames.js';
+import { parseAs } from '../common/Json.js';
+import {
+  compareVersions,
+  isNewer,
+  NO_VERSION,
+  versionText,
+  type Version,
+} from '../common/Version.js';
+import type { NewsItem, Relay } from '../dissemination/Relay.js';
 import type { ControlNode } from './ControlNode.js';
 import type { OperatorAnswer } from './OperatorCall.js';
 import type { Report } from './Violation.js';
@@ -75,8 +81,8 @@
   }
 
   /** Looks at what a node or agent holds as committed; `life` tells its lives apart. */
-  watch(id: string, life: number, relay: Relay): void {
-    const key = `${id} ${life}`;
+  watch(id: string, incarnation: number, relay: Relay): void {
+    const key = `${id} ${incarnation}`;
     const version = relay.version('config');
     const shown = this.#shown.get(key);
     if (shown && compareVersions(version, shown.version) === 0) return;
