--- a/src/simulation/FaultDriver.ts
+++ b/src/simulation/FaultDriver.ts
@@ -1,7 +1,7 @@
 import type { ControlNode } from './ControlNode.js';
 import { toleratedOf } from './Options.js';
 import type { SimulationOptions } from './Options.js';
-import type { Fault, Schedule, Target } from './Faults.js';
+import type { Fault, Schedule, Target, When } from './Faults.js';
 import type { FaultTargets } from './FaultTargets.js';
 import { LinkFaults } from './LinkFaults.js';
 import { MachineFaults, type FaultSurroundings, type Undo } from './MachineFaults.js';
@@ -19,10 +19,12 @@
 
 /** A fault that would lose too much waits its turn, at most so long. */
 const RETRY_MS = 250;
-const MOST_WAIT_MS = 6000;
+const MOST_WAIT_MS = 10_000;
+/** A fault whose event does not come strikes so long after it began to wait for it. */
+const MOST_EVENT_WAIT_MS = 3000;
 
 /**
- * Carries out a schedule: each fault when it is due, or after the event it waits for, on the machine
+ * Carries out a schedule: each fault when it is due, or right after the event it waits for, on the machine
  * that its target names then; within the losses that the run allows. All are taken back at the end.
  */
 export class FaultDriver {
@@ -51,15 +53,28 @@
   }
 
   #plan(fault: Fault): void {
-    const { after, now, events } = this.#settings;
+    const { after, now } = this.#settings;
     const { when } = fault;
     const due = this.#due.bind(this, fault);
     if (when.kind === 'at') {
       after(when.at - now(), due);
       return;
     }
-    const wait = after.bind(undefined, when.delay, due);
-    after(when.from - now(), events.once.bind(events, when.event, wait));
+    after(when.from - now(), this.#await.bind(this, fault, when));
+  }
+
+  /** Whichever comes first: its event, or the end of the wait for it. */
+  #await(fault: Fault, when: Extract<When, { kind: 'after' }>): void {
+    const { after, events } = this.#settings;
+    const due = this.#due.bind(this, fault);
+    let isDue = false;
+    function once(): void {
+      if (isDue) return;
+      isDue = true;
+      after(when.delay, due);
+    }
+    events.once(when.event, once);
+    after(MOST_EVENT_WAIT_MS, once);
   }
 
   #due(fault: Fault): void {
