--- a/src/commands.ts
+++ b/src/commands.ts
@@ -4,6 +4,7 @@
 import { ControlCommand } from './control/ControlCommand.js';
 import { FleetCommand } from './rehearsal/FleetCommand.js';
 import { MeasureCommand } from './rehearsal/MeasureCommand.js';
+import { SimulateControlCommand } from './rehearsal/SimulateControlCommand.js';
 import { ScaleCommand } from './rehearsal/ScaleCommand.js';
 import { StormCommand } from './rehearsal/StormCommand.js';
 import { StubCommand } from './rehearsal/StubCommand.js';
@@ -27,6 +28,7 @@
   proxy: ProxyCommand,
   agent: AgentCommand,
   control: ControlCommand,
+  'rehearsal:control': SimulateControlCommand,
   'rehearsal:fleet': FleetCommand,
   'rehearsal:measure': MeasureCommand,
   'rehearsal:scale': ScaleCommand,
--- /dev/null
+++ b/src/simulation/OperatorPort.ts
@@ -0,0 +1,90 @@
+import type { Moment } from '../common/Ids.js';
+import type { Seeded } from '../rehearsal/Seeded.js';
+import type { Endpoint, Payload } from './Endpoint.js';
+import {
+  answerOf,
+  commandOf,
+  decodeCall,
+  encodeAnswer,
+  type CoreCommand,
+  type OperatorAnswer,
+  type OperatorCall,
+} from './OperatorCall.js';
+
+export interface OperatorPortSettings {
+  readonly random: Seeded;
+  readonly now: () => Moment;
+  /** Hands a command on to the core, under a number of its own. */
+  readonly command: (id: number, command: CoreCommand) => void;
+  /** An answer is about to be written. */
+  readonly answering: (call: OperatorCall, answer: OperatorAnswer) => void;
+}
+
+interface PendingCall {
+  readonly call: OperatorCall;
+  readonly endpoint: Endpoint;
+  readonly since: Moment;
+}
+
+const ID_RANGE = 2 ** 31;
+
+/** The operators' interface of a control node, as the platform adapter translates it. */
+export class OperatorPort {
+  readonly #settings: OperatorPortSettings;
+  #pending = new Map<number, PendingCall>();
+  #commandId = 0;
+
+  constructor(settings: OperatorPortSettings) {
+    this.#settings = settings;
+  }
+
+  /** A new process knows of no call. */
+  open(): void {
+    this.#pending = new Map();
+  }
+
+  accept(endpoint: Endpoint): void {
+    const take = this.#take.bind(this, endpoint);
+    function data(payload: Payload): void {
+      take(payload);
+    }
+    function closed(): void {
+      /* Nobody waits for the answer any more; the call is worked through all the same. */
+    }
+    endpoint.handler = { data, closed };
+  }
+
+  /** The core's word on a command. */
+  reply(id: number, told: OperatorAnswer): void {
+    const pending = this.#pending.get(id);
+    if (!pending) return;
+    this.#pending.delete(id);
+    const answer = answerOf(pending.call, told);
+    this.#settings.answering(pending.call, answer);
+    pending.endpoint.send(encodeAnswer(answer));
+  }
+
+  /** How many reads have waited here for longer than so long. */
+  readsWaiting(millis: number): number {
+    const now = this.#settings.now();
+    let count = 0;
+    for (const { call, since } of this.#pending.values()) {
+      if (call.method === 'GET' && now - since > millis) count += 1;
+    }
+    return count;
+  }
+
+  #take(endpoint: Endpoint, text: string): void {
+    const call = decodeCall(text);
+    if (!call) return;
+    this.#commandId += 1;
+    const id = this.#commandId;
+    this.#pending.set(id, { call, endpoint, since: this.#settings.now() });
+    this.#settings.command(id, commandOf(call, this.#newId.bind(this)));
+  }
+
+  #newId(): string {
+    const { random } = this.#settings;
+    return `zone-${random.below(ID_RANGE)}-${random.below(ID_RANGE)}`;
+  }
+}
