Run builds of the control side with one thing wrong each

Most are the real core with hooks around it, which alter what it hears, says, writes or answers; parts that a core makes for itself are exchanged on their class for the time of a run, so that the product has no opening for tests. The simulator takes its cores from a build, which is its only seam.

--- a/src/simulation/AgentNode.ts
+++ b/src/simulation/AgentNode.ts
@@ -1,8 +1,9 @@
 import type { Message } from '../common/Messages.js';
-import { AgentCore } from '../agent/AgentCore.js';
+import type { AgentCore } from '../agent/AgentCore.js';
 import type { Scheduler } from '../rehearsal/Scheduler.js';
 import type { Seeded } from '../rehearsal/Seeded.js';
 import { AGENT_BEAT_MS, AGENT_BLIND_MS } from './DeployedSettings.js';
+import type { CoreBuild } from './mutants/CoreBuild.js';
 import type { Endpoint } from './Endpoint.js';
 import { SimExchange } from './SimExchange.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
@@ -13,6 +14,8 @@
   readonly random: Seeded;
   readonly network: SimNetwork;
   readonly drift: number;
+  /** Makes its core. */
+  readonly build: CoreBuild;
   /** After every input of an agent's core. */
   readonly stepped: (node: AgentNode) => void;
 }
@@ -67,7 +70,7 @@
     this.process.begin();
     const incarnation = this.#around.random.below(LIFE_RANGE);
     const settings = { me: this.id, zone: this.zone, seeds, blindMs: AGENT_BLIND_MS, incarnation };
-    this.#core = new AgentCore({ ...settings, isDeployed: true }, this.process.now());
+    this.#core = this.#around.build.agent({ ...settings, isDeployed: true }, this.process.now());
     this.#exchange.open();
     this.process.every(AGENT_BEAT_MS, this.#tick.bind(this));
     this.#tick();
--- a/src/simulation/ControlNode.ts
+++ b/src/simulation/ControlNode.ts
@@ -1,6 +1,6 @@
 import type { Moment } from '../common/Ids.js';
 import type { Message } from '../common/Messages.js';
-import { ControlCore } from '../control/ControlCore.js';
+import type { ControlCore } from '../control/ControlCore.js';
 import {
   CONTROL_DEFAULTS,
   type ControlEffect,
@@ -20,6 +20,7 @@
   LIST_MS,
   RETIRE_MS,
 } from './DeployedSettings.js';
+import type { CoreBuild } from './mutants/CoreBuild.js';
 import type { Endpoint } from './Endpoint.js';
 import { LeasedOrder } from './LeasedOrder.js';
 import type { CoreCommand, OperatorAnswer, OperatorCall } from './OperatorCall.js';
@@ -49,6 +50,8 @@
   readonly observer: ControlObserver;
   readonly runners: readonly ListedRunner[];
   readonly drift: number;
+  /** Makes its core. */
+  readonly build: CoreBuild;
 }
 
 type StoreEffect = Extract<ControlEffect, { do: 'store' }>;
@@ -198,7 +201,8 @@
     };
     const vote = { ...VOTE_DEFAULTS, ...DEPLOYED_VOTE, leaseMs: LEASE_MS };
     this.#operators.open();
-    this.#core = new ControlCore(settings, this.disk.list(), this.process.now(), vote);
+    const inputs = { settings, stored: this.disk.list(), now: this.process.now(), vote };
+    this.#core = this.#around.build.control(inputs);
     this.#exchange.open();
     this.process.every(CONTROL_BEAT_MS, this.#tick.bind(this));
     this.#tick();
--- a/src/simulation/ControlSimulation.ts
+++ b/src/simulation/ControlSimulation.ts
@@ -13,6 +13,7 @@
 import { HolderRules } from './HolderRules.js';
 import { judgeHistory } from './JudgedHistory.js';
 import { LossBudget } from './LossBudget.js';
+import { SOUND_BUILD, type CoreBuild } from './mutants/CoreBuild.js';
 import { NodeWatch } from './NodeWatch.js';
 import type { OperatorAnswer, OperatorCall } from './OperatorCall.js';
 import { OperatorClient } from './OperatorClient.js';
@@ -68,7 +69,7 @@
   #lostAnswers = 0;
   #hasBegun = false;
 
-  constructor(options: SimulationOptions, log: RunLog) {
+  constructor(options: SimulationOptions, log: RunLog, build: CoreBuild) {
     this.#options = options;
     this.#streams = new RandomStreams(options.seed);
     this.#log = this.#logAt.bind(this, log);
@@ -82,6 +83,7 @@
       options,
       observer: this.#observer(),
       agentStepped: this.#agentStepped.bind(this),
+      build,
       orderArrived: this.#orderArrived.bind(this),
     });
     this.#targets = new FaultTargets(this.#fleet, this.#events);
@@ -347,6 +349,7 @@
   options: SimulationOptions,
   schedule: Schedule,
   log: RunLog = silence,
+  build: CoreBuild = SOUND_BUILD,
 ): Outcome {
-  return new ControlSimulation(options, log).run(schedule);
+  return new ControlSimulation(options, log, build).run(schedule);
 }
--- a/src/simulation/Fleet.ts
+++ b/src/simulation/Fleet.ts
@@ -6,6 +6,7 @@
 import { FakeRunner, type OrderListener } from './FakeRunner.js';
 import type { SimulationOptions } from './Options.js';
 import type { RandomStreams } from './RandomStreams.js';
+import type { CoreBuild } from './mutants/CoreBuild.js';
 import { SimNetwork } from './SimNetwork.js';
 import { SimProcess } from './SimProcess.js';
 
@@ -22,6 +23,8 @@
   readonly options: SimulationOptions;
   readonly observer: ControlObserver;
   readonly agentStepped: (node: AgentNode) => void;
+  /** Makes the cores of all processes. */
+  readonly build: CoreBuild;
   readonly orderArrived: OrderListener;
 }
 
@@ -153,7 +156,7 @@
   #addControl(): ControlNode {
     const place = this.#controls.size + 1;
     const id = `control-${place}:7660`;
-    const { scheduler, streams, observer } = this.#settings;
+    const { scheduler, streams, observer, build } = this.#settings;
     const random = streams.of(id);
     const zone = ZONES[(place - 1) % ZONES.length] ?? ZONES[0];
     const runners = this.#runners;
@@ -164,6 +167,7 @@
       observer,
       runners,
       drift: MOST_DRIFT,
+      build,
     };
     const node = new ControlNode(id, zone, around);
     this.#controls.set(id, node);
@@ -173,10 +177,10 @@
 
   #addAgent(index: number): void {
     const id = `agent-${index + 1}:7661`;
-    const { scheduler, streams, agentStepped: stepped } = this.#settings;
+    const { scheduler, streams, agentStepped: stepped, build } = this.#settings;
     const random = streams.of(id);
     const zone = ZONES[index % ZONES.length] ?? ZONES[0];
-    const around = { scheduler, random, network: this.network, drift: MOST_DRIFT, stepped };
+    const around = { scheduler, random, network: this.network, drift: MOST_DRIFT, stepped, build };
     const agent = new AgentNode(id, zone, around);
     this.#agents.push(agent);
     this.network.join(agent);
--- /dev/null
+++ b/src/simulation/mutants/AgentMutants.ts
@@ -0,0 +1,20 @@
+import { AgentCore } from '../../agent/AgentCore.js';
+import type { Moment } from '../../common/Ids.js';
+import type { Message } from '../../common/Messages.js';
+import { isNewer } from '../../common/Version.js';
+
+/** Agents that hold configuration wrongly. */
+
+/** Takes any configuration that it is told for a newer one. */
+export class TakesOlder extends AgentCore {
+  override receive(now: Moment, from: string, role: string, message: Message): void {
+    super.receive(now, from, role, this.#asNewer(message));
+  }
+
+  #asNewer(message: Message): Message {
+    if (message.kind !== 'update' || message.topic !== 'config') return message;
+    const held = this.relay.version('config');
+    if (isNewer(message, held)) return message;
+    return { ...message, epoch: held.epoch, count: held.count + 1 };
+  }
+}
--- /dev/null
+++ b/src/simulation/mutants/ElectionMutants.ts
@@ -0,0 +1,138 @@
+import { number, string, type } from 'superstruct';
+import { moment, type Moment, type PartName } from '../../common/Ids.js';
+import { parseAs } from '../../common/Json.js';
+import type { Message } from '../../common/Messages.js';
+import type { Version } from '../../common/Version.js';
+import type { ControlEffect } from '../../control/ControlEffect.js';
+import { VOTE_PART } from '../../state/PartNames.js';
+import type { StoredPart } from '../../state/Store.js';
+import type { ControlInputs } from './CoreBuild.js';
+import { InterceptedControl, type Heard } from './InterceptedControl.js';
+
+const VoteBodyShape = type({ epoch: number(), grantEpoch: number(), grantLeader: string() });
+
+/** Control nodes that elect, grant or hold leases wrongly. */
+
+/** Leaves no span without orders between two holders. */
+export class LeavesNoGap extends InterceptedControl {
+  constructor(inputs: ControlInputs) {
+    super({ ...inputs, vote: { ...inputs.vote, leaseMs: 0 } });
+  }
+}
+
+/** Counts its own renewals as granted by everybody. */
+export class RenewsItself extends InterceptedControl {
+  protected override carryOut(effect: ControlEffect): readonly ControlEffect[] {
+    if (effect.do === 'send' && effect.message.kind === 'renew') {
+      const { epoch, nonce } = effect.message;
+      this.pretend(effect.to, { kind: 'renewed', epoch, nonce });
+    }
+    return [effect];
+  }
+}
+
+/** Grants an epoch without telling how long older promises bind. */
+export class HidesPromises extends InterceptedControl {
+  protected override carryOut(effect: ControlEffect): readonly ControlEffect[] {
+    if (effect.do !== 'send' || effect.message.kind !== 'granted') return [effect];
+    return [{ ...effect, message: { ...effect.message, wait: 0 } }];
+  }
+}
+
+/** Defers to whoever proposes itself and grants an epoch to whoever asks, also to a second one. */
+export class GrantsTwice extends InterceptedControl {
+  protected override hear(from: string, message: Message): readonly Heard[] {
+    const { record } = this.elector;
+    if (message.kind === 'propose' && message.epoch === record.epoch) {
+      this.say(from, { kind: 'defer', epoch: message.epoch, reports: [] });
+    } else if (message.kind === 'victory' && message.epoch === record.grantEpoch) {
+      const { epoch, nonce } = message;
+      if (record.grantLeader !== from)
+        this.say(from, { kind: 'granted', epoch, wait: 0, nonce, reports: [] });
+    }
+    return [{ from, message }];
+  }
+}
+
+/** Takes the outcome of an election that a minority has deferred to. */
+export class WinsByOne extends InterceptedControl {
+  protected override carryOut(effect: ControlEffect): readonly ControlEffect[] {
+    if (effect.do === 'send' && effect.message.kind === 'victory') {
+      const { epoch, nonce } = effect.message;
+      this.pretend(effect.to, { kind: 'granted', epoch, wait: 0, nonce, reports: [] });
+    }
+    return [effect];
+  }
+}
+
+/** Forgets at a restart whom it granted its last epoch, and what it promised. */
+export class ForgetsGrants extends InterceptedControl {
+  constructor(inputs: ControlInputs) {
+    super({ ...inputs, stored: inputs.stored.map(withoutGrant) });
+  }
+}
+
+function withoutGrant(stored: StoredPart): StoredPart {
+  const record = stored.part === VOTE_PART ? parseAs(VoteBodyShape, stored.body) : undefined;
+  if (!record) return stored;
+  const body = JSON.stringify({ epoch: record.epoch, grantEpoch: 0, grantLeader: '' });
+  return { ...stored, body };
+}
+
+/** The wall clock is set back by so much, so often. */
+const STEP_MS = 4000;
+const STEP_EVERY_MS = 5000;
+
+/** Measures its spans by a wall clock, which is set back and forth. */
+export class LeasesByWallClock extends InterceptedControl {
+  /** How far the wall clock is behind at the input that is being worked on. */
+  #behindMs = 0;
+
+  constructor(inputs: ControlInputs) {
+    super({ ...inputs, now: wallClock(inputs.now) });
+  }
+
+  override mayOrder(now: Moment): boolean {
+    return super.mayOrder(this.#read(now));
+  }
+
+  /** The sender of orders counts by a clock that runs evenly. */
+  override leaseEnd(): Moment {
+    return moment(super.leaseEnd() + this.#behindMs);
+  }
+
+  override tick(now: Moment): void {
+    super.tick(this.#read(now));
+  }
+
+  override receive(now: Moment, from: string, message: Message, zone: string = ''): void {
+    super.receive(this.#read(now), from, message, zone);
+  }
+
+  override gone(now: Moment, from: string): void {
+    super.gone(this.#read(now), from);
+  }
+
+  override stored(now: Moment, part: PartName, version: Version): void {
+    super.stored(this.#read(now), part, version);
+  }
+
+  override command(now: Moment, id: number, verb: string, body: string): void {
+    super.command(this.#read(now), id, verb, body);
+  }
+
+  override retire(now: Moment): boolean {
+    return super.retire(this.#read(now));
+  }
+
+  #read(now: Moment): Moment {
+    const wall = wallClock(now);
+    this.#behindMs = now - wall;
+    return wall;
+  }
+}
+
+function wallClock(now: Moment): Moment {
+  const steps = Math.floor(now / STEP_EVERY_MS);
+  return moment(now - (steps % 2) * STEP_MS);
+}
--- /dev/null
+++ b/src/simulation/mutants/Mutants.test.ts
@@ -0,0 +1,52 @@
+import { expect, test } from 'vitest';
+import { Quorum } from '../../common/Quorum.js';
+import { nodeId } from '../../common/Ids.js';
+import { huntOptions, huntSchedule, runMutant, runSound } from './MutantHunt.js';
+import { MUTANTS, type Mutant, type MutantName } from './Mutants.js';
+import { halfIsMajority } from './ExchangedParts.js';
+
+/** Mutants that few seeds catch; all of them are run by hand with `haretrack simulate mutants`. */
+const QUICK = ['refusal-by-uncommitted'] as const satisfies readonly MutantName[];
+const QUICK_SEEDS = 2;
+
+function rulesBroken(name: MutantName, seed: number): Set<string> {
+  const rules = new Set<string>();
+  for (const { rule } of runMutant(name, seed).violations) rules.add(rule);
+  return rules;
+}
+
+function isCaught(name: MutantName): boolean {
+  const mutant: Mutant = MUTANTS[name];
+  for (let seed = 1; seed <= QUICK_SEEDS; seed += 1) {
+    expect(runSound(name, seed).violations).toEqual([]);
+    const broken = rulesBroken(name, seed);
+    if (mutant.rules.some(broken.has, broken)) return true;
+  }
+  return false;
+}
+
+function checkCaught(name: MutantName): void {
+  expect(isCaught(name)).toBe(true);
+}
+test.each(QUICK)('a build with %s is caught, and the sound build is clean', checkCaught);
+
+function checkSchedules(): void {
+  for (const { faults } of Object.values<Mutant>(MUTANTS)) {
+    const options = huntOptions(1);
+    const schedule = huntSchedule(options, faults);
+    expect(schedule.length).toBeGreaterThan(0);
+    expect(huntSchedule(options, faults)).toEqual(schedule);
+    if (typeof faults === 'function') continue;
+    for (const { kind } of schedule) expect(faults).toContain(kind);
+  }
+}
+test('a schedule has faults of the wanted kinds alone, the same for the same seed', checkSchedules);
+
+function checkRestored(): void {
+  const quorum = new Quorum([nodeId('a'), nodeId('b'), nodeId('c')]);
+  const restore = halfIsMajority();
+  expect(quorum.isMajority(new Set([nodeId('a')]))).toBe(true);
+  restore();
+  expect(quorum.isMajority(new Set([nodeId('a')]))).toBe(false);
+}
+test('an exchanged part is put back', checkRestored);
