--- a/src/simulation/mutants/AimedSchedules.ts
+++ b/src/simulation/mutants/AimedSchedules.ts
@@ -113,10 +113,30 @@
   return [
     { ...spare, target: silent },
     freeze(silent, from, 7000),
-    cut(FOLLOWER, from + random.between(1000, 2400), 4000),
+    cut(FOLLOWER, from + random.between(1400, 2100), 4000),
   ];
 }
 
+function unfilledRepairRound(random: Seeded, from: number): Fault[] {
+  const lossAt = from + random.between(1000, 1400);
+  const after: When = {
+    kind: 'after',
+    event: 'repaired',
+    from: lossAt,
+    delay: random.between(0, 10),
+  };
+  return [
+    cut(place(2), from, lossAt - from + 50),
+    { kind: 'wipe', target: place(1), when: at(lossAt), forMs: 600, othersLosePower: true },
+    { kind: 'kill', target: place(0), when: after, forMs: 5000 },
+  ];
+}
+
+/** One voter is behind, all lose power and another its disk; once that is repaired, the one that holds all is lost. */
+export function repairThenLoss(random: Seeded): Fault[] {
+  return rounds(random, unfilledRepairRound);
+}
+
 function restartedVotersRound(random: Seeded, from: number): Fault[] {
   const faults = [cut(LEADER, from, 6500)];
   for (let node = 0; node < 3; node += 1) {
@@ -164,3 +184,40 @@
 export function tornElections(random: Seeded): Fault[] {
   return rounds(random, tornElectionRound);
 }
+
+const SHORT_ROUND_MS = 4200;
+const SHORT_ROUNDS = 4;
+
+function shortRounds(random: Seeded, round: (random: Seeded, from: number) => Fault[]): Fault[] {
+  const faults: Fault[] = [];
+  for (let count = 0; count < SHORT_ROUNDS; count += 1) {
+    const from = FIRST_ROUND_MS + count * SHORT_ROUND_MS + random.between(0, 300);
+    faults.push(...round(random, from));
+  }
+  return faults;
+}
+
+function heldCallsRound(random: Seeded, from: number): Fault[] {
+  const cutAt = from + random.between(850, 950);
+  const callers = {
+    kind: 'operatorCut',
+    when: at(cutAt),
+    forMs: 3500,
+    direction: 'both',
+  } as const;
+  return [freeze(FOLLOWER, from, 2600), { ...callers, target: FOLLOWER }];
+}
+
+/** A node stands still with calls in its buffers, and their callers' closes don't reach it. */
+export function heldCalls(random: Seeded): Fault[] {
+  return shortRounds(random, heldCallsRound);
+}
+
+function heldForwardsRound(random: Seeded, from: number): Fault[] {
+  return [cut(from, random.between(2000, 2800))];
+}
+
+/** What a node has passed on is held up on its line. */
+export function heldForwards(random: Seeded): Fault[] {
+  return shortRounds(random, heldForwardsRound);
+}
--- a/src/simulation/mutants/ExchangedParts.ts
+++ b/src/simulation/mutants/ExchangedParts.ts
@@ -117,3 +117,14 @@
 function restoreCheckForwarded(checkForwarded: OrderForwarding['checkForwarded']): void {
   OrderForwarding.prototype.checkForwarded = checkForwarded;
 }
+
+/** Orders that name no version are taken however old they are, wherever they waited. */
+export function ageUnjudged(): Restore {
+  const restoreNode = ageAtNodeUnjudged();
+  const restoreWay = ageOnTheWayUnjudged();
+  function restore(): void {
+    restoreNode();
+    restoreWay();
+  }
+  return restore;
+}
--- a/src/simulation/mutants/MutantHunt.ts
+++ b/src/simulation/mutants/MutantHunt.ts
@@ -23,7 +23,7 @@
 }
 
 const TROUBLE_MS = 16_000;
-const PACE_MS = 300;
+const PACE_MS = 200;
 const FAULTS = 8;
 /** Schedules are drawn until enough faults of the wanted kinds have come up. */
 const MOST_DRAWS = 500;
--- a/src/simulation/mutants/Mutants.ts
+++ b/src/simulation/mutants/Mutants.ts
@@ -8,8 +8,11 @@
 import {
   cutLeaders,
   frozenLeaders,
+  heldCalls,
+  heldForwards,
   laggardElected,
   repairBesideOneBehind,
+  repairThenLoss,
   restartedVoters,
   stalledVotes,
   swapBesideCut,
@@ -51,6 +54,7 @@
 import {
   ageAtNodeUnjudged,
   ageOnTheWayUnjudged,
+  ageUnjudged,
   halfIsMajority,
   judgedByEitherSet,
   judgedByNewSetAlone,
@@ -118,7 +122,7 @@
   'refusal-by-uncommitted': {
     what: 'an order is refused for a winner that is not committed',
     rules: ['refused-for-a-winner-that-never-was'],
-    faults: LEADER_LOSS,
+    faults: cutLeaders,
     build: builtBy(RefusesByUncommitted),
   },
   'identity-forgotten': {
@@ -175,16 +179,22 @@
     faults: ['cut', 'freeze', 'slowLinks', 'agentCut', 'agentFreeze'],
     build: olderUpdateBuild,
   },
+  'late-evacuation': {
+    what: 'evacuations are taken however old they are',
+    rules: ['late-evacuation', 'late-restore'],
+    faults: heldCalls,
+    exchange: ageUnjudged,
+  },
   'late-evacuation-at-node': {
     what: 'a node that stood still takes evacuations that waited for it',
     rules: ['late-evacuation', 'late-restore'],
-    faults: ['freeze', 'operatorCut', 'slowCalls'],
+    faults: heldCalls,
     exchange: ageAtNodeUnjudged,
   },
   'late-evacuation-on-the-way': {
     what: 'a leader takes evacuations that were passed on long ago, in whatever epoch',
     rules: ['late-evacuation', 'late-restore'],
-    faults: ['cut', 'slowLinks', 'freeze'],
+    faults: heldForwards,
     exchange: ageOnTheWayUnjudged,
   },
   'configuration-unsynced': {
@@ -233,7 +243,7 @@
   'repaired-without-copies': {
     what: 'a repaired voter counts without the copies that others hold',
     rules: ['acknowledged-lost', 'lost-accepted', 'stale-read'],
-    faults: ['wipe', 'replace', 'kill'],
+    faults: repairThenLoss,
     build: builtBy(RepairsWithoutCopies),
   },
   'repair-skips-one': {
@@ -296,7 +306,7 @@
   'renews-itself': {
     what: 'a leader renews its lease without a majority',
     rules: ['two-holders', 'lower-fence', 'stale-read'],
-    faults: ['cut', 'freeze'],
+    faults: cutLeaders,
     build: builtBy(RenewsItself),
   },
   'grants-twice': {
