--- a/src/simulation/ControlNode.ts
+++ b/src/simulation/ControlNode.ts
@@ -85,6 +85,7 @@
     this.#operators = new OperatorPort({
       random: around.random,
       now: this.now.bind(this),
+      nextTurn: this.process.after.bind(this.process, 0),
       command: this.#command.bind(this),
       answering: this.#answering.bind(this),
     });
--- a/src/simulation/OperatorPort.ts
+++ b/src/simulation/OperatorPort.ts
@@ -14,6 +14,8 @@
 export interface OperatorPortSettings {
   readonly random: Seeded;
   readonly now: () => Moment;
+  /** Runs once the event loop has read what lies right behind the input that it works on. */
+  readonly nextTurn: (run: () => void) => void;
   /** Hands a command on to the core, under a number of its own. */
   readonly command: (id: number, command: CoreCommand) => void;
   /** An answer is about to be written. */
@@ -49,7 +51,7 @@
       take(payload);
     }
     function closed(): void {
-      /* Nobody waits for the answer any more; the call is worked through all the same. */
+      /* Nobody waits for the answer any more; the endpoint knows. */
     }
     endpoint.handler = { data, closed };
   }
@@ -77,6 +79,16 @@
   #take(endpoint: Endpoint, text: string): void {
     const call = decodeCall(text);
     if (!call) return;
+    // An evacuation names no version: one whose caller has hung up was sent again elsewhere.
+    if ('zone' in call) this.#settings.nextTurn(this.#beginWanted.bind(this, endpoint, call));
+    else this.#begin(endpoint, call);
+  }
+
+  #beginWanted(endpoint: Endpoint, call: OperatorCall): void {
+    if (endpoint.isOpen) this.#begin(endpoint, call);
+  }
+
+  #begin(endpoint: Endpoint, call: OperatorCall): void {
     this.#commandId += 1;
     const id = this.#commandId;
     this.#pending.set(id, { call, endpoint, since: this.#settings.now() });
