--- a/src/simulation/ScheduleDraw.ts
+++ b/src/simulation/ScheduleDraw.ts
@@ -58,6 +58,11 @@
   ['restart', 'leader'],
 ] as const;
 
+/** Now and then a run is long, and its changes are many: more than the edits that are remembered. */
+const LONG_SHARE = 1 / 60;
+const LONG_TROUBLE_MS = 60_000;
+const LONG_PACE_MS = 60;
+
 const LEAST_FAULTS = 3;
 const MOST_FAULTS = 14;
 /** Most spans are short; some are as long as the longest that the contract knows. */
@@ -236,13 +241,14 @@
 /** Other settings of a run that a seed decides, where they are not given. */
 export function drawOptions(seed: number, nodes: 3 | 5): SimulationOptions {
   const random = new RandomStreams(seed).of('options');
+  const isLong = random.isLikely(LONG_SHARE);
   return {
     seed,
     nodes,
     agents: 2 + random.below(3),
-    troubleMs: pick(random, [10_000, 20_000, 30_000]),
+    troubleMs: isLong ? LONG_TROUBLE_MS : pick(random, [10_000, 20_000, 30_000]),
     lossLimit: random.isLikely(0.7) ? 'tolerated' : 'any',
     isFenced: random.isLikely(0.3),
-    paceMs: pick(random, [300, 600, 1200]),
+    paceMs: isLong ? LONG_PACE_MS : pick(random, [300, 600, 1200]),
   };
 }
--- a/src/simulation/SimDisk.ts
+++ b/src/simulation/SimDisk.ts
@@ -27,6 +27,9 @@
 const MOST_WRITE_MS = 5;
 const SLOW_FACTOR = 30;
 const FULL_MS = 1;
+/** How far back an old state may lie, and how many writes are remembered before older ones go. */
+const LOGGED_MS = 12_000;
+const MOST_LOGGED = 1000;
 
 /**
  * The disk of a control node, with the store's own rules: whole versions of parts, one write of a
@@ -37,7 +40,7 @@
   readonly #scheduler: Scheduler;
   readonly #random: Seeded;
   readonly #kept = new Map<PartName, StoredPart>();
-  /** Everything that was ever kept since the last wipe, so that an old state can be put back. */
+  /** What was kept lately, so that an old state can be put back; older than that only the newest of each part. */
   #log: Kept[] = [];
   readonly #waiting = new Map<PartName, Write>();
   readonly #active = new Map<PartName, Write>();
@@ -153,9 +156,18 @@
   #keep(write: Write): void {
     const stored = { part: write.part, version: write.version, body: write.body, isSound: true };
     this.#log.push({ at: this.#scheduler.now, stored });
+    if (this.#log.length > MOST_LOGGED) this.#forgetOld();
     this.#put(stored);
   }
 
+  #forgetOld(): void {
+    const until = this.#scheduler.now - LOGGED_MS;
+    const newest = new Map<PartName, Kept>();
+    for (const kept of this.#log) if (kept.at <= until) newest.set(kept.stored.part, kept);
+    const recent = this.#log.filter(isAfter.bind(undefined, until));
+    this.#log = [...newest.values(), ...recent];
+  }
+
   /** Of the files of a part the one with the newest name counts, whichever was written last. */
   #put(stored: StoredPart): void {
     const known = this.#kept.get(stored.part);
@@ -164,6 +176,10 @@
   }
 }
 
+function isAfter(moment: number, kept: Kept): boolean {
+  return kept.at > moment;
+}
+
 function isBefore(moment: number, kept: Kept): boolean {
   return kept.at <= moment;
 }
--- a/src/simulation/StateRules.ts
+++ b/src/simulation/StateRules.ts
@@ -41,8 +41,8 @@
 }
 
 function versionOf(text: string): Version {
-  const [epoch = 0, count = 0] = text.split('.').map(Number);
-  return { epoch, count };
+  const [epoch = '0', count = '0'] = text.split('.');
+  return { epoch: Number(epoch), count: Number(count) };
 }
 
 function majorityOf(set: readonly string[]): number {
