--- a/src/commands.ts
+++ b/src/commands.ts
@@ -20,6 +20,7 @@
 } from './operator/EditCommands.js';
 import { ImportCommand } from './operator/ImportCommand.js';
 import { CountersCommand, StatusCommand } from './operator/ShowCommands.js';
+import { MutantCommand } from './simulation/mutants/MutantCommand.js';
 import { TableCommand } from './operator/TableCommand.js';
 
 /** Every subcommand of the one binary. */
@@ -34,6 +35,7 @@
   'rehearsal:scale': ScaleCommand,
   'rehearsal:stub': StubCommand,
   'rehearsal:storm': StormCommand,
+  'simulation:mutants': MutantCommand,
   'operator:counters': CountersCommand,
   'operator:edit': AskEditCommand,
   'operator:evacuate': EvacuateCommand,
--- a/src/simulation/mutants/ExchangedParts.ts
+++ b/src/simulation/mutants/ExchangedParts.ts
@@ -97,7 +97,7 @@
 }
 
 /** A node that stood still takes whatever waited for it meanwhile. */
-export function ageAtNodeUnjudged(): Restore {
+function ageAtNodeUnjudged(): Restore {
   const before = OrderForwarding.prototype.checkAge;
   OrderForwarding.prototype.checkAge = judgeNothing;
   return restoreCheckAge.bind(undefined, before);
@@ -108,7 +108,7 @@
 }
 
 /** A leader takes orders that were passed on to it however long ago, and in whatever epoch. */
-export function ageOnTheWayUnjudged(): Restore {
+function ageOnTheWayUnjudged(): Restore {
   const before = OrderForwarding.prototype.checkForwarded;
   OrderForwarding.prototype.checkForwarded = judgeNothing;
   return restoreCheckForwarded.bind(undefined, before);
