--- a/src/simulation/MachineFaults.ts
+++ b/src/simulation/MachineFaults.ts
@@ -138,9 +138,8 @@
       for (const other of fleet.present) {
         if (other !== node) undos.push(this.losePower(other, 'drawn'));
       }
-      this.#around.settled.disturb(MOST_LOST);
     }
-    return undoAll.bind(undefined, undos);
+    return fault.othersLosePower ? this.#whileMostAreLost(undos) : undoAll.bind(undefined, undos);
   }
 
   oldDisk(node: ControlNode, ageMs: number): Undo {
@@ -153,17 +152,24 @@
   killAll(): Undo {
     const undos: Undo[] = [];
     for (const node of this.#around.fleet.present) undos.push(this.kill(node));
-    return this.#undoMost.bind(this, undos);
+    return this.#whileMostAreLost(undos);
   }
 
   losePowerAll(unsynced: UnsyncedFate): Undo {
     const undos: Undo[] = [];
     for (const node of this.#around.fleet.present) undos.push(this.losePower(node, unsynced));
+    return this.#whileMostAreLost(undos);
+  }
+
+  /** Less than half of the core runs meanwhile: nothing is settled. */
+  #whileMostAreLost(undos: readonly Undo[]): Undo {
+    this.#around.settled.beginUnsteady();
     return this.#undoMost.bind(this, undos);
   }
 
   #undoMost(undos: readonly Undo[]): void {
     undoAll(undos);
+    this.#around.settled.endUnsteady();
     this.#around.settled.disturb(MOST_LOST);
   }
 
