--- a/src/simulation/mutants/Mutants.test.ts
+++ b/src/simulation/mutants/Mutants.test.ts
@@ -6,8 +6,23 @@
 import { halfIsMajority } from './ExchangedParts.js';
 
 /** Mutants that few seeds catch; all of them are run by hand with `haretrack simulation mutants`. */
-const QUICK = ['refusal-by-uncommitted'] as const satisfies readonly MutantName[];
-const QUICK_SEEDS = 2;
+const QUICK = [
+  'refusal-by-uncommitted',
+  'identity-forgotten',
+  'identities-in-memory',
+  'reads-at-followers',
+  'late-evacuation',
+  'vote-unsynced',
+  'leads-by-own-copies',
+  'wiped-disk-counts',
+  'repaired-without-copies',
+  'repair-skips-one',
+  'swap-without-joint-set',
+  'joint-by-new-set-alone',
+  'no-gap-between-holders',
+  'grants-forgotten',
+] as const satisfies readonly MutantName[];
+const QUICK_SEEDS = 1;
 
 function rulesBroken(name: MutantName, seed: number): Set<string> {
   const rules = new Set<string>();
