--- a/src/commands.ts
+++ b/src/commands.ts
@@ -4,6 +4,7 @@
 import { ControlCommand } from './control/ControlCommand.js';
 import { FleetCommand } from './rehearsal/FleetCommand.js';
 import { MeasureCommand } from './rehearsal/MeasureCommand.js';
+import { SimulateControlCommand } from './rehearsal/SimulateControlCommand.js';
 import { ScaleCommand } from './rehearsal/ScaleCommand.js';
 import { StormCommand } from './rehearsal/StormCommand.js';
 import { StubCommand } from './rehearsal/StubCommand.js';
@@ -19,6 +20,7 @@
 } from './operator/EditCommands.js';
 import { ImportCommand } from './operator/ImportCommand.js';
 import { CountersCommand, StatusCommand } from './operator/ShowCommands.js';
+import { MutantCommand } from './simulation/mutants/MutantCommand.js';
 import { TableCommand } from './operator/TableCommand.js';
 
 /** Every subcommand of the one binary. */
@@ -27,11 +29,13 @@
   proxy: ProxyCommand,
   agent: AgentCommand,
   control: ControlCommand,
+  'rehearsal:control': SimulateControlCommand,
   'rehearsal:fleet': FleetCommand,
   'rehearsal:measure': MeasureCommand,
   'rehearsal:scale': ScaleCommand,
   'rehearsal:stub': StubCommand,
   'rehearsal:storm': StormCommand,
+  'simulation:mutants': MutantCommand,
   'operator:counters': CountersCommand,
   'operator:edit': AskEditCommand,
   'operator:evacuate': EvacuateCommand,
