--- a/src/simulation/mutants/ExchangedParts.ts
+++ b/src/simulation/mutants/ExchangedParts.ts
@@ -16,7 +16,7 @@
   function nextAtOnce(this: VoterPlan, ...inputs: Parameters<VoterPlan['next']>): VoterChange {
     const change = next.apply(this, inputs);
     if (change.do !== 'voters') return change;
-    return { do: 'voters', voters: change.voters.slice(-1) };
+    return { ...change, voters: change.voters.slice(-1) };
   }
   VoterPlan.prototype.next = nextAtOnce;
   return restoreNext.bind(undefined, next);
--- a/src/simulation/mutants/StateMutants.ts
+++ b/src/simulation/mutants/StateMutants.ts
@@ -1,8 +1,8 @@
 import type { PartName } from '../../common/Ids.js';
 import type { Message } from '../../common/Messages.js';
-import { parseAs } from '../../common/Json.js';
 import { isNewer } from '../../common/Version.js';
-import { ConfigDocShape, type ConfigDoc } from '../../control/ConfigDoc.js';
+import { decodeConfigDoc, encodeConfigDoc } from '../../control/ConfigCodec.js';
+import type { ConfigDoc } from '../../control/ConfigDoc.js';
 import type { ControlEffect } from '../../control/ControlEffect.js';
 import { allParts, CONFIG_PART, VOTE_PART } from '../../state/PartNames.js';
 import type { StoredPart } from '../../state/Store.js';
@@ -91,8 +91,8 @@
   }
 
   #alter(body: string): string {
-    const doc = parseAs(ConfigDocShape, body);
-    return doc ? JSON.stringify(this.altered(doc)) : body;
+    const doc = decodeConfigDoc(body);
+    return doc ? encodeConfigDoc(this.altered(doc)) : body;
   }
 }
 
