--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -7,8 +7,8 @@
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import { AgentCore } from './AgentCore.js';
 
-const TICK_MS = 100;
-const BLIND_MS = 2500;
+export const AGENT_TICK_MS = 100;
+export const AGENT_BLIND_MS = 2500;
 
 export interface AgentSettings {
   /** Where nodes reach it, and where it feeds the proxy beside it. */
@@ -39,7 +39,7 @@
       this.#tell.bind(this),
     );
     this.#core = new AgentCore(
-      { me, zone, seeds, blindMs: BLIND_MS, incarnation: newIncarnation(), isDeployed: true },
+      { me, zone, seeds, blindMs: AGENT_BLIND_MS, incarnation: newIncarnation(), isDeployed: true },
       monotonicNow(),
     );
   }
@@ -54,7 +54,7 @@
     await this.#nodes.open();
     await this.#feed.open();
     this.#subscription.add(
-      interval(TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
+      interval(AGENT_TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
     );
     this.#submit(this.#tick.bind(this));
   }
--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -17,15 +17,23 @@
 import { ControlCore } from './ControlCore.js';
 import { CONTROL_DEFAULTS, type ControlEffect, type OrderResult } from './ControlEffect.js';
 
-const TICK_MS = 50;
-const LIST_MS = 1000;
-const DISK_AGAIN_MS = 500;
-const VOTE = { pingMs: 250, renewMs: 300, electionMs: 500, spanMs: 1500, deadMs: 1200 } as const;
+export const CONTROL_TICK_MS = 50;
+export const LIST_MS = 1000;
+export const DISK_AGAIN_MS = 500;
+export const DEPLOYED_VOTE = {
+  pingMs: 250,
+  renewMs: 300,
+  electionMs: 500,
+  spanMs: 1500,
+  deadMs: 1200,
+} as const;
 /** How long a planned stop waits for orders whose outcome is open. */
-const RETIRE_MS = 1000;
+export const RETIRE_MS = 1000;
+/** How long a session may be silent in a deployment before it counts as lost. */
+export const CONTROL_SILENT_MS = 3000;
 
 function afterTick(done: () => void): void {
-  setTimeout(done, TICK_MS);
+  setTimeout(done, CONTROL_TICK_MS);
 }
 
 export interface ControlProcessSettings {
@@ -110,12 +118,12 @@
       zone,
       seeds: this.#seeds,
       incarnation: newIncarnation(),
-      silentMs: 3000,
+      silentMs: CONTROL_SILENT_MS,
       foundMs: 0,
       deployed,
     };
     // The span in which nobody orders is the deployment's. The others are short, since everything waits for a lost leader.
-    const vote = { ...VOTE_DEFAULTS, ...VOTE, leaseMs };
+    const vote = { ...VOTE_DEFAULTS, ...DEPLOYED_VOTE, leaseMs };
     const core = new ControlCore(settings, stored, monotonicNow(), vote);
     this.#core = core;
     this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
@@ -123,7 +131,7 @@
     await this.#exchange.open();
     if (control !== undefined) await this.#operators.listen(control);
     this.#subscription.add(
-      interval(TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
+      interval(CONTROL_TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
     );
     this.#submit(this.#tick.bind(this));
     this.#log.info({ standing: core.standing.name }, 'control node started');
--- a/src/control/LeasedSend.ts
+++ b/src/control/LeasedSend.ts
@@ -14,10 +14,10 @@
   readonly isWritten: boolean;
 }
 
-const CONNECT_MS = 500;
-const ANSWER_MS = 1000;
+export const CONNECT_MS = 500;
+export const ANSWER_MS = 1000;
 /** No order is written so shortly before the lease ends, and one under way is cut off then. */
-const MARGIN_MS = 350;
+export const MARGIN_MS = 350;
 
 /**
  * Sends a call that only the holder of the lease may make. The connection is made first, so that the lease is checked
--- a/src/dissemination/Exchange.ts
+++ b/src/dissemination/Exchange.ts
@@ -32,13 +32,13 @@
 
 const MAX_FRAME = 64 * 1024 * 1024;
 const MAX_UNSENT = 32 * 1024 * 1024;
-const REDIAL_MS = 100;
-const CONNECT_MS = 500;
+export const REDIAL_MS = 100;
+export const CONNECT_MS = 500;
 /** A line on which nothing was written for so long carries an empty frame; one from which nothing came for longer is dead. */
-const KEEPALIVE_MS = 500;
-const SILENT_MS = 1500;
-const CHECK_MS = 250;
-const MOST_QUEUED = 32;
+export const KEEPALIVE_MS = 500;
+export const SILENT_MS = 1500;
+export const CHECK_MS = 250;
+export const MOST_QUEUED = 32;
 const EMPTY_FRAME = Buffer.alloc(4);
 
 /** One TCP connection: frames of a length and a message, a hello first each way. */
--- a/src/simulation/AgentNode.ts
+++ b/src/simulation/AgentNode.ts
@@ -2,7 +2,7 @@
 import { AgentCore } from '../agent/AgentCore.js';
 import type { Scheduler } from '../rehearsal/Scheduler.js';
 import type { Seeded } from '../rehearsal/Seeded.js';
-import { AGENT_BEAT_MS, AGENT_BLIND_MS } from './DeployedSettings.js';
+import { AGENT_BLIND_MS, AGENT_TICK_MS } from '../agent/AgentProcess.js';
 import type { Endpoint } from './Endpoint.js';
 import { SimExchange } from './SimExchange.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
@@ -69,7 +69,7 @@
     const settings = { me: this.id, zone: this.zone, seeds, blindMs: AGENT_BLIND_MS, incarnation };
     this.#core = new AgentCore({ ...settings, isDeployed: true }, this.process.now());
     this.#exchange.open();
-    this.process.every(AGENT_BEAT_MS, this.#tick.bind(this));
+    this.process.every(AGENT_TICK_MS, this.#tick.bind(this));
     this.#tick();
   }
 
--- a/src/simulation/DeployedSettings.ts
+++ b/src/simulation/ContractBounds.ts
@@ -1,21 +1,4 @@
-/**
- * The spans with which a deployment's processes run their cores, as in `ControlProcess` and
- * `AgentProcess`, and the bounds of the contract that runs are judged by. All are milliseconds.
- */
-export const CONTROL_BEAT_MS = 50;
-export const AGENT_BEAT_MS = 100;
-export const LIST_MS = 1000;
-export const DISK_AGAIN_MS = 500;
-export const RETIRE_MS = 1000;
-export const CONTROL_SILENT_MS = 3000;
-export const AGENT_BLIND_MS = 2500;
-export const DEPLOYED_VOTE = {
-  pingMs: 250,
-  renewMs: 300,
-  electionMs: 500,
-  spanMs: 1500,
-  deadMs: 1200,
-} as const;
+/** The bounds of the contract that runs are judged by, in milliseconds. */
 
 /** Nobody orders a runner for so long between two holders. */
 export const LEASE_MS = 3000;
--- a/src/simulation/ControlNode.ts
+++ b/src/simulation/ControlNode.ts
@@ -11,15 +11,14 @@
 import type { ListedRunner } from '../placement/Fleet.js';
 import { VOTE_DEFAULTS } from '../election/VoteSettings.js';
 import {
-  CONTROL_BEAT_MS,
   CONTROL_SILENT_MS,
+  CONTROL_TICK_MS,
   DEPLOYED_VOTE,
   DISK_AGAIN_MS,
-  GRACE_MS,
-  LEASE_MS,
   LIST_MS,
   RETIRE_MS,
-} from './DeployedSettings.js';
+} from '../control/ControlProcess.js';
+import { GRACE_MS, LEASE_MS } from './ContractBounds.js';
 import type { Endpoint } from './Endpoint.js';
 import { LeasedOrder } from './LeasedOrder.js';
 import type { CoreCommand, OperatorAnswer, OperatorCall } from './OperatorCall.js';
@@ -201,7 +200,7 @@
     this.#operators.open();
     this.#core = new ControlCore(settings, this.disk.list(), this.process.now(), vote);
     this.#exchange.open();
-    this.process.every(CONTROL_BEAT_MS, this.#tick.bind(this));
+    this.process.every(CONTROL_TICK_MS, this.#tick.bind(this));
     this.#tick();
   }
 
@@ -221,8 +220,8 @@
     }
     this.#work(retire);
     // What was said last must leave the process before its lines close.
-    if (isRetired || this.process.now() >= until) this.process.after(CONTROL_BEAT_MS, end);
-    else this.process.after(CONTROL_BEAT_MS, this.#retire.bind(this, until, end));
+    if (isRetired || this.process.now() >= until) this.process.after(CONTROL_TICK_MS, end);
+    else this.process.after(CONTROL_TICK_MS, this.#retire.bind(this, until, end));
   }
 
   #finish(ended: () => void): void {
--- a/src/simulation/ControlSimulation.ts
+++ b/src/simulation/ControlSimulation.ts
@@ -2,7 +2,7 @@
 import { VOTE_PART } from '../state/PartNames.js';
 import type { AgentNode } from './AgentNode.js';
 import type { ControlNode, ControlObserver } from './ControlNode.js';
-import { ACK_MS, RECOVER_MS } from './DeployedSettings.js';
+import { ACK_MS, RECOVER_MS } from './ContractBounds.js';
 import type { ArrivedOrder } from './FakeRunner.js';
 import { FaultDriver } from './FaultDriver.js';
 import type { Schedule } from './Faults.js';
--- a/src/simulation/FaultDriver.ts
+++ b/src/simulation/FaultDriver.ts
@@ -57,7 +57,7 @@
     const { when } = fault;
     const due = this.#due.bind(this, fault);
     if (when.kind === 'at') {
-      after(when.at - now(), due);
+      after(when.at - now(), due.bind(undefined, ''));
       return;
     }
     after(when.from - now(), this.#await.bind(this, fault, when));
@@ -68,25 +68,25 @@
     const { after, events } = this.#settings;
     const due = this.#due.bind(this, fault);
     let isDue = false;
-    function once(): void {
+    function once(about: string): void {
       if (isDue) return;
       isDue = true;
-      after(when.delay, due);
+      after(when.delay, due.bind(undefined, about));
     }
     events.once(when.event, once);
-    after(MOST_EVENT_WAIT_MS, once);
+    after(MOST_EVENT_WAIT_MS, once.bind(undefined, ''));
   }
 
-  #due(fault: Fault): void {
-    this.#strike(fault, this.#settings.now() + MOST_WAIT_MS);
+  #due(fault: Fault, about: string): void {
+    this.#strike(fault, about, this.#settings.now() + MOST_WAIT_MS);
   }
 
-  #strike(fault: Fault, until: number): void {
+  #strike(fault: Fault, about: string, until: number): void {
     const { now, after, log } = this.#settings;
     if (this.#hasEnded) return;
-    const undo = this.#begin(fault);
+    const undo = this.#begin(fault, about);
     if (undo === undefined) {
-      if (now() < until) after(RETRY_MS, this.#strike.bind(this, fault, until));
+      if (now() < until) after(RETRY_MS, this.#strike.bind(this, fault, about, until));
       return;
     }
     this.#struck += 1;
@@ -112,7 +112,7 @@
   }
 
   /** Begins a fault; nothing where it would lose too much at this moment. */
-  #begin(fault: Fault): Undo | undefined {
+  #begin(fault: Fault, about: string): Undo | undefined {
     switch (fault.kind) {
       case 'killAll':
         return this.#machines.killAll();
@@ -127,12 +127,12 @@
       case 'agentCut':
         return this.#beginAgent(fault.kind, fault.agent);
       default:
-        return this.#beginAimed(fault, fault.target);
+        return this.#beginAimed(fault, fault.target, about);
     }
   }
 
-  #beginAimed(fault: Fault, target: Target): Undo | undefined {
-    const node = this.#settings.targets.find(target);
+  #beginAimed(fault: Fault, target: Target, about: string): Undo | undefined {
+    const node = this.#settings.targets.find(target, about);
     if (!node) return undefined;
     return this.#beginCall(fault, node) ?? this.#beginLoss(fault, node);
   }
--- a/src/simulation/FaultTargets.ts
+++ b/src/simulation/FaultTargets.ts
@@ -25,7 +25,8 @@
     this.#called = node;
   }
 
-  find(target: Target): ControlNode | undefined {
+  /** `about`: the node that the event is about after which the fault strikes. */
+  find(target: Target, about: string): ControlNode | undefined {
     const { present } = this.#fleet;
     if (target.kind === 'place') return present[target.place % Math.max(1, present.length)];
     switch (target.role) {
@@ -39,6 +40,8 @@
         return this.#present(this.#called);
       case 'repaired':
         return this.#present(this.#events.last('repaired') ?? '');
+      case 'itself':
+        return this.#present(about);
       case 'newest':
         return present.at(-1);
     }
--- a/src/simulation/Faults.ts
+++ b/src/simulation/Faults.ts
@@ -6,6 +6,7 @@
   'ack',
   'newLeader',
   'leaderLost',
+  'epoch',
   'repaired',
   'jointVoters',
   'newVoters',
@@ -22,7 +23,16 @@
 export type When = Infer<typeof WhenShape>;
 
 /** Which control node a fault strikes; a place counts the nodes that are in the fleet at that moment. */
-export const ROLES = ['leader', 'answered', 'called', 'follower', 'repaired', 'newest'] as const;
+export const ROLES = [
+  'leader',
+  'answered',
+  'called',
+  'follower',
+  'repaired',
+  'newest',
+  /** The node that the awaited event is about. */
+  'itself',
+] as const;
 const TargetShape = union([
   object({ kind: literal('role'), role: enums([...ROLES]) }),
   object({ kind: literal('place'), place: number() }),
--- a/src/simulation/Fleet.ts
+++ b/src/simulation/Fleet.ts
@@ -2,7 +2,7 @@
 import type { ListedRunner } from '../placement/Fleet.js';
 import { AgentNode } from './AgentNode.js';
 import { ControlNode, type ControlObserver } from './ControlNode.js';
-import { SEED_DELAY_MS } from './DeployedSettings.js';
+import { SEED_DELAY_MS } from './ContractBounds.js';
 import { FakeRunner, type OrderListener } from './FakeRunner.js';
 import type { SimulationOptions } from './Options.js';
 import type { RandomStreams } from './RandomStreams.js';
--- a/src/simulation/HolderRules.ts
+++ b/src/simulation/HolderRules.ts
@@ -1,4 +1,4 @@
-import { LEASE_MS, THAW_MS } from './DeployedSettings.js';
+import { LEASE_MS, THAW_MS } from './ContractBounds.js';
 import type { ArrivedOrder } from './FakeRunner.js';
 import type { Report } from './Violation.js';
 
--- a/src/simulation/LeasedOrder.ts
+++ b/src/simulation/LeasedOrder.ts
@@ -1,14 +1,9 @@
 import type { OrderResult } from '../control/ControlEffect.js';
-import type { Lease } from '../control/LeasedSend.js';
+import { ANSWER_MS, CONNECT_MS, MARGIN_MS, type Lease } from '../control/LeasedSend.js';
 import type { Endpoint, Payload } from './Endpoint.js';
 import { ORDER_FENCED, ORDER_TAKEN, type RunnerOrder } from './FakeRunner.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
 
-/** The spans of the real call under a lease (`sendWithinLease`). */
-const CONNECT_MS = 500;
-const ANSWER_MS = 1000;
-const MARGIN_MS = 350;
-
 export interface LeasedOrderSettings {
   readonly network: SimNetwork;
   readonly host: Host;
--- a/src/simulation/LossBudget.test.ts
+++ b/src/simulation/LossBudget.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest';
-import { CATCH_UP_MS } from './DeployedSettings.js';
+import { CATCH_UP_MS } from './ContractBounds.js';
 import { LossBudget } from './LossBudget.js';
 import type { LossLimit } from './Options.js';
 
--- a/src/simulation/LossBudget.ts
+++ b/src/simulation/LossBudget.ts
@@ -1,4 +1,4 @@
-import { CATCH_UP_MS } from './DeployedSettings.js';
+import { CATCH_UP_MS } from './ContractBounds.js';
 import { toleratedOf, type LossLimit } from './Options.js';
 
 /** One that left for good with no successor counts for so long; then the fleet is that much smaller. */
--- a/src/simulation/MachineFaults.ts
+++ b/src/simulation/MachineFaults.ts
@@ -1,5 +1,5 @@
 import type { ControlNode } from './ControlNode.js';
-import { CATCH_UP_MS } from './DeployedSettings.js';
+import { CATCH_UP_MS } from './ContractBounds.js';
 import type { Fault } from './Faults.js';
 import type { Fleet } from './Fleet.js';
 import type { LossBudget } from './LossBudget.js';
--- a/src/simulation/NodeWatch.ts
+++ b/src/simulation/NodeWatch.ts
@@ -13,6 +13,7 @@
   isSound: boolean;
   startedAt: number;
   voters: string;
+  epoch: number;
 }
 
 /** Sees from outside what control nodes go through: reigns, repairs and changes of voters. */
@@ -47,6 +48,7 @@
     const { core } = node;
     this.#noteServing(node, known, core?.isServing === true);
     if (!core) return;
+    this.#noteEpoch(node, known, core.elector.epoch);
     const isSound = core.standing.name === 'sound';
     if (isSound && !known.isSound) this.#noteSound(node, known);
     known.isSound = isSound;
@@ -60,7 +62,14 @@
     const isSound = known?.isSound ?? false;
     const startedAt = this.#settings.now();
     const isServing = known?.isServing ?? false;
-    const fresh = { incarnation: node.incarnation, isServing, isSound, startedAt, voters: '' };
+    const fresh = {
+      incarnation: node.incarnation,
+      isServing,
+      isSound,
+      startedAt,
+      voters: '',
+      epoch: 0,
+    };
     this.#known.set(node.id, fresh);
     return fresh;
   }
@@ -91,6 +100,12 @@
     this.#settings.events.tell('repaired', node.id);
   }
 
+  #noteEpoch(node: ControlNode, known: Known, epoch: number): void {
+    if (known.epoch === epoch) return;
+    known.epoch = epoch;
+    this.#settings.events.tell('epoch', node.id);
+  }
+
   #noteVoters(node: ControlNode, known: Known, voters: readonly string[]): void {
     const text = voters.join(' ');
     const before = known.voters;
--- a/src/simulation/OperatorClient.ts
+++ b/src/simulation/OperatorClient.ts
@@ -1,7 +1,7 @@
 import type { Scheduler } from '../rehearsal/Scheduler.js';
 import type { Seeded } from '../rehearsal/Seeded.js';
 import { CallAttempt } from './CallAttempt.js';
-import { ACK_MS } from './DeployedSettings.js';
+import { ACK_MS } from './ContractBounds.js';
 import type { AttemptOutcome, Order } from './History.js';
 import type { HistoryRecorder, OpenOrder } from './HistoryRecorder.js';
 import { decodeRead, type OperatorAnswer, type OperatorCall } from './OperatorCall.js';
--- a/src/simulation/ScheduleDraw.ts
+++ b/src/simulation/ScheduleDraw.ts
@@ -42,12 +42,15 @@
 
 /** Events with the node that is most worth striking right after them. */
 const AIMS = [
-  ['orderSent', 'called'],
-  ['ack', 'answered'],
+  ['orderSent', 'itself'],
+  ['epoch', 'itself'],
+  ['epoch', 'itself'],
+  ['epoch', 'follower'],
+  ['ack', 'itself'],
   ['ack', 'leader'],
-  ['newLeader', 'leader'],
+  ['newLeader', 'itself'],
   ['leaderLost', 'follower'],
-  ['repaired', 'repaired'],
+  ['repaired', 'itself'],
   ['repaired', 'leader'],
   ['jointVoters', 'leader'],
   ['jointVoters', 'newest'],
@@ -56,6 +59,7 @@
   ['freeze', 'follower'],
   ['cut', 'follower'],
   ['restart', 'leader'],
+  ['restart', 'itself'],
 ] as const;
 
 /** Now and then a run is long, and its changes are many: more than the edits that are remembered. */
--- a/src/simulation/SimExchange.ts
+++ b/src/simulation/SimExchange.ts
@@ -1,5 +1,13 @@
 import type { Message } from '../common/Messages.js';
 import type { Moment } from '../common/Ids.js';
+import {
+  CHECK_MS,
+  CONNECT_MS,
+  KEEPALIVE_MS,
+  MOST_QUEUED,
+  REDIAL_MS,
+  SILENT_MS,
+} from '../dissemination/Exchange.js';
 import type { Endpoint, Payload } from './Endpoint.js';
 import { packMessage, unpackMessage } from './MessageCopy.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
@@ -15,13 +23,6 @@
   readonly zone: string;
 }
 
-/** The spans of the real transport between nodes (`Exchange`). */
-const REDIAL_MS = 100;
-const CONNECT_MS = 500;
-const KEEPALIVE_MS = 500;
-const SILENT_MS = 1500;
-const CHECK_MS = 250;
-const MOST_QUEUED = 32;
 /** An empty frame that only shows that the sender is there. */
 const KEEPALIVE = '';
 
