--- a/src/simulation/FaultDriver.ts
+++ b/src/simulation/FaultDriver.ts
@@ -163,7 +163,21 @@
     const besides = fault.kind === 'cut' ? targets.beside(node, fault.besides) : [];
     const lost = [node, ...besides].map(idOf);
     const isDiskLost = ['wipe', 'replace', 'oldDisk', 'leave'].includes(fault.kind);
-    if (isDiskLost ? !budget.mayLoseDisks(lost) : !budget.mayLose(lost)) return undefined;
+    const mayLose = isDiskLost ? budget.mayLoseDisks(lost) : budget.mayLose(lost);
+    if (!mayLose) return undefined;
+    switch (fault.kind) {
+      case 'disk':
+        return this.#troubleDisk(node, fault.trouble);
+      case 'cut':
+        return this.#links.cut(node, besides, fault);
+      case 'slowLinks':
+        return this.#links.slow(node, fault.delayMs);
+      default:
+        return this.#beginMachine(fault, node);
+    }
+  }
+
+  #beginMachine(fault: Fault, node: ControlNode): Undo | undefined {
     switch (fault.kind) {
       case 'kill':
         return this.#machines.kill(node);
@@ -183,12 +197,6 @@
         return this.#machines.wipe(node, fault);
       case 'oldDisk':
         return this.#machines.oldDisk(node, fault.ageMs);
-      case 'disk':
-        return this.#troubleDisk(node, fault.trouble);
-      case 'cut':
-        return this.#links.cut(node, besides, fault);
-      case 'slowLinks':
-        return this.#links.slow(node, fault.delayMs);
       default:
         return undefined;
     }
--- a/src/simulation/ScheduleDraw.ts
+++ b/src/simulation/ScheduleDraw.ts
@@ -87,6 +87,16 @@
 const STYLES = ['silent', 'silent', 'silent', 'reset', 'refuse'] as const;
 const DISKS = ['slow', 'stalled', 'stalled', 'full'] as const;
 
+/** What every fault of one machine says. */
+interface Aimed {
+  readonly when: When;
+  readonly forMs: number;
+  readonly target: Target;
+}
+
+type AimedKind = Extract<Fault, { target: Target }>['kind'];
+type LinkKind = 'cut' | 'slowLinks' | 'slowCalls' | 'resets' | 'operatorCut';
+
 /** Draws one schedule of faults from a seed. */
 class ScheduleDraw {
   readonly #random: Seeded;
@@ -121,16 +131,32 @@
   #fault(kind: FaultKind, at: number): Fault {
     const { when, target } = this.#aim(at);
     const forMs = this.#span();
-    const timed = { when, forMs };
-    const aimed = { ...timed, target };
+    const aimed = { when, forMs, target };
+    switch (kind) {
+      case 'killAll':
+      case 'powerLossAll':
+        return this.#lossOfAll(kind, when, Math.min(forMs, USUAL_MS));
+      case 'seedTurnover':
+        return { kind, when };
+      case 'answersLost':
+        return { kind, when, forMs, share: pick(this.#random, [0.3, 0.7, 1]) };
+      case 'agentKill':
+      case 'agentFreeze':
+      case 'agentCut':
+        return { kind, when, forMs, agent: this.#random.below(AGENTS) };
+      default:
+        return this.#aimedFault(kind, aimed);
+    }
+  }
+
+  #lossOfAll(kind: 'killAll' | 'powerLossAll', when: When, forMs: number): Fault {
+    if (kind === 'killAll') return { kind, when, forMs };
+    return { kind, when, forMs, unsynced: pick(this.#random, FATES) };
+  }
+
+  #aimedFault(kind: AimedKind, aimed: Aimed): Fault {
     const random = this.#random;
     switch (kind) {
-      case 'kill':
-      case 'freeze':
-      case 'freezeAtOrder':
-      case 'restart':
-      case 'runnerCut':
-        return { kind, ...aimed };
       case 'powerLoss':
         return { kind, ...aimed, unsynced: pick(random, FATES) };
       case 'leave':
@@ -145,34 +171,36 @@
         return { kind, ...aimed, ageMs: Math.round(random.between(100, MOST_OLD_MS)) };
       case 'disk':
         return { kind, ...aimed, trouble: pick(random, DISKS) };
+      case 'clockRate':
+        return { kind, ...aimed, rate: 1 + random.between(-MOST_RATE, MOST_RATE) };
+      case 'cut':
+      case 'slowLinks':
+      case 'slowCalls':
+      case 'resets':
+      case 'operatorCut':
+        return this.#linkFault(kind, aimed);
+      default:
+        return { kind, ...aimed };
+    }
+  }
+
+  #linkFault(kind: LinkKind, aimed: Aimed): Fault {
+    const random = this.#random;
+    switch (kind) {
       case 'cut':
         return this.#cut(aimed);
+      case 'operatorCut':
+        return this.#operatorCut(aimed);
       case 'slowLinks':
         return { kind, ...aimed, delayMs: Math.round(random.between(10, MOST_LINK_DELAY_MS)) };
       case 'slowCalls':
         return { kind, ...aimed, delayMs: Math.round(random.between(10, MOST_CALL_DELAY_MS)) };
       case 'resets':
         return { kind, ...aimed, share: pick(random, [0.3, 0.6, 1]) };
-      case 'clockRate':
-        return { kind, ...aimed, rate: 1 + random.between(-MOST_RATE, MOST_RATE) };
-      case 'operatorCut':
-        return this.#operatorCut(aimed);
-      case 'killAll':
-        return { kind, when, forMs: Math.min(forMs, USUAL_MS) };
-      case 'powerLossAll':
-        return { kind, when, forMs: Math.min(forMs, USUAL_MS), unsynced: pick(random, FATES) };
-      case 'seedTurnover':
-        return { kind, when };
-      case 'answersLost':
-        return { kind, ...timed, share: pick(random, [0.3, 0.7, 1]) };
-      case 'agentKill':
-      case 'agentFreeze':
-      case 'agentCut':
-        return { kind, ...timed, agent: random.below(AGENTS) };
     }
   }
 
-  #cut(aimed: { when: When; forMs: number; target: Target }): Fault {
+  #cut(aimed: Aimed): Fault {
     const random = this.#random;
     // With five nodes a side of two is a minority still.
     const besides = this.#options.nodes === 5 && random.isLikely(0.4) ? 1 : 0;
@@ -181,7 +209,7 @@
   }
 
   /** Most often right as a call is on its way, so that its bytes are held up and arrive late. */
-  #operatorCut(aimed: { when: When; forMs: number; target: Target }): Fault {
+  #operatorCut(aimed: Aimed): Fault {
     const random = this.#random;
     const direction = pick(random, DIRECTIONS);
     if (random.isLikely(0.3)) return { kind: 'operatorCut', ...aimed, direction };
