--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -9,8 +9,8 @@
 import { AgentCore } from './AgentCore.js';
 import { agentState, type AgentState } from './AgentMetrics.js';
 
-const TICK_MS = 100;
-const BLIND_MS = 2500;
+export const AGENT_TICK_MS = 100;
+export const AGENT_BLIND_MS = 2500;
 
 export interface AgentSettings {
   /** Where nodes reach it, and where it feeds the proxy beside it. */
@@ -42,7 +42,7 @@
       this.#tell.bind(this),
     );
     this.#core = new AgentCore(
-      { me, zone, seeds, blindMs: BLIND_MS, incarnation: newIncarnation(), isDeployed: true },
+      { me, zone, seeds, blindMs: AGENT_BLIND_MS, incarnation: newIncarnation(), isDeployed: true },
       monotonicNow(),
     );
   }
@@ -57,7 +57,7 @@
     await this.#nodes.open();
     await this.#feed.open();
     this.#subscription.add(
-      interval(TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
+      interval(AGENT_TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
     );
     this.#submit(this.#tick.bind(this));
   }
