--- /dev/null
+++ b/src/simulation/exhaustive/CalmRun.ts
@@ -0,0 +1,53 @@
+import type { Cluster } from './Cluster.js';
+import type { CalmRun, World } from './Protocol.js';
+import { stepAt, type Step } from './Steps.js';
+
+/** Delivers every message once, in the order of sending, and finishes every write at once. */
+class Calm<Command, Event, Facts, Ghost> implements CalmRun<Command> {
+  readonly #cluster: Cluster<Command, Event, Facts, Ghost>;
+  #world: World<Ghost>;
+
+  constructor(cluster: Cluster<Command, Event, Facts, Ghost>) {
+    this.#cluster = cluster;
+    this.#world = cluster.fresh();
+  }
+
+  get world(): World<Ghost> {
+    return this.#world;
+  }
+
+  beat(node: number): void {
+    this.#run(stepAt('beat', node));
+  }
+
+  command(node: number, command: Command): void {
+    this.#run(stepAt('command', node, this.#cluster.commandId(command)));
+  }
+
+  tick(): void {
+    this.#run(stepAt('tick'));
+  }
+
+  #run(step: Step): void {
+    const waiting = [step];
+    for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
+      const taken = this.#cluster.take(this.#world, next, false);
+      if (!taken) continue;
+      if (taken.violation !== undefined) throw new Error(`the beginning: ${taken.violation}`);
+      this.#world = taken.world;
+      for (const id of taken.sent) {
+        waiting.push(stepAt('receive', this.#cluster.envelope(id).to, id));
+      }
+    }
+  }
+}
+
+/** The cluster as its protocol prepares it: where a search begins. */
+export function prepared<Command, Event, Facts, Ghost>(
+  cluster: Cluster<Command, Event, Facts, Ghost>,
+): World<Ghost> {
+  const calm = new Calm(cluster);
+  cluster.protocol.prepare(calm);
+  const { world } = calm;
+  return cluster.protocol.faults.hasOldMessages ? world : { ...world, messages: '' };
+}
--- /dev/null
+++ b/src/simulation/exhaustive/Cluster.ts
@@ -0,0 +1,268 @@
+import { moment, type Moment } from '../../kin/Ids.js';
+import type { Message } from '../../kin/Messages.js';
+import { written } from './Disk.js';
+import { Interner } from './Interner.js';
+import {
+  LocalStates,
+  type DiskWrite,
+  type Envelope,
+  type Input,
+  type LocalStep,
+} from './LocalStates.js';
+import { withAll } from './MessageText.js';
+import { TICK_MS, type NodeState, type Protocol, type View, type World } from './Protocol.js';
+import type { StateDigest } from './StateDigest.js';
+import type { Step } from './Steps.js';
+
+/** A state after a step, and what the step did. */
+export interface Taken<Ghost> {
+  readonly world: World<Ghost>;
+  readonly sent: readonly number[];
+  /** Whether nothing came of it but messages that had been sent before. */
+  readonly isSame: boolean;
+  readonly violation: string | undefined;
+}
+
+interface Changed<Event> {
+  readonly node: NodeState;
+  readonly messages: string;
+  readonly sent: readonly number[];
+  readonly events: readonly Event[];
+}
+
+/** Several nodes with their disks and the network between them: carries out single steps, whoever chooses them. */
+export class Cluster<Command, Event, Facts, Ghost> {
+  readonly #protocol: Protocol<Command, Event, Facts, Ghost>;
+  readonly #locals: LocalStates<Command, Event, Facts>;
+  readonly #disks = new Interner<readonly DiskWrite[]>();
+  readonly #commands = new Interner<Command>();
+  readonly #ghosts = new Interner<Ghost>();
+  readonly #ghostIds = new WeakMap<object, number>();
+
+  constructor(protocol: Protocol<Command, Event, Facts, Ghost>, digest: StateDigest) {
+    this.#protocol = protocol;
+    this.#locals = new LocalStates(protocol, digest);
+  }
+
+  get protocol(): Protocol<Command, Event, Facts, Ghost> {
+    return this.#protocol;
+  }
+
+  /** How many states single nodes were seen in. */
+  get localStates(): number {
+    return this.#locals.size;
+  }
+
+  /** All nodes just started on the protocol's first disks. */
+  fresh(): World<Ghost> {
+    const { firstDisks, firstGhost, nodes } = this.#protocol;
+    const states: NodeState[] = [];
+    for (const node of nodes.keys()) {
+      const disk = firstDisks[node] ?? [];
+      const local = this.#locals.boot({ node, disk, now: momentOf(0), life: 0 });
+      states.push({ local, disk: this.#disks.idOf(disk), pending: [] });
+    }
+    return { tick: 0, nodes: states, messages: '', restarts: 0, wipes: 0, ghost: firstGhost };
+  }
+
+  key(world: World<Ghost>): string {
+    let text = `${world.tick},${world.restarts},${world.wipes},${this.#ghostId(world.ghost)}`;
+    for (const node of world.nodes) text += `;${node.local},${node.disk},${node.pending.join()}`;
+    return `${text};${world.messages}`;
+  }
+
+  envelope(message: number): Envelope {
+    return this.#locals.envelopes.valueOf(message);
+  }
+
+  commandId(command: Command): number {
+    return this.#commands.idOf(command);
+  }
+
+  commandsOf(world: World<Ghost>): readonly { readonly node: number; readonly item: number }[] {
+    const found: { readonly node: number; readonly item: number }[] = [];
+    for (const { node, command } of this.#protocol.commands(this.#view(world))) {
+      found.push({ node, item: this.commandId(command) });
+    }
+    return found;
+  }
+
+  describe({ kind, node, item }: Step): string {
+    const name = this.#protocol.nodes[node] ?? '';
+    switch (kind) {
+      case 'tick':
+        return 'one tick passes';
+      case 'beat':
+        return `${name} looks at its timers`;
+      case 'sync':
+        return `the disk of ${name} finishes all writes`;
+      case 'restart':
+        return `${name} crashes and restarts with what was synced`;
+      case 'wipe':
+        return `${name} crashes and restarts with an empty disk`;
+      case 'command':
+        return `${name} is told ${JSON.stringify(this.#commands.valueOf(item))}`;
+      case 'drop':
+        return `lost: ${this.#messageText(item)}`;
+      case 'receive':
+        return this.#messageText(item);
+      case 'skip':
+        return `the timers of ${name} are late`;
+      default:
+        return `${kind} ${name}`;
+    }
+  }
+
+  #messageText(item: number): string {
+    const { from, to, messages } = this.envelope(item);
+    const { nodes } = this.#protocol;
+    const texts = messages.map(messageText);
+    return `${nodes[from]} -> ${nodes[to]}: ${texts.join(' + ')}`;
+  }
+
+  /** Carries out one step of a node or the passing of time; nothing where it changes nothing. */
+  take(world: World<Ghost>, step: Step, isStalled: boolean): Taken<Ghost> | undefined {
+    const before = world.nodes[step.node];
+    if (!before) return undefined;
+    if (step.kind === 'tick') {
+      const next = { ...world, tick: world.tick + 1 };
+      return { ...this.#judge(world, next, step, [], []), isSame: false };
+    }
+    const changed = this.#change(world, before, step, isStalled);
+    const isSame =
+      changed.node.local === before.local &&
+      changed.messages === world.messages &&
+      changed.events.length === 0 &&
+      changed.node.pending === before.pending;
+    if (isSame && changed.sent.length === 0) return undefined;
+    const next = {
+      ...world,
+      nodes: world.nodes.with(step.node, changed.node),
+      messages: changed.messages,
+      restarts: world.restarts + (step.kind === 'restart' ? 1 : 0),
+      wipes: world.wipes + (step.kind === 'wipe' ? 1 : 0),
+    };
+    return { ...this.#judge(world, next, step, changed.sent, changed.events), isSame };
+  }
+
+  #change(world: World<Ghost>, node: NodeState, step: Step, isStalled: boolean): Changed<Event> {
+    const now = momentOf(world.tick);
+    switch (step.kind) {
+      case 'sync':
+        return this.#sync(now, { node, messages: world.messages, sent: [], events: [] });
+      case 'restart':
+        return this.#restart(world, step.node, node.disk);
+      case 'wipe':
+        return this.#restart(world, step.node, this.#disks.idOf([]));
+      default: {
+        const input = this.#inputOf(step);
+        const key = `${step.kind} ${step.item}`;
+        const local = this.#locals.step(node.local, now, key, input);
+        const changed = this.#after(node, world.messages, local);
+        return isStalled ? changed : this.#sync(now, changed);
+      }
+    }
+  }
+
+  #inputOf(step: Step): Input<Command> {
+    if (step.kind === 'beat') return { kind: 'beat' };
+    if (step.kind === 'command') {
+      return { kind: 'command', command: this.#commands.valueOf(step.item) };
+    }
+    const { from, messages } = this.envelope(step.item);
+    return { kind: 'receive', from: this.#protocol.nodes[from] ?? '', messages };
+  }
+
+  #restart(world: World<Ghost>, node: number, disk: number): Changed<Event> {
+    const now = momentOf(world.tick);
+    const life = world.restarts + world.wipes + 1;
+    const local = this.#locals.boot({ node, disk: this.#disks.valueOf(disk), now, life });
+    const state = { local, disk, pending: [] };
+    return { node: state, messages: world.messages, sent: [], events: [] };
+  }
+
+  /** Finishes all writes in order, those that this brings about as well. */
+  #sync(now: Moment, changed: Changed<Event>): Changed<Event> {
+    let result = changed;
+    while (result.node.pending.length > 0) {
+      const [first = 0, ...pending] = result.node.pending;
+      const write = this.#locals.writes.valueOf(first);
+      const disk = this.#disks.idOf(written(this.#disks.valueOf(result.node.disk), write));
+      const key = `stored ${first}`;
+      const step = this.#locals.step(result.node.local, now, key, { kind: 'stored', write });
+      const next = this.#after({ ...result.node, disk, pending }, result.messages, step);
+      result = {
+        ...next,
+        sent: [...result.sent, ...next.sent],
+        events: [...result.events, ...next.events],
+      };
+    }
+    return result;
+  }
+
+  #after(node: NodeState, messages: string, step: LocalStep<Event>): Changed<Event> {
+    const pending = step.writes.length === 0 ? node.pending : [...node.pending, ...step.writes];
+    return {
+      node: { local: step.local, disk: node.disk, pending },
+      messages: withAll(messages, step.sends.filter(this.#isWatched, this)),
+      sent: step.sends,
+      events: step.events,
+    };
+  }
+
+  #isWatched(message: number): boolean {
+    return this.envelope(message).messages.some(this.#protocol.isWatched);
+  }
+
+  #judge(
+    world: World<Ghost>,
+    next: World<Ghost>,
+    step: Step,
+    sent: readonly number[],
+    events: readonly Event[],
+  ): Omit<Taken<Ghost>, 'isSame'> {
+    const isTick = step.kind === 'tick';
+    const did = {
+      node: isTick ? undefined : step.node,
+      isTick,
+      isRestart: step.kind === 'restart' || step.kind === 'wipe',
+      command: step.kind === 'command' ? this.#commands.valueOf(step.item) : undefined,
+      sent: sent.map(this.envelope, this),
+      events,
+    };
+    const judged = this.#protocol.judge(this.#view(world), this.#view(next), did);
+    return { world: { ...next, ghost: judged.ghost }, sent, violation: judged.violation };
+  }
+
+  #view(world: World<Ghost>): View<Facts, Ghost> {
+    const facts: Facts[] = [];
+    const disks: (readonly DiskWrite[])[] = [];
+    for (const node of world.nodes) {
+      facts.push(this.#locals.factsOf(node.local));
+      disks.push(this.#disks.valueOf(node.disk));
+    }
+    return { tick: world.tick, ghost: world.ghost, facts, disks };
+  }
+
+  #ghostId(ghost: Ghost): number {
+    if (typeof ghost !== 'object' || ghost === null) return this.#ghosts.idOf(ghost);
+    const known = this.#ghostIds.get(ghost);
+    if (known !== undefined) return known;
+    const id = this.#ghosts.idOf(ghost);
+    this.#ghostIds.set(ghost, id);
+    return id;
+  }
+}
+
+function momentOf(tick: number): Moment {
+  return moment(tick * TICK_MS);
+}
+
+function messageText(message: Message): string {
+  return JSON.stringify(message, withoutReports);
+}
+
+/** Scores travel with every message of the election and would hide what it says. */
+function withoutReports(key: string, value: unknown): unknown {
+  return key === 'reports' ? undefined : value;
+}
--- /dev/null
+++ b/src/simulation/exhaustive/ControlNode.ts
@@ -0,0 +1,201 @@
+import type { StoredPart } from '../../hold/Store.js';
+import { partName, type Moment } from '../../kin/Ids.js';
+import { MindCore } from '../../mind/MindCore.js';
+import { MIND_DEFAULTS, type FleetPlanner } from '../../mind/MindEffect.js';
+import type { Fleet } from '../../place/Fleet.js';
+import type { Intent } from '../../place/Shapes.js';
+import type { ConfigDialect, Routing, RoutingFault } from '../../route/Routing.js';
+import type { VoteSettings } from '../../vote/VoteSettings.js';
+import type { Boot, DiskWrite, Input, Output, Sent, Subject } from './LocalStates.js';
+import { TICK_MS } from './Protocol.js';
+
+/** Classes inside the control core that an idle planner never makes change. */
+export const UNUSED_CLASSES: readonly string[] = [
+  'Placer',
+  'Shares',
+  'Sessions',
+  'FleetDesk',
+  'IdlePlanner',
+  'VersionDialect',
+];
+
+/** The deployed proportions on few moments, as in the model of the election alone. */
+const VOTE: VoteSettings = {
+  pingMs: TICK_MS,
+  deadMs: 3 * TICK_MS,
+  halfLifeSeconds: 12 * 3600,
+  electionMs: TICK_MS,
+  renewMs: TICK_MS / 10,
+  spanMs: 2 * TICK_MS,
+  leaseMs: TICK_MS,
+  drift: 0,
+  stallMs: 2 * TICK_MS,
+};
+
+/** Apart from what any other life counts. */
+const LIFE_SPAN = 1e6;
+
+/** A whole configuration of one operator: its number is all there is to it. */
+export interface ConfigureOrder {
+  readonly id: string;
+  readonly base: number;
+  readonly version: number;
+}
+
+export type ControlCommand = {
+  /** Tells one sending of the order from another. */
+  readonly call: number;
+  readonly order: ConfigureOrder;
+};
+
+export interface ControlEvent {
+  readonly call: number;
+  readonly status: number;
+  readonly body: string;
+}
+
+export interface ControlFacts {
+  readonly voters: readonly string[];
+  /** Each set of voters as this node knows them now. */
+  readonly isServing: boolean;
+  readonly isLeading: boolean;
+  readonly epoch: number;
+  readonly standing: string;
+}
+
+/** Plans nothing. */
+class IdlePlanner implements FleetPlanner {
+  restore(): void {
+    /* nothing is kept */
+  }
+  docs(): readonly [] {
+    return [];
+  }
+  demand(): void {
+    /* nothing is planned */
+  }
+  list(): void {
+    /* nothing is planned */
+  }
+  status(): void {
+    /* nothing is planned */
+  }
+  asks(): readonly string[] {
+    return [];
+  }
+  plan(): readonly string[] {
+    return [];
+  }
+  orders(): readonly Intent[] {
+    return [];
+  }
+  kept(): void {
+    /* nothing is kept */
+  }
+  ordered(): void {
+    /* nothing is ordered */
+  }
+  fleet(): Fleet {
+    return { flows: 1, runners: [], waits: [] };
+  }
+  nextAt(): Moment | undefined {
+    return undefined;
+  }
+}
+
+interface ReadRouting {
+  readonly routing: Routing | undefined;
+  readonly faults: readonly RoutingFault[];
+}
+
+/** Documents that are nothing but their version. */
+class VersionDialect implements ConfigDialect {
+  read(text: string): ReadRouting {
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 };
+    return { routing: { version: Number(text), routes: [], services: [], limits }, faults: [] };
+  }
+
+  amend(): string | undefined {
+    return undefined;
+  }
+}
+
+const DIALECT = new VersionDialect();
+const PLANNER = new IdlePlanner();
+
+/** The whole control core as a deployment starts it, with a planner that does nothing. */
+export class ControlNode implements Subject<ControlCommand, ControlEvent, ControlFacts> {
+  readonly #core: MindCore;
+
+  /** `isFirst` says whether this process belongs to the deployment's very first start. */
+  constructor(me: string, seeds: readonly string[], isFirst: boolean, boot: Boot) {
+    const { now, disk, node, life } = boot;
+    const isFirstStart = isFirst && life === 0;
+    const deployed = { dialect: DIALECT, planner: PLANNER, isFirstStart, listMs: 1e9 };
+    const lifeNumber = (life * 16 + node) * LIFE_SPAN;
+    const settings = {
+      ...MIND_DEFAULTS,
+      me,
+      zone: me,
+      seeds,
+      life: lifeNumber,
+      foundMs: 0,
+      deployed,
+    };
+    this.#core = new MindCore(settings, disk.map(storedPart), now, VOTE);
+    this.#core.drain();
+  }
+
+  get state(): unknown {
+    return this.#core;
+  }
+
+  facts(): ControlFacts {
+    const { elector, voters, isServing, standing } = this.#core;
+    const isLeading = elector.isLeading();
+    return { voters, isServing, isLeading, epoch: elector.epoch, standing: standing.name };
+  }
+
+  perform(now: Moment, input: Input<ControlCommand>): Output<ControlEvent> {
+    switch (input.kind) {
+      case 'beat':
+        this.#core.beat(now);
+        break;
+      case 'receive':
+        for (const message of input.messages) {
+          this.#core.receive(now, input.from, message, input.from);
+        }
+        break;
+      case 'stored':
+        this.#core.stored(now, partName(input.write.slot), input.write);
+        break;
+      case 'command': {
+        const { call, order } = input.command;
+        const { id, base, version } = order;
+        const body = JSON.stringify({ id, base, text: String(version) });
+        this.#core.command(now, call, 'configure', body);
+        break;
+      }
+    }
+    return this.#output();
+  }
+
+  #output(): Output<ControlEvent> {
+    const sends: Sent[] = [];
+    const writes: DiskWrite[] = [];
+    const events: ControlEvent[] = [];
+    for (const effect of this.#core.drain()) {
+      if (effect.do === 'send') sends.push({ to: effect.to, message: effect.message });
+      else if (effect.do === 'store') {
+        writes.push({ slot: effect.part, ...effect.version, body: effect.body });
+      } else if (effect.do === 'return') {
+        events.push({ call: effect.id, status: effect.status, body: effect.body });
+      }
+    }
+    return { sends, writes, events };
+  }
+}
+
+function storedPart({ slot, epoch, count, body }: DiskWrite): StoredPart {
+  return { part: partName(slot), version: { epoch, count }, body, isSound: true };
+}
--- /dev/null
+++ b/src/simulation/exhaustive/ElectionProtocol.ts
@@ -0,0 +1,287 @@
+import { fellowId, later, moment, type FellowId, type Moment } from '../../kin/Ids.js';
+import { parseAs } from '../../kin/Json.js';
+import { boolean, number, optional, string, type } from 'superstruct';
+import type { Message } from '../../kin/Messages.js';
+import { Quorum } from '../../kin/Quorum.js';
+import { Elector } from '../../vote/Elector.js';
+import type { VoteRecord } from '../../vote/VoteEffect.js';
+import type { VoteSettings } from '../../vote/VoteSettings.js';
+import {
+  TICK_MS,
+  type CalmRun,
+  type FaultBounds,
+  type Happening,
+  type Judgement,
+  type NodeCommand,
+  type Protocol,
+  type View,
+} from './Protocol.js';
+import type { Boot, DiskWrite, Envelope, Input, Output, Subject } from './LocalStates.js';
+
+const VOTE_SLOT = 'vote';
+const RecordShape = type({
+  epoch: number(),
+  grantEpoch: number(),
+  grantLeader: string(),
+  isFree: optional(boolean()),
+});
+
+/** Moments at which order permissions are looked at: two spans and a lease beyond the last tick of any search. */
+const WATCHED_TICKS = 24;
+/** In ticks: how long nobody may order between two holders. */
+const LEASE_TICKS = 2;
+
+/**
+ * The deployed proportions on few moments: a holder may order for two ticks after a renewal, nobody for one between two
+ * holders, a round of proposals takes one. Clocks run alike. Links are always taken for alive.
+ */
+const SETTINGS: VoteSettings = {
+  pingMs: 2 * TICK_MS,
+  deadMs: 1000 * TICK_MS,
+  halfLifeSeconds: 12 * 3600,
+  electionMs: TICK_MS,
+  renewMs: TICK_MS / 10,
+  spanMs: 2 * TICK_MS,
+  leaseMs: LEASE_TICKS * TICK_MS,
+  drift: 0,
+  stallMs: 1000 * TICK_MS,
+};
+
+/** Deliberate mistakes that the invariants must find. */
+export type ElectionMistake =
+  /** Messages leave before the record that they rest on is synced. */
+  | 'speaks-unsynced'
+  /** A restarted voter takes its former promises for run out. */
+  | 'promises-forgotten'
+  /** A successor orders as soon as the former holder's span is over. */
+  | 'no-lease-gap'
+  /** The record of a grant does not outlast a restart. */
+  | 'grant-forgotten';
+
+export interface ElectionFacts {
+  readonly epoch: number;
+  readonly isLeading: boolean;
+  /** The ticks at which it may order as things stand. */
+  readonly orderTicks: readonly number[];
+}
+
+export interface ElectionGhost {
+  /** The leader of each even epoch that ever had one. */
+  readonly leaders: Readonly<Record<number, number>>;
+  /** Until when each node may have ordered; -1 where that is too long ago to matter. */
+  readonly orderedUntil: readonly number[];
+}
+
+/** Nothing is asked of an elector but what its messages and timers ask. */
+export type ElectionCommand = never;
+export type ElectionEvent = never;
+
+/** One elector with its record of votes on a disk. */
+class ElectionSubject implements Subject<ElectionCommand, ElectionEvent, ElectionFacts> {
+  readonly #elector: Elector;
+  readonly #mistake: ElectionMistake | undefined;
+  readonly #firstToken: number;
+
+  constructor(
+    boot: Boot,
+    nodes: readonly FellowId[],
+    quorum: Quorum,
+    mistake: ElectionMistake | undefined,
+  ) {
+    const { node, disk, now } = boot;
+    this.#mistake = mistake;
+    const me = nodes[node];
+    if (me === undefined) throw new RangeError(`no node ${node}`);
+    const settings = mistake === 'no-lease-gap' ? { ...SETTINGS, leaseMs: 0 } : SETTINGS;
+    this.#firstToken = disk[0]?.count ?? 0;
+    const record = recordOf(disk, mistake);
+    this.#elector = new Elector(me, quorum, settings, now, record);
+    // Links are known to be alive from the start; which of them are is no part of this model.
+    this.#elector.beat(now);
+    for (const fellow of nodes) {
+      if (fellow === me) continue;
+      const pong: Message = { kind: 'pong', nonce: now, epoch: 0, reports: [], standing: '' };
+      this.#elector.receive(now, fellow, pong);
+    }
+    this.#elector.drain();
+  }
+
+  get state(): unknown {
+    return [this.#elector, this.#firstToken];
+  }
+
+  perform(now: Moment, input: Input<ElectionCommand>): Output<ElectionEvent> {
+    if (input.kind === 'beat') this.#elector.beat(now);
+    else if (input.kind === 'receive') {
+      for (const message of input.messages) {
+        this.#elector.receive(now, fellowId(input.from), message);
+      }
+    } else if (input.kind === 'stored') {
+      this.#elector.kept(input.write.count - this.#firstToken);
+    }
+    return this.#output();
+  }
+
+  #output(): Output<ElectionEvent> {
+    const sends = [];
+    const writes: DiskWrite[] = [];
+    for (let effects = this.#elector.drain(); effects.length > 0; effects = this.#elector.drain()) {
+      for (const effect of effects) {
+        if (effect.do === 'keep') {
+          const { record, token } = effect;
+          const count = this.#firstToken + token;
+          writes.push({ slot: VOTE_SLOT, epoch: 0, count, body: JSON.stringify(record) });
+          if (this.#mistake === 'speaks-unsynced') this.#elector.kept(token);
+        } else if (effect.message.kind !== 'ping' && effect.message.kind !== 'pong') {
+          sends.push({ to: effect.to, message: effect.message });
+        }
+      }
+    }
+    return { sends, writes, events: [] };
+  }
+
+  facts(): ElectionFacts {
+    const orderTicks: number[] = [];
+    for (let tick = 0; tick < WATCHED_TICKS; tick += 1) {
+      if (this.#elector.mayOrder(later(moment(0), tick * TICK_MS))) orderTicks.push(tick);
+    }
+    return { epoch: this.#elector.epoch, isLeading: this.#elector.isLeading(), orderTicks };
+  }
+}
+
+function recordOf(
+  disk: readonly DiskWrite[],
+  mistake: ElectionMistake | undefined,
+): VoteRecord | undefined {
+  const [write] = disk;
+  if (!write) return undefined;
+  const record = parseAs(RecordShape, write.body);
+  if (record && mistake === 'promises-forgotten') return { ...record, grantEpoch: 0 };
+  if (record && mistake === 'grant-forgotten') {
+    return { epoch: Math.max(0, record.epoch - 1), grantEpoch: 0, grantLeader: '' };
+  }
+  return record;
+}
+
+/** Election, grants and lease of three voters: the elector alone, with its record on a disk. */
+export class ElectionProtocol implements Protocol<
+  ElectionCommand,
+  ElectionEvent,
+  ElectionFacts,
+  ElectionGhost
+> {
+  readonly name: string;
+  readonly isBundled = false;
+  readonly nodes: readonly FellowId[] = [fellowId('a'), fellowId('b'), fellowId('c')];
+  readonly faults: FaultBounds;
+  readonly firstGhost: ElectionGhost = { leaders: {}, orderedUntil: [-1, -1, -1] };
+  readonly firstDisks: readonly (readonly DiskWrite[])[] = [[], [], []];
+  readonly #quorum = new Quorum(this.nodes);
+  readonly #hasLeader: boolean;
+  readonly #mistake: ElectionMistake | undefined;
+
+  /** `hasLeader` begins with a leader in office; else with three voters that have just started for the first time. */
+  constructor(hasLeader: boolean, faults: FaultBounds, mistake?: ElectionMistake) {
+    this.name = hasLeader ? 'election after a leader' : 'first election';
+    this.#hasLeader = hasLeader;
+    this.faults = faults;
+    this.#mistake = mistake;
+  }
+
+  start(boot: Boot): ElectionSubject {
+    return new ElectionSubject(boot, this.nodes, this.#quorum, this.#mistake);
+  }
+
+  prepare(calm: CalmRun<ElectionCommand>): void {
+    if (this.#hasLeader) calm.beat(0);
+  }
+
+  isWatched(): boolean {
+    return true;
+  }
+
+  commands(): readonly NodeCommand<ElectionCommand>[] {
+    return [];
+  }
+
+  judge(
+    before: View<ElectionFacts, ElectionGhost>,
+    after: View<ElectionFacts, ElectionGhost>,
+    did: Happening<ElectionCommand, ElectionEvent>,
+  ): Judgement<ElectionGhost> {
+    const unsynced = did.sent.find(isUnsynced.bind(undefined, after.disks));
+    if (unsynced) {
+      const violation = `spoken before it was synced: ${JSON.stringify(unsynced.messages)}`;
+      return { ghost: before.ghost, violation };
+    }
+    const led = judgeLeaders(after, before.ghost.leaders);
+    const ordered = judgeOrders(before, after, did.isTick);
+    const isSame = led.leaders === before.ghost.leaders && !ordered.hasChanged;
+    const ghost = isSame
+      ? before.ghost
+      : { leaders: led.leaders, orderedUntil: ordered.orderedUntil };
+    return { ghost, violation: led.violation ?? ordered.violation };
+  }
+}
+
+function judgeLeaders(
+  after: View<ElectionFacts, ElectionGhost>,
+  known: Readonly<Record<number, number>>,
+): { readonly leaders: Readonly<Record<number, number>>; readonly violation: string | undefined } {
+  let leaders = known;
+  let violation: string | undefined;
+  for (const [node, { isLeading, epoch }] of after.facts.entries()) {
+    if (!isLeading) continue;
+    const other = leaders[epoch];
+    if (other === undefined) leaders = { ...leaders, [epoch]: node };
+    else if (other !== node) violation = `two leaders in epoch ${epoch}`;
+  }
+  return { leaders, violation };
+}
+
+interface OrderJudgement {
+  readonly orderedUntil: readonly number[];
+  readonly hasChanged: boolean;
+  readonly violation: string | undefined;
+}
+
+/** A node that may order at a tick and is not touched until the next may have ordered right up to that next one. */
+function judgeOrders(
+  before: View<ElectionFacts, ElectionGhost>,
+  after: View<ElectionFacts, ElectionGhost>,
+  isTick: boolean,
+): OrderJudgement {
+  const { orderedUntil } = before.ghost;
+  let next = orderedUntil;
+  for (const [node, until] of orderedUntil.entries()) {
+    const mayHave = isTick && before.facts[node]?.orderTicks.includes(before.tick);
+    const may = after.facts[node]?.orderTicks.includes(after.tick) ?? false;
+    let last = mayHave || may ? after.tick : until;
+    if (last >= 0 && after.tick - last >= LEASE_TICKS) last = -1;
+    if (last !== until) next = next.with(node, last);
+  }
+  let violation: string | undefined;
+  for (const [node, { orderTicks }] of after.facts.entries()) {
+    if (!orderTicks.includes(after.tick)) continue;
+    for (const [other, until] of next.entries()) {
+      if (other !== node && until >= 0) violation = 'two holders may order within the lease';
+    }
+  }
+  return { orderedUntil: next, hasChanged: next !== orderedUntil, violation };
+}
+
+/** Whether a message tells of an epoch or a grant that its sender's disk does not hold. */
+function isUnsynced(disks: readonly (readonly DiskWrite[])[], envelope: Envelope): boolean {
+  const { messages, from, to } = envelope;
+  const [message] = messages;
+  if (!message) return false;
+  if (!('epoch' in message)) return false;
+  const [write] = disks[from] ?? [];
+  const record = write && parseAs(RecordShape, write.body);
+  if ((record?.epoch ?? 0) < message.epoch) return true;
+  if (message.kind !== 'granted' && message.kind !== 'renewed') return false;
+  const leader = ['a', 'b', 'c'][to];
+  // A later grant may have reached the disk in the same step.
+  if (record === undefined || record.grantEpoch > message.epoch) return record === undefined;
+  return record.grantEpoch !== message.epoch || record.grantLeader !== leader;
+}
--- /dev/null
+++ b/src/simulation/exhaustive/Interleavings.ts
@@ -0,0 +1,56 @@
+import { prepared } from './CalmRun.js';
+import type { Cluster } from './Cluster.js';
+import type { Model, Visit } from './Explorer.js';
+import { idsOf } from './MessageText.js';
+import type { World } from './Protocol.js';
+import { stepAt, stepCode, stepOf, type Step } from './Steps.js';
+
+/**
+ * Every order of everything: any message ever sent may be delivered next, any timer looked at, any disk may finish or
+ * not, and time may pass at any point, so that a node that is not scheduled stands for a frozen or a dead one.
+ */
+export class Interleavings<Command, Event, Facts, Ghost> implements Model<World<Ghost>> {
+  readonly #cluster: Cluster<Command, Event, Facts, Ghost>;
+
+  constructor(cluster: Cluster<Command, Event, Facts, Ghost>) {
+    this.#cluster = cluster;
+  }
+
+  get name(): string {
+    return `${this.#cluster.protocol.name}, every order`;
+  }
+
+  initial(): World<Ghost> {
+    return prepared(this.#cluster);
+  }
+
+  key(world: World<Ghost>): string {
+    return this.#cluster.key(world);
+  }
+
+  describe(_world: World<Ghost>, code: number): string {
+    return this.#cluster.describe(stepOf(code));
+  }
+
+  expand(world: World<Ghost>, visit: Visit<World<Ghost>>): void {
+    const { faults } = this.#cluster.protocol;
+    if (world.tick < faults.ticks) this.#take(world, stepAt('tick'), visit);
+    for (const [node, { pending }] of world.nodes.entries()) {
+      this.#take(world, stepAt('beat', node), visit);
+      if (pending.length > 0) this.#take(world, stepAt('sync', node), visit);
+      if (world.restarts < faults.restarts) this.#take(world, stepAt('restart', node), visit);
+      if (world.wipes < faults.wipes) this.#take(world, stepAt('wipe', node), visit);
+    }
+    for (const id of idsOf(world.messages)) {
+      this.#take(world, stepAt('receive', this.#cluster.envelope(id).to, id), visit);
+    }
+    for (const { node, item } of this.#cluster.commandsOf(world)) {
+      this.#take(world, stepAt('command', node, item), visit);
+    }
+  }
+
+  #take(world: World<Ghost>, step: Step, visit: Visit<World<Ghost>>): void {
+    const taken = this.#cluster.take(world, step, this.#cluster.protocol.faults.hasLateSyncs);
+    if (taken && !taken.isSame) visit(stepCode(step), taken.world, taken.violation);
+  }
+}
--- /dev/null
+++ b/src/simulation/exhaustive/LocalStates.ts
@@ -0,0 +1,190 @@
+import type { Moment } from '../../kin/Ids.js';
+import type { Message } from '../../kin/Messages.js';
+import { Interner } from './Interner.js';
+import type { StateDigest } from './StateDigest.js';
+
+/** One write to a node's disk. A slot holds the newest version written to it. */
+export interface DiskWrite {
+  readonly slot: string;
+  readonly epoch: number;
+  readonly count: number;
+  readonly body: string;
+}
+
+export interface Sent {
+  readonly to: string;
+  readonly message: Message;
+}
+
+/** What one node may be given. */
+export type Input<Command> =
+  | { readonly kind: 'beat' }
+  | { readonly kind: 'receive'; readonly from: string; readonly messages: readonly Message[] }
+  | { readonly kind: 'stored'; readonly write: DiskWrite }
+  | { readonly kind: 'command'; readonly command: Command };
+
+/** What one input made the node do. */
+export interface Output<Event> {
+  readonly sends: readonly Sent[];
+  readonly writes: readonly DiskWrite[];
+  readonly events: readonly Event[];
+}
+
+/** The real code of one node, wired as its process wires it. */
+export interface Subject<Command, Event, Facts> {
+  /** Everything that decides what it does from here on. */
+  readonly state: unknown;
+  perform(now: Moment, input: Input<Command>): Output<Event>;
+  /** What the invariants look at. */
+  facts(): Facts;
+}
+
+/** Outputs as numbers: messages and writes are interned. */
+export interface LocalStep<Event> {
+  readonly local: number;
+  readonly sends: readonly number[];
+  readonly writes: readonly number[];
+  readonly events: readonly Event[];
+}
+
+/** What is delivered at once, with its two ends: one message, or all that one step sent to one node. */
+export interface Envelope {
+  readonly from: number;
+  readonly to: number;
+  readonly messages: readonly Message[];
+}
+
+/** How a process is started: which node, on what disk, when. */
+export interface Boot {
+  readonly node: number;
+  readonly disk: readonly DiskWrite[];
+  readonly now: Moment;
+  /** How many processes were started before it, on any node. */
+  readonly life: number;
+}
+
+interface Recorded<Command, Event, Facts> {
+  readonly boot: Boot;
+  /** The state before and the input that led here; nothing right after the start. */
+  readonly origin:
+    { readonly local: number; readonly now: Moment; readonly input: Input<Command> } | undefined;
+  readonly facts: Facts;
+  readonly steps: Map<string, LocalStep<Event>>;
+}
+
+/** What the table needs of a model. */
+export interface NodeFactory<Command, Event, Facts> {
+  readonly nodes: readonly string[];
+  /** Whether all that a step sends to one node arrives together, as on one connection. */
+  readonly isBundled: boolean;
+  start(boot: Boot): Subject<Command, Event, Facts>;
+}
+
+/**
+ * All states that single nodes have been in. The real code runs once for each pair of state and input; wherever the same
+ * pair comes again, in whatever state of the others, the result is looked up.
+ */
+export class LocalStates<Command, Event, Facts> {
+  readonly #factory: NodeFactory<Command, Event, Facts>;
+  readonly #digest: StateDigest;
+  readonly #ids = new Map<string, number>();
+  readonly #recorded: Recorded<Command, Event, Facts>[] = [];
+  readonly #boots = new Map<string, number>();
+  readonly envelopes = new Interner<Envelope>();
+  readonly writes = new Interner<DiskWrite>();
+  /** The one live node, so that a chain of steps of one node needs no rebuilding. */
+  #live: { readonly local: number; readonly subject: Subject<Command, Event, Facts> } | undefined;
+
+  constructor(factory: NodeFactory<Command, Event, Facts>, digest: StateDigest) {
+    this.#factory = factory;
+    this.#digest = digest;
+  }
+
+  get size(): number {
+    return this.#recorded.length;
+  }
+
+  factsOf(local: number): Facts {
+    return this.#record(local).facts;
+  }
+
+  boot(boot: Boot): number {
+    const key = JSON.stringify(boot);
+    const known = this.#boots.get(key);
+    if (known !== undefined) return known;
+    const local = this.#intern(boot, undefined, this.#factory.start(boot));
+    this.#boots.set(key, local);
+    return local;
+  }
+
+  /** `key` names the input among all that this model has. */
+  step(local: number, now: Moment, key: string, input: Input<Command>): LocalStep<Event> {
+    const before = this.#record(local);
+    const timedKey = `${now} ${key}`;
+    const known = before.steps.get(timedKey);
+    if (known) return known;
+    const subject = this.#rebuild(local);
+    this.#live = undefined;
+    const output = subject.perform(now, input);
+    const after = this.#intern(before.boot, { local, now, input }, subject);
+    const step: LocalStep<Event> = {
+      local: after,
+      sends: this.#envelopes(before.boot.node, output.sends),
+      writes: output.writes.map(this.writes.idOf, this.writes),
+      events: output.events,
+    };
+    before.steps.set(timedKey, step);
+    return step;
+  }
+
+  #envelopes(from: number, sends: readonly Sent[]): number[] {
+    const ids: number[] = [];
+    const bundles = new Map<number, Message[]>();
+    for (const { to, message } of sends) {
+      const receiver = this.#factory.nodes.indexOf(to);
+      if (receiver < 0) continue;
+      const bundle = bundles.get(receiver);
+      if (bundle && this.#factory.isBundled) bundle.push(message);
+      else if (this.#factory.isBundled) bundles.set(receiver, [message]);
+      else ids.push(this.envelopes.idOf({ from, to: receiver, messages: [message] }));
+    }
+    for (const [to, messages] of bundles) ids.push(this.envelopes.idOf({ from, to, messages }));
+    return [...new Set(ids)];
+  }
+
+  #intern(
+    boot: Boot,
+    origin: Recorded<Command, Event, Facts>['origin'],
+    subject: Subject<Command, Event, Facts>,
+  ): number {
+    const text = `${boot.node} ${this.#digest.textOf(subject.state)}`;
+    let local = this.#ids.get(text);
+    if (local === undefined) {
+      local = this.#recorded.length;
+      this.#ids.set(text, local);
+      this.#recorded.push({ boot, origin, facts: subject.facts(), steps: new Map() });
+    }
+    this.#live = { local, subject };
+    return local;
+  }
+
+  /** The cores cannot be copied: a state is reached again by the inputs that led to it first. */
+  #rebuild(local: number): Subject<Command, Event, Facts> {
+    if (this.#live?.local === local) return this.#live.subject;
+    const inputs: { readonly now: Moment; readonly input: Input<Command> }[] = [];
+    let record = this.#record(local);
+    while (record.origin) {
+      inputs.push(record.origin);
+      record = this.#record(record.origin.local);
+    }
+    const subject = this.#factory.start(record.boot);
+    for (const { now, input } of inputs.reverse()) subject.perform(now, input);
+    return subject;
+  }
+
+  #record(local: number): Recorded<Command, Event, Facts> {
+    const record = this.#recorded[local];
+    if (!record) throw new RangeError(`no local state ${local}`);
+    return record;
+  }
+}
--- /dev/null
+++ b/src/simulation/exhaustive/Protocol.ts
@@ -0,0 +1,95 @@
+import type { Message } from '../../kin/Messages.js';
+import type { DiskWrite, Envelope, NodeFactory } from './LocalStates.js';
+
+/** Milliseconds between two of the moments that a model has. Nothing happens at any other. */
+export const TICK_MS = 1000;
+
+/** One node of a state: numbers of what the tables hold. */
+export interface NodeState {
+  readonly local: number;
+  readonly disk: number;
+  /** Writes that the disk has not finished, oldest first. */
+  readonly pending: readonly number[];
+}
+
+/**
+ * A state of the whole. The network never forgets: a message that was sent once can be delivered at any later moment, any
+ * number of times and in any order, or never. Losses, duplicates and late copies are all in that.
+ */
+export interface World<Ghost> {
+  readonly tick: number;
+  readonly nodes: readonly NodeState[];
+  /** One character for each message ever sent, sorted. */
+  readonly messages: string;
+  readonly restarts: number;
+  readonly wipes: number;
+  /** What the invariants remember. */
+  readonly ghost: Ghost;
+}
+
+/** A state as the invariants see it. */
+export interface View<Facts, Ghost> {
+  readonly tick: number;
+  readonly ghost: Ghost;
+  readonly facts: readonly Facts[];
+  readonly disks: readonly (readonly DiskWrite[])[];
+}
+
+/** What a step did, beside changing the state. */
+export interface Happening<Command, Event> {
+  /** The node that took the step; nothing for the passing of time. */
+  readonly node: number | undefined;
+  readonly isTick: boolean;
+  readonly isRestart: boolean;
+  readonly command: Command | undefined;
+  readonly sent: readonly Envelope[];
+  readonly events: readonly Event[];
+}
+
+export interface Judgement<Ghost> {
+  readonly ghost: Ghost;
+  readonly violation: string | undefined;
+}
+
+export interface NodeCommand<Command> {
+  readonly node: number;
+  readonly command: Command;
+}
+
+/** How often what may go wrong, and how far time may go. */
+export interface FaultBounds {
+  readonly ticks: number;
+  /** Crashes with everything synced kept. A node that is never scheduled again stands for one that stays away. */
+  readonly restarts: number;
+  /** Crashes that lose the whole disk. */
+  readonly wipes: number;
+  /** Whether a write may be unfinished while other things happen; else each is synced in the step that began it. */
+  readonly hasLateSyncs: boolean;
+  /** Whether the messages of the calm beginning may still be delivered. */
+  readonly hasOldMessages: boolean;
+}
+
+/** One protocol to check: the real code of a node, what may be asked of it, and what must always hold. */
+export interface Protocol<Command, Event, Facts, Ghost> extends NodeFactory<Command, Event, Facts> {
+  readonly name: string;
+  readonly faults: FaultBounds;
+  readonly firstGhost: Ghost;
+  readonly firstDisks: readonly (readonly DiskWrite[])[];
+  /** Brings the fresh cluster to where the search begins. */
+  prepare(calm: CalmRun<Command>): void;
+  /** Whether late copies of such a message are worth a look; others are delivered in time or not at all. */
+  isWatched(message: Message): boolean;
+  commands(view: View<Facts, Ghost>): readonly NodeCommand<Command>[];
+  judge(
+    before: View<Facts, Ghost>,
+    after: View<Facts, Ghost>,
+    did: Happening<Command, Event>,
+  ): Judgement<Ghost>;
+}
+
+/** Steps of the beginning, in which nothing is lost or late. */
+export interface CalmRun<Command> {
+  beat(node: number): void;
+  command(node: number, command: Command): void;
+  tick(): void;
+}
--- /dev/null
+++ b/src/simulation/exhaustive/RefusalProtocol.ts
@@ -0,0 +1,177 @@
+import { array, number, optional, string, type } from 'superstruct';
+import { CONFIG_PART } from '../../hold/PartNames.js';
+import { fellowId, type FellowId } from '../../kin/Ids.js';
+import { parseAs } from '../../kin/Json.js';
+import type { Message } from '../../kin/Messages.js';
+import { Quorum } from '../../kin/Quorum.js';
+import {
+  ControlNode,
+  type ConfigureOrder,
+  type ControlCommand,
+  type ControlEvent,
+  type ControlFacts,
+} from './ControlNode.js';
+import { isOfSlot } from './Disk.js';
+import type { Boot, DiskWrite } from './LocalStates.js';
+import type {
+  CalmRun,
+  FaultBounds,
+  Happening,
+  Judgement,
+  NodeCommand,
+  Protocol,
+  View,
+} from './Protocol.js';
+
+const ConfigShape = type({
+  voters: array(array(string())),
+  routing: optional(type({ version: number() })),
+});
+const NODES = ['a', 'b', 'c'];
+/** Ticks after which three nodes that were just started have a leader that serves. */
+const FOUNDING_TICKS = 6;
+/** The first order replaces nothing; the second and third were both made from what the first one brings. */
+const ORDERS: readonly ConfigureOrder[] = [
+  { id: 'first', base: 0, version: 7 },
+  { id: 'rival', base: 0, version: 8 },
+  { id: 'next', base: 7, version: 9 },
+];
+
+export interface RefusalBounds extends FaultBounds {
+  /** Sendings of orders in all. */
+  readonly calls: number;
+}
+
+export interface RefusalGhost {
+  /** All versions that were ever synced on a majority, in the order of their coming. */
+  readonly committed: readonly number[];
+  /** Each sending: which order, and whether it was answered definitely. */
+  readonly calls: readonly { readonly order: number; readonly outcome: CallOutcome }[];
+}
+
+type CallOutcome = 'open' | 'accepted' | 'refused' | 'unclear';
+type RefusalView = View<ControlFacts, RefusalGhost>;
+
+/** Deliberate mistakes that the invariant must find. */
+export type RefusalMistake = 'unclear-told-as-refused';
+
+/** Orders of operators at any node: a definite refusal must rest on what is committed. */
+export class RefusalProtocol implements Protocol<
+  ControlCommand,
+  ControlEvent,
+  ControlFacts,
+  RefusalGhost
+> {
+  readonly name = 'refusal';
+  readonly nodes = NODES;
+  readonly isBundled = true;
+  readonly faults: RefusalBounds;
+  readonly firstDisks: readonly (readonly DiskWrite[])[] = [[], [], []];
+  readonly firstGhost: RefusalGhost = { committed: [0], calls: [] };
+  readonly #mistake: RefusalMistake | undefined;
+
+  constructor(faults: RefusalBounds, mistake?: RefusalMistake) {
+    this.faults = faults;
+    this.#mistake = mistake;
+  }
+
+  start(boot: Boot): ControlNode {
+    return new ControlNode(NODES[boot.node] ?? '', NODES, true, boot);
+  }
+
+  prepare(calm: CalmRun<ControlCommand>): void {
+    for (let tick = 0; tick < FOUNDING_TICKS; tick += 1) {
+      for (const node of NODES.keys()) calm.beat(node);
+      calm.tick();
+    }
+  }
+
+  isWatched(message: Message): boolean {
+    const { kind } = message;
+    return kind === 'write' || kind === 'writeReturn' || kind === 'command' || kind === 'victory';
+  }
+
+  commands(view: RefusalView): readonly NodeCommand<ControlCommand>[] {
+    const { calls, committed } = view.ghost;
+    if (calls.length >= this.faults.calls) return [];
+    const found: NodeCommand<ControlCommand>[] = [];
+    for (const [index, order] of ORDERS.entries()) {
+      // Nobody has seen a base that was never in force.
+      if (!committed.includes(order.base)) continue;
+      const call = calls.length * ORDERS.length + index + 1;
+      for (const node of NODES.keys()) found.push({ node, command: { call, order } });
+    }
+    return found;
+  }
+
+  judge(
+    before: RefusalView,
+    after: RefusalView,
+    did: Happening<ControlCommand, ControlEvent>,
+  ): Judgement<RefusalGhost> {
+    let ghost = before.ghost;
+    if (did.command) {
+      const order = ORDERS.findIndex(hasId.bind(undefined, did.command.order.id));
+      ghost = { ...ghost, calls: [...ghost.calls, { order, outcome: 'open' }] };
+    }
+    const version = committedVersion(after.disks);
+    if (version !== undefined && !ghost.committed.includes(version)) {
+      ghost = { ...ghost, committed: [...ghost.committed, version] };
+    }
+    for (const event of did.events) {
+      const at = Math.floor((event.call - 1) / ORDERS.length);
+      const call = ghost.calls[at];
+      if (!call) continue;
+      const outcome = this.#outcomeOf(event);
+      ghost = { ...ghost, calls: ghost.calls.with(at, { ...call, outcome }) };
+    }
+    return { ghost, violation: violationOf(ghost) };
+  }
+
+  #outcomeOf({ status }: ControlEvent): CallOutcome {
+    if (status < 300) return 'accepted';
+    const isClear = status >= 400 && status < 500 && status !== 408 && status !== 429;
+    return isClear || this.#mistake === 'unclear-told-as-refused' ? 'refused' : 'unclear';
+  }
+}
+
+/** What is wrong with the answers given so far, if anything. */
+function violationOf({ committed, calls }: RefusalGhost): string | undefined {
+  for (const { order: index, outcome } of calls) {
+    const order = ORDERS[index];
+    if (!order) continue;
+    const at = committed.indexOf(order.base);
+    const following = committed[at + 1];
+    const isInForce = committed.includes(order.version);
+    if (outcome === 'accepted' && !isInForce) return `${order.id} is confirmed and not committed`;
+    if (outcome !== 'refused') continue;
+    if (isInForce) return `${order.id} is refused and committed`;
+    if (following === undefined) {
+      return `${order.id} is refused though its base ${order.base} is still in force`;
+    }
+  }
+  return undefined;
+}
+
+/** The version that a majority has synced, if one and the same write of it is there. */
+function committedVersion(disks: readonly (readonly DiskWrite[])[]): number | undefined {
+  const holders = new Map<string, Set<FellowId>>();
+  for (const [node, disk] of disks.entries()) {
+    const write = disk.find(isOfSlot.bind(undefined, CONFIG_PART));
+    if (!write) continue;
+    const key = `${write.epoch}.${write.count} ${write.body}`;
+    const known = holders.get(key) ?? new Set();
+    holders.set(key, known.add(fellowId(NODES[node] ?? '')));
+  }
+  const quorum = new Quorum(NODES.map(fellowId));
+  for (const [key, by] of holders) {
+    if (!quorum.isMajority(by)) continue;
+    const doc = parseAs(ConfigShape, key.slice(key.indexOf(' ') + 1));
+    return doc?.routing?.version ?? 0;
+  }
+  return undefined;
+}
+
+function hasId(id: string, order: ConfigureOrder): boolean {
+  return order.id === id;
+}
--- /dev/null
+++ b/src/simulation/exhaustive/Replica.ts
@@ -0,0 +1,262 @@
+import { number, type } from 'superstruct';
+import { Parts } from '../../hold/Parts.js';
+import { CONFIG_PART, VOTE_PART } from '../../hold/PartNames.js';
+import { Standing, type StandingName, type StandingOutcome } from '../../hold/Standing.js';
+import type { StoredPart } from '../../hold/Store.js';
+import {
+  epochOf,
+  fellowId,
+  nextElecting,
+  partName,
+  type FellowId,
+  type Moment,
+} from '../../kin/Ids.js';
+import { parseAs } from '../../kin/Json.js';
+import type { Message } from '../../kin/Messages.js';
+import type { Quorum } from '../../kin/Quorum.js';
+import type { Version } from '../../kin/Version.js';
+import type { Boot, DiskWrite, Input, Output, Sent, Subject } from './LocalStates.js';
+
+/** Deliberate mistakes that the invariants must find. */
+export type ReplicaMistake =
+  /** A write is acknowledged before it is on disk. */
+  | 'acknowledged-unsynced'
+  /** A voter takes writes of epochs that it has moved on from. */
+  | 'old-epoch-written'
+  /** A wiped voter counts as soon as one other was read. */
+  | 'repaired-by-one'
+  /** A wiped voter votes again in the epoch in which it may have voted. */
+  | 'grant-forgotten';
+
+export type ReplicaCommand =
+  /** This voter grants an epoch to a leader; the leader grants itself first. */
+  | { readonly do: 'grant'; readonly epoch: number; readonly leader: number }
+  /** A majority has granted it: it begins to own the part. */
+  | { readonly do: 'lead' }
+  /** A client's change: the body grows by one letter that no other change has. */
+  | { readonly do: 'write'; readonly letter: string };
+
+export type ReplicaEvent =
+  | { readonly kind: 'committed'; readonly version: Version; readonly body: string }
+  | { readonly kind: 'serving'; readonly body: string };
+
+export interface ReplicaFacts {
+  readonly standing: StandingName;
+  /** The newest epoch taken on, synced or not. */
+  readonly epoch: number;
+  /** The epoch granted on disk and not moved on from; 0 for none. */
+  readonly granted: number;
+  readonly grantLeader: number;
+  readonly ledEpoch: number;
+  readonly isServing: boolean;
+}
+
+/** Apart from what any other life counts. */
+const LIFE_SPAN = 1e6;
+const VoteShape = type({ epoch: number(), grantEpoch: number(), grantLeader: number() });
+
+/** A voter's copy of one part, with the repair of a lost disk, wired to grants as the control core wires it. */
+export class Replica implements Subject<ReplicaCommand, ReplicaEvent, ReplicaFacts> {
+  readonly #me: FellowId;
+  readonly #quorum: Quorum;
+  readonly #parts: Parts;
+  readonly #standing: Standing;
+  readonly #mistake: ReplicaMistake | undefined;
+  #epoch: number;
+  /** What the newest record says, written or not, and what the disk is known to hold of it. */
+  #grantEpoch: number;
+  #grantLeader: number;
+  #keptGrant: number;
+  #voteCount: number;
+  #ledEpoch = 0;
+  #isRepairing = false;
+  #repairEpoch = 0;
+  readonly #repairWaits = new Set<string>();
+  #settlesAt: number | undefined;
+  #sends: Sent[] = [];
+  #writes: DiskWrite[] = [];
+  #events: ReplicaEvent[] = [];
+
+  constructor(boot: Boot, nodes: readonly FellowId[], quorum: Quorum, mistake?: ReplicaMistake) {
+    const { node, disk, now, life } = boot;
+    this.#me = nodes[node] ?? fellowId('nobody');
+    this.#quorum = quorum;
+    this.#mistake = mistake;
+    const vote = disk.find(isVote);
+    const record = vote && parseAs(VoteShape, vote.body);
+    this.#epoch = record?.epoch ?? 0;
+    this.#grantEpoch = record?.grantEpoch ?? 0;
+    this.#grantLeader = record?.grantLeader ?? 0;
+    this.#keptGrant = this.#grantEpoch;
+    this.#voteCount = vote?.count ?? 0;
+    this.#parts = new Parts(this.#me, quorum, [CONFIG_PART], disk.filter(isConfig).map(storedPart));
+    const name = record ? 'sound' : 'blank';
+    this.#standing = new Standing(this.#me, name, now, 0, life * LIFE_SPAN, false);
+  }
+
+  get state(): unknown {
+    return [
+      this.#parts,
+      this.#standing,
+      [this.#epoch, this.#grantEpoch, this.#grantLeader],
+      [this.#keptGrant, this.#voteCount, this.#ledEpoch],
+      [this.#isRepairing, this.#repairEpoch, this.#repairWaits, this.#settlesAt],
+    ];
+  }
+
+  facts(): ReplicaFacts {
+    return {
+      standing: this.#standing.name,
+      epoch: this.#epoch,
+      granted: this.#granted(),
+      grantLeader: this.#grantLeader,
+      ledEpoch: this.#ledEpoch,
+      isServing: this.#parts.isServing,
+    };
+  }
+
+  perform(now: Moment, input: Input<ReplicaCommand>): Output<ReplicaEvent> {
+    this.#sends = [];
+    this.#writes = [];
+    this.#events = [];
+    switch (input.kind) {
+      case 'beat':
+        this.#beat(now);
+        break;
+      case 'receive':
+        for (const message of input.messages) this.#receive(now, fellowId(input.from), message);
+        break;
+      case 'stored':
+        this.#stored(now, input.write);
+        break;
+      case 'command':
+        this.#command(now, input.command);
+        break;
+    }
+    this.#drain(now);
+    return { sends: this.#sends, writes: this.#writes, events: this.#events };
+  }
+
+  #beat(now: Moment): void {
+    this.#sends.push(...this.#standing.beat(now, this.#quorum));
+    this.#settle(this.#standing.outcome(now, this.#quorum));
+    this.#parts.beat(now);
+  }
+
+  #receive(now: Moment, from: FellowId, message: Message): void {
+    if (message.kind === 'read' && message.epoch === 0) {
+      const copies = this.#parts.copies();
+      const hasGranted = this.#grantEpoch > 0;
+      const reply = this.#standing.returnTo(message.nonce, this.#epoch, copies, hasGranted);
+      this.#sends.push({ to: from, message: reply });
+    } else if (message.kind === 'readReturn' && !message.sound) {
+      if (this.#mistake === 'repaired-by-one' && message.standing === 'sound') {
+        const { epoch, copies } = message;
+        if (this.#standing.name !== 'sound') this.#settle({ become: 'repaired', epoch, copies });
+        return;
+      }
+      this.#settle(this.#standing.receive(now, from, message, this.#quorum));
+    } else {
+      const isOld = this.#mistake === 'old-epoch-written' && message.kind === 'write';
+      const granted = isOld ? message.epoch : this.#granted();
+      this.#parts.receive(now, from, message, granted, [], this.#standing.name);
+    }
+  }
+
+  #stored(now: Moment, write: DiskWrite): void {
+    if (write.slot !== VOTE_PART) {
+      this.#parts.stored(partName(write.slot), write, this.#granted(), now);
+      this.#repairWaits.delete(write.slot);
+      this.#endRepair();
+      return;
+    }
+    this.#keptGrant = parseAs(VoteShape, write.body)?.grantEpoch ?? 0;
+    if (this.#settlesAt === undefined || write.count < this.#settlesAt) return;
+    this.#settlesAt = undefined;
+    this.#standing.settle();
+  }
+
+  #command(now: Moment, command: ReplicaCommand): void {
+    if (command.do === 'grant') {
+      this.#epoch = command.epoch;
+      this.#grantEpoch = command.epoch;
+      this.#grantLeader = command.leader;
+      this.#keepVote();
+      this.#ledEpoch = 0;
+      this.#parts.stand();
+    } else if (command.do === 'lead') {
+      this.#ledEpoch = this.#epoch;
+      this.#parts.lead(now, this.#epoch);
+    } else {
+      this.#parts.write(now, CONFIG_PART, this.#parts.body(CONFIG_PART) + command.letter, 0);
+    }
+  }
+
+  #keepVote(): void {
+    this.#voteCount += 1;
+    const body = voteBody(this.#epoch, this.#grantEpoch, this.#grantLeader);
+    this.#writes.push({ slot: VOTE_PART, epoch: this.#epoch, count: this.#voteCount, body });
+  }
+
+  #granted(): number {
+    const isCurrent = this.#standing.name === 'sound' && this.#keptGrant === this.#epoch;
+    return isCurrent ? this.#keptGrant : 0;
+  }
+
+  // ---- repair of a lost disk
+
+  #settle(outcome: StandingOutcome | undefined): void {
+    if (outcome?.become !== 'repaired') return;
+    if (this.#settlesAt !== undefined || this.#isRepairing) return;
+    for (const part of this.#parts.adopt(outcome.copies)) this.#repairWaits.add(part);
+    this.#isRepairing = true;
+    this.#repairEpoch = outcome.epoch;
+    this.#endRepair();
+  }
+
+  /** The record that makes the voter count is written after all copies are on disk. */
+  #endRepair(): void {
+    if (!this.#isRepairing || this.#repairWaits.size > 0) return;
+    this.#isRepairing = false;
+    const known = epochOf(Math.max(this.#repairEpoch, this.#epoch));
+    this.#epoch = this.#mistake === 'grant-forgotten' ? known - 1 : nextElecting(known);
+    this.#settlesAt = this.#voteCount + 1;
+    this.#keepVote();
+  }
+
+  #drain(now: Moment): void {
+    for (let effects = this.#parts.drain(); effects.length > 0; effects = this.#parts.drain()) {
+      for (const effect of effects) {
+        if (effect.do === 'send') this.#sends.push(effect);
+        else if (effect.do === 'serving') {
+          this.#events.push({ kind: 'serving', body: this.#parts.body(CONFIG_PART) });
+        } else if (effect.do === 'committed') {
+          this.#events.push({ kind: 'committed', version: effect.version, body: effect.body });
+        } else {
+          const { part, version, body } = effect;
+          this.#writes.push({ slot: part, ...version, body });
+          if (this.#mistake === 'acknowledged-unsynced') {
+            this.#parts.stored(part, version, this.#granted(), now);
+          }
+        }
+      }
+    }
+  }
+}
+
+function isVote(write: DiskWrite): boolean {
+  return write.slot === VOTE_PART;
+}
+
+export function isConfig(write: DiskWrite): boolean {
+  return write.slot === CONFIG_PART;
+}
+
+function storedPart({ slot, epoch, count, body }: DiskWrite): StoredPart {
+  return { part: partName(slot), version: { epoch, count }, body, isSound: true };
+}
+
+/** A record of votes as the disk holds it. */
+export function voteBody(epoch: number, grantEpoch: number, grantLeader: number): string {
+  return JSON.stringify({ epoch, grantEpoch, grantLeader });
+}
--- /dev/null
+++ b/src/simulation/exhaustive/ReplicationProtocol.ts
@@ -0,0 +1,240 @@
+import { VOTE_PART } from '../../hold/PartNames.js';
+import { fellowId, type FellowId } from '../../kin/Ids.js';
+import { Quorum } from '../../kin/Quorum.js';
+import { compareVersions, type Version } from '../../kin/Version.js';
+import type { Boot, DiskWrite } from './LocalStates.js';
+import type {
+  CalmRun,
+  FaultBounds,
+  Happening,
+  Judgement,
+  NodeCommand,
+  Protocol,
+  View,
+} from './Protocol.js';
+import {
+  isConfig,
+  Replica,
+  voteBody,
+  type ReplicaCommand,
+  type ReplicaEvent,
+  type ReplicaFacts,
+  type ReplicaMistake,
+} from './Replica.js';
+
+/** The first leader's epoch; each later one is two above the one before. */
+const FIRST_EPOCH = 2;
+const FIRST_LEADER = 0;
+const LETTERS = 'pqrstuvw';
+
+/** All that have granted one epoch to one leader, on disk, as a bit mask. */
+interface Grants {
+  readonly epoch: number;
+  readonly leader: number;
+  readonly by: number;
+}
+
+export interface ReplicationGhost {
+  readonly grants: readonly Grants[];
+  /** Who led each epoch that had a leader. */
+  readonly leaders: Readonly<Record<number, number>>;
+  readonly changes: number;
+  /** The longest body that was ever committed. */
+  readonly committed: string;
+}
+
+export interface ReplicationBounds extends FaultBounds {
+  /** New epochs, and writes of clients, in all. */
+  readonly elections: number;
+  readonly changes: number;
+}
+
+/** Mistakes that the protocol itself can make, beside those of one replica. */
+export type ReplicationMistake = ReplicaMistake | 'committed-at-one-copy';
+
+type ReplicationView = View<ReplicaFacts, ReplicationGhost>;
+
+/** Counts any copy for a majority. */
+class OneCopyQuorum extends Quorum {
+  override isMajority(ids: ReadonlySet<FellowId>): boolean {
+    return ids.size > 0;
+  }
+}
+
+/**
+ * Replicated writes, takeover by new leaders and the repair of lost disks. Who grants which epoch to whom, and when, is
+ * left open: any voter may ask for a new epoch, and any may grant it that has not moved on from it.
+ */
+export class ReplicationProtocol implements Protocol<
+  ReplicaCommand,
+  ReplicaEvent,
+  ReplicaFacts,
+  ReplicationGhost
+> {
+  readonly name: string;
+  readonly isBundled = false;
+  readonly nodes: readonly FellowId[];
+  readonly faults: ReplicationBounds;
+  readonly firstDisks: readonly (readonly DiskWrite[])[];
+  readonly firstGhost: ReplicationGhost;
+  readonly #majority: Quorum;
+  readonly #quorum: Quorum;
+  readonly #mistake: ReplicaMistake | undefined;
+
+  constructor(
+    name: string,
+    sets: readonly (readonly string[])[],
+    faults: ReplicationBounds,
+    mistake?: ReplicationMistake,
+  ) {
+    this.name = name;
+    this.faults = faults;
+    const ids = sets.map(idsOf);
+    this.#majority = new Quorum(...ids);
+    this.nodes = this.#majority.all;
+    this.#quorum = mistake === 'committed-at-one-copy' ? new OneCopyQuorum(...ids) : this.#majority;
+    this.#mistake = mistake === 'committed-at-one-copy' ? undefined : mistake;
+    const body = voteBody(FIRST_EPOCH, FIRST_EPOCH, FIRST_LEADER);
+    const granted = { slot: VOTE_PART, epoch: FIRST_EPOCH, count: 1, body };
+    this.firstDisks = this.nodes.map(diskWith.bind(undefined, granted));
+    const everybody = (1 << this.nodes.length) - 1;
+    const grants = [{ epoch: FIRST_EPOCH, leader: FIRST_LEADER, by: everybody }];
+    this.firstGhost = { grants, leaders: {}, changes: 0, committed: '' };
+  }
+
+  start(boot: Boot): Replica {
+    return new Replica(boot, this.nodes, this.#quorum, this.#mistake);
+  }
+
+  /** The first leader has committed one change. */
+  prepare(calm: CalmRun<ReplicaCommand>): void {
+    calm.command(FIRST_LEADER, { do: 'lead' });
+    calm.command(FIRST_LEADER, { do: 'write', letter: 'a' });
+  }
+
+  isWatched(): boolean {
+    return true;
+  }
+
+  commands(view: ReplicationView): readonly NodeCommand<ReplicaCommand>[] {
+    const found: NodeCommand<ReplicaCommand>[] = [];
+    const { grants, changes } = view.ghost;
+    for (const [node, facts] of view.facts.entries()) {
+      if (facts.isServing && changes <= this.faults.changes) {
+        found.push({ node, command: { do: 'write', letter: LETTERS.charAt(changes) } });
+      }
+      if (this.#mayLead(view, node)) found.push({ node, command: { do: 'lead' } });
+      if (facts.standing !== 'sound') continue;
+      for (let round = 1; round <= this.faults.elections; round += 1) {
+        const epoch = FIRST_EPOCH + 2 * round;
+        if (facts.epoch < epoch)
+          found.push({ node, command: { do: 'grant', epoch, leader: node } });
+      }
+      for (const { epoch, leader } of grants) {
+        if (facts.epoch < epoch && leader !== node) {
+          found.push({ node, command: { do: 'grant', epoch, leader } });
+        }
+      }
+    }
+    return found;
+  }
+
+  #mayLead({ ghost, facts }: ReplicationView, node: number): boolean {
+    const known = facts[node];
+    if (!known || known.granted === 0 || known.grantLeader !== node) return false;
+    if (known.ledEpoch === known.granted || ghost.leaders[known.granted] === node) return false;
+    const grants = ghost.grants.find(isFor.bind(undefined, known.granted, node));
+    const by = this.nodes.filter(isInMask.bind(undefined, grants?.by ?? 0));
+    return this.#majority.isMajority(new Set(by));
+  }
+
+  judge(
+    before: ReplicationView,
+    after: ReplicationView,
+    did: Happening<ReplicaCommand, ReplicaEvent>,
+  ): Judgement<ReplicationGhost> {
+    let ghost = before.ghost;
+    let violation: string | undefined;
+    const facts = did.node === undefined ? undefined : after.facts[did.node];
+    if (did.node !== undefined && facts) {
+      ghost = withGrant(ghost, did.node, facts);
+      if (did.command?.do === 'write') ghost = { ...ghost, changes: ghost.changes + 1 };
+      if (facts.ledEpoch > 0) {
+        const other = ghost.leaders[facts.ledEpoch];
+        if (other === undefined) {
+          ghost = { ...ghost, leaders: { ...ghost.leaders, [facts.ledEpoch]: did.node } };
+        } else if (other !== did.node) violation = `two leaders in epoch ${facts.ledEpoch}`;
+      }
+    }
+    for (const event of did.events) {
+      violation ??= this.#judgeEvent(ghost, after, event);
+      if (event.kind === 'committed' && event.body.length > ghost.committed.length) {
+        ghost = { ...ghost, committed: event.body };
+      }
+    }
+    return { ghost, violation };
+  }
+
+  #judgeEvent(
+    { committed }: ReplicationGhost,
+    after: ReplicationView,
+    event: ReplicaEvent,
+  ): string | undefined {
+    const body = JSON.stringify(event.body);
+    if (event.kind === 'serving') {
+      if (event.body.startsWith(committed)) return undefined;
+      return `a leader serves ${body} though ${JSON.stringify(committed)} was committed`;
+    }
+    if (!event.body.startsWith(committed) && !committed.startsWith(event.body)) {
+      return `${body} is committed beside ${JSON.stringify(committed)}`;
+    }
+    const holders = new Set<FellowId>();
+    for (const [node, disk] of after.disks.entries()) {
+      const name = this.nodes[node];
+      if (name !== undefined && disk.some(holdsVersion.bind(undefined, event.version))) {
+        holders.add(name);
+      }
+    }
+    // A disk that was lost since had it when it said so.
+    if (this.faults.wipes > 0 || this.#majority.isMajority(holders)) return undefined;
+    return `${body} is committed without a majority of synced copies`;
+  }
+}
+
+function withGrant(ghost: ReplicationGhost, node: number, facts: ReplicaFacts): ReplicationGhost {
+  if (facts.granted === 0) return ghost;
+  const { granted: epoch, grantLeader: leader } = facts;
+  const known = ghost.grants.find(isFor.bind(undefined, epoch, leader));
+  const by = (known?.by ?? 0) | (1 << node);
+  if (known?.by === by) return ghost;
+  const others = ghost.grants.filter(isOther.bind(undefined, known));
+  return { ...ghost, grants: [...others, { epoch, leader, by }].sort(byEpoch) };
+}
+
+function isFor(epoch: number, leader: number, grants: Grants): boolean {
+  return grants.epoch === epoch && grants.leader === leader;
+}
+
+function isOther(known: Grants | undefined, grants: Grants): boolean {
+  return grants !== known;
+}
+
+function byEpoch(a: Grants, b: Grants): number {
+  return a.epoch - b.epoch || a.leader - b.leader;
+}
+
+function idsOf(set: readonly string[]): FellowId[] {
+  return set.map(fellowId);
+}
+
+function diskWith(write: DiskWrite): readonly DiskWrite[] {
+  return [write];
+}
+
+function isInMask(mask: number, _id: FellowId, index: number): boolean {
+  return (mask & (1 << index)) !== 0;
+}
+
+function holdsVersion(version: Version, write: DiskWrite): boolean {
+  return isConfig(write) && compareVersions(write, version) >= 0;
+}
--- /dev/null
+++ b/src/simulation/exhaustive/StateDigest.ts
@@ -0,0 +1,198 @@
+import { Session, type Runtime } from 'node:inspector';
+
+const HOLDER = 'haretrackStateDigest';
+const GROUP = 'state-digest';
+/** Run by the engine: hands remote values back to this module as the values they stand for. */
+const HAND_BACK = `function (...values) { globalThis.${HOLDER}.values = values; }`;
+/** Classes whose instances never change. */
+const CONSTANT_CLASSES: ReadonlySet<string> = new Set(['Quorum']);
+/** Maps whose order of insertion decides what a core does next; all others are digested in sorted order. */
+const ORDERED_FIELDS: ReadonlySet<string> = new Set(['#enlisted', '#held']);
+
+interface Holder {
+  subject: unknown;
+  values: readonly unknown[];
+}
+
+interface Field {
+  readonly name: string;
+  readonly value: unknown;
+}
+
+/** The engine returns private fields as well, which the published types leave out. */
+interface Properties extends Runtime.GetPropertiesReturnType {
+  readonly privateProperties?: readonly Runtime.InternalPropertyDescriptor[];
+}
+
+function isPlain(value: object): boolean {
+  const prototype: unknown = Object.getPrototypeOf(value);
+  return prototype === Object.prototype || prototype === null;
+}
+
+/**
+ * Canonical text of an object with everything it holds, private fields and bound arguments included.
+ *
+ * The cores keep their state in private fields, which no code outside their classes can read; the engine's own inspector
+ * can. Two cores with the same text behave alike from then on, so that one of them is enough to explore.
+ */
+export class StateDigest {
+  readonly #session = new Session();
+  readonly #holder: Holder = { subject: undefined, values: [] };
+  /** Classes whose instances never change anything that a model looks at. */
+  readonly #ignored: ReadonlySet<string>;
+  /** Texts of instances that never change. */
+  readonly #constant = new WeakMap<object, string>();
+  /** The engine's ids of objects that it has just named. */
+  readonly #remoteIds = new Map<unknown, string>();
+
+  constructor(ignored: readonly string[] = []) {
+    this.#ignored = new Set(ignored);
+    this.#session.connect();
+  }
+
+  close(): void {
+    this.#session.disconnect();
+  }
+
+  textOf(root: unknown): string {
+    Reflect.set(globalThis, HOLDER, this.#holder);
+    const text = this.#text(root, [], '');
+    this.#remoteIds.clear();
+    this.#session.post('Runtime.releaseObjectGroup', { objectGroup: GROUP });
+    return text;
+  }
+
+  #text(value: unknown, path: readonly unknown[], field: string): string {
+    if (typeof value === 'function') return this.#functionText(value, path);
+    if (typeof value !== 'object' || value === null) {
+      return value === undefined ? '-' : JSON.stringify(value);
+    }
+    // An object that holds itself, directly or not, is named by its depth.
+    const depth = path.indexOf(value);
+    if (depth >= 0) return `^${depth}`;
+    const inner = [...path, value];
+    if (Array.isArray(value)) return `[${this.#listText(value, inner).join()}]`;
+    if (value instanceof Set) return `{${this.#sorted(this.#listText([...value], inner), field)}}`;
+    if (value instanceof Map) {
+      const entries: string[] = [];
+      for (const [key, item] of value) {
+        entries.push(`${this.#text(key, inner, '')}:${this.#text(item, inner, '')}`);
+      }
+      return `{${this.#sorted(entries, field)}}`;
+    }
+    return this.#objectText(value, inner);
+  }
+
+  #sorted(texts: string[], field: string): string {
+    return (ORDERED_FIELDS.has(field) ? texts : texts.sort()).join();
+  }
+
+  #listText(values: readonly unknown[], path: readonly unknown[]): string[] {
+    const texts: string[] = [];
+    for (const value of values) texts.push(this.#text(value, path, ''));
+    return texts;
+  }
+
+  #objectText(value: object, path: readonly unknown[]): string {
+    const name: unknown = value.constructor?.name;
+    if (typeof name === 'string' && this.#ignored.has(name)) return name;
+    const known = this.#constant.get(value);
+    if (known !== undefined) return known;
+    const text = this.#fieldsText(value, path);
+    if (typeof name === 'string' && CONSTANT_CLASSES.has(name)) this.#constant.set(value, text);
+    return text;
+  }
+
+  #fieldsText(value: object, path: readonly unknown[]): string {
+    const texts: string[] = [];
+    for (const [key, item] of Object.entries(value)) {
+      texts.push(`${key}:${this.#text(item, path, key)}`);
+    }
+    if (!isPlain(value)) {
+      for (const field of this.#privateFields(value)) {
+        texts.push(`${field.name}:${this.#text(field.value, path, field.name)}`);
+      }
+    }
+    return `(${texts.sort().join()})`;
+  }
+
+  /** A bound method is its name and what is bound to it; any other function could hide state in its scope. */
+  #functionText(value: unknown, path: readonly unknown[]): string {
+    const inner = this.#properties(value).internalProperties ?? [];
+    const bound = inner.filter(isBoundPart);
+    if (bound.length < 2) return 'function';
+    const [target, ...rest] = this.#values(bound.map(valueOf));
+    const name = typeof target === 'function' ? target.name : '';
+    return `${name}(${this.#listText(rest, path).join()})`;
+  }
+
+  #privateFields(value: object): Field[] {
+    const remote = this.#properties(value).privateProperties ?? [];
+    const fields: Field[] = [];
+    const values = this.#values(remote.map(valueOf));
+    for (const [index, { name }] of remote.entries()) fields.push({ name, value: values[index] });
+    return fields;
+  }
+
+  #properties(value: unknown): Properties {
+    let properties: Properties = { result: [] };
+    function take(_error: Error | null, found: Runtime.GetPropertiesReturnType): void {
+      properties = found;
+    }
+    const objectId = this.#remoteIds.get(value) ?? this.#remoteIdOf(value);
+    this.#session.post('Runtime.getProperties', { objectId, ownProperties: true }, take);
+    return properties;
+  }
+
+  #remoteIdOf(value: unknown): string {
+    this.#holder.subject = value;
+    let objectId = '';
+    function take(_error: Error | null, found: Runtime.EvaluateReturnType): void {
+      objectId = found.result.objectId ?? '';
+    }
+    const expression = `globalThis.${HOLDER}.subject`;
+    this.#session.post('Runtime.evaluate', { expression, objectGroup: GROUP }, take);
+    return objectId;
+  }
+
+  #values(remote: readonly (Runtime.RemoteObject | undefined)[]): readonly unknown[] {
+    const values: unknown[] = [];
+    const fetched: Runtime.CallArgument[] = [];
+    for (const item of remote) if (item?.objectId) fetched.push({ objectId: item.objectId });
+    if (fetched.length > 0) {
+      const [first] = fetched;
+      this.#session.post('Runtime.callFunctionOn', {
+        functionDeclaration: HAND_BACK,
+        objectId: first?.objectId ?? '',
+        arguments: fetched,
+        objectGroup: GROUP,
+      });
+    }
+    let next = 0;
+    for (const item of remote) {
+      if (item?.objectId) {
+        const fetchedValue = this.#holder.values[next];
+        this.#remoteIds.set(fetchedValue, item.objectId);
+        values.push(fetchedValue);
+        next += 1;
+      } else {
+        values.push(item?.value ?? item?.unserializableValue);
+      }
+    }
+    return values;
+  }
+}
+
+function isBoundPart(property: Runtime.InternalPropertyDescriptor): boolean {
+  return (
+    property.name === '[[TargetFunction]]' ||
+    property.name === '[[BoundThis]]' ||
+    property.name === '[[BoundArgs]]'
+  );
+}
+
+function valueOf(property: {
+  readonly value?: Runtime.RemoteObject | undefined;
+}): Runtime.RemoteObject | undefined {
+  return property.value;
+}
