--- a/src/simulation/exhaustive/CalmRun.ts
+++ b/src/simulation/exhaustive/CalmRun.ts
@@ -1,4 +1,6 @@
+import type { Message } from '../../kin/Messages.js';
 import type { Cluster } from './Cluster.js';
+import { idsOf } from './MessageText.js';
 import type { CalmRun, World } from './Protocol.js';
 import { stepAt, type Step } from './Steps.js';
 
@@ -6,6 +8,8 @@
 class Calm<Command, Event, Facts, Ghost> implements CalmRun<Command> {
   readonly #cluster: Cluster<Command, Event, Facts, Ghost>;
   #world: World<Ghost>;
+  #isHolding = false;
+  readonly #frozen = new Set<number>();
 
   constructor(cluster: Cluster<Command, Event, Facts, Ghost>) {
     this.#cluster = cluster;
@@ -28,6 +32,24 @@
     this.#run(stepAt('tick'));
   }
 
+  hold(): void {
+    this.#isHolding = true;
+  }
+
+  deliver(from: number, to: number, kind: Message['kind']): void {
+    for (const id of idsOf(this.#world.messages)) {
+      const envelope = this.#cluster.envelope(id);
+      if (envelope.from !== from || envelope.to !== to) continue;
+      if (envelope.messages.some(isOfKind.bind(undefined, kind))) {
+        this.#run(stepAt('receive', to, id));
+      }
+    }
+  }
+
+  freeze(node: number): void {
+    this.#frozen.add(node);
+  }
+
   #run(step: Step): void {
     const waiting = [step];
     for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
@@ -36,12 +58,17 @@
       if (taken.violation !== undefined) throw new Error(`the beginning: ${taken.violation}`);
       this.#world = taken.world;
       for (const id of taken.sent) {
-        waiting.push(stepAt('receive', this.#cluster.envelope(id).to, id));
+        const { to } = this.#cluster.envelope(id);
+        if (!this.#frozen.has(to) && !this.#isHolding) waiting.push(stepAt('receive', to, id));
       }
     }
   }
 }
 
+function isOfKind(kind: Message['kind'], message: Message): boolean {
+  return message.kind === kind;
+}
+
 /** The cluster as its protocol prepares it: where a search begins. */
 export function prepared<Command, Event, Facts, Ghost>(
   cluster: Cluster<Command, Event, Facts, Ghost>,
--- a/src/simulation/exhaustive/Protocol.ts
+++ b/src/simulation/exhaustive/Protocol.ts
@@ -75,6 +75,8 @@
   readonly faults: FaultBounds;
   readonly firstGhost: Ghost;
   readonly firstDisks: readonly (readonly DiskWrite[])[];
+  /** Nodes that are frozen when the search begins, as a bit mask; used by searches that know of freezing. */
+  readonly firstFrozen: number;
   /** Brings the fresh cluster to where the search begins. */
   prepare(calm: CalmRun<Command>): void;
   /** Whether late copies of such a message are worth a look; others are delivered in time or not at all. */
@@ -92,4 +94,10 @@
   beat(node: number): void;
   command(node: number, command: Command): void;
   tick(): void;
+  /** From here on messages are delivered only one by one. */
+  hold(): void;
+  /** Delivers the messages of this kind that one node has sent to another. */
+  deliver(from: number, to: number, kind: Message['kind']): void;
+  /** From here on nothing reaches this node and nothing is sent by it, until the search begins. */
+  freeze(node: number): void;
 }
--- a/src/simulation/exhaustive/ReplicationProtocol.ts
+++ b/src/simulation/exhaustive/ReplicationProtocol.ts
@@ -72,6 +72,7 @@
   ReplicationGhost
 > {
   readonly name: string;
+  readonly firstFrozen = 0;
   readonly isBundled = false;
   readonly nodes: readonly FellowId[];
   readonly faults: ReplicationBounds;
--- /dev/null
+++ b/src/simulation/exhaustive/VoterChangeProtocol.ts
@@ -0,0 +1,168 @@
+import { CONFIG_PART } from '../../hold/PartNames.js';
+import { fellowId } from '../../kin/Ids.js';
+import type { Message } from '../../kin/Messages.js';
+import { Quorum } from '../../kin/Quorum.js';
+import {
+  ControlNode,
+  docOf,
+  type ControlCommand,
+  type ControlEvent,
+  type ControlFacts,
+  type ControlMistake,
+} from './ControlNode.js';
+import { isOfSlot } from './Disk.js';
+import type { Boot, DiskWrite } from './LocalStates.js';
+import type {
+  CalmRun,
+  FaultBounds,
+  Happening,
+  Judgement,
+  NodeCommand,
+  Protocol,
+  View,
+} from './Protocol.js';
+
+const SEEDS = ['a', 'b', 'c'];
+const SPARE = 'd';
+const NODES = [...SEEDS, SPARE];
+/** The voter that is gone when the search begins. */
+const GONE = 2;
+/** Ticks until there is a leader that serves and the spare has read everything. */
+const FOUNDING_TICKS = 5;
+/** Ticks of silence up to just before the leader replaces a voter. */
+const SILENT_TICKS = 2;
+const FIRST_ORDER = { id: 'first', base: 0, version: 7 };
+const SECOND_ORDER = { id: 'second', base: 7, version: 9 };
+
+export interface VoterChangeBounds extends FaultBounds {
+  /** Whether a second order may be given while the voters change. */
+  readonly hasSecondOrder: boolean;
+}
+
+export interface VoterChangeGhost {
+  readonly leaders: Readonly<Record<number, number>>;
+  /** The newest version that an operator was told to be in force. */
+  readonly confirmed: number;
+  readonly hasOrdered: boolean;
+}
+
+type ChangeView = View<ControlFacts, VoterChangeGhost>;
+
+/** A spare takes the place of a voter that is gone: no two sets of voters can decide apart, and nothing is forgotten. */
+export class VoterChangeProtocol implements Protocol<
+  ControlCommand,
+  ControlEvent,
+  ControlFacts,
+  VoterChangeGhost
+> {
+  readonly name = 'voter change';
+  readonly nodes = NODES;
+  readonly isBundled = true;
+  readonly firstFrozen = 1 << GONE;
+  readonly faults: VoterChangeBounds;
+  readonly firstDisks: readonly (readonly DiskWrite[])[] = [[], [], [], []];
+  readonly firstGhost: VoterChangeGhost = { leaders: {}, confirmed: 0, hasOrdered: false };
+  readonly #mistake: ControlMistake | undefined;
+
+  constructor(faults: VoterChangeBounds, mistake?: ControlMistake) {
+    this.faults = faults;
+    this.#mistake = mistake;
+  }
+
+  start(boot: Boot): ControlNode {
+    const me = NODES[boot.node] ?? '';
+    return new ControlNode(me, SEEDS, me !== SPARE, boot, this.#mistake);
+  }
+
+  prepare(calm: CalmRun<ControlCommand>): void {
+    for (let tick = 0; tick < FOUNDING_TICKS; tick += 1) {
+      for (const node of NODES.keys()) calm.beat(node);
+      calm.tick();
+    }
+    calm.command(0, { call: 1, order: FIRST_ORDER });
+    calm.freeze(GONE);
+    for (let tick = 0; tick < SILENT_TICKS; tick += 1) {
+      for (const node of NODES.keys()) if (node !== GONE) calm.beat(node);
+      calm.tick();
+    }
+  }
+
+  isWatched(message: Message): boolean {
+    const { kind } = message;
+    return kind === 'write' || kind === 'writeReturn' || kind === 'granted' || kind === 'victory';
+  }
+
+  commands(view: ChangeView): readonly NodeCommand<ControlCommand>[] {
+    if (!this.faults.hasSecondOrder || view.ghost.hasOrdered) return [];
+    const found: NodeCommand<ControlCommand>[] = [];
+    for (const [node, { isServing }] of view.facts.entries()) {
+      if (isServing) found.push({ node, command: { call: 2, order: SECOND_ORDER } });
+    }
+    return found;
+  }
+
+  judge(
+    before: ChangeView,
+    after: ChangeView,
+    did: Happening<ControlCommand, ControlEvent>,
+  ): Judgement<VoterChangeGhost> {
+    let ghost = before.ghost;
+    if (did.node === undefined) return { ghost, violation: undefined };
+    let violation: string | undefined;
+    if (did.command?.order.id === SECOND_ORDER.id) ghost = { ...ghost, hasOrdered: true };
+    for (const { status, call } of did.events) {
+      const { version } = call === 1 ? FIRST_ORDER : SECOND_ORDER;
+      if (status === 200 && version > ghost.confirmed) ghost = { ...ghost, confirmed: version };
+    }
+    const facts = after.facts[did.node];
+    if (facts?.isLeading) {
+      const other = ghost.leaders[facts.epoch];
+      if (other === undefined) {
+        ghost = { ...ghost, leaders: { ...ghost.leaders, [facts.epoch]: did.node } };
+      } else if (other !== did.node) violation = `two leaders in epoch ${facts.epoch}`;
+    }
+    const isNewlyServing = facts?.isServing && !before.facts[did.node]?.isServing;
+    if (isNewlyServing && facts.version < ghost.confirmed) {
+      violation ??= `serves version ${facts.version} though ${ghost.confirmed} was confirmed`;
+    }
+    violation ??= judgeSets(after.facts.map(votersOf), 'in memory');
+    violation ??= judgeSets(after.disks.map(votersOnDisk), 'on disk');
+    return { ghost, violation };
+  }
+}
+
+type VoterSets = readonly (readonly string[])[] | undefined;
+
+/** Sets that enough of their own members believe in could elect and commit by themselves: there may be one at most. */
+function judgeSets(views: readonly VoterSets[], where: string): string | undefined {
+  const believers = new Map<string, string[]>();
+  for (const [node, sets] of views.entries()) {
+    if (!sets) continue;
+    const text = JSON.stringify(sets);
+    believers.set(text, [...(believers.get(text) ?? []), NODES[node] ?? '']);
+  }
+  const able: string[] = [];
+  for (const [node, sets] of views.entries()) {
+    if (!sets) continue;
+    const text = JSON.stringify(sets);
+    const by = believers.get(text) ?? [];
+    if (by[0] !== NODES[node]) continue;
+    const quorum = new Quorum(...sets.map(idsOf));
+    if (quorum.isMajority(new Set(by.map(fellowId)))) able.push(`${text} by ${by.join()}`);
+  }
+  if (able.length < 2) return undefined;
+  return `two sets of voters could decide apart, ${where}: ${able.join(' and ')}`;
+}
+
+function idsOf(set: readonly string[]): ReturnType<typeof fellowId>[] {
+  return set.map(fellowId);
+}
+
+function votersOf(facts: ControlFacts): VoterSets {
+  return facts.voters;
+}
+
+function votersOnDisk(disk: readonly DiskWrite[]): VoterSets {
+  const write = disk.find(isOfSlot.bind(undefined, CONFIG_PART));
+  return write && docOf(write.body)?.voters;
+}
