--- a/src/simulation/exhaustive/CalmRun.ts
+++ b/src/simulation/exhaustive/CalmRun.ts
@@ -28,8 +28,8 @@
     this.#run(stepAt('command', node, this.#cluster.commandId(command)));
   }
 
-  tick(): void {
-    this.#run(stepAt('tick'));
+  advance(): void {
+    this.#run(stepAt('advance'));
   }
 
   hold(): void {
--- a/src/simulation/exhaustive/Cluster.ts
+++ b/src/simulation/exhaustive/Cluster.ts
@@ -10,7 +10,7 @@
   type LocalStep,
 } from './LocalStates.js';
 import { withAll } from './MessageText.js';
-import { TICK_MS, type NodeState, type Protocol, type View, type World } from './Protocol.js';
+import { CLOCK_STEP_MS, type NodeState, type Protocol, type View, type World } from './Protocol.js';
 import type { StateDigest } from './StateDigest.js';
 import type { Step } from './Steps.js';
 
@@ -62,11 +62,11 @@
       const local = this.#locals.boot({ node, disk, now: momentOf(0), life: 0 });
       states.push({ local, disk: this.#disks.idOf(disk), pending: [] });
     }
-    return { tick: 0, nodes: states, messages: '', restarts: 0, wipes: 0, ghost: firstGhost };
+    return { clock: 0, nodes: states, messages: '', restarts: 0, wipes: 0, ghost: firstGhost };
   }
 
   key(world: World<Ghost>): string {
-    let text = `${world.tick},${world.restarts},${world.wipes},${this.#ghostId(world.ghost)}`;
+    let text = `${world.clock},${world.restarts},${world.wipes},${this.#ghostId(world.ghost)}`;
     for (const node of world.nodes) text += `;${node.local},${node.disk},${node.pending.join()}`;
     return `${text};${world.messages}`;
   }
@@ -90,8 +90,8 @@
   describe({ kind, node, item }: Step): string {
     const name = this.#protocol.nodes[node] ?? '';
     switch (kind) {
-      case 'tick':
-        return 'one tick passes';
+      case 'advance':
+        return 'the clocks advance by one step';
       case 'beat':
         return `${name} looks at its timers`;
       case 'sync':
@@ -124,8 +124,8 @@
   take(world: World<Ghost>, step: Step, isStalled: boolean): Taken<Ghost> | undefined {
     const before = world.nodes[step.node];
     if (!before) return undefined;
-    if (step.kind === 'tick') {
-      const next = { ...world, tick: world.tick + 1 };
+    if (step.kind === 'advance') {
+      const next = { ...world, clock: world.clock + 1 };
       return { ...this.#judge(world, next, step, [], []), isSame: false };
     }
     const changed = this.#change(world, before, step, isStalled);
@@ -146,7 +146,7 @@
   }
 
   #change(world: World<Ghost>, node: NodeState, step: Step, isStalled: boolean): Changed<Event> {
-    const now = momentOf(world.tick);
+    const now = momentOf(world.clock);
     switch (step.kind) {
       case 'sync':
         return this.#sync(now, { node, messages: world.messages, sent: [], events: [] });
@@ -174,7 +174,7 @@
   }
 
   #restart(world: World<Ghost>, node: number, disk: number): Changed<Event> {
-    const now = momentOf(world.tick);
+    const now = momentOf(world.clock);
     const life = world.restarts + world.wipes + 1;
     const local = this.#locals.boot({ node, disk: this.#disks.valueOf(disk), now, life });
     const state = { local, disk, pending: [] };
@@ -221,10 +221,10 @@
     sent: readonly number[],
     events: readonly Event[],
   ): Omit<Taken<Ghost>, 'isSame'> {
-    const isTick = step.kind === 'tick';
+    const isAdvance = step.kind === 'advance';
     const did = {
-      node: isTick ? undefined : step.node,
-      isTick,
+      node: isAdvance ? undefined : step.node,
+      isAdvance,
       isRestart: step.kind === 'restart' || step.kind === 'wipe',
       command: step.kind === 'command' ? this.#commands.valueOf(step.item) : undefined,
       sent: sent.map(this.envelope, this),
@@ -241,7 +241,7 @@
       facts.push(this.#locals.factsOf(node.local));
       disks.push(this.#disks.valueOf(node.disk));
     }
-    return { tick: world.tick, ghost: world.ghost, facts, disks };
+    return { clock: world.clock, ghost: world.ghost, facts, disks };
   }
 
   #ghostId(ghost: Ghost): number {
@@ -254,8 +254,8 @@
   }
 }
 
-function momentOf(tick: number): Moment {
-  return moment(tick * TICK_MS);
+function momentOf(clock: number): Moment {
+  return moment(clock * CLOCK_STEP_MS);
 }
 
 function messageText(message: Message): string {
--- a/src/simulation/exhaustive/ControlNode.ts
+++ b/src/simulation/exhaustive/ControlNode.ts
@@ -12,7 +12,7 @@
 import type { ConfigDialect, Routing, RoutingFault } from '../../route/Routing.js';
 import type { VoteSettings } from '../../vote/VoteSettings.js';
 import type { Boot, DiskWrite, Input, Output, Sent, Subject } from './LocalStates.js';
-import { TICK_MS } from './Protocol.js';
+import { CLOCK_STEP_MS } from './Protocol.js';
 
 /** Classes inside the control core that an idle planner never makes change. */
 export const UNUSED_CLASSES: readonly string[] = [
@@ -27,15 +27,15 @@
 
 /** The deployed proportions on few moments, as in the model of the election alone. */
 const VOTE: VoteSettings = {
-  pingMs: TICK_MS,
-  deadMs: 3 * TICK_MS,
+  pingMs: CLOCK_STEP_MS,
+  deadMs: 3 * CLOCK_STEP_MS,
   halfLifeSeconds: 12 * 3600,
-  electionMs: TICK_MS,
-  renewMs: TICK_MS / 10,
-  spanMs: 2 * TICK_MS,
-  leaseMs: TICK_MS,
+  electionMs: CLOCK_STEP_MS,
+  renewMs: CLOCK_STEP_MS / 10,
+  spanMs: 2 * CLOCK_STEP_MS,
+  leaseMs: CLOCK_STEP_MS,
   drift: 0,
-  stallMs: 2 * TICK_MS,
+  stallMs: 2 * CLOCK_STEP_MS,
 };
 
 /** Apart from what any other life counts. */
--- a/src/simulation/exhaustive/Departures.ts
+++ b/src/simulation/exhaustive/Departures.ts
@@ -10,7 +10,7 @@
   readonly world: World<Ghost>;
   /** Messages on their way, oldest first. */
   readonly queue: string;
-  /** Whose timers were looked at in this tick. */
+  /** Whose timers were looked at since the clocks advanced. */
   readonly beaten: number;
   readonly frozen: number;
   readonly cut: number;
@@ -30,7 +30,7 @@
 }
 
 /**
- * Long runs with few faults: messages arrive in order, timers are looked at once a tick, disks finish at once, and from
+ * Long runs with few faults: messages arrive in order, timers are looked at once a step of the clocks, disks finish at once, and from
  * this a bounded number of departures is made at any points: a message lost or delivered again or late, timers late, a
  * node frozen, cut off, its disk stalled, restarted or wiped. That troubles end again is no departure, but happens only
  * when nothing is on its way.
@@ -87,7 +87,7 @@
     for (const node of world.nodes.keys()) {
       if (!holds(beaten, node) && !holds(frozen, node)) return stepAt('beat', node);
     }
-    return world.tick < this.#cluster.protocol.faults.ticks ? stepAt('tick') : undefined;
+    return world.clock < this.#cluster.protocol.faults.clockSteps ? stepAt('advance') : undefined;
   }
 
   #endTroubles(schedule: Schedule<Ghost>, visit: Visit<Schedule<Ghost>>): void {
@@ -162,7 +162,7 @@
       ...schedule,
       world: taken.world,
       queue: queued(queue, sent),
-      beaten: step.kind === 'tick' ? 0 : beaten,
+      beaten: step.kind === 'advance' ? 0 : beaten,
       departures,
     };
     visit(stepCode(step), next, taken.violation);
--- a/src/simulation/exhaustive/ElectionProtocol.ts
+++ b/src/simulation/exhaustive/ElectionProtocol.ts
@@ -7,7 +7,7 @@
 import type { VoteRecord } from '../../vote/VoteEffect.js';
 import type { VoteSettings } from '../../vote/VoteSettings.js';
 import {
-  TICK_MS,
+  CLOCK_STEP_MS,
   type CalmRun,
   type FaultBounds,
   type Happening,
@@ -26,25 +26,25 @@
   isFree: optional(boolean()),
 });
 
-/** Moments at which order permissions are looked at: two spans and a lease beyond the last tick of any search. */
-const WATCHED_TICKS = 24;
-/** In ticks: how long nobody may order between two holders. */
-const LEASE_TICKS = 2;
+/** Moments at which order permissions are looked at: two spans and a lease beyond the last step of any search. */
+const WATCHED_CLOCK_STEPS = 24;
+/** In steps of the clocks: how long nobody may order between two holders. */
+const LEASE_CLOCK_STEPS = 2;
 
 /**
- * The deployed proportions on few moments: a holder may order for two ticks after a renewal, nobody for one between two
+ * The deployed proportions on few moments: a holder may order for two steps of the clocks after a renewal, nobody for one between two
  * holders, a round of proposals takes one. Clocks run alike. Links are always taken for alive.
  */
 const SETTINGS: VoteSettings = {
-  pingMs: 2 * TICK_MS,
-  deadMs: 1000 * TICK_MS,
+  pingMs: 2 * CLOCK_STEP_MS,
+  deadMs: 1000 * CLOCK_STEP_MS,
   halfLifeSeconds: 12 * 3600,
-  electionMs: TICK_MS,
-  renewMs: TICK_MS / 10,
-  spanMs: 2 * TICK_MS,
-  leaseMs: LEASE_TICKS * TICK_MS,
+  electionMs: CLOCK_STEP_MS,
+  renewMs: CLOCK_STEP_MS / 10,
+  spanMs: 2 * CLOCK_STEP_MS,
+  leaseMs: LEASE_CLOCK_STEPS * CLOCK_STEP_MS,
   drift: 0,
-  stallMs: 1000 * TICK_MS,
+  stallMs: 1000 * CLOCK_STEP_MS,
 };
 
 /** Deliberate mistakes that the invariants must find. */
@@ -59,8 +59,8 @@
 export interface ElectionFacts {
   readonly epoch: number;
   readonly isLeading: boolean;
-  /** The ticks at which it may order as things stand. */
-  readonly orderTicks: readonly number[];
+  /** The times, in steps of the clocks, at which it may order as things stand. */
+  readonly orderTimes: readonly number[];
 }
 
 export interface ElectionGhost {
@@ -139,11 +139,11 @@
   }
 
   facts(): ElectionFacts {
-    const orderTicks: number[] = [];
-    for (let tick = 0; tick < WATCHED_TICKS; tick += 1) {
-      if (this.#elector.mayOrder(later(moment(0), tick * TICK_MS))) orderTicks.push(tick);
+    const orderTimes: number[] = [];
+    for (let step = 0; step < WATCHED_CLOCK_STEPS; step += 1) {
+      if (this.#elector.mayOrder(later(moment(0), step * CLOCK_STEP_MS))) orderTimes.push(step);
     }
-    return { epoch: this.#elector.epoch, isLeading: this.#elector.isLeading(), orderTicks };
+    return { epoch: this.#elector.epoch, isLeading: this.#elector.isLeading(), orderTimes };
   }
 }
 
@@ -211,7 +211,7 @@
     calm.deliver(A, B, 'propose');
     calm.deliver(B, C, 'defer');
     calm.deliver(B, A, 'defer');
-    calm.tick();
+    calm.advance();
     calm.beat(A);
     calm.beat(C);
   }
@@ -235,7 +235,7 @@
       return { ghost: before.ghost, violation };
     }
     const led = judgeLeaders(after, before.ghost.leaders);
-    const ordered = judgeOrders(before, after, did.isTick);
+    const ordered = judgeOrders(before, after, did.isAdvance);
     const isSame = led.leaders === before.ghost.leaders && !ordered.hasChanged;
     const ghost = isSame
       ? before.ghost
@@ -265,24 +265,24 @@
   readonly violation: string | undefined;
 }
 
-/** A node that may order at a tick and is not touched until the next may have ordered right up to that next one. */
+/** A node that may order at one time and is not touched until the next may have ordered right up to that next one. */
 function judgeOrders(
   before: View<ElectionFacts, ElectionGhost>,
   after: View<ElectionFacts, ElectionGhost>,
-  isTick: boolean,
+  isAdvance: boolean,
 ): OrderJudgement {
   const { orderedUntil } = before.ghost;
   let next = orderedUntil;
   for (const [node, until] of orderedUntil.entries()) {
-    const mayHave = isTick && before.facts[node]?.orderTicks.includes(before.tick);
-    const may = after.facts[node]?.orderTicks.includes(after.tick) ?? false;
-    let last = mayHave || may ? after.tick : until;
-    if (last >= 0 && after.tick - last >= LEASE_TICKS) last = -1;
+    const mayHave = isAdvance && before.facts[node]?.orderTimes.includes(before.clock);
+    const may = after.facts[node]?.orderTimes.includes(after.clock) ?? false;
+    let last = mayHave || may ? after.clock : until;
+    if (last >= 0 && after.clock - last >= LEASE_CLOCK_STEPS) last = -1;
     if (last !== until) next = next.with(node, last);
   }
   let violation: string | undefined;
-  for (const [node, { orderTicks }] of after.facts.entries()) {
-    if (!orderTicks.includes(after.tick)) continue;
+  for (const [node, { orderTimes }] of after.facts.entries()) {
+    if (!orderTimes.includes(after.clock)) continue;
     for (const [other, until] of next.entries()) {
       if (other !== node && until >= 0) violation = 'two holders may order within the lease';
     }
--- a/src/simulation/exhaustive/Interleavings.ts
+++ b/src/simulation/exhaustive/Interleavings.ts
@@ -34,7 +34,7 @@
 
   expand(world: World<Ghost>, visit: Visit<World<Ghost>>): void {
     const { faults } = this.#cluster.protocol;
-    if (world.tick < faults.ticks) this.#take(world, stepAt('tick'), visit);
+    if (world.clock < faults.clockSteps) this.#take(world, stepAt('advance'), visit);
     for (const [node, { pending }] of world.nodes.entries()) {
       this.#take(world, stepAt('beat', node), visit);
       if (pending.length > 0) this.#take(world, stepAt('sync', node), visit);
--- a/src/simulation/exhaustive/Protocol.ts
+++ b/src/simulation/exhaustive/Protocol.ts
@@ -2,7 +2,7 @@
 import type { DiskWrite, Envelope, NodeFactory } from './LocalStates.js';
 
 /** Milliseconds between two of the moments that a model has. Nothing happens at any other. */
-export const TICK_MS = 1000;
+export const CLOCK_STEP_MS = 1000;
 
 /** One node of a state: numbers of what the tables hold. */
 export interface NodeState {
@@ -17,7 +17,7 @@
  * number of times and in any order, or never. Losses, duplicates and late copies are all in that.
  */
 export interface World<Ghost> {
-  readonly tick: number;
+  readonly clock: number;
   readonly nodes: readonly NodeState[];
   /** One character for each message ever sent, sorted. */
   readonly messages: string;
@@ -29,7 +29,7 @@
 
 /** A state as the invariants see it. */
 export interface View<Facts, Ghost> {
-  readonly tick: number;
+  readonly clock: number;
   readonly ghost: Ghost;
   readonly facts: readonly Facts[];
   readonly disks: readonly (readonly DiskWrite[])[];
@@ -39,7 +39,7 @@
 export interface Happening<Command, Event> {
   /** The node that took the step; nothing for the passing of time. */
   readonly node: number | undefined;
-  readonly isTick: boolean;
+  readonly isAdvance: boolean;
   readonly isRestart: boolean;
   readonly command: Command | undefined;
   readonly sent: readonly Envelope[];
@@ -58,7 +58,7 @@
 
 /** How often what may go wrong, and how far time may go. */
 export interface FaultBounds {
-  readonly ticks: number;
+  readonly clockSteps: number;
   /** Crashes with everything synced kept. A node that is never scheduled again stands for one that stays away. */
   readonly restarts: number;
   /** Crashes that lose the whole disk. */
@@ -93,7 +93,7 @@
 export interface CalmRun<Command> {
   beat(node: number): void;
   command(node: number, command: Command): void;
-  tick(): void;
+  advance(): void;
   /** From here on messages are delivered only one by one. */
   hold(): void;
   /** Delivers the messages of this kind that one node has sent to another. */
--- a/src/simulation/exhaustive/RefusalProtocol.ts
+++ b/src/simulation/exhaustive/RefusalProtocol.ts
@@ -23,8 +23,8 @@
 } from './Protocol.js';
 
 const NODES = ['a', 'b', 'c'];
-/** Ticks after which three nodes that were just started have a leader that serves. */
-const FOUNDING_TICKS = 3;
+/** Steps of the clocks after which three nodes that were just started have a leader that serves. */
+const FOUNDING_CLOCK_STEPS = 3;
 /** The first order replaces nothing; the second and third were both made from what the first one brings. */
 const ORDERS: readonly ConfigureOrder[] = [
   { id: 'first', base: 0, version: 7 },
@@ -76,9 +76,9 @@
   }
 
   prepare(calm: CalmRun<ControlCommand>): void {
-    for (let tick = 0; tick < FOUNDING_TICKS; tick += 1) {
+    for (let step = 0; step < FOUNDING_CLOCK_STEPS; step += 1) {
       for (const node of NODES.keys()) calm.beat(node);
-      calm.tick();
+      calm.advance();
     }
   }
 
--- a/src/simulation/exhaustive/Steps.ts
+++ b/src/simulation/exhaustive/Steps.ts
@@ -1,6 +1,6 @@
 /** What may happen next in a cluster. */
 export type StepKind =
-  | 'tick'
+  | 'advance'
   | 'beat'
   | 'sync'
   | 'receive'
@@ -17,7 +17,7 @@
   | 'unstall';
 
 const STEP_KINDS: readonly StepKind[] = [
-  'tick',
+  'advance',
   'beat',
   'sync',
   'receive',
@@ -51,7 +51,7 @@
 export function stepOf(code: number): Step {
   const rest = Math.floor(code / KIND_SPAN);
   return {
-    kind: STEP_KINDS[code % KIND_SPAN] ?? 'tick',
+    kind: STEP_KINDS[code % KIND_SPAN] ?? 'advance',
     node: rest % NODE_SPAN,
     item: Math.floor(rest / NODE_SPAN),
   };
--- a/src/simulation/exhaustive/VoterChangeProtocol.ts
+++ b/src/simulation/exhaustive/VoterChangeProtocol.ts
@@ -27,10 +27,10 @@
 const NODES = [...SEEDS, SPARE];
 /** The voter that is gone when the search begins. */
 const GONE = 2;
-/** Ticks until there is a leader that serves and the spare has read everything. */
-const FOUNDING_TICKS = 5;
-/** Ticks of silence up to just before the leader replaces a voter. */
-const SILENT_TICKS = 2;
+/** Steps of the clocks until there is a leader that serves and the spare has read everything. */
+const FOUNDING_CLOCK_STEPS = 5;
+/** Steps of silence up to just before the leader replaces a voter. */
+const SILENT_CLOCK_STEPS = 2;
 const FIRST_ORDER = { id: 'first', base: 0, version: 7 };
 const SECOND_ORDER = { id: 'second', base: 7, version: 9 };
 
@@ -75,15 +75,15 @@
   }
 
   prepare(calm: CalmRun<ControlCommand>): void {
-    for (let tick = 0; tick < FOUNDING_TICKS; tick += 1) {
+    for (let step = 0; step < FOUNDING_CLOCK_STEPS; step += 1) {
       for (const node of NODES.keys()) calm.beat(node);
-      calm.tick();
+      calm.advance();
     }
     calm.command(0, { call: 1, order: FIRST_ORDER });
     calm.freeze(GONE);
-    for (let tick = 0; tick < SILENT_TICKS; tick += 1) {
+    for (let step = 0; step < SILENT_CLOCK_STEPS; step += 1) {
       for (const node of NODES.keys()) if (node !== GONE) calm.beat(node);
-      calm.tick();
+      calm.advance();
     }
   }
 
