--- /dev/null
+++ b/src/control/ControlCommand.ts
@@ -0,0 +1,33 @@
+import { Flags } from '@oclif/core';
+import { makeLog } from '../common/Log.js';
+import { PROGRAM_FLAGS, ProgramCommand, SEED_FLAGS } from '../common/ProgramCommand.js';
+import { TableControlSettingsShape } from '../common/Settings.js';
+import { untilStopped } from '../common/Shutdown.js';
+import { TableControlProcess } from './TableControlProcess.js';
+
+export class ControlCommand extends ProgramCommand {
+  static override aliases = ['mind'];
+  static override deprecateAliases = true;
+  static override description = 'run a control node';
+  static override flags = {
+    ...PROGRAM_FLAGS,
+    ...SEED_FLAGS,
+    api: Flags.string({ description: "address of the operators' API" }),
+    data: Flags.string({ description: 'folder for the state on disk' }),
+    platform: Flags.string({ description: "address of the platform's list of machines" }),
+    store: Flags.string({ description: 'address of the weight store' }),
+    blindMs: Flags.integer({
+      description: 'a proxy not confirmed fresh within this span turns new work away',
+    }),
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(ControlCommand);
+    const settings = this.settle(TableControlSettingsShape, flags);
+    const controlNode = new TableControlProcess(settings, makeLog('control', settings.listen));
+    await this.begin(controlNode.start.bind(controlNode));
+    await untilStopped();
+    await controlNode.stop();
+    this.exit(0);
+  }
+}
--- a/src/mind/MindCore.ts
+++ b/src/control/ControlCore.ts
@@ -1,38 +1,74 @@
 import { boolean, number, optional, string, type } from 'superstruct';
-import { rowKey, type Row } from '../code/Table.js';
-import { allParts, CONFIG_PART, servicePart, VOTE_PART } from '../hold/PartNames.js';
-import { Parts } from '../hold/Parts.js';
-import { Standing } from '../hold/Standing.js';
-import type { StoredPart } from '../hold/Store.js';
-import { Defect, DEFECTS, reasonOf, type DefectKind } from '../kin/Defect.js';
-import { fellowId, later, moment, type FellowId, type Moment, type PartName } from '../kin/Ids.js';
-import { mustParseAs, parseAs } from '../kin/Json.js';
-import type { MemberMessage, Message } from '../kin/Messages.js';
-import { Quorum } from '../kin/Quorum.js';
-import { compareVersions, isNewer, NO_VERSION, versionText, type Version } from '../kin/Version.js';
-import { Relay } from '../news/Relay.js';
-import { Sessions } from '../news/Sessions.js';
-import { Vouching } from '../news/Vouching.js';
-import { Placer, PLACER_DEFAULTS, type PlacerSettings, type PlanInput, type RunnerView } from '../place/Placer.js';
+import { rowKey, type Row } from '../policy/Table.js';
+import { allParts, CONFIG_PART, servicePart, VOTE_PART } from '../state/PartNames.js';
+import { ReplicatedState } from '../state/ReplicatedState.js';
+import { ReplicaStatus } from '../state/ReplicaStatus.js';
+import type { StoredPart } from '../state/Store.js';
+import { CodedError, ERROR_CODES, reasonOf, type ErrorCode } from '../common/CodedError.js';
+import { nodeId, later, moment, type NodeId, type Moment, type PartName } from '../common/Ids.js';
+import { mustParseAs, parseAs } from '../common/Json.js';
+import type { MemberMessage, Message } from '../common/Messages.js';
+import { Quorum } from '../common/Quorum.js';
 import {
-  DemandShape, MachinesShape, ServicePartShape, type Catalog, type Intent, type Machines, type RunnerReport, type ServiceDoc, type Share,
-} from '../place/Shapes.js';
-import type { Live } from '../place/Live.js';
-import { Shares } from '../place/Shares.js';
-import { Elector } from '../vote/Elector.js';
-import type { VoteRecord } from '../vote/VoteEffect.js';
-import { VOTE_DEFAULTS, type VoteSettings } from '../vote/VoteSettings.js';
-import { ConfigDocShape, ConfigNewsShape, EditShapes, firstDoc, MAX_EDITS, mayBeForgotten, type ConfigDoc } from './ConfigDoc.js';
-import type { ListedRunner, RunnerStatus } from '../place/Fleet.js';
-import { applyEdit, ConfigDefect, recordEdit, TableDefect } from './Edits.js';
-import { FleetDesk } from './FleetDesk.js';
-import type { MindEffect, MindSettings, OrderResult } from './MindEffect.js';
-import { isVotersWriting, VoterPlan, type Enlisted } from './VoterPlan.js';
-
-const VoteBodyShape = type({ epoch: number(), grantEpoch: number(), grantLeader: string(), isFree: optional(boolean()) });
+  compareVersions,
+  isNewer,
+  NO_VERSION,
+  versionText,
+  type Version,
+} from '../common/Version.js';
+import { Relay } from '../dissemination/Relay.js';
+import { Sessions } from '../dissemination/Sessions.js';
+import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
+import {
+  Placer,
+  PLACER_DEFAULTS,
+  type PlacerSettings,
+  type PlanInput,
+  type RunnerView,
+} from '../placement/Placer.js';
+import {
+  DemandShape,
+  MachinesShape,
+  ServicePartShape,
+  type Catalog,
+  type Intent,
+  type Machines,
+  type RunnerReport,
+  type ServiceDoc,
+  type Share,
+} from '../placement/Shapes.js';
+import type { Live } from '../placement/Live.js';
+import { Shares } from '../placement/Shares.js';
+import { Elector } from '../election/Elector.js';
+import type { VoteRecord } from '../election/VoteEffect.js';
+import { VOTE_DEFAULTS, type VoteSettings } from '../election/VoteSettings.js';
+import {
+  ConfigDocShape,
+  ConfigNewsShape,
+  EditShapes,
+  firstDoc,
+  MAX_EDITS,
+  mayBeForgotten,
+  type ConfigDoc,
+} from './ConfigDoc.js';
+import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
+import { applyEdit, ConfigError, recordEdit, TableError } from './Edits.js';
+import { FleetManager } from './FleetManager.js';
+import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
+import { isVotersWriting, VoterPlan, type Announced } from './VoterPlan.js';
+
+const VoteBodyShape = type({
+  epoch: number(),
+  grantEpoch: number(),
+  grantLeader: string(),
+  isFree: optional(boolean()),
+});
 
 /** Where a command came from, and so where its return goes: '' is this node's own API. */
-interface Origin { readonly from: string; readonly id: number }
+interface Origin {
+  readonly from: string;
+  readonly id: number;
+}
 
 interface WaitingEdit {
   readonly origin: Origin;
@@ -40,16 +76,37 @@
   readonly number: number;
   readonly outcome: 'accepted' | 'closed';
   /** Set once a synced majority holds it. */
-  committed: { readonly version: Version; readonly at: Moment; readonly members: ReadonlySet<string> } | undefined;
+  committed:
+    | { readonly version: Version; readonly at: Moment; readonly members: ReadonlySet<string> }
+    | undefined;
 }
 
-interface Runner { report: RunnerReport | undefined; askedAt: Moment; askSentAt: Moment; seenAt: Moment; isReachable: boolean; isKnown: boolean }
+interface Runner {
+  report: RunnerReport | undefined;
+  askedAt: Moment;
+  askSentAt: Moment;
+  seenAt: Moment;
+  isReachable: boolean;
+  isKnown: boolean;
+}
 
-interface SentOrder { readonly sentAt: Moment; readonly state: 'sent' | 'taken' | 'unsure'; readonly wasUnsure: boolean }
+interface SentOrder {
+  readonly sentAt: Moment;
+  readonly state: 'sent' | 'taken' | 'unsure';
+  readonly wasUnsure: boolean;
+}
 
-interface Forwarded { readonly origin: Origin; readonly to: string; readonly at: Moment; readonly editId: string }
+interface Forwarded {
+  readonly origin: Origin;
+  readonly to: string;
+  readonly at: Moment;
+  readonly editId: string;
+}
 
-interface HeardMembers { readonly members: readonly MemberMessage[]; readonly at: Moment }
+interface HeardMembers {
+  readonly members: readonly MemberMessage[];
+  readonly at: Moment;
+}
 
 const EMPTY_CATALOG: Catalog = { limit: 0, models: [], adapters: [] };
 const ORDER_AGAIN_MS = 2000;
@@ -61,35 +118,38 @@
 const RECOVER_MS = 2000;
 const LOST_RUNNER_MS = 4000;
 /** How often a node that stands outside announces itself, and how long that is remembered. */
-const ENLIST_MS = 500;
-const ENLISTED_MS = 1500;
+const ANNOUNCE_MS = 500;
+const ANNOUNCEED_MS = 1500;
 const LEADERLESS_MS = 1000;
 const NEAR_MS = 1000;
 const NEVER = moment(-1e12);
-/** Clocks differ in rate, and a vouch takes its way: whoever is not fresh by so long after is surely blind. */
+/** Clocks differ in rate, and a confirmation takes its way: whoever is not fresh by so long after is surely blind. */
 const BLIND_SLACK_MS = 200;
 const UNKNOWN: MemberMessage = { id: 'unknown', zone: '', address: '', epoch: 0, count: 0 };
 
 /**
  * The core of a control node: election, shared state, sessions, news, configuration and placement,
- * as one pure state machine. It is told messages, beats and what the outside returned, and drains effects.
+ * as one pure state machine. It is told messages, ticks and what the outside returned, and drains effects.
  */
-export class MindCore {
-  readonly #settings: MindSettings;
-  readonly #me: FellowId;
+export class ControlCore {
+  readonly #settings: ControlSettings;
+  readonly #me: NodeId;
   readonly #elector: Elector;
-  readonly #parts: Parts;
-  readonly #standing: Standing;
+  readonly #parts: ReplicatedState;
+  readonly #replicaStatus: ReplicaStatus;
   readonly #sessions: Sessions;
   readonly #relay = new Relay();
-  readonly #vouching: Vouching;
+  readonly #confirmation: FreshnessConfirmation;
   readonly #placer: Placer;
   #quorum: Quorum;
-  #effects: MindEffect[] = [];
+  #effects: ControlEffect[] = [];
 
   #voteCount = 0;
   /** Vote records on their way to the disk, by their count. */
-  readonly #voteTokens = new Map<number, { readonly token: number; readonly grantEpoch: number; readonly epoch: number }>();
+  readonly #voteTokens = new Map<
+    number,
+    { readonly token: number; readonly grantEpoch: number; readonly epoch: number }
+  >();
   #keptGrant = 0;
   #ledEpoch = 0;
   #wasLeader = '';
@@ -101,7 +161,12 @@
   readonly #asked = new Map<string, Moment>();
   readonly #heardMembers = new Map<string, HeardMembers>();
   readonly #ackedBy = new Map<string, Version>();
-  #round: { readonly nonce: number; readonly returns: Map<FellowId, { readonly version: Version; readonly marks: number }> } | undefined;
+  #round:
+    | {
+        readonly nonce: number;
+        readonly replies: Map<NodeId, { readonly version: Version; readonly marks: number }>;
+      }
+    | undefined;
 
   #doc: ConfigDoc;
   #token = 0;
@@ -122,12 +187,12 @@
   readonly #shares = new Shares();
   #shareList: readonly Share[] = [];
   #sharedAt: Moment = NEVER;
-  /** Until then members may stand on no list of ours that were vouched for through us before we started. */
+  /** Until then members may stand on no list of ours that were confirmed fresh through us before we started. */
   readonly #unknownUntil: Moment;
   #listAskedAt: Moment = NEVER;
   readonly #orders = new Map<string, SentOrder>();
   readonly #keptIntents = new Set<string>();
-  /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a beat earlier. */
+  /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a tick earlier. */
   #isServing = false;
   #isRetiring = false;
   #isRecovering = false;
@@ -136,74 +201,122 @@
   #plannedAt: Moment = NEVER;
   #machinesAt: Moment = NEVER;
   #catalogAt: Moment = NEVER;
-  #fellowAt: Moment = NEVER;
+  #peersPingedAt: Moment = NEVER;
   #placesText = '';
   #placesCount = 0;
   #placementWrites = 0;
   #ordersSent = 0;
 
   /** Set where a deployment brings its own planner. */
-  readonly #desk: FleetDesk | undefined;
+  readonly #fleetManager: FleetManager | undefined;
   #seeds: readonly string[];
   readonly #zones = new Map<string, string>();
-  readonly #enlisted = new Map<string, Enlisted>();
-  #enlistedAt: Moment = NEVER;
+  readonly #announced = new Map<string, Announced>();
+  #announcedAt: Moment = NEVER;
   #leaderAt: Moment;
   readonly #voterPlan = new VoterPlan();
 
-  constructor(settings: MindSettings, stored: readonly StoredPart[], now: Moment, vote: VoteSettings = VOTE_DEFAULTS, placer: PlacerSettings = PLACER_DEFAULTS) {
+  constructor(
+    settings: ControlSettings,
+    stored: readonly StoredPart[],
+    now: Moment,
+    vote: VoteSettings = VOTE_DEFAULTS,
+    placer: PlacerSettings = PLACER_DEFAULTS,
+  ) {
     this.#settings = settings;
-    this.#me = fellowId(settings.me);
+    this.#me = nodeId(settings.me);
     this.#unknownUntil = later(now, settings.blindMs + BLIND_SLACK_MS);
-    const seeds = settings.seeds.map(fellowId);
+    const seeds = settings.seeds.map(nodeId);
     const voteFile = stored.find(isVote);
     const record = voteFile ? parseAs(VoteBodyShape, voteFile.body) : undefined;
     // No record of votes at all is an empty folder; one that cannot be trusted is a lost disk.
-    const name = !voteFile ? (stored.length === 0 ? 'blank' : 'lost') : record && voteFile.isSound ? 'sound' : 'lost';
+    const name = !voteFile
+      ? stored.length === 0
+        ? 'blank'
+        : 'lost'
+      : record && voteFile.isSound
+        ? 'sound'
+        : 'lost';
     this.#voteCount = voteFile?.version.count ?? 0;
     this.#quorum = new Quorum(seeds);
-    this.#parts = new Parts(this.#me, this.#quorum, allParts(), stored);
+    this.#parts = new ReplicatedState(this.#me, this.#quorum, allParts(), stored);
     this.#doc = firstDoc(settings.seeds);
     const known: VoteRecord | undefined = name === 'sound' ? record : undefined;
     this.#elector = new Elector(this.#me, this.#quorum, vote, now, known);
     this.#keptGrant = known?.grantEpoch ?? 0;
-    this.#standing = new Standing(this.#me, name, now, settings.foundMs, settings.life, settings.deployed?.isFirstStart ?? true);
+    this.#replicaStatus = new ReplicaStatus(
+      this.#me,
+      name,
+      now,
+      settings.foundMs,
+      settings.incarnation,
+      settings.deployed?.isFirstStart ?? true,
+    );
     this.#seeds = settings.seeds;
     this.#leaderAt = now;
-    this.#desk = settings.deployed && new FleetDesk(settings.deployed, {
-      effects: this.#effect.bind(this), write: this.#writePlaced.bind(this), publish: this.#publishFleet.bind(this), mayOrder: this.mayOrder.bind(this), flows: this.#flowCount.bind(this),
-    });
-    this.#vouching = new Vouching(settings.life);
-    this.#forwardId = settings.life;
-    if (name !== 'sound') this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
+    this.#fleetManager =
+      settings.deployed &&
+      new FleetManager(settings.deployed, {
+        effects: this.#effect.bind(this),
+        write: this.#writePlaced.bind(this),
+        publish: this.#publishFleet.bind(this),
+        mayOrder: this.mayOrder.bind(this),
+        flows: this.#flowCount.bind(this),
+      });
+    this.#confirmation = new FreshnessConfirmation(settings.incarnation);
+    this.#forwardId = settings.incarnation;
+    if (name !== 'sound')
+      this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
     this.#placer = new Placer(placer, settings.me);
     this.#followVoters();
     this.#collect(now);
   }
 
-  get elector(): Elector { return this.#elector; }
-  get parts(): Parts { return this.#parts; }
-  get relay(): Relay { return this.#relay; }
-  get standing(): Standing { return this.#standing; }
-  get isServing(): boolean { return this.#isServing; }
-  get voters(): readonly FellowId[] { return this.#quorum.all; }
-  get ordersSent(): number { return this.#ordersSent + (this.#desk?.ordersSent ?? 0); }
-  get placementWrites(): number { return this.#placementWrites; }
+  get elector(): Elector {
+    return this.#elector;
+  }
+  get parts(): ReplicatedState {
+    return this.#parts;
+  }
+  get relay(): Relay {
+    return this.#relay;
+  }
+  get standing(): ReplicaStatus {
+    return this.#replicaStatus;
+  }
+  get isServing(): boolean {
+    return this.#isServing;
+  }
+  get voters(): readonly NodeId[] {
+    return this.#quorum.all;
+  }
+  get ordersSent(): number {
+    return this.#ordersSent + (this.#fleetManager?.ordersSent ?? 0);
+  }
+  get placementWrites(): number {
+    return this.#placementWrites;
+  }
 
-  drain(): MindEffect[] {
+  drain(): ControlEffect[] {
     const effects = this.#effects;
     this.#effects = [];
     return effects;
   }
 
   /** Asked by the executor right before an order is written. */
-  mayOrder(now: Moment): boolean { return !this.#isRetiring && this.#elector.mayOrder(now) && this.#isServing; }
+  mayOrder(now: Moment): boolean {
+    return !this.#isRetiring && this.#elector.mayOrder(now) && this.#isServing;
+  }
 
-  leaseEnd(): Moment { return this.#elector.leaseEnd; }
+  leaseEnd(): Moment {
+    return this.#elector.leaseEnd;
+  }
 
   /** Whom the settings name now; they are asked for voters where none is heard of. */
-  setSeeds(seeds: readonly string[]): void { this.#seeds = seeds; }
+  setSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+  }
 
   /** Everybody that this node wants a line to. */
   get peers(): readonly string[] {
@@ -215,52 +328,122 @@
 
   // ---- inputs
 
-  beat(now: Moment): void {
-    this.#elector.beat(now);
-    for (const send of this.#standing.beat(now, this.#quorum)) this.#effects.push({ do: 'send', ...send });
-    this.#settleStanding(now, this.#standing.outcome(now, this.#quorum));
-    this.#parts.beat(now);
-    this.#sessions.beat(now);
-    for (const [id, at] of this.#asked) if (now - at > this.#settings.blindMs * 2) this.#asked.delete(id);
-    for (const [fellow, heard] of this.#heardMembers) if (now - heard.at > this.#settings.blindMs * 2) this.#heardMembers.delete(fellow);
+  tick(now: Moment): void {
+    this.#elector.tick(now);
+    for (const send of this.#replicaStatus.tick(now, this.#quorum))
+      this.#effects.push({ do: 'send', ...send });
+    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
+    this.#parts.tick(now);
+    this.#sessions.tick(now);
+    for (const [id, at] of this.#asked)
+      if (now - at > this.#settings.blindMs * 2) this.#asked.delete(id);
+    for (const [peer, heard] of this.#heardMembers)
+      if (now - heard.at > this.#settings.blindMs * 2) this.#heardMembers.delete(peer);
     this.#beginRound(now);
-    this.#beatFellows(now);
-    this.#beatCommands(now);
-    if (this.#desk) this.#beatVoters(now);
-    this.#beatOutside(now);
+    this.#tickPeers(now);
+    this.#tickCommands(now);
+    if (this.#fleetManager) this.#tickVoters(now);
+    this.#tickOutside(now);
     this.#collect(now);
   }
 
   receive(now: Moment, from: string, message: Message, zone: string = ''): void {
     this.#closed.delete(from);
-    if (zone !== '' && this.#quorum.holds(fellowId(from))) this.#zones.set(from, zone);
+    if (zone !== '' && this.#quorum.holds(nodeId(from))) this.#zones.set(from, zone);
     switch (message.kind) {
       case 'read':
-        if (message.epoch === 0) this.#send(from, this.#standing.returnTo(message.nonce, this.#elector.epoch, this.#parts.copies(), this.#elector.record.grantEpoch > 0));
-        else this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], this.#standing.name);
+        if (message.epoch === 0)
+          this.#send(
+            from,
+            this.#replicaStatus.replyTo(
+              message.nonce,
+              this.#elector.epoch,
+              this.#parts.copies(),
+              this.#elector.record.grantEpoch > 0,
+            ),
+          );
+        else
+          this.#parts.receive(
+            now,
+            nodeId(from),
+            message,
+            this.#grantedEpoch(),
+            [],
+            this.#replicaStatus.name,
+          );
+        break;
+      case 'readReply':
+        if (message.sound)
+          this.#parts.receive(now, nodeId(from), message, this.#grantedEpoch(), [], '');
+        else
+          this.#settleReplicaStatus(
+            now,
+            this.#replicaStatus.receive(now, nodeId(from), message, this.#quorum),
+          );
         break;
-      case 'readReturn':
-        if (message.sound) this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], '');
-        else this.#settleStanding(now, this.#standing.receive(now, fellowId(from), message, this.#quorum));
+      case 'write':
+        this.#parts.receive(
+          now,
+          nodeId(from),
+          message,
+          this.#grantedEpoch(),
+          this.#possibleMembers(now),
+          this.#replicaStatus.name,
+        );
         break;
-      case 'write': this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), this.#possibleMembers(now), this.#standing.name); break;
-      case 'writeReturn': case 'digest': case 'digestReturn':
+      case 'writeReply':
+      case 'digest':
+      case 'digestReply':
         // Only a write's return names members.
-        this.#parts.receive(now, fellowId(from), message, this.#grantedEpoch(), [], this.#standing.name);
+        this.#parts.receive(
+          now,
+          nodeId(from),
+          message,
+          this.#grantedEpoch(),
+          [],
+          this.#replicaStatus.name,
+        );
+        break;
+      case 'quorumRead':
+        this.#receiveQuorumRead(now, from, message.nonce, message.members);
+        break;
+      case 'quorumReadReply':
+        this.#receiveQuorumReadReply(now, from, message);
+        break;
+      case 'join':
+        this.#receiveJoin(now, from, message);
+        break;
+      case 'freshnessRequest':
+        this.#receiveFreshnessRequest(now, from, message);
+        break;
+      case 'ack':
+        this.#sessions.ack(from, message);
+        this.#noteAck(from, message);
+        break;
+      case 'acked':
+        this.#receiveAcked(now, from, message.members);
+        break;
+      case 'announce':
+        this.#receiveAnnounce(now, from, message);
+        break;
+      case 'update':
+        this.#receiveUpdate(message);
+        break;
+      case 'delta':
+        this.#receiveDelta(from, message);
+        break;
+      case 'demand':
+        this.#receiveDemand(now, message.body);
+        break;
+      case 'command':
+        this.#command(now, { from, id: message.id }, message.verb, message.body);
+        break;
+      case 'commandReply':
+        this.#receiveCommandReply(from, message);
+        break;
+      default:
+        this.#elector.receive(now, nodeId(from), message);
         break;
-      case 'sound': this.#receiveSound(now, from, message.nonce, message.members); break;
-      case 'sounded': this.#receiveSounded(now, from, message); break;
-      case 'join': this.#receiveJoin(now, from, message); break;
-      case 'ask': this.#receiveAsk(now, from, message); break;
-      case 'ack': this.#sessions.ack(from, message); this.#noteAck(from, message); break;
-      case 'acked': this.#receiveAcked(now, from, message.members); break;
-      case 'enlist': this.#receiveEnlist(now, from, message); break;
-      case 'news': this.#receiveNews(message); break;
-      case 'delta': this.#receiveDelta(from, message); break;
-      case 'demand': this.#receiveDemand(now, message.body); break;
-      case 'command': this.#command(now, { from, id: message.id }, message.verb, message.body); break;
-      case 'commandReturn': this.#receiveCommandReturn(from, message); break;
-      default: this.#elector.receive(now, fellowId(from), message); break;
     }
     this.#collect(now);
   }
@@ -273,9 +456,9 @@
     for (const [id, forwarded] of this.#forwards) {
       if (forwarded.to !== from) continue;
       this.#forwards.delete(id);
-      this.#returnUnsure(forwarded.origin, forwarded.editId);
+      this.#replyUnsure(forwarded.origin, forwarded.editId);
     }
-    this.#rehang();
+    this.#reassignParents();
     this.#collect(now);
   }
 
@@ -289,7 +472,7 @@
       }
       if (this.#settleOnVote !== undefined && version.count >= this.#settleOnVote) {
         this.#settleOnVote = undefined;
-        this.#standing.settle();
+        this.#replicaStatus.settle();
         this.#note('standing is sound', {});
       }
     } else {
@@ -307,13 +490,13 @@
 
   /** The platform's list of runners. */
   list(now: Moment, runners: readonly ListedRunner[]): void {
-    if (this.#isServing) this.#desk?.list(now, runners, this.#doc);
+    if (this.#isServing) this.#fleetManager?.list(now, runners, this.#doc);
     this.#collect(now);
   }
 
   /** A runner's own report, asked for at that moment; nothing if it gave none. */
   status(now: Moment, runner: string, askedAt: Moment, status: RunnerStatus | undefined): void {
-    if (this.#isServing) this.#desk?.status(now, runner, askedAt, status);
+    if (this.#isServing) this.#fleetManager?.status(now, runner, askedAt, status);
     this.#collect(now);
   }
 
@@ -336,8 +519,14 @@
 
   /** What became of an order: taken, turned away for good, or unsure. */
   ordered(now: Moment, intent: string, outcome: OrderResult | 'turnedAway'): void {
-    if (this.#desk) {
-      if (this.#isServing) this.#desk.ordered(now, intent, outcome === 'turnedAway' ? 'refused' : outcome, this.#doc);
+    if (this.#fleetManager) {
+      if (this.#isServing)
+        this.#fleetManager.ordered(
+          now,
+          intent,
+          outcome === 'turnedAway' ? 'refused' : outcome,
+          this.#doc,
+        );
       this.#collect(now);
       return;
     }
@@ -350,7 +539,12 @@
     } else if (sent && sent.state !== 'taken') {
       // Never written, it is as if it had not been sent; one whose fate was open before stays open.
       if (outcome === 'unsent' && !sent.wasUnsure) this.#orders.delete(intent);
-      else this.#orders.set(intent, { sentAt: outcome === 'unsent' ? NEVER : now, state: 'unsure', wasUnsure: true });
+      else
+        this.#orders.set(intent, {
+          sentAt: outcome === 'unsent' ? NEVER : now,
+          state: 'unsure',
+          wasUnsure: true,
+        });
     }
   }
 
@@ -367,7 +561,7 @@
   retire(now: Moment): boolean {
     this.#isRetiring = true;
     for (const order of this.#orders.values()) if (order.state !== 'taken') return false;
-    if (this.#isServing && this.#desk?.hasOpenOrders) return false;
+    if (this.#isServing && this.#fleetManager?.hasOpenOrders) return false;
     this.#elector.retire(now);
     this.#collect(now);
     return true;
@@ -375,11 +569,17 @@
 
   // ---- effects of the inner cores
 
-  #send(to: string, message: Message): void { this.#effects.push({ do: 'send', to, message }); }
+  #send(to: string, message: Message): void {
+    this.#effects.push({ do: 'send', to, message });
+  }
 
-  #effect(effect: MindEffect): void { this.#effects.push(effect); }
+  #effect(effect: ControlEffect): void {
+    this.#effects.push(effect);
+  }
 
-  #note(text: string, fields: Readonly<Record<string, string | number>>): void { this.#effects.push({ do: 'note', text, fields }); }
+  #note(text: string, fields: Readonly<Record<string, string | number>>): void {
+    this.#effects.push({ do: 'note', text, fields });
+  }
 
   #collect(now: Moment): void {
     this.#watchLeader(now);
@@ -387,8 +587,12 @@
       isBusy = false;
       for (const effect of this.#elector.drain()) {
         isBusy = true;
-        if (effect.do === 'send') { this.#send(effect.to, effect.message); continue; }
-        if (this.#standing.name === 'sound' || this.#settleOnVote !== undefined) this.#keepVote(effect.token, effect.record);
+        if (effect.do === 'send') {
+          this.#send(effect.to, effect.message);
+          continue;
+        }
+        if (this.#replicaStatus.name === 'sound' || this.#settleOnVote !== undefined)
+          this.#keepVote(effect.token, effect.record);
       }
       for (const effect of this.#parts.drain()) {
         isBusy = true;
@@ -404,13 +608,24 @@
 
   #keepVote(token: number, record: VoteRecord): void {
     this.#voteCount += 1;
-    this.#voteTokens.set(this.#voteCount, { token, grantEpoch: record.grantEpoch, epoch: record.epoch });
-    this.#effects.push({ do: 'store', part: VOTE_PART, version: { epoch: record.epoch, count: this.#voteCount }, body: JSON.stringify(record) });
+    this.#voteTokens.set(this.#voteCount, {
+      token,
+      grantEpoch: record.grantEpoch,
+      epoch: record.epoch,
+    });
+    this.#effects.push({
+      do: 'store',
+      part: VOTE_PART,
+      version: { epoch: record.epoch, count: this.#voteCount },
+      body: JSON.stringify(record),
+    });
   }
 
   /** The epoch granted here, on disk, and not moved on from. */
   #grantedEpoch(): number {
-    return this.#standing.name === 'sound' && this.#keptGrant === this.#elector.epoch ? this.#keptGrant : 0;
+    return this.#replicaStatus.name === 'sound' && this.#keptGrant === this.#elector.epoch
+      ? this.#keptGrant
+      : 0;
   }
 
   #watchLeader(now: Moment): void {
@@ -429,27 +644,28 @@
   #standDown(): void {
     this.#isServing = false;
     this.#recoverUntil = undefined;
-    this.#parts.stand();
+    this.#parts.stub();
     this.#orders.clear();
     this.#keptIntents.clear();
     this.#placesText = '';
     this.#written.clear();
-    for (const edit of this.#edits.values()) this.#returnUnsure(edit.origin, edit.id);
+    for (const edit of this.#edits.values()) this.#replyUnsure(edit.origin, edit.id);
     this.#edits.clear();
-    for (const origin of this.#reads.values()) this.#returnDefect(origin, new Defect('no-leader', 'the leader changed'));
+    for (const origin of this.#reads.values())
+      this.#replyError(origin, new CodedError('no-leader', 'the leader changed'));
     this.#reads.clear();
   }
 
   // ---- standing
 
-  #settleStanding(now: Moment, outcome: ReturnType<Standing['outcome']>): void {
+  #settleReplicaStatus(now: Moment, outcome: ReturnType<ReplicaStatus['outcome']>): void {
     if (!outcome || this.#settleOnVote !== undefined || this.#repair) return;
     if (outcome.become === 'founded') {
       this.#note('founding', {});
       this.#settleOnVote = this.#voteCount + 1;
       this.#elector.setMayVote(true, { epoch: outcome.epoch, grantEpoch: 0, grantLeader: '' }, now);
     } else {
-      this.#note('repaired from fellows', { epoch: outcome.epoch });
+      this.#note('repaired from peers', { epoch: outcome.epoch });
       // Only what is newer than ours is stored anew, and only that is waited for.
       const waiting = new Set(this.#parts.adopt(outcome.copies));
       this.#followVoters();
@@ -464,7 +680,7 @@
     if (!repair || repair.waiting.size > 0) return;
     this.#repair = undefined;
     // One that is no voter has granted nothing that binds here: it joins the epoch that stands, and no election is due for it.
-    const epoch = this.#desk && !this.#quorum.holds(this.#me) ? 0 : repair.epoch;
+    const epoch = this.#fleetManager && !this.#quorum.holds(this.#me) ? 0 : repair.epoch;
     this.#settleOnVote = this.#voteCount + 1;
     this.#elector.setMayVote(true, { epoch, grantEpoch: 0, grantLeader: '' }, now);
   }
@@ -472,7 +688,9 @@
   #followVoters(): void {
     const voters = this.#knownVoters();
     if (!voters || voters.length === 0) return;
-    function ids(set: readonly string[]): FellowId[] { return set.map(fellowId); }
+    function ids(set: readonly string[]): NodeId[] {
+      return set.map(nodeId);
+    }
     const quorum = new Quorum(...voters.map(ids));
     if (quorum.text === this.#quorum.text) return;
     this.#quorum = quorum;
@@ -482,8 +700,9 @@
 
   /** By the newest configuration known here: our own copy, or one that was told as committed. */
   #knownVoters(): readonly (readonly string[])[] | undefined {
-    const news = this.#desk ? this.#relay.item('config') : undefined;
-    if (news && isNewer(news.version, this.#parts.versionOf(CONFIG_PART))) return parseAs(ConfigNewsShape, news.body)?.voters;
+    const news = this.#fleetManager ? this.#relay.item('config') : undefined;
+    if (news && isNewer(news.version, this.#parts.versionOf(CONFIG_PART)))
+      return parseAs(ConfigNewsShape, news.body)?.voters;
     const body = this.#parts.replicaBody(CONFIG_PART);
     return body === '' ? undefined : parseAs(ConfigDocShape, body)?.voters;
   }
@@ -491,47 +710,75 @@
   // ---- voters of a deployment: they announce themselves, and the leader lets them in
 
   /** Of one that is silent nothing is told: nobody is to turn to it for being near. */
-  #zoneOf(now: Moment, id: FellowId): string {
+  #zoneOf(now: Moment, id: NodeId): string {
     const at = this.#elector.heardAt(id);
-    return at !== undefined && now - at < NEAR_MS ? this.#zones.get(id) ?? '' : '';
+    return at !== undefined && now - at < NEAR_MS ? (this.#zones.get(id) ?? '') : '';
   }
 
   /** No voter as far as we know, or without a leader. */
-  #isLost(): boolean { return !this.#quorum.holds(this.#me) || this.#elector.leader === undefined; }
+  #isLost(): boolean {
+    return !this.#quorum.holds(this.#me) || this.#elector.leader === undefined;
+  }
 
-  #beatVoters(now: Moment): void {
+  #tickVoters(now: Moment): void {
     if (!this.#isLost()) this.#leaderAt = now;
     const isVoter = this.#quorum.holds(this.#me);
-    if (now >= later(this.#enlistedAt, ENLIST_MS) && (!isVoter || now >= later(this.#leaderAt, LEADERLESS_MS))) {
-      this.#enlistedAt = now;
+    if (
+      now >= later(this.#announcedAt, ANNOUNCE_MS) &&
+      (!isVoter || now >= later(this.#leaderAt, LEADERLESS_MS))
+    ) {
+      this.#announcedAt = now;
       const known = this.#relay.version('config');
       const message = {
-        kind: 'enlist', id: this.#me, zone: this.#settings.zone, epoch: known.epoch, count: known.count,
-        isFirst: this.#settings.deployed?.isFirstStart ?? false, isSound: this.#standing.name === 'sound',
+        kind: 'announce',
+        id: this.#me,
+        zone: this.#settings.zone,
+        epoch: known.epoch,
+        count: known.count,
+        isFirst: this.#settings.deployed?.isFirstStart ?? false,
+        isSound: this.#replicaStatus.name === 'sound',
       } as const;
       for (const peer of this.peers) this.#send(peer, message);
     }
-    for (const [id, enlisted] of this.#enlisted) if (now - enlisted.at > ENLISTED_MS) this.#enlisted.delete(id);
+    for (const [id, announced] of this.#announced)
+      if (now - announced.at > ANNOUNCEED_MS) this.#announced.delete(id);
     if (!this.#isServing || this.#parts.isWriting(CONFIG_PART)) return;
-    const change = this.#voterPlan.next(now, this.#doc.voters, this.#enlisted.values(), this.#me, this.#voterHeardAt.bind(this));
+    const change = this.#voterPlan.next(
+      now,
+      this.#doc.voters,
+      this.#announced.values(),
+      this.#me,
+      this.#voterHeardAt.bind(this),
+    );
     if (change.do === 'rewrite') {
       // What the old voters hold must be on a majority of the new ones too before those stand alone.
-      for (const part of allParts()) if (part !== CONFIG_PART) this.#writePart(now, part, this.#parts.body(part), 0);
-    } else if (change.do === 'voters' && !isVotersWriting(this.#doc.voters, allParts(), this.#parts)) {
+      for (const part of allParts())
+        if (part !== CONFIG_PART) this.#writePart(now, part, this.#parts.body(part), 0);
+    } else if (
+      change.do === 'voters' &&
+      !isVotersWriting(this.#doc.voters, allParts(), this.#parts)
+    ) {
       this.#note('voters', { from: this.#doc.voters.join(' | '), to: change.voters.join(' | ') });
       this.#doc = { ...this.#doc, voters: change.voters.map(copyOf) };
       this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
     }
   }
 
-  #voterHeardAt(voter: string): Moment | undefined { return this.#elector.heardAt(fellowId(voter)); }
+  #voterHeardAt(voter: string): Moment | undefined {
+    return this.#elector.heardAt(nodeId(voter));
+  }
 
-  #receiveEnlist(now: Moment, from: string, message: Extract<Message, { kind: 'enlist' }>): void {
+  #receiveAnnounce(
+    now: Moment,
+    from: string,
+    message: Extract<Message, { kind: 'announce' }>,
+  ): void {
     const { id, zone, isFirst, isSound } = message;
     if (id === this.#me) return;
-    this.#enlisted.set(id, { id, zone, isFirst, isSound, at: now });
+    this.#announced.set(id, { id, zone, isFirst, isSound, at: now });
     const news = this.#relay.item('config');
-    if (news && from === id && isNewer(news.version, message)) this.#send(id, { kind: 'news', topic: 'config', ...news.version, body: news.body });
+    if (news && from === id && isNewer(news.version, message))
+      this.#send(id, { kind: 'update', topic: 'config', ...news.version, body: news.body });
     // Passed on once: whoever came to us by another is not passed on again.
     const leader = this.#elector.leader;
     if (leader !== undefined && leader !== this.#me && from === id) this.#send(leader, message);
@@ -541,39 +788,54 @@
 
   #receiveJoin(now: Moment, from: string, message: Extract<Message, { kind: 'join' }>): void {
     this.#sessions.join(now, from, message.zone, message.address, message);
-    this.#standing.noteMember(message.epoch);
+    this.#replicaStatus.noteMember(message.epoch);
     if (message.lost !== '') this.#sessions.upset(now, message.lost);
     this.#noteAck(from, message);
-    // The tree takes its time with many sessions: it is drawn anew where a word may change it, and else at the beat.
-    if (!this.#hung.has(from) || message.lost !== '') this.#rehang();
-    this.#send(from, { kind: 'hang', parent: this.#hung.get(from) ?? '' });
-    if (this.#desk) {
-      const minds = [];
-      for (const id of this.#quorum.all) minds.push({ id, zone: id === this.#me ? this.#settings.zone : this.#zoneOf(now, id) });
-      this.#send(from, { kind: 'minds', minds, leader: this.#elector.leader ?? '', ...this.#relay.version('config') });
+    // The tree takes its time with many sessions: it is drawn anew where a word may change it, and else at the tick.
+    if (!this.#parentOf.has(from) || message.lost !== '') this.#reassignParents();
+    this.#send(from, { kind: 'assignParent', parent: this.#parentOf.get(from) ?? '' });
+    if (this.#fleetManager) {
+      const controlNodes = [];
+      for (const id of this.#quorum.all)
+        controlNodes.push({
+          id,
+          zone: id === this.#me ? this.#settings.zone : this.#zoneOf(now, id),
+        });
+      this.#send(from, {
+        kind: 'controlNodes',
+        controlNodes,
+        leader: this.#elector.leader ?? '',
+        ...this.#relay.version('config'),
+      });
     }
   }
 
   #fed: ReadonlySet<string> = new Set();
-  readonly #hung = new Map<string, string>();
+  readonly #parentOf = new Map<string, string>();
 
   /** Tells those whose parent changed, and keeps feeding those that hang under us. */
-  #rehang(): void {
+  #reassignParents(): void {
     const tree = this.#sessions.tree();
     for (const [id, parent] of tree) {
-      if (this.#hung.get(id) !== undefined && this.#hung.get(id) !== parent) this.#send(id, { kind: 'hang', parent });
-      this.#hung.set(id, parent);
+      if (this.#parentOf.get(id) !== undefined && this.#parentOf.get(id) !== parent)
+        this.#send(id, { kind: 'assignParent', parent });
+      this.#parentOf.set(id, parent);
     }
-    for (const id of this.#hung.keys()) if (!tree.has(id)) this.#hung.delete(id);
+    for (const id of this.#parentOf.keys()) if (!tree.has(id)) this.#parentOf.delete(id);
     const children: string[] = [];
     for (const [id, parent] of tree) if (parent === '') children.push(id);
-    if (this.#elector.isLeading()) children.push(...this.#quorum.all.filter(isOther.bind(undefined, this.#me)));
+    if (this.#elector.isLeading())
+      children.push(...this.#quorum.all.filter(isOther.bind(undefined, this.#me)));
     this.#fed = new Set(children);
     this.#relay.setChildren(children);
   }
 
-  /** An ask from below: by a link of the tree, by one that cannot reach its parent, or by a fellow for news alone. */
-  #receiveAsk(now: Moment, from: string, message: Extract<Message, { kind: 'ask' }>): void {
+  /** An ask from below: by a link of the tree, by one that cannot reach its parent, or by a peer for news alone. */
+  #receiveFreshnessRequest(
+    now: Moment,
+    from: string,
+    message: Extract<Message, { kind: 'freshnessRequest' }>,
+  ): void {
     this.#relay.heard(from, message.have);
     if (message.nonce < 0) {
       // Answered once: who hangs elsewhere is fed there, and would get everything twice.
@@ -581,18 +843,24 @@
       if (!this.#fed.has(from)) this.#relay.removeChild(from);
       return;
     }
-    if (this.#desk) {
-      // Nobody here works by being vouched for: the ask was for news, and its return says that we are there.
-      this.#send(from, { kind: 'vouch', nonce: message.nonce, ...this.#relay.version('config'), marks: 0 });
+    if (this.#fleetManager) {
+      // Nobody here works by being confirmed fresh: the ask was for news, and its return says that we are there.
+      this.#send(from, {
+        kind: 'freshnessReply',
+        nonce: message.nonce,
+        ...this.#relay.version('config'),
+        marks: 0,
+      });
       return;
     }
     for (const id of message.members) this.#asked.set(id, now);
-    this.#vouching.add({ child: from, nonce: message.nonce, members: message.members });
+    this.#confirmation.add({ child: from, nonce: message.nonce, members: message.members });
     this.#beginRound(now);
   }
 
   #noteAck(id: string, version: Version): void {
-    if (isNewer(version, this.#ackedBy.get(id) ?? NO_VERSION)) this.#ackedBy.set(id, { epoch: version.epoch, count: version.count });
+    if (isNewer(version, this.#ackedBy.get(id) ?? NO_VERSION))
+      this.#ackedBy.set(id, { epoch: version.epoch, count: version.count });
   }
 
   /** Members that may still work by an older configuration, as far as this node knows. */
@@ -609,36 +877,51 @@
     return list;
   }
 
-  /** Those with a session here now or lately, and those vouched for through us lately, wherever their session is. */
+  /** Those with a session here now or lately, and those confirmed fresh through us lately, wherever their session is. */
   #ownMembers(): MemberMessage[] {
     const list = [...this.#sessions.recent()];
     const ids = new Set<string>();
     for (const member of list) ids.add(member.id);
-    for (const id of this.#asked.keys()) if (!ids.has(id)) list.push({ id, zone: '', address: id, epoch: 0, count: 0 });
+    for (const id of this.#asked.keys())
+      if (!ids.has(id)) list.push({ id, zone: '', address: id, epoch: 0, count: 0 });
     return list;
   }
 
-  /** Asks a majority for the newest they hold; asks that waited are vouched for by what it returns. */
+  /** Asks a majority for the newest they hold; asks that waited are confirmed fresh by what it returns. */
   #beginRound(now: Moment): void {
-    const nonce = this.#vouching.begin(now);
+    const nonce = this.#confirmation.begin(now);
     if (nonce === undefined) return;
-    this.#round = { nonce, returns: new Map() };
+    this.#round = { nonce, replies: new Map() };
     const members = this.#ownMembers();
-    for (const fellow of this.#quorum.all) {
-      if (fellow === this.#me) this.#receiveSound(now, this.#me, nonce, []);
-      else this.#send(fellow, { kind: 'sound', nonce, members });
+    for (const peer of this.#quorum.all) {
+      if (peer === this.#me) this.#receiveQuorumRead(now, this.#me, nonce, []);
+      else this.#send(peer, { kind: 'quorumRead', nonce, members });
     }
   }
 
-  #receiveSound(now: Moment, from: string, nonce: number, members: readonly MemberMessage[]): void {
+  #receiveQuorumRead(
+    now: Moment,
+    from: string,
+    nonce: number,
+    members: readonly MemberMessage[],
+  ): void {
     if (from !== this.#me) this.#heardMembers.set(from, { members, at: now });
     // A node whose disk is lost, or whose copy is bad, may have held something newer than it can tell.
-    if (this.#standing.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART)) return;
+    if (this.#replicaStatus.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART))
+      return;
     // Without any list we cannot tell which machines are leaving, though somebody may have known before we started.
-    if (!this.#desk && this.#machines.revision === 0) { this.#askList(now); return; }
+    if (!this.#fleetManager && this.#machines.revision === 0) {
+      this.#askList(now);
+      return;
+    }
     const version = this.#parts.versionOf(CONFIG_PART);
-    const message = { kind: 'sounded', nonce, ...version, marks: this.#machines.revision } as const;
-    if (from === this.#me) this.#receiveSounded(now, from, message);
+    const message = {
+      kind: 'quorumReadReply',
+      nonce,
+      ...version,
+      marks: this.#machines.revision,
+    } as const;
+    if (from === this.#me) this.#receiveQuorumReadReply(now, from, message);
     else this.#send(from, message);
   }
 
@@ -646,37 +929,64 @@
   #askList(now: Moment): void {
     if (now < later(this.#listAskedAt, 500)) return;
     this.#listAskedAt = now;
-    for (const member of this.#knownMembers()) this.#send(member.id, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
-    for (const fellow of this.#quorum.all) if (fellow !== this.#me) this.#send(fellow, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
-  }
-
-  #receiveSounded(now: Moment, from: string, message: Extract<Message, { kind: 'sounded' }>): void {
+    for (const member of this.#knownMembers())
+      this.#send(member.id, {
+        kind: 'freshnessRequest',
+        nonce: -1,
+        have: this.#relay.have(),
+        members: [],
+      });
+    for (const peer of this.#quorum.all)
+      if (peer !== this.#me)
+        this.#send(peer, {
+          kind: 'freshnessRequest',
+          nonce: -1,
+          have: this.#relay.have(),
+          members: [],
+        });
+  }
+
+  #receiveQuorumReadReply(
+    now: Moment,
+    from: string,
+    message: Extract<Message, { kind: 'quorumReadReply' }>,
+  ): void {
     const round = this.#round;
     if (!round || round.nonce !== message.nonce) return;
-    round.returns.set(fellowId(from), { version: { epoch: message.epoch, count: message.count }, marks: message.marks });
-    if (!this.#quorum.isMajority(new Set(round.returns.keys()))) return;
+    round.replies.set(nodeId(from), {
+      version: { epoch: message.epoch, count: message.count },
+      marks: message.marks,
+    });
+    if (!this.#quorum.isMajority(new Set(round.replies.keys()))) return;
     this.#round = undefined;
     let version = NO_VERSION;
     let marks = 0;
-    for (const known of round.returns.values()) {
+    for (const known of round.replies.values()) {
       if (isNewer(known.version, version)) version = known.version;
       marks = Math.max(marks, known.marks);
     }
-    for (const ask of this.#vouching.end(round.nonce)) {
+    for (const ask of this.#confirmation.end(round.nonce)) {
       const read = this.#reads.get(ask.nonce);
-      if (ask.child === '' && read) { this.#reads.delete(ask.nonce); this.#returnRead(read, version); }
-      else if (ask.child !== '') this.#send(ask.child, { kind: 'vouch', nonce: ask.nonce, ...version, marks });
+      if (ask.child === '' && read) {
+        this.#reads.delete(ask.nonce);
+        this.#replyRead(read, version);
+      } else if (ask.child !== '')
+        this.#send(ask.child, { kind: 'freshnessReply', nonce: ask.nonce, ...version, marks });
     }
     this.#beginRound(now);
   }
 
-  #receiveNews(message: Extract<Message, { kind: 'news' }>): void {
+  #receiveUpdate(message: Extract<Message, { kind: 'update' }>): void {
     if (message.topic === 'machines') {
       const machines = parseAs(MachinesShape, message.body);
       if (machines) this.#takeMachines(machines);
     } else {
-      const isNew = this.#relay.offer(message.topic, { epoch: message.epoch, count: message.count }, message.body);
-      if (isNew && this.#desk && message.topic === 'config') this.#followVoters();
+      const isNew = this.#relay.offer(
+        message.topic,
+        { epoch: message.epoch, count: message.count },
+        message.body,
+      );
+      if (isNew && this.#fleetManager && message.topic === 'config') this.#followVoters();
     }
   }
 
@@ -684,12 +994,18 @@
   #receiveDelta(from: string, message: Extract<Message, { kind: 'delta' }>): void {
     const version = { epoch: message.epoch, count: message.count };
     if (this.#relay.offerDelta(message.topic, version, message.from, message.body)) return;
-    if (isNewer(version, this.#relay.version(message.topic))) this.#send(from, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+    if (isNewer(version, this.#relay.version(message.topic)))
+      this.#send(from, {
+        kind: 'freshnessRequest',
+        nonce: -1,
+        have: this.#relay.have(),
+        members: [],
+      });
   }
 
   #receiveAcked(now: Moment, from: string, members: readonly MemberMessage[]): void {
     for (const member of members) this.#noteAck(member.id, member);
-    if (this.#desk) this.#heardMembers.set(from, { members, at: now });
+    if (this.#fleetManager) this.#heardMembers.set(from, { members, at: now });
   }
 
   #flowCount(): number {
@@ -706,15 +1022,24 @@
     const ids = new Set<string>();
     for (const machine of machines.machines) {
       ids.add(machine.id);
-      if (!this.#runners.has(machine.id)) this.#runners.set(machine.id, { report: undefined, askedAt: NEVER, askSentAt: NEVER, seenAt: NEVER, isReachable: false, isKnown: machine.service !== '' });
+      if (!this.#runners.has(machine.id))
+        this.#runners.set(machine.id, {
+          report: undefined,
+          askedAt: NEVER,
+          askSentAt: NEVER,
+          seenAt: NEVER,
+          isReachable: false,
+          isKnown: machine.service !== '',
+        });
     }
     for (const id of this.#runners.keys()) if (!ids.has(id)) this.#runners.delete(id);
     const version = { epoch: 0, count: machines.revision };
     const body = JSON.stringify(machines);
     this.#relay.offer('machines', version, body);
     // Every node that learns of a mark passes it on at once, leader or not.
-    for (const fellow of this.#quorum.all) {
-      if (fellow !== this.#me) this.#send(fellow, { kind: 'news', topic: 'machines', ...version, body });
+    for (const peer of this.#quorum.all) {
+      if (peer !== this.#me)
+        this.#send(peer, { kind: 'update', topic: 'machines', ...version, body });
     }
   }
 
@@ -722,26 +1047,35 @@
     for (const send of this.#relay.flush()) this.#send(send.to, send.message);
   }
 
-  #beatFellows(now: Moment): void {
-    if (now < later(this.#fellowAt, this.#desk ? 500 : 250)) return;
-    this.#fellowAt = now;
-    this.#rehang();
+  #tickPeers(now: Moment): void {
+    if (now < later(this.#peersPingedAt, this.#fleetManager ? 500 : 250)) return;
+    this.#peersPingedAt = now;
+    this.#reassignParents();
     const leader = this.#elector.leader;
     if (leader === undefined || leader === this.#me) return;
     this.#send(leader, { kind: 'acked', members: [...this.#sessions.up()] });
-    this.#send(leader, { kind: 'ask', nonce: -1, have: this.#relay.have(), members: [] });
+    this.#send(leader, {
+      kind: 'freshnessRequest',
+      nonce: -1,
+      have: this.#relay.have(),
+      members: [],
+    });
   }
 
   #receiveDemand(now: Moment, body: string): void {
     const leader = this.#elector.leader;
-    if (leader !== undefined && leader !== this.#me) { this.#send(leader, { kind: 'demand', body }); return; }
-    if (this.#desk) {
-      if (this.#isServing) this.#desk.demand(now, body, this.#doc);
+    if (leader !== undefined && leader !== this.#me) {
+      this.#send(leader, { kind: 'demand', body });
+      return;
+    }
+    if (this.#fleetManager) {
+      if (this.#isServing) this.#fleetManager.demand(now, body, this.#doc);
       return;
     }
     const report = parseAs(DemandShape, body);
     if (report) this.#shares.add(now, report);
-    for (const unit of report?.units ?? []) this.#placer.demand.add(now, `${unit.model}\n${unit.adapter}`, unit.count);
+    for (const unit of report?.units ?? [])
+      this.#placer.demand.add(now, `${unit.model}\n${unit.adapter}`, unit.count);
   }
 
   // ---- owning the state
@@ -753,7 +1087,10 @@
     this.#servingSince = now;
     this.#note('serving', { epoch: this.#ledEpoch });
     const body = this.#parts.body(CONFIG_PART);
-    this.#doc = body === '' ? firstDoc(this.#settings.seeds) : mustParseAs(ConfigDocShape, body, 'the configuration part');
+    this.#doc =
+      body === ''
+        ? firstDoc(this.#settings.seeds)
+        : mustParseAs(ConfigDocShape, body, 'the configuration part');
     // Only committed tables are ever told: one told here that no majority holds any more was lost with their disks.
     const told = parseAs(ConfigNewsShape, this.#relay.item('config')?.body ?? '');
     if (told && told.number > this.#doc.number) this.#isRecovering = true;
@@ -764,27 +1101,31 @@
       const text = part === CONFIG_PART ? '' : this.#parts.body(part);
       if (text !== '') docs.push(...mustParseAs(ServicePartShape, text, part).services);
     }
-    if (this.#desk) {
+    if (this.#fleetManager) {
       // Whoever comes later must find the voters written down, whatever seeds it is told.
       if (body === '') this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
       this.#voterPlan.begin();
-      this.#desk.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
-      this.#desk.beat(now, this.#doc);
+      this.#fleetManager.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
+      this.#fleetManager.tick(now, this.#doc);
       return;
     }
     this.#placer.restore(docs, `${this.#me}/${this.#ledEpoch}`);
     for (const doc of docs) for (const intent of doc.intents) this.#keptIntents.add(intent.id);
     for (const machine of this.#machines.machines) {
       const runner = this.#runners.get(machine.id);
-      if (runner) { runner.isKnown = machine.service !== ''; runner.seenAt = now; }
+      if (runner) {
+        runner.isKnown = machine.service !== '';
+        runner.seenAt = now;
+      }
     }
     this.#placesCount = 0;
   }
 
-  /** After an operator's word found, members are asked for the newest table they hold before anything is served. */
+  /** After an operator's force-new-cluster, members are asked for the newest table they hold before anything is served. */
   #recover(now: Moment): void {
     this.#recoverUntil = later(now, RECOVER_MS);
-    for (const member of this.#knownMembers()) this.#send(member.id, { kind: 'ask', nonce: -1, have: [], members: [] });
+    for (const member of this.#knownMembers())
+      this.#send(member.id, { kind: 'freshnessRequest', nonce: -1, have: [], members: [] });
   }
 
   #endRecovery(now: Moment): void {
@@ -794,21 +1135,41 @@
     const news = item ? parseAs(ConfigNewsShape, item.body) : undefined;
     if (news && news.number > this.#doc.number) {
       this.#note('table recovered from members', { table: news.number });
-      this.#doc = { ...this.#doc, number: news.number, table: news.table, emptied: news.emptied, ...(news.routing ? { routing: news.routing } : {}) };
+      this.#doc = {
+        ...this.#doc,
+        number: news.number,
+        table: news.table,
+        emptied: news.emptied,
+        ...(news.routing ? { routing: news.routing } : {}),
+      };
     }
     this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
   }
 
   #publishConfig(version: Version, doc: ConfigDoc): void {
     const { number: count, table, emptied, voters, routing } = doc;
-    this.#relay.offer('config', version, JSON.stringify({ number: count, table, emptied, voters, routing }));
-  }
-
-  #committed(now: Moment, part: PartName, version: Version, tokens: readonly number[], members: readonly MemberMessage[]): void {
+    this.#relay.offer(
+      'config',
+      version,
+      JSON.stringify({ number: count, table, emptied, voters, routing }),
+    );
+  }
+
+  #committed(
+    now: Moment,
+    part: PartName,
+    version: Version,
+    tokens: readonly number[],
+    members: readonly MemberMessage[],
+  ): void {
     if (part !== CONFIG_PART) {
       const body = parseAs(ServicePartShape, this.#committedBody(part, version));
-      if (this.#desk) { if (this.#isServing) this.#desk.kept(now, body?.services ?? []); return; }
-      for (const doc of body?.services ?? []) for (const intent of doc.intents) this.#keptIntents.add(intent.id);
+      if (this.#fleetManager) {
+        if (this.#isServing) this.#fleetManager.kept(now, body?.services ?? []);
+        return;
+      }
+      for (const doc of body?.services ?? [])
+        for (const intent of doc.intents) this.#keptIntents.add(intent.id);
       return;
     }
     const doc = parseAs(ConfigDocShape, this.#committedBody(part, version));
@@ -821,7 +1182,7 @@
       if (edit) edit.committed = { version, at: now, members: ids };
     }
     // Here the yes says that it is held for good; the machines have their own span to follow.
-    if (this.#desk) this.#answerEdits(now);
+    if (this.#fleetManager) this.#answerEdits(now);
   }
 
   /** Bodies by version, from when they were written until they are committed. */
@@ -839,36 +1200,61 @@
 
   #command(now: Moment, origin: Origin, verb: string, body: string): void {
     try {
-      if (verb === 'status') { this.#return(origin, 200, JSON.stringify(this.#status(now))); return; }
-      if (verb === 'found') { this.#found(now, origin); return; }
-      if (this.#recoverUntil !== undefined) throw new Defect('no-leader', 'the table is being recovered from the members');
-      if (!this.#elector.isLeading() || !this.#isServing) { this.#forward(now, origin, verb, body); return; }
+      if (verb === 'status') {
+        this.#reply(origin, 200, JSON.stringify(this.#status(now)));
+        return;
+      }
+      if (verb === 'found') {
+        this.#found(now, origin);
+        return;
+      }
+      if (this.#recoverUntil !== undefined)
+        throw new CodedError('no-leader', 'the table is being recovered from the members');
+      if (!this.#elector.isLeading() || !this.#isServing) {
+        this.#forward(now, origin, verb, body);
+        return;
+      }
       if (verb === 'read') this.#read(origin);
-      else if (verb === 'live') this.#return(origin, 200, JSON.stringify(this.#live(now)));
-      else if (verb === 'fleet') this.#return(origin, 200, JSON.stringify(this.#fleet(now)));
-      else if (verb === 'edit') this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask'));
+      else if (verb === 'live') this.#reply(origin, 200, JSON.stringify(this.#live(now)));
+      else if (verb === 'fleet') this.#reply(origin, 200, JSON.stringify(this.#fleet(now)));
+      else if (verb === 'edit')
+        this.#askEdit(now, origin, mustParseAs(EditShapes.edit, body, 'the ask'));
       else this.#edit(now, origin, verb, body);
     } catch (thrown) {
-      this.#returnDefect(origin, thrown instanceof Defect ? thrown : new Defect('malformed', reasonOf(thrown)));
+      this.#replyError(
+        origin,
+        thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
+      );
     }
   }
 
   #forward(now: Moment, origin: Origin, verb: string, body: string): void {
     const leader = this.#elector.leader;
     // Passed on once at most: two nodes that take each other for leader must not play ball with it.
-    if (leader === undefined || leader === this.#me || origin.from !== '' || this.#closed.has(leader)) throw new Defect('no-leader', 'no leader is known; nothing was done');
+    if (
+      leader === undefined ||
+      leader === this.#me ||
+      origin.from !== '' ||
+      this.#closed.has(leader)
+    )
+      throw new CodedError('no-leader', 'no leader is known; nothing was done');
     this.#forwardId += 1;
     const edit = parseAs(EditShapes.edit, body);
     const isEdit = verb !== 'read' && verb !== 'fleet' && verb !== 'live';
-    this.#forwards.set(this.#forwardId, { origin, to: leader, at: now, editId: isEdit ? edit?.id ?? '' : '' });
+    this.#forwards.set(this.#forwardId, {
+      origin,
+      to: leader,
+      at: now,
+      editId: isEdit ? (edit?.id ?? '') : '',
+    });
     this.#send(leader, { kind: 'command', id: this.#forwardId, verb, body });
   }
 
-  #receiveCommandReturn(from: string, message: Extract<Message, { kind: 'commandReturn' }>): void {
+  #receiveCommandReply(from: string, message: Extract<Message, { kind: 'commandReply' }>): void {
     const forwarded = this.#forwards.get(message.id);
     if (!forwarded || forwarded.to !== from) return;
     this.#forwards.delete(message.id);
-    this.#return(forwarded.origin, message.status, message.body);
+    this.#reply(forwarded.origin, message.status, message.body);
   }
 
   #edit(now: Moment, origin: Origin, verb: string, body: string): void {
@@ -876,7 +1262,8 @@
     const before = this.#doc.edits.find(hasId.bind(undefined, id));
     if (before) {
       // The same id again is the same edit: it is told what became of it, and done once.
-      if (before.outcome === 'closed') throw new Defect('base-lost', `edit ${id} was asked about before it came, and closed`);
+      if (before.outcome === 'closed')
+        throw new CodedError('base-lost', `edit ${id} was asked about before it came, and closed`);
       this.#write(now, origin, id, this.#doc, 'accepted');
       return;
     }
@@ -890,21 +1277,39 @@
       return applyEdit(this.#doc, verb, body, this.#settings.deployed?.dialect);
     } catch (thrown) {
       const base = parseAs(EditShapes.edit, body)?.base;
-      if (!(thrown instanceof Defect) || thrown.kind !== 'base-lost' || !mayBeForgotten(this.#doc, base)) throw thrown;
-      throw new Defect('unsure-edit', `edit ${id} was made from table ${base ?? 0}, so long ago that whether it was accepted is no longer known`);
+      if (
+        !(thrown instanceof CodedError) ||
+        thrown.kind !== 'base-lost' ||
+        !mayBeForgotten(this.#doc, base)
+      )
+        throw thrown;
+      throw new CodedError(
+        'unsure-edit',
+        `edit ${id} was made from table ${base ?? 0}, so long ago that whether it was accepted is no longer known`,
+      );
     }
   }
 
   #swap(body: string): ConfigDoc {
     const edit = mustParseAs(EditShapes.swap, body, 'the swap');
     const [current] = this.#doc.voters;
-    if (!current || this.#doc.voters.length !== 1) throw new Defect('base-lost', 'another swap is under way');
-    if (!current.includes(edit.old) || current.includes(edit.new)) throw new Defect('malformed', `${edit.old} is no voter, or ${edit.new} is one`);
-    function exchange(voter: string): string { return voter === edit.old ? edit.new : voter; }
+    if (!current || this.#doc.voters.length !== 1)
+      throw new CodedError('base-lost', 'another swap is under way');
+    if (!current.includes(edit.old) || current.includes(edit.new))
+      throw new CodedError('malformed', `${edit.old} is no voter, or ${edit.new} is one`);
+    function exchange(voter: string): string {
+      return voter === edit.old ? edit.new : voter;
+    }
     return { ...this.#doc, voters: [current, current.map(exchange)] };
   }
 
-  #write(now: Moment, origin: Origin, id: string, doc: ConfigDoc, outcome: 'accepted' | 'closed'): void {
+  #write(
+    now: Moment,
+    origin: Origin,
+    id: string,
+    doc: ConfigDoc,
+    outcome: 'accepted' | 'closed',
+  ): void {
     this.#token += 1;
     this.#edits.set(this.#token, { origin, id, number: doc.number, outcome, committed: undefined });
     this.#doc = doc;
@@ -913,12 +1318,25 @@
 
   #writePart(now: Moment, part: PartName, body: string, token: number): void {
     const count = this.#parts.write(now, part, body, token);
-    this.#written.set(part, [...(this.#written.get(part) ?? []).filter(isAfter.bind(undefined, count - 2)).filter(isBelow.bind(undefined, count)), { count, body }]);
-  }
-
-  #askEdit(now: Moment, origin: Origin, { id, base }: { readonly id: string; readonly base?: number | undefined }): void {
+    this.#written.set(part, [
+      ...(this.#written.get(part) ?? [])
+        .filter(isAfter.bind(undefined, count - 2))
+        .filter(isBelow.bind(undefined, count)),
+      { count, body },
+    ]);
+  }
+
+  #askEdit(
+    now: Moment,
+    origin: Origin,
+    { id, base }: { readonly id: string; readonly base?: number | undefined },
+  ): void {
     const known = this.#doc.edits.find(hasId.bind(undefined, id));
-    if (!known && mayBeForgotten(this.#doc, base)) throw new Defect('unsure-edit', `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`);
+    if (!known && mayBeForgotten(this.#doc, base))
+      throw new CodedError(
+        'unsure-edit',
+        `edit ${id} is not among the last ${MAX_EDITS}: whether it was accepted before is no longer known`,
+      );
     // Whether known or not, the word given must outlast us: it is written like an edit before it is told.
     if (known) this.#write(now, origin, id, this.#doc, known.outcome);
     else this.#write(now, origin, id, recordEdit(this.#doc, id, 'closed'), 'closed');
@@ -927,30 +1345,43 @@
   #read(origin: Origin): void {
     this.#readId += 1;
     this.#reads.set(this.#readId, origin);
-    this.#vouching.add({ child: '', nonce: this.#readId, members: [] });
+    this.#confirmation.add({ child: '', nonce: this.#readId, members: [] });
   }
 
-  #returnRead(origin: Origin, newest: Version): void {
+  #replyRead(origin: Origin, newest: Version): void {
     const item = this.#relay.item('config');
     if (!this.#isServing || !item || isNewer(newest, item.version)) {
-      this.#returnDefect(origin, new Defect('no-leader', 'a newer configuration is being written; ask again'));
+      this.#replyError(
+        origin,
+        new CodedError('no-leader', 'a newer configuration is being written; ask again'),
+      );
       return;
     }
-    this.#return(origin, 200, item.body);
+    this.#reply(origin, 200, item.body);
   }
 
-  #beatCommands(now: Moment): void {
-    if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#isServing) this.#endRecovery(now);
+  #tickCommands(now: Moment): void {
+    if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#isServing)
+      this.#endRecovery(now);
     for (const [id, forwarded] of this.#forwards) {
-      if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS)) continue;
+      if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS))
+        continue;
       this.#forwards.delete(id);
-      this.#returnUnsure(forwarded.origin, forwarded.editId);
+      this.#replyUnsure(forwarded.origin, forwarded.editId);
     }
     this.#answerEdits(now);
     // A spare that is to vote is taken in once it holds everything; then the old set is let go.
-    if (!this.#desk && this.#isServing && this.#doc.voters.length === 2 && !this.#parts.isWriting(CONFIG_PART)) {
+    if (
+      !this.#fleetManager &&
+      this.#isServing &&
+      this.#doc.voters.length === 2 &&
+      !this.#parts.isWriting(CONFIG_PART)
+    ) {
       const [, next] = this.#doc.voters;
-      if (next && next.map(fellowId).every(this.#elector.insiders.has, this.#elector.insiders)) {
+      if (
+        next &&
+        next.map(nodeId).every(this.#elector.quorumMembers.has, this.#elector.quorumMembers)
+      ) {
         this.#doc = { ...this.#doc, voters: [next] };
         this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
       }
@@ -961,43 +1392,83 @@
     for (const [token, edit] of this.#edits) {
       const committed = edit.committed;
       if (!committed) continue;
-      // Whoever has not acked by then has not been vouched for since before the write was held: it is blind.
-      const isSurelyBlind = this.#desk !== undefined || now >= later(committed.at, this.#settings.blindMs + BLIND_SLACK_MS);
+      // Whoever has not acked by then has not been confirmed fresh since before the write was held: it is blind.
+      const isSurelyBlind =
+        this.#fleetManager !== undefined ||
+        now >= later(committed.at, this.#settings.blindMs + BLIND_SLACK_MS);
       if (!isSurelyBlind && !this.#hasAllAcked(committed.members, committed.version)) continue;
       this.#edits.delete(token);
-      if (edit.outcome === 'accepted') this.#return(edit.origin, 200, JSON.stringify({ outcome: 'accepted', id: edit.id, number: edit.number, version: versionText(committed.version) }));
-      else this.#return(edit.origin, 200, JSON.stringify({ outcome: 'turned-away', id: edit.id }));
+      if (edit.outcome === 'accepted')
+        this.#reply(
+          edit.origin,
+          200,
+          JSON.stringify({
+            outcome: 'accepted',
+            id: edit.id,
+            number: edit.number,
+            version: versionText(committed.version),
+          }),
+        );
+      else this.#reply(edit.origin, 200, JSON.stringify({ outcome: 'turned-away', id: edit.id }));
     }
   }
 
   #hasAllAcked(members: ReadonlySet<string>, version: Version): boolean {
-    for (const id of members) if (compareVersions(this.#ackedBy.get(id) ?? NO_VERSION, version) < 0) return false;
+    for (const id of members)
+      if (compareVersions(this.#ackedBy.get(id) ?? NO_VERSION, version) < 0) return false;
     return true;
   }
 
   #found(now: Moment, origin: Origin): void {
-    if (this.#standing.name === 'sound') { this.#return(origin, 200, JSON.stringify({ outcome: 'already', standing: 'sound' })); return; }
-    this.#standing.force();
+    if (this.#replicaStatus.name === 'sound') {
+      this.#reply(origin, 200, JSON.stringify({ outcome: 'already', standing: 'sound' }));
+      return;
+    }
+    this.#replicaStatus.force();
     this.#isRecovering = true;
-    this.#settleStanding(now, this.#standing.outcome(now, this.#quorum));
-    this.#return(origin, 200, JSON.stringify({ outcome: 'forced', standing: this.#standing.name }));
-  }
-
-  #return(origin: Origin, status: number, body: string): void {
-    if (origin.from === '') this.#effects.push({ do: 'return', id: origin.id, status, body });
-    else this.#send(origin.from, { kind: 'commandReturn', id: origin.id, status, body });
-  }
-
-  #returnDefect(origin: Origin, defect: Defect): void {
-    const faults = defect instanceof TableDefect || defect instanceof ConfigDefect ? { faults: defect.faults } : {};
-    this.#return(origin, defect.row.status, JSON.stringify({ outcome: defect.row.unsure ? 'unsure' : 'turned-away', defect: defect.kind, text: defect.message, ...faults }));
-  }
-
-  #returnUnsure(origin: Origin, id: string): void {
-    const kind: DefectKind = id === '' ? 'no-leader' : 'unsure-edit';
-    this.#return(origin, DEFECTS[kind].status, JSON.stringify({
-      outcome: id === '' ? 'turned-away' : 'unsure', defect: kind, id, text: id === '' ? 'the leader was lost' : `the leader was lost; ask what became of edit ${id}`,
-    }));
+    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
+    this.#reply(
+      origin,
+      200,
+      JSON.stringify({ outcome: 'forced', standing: this.#replicaStatus.name }),
+    );
+  }
+
+  #reply(origin: Origin, status: number, body: string): void {
+    if (origin.from === '') this.#effects.push({ do: 'reply', id: origin.id, status, body });
+    else this.#send(origin.from, { kind: 'commandReply', id: origin.id, status, body });
+  }
+
+  #replyError(origin: Origin, defect: CodedError): void {
+    const faults =
+      defect instanceof TableError || defect instanceof ConfigError
+        ? { faults: defect.faults }
+        : {};
+    this.#reply(
+      origin,
+      defect.row.status,
+      JSON.stringify({
+        outcome: defect.row.unsure ? 'unsure' : 'turned-away',
+        defect: defect.kind,
+        text: defect.message,
+        ...faults,
+      }),
+    );
+  }
+
+  #replyUnsure(origin: Origin, id: string): void {
+    const kind: ErrorCode = id === '' ? 'no-leader' : 'unsure-edit';
+    this.#reply(
+      origin,
+      ERROR_CODES[kind].status,
+      JSON.stringify({
+        outcome: id === '' ? 'turned-away' : 'unsure',
+        defect: kind,
+        id,
+        text:
+          id === '' ? 'the leader was lost' : `the leader was lost; ask what became of edit ${id}`,
+      }),
+    );
   }
 
   // ---- the outside: platform, weight store, runners
@@ -1009,12 +1480,14 @@
 
   #publishFleet(count: number, body: string, delta: string): void {
     const version = { epoch: this.#ledEpoch, count };
-    if (!this.#relay.offerDelta('fleet', version, count - 1, delta)) this.#relay.offer('fleet', version, body);
+    if (!this.#relay.offerDelta('fleet', version, count - 1, delta))
+      this.#relay.offer('fleet', version, body);
   }
 
-  #beatOutside(now: Moment): void {
-    if (this.#desk) {
-      if (this.#isServing && this.#recoverUntil === undefined) this.#desk.beat(now, this.#doc);
+  #tickOutside(now: Moment): void {
+    if (this.#fleetManager) {
+      if (this.#isServing && this.#recoverUntil === undefined)
+        this.#fleetManager.tick(now, this.#doc);
       return;
     }
     if (now >= later(this.#machinesAt, this.#settings.machinesMs)) {
@@ -1028,7 +1501,12 @@
     }
     for (const machine of this.#machines.machines) {
       const runner = this.#runners.get(machine.id);
-      if (!runner || machine.service !== '' || now < later(runner.askSentAt, this.#settings.reportMs)) continue;
+      if (
+        !runner ||
+        machine.service !== '' ||
+        now < later(runner.askSentAt, this.#settings.reportMs)
+      )
+        continue;
       runner.askSentAt = now;
       this.#effects.push({ do: 'askReport', runner: machine.id, address: machine.address });
     }
@@ -1043,7 +1521,13 @@
       const runner = this.#runners.get(machine.id);
       if (!runner) continue;
       const isLost = !runner.isReachable && now - runner.seenAt > LOST_RUNNER_MS;
-      runners.push({ machine, report: runner.report, askedAt: runner.askedAt, isReachable: runner.isReachable, isLost });
+      runners.push({
+        machine,
+        report: runner.report,
+        askedAt: runner.askedAt,
+        isReachable: runner.isReachable,
+        isLost,
+      });
     }
     return { table: this.#doc.table, catalog: this.#catalog, runners, emptied: this.#doc.emptied };
   }
@@ -1051,7 +1535,8 @@
   #plan(now: Moment): void {
     // A new leader plans only once it has heard from the runners, or it would take all their seats away.
     if (this.#recoverUntil !== undefined) return;
-    const isInformed = [...this.#runners.values()].every(isHeard) || now - this.#servingSince > LOST_RUNNER_MS;
+    const isInformed =
+      [...this.#runners.values()].every(isHeard) || now - this.#servingSince > LOST_RUNNER_MS;
     if (!isInformed || this.#catalog.models.length === 0) return;
     const input = this.#planInput(now);
     const changed = this.#placer.plan(now, input);
@@ -1069,7 +1554,9 @@
   /** Bound once: it is asked for every intent at every plan. */
   readonly #isSentOrder = this.#hasSent.bind(this);
 
-  #hasSent(intent: string): boolean { return this.#orders.has(intent); }
+  #hasSent(intent: string): boolean {
+    return this.#orders.has(intent);
+  }
 
   #orderIntents(now: Moment, input: PlanInput): void {
     if (!this.mayOrder(now)) return;
@@ -1088,12 +1575,17 @@
           // Not sent by us: decided in this epoch it was sent by nobody; of an older one the runner would have shown it
           // in a report asked for since we may order, which is long after anybody else could.
           const isOurs = intent.id.startsWith(`${this.#me}/${this.#ledEpoch}.`);
-          if (!sent && (isOurs || view.askedAt > this.#mayOrderSince)) this.#placer.orderTurnedAway(intent.id);
+          if (!sent && (isOurs || view.askedAt > this.#mayOrderSince))
+            this.#placer.orderTurnedAway(intent.id);
           continue;
         }
         // Until the weight store has told us its limit, we do not know how much may be fetched.
         if (intent.verb === 'load' && this.#catalogEpoch !== this.#ledEpoch) continue;
-        this.#orders.set(intent.id, { sentAt: now, state: 'sent', wasUnsure: sent?.wasUnsure ?? false });
+        this.#orders.set(intent.id, {
+          sentAt: now,
+          state: 'sent',
+          wasUnsure: sent?.wasUnsure ?? false,
+        });
         this.#ordersSent += 1;
         this.#effects.push({ do: 'order', intent, address: view.machine.address });
       }
@@ -1125,24 +1617,47 @@
   #fleet(now: Moment): object {
     const { runners, catalog, emptied, table } = this.#planInput(now);
     const views = [];
-    for (const { machine, report, isReachable } of runners) views.push({ machine, report: report ?? null, isReachable });
+    for (const { machine, report, isReachable } of runners)
+      views.push({ machine, report: report ?? null, isReachable });
     const demand = [];
-    for (const unit of this.#placer.demand.units()) demand.push({ unit, rate: this.#placer.demand.rate(now, unit) });
-    return { number: this.#doc.number, table, emptied, catalog, docs: this.#placer.docs(), runners: views, demand };
+    for (const unit of this.#placer.demand.units())
+      demand.push({ unit, rate: this.#placer.demand.rate(now, unit) });
+    return {
+      number: this.#doc.number,
+      table,
+      emptied,
+      catalog,
+      docs: this.#placer.docs(),
+      runners: views,
+      demand,
+    };
   }
 
   /** The table with its places beside it: who serves, who waits for what, and what is asked for. */
   #live(now: Moment): Live {
     const input = this.#planInput(now);
     const rows = [];
-    for (const row of input.table.rows) rows.push({ row: rowKey(row), weight: row.weight, take: row.take, rate: this.#shares.rate(now, rowKey(row)) });
+    for (const row of input.table.rows)
+      rows.push({
+        row: rowKey(row),
+        weight: row.weight,
+        take: row.take,
+        rate: this.#shares.rate(now, rowKey(row)),
+      });
     const models = this.#placer.live(now, input);
-    return { number: this.#doc.number, emptied: input.emptied.slice(), underWay: this.#placer.docs().flatMap(intentsOf).length, rows, models };
+    return {
+      number: this.#doc.number,
+      emptied: input.emptied.slice(),
+      underWay: this.#placer.docs().flatMap(intentsOf).length,
+      rows,
+      models,
+    };
   }
 
   #status(now: Moment): object {
     const totals: Record<string, number> = {};
-    for (const voter of this.#quorum.all) totals[voter] = Math.round(this.#elector.scores.total(voter, this.#quorum.all) * 1000) / 1000;
+    for (const voter of this.#quorum.all)
+      totals[voter] = Math.round(this.#elector.scores.total(voter, this.#quorum.all) * 1000) / 1000;
     const parts: Record<string, string> = {};
     for (const part of allParts()) parts[part] = versionText(this.#parts.versionOf(part));
     const members = [];
@@ -1150,33 +1665,74 @@
     for (const member of this.#knownMembers()) {
       if (seen.has(member.id)) continue;
       seen.add(member.id);
-      members.push({ id: member.id, zone: member.zone, acked: versionText(this.#ackedBy.get(member.id) ?? member), parent: this.#hung.get(member.id) ?? '' });
+      members.push({
+        id: member.id,
+        zone: member.zone,
+        acked: versionText(this.#ackedBy.get(member.id) ?? member),
+        parent: this.#parentOf.get(member.id) ?? '',
+      });
     }
     const places = this.#relay.item('places');
     const config = this.#relay.item('config');
     return {
-      me: this.#me, zone: this.#settings.zone, standing: this.#standing.name, membersHoldState: this.#standing.isMemberHolding,
-      role: this.#elector.role, epoch: this.#elector.epoch, leader: this.#elector.leader ?? '', serving: this.#isServing,
-      mayOrder: this.mayOrder(now), leaseLeftMs: Math.max(0, Math.round(this.#elector.leaseEnd - now)),
-      voters: this.#quorum.all, scores: totals, parts, unsound: this.#parts.unsoundParts(), mended: this.#parts.mends,
-      config: config ? versionText(config.version) : 'none', placesVersion: places ? versionText(places.version) : 'none',
-      machines: this.#machines.revision, members,
+      me: this.#me,
+      zone: this.#settings.zone,
+      standing: this.#replicaStatus.name,
+      membersHoldState: this.#replicaStatus.isMemberHolding,
+      role: this.#elector.role,
+      epoch: this.#elector.epoch,
+      leader: this.#elector.leader ?? '',
+      serving: this.#isServing,
+      mayOrder: this.mayOrder(now),
+      leaseLeftMs: Math.max(0, Math.round(this.#elector.leaseEnd - now)),
+      voters: this.#quorum.all,
+      scores: totals,
+      parts,
+      unsound: this.#parts.unsoundParts(),
+      mended: this.#parts.mends,
+      config: config ? versionText(config.version) : 'none',
+      placesVersion: places ? versionText(places.version) : 'none',
+      machines: this.#machines.revision,
+      members,
       places: places ? parseAs(type({}), places.body) : undefined,
-      intents: (this.#desk ?? this.#placer).docs().flatMap(intentsOf),
+      intents: (this.#fleetManager ?? this.#placer).docs().flatMap(intentsOf),
     };
   }
 }
 
-function takeOf(row: Row): { readonly key: string; readonly take: number } { return { key: rowKey(row), take: row.take }; }
-function copyOf(set: readonly string[]): string[] { return [...set]; }
-function isVote(item: StoredPart): boolean { return item.part === VOTE_PART; }
-function isOther(me: string, id: string): boolean { return id !== me; }
-function hasId(id: string, edit: { readonly id: string }): boolean { return edit.id === id; }
-function hasCount(count: number, item: { readonly count: number }): boolean { return item.count === count; }
-function isAfter(count: number, item: { readonly count: number }): boolean { return item.count > count; }
-function isBelow(count: number, item: { readonly count: number }): boolean { return item.count < count; }
-function isHeard(runner: Runner): boolean { return runner.isKnown; }
-function isRunner(id: string, view: RunnerView): boolean { return view.machine.id === id; }
-function isInPart(part: PartName, doc: ServiceDoc): boolean { return servicePart(doc.model) === part; }
-function intentsOf(doc: ServiceDoc): readonly Intent[] { return doc.intents; }
-
+function takeOf(row: Row): { readonly key: string; readonly take: number } {
+  return { key: rowKey(row), take: row.take };
+}
+function copyOf(set: readonly string[]): string[] {
+  return [...set];
+}
+function isVote(item: StoredPart): boolean {
+  return item.part === VOTE_PART;
+}
+function isOther(me: string, id: string): boolean {
+  return id !== me;
+}
+function hasId(id: string, edit: { readonly id: string }): boolean {
+  return edit.id === id;
+}
+function hasCount(count: number, item: { readonly count: number }): boolean {
+  return item.count === count;
+}
+function isAfter(count: number, item: { readonly count: number }): boolean {
+  return item.count > count;
+}
+function isBelow(count: number, item: { readonly count: number }): boolean {
+  return item.count < count;
+}
+function isHeard(runner: Runner): boolean {
+  return runner.isKnown;
+}
+function isRunner(id: string, view: RunnerView): boolean {
+  return view.machine.id === id;
+}
+function isInPart(part: PartName, doc: ServiceDoc): boolean {
+  return servicePart(doc.model) === part;
+}
+function intentsOf(doc: ServiceDoc): readonly Intent[] {
+  return doc.intents;
+}
--- a/src/mind/Edits.ts
+++ b/src/control/Edits.ts
@@ -1,12 +1,12 @@
-import { compile } from '../code/Language.js';
-import { checkTable, COLUMNS, rowKey, type Fault, type Table } from '../code/Table.js';
-import { Defect } from '../kin/Defect.js';
-import { mustParseAs } from '../kin/Json.js';
+import { compile } from '../policy/Language.js';
+import { checkTable, COLUMNS, rowKey, type Fault, type Table } from '../policy/Table.js';
+import { CodedError } from '../common/CodedError.js';
+import { mustParseAs } from '../common/Json.js';
 import { checkRouting, type ConfigDialect, type RoutingFault } from '../route/Routing.js';
 import { EditShapes, MAX_EDITS, type ConfigDoc } from './ConfigDoc.js';
 
 /** A turning away that names every fault of the table. */
-export class TableDefect extends Defect {
+export class TableError extends CodedError {
   readonly faults: readonly Fault[];
 
   constructor(faults: readonly Fault[]) {
@@ -16,25 +16,35 @@
 }
 
 /** A turning away that names every fault of a configuration. */
-export class ConfigDefect extends Defect {
+export class ConfigError extends CodedError {
   readonly faults: readonly RoutingFault[];
 
   constructor(faults: readonly RoutingFault[]) {
-    super('bad-config', `${faults.length} fault${faults.length === 1 ? '' : 's'} in the configuration`);
+    super(
+      'bad-config',
+      `${faults.length} fault${faults.length === 1 ? '' : 's'} in the configuration`,
+    );
     this.faults = faults;
   }
 }
 
-interface Edited { readonly id: string; readonly doc: ConfigDoc }
+interface Edited {
+  readonly id: string;
+  readonly doc: ConfigDoc;
+}
 
 function withTable(doc: ConfigDoc, id: string, raw: unknown): Edited {
   const { table, faults } = checkTable(raw);
-  if (faults.length > 0) throw new TableDefect(faults);
+  if (faults.length > 0) throw new TableError(faults);
   return { id, doc: { ...doc, number: doc.number + 1, table } };
 }
 
 function checkBase(doc: ConfigDoc, base: number): void {
-  if (base !== doc.number) throw new Defect('base-lost', `made from table ${base}, but table ${doc.number} is in force`);
+  if (base !== doc.number)
+    throw new CodedError(
+      'base-lost',
+      `made from table ${base}, but table ${doc.number} is in force`,
+    );
 }
 
 function editTable(doc: ConfigDoc, body: string): Edited {
@@ -42,7 +52,7 @@
   checkBase(doc, edit.base);
   if (edit.text === undefined) return withTable(doc, edit.id, edit.table);
   const { table, faults } = compile(edit.text);
-  if (faults.length > 0) throw new TableDefect(faults);
+  if (faults.length > 0) throw new TableError(faults);
   return { id: edit.id, doc: { ...doc, number: doc.number + 1, table } };
 }
 
@@ -50,23 +60,45 @@
   const edit = mustParseAs(EditShapes.cell, body, 'the edit');
   checkBase(doc, edit.base);
   const column = COLUMNS.find(isColumn.bind(undefined, edit.column));
-  if (!column) throw new TableDefect([{ row: edit.row, cell: edit.column, text: `no such column; there are ${COLUMNS.join(', ')}` }]);
+  if (!column)
+    throw new TableError([
+      { row: edit.row, cell: edit.column, text: `no such column; there are ${COLUMNS.join(', ')}` },
+    ]);
   const at = doc.table.rows.findIndex(hasKey.bind(undefined, edit.row));
   const before = doc.table.rows[at];
-  if (!before) throw new TableDefect([{ row: edit.row, cell: edit.column, text: 'no such row' }]);
+  if (!before) throw new TableError([{ row: edit.row, cell: edit.column, text: 'no such row' }]);
   const raw: unknown = { ...before, [column]: edit.value };
   // These two name the row: whether others have the same name, or mappings lose it, is seen in the whole table.
-  if (column === 'type' || column === 'model') return withTable(doc, edit.id, { ...doc.table, rows: doc.table.rows.map(exchangeAt.bind(undefined, at, raw)) });
+  if (column === 'type' || column === 'model')
+    return withTable(doc, edit.id, {
+      ...doc.table,
+      rows: doc.table.rows.map(exchangeAt.bind(undefined, at, raw)),
+    });
   const { table, faults } = checkTable({ mappings: [], rows: [raw] });
   const [row] = table.rows;
-  if (!row || faults.length > 0) throw new TableDefect(faults.map(inRow.bind(undefined, edit.row)));
-  return { id: edit.id, doc: { ...doc, number: doc.number + 1, table: { ...doc.table, rows: doc.table.rows.with(at, row) } } };
+  if (!row || faults.length > 0) throw new TableError(faults.map(inRow.bind(undefined, edit.row)));
+  return {
+    id: edit.id,
+    doc: {
+      ...doc,
+      number: doc.number + 1,
+      table: { ...doc.table, rows: doc.table.rows.with(at, row) },
+    },
+  };
 }
 
-function hasKey(key: string, row: { readonly type: string; readonly model: string }): boolean { return rowKey(row) === key; }
-function exchangeAt(at: number, raw: unknown, row: unknown, index: number): unknown { return index === at ? raw : row; }
-function inRow(row: string, fault: Fault): Fault { return { ...fault, row }; }
-function isColumn(name: string, column: string): boolean { return name === column; }
+function hasKey(key: string, row: { readonly type: string; readonly model: string }): boolean {
+  return rowKey(row) === key;
+}
+function exchangeAt(at: number, raw: unknown, row: unknown, index: number): unknown {
+  return index === at ? raw : row;
+}
+function inRow(row: string, fault: Fault): Fault {
+  return { ...fault, row };
+}
+function isColumn(name: string, column: string): boolean {
+  return name === column;
+}
 
 function editRows(doc: ConfigDoc, body: string): Edited {
   const edit = mustParseAs(EditShapes.rows, body, 'the edit');
@@ -74,26 +106,45 @@
   const rows = new Map<string, unknown>();
   for (const row of doc.table.rows) rows.set(rowKey(row), row);
   for (const key of edit.remove) {
-    if (!rows.delete(key)) throw new TableDefect([{ row: key, cell: '', text: 'no such row to remove' }]);
+    if (!rows.delete(key))
+      throw new TableError([{ row: key, cell: '', text: 'no such row to remove' }]);
   }
-  const { table, faults }: { table: Table; faults: readonly Fault[] } = checkTable({ mappings: [], rows: edit.put });
-  if (faults.length > 0) throw new TableDefect(faults);
+  const { table, faults }: { table: Table; faults: readonly Fault[] } = checkTable({
+    mappings: [],
+    rows: edit.put,
+  });
+  if (faults.length > 0) throw new TableError(faults);
   for (const row of table.rows) rows.set(rowKey(row), row);
   return withTable(doc, edit.id, { ...doc.table, rows: [...rows.values()] });
 }
 
-function editRouting(doc: ConfigDoc, verb: 'configure' | 'amend', body: string, dialect: ConfigDialect): Edited {
+function editRouting(
+  doc: ConfigDoc,
+  verb: 'configure' | 'amend',
+  body: string,
+  dialect: ConfigDialect,
+): Edited {
   const edit = mustParseAs(EditShapes.configure, body, 'the edit');
   const current = doc.routing?.version ?? 0;
   // The base goes first: whoever lost a race is told so, and not that its number is too low by now.
-  if (edit.base !== current) throw new Defect('base-lost', `made from version ${edit.base}, but version ${current} is in force`);
+  if (edit.base !== current)
+    throw new CodedError(
+      'base-lost',
+      `made from version ${edit.base}, but version ${current} is in force`,
+    );
   const text = verb === 'configure' ? edit.text : dialect.amend(doc.routing?.text ?? '', edit.text);
-  if (text === undefined) throw new ConfigDefect([{ item: 'configuration', field: '', text: 'the change cannot be read' }]);
+  if (text === undefined)
+    throw new ConfigError([
+      { item: 'configuration', field: '', text: 'the change cannot be read' },
+    ]);
   const { routing, faults } = dialect.read(text);
-  if (!routing || faults.length > 0) throw new ConfigDefect(faults);
+  if (!routing || faults.length > 0) throw new ConfigError(faults);
   const wrong = checkRouting(routing, current);
-  if (wrong.length > 0) throw new ConfigDefect(wrong);
-  return { id: edit.id, doc: { ...doc, number: doc.number + 1, routing: { version: routing.version, text } } };
+  if (wrong.length > 0) throw new ConfigError(wrong);
+  return {
+    id: edit.id,
+    doc: { ...doc, number: doc.number + 1, routing: { version: routing.version, text } },
+  };
 }
 
 function editZone(doc: ConfigDoc, body: string): Edited {
@@ -105,16 +156,29 @@
 }
 
 /** Applies an operator's edit to the document, or throws the defect that turns it away. */
-export function applyEdit(doc: ConfigDoc, verb: string, body: string, dialect?: ConfigDialect): Edited {
+export function applyEdit(
+  doc: ConfigDoc,
+  verb: string,
+  body: string,
+  dialect?: ConfigDialect,
+): Edited {
   switch (verb) {
-    case 'table': return editTable(doc, body);
-    case 'cell': return editCell(doc, body);
-    case 'rows': return editRows(doc, body);
-    case 'zone': return editZone(doc, body);
-    case 'configure': case 'amend': if (dialect) return editRouting(doc, verb, body, dialect); break;
-    default: break;
+    case 'table':
+      return editTable(doc, body);
+    case 'cell':
+      return editCell(doc, body);
+    case 'rows':
+      return editRows(doc, body);
+    case 'zone':
+      return editZone(doc, body);
+    case 'configure':
+    case 'amend':
+      if (dialect) return editRouting(doc, verb, body, dialect);
+      break;
+    default:
+      break;
   }
-  throw new Defect('malformed', `no such edit: ${verb}`);
+  throw new CodedError('malformed', `no such edit: ${verb}`);
 }
 
 export function recordEdit(doc: ConfigDoc, id: string, outcome: 'accepted' | 'closed'): ConfigDoc {
--- a/src/news/Exchange.ts
+++ b/src/dissemination/Exchange.ts
@@ -1,12 +1,17 @@
 import { createServer, connect, type Server, type Socket } from 'node:net';
 import { Subject, type Observable } from 'rxjs';
-import { Defect, reasonOf } from '../kin/Defect.js';
-import { decodeMessage, encodeMessage, type Message } from '../kin/Messages.js';
-import { monotonicNow } from '../kin/Clock.js';
-import type { Moment } from '../kin/Ids.js';
-import { listenOn, splitAddress } from '../kin/Listen.js';
+import { CodedError, reasonOf } from '../common/CodedError.js';
+import { decodeMessage, encodeMessage, type Message } from '../common/Messages.js';
+import { monotonicNow } from '../common/Clock.js';
+import type { Moment } from '../common/Ids.js';
+import { listenOn, splitAddress } from '../common/Listen.js';
 
-export interface Incoming { readonly from: string; readonly role: string; readonly zone: string; readonly message: Message }
+export interface Incoming {
+  readonly from: string;
+  readonly role: string;
+  readonly zone: string;
+  readonly message: Message;
+}
 
 /** How the processes reach each other. Messages may be lost, never altered; those on one line keep their order. */
 export interface Transport {
@@ -42,7 +47,7 @@
   #parts: Buffer[] = [];
   #size = 0;
   #need = 4;
-  fellowId = '';
+  nodeId = '';
   role = '';
   zone = '';
   wroteAt: Moment = monotonicNow();
@@ -53,21 +58,31 @@
     socket.setNoDelay(true);
   }
 
-  get socket(): Socket { return this.#socket; }
+  get socket(): Socket {
+    return this.#socket;
+  }
 
   write(message: Message): void {
     const body = encodeMessage(message);
     const head = Buffer.allocUnsafe(4);
     head.writeUInt32BE(body.length);
-    // A fellow that no longer reads must not make us hold ever more for it: what it misses it asks for again.
-    if (this.#socket.writableLength > MAX_UNSENT) { this.#socket.destroy(); return; }
+    // A peer that no longer reads must not make us hold ever more for it: what it misses it asks for again.
+    if (this.#socket.writableLength > MAX_UNSENT) {
+      this.#socket.destroy();
+      return;
+    }
     this.wroteAt = monotonicNow();
     this.#socket.write(Buffer.concat([head, body]));
   }
 
   keepAlive(now: Moment): void {
     // What is still unsent says as much.
-    if (now - this.wroteAt < KEEPALIVE_MS || this.#socket.connecting || this.#socket.writableLength > 0) return;
+    if (
+      now - this.wroteAt < KEEPALIVE_MS ||
+      this.#socket.connecting ||
+      this.#socket.writableLength > 0
+    )
+      return;
     this.wroteAt = now;
     this.#socket.write(EMPTY_FRAME);
   }
@@ -83,7 +98,7 @@
     let all = this.#parts.length === 1 ? chunk : Buffer.concat(this.#parts);
     while (all.length >= 4) {
       const length = all.readUInt32BE(0);
-      if (length > MAX_FRAME) throw new Defect('bad-frame', `a frame of ${length} bytes`);
+      if (length > MAX_FRAME) throw new CodedError('bad-frame', `a frame of ${length} bytes`);
       if (all.length < 4 + length) break;
       if (length > 0) messages.push(decodeMessage(all.subarray(4, 4 + length)));
       all = all.subarray(4 + length);
@@ -105,20 +120,24 @@
   readonly #dialing = new Set<string>();
   /** The newest messages for a node that is being dialled; they are lost with a dial that fails. */
   readonly #queued = new Map<string, Message[]>();
-  readonly #tell: (defect: Defect) => void;
+  readonly #tell: (defect: CodedError) => void;
   #server: Server | undefined;
   #isClosed = false;
   #checkedAt: Moment = monotonicNow();
   readonly #checks: NodeJS.Timeout;
 
-  constructor(settings: ExchangeSettings, tell: (defect: Defect) => void) {
+  constructor(settings: ExchangeSettings, tell: (defect: CodedError) => void) {
     this.#settings = settings;
     this.#tell = tell;
     this.#checks = setInterval(this.#check.bind(this), CHECK_MS).unref();
   }
 
-  get incoming$(): Observable<Incoming> { return this.#incoming; }
-  get gone$(): Observable<string> { return this.#gone; }
+  get incoming$(): Observable<Incoming> {
+    return this.#incoming;
+  }
+  get gone$(): Observable<string> {
+    return this.#gone;
+  }
 
   /** Listens, if this node does; returns the port. */
   async open(): Promise<number> {
@@ -147,15 +166,20 @@
     }
   }
 
-  isUp(id: string): boolean { return this.#lines.has(id); }
+  isUp(id: string): boolean {
+    return this.#lines.has(id);
+  }
 
   send(to: string, message: Message): void {
     const lines = this.#lines.get(to);
     const line = lines?.[lines.length - 1];
-    if (line) { line.write(message); return; }
+    if (line) {
+      line.write(message);
+      return;
+    }
     this.dial(to);
     if (!this.#dialing.has(to)) return;
-    // The first words of a session would else wait for its next beat.
+    // The first words of a session would else wait for its next tick.
     const queued = this.#queued.get(to) ?? [];
     queued.push(message);
     if (queued.length > MOST_QUEUED) queued.shift();
@@ -170,7 +194,7 @@
     const socket = connect({ host, port });
     socket.setTimeout(CONNECT_MS, socket.destroy.bind(socket, undefined));
     const line = new Line(socket);
-    line.fellowId = id;
+    line.nodeId = id;
     socket.once('connect', this.#dialed.bind(this, line, id));
     this.#serve(line);
     socket.once('close', this.#redialable.bind(this, id));
@@ -199,7 +223,12 @@
   }
 
   #hello(line: Line): void {
-    line.write({ kind: 'hello', id: this.#settings.id, role: this.#settings.role, zone: this.#settings.zone });
+    line.write({
+      kind: 'hello',
+      id: this.#settings.id,
+      role: this.#settings.role,
+      zone: this.#settings.zone,
+    });
   }
 
   #serve(line: Line): void {
@@ -211,7 +240,7 @@
   }
 
   #register(line: Line, id: string): void {
-    line.fellowId = id;
+    line.nodeId = id;
     const lines = this.#lines.get(id) ?? [];
     if (!lines.includes(line)) this.#lines.set(id, [...lines, line]);
   }
@@ -221,7 +250,9 @@
     try {
       messages = line.take(chunk);
     } catch (thrown) {
-      this.#tell(thrown instanceof Defect ? thrown : new Defect('bad-frame', reasonOf(thrown)));
+      this.#tell(
+        thrown instanceof CodedError ? thrown : new CodedError('bad-frame', reasonOf(thrown)),
+      );
       line.socket.destroy();
       return;
     }
@@ -230,21 +261,28 @@
         line.role = message.role;
         line.zone = message.zone;
         this.#register(line, message.id);
-      } else if (line.fellowId !== '') {
-        this.#incoming.next({ from: line.fellowId, role: line.role, zone: line.zone, message });
+      } else if (line.nodeId !== '') {
+        this.#incoming.next({ from: line.nodeId, role: line.role, zone: line.zone, message });
       }
     }
   }
 
   #closed(line: Line): void {
     this.#all.delete(line);
-    const left = (this.#lines.get(line.fellowId) ?? []).filter(isNot.bind(undefined, line));
-    if (!this.#lines.has(line.fellowId)) return;
-    if (left.length > 0) { this.#lines.set(line.fellowId, left); return; }
-    this.#lines.delete(line.fellowId);
-    this.#gone.next(line.fellowId);
+    const left = (this.#lines.get(line.nodeId) ?? []).filter(isNot.bind(undefined, line));
+    if (!this.#lines.has(line.nodeId)) return;
+    if (left.length > 0) {
+      this.#lines.set(line.nodeId, left);
+      return;
+    }
+    this.#lines.delete(line.nodeId);
+    this.#gone.next(line.nodeId);
   }
 }
 
-function isNot(line: Line, other: Line): boolean { return line !== other; }
-function ignore(): void { /* told by the close */ }
+function isNot(line: Line, other: Line): boolean {
+  return line !== other;
+}
+function ignore(): void {
+  /* told by the close */
+}
--- /dev/null
+++ b/src/proxy/ProxyCommand.ts
@@ -0,0 +1,38 @@
+import { Flags } from '@oclif/core';
+import { makeLog } from '../common/Log.js';
+import { PROGRAM_FLAGS, ProgramCommand } from '../common/ProgramCommand.js';
+import { TableProxySettingsShape } from '../common/Settings.js';
+import { untilStopped } from '../common/Shutdown.js';
+import { StatusPort } from '../common/StatusPort.js';
+import { TableProxyProcess } from './TableProxyProcess.js';
+
+export class ProxyCommand extends ProgramCommand {
+  static override aliases = ['flow'];
+  static override deprecateAliases = true;
+  static override description = 'run the proxy';
+  static override flags = {
+    ...PROGRAM_FLAGS,
+    link: Flags.string({ description: 'loopback address of the agent beside it' }),
+    status: Flags.string({ description: 'address for counters' }),
+    blindMs: Flags.integer({
+      description: 'not confirmed fresh within this span, it turns new work away',
+    }),
+    drainMs: Flags.integer({ description: 'how long requests in flight may take after SIGTERM' }),
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(ProxyCommand);
+    const settings = this.settle(TableProxySettingsShape, flags);
+    const flow = new TableProxyProcess(settings, makeLog('proxy', settings.listen));
+    const status = new StatusPort(flow.counters.bind(flow));
+    async function start(): Promise<void> {
+      await flow.start();
+      if (settings.status !== undefined) await status.listen(settings.status);
+    }
+    await this.begin(start);
+    await untilStopped();
+    await flow.stop();
+    status.close();
+    this.exit(0);
+  }
+}
--- /dev/null
+++ b/src/rehearsal/StubCommand.ts
@@ -0,0 +1,70 @@
+import { readFileSync } from 'node:fs';
+import { Args, Command, Flags } from '@oclif/core';
+import { array, number, string, type } from 'superstruct';
+import { mustParseAs } from '../common/Json.js';
+import { untilStopped } from '../common/Shutdown.js';
+import { CatalogShape, MachineShape } from '../placement/Shapes.js';
+import { StubBackend } from './StubBackend.js';
+import { StubPlatform } from './StubPlatform.js';
+import { StubRunner } from './StubRunner.js';
+import { StubStore } from './StubStore.js';
+
+const RunnerShape = type({
+  id: string(),
+  room: number(),
+  slots: number(),
+  store: string(),
+  records: string(),
+  tokenMs: number(),
+  partMs: number(),
+  coldMs: number(),
+});
+const PlainShape = type({ id: string(), workMs: number(), records: string() });
+const PlatformShape = type({ machines: array(MachineShape), records: string() });
+const StoreShape = type({ catalog: CatalogShape, msPerSize: number(), records: string() });
+
+interface Stub {
+  listen(address: string): Promise<number>;
+  close(): void;
+}
+
+function makeStub(kind: string, text: string): Stub {
+  switch (kind) {
+    case 'runner':
+      return new StubRunner(mustParseAs(RunnerShape, text, 'the settings'));
+    case 'plain': {
+      const plain = mustParseAs(PlainShape, text, 'the settings');
+      return new StubBackend(plain.id, plain.workMs, plain.records);
+    }
+    case 'platform': {
+      const platform = mustParseAs(PlatformShape, text, 'the settings');
+      return new StubPlatform(platform.machines, platform.records);
+    }
+    default: {
+      const store = mustParseAs(StoreShape, text, 'the settings');
+      return new StubStore(store.catalog, store.msPerSize, store.records);
+    }
+  }
+}
+
+export class StubCommand extends Command {
+  static override aliases = ['myth:stand'];
+  static override deprecateAliases = true;
+  static override description = 'run a stub for an outside system';
+  static override args = {
+    kind: Args.string({ required: true, options: ['runner', 'plain', 'platform', 'store'] }),
+  };
+  static override flags = {
+    listen: Flags.string({ required: true, description: 'own address' }),
+    settings: Flags.string({ required: true, description: 'settings file (JSON)' }),
+  };
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(StubCommand);
+    const stub = makeStub(args.kind, readFileSync(flags.settings, 'utf8'));
+    await stub.listen(flags.listen);
+    await untilStopped();
+    stub.close();
+    this.exit(0);
+  }
+}
