--- a/src/simulation/exhaustive/CalmRun.ts
+++ b/src/simulation/exhaustive/CalmRun.ts
@@ -1,4 +1,4 @@
-import type { Message } from '../../kin/Messages.js';
+import type { Message } from '../../common/Messages.js';
 import type { Cluster } from './Cluster.js';
 import { idsOf } from './MessageText.js';
 import type { CalmRun, World } from './Protocol.js';
@@ -20,8 +20,8 @@
     return this.#world;
   }
 
-  beat(node: number): void {
-    this.#run(stepAt('beat', node));
+  tick(node: number): void {
+    this.#run(stepAt('tick', node));
   }
 
   command(node: number, command: Command): void {
--- a/src/simulation/exhaustive/Cluster.ts
+++ b/src/simulation/exhaustive/Cluster.ts
@@ -1,5 +1,5 @@
-import { moment, type Moment } from '../../kin/Ids.js';
-import type { Message } from '../../kin/Messages.js';
+import { moment, type Moment } from '../../common/Ids.js';
+import type { Message } from '../../common/Messages.js';
 import { written } from './Disk.js';
 import { Interner } from './Interner.js';
 import {
@@ -59,7 +59,7 @@
     const states: NodeState[] = [];
     for (const node of nodes.keys()) {
       const disk = firstDisks[node] ?? [];
-      const local = this.#locals.boot({ node, disk, now: momentOf(0), life: 0 });
+      const local = this.#locals.boot({ node, disk, now: momentOf(0), incarnation: 0 });
       states.push({ local, disk: this.#disks.idOf(disk), pending: [] });
     }
     return { clock: 0, nodes: states, messages: '', restarts: 0, wipes: 0, ghost: firstGhost };
@@ -92,7 +92,7 @@
     switch (kind) {
       case 'advance':
         return 'the clocks advance by one step';
-      case 'beat':
+      case 'tick':
         return `${name} looks at its timers`;
       case 'sync':
         return `the disk of ${name} finishes all writes`;
@@ -165,7 +165,7 @@
   }
 
   #inputOf(step: Step): Input<Command> {
-    if (step.kind === 'beat') return { kind: 'beat' };
+    if (step.kind === 'tick') return { kind: 'tick' };
     if (step.kind === 'command') {
       return { kind: 'command', command: this.#commands.valueOf(step.item) };
     }
@@ -175,8 +175,8 @@
 
   #restart(world: World<Ghost>, node: number, disk: number): Changed<Event> {
     const now = momentOf(world.clock);
-    const life = world.restarts + world.wipes + 1;
-    const local = this.#locals.boot({ node, disk: this.#disks.valueOf(disk), now, life });
+    const incarnation = world.restarts + world.wipes + 1;
+    const local = this.#locals.boot({ node, disk: this.#disks.valueOf(disk), now, incarnation });
     const state = { local, disk, pending: [] };
     return { node: state, messages: world.messages, sent: [], events: [] };
   }
--- a/src/simulation/exhaustive/ControlNode.ts
+++ b/src/simulation/exhaustive/ControlNode.ts
@@ -1,16 +1,16 @@
 import { array, number, optional, string, type, type Infer } from 'superstruct';
-import { CONFIG_PART } from '../../hold/PartNames.js';
-import type { StoredPart } from '../../hold/Store.js';
-import { partName, type Moment } from '../../kin/Ids.js';
-import { parseAs } from '../../kin/Json.js';
-import type { Message } from '../../kin/Messages.js';
-import { isNewer } from '../../kin/Version.js';
-import { MindCore } from '../../mind/MindCore.js';
-import { MIND_DEFAULTS, type FleetPlanner } from '../../mind/MindEffect.js';
-import type { Fleet } from '../../place/Fleet.js';
-import type { Intent } from '../../place/Shapes.js';
+import { CONFIG_PART } from '../../state/PartNames.js';
+import type { StoredPart } from '../../state/Store.js';
+import { partName, type Moment } from '../../common/Ids.js';
+import { parseAs } from '../../common/Json.js';
+import type { Message } from '../../common/Messages.js';
+import { isNewer } from '../../common/Version.js';
+import { ControlCore } from '../../control/ControlCore.js';
+import { CONTROL_DEFAULTS, type FleetPlanner } from '../../control/ControlEffect.js';
+import type { Fleet } from '../../placement/Fleet.js';
+import type { Intent } from '../../placement/Shapes.js';
 import type { ConfigDialect, Routing, RoutingFault } from '../../route/Routing.js';
-import type { VoteSettings } from '../../vote/VoteSettings.js';
+import type { VoteSettings } from '../../election/VoteSettings.js';
 import type { Boot, DiskWrite, Input, Output, Sent, Subject } from './LocalStates.js';
 import { CLOCK_STEP_MS } from './Protocol.js';
 
@@ -150,7 +150,7 @@
 
 /** The whole control core as a deployment starts it, with a planner that does nothing. */
 export class ControlNode implements Subject<ControlCommand, ControlEvent, ControlFacts> {
-  readonly #core: MindCore;
+  readonly #core: ControlCore;
   readonly #seeds: readonly string[];
   readonly #mistake: ControlMistake | undefined;
 
@@ -164,20 +164,20 @@
   ) {
     this.#seeds = seeds;
     this.#mistake = mistake;
-    const { now, disk, node, life } = boot;
-    const isFirstStart = isFirst && life === 0;
+    const { now, disk, node, incarnation } = boot;
+    const isFirstStart = isFirst && incarnation === 0;
     const deployed = { dialect: DIALECT, planner: PLANNER, isFirstStart, listMs: 1e9 };
-    const lifeNumber = (life * 16 + node) * LIFE_SPAN;
+    const lifeNumber = (incarnation * 16 + node) * LIFE_SPAN;
     const settings = {
-      ...MIND_DEFAULTS,
+      ...CONTROL_DEFAULTS,
       me,
       zone: me,
       seeds,
-      life: lifeNumber,
+      incarnation: lifeNumber,
       foundMs: 0,
       deployed,
     };
-    this.#core = new MindCore(settings, disk.map(storedPart), now, VOTE);
+    this.#core = new ControlCore(settings, disk.map(storedPart), now, VOTE);
     this.#core.drain();
   }
 
@@ -209,8 +209,8 @@
 
   perform(now: Moment, input: Input<ControlCommand>): Output<ControlEvent> {
     switch (input.kind) {
-      case 'beat':
-        this.#core.beat(now);
+      case 'tick':
+        this.#core.tick(now);
         break;
       case 'receive':
         for (const message of input.messages) {
@@ -239,7 +239,7 @@
       if (effect.do === 'send') sends.push({ to: effect.to, message: this.#told(effect.message) });
       else if (effect.do === 'store') {
         writes.push({ slot: effect.part, ...effect.version, body: this.#bodyTold(effect.body) });
-      } else if (effect.do === 'return') {
+      } else if (effect.do === 'reply') {
         events.push({ call: effect.id, status: effect.status, body: effect.body });
       }
     }
--- a/src/simulation/exhaustive/Departures.ts
+++ b/src/simulation/exhaustive/Departures.ts
@@ -11,7 +11,7 @@
   /** Messages on their way, oldest first. */
   readonly queue: string;
   /** Whose timers were looked at since the clocks advanced. */
-  readonly beaten: number;
+  readonly ticked: number;
   readonly frozen: number;
   readonly cut: number;
   readonly stalled: number;
@@ -51,11 +51,11 @@
   initial(): Schedule<Ghost> {
     const world = prepared(this.#cluster);
     const { firstFrozen: frozen } = this.#cluster.protocol;
-    return { world, queue: '', beaten: 0, frozen, cut: 0, stalled: 0, departures: 0 };
+    return { world, queue: '', ticked: 0, frozen, cut: 0, stalled: 0, departures: 0 };
   }
 
-  key({ world, queue, beaten, frozen, cut, stalled, departures }: Schedule<Ghost>): string {
-    const masks = `${beaten},${frozen},${cut},${stalled},${departures}`;
+  key({ world, queue, ticked, frozen, cut, stalled, departures }: Schedule<Ghost>): string {
+    const masks = `${ticked},${frozen},${cut},${stalled},${departures}`;
     return `${this.#cluster.key(world)};${queue};${masks}`;
   }
 
@@ -79,13 +79,13 @@
   }
 
   /** What happens next where nothing goes wrong. */
-  #usual({ world, queue, beaten, frozen }: Schedule<Ghost>): Step | undefined {
+  #usual({ world, queue, ticked, frozen }: Schedule<Ghost>): Step | undefined {
     for (const id of idsOf(queue)) {
       const { to } = this.#cluster.envelope(id);
       if (!holds(frozen, to)) return stepAt('receive', to, id);
     }
     for (const node of world.nodes.keys()) {
-      if (!holds(beaten, node) && !holds(frozen, node)) return stepAt('beat', node);
+      if (!holds(ticked, node) && !holds(frozen, node)) return stepAt('tick', node);
     }
     return world.clock < this.#cluster.protocol.faults.clockSteps ? stepAt('advance') : undefined;
   }
@@ -102,14 +102,14 @@
   }
 
   #depart(schedule: Schedule<Ghost>, usual: Step | undefined, visit: Visit<Schedule<Ghost>>): void {
-    const { world, queue, beaten } = schedule;
+    const { world, queue, ticked } = schedule;
     const { faults } = this.#cluster.protocol;
     const departures = schedule.departures + 1;
     if (usual?.kind === 'receive') {
       const lost = { ...schedule, queue: without(queue, usual.item), departures };
       visit(stepCode({ ...usual, kind: 'drop' }), lost, undefined);
-    } else if (usual?.kind === 'beat') {
-      const late = { ...schedule, beaten: beaten | (1 << usual.node), departures };
+    } else if (usual?.kind === 'tick') {
+      const late = { ...schedule, ticked: ticked | (1 << usual.node), departures };
       visit(stepCode({ ...usual, kind: 'skip' }), late, undefined);
     }
     for (const node of world.nodes.keys()) {
@@ -149,12 +149,12 @@
     const { world, stalled } = schedule;
     const departures = schedule.departures + cost;
     const queue = step.kind === 'receive' ? without(schedule.queue, step.item) : schedule.queue;
-    const beaten = step.kind === 'beat' ? schedule.beaten | (1 << step.node) : schedule.beaten;
+    const ticked = step.kind === 'tick' ? schedule.ticked | (1 << step.node) : schedule.ticked;
     const isLost = step.kind === 'receive' && cost === 0 && this.#isCut(schedule, step.item);
     const taken = isLost ? undefined : this.#cluster.take(world, step, holds(stalled, step.node));
     if (!taken) {
       // Nothing came of it, but it is done with.
-      if (cost === 0) visit(stepCode(step), { ...schedule, queue, beaten }, undefined);
+      if (cost === 0) visit(stepCode(step), { ...schedule, queue, ticked }, undefined);
       return;
     }
     const sent = taken.sent.filter(this.#isSentThrough.bind(this, schedule));
@@ -162,7 +162,7 @@
       ...schedule,
       world: taken.world,
       queue: queued(queue, sent),
-      beaten: step.kind === 'advance' ? 0 : beaten,
+      ticked: step.kind === 'advance' ? 0 : ticked,
       departures,
     };
     visit(stepCode(step), next, taken.violation);
--- a/src/simulation/exhaustive/ElectionProtocol.ts
+++ b/src/simulation/exhaustive/ElectionProtocol.ts
@@ -1,11 +1,11 @@
-import { fellowId, later, moment, type FellowId, type Moment } from '../../kin/Ids.js';
-import { parseAs } from '../../kin/Json.js';
+import { nodeId, later, moment, type NodeId, type Moment } from '../../common/Ids.js';
+import { parseAs } from '../../common/Json.js';
 import { boolean, number, optional, string, type } from 'superstruct';
-import type { Message } from '../../kin/Messages.js';
-import { Quorum } from '../../kin/Quorum.js';
-import { Elector } from '../../vote/Elector.js';
-import type { VoteRecord } from '../../vote/VoteEffect.js';
-import type { VoteSettings } from '../../vote/VoteSettings.js';
+import type { Message } from '../../common/Messages.js';
+import { Quorum } from '../../common/Quorum.js';
+import { Elector } from '../../election/Elector.js';
+import type { VoteRecord } from '../../election/VoteEffect.js';
+import type { VoteSettings } from '../../election/VoteSettings.js';
 import {
   CLOCK_STEP_MS,
   type CalmRun,
@@ -82,7 +82,7 @@
 
   constructor(
     boot: Boot,
-    nodes: readonly FellowId[],
+    nodes: readonly NodeId[],
     quorum: Quorum,
     mistake: ElectionMistake | undefined,
   ) {
@@ -95,11 +95,11 @@
     const record = recordOf(disk, mistake);
     this.#elector = new Elector(me, quorum, settings, now, record);
     // Links are known to be alive from the start; which of them are is no part of this model.
-    this.#elector.beat(now);
-    for (const fellow of nodes) {
-      if (fellow === me) continue;
+    this.#elector.tick(now);
+    for (const peer of nodes) {
+      if (peer === me) continue;
       const pong: Message = { kind: 'pong', nonce: now, epoch: 0, reports: [], standing: '' };
-      this.#elector.receive(now, fellow, pong);
+      this.#elector.receive(now, peer, pong);
     }
     this.#elector.drain();
   }
@@ -109,10 +109,10 @@
   }
 
   perform(now: Moment, input: Input<ElectionCommand>): Output<ElectionEvent> {
-    if (input.kind === 'beat') this.#elector.beat(now);
+    if (input.kind === 'tick') this.#elector.tick(now);
     else if (input.kind === 'receive') {
       for (const message of input.messages) {
-        this.#elector.receive(now, fellowId(input.from), message);
+        this.#elector.receive(now, nodeId(input.from), message);
       }
     } else if (input.kind === 'stored') {
       this.#elector.kept(input.write.count - this.#firstToken);
@@ -181,7 +181,7 @@
   readonly name: string;
   readonly firstFrozen = 0;
   readonly isBundled = false;
-  readonly nodes: readonly FellowId[] = [fellowId('a'), fellowId('b'), fellowId('c')];
+  readonly nodes: readonly NodeId[] = [nodeId('a'), nodeId('b'), nodeId('c')];
   readonly faults: FaultBounds;
   readonly firstGhost: ElectionGhost = { leaders: {}, orderedUntil: [-1, -1, -1] };
   readonly firstDisks: readonly (readonly DiskWrite[])[] = [[], [], []];
@@ -201,19 +201,19 @@
   }
 
   prepare(calm: CalmRun<ElectionCommand>): void {
-    if (this.#beginning === 'after a leader') calm.beat(A);
+    if (this.#beginning === 'after a leader') calm.tick(A);
     if (this.#beginning !== 'contested') return;
     // Both outer voters propose at once; the middle one defers to the worse first, and then to the better.
     calm.hold();
-    calm.beat(A);
-    calm.beat(C);
+    calm.tick(A);
+    calm.tick(C);
     calm.deliver(C, B, 'propose');
     calm.deliver(A, B, 'propose');
     calm.deliver(B, C, 'defer');
     calm.deliver(B, A, 'defer');
     calm.advance();
-    calm.beat(A);
-    calm.beat(C);
+    calm.tick(A);
+    calm.tick(C);
   }
 
   isWatched(): boolean {
--- /dev/null
+++ b/src/simulation/exhaustive/ExhaustiveCommand.ts
@@ -0,0 +1,58 @@
+import { Command, Flags } from '@oclif/core';
+import { MODEL_NAMES, SEARCHES, type Extent, type Search, type SearchReport } from './Searches.js';
+
+/** A search is given up as partial beyond so many states; each takes some hundred bytes. */
+const MOST_STATES = 3_000_000;
+
+function reportLine(report: SearchReport): string {
+  const { model, depth, states, transitions, nodeStates, millis, isExhausted } = report;
+  const end = isExhausted ? ', nothing left' : '';
+  const counts = `${states} states, ${transitions} transitions, ${nodeStates} node states`;
+  return `${model}: depth ${depth}${end}, ${counts}, ${(millis / 1000).toFixed(1)} s`;
+}
+
+/** Explores the small cores of the control side state by state, by hand and further than the tests do. */
+export class ExhaustiveCommand extends Command {
+  static override description =
+    'explore the control side state by state: every order of steps, or every choice of a few faults';
+  static override flags = {
+    model: Flags.option({ options: MODEL_NAMES, description: 'one model alone' })(),
+    depth: Flags.integer({ description: 'steps, for searches of every order' }),
+    faults: Flags.integer({ description: 'faults, for searches of long runs' }),
+    states: Flags.integer({ default: MOST_STATES, description: 'states at which a search ends' }),
+    json: Flags.boolean({ default: false, description: 'one JSON object a search' }),
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(ExhaustiveCommand);
+    let isBroken = false;
+    for (const search of SEARCHES) {
+      if (flags.model !== undefined && search.model !== flags.model) continue;
+      const extent = extentOf(search, flags.depth, flags.faults);
+      const report = search.run(extent, flags.states, this.#progress.bind(this, flags.json));
+      this.log(flags.json ? JSON.stringify(report) : reportLine(report));
+      const { counterexample } = report;
+      if (!counterexample) continue;
+      isBroken = true;
+      if (flags.json) continue;
+      this.log(`  broken: ${counterexample.invariant}`);
+      for (const [index, step] of counterexample.steps.entries()) {
+        this.log(`  ${index + 1}. ${step}`);
+      }
+    }
+    this.exit(isBroken ? 1 : 0);
+  }
+
+  #progress(isJson: boolean, report: SearchReport): void {
+    if (!isJson) this.logToStderr(reportLine(report));
+  }
+}
+
+function extentOf(
+  { usual }: Search,
+  depth: number | undefined,
+  faults: number | undefined,
+): Extent {
+  if (usual.kind === 'every-order') return { ...usual, depth: depth ?? usual.depth };
+  return { ...usual, faults: faults ?? usual.faults };
+}
--- a/src/simulation/exhaustive/Interleavings.ts
+++ b/src/simulation/exhaustive/Interleavings.ts
@@ -36,7 +36,7 @@
     const { faults } = this.#cluster.protocol;
     if (world.clock < faults.clockSteps) this.#take(world, stepAt('advance'), visit);
     for (const [node, { pending }] of world.nodes.entries()) {
-      this.#take(world, stepAt('beat', node), visit);
+      this.#take(world, stepAt('tick', node), visit);
       if (pending.length > 0) this.#take(world, stepAt('sync', node), visit);
       if (world.restarts < faults.restarts) this.#take(world, stepAt('restart', node), visit);
       if (world.wipes < faults.wipes) this.#take(world, stepAt('wipe', node), visit);
--- a/src/simulation/exhaustive/LocalStates.ts
+++ b/src/simulation/exhaustive/LocalStates.ts
@@ -1,5 +1,5 @@
-import type { Moment } from '../../kin/Ids.js';
-import type { Message } from '../../kin/Messages.js';
+import type { Moment } from '../../common/Ids.js';
+import type { Message } from '../../common/Messages.js';
 import { Interner } from './Interner.js';
 import type { StateDigest } from './StateDigest.js';
 
@@ -18,7 +18,7 @@
 
 /** What one node may be given. */
 export type Input<Command> =
-  | { readonly kind: 'beat' }
+  | { readonly kind: 'tick' }
   | { readonly kind: 'receive'; readonly from: string; readonly messages: readonly Message[] }
   | { readonly kind: 'stored'; readonly write: DiskWrite }
   | { readonly kind: 'command'; readonly command: Command };
@@ -60,7 +60,7 @@
   readonly disk: readonly DiskWrite[];
   readonly now: Moment;
   /** How many processes were started before it, on any node. */
-  readonly life: number;
+  readonly incarnation: number;
 }
 
 interface Recorded<Command, Event, Facts> {
--- a/src/simulation/exhaustive/Protocol.ts
+++ b/src/simulation/exhaustive/Protocol.ts
@@ -1,4 +1,4 @@
-import type { Message } from '../../kin/Messages.js';
+import type { Message } from '../../common/Messages.js';
 import type { DiskWrite, Envelope, NodeFactory } from './LocalStates.js';
 
 /** Milliseconds between two of the moments that a model has. Nothing happens at any other. */
@@ -91,7 +91,7 @@
 
 /** Steps of the beginning, in which nothing is lost or late. */
 export interface CalmRun<Command> {
-  beat(node: number): void;
+  tick(node: number): void;
   command(node: number, command: Command): void;
   advance(): void;
   /** From here on messages are delivered only one by one. */
--- a/src/simulation/exhaustive/RefusalProtocol.ts
+++ b/src/simulation/exhaustive/RefusalProtocol.ts
@@ -1,7 +1,7 @@
-import { CONFIG_PART } from '../../hold/PartNames.js';
-import { fellowId, type FellowId } from '../../kin/Ids.js';
-import type { Message } from '../../kin/Messages.js';
-import { Quorum } from '../../kin/Quorum.js';
+import { CONFIG_PART } from '../../state/PartNames.js';
+import { nodeId, type NodeId } from '../../common/Ids.js';
+import type { Message } from '../../common/Messages.js';
+import { Quorum } from '../../common/Quorum.js';
 import {
   ControlNode,
   docOf,
@@ -77,14 +77,14 @@
 
   prepare(calm: CalmRun<ControlCommand>): void {
     for (let step = 0; step < FOUNDING_CLOCK_STEPS; step += 1) {
-      for (const node of NODES.keys()) calm.beat(node);
+      for (const node of NODES.keys()) calm.tick(node);
       calm.advance();
     }
   }
 
   isWatched(message: Message): boolean {
     const { kind } = message;
-    return kind === 'write' || kind === 'writeReturn' || kind === 'command' || kind === 'victory';
+    return kind === 'write' || kind === 'writeReply' || kind === 'command' || kind === 'victory';
   }
 
   commands(view: RefusalView): readonly NodeCommand<ControlCommand>[] {
@@ -151,15 +151,15 @@
 
 /** The version that a majority has synced, if one and the same write of it is there. */
 function committedVersion(disks: readonly (readonly DiskWrite[])[]): number | undefined {
-  const holders = new Map<string, Set<FellowId>>();
+  const holders = new Map<string, Set<NodeId>>();
   for (const [node, disk] of disks.entries()) {
     const write = disk.find(isOfSlot.bind(undefined, CONFIG_PART));
     if (!write) continue;
     const key = `${write.epoch}.${write.count} ${write.body}`;
     const known = holders.get(key) ?? new Set();
-    holders.set(key, known.add(fellowId(NODES[node] ?? '')));
+    holders.set(key, known.add(nodeId(NODES[node] ?? '')));
   }
-  const quorum = new Quorum(NODES.map(fellowId));
+  const quorum = new Quorum(NODES.map(nodeId));
   for (const [key, by] of holders) {
     if (!quorum.isMajority(by)) continue;
     return docOf(key.slice(key.indexOf(' ') + 1))?.routing?.version ?? 0;
--- a/src/simulation/exhaustive/Replica.ts
+++ b/src/simulation/exhaustive/Replica.ts
@@ -1,20 +1,24 @@
 import { number, type } from 'superstruct';
-import { Parts } from '../../hold/Parts.js';
-import { CONFIG_PART, VOTE_PART } from '../../hold/PartNames.js';
-import { Standing, type StandingName, type StandingOutcome } from '../../hold/Standing.js';
-import type { StoredPart } from '../../hold/Store.js';
+import { ReplicatedState } from '../../state/ReplicatedState.js';
+import { CONFIG_PART, VOTE_PART } from '../../state/PartNames.js';
+import {
+  ReplicaStatus,
+  type ReplicaStatusName,
+  type ReplicaStatusOutcome,
+} from '../../state/ReplicaStatus.js';
+import type { StoredPart } from '../../state/Store.js';
 import {
   epochOf,
-  fellowId,
+  nodeId,
   nextElecting,
   partName,
-  type FellowId,
+  type NodeId,
   type Moment,
-} from '../../kin/Ids.js';
-import { parseAs } from '../../kin/Json.js';
-import type { Message } from '../../kin/Messages.js';
-import type { Quorum } from '../../kin/Quorum.js';
-import type { Version } from '../../kin/Version.js';
+} from '../../common/Ids.js';
+import { parseAs } from '../../common/Json.js';
+import type { Message } from '../../common/Messages.js';
+import type { Quorum } from '../../common/Quorum.js';
+import type { Version } from '../../common/Version.js';
 import type { Boot, DiskWrite, Input, Output, Sent, Subject } from './LocalStates.js';
 
 /** Deliberate mistakes that the invariants must find. */
@@ -41,7 +45,7 @@
   | { readonly kind: 'serving'; readonly body: string };
 
 export interface ReplicaFacts {
-  readonly standing: StandingName;
+  readonly standing: ReplicaStatusName;
   /** The newest epoch taken on, synced or not. */
   readonly epoch: number;
   /** The epoch granted on disk and not moved on from; 0 for none. */
@@ -57,10 +61,10 @@
 
 /** A voter's copy of one part, with the repair of a lost disk, wired to grants as the control core wires it. */
 export class Replica implements Subject<ReplicaCommand, ReplicaEvent, ReplicaFacts> {
-  readonly #me: FellowId;
+  readonly #me: NodeId;
   readonly #quorum: Quorum;
-  readonly #parts: Parts;
-  readonly #standing: Standing;
+  readonly #parts: ReplicatedState;
+  readonly #replicaStatus: ReplicaStatus;
   readonly #mistake: ReplicaMistake | undefined;
   #epoch: number;
   /** What the newest record says, written or not, and what the disk is known to hold of it. */
@@ -77,9 +81,9 @@
   #writes: DiskWrite[] = [];
   #events: ReplicaEvent[] = [];
 
-  constructor(boot: Boot, nodes: readonly FellowId[], quorum: Quorum, mistake?: ReplicaMistake) {
-    const { node, disk, now, life } = boot;
-    this.#me = nodes[node] ?? fellowId('nobody');
+  constructor(boot: Boot, nodes: readonly NodeId[], quorum: Quorum, mistake?: ReplicaMistake) {
+    const { node, disk, now, incarnation } = boot;
+    this.#me = nodes[node] ?? nodeId('nobody');
     this.#quorum = quorum;
     this.#mistake = mistake;
     const vote = disk.find(isVote);
@@ -89,15 +93,20 @@
     this.#grantLeader = record?.grantLeader ?? 0;
     this.#keptGrant = this.#grantEpoch;
     this.#voteCount = vote?.count ?? 0;
-    this.#parts = new Parts(this.#me, quorum, [CONFIG_PART], disk.filter(isConfig).map(storedPart));
+    this.#parts = new ReplicatedState(
+      this.#me,
+      quorum,
+      [CONFIG_PART],
+      disk.filter(isConfig).map(storedPart),
+    );
     const name = record ? 'sound' : 'blank';
-    this.#standing = new Standing(this.#me, name, now, 0, life * LIFE_SPAN, false);
+    this.#replicaStatus = new ReplicaStatus(this.#me, name, now, 0, incarnation * LIFE_SPAN, false);
   }
 
   get state(): unknown {
     return [
       this.#parts,
-      this.#standing,
+      this.#replicaStatus,
       [this.#epoch, this.#grantEpoch, this.#grantLeader],
       [this.#keptGrant, this.#voteCount, this.#ledEpoch],
       [this.#isRepairing, this.#repairEpoch, this.#repairWaits, this.#settlesAt],
@@ -106,7 +115,7 @@
 
   facts(): ReplicaFacts {
     return {
-      standing: this.#standing.name,
+      standing: this.#replicaStatus.name,
       epoch: this.#epoch,
       granted: this.#granted(),
       grantLeader: this.#grantLeader,
@@ -120,11 +129,11 @@
     this.#writes = [];
     this.#events = [];
     switch (input.kind) {
-      case 'beat':
-        this.#beat(now);
+      case 'tick':
+        this.#tick(now);
         break;
       case 'receive':
-        for (const message of input.messages) this.#receive(now, fellowId(input.from), message);
+        for (const message of input.messages) this.#receive(now, nodeId(input.from), message);
         break;
       case 'stored':
         this.#stored(now, input.write);
@@ -137,29 +146,30 @@
     return { sends: this.#sends, writes: this.#writes, events: this.#events };
   }
 
-  #beat(now: Moment): void {
-    this.#sends.push(...this.#standing.beat(now, this.#quorum));
-    this.#settle(this.#standing.outcome(now, this.#quorum));
-    this.#parts.beat(now);
+  #tick(now: Moment): void {
+    this.#sends.push(...this.#replicaStatus.tick(now, this.#quorum));
+    this.#settle(this.#replicaStatus.outcome(now, this.#quorum));
+    this.#parts.tick(now);
   }
 
-  #receive(now: Moment, from: FellowId, message: Message): void {
+  #receive(now: Moment, from: NodeId, message: Message): void {
     if (message.kind === 'read' && message.epoch === 0) {
       const copies = this.#parts.copies();
       const hasGranted = this.#grantEpoch > 0;
-      const reply = this.#standing.returnTo(message.nonce, this.#epoch, copies, hasGranted);
+      const reply = this.#replicaStatus.replyTo(message.nonce, this.#epoch, copies, hasGranted);
       this.#sends.push({ to: from, message: reply });
-    } else if (message.kind === 'readReturn' && !message.sound) {
+    } else if (message.kind === 'readReply' && !message.sound) {
       if (this.#mistake === 'repaired-by-one' && message.standing === 'sound') {
         const { epoch, copies } = message;
-        if (this.#standing.name !== 'sound') this.#settle({ become: 'repaired', epoch, copies });
+        if (this.#replicaStatus.name !== 'sound')
+          this.#settle({ become: 'repaired', epoch, copies });
         return;
       }
-      this.#settle(this.#standing.receive(now, from, message, this.#quorum));
+      this.#settle(this.#replicaStatus.receive(now, from, message, this.#quorum));
     } else {
       const isOld = this.#mistake === 'old-epoch-written' && message.kind === 'write';
       const granted = isOld ? message.epoch : this.#granted();
-      this.#parts.receive(now, from, message, granted, [], this.#standing.name);
+      this.#parts.receive(now, from, message, granted, [], this.#replicaStatus.name);
     }
   }
 
@@ -173,7 +183,7 @@
     this.#keptGrant = parseAs(VoteShape, write.body)?.grantEpoch ?? 0;
     if (this.#settlesAt === undefined || write.count < this.#settlesAt) return;
     this.#settlesAt = undefined;
-    this.#standing.settle();
+    this.#replicaStatus.settle();
   }
 
   #command(now: Moment, command: ReplicaCommand): void {
@@ -183,7 +193,7 @@
       this.#grantLeader = command.leader;
       this.#keepVote();
       this.#ledEpoch = 0;
-      this.#parts.stand();
+      this.#parts.stub();
     } else if (command.do === 'lead') {
       this.#ledEpoch = this.#epoch;
       this.#parts.lead(now, this.#epoch);
@@ -199,13 +209,13 @@
   }
 
   #granted(): number {
-    const isCurrent = this.#standing.name === 'sound' && this.#keptGrant === this.#epoch;
+    const isCurrent = this.#replicaStatus.name === 'sound' && this.#keptGrant === this.#epoch;
     return isCurrent ? this.#keptGrant : 0;
   }
 
   // ---- repair of a lost disk
 
-  #settle(outcome: StandingOutcome | undefined): void {
+  #settle(outcome: ReplicaStatusOutcome | undefined): void {
     if (outcome?.become !== 'repaired') return;
     if (this.#settlesAt !== undefined || this.#isRepairing) return;
     for (const part of this.#parts.adopt(outcome.copies)) this.#repairWaits.add(part);
--- a/src/simulation/exhaustive/ReplicationProtocol.ts
+++ b/src/simulation/exhaustive/ReplicationProtocol.ts
@@ -1,7 +1,7 @@
-import { VOTE_PART } from '../../hold/PartNames.js';
-import { fellowId, type FellowId } from '../../kin/Ids.js';
-import { Quorum } from '../../kin/Quorum.js';
-import { compareVersions, type Version } from '../../kin/Version.js';
+import { VOTE_PART } from '../../state/PartNames.js';
+import { nodeId, type NodeId } from '../../common/Ids.js';
+import { Quorum } from '../../common/Quorum.js';
+import { compareVersions, type Version } from '../../common/Version.js';
 import type { Boot, DiskWrite } from './LocalStates.js';
 import type {
   CalmRun,
@@ -25,6 +25,7 @@
 /** The first leader's epoch; each later one is two above the one before. */
 const FIRST_EPOCH = 2;
 const FIRST_LEADER = 0;
+const SECOND_LEADER = 1;
 const LETTERS = 'pqrstuvw';
 
 /** All that have granted one epoch to one leader, on disk, as a bit mask. */
@@ -54,9 +55,15 @@
 
 type ReplicationView = View<ReplicaFacts, ReplicationGhost>;
 
+export type ReplicationBeginning =
+  /** The first leader has committed one change. */
+  | 'calm'
+  /** It has begun another, and the other two have granted the next epoch to the second voter. */
+  | 'takeover';
+
 /** Counts any copy for a majority. */
 class OneCopyQuorum extends Quorum {
-  override isMajority(ids: ReadonlySet<FellowId>): boolean {
+  override isMajority(ids: ReadonlySet<NodeId>): boolean {
     return ids.size > 0;
   }
 }
@@ -74,21 +81,24 @@
   readonly name: string;
   readonly firstFrozen = 0;
   readonly isBundled = false;
-  readonly nodes: readonly FellowId[];
+  readonly nodes: readonly NodeId[];
   readonly faults: ReplicationBounds;
   readonly firstDisks: readonly (readonly DiskWrite[])[];
   readonly firstGhost: ReplicationGhost;
+  readonly #beginning: ReplicationBeginning;
   readonly #majority: Quorum;
   readonly #quorum: Quorum;
   readonly #mistake: ReplicaMistake | undefined;
 
   constructor(
     name: string,
+    beginning: ReplicationBeginning,
     sets: readonly (readonly string[])[],
     faults: ReplicationBounds,
     mistake?: ReplicationMistake,
   ) {
-    this.name = name;
+    this.name = `${name}, ${beginning}`;
+    this.#beginning = beginning;
     this.faults = faults;
     const ids = sets.map(idsOf);
     this.#majority = new Quorum(...ids);
@@ -107,10 +117,14 @@
     return new Replica(boot, this.nodes, this.#quorum, this.#mistake);
   }
 
-  /** The first leader has committed one change. */
   prepare(calm: CalmRun<ReplicaCommand>): void {
     calm.command(FIRST_LEADER, { do: 'lead' });
     calm.command(FIRST_LEADER, { do: 'write', letter: 'a' });
+    if (this.#beginning === 'calm') return;
+    calm.hold();
+    calm.command(FIRST_LEADER, { do: 'write', letter: 'b' });
+    const grant = { do: 'grant', epoch: FIRST_EPOCH + 2, leader: SECOND_LEADER } as const;
+    for (let node = SECOND_LEADER; node < this.nodes.length; node += 1) calm.command(node, grant);
   }
 
   isWatched(): boolean {
@@ -189,7 +203,7 @@
     if (!event.body.startsWith(committed) && !committed.startsWith(event.body)) {
       return `${body} is committed beside ${JSON.stringify(committed)}`;
     }
-    const holders = new Set<FellowId>();
+    const holders = new Set<NodeId>();
     for (const [node, disk] of after.disks.entries()) {
       const name = this.nodes[node];
       if (name !== undefined && disk.some(holdsVersion.bind(undefined, event.version))) {
@@ -224,15 +238,15 @@
   return a.epoch - b.epoch || a.leader - b.leader;
 }
 
-function idsOf(set: readonly string[]): FellowId[] {
-  return set.map(fellowId);
+function idsOf(set: readonly string[]): NodeId[] {
+  return set.map(nodeId);
 }
 
 function diskWith(write: DiskWrite): readonly DiskWrite[] {
   return [write];
 }
 
-function isInMask(mask: number, _id: FellowId, index: number): boolean {
+function isInMask(mask: number, _id: NodeId, index: number): boolean {
   return (mask & (1 << index)) !== 0;
 }
 
--- a/src/simulation/exhaustive/Steps.ts
+++ b/src/simulation/exhaustive/Steps.ts
@@ -1,7 +1,7 @@
 /** What may happen next in a cluster. */
 export type StepKind =
   | 'advance'
-  | 'beat'
+  | 'tick'
   | 'sync'
   | 'receive'
   | 'restart'
@@ -18,7 +18,7 @@
 
 const STEP_KINDS: readonly StepKind[] = [
   'advance',
-  'beat',
+  'tick',
   'sync',
   'receive',
   'restart',
--- a/src/simulation/exhaustive/VoterChangeProtocol.ts
+++ b/src/simulation/exhaustive/VoterChangeProtocol.ts
@@ -1,7 +1,7 @@
-import { CONFIG_PART } from '../../hold/PartNames.js';
-import { fellowId } from '../../kin/Ids.js';
-import type { Message } from '../../kin/Messages.js';
-import { Quorum } from '../../kin/Quorum.js';
+import { CONFIG_PART } from '../../state/PartNames.js';
+import { nodeId } from '../../common/Ids.js';
+import type { Message } from '../../common/Messages.js';
+import { Quorum } from '../../common/Quorum.js';
 import {
   ControlNode,
   docOf,
@@ -76,20 +76,20 @@
 
   prepare(calm: CalmRun<ControlCommand>): void {
     for (let step = 0; step < FOUNDING_CLOCK_STEPS; step += 1) {
-      for (const node of NODES.keys()) calm.beat(node);
+      for (const node of NODES.keys()) calm.tick(node);
       calm.advance();
     }
     calm.command(0, { call: 1, order: FIRST_ORDER });
     calm.freeze(GONE);
     for (let step = 0; step < SILENT_CLOCK_STEPS; step += 1) {
-      for (const node of NODES.keys()) if (node !== GONE) calm.beat(node);
+      for (const node of NODES.keys()) if (node !== GONE) calm.tick(node);
       calm.advance();
     }
   }
 
   isWatched(message: Message): boolean {
     const { kind } = message;
-    return kind === 'write' || kind === 'writeReturn' || kind === 'granted' || kind === 'victory';
+    return kind === 'write' || kind === 'writeReply' || kind === 'granted' || kind === 'victory';
   }
 
   commands(view: ChangeView): readonly NodeCommand<ControlCommand>[] {
@@ -148,14 +148,14 @@
     const by = believers.get(text) ?? [];
     if (by[0] !== NODES[node]) continue;
     const quorum = new Quorum(...sets.map(idsOf));
-    if (quorum.isMajority(new Set(by.map(fellowId)))) able.push(`${text} by ${by.join()}`);
+    if (quorum.isMajority(new Set(by.map(nodeId)))) able.push(`${text} by ${by.join()}`);
   }
   if (able.length < 2) return undefined;
   return `two sets of voters could decide apart, ${where}: ${able.join(' and ')}`;
 }
 
-function idsOf(set: readonly string[]): ReturnType<typeof fellowId>[] {
-  return set.map(fellowId);
+function idsOf(set: readonly string[]): ReturnType<typeof nodeId>[] {
+  return set.map(nodeId);
 }
 
 function votersOf(facts: ControlFacts): VoterSets {
