--- a/src/simulation/exhaustive/ElectionProtocol.ts
+++ b/src/simulation/exhaustive/ElectionProtocol.ts
@@ -202,6 +202,7 @@
 
   prepare(calm: CalmRun<ElectionCommand>): void {
     if (this.#beginning === 'after a leader') calm.tick(A);
+    calm.forget();
     if (this.#beginning !== 'contested') return;
     // Both outer voters propose at once; the middle one defers to the worse first, and then to the better.
     calm.hold();
--- a/src/simulation/exhaustive/VoterChangeProtocol.ts
+++ b/src/simulation/exhaustive/VoterChangeProtocol.ts
@@ -85,6 +85,7 @@
       for (const node of NODES.keys()) if (node !== GONE) calm.tick(node);
       calm.advance();
     }
+    calm.forget();
   }
 
   isWatched(message: Message): boolean {
