--- a/src/simulation/exhaustive/Explorer.ts
+++ b/src/simulation/exhaustive/Explorer.ts
@@ -1,5 +1,3 @@
-import { performance } from 'node:perf_hooks';
-
 /** A finite-branching transition system whose states can be told apart by a text. */
 export interface Model<State> {
   readonly name: string;
@@ -33,6 +31,7 @@
   readonly depth: number;
   readonly states: number;
   readonly transitions: number;
+  /** Processor time: other work on the machine does not count. */
   readonly millis: number;
   /** Whether no state is left beyond the explored ones: then the depth bounds nothing. */
   readonly isExhausted: boolean;
@@ -84,7 +83,7 @@
   }
 
   run(bounds: Bounds, progress: (verdict: Verdict) => void = ignore): Verdict {
-    const began = performance.now();
+    const began = process.cpuUsage();
     const model = this.#model;
     const first = model.initial();
     this.#add(model.key(first), -1, -1);
@@ -134,7 +133,7 @@
 
   #verdict(
     depth: number,
-    began: number,
+    began: NodeJS.CpuUsage,
     isExhausted: boolean,
     counterexample: Counterexample | undefined,
   ): Verdict {
@@ -143,7 +142,7 @@
       depth,
       states: this.#seen.size,
       transitions: this.#transitions,
-      millis: Math.round(performance.now() - began),
+      millis: millisSince(began),
       isExhausted,
       counterexample,
     };
@@ -177,3 +176,8 @@
 function ignore(): void {
   /* nobody asked for progress */
 }
+
+function millisSince(began: NodeJS.CpuUsage): number {
+  const { user, system } = process.cpuUsage(began);
+  return Math.round((user + system) / 1000);
+}
--- a/src/simulation/exhaustive/RefusalProtocol.ts
+++ b/src/simulation/exhaustive/RefusalProtocol.ts
@@ -50,7 +50,9 @@
 type RefusalView = View<ControlFacts, RefusalGhost>;
 
 /** Deliberate mistakes that the invariant must find. */
-export type RefusalMistake = 'unclear-told-as-refused';
+export type RefusalMistake =
+  /** An order is refused for another that is still under way. */
+  'refused-for-a-pending-one';
 
 /** Orders of operators at any node: a definite refusal must rest on what is committed. */
 export class RefusalProtocol implements Protocol<
@@ -111,7 +113,10 @@
     let ghost = before.ghost;
     if (did.command) {
       const order = ORDERS.findIndex(hasId.bind(undefined, did.command.order.id));
-      ghost = { ...ghost, calls: [...ghost.calls, { order, outcome: 'open' }] };
+      const isPending = ghost.calls.some(isOpen);
+      const isRefused = isPending && this.#mistake === 'refused-for-a-pending-one';
+      const outcome = isRefused ? 'refused' : 'open';
+      ghost = { ...ghost, calls: [...ghost.calls, { order, outcome }] };
     }
     const version = committedVersion(after.disks);
     if (version !== undefined && !ghost.committed.includes(version)) {
@@ -121,17 +126,17 @@
       const at = Math.floor((event.call - 1) / ORDERS.length);
       const call = ghost.calls[at];
       if (!call) continue;
-      const outcome = this.#outcomeOf(event);
+      const outcome = outcomeOf(event);
       ghost = { ...ghost, calls: ghost.calls.with(at, { ...call, outcome }) };
     }
     return { ghost, violation: violationOf(ghost) };
   }
+}
 
-  #outcomeOf({ status }: ControlEvent): CallOutcome {
-    if (status < 300) return 'accepted';
-    const isClear = status >= 400 && status < 500 && status !== 408 && status !== 429;
-    return isClear || this.#mistake === 'unclear-told-as-refused' ? 'refused' : 'unclear';
-  }
+function outcomeOf({ status }: ControlEvent): CallOutcome {
+  if (status < 300) return 'accepted';
+  const isClear = status >= 400 && status < 500 && status !== 408 && status !== 429;
+  return isClear ? 'refused' : 'unclear';
 }
 
 /** What is wrong with the answers given so far, if anything. */
@@ -170,6 +175,10 @@
   return undefined;
 }
 
+function isOpen(call: { readonly outcome: CallOutcome }): boolean {
+  return call.outcome === 'open';
+}
+
 function hasId(id: string, order: ConfigureOrder): boolean {
   return order.id === id;
 }
--- a/src/simulation/exhaustive/ReplicationProtocol.ts
+++ b/src/simulation/exhaustive/ReplicationProtocol.ts
@@ -60,7 +60,7 @@
 export type ReplicationBeginning =
   /** The first leader has committed one change. */
   | 'calm'
-  /** It has begun another, and the other two have granted the next epoch to the second voter. */
+  /** It has begun another when the second voter, granted the next epoch by the third, begins to lead. */
   | 'takeover'
   /** It has committed another with the second voter alone, whose disk was lost then and which asks the others. */
   | 'wiped'
@@ -141,8 +141,8 @@
     if (this.#beginning === 'takeover') calm.command(FIRST_LEADER, { do: 'write', letter: 'b' });
     const grant = { do: 'grant', epoch: FIRST_EPOCH + 2, leader: SECOND_LEADER } as const;
     for (let node = SECOND_LEADER; node < this.nodes.length; node += 1) calm.command(node, grant);
-    if (this.#beginning === 'takeover') return;
     calm.command(SECOND_LEADER, { do: 'lead' });
+    if (this.#beginning === 'takeover') return;
     calm.forget();
     this.#wipe(calm, THIRD);
   }
