--- a/src/commands.ts
+++ b/src/commands.ts
@@ -7,6 +7,7 @@
 import { ScaleCommand } from './rehearsal/ScaleCommand.js';
 import { StormCommand } from './rehearsal/StormCommand.js';
 import { StubCommand } from './rehearsal/StubCommand.js';
+import { ExhaustiveCommand } from './simulation/exhaustive/ExhaustiveCommand.js';
 import {
   AskEditCommand,
   EvacuateCommand,
@@ -27,6 +28,7 @@
   proxy: ProxyCommand,
   agent: AgentCommand,
   control: ControlCommand,
+  'rehearsal:exhaustive': ExhaustiveCommand,
   'rehearsal:fleet': FleetCommand,
   'rehearsal:measure': MeasureCommand,
   'rehearsal:scale': ScaleCommand,
