--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -31,15 +31,19 @@
 import { Elector } from '../election/Elector.js';
 import type { VoteRecord } from '../election/VoteEffect.js';
 import { VOTE_DEFAULTS, type VoteSettings } from '../election/VoteSettings.js';
-import { ConfigDocShape, ConfigNewsShape, firstDoc, type ConfigDoc } from './ConfigDoc.js';
+import { decodeConfigDoc, encodeConfigDoc, mustDecodeConfigDoc } from './ConfigCodec.js';
+import { ConfigNewsShape, firstDoc, type ConfigDoc } from './ConfigDoc.js';
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
 import { TableManager } from './TableManager.js';
+import { ControlCounters, sessionNumbers, type ControlMetrics } from './ControlMetrics.js';
 import { FleetManager } from './FleetManager.js';
 import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
+import { quorumOf } from './ConfigVoters.js';
 import { errorAnswer, type CommandAnswer } from './OrderAnswers.js';
 import { OperatorOrders, type Commit, type Origin } from './OperatorOrders.js';
 import { leaderTimeOf, OrderForwarding } from './OrderForwarding.js';
-import { isVotersWriting, VoterPlan, type Announced } from './VoterPlan.js';
+import { VoterMembership, type MembershipHost } from './VoterMembership.js';
+import type { VotersChange } from './VoterPlan.js';
 
 const VoteBodyShape = type({
   epoch: number(),
@@ -58,10 +62,6 @@
 
 /** How long members are waited for when the table is recovered from them. */
 const RECOVER_MS = 2000;
-/** How often a node that stands outside announces itself, and how long that is remembered. */
-const ANNOUNCE_MS = 500;
-const ANNOUNCEED_MS = 1500;
-const LEADERLESS_MS = 1000;
 const NEAR_MS = 1000;
 const NEVER = moment(-1e12);
 /** Clocks differ in rate, and a confirmation takes its way: whoever is not fresh by so long after is surely blind. */
@@ -84,6 +84,7 @@
   readonly #table: TableManager;
   #quorum: Quorum;
   #effects: ControlEffect[] = [];
+  readonly #counters = new ControlCounters();
 
   #voteCount = 0;
   /** Vote records on their way to the disk, by their count. */
@@ -134,10 +135,12 @@
   readonly #fleetManager: FleetManager | undefined;
   #seeds: readonly string[];
   readonly #zones = new Map<string, string>();
-  readonly #announced = new Map<string, Announced>();
-  #announcedAt: Moment = NEVER;
-  #leaderAt: Moment;
-  readonly #voterPlan = new VoterPlan();
+  /** Set in a deployment, where voters change by themselves. */
+  readonly #membership: VoterMembership | undefined;
+  /** The configuration whose voters are followed. */
+  #followedConfig = '';
+  /** The newest configuration read while beginning to lead in this epoch, where it names other voters. */
+  #readConfig: { readonly version: Version; readonly body: string } | undefined;
 
   constructor(
     settings: ControlSettings,
@@ -162,7 +165,7 @@
         : 'lost';
     this.#voteCount = voteFile?.version.count ?? 0;
     this.#quorum = new Quorum(seeds);
-    this.#parts = new ReplicatedState(this.#me, this.#quorum, allParts(), stored);
+    this.#parts = new ReplicatedState(this.#me, this.#quorum, allParts(), stored, quorumOf);
     this.#doc = firstDoc(settings.seeds);
     const known: VoteRecord | undefined = name === 'sound' ? record : undefined;
     this.#elector = new Elector(this.#me, this.#quorum, vote, now, known);
@@ -174,9 +177,9 @@
       settings.foundMs,
       settings.incarnation,
       settings.deployed?.isFirstStart ?? true,
+      quorumOf,
     );
     this.#seeds = settings.seeds;
-    this.#leaderAt = now;
     this.#fleetManager =
       settings.deployed &&
       new FleetManager(settings.deployed, {
@@ -186,6 +189,7 @@
         mayOrder: this.mayOrder.bind(this),
         flows: this.#flowCount.bind(this),
       });
+    this.#membership = settings.deployed && new VoterMembership(this.#membershipHost(), now);
     this.#confirmation = new FreshnessConfirmation(settings.incarnation);
     this.#committedDoc = this.#doc;
     this.#orders = new OperatorOrders(
@@ -198,6 +202,7 @@
         isInForce: this.#isInForce.bind(this),
       },
       settings.deployed?.dialect,
+      this.#counters,
     );
     this.#forwarding = new OrderForwarding(
       {
@@ -205,6 +210,7 @@
         send: this.#send.bind(this),
         answer: this.#answer.bind(this),
       },
+      this.#counters,
       settings.incarnation,
       now,
     );
@@ -252,6 +258,39 @@
     return this.#placementWrites;
   }
 
+  /** One look at this node, for its metrics; nothing changes by it. */
+  metrics(now: Moment): ControlMetrics {
+    const contact = this.#elector.majorityContact(now);
+    const committed = this.#relay.version('config');
+    const isRepairing = this.#repair !== undefined || this.#settleOnVote !== undefined;
+    return {
+      epoch: this.#elector.epoch,
+      isLeaderKnown: this.#elector.leader !== undefined,
+      isLeading: this.#elector.isLeading(),
+      isServing: this.#isServing,
+      mayOrder: this.mayOrder(now),
+      leaseLeftMs: Math.max(0, this.#elector.leaseEnd - now),
+      majorityContactAgeMs: contact === undefined ? undefined : now - contact,
+      voters: {
+        members: this.#quorum.all.length,
+        reachable: this.#elector.reachableVoters(now),
+        isVoter: this.#quorum.holds(this.#me),
+        isJoint: this.#quorum.sets > 1,
+      },
+      replica: isRepairing ? 'repairing' : this.#replicaStatus.name,
+      unsoundParts: this.#parts.unsoundParts().length,
+      configHeld: this.#parts.versionOf(CONFIG_PART),
+      configCommitted: committed,
+      orders: this.#counters.orders,
+      events: this.#counters.eventsWith({
+        electionsStarted: this.#elector.electionsStarted,
+        votesGranted: this.#elector.votesGranted,
+        copiesMended: this.#parts.mends,
+      }),
+      sessions: sessionNumbers(this.#sessions.up(), committed),
+    };
+  }
+
   drain(): ControlEffect[] {
     const effects = this.#effects;
     this.#effects = [];
@@ -296,7 +335,7 @@
     this.#beginRound(now);
     this.#tickPeers(now);
     this.#tickCommands(now);
-    if (this.#fleetManager) this.#tickVoters(now);
+    this.#membership?.tick(now);
     this.#tickOutside(now);
     this.#collect(now);
   }
@@ -378,7 +417,13 @@
         this.#receiveAcked(now, from, message.members);
         break;
       case 'announce':
-        this.#receiveAnnounce(now, from, message);
+        this.#membership?.receiveAnnounce(now, from, message);
+        break;
+      case 'leave':
+        this.#membership?.receiveLeave(now, from, message);
+        break;
+      case 'leaveReply':
+        this.#membership?.receiveLeaveReply(message);
         break;
       case 'update':
         this.#receiveUpdate(message);
@@ -396,6 +441,7 @@
         this.#forwarding.answered(from, message);
         break;
       default:
+        this.#noteCandidate(from, message);
         this.#elector.receive(now, nodeId(from), message);
         if (message.kind === 'victory' || message.kind === 'renew')
           this.#noteLeaderTime(from, message);
@@ -429,7 +475,6 @@
     } else {
       this.#parts.stored(part, version, this.#grantedEpoch(), now);
       if (this.#repair?.waiting.delete(part)) this.#endRepair(now);
-      if (part === CONFIG_PART) this.#followVoters();
     }
     this.#collect(now);
   }
@@ -488,6 +533,9 @@
    */
   retire(now: Moment): boolean {
     this.#isRetiring = true;
+    const mustStay = this.#membership?.mustKeepSeat(now) ?? false;
+    this.#collect(now);
+    if (mustStay) return false;
     if (this.#table.hasOpenOrders) return false;
     if (this.#isServing && this.#fleetManager?.hasOpenOrders) return false;
     this.#elector.retire(now);
@@ -495,6 +543,11 @@
     return true;
   }
 
+  /** Whether a planned stop waits for this node's seat to be taken over. */
+  get isHandingOver(): boolean {
+    return this.#membership?.isHandingOver ?? false;
+  }
+
   // ---- effects of the inner cores
 
   #send(to: string, message: Message): void {
@@ -527,8 +580,10 @@
         if (effect.do === 'send') this.#send(effect.to, effect.message);
         else if (effect.do === 'store') this.#effects.push(effect);
         else if (effect.do === 'serving') this.#serve(now);
+        else if (effect.do === 'voters') this.#readConfig = effect;
         else this.#committed(now, effect.part, effect.version, effect.tokens, effect.members);
       }
+      this.#followVoters();
       this.#watchLeader(now);
     }
     this.#flushNews();
@@ -560,6 +615,7 @@
     const leader = this.#elector.leader ?? '';
     if (leader !== this.#wasLeader) {
       this.#wasLeader = leader;
+      this.#counters.countLeaderChange();
       this.#note('leader', { leader: leader === '' ? 'none' : leader, epoch: this.#elector.epoch });
     }
     const epoch = this.#elector.isLeading() ? this.#elector.epoch : 0;
@@ -573,6 +629,7 @@
     this.#isServing = false;
     this.#recoverUntil = undefined;
     this.#parts.stub();
+    this.#readConfig = undefined;
     this.#table.end();
     this.#written.clear();
     this.#orders.abandon();
@@ -609,6 +666,7 @@
     const repair = this.#repair;
     if (!repair || repair.waiting.size > 0) return;
     this.#repair = undefined;
+    this.#counters.countRepair();
     // One that is no voter has granted nothing that binds here: it joins the epoch that stands, and no election is due for it.
     const epoch = this.#fleetManager && !this.#quorum.holds(this.#me) ? 0 : repair.epoch;
     this.#settleOnVote = this.#voteCount + 1;
@@ -616,25 +674,32 @@
   }
 
   #followVoters(): void {
-    const voters = this.#knownVoters();
-    if (!voters || voters.length === 0) return;
-    function ids(set: readonly string[]): NodeId[] {
-      return set.map(nodeId);
-    }
-    const quorum = new Quorum(...voters.map(ids));
+    const body = this.#newestConfig();
+    if (body === this.#followedConfig) return;
+    this.#followedConfig = body;
+    const quorum = quorumOf(body);
+    if (quorum) this.#setQuorum(quorum);
+  }
+
+  #setQuorum(quorum: Quorum): void {
     if (quorum.text === this.#quorum.text) return;
     this.#quorum = quorum;
+    this.#counters.countVoterChange();
     this.#elector.setQuorum(quorum);
     this.#parts.setQuorum(quorum);
   }
 
-  /** By the newest configuration known here: our own copy, or one that was told as committed. */
-  #knownVoters(): readonly (readonly string[])[] | undefined {
-    const news = this.#fleetManager ? this.#relay.item('config') : undefined;
-    if (news && isNewer(news.version, this.#parts.versionOf(CONFIG_PART)))
-      return parseAs(ConfigNewsShape, news.body)?.voters;
-    const body = this.#parts.replicaBody(CONFIG_PART);
-    return body === '' ? undefined : parseAs(ConfigDocShape, body)?.voters;
+  /** The newest configuration known here: our own copy, one told as committed, or one read while beginning to lead. */
+  #newestConfig(): string {
+    let version = this.#parts.versionOf(CONFIG_PART);
+    let body = this.#parts.replicaBody(CONFIG_PART);
+    const told = this.#fleetManager ? this.#relay.item('config') : undefined;
+    for (const other of [told, this.#readConfig]) {
+      if (!other || !isNewer(other.version, version)) continue;
+      version = other.version;
+      body = other.body;
+    }
+    return body;
   }
 
   // ---- voters of a deployment: they announce themselves, and the leader lets them in
@@ -650,68 +715,76 @@
     return !this.#quorum.holds(this.#me) || this.#elector.leader === undefined;
   }
 
-  #tickVoters(now: Moment): void {
-    if (!this.#isLost()) this.#leaderAt = now;
-    const isVoter = this.#quorum.holds(this.#me);
-    if (
-      now >= later(this.#announcedAt, ANNOUNCE_MS) &&
-      (!isVoter || now >= later(this.#leaderAt, LEADERLESS_MS))
-    ) {
-      this.#announcedAt = now;
-      const known = this.#relay.version('config');
-      const message = {
-        kind: 'announce',
-        id: this.#me,
-        zone: this.#settings.zone,
-        epoch: known.epoch,
-        count: known.count,
-        isFirst: this.#settings.deployed?.isFirstStart ?? false,
-        isSound: this.#replicaStatus.name === 'sound',
-      } as const;
-      for (const peer of this.peers) this.#send(peer, message);
-    }
-    for (const [id, announced] of this.#announced)
-      if (now - announced.at > ANNOUNCEED_MS) this.#announced.delete(id);
-    if (!this.#isServing || this.#parts.isWriting(CONFIG_PART)) return;
-    const change = this.#voterPlan.next(
-      now,
-      this.#doc.voters,
-      this.#announced.values(),
-      this.#me,
-      this.#voterHeardAt.bind(this),
-    );
-    if (change.do === 'rewrite') {
-      // What the old voters hold must be on a majority of the new ones too before those stand alone.
-      for (const part of allParts())
-        if (part !== CONFIG_PART) this.#writePart(now, part, this.#parts.body(part), 0);
-    } else if (
-      change.do === 'voters' &&
-      !isVotersWriting(this.#doc.voters, allParts(), this.#parts)
-    ) {
-      this.#note('voters', { from: this.#doc.voters.join(' | '), to: change.voters.join(' | ') });
-      this.#doc = { ...this.#doc, voters: change.voters.map(copyOf) };
-      this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
-    }
+  #changeVoters(now: Moment, change: VotersChange): void {
+    this.#note('voters', {
+      from: this.#doc.voters.join(' | '),
+      to: change.voters.join(' | '),
+    });
+    const seats = change.seats === undefined ? {} : { seats: change.seats };
+    this.#doc = { ...this.#doc, voters: change.voters.map(copyOf), ...seats };
+    const body = encodeConfigDoc(this.#doc);
+    // Two sets decide together from here on, also on this very change. One alone is told to those let go as well.
+    const joint = change.voters.length === 2 ? quorumOf(body) : undefined;
+    if (joint) this.#setQuorum(joint);
+    this.#writePart(now, CONFIG_PART, body, 0);
   }
 
-  #voterHeardAt(voter: string): Moment | undefined {
-    return this.#elector.heardAt(nodeId(voter));
+  #rewriteParts(now: Moment): void {
+    for (const part of allParts())
+      if (part !== CONFIG_PART) this.#writePart(now, part, this.#parts.body(part), 0);
   }
 
-  #receiveAnnounce(
-    now: Moment,
-    from: string,
-    message: Extract<Message, { kind: 'announce' }>,
-  ): void {
-    const { id, zone, isFirst, isSound } = message;
-    if (id === this.#me) return;
-    this.#announced.set(id, { id, zone, isFirst, isSound, at: now });
-    const news = this.#relay.item('config');
-    if (news && from === id && isNewer(news.version, message))
-      this.#send(id, { kind: 'update', topic: 'config', ...news.version, body: news.body });
-    // Passed on once: whoever came to us by another is not passed on again.
-    const leader = this.#elector.leader;
-    if (leader !== undefined && leader !== this.#me && from === id) this.#send(leader, message);
+  #membershipHost(): MembershipHost {
+    return {
+      me: this.#me,
+      zone: this.#settings.zone,
+      isFirstStart: this.#settings.deployed?.isFirstStart ?? false,
+      elector: this.#elector,
+      parts: this.#parts,
+      relay: this.#relay,
+      status: this.#replicaStatus,
+      quorum: this.#currentQuorum.bind(this),
+      peers: this.#currentPeers.bind(this),
+      isServing: this.#isServingNow.bind(this),
+      document: this.#document.bind(this),
+      zoneOf: this.#toldZoneOf.bind(this),
+      send: this.#send.bind(this),
+      rewriteParts: this.#rewriteParts.bind(this),
+      changeVoters: this.#changeVoters.bind(this),
+    };
+  }
+
+  #currentQuorum(): Quorum {
+    return this.#quorum;
+  }
+
+  #currentPeers(): readonly string[] {
+    return this.peers;
+  }
+
+  #isServingNow(): boolean {
+    return this.#isServing;
+  }
+
+  #document(): ConfigDoc {
+    return this.#doc;
+  }
+
+  #toldZoneOf(id: string): string {
+    return this.#zones.get(id) ?? '';
+  }
+
+  /** One that is not among the voters known here stands for election: there may be a newer configuration. */
+  #noteCandidate(from: string, message: Message): void {
+    const isOfCandidate =
+      message.kind === 'propose' || message.kind === 'victory' || message.kind === 'renew';
+    if (!this.#membership || !isOfCandidate || this.#quorum.holds(nodeId(from))) return;
+    this.#send(from, {
+      kind: 'freshnessRequest',
+      nonce: -1,
+      have: this.#relay.have(),
+      members: [],
+    });
   }
 
   // ---- members, vouching, news
@@ -990,10 +1063,7 @@
     this.#isServing = true;
     this.#note('serving', { epoch: this.#ledEpoch });
     const body = this.#parts.body(CONFIG_PART);
-    this.#doc =
-      body === ''
-        ? firstDoc(this.#settings.seeds)
-        : mustParseAs(ConfigDocShape, body, 'the configuration part');
+    this.#doc = body === '' ? firstDoc(this.#settings.seeds) : mustDecodeConfigDoc(body);
     // It was rewritten by a majority in our epoch before we serve.
     this.#committedDoc = this.#doc;
     // Only committed tables are ever told: one told here that no majority holds any more was lost with their disks.
@@ -1008,8 +1078,8 @@
     }
     if (this.#fleetManager) {
       // Whoever comes later must find the voters written down, whatever seeds it is told.
-      if (body === '') this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
-      this.#voterPlan.begin();
+      if (body === '') this.#writePart(now, CONFIG_PART, encodeConfigDoc(this.#doc), 0);
+      this.#membership?.begin();
       this.#fleetManager.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
       this.#fleetManager.tick(now, this.#doc);
       return;
@@ -1039,7 +1109,7 @@
         ...(news.routing ? { routing: news.routing } : {}),
       };
     }
-    this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
+    this.#writePart(now, CONFIG_PART, encodeConfigDoc(this.#doc), 0);
   }
 
   #publishConfig(version: Version, doc: ConfigDoc): void {
@@ -1067,13 +1137,15 @@
       this.#table.kept(body?.services ?? []);
       return;
     }
-    const doc = parseAs(ConfigDocShape, this.#committedBody(part, version));
+    const doc = decodeConfigDoc(this.#committedBody(part, version));
     if (doc) {
       this.#publishConfig(version, doc);
       this.#committedDoc = this.#parts.isWriting(part) ? doc : this.#doc;
     }
     this.#followVoters();
     this.#orders.committed(now, version, tokens, [...members, ...this.#possibleMembers(now)]);
+    // Let go by the voters: a seat that is handed over as planned gives the lease back itself, any other leader steps down.
+    if (!this.#isRetiring && !this.#quorum.holds(this.#me)) this.#elector.stepDown();
   }
 
   /** Bodies by version, from when they were written until they are committed. */
@@ -1170,7 +1242,7 @@
 
   #writeDoc(now: Moment, doc: ConfigDoc, token: number): void {
     this.#doc = doc;
-    this.#writePart(now, CONFIG_PART, JSON.stringify(doc), token);
+    this.#writePart(now, CONFIG_PART, encodeConfigDoc(doc), token);
   }
 
   #confirmRefusal(): number {
@@ -1239,7 +1311,7 @@
         next.map(nodeId).every(this.#elector.quorumMembers.has, this.#elector.quorumMembers)
       ) {
         this.#doc = { ...this.#doc, voters: [next] };
-        this.#writePart(now, CONFIG_PART, JSON.stringify(this.#doc), 0);
+        this.#writePart(now, CONFIG_PART, encodeConfigDoc(this.#doc), 0);
       }
     }
   }
--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -63,6 +63,11 @@
   /** The one to whom alone we may have promised something before we started; nothing where we cannot tell. */
   #bootLeader: string;
 
+  /** When we sent the newest of our pings that each voter returned. */
+  readonly #provenAt = new Map<NodeId, Moment>();
+  #electionsStarted = 0;
+  #votesGranted = 0;
+
   readonly #pinged = new Map<NodeId, { sent: Moment; heard: Moment; scored: Moment }>();
   #pingedAt: Moment;
   /** Newly booted or repaired, we first listen whether somebody leads: our Propose would only disturb. */
@@ -142,7 +147,9 @@
 
   /** Asked right before each order's write. */
   mayOrder(now: Moment): boolean {
-    return this.#role === 'leading' && now >= this.#orderFrom && now < this.#leaseEnd;
+    // The voters may be others by now than those that granted: a former holder may be bound to some of these alone.
+    const isGranted = this.#quorum.isMajority(new Set(this.#grants.keys()));
+    return this.#role === 'leading' && isGranted && now >= this.#orderFrom && now < this.#leaseEnd;
   }
 
   /**
@@ -160,6 +167,11 @@
     this.#lose('looking');
   }
 
+  /** Stops leading, as one that is no voter any more; what was promised to it binds until it runs out. */
+  stepDown(): void {
+    if (this.#role === 'leading') this.#lose('looking');
+  }
+
   /** A node that lost its disk neither proposes nor grants until it has been repaired. */
   setMayVote(mayVote: boolean, record: VoteRecord, now: Moment): void {
     if (mayVote && !this.#mayVote && record.epoch > 0) {
@@ -180,6 +192,7 @@
 
   setQuorum(quorum: Quorum): void {
     this.#quorum = quorum;
+    if (this.#role === 'leading' || this.#role === 'won') this.#settleOrderFrom();
   }
 
   /** When a voter last returned a ping; nothing for one never pinged. */
@@ -187,6 +200,41 @@
     return this.#pinged.get(peer)?.heard;
   }
 
+  /** Elections that this node started since its process began. */
+  get electionsStarted(): number {
+    return this.#electionsStarted;
+  }
+
+  /** Terms that this node granted to a leader, itself included. */
+  get votesGranted(): number {
+    return this.#votesGranted;
+  }
+
+  /** Voters that have lately returned a ping, this node included if it votes. */
+  reachableVoters(now: Moment): number {
+    const { deadMs } = this.#settings;
+    let count = 0;
+    for (const voter of this.#quorum.all) {
+      const at = voter === this.#me ? now : this.#provenAt.get(voter);
+      if (at !== undefined && now - at < deadMs) count += 1;
+    }
+    return count;
+  }
+
+  /**
+   * The newest moment at which a majority of the voters was in contact both ways: each of it has returned a ping that we
+   * sent no earlier. Nothing if there was none since the process began.
+   */
+  majorityContact(now: Moment): Moment | undefined {
+    const majority = new Set<NodeId>([this.#me]);
+    if (this.#quorum.isMajority(majority)) return now;
+    for (const [voter, at] of [...this.#provenAt].sort(byEnd).reverse()) {
+      majority.add(voter);
+      if (this.#quorum.isMajority(majority)) return at;
+    }
+    return undefined;
+  }
+
   drain(): VoteEffect[] {
     const effects = this.#effects;
     this.#effects = [];
@@ -208,8 +256,9 @@
     if (!this.#mayVote || this.#isRetired) return;
     this.#noteFree(now);
     if (!this.#quorum.holds(this.#me)) {
-      // Swapped out: whoever leads now, it is not us.
-      if (this.#role !== 'looking' && this.#role !== 'following') this.#lose('looking');
+      // One that leaves its seat leads until the others hold that: they renew it meanwhile, or its lease runs out.
+      if (this.#role === 'leading') this.#tickLeader(now);
+      else if (this.#role !== 'looking' && this.#role !== 'following') this.#lose('looking');
       return;
     }
     if (this.#role === 'leading' || this.#role === 'won') this.#tickLeader(now);
@@ -351,6 +400,8 @@
     // The nonce is our own moment of sending: a pong held up for longer than a link counts as dead proves nothing.
     if (!state || now - sent >= this.#settings.deadMs) return;
     state.heard = now;
+    // One that came back to a former incarnation of ours names a moment that we have not had yet.
+    if (sent <= now) this.#provenAt.set(from, moment(sent));
     this.#scores.reportLive(from, (now - state.scored) / 1000);
     state.scored = now;
   }
@@ -359,6 +410,7 @@
 
   /** Bumps the epoch and proposes ourselves. */
   start(now: Moment): void {
+    this.#electionsStarted += 1;
     this.#lose('proposing');
     this.#adopt(nextElecting(this.#epoch), now);
     this.#role = 'proposing';
@@ -547,6 +599,7 @@
     const epoch = this.#epoch;
     const wait = this.#wait(now, leader);
     if (this.#granted.epoch !== epoch) {
+      this.#votesGranted += 1;
       this.#granted = { epoch, leader, freeAt: later(now, wait), isFree: wait <= 0 };
       this.#keep(now);
     }
--- /dev/null
+++ b/src/placement/CopyChoice.ts
@@ -0,0 +1,147 @@
+import type { PlacementState } from './PlacementState.js';
+import type { StoreBudget } from './StoreBudget.js';
+import type { OrderQueue } from './OrderQueue.js';
+import type { Eviction } from './Eviction.js';
+import type { FleetReport } from './FleetReport.js';
+import type { Moment } from '../common/Ids.js';
+import {
+  type RunnerState,
+  type Want,
+  type Way,
+  type ModelState,
+  type ServiceState,
+  isPressing,
+} from './PlannerRecords.js';
+
+interface Choice {
+  readonly runner: RunnerState;
+  readonly way: Way;
+  readonly isDisk: boolean;
+}
+
+/** Chooses the runner that takes a wanted copy of a model, and what makes way for it there. */
+export class CopyChoice {
+  readonly #state: PlacementState;
+  readonly #eviction: Eviction;
+  readonly #report: FleetReport;
+  readonly #orders: OrderQueue;
+  readonly #store: StoreBudget;
+
+  constructor(
+    state: PlacementState,
+    eviction: Eviction,
+    report: FleetReport,
+    orders: OrderQueue,
+    store: StoreBudget,
+  ) {
+    this.#state = state;
+    this.#eviction = eviction;
+    this.#report = report;
+    this.#orders = orders;
+    this.#store = store;
+  }
+
+  /** Places what is wanted, in its order, and remembers what presses and found no place. */
+  placeAll(now: Moment, service: ServiceState, wants: readonly Want[]): void {
+    // A copy that much of the work waits for finds no place while every runner is always loading something rare: what
+    // comes after it then takes only runners that are of no use to it.
+    const held: ModelState[] = [];
+    const { pressMs } = this.#state.settings;
+    for (const want of wants) {
+      const isPlaced = this.#place(now, service, want, held);
+      if (!isPressing(want)) continue;
+      if (isPlaced) {
+        service.pressing = service.pressing.filter(isOtherWant.bind(undefined, want));
+        want.model.pressedAt = -Infinity;
+        continue;
+      }
+      // What finds no place for long is not worth what would have to go for it.
+      if (now - want.model.pressedAt > pressMs * 3) want.model.pressedAt = now;
+      if (now - want.model.pressedAt <= pressMs) held.push(want.model);
+    }
+  }
+
+  /** Whether what is wanted is on its way now; runners that could take one of `held` are left to it. */
+  #place(now: Moment, service: ServiceState, want: Want, held: readonly ModelState[]): boolean {
+    const choice = this.#choose(now, service, want, held);
+    if (!choice) {
+      if (want.kind === 'waiting') this.#report.wait(now, service, want.model, '');
+      return false;
+    }
+    for (const victim of choice.way.victims)
+      this.#orders.intend(now, choice.runner, 'unload', victim.held.model, victim.adapter);
+    this.#orders.intend(now, choice.runner, 'load', want.model, '');
+    return true;
+  }
+
+  #choose(
+    now: Moment,
+    service: ServiceState,
+    want: Want,
+    held: readonly ModelState[],
+  ): Choice | undefined {
+    const { model } = want;
+    const isStoreFree = this.#store.storeFree(now, service, model, want.kind, isPressing(want));
+    const { zones } = this.#state.copies(now, model);
+    const most = this.#mostLossFor(want);
+    let best: Choice | undefined;
+    let bestScore = Infinity;
+    for (const runner of service.runners) {
+      if (!this.#mayTake(now, runner, model)) continue;
+      if (held.some(isMissingAt.bind(undefined, runner))) continue;
+      const isDisk = runner.disk.has(model.name);
+      if (!isDisk && !isStoreFree) continue;
+      const free = service.engine.roomMb - this.#state.used(runner);
+      const need = model.sizeMb - free;
+      const way = this.#eviction.makeRoom(now, runner, need, most, isPressing(want));
+      if (!way || (want.kind === 'spare' && way.victims.length > 0)) continue;
+      const choice = { runner, way, isDisk };
+      const score = this.#score(now, service, want, zones, choice);
+      if (score >= bestScore) continue;
+      best = choice;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  #mayTake(now: Moment, runner: RunnerState, model: ModelState): boolean {
+    const isFree = runner.queue.length === 0 && !runner.holds.has(model.name);
+    return isFree && this.#state.isUsable(now, runner);
+  }
+
+  /** What may be lost at most for a copy: all that it is worth where somebody waits for it, else less. */
+  #mostLossFor(want: Want): number {
+    const isNeeded =
+      want.kind === 'waiting' || isPressing(want) || (want.kind === 'lost' && want.model.isBusy);
+    return isNeeded ? want.gain : want.gain / this.#state.settings.worthRatio;
+  }
+
+  /** The less, the better. */
+  #score(
+    now: Moment,
+    service: ServiceState,
+    want: Want,
+    zones: ReadonlyMap<string, number>,
+    { runner, way, isDisk }: Choice,
+  ): number {
+    const isWaiting = want.kind === 'waiting';
+    // A further copy takes its share of a busy model's work: it goes where there is least.
+    const crowd = this.#state.load(runner) / Math.max(0.01, service.meanLoad);
+    return (
+      way.loss +
+      Math.min(3, crowd) * (isWaiting ? 0.1 : 1) +
+      (zones.get(runner.listed.zone) ?? 0) * (isWaiting ? 0 : 2) +
+      (runner.coldUntil > now ? 1 : 0) -
+      (isDisk ? 0.3 : 0) +
+      way.victims.length * 0.05
+    );
+  }
+}
+
+function isMissingAt(runner: RunnerState, model: ModelState): boolean {
+  return !runner.holds.has(model.name);
+}
+
+function isOtherWant(want: Want, other: Want): boolean {
+  return other !== want;
+}
