--- a/src/simulation/exhaustive/ElectionProtocol.ts
+++ b/src/simulation/exhaustive/ElectionProtocol.ts
@@ -16,6 +16,7 @@
   type Protocol,
   type View,
 } from './Protocol.js';
+import { withLeader, type LeaderJudgement, type Leaders } from './Leaders.js';
 import type { Boot, DiskWrite, Envelope, Input, Output, Subject } from './LocalStates.js';
 
 const VOTE_SLOT = 'vote';
@@ -64,8 +65,7 @@
 }
 
 export interface ElectionGhost {
-  /** The leader of each even epoch that ever had one. */
-  readonly leaders: Readonly<Record<number, number>>;
+  readonly leaders: Leaders;
   /** Until when each node may have ordered; -1 where that is too long ago to matter. */
   readonly orderedUntil: readonly number[];
 }
@@ -247,19 +247,13 @@
   }
 }
 
-function judgeLeaders(
-  after: View<ElectionFacts, ElectionGhost>,
-  known: Readonly<Record<number, number>>,
-): { readonly leaders: Readonly<Record<number, number>>; readonly violation: string | undefined } {
-  let leaders = known;
-  let violation: string | undefined;
+function judgeLeaders(after: View<ElectionFacts, ElectionGhost>, known: Leaders): LeaderJudgement {
+  let judged: LeaderJudgement = { leaders: known, violation: undefined };
   for (const [node, { isLeading, epoch }] of after.facts.entries()) {
-    if (!isLeading) continue;
-    const other = leaders[epoch];
-    if (other === undefined) leaders = { ...leaders, [epoch]: node };
-    else if (other !== node) violation = `two leaders in epoch ${epoch}`;
+    if (!isLeading || judged.violation !== undefined) continue;
+    judged = withLeader(judged.leaders, epoch, node);
   }
-  return { leaders, violation };
+  return judged;
 }
 
 interface OrderJudgement {
@@ -283,16 +277,24 @@
     if (last >= 0 && after.clock - last >= LEASE_CLOCK_STEPS) last = -1;
     if (last !== until) next = next.with(node, last);
   }
-  let violation: string | undefined;
-  for (const [node, { orderTimes }] of after.facts.entries()) {
-    if (!orderTimes.includes(after.clock)) continue;
-    for (const [other, until] of next.entries()) {
-      if (other !== node && until >= 0) violation = 'two holders may order within the lease';
-    }
-  }
+  const isTwo = after.facts.some(hasRival.bind(undefined, after.clock, next));
+  const violation = isTwo ? 'two holders may order within the lease' : undefined;
   return { orderedUntil: next, hasChanged: next !== orderedUntil, violation };
 }
 
+/** Whether it may order now, though another may have too shortly before. */
+function hasRival(
+  clock: number,
+  orderedUntil: readonly number[],
+  { orderTimes }: ElectionFacts,
+  node: number,
+): boolean {
+  function isRecentOther(until: number, other: number): boolean {
+    return other !== node && until >= 0;
+  }
+  return orderTimes.includes(clock) && orderedUntil.some(isRecentOther);
+}
+
 /** Whether a message tells of an epoch or a grant that its sender's disk does not hold. */
 function isUnsynced(disks: readonly (readonly DiskWrite[])[], envelope: Envelope): boolean {
   const { messages, from, to } = envelope;
--- a/src/simulation/exhaustive/Replica.ts
+++ b/src/simulation/exhaustive/Replica.ts
@@ -242,7 +242,7 @@
           this.#events.push({ kind: 'serving', body: this.#parts.body(CONFIG_PART) });
         } else if (effect.do === 'committed') {
           this.#events.push({ kind: 'committed', version: effect.version, body: effect.body });
-        } else {
+        } else if (effect.do === 'store') {
           const { part, version, body } = effect;
           this.#writes.push({ slot: part, ...version, body });
           if (this.#mistake === 'acknowledged-unsynced') {
--- a/src/simulation/exhaustive/ReplicationProtocol.ts
+++ b/src/simulation/exhaustive/ReplicationProtocol.ts
@@ -2,6 +2,7 @@
 import { nodeId, type NodeId } from '../../common/Ids.js';
 import { Quorum } from '../../common/Quorum.js';
 import { compareVersions, type Version } from '../../common/Version.js';
+import { withLeader, type Leaders } from './Leaders.js';
 import type { Boot, DiskWrite, Envelope } from './LocalStates.js';
 import type {
   CalmRun,
@@ -38,8 +39,7 @@
 
 export interface ReplicationGhost {
   readonly grants: readonly Grants[];
-  /** Who led each epoch that had a leader. */
-  readonly leaders: Readonly<Record<number, number>>;
+  readonly leaders: Leaders;
   readonly changes: number;
   /** The longest body that was ever committed, and in which epoch. */
   readonly committed: string;
@@ -203,10 +203,9 @@
       ghost = withGrant(ghost, did.node, facts);
       if (did.command?.do === 'write') ghost = { ...ghost, changes: ghost.changes + 1 };
       if (facts.ledEpoch > 0) {
-        const other = ghost.leaders[facts.ledEpoch];
-        if (other === undefined) {
-          ghost = { ...ghost, leaders: { ...ghost.leaders, [facts.ledEpoch]: did.node } };
-        } else if (other !== did.node) violation = `two leaders in epoch ${facts.ledEpoch}`;
+        const led = withLeader(ghost.leaders, facts.ledEpoch, did.node);
+        if (led.leaders !== ghost.leaders) ghost = { ...ghost, leaders: led.leaders };
+        violation = led.violation;
       }
     }
     const forgetful = did.sent.find(isWithout.bind(undefined, ghost));
--- a/src/simulation/exhaustive/VoterChangeProtocol.ts
+++ b/src/simulation/exhaustive/VoterChangeProtocol.ts
@@ -11,6 +11,7 @@
   type ControlMistake,
 } from './ControlNode.js';
 import { isOfSlot } from './Disk.js';
+import { withLeader, type Leaders } from './Leaders.js';
 import type { Boot, DiskWrite } from './LocalStates.js';
 import type {
   CalmRun,
@@ -40,7 +41,7 @@
 }
 
 export interface VoterChangeGhost {
-  readonly leaders: Readonly<Record<number, number>>;
+  readonly leaders: Leaders;
   /** The newest version that an operator was told to be in force. */
   readonly confirmed: number;
   readonly hasOrdered: boolean;
@@ -107,31 +108,45 @@
     after: ChangeView,
     did: Happening<ControlCommand, ControlEvent>,
   ): Judgement<VoterChangeGhost> {
-    let ghost = before.ghost;
-    if (did.node === undefined) return { ghost, violation: undefined };
-    let violation: string | undefined;
-    if (did.command?.order.id === SECOND_ORDER.id) ghost = { ...ghost, hasOrdered: true };
-    for (const { status, call } of did.events) {
-      const { version } = call === 1 ? FIRST_ORDER : SECOND_ORDER;
-      if (status === 200 && version > ghost.confirmed) ghost = { ...ghost, confirmed: version };
-    }
+    if (did.node === undefined) return { ghost: before.ghost, violation: undefined };
     const facts = after.facts[did.node];
-    if (facts?.isLeading) {
-      const other = ghost.leaders[facts.epoch];
-      if (other === undefined) {
-        ghost = { ...ghost, leaders: { ...ghost.leaders, [facts.epoch]: did.node } };
-      } else if (other !== did.node) violation = `two leaders in epoch ${facts.epoch}`;
-    }
-    const isNewlyServing = facts?.isServing && !before.facts[did.node]?.isServing;
-    if (isNewlyServing && facts.version < ghost.confirmed) {
-      violation ??= `serves version ${facts.version} though ${ghost.confirmed} was confirmed`;
-    }
-    violation ??= judgeSets(after.facts.map(votersOf), 'in memory');
-    violation ??= judgeSets(after.disks.map(votersOnDisk), 'on disk');
+    const { leaders: known } = before.ghost;
+    const led = facts?.isLeading
+      ? withLeader(known, facts.epoch, did.node)
+      : { leaders: known, violation: undefined };
+    const ghost = withOrders({ ...before.ghost, leaders: led.leaders }, did);
+    const wasServing = before.facts[did.node]?.isServing ?? false;
+    const violation =
+      led.violation ??
+      (wasServing ? undefined : judgeServing(facts, ghost)) ??
+      judgeSets(after.facts.map(votersOf), 'in memory') ??
+      judgeSets(after.disks.map(votersOnDisk), 'on disk');
     return { ghost, violation };
   }
 }
 
+function withOrders(
+  ghost: VoterChangeGhost,
+  did: Happening<ControlCommand, ControlEvent>,
+): VoterChangeGhost {
+  const hasOrdered = ghost.hasOrdered || did.command?.order.id === SECOND_ORDER.id;
+  let { confirmed } = ghost;
+  for (const { status, call } of did.events) {
+    const { version } = call === 1 ? FIRST_ORDER : SECOND_ORDER;
+    if (status === 200) confirmed = Math.max(confirmed, version);
+  }
+  return { ...ghost, hasOrdered, confirmed };
+}
+
+/** A leader that begins to serve must know what was confirmed. */
+function judgeServing(
+  facts: ControlFacts | undefined,
+  { confirmed }: VoterChangeGhost,
+): string | undefined {
+  if (!facts?.isServing || facts.version >= confirmed) return undefined;
+  return `serves version ${facts.version} though ${confirmed} was confirmed`;
+}
+
 type VoterSets = readonly (readonly string[])[] | undefined;
 
 /** Sets that enough of their own members believe in could elect and commit by themselves: there may be one at most. */
