--- a/eslint.config.js
+++ b/eslint.config.js
@@ -133,7 +133,7 @@
     rules: { complexity: ['error', { max: MOST_BRANCHES }] },
   },
   {
-    files: ['src/rehearsal/**/*.ts', 'platform/testbed/**/*.ts'],
+    files: ['src/rehearsal/**/*.ts', 'src/simulation/commands/**/*.ts', 'platform/testbed/**/*.ts'],
     rules: {
       'no-restricted-imports': 'off',
       'no-restricted-properties': 'off',
--- a/src/commands.ts
+++ b/src/commands.ts
@@ -4,10 +4,11 @@
 import { ControlCommand } from './control/ControlCommand.js';
 import { FleetCommand } from './rehearsal/FleetCommand.js';
 import { MeasureCommand } from './rehearsal/MeasureCommand.js';
-import { SimulateControlCommand } from './rehearsal/SimulateControlCommand.js';
+import { SimulateControlCommand } from './simulation/commands/SimulateControlCommand.js';
 import { ScaleCommand } from './rehearsal/ScaleCommand.js';
 import { StormCommand } from './rehearsal/StormCommand.js';
 import { StubCommand } from './rehearsal/StubCommand.js';
+import { ExhaustiveCommand } from './simulation/exhaustive/ExhaustiveCommand.js';
 import {
   AskEditCommand,
   EvacuateCommand,
@@ -30,6 +31,7 @@
   agent: AgentCommand,
   control: ControlCommand,
   'rehearsal:control': SimulateControlCommand,
+  'rehearsal:exhaustive': ExhaustiveCommand,
   'rehearsal:fleet': FleetCommand,
   'rehearsal:measure': MeasureCommand,
   'rehearsal:scale': ScaleCommand,
--- a/src/simulation/AgentNode.ts
+++ b/src/simulation/AgentNode.ts
@@ -3,7 +3,7 @@
 import type { Scheduler } from '../rehearsal/Scheduler.js';
 import type { Seeded } from '../rehearsal/Seeded.js';
 import { AGENT_BLIND_MS, AGENT_TICK_MS } from '../agent/AgentProcess.js';
-import type { CoreBuild } from './mutants/CoreBuild.js';
+import type { CoreBuild } from './CoreBuild.js';
 import type { Endpoint } from './Endpoint.js';
 import { SimExchange } from './SimExchange.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
--- a/src/simulation/ControlNode.ts
+++ b/src/simulation/ControlNode.ts
@@ -19,7 +19,7 @@
   RETIRE_MS,
 } from '../control/ControlProcess.js';
 import { GRACE_MS, LEASE_MS } from './ContractBounds.js';
-import type { CoreBuild } from './mutants/CoreBuild.js';
+import type { CoreBuild } from './CoreBuild.js';
 import type { Endpoint } from './Endpoint.js';
 import { LeasedOrder } from './LeasedOrder.js';
 import type { CoreCommand, OperatorAnswer, OperatorCall } from './OperatorCall.js';
--- a/src/simulation/mutants/CoreBuild.ts
+++ b/src/simulation/CoreBuild.ts
@@ -1,9 +1,9 @@
-import { AgentCore, type AgentSettings } from '../../agent/AgentCore.js';
-import type { Moment } from '../../common/Ids.js';
-import { ControlCore } from '../../control/ControlCore.js';
-import type { ControlSettings } from '../../control/ControlEffect.js';
-import type { VoteSettings } from '../../election/VoteSettings.js';
-import type { StoredPart } from '../../state/Store.js';
+import { AgentCore, type AgentSettings } from '../agent/AgentCore.js';
+import type { Moment } from '../common/Ids.js';
+import { ControlCore } from '../control/ControlCore.js';
+import type { ControlSettings } from '../control/ControlEffect.js';
+import type { VoteSettings } from '../election/VoteSettings.js';
+import type { StoredPart } from '../state/Store.js';
 
 /** What a control node's core is made of when its process starts. */
 export interface ControlInputs {
--- a/src/simulation/Endpoint.ts
+++ b/src/simulation/Endpoint.ts
@@ -1,4 +1,27 @@
-import type { Host, SimNetwork } from './SimNetwork.js';
+import type { Scheduler } from '../rehearsal/Scheduler.js';
+import type { SimProcess } from './SimProcess.js';
+
+/** Where a host listens: for other nodes, or for operators' and runners' calls. */
+export type Port = 'nodes' | 'calls';
+
+/** A machine on the network with the one process that is reached there. */
+export interface Host {
+  readonly id: string;
+  readonly isPowered: boolean;
+  readonly isListening: boolean;
+  readonly process: SimProcess;
+  accept(endpoint: Endpoint, port: Port): void;
+}
+
+/** What an end of a connection needs of the network. */
+export interface EndpointNetwork {
+  readonly scheduler: Scheduler;
+  /** The delay of one packet on a link, in milliseconds. */
+  delay(from: string, to: string): number;
+  isOpen(from: string, to: string): boolean;
+  countPacket(): void;
+  forget(endpoint: Endpoint): void;
+}
 
 /** What one write carries: a message of a node, a call or an answer. */
 export type Payload = string;
@@ -21,7 +44,7 @@
  * cut, or the other machine is without power, they wait here as in a kernel's send buffer.
  */
 export class Endpoint {
-  readonly #network: SimNetwork;
+  readonly #network: EndpointNetwork;
   readonly #host: Host;
   readonly #stream: string;
   #other: Endpoint | undefined;
@@ -31,7 +54,7 @@
   #isEnding = false;
   #handler: EndpointHandler | undefined;
 
-  constructor(network: SimNetwork, host: Host, stream: string) {
+  constructor(network: EndpointNetwork, host: Host, stream: string) {
     this.#network = network;
     this.#host = host;
     this.#stream = stream;
--- a/src/simulation/Fleet.ts
+++ b/src/simulation/Fleet.ts
@@ -6,7 +6,7 @@
 import { FakeRunner, type OrderListener } from './FakeRunner.js';
 import type { SimulationOptions } from './Options.js';
 import type { RandomStreams } from './RandomStreams.js';
-import type { CoreBuild } from './mutants/CoreBuild.js';
+import type { CoreBuild } from './CoreBuild.js';
 import { SimNetwork } from './SimNetwork.js';
 import { SimProcess } from './SimProcess.js';
 
--- a/src/simulation/HistoryRecorder.ts
+++ b/src/simulation/HistoryRecorder.ts
@@ -5,7 +5,7 @@
   Order,
   OrderRecord,
   ReadRecord,
-} from './History.js';
+} from './history/History.js';
 
 /** An attempt that may still be under way; it counts as unclear until an answer says otherwise. */
 export class OpenAttempt implements Attempt {
--- a/src/simulation/JudgedHistory.ts
+++ b/src/simulation/JudgedHistory.ts
@@ -1,4 +1,4 @@
-import type { History } from './History.js';
+import type { History } from './history/History.js';
 import { checkHistory } from './history/HistoryCheck.js';
 import { violationText } from './history/Violation.js';
 import { amendDocument } from './PlainDialect.js';
--- a/src/simulation/OperatorPlan.ts
+++ b/src/simulation/OperatorPlan.ts
@@ -1,6 +1,6 @@
 import type { Scheduler } from '../rehearsal/Scheduler.js';
 import type { Seeded } from '../rehearsal/Seeded.js';
-import type { Order } from './History.js';
+import type { Order } from './history/History.js';
 import type { OpenOrder } from './HistoryRecorder.js';
 import type { OperatorClient, OrderOutcome } from './OperatorClient.js';
 
--- a/src/simulation/SimNetwork.ts
+++ b/src/simulation/SimNetwork.ts
@@ -1,23 +1,12 @@
 import type { Scheduler } from '../rehearsal/Scheduler.js';
 import type { RandomStreams } from './RandomStreams.js';
-import { Endpoint } from './Endpoint.js';
-import type { SimProcess } from './SimProcess.js';
+import { Endpoint, type Host, type Port } from './Endpoint.js';
 
-/** Where a host listens: for other nodes, or for operators' and runners' calls. */
-export type Port = 'nodes' | 'calls';
+export type { Host, Port } from './Endpoint.js';
 
 /** How a cut shows: packets vanish, connections across it are reset, or new ones are refused at once. */
 export type CutStyle = 'silent' | 'reset' | 'refuse';
 
-/** A machine on the network with the one process that is reached there. */
-export interface Host {
-  readonly id: string;
-  readonly isPowered: boolean;
-  readonly isListening: boolean;
-  readonly process: SimProcess;
-  accept(endpoint: Endpoint, port: Port): void;
-}
-
 /** What becomes of an attempt to connect; an attempt that hangs hears nothing. */
 export interface Dialer {
   connected(endpoint: Endpoint): void;
--- a/src/rehearsal/SeedPool.ts
+++ b/src/simulation/commands/SeedPool.ts
@@ -1,7 +1,7 @@
 import { fork, type ChildProcess } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
 import { is } from 'superstruct';
-import { SeedResultShape, type SeedResult } from '../simulation/SeedRun.js';
+import { SeedResultShape, type SeedResult } from '../SeedRun.js';
 
 export interface SeedPoolSettings {
   readonly from: number;
--- a/src/rehearsal/SeedWorker.ts
+++ b/src/simulation/commands/SeedWorker.ts
@@ -1,5 +1,5 @@
 import { enums, is, number, type } from 'superstruct';
-import { runSeed } from '../simulation/SeedRun.js';
+import { runSeed } from '../SeedRun.js';
 
 /** What the pool asks of a worker process: one seed. */
 const AskShape = type({ seed: number(), nodes: enums([3, 5]) });
--- a/src/rehearsal/SimulateControlCommand.ts
+++ b/src/simulation/commands/SimulateControlCommand.ts
@@ -1,11 +1,11 @@
 import { writeFileSync } from 'node:fs';
 import { Command, Flags } from '@oclif/core';
-import { simulate } from '../simulation/ControlSimulation.js';
-import { pastedTest } from '../simulation/PastedTest.js';
-import { reportOf, rulesOf, type RunReport, type Spread } from '../simulation/RunReport.js';
-import { drawOptions, drawSchedule } from '../simulation/ScheduleDraw.js';
-import type { SeedResult } from '../simulation/SeedRun.js';
-import { shrinkRun } from '../simulation/Shrinker.js';
+import { simulate } from '../ControlSimulation.js';
+import { pastedTest } from '../PastedTest.js';
+import { reportOf, rulesOf, type RunReport, type Spread } from '../RunReport.js';
+import { drawOptions, drawSchedule } from '../ScheduleDraw.js';
+import type { SeedResult } from '../SeedRun.js';
+import { shrinkRun } from '../Shrinker.js';
 import { SeedPool } from './SeedPool.js';
 
 const MOST_SHOWN = 3;
--- /dev/null
+++ b/src/simulation/exhaustive/CalmRun.ts
@@ -0,0 +1,87 @@
+import type { Message } from '../../common/Messages.js';
+import type { Cluster } from './Cluster.js';
+import { idsOf } from './MessageText.js';
+import type { CalmRun, World } from './Protocol.js';
+import { stepAt, type Step } from './Steps.js';
+
+/** Delivers every message once, in the order of sending, and finishes every write at once. */
+class Calm<Command, Event, Facts, Ghost> implements CalmRun<Command> {
+  readonly #cluster: Cluster<Command, Event, Facts, Ghost>;
+  #world: World<Ghost>;
+  #isHolding = false;
+  readonly #frozen = new Set<number>();
+
+  constructor(cluster: Cluster<Command, Event, Facts, Ghost>) {
+    this.#cluster = cluster;
+    this.#world = cluster.fresh();
+  }
+
+  get world(): World<Ghost> {
+    return this.#world;
+  }
+
+  tick(node: number): void {
+    this.#run(stepAt('tick', node));
+  }
+
+  command(node: number, command: Command): void {
+    this.#run(stepAt('command', node, this.#cluster.commandId(command)));
+  }
+
+  advance(): void {
+    this.#run(stepAt('advance'));
+  }
+
+  wipe(node: number): void {
+    this.#run(stepAt('wipe', node));
+  }
+
+  forget(): void {
+    this.#world = { ...this.#world, messages: '' };
+  }
+
+  hold(): void {
+    this.#isHolding = true;
+  }
+
+  deliver(from: number, to: number, kind: Message['kind']): void {
+    for (const id of idsOf(this.#world.messages)) {
+      const envelope = this.#cluster.envelope(id);
+      if (envelope.from !== from || envelope.to !== to) continue;
+      if (envelope.messages.some(isOfKind.bind(undefined, kind))) {
+        this.#run(stepAt('receive', to, id));
+      }
+    }
+  }
+
+  freeze(node: number): void {
+    this.#frozen.add(node);
+  }
+
+  #run(step: Step): void {
+    const waiting = [step];
+    for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
+      const taken = this.#cluster.take(this.#world, next, false);
+      if (!taken) continue;
+      if (taken.violation !== undefined) throw new Error(`the beginning: ${taken.violation}`);
+      this.#world = taken.world;
+      for (const id of taken.sent) {
+        const { to } = this.#cluster.envelope(id);
+        if (!this.#frozen.has(to) && !this.#isHolding) waiting.push(stepAt('receive', to, id));
+      }
+    }
+  }
+}
+
+function isOfKind(kind: Message['kind'], message: Message): boolean {
+  return message.kind === kind;
+}
+
+/** The cluster as its protocol prepares it: where a search begins. */
+export function prepared<Command, Event, Facts, Ghost>(
+  cluster: Cluster<Command, Event, Facts, Ghost>,
+): World<Ghost> {
+  const calm = new Calm(cluster);
+  cluster.protocol.prepare(calm);
+  return calm.world;
+}
--- /dev/null
+++ b/src/simulation/exhaustive/ControlNode.ts
@@ -0,0 +1,278 @@
+import { array, number, optional, string, type, type Infer } from 'superstruct';
+import { CONFIG_PART } from '../../state/PartNames.js';
+import type { StoredPart } from '../../state/Store.js';
+import { partName, type Moment } from '../../common/Ids.js';
+import { parseAs } from '../../common/Json.js';
+import type { Message } from '../../common/Messages.js';
+import { isNewer } from '../../common/Version.js';
+import { ControlCore } from '../../control/ControlCore.js';
+import { CONTROL_DEFAULTS, type FleetPlanner } from '../../control/ControlEffect.js';
+import type { Fleet } from '../../placement/Fleet.js';
+import type { Intent } from '../../placement/Shapes.js';
+import type { ConfigDialect, Routing, RoutingFault } from '../../route/Routing.js';
+import type { VoteSettings } from '../../election/VoteSettings.js';
+import type { Boot, DiskWrite, Input, Output, Sent, Subject } from './LocalStates.js';
+import { CLOCK_STEP_MS } from './Protocol.js';
+
+/** Classes inside the control core that an idle planner never makes change. */
+export const UNUSED_CLASSES: readonly string[] = [
+  'Placer',
+  'Shares',
+  'Sessions',
+  'FleetDesk',
+  'Vouching',
+  'IdlePlanner',
+  'VersionDialect',
+];
+
+/** The deployed proportions on few moments, as in the model of the election alone. */
+const VOTE: VoteSettings = {
+  pingMs: CLOCK_STEP_MS,
+  deadMs: 3 * CLOCK_STEP_MS,
+  halfLifeSeconds: 12 * 3600,
+  electionMs: CLOCK_STEP_MS,
+  renewMs: CLOCK_STEP_MS / 10,
+  spanMs: 2 * CLOCK_STEP_MS,
+  leaseMs: CLOCK_STEP_MS,
+  drift: 0,
+  stallMs: 2 * CLOCK_STEP_MS,
+};
+
+/** Apart from what any other life counts. */
+const LIFE_SPAN = 1e6;
+
+/** A whole configuration of one operator: its number is all there is to it. */
+export interface ConfigureOrder {
+  readonly id: string;
+  readonly base: number;
+  readonly version: number;
+}
+
+export type ControlCommand = {
+  /** Tells one sending of the order from another. */
+  readonly call: number;
+  readonly order: ConfigureOrder;
+};
+
+export interface ControlEvent {
+  readonly call: number;
+  readonly status: number;
+  readonly body: string;
+}
+
+export interface ControlFacts {
+  /** The sets of voters as this node knows them: two while a change is under way. */
+  readonly voters: readonly (readonly string[])[];
+  /** The operators' version in its copy, and in the copy that it serves by if it leads. */
+  readonly version: number;
+  readonly isServing: boolean;
+  readonly isLeading: boolean;
+  readonly epoch: number;
+  readonly standing: string;
+}
+
+/** Deliberate mistakes that the invariants must find. */
+export type ControlMistake =
+  /** The voters after a change take over without the step in which both sets count, and the old ones are not told. */
+  'joint-set-skipped';
+
+const ConfigShape = type({
+  voters: array(array(string())),
+  routing: optional(type({ version: number() })),
+});
+
+/** What of a configuration part the invariants look at. */
+export type KnownConfig = Infer<typeof ConfigShape>;
+
+export function docOf(body: string): KnownConfig | undefined {
+  return body === '' ? undefined : parseAs(ConfigShape, body);
+}
+
+/** Plans nothing. */
+class IdlePlanner implements FleetPlanner {
+  restore(): void {
+    /* nothing is kept */
+  }
+  docs(): readonly [] {
+    return [];
+  }
+  demand(): void {
+    /* nothing is planned */
+  }
+  list(): void {
+    /* nothing is planned */
+  }
+  status(): void {
+    /* nothing is planned */
+  }
+  asks(): readonly string[] {
+    return [];
+  }
+  plan(): readonly string[] {
+    return [];
+  }
+  orders(): readonly Intent[] {
+    return [];
+  }
+  kept(): void {
+    /* nothing is kept */
+  }
+  ordered(): void {
+    /* nothing is ordered */
+  }
+  fleet(): Fleet {
+    return { flows: 1, runners: [], waits: [] };
+  }
+  nextAt(): Moment | undefined {
+    return undefined;
+  }
+}
+
+interface ReadRouting {
+  readonly routing: Routing | undefined;
+  readonly faults: readonly RoutingFault[];
+}
+
+/** Documents that are nothing but their version. */
+class VersionDialect implements ConfigDialect {
+  read(text: string): ReadRouting {
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 };
+    return { routing: { version: Number(text), routes: [], services: [], limits }, faults: [] };
+  }
+
+  amend(): string | undefined {
+    return undefined;
+  }
+}
+
+const DIALECT = new VersionDialect();
+const PLANNER = new IdlePlanner();
+
+/** The whole control core as a deployment starts it, with a planner that does nothing. */
+export class ControlNode implements Subject<ControlCommand, ControlEvent, ControlFacts> {
+  readonly #core: ControlCore;
+  readonly #seeds: readonly string[];
+  readonly #mistake: ControlMistake | undefined;
+
+  /** `isFirst` says whether this process belongs to the deployment's very first start. */
+  constructor(
+    me: string,
+    seeds: readonly string[],
+    isFirst: boolean,
+    boot: Boot,
+    mistake?: ControlMistake,
+  ) {
+    this.#seeds = seeds;
+    this.#mistake = mistake;
+    const { now, disk, node, incarnation } = boot;
+    const isFirstStart = isFirst && incarnation === 0;
+    const deployed = { dialect: DIALECT, planner: PLANNER, isFirstStart, listMs: 1e9 };
+    const lifeNumber = (incarnation * 16 + node) * LIFE_SPAN;
+    const settings = {
+      ...CONTROL_DEFAULTS,
+      me,
+      zone: me,
+      seeds,
+      incarnation: lifeNumber,
+      foundMs: 0,
+      deployed,
+    };
+    this.#core = new ControlCore(settings, disk.map(storedPart), now, VOTE);
+    this.#core.drain();
+  }
+
+  get state(): unknown {
+    return this.#core;
+  }
+
+  facts(): ControlFacts {
+    const { elector, isServing, standing, parts } = this.#core;
+    const doc = docOf(isServing ? parts.body(CONFIG_PART) : parts.replicaBody(CONFIG_PART));
+    return {
+      voters: this.#voters(),
+      version: doc?.routing?.version ?? 0,
+      isServing,
+      isLeading: elector.isLeading(),
+      epoch: elector.epoch,
+      standing: standing.name,
+    };
+  }
+
+  /** By its own copy, or by one that was told as committed and is newer. */
+  #voters(): readonly (readonly string[])[] {
+    const { parts, relay } = this.#core;
+    const news = relay.item('config');
+    const isNews = news !== undefined && isNewer(news.version, parts.versionOf(CONFIG_PART));
+    const doc = docOf(isNews ? news.body : parts.replicaBody(CONFIG_PART));
+    return doc?.voters ?? [this.#seeds];
+  }
+
+  perform(now: Moment, input: Input<ControlCommand>): Output<ControlEvent> {
+    switch (input.kind) {
+      case 'tick':
+        this.#core.tick(now);
+        break;
+      case 'receive':
+        for (const message of input.messages) {
+          this.#core.receive(now, input.from, message, input.from);
+        }
+        break;
+      case 'stored':
+        this.#core.stored(now, partName(input.write.slot), input.write);
+        break;
+      case 'command': {
+        const { call, order } = input.command;
+        const { id, base, version } = order;
+        const body = JSON.stringify({ id, base, text: String(version) });
+        this.#core.command(now, call, 'configure', body);
+        break;
+      }
+    }
+    return this.#output();
+  }
+
+  #output(): Output<ControlEvent> {
+    const sends: Sent[] = [];
+    const writes: DiskWrite[] = [];
+    const events: ControlEvent[] = [];
+    for (const effect of this.#core.drain()) {
+      if (effect.do === 'send') {
+        if (this.#isKeptFrom(effect.to, effect.message)) continue;
+        sends.push({ to: effect.to, message: this.#told(effect.message) });
+      } else if (effect.do === 'store') {
+        writes.push({ slot: effect.part, ...effect.version, body: this.#bodyTold(effect.body) });
+      } else if (effect.do === 'reply') {
+        events.push({ call: effect.id, status: effect.status, body: effect.body });
+      }
+    }
+    return { sends, writes, events };
+  }
+
+  #isKeptFrom(to: string, message: Message): boolean {
+    if (this.#mistake !== 'joint-set-skipped' || message.kind !== 'write') return false;
+    const isChange = docOf(message.body)?.voters.length === 2;
+    return isChange && this.#seeds.includes(to);
+  }
+
+  #told(message: Message): Message {
+    if (message.kind !== 'write') return message;
+    return { ...message, body: this.#bodyTold(message.body) };
+  }
+
+  #bodyTold(body: string): string {
+    return this.#mistake === 'joint-set-skipped' ? withNewVotersOnly(body) : body;
+  }
+}
+
+function withNewVotersOnly(body: string): string {
+  if (body === '') return body;
+  const raw: unknown = JSON.parse(body);
+  const doc = docOf(body);
+  const following = doc?.voters[1];
+  if (typeof raw !== 'object' || following === undefined) return body;
+  return JSON.stringify({ ...raw, voters: [following] });
+}
+
+function storedPart({ slot, epoch, count, body }: DiskWrite): StoredPart {
+  return { part: partName(slot), version: { epoch, count }, body, isSound: true };
+}
--- /dev/null
+++ b/src/simulation/exhaustive/VoterChangeProtocol.ts
@@ -0,0 +1,184 @@
+import { CONFIG_PART } from '../../state/PartNames.js';
+import { nodeId } from '../../common/Ids.js';
+import type { Message } from '../../common/Messages.js';
+import { Quorum } from '../../common/Quorum.js';
+import {
+  ControlNode,
+  docOf,
+  type ControlCommand,
+  type ControlEvent,
+  type ControlFacts,
+  type ControlMistake,
+} from './ControlNode.js';
+import { isOfSlot } from './Disk.js';
+import { withLeader, type Leaders } from './Leaders.js';
+import type { Boot, DiskWrite } from './LocalStates.js';
+import type {
+  CalmRun,
+  FaultBounds,
+  Happening,
+  Judgement,
+  NodeCommand,
+  Protocol,
+  View,
+} from './Protocol.js';
+
+const SEEDS = ['a', 'b', 'c'];
+const SPARE = 'd';
+const NODES = [...SEEDS, SPARE];
+/** The voter that is gone when the search begins. */
+const GONE = 2;
+/** Steps of the clocks until there is a leader that serves and the spare has read everything. */
+const FOUNDING_CLOCK_STEPS = 5;
+/** Steps of silence up to just before the leader replaces a voter. */
+const SILENT_CLOCK_STEPS = 2;
+const FIRST_ORDER = { id: 'first', base: 0, version: 7 };
+const SECOND_ORDER = { id: 'second', base: 7, version: 9 };
+
+export interface VoterChangeBounds extends FaultBounds {
+  /** Whether a second order may be given while the voters change. */
+  readonly hasSecondOrder: boolean;
+}
+
+export interface VoterChangeGhost {
+  readonly leaders: Leaders;
+  /** The newest version that an operator was told to be in force. */
+  readonly confirmed: number;
+  readonly hasOrdered: boolean;
+}
+
+type ChangeView = View<ControlFacts, VoterChangeGhost>;
+
+/** A spare takes the place of a voter that is gone: no two sets of voters can decide apart, and nothing is forgotten. */
+export class VoterChangeProtocol implements Protocol<
+  ControlCommand,
+  ControlEvent,
+  ControlFacts,
+  VoterChangeGhost
+> {
+  readonly name = 'voter change';
+  readonly nodes = NODES;
+  readonly isBundled = true;
+  readonly firstFrozen = 1 << GONE;
+  readonly faults: VoterChangeBounds;
+  readonly firstDisks: readonly (readonly DiskWrite[])[] = [[], [], [], []];
+  readonly firstGhost: VoterChangeGhost = { leaders: {}, confirmed: 0, hasOrdered: false };
+  readonly #mistake: ControlMistake | undefined;
+
+  constructor(faults: VoterChangeBounds, mistake?: ControlMistake) {
+    this.faults = faults;
+    this.#mistake = mistake;
+  }
+
+  start(boot: Boot): ControlNode {
+    const me = NODES[boot.node] ?? '';
+    return new ControlNode(me, SEEDS, me !== SPARE, boot, this.#mistake);
+  }
+
+  prepare(calm: CalmRun<ControlCommand>): void {
+    for (let step = 0; step < FOUNDING_CLOCK_STEPS; step += 1) {
+      for (const node of NODES.keys()) calm.tick(node);
+      calm.advance();
+    }
+    calm.command(0, { call: 1, order: FIRST_ORDER });
+    calm.freeze(GONE);
+    for (let step = 0; step < SILENT_CLOCK_STEPS; step += 1) {
+      for (const node of NODES.keys()) if (node !== GONE) calm.tick(node);
+      calm.advance();
+    }
+    calm.forget();
+  }
+
+  isWatched(message: Message): boolean {
+    const { kind } = message;
+    return kind === 'write' || kind === 'writeReply' || kind === 'granted' || kind === 'victory';
+  }
+
+  commands(view: ChangeView): readonly NodeCommand<ControlCommand>[] {
+    if (!this.faults.hasSecondOrder || view.ghost.hasOrdered) return [];
+    const found: NodeCommand<ControlCommand>[] = [];
+    for (const [node, { isServing }] of view.facts.entries()) {
+      if (isServing) found.push({ node, command: { call: 2, order: SECOND_ORDER } });
+    }
+    return found;
+  }
+
+  judge(
+    before: ChangeView,
+    after: ChangeView,
+    did: Happening<ControlCommand, ControlEvent>,
+  ): Judgement<VoterChangeGhost> {
+    if (did.node === undefined) return { ghost: before.ghost, violation: undefined };
+    const facts = after.facts[did.node];
+    const { leaders: known } = before.ghost;
+    const led = facts?.isLeading
+      ? withLeader(known, facts.epoch, did.node)
+      : { leaders: known, violation: undefined };
+    const ghost = withOrders({ ...before.ghost, leaders: led.leaders }, did);
+    const wasServing = before.facts[did.node]?.isServing ?? false;
+    const violation =
+      led.violation ??
+      (wasServing ? undefined : judgeServing(facts, ghost)) ??
+      judgeSets(after.facts.map(votersOf), 'in memory') ??
+      judgeSets(after.disks.map(votersOnDisk), 'on disk');
+    return { ghost, violation };
+  }
+}
+
+function withOrders(
+  ghost: VoterChangeGhost,
+  did: Happening<ControlCommand, ControlEvent>,
+): VoterChangeGhost {
+  const hasOrdered = ghost.hasOrdered || did.command?.order.id === SECOND_ORDER.id;
+  let { confirmed } = ghost;
+  for (const { status, call } of did.events) {
+    const { version } = call === 1 ? FIRST_ORDER : SECOND_ORDER;
+    if (status === 200) confirmed = Math.max(confirmed, version);
+  }
+  return { ...ghost, hasOrdered, confirmed };
+}
+
+/** A leader that begins to serve must know what was confirmed. */
+function judgeServing(
+  facts: ControlFacts | undefined,
+  { confirmed }: VoterChangeGhost,
+): string | undefined {
+  if (!facts?.isServing || facts.version >= confirmed) return undefined;
+  return `serves version ${facts.version} though ${confirmed} was confirmed`;
+}
+
+type VoterSets = readonly (readonly string[])[] | undefined;
+
+/** Sets that enough of their own members believe in could elect and commit by themselves: there may be one at most. */
+function judgeSets(views: readonly VoterSets[], where: string): string | undefined {
+  const believers = new Map<string, string[]>();
+  for (const [node, sets] of views.entries()) {
+    if (!sets) continue;
+    const text = JSON.stringify(sets);
+    believers.set(text, [...(believers.get(text) ?? []), NODES[node] ?? '']);
+  }
+  const able: string[] = [];
+  for (const [node, sets] of views.entries()) {
+    if (!sets) continue;
+    const text = JSON.stringify(sets);
+    const by = believers.get(text) ?? [];
+    if (by[0] !== NODES[node]) continue;
+    const quorum = new Quorum(...sets.map(idsOf));
+    if (quorum.isMajority(new Set(by.map(nodeId)))) able.push(`${text} by ${by.join()}`);
+  }
+  if (able.length < 2) return undefined;
+  return `two sets of voters could decide apart, ${where}: ${able.join(' and ')}`;
+}
+
+function idsOf(set: readonly string[]): ReturnType<typeof nodeId>[] {
+  return set.map(nodeId);
+}
+
+function votersOf(facts: ControlFacts): VoterSets {
+  return facts.voters;
+}
+
+function votersOnDisk(disk: readonly DiskWrite[]): VoterSets {
+  const write = disk.find(isOfSlot.bind(undefined, CONFIG_PART));
+  return write && docOf(write.body)?.voters;
+}
--- a/src/simulation/history/Diagnosis.ts
+++ b/src/simulation/history/Diagnosis.ts
@@ -1,4 +1,4 @@
-import type { ReadRecord } from '../History.js';
+import type { ReadRecord } from './History.js';
 import type { KnownChange, Refusal, ZoneRead, ZoneView } from './Orders.js';
 import {
   candidateOf,
--- a/src/simulation/history/HistoryCheck.property.test.ts
+++ b/src/simulation/history/HistoryCheck.property.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
-import type { Attempt, History, OrderRecord, PutOrder, ReadRecord } from '../History.js';
+import type { Attempt, History, OrderRecord, PutOrder, ReadRecord } from './History.js';
 import { checkHistory } from './HistoryCheck.js';
 import {
   amendModel,
--- a/src/simulation/history/HistoryCheck.test.ts
+++ b/src/simulation/history/HistoryCheck.test.ts
@@ -6,7 +6,7 @@
   Order,
   OrderRecord,
   ReadRecord,
-} from '../History.js';
+} from './History.js';
 import { checkHistory } from './HistoryCheck.js';
 import { amendModel } from './ModelRuns.js';
 import { violationText } from './Violation.js';
--- a/src/simulation/history/HistoryCheck.ts
+++ b/src/simulation/history/HistoryCheck.ts
@@ -1,4 +1,4 @@
-import type { History } from '../History.js';
+import type { History } from './History.js';
 import { diagnoseRegister, diagnoseZone, registerRun } from './Diagnosis.js';
 import {
   settingsOf,
--- a/src/simulation/history/HistoryReference.property.test.ts
+++ b/src/simulation/history/HistoryReference.property.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
-import type { Attempt, History, Order, OrderRecord, ReadRecord } from '../History.js';
+import type { Attempt, History, Order, OrderRecord, ReadRecord } from './History.js';
 import { registerRun } from './Diagnosis.js';
 import { checkHistory } from './HistoryCheck.js';
 import { settingsOf, viewOf } from './Orders.js';
--- a/src/simulation/history/ReferenceSearch.ts
+++ b/src/simulation/history/ReferenceSearch.ts
@@ -1,4 +1,4 @@
-import type { ReadRecord } from '../History.js';
+import type { ReadRecord } from './History.js';
 import { mayTakeEffect, type Amend, type KnownChange, type ZoneView } from './Orders.js';
 
 /**
--- a/src/simulation/history/RegisterRules.ts
+++ b/src/simulation/history/RegisterRules.ts
@@ -1,4 +1,4 @@
-import type { ReadRecord } from '../History.js';
+import type { ReadRecord } from './History.js';
 import { mayTakeEffect, type Amend, type KnownChange, type Refusal } from './Orders.js';
 import { PossibleTexts } from './PossibleTexts.js';
 import { readVersion } from './RegisterSearch.js';
--- a/src/simulation/history/RegisterSearch.ts
+++ b/src/simulation/history/RegisterSearch.ts
@@ -1,4 +1,4 @@
-import type { ReadRecord } from '../History.js';
+import type { ReadRecord } from './History.js';
 import { clip, unionOf, type Interval, type Intervals } from './Intervals.js';
 import { mayTakeEffect, type Amend, type KnownChange, type Refusal } from './Orders.js';
 
--- a/src/simulation/mutants/ElectionMutants.ts
+++ b/src/simulation/mutants/ElectionMutants.ts
@@ -6,7 +6,7 @@
 import type { ControlEffect } from '../../control/ControlEffect.js';
 import { VOTE_PART } from '../../state/PartNames.js';
 import type { StoredPart } from '../../state/Store.js';
-import type { ControlInputs } from './CoreBuild.js';
+import type { ControlInputs } from '../CoreBuild.js';
 import { InterceptedControl, type Heard } from './InterceptedControl.js';
 
 const VoteBodyShape = type({ epoch: number(), grantEpoch: number(), grantLeader: string() });
--- a/src/simulation/mutants/InterceptedControl.ts
+++ b/src/simulation/mutants/InterceptedControl.ts
@@ -4,7 +4,7 @@
 import { ControlCore } from '../../control/ControlCore.js';
 import type { ControlEffect } from '../../control/ControlEffect.js';
 import type { CommandAnswer } from '../../control/OrderAnswers.js';
-import type { ControlInputs } from './CoreBuild.js';
+import type { ControlInputs } from '../CoreBuild.js';
 
 /** A message as the core is to hear it. */
 export interface Heard {
--- a/src/simulation/mutants/MutantHunt.ts
+++ b/src/simulation/mutants/MutantHunt.ts
@@ -3,7 +3,7 @@
 import type { Fault, FaultKind } from '../Faults.js';
 import { OPTION_DEFAULTS, type SimulationOptions } from '../Options.js';
 import { drawSchedule } from '../ScheduleDraw.js';
-import { SOUND_BUILD } from './CoreBuild.js';
+import { SOUND_BUILD } from '../CoreBuild.js';
 import { MUTANTS, type Mutant, type MutantName } from './Mutants.js';
 
 /** Runs of a mutant, seed after seed, until one of its rules is seen broken. */
--- a/src/simulation/mutants/Mutants.ts
+++ b/src/simulation/mutants/Mutants.ts
@@ -18,7 +18,7 @@
   tornElections,
 } from './AimedSchedules.js';
 import { TakesOlder } from './AgentMutants.js';
-import { SOUND_BUILD, type ControlInputs, type CoreBuild } from './CoreBuild.js';
+import { SOUND_BUILD, type ControlInputs, type CoreBuild } from '../CoreBuild.js';
 import {
   ForgetsGrants,
   GrantsTwice,
--- a/src/simulation/mutants/StateMutants.ts
+++ b/src/simulation/mutants/StateMutants.ts
@@ -6,7 +6,7 @@
 import type { ControlEffect } from '../../control/ControlEffect.js';
 import { allParts, CONFIG_PART, VOTE_PART } from '../../state/PartNames.js';
 import type { StoredPart } from '../../state/Store.js';
-import type { ControlInputs } from './CoreBuild.js';
+import type { ControlInputs } from '../CoreBuild.js';
 import { InterceptedControl, type Heard } from './InterceptedControl.js';
 
 /** Control nodes that keep or repair the replicated state wrongly. */
