--- a/src/simulation/ControlNode.ts
+++ b/src/simulation/ControlNode.ts
@@ -72,6 +72,8 @@
   #seeds: readonly string[] = [];
   readonly #operators: OperatorPort;
   #starts = 0;
+  /** Told once a process that was asked to stop is gone. */
+  #ended: (() => void) | undefined;
   /** Set while the next order's write is to be held up by a freeze right after the lease was checked. */
   freezeAtOrder: (() => void) | undefined;
 
@@ -144,7 +146,9 @@
 
   /** SIGTERM: hands over what it leads, and is killed if it has not ended after the grace. */
   stop(ended: () => void): void {
-    const end = this.#finish.bind(this, ended);
+    // It may be killed, or lose power, before it has ended by itself.
+    this.#ended = ended;
+    const end = this.#finish.bind(this);
     // The machine kills what has not ended, frozen or not.
     this.#around.scheduler.after(GRACE_MS, this.process.inThisLife(end));
     const retire = this.#retire.bind(this, this.process.now() + RETIRE_MS, end);
@@ -210,6 +214,9 @@
     this.#core = undefined;
     this.freezeAtOrder = undefined;
     this.#around.observer.stepped(this);
+    const ended = this.#ended;
+    this.#ended = undefined;
+    ended?.();
   }
 
   #retire(until: number, end: () => void): void {
@@ -224,10 +231,9 @@
     else this.process.after(CONTROL_TICK_MS, this.#retire.bind(this, until, end));
   }
 
-  #finish(ended: () => void): void {
+  #finish(): void {
     this.#exchange.close();
     this.kill();
-    ended();
   }
 
   #tick(): void {
