--- a/src/metrics/Exposition.ts
+++ b/src/metrics/Exposition.ts
@@ -3,7 +3,7 @@
  * library is loaded and filled only when somebody asks, and forgotten after it.
  */
 
-import type { Exposition, MetricFamily } from './MetricFamily.js';
+import type { Exposition, MetricFamily, MetricSample } from './MetricFamily.js';
 
 export type { Exposition, MetricFamily, MetricLabel, MetricSample } from './MetricFamily.js';
 
