--- a/src/simulation/mutants/Mutants.ts
+++ b/src/simulation/mutants/Mutants.ts
@@ -222,7 +222,7 @@
   'wiped-disk-counts': {
     what: 'a voter with an empty disk counts at once',
     rules: ['acknowledged-lost', 'lost-accepted', 'two-leaders-in-one-epoch', 'stale-read'],
-    faults: ['wipe', 'replace', 'powerLossAll', 'kill'],
+    faults: repairBesideOneBehind,
     build: builtBy(CountsWiped),
   },
   'repaired-without-copies': {
