--- a/src/simulation/exhaustive/ControlNode.ts
+++ b/src/simulation/exhaustive/ControlNode.ts
@@ -12,7 +12,6 @@
 import type { ConfigDialect, Routing, RoutingFault } from '../../route/Routing.js';
 import type { VoteSettings } from '../../election/VoteSettings.js';
 import type { Boot, DiskWrite, Input, Output, Sent, Subject } from './LocalStates.js';
-import { CLOCK_STEP_MS } from './Protocol.js';
 
 /** Classes inside the control core that an idle planner never makes change. */
 export const UNUSED_CLASSES: readonly string[] = [
@@ -25,17 +24,20 @@
   'VersionDialect',
 ];
 
+/** A process whose timers come less often takes itself for one that stood still. */
+export const CONTROL_STEP_MS = 400;
+
 /** The deployed proportions on few moments, as in the model of the election alone. */
 const VOTE: VoteSettings = {
-  pingMs: CLOCK_STEP_MS,
-  deadMs: 3 * CLOCK_STEP_MS,
+  pingMs: CONTROL_STEP_MS,
+  deadMs: 3 * CONTROL_STEP_MS,
   halfLifeSeconds: 12 * 3600,
-  electionMs: CLOCK_STEP_MS,
-  renewMs: CLOCK_STEP_MS / 10,
-  spanMs: 2 * CLOCK_STEP_MS,
-  leaseMs: CLOCK_STEP_MS,
+  electionMs: CONTROL_STEP_MS,
+  renewMs: CONTROL_STEP_MS / 10,
+  spanMs: 2 * CONTROL_STEP_MS,
+  leaseMs: CONTROL_STEP_MS,
   drift: 0,
-  stallMs: 2 * CLOCK_STEP_MS,
+  stallMs: 2 * CONTROL_STEP_MS,
 };
 
 /** Apart from what any other life counts. */
--- a/src/simulation/exhaustive/ElectionProtocol.ts
+++ b/src/simulation/exhaustive/ElectionProtocol.ts
@@ -180,6 +180,7 @@
 > {
   readonly name: string;
   readonly firstFrozen = 0;
+  readonly clockStepMs = CLOCK_STEP_MS;
   readonly isBundled = false;
   readonly nodes: readonly NodeId[] = [nodeId('a'), nodeId('b'), nodeId('c')];
   readonly faults: FaultBounds;
--- a/src/simulation/exhaustive/Protocol.ts
+++ b/src/simulation/exhaustive/Protocol.ts
@@ -1,7 +1,7 @@
 import type { Message } from '../../common/Messages.js';
 import type { DiskWrite, Envelope, NodeFactory } from './LocalStates.js';
 
-/** Milliseconds between two of the moments that a model has. Nothing happens at any other. */
+/** The usual milliseconds between two of the moments that a model has. Nothing happens at any other. */
 export const CLOCK_STEP_MS = 1000;
 
 /** One node of a state: numbers of what the tables hold. */
@@ -70,6 +70,8 @@
 /** One protocol to check: the real code of a node, what may be asked of it, and what must always hold. */
 export interface Protocol<Command, Event, Facts, Ghost> extends NodeFactory<Command, Event, Facts> {
   readonly name: string;
+  /** Milliseconds by which all clocks advance at once. */
+  readonly clockStepMs: number;
   readonly faults: FaultBounds;
   readonly firstGhost: Ghost;
   readonly firstDisks: readonly (readonly DiskWrite[])[];
--- a/src/simulation/exhaustive/StateDigest.ts
+++ b/src/simulation/exhaustive/StateDigest.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import { Session, type Runtime } from 'node:inspector';
 
 const HOLDER = 'haretrackStateDigest';
@@ -42,6 +43,8 @@
   readonly #ignored: ReadonlySet<string>;
   /** Texts of instances that never change. */
   readonly #constant = new WeakMap<object, string>();
+  /** Short names of objects already met in the text under way: what many refer to is written out once. */
+  readonly #met = new Map<object, string>();
   /** The engine's ids of objects that it has just named. */
   readonly #remoteIds = new Map<unknown, string>();
 
@@ -58,6 +61,7 @@
     Reflect.set(globalThis, HOLDER, this.#holder);
     const text = this.#text(root, [], '');
     this.#remoteIds.clear();
+    this.#met.clear();
     this.#session.post('Runtime.releaseObjectGroup', { objectGroup: GROUP });
     return text;
   }
@@ -98,7 +102,10 @@
     if (typeof name === 'string' && this.#ignored.has(name)) return name;
     const known = this.#constant.get(value);
     if (known !== undefined) return known;
+    const met = this.#met.get(value);
+    if (met !== undefined) return met;
     const text = this.#fieldsText(value, path);
+    this.#met.set(value, `@${createHash('sha256').update(text).digest('base64')}`);
     if (typeof name === 'string' && CONSTANT_CLASSES.has(name)) this.#constant.set(value, text);
     return text;
   }
