--- a/src/simulation/exhaustive/Searches.ts
+++ b/src/simulation/exhaustive/Searches.ts
@@ -105,7 +105,7 @@
 const ELECTION_CLOCK_STEPS = 5;
 const REPLICATION_CLOCK_STEPS = 2;
 /** From the start of the founding: enough for the change of voters and for another leader in its midst. */
-const CHANGE_CLOCK_STEPS = 13;
+const CHANGE_CLOCK_STEPS = 12;
 const REFUSAL_CLOCK_STEPS = 3;
 
 export function election(
