--- /dev/null
+++ b/bench/draw/command.ts
@@ -0,0 +1,88 @@
+/** The command line of the generator of days. */
+import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { writeDay, type Day } from './Day.js';
+import { drawDay } from './drawDay.js';
+import { findUnknownKinds, readListedKinds } from './listedKinds.js';
+import { readSite, type Site } from './Site.js';
+import { listWorstDays } from './worstDays.js';
+
+/** How the command is used. */
+export const USAGE = `usage:
+  draw-days draw SITE --kinds FILE --out DIR [--seed N] [--days N] [--intensity X] [--length S]
+                 [--closing P]   write drawn days, one file each, and print their paths
+  draw-days worst SITE --out DIR write the fixed worst days for a site
+  draw-days unknown              print the kinds on standard input that the table lacks
+
+SITE is a site file. FILE holds what the bench prints for 'kinds SITE'. --intensity goes from 0 to 1,
+--closing is the probability of a closing fault.`;
+
+const STANDARD_INPUT = 0;
+const OPTIONS = {
+  kinds: { type: 'string' },
+  out: { type: 'string' },
+  seed: { type: 'string', default: '1' },
+  days: { type: 'string', default: '1' },
+  intensity: { type: 'string', default: '0.5' },
+  length: { type: 'string' },
+  closing: { type: 'string', default: '0.5' },
+} as const;
+
+/** Runs the command; gives the exit status. */
+export function runCommand(args: string[], print: (line: string) => void): number {
+  const { values, positionals } = parseArgs({ args, options: OPTIONS, allowPositionals: true });
+  const [verb, sitePath] = positionals;
+  if (verb === 'unknown') return printUnknown(readFileSync(STANDARD_INPUT, 'utf8'), print);
+  if (sitePath === undefined || values.out === undefined) return printUsage(print);
+  const site = readSite(readFileSync(sitePath, 'utf8'));
+  if (verb === 'worst') return writeDays(listWorstDays(site), site, values.out, print);
+  if (verb !== 'draw' || values.kinds === undefined) return printUsage(print);
+  const kinds = readListedKinds(readFileSync(values.kinds, 'utf8'));
+  const days: Day[] = [];
+  for (let index = 0; index < readNumber(values.days, 'days'); index += 1) {
+    days.push(
+      drawDay(site, {
+        seed: readNumber(values.seed, 'seed') + index,
+        intensity: readNumber(values.intensity, 'intensity'),
+        lengthSeconds:
+          values.length === undefined ? site.lengthSeconds : readNumber(values.length, 'length'),
+        kinds,
+        closingProbability: readNumber(values.closing, 'closing'),
+      }),
+    );
+  }
+  return writeDays(days, site, values.out, print);
+}
+
+function printUsage(print: (line: string) => void): number {
+  print(USAGE);
+  return 2;
+}
+
+function printUnknown(listed: string, print: (line: string) => void): number {
+  const unknown = findUnknownKinds(readListedKinds(listed));
+  for (const name of unknown) print(name);
+  return unknown.length === 0 ? 0 : 1;
+}
+
+function writeDays(
+  days: readonly Day[],
+  site: Site,
+  directory: string,
+  print: (line: string) => void,
+): number {
+  mkdirSync(directory, { recursive: true });
+  for (const day of days) {
+    const path = join(directory, `${day.name}.toml`);
+    writeFileSync(path, writeDay(day, site.smallTwin));
+    print(path);
+  }
+  return 0;
+}
+
+function readNumber(text: string, name: string): number {
+  const value = Number(text);
+  if (!Number.isFinite(value)) throw new TypeError(`--${name}: ${text} is not a number`);
+  return value;
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
   { ignores: ['dist/', 'target/', 'node_modules/', 'bin/', 'eslint.config.js', 'vitest.config.ts'] },
   ...tseslint.configs.recommended,
   {
-    files: ['src/**/*.ts', 'platform/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'bench/**/*.ts'],
     rules: {
       'prefer-const': 'error',
       '@typescript-eslint/no-explicit-any': 'error',
