--- a/bench/draw/worstDays.ts
+++ b/bench/draw/worstDays.ts
@@ -123,6 +123,14 @@
         { at: 44, kind: 'core_cut', count: 1, for_s: 5, how: 'leader one_way meet race' },
       ],
     },
+    {
+      name: 'operators-evacuate-while-called-nodes-freeze',
+      seed: 2205,
+      lengthSeconds: REPAIR_DAY_SECONDS,
+      closing: null,
+      plan: repeatShortEvacuations(3, 46, 4.3),
+      faults: [{ at: 2, kind: 'ack_lost', x: 0.9, for_s: 50 }, ...repeatFreezes(3, 48, 4.3)],
+    },
     {
       name: 'operators-evacuate-and-lose-answers',
       seed: 2204,
@@ -351,6 +359,27 @@
   return evacuations;
 }
 
+/** Evacuations that are taken back soon, so that a late copy of either would be seen. */
+function repeatShortEvacuations(first: number, last: number, gap: number): Trouble[] {
+  const evacuations: Trouble[] = [];
+  for (let at = first; at <= last; at += gap) {
+    evacuations.push({ at, kind: 'evacuate', for_s: 1.6, how: 'warm' });
+  }
+  return evacuations;
+}
+
+/** Short freezes of one control machine each, beginning shortly after an order was sent. */
+function repeatFreezes(first: number, last: number, gap: number): Trouble[] {
+  const aims = ['', 'seed', 'leader', 'reader'] as const;
+  const freezes: Trouble[] = [];
+  for (let index = 0; first + index * gap <= last; index += 1) {
+    const at = Math.round((first + index * gap + 0.005 * index) * 1000) / 1000;
+    const how = aims[index % aims.length] ?? '';
+    freezes.push({ at, kind: 'node_freeze', on: 'core', count: 1, for_s: 3.1, how });
+  }
+  return freezes;
+}
+
 function seedOf(text: string): number {
   let seed = 7;
   for (const character of text) seed = (seed * 31 + character.charCodeAt(0)) % 1_000_003;
