--- a/src/mind/ConfigDoc.ts
+++ b/src/control/ConfigDoc.ts
@@ -1,10 +1,27 @@
-import { array, boolean, enums, number, optional, string, type, union, type Infer } from 'superstruct';
-import { EMPTY_TABLE, TableShape } from '../code/Table.js';
+import {
+  array,
+  boolean,
+  enums,
+  number,
+  optional,
+  string,
+  type,
+  union,
+  type Infer,
+} from 'superstruct';
+import { EMPTY_TABLE, TableShape } from '../policy/Table.js';
 
 /** The operators' routing: their own number of it, and its text as they sent it or as their changes made it. */
 const RoutingDocShape = type({ version: number(), text: string() });
 
-const EditRecord = type({ id: string(), number: number(), outcome: enums(['accepted', 'closed']) });
+const EditRecord = type({
+  id: string(),
+  /** The number of the table right after it. */
+  number: number(),
+  outcome: enums(['accepted', 'closed']),
+  /** The operators' version of the routing right after it; older files do not tell it. */
+  version: optional(number()),
+});
 
 /** What the configuration part holds. */
 export const ConfigDocShape = type({
@@ -16,23 +33,40 @@
   /** One set of voters, or two while a swap is under way. */
   voters: array(array(string())),
   routing: optional(RoutingDocShape),
+  /** How many voters are wanted, where some that are gone were left out; others are taken in up to that number. */
+  seats: optional(number()),
 });
 export type ConfigDoc = Infer<typeof ConfigDocShape>;
 
 /** What of it the data plane is told. */
-export const ConfigNewsShape = type({ number: number(), table: TableShape, emptied: array(string()), voters: array(array(string())), routing: optional(RoutingDocShape) });
+export const ConfigNewsShape = type({
+  number: number(),
+  table: TableShape,
+  emptied: array(string()),
+  voters: array(array(string())),
+  routing: optional(RoutingDocShape),
+});
 export type ConfigNews = Infer<typeof ConfigNewsShape>;
 
 /** So many edits are remembered by id. */
 export const MAX_EDITS = 1000;
 
+/** What an edit's base counts: accepted tables, or the operators' own versions of the routing. */
+export type BaseKind = 'table' | 'routing';
+
 /**
- * Whether an edit that is not remembered may have been accepted and forgotten since. One made from table `base` would
- * have a number above it, and is remembered if anything older still is.
+ * Whether an edit that is not remembered may have been accepted and forgotten since. One made from `base` would have
+ * raised that number, and is remembered if anything from no later than its base still is.
  */
-export function mayBeForgotten(doc: ConfigDoc, base: number | undefined): boolean {
+export function mayBeForgotten(
+  doc: ConfigDoc,
+  base: number | undefined,
+  kind: BaseKind = 'table',
+): boolean {
   const [oldest] = doc.edits;
-  return oldest !== undefined && doc.edits.length >= MAX_EDITS && !(base !== undefined && oldest.number <= base);
+  if (oldest === undefined || doc.edits.length < MAX_EDITS) return false;
+  const oldestBase = kind === 'routing' ? oldest.version : oldest.number;
+  return base === undefined || oldestBase === undefined || oldestBase > base;
 }
 
 export function firstDoc(voters: readonly string[]): ConfigDoc {
@@ -43,7 +77,12 @@
 
 /** The operators' edits, as the API takes them. */
 export const EditShapes = {
-  table: type({ id: string(), base: number(), text: optional(string()), table: optional(type({})) }),
+  table: type({
+    id: string(),
+    base: number(),
+    text: optional(string()),
+    table: optional(type({})),
+  }),
   cell: type({ id: string(), base: number(), row: string(), column: string(), value: Value }),
   rows: type({ id: string(), base: number(), put: array(type({})), remove: array(string()) }),
   zone: type({ id: string(), zone: string(), empty: boolean() }),
--- /dev/null
+++ b/src/control/ControlCore.ts
@@ -0,0 +1,1455 @@
+import { boolean, number, optional, string, type } from 'superstruct';
+import { allParts, CONFIG_PART, VOTE_PART } from '../state/PartNames.js';
+import { ReplicatedState } from '../state/ReplicatedState.js';
+import { ReplicaStatus } from '../state/ReplicaStatus.js';
+import type { StoredPart } from '../state/Store.js';
+import { CodedError, reasonOf } from '../common/CodedError.js';
+import { nodeId, later, moment, type NodeId, type Moment, type PartName } from '../common/Ids.js';
+import { mustParseAs, parseAs } from '../common/Json.js';
+import type { MemberMessage, Message } from '../common/Messages.js';
+import { Quorum } from '../common/Quorum.js';
+import {
+  compareVersions,
+  isNewer,
+  NO_VERSION,
+  versionText,
+  type Version,
+} from '../common/Version.js';
+import { Relay } from '../dissemination/Relay.js';
+import { Sessions } from '../dissemination/Sessions.js';
+import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
+import { PLACER_DEFAULTS, type PlacerSettings } from '../placement/Placer.js';
+import {
+  MachinesShape,
+  ServicePartShape,
+  type Catalog,
+  type Intent,
+  type Machines,
+  type RunnerReport,
+  type ServiceDoc,
+} from '../placement/Shapes.js';
+import { Elector } from '../election/Elector.js';
+import type { VoteRecord } from '../election/VoteEffect.js';
+import { VOTE_DEFAULTS, type VoteSettings } from '../election/VoteSettings.js';
+import { decodeConfigDoc, encodeConfigDoc, mustDecodeConfigDoc } from './ConfigCodec.js';
+import { ConfigNewsShape, firstDoc, type ConfigDoc } from './ConfigDoc.js';
+import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
+import { TableManager } from './TableManager.js';
+import { ControlCounters, sessionNumbers, type ControlMetrics } from './ControlMetrics.js';
+import { FleetManager } from './FleetManager.js';
+import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
+import { quorumOf } from './ConfigVoters.js';
+import { errorAnswer, type CommandAnswer } from './OrderAnswers.js';
+import { OperatorOrders, type Commit, type Origin } from './OperatorOrders.js';
+import { leaderTimeOf, OrderForwarding } from './OrderForwarding.js';
+import { VoterMembership, type MembershipHost } from './VoterMembership.js';
+import type { VotersChange } from './VoterPlan.js';
+
+const VoteBodyShape = type({
+  epoch: number(),
+  grantEpoch: number(),
+  grantLeader: string(),
+  isFree: optional(boolean()),
+});
+
+/** What a quorum read that this node asked for itself is to prove. */
+type Confirmation = { readonly do: 'read'; readonly origin: Origin } | { readonly do: 'refusal' };
+
+interface HeardMembers {
+  readonly members: readonly MemberMessage[];
+  readonly at: Moment;
+}
+
+/** How long members are waited for when the table is recovered from them. */
+const RECOVER_MS = 2000;
+const NEAR_MS = 1000;
+const NEVER = moment(-1e12);
+/** Clocks differ in rate, and a confirmation takes its way: whoever is not fresh by so long after is surely blind. */
+const BLIND_SLACK_MS = 200;
+const UNKNOWN: MemberMessage = { id: 'unknown', zone: '', address: '', epoch: 0, count: 0 };
+
+/**
+ * The core of a control node: election, shared state, sessions, news, configuration and placement,
+ * as one pure state machine. It is told messages, ticks and what the outside returned, and drains effects.
+ */
+export class ControlCore {
+  readonly #settings: ControlSettings;
+  readonly #me: NodeId;
+  readonly #elector: Elector;
+  readonly #parts: ReplicatedState;
+  readonly #replicaStatus: ReplicaStatus;
+  readonly #sessions: Sessions;
+  readonly #relay = new Relay();
+  readonly #confirmation: FreshnessConfirmation;
+  readonly #table: TableManager;
+  #quorum: Quorum;
+  #effects: ControlEffect[] = [];
+  readonly #counters = new ControlCounters();
+
+  #voteCount = 0;
+  /** Vote records on their way to the disk, by their count. */
+  readonly #voteTokens = new Map<
+    number,
+    { readonly token: number; readonly grantEpoch: number; readonly epoch: number }
+  >();
+  #keptGrant = 0;
+  #ledEpoch = 0;
+  #wasLeader = '';
+  #settleOnVote: number | undefined;
+  /** Copies read for a repair that are not on disk yet; the record that makes us count is written after them. */
+  #repair: { readonly epoch: number; readonly waiting: Set<PartName> } | undefined;
+
+  /** Members that asked through us, with a session here or not, and when. */
+  readonly #asked = new Map<string, Moment>();
+  readonly #heardMembers = new Map<string, HeardMembers>();
+  readonly #ackedBy = new Map<string, Version>();
+  #round:
+    | {
+        readonly nonce: number;
+        readonly replies: Map<NodeId, { readonly version: Version; readonly marks: number }>;
+      }
+    | undefined;
+
+  /** The configuration as last written here, committed or not. */
+  #doc: ConfigDoc;
+  /** The newest configuration that is known to be on a majority; the same object as #doc where nothing else is written. */
+  #committedDoc: ConfigDoc;
+  readonly #orders: OperatorOrders;
+  readonly #forwarding: OrderForwarding;
+  readonly #confirmations = new Map<number, Confirmation>();
+  #confirmationId = 0;
+
+  /** Until then members may stand on no list of ours that were confirmed fresh through us before we started. */
+  readonly #unknownUntil: Moment;
+  #listAskedAt: Moment = NEVER;
+  /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a tick earlier. */
+  #isServing = false;
+  #isRetiring = false;
+  #isRecovering = false;
+  #recoverUntil: Moment | undefined;
+  #machinesAt: Moment = NEVER;
+  #peersPingedAt: Moment = NEVER;
+  #placementWrites = 0;
+
+  /** Set where a deployment brings its own planner. */
+  readonly #fleetManager: FleetManager | undefined;
+  #seeds: readonly string[];
+  readonly #zones = new Map<string, string>();
+  /** Set in a deployment, where voters change by themselves. */
+  readonly #membership: VoterMembership | undefined;
+  /** The configuration whose voters are followed. */
+  #followedConfig = '';
+  /** The newest configuration read while beginning to lead in this epoch, where it names other voters. */
+  #readConfig: { readonly version: Version; readonly body: string } | undefined;
+
+  constructor(
+    settings: ControlSettings,
+    stored: readonly StoredPart[],
+    now: Moment,
+    vote: VoteSettings = VOTE_DEFAULTS,
+    placer: PlacerSettings = PLACER_DEFAULTS,
+  ) {
+    this.#settings = settings;
+    this.#me = nodeId(settings.me);
+    this.#unknownUntil = later(now, settings.blindMs + BLIND_SLACK_MS);
+    const seeds = settings.seeds.map(nodeId);
+    const voteFile = stored.find(isVote);
+    const record = voteFile ? parseAs(VoteBodyShape, voteFile.body) : undefined;
+    // No record of votes at all is an empty folder; one that cannot be trusted is a lost disk.
+    const name = !voteFile
+      ? stored.length === 0
+        ? 'blank'
+        : 'lost'
+      : record && voteFile.isSound
+        ? 'sound'
+        : 'lost';
+    this.#voteCount = voteFile?.version.count ?? 0;
+    this.#quorum = new Quorum(seeds);
+    this.#parts = new ReplicatedState(this.#me, this.#quorum, allParts(), stored, quorumOf);
+    this.#doc = firstDoc(settings.seeds);
+    const known: VoteRecord | undefined = name === 'sound' ? record : undefined;
+    this.#elector = new Elector(this.#me, this.#quorum, vote, now, known);
+    this.#keptGrant = known?.grantEpoch ?? 0;
+    this.#replicaStatus = new ReplicaStatus(
+      this.#me,
+      name,
+      now,
+      settings.foundMs,
+      settings.incarnation,
+      settings.deployed?.isFirstStart ?? true,
+      quorumOf,
+    );
+    this.#seeds = settings.seeds;
+    this.#fleetManager =
+      settings.deployed &&
+      new FleetManager(settings.deployed, {
+        effects: this.#effect.bind(this),
+        write: this.#writePlaced.bind(this),
+        publish: this.#publishFleet.bind(this),
+        mayOrder: this.mayOrder.bind(this),
+        flows: this.#flowCount.bind(this),
+      });
+    this.#membership = settings.deployed && new VoterMembership(this.#membershipHost(), now);
+    this.#confirmation = new FreshnessConfirmation(settings.incarnation);
+    this.#committedDoc = this.#doc;
+    this.#orders = new OperatorOrders(
+      {
+        newest: this.#newestDoc.bind(this),
+        committed: this.#newestCommitted.bind(this),
+        write: this.#writeDoc.bind(this),
+        confirm: this.#confirmRefusal.bind(this),
+        answer: this.#answer.bind(this),
+        isInForce: this.#isInForce.bind(this),
+      },
+      settings.deployed?.dialect,
+      this.#counters,
+    );
+    this.#forwarding = new OrderForwarding(
+      {
+        leader: this.#otherLeader.bind(this),
+        send: this.#send.bind(this),
+        answer: this.#answer.bind(this),
+      },
+      this.#counters,
+      settings.incarnation,
+      now,
+    );
+    if (name !== 'sound')
+      this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
+    this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
+    this.#table = new TableManager(
+      {
+        effect: this.#effect.bind(this),
+        write: this.#writePlaced.bind(this),
+        publish: this.#publishPlaces.bind(this),
+        mayOrder: this.mayOrder.bind(this),
+        proxies: this.#flowCount.bind(this),
+      },
+      placer,
+      settings.me,
+      settings.reportMs,
+    );
+    this.#followVoters();
+    this.#collect(now);
+  }
+
+  get elector(): Elector {
+    return this.#elector;
+  }
+  get parts(): ReplicatedState {
+    return this.#parts;
+  }
+  get relay(): Relay {
+    return this.#relay;
+  }
+  get standing(): ReplicaStatus {
+    return this.#replicaStatus;
+  }
+  get isServing(): boolean {
+    return this.#isServing;
+  }
+  get voters(): readonly NodeId[] {
+    return this.#quorum.all;
+  }
+  get ordersSent(): number {
+    return this.#table.ordersSent + (this.#fleetManager?.ordersSent ?? 0);
+  }
+  get placementWrites(): number {
+    return this.#placementWrites;
+  }
+
+  /** One look at this node, for its metrics; nothing changes by it. */
+  metrics(now: Moment): ControlMetrics {
+    const contact = this.#elector.majorityContact(now);
+    const committed = this.#relay.version('config');
+    const isRepairing = this.#repair !== undefined || this.#settleOnVote !== undefined;
+    return {
+      epoch: this.#elector.epoch,
+      isLeaderKnown: this.#elector.leader !== undefined,
+      isLeading: this.#elector.isLeading(),
+      isServing: this.#isServing,
+      mayOrder: this.mayOrder(now),
+      leaseLeftMs: Math.max(0, this.#elector.leaseEnd - now),
+      majorityContactAgeMs: contact === undefined ? undefined : now - contact,
+      voters: {
+        members: this.#quorum.all.length,
+        reachable: this.#elector.reachableVoters(now),
+        isVoter: this.#quorum.holds(this.#me),
+        isJoint: this.#quorum.sets > 1,
+      },
+      replica: isRepairing ? 'repairing' : this.#replicaStatus.name,
+      unsoundParts: this.#parts.unsoundParts().length,
+      configHeld: this.#parts.versionOf(CONFIG_PART),
+      configCommitted: committed,
+      orders: this.#counters.orders,
+      events: this.#counters.eventsWith({
+        electionsStarted: this.#elector.electionsStarted,
+        votesGranted: this.#elector.votesGranted,
+        copiesMended: this.#parts.mends,
+      }),
+      sessions: sessionNumbers(this.#sessions.up(), committed),
+    };
+  }
+
+  drain(): ControlEffect[] {
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+
+  /** Asked by the executor right before an order is written. */
+  mayOrder(now: Moment): boolean {
+    return !this.#isRetiring && this.#elector.mayOrder(now) && this.#isServing;
+  }
+
+  leaseEnd(): Moment {
+    return this.#elector.leaseEnd;
+  }
+
+  /** Whom the settings name now; they are asked for voters where none is heard of. */
+  setSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+  }
+
+  /** Everybody that this node wants a line to. */
+  get peers(): readonly string[] {
+    const ids = new Set<string>(this.#quorum.all);
+    if (this.#isLost()) for (const seed of this.#seeds) ids.add(seed);
+    ids.delete(this.#me);
+    return [...ids];
+  }
+
+  // ---- inputs
+
+  tick(now: Moment): void {
+    this.#elector.tick(now);
+    for (const send of this.#replicaStatus.tick(now, this.#quorum))
+      this.#effects.push({ do: 'send', ...send });
+    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
+    this.#parts.tick(now);
+    this.#sessions.tick(now);
+    for (const [id, at] of this.#asked)
+      if (now - at > this.#settings.blindMs * 2) this.#asked.delete(id);
+    for (const [peer, heard] of this.#heardMembers)
+      if (now - heard.at > this.#settings.blindMs * 2) this.#heardMembers.delete(peer);
+    this.#beginRound(now);
+    this.#tickPeers(now);
+    this.#tickCommands(now);
+    this.#membership?.tick(now);
+    this.#tickOutside(now);
+    this.#collect(now);
+  }
+
+  receive(now: Moment, from: string, message: Message, zone: string = ''): void {
+    this.#forwarding.heard(from);
+    if (zone !== '' && this.#quorum.holds(nodeId(from))) this.#zones.set(from, zone);
+    switch (message.kind) {
+      case 'read':
+        if (message.epoch === 0)
+          this.#send(
+            from,
+            this.#replicaStatus.replyTo(
+              message.nonce,
+              this.#elector.epoch,
+              this.#parts.copies(),
+              this.#elector.record.grantEpoch > 0,
+            ),
+          );
+        else
+          this.#parts.receive(
+            now,
+            nodeId(from),
+            message,
+            this.#grantedEpoch(),
+            [],
+            this.#replicaStatus.name,
+          );
+        break;
+      case 'readReply':
+        if (message.sound)
+          this.#parts.receive(now, nodeId(from), message, this.#grantedEpoch(), [], '');
+        else
+          this.#settleReplicaStatus(
+            now,
+            this.#replicaStatus.receive(now, nodeId(from), message, this.#quorum),
+          );
+        break;
+      case 'write':
+        this.#parts.receive(
+          now,
+          nodeId(from),
+          message,
+          this.#grantedEpoch(),
+          this.#possibleMembers(now),
+          this.#replicaStatus.name,
+        );
+        break;
+      case 'writeReply':
+      case 'digest':
+      case 'digestReply':
+        // Only a write's return names members.
+        this.#parts.receive(
+          now,
+          nodeId(from),
+          message,
+          this.#grantedEpoch(),
+          [],
+          this.#replicaStatus.name,
+        );
+        break;
+      case 'quorumRead':
+        this.#receiveQuorumRead(now, from, message.nonce, message.members);
+        break;
+      case 'quorumReadReply':
+        this.#receiveQuorumReadReply(now, from, message);
+        break;
+      case 'join':
+        this.#receiveJoin(now, from, message);
+        break;
+      case 'freshnessRequest':
+        this.#receiveFreshnessRequest(now, from, message);
+        break;
+      case 'ack':
+        this.#sessions.ack(from, message);
+        this.#noteAck(from, message);
+        break;
+      case 'acked':
+        this.#receiveAcked(now, from, message.members);
+        break;
+      case 'announce':
+        this.#membership?.receiveAnnounce(now, from, message);
+        break;
+      case 'leave':
+        this.#membership?.receiveLeave(now, from, message);
+        break;
+      case 'leaveReply':
+        this.#membership?.receiveLeaveReply(message);
+        break;
+      case 'update':
+        this.#receiveUpdate(message);
+        break;
+      case 'delta':
+        this.#receiveDelta(from, message);
+        break;
+      case 'demand':
+        this.#receiveDemand(now, message.body);
+        break;
+      case 'command':
+        this.#receiveCommand(now, from, message);
+        break;
+      case 'commandReply':
+        this.#forwarding.answered(from, message);
+        break;
+      default:
+        this.#noteCandidate(from, message);
+        this.#elector.receive(now, nodeId(from), message);
+        if (message.kind === 'victory' || message.kind === 'renew')
+          this.#noteLeaderTime(from, message);
+        break;
+    }
+    this.#collect(now);
+  }
+
+  /** The line to a node closed. */
+  gone(now: Moment, from: string): void {
+    this.#sessions.gone(from);
+    this.#relay.removeChild(from);
+    this.#forwarding.gone(from);
+    this.#reassignParents();
+    this.#collect(now);
+  }
+
+  stored(now: Moment, part: PartName, version: Version): void {
+    if (part === VOTE_PART) {
+      for (const [count, waiting] of this.#voteTokens) {
+        if (count > version.count) continue;
+        this.#voteTokens.delete(count);
+        if (count === version.count) this.#keptGrant = waiting.grantEpoch;
+        this.#elector.kept(waiting.token);
+      }
+      if (this.#settleOnVote !== undefined && version.count >= this.#settleOnVote) {
+        this.#settleOnVote = undefined;
+        this.#replicaStatus.settle();
+        this.#note('standing is sound', {});
+      }
+    } else {
+      this.#parts.stored(part, version, this.#grantedEpoch(), now);
+      if (this.#repair?.waiting.delete(part)) this.#endRepair(now);
+    }
+    this.#collect(now);
+  }
+
+  machines(now: Moment, machines: Machines): void {
+    this.#takeMachines(machines);
+    this.#collect(now);
+  }
+
+  /** The platform's list of runners. */
+  list(now: Moment, runners: readonly ListedRunner[]): void {
+    if (this.#isServing) this.#fleetManager?.list(now, runners, this.#doc);
+    this.#collect(now);
+  }
+
+  /** A runner's own report, asked for at that moment; nothing if it gave none. */
+  status(now: Moment, runner: string, askedAt: Moment, status: RunnerStatus | undefined): void {
+    if (this.#isServing) this.#fleetManager?.status(now, runner, askedAt, status);
+    this.#collect(now);
+  }
+
+  catalog(_now: Moment, catalog: Catalog): void {
+    this.#table.catalog(catalog);
+  }
+
+  /** What a runner returned to an ask sent at that moment; nothing if it did not. */
+  reported(now: Moment, id: string, askedAt: Moment, report: RunnerReport | undefined): void {
+    this.#table.reported(now, id, askedAt, report);
+  }
+
+  /** What became of an order: taken, turned away for good, or unsure. */
+  ordered(now: Moment, intent: string, outcome: OrderResult | 'turnedAway'): void {
+    if (this.#fleetManager) {
+      if (this.#isServing)
+        this.#fleetManager.ordered(
+          now,
+          intent,
+          outcome === 'turnedAway' ? 'refused' : outcome,
+          this.#doc,
+        );
+      this.#collect(now);
+      return;
+    }
+    this.#table.ordered(now, intent, outcome);
+  }
+
+  /** A command at this node's own API. */
+  command(now: Moment, id: number, verb: string, body: string): void {
+    this.#command(now, { from: '', id }, verb, body);
+    this.#collect(now);
+  }
+
+  /**
+   * Before a planned stop: hands the lease back, if no order's outcome is open. Says whether it may stop now.
+   * An order that may still be under way keeps the lease bound until it runs out by itself.
+   */
+  retire(now: Moment): boolean {
+    this.#isRetiring = true;
+    const mustStay = this.#membership?.mustKeepSeat(now) ?? false;
+    this.#collect(now);
+    if (mustStay) return false;
+    if (this.#table.hasOpenOrders) return false;
+    if (this.#isServing && this.#fleetManager?.hasOpenOrders) return false;
+    this.#elector.retire(now);
+    this.#collect(now);
+    return true;
+  }
+
+  /** Whether a planned stop waits for this node's seat to be taken over. */
+  get isHandingOver(): boolean {
+    return this.#membership?.isHandingOver ?? false;
+  }
+
+  // ---- effects of the inner cores
+
+  #send(to: string, message: Message): void {
+    this.#effects.push({ do: 'send', to, message });
+  }
+
+  #effect(effect: ControlEffect): void {
+    this.#effects.push(effect);
+  }
+
+  #note(text: string, fields: Readonly<Record<string, string | number>>): void {
+    this.#effects.push({ do: 'note', text, fields });
+  }
+
+  #collect(now: Moment): void {
+    this.#watchLeader(now);
+    for (let isBusy = true; isBusy;) {
+      isBusy = false;
+      for (const effect of this.#elector.drain()) {
+        isBusy = true;
+        if (effect.do === 'send') {
+          this.#send(effect.to, effect.message);
+          continue;
+        }
+        if (this.#replicaStatus.name === 'sound' || this.#settleOnVote !== undefined)
+          this.#keepVote(effect.token, effect.record);
+      }
+      for (const effect of this.#parts.drain()) {
+        isBusy = true;
+        if (effect.do === 'send') this.#send(effect.to, effect.message);
+        else if (effect.do === 'store') this.#effects.push(effect);
+        else if (effect.do === 'serving') this.#serve(now);
+        else if (effect.do === 'voters') this.#readConfig = effect;
+        else this.#committed(now, effect.part, effect.version, effect.tokens, effect.members);
+      }
+      this.#followVoters();
+      this.#watchLeader(now);
+    }
+    this.#flushNews();
+  }
+
+  #keepVote(token: number, record: VoteRecord): void {
+    this.#voteCount += 1;
+    this.#voteTokens.set(this.#voteCount, {
+      token,
+      grantEpoch: record.grantEpoch,
+      epoch: record.epoch,
+    });
+    this.#effects.push({
+      do: 'store',
+      part: VOTE_PART,
+      version: { epoch: record.epoch, count: this.#voteCount },
+      body: JSON.stringify(record),
+    });
+  }
+
+  /** The epoch granted here, on disk, and not moved on from. */
+  #grantedEpoch(): number {
+    return this.#replicaStatus.name === 'sound' && this.#keptGrant === this.#elector.epoch
+      ? this.#keptGrant
+      : 0;
+  }
+
+  #watchLeader(now: Moment): void {
+    const leader = this.#elector.leader ?? '';
+    if (leader !== this.#wasLeader) {
+      this.#wasLeader = leader;
+      this.#counters.countLeaderChange();
+      this.#note('leader', { leader: leader === '' ? 'none' : leader, epoch: this.#elector.epoch });
+    }
+    const epoch = this.#elector.isLeading() ? this.#elector.epoch : 0;
+    if (epoch === this.#ledEpoch) return;
+    this.#ledEpoch = epoch;
+    this.#standDown();
+    if (epoch > 0) this.#parts.lead(now, epoch);
+  }
+
+  #standDown(): void {
+    this.#isServing = false;
+    this.#recoverUntil = undefined;
+    this.#parts.stub();
+    this.#readConfig = undefined;
+    this.#table.end();
+    this.#written.clear();
+    this.#orders.abandon();
+    for (const confirmation of this.#confirmations.values()) {
+      if (confirmation.do === 'read')
+        this.#answer(
+          confirmation.origin,
+          errorAnswer(new CodedError('no-leader', 'the leader changed')),
+        );
+    }
+    this.#confirmations.clear();
+  }
+
+  // ---- standing
+
+  #settleReplicaStatus(now: Moment, outcome: ReturnType<ReplicaStatus['outcome']>): void {
+    if (!outcome || this.#settleOnVote !== undefined || this.#repair) return;
+    if (outcome.become === 'founded') {
+      this.#note('founding', {});
+      this.#settleOnVote = this.#voteCount + 1;
+      this.#elector.setMayVote(true, { epoch: outcome.epoch, grantEpoch: 0, grantLeader: '' }, now);
+    } else {
+      this.#note('repaired from peers', { epoch: outcome.epoch });
+      // Only what is newer than ours is stored anew, and only that is waited for.
+      const waiting = new Set(this.#parts.adopt(outcome.copies));
+      this.#followVoters();
+      this.#repair = { epoch: outcome.epoch, waiting };
+      this.#endRepair(now);
+    }
+    this.#collect(now);
+  }
+
+  #endRepair(now: Moment): void {
+    const repair = this.#repair;
+    if (!repair || repair.waiting.size > 0) return;
+    this.#repair = undefined;
+    this.#counters.countRepair();
+    // One that is no voter has granted nothing that binds here: it joins the epoch that stands, and no election is due for it.
+    const epoch = this.#fleetManager && !this.#quorum.holds(this.#me) ? 0 : repair.epoch;
+    this.#settleOnVote = this.#voteCount + 1;
+    this.#elector.setMayVote(true, { epoch, grantEpoch: 0, grantLeader: '' }, now);
+  }
+
+  #followVoters(): void {
+    const body = this.#newestConfig();
+    if (body === this.#followedConfig) return;
+    this.#followedConfig = body;
+    const quorum = quorumOf(body);
+    if (quorum) this.#setQuorum(quorum);
+  }
+
+  #setQuorum(quorum: Quorum): void {
+    if (quorum.text === this.#quorum.text) return;
+    this.#quorum = quorum;
+    this.#counters.countVoterChange();
+    this.#elector.setQuorum(quorum);
+    this.#parts.setQuorum(quorum);
+  }
+
+  /** The newest configuration known here: our own copy, one told as committed, or one read while beginning to lead. */
+  #newestConfig(): string {
+    let version = this.#parts.versionOf(CONFIG_PART);
+    let body = this.#parts.replicaBody(CONFIG_PART);
+    const told = this.#fleetManager ? this.#relay.item('config') : undefined;
+    for (const other of [told, this.#readConfig]) {
+      if (!other || !isNewer(other.version, version)) continue;
+      version = other.version;
+      body = other.body;
+    }
+    return body;
+  }
+
+  // ---- voters of a deployment: they announce themselves, and the leader lets them in
+
+  /** Of one that is silent nothing is told: nobody is to turn to it for being near. */
+  #zoneOf(now: Moment, id: NodeId): string {
+    const at = this.#elector.heardAt(id);
+    return at !== undefined && now - at < NEAR_MS ? (this.#zones.get(id) ?? '') : '';
+  }
+
+  /** No voter as far as we know, or without a leader. */
+  #isLost(): boolean {
+    return !this.#quorum.holds(this.#me) || this.#elector.leader === undefined;
+  }
+
+  #changeVoters(now: Moment, change: VotersChange): void {
+    this.#note('voters', {
+      from: this.#doc.voters.join(' | '),
+      to: change.voters.join(' | '),
+    });
+    const seats = change.seats === undefined ? {} : { seats: change.seats };
+    this.#doc = { ...this.#doc, voters: change.voters.map(copyOf), ...seats };
+    const body = encodeConfigDoc(this.#doc);
+    // Two sets decide together from here on, also on this very change. One alone is told to those let go as well.
+    const joint = change.voters.length === 2 ? quorumOf(body) : undefined;
+    if (joint) this.#setQuorum(joint);
+    this.#writePart(now, CONFIG_PART, body, 0);
+  }
+
+  #rewriteParts(now: Moment): void {
+    for (const part of allParts())
+      if (part !== CONFIG_PART) this.#writePart(now, part, this.#parts.body(part), 0);
+  }
+
+  #membershipHost(): MembershipHost {
+    return {
+      me: this.#me,
+      zone: this.#settings.zone,
+      isFirstStart: this.#settings.deployed?.isFirstStart ?? false,
+      elector: this.#elector,
+      parts: this.#parts,
+      relay: this.#relay,
+      status: this.#replicaStatus,
+      quorum: this.#currentQuorum.bind(this),
+      peers: this.#currentPeers.bind(this),
+      isServing: this.#isServingNow.bind(this),
+      document: this.#document.bind(this),
+      zoneOf: this.#toldZoneOf.bind(this),
+      send: this.#send.bind(this),
+      rewriteParts: this.#rewriteParts.bind(this),
+      changeVoters: this.#changeVoters.bind(this),
+    };
+  }
+
+  #currentQuorum(): Quorum {
+    return this.#quorum;
+  }
+
+  #currentPeers(): readonly string[] {
+    return this.peers;
+  }
+
+  #isServingNow(): boolean {
+    return this.#isServing;
+  }
+
+  #document(): ConfigDoc {
+    return this.#doc;
+  }
+
+  #toldZoneOf(id: string): string {
+    return this.#zones.get(id) ?? '';
+  }
+
+  /** One that is not among the voters known here stands for election: there may be a newer configuration. */
+  #noteCandidate(from: string, message: Message): void {
+    const isOfCandidate =
+      message.kind === 'propose' || message.kind === 'victory' || message.kind === 'renew';
+    if (!this.#membership || !isOfCandidate || this.#quorum.holds(nodeId(from))) return;
+    this.#send(from, {
+      kind: 'freshnessRequest',
+      nonce: -1,
+      have: this.#relay.have(),
+      members: [],
+    });
+  }
+
+  // ---- members, vouching, news
+
+  #receiveJoin(now: Moment, from: string, message: Extract<Message, { kind: 'join' }>): void {
+    this.#sessions.join(now, from, message.zone, message.address, message);
+    this.#replicaStatus.noteMember(message.epoch);
+    if (message.lost !== '') this.#sessions.upset(now, message.lost);
+    this.#noteAck(from, message);
+    // The tree takes its time with many sessions: it is drawn anew where a word may change it, and else at the tick.
+    if (!this.#parentOf.has(from) || message.lost !== '') this.#reassignParents();
+    this.#send(from, { kind: 'assignParent', parent: this.#parentOf.get(from) ?? '' });
+    if (this.#fleetManager) {
+      const controlNodes = [];
+      for (const id of this.#quorum.all)
+        controlNodes.push({
+          id,
+          zone: id === this.#me ? this.#settings.zone : this.#zoneOf(now, id),
+        });
+      this.#send(from, {
+        kind: 'controlNodes',
+        controlNodes,
+        leader: this.#elector.leader ?? '',
+        ...this.#relay.version('config'),
+      });
+    }
+  }
+
+  #fed: ReadonlySet<string> = new Set();
+  readonly #parentOf = new Map<string, string>();
+
+  /** Tells those whose parent changed, and keeps feeding those that hang under us. */
+  #reassignParents(): void {
+    const tree = this.#sessions.tree();
+    for (const [id, parent] of tree) {
+      if (this.#parentOf.get(id) !== undefined && this.#parentOf.get(id) !== parent)
+        this.#send(id, { kind: 'assignParent', parent });
+      this.#parentOf.set(id, parent);
+    }
+    for (const id of this.#parentOf.keys()) if (!tree.has(id)) this.#parentOf.delete(id);
+    const children: string[] = [];
+    for (const [id, parent] of tree) if (parent === '') children.push(id);
+    if (this.#elector.isLeading())
+      children.push(...this.#quorum.all.filter(isOther.bind(undefined, this.#me)));
+    this.#fed = new Set(children);
+    this.#relay.setChildren(children);
+  }
+
+  /** An ask from below: by a link of the tree, by one that cannot reach its parent, or by a peer for news alone. */
+  #receiveFreshnessRequest(
+    now: Moment,
+    from: string,
+    message: Extract<Message, { kind: 'freshnessRequest' }>,
+  ): void {
+    this.#relay.heard(from, message.have);
+    if (message.nonce < 0) {
+      // Answered once: who hangs elsewhere is fed there, and would get everything twice.
+      this.#flushNews();
+      if (!this.#fed.has(from)) this.#relay.removeChild(from);
+      return;
+    }
+    if (this.#fleetManager) {
+      // Nobody here works by being confirmed fresh: the ask was for news, and its return says that we are there.
+      this.#send(from, {
+        kind: 'freshnessReply',
+        nonce: message.nonce,
+        ...this.#relay.version('config'),
+        marks: 0,
+      });
+      return;
+    }
+    for (const id of message.members) this.#asked.set(id, now);
+    this.#confirmation.add({ child: from, nonce: message.nonce, members: message.members });
+    this.#beginRound(now);
+  }
+
+  #noteAck(id: string, version: Version): void {
+    if (isNewer(version, this.#ackedBy.get(id) ?? NO_VERSION))
+      this.#ackedBy.set(id, { epoch: version.epoch, count: version.count });
+  }
+
+  /** Members that may still work by an older configuration, as far as this node knows. */
+  #knownMembers(): MemberMessage[] {
+    const list = this.#ownMembers();
+    for (const heard of this.#heardMembers.values()) list.push(...heard.members);
+    return list;
+  }
+
+  /** With one that acks nothing while we have just started and cannot know them all: a yes then waits until all are surely blind. */
+  #possibleMembers(now: Moment): MemberMessage[] {
+    const list = this.#knownMembers();
+    if (now < this.#unknownUntil) list.push(UNKNOWN);
+    return list;
+  }
+
+  /** Those with a session here now or lately, and those confirmed fresh through us lately, wherever their session is. */
+  #ownMembers(): MemberMessage[] {
+    const list = [...this.#sessions.recent()];
+    const ids = new Set<string>();
+    for (const member of list) ids.add(member.id);
+    for (const id of this.#asked.keys())
+      if (!ids.has(id)) list.push({ id, zone: '', address: id, epoch: 0, count: 0 });
+    return list;
+  }
+
+  /** Asks a majority for the newest they hold; asks that waited are confirmed fresh by what it returns. */
+  #beginRound(now: Moment): void {
+    const nonce = this.#confirmation.begin(now);
+    if (nonce === undefined) return;
+    this.#round = { nonce, replies: new Map() };
+    const members = this.#ownMembers();
+    for (const peer of this.#quorum.all) {
+      if (peer === this.#me) this.#receiveQuorumRead(now, this.#me, nonce, []);
+      else this.#send(peer, { kind: 'quorumRead', nonce, members });
+    }
+  }
+
+  #receiveQuorumRead(
+    now: Moment,
+    from: string,
+    nonce: number,
+    members: readonly MemberMessage[],
+  ): void {
+    if (from !== this.#me) this.#heardMembers.set(from, { members, at: now });
+    // A node whose disk is lost, or whose copy is bad, may have held something newer than it can tell.
+    if (this.#replicaStatus.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART))
+      return;
+    // Without any list we cannot tell which machines are leaving, though somebody may have known before we started.
+    if (!this.#fleetManager && this.#table.machines.revision === 0) {
+      this.#askList(now);
+      return;
+    }
+    const version = this.#parts.versionOf(CONFIG_PART);
+    const message = {
+      kind: 'quorumReadReply',
+      nonce,
+      ...version,
+      marks: this.#table.machines.revision,
+    } as const;
+    if (from === this.#me) this.#receiveQuorumReadReply(now, from, message);
+    else this.#send(from, message);
+  }
+
+  /** The platform is away and we have just started: links below still hold its list. */
+  #askList(now: Moment): void {
+    if (now < later(this.#listAskedAt, 500)) return;
+    this.#listAskedAt = now;
+    for (const member of this.#knownMembers())
+      this.#send(member.id, {
+        kind: 'freshnessRequest',
+        nonce: -1,
+        have: this.#relay.have(),
+        members: [],
+      });
+    for (const peer of this.#quorum.all)
+      if (peer !== this.#me)
+        this.#send(peer, {
+          kind: 'freshnessRequest',
+          nonce: -1,
+          have: this.#relay.have(),
+          members: [],
+        });
+  }
+
+  #receiveQuorumReadReply(
+    now: Moment,
+    from: string,
+    message: Extract<Message, { kind: 'quorumReadReply' }>,
+  ): void {
+    const round = this.#round;
+    if (!round || round.nonce !== message.nonce) return;
+    round.replies.set(nodeId(from), {
+      version: { epoch: message.epoch, count: message.count },
+      marks: message.marks,
+    });
+    if (!this.#quorum.isMajority(new Set(round.replies.keys()))) return;
+    this.#round = undefined;
+    let version = NO_VERSION;
+    let marks = 0;
+    for (const known of round.replies.values()) {
+      if (isNewer(known.version, version)) version = known.version;
+      marks = Math.max(marks, known.marks);
+    }
+    for (const ask of this.#confirmation.end(round.nonce)) {
+      if (ask.child === '') this.#endConfirmation(now, ask.nonce, version);
+      else this.#send(ask.child, { kind: 'freshnessReply', nonce: ask.nonce, ...version, marks });
+    }
+    this.#beginRound(now);
+  }
+
+  #receiveUpdate(message: Extract<Message, { kind: 'update' }>): void {
+    if (message.topic === 'machines') {
+      const machines = parseAs(MachinesShape, message.body);
+      if (machines) this.#takeMachines(machines);
+    } else {
+      const isNew = this.#relay.offer(
+        message.topic,
+        { epoch: message.epoch, count: message.count },
+        message.body,
+      );
+      if (isNew && this.#fleetManager && message.topic === 'config') this.#followVoters();
+    }
+  }
+
+  /** A change that does not follow on what is held here: the sender is told what is. */
+  #receiveDelta(from: string, message: Extract<Message, { kind: 'delta' }>): void {
+    const version = { epoch: message.epoch, count: message.count };
+    if (this.#relay.offerDelta(message.topic, version, message.from, message.body)) return;
+    if (isNewer(version, this.#relay.version(message.topic)))
+      this.#send(from, {
+        kind: 'freshnessRequest',
+        nonce: -1,
+        have: this.#relay.have(),
+        members: [],
+      });
+  }
+
+  #receiveAcked(now: Moment, from: string, members: readonly MemberMessage[]): void {
+    for (const member of members) this.#noteAck(member.id, member);
+    if (this.#fleetManager) this.#heardMembers.set(from, { members, at: now });
+  }
+
+  #flowCount(): number {
+    const ids = new Set<string>();
+    for (const member of this.#knownMembers()) ids.add(member.id);
+    return Math.max(1, ids.size);
+  }
+
+  #takeMachines(machines: Machines): void {
+    if (!this.#table.takeMachines(machines)) return;
+    const version = { epoch: 0, count: machines.revision };
+    const body = JSON.stringify(machines);
+    this.#relay.offer('machines', version, body);
+    // Every node that learns of a mark passes it on at once, leader or not.
+    for (const peer of this.#quorum.all) {
+      if (peer !== this.#me)
+        this.#send(peer, { kind: 'update', topic: 'machines', ...version, body });
+    }
+  }
+
+  #flushNews(): void {
+    for (const send of this.#relay.flush()) this.#send(send.to, send.message);
+  }
+
+  #tickPeers(now: Moment): void {
+    if (now < later(this.#peersPingedAt, this.#fleetManager ? 500 : 250)) return;
+    this.#peersPingedAt = now;
+    this.#reassignParents();
+    const leader = this.#elector.leader;
+    if (leader === undefined || leader === this.#me) return;
+    this.#send(leader, { kind: 'acked', members: [...this.#sessions.up()] });
+    this.#send(leader, {
+      kind: 'freshnessRequest',
+      nonce: -1,
+      have: this.#relay.have(),
+      members: [],
+    });
+  }
+
+  #receiveDemand(now: Moment, body: string): void {
+    const leader = this.#elector.leader;
+    if (leader !== undefined && leader !== this.#me) {
+      this.#send(leader, { kind: 'demand', body });
+      return;
+    }
+    if (this.#fleetManager) {
+      if (this.#isServing) this.#fleetManager.demand(now, body, this.#doc);
+      return;
+    }
+    this.#table.demand(now, body);
+  }
+
+  // ---- owning the state
+
+  #serve(now: Moment): void {
+    this.#isServing = true;
+    this.#note('serving', { epoch: this.#ledEpoch });
+    const body = this.#parts.body(CONFIG_PART);
+    this.#doc = body === '' ? firstDoc(this.#settings.seeds) : mustDecodeConfigDoc(body);
+    // It was rewritten by a majority in our epoch before we serve.
+    this.#committedDoc = this.#doc;
+    // Only committed tables are ever told: one told here that no majority holds any more was lost with their disks.
+    const told = parseAs(ConfigNewsShape, this.#relay.item('config')?.body ?? '');
+    if (told && told.number > this.#doc.number) this.#isRecovering = true;
+    if (this.#isRecovering) this.#recover(now);
+    else this.#publishConfig(this.#parts.versionOf(CONFIG_PART), this.#doc);
+    const docs: ServiceDoc[] = [];
+    for (const part of allParts()) {
+      const text = part === CONFIG_PART ? '' : this.#parts.body(part);
+      if (text !== '') docs.push(...mustParseAs(ServicePartShape, text, part).services);
+    }
+    if (this.#fleetManager) {
+      // Whoever comes later must find the voters written down, whatever seeds it is told.
+      if (body === '') this.#writePart(now, CONFIG_PART, encodeConfigDoc(this.#doc), 0);
+      this.#membership?.begin();
+      this.#fleetManager.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
+      this.#fleetManager.tick(now, this.#doc);
+      return;
+    }
+    this.#table.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
+  }
+
+  /** After an operator's force-new-cluster, members are asked for the newest table they hold before anything is served. */
+  #recover(now: Moment): void {
+    this.#recoverUntil = later(now, RECOVER_MS);
+    for (const member of this.#knownMembers())
+      this.#send(member.id, { kind: 'freshnessRequest', nonce: -1, have: [], members: [] });
+  }
+
+  #endRecovery(now: Moment): void {
+    this.#isRecovering = false;
+    this.#recoverUntil = undefined;
+    const item = this.#relay.item('config');
+    const news = item ? parseAs(ConfigNewsShape, item.body) : undefined;
+    if (news && news.number > this.#doc.number) {
+      this.#note('table recovered from members', { table: news.number });
+      this.#doc = {
+        ...this.#doc,
+        number: news.number,
+        table: news.table,
+        emptied: news.emptied,
+        ...(news.routing ? { routing: news.routing } : {}),
+      };
+    }
+    this.#writePart(now, CONFIG_PART, encodeConfigDoc(this.#doc), 0);
+  }
+
+  #publishConfig(version: Version, doc: ConfigDoc): void {
+    const { number: count, table, emptied, voters, routing } = doc;
+    this.#relay.offer(
+      'config',
+      version,
+      JSON.stringify({ number: count, table, emptied, voters, routing }),
+    );
+  }
+
+  #committed(
+    now: Moment,
+    part: PartName,
+    version: Version,
+    tokens: readonly number[],
+    members: readonly MemberMessage[],
+  ): void {
+    if (part !== CONFIG_PART) {
+      const body = parseAs(ServicePartShape, this.#committedBody(part, version));
+      if (this.#fleetManager) {
+        if (this.#isServing) this.#fleetManager.kept(now, body?.services ?? []);
+        return;
+      }
+      this.#table.kept(body?.services ?? []);
+      return;
+    }
+    const doc = decodeConfigDoc(this.#committedBody(part, version));
+    if (doc) {
+      this.#publishConfig(version, doc);
+      this.#committedDoc = this.#parts.isWriting(part) ? doc : this.#doc;
+    }
+    this.#followVoters();
+    this.#orders.committed(now, version, tokens, [...members, ...this.#possibleMembers(now)]);
+    // Let go by the voters: a seat that is handed over as planned gives the lease back itself, any other leader steps down.
+    if (!this.#isRetiring && !this.#quorum.holds(this.#me)) this.#elector.stepDown();
+  }
+
+  /** Bodies by version, from when they were written until they are committed. */
+  readonly #written = new Map<string, { readonly count: number; readonly body: string }[]>();
+
+  #committedBody(part: PartName, version: Version): string {
+    // The replica here was written with this version first; a later one may already be under way.
+    const list = this.#written.get(part) ?? [];
+    const found = list.find(hasCount.bind(undefined, version.count));
+    this.#written.set(part, list.filter(isAfter.bind(undefined, version.count)));
+    return found?.body ?? this.#parts.replicaBody(part);
+  }
+
+  // ---- commands
+
+  #command(now: Moment, origin: Origin, verb: string, body: string): void {
+    try {
+      if (verb === 'status') {
+        this.#answer(origin, { status: 200, body: JSON.stringify(this.#status(now)) });
+        return;
+      }
+      if (verb === 'found') {
+        this.#found(now, origin);
+        return;
+      }
+      this.#forwarding.checkAge(now, verb);
+      if (this.#recoverUntil !== undefined)
+        throw new CodedError('no-leader', 'the table is being recovered from the members');
+      if (!this.#elector.isLeading() || !this.#isServing) {
+        this.#forwarding.forward(now, origin, verb, body);
+        return;
+      }
+      if (verb === 'read') this.#confirm({ do: 'read', origin });
+      else if (verb === 'live')
+        this.#answer(origin, {
+          status: 200,
+          body: JSON.stringify(this.#table.live(now, this.#doc)),
+        });
+      else if (verb === 'fleet')
+        this.#answer(origin, {
+          status: 200,
+          body: JSON.stringify(this.#table.fleet(now, this.#doc)),
+        });
+      else this.#orders.submit(now, origin, verb, body);
+    } catch (thrown) {
+      this.#answer(
+        origin,
+        errorAnswer(
+          thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
+        ),
+      );
+    }
+  }
+
+  #receiveCommand(now: Moment, from: string, message: Extract<Message, { kind: 'command' }>): void {
+    const origin = { from, id: message.id };
+    try {
+      this.#forwarding.checkForwarded(now, this.#ledEpoch, message);
+    } catch (thrown) {
+      this.#answer(
+        origin,
+        errorAnswer(
+          thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
+        ),
+      );
+      return;
+    }
+    this.#command(now, origin, message.verb, message.body);
+  }
+
+  #otherLeader(): string | undefined {
+    const { leader } = this.#elector;
+    return leader === this.#me ? undefined : leader;
+  }
+
+  /** A renewal tells the leader's clock; what is known of it bounds the age of the orders passed on. */
+  #noteLeaderTime(
+    from: string,
+    message: { readonly epoch: number; readonly sentAt: number },
+  ): void {
+    if (this.#elector.leader === from && this.#elector.epoch === message.epoch)
+      this.#forwarding.noteLeaderTime(leaderTimeOf(message));
+  }
+
+  // ---- orders and reads by proof of a majority
+
+  #newestDoc(): ConfigDoc {
+    return this.#doc;
+  }
+
+  #newestCommitted(): ConfigDoc {
+    return this.#committedDoc;
+  }
+
+  #writeDoc(now: Moment, doc: ConfigDoc, token: number): void {
+    this.#doc = doc;
+    this.#writePart(now, CONFIG_PART, encodeConfigDoc(doc), token);
+  }
+
+  #confirmRefusal(): number {
+    return this.#confirm({ do: 'refusal' });
+  }
+
+  /** A quorum read that begins after this moment. */
+  #confirm(confirmation: Confirmation): number {
+    this.#confirmationId += 1;
+    this.#confirmations.set(this.#confirmationId, confirmation);
+    this.#confirmation.add({ child: '', nonce: this.#confirmationId, members: [] });
+    return this.#confirmationId;
+  }
+
+  /** `newest` is the newest version that a majority holds, committed or not. */
+  #endConfirmation(now: Moment, id: number, newest: Version): void {
+    const confirmation = this.#confirmations.get(id);
+    if (!confirmation) return;
+    this.#confirmations.delete(id);
+    // Of our own epoch nobody but us commits anything: with nothing later around, what we know to be committed is the newest.
+    const isNewest = this.#isServing && newest.epoch <= this.#ledEpoch;
+    if (confirmation.do === 'refusal') this.#orders.confirmed(now, id, isNewest);
+    else this.#answerRead(confirmation.origin, newest, isNewest);
+  }
+
+  #answerRead(origin: Origin, newest: Version, isNewest: boolean): void {
+    const item = this.#relay.item('config');
+    const isOurs = isNewest && item?.version.epoch === this.#ledEpoch;
+    if (!this.#isServing || !item || (!isOurs && isNewer(newest, item.version))) {
+      this.#answer(
+        origin,
+        errorAnswer(
+          new CodedError('no-leader', 'a newer configuration is being written; ask again'),
+        ),
+      );
+      return;
+    }
+    this.#answer(origin, { status: 200, body: item.body });
+  }
+
+  #writePart(now: Moment, part: PartName, body: string, token: number): void {
+    const count = this.#parts.write(now, part, body, token);
+    this.#written.set(part, [
+      ...(this.#written.get(part) ?? [])
+        .filter(isAfter.bind(undefined, count - 2))
+        .filter(isBelow.bind(undefined, count)),
+      { count, body },
+    ]);
+  }
+
+  #tickCommands(now: Moment): void {
+    if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#isServing)
+      this.#endRecovery(now);
+    this.#forwarding.tick(now);
+    this.#orders.tick(now);
+    // A spare that is to vote is taken in once it holds everything; then the old set is let go.
+    if (
+      !this.#fleetManager &&
+      this.#isServing &&
+      this.#doc.voters.length === 2 &&
+      !this.#parts.isWriting(CONFIG_PART)
+    ) {
+      const [, next] = this.#doc.voters;
+      if (
+        next &&
+        next.map(nodeId).every(this.#elector.quorumMembers.has, this.#elector.quorumMembers)
+      ) {
+        this.#doc = { ...this.#doc, voters: [next] };
+        this.#writePart(now, CONFIG_PART, encodeConfigDoc(this.#doc), 0);
+      }
+    }
+  }
+
+  #isInForce(now: Moment, commit: Commit): boolean {
+    // In a deployment the yes says that it is held for good; the machines have their own span to follow.
+    if (this.#fleetManager !== undefined) return true;
+    // Whoever has not acked by then has not been confirmed fresh since before the write was held: it is blind.
+    return (
+      now >= later(commit.at, this.#settings.blindMs + BLIND_SLACK_MS) ||
+      this.#hasAllAcked(commit.members, commit.version)
+    );
+  }
+
+  #hasAllAcked(members: ReadonlySet<string>, version: Version): boolean {
+    for (const id of members)
+      if (compareVersions(this.#ackedBy.get(id) ?? NO_VERSION, version) < 0) return false;
+    return true;
+  }
+
+  #found(now: Moment, origin: Origin): void {
+    if (this.#replicaStatus.name === 'sound') {
+      this.#answer(origin, {
+        status: 200,
+        body: JSON.stringify({ outcome: 'already', standing: 'sound' }),
+      });
+      return;
+    }
+    this.#replicaStatus.force();
+    this.#isRecovering = true;
+    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
+    this.#answer(origin, {
+      status: 200,
+      body: JSON.stringify({ outcome: 'forced', standing: this.#replicaStatus.name }),
+    });
+  }
+
+  #answer(origin: Origin, answer: CommandAnswer): void {
+    if (origin.from === '') this.#effects.push({ do: 'reply', id: origin.id, ...answer });
+    else this.#send(origin.from, { kind: 'commandReply', id: origin.id, ...answer });
+  }
+
+  // ---- the outside: platform, weight store, runners
+
+  #writePlaced(now: Moment, part: PartName, body: string): void {
+    this.#placementWrites += 1;
+    this.#writePart(now, part, body, 0);
+  }
+
+  #publishFleet(count: number, body: string, delta: string): void {
+    const version = { epoch: this.#ledEpoch, count };
+    if (!this.#relay.offerDelta('fleet', version, count - 1, delta))
+      this.#relay.offer('fleet', version, body);
+  }
+
+  #tickOutside(now: Moment): void {
+    if (this.#fleetManager) {
+      if (this.#isServing && this.#recoverUntil === undefined)
+        this.#fleetManager.tick(now, this.#doc);
+      return;
+    }
+    if (now >= later(this.#machinesAt, this.#settings.machinesMs)) {
+      this.#machinesAt = now;
+      this.#effects.push({ do: 'askMachines' });
+    }
+    if (this.#isServing) this.#table.tick(now, this.#doc, this.#recoverUntil === undefined);
+  }
+
+  #publishPlaces(count: number, text: string): void {
+    this.#relay.offer('places', { epoch: this.#ledEpoch, count }, text);
+  }
+
+  // ---- what operators see
+
+  #status(now: Moment): object {
+    const totals: Record<string, number> = {};
+    for (const voter of this.#quorum.all)
+      totals[voter] = Math.round(this.#elector.scores.total(voter, this.#quorum.all) * 1000) / 1000;
+    const parts: Record<string, string> = {};
+    for (const part of allParts()) parts[part] = versionText(this.#parts.versionOf(part));
+    const members = [];
+    const seen = new Set<string>();
+    for (const member of this.#knownMembers()) {
+      if (seen.has(member.id)) continue;
+      seen.add(member.id);
+      members.push({
+        id: member.id,
+        zone: member.zone,
+        acked: versionText(this.#ackedBy.get(member.id) ?? member),
+        parent: this.#parentOf.get(member.id) ?? '',
+      });
+    }
+    const places = this.#relay.item('places');
+    const config = this.#relay.item('config');
+    return {
+      me: this.#me,
+      zone: this.#settings.zone,
+      standing: this.#replicaStatus.name,
+      membersHoldState: this.#replicaStatus.isMemberHolding,
+      role: this.#elector.role,
+      epoch: this.#elector.epoch,
+      leader: this.#elector.leader ?? '',
+      serving: this.#isServing,
+      mayOrder: this.mayOrder(now),
+      leaseLeftMs: Math.max(0, Math.round(this.#elector.leaseEnd - now)),
+      voters: this.#quorum.all,
+      scores: totals,
+      parts,
+      unsound: this.#parts.unsoundParts(),
+      mended: this.#parts.mends,
+      config: config ? versionText(config.version) : 'none',
+      placesVersion: places ? versionText(places.version) : 'none',
+      machines: this.#table.machines.revision,
+      members,
+      places: places ? parseAs(type({}), places.body) : undefined,
+      intents: (this.#fleetManager ?? this.#table).docs().flatMap(intentsOf),
+    };
+  }
+}
+
+function copyOf(set: readonly string[]): string[] {
+  return [...set];
+}
+function isVote(item: StoredPart): boolean {
+  return item.part === VOTE_PART;
+}
+function isOther(me: string, id: string): boolean {
+  return id !== me;
+}
+function hasCount(count: number, item: { readonly count: number }): boolean {
+  return item.count === count;
+}
+function isAfter(count: number, item: { readonly count: number }): boolean {
+  return item.count > count;
+}
+function isBelow(count: number, item: { readonly count: number }): boolean {
+  return item.count < count;
+}
+function intentsOf(doc: ServiceDoc): readonly Intent[] {
+  return doc.intents;
+}
--- a/src/flow/Forwarder.ts
+++ b/src/proxy/Forwarder.ts
@@ -1,21 +1,48 @@
-import { createServer, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import {
+  createServer,
+  request,
+  type ClientRequest,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { readBytes } from '../kin/Call.js';
-import type { Counters } from '../kin/Counters.js';
-import type { Moment } from '../kin/Ids.js';
-import { listenOn, splitAddress } from '../kin/Listen.js';
-import type { DispatchEffect, Dispatcher } from './Dispatcher.js';
+import { readBytes } from '../common/Call.js';
+import type { Counters } from '../common/Counters.js';
+import type { Moment } from '../common/Ids.js';
+import { listenOn, splitAddress } from '../common/Listen.js';
+import { ClientConnections } from './ClientConnections.js';
+import type { AnswerHead, DispatchEffect, Dispatcher } from './Dispatcher.js';
 import { EventStream } from './EventStream.js';
 import type { RequestDialect, SaidByRequest } from './RequestDialect.js';
 import { RunnerAgent } from './RunnerAgent.js';
+import { StallGuard } from './StallGuard.js';
 
 /** Headers that concern one connection only. */
-const HOP_HEADERS = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'transfer-encoding', 'upgrade', 'expect', 'proxy-connection', 'content-length', 'trailer']);
+const HOP_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+  'proxy-connection',
+  'content-length',
+  'trailer',
+]);
 /** An answer larger than this is passed on as it comes, even where it could be kept for a retry. */
 const MOST_BUFFERED = 1024 * 1024;
 /** Until operators have set their limits. */
-const FIRST_LIMITS = { maxHeaderBytes: 64 * 1024, maxBodyBytes: 4 * 1024 * 1024, headerWaitMs: 5000, idleMs: 15_000 } as const;
+const FIRST_LIMITS = {
+  maxHeaderBytes: 64 * 1024,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerWaitMs: 5000,
+  idleMs: 15_000,
+} as const;
 
 interface Exchange {
   readonly id: number;
@@ -27,6 +54,8 @@
   /** The id of the last event passed on, ours or, before that, the client's. */
   lastEventId: number | undefined;
   isHeadPassed: boolean;
+  /** Whether something was passed on that no further run could be told to leave out. */
+  isUnnumbered: boolean;
 }
 
 interface Attempt {
@@ -42,9 +71,11 @@
   const passed: OutgoingHttpHeaders = {};
   for (const [name, values] of Object.entries(message.headersDistinct)) {
     const [first] = values ?? [];
-    if (values && first !== undefined && !HOP_HEADERS.has(name)) passed[name] = values.length === 1 ? first : values;
+    if (values && first !== undefined && !HOP_HEADERS.has(name))
+      passed[name] = values.length === 1 ? first : values;
   }
-  if (named !== undefined && named !== 'close' && named !== 'keep-alive') for (const name of named.split(',')) Reflect.deleteProperty(passed, name.trim().toLowerCase());
+  if (named !== undefined && named !== 'close' && named !== 'keep-alive')
+    for (const name of named.split(',')) Reflect.deleteProperty(passed, name.trim().toLowerCase());
   return passed;
 }
 
@@ -52,7 +83,10 @@
 function isBounded(method: string, back: IncomingMessage): boolean {
   const status = back.statusCode ?? 0;
   if (method === 'HEAD' || status === 204 || status === 304) return true;
-  return back.headers['content-length'] !== undefined || (back.headers['transfer-encoding'] ?? '').toLowerCase().includes('chunked');
+  const coding = back.headers['transfer-encoding'];
+  // Any coding but this one ends with its connection, or changes the body.
+  if (coding !== undefined) return coding.trim().toLowerCase() === 'chunked';
+  return back.headers['content-length'] !== undefined;
 }
 
 /** Obeys the dispatcher over HTTP: reads requests, sends them where it says, passes answers on whole or visibly broken. */
@@ -64,6 +98,8 @@
   /** Asked to carry what is urgent to the agent beside us. */
   readonly #afterWork: () => void;
   readonly #exchanges = new Map<number, Exchange>();
+  readonly #connections = new ClientConnections<Exchange>(this.#closed.bind(this));
+  readonly #stallGuard: StallGuard;
   readonly #agent: RunnerAgent;
   readonly #server: Server;
   #count = 0;
@@ -71,38 +107,65 @@
   #isDraining = false;
   #onIdle: (() => void) | undefined;
 
-  constructor(dispatcher: Dispatcher, dialect: RequestDialect, counters: Counters, now: () => Moment, afterWork: () => void, agent: RunnerAgent = new RunnerAgent()) {
+  constructor(
+    dispatcher: Dispatcher,
+    dialect: RequestDialect,
+    counters: Counters,
+    now: () => Moment,
+    afterWork: () => void,
+    agent: RunnerAgent = new RunnerAgent(),
+  ) {
     this.#agent = agent;
     this.#dispatcher = dispatcher;
     this.#dialect = dialect;
     this.#counters = counters;
     this.#now = now;
     this.#afterWork = afterWork;
-    this.#server = createServer({ maxHeaderSize: FIRST_LIMITS.maxHeaderBytes, requestTimeout: 0, headersTimeout: FIRST_LIMITS.headerWaitMs, keepAliveTimeout: FIRST_LIMITS.idleMs, connectionsCheckingInterval: 1000, noDelay: true }, this.#accept.bind(this));
+    this.#stallGuard = new StallGuard(now);
+    this.#server = createServer(
+      {
+        maxHeaderSize: FIRST_LIMITS.maxHeaderBytes,
+        requestTimeout: 0,
+        headersTimeout: FIRST_LIMITS.headerWaitMs,
+        keepAliveTimeout: FIRST_LIMITS.idleMs,
+        connectionsCheckingInterval: 1000,
+        noDelay: true,
+      },
+      this.#accept.bind(this),
+    );
     this.#server.on('clientError', this.#clientError.bind(this));
   }
 
-  get size(): number { return this.#exchanges.size; }
+  get size(): number {
+    return this.#exchanges.size;
+  }
 
-  listen(address: string): Promise<number> { return listenOn(this.#server, address); }
+  listen(address: string): Promise<number> {
+    return listenOn(this.#server, address);
+  }
 
   /** Operators' limits on what a client may send, and how slowly. */
   limit(): void {
     const limits = this.#dispatcher.routing?.limits;
     if (!limits) return;
     this.#server.headersTimeout = limits.headerWaitMs;
+    if (limits.idleMs !== this.#server.keepAliveTimeout) this.#connections.rest(limits.idleMs);
     this.#server.keepAliveTimeout = limits.idleMs;
     // Node takes it for each new connection from here, though its types do not say so.
     Reflect.set(this.#server, 'maxHeaderSize', limits.maxHeaderBytes);
   }
 
-  beat(): void {
-    this.#dispatcher.beat(this.#now());
+  tick(): void {
+    this.#stallGuard.tick();
+    if (this.#exchanges.size === 0) return;
+    this.#dispatcher.tick(this.#now());
     this.obey();
   }
 
   /** From here on every answer asks its client to go elsewhere. */
-  startDraining(): void { this.#isDraining = true; }
+  startDraining(): void {
+    this.#isDraining = true;
+  }
 
   /** Takes no new connection, lets what runs end, and resolves then or at the limit. */
   async close(limitMs: number): Promise<void> {
@@ -121,35 +184,75 @@
 
   #clientError(thrown: Error & { code?: string }, socket: Duplex): void {
     this.#counters.add('requests.malformed');
-    if (!socket.writable || thrown.code === 'ECONNRESET') { socket.destroy(); return; }
-    const status = thrown.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : thrown.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
+    // A word on what came last would stand where the answer to an earlier request is due.
+    const isAnswerDue = socket instanceof Socket && this.#connections.isAnswerDue(socket);
+    if (!socket.writable || thrown.code === 'ECONNRESET' || isAnswerDue) {
+      socket.destroy();
+      return;
+    }
+    const status =
+      thrown.code === 'HPE_HEADER_OVERFLOW'
+        ? '431 Request Header Fields Too Large'
+        : thrown.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+          ? '408 Request Timeout'
+          : '400 Bad Request';
     socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
   }
 
   async #accept(asked: IncomingMessage, answer: ServerResponse): Promise<void> {
     this.#counters.add('requests');
     const limits = this.#dispatcher.routing?.limits ?? FIRST_LIMITS;
+    this.#connections.begin(asked);
     let body: Buffer;
     try {
-      if (Number(asked.headers['content-length'] ?? 0) > limits.maxBodyBytes) { this.#tooLarge(asked, answer); return; }
+      if (Number(asked.headers['content-length'] ?? 0) > limits.maxBodyBytes) {
+        this.#tooLarge(asked, answer);
+        return;
+      }
       body = await readBytes(asked, limits.maxBodyBytes);
     } catch {
       if (!answer.destroyed) this.#tooLarge(asked, answer);
       return;
     }
+    // Its client may have left while we stood still: that is read first, so that nothing runs for nobody.
+    if (this.#stallGuard.isWaking) await this.#stallGuard.settle();
     this.#count += 1;
     const id = this.#count;
     const said = this.#dialect.readRequest(asked.headers);
-    const exchange: Exchange = { id, asked, answer, body, said, attempt: undefined, lastEventId: said.lastEventId, isHeadPassed: false };
+    const exchange: Exchange = {
+      id,
+      asked,
+      answer,
+      body,
+      said,
+      attempt: undefined,
+      lastEventId: said.lastEventId,
+      isHeadPassed: false,
+      isUnnumbered: false,
+    };
+    if (!this.#connections.open(asked, exchange)) {
+      this.#counters.add('clients.gone');
+      return;
+    }
     this.#exchanges.set(id, exchange);
     answer.once('close', this.#closed.bind(this, exchange));
     const path = (asked.url ?? '/').split('?', 1)[0] ?? '/';
     const { model, adapter, promptTokens, prefix, timeLeftMs } = said;
-    this.#dispatcher.take(this.#now(), { id, host: asked.headers.host ?? '', path, model, adapter, promptTokens, prefix, timeLeftMs });
+    this.#dispatcher.take(this.#now(), {
+      id,
+      host: asked.headers.host ?? '',
+      path,
+      model,
+      adapter,
+      promptTokens,
+      prefix,
+      timeLeftMs,
+    });
     this.obey();
   }
 
   #tooLarge(asked: IncomingMessage, answer: ServerResponse): void {
+    this.#connections.drop(asked);
     asked.resume();
     answer.writeHead(413, { connection: 'close', 'content-length': 0 }).end();
   }
@@ -158,7 +261,11 @@
   obey(): void {
     if (this.#isObeying) return;
     this.#isObeying = true;
-    for (let effects = this.#dispatcher.drain(); effects.length > 0; effects = this.#dispatcher.drain()) {
+    for (
+      let effects = this.#dispatcher.drain();
+      effects.length > 0;
+      effects = this.#dispatcher.drain()
+    ) {
       for (const effect of effects) {
         const exchange = this.#exchanges.get(effect.id);
         if (exchange) this.#tryCarryOut(exchange, effect);
@@ -174,27 +281,43 @@
       this.#carryOut(exchange, effect);
     } catch {
       this.#counters.add('faults');
-      exchange.answer.destroy();
+      breakOff(exchange);
     }
   }
 
   #carryOut(exchange: Exchange, effect: DispatchEffect): void {
     const { attempt } = exchange;
     switch (effect.do) {
-      case 'send': this.#send(exchange, effect); break;
-      case 'pass': if (attempt?.number === effect.attempt) this.#pass(exchange, attempt); break;
-      case 'cancel': if (attempt?.number === effect.attempt) { attempt.isOver = true; attempt.sent.destroy(); } break;
-      case 'refuse': this.#refuse(exchange, effect); break;
-      case 'fail': this.#fail(exchange, effect.isTimeout ? 504 : 502); break;
+      case 'send':
+        this.#send(exchange, effect);
+        break;
+      case 'pass':
+        if (attempt?.number === effect.attempt) this.#pass(exchange, attempt);
+        break;
+      case 'cancel':
+        if (attempt?.number === effect.attempt) {
+          attempt.isOver = true;
+          attempt.sent.destroy();
+        }
+        break;
+      case 'refuse':
+        this.#refuse(exchange, effect);
+        break;
+      case 'fail':
+        this.#fail(exchange, effect.isTimeout ? 504 : 502);
+        break;
     }
   }
 
   #refuse(exchange: Exchange, effect: Extract<DispatchEffect, { do: 'refuse' }>): void {
     this.#counters.add(`refused.${effect.reason}`);
     const { answer } = exchange;
-    if (answer.headersSent || answer.destroyed) { answer.destroy(); return; }
+    if (answer.headersSent || answer.destroyed) {
+      breakOff(exchange);
+      return;
+    }
     const { status, headers } = this.#dialect.refusal(effect.reason, effect.retryAfterMs);
-    if (this.#isDraining) headers['connection'] = 'close';
+    if (this.#closesAfter(exchange)) headers['connection'] = 'close';
     answer.writeHead(status, { ...headers, 'content-length': 0 }).end();
   }
 
@@ -202,16 +325,31 @@
     this.#counters.add(`failed.${status}`);
     const { answer } = exchange;
     // An answer that has begun must be seen to be broken.
-    if (exchange.isHeadPassed || answer.headersSent) { answer.destroy(); return; }
-    if (!answer.destroyed) answer.writeHead(status, this.#isDraining ? { 'content-length': 0, connection: 'close' } : { 'content-length': 0 }).end();
+    if (exchange.isHeadPassed || answer.headersSent) {
+      breakOff(exchange);
+      return;
+    }
+    if (answer.destroyed) return;
+    const headers: OutgoingHttpHeaders = { 'content-length': 0 };
+    if (this.#closesAfter(exchange)) headers['connection'] = 'close';
+    answer.writeHead(status, headers).end();
+  }
+
+  /** While draining, a client is told to go elsewhere with the last answer that is due on its connection. */
+  #closesAfter(exchange: Exchange): boolean {
+    return this.#isDraining && this.#connections.closeAfter(exchange.asked.socket, exchange);
   }
 
   /** The client's connection closed, or all was answered. */
   #closed(exchange: Exchange): void {
-    this.#exchanges.delete(exchange.id);
+    if (!this.#exchanges.delete(exchange.id)) return;
+    this.#connections.end(exchange.asked.socket, exchange);
     if (!exchange.answer.writableFinished) {
       this.#counters.add('clients.gone');
-      if (exchange.attempt && !exchange.attempt.isOver) { exchange.attempt.isOver = true; exchange.attempt.sent.destroy(); }
+      if (exchange.attempt && !exchange.attempt.isOver) {
+        exchange.attempt.isOver = true;
+        exchange.attempt.sent.destroy();
+      }
     }
     this.#dispatcher.gone(this.#now(), exchange.id);
     this.obey();
@@ -221,21 +359,45 @@
   // ---- towards the runner
 
   #send(exchange: Exchange, send: Extract<DispatchEffect, { do: 'send' }>): void {
+    // Events without ids cannot be left out by another run: they would come twice.
+    if (exchange.isHeadPassed && exchange.isUnnumbered) {
+      breakOff(exchange);
+      return;
+    }
     const { host, port } = splitAddress(send.address);
+    // The kept connection that just broke was the one used last: what else is kept there has rested for longer.
+    if (send.isFresh) this.#agent.dropIdle(host, port);
     const headers = passedOn(exchange.asked);
-    this.#dialect.tellRunner(headers, { runner: send.runner, timeLeftMs: send.timeLeftMs, urgency: send.urgency, lastEventId: exchange.lastEventId });
+    this.#dialect.tellRunner(headers, {
+      runner: send.runner,
+      timeLeftMs: send.timeLeftMs,
+      urgency: send.urgency,
+      lastEventId: exchange.lastEventId,
+    });
     const method = exchange.asked.method ?? 'GET';
-    if (exchange.body.length > 0 || method === 'POST' || method === 'PUT' || method === 'PATCH') headers['content-length'] = exchange.body.length;
-    const sent = request({ host, port, method, path: exchange.asked.url ?? '/', headers, agent: this.#agent, setHost: false });
+    if (exchange.body.length > 0 || method === 'POST' || method === 'PUT' || method === 'PATCH')
+      headers['content-length'] = exchange.body.length;
+    const sent = request({
+      host,
+      port,
+      method,
+      path: exchange.asked.url ?? '/',
+      headers,
+      agent: this.#agent,
+      setHost: false,
+    });
     const attempt: Attempt = { number: send.attempt, send, sent, back: undefined, isOver: false };
     exchange.attempt = attempt;
     sent.once('socket', this.#socket.bind(this, exchange, attempt));
     sent.once('response', this.#receive.bind(this, exchange, attempt));
-    sent.on('error', this.#broke.bind(this, exchange, attempt));
+    sent.on('error', this.#sendFailed.bind(this, exchange, attempt));
   }
 
   #socket(exchange: Exchange, attempt: Attempt, socket: Socket): void {
-    if (!socket.connecting) { this.#write(exchange, attempt); return; }
+    if (!socket.connecting) {
+      this.#write(exchange, attempt);
+      return;
+    }
     this.#counters.add('connections');
     socket.setNoDelay(true);
     socket.once('connect', this.#write.bind(this, exchange, attempt));
@@ -244,6 +406,15 @@
   /** Nothing is handed to Node before the connection stands and the dispatcher was asked again. */
   #write(exchange: Exchange, attempt: Attempt): void {
     if (attempt.isOver) return;
+    const { socket } = attempt.sent;
+    // A kept connection may have ended since it was chosen: as nothing was written, that costs nothing.
+    if (attempt.sent.reusedSocket && (!socket?.writable || socket.readableEnded)) {
+      attempt.isOver = true;
+      attempt.sent.destroy();
+      this.#dispatcher.unwritten(this.#now(), exchange.id, attempt.number);
+      this.obey();
+      return;
+    }
     if (this.#dispatcher.mayWrite(this.#now(), exchange.id, attempt.number)) {
       attempt.sent.end(exchange.body.length > 0 ? exchange.body : undefined);
       return;
@@ -253,40 +424,102 @@
     this.obey();
   }
 
+  /** The connection failed, or what came on it is no HTTP. */
+  #sendFailed(exchange: Exchange, attempt: Attempt): void {
+    // What follows a whole answer belongs to no request: the answer stands, and its end is told next.
+    if (attempt.back?.complete) return;
+    this.#broke(exchange, attempt);
+  }
+
   #broke(exchange: Exchange, attempt: Attempt): void {
     if (attempt.isOver) return;
     attempt.isOver = true;
     this.#counters.add('runs.broke');
-    this.#dispatcher.broke(this.#now(), exchange.id, attempt.number, attempt.sent.reusedSocket && attempt.back === undefined);
+    this.#dispatcher.broke(
+      this.#now(),
+      exchange.id,
+      attempt.number,
+      attempt.sent.reusedSocket && attempt.back === undefined,
+    );
     this.obey();
   }
 
   #receive(exchange: Exchange, attempt: Attempt, back: IncomingMessage): void {
-    if (attempt.isOver) { back.resume(); return; }
+    if (attempt.isOver) {
+      back.resume();
+      return;
+    }
     attempt.back = back;
     this.#agent.note(back);
     back.on('error', ignore);
-    const head = this.#dialect.readAnswer(back.statusCode ?? 0, back.headers, exchange.said.attemptId);
-    if (head.isNotRun || head.status === 421) {
-      attempt.isOver = true;
-      this.#counters.add(`runs.not-run.${head.status}`);
-      back.resume();
+    const head = this.#dialect.readAnswer(
+      back.statusCode ?? 0,
+      back.headers,
+      exchange.said.attemptId,
+      !attempt.sent.reusedSocket,
+    );
+    if (head.isNotRun) {
+      this.#receiveNotRun(exchange, attempt, back, head);
+      return;
     }
+    if (!head.isGenuine) this.#counters.add('answers.foreign');
     this.#dispatcher.head(this.#now(), exchange.id, attempt.number, head);
     this.obey();
   }
 
+  /** The runner's word that it has not run the request counts once that answer is whole. */
+  #receiveNotRun(
+    exchange: Exchange,
+    attempt: Attempt,
+    back: IncomingMessage,
+    head: AnswerHead,
+  ): void {
+    const forwarder = {
+      dispatcher: this.#dispatcher,
+      now: this.#now,
+      obey: this.obey.bind(this),
+      counters: this.#counters,
+    };
+    function end(): void {
+      if (attempt.isOver) return;
+      finish(attempt);
+      forwarder.counters.add(`runs.not-run.${head.status}`);
+      forwarder.dispatcher.head(forwarder.now(), exchange.id, attempt.number, head);
+      forwarder.obey();
+    }
+    if (!isBounded(exchange.asked.method ?? 'GET', back)) {
+      attempt.sent.destroy();
+      this.#broke(exchange, attempt);
+      return;
+    }
+    back.once('end', end);
+    back.once('close', this.#broke.bind(this, exchange, attempt));
+    back.resume();
+  }
+
   // ---- towards the client
 
   #pass(exchange: Exchange, attempt: Attempt): void {
     const { back } = attempt;
     if (!back) return;
-    if (!isBounded(exchange.asked.method ?? 'GET', back)) { attempt.sent.destroy(); this.#broke(exchange, attempt); return; }
+    if (!isBounded(exchange.asked.method ?? 'GET', back)) {
+      attempt.sent.destroy();
+      this.#broke(exchange, attempt);
+      return;
+    }
     const isStream = (back.headers['content-type'] ?? '').startsWith('text/event-stream');
     // What was begun as a stream can only go on as one: any other answer of a further runner is none to this client.
-    if (exchange.isHeadPassed && !isStream) { attempt.sent.destroy(); this.#broke(exchange, attempt); return; }
+    if (exchange.isHeadPassed && !isStream) {
+      attempt.sent.destroy();
+      this.#broke(exchange, attempt);
+      return;
+    }
     if (isStream) this.#passStream(exchange, attempt, back);
-    else if (attempt.send.isBuffered && Number(back.headers['content-length'] ?? 0) <= MOST_BUFFERED) this.#passWhole(exchange, attempt, back);
+    else if (
+      attempt.send.isBuffered &&
+      Number(back.headers['content-length'] ?? 0) <= MOST_BUFFERED
+    )
+      this.#passWhole(exchange, attempt, back);
     else this.#passBytes(exchange, attempt, back);
   }
 
@@ -294,21 +527,32 @@
     exchange.isHeadPassed = true;
     const headers = passedOn(back);
     if (length !== undefined) headers['content-length'] = length;
-    if (this.#isDraining) headers['connection'] = 'close';
+    if (this.#closesAfter(exchange)) headers['connection'] = 'close';
     exchange.answer.writeHead(back.statusCode ?? 502, headers);
   }
 
   /** A small answer that may be asked for again is passed on once it is whole. */
   #passWhole(exchange: Exchange, attempt: Attempt, back: IncomingMessage): void {
     const chunks: Buffer[] = [];
-    const forwarder = { dispatcher: this.#dispatcher, now: this.#now, obey: this.obey.bind(this), writeHead: this.#writeHead.bind(this) };
-    function take(chunk: Buffer): void { chunks.push(chunk); }
+    const forwarder = {
+      dispatcher: this.#dispatcher,
+      now: this.#now,
+      obey: this.obey.bind(this),
+      writeHead: this.#writeHead.bind(this),
+    };
+    function take(chunk: Buffer): void {
+      chunks.push(chunk);
+    }
     function end(): void {
       if (attempt.isOver) return;
-      attempt.isOver = true;
+      finish(attempt);
       forwarder.dispatcher.moved(forwarder.now(), exchange.id, attempt.number);
       const body = Buffer.concat(chunks);
-      forwarder.writeHead(exchange, back, exchange.asked.method === 'HEAD' ? back.headers['content-length'] : body.length);
+      forwarder.writeHead(
+        exchange,
+        back,
+        exchange.asked.method === 'HEAD' ? back.headers['content-length'] : body.length,
+      );
       exchange.answer.end(body);
       forwarder.dispatcher.ended(forwarder.now(), exchange.id, attempt.number);
       forwarder.obey();
@@ -322,14 +566,19 @@
     const { answer } = exchange;
     const forwarder = { dispatcher: this.#dispatcher, now: this.#now, obey: this.obey.bind(this) };
     this.#writeHead(exchange, back, back.headers['content-length']);
+    // From its head on the client has begun to get this run's answer, and no other run's can follow.
+    this.#dispatcher.moved(this.#now(), exchange.id, attempt.number);
     function take(chunk: Buffer): void {
       if (attempt.isOver) return;
       forwarder.dispatcher.moved(forwarder.now(), exchange.id, attempt.number);
-      if (!answer.write(chunk)) { back.pause(); answer.once('drain', back.resume.bind(back)); }
+      if (!answer.write(chunk)) {
+        back.pause();
+        answer.once('drain', back.resume.bind(back));
+      }
     }
     function end(): void {
       if (attempt.isOver) return;
-      attempt.isOver = true;
+      finish(attempt);
       answer.end();
       forwarder.dispatcher.ended(forwarder.now(), exchange.id, attempt.number);
       forwarder.obey();
@@ -344,21 +593,34 @@
     const { answer } = exchange;
     const stream = new EventStream();
     const forwarder = {
-      dispatcher: this.#dispatcher, now: this.#now, obey: this.obey.bind(this), counters: this.#counters,
-      writeHead: this.#writeHead.bind(this, exchange, back, undefined), broke: this.#broke.bind(this, exchange, attempt),
+      dispatcher: this.#dispatcher,
+      now: this.#now,
+      obey: this.obey.bind(this),
+      counters: this.#counters,
+      writeHead: this.#writeHead.bind(this, exchange, back, undefined),
+      broke: this.#broke.bind(this, exchange, attempt),
     };
     const isResumption = exchange.isHeadPassed;
-    function begin(): void { if (!exchange.isHeadPassed) forwarder.writeHead(); }
+    function begin(): void {
+      if (!exchange.isHeadPassed) forwarder.writeHead();
+    }
     function take(chunk: Buffer): void {
       if (attempt.isOver) return;
       const passed: Buffer[] = [];
-      for (const { bytes, id } of stream.take(chunk)) {
+      for (const { bytes, id, isComment } of stream.take(chunk)) {
         if (id !== undefined) {
           const { lastEventId } = exchange;
           // What was passed on before is not passed on twice, and a gap is never hidden.
           if (lastEventId !== undefined && id <= lastEventId) continue;
-          if (isResumption && lastEventId !== undefined && id > lastEventId + 1) { forwarder.counters.add('streams.gap'); attempt.sent.destroy(); forwarder.broke(); return; }
+          if (isResumption && lastEventId !== undefined && id > lastEventId + 1) {
+            forwarder.counters.add('streams.gap');
+            attempt.sent.destroy();
+            forwarder.broke();
+            return;
+          }
           exchange.lastEventId = id;
+        } else if (!isComment) {
+          exchange.isUnnumbered = true;
         }
         passed.push(bytes);
       }
@@ -366,11 +628,14 @@
       if (passed.length === 0) return;
       begin();
       const isTaken = answer.write(passed.length === 1 ? passed[0] : Buffer.concat(passed));
-      if (!isTaken) { back.pause(); answer.once('drain', back.resume.bind(back)); }
+      if (!isTaken) {
+        back.pause();
+        answer.once('drain', back.resume.bind(back));
+      }
     }
     function end(): void {
       if (attempt.isOver) return;
-      attempt.isOver = true;
+      finish(attempt);
       begin();
       answer.end(stream.rest);
       forwarder.dispatcher.ended(forwarder.now(), exchange.id, attempt.number);
@@ -382,4 +647,19 @@
   }
 }
 
-function ignore(): void { /* the close that follows tells */ }
+/** The answer is whole. An answer that came before all of its request was written ends the writing too. */
+function finish(attempt: Attempt): void {
+  attempt.isOver = true;
+  if (!attempt.sent.writableFinished) attempt.sent.destroy();
+}
+
+/** Ends an answer so that no client takes it for whole. */
+function breakOff({ asked, answer }: Exchange): void {
+  // To a client of HTTP/1.0 an orderly end of the connection would be the end of the answer.
+  if (asked.httpVersion === '1.0') asked.socket.resetAndDestroy();
+  answer.destroy();
+}
+
+function ignore(): void {
+  /* the close that follows tells */
+}
--- a/src/flow/RunnerAgent.ts
+++ b/src/proxy/RunnerAgent.ts
@@ -1,4 +1,4 @@
-import { Agent, type IncomingMessage } from 'node:http';
+import { Agent, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { Socket } from 'node:net';
 
@@ -12,7 +12,9 @@
 export class RunnerAgent extends Agent {
   readonly #idleMs = new WeakMap<Duplex, number>();
 
-  constructor() { super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64 }); }
+  constructor() {
+    super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64 });
+  }
 
   /** The runner's word on how long it keeps this connection, if it gives one. */
   note(back: IncomingMessage): void {
@@ -22,16 +24,37 @@
   }
 
   /** Whether a connection to that address stands idle. */
-  hasIdle(host: string, port: number): boolean { return (this.freeSockets[`${host}:${port}:`]?.length ?? 0) > 0; }
+  hasIdle(host: string, port: number): boolean {
+    return (this.freeSockets[`${host}:${port}:`]?.length ?? 0) > 0;
+  }
+
+  /** Closes what is kept to that address. */
+  dropIdle(host: string, port: number): void {
+    for (const socket of [...(this.freeSockets[`${host}:${port}:`] ?? [])]) socket.destroy();
+  }
+
+  override reuseSocket(socket: Duplex, sent: ClientRequest): void {
+    socket.off('data', closeSpeaking);
+    super.reuseSocket(socket, sent);
+  }
 
   override keepSocketAlive(socket: Duplex): boolean {
     const idleMs = this.#idleMs.get(socket);
     if (!(socket instanceof Socket)) return false;
     socket.setKeepAlive(true, 1000);
     socket.unref();
-    if (idleMs === undefined) { socket.setTimeout(0); return true; }
+    // Whatever comes while nothing is asked belongs to no request, and what follows it to none that is asked later.
+    socket.on('data', closeSpeaking);
+    if (idleMs === undefined) {
+      socket.setTimeout(0);
+      return true;
+    }
     if (idleMs <= MARGIN_MS) return false;
     socket.setTimeout(idleMs - MARGIN_MS);
     return true;
   }
 }
+
+function closeSpeaking(this: Duplex): void {
+  this.destroy();
+}
--- a/src/myth/Agenda.ts
+++ b/src/rehearsal/Scheduler.ts
@@ -1,10 +1,12 @@
 /** What is to happen on virtual time, in order; of two things at one moment, the one put in first. */
-export class Agenda {
+export class Scheduler {
   readonly #heap: { readonly at: number; readonly order: number; readonly run: () => void }[] = [];
   #order = 0;
   #now = 0;
 
-  get now(): number { return this.#now; }
+  get now(): number {
+    return this.#now;
+  }
 
   at(moment: number, run: () => void): void {
     this.#order += 1;
@@ -19,7 +21,9 @@
     }
   }
 
-  after(millis: number, run: () => void): void { this.at(this.#now + millis, run); }
+  after(millis: number, run: () => void): void {
+    this.at(this.#now + millis, run);
+  }
 
   /** Runs all that is due until that moment. */
   runUntil(end: number): void {
--- a/src/myth/PlatformStand.ts
+++ b/src/rehearsal/StubPlatform.ts
@@ -1,15 +1,15 @@
 import type { ServerResponse } from 'node:http';
 import { array, boolean, string, type } from 'superstruct';
-import { parseAs } from '../kin/Json.js';
-import { MachineShape, type Machine } from '../place/Shapes.js';
-import { returnJson, StandServer } from './StandServer.js';
+import { parseAs } from '../common/Json.js';
+import { MachineShape, type Machine } from '../placement/Shapes.js';
+import { replyJson, StubServer } from './StubServer.js';
 
 const PutShape = type({ machines: array(MachineShape) });
 const MarkShape = type({ id: string(), leaving: boolean() });
 
-/** A stand-in for the platform's list of machines; the rehearsal changes it through PUT and POST. */
-export class PlatformStand {
-  readonly #server: StandServer;
+/** A stub for the platform's list of machines; the rehearsal changes it through PUT and POST. */
+export class StubPlatform {
+  readonly #server: StubServer;
   #machines: readonly Machine[];
   // Revisions go on from the wall clock, so that a restarted platform's list is newer than the one before.
   #revision = Date.now();
@@ -17,22 +17,30 @@
 
   constructor(machines: readonly Machine[], records: string) {
     this.#machines = machines;
-    this.#server = new StandServer(this.#serve.bind(this), records);
+    this.#server = new StubServer(this.#serve.bind(this), records);
   }
 
-  async listen(address: string): Promise<number> { return this.#server.listen(address); }
+  async listen(address: string): Promise<number> {
+    return this.#server.listen(address);
+  }
 
-  close(): void { this.#server.close(); }
+  close(): void {
+    this.#server.close();
+  }
 
   #serve(method: string, path: string, body: string, returned: ServerResponse): void {
     if (method === 'PUT' && path === '/machines') {
       const put = parseAs(PutShape, body);
-      if (put) { this.#machines = put.machines; this.#revision += 1; }
+      if (put) {
+        this.#machines = put.machines;
+        this.#revision += 1;
+      }
     } else if (method === 'POST' && path === '/mark') {
       const mark = parseAs(MarkShape, body);
       if (mark) {
         const marked: Machine[] = [];
-        for (const machine of this.#machines) marked.push(machine.id === mark.id ? { ...machine, leaving: mark.leaving } : machine);
+        for (const machine of this.#machines)
+          marked.push(machine.id === mark.id ? { ...machine, leaving: mark.leaving } : machine);
         this.#machines = marked;
         this.#revision += 1;
         this.#server.record({ what: 'mark', ...mark, revision: this.#revision });
@@ -43,6 +51,6 @@
       this.#shown = this.#revision;
       this.#server.record({ what: 'shown', revision: this.#revision });
     }
-    returnJson(returned, 200, { revision: this.#revision, machines: this.#machines });
+    replyJson(returned, 200, { revision: this.#revision, machines: this.#machines });
   }
 }
--- a/src/hold/Standing.test.ts
+++ b/src/state/ReplicaStatus.test.ts
@@ -1,29 +1,35 @@
 import { expect, test } from 'vitest';
-import { fellowId, moment } from '../kin/Ids.js';
-import type { Message } from '../kin/Messages.js';
-import { Quorum as Voters } from '../kin/Quorum.js';
-import { Standing } from './Standing.js';
+import { nodeId, moment } from '../common/Ids.js';
+import type { Message } from '../common/Messages.js';
+import { Quorum as Voters } from '../common/Quorum.js';
+import { ReplicaStatus } from './ReplicaStatus.js';
 
-const [a, b, c] = [fellowId('a'), fellowId('b'), fellowId('c')];
+const [a, b, c] = [nodeId('a'), nodeId('b'), nodeId('c')];
 const quorum = new Voters([a, b, c]);
-function returned(standing: string, epoch: number): Extract<Message, { kind: 'readReturn' }> {
-  return { kind: 'readReturn', epoch, nonce: 1, sound: false, copies: [], standing };
+function returned(standing: string, epoch: number): Extract<Message, { kind: 'readReply' }> {
+  return { kind: 'readReply', epoch, nonce: 1, sound: false, copies: [], standing };
 }
-function start(): Standing {
-  const standing = new Standing(a, 'blank', moment(0), 1000, 0);
-  standing.beat(moment(1500), quorum);
+function start(): ReplicaStatus {
+  const standing = new ReplicaStatus(a, 'blank', moment(0), 1000, 0);
+  standing.tick(moment(1500), quorum);
   return standing;
 }
 function checkFounding(): void {
   const standing = start();
   expect(standing.receive(moment(1600), b, returned('blank', 0), quorum)).toBeUndefined();
-  expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({ become: 'founded', epoch: 0 });
+  expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({
+    become: 'founded',
+    epoch: 0,
+  });
 }
 function checkSlowFounding(): void {
-  // A fellow that founded first has already run its epoch up alone.
+  // A peer that founded first has already run its epoch up alone.
   const standing = start();
   standing.receive(moment(1600), b, returned('fresh', 23), quorum);
-  expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({ become: 'founded', epoch: 0 });
+  expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toEqual({
+    become: 'founded',
+    epoch: 0,
+  });
 }
 function checkMemberHolds(): void {
   const standing = start();
@@ -35,10 +41,14 @@
 }
 function checkLostDisk(): void {
   const standing = start();
-  // One fellow alone may not know what we decided with the other.
+  // One peer alone may not know what we decided with the other.
   expect(standing.receive(moment(1600), b, returned('sound', 8), quorum)).toBeUndefined();
   expect(standing.receive(moment(1600), c, returned('blank', 0), quorum)).toBeUndefined();
-  expect(standing.receive(moment(1600), c, returned('sound', 6), quorum)).toEqual({ become: 'repaired', epoch: 8, copies: [] });
+  expect(standing.receive(moment(1600), c, returned('sound', 6), quorum)).toEqual({
+    become: 'repaired',
+    epoch: 8,
+    copies: [],
+  });
 }
 test('blank seeds found together', checkFounding);
 test('a seed that is slow to found still founds beside one that was not', checkSlowFounding);
