--- a/eslint.config.js
+++ b/eslint.config.js
@@ -87,7 +87,7 @@
   },
   ...tseslint.configs.recommended,
   {
-    files: ['src/**/*.ts', 'platform/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'bench/**/*.ts'],
     rules: {
       'prefer-const': 'error',
       '@typescript-eslint/no-explicit-any': 'error',
