--- a/src/rehearsal/LossMeasure.test.ts
+++ b/src/rehearsal/LossMeasure.test.ts
@@ -9,7 +9,9 @@
   }
 }
 async function checkTakeover(): Promise<void> {
-  const { outcomes, undisturbed } = await measureTakeover(1, 4);
+  const { outcomes, undisturbed } = await measureTakeover(1, 12);
+  // Which runner is lost is drawn: where nobody calls its models, there is nothing to compare.
+  expect(undisturbed['done'] ?? 0).toBeGreaterThan(100);
   expect(outcomes['done'] ?? 0).toBeGreaterThan((undisturbed['done'] ?? 0) * 0.6);
 }
 test('after one loss somebody may order again within a bounded time', checkLosses, 600_000);
