Let one idle planner serve the tests of the control node

Four test files had the same planner that plans nothing, two of them with what they add. It stands once in src/control/testing/IdlePlanner.ts now; those that differ override it. No assertion and no product code changed.

--- a/src/control/FleetManager.test.ts
+++ b/src/control/FleetManager.test.ts
@@ -1,50 +1,17 @@
 import { expect, test } from 'vitest';
-import { moment, type Moment } from '../common/Ids.js';
+import { moment } from '../common/Ids.js';
 import type { Fleet } from '../placement/Fleet.js';
-import type { Intent } from '../placement/Shapes.js';
 import { firstDoc } from './ConfigDoc.js';
 import { FleetManager } from './FleetManager.js';
-import type { FleetPlanner } from './ControlEffect.js';
+import { IdlePlanner } from './testing/IdlePlanner.js';
 
 /** Says what it is given to say. */
-class TellingPlanner implements FleetPlanner {
+class TellingPlanner extends IdlePlanner {
   told: Fleet = { flows: 1, runners: [], waits: [] };
-  restore(): void {
-    /* nothing kept */
-  }
-  docs(): readonly [] {
-    return [];
-  }
-  demand(): void {
-    /* not told */
-  }
-  list(): void {
-    /* not told */
-  }
-  status(): void {
-    /* not told */
-  }
-  asks(): readonly string[] {
-    return [];
-  }
-  plan(): readonly string[] {
-    return [];
-  }
-  orders(): readonly Intent[] {
-    return [];
-  }
-  kept(): void {
-    /* nothing kept */
-  }
-  ordered(): void {
-    /* nothing ordered */
-  }
-  fleet(): Fleet {
+
+  override fleet(): Fleet {
     return this.told;
   }
-  nextAt(): Moment | undefined {
-    return undefined;
-  }
 }
 
 function fleetOf(coldMs: number): Fleet {
--- a/src/control/testing/ControlCluster.ts
+++ b/src/control/testing/ControlCluster.ts
@@ -1,51 +1,10 @@
 import { MemoryStore } from '../../state/MemoryStore.js';
 import { moment, type Moment } from '../../common/Ids.js';
 import type { Message } from '../../common/Messages.js';
-import type { Fleet } from '../../placement/Fleet.js';
-import type { Intent } from '../../placement/Shapes.js';
 import type { Routing } from '../../route/Routing.js';
+import { IdlePlanner } from './IdlePlanner.js';
 import { ControlCore } from '../ControlCore.js';
-import { CONTROL_DEFAULTS, type FleetPlanner } from '../ControlEffect.js';
-
-/** Plans nothing: what is tried here is the configuration and who votes on it. */
-class IdlePlanner implements FleetPlanner {
-  restore(): void {
-    /* nothing kept */
-  }
-  docs(): readonly [] {
-    return [];
-  }
-  demand(): void {
-    /* not told */
-  }
-  list(): void {
-    /* not told */
-  }
-  status(): void {
-    /* not told */
-  }
-  asks(): readonly string[] {
-    return [];
-  }
-  plan(): readonly string[] {
-    return [];
-  }
-  orders(): readonly Intent[] {
-    return [];
-  }
-  kept(): void {
-    /* nothing kept */
-  }
-  ordered(): void {
-    /* nothing ordered */
-  }
-  fleet(): Fleet {
-    return { flows: 1, runners: [], waits: [] };
-  }
-  nextAt(): Moment | undefined {
-    return undefined;
-  }
-}
+import { CONTROL_DEFAULTS } from '../ControlEffect.js';
 
 interface Document {
   readonly version: number;
--- a/src/control/testing/FaultCluster.ts
+++ b/src/control/testing/FaultCluster.ts
@@ -1,18 +1,18 @@
+import { IdlePlanner } from './IdlePlanner.js';
 import { allParts } from '../../state/PartNames.js';
 import { MemoryStore } from '../../state/MemoryStore.js';
 import type { StoredPart } from '../../state/Store.js';
 import { moment, type Moment } from '../../common/Ids.js';
 import type { Message } from '../../common/Messages.js';
-import type { Fleet } from '../../placement/Fleet.js';
-import type { Intent, ServiceDoc } from '../../placement/Shapes.js';
+import type { ServiceDoc } from '../../placement/Shapes.js';
 import type { Routing } from '../../route/Routing.js';
 import { VOTE_DEFAULTS } from '../../election/VoteSettings.js';
 import { ControlCore } from '../ControlCore.js';
-import { CONTROL_DEFAULTS, type FleetPlanner, type ControlEffect } from '../ControlEffect.js';
+import { CONTROL_DEFAULTS, type ControlEffect } from '../ControlEffect.js';
 import { SeededNumbers } from './SeededNumbers.js';
 
 /** Plans nothing by itself: it keeps what a test places, as a planner keeps its intents. */
-class KeepingPlanner implements FleetPlanner {
+class KeepingPlanner extends IdlePlanner {
   #docs: readonly ServiceDoc[] = [];
   #changed: string[] = [];
 
@@ -22,42 +22,17 @@
     this.#changed.push(model);
   }
 
-  restore(_now: Moment, docs: readonly ServiceDoc[]): void {
+  override restore(_now: Moment, docs: readonly ServiceDoc[]): void {
     this.#docs = docs;
   }
-  docs(): readonly ServiceDoc[] {
+
+  override docs(): readonly ServiceDoc[] {
     return this.#docs;
   }
-  demand(): void {
-    /* not told */
-  }
-  list(): void {
-    /* not told */
-  }
-  status(): void {
-    /* not told */
-  }
-  asks(): readonly string[] {
-    return [];
-  }
-  plan(): readonly string[] {
+
+  override plan(): readonly string[] {
     return this.#changed.splice(0);
   }
-  orders(): readonly Intent[] {
-    return [];
-  }
-  kept(): void {
-    /* nothing ordered */
-  }
-  ordered(): void {
-    /* nothing ordered */
-  }
-  fleet(): Fleet {
-    return { flows: 1, runners: [], waits: [] };
-  }
-  nextAt(): Moment | undefined {
-    return undefined;
-  }
 }
 
 interface Document {
--- /dev/null
+++ b/src/control/testing/IdlePlanner.ts
@@ -0,0 +1,44 @@
+import type { Moment } from '../../common/Ids.js';
+import type { Fleet } from '../../placement/Fleet.js';
+import type { Intent, ServiceDoc } from '../../placement/Shapes.js';
+import type { FleetPlanner } from '../ControlEffect.js';
+
+/** A planner that plans nothing, for tests of the control node's other parts; what differs is overridden. */
+export class IdlePlanner implements FleetPlanner {
+  restore(_now: Moment, _docs: readonly ServiceDoc[]): void {
+    /* nothing kept */
+  }
+  docs(): readonly ServiceDoc[] {
+    return [];
+  }
+  demand(): void {
+    /* not told */
+  }
+  list(): void {
+    /* not told */
+  }
+  status(): void {
+    /* not told */
+  }
+  asks(): readonly string[] {
+    return [];
+  }
+  plan(): readonly string[] {
+    return [];
+  }
+  orders(): readonly Intent[] {
+    return [];
+  }
+  kept(): void {
+    /* nothing kept */
+  }
+  ordered(): void {
+    /* nothing ordered */
+  }
+  fleet(): Fleet {
+    return { flows: 1, runners: [], waits: [] };
+  }
+  nextAt(): Moment | undefined {
+    return undefined;
+  }
+}
--- a/src/simulation/exhaustive/ControlNode.ts
+++ b/src/simulation/exhaustive/ControlNode.ts
@@ -1,3 +1,4 @@
+import { IdlePlanner } from '../../control/testing/IdlePlanner.js';
 import { array, number, optional, string, type, type Infer } from 'superstruct';
 import { CONFIG_PART } from '../../state/PartNames.js';
 import type { StoredPart } from '../../state/Store.js';
@@ -6,9 +7,7 @@
 import type { Message } from '../../common/Messages.js';
 import { isNewer } from '../../common/Version.js';
 import { ControlCore } from '../../control/ControlCore.js';
-import { CONTROL_DEFAULTS, type FleetPlanner } from '../../control/ControlEffect.js';
-import type { Fleet } from '../../placement/Fleet.js';
-import type { Intent } from '../../placement/Shapes.js';
+import { CONTROL_DEFAULTS } from '../../control/ControlEffect.js';
 import type { ConfigDialect, Routing, RoutingFault } from '../../route/Routing.js';
 import type { VoteSettings } from '../../election/VoteSettings.js';
 import type { Boot, DiskWrite, Input, Output, Sent, Subject } from './LocalStates.js';
@@ -90,46 +89,6 @@
   return body === '' ? undefined : parseAs(ConfigShape, body);
 }
 
-/** Plans nothing. */
-class IdlePlanner implements FleetPlanner {
-  restore(): void {
-    /* nothing is kept */
-  }
-  docs(): readonly [] {
-    return [];
-  }
-  demand(): void {
-    /* nothing is planned */
-  }
-  list(): void {
-    /* nothing is planned */
-  }
-  status(): void {
-    /* nothing is planned */
-  }
-  asks(): readonly string[] {
-    return [];
-  }
-  plan(): readonly string[] {
-    return [];
-  }
-  orders(): readonly Intent[] {
-    return [];
-  }
-  kept(): void {
-    /* nothing is kept */
-  }
-  ordered(): void {
-    /* nothing is ordered */
-  }
-  fleet(): Fleet {
-    return { flows: 1, runners: [], waits: [] };
-  }
-  nextAt(): Moment | undefined {
-    return undefined;
-  }
-}
-
 interface ReadRouting {
   readonly routing: Routing | undefined;
   readonly faults: readonly RoutingFault[];
