Let test workers hear their parent between synchronous tests

Synchronous tests that follow one another are joined by microtasks alone; the searches state by state are 23 such tests in one file, 60.9 s in all, and a worker whose event loop does not turn for 60 s takes its parent for gone.

Reproduced: five synchronous tests of 16 s each in one file, same configuration: 5 passed, 1 error, after 80 s. With the loop turned before each test: 5 passed, no error.

Conclusion: a hook before each test of the suite. No test, bound or time-out changed.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,6 +5,7 @@
   // what hangs, not to judge how fast the machine is.
   test: {
     include: ['src/**/*.test.ts', 'platform/**/*.test.ts', 'bench/**/*.test.ts'],
+    setupFiles: ['vitest.setup.ts'],
     testTimeout: 180_000,
     hookTimeout: 180_000,
     fileParallelism: true,
