Cut the simulator into the run, its operators, its checks and its batches of seeds

Operators, the look at each proxy, the checks at the end, findings and batches of seeds are modules of their own now; agents and proxies are called so.

Tests' assertions are untouched; imports moved.

--- a/src/rehearsal/Network.test.ts
+++ b/src/rehearsal/Network.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
-import { Simulation, storm } from './Simulation.js';
+import { Simulation } from './Simulation.js';
+import { storm } from './Storms.js';
 
 async function checkCuts(): Promise<void> {
   expect(
--- a/src/rehearsal/SimAgent.test.ts
+++ b/src/rehearsal/SimAgent.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest';
-import { storm } from './Simulation.js';
+import { storm } from './Storms.js';
 
 async function checkEdges(): Promise<void> {
   expect(
--- a/src/rehearsal/SimAgent.ts
+++ b/src/rehearsal/SimAgent.ts
@@ -20,7 +20,7 @@
   readonly #seeds: readonly string[];
   #core: AgentCore | undefined;
   /** The proxies beside it, by id: fed over loopback, which is never cut. */
-  readonly flows = new Map<string, FedProxy>();
+  readonly proxies = new Map<string, FedProxy>();
 
   constructor(
     id: string,
@@ -73,7 +73,7 @@
   #obey(): void {
     for (const effect of this.#core?.drain() ?? []) {
       if (effect.do !== 'send') continue;
-      const flow = this.flows.get(effect.to);
+      const flow = this.proxies.get(effect.to);
       if (flow)
         this.scheduler.after(
           0.1,
--- a/src/rehearsal/SimConnection.test.ts
+++ b/src/rehearsal/SimConnection.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest';
-import { bite } from './Simulation.js';
+import { bite } from './Storms.js';
 
 async function checkBites(wrong: Parameters<typeof bite>[0]): Promise<void> {
   expect(await bite(wrong)).toEqual([]);
--- a/src/rehearsal/SimControl.test.ts
+++ b/src/rehearsal/SimControl.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest';
 import { SimControl } from './SimControl.js';
-import { Simulation, storm } from './Simulation.js';
+import { Simulation } from './Simulation.js';
+import { storm } from './Storms.js';
 
 async function checkDisks(): Promise<void> {
   expect(
--- a/src/rehearsal/SimProxy.ts
+++ b/src/rehearsal/SimProxy.ts
@@ -68,7 +68,7 @@
     this.#link = link;
     this.#wrong = wrong;
     this.#clients = new SimClients(id, scheduler, records);
-    link.flows.set(id, this);
+    link.proxies.set(id, this);
     scheduler.after(seeded.between(0, 200), this.#call.bind(this));
   }
 
--- a/src/rehearsal/SimTroubles.ts
+++ b/src/rehearsal/SimTroubles.ts
@@ -8,7 +8,7 @@
 import type { SimControl } from './SimControl.js';
 import type { SimNode } from './SimNode.js';
 import type { SimOutside } from './SimOutside.js';
-import type { EventRecord } from './Records.js';
+import type { RunFindings } from './RunFindings.js';
 import { CONDITIONS, type Condition, type TroubleKind } from './TroubleKinds.js';
 
 export const RUNNERS = ['r0', 'r1', 'r2', 'r3'] as const;
@@ -24,10 +24,9 @@
   readonly outside: SimOutside;
   readonly nodes: ReadonlyMap<string, SimNode>;
   readonly controlNodes: readonly SimControl[];
-  readonly links: readonly SimAgent[];
-  readonly flows: readonly SimProxy[];
-  readonly say: (text: string) => void;
-  readonly note: (event: Omit<EventRecord, 'at'>) => void;
+  readonly agents: readonly SimAgent[];
+  readonly proxies: readonly SimProxy[];
+  readonly findings: RunFindings;
   readonly holds: (condition: Condition) => boolean;
 }
 
@@ -46,15 +45,15 @@
     const span = seeded.between(300, 9000);
     const controlNode = seeded.pick(this.#stage.controlNodes);
     const other = seeded.pick(this.#stage.controlNodes);
-    const link = seeded.pick(this.#stage.links);
-    const flow = seeded.pick(this.#stage.flows);
+    const agent = seeded.pick(this.#stage.agents);
+    const proxy = seeded.pick(this.#stage.proxies);
     const runner = seeded.pick(RUNNERS) ?? 'r0';
     const plain = seeded.pick(PLAIN) ?? 'k0';
     const back = seeded.isLikely(0.6) ? runner : plain;
-    this.#stage.say(
-      `trouble ${kind} ${controlNode?.id} ${other?.id} ${link?.id} ${flow?.id} ${runner} ${plain} for ${Math.round(span)}`,
+    this.#stage.findings.say(
+      `trouble ${kind} ${controlNode?.id} ${other?.id} ${agent?.id} ${proxy?.id} ${runner} ${plain} for ${Math.round(span)}`,
     );
-    if (!controlNode || !other || !link || !flow) return;
+    if (!controlNode || !other || !agent || !proxy) return;
     this.#count(kind);
     switch (kind) {
       case 'kill-mind':
@@ -105,33 +104,33 @@
         this.#cut([controlNode.id], this.#ids(controlNode.id), true, span);
         break;
       case 'isolate-link':
-        this.#cut([link.id], this.#ids(link.id), true, span);
-        for (const id of link.flows.keys())
-          this.#stage.note({ what: 'cut', node: id, number: span + 100 });
+        this.#cut([agent.id], this.#ids(agent.id), true, span);
+        for (const id of agent.proxies.keys())
+          this.#stage.findings.note({ what: 'cut', node: id, number: span + 100 });
         break;
       case 'cut-link':
-        this.#cut([link.id], [controlNode.id, other.id], seeded.isLikely(0.5), span);
+        this.#cut([agent.id], [controlNode.id, other.id], seeded.isLikely(0.5), span);
         break;
       case 'isolate-core':
-        this.#cut(this.#stage.controlNodes.map(idOf), this.#stage.links.map(idOf), true, span);
+        this.#cut(this.#stage.controlNodes.map(idOf), this.#stage.agents.map(idOf), true, span);
         break;
       case 'kill-link':
-        this.kill(link);
-        scheduler.after(span, link.start.bind(link));
+        this.kill(agent);
+        scheduler.after(span, agent.start.bind(agent));
         break;
       case 'freeze-link':
-        link.freeze();
-        scheduler.after(span, link.wake.bind(link));
+        agent.freeze();
+        scheduler.after(span, agent.wake.bind(agent));
         break;
       case 'kill-flow':
-        this.#killProxy(flow);
-        scheduler.after(span, flow.start.bind(flow));
+        this.#killProxy(proxy);
+        scheduler.after(span, proxy.start.bind(proxy));
         break;
       case 'freeze-flow':
-        this.#freezeProxy(flow, span);
+        this.#freezeProxy(proxy, span);
         break;
       case 'restart-flow':
-        this.#restartProxy(flow);
+        this.#restartProxy(proxy);
         break;
       case 'loss':
         network.loss = 0.2;
@@ -164,8 +163,8 @@
         this.#restartBack(plain);
         break;
       case 'cut-back':
-        this.#cut(this.#stage.links.map(idOf), [back], seeded.isLikely(0.5), span);
-        this.#stage.note({ what: 'cut', node: back, number: span + 100 });
+        this.#cut(this.#stage.agents.map(idOf), [back], seeded.isLikely(0.5), span);
+        this.#stage.findings.note({ what: 'cut', node: back, number: span + 100 });
         break;
       case 'mark-runner':
         outside.mark(back, true);
@@ -243,32 +242,32 @@
     }
   }
 
-  #killProxy(flow: SimProxy): void {
-    if (!flow.isUp) return;
-    flow.kill();
-    for (const link of this.#stage.links)
-      if (link.flows.has(flow.id))
-        this.#stage.scheduler.after(1, link.perform.bind(link, link.gone.bind(link, flow.id)));
+  #killProxy(proxy: SimProxy): void {
+    if (!proxy.isUp) return;
+    proxy.kill();
+    for (const agent of this.#stage.agents)
+      if (agent.proxies.has(proxy.id))
+        this.#stage.scheduler.after(1, agent.perform.bind(agent, agent.gone.bind(agent, proxy.id)));
   }
 
-  #freezeProxy(flow: SimProxy, span: number): void {
-    if (!flow.isUp || flow.isFrozen) return;
-    flow.freeze();
-    this.#stage.note({ what: 'frozen', node: flow.id, number: span });
-    this.#stage.scheduler.after(span, flow.wake.bind(flow));
+  #freezeProxy(proxy: SimProxy, span: number): void {
+    if (!proxy.isUp || proxy.isFrozen) return;
+    proxy.freeze();
+    this.#stage.findings.note({ what: 'frozen', node: proxy.id, number: span });
+    this.#stage.scheduler.after(span, proxy.wake.bind(proxy));
   }
 
   /** A planned stop: what runs there may end first. */
-  #restartProxy(flow: SimProxy): void {
-    if (!flow.isUp || flow.isDraining || flow.isFrozen) return;
-    this.#stage.note({ what: 'planned-stop', node: flow.id });
+  #restartProxy(proxy: SimProxy): void {
+    if (!proxy.isUp || proxy.isDraining || proxy.isFrozen) return;
+    this.#stage.findings.note({ what: 'planned-stop', node: proxy.id });
     const stage = this.#stage;
     const kill = this.#killProxy.bind(this);
     function stopped(): void {
-      kill(flow);
-      stage.scheduler.after(200, flow.start.bind(flow));
+      kill(proxy);
+      stage.scheduler.after(200, proxy.start.bind(proxy));
     }
-    flow.retire(stopped);
+    proxy.retire(stopped);
   }
 
   /** It takes as long as a process does to start; then everybody asks. */
@@ -283,7 +282,7 @@
   #darken(id: string, span: number): void {
     const { scheduler, outside } = this.#stage;
     outside.setDark(id, true);
-    this.#stage.note({ what: 'frozen', node: id, number: span });
+    this.#stage.findings.note({ what: 'frozen', node: id, number: span });
     scheduler.after(span, outside.setDark.bind(outside, id, false));
   }
 
@@ -307,25 +306,25 @@
 
   /** Everybody asks at once. */
   #crowd(size: number): void {
-    for (const flow of this.#stage.flows)
-      for (let index = 0; index < size; index += 1) flow.send(flow.lookup());
+    for (const proxy of this.#stage.proxies)
+      for (let index = 0; index < size; index += 1) proxy.send(proxy.lookup());
   }
 
   /** A zone lost whole: its core machine, an edge, and all back ends there; then back. */
   #loseZone(index: number, span: number): void {
-    const { scheduler, outside, controlNodes, links, flows } = this.#stage;
-    const [controlNode, link, flow] = [controlNodes[index], links[index], flows[index]];
+    const { scheduler, outside, controlNodes, agents, proxies } = this.#stage;
+    const [controlNode, agent, proxy] = [controlNodes[index], agents[index], proxies[index]];
     if (controlNode) {
       this.kill(controlNode);
       scheduler.after(span, controlNode.start.bind(controlNode));
     }
-    if (link) {
-      this.kill(link);
-      scheduler.after(span, link.start.bind(link));
+    if (agent) {
+      this.kill(agent);
+      scheduler.after(span, agent.start.bind(agent));
     }
-    if (flow) {
-      this.#killProxy(flow);
-      scheduler.after(span, flow.start.bind(flow));
+    if (proxy) {
+      this.#killProxy(proxy);
+      scheduler.after(span, proxy.start.bind(proxy));
     }
     for (const machine of outside.list) {
       if (machine.zone !== ZONES[index]) continue;
@@ -361,8 +360,8 @@
   }
 
   healAll(): void {
-    const { network, outside, controlNodes, flows, nodes } = this.#stage;
-    this.#stage.say('healing');
+    const { network, outside, controlNodes, proxies, nodes } = this.#stage;
+    this.#stage.findings.say('healing');
     network.healAll();
     platformUp(outside);
     outside.setLimit(LIMIT);
@@ -371,7 +370,7 @@
       controlNode.unstall();
       controlNode.diskMs = 3;
     }
-    for (const node of [...nodes.values(), ...flows]) {
+    for (const node of [...nodes.values(), ...proxies]) {
       node.wake();
       node.start();
     }
--- a/src/rehearsal/Simulation.test.ts
+++ b/src/rehearsal/Simulation.test.ts
@@ -2,7 +2,9 @@
 import { compile } from '../policy/Language.js';
 import { SimControl } from './SimControl.js';
 import { TROUBLES } from './TroubleKinds.js';
-import { Simulation, type SimulationResult, storm } from './Simulation.js';
+import { Simulation } from './Simulation.js';
+import type { SimulationResult } from './SimulationTypes.js';
+import { storm } from './Storms.js';
 
 async function checkAll(): Promise<void> {
   expect(await storm(1, 40, TROUBLES)).toEqual([]);
--- a/src/rehearsal/StormCommand.ts
+++ b/src/rehearsal/StormCommand.ts
@@ -59,7 +59,7 @@
     let failed = 0;
     const met = new Map<string, number>();
     const calls = new Map<string, number>();
-    let [accepted, turnedAway, unsure, orders, messages, runs] = [0, 0, 0, 0, 0, 0];
+    let [accepted, refused, unsure, orders, messages, runs] = [0, 0, 0, 0, 0, 0];
     const trace = flags.trace ? this.log.bind(this) : undefined;
     for (let seed = flags.from; seed < flags.from + flags.seeds; seed += 1) {
       const result = new Simulation(
@@ -68,7 +68,7 @@
       ).run();
       gaps.push(...result.leaderlessMs);
       accepted += result.edits.accepted;
-      turnedAway += result.edits.turnedAway;
+      refused += result.edits.refused;
       unsure += result.edits.unsure;
       orders += result.orders;
       messages += result.messages;
@@ -86,7 +86,7 @@
       return Math.round(gaps[Math.min(gaps.length - 1, Math.floor(gaps.length * share))] ?? 0);
     }
     this.log(
-      `${flags.seeds} seeds, ${failed} failed; edits accepted ${accepted}, turned away ${turnedAway}, unsure ${unsure}; orders ${orders}; runs ${runs}; messages ${messages}`,
+      `${flags.seeds} seeds, ${failed} failed; edits accepted ${accepted}, refused ${refused}, unsure ${unsure}; orders ${orders}; runs ${runs}; messages ${messages}`,
     );
     this.log(
       `time without a holder, ms: ${gaps.length} times, median ${quantile(0.5)}, 90% ${quantile(0.9)}, 99% ${quantile(0.99)}, most ${quantile(1)}`,
