--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,6 @@
   'src/control/ControlCore.ts',
   'src/election/Elector.ts',
   'src/placement/Placer.ts',
-  'src/proxy/Decision.ts',
   'src/proxy/Dispatcher.ts',
   'src/proxy/Executor.ts',
   'src/proxy/Forwarder.ts',
--- a/src/proxy/Budget.ts
+++ b/src/proxy/Budget.ts
@@ -21,3 +21,25 @@
     return true;
   }
 }
+
+/** A budget for each service. */
+export class ServiceBudgets {
+  readonly #share: number;
+  readonly #few: number;
+  readonly #budgets = new Map<string, Budget>();
+
+  /** `few`: what all proxies together may have beyond the share. */
+  constructor(share: number, few: number) {
+    this.#share = share;
+    this.#few = few;
+  }
+
+  /** The budget of a service; of the few, one that begins now gets one proxy's part. */
+  of(service: string, proxies: number): Budget {
+    const known = this.#budgets.get(service);
+    if (known) return known;
+    const budget = new Budget(this.#share, this.#few / proxies);
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+}
--- a/src/proxy/Decision.test.ts
+++ b/src/proxy/Decision.test.ts
@@ -3,7 +3,8 @@
 import { moment } from '../common/Ids.js';
 import { NO_VERSION } from '../common/Version.js';
 import type { Places, Seat } from '../placement/Shapes.js';
-import { type Asked, DECISION_DEFAULTS, Decision, type Verdict } from './Decision.js';
+import { Decision } from './Decision.js';
+import { type Asked, DECISION_DEFAULTS, type Verdict } from './DecisionTypes.js';
 
 const TEXT =
   'map POST /c to check\nmap GET /l to lookup\nrow check heavy weight 90 take 1000/s late 10s once stream\nrow check light weight 10 take 1000/s late 10s once stream\nrow check slow weight 10 take 5/s late 10s once\nrow lookup @kiosk weight 5 take 1000/s late 2s repeatable';
--- a/src/proxy/Executor.test.ts
+++ b/src/proxy/Executor.test.ts
@@ -5,12 +5,8 @@
 import { Counters as CountersClass } from '../common/Counters.js';
 import type { Moment } from '../common/Ids.js';
 import { listenOn, splitAddress } from '../common/Listen.js';
-import {
-  type Asked,
-  DECISION_DEFAULTS,
-  type Decision,
-  Decision as DecisionClass,
-} from './Decision.js';
+import { type Decision, Decision as DecisionClass } from './Decision.js';
+import { type Asked, DECISION_DEFAULTS } from './DecisionTypes.js';
 import { Executor } from './Executor.js';
 import { once } from 'node:events';
 import {
--- a/src/proxy/Executor.ts
+++ b/src/proxy/Executor.ts
@@ -18,7 +18,8 @@
 import { ERROR_CODES, type ErrorCode } from '../common/CodedError.js';
 import type { Moment } from '../common/Ids.js';
 import { parseAs } from '../common/Json.js';
-import type { Decision, RunVerdict } from './Decision.js';
+import type { Decision } from './Decision.js';
+import type { RunVerdict } from './DecisionTypes.js';
 import { listenOn, splitAddress } from '../common/Listen.js';
 import { ConnectionProbes, type ConnectionProbeStep } from './ConnectionProbes.js';
 import {
--- a/src/proxy/InFlightRequests.ts
+++ b/src/proxy/InFlightRequests.ts
@@ -1,7 +1,8 @@
 import type { Counters } from '../common/Counters.js';
 import { ERROR_CODES, type ErrorCode } from '../common/CodedError.js';
 import { later, type Moment } from '../common/Ids.js';
-import type { Asked, Decision, RunVerdict } from './Decision.js';
+import type { Decision } from './Decision.js';
+import type { Asked, RunVerdict } from './DecisionTypes.js';
 
 /** What whoever has the connections must do now. */
 export type Step =
--- /dev/null
+++ b/src/proxy/RunnerPool.ts
@@ -0,0 +1,163 @@
+import { later, moment, type Moment } from '../common/Ids.js';
+import type { PlacedRunner } from '../placement/Shapes.js';
+
+/** What this proxy knows of one runner from its own requests. */
+interface RunnerState {
+  /** Requests of this proxy that run there. */
+  running: number;
+  /** Moving mean of the lengths of runs, ms; 0 before the first. */
+  meanMs: number;
+  fullUntil: Moment;
+  brokenUntil: Moment;
+  /** Starts in the ramp's current second. */
+  rampFrom: Moment;
+  rampStarts: number;
+  /** Since when it counts as up. */
+  firstSeen: Moment;
+  /** Seen to be away by its probe, and not yet back. */
+  isFallen: boolean;
+}
+
+/** How long a runner that broke off, or said that it is full, is not chosen, ms. */
+const BROKEN_MS = 1000;
+const FULL_MS = 100;
+const RAMP_SECOND_MS = 1000;
+/** Starts a second at the end of the ramp, beyond the first. */
+const RAMP_STARTS = 8;
+const LEAST_WARMTH = 0.1;
+/** How warm a plain back end counts that stood there before this proxy: it may have been started together with it. */
+const FIRST_WARMTH = 0.8;
+/** Slots of a runner that tells none. */
+const UNKNOWN_SLOTS = 64;
+/** Weight of the newest run in the mean. */
+const MEAN_WEIGHT = 0.2;
+
+/** The runners of a proxy: how much each may be given, and how long runs there take. */
+export class RunnerPool {
+  readonly #rampMs: number;
+  readonly #states = new Map<string, RunnerState>();
+
+  /** `rampMs`: how long a runner that just started is spared. */
+  constructor(rampMs: number) {
+    this.#rampMs = rampMs;
+  }
+
+  /** Takes the runners that are placed now; `isFirst` where nothing was known before. */
+  follow(now: Moment, placed: ReadonlyMap<string, PlacedRunner>, isFirst: boolean): void {
+    for (const runner of placed.values()) this.#note(now, runner, isFirst);
+    for (const id of this.#states.keys()) if (!placed.has(id)) this.#states.delete(id);
+  }
+
+  has(id: string): boolean {
+    return this.#states.has(id);
+  }
+
+  running(id: string): number {
+    return this.#states.get(id)?.running ?? 0;
+  }
+
+  meanMs(id: string): number {
+    return this.#states.get(id)?.meanMs ?? 0;
+  }
+
+  /** How many may run there at once for this proxy: its share of the slots, with slack, less while cold. */
+  capacity(now: Moment, placed: PlacedRunner | undefined, proxies: number): number {
+    const state = placed && this.#states.get(placed.id);
+    if (!placed || !state) return 0;
+    const slots = placed.slots === 0 ? UNKNOWN_SLOTS : placed.slots;
+    // Twice an even share, since proxies are not asked evenly, but never more than there is.
+    const share = Math.max(1, Math.min(slots, Math.ceil((slots * 2) / proxies)));
+    const warmth = Math.min(1, Math.max(LEAST_WARMTH, (now - state.firstSeen) / this.#rampMs));
+    return Math.max(1, Math.floor(share * warmth));
+  }
+
+  /** Whether one more may be started there, within that capacity. */
+  mayStart(now: Moment, id: string, capacity: number): boolean {
+    const state = this.#states.get(id);
+    if (!state || state.isFallen || now < state.fullUntil || now < state.brokenUntil) return false;
+    if (state.running >= capacity) return false;
+    const age = now - state.firstSeen;
+    if (age >= this.#rampMs) return true;
+    // While cold, starts a second are held down too: short runs would else flood it however few are running.
+    if (now - state.rampFrom >= RAMP_SECOND_MS) {
+      state.rampFrom = now;
+      state.rampStarts = 0;
+    }
+    return state.rampStarts < 1 + Math.floor((age / this.#rampMs) * RAMP_STARTS);
+  }
+
+  started(id: string): void {
+    const state = this.#states.get(id);
+    if (!state) return;
+    state.running += 1;
+    state.rampStarts += 1;
+  }
+
+  /** A run ended; `spanMs` where it went its way, since no other tells how long runs are. */
+  ended(id: string, spanMs: number | undefined): void {
+    const state = this.#states.get(id);
+    if (!state) return;
+    state.running = Math.max(0, state.running - 1);
+    if (spanMs === undefined) return;
+    state.meanMs =
+      state.meanMs === 0 ? spanMs : state.meanMs * (1 - MEAN_WEIGHT) + spanMs * MEAN_WEIGHT;
+  }
+
+  full(now: Moment, id: string): void {
+    const state = this.#states.get(id);
+    if (state) state.fullUntil = later(now, FULL_MS);
+  }
+
+  broken(now: Moment, id: string): void {
+    const state = this.#states.get(id);
+    if (state) state.brokenUntil = later(now, BROKEN_MS);
+  }
+
+  /** A back end that tells nothing of itself could not be reached: it is taken for one started anew. */
+  unreachedPlain(now: Moment, id: string): void {
+    this.broken(now, id);
+    const state = this.#states.get(id);
+    if (state) state.firstSeen = state.brokenUntil;
+  }
+
+  /** Until its rising is seen: whoever went there sooner would find it cold and not know. */
+  fallen(id: string): void {
+    const state = this.#states.get(id);
+    if (state) state.isFallen = true;
+  }
+
+  risen(now: Moment, id: string): void {
+    const state = this.#states.get(id);
+    if (!state) return;
+    state.firstSeen = now;
+    state.brokenUntil = now;
+    state.isFallen = false;
+  }
+
+  #note(now: Moment, runner: PlacedRunner, isFirst: boolean): void {
+    const state = this.#states.get(runner.id);
+    const isPlain = runner.service !== '';
+    // Back ends without a report count as warm only if they stood here before us, and then not wholly.
+    const upMs = !isPlain ? runner.upMs : isFirst ? this.#rampMs * FIRST_WARMTH : 0;
+    if (!state) {
+      this.#states.set(runner.id, newState(now, upMs));
+      return;
+    }
+    const isStartedAnew = runner.upMs < this.#rampMs && now - upMs > state.firstSeen;
+    if (!isPlain && isStartedAnew) state.firstSeen = moment(now - upMs);
+  }
+}
+
+function newState(now: Moment, upMs: number): RunnerState {
+  const never = moment(-1);
+  return {
+    running: 0,
+    meanMs: 0,
+    fullUntil: never,
+    brokenUntil: never,
+    rampFrom: now,
+    rampStarts: 0,
+    firstSeen: moment(now - upMs),
+    isFallen: false,
+  };
+}
--- a/src/proxy/TableProxyProcess.ts
+++ b/src/proxy/TableProxyProcess.ts
@@ -10,7 +10,8 @@
 import type { TableProxySettingsShape } from '../common/Settings.js';
 import { versionText } from '../common/Version.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
-import { Decision, DECISION_DEFAULTS } from './Decision.js';
+import { Decision } from './Decision.js';
+import { DECISION_DEFAULTS } from './DecisionTypes.js';
 import { Executor } from './Executor.js';
 
 const TICK_MS = 25;
--- a/src/rehearsal/Garbage.test.ts
+++ b/src/rehearsal/Garbage.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest';
 import { compile } from '../policy/Language.js';
-import { DECISION_DEFAULTS, Decision } from '../proxy/Decision.js';
+import { Decision } from '../proxy/Decision.js';
+import { DECISION_DEFAULTS } from '../proxy/DecisionTypes.js';
 import { moment } from '../common/Ids.js';
 import { AgentCore } from '../agent/AgentCore.js';
 import { Garbage, WORDS } from './Garbage.js';
--- a/src/rehearsal/Measures.ts
+++ b/src/rehearsal/Measures.ts
@@ -1,6 +1,7 @@
 import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http';
 import { compile } from '../policy/Language.js';
-import { Decision, DECISION_DEFAULTS } from '../proxy/Decision.js';
+import { Decision } from '../proxy/Decision.js';
+import { DECISION_DEFAULTS } from '../proxy/DecisionTypes.js';
 import { Executor } from '../proxy/Executor.js';
 import { Counters } from '../common/Counters.js';
 import { monotonicNow } from '../common/Clock.js';
--- a/src/rehearsal/SimProxy.ts
+++ b/src/rehearsal/SimProxy.ts
@@ -1,4 +1,5 @@
-import { Decision, DECISION_DEFAULTS } from '../proxy/Decision.js';
+import { Decision } from '../proxy/Decision.js';
+import { DECISION_DEFAULTS } from '../proxy/DecisionTypes.js';
 import { InFlightRequests, type Step } from '../proxy/InFlightRequests.js';
 import { ConnectionProbes, type ConnectionProbeStep } from '../proxy/ConnectionProbes.js';
 import { Counters } from '../common/Counters.js';
--- a/src/rehearsal/TableMeasure.ts
+++ b/src/rehearsal/TableMeasure.ts
@@ -8,7 +8,8 @@
   type Row,
   type Table,
 } from '../policy/Table.js';
-import { Decision, DECISION_DEFAULTS } from '../proxy/Decision.js';
+import { Decision } from '../proxy/Decision.js';
+import { DECISION_DEFAULTS } from '../proxy/DecisionTypes.js';
 import { monotonicNow } from '../common/Clock.js';
 import { moment } from '../common/Ids.js';
 import { Simulation } from './Simulation.js';
