--- a/src/check/TableCheck.ts
+++ b/src/check/TableCheck.ts
@@ -1,7 +1,7 @@
 import { array, boolean, number, string, type, union, literal, type Infer } from 'superstruct';
 import { matchesModel, rowKey, TableShape, type Row, type Table } from '../policy/Table.js';
 import { moment } from '../common/Ids.js';
-import { PLACER_DEFAULTS, type PlanInput, type RunnerView } from '../placement/Placer.js';
+import { PLACER_DEFAULTS, type PlanInput, type RunnerView } from '../placement/PlacerTypes.js';
 import {
   CatalogShape,
   MachineShape,
--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -18,7 +18,7 @@
 import { Relay } from '../dissemination/Relay.js';
 import { Sessions } from '../dissemination/Sessions.js';
 import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
-import { PLACER_DEFAULTS, type PlacerSettings } from '../placement/Placer.js';
+import { PLACER_DEFAULTS, type PlacerSettings } from '../placement/PlacerTypes.js';
 import {
   MachinesShape,
   ServicePartShape,
--- a/src/control/TableManager.ts
+++ b/src/control/TableManager.ts
@@ -2,12 +2,8 @@
 import { later, moment, type Moment, type PartName } from '../common/Ids.js';
 import { parseAs } from '../common/Json.js';
 import type { Live } from '../placement/Live.js';
-import {
-  Placer,
-  type PlacerSettings,
-  type PlanInput,
-  type RunnerView,
-} from '../placement/Placer.js';
+import { Placer } from '../placement/Placer.js';
+import type { PlacerSettings, PlanInput, RunnerView } from '../placement/PlacerTypes.js';
 import {
   DemandShape,
   type Catalog,
--- a/src/placement/Placer.test.ts
+++ b/src/placement/Placer.test.ts
@@ -2,7 +2,9 @@
 import { compile } from '../policy/Language.js';
 import { moment } from '../common/Ids.js';
 import { Seeded } from '../rehearsal/Seeded.js';
-import { PLACER_DEFAULTS, Placer, type PlanInput, type RunnerView, isThat } from './Placer.js';
+import { isThat } from './IntentBook.js';
+import { Placer } from './Placer.js';
+import { PLACER_DEFAULTS, type PlanInput, type RunnerView } from './PlacerTypes.js';
 import type { Catalog, Hold, Intent, Place, RunnerReport, Seat, ServiceDoc } from './Shapes.js';
 
 type Report = RunnerReport;
--- a/src/placement/Trial.ts
+++ b/src/placement/Trial.ts
@@ -1,5 +1,6 @@
 import { moment } from '../common/Ids.js';
-import { Placer, type PlacerSettings, type PlanInput, type RunnerView } from './Placer.js';
+import { Placer } from './Placer.js';
+import type { PlacerSettings, PlanInput, RunnerView } from './PlacerTypes.js';
 import type { Hold, Intent, Place, ServiceDoc } from './Shapes.js';
 
 /** What a trial of the placer came to. */
--- a/src/rehearsal/SimControl.ts
+++ b/src/rehearsal/SimControl.ts
@@ -6,7 +6,7 @@
 import type { Scheduler } from './Scheduler.js';
 import type { SimOutside } from './SimOutside.js';
 import { SimNode } from './SimNode.js';
-import { PLACER_DEFAULTS } from '../placement/Placer.js';
+import { PLACER_DEFAULTS } from '../placement/PlacerTypes.js';
 import type { VoteSettings } from '../election/VoteSettings.js';
 import type { Network } from './Network.js';
 import type { MutationKind } from './Mutation.js';
