Cut the simulator's troubles by what they strike

Troubles of control nodes, of the edge, of back ends and of the platform have a module each; what all use (kill, cut, restart) is in Stage.ts. Off all lists of exceptions.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,7 +22,6 @@
   'src/rehearsal/ScaleRun.ts',
   'src/rehearsal/SimOutside.ts',
   'src/rehearsal/SimProxy.ts',
-  'src/rehearsal/SimTroubles.ts',
   'src/state/ReplicatedState.ts',
 ];
 
@@ -44,7 +43,6 @@
   'src/rehearsal/ScaleRun.ts',
   'src/rehearsal/SimOutside.ts',
   'src/rehearsal/SimProxy.ts',
-  'src/rehearsal/SimTroubles.ts',
   'src/rehearsal/StubRunner.ts',
 ];
 
@@ -70,7 +68,6 @@
   'src/rehearsal/ScaleFigures.ts',
   'src/rehearsal/SimOutside.ts',
   'src/rehearsal/SimProxy.ts',
-  'src/rehearsal/SimTroubles.ts',
   'src/rehearsal/StubRunner.ts',
   'src/state/ReplicaStatus.ts',
   'src/state/ReplicatedState.ts',
--- /dev/null
+++ b/src/rehearsal/PlatformTroubles.ts
@@ -0,0 +1,62 @@
+import type { SimOutside } from './SimOutside.js';
+import { LOADS_AT_ONCE, RUNNER_ROOM, RUNNERS, type Stage, type Strike } from './Stage.js';
+
+/** Kinds of troubles of the platform's list, of room at runners and of the weight store. */
+export const PLATFORM_TROUBLES = [
+  'shrink-room',
+  'lower-limit',
+  'platform-down',
+  'odd-list',
+] as const;
+type PlatformTroubleKind = (typeof PLATFORM_TROUBLES)[number];
+
+const SMALL_ROOM = 15;
+/** A lowered limit lasts longer, so that loads meet it, ms. */
+const LIMIT_SLACK_MS = 7000;
+
+/** Troubles of the platform's list, of room at runners and of the weight store. */
+export class PlatformTroubles {
+  readonly #stage: Stage;
+
+  constructor(stage: Stage) {
+    this.#stage = stage;
+  }
+
+  bringAbout(kind: PlatformTroubleKind, { runner, spanMs }: Strike): void {
+    const { scheduler, outside, seeded } = this.#stage;
+    switch (kind) {
+      case 'shrink-room':
+        outside.setRoom(runner, SMALL_ROOM);
+        scheduler.after(spanMs, outside.setRoom.bind(outside, runner, RUNNER_ROOM));
+        break;
+      case 'lower-limit':
+        outside.setLimit(1);
+        scheduler.after(spanMs + LIMIT_SLACK_MS, outside.setLimit.bind(outside, LOADS_AT_ONCE));
+        break;
+      case 'platform-down':
+        outside.isPlatformUp = false;
+        scheduler.after(spanMs, listAgain.bind(undefined, outside));
+        break;
+      case 'odd-list':
+        outside.oddList = seeded.isLikely(0.5) ? 'empty' : 'old';
+        scheduler.after(spanMs, listAgain.bind(undefined, outside));
+        break;
+    }
+  }
+
+  /** Ends what troubles did to the list and the weight store. */
+  heal(): void {
+    listAgain(this.#stage.outside);
+    this.#stage.outside.setLimit(LOADS_AT_ONCE);
+  }
+
+  /** Gives runners their room back. */
+  healRoom(): void {
+    for (const runner of RUNNERS) this.#stage.outside.setRoom(runner, RUNNER_ROOM);
+  }
+}
+
+function listAgain(outside: SimOutside): void {
+  outside.isPlatformUp = true;
+  outside.oddList = 'none';
+}
--- a/src/rehearsal/SimOperators.ts
+++ b/src/rehearsal/SimOperators.ts
@@ -8,7 +8,7 @@
 import type { Seeded } from './Seeded.js';
 import type { SimControl } from './SimControl.js';
 import { LATE_MS } from './SimProxy.js';
-import { ZONES } from './SimTroubles.js';
+import { ZONES } from './Stage.js';
 
 /** What one operator was told of one edit. */
 export interface EditOutcome {
--- a/src/rehearsal/Simulation.ts
+++ b/src/rehearsal/Simulation.ts
@@ -16,7 +16,8 @@
 import { SimOperators } from './SimOperators.js';
 import { SimOutside } from './SimOutside.js';
 import { LATE_MS, SimProxy } from './SimProxy.js';
-import { PLAIN, RUNNERS, SimTroubles, ZONES } from './SimTroubles.js';
+import { SimTroubles } from './SimTroubles.js';
+import { LOADS_AT_ONCE, PLAIN, RUNNER_ROOM, RUNNERS, ZONES } from './Stage.js';
 import type { SimulationResult, SimulationSettings } from './SimulationTypes.js';
 import type { Condition } from './TroubleKinds.js';
 
@@ -31,8 +32,6 @@
 const COLD_MS = 10_000;
 const MODELS = 8;
 const MODEL_SIZE = 10;
-const RUNNER_ROOM = 35;
-const LOADS_AT_ONCE = 2;
 
 /** One seeded run of a whole fleet on virtual time: the same cores as the processes run, under seeded troubles. */
 export class Simulation {
