Split the tests of the exhaustive searches into one file a model

All searches and mistakes stood in one test file of synchronous tests.

Ruled out: a larger time-out (the limit of the worker's calls is vitest's own), and smaller bounds (fewer states explored).

Now one file a model, and each test yields to the event loop before its search.

--- /dev/null
+++ b/src/simulation/exhaustive/RepairSearches.test.ts
@@ -0,0 +1,24 @@
+import { expect, test } from 'vitest';
+import { repair, SEEDS, type Search } from './Searches.js';
+import { brokenBy, orders, searchesOf, shortcomingsOf } from './testing/SearchChecks.js';
+
+async function checkSound(search: Search): Promise<void> {
+  expect(await shortcomingsOf(search)).toEqual([]);
+}
+
+for (const [index, search] of searchesOf('repair').entries()) {
+  test(`search ${index + 1} of the repair finds nothing`, checkSound.bind(undefined, search));
+}
+
+async function checkRepairByOne(): Promise<void> {
+  const protocol = repair('wiped', [SEEDS], 'repaired-by-one');
+  expect(await brokenBy(protocol, orders(7))).toContain('though "ab" was committed');
+}
+
+async function checkRepairedTwice(): Promise<void> {
+  const protocol = repair('wiped after a grant', [SEEDS], 'grant-forgotten');
+  expect(await brokenBy(protocol, orders(7))).toContain('two leaders in epoch');
+}
+
+test('a repair from one other voter is found', checkRepairByOne);
+test('a repaired voter that votes twice in an epoch is found', checkRepairedTwice);
--- /dev/null
+++ b/src/simulation/exhaustive/ReplicationSearches.test.ts
@@ -0,0 +1,30 @@
+import { expect, test } from 'vitest';
+import { replication, type Search } from './Searches.js';
+import { brokenBy, orders, searchesOf, shortcomingsOf } from './testing/SearchChecks.js';
+
+async function checkSound(search: Search): Promise<void> {
+  expect(await shortcomingsOf(search)).toEqual([]);
+}
+
+for (const [index, search] of searchesOf('replication').entries()) {
+  test(`search ${index + 1} of the replication finds nothing`, checkSound.bind(undefined, search));
+}
+
+async function checkOneCopy(): Promise<void> {
+  const protocol = replication('calm', true, 'committed-at-one-copy');
+  expect(await brokenBy(protocol, orders(6))).toContain('without a majority of synced copies');
+}
+
+async function checkUnsyncedAcknowledgement(): Promise<void> {
+  const protocol = replication('calm', true, 'acknowledged-unsynced');
+  expect(await brokenBy(protocol, orders(6))).toContain('without a majority of synced copies');
+}
+
+async function checkOldWriter(): Promise<void> {
+  const protocol = replication('takeover', false, 'old-epoch-written');
+  expect(await brokenBy(protocol, orders(6))).toContain('though "ab" was committed');
+}
+
+test('a change committed at one copy is found', checkOneCopy);
+test('an acknowledgement before the sync is found', checkUnsyncedAcknowledgement);
+test('a write taken from a former leader is found', checkOldWriter);
