Read private fields by the engine's keys in the exhaustive searches

78 % of the processor time of a search went into the text of a node's state, two thirds of it into messages to the engine's inspector (some fifty microseconds each, three an object and two a bound function).

Now the key of a private field is found once a class, by the function of the engine with which its inspector lists private names, and fields are read by it. For the first instance of each class the keys must lead to the same fields and values as the inspector; else, or where an engine has no such function, the inspector does as before. What is bound to a function is noted while it is bound, by Function.prototype.bind from the making of the digest to its close.

Ruled out: private names in expressions of Runtime.evaluate (this engine refuses them) and %GetPrivateMember (the engine aborts on classes with private methods in a large module).

--- a/src/simulation/exhaustive/StateDigest.test.ts
+++ b/src/simulation/exhaustive/StateDigest.test.ts
@@ -24,6 +24,27 @@
   }
 }
 
+class Base {
+  #count = 0;
+  addToBase(by: number): void {
+    this.#count = this.#sum(by);
+  }
+  #sum(by: number): number {
+    return this.#count + by;
+  }
+}
+
+/** Has a private field of the same name as its base, and a private accessor. */
+class Derived extends Base {
+  #count = 0;
+  addToDerived(by: number): void {
+    this.#count = this.#twice / 2 + by;
+  }
+  get #twice(): number {
+    return 2 * this.#count;
+  }
+}
+
 function checkPrivateState(): void {
   const digest = new StateDigest();
   const first = new Outer();
@@ -51,5 +72,40 @@
   digest.close();
 }
 
+function checkInheritedState(): void {
+  const digest = new StateDigest();
+  const first = new Derived();
+  const second = new Derived();
+  expect(digest.textOf(first)).toBe(digest.textOf(second));
+  first.addToBase(1);
+  expect(digest.textOf(first)).not.toBe(digest.textOf(second));
+  second.addToBase(1);
+  expect(digest.textOf(first)).toBe(digest.textOf(second));
+  first.addToDerived(2);
+  expect(digest.textOf(first)).not.toBe(digest.textOf(second));
+  second.addToDerived(2);
+  expect(digest.textOf(first)).toBe(digest.textOf(second));
+  digest.close();
+}
+
+/** What was bound before the digest was made is told by the inspector, the rest by the note of its binding. */
+function checkEarlierBinding(): void {
+  const early = [new Outer(), new Outer()];
+  early[0]?.hold(1);
+  early[1]?.hold(2);
+  const native: unknown = Reflect.get(Function.prototype, 'bind');
+  const digest = new StateDigest();
+  const late = [new Outer(), new Outer()];
+  late[0]?.hold(1);
+  late[1]?.hold(2);
+  expect(digest.textOf(early[0])).toBe(digest.textOf(late[0]));
+  expect(digest.textOf(early[1])).toBe(digest.textOf(late[1]));
+  expect(digest.textOf(late[0])).not.toBe(digest.textOf(late[1]));
+  digest.close();
+  expect(Reflect.get(Function.prototype, 'bind')).toBe(native);
+}
+
+test('private fields of a base class decide as well', checkInheritedState);
+test('what was bound earlier belongs to the state as well', checkEarlierBinding);
 test('private fields decide, and the order of insertion does not', checkPrivateState);
 test('what is bound to a held call belongs to the state', checkBoundArguments);
--- a/src/simulation/exhaustive/StateDigest.ts
+++ b/src/simulation/exhaustive/StateDigest.ts
@@ -1,5 +1,7 @@
 import { createHash } from 'node:crypto';
 import { Session, type Runtime } from 'node:inspector';
+import { BoundCalls } from './BoundCalls.js';
+import { PrivateFields, type PrivateKey } from './PrivateFields.js';
 
 const HOLDER = 'haretrackStateDigest';
 const GROUP = 'state-digest';
@@ -47,13 +49,21 @@
   readonly #met = new Map<object, string>();
   /** The engine's ids of objects that it has just named. */
   readonly #remoteIds = new Map<unknown, string>();
+  readonly #privates = new PrivateFields();
+  readonly #boundCalls = new BoundCalls();
+  /** Keys of the private fields of each class, as its first instance told them; nothing where they cannot be relied on. */
+  readonly #keysByClass = new Map<unknown, readonly PrivateKey[] | undefined>();
+  /** Functions that nothing is bound to: methods are the same function in all instances. */
+  readonly #unbound = new WeakSet<object>();
 
   constructor(ignored: readonly string[] = []) {
     this.#ignored = new Set(ignored);
     this.#session.connect();
+    this.#boundCalls.begin();
   }
 
   close(): void {
+    this.#boundCalls.end();
     this.#session.disconnect();
   }
 
@@ -124,16 +134,51 @@
   }
 
   /** A bound method is its name and what is bound to it; any other function could hide state in its scope. */
-  #functionText(value: unknown, path: readonly unknown[]): string {
+  #functionText(value: object, path: readonly unknown[]): string {
+    const call = this.#boundCalls.of(value);
+    if (call) return this.#callText(call.target, call.bound, path);
+    if (this.#unbound.has(value)) return 'function';
     const inner = this.#properties(value).internalProperties ?? [];
     const bound = inner.filter(isBoundPart);
-    if (bound.length < 2) return 'function';
+    if (bound.length < 2) {
+      this.#unbound.add(value);
+      return 'function';
+    }
     const [target, ...rest] = this.#values(bound.map(valueOf));
+    return this.#callText(target, rest, path);
+  }
+
+  #callText(target: unknown, bound: readonly unknown[], path: readonly unknown[]): string {
     const name = typeof target === 'function' ? target.name : '';
-    return `${name}(${this.#listText(rest, path).join()})`;
+    return `${name}(${this.#listText(bound, path).join()})`;
   }
 
   #privateFields(value: object): Field[] {
+    const made = value.constructor;
+    if (!this.#keysByClass.has(made)) this.#keysByClass.set(made, this.#reliableKeys(value));
+    const keys = this.#keysByClass.get(made);
+    if (keys === undefined) return this.#inspectedFields(value);
+    const fields: Field[] = [];
+    for (const { name, key } of keys) fields.push({ name, value: Reflect.get(value, key) });
+    return fields;
+  }
+
+  /** Keys are relied on only if they lead to all that the inspector sees in the object, and to the same values. */
+  #reliableKeys(value: object): readonly PrivateKey[] | undefined {
+    const keys = this.#privates.keysOf(value);
+    const seen = this.#inspectedFields(value);
+    if (keys.length !== seen.length) return undefined;
+    for (const { name, key } of keys) {
+      const found: unknown = Reflect.get(value, key);
+      if (!seen.some(isSame)) return undefined;
+      function isSame(field: Field): boolean {
+        return field.name === name && Object.is(field.value, found);
+      }
+    }
+    return keys;
+  }
+
+  #inspectedFields(value: object): Field[] {
     const remote = this.#properties(value).privateProperties ?? [];
     const fields: Field[] = [];
     const values = this.#values(remote.map(valueOf));
