Drive the executor's tests by a clock that only their own event loop moves

"A runner that says it has not begun" failed now and then on a busy machine. Cause: a run whose connection does not stand within an eighth of the row's lateness, 50 ms here, counts as not reached. Client, proxy and both back ends of the test share one event loop, and the spans were read off the wall clock: a process that got no processor for 50 ms took that for a back end that did not answer, went to the next one and ran out of them.

The bench's clock now moves by 20 ms with each of its ticks and at no other time. No span of the executor is longer than before, and no assertion changed: on a machine that has time both clocks go alike, and on a busy one a span in which nobody could move is not counted.

Ruled out: longer spans in the bench's rows, which would ease what the tests hold the executor to.

--- a/src/proxy/Executor.test.ts
+++ b/src/proxy/Executor.test.ts
@@ -3,7 +3,7 @@
 import { call, readBytes } from '../common/Call.js';
 import { monotonicNow } from '../common/Clock.js';
 import { Counters as CountersClass } from '../common/Counters.js';
-import type { Moment } from '../common/Ids.js';
+import { later, type Moment } from '../common/Ids.js';
 import { listenOn, splitAddress } from '../common/Listen.js';
 import {
   type Asked,
@@ -29,16 +29,32 @@
 const TEXT =
   'map POST /c to check\nmap GET /l/* to lookup\nmap POST /l/* to lookup\nrow check m weight 9 late 400ms once stream\nrow check w weight 9 late 400ms once whole\nrow lookup @k weight 5 late 5s repeatable';
 type Behave = (asked: IncomingMessage, returned: ServerResponse, count: number) => void;
+const TICK_MS = 20;
+/**
+ * A clock that moves on by the bench's ticks alone. Client, proxy and back ends share one event loop: while the machine
+ * leaves that no processor none of them can move, and such a span must not pass for a back end's silence.
+ */
+class TickClock {
+  #now = monotonicNow();
+  tick(): Moment {
+    this.#now = later(this.#now, TICK_MS);
+    return this.#now;
+  }
+  now(): Moment {
+    return this.#now;
+  }
+}
+type OnGate = (decision: Decision, now: Moment) => void;
 /** News comes in just after a request was drawn, before its connection stands. */
 class MarkingDecision extends DecisionClass {
-  readonly #onGate: (decision: Decision) => void;
-  constructor(onGate: (decision: Decision) => void) {
+  readonly #onGate: OnGate;
+  constructor(onGate: OnGate) {
     super({ ...DECISION_DEFAULTS, blindMs: 60_000, me: 'f' });
     this.#onGate = onGate;
   }
   override gate(now: Moment, asked: Asked): void {
     super.gate(now, asked);
-    process.nextTick(this.#onGate, this);
+    process.nextTick(this.#onGate, this, now);
   }
 }
 /** A proxy before two back ends that behave as told. */
@@ -50,10 +66,11 @@
   address = '';
   decision: Decision | undefined;
   ticks: Subscription | undefined;
-  onGate: ((decision: Decision) => void) | undefined;
+  onGate: OnGate | undefined;
+  readonly #clock = new TickClock();
 
   #tick(): void {
-    this.executor?.tick(monotonicNow());
+    this.executor?.tick(this.#clock.tick());
   }
 
   async start(behaves: readonly Behave[], hasDead = false): Promise<void> {
@@ -106,7 +123,7 @@
     const decision = this.onGate
       ? new MarkingDecision(this.onGate)
       : new DecisionClass({ ...DECISION_DEFAULTS, blindMs: 60_000, me: 'f' });
-    const now = monotonicNow();
+    const now = this.#clock.now();
     decision.news(
       now,
       'config',
@@ -132,9 +149,9 @@
       decision,
       { maxBodyBytes: 4096, connectMs: 300, silentMs: 200 },
       this.counters,
-      monotonicNow,
+      this.#clock.now.bind(this.#clock),
     );
-    this.ticks = interval(20).subscribe(this.#tick.bind(this));
+    this.ticks = interval(TICK_MS).subscribe(this.#tick.bind(this));
     this.address = `127.0.0.1:${await this.executor.listen('127.0.0.1:0')}`;
   }
 
@@ -314,9 +331,9 @@
   sent.destroy();
   await bench.stop();
 }
-function markFirst(decision: Decision): void {
+function markFirst(decision: Decision, now: Moment): void {
   decision.news(
-    monotonicNow(),
+    now,
     'machines',
     { epoch: 0, count: 5 },
     JSON.stringify({
