Run every agent's core by one runtime

What differs stays with each program as a port of four members: the length of a tick, a look at what came in (counters, shared bodies), notes, and what follows a tick.

ScaleAgent's comments say agent and update instead of link and news.

Tests: agent, Fleet and ScaleRun pass.

--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -1,13 +1,13 @@
-import { interval, merge, Subscription } from 'rxjs';
 import type { Logger } from 'pino';
 import { monotonicNow } from '../common/Clock.js';
 import type { CodedError } from '../common/CodedError.js';
 import type { Moment } from '../common/Ids.js';
 import { newIncarnation } from '../common/Incarnation.js';
-import { SerialQueue } from '../common/SerialQueue.js';
+import type { Message } from '../common/Messages.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import { AgentCore } from './AgentCore.js';
 import { agentState, type AgentState } from './AgentMetrics.js';
+import { AgentRuntime, type AgentNote, type AgentPorts } from './AgentRuntime.js';
 
 export const AGENT_TICK_MS = 100;
 export const AGENT_BLIND_MS = 2500;
@@ -21,23 +21,21 @@
 }
 
 /** The agent's process in a deployment whose proxies do not work by being confirmed fresh. */
-export class AgentProcess {
+export class AgentProcess implements AgentPorts {
+  readonly tickMs = AGENT_TICK_MS;
   readonly #log: Logger;
-  readonly #owner = new SerialQueue();
-  readonly #nodes: Exchange;
-  readonly #feed: Exchange;
   readonly #core: AgentCore;
-  readonly #subscription = new Subscription();
+  readonly #runtime: AgentRuntime;
   #state: AgentState = 'away';
 
   constructor(settings: AgentSettings, log: Logger) {
     this.#log = log;
     const { me, feed, zone, seeds } = settings;
-    this.#nodes = new Exchange(
+    const nodes = new Exchange(
       { id: me, role: 'link', zone, listen: me, reach: {} },
       this.#tell.bind(this),
     );
-    this.#feed = new Exchange(
+    const proxies = new Exchange(
       { id: feed, role: 'link', zone, listen: feed, reach: {} },
       this.#tell.bind(this),
     );
@@ -45,59 +43,32 @@
       { me, zone, seeds, blindMs: AGENT_BLIND_MS, incarnation: newIncarnation(), isDeployed: true },
       monotonicNow(),
     );
+    this.#runtime = new AgentRuntime(this.#core, nodes, proxies, this);
   }
 
   async start(): Promise<void> {
-    this.#subscription.add(
-      merge(this.#nodes.incoming$, this.#feed.incoming$).subscribe(this.#receive.bind(this)),
-    );
-    this.#subscription.add(
-      merge(this.#nodes.gone$, this.#feed.gone$).subscribe(this.#gone.bind(this)),
-    );
-    await this.#nodes.open();
-    await this.#feed.open();
-    this.#subscription.add(
-      interval(AGENT_TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
-    );
-    this.#submit(this.#tick.bind(this));
+    await this.#runtime.start();
+    this.#runtime.tick();
   }
 
   stop(): void {
-    this.#subscription.unsubscribe();
-    this.#nodes.close();
-    this.#feed.close();
+    this.#runtime.stop();
   }
 
   setSeeds(seeds: readonly string[]): void {
-    this.#submit(this.#core.setSeeds.bind(this.#core, seeds));
-  }
-
-  #tell(defect: CodedError): void {
-    this.#log.warn({ defect: defect.kind }, defect.message);
+    this.#runtime.submit(this.#core.setSeeds.bind(this.#core, seeds));
   }
 
-  #submit(command: () => void): void {
-    this.#owner.submit(this.#work.bind(this, command));
+  receive(incoming: Incoming): Message {
+    return incoming.message;
   }
 
-  #work(command: () => void): void {
-    command();
-    for (const effect of this.#core.drain()) {
-      if (effect.do === 'note') this.#log.info(effect.fields, effect.text);
-      else if (effect.to.startsWith('flow@')) this.#feed.send(effect.to, effect.message);
-      else this.#nodes.send(effect.to, effect.message);
-    }
-  }
-
-  #tick(): void {
-    this.#nodes.dial(this.#core.controlNode);
-    const now = monotonicNow();
-    this.#core.tick(now);
-    this.#tellState(now);
+  note(note: AgentNote): void {
+    this.#log.info(note.fields, note.text);
   }
 
   /** Nobody scrapes an agent, since it listens for its own kind alone: it tells its metrics when its state changes. */
-  #tellState(now: Moment): void {
+  ticked(now: Moment): void {
     const metrics = this.#core.metrics(now);
     const state = agentState(metrics);
     if (state === this.#state) return;
@@ -105,19 +76,7 @@
     this.#log.info({ state, ...metrics }, 'agent state');
   }
 
-  #receive(incoming: Incoming): void {
-    this.#submit(
-      this.#core.receive.bind(
-        this.#core,
-        monotonicNow(),
-        incoming.from,
-        incoming.role,
-        incoming.message,
-      ),
-    );
-  }
-
-  #gone(id: string): void {
-    this.#submit(this.#core.gone.bind(this.#core, monotonicNow(), id));
+  #tell(error: CodedError): void {
+    this.#log.warn({ defect: error.kind }, error.message);
   }
 }
--- /dev/null
+++ b/src/agent/AgentRuntime.ts
@@ -0,0 +1,100 @@
+/** The frame that every program around an agent's core shares. */
+
+import { interval, merge, Subscription } from 'rxjs';
+import { monotonicNow } from '../common/Clock.js';
+import type { Moment } from '../common/Ids.js';
+import type { Message } from '../common/Messages.js';
+import { SerialQueue } from '../common/SerialQueue.js';
+import type { Exchange, Incoming } from '../dissemination/Exchange.js';
+import type { AgentCore, AgentEffect } from './AgentCore.js';
+
+/** What the runtime uses of an exchange; one that counts what passes has the same members. */
+export type AgentExchange = Pick<
+  Exchange,
+  'incoming$' | 'gone$' | 'open' | 'close' | 'dial' | 'send'
+>;
+
+export type AgentNote = Extract<AgentEffect, { do: 'note' }>;
+
+/** What differs between programs. */
+export interface AgentPorts {
+  readonly tickMs: number;
+  /** Looks at each message before the core gets it; what it returns is handed on. */
+  receive(incoming: Incoming): Message;
+  note(note: AgentNote): void;
+  /** Right after each tick of the core. */
+  ticked(now: Moment): void;
+}
+
+/** Feeds an agent's core from its two exchanges and a timer, one command at a time, and carries out its effects. */
+export class AgentRuntime {
+  readonly #core: AgentCore;
+  readonly #nodes: AgentExchange;
+  readonly #feed: AgentExchange;
+  readonly #ports: AgentPorts;
+  readonly #owner = new SerialQueue();
+  readonly #subscription = new Subscription();
+
+  /** `nodes` leads to other nodes, `feed` to the proxy beside the agent. */
+  constructor(core: AgentCore, nodes: AgentExchange, feed: AgentExchange, ports: AgentPorts) {
+    this.#core = core;
+    this.#nodes = nodes;
+    this.#feed = feed;
+    this.#ports = ports;
+  }
+
+  async start(): Promise<void> {
+    this.#subscription.add(
+      merge(this.#nodes.incoming$, this.#feed.incoming$).subscribe(this.#receive.bind(this)),
+    );
+    this.#subscription.add(
+      merge(this.#nodes.gone$, this.#feed.gone$).subscribe(this.#gone.bind(this)),
+    );
+    await this.#nodes.open();
+    await this.#feed.open();
+    this.#subscription.add(interval(this.#ports.tickMs).subscribe(this.tick.bind(this)));
+  }
+
+  stop(): void {
+    this.#subscription.unsubscribe();
+    this.#nodes.close();
+    this.#feed.close();
+  }
+
+  /** A tick out of turn. */
+  tick(): void {
+    this.submit(this.#tick.bind(this));
+  }
+
+  /** Runs a command of the core in its turn; its effects are carried out before the next. */
+  submit(command: () => void): void {
+    this.#owner.submit(this.#work.bind(this, command));
+  }
+
+  #work(command: () => void): void {
+    command();
+    for (const effect of this.#core.drain()) {
+      if (effect.do === 'note') this.#ports.note(effect);
+      else if (effect.to.startsWith('flow@')) this.#feed.send(effect.to, effect.message);
+      else this.#nodes.send(effect.to, effect.message);
+    }
+  }
+
+  #tick(): void {
+    this.#nodes.dial(this.#core.controlNode);
+    const now = monotonicNow();
+    this.#core.tick(now);
+    this.#ports.ticked(now);
+  }
+
+  #receive(incoming: Incoming): void {
+    const message = this.#ports.receive(incoming);
+    this.submit(
+      this.#core.receive.bind(this.#core, monotonicNow(), incoming.from, incoming.role, message),
+    );
+  }
+
+  #gone(id: string): void {
+    this.submit(this.#core.gone.bind(this.#core, monotonicNow(), id));
+  }
+}
--- a/src/rehearsal/ScaleAgent.ts
+++ b/src/rehearsal/ScaleAgent.ts
@@ -1,10 +1,9 @@
-import { interval, merge, Subscription } from 'rxjs';
 import { monotonicNow } from '../common/Clock.js';
 import type { Message } from '../common/Messages.js';
 import { newIncarnation } from '../common/Incarnation.js';
-import { SerialQueue } from '../common/SerialQueue.js';
 import { compareVersions } from '../common/Version.js';
 import { AgentCore } from '../agent/AgentCore.js';
+import { AgentRuntime, type AgentPorts } from '../agent/AgentRuntime.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import type { EdgePlace } from './ScaleShape.js';
 import { CountedExchange, frameBytes, type Count, Tally } from './Tally.js';
@@ -12,7 +11,7 @@
 const TICK_MS = 100;
 const BLIND_MS = 2500;
 
-/** Bodies of news that the links of one process share: a synthetic link holds no copy of its own. */
+/** Bodies of updates that the agents of one process share: a synthetic agent holds no copy of its own. */
 export class Bodies {
   readonly #known = new Map<string, string>();
 
@@ -29,17 +28,17 @@
 }
 
 /** An agent as a deployment puts it together, counted; many of them may stand in one process. */
-export class ScaleAgent {
+export class ScaleAgent implements AgentPorts {
+  readonly tickMs = TICK_MS;
   readonly #place: EdgePlace;
   readonly #bodies: Bodies;
-  readonly #owner = new SerialQueue();
   readonly #nodes: CountedExchange;
   readonly #feed: CountedExchange;
   readonly #core: AgentCore;
-  readonly #subscription = new Subscription();
+  readonly #runtime: AgentRuntime;
   readonly nodeTally = new Tally();
   readonly feedTally = new Tally();
-  /** News that came though they were held already. */
+  /** Updates that came though they were held already. */
   readonly repeats: Count = { messages: 0, bytes: 0 };
 
   constructor(place: EdgePlace, seeds: readonly string[], bodies: Bodies) {
@@ -58,6 +57,7 @@
       { me, zone, seeds, blindMs: BLIND_MS, incarnation: newIncarnation(), isDeployed: true },
       monotonicNow(),
     );
+    this.#runtime = new AgentRuntime(this.#core, this.#nodes, this.#feed, this);
   }
 
   get id(): string {
@@ -68,45 +68,15 @@
   }
 
   async start(): Promise<void> {
-    this.#subscription.add(
-      merge(this.#nodes.incoming$, this.#feed.incoming$).subscribe(this.#receive.bind(this)),
-    );
-    this.#subscription.add(
-      merge(this.#nodes.gone$, this.#feed.gone$).subscribe(this.#gone.bind(this)),
-    );
-    await this.#nodes.open();
-    await this.#feed.open();
-    this.#subscription.add(
-      interval(TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
-    );
-    this.#submit(this.#tick.bind(this));
+    await this.#runtime.start();
+    this.#runtime.tick();
   }
 
   stop(): void {
-    this.#subscription.unsubscribe();
-    this.#nodes.close();
-    this.#feed.close();
-  }
-
-  #submit(command: () => void): void {
-    this.#owner.submit(this.#work.bind(this, command));
-  }
-
-  #work(command: () => void): void {
-    command();
-    for (const effect of this.#core.drain()) {
-      if (effect.do === 'note') continue;
-      if (effect.to.startsWith('flow@')) this.#feed.send(effect.to, effect.message);
-      else this.#nodes.send(effect.to, effect.message);
-    }
-  }
-
-  #tick(): void {
-    this.#nodes.dial(this.#core.controlNode);
-    this.#core.tick(monotonicNow());
+    this.#runtime.stop();
   }
 
-  #receive(incoming: Incoming): void {
+  receive(incoming: Incoming): Message {
     const message = this.#bodies.share(incoming.message);
     if (incoming.role === 'flow') this.#feed.took(message);
     else this.#nodes.took(message);
@@ -117,13 +87,15 @@
       this.repeats.messages += 1;
       this.repeats.bytes += frameBytes(message);
     }
-    this.#submit(
-      this.#core.receive.bind(this.#core, monotonicNow(), incoming.from, incoming.role, message),
-    );
+    return message;
+  }
+
+  note(): void {
+    /* nobody reads notes of thousands of agents */
   }
 
-  #gone(id: string): void {
-    this.#submit(this.#core.gone.bind(this.#core, monotonicNow(), id));
+  ticked(): void {
+    /* a run asks for figures itself */
   }
 }
 
