Run every control node's core by one runtime

ControlProcess, TableControlProcess and ScaleControl each held the same frame: the core's one owner, the exchange, the ticking timer, the store and its retry, the replies to operators' commands, the planned stop. ControlRuntime holds it once. What differs stays with each program as ports: the length of a tick, whom to dial, how a message is handed on, the write, calls to the outside, what follows a throw, and whether a planned stop waits for a seat's taking over.

Wire, stored files, logs and the order of effects are as before; ControlProcess exports what it did. One difference on failure: the control node of the scale runs writes a failed part again, as deployed ones do, where a failed write ended it by an unhandled rejection.

Tests: control, metrics, operator and boundary (118), Fleet, ScaleRun, Rehearsal and wholePathCore pass.

--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -1,12 +1,10 @@
 import { join } from 'node:path';
-import { interval, Subscription } from 'rxjs';
 import type { Logger } from 'pino';
 import { FileStore } from '../state/FileStore.js';
 import { monotonicNow } from '../common/Clock.js';
 import { CodedError, reasonOf } from '../common/CodedError.js';
 import type { Moment } from '../common/Ids.js';
 import { newIncarnation } from '../common/Incarnation.js';
-import { SerialQueue } from '../common/SerialQueue.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
 import { Planner, type PlannerSettings } from '../placement/Planner.js';
@@ -16,12 +14,23 @@
 import { VOTE_DEFAULTS } from '../election/VoteSettings.js';
 import type { Lease } from './LeasedSend.js';
 import { ControlCore } from './ControlCore.js';
-import { CONTROL_DEFAULTS, type ControlEffect, type OrderResult } from './ControlEffect.js';
+import { CONTROL_DEFAULTS, type OrderResult } from './ControlEffect.js';
 import { ControlReport } from './ControlReport.js';
+import {
+  ControlRuntime,
+  receiveWithZone,
+  type CommandReply,
+  type ControlRuntimePorts,
+  type CoreCommand,
+  type OrderEffect,
+  type OutsideEffect,
+  type StoreEffect,
+} from './ControlRuntime.js';
+
+export { DISK_AGAIN_MS, RETIRE_MS } from './ControlRuntime.js';
 
 export const CONTROL_TICK_MS = 50;
 export const LIST_MS = 1000;
-export const DISK_AGAIN_MS = 500;
 export const DEPLOYED_VOTE = {
   pingMs: 250,
   renewMs: 300,
@@ -29,15 +38,9 @@
   spanMs: 1500,
   deadMs: 1200,
 } as const;
-/** How long a planned stop waits for orders whose outcome is open. */
-export const RETIRE_MS = 1000;
 /** How long a session may be silent in a deployment before it counts as lost. */
 export const CONTROL_SILENT_MS = 3000;
 
-function afterTick(done: () => void): void {
-  setTimeout(done, CONTROL_TICK_MS);
-}
-
 export interface ControlProcessSettings {
   readonly me: string;
   readonly zone: string;
@@ -50,10 +53,7 @@
   readonly planner: Partial<PlannerSettings>;
 }
 
-export interface ControlAnswer {
-  readonly status: number;
-  readonly body: string;
-}
+export type ControlAnswer = CommandReply;
 
 /** Hands a verb of the core and its JSON body on to it. */
 export type ControlAsk = (verb: string, body: string) => Promise<ControlAnswer>;
@@ -82,19 +82,16 @@
 }
 
 /** A control node's process in a deployment with ports of its own. */
-export class ControlProcess {
+export class ControlProcess implements ControlRuntimePorts {
+  readonly tickMs = CONTROL_TICK_MS;
+  readonly waitsForHandover = true;
   readonly #settings: ControlProcessSettings;
   readonly #ports: ControlPorts;
   readonly #log: Logger;
-  readonly #owner = new SerialQueue();
-  readonly #exchange: Exchange;
+  readonly #runtime: ControlRuntime;
   readonly #store: FileStore;
   readonly #operators: ReturnType<ControlPorts['operators']>;
-  readonly #subscription = new Subscription();
-  readonly #answers = new Map<number, (answer: ControlAnswer) => void>();
   readonly #report = new ControlReport();
-  #core: ControlCore | undefined;
-  #commandId = 0;
   #isListing = false;
   #seeds: readonly string[];
 
@@ -104,12 +101,16 @@
     this.#log = log;
     this.#seeds = settings.seeds;
     const { me, zone } = settings;
-    this.#exchange = new Exchange(
+    const exchange = new Exchange(
       { id: me, role: 'mind', zone, listen: me, reach: {} },
       this.#tell.bind(this),
     );
+    this.#runtime = new ControlRuntime(exchange, this);
     this.#store = new FileStore(join(settings.data, 'parts'), this.#tell.bind(this));
-    this.#operators = ports.operators(this.#ask.bind(this), this.#metrics.bind(this));
+    this.#operators = ports.operators(
+      this.#runtime.ask.bind(this.#runtime),
+      this.#metrics.bind(this),
+    );
   }
 
   async start(): Promise<void> {
@@ -134,35 +135,18 @@
     // The span in which nobody orders is the deployment's. The others are short, since everything waits for a lost leader.
     const vote = { ...VOTE_DEFAULTS, ...DEPLOYED_VOTE, leaseMs };
     const core = new ControlCore(settings, stored, monotonicNow(), vote);
-    this.#core = core;
-    this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
-    this.#subscription.add(this.#exchange.gone$.subscribe(this.#gone.bind(this)));
-    await this.#exchange.open();
+    await this.#runtime.open(core);
     if (control !== undefined) await this.#operators.listen(control);
-    this.#subscription.add(
-      interval(CONTROL_TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
-    );
-    this.#submit(this.#tick.bind(this));
+    this.#runtime.startTicks();
+    this.#runtime.tick();
     this.#log.info({ standing: core.standing.name }, 'control node started');
   }
 
   /** Hands its seat over where a spare is there, then what it leads, if no order is open, and stops. */
   async stop(): Promise<void> {
-    let end = monotonicNow() + RETIRE_MS;
-    for (let isRetired = false; !isRetired && monotonicNow() < end;) {
-      function retire(core: ControlCore): void {
-        isRetired = core.retire(monotonicNow());
-        // The seat's taking over bounds itself; the time for open orders begins after it.
-        if (core.isHandingOver) end = monotonicNow() + RETIRE_MS;
-      }
-      this.#submit(retire);
-      if (!isRetired) await new Promise<void>(afterTick);
-    }
-    // What was said last must leave the process before its lines close.
-    await new Promise<void>(afterTick);
-    this.#subscription.unsubscribe();
+    await this.#runtime.retire();
     this.#operators.close();
-    this.#exchange.close();
+    this.#runtime.close();
   }
 
   setSeeds(seeds: readonly string[]): void {
@@ -170,64 +154,23 @@
     function set(core: ControlCore): void {
       core.setSeeds(seeds);
     }
-    this.#submit(set);
-  }
-
-  #tell(defect: CodedError): void {
-    this.#log.warn({ defect: defect.kind }, defect.message);
-  }
-
-  /** Every input is a command of the core's one owner; its effects are carried out before the next. */
-  #submit(command: (core: ControlCore) => void): void {
-    const core = this.#core;
-    if (core) this.#owner.submit(this.#work.bind(this, core, command));
-  }
-
-  #work(core: ControlCore, command: (core: ControlCore) => void): void {
-    // What somebody else said must not end this process.
-    try {
-      command(core);
-    } catch (thrown) {
-      this.#log.error(
-        { defect: 'core' },
-        thrown instanceof Error ? (thrown.stack ?? thrown.message) : reasonOf(thrown),
-      );
-    }
-    for (const effect of core.drain()) this.#carryOut(core, effect);
+    this.#runtime.submit(set);
   }
 
-  #tick(core: ControlCore): void {
-    for (const peer of core.peers) this.#exchange.dial(peer);
-    core.tick(monotonicNow());
+  peers(core: ControlCore): readonly string[] {
+    return core.peers;
   }
 
-  #receive(incoming: Incoming): void {
-    function receive(core: ControlCore): void {
-      core.receive(
-        monotonicNow(),
-        incoming.from,
-        incoming.message,
-        incoming.role === 'mind' ? incoming.zone : '',
-      );
-    }
-    this.#submit(receive);
+  receive(incoming: Incoming): CoreCommand {
+    return receiveWithZone.bind(undefined, incoming);
   }
 
-  #gone(id: string): void {
-    function gone(core: ControlCore): void {
-      core.gone(monotonicNow(), id);
-    }
-    this.#submit(gone);
+  write({ part, version, body }: StoreEffect): Promise<void> {
+    return this.#report.measure(this.#store.write(part, version, body));
   }
 
-  #carryOut(core: ControlCore, effect: ControlEffect): void {
+  perform(effect: OutsideEffect, core: ControlCore): void {
     switch (effect.do) {
-      case 'send':
-        this.#exchange.send(effect.to, effect.message);
-        break;
-      case 'store':
-        void this.#keep(effect);
-        break;
       case 'askList':
         void this.#list();
         break;
@@ -237,10 +180,6 @@
       case 'order':
         void this.#order(effect, core);
         break;
-      case 'reply':
-        this.#answers.get(effect.id)?.({ status: effect.status, body: effect.body });
-        this.#answers.delete(effect.id);
-        break;
       case 'note':
         this.#log.info(effect.fields, effect.text);
         break;
@@ -249,19 +188,16 @@
     }
   }
 
-  async #keep(effect: Extract<ControlEffect, { do: 'store' }>): Promise<void> {
-    const { part, version, body } = effect;
-    try {
-      await this.#report.measure(this.#store.write(part, version, body));
-    } catch {
-      // Named by the store. It is tried again for as long as we run: until then nobody hears a yes from us.
-      setTimeout(this.#keep.bind(this, effect), DISK_AGAIN_MS).unref();
-      return;
-    }
-    function stored(core: ControlCore): void {
-      core.stored(monotonicNow(), part, version);
-    }
-    this.#submit(stored);
+  /** What somebody else said must not end this process. */
+  failed(thrown: unknown): void {
+    this.#log.error(
+      { defect: 'core' },
+      thrown instanceof Error ? (thrown.stack ?? thrown.message) : reasonOf(thrown),
+    );
+  }
+
+  #tell(error: CodedError): void {
+    this.#log.warn({ defect: error.kind }, error.message);
   }
 
   async #list(): Promise<void> {
@@ -273,7 +209,7 @@
       function take(core: ControlCore): void {
         core.list(monotonicNow(), runners);
       }
-      this.#submit(take);
+      this.#runtime.submit(take);
     } catch (thrown) {
       this.#log.info({ reason: reasonOf(thrown) }, 'no list of runners');
     } finally {
@@ -287,10 +223,10 @@
     function take(core: ControlCore): void {
       core.status(monotonicNow(), runner, askedAt, status);
     }
-    this.#submit(take);
+    this.#runtime.submit(take);
   }
 
-  async #order(effect: Extract<ControlEffect, { do: 'order' }>, core: ControlCore): Promise<void> {
+  async #order(effect: OrderEffect, core: ControlCore): Promise<void> {
     const { intent, address } = effect;
     const outcome = await this.#ports.order(
       intent,
@@ -313,25 +249,10 @@
     function ordered(owner: ControlCore): void {
       owner.ordered(monotonicNow(), intent.id, outcome);
     }
-    this.#submit(ordered);
+    this.#runtime.submit(ordered);
   }
 
   #metrics(): Promise<Exposition | undefined> {
-    return this.#report.render(this.#core);
-  }
-
-  #ask(verb: string, body: string): Promise<ControlAnswer> {
-    this.#commandId += 1;
-    const id = this.#commandId;
-    const answers = this.#answers;
-    function announce(done: (answer: ControlAnswer) => void): void {
-      answers.set(id, done);
-    }
-    const answer = new Promise<ControlAnswer>(announce);
-    function command(core: ControlCore): void {
-      core.command(monotonicNow(), id, verb, body);
-    }
-    this.#submit(command);
-    return answer;
+    return this.#report.render(this.#runtime.core);
   }
 }
--- /dev/null
+++ b/src/control/ControlRuntime.ts
@@ -0,0 +1,197 @@
+/** The frame that every program around a control node's core shares. */
+
+import { interval, Subscription } from 'rxjs';
+import { monotonicNow } from '../common/Clock.js';
+import { SerialQueue } from '../common/SerialQueue.js';
+import type { Exchange, Incoming } from '../dissemination/Exchange.js';
+import type { ControlEffect } from './ControlEffect.js';
+import type { ControlCore } from './ControlCore.js';
+
+export const DISK_AGAIN_MS = 500;
+/** How long a planned stop waits for orders whose outcome is open. */
+export const RETIRE_MS = 1000;
+
+/** What the runtime uses of an exchange; one that counts what passes has the same members. */
+export type ControlExchange = Pick<
+  Exchange,
+  'incoming$' | 'gone$' | 'open' | 'close' | 'dial' | 'send'
+>;
+
+/** One input of the core, run in its turn. */
+export type CoreCommand = (core: ControlCore) => void;
+
+export type StoreEffect = Extract<ControlEffect, { do: 'store' }>;
+export type OrderEffect = Extract<ControlEffect, { do: 'order' }>;
+/** What the runtime leaves to its program: calls to the outside, and notes. */
+export type OutsideEffect = Exclude<ControlEffect, { do: 'send' | 'store' | 'reply' }>;
+
+/** What the core replied to a command. */
+export interface CommandReply {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** What differs between programs. */
+export interface ControlRuntimePorts {
+  readonly tickMs: number;
+  /** Whether a planned stop gives open orders their time anew while the seat is handed over, which bounds itself. */
+  readonly waitsForHandover: boolean;
+  /** The nodes to keep a connection to. */
+  peers(core: ControlCore): readonly string[];
+  /** Looks at a message as it arrives, and returns the command that hands it to the core. */
+  receive(incoming: Incoming): CoreCommand;
+  /** Stores a part; fails where it could not be synced. */
+  write(effect: StoreEffect): Promise<void>;
+  perform(effect: OutsideEffect, core: ControlCore): void;
+  /** What a command threw; where this throws in turn, its effects are not carried out. */
+  failed(thrown: unknown): void;
+}
+
+/** Hands a message on with the zone of the control node that sent it. */
+export function receiveWithZone(incoming: Incoming, core: ControlCore): void {
+  const zone = incoming.role === 'mind' ? incoming.zone : '';
+  core.receive(monotonicNow(), incoming.from, incoming.message, zone);
+}
+
+/** Feeds a control node's core from its exchange, its callers and a timer, one command at a time, and carries out its effects. */
+export class ControlRuntime {
+  readonly #exchange: ControlExchange;
+  readonly #ports: ControlRuntimePorts;
+  readonly #owner = new SerialQueue();
+  readonly #subscription = new Subscription();
+  readonly #replies = new Map<number, (reply: CommandReply) => void>();
+  #core: ControlCore | undefined;
+  #commandId = 0;
+
+  constructor(exchange: ControlExchange, ports: ControlRuntimePorts) {
+    this.#exchange = exchange;
+    this.#ports = ports;
+  }
+
+  /** Nothing until it was opened. */
+  get core(): ControlCore | undefined {
+    return this.#core;
+  }
+
+  /** From here on the core takes commands, and messages once the exchange listens. */
+  async open(core: ControlCore): Promise<void> {
+    this.#core = core;
+    this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
+    this.#subscription.add(this.#exchange.gone$.subscribe(this.#gone.bind(this)));
+    await this.#exchange.open();
+  }
+
+  startTicks(): void {
+    this.#subscription.add(interval(this.#ports.tickMs).subscribe(this.tick.bind(this)));
+  }
+
+  /** A tick out of turn. */
+  tick(): void {
+    this.submit(this.#tick.bind(this));
+  }
+
+  /** Hands over what the core leads, if no order is open; over after a bounded time either way. */
+  async retire(): Promise<void> {
+    const { tickMs, waitsForHandover } = this.#ports;
+    function afterTick(done: () => void): void {
+      setTimeout(done, tickMs);
+    }
+    let end = monotonicNow() + RETIRE_MS;
+    for (let isRetired = false; !isRetired && monotonicNow() < end;) {
+      function retire(core: ControlCore): void {
+        isRetired = core.retire(monotonicNow());
+        // The seat's taking over bounds itself; the time for open orders begins after it.
+        if (waitsForHandover && core.isHandingOver) end = monotonicNow() + RETIRE_MS;
+      }
+      this.submit(retire);
+      if (!isRetired) await new Promise<void>(afterTick);
+    }
+    // What was said last must leave the process before its connections close.
+    await new Promise<void>(afterTick);
+  }
+
+  close(): void {
+    this.#subscription.unsubscribe();
+    this.#exchange.close();
+  }
+
+  /** Every input is a command of the core's one owner; its effects are carried out before the next. */
+  submit(command: CoreCommand): void {
+    const core = this.#core;
+    if (core) this.#owner.submit(this.#work.bind(this, core, command));
+  }
+
+  /** Hands a verb of the core and its JSON body on to it. */
+  ask(verb: string, body: string): Promise<CommandReply> {
+    this.#commandId += 1;
+    const id = this.#commandId;
+    const replies = this.#replies;
+    function announce(done: (reply: CommandReply) => void): void {
+      replies.set(id, done);
+    }
+    const reply = new Promise<CommandReply>(announce);
+    function command(core: ControlCore): void {
+      core.command(monotonicNow(), id, verb, body);
+    }
+    this.submit(command);
+    return reply;
+  }
+
+  #work(core: ControlCore, command: CoreCommand): void {
+    try {
+      command(core);
+    } catch (thrown) {
+      this.#ports.failed(thrown);
+    }
+    for (const effect of core.drain()) this.#carryOut(core, effect);
+  }
+
+  #tick(core: ControlCore): void {
+    for (const peer of this.#ports.peers(core)) this.#exchange.dial(peer);
+    core.tick(monotonicNow());
+  }
+
+  #receive(incoming: Incoming): void {
+    this.submit(this.#ports.receive(incoming));
+  }
+
+  #gone(id: string): void {
+    function gone(core: ControlCore): void {
+      core.gone(monotonicNow(), id);
+    }
+    this.submit(gone);
+  }
+
+  #carryOut(core: ControlCore, effect: ControlEffect): void {
+    switch (effect.do) {
+      case 'send':
+        this.#exchange.send(effect.to, effect.message);
+        break;
+      case 'store':
+        void this.#store(effect);
+        break;
+      case 'reply':
+        this.#replies.get(effect.id)?.({ status: effect.status, body: effect.body });
+        this.#replies.delete(effect.id);
+        break;
+      default:
+        this.#ports.perform(effect, core);
+        break;
+    }
+  }
+
+  async #store(effect: StoreEffect): Promise<void> {
+    const { part, version } = effect;
+    try {
+      await this.#ports.write(effect);
+    } catch {
+      // Named by the store. It is tried again for as long as we run: until then nobody hears a yes from us.
+      setTimeout(this.#store.bind(this, effect), DISK_AGAIN_MS).unref();
+      return;
+    }
+    function stored(core: ControlCore): void {
+      core.stored(monotonicNow(), part, version);
+    }
+    this.submit(stored);
+  }
+}
--- a/src/control/TableControlProcess.ts
+++ b/src/control/TableControlProcess.ts
@@ -1,5 +1,4 @@
 import { join } from 'node:path';
-import { interval, Subscription } from 'rxjs';
 import type { Infer } from 'superstruct';
 import type { Logger } from 'pino';
 import { FileStore } from '../state/FileStore.js';
@@ -10,48 +9,45 @@
 import type { Moment } from '../common/Ids.js';
 import { parseAs } from '../common/Json.js';
 import { newIncarnation } from '../common/Incarnation.js';
-import { SerialQueue } from '../common/SerialQueue.js';
 import type { TableControlSettingsShape } from '../common/Settings.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import type { Exposition } from '../metrics/Exposition.js';
 import { CatalogShape, MachinesShape, RunnerReportShape } from '../placement/Shapes.js';
 import { Api, type ApiReply } from './Api.js';
 import { ControlCore } from './ControlCore.js';
-import { CONTROL_DEFAULTS, type ControlEffect } from './ControlEffect.js';
+import { CONTROL_DEFAULTS } from './ControlEffect.js';
 import { ControlReport } from './ControlReport.js';
+import {
+  ControlRuntime,
+  type ControlRuntimePorts,
+  type CoreCommand,
+  type OrderEffect,
+  type OutsideEffect,
+  type StoreEffect,
+} from './ControlRuntime.js';
 import { Orderer } from './Orderer.js';
 
 const TICK_MS = 25;
 const OUTSIDE_MS = 800;
-const DISK_AGAIN_MS = 500;
-/** How long a planned stop waits for orders whose outcome is open. */
-const RETIRE_MS = 1000;
-
-function afterTick(done: () => void): void {
-  setTimeout(done, TICK_MS);
-}
 
 /** A control node's process: carries out what its core wants, and tells the core what came of it. */
-export class TableControlProcess {
+export class TableControlProcess implements ControlRuntimePorts {
+  readonly tickMs = TICK_MS;
+  readonly waitsForHandover = false;
   readonly #settings: Infer<typeof TableControlSettingsShape>;
   readonly #log: Logger;
   readonly #counters = new Counters();
-  readonly #owner = new SerialQueue();
-  readonly #exchange: Exchange;
+  readonly #runtime: ControlRuntime;
   readonly #store: FileStore;
   readonly #api: Api;
-  readonly #subscription = new Subscription();
-  readonly #replies = new Map<number, (returned: ApiReply) => void>();
   readonly #report = new ControlReport();
-  #core: ControlCore | undefined;
   #orderer: Orderer | undefined;
-  #commandId = 0;
   #wasPlatformUp = true;
 
   constructor(settings: Infer<typeof TableControlSettingsShape>, log: Logger) {
     this.#settings = settings;
     this.#log = log;
-    this.#exchange = new Exchange(
+    const exchange = new Exchange(
       {
         id: settings.listen,
         role: 'mind',
@@ -61,6 +57,7 @@
       },
       this.#tell.bind(this),
     );
+    this.#runtime = new ControlRuntime(exchange, this);
     this.#store = new FileStore(join(settings.data, 'parts'), this.#tell.bind(this));
     this.#api = new Api(this.#ask.bind(this), this.#counted.bind(this), this.#metrics.bind(this));
   }
@@ -73,107 +70,36 @@
       stored,
       monotonicNow(),
     );
-    this.#core = core;
     this.#orderer = new Orderer(core, monotonicNow);
-    this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
-    this.#subscription.add(this.#exchange.gone$.subscribe(this.#gone.bind(this)));
-    await this.#exchange.open();
+    await this.#runtime.open(core);
     await this.#api.listen(this.#settings.api);
-    this.#subscription.add(
-      interval(TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
-    );
+    this.#runtime.startTicks();
     this.#log.info({ standing: core.standing.name }, 'control node started');
   }
 
   /** Hands over what it leads, if no order is open, and stops. */
   async stop(): Promise<void> {
-    const end = monotonicNow() + RETIRE_MS;
-    for (let isRetired = false; !isRetired && monotonicNow() < end;) {
-      function retire(core: ControlCore): void {
-        isRetired = core.retire(monotonicNow());
-      }
-      this.#submit(retire);
-      if (!isRetired) await new Promise<void>(afterTick);
-    }
-    // What was said last must leave the process before its lines close.
-    await new Promise<void>(afterTick);
-    this.#subscription.unsubscribe();
+    await this.#runtime.retire();
     this.#api.close();
-    this.#exchange.close();
-  }
-
-  #tell(defect: CodedError): void {
-    this.#counters.add(`defects.${defect.kind}`);
-    this.#log.warn({ defect: defect.kind }, defect.message);
-  }
-
-  #metrics(): Promise<Exposition | undefined> {
-    return this.#report.render(this.#core);
-  }
-
-  #counted(): object {
-    const core = this.#core;
-    if (core) {
-      this.#counters.set('epoch', core.elector.epoch);
-      this.#counters.set('news.sent', core.relay.sent);
-      this.#counters.set('parts.mended', core.parts.mends);
-      this.#counters.set('placement.writes', core.placementWrites);
-    }
-    return this.#counters.all();
-  }
-
-  /** Every input is a command of the core's one owner; its effects are carried out before the next. */
-  #submit(command: (core: ControlCore) => void): void {
-    const core = this.#core;
-    if (!core) return;
-    this.#owner.submit(this.#work.bind(this, core, command));
-  }
-
-  #work(core: ControlCore, command: (core: ControlCore) => void): void {
-    command(core);
-    for (const effect of core.drain()) this.#carryOut(core, effect);
+    this.#runtime.close();
   }
 
-  #tick(core: ControlCore): void {
-    for (const voter of core.voters)
-      if (voter !== this.#settings.listen) this.#exchange.dial(voter);
-    core.tick(monotonicNow());
+  peers(core: ControlCore): readonly string[] {
+    return core.voters.filter(this.#isOther.bind(this));
   }
 
-  #receive(incoming: Incoming): void {
+  receive(incoming: Incoming): CoreCommand {
     this.#counters.add(`messages.${incoming.message.kind}`);
-    const tell = this.#tell.bind(this);
-    function receive(core: ControlCore): void {
-      // What a node of another build may say must not end this one.
-      try {
-        core.receive(monotonicNow(), incoming.from, incoming.message);
-      } catch (thrown) {
-        tell(
-          new CodedError(
-            'bad-frame',
-            `${incoming.message.kind} from ${incoming.from}: ${reasonOf(thrown)}`,
-          ),
-        );
-      }
-    }
-    this.#submit(receive);
+    return this.#receive.bind(this, incoming);
   }
 
-  #gone(id: string): void {
-    function gone(core: ControlCore): void {
-      core.gone(monotonicNow(), id);
-    }
-    this.#submit(gone);
+  async write({ part, version, body }: StoreEffect): Promise<void> {
+    await this.#report.measure(this.#store.write(part, version, body));
+    this.#counters.add('disk.writes');
   }
 
-  #carryOut(core: ControlCore, effect: ControlEffect): void {
+  perform(effect: OutsideEffect, core: ControlCore): void {
     switch (effect.do) {
-      case 'send':
-        this.#exchange.send(effect.to, effect.message);
-        break;
-      case 'store':
-        void this.#keep(effect);
-        break;
       case 'askMachines':
         void this.#askMachines();
         break;
@@ -186,30 +112,54 @@
       case 'order':
         void this.#order(effect, core.elector.epoch);
         break;
-      case 'reply':
-        this.#replies.get(effect.id)?.({ status: effect.status, body: effect.body });
-        this.#replies.delete(effect.id);
-        break;
       case 'note':
         this.#log.info(effect.fields, effect.text);
         break;
+      default:
+        break;
     }
   }
 
-  async #keep(effect: Extract<ControlEffect, { do: 'store' }>): Promise<void> {
-    const { part, version, body } = effect;
+  failed(thrown: unknown): void {
+    throw thrown;
+  }
+
+  #isOther(voter: string): boolean {
+    return voter !== this.#settings.listen;
+  }
+
+  #receive(incoming: Incoming, core: ControlCore): void {
+    // What a node of another build may say must not end this one.
     try {
-      await this.#report.measure(this.#store.write(part, version, body));
-    } catch {
-      // Named by the store. It is tried again for as long as we run: until then nobody hears a yes from us.
-      setTimeout(this.#keep.bind(this, effect), DISK_AGAIN_MS).unref();
-      return;
+      core.receive(monotonicNow(), incoming.from, incoming.message);
+    } catch (thrown) {
+      this.#tell(
+        new CodedError(
+          'bad-frame',
+          `${incoming.message.kind} from ${incoming.from}: ${reasonOf(thrown)}`,
+        ),
+      );
     }
-    this.#counters.add('disk.writes');
-    function stored(core: ControlCore): void {
-      core.stored(monotonicNow(), part, version);
+  }
+
+  #tell(error: CodedError): void {
+    this.#counters.add(`defects.${error.kind}`);
+    this.#log.warn({ defect: error.kind }, error.message);
+  }
+
+  #metrics(): Promise<Exposition | undefined> {
+    return this.#report.render(this.#runtime.core);
+  }
+
+  #counted(): object {
+    const { core } = this.#runtime;
+    if (core) {
+      this.#counters.set('epoch', core.elector.epoch);
+      this.#counters.set('news.sent', core.relay.sent);
+      this.#counters.set('parts.mended', core.parts.mends);
+      this.#counters.set('placement.writes', core.placementWrites);
     }
-    this.#submit(stored);
+    return this.#counters.all();
   }
 
   async #askMachines(): Promise<void> {
@@ -226,7 +176,7 @@
       function take(core: ControlCore): void {
         if (machines) core.machines(monotonicNow(), machines);
       }
-      this.#submit(take);
+      this.#runtime.submit(take);
       this.#platformUp(true, '');
     } catch (thrown) {
       this.#counters.add('platform.unreached');
@@ -248,7 +198,7 @@
       function take(core: ControlCore): void {
         if (catalog) core.catalog(monotonicNow(), catalog);
       }
-      this.#submit(take);
+      this.#runtime.submit(take);
     } catch {
       this.#counters.add('store.unreached');
     }
@@ -270,10 +220,10 @@
     function take(core: ControlCore): void {
       core.reported(monotonicNow(), runner, askedAt, own);
     }
-    this.#submit(take);
+    this.#runtime.submit(take);
   }
 
-  async #order(effect: Extract<ControlEffect, { do: 'order' }>, epoch: number): Promise<void> {
+  async #order(effect: OrderEffect, epoch: number): Promise<void> {
     const outcome =
       (await this.#orderer?.send(effect.intent, effect.address, this.#settings.listen, epoch)) ??
       'unsent';
@@ -292,22 +242,11 @@
     function ordered(core: ControlCore): void {
       core.ordered(monotonicNow(), effect.intent.id, outcome);
     }
-    this.#submit(ordered);
+    this.#runtime.submit(ordered);
   }
 
   #ask(verb: string, body: string): Promise<ApiReply> {
-    this.#commandId += 1;
-    const id = this.#commandId;
     this.#counters.add(`commands.${verb}`);
-    const replies = this.#replies;
-    function announce(done: (returned: ApiReply) => void): void {
-      replies.set(id, done);
-    }
-    const returned = new Promise<ApiReply>(announce);
-    function command(core: ControlCore): void {
-      core.command(monotonicNow(), id, verb, body);
-    }
-    this.#submit(command);
-    return returned;
+    return this.#runtime.ask(verb, body);
   }
 }
--- a/src/rehearsal/ScaleControl.ts
+++ b/src/rehearsal/ScaleControl.ts
@@ -1,6 +1,5 @@
 import { join } from 'node:path';
 import { pino, type Logger } from 'pino';
-import { interval, Subscription } from 'rxjs';
 import { array, boolean, nullable, number, optional, string, type, type Infer } from 'superstruct';
 import { FileStore } from '../state/FileStore.js';
 import { call } from '../common/Call.js';
@@ -8,13 +7,17 @@
 import { CodedError, reasonOf } from '../common/CodedError.js';
 import { mustParseAs, parseAs } from '../common/Json.js';
 import { newIncarnation } from '../common/Incarnation.js';
-import { SerialQueue } from '../common/SerialQueue.js';
 import { ControlCore } from '../control/ControlCore.js';
+import { CONTROL_DEFAULTS, type OrderResult } from '../control/ControlEffect.js';
 import {
-  CONTROL_DEFAULTS,
-  type ControlEffect,
-  type OrderResult,
-} from '../control/ControlEffect.js';
+  ControlRuntime,
+  receiveWithZone,
+  type ControlRuntimePorts,
+  type CoreCommand,
+  type OrderEffect,
+  type OutsideEffect,
+  type StoreEffect,
+} from '../control/ControlRuntime.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
 import { Planner } from '../placement/Planner.js';
@@ -65,17 +68,15 @@
 }
 
 /** A real control node with a planner, whose platform and runners are the run's own. */
-export class ScaleControl implements ScalePart {
+export class ScaleControl implements ScalePart, ControlRuntimePorts {
+  readonly tickMs = TICK_MS;
+  readonly waitsForHandover = true;
   readonly #settings: Infer<typeof ScaleControlShape>;
   readonly #log: Logger = pino({ level: 'warn' });
-  readonly #owner = new SerialQueue();
   readonly #tally = new Tally();
   readonly #exchange: CountedExchange;
   readonly #store: FileStore;
-  readonly #subscription = new Subscription();
-  readonly #replies = new Map<number, (body: string) => void>();
-  #core: ControlCore | undefined;
-  #commandId = 0;
+  readonly #runtime: ControlRuntime;
   #isListing = false;
   #lists = 0;
   #listMs = 0;
@@ -89,6 +90,7 @@
       new Exchange({ id: me, role: 'mind', zone, listen: me, reach: {} }, this.#tell.bind(this)),
       this.#tally,
     );
+    this.#runtime = new ControlRuntime(this.#exchange, this);
     this.#store = new FileStore(join(data, 'parts'), this.#tell.bind(this));
   }
 
@@ -101,7 +103,7 @@
       listMs: LIST_MS,
       planner: new Planner({ lagMs: LIST_LAG_MS }),
     };
-    this.#core = new ControlCore(
+    const core = new ControlCore(
       {
         ...CONTROL_DEFAULTS,
         me,
@@ -116,33 +118,29 @@
       monotonicNow(),
       { ...VOTE_DEFAULTS, ...VOTE },
     );
-    this.#subscription.add(this.#exchange.incoming$.subscribe(this.#receive.bind(this)));
-    this.#subscription.add(this.#exchange.gone$.subscribe(this.#gone.bind(this)));
-    await this.#exchange.open();
-    this.#subscription.add(
-      interval(TICK_MS).subscribe(this.#submit.bind(this, this.#tick.bind(this))),
-    );
+    await this.#runtime.open(core);
+    this.#runtime.startTicks();
   }
 
   async stop(): Promise<void> {
-    this.#subscription.unsubscribe();
-    this.#exchange.close();
+    this.#runtime.close();
   }
 
   async ask(verb: string, body: string): Promise<string> {
     if (verb === 'figures') return JSON.stringify(this.#figures());
     // Put together only where asked for: what travels by its changes is not held whole.
+    const relay = this.#runtime.core?.relay;
     if (verb === 'bodies')
       return JSON.stringify({
-        config: this.#core?.relay.item('config')?.body.length ?? 0,
-        fleet: this.#core?.relay.item('fleet')?.body.length ?? 0,
+        config: relay?.item('config')?.body.length ?? 0,
+        fleet: relay?.item('fleet')?.body.length ?? 0,
       });
     const { verb: commanded, body: said } = mustParseAs(CommandShape, body, 'the command');
-    return this.#command(commanded, said);
+    return JSON.stringify(await this.#runtime.ask(commanded, said));
   }
 
   #figures(): object {
-    const core = this.#core;
+    const { core } = this.#runtime;
     const config = core?.relay.version('config');
     const fleet = core?.relay.version('fleet');
     return {
@@ -162,68 +160,23 @@
     };
   }
 
-  #command(verb: string, body: string): Promise<string> {
-    this.#commandId += 1;
-    const id = this.#commandId;
-    const replies = this.#replies;
-    function announce(done: (body: string) => void): void {
-      replies.set(id, done);
-    }
-    const returned = new Promise<string>(announce);
-    function command(core: ControlCore): void {
-      core.command(monotonicNow(), id, verb, body);
-    }
-    this.#submit(command);
-    return returned;
-  }
-
-  #tell(defect: CodedError): void {
-    this.#log.warn({ defect: defect.kind }, defect.message);
-  }
-
-  #submit(command: (core: ControlCore) => void): void {
-    const core = this.#core;
-    if (core) this.#owner.submit(this.#work.bind(this, core, command));
+  peers(core: ControlCore): readonly string[] {
+    return core.peers;
   }
 
-  #work(core: ControlCore, command: (core: ControlCore) => void): void {
-    command(core);
-    for (const effect of core.drain()) this.#carryOut(core, effect);
-  }
-
-  #tick(core: ControlCore): void {
-    for (const peer of core.peers) this.#exchange.dial(peer);
-    core.tick(monotonicNow());
-  }
-
-  #receive(incoming: Incoming): void {
+  receive(incoming: Incoming): CoreCommand {
     this.#exchange.took(incoming.message);
-    function receive(core: ControlCore): void {
-      core.receive(
-        monotonicNow(),
-        incoming.from,
-        incoming.message,
-        incoming.role === 'mind' ? incoming.zone : '',
-      );
-    }
-    this.#submit(receive);
+    return receiveWithZone.bind(undefined, incoming);
   }
 
-  #gone(id: string): void {
-    function gone(core: ControlCore): void {
-      core.gone(monotonicNow(), id);
-    }
-    this.#submit(gone);
+  write({ part, version, body }: StoreEffect): Promise<void> {
+    this.#writes += 1;
+    this.#writtenBytes += body.length;
+    return this.#store.write(part, version, body);
   }
 
-  #carryOut(core: ControlCore, effect: ControlEffect): void {
+  perform(effect: OutsideEffect, core: ControlCore): void {
     switch (effect.do) {
-      case 'send':
-        this.#exchange.send(effect.to, effect.message);
-        break;
-      case 'store':
-        void this.#keep(effect);
-        break;
       case 'askList':
         void this.#list();
         break;
@@ -233,26 +186,17 @@
       case 'order':
         void this.#order(effect, core);
         break;
-      case 'reply':
-        this.#replies.get(effect.id)?.(
-          JSON.stringify({ status: effect.status, body: effect.body }),
-        );
-        this.#replies.delete(effect.id);
-        break;
       default:
         break;
     }
   }
 
-  async #keep(effect: Extract<ControlEffect, { do: 'store' }>): Promise<void> {
-    const { part, version, body } = effect;
-    this.#writes += 1;
-    this.#writtenBytes += body.length;
-    await this.#store.write(part, version, body);
-    function stored(core: ControlCore): void {
-      core.stored(monotonicNow(), part, version);
-    }
-    this.#submit(stored);
+  failed(thrown: unknown): void {
+    throw thrown;
+  }
+
+  #tell(error: CodedError): void {
+    this.#log.warn({ defect: error.kind }, error.message);
   }
 
   async #list(): Promise<void> {
@@ -276,7 +220,7 @@
       function take(core: ControlCore): void {
         core.list(monotonicNow(), runners);
       }
-      this.#submit(take);
+      this.#runtime.submit(take);
       this.#lists += 1;
       this.#listMs += performance.now() - start;
     } catch (thrown) {
@@ -300,10 +244,10 @@
     function take(core: ControlCore): void {
       core.status(monotonicNow(), runner, askedAt, status);
     }
-    this.#submit(take);
+    this.#runtime.submit(take);
   }
 
-  async #order(effect: Extract<ControlEffect, { do: 'order' }>, core: ControlCore): Promise<void> {
+  async #order(effect: OrderEffect, core: ControlCore): Promise<void> {
     const { intent, address } = effect;
     let outcome: OrderResult = 'unsure';
     try {
@@ -322,6 +266,6 @@
     function ordered(owner: ControlCore): void {
       owner.ordered(monotonicNow(), intent.id, outcome);
     }
-    this.#submit(ordered);
+    this.#runtime.submit(ordered);
   }
 }
