--- a/bench/draw/command.ts
+++ b/bench/draw/command.ts
@@ -11,12 +11,13 @@
 /** How the command is used. */
 export const USAGE = `usage:
   draw-days draw SITE --kinds FILE --out DIR [--seed N] [--days N] [--intensity X] [--length S]
-                 [--closing P]   write drawn days, one file each, and print their paths
+                 [--closing P] [--clusters N]   write drawn days, one file each, and print their paths
   draw-days worst SITE --out DIR write the fixed worst days for a site
   draw-days unknown              print the kinds on standard input that the table lacks
 
 SITE is a site file. FILE holds what the bench prints for 'kinds SITE'. --intensity goes from 0 to 1,
---closing is the probability of a closing fault.`;
+--closing is the probability of a closing fault; --clusters says how many sequences of troubles
+that belong together come in 34 s of a day.`;
 
 const STANDARD_INPUT = 0;
 const OPTIONS = {
@@ -27,6 +28,7 @@
   intensity: { type: 'string', default: '0.5' },
   length: { type: 'string' },
   closing: { type: 'string', default: '0.5' },
+  clusters: { type: 'string', default: '0' },
 } as const;
 
 /** Runs the command; gives the exit status. */
@@ -48,6 +50,7 @@
         lengthSeconds:
           values.length === undefined ? site.lengthSeconds : readNumber(values.length, 'length'),
         kinds,
+        clusters: readNumber(values.clusters, 'clusters'),
         closingProbability: readNumber(values.closing, 'closing'),
       }),
     );
--- a/bench/draw/draw.test.ts
+++ b/bench/draw/draw.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import { parse } from 'smol-toml';
 import { writeDay, type Day, type Trouble } from './Day.js';
+import { CLUSTERS } from './clusters.js';
 import { drawDay, type DrawOptions } from './drawDay.js';
 import { KINDS } from './kinds.js';
 import { findUnknownKinds, readListedKinds } from './listedKinds.js';
@@ -48,6 +49,12 @@
 test('a site is read from its file', readsSite);
 test('a day is the same for the same seed, and another for another', drawsBySeed);
 test('a drawn day is sound TOML, within its length, of listed kinds only', drawsSoundDays);
+test('clusters are of known kinds, and hold what they are named for', drawsClusters);
+test(
+  'a day with clusters holds them within its length, and of listed kinds only',
+  drawsClusteredDays,
+);
+test('a storm is written as changes where the site lists no storms', spellsOutStorms);
 test('a closing fault comes as often as asked', drawsClosing);
 test('every kind comes within some hundred drawn days', drawsEveryKind);
 test('the worst days are sound TOML of known kinds, each with its own name', listsSoundDays);
@@ -60,6 +67,7 @@
     intensity: 0.5,
     lengthSeconds: 34,
     kinds: ALL_KINDS,
+    clusters: 0,
     closingProbability: 0.5,
     ...changes,
   };
@@ -115,6 +123,63 @@
   }
 }
 
+function drawsClusters(): void {
+  const marks: Readonly<Record<string, string>> = {
+    long_cut: 'core_cut',
+    two_operators: 'config_race',
+    second_loss: 'after_ack_wipe',
+    return_after_changes: 'config_storm',
+    answers: 'garble',
+  };
+  expect(Object.keys(marks)).toEqual(Object.keys(CLUSTERS));
+  for (const [name, drawCluster] of Object.entries(CLUSTERS)) {
+    for (let seed = 0; seed < 50; seed += 1) {
+      const kinds = drawCluster(new Random(seed), SITE, 3).map(kindOf);
+      expect(kinds).toContain(marks[name]);
+      expect(findUnknownKinds(kinds)).toEqual([]);
+    }
+  }
+}
+
+function kindOf(trouble: Trouble): string {
+  return trouble.kind;
+}
+
+function drawsClusteredDays(): void {
+  const kinds = ['core_cut', 'config_race', 'after_ack_wipe'];
+  const options = makeOptions({ lengthSeconds: 100, clusters: 2, kinds });
+  const plain = drawDay(SITE, { ...options, clusters: 0 });
+  const clustered = drawDay(SITE, options);
+  expect(listTroubles(clustered).length).toBeGreaterThan(listTroubles(plain).length);
+  for (let seed = 0; seed < 50; seed += 1) {
+    for (const trouble of listTroubles(drawDay(SITE, { ...options, seed }))) {
+      expect(kinds).toContain(trouble.kind);
+      expect(trouble.at).toBeGreaterThanOrEqual(0);
+      expect(trouble.at).toBeLessThan(100);
+    }
+  }
+}
+
+function spellsOutStorms(): void {
+  const options = makeOptions({ seed: 3, lengthSeconds: 100, clusters: 4 });
+  const days = [0, 1, 2, 3, 4].map(drawWithoutStorms);
+  expect(Math.max(...days.map(countChanges))).toBeGreaterThan(80);
+  expect(drawDay(SITE, options).plan.map(kindOf)).toContain('config_storm');
+}
+
+function drawWithoutStorms(seed: number): Day {
+  const kinds = ['config_change', 'core_cut'];
+  return drawDay(SITE, makeOptions({ seed, lengthSeconds: 100, clusters: 4, kinds }));
+}
+
+function countChanges(day: Day): number {
+  return day.plan.filter(isChange).length;
+}
+
+function isChange(trouble: Trouble): boolean {
+  return trouble.kind === 'config_change';
+}
+
 function drawsClosing(): void {
   for (let seed = 0; seed < 50; seed += 1) {
     expect(drawDay(SITE, makeOptions({ seed, closingProbability: 0 })).closing).toBeNull();
--- a/bench/draw/drawDay.ts
+++ b/bench/draw/drawDay.ts
@@ -1,6 +1,8 @@
 /** Draws one day of overlapping troubles for a site. */
+import { CLUSTERS, type DrawCluster } from './clusters.js';
 import { CLOSING_KINDS, type Closing, type Day, type Part, type Trouble } from './Day.js';
-import { KINDS, type KindOfTrouble, type Target } from './kinds.js';
+import type { KindOfTrouble, Target } from './KindOfTrouble.js';
+import { KINDS } from './kinds.js';
 import { Random } from './Random.js';
 import type { Site } from './Site.js';
 
@@ -12,6 +14,8 @@
   readonly lengthSeconds: number;
   /** The kinds that may come, as the bench lists them for the site. */
   readonly kinds: readonly string[];
+  /** How many clusters of troubles that belong together a day has besides, by its standard length. */
+  readonly clusters: number;
   /** The chance that a closing fault ends the day. */
   readonly closingProbability: number;
 }
@@ -27,7 +31,7 @@
 const CLUSTER_PROBABILITY = 0.4;
 const CLUSTER_GAP_SECONDS = { least: 0.05, most: 2.5 } as const;
 const OTHER_TARGETS: readonly Target[] = ['proxies', 'runners', 'traffic'];
-const CLOSING_SHAPES = ['', '', 'aimed', 'timed', 'taken'] as const;
+const CLOSING_SHAPES = ['', '', 'aimed', 'timed', 'taken', 'oldest'] as const;
 
 interface Candidate {
   readonly name: string;
@@ -40,6 +44,7 @@
   const parts: Record<Part, Trouble[]> = { plan: [], faults: [] };
   drawTroubles(random, site, options, ['control'], CONTROL_TROUBLES, parts);
   drawTroubles(random, site, options, OTHER_TARGETS, OTHER_TROUBLES, parts);
+  drawClusters(random, site, options, parts);
   return {
     name: `drawn-${options.seed}`,
     seed: options.seed,
@@ -70,6 +75,57 @@
   }
 }
 
+/** Draws clusters, each in a stretch of the day of its own; what the site does not list is left out. */
+function drawClusters(
+  random: Random,
+  site: Site,
+  options: DrawOptions,
+  parts: Record<Part, Trouble[]>,
+): void {
+  const count = Math.round((options.clusters * options.lengthSeconds) / STANDARD_LENGTH_SECONDS);
+  const last = options.lengthSeconds - QUIET_END_SECONDS;
+  const names = Object.keys(CLUSTERS);
+  const stretch = (last - FIRST_TROUBLE_SECONDS) / Math.max(1, count);
+  for (let index = 0; index < count; index += 1) {
+    const begin = FIRST_TROUBLE_SECONDS + index * stretch;
+    // The first half of the stretch leaves the cluster room before the next one begins.
+    const start = random.between(begin, begin + stretch / 2);
+    const drawCluster = clusterOf(random.choice(names));
+    for (const trouble of drawCluster(random, site, start)) {
+      for (const part of spellOutStorm(trouble, options)) addClustered(part, options, last, parts);
+    }
+  }
+}
+
+function clusterOf(name: string): DrawCluster {
+  const drawCluster = CLUSTERS[name];
+  if (drawCluster === undefined) throw new RangeError(`no cluster ${name}`);
+  return drawCluster;
+}
+
+/** Where the site lists no storms, a storm is written as single changes, which it does list. */
+function spellOutStorm(trouble: Trouble, options: DrawOptions): Trouble[] {
+  const { at, kind, for_s = 0, gap_s = 1 } = trouble;
+  if (kind !== 'config_storm' || options.kinds.includes(kind)) return [trouble];
+  const changes: Trouble[] = [];
+  for (let after = 0; after < for_s; after += gap_s) {
+    changes.push({ at: at + after, kind: 'config_change', how: 'timeout' });
+  }
+  return changes;
+}
+
+function addClustered(
+  trouble: Trouble,
+  options: DrawOptions,
+  last: number,
+  parts: Record<Part, Trouble[]>,
+): void {
+  const kind = KINDS[trouble.kind];
+  if (kind === undefined || !options.kinds.includes(trouble.kind) || trouble.at > last) return;
+  const at = Math.max(FIRST_TROUBLE_SECONDS, Math.round(trouble.at * 1000) / 1000);
+  parts[kind.part].push({ ...trouble, at });
+}
+
 function drawTime(random: Random, lengthSeconds: number, before: number): number {
   const last = lengthSeconds - QUIET_END_SECONDS;
   if (random.chance(CLUSTER_PROBABILITY)) {
