--- a/bench/draw/draw.test.ts
+++ b/bench/draw/draw.test.ts
@@ -55,6 +55,7 @@
   drawsClusteredDays,
 );
 test('a storm is written as changes where the site lists no storms', spellsOutStorms);
+test('no trouble takes every server of a service for good', sparesServers);
 test('a closing fault comes as often as asked', drawsClosing);
 test('every kind comes within some hundred drawn days', drawsEveryKind);
 test('the worst days are sound TOML of known kinds, each with its own name', listsSoundDays);
@@ -180,6 +181,18 @@
   return trouble.kind === 'config_change';
 }
 
+function sparesServers(): void {
+  const kinds = ['srv_crash', 'replace_with_reuse'];
+  for (let seed = 0; seed < 300; seed += 1) {
+    const day = drawDay(SITE, makeOptions({ seed, intensity: 1, lengthSeconds: 100, kinds }));
+    for (const trouble of day.faults) {
+      const words = (trouble.how ?? '').split(' ');
+      const isLasting = trouble.kind === 'replace_with_reuse' || words.includes('gone');
+      expect(isLasting && words.includes('all')).toBe(false);
+    }
+  }
+}
+
 function drawsClosing(): void {
   for (let seed = 0; seed < 50; seed += 1) {
     expect(drawDay(SITE, makeOptions({ seed, closingProbability: 0 })).closing).toBeNull();
--- a/bench/draw/kinds/runners.ts
+++ b/bench/draw/kinds/runners.ts
@@ -7,8 +7,10 @@
 
 const GARBLE_SHAPES = ['', 'extra', 'extra late', 'unframed', 'early'] as const;
 const SERVER_CUT_SHAPES = ['', 'fronts', 'one_way', 'reset', 'fronts reset'] as const;
-/** Whether the share is taken of all copies of a service, and whether one is always spared. */
+/** Whether the share is taken of all copies of a service; 'all' strikes every server of it, whatever the share. */
 const SPREADS = ['', '', '', 'across', 'all'] as const;
+/** Where servers do not come back, striking all would leave nothing that could serve. */
+const LASTING_SPREADS = ['', '', 'across'] as const;
 const ONE_ZONE_PROBABILITY = 0.25;
 const GREY_SHAPES = ['errors', 'shed', 'busy', 'hang', 'reset', 'mute', 'slow'] as const;
 
@@ -31,7 +33,8 @@
 };
 
 function drawServerCrash(random: Random, site: Site): TroubleFields {
-  const how = joinWords([random.choice(['', 'dark', 'gone']), random.choice(SPREADS)]);
+  const loss = random.choice(['', 'dark', 'gone']);
+  const how = joinWords([loss, random.choice(loss === 'gone' ? LASTING_SPREADS : SPREADS)]);
   const for_s = random.between(2, 6);
   return { service: site.modelService, share: random.between(0.08, 0.2), for_s, how };
 }
@@ -89,7 +92,7 @@
 }
 
 function drawReuse(random: Random, site: Site): TroubleFields {
-  const how = joinWords([random.choice(['', 'drain', 'dark']), random.choice(SPREADS)]);
+  const how = joinWords([random.choice(['', 'drain', 'dark']), random.choice(LASTING_SPREADS)]);
   return { service: site.modelService, share: random.between(0.08, 0.15), how };
 }
 
