Pass ids of leaving runners down the relay tree past the leader

Only the fleet, written by the serving leader, told proxies who leaves. A new message kind at the end of the table, `leaving`, carries ids alone. An agent passes on what is new to it, so that nothing travels in circles, and tells its whole set to whoever asks for news with another one; the asks carry the size and a digest of the set where it is not empty, and nothing more in ordinary times. Ruled out: a topic of the relay, since a topic has one newest version and a union has none.

--- a/src/agent/AgentCore.ts
+++ b/src/agent/AgentCore.ts
@@ -5,6 +5,7 @@
 import { compareVersions, NO_VERSION, versionsBetween, type Version } from '../common/Version.js';
 import { Relay } from '../dissemination/Relay.js';
 import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
+import { LeavingRunners } from '../dissemination/LeavingRunners.js';
 import type { AgentMetrics } from './AgentMetrics.js';
 
 export interface AgentSettings {
@@ -53,6 +54,7 @@
 export class AgentCore {
   readonly #settings: AgentSettings;
   readonly #relay = new Relay();
+  readonly #leaving = new LeavingRunners();
   readonly #confirmation: FreshnessConfirmation;
   readonly #flows = new Map<string, ProxyState>();
   /** When each of those that we feed asked last. */
@@ -166,6 +168,7 @@
       )
         this.#flows.delete(id);
     for (const [child, at] of this.#children) if (now - at > CHILD_SILENT_MS) this.#forget(child);
+    this.#leaving.tick(now);
     this.#tellAck();
     if (isDeployed) {
       this.#askNews(now);
@@ -201,12 +204,16 @@
           this.#send(from, {
             kind: 'freshnessRequest',
             nonce: -1,
-            have: this.#relay.have(),
+            have: this.#have(),
             members: [],
           });
         break;
       }
+      case 'leaving':
+        this.#takeLeaving(now, message.runners);
+        break;
       case 'freshnessRequest':
+        this.#tellLacked(from, message.have);
         if (role === 'flow' && this.#flows.get(from)?.goneAt !== undefined)
           this.#flows.delete(from);
         if (role === 'flow' && !this.#flows.has(from))
@@ -258,6 +265,24 @@
     this.#flush();
   }
 
+  /** True whoever tells it; only what is new here goes on to those below. */
+  #takeLeaving(now: Moment, runners: readonly string[]): void {
+    const fresh = this.#leaving.add(now, runners);
+    if (fresh.length === 0) return;
+    for (const child of this.#children.keys())
+      this.#send(child, { kind: 'leaving', runners: [...fresh] });
+  }
+
+  /** Leaving runners that one below has not heard of, since a line dropped them or it came later. */
+  #tellLacked(to: string, have: readonly HaveMessage[]): void {
+    const runners = this.#leaving.lackedBy(have);
+    if (runners.length > 0) this.#send(to, { kind: 'leaving', runners: [...runners] });
+  }
+
+  #have(): HaveMessage[] {
+    return [...this.#relay.have(), ...this.#leaving.have()];
+  }
+
   /** What a proxy holds is in force there: it applies news as it takes it. */
   #noteProxy(from: string, have: readonly HaveMessage[]): void {
     const flow = this.#flows.get(from);
@@ -373,7 +398,7 @@
       this.#send(this.controlNode, {
         kind: 'freshnessRequest',
         nonce: -1,
-        have: this.#relay.have(),
+        have: this.#have(),
         members: [],
       });
   }
@@ -385,7 +410,7 @@
     this.#send(this.#upstream(), {
       kind: 'freshnessRequest',
       nonce: 0,
-      have: this.#relay.have(),
+      have: this.#have(),
       members: [],
     });
   }
@@ -404,7 +429,7 @@
       this.#send(other, {
         kind: 'freshnessRequest',
         nonce: -1,
-        have: this.#relay.have(),
+        have: this.#have(),
         members: [],
       });
   }
@@ -452,7 +477,7 @@
     this.#send(this.#upstream(), {
       kind: 'freshnessRequest',
       nonce,
-      have: this.#relay.have(),
+      have: this.#have(),
       members: [this.#settings.me, ...this.#confirmation.members()],
     });
   }
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -118,6 +118,11 @@
   /** A voter that is told to stop, and the leader's answer: whether it may, since its seat is taken over or nobody is there to take it. */
   leave: type({ id: string() }),
   leaveReply: type({ mayStop: boolean() }),
+  /**
+   * Ids of runners that the platform has listed as leaving, told past the leader while it reads no list. Between voters it
+   * also says that its sender has just read the list; then it may name nobody.
+   */
+  leaving: type({ runners: array(string()) }),
 } as const;
 
 type Shapes = typeof SHAPES;
--- a/src/proxy/ProxyProcess.ts
+++ b/src/proxy/ProxyProcess.ts
@@ -11,6 +11,7 @@
 import { compareVersions, NO_VERSION, versionText, type Version } from '../common/Version.js';
 import { ConfigNewsShape } from '../control/ConfigDoc.js';
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
+import { LeavingRunners } from '../dissemination/LeavingRunners.js';
 import { applyFleetDelta, FleetDeltaShape, FleetShape, type Fleet } from '../placement/Fleet.js';
 import type { ConfigDialect } from '../route/Routing.js';
 import { Dispatcher, type DispatcherSettings } from './Dispatcher.js';
@@ -50,6 +51,7 @@
   readonly #readiness: Server;
   readonly #subscription = new Subscription();
   readonly #versions = new Map<string, Version>();
+  readonly #leaving = new LeavingRunners();
   #routingText = '';
   #fleet: Fleet | undefined;
   #ticks = 0;
@@ -161,7 +163,8 @@
   }
 
   #ask(): void {
-    const have: HaveMessage[] = [];
+    this.#leaving.tick(monotonicNow());
+    const have: HaveMessage[] = [...this.#leaving.have()];
     for (const [topic, version] of this.#versions) have.push({ topic, ...version });
     this.#nonce += 1;
     this.#exchange.send(this.#settings.link, {
@@ -189,6 +192,7 @@
   #receive(incoming: Incoming): void {
     const { message } = incoming;
     if (message.kind === 'delta') this.#takeDelta(message);
+    if (message.kind === 'leaving') this.#takeLeaving(message.runners);
     if (message.kind !== 'update') return;
     const version = { epoch: message.epoch, count: message.count };
     // Nothing steps back a version.
@@ -207,6 +211,13 @@
     this.#forwarder.obey();
   }
 
+  #takeLeaving(runners: readonly string[]): void {
+    const now = monotonicNow();
+    this.#leaving.add(now, runners);
+    this.#dispatcher.leaving(now, runners);
+    this.#forwarder.obey();
+  }
+
   #takeDelta(message: Extract<Message, { kind: 'delta' }>): void {
     const { topic, epoch, from, count, body } = message;
     const held = this.#version(topic);
