Read the list of runners in each side of a cut while no leader serves

A voter that has had no sign of a serving leader for 0.6 s, and 0.15 s more for each voter before it, now reads the list itself, tells the other voters, which then leave the reading to it, and tells those below. A sign is a renewal heard, in a term whose first word on the fleet has come: a leader that holds its grants but cannot serve yet reads nothing. A reading that brings nothing is tried again after 1, 2 and then each 4 s.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -41,6 +41,7 @@
 import { quorumOf } from './ConfigVoters.js';
 import { errorAnswer, type CommandAnswer } from './OrderAnswers.js';
 import { OperatorOrders, type Commit, type Origin } from './OperatorOrders.js';
+import { LeavingWatch, type LeavingWatchHost } from './LeavingWatch.js';
 import { leaderTimeOf, OrderForwarding } from './OrderForwarding.js';
 import { VoterMembership, type MembershipHost } from './VoterMembership.js';
 import type { VotersChange } from './VoterPlan.js';
@@ -137,6 +138,8 @@
   readonly #zones = new Map<string, string>();
   /** Set in a deployment, where voters change by themselves. */
   readonly #membership: VoterMembership | undefined;
+  /** Set in a deployment, where the leader alone reads the list of runners. */
+  readonly #leavingWatch: LeavingWatch | undefined;
   /** The configuration whose voters are followed. */
   #followedConfig = '';
   /** The newest configuration read while beginning to lead in this epoch, where it names other voters. */
@@ -190,6 +193,7 @@
         flows: this.#flowCount.bind(this),
       });
     this.#membership = settings.deployed && new VoterMembership(this.#membershipHost(), now);
+    this.#leavingWatch = settings.deployed && new LeavingWatch(this.#leavingWatchHost(), now);
     this.#confirmation = new FreshnessConfirmation(settings.incarnation);
     this.#committedDoc = this.#doc;
     this.#orders = new OperatorOrders(
@@ -337,6 +341,7 @@
     this.#tickCommands(now);
     this.#membership?.tick(now);
     this.#tickOutside(now);
+    this.#leavingWatch?.tick(now);
     this.#collect(now);
   }
 
@@ -425,6 +430,9 @@
       case 'leaveReply':
         this.#membership?.receiveLeaveReply(message);
         break;
+      case 'leaving':
+        this.#leavingWatch?.receive(now, from, message.runners);
+        break;
       case 'update':
         this.#receiveUpdate(message);
         break;
@@ -486,7 +494,10 @@
 
   /** The platform's list of runners. */
   list(now: Moment, runners: readonly ListedRunner[]): void {
-    if (this.#isServing) this.#fleetManager?.list(now, runners, this.#doc);
+    if (this.#isServing) {
+      this.#fleetManager?.list(now, runners, this.#doc);
+      this.#leavingWatch?.readByLeader(now);
+    } else this.#leavingWatch?.listed(now, runners);
     this.#collect(now);
   }
 
@@ -754,6 +765,23 @@
     };
   }
 
+  #leavingWatchHost(): LeavingWatchHost {
+    return {
+      me: this.#me,
+      elector: this.#elector,
+      relay: this.#relay,
+      quorum: this.#currentQuorum.bind(this),
+      isServing: this.#isServingNow.bind(this),
+      children: this.#currentChildren.bind(this),
+      askList: this.#effect.bind(this, { do: 'askList' }),
+      send: this.#send.bind(this),
+    };
+  }
+
+  #currentChildren(): ReadonlySet<string> {
+    return this.#fed;
+  }
+
   #currentQuorum(): Quorum {
     return this.#quorum;
   }
@@ -840,6 +868,7 @@
     message: Extract<Message, { kind: 'freshnessRequest' }>,
   ): void {
     this.#relay.heard(from, message.have);
+    this.#leavingWatch?.asked(from, message.have);
     if (message.nonce < 0) {
       // Answered once: who hangs elsewhere is fed there, and would get everything twice.
       this.#flushNews();
--- /dev/null
+++ b/src/control/LeavingWatch.ts
@@ -0,0 +1,150 @@
+import { later, moment, nodeId, type Moment } from '../common/Ids.js';
+import type { HaveMessage, Message } from '../common/Messages.js';
+import type { Quorum } from '../common/Quorum.js';
+import type { Relay } from '../dissemination/Relay.js';
+import { LeavingRunners } from '../dissemination/LeavingRunners.js';
+import type { Elector } from '../election/Elector.js';
+import type { ListedRunner } from '../placement/Fleet.js';
+
+/** What the watch needs of the control node that it belongs to. */
+export interface LeavingWatchHost {
+  readonly me: string;
+  readonly elector: Elector;
+  readonly relay: Relay;
+  /** Who votes, by the newest configuration known here. */
+  quorum(): Quorum;
+  /** Whether this node leads and has taken over the state: it then reads the list as the leader. */
+  isServing(): boolean;
+  /** Those that get their news from this node. */
+  children(): Iterable<string>;
+  /** Asks for the platform's list of runners. */
+  askList(): void;
+  send(to: string, message: Message): void;
+}
+
+/** Without a sign of a serving leader for so long the list is read here: two renewals of its lease have not come. */
+export const QUIET_MS = 600;
+/** By how much later each further voter begins, in the order of the voters, and all of them at most. */
+const TURN_MS = 150;
+const MOST_TURNS_MS = 600;
+/** How often one reader reads, and how much longer the others wait for what it tells. */
+const READ_MS = 1000;
+const PEER_SLACK_MS = 250;
+/** A reading that brought nothing is tried again after twice the time, up to this. */
+const MOST_BACK_OFF_MS = 4000;
+/** Ticks come every 50 ms; after a longer pause what arrived meanwhile is heard before anything is judged by it. */
+const STANDSTILL_MS = 400;
+
+/**
+ * Reads the platform's list while no leader does, and tells which runners are leaving. In ordinary times it does nothing:
+ * the serving leader reads the list and tells it by the fleet.
+ */
+export class LeavingWatch {
+  readonly #host: LeavingWatchHost;
+  readonly #runners = new LeavingRunners();
+  /** The last sign that a leader serves. */
+  #servedAt: Moment;
+  #tickedAt: Moment;
+  #readFrom: Moment;
+  #backOffMs = READ_MS;
+  #reads = 0;
+
+  constructor(host: LeavingWatchHost, now: Moment) {
+    this.#host = host;
+    this.#servedAt = now;
+    this.#tickedAt = now;
+    this.#readFrom = now;
+  }
+
+  /** How often the list was asked for here while no leader read it. */
+  get reads(): number {
+    return this.#reads;
+  }
+
+  tick(now: Moment): void {
+    this.#runners.tick(now);
+    const hasStoodStill = now - this.#tickedAt > STANDSTILL_MS;
+    this.#tickedAt = now;
+    this.#noteServed(now);
+    if (hasStoodStill || now < this.#readFrom || !this.#isQuiet(now)) return;
+    this.#reads += 1;
+    this.#readFrom = later(now, this.#backOffMs);
+    // Until it brings something, this reading counts as one in vain.
+    this.#backOffMs = Math.min(MOST_BACK_OFF_MS, this.#backOffMs * 2);
+    this.#host.askList();
+  }
+
+  /** The list came to this node as the serving leader: what it reads after its term is no sooner than otherwise. */
+  readByLeader(now: Moment): void {
+    this.#backOffMs = READ_MS;
+    this.#readFrom = later(now, READ_MS);
+  }
+
+  /** The list as read here while this node serves nobody. */
+  listed(now: Moment, runners: readonly ListedRunner[]): void {
+    this.#backOffMs = READ_MS;
+    this.#readFrom = moment(Math.min(this.#readFrom, later(now, READ_MS)));
+    const ids: string[] = [];
+    for (const runner of runners) if (runner.isLeaving) ids.push(runner.id);
+    this.#take(now, ids);
+    // Told whole, and also where nobody leaves: the other voters need not read the list as well.
+    for (const voter of this.#host.quorum().all)
+      if (voter !== this.#host.me) this.#tell(voter, this.#runners.ids);
+  }
+
+  /** Ids that another node told. */
+  receive(now: Moment, from: string, runners: readonly string[]): void {
+    this.#take(now, runners);
+    if (!this.#isVoter(from)) return;
+    // That voter has just read the list: this node's turn comes if it does not go on.
+    this.#backOffMs = READ_MS;
+    this.#readFrom = later(now, READ_MS + PEER_SLACK_MS + this.#turnMs());
+  }
+
+  /** A node below asked for news: ids that were lost on the way to it are told again. */
+  asked(from: string, have: readonly HaveMessage[]): void {
+    // To a voter it would say that the list was read just now.
+    if (this.#isVoter(from)) return;
+    const runners = this.#runners.lackedBy(have);
+    if (runners.length > 0) this.#tell(from, runners);
+  }
+
+  #take(now: Moment, ids: readonly string[]): void {
+    const fresh = this.#runners.add(now, ids);
+    if (fresh.length === 0) return;
+    // One that leads without serving yet feeds the voters too: they are told as voters.
+    for (const child of this.#host.children()) if (!this.#isVoter(child)) this.#tell(child, fresh);
+  }
+
+  #tell(to: string, runners: readonly string[]): void {
+    this.#host.send(to, { kind: 'leaving', runners: [...runners] });
+  }
+
+  #isVoter(id: string): boolean {
+    return this.#host.quorum().holds(nodeId(id));
+  }
+
+  /** One that leads without serving yet renews its lease, but reads no list: its term's first word on the fleet is the sign. */
+  #noteServed(now: Moment): void {
+    const { elector, relay } = this.#host;
+    if (this.#host.isServing()) {
+      this.#servedAt = now;
+      return;
+    }
+    const isFollowing = elector.leader !== undefined && elector.leader !== this.#host.me;
+    if (!isFollowing || relay.version('fleet').epoch !== elector.epoch) return;
+    if (elector.leaderHeardAt > this.#servedAt) this.#servedAt = elector.leaderHeardAt;
+  }
+
+  /** Whether a reading is due here; never where this node is no voter, since it then hears no renewals. */
+  #isQuiet(now: Moment): boolean {
+    return this.#isVoter(this.#host.me) && now - this.#servedAt >= QUIET_MS + this.#turnMs();
+  }
+
+  /** Voters take turns by their place, so that as a rule one of them reads and the others hear of it. */
+  #turnMs(): number {
+    const { all } = this.#host.quorum();
+    const place = Math.max(0, all.indexOf(nodeId(this.#host.me)));
+    return place * Math.min(TURN_MS, MOST_TURNS_MS / all.length);
+  }
+}
--- a/src/control/testing/FaultCluster.ts
+++ b/src/control/testing/FaultCluster.ts
@@ -4,6 +4,7 @@
 import type { StoredPart } from '../../state/Store.js';
 import { moment, type Moment } from '../../common/Ids.js';
 import type { Message } from '../../common/Messages.js';
+import type { Fleet, FleetRunner, ListedRunner } from '../../placement/Fleet.js';
 import type { ServiceDoc } from '../../placement/Shapes.js';
 import type { Routing } from '../../route/Routing.js';
 import { VOTE_DEFAULTS } from '../../election/VoteSettings.js';
@@ -15,6 +16,15 @@
 class KeepingPlanner extends IdlePlanner {
   #docs: readonly ServiceDoc[] = [];
   #changed: string[] = [];
+  #listed: readonly ListedRunner[] = [];
+
+  override list(_now: Moment, runners: readonly ListedRunner[]): void {
+    this.#listed = runners;
+  }
+
+  override fleet(): Fleet {
+    return { flows: 1, runners: this.#listed.map(runnerOf), waits: [] };
+  }
 
   place(model: string): void {
     const doc = { model, primary: 'runner', understudy: '', wait: '', intents: [] };
@@ -35,6 +45,10 @@
   }
 }
 
+function runnerOf({ id, address, zone, service, slots, isLeaving }: ListedRunner): FleetRunner {
+  return { id, address, zone, service, slots, isLeaving, coldMs: 0, holds: [], coming: [] };
+}
+
 interface Document {
   readonly version: number;
 }
@@ -71,6 +85,19 @@
   readonly body: string;
 }
 
+/** A machine beside the control nodes: an agent with its proxy, say. */
+export interface Neighbour {
+  receive(now: Moment, from: string, message: Message): void;
+  gone(now: Moment, id: string): void;
+  tick(now: Moment): void;
+}
+
+/** A reading of the platform's list, as asked for. */
+export interface ListReading {
+  readonly id: string;
+  readonly at: number;
+}
+
 interface Timed {
   readonly at: number;
   readonly run: () => void;
@@ -103,6 +130,7 @@
 }
 
 const STEP_MS = 5;
+const LIST_DELAY_MS = 30;
 const TICK_MS = 50;
 /** An order in calm times is acknowledged within so long. */
 const ACK_MS = 4000;
@@ -136,6 +164,10 @@
   readonly #links = new Map<string, number>();
   readonly #cut = new Set<string>();
   readonly #lost = new Set<string>();
+  readonly #neighbours = new Map<string, Neighbour>();
+  /** What the platform lists; nothing where it answers nobody. */
+  #listed: readonly ListedRunner[] | undefined;
+  readonly listReadings: ListReading[] = [];
 
   constructor(options: FaultClusterOptions = {}) {
     const defaults = {
@@ -197,10 +229,32 @@
     });
   }
 
+  /** From now on the platform answers with these runners. */
+  list(runners: readonly ListedRunner[]): void {
+    this.#listed = runners;
+  }
+
+  /** From now on the platform answers nobody. */
+  stopPlatform(): void {
+    this.#listed = undefined;
+  }
+
+  /** Puts a machine beside the control nodes; it ticks with them, and cuts bind it as well. */
+  join(id: string, neighbour: Neighbour): void {
+    this.#neighbours.set(id, neighbour);
+  }
+
+  /** A message from a neighbour. */
+  send(from: string, to: string, message: Message): void {
+    this.#send(from, to, message);
+  }
+
   kill(id: string): void {
     const node = this.node(id);
     node.state = 'down';
     node.stoppedAt = this.#now;
+    for (const neighbour of this.#neighbours.values())
+      this.#at(STEP_MS, neighbour.gone.bind(neighbour, moment(this.#now + STEP_MS), id));
     for (const other of this.nodes.keys())
       if (other !== id) this.#at(STEP_MS, this.#gone.bind(this, other, id));
   }
@@ -258,6 +312,7 @@
 
   cutOff(id: string): void {
     for (const other of this.nodes.keys()) this.cutBothWays(id, other);
+    for (const other of this.#neighbours.keys()) this.cutBothWays(id, other);
   }
 
   heal(): void {
@@ -401,6 +456,8 @@
       if (node.state !== 'up') continue;
       if (this.#now % TICK_MS === 0) this.#tick(id, node);
     }
+    if (this.#now % TICK_MS !== 0) return;
+    for (const neighbour of this.#neighbours.values()) neighbour.tick(moment(this.#now));
   }
 
   #tick(id: string, node: Node): void {
@@ -439,7 +496,7 @@
         this,
         from,
         to,
-        this.node(from).incarnation,
+        this.nodes.get(from)?.incarnation,
         this.nodes.get(to)?.incarnation,
         message,
       ),
@@ -449,13 +506,14 @@
   #deliver(
     from: string,
     to: string,
-    fromLife: number,
+    fromLife: number | undefined,
     toLife: number | undefined,
     message: Message,
   ): void {
+    if (this.nodes.get(from)?.incarnation !== fromLife || this.#cut.has(`${from}>${to}`)) return;
+    this.#neighbours.get(to)?.receive(moment(this.#now), from, message);
     const node = this.nodes.get(to);
     if (!node || node.state === 'down' || node.incarnation !== toLife) return;
-    if (this.node(from).incarnation !== fromLife || this.#cut.has(`${from}>${to}`)) return;
     if (this.#lost.has(`${to} ${message.kind}`)) return;
     this.#input(to, this.#receive.bind(this, to, from, message));
   }
@@ -480,6 +538,7 @@
 
   #carryOut(id: string, node: Node, effect: ControlEffect): void {
     if (effect.do === 'send') this.#send(id, effect.to, effect.message);
+    else if (effect.do === 'askList') this.#askList(id, node);
     else if (effect.do === 'reply')
       node.answers.set(effect.id, { status: effect.status, body: effect.body });
     else if (effect.do === 'store') {
@@ -495,6 +554,24 @@
     }
   }
 
+  #askList(id: string, node: Node): void {
+    this.listReadings.push({ id, at: this.#now });
+    const listed = this.#listed;
+    if (listed) this.#at(LIST_DELAY_MS, this.#hearList.bind(this, id, node.incarnation, listed));
+  }
+
+  #hearList(id: string, incarnation: number, listed: readonly ListedRunner[]): void {
+    const node = this.node(id);
+    if (node.incarnation !== incarnation || node.state === 'down') return;
+    this.#input(id, this.#takeList.bind(this, id, listed));
+  }
+
+  #takeList(id: string, listed: readonly ListedRunner[]): void {
+    const node = this.node(id);
+    node.core.list(moment(this.#now), listed);
+    this.#drain(id, node);
+  }
+
   #synced(id: string, incarnation: number, effect: Extract<ControlEffect, { do: 'store' }>): void {
     const node = this.node(id);
     if (node.incarnation !== incarnation || node.state === 'down') return;
--- a/src/control/testing/IdlePlanner.ts
+++ b/src/control/testing/IdlePlanner.ts
@@ -1,5 +1,5 @@
 import type { Moment } from '../../common/Ids.js';
-import type { Fleet } from '../../placement/Fleet.js';
+import type { Fleet, ListedRunner } from '../../placement/Fleet.js';
 import type { Intent, ServiceDoc } from '../../placement/Shapes.js';
 import type { FleetPlanner } from '../ControlEffect.js';
 
@@ -14,7 +14,7 @@
   demand(): void {
     /* not told */
   }
-  list(): void {
+  list(_now: Moment, _runners: readonly ListedRunner[]): void {
     /* not told */
   }
   status(): void {
--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -120,6 +120,10 @@
   get leader(): NodeId | undefined {
     return this.#leader;
   }
+  /** When the leader that is followed was heard last, by its victory or a renewal. */
+  get leaderHeardAt(): Moment {
+    return this.#heardLeader;
+  }
   get quorumMembers(): ReadonlySet<NodeId> {
     return this.#quorumMembers;
   }
