Ask all control nodes for news while the session moves to one that is silent

Nothing changes for an agent whose control node answers. Ruled out: turning to the next sooner, which would move sessions around on a slow machine.

LeavingWatch.test.ts: 15 drawn runs of each of three losses, all proxies within 1.5 s.

--- a/src/agent/AgentCore.ts
+++ b/src/agent/AgentCore.ts
@@ -44,6 +44,8 @@
   parentSilentMs: 1000,
   askMs: 1000,
   crossMs: 700,
+  /** The same while a control node that we moved to has not answered yet: it may be down as well. */
+  movedCrossMs: 350,
 } as const;
 /** Who hangs under us asks at least once a second; one that has not for so long hangs elsewhere by now, and is fed there. */
 const CHILD_SILENT_MS = 3500;
@@ -76,6 +78,8 @@
   #leaderless = 0;
   /** When a control node that we had our session with answered last. */
   #answeredAt: Moment | undefined;
+  /** Whether our session moved to a control node that has not answered yet. */
+  #isMoving = false;
   /** Whether the control node that told last whom it follows named nobody. */
   #isLeaderless = false;
   /** The newest configuration that a control node said it holds. */
@@ -201,12 +205,7 @@
         if (this.#relay.offerDelta(message.topic, version, message.from, message.body)) break;
         // It does not follow on what we hold: what came between was lost on the way.
         if (compareVersions(version, this.#relay.version(message.topic)) > 0)
-          this.#send(from, {
-            kind: 'freshnessRequest',
-            nonce: -1,
-            have: this.#have(),
-            members: [],
-          });
+          this.#askForNews(from);
         break;
       }
       case 'leaving':
@@ -309,6 +308,7 @@
   #noteAnswer(now: Moment): void {
     this.#controlHeardAt = now;
     this.#answeredAt = now;
+    this.#isMoving = false;
   }
 
   /** Our control node told which configuration it holds; whether we lack it is judged by the newest told so far. */
@@ -342,6 +342,7 @@
     this.#controlIndex = index;
     this.#leaderless = 0;
     this.#turns += 1;
+    this.#isMoving = true;
     this.#controlHeardAt = now;
     this.#assignParent(now, '');
     this.#effects.push({ do: 'note', text: 'session', fields: { controlNode: this.controlNode } });
@@ -395,12 +396,7 @@
     // Our parent may have lost what comes from above without knowing it.
     const version = { epoch: message.epoch, count: message.count };
     if (compareVersions(version, this.#relay.version('config')) > 0)
-      this.#send(this.controlNode, {
-        kind: 'freshnessRequest',
-        nonce: -1,
-        have: this.#have(),
-        members: [],
-      });
+      this.#askForNews(this.controlNode);
   }
 
   #askNews(now: Moment): void {
@@ -420,18 +416,23 @@
    * in force here all the same once one of the others tells it.
    */
   #askAcross(now: Moment): void {
-    if (now < later(this.#crossAskedAt, DEPLOYED.crossMs)) return;
+    const spanMs = this.#isMoving ? DEPLOYED.movedCrossMs : DEPLOYED.crossMs;
+    if (now < later(this.#crossAskedAt, spanMs)) return;
     this.#crossAskedAt = now;
     const others = this.#controlNodes.filter(isOther.bind(undefined, this.controlNode));
+    if (this.#isMoving) {
+      // Nobody feeds us until some control node answers: whichever is there tells what we lack.
+      for (const other of others) this.#askForNews(other);
+      return;
+    }
     this.#crossIndex += 1;
     const other = others[this.#crossIndex % Math.max(1, others.length)];
-    if (other !== undefined)
-      this.#send(other, {
-        kind: 'freshnessRequest',
-        nonce: -1,
-        have: this.#have(),
-        members: [],
-      });
+    if (other !== undefined) this.#askForNews(other);
+  }
+
+  /** For news alone, answered once. */
+  #askForNews(to: string): void {
+    this.#send(to, { kind: 'freshnessRequest', nonce: -1, have: this.#have(), members: [] });
   }
 
   #leaveParent(now: Moment): void {
--- a/src/control/LeavingWatch.test.ts
+++ b/src/control/LeavingWatch.test.ts
@@ -4,6 +4,7 @@
 import {
   foundedFaultCluster,
   type FaultCluster,
+  type FaultClusterOptions,
   type ListReading,
 } from './testing/FaultCluster.js';
 
@@ -37,8 +38,12 @@
 }
 
 /** A settled cluster with a list, and a few agents with proxies in the zone of each control node. */
-function settled(ids: readonly string[], perZone: number = 2): Site {
-  const cluster = foundedFaultCluster(ids);
+function settled(
+  ids: readonly string[],
+  perZone: number = 2,
+  options: FaultClusterOptions = {},
+): Site {
+  const cluster = foundedFaultCluster(ids, options);
   cluster.list(READY);
   const proxies: AttachedProxy[] = [];
   for (const id of ids)
@@ -95,6 +100,35 @@
 }
 test('one node that is left without a majority reads the list and tells all', checkTwoGone);
 
+type Loss = 'leader' | 'leader and a voter' | 'leader, and all disks stall';
+
+/** With agents in two levels of the relay tree, at various moments between two readings of the leader. */
+function checkDrawn(loss: Loss): void {
+  for (let seed = 1; seed <= 15; seed += 1) {
+    const site = settled(THREE, 7, { seed, mostDelayMs: 30 });
+    const { cluster } = site;
+    cluster.run(seed * 65);
+    if (loss === 'leader and a voter') {
+      cluster.kill(cluster.follower());
+      cluster.run(300);
+    }
+    const leader = cluster.leader();
+    cluster.kill(leader);
+    if (loss === 'leader, and all disks stall')
+      for (const id of THREE) if (id !== leader) cluster.stallDisk(id);
+    cluster.run(5);
+    cluster.list(ONE_LEAVES);
+    const listedAt = cluster.now;
+    cluster.run(UNSERVED_MS);
+    expectKnown(site, listedAt);
+    expect(mostPerSecond(cluster, listedAt)).toBeLessThanOrEqual(THREE.length);
+  }
+}
+test.each<Loss>(['leader', 'leader and a voter', 'leader, and all disks stall'])(
+  'lost: %s; all proxies know within 1.5 s of the listing',
+  checkDrawn,
+);
+
 function checkStalledDisks(): void {
   const site = settled(THREE);
   const { cluster } = site;
