Feed the voters from the moment a node leads

The relay's children were drawn anew at joins and each 0.5 s alone, so that the first word of a term waited up to 0.5 s at its leader before the other voters, and the agents below them, got it. They are drawn anew when the lead changes. LeavingWatch.test.ts: the voters get the first word of a term at once (failed before: a voter still held the former term's word 200 ms after serving began); two more tests hold readings to the leader where the first word was lost and after a restart (both passed before, by the voters' asks each 0.5 s).

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -632,6 +632,8 @@
     const epoch = this.#elector.isLeading() ? this.#elector.epoch : 0;
     if (epoch === this.#ledEpoch) return;
     this.#ledEpoch = epoch;
+    // One that leads feeds the other voters as well.
+    this.#reassignParents();
     this.#standDown();
     if (epoch > 0) this.#parts.lead(now, epoch);
   }
--- a/src/control/LeavingWatch.test.ts
+++ b/src/control/LeavingWatch.test.ts
@@ -297,3 +297,50 @@
   expect(cluster.listReadings.some(isFirst)).toBe(true);
 }
 test('a successor reads the list in the moment in which it begins to serve', checkSuccessorFirst);
+
+/** Who reads in a calm span, which has to be the leader alone, once a second. */
+function expectLeaderReads(cluster: FaultCluster): void {
+  const from = cluster.now + 1;
+  cluster.run(10_000);
+  const readings = cluster.listReadings.filter(since.bind(undefined, from));
+  expect(readings).toHaveLength(10);
+  for (const { id } of readings) expect(id).toBe(cluster.leader());
+}
+
+/** Without any agent that joins meanwhile, which had the tree drawn anew. */
+function checkVotersFed(): void {
+  const cluster = foundedFaultCluster(FIVE);
+  cluster.list(READY);
+  cluster.run(3000);
+  cluster.kill(cluster.leader());
+  cluster.runUntil(cluster.hasLeader.bind(cluster), 6000, 'a successor serves');
+  cluster.run(200);
+  for (const { core, state } of cluster.nodes.values())
+    if (state === 'up') expect(core.relay.version('fleet').epoch).toBe(core.elector.epoch);
+  expectLeaderReads(cluster);
+}
+test('the voters get the first word of a term at once', checkVotersFed);
+
+/** The first word of a leader's term was lost on its way to a voter, and no other follows since nothing changes. */
+function checkWordLost(): void {
+  const { cluster } = settled(FIVE);
+  for (const id of FIVE) cluster.lose(id, 'update');
+  cluster.kill(cluster.leader());
+  cluster.runUntil(cluster.hasLeader.bind(cluster), 6000, 'a successor serves');
+  cluster.run(1000);
+  cluster.loseNothing();
+  cluster.run(4000);
+  expectLeaderReads(cluster);
+}
+test('a voter that missed the first word of a term reads no list for long', checkWordLost);
+
+function checkRestarted(): void {
+  const { cluster } = settled(THREE);
+  const id = cluster.follower();
+  cluster.kill(id);
+  cluster.run(700);
+  cluster.start(id, THREE);
+  cluster.run(5000);
+  expectLeaderReads(cluster);
+}
+test('a voter that was restarted reads no list while a leader does', checkRestarted);
--- a/src/control/testing/FaultCluster.ts
+++ b/src/control/testing/FaultCluster.ts
@@ -324,6 +324,11 @@
     this.#lost.add(`${to} ${kind}`);
   }
 
+  /** From now on everything arrives again. */
+  loseNothing(): void {
+    this.#lost.clear();
+  }
+
   run(millis: number): void {
     for (const end = this.#now + millis; this.#now < end;) this.#step();
   }
