--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -290,6 +290,7 @@
         electionsStarted: this.#elector.electionsStarted,
         votesGranted: this.#elector.votesGranted,
         copiesMended: this.#parts.mends,
+        leaderlessReadings: this.#leavingWatch?.reads ?? 0,
       }),
       sessions: sessionNumbers(this.#sessions.up(), committed),
     };
--- a/src/control/ControlFamilies.test.ts
+++ b/src/control/ControlFamilies.test.ts
@@ -21,7 +21,12 @@
     configHeld: { epoch: 8, count: 41 },
     configCommitted: { epoch: 8, count: 40 },
     orders: counters.orders,
-    events: counters.eventsWith({ electionsStarted: 2, votesGranted: 1, copiesMended: 0 }),
+    events: counters.eventsWith({
+      electionsStarted: 2,
+      votesGranted: 1,
+      copiesMended: 0,
+      leaderlessReadings: 6,
+    }),
     sessions: { open: 4, behind: 1, versionsBehind: 3 },
     ...changes,
   };
@@ -52,6 +57,7 @@
   expect(valueOf(families, 'orders_refused_total', 'too-old')).toBe(1);
   expect(valueOf(families, 'orders_refused_total', 'base-changed')).toBe(0);
   expect(valueOf(families, 'elections_total')).toBe(2);
+  expect(valueOf(families, 'leaderless_list_readings_total')).toBe(6);
   expect(valueOf(families, 'versions_behind')).toBe(3);
 }
 
--- a/src/control/ControlFamilies.ts
+++ b/src/control/ControlFamilies.ts
@@ -139,6 +139,11 @@
     ),
     counter('repairs_total', 'Completed repairs of this replica.', events.repairs),
     counter('copies_mended_total', 'Copies of others sent anew.', events.copiesMended),
+    counter(
+      'leaderless_list_readings_total',
+      'Readings of the list of runners while no leader was heard to do it.',
+      events.leaderlessReadings,
+    ),
   ];
 }
 
--- a/src/control/ControlMetrics.test.ts
+++ b/src/control/ControlMetrics.test.ts
@@ -27,7 +27,7 @@
   counters.countLeaderChange();
   counters.countVoterChange();
   counters.countRepair();
-  const own = { electionsStarted: 3, votesGranted: 2, copiesMended: 1 };
+  const own = { electionsStarted: 3, votesGranted: 2, copiesMended: 1, leaderlessReadings: 4 };
   expect(counters.eventsWith(own)).toEqual({
     ...own,
     leaderChanges: 1,
--- a/src/control/ControlMetrics.ts
+++ b/src/control/ControlMetrics.ts
@@ -54,6 +54,8 @@
   readonly repairs: number;
   /** Copies at other voters that this node found different and sent anew. */
   readonly copiesMended: number;
+  /** Times that this node asked for the list of runners since no leader did. */
+  readonly leaderlessReadings: number;
 }
 
 /** Who votes, as far as this node knows. */
@@ -187,6 +189,7 @@
     readonly electionsStarted: number;
     readonly votesGranted: number;
     readonly copiesMended: number;
+    readonly leaderlessReadings: number;
   }): EventCounts {
     return {
       ...own,
