--- a/src/simulation/CallAttempt.ts
+++ b/src/simulation/CallAttempt.ts
@@ -1,4 +1,4 @@
-import type { Endpoint, Payload } from './Endpoint.js';
+import { textOf, type Endpoint, type Payload } from './Endpoint.js';
 import {
   decodeAnswer,
   encodeCall,
@@ -55,7 +55,7 @@
   }
 
   #take(payload: Payload): void {
-    const answer = decodeAnswer(payload);
+    const answer = decodeAnswer(textOf(payload));
     if (this.#isOver || !answer || this.#settings.isAnswerLost()) return;
     this.#end(answer);
   }
--- a/src/simulation/Endpoint.ts
+++ b/src/simulation/Endpoint.ts
@@ -1,3 +1,4 @@
+import type { Message } from '../common/Messages.js';
 import type { Scheduler } from '../rehearsal/Scheduler.js';
 import type { SimProcess } from './SimProcess.js';
 
@@ -23,8 +24,14 @@
   forget(endpoint: Endpoint): void;
 }
 
-/** What one write carries: a message of a node, a call or an answer. */
-export type Payload = string;
+/** What one write carries: a message of a node, or the text of a call, an answer or an order. */
+export type Payload = string | Message;
+
+/** What a caller wrote, or was answered: always a text. */
+export function textOf(payload: Payload): string {
+  if (typeof payload !== 'string') throw new TypeError(`${payload.kind} where a text is due`);
+  return payload;
+}
 
 /** What the owner of an endpoint hears. */
 export interface EndpointHandler {
--- a/src/simulation/FakeRunner.ts
+++ b/src/simulation/FakeRunner.ts
@@ -1,6 +1,6 @@
 import { number, string, type, type Infer } from 'superstruct';
 import { parseAs } from '../common/Json.js';
-import type { Endpoint, Payload } from './Endpoint.js';
+import { textOf, type Endpoint, type Payload } from './Endpoint.js';
 import type { Host } from './SimNetwork.js';
 import type { SimProcess } from './SimProcess.js';
 
@@ -51,7 +51,7 @@
   accept(endpoint: Endpoint): void {
     const take = this.#take.bind(this);
     function data(payload: Payload): void {
-      endpoint.send(String(take(payload)));
+      endpoint.send(String(take(textOf(payload))));
     }
     function closed(): void {
       /* The caller gave up; what it ordered stands. */
--- a/src/simulation/LeasedOrder.ts
+++ b/src/simulation/LeasedOrder.ts
@@ -1,6 +1,6 @@
 import type { OrderResult } from '../control/ControlEffect.js';
 import { ANSWER_MS, CONNECT_MS, MARGIN_MS, type Lease } from '../control/LeasedSend.js';
-import type { Endpoint, Payload } from './Endpoint.js';
+import { textOf, type Endpoint, type Payload } from './Endpoint.js';
 import { ORDER_FENCED, ORDER_TAKEN, type RunnerOrder } from './FakeRunner.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
 
@@ -74,7 +74,7 @@
   }
 
   #take(payload: Payload): void {
-    this.#end(resultOf(payload));
+    this.#end(resultOf(textOf(payload)));
   }
 
   #giveUpUnwritten(): void {
--- a/src/simulation/MessageCopy.ts
+++ b/src/simulation/MessageCopy.ts
@@ -6,16 +6,35 @@
   return typeof value.kind === 'string' && value.kind in SHAPES;
 }
 
-/**
- * The form in which a message travels here. Nothing may be shared between simulated nodes; the wire
- * form would do as well, but checking the shape of each message takes most of a run's time.
- */
-export function packMessage(message: Message): string {
-  return JSON.stringify(message);
+function isRecord(value: object): value is Record<string, unknown> {
+  return !Array.isArray(value);
+}
+
+/** A value as JSON would bring it across, but for fields that are undefined, which no message has. */
+function copyOf(value: unknown): unknown {
+  // What JSON makes of infinities and of no number at all.
+  if (typeof value === 'number') return Number.isFinite(value) ? value : null;
+  if (typeof value !== 'object' || value === null) return value;
+  if (Array.isArray(value)) return value.map(copyOf);
+  return isRecord(value) ? copyOfRecord(value) : undefined;
 }
 
-export function unpackMessage(text: string): Message {
-  const value: unknown = JSON.parse(text);
-  if (!isMessage(value)) throw new TypeError(`no message: ${text.slice(0, 100)}`);
-  return value;
+function copyOfRecord(record: Record<string, unknown>): Record<string, unknown> {
+  const copy = { ...record };
+  for (const key in copy) {
+    const field = copy[key];
+    // Texts, most of what is sent, can be shared: nothing can change them.
+    if (typeof field === 'number' || typeof field === 'object') copy[key] = copyOf(field);
+  }
+  return copy;
+}
+
+/**
+ * The message that arrives. Nothing may be shared between simulated nodes; the wire form would do as well, but
+ * writing, reading and checking it takes a large part of a run's time.
+ */
+export function copyMessage(message: Message): Message {
+  const copy = copyOf(message);
+  if (!isMessage(copy)) throw new TypeError(`no message: ${JSON.stringify(message).slice(0, 100)}`);
+  return copy;
 }
--- a/src/simulation/OperatorPort.ts
+++ b/src/simulation/OperatorPort.ts
@@ -1,6 +1,6 @@
 import type { Moment } from '../common/Ids.js';
 import type { Seeded } from '../rehearsal/Seeded.js';
-import type { Endpoint, Payload } from './Endpoint.js';
+import { textOf, type Endpoint, type Payload } from './Endpoint.js';
 import {
   answerOf,
   commandOf,
@@ -48,7 +48,7 @@
   accept(endpoint: Endpoint): void {
     const take = this.#take.bind(this, endpoint);
     function data(payload: Payload): void {
-      take(payload);
+      take(textOf(payload));
     }
     function closed(): void {
       /* Nobody waits for the answer any more; the endpoint knows. */
--- a/src/simulation/SimExchange.ts
+++ b/src/simulation/SimExchange.ts
@@ -9,7 +9,7 @@
   SILENT_MS,
 } from '../dissemination/Exchange.js';
 import type { Endpoint, Payload } from './Endpoint.js';
-import { packMessage, unpackMessage } from './MessageCopy.js';
+import { copyMessage } from './MessageCopy.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
 
 /** What its owner hears of other nodes. */
@@ -172,7 +172,7 @@
 
   #write(line: Line, message: Message): void {
     line.wroteAt = this.#host.process.now();
-    line.endpoint.send(packMessage(message));
+    line.endpoint.send(copyMessage(message));
   }
 
   #register(line: Line, id: string): void {
@@ -183,16 +183,15 @@
 
   #take(line: Line, payload: Payload): void {
     line.heardAt = this.#host.process.now();
-    if (payload === KEEPALIVE) return;
-    const message = unpackMessage(payload);
-    if (message.kind === 'hello') {
-      line.role = message.role;
-      line.zone = message.zone;
-      this.#register(line, message.id);
+    if (typeof payload === 'string') return;
+    if (payload.kind === 'hello') {
+      line.role = payload.role;
+      line.zone = payload.zone;
+      this.#register(line, payload.id);
       return;
     }
     if (line.peerId === '') return;
-    this.#owner.receive(line.peerId, line.role, line.zone, message);
+    this.#owner.receive(line.peerId, line.role, line.zone, payload);
   }
 
   #closed(line: Line): void {
