Let the control rehearsal run shapes of fleets, bounded in time, with figures by kind

Lives that began with an empty disk are told apart from all starts.

The tests of the calm run and of the report's parts hold the new fields to the same values as before.

--- a/src/simulation/ControlSimulation.test.ts
+++ b/src/simulation/ControlSimulation.test.ts
@@ -2,6 +2,8 @@
 import { simulate, type Outcome } from './ControlSimulation.js';
 import type { Schedule } from './Faults.js';
 import { OPTION_DEFAULTS, type SimulationOptions } from './Options.js';
+import { totalOf } from './RunFigures.js';
+import type { RunShape } from './RunShape.js';
 import { drawOptions, drawSchedule } from './ScheduleDraw.js';
 import { runSeed } from './SeedRun.js';
 
@@ -17,10 +19,12 @@
   const { violations, figures } = simulate(calmOptions(nodes), []);
   expect(violations).toEqual([]);
   // One leader from the first start to the end, all nodes counting, every order with an answer.
-  expect(figures).toMatchObject({ reigns: 1, faults: 0, unclear: 0, nodes });
+  expect(figures).toMatchObject({ reigns: 1, faults: {}, nodes });
   expect(figures.repairMs).toHaveLength(nodes);
-  expect(figures.accepted).toBeGreaterThan(30);
-  expect(figures.refused).toBeGreaterThan(10);
+  const { accepted, refused, unclear } = totalOf(figures.orders);
+  expect(unclear).toBe(0);
+  expect(accepted).toBeGreaterThan(30);
+  expect(refused).toBeGreaterThan(10);
   expect(figures.runnerOrders).toBeGreaterThan(200);
 }
 
@@ -44,7 +48,8 @@
   const options = { ...calmOptions(3), troubleMs: 15_000 };
   const { violations, figures } = simulate(options, schedule);
   expect(violations).toEqual([]);
-  expect(figures).toMatchObject({ faults: 2, reigns: 3 });
+  expect(figures).toMatchObject({ faults: { freeze: 1, wipe: 1 }, reigns: 3 });
+  expect(figures.startMs).toHaveLength(4);
   expect(figures.repairMs).toHaveLength(4);
 }
 
@@ -71,11 +76,11 @@
   return new Promise(setImmediate);
 }
 
-async function checkSeeds(nodes: 3 | 5, seeds: number): Promise<void> {
+async function checkSeeds(shape: RunShape, seeds: number): Promise<void> {
   const failed: string[] = [];
   for (let seed = 1; seed <= seeds; seed += 1) {
     await nextTurn();
-    for (const { rule, text } of runSeed(seed, nodes).violations) {
+    for (const { rule, text } of runSeed(seed, shape).violations) {
       failed.push(`seed ${seed}: ${rule}: ${text}`);
     }
   }
@@ -96,6 +101,9 @@
 );
 test(
   'a share of seeds of three nodes breaks no rule',
-  checkSeeds.bind(undefined, 3, SEEDS_OF_THREE),
+  checkSeeds.bind(undefined, 'three', SEEDS_OF_THREE),
+);
+test(
+  'a share of seeds of five nodes breaks no rule',
+  checkSeeds.bind(undefined, 'five', SEEDS_OF_FIVE),
 );
-test('a share of seeds of five nodes breaks no rule', checkSeeds.bind(undefined, 5, SEEDS_OF_FIVE));
--- a/src/simulation/ControlSimulation.ts
+++ b/src/simulation/ControlSimulation.ts
@@ -36,6 +36,7 @@
 
 /** The fleet starts, and faults begin, at these moments. */
 const FIRST_ORDER_MS = 1500;
+const SPARES_MS = 3000;
 export const TROUBLE_FROM_MS = 6000;
 /** After all trouble: time to recover, calm orders, and reading back. */
 const CALM_MS = 8000;
@@ -102,9 +103,7 @@
       present: this.#countPresent.bind(this),
       isMadeGood: this.#isMadeGood.bind(this),
     });
-    const [first = '', ...others] = this.#fleet.zones;
-    this.#addOperator('operator-1', others);
-    this.#addOperator('operator-2', [first]);
+    this.#addOperators();
     this.#driver = this.#makeDriver();
   }
 
@@ -113,6 +112,7 @@
     const readBackAt = this.#calmFrom + RECOVER_MS + CALM_MS;
     this.#fleet.start();
     this.#scheduler.at(FIRST_ORDER_MS, this.#found.bind(this));
+    if (options.spares > 0) this.#scheduler.at(SPARES_MS, this.#addSpares.bind(this));
     this.#scheduler.at(CHECK_MS, this.#check.bind(this));
     this.#scheduler.at(this.#calmFrom + RECOVER_MS, this.#checkRecovered.bind(this));
     this.#scheduler.at(readBackAt, this.#readBack.bind(this));
@@ -139,6 +139,10 @@
     first?.found();
   }
 
+  #addSpares(): void {
+    for (let count = 0; count < this.#options.spares; count += 1) this.#fleet.addSpare();
+  }
+
   #beginPlans(): void {
     if (this.#hasBegun) return;
     this.#hasBegun = true;
@@ -213,6 +217,17 @@
 
   // ---- operators
 
+  #addOperators(): void {
+    const { zones } = this.#fleet;
+    if (this.#options.operators === 1) {
+      this.#addOperator('operator-1', zones);
+      return;
+    }
+    const [first = '', ...others] = zones;
+    this.#addOperator('operator-1', others);
+    this.#addOperator('operator-2', [first]);
+  }
+
   #addOperator(id: string, zones: readonly string[]): void {
     const random = this.#streams.of(id);
     const client = new OperatorClient(id, {
@@ -323,15 +338,16 @@
     return {
       nodes,
       virtualMs,
-      faults: this.#driver.struck,
+      faults: this.#driver.struckByKind,
       packets: this.#fleet.network.packets,
       runnerOrders: this.#holderRules.orders,
       reigns: this.#events.count('newLeader'),
       voterChanges: this.#events.count('newVoters'),
+      startMs: this.#watch.startMs,
       repairMs: this.#watch.repairMs,
       leaderlessMs: this.#watch.leaderlessMs,
       reads: this.#recorder.reads.length,
-      ...countOutcomes(this.#recorder.orders),
+      orders: countOutcomes(this.#recorder.orders),
     };
   }
 }
--- a/src/simulation/FaultDriver.ts
+++ b/src/simulation/FaultDriver.ts
@@ -1,11 +1,14 @@
 import type { ControlNode } from './ControlNode.js';
 import { toleratedOf } from './Options.js';
 import type { SimulationOptions } from './Options.js';
-import type { Fault, Schedule, Target, When } from './Faults.js';
+import type { Fault, FaultKind, Schedule, Target, When } from './Faults.js';
 import type { FaultTargets } from './FaultTargets.js';
 import { LinkFaults } from './LinkFaults.js';
 import { MachineFaults, type FaultSurroundings, type Undo } from './MachineFaults.js';
 
+/** How often faults of each kind struck; nothing for those that never did. */
+export type FaultCounts = Partial<Record<FaultKind, number>>;
+
 export interface FaultDriverSettings extends FaultSurroundings {
   readonly options: SimulationOptions;
   readonly targets: FaultTargets;
@@ -33,7 +36,7 @@
   readonly #links: LinkFaults;
   readonly #open = new Set<Undo>();
   #hasEnded = false;
-  #struck = 0;
+  readonly #struck: FaultCounts = {};
 
   constructor(settings: FaultDriverSettings) {
     this.#settings = settings;
@@ -41,8 +44,8 @@
     this.#links = new LinkFaults(settings);
   }
 
-  /** How many faults have struck. */
-  get struck(): number {
+  /** How many faults of each kind have struck. */
+  get struckByKind(): FaultCounts {
     return this.#struck;
   }
 
@@ -89,7 +92,7 @@
       if (now() < until) after(RETRY_MS, this.#strike.bind(this, fault, about, until));
       return;
     }
-    this.#struck += 1;
+    this.#struck[fault.kind] = (this.#struck[fault.kind] ?? 0) + 1;
     log(`fault ${JSON.stringify(fault)}`);
     this.#open.add(undo);
     const span = 'forMs' in fault ? fault.forMs : 0;
--- a/src/simulation/Options.ts
+++ b/src/simulation/Options.ts
@@ -11,7 +11,10 @@
 export interface SimulationOptions {
   readonly seed: number;
   readonly nodes: 3 | 5;
+  /** Empty control machines that join once the fleet stands. */
+  readonly spares: number;
   readonly agents: number;
+  readonly operators: 1 | 2;
   /** How long faults go on; a quiet beginning and a calm end come on top. */
   readonly troubleMs: number;
   readonly lossLimit: LossLimit;
@@ -23,7 +26,9 @@
 
 export const OPTION_DEFAULTS = {
   nodes: 3,
+  spares: 0,
   agents: 3,
+  operators: 2,
   troubleMs: 25_000,
   lossLimit: 'tolerated',
   isFenced: false,
--- a/src/simulation/RunFigures.ts
+++ b/src/simulation/RunFigures.ts
@@ -1,6 +1,9 @@
+import type { FaultCounts } from './FaultDriver.js';
+import type { Order } from './history/History.js';
 import type { OpenOrder } from './HistoryRecorder.js';
 
-export interface OrderFigures {
+/** What became of the orders of one kind, as their operator saw it. */
+export interface OutcomeCounts {
   readonly accepted: number;
   readonly refused: number;
   /** Without a clear answer at the end of the run. */
@@ -8,30 +11,75 @@
   readonly attempts: number;
 }
 
+/** Kinds of orders, those apart that no configuration in force could make acceptable. */
+export const ORDER_KINDS = ['put', 'patch', 'invalid', 'evacuate', 'restore'] as const;
+export type OrderKind = (typeof ORDER_KINDS)[number];
+export type OrderFigures = Readonly<Record<OrderKind, OutcomeCounts>>;
+
 /** What a run was like, beside whether it broke a rule. */
-export interface RunFigures extends OrderFigures {
+export interface RunFigures {
   readonly nodes: number;
   readonly virtualMs: number;
-  readonly faults: number;
+  readonly faults: Readonly<FaultCounts>;
   readonly packets: number;
   readonly runnerOrders: number;
   /** How often a node began to lead and serve. */
   readonly reigns: number;
   readonly voterChanges: number;
-  /** From the start of a node with a lost disk until it counts again. */
+  /** From the start of each life of a node until it counts. */
+  readonly startMs: readonly number[];
+  /** The same of lives that began with an empty disk, those of the fleet's first start among them. */
   readonly repairMs: readonly number[];
-  /** Spans without any node that leads and serves. */
+  /** Spans without any node that leads and serves, the first start's among them. */
   readonly leaderlessMs: readonly number[];
   readonly reads: number;
+  readonly orders: OrderFigures;
+}
+
+const NO_OUTCOMES: OutcomeCounts = { accepted: 0, refused: 0, unclear: 0, attempts: 0 };
+
+export function noOrders(): Record<OrderKind, OutcomeCounts> {
+  return {
+    put: NO_OUTCOMES,
+    patch: NO_OUTCOMES,
+    invalid: NO_OUTCOMES,
+    evacuate: NO_OUTCOMES,
+    restore: NO_OUTCOMES,
+  };
+}
+
+export function sumOf(left: OutcomeCounts, right: OutcomeCounts): OutcomeCounts {
+  return {
+    accepted: left.accepted + right.accepted,
+    refused: left.refused + right.refused,
+    unclear: left.unclear + right.unclear,
+    attempts: left.attempts + right.attempts,
+  };
+}
+
+function kindOf(order: Order): OrderKind {
+  return 'isInvalid' in order && order.isInvalid ? 'invalid' : order.kind;
+}
+
+function outcomeOf(order: OpenOrder): OutcomeCounts {
+  const attempts = order.attempts.length;
+  if (order.isAccepted) return { ...NO_OUTCOMES, attempts, accepted: 1 };
+  if (order.isDefinite) return { ...NO_OUTCOMES, attempts, refused: 1 };
+  return { ...NO_OUTCOMES, attempts, unclear: 1 };
 }
 
 export function countOutcomes(orders: readonly OpenOrder[]): OrderFigures {
-  let [accepted, refused, unclear, attempts] = [0, 0, 0, 0];
+  const counts = noOrders();
   for (const order of orders) {
-    attempts += order.attempts.length;
-    if (order.isAccepted) accepted += 1;
-    else if (order.isDefinite) refused += 1;
-    else unclear += 1;
+    const kind = kindOf(order.order);
+    counts[kind] = sumOf(counts[kind], outcomeOf(order));
   }
-  return { accepted, refused, unclear, attempts };
+  return counts;
+}
+
+/** All kinds of orders together. */
+export function totalOf(orders: OrderFigures): OutcomeCounts {
+  let total = NO_OUTCOMES;
+  for (const kind of ORDER_KINDS) total = sumOf(total, orders[kind]);
+  return total;
 }
--- /dev/null
+++ b/src/simulation/RunReport.test.ts
@@ -0,0 +1,44 @@
+import { expect, test } from 'vitest';
+import { reportOf, spreadOf } from './RunReport.js';
+import { optionsOf, RUN_SHAPES, SHAPE_NAMES, shapeOf, type RunShape } from './RunShape.js';
+import { runSeed } from './SeedRun.js';
+
+const MIX_LENGTH = 20;
+
+function checkMix(): void {
+  const shapes = new Set<RunShape>();
+  for (let seed = 1; seed <= MIX_LENGTH; seed += 1) shapes.add(shapeOf(seed, 'mixed'));
+  expect([...shapes].sort()).toEqual([...SHAPE_NAMES].sort());
+  for (const shape of shapes) expect(optionsOf(1, shape)).toMatchObject(RUN_SHAPES[shape]);
+}
+test('any twenty seeds of a mixed batch have every shape', checkMix);
+
+function checkSpread(): void {
+  const values: number[] = [];
+  for (let value = 100; value > 0; value -= 1) values.push(value);
+  const spread = { count: 100, median: 51, ninety: 91, ninetyFive: 96, ninetyNine: 100, most: 100 };
+  expect(spreadOf(values)).toEqual(spread);
+  expect(spreadOf([])).toMatchObject({ count: 0, most: 0 });
+}
+test('a spread tells where values lie', checkSpread);
+
+function checkReport(): void {
+  const spares = runSeed(3, 'three-spare');
+  const alone = runSeed(4, 'three-one-operator');
+  const broken = { ...alone, violations: [{ rule: 'stale-read', at: 1, text: 'x' }] };
+  const report = reportOf([spares, broken]);
+  expect(report).toMatchObject({ seeds: 2, failedSeeds: [4], rules: { 'stale-read': 1 } });
+  expect(report.shapes).toEqual([
+    { shape: 'three-spare', seeds: 1, failed: 0 },
+    { shape: 'three-one-operator', seeds: 1, failed: 1 },
+  ]);
+  // The spare counts as well, without a seat.
+  expect(spares.figures.repairMs.length).toBeGreaterThan(spares.figures.nodes);
+  expect(report.faults.kill).toBe(
+    (spares.figures.faults.kill ?? 0) + (alone.figures.faults.kill ?? 0),
+  );
+  const { accepted } = report.orders.put;
+  expect(accepted).toBe(spares.figures.orders.put.accepted + alone.figures.orders.put.accepted);
+  expect(report.orders.all.accepted).toBeGreaterThan(accepted);
+}
+test('a report sums up what its seeds gave', checkReport);
--- a/src/simulation/RunReport.ts
+++ b/src/simulation/RunReport.ts
@@ -1,4 +1,16 @@
-import type { RunFigures } from './RunFigures.js';
+import type { FaultCounts } from './FaultDriver.js';
+import type { FaultKind } from './Faults.js';
+import {
+  noOrders,
+  ORDER_KINDS,
+  sumOf,
+  totalOf,
+  type OrderFigures,
+  type OutcomeCounts,
+  type RunFigures,
+} from './RunFigures.js';
+import type { RunShape } from './RunShape.js';
+import { WEIGHTS } from './ScheduleDraw.js';
 import type { SeedResult } from './SeedRun.js';
 
 /** Where the values of a figure lie, ms. */
@@ -6,33 +18,41 @@
   readonly count: number;
   readonly median: number;
   readonly ninety: number;
+  readonly ninetyFive: number;
   readonly ninetyNine: number;
   readonly most: number;
 }
 
+/** The seeds of one shape. */
+export interface ShapeReport {
+  readonly shape: RunShape;
+  readonly seeds: number;
+  readonly failed: number;
+}
+
 /** All seeds of one call of the command. */
 export interface RunReport {
-  readonly nodes: number;
   readonly seeds: number;
+  readonly shapes: readonly ShapeReport[];
   readonly failedSeeds: readonly number[];
+  /** How many seeds broke each rule. */
   readonly rules: Readonly<Record<string, number>>;
   readonly virtualSeconds: number;
   readonly totals: Readonly<Record<TotalName, number>>;
+  /** How often each kind of fault struck. */
+  readonly faults: Readonly<FaultCounts>;
+  readonly orders: OrderFigures & { readonly all: OutcomeCounts };
+  readonly startMs: Spread;
   readonly repairMs: Spread;
   readonly leaderlessMs: Spread;
   readonly failures: readonly SeedResult[];
 }
 
 const TOTALS = [
-  'faults',
   'packets',
   'runnerOrders',
   'reigns',
   'voterChanges',
-  'accepted',
-  'refused',
-  'unclear',
-  'attempts',
   'reads',
 ] as const satisfies readonly (keyof RunFigures)[];
 type TotalName = (typeof TOTALS)[number];
@@ -43,7 +63,8 @@
   return left - right;
 }
 
-function spreadOf(values: readonly number[]): Spread {
+/** Where so many values lie. */
+export function spreadOf(values: readonly number[]): Spread {
   const sorted = [...values].sort(bySize);
   function quantile(share: number): number {
     return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
@@ -52,6 +73,7 @@
     count: sorted.length,
     median: quantile(0.5),
     ninety: quantile(0.9),
+    ninetyFive: quantile(0.95),
     ninetyNine: quantile(0.99),
     most: quantile(1),
   };
@@ -76,40 +98,62 @@
   return [...rules];
 }
 
-export function reportOf(nodes: number, results: readonly SeedResult[]): RunReport {
+function shapesOf(results: readonly SeedResult[]): ShapeReport[] {
+  const shapes = new Map<RunShape, ShapeReport>();
+  for (const result of results) {
+    const { shape } = result;
+    const { seeds, failed } = shapes.get(shape) ?? { seeds: 0, failed: 0 };
+    shapes.set(shape, { shape, seeds: seeds + 1, failed: failed + (isFailed(result) ? 1 : 0) });
+  }
+  return [...shapes.values()];
+}
+
+/** Every kind that is drawn has its line, also one that never struck. */
+function faultsOf(results: readonly SeedResult[]): FaultCounts {
+  const counts: FaultCounts = {};
+  function add(kind: FaultKind, result: SeedResult): void {
+    counts[kind] = (counts[kind] ?? 0) + (result.figures.faults[kind] ?? 0);
+  }
+  for (const [kind] of WEIGHTS) {
+    for (const result of results) add(kind, result);
+  }
+  return counts;
+}
+
+function ordersOf(results: readonly SeedResult[]): RunReport['orders'] {
+  const orders = noOrders();
+  for (const { figures } of results) {
+    for (const kind of ORDER_KINDS) orders[kind] = sumOf(orders[kind], figures.orders[kind]);
+  }
+  return { ...orders, all: totalOf(orders) };
+}
+
+export function reportOf(results: readonly SeedResult[]): RunReport {
   const failures = results.filter(isFailed).sort(bySeed);
   const rules: Record<string, number> = {};
   for (const failure of failures) {
     for (const rule of rulesOf(failure)) rules[rule] = (rules[rule] ?? 0) + 1;
   }
-  const totals: Record<TotalName, number> = {
-    faults: 0,
-    packets: 0,
-    runnerOrders: 0,
-    reigns: 0,
-    voterChanges: 0,
-    accepted: 0,
-    refused: 0,
-    unclear: 0,
-    attempts: 0,
-    reads: 0,
-  };
+  const totals = { packets: 0, runnerOrders: 0, reigns: 0, voterChanges: 0, reads: 0 };
   let virtualMs = 0;
-  const repairMs: number[] = [];
-  const leaderlessMs: number[] = [];
+  const [startMs, repairMs, leaderlessMs]: [number[], number[], number[]] = [[], [], []];
   for (const { figures } of results) {
     virtualMs += figures.virtualMs;
+    startMs.push(...figures.startMs);
     repairMs.push(...figures.repairMs);
     leaderlessMs.push(...figures.leaderlessMs);
     for (const name of TOTALS) totals[name] += figures[name];
   }
   return {
-    nodes,
     seeds: results.length,
+    shapes: shapesOf(results),
     failedSeeds: failures.map(seedOf),
     rules,
     virtualSeconds: Math.round(virtualMs / MS_PER_SECOND),
     totals,
+    faults: faultsOf(results),
+    orders: ordersOf(results),
+    startMs: spreadOf(startMs),
     repairMs: spreadOf(repairMs),
     leaderlessMs: spreadOf(leaderlessMs),
     failures,
--- a/src/simulation/ScheduleDraw.ts
+++ b/src/simulation/ScheduleDraw.ts
@@ -9,11 +9,11 @@
   type TriggerEvent,
   type When,
 } from './Faults.js';
-import type { SimulationOptions } from './Options.js';
+import { OPTION_DEFAULTS, type SimulationOptions } from './Options.js';
 import { hashText, RandomStreams } from './RandomStreams.js';
 
 /** How often each kind is drawn. Putting an old disk back breaks every promise that a disk makes: never. */
-const WEIGHTS = [
+export const WEIGHTS = [
   ['kill', 8],
   ['powerLoss', 8],
   ['freeze', 14],
@@ -277,7 +277,9 @@
   return {
     seed,
     nodes,
+    spares: OPTION_DEFAULTS.spares,
     agents: 2 + random.below(3),
+    operators: OPTION_DEFAULTS.operators,
     troubleMs: isLong ? LONG_TROUBLE_MS : pick(random, [10_000, 20_000, 30_000]),
     lossLimit: random.isLikely(0.7) ? 'tolerated' : 'any',
     isFenced: random.isLikely(0.3),
--- a/src/simulation/SeedRun.ts
+++ b/src/simulation/SeedRun.ts
@@ -1,45 +1,53 @@
-import { array, number, object, string, type Infer } from 'superstruct';
+import { array, enums, number, object, record, string, type Infer } from 'superstruct';
 import { simulate, type RunLog } from './ControlSimulation.js';
-import type { RunFigures } from './RunFigures.js';
-import { drawOptions, drawSchedule } from './ScheduleDraw.js';
+import { ORDER_KINDS, type RunFigures } from './RunFigures.js';
+import { optionsOf, SHAPE_NAMES, type RunShape } from './RunShape.js';
+import { drawSchedule } from './ScheduleDraw.js';
 import type { RunViolation } from './Violation.js';
 
 const ViolationShape = object({ rule: string(), at: number(), text: string() });
+const OutcomesShape = object({
+  accepted: number(),
+  refused: number(),
+  unclear: number(),
+  attempts: number(),
+});
 const FiguresShape = object({
   nodes: number(),
   virtualMs: number(),
-  faults: number(),
+  faults: record(string(), number()),
   packets: number(),
   runnerOrders: number(),
   reigns: number(),
   voterChanges: number(),
+  startMs: array(number()),
   repairMs: array(number()),
   leaderlessMs: array(number()),
   reads: number(),
-  accepted: number(),
-  refused: number(),
-  unclear: number(),
-  attempts: number(),
+  orders: record(enums([...ORDER_KINDS]), OutcomesShape),
 });
 
 /** A seed's result as it comes from another process. */
 export const SeedResultShape = object({
   seed: number(),
+  shape: enums([...SHAPE_NAMES]),
   violations: array(ViolationShape),
   figures: FiguresShape,
 });
 
 /** What one seed gave. */
-export interface SeedResult extends Infer<typeof SeedResultShape> {
-  readonly violations: RunViolation[];
-  readonly figures: RunFigures & Infer<typeof FiguresShape>;
+export interface SeedResult {
+  readonly seed: number;
+  readonly shape: RunShape;
+  readonly violations: readonly RunViolation[];
+  readonly figures: RunFigures;
 }
 
-/** Runs the options and the schedule that a seed draws. */
-export function runSeed(seed: number, nodes: 3 | 5, log?: RunLog): SeedResult {
-  const options = drawOptions(seed, nodes);
+export type SeedResultMessage = Infer<typeof SeedResultShape>;
+
+/** Runs the options and the schedule that a seed draws for a shape. */
+export function runSeed(seed: number, shape: RunShape, log?: RunLog): SeedResult {
+  const options = optionsOf(seed, shape);
   const { violations, figures } = simulate(options, drawSchedule(options), log);
-  const { repairMs, leaderlessMs } = figures;
-  const copied = { ...figures, repairMs: [...repairMs], leaderlessMs: [...leaderlessMs] };
-  return { seed, violations: [...violations], figures: copied };
+  return { seed, shape, violations, figures };
 }
--- a/src/simulation/commands/SeedPool.ts
+++ b/src/simulation/commands/SeedPool.ts
@@ -1,6 +1,7 @@
 import { fork, type ChildProcess } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
 import { is } from 'superstruct';
+import { shapeOf, type WantedShape } from '../RunShape.js';
 import { SeedResultShape, type SeedResult } from '../SeedRun.js';
 
 /** A run makes much that lives shortly: with room for it (MB) the collector is called less often. */
@@ -9,8 +10,10 @@
 export interface SeedPoolSettings {
   readonly from: number;
   readonly seeds: number;
-  readonly nodes: 3 | 5;
+  readonly shape: WantedShape;
   readonly jobs: number;
+  /** No seed is begun after so long, ms. */
+  readonly mostMs: number;
   /** Told of each seed as it is done, in no order. */
   readonly done: (result: SeedResult) => void;
 }
@@ -19,7 +22,7 @@
 export class SeedPool {
   readonly #settings: SeedPoolSettings;
   #next: number;
-  #left: number;
+  readonly #until: number;
   #finish: (() => void) | undefined;
   #fail: ((error: Error) => void) | undefined;
   readonly #workers = new Set<ChildProcess>();
@@ -27,10 +30,15 @@
   constructor(settings: SeedPoolSettings) {
     this.#settings = settings;
     this.#next = settings.from;
-    this.#left = settings.seeds;
+    this.#until = performance.now() + settings.mostMs;
   }
 
-  /** Resolves once every seed is done; a worker that ends by itself fails the whole. */
+  /** The first seed that was not begun: where another batch goes on. */
+  get next(): number {
+    return this.#next;
+  }
+
+  /** Resolves once every seed that was begun is done; a worker that ends by itself fails the whole. */
   run(): Promise<void> {
     return new Promise(this.#begin.bind(this));
   }
@@ -52,26 +60,25 @@
   }
 
   #ask(worker: ChildProcess): void {
-    const { from, seeds, nodes } = this.#settings;
-    if (this.#next >= from + seeds) {
+    const { from, seeds, shape } = this.#settings;
+    if (this.#next >= from + seeds || performance.now() >= this.#until) {
       this.#dismiss(worker);
       return;
     }
-    worker.send({ seed: this.#next, nodes });
+    worker.send({ seed: this.#next, shape: shapeOf(this.#next, shape) });
     this.#next += 1;
   }
 
   #take(worker: ChildProcess, message: unknown): void {
     if (!is(message, SeedResultShape)) return;
     this.#settings.done(message);
-    this.#left -= 1;
     this.#ask(worker);
-    if (this.#left === 0) this.#finish?.();
   }
 
   #dismiss(worker: ChildProcess): void {
     this.#workers.delete(worker);
     worker.disconnect();
+    if (this.#workers.size === 0) this.#finish?.();
   }
 
   #ended(worker: ChildProcess): void {
--- a/src/simulation/commands/SimulateControlCommand.ts
+++ b/src/simulation/commands/SimulateControlCommand.ts
@@ -2,22 +2,31 @@
 import { Command, Flags } from '@oclif/core';
 import { simulate } from '../ControlSimulation.js';
 import { pastedTest } from '../PastedTest.js';
+import { ORDER_KINDS, totalOf, type OutcomeCounts } from '../RunFigures.js';
 import { reportOf, rulesOf, type RunReport, type Spread } from '../RunReport.js';
-import { drawOptions, drawSchedule } from '../ScheduleDraw.js';
+import { isWantedShape, optionsOf, shapeOf, WANTED_SHAPES, type WantedShape } from '../RunShape.js';
+import { drawSchedule } from '../ScheduleDraw.js';
 import type { SeedResult } from '../SeedRun.js';
 import { shrinkRun } from '../Shrinker.js';
 import { SeedPool } from './SeedPool.js';
 
 const MOST_SHOWN = 3;
-const PROGRESS_EVERY = 25;
+const PROGRESS_EVERY = 100;
 const MOST_SHRINK_RUNS = 150;
+const MS_PER_MINUTE = 60_000;
 
-function nodesOf(text: string): 3 | 5 {
-  return text === '5' ? 5 : 3;
+function wantedOf(shape: string | undefined, nodes: string): WantedShape {
+  if (shape !== undefined && isWantedShape(shape)) return shape;
+  return nodes === '5' ? 'five' : 'three';
 }
 
-function spreadText({ count, median, ninety, ninetyNine, most }: Spread): string {
-  return `${count} times, median ${median}, 90% ${ninety}, 99% ${ninetyNine}, most ${most} ms`;
+function spreadText(spread: Spread): string {
+  const { count, median, ninetyFive, ninetyNine, most } = spread;
+  return `${count} times, median ${median}, 95% ${ninetyFive}, 99% ${ninetyNine}, most ${most} ms`;
+}
+
+function outcomesText({ accepted, refused, unclear, attempts }: OutcomeCounts): string {
+  return `${accepted} acknowledged, ${refused} refused, ${unclear} unclear, in ${attempts} attempts`;
 }
 
 /** Runs the deployed control side on virtual time over many seeds. */
@@ -29,8 +38,13 @@
     seeds: Flags.integer({ default: 100, min: 1, description: 'how many seeds' }),
     from: Flags.integer({ default: 1, description: 'the first seed' }),
     nodes: Flags.string({ default: '3', options: ['3', '5'], description: 'control nodes' }),
+    shape: Flags.string({
+      options: [...WANTED_SHAPES],
+      description: 'fleet and length of the runs, in place of --nodes; mixed has all',
+    }),
     jobs: Flags.integer({ default: 2, min: 1, description: 'processes at once' }),
-    report: Flags.string({ description: 'file for the report as JSON' }),
+    minutes: Flags.integer({ min: 1, description: 'begin no seed after so long' }),
+    report: Flags.string({ description: 'file for the report as JSON, also while it goes on' }),
     seed: Flags.integer({ description: 'replay this seed alone, with its log' }),
     shrink: Flags.boolean({
       default: false,
@@ -40,49 +54,63 @@
 
   async run(): Promise<void> {
     const { flags } = await this.parse(SimulateControlCommand);
-    const nodes = nodesOf(flags.nodes);
+    const shape = wantedOf(flags.shape, flags.nodes);
     if (flags.seed !== undefined) {
-      this.#replay(flags.seed, nodes, flags.shrink);
+      this.#replay(flags.seed, shape, flags.shrink);
       return;
     }
-    const { from, seeds, jobs } = flags;
+    const { from, seeds, jobs, report: file } = flags;
     const results: SeedResult[] = [];
-    const done = this.#done.bind(this, results, seeds);
-    await new SeedPool({ from, seeds, nodes, jobs, done }).run();
-    const report = reportOf(nodes, results);
-    if (flags.report !== undefined) writeFileSync(flags.report, JSON.stringify(report, null, 2));
+    const done = this.#done.bind(this, results, seeds, file);
+    const mostMs = (flags.minutes ?? Infinity) * MS_PER_MINUTE;
+    const pool = new SeedPool({ from, seeds, shape, jobs, mostMs, done });
+    await pool.run();
+    const report = reportOf(results);
+    this.#save(report, file);
     this.#print(report);
+    if (pool.next < from + seeds) this.log(`time is up: go on with --from ${pool.next}`);
     this.exit(report.failedSeeds.length === 0 ? 0 : 1);
   }
 
-  #done(results: SeedResult[], seeds: number, result: SeedResult): void {
+  #done(results: SeedResult[], seeds: number, file: string | undefined, result: SeedResult): void {
     results.push(result);
     if (result.violations.length > 0) {
-      this.log(`seed ${result.seed} broke ${rulesOf(result).join(', ')}`);
+      this.log(`seed ${result.seed} (${result.shape}) broke ${rulesOf(result).join(', ')}`);
       for (const { rule, at, text } of result.violations.slice(0, MOST_SHOWN)) {
         this.log(`  ${at} ms ${rule}: ${text}`);
       }
     }
-    if (results.length % PROGRESS_EVERY === 0) this.log(`${results.length} of ${seeds} seeds`);
+    if (results.length % PROGRESS_EVERY !== 0) return;
+    this.log(`${results.length} of ${seeds} seeds`);
+    this.#save(reportOf(results), file);
+  }
+
+  #save(report: RunReport, file: string | undefined): void {
+    if (file !== undefined) writeFileSync(file, JSON.stringify(report, null, 2));
   }
 
   #print(report: RunReport): void {
-    const { seeds, nodes, failedSeeds, virtualSeconds, totals, rules } = report;
-    this.log(
-      `${seeds} seeds of ${nodes} nodes, ${virtualSeconds} virtual seconds: ${failedSeeds.length} failed`,
-    );
+    const { seeds, shapes, failedSeeds, virtualSeconds, totals, rules, faults, orders } = report;
+    this.log(`${seeds} seeds, ${virtualSeconds} virtual seconds: ${failedSeeds.length} failed`);
+    for (const { shape, seeds: ofShape, failed } of shapes) {
+      this.log(`  ${shape}: ${ofShape} seeds, ${failed} failed`);
+    }
     for (const [rule, count] of Object.entries(rules)) this.log(`  ${rule}: ${count} seeds`);
+    this.log(`faults: ${JSON.stringify(faults)}`);
+    for (const kind of ORDER_KINDS) this.log(`${kind}: ${outcomesText(orders[kind])}`);
+    this.log(`all orders: ${outcomesText(orders.all)}`);
     this.log(JSON.stringify(totals));
-    this.log(`from start to counting: ${spreadText(report.repairMs)}`);
+    this.log(`from start to counting: ${spreadText(report.startMs)}`);
+    this.log(`with an empty disk: ${spreadText(report.repairMs)}`);
     this.log(`without a leader: ${spreadText(report.leaderlessMs)}`);
   }
 
-  #replay(seed: number, nodes: 3 | 5, isShrunk: boolean): void {
-    const options = drawOptions(seed, nodes);
+  #replay(seed: number, wanted: WantedShape, isShrunk: boolean): void {
+    const options = optionsOf(seed, shapeOf(seed, wanted));
     const schedule = drawSchedule(options);
     const log = isShrunk ? undefined : this.log.bind(this);
     const { violations, figures } = simulate(options, schedule, log);
-    this.log(JSON.stringify({ options, figures }));
+    this.log(JSON.stringify({ options, figures, orders: totalOf(figures.orders) }));
     for (const { rule, at, text } of violations) this.log(`${at} ms ${rule}: ${text}`);
     const [first] = violations;
     if (first && isShrunk) {
