Judge copies of zone orders by what a node could know when it began them

Nothing on the wire tells such a copy from one whose caller waits. Ruled out: a bound on its age (no clock is compared with an operator's), holding orders back (no delay is enough for an unknown line), weaker slow lines (other faults would be lost).

The endpoint tells the writer when what it wrote is begun with its close still under way; the history lets that copy take effect once, within lateMs of that moment.

Failed before: the shrunk schedule in ControlSimulation.test.ts.

--- a/src/simulation/CallAttempt.ts
+++ b/src/simulation/CallAttempt.ts
@@ -19,6 +19,8 @@
   readonly isAnswerLost: () => boolean;
   /** Nothing where there was no answer: refused, reset or silent. */
   readonly ended: (answer: OperatorAnswer | undefined) => void;
+  /** The node began the call after it was given up, before it could know. */
+  readonly takenLate: (waitedMs: number) => void;
 }
 
 /** One call of an operator to one node: connects, sends, and waits for a second of silence at most. */
@@ -50,6 +52,7 @@
     endpoint.handler = {
       data: this.#take.bind(this),
       closed: this.#end.bind(this, undefined),
+      takenLate: this.#settings.takenLate,
     };
     endpoint.send(encodeCall(this.#settings.call));
   }
--- a/src/simulation/ControlSimulation.test.ts
+++ b/src/simulation/ControlSimulation.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest';
 import { simulate, type Outcome } from './ControlSimulation.js';
 import type { Schedule } from './Faults.js';
+import type { Attempt, OrderRecord } from './history/History.js';
 import { OPTION_DEFAULTS, type SimulationOptions } from './Options.js';
 import { totalOf } from './RunFigures.js';
 import type { RunShape } from './RunShape.js';
@@ -87,6 +88,40 @@
   expect(failed).toEqual([]);
 }
 
+/** A restore that its operator gave up and sent elsewhere is taken on a slow line before the close of its call arrives. */
+function checkSlowCalls(): void {
+  const options: SimulationOptions = {
+    ...OPTION_DEFAULTS,
+    seed: 10_422,
+    troubleMs: 30_000,
+    isFenced: true,
+    paceMs: 300,
+  };
+  const place = { kind: 'place', place: 7 } as const;
+  const leader = { kind: 'role', role: 'leader' } as const;
+  const slow = { kind: 'slowCalls', target: place } as const;
+  const first = { kind: 'after', event: 'epoch', from: 6241, delay: 185.1 } as const;
+  const second = { kind: 'after', event: 'cut', from: 7123, delay: 235.2 } as const;
+  const third = { kind: 'after', event: 'jointVoters', from: 11_679, delay: 8.6 } as const;
+  const schedule: Schedule = [
+    { ...slow, when: first, forMs: 1325, delayMs: 1107 },
+    { kind: 'freeze', when: second, forMs: 2235, target: leader },
+    { ...slow, when: third, forMs: 2798, delayMs: 564 },
+  ];
+  const { violations, history } = simulate(options, schedule);
+  expect(violations).toEqual([]);
+  expect(history.orders.flatMap(attemptsOf).some(isTakenLate)).toBe(true);
+}
+
+function attemptsOf(record: OrderRecord): readonly Attempt[] {
+  return record.attempts;
+}
+
+function isTakenLate(attempt: Attempt): boolean {
+  return attempt.takenLateAt !== undefined;
+}
+
+test('a copy that no node can know to be late is not held against it', checkSlowCalls);
 test('three nodes run calmly', checkCalm.bind(undefined, 3));
 test('five nodes run calmly', checkCalm.bind(undefined, 5));
 test('a run is a pure function of its options and schedule', checkPure);
--- a/src/simulation/HistoryRecorder.ts
+++ b/src/simulation/HistoryRecorder.ts
@@ -7,12 +7,19 @@
   ReadRecord,
 } from './history/History.js';
 
+/**
+ * A node that stood still for a second or more knows that its input may be late, and takes no evacuation from it. Its clock
+ * may be slow, and it looks at it with each tick.
+ */
+const MOST_UNREAD_MS = 1100;
+
 /** An attempt that may still be under way; it counts as unclear until an answer says otherwise. */
 export class OpenAttempt implements Attempt {
   readonly node: string;
   readonly sentAt: number;
   #endedAt: number | undefined;
   #outcome: AttemptOutcome = 'unclear';
+  #takenLateAt: number | undefined;
 
   constructor(node: string, sentAt: number) {
     this.node = node;
@@ -27,6 +34,15 @@
     return this.#outcome;
   }
 
+  get takenLateAt(): number | undefined {
+    return this.#takenLateAt;
+  }
+
+  /** A node began it at that moment, after it had lain there for so long, and could not know that nobody waits. */
+  takeLate(at: number, waitedMs: number): void {
+    if (waitedMs <= MOST_UNREAD_MS) this.#takenLateAt = at;
+  }
+
   end(at: number, outcome: AttemptOutcome): void {
     this.#endedAt = at;
     this.#outcome = outcome;
@@ -69,8 +85,9 @@
   return attempt.outcome !== 'unclear';
 }
 
-function plainAttempt({ node, sentAt, endedAt, outcome }: Attempt): Attempt {
-  return { node, sentAt, endedAt, outcome };
+function plainAttempt({ node, sentAt, endedAt, outcome, takenLateAt }: Attempt): Attempt {
+  const plain = { node, sentAt, endedAt, outcome };
+  return takenLateAt === undefined ? plain : { ...plain, takenLateAt };
 }
 
 /** Everything the operators of one run saw, in the form that the history checker judges. */
--- a/src/simulation/OperatorClient.ts
+++ b/src/simulation/OperatorClient.ts
@@ -128,7 +128,10 @@
       else if (outcome === 'refused' && isEnding(calling, answer?.status ?? 0)) settle('refused');
       else if (!again()) settle('gaveUp');
     }
-    this.#call(node, calling, ended);
+    function takenLate(waitedMs: number): void {
+      attempt.takeLate(scheduler.now, waitedMs);
+    }
+    this.#call(node, calling, ended, takenLate);
   }
 
   #tryRead(calling: Calling, done: ReadDone): void {
@@ -148,13 +151,18 @@
       recorder.read({ operator, node, sentAt, endedAt: scheduler.now, document, evacuated });
       settle(document?.version ?? 0);
     }
-    this.#call(node, calling, ended);
+    this.#call(node, calling, ended, ignore);
   }
 
-  #call(node: string, calling: Calling, ended: (answer: OperatorAnswer | undefined) => void): void {
+  #call(
+    node: string,
+    calling: Calling,
+    ended: (answer: OperatorAnswer | undefined) => void,
+    takenLate: (waitedMs: number) => void,
+  ): void {
     const { network, isAnswerLost } = this.#around;
     const { call } = calling;
-    new CallAttempt({ network, caller: this, node, call, isAnswerLost, ended }).send();
+    new CallAttempt({ network, caller: this, node, call, isAnswerLost, ended, takenLate }).send();
   }
 
   /** Goes on to another node after a pause; says whether it may. */
@@ -195,6 +203,10 @@
   return answer.status === 200 || answer.status === NOT_FOUND;
 }
 
+function ignore(): void {
+  /* A read changes nothing, whenever it is begun. */
+}
+
 function isOther(node: string, other: string): boolean {
   return node !== other;
 }
--- a/src/simulation/OperatorPort.ts
+++ b/src/simulation/OperatorPort.ts
@@ -85,7 +85,9 @@
   }
 
   #beginWanted(endpoint: Endpoint, call: OperatorCall): void {
-    if (endpoint.isOpen) this.#begin(endpoint, call);
+    if (!endpoint.isOpen) return;
+    endpoint.begin();
+    this.#begin(endpoint, call);
   }
 
   #begin(endpoint: Endpoint, call: OperatorCall): void {
--- a/src/simulation/history/History.ts
+++ b/src/simulation/history/History.ts
@@ -44,6 +44,11 @@
   /** When the answer reached the operator; nothing if none did. */
   readonly endedAt: number | undefined;
   readonly outcome: AttemptOutcome;
+  /**
+   * When a node began it, where the operator had left by then and its close was still on the line: no node can tell such
+   * a copy from one whose caller waits. Nothing for all others.
+   */
+  readonly takenLateAt?: number | undefined;
 }
 
 export interface OrderRecord {
--- a/src/simulation/history/HistoryCheck.test.ts
+++ b/src/simulation/history/HistoryCheck.test.ts
@@ -330,6 +330,39 @@
 }
 test('a late copy of an end of an evacuation does not fill the zone again', testLateRestore);
 
+function testTakenLate(): void {
+  const taken: Attempt = { ...unclear(100), takenLateAt: 1120 };
+  // A node took the first copy while the operator's close was on the line, after the second had been acknowledged.
+  const unknowable = begun()
+    .order(evacuate(), accepted(0))
+    .order(restore(), taken, accepted(1150))
+    .order(evacuate(), accepted(1200))
+    .read(1300, 0, '', ['z'])
+    .read(1400, 0, '', []);
+  expect(unknowable.rules()).toEqual([]);
+  // Once only, and not for ever.
+  const twice = begun()
+    .order(evacuate(), accepted(0))
+    .order(restore(), taken, accepted(1150))
+    .order(evacuate(), accepted(1200))
+    .read(1300, 0, '', ['z'])
+    .read(1400, 0, '', [])
+    .read(1410, 0, '', [])
+    .order(evacuate(), accepted(1500))
+    .read(1600, 0, '', ['z'])
+    .read(1700, 0, '', []);
+  expect(twice.rules()).toEqual(['late-restore']);
+  const tooLate = begun()
+    .order(evacuate(), accepted(0))
+    .order(restore(), taken, accepted(1150))
+    .order(evacuate(), accepted(1200))
+    .read(5200, 0, '', ['z'])
+    .read(5210, 0, '', ['z'])
+    .read(5300, 0, '', []);
+  expect(tooLate.rules()).toEqual(['late-restore']);
+}
+test('a copy that no node could know to be late may take effect once', testTakenLate);
+
 function testCopies(): void {
   // The first copy took effect before the evacuation and the second after it; no copy is older than the acceptance.
   const twice = begun()
