Let voters learn how long a round of the election must be

Cause: a round was 500 ms whatever the links. With 150 to 400 ms each way every proposer gave up before it was deferred to.

Each voter takes round trips from its own pings and lengthens the waits of an election by twice what the fastest majority's exceeds 100 ms; over such links turns come at a first start too, the place decides until a leader has been known, and who leads already is not outbid by the tie-break. Lease, promises and records depend on no measured time.

Ruled out: longer rounds for all (a successor on ordinary links would come later); longer rounds alone (8 of 10 first leaders after 5.3 to 5.8 s, by rings of deferrals); turns of half that length (three of 40 over 5 s); a longer lease (each successor's first order would be later).

--- a/src/control/testing/FaultCluster.ts
+++ b/src/control/testing/FaultCluster.ts
@@ -102,6 +102,12 @@
   readonly mostDiskMs?: number;
 }
 
+/** Both in milliseconds, one way. */
+interface DelayRange {
+  readonly leastMs: number;
+  readonly mostMs: number;
+}
+
 const STEP_MS = 5;
 const TICK_MS = 50;
 /** An order in calm times is acknowledged within so long. */
@@ -131,9 +137,12 @@
   readonly nodes = new Map<string, Node>();
   readonly #numbers: SeededNumbers;
   readonly #options: Required<FaultClusterOptions>;
+  readonly #near: DelayRange;
   #events: Timed[] = [];
   /** When the last message on a link arrives, or the last write of a part on a disk ends. */
   readonly #links = new Map<string, number>();
+  /** What each message from or to these takes, in place of what the options say. */
+  readonly #far = new Map<string, DelayRange>();
   readonly #cut = new Set<string>();
   readonly #lost = new Set<string>();
 
@@ -146,6 +155,8 @@
       mostDiskMs: 10,
     };
     this.#options = { ...defaults, ...options };
+    const { leastDelayMs, mostDelayMs } = this.#options;
+    this.#near = { leastMs: leastDelayMs, mostMs: mostDelayMs };
     this.#numbers = new SeededNumbers(this.#options.seed);
   }
 
@@ -247,6 +258,11 @@
     if (first === 'input') this.#tick(id, node);
   }
 
+  /** Moves a node far from all others: each message from or to it takes between these two. */
+  setFar(id: string, leastMs: number, mostMs: number): void {
+    this.#far.set(id, { leastMs, mostMs });
+  }
+
   cutOneWay(from: string, to: string): void {
     this.#cut.add(`${from}>${to}`);
   }
@@ -430,7 +446,8 @@
 
   #send(from: string, to: string, message: Message): void {
     const link = `${from}>${to}`;
-    const delay = this.#numbers.between(this.#options.leastDelayMs, this.#options.mostDelayMs);
+    const range = this.#far.get(from) ?? this.#far.get(to) ?? this.#near;
+    const delay = this.#numbers.between(range.leastMs, range.mostMs);
     const at = Math.max(this.#links.get(link) ?? 0, this.#now + delay);
     this.#links.set(link, at);
     this.#events.push({
--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -12,12 +12,17 @@
 } from '../common/Ids.js';
 import type { Message, ReportMessage } from '../common/Messages.js';
 import type { Quorum } from '../common/Quorum.js';
+import { RoundTrips } from './RoundTrips.js';
 import { Scores } from './Scores.js';
 import type { VoteEffect, VoteRecord } from './VoteEffect.js';
 import type { VoteSettings } from './VoteSettings.js';
 
 /** Long enough for a proposal to reach the next in turn. */
 const TURN_MS = 100;
+/** The spans of the settings allow for links whose round trip takes no longer. */
+const ORDINARY_ROUND_TRIP_MS = 100;
+/** The shortest round trip is measured; single messages take up to about twice as long on links that vary. */
+const VARIATION = 2;
 const NOBODY: VoteRecord = { epoch: 0, grantEpoch: 0, grantLeader: '' };
 
 /** What the elector is doing: waiting for a majority to be in reach, proposing itself, having deferred, or knowing a leader. */
@@ -63,6 +68,7 @@
   /** The one to whom alone we may have promised something before we started; nothing where we cannot tell. */
   #bootLeader: string;
 
+  readonly #roundTrips = new RoundTrips();
   /** When we sent the newest of our pings that each voter returned. */
   readonly #provenAt = new Map<NodeId, Moment>();
   #electionsStarted = 0;
@@ -75,6 +81,12 @@
   /** Voters whose last ping said that they follow nobody. */
   readonly #leaderless = new Set<NodeId>();
   #leaderlessAt: Moment | undefined;
+  /** Whether this process has followed somebody or led. */
+  #hasKnownLeader = false;
+  /** Since when a majority is in reach over slow links; nothing on ordinary ones. */
+  #reachedAt: Moment | undefined;
+  /** Who told us that it had won an epoch below ours, over slow links. */
+  #outrun: NodeId | undefined;
 
   #effects: VoteEffect[] = [];
   #held: { readonly token: number; readonly run: () => void }[] = [];
@@ -275,11 +287,47 @@
     ) {
       this.#lose('looking');
       this.#startIfReachable(now);
-    } else if (this.#role === 'looking' && (now >= this.#listenUntil || this.#isOurTurn(now))) {
+    } else if (this.#role === 'looking' && this.#isTimeToPropose(now)) {
       this.#startIfReachable(now);
     }
   }
 
+  #isTimeToPropose(now: Moment): boolean {
+    if (this.#isOurTurn(now)) return true;
+    return !this.#isListening(now) && !this.#isTurnOfOthers(now);
+  }
+
+  #isListening(now: Moment): boolean {
+    return now < later(this.#listenUntil, this.#slowLinkMs());
+  }
+
+  /**
+   * Over slow links proposals made at one moment cross, and are deferred to in a ring where the others' scores are not
+   * known yet: from when a majority is in reach each waits its turn by its place among the voters.
+   */
+  #isTurnOfOthers(now: Moment): boolean {
+    if (this.#slowLinkMs() === 0 || !this.#reachesMajority()) {
+      this.#reachedAt = undefined;
+      return false;
+    }
+    this.#reachedAt ??= now;
+    return now < later(this.#reachedAt, this.#quorum.all.indexOf(this.#me) * this.#turnMs());
+  }
+
+  /**
+   * Over slow links few scores are known in the first election after a start, and each voter knows others: by these they
+   * would defer to each other in a ring. Until a leader has been known the place among the voters decides there.
+   */
+  #outbids(view: Scores, one: NodeId, other: NodeId): boolean {
+    if (!this.#hasKnownLeader && this.#slowLinkMs() > 0) return one < other;
+    return view.isBetter(one, other, this.#quorum.all);
+  }
+
+  /** Long enough for a proposal to reach the next in turn. */
+  #turnMs(): number {
+    return TURN_MS + this.#slowLinkMs();
+  }
+
   #listenEnd(now: Moment): Moment {
     return later(now, this.#settings.renewMs * 2 + this.#settings.pingMs);
   }
@@ -296,7 +344,7 @@
     this.#leaderlessAt ??= now;
     // Whoever led before goes first: it alone need not wait for its own lease before it orders.
     const turn = this.#granted.leader === this.#me ? 0 : 1 + this.#quorum.all.indexOf(this.#me);
-    return now >= later(this.#leaderlessAt, turn * TURN_MS);
+    return now >= later(this.#leaderlessAt, turn * this.#turnMs());
   }
 
   /** A majority that follows nobody shows that nobody leads: after all have restarted there is nothing to listen for. */
@@ -401,7 +449,10 @@
     if (!state || now - sent >= this.#settings.deadMs) return;
     state.heard = now;
     // One that came back to a former incarnation of ours names a moment that we have not had yet.
-    if (sent <= now) this.#provenAt.set(from, moment(sent));
+    if (sent <= now) {
+      this.#provenAt.set(from, moment(sent));
+      this.#roundTrips.add(from, now - sent);
+    }
     this.#scores.reportLive(from, (now - state.scored) / 1000);
     state.scored = now;
   }
@@ -415,7 +466,7 @@
     this.#adopt(nextElecting(this.#epoch), now);
     this.#role = 'proposing';
     this.#deferrals = new Set([this.#me]);
-    this.#limit = later(now, this.#settings.electionMs);
+    this.#limit = later(now, this.#settings.electionMs + this.#slowLinkMs());
     for (const peer of this.#others())
       this.#speak(peer, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
     if (this.#quorum.all.length === 1) this.#win(now);
@@ -462,16 +513,16 @@
     if (epoch > this.#epoch) {
       // Our leader may come to a higher epoch for the sake of one that was repaired: by the tie-break alone it is not
       // outbid, since another could order only after its lease.
-      const isKept = this.#leader === from || now < this.#listenUntil;
+      const isKept = this.#leader === from || this.#outrun === from || this.#isListening(now);
       this.#lose('looking');
       this.#adopt(epoch, now);
       // In the first moments after a start not all scores are known: whoever led before is not outbid by what is.
       const isBetter =
-        now < this.#listenUntil && this.#granted.leader === from
+        this.#isListening(now) && this.#granted.leader === from
           ? false
           : isKept
             ? this.#isAbove(from)
-            : this.#frozen.isBetter(this.#me, from, this.#quorum.all);
+            : this.#outbids(this.#frozen, this.#me, from);
       if (
         isBetter &&
         !this.#isRetired &&
@@ -492,10 +543,10 @@
       this.#deferTo(now, from, reports);
       return;
     }
-    if (!this.#frozen.isBetter(from, current, this.#quorum.all)) return;
+    if (!this.#outbids(this.#frozen, from, current)) return;
     const view = this.#deferredScores ?? this.#frozen;
     // Deferral is transitive: where the one we chose before would not defer here, everyone starts over.
-    if (view.isBetter(from, current, this.#quorum.all)) this.#deferTo(now, from, reports);
+    if (this.#outbids(view, from, current)) this.#deferTo(now, from, reports);
     else this.#startIfReachable(now);
   }
 
@@ -505,7 +556,7 @@
     const view = new Scores(this.#me, this.#settings.halfLifeSeconds);
     view.merge(reports);
     this.#deferredScores = view;
-    this.#limit = later(now, this.#settings.electionMs * 2);
+    this.#limit = later(now, this.#settings.electionMs * 2 + this.#slowLinkMs());
     this.#speak(from, { kind: 'defer', epoch: this.#epoch, reports: this.#frozen.reports() });
   }
 
@@ -534,7 +585,7 @@
     this.#quorumMembers = new Set(quorumMembers);
     this.#grants.clear();
     this.#orderFrom = now;
-    this.#limit = later(now, this.#settings.electionMs * 2);
+    this.#limit = later(now, this.#settings.electionMs * 2 + this.#slowLinkMs());
     this.#renewedAt = now;
     this.#renewals.clear();
     const nonce = this.#openRenewal(now);
@@ -561,6 +612,7 @@
     this.#scores.merge(reports);
     if (!this.#mayVote || !this.#quorum.holds(from) || isElecting(epoch)) return;
     if (epoch < this.#epoch) {
+      this.#noteOutrun(from);
       this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() });
       return;
     }
@@ -579,6 +631,7 @@
       this.#adopt(epoch, now);
     }
     this.#role = 'following';
+    this.#noteLeader();
     this.#leader = from;
     this.#quorumMembers = new Set([this.#me, from, ...quorum.map(nodeId)]);
     this.#heardLeader = now;
@@ -648,7 +701,17 @@
     this.#settleOrderFrom();
     this.#countRenewal(from, nonce);
     if (this.#role === 'won' && this.#quorum.isMajority(new Set(this.#grants.keys())))
-      this.#role = 'leading';
+      this.#becomeLeading();
+  }
+
+  #becomeLeading(): void {
+    this.#role = 'leading';
+    this.#noteLeader();
+  }
+
+  #noteLeader(): void {
+    this.#hasKnownLeader = true;
+    this.#outrun = undefined;
   }
 
   /** Any majority of grants shares a voter with the one that renewed the holder before us: the one free first is enough. */
@@ -703,6 +766,11 @@
       });
   }
 
+  /** Somebody leads an epoch that our own proposals have passed: by the tie-break alone it is not to be outbid again. */
+  #noteOutrun(leader: NodeId): void {
+    if (this.#slowLinkMs() > 0) this.#outrun = leader;
+  }
+
   #receiveReleased(now: Moment, from: NodeId, epoch: Epoch): void {
     if (epoch !== this.#epoch || this.#leader !== from) return;
     const promise = this.#promises.get(from);
@@ -720,6 +788,7 @@
   ): void {
     if (!this.#mayVote || !this.#quorum.holds(from) || isElecting(epoch)) return;
     if (epoch < this.#epoch) {
+      this.#noteOutrun(from);
       this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: [] });
       return;
     }
@@ -741,6 +810,13 @@
 
   // ---- small parts
 
+  /** By how much longer an exchange of messages with a majority may take than the settings allow for. */
+  #slowLinkMs(): number {
+    const isAlive = this.#scores.isAlive.bind(this.#scores);
+    const millis = this.#roundTrips.majorityMs(this.#me, this.#quorum, isAlive);
+    return VARIATION * Math.max(0, millis - ORDINARY_ROUND_TRIP_MS);
+  }
+
   #others(): NodeId[] {
     const me = this.#me;
     function isOther(peer: NodeId): boolean {
--- /dev/null
+++ b/src/election/RoundTrips.test.ts
@@ -0,0 +1,42 @@
+import { expect, test } from 'vitest';
+import { nodeId, type NodeId } from '../common/Ids.js';
+import { Quorum } from '../common/Quorum.js';
+import { RoundTrips } from './RoundTrips.js';
+
+const [a, b, c, d, e] = [nodeId('a'), nodeId('b'), nodeId('c'), nodeId('d'), nodeId('e')];
+
+function everybody(): boolean {
+  return true;
+}
+function isNotB(peer: NodeId): boolean {
+  return peer !== b;
+}
+
+function checkShortest(): void {
+  const roundTrips = new RoundTrips();
+  expect(roundTrips.of(b)).toBe(undefined);
+  roundTrips.add(b, 10);
+  // A process that stood still answers late several times.
+  for (const late of [1000, 750, 500, 250]) roundTrips.add(b, late);
+  expect(roundTrips.of(b)).toBe(10);
+  for (let pings = 0; pings < 8; pings += 1) roundTrips.add(b, 400);
+  expect(roundTrips.of(b)).toBe(400);
+}
+test('the shortest of the last eight round trips counts', checkShortest);
+
+function checkMajority(): void {
+  const quorum = new Quorum([a, b, c, d, e]);
+  const roundTrips = new RoundTrips();
+  roundTrips.add(b, 10);
+  expect(roundTrips.majorityMs(a, quorum, everybody)).toBe(0);
+  roundTrips.add(c, 800);
+  expect(roundTrips.majorityMs(a, quorum, everybody)).toBe(800);
+  roundTrips.add(d, 20);
+  expect(roundTrips.majorityMs(a, quorum, everybody)).toBe(20);
+  // One that is away answers nothing: the majority is then one of others.
+  expect(roundTrips.majorityMs(a, quorum, isNotB)).toBe(800);
+  // While the set of voters changes a majority is one of both sets.
+  const changing = new Quorum([a, b, d], [a, c, e]);
+  expect(roundTrips.majorityMs(a, changing, everybody)).toBe(800);
+}
+test('the slowest of the fastest majority counts, among those that are there', checkMajority);
