--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -14,6 +14,7 @@
 import type { Quorum } from '../common/Quorum.js';
 import { RoundTrips } from './RoundTrips.js';
 import { Scores } from './Scores.js';
+import { SyncedOutbox } from './SyncedOutbox.js';
 import type { VoteEffect, VoteRecord } from './VoteEffect.js';
 import type { VoteSettings } from './VoteSettings.js';
 
@@ -88,11 +89,7 @@
   /** Who told us that it had won an epoch below ours, over slow links. */
   #outrun: NodeId | undefined;
 
-  #effects: VoteEffect[] = [];
-  #held: { readonly token: number; readonly run: () => void }[] = [];
-  #token = 0;
-  #kept = 0;
-  #keepSince: Moment = moment(0);
+  readonly #outbox: SyncedOutbox;
 
   constructor(
     me: NodeId,
@@ -104,6 +101,7 @@
     this.#me = me;
     this.#quorum = quorum;
     this.#settings = settings;
+    this.#outbox = new SyncedOutbox(now);
     this.#scores = new Scores(me, settings.halfLifeSeconds);
     this.#frozen = this.#scores.freeze();
     this.#epoch = epochOf(record.epoch);
@@ -248,19 +246,11 @@
   }
 
   drain(): VoteEffect[] {
-    const effects = this.#effects;
-    this.#effects = [];
-    return effects;
+    return this.#outbox.drain();
   }
 
   kept(token: number): void {
-    this.#kept = Math.max(this.#kept, token);
-    const held = this.#held;
-    this.#held = [];
-    for (const item of held) {
-      if (item.token <= this.#kept) item.run();
-      else this.#held.push(item);
-    }
+    this.#outbox.kept(token);
   }
 
   tick(now: Moment): void {
@@ -422,7 +412,7 @@
         state.scored = now;
       }
       state.sent = now;
-      this.#speak(peer, {
+      this.#outbox.sendUnsynced(peer, {
         kind: 'ping',
         nonce: now,
         epoch: 0,
@@ -433,7 +423,7 @@
   }
 
   #sendPong(to: NodeId, nonce: number): void {
-    this.#speak(to, {
+    this.#outbox.sendUnsynced(to, {
       kind: 'pong',
       nonce,
       epoch: 0,
@@ -658,7 +648,7 @@
     }
     this.#promises.set(leader, later(now, this.#settings.spanMs));
     if (leader === this.#me)
-      this.#afterKept(this.#countGrant.bind(this, now, this.#me, epoch, wait, nonce));
+      this.#outbox.afterKept(this.#countGrant.bind(this, now, this.#me, epoch, wait, nonce));
     else
       this.#speak(leader, { kind: 'granted', epoch, wait, nonce, reports: this.#scores.reports() });
   }
@@ -667,7 +657,7 @@
   #noteFree(now: Moment): void {
     if (this.#granted.isFree || this.#granted.epoch === 0 || now < this.#granted.freeAt) return;
     this.#granted = { ...this.#granted, isFree: true };
-    this.#effects.push({ do: 'keep', token: this.#token, record: this.record });
+    this.#outbox.keepUnawaited(this.record);
   }
 
   /** How long from now the promises made to others still bind, with the span in which nobody orders. */
@@ -755,7 +745,7 @@
       if (now - renewal.sent > this.#settings.spanMs) this.#renewals.delete(old);
     this.#promises.set(this.#me, later(now, this.#settings.spanMs));
     // Our own renewal counts only once our own grant of this epoch is on disk.
-    this.#afterKept(this.#countRenewal.bind(this, this.#me, nonce));
+    this.#outbox.afterKept(this.#countRenewal.bind(this, this.#me, nonce));
     for (const peer of this.#others())
       this.#speak(peer, {
         kind: 'renew',
@@ -851,7 +841,7 @@
   }
 
   #isStalled(now: Moment): boolean {
-    return this.#kept < this.#token && now - this.#keepSince > this.#settings.stallMs;
+    return this.#outbox.isStalled(now, this.#settings.stallMs);
   }
 
   #lose(role: Role): void {
@@ -876,25 +866,11 @@
   }
 
   #keep(now: Moment): void {
-    if (this.#kept === this.#token) this.#keepSince = now;
-    this.#token += 1;
-    this.#effects.push({ do: 'keep', token: this.#token, record: this.record });
-  }
-
-  #afterKept(run: () => void): void {
-    if (this.#kept >= this.#token) run();
-    else this.#held.push({ token: this.#token, run });
+    this.#outbox.keep(this.record, now);
   }
 
   #speak(to: NodeId, message: Message): void {
-    const send: VoteEffect = { do: 'send', to, message };
-    // Pings carry no epoch, so they need not wait for the disk.
-    if (message.kind === 'ping' || message.kind === 'pong') this.#effects.push(send);
-    else this.#afterKept(this.#push.bind(this, send));
-  }
-
-  #push(effect: VoteEffect): void {
-    this.#effects.push(effect);
+    this.#outbox.send(to, message);
   }
 }
 
