Cut grants and promises of a voter out of the elector

What a voter has granted and promised, with its record and the wait that it tells a winner, is now Promises.

--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -12,6 +12,7 @@
 } from '../common/Ids.js';
 import type { Message, ReportMessage } from '../common/Messages.js';
 import type { Quorum } from '../common/Quorum.js';
+import { Promises } from './Promises.js';
 import { RoundTrips } from './RoundTrips.js';
 import { Scores } from './Scores.js';
 import { SyncedOutbox } from './SyncedOutbox.js';
@@ -40,12 +41,6 @@
   readonly #scores: Scores;
   #frozen: Scores;
   #epoch: Epoch;
-  #granted: {
-    readonly epoch: number;
-    readonly leader: string;
-    readonly freeAt: Moment;
-    readonly isFree: boolean;
-  };
   #role: Role = 'looking';
   #mayVote = true;
   #isRetired = false;
@@ -64,10 +59,7 @@
   #nonce = 0;
   readonly #renewals = new Map<number, { readonly sent: Moment; readonly by: Set<NodeId> }>();
   #renewedAt: Moment = moment(0);
-  readonly #promises = new Map<string, Moment>();
-  #bootPromise: Moment;
-  /** The one to whom alone we may have promised something before we started; nothing where we cannot tell. */
-  #bootLeader: string;
+  readonly #promises: Promises;
 
   readonly #roundTrips = new RoundTrips();
   /** When we sent the newest of our pings that each voter returned. */
@@ -105,18 +97,7 @@
     this.#scores = new Scores(me, settings.halfLifeSeconds);
     this.#frozen = this.#scores.freeze();
     this.#epoch = epochOf(record.epoch);
-    const isFree = record.isFree === true;
-    this.#granted = {
-      epoch: record.grantEpoch,
-      leader: record.grantLeader,
-      freeAt: later(now, (settings.spanMs + settings.leaseMs) * (1 + 5 * settings.drift)),
-      isFree,
-    };
-    // What we promised before a crash is gone from memory: hold as if promised this moment. Where the record says to whom
-    // alone, that one is not held up by it: the same holder may go on at once.
-    this.#bootLeader = isFree ? record.grantLeader : '';
-    this.#bootPromise =
-      record.grantEpoch > 0 ? later(now, settings.spanMs) : moment(now - settings.leaseMs);
+    this.#promises = new Promises(settings, now, record);
     this.#pingedAt = moment(now - settings.pingMs);
     this.#listenUntil = record.epoch > 0 ? this.#listenEnd(now) : now;
   }
@@ -137,12 +118,7 @@
     return this.#scores;
   }
   get record(): VoteRecord {
-    return {
-      epoch: this.#epoch,
-      grantEpoch: this.#granted.epoch,
-      grantLeader: this.#granted.leader,
-      isFree: this.#granted.isFree,
-    };
+    return this.#promises.record(this.#epoch);
   }
 
   /** Whether a majority has granted us this epoch: we hold the state and may write it, fenced by the epoch. */
@@ -170,7 +146,7 @@
     const wasLeading = this.#role === 'leading';
     this.#isRetired = true;
     // We order nobody from here on: what we promised ourselves binds no successor any longer than this.
-    if ((this.#promises.get(this.#me) ?? now) > now) this.#promises.set(this.#me, now);
+    this.#promises.release(now, this.#me);
     if (wasLeading)
       for (const peer of this.#others())
         this.#speak(peer, { kind: 'released', epoch: this.#epoch });
@@ -187,8 +163,7 @@
     if (mayVote && !this.#mayVote && record.epoch > 0) {
       // We may have granted that epoch to somebody and forgotten it: we take part again from the next one on.
       this.#epoch = nextElecting(epochOf(Math.max(record.epoch, this.#epoch)));
-      this.#bootPromise = later(now, this.#settings.spanMs);
-      this.#bootLeader = '';
+      this.#promises.forget(now);
       // Whoever leads hears by our return to its renewal that it must come to our epoch. Were we to lead, having lost
       // nothing but our disk, nobody could order until the former lease has run out.
       this.#listenUntil = this.#listenEnd(now);
@@ -333,7 +308,7 @@
     }
     this.#leaderlessAt ??= now;
     // Whoever led before goes first: it alone need not wait for its own lease before it orders.
-    const turn = this.#granted.leader === this.#me ? 0 : 1 + this.#quorum.all.indexOf(this.#me);
+    const turn = this.#promises.leader === this.#me ? 0 : 1 + this.#quorum.all.indexOf(this.#me);
     return now >= later(this.#leaderlessAt, turn * this.#turnMs());
   }
 
@@ -508,7 +483,7 @@
       this.#adopt(epoch, now);
       // In the first moments after a start not all scores are known: whoever led before is not outbid by what is.
       const isBetter =
-        this.#isListening(now) && this.#granted.leader === from
+        this.#isListening(now) && this.#promises.leader === from
           ? false
           : isKept
             ? this.#isAbove(from)
@@ -610,12 +585,7 @@
   }
 
   #follow(now: Moment, from: NodeId, epoch: Epoch, nonce: number, quorum: readonly string[]): void {
-    // One grant per epoch, even if two winners of overlapping deferrals ask.
-    if (
-      this.#granted.epoch >= epoch &&
-      !(this.#granted.epoch === epoch && this.#granted.leader === from)
-    )
-      return;
+    if (!this.#promises.mayGrant(from, epoch)) return;
     if (epoch > this.#epoch || this.#leader !== from) {
       this.#lose('following');
       this.#adopt(epoch, now);
@@ -640,13 +610,13 @@
 
   #grant(now: Moment, leader: NodeId, nonce: number): void {
     const epoch = this.#epoch;
-    const wait = this.#wait(now, leader);
-    if (this.#granted.epoch !== epoch) {
+    const wait = this.#promises.waitFor(now, leader);
+    if (this.#promises.epoch !== epoch) {
       this.#votesGranted += 1;
-      this.#granted = { epoch, leader, freeAt: later(now, wait), isFree: wait <= 0 };
+      this.#promises.grant(now, leader, epoch, wait);
       this.#keep(now);
     }
-    this.#promises.set(leader, later(now, this.#settings.spanMs));
+    this.#promises.promise(now, leader);
     if (leader === this.#me)
       this.#outbox.afterKept(this.#countGrant.bind(this, now, this.#me, epoch, wait, nonce));
     else
@@ -655,19 +625,7 @@
 
   /** Once what was promised to others has run out, the record says so; nothing said meanwhile waits for that. */
   #noteFree(now: Moment): void {
-    if (this.#granted.isFree || this.#granted.epoch === 0 || now < this.#granted.freeAt) return;
-    this.#granted = { ...this.#granted, isFree: true };
-    this.#outbox.keepUnawaited(this.record);
-  }
-
-  /** How long from now the promises made to others still bind, with the span in which nobody orders. */
-  #wait(now: Moment, leader: NodeId): number {
-    let until =
-      leader === this.#bootLeader ? moment(now - this.#settings.leaseMs * 2) : this.#bootPromise;
-    for (const [other, end] of this.#promises) if (other !== leader && end > until) until = end;
-    // The holder's clock may be slow, ours and the winner's fast: each span is made longer by what they may differ.
-    const { leaseMs, spanMs, drift } = this.#settings;
-    return Math.max(0, (until + leaseMs - now) * (1 + 3 * drift) + 2 * drift * spanMs);
+    if (this.#promises.noteFree(now)) this.#outbox.keepUnawaited(this.record);
   }
 
   #receiveGranted(
@@ -743,7 +701,7 @@
     const nonce = this.#openRenewal(now);
     for (const [old, renewal] of this.#renewals)
       if (now - renewal.sent > this.#settings.spanMs) this.#renewals.delete(old);
-    this.#promises.set(this.#me, later(now, this.#settings.spanMs));
+    this.#promises.promise(now, this.#me);
     // Our own renewal counts only once our own grant of this epoch is on disk.
     this.#outbox.afterKept(this.#countRenewal.bind(this, this.#me, nonce));
     for (const peer of this.#others())
@@ -763,8 +721,7 @@
 
   #receiveReleased(now: Moment, from: NodeId, epoch: Epoch): void {
     if (epoch !== this.#epoch || this.#leader !== from) return;
-    const promise = this.#promises.get(from);
-    if (promise !== undefined && promise > now) this.#promises.set(from, now);
+    this.#promises.release(now, from);
     this.#lose('looking');
     this.#startIfReachable(now);
   }
@@ -782,15 +739,10 @@
       this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: [] });
       return;
     }
-    if (
-      this.#granted.epoch === epoch &&
-      this.#granted.leader === from &&
-      this.#epoch === epoch &&
-      this.#leader === from
-    ) {
+    if (this.#promises.isGrantedTo(from, epoch) && this.#epoch === epoch && this.#leader === from) {
       this.#heardLeader = now;
       this.#quorumMembers = new Set([this.#me, from, ...quorum.map(nodeId)]);
-      this.#promises.set(from, later(now, this.#settings.spanMs));
+      this.#promises.promise(now, from);
       this.#speak(from, { kind: 'renewed', epoch, nonce });
       return;
     }
