Cut the holder's lease out of the elector

Grants of an epoch, renewals and the end of the lease are now Lease. Pings no longer use up nonces of renewals, which nothing looks at: a renewal is known by epoch and nonce, and a life leads each epoch once.

--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -12,6 +12,7 @@
 } from '../common/Ids.js';
 import type { Message, ReportMessage } from '../common/Messages.js';
 import type { Quorum } from '../common/Quorum.js';
+import { Lease } from './Lease.js';
 import { Promises } from './Promises.js';
 import { RoundTrips } from './RoundTrips.js';
 import { Scores } from './Scores.js';
@@ -52,13 +53,7 @@
   #limit: Moment = moment(0);
   #heardLeader: Moment = moment(0);
 
-  /** Who granted us this epoch, and until when what each promised to others binds us. */
-  readonly #grants = new Map<NodeId, Moment>();
-  #orderFrom: Moment = moment(0);
-  #leaseEnd: Moment = moment(-1);
-  #nonce = 0;
-  readonly #renewals = new Map<number, { readonly sent: Moment; readonly by: Set<NodeId> }>();
-  #renewedAt: Moment = moment(0);
+  readonly #lease: Lease;
   readonly #promises: Promises;
 
   readonly #roundTrips = new RoundTrips();
@@ -97,6 +92,7 @@
     this.#scores = new Scores(me, settings.halfLifeSeconds);
     this.#frozen = this.#scores.freeze();
     this.#epoch = epochOf(record.epoch);
+    this.#lease = new Lease(settings);
     this.#promises = new Promises(settings, now, record);
     this.#pingedAt = moment(now - settings.pingMs);
     this.#listenUntil = record.epoch > 0 ? this.#listenEnd(now) : now;
@@ -128,14 +124,12 @@
 
   /** The end of our lease; orders may be under way only before it. */
   get leaseEnd(): Moment {
-    return this.#leaseEnd;
+    return this.#lease.end;
   }
 
   /** Asked right before each order's write. */
   mayOrder(now: Moment): boolean {
-    // The voters may be others by now than those that granted: a former holder may be bound to some of these alone.
-    const isGranted = this.#quorum.isMajority(new Set(this.#grants.keys()));
-    return this.#role === 'leading' && isGranted && now >= this.#orderFrom && now < this.#leaseEnd;
+    return this.#role === 'leading' && this.#lease.mayOrder(now, this.#quorum);
   }
 
   /**
@@ -177,7 +171,7 @@
 
   setQuorum(quorum: Quorum): void {
     this.#quorum = quorum;
-    if (this.#role === 'leading' || this.#role === 'won') this.#settleOrderFrom();
+    if (this.#role === 'leading' || this.#role === 'won') this.#lease.settleOrderFrom(quorum);
   }
 
   /** When a voter last returned a ping; nothing for one never pinged. */
@@ -377,7 +371,6 @@
   #ping(now: Moment): void {
     if (now < later(this.#pingedAt, this.#settings.pingMs)) return;
     this.#pingedAt = now;
-    this.#nonce += 1;
     for (const peer of this.#quorum.all) {
       if (peer === this.#me) continue;
       const state = this.#pinged.get(peer) ?? { sent: now, heard: now, scored: now };
@@ -548,12 +541,8 @@
     this.#role = 'won';
     this.#leader = this.#me;
     this.#quorumMembers = new Set(quorumMembers);
-    this.#grants.clear();
-    this.#orderFrom = now;
     this.#limit = later(now, this.#settings.electionMs * 2 + this.#slowLinkMs());
-    this.#renewedAt = now;
-    this.#renewals.clear();
-    const nonce = this.#openRenewal(now);
+    const nonce = this.#lease.begin(now);
     this.#grant(now, this.#me, nonce);
     for (const peer of this.#others())
       this.#speak(peer, {
@@ -643,13 +632,9 @@
   #countGrant(now: Moment, from: NodeId, epoch: Epoch, wait: number, nonce: number): void {
     if (epoch !== this.#epoch || (this.#role !== 'won' && this.#role !== 'leading')) return;
     this.#quorumMembers.add(from);
-    const known = this.#grants.get(from);
-    // Told again by a later renewal, a promise still ends when it was first said to.
-    if (known === undefined || later(now, wait) < known) this.#grants.set(from, later(now, wait));
-    this.#settleOrderFrom();
-    this.#countRenewal(from, nonce);
-    if (this.#role === 'won' && this.#quorum.isMajority(new Set(this.#grants.keys())))
-      this.#becomeLeading();
+    this.#lease.countGrant(now, from, wait, this.#quorum);
+    this.#lease.countRenewal(from, nonce, this.#quorum);
+    if (this.#role === 'won' && this.#lease.isGranted(this.#quorum)) this.#becomeLeading();
   }
 
   #becomeLeading(): void {
@@ -662,45 +647,19 @@
     this.#outrun = undefined;
   }
 
-  /** Any majority of grants shares a voter with the one that renewed the holder before us: the one free first is enough. */
-  #settleOrderFrom(): void {
-    const ends = [...this.#grants].sort(byEnd);
-    const free = new Set<NodeId>();
-    for (const [peer, end] of ends) {
-      free.add(peer);
-      if (!this.#quorum.isMajority(free)) continue;
-      this.#orderFrom = end;
-      return;
-    }
-  }
-
-  #openRenewal(now: Moment): number {
-    this.#nonce += 1;
-    this.#renewals.set(this.#nonce, { sent: now, by: new Set() });
-    return this.#nonce;
-  }
-
   #countRenewal(from: NodeId, nonce: number): void {
-    const renewal = this.#renewals.get(nonce);
-    if (!renewal || (this.#role !== 'leading' && this.#role !== 'won')) return;
-    renewal.by.add(from);
-    if (!this.#quorum.isMajority(renewal.by)) return;
-    const end = later(renewal.sent, this.#settings.spanMs);
-    if (end > this.#leaseEnd) this.#leaseEnd = end;
-    for (const old of this.#renewals.keys()) if (old <= nonce) this.#renewals.delete(old);
+    if (this.#role === 'leading' || this.#role === 'won')
+      this.#lease.countRenewal(from, nonce, this.#quorum);
   }
 
   #tickLeader(now: Moment): void {
-    if (this.#role === 'leading' && now >= this.#leaseEnd) {
+    if (this.#role === 'leading' && now >= this.#lease.end) {
       // No majority renews us any more: whoever they follow now, it is not us.
       this.#lose('looking');
       return;
     }
-    if (now < later(this.#renewedAt, this.#settings.renewMs)) return;
-    this.#renewedAt = now;
-    const nonce = this.#openRenewal(now);
-    for (const [old, renewal] of this.#renewals)
-      if (now - renewal.sent > this.#settings.spanMs) this.#renewals.delete(old);
+    const nonce = this.#lease.renew(now);
+    if (nonce === undefined) return;
     this.#promises.promise(now, this.#me);
     // Our own renewal counts only once our own grant of this epoch is on disk.
     this.#outbox.afterKept(this.#countRenewal.bind(this, this.#me, nonce));
@@ -803,9 +762,7 @@
     this.#deferredTo = undefined;
     this.#deferredScores = undefined;
     this.#deferrals = new Set();
-    this.#grants.clear();
-    this.#renewals.clear();
-    this.#leaseEnd = moment(-1);
+    this.#lease.clear();
   }
 
   /** Takes on an epoch: scores are frozen anew, and nothing is said in it before it is on disk. */
