--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -14,18 +14,14 @@
 import type { Quorum } from '../common/Quorum.js';
 import { Lease } from './Lease.js';
 import { Promises } from './Promises.js';
-import { RoundTrips } from './RoundTrips.js';
 import { Scores } from './Scores.js';
 import { SyncedOutbox } from './SyncedOutbox.js';
 import type { VoteEffect, VoteRecord } from './VoteEffect.js';
+import { VoterLinks } from './VoterLinks.js';
 import type { VoteSettings } from './VoteSettings.js';
 
 /** Long enough for a proposal to reach the next in turn. */
 const TURN_MS = 100;
-/** The spans of the settings allow for links whose round trip takes no longer. */
-const ORDINARY_ROUND_TRIP_MS = 100;
-/** The shortest round trip is measured; single messages take up to about twice as long on links that vary. */
-const VARIATION = 2;
 const NOBODY: VoteRecord = { epoch: 0, grantEpoch: 0, grantLeader: '' };
 
 /** What the elector is doing: waiting for a majority to be in reach, proposing itself, having deferred, or knowing a leader. */
@@ -39,7 +35,7 @@
   readonly #me: NodeId;
   readonly #settings: VoteSettings;
   #quorum: Quorum;
-  readonly #scores: Scores;
+  readonly #links: VoterLinks;
   #frozen: Scores;
   #epoch: Epoch;
   #role: Role = 'looking';
@@ -56,18 +52,11 @@
   readonly #lease: Lease;
   readonly #promises: Promises;
 
-  readonly #roundTrips = new RoundTrips();
-  /** When we sent the newest of our pings that each voter returned. */
-  readonly #provenAt = new Map<NodeId, Moment>();
   #electionsStarted = 0;
   #votesGranted = 0;
 
-  readonly #pinged = new Map<NodeId, { sent: Moment; heard: Moment; scored: Moment }>();
-  #pingedAt: Moment;
   /** Newly booted or repaired, we first listen whether somebody leads: our Propose would only disturb. */
   #listenUntil: Moment;
-  /** Voters whose last ping said that they follow nobody. */
-  readonly #leaderless = new Set<NodeId>();
   #leaderlessAt: Moment | undefined;
   /** Whether this process has followed somebody or led. */
   #hasKnownLeader = false;
@@ -89,12 +78,11 @@
     this.#quorum = quorum;
     this.#settings = settings;
     this.#outbox = new SyncedOutbox(now);
-    this.#scores = new Scores(me, settings.halfLifeSeconds);
-    this.#frozen = this.#scores.freeze();
+    this.#links = new VoterLinks(me, settings, this.#outbox, now);
+    this.#frozen = this.#links.scores.freeze();
     this.#epoch = epochOf(record.epoch);
     this.#lease = new Lease(settings);
     this.#promises = new Promises(settings, now, record);
-    this.#pingedAt = moment(now - settings.pingMs);
     this.#listenUntil = record.epoch > 0 ? this.#listenEnd(now) : now;
   }
 
@@ -111,7 +99,7 @@
     return this.#quorumMembers;
   }
   get scores(): Scores {
-    return this.#scores;
+    return this.#links.scores;
   }
   get record(): VoteRecord {
     return this.#promises.record(this.#epoch);
@@ -176,7 +164,7 @@
 
   /** When a voter last returned a ping; nothing for one never pinged. */
   heardAt(peer: NodeId): Moment | undefined {
-    return this.#pinged.get(peer)?.heard;
+    return this.#links.heardAt(peer);
   }
 
   /** Elections that this node started since its process began. */
@@ -191,13 +179,7 @@
 
   /** Voters that have lately returned a ping, this node included if it votes. */
   reachableVoters(now: Moment): number {
-    const { deadMs } = this.#settings;
-    let count = 0;
-    for (const voter of this.#quorum.all) {
-      const at = voter === this.#me ? now : this.#provenAt.get(voter);
-      if (at !== undefined && now - at < deadMs) count += 1;
-    }
-    return count;
+    return this.#links.reachableVoters(now, this.#quorum);
   }
 
   /**
@@ -205,13 +187,7 @@
    * sent no earlier. Nothing if there was none since the process began.
    */
   majorityContact(now: Moment): Moment | undefined {
-    const majority = new Set<NodeId>([this.#me]);
-    if (this.#quorum.isMajority(majority)) return now;
-    for (const [voter, at] of [...this.#provenAt].sort(byEnd).reverse()) {
-      majority.add(voter);
-      if (this.#quorum.isMajority(majority)) return at;
-    }
-    return undefined;
+    return this.#links.majorityContact(now, this.#quorum);
   }
 
   drain(): VoteEffect[] {
@@ -223,7 +199,7 @@
   }
 
   tick(now: Moment): void {
-    this.#ping(now);
+    this.#links.tick(now, this.#quorum, this.#leader);
     if (!this.#mayVote || this.#isRetired) return;
     this.#noteFree(now);
     if (!this.#quorum.holds(this.#me)) {
@@ -296,7 +272,7 @@
    * in a ring: each waits its turn by its place among the voters, so that the first is deferred to by all.
    */
   #isOurTurn(now: Moment): boolean {
-    if (!this.#isLeaderless()) {
+    if (!this.#links.isLeaderless(this.#quorum)) {
       this.#leaderlessAt = undefined;
       return false;
     }
@@ -306,22 +282,13 @@
     return now >= later(this.#leaderlessAt, turn * this.#turnMs());
   }
 
-  /** A majority that follows nobody shows that nobody leads: after all have restarted there is nothing to listen for. */
-  #isLeaderless(): boolean {
-    if (this.#leaderless.size === 0) return false;
-    return this.#quorum.isMajority(new Set([this.#me, ...this.#leaderless]));
-  }
-
   receive(now: Moment, from: NodeId, message: Message): void {
     switch (message.kind) {
       case 'ping':
-        this.#scores.merge(message.reports);
-        if (message.leader === '') this.#leaderless.add(from);
-        else this.#leaderless.delete(from);
-        this.#sendPong(from, message.nonce);
+        this.#links.receivePing(from, message);
         break;
       case 'pong':
-        this.#receivePong(now, from, message.nonce, message.reports);
+        this.#links.receivePong(now, from, message);
         break;
       case 'propose':
         this.#receivePropose(now, from, epochOf(message.epoch), message.reports);
@@ -366,55 +333,6 @@
     }
   }
 
-  // ---- pings
-
-  #ping(now: Moment): void {
-    if (now < later(this.#pingedAt, this.#settings.pingMs)) return;
-    this.#pingedAt = now;
-    for (const peer of this.#quorum.all) {
-      if (peer === this.#me) continue;
-      const state = this.#pinged.get(peer) ?? { sent: now, heard: now, scored: now };
-      this.#pinged.set(peer, state);
-      if (now - state.heard >= this.#settings.deadMs) {
-        this.#scores.reportDead(peer, (now - state.scored) / 1000);
-        state.scored = now;
-      }
-      state.sent = now;
-      this.#outbox.sendUnsynced(peer, {
-        kind: 'ping',
-        nonce: now,
-        epoch: 0,
-        reports: this.#scores.reports(),
-        leader: this.#leader ?? '',
-      });
-    }
-  }
-
-  #sendPong(to: NodeId, nonce: number): void {
-    this.#outbox.sendUnsynced(to, {
-      kind: 'pong',
-      nonce,
-      epoch: 0,
-      reports: this.#scores.reports(),
-      standing: '',
-    });
-  }
-
-  #receivePong(now: Moment, from: NodeId, sent: number, reports: readonly ReportMessage[]): void {
-    this.#scores.merge(reports);
-    const state = this.#pinged.get(from);
-    // The nonce is our own moment of sending: a pong held up for longer than a link counts as dead proves nothing.
-    if (!state || now - sent >= this.#settings.deadMs) return;
-    state.heard = now;
-    // One that came back to a former incarnation of ours names a moment that we have not had yet.
-    if (sent <= now) {
-      this.#provenAt.set(from, moment(sent));
-      this.#roundTrips.add(from, now - sent);
-    }
-    this.#scores.reportLive(from, (now - state.scored) / 1000);
-    state.scored = now;
-  }
-
   // ---- election
 
   /** Bumps the epoch and proposes ourselves. */
@@ -447,7 +365,7 @@
     epoch: Epoch,
     reports: readonly ReportMessage[],
   ): void {
-    this.#scores.merge(reports);
+    this.#links.scores.merge(reports);
     if (!this.#mayVote || !this.#quorum.holds(from)) return;
     const isSettled = this.#leader !== undefined && !isElecting(this.#epoch);
     if (isSettled && !this.#quorumMembers.has(from)) {
@@ -465,7 +383,11 @@
       if (!isSettled && this.#role === 'proposing')
         this.#speak(from, { kind: 'propose', epoch: this.#epoch, reports: this.#frozen.reports() });
       else
-        this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() });
+        this.#speak(from, {
+          kind: 'behind',
+          epoch: this.#epoch,
+          reports: this.#links.scores.reports(),
+        });
       return;
     }
     if (epoch > this.#epoch) {
@@ -519,7 +441,7 @@
   }
 
   #receiveDefer(now: Moment, from: NodeId, epoch: Epoch, reports: readonly ReportMessage[]): void {
-    this.#scores.merge(reports);
+    this.#links.scores.merge(reports);
     if (this.#role !== 'proposing' || epoch !== this.#epoch || !this.#quorum.holds(from)) return;
     this.#deferrals.add(from);
     // Everyone in reach has deferred: nothing is gained by waiting for the limit.
@@ -531,7 +453,7 @@
   }
 
   #deferredOrDead(peer: NodeId): boolean {
-    return this.#deferrals.has(peer) || !this.#scores.isAlive(peer);
+    return this.#deferrals.has(peer) || !this.#links.scores.isAlive(peer);
   }
 
   #win(now: Moment): void {
@@ -548,7 +470,7 @@
       this.#speak(peer, {
         kind: 'victory',
         epoch,
-        reports: this.#scores.reports(),
+        reports: this.#links.scores.reports(),
         nonce,
         quorum: [...quorumMembers],
         sentAt: now,
@@ -563,11 +485,15 @@
     nonce: number,
     quorum: readonly string[],
   ): void {
-    this.#scores.merge(reports);
+    this.#links.scores.merge(reports);
     if (!this.#mayVote || !this.#quorum.holds(from) || isElecting(epoch)) return;
     if (epoch < this.#epoch) {
       this.#noteOutrun(from);
-      this.#speak(from, { kind: 'behind', epoch: this.#epoch, reports: this.#scores.reports() });
+      this.#speak(from, {
+        kind: 'behind',
+        epoch: this.#epoch,
+        reports: this.#links.scores.reports(),
+      });
       return;
     }
     this.#follow(now, from, epoch, nonce, quorum);
@@ -588,7 +514,7 @@
   }
 
   #receiveBehind(now: Moment, epoch: Epoch, reports: readonly ReportMessage[]): void {
-    this.#scores.merge(reports);
+    this.#links.scores.merge(reports);
     if (epoch <= this.#epoch || !this.#mayVote || this.#role === 'following') return;
     this.#lose('looking');
     this.#adopt(epoch, now);
@@ -609,7 +535,13 @@
     if (leader === this.#me)
       this.#outbox.afterKept(this.#countGrant.bind(this, now, this.#me, epoch, wait, nonce));
     else
-      this.#speak(leader, { kind: 'granted', epoch, wait, nonce, reports: this.#scores.reports() });
+      this.#speak(leader, {
+        kind: 'granted',
+        epoch,
+        wait,
+        nonce,
+        reports: this.#links.scores.reports(),
+      });
   }
 
   /** Once what was promised to others has run out, the record says so; nothing said meanwhile waits for that. */
@@ -625,7 +557,7 @@
     nonce: number,
     reports: readonly ReportMessage[],
   ): void {
-    this.#scores.merge(reports);
+    this.#links.scores.merge(reports);
     this.#countGrant(now, from, epoch, wait, nonce);
   }
 
@@ -711,11 +643,8 @@
 
   // ---- small parts
 
-  /** By how much longer an exchange of messages with a majority may take than the settings allow for. */
   #slowLinkMs(): number {
-    const isAlive = this.#scores.isAlive.bind(this.#scores);
-    const millis = this.#roundTrips.majorityMs(this.#me, this.#quorum, isAlive);
-    return VARIATION * Math.max(0, millis - ORDINARY_ROUND_TRIP_MS);
+    return this.#links.slowMs(this.#quorum);
   }
 
   #others(): NodeId[] {
@@ -729,11 +658,11 @@
   /** Whether somebody's total is above our leader's; the tie-break alone is no reason to change a leader. */
   #isOutscored(): boolean {
     const leader = this.#leader;
-    const top = this.#scores.top(this.#quorum.all);
+    const top = this.#links.scores.top(this.#quorum.all);
     if (leader === undefined || top === undefined) return true;
     return (
-      Math.round(this.#scores.total(top, this.#quorum.all) * 1000) >
-      Math.round(this.#scores.total(leader, this.#quorum.all) * 1000)
+      Math.round(this.#links.scores.total(top, this.#quorum.all) * 1000) >
+      Math.round(this.#links.scores.total(leader, this.#quorum.all) * 1000)
     );
   }
 
@@ -746,9 +675,7 @@
   }
 
   #reachesMajority(): boolean {
-    return this.#quorum.isMajority(
-      new Set(this.#quorum.all.filter(this.#scores.isAlive, this.#scores)),
-    );
+    return this.#links.reachesMajority(this.#quorum);
   }
 
   #isStalled(now: Moment): boolean {
@@ -771,7 +698,7 @@
       this.#epoch = epoch;
       this.#keep(now);
     }
-    this.#frozen = this.#scores.freeze();
+    this.#frozen = this.#links.scores.freeze();
   }
 
   #keep(now: Moment): void {
@@ -782,7 +709,3 @@
     this.#outbox.send(to, message);
   }
 }
-
-function byEnd(a: readonly [NodeId, Moment], b: readonly [NodeId, Moment]): number {
-  return a[1] - b[1];
-}
