--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -14,14 +14,13 @@
 import type { Quorum } from '../common/Quorum.js';
 import { Lease } from './Lease.js';
 import { Promises } from './Promises.js';
+import { ProposalTiming } from './ProposalTiming.js';
 import { Scores } from './Scores.js';
 import { SyncedOutbox } from './SyncedOutbox.js';
 import type { VoteEffect, VoteRecord } from './VoteEffect.js';
 import { VoterLinks } from './VoterLinks.js';
 import type { VoteSettings } from './VoteSettings.js';
 
-/** Long enough for a proposal to reach the next in turn. */
-const TURN_MS = 100;
 const NOBODY: VoteRecord = { epoch: 0, grantEpoch: 0, grantLeader: '' };
 
 /** What the elector is doing: waiting for a majority to be in reach, proposing itself, having deferred, or knowing a leader. */
@@ -55,13 +54,9 @@
   #electionsStarted = 0;
   #votesGranted = 0;
 
-  /** Newly booted or repaired, we first listen whether somebody leads: our Propose would only disturb. */
-  #listenUntil: Moment;
-  #leaderlessAt: Moment | undefined;
+  readonly #timing: ProposalTiming;
   /** Whether this process has followed somebody or led. */
   #hasKnownLeader = false;
-  /** Since when a majority is in reach over slow links; nothing on ordinary ones. */
-  #reachedAt: Moment | undefined;
   /** Who told us that it had won an epoch below ours, over slow links. */
   #outrun: NodeId | undefined;
 
@@ -83,7 +78,8 @@
     this.#epoch = epochOf(record.epoch);
     this.#lease = new Lease(settings);
     this.#promises = new Promises(settings, now, record);
-    this.#listenUntil = record.epoch > 0 ? this.#listenEnd(now) : now;
+    this.#timing = new ProposalTiming(me, settings, this.#links, now);
+    if (record.epoch > 0) this.#timing.listen(now);
   }
 
   get epoch(): Epoch {
@@ -148,7 +144,7 @@
       this.#promises.forget(now);
       // Whoever leads hears by our return to its renewal that it must come to our epoch. Were we to lead, having lost
       // nothing but our disk, nobody could order until the former lease has run out.
-      this.#listenUntil = this.#listenEnd(now);
+      this.#timing.listen(now);
     }
     if (!mayVote) this.#lose('looking');
     if (mayVote !== this.#mayVote) {
@@ -222,33 +218,14 @@
     ) {
       this.#lose('looking');
       this.#startIfReachable(now);
-    } else if (this.#role === 'looking' && this.#isTimeToPropose(now)) {
+    } else if (
+      this.#role === 'looking' &&
+      this.#timing.isTimeToPropose(now, this.#quorum, this.#promises.leader)
+    ) {
       this.#startIfReachable(now);
     }
   }
 
-  #isTimeToPropose(now: Moment): boolean {
-    if (this.#isOurTurn(now)) return true;
-    return !this.#isListening(now) && !this.#isTurnOfOthers(now);
-  }
-
-  #isListening(now: Moment): boolean {
-    return now < later(this.#listenUntil, this.#slowLinkMs());
-  }
-
-  /**
-   * Over slow links proposals made at one moment cross, and are deferred to in a ring where the others' scores are not
-   * known yet: from when a majority is in reach each waits its turn by its place among the voters.
-   */
-  #isTurnOfOthers(now: Moment): boolean {
-    if (this.#slowLinkMs() === 0 || !this.#reachesMajority()) {
-      this.#reachedAt = undefined;
-      return false;
-    }
-    this.#reachedAt ??= now;
-    return now < later(this.#reachedAt, this.#quorum.all.indexOf(this.#me) * this.#turnMs());
-  }
-
   /**
    * Over slow links few scores are known in the first election after a start, and each voter knows others: by these they
    * would defer to each other in a ring. Until a leader has been known the place among the voters decides there.
@@ -258,30 +235,6 @@
     return view.isBetter(one, other, this.#quorum.all);
   }
 
-  /** Long enough for a proposal to reach the next in turn. */
-  #turnMs(): number {
-    return TURN_MS + this.#slowLinkMs();
-  }
-
-  #listenEnd(now: Moment): Moment {
-    return later(now, this.#settings.renewMs * 2 + this.#settings.pingMs);
-  }
-
-  /**
-   * When all have restarted together nobody knows the others' scores yet, and proposals at one moment would be deferred to
-   * in a ring: each waits its turn by its place among the voters, so that the first is deferred to by all.
-   */
-  #isOurTurn(now: Moment): boolean {
-    if (!this.#links.isLeaderless(this.#quorum)) {
-      this.#leaderlessAt = undefined;
-      return false;
-    }
-    this.#leaderlessAt ??= now;
-    // Whoever led before goes first: it alone need not wait for its own lease before it orders.
-    const turn = this.#promises.leader === this.#me ? 0 : 1 + this.#quorum.all.indexOf(this.#me);
-    return now >= later(this.#leaderlessAt, turn * this.#turnMs());
-  }
-
   receive(now: Moment, from: NodeId, message: Message): void {
     switch (message.kind) {
       case 'ping':
@@ -393,12 +346,15 @@
     if (epoch > this.#epoch) {
       // Our leader may come to a higher epoch for the sake of one that was repaired: by the tie-break alone it is not
       // outbid, since another could order only after its lease.
-      const isKept = this.#leader === from || this.#outrun === from || this.#isListening(now);
+      const isKept =
+        this.#leader === from ||
+        this.#outrun === from ||
+        this.#timing.isListening(now, this.#quorum);
       this.#lose('looking');
       this.#adopt(epoch, now);
       // In the first moments after a start not all scores are known: whoever led before is not outbid by what is.
       const isBetter =
-        this.#isListening(now) && this.#promises.leader === from
+        this.#timing.isListening(now, this.#quorum) && this.#promises.leader === from
           ? false
           : isKept
             ? this.#isAbove(from)
