Try a successor that the platform does not answer

The sign of a serving leader is a renewal in a term whose first word on the fleet has come. With renewals alone counted, all tests passed, since a leader that cannot serve reads the list itself; one that serves and has no list does not.

--- a/src/control/LeavingWatch.test.ts
+++ b/src/control/LeavingWatch.test.ts
@@ -145,17 +145,19 @@
 }
 test('nobody serves since all disks stall: the list is read all the same', checkStalledDisks);
 
+/** Whether some node has its grants, serving or not. */
+function isLedIn(cluster: FaultCluster): boolean {
+  for (const { core, state } of cluster.nodes.values())
+    if (state === 'up' && core.elector.isLeading()) return true;
+  return false;
+}
+
 /** A leader that stalls amid taking over renews its lease, but reads no list. */
 function checkStalledServing(): void {
   const site = settled(THREE);
   const { cluster } = site;
   cluster.kill(cluster.leader());
-  function isLed(): boolean {
-    for (const { core, state } of cluster.nodes.values())
-      if (state === 'up' && core.elector.isLeading()) return true;
-    return false;
-  }
-  cluster.runUntil(isLed, 5000, 'a successor has its grants');
+  cluster.runUntil(isLedIn.bind(undefined, cluster), 5000, 'a successor has its grants');
   for (const [id, { state }] of cluster.nodes) if (state === 'up') cluster.stallDisk(id);
   cluster.list(ONE_LEAVES);
   const listedAt = cluster.now;
@@ -165,6 +167,22 @@
 }
 test('a successor that leads and cannot serve yet is not waited for', checkStalledServing);
 
+/** The successor serves, but has no list to tell of, and renews its lease. */
+function checkWithoutPlatform(): void {
+  const site = settled(THREE);
+  const { cluster } = site;
+  cluster.kill(cluster.leader());
+  cluster.runUntil(isLedIn.bind(undefined, cluster), 5000, 'a successor has its grants');
+  for (const [id, { core }] of cluster.nodes)
+    if (core.elector.isLeading()) cluster.cutFromPlatform(id);
+  cluster.run(1000);
+  cluster.list(ONE_LEAVES);
+  const listedAt = cluster.now;
+  cluster.run(UNSERVED_MS);
+  expectKnown(site, listedAt);
+}
+test('a successor that the platform does not answer is not waited for', checkWithoutPlatform);
+
 function checkFrozen(): void {
   const site = settled(THREE);
   const { cluster } = site;
--- a/src/control/testing/FaultCluster.ts
+++ b/src/control/testing/FaultCluster.ts
@@ -167,6 +167,8 @@
   readonly #neighbours = new Map<string, Neighbour>();
   /** What the platform lists; nothing where it answers nobody. */
   #listed: readonly ListedRunner[] | undefined;
+  /** Nodes that the platform does not answer. */
+  readonly #unanswered = new Set<string>();
   readonly listReadings: ListReading[] = [];
 
   constructor(options: FaultClusterOptions = {}) {
@@ -239,6 +241,11 @@
     this.#listed = undefined;
   }
 
+  /** From now on the platform answers that node nothing. */
+  cutFromPlatform(id: string): void {
+    this.#unanswered.add(id);
+  }
+
   /** Puts a machine beside the control nodes; it ticks with them, and cuts bind it as well. */
   join(id: string, neighbour: Neighbour): void {
     this.#neighbours.set(id, neighbour);
@@ -562,7 +569,8 @@
   #askList(id: string, node: Node): void {
     this.listReadings.push({ id, at: this.#now });
     const listed = this.#listed;
-    if (listed) this.#at(LIST_DELAY_MS, this.#hearList.bind(this, id, node.incarnation, listed));
+    if (listed && !this.#unanswered.has(id))
+      this.#at(LIST_DELAY_MS, this.#hearList.bind(this, id, node.incarnation, listed));
   }
 
   #hearList(id: string, incarnation: number, listed: readonly ListedRunner[]): void {
