--- a/src/control/testing/FaultCluster.ts
+++ b/src/control/testing/FaultCluster.ts
@@ -6,11 +6,11 @@
 import type { Message } from '../../common/Messages.js';
 import type { Fleet, FleetRunner, ListedRunner } from '../../placement/Fleet.js';
 import type { ServiceDoc } from '../../placement/Shapes.js';
-import type { Routing } from '../../route/Routing.js';
+import { Seeded } from '../../rehearsal/Seeded.js';
 import { VOTE_DEFAULTS } from '../../election/VoteSettings.js';
 import { ControlCore } from '../ControlCore.js';
 import { CONTROL_DEFAULTS, type ControlEffect } from '../ControlEffect.js';
-import { SeededNumbers } from './SeededNumbers.js';
+import { documentOf, PlainDialect, type PlainDocument } from './PlainDialect.js';
 
 /** Plans nothing by itself: it keeps what a test places, as a planner keeps its intents. */
 class KeepingPlanner extends IdlePlanner {
@@ -49,37 +49,6 @@
   return { id, address, zone, service, slots, isLeaving, coldMs: 0, holds: [], coming: [] };
 }
 
-interface Document {
-  readonly version: number;
-}
-
-function parse(text: string): Document {
-  return JSON.parse(text);
-}
-
-class VersionDialect {
-  read(text: string): {
-    readonly routing: Routing;
-    readonly faults: readonly [];
-  } {
-    const { version } = parse(text);
-    const limits = {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerWaitMs: 1,
-      idleMs: 1,
-    };
-    return {
-      routing: { version, routes: [], services: [], limits },
-      faults: [],
-    };
-  }
-
-  amend(_text: string, change: string): string {
-    return change;
-  }
-}
-
 export interface Answer {
   readonly status: number;
   readonly body: string;
@@ -163,7 +132,7 @@
   #now = 0;
   #asked = 0;
   readonly nodes = new Map<string, Node>();
-  readonly #numbers: SeededNumbers;
+  readonly #numbers: Seeded;
   readonly #options: Required<FaultClusterOptions>;
   readonly #near: DelayRange;
   #events: Timed[] = [];
@@ -191,7 +160,7 @@
     this.#options = { ...defaults, ...options };
     const { leastDelayMs, mostDelayMs } = this.#options;
     this.#near = { leastMs: leastDelayMs, mostMs: mostDelayMs };
-    this.#numbers = new SeededNumbers(this.#options.seed);
+    this.#numbers = new Seeded(this.#options.seed, 1);
   }
 
   get now(): number {
@@ -211,7 +180,7 @@
     const incarnation = (before?.incarnation ?? 0) + 1;
     const planner = new KeepingPlanner();
     const deployed = {
-      dialect: new VersionDialect(),
+      dialect: new PlainDialect(),
       planner,
       isFirstStart,
       listMs: 1000,
@@ -420,7 +389,7 @@
    * Fails where it is not acknowledged in time.
    */
   configure(base: number, version: number): void {
-    const body = { id: `edit-${version}`, base, text: JSON.stringify({ version }) };
+    const body = { id: `edit-${version}`, base, text: documentOf(version) };
     let answer: Answer = { status: 0, body: 'nobody leads' };
     for (const end = this.#now + ACK_MS; this.#now < end; this.run(TICK_MS)) {
       if (!this.hasLeader()) continue;
@@ -468,7 +437,7 @@
     for (const end = this.#now + READ_MS; this.#now < end; this.run(TICK_MS)) {
       const answer = this.asked(id, 'read', {}, 1500);
       if (answer.status !== 200) continue;
-      const read: { readonly routing?: Document } = JSON.parse(answer.body);
+      const read: { readonly routing?: Pick<PlainDocument, 'version'> } = JSON.parse(answer.body);
       return read.routing?.version ?? 0;
     }
     return undefined;
