Cut the rounds, the holder's and the follower's side apart

The elector is joined from Candidacy (proposals and deferrals), Leadership (grants asked for, renewals), Following (grants given, renewals returned), Ballot (how proposals are judged) and VoterState (epoch, role and the steps that change them together).

--- /dev/null
+++ b/src/election/Ballot.ts
@@ -0,0 +1,116 @@
+import type { NodeId } from '../common/Ids.js';
+import type { ReportMessage } from '../common/Messages.js';
+import type { Quorum } from '../common/Quorum.js';
+import { Scores } from './Scores.js';
+import type { VoterLinks } from './VoterLinks.js';
+import type { VoteSettings } from './VoteSettings.js';
+
+/** How one voter judges proposals: by scores frozen at each epoch's start, with the deferrals of the present round. */
+export class Ballot {
+  readonly #me: NodeId;
+  readonly #settings: VoteSettings;
+  readonly #links: VoterLinks;
+  #frozen: Scores;
+  #deferrals = new Set<NodeId>();
+  #deferredTo: NodeId | undefined;
+  /** The scores that came with the proposal deferred to. */
+  #deferredScores: Scores | undefined;
+  /** Whether this process has followed somebody or led. */
+  #hasKnownLeader = false;
+  /** Who told us that it had won an epoch below ours, over slow links. */
+  #outrun: NodeId | undefined;
+
+  constructor(me: NodeId, settings: VoteSettings, links: VoterLinks) {
+    this.#me = me;
+    this.#settings = settings;
+    this.#links = links;
+    this.#frozen = links.scores.freeze();
+  }
+
+  /** Whom this voter has deferred to in the present round. */
+  get deferredTo(): NodeId | undefined {
+    return this.#deferredTo;
+  }
+
+  /** Who has deferred to this voter in the present round, itself included. */
+  get deferrals(): ReadonlySet<NodeId> {
+    return this.#deferrals;
+  }
+
+  /** Begins an epoch: later pings and merges do not change how its proposals are judged. */
+  freeze(): void {
+    this.#frozen = this.#links.scores.freeze();
+  }
+
+  reports(): ReportMessage[] {
+    return this.#frozen.reports();
+  }
+
+  clearRound(): void {
+    this.#deferredTo = undefined;
+    this.#deferredScores = undefined;
+    this.#deferrals = new Set();
+  }
+
+  /** Begins a round in which this voter proposes itself. */
+  propose(): void {
+    this.#deferrals = new Set([this.#me]);
+  }
+
+  addDeferral(from: NodeId): void {
+    this.#deferrals.add(from);
+  }
+
+  deferTo(proposer: NodeId, reports: readonly ReportMessage[]): void {
+    const scores = new Scores(this.#me, this.#settings.halfLifeSeconds);
+    scores.merge(reports);
+    this.#deferredTo = proposer;
+    this.#deferredScores = scores;
+  }
+
+  noteLeader(): void {
+    this.#hasKnownLeader = true;
+    this.#outrun = undefined;
+  }
+
+  /** Somebody leads an epoch that our own proposals have passed: by the tie-break alone it is not to be outbid again. */
+  noteOutrun(leader: NodeId, quorum: Quorum): void {
+    if (this.#links.slowMs(quorum) > 0) this.#outrun = leader;
+  }
+
+  hasOutrun(leader: NodeId): boolean {
+    return this.#outrun === leader;
+  }
+
+  /** Whether one is to lead rather than the other, by this voter's frozen scores. */
+  outbids(one: NodeId, other: NodeId, quorum: Quorum): boolean {
+    return this.#outbidsBy(this.#frozen, one, other, quorum);
+  }
+
+  /** The same by the scores of the one that this voter has deferred to, if any. */
+  outbidsByDeferred(one: NodeId, other: NodeId, quorum: Quorum): boolean {
+    return this.#outbidsBy(this.#deferredScores ?? this.#frozen, one, other, quorum);
+  }
+
+  /** Whether this voter's total is above the other's, leaving the tie-break aside. */
+  isAbove(peer: NodeId, quorum: Quorum): boolean {
+    return this.#frozen.isAbove(this.#me, peer, quorum.all);
+  }
+
+  /** Whether somebody's total is above the leader's; the tie-break alone is no reason to change a leader. */
+  isOutscored(leader: NodeId | undefined, quorum: Quorum): boolean {
+    const { scores } = this.#links;
+    const top = scores.top(quorum.all);
+    if (leader === undefined || top === undefined) return true;
+    return scores.isAbove(top, leader, quorum.all);
+  }
+
+  /**
+   * Over slow links few scores are known in the first election after a start, and each voter knows others: by these they
+   * would defer to each other in a ring. Until a leader has been known the place among the voters decides there.
+   */
+  #outbidsBy(view: Scores, one: NodeId, other: NodeId, quorum: Quorum): boolean {
+    if (!this.#hasKnownLeader && this.#links.slowMs(quorum) > 0) return one < other;
+    return view.isBetter(one, other, quorum.all);
+  }
+}
--- /dev/null
+++ b/src/election/Following.ts
@@ -0,0 +1,114 @@
+import {
+  isElecting,
+  later,
+  moment,
+  nodeId,
+  type Epoch,
+  type Moment,
+  type NodeId,
+} from '../common/Ids.js';
+import type { Message, ReportMessage } from '../common/Messages.js';
+import type { Candidacy } from './Candidacy.js';
+import type { VoterState } from './VoterState.js';
+
+type VictoryMessage = Extract<Message, { kind: 'victory' }>;
+type RenewMessage = Extract<Message, { kind: 'renew' }>;
+
+/** A follower's side: grants an epoch to the one that has won it, and returns its renewals. */
+export class Following {
+  readonly #state: VoterState;
+  readonly #candidacy: Candidacy;
+  #heardLeader: Moment = moment(0);
+
+  constructor(state: VoterState, candidacy: Candidacy) {
+    this.#state = state;
+    this.#candidacy = candidacy;
+  }
+
+  /** Gives up a leader that was not heard for the span. */
+  tick(now: Moment): void {
+    const { role, settings } = this.#state;
+    if (role === 'following' && now >= later(this.#heardLeader, settings.spanMs))
+      this.#startOver(now);
+  }
+
+  receiveVictory(now: Moment, from: NodeId, epoch: Epoch, message: VictoryMessage): void {
+    const state = this.#state;
+    state.links.scores.merge(message.reports);
+    if (!this.#isWinner(from, epoch)) return;
+    if (epoch >= state.epoch) {
+      this.#follow(now, from, epoch, message);
+      return;
+    }
+    state.ballot.noteOutrun(from, state.quorum);
+    state.sendBehind(from);
+  }
+
+  receiveRenew(now: Moment, from: NodeId, epoch: Epoch, message: RenewMessage): void {
+    const state = this.#state;
+    if (!this.#isWinner(from, epoch)) return;
+    if (epoch < state.epoch) {
+      state.ballot.noteOutrun(from, state.quorum);
+      state.send(from, { kind: 'behind', epoch: state.epoch, reports: [] });
+      return;
+    }
+    const isGranted = state.promises.isGrantedTo(from, epoch);
+    if (!isGranted || state.epoch !== epoch || state.leader !== from) {
+      // We missed the victory (or restarted): joining late is a grant like any other.
+      this.#follow(now, from, epoch, message);
+      return;
+    }
+    this.#noteHeard(now, from, message.quorum);
+    state.promises.promise(now, from);
+    state.send(from, { kind: 'renewed', epoch, nonce: message.nonce });
+  }
+
+  /** The leader stops as planned and orders nobody any more. */
+  receiveReleased(now: Moment, from: NodeId, epoch: Epoch): void {
+    const { epoch: present, leader, promises } = this.#state;
+    if (epoch !== present || leader !== from) return;
+    promises.release(now, from);
+    this.#startOver(now);
+  }
+
+  /** Somebody that we spoke to is in a newer epoch. */
+  receiveBehind(now: Moment, epoch: Epoch, reports: readonly ReportMessage[]): void {
+    const state = this.#state;
+    state.links.scores.merge(reports);
+    if (epoch <= state.epoch || !state.mayVote || state.role === 'following') return;
+    state.lose('looking');
+    state.adopt(epoch, now);
+    this.#candidacy.startIfReachable(now);
+  }
+
+  #isWinner(from: NodeId, epoch: Epoch): boolean {
+    const { mayVote, quorum } = this.#state;
+    return mayVote && quorum.holds(from) && !isElecting(epoch);
+  }
+
+  #follow(now: Moment, from: NodeId, epoch: Epoch, message: VictoryMessage | RenewMessage): void {
+    const state = this.#state;
+    if (!state.promises.mayGrant(from, epoch)) return;
+    if (epoch > state.epoch || state.leader !== from) {
+      state.lose('following');
+      state.adopt(epoch, now);
+    }
+    state.role = 'following';
+    state.leader = from;
+    state.ballot.noteLeader();
+    this.#noteHeard(now, from, message.quorum);
+    const wait = state.grant(now, from);
+    const reports = state.links.scores.reports();
+    state.send(from, { kind: 'granted', epoch: state.epoch, wait, nonce: message.nonce, reports });
+  }
+
+  #noteHeard(now: Moment, leader: NodeId, quorum: readonly string[]): void {
+    this.#heardLeader = now;
+    this.#state.quorumMembers = new Set([this.#state.me, leader, ...quorum.map(nodeId)]);
+  }
+
+  #startOver(now: Moment): void {
+    this.#state.lose('looking');
+    this.#candidacy.startIfReachable(now);
+  }
+}
--- /dev/null
+++ b/src/election/Leadership.ts
@@ -0,0 +1,84 @@
+import { nextLeading, type Epoch, type Moment, type NodeId } from '../common/Ids.js';
+import type { Message } from '../common/Messages.js';
+import type { VoterState } from './VoterState.js';
+
+type GrantedMessage = Extract<Message, { kind: 'granted' }>;
+type RenewedMessage = Extract<Message, { kind: 'renewed' }>;
+
+/** The holder's side: asks for grants of the epoch that it has won, and renews its lease. */
+export class Leadership {
+  readonly #state: VoterState;
+
+  constructor(state: VoterState) {
+    this.#state = state;
+  }
+
+  /** Takes the epoch after one in which a majority has deferred to this voter, and asks everybody to grant it. */
+  begin(now: Moment): void {
+    const state = this.#state;
+    const { me } = state;
+    const members = new Set(state.ballot.deferrals);
+    state.adopt(nextLeading(state.epoch), now);
+    state.role = 'won';
+    state.leader = me;
+    state.quorumMembers = members;
+    state.waitRounds(now, 2);
+    const nonce = state.lease.begin(now);
+    const { epoch } = state;
+    const wait = state.grant(now, me);
+    state.outbox.afterKept(this.#countGrant.bind(this, now, me, epoch, wait, nonce));
+    const reports = state.links.scores.reports();
+    const quorum = [...members];
+    for (const peer of state.others)
+      state.send(peer, { kind: 'victory', epoch, reports, nonce, quorum, sentAt: now });
+  }
+
+  tick(now: Moment): void {
+    const state = this.#state;
+    if (state.role === 'leading' && now >= state.lease.end) {
+      // No majority renews us any more: whoever they follow now, it is not us.
+      state.lose('looking');
+      return;
+    }
+    const nonce = state.lease.renew(now);
+    if (nonce === undefined) return;
+    state.promises.promise(now, state.me);
+    // Our own renewal counts only once our own grant of this epoch is on disk.
+    state.outbox.afterKept(this.#countRenewal.bind(this, state.me, nonce));
+    const { epoch } = state;
+    const quorum = [...state.quorumMembers];
+    for (const peer of state.others)
+      state.send(peer, { kind: 'renew', epoch, nonce, quorum, sentAt: now });
+  }
+
+  /** Stops leading as planned: the others need not wait for the end of the lease. */
+  release(): void {
+    const { epoch, others } = this.#state;
+    for (const peer of others) this.#state.send(peer, { kind: 'released', epoch });
+  }
+
+  receiveGranted(now: Moment, from: NodeId, epoch: Epoch, message: GrantedMessage): void {
+    this.#state.links.scores.merge(message.reports);
+    this.#countGrant(now, from, epoch, message.wait, message.nonce);
+  }
+
+  receiveRenewed(from: NodeId, message: RenewedMessage): void {
+    if (message.epoch === this.#state.epoch) this.#countRenewal(from, message.nonce);
+  }
+
+  #countGrant(now: Moment, from: NodeId, epoch: Epoch, wait: number, nonce: number): void {
+    const state = this.#state;
+    if (epoch !== state.epoch || !state.isHolding) return;
+    state.quorumMembers.add(from);
+    state.lease.countGrant(now, from, wait, state.quorum);
+    state.lease.countRenewal(from, nonce, state.quorum);
+    if (state.role !== 'won' || !state.lease.isGranted(state.quorum)) return;
+    state.role = 'leading';
+    state.ballot.noteLeader();
+  }
+
+  #countRenewal(from: NodeId, nonce: number): void {
+    const state = this.#state;
+    if (state.isHolding) state.lease.countRenewal(from, nonce, state.quorum);
+  }
+}
--- a/src/election/Scores.ts
+++ b/src/election/Scores.ts
@@ -99,6 +99,11 @@
     return difference > 0 || (difference === 0 && a < b);
   }
 
+  /** Whether one's total is above another's, in thousandths, leaving the tie-break aside. */
+  isAbove(a: NodeId, b: NodeId, voters: readonly NodeId[]): boolean {
+    return Math.round(this.total(a, voters) * 1000) > Math.round(this.total(b, voters) * 1000);
+  }
+
   top(voters: readonly NodeId[]): NodeId | undefined {
     let best: NodeId | undefined;
     for (const voter of voters)
--- /dev/null
+++ b/src/election/VoterState.ts
@@ -0,0 +1,128 @@
+import { epochOf, later, moment, type Epoch, type Moment, type NodeId } from '../common/Ids.js';
+import type { Message } from '../common/Messages.js';
+import type { Quorum } from '../common/Quorum.js';
+import { Ballot } from './Ballot.js';
+import { Lease } from './Lease.js';
+import { Promises } from './Promises.js';
+import { SyncedOutbox } from './SyncedOutbox.js';
+import type { VoteRecord } from './VoteEffect.js';
+import { VoterLinks } from './VoterLinks.js';
+import type { VoteSettings } from './VoteSettings.js';
+
+/** What the elector is doing: waiting for a majority to be in reach, proposing itself, having deferred, or knowing a leader. */
+export type Role = 'looking' | 'proposing' | 'deferred' | 'won' | 'leading' | 'following';
+
+/** What the parts of one voter's election share: epoch and role, and the few steps that change them together. */
+export class VoterState {
+  readonly me: NodeId;
+  readonly settings: VoteSettings;
+  readonly outbox: SyncedOutbox;
+  readonly links: VoterLinks;
+  readonly ballot: Ballot;
+  readonly lease: Lease;
+  readonly promises: Promises;
+  quorum: Quorum;
+  epoch: Epoch;
+  role: Role = 'looking';
+  mayVote = true;
+  /** Set by a planned stop: this voter neither proposes nor leads any more. */
+  isRetired = false;
+  leader: NodeId | undefined;
+  /** Who takes part in the present epoch, as far as this voter knows. */
+  quorumMembers = new Set<NodeId>();
+  /** When waiting in the present role is given up. */
+  limit: Moment = moment(0);
+  /** Terms that this node granted to a leader, itself included. */
+  votesGranted = 0;
+
+  constructor(me: NodeId, quorum: Quorum, settings: VoteSettings, now: Moment, record: VoteRecord) {
+    this.me = me;
+    this.quorum = quorum;
+    this.settings = settings;
+    this.epoch = epochOf(record.epoch);
+    this.outbox = new SyncedOutbox(now);
+    this.links = new VoterLinks(me, settings, this.outbox, now);
+    this.ballot = new Ballot(me, settings, this.links);
+    this.lease = new Lease(settings);
+    this.promises = new Promises(settings, now, record);
+  }
+
+  /** What must be on disk before anything of the present epoch is said. */
+  get record(): VoteRecord {
+    return this.promises.record(this.epoch);
+  }
+
+  /** All voters but this node. */
+  get others(): readonly NodeId[] {
+    const { me } = this;
+    function isOther(peer: NodeId): boolean {
+      return peer !== me;
+    }
+    return this.quorum.all.filter(isOther);
+  }
+
+  get isVoter(): boolean {
+    return this.quorum.holds(this.me);
+  }
+
+  /** Whether this node leads an epoch, or has won one and waits for its grants. */
+  get isHolding(): boolean {
+    return this.role === 'leading' || this.role === 'won';
+  }
+
+  /** Our exception: a node that cannot reach a majority, or whose disk stalls, could only run the epoch up for the others. */
+  isAble(now: Moment): boolean {
+    const { stallMs } = this.settings;
+    return this.links.reachesMajority(this.quorum) && !this.outbox.isStalled(now, stallMs);
+  }
+
+  /** Waits in the present role for so many rounds of the election, and for what slow links need. */
+  waitRounds(now: Moment, rounds: number): void {
+    const { electionMs } = this.settings;
+    this.limit = later(now, electionMs * rounds + this.links.slowMs(this.quorum));
+  }
+
+  /** Gives up what the present role had, and takes on another. */
+  lose(role: Role): void {
+    this.role = role;
+    this.leader = undefined;
+    this.quorumMembers = new Set();
+    this.ballot.clearRound();
+    this.lease.clear();
+  }
+
+  /** Takes on an epoch: scores are frozen anew, and nothing is said in it before it is on disk. */
+  adopt(epoch: Epoch, now: Moment): void {
+    if (epoch !== this.epoch) {
+      this.epoch = epoch;
+      this.keep(now);
+    }
+    this.ballot.freeze();
+  }
+
+  /** Grants the present epoch and promises the span; returns how long promises to others bind, in milliseconds. */
+  grant(now: Moment, leader: NodeId): number {
+    const wait = this.promises.waitFor(now, leader);
+    if (this.promises.epoch !== this.epoch) {
+      this.votesGranted += 1;
+      this.promises.grant(now, leader, this.epoch, wait);
+      this.keep(now);
+    }
+    this.promises.promise(now, leader);
+    return wait;
+  }
+
+  keep(now: Moment): void {
+    this.outbox.keep(this.record, now);
+  }
+
+  send(to: NodeId, message: Message): void {
+    this.outbox.send(to, message);
+  }
+
+  /** Tells a sender of an older epoch the present one. */
+  sendBehind(to: NodeId): void {
+    const reports = this.links.scores.reports();
+    this.send(to, { kind: 'behind', epoch: this.epoch, reports });
+  }
+}
