--- /dev/null
+++ b/src/proxy/ClientAnswers.ts
@@ -0,0 +1,54 @@
+import type { DispatchCounts } from './DispatchCounts.js';
+import type { RefuseReason } from './DispatchTypes.js';
+import type { EffectQueue } from './EffectQueue.js';
+import type { OpenRequests } from './OpenRequests.js';
+import { isRefusable, type RoutedRequest } from './RoutedRequest.js';
+
+/** A request whose time is over is told to come back after so long. */
+const LATE_RETRY_MS = 100;
+
+/** The last word on requests that get none from a runner: refused where it is proven that they never ran, else failed. */
+export class ClientAnswers {
+  readonly #requests: OpenRequests;
+  readonly #effects: EffectQueue;
+  readonly #counts: DispatchCounts;
+
+  constructor(requests: OpenRequests, effects: EffectQueue, counts: DispatchCounts) {
+    this.#requests = requests;
+    this.#effects = effects;
+    this.#counts = counts;
+  }
+
+  /** Refuses a request that was given to no runner, since no route was sought or found for it. */
+  refuseUnrouted(id: number, reason: RefuseReason, retryAfterMs: number): void {
+    this.#counts.refused += 1;
+    this.#effects.push({ do: 'refuse', id, reason, retryAfterMs });
+  }
+
+  /** Ends a request as refused; where it may have run, as failed. */
+  refuse(request: RoutedRequest, reason: RefuseReason, retryAfterMs: number): void {
+    if (!isRefusable(request)) {
+      this.fail(request);
+      return;
+    }
+    this.#requests.end(request);
+    this.refuseUnrouted(request.head.id, reason, retryAfterMs);
+  }
+
+  /** Ends a request as failed: no promise is made. */
+  fail(request: RoutedRequest): void {
+    this.#end(request, false);
+  }
+
+  /** Ends a request whose time is over. */
+  expire(request: RoutedRequest): void {
+    if (isRefusable(request)) this.refuse(request, 'late', LATE_RETRY_MS);
+    else this.#end(request, true);
+  }
+
+  #end(request: RoutedRequest, isTimeout: boolean): void {
+    this.#requests.end(request);
+    this.#counts.failed += 1;
+    this.#effects.push({ do: 'fail', id: request.head.id, isTimeout });
+  }
+}
--- a/src/proxy/RoutedRequest.ts
+++ b/src/proxy/RoutedRequest.ts
@@ -2,6 +2,9 @@
 import type { Route, Service } from '../route/Routing.js';
 import type { RequestHead } from './DispatchTypes.js';
 
+/** What is left of a request's time must still let a runner answer. */
+export const LEAST_LEFT_MS = 60;
+
 /** Whether it waits for a runner, its connection is being made, it was written, or its answer is passed on. */
 export type RequestPhase = 'waiting' | 'connecting' | 'sent' | 'answering';
 
