--- /dev/null
+++ b/src/proxy/Admission.test.ts
@@ -0,0 +1,59 @@
+import { expect, test } from 'vitest';
+import { Admission } from './Admission.js';
+import { at, headOf, ROUTING } from './testing/DispatchFixtures.js';
+
+function admissionOf(): Admission {
+  const admission = new Admission();
+  admission.configure(ROUTING);
+  return admission;
+}
+
+function checkRoutes(): void {
+  const blank = new Admission();
+  expect([blank.routing, blank.admit(at(0), headOf(1))]).toEqual([undefined, undefined]);
+  const admission = admissionOf();
+  expect(admission.admit(at(0), headOf(1, { path: '/none/x' }))).toBe(undefined);
+  const request = admission.admit(at(10), headOf(1, { adapter: 'a1', timeLeftMs: 9000 }));
+  expect(request).toMatchObject({
+    route: { name: 'stream' },
+    service: { name: 'llm' },
+    unit: 'llm\nm\na1',
+    // A client waits no longer than the route allows.
+    deadline: 5010,
+    phase: 'waiting',
+  });
+  const plain = admission.admit(at(10), headOf(2, { path: '/safe/x', timeLeftMs: 300 }));
+  expect(plain).toMatchObject({ service: { name: 'web' }, unit: '', deadline: 310 });
+}
+test('a request gets route, service, unit and deadline, or nothing', checkRoutes);
+
+function checkShared(): void {
+  const prefix = [
+    { id: 'p', tokens: 400 },
+    { id: 'q', tokens: 300 },
+    { id: 'own', tokens: 50 },
+  ];
+  const request = admissionOf().admit(at(0), headOf(1, { prefix }));
+  expect(request).toMatchObject({ sharedTokens: 700, sharedKey: 'm//p,q' });
+}
+test('the last part of a prompt is its own, and those before are shared', checkShared);
+
+function checkSplits(): void {
+  const admission = admissionOf();
+  const services: (string | undefined)[] = [];
+  for (let id = 0; id < 8; id += 1) {
+    if (id === 4) admission.configure(ROUTING);
+    services.push(admission.admit(at(0), headOf(id, { path: '/split/x' }))?.service.name);
+  }
+  expect(services.join()).toBe('llm,llm,web,llm,llm,llm,web,llm');
+}
+test('services are taken in turn by weight', checkSplits);
+
+function checkFirstTries(): void {
+  const admission = admissionOf();
+  const tries: (boolean | undefined)[] = [];
+  for (const timeLeftMs of [4000, 3930, 3900, undefined, 4000])
+    tries.push(admission.admit(at(0), headOf(1, { timeLeftMs }))?.isFirstTry);
+  expect(tries).toEqual([true, true, false, true, false]);
+}
+test('who has about the longest time that came lately is at its first try', checkFirstTries);
--- /dev/null
+++ b/src/proxy/ClientAnswers.test.ts
@@ -0,0 +1,52 @@
+import { expect, test } from 'vitest';
+import { ClientAnswers } from './ClientAnswers.js';
+import { DispatchCounts } from './DispatchCounts.js';
+import type { DispatchEffect } from './DispatchTypes.js';
+import { EffectQueue } from './EffectQueue.js';
+import { OpenRequests } from './OpenRequests.js';
+import type { RoutedRequest } from './RoutedRequest.js';
+import { at, requestOf } from './testing/DispatchFixtures.js';
+import { UnitDemand } from './UnitDemand.js';
+
+class Bench {
+  readonly requests = new OpenRequests(new UnitDemand());
+  readonly counts = new DispatchCounts();
+  readonly #effects = new EffectQueue();
+  readonly answers = new ClientAnswers(this.requests, this.#effects, this.counts);
+
+  take(more: Partial<RoutedRequest>): RoutedRequest {
+    const request = { ...requestOf(at(0), 1), ...more };
+    this.requests.add(request);
+    return request;
+  }
+
+  /** What was told, of a request that must have ended by it. */
+  told(): DispatchEffect[] {
+    expect(this.requests.size).toBe(0);
+    return this.#effects.drain();
+  }
+}
+
+function checkRefused(): void {
+  const bench = new Bench();
+  bench.answers.refuse(bench.take({}), 'full', 250);
+  expect(bench.told()).toEqual([{ do: 'refuse', id: 1, reason: 'full', retryAfterMs: 250 }]);
+  bench.answers.expire(bench.take({}));
+  expect(bench.told()).toEqual([{ do: 'refuse', id: 1, reason: 'late', retryAfterMs: 100 }]);
+  bench.answers.fail(bench.take({}));
+  expect(bench.told()).toEqual([{ do: 'fail', id: 1, isTimeout: false }]);
+  expect([bench.counts.refused, bench.counts.failed]).toEqual([2, 1]);
+}
+test('what never ran is refused', checkRefused);
+
+function checkFailed(): void {
+  const bench = new Bench();
+  for (const more of [{ mayHaveRun: true }, { isBegun: true }]) {
+    bench.answers.refuse(bench.take(more), 'full', 250);
+    expect(bench.told()).toEqual([{ do: 'fail', id: 1, isTimeout: false }]);
+    bench.answers.expire(bench.take(more));
+    expect(bench.told()).toEqual([{ do: 'fail', id: 1, isTimeout: true }]);
+  }
+  expect([bench.counts.refused, bench.counts.failed]).toEqual([0, 4]);
+}
+test('what may have run, or was begun to be answered, is never told as refused', checkFailed);
--- /dev/null
+++ b/src/proxy/FleetView.test.ts
@@ -0,0 +1,59 @@
+import { expect, test } from 'vitest';
+import type { FleetRunner } from '../placement/Fleet.js';
+import { FleetView } from './FleetView.js';
+import type { RunnerAccount } from './RunnerAccount.js';
+import { at, requestOf, runnerOf } from './testing/DispatchFixtures.js';
+
+function idOf(runner: RunnerAccount): string {
+  return runner.facts.id;
+}
+
+function openOf(fleet: FleetView): string[] {
+  return fleet.runnersOf('llm').filter(fleet.isOpen, fleet).map(idOf);
+}
+
+function told(view: FleetView, now: number, ...runners: FleetRunner[]): void {
+  view.update(at(now), { flows: 0, runners, waits: [] });
+}
+
+function checkOpen(): void {
+  const view = new FleetView();
+  expect([view.isKnown, view.runnersOf('llm')]).toEqual([false, []]);
+  told(
+    view,
+    0,
+    runnerOf('a'),
+    runnerOf('b', { zone: 'zb' }),
+    runnerOf('c', { isLeaving: true }),
+    runnerOf('d', { service: 'web' }),
+  );
+  expect([view.isKnown, view.flows]).toEqual([true, 1]);
+  expect(openOf(view)).toEqual(['a', 'b']);
+  view.evacuate(['zb']);
+  expect(openOf(view)).toEqual(['a']);
+  view.evacuate([]);
+  expect(openOf(view)).toEqual(['a', 'b']);
+}
+test('nothing new goes to a runner that leaves or whose zone is evacuated', checkOpen);
+
+function checkUnlisted(): void {
+  const view = new FleetView();
+  told(view, 0, runnerOf('a'), runnerOf('b'));
+  const busy = view.runner('a');
+  const request = requestOf(at(0), 1);
+  busy?.add(at(0), request);
+  told(view, 10);
+  // What runs there goes on; what nothing is at is forgotten.
+  expect([view.runner('a'), view.runner('b')]).toEqual([busy, undefined]);
+  expect(openOf(view)).toEqual([]);
+  told(view, 20, runnerOf('a'));
+  expect(view.runner('a')).toBe(busy);
+  expect(openOf(view)).toEqual(['a']);
+  busy?.remove(request);
+  told(view, 30);
+  expect(view.runner('a')).toBe(undefined);
+}
+test(
+  'a runner off the list is known, and closed, for as long as something is at it',
+  checkUnlisted,
+);
--- /dev/null
+++ b/src/proxy/LoadForecast.test.ts
@@ -0,0 +1,31 @@
+import { expect, test } from 'vitest';
+import { LoadForecast } from './LoadForecast.js';
+import { at, runnerOf } from './testing/DispatchFixtures.js';
+
+function checkForecast(): void {
+  const forecast = new LoadForecast();
+  expect(forecast.dueAt('m', '')).toBe(undefined);
+  forecast.update(at(100), {
+    flows: 1,
+    waits: [
+      { model: 'm', adapter: '', readyMs: 50 },
+      { model: 'n', adapter: '', readyMs: 0 },
+      { model: 'o', adapter: '', readyMs: 70 },
+    ],
+    runners: [
+      runnerOf('a', { coming: [{ model: 'm', adapter: '', readyMs: 400 }] }),
+      runnerOf('b', { coming: [{ model: 'm', adapter: '', readyMs: 300 }] }),
+      runnerOf('c', { coming: [{ model: 'm', adapter: 'x', readyMs: 20 }] }),
+    ],
+  });
+  // The first load under way counts, though one that only waits would be due sooner.
+  expect(forecast.dueAt('m', '')).toBe(400);
+  expect(forecast.dueAt('m', 'x')).toBe(120);
+  expect(forecast.dueAt('m', 'y')).toBe(400);
+  // Nothing is told where it cannot be.
+  expect(forecast.dueAt('n', '')).toBe(undefined);
+  expect(forecast.dueAt('o', '')).toBe(170);
+  forecast.update(at(200), { flows: 1, waits: [], runners: [] });
+  expect(forecast.dueAt('m', '')).toBe(undefined);
+}
+test('the first load under way is forecast, then what waits, until told anew', checkForecast);
--- /dev/null
+++ b/src/proxy/LoadWait.test.ts
@@ -0,0 +1,87 @@
+import { expect, test } from 'vitest';
+import { FirstEventTimes } from './FirstEventTimes.js';
+import { FleetView } from './FleetView.js';
+import { LoadForecast } from './LoadForecast.js';
+import { LoadWait, type LoadVerdict } from './LoadWait.js';
+import type { RequestHead } from './DispatchTypes.js';
+import { RunnerChoice } from './RunnerChoice.js';
+import { at, requestOf, runnerOf } from './testing/DispatchFixtures.js';
+
+class Bench {
+  readonly fleet = new FleetView();
+  readonly forecast = new LoadForecast();
+  readonly #wait = new LoadWait(
+    new RunnerChoice(
+      {
+        flow: 'f',
+        zone: 'za',
+        retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+        warmupExcess: 1,
+        connectMs: 300,
+        hasIdle: always,
+        random: zero,
+      },
+      this.fleet,
+    ),
+    this.forecast,
+    new FirstEventTimes(),
+  );
+
+  /** What becomes of a request that came 0 ms after the start, judged so many ms after it. */
+  judge(now: number, more: Partial<RequestHead> = {}, isFirstTry = true): LoadVerdict {
+    const request = { ...requestOf(at(0), 1, more), isFirstTry };
+    return this.#wait.judge(at(now), request);
+  }
+
+  /** The leader tells in how long `m` is due. */
+  tell(readyMs: number): void {
+    const waits = [{ model: 'm', adapter: '', readyMs }];
+    this.forecast.update(at(0), { flows: 1, runners: [], waits });
+  }
+}
+
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
+
+function checkVerdicts(): void {
+  const bench = new Bench();
+  expect(bench.judge(0, { model: 'x' })).toEqual({ do: 'unknown' });
+  // Nothing is told: 1.5 times the engine's 600 ms, and 200 ms; too late for the target of 500 ms, so it comes back.
+  expect(bench.judge(0)).toEqual({ do: 'comeBack', dueMs: 1100, retryAfterMs: 1160 });
+  // Its next try would have no time: it waits.
+  expect(bench.judge(0, { timeLeftMs: 2000 })).toEqual({ do: 'wait', forMs: 150 });
+  // Not even that: it is refused with a third of its time.
+  expect(bench.judge(0, { timeLeftMs: 960 })).toEqual({
+    do: 'comeBack',
+    dueMs: 1100,
+    retryAfterMs: 300,
+  });
+  // At a later try it waits for as long as there is any time.
+  expect(bench.judge(0, { timeLeftMs: 960 }, false)).toEqual({ do: 'wait', forMs: 150 });
+  expect(bench.judge(840, { timeLeftMs: 960 }, false).do).toBe('comeBack');
+  // A quarter of the target is over: nobody is sent away any more.
+  expect(bench.judge(126)).toEqual({ do: 'wait', forMs: 150 });
+}
+test('who would be served late comes back if there is time, waits, or is refused', checkVerdicts);
+
+function checkTold(): void {
+  const bench = new Bench();
+  bench.tell(100);
+  expect(bench.judge(0)).toEqual({ do: 'wait', forMs: 100 });
+  bench.tell(10);
+  expect(bench.judge(0)).toEqual({ do: 'wait', forMs: 40 });
+  bench.tell(450);
+  expect(bench.judge(0)).toEqual({ do: 'comeBack', dueMs: 450, retryAfterMs: 510 });
+}
+test("the leader's word on a load goes before what such loads usually take", checkTold);
+
+function checkAdapter(): void {
+  const bench = new Bench();
+  bench.fleet.update(at(0), { flows: 1, runners: [runnerOf('a')], waits: [] });
+  expect(bench.judge(0, { adapter: 'a2' })).toEqual({ do: 'wait', forMs: 80 });
+}
+test('an adapter of a model that is held is soon there', checkAdapter);
--- /dev/null
+++ b/src/proxy/testing/DispatchFixtures.ts
@@ -0,0 +1,114 @@
+/** Routes, runners and requests for the tests of the dispatcher's parts. */
+import { moment, type Moment } from '../../common/Ids.js';
+import type { FleetRunner } from '../../placement/Fleet.js';
+import type { Engine, Route, Routing, Service } from '../../route/Routing.js';
+import { Admission } from '../Admission.js';
+import type { RequestHead } from '../DispatchTypes.js';
+import type { RoutedRequest } from '../RoutedRequest.js';
+
+const ENGINE: Engine = {
+  slots: 64,
+  cacheTokens: 200_000,
+  models: [{ name: 'm', sizeMb: 70_000, loadMs: 600, adapters: 4, adapterSizeMb: 10 }],
+  roomMb: 220_000,
+  adapterSlots: 8,
+  loadsPerSecond: 6,
+};
+
+/** A service with an engine that has the model `m`. */
+export const LLM: Service = {
+  name: 'llm',
+  healthPath: '/health',
+  maxConnections: 100,
+  warmupMs: 3000,
+  warmupPerSecond: 10,
+  engine: ENGINE,
+};
+/** A service of plain runners. */
+export const WEB: Service = { ...LLM, name: 'web', engine: undefined };
+
+const STREAM: Route = {
+  name: 'stream',
+  host: 'h.example',
+  prefix: '/stream/',
+  kind: 'stream',
+  timeoutMs: 5000,
+  targetMs: 500,
+  gapTargetMs: 600,
+  priority: 2,
+  splits: [{ service: 'llm', weight: 1 }],
+  tries: 2,
+  isSticky: true,
+  isResumable: true,
+};
+/** A resumable stream, what may run once, a safe lookup, and a route to two services by weight. */
+export const ROUTING: Routing = {
+  version: 1,
+  routes: [
+    STREAM,
+    { ...STREAM, name: 'once', prefix: '/once/', kind: 'unsafe', isResumable: false },
+    {
+      ...STREAM,
+      name: 'safe',
+      prefix: '/safe/',
+      kind: 'safe',
+      splits: [{ service: 'web', weight: 1 }],
+    },
+    {
+      ...STREAM,
+      name: 'split',
+      prefix: '/split/',
+      splits: [
+        { service: 'llm', weight: 3 },
+        { service: 'web', weight: 1 },
+      ],
+    },
+  ],
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 },
+  services: [LLM, WEB],
+};
+
+/** The head of a request for the model `m` on the stream. */
+export function headOf(id: number, more: Partial<RequestHead> = {}): RequestHead {
+  return {
+    id,
+    host: 'h.example',
+    path: '/stream/x',
+    model: 'm',
+    adapter: '',
+    promptTokens: 600,
+    prefix: [],
+    timeLeftMs: 5000,
+    ...more,
+  };
+}
+
+/** The same, admitted at that moment. */
+export function requestOf(now: Moment, id: number, more: Partial<RequestHead> = {}): RoutedRequest {
+  const admission = new Admission();
+  admission.configure(ROUTING);
+  const request = admission.admit(now, headOf(id, more));
+  if (!request) throw new Error('no route for it');
+  return request;
+}
+
+/** A runner of the service with an engine that holds `m` with the adapter `a1`. */
+export function runnerOf(id: string, more: Partial<FleetRunner> = {}): FleetRunner {
+  return {
+    id,
+    address: `${id}:1`,
+    zone: 'za',
+    service: 'llm',
+    slots: 64,
+    isLeaving: false,
+    coldMs: 0,
+    holds: [{ model: 'm', adapters: ['a1'] }],
+    coming: [],
+    ...more,
+  };
+}
+
+/** A moment so many ms after the tests' start. */
+export function at(ms: number): Moment {
+  return moment(ms);
+}
