Judge headers and ends of answers in one piece for both ways of HTTP

Forwarder and Executor each had passedOn and isBounded. HttpMessages.ts has them once, in the words of the forwarder, whose behaviour is the same; each names the headers that it leaves out besides. The executor differs from before in two corners, and is stricter in the first: an answer of a runner of the older table with any transfer coding but chunked (gzip, chunked) is a broken one, where it was passed on with its coding unsaid; and a header named Close beside Connection: close is passed on. Keeping both readings side by side was ruled out: the first was a fault.

--- a/src/proxy/Executor.ts
+++ b/src/proxy/Executor.ts
@@ -21,6 +21,7 @@
 import type { Decision, RunVerdict } from './Decision.js';
 import { listenOn, splitAddress } from '../common/Listen.js';
 import { ConnectionProbes, type ConnectionProbeStep } from './ConnectionProbes.js';
+import { hopHeaders, isBounded, passedOn } from './HttpMessages.js';
 import {
   InFlightRequests,
   retryAfterOf,
@@ -54,42 +55,8 @@
   readonly maxBodyBytes: number;
 }
 
-/** Headers that belong to one hop and are never passed on. */
-const HOP_HEADERS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'transfer-encoding',
-  'upgrade',
-  'host',
-  'expect',
-]);
-
-/** Repeated headers stay repeated. */
-function passedOn(message: IncomingMessage): OutgoingHttpHeaders {
-  const named = new Set<string>();
-  for (const name of (message.headers.connection ?? '').split(','))
-    named.add(name.trim().toLowerCase());
-  const passed: OutgoingHttpHeaders = {};
-  for (const [name, values] of Object.entries(message.headersDistinct)) {
-    const [first] = values ?? [];
-    if (values && first !== undefined && !HOP_HEADERS.has(name) && !named.has(name))
-      passed[name] = values.length === 1 ? first : values;
-  }
-  return passed;
-}
-
-/** Whether the return itself tells where it ends: by its length, its chunks, or in having no body at all. */
-function isBounded(method: string, back: IncomingMessage): boolean {
-  const status = back.statusCode ?? 0;
-  if (method === 'HEAD' || status === 204 || status === 304) return true;
-  return (
-    back.headers['content-length'] !== undefined ||
-    (back.headers['transfer-encoding'] ?? '').toLowerCase().includes('chunked')
-  );
-}
+/** The runner is named anew. */
+const HOP_HEADERS = hopHeaders('host');
 
 /** Obeys the passages: reads requests, runs them where they say, and returns what came back, whole or visibly broken. */
 export class Executor {
@@ -346,7 +313,7 @@
 
   #connect(entry: Entry, number: number, verdict: RunVerdict): void {
     const { host, port } = splitAddress(verdict.address);
-    const headers = passedOn(entry.asked);
+    const headers = passedOn(entry.asked, HOP_HEADERS);
     headers['x-request-id'] = entry.requestId;
     delete headers['content-length'];
     delete headers['trailer'];
@@ -401,7 +368,7 @@
     const { back } = attempt;
     if (!back) return;
     const { returned } = entry;
-    const headers = passedOn(back);
+    const headers = passedOn(back, HOP_HEADERS);
     // Both at once would be two words on one end; Node's reader turns such a head away, and so do we not make one.
     if (headers['trailer'] !== undefined) delete headers['content-length'];
     headers['x-request-id'] = entry.requestId;
--- a/src/proxy/Forwarder.ts
+++ b/src/proxy/Forwarder.ts
@@ -16,24 +16,13 @@
 import { ClientConnections } from './ClientConnections.js';
 import type { AnswerHead, DispatchEffect, Dispatcher } from './Dispatcher.js';
 import { EventStream } from './EventStream.js';
+import { hopHeaders, isBounded, passedOn } from './HttpMessages.js';
 import type { RequestDialect, SaidByRequest } from './RequestDialect.js';
 import { RunnerAgent } from './RunnerAgent.js';
 import { StallGuard } from './StallGuard.js';
 
-/** Headers that concern one connection only. */
-const HOP_HEADERS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-  'proxy-connection',
-  'content-length',
-  'trailer',
-]);
+/** The length is set anew where a message is passed on, and trailers are not passed on. */
+const HOP_HEADERS = hopHeaders('proxy-connection', 'content-length', 'trailer');
 /** An answer larger than this is passed on as it comes, even where it could be kept for a retry. */
 const MOST_BUFFERED = 1024 * 1024;
 /** Until operators have set their limits. */
@@ -66,29 +55,6 @@
   isOver: boolean;
 }
 
-function passedOn(message: IncomingMessage): OutgoingHttpHeaders {
-  const named = message.headers.connection;
-  const passed: OutgoingHttpHeaders = {};
-  for (const [name, values] of Object.entries(message.headersDistinct)) {
-    const [first] = values ?? [];
-    if (values && first !== undefined && !HOP_HEADERS.has(name))
-      passed[name] = values.length === 1 ? first : values;
-  }
-  if (named !== undefined && named !== 'close' && named !== 'keep-alive')
-    for (const name of named.split(',')) Reflect.deleteProperty(passed, name.trim().toLowerCase());
-  return passed;
-}
-
-/** Whether the answer itself tells where it ends. */
-function isBounded(method: string, back: IncomingMessage): boolean {
-  const status = back.statusCode ?? 0;
-  if (method === 'HEAD' || status === 204 || status === 304) return true;
-  const coding = back.headers['transfer-encoding'];
-  // Any coding but this one ends with its connection, or changes the body.
-  if (coding !== undefined) return coding.trim().toLowerCase() === 'chunked';
-  return back.headers['content-length'] !== undefined;
-}
-
 /** Obeys the dispatcher over HTTP: reads requests, sends them where it says, passes answers on whole or visibly broken. */
 export class Forwarder {
   readonly #dispatcher: Dispatcher;
@@ -367,7 +333,7 @@
     const { host, port } = splitAddress(send.address);
     // The kept connection that just broke was the one used last: what else is kept there has rested for longer.
     if (send.isFresh) this.#agent.dropIdle(host, port);
-    const headers = passedOn(exchange.asked);
+    const headers = passedOn(exchange.asked, HOP_HEADERS);
     this.#dialect.tellRunner(headers, {
       runner: send.runner,
       timeLeftMs: send.timeLeftMs,
@@ -525,7 +491,7 @@
 
   #writeHead(exchange: Exchange, back: IncomingMessage, length: string | number | undefined): void {
     exchange.isHeadPassed = true;
-    const headers = passedOn(back);
+    const headers = passedOn(back, HOP_HEADERS);
     if (length !== undefined) headers['content-length'] = length;
     if (this.#closesAfter(exchange)) headers['connection'] = 'close';
     exchange.answer.writeHead(back.statusCode ?? 502, headers);
--- /dev/null
+++ b/src/proxy/HttpMessages.test.ts
@@ -0,0 +1,56 @@
+import { IncomingMessage } from 'node:http';
+import { Socket } from 'node:net';
+import { expect, test } from 'vitest';
+import { hopHeaders, isBounded, passedOn } from './HttpMessages.js';
+
+interface HeaderLine {
+  readonly name: string;
+  readonly value: string;
+}
+
+/** A message as Node reads it. */
+function messageOf(status: number, ...lines: readonly HeaderLine[]): IncomingMessage {
+  const message = new IncomingMessage(new Socket());
+  message.statusCode = status;
+  for (const { name, value } of lines) {
+    message.headers[name] = value;
+    message.headersDistinct[name] = [...(message.headersDistinct[name] ?? []), value];
+  }
+  return message;
+}
+
+function checkPassedOn(): void {
+  const message = messageOf(
+    200,
+    { name: 'connection', value: 'X-One , keep-alive' },
+    { name: 'x-one', value: '1' },
+    { name: 'x-two', value: '2' },
+    { name: 'x-two', value: '3' },
+    { name: 'te', value: 'trailers' },
+    { name: 'host', value: 'h' },
+    { name: 'content-length', value: '5' },
+  );
+  expect(passedOn(message, hopHeaders('host'))).toEqual({
+    'x-two': ['2', '3'],
+    'content-length': '5',
+  });
+  expect(passedOn(message, hopHeaders('content-length'))).toEqual({
+    'x-two': ['2', '3'],
+    host: 'h',
+  });
+}
+test('what concerns one connection is not passed on, and repeated headers stay so', checkPassedOn);
+
+function checkBounded(): void {
+  const length = { name: 'content-length', value: '5' };
+  expect(isBounded('GET', messageOf(200))).toBe(false);
+  expect(isBounded('GET', messageOf(200, length))).toBe(true);
+  for (const status of [204, 304]) expect(isBounded('GET', messageOf(status))).toBe(true);
+  expect(isBounded('HEAD', messageOf(200))).toBe(true);
+  const codings = ['chunked', ' Chunked', 'gzip, chunked', 'chunked, gzip', 'identity'];
+  const bounded: boolean[] = [];
+  for (const value of codings)
+    bounded.push(isBounded('GET', messageOf(200, length, { name: 'transfer-encoding', value })));
+  expect(bounded).toEqual([true, true, false, false, false]);
+}
+test('a length, or chunks and no other coding, tell where an answer ends', checkBounded);
--- /dev/null
+++ b/src/proxy/HttpMessages.ts
@@ -0,0 +1,47 @@
+/** What of an HTTP message a proxy passes on, and whether an answer tells where it ends. */
+import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
+
+/** Headers that concern one connection only, whoever passes a message on. */
+const CONNECTION_HEADERS = [
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+] as const;
+
+/** Headers that are not passed on: those that concern one connection only, and others that the caller sets itself. */
+export function hopHeaders(...others: readonly string[]): ReadonlySet<string> {
+  return new Set([...CONNECTION_HEADERS, ...others]);
+}
+
+/** The headers that are passed on: all but the given ones and those that the message says concern its connection. Repeated ones stay repeated. */
+export function passedOn(
+  message: IncomingMessage,
+  leftOut: ReadonlySet<string>,
+): OutgoingHttpHeaders {
+  const named = message.headers.connection;
+  const passed: OutgoingHttpHeaders = {};
+  for (const [name, values] of Object.entries(message.headersDistinct)) {
+    const [first] = values ?? [];
+    if (values && first !== undefined && !leftOut.has(name))
+      passed[name] = values.length === 1 ? first : values;
+  }
+  // Most messages name nothing else here, and these two are no headers to pass on.
+  if (named !== undefined && named !== 'close' && named !== 'keep-alive')
+    for (const name of named.split(',')) Reflect.deleteProperty(passed, name.trim().toLowerCase());
+  return passed;
+}
+
+/** Whether the answer itself tells where it ends: by its length, its chunks, or in having no body at all. */
+export function isBounded(method: string, answer: IncomingMessage): boolean {
+  const status = answer.statusCode ?? 0;
+  if (method === 'HEAD' || status === 204 || status === 304) return true;
+  const coding = answer.headers['transfer-encoding'];
+  // Any coding but this one ends with its connection, or changes the body.
+  if (coding !== undefined) return coding.trim().toLowerCase() === 'chunked';
+  return answer.headers['content-length'] !== undefined;
+}
