Join the forwarder from small classes with one job each

Forwarder.ts had 631 lines: the server of clients, requests to runners, three ways of passing an answer on, refusals and the loop that obeys, joined by closures that carried an object of the forwarder's methods. Cut into ClientServer, RunnerRequests, AttemptReports (what is told to the dispatcher of an attempt), AnswerRelay with WholeRelay, ByteRelay and StreamRelay, and ClientReplies; state of a request in ClientExchange. Every check stands in the order in which it stood.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,7 +17,6 @@
   'src/placement/Placer.ts',
   'src/proxy/Decision.ts',
   'src/proxy/Executor.ts',
-  'src/proxy/Forwarder.ts',
   'src/rehearsal/Fleet.ts',
   'src/rehearsal/Rehearsal.ts',
   'src/rehearsal/ScaleRun.ts',
--- /dev/null
+++ b/src/proxy/AnswerRelay.ts
@@ -0,0 +1,44 @@
+import type { IncomingMessage } from 'node:http';
+import type { Counters } from '../common/Counters.js';
+import type { AttemptReports } from './AttemptReports.js';
+import { ByteRelay } from './ByteRelay.js';
+import type { Attempt } from './ClientExchange.js';
+import type { ClientReplies } from './ClientReplies.js';
+import { isBounded } from './HttpMessages.js';
+import { StreamRelay } from './StreamRelay.js';
+import { WholeRelay } from './WholeRelay.js';
+
+/** An answer larger than this is passed on as it comes, even where it could be kept for a retry; bytes. */
+const MOST_BUFFERED = 1024 * 1024;
+
+/** Passes runners' answers on to clients: streams by whole events, small safe answers whole, others as they come. */
+export class AnswerRelay {
+  readonly #reports: AttemptReports;
+  readonly #replies: ClientReplies;
+  readonly #counters: Counters;
+
+  constructor(reports: AttemptReports, replies: ClientReplies, counters: Counters) {
+    this.#reports = reports;
+    this.#replies = replies;
+    this.#counters = counters;
+  }
+
+  /** Begins to pass on the answer whose head came. */
+  pass(attempt: Attempt): void {
+    const { back, exchange, send } = attempt;
+    if (!back) return;
+    const isStream = (back.headers['content-type'] ?? '').startsWith('text/event-stream');
+    // What was begun as a stream can only go on as one: any other answer of a further runner is none to this client.
+    if (!isBounded(exchange.asked.method ?? 'GET', back) || (exchange.isHeadPassed && !isStream))
+      this.#reports.breakOff(attempt);
+    else if (isStream)
+      new StreamRelay(attempt, back, this.#reports, this.#replies, this.#counters).start();
+    else if (send.isBuffered && isSmall(back))
+      new WholeRelay(attempt, back, this.#reports, this.#replies).start();
+    else new ByteRelay(attempt, back, this.#reports, this.#replies).start();
+  }
+}
+
+function isSmall(back: IncomingMessage): boolean {
+  return Number(back.headers['content-length'] ?? 0) <= MOST_BUFFERED;
+}
--- a/src/proxy/HttpMessages.ts
+++ b/src/proxy/HttpMessages.ts
@@ -18,6 +18,9 @@
   return new Set([...CONNECTION_HEADERS, ...others]);
 }
 
+/** Left out where the length is set anew and trailers are not passed on. */
+export const REFRAMED_HEADERS = hopHeaders('proxy-connection', 'content-length', 'trailer');
+
 /** The headers that are passed on: all but the given ones and those that the message says concern its connection. Repeated ones stay repeated. */
 export function passedOn(
   message: IncomingMessage,
