Take error answers and probe connections out of the executor

The final answers with an error code (ErrorReplies) and the idle connections to plain back ends (ProbeConnections) have classes of their own; reading what a request names, and steps at the attempt under way, are functions of their own.

--- a/src/proxy/Executor.ts
+++ b/src/proxy/Executor.ts
@@ -1,11 +1,9 @@
-import { connect } from 'node:net';
 import {
   Agent,
   createServer,
   request,
   type ClientRequest,
   type IncomingMessage,
-  type OutgoingHttpHeaders,
   type Server,
   type ServerResponse,
 } from 'node:http';
@@ -15,19 +13,15 @@
 import type { Duplex } from 'node:stream';
 import { readBytes } from '../common/Call.js';
 import type { Counters } from '../common/Counters.js';
-import { ERROR_CODES, type ErrorCode } from '../common/CodedError.js';
 import type { Moment } from '../common/Ids.js';
 import { parseAs } from '../common/Json.js';
 import type { Decision, RunVerdict } from './Decision.js';
 import { listenOn, splitAddress } from '../common/Listen.js';
-import { ConnectionProbes, type ConnectionProbeStep } from './ConnectionProbes.js';
+import { ConnectionProbes } from './ConnectionProbes.js';
+import { ErrorReplies } from './ErrorReplies.js';
 import { hopHeaders, isBounded, passedOn } from './HttpMessages.js';
-import {
-  InFlightRequests,
-  retryAfterOf,
-  type InFlightSettings,
-  type Step,
-} from './InFlightRequests.js';
+import { InFlightRequests, type InFlightSettings, type Step } from './InFlightRequests.js';
+import { ProbeConnections } from './ProbeConnections.js';
 
 const NamesShape = type({
   model: size(string(), 1, 200),
@@ -35,6 +29,14 @@
   parts: optional(size(array(string()), 0, 64)),
 });
 
+/** What a request names, of those that must. */
+interface Names {
+  readonly model: string;
+  readonly adapter: string;
+  readonly parts: readonly string[];
+}
+
+/** A request that was read whole. */
 interface Entry {
   readonly id: number;
   readonly asked: IncomingMessage;
@@ -51,10 +53,15 @@
   back: IncomingMessage | undefined;
 }
 
+/** Steps at the attempt that is under way. */
+type AttemptStep = Extract<Step, { do: 'write' | 'pass' | 'cancel' }>;
+
+/** What the executor is set up with once. */
 export interface ExecutorSettings extends InFlightSettings {
   readonly maxBodyBytes: number;
 }
 
+const NO_NAMES: Names = { model: '', adapter: '', parts: [] };
 /** The runner is named anew. */
 const HOP_HEADERS = hopHeaders('host');
 
@@ -65,7 +72,8 @@
   readonly #counters: Counters;
   readonly #inFlightRequests: InFlightRequests;
   readonly #probes: ConnectionProbes;
-  readonly #watchLines = new Map<string, Socket>();
+  readonly #probeConnections: ProbeConnections;
+  readonly #replies: ErrorReplies;
   readonly #now: () => Moment;
   readonly #entries = new Map<number, Entry>();
   readonly #keptAgent = new Agent({ keepAlive: true, maxFreeSockets: 8 });
@@ -87,6 +95,13 @@
     this.#now = now;
     this.#inFlightRequests = new InFlightRequests(decision, settings, counters);
     this.#probes = new ConnectionProbes(decision);
+    this.#probeConnections = new ProbeConnections(
+      this.#probes,
+      now,
+      this.#probeOpened.bind(this),
+      this.#obey.bind(this),
+    );
+    this.#replies = new ErrorReplies(decision, counters);
     this.#server = createServer(this.#take.bind(this));
     this.#server.keepAliveTimeout = 65_000;
     this.#server.on('clientError', this.#clientError.bind(this));
@@ -112,6 +127,8 @@
   /** Takes nothing new, lets what runs end, and resolves then. */
   async drain(limitMs: number): Promise<void> {
     this.#isDraining = true;
+    this.#replies.startDraining();
+    this.#probeConnections.startDraining();
     this.#inFlightRequests.startDraining(this.#now());
     this.#obey();
     this.#server.close();
@@ -119,7 +136,7 @@
     if (this.#entries.size > 0) await new Promise<void>(this.#waitIdle.bind(this, limitMs));
     this.#server.closeAllConnections();
     this.#keptAgent.destroy();
-    for (const socket of this.#watchLines.values()) socket.destroy();
+    this.#probeConnections.destroy();
   }
 
   #waitIdle(limitMs: number, done: () => void): void {
@@ -142,49 +159,42 @@
     this.#count += 1;
     const id = this.#count;
     this.#counters.add('requests');
-    const header = asked.headers['x-request-id'];
-    const requestId =
-      typeof header === 'string' && /^[\x21-\x7e]{1,200}$/.test(header) ? header : randomUUID();
+    const requestId = requestIdOf(asked);
+    const { maxBodyBytes } = this.#settings;
     let body: Buffer;
     try {
-      if (Number(asked.headers['content-length'] ?? 0) > this.#settings.maxBodyBytes) {
-        this.#tell(
-          returned,
-          requestId,
-          'too-large',
-          `more than ${this.#settings.maxBodyBytes} bytes`,
-        );
+      if (Number(asked.headers['content-length'] ?? 0) > maxBodyBytes) {
+        this.#tellTooLarge(returned, requestId);
         asked.resume();
         return;
       }
-      body = await readBytes(asked, this.#settings.maxBodyBytes);
+      body = await readBytes(asked, maxBodyBytes);
     } catch {
       // Either it is too large, or the client left in the midst of it; the latter reads no return.
-      if (!returned.destroyed)
-        this.#tell(
-          returned,
-          requestId,
-          'too-large',
-          `more than ${this.#settings.maxBodyBytes} bytes`,
-        );
+      if (!returned.destroyed) this.#tellTooLarge(returned, requestId);
       return;
     }
+    const entry: Entry = { id, asked, returned, body, requestId, current: undefined };
     const method = asked.method ?? 'GET';
     const path = (asked.url ?? '/').split('?')[0] ?? '/';
-    let model = '';
-    let adapter = '';
-    let parts: readonly string[] = [];
-    if (this.#decision.needsModel(method, path) === true) {
-      const names = parseAs(NamesShape, body.toString('utf8'));
-      if (!names) {
-        this.#tell(returned, requestId, 'malformed', 'the body must be JSON that names its model');
-        return;
-      }
-      model = names.model;
-      adapter = names.adapter ?? '';
-      parts = names.parts ?? [];
-    }
-    const entry: Entry = { id, asked, returned, body, requestId, current: undefined };
+    const names = this.#decision.needsModel(method, path) === true ? namesIn(body) : NO_NAMES;
+    if (names) this.#begin(entry, method, path, names);
+    else
+      this.#replies.tell(
+        returned,
+        requestId,
+        'malformed',
+        'the body must be JSON that names its model',
+      );
+  }
+
+  #tellTooLarge(returned: ServerResponse, requestId: string): void {
+    const text = `more than ${this.#settings.maxBodyBytes} bytes`;
+    this.#replies.tell(returned, requestId, 'too-large', text);
+  }
+
+  #begin(entry: Entry, method: string, path: string, { model, adapter, parts }: Names): void {
+    const { id, returned } = entry;
     this.#entries.set(id, entry);
     returned.once('close', this.#closed.bind(this, entry));
     this.#inFlightRequests.take(this.#now(), { id, method, path, model, adapter, parts });
@@ -205,100 +215,48 @@
         if (entry) this.#carryOut(entry, step);
       }
     }
-    for (const step of this.#probes.drain()) this.#watch(step);
+    for (const step of this.#probes.drain()) this.#probeConnections.carryOut(step);
     this.#isObeying = false;
   }
 
-  #watch(step: ConnectionProbeStep): void {
-    this.#watchLines.get(step.id)?.destroy();
-    this.#watchLines.delete(step.id);
-    if (step.do === 'close' || this.#isDraining) return;
-    const { id, count } = step;
-    const socket = connect({ ...splitAddress(step.address) });
-    this.#watchLines.set(id, socket);
-    const watch = {
-      probes: this.#probes,
-      now: this.#now,
-      obey: this.#obey.bind(this),
-      inFlightRequests: this.#inFlightRequests,
-    };
-    function opened(): void {
-      watch.probes.opened(watch.now(), id, count);
-      watch.inFlightRequests.settle(watch.now());
-      watch.obey();
-    }
-    function closed(): void {
-      watch.probes.closed(watch.now(), id, count);
-      watch.obey();
-    }
-    socket.once('connect', opened);
-    socket.once('close', closed);
-    socket.on('error', ignore);
-    // Whatever it says, as on being idle for too long, is of no matter; its end is.
-    socket.resume();
-    socket.unref();
+  /** A back end that was away may be back: what waits for it is taken up. */
+  #probeOpened(): void {
+    this.#inFlightRequests.settle(this.#now());
+    this.#obey();
   }
 
   #carryOut(entry: Entry, step: Step): void {
-    const { current } = entry;
     switch (step.do) {
       case 'connect':
         this.#connect(entry, step.attempt, step.verdict);
         break;
-      case 'write':
-        if (current?.number === step.attempt)
-          current.sent.end(entry.body.length === 0 ? undefined : entry.body);
-        break;
-      case 'pass':
-        if (current?.number === step.attempt) this.#pass(entry, current, step.table);
-        break;
       case 'finish':
-        if (current?.back) entry.returned.addTrailers(trailersOf(current.back));
-        entry.returned.end();
+        finish(entry);
         break;
       case 'breakOff':
         breakOff(entry);
         break;
-      case 'cancel':
-        if (current?.number === step.attempt) current.sent.destroy();
-        break;
       case 'tell':
-        this.#tell(entry.returned, entry.requestId, step.kind, step.text, step.retryMs);
+        this.#replies.tell(entry.returned, entry.requestId, step.kind, step.text, step.retryMs);
         break;
+      default:
+        // What is said of an earlier attempt is void.
+        if (entry.current?.number === step.attempt) this.#goOn(entry, entry.current, step);
     }
   }
 
-  /** The final return of a request that got none from a runner, at once. */
-  #tell(
-    returned: ServerResponse,
-    requestId: string,
-    kind: ErrorCode,
-    text: string,
-    retryMs = 0,
-  ): void {
-    this.#counters.add(`defects.${kind}`);
-    if (returned.headersSent || returned.destroyed) {
-      returned.destroy();
-      return;
+  #goOn(entry: Entry, current: Attempt, step: AttemptStep): void {
+    switch (step.do) {
+      case 'write':
+        current.sent.end(entry.body.length === 0 ? undefined : entry.body);
+        break;
+      case 'pass':
+        this.#pass(entry, current, step.table);
+        break;
+      case 'cancel':
+        current.sent.destroy();
+        break;
     }
-    const row = ERROR_CODES[kind];
-    const body = JSON.stringify({
-      defect: kind,
-      text,
-      outcome: row.unsure ? 'unsure' : 'turned-away',
-    });
-    const headers: OutgoingHttpHeaders = {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-      'x-request-id': requestId,
-    };
-    // A proxy that is blind works by no table at all.
-    if (kind !== 'blind') headers['x-table'] = String(this.#decision.tableNumber);
-    const retryAfter = retryAfterOf(kind, retryMs);
-    if (retryAfter > 0) headers['retry-after'] = String(retryAfter);
-    if (this.#isDraining || kind === 'too-large') headers['connection'] = 'close';
-    returned.writeHead(row.status, headers);
-    returned.end(body);
   }
 
   /** The connection to the client closed, or all of it was returned: after that, its run goes on for nobody. */
@@ -395,8 +353,16 @@
   }
 }
 
-function ignore(): void {
-  /* its close follows */
+/** The id that the client gave its request, or a new one. */
+function requestIdOf(asked: IncomingMessage): string {
+  const given = asked.headers['x-request-id'];
+  return typeof given === 'string' && /^[\x21-\x7e]{1,200}$/.test(given) ? given : randomUUID();
+}
+
+/** What the body names; undefined where it names no model. */
+function namesIn(body: Buffer): Names | undefined {
+  const names = parseAs(NamesShape, body.toString('utf8'));
+  return names && { model: names.model, adapter: names.adapter ?? '', parts: names.parts ?? [] };
 }
 
 function trailersOf(back: IncomingMessage): [string, string][] {
@@ -406,6 +372,13 @@
   return list;
 }
 
+/** Ends the return properly, with the runner's trailers. */
+function finish({ current, returned }: Entry): void {
+  if (current?.back) returned.addTrailers(trailersOf(current.back));
+  returned.end();
+}
+
+/** Ends the return so that no client takes it for whole. */
 function breakOff(entry: Entry): void {
   const { returned, asked } = entry;
   // To a client of HTTP/1.0 an ordinary close would look like the end.
--- /dev/null
+++ b/src/proxy/ProbeConnections.ts
@@ -0,0 +1,66 @@
+import { connect, type Socket } from 'node:net';
+import type { Moment } from '../common/Ids.js';
+import { splitAddress } from '../common/Listen.js';
+import type { ConnectionProbes, ConnectionProbeStep } from './ConnectionProbes.js';
+
+/** Holds the idle connections to plain back ends that the probes ask for, and tells them how each fares. */
+export class ProbeConnections {
+  readonly #probes: ConnectionProbes;
+  readonly #now: () => Moment;
+  /** Called after a connection stood, and after one closed. */
+  readonly #onOpened: () => void;
+  readonly #onClosed: () => void;
+  readonly #sockets = new Map<string, Socket>();
+  #isDraining = false;
+
+  constructor(
+    probes: ConnectionProbes,
+    now: () => Moment,
+    onOpened: () => void,
+    onClosed: () => void,
+  ) {
+    this.#probes = probes;
+    this.#now = now;
+    this.#onOpened = onOpened;
+    this.#onClosed = onClosed;
+  }
+
+  /** Opens or closes a connection as the probes ask. */
+  carryOut(step: ConnectionProbeStep): void {
+    this.#sockets.get(step.id)?.destroy();
+    this.#sockets.delete(step.id);
+    if (step.do === 'close' || this.#isDraining) return;
+    const socket = connect({ ...splitAddress(step.address) });
+    this.#sockets.set(step.id, socket);
+    socket.once('connect', this.#opened.bind(this, step.id, step.count));
+    socket.once('close', this.#closed.bind(this, step.id, step.count));
+    socket.on('error', ignore);
+    // Whatever it says, as on being idle for too long, is of no matter; its end is.
+    socket.resume();
+    socket.unref();
+  }
+
+  /** Opens none any more. */
+  startDraining(): void {
+    this.#isDraining = true;
+  }
+
+  /** Closes all. */
+  destroy(): void {
+    for (const socket of this.#sockets.values()) socket.destroy();
+  }
+
+  #opened(id: string, count: number): void {
+    this.#probes.opened(this.#now(), id, count);
+    this.#onOpened();
+  }
+
+  #closed(id: string, count: number): void {
+    this.#probes.closed(this.#now(), id, count);
+    this.#onClosed();
+  }
+}
+
+function ignore(): void {
+  /* its close follows */
+}
