--- /dev/null
+++ b/src/proxy/RunnerChoice.test.ts
@@ -0,0 +1,138 @@
+import { expect, test } from 'vitest';
+import type { FleetRunner } from '../placement/Fleet.js';
+import type { DispatcherSettings } from './DispatchTypes.js';
+import { FleetView } from './FleetView.js';
+import type { RoutedRequest } from './RoutedRequest.js';
+import { RunnerChoice } from './RunnerChoice.js';
+import { at, requestOf, runnerOf } from './testing/DispatchFixtures.js';
+
+class Bench {
+  readonly fleet = new FleetView();
+  readonly choice: RunnerChoice;
+
+  constructor(flows: number, runners: readonly FleetRunner[], more: Partial<DispatcherSettings>) {
+    this.choice = new RunnerChoice(
+      {
+        flow: 'f',
+        zone: 'za',
+        retry: { ratio: 0, extra: 0, windowMs: 10_000 },
+        warmupExcess: 1,
+        connectMs: 300,
+        hasIdle: always,
+        random: zero,
+        ...more,
+      },
+      this.fleet,
+    );
+    this.fleet.update(at(0), { flows, runners: [...runners], waits: [] });
+  }
+
+  chosen(request: RoutedRequest, now = 0): string | undefined {
+    return this.choice.choose(at(now), request)?.facts.id;
+  }
+}
+
+function benchOf(...runners: readonly FleetRunner[]): Bench {
+  return new Bench(1, runners, {});
+}
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
+function isAtB(address: string): boolean {
+  return address === 'b:1';
+}
+
+function checkCosts(): void {
+  expect(benchOf(runnerOf('a', { zone: 'zb' }), runnerOf('b')).chosen(requestOf(at(0), 1))).toBe(
+    'b',
+  );
+  expect(benchOf(runnerOf('a', { coldMs: 10 }), runnerOf('b')).chosen(requestOf(at(0), 1))).toBe(
+    'b',
+  );
+  const idle = new Bench(1, [runnerOf('a'), runnerOf('b')], { hasIdle: isAtB });
+  expect(idle.chosen(requestOf(at(0), 1))).toBe('b');
+  const busy = benchOf(runnerOf('a'), runnerOf('b'));
+  busy.fleet.runner('a')?.add(at(0), requestOf(at(0), 1));
+  expect(busy.chosen(requestOf(at(0), 2))).toBe('b');
+}
+test('zones, warmth, idle connections and what is pending weigh', checkCosts);
+
+function checkShared(): void {
+  const bench = benchOf(runnerOf('a'), runnerOf('b'));
+  const short = {
+    prefix: [
+      { id: 'p', tokens: 500 },
+      { id: 'own', tokens: 1 },
+    ],
+  };
+  const sent = requestOf(at(0), 1, { ...short, promptTokens: 0 });
+  bench.fleet.runner('b')?.add(at(0), sent);
+  bench.fleet.runner('b')?.remove(sent);
+  expect(bench.chosen(requestOf(at(0), 2, short))).toBe('b');
+  // All proxies agree on the runner of longer shared parts, whatever each of them sent before.
+  const homes = new Set<string | undefined>();
+  for (let count = 0; count < 20; count += 1) {
+    const prefix = [
+      { id: `q${count}`, tokens: 700 },
+      { id: 'own', tokens: 1 },
+    ];
+    const request = requestOf(at(0), 3, { prefix });
+    const home = bench.chosen(request);
+    expect(benchOf(runnerOf('b'), runnerOf('a')).chosen(request)).toBe(home);
+    homes.add(home);
+  }
+  expect([...homes].sort()).toEqual(['a', 'b']);
+}
+test('shared parts draw a request to where they were read', checkShared);
+
+function checkUsable(): void {
+  const bench = benchOf(
+    runnerOf('a', { isLeaving: true }),
+    runnerOf('b', { holds: [] }),
+    runnerOf('c'),
+    runnerOf('d'),
+  );
+  const request = requestOf(at(0), 1);
+  request.tried.add('c');
+  expect(bench.chosen(request)).toBe('d');
+  bench.fleet.runner('d')?.avoid(at(0));
+  expect([bench.chosen(request), bench.choice.hasUsable(at(0), request)]).toEqual([
+    undefined,
+    false,
+  ]);
+  // It is held, though by nobody that it may go to now.
+  expect(bench.choice.isHeld(at(0), request)).toBe(true);
+  const adapted = requestOf(at(0), 2, { adapter: 'a9' });
+  expect([bench.choice.isHeld(at(0), adapted), bench.choice.isModelHeld(at(0), adapted)]).toEqual([
+    false,
+    true,
+  ]);
+  expect(bench.chosen(request, 500)).toBe('d');
+  request.sends = request.route.tries;
+  expect(bench.chosen(request, 500)).toBe(undefined);
+}
+test('leaving, tried, avoided runners and those without the model are not chosen', checkUsable);
+
+function checkCold(): void {
+  // 70 % of 10 a second, by two proxies: three each.
+  const bench = new Bench(2, [runnerOf('a', { coldMs: 5000 })], {});
+  for (let id = 0; id < 3; id += 1) {
+    const request = requestOf(at(0), id);
+    expect(bench.chosen(request)).toBe('a');
+    bench.fleet.runner('a')?.add(at(0), request);
+  }
+  expect(bench.chosen(requestOf(at(0), 9))).toBe(undefined);
+  expect(bench.chosen(requestOf(at(0), 9), 1050)).toBe('a');
+  // Of a hundred proxies about seven have one each.
+  let chosen = 0;
+  for (let count = 0; count < 100; count += 1) {
+    const other = new Bench(100, [runnerOf('a', { coldMs: 5000 })], { flow: `f${count}` });
+    if (other.chosen(requestOf(at(0), 1)) === 'a') chosen += 1;
+  }
+  expect(chosen).toBeGreaterThan(1);
+  expect(chosen).toBeLessThan(15);
+}
+test('a cold runner gets its rate from all proxies together', checkCold);
