--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -49,7 +49,7 @@
   }
   /** When the leader that is followed was heard last, by its victory or a renewal. */
   get leaderHeardAt(): Moment {
-    return this.#heardLeader;
+    return this.#following.heardAt;
   }
   get quorumMembers(): ReadonlySet<NodeId> {
     return this.#state.quorumMembers;
--- a/src/election/Following.ts
+++ b/src/election/Following.ts
@@ -25,6 +25,11 @@
     this.#candidacy = candidacy;
   }
 
+  /** When the leader that is followed was heard last, by its victory or a renewal. */
+  get heardAt(): Moment {
+    return this.#heardLeader;
+  }
+
   /** Gives up a leader that was not heard for the span. */
   tick(now: Moment): void {
     const { role, settings } = this.#state;
