Serve both operators' interfaces by one HTTP server

Api and OperatorServer each held the same server: one whole reply with its length and type to each call, a fixed reply where serving fails, and a close that ends idle connections. ReplyServer holds it once, with tests of its own (whole replies, retry-after, failures), which nothing had before.

Status, headers and their order are as before: only Api tells when to come back with 503. Left apart: StatusPort, which closes all connections and has no reply to failures, and the rehearsal's stubs.

--- /dev/null
+++ b/src/common/ReplyServer.test.ts
@@ -0,0 +1,54 @@
+import { expect, test } from 'vitest';
+import { call, type CallReply } from './Call.js';
+import { ReplyServer, type HttpReply, type ReplyServerSettings } from './ReplyServer.js';
+
+const FAILED: HttpReply = { status: 400, body: '{"error":"failed"}' };
+
+/** What one call to a server with this to say gets. */
+async function replyOf(
+  settings: Pick<ReplyServerSettings, 'serve' | 'retryAfterS'>,
+): Promise<CallReply> {
+  const server = new ReplyServer({ ...settings, onFailure: FAILED });
+  const port = await server.listen('127.0.0.1:0');
+  try {
+    return await call('GET', `127.0.0.1:${port}`, '/', undefined, 5000);
+  } finally {
+    server.close();
+  }
+}
+
+async function sayText(): Promise<HttpReply> {
+  return { status: 200, body: 'größer', contentType: 'text/plain' };
+}
+async function sayJson(): Promise<HttpReply> {
+  return { status: 200, body: '{}' };
+}
+async function sayNoLeader(): Promise<HttpReply> {
+  return { status: 503, body: '{}' };
+}
+async function fail(): Promise<HttpReply> {
+  throw new Error('the body is not JSON');
+}
+
+async function checkWhole(): Promise<void> {
+  const text = await replyOf({ serve: sayText });
+  expect([text.status, text.body]).toEqual([200, 'größer']);
+  expect(text.headers).toMatchObject({ 'content-type': 'text/plain', 'content-length': '8' });
+  const json = await replyOf({ serve: sayJson, retryAfterS: 2 });
+  expect(json.headers['content-type']).toBe('application/json');
+  expect(json.headers['retry-after']).toBeUndefined();
+}
+test('a reply goes out whole with its length and type', checkWhole);
+
+async function checkRetryAfter(): Promise<void> {
+  const told = await replyOf({ serve: sayNoLeader, retryAfterS: 2 });
+  expect([told.status, told.headers['retry-after']]).toEqual([503, '2']);
+  expect((await replyOf({ serve: sayNoLeader })).headers['retry-after']).toBeUndefined();
+}
+test('when to come back is told with status 503, and only where it is set', checkRetryAfter);
+
+async function checkFailure(): Promise<void> {
+  const failed = await replyOf({ serve: fail });
+  expect([failed.status, failed.body]).toEqual([400, FAILED.body]);
+}
+test('a call that fails gets the reply to failures', checkFailure);
--- a/src/control/Api.ts
+++ b/src/control/Api.ts
@@ -1,20 +1,22 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { readBody } from '../common/Call.js';
-import { listenOn } from '../common/Listen.js';
+import { ReplyServer, type HttpReply } from '../common/ReplyServer.js';
 import type { Exposition } from '../metrics/Exposition.js';
 
-export interface ApiReply {
-  readonly status: number;
-  readonly body: string;
-  /** JSON where it says nothing else. */
-  readonly contentType?: string;
-}
-
 /** What the API hands on: a verb of the core and its JSON body. */
-export type Ask = (verb: string, body: string) => Promise<ApiReply>;
+export type Ask = (verb: string, body: string) => Promise<HttpReply>;
 
-const JSON_TYPE = 'application/json';
+/** In bytes. */
 const MAX_EDIT = 32 * 1024 * 1024;
+const RETRY_AFTER_S = 2;
+const MALFORMED: HttpReply = {
+  status: 400,
+  body: JSON.stringify({
+    outcome: 'turned-away',
+    defect: 'malformed',
+    text: 'the body is not JSON, or too large',
+  }),
+};
 
 function withField(body: string, fields: object): string {
   const raw: unknown = body === '' ? {} : JSON.parse(body);
@@ -26,52 +28,33 @@
   readonly #ask: Ask;
   readonly #counters: () => object;
   readonly #metrics: () => Promise<Exposition | undefined>;
-  readonly #server: Server;
+  readonly #server: ReplyServer;
 
   constructor(ask: Ask, counters: () => object, metrics: () => Promise<Exposition | undefined>) {
     this.#ask = ask;
     this.#counters = counters;
     this.#metrics = metrics;
-    this.#server = createServer(this.#take.bind(this));
+    this.#server = new ReplyServer({
+      serve: this.#take.bind(this),
+      onFailure: MALFORMED,
+      retryAfterS: RETRY_AFTER_S,
+    });
   }
 
   async listen(address: string): Promise<number> {
-    return listenOn(this.#server, address);
+    return this.#server.listen(address);
   }
 
   close(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
-  async #take(asked: IncomingMessage, returned: ServerResponse): Promise<void> {
-    let result: ApiReply;
-    try {
-      result = await this.#serve(
-        asked.method ?? 'GET',
-        asked.url ?? '/',
-        await readBody(asked, MAX_EDIT),
-      );
-    } catch {
-      result = {
-        status: 400,
-        body: JSON.stringify({
-          outcome: 'turned-away',
-          defect: 'malformed',
-          text: 'the body is not JSON, or too large',
-        }),
-      };
-    }
-    const headers: Record<string, string | number> = {
-      'content-type': result.contentType ?? JSON_TYPE,
-      'content-length': Buffer.byteLength(result.body),
-    };
-    if (result.status === 503) headers['retry-after'] = 2;
-    returned.writeHead(result.status, headers);
-    returned.end(result.body);
+  async #take(asked: IncomingMessage): Promise<HttpReply> {
+    const body = await readBody(asked, MAX_EDIT);
+    return this.#serve(asked.method ?? 'GET', asked.url ?? '/', body);
   }
 
-  async #serve(method: string, url: string, body: string): Promise<ApiReply> {
+  async #serve(method: string, url: string, body: string): Promise<HttpReply> {
     const [path = '/', query = ''] = url.split('?');
     const zone = /^\/zones\/([^/]+)\/empty$/.exec(path);
     const edit = /^\/edits\/([^/]+)$/.exec(path);
@@ -130,7 +113,7 @@
     }
   }
 
-  async #exposition(): Promise<ApiReply> {
+  async #exposition(): Promise<HttpReply> {
     const exposition = await this.#metrics();
     if (exposition) return { status: 200, ...exposition };
     const text = 'this node has not started yet';
--- a/src/control/TableControlProcess.ts
+++ b/src/control/TableControlProcess.ts
@@ -13,12 +13,13 @@
 import { Exchange, type Incoming } from '../dissemination/Exchange.js';
 import type { Exposition } from '../metrics/Exposition.js';
 import { CatalogShape, MachinesShape, RunnerReportShape } from '../placement/Shapes.js';
-import { Api, type ApiReply } from './Api.js';
+import { Api } from './Api.js';
 import { ControlCore } from './ControlCore.js';
 import { CONTROL_DEFAULTS } from './ControlEffect.js';
 import { ControlReport } from './ControlReport.js';
 import {
   ControlRuntime,
+  type CommandReply,
   type ControlRuntimePorts,
   type CoreCommand,
   type OrderEffect,
@@ -245,7 +246,7 @@
     this.#runtime.submit(ordered);
   }
 
-  #ask(verb: string, body: string): Promise<ApiReply> {
+  #ask(verb: string, body: string): Promise<CommandReply> {
     this.#counters.add(`commands.${verb}`);
     return this.#runtime.ask(verb, body);
   }
