Check the lease before an order's write in one place

LeasedSend, Orderer and the simulator's LeasedOrder each worked out whether an order may still be written and when one under way is cut off. Lease.ts holds the check, the margin and the limit once, so that the simulator tries the very check that deployed nodes run.

Spans, order of timers and outcomes are as before. Ruled out: one sender for both; the table's runners are told to go on by their own status, have no limit for the answer but the lease, and count an answer that breaks off as unsure.

--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -12,7 +12,7 @@
 import type { Exposition } from '../metrics/Exposition.js';
 import type { ConfigDialect } from '../route/Routing.js';
 import { VOTE_DEFAULTS } from '../election/VoteSettings.js';
-import type { Lease } from './LeasedSend.js';
+import type { Lease } from './Lease.js';
 import { ControlCore } from './ControlCore.js';
 import { CONTROL_DEFAULTS, type OrderResult } from './ControlEffect.js';
 import { ControlReport } from './ControlReport.js';
--- a/src/control/LeasedSend.ts
+++ b/src/control/LeasedSend.ts
@@ -2,11 +2,7 @@
 import type { Socket } from 'node:net';
 import { readBody } from '../common/Call.js';
 import type { Moment } from '../common/Ids.js';
-
-export interface Lease {
-  mayOrder(now: Moment): boolean;
-  leaseEnd(): Moment;
-}
+import { mayWrite, orderLimitMs, type Lease } from './Lease.js';
 
 /** The status that came back, if one did, and whether anything was written. */
 export interface LeasedResult {
@@ -16,8 +12,6 @@
 
 export const CONNECT_MS = 500;
 export const ANSWER_MS = 1000;
-/** No order is written so shortly before the lease ends, and one under way is cut off then. */
-export const MARGIN_MS = 350;
 
 /**
  * Sends a call that only the holder of the lease may make. The connection is made first, so that the lease is checked
@@ -59,8 +53,7 @@
     if (!isWritten) end(undefined);
   }
   function write(): void {
-    const at = now();
-    if (isOver || !lease.mayOrder(at) || lease.leaseEnd() - at <= MARGIN_MS) {
+    if (isOver || !mayWrite(lease, now())) {
       end(undefined);
       return;
     }
@@ -87,6 +80,6 @@
   sent.on('error', giveUp);
   timers.push(
     setTimeout(giveUpUnwritten, CONNECT_MS),
-    setTimeout(giveUp, Math.max(0, Math.min(ANSWER_MS, lease.leaseEnd() - now() - MARGIN_MS))),
+    setTimeout(giveUp, Math.min(ANSWER_MS, orderLimitMs(lease, now()))),
   );
 }
--- a/src/control/Orderer.ts
+++ b/src/control/Orderer.ts
@@ -3,23 +3,13 @@
 import type { Moment } from '../common/Ids.js';
 import type { Intent } from '../placement/Shapes.js';
 import { splitAddress } from '../common/Listen.js';
+import { mayWrite, orderLimitMs, type Lease } from './Lease.js';
 
 export type OrderOutcome = 'taken' | 'turnedAway' | 'unsure' | 'unsent';
 
-interface Lease {
-  mayOrder(now: Moment): boolean;
-  leaseEnd(): Moment;
-}
-
 const CONTINUE_MS = 1000;
-/** So long after its word to go on a runner may take the order, on its own clock. */
+/** So long after it was told to go on a runner may take the order, on its own clock, in ms. */
 export const TAKE_WITHIN_MS = 300;
-/**
- * No order is written so shortly before the lease ends, and one under way is cut off then. What is written after a check
- * that left more than this, and taken within the span above of a word that came before the check, is taken in the lease,
- * however long we were frozen in between.
- */
-const MARGIN_MS = 350;
 
 /**
  * Sends one order. The head goes first and asks to be told to go on, so that a runner that is dark or slow
@@ -77,8 +67,7 @@
     }
     function write(): void {
       // Right before the write, and with the margin in which an order under way is cut off.
-      const at = now();
-      if (!lease.mayOrder(at) || lease.leaseEnd() - at <= MARGIN_MS) {
+      if (!mayWrite(lease, now())) {
         end('unsent');
         return;
       }
@@ -102,7 +91,7 @@
     sent.flushHeaders();
     ticks.push(
       setTimeout(giveUpUnwritten, CONTINUE_MS),
-      setTimeout(giveUp, Math.max(0, lease.leaseEnd() - now() - MARGIN_MS)),
+      setTimeout(giveUp, orderLimitMs(lease, now())),
     );
   }
 }
--- a/src/simulation/LeasedOrder.ts
+++ b/src/simulation/LeasedOrder.ts
@@ -1,5 +1,6 @@
 import type { OrderResult } from '../control/ControlEffect.js';
-import { ANSWER_MS, CONNECT_MS, MARGIN_MS, type Lease } from '../control/LeasedSend.js';
+import { mayWrite, orderLimitMs, type Lease } from '../control/Lease.js';
+import { ANSWER_MS, CONNECT_MS } from '../control/LeasedSend.js';
 import type { Endpoint, Payload } from './Endpoint.js';
 import { ORDER_FENCED, ORDER_TAKEN, type RunnerOrder } from './FakeRunner.js';
 import type { Host, SimNetwork } from './SimNetwork.js';
@@ -38,8 +39,7 @@
   send(): void {
     const { network, host, runner, lease } = this.#settings;
     const { process } = host;
-    const now = process.now();
-    const left = Math.max(0, Math.min(ANSWER_MS, lease.leaseEnd() - now - MARGIN_MS));
+    const left = Math.min(ANSWER_MS, orderLimitMs(lease, process.now()));
     process.after(CONNECT_MS, this.#giveUpUnwritten.bind(this));
     process.after(left, this.#giveUp.bind(this));
     const submit = process.submit.bind(process, `order ${runner}`);
@@ -60,8 +60,7 @@
     this.#endpoint = endpoint;
     endpoint.handler = { data: this.#take.bind(this), closed: this.#giveUp.bind(this) };
     const { lease, host, writing } = this.#settings;
-    const now = host.process.now();
-    if (!lease.mayOrder(now) || lease.leaseEnd() - now <= MARGIN_MS) {
+    if (!mayWrite(lease, host.process.now())) {
       this.#giveUp();
       return;
     }
