Draw tests' numbers from one seeded source

Dispatcher.test and Fleet.test (of placement) each wrote out one linear generator, and the fault cluster had SeededNumbers beside Seeded, which differed only in that it begins at the seed itself. All use Seeded now. The fault cluster and VoterTroubles draw the very numbers they drew, by a spread of 1, since their seeds were chosen. The 200 storms of the dispatcher and the 20 losses of the fleet draw others than before; their assertions and numbers of runs are the same.

--- a/src/control/VoterTroubles.test.ts
+++ b/src/control/VoterTroubles.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest';
 import { FaultCluster, foundedFaultCluster } from './testing/FaultCluster.js';
-import { SeededNumbers } from './testing/SeededNumbers.js';
+import { Seeded } from '../rehearsal/Seeded.js';
 
 /** From so long after its return a node no longer counts as lost. */
 const CATCH_UP_MS = 4000;
@@ -40,7 +40,7 @@
 /** Troubles of voters, drawn from a seed, of which no more than `tolerate` go on at once, with orders all the while. */
 class DrawnTroubles {
   readonly #cluster: FaultCluster;
-  readonly #numbers: SeededNumbers;
+  readonly #numbers: Seeded;
   readonly #tolerate: number;
   /** Machines that the deployment has now. */
   readonly #machines: string[];
@@ -57,7 +57,7 @@
 
   constructor(ids: readonly string[], tolerate: number, seed: number) {
     this.#cluster = foundedFaultCluster(ids, { seed, mostDelayMs: 30, mostDiskMs: 30 });
-    this.#numbers = new SeededNumbers(seed * 7919);
+    this.#numbers = new Seeded(seed * 7919, 1);
     this.#machines = [...ids];
     this.#tolerate = tolerate;
     this.#leaderSeenAt = this.#cluster.now;
--- a/src/control/testing/FaultCluster.ts
+++ b/src/control/testing/FaultCluster.ts
@@ -6,10 +6,10 @@
 import type { Message } from '../../common/Messages.js';
 import type { ServiceDoc } from '../../placement/Shapes.js';
 import type { Routing } from '../../route/Routing.js';
+import { Seeded } from '../../rehearsal/Seeded.js';
 import { VOTE_DEFAULTS } from '../../election/VoteSettings.js';
 import { ControlCore } from '../ControlCore.js';
 import { CONTROL_DEFAULTS, type ControlEffect } from '../ControlEffect.js';
-import { SeededNumbers } from './SeededNumbers.js';
 
 /** Plans nothing by itself: it keeps what a test places, as a planner keeps its intents. */
 class KeepingPlanner extends IdlePlanner {
@@ -129,7 +129,7 @@
   #now = 0;
   #asked = 0;
   readonly nodes = new Map<string, Node>();
-  readonly #numbers: SeededNumbers;
+  readonly #numbers: Seeded;
   readonly #options: Required<FaultClusterOptions>;
   #events: Timed[] = [];
   /** When the last message on a link arrives, or the last write of a part on a disk ends. */
@@ -146,7 +146,7 @@
       mostDiskMs: 10,
     };
     this.#options = { ...defaults, ...options };
-    this.#numbers = new SeededNumbers(this.#options.seed);
+    this.#numbers = new Seeded(this.#options.seed, 1);
   }
 
   get now(): number {
--- a/src/placement/Fleet.test.ts
+++ b/src/placement/Fleet.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest';
 import { parseAs } from '../common/Json.js';
 import { Relay } from '../dissemination/Relay.js';
+import { Seeded } from '../rehearsal/Seeded.js';
 import {
   applyFleetDelta,
   FleetShape,
@@ -83,19 +84,10 @@
   return `${send.to} ${send.message.kind}`;
 }
 
-/** A small generator of our own, so that a failing seed can be played again. */
-function seeded(seed: number): () => number {
-  let state = seed;
-  function next(): number {
-    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
-    return state / 2 ** 32;
-  }
-  return next;
-}
-
 function checkLosses(): void {
   for (let seed = 1; seed <= 20; seed += 1) {
-    const random = seeded(seed);
+    const numbers = new Seeded(seed);
+    const random = numbers.next.bind(numbers);
     const [top, middle, low] = [new Relay(), new Relay(), new Relay()];
     let fleet: Fleet = { flows: 1, waits: [], runners: [] };
     let epoch = 2;
--- a/src/proxy/Dispatcher.test.ts
+++ b/src/proxy/Dispatcher.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest';
 import { moment } from '../common/Ids.js';
 import type { Fleet, FleetRunner } from '../placement/Fleet.js';
+import { Seeded } from '../rehearsal/Seeded.js';
 import type { Engine, Route, Routing } from '../route/Routing.js';
 import { Dispatcher, type DispatchEffect, type RequestHead } from './Dispatcher.js';
 
@@ -461,19 +462,10 @@
   expect(bench.said()).toEqual([]);
 }
 
-/** A small generator of our own, so that a failing seed can be played again. */
-function seeded(seed: number): () => number {
-  let state = seed;
-  function next(): number {
-    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
-    return state / 2 ** 32;
-  }
-  return next;
-}
-
 function checkStorm(): void {
   for (let seed = 1; seed <= 200; seed += 1) {
-    const random = seeded(seed);
+    const numbers = new Seeded(seed);
+    const random = numbers.next.bind(numbers);
     const bench = new Bench([
       runner('a', 'za', ['m']),
       runner('b', 'zb', ['m', 'rare']),
--- a/src/rehearsal/Seeded.ts
+++ b/src/rehearsal/Seeded.ts
@@ -1,9 +1,13 @@
+/** Spreads neighbouring seeds, so that their runs begin well apart. */
+const SPREAD = 2654435761;
+
 /** A seeded source of numbers: the same seed gives the same run. */
 export class Seeded {
   #state: number;
 
-  constructor(seed: number) {
-    this.#state = (seed * 2654435761) >>> 0;
+  /** A spread of 1 begins at the seed itself, as runs whose seeds were recorded so need. */
+  constructor(seed: number, spread = SPREAD) {
+    this.#state = (seed * spread) >>> 0;
   }
 
   /** From 0 up to, not including, 1. */
