Let one plain dialect serve the clusters, the simulator and the searches

Four dialects of test documents stood side by side: of ControlCluster, FaultCluster, the simulated operators and the searches state by state. All use PlainDialect now, which moves beside the idle planner of the control node's tests, with documentOf to make a valid document.

Documents of the fault cluster and the searches gain an empty list of items, and the searches' a text in place of a bare number; nothing looks at either but by its version. A change in the control cluster is put together as the simulated operators' is. No assertion changed.

Tests: src/control and src/simulation pass, the searches among them (32 files).

--- a/src/control/VoterTroubles.test.ts
+++ b/src/control/VoterTroubles.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
 import { FaultCluster, foundedFaultCluster } from './testing/FaultCluster.js';
+import { documentOf } from './testing/PlainDialect.js';
 import { Seeded } from '../rehearsal/Seeded.js';
 
 /** From so long after its return a node no longer counts as lost. */
@@ -225,7 +226,7 @@
     expect(version, this.#told()).toBeGreaterThanOrEqual(this.#acked);
     expect(version, this.#told()).toBeLessThanOrEqual(this.#sent);
     this.#sent += 1;
-    const text = JSON.stringify({ version: this.#sent });
+    const text = documentOf(this.#sent);
     const body = { id: `edit-${this.#sent}`, base: version, text };
     const answer = this.#cluster.asked(leader, 'configure', body, 1000);
     if (answer.status === 200) this.#acked = this.#sent;
--- a/src/control/testing/ControlCluster.ts
+++ b/src/control/testing/ControlCluster.ts
@@ -1,53 +1,12 @@
 import { MemoryStore } from '../../state/MemoryStore.js';
 import { moment, type Moment } from '../../common/Ids.js';
 import type { Message } from '../../common/Messages.js';
-import type { Routing } from '../../route/Routing.js';
 import { IdlePlanner } from './IdlePlanner.js';
 import { ControlCore } from '../ControlCore.js';
 import { CONTROL_DEFAULTS } from '../ControlEffect.js';
+import { PlainDialect } from './PlainDialect.js';
 
-interface Document {
-  readonly version: number;
-  readonly faulty?: boolean;
-  readonly items: readonly string[];
-}
-
-function parse(text: string): Document {
-  return JSON.parse(text);
-}
-
-class PlainDialect {
-  read(text: string): {
-    readonly routing: Routing | undefined;
-    readonly faults: readonly {
-      readonly item: string;
-      readonly field: string;
-      readonly text: string;
-    }[];
-  } {
-    const { version, faulty } = parse(text);
-    if (faulty)
-      return {
-        routing: undefined,
-        faults: [{ item: 'configuration', field: 'faulty', text: 'is faulty' }],
-      };
-    return {
-      routing: {
-        version,
-        routes: [],
-        services: [],
-        limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 },
-      },
-      faults: [],
-    };
-  }
-
-  amend(text: string, change: string): string | undefined {
-    const before = parse(text);
-    const after = parse(change);
-    return JSON.stringify({ version: after.version, items: [...before.items, ...after.items] });
-  }
-}
+export { documentOf } from './PlainDialect.js';
 
 export interface Answer {
   readonly status: number;
@@ -258,9 +217,6 @@
   return cluster;
 }
 
-export function documentOf(version: number, ...items: readonly string[]): string {
-  return JSON.stringify({ version, items });
-}
 export function editOf(id: string, base: number, text: string): object {
   return { id, base, text };
 }
--- a/src/control/testing/FaultCluster.ts
+++ b/src/control/testing/FaultCluster.ts
@@ -5,11 +5,11 @@
 import { moment, type Moment } from '../../common/Ids.js';
 import type { Message } from '../../common/Messages.js';
 import type { ServiceDoc } from '../../placement/Shapes.js';
-import type { Routing } from '../../route/Routing.js';
 import { Seeded } from '../../rehearsal/Seeded.js';
 import { VOTE_DEFAULTS } from '../../election/VoteSettings.js';
 import { ControlCore } from '../ControlCore.js';
 import { CONTROL_DEFAULTS, type ControlEffect } from '../ControlEffect.js';
+import { documentOf, PlainDialect, type PlainDocument } from './PlainDialect.js';
 
 /** Plans nothing by itself: it keeps what a test places, as a planner keeps its intents. */
 class KeepingPlanner extends IdlePlanner {
@@ -35,37 +35,6 @@
   }
 }
 
-interface Document {
-  readonly version: number;
-}
-
-function parse(text: string): Document {
-  return JSON.parse(text);
-}
-
-class VersionDialect {
-  read(text: string): {
-    readonly routing: Routing;
-    readonly faults: readonly [];
-  } {
-    const { version } = parse(text);
-    const limits = {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerWaitMs: 1,
-      idleMs: 1,
-    };
-    return {
-      routing: { version, routes: [], services: [], limits },
-      faults: [],
-    };
-  }
-
-  amend(_text: string, change: string): string {
-    return change;
-  }
-}
-
 export interface Answer {
   readonly status: number;
   readonly body: string;
@@ -166,7 +135,7 @@
     const incarnation = (before?.incarnation ?? 0) + 1;
     const planner = new KeepingPlanner();
     const deployed = {
-      dialect: new VersionDialect(),
+      dialect: new PlainDialect(),
       planner,
       isFirstStart,
       listMs: 1000,
@@ -337,7 +306,7 @@
    * Fails where it is not acknowledged in time.
    */
   configure(base: number, version: number): void {
-    const body = { id: `edit-${version}`, base, text: JSON.stringify({ version }) };
+    const body = { id: `edit-${version}`, base, text: documentOf(version) };
     let answer: Answer = { status: 0, body: 'nobody leads' };
     for (const end = this.#now + ACK_MS; this.#now < end; this.run(TICK_MS)) {
       if (!this.hasLeader()) continue;
@@ -385,7 +354,7 @@
     for (const end = this.#now + READ_MS; this.#now < end; this.run(TICK_MS)) {
       const answer = this.asked(id, 'read', {}, 1500);
       if (answer.status !== 200) continue;
-      const read: { readonly routing?: Document } = JSON.parse(answer.body);
+      const read: { readonly routing?: Pick<PlainDocument, 'version'> } = JSON.parse(answer.body);
       return read.routing?.version ?? 0;
     }
     return undefined;
--- a/src/simulation/PlainDialect.ts
+++ b/src/control/testing/PlainDialect.ts
@@ -1,8 +1,8 @@
 import { array, boolean, integer, optional, string, type, type Infer } from 'superstruct';
-import { parseAs } from '../common/Json.js';
-import type { ConfigDialect, Routing, RoutingFault } from '../route/Routing.js';
+import { parseAs } from '../../common/Json.js';
+import type { ConfigDialect, Routing, RoutingFault } from '../../route/Routing.js';
 
-/** A document of the simulated operators: its version and named items. */
+/** A document of simulated operators: its version and named items. */
 const DocumentShape = type({
   version: integer(),
   items: array(string()),
@@ -22,6 +22,11 @@
   return item !== other;
 }
 
+/** A valid document as a text. */
+export function documentOf(version: number, ...items: readonly string[]): string {
+  return JSON.stringify({ version, items });
+}
+
 /** What a change makes of a document, as a text; nothing where either cannot be read. */
 export function amendDocument(text: string, change: string): string | undefined {
   const before = parseAs(DocumentShape, text);
--- a/src/simulation/ControlNode.ts
+++ b/src/simulation/ControlNode.ts
@@ -25,7 +25,7 @@
 import type { CoreCommand, OperatorAnswer, OperatorCall } from './OperatorCall.js';
 import { OperatorPort } from './OperatorPort.js';
 import { OrderStub } from './OrderStub.js';
-import { PlainDialect } from './PlainDialect.js';
+import { PlainDialect } from '../control/testing/PlainDialect.js';
 import { SimDisk, type UnsyncedFate } from './SimDisk.js';
 import { SimExchange } from './SimExchange.js';
 import type { Host, Port, SimNetwork } from './SimNetwork.js';
--- a/src/simulation/JudgedHistory.ts
+++ b/src/simulation/JudgedHistory.ts
@@ -1,7 +1,7 @@
 import type { History } from './history/History.js';
 import { checkHistory } from './history/HistoryCheck.js';
 import { violationText } from './history/Violation.js';
-import { amendDocument } from './PlainDialect.js';
+import { amendDocument } from '../control/testing/PlainDialect.js';
 
 export interface HistoryFinding {
   readonly rule: string;
--- a/src/simulation/exhaustive/ControlNode.ts
+++ b/src/simulation/exhaustive/ControlNode.ts
@@ -1,4 +1,5 @@
 import { IdlePlanner } from '../../control/testing/IdlePlanner.js';
+import { documentOf, PlainDialect } from '../../control/testing/PlainDialect.js';
 import { array, number, optional, string, type, type Infer } from 'superstruct';
 import { CONFIG_PART } from '../../state/PartNames.js';
 import type { StoredPart } from '../../state/Store.js';
@@ -8,7 +9,6 @@
 import { isNewer } from '../../common/Version.js';
 import { ControlCore } from '../../control/ControlCore.js';
 import { CONTROL_DEFAULTS } from '../../control/ControlEffect.js';
-import type { ConfigDialect, Routing, RoutingFault } from '../../route/Routing.js';
 import type { VoteSettings } from '../../election/VoteSettings.js';
 import type { Boot, DiskWrite, Input, Output, Sent, Subject } from './LocalStates.js';
 
@@ -20,7 +20,7 @@
   'FleetDesk',
   'Vouching',
   'IdlePlanner',
-  'VersionDialect',
+  'PlainDialect',
 ];
 
 /** A process whose timers come less often takes itself for one that stood still. */
@@ -89,24 +89,7 @@
   return body === '' ? undefined : parseAs(ConfigShape, body);
 }
 
-interface ReadRouting {
-  readonly routing: Routing | undefined;
-  readonly faults: readonly RoutingFault[];
-}
-
-/** Documents that are nothing but their version. */
-class VersionDialect implements ConfigDialect {
-  read(text: string): ReadRouting {
-    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 };
-    return { routing: { version: Number(text), routes: [], services: [], limits }, faults: [] };
-  }
-
-  amend(): string | undefined {
-    return undefined;
-  }
-}
-
-const DIALECT = new VersionDialect();
+const DIALECT = new PlainDialect();
 const PLANNER = new IdlePlanner();
 
 /** The whole control core as a deployment starts it, with a planner that does nothing. */
@@ -184,7 +167,7 @@
       case 'command': {
         const { call, order } = input.command;
         const { id, base, version } = order;
-        const body = JSON.stringify({ id, base, text: String(version) });
+        const body = JSON.stringify({ id, base, text: documentOf(version) });
         this.#core.command(now, call, 'configure', body);
         break;
       }
