Call proxies and agents by their names in the agent's programs

Roles and ids on the wire keep theirs (docs/names.md).

Tests: agent and the control simulation pass.

--- a/src/agent/AgentCommand.ts
+++ b/src/agent/AgentCommand.ts
@@ -21,15 +21,15 @@
   async run(): Promise<void> {
     const { flags } = await this.parse(AgentCommand);
     const settings = this.settle(TableAgentSettingsShape, flags);
-    const link = new TableAgentProcess(settings, makeLog('agent', settings.listen));
-    const status = new StatusPort(link.counters.bind(link), link.metrics.bind(link));
+    const agent = new TableAgentProcess(settings, makeLog('agent', settings.listen));
+    const status = new StatusPort(agent.counters.bind(agent), agent.metrics.bind(agent));
     async function start(): Promise<void> {
-      await link.start();
+      await agent.start();
       if (settings.status !== undefined) await status.listen(settings.status);
     }
     await this.begin(start);
     await untilStopped();
-    link.stop();
+    agent.stop();
     status.close();
     this.exit(0);
   }
--- a/src/agent/AgentCore.ts
+++ b/src/agent/AgentCore.ts
@@ -54,7 +54,7 @@
   readonly #settings: AgentSettings;
   readonly #relay = new Relay();
   readonly #confirmation: FreshnessConfirmation;
-  readonly #flows = new Map<string, ProxyState>();
+  readonly #proxies = new Map<string, ProxyState>();
   /** When each of those that we feed asked last. */
   readonly #children = new Map<string, Moment>();
   #controlNodes: readonly string[];
@@ -95,7 +95,7 @@
     this.#controlHeardAt = now;
     this.#joinedAt = moment(now - JOIN_MS);
     // A proxy may still be fresh by what it was confirmed fresh through our former incarnation: one such counts until it is surely blind.
-    this.#flows.set('', { acked: NO_VERSION, goneAt: now });
+    this.#proxies.set('', { acked: NO_VERSION, goneAt: now });
   }
 
   /** Whom the settings name now: they are turned to where no voter that we know answers. */
@@ -134,7 +134,7 @@
       sessionMoves: this.#turns,
       isLeaderless: this.#isLeaderless,
       isUnderAgent: this.#parent !== '',
-      proxies: [...this.#flows.values()].filter(isPresent).length,
+      proxies: [...this.#proxies.values()].filter(isPresent).length,
       configEpoch: config.epoch,
       configCount: config.count,
       versionsBehind,
@@ -159,12 +159,12 @@
     )
       this.#leaveParent(now);
     if (now >= later(this.#joinedAt, isDeployed ? DEPLOYED.joinMs : JOIN_MS)) this.#join(now);
-    for (const [id, flow] of this.#flows)
+    for (const [id, proxy] of this.#proxies)
       if (
-        flow.goneAt !== undefined &&
-        now - flow.goneAt > this.#settings.blindMs * (1 + 2 * CLOCK_DRIFT)
+        proxy.goneAt !== undefined &&
+        now - proxy.goneAt > this.#settings.blindMs * (1 + 2 * CLOCK_DRIFT)
       )
-        this.#flows.delete(id);
+        this.#proxies.delete(id);
     for (const [child, at] of this.#children) if (now - at > CHILD_SILENT_MS) this.#forget(child);
     this.#tellAck();
     if (isDeployed) {
@@ -207,10 +207,10 @@
         break;
       }
       case 'freshnessRequest':
-        if (role === 'flow' && this.#flows.get(from)?.goneAt !== undefined)
-          this.#flows.delete(from);
-        if (role === 'flow' && !this.#flows.has(from))
-          this.#flows.set(from, { acked: NO_VERSION, goneAt: undefined });
+        if (role === 'flow' && this.#proxies.get(from)?.goneAt !== undefined)
+          this.#proxies.delete(from);
+        if (role === 'flow' && !this.#proxies.has(from))
+          this.#proxies.set(from, { acked: NO_VERSION, goneAt: undefined });
         this.#relay.heard(from, message.have);
         // A control node that lost what it held asks for news alone.
         if (message.nonce < 0) {
@@ -241,8 +241,8 @@
         this.#ask(now);
         break;
       case 'ack': {
-        const flow = this.#flows.get(from);
-        if (flow) flow.acked = { epoch: message.epoch, count: message.count };
+        const proxy = this.#proxies.get(from);
+        if (proxy) proxy.acked = { epoch: message.epoch, count: message.count };
         this.#tellAck();
         break;
       }
@@ -260,16 +260,16 @@
 
   /** What a proxy holds is in force there: it applies news as it takes it. */
   #noteProxy(from: string, have: readonly HaveMessage[]): void {
-    const flow = this.#flows.get(from);
+    const proxy = this.#proxies.get(from);
     const config = have.find(isConfig);
-    if (flow && config) flow.acked = { epoch: config.epoch, count: config.count };
+    if (proxy && config) proxy.acked = { epoch: config.epoch, count: config.count };
   }
 
   gone(now: Moment, from: string): void {
     this.#forget(from);
-    const flow = this.#flows.get(from);
+    const proxy = this.#proxies.get(from);
     // It may still be fresh by what it was confirmed fresh: it counts until it has surely gone blind.
-    if (flow) flow.goneAt = now;
+    if (proxy) proxy.goneAt = now;
     if (from === this.#parent) this.#leaveParent(now);
     if (from === this.controlNode) this.#turn(now);
     else if (this.#zones.get(from) === this.#settings.zone)
@@ -460,8 +460,8 @@
   /** The newest configuration by which every proxy here works; one lost a while ago works by none. */
   #acked(): Version {
     let least = this.#relay.version('config');
-    for (const flow of this.#flows.values())
-      if (compareVersions(flow.acked, least) < 0) least = flow.acked;
+    for (const proxy of this.#proxies.values())
+      if (compareVersions(proxy.acked, least) < 0) least = proxy.acked;
     return least;
   }
 
--- a/src/agent/TableAgentProcess.ts
+++ b/src/agent/TableAgentProcess.ts
@@ -44,7 +44,7 @@
 
   async start(): Promise<void> {
     await this.#runtime.start();
-    this.#log.info({ zone: this.#zone }, 'link started');
+    this.#log.info({ zone: this.#zone }, 'agent started');
   }
 
   stop(): void {
--- a/src/proxy/ProxyCommand.ts
+++ b/src/proxy/ProxyCommand.ts
@@ -23,15 +23,15 @@
   async run(): Promise<void> {
     const { flags } = await this.parse(ProxyCommand);
     const settings = this.settle(TableProxySettingsShape, flags);
-    const flow = new TableProxyProcess(settings, makeLog('proxy', settings.listen));
-    const status = new StatusPort(flow.counters.bind(flow));
+    const proxy = new TableProxyProcess(settings, makeLog('proxy', settings.listen));
+    const status = new StatusPort(proxy.counters.bind(proxy));
     async function start(): Promise<void> {
-      await flow.start();
+      await proxy.start();
       if (settings.status !== undefined) await status.listen(settings.status);
     }
     await this.begin(start);
     await untilStopped();
-    await flow.stop();
+    await proxy.stop();
     status.close();
     this.exit(0);
   }
