Let quorum reads and reads passed on wait as long as the links need

Cause: a quorum read was begun anew each 250 ms and dropped the answers to the former one, so that over links with a longer round trip no read and no refusal was ever answered, at the leader neither; a read passed on was given up after 1.5 s.

Both now wait longer by what the measured links exceed 100 ms. Ruled out: keeping several rounds open, which would need no measure but more state, and matters for agents of the older table alone.

The new test of SlowLinks failed before.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -207,6 +207,7 @@
     this.#forwarding = new OrderForwarding(
       {
         leader: this.#otherLeader.bind(this),
+        slowMsOf: this.#slowMsOf.bind(this),
         send: this.#send.bind(this),
         answer: this.#answer.bind(this),
       },
@@ -892,7 +893,7 @@
 
   /** Asks a majority for the newest they hold; asks that waited are confirmed fresh by what it returns. */
   #beginRound(now: Moment): void {
-    const nonce = this.#confirmation.begin(now);
+    const nonce = this.#confirmation.begin(now, this.#elector.slowMs);
     if (nonce === undefined) return;
     this.#round = { nonce, replies: new Map() };
     const members = this.#ownMembers();
@@ -1216,6 +1217,10 @@
     this.#command(now, origin, message.verb, message.body);
   }
 
+  #slowMsOf(id: string): number {
+    return this.#elector.slowMsOf(nodeId(id));
+  }
+
   #otherLeader(): string | undefined {
     const { leader } = this.#elector;
     return leader === this.#me ? undefined : leader;
--- a/src/control/OrderForwarding.ts
+++ b/src/control/OrderForwarding.ts
@@ -16,6 +16,8 @@
 export interface ForwardingHost {
   /** Whom this node follows; nothing while nobody leads. */
   leader(): string | undefined;
+  /** By how much longer than on an ordinary link an exchange with that node takes, in milliseconds. */
+  slowMsOf(id: string): number;
   send(to: string, message: Message): void;
   answer(origin: Origin, answer: CommandAnswer): void;
 }
@@ -85,13 +87,18 @@
     if (now - this.#tickedAt > STANDSTILL_MS) this.#backlogUntil = later(now, BACKLOG_MS);
     this.#tickedAt = now;
     for (const [id, forwarded] of this.#forwards) {
-      if (now < later(forwarded.at, forwarded.editId === '' ? FORWARD_READ_MS : FORWARD_MS))
-        continue;
+      if (now < this.#limitOf(forwarded)) continue;
       this.#forwards.delete(id);
       this.#giveUp(forwarded, 'timeout');
     }
   }
 
+  #limitOf(forwarded: Forwarded): Moment {
+    if (forwarded.editId !== '') return later(forwarded.at, FORWARD_MS);
+    // There and back, and at the leader up to two quorum reads, which take about as long each.
+    return later(forwarded.at, FORWARD_READ_MS + 2 * this.#host.slowMsOf(forwarded.to));
+  }
+
   /** Throws where an order without a version may be a late copy, as far as this node can tell. */
   checkAge(now: Moment, verb: string): void {
     if (!UNVERSIONED.has(verb)) return;
--- a/src/control/SlowLinks.test.ts
+++ b/src/control/SlowLinks.test.ts
@@ -103,6 +103,20 @@
 for (const [name, deployment] of Object.entries(DEPLOYMENTS))
   test(`${name}: a leader comes about, stays and is succeeded`, checkInTime.bind(null, deployment));
 
+/** A read passed on takes the way to the leader and back, and waits for a quorum read that runs and for its own. */
+function checkReads(): void {
+  for (let seed = 1; seed <= SEEDS_TRIED; seed += 1) {
+    const cluster = new FaultCluster({ ...SLOW_LINKS, seed });
+    const ids = ALL.slice(0, 3);
+    for (const id of ids) cluster.start(id, ids, true);
+    cluster.runUntil(cluster.hasLeader.bind(cluster), 20_000, `a first leader, seed ${seed}`);
+    cluster.run(SETTLING_MS);
+    for (let reads = 0; reads < 5; reads += 1)
+      expect(cluster.asked(cluster.follower(), 'read', {}, 4000).status, `seed ${seed}`).toBe(200);
+  }
+}
+test('a read at a follower is answered over slow links', checkReads);
+
 function checkOrdinary(voters: number): void {
   for (let seed = 1; seed <= SEEDS_TRIED; seed += 1) {
     const { firstLeaderMs, successorMs } = play({ voters, options: {} }, seed);
--- a/src/dissemination/FreshnessConfirmation.test.ts
+++ b/src/dissemination/FreshnessConfirmation.test.ts
@@ -14,4 +14,19 @@
   expect(confirmation.end(first ?? 0)).toEqual([]);
   expect(confirmation.end(second ?? 0)).toEqual([{ child: 'b', nonce: 2, members: [] }]);
 }
+
+function checkRetry(): void {
+  const confirmation = new FreshnessConfirmation(0);
+  confirmation.add({ child: 'a', nonce: 1, members: [] });
+  const first = confirmation.begin(moment(0), 500);
+  expect(confirmation.begin(moment(740), 500)).toBeUndefined();
+  expect(confirmation.end(first ?? 0)).toEqual([{ child: 'a', nonce: 1, members: [] }]);
+  confirmation.add({ child: 'a', nonce: 2, members: [] });
+  const second = confirmation.begin(moment(800), 500);
+  const third = confirmation.begin(moment(1550), 500);
+  expect(confirmation.end(second ?? 0)).toEqual([]);
+  expect(confirmation.end(third ?? 0)).toEqual([{ child: 'a', nonce: 2, members: [] }]);
+}
+test('a round is begun anew only after a span in which slow links would have ended it', checkRetry);
+
 test('an ask is returned only by a round begun after it', checkOrder);
--- a/src/dissemination/FreshnessConfirmation.ts
+++ b/src/dissemination/FreshnessConfirmation.ts
@@ -12,6 +12,7 @@
   readonly asks: readonly Ask[];
 }
 
+/** On ordinary links a round that takes so long is taken for lost. */
 const RETRY_MS = 250;
 
 /**
@@ -32,9 +33,12 @@
     this.#waiting.push(ask);
   }
 
-  /** Begins a round if some ask waits and none is under way, or the one under way seems lost; returns its nonce. */
-  begin(now: Moment): number | undefined {
-    if (this.#round && now < later(this.#round.sentAt, RETRY_MS)) return undefined;
+  /**
+   * Begins a round if some ask waits and none is under way, or the one under way seems lost; returns its nonce. `slowMs` is
+   * by how much longer than on ordinary links a round takes: one that is begun anew before its end would never end.
+   */
+  begin(now: Moment, slowMs: number = 0): number | undefined {
+    if (this.#round && now < later(this.#round.sentAt, RETRY_MS + slowMs)) return undefined;
     const asks = [...(this.#round?.asks ?? []), ...this.#waiting];
     if (asks.length === 0) {
       this.#round = undefined;
--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -140,6 +140,16 @@
     return this.#state.links.majorityContact(now, this.#state.quorum);
   }
 
+  /** By how much longer than on ordinary links an exchange with a majority of the voters takes, in milliseconds. */
+  get slowMs(): number {
+    return this.#state.links.slowMs(this.#state.quorum);
+  }
+
+  /** By how much longer than on an ordinary link an exchange with that voter takes, in milliseconds. */
+  slowMsOf(peer: NodeId): number {
+    return this.#state.links.slowMsOf(peer);
+  }
+
   drain(): VoteEffect[] {
     return this.#state.outbox.drain();
   }
--- a/src/election/VoterLinks.ts
+++ b/src/election/VoterLinks.ts
@@ -15,7 +15,7 @@
   scored: Moment;
 }
 
-/** The spans of the settings allow for links whose round trip takes no longer. */
+/** The spans of the settings, and those of other parts, allow for links whose round trip takes no longer. */
 const ORDINARY_ROUND_TRIP_MS = 100;
 /** The shortest round trip is measured; single messages take up to about twice as long on links that vary. */
 const VARIATION = 2;
@@ -130,6 +130,11 @@
     return quorum.isMajority(new Set([this.#me, ...this.#leaderless]));
   }
 
+  /** By how much longer than on an ordinary link one exchange with a peer takes, in milliseconds; 0 where it is not known. */
+  slowMsOf(peer: NodeId): number {
+    return VARIATION * Math.max(0, (this.#roundTrips.of(peer) ?? 0) - ORDINARY_ROUND_TRIP_MS);
+  }
+
   /** By how much longer an exchange with a majority may take than the settings allow for, in milliseconds. */
   slowMs(quorum: Quorum): number {
     const isAlive = this.#scores.isAlive.bind(this.#scores);
