Test the lease and the measured links on their own

That a lease counts from the sending of a renewal, ends by itself and waits for the first free majority of grants was tried only through the elector; the last of these in no test at all. The measured links are tried at their bounds.

--- /dev/null
+++ b/src/election/Lease.test.ts
@@ -0,0 +1,67 @@
+import { expect, test } from 'vitest';
+import { moment, nodeId } from '../common/Ids.js';
+import { Quorum } from '../common/Quorum.js';
+import { Lease } from './Lease.js';
+import { VOTE_DEFAULTS } from './VoteSettings.js';
+
+const [a, b, c] = [nodeId('a'), nodeId('b'), nodeId('c')];
+const QUORUM = new Quorum([a, b, c]);
+const { spanMs, renewMs } = VOTE_DEFAULTS;
+
+/** A lease of `a`, granted at moment 10 by itself and `b`, with both free to let it order at once. */
+function granted(): Lease {
+  const lease = new Lease(VOTE_DEFAULTS);
+  const nonce = lease.begin(moment(0));
+  for (const voter of [a, b]) {
+    lease.countGrant(moment(10), voter, 0, QUORUM);
+    lease.countRenewal(voter, nonce, QUORUM);
+  }
+  return lease;
+}
+
+function checkSent(): void {
+  const lease = granted();
+  expect(lease.end).toBe(spanMs);
+  const nonce = lease.renew(moment(renewMs)) ?? 0;
+  expect(lease.renew(moment(renewMs + 1))).toBeUndefined();
+  // However late a majority returns it: the span counts from the sending.
+  lease.countRenewal(a, nonce, QUORUM);
+  expect(lease.end).toBe(spanMs);
+  lease.countRenewal(c, nonce, QUORUM);
+  expect(lease.end).toBe(renewMs + spanMs);
+  expect(lease.mayOrder(moment(renewMs + spanMs - 1), QUORUM)).toBe(true);
+  expect(lease.mayOrder(moment(renewMs + spanMs), QUORUM)).toBe(false);
+}
+test(
+  'a lease ends a span after the sending of the newest renewal that a majority returned',
+  checkSent,
+);
+
+function checkOutdated(): void {
+  const lease = granted();
+  const first = lease.renew(moment(renewMs)) ?? 0;
+  const second = lease.renew(moment(renewMs * 2)) ?? 0;
+  for (const voter of [a, b]) lease.countRenewal(voter, second, QUORUM);
+  for (const voter of [a, b]) lease.countRenewal(voter, first, QUORUM);
+  expect(lease.end).toBe(renewMs * 2 + spanMs);
+  lease.clear();
+  for (const voter of [a, b]) lease.countRenewal(voter, second, QUORUM);
+  expect(lease.mayOrder(moment(renewMs * 2), QUORUM)).toBe(false);
+}
+test('a renewal returned late shortens nothing, and none outlives the lead', checkOutdated);
+
+function checkWait(): void {
+  const lease = new Lease(VOTE_DEFAULTS);
+  const nonce = lease.begin(moment(0));
+  for (const voter of [a, b]) lease.countRenewal(voter, nonce, QUORUM);
+  lease.countGrant(moment(0), a, 900, QUORUM);
+  lease.countGrant(moment(0), b, 400, QUORUM);
+  expect(lease.mayOrder(moment(899), QUORUM)).toBe(false);
+  expect(lease.mayOrder(moment(900), QUORUM)).toBe(true);
+  // The first free majority is enough, and a promise told again ends when it was first said to.
+  lease.countGrant(moment(0), c, 500, QUORUM);
+  lease.countGrant(moment(300), b, 900, QUORUM);
+  expect(lease.mayOrder(moment(499), QUORUM)).toBe(false);
+  expect(lease.mayOrder(moment(500), QUORUM)).toBe(true);
+}
+test('a holder orders once some majority of those that granted is free', checkWait);
--- /dev/null
+++ b/src/election/VoterLinks.test.ts
@@ -0,0 +1,67 @@
+import { expect, test } from 'vitest';
+import { moment, nodeId, type NodeId } from '../common/Ids.js';
+import { Quorum } from '../common/Quorum.js';
+import { SyncedOutbox } from './SyncedOutbox.js';
+import { VoterLinks } from './VoterLinks.js';
+import { VOTE_DEFAULTS } from './VoteSettings.js';
+
+const [a, b, c] = [nodeId('a'), nodeId('b'), nodeId('c')];
+const QUORUM = new Quorum([a, b, c]);
+
+/** Links of `a` after one ping at moment 0. */
+function pinged(): VoterLinks {
+  const links = new VoterLinks(a, VOTE_DEFAULTS, new SyncedOutbox(moment(0)), moment(0));
+  links.tick(moment(0), QUORUM, undefined);
+  return links;
+}
+
+function answer(links: VoterLinks, peer: NodeId, at: number, sent: number = 0): void {
+  links.receivePong(moment(at), peer, {
+    kind: 'pong',
+    nonce: sent,
+    epoch: 0,
+    reports: [],
+    standing: '',
+  });
+}
+
+function checkOrdinary(): void {
+  const links = pinged();
+  expect(links.slowMs(QUORUM)).toBe(0);
+  answer(links, b, 100);
+  expect([links.slowMs(QUORUM), links.slowMsOf(b)]).toEqual([0, 0]);
+}
+test('up to a round trip of 100 ms nothing is added', checkOrdinary);
+
+function checkSlow(): void {
+  const links = pinged();
+  answer(links, b, 600);
+  expect([links.slowMs(QUORUM), links.slowMsOf(b), links.slowMsOf(c)]).toEqual([1000, 1000, 0]);
+  // The nearer one completes the majority: the far one makes nobody wait.
+  answer(links, c, 650, 640);
+  expect([links.slowMs(QUORUM), links.slowMsOf(b)]).toEqual([0, 1000]);
+}
+test('twice what a round trip exceeds that is added', checkSlow);
+
+function checkLate(): void {
+  const links = pinged();
+  answer(links, b, VOTE_DEFAULTS.deadMs);
+  expect([links.slowMs(QUORUM), links.reachesMajority(QUORUM)]).toEqual([0, false]);
+  // A pong to a former incarnation names a moment that this one has not had yet.
+  answer(links, c, 100, 5000);
+  expect([links.slowMs(QUORUM), links.slowMsOf(c)]).toEqual([0, 0]);
+}
+test('what proves no contact measures nothing', checkLate);
+
+function checkAway(): void {
+  const links = pinged();
+  answer(links, b, 10);
+  answer(links, c, 600);
+  expect(links.slowMs(QUORUM)).toBe(0);
+  const later = moment(600 + VOTE_DEFAULTS.deadMs);
+  answer(links, c, later, later - 600);
+  // Dead to us from the next ping on: the majority is then one with the far voter.
+  links.tick(later, QUORUM, undefined);
+  expect(links.slowMs(QUORUM)).toBe(1000);
+}
+test('one that is away does not count', checkAway);
