--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -211,6 +211,7 @@
     this.#forwarding = new OrderForwarding(
       {
         leader: this.#otherLeader.bind(this),
+        slowMsOf: this.#slowMsOf.bind(this),
         send: this.#send.bind(this),
         answer: this.#answer.bind(this),
       },
@@ -924,7 +925,7 @@
 
   /** Asks a majority for the newest they hold; asks that waited are confirmed fresh by what it returns. */
   #beginRound(now: Moment): void {
-    const nonce = this.#confirmation.begin(now);
+    const nonce = this.#confirmation.begin(now, this.#elector.slowMs);
     if (nonce === undefined) return;
     this.#round = { nonce, replies: new Map() };
     const members = this.#ownMembers();
@@ -1248,6 +1249,10 @@
     this.#command(now, origin, message.verb, message.body);
   }
 
+  #slowMsOf(id: string): number {
+    return this.#elector.slowMsOf(nodeId(id));
+  }
+
   #otherLeader(): string | undefined {
     const { leader } = this.#elector;
     return leader === this.#me ? undefined : leader;
