Tell more than 65,536 messages apart in the exhaustive searches

A set of messages was kept with one character each, whose code was the number of the message. From number 65,536 on the code wraps: the search would have delivered another message. It was found as a search of a change of voters with freezes ran on one message for ever.

Now a message takes two characters, from disjoint ranges so that none is found across two others. Long texts are interned by their hash, to save memory.

--- a/src/simulation/exhaustive/ControlNode.ts
+++ b/src/simulation/exhaustive/ControlNode.ts
@@ -39,6 +39,9 @@
   stallMs: 2 * CONTROL_STEP_MS,
 };
 
+/** In which the founding of every model has its leader. */
+const FIRST_EPOCH = 2;
+
 /** Apart from what any other life counts. */
 const LIFE_SPAN = 1e6;
 
@@ -75,7 +78,11 @@
 /** Deliberate mistakes that the invariants must find. */
 export type ControlMistake =
   /** The voters after a change take over without the step in which both sets count, and the old ones are not told. */
-  'joint-set-skipped';
+  | 'joint-set-skipped'
+  /** The same from the second change on. */
+  | 'second-joint-set-skipped'
+  /** A leader that finds a joint set goes back to the old one. */
+  | 'joint-set-rolled-back';
 
 const ConfigShape = type({
   voters: array(array(string())),
@@ -201,7 +208,11 @@
         if (this.#isKeptFrom(effect.to, effect.message)) continue;
         sends.push({ to: effect.to, message: this.#told(effect.message) });
       } else if (effect.do === 'store') {
-        writes.push({ slot: effect.part, ...effect.version, body: this.#bodyTold(effect.body) });
+        writes.push({
+          slot: effect.part,
+          ...effect.version,
+          body: this.#bodyTold(effect.version.epoch, effect.body),
+        });
       } else if (effect.do === 'reply') {
         events.push({ call: effect.id, status: effect.status, body: effect.body });
       }
@@ -210,28 +221,40 @@
   }
 
   #isKeptFrom(to: string, message: Message): boolean {
-    if (this.#mistake !== 'joint-set-skipped' || message.kind !== 'write') return false;
-    const isChange = docOf(message.body)?.voters.length === 2;
-    return isChange && this.#seeds.includes(to);
+    if (message.kind !== 'write') return false;
+    const voters = docOf(message.body)?.voters ?? [];
+    return this.#isSkipped(voters) && voters[0]?.includes(to) === true;
+  }
+
+  /** Whether a joint set is left out by mistake. */
+  #isSkipped([set, following]: KnownConfig['voters']): boolean {
+    if (!set || !following) return false;
+    if (this.#mistake === 'joint-set-skipped') return true;
+    return this.#mistake === 'second-joint-set-skipped' && !set.every(this.#isSeed, this);
+  }
+
+  #isSeed(id: string): boolean {
+    return this.#seeds.includes(id);
   }
 
   #told(message: Message): Message {
     if (message.kind !== 'write') return message;
-    return { ...message, body: this.#bodyTold(message.body) };
+    return { ...message, body: this.#bodyTold(message.epoch, message.body) };
   }
 
-  #bodyTold(body: string): string {
-    return this.#mistake === 'joint-set-skipped' ? withNewVotersOnly(body) : body;
+  #bodyTold(epoch: number, body: string): string {
+    if (this.#mistake === undefined || body === '') return body;
+    const [set, following] = docOf(body)?.voters ?? [];
+    if (!set || !following) return body;
+    if (this.#isSkipped([set, following])) return withVoters(body, following);
+    const isFound = this.#mistake === 'joint-set-rolled-back' && epoch > FIRST_EPOCH;
+    return isFound ? withVoters(body, set) : body;
   }
 }
 
-function withNewVotersOnly(body: string): string {
-  if (body === '') return body;
+function withVoters(body: string, set: readonly string[]): string {
   const raw: unknown = JSON.parse(body);
-  const doc = docOf(body);
-  const following = doc?.voters[1];
-  if (typeof raw !== 'object' || following === undefined) return body;
-  return JSON.stringify({ ...raw, voters: [following] });
+  return typeof raw === 'object' ? JSON.stringify({ ...raw, voters: [set] }) : body;
 }
 
 function storedPart({ slot, epoch, count, body }: DiskWrite): StoredPart {
--- a/src/simulation/exhaustive/Interner.ts
+++ b/src/simulation/exhaustive/Interner.ts
@@ -1,3 +1,13 @@
+import { createHash } from 'node:crypto';
+
+/** Characters from which a text is kept as its hash. */
+const LONG_TEXT = 64;
+
+function shortened(text: string): string {
+  if (text.length < LONG_TEXT) return text;
+  return createHash('sha256').update(text).digest('base64');
+}
+
 /** Gives equal values, by their JSON text, one small number each, so that states are compared by numbers. */
 export class Interner<Value> {
   readonly #ids = new Map<string, number>();
@@ -8,7 +18,7 @@
   }
 
   idOf(value: Value): number {
-    const text = JSON.stringify(value);
+    const text = shortened(JSON.stringify(value));
     const known = this.#ids.get(text);
     if (known !== undefined) return known;
     const id = this.#values.length;
--- /dev/null
+++ b/src/simulation/exhaustive/MessageText.test.ts
@@ -0,0 +1,23 @@
+import { expect, test } from 'vitest';
+import { has, idsOf, queued, withAll, without } from './MessageText.js';
+
+/** On both sides of the numbers that fit into one character or half of one. */
+const IDS = [70_000, 3, 65_536 + 3, 32_768, 65_535, 32_767, 65_536, 0];
+
+function checkNumbers(): void {
+  const sorted = [...IDS].sort(byNumber);
+  expect(idsOf(withAll('', IDS))).toEqual(sorted);
+  const queue = queued(queued('', IDS), [3, 65_536]);
+  expect(idsOf(queue)).toEqual(IDS);
+  const shorter = without(queue, 65_536 + 3);
+  expect(has(queue, 65_536 + 3)).toBe(true);
+  expect(has(shorter, 65_536 + 3)).toBe(false);
+  expect(has(shorter, 3)).toBe(true);
+  expect(idsOf(shorter)).toEqual([70_000, 3, 32_768, 65_535, 32_767, 65_536, 0]);
+}
+
+function byNumber(a: number, b: number): number {
+  return a - b;
+}
+
+test('messages beyond the range of one character are told apart', checkNumbers);
--- a/src/simulation/exhaustive/RefusalProtocol.ts
+++ b/src/simulation/exhaustive/RefusalProtocol.ts
@@ -16,6 +16,7 @@
 import type {
   CalmRun,
   FaultBounds,
+  FaultKind,
   Happening,
   Judgement,
   NodeCommand,
@@ -24,22 +25,38 @@
 } from './Protocol.js';
 
 const NODES = ['a', 'b', 'c'];
-/** A follower, which passes orders on to the leader. */
-const CALLED = [1];
 /** Steps of the clocks after which three nodes that were just started have a leader that serves. */
 const FOUNDING_CLOCK_STEPS = 3;
-/** The first order replaces nothing; the second and third were both made from what the first one brings. */
-const ORDERS: readonly ConfigureOrder[] = [
+/** Steps of silence after which the others have a leader that serves. */
+const TAKEOVER_CLOCK_STEPS = 6;
+/** The node that leads first. */
+const FIRST_LEADER = 0;
+/** Two made from nothing, two from what the first of them brings, and one from what the third brings. */
+const ORDERS = [
   { id: 'first', base: 0, version: 7 },
   { id: 'rival', base: 0, version: 8 },
   { id: 'next', base: 7, version: 9 },
-];
+  { id: 'other', base: 7, version: 10 },
+  { id: 'last', base: 9, version: 11 },
+] as const;
+export type OrderName = (typeof ORDERS)[number]['id'];
+
+/**
+ * `after an order`: the first order is in force everywhere. `former leader frozen`: and the node that took it has been
+ * frozen since, while another one came to lead; when it is thawed is left open.
+ */
+export type RefusalBeginning = 'founded' | 'after an order' | 'former leader frozen';
 
 export interface RefusalBounds extends FaultBounds {
-  /** Sendings of orders in all. */
+  readonly beginning: RefusalBeginning;
+  /** Sendings of orders in all, apart from one before the search begins. */
   readonly calls: number;
-  /** How many of the different orders are given. */
-  readonly orders: number;
+  /** The orders that may be given, each any number of times. */
+  readonly orders: readonly OrderName[];
+  /** The nodes that may be asked, by their place. */
+  readonly called: readonly number[];
+  readonly kinds: readonly FaultKind[];
+  readonly troublesEnd: 'at any pause' | 'with the clocks';
 }
 
 export interface RefusalGhost {
@@ -55,7 +72,9 @@
 /** Deliberate mistakes that the invariant must find. */
 export type RefusalMistake =
   /** An order is refused for another that is still under way. */
-  'refused-for-a-pending-one';
+  | 'refused-for-a-pending-one'
+  /** A former leader that does not know of its successor refuses by its own copy, without asking a majority. */
+  | 'refused-by-its-own-copy';
 
 /** Orders of operators at any node: a definite refusal must rest on what is committed. */
 export class RefusalProtocol implements Protocol<
@@ -66,8 +85,8 @@
 > {
   readonly name = 'refusal';
   readonly nodes = NODES;
-  readonly firstFrozen = 0;
-  readonly troublesEnd = 'at any pause';
+  readonly firstFrozen: number;
+  readonly troublesEnd: RefusalBounds['troublesEnd'];
   readonly clockStepMs = CONTROL_STEP_MS;
   readonly isBundled = true;
   readonly faults: RefusalBounds;
@@ -77,6 +96,8 @@
 
   constructor(faults: RefusalBounds, mistake?: RefusalMistake) {
     this.faults = faults;
+    this.firstFrozen = faults.beginning === 'former leader frozen' ? 1 << FIRST_LEADER : 0;
+    this.troublesEnd = faults.troublesEnd;
     this.#mistake = mistake;
   }
 
@@ -89,11 +110,20 @@
       for (const node of NODES.keys()) calm.tick(node);
       calm.advance();
     }
+    const { beginning } = this.faults;
+    if (beginning !== 'founded') calm.command(FIRST_LEADER, { call: 1, order: ORDERS[0] });
+    if (beginning === 'former leader frozen') {
+      calm.freeze(FIRST_LEADER);
+      for (let step = 0; step < TAKEOVER_CLOCK_STEPS; step += 1) {
+        for (const node of NODES.keys()) if (node !== FIRST_LEADER) calm.tick(node);
+        calm.advance();
+      }
+    }
     calm.forget();
   }
 
-  mayFail(): boolean {
-    return true;
+  mayFail(_view: RefusalView, kind: FaultKind): boolean {
+    return this.faults.kinds.includes(kind);
   }
 
   isWatched(message: Message): boolean {
@@ -103,13 +133,14 @@
 
   commands(view: RefusalView): readonly NodeCommand<ControlCommand>[] {
     const { calls, committed } = view.ghost;
-    if (calls.length >= this.faults.calls) return [];
+    const begun = this.faults.beginning === 'founded' ? 0 : 1;
+    if (calls.length >= this.faults.calls + begun) return [];
     const found: NodeCommand<ControlCommand>[] = [];
-    for (const [index, order] of ORDERS.slice(0, this.faults.orders).entries()) {
+    for (const [index, order] of ORDERS.entries()) {
       // Nobody has seen a base that was never in force.
-      if (!committed.includes(order.base)) continue;
+      if (!this.faults.orders.includes(order.id) || !committed.includes(order.base)) continue;
       const call = calls.length * ORDERS.length + index + 1;
-      for (const node of CALLED) found.push({ node, command: { call, order } });
+      for (const node of this.faults.called) found.push({ node, command: { call, order } });
     }
     return found;
   }
@@ -122,13 +153,16 @@
     let ghost = before.ghost;
     if (did.command) {
       const order = ORDERS.findIndex(hasId.bind(undefined, did.command.order.id));
-      const isPending = ghost.calls.some(isOpen);
-      const isRefused = isPending && this.#mistake === 'refused-for-a-pending-one';
-      const outcome = isRefused ? 'refused' : 'open';
+      const outcome = this.#isHasty(before, did) ? 'refused' : 'open';
       ghost = { ...ghost, calls: [...ghost.calls, { order, outcome }] };
     }
     const version = committedVersion(after.disks);
     if (version !== undefined && !ghost.committed.includes(version)) {
+      const order = ORDERS.find(hasVersion.bind(undefined, version));
+      const inForce = ghost.committed.at(-1);
+      if (order && order.base !== inForce) {
+        return { ghost, violation: `${order.id} is committed over ${inForce}, not over its base` };
+      }
       ghost = { ...ghost, committed: [...ghost.committed, version] };
     }
     for (const event of did.events) {
@@ -140,6 +174,24 @@
     }
     return { ghost, violation: violationOf(ghost) };
   }
+
+  /** Whether the mistake refuses the order as it comes. */
+  #isHasty(
+    { ghost, facts }: RefusalView,
+    { node, command }: Happening<ControlCommand, ControlEvent>,
+  ): boolean {
+    switch (this.#mistake) {
+      case 'refused-for-a-pending-one':
+        return ghost.calls.some(isOpen);
+      case 'refused-by-its-own-copy': {
+        const asked = facts[node ?? -1];
+        if (!asked?.isServing || asked.version === command?.order.base) return false;
+        return facts.some(isOfLaterEpoch.bind(undefined, asked.epoch));
+      }
+      case undefined:
+        return false;
+    }
+  }
 }
 
 function outcomeOf({ status }: ControlEvent): CallOutcome {
@@ -188,6 +240,14 @@
   return call.outcome === 'open';
 }
 
+function isOfLaterEpoch(epoch: number, facts: ControlFacts): boolean {
+  return facts.epoch > epoch;
+}
+
+function hasVersion(version: number, order: ConfigureOrder): boolean {
+  return order.version === version;
+}
+
 function hasId(id: string, order: ConfigureOrder): boolean {
   return order.id === id;
 }
--- a/src/simulation/exhaustive/Searches.ts
+++ b/src/simulation/exhaustive/Searches.ts
@@ -107,6 +107,8 @@
 /** From the start of the founding: enough for the change of voters and for another leader in its midst. */
 const CHANGE_CLOCK_STEPS = 12;
 const REFUSAL_CLOCK_STEPS = 3;
+/** It passes orders on to the leader. */
+const FOLLOWER = [1];
 
 export function election(
   beginning: ElectionBeginning,
@@ -175,8 +177,12 @@
     restarts: 1,
     wipes: 0,
     hasLateSyncs: false,
+    beginning: 'founded' as const,
     calls: 2,
-    orders: 2,
+    orders: ['first', 'rival'] as const,
+    called: FOLLOWER,
+    kinds: FAULT_KINDS,
+    troublesEnd: 'at any pause' as const,
   };
   return new RefusalProtocol(faults, mistake);
 }
