--- a/src/simulation/ControlSimulation.test.ts
+++ b/src/simulation/ControlSimulation.test.ts
@@ -50,7 +50,6 @@
   const { violations, figures } = simulate(options, schedule);
   expect(violations).toEqual([]);
   expect(figures).toMatchObject({ faults: { freeze: 1, wipe: 1 }, reigns: 3 });
-  expect(figures.startMs).toHaveLength(4);
   expect(figures.repairMs).toHaveLength(4);
 }
 
--- a/src/simulation/ControlSimulation.ts
+++ b/src/simulation/ControlSimulation.ts
@@ -343,7 +343,6 @@
       runnerOrders: this.#holderRules.orders,
       reigns: this.#events.count('newLeader'),
       voterChanges: this.#events.count('newVoters'),
-      startMs: this.#watch.startMs,
       repairMs: this.#watch.repairMs,
       leaderlessMs: this.#watch.leaderlessMs,
       reads: this.#recorder.reads.length,
--- a/src/simulation/NodeWatch.ts
+++ b/src/simulation/NodeWatch.ts
@@ -1,4 +1,3 @@
-import { VOTE_PART } from '../state/PartNames.js';
 import type { ControlNode } from './ControlNode.js';
 import type { RunEvents } from './RunEvents.js';
 
@@ -12,8 +11,6 @@
   incarnation: number;
   isServing: boolean;
   isSound: boolean;
-  /** Whether it began without any record of votes, so that it must be repaired before it counts. */
-  isBlank: boolean;
   startedAt: number;
   voters: string;
   epoch: number;
@@ -24,7 +21,6 @@
   readonly #settings: NodeWatchSettings;
   readonly #known = new Map<string, Known>();
   readonly #serving = new Set<string>();
-  readonly #startMs: number[] = [];
   readonly #repairMs: number[] = [];
   readonly #leaderlessMs: number[] = [];
   #lastServingAt = -Infinity;
@@ -39,12 +35,7 @@
     return this.#lastServingAt;
   }
 
-  /** From the start of each life until it counts. */
-  get startMs(): readonly number[] {
-    return this.#startMs;
-  }
-
-  /** The same of those alone that began with an empty disk, the first ones of the fleet among them. */
+  /** From the start of each life that did not count as its node's last one had ended, until it counts. */
   get repairMs(): readonly number[] {
     return this.#repairMs;
   }
@@ -76,7 +67,6 @@
       incarnation: node.incarnation,
       isServing,
       isSound,
-      isBlank: node.disk.part(VOTE_PART) === undefined,
       startedAt,
       voters: '',
       epoch: 0,
@@ -107,8 +97,7 @@
   #noteSound(node: ControlNode, known: Known): void {
     const millis = Math.round(this.#settings.now() - known.startedAt);
     this.#settings.log(`${node.id} counts after ${millis} ms`);
-    this.#startMs.push(millis);
-    if (known.isBlank) this.#repairMs.push(millis);
+    this.#repairMs.push(millis);
     this.#settings.events.tell('repaired', node.id);
   }
 
--- a/src/simulation/RunFigures.ts
+++ b/src/simulation/RunFigures.ts
@@ -26,9 +26,7 @@
   /** How often a node began to lead and serve. */
   readonly reigns: number;
   readonly voterChanges: number;
-  /** From the start of each life of a node until it counts. */
-  readonly startMs: readonly number[];
-  /** The same of lives that began with an empty disk, those of the fleet's first start among them. */
+  /** From the start of a node that is new or lost its disk until it counts, the fleet's first start among them. */
   readonly repairMs: readonly number[];
   /** Spans without any node that leads and serves, the first start's among them. */
   readonly leaderlessMs: readonly number[];
--- a/src/simulation/RunReport.ts
+++ b/src/simulation/RunReport.ts
@@ -42,7 +42,6 @@
   /** How often each kind of fault struck. */
   readonly faults: Readonly<FaultCounts>;
   readonly orders: OrderFigures & { readonly all: OutcomeCounts };
-  readonly startMs: Spread;
   readonly repairMs: Spread;
   readonly leaderlessMs: Spread;
   readonly failures: readonly SeedResult[];
@@ -136,10 +135,10 @@
   }
   const totals = { packets: 0, runnerOrders: 0, reigns: 0, voterChanges: 0, reads: 0 };
   let virtualMs = 0;
-  const [startMs, repairMs, leaderlessMs]: [number[], number[], number[]] = [[], [], []];
+  const repairMs: number[] = [];
+  const leaderlessMs: number[] = [];
   for (const { figures } of results) {
     virtualMs += figures.virtualMs;
-    startMs.push(...figures.startMs);
     repairMs.push(...figures.repairMs);
     leaderlessMs.push(...figures.leaderlessMs);
     for (const name of TOTALS) totals[name] += figures[name];
@@ -153,7 +152,6 @@
     totals,
     faults: faultsOf(results),
     orders: ordersOf(results),
-    startMs: spreadOf(startMs),
     repairMs: spreadOf(repairMs),
     leaderlessMs: spreadOf(leaderlessMs),
     failures,
--- a/src/simulation/SeedRun.ts
+++ b/src/simulation/SeedRun.ts
@@ -20,7 +20,6 @@
   runnerOrders: number(),
   reigns: number(),
   voterChanges: number(),
-  startMs: array(number()),
   repairMs: array(number()),
   leaderlessMs: array(number()),
   reads: number(),
--- a/src/simulation/commands/SimulateControlCommand.ts
+++ b/src/simulation/commands/SimulateControlCommand.ts
@@ -100,8 +100,7 @@
     for (const kind of ORDER_KINDS) this.log(`${kind}: ${outcomesText(orders[kind])}`);
     this.log(`all orders: ${outcomesText(orders.all)}`);
     this.log(JSON.stringify(totals));
-    this.log(`from start to counting: ${spreadText(report.startMs)}`);
-    this.log(`with an empty disk: ${spreadText(report.repairMs)}`);
+    this.log(`new or repaired, from start to counting: ${spreadText(report.repairMs)}`);
     this.log(`without a leader: ${spreadText(report.leaderlessMs)}`);
   }
 
--- a/src/simulation/mutants/AimedSchedules.ts
+++ b/src/simulation/mutants/AimedSchedules.ts
@@ -60,6 +60,18 @@
   return rounds(random, cutLeaderRound);
 }
 
+function slowLeaderRound(random: Seeded, from: number): Fault[] {
+  const delayMs = Math.round(random.between(1800, 2800));
+  const slow = { kind: 'slowLinks', target: LEADER, when: at(from), forMs: 5000, delayMs } as const;
+  // Another one serves after 1.5 s; what the first one wrote until then arrives up to two seconds later.
+  return [slow, kill(LEADER, from + random.between(2400, 3000), 1500)];
+}
+
+/** What a leader says takes so long that another one serves when it arrives; that one is lost before it writes again. */
+export function slowLeaders(random: Seeded): Fault[] {
+  return rounds(random, slowLeaderRound);
+}
+
 function stalledVotesRound(random: Seeded, from: number): Fault[] {
   const faults: Fault[] = [];
   for (let node = 0; node < 3; node += 1) {
--- a/src/simulation/mutants/Mutants.test.ts
+++ b/src/simulation/mutants/Mutants.test.ts
@@ -12,6 +12,7 @@
   'identities-in-memory',
   'reads-at-followers',
   'vote-unsynced',
+  'deposed-write-taken',
   'leads-by-own-copies',
   'wiped-disk-counts',
   'repaired-without-copies',
--- a/src/simulation/mutants/Mutants.ts
+++ b/src/simulation/mutants/Mutants.ts
@@ -13,6 +13,7 @@
   repairBesideOneBehind,
   repairThenLoss,
   restartedVoters,
+  slowLeaders,
   stalledVotes,
   swapBesideCut,
   tornElections,
@@ -49,6 +50,7 @@
   Snapshots,
   StoresConfigUnsynced,
   StoresVotesUnsynced,
+  TakesDeposedWrites,
 } from './StateMutants.js';
 import {
   ageUnjudged,
@@ -194,6 +196,12 @@
     faults: stalledVotes,
     build: builtBy(StoresVotesUnsynced),
   },
+  'deposed-write-taken': {
+    what: 'a write of a deposed leader is taken as one of the present term',
+    rules: ['acknowledged-lost', 'lost-accepted', 'two-accepted-on-one-base', 'stale-read'],
+    faults: slowLeaders,
+    build: builtBy(TakesDeposedWrites),
+  },
   'acknowledged-by-one': {
     what: 'a write counts as held by everybody it was sent to',
     rules: ['acknowledged-lost', 'lost-accepted', 'two-accepted-on-one-base', 'stale-read'],
--- a/src/simulation/mutants/StateMutants.ts
+++ b/src/simulation/mutants/StateMutants.ts
@@ -1,4 +1,4 @@
-import type { PartName } from '../../common/Ids.js';
+import { partName, type PartName } from '../../common/Ids.js';
 import type { Message } from '../../common/Messages.js';
 import { isNewer } from '../../common/Version.js';
 import { decodeConfigDoc, encodeConfigDoc } from '../../control/ConfigCodec.js';
@@ -46,6 +46,18 @@
   }
 }
 
+/** Takes a write of an epoch that is over as the newest of the epoch granted here. */
+export class TakesDeposedWrites extends InterceptedControl {
+  protected override hear(from: string, message: Message): readonly Heard[] {
+    const { grantEpoch } = this.elector.record;
+    if (message.kind !== 'write' || message.epoch >= grantEpoch) return [{ from, message }];
+    // With the epoch alone mistaken, its count is most often below what the present leader has written since.
+    const held = this.parts.versionOf(partName(message.part));
+    const count = Math.max(message.count, held.count);
+    return [{ from, message: { ...message, epoch: grantEpoch, count } }];
+  }
+}
+
 /** Begins to lead with its own copies, reading nobody else's. */
 export class LeadsByOwnCopies extends InterceptedControl {
   protected override carryOut(effect: ControlEffect): readonly ControlEffect[] {
