Let a leader on slow lines end its quorum reads

A quorum read that had no majority after 250 ms was begun anew under another nonce, and answers to the former ones ended nothing: no read and no refusal could be answered until the lines were fast again, though orders went on being acknowledged.

What is open is now asked again under its nonce, of those that have not answered. Its asks stay as they are, so that an answer still shows only what held after they came; where the voters have changed it begins anew as before. Ruled out: a longer span before asking again (a lost question would cost as much), several rounds at once.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -106,6 +106,7 @@
   #round:
     | {
         readonly nonce: number;
+        readonly quorum: Quorum;
         readonly replies: Map<NodeId, { readonly version: Version; readonly marks: number }>;
       }
     | undefined;
@@ -892,11 +893,18 @@
 
   /** Asks a majority for the newest they hold; asks that waited are confirmed fresh by what it returns. */
   #beginRound(now: Moment): void {
-    const nonce = this.#confirmation.begin(now);
+    const open = this.#round;
+    // Where answers take longer than we wait to ask again, those to a new nonce would never be in time: what is open goes
+    // on with the answers that it has. Other voters are asked anew.
+    const isSame = open?.quorum.text === this.#quorum.text;
+    const nonce = isSame ? this.#confirmation.repeat(now) : this.#confirmation.begin(now);
     if (nonce === undefined) return;
-    this.#round = { nonce, replies: new Map() };
+    const round =
+      open?.nonce === nonce ? open : { nonce, quorum: this.#quorum, replies: new Map() };
+    this.#round = round;
     const members = this.#ownMembers();
     for (const peer of this.#quorum.all) {
+      if (round.replies.has(peer)) continue;
       if (peer === this.#me) this.#receiveQuorumRead(now, this.#me, nonce, []);
       else this.#send(peer, { kind: 'quorumRead', nonce, members });
     }
--- a/src/dissemination/FreshnessConfirmation.test.ts
+++ b/src/dissemination/FreshnessConfirmation.test.ts
@@ -14,4 +14,18 @@
   expect(confirmation.end(first ?? 0)).toEqual([]);
   expect(confirmation.end(second ?? 0)).toEqual([{ child: 'b', nonce: 2, members: [] }]);
 }
+function checkRepeat(): void {
+  const confirmation = new FreshnessConfirmation(0);
+  expect(confirmation.repeat(moment(0))).toBeUndefined();
+  const ask = { child: 'a', nonce: 1, members: [] };
+  confirmation.add(ask);
+  const nonce = confirmation.begin(moment(0));
+  confirmation.add({ child: 'b', nonce: 2, members: [] });
+  expect(confirmation.repeat(moment(100))).toBeUndefined();
+  expect(confirmation.repeat(moment(250))).toBe(nonce);
+  expect(confirmation.repeat(moment(300))).toBeUndefined();
+  expect(confirmation.end(nonce ?? 0)).toEqual([ask]);
+}
+test('a round that is asked again returns what it began with', checkRepeat);
+
 test('an ask is returned only by a round begun after it', checkOrder);
--- a/src/dissemination/FreshnessConfirmation.ts
+++ b/src/dissemination/FreshnessConfirmation.ts
@@ -46,6 +46,16 @@
     return this.#nonce;
   }
 
+  /**
+   * The nonce of the round under way, where it is time to ask those again that have not answered. Its asks stay as they
+   * are: an answer to its first sending may come at any time, and shows nothing for what came in since.
+   */
+  repeat(now: Moment): number | undefined {
+    if (!this.#round || now < later(this.#round.sentAt, RETRY_MS)) return undefined;
+    this.#round = { ...this.#round, sentAt: now };
+    return this.#round.nonce;
+  }
+
   /** Everybody that the round under way will make fresh. */
   members(): string[] {
     const ids = new Set<string>();
--- a/src/simulation/ControlSimulation.test.ts
+++ b/src/simulation/ControlSimulation.test.ts
@@ -121,6 +121,23 @@
 }
 
 test('a copy that no node can know to be late is not held against it', checkSlowCalls);
+/** A way there and back takes up to a second: longer than a leader waits before it asks a majority again. */
+function checkSlowLeader(): void {
+  const options: SimulationOptions = {
+    ...OPTION_DEFAULTS,
+    seed: 70_272,
+    nodes: 5,
+    agents: 4,
+    troubleMs: 30_000,
+    paceMs: 600,
+  };
+  const when = { kind: 'at', at: 9238 } as const;
+  const target = { kind: 'role', role: 'itself' } as const;
+  const slow = { kind: 'slowLinks', when, forMs: 19_650, target, delayMs: 501 } as const;
+  expect(simulate(options, [slow]).violations).toEqual([]);
+}
+
+test('a leader whose lines are slow answers reads', checkSlowLeader);
 test('three nodes run calmly', checkCalm.bind(undefined, 3));
 test('five nodes run calmly', checkCalm.bind(undefined, 5));
 test('a run is a pure function of its options and schedule', checkPure);
