--- a/src/dissemination/FreshnessConfirmation.test.ts
+++ b/src/dissemination/FreshnessConfirmation.test.ts
@@ -28,5 +28,18 @@
   expect(confirmation.end(third ?? 0)).toEqual([{ child: 'a', nonce: 2, members: [] }]);
 }
 test('a round is begun anew only after a span in which slow links would have ended it', checkRetry);
+function checkRepeat(): void {
+  const confirmation = new FreshnessConfirmation(0);
+  expect(confirmation.repeat(moment(0))).toBeUndefined();
+  const ask = { child: 'a', nonce: 1, members: [] };
+  confirmation.add(ask);
+  const nonce = confirmation.begin(moment(0));
+  confirmation.add({ child: 'b', nonce: 2, members: [] });
+  expect(confirmation.repeat(moment(100))).toBeUndefined();
+  expect(confirmation.repeat(moment(250))).toBe(nonce);
+  expect(confirmation.repeat(moment(300))).toBeUndefined();
+  expect(confirmation.end(nonce ?? 0)).toEqual([ask]);
+}
+test('a round that is asked again returns what it began with', checkRepeat);
 
 test('an ask is returned only by a round begun after it', checkOrder);
