Turn thrown things into coded errors in one place

The core and the orders of operators each had the same three lines for it. codedErrorOf stands beside CodedError now.

--- a/src/common/CodedError.test.ts
+++ b/src/common/CodedError.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest';
-import { ERROR_CODES } from './CodedError.js';
+import { CodedError, codedErrorOf, ERROR_CODES } from './CodedError.js';
 
 function checks(): void {
   for (const row of Object.values(ERROR_CODES)) {
@@ -8,3 +8,12 @@
   }
 }
 test('no defect that may have run work is told as a turning away', checks);
+
+function checkThrown(): void {
+  const error = new CodedError('no-leader', 'nobody leads');
+  expect(codedErrorOf(error)).toBe(error);
+  expect(codedErrorOf(new Error('no number')).kind).toBe('malformed');
+  expect(codedErrorOf(new Error('no number')).message).toBe('no number');
+  expect(codedErrorOf('text').message).toBe('text');
+}
+test('an error without a kind of its own is malformed', checkThrown);
--- a/src/common/CodedError.ts
+++ b/src/common/CodedError.ts
@@ -60,3 +60,8 @@
 export function reasonOf(thrown: unknown): string {
   return thrown instanceof Error ? thrown.message : String(thrown);
 }
+
+/** The error of a listed kind that was thrown; whatever has no kind of its own is `malformed`. */
+export function codedErrorOf(thrown: unknown): CodedError {
+  return thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown));
+}
--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -3,7 +3,7 @@
 import { ReplicatedState } from '../state/ReplicatedState.js';
 import { ReplicaStatus } from '../state/ReplicaStatus.js';
 import type { StoredPart } from '../state/Store.js';
-import { CodedError, reasonOf } from '../common/CodedError.js';
+import { CodedError, codedErrorOf } from '../common/CodedError.js';
 import { nodeId, later, moment, type NodeId, type Moment, type PartName } from '../common/Ids.js';
 import { mustParseAs, parseAs } from '../common/Json.js';
 import type { MemberMessage, Message } from '../common/Messages.js';
@@ -1191,12 +1191,7 @@
         });
       else this.#orders.submit(now, origin, verb, body);
     } catch (thrown) {
-      this.#answer(
-        origin,
-        errorAnswer(
-          thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
-        ),
-      );
+      this.#answer(origin, errorAnswer(codedErrorOf(thrown)));
     }
   }
 
@@ -1205,12 +1200,7 @@
     try {
       this.#forwarding.checkForwarded(now, this.#ledEpoch, message);
     } catch (thrown) {
-      this.#answer(
-        origin,
-        errorAnswer(
-          thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown)),
-        ),
-      );
+      this.#answer(origin, errorAnswer(codedErrorOf(thrown)));
       return;
     }
     this.#command(now, origin, message.verb, message.body);
--- a/src/control/OperatorOrders.ts
+++ b/src/control/OperatorOrders.ts
@@ -1,4 +1,4 @@
-import { CodedError, reasonOf } from '../common/CodedError.js';
+import { CodedError, codedErrorOf } from '../common/CodedError.js';
 import { later, type Moment } from '../common/Ids.js';
 import { mustParseAs, parseAs } from '../common/Json.js';
 import type { MemberMessage } from '../common/Messages.js';
@@ -95,7 +95,7 @@
         this.#askOutcome(now, origin, mustParseAs(EditShapes.edit, body, 'the ask'));
       else this.#take(now, origin, verb, body);
     } catch (thrown) {
-      const error = errorOf(thrown);
+      const error = codedErrorOf(thrown);
       // What is already unsure, or does not depend on what we hold, needs no proof.
       if (error.row.unsure || error.kind === 'malformed') this.#refuse(origin, error);
       else this.#prove({ origin, verb, body, arrivedAt: now });
@@ -185,7 +185,7 @@
     try {
       this.#take(now, origin, verb, body);
     } catch (thrown) {
-      const error = errorOf(thrown);
+      const error = codedErrorOf(thrown);
       // By what is written but not committed it may only lose once that holds.
       if (error.row.unsure || !this.#isAcceptable(verb, body)) this.#refuse(origin, error);
       else this.#awaitingCommit.push(refusal);
@@ -288,10 +288,6 @@
   }
 }
 
-function errorOf(thrown: unknown): CodedError {
-  return thrown instanceof CodedError ? thrown : new CodedError('malformed', reasonOf(thrown));
-}
-
 function hasId(id: string, edit: { readonly id: string }): boolean {
   return edit.id === id;
 }
