Judge the age of forwarded orders by one set of verbs

checkForwarded also asked whether the verb is a read. No read is among the verbs without a version, so that this alone decides; the answer is the same for every verb.

--- a/src/control/OrderForwarding.ts
+++ b/src/control/OrderForwarding.ts
@@ -106,7 +106,7 @@
 
   /** Throws where a command that another node passed on may not be carried out here any more. */
   checkForwarded(now: Moment, epoch: number, message: CommandMessage): void {
-    if (READS.has(message.verb) || !UNVERSIONED.has(message.verb)) return;
+    if (!UNVERSIONED.has(message.verb)) return;
     if (message.epoch !== epoch || now - message.leaderTime > MOST_AGE_MS) {
       this.#counters.countRefused('too-old');
       throw new CodedError(
