Queue a control node's effects in a class of their own

EffectQueue has them now, so that the parts cut from the core can share it. Origin moved beside the answers that it addresses.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -39,8 +39,9 @@
 import { FleetManager } from './FleetManager.js';
 import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
 import { quorumOf } from './ConfigVoters.js';
-import { errorAnswer, type CommandAnswer } from './OrderAnswers.js';
-import { OperatorOrders, type Commit, type Origin } from './OperatorOrders.js';
+import { EffectQueue } from './EffectQueue.js';
+import { errorAnswer, type Origin } from './OrderAnswers.js';
+import { OperatorOrders, type Commit } from './OperatorOrders.js';
 import { leaderTimeOf, OrderForwarding } from './OrderForwarding.js';
 import { VoterMembership, type MembershipHost } from './VoterMembership.js';
 import type { VotersChange } from './VoterPlan.js';
@@ -83,7 +84,7 @@
   readonly #confirmation: FreshnessConfirmation;
   readonly #table: TableManager;
   #quorum: Quorum;
-  #effects: ControlEffect[] = [];
+  readonly #effects = new EffectQueue();
   readonly #counters = new ControlCounters();
 
   #voteCount = 0;
@@ -183,7 +184,7 @@
     this.#fleetManager =
       settings.deployed &&
       new FleetManager(settings.deployed, {
-        effects: this.#effect.bind(this),
+        effects: this.#effects.add.bind(this.#effects),
         write: this.#writePlaced.bind(this),
         publish: this.#publishFleet.bind(this),
         mayOrder: this.mayOrder.bind(this),
@@ -198,7 +199,7 @@
         committed: this.#newestCommitted.bind(this),
         write: this.#writeDoc.bind(this),
         confirm: this.#confirmRefusal.bind(this),
-        answer: this.#answer.bind(this),
+        answer: this.#effects.answer.bind(this.#effects),
         isInForce: this.#isInForce.bind(this),
       },
       settings.deployed?.dialect,
@@ -207,8 +208,8 @@
     this.#forwarding = new OrderForwarding(
       {
         leader: this.#otherLeader.bind(this),
-        send: this.#send.bind(this),
-        answer: this.#answer.bind(this),
+        send: this.#effects.send.bind(this.#effects),
+        answer: this.#effects.answer.bind(this.#effects),
       },
       this.#counters,
       settings.incarnation,
@@ -219,7 +220,7 @@
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
     this.#table = new TableManager(
       {
-        effect: this.#effect.bind(this),
+        effect: this.#effects.add.bind(this.#effects),
         write: this.#writePlaced.bind(this),
         publish: this.#publishPlaces.bind(this),
         mayOrder: this.mayOrder.bind(this),
@@ -292,9 +293,7 @@
   }
 
   drain(): ControlEffect[] {
-    const effects = this.#effects;
-    this.#effects = [];
-    return effects;
+    return this.#effects.drain();
   }
 
   /** Asked by the executor right before an order is written. */
@@ -324,7 +323,7 @@
   tick(now: Moment): void {
     this.#elector.tick(now);
     for (const send of this.#replicaStatus.tick(now, this.#quorum))
-      this.#effects.push({ do: 'send', ...send });
+      this.#effects.send(send.to, send.message);
     this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
     this.#parts.tick(now);
     this.#sessions.tick(now);
@@ -346,7 +345,7 @@
     switch (message.kind) {
       case 'read':
         if (message.epoch === 0)
-          this.#send(
+          this.#effects.send(
             from,
             this.#replicaStatus.replyTo(
               message.nonce,
@@ -470,7 +469,7 @@
       if (this.#settleOnVote !== undefined && version.count >= this.#settleOnVote) {
         this.#settleOnVote = undefined;
         this.#replicaStatus.settle();
-        this.#note('standing is sound', {});
+        this.#effects.note('standing is sound', {});
       }
     } else {
       this.#parts.stored(part, version, this.#grantedEpoch(), now);
@@ -550,18 +549,6 @@
 
   // ---- effects of the inner cores
 
-  #send(to: string, message: Message): void {
-    this.#effects.push({ do: 'send', to, message });
-  }
-
-  #effect(effect: ControlEffect): void {
-    this.#effects.push(effect);
-  }
-
-  #note(text: string, fields: Readonly<Record<string, string | number>>): void {
-    this.#effects.push({ do: 'note', text, fields });
-  }
-
   #collect(now: Moment): void {
     this.#watchLeader(now);
     for (let isBusy = true; isBusy;) {
@@ -569,7 +556,7 @@
       for (const effect of this.#elector.drain()) {
         isBusy = true;
         if (effect.do === 'send') {
-          this.#send(effect.to, effect.message);
+          this.#effects.send(effect.to, effect.message);
           continue;
         }
         if (this.#replicaStatus.name === 'sound' || this.#settleOnVote !== undefined)
@@ -577,8 +564,8 @@
       }
       for (const effect of this.#parts.drain()) {
         isBusy = true;
-        if (effect.do === 'send') this.#send(effect.to, effect.message);
-        else if (effect.do === 'store') this.#effects.push(effect);
+        if (effect.do === 'send') this.#effects.send(effect.to, effect.message);
+        else if (effect.do === 'store') this.#effects.add(effect);
         else if (effect.do === 'serving') this.#serve(now);
         else if (effect.do === 'voters') this.#readConfig = effect;
         else this.#committed(now, effect.part, effect.version, effect.tokens, effect.members);
@@ -596,7 +583,7 @@
       grantEpoch: record.grantEpoch,
       epoch: record.epoch,
     });
-    this.#effects.push({
+    this.#effects.add({
       do: 'store',
       part: VOTE_PART,
       version: { epoch: record.epoch, count: this.#voteCount },
@@ -616,7 +603,10 @@
     if (leader !== this.#wasLeader) {
       this.#wasLeader = leader;
       this.#counters.countLeaderChange();
-      this.#note('leader', { leader: leader === '' ? 'none' : leader, epoch: this.#elector.epoch });
+      this.#effects.note('leader', {
+        leader: leader === '' ? 'none' : leader,
+        epoch: this.#elector.epoch,
+      });
     }
     const epoch = this.#elector.isLeading() ? this.#elector.epoch : 0;
     if (epoch === this.#ledEpoch) return;
@@ -635,7 +625,7 @@
     this.#orders.abandon();
     for (const confirmation of this.#confirmations.values()) {
       if (confirmation.do === 'read')
-        this.#answer(
+        this.#effects.answer(
           confirmation.origin,
           errorAnswer(new CodedError('no-leader', 'the leader changed')),
         );
@@ -648,11 +638,11 @@
   #settleReplicaStatus(now: Moment, outcome: ReturnType<ReplicaStatus['outcome']>): void {
     if (!outcome || this.#settleOnVote !== undefined || this.#repair) return;
     if (outcome.become === 'founded') {
-      this.#note('founding', {});
+      this.#effects.note('founding', {});
       this.#settleOnVote = this.#voteCount + 1;
       this.#elector.setMayVote(true, { epoch: outcome.epoch, grantEpoch: 0, grantLeader: '' }, now);
     } else {
-      this.#note('repaired from peers', { epoch: outcome.epoch });
+      this.#effects.note('repaired from peers', { epoch: outcome.epoch });
       // Only what is newer than ours is stored anew, and only that is waited for.
       const waiting = new Set(this.#parts.adopt(outcome.copies));
       this.#followVoters();
@@ -716,7 +706,7 @@
   }
 
   #changeVoters(now: Moment, change: VotersChange): void {
-    this.#note('voters', {
+    this.#effects.note('voters', {
       from: this.#doc.voters.join(' | '),
       to: change.voters.join(' | '),
     });
@@ -748,7 +738,7 @@
       isServing: this.#isServingNow.bind(this),
       document: this.#document.bind(this),
       zoneOf: this.#toldZoneOf.bind(this),
-      send: this.#send.bind(this),
+      send: this.#effects.send.bind(this.#effects),
       rewriteParts: this.#rewriteParts.bind(this),
       changeVoters: this.#changeVoters.bind(this),
     };
@@ -779,7 +769,7 @@
     const isOfCandidate =
       message.kind === 'propose' || message.kind === 'victory' || message.kind === 'renew';
     if (!this.#membership || !isOfCandidate || this.#quorum.holds(nodeId(from))) return;
-    this.#send(from, {
+    this.#effects.send(from, {
       kind: 'freshnessRequest',
       nonce: -1,
       have: this.#relay.have(),
@@ -796,7 +786,7 @@
     this.#noteAck(from, message);
     // The tree takes its time with many sessions: it is drawn anew where a word may change it, and else at the tick.
     if (!this.#parentOf.has(from) || message.lost !== '') this.#reassignParents();
-    this.#send(from, { kind: 'assignParent', parent: this.#parentOf.get(from) ?? '' });
+    this.#effects.send(from, { kind: 'assignParent', parent: this.#parentOf.get(from) ?? '' });
     if (this.#fleetManager) {
       const controlNodes = [];
       for (const id of this.#quorum.all)
@@ -804,7 +794,7 @@
           id,
           zone: id === this.#me ? this.#settings.zone : this.#zoneOf(now, id),
         });
-      this.#send(from, {
+      this.#effects.send(from, {
         kind: 'controlNodes',
         controlNodes,
         leader: this.#elector.leader ?? '',
@@ -821,7 +811,7 @@
     const tree = this.#sessions.tree();
     for (const [id, parent] of tree) {
       if (this.#parentOf.get(id) !== undefined && this.#parentOf.get(id) !== parent)
-        this.#send(id, { kind: 'assignParent', parent });
+        this.#effects.send(id, { kind: 'assignParent', parent });
       this.#parentOf.set(id, parent);
     }
     for (const id of this.#parentOf.keys()) if (!tree.has(id)) this.#parentOf.delete(id);
@@ -848,7 +838,7 @@
     }
     if (this.#fleetManager) {
       // Nobody here works by being confirmed fresh: the ask was for news, and its return says that we are there.
-      this.#send(from, {
+      this.#effects.send(from, {
         kind: 'freshnessReply',
         nonce: message.nonce,
         ...this.#relay.version('config'),
@@ -898,7 +888,7 @@
     const members = this.#ownMembers();
     for (const peer of this.#quorum.all) {
       if (peer === this.#me) this.#receiveQuorumRead(now, this.#me, nonce, []);
-      else this.#send(peer, { kind: 'quorumRead', nonce, members });
+      else this.#effects.send(peer, { kind: 'quorumRead', nonce, members });
     }
   }
 
@@ -925,7 +915,7 @@
       marks: this.#table.machines.revision,
     } as const;
     if (from === this.#me) this.#receiveQuorumReadReply(now, from, message);
-    else this.#send(from, message);
+    else this.#effects.send(from, message);
   }
 
   /** The platform is away and we have just started: links below still hold its list. */
@@ -933,7 +923,7 @@
     if (now < later(this.#listAskedAt, 500)) return;
     this.#listAskedAt = now;
     for (const member of this.#knownMembers())
-      this.#send(member.id, {
+      this.#effects.send(member.id, {
         kind: 'freshnessRequest',
         nonce: -1,
         have: this.#relay.have(),
@@ -941,7 +931,7 @@
       });
     for (const peer of this.#quorum.all)
       if (peer !== this.#me)
-        this.#send(peer, {
+        this.#effects.send(peer, {
           kind: 'freshnessRequest',
           nonce: -1,
           have: this.#relay.have(),
@@ -970,7 +960,13 @@
     }
     for (const ask of this.#confirmation.end(round.nonce)) {
       if (ask.child === '') this.#endConfirmation(now, ask.nonce, version);
-      else this.#send(ask.child, { kind: 'freshnessReply', nonce: ask.nonce, ...version, marks });
+      else
+        this.#effects.send(ask.child, {
+          kind: 'freshnessReply',
+          nonce: ask.nonce,
+          ...version,
+          marks,
+        });
     }
     this.#beginRound(now);
   }
@@ -994,7 +990,7 @@
     const version = { epoch: message.epoch, count: message.count };
     if (this.#relay.offerDelta(message.topic, version, message.from, message.body)) return;
     if (isNewer(version, this.#relay.version(message.topic)))
-      this.#send(from, {
+      this.#effects.send(from, {
         kind: 'freshnessRequest',
         nonce: -1,
         have: this.#relay.have(),
@@ -1021,12 +1017,12 @@
     // Every node that learns of a mark passes it on at once, leader or not.
     for (const peer of this.#quorum.all) {
       if (peer !== this.#me)
-        this.#send(peer, { kind: 'update', topic: 'machines', ...version, body });
+        this.#effects.send(peer, { kind: 'update', topic: 'machines', ...version, body });
     }
   }
 
   #flushNews(): void {
-    for (const send of this.#relay.flush()) this.#send(send.to, send.message);
+    for (const send of this.#relay.flush()) this.#effects.send(send.to, send.message);
   }
 
   #tickPeers(now: Moment): void {
@@ -1035,8 +1031,8 @@
     this.#reassignParents();
     const leader = this.#elector.leader;
     if (leader === undefined || leader === this.#me) return;
-    this.#send(leader, { kind: 'acked', members: [...this.#sessions.up()] });
-    this.#send(leader, {
+    this.#effects.send(leader, { kind: 'acked', members: [...this.#sessions.up()] });
+    this.#effects.send(leader, {
       kind: 'freshnessRequest',
       nonce: -1,
       have: this.#relay.have(),
@@ -1047,7 +1043,7 @@
   #receiveDemand(now: Moment, body: string): void {
     const leader = this.#elector.leader;
     if (leader !== undefined && leader !== this.#me) {
-      this.#send(leader, { kind: 'demand', body });
+      this.#effects.send(leader, { kind: 'demand', body });
       return;
     }
     if (this.#fleetManager) {
@@ -1061,7 +1057,7 @@
 
   #serve(now: Moment): void {
     this.#isServing = true;
-    this.#note('serving', { epoch: this.#ledEpoch });
+    this.#effects.note('serving', { epoch: this.#ledEpoch });
     const body = this.#parts.body(CONFIG_PART);
     this.#doc = body === '' ? firstDoc(this.#settings.seeds) : mustDecodeConfigDoc(body);
     // It was rewritten by a majority in our epoch before we serve.
@@ -1091,7 +1087,7 @@
   #recover(now: Moment): void {
     this.#recoverUntil = later(now, RECOVER_MS);
     for (const member of this.#knownMembers())
-      this.#send(member.id, { kind: 'freshnessRequest', nonce: -1, have: [], members: [] });
+      this.#effects.send(member.id, { kind: 'freshnessRequest', nonce: -1, have: [], members: [] });
   }
 
   #endRecovery(now: Moment): void {
@@ -1100,7 +1096,7 @@
     const item = this.#relay.item('config');
     const news = item ? parseAs(ConfigNewsShape, item.body) : undefined;
     if (news && news.number > this.#doc.number) {
-      this.#note('table recovered from members', { table: news.number });
+      this.#effects.note('table recovered from members', { table: news.number });
       this.#doc = {
         ...this.#doc,
         number: news.number,
@@ -1164,7 +1160,7 @@
   #command(now: Moment, origin: Origin, verb: string, body: string): void {
     try {
       if (verb === 'status') {
-        this.#answer(origin, { status: 200, body: JSON.stringify(this.#status(now)) });
+        this.#effects.answer(origin, { status: 200, body: JSON.stringify(this.#status(now)) });
         return;
       }
       if (verb === 'found') {
@@ -1180,18 +1176,18 @@
       }
       if (verb === 'read') this.#confirm({ do: 'read', origin });
       else if (verb === 'live')
-        this.#answer(origin, {
+        this.#effects.answer(origin, {
           status: 200,
           body: JSON.stringify(this.#table.live(now, this.#doc)),
         });
       else if (verb === 'fleet')
-        this.#answer(origin, {
+        this.#effects.answer(origin, {
           status: 200,
           body: JSON.stringify(this.#table.fleet(now, this.#doc)),
         });
       else this.#orders.submit(now, origin, verb, body);
     } catch (thrown) {
-      this.#answer(origin, errorAnswer(codedErrorOf(thrown)));
+      this.#effects.answer(origin, errorAnswer(codedErrorOf(thrown)));
     }
   }
 
@@ -1200,7 +1196,7 @@
     try {
       this.#forwarding.checkForwarded(now, this.#ledEpoch, message);
     } catch (thrown) {
-      this.#answer(origin, errorAnswer(codedErrorOf(thrown)));
+      this.#effects.answer(origin, errorAnswer(codedErrorOf(thrown)));
       return;
     }
     this.#command(now, origin, message.verb, message.body);
@@ -1262,7 +1258,7 @@
     const item = this.#relay.item('config');
     const isOurs = isNewest && item?.version.epoch === this.#ledEpoch;
     if (!this.#isServing || !item || (!isOurs && isNewer(newest, item.version))) {
-      this.#answer(
+      this.#effects.answer(
         origin,
         errorAnswer(
           new CodedError('no-leader', 'a newer configuration is being written; ask again'),
@@ -1270,7 +1266,7 @@
       );
       return;
     }
-    this.#answer(origin, { status: 200, body: item.body });
+    this.#effects.answer(origin, { status: 200, body: item.body });
   }
 
   #writePart(now: Moment, part: PartName, body: string, token: number): void {
@@ -1324,7 +1320,7 @@
 
   #found(now: Moment, origin: Origin): void {
     if (this.#replicaStatus.name === 'sound') {
-      this.#answer(origin, {
+      this.#effects.answer(origin, {
         status: 200,
         body: JSON.stringify({ outcome: 'already', standing: 'sound' }),
       });
@@ -1333,17 +1329,12 @@
     this.#replicaStatus.force();
     this.#isRecovering = true;
     this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
-    this.#answer(origin, {
+    this.#effects.answer(origin, {
       status: 200,
       body: JSON.stringify({ outcome: 'forced', standing: this.#replicaStatus.name }),
     });
   }
 
-  #answer(origin: Origin, answer: CommandAnswer): void {
-    if (origin.from === '') this.#effects.push({ do: 'reply', id: origin.id, ...answer });
-    else this.#send(origin.from, { kind: 'commandReply', id: origin.id, ...answer });
-  }
-
   // ---- the outside: platform, weight store, runners
 
   #writePlaced(now: Moment, part: PartName, body: string): void {
@@ -1365,7 +1356,7 @@
     }
     if (now >= later(this.#machinesAt, this.#settings.machinesMs)) {
       this.#machinesAt = now;
-      this.#effects.push({ do: 'askMachines' });
+      this.#effects.add({ do: 'askMachines' });
     }
     if (this.#isServing) this.#table.tick(now, this.#doc, this.#recoverUntil === undefined);
   }
--- /dev/null
+++ b/src/control/EffectQueue.test.ts
@@ -0,0 +1,28 @@
+import { expect, test } from 'vitest';
+import { EffectQueue } from './EffectQueue.js';
+
+function checkOrder(): void {
+  const effects = new EffectQueue();
+  effects.note('leader', { leader: 'a' });
+  effects.send('b', { kind: 'demand', body: '' });
+  effects.add({ do: 'askList' });
+  expect(effects.drain()).toEqual([
+    { do: 'note', text: 'leader', fields: { leader: 'a' } },
+    { do: 'send', to: 'b', message: { kind: 'demand', body: '' } },
+    { do: 'askList' },
+  ]);
+  expect(effects.drain()).toEqual([]);
+}
+test('effects are drained once, in the order in which they came', checkOrder);
+
+function checkAnswers(): void {
+  const effects = new EffectQueue();
+  const answer = { status: 200, body: '{}' };
+  effects.answer({ from: '', id: 3 }, answer);
+  effects.answer({ from: 'b', id: 4 }, answer);
+  expect(effects.drain()).toEqual([
+    { do: 'reply', id: 3, ...answer },
+    { do: 'send', to: 'b', message: { kind: 'commandReply', id: 4, ...answer } },
+  ]);
+}
+test('a command is answered where it came from', checkAnswers);
--- /dev/null
+++ b/src/control/EffectQueue.ts
@@ -0,0 +1,34 @@
+import type { Message } from '../common/Messages.js';
+import type { ControlEffect } from './ControlEffect.js';
+import type { CommandAnswer, Origin } from './OrderAnswers.js';
+
+/** The effects of a control node's core that are still to be carried out, in the order in which they were decided. */
+export class EffectQueue {
+  #waiting: ControlEffect[] = [];
+
+  add(effect: ControlEffect): void {
+    this.#waiting.push(effect);
+  }
+
+  send(to: string, message: Message): void {
+    this.add({ do: 'send', to, message });
+  }
+
+  /** A line for the log. */
+  note(text: string, fields: Readonly<Record<string, string | number>>): void {
+    this.add({ do: 'note', text, fields });
+  }
+
+  /** Answers a command where it came from: at this node's own API, or at the node that passed it on. */
+  answer(origin: Origin, answer: CommandAnswer): void {
+    if (origin.from === '') this.add({ do: 'reply', id: origin.id, ...answer });
+    else this.send(origin.from, { kind: 'commandReply', id: origin.id, ...answer });
+  }
+
+  /** Takes all that wait. */
+  drain(): ControlEffect[] {
+    const effects = this.#waiting;
+    this.#waiting = [];
+    return effects;
+  }
+}
--- a/src/control/OperatorOrders.ts
+++ b/src/control/OperatorOrders.ts
@@ -13,14 +13,9 @@
   errorAnswer,
   leaderLostAnswer,
   type CommandAnswer,
+  type Origin,
 } from './OrderAnswers.js';
 
-/** Where a command came from, and so where its answer goes: `from` is empty for this node's own API. */
-export interface Origin {
-  readonly from: string;
-  readonly id: number;
-}
-
 /** What the orders of operators need of the control node that leads. */
 export interface OrderHost {
   /** The configuration as last written here, committed or not. */
--- a/src/control/OrderAnswers.ts
+++ b/src/control/OrderAnswers.ts
@@ -2,6 +2,12 @@
 import { versionText, type Version } from '../common/Version.js';
 import { ConfigError, TableError } from './Edits.js';
 
+/** Where a command came from, and so where its answer goes: `from` is empty for this node's own API. */
+export interface Origin {
+  readonly from: string;
+  readonly id: number;
+}
+
 /** An answer to an operator's command: an HTTP status and a JSON body. */
 export interface CommandAnswer {
   readonly status: number;
--- a/src/control/OrderForwarding.ts
+++ b/src/control/OrderForwarding.ts
@@ -4,8 +4,7 @@
 import type { Message } from '../common/Messages.js';
 import { EditShapes } from './ConfigDoc.js';
 import type { ControlCounters, UnclearReason } from './ControlMetrics.js';
-import { leaderLostAnswer, type CommandAnswer } from './OrderAnswers.js';
-import type { Origin } from './OperatorOrders.js';
+import { leaderLostAnswer, type CommandAnswer, type Origin } from './OrderAnswers.js';
 
 /** A moment of the leader's own clock, as it told it in an epoch. */
 export interface LeaderTime {
