Let a class of its own follow the voters of the newest configuration

FollowedVoters holds who votes and tells the elector and the replicated state. Membership is handed it in place of a method that returned the quorum.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -39,6 +39,7 @@
 import { FleetManager } from './FleetManager.js';
 import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
 import { quorumOf } from './ConfigVoters.js';
+import { FollowedVoters } from './FollowedVoters.js';
 import { EffectQueue } from './EffectQueue.js';
 import { errorAnswer, type Origin } from './OrderAnswers.js';
 import { OperatorOrders, type Commit } from './OperatorOrders.js';
@@ -83,7 +84,7 @@
   readonly #relay = new Relay();
   readonly #confirmation: FreshnessConfirmation;
   readonly #table: TableManager;
-  #quorum: Quorum;
+  readonly #voters: FollowedVoters;
   readonly #effects = new EffectQueue();
   readonly #counters = new ControlCounters();
 
@@ -138,10 +139,6 @@
   readonly #zones = new Map<string, string>();
   /** Set in a deployment, where voters change by themselves. */
   readonly #membership: VoterMembership | undefined;
-  /** The configuration whose voters are followed. */
-  #followedConfig = '';
-  /** The newest configuration read while beginning to lead in this epoch, where it names other voters. */
-  #readConfig: { readonly version: Version; readonly body: string } | undefined;
 
   constructor(
     settings: ControlSettings,
@@ -165,11 +162,17 @@
         ? 'sound'
         : 'lost';
     this.#voteCount = voteFile?.version.count ?? 0;
-    this.#quorum = new Quorum(seeds);
-    this.#parts = new ReplicatedState(this.#me, this.#quorum, allParts(), stored, quorumOf);
+    const quorum = new Quorum(seeds);
+    this.#parts = new ReplicatedState(this.#me, quorum, allParts(), stored, quorumOf);
     this.#doc = firstDoc(settings.seeds);
     const known: VoteRecord | undefined = name === 'sound' ? record : undefined;
-    this.#elector = new Elector(this.#me, this.#quorum, vote, now, known);
+    this.#elector = new Elector(this.#me, quorum, vote, now, known);
+    this.#voters = new FollowedVoters(quorum, {
+      elector: this.#elector,
+      parts: this.#parts,
+      relay: settings.deployed && this.#relay,
+      counters: this.#counters,
+    });
     this.#keptGrant = known?.grantEpoch ?? 0;
     this.#replicaStatus = new ReplicaStatus(
       this.#me,
@@ -230,7 +233,7 @@
       settings.me,
       settings.reportMs,
     );
-    this.#followVoters();
+    this.#voters.follow();
     this.#collect(now);
   }
 
@@ -250,7 +253,7 @@
     return this.#isServing;
   }
   get voters(): readonly NodeId[] {
-    return this.#quorum.all;
+    return this.#voters.quorum.all;
   }
   get ordersSent(): number {
     return this.#table.ordersSent + (this.#fleetManager?.ordersSent ?? 0);
@@ -273,10 +276,10 @@
       leaseLeftMs: Math.max(0, this.#elector.leaseEnd - now),
       majorityContactAgeMs: contact === undefined ? undefined : now - contact,
       voters: {
-        members: this.#quorum.all.length,
+        members: this.#voters.quorum.all.length,
         reachable: this.#elector.reachableVoters(now),
-        isVoter: this.#quorum.holds(this.#me),
-        isJoint: this.#quorum.sets > 1,
+        isVoter: this.#voters.quorum.holds(this.#me),
+        isJoint: this.#voters.quorum.sets > 1,
       },
       replica: isRepairing ? 'repairing' : this.#replicaStatus.name,
       unsoundParts: this.#parts.unsoundParts().length,
@@ -312,7 +315,7 @@
 
   /** Everybody that this node wants a line to. */
   get peers(): readonly string[] {
-    const ids = new Set<string>(this.#quorum.all);
+    const ids = new Set<string>(this.#voters.quorum.all);
     if (this.#isLost()) for (const seed of this.#seeds) ids.add(seed);
     ids.delete(this.#me);
     return [...ids];
@@ -322,9 +325,9 @@
 
   tick(now: Moment): void {
     this.#elector.tick(now);
-    for (const send of this.#replicaStatus.tick(now, this.#quorum))
+    for (const send of this.#replicaStatus.tick(now, this.#voters.quorum))
       this.#effects.send(send.to, send.message);
-    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
+    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#voters.quorum));
     this.#parts.tick(now);
     this.#sessions.tick(now);
     for (const [id, at] of this.#asked)
@@ -341,7 +344,7 @@
 
   receive(now: Moment, from: string, message: Message, zone: string = ''): void {
     this.#forwarding.heard(from);
-    if (zone !== '' && this.#quorum.holds(nodeId(from))) this.#zones.set(from, zone);
+    if (zone !== '' && this.#voters.quorum.holds(nodeId(from))) this.#zones.set(from, zone);
     switch (message.kind) {
       case 'read':
         if (message.epoch === 0)
@@ -370,7 +373,7 @@
         else
           this.#settleReplicaStatus(
             now,
-            this.#replicaStatus.receive(now, nodeId(from), message, this.#quorum),
+            this.#replicaStatus.receive(now, nodeId(from), message, this.#voters.quorum),
           );
         break;
       case 'write':
@@ -567,10 +570,10 @@
         if (effect.do === 'send') this.#effects.send(effect.to, effect.message);
         else if (effect.do === 'store') this.#effects.add(effect);
         else if (effect.do === 'serving') this.#serve(now);
-        else if (effect.do === 'voters') this.#readConfig = effect;
+        else if (effect.do === 'voters') this.#voters.noteRead(effect);
         else this.#committed(now, effect.part, effect.version, effect.tokens, effect.members);
       }
-      this.#followVoters();
+      this.#voters.follow();
       this.#watchLeader(now);
     }
     this.#flushNews();
@@ -619,7 +622,7 @@
     this.#isServing = false;
     this.#recoverUntil = undefined;
     this.#parts.release();
-    this.#readConfig = undefined;
+    this.#voters.forgetRead();
     this.#table.end();
     this.#written.clear();
     this.#orders.abandon();
@@ -645,7 +648,7 @@
       this.#effects.note('repaired from peers', { epoch: outcome.epoch });
       // Only what is newer than ours is stored anew, and only that is waited for.
       const waiting = new Set(this.#parts.adopt(outcome.copies));
-      this.#followVoters();
+      this.#voters.follow();
       this.#repair = { epoch: outcome.epoch, waiting };
       this.#endRepair(now);
     }
@@ -658,40 +661,11 @@
     this.#repair = undefined;
     this.#counters.countRepair();
     // One that is no voter has granted nothing that binds here: it joins the epoch that stands, and no election is due for it.
-    const epoch = this.#fleetManager && !this.#quorum.holds(this.#me) ? 0 : repair.epoch;
+    const epoch = this.#fleetManager && !this.#voters.quorum.holds(this.#me) ? 0 : repair.epoch;
     this.#settleOnVote = this.#voteCount + 1;
     this.#elector.setMayVote(true, { epoch, grantEpoch: 0, grantLeader: '' }, now);
   }
 
-  #followVoters(): void {
-    const body = this.#newestConfig();
-    if (body === this.#followedConfig) return;
-    this.#followedConfig = body;
-    const quorum = quorumOf(body);
-    if (quorum) this.#setQuorum(quorum);
-  }
-
-  #setQuorum(quorum: Quorum): void {
-    if (quorum.text === this.#quorum.text) return;
-    this.#quorum = quorum;
-    this.#counters.countVoterChange();
-    this.#elector.setQuorum(quorum);
-    this.#parts.setQuorum(quorum);
-  }
-
-  /** The newest configuration known here: our own copy, one told as committed, or one read while beginning to lead. */
-  #newestConfig(): string {
-    let version = this.#parts.versionOf(CONFIG_PART);
-    let body = this.#parts.replicaBody(CONFIG_PART);
-    const told = this.#fleetManager ? this.#relay.item('config') : undefined;
-    for (const other of [told, this.#readConfig]) {
-      if (!other || !isNewer(other.version, version)) continue;
-      version = other.version;
-      body = other.body;
-    }
-    return body;
-  }
-
   // ---- voters of a deployment: they announce themselves, and the leader lets them in
 
   /** Of one that is silent nothing is told: nobody is to turn to it for being near. */
@@ -702,7 +676,7 @@
 
   /** No voter as far as we know, or without a leader. */
   #isLost(): boolean {
-    return !this.#quorum.holds(this.#me) || this.#elector.leader === undefined;
+    return !this.#voters.quorum.holds(this.#me) || this.#elector.leader === undefined;
   }
 
   #changeVoters(now: Moment, change: VotersChange): void {
@@ -715,7 +689,7 @@
     const body = encodeConfigDoc(this.#doc);
     // Two sets decide together from here on, also on this very change. One alone is told to those let go as well.
     const joint = change.voters.length === 2 ? quorumOf(body) : undefined;
-    if (joint) this.#setQuorum(joint);
+    if (joint) this.#voters.set(joint);
     this.#writePart(now, CONFIG_PART, body, 0);
   }
 
@@ -733,7 +707,7 @@
       parts: this.#parts,
       relay: this.#relay,
       status: this.#replicaStatus,
-      quorum: this.#currentQuorum.bind(this),
+      voters: this.#voters,
       peers: this.#currentPeers.bind(this),
       isServing: this.#isServingNow.bind(this),
       document: this.#document.bind(this),
@@ -744,10 +718,6 @@
     };
   }
 
-  #currentQuorum(): Quorum {
-    return this.#quorum;
-  }
-
   #currentPeers(): readonly string[] {
     return this.peers;
   }
@@ -768,7 +738,7 @@
   #noteCandidate(from: string, message: Message): void {
     const isOfCandidate =
       message.kind === 'propose' || message.kind === 'victory' || message.kind === 'renew';
-    if (!this.#membership || !isOfCandidate || this.#quorum.holds(nodeId(from))) return;
+    if (!this.#membership || !isOfCandidate || this.#voters.quorum.holds(nodeId(from))) return;
     this.#effects.send(from, {
       kind: 'freshnessRequest',
       nonce: -1,
@@ -789,7 +759,7 @@
     this.#effects.send(from, { kind: 'assignParent', parent: this.#parentOf.get(from) ?? '' });
     if (this.#fleetManager) {
       const controlNodes = [];
-      for (const id of this.#quorum.all)
+      for (const id of this.#voters.quorum.all)
         controlNodes.push({
           id,
           zone: id === this.#me ? this.#settings.zone : this.#zoneOf(now, id),
@@ -818,7 +788,7 @@
     const children: string[] = [];
     for (const [id, parent] of tree) if (parent === '') children.push(id);
     if (this.#elector.isLeading())
-      children.push(...this.#quorum.all.filter(isOther.bind(undefined, this.#me)));
+      children.push(...this.#voters.quorum.all.filter(isOther.bind(undefined, this.#me)));
     this.#fed = new Set(children);
     this.#relay.setChildren(children);
   }
@@ -886,7 +856,7 @@
     if (nonce === undefined) return;
     this.#round = { nonce, replies: new Map() };
     const members = this.#ownMembers();
-    for (const peer of this.#quorum.all) {
+    for (const peer of this.#voters.quorum.all) {
       if (peer === this.#me) this.#receiveQuorumRead(now, this.#me, nonce, []);
       else this.#effects.send(peer, { kind: 'quorumRead', nonce, members });
     }
@@ -929,7 +899,7 @@
         have: this.#relay.have(),
         members: [],
       });
-    for (const peer of this.#quorum.all)
+    for (const peer of this.#voters.quorum.all)
       if (peer !== this.#me)
         this.#effects.send(peer, {
           kind: 'freshnessRequest',
@@ -950,7 +920,7 @@
       version: { epoch: message.epoch, count: message.count },
       marks: message.marks,
     });
-    if (!this.#quorum.isMajority(new Set(round.replies.keys()))) return;
+    if (!this.#voters.quorum.isMajority(new Set(round.replies.keys()))) return;
     this.#round = undefined;
     let version = NO_VERSION;
     let marks = 0;
@@ -981,7 +951,7 @@
         { epoch: message.epoch, count: message.count },
         message.body,
       );
-      if (isNew && this.#fleetManager && message.topic === 'config') this.#followVoters();
+      if (isNew && this.#fleetManager && message.topic === 'config') this.#voters.follow();
     }
   }
 
@@ -1015,7 +985,7 @@
     const body = JSON.stringify(machines);
     this.#relay.offer('machines', version, body);
     // Every node that learns of a mark passes it on at once, leader or not.
-    for (const peer of this.#quorum.all) {
+    for (const peer of this.#voters.quorum.all) {
       if (peer !== this.#me)
         this.#effects.send(peer, { kind: 'update', topic: 'machines', ...version, body });
     }
@@ -1138,10 +1108,10 @@
       this.#publishConfig(version, doc);
       this.#committedDoc = this.#parts.isWriting(part) ? doc : this.#doc;
     }
-    this.#followVoters();
+    this.#voters.follow();
     this.#orders.committed(now, version, tokens, [...members, ...this.#possibleMembers(now)]);
     // Let go by the voters: a seat that is handed over as planned gives the lease back itself, any other leader steps down.
-    if (!this.#isRetiring && !this.#quorum.holds(this.#me)) this.#elector.stepDown();
+    if (!this.#isRetiring && !this.#voters.quorum.holds(this.#me)) this.#elector.stepDown();
   }
 
   /** Bodies by version, from when they were written until they are committed. */
@@ -1328,7 +1298,7 @@
     }
     this.#replicaStatus.force();
     this.#isRecovering = true;
-    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#quorum));
+    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#voters.quorum));
     this.#effects.answer(origin, {
       status: 200,
       body: JSON.stringify({ outcome: 'forced', standing: this.#replicaStatus.name }),
@@ -1369,8 +1339,9 @@
 
   #status(now: Moment): object {
     const totals: Record<string, number> = {};
-    for (const voter of this.#quorum.all)
-      totals[voter] = Math.round(this.#elector.scores.total(voter, this.#quorum.all) * 1000) / 1000;
+    for (const voter of this.#voters.quorum.all)
+      totals[voter] =
+        Math.round(this.#elector.scores.total(voter, this.#voters.quorum.all) * 1000) / 1000;
     const parts: Record<string, string> = {};
     for (const part of allParts()) parts[part] = versionText(this.#parts.versionOf(part));
     const members = [];
@@ -1398,7 +1369,7 @@
       serving: this.#isServing,
       mayOrder: this.mayOrder(now),
       leaseLeftMs: Math.max(0, Math.round(this.#elector.leaseEnd - now)),
-      voters: this.#quorum.all,
+      voters: this.#voters.quorum.all,
       scores: totals,
       parts,
       unsound: this.#parts.unsoundParts(),
--- /dev/null
+++ b/src/control/FollowedVoters.test.ts
@@ -0,0 +1,75 @@
+import { expect, test } from 'vitest';
+import { moment, nodeId } from '../common/Ids.js';
+import { Quorum } from '../common/Quorum.js';
+import { Relay } from '../dissemination/Relay.js';
+import { Elector } from '../election/Elector.js';
+import { VOTE_DEFAULTS } from '../election/VoteSettings.js';
+import { allParts, CONFIG_PART } from '../state/PartNames.js';
+import { ReplicatedState } from '../state/ReplicatedState.js';
+import { ControlCounters } from './ControlMetrics.js';
+import { FollowedVoters, type VoterSources } from './FollowedVoters.js';
+
+const SEEDS = ['a', 'b', 'c'].map(nodeId);
+
+/** The first node, with a copy of the configuration that names `held`, as version 2.1. */
+function follower(held: readonly string[], relay: Relay | undefined): FollowedVoters {
+  return new FollowedVoters(new Quorum(SEEDS), sourcesOf(held, relay));
+}
+
+function sourcesOf(held: readonly string[], relay: Relay | undefined): VoterSources {
+  const quorum = new Quorum(SEEDS);
+  const stored = {
+    part: CONFIG_PART,
+    version: { epoch: 2, count: 1 },
+    body: bodyOf(held),
+    isSound: true,
+  };
+  return {
+    elector: new Elector(nodeId('a'), quorum, VOTE_DEFAULTS, moment(0), undefined),
+    parts: new ReplicatedState(nodeId('a'), quorum, allParts(), [stored]),
+    relay,
+    counters: new ControlCounters(),
+  };
+}
+
+function bodyOf(voters: readonly string[]): string {
+  return JSON.stringify({ voters: [voters] });
+}
+
+function checkNewest(): void {
+  const relay = new Relay();
+  const voters = follower(['a', 'b', 'd'], relay);
+  expect(voters.quorum.all).toEqual(SEEDS);
+  voters.follow();
+  expect(voters.quorum.all).toEqual(['a', 'b', 'd']);
+  relay.offer('config', { epoch: 2, count: 2 }, bodyOf(['a', 'd', 'e']));
+  voters.follow();
+  expect(voters.quorum.all).toEqual(['a', 'd', 'e']);
+  voters.noteRead({ version: { epoch: 3, count: 1 }, body: bodyOf(['f']) });
+  voters.follow();
+  expect(voters.quorum.all).toEqual(['f']);
+  voters.forgetRead();
+  voters.follow();
+  expect(voters.quorum.all).toEqual(['a', 'd', 'e']);
+}
+test('the voters of the newest configuration are followed, wherever it is known from', checkNewest);
+
+function checkOwnCopy(): void {
+  const voters = follower(['a', 'b', 'd'], undefined);
+  voters.follow();
+  voters.noteRead({ version: { epoch: 1, count: 9 }, body: bodyOf(['f']) });
+  voters.follow();
+  expect(voters.quorum.all).toEqual(['a', 'b', 'd']);
+}
+test('an older configuration changes nothing', checkOwnCopy);
+
+function checkCount(): void {
+  const sources = sourcesOf(['a', 'b', 'd'], undefined);
+  const voters = new FollowedVoters(new Quorum(SEEDS), sources);
+  voters.follow();
+  voters.follow();
+  voters.set(new Quorum(['a', 'b', 'd'].map(nodeId)));
+  const own = { electionsStarted: 0, votesGranted: 0, copiesMended: 0 };
+  expect(sources.counters.eventsWith(own).voterChanges).toBe(1);
+}
+test('the same voters again are no change', checkCount);
--- /dev/null
+++ b/src/control/FollowedVoters.ts
@@ -0,0 +1,82 @@
+import type { Quorum } from '../common/Quorum.js';
+import { isNewer, type Version } from '../common/Version.js';
+import type { Relay } from '../dissemination/Relay.js';
+import type { Elector } from '../election/Elector.js';
+import { CONFIG_PART } from '../state/PartNames.js';
+import type { ReplicatedState } from '../state/ReplicatedState.js';
+import { quorumOf } from './ConfigVoters.js';
+import type { ControlCounters } from './ControlMetrics.js';
+
+/** A configuration as it is stored or told. */
+export interface VersionedConfig {
+  readonly version: Version;
+  readonly body: string;
+}
+
+/** Where configurations are found, and who has to know the voters that they name. */
+export interface VoterSources {
+  readonly elector: Elector;
+  readonly parts: ReplicatedState;
+  /** What the leader told as committed; nothing where a node follows the voters of its own copy alone. */
+  readonly relay: Relay | undefined;
+  readonly counters: ControlCounters;
+}
+
+/** Who votes, by the newest configuration known to this node. */
+export class FollowedVoters {
+  readonly #sources: VoterSources;
+  #quorum: Quorum;
+  /** The configuration whose voters are followed. */
+  #followed = '';
+  /** The newest configuration read while beginning to lead, where it names other voters. */
+  #read: VersionedConfig | undefined;
+
+  constructor(seeds: Quorum, sources: VoterSources) {
+    this.#quorum = seeds;
+    this.#sources = sources;
+  }
+
+  get quorum(): Quorum {
+    return this.#quorum;
+  }
+
+  /** Takes up the voters of the newest configuration, if it is another one than before. */
+  follow(): void {
+    const body = this.#newestConfig();
+    if (body === this.#followed) return;
+    this.#followed = body;
+    const quorum = quorumOf(body);
+    if (quorum) this.set(quorum);
+  }
+
+  /** From here on these decide. */
+  set(quorum: Quorum): void {
+    if (quorum.text === this.#quorum.text) return;
+    this.#quorum = quorum;
+    this.#sources.counters.countVoterChange();
+    this.#sources.elector.setQuorum(quorum);
+    this.#sources.parts.setQuorum(quorum);
+  }
+
+  /** A configuration was read from a majority while beginning to lead. */
+  noteRead(config: VersionedConfig): void {
+    this.#read = config;
+  }
+
+  /** This node no longer begins to lead. */
+  forgetRead(): void {
+    this.#read = undefined;
+  }
+
+  /** Our own copy, one told as committed, or one read while beginning to lead. */
+  #newestConfig(): string {
+    let version = this.#sources.parts.versionOf(CONFIG_PART);
+    let body = this.#sources.parts.replicaBody(CONFIG_PART);
+    for (const other of [this.#sources.relay?.item('config'), this.#read]) {
+      if (!other || !isNewer(other.version, version)) continue;
+      version = other.version;
+      body = other.body;
+    }
+    return body;
+  }
+}
--- a/src/control/VoterMembership.ts
+++ b/src/control/VoterMembership.ts
@@ -23,7 +23,7 @@
   readonly relay: Relay;
   readonly status: ReplicaStatus;
   /** Who votes, by the newest configuration known here. */
-  quorum(): Quorum;
+  readonly voters: { readonly quorum: Quorum };
   /** Everybody to whom this node keeps a connection. */
   peers(): readonly string[];
   /** Whether this node leads and has taken over the state. */
@@ -149,7 +149,7 @@
   mustKeepSeat(now: Moment): boolean {
     const host = this.#host;
     if (!this.#handover) {
-      if (!this.#isSound() || !host.quorum().holds(nodeId(host.me))) return false;
+      if (!this.#isSound() || !host.voters.quorum.holds(nodeId(host.me))) return false;
       this.#handover = new SeatHandover(now);
     }
     const handover = this.#handover;
@@ -162,7 +162,7 @@
       if (leader !== undefined && leader !== host.me && handover.isTellDue(now))
         host.send(leader, { kind: 'leave', id: host.me });
     }
-    handover.tick(now, this.#hasSpare(host.quorum().all));
+    handover.tick(now, this.#hasSpare(host.voters.quorum.all));
     return !handover.isOver;
   }
 
@@ -171,7 +171,7 @@
   /** No voter as far as we know, or without a leader. */
   #isLost(): boolean {
     const { me } = this.#host;
-    return !this.#host.quorum().holds(nodeId(me)) || this.#host.elector.leader === undefined;
+    return !this.#host.voters.quorum.holds(nodeId(me)) || this.#host.elector.leader === undefined;
   }
 
   #isSound(): boolean {
@@ -180,7 +180,7 @@
 
   #announce(now: Moment): void {
     const host = this.#host;
-    const isVoter = host.quorum().holds(nodeId(host.me));
+    const isVoter = host.voters.quorum.holds(nodeId(host.me));
     if (isVoter) this.#hasVoted = true;
     // One that is told to stop must not be taken in again.
     if (this.#handover || now < later(this.#announcedAt, ANNOUNCE_MS)) return;
