Keep the members known to a control node in a class of their own

KnownMembers holds who may still work by an older configuration and what each acknowledged, and decides whether a commit is in force.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -8,13 +8,7 @@
 import { mustParseAs, parseAs } from '../common/Json.js';
 import type { MemberMessage, Message } from '../common/Messages.js';
 import { Quorum } from '../common/Quorum.js';
-import {
-  compareVersions,
-  isNewer,
-  NO_VERSION,
-  versionText,
-  type Version,
-} from '../common/Version.js';
+import { isNewer, NO_VERSION, versionText, type Version } from '../common/Version.js';
 import { Relay } from '../dissemination/Relay.js';
 import { Sessions } from '../dissemination/Sessions.js';
 import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
@@ -37,6 +31,7 @@
 import { TableManager } from './TableManager.js';
 import { ControlCounters, sessionNumbers, type ControlMetrics } from './ControlMetrics.js';
 import { FleetManager } from './FleetManager.js';
+import { KnownMembers } from './KnownMembers.js';
 import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
 import { quorumOf } from './ConfigVoters.js';
 import { FollowedVoters } from './FollowedVoters.js';
@@ -57,18 +52,10 @@
 /** What a quorum read that this node asked for itself is to prove. */
 type Confirmation = { readonly do: 'read'; readonly origin: Origin } | { readonly do: 'refusal' };
 
-interface HeardMembers {
-  readonly members: readonly MemberMessage[];
-  readonly at: Moment;
-}
-
 /** How long members are waited for when the table is recovered from them. */
 const RECOVER_MS = 2000;
 const NEAR_MS = 1000;
 const NEVER = moment(-1e12);
-/** Clocks differ in rate, and a confirmation takes its way: whoever is not fresh by so long after is surely blind. */
-const BLIND_SLACK_MS = 200;
-const UNKNOWN: MemberMessage = { id: 'unknown', zone: '', address: '', epoch: 0, count: 0 };
 
 /**
  * The core of a control node: election, shared state, sessions, news, configuration and placement,
@@ -81,6 +68,7 @@
   readonly #parts: ReplicatedState;
   readonly #replicaStatus: ReplicaStatus;
   readonly #sessions: Sessions;
+  readonly #members: KnownMembers;
   readonly #relay = new Relay();
   readonly #confirmation: FreshnessConfirmation;
   readonly #table: TableManager;
@@ -101,10 +89,6 @@
   /** Copies read for a repair that are not on disk yet; the record that makes us count is written after them. */
   #repair: { readonly epoch: number; readonly waiting: Set<PartName> } | undefined;
 
-  /** Members that asked through us, with a session here or not, and when. */
-  readonly #asked = new Map<string, Moment>();
-  readonly #heardMembers = new Map<string, HeardMembers>();
-  readonly #ackedBy = new Map<string, Version>();
   #round:
     | {
         readonly nonce: number;
@@ -121,8 +105,6 @@
   readonly #confirmations = new Map<number, Confirmation>();
   #confirmationId = 0;
 
-  /** Until then members may stand on no list of ours that were confirmed fresh through us before we started. */
-  readonly #unknownUntil: Moment;
   #listAskedAt: Moment = NEVER;
   /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a tick earlier. */
   #isServing = false;
@@ -149,7 +131,6 @@
   ) {
     this.#settings = settings;
     this.#me = nodeId(settings.me);
-    this.#unknownUntil = later(now, settings.blindMs + BLIND_SLACK_MS);
     const seeds = settings.seeds.map(nodeId);
     const voteFile = stored.find(isVote);
     const record = voteFile ? parseAs(VoteBodyShape, voteFile.body) : undefined;
@@ -191,7 +172,7 @@
         write: this.#writePlaced.bind(this),
         publish: this.#publishFleet.bind(this),
         mayOrder: this.mayOrder.bind(this),
-        flows: this.#flowCount.bind(this),
+        flows: this.#countMembers.bind(this),
       });
     this.#membership = settings.deployed && new VoterMembership(this.#membershipHost(), now);
     this.#confirmation = new FreshnessConfirmation(settings.incarnation);
@@ -221,13 +202,14 @@
     if (name !== 'sound')
       this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
+    this.#members = new KnownMembers(this.#sessions, settings.blindMs, now);
     this.#table = new TableManager(
       {
         effect: this.#effects.add.bind(this.#effects),
         write: this.#writePlaced.bind(this),
         publish: this.#publishPlaces.bind(this),
         mayOrder: this.mayOrder.bind(this),
-        proxies: this.#flowCount.bind(this),
+        proxies: this.#countMembers.bind(this),
       },
       placer,
       settings.me,
@@ -330,10 +312,7 @@
     this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#voters.quorum));
     this.#parts.tick(now);
     this.#sessions.tick(now);
-    for (const [id, at] of this.#asked)
-      if (now - at > this.#settings.blindMs * 2) this.#asked.delete(id);
-    for (const [peer, heard] of this.#heardMembers)
-      if (now - heard.at > this.#settings.blindMs * 2) this.#heardMembers.delete(peer);
+    this.#members.tick(now);
     this.#beginRound(now);
     this.#tickPeers(now);
     this.#tickCommands(now);
@@ -382,7 +361,7 @@
           nodeId(from),
           message,
           this.#grantedEpoch(),
-          this.#possibleMembers(now),
+          this.#members.possible(now),
           this.#replicaStatus.name,
         );
         break;
@@ -413,7 +392,7 @@
         break;
       case 'ack':
         this.#sessions.ack(from, message);
-        this.#noteAck(from, message);
+        this.#members.noteAck(from, message);
         break;
       case 'acked':
         this.#receiveAcked(now, from, message.members);
@@ -753,7 +732,7 @@
     this.#sessions.join(now, from, message.zone, message.address, message);
     this.#replicaStatus.noteMember(message.epoch);
     if (message.lost !== '') this.#sessions.upset(now, message.lost);
-    this.#noteAck(from, message);
+    this.#members.noteAck(from, message);
     // The tree takes its time with many sessions: it is drawn anew where a word may change it, and else at the tick.
     if (!this.#parentOf.has(from) || message.lost !== '') this.#reassignParents();
     this.#effects.send(from, { kind: 'assignParent', parent: this.#parentOf.get(from) ?? '' });
@@ -816,46 +795,17 @@
       });
       return;
     }
-    for (const id of message.members) this.#asked.set(id, now);
+    this.#members.noteAsked(now, message.members);
     this.#confirmation.add({ child: from, nonce: message.nonce, members: message.members });
     this.#beginRound(now);
   }
 
-  #noteAck(id: string, version: Version): void {
-    if (isNewer(version, this.#ackedBy.get(id) ?? NO_VERSION))
-      this.#ackedBy.set(id, { epoch: version.epoch, count: version.count });
-  }
-
-  /** Members that may still work by an older configuration, as far as this node knows. */
-  #knownMembers(): MemberMessage[] {
-    const list = this.#ownMembers();
-    for (const heard of this.#heardMembers.values()) list.push(...heard.members);
-    return list;
-  }
-
-  /** With one that acks nothing while we have just started and cannot know them all: a yes then waits until all are surely blind. */
-  #possibleMembers(now: Moment): MemberMessage[] {
-    const list = this.#knownMembers();
-    if (now < this.#unknownUntil) list.push(UNKNOWN);
-    return list;
-  }
-
-  /** Those with a session here now or lately, and those confirmed fresh through us lately, wherever their session is. */
-  #ownMembers(): MemberMessage[] {
-    const list = [...this.#sessions.recent()];
-    const ids = new Set<string>();
-    for (const member of list) ids.add(member.id);
-    for (const id of this.#asked.keys())
-      if (!ids.has(id)) list.push({ id, zone: '', address: id, epoch: 0, count: 0 });
-    return list;
-  }
-
   /** Asks a majority for the newest they hold; asks that waited are confirmed fresh by what it returns. */
   #beginRound(now: Moment): void {
     const nonce = this.#confirmation.begin(now);
     if (nonce === undefined) return;
     this.#round = { nonce, replies: new Map() };
-    const members = this.#ownMembers();
+    const members = this.#members.own();
     for (const peer of this.#voters.quorum.all) {
       if (peer === this.#me) this.#receiveQuorumRead(now, this.#me, nonce, []);
       else this.#effects.send(peer, { kind: 'quorumRead', nonce, members });
@@ -868,7 +818,7 @@
     nonce: number,
     members: readonly MemberMessage[],
   ): void {
-    if (from !== this.#me) this.#heardMembers.set(from, { members, at: now });
+    if (from !== this.#me) this.#members.noteHeard(now, from, members);
     // A node whose disk is lost, or whose copy is bad, may have held something newer than it can tell.
     if (this.#replicaStatus.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART))
       return;
@@ -892,7 +842,7 @@
   #askList(now: Moment): void {
     if (now < later(this.#listAskedAt, 500)) return;
     this.#listAskedAt = now;
-    for (const member of this.#knownMembers())
+    for (const member of this.#members.all())
       this.#effects.send(member.id, {
         kind: 'freshnessRequest',
         nonce: -1,
@@ -969,14 +919,12 @@
   }
 
   #receiveAcked(now: Moment, from: string, members: readonly MemberMessage[]): void {
-    for (const member of members) this.#noteAck(member.id, member);
-    if (this.#fleetManager) this.#heardMembers.set(from, { members, at: now });
+    for (const member of members) this.#members.noteAck(member.id, member);
+    if (this.#fleetManager) this.#members.noteHeard(now, from, members);
   }
 
-  #flowCount(): number {
-    const ids = new Set<string>();
-    for (const member of this.#knownMembers()) ids.add(member.id);
-    return Math.max(1, ids.size);
+  #countMembers(): number {
+    return this.#members.count();
   }
 
   #takeMachines(machines: Machines): void {
@@ -1056,7 +1004,7 @@
   /** After an operator's force-new-cluster, members are asked for the newest table they hold before anything is served. */
   #recover(now: Moment): void {
     this.#recoverUntil = later(now, RECOVER_MS);
-    for (const member of this.#knownMembers())
+    for (const member of this.#members.all())
       this.#effects.send(member.id, { kind: 'freshnessRequest', nonce: -1, have: [], members: [] });
   }
 
@@ -1109,7 +1057,7 @@
       this.#committedDoc = this.#parts.isWriting(part) ? doc : this.#doc;
     }
     this.#voters.follow();
-    this.#orders.committed(now, version, tokens, [...members, ...this.#possibleMembers(now)]);
+    this.#orders.committed(now, version, tokens, [...members, ...this.#members.possible(now)]);
     // Let go by the voters: a seat that is handed over as planned gives the lease back itself, any other leader steps down.
     if (!this.#isRetiring && !this.#voters.quorum.holds(this.#me)) this.#elector.stepDown();
   }
@@ -1274,18 +1222,7 @@
 
   #isInForce(now: Moment, commit: Commit): boolean {
     // In a deployment the yes says that it is held for good; the machines have their own span to follow.
-    if (this.#fleetManager !== undefined) return true;
-    // Whoever has not acked by then has not been confirmed fresh since before the write was held: it is blind.
-    return (
-      now >= later(commit.at, this.#settings.blindMs + BLIND_SLACK_MS) ||
-      this.#hasAllAcked(commit.members, commit.version)
-    );
-  }
-
-  #hasAllAcked(members: ReadonlySet<string>, version: Version): boolean {
-    for (const id of members)
-      if (compareVersions(this.#ackedBy.get(id) ?? NO_VERSION, version) < 0) return false;
-    return true;
+    return this.#fleetManager !== undefined || this.#members.isInForce(now, commit);
   }
 
   #found(now: Moment, origin: Origin): void {
@@ -1346,13 +1283,13 @@
     for (const part of allParts()) parts[part] = versionText(this.#parts.versionOf(part));
     const members = [];
     const seen = new Set<string>();
-    for (const member of this.#knownMembers()) {
+    for (const member of this.#members.all()) {
       if (seen.has(member.id)) continue;
       seen.add(member.id);
       members.push({
         id: member.id,
         zone: member.zone,
-        acked: versionText(this.#ackedBy.get(member.id) ?? member),
+        acked: versionText(this.#members.ackedBy(member)),
         parent: this.#parentOf.get(member.id) ?? '',
       });
     }
--- /dev/null
+++ b/src/control/KnownMembers.ts
@@ -0,0 +1,108 @@
+import { later, type Moment } from '../common/Ids.js';
+import type { MemberMessage } from '../common/Messages.js';
+import { compareVersions, isNewer, NO_VERSION, type Version } from '../common/Version.js';
+import type { Sessions } from '../dissemination/Sessions.js';
+import type { Commit } from './OperatorOrders.js';
+
+interface HeardMembers {
+  readonly members: readonly MemberMessage[];
+  readonly at: Moment;
+}
+
+/** Clocks differ in rate, and a confirmation takes its way: whoever is not fresh by so long after is surely blind. */
+const BLIND_SLACK_MS = 200;
+/** Stands for all that cannot be known; it acknowledges nothing. */
+const UNKNOWN: MemberMessage = { id: 'unknown', zone: '', address: '', epoch: 0, count: 0 };
+
+/** The members (agents and their proxies) that may still work by an older configuration, and what each acknowledged. */
+export class KnownMembers {
+  readonly #sessions: Sessions;
+  readonly #blindMs: number;
+  /** Until then some may be on no list of ours that were confirmed fresh through us before we started. */
+  readonly #unknownUntil: Moment;
+  /** Members that asked through us, with a session here or not, and when. */
+  readonly #asked = new Map<string, Moment>();
+  /** What other control nodes told of theirs, by node. */
+  readonly #heard = new Map<string, HeardMembers>();
+  readonly #acked = new Map<string, Version>();
+
+  /** A member not confirmed fresh within `blindMs` turns new work away. */
+  constructor(sessions: Sessions, blindMs: number, now: Moment) {
+    this.#sessions = sessions;
+    this.#blindMs = blindMs;
+    this.#unknownUntil = later(now, blindMs + BLIND_SLACK_MS);
+  }
+
+  tick(now: Moment): void {
+    const rememberMs = this.#blindMs * 2;
+    for (const [id, at] of this.#asked) if (now - at > rememberMs) this.#asked.delete(id);
+    for (const [node, heard] of this.#heard)
+      if (now - heard.at > rememberMs) this.#heard.delete(node);
+  }
+
+  /** These will be fresh by a confirmation that goes through us. */
+  noteAsked(now: Moment, ids: readonly string[]): void {
+    for (const id of ids) this.#asked.set(id, now);
+  }
+
+  /** Another control node told its members. */
+  noteHeard(now: Moment, node: string, members: readonly MemberMessage[]): void {
+    this.#heard.set(node, { members, at: now });
+  }
+
+  noteAck(id: string, version: Version): void {
+    if (isNewer(version, this.#acked.get(id) ?? NO_VERSION))
+      this.#acked.set(id, { epoch: version.epoch, count: version.count });
+  }
+
+  /** The newest configuration that a member acknowledged, or has by its own word. */
+  ackedBy(member: MemberMessage): Version {
+    return this.#acked.get(member.id) ?? member;
+  }
+
+  /** Those with a session here now or lately, and those confirmed fresh through us lately, wherever their session is. */
+  own(): MemberMessage[] {
+    const list = [...this.#sessions.recent()];
+    const ids = new Set<string>();
+    for (const member of list) ids.add(member.id);
+    for (const id of this.#asked.keys())
+      if (!ids.has(id)) list.push({ id, zone: '', address: id, epoch: 0, count: 0 });
+    return list;
+  }
+
+  /** All that this node knows of; one may be named more than once. */
+  all(): MemberMessage[] {
+    const list = this.own();
+    for (const heard of this.#heard.values()) list.push(...heard.members);
+    return list;
+  }
+
+  /** With one that acks nothing while we have just started and cannot know them all: a yes then waits until all are surely blind. */
+  possible(now: Moment): MemberMessage[] {
+    const list = this.all();
+    if (now < this.#unknownUntil) list.push(UNKNOWN);
+    return list;
+  }
+
+  /** How many there are, at least one. */
+  count(): number {
+    const ids = new Set<string>();
+    for (const member of this.all()) ids.add(member.id);
+    return Math.max(1, ids.size);
+  }
+
+  /** Whether nobody works by an older configuration than this one any more. */
+  isInForce(now: Moment, commit: Commit): boolean {
+    // Whoever has not acked by then has not been confirmed fresh since before the write was held: it is blind.
+    return (
+      now >= later(commit.at, this.#blindMs + BLIND_SLACK_MS) ||
+      this.#haveAllAcked(commit.members, commit.version)
+    );
+  }
+
+  #haveAllAcked(members: ReadonlySet<string>, version: Version): boolean {
+    for (const id of members)
+      if (compareVersions(this.#acked.get(id) ?? NO_VERSION, version) < 0) return false;
+    return true;
+  }
+}
