Cut the relay tree and the zones of control nodes from the core

RelayTree tells agents their parents and the relay whom it feeds. ControlNodeZones knows in which zones the control nodes are and what agents are told of that. Both tried by themselves.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -34,11 +34,13 @@
 import { KnownMembers } from './KnownMembers.js';
 import type { ControlEffect, ControlSettings, OrderResult } from './ControlEffect.js';
 import { quorumOf } from './ConfigVoters.js';
+import { ControlNodeZones } from './ControlNodeZones.js';
 import { FollowedVoters } from './FollowedVoters.js';
 import { EffectQueue } from './EffectQueue.js';
 import { errorAnswer, type Origin } from './OrderAnswers.js';
 import { OperatorOrders, type Commit } from './OperatorOrders.js';
 import { leaderTimeOf, OrderForwarding } from './OrderForwarding.js';
+import { RelayTree } from './RelayTree.js';
 import { VoterMembership, type MembershipHost } from './VoterMembership.js';
 import type { VotersChange } from './VoterPlan.js';
 
@@ -54,7 +56,6 @@
 
 /** How long members are waited for when the table is recovered from them. */
 const RECOVER_MS = 2000;
-const NEAR_MS = 1000;
 const NEVER = moment(-1e12);
 
 /**
@@ -70,6 +71,7 @@
   readonly #sessions: Sessions;
   readonly #members: KnownMembers;
   readonly #relay = new Relay();
+  readonly #tree: RelayTree;
   readonly #confirmation: FreshnessConfirmation;
   readonly #table: TableManager;
   readonly #voters: FollowedVoters;
@@ -118,7 +120,7 @@
   /** Set where a deployment brings its own planner. */
   readonly #fleetManager: FleetManager | undefined;
   #seeds: readonly string[];
-  readonly #zones = new Map<string, string>();
+  readonly #zones: ControlNodeZones;
   /** Set in a deployment, where voters change by themselves. */
   readonly #membership: VoterMembership | undefined;
 
@@ -154,6 +156,7 @@
       relay: settings.deployed && this.#relay,
       counters: this.#counters,
     });
+    this.#zones = new ControlNodeZones(this.#me, settings.zone, this.#elector);
     this.#keptGrant = known?.grantEpoch ?? 0;
     this.#replicaStatus = new ReplicaStatus(
       this.#me,
@@ -202,6 +205,12 @@
     if (name !== 'sound')
       this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
+    this.#tree = new RelayTree({
+      sessions: this.#sessions,
+      relay: this.#relay,
+      effects: this.#effects,
+      fedNodes: this.#fedNodes.bind(this),
+    });
     this.#members = new KnownMembers(this.#sessions, settings.blindMs, now);
     this.#table = new TableManager(
       {
@@ -323,7 +332,7 @@
 
   receive(now: Moment, from: string, message: Message, zone: string = ''): void {
     this.#forwarding.heard(from);
-    if (zone !== '' && this.#voters.quorum.holds(nodeId(from))) this.#zones.set(from, zone);
+    if (zone !== '' && this.#voters.quorum.holds(nodeId(from))) this.#zones.note(from, zone);
     switch (message.kind) {
       case 'read':
         if (message.epoch === 0)
@@ -433,10 +442,9 @@
 
   /** The line to a node closed. */
   gone(now: Moment, from: string): void {
-    this.#sessions.gone(from);
-    this.#relay.removeChild(from);
+    this.#tree.gone(from);
     this.#forwarding.gone(from);
-    this.#reassignParents();
+    this.#tree.redraw();
     this.#collect(now);
   }
 
@@ -647,12 +655,6 @@
 
   // ---- voters of a deployment: they announce themselves, and the leader lets them in
 
-  /** Of one that is silent nothing is told: nobody is to turn to it for being near. */
-  #zoneOf(now: Moment, id: NodeId): string {
-    const at = this.#elector.heardAt(id);
-    return at !== undefined && now - at < NEAR_MS ? (this.#zones.get(id) ?? '') : '';
-  }
-
   /** No voter as far as we know, or without a leader. */
   #isLost(): boolean {
     return !this.#voters.quorum.holds(this.#me) || this.#elector.leader === undefined;
@@ -690,7 +692,7 @@
       peers: this.#currentPeers.bind(this),
       isServing: this.#isServingNow.bind(this),
       document: this.#document.bind(this),
-      zoneOf: this.#toldZoneOf.bind(this),
+      zoneOf: this.#zones.zoneOf.bind(this.#zones),
       send: this.#effects.send.bind(this.#effects),
       rewriteParts: this.#rewriteParts.bind(this),
       changeVoters: this.#changeVoters.bind(this),
@@ -709,10 +711,6 @@
     return this.#doc;
   }
 
-  #toldZoneOf(id: string): string {
-    return this.#zones.get(id) ?? '';
-  }
-
   /** One that is not among the voters known here stands for election: there may be a newer configuration. */
   #noteCandidate(from: string, message: Message): void {
     const isOfCandidate =
@@ -729,47 +727,22 @@
   // ---- members, vouching, news
 
   #receiveJoin(now: Moment, from: string, message: Extract<Message, { kind: 'join' }>): void {
-    this.#sessions.join(now, from, message.zone, message.address, message);
+    this.#tree.join(now, from, message);
     this.#replicaStatus.noteMember(message.epoch);
-    if (message.lost !== '') this.#sessions.upset(now, message.lost);
     this.#members.noteAck(from, message);
-    // The tree takes its time with many sessions: it is drawn anew where a word may change it, and else at the tick.
-    if (!this.#parentOf.has(from) || message.lost !== '') this.#reassignParents();
-    this.#effects.send(from, { kind: 'assignParent', parent: this.#parentOf.get(from) ?? '' });
-    if (this.#fleetManager) {
-      const controlNodes = [];
-      for (const id of this.#voters.quorum.all)
-        controlNodes.push({
-          id,
-          zone: id === this.#me ? this.#settings.zone : this.#zoneOf(now, id),
-        });
-      this.#effects.send(from, {
-        kind: 'controlNodes',
-        controlNodes,
-        leader: this.#elector.leader ?? '',
-        ...this.#relay.version('config'),
-      });
-    }
+    if (!this.#fleetManager) return;
+    this.#effects.send(from, {
+      kind: 'controlNodes',
+      controlNodes: this.#zones.list(now, this.#voters.quorum.all),
+      leader: this.#elector.leader ?? '',
+      ...this.#relay.version('config'),
+    });
   }
 
-  #fed: ReadonlySet<string> = new Set();
-  readonly #parentOf = new Map<string, string>();
-
-  /** Tells those whose parent changed, and keeps feeding those that hang under us. */
-  #reassignParents(): void {
-    const tree = this.#sessions.tree();
-    for (const [id, parent] of tree) {
-      if (this.#parentOf.get(id) !== undefined && this.#parentOf.get(id) !== parent)
-        this.#effects.send(id, { kind: 'assignParent', parent });
-      this.#parentOf.set(id, parent);
-    }
-    for (const id of this.#parentOf.keys()) if (!tree.has(id)) this.#parentOf.delete(id);
-    const children: string[] = [];
-    for (const [id, parent] of tree) if (parent === '') children.push(id);
-    if (this.#elector.isLeading())
-      children.push(...this.#voters.quorum.all.filter(isOther.bind(undefined, this.#me)));
-    this.#fed = new Set(children);
-    this.#relay.setChildren(children);
+  /** While it leads, a node feeds the other voters as well. */
+  #fedNodes(): readonly string[] {
+    if (!this.#elector.isLeading()) return [];
+    return this.#voters.quorum.all.filter(isOther.bind(undefined, this.#me));
   }
 
   /** An ask from below: by a link of the tree, by one that cannot reach its parent, or by a peer for news alone. */
@@ -782,7 +755,7 @@
     if (message.nonce < 0) {
       // Answered once: who hangs elsewhere is fed there, and would get everything twice.
       this.#flushNews();
-      if (!this.#fed.has(from)) this.#relay.removeChild(from);
+      if (!this.#tree.feeds(from)) this.#relay.removeChild(from);
       return;
     }
     if (this.#fleetManager) {
@@ -946,7 +919,7 @@
   #tickPeers(now: Moment): void {
     if (now < later(this.#peersPingedAt, this.#fleetManager ? 500 : 250)) return;
     this.#peersPingedAt = now;
-    this.#reassignParents();
+    this.#tree.redraw();
     const leader = this.#elector.leader;
     if (leader === undefined || leader === this.#me) return;
     this.#effects.send(leader, { kind: 'acked', members: [...this.#sessions.up()] });
@@ -1290,7 +1263,7 @@
         id: member.id,
         zone: member.zone,
         acked: versionText(this.#members.ackedBy(member)),
-        parent: this.#parentOf.get(member.id) ?? '',
+        parent: this.#tree.parentOf(member.id),
       });
     }
     const places = this.#relay.item('places');
--- /dev/null
+++ b/src/control/ControlNodeZones.test.ts
@@ -0,0 +1,29 @@
+import { expect, test } from 'vitest';
+import { moment, nodeId, type Moment } from '../common/Ids.js';
+import { ControlNodeZones } from './ControlNodeZones.js';
+
+const ME = nodeId('a');
+const OTHER = nodeId('b');
+
+/** Every node was heard of 100 ms after the start. */
+function heardAt(): Moment {
+  return moment(100);
+}
+
+function checkNear(): void {
+  const zones = new ControlNodeZones(ME, 'east', { heardAt });
+  zones.note('b', 'west');
+  const near = [
+    { id: ME, zone: 'east' },
+    { id: OTHER, zone: 'west' },
+  ];
+  const silent = [
+    { id: ME, zone: 'east' },
+    { id: OTHER, zone: '' },
+  ];
+  expect(zones.list(moment(1000), [ME, OTHER])).toEqual(near);
+  expect(zones.list(moment(1100), [ME, OTHER])).toEqual(silent);
+  expect(zones.zoneOf('b')).toBe('west');
+  expect(zones.zoneOf('c')).toBe('');
+}
+test('a node that was silent for a second is told without its zone', checkNear);
--- /dev/null
+++ b/src/control/RelayTree.test.ts
@@ -0,0 +1,80 @@
+import { expect, test } from 'vitest';
+import { moment } from '../common/Ids.js';
+import type { Message } from '../common/Messages.js';
+import { FAN_OUT, Sessions } from '../dissemination/Sessions.js';
+import { Relay } from '../dissemination/Relay.js';
+import { EffectQueue } from './EffectQueue.js';
+import { RelayTree } from './RelayTree.js';
+
+const NOW = moment(0);
+
+class Tree {
+  readonly effects = new EffectQueue();
+  readonly sessions = new Sessions(500, 2000);
+  readonly relay = new Relay();
+  readonly tree = new RelayTree({
+    sessions: this.sessions,
+    relay: this.relay,
+    effects: this.effects,
+    fedNodes: fedNodes,
+  });
+
+  join(id: string, lost = ''): void {
+    const message = { kind: 'join', zone: 'z', address: `${id}:1`, epoch: 0, count: 0, lost };
+    this.tree.join(NOW, id, { ...message, kind: 'join' });
+  }
+
+  /** What was sent since it was asked last. */
+  sent(): readonly (readonly [string, Message])[] {
+    const sent: (readonly [string, Message])[] = [];
+    for (const effect of this.effects.drain())
+      if (effect.do === 'send') sent.push([effect.to, effect.message]);
+    return sent;
+  }
+}
+
+function fedNodes(): readonly string[] {
+  return ['peer'];
+}
+
+function assigned(to: string, parent: string): readonly [string, Message] {
+  return [to, { kind: 'assignParent', parent }];
+}
+
+function checkParents(): void {
+  const tree = new Tree();
+  tree.join('a');
+  expect(tree.sent()).toEqual([assigned('a', '')]);
+  // More than hang under one node: the others get parents among those before them.
+  const others = ['b', 'c', 'd', 'e', 'f', 'g'].slice(0, FAN_OUT + 2);
+  for (const id of others) tree.join(id);
+  expect(tree.sent().length).toBeGreaterThanOrEqual(others.length);
+  for (const id of ['a', ...others])
+    expect(tree.tree.feeds(id)).toBe(tree.tree.parentOf(id) === '');
+  expect(others.some(hasParent.bind(undefined, tree.tree))).toBe(true);
+}
+function hasParent(tree: RelayTree, id: string): boolean {
+  return tree.parentOf(id) !== '';
+}
+test('each agent is told its parent, and only those under this node are fed', checkParents);
+
+function checkAgain(): void {
+  const tree = new Tree();
+  tree.join('a');
+  tree.sent();
+  tree.tree.redraw();
+  expect(tree.sent()).toEqual([]);
+  tree.join('a');
+  expect(tree.sent()).toEqual([assigned('a', '')]);
+}
+test('an unchanged parent is told to whoever joins again alone', checkAgain);
+
+function checkGone(): void {
+  const tree = new Tree();
+  tree.join('a');
+  tree.tree.gone('a');
+  tree.tree.redraw();
+  expect(tree.tree.feeds('a')).toBe(false);
+  expect(tree.tree.feeds('peer')).toBe(true);
+}
+test('an agent whose connection closed is fed no more, other control nodes are', checkGone);
