Cut the exchange of updates from the control core

UpdateExchange takes updates, changes and lists of machines, passes them on, and asks for what is missing; the message that asks was written out five times.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -14,7 +14,6 @@
 import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
 import { PLACER_DEFAULTS, type PlacerSettings } from '../placement/Placer.js';
 import {
-  MachinesShape,
   ServicePartShape,
   type Catalog,
   type Intent,
@@ -41,6 +40,7 @@
 import { OperatorOrders, type Commit } from './OperatorOrders.js';
 import { leaderTimeOf, OrderForwarding } from './OrderForwarding.js';
 import { RelayTree } from './RelayTree.js';
+import { UpdateExchange } from './UpdateExchange.js';
 import { VoterMembership, type MembershipHost } from './VoterMembership.js';
 import type { VotersChange } from './VoterPlan.js';
 
@@ -74,6 +74,7 @@
   readonly #tree: RelayTree;
   readonly #confirmation: FreshnessConfirmation;
   readonly #table: TableManager;
+  readonly #updates: UpdateExchange;
   readonly #voters: FollowedVoters;
   readonly #effects = new EffectQueue();
   readonly #counters = new ControlCounters();
@@ -107,7 +108,6 @@
   readonly #confirmations = new Map<number, Confirmation>();
   #confirmationId = 0;
 
-  #listAskedAt: Moment = NEVER;
   /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a tick earlier. */
   #isServing = false;
   #isRetiring = false;
@@ -224,6 +224,16 @@
       settings.me,
       settings.reportMs,
     );
+    this.#updates = new UpdateExchange({
+      me: this.#me,
+      relay: this.#relay,
+      tree: this.#tree,
+      members: this.#members,
+      table: this.#table,
+      voters: this.#voters,
+      effects: this.#effects,
+      followsTold: settings.deployed !== undefined,
+    });
     this.#voters.follow();
     this.#collect(now);
   }
@@ -416,10 +426,10 @@
         this.#membership?.receiveLeaveReply(message);
         break;
       case 'update':
-        this.#receiveUpdate(message);
+        this.#updates.receiveUpdate(message);
         break;
       case 'delta':
-        this.#receiveDelta(from, message);
+        this.#updates.receiveDelta(from, message);
         break;
       case 'demand':
         this.#receiveDemand(now, message.body);
@@ -469,7 +479,7 @@
   }
 
   machines(now: Moment, machines: Machines): void {
-    this.#takeMachines(machines);
+    this.#updates.takeMachines(machines);
     this.#collect(now);
   }
 
@@ -563,7 +573,7 @@
       this.#voters.follow();
       this.#watchLeader(now);
     }
-    this.#flushNews();
+    this.#updates.flush();
   }
 
   #keepVote(token: number, record: VoteRecord): void {
@@ -716,12 +726,7 @@
     const isOfCandidate =
       message.kind === 'propose' || message.kind === 'victory' || message.kind === 'renew';
     if (!this.#membership || !isOfCandidate || this.#voters.quorum.holds(nodeId(from))) return;
-    this.#effects.send(from, {
-      kind: 'freshnessRequest',
-      nonce: -1,
-      have: this.#relay.have(),
-      members: [],
-    });
+    this.#updates.request(from);
   }
 
   // ---- members, vouching, news
@@ -753,9 +758,7 @@
   ): void {
     this.#relay.heard(from, message.have);
     if (message.nonce < 0) {
-      // Answered once: who hangs elsewhere is fed there, and would get everything twice.
-      this.#flushNews();
-      if (!this.#tree.feeds(from)) this.#relay.removeChild(from);
+      this.#updates.answerOnce(from);
       return;
     }
     if (this.#fleetManager) {
@@ -797,7 +800,7 @@
       return;
     // Without any list we cannot tell which machines are leaving, though somebody may have known before we started.
     if (!this.#fleetManager && this.#table.machines.revision === 0) {
-      this.#askList(now);
+      this.#updates.askMachines(now);
       return;
     }
     const version = this.#parts.versionOf(CONFIG_PART);
@@ -811,27 +814,6 @@
     else this.#effects.send(from, message);
   }
 
-  /** The platform is away and we have just started: links below still hold its list. */
-  #askList(now: Moment): void {
-    if (now < later(this.#listAskedAt, 500)) return;
-    this.#listAskedAt = now;
-    for (const member of this.#members.all())
-      this.#effects.send(member.id, {
-        kind: 'freshnessRequest',
-        nonce: -1,
-        have: this.#relay.have(),
-        members: [],
-      });
-    for (const peer of this.#voters.quorum.all)
-      if (peer !== this.#me)
-        this.#effects.send(peer, {
-          kind: 'freshnessRequest',
-          nonce: -1,
-          have: this.#relay.have(),
-          members: [],
-        });
-  }
-
   #receiveQuorumReadReply(
     now: Moment,
     from: string,
@@ -864,33 +846,6 @@
     this.#beginRound(now);
   }
 
-  #receiveUpdate(message: Extract<Message, { kind: 'update' }>): void {
-    if (message.topic === 'machines') {
-      const machines = parseAs(MachinesShape, message.body);
-      if (machines) this.#takeMachines(machines);
-    } else {
-      const isNew = this.#relay.offer(
-        message.topic,
-        { epoch: message.epoch, count: message.count },
-        message.body,
-      );
-      if (isNew && this.#fleetManager && message.topic === 'config') this.#voters.follow();
-    }
-  }
-
-  /** A change that does not follow on what is held here: the sender is told what is. */
-  #receiveDelta(from: string, message: Extract<Message, { kind: 'delta' }>): void {
-    const version = { epoch: message.epoch, count: message.count };
-    if (this.#relay.offerDelta(message.topic, version, message.from, message.body)) return;
-    if (isNewer(version, this.#relay.version(message.topic)))
-      this.#effects.send(from, {
-        kind: 'freshnessRequest',
-        nonce: -1,
-        have: this.#relay.have(),
-        members: [],
-      });
-  }
-
   #receiveAcked(now: Moment, from: string, members: readonly MemberMessage[]): void {
     for (const member of members) this.#members.noteAck(member.id, member);
     if (this.#fleetManager) this.#members.noteHeard(now, from, members);
@@ -900,22 +855,6 @@
     return this.#members.count();
   }
 
-  #takeMachines(machines: Machines): void {
-    if (!this.#table.takeMachines(machines)) return;
-    const version = { epoch: 0, count: machines.revision };
-    const body = JSON.stringify(machines);
-    this.#relay.offer('machines', version, body);
-    // Every node that learns of a mark passes it on at once, leader or not.
-    for (const peer of this.#voters.quorum.all) {
-      if (peer !== this.#me)
-        this.#effects.send(peer, { kind: 'update', topic: 'machines', ...version, body });
-    }
-  }
-
-  #flushNews(): void {
-    for (const send of this.#relay.flush()) this.#effects.send(send.to, send.message);
-  }
-
   #tickPeers(now: Moment): void {
     if (now < later(this.#peersPingedAt, this.#fleetManager ? 500 : 250)) return;
     this.#peersPingedAt = now;
@@ -923,12 +862,7 @@
     const leader = this.#elector.leader;
     if (leader === undefined || leader === this.#me) return;
     this.#effects.send(leader, { kind: 'acked', members: [...this.#sessions.up()] });
-    this.#effects.send(leader, {
-      kind: 'freshnessRequest',
-      nonce: -1,
-      have: this.#relay.have(),
-      members: [],
-    });
+    this.#updates.request(leader);
   }
 
   #receiveDemand(now: Moment, body: string): void {
@@ -977,8 +911,7 @@
   /** After an operator's force-new-cluster, members are asked for the newest table they hold before anything is served. */
   #recover(now: Moment): void {
     this.#recoverUntil = later(now, RECOVER_MS);
-    for (const member of this.#members.all())
-      this.#effects.send(member.id, { kind: 'freshnessRequest', nonce: -1, have: [], members: [] });
+    this.#updates.requestAll();
   }
 
   #endRecovery(now: Moment): void {
