Cut quorum reads from the control core

QuorumReads asks a majority for the newest configuration, confirms members by it, and answers what this node asked for itself; Leadership holds the epoch led in and whether the state is taken over.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -8,10 +8,9 @@
 import { mustParseAs, parseAs } from '../common/Json.js';
 import type { MemberMessage, Message } from '../common/Messages.js';
 import { Quorum } from '../common/Quorum.js';
-import { isNewer, NO_VERSION, versionText, type Version } from '../common/Version.js';
+import { versionText, type Version } from '../common/Version.js';
 import { Relay } from '../dissemination/Relay.js';
 import { Sessions } from '../dissemination/Sessions.js';
-import { FreshnessConfirmation } from '../dissemination/FreshnessConfirmation.js';
 import { PLACER_DEFAULTS, type PlacerSettings } from '../placement/Placer.js';
 import {
   ServicePartShape,
@@ -39,6 +38,8 @@
 import { errorAnswer, type Origin } from './OrderAnswers.js';
 import { OperatorOrders, type Commit } from './OperatorOrders.js';
 import { leaderTimeOf, OrderForwarding } from './OrderForwarding.js';
+import { Leadership } from './Leadership.js';
+import { QuorumReads } from './QuorumReads.js';
 import { RelayTree } from './RelayTree.js';
 import { UpdateExchange } from './UpdateExchange.js';
 import { VoterMembership, type MembershipHost } from './VoterMembership.js';
@@ -51,9 +52,6 @@
   isFree: optional(boolean()),
 });
 
-/** What a quorum read that this node asked for itself is to prove. */
-type Confirmation = { readonly do: 'read'; readonly origin: Origin } | { readonly do: 'refusal' };
-
 /** How long members are waited for when the table is recovered from them. */
 const RECOVER_MS = 2000;
 const NEVER = moment(-1e12);
@@ -72,7 +70,8 @@
   readonly #members: KnownMembers;
   readonly #relay = new Relay();
   readonly #tree: RelayTree;
-  readonly #confirmation: FreshnessConfirmation;
+  readonly #leadership = new Leadership();
+  readonly #reads: QuorumReads;
   readonly #table: TableManager;
   readonly #updates: UpdateExchange;
   readonly #voters: FollowedVoters;
@@ -86,30 +85,17 @@
     { readonly token: number; readonly grantEpoch: number; readonly epoch: number }
   >();
   #keptGrant = 0;
-  #ledEpoch = 0;
   #wasLeader = '';
   #settleOnVote: number | undefined;
   /** Copies read for a repair that are not on disk yet; the record that makes us count is written after them. */
   #repair: { readonly epoch: number; readonly waiting: Set<PartName> } | undefined;
 
-  #round:
-    | {
-        readonly nonce: number;
-        readonly replies: Map<NodeId, { readonly version: Version; readonly marks: number }>;
-      }
-    | undefined;
-
   /** The configuration as last written here, committed or not. */
   #doc: ConfigDoc;
   /** The newest configuration that is known to be on a majority; the same object as #doc where nothing else is written. */
   #committedDoc: ConfigDoc;
   readonly #orders: OperatorOrders;
   readonly #forwarding: OrderForwarding;
-  readonly #confirmations = new Map<number, Confirmation>();
-  #confirmationId = 0;
-
-  /** Set once our own view has been taken from the parts as read and rewritten in this epoch; not a tick earlier. */
-  #isServing = false;
   #isRetiring = false;
   #isRecovering = false;
   #recoverUntil: Moment | undefined;
@@ -178,7 +164,6 @@
         flows: this.#countMembers.bind(this),
       });
     this.#membership = settings.deployed && new VoterMembership(this.#membershipHost(), now);
-    this.#confirmation = new FreshnessConfirmation(settings.incarnation);
     this.#committedDoc = this.#doc;
     this.#orders = new OperatorOrders(
       {
@@ -234,6 +219,21 @@
       effects: this.#effects,
       followsTold: settings.deployed !== undefined,
     });
+    this.#reads = new QuorumReads({
+      me: this.#me,
+      incarnation: settings.incarnation,
+      parts: this.#parts,
+      replicaStatus: this.#replicaStatus,
+      relay: this.#relay,
+      voters: this.#voters,
+      members: this.#members,
+      leadership: this.#leadership,
+      table: this.#table,
+      updates: this.#updates,
+      effects: this.#effects,
+      needsMachines: settings.deployed === undefined,
+      confirmed: this.#orders.confirmed.bind(this.#orders),
+    });
     this.#voters.follow();
     this.#collect(now);
   }
@@ -251,7 +251,7 @@
     return this.#replicaStatus;
   }
   get isServing(): boolean {
-    return this.#isServing;
+    return this.#leadership.isServing;
   }
   get voters(): readonly NodeId[] {
     return this.#voters.quorum.all;
@@ -272,7 +272,7 @@
       epoch: this.#elector.epoch,
       isLeaderKnown: this.#elector.leader !== undefined,
       isLeading: this.#elector.isLeading(),
-      isServing: this.#isServing,
+      isServing: this.#leadership.isServing,
       mayOrder: this.mayOrder(now),
       leaseLeftMs: Math.max(0, this.#elector.leaseEnd - now),
       majorityContactAgeMs: contact === undefined ? undefined : now - contact,
@@ -302,7 +302,7 @@
 
   /** Asked by the executor right before an order is written. */
   mayOrder(now: Moment): boolean {
-    return !this.#isRetiring && this.#elector.mayOrder(now) && this.#isServing;
+    return !this.#isRetiring && this.#elector.mayOrder(now) && this.#leadership.isServing;
   }
 
   leaseEnd(): Moment {
@@ -332,7 +332,7 @@
     this.#parts.tick(now);
     this.#sessions.tick(now);
     this.#members.tick(now);
-    this.#beginRound(now);
+    this.#reads.tick(now);
     this.#tickPeers(now);
     this.#tickCommands(now);
     this.#membership?.tick(now);
@@ -398,10 +398,10 @@
         );
         break;
       case 'quorumRead':
-        this.#receiveQuorumRead(now, from, message.nonce, message.members);
+        this.#reads.receive(now, from, message);
         break;
       case 'quorumReadReply':
-        this.#receiveQuorumReadReply(now, from, message);
+        this.#reads.receiveReply(now, nodeId(from), message);
         break;
       case 'join':
         this.#receiveJoin(now, from, message);
@@ -485,13 +485,13 @@
 
   /** The platform's list of runners. */
   list(now: Moment, runners: readonly ListedRunner[]): void {
-    if (this.#isServing) this.#fleetManager?.list(now, runners, this.#doc);
+    if (this.#leadership.isServing) this.#fleetManager?.list(now, runners, this.#doc);
     this.#collect(now);
   }
 
   /** A runner's own report, asked for at that moment; nothing if it gave none. */
   status(now: Moment, runner: string, askedAt: Moment, status: RunnerStatus | undefined): void {
-    if (this.#isServing) this.#fleetManager?.status(now, runner, askedAt, status);
+    if (this.#leadership.isServing) this.#fleetManager?.status(now, runner, askedAt, status);
     this.#collect(now);
   }
 
@@ -507,7 +507,7 @@
   /** What became of an order: taken, turned away for good, or unsure. */
   ordered(now: Moment, intent: string, outcome: OrderResult | 'turnedAway'): void {
     if (this.#fleetManager) {
-      if (this.#isServing)
+      if (this.#leadership.isServing)
         this.#fleetManager.ordered(
           now,
           intent,
@@ -536,7 +536,7 @@
     this.#collect(now);
     if (mustStay) return false;
     if (this.#table.hasOpenOrders) return false;
-    if (this.#isServing && this.#fleetManager?.hasOpenOrders) return false;
+    if (this.#leadership.isServing && this.#fleetManager?.hasOpenOrders) return false;
     this.#elector.retire(now);
     this.#collect(now);
     return true;
@@ -609,28 +609,20 @@
       });
     }
     const epoch = this.#elector.isLeading() ? this.#elector.epoch : 0;
-    if (epoch === this.#ledEpoch) return;
-    this.#ledEpoch = epoch;
+    if (epoch === this.#leadership.epoch) return;
+    this.#leadership.begin(epoch);
     this.#standDown();
     if (epoch > 0) this.#parts.lead(now, epoch);
   }
 
   #standDown(): void {
-    this.#isServing = false;
     this.#recoverUntil = undefined;
     this.#parts.release();
     this.#voters.forgetRead();
     this.#table.end();
     this.#written.clear();
     this.#orders.abandon();
-    for (const confirmation of this.#confirmations.values()) {
-      if (confirmation.do === 'read')
-        this.#effects.answer(
-          confirmation.origin,
-          errorAnswer(new CodedError('no-leader', 'the leader changed')),
-        );
-    }
-    this.#confirmations.clear();
+    this.#reads.abandon();
   }
 
   // ---- standing
@@ -714,7 +706,7 @@
   }
 
   #isServingNow(): boolean {
-    return this.#isServing;
+    return this.#leadership.isServing;
   }
 
   #document(): ConfigDoc {
@@ -771,79 +763,7 @@
       });
       return;
     }
-    this.#members.noteAsked(now, message.members);
-    this.#confirmation.add({ child: from, nonce: message.nonce, members: message.members });
-    this.#beginRound(now);
-  }
-
-  /** Asks a majority for the newest they hold; asks that waited are confirmed fresh by what it returns. */
-  #beginRound(now: Moment): void {
-    const nonce = this.#confirmation.begin(now);
-    if (nonce === undefined) return;
-    this.#round = { nonce, replies: new Map() };
-    const members = this.#members.own();
-    for (const peer of this.#voters.quorum.all) {
-      if (peer === this.#me) this.#receiveQuorumRead(now, this.#me, nonce, []);
-      else this.#effects.send(peer, { kind: 'quorumRead', nonce, members });
-    }
-  }
-
-  #receiveQuorumRead(
-    now: Moment,
-    from: string,
-    nonce: number,
-    members: readonly MemberMessage[],
-  ): void {
-    if (from !== this.#me) this.#members.noteHeard(now, from, members);
-    // A node whose disk is lost, or whose copy is bad, may have held something newer than it can tell.
-    if (this.#replicaStatus.name !== 'sound' || this.#parts.unsoundParts().includes(CONFIG_PART))
-      return;
-    // Without any list we cannot tell which machines are leaving, though somebody may have known before we started.
-    if (!this.#fleetManager && this.#table.machines.revision === 0) {
-      this.#updates.askMachines(now);
-      return;
-    }
-    const version = this.#parts.versionOf(CONFIG_PART);
-    const message = {
-      kind: 'quorumReadReply',
-      nonce,
-      ...version,
-      marks: this.#table.machines.revision,
-    } as const;
-    if (from === this.#me) this.#receiveQuorumReadReply(now, from, message);
-    else this.#effects.send(from, message);
-  }
-
-  #receiveQuorumReadReply(
-    now: Moment,
-    from: string,
-    message: Extract<Message, { kind: 'quorumReadReply' }>,
-  ): void {
-    const round = this.#round;
-    if (!round || round.nonce !== message.nonce) return;
-    round.replies.set(nodeId(from), {
-      version: { epoch: message.epoch, count: message.count },
-      marks: message.marks,
-    });
-    if (!this.#voters.quorum.isMajority(new Set(round.replies.keys()))) return;
-    this.#round = undefined;
-    let version = NO_VERSION;
-    let marks = 0;
-    for (const known of round.replies.values()) {
-      if (isNewer(known.version, version)) version = known.version;
-      marks = Math.max(marks, known.marks);
-    }
-    for (const ask of this.#confirmation.end(round.nonce)) {
-      if (ask.child === '') this.#endConfirmation(now, ask.nonce, version);
-      else
-        this.#effects.send(ask.child, {
-          kind: 'freshnessReply',
-          nonce: ask.nonce,
-          ...version,
-          marks,
-        });
-    }
-    this.#beginRound(now);
+    this.#reads.confirmFresh(now, { child: from, nonce: message.nonce, members: message.members });
   }
 
   #receiveAcked(now: Moment, from: string, members: readonly MemberMessage[]): void {
@@ -872,7 +792,7 @@
       return;
     }
     if (this.#fleetManager) {
-      if (this.#isServing) this.#fleetManager.demand(now, body, this.#doc);
+      if (this.#leadership.isServing) this.#fleetManager.demand(now, body, this.#doc);
       return;
     }
     this.#table.demand(now, body);
@@ -881,8 +801,8 @@
   // ---- owning the state
 
   #serve(now: Moment): void {
-    this.#isServing = true;
-    this.#effects.note('serving', { epoch: this.#ledEpoch });
+    this.#leadership.serve();
+    this.#effects.note('serving', { epoch: this.#leadership.epoch });
     const body = this.#parts.body(CONFIG_PART);
     this.#doc = body === '' ? firstDoc(this.#settings.seeds) : mustDecodeConfigDoc(body);
     // It was rewritten by a majority in our epoch before we serve.
@@ -901,11 +821,11 @@
       // Whoever comes later must find the voters written down, whatever seeds it is told.
       if (body === '') this.#writePart(now, CONFIG_PART, encodeConfigDoc(this.#doc), 0);
       this.#membership?.begin();
-      this.#fleetManager.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
+      this.#fleetManager.begin(now, docs, `${this.#me}/${this.#leadership.epoch}`);
       this.#fleetManager.tick(now, this.#doc);
       return;
     }
-    this.#table.begin(now, docs, `${this.#me}/${this.#ledEpoch}`);
+    this.#table.begin(now, docs, `${this.#me}/${this.#leadership.epoch}`);
   }
 
   /** After an operator's force-new-cluster, members are asked for the newest table they hold before anything is served. */
@@ -951,7 +871,7 @@
     if (part !== CONFIG_PART) {
       const body = parseAs(ServicePartShape, this.#committedBody(part, version));
       if (this.#fleetManager) {
-        if (this.#isServing) this.#fleetManager.kept(now, body?.services ?? []);
+        if (this.#leadership.isServing) this.#fleetManager.kept(now, body?.services ?? []);
         return;
       }
       this.#table.kept(body?.services ?? []);
@@ -994,11 +914,11 @@
       this.#forwarding.checkAge(now, verb);
       if (this.#recoverUntil !== undefined)
         throw new CodedError('no-leader', 'the table is being recovered from the members');
-      if (!this.#elector.isLeading() || !this.#isServing) {
+      if (!this.#elector.isLeading() || !this.#leadership.isServing) {
         this.#forwarding.forward(now, origin, verb, body);
         return;
       }
-      if (verb === 'read') this.#confirm({ do: 'read', origin });
+      if (verb === 'read') this.#reads.read(origin);
       else if (verb === 'live')
         this.#effects.answer(origin, {
           status: 200,
@@ -1018,7 +938,7 @@
   #receiveCommand(now: Moment, from: string, message: Extract<Message, { kind: 'command' }>): void {
     const origin = { from, id: message.id };
     try {
-      this.#forwarding.checkForwarded(now, this.#ledEpoch, message);
+      this.#forwarding.checkForwarded(now, this.#leadership.epoch, message);
     } catch (thrown) {
       this.#effects.answer(origin, errorAnswer(codedErrorOf(thrown)));
       return;
@@ -1056,41 +976,7 @@
   }
 
   #confirmRefusal(): number {
-    return this.#confirm({ do: 'refusal' });
-  }
-
-  /** A quorum read that begins after this moment. */
-  #confirm(confirmation: Confirmation): number {
-    this.#confirmationId += 1;
-    this.#confirmations.set(this.#confirmationId, confirmation);
-    this.#confirmation.add({ child: '', nonce: this.#confirmationId, members: [] });
-    return this.#confirmationId;
-  }
-
-  /** `newest` is the newest version that a majority holds, committed or not. */
-  #endConfirmation(now: Moment, id: number, newest: Version): void {
-    const confirmation = this.#confirmations.get(id);
-    if (!confirmation) return;
-    this.#confirmations.delete(id);
-    // Of our own epoch nobody but us commits anything: with nothing later around, what we know to be committed is the newest.
-    const isNewest = this.#isServing && newest.epoch <= this.#ledEpoch;
-    if (confirmation.do === 'refusal') this.#orders.confirmed(now, id, isNewest);
-    else this.#answerRead(confirmation.origin, newest, isNewest);
-  }
-
-  #answerRead(origin: Origin, newest: Version, isNewest: boolean): void {
-    const item = this.#relay.item('config');
-    const isOurs = isNewest && item?.version.epoch === this.#ledEpoch;
-    if (!this.#isServing || !item || (!isOurs && isNewer(newest, item.version))) {
-      this.#effects.answer(
-        origin,
-        errorAnswer(
-          new CodedError('no-leader', 'a newer configuration is being written; ask again'),
-        ),
-      );
-      return;
-    }
-    this.#effects.answer(origin, { status: 200, body: item.body });
+    return this.#reads.confirmRefusal();
   }
 
   #writePart(now: Moment, part: PartName, body: string, token: number): void {
@@ -1104,14 +990,14 @@
   }
 
   #tickCommands(now: Moment): void {
-    if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#isServing)
+    if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#leadership.isServing)
       this.#endRecovery(now);
     this.#forwarding.tick(now);
     this.#orders.tick(now);
     // A spare that is to vote is taken in once it holds everything; then the old set is let go.
     if (
       !this.#fleetManager &&
-      this.#isServing &&
+      this.#leadership.isServing &&
       this.#doc.voters.length === 2 &&
       !this.#parts.isWriting(CONFIG_PART)
     ) {
@@ -1156,14 +1042,14 @@
   }
 
   #publishFleet(count: number, body: string, delta: string): void {
-    const version = { epoch: this.#ledEpoch, count };
+    const version = { epoch: this.#leadership.epoch, count };
     if (!this.#relay.offerDelta('fleet', version, count - 1, delta))
       this.#relay.offer('fleet', version, body);
   }
 
   #tickOutside(now: Moment): void {
     if (this.#fleetManager) {
-      if (this.#isServing && this.#recoverUntil === undefined)
+      if (this.#leadership.isServing && this.#recoverUntil === undefined)
         this.#fleetManager.tick(now, this.#doc);
       return;
     }
@@ -1171,11 +1057,12 @@
       this.#machinesAt = now;
       this.#effects.add({ do: 'askMachines' });
     }
-    if (this.#isServing) this.#table.tick(now, this.#doc, this.#recoverUntil === undefined);
+    if (this.#leadership.isServing)
+      this.#table.tick(now, this.#doc, this.#recoverUntil === undefined);
   }
 
   #publishPlaces(count: number, text: string): void {
-    this.#relay.offer('places', { epoch: this.#ledEpoch, count }, text);
+    this.#relay.offer('places', { epoch: this.#leadership.epoch, count }, text);
   }
 
   // ---- what operators see
@@ -1209,7 +1096,7 @@
       role: this.#elector.role,
       epoch: this.#elector.epoch,
       leader: this.#elector.leader ?? '',
-      serving: this.#isServing,
+      serving: this.#leadership.isServing,
       mayOrder: this.mayOrder(now),
       leaseLeftMs: Math.max(0, Math.round(this.#elector.leaseEnd - now)),
       voters: this.#voters.quorum.all,
--- /dev/null
+++ b/src/control/QuorumReads.ts
@@ -0,0 +1,207 @@
+import { CodedError } from '../common/CodedError.js';
+import type { Moment, NodeId } from '../common/Ids.js';
+import type { MemberMessage, Message } from '../common/Messages.js';
+import { isNewer, NO_VERSION, type Version } from '../common/Version.js';
+import { FreshnessConfirmation, type Ask } from '../dissemination/FreshnessConfirmation.js';
+import type { Relay } from '../dissemination/Relay.js';
+import { CONFIG_PART } from '../state/PartNames.js';
+import type { ReplicatedState } from '../state/ReplicatedState.js';
+import type { ReplicaStatus } from '../state/ReplicaStatus.js';
+import type { EffectQueue } from './EffectQueue.js';
+import type { FollowedVoters } from './FollowedVoters.js';
+import type { KnownMembers } from './KnownMembers.js';
+import type { Leadership } from './Leadership.js';
+import { errorAnswer, type Origin } from './OrderAnswers.js';
+import type { TableManager } from './TableManager.js';
+import type { UpdateExchange } from './UpdateExchange.js';
+
+/** What a quorum read is made of, and what it reads here. */
+export interface QuorumReadParts {
+  readonly me: NodeId;
+  readonly incarnation: number;
+  readonly parts: ReplicatedState;
+  readonly replicaStatus: ReplicaStatus;
+  readonly relay: Relay;
+  readonly voters: FollowedVoters;
+  readonly members: KnownMembers;
+  readonly leadership: Leadership;
+  readonly table: TableManager;
+  readonly updates: UpdateExchange;
+  readonly effects: EffectQueue;
+  /** Whether a node without any list of machines says nothing, as where the table is placed by. */
+  readonly needsMachines: boolean;
+  /** A quorum read for the refusal of an order ended; `isNewest` says that no later leader has written anything. */
+  readonly confirmed: (now: Moment, id: number, isNewest: boolean) => void;
+}
+
+/** What a quorum read that this node asked for itself is to prove. */
+type Purpose = { readonly do: 'read'; readonly origin: Origin } | { readonly do: 'refusal' };
+
+interface Reply {
+  readonly version: Version;
+  /** The revision of the list of machines. */
+  readonly marks: number;
+}
+
+interface Round {
+  readonly nonce: number;
+  readonly replies: Map<NodeId, Reply>;
+}
+
+type QuorumReadMessage = Extract<Message, { kind: 'quorumRead' }>;
+type QuorumReadReply = Extract<Message, { kind: 'quorumReadReply' }>;
+
+/** The `child` of an ask that this node makes for itself. */
+const OWN = '';
+
+/**
+ * Asks a majority of the voters for the newest configuration that they hold. By that the members below are confirmed
+ * fresh, a read of the leader is answered, and an order may be refused. One round is under way at a time; it proves
+ * only what was asked for before it began.
+ */
+export class QuorumReads {
+  readonly #parts: QuorumReadParts;
+  readonly #confirmation: FreshnessConfirmation;
+  readonly #purposes = new Map<number, Purpose>();
+  #lastId = 0;
+  #round: Round | undefined;
+
+  constructor(parts: QuorumReadParts) {
+    this.#parts = parts;
+    this.#confirmation = new FreshnessConfirmation(parts.incarnation);
+  }
+
+  /** Asks for a quorum read that begins after this call, for a refusal; returns its id. */
+  confirmRefusal(): number {
+    return this.#request({ do: 'refusal' });
+  }
+
+  /** Answers with the newest configuration, once it is proved to be that. */
+  read(origin: Origin): void {
+    this.#request({ do: 'read', origin });
+  }
+
+  /** A member, or a node on behalf of many, asks to be confirmed fresh. */
+  confirmFresh(now: Moment, ask: Ask): void {
+    this.#parts.members.noteAsked(now, ask.members);
+    this.#confirmation.add(ask);
+    this.tick(now);
+  }
+
+  /** Begins a round, if something waits for one. */
+  tick(now: Moment): void {
+    const nonce = this.#confirmation.begin(now);
+    if (nonce === undefined) return;
+    this.#round = { nonce, replies: new Map() };
+    const { me, effects, voters } = this.#parts;
+    const members = this.#parts.members.own();
+    for (const voter of voters.quorum.all) {
+      if (voter === me) this.#replyToOwn(now, nonce);
+      else effects.send(voter, { kind: 'quorumRead', nonce, members });
+    }
+  }
+
+  receive(now: Moment, from: string, message: QuorumReadMessage): void {
+    this.#noteMembers(now, from, message.members);
+    const reply = this.#reply(now, message.nonce);
+    if (reply) this.#parts.effects.send(from, reply);
+  }
+
+  receiveReply(now: Moment, from: NodeId, message: QuorumReadReply): void {
+    const round = this.#round;
+    if (!round || round.nonce !== message.nonce) return;
+    const version = { epoch: message.epoch, count: message.count };
+    round.replies.set(from, { version, marks: message.marks });
+    if (!this.#parts.voters.quorum.isMajority(new Set(round.replies.keys()))) return;
+    this.#round = undefined;
+    this.#end(now, round.nonce, newestOf(round.replies.values()));
+    this.tick(now);
+  }
+
+  /** This node leads no longer: whoever reads is told so. Refusals are answered by whoever asked for their proof. */
+  abandon(): void {
+    for (const purpose of this.#purposes.values())
+      if (purpose.do === 'read') this.#refuse(purpose.origin, 'the leader changed');
+    this.#purposes.clear();
+  }
+
+  #request(purpose: Purpose): number {
+    this.#lastId += 1;
+    this.#purposes.set(this.#lastId, purpose);
+    this.#confirmation.add({ child: OWN, nonce: this.#lastId, members: [] });
+    return this.#lastId;
+  }
+
+  #noteMembers(now: Moment, from: string, members: readonly MemberMessage[]): void {
+    if (from !== this.#parts.me) this.#parts.members.noteHeard(now, from, members);
+  }
+
+  #replyToOwn(now: Moment, nonce: number): void {
+    const reply = this.#reply(now, nonce);
+    if (reply) this.receiveReply(now, this.#parts.me, reply);
+  }
+
+  /** What this node holds; nothing while it cannot tell. */
+  #reply(now: Moment, nonce: number): QuorumReadReply | undefined {
+    const { replicaStatus, parts, table, updates, needsMachines } = this.#parts;
+    // A node whose disk is lost, or whose copy is bad, may have held something newer than it can tell.
+    if (replicaStatus.name !== 'sound' || parts.unsoundParts().includes(CONFIG_PART))
+      return undefined;
+    const marks = table.machines.revision;
+    // Without any list we cannot tell which machines are leaving, though somebody may have known before we started.
+    if (needsMachines && marks === 0) {
+      updates.askMachines(now);
+      return undefined;
+    }
+    return { kind: 'quorumReadReply', nonce, ...parts.versionOf(CONFIG_PART), marks };
+  }
+
+  #end(now: Moment, nonce: number, newest: Reply): void {
+    const { version, marks } = newest;
+    for (const ask of this.#confirmation.end(nonce)) {
+      if (ask.child === OWN) this.#fulfil(now, ask.nonce, version);
+      else
+        this.#parts.effects.send(ask.child, {
+          kind: 'freshnessReply',
+          nonce: ask.nonce,
+          ...version,
+          marks,
+        });
+    }
+  }
+
+  /** `newest` is the newest version that a majority holds, committed or not. */
+  #fulfil(now: Moment, id: number, newest: Version): void {
+    const purpose = this.#purposes.get(id);
+    if (!purpose) return;
+    this.#purposes.delete(id);
+    const { leadership } = this.#parts;
+    // Of our own epoch nobody but us commits anything: with nothing later around, what we know to be committed is the newest.
+    const isNewest = leadership.isServing && newest.epoch <= leadership.epoch;
+    if (purpose.do === 'refusal') this.#parts.confirmed(now, id, isNewest);
+    else this.#answerRead(purpose.origin, newest, isNewest);
+  }
+
+  #answerRead(origin: Origin, newest: Version, isNewest: boolean): void {
+    const { leadership, relay, effects } = this.#parts;
+    const item = relay.item('config');
+    const isOurs = isNewest && item?.version.epoch === leadership.epoch;
+    if (!leadership.isServing || !item || (!isOurs && isNewer(newest, item.version)))
+      this.#refuse(origin, 'a newer configuration is being written; ask again');
+    else effects.answer(origin, { status: 200, body: item.body });
+  }
+
+  #refuse(origin: Origin, text: string): void {
+    this.#parts.effects.answer(origin, errorAnswer(new CodedError('no-leader', text)));
+  }
+}
+
+function newestOf(replies: Iterable<Reply>): Reply {
+  let version = NO_VERSION;
+  let marks = 0;
+  for (const reply of replies) {
+    if (isNewer(reply.version, version)) version = reply.version;
+    marks = Math.max(marks, reply.marks);
+  }
+  return { version, marks };
+}
