Cut the configuration document and the repair of a replica from the core

ConfigDocument holds what the leader wrote last and what is committed, with the bodies under way in PartWriter; ReplicaRepair carries out what ReplicaStatus decides, with the records of votes in VoteStorage.

--- a/src/control/ControlCore.ts
+++ b/src/control/ControlCore.ts
@@ -1,4 +1,4 @@
-import { boolean, number, optional, string, type } from 'superstruct';
+import { type } from 'superstruct';
 import { allParts, CONFIG_PART, VOTE_PART } from '../state/PartNames.js';
 import { ReplicatedState } from '../state/ReplicatedState.js';
 import { ReplicaStatus } from '../state/ReplicaStatus.js';
@@ -21,10 +21,8 @@
   type ServiceDoc,
 } from '../placement/Shapes.js';
 import { Elector } from '../election/Elector.js';
-import type { VoteRecord } from '../election/VoteEffect.js';
 import { VOTE_DEFAULTS, type VoteSettings } from '../election/VoteSettings.js';
-import { decodeConfigDoc, encodeConfigDoc, mustDecodeConfigDoc } from './ConfigCodec.js';
-import { ConfigNewsShape, firstDoc, type ConfigDoc } from './ConfigDoc.js';
+import { encodeConfigDoc } from './ConfigCodec.js';
 import type { ListedRunner, RunnerStatus } from '../placement/Fleet.js';
 import { TableManager } from './TableManager.js';
 import { ControlCounters, sessionNumbers, type ControlMetrics } from './ControlMetrics.js';
@@ -40,18 +38,15 @@
 import { leaderTimeOf, OrderForwarding } from './OrderForwarding.js';
 import { Leadership } from './Leadership.js';
 import { QuorumReads } from './QuorumReads.js';
+import { ConfigDocument } from './ConfigDocument.js';
+import { PartWriter } from './PartWriter.js';
+import { ReplicaRepair } from './ReplicaRepair.js';
+import { readVotes, VoteStorage } from './VoteStorage.js';
 import { RelayTree } from './RelayTree.js';
 import { UpdateExchange } from './UpdateExchange.js';
 import { VoterMembership, type MembershipHost } from './VoterMembership.js';
 import type { VotersChange } from './VoterPlan.js';
 
-const VoteBodyShape = type({
-  epoch: number(),
-  grantEpoch: number(),
-  grantLeader: string(),
-  isFree: optional(boolean()),
-});
-
 /** How long members are waited for when the table is recovered from them. */
 const RECOVER_MS = 2000;
 const NEVER = moment(-1e12);
@@ -78,22 +73,11 @@
   readonly #effects = new EffectQueue();
   readonly #counters = new ControlCounters();
 
-  #voteCount = 0;
-  /** Vote records on their way to the disk, by their count. */
-  readonly #voteTokens = new Map<
-    number,
-    { readonly token: number; readonly grantEpoch: number; readonly epoch: number }
-  >();
-  #keptGrant = 0;
+  readonly #votes: VoteStorage;
+  readonly #repair: ReplicaRepair;
   #wasLeader = '';
-  #settleOnVote: number | undefined;
-  /** Copies read for a repair that are not on disk yet; the record that makes us count is written after them. */
-  #repair: { readonly epoch: number; readonly waiting: Set<PartName> } | undefined;
-
-  /** The configuration as last written here, committed or not. */
-  #doc: ConfigDoc;
-  /** The newest configuration that is known to be on a majority; the same object as #doc where nothing else is written. */
-  #committedDoc: ConfigDoc;
+  readonly #writer: PartWriter;
+  readonly #document: ConfigDocument;
   readonly #orders: OperatorOrders;
   readonly #forwarding: OrderForwarding;
   #isRetiring = false;
@@ -120,22 +104,18 @@
     this.#settings = settings;
     this.#me = nodeId(settings.me);
     const seeds = settings.seeds.map(nodeId);
-    const voteFile = stored.find(isVote);
-    const record = voteFile ? parseAs(VoteBodyShape, voteFile.body) : undefined;
-    // No record of votes at all is an empty folder; one that cannot be trusted is a lost disk.
-    const name = !voteFile
-      ? stored.length === 0
-        ? 'blank'
-        : 'lost'
-      : record && voteFile.isSound
-        ? 'sound'
-        : 'lost';
-    this.#voteCount = voteFile?.version.count ?? 0;
+    const { status, count, record } = readVotes(stored);
+    this.#votes = new VoteStorage(this.#effects, count, record?.grantEpoch ?? 0);
     const quorum = new Quorum(seeds);
     this.#parts = new ReplicatedState(this.#me, quorum, allParts(), stored, quorumOf);
-    this.#doc = firstDoc(settings.seeds);
-    const known: VoteRecord | undefined = name === 'sound' ? record : undefined;
-    this.#elector = new Elector(this.#me, quorum, vote, now, known);
+    this.#writer = new PartWriter(this.#parts);
+    this.#document = new ConfigDocument({
+      seeds: settings.seeds,
+      parts: this.#parts,
+      writer: this.#writer,
+      relay: this.#relay,
+    });
+    this.#elector = new Elector(this.#me, quorum, vote, now, record);
     this.#voters = new FollowedVoters(quorum, {
       elector: this.#elector,
       parts: this.#parts,
@@ -143,16 +123,27 @@
       counters: this.#counters,
     });
     this.#zones = new ControlNodeZones(this.#me, settings.zone, this.#elector);
-    this.#keptGrant = known?.grantEpoch ?? 0;
     this.#replicaStatus = new ReplicaStatus(
       this.#me,
-      name,
+      status,
       now,
       settings.foundMs,
       settings.incarnation,
       settings.deployed?.isFirstStart ?? true,
       quorumOf,
     );
+    this.#repair = new ReplicaRepair({
+      me: this.#me,
+      elector: this.#elector,
+      parts: this.#parts,
+      replicaStatus: this.#replicaStatus,
+      votes: this.#votes,
+      voters: this.#voters,
+      counters: this.#counters,
+      effects: this.#effects,
+      hasSpares: settings.deployed !== undefined,
+      collect: this.#collect.bind(this),
+    });
     this.#seeds = settings.seeds;
     this.#fleetManager =
       settings.deployed &&
@@ -164,12 +155,11 @@
         flows: this.#countMembers.bind(this),
       });
     this.#membership = settings.deployed && new VoterMembership(this.#membershipHost(), now);
-    this.#committedDoc = this.#doc;
     this.#orders = new OperatorOrders(
       {
-        newest: this.#newestDoc.bind(this),
-        committed: this.#newestCommitted.bind(this),
-        write: this.#writeDoc.bind(this),
+        newest: this.#document.newest.bind(this.#document),
+        committed: this.#document.committed.bind(this.#document),
+        write: this.#document.write.bind(this.#document),
         confirm: this.#confirmRefusal.bind(this),
         answer: this.#effects.answer.bind(this.#effects),
         isInForce: this.#isInForce.bind(this),
@@ -187,7 +177,7 @@
       settings.incarnation,
       now,
     );
-    if (name !== 'sound')
+    if (status !== 'sound')
       this.#elector.setMayVote(false, { epoch: 0, grantEpoch: 0, grantLeader: '' }, now);
     this.#sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
     this.#tree = new RelayTree({
@@ -267,7 +257,6 @@
   metrics(now: Moment): ControlMetrics {
     const contact = this.#elector.majorityContact(now);
     const committed = this.#relay.version('config');
-    const isRepairing = this.#repair !== undefined || this.#settleOnVote !== undefined;
     return {
       epoch: this.#elector.epoch,
       isLeaderKnown: this.#elector.leader !== undefined,
@@ -282,7 +271,7 @@
         isVoter: this.#voters.quorum.holds(this.#me),
         isJoint: this.#voters.quorum.sets > 1,
       },
-      replica: isRepairing ? 'repairing' : this.#replicaStatus.name,
+      replica: this.#repair.isUnderWay ? 'repairing' : this.#replicaStatus.name,
       unsoundParts: this.#parts.unsoundParts().length,
       configHeld: this.#parts.versionOf(CONFIG_PART),
       configCommitted: committed,
@@ -328,7 +317,7 @@
     this.#elector.tick(now);
     for (const send of this.#replicaStatus.tick(now, this.#voters.quorum))
       this.#effects.send(send.to, send.message);
-    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#voters.quorum));
+    this.#repair.settle(now, this.#replicaStatus.outcome(now, this.#voters.quorum));
     this.#parts.tick(now);
     this.#sessions.tick(now);
     this.#members.tick(now);
@@ -369,7 +358,7 @@
         if (message.sound)
           this.#parts.receive(now, nodeId(from), message, this.#grantedEpoch(), [], '');
         else
-          this.#settleReplicaStatus(
+          this.#repair.settle(
             now,
             this.#replicaStatus.receive(now, nodeId(from), message, this.#voters.quorum),
           );
@@ -460,20 +449,11 @@
 
   stored(now: Moment, part: PartName, version: Version): void {
     if (part === VOTE_PART) {
-      for (const [count, waiting] of this.#voteTokens) {
-        if (count > version.count) continue;
-        this.#voteTokens.delete(count);
-        if (count === version.count) this.#keptGrant = waiting.grantEpoch;
-        this.#elector.kept(waiting.token);
-      }
-      if (this.#settleOnVote !== undefined && version.count >= this.#settleOnVote) {
-        this.#settleOnVote = undefined;
-        this.#replicaStatus.settle();
-        this.#effects.note('standing is sound', {});
-      }
+      this.#votes.stored(version, this.#elector.kept.bind(this.#elector));
+      this.#repair.voteStored(version);
     } else {
       this.#parts.stored(part, version, this.#grantedEpoch(), now);
-      if (this.#repair?.waiting.delete(part)) this.#endRepair(now);
+      this.#repair.stored(now, part);
     }
     this.#collect(now);
   }
@@ -485,7 +465,7 @@
 
   /** The platform's list of runners. */
   list(now: Moment, runners: readonly ListedRunner[]): void {
-    if (this.#leadership.isServing) this.#fleetManager?.list(now, runners, this.#doc);
+    if (this.#leadership.isServing) this.#fleetManager?.list(now, runners, this.#document.newest());
     this.#collect(now);
   }
 
@@ -512,7 +492,7 @@
           now,
           intent,
           outcome === 'turnedAway' ? 'refused' : outcome,
-          this.#doc,
+          this.#document.newest(),
         );
       this.#collect(now);
       return;
@@ -559,8 +539,7 @@
           this.#effects.send(effect.to, effect.message);
           continue;
         }
-        if (this.#replicaStatus.name === 'sound' || this.#settleOnVote !== undefined)
-          this.#keepVote(effect.token, effect.record);
+        if (this.#repair.mayKeepVotes) this.#votes.keep(effect.token, effect.record);
       }
       for (const effect of this.#parts.drain()) {
         isBusy = true;
@@ -576,25 +555,10 @@
     this.#updates.flush();
   }
 
-  #keepVote(token: number, record: VoteRecord): void {
-    this.#voteCount += 1;
-    this.#voteTokens.set(this.#voteCount, {
-      token,
-      grantEpoch: record.grantEpoch,
-      epoch: record.epoch,
-    });
-    this.#effects.add({
-      do: 'store',
-      part: VOTE_PART,
-      version: { epoch: record.epoch, count: this.#voteCount },
-      body: JSON.stringify(record),
-    });
-  }
-
   /** The epoch granted here, on disk, and not moved on from. */
   #grantedEpoch(): number {
-    return this.#replicaStatus.name === 'sound' && this.#keptGrant === this.#elector.epoch
-      ? this.#keptGrant
+    return this.#replicaStatus.name === 'sound' && this.#votes.keptGrant === this.#elector.epoch
+      ? this.#votes.keptGrant
       : 0;
   }
 
@@ -620,41 +584,11 @@
     this.#parts.release();
     this.#voters.forgetRead();
     this.#table.end();
-    this.#written.clear();
+    this.#writer.clear();
     this.#orders.abandon();
     this.#reads.abandon();
   }
 
-  // ---- standing
-
-  #settleReplicaStatus(now: Moment, outcome: ReturnType<ReplicaStatus['outcome']>): void {
-    if (!outcome || this.#settleOnVote !== undefined || this.#repair) return;
-    if (outcome.become === 'founded') {
-      this.#effects.note('founding', {});
-      this.#settleOnVote = this.#voteCount + 1;
-      this.#elector.setMayVote(true, { epoch: outcome.epoch, grantEpoch: 0, grantLeader: '' }, now);
-    } else {
-      this.#effects.note('repaired from peers', { epoch: outcome.epoch });
-      // Only what is newer than ours is stored anew, and only that is waited for.
-      const waiting = new Set(this.#parts.adopt(outcome.copies));
-      this.#voters.follow();
-      this.#repair = { epoch: outcome.epoch, waiting };
-      this.#endRepair(now);
-    }
-    this.#collect(now);
-  }
-
-  #endRepair(now: Moment): void {
-    const repair = this.#repair;
-    if (!repair || repair.waiting.size > 0) return;
-    this.#repair = undefined;
-    this.#counters.countRepair();
-    // One that is no voter has granted nothing that binds here: it joins the epoch that stands, and no election is due for it.
-    const epoch = this.#fleetManager && !this.#voters.quorum.holds(this.#me) ? 0 : repair.epoch;
-    this.#settleOnVote = this.#voteCount + 1;
-    this.#elector.setMayVote(true, { epoch, grantEpoch: 0, grantLeader: '' }, now);
-  }
-
   // ---- voters of a deployment: they announce themselves, and the leader lets them in
 
   /** No voter as far as we know, or without a leader. */
@@ -663,22 +597,19 @@
   }
 
   #changeVoters(now: Moment, change: VotersChange): void {
-    this.#effects.note('voters', {
-      from: this.#doc.voters.join(' | '),
-      to: change.voters.join(' | '),
-    });
+    const doc = this.#document.newest();
+    this.#effects.note('voters', { from: doc.voters.join(' | '), to: change.voters.join(' | ') });
     const seats = change.seats === undefined ? {} : { seats: change.seats };
-    this.#doc = { ...this.#doc, voters: change.voters.map(copyOf), ...seats };
-    const body = encodeConfigDoc(this.#doc);
+    const changed = { ...doc, voters: change.voters.map(copyOf), ...seats };
     // Two sets decide together from here on, also on this very change. One alone is told to those let go as well.
-    const joint = change.voters.length === 2 ? quorumOf(body) : undefined;
+    const joint = change.voters.length === 2 ? quorumOf(encodeConfigDoc(changed)) : undefined;
     if (joint) this.#voters.set(joint);
-    this.#writePart(now, CONFIG_PART, body, 0);
+    this.#document.write(now, changed, 0);
   }
 
   #rewriteParts(now: Moment): void {
     for (const part of allParts())
-      if (part !== CONFIG_PART) this.#writePart(now, part, this.#parts.body(part), 0);
+      if (part !== CONFIG_PART) this.#writer.write(now, part, this.#parts.body(part), 0);
   }
 
   #membershipHost(): MembershipHost {
@@ -693,7 +624,7 @@
       voters: this.#voters,
       peers: this.#currentPeers.bind(this),
       isServing: this.#isServingNow.bind(this),
-      document: this.#document.bind(this),
+      document: this.#document.newest.bind(this.#document),
       zoneOf: this.#zones.zoneOf.bind(this.#zones),
       send: this.#effects.send.bind(this.#effects),
       rewriteParts: this.#rewriteParts.bind(this),
@@ -709,10 +640,6 @@
     return this.#leadership.isServing;
   }
 
-  #document(): ConfigDoc {
-    return this.#doc;
-  }
-
   /** One that is not among the voters known here stands for election: there may be a newer configuration. */
   #noteCandidate(from: string, message: Message): void {
     const isOfCandidate =
@@ -792,7 +719,7 @@
       return;
     }
     if (this.#fleetManager) {
-      if (this.#leadership.isServing) this.#fleetManager.demand(now, body, this.#doc);
+      if (this.#leadership.isServing) this.#fleetManager.demand(now, body, this.#document.newest());
       return;
     }
     this.#table.demand(now, body);
@@ -803,15 +730,11 @@
   #serve(now: Moment): void {
     this.#leadership.serve();
     this.#effects.note('serving', { epoch: this.#leadership.epoch });
-    const body = this.#parts.body(CONFIG_PART);
-    this.#doc = body === '' ? firstDoc(this.#settings.seeds) : mustDecodeConfigDoc(body);
-    // It was rewritten by a majority in our epoch before we serve.
-    this.#committedDoc = this.#doc;
+    const isFound = this.#document.load();
     // Only committed tables are ever told: one told here that no majority holds any more was lost with their disks.
-    const told = parseAs(ConfigNewsShape, this.#relay.item('config')?.body ?? '');
-    if (told && told.number > this.#doc.number) this.#isRecovering = true;
+    if (this.#document.lostNews()) this.#isRecovering = true;
     if (this.#isRecovering) this.#recover(now);
-    else this.#publishConfig(this.#parts.versionOf(CONFIG_PART), this.#doc);
+    else this.#document.publishLoaded();
     const docs: ServiceDoc[] = [];
     for (const part of allParts()) {
       const text = part === CONFIG_PART ? '' : this.#parts.body(part);
@@ -819,10 +742,10 @@
     }
     if (this.#fleetManager) {
       // Whoever comes later must find the voters written down, whatever seeds it is told.
-      if (body === '') this.#writePart(now, CONFIG_PART, encodeConfigDoc(this.#doc), 0);
+      if (!isFound) this.#document.write(now, this.#document.newest(), 0);
       this.#membership?.begin();
       this.#fleetManager.begin(now, docs, `${this.#me}/${this.#leadership.epoch}`);
-      this.#fleetManager.tick(now, this.#doc);
+      this.#fleetManager.tick(now, this.#document.newest());
       return;
     }
     this.#table.begin(now, docs, `${this.#me}/${this.#leadership.epoch}`);
@@ -837,28 +760,9 @@
   #endRecovery(now: Moment): void {
     this.#isRecovering = false;
     this.#recoverUntil = undefined;
-    const item = this.#relay.item('config');
-    const news = item ? parseAs(ConfigNewsShape, item.body) : undefined;
-    if (news && news.number > this.#doc.number) {
-      this.#effects.note('table recovered from members', { table: news.number });
-      this.#doc = {
-        ...this.#doc,
-        number: news.number,
-        table: news.table,
-        emptied: news.emptied,
-        ...(news.routing ? { routing: news.routing } : {}),
-      };
-    }
-    this.#writePart(now, CONFIG_PART, encodeConfigDoc(this.#doc), 0);
-  }
-
-  #publishConfig(version: Version, doc: ConfigDoc): void {
-    const { number: count, table, emptied, voters, routing } = doc;
-    this.#relay.offer(
-      'config',
-      version,
-      JSON.stringify({ number: count, table, emptied, voters, routing }),
-    );
+    const lost = this.#document.lostNews();
+    if (lost) this.#effects.note('table recovered from members', { table: lost.number });
+    this.#document.recover(now, lost);
   }
 
   #committed(
@@ -869,7 +773,7 @@
     members: readonly MemberMessage[],
   ): void {
     if (part !== CONFIG_PART) {
-      const body = parseAs(ServicePartShape, this.#committedBody(part, version));
+      const body = parseAs(ServicePartShape, this.#writer.take(part, version));
       if (this.#fleetManager) {
         if (this.#leadership.isServing) this.#fleetManager.kept(now, body?.services ?? []);
         return;
@@ -877,28 +781,13 @@
       this.#table.kept(body?.services ?? []);
       return;
     }
-    const doc = decodeConfigDoc(this.#committedBody(part, version));
-    if (doc) {
-      this.#publishConfig(version, doc);
-      this.#committedDoc = this.#parts.isWriting(part) ? doc : this.#doc;
-    }
+    this.#document.commit(version);
     this.#voters.follow();
     this.#orders.committed(now, version, tokens, [...members, ...this.#members.possible(now)]);
     // Let go by the voters: a seat that is handed over as planned gives the lease back itself, any other leader steps down.
     if (!this.#isRetiring && !this.#voters.quorum.holds(this.#me)) this.#elector.stepDown();
   }
 
-  /** Bodies by version, from when they were written until they are committed. */
-  readonly #written = new Map<string, { readonly count: number; readonly body: string }[]>();
-
-  #committedBody(part: PartName, version: Version): string {
-    // The replica here was written with this version first; a later one may already be under way.
-    const list = this.#written.get(part) ?? [];
-    const found = list.find(hasCount.bind(undefined, version.count));
-    this.#written.set(part, list.filter(isAfter.bind(undefined, version.count)));
-    return found?.body ?? this.#parts.replicaBody(part);
-  }
-
   // ---- commands
 
   #command(now: Moment, origin: Origin, verb: string, body: string): void {
@@ -922,12 +811,12 @@
       else if (verb === 'live')
         this.#effects.answer(origin, {
           status: 200,
-          body: JSON.stringify(this.#table.live(now, this.#doc)),
+          body: JSON.stringify(this.#table.live(now, this.#document.newest())),
         });
       else if (verb === 'fleet')
         this.#effects.answer(origin, {
           status: 200,
-          body: JSON.stringify(this.#table.fleet(now, this.#doc)),
+          body: JSON.stringify(this.#table.fleet(now, this.#document.newest())),
         });
       else this.#orders.submit(now, origin, verb, body);
     } catch (thrown) {
@@ -962,33 +851,10 @@
 
   // ---- orders and reads by proof of a majority
 
-  #newestDoc(): ConfigDoc {
-    return this.#doc;
-  }
-
-  #newestCommitted(): ConfigDoc {
-    return this.#committedDoc;
-  }
-
-  #writeDoc(now: Moment, doc: ConfigDoc, token: number): void {
-    this.#doc = doc;
-    this.#writePart(now, CONFIG_PART, encodeConfigDoc(doc), token);
-  }
-
   #confirmRefusal(): number {
     return this.#reads.confirmRefusal();
   }
 
-  #writePart(now: Moment, part: PartName, body: string, token: number): void {
-    const count = this.#parts.write(now, part, body, token);
-    this.#written.set(part, [
-      ...(this.#written.get(part) ?? [])
-        .filter(isAfter.bind(undefined, count - 2))
-        .filter(isBelow.bind(undefined, count)),
-      { count, body },
-    ]);
-  }
-
   #tickCommands(now: Moment): void {
     if (this.#recoverUntil !== undefined && now >= this.#recoverUntil && this.#leadership.isServing)
       this.#endRecovery(now);
@@ -998,16 +864,15 @@
     if (
       !this.#fleetManager &&
       this.#leadership.isServing &&
-      this.#doc.voters.length === 2 &&
+      this.#document.newest().voters.length === 2 &&
       !this.#parts.isWriting(CONFIG_PART)
     ) {
-      const [, next] = this.#doc.voters;
+      const [, next] = this.#document.newest().voters;
       if (
         next &&
         next.map(nodeId).every(this.#elector.quorumMembers.has, this.#elector.quorumMembers)
       ) {
-        this.#doc = { ...this.#doc, voters: [next] };
-        this.#writePart(now, CONFIG_PART, encodeConfigDoc(this.#doc), 0);
+        this.#document.write(now, { ...this.#document.newest(), voters: [next] }, 0);
       }
     }
   }
@@ -1027,7 +892,7 @@
     }
     this.#replicaStatus.force();
     this.#isRecovering = true;
-    this.#settleReplicaStatus(now, this.#replicaStatus.outcome(now, this.#voters.quorum));
+    this.#repair.settle(now, this.#replicaStatus.outcome(now, this.#voters.quorum));
     this.#effects.answer(origin, {
       status: 200,
       body: JSON.stringify({ outcome: 'forced', standing: this.#replicaStatus.name }),
@@ -1038,7 +903,7 @@
 
   #writePlaced(now: Moment, part: PartName, body: string): void {
     this.#placementWrites += 1;
-    this.#writePart(now, part, body, 0);
+    this.#writer.write(now, part, body, 0);
   }
 
   #publishFleet(count: number, body: string, delta: string): void {
@@ -1050,7 +915,7 @@
   #tickOutside(now: Moment): void {
     if (this.#fleetManager) {
       if (this.#leadership.isServing && this.#recoverUntil === undefined)
-        this.#fleetManager.tick(now, this.#doc);
+        this.#fleetManager.tick(now, this.#document.newest());
       return;
     }
     if (now >= later(this.#machinesAt, this.#settings.machinesMs)) {
@@ -1058,7 +923,7 @@
       this.#effects.add({ do: 'askMachines' });
     }
     if (this.#leadership.isServing)
-      this.#table.tick(now, this.#doc, this.#recoverUntil === undefined);
+      this.#table.tick(now, this.#document.newest(), this.#recoverUntil === undefined);
   }
 
   #publishPlaces(count: number, text: string): void {
@@ -1117,21 +982,9 @@
 function copyOf(set: readonly string[]): string[] {
   return [...set];
 }
-function isVote(item: StoredPart): boolean {
-  return item.part === VOTE_PART;
-}
 function isOther(me: string, id: string): boolean {
   return id !== me;
 }
-function hasCount(count: number, item: { readonly count: number }): boolean {
-  return item.count === count;
-}
-function isAfter(count: number, item: { readonly count: number }): boolean {
-  return item.count > count;
-}
-function isBelow(count: number, item: { readonly count: number }): boolean {
-  return item.count < count;
-}
 function intentsOf(doc: ServiceDoc): readonly Intent[] {
   return doc.intents;
 }
--- /dev/null
+++ b/src/control/PartWriter.test.ts
@@ -0,0 +1,39 @@
+import { expect, test } from 'vitest';
+import { moment, type Moment, type PartName } from '../common/Ids.js';
+import { CONFIG_PART } from '../state/PartNames.js';
+import { PartWriter, type WritableState } from './PartWriter.js';
+
+const NOW = moment(0);
+
+/** One write is under way at a time; all that come meanwhile are one next write, as in the replicated state. */
+class State implements WritableState {
+  count = 0;
+
+  write(_now: Moment, _part: PartName, _body: string, _token: number): number {
+    return this.count + 1;
+  }
+
+  replicaBody(): string {
+    return 'replica';
+  }
+}
+
+function checkTake(): void {
+  const state = new State();
+  const writer = new PartWriter(state);
+  writer.write(NOW, CONFIG_PART, 'first', 0);
+  state.count = 1;
+  writer.write(NOW, CONFIG_PART, 'second', 0);
+  writer.write(NOW, CONFIG_PART, 'third', 0);
+  expect(writer.take(CONFIG_PART, { epoch: 1, count: 1 })).toBe('first');
+  expect(writer.take(CONFIG_PART, { epoch: 1, count: 2 })).toBe('third');
+}
+test('a commit takes the body written as its version, the last of those that waited', checkTake);
+
+function checkUnknown(): void {
+  const writer = new PartWriter(new State());
+  writer.write(NOW, CONFIG_PART, 'first', 0);
+  writer.clear();
+  expect(writer.take(CONFIG_PART, { epoch: 1, count: 1 })).toBe('replica');
+}
+test('what was not written here is read from the replica', checkUnknown);
--- /dev/null
+++ b/src/control/PartWriter.ts
@@ -0,0 +1,63 @@
+import type { Moment, PartName } from '../common/Ids.js';
+import type { Version } from '../common/Version.js';
+
+/** The replicated state at a leader, as far as it is written. */
+export interface WritableState {
+  /** Returns the count of the version that it will be. */
+  write(now: Moment, part: PartName, body: string, token: number): number;
+  /** The copy of this node. */
+  replicaBody(part: PartName): string;
+}
+
+interface WrittenBody {
+  readonly count: number;
+  readonly body: string;
+}
+
+/** Writes parts of the replicated state, and remembers what was written until it is committed. */
+export class PartWriter {
+  readonly #state: WritableState;
+  /** By part; what comes while a write is under way replaces what waits for its end. */
+  readonly #written = new Map<PartName, readonly WrittenBody[]>();
+
+  constructor(state: WritableState) {
+    this.#state = state;
+  }
+
+  /** `token` comes back with the commit; 0 where nobody waits for it. */
+  write(now: Moment, part: PartName, body: string, token: number): void {
+    const count = this.#state.write(now, part, body, token);
+    const underWay = this.#bodiesOf(part)
+      .filter(isAfter.bind(undefined, count - 2))
+      .filter(isBelow.bind(undefined, count));
+    this.#written.set(part, [...underWay, { count, body }]);
+  }
+
+  /** The body that was committed as this version; it and earlier ones are forgotten. */
+  take(part: PartName, version: Version): string {
+    // The replica here was written with this version first; a later one may already be under way.
+    const bodies = this.#bodiesOf(part);
+    const found = bodies.find(hasCount.bind(undefined, version.count));
+    this.#written.set(part, bodies.filter(isAfter.bind(undefined, version.count)));
+    return found?.body ?? this.#state.replicaBody(part);
+  }
+
+  /** This node leads no longer. */
+  clear(): void {
+    this.#written.clear();
+  }
+
+  #bodiesOf(part: PartName): readonly WrittenBody[] {
+    return this.#written.get(part) ?? [];
+  }
+}
+
+function hasCount(count: number, written: WrittenBody): boolean {
+  return written.count === count;
+}
+function isAfter(count: number, written: WrittenBody): boolean {
+  return written.count > count;
+}
+function isBelow(count: number, written: WrittenBody): boolean {
+  return written.count < count;
+}
--- /dev/null
+++ b/src/control/VoteStorage.test.ts
@@ -0,0 +1,49 @@
+import { expect, test } from 'vitest';
+import type { VoteRecord } from '../election/VoteEffect.js';
+import { CONFIG_PART, VOTE_PART } from '../state/PartNames.js';
+import type { StoredPart } from '../state/Store.js';
+import { EffectQueue } from './EffectQueue.js';
+import { readVotes, VoteStorage } from './VoteStorage.js';
+
+const RECORD: VoteRecord = { epoch: 4, grantEpoch: 3, grantLeader: 'b' };
+
+function file(body: string, isSound: boolean): StoredPart {
+  return { part: VOTE_PART, version: { epoch: 4, count: 7 }, body, isSound };
+}
+
+function checkRead(): void {
+  const sound = JSON.stringify(RECORD);
+  const other = { part: CONFIG_PART, version: { epoch: 1, count: 1 }, body: '', isSound: true };
+  const lost = { status: 'lost', count: 7, record: undefined };
+  expect(readVotes([])).toEqual({ status: 'blank', count: 0, record: undefined });
+  expect(readVotes([other])).toEqual({ status: 'lost', count: 0, record: undefined });
+  expect(readVotes([other, file(sound, true)])).toEqual({
+    status: 'sound',
+    count: 7,
+    record: RECORD,
+  });
+  expect(readVotes([file(sound, false)])).toEqual(lost);
+  expect(readVotes([file('{}', true)])).toEqual(lost);
+}
+test('only an empty folder is blank; a record that cannot be trusted is a lost one', checkRead);
+
+function checkStored(): void {
+  const effects = new EffectQueue();
+  const votes = new VoteStorage(effects, 7, 2);
+  votes.keep(1, { ...RECORD, grantEpoch: 3 });
+  votes.keep(2, { ...RECORD, grantEpoch: 4 });
+  votes.keep(3, { ...RECORD, grantEpoch: 5 });
+  const [first] = effects.drain();
+  expect(first).toEqual({
+    do: 'store',
+    part: VOTE_PART,
+    version: { epoch: 4, count: 8 },
+    body: JSON.stringify(RECORD),
+  });
+  const kept: number[] = [];
+  votes.stored({ epoch: 4, count: 9 }, kept.push.bind(kept));
+  expect(kept).toEqual([1, 2]);
+  expect(votes.keptGrant).toBe(4);
+  expect(votes.nextCount).toBe(11);
+}
+test('a record on disk keeps all before it', checkStored);
--- /dev/null
+++ b/src/control/VoteStorage.ts
@@ -0,0 +1,92 @@
+import { boolean, number, optional, string, type } from 'superstruct';
+import { parseAs } from '../common/Json.js';
+import type { Version } from '../common/Version.js';
+import type { VoteRecord } from '../election/VoteEffect.js';
+import { VOTE_PART } from '../state/PartNames.js';
+import type { ReplicaStatusName } from '../state/ReplicaStatus.js';
+import type { StoredPart } from '../state/Store.js';
+import type { EffectQueue } from './EffectQueue.js';
+
+const VoteRecordShape = type({
+  epoch: number(),
+  grantEpoch: number(),
+  grantLeader: string(),
+  isFree: optional(boolean()),
+});
+
+/** What a node finds of its votes on its disk when it starts. */
+export interface StoredVotes {
+  /** Whether the replica beside them may count. */
+  readonly status: ReplicaStatusName;
+  /** The count of the newest record; 0 if there is none. */
+  readonly count: number;
+  /** The newest record, if it can be trusted. */
+  readonly record: VoteRecord | undefined;
+}
+
+/** No record of votes at all is an empty folder; one that cannot be trusted is a lost disk. */
+export function readVotes(stored: readonly StoredPart[]): StoredVotes {
+  const file = stored.find(isVote);
+  if (!file) return { status: stored.length === 0 ? 'blank' : 'lost', count: 0, record: undefined };
+  const { count } = file.version;
+  const record = file.isSound ? parseAs(VoteRecordShape, file.body) : undefined;
+  return record ? { status: 'sound', count, record } : { status: 'lost', count, record: undefined };
+}
+
+function isVote(item: StoredPart): boolean {
+  return item.part === VOTE_PART;
+}
+
+/** A record on its way to the disk. */
+interface WaitingVote {
+  readonly token: number;
+  readonly grantEpoch: number;
+}
+
+/** Keeps this node's votes on its disk, and knows which of them are there. */
+export class VoteStorage {
+  readonly #effects: EffectQueue;
+  /** By the count of the record. */
+  readonly #waiting = new Map<number, WaitingVote>();
+  #count: number;
+  #keptGrant: number;
+
+  /** `count` is that of the record on disk, `keptGrant` the epoch granted by it. */
+  constructor(effects: EffectQueue, count: number, keptGrant: number) {
+    this.#effects = effects;
+    this.#count = count;
+    this.#keptGrant = keptGrant;
+  }
+
+  /** The epoch granted by the newest record on disk; 0 if none is. */
+  get keptGrant(): number {
+    return this.#keptGrant;
+  }
+
+  /** The count of the record that comes next. */
+  get nextCount(): number {
+    return this.#count + 1;
+  }
+
+  /** Stores a record; its token is returned once it is on disk. */
+  keep(token: number, record: VoteRecord): void {
+    this.#count += 1;
+    this.#waiting.set(this.#count, { token, grantEpoch: record.grantEpoch });
+    this.#effects.add({
+      do: 'store',
+      part: VOTE_PART,
+      version: { epoch: record.epoch, count: this.#count },
+      body: JSON.stringify(record),
+    });
+  }
+
+  /** This record is on disk, and with it all before it; `kept` is told the token of each. */
+  stored(version: Version, kept: (token: number) => void): void {
+    for (const [count, waiting] of this.#waiting) {
+      if (count > version.count) continue;
+      this.#waiting.delete(count);
+      if (count === version.count) this.#keptGrant = waiting.grantEpoch;
+      kept(waiting.token);
+    }
+  }
+}
