Make the control core a facade over its duties

Placement, taking over, commands, messages on the state and of members, changes of the set of voters, status and metrics are classes or functions of their own; ControlReplica makes what every node has, ControlDuties hands the duties to each other, and ControlCore says who hears what and in which order.

--- /dev/null
+++ b/src/control/ControlDuties.ts
@@ -0,0 +1,278 @@
+import type { Moment, NodeId } from '../common/Ids.js';
+import { Sessions } from '../dissemination/Sessions.js';
+import type { PlacerSettings } from '../placement/Placer.js';
+import { CommandHandler } from './CommandHandler.js';
+import { ConfigDocument } from './ConfigDocument.js';
+import type { ControlSettings } from './ControlEffect.js';
+import { ControlNodeZones } from './ControlNodeZones.js';
+import type { ControlReplica } from './ControlReplica.js';
+import { statusOf, type ControlStatus } from './ControlStatus.js';
+import { KnownMembers } from './KnownMembers.js';
+import { MemberMessages } from './MemberMessages.js';
+import { OperatorOrders, type Commit } from './OperatorOrders.js';
+import { OrderForwarding } from './OrderForwarding.js';
+import { PartWriter } from './PartWriter.js';
+import { PlacementControl } from './PlacementControl.js';
+import { QuorumReads } from './QuorumReads.js';
+import { RelayTree } from './RelayTree.js';
+import { ReplicaRepair } from './ReplicaRepair.js';
+import { StateMessages } from './StateMessages.js';
+import { Takeover } from './Takeover.js';
+import { UpdateExchange } from './UpdateExchange.js';
+import { VoterMembership } from './VoterMembership.js';
+import { VoterSetWriter } from './VoterSetWriter.js';
+
+/** What the duties need of the core that they belong to. */
+export interface CoreHooks {
+  /** Whether orders may be given to runners at this moment. */
+  mayOrder(now: Moment): boolean;
+  /** Takes up what the election and the replicated state decided. */
+  collect(now: Moment): void;
+  /** Everybody to whom this node keeps a connection. */
+  peers(): readonly string[];
+}
+
+/** What a control node does, each duty in a class of its own, made here and handed to each other. */
+export class ControlDuties {
+  readonly sessions: Sessions;
+  readonly members: KnownMembers;
+  readonly tree: RelayTree;
+  readonly zones: ControlNodeZones;
+  readonly writer: PartWriter;
+  readonly document: ConfigDocument;
+  readonly placement: PlacementControl;
+  readonly updates: UpdateExchange;
+  readonly orders: OperatorOrders;
+  readonly forwarding: OrderForwarding;
+  readonly reads: QuorumReads;
+  readonly voterSet: VoterSetWriter;
+  /** Set in a deployment, where voters change by themselves. */
+  readonly membership: VoterMembership | undefined;
+  readonly repair: ReplicaRepair;
+  readonly takeover: Takeover;
+  readonly commands: CommandHandler;
+  readonly stateMessages: StateMessages;
+  readonly memberMessages: MemberMessages;
+  readonly #settings: ControlSettings;
+  readonly #replica: ControlReplica;
+  readonly #hooks: CoreHooks;
+  readonly #isDeployed: boolean;
+
+  constructor(
+    settings: ControlSettings,
+    placer: PlacerSettings,
+    replica: ControlReplica,
+    now: Moment,
+    hooks: CoreHooks,
+  ) {
+    const { me, elector, parts } = replica;
+    this.#settings = settings;
+    this.#replica = replica;
+    this.#hooks = hooks;
+    this.#isDeployed = settings.deployed !== undefined;
+    this.sessions = new Sessions(settings.silentMs, settings.blindMs * 2);
+    this.members = new KnownMembers(this.sessions, settings.blindMs, now);
+    this.tree = this.#makeTree();
+    this.zones = new ControlNodeZones(me, settings.zone, elector);
+    this.writer = new PartWriter(parts);
+    this.document = new ConfigDocument({
+      ...replica,
+      seeds: settings.seeds,
+      writer: this.writer,
+    });
+    this.placement = this.#makePlacement(placer);
+    this.updates = this.#makeUpdates();
+    this.orders = this.#makeOrders();
+    this.forwarding = this.#makeForwarding(now);
+    this.reads = this.#makeReads();
+    this.voterSet = new VoterSetWriter({ ...replica, ...this.#written() });
+    this.membership = this.#isDeployed ? this.#makeMembership(now) : undefined;
+    this.repair = this.#makeRepair();
+    this.takeover = this.#makeTakeover();
+    this.commands = this.#makeCommands();
+    this.stateMessages = this.#makeStateMessages();
+    this.memberMessages = this.#makeMemberMessages();
+  }
+
+  /** What operators see of this node. */
+  status(now: Moment): ControlStatus {
+    const { members, tree, placement } = this;
+    return statusOf(now, {
+      ...this.#replica,
+      members,
+      tree,
+      placement,
+      zone: this.#settings.zone,
+      mayOrder: this.#hooks.mayOrder,
+    });
+  }
+
+  /** What the leader writes by. */
+  #written(): { readonly writer: PartWriter; readonly document: ConfigDocument } {
+    return { writer: this.writer, document: this.document };
+  }
+
+  #makeTree(): RelayTree {
+    return new RelayTree({
+      ...this.#replica,
+      sessions: this.sessions,
+      fedNodes: this.#fedNodes.bind(this),
+    });
+  }
+
+  /** While it leads, a node feeds the other voters as well. */
+  #fedNodes(): readonly NodeId[] {
+    const { elector, voters, me } = this.#replica;
+    if (!elector.isLeading()) return [];
+    return voters.quorum.all.filter(isOther.bind(undefined, me));
+  }
+
+  #makePlacement(placer: PlacerSettings): PlacementControl {
+    return new PlacementControl({
+      ...this.#replica,
+      ...this.#written(),
+      settings: this.#settings,
+      placer,
+      members: this.members,
+      mayOrder: this.#hooks.mayOrder,
+    });
+  }
+
+  #makeUpdates(): UpdateExchange {
+    return new UpdateExchange({
+      ...this.#replica,
+      tree: this.tree,
+      members: this.members,
+      table: this.placement.table,
+      followsTold: this.#isDeployed,
+    });
+  }
+
+  #makeOrders(): OperatorOrders {
+    const { document } = this;
+    const { counters, effects } = this.#replica;
+    const host = {
+      newest: document.newest.bind(document),
+      committed: document.committed.bind(document),
+      write: document.write.bind(document),
+      confirm: this.#confirmRefusal.bind(this),
+      answer: effects.answer.bind(effects),
+      isInForce: this.#isInForce.bind(this),
+    };
+    return new OperatorOrders(host, this.#settings.deployed?.dialect, counters);
+  }
+
+  #confirmRefusal(): number {
+    return this.reads.confirmRefusal();
+  }
+
+  #isInForce(now: Moment, commit: Commit): boolean {
+    // In a deployment the yes says that it is held for good; the machines have their own span to follow.
+    return this.#isDeployed || this.members.isInForce(now, commit);
+  }
+
+  #makeForwarding(now: Moment): OrderForwarding {
+    const { counters, effects } = this.#replica;
+    const host = {
+      leader: this.#otherLeader.bind(this),
+      send: effects.send.bind(effects),
+      answer: effects.answer.bind(effects),
+    };
+    return new OrderForwarding(host, counters, this.#settings.incarnation, now);
+  }
+
+  #otherLeader(): string | undefined {
+    const { elector, me } = this.#replica;
+    return elector.leader === me ? undefined : elector.leader;
+  }
+
+  #makeReads(): QuorumReads {
+    return new QuorumReads({
+      ...this.#replica,
+      incarnation: this.#settings.incarnation,
+      members: this.members,
+      table: this.placement.table,
+      updates: this.updates,
+      needsMachines: !this.#isDeployed,
+      confirmed: this.orders.confirmed.bind(this.orders),
+    });
+  }
+
+  #makeMembership(now: Moment): VoterMembership {
+    const { document, zones, voterSet } = this;
+    const { effects, replicaStatus } = this.#replica;
+    const host = {
+      ...this.#replica,
+      status: replicaStatus,
+      zone: this.#settings.zone,
+      isFirstStart: this.#settings.deployed?.isFirstStart ?? false,
+      peers: this.#hooks.peers,
+      document: document.newest.bind(document),
+      zoneOf: zones.zoneOf.bind(zones),
+      send: effects.send.bind(effects),
+      rewriteParts: voterSet.rewriteParts.bind(voterSet),
+      changeVoters: voterSet.change.bind(voterSet),
+    };
+    return new VoterMembership(host, now);
+  }
+
+  #makeRepair(): ReplicaRepair {
+    return new ReplicaRepair({
+      ...this.#replica,
+      hasSpares: this.#isDeployed,
+      collect: this.#hooks.collect,
+    });
+  }
+
+  #makeTakeover(): Takeover {
+    const { placement, orders, reads, updates, membership } = this;
+    return new Takeover({
+      ...this.#replica,
+      ...this.#written(),
+      placement,
+      orders,
+      reads,
+      updates,
+      membership,
+    });
+  }
+
+  #makeCommands(): CommandHandler {
+    const { repair, takeover, forwarding, orders, reads, document, placement } = this;
+    return new CommandHandler({
+      ...this.#replica,
+      repair,
+      takeover,
+      forwarding,
+      orders,
+      reads,
+      document,
+      table: placement.table,
+      status: this.status.bind(this),
+    });
+  }
+
+  #makeStateMessages(): StateMessages {
+    const { repair, members } = this;
+    return new StateMessages({ ...this.#replica, repair, members });
+  }
+
+  #makeMemberMessages(): MemberMessages {
+    const { sessions, tree, members, updates, reads, placement, zones } = this;
+    return new MemberMessages({
+      ...this.#replica,
+      isDeployed: this.#isDeployed,
+      sessions,
+      tree,
+      members,
+      updates,
+      reads,
+      placement,
+      zones,
+    });
+  }
+}
+
+function isOther(me: string, id: string): boolean {
+  return id !== me;
+}
--- /dev/null
+++ b/src/control/ControlSnapshot.ts
@@ -0,0 +1,68 @@
+import type { Moment, NodeId } from '../common/Ids.js';
+import type { Relay } from '../dissemination/Relay.js';
+import type { Sessions } from '../dissemination/Sessions.js';
+import type { Elector } from '../election/Elector.js';
+import { CONFIG_PART } from '../state/PartNames.js';
+import type { ReplicatedState } from '../state/ReplicatedState.js';
+import type { ReplicaStatus } from '../state/ReplicaStatus.js';
+import {
+  sessionNumbers,
+  type ControlCounters,
+  type ControlMetrics,
+  type VoterNumbers,
+} from './ControlMetrics.js';
+import type { FollowedVoters } from './FollowedVoters.js';
+import type { Leadership } from './Leadership.js';
+import type { ReplicaRepair } from './ReplicaRepair.js';
+
+/** What the metrics of a control node are read from. */
+export interface MetricsSources {
+  readonly me: NodeId;
+  readonly elector: Elector;
+  readonly parts: ReplicatedState;
+  readonly replicaStatus: ReplicaStatus;
+  readonly repair: ReplicaRepair;
+  readonly relay: Relay;
+  readonly sessions: Sessions;
+  readonly voters: FollowedVoters;
+  readonly leadership: Leadership;
+  readonly counters: ControlCounters;
+  readonly mayOrder: (now: Moment) => boolean;
+}
+
+/** One look at a node, for its metrics; nothing changes by it. */
+export function metricsOf(now: Moment, sources: MetricsSources): ControlMetrics {
+  const { elector, parts, leadership, counters, repair } = sources;
+  const contact = elector.majorityContact(now);
+  const committed = sources.relay.version('config');
+  return {
+    epoch: elector.epoch,
+    isLeaderKnown: elector.leader !== undefined,
+    isLeading: elector.isLeading(),
+    isServing: leadership.isServing,
+    mayOrder: sources.mayOrder(now),
+    leaseLeftMs: Math.max(0, elector.leaseEnd - now),
+    majorityContactAgeMs: contact === undefined ? undefined : now - contact,
+    voters: voterNumbers(now, sources),
+    replica: repair.isUnderWay ? 'repairing' : sources.replicaStatus.name,
+    unsoundParts: parts.unsoundParts().length,
+    configHeld: parts.versionOf(CONFIG_PART),
+    configCommitted: committed,
+    orders: counters.orders,
+    events: counters.eventsWith({
+      electionsStarted: elector.electionsStarted,
+      votesGranted: elector.votesGranted,
+      copiesMended: parts.mends,
+    }),
+    sessions: sessionNumbers(sources.sessions.up(), committed),
+  };
+}
+
+function voterNumbers(now: Moment, { me, elector, voters }: MetricsSources): VoterNumbers {
+  return {
+    members: voters.quorum.all.length,
+    reachable: elector.reachableVoters(now),
+    isVoter: voters.quorum.holds(me),
+    isJoint: voters.quorum.sets > 1,
+  };
+}
--- /dev/null
+++ b/src/control/ControlStatus.ts
@@ -0,0 +1,141 @@
+import { type } from 'superstruct';
+import type { Moment, NodeId } from '../common/Ids.js';
+import { parseAs } from '../common/Json.js';
+import { versionText } from '../common/Version.js';
+import type { Relay } from '../dissemination/Relay.js';
+import type { Elector } from '../election/Elector.js';
+import type { Intent, ServiceDoc } from '../placement/Shapes.js';
+import { allParts } from '../state/PartNames.js';
+import type { ReplicatedState } from '../state/ReplicatedState.js';
+import type { ReplicaStatus, ReplicaStatusName } from '../state/ReplicaStatus.js';
+import type { FollowedVoters } from './FollowedVoters.js';
+import type { KnownMembers } from './KnownMembers.js';
+import type { Leadership } from './Leadership.js';
+import type { PlacementControl } from './PlacementControl.js';
+import type { RelayTree } from './RelayTree.js';
+
+/** What the status of a control node is read from. */
+export interface StatusSources {
+  readonly me: NodeId;
+  readonly zone: string;
+  readonly elector: Elector;
+  readonly parts: ReplicatedState;
+  readonly replicaStatus: ReplicaStatus;
+  readonly relay: Relay;
+  readonly tree: RelayTree;
+  readonly voters: FollowedVoters;
+  readonly members: KnownMembers;
+  readonly leadership: Leadership;
+  readonly mayOrder: (now: Moment) => boolean;
+  readonly placement: PlacementControl;
+}
+
+/** A member as operators see it. */
+export interface MemberStatus {
+  readonly id: string;
+  readonly zone: string;
+  /** The version of the configuration that it acknowledged. */
+  readonly acked: string;
+  /** The member that it hangs under; '' for this node. */
+  readonly parent: string;
+}
+
+/** What operators see of a control node, as JSON. */
+export interface ControlStatus {
+  readonly me: string;
+  readonly zone: string;
+  readonly standing: ReplicaStatusName;
+  readonly membersHoldState: boolean;
+  readonly role: Elector['role'];
+  readonly epoch: number;
+  readonly leader: string;
+  readonly serving: boolean;
+  readonly mayOrder: boolean;
+  readonly leaseLeftMs: number;
+  readonly voters: readonly string[];
+  /** The score of each voter by its links, from 0. */
+  readonly scores: Readonly<Record<string, number>>;
+  /** The version of each part in this node's own replica. */
+  readonly parts: Readonly<Record<string, string>>;
+  readonly unsound: readonly string[];
+  readonly mended: number;
+  readonly config: string;
+  readonly placesVersion: string;
+  readonly machines: number;
+  readonly members: readonly MemberStatus[];
+  readonly places: object | undefined;
+  readonly intents: readonly Intent[];
+}
+
+/** One look at a node for its operators; nothing changes by it. */
+export function statusOf(now: Moment, sources: StatusSources): ControlStatus {
+  const { elector, parts, replicaStatus, relay, leadership, placement } = sources;
+  const places = relay.item('places');
+  return {
+    me: sources.me,
+    zone: sources.zone,
+    standing: replicaStatus.name,
+    membersHoldState: replicaStatus.isMemberHolding,
+    role: elector.role,
+    epoch: elector.epoch,
+    leader: elector.leader ?? '',
+    serving: leadership.isServing,
+    mayOrder: sources.mayOrder(now),
+    leaseLeftMs: Math.max(0, Math.round(elector.leaseEnd - now)),
+    voters: sources.voters.quorum.all,
+    scores: scoresOf(sources),
+    parts: versionsOf(parts),
+    unsound: parts.unsoundParts(),
+    mended: parts.mends,
+    config: versionOfTopic(relay, 'config'),
+    placesVersion: versionOfTopic(relay, 'places'),
+    machines: placement.table.machines.revision,
+    members: membersOf(sources),
+    places: places ? parseAs(type({}), places.body) : undefined,
+    intents: placement.docs().flatMap(intentsOf),
+  };
+}
+
+function scoresOf({ elector, voters }: StatusSources): Record<string, number> {
+  const scores: Record<string, number> = {};
+  const { all } = voters.quorum;
+  for (const voter of all) scores[voter] = rounded(elector.scores.total(voter, all));
+  return scores;
+}
+
+function rounded(score: number): number {
+  return Math.round(score * 1000) / 1000;
+}
+
+function versionsOf(parts: ReplicatedState): Record<string, string> {
+  const versions: Record<string, string> = {};
+  for (const part of allParts()) versions[part] = versionText(parts.versionOf(part));
+  return versions;
+}
+
+function versionOfTopic(relay: Relay, topic: string): string {
+  const item = relay.item(topic);
+  return item ? versionText(item.version) : 'none';
+}
+
+/** Each member once, though more than one node may know of it. */
+function membersOf({ members, tree }: StatusSources): MemberStatus[] {
+  const list: MemberStatus[] = [];
+  const seen = new Set<string>();
+  for (const member of members.all()) {
+    const { id, zone } = member;
+    if (seen.has(id)) continue;
+    seen.add(id);
+    list.push({
+      id,
+      zone,
+      acked: versionText(members.ackedBy(member)),
+      parent: tree.parentOf(id),
+    });
+  }
+  return list;
+}
+
+function intentsOf(doc: ServiceDoc): readonly Intent[] {
+  return doc.intents;
+}
--- /dev/null
+++ b/src/control/MemberMessages.ts
@@ -0,0 +1,165 @@
+import { later, moment, nodeId, type Moment, type NodeId } from '../common/Ids.js';
+import type { MemberMessage, Message } from '../common/Messages.js';
+import type { Relay } from '../dissemination/Relay.js';
+import type { Sessions } from '../dissemination/Sessions.js';
+import type { Elector } from '../election/Elector.js';
+import type { ReplicaStatus } from '../state/ReplicaStatus.js';
+import type { ControlNodeZones } from './ControlNodeZones.js';
+import type { EffectQueue } from './EffectQueue.js';
+import type { FollowedVoters } from './FollowedVoters.js';
+import type { KnownMembers } from './KnownMembers.js';
+import type { PlacementControl } from './PlacementControl.js';
+import type { QuorumReads } from './QuorumReads.js';
+import type { RelayTree } from './RelayTree.js';
+import type { UpdateExchange } from './UpdateExchange.js';
+
+/** Who is told what members say, and what other nodes say of theirs. */
+export interface MemberMessageParts {
+  readonly me: NodeId;
+  /** Whether this is a deployment: nobody works by being confirmed fresh there, and agents are told of all voters. */
+  readonly isDeployed: boolean;
+  readonly elector: Elector;
+  readonly replicaStatus: ReplicaStatus;
+  readonly relay: Relay;
+  readonly sessions: Sessions;
+  readonly tree: RelayTree;
+  readonly members: KnownMembers;
+  readonly updates: UpdateExchange;
+  readonly reads: QuorumReads;
+  readonly placement: PlacementControl;
+  readonly voters: FollowedVoters;
+  readonly zones: ControlNodeZones;
+  readonly effects: EffectQueue;
+}
+
+type JoinMessage = Extract<Message, { kind: 'join' }>;
+type AckMessage = Extract<Message, { kind: 'ack' }>;
+type FreshnessRequest = Extract<Message, { kind: 'freshnessRequest' }>;
+
+/** How often the leader is told of our members, and asked for updates. */
+const REPORT_MS = 250;
+const DEPLOYED_REPORT_MS = 500;
+const NEVER = moment(-1e12);
+
+/** Messages of agents, and of control nodes on what agents are told and do. */
+export class MemberMessages {
+  readonly #parts: MemberMessageParts;
+  readonly #reportMs: number;
+  #reportedAt: Moment = NEVER;
+
+  constructor(parts: MemberMessageParts) {
+    this.#parts = parts;
+    this.#reportMs = parts.isDeployed ? DEPLOYED_REPORT_MS : REPORT_MS;
+  }
+
+  /** Says whether the message was of this family. */
+  receive(now: Moment, from: string, message: Message): boolean {
+    switch (message.kind) {
+      case 'join':
+        this.#receiveJoin(now, from, message);
+        return true;
+      case 'ack':
+        this.#receiveAck(from, message);
+        return true;
+      case 'acked':
+        this.#receiveAcked(now, from, message.members);
+        return true;
+      case 'demand':
+        this.#receiveDemand(now, message.body);
+        return true;
+      case 'freshnessRequest':
+        this.#receiveFreshnessRequest(now, from, message);
+        return true;
+      case 'quorumRead':
+        this.#parts.reads.receive(now, from, message);
+        return true;
+      case 'quorumReadReply':
+        this.#parts.reads.receiveReply(now, nodeId(from), message);
+        return true;
+      case 'update':
+        this.#parts.updates.receiveUpdate(message);
+        return true;
+      case 'delta':
+        this.#parts.updates.receiveDelta(from, message);
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  tick(now: Moment): void {
+    const { sessions, members, reads } = this.#parts;
+    sessions.tick(now);
+    members.tick(now);
+    reads.tick(now);
+    this.#report(now);
+  }
+
+  #report(now: Moment): void {
+    if (now < later(this.#reportedAt, this.#reportMs)) return;
+    this.#reportedAt = now;
+    const { tree, sessions, updates, effects } = this.#parts;
+    tree.redraw();
+    const leader = this.#otherLeader();
+    if (leader === undefined) return;
+    effects.send(leader, { kind: 'acked', members: [...sessions.up()] });
+    updates.request(leader);
+  }
+
+  #receiveJoin(now: Moment, from: string, message: JoinMessage): void {
+    const { tree, replicaStatus, members, isDeployed } = this.#parts;
+    tree.join(now, from, message);
+    replicaStatus.noteMember(message.epoch);
+    members.noteAck(from, message);
+    if (isDeployed) this.#tellControlNodes(now, from);
+  }
+
+  #tellControlNodes(now: Moment, to: string): void {
+    const { zones, voters, elector, relay, effects } = this.#parts;
+    effects.send(to, {
+      kind: 'controlNodes',
+      controlNodes: zones.list(now, voters.quorum.all),
+      leader: elector.leader ?? '',
+      ...relay.version('config'),
+    });
+  }
+
+  #receiveAck(from: string, message: AckMessage): void {
+    this.#parts.sessions.ack(from, message);
+    this.#parts.members.noteAck(from, message);
+  }
+
+  #receiveAcked(now: Moment, from: string, list: readonly MemberMessage[]): void {
+    const { members, isDeployed } = this.#parts;
+    for (const member of list) members.noteAck(member.id, member);
+    // Elsewhere the rounds of confirmation name them.
+    if (isDeployed) members.noteHeard(now, from, list);
+  }
+
+  /** From below: by a link of the tree, by one that cannot reach its parent, or by a peer for updates alone. */
+  #receiveFreshnessRequest(now: Moment, from: string, message: FreshnessRequest): void {
+    const { relay, updates, reads, isDeployed } = this.#parts;
+    const { nonce, members } = message;
+    relay.heard(from, message.have);
+    if (nonce < 0) updates.answerOnce(from);
+    else if (isDeployed) this.#answerUnread(from, nonce);
+    else reads.confirmFresh(now, { child: from, nonce, members });
+  }
+
+  /** Nobody here works by being confirmed fresh: the ask was for updates, and its return says that we are there. */
+  #answerUnread(to: string, nonce: number): void {
+    const version = this.#parts.relay.version('config');
+    this.#parts.effects.send(to, { kind: 'freshnessReply', nonce, ...version, marks: 0 });
+  }
+
+  #receiveDemand(now: Moment, body: string): void {
+    const leader = this.#otherLeader();
+    if (leader === undefined) this.#parts.placement.demand(now, body);
+    else this.#parts.effects.send(leader, { kind: 'demand', body });
+  }
+
+  #otherLeader(): string | undefined {
+    const { leader } = this.#parts.elector;
+    return leader === this.#parts.me ? undefined : leader;
+  }
+}
--- a/src/control/VoterMembership.ts
+++ b/src/control/VoterMembership.ts
@@ -27,7 +27,7 @@
   /** Everybody to whom this node keeps a connection. */
   peers(): readonly string[];
   /** Whether this node leads and has taken over the state. */
-  isServing(): boolean;
+  readonly leadership: { readonly isServing: boolean };
   /** The configuration as last written by this leader, committed or not. */
   document(): ConfigDoc;
   zoneOf(id: string): string;
@@ -130,7 +130,7 @@
   }
 
   receiveLeave(now: Moment, from: string, message: LeaveMessage): void {
-    if (!this.#host.isServing()) return;
+    if (!this.#host.leadership.isServing) return;
     this.#leaving.add(now, message.id);
     this.#now = now;
     this.#change(now);
@@ -153,7 +153,7 @@
       this.#handover = new SeatHandover(now);
     }
     const handover = this.#handover;
-    if (host.isServing()) {
+    if (host.leadership.isServing) {
       this.#now = now;
       this.#change(now);
       handover.answered(this.#mayStop(host.me));
@@ -202,7 +202,7 @@
 
   #change(now: Moment): void {
     const host = this.#host;
-    if (!host.isServing() || host.parts.isWriting(CONFIG_PART)) return;
+    if (!host.leadership.isServing || host.parts.isWriting(CONFIG_PART)) return;
     // What the old voters hold must be on a majority of the new ones too before those stand alone.
     const isRewriting =
       this.voters.length === 2 && allParts().some(host.parts.isWriting, host.parts);
