Try quorum reads, commands, repair and the configuration document by themselves

DutyNode makes one node's duties without the core around them. What was covered only by whole clusters: who is answered by which round, what a stood-down leader says, in which order a repaired node comes to count, and what is told of a lost table.

--- /dev/null
+++ b/src/control/ConfigDocument.test.ts
@@ -0,0 +1,84 @@
+import { expect, test } from 'vitest';
+import { Quorum } from '../common/Quorum.js';
+import { moment, nodeId, type PartName } from '../common/Ids.js';
+import type { Version } from '../common/Version.js';
+import { Relay } from '../dissemination/Relay.js';
+import { allParts, CONFIG_PART } from '../state/PartNames.js';
+import { ReplicatedState } from '../state/ReplicatedState.js';
+import { ConfigDocument } from './ConfigDocument.js';
+import { PartWriter } from './PartWriter.js';
+
+const NOW = moment(0);
+const EPOCH = 2;
+const ME = nodeId('a');
+
+/** The only voter, which owns all parts once its first writes are on disk. */
+class Owner {
+  readonly relay = new Relay();
+  readonly parts = new ReplicatedState(ME, new Quorum([ME]), allParts(), []);
+  readonly document = new ConfigDocument({
+    seeds: ['a'],
+    parts: this.parts,
+    writer: new PartWriter(this.parts),
+    relay: this.relay,
+  });
+
+  constructor() {
+    this.parts.lead(NOW, EPOCH);
+    this.step();
+    this.step();
+  }
+
+  /** Lets what is being written reach the disk, and takes up what was committed by then. */
+  step(): void {
+    for (const effect of this.parts.drain()) {
+      if (effect.do === 'store') this.parts.stored(effect.part, effect.version, EPOCH, NOW);
+      else if (effect.do === 'committed') this.#commit(effect.part, effect.version);
+    }
+  }
+
+  /** The first writes take over the state; nothing is told of them. */
+  #commit(part: PartName, version: Version): void {
+    if (part === CONFIG_PART && this.parts.isServing && this.parts.replicaBody(part) !== '')
+      this.document.commit(version);
+  }
+
+  toldNumber(): unknown {
+    return JSON.parse(this.relay.item('config')?.body ?? '{}').number;
+  }
+}
+
+function checkCommit(): void {
+  const owner = new Owner();
+  const { document } = owner;
+  expect(document.load()).toBe(false);
+  expect(document.newest().voters).toEqual([['a']]);
+  document.write(NOW, { ...document.newest(), number: 1 }, 0);
+  document.write(NOW, { ...document.newest(), number: 2 }, 0);
+  expect(document.newest().number).toBe(2);
+  expect(document.committed().number).toBe(0);
+  owner.step();
+  owner.step();
+  expect(document.committed().number).toBe(1);
+  expect(owner.toldNumber()).toBe(1);
+  owner.step();
+  expect(document.committed()).toBe(document.newest());
+  expect(owner.toldNumber()).toBe(2);
+}
+test('what is written is told once it is committed', checkCommit);
+
+function checkLost(): void {
+  const owner = new Owner();
+  const { document } = owner;
+  document.load();
+  expect(document.lostNews()).toBeUndefined();
+  const { table } = document.newest();
+  const news = { number: 5, table, emptied: ['east'], voters: [['x']] };
+  owner.relay.offer('config', { epoch: 1, count: 9 }, JSON.stringify(news));
+  const lost = document.lostNews();
+  expect(lost?.number).toBe(5);
+  document.recover(NOW, lost);
+  expect(document.newest()).toMatchObject({ number: 5, emptied: ['east'], voters: [['a']] });
+  expect(document.lostNews()).toBeUndefined();
+}
+test('a table that members still hold is taken back, the voters are not', checkLost);
--- /dev/null
+++ b/src/control/QuorumReads.test.ts
@@ -0,0 +1,104 @@
+import { expect, test } from 'vitest';
+import { moment, nodeId } from '../common/Ids.js';
+import type { Message } from '../common/Messages.js';
+import type { Version } from '../common/Version.js';
+import type { ControlEffect } from './ControlEffect.js';
+import { DutyNode, MACHINES, SOUND_DISK } from './testing/DutyNode.js';
+
+const NOW = moment(10_000);
+const EPOCH = 4;
+const COMMITTED = { epoch: EPOCH, count: 7 };
+const READER = { from: '', id: 5 };
+/** The first round's number: one after the incarnation. */
+const NONCE = 1001;
+const OTHER = nodeId('b');
+
+/** A leader that serves, with a configuration that it knows to be committed. */
+function leader(): DutyNode {
+  const node = new DutyNode(SOUND_DISK);
+  node.duties.updates.takeMachines(MACHINES);
+  node.replica.leadership.begin(EPOCH);
+  node.replica.leadership.serve();
+  node.replica.relay.offer('config', COMMITTED, 'the configuration');
+  node.drain();
+  return node;
+}
+
+function reply(node: DutyNode, version: Version): void {
+  const message = { kind: 'quorumReadReply', nonce: NONCE, ...version, marks: 2 } as const;
+  node.duties.reads.receiveReply(NOW, OTHER, message);
+}
+
+function statusOf(effects: readonly ControlEffect[]): number | undefined {
+  for (const effect of effects) if (effect.do === 'reply') return effect.status;
+  return undefined;
+}
+
+function checkRead(): void {
+  const node = leader();
+  node.duties.reads.read(READER);
+  node.duties.reads.tick(NOW);
+  const request = { kind: 'quorumRead', nonce: NONCE, members: [] };
+  expect(node.sent()).toEqual([
+    ['b', request],
+    ['c', request],
+  ]);
+  reply(node, COMMITTED);
+  const answer = { do: 'reply', id: READER.id, status: 200, body: 'the configuration' };
+  expect(node.drain()).toEqual([answer]);
+  // The round is over: another return of it answers nothing.
+  reply(node, COMMITTED);
+  expect(node.drain()).toEqual([]);
+}
+test('a read is answered once a majority told what it holds', checkRead);
+
+function checkNewer(): void {
+  const node = leader();
+  node.duties.reads.read(READER);
+  node.duties.reads.tick(NOW);
+  node.drain();
+  reply(node, { epoch: EPOCH + 1, count: 1 });
+  expect(statusOf(node.drain())).toBe(503);
+}
+test('a read is turned away where a later leader has written', checkNewer);
+
+function checkAbandoned(): void {
+  const node = leader();
+  node.duties.reads.read(READER);
+  node.duties.reads.tick(NOW);
+  node.drain();
+  node.duties.reads.abandon();
+  expect(statusOf(node.drain())).toBe(503);
+  reply(node, COMMITTED);
+  expect(node.drain()).toEqual([]);
+}
+test(
+  'whoever stands down turns its reads away at once, and no later answer follows',
+  checkAbandoned,
+);
+
+function checkFresh(): void {
+  const node = leader();
+  node.duties.reads.confirmFresh(NOW, { child: 'm', nonce: 9, members: ['m'] });
+  expect(node.sent()).toHaveLength(2);
+  reply(node, COMMITTED);
+  const { revision: marks } = MACHINES;
+  expect(node.sent()).toEqual([['m', { kind: 'freshnessReply', nonce: 9, ...COMMITTED, marks }]]);
+}
+test(
+  'a member is confirmed by the newest configuration and list that a majority holds',
+  checkFresh,
+);
+
+function checkSilent(): void {
+  const message: Message = { kind: 'quorumRead', nonce: 3, members: [] };
+  const blank = new DutyNode([]);
+  blank.duties.updates.takeMachines(MACHINES);
+  blank.drain();
+  blank.duties.reads.receive(NOW, 'b', message);
+  expect(blank.sent()).toEqual([]);
+  const unlisted = new DutyNode(SOUND_DISK);
+  unlisted.duties.reads.receive(NOW, 'b', message);
+  for (const [, sent] of unlisted.sent()) expect(sent.kind).toBe('freshnessRequest');
+}
+test('a node that may have held something newer, or knows no list, tells nothing', checkSilent);
--- /dev/null
+++ b/src/control/ReplicaRepair.test.ts
@@ -0,0 +1,50 @@
+import { expect, test } from 'vitest';
+import { moment } from '../common/Ids.js';
+import { CONFIG_PART } from '../state/PartNames.js';
+import type { ReplicaStatusOutcome } from '../state/ReplicaStatus.js';
+import { DutyNode } from './testing/DutyNode.js';
+
+const NOW = moment(10_000);
+const VERSION = { epoch: 3, count: 1 };
+const REPAIRED: ReplicaStatusOutcome = {
+  become: 'repaired',
+  epoch: 3,
+  copies: [{ part: CONFIG_PART, ...VERSION, body: '{}', sound: true }],
+};
+
+function checkRepair(): void {
+  const node = new DutyNode([]);
+  const { repair, stateMessages } = node.duties;
+  const { replicaStatus } = node.replica;
+  expect(repair.isUnderWay).toBe(false);
+  repair.settle(NOW, REPAIRED);
+  expect(repair.isUnderWay).toBe(true);
+  expect(repair.mayKeepVotes).toBe(false);
+  stateMessages.stored(NOW, CONFIG_PART, VERSION);
+  expect(repair.mayKeepVotes).toBe(true);
+  expect(replicaStatus.name).toBe('blank');
+  repair.voteStored({ epoch: 3, count: 1 });
+  expect(replicaStatus.name).toBe('sound');
+  expect(repair.isUnderWay).toBe(false);
+}
+test('a repaired node counts once its copies and then its vote are on disk', checkRepair);
+
+function checkOnce(): void {
+  const node = new DutyNode([]);
+  node.duties.repair.settle(NOW, REPAIRED);
+  node.drain();
+  node.duties.repair.settle(NOW, REPAIRED);
+  expect(node.drain()).toEqual([]);
+}
+test('a repair that is under way is not begun again', checkOnce);
+
+function checkFounding(): void {
+  const node = new DutyNode([]);
+  const { repair } = node.duties;
+  repair.settle(NOW, { become: 'founded', epoch: 0 });
+  expect(node.drain()).toEqual([{ do: 'note', text: 'founding', fields: {} }]);
+  expect(repair.mayKeepVotes).toBe(true);
+  repair.voteStored({ epoch: 1, count: 1 });
+  expect(node.replica.replicaStatus.name).toBe('sound');
+}
+test('a founding node counts once its first vote is on disk', checkFounding);
--- /dev/null
+++ b/src/control/testing/DutyNode.ts
@@ -0,0 +1,75 @@
+import { moment } from '../../common/Ids.js';
+import type { Message } from '../../common/Messages.js';
+import { VOTE_DEFAULTS } from '../../election/VoteSettings.js';
+import { PLACER_DEFAULTS } from '../../placement/Placer.js';
+import type { Machines } from '../../placement/Shapes.js';
+import { VOTE_PART } from '../../state/PartNames.js';
+import type { StoredPart } from '../../state/Store.js';
+import { CONTROL_DEFAULTS, type ControlEffect } from '../ControlEffect.js';
+import { ControlDuties } from '../ControlDuties.js';
+import { makeReplica, type ControlReplica } from '../ControlReplica.js';
+
+/** A message and to whom it goes. */
+export type Sent = readonly [string, Message];
+
+export const MACHINES: Machines = {
+  revision: 3,
+  machines: [{ id: 'r1', address: 'r1:1', zone: 'z', service: '', leaving: false }],
+};
+
+const START = moment(0);
+
+/** What is on the disk of a node that may vote and has granted nothing. */
+export const SOUND_DISK: readonly StoredPart[] = [
+  {
+    part: VOTE_PART,
+    version: { epoch: 0, count: 1 },
+    body: JSON.stringify({ epoch: 0, grantEpoch: 0, grantLeader: '' }),
+    isSound: true,
+  },
+];
+
+/** The duties of node `a` of three, without the core that ties them together. */
+export class DutyNode {
+  readonly replica: ControlReplica;
+  readonly duties: ControlDuties;
+
+  constructor(stored: readonly StoredPart[]) {
+    const settings = {
+      ...CONTROL_DEFAULTS,
+      me: 'a',
+      zone: 'z',
+      incarnation: 1000,
+      seeds: ['a', 'b', 'c'],
+    };
+    this.replica = makeReplica(settings, stored, START, VOTE_DEFAULTS);
+    this.duties = new ControlDuties(settings, PLACER_DEFAULTS, this.replica, START, {
+      mayOrder: never,
+      collect: doNothing,
+      peers: nobody,
+    });
+  }
+
+  /** The effects since they were asked for last. */
+  drain(): readonly ControlEffect[] {
+    return this.replica.effects.drain();
+  }
+
+  /** What was sent of them. */
+  sent(): Sent[] {
+    const sent: Sent[] = [];
+    for (const effect of this.drain())
+      if (effect.do === 'send') sent.push([effect.to, effect.message]);
+    return sent;
+  }
+}
+
+function never(): boolean {
+  return false;
+}
+function doNothing(): void {
+  /* Nothing is decided by the election here. */
+}
+function nobody(): readonly string[] {
+  return [];
+}
