--- a/src/control/OrderForwarding.ts
+++ b/src/control/OrderForwarding.ts
@@ -4,8 +4,7 @@
 import type { Message } from '../common/Messages.js';
 import { EditShapes } from './ConfigDoc.js';
 import type { ControlCounters, UnclearReason } from './ControlMetrics.js';
-import { leaderLostAnswer, type CommandAnswer } from './OrderAnswers.js';
-import type { Origin } from './OperatorOrders.js';
+import { leaderLostAnswer, type CommandAnswer, type Origin } from './OrderAnswers.js';
 
 /** A moment of the leader's own clock, as it told it in an epoch. */
 export interface LeaderTime {
@@ -113,7 +112,7 @@
 
   /** Throws where a command that another node passed on may not be carried out here any more. */
   checkForwarded(now: Moment, epoch: number, message: CommandMessage): void {
-    if (READS.has(message.verb) || !UNVERSIONED.has(message.verb)) return;
+    if (!UNVERSIONED.has(message.verb)) return;
     if (message.epoch !== epoch || now - message.leaderTime > MOST_AGE_MS) {
       this.#counters.countRefused('too-old');
       throw new CodedError(
--- /dev/null
+++ b/src/control/UpdateExchange.test.ts
@@ -0,0 +1,74 @@
+import { expect, test } from 'vitest';
+import { moment, nodeId } from '../common/Ids.js';
+import { DutyNode, MACHINES, type Sent } from './testing/DutyNode.js';
+
+const NOW = moment(10_000);
+
+function recipients(sent: readonly Sent[]): string[] {
+  const ids: string[] = [];
+  for (const [to] of sent) ids.push(to);
+  return ids;
+}
+
+function checkMachines(): void {
+  const node = new DutyNode([]);
+  const body = JSON.stringify(MACHINES);
+  const update = { kind: 'update', topic: 'machines', epoch: 0, count: 3, body } as const;
+  node.duties.updates.receiveUpdate(update);
+  expect(node.sent()).toEqual([
+    ['b', update],
+    ['c', update],
+  ]);
+  node.duties.updates.receiveUpdate(update);
+  expect(node.sent()).toEqual([]);
+}
+test('a newer list of machines is passed on at once to the other voters', checkMachines);
+
+function checkDelta(): void {
+  const node = new DutyNode([]);
+  const delta = { kind: 'delta', topic: 'fleet', epoch: 2, from: 4, count: 5, body: '{}' } as const;
+  node.duties.updates.receiveDelta('b', delta);
+  expect(node.sent()).toEqual([
+    ['b', { kind: 'freshnessRequest', nonce: -1, have: [], members: [] }],
+  ]);
+}
+test('a change that follows on nothing held here is asked for whole', checkDelta);
+
+function checkAsk(): void {
+  const node = new DutyNode([]);
+  node.duties.members.noteHeard(NOW, 'b', [
+    { id: 'm', zone: 'z', address: 'm:1', epoch: 0, count: 0 },
+  ]);
+  node.duties.updates.askMachines(NOW);
+  expect(recipients(node.sent())).toEqual(['m', 'b', 'c']);
+  node.duties.updates.askMachines(moment(NOW + 499));
+  expect(node.sent()).toEqual([]);
+  node.duties.updates.askMachines(moment(NOW + 500));
+  expect(recipients(node.sent())).toEqual(['m', 'b', 'c']);
+}
+test('members and voters are asked for the list of machines twice a second', checkAsk);
+
+function checkOnce(): void {
+  const node = new DutyNode([]);
+  node.replica.relay.offer('config', { epoch: 1, count: 1 }, '{}');
+  node.replica.relay.heard('m', []);
+  node.duties.updates.answerOnce('m');
+  expect(recipients(node.sent())).toEqual(['m']);
+  node.replica.relay.offer('config', { epoch: 1, count: 2 }, '{}');
+  node.duties.updates.flush();
+  expect(node.sent()).toEqual([]);
+}
+test('whoever is fed elsewhere is answered once', checkOnce);
+
+function checkUnknownNode(): void {
+  const node = new DutyNode([]);
+  const isTaken = node.duties.memberMessages.receive(NOW, 'b', {
+    kind: 'renewed',
+    epoch: 1,
+    nonce: 1,
+  });
+  expect(isTaken).toBe(false);
+  const state = node.duties.stateMessages;
+  expect(state.receive(NOW, nodeId('b'), { kind: 'renewed', epoch: 1, nonce: 1 })).toBe(false);
+}
+test('messages of another family are left to it', checkUnknownNode);
--- a/src/control/VoterMembership.ts
+++ b/src/control/VoterMembership.ts
@@ -23,11 +23,11 @@
   readonly relay: Relay;
   readonly status: ReplicaStatus;
   /** Who votes, by the newest configuration known here. */
-  quorum(): Quorum;
+  readonly voters: { readonly quorum: Quorum };
   /** Everybody to whom this node keeps a connection. */
   peers(): readonly string[];
   /** Whether this node leads and has taken over the state. */
-  isServing(): boolean;
+  readonly leadership: { readonly isServing: boolean };
   /** The configuration as last written by this leader, committed or not. */
   document(): ConfigDoc;
   zoneOf(id: string): string;
@@ -130,7 +130,7 @@
   }
 
   receiveLeave(now: Moment, from: string, message: LeaveMessage): void {
-    if (!this.#host.isServing()) return;
+    if (!this.#host.leadership.isServing) return;
     this.#leaving.add(now, message.id);
     this.#now = now;
     this.#change(now);
@@ -149,11 +149,11 @@
   mustKeepSeat(now: Moment): boolean {
     const host = this.#host;
     if (!this.#handover) {
-      if (!this.#isSound() || !host.quorum().holds(nodeId(host.me))) return false;
+      if (!this.#isSound() || !host.voters.quorum.holds(nodeId(host.me))) return false;
       this.#handover = new SeatHandover(now);
     }
     const handover = this.#handover;
-    if (host.isServing()) {
+    if (host.leadership.isServing) {
       this.#now = now;
       this.#change(now);
       handover.answered(this.#mayStop(host.me));
@@ -162,7 +162,7 @@
       if (leader !== undefined && leader !== host.me && handover.isTellDue(now))
         host.send(leader, { kind: 'leave', id: host.me });
     }
-    handover.tick(now, this.#hasSpare(host.quorum().all));
+    handover.tick(now, this.#hasSpare(host.voters.quorum.all));
     return !handover.isOver;
   }
 
@@ -171,7 +171,7 @@
   /** No voter as far as we know, or without a leader. */
   #isLost(): boolean {
     const { me } = this.#host;
-    return !this.#host.quorum().holds(nodeId(me)) || this.#host.elector.leader === undefined;
+    return !this.#host.voters.quorum.holds(nodeId(me)) || this.#host.elector.leader === undefined;
   }
 
   #isSound(): boolean {
@@ -180,7 +180,7 @@
 
   #announce(now: Moment): void {
     const host = this.#host;
-    const isVoter = host.quorum().holds(nodeId(host.me));
+    const isVoter = host.voters.quorum.holds(nodeId(host.me));
     if (isVoter) this.#hasVoted = true;
     // One that is told to stop must not be taken in again.
     if (this.#handover || now < later(this.#announcedAt, ANNOUNCE_MS)) return;
@@ -202,7 +202,7 @@
 
   #change(now: Moment): void {
     const host = this.#host;
-    if (!host.isServing() || host.parts.isWriting(CONFIG_PART)) return;
+    if (!host.leadership.isServing || host.parts.isWriting(CONFIG_PART)) return;
     // What the old voters hold must be on a majority of the new ones too before those stand alone.
     const isRewriting =
       this.voters.length === 2 && allParts().some(host.parts.isWriting, host.parts);
