Keep the wait for a former holder through a change of voters

The moment from which a winner may order is the first at which some majority of its grants is free; with the set of voters exchanged it was computed anew, by voters that had promised nobody anything.

A change of voters while it leads now keeps the former moment as a bound. Ruled out: holding voters back until the wait is over (a second loss meanwhile would find no majority), telling new voters of old promises (a new field for what the leader knows itself).

--- a/src/election/Elector.test.ts
+++ b/src/election/Elector.test.ts
@@ -17,6 +17,8 @@
   checkOtherHolder,
 );
 
+test('a change of voters does not end the wait for the holder before', checkVotersChanged);
+
 /** A voter that has voted before and was started at moment 0, with its pings to others answered. */
 function started(): Elector {
   const elector = new Elector(a, new Quorum([a, b, c]), VOTE_DEFAULTS, moment(0), {
@@ -152,6 +154,29 @@
   expect(changed.runUntilOrders(isNotA)).toBeGreaterThanOrEqual(spanMs + leaseMs);
 }
 
+/** Of its new voters a majority has promised nothing to the holder before it. */
+function checkVotersChanged(): void {
+  const { spanMs, leaseMs, renewMs, deadMs, electionMs } = VOTE_DEFAULTS;
+  const election = new Election();
+  election.run(9000);
+  expect(election.node(a).mayOrder(election.now)).toBe(true);
+  const lostAt = election.now;
+  election.run(deadMs + electionMs + 500, isNotA);
+  expect(election.node(b).isLeading()).toBe(true);
+  const [d, e] = [nodeId('d'), nodeId('e')];
+  const joint = new Quorum([a, b, c], [d, b, e]);
+  for (const id of [d, e])
+    election.electors.set(id, new Elector(id, joint, VOTE_DEFAULTS, election.now));
+  for (const quorum of [joint, new Quorum([d, b, e])]) {
+    for (const elector of election.electors.values()) elector.setQuorum(quorum);
+    election.run(400, isNotA);
+  }
+  expect(election.node(b).isLeading()).toBe(true);
+  election.runUntilOrders(isNotA);
+  expect(election.node(b).mayOrder(election.now)).toBe(true);
+  expect(election.now - lostAt).toBeGreaterThanOrEqual(spanMs + leaseMs - renewMs);
+}
+
 function always(): boolean {
   return true;
 }
--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -54,6 +54,8 @@
   /** Who granted us this epoch, and until when what each promised to others binds us. */
   readonly #grants = new Map<NodeId, Moment>();
   #orderFrom: Moment = moment(0);
+  /** What voters of before said when the voters changed: a former holder may be bound to some of those alone. */
+  #notBefore: Moment = moment(0);
   #leaseEnd: Moment = moment(-1);
   #nonce = 0;
   readonly #renewals = new Map<number, { readonly sent: Moment; readonly by: Set<NodeId> }>();
@@ -191,6 +193,10 @@
   }
 
   setQuorum(quorum: Quorum): void {
+    // Voters that came since have promised nobody anything: by them alone a former holder's lease would count for nothing.
+    const isChange = quorum.text !== this.#quorum.text;
+    if (isChange && this.#role === 'leading' && this.#orderFrom > this.#notBefore)
+      this.#notBefore = this.#orderFrom;
     this.#quorum = quorum;
     if (this.#role === 'leading' || this.#role === 'won') this.#settleOrderFrom();
   }
@@ -658,7 +664,7 @@
     for (const [peer, end] of ends) {
       free.add(peer);
       if (!this.#quorum.isMajority(free)) continue;
-      this.#orderFrom = end;
+      this.#orderFrom = end > this.#notBefore ? end : this.#notBefore;
       return;
     }
   }
--- a/src/simulation/ControlSimulation.test.ts
+++ b/src/simulation/ControlSimulation.test.ts
@@ -137,6 +137,29 @@
   expect(simulate(options, [slow]).violations).toEqual([]);
 }
 
+/** A leader stands still; its successor's voters are all but itself exchanged before the former lease is over. */
+function checkVotersBesideLease(): void {
+  const options: SimulationOptions = {
+    ...OPTION_DEFAULTS,
+    seed: 70_818,
+    spares: 1,
+    troubleMs: 20_000,
+    lossLimit: 'any',
+    paceMs: 300,
+  };
+  const frozen = { kind: 'after', event: 'ack', from: 8335, delay: 3.5 } as const;
+  const itself = { kind: 'role', role: 'itself' } as const;
+  const third = { kind: 'place', place: 2 } as const;
+  const replaced = { kind: 'at', at: 10_280 } as const;
+  const replace = { kind: 'replace', planned: true, oldReturns: false, target: third } as const;
+  const schedule: Schedule = [
+    { kind: 'freeze', when: frozen, forMs: 2671, target: itself },
+    { ...replace, when: replaced, forMs: 172 },
+  ];
+  expect(simulate(options, schedule).violations).toEqual([]);
+}
+
+test('a successor waits for the lease before it, whoever votes by then', checkVotersBesideLease);
 test('a leader whose lines are slow answers reads', checkSlowLeader);
 test('three nodes run calmly', checkCalm.bind(undefined, 3));
 test('five nodes run calmly', checkCalm.bind(undefined, 5));
