--- a/src/simulation/ControlSimulation.test.ts
+++ b/src/simulation/ControlSimulation.test.ts
@@ -159,6 +159,38 @@
   expect(simulate(options, schedule).violations).toEqual([]);
 }
 
+/** All are killed as the second step of a change of voters is being written; the new voters alone go on with it. */
+function checkSecondStep(): void {
+  const options: SimulationOptions = {
+    ...OPTION_DEFAULTS,
+    seed: 70_371,
+    spares: 1,
+    agents: 2,
+    troubleMs: 20_000,
+    paceMs: 600,
+  };
+  const itself = { kind: 'role', role: 'itself' } as const;
+  const first = { kind: 'place', place: 0 } as const;
+  const second = { kind: 'place', place: 1 } as const;
+  const called = { kind: 'after', event: 'orderSent', from: 7158, delay: 7.3 } as const;
+  const changed = { kind: 'after', event: 'newVoters', from: 13_028, delay: 3.3 } as const;
+  const cut = { direction: 'both', style: 'refuse', besides: 0, withAgents: false } as const;
+  const schedule: Schedule = [
+    { kind: 'cut', when: { kind: 'at', at: 6447 }, forMs: 3089, target: first, ...cut },
+    { kind: 'restart', when: called, forMs: 50, target: itself },
+    {
+      kind: 'slowCalls',
+      when: { kind: 'at', at: 10_117 },
+      forMs: 488,
+      target: second,
+      delayMs: 429,
+    },
+    { kind: 'killAll', when: changed, forMs: 2520 },
+  ];
+  expect(simulate(options, schedule).violations).toEqual([]);
+}
+
+test('the second step of a change of voters needs the new ones alone', checkSecondStep);
 test('a successor waits for the lease before it, whoever votes by then', checkVotersBesideLease);
 test('a leader whose lines are slow answers reads', checkSlowLeader);
 test('three nodes run calmly', checkCalm.bind(undefined, 3));
