--- a/src/election/Elector.ts
+++ b/src/election/Elector.ts
@@ -112,8 +112,10 @@
   }
 
   setQuorum(quorum: Quorum): void {
-    this.#state.quorum = quorum;
-    if (this.#state.isHolding) this.#state.lease.settleOrderFrom(quorum);
+    const state = this.#state;
+    if (this.isLeading() && quorum.text !== state.quorum.text) state.lease.keepWait();
+    state.quorum = quorum;
+    if (state.isHolding) state.lease.settleOrderFrom(quorum);
   }
 
   /** When a voter last returned a ping; nothing for one never pinged. */
--- a/src/election/Lease.ts
+++ b/src/election/Lease.ts
@@ -18,6 +18,8 @@
   readonly #renewals = new Map<number, Renewal>();
   #nonce = 0;
   #orderFrom: Moment = moment(0);
+  /** What voters of before said when the voters changed: a former holder may be bound to some of those alone. */
+  #notBefore: Moment = moment(0);
   #end: Moment = moment(-1);
   #renewedAt: Moment = moment(0);
 
@@ -68,11 +70,19 @@
     for (const [peer, end] of ends) {
       free.add(peer);
       if (!quorum.isMajority(free)) continue;
-      this.#orderFrom = end;
+      this.#orderFrom = end > this.#notBefore ? end : this.#notBefore;
       return;
     }
   }
 
+  /**
+   * Keeps the wait for a former holder when the voters change, in later terms of this process as well. Voters that come in
+   * have promised nobody anything: by them alone a former holder's lease would count for nothing.
+   */
+  keepWait(): void {
+    if (this.#orderFrom > this.#notBefore) this.#notBefore = this.#orderFrom;
+  }
+
   /** The nonce of a renewal that is to be sent now; nothing where none is due. */
   renew(now: Moment): number | undefined {
     const { renewMs, spanMs } = this.#settings;
