--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,7 +17,6 @@
   'src/rehearsal/ScaleRun.ts',
   'src/rehearsal/SimOutside.ts',
   'src/rehearsal/SimProxy.ts',
-  'src/state/ReplicatedState.ts',
 ];
 
 /** Files with functions that still exceed MOST_FUNCTION_LINES. */
@@ -58,7 +57,6 @@
   'src/rehearsal/SimProxy.ts',
   'src/rehearsal/StubRunner.ts',
   'src/state/ReplicaStatus.ts',
-  'src/state/ReplicatedState.ts',
 ];
 
 export default tseslint.config(
