Demand recovery only where no more disks were lost than machines bear

Of the new set two were lost; a voter without its disk cannot tell what it decided with one that is gone. The simulator had let the second disk go since the first machine was no voter by then.

Ruled out in the product: counting the wiped voter by the old set alone (the new set may have decided by itself), a shorter wait for announcements (narrower, no cure). Ruled out here: not letting the second disk go (what holds for safety would be tried less). The run goes on as before and every other rule holds; only that somebody leads in the end is not demanded where more disks than tolerated were lost within the time to catch up.

--- a/src/simulation/ControlSimulation.ts
+++ b/src/simulation/ControlSimulation.ts
@@ -168,10 +168,16 @@
 
   #checkRecovered(): void {
     if (this.#watch.lastServingAt >= this.#calmFrom || this.#fleet.leader) return;
+    if (!this.#isRecoveryOwed) return;
     const text = `none serves ${RECOVER_MS} ms after the last fault`;
     this.#violations.add('no-leader-after-trouble', text);
   }
 
+  /** Whether a leader must come about once all trouble is over, whatever was lost. */
+  get #isRecoveryOwed(): boolean {
+    return this.#options.lossLimit !== 'any' || !this.#budget.isBeyond;
+  }
+
   #observer(): ControlObserver {
     return {
       stepped: this.#stepped.bind(this),
@@ -338,6 +344,7 @@
     return {
       nodes,
       virtualMs,
+      isRecoveryOwed: this.#isRecoveryOwed,
       faults: this.#driver.struckByKind,
       packets: this.#fleet.network.packets,
       runnerOrders: this.#holderRules.orders,
--- a/src/simulation/LossBudget.test.ts
+++ b/src/simulation/LossBudget.test.ts
@@ -3,6 +3,20 @@
 import { LossBudget } from './LossBudget.js';
 import type { LossLimit } from './Options.js';
 
+/** Two disks within the time to catch up are one too many of three machines, also where one was no voter. */
+function checkBeyond(): void {
+  const counted = new Counted(3, 'any');
+  counted.isHealed = true;
+  counted.budget.loseDisk('a', true);
+  counted.now = CATCH_UP_MS;
+  counted.budget.loseDisk('b', false);
+  expect(counted.budget.isBeyond).toBe(false);
+  counted.now += 1;
+  counted.budget.loseDisk('c', false);
+  expect(counted.budget.isBeyond).toBe(true);
+}
+test('disks lost one right after the other are noticed', checkBeyond);
+
 class Counted {
   now = 0;
   present: number;
--- a/src/simulation/LossBudget.ts
+++ b/src/simulation/LossBudget.ts
@@ -26,6 +26,9 @@
   readonly #backAt = new Map<string, number>();
   /** Whose disk was lost, and whether the machine is to leave for good with it. */
   readonly #lostDisks = new Map<string, boolean>();
+  /** When machines left for good or lost their disks. */
+  readonly #diskLostAt = new Map<string, number>();
+  #isBeyond = false;
   #permanent = 0;
   #leftLately = 0;
 
@@ -44,6 +47,8 @@
 
   loseDisk(node: string, isForGood: boolean): void {
     this.#lostDisks.set(node, isForGood);
+    this.#diskLostAt.set(node, this.#settings.now());
+    if (this.#lostLately() > toleratedOf(this.#settings.nodes)) this.#isBeyond = true;
   }
 
   /** A machine left for good, and nobody comes for it. */
@@ -69,6 +74,14 @@
     return LEFT_MS;
   }
 
+  /**
+   * Whether more disks were lost within the time to catch up than the contract tolerates, voters' or not: one that left may
+   * just then have been taken for a spare. Nobody need ever lead again then, and all else must hold.
+   */
+  get isBeyond(): boolean {
+    return this.#isBeyond;
+  }
+
   isLost(node: string): boolean {
     if ((this.#under.get(node) ?? 0) > 0) return true;
     return this.#settings.now() < (this.#backAt.get(node) ?? -Infinity) + CATCH_UP_MS;
@@ -102,6 +115,13 @@
     return lost.size;
   }
 
+  #lostLately(): number {
+    let count = 0;
+    const since = this.#settings.now() - CATCH_UP_MS;
+    for (const at of this.#diskLostAt.values()) if (at > since) count += 1;
+    return count;
+  }
+
   /** A fleet that has become smaller for good bears less. */
   #allowed(): number {
     const { nodes, present } = this.#settings;
--- a/src/simulation/RunFigures.ts
+++ b/src/simulation/RunFigures.ts
@@ -20,6 +20,8 @@
 export interface RunFigures {
   readonly nodes: number;
   readonly virtualMs: number;
+  /** Whether somebody must lead after all trouble: not where too many disks were lost one right after the other. */
+  readonly isRecoveryOwed: boolean;
   readonly faults: Readonly<FaultCounts>;
   readonly packets: number;
   readonly runnerOrders: number;
--- a/src/simulation/RunReport.ts
+++ b/src/simulation/RunReport.ts
@@ -38,6 +38,8 @@
   /** How many seeds broke each rule. */
   readonly rules: Readonly<Record<string, number>>;
   readonly virtualSeconds: number;
+  /** Seeds after which nobody need lead, since too many disks were lost one right after the other. */
+  readonly recoveryNotOwed: number;
   readonly totals: Readonly<Record<TotalName, number>>;
   /** How often each kind of fault struck. */
   readonly faults: Readonly<FaultCounts>;
@@ -135,10 +137,12 @@
   }
   const totals = { packets: 0, runnerOrders: 0, reigns: 0, voterChanges: 0, reads: 0 };
   let virtualMs = 0;
+  let recoveryNotOwed = 0;
   const repairMs: number[] = [];
   const leaderlessMs: number[] = [];
   for (const { figures } of results) {
     virtualMs += figures.virtualMs;
+    if (!figures.isRecoveryOwed) recoveryNotOwed += 1;
     repairMs.push(...figures.repairMs);
     leaderlessMs.push(...figures.leaderlessMs);
     for (const name of TOTALS) totals[name] += figures[name];
@@ -148,6 +152,7 @@
     shapes: shapesOf(results),
     failedSeeds: failures.map(seedOf),
     rules,
+    recoveryNotOwed,
     virtualSeconds: Math.round(virtualMs / MS_PER_SECOND),
     totals,
     faults: faultsOf(results),
--- a/src/simulation/SeedRun.ts
+++ b/src/simulation/SeedRun.ts
@@ -1,4 +1,4 @@
-import { array, enums, number, object, record, string, type Infer } from 'superstruct';
+import { array, boolean, enums, number, object, record, string, type Infer } from 'superstruct';
 import { simulate, type RunLog } from './ControlSimulation.js';
 import { ORDER_KINDS, type RunFigures } from './RunFigures.js';
 import { optionsOf, SHAPE_NAMES, type RunShape } from './RunShape.js';
@@ -15,6 +15,7 @@
 const FiguresShape = object({
   nodes: number(),
   virtualMs: number(),
+  isRecoveryOwed: boolean(),
   faults: record(string(), number()),
   packets: number(),
   runnerOrders: number(),
--- a/src/simulation/commands/SimulateControlCommand.ts
+++ b/src/simulation/commands/SimulateControlCommand.ts
@@ -95,6 +95,7 @@
     for (const { shape, seeds: ofShape, failed } of shapes) {
       this.log(`  ${shape}: ${ofShape} seeds, ${failed} failed`);
     }
+    this.log(`  recovery not owed: ${report.recoveryNotOwed} seeds`);
     for (const [rule, count] of Object.entries(rules)) this.log(`  ${rule}: ${count} seeds`);
     this.log(`faults: ${JSON.stringify(faults)}`);
     for (const kind of ORDER_KINDS) this.log(`${kind}: ${outcomesText(orders[kind])}`);
