--- a/src/simulation/exhaustive/ElectionSearches.test.ts
+++ b/src/simulation/exhaustive/ElectionSearches.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
-import { election, type Search } from './Searches.js';
+import { election } from './SearchedProtocols.js';
+import type { Search } from './Searches.js';
 import { brokenBy, faults, orders, searchesOf, shortcomingsOf } from './testing/SearchChecks.js';
 
 async function checkSound(search: Search): Promise<void> {
--- a/src/simulation/exhaustive/RefusalSearches.test.ts
+++ b/src/simulation/exhaustive/RefusalSearches.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
-import { newerRefusal, refusal, type Search } from './Searches.js';
+import { newerRefusal, refusal } from './SearchedProtocols.js';
+import type { Search } from './Searches.js';
 import { brokenBy, faults, searchesOf, shortcomingsOf } from './testing/SearchChecks.js';
 
 async function checkSound(search: Search): Promise<void> {
@@ -16,12 +17,18 @@
 }
 
 async function checkHastyNewerRefusal(): Promise<void> {
-  const protocol = newerRefusal('after an order', 4, [], 'refused-for-a-pending-one');
+  const protocol = newerRefusal(
+    { beginning: 'after an order', clockSteps: 4 },
+    'refused-for-a-pending-one',
+  );
   expect(await brokenBy(protocol, faults(0))).toContain('is refused though its base 7');
 }
 
 async function checkThawedRefusal(): Promise<void> {
-  const protocol = newerRefusal('former leader frozen', 9, [], 'refused-by-its-own-copy');
+  const protocol = newerRefusal(
+    { beginning: 'former leader frozen', clockSteps: 9 },
+    'refused-by-its-own-copy',
+  );
   expect(await brokenBy(protocol, faults(0))).toContain('is refused though its base 7');
 }
 
--- a/src/simulation/exhaustive/RepairSearches.test.ts
+++ b/src/simulation/exhaustive/RepairSearches.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
-import { repair, SEEDS, type Search } from './Searches.js';
+import { repair, SEEDS } from './SearchedProtocols.js';
+import type { Search } from './Searches.js';
 import { brokenBy, orders, searchesOf, shortcomingsOf } from './testing/SearchChecks.js';
 
 async function checkSound(search: Search): Promise<void> {
--- a/src/simulation/exhaustive/VoterChangeSearches.test.ts
+++ b/src/simulation/exhaustive/VoterChangeSearches.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
-import { troubledVoters, voterChange, type Search } from './Searches.js';
+import { troubledVoters, voterChange } from './SearchedProtocols.js';
+import type { Search } from './Searches.js';
 import { brokenBy, faults, searchesOf, shortcomingsOf } from './testing/SearchChecks.js';
 
 async function checkSound(search: Search): Promise<void> {
