--- a/src/simulation/ControlNode.ts
+++ b/src/simulation/ControlNode.ts
@@ -75,8 +75,8 @@
   #seeds: readonly string[] = [];
   readonly #operators: OperatorPort;
   #starts = 0;
-  /** Told once a process that was asked to stop is gone. */
-  #ended: (() => void) | undefined;
+  /** All told once a process that was asked to stop is gone; it may be asked more than once. */
+  #ended: (() => void)[] = [];
   /** Set while the next order's write is to be held up by a freeze right after the lease was checked. */
   freezeAtOrder: (() => void) | undefined;
 
@@ -150,7 +150,8 @@
   /** SIGTERM: hands over what it leads, and is killed if it has not ended after the grace. */
   stop(ended: () => void): void {
     // It may be killed, or lose power, before it has ended by itself.
-    this.#ended = ended;
+    this.#ended.push(ended);
+    if (this.#ended.length > 1) return;
     const end = this.#finish.bind(this);
     // The machine kills what has not ended, frozen or not.
     this.#around.scheduler.after(GRACE_MS, this.process.inThisLife(end));
@@ -219,8 +220,8 @@
     this.freezeAtOrder = undefined;
     this.#around.observer.stepped(this);
     const ended = this.#ended;
-    this.#ended = undefined;
-    ended?.();
+    this.#ended = [];
+    for (const tell of ended) tell();
   }
 
   #retire(until: number, end: () => void): void {
--- a/src/simulation/ControlSimulation.test.ts
+++ b/src/simulation/ControlSimulation.test.ts
@@ -120,6 +120,38 @@
   return attempt.takenLateAt !== undefined;
 }
 
+const LEADER = { kind: 'role', role: 'leader' } as const;
+const FOLLOWER = { kind: 'role', role: 'follower' } as const;
+
+function placeOf(place: number): { readonly kind: 'place'; readonly place: number } {
+  return { kind: 'place', place };
+}
+
+/** A node that is told to stop once more while it stops is started again when both faults are over. */
+function checkStoppedTwice(): void {
+  const options: SimulationOptions = {
+    ...OPTION_DEFAULTS,
+    seed: 1_004_882,
+    spares: 1,
+    agents: 3,
+    troubleMs: 10_000,
+    lossLimit: 'any',
+    paceMs: 1200,
+  };
+  const afterVoters = { kind: 'after', event: 'newVoters', from: 6777, delay: 250.4 } as const;
+  const afterEpoch = { kind: 'after', event: 'epoch', from: 7331, delay: 1.9 } as const;
+  const gone = { planned: false, oldReturns: false };
+  const silent = { direction: 'in', style: 'silent', besides: 0, withAgents: false } as const;
+  const schedule: Schedule = [
+    { kind: 'restart', when: afterVoters, forMs: 50, target: LEADER },
+    { kind: 'replace', when: { kind: 'at', at: 7096 }, forMs: 75, target: placeOf(4), ...gone },
+    { kind: 'cut', when: { kind: 'at', at: 7170 }, forMs: 4218, target: placeOf(6), ...silent },
+    { kind: 'restart', when: afterEpoch, forMs: 50, target: FOLLOWER },
+  ];
+  expect(simulate(options, schedule).violations).toEqual([]);
+}
+test('a node that is told to stop twice is started again', checkStoppedTwice);
+
 test('a copy that no node can know to be late is not held against it', checkSlowCalls);
 /** A way there and back takes up to a second: longer than a leader waits before it asks a majority again. */
 function checkSlowLeader(): void {
