Go on from the first inputs of a state in the exhaustive searches

After 256 nodes were kept in memory, a state that was found equal to an earlier one stood there as it was last met. Equal states may send the messages of one step in another order, since most maps count as equal in any order, so that counts depended on what was in memory: contested election, depth 4: 865 states with 256 nodes kept, 868 with 4, 880 with 1.

Ruled out: messages shared between nodes (copying inputs and what is interned changed no count; both are copied from now on all the same) and facts that are compared by their JSON text (no count changed; they are no longer).

Now a state that is equal to an earlier one leaves the memory, and the earlier one goes on from the inputs that led to it first.

--- a/src/simulation/exhaustive/Interner.ts
+++ b/src/simulation/exhaustive/Interner.ts
@@ -22,7 +22,8 @@
     const known = this.#ids.get(text);
     if (known !== undefined) return known;
     const id = this.#values.length;
-    this.#values.push(value);
+    // What a core sent may still be in its hands, and it may change it later.
+    this.#values.push(structuredClone(value));
     this.#ids.set(text, id);
     return id;
   }
--- a/src/simulation/exhaustive/LocalStates.ts
+++ b/src/simulation/exhaustive/LocalStates.ts
@@ -95,8 +95,6 @@
   readonly #digest: StateDigest;
   readonly #ids = new Map<string, number>();
   readonly #recorded: Recorded<Command, Event, Facts>[] = [];
-  /** Many states look alike to the invariants. */
-  readonly #facts = new Interner<Facts>();
   readonly #boots = new Map<string, number>();
   readonly envelopes = new Interner<Envelope>();
   readonly writes = new Interner<DiskWrite>();
@@ -137,7 +135,7 @@
     if (known) return known;
     const subject = this.#rebuild(local);
     this.#live.delete(local);
-    const output = subject.perform(now, input);
+    const output = subject.perform(now, structuredClone(input));
     const after = this.#record(before.boot, { local, now, input }, subject);
     const step: LocalStep<Event> = {
       local: after,
@@ -161,8 +159,8 @@
     const settled = this.#ids.get(hash) ?? local;
     this.#ids.set(hash, settled);
     record.settled = settled;
-    this.#live.delete(local);
-    this.#keepLive(settled, subject);
+    // A state is always gone on from by the inputs that led to it first, so that what is found does not depend on memory.
+    if (settled !== local) this.#live.delete(local);
     return settled;
   }
 
@@ -187,7 +185,7 @@
     subject: Subject<Command, Event, Facts>,
   ): number {
     const local = this.#recorded.length;
-    const facts = this.#facts.valueOf(this.#facts.idOf(subject.facts()));
+    const facts = subject.facts();
     this.#recorded.push({ boot, origin, facts, steps: undefined, settled: undefined });
     this.#keepLive(local, subject);
     return local;
@@ -213,7 +211,7 @@
       record = this.#recordOf(record.origin.local);
     }
     const subject = this.#factory.start(record.boot);
-    for (const { now, input } of inputs.reverse()) subject.perform(now, input);
+    for (const { now, input } of inputs.reverse()) subject.perform(now, structuredClone(input));
     return subject;
   }
 
