Cut the simulator's outside into platform, orders and runners

The platform's list, orders with what watches them, and what a runner holds are modules of their own; off all lists of exceptions. Tests' assertions are untouched.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,6 @@
   'src/rehearsal/Fleet.ts',
   'src/rehearsal/Rehearsal.ts',
   'src/rehearsal/ScaleRun.ts',
-  'src/rehearsal/SimOutside.ts',
   'src/rehearsal/SimProxy.ts',
 ];
 
@@ -32,7 +31,6 @@
   'src/rehearsal/Rehearsal.ts',
   'src/rehearsal/ScaleFigures.ts',
   'src/rehearsal/ScaleRun.ts',
-  'src/rehearsal/SimOutside.ts',
   'src/rehearsal/SimProxy.ts',
   'src/rehearsal/StubRunner.ts',
 ];
@@ -53,7 +51,6 @@
   'src/placement/OrderQueue.ts',
   'src/rehearsal/Judge.ts',
   'src/rehearsal/ScaleFigures.ts',
-  'src/rehearsal/SimOutside.ts',
   'src/rehearsal/SimProxy.ts',
   'src/rehearsal/StubRunner.ts',
   'src/state/ReplicaStatus.ts',
--- a/src/rehearsal/BackEndTroubles.ts
+++ b/src/rehearsal/BackEndTroubles.ts
@@ -67,8 +67,8 @@
         this.#cutOff(backEnd, spanMs);
         break;
       case 'mark-runner':
-        outside.mark(backEnd, true);
-        scheduler.after(spanMs, outside.mark.bind(outside, backEnd, false));
+        outside.platform.mark(backEnd, true);
+        scheduler.after(spanMs, outside.platform.mark.bind(outside.platform, backEnd, false));
         break;
       case 'mark-dark-runner':
         this.#markDark(runner, spanMs);
@@ -87,7 +87,7 @@
       outside.setDark(back.id, false);
       scheduler.after(START_MS, outside.up.bind(outside, back.id));
     }
-    for (const id of [...RUNNERS, ...PLAIN]) outside.mark(id, false);
+    for (const id of [...RUNNERS, ...PLAIN]) outside.platform.mark(id, false);
   }
 
   /** It takes as long as a process does to start; then everybody asks. */
@@ -126,7 +126,10 @@
   #markDark(runner: string, spanMs: number): void {
     const { scheduler, outside } = this.#stage;
     this.#darken(runner, MARKED_DARK_MS);
-    scheduler.after(MARKED_AFTER_MS, outside.mark.bind(outside, runner, true));
-    scheduler.after(FREED_AFTER_MS + spanMs, outside.mark.bind(outside, runner, false));
+    scheduler.after(MARKED_AFTER_MS, outside.platform.mark.bind(outside.platform, runner, true));
+    scheduler.after(
+      FREED_AFTER_MS + spanMs,
+      outside.platform.mark.bind(outside.platform, runner, false),
+    );
   }
 }
--- a/src/rehearsal/PlatformTroubles.ts
+++ b/src/rehearsal/PlatformTroubles.ts
@@ -30,15 +30,18 @@
         scheduler.after(spanMs, outside.setRoom.bind(outside, runner, RUNNER_ROOM));
         break;
       case 'lower-limit':
-        outside.setLimit(1);
-        scheduler.after(spanMs + LIMIT_SLACK_MS, outside.setLimit.bind(outside, LOADS_AT_ONCE));
+        outside.orders.setLimit(1);
+        scheduler.after(
+          spanMs + LIMIT_SLACK_MS,
+          outside.orders.setLimit.bind(outside.orders, LOADS_AT_ONCE),
+        );
         break;
       case 'platform-down':
-        outside.isPlatformUp = false;
+        outside.platform.isUp = false;
         scheduler.after(spanMs, listAgain.bind(undefined, outside));
         break;
       case 'odd-list':
-        outside.oddList = seeded.isLikely(0.5) ? 'empty' : 'old';
+        outside.platform.oddList = seeded.isLikely(0.5) ? 'empty' : 'old';
         scheduler.after(spanMs, listAgain.bind(undefined, outside));
         break;
     }
@@ -47,7 +50,7 @@
   /** Ends what troubles did to the list and the weight store. */
   heal(): void {
     listAgain(this.#stage.outside);
-    this.#stage.outside.setLimit(LOADS_AT_ONCE);
+    this.#stage.outside.orders.setLimit(LOADS_AT_ONCE);
   }
 
   /** Gives runners their room back. */
@@ -57,6 +60,6 @@
 }
 
 function listAgain(outside: SimOutside): void {
-  outside.isPlatformUp = true;
-  outside.oddList = 'none';
+  outside.platform.isUp = true;
+  outside.platform.oddList = 'none';
 }
--- a/src/rehearsal/ProxyWatch.ts
+++ b/src/rehearsal/ProxyWatch.ts
@@ -48,7 +48,7 @@
     this.#lookForStepBack(proxy.id, version, tableNumber);
     if (proxy.isFrozen || !decision.isFresh(proxy.now())) return;
     this.#lookForOldTable(proxy.id, version, tableNumber);
-    for (const [revision, shownAt] of this.#outside.shown) {
+    for (const [revision, shownAt] of this.#outside.platform.shown) {
       if (marks >= revision || now <= shownAt + FRESHNESS_SLACK_MS) continue;
       const age = Math.round(now - shownAt);
       this.#findings.find(
@@ -61,9 +61,9 @@
   ran(proxy: string, runner: string, now: number): void {
     this.#runs += 1;
     this.#lastRunAt = now;
-    for (const machine of this.#outside.list) {
+    for (const machine of this.#outside.platform.list) {
       if (machine.id !== runner) continue;
-      const learned = this.#outside.learned(runner);
+      const learned = this.#outside.platform.learned(runner);
       if (machine.leaving && learned !== undefined && now > learned + LEAVING_MS)
         this.#findings.find(
           `leaving-got-work: ${proxy} drew ${runner} ${Math.round(now - learned)} ms after its mark was learned`,
--- a/src/rehearsal/SimControl.ts
+++ b/src/rehearsal/SimControl.ts
@@ -187,7 +187,7 @@
         break;
       }
       case 'askMachines': {
-        const machines = this.#outside.machines(this.id);
+        const machines = this.#outside.platform.machines();
         function take(inner: ControlCore): void {
           if (machines) inner.machines(now(), machines);
         }
@@ -198,7 +198,10 @@
         const outside = this.#outside;
         const more = this.#wrong === 'slots-forgotten' ? 3 : 0;
         function take(inner: ControlCore): void {
-          inner.catalog(now(), { ...outside.catalog, limit: outside.catalog.limit + more });
+          inner.catalog(now(), {
+            ...outside.orders.catalog,
+            limit: outside.orders.catalog.limit + more,
+          });
         }
         this.later(this.#network.delay(), perform.bind(undefined, take));
         break;
@@ -274,12 +277,8 @@
       scheduler.after(network.delay(), arrive);
     }
     function arrive(): void {
-      const outcome = outside.order(
-        me,
-        epoch,
-        intent,
-        wrong === 'orders-untimed' ? scheduler.now : continuedAt,
-      );
+      const goneOnAt = wrong === 'orders-untimed' ? scheduler.now : continuedAt;
+      const outcome = outside.orders.order({ holder: me, epoch, intent, continuedAt: goneOnAt });
       later(network.delay(), perform.bind(undefined, told.bind(undefined, outcome)));
     }
     if (network.isCut(me, intent.runner) || !outside.isAnswering(intent.runner))
--- a/src/rehearsal/SimTroubles.ts
+++ b/src/rehearsal/SimTroubles.ts
@@ -95,7 +95,7 @@
     if (controlNode) this.#hands.restart(controlNode, spanMs);
     if (agent) this.#hands.restart(agent, spanMs);
     if (proxy) this.#hands.restartProxy(proxy, spanMs);
-    for (const machine of outside.list) {
+    for (const machine of outside.platform.list) {
       if (machine.zone !== ZONES[index]) continue;
       outside.down(machine.id, true);
       scheduler.after(spanMs, outside.up.bind(outside, machine.id));
--- a/src/rehearsal/Simulation.ts
+++ b/src/rehearsal/Simulation.ts
@@ -138,9 +138,9 @@
       case 'edit in flight':
         return this.#operators.openEdits > 0;
       case 'fetch under way':
-        return this.#outside.fetching > 0;
+        return this.#outside.orders.fetching > 0;
       case 'runner marked':
-        return this.#outside.list.some(isMarked);
+        return this.#outside.platform.list.some(isMarked);
       case 'zone emptied':
         return this.#operators.evacuated.size > 0;
       case 'back end cold':
@@ -184,13 +184,13 @@
   }
 
   mark(runner: string, isLeaving: boolean): void {
-    this.#outside.mark(runner, isLeaving);
+    this.#outside.platform.mark(runner, isLeaving);
   }
 
   /** Whether every proxy has the platform's newest list. */
   haveAllMarks(): boolean {
     for (const proxy of this.#proxies)
-      if ((proxy.decision?.marks ?? 0) < this.#outside.revision) return false;
+      if ((proxy.decision?.marks ?? 0) < this.#outside.platform.revision) return false;
     return true;
   }
 
@@ -294,11 +294,11 @@
     }
     return {
       seed: this.#settings.seed,
-      violations: [...this.#findings.violations, ...this.#outside.violations],
+      violations: [...this.#findings.violations, ...this.#outside.orders.violations],
       leaderlessMs: this.#leaderless,
       serveMs,
       edits: { accepted, refused, unsure },
-      orders: this.#outside.orders.length,
+      orders: this.#outside.orders.seen.length,
       runs: this.#watch.runs,
       messages: this.#network.sent,
       calls,
@@ -308,7 +308,7 @@
 
   #evidence(): Evidence {
     const zones = new Map<string, string>();
-    for (const machine of this.#outside.list) zones.set(machine.id, machine.zone);
+    for (const machine of this.#outside.platform.list) zones.set(machine.id, machine.zone);
     return {
       callers: this.#calls,
       backs: this.#outside.records,
