Cut the simulated proxy into its callers' traffic and its connections

What callers ask for (CallerTraffic) and the connections of requests to back ends (ProxyConnections) are modules of their own; off all lists of exceptions. Tests' assertions are untouched.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,6 @@
   'src/rehearsal/Fleet.ts',
   'src/rehearsal/Rehearsal.ts',
   'src/rehearsal/ScaleRun.ts',
-  'src/rehearsal/SimProxy.ts',
 ];
 
 /** Files with functions that still exceed MOST_FUNCTION_LINES. */
@@ -31,7 +30,6 @@
   'src/rehearsal/Rehearsal.ts',
   'src/rehearsal/ScaleFigures.ts',
   'src/rehearsal/ScaleRun.ts',
-  'src/rehearsal/SimProxy.ts',
   'src/rehearsal/StubRunner.ts',
 ];
 
@@ -51,7 +49,6 @@
   'src/placement/OrderQueue.ts',
   'src/rehearsal/Judge.ts',
   'src/rehearsal/ScaleFigures.ts',
-  'src/rehearsal/SimProxy.ts',
   'src/rehearsal/StubRunner.ts',
   'src/state/ReplicaStatus.ts',
 ];
--- a/src/rehearsal/EdgeTroubles.ts
+++ b/src/rehearsal/EdgeTroubles.ts
@@ -1,3 +1,4 @@
+import { lookup } from './CallerTraffic.js';
 import type { Network } from './Network.js';
 import type { SimAgent } from './SimAgent.js';
 import type { SimProxy } from './SimProxy.js';
@@ -82,7 +83,7 @@
   /** Everybody asks at once, so many at each proxy. */
   crowd(size: number): void {
     for (const proxy of this.#stage.proxies)
-      for (let index = 0; index < size; index += 1) proxy.send(proxy.lookup());
+      for (let index = 0; index < size; index += 1) proxy.send(lookup());
   }
 
   #isolate(agent: SimAgent, spanMs: number): void {
--- a/src/rehearsal/SimProxy.ts
+++ b/src/rehearsal/SimProxy.ts
@@ -7,6 +7,8 @@
 import { compareVersions, NO_VERSION, type Version } from '../common/Version.js';
 import type { Scheduler } from './Scheduler.js';
 import type { Network } from './Network.js';
+import { drawTraffic } from './CallerTraffic.js';
+import { ProxyConnections } from './ProxyConnections.js';
 import type { CallerRecord } from './Records.js';
 import type { Seeded } from './Seeded.js';
 import { SimClients, type SimClient, type Traffic } from './SimClients.js';
@@ -21,26 +23,16 @@
 const SILENT_MS = 5000;
 const DRAIN_MS = 20_000;
 
-interface Way {
-  readonly line: SimConnection;
-  readonly attempt: number;
-  readonly isReused: boolean;
-  hasHead: boolean;
-  readonly back: string;
-  readonly isKept: boolean;
-}
-
 /** A simulated proxy: the real decision and passages; connections, back ends and callers are simulated around them. */
 export class SimProxy extends SimNode {
-  readonly #link: SimAgent;
+  readonly #agent: SimAgent;
   readonly #seeded: Seeded;
   readonly #network: Network;
   readonly #outside: SimOutside;
   readonly #onWrite: (runner: string) => void;
   readonly #clients: SimClients;
   readonly #wrong: MutationKind | '';
-  readonly #ways = new Map<number, Way>();
-  readonly #kept = new Map<string, SimConnection[]>();
+  readonly #connections: ProxyConnections;
   #decision: Decision | undefined;
   #inFlightRequests: InFlightRequests | undefined;
   #probes: ConnectionProbes | undefined;
@@ -56,7 +48,7 @@
     seeded: Seeded,
     network: Network,
     outside: SimOutside,
-    link: SimAgent,
+    agent: SimAgent,
     records: CallerRecord[],
     onWrite: (runner: string) => void,
     wrong: MutationKind | '',
@@ -66,13 +58,27 @@
     this.#network = network;
     this.#outside = outside;
     this.#onWrite = onWrite;
-    this.#link = link;
+    this.#agent = agent;
     this.#wrong = wrong;
     this.#clients = new SimClients(id, scheduler, records);
-    link.proxies.set(id, this);
+    this.#connections = new ProxyConnections({
+      clients: this.#clients,
+      wrong,
+      inFlightRequests: this.#currentRequests.bind(this),
+      now: this.now.bind(this),
+      perform: this.perform.bind(this),
+      later: this.later.bind(this),
+      obey: this.#obey.bind(this),
+      open: this.#open.bind(this),
+    });
+    agent.proxies.set(id, this);
     scheduler.after(seeded.between(0, 200), this.#call.bind(this));
   }
 
+  #currentRequests(): InFlightRequests | undefined {
+    return this.#inFlightRequests;
+  }
+
   get decision(): Decision | undefined {
     return this.#decision;
   }
@@ -110,10 +116,7 @@
   protected died(): void {
     this.#decision = undefined;
     this.#inFlightRequests = undefined;
-    for (const way of this.#ways.values()) way.line.close();
-    this.#ways.clear();
-    for (const lines of this.#kept.values()) for (const line of lines) line.close();
-    this.#kept.clear();
+    this.#connections.closeAll();
     for (const line of this.#watchLines.values()) line.close();
     this.#watchLines.clear();
     this.#clients.lost();
@@ -174,7 +177,7 @@
 
   #call(): void {
     this.scheduler.after(this.#seeded.between(50, 200), this.#call.bind(this));
-    this.send(this.#draw());
+    this.send(drawTraffic(this.scheduler, this.#seeded));
   }
 
   /** A caller's request reaches the machine; the process takes it once it is awake. */
@@ -188,36 +191,6 @@
     if (this.#seeded.isLikely(0.01)) client.isReading = false;
   }
 
-  lookup(): Traffic {
-    return {
-      type: 'lookup',
-      method: 'GET',
-      path: '/v1/lookups/1',
-      model: '',
-      adapter: '',
-      once: false,
-      tokens: 0,
-    };
-  }
-
-  /** What is asked for shifts with time, so that places have to follow. */
-  #draw(): Traffic {
-    if (this.#seeded.isLikely(0.3)) return this.lookup();
-    const shift = Math.floor(this.scheduler.now / 8000);
-    const model = `m-${(shift + Math.floor(3 * this.#seeded.next() ** 2)) % 8}`;
-    const adapter = model === 'm-0' && this.#seeded.isLikely(0.5) ? 'm-0-a' : '';
-    const isStream = this.#seeded.isLikely(0.75);
-    return {
-      type: isStream ? 'check' : 'sum',
-      method: 'POST',
-      path: isStream ? '/v1/checks' : '/v1/sums',
-      model,
-      adapter,
-      once: true,
-      tokens: 1 + this.#seeded.below(12),
-    };
-  }
-
   #take(client: SimClient): void {
     const { method, path, model, adapter } = client.traffic;
     this.#inFlightRequests?.take(this.now(), {
@@ -259,7 +232,7 @@
     this.#watchLines.delete(step.id);
     if (step.do === 'close') return;
     const { id, count } = step;
-    const flow = {
+    const proxy = {
       probes: this.#probes,
       inFlightRequests: this.#inFlightRequests,
       now: this.now.bind(this),
@@ -267,16 +240,16 @@
       perform: this.perform.bind(this),
     };
     function opened(): void {
-      flow.probes?.opened(flow.now(), id, count);
-      flow.inFlightRequests?.settle(flow.now());
-      flow.obey();
+      proxy.probes?.opened(proxy.now(), id, count);
+      proxy.inFlightRequests?.settle(proxy.now());
+      proxy.obey();
     }
     function closed(): void {
-      flow.probes?.closed(flow.now(), id, count);
-      flow.obey();
+      proxy.probes?.closed(proxy.now(), id, count);
+      proxy.obey();
     }
-    const connected = flow.perform.bind(undefined, opened);
-    const broke = flow.perform.bind(undefined, closed);
+    const connected = proxy.perform.bind(undefined, opened);
+    const broke = proxy.perform.bind(undefined, closed);
     this.#watchLines.set(
       id,
       this.#open(id, { connected, head: ignore, text: ignore, ended: broke, broke }),
@@ -284,21 +257,21 @@
   }
 
   #open(back: string, hear: Hear): SimConnection {
-    const isCut = this.#network.isCut.bind(this.#network, this.#link.id, back);
+    const isCut = this.#network.isCut.bind(this.#network, this.#agent.id, back);
     return this.#outside.open(back, isCut, this.#network.delay.bind(this.#network), hear);
   }
 
   #carryOut(step: Step): void {
     const client = this.#clients.get(step.id);
-    const way = this.#ways.get(step.id);
+    const attempt = this.#connections.get(step.id);
     switch (step.do) {
       case 'connect':
-        if (client) this.#connect(client, step);
+        if (client) this.#connections.connect(client.id, step);
         break;
       case 'write':
-        if (!client || !way || way.attempt !== step.attempt) break;
-        this.#onWrite(way.back);
-        way.line.write({
+        if (!client || attempt?.attempt !== step.attempt) break;
+        this.#onWrite(attempt.backEnd);
+        attempt.line.write({
           id: client.requestId,
           model: client.traffic.model,
           adapter: client.traffic.adapter,
@@ -311,18 +284,18 @@
         break;
       case 'finish':
         if (client) this.#clients.finished(client);
-        this.#let(step.id, true);
+        this.#connections.release(step.id, true);
         break;
       case 'breakOff':
         if (client) this.#break(client);
-        this.#let(step.id, false);
+        this.#connections.release(step.id, false);
         break;
       case 'cancel':
-        if (way?.attempt === step.attempt) this.#let(step.id, false);
+        if (attempt?.attempt === step.attempt) this.#connections.release(step.id, false);
         break;
       case 'tell':
         if (client) this.#say(client, step);
-        this.#let(step.id, false);
+        this.#connections.release(step.id, false);
         break;
     }
   }
@@ -351,119 +324,12 @@
     this.later(1, this.#take.bind(this, next));
   }
 
-  #let(id: number, isWhole: boolean): void {
-    const way = this.#ways.get(id);
-    if (!way) return;
-    this.#ways.delete(id);
-    if (!isWhole || !way.isKept || way.line.isClosed) {
-      way.line.close();
-      return;
-    }
-    const lines = this.#kept.get(way.back) ?? [];
-    this.#kept.set(way.back, lines);
-    lines.push(way.line);
-    // Idle, it is heard of only when the back end closes it.
-    const idle = this.#idle.bind(this, way.back, way.line);
-    way.line.hear = { connected: ignore, head: ignore, text: ignore, ended: idle, broke: idle };
-  }
-
-  #idle(back: string, line: SimConnection): void {
-    const lines = this.#kept.get(back) ?? [];
-    this.#kept.set(back, lines.filter(isOther.bind(undefined, line)));
-    line.close();
-  }
-
-  #connect(client: SimClient, step: Extract<Step, { do: 'connect' }>): void {
-    const { runner, row } = step.verdict;
-    this.#let(client.id, false);
-    const kept = row.repeatable ? this.#kept.get(runner)?.pop() : undefined;
-    const hear = this.#hear(client.id, step.attempt);
-    const line = kept ?? this.#open(runner, hear);
-    line.hear = hear;
-    this.#ways.set(client.id, {
-      line,
-      attempt: step.attempt,
-      isReused: kept !== undefined,
-      hasHead: false,
-      back: runner,
-      isKept: row.repeatable,
-    });
-    if (kept) this.later(0.05, hear.connected);
-  }
-
-  /** What comes in on a connection waits in its socket while the process is frozen. */
-  #hear(id: number, attempt: number): Hear {
-    const flow = {
-      ways: this.#ways,
-      inFlightRequests: this.#inFlightRequests,
-      now: this.now.bind(this),
-      obey: this.#obey.bind(this),
-      perform: this.perform.bind(this),
-      clients: this.#clients,
-      wrong: this.#wrong,
-    };
-    function wayOf(): Way | undefined {
-      const way = flow.ways.get(id);
-      return way?.attempt === attempt ? way : undefined;
-    }
-    function hears(run: (inFlightRequests: InFlightRequests, way: Way) => void): void {
-      function due(): void {
-        const way = wayOf();
-        if (!way || !flow.inFlightRequests) return;
-        run(flow.inFlightRequests, way);
-        flow.obey();
-      }
-      flow.perform(due);
-    }
-    function connected(): void {
-      function run(inFlightRequests: InFlightRequests): void {
-        inFlightRequests.connected(flow.now(), id, attempt);
-      }
-      hears(run);
-    }
-    function head(isBegun: boolean, isBounded: boolean): void {
-      function run(inFlightRequests: InFlightRequests, way: Way): void {
-        way.hasHead = isBegun;
-        inFlightRequests.head(flow.now(), id, attempt, {
-          isBegun,
-          isBounded: isBounded || flow.wrong === 'unbounded-as-whole',
-        });
-      }
-      hears(run);
-    }
-    function text(piece: string): void {
-      function run(inFlightRequests: InFlightRequests): void {
-        const client = flow.clients.get(id);
-        if (!client?.isReading) return;
-        client.check.take(piece);
-        inFlightRequests.bytes(flow.now(), id, attempt);
-      }
-      hears(run);
-    }
-    function ended(): void {
-      function run(inFlightRequests: InFlightRequests): void {
-        // What its client has not read holds up the end as well.
-        if (flow.clients.get(id)?.isReading === true)
-          inFlightRequests.ended(flow.now(), id, attempt);
-      }
-      hears(run);
-    }
-    function broke(): void {
-      function run(inFlightRequests: InFlightRequests, way: Way): void {
-        if (flow.wrong === 'ends-made-up' && way.hasHead)
-          inFlightRequests.ended(flow.now(), id, attempt);
-        else inFlightRequests.broke(flow.now(), id, attempt, way.isReused && !way.hasHead);
-      }
-      hears(run);
-    }
-    return { connected, head, text, ended, broke };
-  }
-
   // ---- news
 
   #tell(message: Message): void {
-    const link = this.#link;
-    this.scheduler.after(0.1, link.perform.bind(link, link.receive.bind(link, this.id, message)));
+    const agent = this.#agent;
+    const receive = agent.receive.bind(agent, this.id, message);
+    this.scheduler.after(0.1, agent.perform.bind(agent, receive));
   }
 
   receive(_from: string, message: Message): void {
@@ -511,13 +377,10 @@
   }
 
   gone(): void {
-    /* its link's line closing changes nothing here: it asks again */
+    /* its agent's line closing changes nothing here: it asks again */
   }
 }
 
 function ignore(): void {
-  /* nothing is asked on an idle connection */
-}
-function isOther(line: SimConnection, other: SimConnection): boolean {
-  return line !== other;
+  /* a probe asks nothing */
 }
