--- a/src/rehearsal/SimProxy.ts
+++ b/src/rehearsal/SimProxy.ts
@@ -269,15 +269,7 @@
         if (client) this.#connections.connect(client.id, step);
         break;
       case 'write':
-        if (!client || attempt?.attempt !== step.attempt) break;
-        this.#onWrite(attempt.backEnd);
-        attempt.line.write({
-          id: client.requestId,
-          model: client.traffic.model,
-          adapter: client.traffic.adapter,
-          tokens: client.traffic.tokens,
-          at: this.scheduler.now,
-        });
+        this.#write(step.id, step.attempt);
         break;
       case 'pass':
         if (client) client.table = step.table;
@@ -300,6 +292,16 @@
     }
   }
 
+  #write(id: number, number: number): void {
+    const client = this.#clients.get(id);
+    const attempt = this.#connections.get(id);
+    if (!client || attempt?.attempt !== number) return;
+    const { model, adapter, tokens } = client.traffic;
+    this.#onWrite(attempt.backEnd);
+    const at = this.scheduler.now;
+    attempt.line.write({ id: client.requestId, model, adapter, tokens, at });
+  }
+
   #say(client: SimClient, step: Extract<Step, { do: 'tell' }>): void {
     const table = this.#decision?.tableNumber ?? -1;
     const isWrongNo = this.#wrong === 'unsure-run-as-no' && step.kind === 'unsure-run';
