Build the dispatcher of the proxy's tests in one place

DispatchFixtures.ts now holds zero, always and dispatcherOf, which takes only the settings that differ.

--- a/src/proxy/Dispatcher.test.ts
+++ b/src/proxy/Dispatcher.test.ts
@@ -3,7 +3,8 @@
 import type { Fleet, FleetRunner } from '../placement/Fleet.js';
 import { Seeded } from '../rehearsal/Seeded.js';
 import type { Engine, Route, Routing } from '../route/Routing.js';
-import { Dispatcher, type DispatchEffect, type RequestHead } from './Dispatcher.js';
+import type { DispatchEffect, RequestHead } from './Dispatcher.js';
+import { dispatcherOf } from './testing/DispatchFixtures.js';
 
 const engine: Engine = {
   slots: 64,
@@ -99,15 +100,7 @@
 class Bench {
   now = 0;
   #id = 0;
-  readonly dispatcher = new Dispatcher({
-    flow: 'f',
-    zone: 'za',
-    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
-    warmupExcess: 1.5,
-    connectMs: 300,
-    random: zero,
-    hasIdle: always,
-  });
+  readonly dispatcher = dispatcherOf();
 
   constructor(runners: readonly FleetRunner[], waits: Fleet['waits'] = []) {
     this.dispatcher.configure(moment(0), routing, []);
@@ -148,12 +141,6 @@
   }
 }
 
-function zero(): number {
-  return 0;
-}
-function always(): boolean {
-  return true;
-}
 function textOf(effect: DispatchEffect): string {
   switch (effect.do) {
     case 'send':
@@ -200,15 +187,7 @@
   const runners = [runner('a', 'za', ['m']), runner('b', 'zb', ['m']), runner('c', 'zc', ['m'])];
   const chosen = new Set<string>();
   for (const zone of ['za', 'zb', 'zc']) {
-    const dispatcher = new Dispatcher({
-      flow: zone,
-      zone,
-      retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
-      warmupExcess: 1.5,
-      connectMs: 300,
-      random: zero,
-      hasIdle: always,
-    });
+    const dispatcher = dispatcherOf({ flow: zone, zone });
     dispatcher.configure(moment(0), routing, []);
     dispatcher.fleet(moment(0), { flows: 3, runners, waits: [] });
     dispatcher.take(moment(0), {
@@ -344,15 +323,7 @@
 function mostCold(flows: number): number {
   const sent: number[] = [];
   for (let index = 0; index < flows; index += 1) {
-    const dispatcher = new Dispatcher({
-      flow: `flow-${index}`,
-      zone: 'za',
-      retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
-      warmupExcess: 1.5,
-      connectMs: 300,
-      random: zero,
-      hasIdle: always,
-    });
+    const dispatcher = dispatcherOf({ flow: `flow-${index}` });
     dispatcher.configure(moment(0), routing, []);
     dispatcher.fleet(moment(0), {
       flows,
@@ -417,15 +388,7 @@
 }
 
 function checkEarly(): void {
-  const dispatcher = new Dispatcher({
-    flow: 'f',
-    zone: 'za',
-    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
-    warmupExcess: 1.5,
-    connectMs: 300,
-    random: zero,
-    hasIdle: always,
-  });
+  const dispatcher = dispatcherOf();
   function ask(now: number, id: number): void {
     dispatcher.take(moment(now), {
       id,
@@ -582,15 +545,7 @@
 }
 
 function endsEarly(): void {
-  const fresh = new Dispatcher({
-    flow: 'f',
-    zone: 'za',
-    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
-    warmupExcess: 1.5,
-    connectMs: 300,
-    random: zero,
-    hasIdle: always,
-  });
+  const fresh = dispatcherOf();
   fresh.take(moment(0), makeEarlyHead(1));
   expect(fresh.drain().map(describeEnd)).toEqual(['1 refuse']);
   fresh.take(moment(600), makeEarlyHead(2));
