--- a/src/proxy/Dispatcher.test.ts
+++ b/src/proxy/Dispatcher.test.ts
@@ -3,8 +3,7 @@
 import type { Fleet, FleetRunner } from '../placement/Fleet.js';
 import { Seeded } from '../rehearsal/Seeded.js';
 import type { Engine, Route, Routing } from '../route/Routing.js';
-import type { DispatchEffect, RequestHead } from './Dispatcher.js';
-import { dispatcherOf } from './testing/DispatchFixtures.js';
+import { Dispatcher, type DispatchEffect, type RequestHead } from './Dispatcher.js';
 
 const engine: Engine = {
   slots: 64,
@@ -100,7 +99,15 @@
 class Bench {
   now = 0;
   #id = 0;
-  readonly dispatcher = dispatcherOf();
+  readonly dispatcher = new Dispatcher({
+    flow: 'f',
+    zone: 'za',
+    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    warmupExcess: 1.5,
+    connectMs: 300,
+    random: zero,
+    hasIdle: always,
+  });
 
   constructor(runners: readonly FleetRunner[], waits: Fleet['waits'] = []) {
     this.dispatcher.configure(moment(0), routing, []);
@@ -141,6 +148,12 @@
   }
 }
 
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
 function textOf(effect: DispatchEffect): string {
   switch (effect.do) {
     case 'send':
@@ -187,7 +200,15 @@
   const runners = [runner('a', 'za', ['m']), runner('b', 'zb', ['m']), runner('c', 'zc', ['m'])];
   const chosen = new Set<string>();
   for (const zone of ['za', 'zb', 'zc']) {
-    const dispatcher = dispatcherOf({ flow: zone, zone });
+    const dispatcher = new Dispatcher({
+      flow: zone,
+      zone,
+      retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+      warmupExcess: 1.5,
+      connectMs: 300,
+      random: zero,
+      hasIdle: always,
+    });
     dispatcher.configure(moment(0), routing, []);
     dispatcher.fleet(moment(0), { flows: 3, runners, waits: [] });
     dispatcher.take(moment(0), {
@@ -323,7 +344,15 @@
 function mostCold(flows: number): number {
   const sent: number[] = [];
   for (let index = 0; index < flows; index += 1) {
-    const dispatcher = dispatcherOf({ flow: `flow-${index}` });
+    const dispatcher = new Dispatcher({
+      flow: `flow-${index}`,
+      zone: 'za',
+      retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+      warmupExcess: 1.5,
+      connectMs: 300,
+      random: zero,
+      hasIdle: always,
+    });
     dispatcher.configure(moment(0), routing, []);
     dispatcher.fleet(moment(0), {
       flows,
@@ -388,7 +417,15 @@
 }
 
 function checkEarly(): void {
-  const dispatcher = dispatcherOf();
+  const dispatcher = new Dispatcher({
+    flow: 'f',
+    zone: 'za',
+    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    warmupExcess: 1.5,
+    connectMs: 300,
+    random: zero,
+    hasIdle: always,
+  });
   function ask(now: number, id: number): void {
     dispatcher.take(moment(now), {
       id,
@@ -545,7 +582,15 @@
 }
 
 function endsEarly(): void {
-  const fresh = dispatcherOf();
+  const fresh = new Dispatcher({
+    flow: 'f',
+    zone: 'za',
+    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    warmupExcess: 1.5,
+    connectMs: 300,
+    random: zero,
+    hasIdle: always,
+  });
   fresh.take(moment(0), makeEarlyHead(1));
   expect(fresh.drain().map(describeEnd)).toEqual(['1 refuse']);
   fresh.take(moment(600), makeEarlyHead(2));
--- a/src/proxy/DispatcherOnce.test.ts
+++ b/src/proxy/DispatcherOnce.test.ts
@@ -3,8 +3,7 @@
 import { moment } from '../common/Ids.js';
 import type { FleetRunner } from '../placement/Fleet.js';
 import type { Route, Routing } from '../route/Routing.js';
-import type { AnswerHead, DispatchEffect, Dispatcher } from './Dispatcher.js';
-import { dispatcherOf } from './testing/DispatchFixtures.js';
+import { Dispatcher, type AnswerHead, type DispatchEffect } from './Dispatcher.js';
 
 const TIMEOUT_MS = 1000;
 const TICK_MS = 50;
@@ -62,10 +61,22 @@
   };
 }
 
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
+
 function newDispatcher(): Dispatcher {
-  const dispatcher = dispatcherOf({
+  const dispatcher = new Dispatcher({
+    flow: 'f',
     zone: 'z',
     retry: { ratio: 0.2, extra: 500, windowMs: 10_000 },
+    warmupExcess: 1.5,
+    connectMs: 300,
+    random: zero,
+    hasIdle: always,
   });
   dispatcher.configure(moment(0), ROUTING, []);
   dispatcher.fleet(moment(0), { flows: 1, runners: RUNNERS.map(runnerOf), waits: [] });
--- a/src/proxy/Forwarder.test.ts
+++ b/src/proxy/Forwarder.test.ts
@@ -20,10 +20,9 @@
 import { monotonicNow } from '../common/Clock.js';
 import type { FleetRunner } from '../placement/Fleet.js';
 import type { Route, Routing } from '../route/Routing.js';
-import type { AnswerHead, RefuseReason } from './Dispatcher.js';
+import { Dispatcher, type AnswerHead, type RefuseReason } from './Dispatcher.js';
 import { Forwarder } from './Forwarder.js';
 import type { RequestDialect, SaidByRequest, SaidToRunner } from './RequestDialect.js';
-import { dispatcherOf } from './testing/DispatchFixtures.js';
 
 /** A dialect of the test's own: x-id, x-target, x-not-run, x-seal. */
 class TestDialect implements RequestDialect {
@@ -97,6 +96,12 @@
   limits: { maxHeaderBytes: 16_000, maxBodyBytes: 1000, headerWaitMs: 3000, idleMs: 5000 },
 };
 
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
 function nothing(): void {
   /* no agent beside us */
 }
@@ -118,7 +123,15 @@
 }
 class Bench {
   readonly counters = new Counters();
-  readonly dispatcher = dispatcherOf({ zone: 'z' });
+  readonly dispatcher = new Dispatcher({
+    flow: 'f',
+    zone: 'z',
+    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    warmupExcess: 1.5,
+    connectMs: 300,
+    random: zero,
+    hasIdle: always,
+  });
   readonly forwarder = new Forwarder(
     this.dispatcher,
     new TestDialect(),
--- a/src/proxy/LeavingRunner.test.ts
+++ b/src/proxy/LeavingRunner.test.ts
@@ -2,7 +2,7 @@
 import { moment } from '../common/Ids.js';
 import type { FleetRunner } from '../placement/Fleet.js';
 import type { Route, Routing } from '../route/Routing.js';
-import { dispatcherOf } from './testing/DispatchFixtures.js';
+import { Dispatcher } from './Dispatcher.js';
 
 const route: Route = {
   name: 'lookup',
@@ -48,9 +48,24 @@
   };
 }
 
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
+
 /** A dispatcher of one proxy, asked for requests one at a time. */
 class Proxy {
-  readonly dispatcher = dispatcherOf();
+  readonly dispatcher = new Dispatcher({
+    flow: 'f',
+    zone: 'za',
+    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    warmupExcess: 1.5,
+    connectMs: 300,
+    random: zero,
+    hasIdle: always,
+  });
   #id = 0;
 
   constructor(runners: readonly FleetRunner[]) {
--- a/src/proxy/LoadWait.test.ts
+++ b/src/proxy/LoadWait.test.ts
@@ -5,7 +5,7 @@
 import { LoadWait, type LoadVerdict } from './LoadWait.js';
 import type { RequestHead } from './DispatchTypes.js';
 import { RunnerChoice } from './RunnerChoice.js';
-import { always, at, requestOf, runnerOf, zero } from './testing/DispatchFixtures.js';
+import { at, requestOf, runnerOf } from './testing/DispatchFixtures.js';
 
 class Bench {
   readonly fleet = new FleetView();
@@ -40,6 +40,13 @@
   }
 }
 
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
+
 function checkVerdicts(): void {
   const bench = new Bench();
   expect(bench.judge(0, { model: 'x' })).toEqual({ do: 'unknown' });
--- a/src/proxy/RetryPolicy.test.ts
+++ b/src/proxy/RetryPolicy.test.ts
@@ -2,7 +2,7 @@
 import { FleetView } from './FleetView.js';
 import { RetryPolicy } from './RetryPolicy.js';
 import { RunnerChoice } from './RunnerChoice.js';
-import { always, at, requestOf, runnerOf, zero } from './testing/DispatchFixtures.js';
+import { at, requestOf, runnerOf } from './testing/DispatchFixtures.js';
 
 class Bench {
   readonly retry: RetryPolicy;
@@ -20,6 +20,12 @@
 function listed(id: string): ReturnType<typeof runnerOf> {
   return runnerOf(id);
 }
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
 
 function checkBounds(): void {
   const { retry } = new Bench(100, 'a', 'b');
--- a/src/proxy/RunnerChoice.test.ts
+++ b/src/proxy/RunnerChoice.test.ts
@@ -4,7 +4,7 @@
 import { FleetView } from './FleetView.js';
 import type { RoutedRequest } from './RoutedRequest.js';
 import { RunnerChoice } from './RunnerChoice.js';
-import { always, at, requestOf, runnerOf, zero } from './testing/DispatchFixtures.js';
+import { at, requestOf, runnerOf } from './testing/DispatchFixtures.js';
 
 class Bench {
   readonly fleet = new FleetView();
@@ -35,7 +35,12 @@
 function benchOf(...runners: readonly FleetRunner[]): Bench {
   return new Bench(1, runners, {});
 }
-
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
 function isAtB(address: string): boolean {
   return address === 'b:1';
 }
--- a/src/proxy/Standstill.test.ts
+++ b/src/proxy/Standstill.test.ts
@@ -1,18 +1,32 @@
 import { expect, test } from 'vitest';
-import type { Dispatcher } from './Dispatcher.js';
+import { Dispatcher } from './Dispatcher.js';
 import type { DispatchEffect } from './DispatchTypes.js';
-import { at, dispatcherOf, headOf, ROUTING, runnerOf } from './testing/DispatchFixtures.js';
+import { at, headOf, ROUTING, runnerOf } from './testing/DispatchFixtures.js';
 
 const TICK_MS = 50;
 const CONNECT_MS = 300;
 
+function zero(): number {
+  return 0;
+}
+function always(): boolean {
+  return true;
+}
 function kindOf(effect: DispatchEffect): string {
   return effect.do;
 }
 
 /** A proxy with one runner, whose process has ticked for a while. */
 function ticking(untilMs: number): Dispatcher {
-  const dispatcher = dispatcherOf({ connectMs: CONNECT_MS });
+  const dispatcher = new Dispatcher({
+    flow: 'f',
+    zone: 'za',
+    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
+    warmupExcess: 1.5,
+    connectMs: CONNECT_MS,
+    random: zero,
+    hasIdle: always,
+  });
   dispatcher.configure(at(0), ROUTING, []);
   dispatcher.fleet(at(0), { flows: 1, runners: [runnerOf('a')], waits: [] });
   for (let ms = 0; ms <= untilMs; ms += TICK_MS) dispatcher.tick(at(ms));
--- a/src/proxy/testing/DispatchFixtures.ts
+++ b/src/proxy/testing/DispatchFixtures.ts
@@ -3,8 +3,7 @@
 import type { FleetRunner } from '../../placement/Fleet.js';
 import type { Engine, Route, Routing, Service } from '../../route/Routing.js';
 import { Admission } from '../Admission.js';
-import { Dispatcher } from '../Dispatcher.js';
-import type { DispatcherSettings, RequestHead } from '../DispatchTypes.js';
+import type { RequestHead } from '../DispatchTypes.js';
 import type { RoutedRequest } from '../RoutedRequest.js';
 
 const ENGINE: Engine = {
@@ -113,27 +112,3 @@
 export function at(ms: number): Moment {
   return moment(ms);
 }
-
-/** A source of random numbers that always draws 0. */
-export function zero(): number {
-  return 0;
-}
-
-/** Says that every runner has an idle connection. */
-export function always(): boolean {
-  return true;
-}
-
-/** A dispatcher of the zone `za` that draws no random numbers, without routes and runners yet. */
-export function dispatcherOf(more: Partial<DispatcherSettings> = {}): Dispatcher {
-  return new Dispatcher({
-    flow: 'f',
-    zone: 'za',
-    retry: { ratio: 0.2, extra: 50, windowMs: 10_000 },
-    warmupExcess: 1.5,
-    connectMs: 300,
-    random: zero,
-    hasIdle: always,
-    ...more,
-  });
-}
