Count the copies found as evidence of demand until demand was observed

Change: with the first demand a model of three and more copies counts as busy and needs all but one of them; the need fades as any does. One of two copies may be a spare. The same holds for a new leader, who has observed nothing either.

--- a/src/placement/demand-table.ts
+++ b/src/placement/demand-table.ts
@@ -63,7 +63,7 @@
     if (!model?.isListed) return;
     const adapter = unit.adapter === '' ? undefined : this.#adapterOf(now, model, unit.adapter);
     if (unit.count > 0 || unit.waiting > 0) {
-      model.service.firstDemandAt ??= now;
+      this.#noteFirstDemand(now, model.service);
       model.lastRequestedAt = now;
       if (adapter) adapter.lastRequestedAt = now;
     }
@@ -80,6 +80,24 @@
       });
   }
 
+  /**
+   * Until demand was observed for a while, where copies are is the best evidence of what is asked for: this leader has
+   * seen nothing yet, but whoever placed several copies of a model had. One copy may be a spare; the need for the others
+   * fades as any other does.
+   */
+  #noteFirstDemand(now: Moment, service: ServiceState): void {
+    if (service.firstDemandAt !== undefined) return;
+    service.firstDemandAt = now;
+    for (const model of service.models.values()) {
+      const copies = this.#state.copies(now, model).all;
+      if (copies < 2) continue;
+      model.need = copies - 1;
+      model.neededAt = now;
+      model.isBusy = copies > 2;
+      model.lastRequestedAt = now;
+    }
+  }
+
   #noteArrivals(
     now: Moment,
     model: ModelState,
--- a/src/placement/planner.test.ts
+++ b/src/placement/planner.test.ts
@@ -768,6 +768,21 @@
       for (const hold of runner.holds) if (hold.model === 'm0') holders += 1;
     expect(holders).toBe(1);
   });
+  test('before demand is known, the copies that are there tell what is asked for', () => {
+    const world = new World({ engine: engineOf(12), zones: ['a', 'b'], runnersPerZone: 2 });
+    world.hold('r1', 'm0', 'm1', 'm2');
+    world.hold('r2', 'm0', 'm1', 'm3');
+    world.hold('r3', 'm0', 'm4', 'm5');
+    world.hold('r4', 'm0', 'm6', 'm7');
+    world.run(1000);
+    // Rare models are asked for first; what many runners hold has not had its turn yet.
+    for (const rare of ['m8', 'm9', 'm10', 'm11']) world.ask(rare);
+    world.run(1500);
+    expect(world.copies('m0').length).toBeGreaterThanOrEqual(3);
+    // Of two copies one may be a spare, the other stays.
+    expect(world.copies('m1').length).toBeGreaterThanOrEqual(1);
+    expect(world.breaks).toEqual([]);
+  });
   test('called only when it says so, it still places everything', () => {
     const world = new World({
       engine: engineOf(20),
