--- a/src/placement/replica-choice.ts
+++ b/src/placement/replica-choice.ts
@@ -13,6 +13,11 @@
   isPressing,
 } from './planner-records.js';
 
+/** A load from disk is not counted by the store, however soon it is done. */
+const MIN_DISK_GAIN = 0.3;
+/** What each second less is worth, in requests (the unit of losses): about what a rare model is asked for in it. */
+const DISK_GAIN_PER_SECOND = 0.6;
+
 interface RunnerChoice {
   readonly runner: RunnerState;
   readonly way: EvictionPlan;
@@ -137,8 +142,14 @@
       Math.min(3, crowd) * (isWaiting ? 0.1 : 1) +
       (zones.get(runner.listed.zone) ?? 0) * (isWaiting ? 0 : 2) +
       (runner.coldUntil > now ? 1 : 0) -
-      (isDisk ? 0.3 : 0) +
+      (isDisk ? diskGain(service, want.model) : 0) +
       way.victims.length * 0.05
     );
   }
 }
+
+/** What a load from a runner's own disk is worth against one from the store: sooner served, and its runner sooner free. */
+function diskGain(service: ServiceState, model: ModelState): number {
+  const savedMs = model.loadMs * (service.storeFactor - service.diskFactor);
+  return Math.max(MIN_DISK_GAIN, (savedMs / 1000) * DISK_GAIN_PER_SECOND);
+}
