Keep fewer copies of busy models where loads are slow

Cause: copies beyond the work of busy models take the room of rare ones, each of which then costs a load. At 0.6 s a load that is cheap; at 4 s rare loads kept every runner busy, so that a model that began to rise found none for seconds.

Change: the share of the runners over which models are spread goes with 1 / sqrt(load time), as observed; as set at 0.6 s. What the work by running requests and adapters needs is as it was.

Ruled out: a smaller constant for all: tests of quick loads pin what they need.

--- a/src/placement/adapter-choice.ts
+++ b/src/placement/adapter-choice.ts
@@ -3,6 +3,7 @@
 import type { Eviction } from './eviction.js';
 import type { FleetReport } from './fleet-report.js';
 import type { Moment } from '../common/ids.js';
+import { spreadShareOf } from './spread-share.js';
 import {
   type LoadedAdapter,
   type LoadedModel,
@@ -61,6 +62,7 @@
       this.#state.settings.fastMs,
       service.firstDemandAt ?? now,
     );
+    const spreadShare = spreadShareOf(service, this.#state.settings);
     for (const model of service.models.values()) {
       if (model.adapters.size === 0 || model.holders.size < 2) continue;
       for (const adapter of model.adapters.values()) {
@@ -72,9 +74,7 @@
         if (rate < 1 || adapter.badUntil > now) continue;
         const need = Math.max(
           2,
-          all > 0
-            ? Math.round((rate / all) * service.runners.size * this.#state.settings.spreadShare)
-            : 2,
+          all > 0 ? Math.round((rate / all) * service.runners.size * spreadShare) : 2,
         );
         const have = this.#state.adapterReplicas(now, model, adapter.name);
         if (have > 0 && have < Math.min(need, this.#state.copies(now, model).ready))
--- a/src/placement/planner-settings.ts
+++ b/src/placement/planner-settings.ts
@@ -20,7 +20,10 @@
   readonly growMs: number;
   /** How slowly a model's need is forgotten. */
   readonly shrinkMs: number;
-  /** The part of all runners that goes to models by their share of work, and the part of a runner's slots to be taken. */
+  /**
+   * The part of all runners that goes to models by their share of work where loads are quick (`spreadShareOf`), and the
+   * part of a runner's slots to be taken.
+   */
   readonly spreadShare: number;
   readonly slotShare: number;
   /** How many times more a further copy must be worth than what makes way for it. */
--- a/src/placement/replica-demand.ts
+++ b/src/placement/replica-demand.ts
@@ -1,6 +1,7 @@
 import type { PlacementState } from './placement-state.js';
 import type { Eviction } from './eviction.js';
 import type { Moment } from '../common/ids.js';
+import { spreadShareOf } from './spread-share.js';
 import {
   isPressing,
   type ReplicaCounts,
@@ -98,14 +99,14 @@
 
   /** How many copies a model's work needs now, as a broken number. */
   #work(now: Moment, model: ModelState, open: number, slots: number): number {
-    const { fastMs, spreadShare, slotShare, growMs } = this.#state.settings;
+    const { fastMs, slotShare, growMs } = this.#state.settings;
     const all = model.service.all.weight(now, fastMs);
     // A few requests tell no share.
     const share = all >= 10 ? model.fast.weight(now, fastMs) / all : 0;
     model.runningMean +=
       (Math.max(0, model.running) - model.runningMean) * Math.min(1, growMs / 1000);
     const byRunning = slots > 0 ? model.runningMean / (slots * slotShare) : 0;
-    const byShare = share * open * spreadShare;
+    const byShare = share * open * spreadShareOf(model.service, this.#state.settings);
     // Where answers are slow much runs at once, and more copies than two beyond its share make nothing faster.
     return Math.min(
       open,
