Leave a quarter of the runners to loads that more than one or two wait for

Cause: a runner does one order at a time. With loads of 4 s all 11 runners of a twin were loading a rare model for one request each from 1.9 s on; a model that then rose to 20 requests a second was ordered 3.2 s after its first request, another one 3.5 s.

Change: a load from the store that fewer than three wait for is decided on only while more than a quarter of the open runners are free.

Test: slow-loads.test.ts, failed before.

--- a/src/placement/replica-choice.ts
+++ b/src/placement/replica-choice.ts
@@ -18,6 +18,11 @@
 /** What each second less is worth, in requests (the unit of losses): about what a rare model is asked for in it. */
 const DISK_GAIN_PER_SECOND = 0.6;
 
+/** The share of the open runners that is left to loads that many wait for. */
+const RESERVED_RUNNER_SHARE = 0.25;
+/** So many waiting requests are a crowd: a model that is rare hardly has them within the time of one load. */
+const MIN_CROWD = 3;
+
 interface RunnerChoice {
   readonly runner: RunnerState;
   readonly way: EvictionPlan;
@@ -91,7 +96,9 @@
     held: readonly ModelState[],
   ): RunnerChoice | undefined {
     const { model } = want;
-    const isStoreFree = this.#store.storeFree(now, service, model, want.kind, isPressing(want));
+    const isStoreFree =
+      this.#store.storeFree(now, service, model, want.kind, isPressing(want)) &&
+      (isUrgent(want) || this.#hasRunnersInReserve(service));
     const { zones } = this.#state.copies(now, model);
     const most = this.#mostLossFor(want);
     let best: RunnerChoice | undefined;
@@ -114,6 +121,21 @@
     return best;
   }
 
+  /**
+   * Whether a load that few wait for leaves some runners free. A runner does one order at a time, and a load from the
+   * store may take seconds: while every runner is busy with one, a model that a crowd starts to ask for finds none.
+   */
+  #hasRunnersInReserve(service: ServiceState): boolean {
+    let open = 0;
+    let idle = 0;
+    for (const runner of service.runners) {
+      if (!this.#state.isOpen(runner)) continue;
+      open += 1;
+      if (runner.queue.length === 0) idle += 1;
+    }
+    return idle > Math.floor(open * RESERVED_RUNNER_SHARE);
+  }
+
   #mayTake(now: Moment, runner: RunnerState, model: ModelState): boolean {
     const isFree = runner.queue.length === 0 && !runner.holds.has(model.name);
     return isFree && this.#state.isUsable(now, runner);
@@ -148,6 +170,11 @@
   }
 }
 
+/** Whether a copy is wanted by more than one or two, so that it may take a runner of the reserve. */
+function isUrgent(want: ReplicaWant): boolean {
+  return isPressing(want) || want.model.isBusy || want.model.waiting >= MIN_CROWD;
+}
+
 /** What a load from a runner's own disk is worth against one from the store: sooner served, and its runner sooner free. */
 function diskGain(service: ServiceState, model: ModelState): number {
   const savedMs = model.loadMs * (service.storeFactor - service.diskFactor);
--- /dev/null
+++ b/src/placement/slow-loads.test.ts
@@ -0,0 +1,58 @@
+/** Decisions that matter where a load takes seconds, and every runner can do only one at a time. */
+import { expect, test } from 'vitest';
+import { World } from './testing/fake-fleet.js';
+import { engineOf, Traffic } from './testing/fleet-traffic.js';
+
+const SLOW_LOAD_MS = 4000;
+
+/** Eight runners in two zones, each with three models; ten more models are held by nobody. */
+function slowSite(): World {
+  const fast = engineOf(34);
+  const models = fast.models.map((model) => ({ ...model, loadMs: SLOW_LOAD_MS }));
+  const world = new World({
+    engine: { ...fast, models, loadsPerSecond: 17 },
+    zones: ['a', 'b'],
+    runnersPerZone: 4,
+    seed: 3,
+    slots: 48,
+  });
+  let model = 0;
+  for (const runner of world.runners.keys()) {
+    world.hold(runner, `m${model}`, `m${model + 1}`, `m${model + 2}`);
+    model += 3;
+  }
+  world.run(1000);
+  return world;
+}
+
+function firstLoadOf(world: World, model: string): number {
+  const order = world.orders.find(
+    ({ intent, outcome }) =>
+      intent.verb === 'load' && intent.model === model && outcome === 'taken',
+  );
+  return order?.at ?? Infinity;
+}
+
+test('a crowd finds a free runner while rare models are being loaded', () => {
+  const world = slowSite();
+  for (let rare = 24; rare < 33; rare += 1) world.ask(`m${rare}`, '', 0, 12_000);
+  world.run(500);
+  for (let request = 0; request < 6; request += 1) world.ask('m33', '', 1, 12_000);
+  const askedAt = world.now;
+  world.run(1000);
+  expect(firstLoadOf(world, 'm33') - askedAt).toBeLessThan(500);
+  // The others are served as well, once runners are free again.
+  world.run(9000);
+  expect(world.missed.size).toBe(0);
+  expect(world.breaks).toEqual([]);
+});
+
+test('slow loads keep fewer copies of busy models, and so more rare models', () => {
+  const world = slowSite();
+  const busy = new Traffic({ m0: 1 }, 60);
+  world.run(12_000, (one) => busy.each(one));
+  const copies = world.copies('m0').length;
+  expect(copies).toBeGreaterThanOrEqual(2);
+  expect(copies).toBeLessThanOrEqual(4);
+  expect(world.missed.size).toBe(0);
+});
