--- a/src/placement/replica-demand.ts
+++ b/src/placement/replica-demand.ts
@@ -72,10 +72,11 @@
     if (copies.all > 0) return undefined;
     model.unservedSince ??= now;
     const deprived = now - model.unservedSince;
-    // A crowd goes before one who waits, whatever its rank; and who is passed over for long gains rank.
+    // A crowd goes before one who waits, whatever its rank: a step of priority weighs about as much as twice as many
+    // who wait. And who is passed over for long gains rank.
     const level =
       model.priority -
-      Math.floor(Math.log2(Math.max(1, model.waiting)) / 2) -
+      Math.floor(Math.log2(Math.max(1, model.waiting))) -
       Math.floor(deprived / rankMs);
     return {
       model,
--- a/src/placement/slow-loads.test.ts
+++ b/src/placement/slow-loads.test.ts
@@ -47,6 +47,23 @@
   expect(world.breaks).toEqual([]);
 });
 
+test('a crowd goes before one who waited before it, though that one is more urgent', () => {
+  const world = new World({ engine: engineOf(6), zones: ['a'], runnersPerZone: 1 });
+  world.hold('r1', 'm0', 'm1', 'm2');
+  world.run(1000);
+  // Nothing can be loaded for a moment.
+  world.emptied = ['a'];
+  world.run(100);
+  world.ask('m4', '', 0, 9000);
+  world.run(100);
+  for (let request = 0; request < 6; request += 1) world.ask('m5', '', 1, 9000);
+  world.run(100);
+  world.emptied = [];
+  world.run(5000);
+  expect(firstLoadOf(world, 'm5')).toBeLessThan(firstLoadOf(world, 'm4'));
+  expect(firstLoadOf(world, 'm4')).toBeLessThan(Infinity);
+});
+
 test('slow loads keep fewer copies of busy models, and so more rare models', () => {
   const world = slowSite();
   const busy = new Traffic({ m0: 1 }, 60);
