Prefer other runners to one that answered with an error

Change: after a 5xx (but 504) or a broken response a proxy prefers other runners for 4 s, doubled up to 16 s by further ones; a success takes back half. A suspect is still used where no other has the model, so a wrong suspicion costs little.

Ruled out: ejecting it: the only copy of a rare model would be out of reach after a single 500, of which each runner gives some. A shorter time: one proxy of 67 sends a runner a request every 1.5 s.

--- a/src/proxy/attempt-tracker.ts
+++ b/src/proxy/attempt-tracker.ts
@@ -9,6 +9,8 @@
 const REJECTION_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Status of a runner that does not have the model that was requested (RFC 9110, 15.5.20). */
 const MISDIRECTED = 421;
+/** Status of a runner at which the request's deadline passed. */
+const GATEWAY_TIMEOUT = 504;
 /** When a client shall retry after a runner did not process its request: the model is missing, or the runner is full. */
 const MISSING_RETRY_AFTER_MS = 150;
 const FULL_RETRY_AFTER_MS = 250;
@@ -95,6 +97,8 @@
       return;
     }
     const isFailure = head.status >= 500;
+    // A deadline that passed at the runner says nothing of the runner.
+    if (isFailure && head.status !== GATEWAY_TIMEOUT) runner?.onRequestFailed(now);
     if (isFailure && this.#retryFailure(now, request)) return;
     request.phase = 'responding';
     if (!isFailure) runner?.onSuccess();
@@ -178,6 +182,7 @@
   #onAttemptFailed(now: Moment, request: RoutedRequest, runner: TrackedRunner | undefined): void {
     const { outcomes: answers, counts, retryPolicy: retry } = this.#state;
     request.mayHaveRun = true;
+    runner?.onRequestFailed(now);
     if (runner && runner.idleMs(now) > IDLE_RUNNER_MS) runner.eject(now);
     if (!isRetryable(request) || !retry.mayRetry(now, request)) {
       answers.fail(request);
--- a/src/proxy/runner-picker.test.ts
+++ b/src/proxy/runner-picker.test.ts
@@ -128,3 +128,11 @@
   expect(chosen).toBeGreaterThan(1);
   expect(chosen).toBeLessThan(15);
 });
+test('a runner that failed a request is taken only where no other has the model', () => {
+  const near = runnerOf('a', { holds: [{ model: 'm', adapters: ['a1', 'a2'] }] });
+  const bench = benchOf(near, runnerOf('b', { zone: 'zb' }));
+  bench.fleet.runner('a')?.onRequestFailed(at(0));
+  expect(bench.chosen(requestOf(at(0), 1))).toBe('b');
+  expect(bench.chosen(requestOf(at(0), 2, { adapter: 'a2' }))).toBe('a');
+  expect(bench.chosen(requestOf(at(0), 3), 4000)).toBe('a');
+});
--- a/src/proxy/runner-picker.ts
+++ b/src/proxy/runner-picker.ts
@@ -10,6 +10,8 @@
 const NEW_CONNECTION_COST = 400;
 const RUNNING_REQUEST_COST = 60;
 const WARM_UP_COST = 2000;
+/** More than a well used runner ever costs: a suspect is taken where there is no other. */
+const SUSPECT_COST = 100_000;
 const PLAIN_RUNNING_REQUEST_COST = 2000;
 /** Shared prefixes shorter than this are cheaper to process again than to route by affinity. */
 const MIN_AFFINITY_TOKENS = 600;
@@ -117,6 +119,7 @@
     let cost = runner.pendingPromptTokens + runner.inFlight * RUNNING_REQUEST_COST;
     if (facts.zone !== this.#settings.zone) cost += OTHER_ZONE_COST;
     if (runner.isWarmingUp(now)) cost += WARM_UP_COST;
+    if (runner.isSuspect(now)) cost += SUSPECT_COST;
     if (!this.#settings.hasIdleConnection(facts.address)) cost += NEW_CONNECTION_COST;
     const hasPrefix =
       affinityRunner !== undefined
--- a/src/proxy/tracked-runner.ts
+++ b/src/proxy/tracked-runner.ts
@@ -1,6 +1,7 @@
 import { later, moment, type Moment } from '../common/ids.js';
 import type { FleetRunner } from '../placement/fleet.js';
 import type { Service } from '../route/routing.js';
+import { OutlierDetection } from './outlier-detection.js';
 import type { RoutedRequest } from './routed-request.js';
 
 type FleetModel = FleetRunner['holds'][number];
@@ -36,6 +37,7 @@
   /** Ejected until then; the backoff grows with the number of consecutive failures. */
   #ejectedUntil: Moment = NEVER;
   #failures = 0;
+  readonly #outlier = new OutlierDetection();
   #fullUntil: Moment = NEVER;
   #lastHeardAt: Moment;
   #warmUpEnd: Moment;
@@ -176,6 +178,17 @@
   /** It answered without a server error: ends the run of consecutive failures. */
   onSuccess(): void {
     this.#failures = 0;
+    this.#outlier.onSuccess();
+  }
+
+  /** It answered a request with a server error, or broke off. */
+  onRequestFailed(now: Moment): void {
+    this.#outlier.onFailure(now);
+  }
+
+  /** Whether it failed requests of late, so that other runners are to be preferred. */
+  isSuspect(now: Moment): boolean {
+    return this.#outlier.isSuspect(now);
   }
 
   /** It reported that it is full. */
