Choose runners by how late their first events come

Cause: a proxy counts its own requests alone, one of 67 parts of a runner's load.

Change: each proxy keeps, by runner, how much longer first events took of late than is usual for their routes; peaks count at once and fade in 2 s. The excess is a cost, by the prompt tokens that an engine reads meanwhile.

--- a/src/proxy/attempt-tracker.ts
+++ b/src/proxy/attempt-tracker.ts
@@ -142,7 +142,10 @@
     if (request.isResponseStarted || request.phase !== 'responding') return;
     request.isResponseStarted = true;
     runner?.onFirstEvent(request);
-    this.#state.firstEventTimes.record(request.route, now - request.sentAt);
+    const tookMs = now - request.sentAt;
+    const usualMs = this.#state.firstEventTimes.averageMs(request.route) ?? tookMs;
+    runner?.onFirstEventTime(now, tookMs - usualMs);
+    this.#state.firstEventTimes.record(request.route, tookMs);
   }
 
   /** The response was forwarded completely. */
--- a/src/proxy/runner-picker.test.ts
+++ b/src/proxy/runner-picker.test.ts
@@ -136,3 +136,9 @@
   expect(bench.chosen(requestOf(at(0), 2, { adapter: 'a2' }))).toBe('a');
   expect(bench.chosen(requestOf(at(0), 3), 4000)).toBe('a');
 });
+test('a runner whose first events come late gives way, and is tried again later', () => {
+  const bench = benchOf(runnerOf('a'), runnerOf('b', { zone: 'zb' }));
+  bench.fleet.runner('a')?.onFirstEventTime(at(0), 50);
+  expect(bench.chosen(requestOf(at(0), 1))).toBe('b');
+  expect(bench.chosen(requestOf(at(0), 2), 6000)).toBe('a');
+});
--- a/src/proxy/runner-picker.ts
+++ b/src/proxy/runner-picker.ts
@@ -10,6 +10,8 @@
 const NEW_CONNECTION_COST = 400;
 const RUNNING_REQUEST_COST = 60;
 const WARM_UP_COST = 2000;
+/** About what an engine reads of a prompt in a ms, by which a delay is counted in tokens. */
+const TOKENS_PER_MS = 30;
 /** More than a well used runner ever costs: a suspect is taken where there is no other. */
 const SUSPECT_COST = 100_000;
 const PLAIN_RUNNING_REQUEST_COST = 2000;
@@ -126,6 +128,7 @@
         ? facts.id === affinityRunner
         : runner.hasCachedPrefix(request.sharedPrefixKey);
     if (!hasPrefix) cost += request.sharedPrefixTokens;
+    if (request.modelUnit !== '') cost += runner.latencyExcessMs(now) * TOKENS_PER_MS;
     // Plain services have few places each: whoever has the least of ours is likely to have the least of all.
     if (request.modelUnit === '') cost += runner.inFlight * PLAIN_RUNNING_REQUEST_COST;
     return cost + this.#settings.random();
--- a/src/proxy/tracked-runner.ts
+++ b/src/proxy/tracked-runner.ts
@@ -1,6 +1,7 @@
 import { later, moment, type Moment } from '../common/ids.js';
 import type { FleetRunner } from '../placement/fleet.js';
 import type { Service } from '../route/routing.js';
+import { LatencyExcess } from './latency-excess.js';
 import { OutlierDetection } from './outlier-detection.js';
 import type { RoutedRequest } from './routed-request.js';
 
@@ -38,6 +39,7 @@
   #ejectedUntil: Moment = NEVER;
   #failures = 0;
   readonly #outlier = new OutlierDetection();
+  readonly #latencyExcess = new LatencyExcess();
   #fullUntil: Moment = NEVER;
   #lastHeardAt: Moment;
   #warmUpEnd: Moment;
@@ -138,6 +140,16 @@
     return this.#requests.size < maxRequests;
   }
 
+  /** A first event took so much longer than is usual for its route, ms. */
+  onFirstEventTime(now: Moment, excessMs: number): void {
+    this.#latencyExcess.record(now, excessMs);
+  }
+
+  /** How much slower it was of late than runners usually are, ms. */
+  latencyExcessMs(now: Moment): number {
+    return this.#latencyExcess.valueMs(now);
+  }
+
   // ---- slow start
 
   /** Whether it started recently and may be given few requests a second. */
