Work out the spread share once per comparison, not once per model

spreadShareOf adds up the load times of all models, and was called for each model asked for, each 200 ms: at 1,900 models some three million additions a comparison. It is part of what the runners have together now.

--- a/src/placement/replica-demand.ts
+++ b/src/placement/replica-demand.ts
@@ -21,6 +21,8 @@
   slots: number;
   mostFreeMb: number;
   load: number;
+  /** The part of them over which models are spread by their share of requests. */
+  readonly spreadShare: number;
   readonly zones: Set<string>;
 }
 
@@ -99,15 +101,16 @@
   }
 
   /** How many copies a model's work needs now, as a broken number. */
-  #work(now: Moment, model: ModelState, open: number, slots: number): number {
+  #work(now: Moment, model: ModelState, { open, slots, spreadShare }: Capacity): number {
     const { fastMs, slotShare, growMs } = this.#state.settings;
     const all = model.service.all.weight(now, fastMs);
     // A few requests tell no share.
     const share = all >= 10 ? model.fast.weight(now, fastMs) / all : 0;
     model.runningMean +=
       (Math.max(0, model.running) - model.runningMean) * Math.min(1, growMs / 1000);
-    const byRunning = slots > 0 ? model.runningMean / (slots * slotShare) : 0;
-    const byShare = share * open * spreadShareOf(model.service, this.#state.settings);
+    const slotsOfRunner = slots / open;
+    const byRunning = slotsOfRunner > 0 ? model.runningMean / (slotsOfRunner * slotShare) : 0;
+    const byShare = share * open * spreadShare;
     // Where answers are slow much runs at once, and more copies than two beyond its share make nothing faster.
     return Math.min(
       open,
@@ -148,7 +151,14 @@
   }
 
   #capacityOf(service: ServiceState): Capacity {
-    const capacity: Capacity = { open: 0, slots: 0, mostFreeMb: 0, load: 0, zones: new Set() };
+    const capacity: Capacity = {
+      open: 0,
+      slots: 0,
+      mostFreeMb: 0,
+      load: 0,
+      spreadShare: spreadShareOf(service, this.#state.settings),
+      zones: new Set(),
+    };
     for (const runner of service.runners) {
       if (!this.#state.isOpen(runner)) continue;
       capacity.open += 1;
@@ -163,9 +173,10 @@
   }
 
   /** Compares a model with its work, and returns how many copies that is worth now. */
-  #compare(now: Moment, model: ModelState, { open, slots }: Capacity): number {
+  #compare(now: Moment, model: ModelState, capacity: Capacity): number {
+    const { open } = capacity;
     const { slowMs, shrinkMs } = this.#state.settings;
-    const work = this.#work(now, model, open, slots / open);
+    const work = this.#work(now, model, capacity);
     // It grows at once and shrinks slowly, or copies would come and go.
     const decayed = model.need * Math.exp(-(now - model.neededAt) / shrinkMs);
     const worked = Math.max(work, decayed);
