Let ejection and suspicion of runners share one backoff

outlier-detection.ts had written again what TrackedRunner did for ejection: a time that doubles with each failure up to a maximum, failures meanwhile not counted. FailureBackoff serves both; the bound on doublings goes, since the maximum stands at the same place (500 ms times 2^3 is 4 s). The picker's two opposite conditions become one.

--- a/src/proxy/runner-picker.ts
+++ b/src/proxy/runner-picker.ts
@@ -130,7 +130,7 @@
     if (!hasPrefix) cost += request.sharedPrefixTokens;
     if (request.modelUnit !== '') cost += runner.latencyExcessMs(now) * TOKENS_PER_MS;
     // Plain services have few places each: whoever has the least of ours is likely to have the least of all.
-    if (request.modelUnit === '') cost += runner.inFlight * PLAIN_RUNNING_REQUEST_COST;
+    else cost += runner.inFlight * PLAIN_RUNNING_REQUEST_COST;
     return cost + this.#settings.random();
   }
 }
--- a/src/proxy/tracked-runner.ts
+++ b/src/proxy/tracked-runner.ts
@@ -1,6 +1,7 @@
 import { later, moment, type Moment } from '../common/ids.js';
 import type { FleetRunner } from '../placement/fleet.js';
 import type { Service } from '../route/routing.js';
+import { FailureBackoff } from './failure-backoff.js';
 import { LatencyExcess } from './latency-excess.js';
 import { OutlierDetection } from './outlier-detection.js';
 import type { RoutedRequest } from './routed-request.js';
@@ -19,7 +20,6 @@
 /** Backoff after the first of consecutive failures; it doubles with each further one up to the maximum. */
 const MIN_BACKOFF_MS = 500;
 const MAX_BACKOFF_MS = 4000;
-const MAX_DOUBLINGS = 3;
 /** The share of a runner's connection limit that is used, and the minimum for each proxy. */
 const CONNECTION_SHARE = 0.9;
 const MIN_CONNECTIONS = 2;
@@ -35,9 +35,8 @@
   readonly #requests = new Set<number>();
   /** Prompt tokens of requests that were sent and have not produced a first event: the prefill that is pending. */
   #pendingPromptTokens = 0;
-  /** Ejected until then; the backoff grows with the number of consecutive failures. */
-  #ejectedUntil: Moment = NEVER;
-  #failures = 0;
+  /** Ejected while it is active; it grows with the number of consecutive failures. */
+  readonly #ejection = new FailureBackoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
   readonly #outlier = new OutlierDetection();
   readonly #latencyExcess = new LatencyExcess();
   #fullUntil: Moment = NEVER;
@@ -181,15 +180,12 @@
 
   /** It failed: ejects it, for twice as long with each consecutive failure, 500 ms to 4 s. */
   eject(now: Moment): void {
-    if (now < this.#ejectedUntil) return;
-    this.#failures += 1;
-    const backoffMs = MIN_BACKOFF_MS * 2 ** Math.min(MAX_DOUBLINGS, this.#failures - 1);
-    this.#ejectedUntil = later(now, Math.min(MAX_BACKOFF_MS, backoffMs));
+    this.#ejection.onFailure(now);
   }
 
   /** It answered without a server error: ends the run of consecutive failures. */
   onSuccess(): void {
-    this.#failures = 0;
+    this.#ejection.reset();
     this.#outlier.onSuccess();
   }
 
@@ -210,7 +206,7 @@
 
   /** Whether it gets no request now, as it is ejected or was full. */
   isBackingOff(now: Moment): boolean {
-    return now < this.#ejectedUntil || now < this.#fullUntil;
+    return this.#ejection.isActive(now) || now < this.#fullUntil;
   }
 
   // ---- models
