--- a/src/placement/testing/fake-fleet.ts
+++ b/src/placement/testing/fake-fleet.ts
@@ -4,7 +4,7 @@
 import type { FleetDemand, ListedRunner, RunnerStatus } from '../fleet.js';
 import { Planner, type OrderOutcome } from '../planner.js';
 import type { Intent, ServiceDoc } from '../shapes.js';
-import { routingOf } from './fleet-documents.js';
+import { listedOf, routingOf } from './fleet-documents.js';
 import { Dice, FakeRunner, loadMsOf, type RunnerHabits } from './fake-runner.js';
 
 type DemandUnit = FleetDemand['units'][number] & { priority: number };
@@ -298,16 +298,12 @@
     this.#listAt = this.now + 100;
     const list: ListedRunner[] = [];
     for (const runner of this.runners.values()) {
+      const listed = listedOf(runner.id, runner.zone, runner.status().holds);
       list.push({
-        id: runner.id,
+        ...listed,
         address: `10.0.0.${runner.id.slice(1)}:1`,
-        zone: runner.zone,
-        service: 'llm',
-        slots: this.options.slots ?? 32,
+        slots: this.options.slots ?? listed.slots,
         isLeaving: runner.isLeaving,
-        remainingMs: undefined,
-        coldMs: 0,
-        holds: runner.status().holds,
       });
     }
     this.#lists.push({ at: this.now, list });
