Show that a failure that breaks off is completed with another run's stream

The case is a script: a 500 that breaks off on a resumable route, while the other runner is full for a moment.

--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -1,72 +1,95 @@
 /**
- * A planned stop of an edge machine while clients use kept connections. Each client sends one stream after the other on
- * its connection; each stream takes 4 s, within its route's timeout and its client's deadline of 6 s each.
+ * One runner fails one in fifty of its requests and breaks off those answers in the midst of their bodies, while another
+ * one is full for a moment and turns requests away with `Not-Run`. The route is resumable and allows two tries.
  */
 import { fileURLToPath } from 'node:url';
 import { HAS_TROUBLE, runCase, usualRunners } from '../lib/case.mjs';
 import { ClientConnection } from '../lib/client.mjs';
-import { BOUNDS, pause } from '../lib/deployment.mjs';
-import { streamWork } from '../lib/platform.mjs';
+import { pause } from '../lib/deployment.mjs';
+import { answerHeaders, streamWork } from '../lib/platform.mjs';
 
-const CLIENTS = 12;
-const STREAMS_EACH = 4;
-const EVENTS = 10;
-const GAP_MS = 440;
-const DEADLINE_MS = 6000;
-const GRACE_MS = BOUNDS.grace_s * 1000;
-/** Requests sent later than this after the SIGTERM are not excused by a runner that is still at work. */
-const EXCUSED_MS = 3000;
-/** A request that has used so much of its time is not counted here, to stay clear of its deadline. */
-const CLEAR_OF_DEADLINE_MS = 500;
+const SECONDS = 30;
+const CLIENTS = 10;
+const EVENTS = 6;
+const GAP_MS = 30;
+const FAILS_ONE_IN = 50;
+/** A failure is answered so long after the request came, and breaks off so long after its head. */
+const FAILS_AFTER_MS = 60;
+const BREAKS_OFF_AFTER_MS = 250;
+/** The other runner is full for so long from when a request that will fail has come. */
+const FULL_MS = 150;
+const FAILURE = JSON.stringify({ error: 'the engine ran out of memory', detail: 'see its log' });
+const SENT_BYTES = 10;
 
-const options = {
-  edges: 1,
-  runners: usualRunners({ work: (run) => streamWork(run, EVENTS, GAP_MS) }),
-};
+const state = { requests: 0, fullUntil: 0 };
 
-await runCase(
-  fileURLToPath(new URL('.', import.meta.url)),
-  options,
-  async ({ record, deployment }) => {
-    let stoppedAt = Infinity;
-    const answers = [];
-
-    /** Uses one connection for stream after stream until it is told to close it, or it is closed. */
-    async function client(index) {
-      await pause(index * 400);
-      const connection = new ClientConnection(record, deployment.edge(), `client-${index}`);
-      for (let turn = 0; turn < STREAMS_EACH && !connection.isClosed; turn += 1) {
-        const answer = await connection.send({ path: '/desk/verdict', timeLeftMs: DEADLINE_MS });
-        answers.push(answer);
-        if (answer.headers.connection === 'close') break;
-        await pause(100);
-      }
-      connection.close();
-    }
+/** Answers 500 as any failure, and breaks off after a few bytes of its body. */
+async function failingWork(run) {
+  run.runner.record.add('failure', {
+    runner: run.runner.id,
+    id: run.id,
+    bytes: SENT_BYTES,
+    of: FAILURE.length,
+  });
+  state.fullUntil = performance.now() + FULL_MS;
+  await pause(FAILS_AFTER_MS);
+  const headers = { 'content-type': 'application/json', 'content-length': FAILURE.length };
+  run.answer.writeHead(500, answerHeaders(run, headers));
+  run.answer.write(FAILURE.slice(0, SENT_BYTES));
+  await pause(BREAKS_OFF_AFTER_MS);
+  run.answer.destroy();
+}
 
-    const clients = Array.from({ length: CLIENTS }, (_, index) => client(index));
-    await pause(5000);
-    if (HAS_TROUBLE) {
-      stoppedAt = record.now;
-      record.add('SIGTERM', { machine: 'edge-0' });
-      for (const program of deployment.programs('edge-0')) void program.terminate(GRACE_MS);
-    }
-    await Promise.all(clients);
-    return answers
-      .filter((answer) => isLost(record, stoppedAt, answer))
-      .map((answer) => describe(record, stoppedAt, answer));
-  },
-);
+/** What a full runner answers: it has not run the request. */
+function turnAway(run) {
+  run.runner.record.add('turned away', { runner: run.runner.id, id: run.id });
+  run.answer.writeHead(503, { 'attempt-id': run.id, 'not-run': '1', 'content-length': 0 }).end();
+}
 
-function isLost(record, stoppedAt, { id, isWhole, sentAt, endedAt }) {
-  const wasPassedOn = record.of('run').some((run) => run.id === id);
-  const hadTime = endedAt < sentAt + DEADLINE_MS - CLEAR_OF_DEADLINE_MS;
-  const isAroundStop = endedAt > stoppedAt && endedAt < stoppedAt + GRACE_MS + 1000;
-  const isExcused = sentAt <= stoppedAt + EXCUSED_MS;
-  return !isWhole && wasPassedOn && hadTime && isAroundStop && !isExcused;
+/** Two runners hold the model that is asked for; the third holds another. */
+function runners(deployment) {
+  const specs = usualRunners()(deployment);
+  const [failing, full, other] = specs.filter(({ service }) => service === 'readers');
+  failing.work = (run) => {
+    state.requests += 1;
+    const fails = HAS_TROUBLE && state.requests % FAILS_ONE_IN === 0;
+    return fails ? failingWork(run) : streamWork(run, EVENTS, GAP_MS);
+  };
+  full.work = (run) =>
+    performance.now() < state.fullUntil ? turnAway(run) : streamWork(run, EVENTS, GAP_MS);
+  other.models = ['m1'];
+  return specs;
 }
 
-function describe(record, stoppedAt, { id, sentAt, endedAt }) {
-  const after = (at) => `${Math.round(at - stoppedAt)} ms after the SIGTERM`;
-  return `LOST: ${id} was sent ${after(sentAt)}, passed on to a sound runner, and cut ${after(endedAt)}`;
+const folder = fileURLToPath(new URL('.', import.meta.url));
+await runCase(folder, { edges: 1, runners }, async ({ record, deployment }) => {
+  const end = record.now + SECONDS * 1000;
+  const answers = [];
+
+  /** Sends one stream after the other on a kept connection. */
+  async function client(index) {
+    let connection = new ClientConnection(record, deployment.edge(), `client-${index}`);
+    while (record.now < end) {
+      if (connection.isClosed)
+        connection = new ClientConnection(record, deployment.edge(), `client-${index}`);
+      const answer = await connection.send({ path: '/till/check', timeLeftMs: 5000 });
+      answers.push({ ...answer, connection });
+      // What does not begin like an answer can't be read any further.
+      if (Number.isNaN(answer.status)) connection.close();
+    }
+    connection.close();
+  }
+  await Promise.all(Array.from({ length: CLIENTS }, (_, index) => client(index)));
+  return answers.flatMap((answer, index) => faultsOf(answer, answers.slice(0, index)));
+});
+
+function faultsOf({ id, status, isWhole, body, startLine, connection }, before) {
+  // The failing runner never sends a failure whole.
+  if (status === 500 && isWhole)
+    return [`MIXED: ${id} got a 500 that looks whole, with the body ${JSON.stringify(body)}`];
+  if (!Number.isNaN(status)) return [];
+  const last = before.findLast((answer) => answer.connection === connection);
+  return [
+    `MIXED: ${id} got ${JSON.stringify(startLine)} where its answer is due, which belongs to ${last?.id}`,
+  ];
 }
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -77,7 +77,8 @@
       if (end < 0) return false;
       const [first, ...lines] = this.unread.slice(0, end).split('\r\n');
       this.unread = this.unread.slice(end + 4);
-      answer.status = Number(first.split(' ')[1]);
+      answer.startLine = first;
+      answer.status = /^HTTP\/1\.1 \d{3}\b/.test(first) ? Number(first.split(' ')[1]) : NaN;
       for (const line of lines) {
         const at = line.indexOf(':');
         answer.headers[line.slice(0, at).toLowerCase()] = line.slice(at + 1).trim();
