--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -29,6 +29,9 @@
     process.stdout.write(`${text}\n`);
     process.exit(exitCode);
   };
+  process.once('uncaughtException', (thrown) => end(2, `could not run: ${thrown.stack}`));
+  // Whatever happens, no process outlives the script.
+  process.once('exit', () => deployment.killAll());
   for (const signal of ['SIGINT', 'SIGTERM'])
     process.once(signal, () => end(2, `could not run: ${signal}`));
   try {
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -291,6 +291,12 @@
     return [...this.machine(name).programs.values()];
   }
 
+  /** Kills what still runs, without waiting for it. */
+  killAll() {
+    for (const name of this.machines.keys())
+      for (const program of this.programs(name)) program.signal('SIGKILL');
+  }
+
   async stop({ keep = false } = {}) {
     for (const name of this.machines.keys())
       await Promise.all(this.programs(name).map((program) => program.kill()));
