--- a/src/control/control-log-event.ts
+++ b/src/control/control-log-event.ts
@@ -21,6 +21,8 @@
   | { readonly event: 'leader changed'; readonly leader: string; readonly epoch: number }
   /** This node leads, and has read the complete state from a majority. */
   | { readonly event: 'serving started'; readonly epoch: number }
+  /** Limits that hold over the whole fleet are divided by another number of proxies from here on, as this leader counts them. */
+  | { readonly event: 'proxy count changed'; readonly count: number }
   /** A configuration that no majority has on disk any more was restored from agents and proxies; `number` is its own. */
   | { readonly event: 'configuration recovered'; readonly number: number }
   /** The leader wrote another voter set; sets of a joint change are separated by ` | `. */
--- a/src/control/placement-control.ts
+++ b/src/control/placement-control.ts
@@ -36,14 +36,16 @@
   readonly #fleet: FleetManager | undefined;
   #machineListPolledAt: Moment = NEVER;
   #writes = 0;
+  /** The number of proxies that was used last; 0 for none since this node leads. */
+  #loggedProxyCount = 0;
 
   constructor(parts: PlacementDependencies) {
-    const { settings, placer, effects, members, mayOrder } = parts;
+    const { settings, placer, effects, mayOrder } = parts;
     this.#dependencies = parts;
     const write = (now: Moment, partition: PartitionName, body: string) =>
       this.#write(now, partition, body);
     const effect = (added: ControlEffect) => effects.add(added);
-    const proxies = () => members.count();
+    const proxyCount = () => this.#proxyCount();
     this.#fleet =
       settings.deployed &&
       new FleetManager(settings.deployed, {
@@ -51,7 +53,7 @@
         write,
         publish: (count, body, delta) => this.#publishFleet(count, body, delta),
         mayOrder,
-        proxyCount: proxies,
+        proxyCount,
       });
     this.#table = new TableManager(
       {
@@ -59,7 +61,7 @@
         write,
         publish: (count, text) => this.#publishPlaces(count, text),
         mayOrder,
-        proxyCount: proxies,
+        proxyCount,
       },
       placer,
       settings.me,
@@ -94,6 +96,7 @@
   beginLeading(now: Moment, docs: readonly ServiceDoc[]): void {
     const { settings, leadership, document } = this.#dependencies;
     const label = `${settings.me}/${leadership.epoch}`;
+    this.#loggedProxyCount = 0;
     if (this.#fleet) {
       this.#fleet.beginLeading(now, docs, label);
       this.#fleet.tick(now, document.newest());
@@ -159,6 +162,15 @@
     this.#fleet.onOrderOutcome(now, intent, result, this.#dependencies.document.newest());
   }
 
+  /** How many proxies share limits that hold over the whole fleet; a change is logged. */
+  #proxyCount(): number {
+    const count = this.#dependencies.members.count();
+    if (count !== this.#loggedProxyCount)
+      this.#dependencies.effects.log({ event: 'proxy count changed', count });
+    this.#loggedProxyCount = count;
+    return count;
+  }
+
   #pollMachineList(now: Moment): void {
     if (now < later(this.#machineListPolledAt, this.#dependencies.settings.machinesMs)) return;
     this.#machineListPolledAt = now;
