Continue a response only where an event stream of a success has begun

Cause: whether a request may be retried after its response began was told by the route alone.

Ruled out: bytes left on a pooled connection (attempt 2 ran at another runner), surplus answers (each named its request).

Now the dispatcher knows the head that it forwarded. Only an event stream of a success is continued, and only by an event stream of the same status. The relay had its own half of the check, which is gone.

--- a/src/proxy/admission.ts
+++ b/src/proxy/admission.ts
@@ -105,6 +105,7 @@
     mayHaveRun: false,
     needsNewConnection: false,
     isResponseStarted: false,
+    forwardedHead: undefined,
     placeAgainAt: now,
   };
 }
--- a/src/proxy/attempt-tracker.ts
+++ b/src/proxy/attempt-tracker.ts
@@ -2,7 +2,7 @@
 import type { ResponseHead } from './dispatch-types.js';
 import type { DispatcherState } from './dispatcher-state.js';
 import type { RequestPlacement } from './request-placement.js';
-import { isRetryable, type RoutedRequest } from './routed-request.js';
+import { isRetryable, mayFollow, type RoutedRequest } from './routed-request.js';
 import type { TrackedRunner } from './tracked-runner.js';
 
 /** Statuses that promise a client that its request was not processed: only a runner's proof permits that. */
@@ -101,6 +101,7 @@
     if (isFailure && head.status !== GATEWAY_TIMEOUT) runner?.onRequestFailed(now);
     if (isFailure && this.#retryFailure(now, request)) return;
     request.phase = 'responding';
+    request.forwardedHead = head;
     if (!isFailure) runner?.onSuccess();
     this.#state.effects.push({ do: 'forward', id, attempt });
   }
@@ -257,12 +258,11 @@
 }
 
 /** Whether the response may be forwarded to the client of the request. */
-function isForwardable(request: RoutedRequest, { status, isGenuine }: ResponseHead): boolean {
-  if (!isGenuine) return false;
+function isForwardable(request: RoutedRequest, head: ResponseHead): boolean {
+  if (!head.isGenuine) return false;
   // A status that promises what the runner did not prove must not reach the client of a request that may run only once.
-  if (REJECTION_STATUSES.has(status) && !isRetryable(request)) return false;
-  // A stream that was forwarded in part can only be continued: its client cannot be given a failure any more.
-  return !request.isResponseStarted || (status >= 200 && status < 300);
+  if (REJECTION_STATUSES.has(head.status) && !isRetryable(request)) return false;
+  return mayFollow(request, head);
 }
 
 /** Records why the runner did not process the request. */
--- a/src/proxy/dispatch-types.ts
+++ b/src/proxy/dispatch-types.ts
@@ -51,8 +51,8 @@
 /** Why a request is rejected. A rejected request has not been processed by any runner. */
 export type RejectReason = 'no-config' | 'no-route' | 'no-runner' | 'full' | 'late' | 'not-loaded';
 
-/** What the dispatcher needs to know of the head of a runner's response. */
-export interface ResponseHead {
+/** What a deployment's dialect reads from the head of a runner's response. */
+export interface ResponseStatus {
   readonly status: number;
   /** Whether the runner states, for this very request, that it has not processed it and will not. */
   readonly isUnprocessed: boolean;
@@ -60,6 +60,12 @@
   readonly isGenuine: boolean;
 }
 
+/** What the dispatcher needs to know of the head of a runner's response. */
+export interface ResponseHead extends ResponseStatus {
+  /** Whether its body is a `text/event-stream` (WHATWG HTML, 9.2), which another run can continue after any event. */
+  readonly isEventStream: boolean;
+}
+
 /** Settings of a dispatcher; they do not change while it runs. */
 export interface DispatcherSettings {
   /** The id of this proxy. */
--- a/src/proxy/dispatcher-once.test.ts
+++ b/src/proxy/dispatcher-once.test.ts
@@ -54,6 +54,14 @@
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerWaitMs: 1, idleMs: 1 },
 };
 
+/** The head of an answer that belongs to its request, has run, and is no stream. */
+const HEAD: ResponseHead = {
+  status: 200,
+  isUnprocessed: false,
+  isGenuine: true,
+  isEventStream: false,
+};
+
 function runnerOf(id: string): FleetRunner {
   return {
     id,
@@ -130,7 +138,7 @@
       ask(dispatcher, 0, 1, `${prefix}1`, 60_000);
       if (stage !== 'connecting') dispatcher.onConnect(moment(900), 1, 1);
       if (stage === 'answering' || stage === 'begun') {
-        dispatcher.head(moment(910), 1, 1, { status: 200, isUnprocessed: false, isGenuine: true });
+        dispatcher.head(moment(910), 1, 1, HEAD);
       }
       if (stage === 'begun') dispatcher.onData(moment(920), 1, 1);
       dispatcher.drainEffects();
@@ -173,10 +181,10 @@
   dispatcher.onDisconnect(moment(1), 1, attempt, false);
 }
 function fail(dispatcher: Dispatcher, attempt: number): void {
-  dispatcher.head(moment(1), 1, attempt, { status: 500, isUnprocessed: false, isGenuine: true });
+  dispatcher.head(moment(1), 1, attempt, { ...HEAD, status: 500 });
 }
 function turnAway(dispatcher: Dispatcher, attempt: number): void {
-  dispatcher.head(moment(1), 1, attempt, { status: 503, isUnprocessed: true, isGenuine: true });
+  dispatcher.head(moment(1), 1, attempt, { ...HEAD, status: 503, isUnprocessed: true });
 }
 test("one try is written as often as its route's tries allow, and no more", () => {
   for (const { prefix, maxAttempts, kind, isResumable } of ROUTES) {
@@ -206,6 +214,7 @@
   readonly status: number;
   readonly isUnprocessed: boolean;
   readonly isGenuine: boolean;
+  readonly isEventStream: boolean;
   readonly isStale: boolean;
   readonly afterMs: number;
 }
@@ -221,6 +230,7 @@
   status: fc.constantFrom(200, 400, 408, 421, 429, 500, 503, 504),
   isUnprocessed: fc.boolean(),
   isGenuine: fc.boolean(),
+  isEventStream: fc.boolean(),
   isStale: fc.boolean(),
   // Mostly at once: else its time is over before a request has met much.
   afterMs: fc.constantFrom(0, 0, 0, 0, 0, 0, 0, 0, 5, 5, 5, 60, 400),
@@ -238,6 +248,9 @@
   attempt: number;
   runner: string;
   told: string;
+  /** The head of the last answer that came, and of the one of which the client has got a part. */
+  lastHead: ResponseHead | undefined;
+  begunHead: ResponseHead | undefined;
 }
 
 /** Plays steps against the dispatcher and holds it to the rules after each. */
@@ -259,7 +272,15 @@
   #ask(): void {
     const route = ROUTES[this.#seen.size % ROUTES.length] ?? BASE;
     const id = this.#seen.size + 1;
-    this.#seen.set(id, { route, written: [], attempt: 0, runner: '', told: '' });
+    this.#seen.set(id, {
+      route,
+      written: [],
+      attempt: 0,
+      runner: '',
+      told: '',
+      lastHead: undefined,
+      begunHead: undefined,
+    });
     ask(this.#dispatcher, this.#now, id, `${route.prefix}1`, TIMEOUT_MS);
   }
 
@@ -272,7 +293,7 @@
   }
 
   /** Something happens to the attempt under way of one of the latest requests. */
-  #answer({ what, which, status, isUnprocessed, isGenuine, isStale }: Step): void {
+  #answer({ what, which, status, isUnprocessed, isGenuine, isEventStream, isStale }: Step): void {
     const id = this.#seen.size - which;
     const seen = this.#seen.get(id);
     if (!seen || seen.attempt === 0) return;
@@ -287,7 +308,9 @@
         status,
         isUnprocessed: isUnprocessed && status >= 400,
         isGenuine,
+        isEventStream,
       };
+      seen.lastHead = head;
       const last = seen.written.at(-1);
       // A runner's word counts for the attempt under way, before anything else of an answer came.
       const isProof = head.isUnprocessed && last?.attempt === attempt && seen.told === '';
@@ -297,7 +320,10 @@
     if (what === 'broke') dispatcher.onDisconnect(now, id, attempt, isStale);
     if (what === 'unreached') dispatcher.onConnectFailed(now, id, attempt);
     if (what === 'unwritten') dispatcher.onIdleConnectionClosed(now, id, attempt);
-    if (what === 'moved') dispatcher.onData(now, id, attempt);
+    if (what === 'moved') {
+      dispatcher.onData(now, id, attempt);
+      if (seen.told === `forward ${attempt}`) seen.begunHead ??= seen.lastHead;
+    }
     if (what === 'ended' && seen.told.startsWith('forward'))
       dispatcher.onComplete(now, id, attempt);
     if (what === 'gone') dispatcher.onClientDisconnect(now, id);
@@ -308,7 +334,7 @@
       const seen = this.#seen.get(effect.id);
       if (!seen) throw new Error('an effect for nobody');
       if (effect.do === 'send') this.#sent(seen, effect.attempt, effect.runner);
-      if (effect.do === 'forward') seen.told = `forward ${effect.attempt}`;
+      if (effect.do === 'forward') this.#forwarded(seen, effect.attempt);
       if (effect.do === 'reject') this.#refused(seen);
       if (effect.do === 'fail') seen.told = 'fail';
       if (effect.do !== 'send' && effect.do !== 'forward') seen.attempt = 0;
@@ -323,10 +349,19 @@
     const isOnce = !(seen.route.kind === 'safe' || seen.route.isResumable);
     if (isOnce && seen.written.some(mayHaveRun))
       throw new Error('sent again after it may have run');
+    if (seen.begunHead && !isContinuable(seen.route, seen.begunHead))
+      throw new Error('sent again to continue an answer that is no event stream of a success');
     seen.attempt = attempt;
     seen.runner = runner;
   }
 
+  #forwarded(seen: Seen, attempt: number): void {
+    const { begunHead, lastHead } = seen;
+    const isSameKind = lastHead?.isEventStream && lastHead.status === begunHead?.status;
+    if (begunHead && !isSameKind) throw new Error('continued by an answer of another kind');
+    seen.told = `forward ${attempt}`;
+  }
+
   #refused(seen: Seen): void {
     if (seen.written.some(mayHaveRun)) throw new Error('refused after it may have run');
     seen.told = 'reject';
@@ -336,6 +371,9 @@
 function runnerIn(written: { readonly runner: string }): string {
   return written.runner;
 }
+function isContinuable(route: Route, { status, isEventStream }: ResponseHead): boolean {
+  return route.kind === 'stream' && isEventStream && status === 200;
+}
 function mayHaveRun(written: { readonly isDisproven: boolean }): boolean {
   return !written.isDisproven;
 }
--- a/src/proxy/dispatcher.test.ts
+++ b/src/proxy/dispatcher.test.ts
@@ -144,6 +144,7 @@
       status,
       isUnprocessed,
       isGenuine: true,
+      isEventStream: status === 200,
     });
   }
 
@@ -296,6 +297,18 @@
   bench.answer(safe, 500);
   expect(bench.said()).toEqual([`${safe} to w`, `${safe} cancel`, `${safe} to x`]);
 });
+// Guards against MIXED: a failure that was forwarded for want of another runner must not be continued once there is one.
+test('a failure that was forwarded is not continued at a runner that comes free later', () => {
+  const [failing, other] = [runner('a', 'za', ['m']), runner('b', 'zb', ['m'])];
+  const bench = new Bench([failing]);
+  const id = bench.ask('/check/1');
+  bench.write(id);
+  bench.answer(id, 500);
+  bench.dispatcher.onData(moment(20), id, 1);
+  bench.fleet([failing, other]);
+  bench.dispatcher.onDisconnect(moment(270), id, 1, false);
+  expect(bench.said()).toEqual([`${id} to a`, `${id} forward`, `${id} failed`]);
+});
 test('a connection that cannot be made costs nothing', () => {
   const bench = new Bench([runner('a', 'za', ['m']), runner('b', 'zb', ['m'])]);
   const id = bench.ask('/verdict/1', { timeLeftMs: 6000 });
@@ -435,6 +448,7 @@
               status: 200,
               isUnprocessed: false,
               isGenuine: true,
+              isEventStream: true,
             });
           else if (what < 0.7) {
             // Only the attempt it came from is taken back, and only if it had been written.
@@ -444,6 +458,7 @@
               status: 503,
               isUnprocessed: true,
               isGenuine: true,
+              isEventStream: false,
             });
           } else if (what < 0.8) bench.dispatcher.onDisconnect(now, id, attempt, false);
           else if (what < 0.9) {
--- a/src/proxy/dispatcher.ts
+++ b/src/proxy/dispatcher.ts
@@ -16,6 +16,7 @@
 
 export type {
   ResponseHead,
+  ResponseStatus,
   DispatchEffect,
   DispatcherSettings,
   PrefixBlock,
--- a/src/proxy/forwarder.test.ts
+++ b/src/proxy/forwarder.test.ts
@@ -20,7 +20,7 @@
 import { monotonicNow } from '../common/clock.js';
 import type { FleetRunner } from '../placement/fleet.js';
 import type { Route, Routing } from '../route/routing.js';
-import { Dispatcher, type ResponseHead, type RejectReason } from './dispatcher.js';
+import { Dispatcher, type ResponseStatus, type RejectReason } from './dispatcher.js';
 import { Forwarder } from './forwarder.js';
 import type { RequestDialect, RequestAnnotations, RunnerAnnotations } from './request-dialect.js';
 
@@ -45,7 +45,7 @@
     if (said.lastEventId !== undefined) headers['last-event-id'] = String(said.lastEventId);
   }
 
-  readResponse(status: number, headers: IncomingHttpHeaders, attemptId: string): ResponseHead {
+  readResponse(status: number, headers: IncomingHttpHeaders, attemptId: string): ResponseStatus {
     return {
       status,
       isUnprocessed: headers['x-not-run'] !== undefined,
@@ -307,6 +307,37 @@
 function failHard(asked: IncomingMessage, answer: ServerResponse): void {
   answer.writeHead(500, { 'x-id': idOf(asked), 'content-length': 4 }).end('oops');
 }
+/** A failure whose length is told, of which a part comes before the runner breaks off. */
+function breakFailure(status: number, contentType: string, part: string): RequestListener {
+  return (asked, answer) => {
+    asked.resume();
+    answer.writeHead(status, {
+      'x-id': idOf(asked),
+      'content-type': contentType,
+      'content-length': part.length + 200,
+    });
+    answer.write(part, () => {
+      answer.destroy();
+    });
+  };
+}
+/** The client sees a broken answer, and the next one on its connections is its own. */
+async function expectBroken(bench: Bench, status: number, part: string): Promise<void> {
+  const answer = await bench.ask('/stream/1');
+  expect([answer.status, answer.body, answer.isWhole]).toEqual([status, part, false]);
+  expect(bench.dispatcher.counts.resumed).toBe(0);
+  bench.dispatcher.onDrainingRunners(monotonicNow(), ['r0']);
+  const next = await bench.ask('/stream/1');
+  expect([next.status, next.body, next.isWhole]).toEqual([200, events(1, 6), true]);
+}
+/** An event stream of a success that is not the one that the client has begun to get. */
+function sayOtherStatus(asked: IncomingMessage, answer: ServerResponse): void {
+  answer.writeHead(206, { 'content-type': 'text/event-stream', 'x-id': idOf(asked) });
+  answer.end(events(4, 6));
+}
+function sayPlain(asked: IncomingMessage, answer: ServerResponse): void {
+  answer.writeHead(200, { 'x-id': idOf(asked), 'content-length': 5 }).end('whole');
+}
 async function checkVain(bench: Bench): Promise<void> {
   const answer = await bench.ask('/stream/1');
   expect([answer.body, answer.isWhole]).toEqual([events(1, 3), false]);
@@ -373,6 +404,25 @@
   withBench([breakInMidst, goOn], checkResume));
 test('a stream that breaks and finds only failures is seen to be broken', () =>
   withBench([breakInMidst, failHard], checkVain));
+// Guards against MIXED: the rest of a failure that breaks off must not come from another run's stream.
+test('a failure that breaks off on a resumable route is not continued by another run', async () => {
+  const json = '{"error":"';
+  await withBench([breakFailure(404, 'application/json', json), goOn], (bench) =>
+    expectBroken(bench, 404, json),
+  );
+  // A failure may come as events as well: it is none of the run that would follow.
+  await withBench([breakFailure(404, 'text/event-stream', events(1, 2)), goOn], (bench) =>
+    expectBroken(bench, 404, events(1, 2)),
+  );
+});
+test('a success that is no event stream is not continued by one when it breaks off', () =>
+  withBench([breakFailure(200, 'text/plain', 'half'), goOn], (bench) =>
+    expectBroken(bench, 200, 'half'),
+  ));
+test('a stream is continued only by an event stream of the same status', async () => {
+  await withBench([breakInMidst, sayPlain], checkVain);
+  await withBench([breakInMidst, sayOtherStatus], checkVain);
+});
 test('heads larger than operators allow are turned down', () =>
   withBench([sayWhole], checkHeadSize));
 test('a client goes on after the last event it has', () => withBench([goOn], checkClientResumes));
--- a/src/proxy/http-messages.ts
+++ b/src/proxy/http-messages.ts
@@ -40,6 +40,12 @@
   return forwarded;
 }
 
+/** Whether a response's body is an event stream, by its media type (RFC 9110, 8.3.1: names of types ignore case). */
+export function isEventStream(response: IncomingMessage): boolean {
+  const [mediaType = ''] = (response.headers['content-type'] ?? '').split(';', 1);
+  return mediaType.trim().toLowerCase() === 'text/event-stream';
+}
+
 /** Whether the answer itself tells where it ends: by its length, its chunks, or in having no body at all. */
 export function hasSelfDefinedLength(method: string, response: IncomingMessage): boolean {
   const status = response.statusCode ?? 0;
--- a/src/proxy/request-dialect.ts
+++ b/src/proxy/request-dialect.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
-import type { ResponseHead, PrefixBlock, RejectReason } from './dispatch-types.js';
+import type { ResponseStatus, PrefixBlock, RejectReason } from './dispatch-types.js';
 
 /** What a request's head says, in the product's terms. */
 export interface RequestAnnotations {
@@ -30,7 +30,7 @@
     headers: IncomingHttpHeaders,
     attemptId: string,
     isFirst: boolean,
-  ): ResponseHead;
+  ): ResponseStatus;
   rejection(
     reason: RejectReason,
     retryAfterMs: number,
--- a/src/proxy/response-relay.ts
+++ b/src/proxy/response-relay.ts
@@ -4,7 +4,7 @@
 import { ByteRelay } from './byte-relay.js';
 import type { Attempt } from './client-exchange.js';
 import type { ResponseWriter } from './response-writer.js';
-import { hasSelfDefinedLength } from './http-messages.js';
+import { hasSelfDefinedLength, isEventStream } from './http-messages.js';
 import { StreamRelay } from './stream-relay.js';
 import { BufferedRelay } from './buffered-relay.js';
 
@@ -27,14 +27,9 @@
   forward(attempt: Attempt): void {
     const { runnerResponse, exchange, send } = attempt;
     if (!runnerResponse) return;
-    const isStream = (runnerResponse.headers['content-type'] ?? '').startsWith('text/event-stream');
-    // What was begun as a stream can only go on as one: any other answer of a further runner is none to this client.
-    if (
-      !hasSelfDefinedLength(exchange.clientRequest.method ?? 'GET', runnerResponse) ||
-      (exchange.isHeadForwarded && !isStream)
-    )
+    if (!hasSelfDefinedLength(exchange.clientRequest.method ?? 'GET', runnerResponse))
       this.#handler.abort(attempt);
-    else if (isStream)
+    else if (isEventStream(runnerResponse))
       new StreamRelay(attempt, runnerResponse, this.#handler, this.#writer, this.#counters).start();
     else if (send.isBuffered && isSmall(runnerResponse))
       new BufferedRelay(attempt, runnerResponse, this.#handler, this.#writer).start();
--- a/src/proxy/routed-request.ts
+++ b/src/proxy/routed-request.ts
@@ -1,6 +1,6 @@
 import type { Moment } from '../common/ids.js';
 import type { Route, Service } from '../route/routing.js';
-import type { RequestHead } from './dispatch-types.js';
+import type { RequestHead, ResponseHead } from './dispatch-types.js';
 
 /** The least time to its deadline, ms, with which a request is still worth sending: a runner must be able to answer. */
 export const MIN_TIME_LEFT_MS = 60;
@@ -41,15 +41,41 @@
   needsNewConnection: boolean;
   /** Whether any byte of a response was forwarded to the client. */
   isResponseStarted: boolean;
+  /** The head of the response that was forwarded last; undefined before the first. */
+  forwardedHead: ResponseHead | undefined;
   /** While it waits: when it is placed again. */
   placeAgainAt: Moment;
 }
 
 /** Whether another run of it does no harm, and its client can still be given that run's response. */
 export function isRetryable(request: RoutedRequest): boolean {
-  return request.route.kind === 'safe'
-    ? !request.isResponseStarted
-    : request.route.kind === 'stream' && request.route.isResumable;
+  return isRepeatable(request) && (!request.isResponseStarted || isResponseContinuable(request));
+}
+
+/** Whether the response may be forwarded as the rest of the one that has begun, or none has begun. */
+export function mayFollow(request: RoutedRequest, head: ResponseHead): boolean {
+  if (!request.isResponseStarted) return true;
+  const isSameKind = head.isEventStream && head.status === request.forwardedHead?.status;
+  return isSameKind && isResponseContinuable(request);
+}
+
+/** Whether its route lets it be processed more than once. */
+function isRepeatable({ route }: RoutedRequest): boolean {
+  return route.kind === 'safe' || (route.kind === 'stream' && route.isResumable);
+}
+
+/** Whether another run can go on with the response that has begun: only an event stream of a success has a rest to ask for. */
+function isResponseContinuable({ route, forwardedHead }: RoutedRequest): boolean {
+  return (
+    route.kind === 'stream' &&
+    forwardedHead !== undefined &&
+    forwardedHead.isEventStream &&
+    isSuccess(forwardedHead.status)
+  );
+}
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
 }
 
 /** Whether it may be rejected, which promises that it was not processed: not once it may have been, or a response has begun. */
--- a/src/proxy/runner-requests.ts
+++ b/src/proxy/runner-requests.ts
@@ -5,7 +5,12 @@
 import type { AttemptHandler } from './attempt-handler.js';
 import { Attempt, abortResponse, type ClientExchange, type SendEffect } from './client-exchange.js';
 import type { ResponseHead } from './dispatch-types.js';
-import { hasSelfDefinedLength, forwardedHeaders, REFRAMED_HEADERS } from './http-messages.js';
+import {
+  hasSelfDefinedLength,
+  forwardedHeaders,
+  isEventStream,
+  REFRAMED_HEADERS,
+} from './http-messages.js';
 import type { RequestDialect } from './request-dialect.js';
 import type { RunnerAgent } from './runner-agent.js';
 
@@ -106,12 +111,7 @@
     attempt.runnerResponse = runnerResponse;
     this.#agent.recordKeepAlive(runnerResponse);
     runnerResponse.on('error', ignore);
-    const head = this.#dialect.readResponse(
-      runnerResponse.statusCode ?? 0,
-      runnerResponse.headers,
-      attempt.exchange.annotations.attemptId,
-      !attempt.runnerRequest.reusedSocket,
-    );
+    const head = this.#readHead(attempt, runnerResponse);
     if (head.isUnprocessed) {
       this.#onUnprocessedHead(attempt, runnerResponse, head);
       return;
@@ -120,6 +120,16 @@
     this.#handler.onHeaders(attempt, head);
   }
 
+  #readHead(attempt: Attempt, runnerResponse: IncomingMessage): ResponseHead {
+    const status = this.#dialect.readResponse(
+      runnerResponse.statusCode ?? 0,
+      runnerResponse.headers,
+      attempt.exchange.annotations.attemptId,
+      !attempt.runnerRequest.reusedSocket,
+    );
+    return { ...status, isEventStream: isEventStream(runnerResponse) };
+  }
+
   /** A runner's proof that it has not processed the request counts once its response is complete. */
   #onUnprocessedHead(attempt: Attempt, runnerResponse: IncomingMessage, head: ResponseHead): void {
     if (!hasSelfDefinedLength(attempt.exchange.clientRequest.method ?? 'GET', runnerResponse)) {
--- a/src/proxy/testing/proxy-fleet.ts
+++ b/src/proxy/testing/proxy-fleet.ts
@@ -188,7 +188,12 @@
       hasStarted: false,
       onFirstToken: () =>
         this.#later(linkMs, () => {
-          const head = { status: 200, isUnprocessed: false, isGenuine: true };
+          const head = {
+            status: 200,
+            isUnprocessed: false,
+            isGenuine: true,
+            isEventStream: true,
+          };
           dispatcher.head(this.#now, id, attempt, head);
           dispatcher.onData(this.#now, id, attempt);
           this.#obey(proxy);
--- a/src/rehearsal/scale-dialect.ts
+++ b/src/rehearsal/scale-dialect.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
 import { array, boolean, enums, number, optional, string, type, type Infer } from 'superstruct';
-import type { ResponseHead } from '../proxy/dispatch-types.js';
+import type { ResponseStatus } from '../proxy/dispatch-types.js';
 import type { RequestDialect, RequestAnnotations } from '../proxy/request-dialect.js';
 import { parseAs } from '../common/json.js';
 import type { ConfigDialect, Engine, Route, Routing, RoutingFault } from '../route/routing.js';
@@ -118,7 +118,7 @@
     /* nothing is sent */
   }
 
-  readResponse(status: number): ResponseHead {
+  readResponse(status: number): ResponseStatus {
     return { status, isUnprocessed: true, isGenuine: false };
   }
 
--- a/src/simulation/same-runs/drawn-attempts.ts
+++ b/src/simulation/same-runs/drawn-attempts.ts
@@ -12,15 +12,20 @@
 }
 
 /** Heads of answers, the usual one several times; the shares of the rest are even. */
-const OK: ResponseHead = { status: 200, isUnprocessed: false, isGenuine: true };
+const OK: ResponseHead = {
+  status: 200,
+  isUnprocessed: false,
+  isGenuine: true,
+  isEventStream: true,
+};
 const HEADS: readonly ResponseHead[] = [
   ...[OK, OK, OK, OK, OK, OK, OK, OK],
-  { status: 500, isUnprocessed: false, isGenuine: true },
-  { status: 503, isUnprocessed: true, isGenuine: true },
-  { status: 421, isUnprocessed: true, isGenuine: true },
-  { status: 200, isUnprocessed: false, isGenuine: false },
-  { status: 429, isUnprocessed: false, isGenuine: true },
-  { status: 404, isUnprocessed: false, isGenuine: true },
+  { status: 500, isUnprocessed: false, isGenuine: true, isEventStream: false },
+  { status: 503, isUnprocessed: true, isGenuine: true, isEventStream: false },
+  { status: 421, isUnprocessed: true, isGenuine: true, isEventStream: false },
+  { status: 200, isUnprocessed: false, isGenuine: false, isEventStream: false },
+  { status: 429, isUnprocessed: false, isGenuine: true, isEventStream: false },
+  { status: 404, isUnprocessed: false, isGenuine: true, isEventStream: false },
 ];
 
 /** The attempts of a dispatcher that are under way, and what comes of them. */
