Let a smaller number of proxies hold only after a while, also across leaders

A larger number holds at once, a smaller one after 10 s without a larger one, at the leader and at each proxy. A leader goes on with the number in the newest fleet, or places, that it holds from the former one; a proxy covers a leader that holds none. The policy table's proxies do the same for slots, retries and rows without a share. Why this works: proxies that serve on are counted although their agents are not known yet, and 10 s outlast two session timeouts (2.5 s each) and the reports.

IdlePlanner tells the number that it is given, and the test cluster keeps log events.

--- a/src/control/fleet-manager.ts
+++ b/src/control/fleet-manager.ts
@@ -18,7 +18,7 @@
   /** Whether orders may be sent to runners at this moment. */
   readonly mayOrder: (now: Moment) => boolean;
   /** How many proxies are known. */
-  readonly proxyCount: () => number;
+  readonly proxyCount: (now: Moment) => number;
 }
 
 /** Longest interval between plans. */
@@ -159,7 +159,7 @@
     const changed = planner.plan(now, {
       routing: this.#routingOf(doc),
       evacuatedZones: doc.emptied,
-      proxies: this.#host.proxyCount(),
+      proxies: this.#host.proxyCount(now),
     });
     this.#writeServices(now, changed);
     this.#sendOrders(now);
--- a/src/control/placement-control.ts
+++ b/src/control/placement-control.ts
@@ -10,6 +10,7 @@
 import type { KnownMembers } from './known-members.js';
 import type { Leadership } from './leadership.js';
 import type { PartitionWriter } from './partition-writer.js';
+import { ProxyCount } from './proxy-count.js';
 import { TableManager } from './table-manager.js';
 
 /** What placement is made from. */
@@ -32,6 +33,7 @@
 export class PlacementControl {
   readonly #dependencies: PlacementDependencies;
   readonly #table: TableManager;
+  readonly #proxyCount: ProxyCount;
   /** Set where a deployment brings its own planner. */
   readonly #fleet: FleetManager | undefined;
   #machineListPolledAt: Moment = NEVER;
@@ -40,12 +42,13 @@
   #loggedProxyCount = 0;
 
   constructor(parts: PlacementDependencies) {
-    const { settings, placer, effects, mayOrder } = parts;
+    const { settings, placer, effects, members, relay, mayOrder } = parts;
     this.#dependencies = parts;
     const write = (now: Moment, partition: PartitionName, body: string) =>
       this.#write(now, partition, body);
     const effect = (added: ControlEffect) => effects.add(added);
-    const proxyCount = () => this.#proxyCount();
+    const proxyCount = (now: Moment) => this.#countProxies(now);
+    this.#proxyCount = new ProxyCount(members, relay);
     this.#fleet =
       settings.deployed &&
       new FleetManager(settings.deployed, {
@@ -97,6 +100,7 @@
     const { settings, leadership, document } = this.#dependencies;
     const label = `${settings.me}/${leadership.epoch}`;
     this.#loggedProxyCount = 0;
+    this.#proxyCount.beginLeading(now);
     if (this.#fleet) {
       this.#fleet.beginLeading(now, docs, label);
       this.#fleet.tick(now, document.newest());
@@ -163,8 +167,8 @@
   }
 
   /** How many proxies share limits that hold over the whole fleet; a change is logged. */
-  #proxyCount(): number {
-    const count = this.#dependencies.members.count();
+  #countProxies(now: Moment): number {
+    const count = this.#proxyCount.current(now);
     if (count !== this.#loggedProxyCount)
       this.#dependencies.effects.log({ event: 'proxy count changed', count });
     this.#loggedProxyCount = count;
--- /dev/null
+++ b/src/control/proxy-count.ts
@@ -0,0 +1,41 @@
+import type { Moment } from '../common/ids.js';
+import { parseAs } from '../common/json.js';
+import { SlidingMaximum } from '../common/sliding-maximum.js';
+import type { Relay } from '../dissemination/relay.js';
+import { PROXY_COUNT_RETENTION_MS, ProxyCountShape } from '../placement/fleet.js';
+import type { KnownMembers } from './known-members.js';
+
+/** Topics whose updates tell the number of proxies. */
+const TOPICS = ['fleet', 'places'] as const;
+
+/**
+ * The number of proxies by which the leader has limits divided that hold over the whole fleet. A larger number holds at
+ * once; a smaller one only once the larger has not been seen for a while, since members that are not known at the moment
+ * serve on.
+ */
+export class ProxyCount {
+  readonly #members: KnownMembers;
+  readonly #relay: Relay;
+  #recent = new SlidingMaximum(PROXY_COUNT_RETENTION_MS);
+
+  constructor(members: KnownMembers, relay: Relay) {
+    this.#members = members;
+    this.#relay = relay;
+  }
+
+  /** This node leads from now on: what the former leader told holds until the members had time to be known here. */
+  beginLeading(now: Moment): void {
+    this.#recent = new SlidingMaximum(PROXY_COUNT_RETENTION_MS);
+    for (const topic of TOPICS) {
+      const update = this.#relay.latest(topic);
+      const published = update && parseAs(ProxyCountShape, update.body);
+      if (published) this.#recent.set(now, published.flows);
+    }
+  }
+
+  /** The number in force; at least one. */
+  current(now: Moment): number {
+    this.#recent.set(now, this.#members.count());
+    return this.#recent.value(now);
+  }
+}
--- a/src/control/table-manager.ts
+++ b/src/control/table-manager.ts
@@ -30,7 +30,7 @@
   /** Whether orders may be sent to runners at this moment. */
   mayOrder(now: Moment): boolean;
   /** How many proxies share the limits of rows. */
-  proxyCount(): number;
+  proxyCount(now: Moment): number;
 }
 
 const EMPTY_CATALOG: Catalog = { limit: 0, models: [], adapters: [] };
@@ -212,7 +212,7 @@
   #publishPlaces(now: Moment, input: PlanInput): void {
     const places = this.#placer.places(input);
     this.#updateShares(now, input);
-    const flows = this.#host.proxyCount();
+    const flows = this.#host.proxyCount(now);
     const text = JSON.stringify({ ...places, flows, shares: this.#publishedShares });
     if (text === this.#placesText) return;
     this.#placesText = text;
--- a/src/control/testing/control-cluster.ts
+++ b/src/control/testing/control-cluster.ts
@@ -4,6 +4,7 @@
 import { IdlePlanner } from './idle-planner.js';
 import { ControlCore } from '../control-core.js';
 import { CONTROL_DEFAULTS } from '../control-effect.js';
+import type { CoreLogEvent } from '../control-log-event.js';
 import { PlainDialect } from './plain-dialect.js';
 
 export { documentOf } from './plain-dialect.js';
@@ -28,6 +29,8 @@
   readonly inbox: (() => void)[];
   disk: 'sound' | 'stalled';
   readonly answers: Map<number, Answer>;
+  /** The log events since its start. */
+  readonly events: CoreLogEvent[];
 }
 
 export const SEEDS = ['a:1', 'b:1', 'c:1'];
@@ -70,6 +73,7 @@
       inbox: [],
       disk: 'sound',
       answers: new Map(),
+      events: [],
     });
   }
 
@@ -159,6 +163,7 @@
           this.#mail.push({ from: id, to: effect.to, message: effect.message });
         else if (effect.do === 'reply')
           node.answers.set(effect.id, { status: effect.status, body: effect.body });
+        else if (effect.do === 'log') node.events.push(effect.event);
         else if (effect.do === 'store' && node.disk === 'sound') {
           node.store.persist(effect.partition, effect.version, effect.body);
           node.core.onPersisted(moment(this.#now), effect.partition, effect.version);
--- a/src/control/testing/idle-planner.ts
+++ b/src/control/testing/idle-planner.ts
@@ -5,6 +5,8 @@
 
 /** A planner that plans nothing, for tests of the control node's other parts; what differs is overridden. */
 export class IdlePlanner implements FleetPlanner {
+  #proxyCount = 1;
+
   restore(_now: Moment, _docs: readonly ServiceDoc[]): void {
     /* nothing kept */
   }
@@ -23,7 +25,8 @@
   asks(): readonly string[] {
     return [];
   }
-  plan(): readonly string[] {
+  plan(_now: Moment, { proxies }: { readonly proxies: number }): readonly string[] {
+    this.#proxyCount = proxies;
     return [];
   }
   orders(): readonly Intent[] {
@@ -36,7 +39,7 @@
     /* nothing ordered */
   }
   fleet(): Fleet {
-    return { flows: 1, runners: [], waits: [] };
+    return { flows: this.#proxyCount, runners: [], waits: [] };
   }
   nextAt(): Moment | undefined {
     return undefined;
--- a/src/placement/fleet.ts
+++ b/src/placement/fleet.ts
@@ -1,6 +1,12 @@
 import { array, boolean, number, optional, string, type, type Infer } from 'superstruct';
 import { parseAs } from '../common/json.js';
 
+/**
+ * For how long a number of proxies holds after a smaller one was counted, in milliseconds. An agent may need two timeouts of
+ * its session until another control node knows it.
+ */
+export const PROXY_COUNT_RETENTION_MS = 10_000;
+
 /** A model that a runner holds and serves now, with the adapters it holds ready. */
 export const FleetHoldShape = type({ model: string(), adapters: array(string()) });
 /** A model (or an adapter of it, where named) that is on its way into a runner; ms from when it was told. */
@@ -65,6 +71,9 @@
   return JSON.stringify(fleet);
 }
 
+/** The number of proxies, as updates of the fleet and of the policy table's places tell it. */
+export const ProxyCountShape = type({ flows: number() });
+
 /** One runner, as told to the data plane. */
 export type FleetRunner = Infer<typeof FleetRunnerShape>;
 /** Something that requests wait for, as told to the data plane. */
--- a/src/proxy/dispatcher.test.ts
+++ b/src/proxy/dispatcher.test.ts
@@ -333,6 +333,14 @@
     expect(most).toBeGreaterThan(10);
   }
 });
+// Guards against FAILBACK: a new leader that does not know all proxies yet must not let each of them send more.
+test('a cold runner gets no more than it bears while a new leader counts a third of the proxies', () => {
+  for (const flows of [3, 9, 36, 300]) {
+    const most = mostCold(flows, Math.ceil(flows / 3));
+    expect(most).toBeLessThanOrEqual(37 * 1.5 + 5);
+    expect(most).toBeGreaterThan(10);
+  }
+});
 test('between the choice and the first byte the runner may have begun to leave', () => {
   const bench = new Bench([runner('a', 'za', ['m']), runner('b', 'zb', ['m'])]);
   const id = bench.ask('/verdict/1', { timeLeftMs: 6000 });
@@ -486,8 +494,11 @@
   }
 });
 
-/** The most that a cold runner gets in any sliding second from so many proxies, all of which have much to send. */
-function mostCold(flows: number): number {
+/**
+ * The most that a cold runner gets in any sliding second from so many proxies, all of which have much to send. After a second
+ * a new leader tells them the number that it counts, where one is given.
+ */
+function mostCold(flows: number, flowsOfNewLeader: number = flows): number {
   const sent: number[] = [];
   for (let index = 0; index < flows; index += 1) {
     const dispatcher = new Dispatcher({
@@ -500,14 +511,13 @@
       hasIdleConnection: always,
     });
     dispatcher.onConfiguration(moment(0), routing, []);
-    dispatcher.onFleet(moment(0), {
-      flows,
-      runners: [runner('a', 'za', ['m'], { coldMs: 3000 })],
-      waits: [],
-    });
+    const runners = [runner('a', 'za', ['m'], { coldMs: 3000 })];
+    dispatcher.onFleet(moment(0), { flows, runners, waits: [] });
     let id = 0;
     for (let now = 0; now < 2900; now += 10) {
       id += 1;
+      if (now === 1000)
+        dispatcher.onFleet(moment(now), { flows: flowsOfNewLeader, runners, waits: [] });
       dispatcher.onRequest(moment(now), {
         id,
         host: 'h.example',
--- a/src/proxy/fleet-view.ts
+++ b/src/proxy/fleet-view.ts
@@ -1,5 +1,6 @@
 import type { Moment } from '../common/ids.js';
-import type { Fleet } from '../placement/fleet.js';
+import { SlidingMaximum } from '../common/sliding-maximum.js';
+import { PROXY_COUNT_RETENTION_MS, type Fleet } from '../placement/fleet.js';
 import { DrainingRunners } from './draining-runners.js';
 import { TrackedRunner } from './tracked-runner.js';
 
@@ -11,16 +12,20 @@
   readonly #byService = new Map<string, TrackedRunner[]>();
   readonly #draining = new DrainingRunners();
   #evacuatedZones = new Set<string>();
-  #proxyCount = 1;
+  readonly #proxyCounts = new SlidingMaximum(PROXY_COUNT_RETENTION_MS);
   #isKnown = false;
 
   /** Whether a report on the fleet has arrived. */
   get isKnown(): boolean {
     return this.#isKnown;
   }
-  /** How many proxies share limits that hold over the fleet; at least 1. */
-  get proxyCount(): number {
-    return this.#proxyCount;
+
+  /**
+   * How many proxies share limits that hold over the fleet; at least 1. A smaller number counts only after a while: a leader
+   * may not know all of them yet.
+   */
+  proxyCount(now: Moment): number {
+    return Math.max(1, this.#proxyCounts.value(now));
   }
 
   /** From now on nothing new goes to runners in these zones, and in no others for that reason. */
@@ -31,7 +36,7 @@
   /** Takes a new snapshot of the fleet. */
   update(now: Moment, fleet: Fleet): void {
     this.#isKnown = true;
-    this.#proxyCount = Math.max(1, fleet.flows);
+    this.#proxyCounts.set(now, fleet.flows);
     const listed = new Set<string>();
     for (const facts of fleet.runners) {
       listed.add(facts.id);
--- a/src/proxy/policy-admission.ts
+++ b/src/proxy/policy-admission.ts
@@ -39,7 +39,7 @@
     // Demand is counted before the gate: what is refused for want of a place is what a place is made for.
     const model = isPlainService(service) ? undefined : info.model;
     this.#demand.count(rowKey(row), model, info.adapter);
-    const waitMs = this.#rates.take(now, row, this.#view.shareOf(row));
+    const waitMs = this.#rates.take(now, row, this.#view.shareOf(now, row));
     if (waitMs > 0)
       return rejection('over-take', `row ${rowKey(row)} takes ${row.take} a second`, waitMs);
     const request = newRequest(now, info, row, service);
--- a/src/proxy/policy-picker.ts
+++ b/src/proxy/policy-picker.ts
@@ -67,7 +67,7 @@
   }
 
   #capacity(now: Moment, id: string): number {
-    return this.#runners.capacity(now, this.#view.placed.get(id), this.#view.proxies);
+    return this.#runners.capacity(now, this.#view.placed.get(id), this.#view.proxyCount(now));
   }
 }
 
--- a/src/proxy/policy-router.test.ts
+++ b/src/proxy/policy-router.test.ts
@@ -102,6 +102,22 @@
 function isRunning(text: string): boolean {
   return text.includes('runs');
 }
+// Guards against FAILBACK and overloaded runners: a new leader may count a few of the proxies only.
+test('runners are given no more while a new leader counts fewer proxies', () => {
+  const bench = new Bench();
+  const seats = [{ runner: 'a', primary: true, adapters: ['x'] }];
+  // Twice an even share of eight slots, for one proxy of eight.
+  bench.places(seats, 8, 8);
+  for (let count = 0; count < 6; count += 1) bench.ask('heavy');
+  expect(bench.verdicts().filter(isRunning)).toHaveLength(2);
+  bench.places(seats, 8, 1);
+  expect(bench.verdicts()).toEqual([]);
+  bench.now += 10_000;
+  bench.fresh();
+  bench.places(seats, 8, 1);
+  bench.ask('heavy');
+  expect(bench.verdicts().filter(isRunning).length).toBeGreaterThan(0);
+});
 test('what was drawn is asked about again before its first byte is written', () => {
   const bench = new Bench();
   const ids = [bench.ask('heavy'), bench.ask('heavy'), bench.ask('heavy')];
--- a/src/proxy/policy-router.ts
+++ b/src/proxy/policy-router.ts
@@ -2,7 +2,7 @@
 import type { ErrorCode } from '../common/errors.js';
 import { later, type Moment } from '../common/ids.js';
 import type { Version } from '../common/version.js';
-import { ServiceBudgets } from './token-budget.js';
+import { ServiceBudgets, type TokenBudget } from './token-budget.js';
 import { PolicyPicker } from './policy-picker.js';
 import type { ProbedBackend, Prober } from './connection-probes.js';
 import {
@@ -285,7 +285,7 @@
     request.triedRunners.add(runner);
     this.#runners.onStart(runner);
     this.#picker.onStarted(runner, request);
-    if (!request.isBudgetCredited) this.#budgets.of(request.service, this.#view.proxies).credit();
+    if (!request.isBudgetCredited) this.#budget(now, request.service).credit();
     request.isBudgetCredited = true;
     this.#running.set(request.info.id, request);
     this.#verdicts.push({
@@ -350,7 +350,11 @@
   /** The budget is spent last, since it is spent for good. */
   #mayRetry(now: Moment, request: AdmittedRequest): boolean {
     if (!request.row.repeatable || this.#isDraining || now >= request.limit) return false;
-    return this.#budgets.of(request.service, this.#view.proxies).trySpend();
+    return this.#budget(now, request.service).trySpend();
+  }
+
+  #budget(now: Moment, service: string): TokenBudget {
+    return this.#budgets.of(service, this.#view.proxyCount(now));
   }
 
   #retryOrFail(now: Moment, request: AdmittedRequest, kind: ErrorCode, text: string): void {
--- a/src/proxy/policy-view.ts
+++ b/src/proxy/policy-view.ts
@@ -1,7 +1,9 @@
 import { later, type Moment } from '../common/ids.js';
 import { parseAs } from '../common/json.js';
+import { SlidingMaximum } from '../common/sliding-maximum.js';
 import { compareVersions, NO_VERSION, type Version } from '../common/version.js';
 import { ConfigUpdateShape, type ConfigUpdate } from '../control/config-shapes.js';
+import { PROXY_COUNT_RETENTION_MS } from '../placement/fleet.js';
 import {
   MachinesShape,
   PlacesShape,
@@ -51,6 +53,7 @@
   readonly #seats = new Map<string, readonly Seat[]>();
   #waits: ReadonlyMap<string, PlacementWait> = new Map();
   readonly #placed = new Map<string, PlacedRunner>();
+  readonly #proxyCounts = new SlidingMaximum(PROXY_COUNT_RETENTION_MS);
   readonly #shares = new Map<string, number>();
 
   /** `me` is the proxy's id, by which the leader tells it its shares of rows. */
@@ -78,14 +81,18 @@
   get table(): Table {
     return this.#config?.news.table ?? EMPTY_TABLE;
   }
-  /** How many proxies share what holds over the whole fleet; at least one. */
-  get proxies(): number {
-    return Math.max(1, this.#places?.news.flows ?? 1);
-  }
   get placed(): ReadonlyMap<string, PlacedRunner> {
     return this.#placed;
   }
 
+  /**
+   * How many proxies share limits that hold over the fleet; at least 1. A smaller number counts only after a while: a leader
+   * may not know all of them yet.
+   */
+  proxyCount(now: Moment): number {
+    return Math.max(1, this.#proxyCounts.value(now));
+  }
+
   /** Whether what is held here is at least as new. */
   isAsNewAs(version: Version, runnerListRevision: number): boolean {
     return (
@@ -146,8 +153,8 @@
   }
 
   /** This proxy's share of what a row may take; an even one where none was told. */
-  shareOf(row: Row): number {
-    return this.#shares.get(rowKey(row)) ?? 1 / (this.#places?.news.flows ?? 1);
+  shareOf(now: Moment, row: Row): number {
+    return this.#shares.get(rowKey(row)) ?? 1 / this.proxyCount(now);
   }
 
   /** Plain back ends: whether they were started anew is told by nobody. */
@@ -170,6 +177,7 @@
       const change = this.#places === undefined ? 'first places' : 'places';
       this.#applyPlacements(now, news);
       this.#places = { version, news };
+      this.#proxyCounts.set(now, news.flows);
       return change;
     }
     if (topic === 'machines' && version.count > this.#machines.revision) {
--- a/src/proxy/retry-policy.ts
+++ b/src/proxy/retry-policy.ts
@@ -50,7 +50,7 @@
   }
 
   #spend(now: Moment, request: RoutedRequest): boolean {
-    return this.#budget(request.service.name).trySpend(now, this.#fleet.proxyCount);
+    return this.#budget(request.service.name).trySpend(now, this.#fleet.proxyCount(now));
   }
 
   #budget(service: string): RetryBudget {
--- a/src/proxy/runner-picker.ts
+++ b/src/proxy/runner-picker.ts
@@ -77,7 +77,7 @@
       return false;
     if (runner.isBackingOff(now)) return false;
     if (request.modelUnit !== '' && !runner.hasModelUnit(now, request)) return false;
-    if (!runner.hasCapacity(request.service, this.#fleet.proxyCount)) return false;
+    if (!runner.hasCapacity(request.service, this.#fleet.proxyCount(now))) return false;
     return !runner.isWarmingUp(now) || this.#hasWarmUpCapacity(now, request.service, runner);
   }
 
@@ -86,11 +86,12 @@
    * of the proxies has one each, and which they are is told by a hash that needs no word between them.
    */
   #hasWarmUpCapacity(now: Moment, service: Service, runner: TrackedRunner): boolean {
-    const { warmupExcess, proxyId: flow } = this.#settings;
-    const { proxyCount: flows } = this.#fleet;
+    const { warmupExcess, proxyId } = this.#settings;
+    const proxyCount = this.#fleet.proxyCount(now);
     const totalRate = service.warmupPerSecond * Math.max(1, warmupExcess) * WARM_UP_SHARE;
-    const ownRate = Math.floor(totalRate / flows);
-    if (ownRate < 1 && hashText(`${flow}\n${runner.facts.id}`) % flows >= totalRate) return false;
+    const ownRate = Math.floor(totalRate / proxyCount);
+    if (ownRate < 1 && hashText(`${proxyId}\n${runner.facts.id}`) % proxyCount >= totalRate)
+      return false;
     return runner.warmUpRate(now) < Math.max(1, ownRate);
   }
 
