Send nothing to cold runners from a proxy whose number of proxies is not settled

The cause of the fault at a change of leader on a related path: when all nodes start at once nobody holds a former number, and the first fleet is divided by the agents that happened to join first.

A proxy that has just started waits until the number has not grown for 1 s, in which every agent that is up has joined. Tried and dropped: to withhold its part of the retry budget likewise; a restarted proxy would fail what it can serve.

--- a/src/proxy/fleet-view.ts
+++ b/src/proxy/fleet-view.ts
@@ -1,7 +1,7 @@
 import type { Moment } from '../common/ids.js';
-import { SlidingMaximum } from '../common/sliding-maximum.js';
-import { PROXY_COUNT_RETENTION_MS, type Fleet } from '../placement/fleet.js';
+import type { Fleet } from '../placement/fleet.js';
 import { DrainingRunners } from './draining-runners.js';
+import { PublishedProxyCount } from './published-proxy-count.js';
 import { TrackedRunner } from './tracked-runner.js';
 
 const NO_RUNNERS: readonly TrackedRunner[] = [];
@@ -9,10 +9,11 @@
 /** The runners as the leader last reported them, and the zones that operators have evacuated. */
 export class FleetView {
   readonly #runners = new Map<string, TrackedRunner>();
+  /** How many proxies share limits that hold over the fleet. */
+  readonly proxyCount = new PublishedProxyCount();
   readonly #byService = new Map<string, TrackedRunner[]>();
   readonly #draining = new DrainingRunners();
   #evacuatedZones = new Set<string>();
-  readonly #proxyCounts = new SlidingMaximum(PROXY_COUNT_RETENTION_MS);
   #isKnown = false;
 
   /** Whether a report on the fleet has arrived. */
@@ -20,14 +21,6 @@
     return this.#isKnown;
   }
 
-  /**
-   * How many proxies share limits that hold over the fleet; at least 1. A smaller number counts only after a while: a leader
-   * may not know all of them yet.
-   */
-  proxyCount(now: Moment): number {
-    return Math.max(1, this.#proxyCounts.value(now));
-  }
-
   /** From now on nothing new goes to runners in these zones, and in no others for that reason. */
   setEvacuatedZones(zones: readonly string[]): void {
     this.#evacuatedZones = new Set(zones);
@@ -36,7 +29,7 @@
   /** Takes a new snapshot of the fleet. */
   update(now: Moment, fleet: Fleet): void {
     this.#isKnown = true;
-    this.#proxyCounts.set(now, fleet.flows);
+    this.proxyCount.set(now, fleet.flows);
     const listed = new Set<string>();
     for (const facts of fleet.runners) {
       listed.add(facts.id);
--- a/src/proxy/policy-view.ts
+++ b/src/proxy/policy-view.ts
@@ -1,9 +1,7 @@
 import { later, type Moment } from '../common/ids.js';
 import { parseAs } from '../common/json.js';
-import { SlidingMaximum } from '../common/sliding-maximum.js';
 import { compareVersions, NO_VERSION, type Version } from '../common/version.js';
 import { ConfigUpdateShape, type ConfigUpdate } from '../control/config-shapes.js';
-import { PROXY_COUNT_RETENTION_MS } from '../placement/fleet.js';
 import {
   MachinesShape,
   PlacesShape,
@@ -27,6 +25,7 @@
   type RequestInfo,
   type Candidate,
 } from './policy-router-types.js';
+import { PublishedProxyCount } from './published-proxy-count.js';
 import type { ProbedBackend } from './connection-probes.js';
 
 /** Who waits for a place, and when it is due as far as the leader can tell. */
@@ -53,7 +52,7 @@
   readonly #seats = new Map<string, readonly Seat[]>();
   #waits: ReadonlyMap<string, PlacementWait> = new Map();
   readonly #placed = new Map<string, PlacedRunner>();
-  readonly #proxyCounts = new SlidingMaximum(PROXY_COUNT_RETENTION_MS);
+  readonly #proxyCount = new PublishedProxyCount();
   readonly #shares = new Map<string, number>();
 
   /** `me` is the proxy's id, by which the leader tells it its shares of rows. */
@@ -85,12 +84,9 @@
     return this.#placed;
   }
 
-  /**
-   * How many proxies share limits that hold over the fleet; at least 1. A smaller number counts only after a while: a leader
-   * may not know all of them yet.
-   */
+  /** How many proxies share limits that hold over the fleet; at least 1. */
   proxyCount(now: Moment): number {
-    return Math.max(1, this.#proxyCounts.value(now));
+    return this.#proxyCount.value(now);
   }
 
   /** Whether what is held here is at least as new. */
@@ -177,7 +173,7 @@
       const change = this.#places === undefined ? 'first places' : 'places';
       this.#applyPlacements(now, news);
       this.#places = { version, news };
-      this.#proxyCounts.set(now, news.flows);
+      this.#proxyCount.set(now, news.flows);
       return change;
     }
     if (topic === 'machines' && version.count > this.#machines.revision) {
--- a/src/proxy/retry-policy.ts
+++ b/src/proxy/retry-policy.ts
@@ -50,7 +50,7 @@
   }
 
   #spend(now: Moment, request: RoutedRequest): boolean {
-    return this.#budget(request.service.name).trySpend(now, this.#fleet.proxyCount(now));
+    return this.#budget(request.service.name).trySpend(now, this.#fleet.proxyCount.value(now));
   }
 
   #budget(service: string): RetryBudget {
--- a/src/proxy/runner-picker.ts
+++ b/src/proxy/runner-picker.ts
@@ -77,7 +77,7 @@
       return false;
     if (runner.isBackingOff(now)) return false;
     if (request.modelUnit !== '' && !runner.hasModelUnit(now, request)) return false;
-    if (!runner.hasCapacity(request.service, this.#fleet.proxyCount(now))) return false;
+    if (!runner.hasCapacity(request.service, this.#fleet.proxyCount.value(now))) return false;
     return !runner.isWarmingUp(now) || this.#hasWarmUpCapacity(now, request.service, runner);
   }
 
@@ -87,7 +87,8 @@
    */
   #hasWarmUpCapacity(now: Moment, service: Service, runner: TrackedRunner): boolean {
     const { warmupExcess, proxyId } = this.#settings;
-    const proxyCount = this.#fleet.proxyCount(now);
+    if (!this.#fleet.proxyCount.isSettled(now)) return false;
+    const proxyCount = this.#fleet.proxyCount.value(now);
     const totalRate = service.warmupPerSecond * Math.max(1, warmupExcess) * WARM_UP_SHARE;
     const ownRate = Math.floor(totalRate / proxyCount);
     if (ownRate < 1 && hashText(`${proxyId}\n${runner.facts.id}`) % proxyCount >= totalRate)
