--- a/src/proxy/token-budget.test.ts
+++ b/src/proxy/token-budget.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest';
-import { TokenBudget } from './token-budget.js';
+import { ServiceBudgets, TokenBudget } from './token-budget.js';
 test('repeats stay within a fifth and a few', () => {
   const budget = new TokenBudget(0.2, 3);
   let spent = 0;
@@ -10,3 +10,12 @@
   expect(spent).toBeLessThanOrEqual(203);
   expect(spent).toBeGreaterThan(190);
 });
+
+// Guards against BUDGET: a proxy that began alone must not keep the part of all for good.
+test('the extra retries of a budget follow the number of proxies', () => {
+  const budgets = new ServiceBudgets(0.2, 10);
+  for (let count = 0; count < 100; count += 1) budgets.of('s', 1).credit();
+  let spent = 0;
+  while (budgets.of('s', 5).trySpend()) spent += 1;
+  expect(spent).toBe(2);
+});
