Name the proxy's response path in standard terms

Names and comments only: responses are forwarded, not passed on; the dispatcher's input for a head is onHeaders like its neighbours; parameters and locals bear the names of the fields that they fill.

--- a/src/proxy/attempt-handler.ts
+++ b/src/proxy/attempt-handler.ts
@@ -42,7 +42,7 @@
 
   /** The head of a response arrived; of one that proves the request unprocessed, the complete response. */
   onHeaders(attempt: Attempt, head: ResponseHead): void {
-    this.#dispatcher.head(this.#now(), attempt.exchange.id, attempt.send.attempt, head);
+    this.#dispatcher.onHeaders(this.#now(), attempt.exchange.id, attempt.send.attempt, head);
     this.#applyEffects();
   }
 
--- a/src/proxy/attempt-tracker.ts
+++ b/src/proxy/attempt-tracker.ts
@@ -184,12 +184,12 @@
 
   /** An attempt that may have been processed has failed. `runner`: the runner to blame, if any. */
   #onAttemptFailed(now: Moment, request: RoutedRequest, runner: TrackedRunner | undefined): void {
-    const { outcomes: answers, counts, retryPolicy: retry } = this.#state;
+    const { outcomes, counts, retryPolicy } = this.#state;
     request.mayHaveRun = true;
     runner?.onRequestFailed(now);
     if (runner && runner.idleMs(now) > IDLE_RUNNER_MS) runner.eject(now);
-    if (!isRetryable(request) || !retry.mayRetry(now, request)) {
-      answers.fail(request);
+    if (!isRetryable(request) || !retryPolicy.mayRetry(now, request)) {
+      outcomes.fail(request);
       return;
     }
     if (request.isResponseStarted) counts.resumed += 1;
--- a/src/proxy/buffered-relay.ts
+++ b/src/proxy/buffered-relay.ts
@@ -3,7 +3,7 @@
 import type { Attempt } from './client-exchange.js';
 import type { ResponseWriter } from './response-writer.js';
 
-/** Passes on a small answer that may be asked for again, once it is whole. */
+/** Forwards a small response once it is complete, so that the request can be retried until then. */
 export class BufferedRelay {
   readonly #attempt: Attempt;
   readonly #runnerResponse: IncomingMessage;
@@ -23,7 +23,7 @@
     this.#writer = writer;
   }
 
-  /** Begins to read. */
+  /** Begins to read the body. */
   start(): void {
     this.#runnerResponse.on('data', (chunk) => this.#onData(chunk));
     this.#runnerResponse.once('end', () => this.#onEnd());
--- a/src/proxy/byte-relay.ts
+++ b/src/proxy/byte-relay.ts
@@ -3,7 +3,7 @@
 import type { Attempt } from './client-exchange.js';
 import type { ResponseWriter } from './response-writer.js';
 
-/** Passes on an answer as it comes. */
+/** Forwards a response as its bytes arrive. */
 export class ByteRelay {
   readonly #attempt: Attempt;
   readonly #runnerResponse: IncomingMessage;
@@ -22,7 +22,7 @@
     this.#writer = writer;
   }
 
-  /** Passes on the head, and begins to read. */
+  /** Forwards the head, and begins to read the body. */
   start(): void {
     const { exchange } = this.#attempt;
     this.#writer.writeHead(
@@ -30,7 +30,7 @@
       this.#runnerResponse,
       this.#runnerResponse.headers['content-length'],
     );
-    // From its head on the client has begun to get this run's answer, and no other run's can follow.
+    // From its head on the client has begun to receive this run's response, and no other run's can follow.
     this.#handler.onData(this.#attempt);
     this.#runnerResponse.on('data', (chunk) => this.#onData(chunk));
     this.#runnerResponse.once('end', () => this.#onEnd());
@@ -51,7 +51,7 @@
   }
 }
 
-/** Writes to the client, and holds the runner back until the client has taken it. */
+/** Writes to the client, and pauses the runner's response until the client has drained its buffer. */
 export function writeWithBackpressure(
   clientResponse: ServerResponse,
   runnerResponse: IncomingMessage,
--- a/src/proxy/client-exchange.ts
+++ b/src/proxy/client-exchange.ts
@@ -2,12 +2,12 @@
 import type { DispatchEffect } from './dispatch-types.js';
 import type { RequestAnnotations } from './request-dialect.js';
 
-/** The dispatcher's word to send a request to a runner. */
+/** The dispatcher's effect that sends a request to a runner. */
 export type SendEffect = Extract<DispatchEffect, { do: 'send' }>;
-/** The dispatcher's word to refuse a request. */
+/** The dispatcher's effect that rejects a request. */
 export type RejectEffect = Extract<DispatchEffect, { do: 'reject' }>;
 
-/** A request that was read whole, and what became of its answer so far. */
+/** A request that was read completely, and the state of its response. */
 export interface ClientExchange {
   readonly id: number;
   readonly clientRequest: IncomingMessage;
@@ -16,10 +16,10 @@
   readonly annotations: RequestAnnotations;
   /** The last attempt at a runner. */
   attempt: Attempt | undefined;
-  /** The id of the last event passed on, ours or, before that, the client's. */
+  /** The id of the last event that was forwarded; before the first, the one that the client named. */
   lastEventId: number | undefined;
   isHeadForwarded: boolean;
-  /** Whether something was passed on that no further run could be told to leave out. */
+  /** Whether an event without an id was forwarded: no other run could be asked to skip it. */
   hasEventWithoutId: boolean;
 }
 
@@ -28,9 +28,9 @@
   readonly exchange: ClientExchange;
   readonly send: SendEffect;
   readonly runnerRequest: ClientRequest;
-  /** The runner's answer, once its head came. */
+  /** The runner's response, once its head has arrived. */
   runnerResponse: IncomingMessage | undefined;
-  /** Whether nothing that is heard of it counts any more. */
+  /** Whether its further events are void. */
   isDone = false;
 
   constructor(exchange: ClientExchange, send: SendEffect, runnerRequest: ClientRequest) {
@@ -39,22 +39,22 @@
     this.runnerRequest = runnerRequest;
   }
 
-  /** The answer is whole. An answer that came before all of its request was written ends the writing too. */
+  /** The response is complete. Where it came before the request was written completely, the writing ends too. */
   complete(): void {
     this.isDone = true;
     if (!this.runnerRequest.writableFinished) this.runnerRequest.destroy();
   }
 
-  /** It is given up: its connection ends. */
+  /** Aborts it: its connection closes. */
   abort(): void {
     this.isDone = true;
     this.runnerRequest.destroy();
   }
 }
 
-/** Ends an answer so that no client takes it for whole. */
+/** Ends a response so that no client takes it for complete. */
 export function abortResponse({ clientRequest, clientResponse }: ClientExchange): void {
-  // To a client of HTTP/1.0 an orderly end of the connection would be the end of the answer.
+  // To a client of HTTP/1.0 an orderly end of the connection would be the end of the response.
   if (clientRequest.httpVersion === '1.0') clientRequest.socket.resetAndDestroy();
   clientResponse.destroy();
 }
--- a/src/proxy/dispatcher-once.test.ts
+++ b/src/proxy/dispatcher-once.test.ts
@@ -138,7 +138,7 @@
       ask(dispatcher, 0, 1, `${prefix}1`, 60_000);
       if (stage !== 'connecting') dispatcher.onConnect(moment(900), 1, 1);
       if (stage === 'answering' || stage === 'begun') {
-        dispatcher.head(moment(910), 1, 1, HEAD);
+        dispatcher.onHeaders(moment(910), 1, 1, HEAD);
       }
       if (stage === 'begun') dispatcher.onData(moment(920), 1, 1);
       dispatcher.drainEffects();
@@ -181,10 +181,10 @@
   dispatcher.onDisconnect(moment(1), 1, attempt, false);
 }
 function fail(dispatcher: Dispatcher, attempt: number): void {
-  dispatcher.head(moment(1), 1, attempt, { ...HEAD, status: 500 });
+  dispatcher.onHeaders(moment(1), 1, attempt, { ...HEAD, status: 500 });
 }
 function turnAway(dispatcher: Dispatcher, attempt: number): void {
-  dispatcher.head(moment(1), 1, attempt, { ...HEAD, status: 503, isUnprocessed: true });
+  dispatcher.onHeaders(moment(1), 1, attempt, { ...HEAD, status: 503, isUnprocessed: true });
 }
 test("one try is written as often as its route's tries allow, and no more", () => {
   for (const { prefix, maxAttempts, kind, isResumable } of ROUTES) {
@@ -315,7 +315,7 @@
       // A runner's word counts for the attempt under way, before anything else of an answer came.
       const isProof = head.isUnprocessed && last?.attempt === attempt && seen.told === '';
       if (isProof && last) last.isDisproven = true;
-      dispatcher.head(now, id, attempt, head);
+      dispatcher.onHeaders(now, id, attempt, head);
     }
     if (what === 'broke') dispatcher.onDisconnect(now, id, attempt, isStale);
     if (what === 'unreached') dispatcher.onConnectFailed(now, id, attempt);
--- a/src/proxy/dispatcher.test.ts
+++ b/src/proxy/dispatcher.test.ts
@@ -140,7 +140,7 @@
   }
 
   answer(id: number, status: number, isUnprocessed = false, attempt = 1): void {
-    this.dispatcher.head(moment(this.now), id, attempt, {
+    this.dispatcher.onHeaders(moment(this.now), id, attempt, {
       status,
       isUnprocessed,
       isGenuine: true,
@@ -462,7 +462,7 @@
               lastWritten.set(id, attempt);
             }
           } else if (what < 0.6)
-            bench.dispatcher.head(now, id, attempt, {
+            bench.dispatcher.onHeaders(now, id, attempt, {
               status: 200,
               isUnprocessed: false,
               isGenuine: true,
@@ -472,7 +472,7 @@
             // Only the attempt it came from is taken back, and only if it had been written.
             const count = written.get(id) ?? 0;
             if (count > 0 && lastWritten.get(id) === attempt) written.set(id, count - 1);
-            bench.dispatcher.head(now, id, attempt, {
+            bench.dispatcher.onHeaders(now, id, attempt, {
               status: 503,
               isUnprocessed: true,
               isGenuine: true,
--- a/src/proxy/dispatcher.ts
+++ b/src/proxy/dispatcher.ts
@@ -112,10 +112,10 @@
   // ---- requests
 
   /** A request was read completely. */
-  onRequest(now: Moment, onHeaders: RequestHead): void {
+  onRequest(now: Moment, head: RequestHead): void {
     this.#state.counts.requests += 1;
-    if (this.#isInformed) this.#admit(now, onHeaders);
-    else this.#earlyRequests.add(now, onHeaders);
+    if (this.#isInformed) this.#admit(now, head);
+    else this.#earlyRequests.add(now, head);
   }
 
   #releaseEarly(now: Moment): void {
@@ -180,7 +180,7 @@
   }
 
   /** The head of a response arrived; of one that proves the request unprocessed, the complete response. */
-  head(now: Moment, id: number, attempt: number, head: ResponseHead): void {
+  onHeaders(now: Moment, id: number, attempt: number, head: ResponseHead): void {
     this.#attempts.onHeaders(now, id, attempt, head);
   }
 
--- a/src/proxy/event-stream.ts
+++ b/src/proxy/event-stream.ts
@@ -1,8 +1,8 @@
-/** Whole events of a `text/event-stream`, cut out of the bytes as they come; a part of an event is never given out. */
+/** A complete event of a `text/event-stream`. */
 export interface StreamEvent {
   readonly bytes: Buffer;
   readonly id: number | undefined;
-  /** Whether it holds nothing but comments, as they are sent to keep a connection busy. */
+  /** Whether it consists of comments alone, as they are sent to keep a connection alive. */
   readonly isComment: boolean;
 }
 
@@ -10,10 +10,11 @@
 const CR = 13;
 const COLON = 58;
 
+/** Splits the bytes of a `text/event-stream` into complete events as they arrive. */
 export class EventStream {
   #remainder: Buffer | undefined;
 
-  /** The whole events that end in this chunk. */
+  /** The events that are completed by this chunk. */
   push(chunk: Buffer): StreamEvent[] {
     const all = this.#remainder === undefined ? chunk : Buffer.concat([this.#remainder, chunk]);
     const events: StreamEvent[] = [];
@@ -37,7 +38,7 @@
     return events;
   }
 
-  /** What came after the last whole event. */
+  /** The bytes after the last complete event. */
   get remainder(): Buffer | undefined {
     return this.#remainder;
   }
--- a/src/proxy/fleet-view.ts
+++ b/src/proxy/fleet-view.ts
@@ -49,20 +49,20 @@
 
   /** A runner that is no longer listed stays known while requests of this proxy are at it. */
   #removeUnlisted(listed: ReadonlySet<string>): void {
-    for (const [id, account] of this.#runners) {
+    for (const [id, runner] of this.#runners) {
       if (listed.has(id)) continue;
-      if (account.inFlight === 0) this.#runners.delete(id);
-      else account.markUnlisted();
+      if (runner.inFlight === 0) this.#runners.delete(id);
+      else runner.markUnlisted();
     }
   }
 
   #groupByService(): void {
     this.#byService.clear();
-    for (const account of this.#runners.values()) {
-      const { service } = account.facts;
+    for (const runner of this.#runners.values()) {
+      const { service } = runner.facts;
       const known = this.#byService.get(service);
-      if (known) known.push(account);
-      else this.#byService.set(service, [account]);
+      if (known) known.push(runner);
+      else this.#byService.set(service, [runner]);
     }
   }
 
--- a/src/proxy/request-placement.ts
+++ b/src/proxy/request-placement.ts
@@ -32,19 +32,19 @@
 
   /** Places a request that is at no runner: sends, queues, rejects or fails it. */
   place(now: Moment, request: RoutedRequest): void {
-    const { outcomes: answers, picker: choice } = this.#state;
+    const { outcomes, picker } = this.#state;
     // Its deadline may have passed during a stall of this process, or before it arrived.
     if (now >= request.deadline) {
-      answers.expire(request);
+      outcomes.expire(request);
       return;
     }
-    const runner = choice.pick(now, request);
+    const runner = picker.pick(now, request);
     if (runner) this.#send(now, request, runner);
-    else if (request.modelUnit !== '' && !choice.isLoaded(now, request))
+    else if (request.modelUnit !== '' && !picker.isLoaded(now, request))
       this.#awaitLoad(now, request);
     // The runners that have it are full, ejected or tried already: a later attempt may succeed.
     else if (shouldWait(now, request)) this.#wait(now, request, BUSY_WAIT_MS);
-    else answers.reject(request, 'full', BUSY_RETRY_AFTER_MS);
+    else outcomes.reject(request, 'full', BUSY_RETRY_AFTER_MS);
   }
 
   /** Configuration or fleet changed: places all waiting requests again, by priority. */
@@ -85,11 +85,11 @@
 
   /** No runner has the model or adapter that it needs. */
   #awaitLoad(now: Moment, request: RoutedRequest): void {
-    const { outcomes: answers, counts, demand } = this.#state;
+    const { outcomes, counts, demand } = this.#state;
     counts.misses += 1;
     const verdict = this.#loadWait.decide(now, request);
     if (verdict.do === 'unknownModel') {
-      answers.reject(request, 'no-runner', UNKNOWN_MODEL_RETRY_AFTER_MS);
+      outcomes.reject(request, 'no-runner', UNKNOWN_MODEL_RETRY_AFTER_MS);
       return;
     }
     demand.onModelMissing(now, request);
@@ -98,7 +98,7 @@
       return;
     }
     demand.onReturnExpected(now, request, verdict.expectedMs);
-    answers.reject(request, 'not-loaded', verdict.retryAfterMs);
+    outcomes.reject(request, 'not-loaded', verdict.retryAfterMs);
   }
 
   #send(now: Moment, request: RoutedRequest, runner: TrackedRunner): void {
--- a/src/proxy/response-relay.ts
+++ b/src/proxy/response-relay.ts
@@ -8,22 +8,22 @@
 import { StreamRelay } from './stream-relay.js';
 import { BufferedRelay } from './buffered-relay.js';
 
-/** An answer larger than this is passed on as it comes, even where it could be kept for a retry; bytes. */
+/** A response larger than this is forwarded as it arrives, even where it could be buffered for a retry; bytes. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 
-/** Passes runners' answers on to clients: streams by whole events, small safe answers whole, others as they come. */
+/** Forwards runners' responses to clients: streams by complete events, small safe responses buffered, others as they arrive. */
 export class ResponseRelay {
   readonly #handler: AttemptHandler;
   readonly #writer: ResponseWriter;
   readonly #counters: Counters;
 
-  constructor(reports: AttemptHandler, replies: ResponseWriter, counters: Counters) {
-    this.#handler = reports;
-    this.#writer = replies;
+  constructor(handler: AttemptHandler, writer: ResponseWriter, counters: Counters) {
+    this.#handler = handler;
+    this.#writer = writer;
     this.#counters = counters;
   }
 
-  /** Begins to pass on the answer whose head came. */
+  /** Begins to forward the response whose head has arrived. */
   forward(attempt: Attempt): void {
     const { runnerResponse, exchange, send } = attempt;
     if (!runnerResponse) return;
--- a/src/proxy/response-writer.ts
+++ b/src/proxy/response-writer.ts
@@ -5,7 +5,7 @@
 import { forwardedHeaders, REFRAMED_HEADERS } from './http-messages.js';
 import type { RequestDialect } from './request-dialect.js';
 
-/** Writes heads of answers to clients: refusals, failures, and those of runners' answers. */
+/** Writes heads of responses to clients: rejections, failures, and those of runners' responses. */
 export class ResponseWriter {
   readonly #connections: ClientConnections<ClientExchange>;
   readonly #dialect: RequestDialect;
@@ -27,7 +27,7 @@
     this.#isDraining = true;
   }
 
-  /** Tells that the request has not run and when to come back. */
+  /** Rejects a request that was not processed, and tells the client when to retry. */
   reject(exchange: ClientExchange, effect: RejectEffect): void {
     this.#counters.add(`refused.${effect.reason}`);
     const { clientResponse } = exchange;
@@ -40,11 +40,11 @@
     clientResponse.writeHead(status, { ...headers, 'content-length': 0 }).end();
   }
 
-  /** Tells that the request failed and may have run. */
+  /** Ends a request that failed and may have been processed. */
   fail(exchange: ClientExchange, status: number): void {
     this.#counters.add(`failed.${status}`);
     const { clientResponse } = exchange;
-    // An answer that has begun must be seen to be broken.
+    // A response that has begun must be seen to be truncated.
     if (exchange.isHeadForwarded || clientResponse.headersSent) {
       abortResponse(exchange);
       return;
@@ -55,7 +55,7 @@
     clientResponse.writeHead(status, headers).end();
   }
 
-  /** Passes on the head of a runner's answer, with that length where it has one. */
+  /** Forwards the head of a runner's response, with that length where it has one. */
   writeHead(
     exchange: ClientExchange,
     runnerResponse: IncomingMessage,
@@ -68,7 +68,7 @@
     exchange.clientResponse.writeHead(runnerResponse.statusCode ?? 502, headers);
   }
 
-  /** While draining, a client is told to go elsewhere with the last answer that is due on its connection. */
+  /** While draining, the last response that is due on a connection tells the client to close it. */
   #shouldClose(exchange: ClientExchange): boolean {
     return (
       this.#isDraining && this.#connections.closeAfter(exchange.clientRequest.socket, exchange)
--- a/src/proxy/retry-policy.ts
+++ b/src/proxy/retry-policy.ts
@@ -5,8 +5,9 @@
 import type { RunnerPicker } from './runner-picker.js';
 
 /**
- * Whether a request may arrive at a further runner, by its route's tries, its time, other runners and its service's
- * budget. The budget is asked last, and a yes is paid for. That another run does no harm is for the caller to know.
+ * Whether a request may be sent to another runner: by its route's limit of attempts, its deadline, the runners available and
+ * the retry budget of its service. The budget is checked last and charged with each retry that is allowed. That processing
+ * the request again does no harm is the caller's concern.
  */
 export class RetryPolicy {
   readonly #settings: RetryBudgetSettings;
@@ -14,10 +15,10 @@
   readonly #picker: RunnerPicker;
   readonly #budgets = new Map<string, RetryBudget>();
 
-  constructor(settings: RetryBudgetSettings, fleet: FleetView, choice: RunnerPicker) {
+  constructor(settings: RetryBudgetSettings, fleet: FleetView, picker: RunnerPicker) {
     this.#settings = settings;
     this.#fleet = fleet;
-    this.#picker = choice;
+    this.#picker = picker;
   }
 
   /** A request arrived: credits the budget of its service. */
--- a/src/proxy/stream-relay.ts
+++ b/src/proxy/stream-relay.ts
@@ -6,10 +6,10 @@
 import type { ResponseWriter } from './response-writer.js';
 import { EventStream, type StreamEvent } from './event-stream.js';
 
-/** What becomes of an event of a stream. */
+/** What is done with an event of a stream. */
 type EventVerdict = 'forward' | 'skip' | 'gap';
 
-/** Passes on whole events only, so that a run that breaks can be gone on with after the last of them. */
+/** Forwards complete events only, so that another run can continue a stream that breaks off after the last of them. */
 export class StreamRelay {
   readonly #attempt: Attempt;
   readonly #runnerResponse: IncomingMessage;
@@ -17,7 +17,7 @@
   readonly #writer: ResponseWriter;
   readonly #counters: Counters;
   readonly #stream = new EventStream();
-  /** Whether an earlier run's events were passed on before. */
+  /** Whether events of an earlier run were forwarded before. */
   readonly #isResumption: boolean;
 
   constructor(
@@ -35,7 +35,7 @@
     this.#isResumption = attempt.exchange.isHeadForwarded;
   }
 
-  /** Begins to read. */
+  /** Begins to read the body. */
   start(): void {
     this.#runnerResponse.on('data', (chunk) => this.#onData(chunk));
     this.#runnerResponse.once('end', () => this.#onEnd());
@@ -45,7 +45,7 @@
   #onData(chunk: Buffer): void {
     if (this.#attempt.isDone) return;
     const { exchange } = this.#attempt;
-    const passed: Buffer[] = [];
+    const forwarded: Buffer[] = [];
     for (const event of this.#stream.push(chunk)) {
       const verdict = this.#classify(exchange, event);
       if (verdict === 'gap') {
@@ -53,20 +53,20 @@
         this.#handler.abort(this.#attempt);
         return;
       }
-      if (verdict === 'forward') passed.push(event.bytes);
+      if (verdict === 'forward') forwarded.push(event.bytes);
     }
     this.#handler.onData(this.#attempt);
-    const first = passed[0];
+    const first = forwarded[0];
     if (!first) return;
     this.#forwardHead();
     writeWithBackpressure(
       exchange.clientResponse,
       this.#runnerResponse,
-      passed.length === 1 ? first : Buffer.concat(passed),
+      forwarded.length === 1 ? first : Buffer.concat(forwarded),
     );
   }
 
-  /** What was passed on before is not passed on twice, and a gap is never hidden. */
+  /** An event that was forwarded before is skipped, and a gap is never hidden. */
   #classify(exchange: ClientExchange, { id, isComment }: StreamEvent): EventVerdict {
     if (id === undefined) {
       if (!isComment) exchange.hasEventWithoutId = true;
@@ -79,7 +79,7 @@
     return 'forward';
   }
 
-  /** The head is passed on with the first event, or at the end where there is none. */
+  /** The head is forwarded with the first event, or at the end where there is none. */
   #forwardHead(): void {
     const { exchange } = this.#attempt;
     if (!exchange.isHeadForwarded)
--- a/src/proxy/testing/proxy-fleet.ts
+++ b/src/proxy/testing/proxy-fleet.ts
@@ -194,7 +194,7 @@
             isGenuine: true,
             isEventStream: true,
           };
-          dispatcher.head(this.#now, id, attempt, head);
+          dispatcher.onHeaders(this.#now, id, attempt, head);
           dispatcher.onData(this.#now, id, attempt);
           this.#obey(proxy);
         }),
--- a/src/simulation/same-runs/drawn-attempts.ts
+++ b/src/simulation/same-runs/drawn-attempts.ts
@@ -67,7 +67,7 @@
 
   #sayVoid(now: Moment, { id, attempt }: DrawnAttempt): void {
     const earlier = attempt - 1;
-    this.#dispatcher.head(now, id, earlier, OK);
+    this.#dispatcher.onHeaders(now, id, earlier, OK);
     this.#dispatcher.onData(now, id, earlier);
     this.#dispatcher.onDisconnect(now, id, earlier, false);
   }
@@ -99,7 +99,7 @@
     }
     const head = this.#random.pick(HEADS) ?? OK;
     if (head.isUnprocessed) this.end(id);
-    this.#dispatcher.head(now, id, attempt, head);
+    this.#dispatcher.onHeaders(now, id, attempt, head);
   }
 
   #hearBody(now: Moment, { id, attempt }: DrawnAttempt): void {
