Let a request wait for a load by its client's time, not by a share of the target

What callers saw: a client with 4 s left whose model was ready in 300 ms was refused at once at a target of 120 ms and served at a target of 500 ms; one whose model was ready in 1.2 s was refused at once if the proxy took its request for a first attempt; one with 6 s left and a load of 4 s was refused after 1.1 s, with a delay that was not the load's.

Cause: LoadWait refused early where a new attempt would count for more. It compared with the route's latency target, a quarter of it and a third of the time left, and told first attempts by a guess that Admission kept: a time left near the longest that it had seen on the route.

Now a request waits while the expected rest of the load and the response time of its route (mean and deviation, observed here) fit into the time until its client gives up: its deadline, its route's timeout or the end of its silence. It is refused as soon as that is known not to fit, with the time until the load is complete. The guess and its state are gone. Response times of routes that are no streams are now taken to the end of the response.

Evidence: the properties of waiting.property.test.ts drive the dispatcher alone. All hold now, 400 runs each.

Tests replaced: load-wait.test.ts and the one on first attempts in dispatcher.test.ts and admission.test.ts pinned the old decisions; examples of the new ones, at their exact limits, and the properties stand in their place.

--- a/src/proxy/attempt-tracker.ts
+++ b/src/proxy/attempt-tracker.ts
@@ -143,13 +143,20 @@
     if (!request) return;
     const runner = this.#runnerOf(request);
     runner?.onActivity(now);
-    if (request.isResponseStarted || request.phase !== 'responding') return;
+    if (request.phase !== 'responding') return;
+    request.clientSilentSince = now;
+    if (request.isResponseStarted) return;
     request.isResponseStarted = true;
     runner?.onFirstEvent(request);
+    if (request.route.kind === 'stream') this.#recordResponseTime(now, request);
+  }
+
+  #recordResponseTime(now: Moment, request: RoutedRequest): void {
+    const { responseTimes } = this.#state;
     const tookMs = now - request.sentAt;
-    const usualMs = this.#state.firstEventTimes.averageMs(request.route) ?? tookMs;
-    runner?.onFirstEventTime(now, tookMs - usualMs);
-    this.#state.firstEventTimes.record(request.route, tookMs);
+    const usualMs = responseTimes.meanMs(request.route) ?? tookMs;
+    this.#runnerOf(request)?.onResponseTime(now, tookMs - usualMs);
+    responseTimes.record(request.route, tookMs);
   }
 
   /** The response was forwarded completely. */
@@ -157,6 +164,7 @@
     const { requests } = this.#state;
     const request = requests.withCurrentAttempt(id, attempt);
     if (!request) return;
+    if (request.route.kind !== 'stream') this.#recordResponseTime(now, request);
     this.#releaseRunner(request);
     requests.remove(request);
     if (requests.size > 0) this.#placement.placeNext(now);
@@ -225,7 +233,7 @@
     const runner = this.#runnerOf(request);
     if (!runner || !isRetryable(request)) return;
     const { latencyTargetMs: targetMs } = request.route;
-    const averageMs = this.#state.firstEventTimes.averageMs(request.route) ?? targetMs;
+    const averageMs = this.#state.responseTimes.meanMs(request.route) ?? targetMs;
     const timeoutMs = Math.max(MIN_RESPONSE_TIMEOUT_MS, Math.min(averageMs * 4, targetMs));
     if (now - request.sentAt < timeoutMs || runner.idleMs(now) < timeoutMs) return;
     runner.eject(now);
--- a/src/proxy/dispatcher-state.ts
+++ b/src/proxy/dispatcher-state.ts
@@ -2,10 +2,11 @@
 import { DispatchCounts } from './dispatch-counts.js';
 import type { DispatcherSettings } from './dispatch-types.js';
 import { EffectQueue } from './effect-queue.js';
-import { FirstEventTimes } from './first-event-times.js';
 import { FleetView } from './fleet-view.js';
+import { LoadEstimate } from './load-estimate.js';
 import { LoadForecast } from './load-forecast.js';
 import { OpenRequests } from './open-requests.js';
+import { ResponseTimes } from './response-times.js';
 import { RetryPolicy } from './retry-policy.js';
 import { RunnerPicker } from './runner-picker.js';
 import { ModelDemand } from './model-demand.js';
@@ -14,19 +15,21 @@
 export class DispatcherState {
   readonly fleet = new FleetView();
   readonly forecast = new LoadForecast();
-  readonly firstEventTimes = new FirstEventTimes();
+  readonly responseTimes = new ResponseTimes();
   readonly demand = new ModelDemand();
   readonly effects = new EffectQueue();
   readonly counts = new DispatchCounts();
   readonly requests: OpenRequests;
   readonly outcomes: RequestOutcomes;
   readonly picker: RunnerPicker;
+  readonly loadEstimate: LoadEstimate;
   readonly retryPolicy: RetryPolicy;
 
   constructor(settings: DispatcherSettings) {
     this.requests = new OpenRequests(this.demand);
     this.outcomes = new RequestOutcomes(this.requests, this.effects, this.counts);
     this.picker = new RunnerPicker(settings, this.fleet);
+    this.loadEstimate = new LoadEstimate(this.picker, this.forecast);
     this.retryPolicy = new RetryPolicy(settings.retry, this.fleet, this.picker);
   }
 }
--- a/src/proxy/request-placement.ts
+++ b/src/proxy/request-placement.ts
@@ -1,6 +1,6 @@
 import { later, type Moment } from '../common/ids.js';
+import { clientGivesUpAt, latestStartAt } from './caller-time.js';
 import type { DispatcherState } from './dispatcher-state.js';
-import { LoadWait } from './load-wait.js';
 import {
   byUrgency,
   isRejectable,
@@ -10,6 +10,9 @@
 } from './routed-request.js';
 import type { TrackedRunner } from './tracked-runner.js';
 
+/** Limits of the time after which a request that waits for a load is placed again. */
+const MIN_WAIT_MS = 30;
+const MAX_WAIT_MS = 150;
 /** A request whose runners are all busy is placed again after this time. */
 const BUSY_WAIT_MS = 20;
 /**
@@ -29,11 +32,9 @@
 /** Places each request: sends it to the best runner, queues it, or rejects it. */
 export class RequestPlacement {
   readonly #state: DispatcherState;
-  readonly #loadWait: LoadWait;
 
   constructor(state: DispatcherState) {
     this.#state = state;
-    this.#loadWait = new LoadWait(state.picker, state.forecast, state.firstEventTimes);
   }
 
   /** Places a request that has no current attempt: sends, queues, rejects or fails it. */
@@ -75,7 +76,7 @@
 
   /** Expires a waiting request or places it again if it is time; called at each tick. */
   checkWaiting(now: Moment, request: RoutedRequest): void {
-    if (now >= giveUpAt(request) - MIN_TIME_LEFT_MS) this.#state.outcomes.expire(request);
+    if (now >= clientGivesUpAt(request) - MIN_TIME_LEFT_MS) this.#state.outcomes.expire(request);
     else if (now >= request.placeAgainAt) this.#placeAgain(now, request);
   }
 
@@ -90,23 +91,32 @@
     this.#state.demand.onWaitStart(request);
   }
 
-  /** No runner has the model or adapter that the request needs: waits for the load, or rejects the request. */
+  /**
+   * No runner has the model or adapter that the request needs. It waits while the expected rest of the load and a response
+   * fit into the time until its client gives up; otherwise it is rejected at once, with the time until the load is complete.
+   */
   #awaitLoad(now: Moment, request: RoutedRequest): void {
-    const { outcomes, counts, demand } = this.#state;
+    const { outcomes, counts, demand, loadEstimate } = this.#state;
     counts.misses += 1;
-    const verdict = this.#loadWait.decide(now, request);
-    if (verdict.do === 'unknownModel') {
+    const expectedMs = loadEstimate.expectedMs(now, request);
+    if (expectedMs === undefined) {
       outcomes.reject(request, 'no-runner', UNKNOWN_MODEL_RETRY_AFTER_MS);
       return;
     }
     demand.onModelMissing(now, request);
-    if (verdict.do === 'wait') {
-      this.#wait(now, request, verdict.forMs);
+    if (this.#canStart(later(now, expectedMs), request)) {
+      this.#wait(now, request, Math.max(MIN_WAIT_MS, Math.min(MAX_WAIT_MS, expectedMs)));
       return;
     }
-    // Its client is expected to retry once the load completes, in `expectedMs`: it still counts as waiting demand.
-    demand.onClientRetryExpected(now, request, verdict.expectedMs);
-    outcomes.reject(request, 'not-loaded', verdict.retryAfterMs);
+    // Its client, or another, will ask for the model again once it is loaded: it still counts as waiting demand.
+    demand.onClientRetryExpected(now, request, expectedMs);
+    outcomes.reject(request, 'not-loaded', expectedMs);
+  }
+
+  /** Whether a request that starts at a runner at `startAt` is answered before its client gives up. */
+  #canStart(startAt: Moment, request: RoutedRequest): boolean {
+    const neededMs = this.#state.responseTimes.neededMs(request.route);
+    return startAt <= latestStartAt(request, neededMs);
   }
 
   #send(now: Moment, request: RoutedRequest, runner: TrackedRunner): void {
@@ -136,11 +146,6 @@
   }
 }
 
-/** When the client stops waiting: at the deadline if a response has started, else at the end of its patience. */
-function giveUpAt(request: RoutedRequest): Moment {
-  return request.isResponseStarted ? request.deadline : request.patienceEnd;
-}
-
 /** Whether a request waits if its runners are all busy. */
 function shouldWait(now: Moment, request: RoutedRequest): boolean {
   const { route } = request;
--- a/src/proxy/routed-request.ts
+++ b/src/proxy/routed-request.ts
@@ -17,10 +17,6 @@
   readonly modelUnit: string;
   readonly arrivedAt: Moment;
   readonly deadline: Moment;
-  /** When the client gives up unless a response has started; the deadline at the latest. */
-  readonly patienceEnd: Moment;
-  /** Whether it is the client's first attempt, estimated from the time left. */
-  readonly isFirstAttempt: boolean;
   /** Prompt tokens of the blocks that other requests may share. */
   readonly sharedPrefixTokens: number;
   /** Key of those shared blocks, with model and adapter. */
@@ -40,6 +36,8 @@
   mayHaveRun: boolean;
   /** Whether the next attempt must use a new connection. */
   needsNewConnection: boolean;
+  /** Since when the client has received nothing: since the request arrived, or since the last data of a response. */
+  clientSilentSince: Moment;
   /** Whether any byte of a response was forwarded to the client. */
   isResponseStarted: boolean;
   /** The head of the response that was forwarded last; undefined before the first. */
--- a/src/proxy/tracked-runner.ts
+++ b/src/proxy/tracked-runner.ts
@@ -140,8 +140,8 @@
     return this.#requests.size < maxRequests;
   }
 
-  /** Records by how much a first event exceeded the usual time of its route, ms; negative if it was faster. */
-  onFirstEventTime(now: Moment, excessMs: number): void {
+  /** Records by how much a response took longer than usual for its route, ms; negative if it was faster. */
+  onResponseTime(now: Moment, excessMs: number): void {
     this.#latencyExcess.record(now, excessMs);
   }
 
