Let a request wait for a place by its client's time

What callers saw: with all runners full and 4 s left, a request was refused after 50, 100 or 150 ms at targets of 120, 300 and 500 ms, although a place would have been free soon after; a stream that was interrupted ended after 300 ms, or half of its gap target, though its client goes on waiting for 2 s and longer.

Cause: RequestPlacement let a request wait for a quarter of its route's latency target, and an interrupted one for half of the gap target.

Now it waits while the expected time until a place is free and a response fit into the time until its client gives up. The estimate takes the back-off of runners that are full or ejected, the observed time that requests keep a place, and the rate at which a warming runner may be used. A request that may not be sent anywhere any more is refused at once. The retry delay is when a place is expected, at least as long as runners were seen to stay full.

Evidence: the properties now draw full runners as well.

--- a/src/proxy/attempt-tracker.ts
+++ b/src/proxy/attempt-tracker.ts
@@ -105,10 +105,17 @@
     if (isFailure && this.#retryFailure(now, request)) return;
     request.phase = 'responding';
     request.forwardedHead = head;
-    if (!isFailure) runner?.onSuccess();
+    if (!isFailure) this.#onSuccess(request, runner);
     this.#state.effects.push({ do: 'forward', id, attempt });
   }
 
+  #onSuccess(request: RoutedRequest, runner: TrackedRunner | undefined): void {
+    runner?.onSuccess();
+    const fullMs = runner?.takeFullPeriodMs();
+    if (fullMs !== undefined)
+      this.#state.placeEstimate.recordFullPeriod(request.service.name, fullMs);
+  }
+
   /** The runner responded with 5xx: retries a retryable request. Returns false if the response is to be forwarded. */
   #retryFailure(now: Moment, request: RoutedRequest): boolean {
     if (!isRetryable(request) || !this.#state.retryPolicy.mayRetry(now, request)) return false;
@@ -165,6 +172,7 @@
     const request = requests.withCurrentAttempt(id, attempt);
     if (!request) return;
     if (request.route.kind !== 'stream') this.#recordResponseTime(now, request);
+    this.#state.placeEstimate.recordOccupancy(request.service.name, now - request.sentAt);
     this.#releaseRunner(request);
     requests.remove(request);
     if (requests.size > 0) this.#placement.placeNext(now);
--- a/src/proxy/dispatcher-state.ts
+++ b/src/proxy/dispatcher-state.ts
@@ -6,6 +6,7 @@
 import { LoadEstimate } from './load-estimate.js';
 import { LoadForecast } from './load-forecast.js';
 import { OpenRequests } from './open-requests.js';
+import { PlaceEstimate } from './place-estimate.js';
 import { ResponseTimes } from './response-times.js';
 import { RetryPolicy } from './retry-policy.js';
 import { RunnerPicker } from './runner-picker.js';
@@ -23,6 +24,7 @@
   readonly outcomes: RequestOutcomes;
   readonly picker: RunnerPicker;
   readonly loadEstimate: LoadEstimate;
+  readonly placeEstimate: PlaceEstimate;
   readonly retryPolicy: RetryPolicy;
 
   constructor(settings: DispatcherSettings) {
@@ -30,6 +32,7 @@
     this.outcomes = new RequestOutcomes(this.requests, this.effects, this.counts);
     this.picker = new RunnerPicker(settings, this.fleet);
     this.loadEstimate = new LoadEstimate(this.picker, this.forecast);
+    this.placeEstimate = new PlaceEstimate(this.fleet, this.picker);
     this.retryPolicy = new RetryPolicy(settings.retry, this.fleet, this.picker);
   }
 }
--- a/src/proxy/dispatcher.test.ts
+++ b/src/proxy/dispatcher.test.ts
@@ -641,3 +641,40 @@
 function describeEnd(effect: DispatchEffect): string {
   return `${effect.id} ${effect.do}`;
 }
+test('a request waits for a place at its runner until no response fits into the time of its client', () => {
+  const bench = new Bench([runner('w', 'za', [], { service: 'web' })]);
+  const rejected = bench.request('/lookup/1');
+  bench.connect(rejected);
+  bench.respond(rejected, 503, true);
+  // All runners were tried: nothing to wait for. Runners stay full for 250 ms before that was observed.
+  expect(bench.effects()).toEqual([`${rejected} to w`, `${rejected} rejected full 250`]);
+  const patient = bench.request('/lookup/2');
+  const impatient = bench.request('/lookup/3', { timeLeftMs: 150 });
+  expect(bench.effects()).toEqual([`${impatient} rejected full 250`]);
+  bench.now = 100;
+  bench.dispatcher.tick(moment(bench.now));
+  expect(bench.effects()).toEqual([`${patient} to w`]);
+});
+test('an interrupted stream waits for a place at another runner for as long as its client waits', () => {
+  const runners = ['a', 'b', 'c'].map((id) => runner(id, 'za', ['m']));
+  const bench = new Bench(runners.slice(0, 1));
+  const stream = bench.request('/check/1');
+  bench.connect(stream);
+  bench.respond(stream, 200);
+  bench.now = 1000;
+  bench.dispatcher.onData(moment(bench.now), stream, 1);
+  // Runner c cannot be reached, and gets no requests for 500 ms.
+  bench.updateFleet([...runners.slice(0, 1), ...runners.slice(2)]);
+  const other = bench.request('/verdict/1');
+  bench.dispatcher.onConnectFailed(moment(bench.now), other, 1);
+  bench.updateFleet(runners);
+  bench.effects();
+  bench.dispatcher.onDisconnect(moment(bench.now), stream, 1, false);
+  // Neither can b, so that the stream has to wait for c.
+  bench.dispatcher.onConnectFailed(moment(bench.now), stream, 2);
+  expect(bench.effects()).toEqual([`${stream} to b`]);
+  for (bench.now = 1050; bench.now <= 1550; bench.now += 50)
+    bench.dispatcher.tick(moment(bench.now));
+  const ofStream = bench.effects().filter((text) => text.startsWith(`${stream} `));
+  expect(ofStream).toEqual([`${stream} to c`]);
+});
--- a/src/proxy/failure-backoff.ts
+++ b/src/proxy/failure-backoff.ts
@@ -36,4 +36,9 @@
   isActive(now: Moment): boolean {
     return now < this.#activeUntil;
   }
+
+  /** How much longer the backoff is active, ms; 0 if it is not. */
+  leftMs(now: Moment): number {
+    return Math.max(0, this.#activeUntil - now);
+  }
 }
--- a/src/proxy/request-placement.ts
+++ b/src/proxy/request-placement.ts
@@ -1,13 +1,7 @@
 import { later, type Moment } from '../common/ids.js';
 import { clientGivesUpAt, latestStartAt } from './caller-time.js';
 import type { DispatcherState } from './dispatcher-state.js';
-import {
-  byUrgency,
-  isRejectable,
-  isRetryable,
-  MIN_TIME_LEFT_MS,
-  type RoutedRequest,
-} from './routed-request.js';
+import { byUrgency, MIN_TIME_LEFT_MS, type RoutedRequest } from './routed-request.js';
 import type { TrackedRunner } from './tracked-runner.js';
 
 /** Limits of the time after which a request that waits for a load is placed again. */
@@ -15,13 +9,7 @@
 const MAX_WAIT_MS = 150;
 /** A request whose runners are all busy is placed again after this time. */
 const BUSY_WAIT_MS = 20;
-/**
- * An interrupted request may wait for another runner until half of its route's gap target has passed since its last
- * attempt was sent, or this time if that is longer.
- */
-const MIN_RESUME_WINDOW_MS = 300;
-/** Retry delays given to clients: when all runners are busy, and when the service does not have the model. */
-const BUSY_RETRY_AFTER_MS = 250;
+/** Retry delay given to clients when the service does not have the model. */
 const UNKNOWN_MODEL_RETRY_AFTER_MS = 1000;
 /**
  * The lowest urgency that is passed on to a runner. The urgency is the route's priority, on the same scale (0 is the
@@ -50,9 +38,7 @@
     // Not for a plain service (empty `modelUnit`), which needs no model to be loaded.
     else if (request.modelUnit !== '' && !picker.isLoaded(now, request))
       this.#awaitLoad(now, request);
-    // The runners that have the model are full, ejected or already tried: a later attempt may succeed.
-    else if (shouldWait(now, request)) this.#wait(now, request, BUSY_WAIT_MS);
-    else outcomes.reject(request, 'full', BUSY_RETRY_AFTER_MS);
+    else this.#awaitPlace(now, request);
   }
 
   /** Places all waiting requests again, the most urgent first; called when configuration or fleet have changed. */
@@ -113,6 +99,18 @@
     outcomes.reject(request, 'not-loaded', expectedMs);
   }
 
+  /**
+   * The runners that have the model are full, ejected, warming up or already tried. The request waits while the expected time
+   * until one of them has a place and a response fit into the time until its client gives up.
+   */
+  #awaitPlace(now: Moment, request: RoutedRequest): void {
+    const { outcomes, placeEstimate } = this.#state;
+    const expectedMs = placeEstimate.expectedMs(now, request);
+    if (expectedMs !== undefined && this.#canStart(later(now, expectedMs), request))
+      this.#wait(now, request, BUSY_WAIT_MS);
+    else outcomes.reject(request, 'full', placeEstimate.retryAfterMs(now, request));
+  }
+
   /** Whether a request that starts at a runner at `startAt` is answered before its client gives up. */
   #canStart(startAt: Moment, request: RoutedRequest): boolean {
     const neededMs = this.#state.responseTimes.neededMs(request.route);
@@ -145,18 +143,3 @@
     request.needsNewConnection = false;
   }
 }
-
-/** Whether a request waits if its runners are all busy. */
-function shouldWait(now: Moment, request: RoutedRequest): boolean {
-  const { route } = request;
-  if (request.deadline - now <= MIN_TIME_LEFT_MS * 2) return false;
-  // A request that may be rejected waits only briefly: if it is rejected early, its client can still retry in time.
-  if (isRejectable(request))
-    return request.attemptsSent === 0 && now - request.arrivedAt < route.latencyTargetMs / 4;
-  // It may continue at another runner: capacity may become free before the client notices the gap.
-  return (
-    isRetryable(request) &&
-    request.attemptsSent < route.maxAttempts &&
-    now - request.sentAt < Math.max(MIN_RESUME_WINDOW_MS, route.gapTargetMs / 2)
-  );
-}
--- a/src/proxy/runner-picker.ts
+++ b/src/proxy/runner-picker.ts
@@ -61,10 +61,16 @@
   /** Whether any runner has the request's model and adapter, busy or not. */
   isLoaded(now: Moment, request: RoutedRequest): boolean {
     for (const runner of this.#fleet.runnersOf(request.service.name))
-      if (this.#fleet.acceptsRequests(runner) && runner.hasModelUnit(now, request)) return true;
+      if (this.isEligible(now, request, runner)) return true;
     return false;
   }
 
+  /** Whether the runner accepts requests and has the request's model and adapter, busy or not. */
+  isEligible(now: Moment, request: RoutedRequest, runner: TrackedRunner): boolean {
+    if (!this.#fleet.acceptsRequests(runner)) return false;
+    return request.modelUnit === '' || runner.hasModelUnit(now, request);
+  }
+
   /** Whether any runner has the request's model, with or without its adapter. */
   isModelLoaded(now: Moment, request: RoutedRequest): boolean {
     for (const runner of this.#fleet.runnersOf(request.service.name))
@@ -73,10 +79,8 @@
   }
 
   #isAvailable(now: Moment, request: RoutedRequest, runner: TrackedRunner): boolean {
-    if (!this.#fleet.acceptsRequests(runner) || request.triedRunners.has(runner.info.id))
-      return false;
-    if (runner.isBackingOff(now)) return false;
-    if (request.modelUnit !== '' && !runner.hasModelUnit(now, request)) return false;
+    if (request.triedRunners.has(runner.info.id) || runner.isBackingOff(now)) return false;
+    if (!this.isEligible(now, request, runner)) return false;
     if (!runner.hasCapacity(request.service, this.#fleet.proxyCount.value(now))) return false;
     return !runner.isWarmingUp(now) || this.#hasWarmUpCapacity(now, request.service, runner);
   }
@@ -87,14 +91,28 @@
    * selects them without communication.
    */
   #hasWarmUpCapacity(now: Moment, service: Service, runner: TrackedRunner): boolean {
-    const { warmupExcess, proxyId } = this.#settings;
     if (!this.#fleet.proxyCount.isSettled(now)) return false;
+    return runner.warmUpRate(now) < this.#ownWarmUpRate(now, service, runner);
+  }
+
+  /** The number of requests per second that this proxy may send to a warming runner. */
+  #ownWarmUpRate(now: Moment, service: Service, runner: TrackedRunner): number {
+    const { warmupExcess, proxyId } = this.#settings;
     const proxyCount = this.#fleet.proxyCount.value(now);
     const totalRate = service.warmupPerSecond * Math.max(1, warmupExcess) * WARM_UP_SHARE;
     const ownRate = Math.floor(totalRate / proxyCount);
-    if (ownRate < 1 && hashText(`${proxyId}\n${runner.info.id}`) % proxyCount >= totalRate)
-      return false;
-    return runner.warmUpRate(now) < Math.max(1, ownRate);
+    if (ownRate >= 1) return ownRate;
+    return hashText(`${proxyId}\n${runner.info.id}`) % proxyCount >= totalRate ? 0 : 1;
+  }
+
+  /** Time until this proxy may send one more request to the runner, ms, as far as its warm-up is concerned. */
+  warmUpWaitMs(now: Moment, service: Service, runner: TrackedRunner): number {
+    // Until the number of proxies is settled, which is soon, the wait is unknown.
+    if (!runner.isWarmingUp(now) || !this.#fleet.proxyCount.isSettled(now)) return 0;
+    const ownRate = this.#ownWarmUpRate(now, service, runner);
+    if (ownRate === 0) return runner.warmUpLeftMs(now);
+    if (runner.warmUpRate(now) < ownRate) return 0;
+    return Math.min(runner.warmUpLeftMs(now), runner.warmUpWindowLeftMs(now));
   }
 
   /** The affinity runner of a prefix: rendezvous hashing gives the same at all proxies; '' if no runner has the model. */
--- a/src/proxy/tracked-runner.ts
+++ b/src/proxy/tracked-runner.ts
@@ -41,6 +41,8 @@
   readonly #outlier = new OutlierDetection();
   readonly #latencyExcess = new LatencyExcess();
   #fullUntil: Moment = NEVER;
+  /** Since when it has been full; undefined if it accepted the last request. */
+  #fullSince: Moment | undefined;
   #lastActivityAt: Moment;
   #warmUpEnd: Moment;
   /** When requests were sent to it while it was warming up, within the window. */
@@ -157,6 +159,17 @@
     return now < this.#warmUpEnd;
   }
 
+  /** For how much longer the runner is warming up, ms. */
+  warmUpLeftMs(now: Moment): number {
+    return Math.max(0, this.#warmUpEnd - now);
+  }
+
+  /** Time until the oldest request that counts in `warmUpRate` is more than a second ago, ms; 0 if none counts. */
+  warmUpWindowLeftMs(now: Moment): number {
+    const [oldest] = this.#warmUpSentAt;
+    return oldest === undefined ? 0 : Math.max(0, oldest + WARM_UP_WINDOW_MS - now);
+  }
+
   /** The number of requests that this proxy sent to the runner during warm-up in the last second. */
   warmUpRate(now: Moment): number {
     while (
@@ -202,12 +215,26 @@
 
   /** The runner reported that it is full. */
   onFull(now: Moment): void {
+    this.#fullSince ??= now;
     this.#fullUntil = later(now, FULL_BACKOFF_MS);
   }
 
+  /** For how long the runner was full until it accepted a request, ms; undefined if it was not. Resets that time. */
+  takeFullPeriodMs(): number | undefined {
+    if (this.#fullSince === undefined) return undefined;
+    const periodMs = this.#fullUntil - this.#fullSince;
+    this.#fullSince = undefined;
+    return periodMs;
+  }
+
   /** Whether the runner gets no requests now, because it is ejected or was full. */
   isBackingOff(now: Moment): boolean {
-    return this.#ejection.isActive(now) || now < this.#fullUntil;
+    return this.backOffLeftMs(now) > 0;
+  }
+
+  /** For how much longer the runner gets no requests, because it is ejected or was full, ms. */
+  backOffLeftMs(now: Moment): number {
+    return Math.max(this.#ejection.leftMs(now), this.#fullUntil - now, 0);
   }
 
   // ---- models
--- a/src/proxy/waiting.property.test.ts
+++ b/src/proxy/waiting.property.test.ts
@@ -43,7 +43,15 @@
   readyAtMs: fc.integer({ min: 60, max: 4000 }),
   isForecast: fc.boolean(),
 });
-const SITUATIONS = LOADS;
+const PLACES: fc.Arbitrary<Situation> = fc.record({
+  kind: KINDS,
+  model: fc.constant('busy'),
+  targetMs: TARGETS,
+  timeLeftMs: TIMES_LEFT,
+  readyAtMs: fc.integer({ min: 60, max: 4000 }),
+  isForecast: fc.constant(true),
+});
+const SITUATIONS = fc.oneof(LOADS, PLACES);
 
 function routeOf({ kind, targetMs }: Situation): ScenarioRoute {
   return { name: 'route', kind, latencyTargetMs: targetMs, priority: 1 };
