Serve waiting requests by priority and time to spare, not by arrival

What callers saw: when a place became free, the request that had arrived first got it, whatever its route's priority and however little time its client had left; a new request, or one whose attempt had failed, took a place before all that waited; and a request was kept although those ahead of it would use up its time.

Cause: RequestPlacement went through the open requests in order of arrival (placeNext, each tick), and placed new ones without looking at those that wait.

Now all that wait for the same (WaitingRequests) are placed in one order: by priority, then by the latest moment at which each can start. The wait for a place counts those ahead, at the observed interval between free places, so that a wait that cannot fit is refused at once. One look at the runners serves a whole queue, where each request looked at all of them before. `misses` and `waits` of the status page now count each request once per wait.

--- a/src/proxy/admission.ts
+++ b/src/proxy/admission.ts
@@ -81,7 +81,6 @@
     clientSilentSince: now,
     isResponseStarted: false,
     forwardedHead: undefined,
-    placeAgainAt: now,
   };
 }
 
--- a/src/proxy/attempt-tracker.ts
+++ b/src/proxy/attempt-tracker.ts
@@ -175,7 +175,7 @@
     this.#state.placeEstimate.recordOccupancy(request.service.name, now - request.sentAt);
     this.#releaseRunner(request);
     requests.remove(request);
-    if (requests.size > 0) this.#placement.placeNext(now);
+    if (requests.size > 0) this.#placement.sendWaiting(now);
   }
 
   // ---- failures
--- a/src/proxy/dispatch-counts.ts
+++ b/src/proxy/dispatch-counts.ts
@@ -10,8 +10,8 @@
   failed = 0;
   /** Streams that were forwarded in part and then resumed at another runner. */
   resumed = 0;
-  /** Placements at which no runner had the model, or the adapter, that the request needs. */
+  /** Requests for whose model or adapter no runner was found; several for one that loses its runner again. */
   misses = 0;
-  /** Always 0 at present; a field of the status page. */
+  /** Requests that started to wait for a load or for a place. */
   waits = 0;
 }
--- a/src/proxy/dispatcher.ts
+++ b/src/proxy/dispatcher.ts
@@ -13,6 +13,7 @@
 } from './dispatch-types.js';
 import { EarlyRequests } from './early-requests.js';
 import { RequestPlacement } from './request-placement.js';
+import type { RoutedRequest } from './routed-request.js';
 
 export type {
   ResponseHead,
@@ -92,16 +93,14 @@
   onConfiguration(now: Moment, routing: Routing, evacuated: readonly string[]): void {
     this.#admission.configure(routing);
     this.#state.fleet.setEvacuatedZones(evacuated);
-    this.#releaseEarly(now);
-    this.#placement.placeAll(now);
+    this.#placement.placeAll(now, this.#admitEarly(now));
   }
 
   /** A snapshot of the fleet arrived. */
   onFleet(now: Moment, fleet: Fleet): void {
     this.#state.fleet.update(now, fleet);
     this.#state.forecast.update(now, fleet);
-    this.#releaseEarly(now);
-    this.#placement.placeAll(now);
+    this.#placement.placeAll(now, this.#admitEarly(now));
   }
 
   /** Runners were reported as draining outside the leader's snapshots: they get no new request, whatever later ones say. */
@@ -115,24 +114,35 @@
   /** A request was read completely. */
   onRequest(now: Moment, head: RequestHead): void {
     this.#state.counts.requests += 1;
-    if (this.#isInformed) this.#admit(now, head);
-    else this.#earlyRequests.add(now, head);
+    if (!this.#isInformed) {
+      this.#earlyRequests.add(now, head);
+      return;
+    }
+    const request = this.#admit(now, head);
+    if (request) this.#placement.place(now, request);
   }
 
-  #releaseEarly(now: Moment): void {
-    if (!this.#isInformed) return;
-    for (const head of this.#earlyRequests.release()) this.#admit(now, head);
+  /** Admits the requests that arrived before the configuration, once there is one; they are to be placed. */
+  #admitEarly(now: Moment): RoutedRequest[] {
+    const requests: RoutedRequest[] = [];
+    if (!this.#isInformed) return requests;
+    for (const head of this.#earlyRequests.release()) {
+      const request = this.#admit(now, head);
+      if (request) requests.push(request);
+    }
+    return requests;
   }
 
-  #admit(now: Moment, head: RequestHead): void {
+  /** Admits a request, or rejects one that no route matches. */
+  #admit(now: Moment, head: RequestHead): RoutedRequest | undefined {
     const request = this.#admission.admit(now, head);
     if (!request) {
       this.#state.outcomes.rejectUnrouted(head.id, 'no-route', 0);
-      return;
+      return undefined;
     }
     this.#state.requests.add(request);
     this.#state.retryPolicy.onRequest(now, request);
-    this.#placement.place(now, request);
+    return request;
   }
 
   /** The client disconnected, or its response is complete. */
@@ -151,8 +161,8 @@
     const wasStalled = now - this.#lastTickAt > EVENT_LOOP_STALL_MS;
     this.#lastTickAt = now;
     for (const request of [...this.#state.requests.all()])
-      if (request.phase === 'waiting') this.#placement.checkWaiting(now, request);
-      else this.#attempts.checkTimeouts(now, request, wasStalled);
+      if (request.phase !== 'waiting') this.#attempts.checkTimeouts(now, request, wasStalled);
+    this.#placement.placeAll(now);
   }
 
   /** The process is stopping: rejects every request that no runner can have processed, and fails all others. */
--- a/src/proxy/open-requests.ts
+++ b/src/proxy/open-requests.ts
@@ -1,9 +1,11 @@
 import type { RoutedRequest } from './routed-request.js';
 import type { ModelDemand } from './model-demand.js';
+import { WaitingRequests } from './waiting-requests.js';
 
 /** Requests that were accepted and have not ended, in order of arrival. */
 export class OpenRequests {
   readonly #requests = new Map<number, RoutedRequest>();
+  readonly #waiting = new WaitingRequests();
   readonly #demand: ModelDemand;
 
   constructor(demand: ModelDemand) {
@@ -15,6 +17,11 @@
     return this.#requests.size;
   }
 
+  /** The requests that wait for a load or for a place. */
+  get waiting(): WaitingRequests {
+    return this.#waiting;
+  }
+
   /** Adds a request that was accepted. */
   add(request: RoutedRequest): void {
     this.#requests.set(request.head.id, request);
@@ -39,10 +46,22 @@
     return this.#requests.values();
   }
 
+  /** The request waits from now on. */
+  startWaiting(request: RoutedRequest): void {
+    request.phase = 'waiting';
+    this.#waiting.add(request);
+    this.#demand.onWaitStart(request);
+  }
+
+  /** The request no longer waits; no effect if it did not. */
+  endWaiting(request: RoutedRequest): void {
+    this.#waiting.delete(request);
+    this.#demand.onWaitEnd(request);
+  }
+
   /** Removes a request that has ended, with whatever outcome. */
   remove(request: RoutedRequest): void {
-    // Has no effect on a request that was not waiting.
-    this.#demand.onWaitEnd(request);
+    this.endWaiting(request);
     this.#requests.delete(request.head.id);
   }
 }
--- a/src/proxy/place-estimate.ts
+++ b/src/proxy/place-estimate.ts
@@ -8,6 +8,15 @@
 /** How long runners of a service stay full before that was observed, ms. */
 const DEFAULT_FULL_MS = 250;
 
+/** When places at runners are expected to become free, ms from now: the first, and the interval to each further one. */
+export interface PlaceForecast {
+  readonly firstMs: number;
+  readonly intervalMs: number;
+}
+
+/** Nothing is known about places: one may be free at any moment. */
+const UNKNOWN: PlaceForecast = { firstMs: 0, intervalMs: 0 };
+
 /** Estimates when a runner that has the model of a request will have a place for it. */
 export class PlaceEstimate {
   readonly #fleet: FleetView;
@@ -32,43 +41,64 @@
   }
 
   /**
-   * Time until a runner is expected to have a place for the request, ms; 0 where that is unknown. Undefined if the request
-   * may not be sent to any runner any more: its attempts are used up, or all runners were tried.
+   * When runners are expected to have places for requests like this one. Undefined if it may not be sent to any runner any
+   * more: its attempts are used up, or all runners were tried.
    */
-  expectedMs(now: Moment, request: RoutedRequest): number | undefined {
+  forecast(now: Moment, request: RoutedRequest): PlaceForecast | undefined {
     if (request.attemptsSent >= request.route.maxAttempts) return undefined;
-    const waitMs = this.#soonestMs(now, request, request.triedRunners);
-    if (waitMs !== undefined) return waitMs;
-    return request.triedRunners.size === 0 ? 0 : undefined;
+    const runners = this.#eligibleRunners(now, request, request.triedRunners);
+    // Without any runner the wait is unknown: one may be reported at any moment.
+    if (runners.length === 0) return request.triedRunners.size === 0 ? UNKNOWN : undefined;
+    return {
+      firstMs: this.#firstMs(now, request, runners),
+      intervalMs: this.#intervalMs(request, runners),
+    };
   }
 
   /** After how long a new request of the client is expected to find a place at any runner, ms. */
   retryAfterMs(now: Moment, request: RoutedRequest): number {
     const usualMs = this.#fullPeriods.of(request.service.name)?.meanMs ?? DEFAULT_FULL_MS;
-    return Math.max(usualMs, this.#soonestMs(now, request, NO_RUNNERS) ?? 0);
+    const runners = this.#eligibleRunners(now, request, NO_RUNNERS);
+    if (runners.length === 0) return usualMs;
+    return Math.max(usualMs, this.#firstMs(now, request, runners));
   }
 
-  #soonestMs(
+  #eligibleRunners(
     now: Moment,
     request: RoutedRequest,
     excluded: ReadonlySet<string>,
-  ): number | undefined {
-    let soonestMs: number | undefined;
-    for (const runner of this.#fleet.runnersOf(request.service.name)) {
-      if (excluded.has(runner.info.id) || !this.#picker.isEligible(now, request, runner)) continue;
-      soonestMs = Math.min(soonestMs ?? Infinity, this.#waitMs(now, request, runner));
-    }
-    return soonestMs;
+  ): TrackedRunner[] {
+    return this.#fleet
+      .runnersOf(request.service.name)
+      .filter(
+        (runner) => !excluded.has(runner.info.id) && this.#picker.isEligible(now, request, runner),
+      );
+  }
+
+  #firstMs(now: Moment, request: RoutedRequest, runners: readonly TrackedRunner[]): number {
+    let firstMs = Infinity;
+    for (const runner of runners) firstMs = Math.min(firstMs, this.#waitMs(now, request, runner));
+    return firstMs;
+  }
+
+  /** The runners' requests of this proxy end one after another: the mean time between two ends. */
+  #intervalMs({ service }: RoutedRequest, runners: readonly TrackedRunner[]): number {
+    let inFlight = 0;
+    for (const runner of runners) inFlight += runner.inFlight;
+    return this.#occupancyMs(service.name) / Math.max(1, inFlight);
   }
 
   #waitMs(now: Moment, { service }: RoutedRequest, runner: TrackedRunner): number {
     const backOffMs = runner.backOffLeftMs(now);
-    if (!runner.hasCapacity(service, this.#fleet.proxyCount.value(now))) {
-      const occupancyMs = this.#occupancies.of(service.name)?.meanMs ?? 0;
-      return Math.max(backOffMs, occupancyMs / Math.max(1, runner.inFlight));
-    }
+    if (!runner.hasCapacity(service, this.#fleet.proxyCount.value(now)))
+      return Math.max(backOffMs, this.#occupancyMs(service.name) / Math.max(1, runner.inFlight));
     return Math.max(backOffMs, this.#picker.warmUpWaitMs(now, service, runner));
   }
+
+  /** How long requests of the service usually keep their place, ms; 0 before one was observed. */
+  #occupancyMs(service: string): number {
+    return this.#occupancies.of(service)?.meanMs ?? 0;
+  }
 }
 
 const NO_RUNNERS: ReadonlySet<string> = new Set();
--- a/src/proxy/routed-request.ts
+++ b/src/proxy/routed-request.ts
@@ -42,8 +42,6 @@
   isResponseStarted: boolean;
   /** The head of the response that was forwarded last; undefined before the first. */
   forwardedHead: ResponseHead | undefined;
-  /** When a waiting request is placed again. */
-  placeAgainAt: Moment;
 }
 
 /** Whether processing the request again does no harm, and the client can still be given the new response. */
@@ -81,8 +79,3 @@
 export function isRejectable(request: RoutedRequest): boolean {
   return !request.mayHaveRun && !request.isResponseStarted;
 }
-
-/** Compares by priority, then by arrival. */
-export function byUrgency(a: RoutedRequest, b: RoutedRequest): number {
-  return a.route.priority - b.route.priority || a.arrivedAt - b.arrivedAt;
-}
--- a/src/proxy/waiting.property.test.ts
+++ b/src/proxy/waiting.property.test.ts
@@ -151,3 +151,103 @@
     expect(outcome?.valueMs).toBe(situation.readyAtMs - 10);
   });
 });
+
+/** Several requests that wait for a place at the same runner. */
+interface Crowd {
+  readonly freeAtMs: number;
+  readonly members: readonly CrowdMember[];
+}
+
+interface CrowdMember {
+  readonly kind: RouteKind;
+  readonly priority: number;
+  readonly arrivedAtMs: number;
+  readonly timeLeftMs: number;
+}
+
+const CROWDS: fc.Arbitrary<Crowd> = fc.record({
+  freeAtMs: fc.integer({ min: 450, max: 900 }),
+  members: fc.array(
+    fc.record({
+      kind: KINDS,
+      priority: fc.integer({ min: 0, max: 2 }),
+      arrivedAtMs: fc.integer({ min: 1, max: 40 }).map((step) => step * 10),
+      timeLeftMs: fc.integer({ min: 15, max: 60 }).map((step) => step * 100),
+    }),
+    { minLength: 2, maxLength: 5 },
+  ),
+});
+
+function outcomesOf({ members, freeAtMs }: Crowd): ReadonlyMap<number, ScenarioOutcome> {
+  return runScenario({
+    routes: members.map(({ kind, priority }, index) => ({
+      name: `route${index}`,
+      kind,
+      latencyTargetMs: 500,
+      priority,
+    })),
+    requests: members.map(({ arrivedAtMs, timeLeftMs }, id) => ({
+      id,
+      atMs: arrivedAtMs,
+      route: `route${id}`,
+      timeLeftMs,
+      model: 'busy',
+    })),
+    loadedAtMs: NEVER_MS,
+    isForecast: false,
+    freeAtMs: [freeAtMs, NEVER_MS],
+  });
+}
+
+/** Whether the client of `a` is served before that of `b`: by priority, then by when it gives up. */
+function precedes(a: CrowdMember, b: CrowdMember): boolean {
+  if (a.priority !== b.priority) return a.priority < b.priority;
+  return givesUpAtMs(a) < givesUpAtMs(b);
+}
+
+function givesUpAtMs({ kind, arrivedAtMs, timeLeftMs }: CrowdMember): number {
+  return arrivedAtMs + (kind === 'stream' ? Math.min(timeLeftMs, SILENCE_MS) : timeLeftMs);
+}
+
+test('requests that wait for a place are served by priority, then by the least time to spare', () => {
+  check(CROWDS, (crowd) => {
+    const outcomes = outcomesOf(crowd);
+    for (const [id, member] of crowd.members.entries())
+      for (const [otherId, other] of crowd.members.entries()) {
+        const outcome = outcomes.get(id);
+        const otherOutcome = outcomes.get(otherId);
+        if (!precedes(member, other) || otherOutcome?.end !== 'sent') continue;
+        // Who comes first is sent first, unless it is refused since its own time does not suffice.
+        if (outcome?.end === 'sent') expect(outcome.atMs).toBeLessThan(otherOutcome.atMs);
+        else expect(givesUpAtMs(member)).toBeLessThan(givesUpAtMs(other));
+      }
+  });
+});
+
+test('the first of the requests that wait is sent as soon as a place is free', () => {
+  check(CROWDS, (crowd) => {
+    const outcomes = outcomesOf(crowd);
+    const first = crowd.members.findIndex((member) =>
+      crowd.members.every((other) => other === member || precedes(member, other)),
+    );
+    if (first < 0) return;
+    expect(outcomes.get(first)).toMatchObject({
+      end: 'sent',
+      atMs: Math.ceil(crowd.freeAtMs / 10) * 10,
+    });
+  });
+});
+
+test('a request whose place is expected too late because of those ahead of it is refused at once', () => {
+  // The places are kept for 1 s each, and two requests end each second.
+  const crowdMember: CrowdMember = {
+    kind: 'safe',
+    priority: 0,
+    arrivedAtMs: 1100,
+    timeLeftMs: 1400,
+  };
+  const outcomes = outcomesOf({ freeAtMs: 1000, members: Array(6).fill(crowdMember) });
+  const refused = [...outcomes.values()].filter(({ end }) => end === 'refused');
+  expect(refused.length).toBeGreaterThan(0);
+  for (const { atMs } of refused) expect(atMs).toBe(1100);
+});
