Judge a silent runner by its route's response times and the client's time

What callers saw: a resumable stream or safe request whose runner went silent was moved after at most its route's latency target, whatever the route's runners usually take, and the runner was ejected for it; one with little time left was not moved while another runner could still have answered.

Cause: the timeout was four mean first events, but at most the latency target (and the target itself before an observation).

Now the silence must be unusual for the route (mean and four mean deviations, RFC 6298; 1 s before an observation), or this is the last tick that leaves another runner the time that it needs. 300 ms stay the minimum. The target is read nowhere in the tracker.

--- a/src/proxy/attempt-tracker.ts
+++ b/src/proxy/attempt-tracker.ts
@@ -1,4 +1,5 @@
 import { later, type Moment } from '../common/ids.js';
+import { latestStartAt } from './caller-time.js';
 import type { ResponseHead } from './dispatch-types.js';
 import type { DispatcherState } from './dispatcher-state.js';
 import type { RequestPlacement } from './request-placement.js';
@@ -19,6 +20,8 @@
 const FULL_RETRY_AFTER_MS = 250;
 /** How long after a request's deadline, when its client no longer waits, the attempt is cancelled. */
 const DEADLINE_GRACE_MS = 30;
+/** Ticks are at most this far apart, unless the process is stalled. */
+const MAX_TICK_MS = 60;
 /** The minimum time without any data from a runner after which a retryable request is moved to another one. */
 const MIN_RESPONSE_TIMEOUT_MS = 300;
 /** A runner that closed a connection early is ejected if it sent nothing on any connection for this long. */
@@ -236,16 +239,21 @@
     this.#placeAfterFailedConnect(now, request);
   }
 
-  /** Ejects the runner of a retryable request if it sends nothing on any connection, and retries the request. */
+  /**
+   * Retries a retryable request whose runner sends nothing on any connection: once that is unusual for responses of the
+   * route, which ejects the runner, or at the last moment at which another runner can still respond in the client's time.
+   */
   #checkUnresponsiveRunner(now: Moment, request: RoutedRequest): void {
     const runner = this.#runnerOf(request);
     if (!runner || !isRetryable(request)) return;
-    const { latencyTargetMs: targetMs } = request.route;
-    const averageMs = this.#state.responseTimes.meanMs(request.route) ?? targetMs;
-    const timeoutMs = Math.max(MIN_RESPONSE_TIMEOUT_MS, Math.min(averageMs * 4, targetMs));
-    if (now - request.sentAt < timeoutMs || runner.idleMs(now) < timeoutMs) return;
-    runner.eject(now);
-    if (!this.#state.retryPolicy.mayRetryUnresponsive(now, request)) return;
+    const { responseTimes, retryPolicy } = this.#state;
+    const silentMs = Math.min(now - request.sentAt, runner.idleMs(now));
+    if (silentMs < MIN_RESPONSE_TIMEOUT_MS) return;
+    const isUnusual = silentMs >= responseTimes.unusualMs(request.route);
+    if (isUnusual) runner.eject(now);
+    const latestAt = latestStartAt(request, responseTimes.neededMs(request.route));
+    if (now > latestAt || !(isUnusual || later(now, MAX_TICK_MS) > latestAt)) return;
+    if (!retryPolicy.mayRetryUnresponsive(now, request)) return;
     request.mayHaveRun = true;
     this.cancel(request);
     this.#retry(now, request);
