Queue requests before the first configuration by their clients' time

What callers saw: a request that reached a proxy in the first 350 ms after its start was refused although its client had seconds left and the configuration was due in 800 ms; one that came later was queued for half of its time left.

Cause: EarlyRequests kept a fixed window before the expected configuration and half of the time left.

Now a request is queued while the configuration is expected before its client gives up, and refused at once otherwise. No route is known yet, so the shortest silence timeout of any stream counts. Once the configuration is overdue, queued requests are refused too, since other proxies may be able to serve them.

--- a/src/proxy/client-timeout.ts
+++ b/src/proxy/client-timeout.ts
@@ -20,8 +20,16 @@
   );
 }
 
-/** When the client of a request that arrived at `arrivedAt` aborts it if nothing has been sent by then. */
-export function clientTimeoutAt(route: Route, arrivedAt: Moment, deadline: Moment): Moment {
+/**
+ * The shortest time that a client waits on any route, ms. `timeLeftMs`: the time that its request states; undefined if it
+ * states none.
+ */
+export function shortestClientTimeMs(timeLeftMs: number | undefined): number {
+  return Math.min(timeLeftMs ?? MIN_SILENCE_MS, MIN_SILENCE_MS);
+}
+
+/** When a client that has received nothing since `silentSince` aborts its request if nothing is sent until then. */
+export function clientTimeoutAt(route: Route, silentSince: Moment, deadline: Moment): Moment {
   const silenceMs = silenceTimeoutMs(route);
-  return silenceMs < deadline - arrivedAt ? later(arrivedAt, silenceMs) : deadline;
+  return silenceMs < deadline - silentSince ? later(silentSince, silenceMs) : deadline;
 }
--- a/src/proxy/early-requests.ts
+++ b/src/proxy/early-requests.ts
@@ -1,15 +1,17 @@
 import { later, type Moment } from '../common/ids.js';
+import { REFUSAL_LEAD_MS } from './caller-time.js';
+import { shortestClientTimeMs } from './client-timeout.js';
 import type { RequestOutcomes } from './request-outcomes.js';
 import type { RequestHead } from './dispatch-types.js';
 
-/** How long after its start a proxy usually knows its configuration. */
+/** How long after its first request a proxy that has just started usually knows its configuration. */
 const USUAL_STARTUP_MS = 800;
-/** Requests are queued only within this time before the configuration is expected. */
-const EARLY_QUEUE_WINDOW_MS = 450;
+/** After this time the configuration is overdue: nothing is known about when it will arrive. */
+const OVERDUE_MS = USUAL_STARTUP_MS * 2;
 /** Maximum number of queued requests. */
 const MAX_EARLY_REQUESTS = 500;
-/** Minimum retry delay given to the client of a rejected request. */
-const MIN_RETRY_AFTER_MS = 400;
+/** Retry delay given to clients when it is unknown when this proxy can serve them; other proxies may be able to. */
+const UNKNOWN_RETRY_AFTER_MS = 400;
 /** Retry delay given to clients when this process stops: other proxies can serve the request at once. */
 const STOPPED_RETRY_AFTER_MS = 100;
 
@@ -19,8 +21,8 @@
 }
 
 /**
- * Requests that arrived before this proxy had a configuration. Those that arrive shortly before it is expected are queued
- * until then; earlier ones are rejected, with a retry delay.
+ * Requests that arrived before this proxy had a configuration. They are queued while it is expected within the time of
+ * their clients. As long as no route is known, that is the shortest time that the clients of any route wait.
  */
 export class EarlyRequests {
   readonly #outcomes: RequestOutcomes;
@@ -34,17 +36,11 @@
   /** A request arrived: queues or rejects it. */
   add(now: Moment, head: RequestHead): void {
     this.#startedAt ??= now;
-    const expectedMs = USUAL_STARTUP_MS - (now - this.#startedAt);
-    if (
-      expectedMs > EARLY_QUEUE_WINDOW_MS ||
-      this.#requests.size >= MAX_EARLY_REQUESTS ||
-      expectedMs < -USUAL_STARTUP_MS
-    ) {
-      this.#outcomes.rejectUnrouted(head.id, 'no-config', Math.max(MIN_RETRY_AFTER_MS, expectedMs));
-      return;
-    }
-    const timeoutMs = Math.min(USUAL_STARTUP_MS, (head.timeLeftMs ?? USUAL_STARTUP_MS) / 2);
-    this.#requests.set(head.id, { head, rejectAt: later(now, timeoutMs) });
+    const rejectAt = later(now, shortestClientTimeMs(head.timeLeftMs) - REFUSAL_LEAD_MS);
+    const isFull = this.#requests.size >= MAX_EARLY_REQUESTS;
+    if (isFull || this.#isOverdue(now) || later(now, this.#expectedMs(now)) > rejectAt)
+      this.#reject(now, head.id);
+    else this.#requests.set(head.id, { head, rejectAt });
   }
 
   /** Removes and returns the queued requests, in order of arrival. */
@@ -66,12 +62,32 @@
     this.#requests.delete(id);
   }
 
-  /** Rejects requests that were queued for too long. */
+  /** Rejects requests whose time is used up, and all of them once the configuration is overdue. */
   tick(now: Moment): void {
     for (const [id, { rejectAt }] of this.#requests) {
-      if (now < rejectAt) continue;
+      if (now < rejectAt && !this.#isOverdue(now)) continue;
       this.#requests.delete(id);
-      this.#outcomes.rejectUnrouted(id, 'no-config', MIN_RETRY_AFTER_MS);
+      this.#reject(now, id);
     }
   }
+
+  /** Time until the configuration is expected, ms; 0 if it is late. */
+  #expectedMs(now: Moment): number {
+    return Math.max(0, USUAL_STARTUP_MS - this.#ageMs(now));
+  }
+
+  #isOverdue(now: Moment): boolean {
+    return this.#ageMs(now) > OVERDUE_MS;
+  }
+
+  /** Time since the first request, ms. */
+  #ageMs(now: Moment): number {
+    return now - (this.#startedAt ?? now);
+  }
+
+  #reject(now: Moment, id: number): void {
+    const expectedMs = this.#expectedMs(now);
+    const retryAfterMs = expectedMs > 0 ? expectedMs : UNKNOWN_RETRY_AFTER_MS;
+    this.#outcomes.rejectUnrouted(id, 'no-config', retryAfterMs);
+  }
 }
