Send nothing with less time than any response takes, and tell when to come back

What callers saw: a request was sent to a runner with any time left above zero, so that a runner began work that its client could not receive; a retry was judged by the deadline although the client of a stream gives up earlier; and a client whose runner was full, or did not have the model, was told to come back after fixed 250 and 150 ms, long before a place or the model was there.

Cause: RequestPlacement compared with the deadline alone, RetryPolicy with the deadline in place of the client's time, and AttemptTracker had constants.

Now 60 ms of the client's time must be left (a round trip and a step of an engine), and Retry-After says when the load is expected to be complete, or how long runners of the service were seen to stay full.

Evidence: three new tests fail on the commit before, and so does the corrected one of the retry policy: it expected a retry at 4.94 s for a stream whose client gives up after 4.8 s. Its new limits are as exact.

--- a/src/proxy/attempt-tracker.ts
+++ b/src/proxy/attempt-tracker.ts
@@ -15,9 +15,6 @@
 const MISDIRECTED = 421;
 /** Status of a runner at which the request's deadline passed. */
 const GATEWAY_TIMEOUT = 504;
-/** Retry delays for a client whose request the runner did not process: the model is missing, or the runner is full. */
-const MISSING_RETRY_AFTER_MS = 150;
-const FULL_RETRY_AFTER_MS = 250;
 /** How long after a request's deadline, when its client no longer waits, the attempt is cancelled. */
 const DEADLINE_GRACE_MS = 30;
 /** Ticks are at most this far apart, unless the process is stalled. */
@@ -139,12 +136,15 @@
     this.#releaseRunner(request);
     if (runner) recordRejection(now, request, runner, isMissing);
     if (this.#state.retryPolicy.mayRetryUnprocessed(now, request)) this.#retry(now, request);
-    else
-      this.#state.outcomes.reject(
-        request,
-        'full',
-        isMissing ? MISSING_RETRY_AFTER_MS : FULL_RETRY_AFTER_MS,
-      );
+    else this.#state.outcomes.reject(request, 'full', this.#retryAfterMs(now, request, isMissing));
+  }
+
+  /** When the model that the runner does not have is expected to be loaded, or else a place to be free, ms from now. */
+  #retryAfterMs(now: Moment, request: RoutedRequest, isMissing: boolean): number {
+    const { loadEstimate, picker, placeEstimate } = this.#state;
+    const isLoadNeeded = isMissing && !picker.isLoaded(now, request);
+    const loadMs = isLoadNeeded ? loadEstimate.expectedMs(now, request) : undefined;
+    return loadMs ?? placeEstimate.retryAfterMs(now, request);
   }
 
   /** Bytes of the response arrived from the runner. */
--- a/src/proxy/dispatcher.test.ts
+++ b/src/proxy/dispatcher.test.ts
@@ -713,3 +713,41 @@
   const ofStream = bench.effects().filter((text) => text.startsWith(`${stream} `));
   expect(ofStream).toEqual([`${stream} to c`]);
 });
+test('a request is not sent to a runner with less time than any response takes', () => {
+  const bench = new Bench([runner('a', 'za', ['m'])]);
+  const late = bench.request('/check/1', { timeLeftMs: 59 });
+  expect(bench.effects()).toEqual([`${late} rejected late 100`]);
+  const exact = bench.request('/check/1', { timeLeftMs: 60 });
+  expect(bench.effects()).toEqual([`${exact} to a`]);
+});
+test('a client whose runner did not have the model is told when it is expected to be loaded', () => {
+  const bench = new Bench([runner('a', 'za', ['m'])]);
+  const id = bench.request('/verdict/1');
+  bench.connect(id);
+  bench.respond(id, 421, true);
+  // The configured load time of 600 ms, half as much again, and 200 ms for the order.
+  expect(bench.effects()).toEqual([`${id} to a`, `${id} rejected full 1100`]);
+});
+test('a client whose runners are full is told how long runners usually stay full', () => {
+  const bench = new Bench([runner('a', 'za', ['m'])]);
+  for (let round = 0; round < 30; round += 1) {
+    // Full for 700 ms, as two requests are told, and then free again.
+    for (const pauseMs of [700, 500]) {
+      const refused = bench.request('/verdict/1');
+      bench.connect(refused);
+      bench.respond(refused, 503, true);
+      bench.now += pauseMs;
+    }
+    const served = bench.request('/verdict/1');
+    bench.connect(served);
+    bench.respond(served, 200);
+    bench.dispatcher.onData(moment(bench.now), served, 1);
+    bench.dispatcher.onComplete(moment(bench.now), served, 1);
+  }
+  bench.effects();
+  const last = bench.request('/verdict/1');
+  bench.connect(last);
+  bench.respond(last, 503, true);
+  // From the first refusal to the end of the back-off after the last one.
+  expect(bench.effects()).toEqual([`${last} to a`, `${last} rejected full 760`]);
+});
--- a/src/proxy/request-placement.ts
+++ b/src/proxy/request-placement.ts
@@ -1,5 +1,5 @@
 import { later, type Moment } from '../common/ids.js';
-import { latestStartAt } from './caller-time.js';
+import { hasTimeToRun, latestStartAt } from './caller-time.js';
 import type { DispatcherState } from './dispatcher-state.js';
 import { QueueOutlook } from './queue-outlook.js';
 import { isUntried, type RoutedRequest } from './routed-request.js';
@@ -63,7 +63,7 @@
 
   /** Sends the request if a runner can take it; returns whether it does. */
   #trySend(now: Moment, request: RoutedRequest): boolean {
-    if (now >= request.deadline) return false;
+    if (!hasTimeToRun(now, request)) return false;
     const runner = this.#state.picker.pick(now, request);
     if (runner) this.#send(now, request, runner);
     return runner !== undefined;
@@ -80,8 +80,8 @@
     aheadCount: number,
   ): boolean {
     const { outcomes, requests } = this.#state;
-    // Its deadline may have passed during a stall of this process, or before it arrived.
-    if (now >= request.deadline) outcomes.expire(request);
+    // Its time may have passed during a stall of this process, or before it arrived.
+    if (!hasTimeToRun(now, request)) outcomes.expire(request);
     else if (outlook.needsLoad(request)) this.#awaitLoad(now, request);
     else this.#awaitPlace(now, request, outlook.placeMs(request, aheadCount));
     return requests.waiting.has(request);
--- a/src/proxy/retry-policy.test.ts
+++ b/src/proxy/retry-policy.test.ts
@@ -35,10 +35,11 @@
   request.attemptsSent = 1;
   request.triedRunners.add('a');
   expect(retry.mayRetry(at(0), request)).toBe(true);
-  expect([retry.mayRetry(at(4939), request), retry.mayRetry(at(4940), request)]).toEqual([
-    true,
-    false,
-  ]);
+  // The client of the stream gives up after 4.8 s without an event; 60 ms before, no runner responds in time any more.
+  expect([4740, 4741].map((now) => retry.mayRetry(at(now), request))).toEqual([true, false]);
+  // It has received an event: its deadline comes first.
+  request.clientSilentSince = at(1000);
+  expect([4940, 4941].map((now) => retry.mayRetry(at(now), request))).toEqual([true, false]);
   expect(retry.mayRetryUnresponsive(at(0), request)).toBe(true);
   request.triedRunners.add('b');
   expect([retry.mayRetry(at(0), request), retry.mayRetryUnresponsive(at(0), request)]).toEqual([
--- a/src/proxy/retry-policy.ts
+++ b/src/proxy/retry-policy.ts
@@ -1,7 +1,8 @@
 import type { Moment } from '../common/ids.js';
 import type { FleetView } from './fleet-view.js';
 import { RetryBudget, type RetryBudgetSettings } from './retry-budget.js';
-import { MIN_TIME_LEFT_MS, type RoutedRequest } from './routed-request.js';
+import { hasTimeToRun } from './caller-time.js';
+import type { RoutedRequest } from './routed-request.js';
 import type { RunnerPicker } from './runner-picker.js';
 
 /**
@@ -30,7 +31,7 @@
   mayRetry(now: Moment, request: RoutedRequest): boolean {
     return (
       request.attemptsSent < request.route.maxAttempts &&
-      now < request.deadline - MIN_TIME_LEFT_MS &&
+      hasTimeToRun(now, request) &&
       this.#picker.hasAvailable(now, request) &&
       this.#spend(now, request)
     );
--- a/src/proxy/routed-request.ts
+++ b/src/proxy/routed-request.ts
@@ -2,9 +2,6 @@
 import type { Route, Service } from '../route/routing.js';
 import type { RequestHead, ResponseHead } from './dispatch-types.js';
 
-/** Minimum time left until its deadline, ms, with which a request is still sent: a runner must have time to respond. */
-export const MIN_TIME_LEFT_MS = 60;
-
 /** Phase of a request: waiting for a runner, connecting, written to a runner, or its response being forwarded. */
 export type RequestPhase = 'waiting' | 'connecting' | 'sent' | 'responding';
 
