Queue a request of the policy table that is sent again behind those of more weight

What callers saw: a request whose runner was full went to the head of all that waited, whatever its weight, so that a repeat of a light row was served before heavier rows.

Cause: PolicyRouter put it at the front of the pending requests; only new ones were sorted in. Now both go through the same insertion.

--- a/src/proxy/policy-router.test.ts
+++ b/src/proxy/policy-router.test.ts
@@ -211,6 +211,18 @@
   expect(proxy.drainVerdicts().sort()).toEqual(['3 crowded', '4 crowded', '5 crowded']);
   expect(proxy.now).toBeLessThanOrEqual(3400);
 });
+test('a request that is sent to another runner waits behind those of more weight', () => {
+  const proxy = new TestProxy(1);
+  proxy.request('light');
+  proxy.request('light');
+  expect(proxy.drainVerdicts()).toEqual(['1 runs at a', '2 runs at b']);
+  proxy.request('heavy');
+  // Runner a is full; request 1 has to wait for b, and so has the heavier one.
+  proxy.router.onUnprocessed(moment(0), 1, 'full');
+  expect(proxy.drainVerdicts()).toEqual([]);
+  proxy.router.onRunCompleted(moment(10), 2);
+  expect(proxy.drainVerdicts()).toEqual(['3 runs at b']);
+});
 test('a proxy without a recent freshness confirmation rejects new requests', () => {
   const proxy = new TestProxy();
   proxy.now = 2499;
--- a/src/proxy/policy-router.ts
+++ b/src/proxy/policy-router.ts
@@ -18,9 +18,8 @@
 import { RunnerPool } from './runner-pool.js';
 import { PolicyView } from './policy-view.js';
 
-/** How long a request may wait before it is rejected, as a share of its row's time limit. */
+/** How long a request may wait, and wait and run by the estimate, as shares of its row's time limit. */
 const MAX_WAIT_SHARE = 1 / 3;
-/** How long its wait and its run may take by the estimate, as a share of the same limit. */
 const MAX_ESTIMATED_SHARE = 1 / 2;
 const STALE_TEXT = 'this proxy has not heard from the control nodes';
 const DRAINING_TEXT = 'this proxy is being stopped';
@@ -39,7 +38,7 @@
   readonly #pending: AdmittedRequest[] = [];
   readonly #budgets: ServiceBudgets;
   readonly #picker: PolicyPicker;
-  #verdicts: RoutingVerdict[] = [];
+  readonly #verdicts: RoutingVerdict[] = [];
   #isDraining = false;
 
   constructor(settings: PolicyRouterSettings) {
@@ -84,9 +83,7 @@
 
   /** Returns the verdicts to carry out, in order, and clears them. */
   drainVerdicts(): RoutingVerdict[] {
-    const verdicts = this.#verdicts;
-    this.#verdicts = [];
-    return verdicts;
+    return this.#verdicts.splice(0);
   }
 
   // ---- configuration and fleet
@@ -205,9 +202,14 @@
 
   // ---- pending
 
-  #enqueue(now: Moment, request: AdmittedRequest): void {
+  /** Adds a request, new or repeated, to those that wait, in the order in which they are served. */
+  #insert(request: AdmittedRequest): void {
     this.#pending.push(request);
     this.#pending.sort(byWeight);
+  }
+
+  #enqueue(now: Moment, request: AdmittedRequest): void {
+    this.#insert(request);
     if (this.#pending.length > this.#settings.maxPending) {
       const last = this.#pending.pop();
       if (last) {
@@ -379,7 +381,7 @@
     // Rejections must come early: at most a third of the time limit is spent on finding a runner.
     const isWaitExhausted = now >= later(request.arrivedAt, request.row.lateMs * MAX_WAIT_SHARE);
     if (!hasOther || this.#isDraining || isWaitExhausted) this.#reject(request.info.id, kind, text);
-    else this.#pending.unshift(request);
+    else this.#insert(request);
     this.#startPending(now);
     this.#shedLoad(now);
   }
