Hold the use of a route's targets to the client's silence timeout

A test reads the sources of proxy, agent, control and placement: the two targets are read in client-timeout.ts alone. The comments of the two fields say what they decide.

--- a/src/proxy/client-timeout.test.ts
+++ b/src/proxy/client-timeout.test.ts
@@ -1,3 +1,6 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { expect, test } from 'vitest';
 import type { Route } from '../route/routing.js';
 import { clientTimeoutAt, silenceTimeoutMs } from './client-timeout.js';
@@ -30,3 +33,15 @@
   expect(clientTimeoutAt(route, at(100), at(6100))).toBe(2500);
   expect(clientTimeoutAt(route, at(100), at(1100))).toBe(1100);
 });
+
+test('the targets of a route are read where its silence timeout is computed, and nowhere else', () => {
+  const source = fileURLToPath(new URL('..', import.meta.url));
+  const readers: string[] = [];
+  for (const folder of ['proxy', 'placement', 'agent', 'control'])
+    for (const file of readdirSync(join(source, folder))) {
+      if (!file.endsWith('.ts') || file.endsWith('.test.ts')) continue;
+      const text = readFileSync(join(source, folder, file), 'utf8');
+      if (/latencyTargetMs|gapTargetMs/.test(text)) readers.push(`${folder}/${file}`);
+    }
+  expect(readers).toEqual(['proxy/client-timeout.ts']);
+});
--- a/src/route/routing.ts
+++ b/src/route/routing.ts
@@ -20,9 +20,12 @@
   readonly kind: RouteKind;
   /** Maximum duration of a request, in milliseconds. */
   readonly timeoutMs: number;
-  /** Latency within which a response has its full value, in milliseconds; for streams, the latency of the first event. */
+  /**
+   * The latency that the operator wants, in milliseconds; for streams, of the first event. It decides how long the clients
+   * of a stream stay without an event, and nothing else.
+   */
   readonly latencyTargetMs: number;
-  /** Maximum gap between events with which a stream still counts as in time, in milliseconds. */
+  /** The gap between events that the operator wants at most, in milliseconds; used in the same way. */
   readonly gapTargetMs: number;
   /** The priority; 0 is the highest. */
   readonly priority: number;
