Let requests pass a head of their queue whose time is used up

What callers saw: when the time of the first request of a queue had passed and no tick had noticed it yet, as after a stall of this process, a place that became free was given to nobody until the next tick, though others waited.

Cause: sendWaiting took the failure to send an untried request as proof that no runner can take any of its queue; a request without time left is not sent for its own reason.

Now such a request is skipped, and only one that could have been sent stands for the rest of its queue.

--- a/src/proxy/dispatcher.test.ts
+++ b/src/proxy/dispatcher.test.ts
@@ -717,6 +717,20 @@
   const ofStream = bench.effects().filter((text) => text.startsWith(`${stream} `));
   expect(ofStream).toEqual([`${stream} to c`]);
 });
+// Guards against requests that wait needlessly after a stall of this process, while the time of those ahead has passed.
+test('a request whose time has passed does not keep a free place from those behind it', () => {
+  const bench = new Bench([runner('w', 'za', [], { service: 'web' })]);
+  const occupying: number[] = [];
+  // Nine tenths of the 110 connections that the runner accepts.
+  for (let count = 0; count < 99; count += 1) occupying.push(bench.request('/lookup/1'));
+  for (const id of occupying) bench.connect(id);
+  bench.request('/lookup/2', { timeLeftMs: 300 });
+  const waiting = bench.request('/lookup/3');
+  bench.effects();
+  // No tick has noticed that the first of them has run out of time.
+  bench.dispatcher.onComplete(moment(400), occupying[0] ?? 0, 1);
+  expect(bench.effects()).toEqual([`${waiting} to w`]);
+});
 test('a request is not sent to a runner with less time than any response takes', () => {
   const bench = new Bench([runner('a', 'za', ['m'])]);
   const late = bench.request('/check/1', { timeLeftMs: 59 });
--- a/src/proxy/request-placement.ts
+++ b/src/proxy/request-placement.ts
@@ -56,8 +56,9 @@
   sendWaiting(now: Moment): void {
     this.#state.requests.waiting.offer((request) => {
       if (this.#trySend(now, request)) return 'started';
-      // A request that was tried somewhere may be sent to fewer runners than the others.
-      return isUntried(request) ? 'blocked' : 'skipped';
+      // Others of its queue may be sent although this one may not: its time has passed, or it was tried somewhere.
+      const standsForOthers = hasTimeToRun(now, request) && isUntried(request);
+      return standsForOthers ? 'blocked' : 'skipped';
     });
   }
 
