Bound the memory of requests in progress, and gather bodies in one buffer

Callers lost their proxy: 40 clients that sent bodies in chunks of one byte and stopped short of their end ended it, and 80 that sent 4 MiB less one chunk held 382 MB (379 with an announced length) of the 250 MB that the settings allow, for as long as they stayed.

Cause: readBytes kept one Buffer for each chunk, some hundred bytes for one, and only a single body was bounded, never their sum; memory_mb was read from the settings and used nowhere.

A request now reserves the memory of its head and of its body, before that is read on, from one account of the server, sized by memory_mb and the heap limit; it is returned when the response has ended. A body is copied into one buffer that grows by doubling. Where the account is used up, whoever has made no progress for the longest gives way among the bodies that are still being read, with 503 and a closed connection, so that bodies that never end keep nobody out.

--- a/src/proxy/client-server.ts
+++ b/src/proxy/client-server.ts
@@ -1,15 +1,18 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { readBytes } from '../common/call.js';
+import { BoundedServer, type BoundedRequest } from '../common/bounded-server.js';
 import type { Counters } from '../common/counters.js';
+import type { IntakeLimits } from '../common/intake-limits.js';
 import { bindServer } from '../common/listen.js';
+import { announcedBodyBytes, type BodyOutcome } from '../common/request-body.js';
 import type { Limits } from '../route/routing.js';
 import type { ClientConnections } from './client-connections.js';
 import type { ClientExchange } from './client-exchange.js';
 import type { RequestDialect } from './request-dialect.js';
 import type { EventLoopGuard } from './event-loop-guard.js';
 
+const STATUS_TOO_LARGE = 413;
 /** The limits that apply until a configuration has arrived. */
 const INITIAL_LIMITS: Limits = {
   maxHeaderBytes: 64 * 1024,
@@ -18,6 +21,9 @@
   idleMs: 15_000,
 };
 
+/** When a client that was refused for want of memory may come back, ms. */
+const OVERLOAD_RETRY_AFTER_MS = 1000;
+
 /** Provides the operators' limits; `routing` is undefined until a configuration has arrived. */
 export interface LimitSource {
   readonly routing: { readonly limits: Limits } | undefined;
@@ -32,7 +38,7 @@
   readonly #eventLoopGuard: EventLoopGuard;
   /** Called with each request that was read completely and whose client is still connected. */
   readonly #onRequest: (exchange: ClientExchange) => void;
-  readonly #server: Server;
+  readonly #server: BoundedServer;
   #lastExchangeId = 0;
 
   constructor(
@@ -42,6 +48,7 @@
     connections: ClientConnections<ClientExchange>,
     eventLoopGuard: EventLoopGuard,
     onRequest: (exchange: ClientExchange) => void,
+    limits: IntakeLimits,
   ) {
     this.#source = source;
     this.#dialect = dialect;
@@ -49,8 +56,10 @@
     this.#connections = connections;
     this.#eventLoopGuard = eventLoopGuard;
     this.#onRequest = onRequest;
-    this.#server = createServer(
-      {
+    this.#server = new BoundedServer({
+      limits,
+      counters,
+      options: {
         maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes,
         requestTimeout: 0,
         headersTimeout: INITIAL_LIMITS.headerWaitMs,
@@ -58,37 +67,38 @@
         connectionsCheckingInterval: 1000,
         noDelay: true,
       },
-      (request, response) => this.#onRequestHead(request, response),
-    );
-    this.#server.on('clientError', (error, socket) => this.#onClientError(error, socket));
+      onRequest: (request) => this.#onRequestHead(request),
+      overloadHeaders: dialect.rejection('full', OVERLOAD_RETRY_AFTER_MS).headers,
+    });
+    this.#server.http.on('clientError', (error, socket) => this.#onClientError(error, socket));
   }
 
   /** Listens at the address; resolves with the port. */
   listen(address: string): Promise<number> {
-    return bindServer(this.#server, address);
+    return bindServer(this.#server.http, address);
   }
 
   /** Applies the operators' limits on the size and pace of requests. */
   applyLimits(): void {
     const limits = this.#source.routing?.limits;
     if (!limits) return;
-    this.#server.headersTimeout = limits.headerWaitMs;
-    if (limits.idleMs !== this.#server.keepAliveTimeout)
+    this.#server.http.headersTimeout = limits.headerWaitMs;
+    if (limits.idleMs !== this.#server.http.keepAliveTimeout)
       this.#connections.setIdleTimeout(limits.idleMs);
-    this.#server.keepAliveTimeout = limits.idleMs;
+    this.#server.http.keepAliveTimeout = limits.idleMs;
     // Node reads this property for each new connection, although its type declarations don't list it.
-    Reflect.set(this.#server, 'maxHeaderSize', limits.maxHeaderBytes);
+    Reflect.set(this.#server.http, 'maxHeaderSize', limits.maxHeaderBytes);
   }
 
   /** Stops accepting connections, and closes idle ones. */
   close(): void {
-    this.#server.close();
+    this.#server.http.close();
     this.closeIdle();
   }
 
   /** Closes idle connections. */
   closeIdle(): void {
-    this.#server.closeIdleConnections();
+    this.#server.http.closeIdleConnections();
   }
 
   #onClientError(error: Error & { code?: string }, socket: Duplex): void {
@@ -103,21 +113,21 @@
     socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
   }
 
-  async #onRequestHead(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #onRequestHead(bounded: BoundedRequest): Promise<void> {
     this.#counters.add('requests');
+    const { request } = bounded;
     const { maxBodyBytes } = this.#source.routing?.limits ?? INITIAL_LIMITS;
     this.#connections.onRequestHead(request);
-    let body: Buffer;
-    try {
-      if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
-        this.#rejectTooLarge(request, response);
-        return;
-      }
-      body = await readBytes(request, maxBodyBytes);
-    } catch {
-      if (!response.destroyed) this.#rejectTooLarge(request, response);
+    if ((announcedBodyBytes(request) ?? 0) > maxBodyBytes) {
+      this.#onUnreadable(bounded, { kind: 'too-large' });
       return;
     }
+    const outcome = await bounded.readBody(maxBodyBytes);
+    if (outcome.kind === 'complete') await this.#onBody(bounded, outcome.body);
+    else this.#onUnreadable(bounded, outcome);
+  }
+
+  async #onBody({ request, response }: BoundedRequest, body: Buffer): Promise<void> {
     // The client may have disconnected during an event loop stall. Pending socket events are read first, so that no
     // request is run whose client is gone.
     if (this.#eventLoopGuard.isRecovering) await this.#eventLoopGuard.drainSockets();
@@ -126,13 +136,38 @@
     else this.#counters.add('clients.gone');
   }
 
-  #exchangeOf(request: IncomingMessage, response: ServerResponse, body: Buffer): ClientExchange {
+  /** The request can't be read completely: it isn't run, and its client is told why. */
+  #onUnreadable(
+    bounded: BoundedRequest,
+    outcome: Exclude<BodyOutcome, { readonly kind: 'complete' }>,
+  ): void {
+    const { request, response } = bounded;
+    switch (outcome.kind) {
+      case 'too-large':
+        this.#connections.onRequestAborted(request);
+        this.#counters.add('intake.too-large');
+        this.#server.refuse(request, response, STATUS_TOO_LARGE);
+        break;
+      case 'revoked':
+        this.#connections.onRequestAborted(request);
+        this.#server.refuseOverload(bounded);
+        break;
+      case 'aborted':
+        break;
+    }
+  }
+
+  #exchangeOf(
+    clientRequest: IncomingMessage,
+    clientResponse: ServerResponse,
+    body: Buffer,
+  ): ClientExchange {
     this.#lastExchangeId += 1;
-    const annotations = this.#dialect.readRequest(request.headers);
+    const annotations = this.#dialect.readRequest(clientRequest.headers);
     return {
       id: this.#lastExchangeId,
-      clientRequest: request,
-      clientResponse: response,
+      clientRequest,
+      clientResponse,
       body,
       annotations,
       attempt: undefined,
@@ -141,12 +176,6 @@
       hasEventWithoutId: false,
     };
   }
-
-  #rejectTooLarge(request: IncomingMessage, response: ServerResponse): void {
-    this.#connections.onRequestAborted(request);
-    request.resume();
-    response.writeHead(413, { connection: 'close', 'content-length': 0 }).end();
-  }
 }
 
 /** The status code and reason phrase for a request that Node could not parse, or that arrived too slowly. */
--- a/src/proxy/forwarder.ts
+++ b/src/proxy/forwarder.ts
@@ -1,5 +1,6 @@
 import type { Counters } from '../common/counters.js';
 import type { Moment } from '../common/ids.js';
+import { DEFAULT_INTAKE_LIMITS, type IntakeLimits } from '../common/intake-limits.js';
 import { ResponseRelay } from './response-relay.js';
 import { AttemptHandler } from './attempt-handler.js';
 import { ClientConnections } from './client-connections.js';
@@ -50,6 +51,7 @@
     now: () => Moment,
     afterEffects: () => void,
     agent: RunnerAgent = new RunnerAgent(),
+    limits: IntakeLimits = DEFAULT_INTAKE_LIMITS,
   ) {
     this.#agent = agent;
     this.#dispatcher = dispatcher;
@@ -64,6 +66,7 @@
       this.#connections,
       this.#eventLoopGuard,
       (exchange) => this.#onRequest(exchange),
+      limits,
     );
     const attemptHandler = new AttemptHandler(dispatcher, counters, now, () => this.applyEffects());
     this.#responseWriter = new ResponseWriter(this.#connections, dialect, counters);
--- a/src/proxy/proxy-process.ts
+++ b/src/proxy/proxy-process.ts
@@ -4,6 +4,7 @@
 import { monotonicNow } from '../common/clock.js';
 import { Counters } from '../common/counters.js';
 import type { HaretrackError } from '../common/errors.js';
+import type { IntakeLimits } from '../common/intake-limits.js';
 import { parseAs } from '../common/json.js';
 import { newIncarnation } from '../common/incarnation.js';
 import { bindServer, parseAddress } from '../common/listen.js';
@@ -35,6 +36,8 @@
   readonly graceMs: number;
   /** How long the proxy goes on serving new requests after it has stopped reporting itself ready. */
   readonly lameDuckMs: number;
+  /** What clients may occupy of the process. */
+  readonly intake?: IntakeLimits;
 }
 
 const TICK_MS = 50;
@@ -97,6 +100,7 @@
       monotonicNow,
       () => this.#afterEffects(),
       agent,
+      settings.intake,
     );
     this.#readiness = createServer({ keepAliveTimeout: 30_000 }, (request, response) =>
       this.#answerReadiness(request, response),
