Bound the requests in progress on one connection

Callers lost their proxy: 60 clients that sent requests ahead and read no answer ended it (GET and HEAD without the usual headers, a host that no route names, no host, small bodies; five tests of hostile-clients.test.ts).

Cause: Node's parser gets up to 64 KiB and reports all requests in it, over a thousand, in one turn; each became a request, a response and an exchange that waited behind the others. What stops the reading counts bytes of responses, not requests, and Node's own answers to requests without a host never came to the proxy at all.

Node's own answers to missing hosts and unknown expectations are given by the server itself, with the same statuses, so that they are counted.

--- /dev/null
+++ b/src/common/bounded-request.ts
@@ -0,0 +1,50 @@
+/** A request of a client, and the memory that is reserved for it. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { MemoryAccount, Reservation } from './memory-account.js';
+import { RequestBodyReader, type BodyOutcome } from './request-body.js';
+
+/** Memory of a request besides its head and body: the objects that represent it, bytes. */
+const REQUEST_OBJECTS_BYTES = 8192;
+/** Memory of a name or value in a head besides its characters, bytes. */
+const HEADER_TEXT_BYTES = 64;
+
+/** A request whose head was received, and the memory that is reserved for it. */
+export class BoundedRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly #reservation: Reservation;
+  /** The connection on which the request came. */
+  readonly socket: Socket;
+  #reader: RequestBodyReader | undefined;
+
+  constructor(request: IncomingMessage, response: ServerResponse, account: MemoryAccount) {
+    this.request = request;
+    this.response = response;
+    this.socket = request.socket;
+    this.#reservation = account.open((reason) => this.#reader?.onRevoked(reason));
+  }
+
+  /** Reserves the memory of the head; returns false if it isn't to be had. */
+  reserveHead(): boolean {
+    return this.#reservation.reserve(headBytes(this.request));
+  }
+
+  /** Reads the body, of which `maxBytes` are allowed; its memory stays reserved until the response ends. */
+  readBody(maxBytes: number): Promise<BodyOutcome> {
+    this.#reader = new RequestBodyReader(this.request, this.#reservation, maxBytes);
+    return this.#reader.read();
+  }
+
+  /** The request has ended: returns its memory. */
+  release(): void {
+    this.#reservation.release();
+  }
+}
+
+/** Memory of a request's head, bytes. */
+function headBytes({ rawHeaders, url = '' }: IncomingMessage): number {
+  let bytes = REQUEST_OBJECTS_BYTES + url.length;
+  for (const text of rawHeaders) bytes += text.length + HEADER_TEXT_BYTES;
+  return bytes;
+}
--- /dev/null
+++ b/src/common/bounded-server.test.ts
@@ -0,0 +1,154 @@
+import { connect, type Socket } from 'node:net';
+import { afterEach, expect, test } from 'vitest';
+import type { BoundedRequest } from './bounded-request.js';
+import { BoundedServer } from './bounded-server.js';
+import { Counters } from './counters.js';
+import type { IntakeLimits } from './intake-limits.js';
+import { bindServer } from './listen.js';
+
+const LIMITS: IntakeLimits = { requestBytes: 200_000, connections: 20, requestsPerConnection: 8 };
+const MAX_BODY_BYTES = 50_000;
+const REQUEST = 'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok';
+
+/** A server that answers each request with its body, or holds it until it is told to answer. */
+class TestServer {
+  readonly counters = new Counters();
+  readonly held: BoundedRequest[] = [];
+  readonly bounded: BoundedServer;
+  readonly sockets: Socket[] = [];
+  isHolding = false;
+  port = 0;
+
+  constructor(limits: Partial<IntakeLimits> = {}) {
+    this.bounded = new BoundedServer({
+      limits: { ...LIMITS, ...limits },
+      counters: this.counters,
+      onRequest: (request) => this.#onRequest(request),
+      overloadHeaders: { 'retry-after': '1' },
+    });
+  }
+
+  async start(): Promise<this> {
+    this.port = await bindServer(this.bounded.http, '127.0.0.1:0');
+    return this;
+  }
+
+  /** Connects a client, whose received text grows as it arrives. */
+  client(): TestClient {
+    const client = new TestClient(this.port);
+    this.sockets.push(client.socket);
+    return client;
+  }
+
+  stop(): void {
+    for (const socket of this.sockets) socket.destroy();
+    this.bounded.http.close();
+  }
+
+  async #onRequest(bounded: BoundedRequest): Promise<void> {
+    const outcome = await bounded.readBody(MAX_BODY_BYTES);
+    if (outcome.kind === 'revoked') this.bounded.refuseOverload(bounded);
+    if (outcome.kind === 'too-large') this.bounded.refuse(bounded.request, bounded.response, 413);
+    if (outcome.kind !== 'complete') return;
+    if (this.isHolding) this.held.push(bounded);
+    else bounded.response.end(outcome.body);
+  }
+}
+
+class TestClient {
+  readonly socket: Socket;
+  received = '';
+  isClosed = false;
+
+  constructor(port: number) {
+    this.socket = connect(port, '127.0.0.1');
+    this.socket.on('data', (data) => this.#onData(data));
+    this.socket.on('error', () => undefined);
+    this.socket.once('close', () => this.#onClose());
+  }
+
+  /** The status codes received, in order. */
+  get statuses(): string[] {
+    return [...this.received.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(([, status = '']) => status);
+  }
+
+  #onData(data: Buffer): void {
+    this.received += data.toString('latin1');
+  }
+
+  #onClose(): void {
+    this.isClosed = true;
+  }
+}
+
+let server: TestServer | undefined;
+afterEach(() => server?.stop());
+
+async function start(limits?: Partial<IntakeLimits>): Promise<TestServer> {
+  server = await new TestServer(limits).start();
+  return server;
+}
+
+test('as many requests as are allowed on a connection are answered in order', async () => {
+  const { client } = await startWithClient();
+  client.socket.write(REQUEST.repeat(LIMITS.requestsPerConnection));
+  await expect.poll(() => client.statuses).toEqual(Array(LIMITS.requestsPerConnection).fill('200'));
+});
+
+test('a connection with more requests in progress than allowed is closed, and its memory returned', async () => {
+  const { running, client } = await startWithClient();
+  running.isHolding = true;
+  client.socket.write(REQUEST.repeat(LIMITS.requestsPerConnection + 1));
+  await expect.poll(() => client.isClosed).toBe(true);
+  expect(client.statuses).toEqual([]);
+  await expect.poll(() => running.bounded.reservedBytes).toBe(0);
+  expect(running.counters.get('intake.requests-ahead')).toBe(1);
+});
+
+test('a request without a host, and one with an expectation, are refused and counted', async () => {
+  const { running, client } = await startWithClient();
+  client.socket.write('GET / HTTP/1.1\r\n\r\n');
+  await expect.poll(() => client.statuses).toEqual(['400']);
+  const other = running.client();
+  other.socket.write('GET / HTTP/1.1\r\nHost: h\r\nExpect: nothing\r\n\r\n');
+  await expect.poll(() => other.statuses).toEqual(['417']);
+  await expect.poll(() => running.bounded.reservedBytes).toBe(0);
+});
+
+test('a body gives way to a later request, with a status that says that it has not run', async () => {
+  const { running, client } = await startWithClient({ requestBytes: 60_000 });
+  client.socket.write('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n');
+  client.socket.write('x'.repeat(40_000));
+  await expect.poll(() => running.bounded.reservedBytes).toBeGreaterThan(40_000);
+  const other = running.client();
+  other.socket.write(
+    `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n${'y'.repeat(20_000)}`,
+  );
+  await expect.poll(() => other.statuses).toEqual(['200']);
+  await expect.poll(() => client.statuses).toEqual(['503']);
+  await expect.poll(() => client.isClosed).toBe(true);
+  expect(client.received).toContain('retry-after: 1');
+  await expect.poll(() => running.bounded.reservedBytes).toBe(0);
+});
+
+test('clients that leave in the middle of a body or of a response leave nothing reserved', async () => {
+  const { running, client } = await startWithClient();
+  running.isHolding = true;
+  client.socket.write(
+    REQUEST + REQUEST + 'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx',
+  );
+  await expect.poll(() => running.held.length).toBe(2);
+  expect(running.bounded.reservedBytes).toBeGreaterThan(0);
+  client.socket.resetAndDestroy();
+  await expect.poll(() => running.bounded.reservedBytes).toBe(0);
+});
+
+interface Started {
+  readonly running: TestServer;
+  readonly client: TestClient;
+}
+
+async function startWithClient(limits?: Partial<IntakeLimits>): Promise<Started> {
+  const running = await start(limits);
+  return { running, client: running.client() };
+}
--- a/src/common/bounded-server.ts
+++ b/src/common/bounded-server.ts
@@ -7,46 +7,15 @@
   type ServerOptions,
   type ServerResponse,
 } from 'node:http';
+import { BoundedRequest } from './bounded-request.js';
 import type { Counters } from './counters.js';
 import type { IntakeLimits } from './intake-limits.js';
-import { MemoryAccount, type Reservation } from './memory-account.js';
-import { RequestBodyReader, type BodyOutcome } from './request-body.js';
+import { MemoryAccount } from './memory-account.js';
+import { OpenConnections } from './open-connections.js';
 
-/** Memory of a request besides its head and body: the objects that represent it, bytes. */
-const REQUEST_OBJECTS_BYTES = 8192;
-/** Memory of a name or value in a head besides its characters, bytes. */
-const HEADER_TEXT_BYTES = 64;
-
-/** A request whose head was received, and the memory that is reserved for it. */
-export class BoundedRequest {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly #reservation: Reservation;
-  #reader: RequestBodyReader | undefined;
-
-  constructor(request: IncomingMessage, response: ServerResponse, account: MemoryAccount) {
-    this.request = request;
-    this.response = response;
-    this.#reservation = account.open((reason) => this.#reader?.onRevoked(reason));
-    response.once('close', () => this.release());
-  }
-
-  /** Reserves the memory of the head; returns false if it isn't to be had. */
-  reserveHead(): boolean {
-    return this.#reservation.reserve(headBytes(this.request));
-  }
-
-  /** Reads the body, of which `maxBytes` are allowed; its memory stays reserved until the response ends. */
-  readBody(maxBytes: number): Promise<BodyOutcome> {
-    this.#reader = new RequestBodyReader(this.request, this.#reservation, maxBytes);
-    return this.#reader.read();
-  }
-
-  /** The request has ended: returns its memory. */
-  release(): void {
-    this.#reservation.release();
-  }
-}
+const STATUS_BAD_REQUEST = 400;
+const STATUS_EXPECTATION_FAILED = 417;
+const STATUS_UNAVAILABLE = 503;
 
 /** Settings of a `BoundedServer`. */
 export interface BoundedServerSettings {
@@ -55,7 +24,7 @@
   /** Options of Node's server. */
   readonly options?: ServerOptions;
   /** Handles a request whose head was received and whose body wasn't read. */
-  readonly onRequest: (request: BoundedRequest) => void;
+  readonly onRequest: (request: BoundedRequest) => void | Promise<void>;
   /** Headers of the response with status 503 to a request for which there is no memory. */
   readonly overloadHeaders?: OutgoingHttpHeaders;
 }
@@ -66,12 +35,22 @@
   readonly http: Server;
   readonly #settings: BoundedServerSettings;
   readonly #account: MemoryAccount;
+  readonly #connections: OpenConnections;
 
   constructor(settings: BoundedServerSettings) {
     this.#settings = settings;
     this.#account = new MemoryAccount(settings.limits.requestBytes);
-    this.http = createServer(settings.options ?? {}, (request, response) =>
-      this.#onRequest(request, response),
+    this.#connections = new OpenConnections(settings.limits.requestsPerConnection);
+    // Node would answer requests without a host, and expectations, without their being counted here.
+    this.http = createServer({ ...settings.options, requireHostHeader: false });
+    this.http.on('connection', (socket) => this.#connections.onConnect(socket));
+    this.http.on('request', (request, response) =>
+      this.#onHead(request, response, (bounded) => this.#onRequest(bounded)),
+    );
+    this.http.on('checkExpectation', (request, response) =>
+      this.#onHead(request, response, () =>
+        this.refuse(request, response, STATUS_EXPECTATION_FAILED),
+      ),
     );
   }
 
@@ -83,7 +62,7 @@
   /** Refuses a request for which there is no memory; it isn't run. */
   refuseOverload({ request, response }: BoundedRequest): void {
     this.#settings.counters.add('intake.no-memory');
-    this.refuse(request, response, 503, this.#settings.overloadHeaders);
+    this.refuse(request, response, STATUS_UNAVAILABLE, this.#settings.overloadHeaders);
   }
 
   /** Ends a request that isn't run with this status and no body, and closes its connection. */
@@ -98,16 +77,35 @@
     response.writeHead(status, { ...headers, connection: 'close', 'content-length': 0 }).end();
   }
 
-  #onRequest(request: IncomingMessage, response: ServerResponse): void {
+  /** Counts a request whose head has arrived; `proceed` is called unless its connection has sent too many ahead. */
+  #onHead(
+    request: IncomingMessage,
+    response: ServerResponse,
+    proceed: (bounded: BoundedRequest) => void,
+  ): void {
+    const { socket } = request;
+    // The parser goes on to report the requests that came together with the one for which the connection was closed.
+    if (socket.destroyed) return;
     const bounded = new BoundedRequest(request, response, this.#account);
-    if (bounded.reserveHead()) this.#settings.onRequest(bounded);
+    if (!this.#connections.add(bounded)) {
+      this.#settings.counters.add('intake.requests-ahead');
+      socket.destroy();
+      return;
+    }
+    response.once('close', () => this.#onResponseEnd(bounded));
+    if (bounded.reserveHead()) proceed(bounded);
     else this.refuseOverload(bounded);
   }
-}
 
-/** Memory of a request's head, bytes. */
-function headBytes({ rawHeaders, url = '' }: IncomingMessage): number {
-  let bytes = REQUEST_OBJECTS_BYTES + url.length;
-  for (const text of rawHeaders) bytes += text.length + HEADER_TEXT_BYTES;
-  return bytes;
+  #onRequest(bounded: BoundedRequest): void {
+    const { request, response } = bounded;
+    if (request.httpVersion === '1.1' && request.headers.host === undefined)
+      this.refuse(request, response, STATUS_BAD_REQUEST);
+    else void this.#settings.onRequest(bounded);
+  }
+
+  #onResponseEnd(bounded: BoundedRequest): void {
+    this.#connections.remove(bounded);
+    bounded.release();
+  }
 }
--- a/src/proxy/client-server.ts
+++ b/src/proxy/client-server.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { BoundedServer, type BoundedRequest } from '../common/bounded-server.js';
+import type { BoundedRequest } from '../common/bounded-request.js';
+import { BoundedServer } from '../common/bounded-server.js';
 import type { Counters } from '../common/counters.js';
 import type { IntakeLimits } from '../common/intake-limits.js';
 import { bindServer } from '../common/listen.js';
