--- a/src/common/bounded-request.ts
+++ b/src/common/bounded-request.ts
@@ -1,7 +1,7 @@
 /** A request of a client, and the memory that is reserved for it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { MemoryAccount, Reservation } from './memory-account.js';
+import type { MemoryAccount, Reservation, RevocationReason } from './memory-account.js';
 import { RequestBodyReader, type BodyOutcome } from './request-body.js';
 
 /** Memory of a request besides its head and body: the objects that represent it, bytes. */
@@ -22,7 +22,7 @@
     this.request = request;
     this.response = response;
     this.socket = request.socket;
-    this.#reservation = account.open((reason) => this.#reader?.onRevoked(reason));
+    this.#reservation = account.open((reason) => this.#onRevoked(reason));
   }
 
   /** Reserves the memory of the head; returns false if it isn't to be had. */
@@ -40,6 +40,12 @@
   release(): void {
     this.#reservation.release();
   }
+
+  #onRevoked(reason: RevocationReason): void {
+    // Where its connection is needed for another client, the request ends without a response.
+    if (reason === 'connection') this.socket.destroy();
+    this.#reader?.onRevoked(reason);
+  }
 }
 
 /** Memory of a request's head, bytes. */
--- a/src/common/bounded-server.test.ts
+++ b/src/common/bounded-server.test.ts
@@ -152,3 +152,52 @@
   const running = await start(limits);
   return { running, client: running.client() };
 }
+
+test('beyond the connections allowed, the one that has been idle for the longest is closed', async () => {
+  const running = await start({ connections: 3 });
+  const clients: TestClient[] = [];
+  for (let index = 0; index < 3; index += 1) {
+    const client = running.client();
+    client.socket.write(REQUEST);
+    await expect.poll(() => client.statuses).toEqual(['200']);
+    clients.push(client);
+  }
+  clients[0]?.socket.write(REQUEST);
+  await expect.poll(() => clients[0]?.statuses).toEqual(['200', '200']);
+  const late = running.client();
+  late.socket.write(REQUEST);
+  await expect.poll(() => late.statuses).toEqual(['200']);
+  await expect.poll(() => clients.map(({ isClosed }) => isClosed)).toEqual([false, true, false]);
+});
+
+test('connections that rest in a body give way, those that wait for a response do not', async () => {
+  const running = await start({ connections: 2 });
+  running.isHolding = true;
+  const waiting = running.client();
+  waiting.socket.write(REQUEST);
+  await expect.poll(() => running.held.length).toBe(1);
+  const resting = running.client();
+  resting.socket.write('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx');
+  await expect.poll(() => running.bounded.reservedBytes).toBeGreaterThan(16_384);
+  const second = running.client();
+  second.socket.write(REQUEST);
+  await expect.poll(() => running.held.length).toBe(2);
+  expect(resting.isClosed).toBe(true);
+  const refused = running.client();
+  await expect.poll(() => refused.isClosed).toBe(true);
+  expect([waiting.isClosed, second.isClosed]).toEqual([false, false]);
+  // A place becomes free when somebody leaves.
+  second.socket.destroy();
+  await expect.poll(() => running.counters.get('intake.connections-refused')).toBe(1);
+  running.isHolding = false;
+  await expect
+    .poll(async () => {
+      const next = running.client();
+      next.socket.write(REQUEST);
+      await new Promise((done: (value: unknown) => void) =>
+        next.socket.once('close', done).once('data', done),
+      );
+      return next.statuses;
+    })
+    .toEqual(['200']);
+});
--- a/src/common/bounded-server.ts
+++ b/src/common/bounded-server.ts
@@ -40,7 +40,7 @@
   constructor(settings: BoundedServerSettings) {
     this.#settings = settings;
     this.#account = new MemoryAccount(settings.limits.requestBytes);
-    this.#connections = new OpenConnections(settings.limits.requestsPerConnection);
+    this.#connections = new OpenConnections(settings.limits, this.#account, settings.counters);
     // Node would answer requests without a host, and expectations, without their being counted here.
     this.http = createServer({ ...settings.options, requireHostHeader: false });
     this.http.on('connection', (socket) => this.#connections.onConnect(socket));
--- a/src/common/memory-account.ts
+++ b/src/common/memory-account.ts
@@ -1,7 +1,7 @@
 /** An account of the memory that clients' requests occupy in a process, so that their sum stays within a limit. */
 
-/** Why a reservation was revoked: others needed its memory, or nothing arrived for too long. */
-export type RevocationReason = 'memory' | 'rest';
+/** Why a reservation was revoked: others needed its memory or its connection, or nothing arrived for too long. */
+export type RevocationReason = 'memory' | 'connection' | 'rest';
 
 /** Called once when a reservation is revoked; its bytes have been returned by then, and its holder must drop what it holds. */
 export type RevocationHandler = (reason: RevocationReason) => void;
@@ -119,9 +119,9 @@
   }
 
   /** Revokes the reservation without progress for the longest. Returns false if none may be revoked. */
-  revokeOldest(): boolean {
+  revokeOldest(reason: RevocationReason): boolean {
     const [oldest] = this.#revocable;
-    oldest?.revoke('memory');
+    oldest?.revoke(reason);
     return oldest !== undefined;
   }
 
--- a/src/common/open-connections.ts
+++ b/src/common/open-connections.ts
@@ -1,20 +1,40 @@
 /** The connections of clients to a server, with the requests in progress on each. */
 import type { Socket } from 'node:net';
 import type { BoundedRequest } from './bounded-request.js';
+import type { Counters } from './counters.js';
+import type { IntakeLimits } from './intake-limits.js';
+import type { MemoryAccount } from './memory-account.js';
 
-/** Bounds the requests in progress on each connection, and ends them when their connection has closed. */
+/** Bounds the connections and the requests in progress on each, and ends requests whose connection has closed. */
 export class OpenConnections {
-  readonly #requestsPerConnection: number;
+  readonly #limits: IntakeLimits;
+  readonly #account: MemoryAccount;
+  readonly #counters: Counters;
   readonly #requests = new Map<Socket, Set<BoundedRequest>>();
+  /** Connections without a request in progress, the one that has been idle for the longest first. */
+  readonly #idle = new Set<Socket>();
 
-  constructor(requestsPerConnection: number) {
-    this.#requestsPerConnection = requestsPerConnection;
+  constructor(limits: IntakeLimits, account: MemoryAccount, counters: Counters) {
+    this.#limits = limits;
+    this.#account = account;
+    this.#counters = counters;
   }
 
-  /** A client has connected. */
+  /** The number of open connections. */
+  get size(): number {
+    return this.#requests.size;
+  }
+
+  /** A client has connected: beyond the limit another connection is closed for it, or else its own. */
   onConnect(socket: Socket): void {
+    if (this.size >= this.#limits.connections && !this.#closeOne()) {
+      this.#counters.add('intake.connections-refused');
+      socket.destroy();
+      return;
+    }
     this.#requests.set(socket, new Set());
-    socket.once('close', () => this.#onClose(socket));
+    this.#idle.add(socket);
+    socket.once('close', () => this.#forget(socket));
   }
 
   /**
@@ -22,21 +42,41 @@
    * progress as are allowed.
    */
   add(request: BoundedRequest): boolean {
-    const requests = this.#requests.get(request.socket);
-    if (!requests || requests.size >= this.#requestsPerConnection) return false;
+    const { socket } = request;
+    const requests = this.#requests.get(socket);
+    if (!requests || requests.size >= this.#limits.requestsPerConnection) return false;
+    this.#idle.delete(socket);
     requests.add(request);
     return true;
   }
 
   /** The response to a request has ended. */
   remove(request: BoundedRequest): void {
-    this.#requests.get(request.socket)?.delete(request);
+    const { socket } = request;
+    const requests = this.#requests.get(socket);
+    if (!requests?.delete(request) || requests.size > 0) return;
+    this.#idle.add(socket);
+  }
+
+  /**
+   * Closes the connection that has been idle for the longest, or else that of the body without progress for the longest.
+   * Returns false if there is neither: all others wait for their responses.
+   */
+  #closeOne(): boolean {
+    const [idle] = this.#idle;
+    if (idle) {
+      idle.destroy();
+      this.#forget(idle);
+    } else if (!this.#account.revokeOldest('connection')) return false;
+    this.#counters.add('intake.connections-closed');
+    return true;
   }
 
-  /** Node emits `close` only on the response that is due next: those behind it end here. */
-  #onClose(socket: Socket): void {
+  /** Node emits `close` only on the response that is due next: the requests behind it end here. */
+  #forget(socket: Socket): void {
     const requests = this.#requests.get(socket) ?? [];
     this.#requests.delete(socket);
+    this.#idle.delete(socket);
     for (const request of requests) request.release();
   }
 }
