Bound what callers of a control node's operators' port may occupy

Cause: ReplyServer had no limits at all. A response to a request whose body wasn't read left the connection open, and Node throws away what follows, without end; the same held for a refused body at the proxy while an earlier response was due.

ReplyServer is now a BoundedServer under the settings of its process, and so is the status port, which had the same code again. A response that comes before the body closes its connection, after at most 256 KiB or one second of what is still sent, so that a client that sends first can read it; the proxy's refusals take the same way.

--- a/src/common/bounded-request.ts
+++ b/src/common/bounded-request.ts
@@ -2,7 +2,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { MemoryAccount, Reservation, RevocationReason } from './memory-account.js';
-import { RequestBodyReader, type BodyOutcome } from './request-body.js';
+import {
+  announcedBodyBytes,
+  RequestBodyReader,
+  UnreadableBodyError,
+  type BodyOutcome,
+} from './request-body.js';
 
 /** Memory of a request besides its head and body: the objects that represent it, bytes. */
 const REQUEST_OBJECTS_BYTES = 8192;
@@ -36,6 +41,15 @@
     return this.#reader.read();
   }
 
+  /** Reads the body as UTF-8 text. Rejects with an `UnreadableBodyError` if it can't be read completely. */
+  async readText(maxBytes: number): Promise<string> {
+    if ((announcedBodyBytes(this.request) ?? 0) > maxBytes)
+      throw new UnreadableBodyError({ kind: 'too-large' });
+    const outcome = await this.readBody(maxBytes);
+    if (outcome.kind !== 'complete') throw new UnreadableBodyError(outcome);
+    return outcome.body.toString('utf8');
+  }
+
   /** The request has ended: returns its memory. */
   release(): void {
     this.#reservation.release();
--- a/src/common/bounded-server.test.ts
+++ b/src/common/bounded-server.test.ts
@@ -48,11 +48,16 @@
   async #onRequest(bounded: BoundedRequest): Promise<void> {
     const outcome = await bounded.readBody(MAX_BODY_BYTES);
     if (outcome.kind === 'revoked') this.bounded.refuseOverload(bounded);
-    if (outcome.kind === 'too-large') this.bounded.refuse(bounded.request, bounded.response, 413);
+    if (outcome.kind === 'too-large') this.#refuseTooLarge(bounded);
     if (outcome.kind !== 'complete') return;
     if (this.isHolding) this.held.push(bounded);
     else bounded.response.end(outcome.body);
   }
+
+  #refuseTooLarge({ request, response }: BoundedRequest): void {
+    this.counters.add('test.too-large');
+    this.bounded.refuse(request, response, 413);
+  }
 }
 
 class TestClient {
@@ -201,3 +206,26 @@
     })
     .toEqual(['200']);
 });
+
+test('a refused body is read for a bounded number of bytes, and its client can read the response', async () => {
+  const { client } = await startWithClient();
+  client.socket.write('POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n');
+  const chunk = `10000\r\n${'x'.repeat(0x1_00_00)}\r\n`;
+  const endless = setInterval(() => client.socket.write(chunk), 1);
+  await expect.poll(() => client.statuses).toEqual(['413']);
+  await expect.poll(() => client.isClosed).toBe(true);
+  clearInterval(endless);
+});
+
+test('a refused body behind a response that is due does not break that response off', async () => {
+  const { running, client } = await startWithClient();
+  running.isHolding = true;
+  client.socket.write(REQUEST);
+  await expect.poll(() => running.held.length).toBe(1);
+  client.socket.write('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\n');
+  client.socket.write('x'.repeat(5_000_000));
+  await expect.poll(() => running.counters.get('test.too-large')).toBe(1);
+  running.held[0]?.response.end('first');
+  await expect.poll(() => client.statuses).toEqual(['200', '413']);
+  await expect.poll(() => client.isClosed).toBe(true);
+});
--- a/src/common/bounded-server.ts
+++ b/src/common/bounded-server.ts
@@ -12,6 +12,7 @@
 import type { IntakeLimits } from './intake-limits.js';
 import { MemoryAccount } from './memory-account.js';
 import { OpenConnections } from './open-connections.js';
+import { replyAndDiscard } from './refusal.js';
 
 const STATUS_BAD_REQUEST = 400;
 const STATUS_EXPECTATION_FAILED = 417;
@@ -72,9 +73,8 @@
     status: number,
     headers: OutgoingHttpHeaders = {},
   ): void {
-    if (response.destroyed) return;
-    request.resume();
-    response.writeHead(status, { ...headers, connection: 'close', 'content-length': 0 }).end();
+    const reply = { status, headers: { ...headers, 'content-length': 0 }, body: '' };
+    replyAndDiscard(request, response, reply);
   }
 
   /** Counts a request whose head has arrived; `proceed` is called unless its connection has sent too many ahead. */
--- a/src/common/intake-limits.ts
+++ b/src/common/intake-limits.ts
@@ -65,3 +65,10 @@
   heapBytes: 160 * MIB,
   fileHandles: 4096,
 });
+
+/** The limits of a port that answers a few callers and reads no bodies. */
+export const STATUS_PORT_LIMITS: IntakeLimits = {
+  requestBytes: MIB,
+  connections: 32,
+  requestsPerConnection: 8,
+};
--- a/src/common/reply-server.ts
+++ b/src/common/reply-server.ts
@@ -1,7 +1,12 @@
 /** An HTTP server that answers each request with one complete response. */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { BoundedRequest } from './bounded-request.js';
+import { BoundedServer } from './bounded-server.js';
+import { Counters } from './counters.js';
+import { DEFAULT_INTAKE_LIMITS, type IntakeLimits } from './intake-limits.js';
 import { bindServer } from './listen.js';
+import { replyAndDiscard } from './refusal.js';
+import { isBodyPending, UnreadableBodyError } from './request-body.js';
 
 const JSON_TYPE = 'application/json';
 
@@ -14,7 +19,7 @@
 }
 
 /** Handles one request; if it rejects, the client gets the server's response to failures. */
-export type RequestHandler = (request: IncomingMessage) => Promise<HttpReply>;
+export type RequestHandler = (request: BoundedRequest) => Promise<HttpReply>;
 
 /** Settings of a `ReplyServer`. */
 export interface ReplyServerSettings {
@@ -23,43 +28,72 @@
   readonly onFailure: HttpReply;
   /** The header `retry-after` of responses with status 503, in seconds; left out if undefined. */
   readonly retryAfterSeconds?: number;
+  /** What clients may occupy. */
+  readonly limits?: IntakeLimits;
+  /** Counts what is refused for the limits. */
+  readonly counters?: Counters;
 }
 
 /** An HTTP server that passes each request to a handler and sends the response that it returns. */
 export class ReplyServer {
   readonly #settings: ReplyServerSettings;
-  readonly #server: Server;
+  readonly #server: BoundedServer;
 
   constructor(settings: ReplyServerSettings) {
     this.#settings = settings;
-    this.#server = createServer((request, response) => this.#handle(request, response));
+    const { limits = DEFAULT_INTAKE_LIMITS, counters = new Counters() } = settings;
+    this.#server = new BoundedServer({
+      limits,
+      counters,
+      onRequest: (request) => this.#handle(request),
+      overloadHeaders: this.#retryHeaders(),
+    });
   }
 
   /** Opens the port and returns its number; rejects if it cannot be opened. */
   async listen(address: string): Promise<number> {
-    return bindServer(this.#server, address);
+    return bindServer(this.#server.http, address);
   }
 
   /** Accepts no new connections; requests in progress get their responses. */
   close(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    this.#server.http.close();
+    this.#server.http.closeIdleConnections();
   }
 
-  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { handle: serve, onFailure, retryAfterSeconds: retryAfterS } = this.#settings;
+  /** Closes all connections, whatever is in progress on them. */
+  closeAllConnections(): void {
+    this.#server.http.closeAllConnections();
+  }
+
+  async #handle(bounded: BoundedRequest): Promise<void> {
+    const { handle, onFailure } = this.#settings;
     let reply: HttpReply;
     try {
-      reply = await serve(request);
-    } catch {
+      reply = await handle(bounded);
+    } catch (thrown) {
+      if (thrown instanceof UnreadableBodyError && thrown.outcome.kind === 'revoked') {
+        this.#server.refuseOverload(bounded);
+        return;
+      }
       reply = onFailure;
     }
-    const headers: Record<string, string | number> = {
+    const headers = {
       'content-type': reply.contentType ?? JSON_TYPE,
       'content-length': Buffer.byteLength(reply.body),
+      ...(reply.status === 503 ? this.#retryHeaders() : {}),
     };
-    if (reply.status === 503 && retryAfterS !== undefined) headers['retry-after'] = retryAfterS;
+    const { request, response } = bounded;
+    if (isBodyPending(request)) {
+      replyAndDiscard(request, response, { status: reply.status, headers, body: reply.body });
+      return;
+    }
     response.writeHead(reply.status, headers);
     response.end(reply.body);
   }
+
+  #retryHeaders(): Record<string, string | number> {
+    const { retryAfterSeconds } = this.#settings;
+    return retryAfterSeconds === undefined ? {} : { 'retry-after': retryAfterSeconds };
+  }
 }
--- a/src/common/request-body.ts
+++ b/src/common/request-body.ts
@@ -16,17 +16,30 @@
   /** The client disconnected. */
   | { readonly kind: 'aborted' };
 
+/** How the reading of a body ended that isn't complete. */
+export type UnreadOutcome = Exclude<BodyOutcome, { readonly kind: 'complete' }>;
+
 /** The length that the request's head announces; undefined where it announces none. */
 export function announcedBodyBytes(request: IncomingMessage): number | undefined {
   const header = request.headers['content-length'];
   return header === undefined ? undefined : Number(header);
 }
 
-/** Whether a body follows the request's head. */
-export function hasBody(request: IncomingMessage): boolean {
-  return (
-    request.headers['transfer-encoding'] !== undefined || (announcedBodyBytes(request) ?? 0) > 0
-  );
+/** Whether a body follows the request's head and hasn't arrived completely. */
+export function isBodyPending(request: IncomingMessage): boolean {
+  const hasBody =
+    request.headers['transfer-encoding'] !== undefined || (announcedBodyBytes(request) ?? 0) > 0;
+  return hasBody && !request.complete;
+}
+
+/** The body of a request could not be read; the message says why. */
+export class UnreadableBodyError extends Error {
+  readonly outcome: UnreadOutcome;
+
+  constructor(outcome: UnreadOutcome) {
+    super(`body not read: ${outcome.kind}`);
+    this.outcome = outcome;
+  }
 }
 
 /** Reads the body of one request. */
--- a/src/common/status-port.ts
+++ b/src/common/status-port.ts
@@ -1,12 +1,11 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { BoundedRequest } from './bounded-request.js';
 import type { Exposition } from '../metrics/exposition.js';
-import { bindServer } from './listen.js';
-
-const JSON_TYPE = 'application/json';
+import { STATUS_PORT_LIMITS } from './intake-limits.js';
+import { ReplyServer, type HttpReply } from './reply-server.js';
 
 /** An HTTP port that serves the counters of a process, and its metrics if it has any. */
 export class StatusPort {
-  readonly #server: Server;
+  readonly #server: ReplyServer;
   readonly #counters: () => object;
   readonly #metrics: (() => Promise<Exposition>) | undefined;
 
@@ -14,12 +13,16 @@
   constructor(counters: () => object, metrics?: () => Promise<Exposition>) {
     this.#counters = counters;
     this.#metrics = metrics;
-    this.#server = createServer((request, response) => this.#handle(request, response));
+    this.#server = new ReplyServer({
+      handle: (request) => this.#handle(request),
+      onFailure: { status: 500, body: '{}' },
+      limits: STATUS_PORT_LIMITS,
+    });
   }
 
   /** Opens the port; rejects if it cannot be opened. */
   async listen(address: string): Promise<void> {
-    await bindServer(this.#server, address);
+    await this.#server.listen(address);
   }
 
   /** Closes the port and all connections. */
@@ -28,27 +31,14 @@
     this.#server.closeAllConnections();
   }
 
-  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #handle({ request }: BoundedRequest): Promise<HttpReply> {
     const endpoint = `${request.method} ${request.url}`;
-    if (endpoint === 'GET /counters') {
-      send(response, 200, { contentType: JSON_TYPE, body: JSON.stringify(this.#counters()) });
-    } else if (endpoint === 'GET /metrics' && this.#metrics) {
-      send(response, 200, await this.#metrics());
-    } else {
-      const endpoints = this.#metrics ? 'GET /counters and GET /metrics' : 'GET /counters';
-      const body = JSON.stringify({
-        defect: 'unmapped',
-        text: `there is only ${endpoints} here`,
-      });
-      send(response, 404, { contentType: JSON_TYPE, body });
-    }
+    if (endpoint === 'GET /counters')
+      return { status: 200, body: JSON.stringify(this.#counters()) };
+    if (endpoint === 'GET /metrics' && this.#metrics)
+      return { status: 200, ...(await this.#metrics()) };
+    const endpoints = this.#metrics ? 'GET /counters and GET /metrics' : 'GET /counters';
+    const text = `there is only ${endpoints} here`;
+    return { status: 404, body: JSON.stringify({ defect: 'unmapped', text }) };
   }
 }
-
-function send(response: ServerResponse, status: number, { contentType, body }: Exposition): void {
-  response.writeHead(status, {
-    'content-type': contentType,
-    'content-length': Buffer.byteLength(body),
-  });
-  response.end(body);
-}
--- a/src/control/operator-api.ts
+++ b/src/control/operator-api.ts
@@ -1,5 +1,4 @@
-import type { IncomingMessage } from 'node:http';
-import { readBody } from '../common/call.js';
+import type { BoundedRequest } from '../common/bounded-request.js';
 import type { ErrorCode } from '../common/errors.js';
 import { ReplyServer, type HttpReply } from '../common/reply-server.js';
 import type { Exposition } from '../metrics/exposition.js';
@@ -75,10 +74,11 @@
     this.#server.close();
   }
 
-  async #onRequest(incoming: IncomingMessage): Promise<HttpReply> {
-    const body = await readBody(incoming, MAX_BODY_BYTES);
-    const [path = '/', query = ''] = (incoming.url ?? '/').split('?');
-    return this.#serve({ method: incoming.method ?? 'GET', path, query, body });
+  async #onRequest(bounded: BoundedRequest): Promise<HttpReply> {
+    const body = await bounded.readText(MAX_BODY_BYTES);
+    const { method = 'GET', url = '/' } = bounded.request;
+    const [path = '/', query = ''] = url.split('?');
+    return this.#serve({ method, path, query, body });
   }
 
   async #serve(call: ApiCall): Promise<HttpReply> {
--- a/src/proxy/client-server.ts
+++ b/src/proxy/client-server.ts
@@ -6,7 +6,7 @@
 import type { Counters } from '../common/counters.js';
 import type { IntakeLimits } from '../common/intake-limits.js';
 import { bindServer } from '../common/listen.js';
-import { announcedBodyBytes, type BodyOutcome } from '../common/request-body.js';
+import { announcedBodyBytes, type UnreadOutcome } from '../common/request-body.js';
 import type { Limits } from '../route/routing.js';
 import type { ClientConnections } from './client-connections.js';
 import type { ClientExchange } from './client-exchange.js';
@@ -138,10 +138,7 @@
   }
 
   /** The request can't be read completely: it isn't run, and its client is told why. */
-  #onUnreadable(
-    bounded: BoundedRequest,
-    outcome: Exclude<BodyOutcome, { readonly kind: 'complete' }>,
-  ): void {
+  #onUnreadable(bounded: BoundedRequest, outcome: UnreadOutcome): void {
     const { request, response } = bounded;
     switch (outcome.kind) {
       case 'too-large':
