Bound the connections and bodies at a proxy's readiness port

The port took any number of connections (747 descriptors of 500) and read bodies for as long as they came (128 MB a connection), so that it could cost the proxy its descriptors and its processor.

Cause: a plain server of Node's without limits.

--- a/src/proxy/proxy-process.ts
+++ b/src/proxy/proxy-process.ts
@@ -1,14 +1,16 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { interval, Subscription } from 'rxjs';
 import type { Logger } from 'pino';
 import { monotonicNow } from '../common/clock.js';
+import type { BoundedRequest } from '../common/bounded-request.js';
+import { BoundedServer } from '../common/bounded-server.js';
 import { Counters } from '../common/counters.js';
 import type { HaretrackError } from '../common/errors.js';
-import type { IntakeLimits } from '../common/intake-limits.js';
+import { STATUS_PORT_LIMITS, type IntakeLimits } from '../common/intake-limits.js';
 import { parseAs } from '../common/json.js';
 import { newIncarnation } from '../common/incarnation.js';
 import { bindServer, parseAddress } from '../common/listen.js';
 import type { KnownVersion, Message } from '../common/messages.js';
+import { isBodyPending } from '../common/request-body.js';
 import { compareVersions, NO_VERSION, versionText, type Version } from '../common/version.js';
 import { ConfigUpdateShape } from '../control/config-shapes.js';
 import { Exchange, type Incoming } from '../dissemination/exchange.js';
@@ -56,7 +58,7 @@
   readonly #exchange: Exchange;
   readonly #dispatcher: Dispatcher;
   readonly #forwarder: Forwarder;
-  readonly #readiness: Server;
+  readonly #readiness: BoundedServer;
   readonly #subscription = new Subscription();
   readonly #versions = new Map<string, Version>();
   readonly #drainingRunners = new DrainingRunnerIds();
@@ -102,9 +104,12 @@
       agent,
       settings.intake,
     );
-    this.#readiness = createServer({ keepAliveTimeout: 30_000 }, (request, response) =>
-      this.#answerReadiness(request, response),
-    );
+    this.#readiness = new BoundedServer({
+      limits: STATUS_PORT_LIMITS,
+      counters: this.#counters,
+      options: { keepAliveTimeout: 30_000 },
+      onRequest: (request) => this.#answerReadiness(request),
+    });
   }
 
   /** Starts listening for clients and readiness checks, and connects to the agent. */
@@ -113,7 +118,7 @@
       this.#exchange.incoming$.subscribe((incoming: Incoming) => this.#onMessage(incoming)),
     );
     await this.#forwarder.listen(this.#settings.listen);
-    await bindServer(this.#readiness, this.#settings.readiness);
+    await bindServer(this.#readiness.http, this.#settings.readiness);
     this.#subscription.add(interval(TICK_MS).subscribe(() => this.#tick()));
     this.#tick();
     this.#log.info({ zone: this.#settings.zone }, 'proxy started');
@@ -131,8 +136,8 @@
     });
     await this.#forwarder.close(Math.max(100, graceMs - waitMs - GRACE_MARGIN_MS));
     this.#subscription.unsubscribe();
-    this.#readiness.close();
-    this.#readiness.closeAllConnections();
+    this.#readiness.http.close();
+    this.#readiness.http.closeAllConnections();
     this.#exchange.close();
   }
 
@@ -155,11 +160,11 @@
     this.#log.warn({ defect: error.code }, error.message);
   }
 
-  #answerReadiness(request: IncomingMessage, response: ServerResponse): void {
+  #answerReadiness({ request, response }: BoundedRequest): void {
     const isKnown = request.method === 'GET' && request.url === this.#settings.readyPath;
-    response
-      .writeHead(!isKnown ? 404 : this.#dispatcher.isReady ? 200 : 503, { 'content-length': 0 })
-      .end();
+    const status = !isKnown ? 404 : this.#dispatcher.isReady ? 200 : 503;
+    if (isBodyPending(request)) this.#readiness.refuse(request, response, status);
+    else response.writeHead(status, { 'content-length': 0 }).end();
   }
 
   #tick(): void {
