End bodies that rest and responses that nobody reads

A client that stopped in the middle of a body, or read none of its responses, kept its connection, its descriptor and its memory for as long as it liked: a body without its last byte got no answer, and of 24 requests sent ahead for 1 MiB each 21 responses stayed in the process after all of them had come from the runner.

Cause: the server's request timeout is 0, Node's keep-alive timeout begins only after a response, and nothing looked at responses that wait in a socket. A route's timeout ends a run, not a response that has come completely.

Once a second the server revokes the reservation of a body without progress for longer than the operators' idle time, with 408, which is true since it hasn't run, and closes connections whose client took nothing of what waited for it in that time. Seconds are counted, not the clock, so that time for which the process was suspended doesn't end anybody.

--- a/src/common/bounded-server.test.ts
+++ b/src/common/bounded-server.test.ts
@@ -47,7 +47,7 @@
 
   async #onRequest(bounded: BoundedRequest): Promise<void> {
     const outcome = await bounded.readBody(MAX_BODY_BYTES);
-    if (outcome.kind === 'revoked') this.bounded.refuseOverload(bounded);
+    if (outcome.kind === 'revoked') this.bounded.refuseRevoked(bounded, outcome.reason);
     if (outcome.kind === 'too-large') this.#refuseTooLarge(bounded);
     if (outcome.kind !== 'complete') return;
     if (this.isHolding) this.held.push(bounded);
--- a/src/common/bounded-server.ts
+++ b/src/common/bounded-server.ts
@@ -10,14 +10,20 @@
 import { BoundedRequest } from './bounded-request.js';
 import type { Counters } from './counters.js';
 import type { IntakeLimits } from './intake-limits.js';
-import { MemoryAccount } from './memory-account.js';
+import { MemoryAccount, type RevocationReason } from './memory-account.js';
 import { OpenConnections } from './open-connections.js';
 import { replyAndDiscard } from './refusal.js';
 
 const STATUS_BAD_REQUEST = 400;
+const STATUS_TIMEOUT = 408;
 const STATUS_EXPECTATION_FAILED = 417;
 const STATUS_UNAVAILABLE = 503;
 
+/** The interval in which the progress of clients is looked at, ms. */
+const INTERVAL_MS = 1000;
+/** How long a body may rest and a response stay unread unless the server is told otherwise, ms. */
+const DEFAULT_IDLE_MS = 15_000;
+
 /** Settings of a `BoundedServer`. */
 export interface BoundedServerSettings {
   readonly limits: IntakeLimits;
@@ -37,6 +43,7 @@
   readonly #settings: BoundedServerSettings;
   readonly #account: MemoryAccount;
   readonly #connections: OpenConnections;
+  #idleMs = DEFAULT_IDLE_MS;
 
   constructor(settings: BoundedServerSettings) {
     this.#settings = settings;
@@ -44,6 +51,8 @@
     this.#connections = new OpenConnections(settings.limits, this.#account, settings.counters);
     // Node would answer requests without a host, and expectations, without their being counted here.
     this.http = createServer({ ...settings.options, requireHostHeader: false });
+    const intervals = setInterval(() => this.#advance(), INTERVAL_MS).unref();
+    this.http.once('close', () => clearInterval(intervals));
     this.http.on('connection', (socket) => this.#connections.onConnect(socket));
     this.http.on('request', (request, response) =>
       this.#onHead(request, response, (bounded) => this.#onRequest(bounded)),
@@ -60,10 +69,27 @@
     return this.#account.reservedBytes;
   }
 
-  /** Refuses a request for which there is no memory; it isn't run. */
-  refuseOverload({ request, response }: BoundedRequest): void {
-    this.#settings.counters.add('intake.no-memory');
-    this.refuse(request, response, STATUS_UNAVAILABLE, this.#settings.overloadHeaders);
+  /** Sets how long a body may rest and a response stay unread. */
+  setIdleTimeout(idleMs: number): void {
+    this.#idleMs = idleMs;
+  }
+
+  /** Refuses a request whose memory was revoked, or for which there is none; it isn't run. */
+  refuseRevoked({ request, response }: BoundedRequest, reason: RevocationReason): void {
+    const { counters, overloadHeaders } = this.#settings;
+    switch (reason) {
+      case 'memory':
+        counters.add('intake.no-memory');
+        this.refuse(request, response, STATUS_UNAVAILABLE, overloadHeaders);
+        break;
+      case 'rest':
+        counters.add('intake.resting');
+        this.refuse(request, response, STATUS_TIMEOUT);
+        break;
+      case 'connection':
+        // The connection was closed for another client.
+        break;
+    }
   }
 
   /** Ends a request that isn't run with this status and no body, and closes its connection. */
@@ -77,6 +103,12 @@
     replyAndDiscard(request, response, reply);
   }
 
+  #advance(): void {
+    const maxRest = Math.ceil(this.#idleMs / INTERVAL_MS);
+    this.#account.advance(maxRest);
+    this.#connections.advance(maxRest);
+  }
+
   /** Counts a request whose head has arrived; `proceed` is called unless its connection has sent too many ahead. */
   #onHead(
     request: IncomingMessage,
@@ -94,7 +126,7 @@
     }
     response.once('close', () => this.#onResponseEnd(bounded));
     if (bounded.reserveHead()) proceed(bounded);
-    else this.refuseOverload(bounded);
+    else this.refuseRevoked(bounded, 'memory');
   }
 
   #onRequest(bounded: BoundedRequest): void {
--- a/src/common/open-connections.ts
+++ b/src/common/open-connections.ts
@@ -4,6 +4,7 @@
 import type { Counters } from './counters.js';
 import type { IntakeLimits } from './intake-limits.js';
 import type { MemoryAccount } from './memory-account.js';
+import { UnreadResponses } from './unread-responses.js';
 
 /** Bounds the connections and the requests in progress on each, and ends requests whose connection has closed. */
 export class OpenConnections {
@@ -13,6 +14,7 @@
   readonly #requests = new Map<Socket, Set<BoundedRequest>>();
   /** Connections without a request in progress, the one that has been idle for the longest first. */
   readonly #idle = new Set<Socket>();
+  readonly #unread = new UnreadResponses();
 
   constructor(limits: IntakeLimits, account: MemoryAccount, counters: Counters) {
     this.#limits = limits;
@@ -58,6 +60,15 @@
     this.#idle.add(socket);
   }
 
+  /** An interval has passed: closes connections whose client has read nothing for more than `maxRest` of them. */
+  advance(maxRest: number): void {
+    for (const socket of this.#requests.keys()) {
+      if (this.#unread.advance(socket) <= maxRest) continue;
+      this.#counters.add('intake.unread');
+      socket.destroy();
+    }
+  }
+
   /**
    * Closes the connection that has been idle for the longest, or else that of the body without progress for the longest.
    * Returns false if there is neither: all others wait for their responses.
--- a/src/common/reply-server.ts
+++ b/src/common/reply-server.ts
@@ -73,7 +73,7 @@
       reply = await handle(bounded);
     } catch (thrown) {
       if (thrown instanceof UnreadableBodyError && thrown.outcome.kind === 'revoked') {
-        this.#server.refuseOverload(bounded);
+        this.#server.refuseRevoked(bounded, thrown.outcome.reason);
         return;
       }
       reply = onFailure;
--- a/src/proxy/client-server.ts
+++ b/src/proxy/client-server.ts
@@ -87,6 +87,7 @@
     if (limits.idleMs !== this.#server.http.keepAliveTimeout)
       this.#connections.setIdleTimeout(limits.idleMs);
     this.#server.http.keepAliveTimeout = limits.idleMs;
+    this.#server.setIdleTimeout(limits.idleMs);
     // Node reads this property for each new connection, although its type declarations don't list it.
     Reflect.set(this.#server.http, 'maxHeaderSize', limits.maxHeaderBytes);
   }
@@ -148,7 +149,7 @@
         break;
       case 'revoked':
         this.#connections.onRequestAborted(request);
-        this.#server.refuseOverload(bounded);
+        this.#server.refuseRevoked(bounded, outcome.reason);
         break;
       case 'aborted':
         break;
