Forward responses without a length as they come once they exceed what is kept for a retry

A client that asked for a large response of a route that may be repeated got nothing until the runner had ended it, and the proxy kept all of it: 1.5 MiB in chunks, not ended by the runner, brought no byte in 6 s. Many such requests sent ahead made the proxy hold any amount.

Cause: whether a response may be buffered was asked of its announced length alone, so that one in chunks counted as 0 bytes.

BufferedRelay now forwards what it has and what follows as soon as a response exceeds the 1 MiB that its comment promised, or the account of the process has no memory for it; what it keeps is reserved there.

--- a/src/common/bounded-request.ts
+++ b/src/common/bounded-request.ts
@@ -32,7 +32,12 @@
 
   /** Reserves the memory of the head; returns false if it isn't to be had. */
   reserveHead(): boolean {
-    return this.#reservation.reserve(headBytes(this.request));
+    return this.reserve(headBytes(this.request));
+  }
+
+  /** Reserves more memory until the response has ended; returns false if it isn't to be had. */
+  reserve(bytes: number): boolean {
+    return this.#reservation.reserve(bytes);
   }
 
   /** Reads the body, of which `maxBytes` are allowed; its memory stays reserved until the response ends. */
--- a/src/proxy/buffered-relay.ts
+++ b/src/proxy/buffered-relay.ts
@@ -1,15 +1,24 @@
 import type { IncomingMessage } from 'node:http';
 import type { AttemptHandler } from './attempt-handler.js';
+import { writeWithBackpressure } from './byte-relay.js';
 import type { Attempt } from './client-exchange.js';
 import type { ResponseWriter } from './response-writer.js';
 
-/** Forwards a small response once it is complete, so that the request can be retried until then. */
+/** A response larger than this is forwarded as it arrives, even where it could be buffered for a retry; bytes. */
+export const MAX_BUFFERED_BYTES = 1024 * 1024;
+
+/**
+ * Forwards a small response once it is complete, so that the request can be retried until then. One that turns out to be
+ * large, or for which there is no memory, is forwarded as it arrives from then on.
+ */
 export class BufferedRelay {
   readonly #attempt: Attempt;
   readonly #runnerResponse: IncomingMessage;
   readonly #handler: AttemptHandler;
   readonly #writer: ResponseWriter;
-  readonly #chunks: Buffer[] = [];
+  #chunks: Buffer[] = [];
+  #bufferedBytes = 0;
+  #isForwarding = false;
 
   constructor(
     attempt: Attempt,
@@ -32,21 +41,57 @@
   }
 
   #onData(chunk: Buffer): void {
+    if (this.#attempt.isDone) return;
+    if (this.#isForwarding) {
+      this.#forward(chunk);
+      return;
+    }
     this.#chunks.push(chunk);
+    this.#bufferedBytes += chunk.length;
+    const { memory } = this.#attempt.exchange;
+    if (this.#bufferedBytes > MAX_BUFFERED_BYTES || !memory.reserve(chunk.length))
+      this.#startForwarding();
+  }
+
+  /** Forwards what was buffered; the request can't be retried afterwards. */
+  #startForwarding(): void {
+    this.#isForwarding = true;
+    const { exchange } = this.#attempt;
+    this.#writer.writeHead(
+      exchange,
+      this.#runnerResponse,
+      this.#runnerResponse.headers['content-length'],
+    );
+    this.#forward(this.#takeBuffered());
+  }
+
+  #forward(bytes: Buffer): void {
+    this.#handler.onData(this.#attempt);
+    writeWithBackpressure(this.#attempt.exchange.clientResponse, this.#runnerResponse, bytes);
+  }
+
+  #takeBuffered(): Buffer {
+    const bytes = Buffer.concat(this.#chunks);
+    this.#chunks = [];
+    return bytes;
   }
 
   #onEnd(): void {
     const attempt = this.#attempt;
     if (attempt.isDone) return;
     attempt.complete();
-    // Reported only now: the first data marks the response as started, after which a buffered request is not retried.
-    this.#handler.onData(attempt);
     const { exchange } = attempt;
-    const body = Buffer.concat(this.#chunks);
-    const isHead = exchange.clientRequest.method === 'HEAD';
-    const length = isHead ? this.#runnerResponse.headers['content-length'] : body.length;
-    this.#writer.writeHead(exchange, this.#runnerResponse, length);
-    exchange.clientResponse.end(body);
+    if (this.#isForwarding) {
+      exchange.clientResponse.end();
+    } else {
+      // Reported only now: the first data marks the response as started, after which a buffered request is not retried.
+      this.#handler.onData(attempt);
+      const body = this.#takeBuffered();
+      const isHead = exchange.clientRequest.method === 'HEAD';
+      const length = isHead ? this.#runnerResponse.headers['content-length'] : body.length;
+      this.#writer.writeHead(exchange, this.#runnerResponse, length);
+      exchange.clientResponse.end(body);
+    }
     this.#handler.onComplete(attempt);
   }
 }
--- a/src/proxy/client-exchange.ts
+++ b/src/proxy/client-exchange.ts
@@ -7,12 +7,20 @@
 /** The dispatcher's effect that rejects a request. */
 export type RejectEffect = Extract<DispatchEffect, { do: 'reject' }>;
 
+/** The memory that is reserved for a request. */
+export interface RequestMemory {
+  /** Reserves more; returns false if it isn't to be had. */
+  reserve(bytes: number): boolean;
+}
+
 /** A request that was read completely, and the state of its response. */
 export interface ClientExchange {
   readonly id: number;
   readonly clientRequest: IncomingMessage;
   readonly clientResponse: ServerResponse;
   readonly body: Buffer;
+  /** The memory of the request, returned when its response has ended. */
+  readonly memory: RequestMemory;
   readonly annotations: RequestAnnotations;
   /** The latest attempt at a runner. */
   attempt: Attempt | undefined;
--- a/src/proxy/client-server.ts
+++ b/src/proxy/client-server.ts
@@ -1,4 +1,3 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { BoundedRequest } from '../common/bounded-request.js';
@@ -129,12 +128,12 @@
     else this.#onUnreadable(bounded, outcome);
   }
 
-  async #onBody({ request, response }: BoundedRequest, body: Buffer): Promise<void> {
+  async #onBody(bounded: BoundedRequest, body: Buffer): Promise<void> {
     // The client may have disconnected during an event loop stall. Pending socket events are read first, so that no
     // request is run whose client is gone.
     if (this.#eventLoopGuard.isRecovering) await this.#eventLoopGuard.drainSockets();
-    const exchange = this.#exchangeOf(request, response, body);
-    if (this.#connections.onRequestRead(request, exchange)) this.#onRequest(exchange);
+    const exchange = this.#exchangeOf(bounded, body);
+    if (this.#connections.onRequestRead(bounded.request, exchange)) this.#onRequest(exchange);
     else this.#counters.add('clients.gone');
   }
 
@@ -156,11 +155,8 @@
     }
   }
 
-  #exchangeOf(
-    clientRequest: IncomingMessage,
-    clientResponse: ServerResponse,
-    body: Buffer,
-  ): ClientExchange {
+  #exchangeOf(bounded: BoundedRequest, body: Buffer): ClientExchange {
+    const { request: clientRequest, response: clientResponse } = bounded;
     this.#lastExchangeId += 1;
     const annotations = this.#dialect.readRequest(clientRequest.headers);
     return {
@@ -168,6 +164,7 @@
       clientRequest,
       clientResponse,
       body,
+      memory: bounded,
       annotations,
       attempt: undefined,
       lastEventId: annotations.lastEventId,
--- a/src/proxy/response-relay.ts
+++ b/src/proxy/response-relay.ts
@@ -6,10 +6,7 @@
 import type { ResponseWriter } from './response-writer.js';
 import { hasSelfDefinedLength, isEventStream } from './http-messages.js';
 import { StreamRelay } from './stream-relay.js';
-import { BufferedRelay } from './buffered-relay.js';
-
-/** A response larger than this is forwarded as it arrives, even where it could be buffered for a retry; bytes. */
-const MAX_BUFFERED_BYTES = 1024 * 1024;
+import { BufferedRelay, MAX_BUFFERED_BYTES } from './buffered-relay.js';
 
 /**
  * Forwards runners' responses to clients: event streams by complete events, small safe responses buffered, and others as
