Log that clients met limits, at most once in ten seconds

What the limits refuse was counted, but a proxy writes its counters only when its readiness changes, and a control node's counters of its operators' port were written nowhere. IntakeReport logs the counters when one has changed, at a bounded rate, since a line for each refusal would be a way to overload the process.

--- a/src/proxy/proxy-process.ts
+++ b/src/proxy/proxy-process.ts
@@ -5,6 +5,7 @@
 import { BoundedServer } from '../common/bounded-server.js';
 import { Counters } from '../common/counters.js';
 import type { HaretrackError } from '../common/errors.js';
+import { IntakeReport } from '../common/intake-report.js';
 import { STATUS_PORT_LIMITS, type IntakeLimits } from '../common/intake-limits.js';
 import { parseAs } from '../common/json.js';
 import { newIncarnation } from '../common/incarnation.js';
@@ -54,6 +55,7 @@
   readonly #configDialect: ConfigDialect;
   readonly #log: Logger;
   readonly #counters = new Counters();
+  readonly #intakeReport: IntakeReport;
   readonly #id: string;
   readonly #exchange: Exchange;
   readonly #dispatcher: Dispatcher;
@@ -78,6 +80,7 @@
     this.#settings = settings;
     this.#configDialect = configDialect;
     this.#log = log;
+    this.#intakeReport = new IntakeReport(this.#counters, log);
     this.#id = `flow@${settings.listen}`;
     this.#exchange = new Exchange(
       { id: this.#id, role: 'flow', zone: settings.zone, listen: '', reach: {} },
@@ -121,6 +124,7 @@
     await bindServer(this.#readiness.http, this.#settings.readiness);
     this.#subscription.add(interval(TICK_MS).subscribe(() => this.#tick()));
     this.#tick();
+    this.#intakeReport.start();
     this.#log.info({ zone: this.#settings.zone }, 'proxy started');
   }
 
@@ -136,6 +140,7 @@
     });
     await this.#forwarder.close(Math.max(100, graceMs - waitMs - GRACE_MARGIN_MS));
     this.#subscription.unsubscribe();
+    this.#intakeReport.stop();
     this.#readiness.http.close();
     this.#readiness.http.closeAllConnections();
     this.#exchange.close();
