Bound what clients of the policy table's proxy may occupy

The proxy of the policy table had the same faults as that of the platform: bodies that stop short of their end were kept, any number of connections was accepted, and a client that sent 100,000 requests ahead and read no response was read on.

PolicyForwarder now uses BoundedServer, sized by two new settings, memoryMb and fileHandles (256 and 4,096 by default). What was too large, and what has no memory or rests, is answered as before or with 503 and 408.

--- a/src/common/intake-limits.ts
+++ b/src/common/intake-limits.ts
@@ -1,4 +1,5 @@
 /** What the clients of a process may occupy of it, derived from what the process itself may use. */
+import { getHeapStatistics } from 'node:v8';
 
 const MIB = 1024 * 1024;
 
@@ -59,6 +60,15 @@
   };
 }
 
+/** The limits of this process, whose settings allow it so much memory and so many descriptors. */
+export function processIntakeLimits(memoryMb: number, fileHandles: number): IntakeLimits {
+  return intakeLimitsOf({
+    memoryBytes: memoryMb * MIB,
+    heapBytes: getHeapStatistics().heap_size_limit,
+    fileHandles,
+  });
+}
+
 /** The limits of a process whose settings tell nothing else. */
 export const DEFAULT_INTAKE_LIMITS: IntakeLimits = intakeLimitsOf({
   memoryBytes: 256 * MIB,
--- a/src/common/settings.ts
+++ b/src/common/settings.ts
@@ -78,6 +78,8 @@
   drainMs: defaulted(Millis, 300_000),
   silentMs: defaulted(Millis, 20_000),
   maxBodyBytes: defaulted(max(min(integer(), 1024), 64 * 1024 * 1024), 1024 * 1024),
+  memoryMb: defaulted(max(min(integer(), 64), 1024 * 1024), 256),
+  fileHandles: defaulted(max(min(integer(), 256), 1024 * 1024), 4096),
 });
 
 /** The result of reading settings: the settings, or else the faults, one line each. */
--- a/src/proxy/error-responses.ts
+++ b/src/proxy/error-responses.ts
@@ -1,5 +1,7 @@
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 import { ERROR_RESPONSES, type ErrorCode } from '../common/errors.js';
+import { replyAndDiscard } from '../common/refusal.js';
+import { isBodyPending } from '../common/request-body.js';
 import type { Counters } from '../common/counters.js';
 import type { PolicyRouter } from './policy-router.js';
 import { retryAfterSeconds } from './in-flight-requests.js';
@@ -39,8 +41,10 @@
     const { status, isOutcomeUnknown } = ERROR_RESPONSES[kind];
     const outcome = isOutcomeUnknown ? 'unsure' : 'turned-away';
     const body = JSON.stringify({ defect: kind, text, outcome });
-    response.writeHead(status, this.#headersOf(requestId, kind, body, retryMs));
-    response.end(body);
+    const headers = this.#headersOf(requestId, kind, body, retryMs);
+    if (isBodyPending(response.req))
+      replyAndDiscard(response.req, response, { status, headers, body });
+    else response.writeHead(status, headers).end(body);
   }
 
   #headersOf(
--- a/src/proxy/policy-forwarder.ts
+++ b/src/proxy/policy-forwarder.ts
@@ -1,17 +1,19 @@
 import {
   Agent,
-  createServer,
   request,
   type ClientRequest,
   type IncomingMessage,
-  type Server,
   type ServerResponse,
 } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { readBytes } from '../common/call.js';
+import type { BoundedRequest } from '../common/bounded-request.js';
+import { BoundedServer } from '../common/bounded-server.js';
 import type { Counters } from '../common/counters.js';
+import { ERROR_RESPONSES } from '../common/errors.js';
 import type { Moment } from '../common/ids.js';
+import { DEFAULT_INTAKE_LIMITS, type IntakeLimits } from '../common/intake-limits.js';
+import { announcedBodyBytes, type UnreadOutcome } from '../common/request-body.js';
 import type { PolicyRouter } from './policy-router.js';
 import type { RunVerdict } from './policy-router-types.js';
 import { bindServer, parseAddress } from '../common/listen.js';
@@ -46,8 +48,12 @@
 /** Settings of the forwarder. */
 export interface PolicyForwarderSettings extends InFlightSettings {
   readonly maxBodyBytes: number;
+  /** What clients may occupy of the process. */
+  readonly intake?: IntakeLimits;
 }
 
+/** How long an idle connection of a client is kept, ms. */
+const KEEP_ALIVE_MS = 65_000;
 /** Headers that are not forwarded; `Host` is set to the runner's address. */
 const HOP_HEADERS = hopByHopHeaders('host');
 
@@ -66,7 +72,7 @@
   readonly #now: () => Moment;
   readonly #exchanges = new Map<number, ClientExchange>();
   readonly #keepAliveAgent = new Agent({ keepAlive: true, maxFreeSockets: 8 });
-  readonly #server: Server;
+  readonly #server: BoundedServer;
   #lastExchangeId = 0;
   #isDraining = false;
   #isRunningSteps = false;
@@ -91,16 +97,19 @@
       () => this.#runSteps(),
     );
     this.#responses = new ErrorResponses(router, counters);
-    this.#server = createServer((clientRequest, clientResponse) =>
-      this.#onRequest(clientRequest, clientResponse),
-    );
-    this.#server.keepAliveTimeout = 65_000;
-    this.#server.on('clientError', (error, socket) => this.#onClientError(error, socket));
+    this.#server = new BoundedServer({
+      limits: settings.intake ?? DEFAULT_INTAKE_LIMITS,
+      counters,
+      options: { keepAliveTimeout: KEEP_ALIVE_MS },
+      onRequest: (bounded) => this.#onRequest(bounded),
+      overloadHeaders: { 'retry-after': String(ERROR_RESPONSES.crowded.retryAfterSeconds) },
+    });
+    this.#server.http.on('clientError', (error, socket) => this.#onClientError(error, socket));
   }
 
   /** Listens for clients at the address (`host:port`); resolves with the port. */
   async listen(address: string): Promise<number> {
-    return bindServer(this.#server, address);
+    return bindServer(this.#server.http, address);
   }
 
   /** Periodic tick: applies deadlines and timeouts, and reopens probe connections. */
@@ -124,10 +133,10 @@
     this.#probeConnections.startDraining();
     this.#inFlightRequests.startDraining(this.#now());
     this.#runSteps();
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    this.#server.http.close();
+    this.#server.http.closeIdleConnections();
     if (this.#exchanges.size > 0) await new Promise<void>((done) => this.#waitIdle(limitMs, done));
-    this.#server.closeAllConnections();
+    this.#server.http.closeAllConnections();
     this.#keepAliveAgent.destroy();
     this.#probeConnections.destroy();
   }
@@ -148,49 +157,39 @@
     else socket.destroy();
   }
 
-  async #onRequest(clientRequest: IncomingMessage, clientResponse: ServerResponse): Promise<void> {
+  async #onRequest(bounded: BoundedRequest): Promise<void> {
+    const { request: clientRequest, response: clientResponse } = bounded;
     this.#lastExchangeId += 1;
     const id = this.#lastExchangeId;
     this.#counters.add('requests');
-    const requestId = requestIdOf(clientRequest);
     const { maxBodyBytes } = this.#settings;
-    let body: Buffer;
-    try {
-      if (Number(clientRequest.headers['content-length'] ?? 0) > maxBodyBytes) {
-        this.#rejectTooLarge(clientResponse, requestId);
-        clientRequest.resume();
-        return;
-      }
-      body = await readBytes(clientRequest, maxBodyBytes);
-    } catch {
-      // Either the body is too large, or the client disconnected while sending it and reads no response.
-      if (!clientResponse.destroyed) this.#rejectTooLarge(clientResponse, requestId);
+    if ((announcedBodyBytes(clientRequest) ?? 0) > maxBodyBytes) {
+      this.#onUnreadable(bounded, { kind: 'too-large' });
       return;
     }
-    const exchange: ClientExchange = {
-      id,
-      clientRequest,
-      clientResponse,
-      body,
-      requestId,
-      attempt: undefined,
-    };
+    const outcome = await bounded.readBody(maxBodyBytes);
+    if (outcome.kind !== 'complete') {
+      this.#onUnreadable(bounded, outcome);
+      return;
+    }
+    const { body } = outcome;
+    const requestId = requestIdOf(clientRequest);
+    const exchange = { id, clientRequest, clientResponse, body, requestId, attempt: undefined };
     const method = clientRequest.method ?? 'GET';
     const path = (clientRequest.url ?? '/').split('?')[0] ?? '/';
     const names = this.#router.needsModel(method, path) === true ? readNames(body) : NO_NAMES;
+    const text = 'the body must be JSON that names its model';
     if (names) this.#accept(exchange, method, path, names);
-    else
-      this.#responses.send(
-        clientResponse,
-        requestId,
-        'malformed',
-        'the body must be JSON that names its model',
-      );
+    else this.#responses.send(clientResponse, requestId, 'malformed', text);
   }
 
-  #rejectTooLarge(clientResponse: ServerResponse, requestId: string): void {
+  /** The request can't be read completely: it isn't run, and its client is told why. */
+  #onUnreadable(bounded: BoundedRequest, outcome: UnreadOutcome): void {
+    const { request, response } = bounded;
+    if (outcome.kind === 'revoked') this.#server.refuseRevoked(bounded, outcome.reason);
+    if (outcome.kind !== 'too-large') return;
     const text = `more than ${this.#settings.maxBodyBytes} bytes`;
-    this.#responses.send(clientResponse, requestId, 'too-large', text);
+    this.#responses.send(response, requestIdOf(request), 'too-large', text);
   }
 
   #accept(
--- a/src/proxy/table-proxy-process.ts
+++ b/src/proxy/table-proxy-process.ts
@@ -4,6 +4,8 @@
 import { monotonicNow } from '../common/clock.js';
 import { Counters } from '../common/counters.js';
 import type { HaretrackError } from '../common/errors.js';
+import { processIntakeLimits } from '../common/intake-limits.js';
+import { IntakeReport } from '../common/intake-report.js';
 import type { KnownVersion } from '../common/messages.js';
 import { newIncarnation } from '../common/incarnation.js';
 import { SerialQueue } from '../common/serial-queue.js';
@@ -28,12 +30,14 @@
   readonly #router: PolicyRouter;
   readonly #forwarder: PolicyForwarder;
   readonly #subscription = new Subscription();
+  readonly #intakeReport: IntakeReport;
   #ticks = 0;
   #wasFresh = false;
 
   constructor(settings: Infer<typeof TableProxySettingsShape>, log: Logger) {
     this.#settings = settings;
     this.#log = log;
+    this.#intakeReport = new IntakeReport(this.#counters, log);
     const proxyId = `flow@${settings.listen}`;
     this.#exchange = new Exchange(
       { id: proxyId, role: 'flow', zone: settings.zone, listen: '', reach: {} },
@@ -51,6 +55,7 @@
         maxBodyBytes: settings.maxBodyBytes,
         connectTimeoutMs: 500,
         idleTimeoutMs: settings.silentMs,
+        intake: processIntakeLimits(settings.memoryMb, settings.fileHandles),
       },
       this.#counters,
       monotonicNow,
@@ -66,6 +71,7 @@
     this.#subscription.add(
       interval(TICK_MS).subscribe(() => this.#queue.submit(() => this.#tick())),
     );
+    this.#intakeReport.start();
     this.#log.info({ zone: this.#settings.zone }, 'proxy started');
   }
 
@@ -74,6 +80,7 @@
     this.#log.info({ running: this.#router.running }, 'proxy draining');
     await this.#forwarder.stop(this.#settings.drainMs);
     this.#subscription.unsubscribe();
+    this.#intakeReport.stop();
     this.#exchange.close();
   }
 
