Stop the parsing of a connection that has sent too many requests ahead

Cause: Node hands over all requests of the 64 KiB that it has read, 3,640 of this size, even if the connection is destroyed at the 33rd, and keeps them until the connection's close event, which follows only after all sockets of the turn were read: 60 times 3,640 requests at once. Pausing the parser had no effect in a trial (3,000 of 3,000 were handed over).

The requests of a server are now of a class that tells Node, once the connection is to be closed, that it changes its protocol at this head, which is where Node stops parsing. Upgrades that clients ask for stay ordinary requests, as before. Node then doesn't emit close on the responses of that connection, so the server does, for all of them.

--- a/src/common/bounded-request.ts
+++ b/src/common/bounded-request.ts
@@ -60,6 +60,12 @@
     this.#reservation.release();
   }
 
+  /** The connection has closed: ends the request, and tells those who wait for the end of its response. */
+  onConnectionClosed(): void {
+    this.release();
+    this.response.emit('close');
+  }
+
   #onRevoked(reason: RevocationReason): void {
     // Where its connection is needed for another client, the request ends without a response.
     if (reason === 'connection') this.socket.destroy();
--- a/src/common/bounded-server.test.ts
+++ b/src/common/bounded-server.test.ts
@@ -110,6 +110,23 @@
   expect(running.counters.get('intake.requests-ahead')).toBe(1);
 });
 
+test('of the requests that were read at once no more are made than one beyond those allowed', async () => {
+  const { running, client } = await startWithClient();
+  let made = 0;
+  running.bounded.http.on('request', () => (made += 1));
+  running.bounded.http.on('upgrade', () => (made += 1));
+  running.isHolding = true;
+  client.socket.write('GET / HTTP/1.1\r\n\r\n'.repeat(3000));
+  await expect.poll(() => client.isClosed).toBe(true);
+  expect(made).toBeLessThanOrEqual(LIMITS.requestsPerConnection + 2);
+});
+
+test('a request to change the protocol is handled as an ordinary one', async () => {
+  const { client } = await startWithClient();
+  client.socket.write('GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n');
+  await expect.poll(() => client.statuses).toEqual(['200']);
+});
+
 test('a request without a host, and one with an expectation, are refused and counted', async () => {
   const { running, client } = await startWithClient();
   client.socket.write('GET / HTTP/1.1\r\n\r\n');
--- a/src/common/bounded-server.ts
+++ b/src/common/bounded-server.ts
@@ -13,6 +13,7 @@
 import { MemoryAccount, type RevocationReason } from './memory-account.js';
 import { OpenConnections } from './open-connections.js';
 import { replyAndDiscard } from './refusal.js';
+import { StoppableRequest, stopParsing } from './stoppable-request.js';
 
 const STATUS_BAD_REQUEST = 400;
 const STATUS_TIMEOUT = 408;
@@ -50,7 +51,12 @@
     this.#account = new MemoryAccount(settings.limits.requestBytes);
     this.#connections = new OpenConnections(settings.limits, this.#account, settings.counters);
     // Node would answer requests without a host, and expectations, without their being counted here.
-    this.http = createServer({ ...settings.options, requireHostHeader: false });
+    this.http = createServer({
+      ...settings.options,
+      requireHostHeader: false,
+      IncomingMessage: StoppableRequest,
+    });
+    this.http.on('upgrade', (request) => request.socket.destroy());
     const intervals = setInterval(() => this.#advance(), INTERVAL_MS).unref();
     this.http.once('close', () => clearInterval(intervals));
     this.http.on('connection', (socket) => this.#connections.onConnect(socket));
@@ -116,11 +122,11 @@
     proceed: (bounded: BoundedRequest) => void,
   ): void {
     const { socket } = request;
-    // The parser goes on to report the requests that came together with the one for which the connection was closed.
     if (socket.destroyed) return;
     const bounded = new BoundedRequest(request, response, this.#account);
     if (!this.#connections.add(bounded)) {
       this.#settings.counters.add('intake.requests-ahead');
+      stopParsing(socket);
       socket.destroy();
       return;
     }
--- a/src/common/open-connections.ts
+++ b/src/common/open-connections.ts
@@ -83,11 +83,11 @@
     return true;
   }
 
-  /** Node emits `close` only on the response that is due next: the requests behind it end here. */
+  /** Node emits `close` on the response that is due next at most: the requests behind it end here. */
   #forget(socket: Socket): void {
     const requests = this.#requests.get(socket) ?? [];
     this.#requests.delete(socket);
     this.#idle.delete(socket);
-    for (const request of requests) request.release();
+    for (const request of requests) request.onConnectionClosed();
   }
 }
