--- a/src/common/body-buffer.ts
+++ b/src/common/body-buffer.ts
@@ -61,7 +61,7 @@
     const formerBytes = this.#buffer.length;
     const nextBytes = this.#nextBufferBytes(neededBytes);
     if (!this.#reservation.reserve(nextBytes)) return false;
-    const next = Buffer.allocUnsafeSlow(nextBytes);
+    const next = Buffer.allocUnsafe(nextBytes);
     this.#buffer.copy(next, 0, 0, this.#length);
     this.#buffer = next;
     this.#reservation.giveBack(formerBytes);
