Handle no request behind one that was refused on its connection

A client that sent a request behind one that was refused (too large, no memory, no host) could have it run, and got no response: the connection closes with the refusal. Found by reading the change; the test failed before (the second request was handled) and passes now. What comes behind a refusal is counted, but neither handled nor given memory.

--- a/src/common/bounded-request.ts
+++ b/src/common/bounded-request.ts
@@ -18,9 +18,9 @@
 export class BoundedRequest {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
-  readonly #reservation: Reservation;
   /** The connection on which the request came. */
   readonly socket: Socket;
+  readonly #reservation: Reservation;
   #reader: RequestBodyReader | undefined;
 
   constructor(request: IncomingMessage, response: ServerResponse, account: MemoryAccount) {
--- a/src/common/bounded-server.test.ts
+++ b/src/common/bounded-server.test.ts
@@ -121,6 +121,18 @@
   expect(made).toBeLessThanOrEqual(LIMITS.requestsPerConnection + 2);
 });
 
+test('a request behind one that was refused is not handled, since its response could not be sent', async () => {
+  const { running, client } = await startWithClient();
+  running.isHolding = true;
+  client.socket.write(`${REQUEST}GET / HTTP/1.1\r\n\r\n${REQUEST}`);
+  await expect.poll(() => running.held.length).toBe(1);
+  running.held[0]?.response.end('first');
+  await expect.poll(() => client.statuses).toEqual(['200', '400']);
+  await expect.poll(() => client.isClosed).toBe(true);
+  expect(running.held.length).toBe(1);
+  expect(running.bounded.reservedBytes).toBe(0);
+});
+
 test('a request to change the protocol is handled as an ordinary one', async () => {
   const { client } = await startWithClient();
   client.socket.write('GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n');
--- a/src/common/bounded-server.ts
+++ b/src/common/bounded-server.ts
@@ -7,6 +7,7 @@
   type ServerOptions,
   type ServerResponse,
 } from 'node:http';
+import type { Socket } from 'node:net';
 import { BoundedRequest } from './bounded-request.js';
 import type { Counters } from './counters.js';
 import type { IntakeLimits } from './intake-limits.js';
@@ -44,6 +45,8 @@
   readonly #settings: BoundedServerSettings;
   readonly #account: MemoryAccount;
   readonly #connections: OpenConnections;
+  /** Connections that close after a refusal: what comes on them later isn't handled, since no response would follow. */
+  readonly #refused = new WeakSet<Socket>();
   #idleMs = DEFAULT_IDLE_MS;
 
   constructor(settings: BoundedServerSettings) {
@@ -105,6 +108,7 @@
     status: number,
     headers: OutgoingHttpHeaders = {},
   ): void {
+    this.#refused.add(request.socket);
     const reply = { status, headers: { ...headers, 'content-length': 0 }, body: '' };
     replyAndDiscard(request, response, reply);
   }
@@ -130,6 +134,7 @@
       socket.destroy();
       return;
     }
+    if (this.#refused.has(socket)) return;
     response.once('close', () => this.#onResponseEnd(bounded));
     if (bounded.reserveHead()) proceed(bounded);
     else this.refuseRevoked(bounded, 'memory');
