Show two holders of a runner's orders within the lease

A voter whose disk was repaired forgets, when its process ends, that it must wait for a lease that it may have granted.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -87,8 +87,20 @@
   #first = 0;
   zones = ['plateau', 'diass', 'pikine'];
 
-  /** Chooses addresses and writes the settings files. */
-  async prepare() {
+  #hasStarted = false;
+  #bounds = BOUNDS;
+
+  /**
+   * Chooses addresses and writes the settings files; `bounds` replaces lines of the bounds.
+   */
+  async prepare(bounds = {}) {
+    for (const [name, value] of Object.entries(bounds))
+      this.#bounds = this.#bounds.replace(new RegExp(`^${name} = .*$`, 'm'), `${name} = ${value}`);
+    await this.#chooseAddresses();
+    this.#writeAllSettings();
+  }
+
+  async #chooseAddresses() {
     const cores = [1, 2, 3].map((number) => `${this.#net}.${number}`);
     const edge = `${this.#net}.11`;
     const provider = `${this.#net}.21`;
@@ -98,9 +110,25 @@
     this.public = `${edge}:${first + 4}`;
     this.readiness = `${edge}:${first + 5}`;
     this.provider = `${provider}:${first + 3}`;
-    for (const [index, ip] of cores.entries()) {
-      const data = join(this.#directory, `data-${index}`);
-      mkdirSync(data);
+    this.internal = cores.map((ip) => `${ip}:${first}`);
+  }
+
+  /** An address of this deployment's own network for a stand-in; the number is from 31 to 250. */
+  host(number) {
+    return `${this.#net}.${number}`;
+  }
+
+  #dataOf(index) {
+    return join(this.#directory, `data-${index}`);
+  }
+
+  #writeAllSettings() {
+    const first = this.#first;
+    const [edge] = this.public.split(':');
+    for (const [index, control] of this.control.entries()) {
+      const [ip] = control.split(':');
+      const data = this.#dataOf(index);
+      mkdirSync(data, { recursive: true });
       this.#writeSettings(`control-${index}`, {
         node: `core-${this.zones[index]}-1`,
         role: 'control',
@@ -135,7 +163,7 @@
 region = "dakar"
 internal_ports = [${this.#first},${this.#first + 2}]
 seeds = [${seeds}]
-first_start = true
+first_start = ${!this.#hasStarted}
 ${extra}
 [listen]
 ${listen}
@@ -150,7 +178,7 @@
 machines = 1
 zones = 1
 regions = 0
-${BOUNDS}
+${this.#bounds}
 [provider_api]
 address = "${this.provider}"
 rate_per_s = 47.0
@@ -159,8 +187,11 @@
     );
   }
 
-  /** Starts a process by the command of its role; `onEnd` is called if it ends. */
-  start(name, onEnd = () => undefined) {
+  /**
+   * Starts a process by the command of its role; `onEnd` is called when it ends. `environment` is added to the few variables
+   * that the platform sets.
+   */
+  start(name, onEnd = () => undefined, environment = {}) {
     const [program, ...parameters] = commandOf(name.split('-')[0]);
     const log = openSync(join(this.#directory, `${name}.log`), 'a');
     const child = spawn(program === 'node' ? process.execPath : program, parameters, {
@@ -171,6 +202,7 @@
         HOME: process.env.HOME,
         LANG: process.env.LANG,
         HARETRACK_CONFIG: join(this.#directory, `${name}.toml`),
+        ...environment,
       },
     });
     closeSync(log);
@@ -183,12 +215,29 @@
   }
 
   /** Starts all processes with the configuration, and waits until the proxy is ready. */
-  async startAll(record, configuration, onProxyEnd) {
-    for (const name of ['control-0', 'control-1', 'control-2', 'agent']) this.start(name);
+  async startAll(record, configuration, onProxyEnd, environmentOf = () => ({})) {
+    for (const name of ['control-0', 'control-1', 'control-2', 'agent'])
+      this.start(name, undefined, environmentOf(name));
     this.start('proxy', onProxyEnd);
     await this.configure(record, 'PUT', 0, configuration);
     await until('the proxy is ready', 20_000, () => this.isReady());
     record.add('the proxy is ready');
+    // Only the very first start of the system is told so.
+    this.#hasStarted = true;
+    this.#writeAllSettings();
+  }
+
+  /** A control node's machine loses power and its disk; resolves when its process has ended. */
+  async wipe(index) {
+    await this.kill(`control-${index}`);
+    rmSync(this.#dataOf(index), { recursive: true, force: true });
+    mkdirSync(this.#dataOf(index));
+  }
+
+  /** Ends a process by SIGKILL; resolves when it has ended. */
+  async kill(name) {
+    this.signal(name, 'SIGKILL');
+    while (this.#processes.has(name)) await pause(2);
   }
 
   async isReady() {
@@ -225,13 +274,17 @@
     this.#processes.get(name)?.kill(signal);
   }
 
+  wholeLog(name) {
+    return readFileSync(join(this.#directory, `${name}.log`), 'utf8');
+  }
+
   pid(name) {
     return this.#processes.get(name)?.pid;
   }
 
   /** The last lines that a process wrote. */
   log(name, count = 12) {
-    const text = readFileSync(join(this.#directory, `${name}.log`), 'utf8');
+    const text = this.wholeLog(name);
     return text.replaceAll(ROOT, '').trimEnd().split('\n').slice(-count).join('\n');
   }
 
--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -49,7 +49,7 @@
   /** `settings`: id, service, zone, slots; `handle` gets the request with its body read, and the response. */
   constructor(settings, handle) {
     this.#settings = settings;
-    this.#server = createServer((request, response) => {
+    this.#server = createServer({ maxHeaderSize: 128 * 1024 }, (request, response) => {
       const chunks = [];
       request.on('data', (chunk) => chunks.push(chunk));
       request.once('end', () => {
@@ -98,6 +98,153 @@
   }
 }
 
+/** What a server of many models says of itself lags by this. */
+const REPORT_LAG_MS = 200;
+
+/** A server of a service of many models: takes orders, holds models, and answers streams for what it holds. */
+export class ModelServer {
+  #settings;
+  #server;
+  #address = '';
+  #models = new Set();
+  #isBusy = false;
+  #orderCount = 0;
+  #highestFence = 0;
+  #seen = [];
+  /** The orders that it has taken: when, by whom, and with which fence. */
+  taken = [];
+
+  /** `settings`: id, service, zone, slots, models, sizeMb, modelMb, loadMs, isFenced; `onOrder` is told of each order. */
+  constructor(settings, onOrder) {
+    this.#settings = settings;
+    for (const model of settings.models) this.#models.add(model);
+    this.#server = createServer((request, response) => {
+      const chunks = [];
+      request.on('data', (chunk) => chunks.push(chunk));
+      request.once('end', () => {
+        const target = request.headers['target-server'];
+        if (target !== undefined && target !== settings.id) end(response, 421);
+        else if (request.url === '/-/report') end(response, 200, this.#report());
+        else if (request.url === '/-/order') {
+          const order = JSON.parse(Buffer.concat(chunks).toString());
+          const status = this.#order(order);
+          onOrder(order, status, this);
+          end(response, status);
+        } else if (request.url === '/health') end(response, 200);
+        else this.#serve(request, response);
+      });
+    });
+  }
+
+  get id() {
+    return this.#settings.id;
+  }
+
+  async start(host) {
+    const port = await listen(this.#server, `${host}:0`);
+    this.#address = `${host}:${port}`;
+  }
+
+  stop() {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #state() {
+    return {
+      stage: 'both',
+      models: [...this.#models].map((name) => ({ name, version: 1, adapters: [] })),
+      busy: this.#isBusy,
+      call_count: this.#orderCount,
+      waiting: 0,
+      active: 0,
+      cache_used: 0,
+      cache_total: 90_000,
+      handled: 0,
+    };
+  }
+
+  /** Its state as of some hundred ms ago. */
+  #report() {
+    const now = performance.now();
+    const seen = this.#seen.findLast(({ at }) => at <= now - REPORT_LAG_MS);
+    return seen?.state ?? this.#state();
+  }
+
+  #note() {
+    this.#seen.push({ at: performance.now(), state: this.#state() });
+    if (this.#seen.length > 500) this.#seen.shift();
+  }
+
+  #order({ operation, model, holder, fence, expected_count: expected }) {
+    const { sizeMb, modelMb, loadMs, isFenced } = this.#settings;
+    if (holder === undefined || fence === undefined) return 400;
+    if (isFenced && fence < this.#highestFence) return 412;
+    this.#highestFence = Math.max(this.#highestFence, fence);
+    if (this.#isBusy || (expected !== undefined && expected !== this.#orderCount)) return 409;
+    if (operation === 'load' ? this.#models.has(model) : !this.#models.has(model)) return 200;
+    if (operation === 'load' && (this.#models.size + 1) * modelMb > sizeMb) return 400;
+    this.#note();
+    this.#orderCount += 1;
+    this.#isBusy = true;
+    this.taken.push({ at: performance.now(), holder, fence, operation, model });
+    if (operation === 'unload') this.#models.delete(model);
+    this.#note();
+    setTimeout(
+      () => {
+        this.#note();
+        if (operation === 'load') this.#models.add(model);
+        this.#isBusy = false;
+        this.#note();
+      },
+      operation === 'load' ? loadMs : 20,
+    );
+    return 202;
+  }
+
+  #serve(request, response) {
+    if (!this.#models.has(request.headers.model)) {
+      end(response, 421);
+      return;
+    }
+    const id = request.headers['attempt-id'];
+    response.writeHead(200, {
+      'attempt-id': id,
+      'server-seal': `seal.${id}`,
+      'weight-versions': '1',
+      'content-type': 'text/event-stream',
+    });
+    response.end('id: 1\ndata: first\n\nid: 2\ndata: last\n\n');
+  }
+
+  /** Its entry on the platform's list. */
+  entry() {
+    const { id, service, zone, slots } = this.#settings;
+    const { stage, models } = this.#report();
+    return {
+      id,
+      service,
+      address: this.#address,
+      zone,
+      version: 'v1',
+      slots,
+      state: 'ready',
+      warmup_left_ms: 0,
+      stage,
+      models,
+    };
+  }
+}
+
+function end(response, status, body) {
+  const text = body === undefined ? '' : JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
 /** A configuration with one route to each of these services without models. */
 export function configurationOf(version, routes) {
   const services = [...new Set(routes.map(({ service }) => service))];
