--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -4,7 +4,7 @@
 import { callOnce } from '../lib-2/calls.mjs';
 import { Deployment } from '../lib-2/deployment.mjs';
 import { IS_TROUBLED, pause, runCase, until } from '../lib-2/record.mjs';
-import { configurationOf, PlainServer, Platform } from '../lib-2/stand-ins.mjs';
+import { configurationOf, Platform, RawServer } from '../lib-2/stand-ins.mjs';
 
 const HOST = 'ficu95.example';
 const deployment = new Deployment();
@@ -58,32 +58,17 @@
   const [host] = deployment.public.split(':');
   let isSpoiling = false;
   let isTold = false;
-  function answerer(name) {
-    return (request, response) => {
-      const id = request.headers['attempt-id'];
-      if (isSpoiling && name === 'i-odd') {
-        isSpoiling = false;
-        record.add(`server in trouble: answers ${id} with status 101, and 5 bytes`);
-        request.socket.write(
-          `HTTP/1.1 101 ?\r\nAttempt-Id: ${id}\r\nServer-Seal: seal.${id}\r\nContent-Length: 5\r\n\r\nhello`,
-        );
-        return;
-      }
-      if (isTold) record.add(`server: answers ${id} whole, with status 200`);
-      const body = `body of ${id}`;
-      response.writeHead(200, {
-        'attempt-id': id,
-        'server-seal': `seal.${id}`,
-        'content-length': body.length,
-      });
-      response.end(body);
-    };
-  }
-  // Only the server in trouble gets the request that it spoils: the other one is listed afterwards.
-  const odd = new PlainServer(
-    { id: 'i-odd', service: 'app', zone: 'plateau', slots: 6 },
-    answerer('i-odd'),
-  );
+  const odd = new RawServer({ id: 'i-odd', service: 'app', zone: 'plateau', slots: 6 }, (id) => {
+    const head = `Attempt-Id: ${id}\r\nServer-Seal: seal.${id}\r\n`;
+    if (isSpoiling) {
+      isSpoiling = false;
+      record.add(`server in trouble: answers ${id} with status 101, and 5 bytes`);
+      return `HTTP/1.1 101 ?\r\n${head}Content-Length: 5\r\n\r\nhello`;
+    }
+    if (isTold) record.add(`server: answers ${id} whole, with status 200`);
+    const body = `body of ${id}`;
+    return `HTTP/1.1 200 OK\r\n${head}Content-Length: ${body.length}\r\n\r\n${body}`;
+  });
   const platform = new Platform([odd]);
   stops.push(
     () => odd.stop(),
--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -1,5 +1,6 @@
 // Stand-ins for the platform's list and for servers, as the pages describe them.
 import { createServer } from 'node:http';
+import { createServer as createRawServer } from 'node:net';
 
 function listen(server, address) {
   const [host, port] = address.split(':');
@@ -84,18 +85,64 @@
 
   /** Its entry on the platform's list. */
   entry() {
-    const { id, service, zone, slots } = this.#settings;
-    return {
-      id,
-      service,
-      address: this.#address,
-      zone,
-      version: 'v1',
-      slots,
-      state: 'ready',
-      warmup_left_ms: 0,
-    };
+    return plainEntry(this.#settings, this.#address);
+  }
+}
+
+/** A server of a service without models that answers with the very bytes that `answer` returns for a request's id. */
+export class RawServer {
+  #settings;
+  #server;
+  #sockets = new Set();
+  #address = '';
+
+  /** `settings`: id, service, zone, slots. Requests have no body. */
+  constructor(settings, answer) {
+    this.#settings = settings;
+    this.#server = createRawServer((socket) => {
+      let unread = '';
+      this.#sockets.add(socket);
+      socket.setEncoding('latin1');
+      socket.on('error', () => undefined);
+      socket.once('close', () => this.#sockets.delete(socket));
+      socket.on('data', (text) => {
+        unread += text;
+        for (let end = unread.indexOf('\r\n\r\n'); end >= 0; end = unread.indexOf('\r\n\r\n')) {
+          const id = /^attempt-id: (\S+)/im.exec(unread.slice(0, end))?.[1] ?? '';
+          unread = unread.slice(end + 4);
+          socket.write(answer(id));
+        }
+      });
+    });
+  }
+
+  async start(host) {
+    const port = await listen(this.#server, `${host}:0`);
+    this.#address = `${host}:${port}`;
   }
+
+  stop() {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  /** Its entry on the platform's list. */
+  entry() {
+    return plainEntry(this.#settings, this.#address);
+  }
+}
+
+function plainEntry({ id, service, zone, slots }, address) {
+  return {
+    id,
+    service,
+    address,
+    zone,
+    version: 'v1',
+    slots,
+    state: 'ready',
+    warmup_left_ms: 0,
+  };
 }
 
 /** What a server of many models says of itself lags by this. */
