--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -228,7 +228,8 @@
     for (const name of [...nodes.map((index) => `control-${index}`), 'agent'])
       this.start(name, undefined, environmentOf(name));
     this.start('proxy', onProxyEnd);
-    await this.configure(record, 'PUT', 0, configuration);
+    const status = await this.configure(record, 'PUT', 0, configuration);
+    if (status !== 200) throw new Error(`the first configuration got ${status}`);
     await until('the proxy is ready', 20_000, () => this.isReady());
     record.add('the proxy is ready');
     // Only the very first start of the system is told so.
