Report the newest voters from disk after a restart of all

The acknowledged version was on the disk of a running voter.

Cause: a voter that does not know a candidate asks it for the newest document, but the answer came from what a leader had published to that process since its start. After a restart of all that is nothing on every node, and the newest set of voters, on one disk alone, was told to nobody.

Fix: control nodes report the voters (and only those) of the newest document that they know, committed or not, to each other, until a leader has published it: with announcements, to those who announce an older one, to those who ask for updates. No message changes its form: one more topic of updates, which older builds do not use.

The exhaustive search reaches disks that differ from node to node; with the reports withheld it finds that nobody has served.

--- a/src/common/quorum.ts
+++ b/src/common/quorum.ts
@@ -20,6 +20,11 @@
     return this.#sets.length;
   }
 
+  /** The voters of each set. */
+  get memberSets(): readonly (readonly NodeId[])[] {
+    return this.#sets;
+  }
+
   /** The sets as text, for logs and status. */
   get text(): string {
     return this.#sets.join(' | ');
--- a/src/control/config-voters.ts
+++ b/src/control/config-voters.ts
@@ -10,10 +10,20 @@
  * `undefined` if the text is empty or has no voters.
  */
 export function quorumOf(configBody: string): Quorum | undefined {
+  const voters = voterSetsOf(configBody);
+  return voters && new Quorum(...voters.map(idsOf));
+}
+
+/** The text of a configuration that consists of the voters of this one; `undefined` if the text is empty or has no voters. */
+export function votersOnly(configBody: string): string | undefined {
+  const voters = voterSetsOf(configBody);
+  return voters && JSON.stringify({ voters });
+}
+
+function voterSetsOf(configBody: string): readonly (readonly string[])[] | undefined {
   if (configBody === '') return undefined;
   const voters = parseAs(VotersShape, configBody)?.voters;
-  if (!voters || voters.length === 0) return undefined;
-  return new Quorum(...voters.map(idsOf));
+  return voters?.length === 0 ? undefined : voters;
 }
 
 function idsOf(set: readonly string[]): NodeId[] {
--- a/src/control/control-components.ts
+++ b/src/control/control-components.ts
@@ -204,10 +204,11 @@
   }
 
   #makeMembership(now: Moment): VoterMembership {
-    const { document, zones, voterSet } = this;
+    const { document, zones, voterSet, updates } = this;
     const { effects } = this.#replica;
     const host = {
       ...this.#replica,
+      updates,
       zone: this.#settings.zone,
       isFirstStart: this.#settings.deployed?.isFirstStart ?? false,
       peers: this.#hooks.peers,
--- a/src/control/control-core.ts
+++ b/src/control/control-core.ts
@@ -82,6 +82,10 @@
   get voters(): readonly NodeId[] {
     return this.#replica.voters.quorum.all;
   }
+  /** The voters of each set in effect: one set, or two during a joint configuration. */
+  get voterSets(): readonly (readonly NodeId[])[] {
+    return this.#replica.voters.quorum.memberSets;
+  }
   /** How many orders this node has sent to runners since its start. */
   get ordersSent(): number {
     return this.#components.placement.ordersSent;
--- a/src/control/control-log-event.ts
+++ b/src/control/control-log-event.ts
@@ -25,7 +25,14 @@
   /** Configuration `number`, which was no longer on disk at a majority, was restored from agents and proxies. */
   | { readonly event: 'configuration recovered'; readonly number: number }
   /** The leader wrote another voter set; sets of a joint change are separated by ` | `. */
-  | { readonly event: 'voters changed'; readonly from: string; readonly to: string };
+  | { readonly event: 'voters changed'; readonly from: string; readonly to: string }
+  /** Another control node reported newer voters than this node knew, of the configuration with this version. */
+  | {
+      readonly event: 'voters reported';
+      readonly by: string;
+      readonly voters: string;
+      readonly version: string;
+    };
 
 /** An event of the process around the core. */
 export type ProcessLogEvent =
--- a/src/control/followed-voters.test.ts
+++ b/src/control/followed-voters.test.ts
@@ -72,3 +72,32 @@
   };
   expect(sources.counters.eventsWith(electorCounts).voterChanges).toBe(1);
 });
+test('voters that another node reported apply if they are newer, and only then', () => {
+  const voters = followedVoters(['a', 'b', 'd'], new Relay());
+  const version = { epoch: 2, count: 2 };
+  expect(voters.onVotersReported({ version: { epoch: 2, count: 1 }, body: bodyOf(['f']) })).toBe(
+    false,
+  );
+  expect(voters.onVotersReported({ version, body: bodyOf(['a', 'd', 'e']) })).toBe(true);
+  expect(voters.onVotersReported({ version, body: bodyOf(['f']) })).toBe(false);
+  expect(voters.quorum.all).toEqual(['a', 'd', 'e']);
+});
+test('a report that names no voters changes nothing', () => {
+  const voters = followedVoters(['a', 'b', 'd'], new Relay());
+  voters.follow();
+  const version = { epoch: 9, count: 9 };
+  for (const body of ['', '{}', '{"voters":[]}', 'x'])
+    expect(voters.onVotersReported({ version, body })).toBe(false);
+  expect(voters.quorum.all).toEqual(['a', 'b', 'd']);
+});
+test('only the voters of a configuration are reported, and only to nodes that know an older one', () => {
+  const relay = new Relay();
+  const voters = followedVoters(['a', 'b', 'd'], relay);
+  const version = { epoch: 3, count: 1 };
+  relay.offer('config', version, JSON.stringify({ voters: [['a', 'd', 'e']], number: 4 }));
+  expect(voters.newerThan(version)).toBeUndefined();
+  expect(voters.newerThan({ epoch: 2, count: 9 })).toEqual({
+    version,
+    body: bodyOf(['a', 'd', 'e']),
+  });
+});
--- a/src/control/followed-voters.ts
+++ b/src/control/followed-voters.ts
@@ -4,7 +4,7 @@
 import type { Elector } from '../election/elector.js';
 import { CONFIG_PARTITION } from '../state/partition-names.js';
 import type { ReplicatedState } from '../state/replicated-state.js';
-import { quorumOf } from './config-voters.js';
+import { quorumOf, votersOnly } from './config-voters.js';
 import type { ControlCounters } from './control-metrics.js';
 
 /** The text of a stored or published configuration, with its version. */
@@ -30,6 +30,8 @@
   #appliedConfig = '';
   /** The newest configuration read while taking over the leadership, if it names other voters. */
   #configRead: VersionedConfig | undefined;
+  /** The newest voters that another control node sent from its replica, as a configuration without its other fields. */
+  #reported: VersionedConfig | undefined;
 
   constructor(seeds: Quorum, sources: VoterSources) {
     this.#quorum = seeds;
@@ -41,9 +43,20 @@
     return this.#quorum;
   }
 
+  /**
+   * The voters of the newest configuration that this node knows, committed or not, as a configuration without its other
+   * fields; `undefined` if that configuration is not newer than this version.
+   */
+  newerThan(version: Version): VersionedConfig | undefined {
+    const newest = this.#newestConfig();
+    if (!isNewer(newest.version, version)) return undefined;
+    const voters = votersOnly(newest.body);
+    return voters === undefined ? undefined : { version: newest.version, body: voters };
+  }
+
   /** Applies the voters of the newest configuration, if it changed. */
   follow(): void {
-    const body = this.#newestConfig();
+    const { body } = this.#newestConfig();
     if (body === this.#appliedConfig) return;
     this.#appliedConfig = body;
     const quorum = quorumOf(body);
@@ -69,15 +82,27 @@
     this.#configRead = undefined;
   }
 
-  /** The newest of three configurations: in the local replica, published, and read while taking over. */
-  #newestConfig(): string {
-    let version = this.#sources.state.versionOf(CONFIG_PARTITION);
-    let body = this.#sources.state.replicaBody(CONFIG_PARTITION);
-    for (const other of [this.#sources.relay?.latest('config'), this.#configRead]) {
-      if (!other || !isNewer(other.version, version)) continue;
-      version = other.version;
-      body = other.body;
-    }
-    return body;
+  /**
+   * Another control node sent the newest voters that it knows. They apply here if they are newer, but are not stored: what
+   * this node has on disk is decided by leaders alone. Returns whether they apply.
+   */
+  onVotersReported(reported: VersionedConfig): boolean {
+    if (quorumOf(reported.body) === undefined) return false;
+    if (!isNewer(reported.version, this.#newestConfig().version)) return false;
+    this.#reported = reported;
+    this.follow();
+    return true;
+  }
+
+  /** The newest of four configurations: in the local replica, published, read while taking over, and reported. */
+  #newestConfig(): VersionedConfig {
+    let newest: VersionedConfig = {
+      version: this.#sources.state.versionOf(CONFIG_PARTITION),
+      body: this.#sources.state.replicaBody(CONFIG_PARTITION),
+    };
+    const published = this.#sources.relay?.latest('config');
+    for (const other of [published, this.#configRead, this.#reported])
+      if (other && isNewer(other.version, newest.version)) newest = other;
+    return newest;
   }
 }
--- a/src/control/member-messages.ts
+++ b/src/control/member-messages.ts
@@ -81,7 +81,7 @@
         this.#dependencies.reads.onQuorumReadReply(now, nodeId(from), message);
         return true;
       case 'update':
-        this.#dependencies.updates.onUpdate(message);
+        this.#dependencies.updates.onUpdate(from, message);
         return true;
       case 'delta':
         this.#dependencies.updates.onDelta(from, message);
--- a/src/control/update-exchange.test.ts
+++ b/src/control/update-exchange.test.ts
@@ -13,12 +13,12 @@
   const node = new ComponentsNode([]);
   const body = JSON.stringify(MACHINES);
   const update = { kind: 'update', topic: 'machines', epoch: 0, count: 3, body } as const;
-  node.components.updates.onUpdate(update);
+  node.components.updates.onUpdate('b', update);
   expect(node.sent()).toEqual([
     ['b', update],
     ['c', update],
   ]);
-  node.components.updates.onUpdate(update);
+  node.components.updates.onUpdate('b', update);
   expect(node.sent()).toEqual([]);
 });
 test('a delta whose base is unknown here is requested as a complete update', () => {
--- a/src/control/update-exchange.ts
+++ b/src/control/update-exchange.ts
@@ -1,12 +1,13 @@
 import { later, moment, type Moment, type NodeId } from '../common/ids.js';
 import { parseAs } from '../common/json.js';
 import type { KnownVersion, Message } from '../common/messages.js';
-import { isNewer } from '../common/version.js';
-import type { Relay } from '../dissemination/relay.js';
+import { isNewer, versionText, type Version } from '../common/version.js';
+import { VOTERS_TOPIC, type Relay } from '../dissemination/relay.js';
 import { MachinesShape, type Machines } from '../placement/shapes.js';
 import type { EffectQueue } from './effect-queue.js';
-import type { FollowedVoters } from './followed-voters.js';
+import type { FollowedVoters, VersionedConfig } from './followed-voters.js';
 import type { KnownMembers } from './known-members.js';
+import type { Leadership } from './leadership.js';
 import type { RelayTree } from './relay-tree.js';
 import type { TableManager } from './table-manager.js';
 
@@ -18,6 +19,7 @@
   readonly members: KnownMembers;
   readonly table: TableManager;
   readonly voters: FollowedVoters;
+  readonly leadership: Leadership;
   readonly effects: EffectQueue;
   /** Whether a configuration update changes the voters known here at once, as in a deployment. */
   readonly followsConfigUpdates: boolean;
@@ -59,13 +61,36 @@
 
   /** A node requested updates. A node that is not a child gets them only once: its own parent sends it all later ones. */
   onUpdateRequest(from: string): void {
+    const { relay, tree } = this.#dependencies;
     this.flush();
-    if (!this.#dependencies.tree.isChild(from)) this.#dependencies.relay.removeChild(from);
+    if (!tree.isChild(from)) relay.removeChild(from);
+    this.#reportVoters(from, relay.version('config'));
+  }
+
+  /** A control node that knows the published configuration of this version, or none, announced itself. */
+  onAnnounce(from: string, published: Version): void {
+    const config = this.#dependencies.relay.latest('config');
+    if (config && isNewer(config.version, published)) this.#sendUpdate(from, 'config', config);
+    this.#reportVoters(from, published);
+  }
+
+  /**
+   * Reports the voters of the newest configuration to these nodes if no leader has published that configuration to this
+   * process yet. After a restart of all nodes each of them knows only what is on its own disk, and the voters of the
+   * newest configuration may be known to one of them alone.
+   */
+  reportUnpublishedVoters(to: readonly string[]): void {
+    const published = this.#dependencies.relay.version('config');
+    for (const peer of to) this.#reportVoters(peer, published);
   }
 
   /** An update arrived, as a snapshot of its topic. */
-  onUpdate(message: UpdateMessage): void {
+  onUpdate(from: string, message: UpdateMessage): void {
     const { topic, body, epoch, count } = message;
+    if (topic === VOTERS_TOPIC) {
+      this.#onVotersReported(from, { version: { epoch, count }, body });
+      return;
+    }
     if (topic === 'machines') {
       const machines = parseAs(MachinesShape, body);
       if (machines) this.onMachineList(machines);
@@ -108,6 +133,29 @@
     for (const peer of this.#peers()) this.request(peer);
   }
 
+  #onVotersReported(from: string, reported: VersionedConfig): void {
+    const { voters, effects, followsConfigUpdates } = this.#dependencies;
+    if (!followsConfigUpdates || !voters.onVotersReported(reported)) return;
+    effects.log({
+      event: 'voters reported',
+      by: from,
+      voters: voters.quorum.text,
+      version: versionText(reported.version),
+    });
+  }
+
+  #reportVoters(to: string, known: Version): void {
+    const { voters: followedVoters, leadership, followsConfigUpdates } = this.#dependencies;
+    // A serving leader publishes its configuration as soon as it is committed.
+    if (!followsConfigUpdates || leadership.isServing) return;
+    const voters = followedVoters.newerThan(known);
+    if (voters) this.#sendUpdate(to, VOTERS_TOPIC, voters);
+  }
+
+  #sendUpdate(to: string, topic: string, { version, body }: VersionedConfig): void {
+    this.#dependencies.effects.send(to, { kind: 'update', topic, ...version, body });
+  }
+
   #request(from: string, have: KnownVersion[]): void {
     this.#dependencies.effects.send(from, {
       kind: 'freshnessRequest',
--- a/src/control/voter-membership.test.ts
+++ b/src/control/voter-membership.test.ts
@@ -37,6 +37,7 @@
     leadership.serve();
     const host = {
       ...this.replica,
+      updates: { onAnnounce: () => undefined, reportUnpublishedVoters: () => undefined },
       replicaStatus,
       zone: 'zone-a',
       isFirstStart: false,
--- a/src/control/voter-membership.ts
+++ b/src/control/voter-membership.ts
@@ -1,7 +1,6 @@
 import { later, moment, nodeId, type Moment } from '../common/ids.js';
 import type { Message } from '../common/messages.js';
 import type { Quorum } from '../common/quorum.js';
-import { isNewer } from '../common/version.js';
 import type { Relay } from '../dissemination/relay.js';
 import type { Elector } from '../election/elector.js';
 import { allPartitions, CONFIG_PARTITION } from '../state/partition-names.js';
@@ -9,6 +8,7 @@
 import type { ReplicaStatus } from '../state/replica-status.js';
 import type { ConfigDoc } from './config-shapes.js';
 import { DepartingVoters } from './departing-voters.js';
+import type { UpdateExchange } from './update-exchange.js';
 import { VoterHandover } from './voter-handover.js';
 import { PeerIdleClock } from './peer-idle-clock.js';
 import {
@@ -32,6 +32,8 @@
   readonly voters: { readonly quorum: Quorum };
   /** The ids of all nodes that this node needs a connection to. */
   peers(): readonly string[];
+  /** Sends newer configurations, and the voters that they name, to other control nodes. */
+  readonly updates: Pick<UpdateExchange, 'onAnnounce' | 'reportUnpublishedVoters'>;
   /** Whether this node leads and has taken over the state. */
   readonly leadership: { readonly isServing: boolean };
   /** The configuration as last written by this leader, committed or not. */
@@ -133,15 +135,16 @@
     this.#changeVoters(now);
   }
 
-  /** A spare announced itself: records it, sends it a newer configuration, and forwards the announcement to the leader. */
+  /**
+   * A spare announced itself: records it, sends it a newer configuration and newer voters, and forwards the announcement
+   * to the leader.
+   */
   onAnnounce(now: Moment, from: string, message: AnnounceMessage): void {
     const { id, zone, isFirst, isSound } = message;
     const host = this.#host;
     if (id === host.me) return;
     this.#announced.set(id, { id, zone, isFirst, isHealthy: isSound, at: now });
-    const config = host.relay.latest('config');
-    if (config && from === id && isNewer(config.version, message))
-      host.send(id, { kind: 'update', topic: 'config', ...config.version, body: config.body });
+    if (from === id) host.updates.onAnnounce(id, message);
     // An announcement that another node forwarded is not forwarded again.
     const leader = host.elector.leader;
     if (leader !== undefined && leader !== host.me && from === id) host.send(leader, message);
@@ -220,7 +223,9 @@
       isFirst: host.isFirstStart && !this.#wasVoter,
       isSound: this.#isHealthy(),
     } as const;
-    for (const peer of host.peers()) host.send(peer, message);
+    const peers = host.peers();
+    for (const peer of peers) host.send(peer, message);
+    host.updates.reportUnpublishedVoters(peers);
   }
 
   #changeVoters(now: Moment): void {
--- a/src/dissemination/relay.ts
+++ b/src/dissemination/relay.ts
@@ -44,6 +44,12 @@
   readonly message: Message;
 }
 
+/**
+ * Topic of the updates by which control nodes report the voters of the newest configuration that they know, committed or
+ * not. It is handled by its receiver alone and never relayed.
+ */
+export const VOTERS_TOPIC = 'voters';
+
 /** Topics in the order in which they are sent: updates that stop work precede updates that start it. */
 export const TOPICS = ['machines', 'config', 'fleet', 'places'] as const;
 
--- a/src/simulation/exhaustive/control-node.ts
+++ b/src/simulation/exhaustive/control-node.ts
@@ -6,8 +6,8 @@
 import { partitionName, type Moment } from '../../common/ids.js';
 import { parseAs } from '../../common/json.js';
 import type { Message } from '../../common/messages.js';
-import { isNewer } from '../../common/version.js';
 import { ControlCore } from '../../control/control-core.js';
+import { VOTERS_TOPIC } from '../../dissemination/relay.js';
 import { CONTROL_DEFAULTS } from '../../control/control-effect.js';
 import type { VoteSettings } from '../../election/vote-settings.js';
 import type { Boot, DiskWrite, Input, Output, OutgoingMessage, Subject } from './local-states.js';
@@ -81,7 +81,9 @@
   /** The same, but only from the second change of voters on. */
   | 'second-joint-set-skipped'
   /** A node that acknowledges a joint set has only the old set on its disk. */
-  | 'joint-set-not-stored';
+  | 'joint-set-not-stored'
+  /** The voters of the newest configuration on the disk of a node are sent to no other node. */
+  | 'voters-not-reported';
 
 const ConfigShape = type({
   voters: array(array(string())),
@@ -142,7 +144,7 @@
       isServing ? state.body(CONFIG_PARTITION) : state.replicaBody(CONFIG_PARTITION),
     );
     return {
-      voters: this.#voters(),
+      voters: this.#core.voterSets,
       version: doc?.routing?.version ?? 0,
       isServing,
       isLeading: elector.isLeading(),
@@ -151,16 +153,6 @@
     };
   }
 
-  /** From its own replica, or from a newer committed configuration that it was sent. */
-  #voters(): readonly (readonly string[])[] {
-    const { state, relay } = this.#core;
-    const latest = relay.latest('config');
-    const isLatestNewer =
-      latest !== undefined && isNewer(latest.version, state.versionOf(CONFIG_PARTITION));
-    const doc = parseConfig(isLatestNewer ? latest.body : state.replicaBody(CONFIG_PARTITION));
-    return doc?.voters ?? [this.#seeds];
-  }
-
   perform(now: Moment, input: Input<ControlCommand>): Output<ControlEvent> {
     switch (input.kind) {
       case 'tick':
@@ -206,8 +198,10 @@
     return { sends, writes, events };
   }
 
-  /** Whether the mistake withholds a message: a skipped joint set is not sent to the old voters. */
+  /** Whether the mistake withholds a message: reported voters, or a skipped joint set from the old voters. */
   #isWithheld(to: string, message: Message): boolean {
+    if (this.#mistake === 'voters-not-reported')
+      return message.kind === 'update' && message.topic === VOTERS_TOPIC;
     if (message.kind !== 'write') return false;
     const voters = parseConfig(message.body)?.voters ?? [];
     return this.#skipsJointSet(voters) && voters[0]?.includes(to) === true;
--- a/src/simulation/exhaustive/searched-protocols.ts
+++ b/src/simulation/exhaustive/searched-protocols.ts
@@ -12,6 +12,7 @@
   type ReplicationMistake,
 } from './replication-protocol.js';
 import { VoterChangeProtocol } from './voter-change-protocol.js';
+import { VoterRestartProtocol, type DiskGenerations } from './voter-restart-protocol.js';
 
 /** The voters at the start of each search. */
 export const SEEDS = ['a', 'b', 'c'];
@@ -132,6 +133,26 @@
   return new VoterChangeProtocol(faults, mistake);
 }
 
+/** Clock steps of 400 ms after a restart of all nodes by which a leader has served: a third of the deployments' `recover_s`. */
+const RESTART_CLOCK_STEPS = 10;
+
+/** A restart of all nodes, with these sets of voters on their disks and with faults of these kinds. */
+export function voterRestart(
+  generations: DiskGenerations,
+  kinds: readonly FaultKind[],
+  mistake?: ControlMistake,
+): VoterRestartProtocol {
+  const bounds = {
+    clockSteps: RESTART_CLOCK_STEPS,
+    servesBy: RESTART_CLOCK_STEPS,
+    restarts: 1,
+    wipes: 0,
+    hasLateSyncs: false,
+    kinds,
+  };
+  return new VoterRestartProtocol(generations, bounds, mistake);
+}
+
 /** The bounds that all searches of refusals share. */
 const REFUSAL_BOUNDS = { restarts: 1, wipes: 0, hasLateSyncs: false, calls: 2 };
 /** Competing orders with the same base, that of the first order. */
--- a/src/simulation/exhaustive/searches.ts
+++ b/src/simulation/exhaustive/searches.ts
@@ -17,8 +17,10 @@
   voterChangeWithFaults,
   voterChangeWithVoterFaults,
   voterChange,
+  voterRestart,
 } from './searched-protocols.js';
 import { StateDigest } from './state-digest.js';
+import { JOINT_SET_ON_TWO, THREE_GENERATIONS } from './voter-restart-protocol.js';
 
 /** The names by which the command selects a model. */
 export const MODEL_NAMES = [
@@ -132,6 +134,12 @@
   search('voter-change', 'a voter restarts during the change', withFaults(1), () =>
     voterChangeWithVoterFaults(RESTART_CLOCK_STEPS, ['restart']),
   ),
+  search('voter-change', 'three sets of voters on the disks of a restart', withFaults(1), () =>
+    voterRestart(THREE_GENERATIONS, SHORT_FAULTS),
+  ),
+  search('voter-change', 'a joint set on two of three disks of a restart', withFaults(1), () =>
+    voterRestart(JOINT_SET_ON_TWO, ['drop']),
+  ),
   search('repair', 'calm', everyOrder(5), () => repair('calm', [SEEDS])),
   search('repair', 'wiped', everyOrder(7), () => repair('wiped', [SEEDS])),
   search('repair', 'wiped after a grant', everyOrder(7), () =>
@@ -161,6 +169,14 @@
 
 /** Seconds to minutes each. */
 const LONG_SEARCHES: readonly Search[] = [
+  longSearch(
+    search(
+      'voter-change',
+      'a joint set on two of three disks of a restart, every short fault',
+      withFaults(1),
+      () => voterRestart(JOINT_SET_ON_TWO, SHORT_FAULTS),
+    ),
+  ),
   longSearch(
     search('voter-change', 'a node is frozen during the change', withFaults(1), () =>
       voterChangeWithFaults(['freeze']),
--- a/src/simulation/exhaustive/voter-change-protocol.ts
+++ b/src/simulation/exhaustive/voter-change-protocol.ts
@@ -1,7 +1,5 @@
 import { CONFIG_PARTITION } from '../../state/partition-names.js';
-import { nodeId } from '../../common/ids.js';
 import type { Message } from '../../common/messages.js';
-import { Quorum } from '../../common/quorum.js';
 import {
   CONTROL_STEP_MS,
   ControlNode,
@@ -13,6 +11,7 @@
 } from './control-node.js';
 import { isOfSlot } from './disk.js';
 import { withLeader, type Leaders } from './leaders.js';
+import { checkVoterSets, type VoterSets } from './quorate-sets.js';
 import type { Boot, DiskWrite } from './local-states.js';
 import type {
   FaultFreeRun,
@@ -138,8 +137,8 @@
     const violation =
       leaderCheck.violation ??
       (wasServing ? undefined : checkServing(facts, ghost)) ??
-      checkVoterSets(after.facts.map(votersOf), 'in memory') ??
-      checkVoterSets(after.disks.map(votersOnDisk), 'on disk');
+      checkVoterSets(NODES, after.facts.map(votersOf), 'in memory') ??
+      checkVoterSets(NODES, after.disks.map(votersOnDisk), 'on disk');
     return { ghost, violation };
   }
 }
@@ -182,33 +181,6 @@
   return `serves version ${facts.version} though ${confirmed} was confirmed`;
 }
 
-type VoterSets = readonly (readonly string[])[] | undefined;
-
-/** Voter sets that a majority of their own members use could elect and commit on their own: at most one may exist. */
-function checkVoterSets(views: readonly VoterSets[], where: string): string | undefined {
-  const nodesBySets = new Map<string, string[]>();
-  for (const [node, sets] of views.entries()) {
-    if (!sets) continue;
-    const text = JSON.stringify(sets);
-    nodesBySets.set(text, [...(nodesBySets.get(text) ?? []), NODES[node] ?? '']);
-  }
-  const quorate: string[] = [];
-  for (const [node, sets] of views.entries()) {
-    if (!sets) continue;
-    const text = JSON.stringify(sets);
-    const by = nodesBySets.get(text) ?? [];
-    if (by[0] !== NODES[node]) continue;
-    const quorum = new Quorum(...sets.map(idsOf));
-    if (quorum.isMajority(new Set(by.map(nodeId)))) quorate.push(`${text} by ${by.join()}`);
-  }
-  if (quorate.length < 2) return undefined;
-  return `two sets of voters could decide independently, ${where}: ${quorate.join(' and ')}`;
-}
-
-function idsOf(set: readonly string[]): ReturnType<typeof nodeId>[] {
-  return set.map(nodeId);
-}
-
 function votersOf(facts: ControlFacts): VoterSets {
   return facts.voters;
 }
--- a/src/simulation/exhaustive/voter-change-searches.test.ts
+++ b/src/simulation/exhaustive/voter-change-searches.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest';
-import { voterChangeWithVoterFaults, voterChange } from './searched-protocols.js';
+import { voterChangeWithVoterFaults, voterChange, voterRestart } from './searched-protocols.js';
 import type { Search } from './searches.js';
 import {
   violatedInvariant,
@@ -7,6 +7,7 @@
   shortSearchesOf,
   findProblems,
 } from './testing/search-checks.js';
+import { THREE_GENERATIONS } from './voter-restart-protocol.js';
 
 async function checkSound(search: Search): Promise<void> {
   expect(await findProblems(search)).toEqual([]);
@@ -42,3 +43,8 @@
   );
   expect(await violatedInvariant(protocol, withFaults(0))).toBe('none');
 });
+// Guards against CONFIG (review/6): nobody leads after a restart of all, since the newest voters stay on one disk.
+test('detects voters that stay on one disk after a restart', async () => {
+  const protocol = voterRestart(THREE_GENERATIONS, [], 'voters-not-reported');
+  expect(await violatedInvariant(protocol, withFaults(0))).toContain('no leader has served');
+});
