Bound what a proxy holds of an event that does not end

Cause: EventStream kept what follows the last complete event without a limit and outside the account of memory, joined each piece with all that had come before (work that grows with the square of the bytes), and the runner was not held up.

While a part of an event is forwarded no other run can continue the stream, so a break is visible.

--- a/src/common/body-buffer.ts
+++ b/src/common/body-buffer.ts
@@ -1,5 +1,5 @@
-/** Gathers the body of a request in one buffer, whose cost depends on the body's length and not on its chunks. */
-import type { Reservation } from './memory-account.js';
+/** Gathers a body, or a part of one, in one buffer, whose cost depends on its length and not on its chunks. */
+import type { MemorySource } from './memory-account.js';
 
 /** What became of a chunk. */
 export type AppendOutcome = 'appended' | 'too-large' | 'no-memory';
@@ -14,22 +14,27 @@
 export interface BodyBufferSettings {
   /** The longest body. */
   readonly maxBytes: number;
-  /** The length that the client announced; undefined where it announced none. */
+  /** The length that the sender announced; undefined where it announced none. */
   readonly announcedBytes: number | undefined;
 }
 
 /** A body that is being received; the memory of its buffer is reserved before it is allocated. */
 export class BodyBuffer {
-  readonly #reservation: Reservation;
+  readonly #reservation: MemorySource;
   readonly #settings: BodyBufferSettings;
   #buffer = EMPTY;
   #length = 0;
 
-  constructor(reservation: Reservation, settings: BodyBufferSettings) {
+  constructor(reservation: MemorySource, settings: BodyBufferSettings) {
     this.#reservation = reservation;
     this.#settings = settings;
   }
 
+  /** The size of the buffer, which is reserved. */
+  get capacity(): number {
+    return this.#buffer.length;
+  }
+
   /** The bytes received so far. */
   get length(): number {
     return this.#length;
@@ -50,7 +55,13 @@
     return 'appended';
   }
 
-  /** Drops what was received. */
+  /** Drops what was received, and gives its memory back. */
+  release(): void {
+    this.#reservation.giveBack(this.#buffer.length);
+    this.discard();
+  }
+
+  /** Drops what was received; its memory stays reserved. */
   discard(): void {
     this.#buffer = EMPTY;
     this.#length = 0;
--- a/src/common/bounded-request.ts
+++ b/src/common/bounded-request.ts
@@ -1,7 +1,12 @@
 /** A request of a client, and the memory that is reserved for it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { MemoryAccount, Reservation, RevocationReason } from './memory-account.js';
+import type {
+  MemoryAccount,
+  MemorySource,
+  Reservation,
+  RevocationReason,
+} from './memory-account.js';
 import {
   announcedBodyBytes,
   RequestBodyReader,
@@ -15,7 +20,7 @@
 const HEADER_TEXT_BYTES = 64;
 
 /** A request whose head was received, and the memory that is reserved for it. */
-export class BoundedRequest {
+export class BoundedRequest implements MemorySource {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   /** The connection on which the request came. */
@@ -40,6 +45,11 @@
     return this.#reservation.reserve(bytes);
   }
 
+  /** Returns some of the memory before the response has ended. */
+  giveBack(bytes: number): void {
+    this.#reservation.giveBack(bytes);
+  }
+
   /** Reads the body, of which `maxBytes` are allowed; its memory stays reserved until the response ends. */
   readBody(maxBytes: number): Promise<BodyOutcome> {
     this.#reader = new RequestBodyReader(this.request, this.#reservation, maxBytes);
--- a/src/common/memory-account.ts
+++ b/src/common/memory-account.ts
@@ -6,8 +6,16 @@
 /** Called once when a reservation is revoked; its bytes have been returned by then, and its holder must drop what it holds. */
 export type RevocationHandler = (reason: RevocationReason) => void;
 
+/** Where the memory of a buffer is reserved. */
+export interface MemorySource {
+  /** Reserves more bytes; returns false if they are not to be had. */
+  reserve(bytes: number): boolean;
+  /** Returns some of the reserved bytes. */
+  giveBack(bytes: number): void;
+}
+
 /** The part of an account that one request occupies. */
-export class Reservation {
+export class Reservation implements MemorySource {
   readonly #account: MemoryAccount;
   readonly #onRevoked: RevocationHandler;
   #bytes = 0;
--- a/src/proxy/client-exchange.ts
+++ b/src/proxy/client-exchange.ts
@@ -1,4 +1,5 @@
 import type { ClientRequest, IncomingMessage, ServerResponse } from 'node:http';
+import type { MemorySource } from '../common/memory-account.js';
 import type { DispatchEffect } from './dispatch-types.js';
 import type { RequestAnnotations } from './request-dialect.js';
 
@@ -7,12 +8,6 @@
 /** The dispatcher's effect that rejects a request. */
 export type RejectEffect = Extract<DispatchEffect, { do: 'reject' }>;
 
-/** The memory that is reserved for a request. */
-export interface RequestMemory {
-  /** Reserves more; returns false if it isn't to be had. */
-  reserve(bytes: number): boolean;
-}
-
 /** A request that was read completely, and the state of its response. */
 export interface ClientExchange {
   readonly id: number;
@@ -20,7 +15,7 @@
   readonly clientResponse: ServerResponse;
   readonly body: Buffer;
   /** The memory of the request, returned when its response has ended. */
-  readonly memory: RequestMemory;
+  readonly memory: MemorySource;
   readonly annotations: RequestAnnotations;
   /** The latest attempt at a runner. */
   attempt: Attempt | undefined;
@@ -29,6 +24,14 @@
   isHeadForwarded: boolean;
   /** Whether an event without an id was forwarded: another run can't be asked to skip it. */
   hasEventWithoutId: boolean;
+  /** Whether a part of an event was forwarded whose end has not arrived: no other run can go on with it. */
+  isEventIncomplete: boolean;
+}
+
+/** Whether the response that was forwarded so far could be continued by another run. */
+export function isContinuable(exchange: ClientExchange): boolean {
+  const { isHeadForwarded, hasEventWithoutId, isEventIncomplete } = exchange;
+  return !isHeadForwarded || !(hasEventWithoutId || isEventIncomplete);
 }
 
 /** One attempt of an exchange at a runner. */
--- a/src/proxy/client-server.ts
+++ b/src/proxy/client-server.ts
@@ -170,6 +170,7 @@
       lastEventId: annotations.lastEventId,
       isHeadForwarded: false,
       hasEventWithoutId: false,
+      isEventIncomplete: false,
     };
   }
 }
--- a/src/proxy/runner-requests.ts
+++ b/src/proxy/runner-requests.ts
@@ -3,7 +3,13 @@
 import type { Counters } from '../common/counters.js';
 import { parseAddress } from '../common/listen.js';
 import type { AttemptHandler } from './attempt-handler.js';
-import { Attempt, abortResponse, type ClientExchange, type SendEffect } from './client-exchange.js';
+import {
+  Attempt,
+  abortResponse,
+  isContinuable,
+  type ClientExchange,
+  type SendEffect,
+} from './client-exchange.js';
 import type { ResponseHead } from './dispatch-types.js';
 import {
   hasSelfDefinedLength,
@@ -38,8 +44,8 @@
 
   /** Starts an attempt. */
   send(exchange: ClientExchange, send: SendEffect): void {
-    // Another run can't be asked to skip events without ids: the client would receive them twice.
-    if (exchange.isHeadForwarded && exchange.hasEventWithoutId) {
+    // Another run can't be asked to skip events without ids, or a part of an event: the client would receive them twice.
+    if (!isContinuable(exchange)) {
       abortResponse(exchange);
       return;
     }
