Gather a response that is kept for a retry in one buffer

Callers could see: four responses of 200,000 bytes in chunks of one byte, on a route that may be repeated, took 94 MB of the proxy; some dozens would end it with all that it has under way.

Cause: BufferedRelay kept one Buffer for each chunk and reserved the chunk's bytes alone.

Fix: a BodyBuffer, as for clients' bodies: one buffer that grows by doubling, reserved before it is allocated.

--- a/src/common/request-body.ts
+++ b/src/common/request-body.ts
@@ -19,9 +19,9 @@
 /** How the reading of a body ended that isn't complete. */
 export type UnreadOutcome = Exclude<BodyOutcome, { readonly kind: 'complete' }>;
 
-/** The length that the request's head announces; undefined where it announces none. */
-export function announcedBodyBytes(request: IncomingMessage): number | undefined {
-  const header = request.headers['content-length'];
+/** The length that the head of a request or response announces; undefined where it announces none. */
+export function announcedBodyBytes(message: IncomingMessage): number | undefined {
+  const header = message.headers['content-length'];
   return header === undefined ? undefined : Number(header);
 }
 
--- a/src/proxy/buffered-relay.ts
+++ b/src/proxy/buffered-relay.ts
@@ -1,4 +1,6 @@
 import type { IncomingMessage } from 'node:http';
+import { BodyBuffer } from '../common/body-buffer.js';
+import { announcedBodyBytes } from '../common/request-body.js';
 import type { AttemptHandler } from './attempt-handler.js';
 import { writeWithBackpressure } from './byte-relay.js';
 import type { Attempt } from './client-exchange.js';
@@ -9,15 +11,15 @@
 
 /**
  * Forwards a small response once it is complete, so that the request can be retried until then. One that turns out to be
- * large, or for which there is no memory, is forwarded as it arrives from then on.
+ * large, or for which there is no memory, is forwarded as it arrives from then on. It is gathered in one buffer: its cost
+ * depends on its length, and not on the chunks in which it comes.
  */
 export class BufferedRelay {
   readonly #attempt: Attempt;
   readonly #runnerResponse: IncomingMessage;
   readonly #handler: AttemptHandler;
   readonly #writer: ResponseWriter;
-  #chunks: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffer: BodyBuffer;
   #isForwarding = false;
 
   constructor(
@@ -30,6 +32,10 @@
     this.#runnerResponse = runnerResponse;
     this.#handler = handler;
     this.#writer = writer;
+    this.#buffer = new BodyBuffer(attempt.exchange.memory, {
+      maxBytes: MAX_BUFFERED_BYTES,
+      announcedBytes: announcedBodyBytes(runnerResponse),
+    });
   }
 
   /** Starts reading the body. */
@@ -46,11 +52,9 @@
       this.#forward(chunk);
       return;
     }
-    this.#chunks.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    const { memory } = this.#attempt.exchange;
-    if (this.#bufferedBytes > MAX_BUFFERED_BYTES || !memory.reserve(chunk.length))
-      this.#startForwarding();
+    if (this.#buffer.append(chunk) === 'appended') return;
+    this.#startForwarding();
+    this.#forward(chunk);
   }
 
   /** Forwards what was buffered; the request can't be retried afterwards. */
@@ -62,7 +66,7 @@
       this.#runnerResponse,
       this.#runnerResponse.headers['content-length'],
     );
-    this.#forward(this.#takeBuffered());
+    if (this.#buffer.length > 0) this.#forward(this.#buffer.bytes);
   }
 
   #forward(bytes: Buffer): void {
@@ -70,12 +74,6 @@
     writeWithBackpressure(this.#attempt.exchange.clientResponse, this.#runnerResponse, bytes);
   }
 
-  #takeBuffered(): Buffer {
-    const bytes = Buffer.concat(this.#chunks);
-    this.#chunks = [];
-    return bytes;
-  }
-
   #onEnd(): void {
     const attempt = this.#attempt;
     if (attempt.isDone) return;
@@ -86,7 +84,7 @@
     } else {
       // Reported only now: the first data marks the response as started, after which a buffered request is not retried.
       this.#handler.onData(attempt);
-      const body = this.#takeBuffered();
+      const body = this.#buffer.bytes;
       const isHead = exchange.clientRequest.method === 'HEAD';
       const length = isHead ? this.#runnerResponse.headers['content-length'] : body.length;
       this.#writer.writeHead(exchange, this.#runnerResponse, length);
