Read reports of runners and responses to orders within limits

What could be seen: a runner in trouble that answers a poll with bytes without end was read up to 64 MiB, several at once, in a process with a heap of 160 MB, chunk by chunk.

Cause: readBytes kept one Buffer for each chunk, its limit was that of the platform's lists, and beyond it the rest was read and thrown away.

Lists of the platform keep 64 MiB (docs/gaps.md).

--- a/src/common/call.ts
+++ b/src/common/call.ts
@@ -1,5 +1,8 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
+import { BodyBuffer } from './body-buffer.js';
 import { parseAddress } from './listen.js';
+import type { MemorySource } from './memory-account.js';
+import { announcedBodyBytes } from './request-body.js';
 
 /** The response to an HTTP request, with its whole body as text. */
 export interface CallReply {
@@ -10,6 +13,16 @@
 
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 
+/** Bodies of calls are bounded by their callers, and no account is kept of them. */
+const UNACCOUNTED_MEMORY: MemorySource = { reserve: () => true, giveBack: () => undefined };
+
+/** The body of a message is larger than its reader allows. */
+export class BodyTooLargeError extends Error {
+  constructor(maxBytes: number) {
+    super(`a body of more than ${maxBytes} bytes`);
+  }
+}
+
 /** Reads a whole body as UTF-8 text; fails like `readBytes`. */
 export async function readBody(
   stream: IncomingMessage,
@@ -18,21 +31,22 @@
   return (await readBytes(stream, maxBytes)).toString('utf8');
 }
 
-/** Reads a whole body. Rejects if the stream ends early or the body is larger than `maxBytes`. */
+/**
+ * Reads a whole body into one buffer. Rejects if the stream ends early, or with a `BodyTooLargeError` if the body is larger
+ * than `maxBytes`; the rest of it is not read then.
+ */
 export function readBytes(stream: IncomingMessage, maxBytes: number): Promise<Buffer> {
   return new Promise((resolve: (body: Buffer) => void, reject: (thrown: unknown) => void) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const body = new BodyBuffer(UNACCOUNTED_MEMORY, {
+      maxBytes,
+      announcedBytes: announcedBodyBytes(stream),
+    });
     function onData(chunk: Buffer): void {
-      size += chunk.length;
-      if (size <= maxBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      // The rest is read and discarded, so that the sender can finish and read the response.
+      if (body.append(chunk) === 'appended') return;
       stream.off('data', onData);
-      stream.resume();
-      reject(new Error(`a body of more than ${maxBytes} bytes`));
+      stream.pause();
+      body.discard();
+      reject(new BodyTooLargeError(maxBytes));
     }
     function onClose(): void {
       reject(new Error('the body broke off'));
@@ -40,20 +54,24 @@
     stream.on('data', onData);
     stream.once('end', () => {
       stream.off('close', onClose);
-      resolve(Buffer.concat(chunks));
+      resolve(body.bytes);
     });
     stream.once('error', reject);
     stream.once('close', onClose);
   });
 }
 
-/** Sends an HTTP request, with a JSON body if there is one. `timeoutMs` covers the whole exchange, with the response body. */
+/**
+ * Sends an HTTP request, with a JSON body if there is one. `timeoutMs` covers the whole exchange, with the response body. A
+ * response whose body is larger than `maxBodyBytes` is not read on: its connection is closed.
+ */
 export function call(
   method: string,
   address: string,
   path: string,
   body: string | undefined,
   timeoutMs: number,
+  maxBodyBytes: number = MAX_BODY_BYTES,
 ): Promise<CallReply> {
   const { host, port } = parseAddress(address);
   return new Promise(
@@ -77,10 +95,11 @@
           resolve({
             status: response.statusCode ?? 0,
             headers: response.headers,
-            body: await readBody(response),
+            body: await readBody(response, maxBodyBytes),
           });
         } catch (thrown) {
           reject(thrown);
+          outgoing.destroy();
         }
       });
       outgoing.once('error', reject);
--- a/src/control/leased-send.ts
+++ b/src/control/leased-send.ts
@@ -16,8 +16,8 @@
 export const CONNECT_TIMEOUT_MS = 500;
 /** A call without a response ends after this time, or earlier if the lease ends. */
 export const RESPONSE_TIMEOUT_MS = 1000;
-/** A response body is not read beyond this size. */
-const MAX_RESPONSE_BYTES = 65_536;
+/** The response to an order is not read beyond this size, bytes. */
+export const MAX_RESPONSE_BYTES = 65_536;
 
 /**
  * Sends a request that only the holder of the lease may send. The connection is established first, so that the lease is
--- a/src/control/order-sender.ts
+++ b/src/control/order-sender.ts
@@ -4,6 +4,7 @@
 import type { Intent } from '../placement/shapes.js';
 import { parseAddress } from '../common/listen.js';
 import { mayWrite, remainingOrderTimeMs, type Lease } from './lease.js';
+import { MAX_RESPONSE_BYTES } from './leased-send.js';
 
 /**
  * The outcome of an order. `taken`: the runner accepted it. `turnedAway`: the runner rejected it permanently. `unsure`: it
@@ -102,7 +103,7 @@
 
   async #onResponse(response: IncomingMessage): Promise<void> {
     try {
-      await readBody(response);
+      await readBody(response, MAX_RESPONSE_BYTES);
     } catch {
       this.#fail();
       return;
