Keep on disk that a repaired voter may be bound by a lease

Cause: a repaired voter assumes that it granted a lease just before, but in memory alone. Its record said grantEpoch 0, which a restarted process takes for a voter that never granted anything and makes no leader wait.

Fix: the record says hasUnknownLease from the repair to the next grant; a process that starts with it assumes a lease from then on. The field is left out otherwise, and older builds ignore it.

--- a/src/control/vote-storage.ts
+++ b/src/control/vote-storage.ts
@@ -12,6 +12,7 @@
   grantEpoch: number(),
   grantLeader: string(),
   isFree: optional(boolean()),
+  hasUnknownLease: optional(boolean()),
 });
 
 /** The votes that a node finds on its disk when it starts. */
--- a/src/election/vote-effect.ts
+++ b/src/election/vote-effect.ts
@@ -10,6 +10,11 @@
   readonly grantLeader: string;
   /** Whether every lease granted to another leader than `grantLeader` has expired; false if left out. */
   readonly isFree?: boolean | undefined;
+  /**
+   * Whether this voter was repaired and has granted no epoch since: it may have granted a lease to any leader before it lost
+   * its disk. False if left out.
+   */
+  readonly hasUnknownLease?: boolean | undefined;
 }
 
 /** What a voter asks its process to do. */
--- a/src/election/vote-grants.test.ts
+++ b/src/election/vote-grants.test.ts
@@ -134,3 +134,25 @@
   expect(grants.expireLeases(moment(freeAt - 1))).toBe(false);
   expect(grants.expireLeases(moment(freeAt + 1))).toBe(true);
 });
+
+// Guards against ONE (review/7): a repaired voter that restarted before its next grant forgot that a lease may bind it.
+test('a repaired voter that restarts before it grants an epoch still assumes that a lease binds it', () => {
+  const repaired = new VoteGrants(SETTINGS, START, NEVER_VOTED);
+  repaired.assumeUnknownLease(START);
+  const restarted = new VoteGrants(SETTINGS, moment(START + 10), repaired.record(EPOCH_6));
+  for (const leader of [b, c])
+    expect(restarted.remainingLeaseMs(moment(START + 10), leader)).toBe(leaseMs + handoverGapMs);
+  const again = new VoteGrants(SETTINGS, moment(START + 20), restarted.record(EPOCH_6));
+  expect(again.remainingLeaseMs(moment(START + 20), b)).toBe(leaseMs + handoverGapMs);
+});
+
+test('once a repaired voter has granted an epoch, its record says no more than that of others', () => {
+  const repaired = new VoteGrants(SETTINGS, START, NEVER_VOTED);
+  repaired.assumeUnknownLease(START);
+  repaired.grant(START, b, EPOCH_8, repaired.remainingLeaseMs(START, b));
+  const record = repaired.record(EPOCH_8);
+  expect(record).toEqual({ epoch: 8, grantEpoch: 8, grantLeader: 'b', isFree: false });
+  const restarted = new VoteGrants(SETTINGS, moment(START + 10), record);
+  for (const leader of [b, c])
+    expect(restarted.remainingLeaseMs(moment(START + 10), leader)).toBe(leaseMs + handoverGapMs);
+});
--- a/src/election/vote-grants.ts
+++ b/src/election/vote-grants.ts
@@ -25,6 +25,8 @@
   #priorLeaseEnd: Moment;
   /** The only leader that may hold a lease granted before this process started; empty if that is not known. */
   #priorLeader: string;
+  /** Whether this voter was repaired and has granted no epoch since: it does not know which lease it granted before. */
+  #hasUnknownLease: boolean;
 
   constructor(settings: VoteSettings, now: Moment, record: VoteRecord) {
     const { leaseMs, handoverGapMs, drift } = settings;
@@ -39,7 +41,9 @@
     // Leases granted before a crash are not on disk: assume that they were granted just now. If the record says that
     // only one leader can hold one, that leader need not wait for it and may continue at once.
     this.#priorLeader = isFree ? record.grantLeader : '';
-    this.#priorLeaseEnd = record.grantEpoch > 0 ? later(now, leaseMs) : moment(now - handoverGapMs);
+    this.#hasUnknownLease = record.hasUnknownLease === true;
+    const mayHaveGranted = record.grantEpoch > 0 || this.#hasUnknownLease;
+    this.#priorLeaseEnd = mayHaveGranted ? later(now, leaseMs) : moment(now - handoverGapMs);
   }
 
   /** The epoch granted last; 0 if none was. */
@@ -59,6 +63,7 @@
       grantEpoch: this.#lastGrant.grantedEpoch,
       grantLeader: this.#lastGrant.grantedLeader,
       isFree: this.#lastGrant.isFree,
+      ...(this.#hasUnknownLease ? { hasUnknownLease: true } : {}),
     };
   }
 
@@ -74,6 +79,8 @@
 
   /** Grants an epoch that was not granted yet; `waitMs` is for how long leases granted to other leaders still bind. */
   grant(now: Moment, leader: NodeId, epoch: Epoch, waitMs: number): void {
+    // Until the wait is over the record says that the grant is not free, which binds in the same way.
+    this.#hasUnknownLease = false;
     this.#lastGrant = {
       grantedEpoch: epoch,
       grantedLeader: leader,
@@ -93,8 +100,12 @@
     if (end !== undefined && end > now) this.#leaseEnds.set(leader, now);
   }
 
-  /** After a repair the granted leases are unknown: every leader must wait as if one had been granted just now. */
+  /**
+   * After a repair the granted leases are unknown: every leader must wait as if one had been granted just now. The record
+   * says so until the next grant, so that the voter knows it after a restart as well.
+   */
   assumeUnknownLease(now: Moment): void {
+    this.#hasUnknownLease = true;
     this.#priorLeaseEnd = later(now, this.#settings.leaseMs);
     this.#priorLeader = '';
   }
