Take a runner's status outside of 200 to 999 for no answer

Cause: Node's client hands over a status below 100 as it came, and a 101 without Upgrade as a final response; the proxy took any status for that of an answer. Writing the first throws where nobody catches it.

Fix: such a response ends its attempt as a closed connection does: what may be repeated runs elsewhere, the rest gets 502, as it may have run. The policy table's forwarder had the same fault and has the same check; its copy of abortResponse gives way to the other one. One more counter, answers.not-final.

--- a/src/proxy/client-exchange.ts
+++ b/src/proxy/client-exchange.ts
@@ -64,7 +64,10 @@
 }
 
 /** Aborts a response in a way that no client takes it for complete. */
-export function abortResponse({ clientRequest, clientResponse }: ClientExchange): void {
+export function abortResponse({
+  clientRequest,
+  clientResponse,
+}: Pick<ClientExchange, 'clientRequest' | 'clientResponse'>): void {
   // An HTTP/1.0 client takes an orderly close of the connection for the end of the response.
   if (clientRequest.httpVersion === '1.0') clientRequest.socket.resetAndDestroy();
   clientResponse.destroy();
--- a/src/proxy/forwarder.test.ts
+++ b/src/proxy/forwarder.test.ts
@@ -499,6 +499,36 @@
     await proxy.stop();
   }
 });
+/** Answers with a status line of its own; the head of an event stream if the path is that of one. */
+function respondWithStatus(status: string): RequestListener {
+  function respond(runnerRequest: IncomingMessage): void {
+    const type = runnerRequest.url?.startsWith('/stream/') ? 'text/event-stream' : 'text/plain';
+    const lines = [
+      `HTTP/1.1 ${status} OK`,
+      `x-id: ${idOf(runnerRequest)}`,
+      `content-type: ${type}`,
+    ];
+    runnerRequest.socket.write(`${lines.join('\r\n')}\r\ncontent-length: 2\r\n\r\nok`);
+  }
+  return respond;
+}
+
+// Guards against LOST (review/2): such a status ended the proxy, and all that it had under way. And against MIXED
+// (review/10): a status 101 that nobody asked for was passed on to the client.
+test.each(['000', '020', '099', '101'])(
+  'a response with status %s is no answer: what may be repeated runs elsewhere, the rest has an unknown outcome',
+  (status) =>
+    withTestProxy([respondWithStatus(status)], async (proxy) => {
+      for (const path of ['/unsafe/1', '/once/1', '/safe/1', '/stream/1'])
+        expect((await proxy.request(path)).status, path).toBe(502);
+      expect(proxy.counters.get('answers.not-final')).toBe(4);
+    }),
+);
+test('a request that may be repeated runs elsewhere after a response with status 020', () =>
+  withTestProxy([respondWithStatus('020'), respondCompletely], async (proxy) => {
+    const response = await proxy.request('/safe/1');
+    expect([response.status, response.body]).toEqual([200, 'whole']);
+  }));
 test('the run of a client that disconnects is canceled', async () => {
   const proxy = new TestProxy();
   let resolveCanceled: () => void = ignore;
--- a/src/proxy/http-messages.ts
+++ b/src/proxy/http-messages.ts
@@ -53,6 +53,18 @@
   return mediaType.trim().toLowerCase() === 'text/event-stream';
 }
 
+/** The statuses of final responses; those below are of interim ones, or of none (RFC 9110, 15). */
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 999;
+
+/**
+ * Whether the response is a final one. Node passes on a status below 100 as it came, and a 101 without `Upgrade` as if it were
+ * final; neither answers a request, and the former can't even be written.
+ */
+export function isFinalResponse({ statusCode = 0 }: IncomingMessage): boolean {
+  return statusCode >= MIN_FINAL_STATUS && statusCode <= MAX_STATUS;
+}
+
 /** Whether the response itself defines where it ends: by its length, by chunked coding, or by having no body. */
 export function hasSelfDefinedLength(method: string, response: IncomingMessage): boolean {
   const status = response.statusCode ?? 0;
@@ -62,3 +74,11 @@
   if (coding !== undefined) return coding.trim().toLowerCase() === 'chunked';
   return response.headers['content-length'] !== undefined;
 }
+
+/** The trailers of a message whose end has arrived, each value by itself. */
+export function trailersOf(message: IncomingMessage): [string, string][] {
+  const trailers: [string, string][] = [];
+  for (const [name, values] of Object.entries(message.trailersDistinct))
+    for (const value of values ?? []) trailers.push([name, value]);
+  return trailers;
+}
--- a/src/proxy/policy-forwarder.test.ts
+++ b/src/proxy/policy-forwarder.test.ts
@@ -205,6 +205,18 @@
 function doNothing(): void {
   /* as a runner, it never responds */
 }
+function respondWithStatus(status: string): RunnerBehavior {
+  function respond(runnerRequest: IncomingMessage): void {
+    runnerRequest.socket.write(`HTTP/1.1 ${status} OK\r\ncontent-length: 2\r\n\r\nok`);
+  }
+  return respond;
+}
+async function checkNotFinal(proxy: TestProxy): Promise<void> {
+  const response = await proxy.post('m');
+  expect(response.status).toBe(502);
+  expect(response.body).toContain('"outcome":"unsure"');
+  expect(proxy.counters.get('answers.not-final')).toBe(1);
+}
 async function checkOnceBroken(proxy: TestProxy): Promise<void> {
   const response = await proxy.post('m');
   expect(response.status).toBe(502);
@@ -410,6 +422,12 @@
   'a response that starts before the runner has read the body is forwarded',
   withTestProxy([respondBeforeBody], checkEarlyResponse),
 );
+// Guards against LOST (review/2) and MIXED (review/10) under the policy table: a status outside of 200 to 999 is no answer.
+for (const status of ['020', '099', '101'])
+  test(
+    `a response with status ${status} has an unknown outcome, and the proxy lives on`,
+    withTestProxy([respondWithStatus(status)], checkNotFinal),
+  );
 test(
   'a stale idle connection does not exclude its back end',
   withTestProxy([disconnectOnSecondRequest], checkStaleConnection),
--- a/src/proxy/policy-forwarder.ts
+++ b/src/proxy/policy-forwarder.ts
@@ -17,9 +17,16 @@
 import type { PolicyRouter } from './policy-router.js';
 import type { RunVerdict } from './policy-router-types.js';
 import { bindServer, parseAddress } from '../common/listen.js';
+import { abortResponse } from './client-exchange.js';
 import { ConnectionProbes } from './connection-probes.js';
 import { ErrorResponses } from './error-responses.js';
-import { hopByHopHeaders, hasSelfDefinedLength, forwardedHeaders } from './http-messages.js';
+import {
+  hopByHopHeaders,
+  hasSelfDefinedLength,
+  forwardedHeaders,
+  isFinalResponse,
+  trailersOf,
+} from './http-messages.js';
 import { InFlightRequests, type InFlightSettings, type ForwardStep } from './in-flight-requests.js';
 import { NO_NAMES, readNames, requestIdOf, type RequestNames } from './policy-request-names.js';
 import { ProbeConnections } from './probe-connections.js';
@@ -333,6 +340,12 @@
   #onResponse(exchange: ClientExchange, attempt: Attempt, runnerResponse: IncomingMessage): void {
     attempt.runnerResponse = runnerResponse;
     runnerResponse.on('error', () => this.#onDisconnect(exchange, attempt));
+    if (!isFinalResponse(runnerResponse)) {
+      this.#counters.add('answers.not-final');
+      // Its `error` event reports the end of the attempt.
+      attempt.runnerRequest.destroy(new Error('the response is not a final one'));
+      return;
+    }
     const isStarted = runnerResponse.headers['x-run'] !== 'none';
     if (!isStarted) runnerResponse.resume();
     this.#inFlightRequests.onHeaders(this.#now(), exchange.id, attempt.number, {
@@ -377,23 +390,8 @@
   }
 }
 
-function trailersOf(runnerResponse: IncomingMessage): [string, string][] {
-  const list: [string, string][] = [];
-  for (const [name, values] of Object.entries(runnerResponse.trailersDistinct))
-    for (const value of values ?? []) list.push([name, value]);
-  return list;
-}
-
 /** Completes the response, with the runner's trailers. */
 function completeResponse({ attempt, clientResponse }: ClientExchange): void {
   if (attempt?.runnerResponse) clientResponse.addTrailers(trailersOf(attempt.runnerResponse));
   clientResponse.end();
 }
-
-/** Aborts a response in a way that no client takes it for complete. */
-function abortResponse(exchange: ClientExchange): void {
-  const { clientResponse, clientRequest } = exchange;
-  // An HTTP/1.0 client takes an orderly close of the connection for the end of the response.
-  if (clientRequest.httpVersion === '1.0') clientResponse.socket?.resetAndDestroy();
-  clientResponse.destroy();
-}
--- a/src/proxy/runner-requests.ts
+++ b/src/proxy/runner-requests.ts
@@ -15,6 +15,7 @@
   hasSelfDefinedLength,
   forwardedHeaders,
   isEventStream,
+  isFinalResponse,
   REFRAMED_HEADERS,
 } from './http-messages.js';
 import type { RequestDialect } from './request-dialect.js';
@@ -117,6 +118,11 @@
     attempt.runnerResponse = runnerResponse;
     this.#agent.recordKeepAlive(runnerResponse);
     runnerResponse.on('error', ignore);
+    if (!isFinalResponse(runnerResponse)) {
+      this.#counters.add('answers.not-final');
+      this.#handler.abort(attempt);
+      return;
+    }
     const head = this.#readHead(attempt, runnerResponse);
     if (head.isUnprocessed) {
       this.#onUnprocessedHead(attempt, runnerResponse, head);
