Close connections in order when their response ends in a planned stop

Cause: "connection: close" goes into heads that are written after the SIGTERM, and resting connections are closed at two moments. A response whose head was written before, and that ended between them, left its connection open and untold.

Fix: while the proxy drains, a connection whose response has ended and on which nothing else is in progress is closed in order. A request that crosses the close is not run, so that its client can repeat it.

--- a/src/proxy/client-connections.ts
+++ b/src/proxy/client-connections.ts
@@ -70,6 +70,17 @@
     return true;
   }
 
+  /**
+   * Closes a connection on which no request is in progress, after what was written to it. A request that arrives later is not
+   * run: its client sees the close before any response, and can repeat it.
+   */
+  closeIfIdle(socket: Socket): void {
+    const requests = this.#stateOf(socket);
+    if (requests.isClosing || requests.reading.size > 0 || requests.unanswered.size > 0) return;
+    requests.isClosing = true;
+    socket.end();
+  }
+
   /**
    * Restarts the idle timeout of connections that are idle now, with this value, ms. Node applies to each connection the
    * timeout that was set when it became idle.
--- a/src/proxy/forwarder.ts
+++ b/src/proxy/forwarder.ts
@@ -42,6 +42,7 @@
   readonly #runnerRequests: RunnerRequests;
   readonly #responseRelay: ResponseRelay;
   #isApplyingEffects = false;
+  #isDraining = false;
   #onIdle: (() => void) | undefined;
 
   constructor(
@@ -97,8 +98,12 @@
     this.applyEffects();
   }
 
-  /** From now on the last response due on each connection carries `connection: close`. */
+  /**
+   * From now on the last response due on each connection carries `connection: close`. A connection whose response had begun
+   * before is closed when that is complete.
+   */
   startDraining(): void {
+    this.#isDraining = true;
     this.#responseWriter.startDraining();
   }
 
@@ -206,6 +211,7 @@
     }
     this.#dispatcher.onClientDisconnect(this.#now(), exchange.id);
     this.applyEffects();
+    if (this.#isDraining) this.#connections.closeIfIdle(exchange.clientRequest.socket);
     if (this.#exchanges.size === 0) this.#onIdle?.();
   }
 }
