--- a/eslint.config.js
+++ b/eslint.config.js
@@ -141,7 +141,6 @@
   'src/proxy/policy-forwarder.test.ts',
   'src/proxy/policy-forwarder.ts',
   'src/proxy/fleet-view.test.ts',
-  'src/proxy/forwarder.test.ts',
   'src/proxy/proxy-process.ts',
   'src/proxy/stream-relay.ts',
   'src/proxy/buffered-relay.ts',
